--- /dev/null
+++ b/src/main/java/astergate/Balancer.java
@@ -0,0 +1,153 @@
+package astergate;
+
+import java.util.List;
+
+/**
+ * The whole interface of the decision module: events come in as method calls, decisions go out through
+ * {@link Actions}. {@link Policy} is the implementation.
+ *
+ * <p>All times are microseconds of one clock that only advances; {@code now} is passed in with each event and
+ * durations are microseconds too. An instance is not safe for use by several threads at once: call it from
+ * one thread, or guard it by one lock. It never blocks, and it calls {@link Actions} only from within an event.
+ */
+public interface Balancer {
+
+    /** Brings up the instance: sets its first timer. Call it once, before any other event. */
+    void start(long now);
+
+    /** The list of upstreams, or changes of it, as discovery told it. */
+    void upstreams(long now, ListKind kind, List<Upstream> entries);
+
+    /** A client's request has arrived; one final answer is owed from here on. */
+    void request(long now, Request request);
+
+    /** The end of one attempt. */
+    void outcome(long now, AttemptEnd end);
+
+    /** A streamed answer has begun; the attempt belongs to the client from now on. */
+    void opened(long now, String request, int attempt);
+
+    /** The client has left; nothing is owed for this request any more. */
+    void clientGone(long now, String request);
+
+    /** The result of a probe; {@code load} is null if none came along. */
+    void probed(long now, String upstream, Outcome outcome, LoadReport load);
+
+    /** A timer that was set through {@link Actions#timer} is due. */
+    void timer(long now, String token);
+
+    /** A message from another balancer of the tier. */
+    void peerMessage(long now, int from, byte[] body);
+
+    /** Where the decisions go. Every call takes effect at the time of the event being handled. */
+    interface Actions {
+        /** Starts an attempt; {@code timeout} 0 lets it run until the client gives up. */
+        void send(String request, String upstream, long timeout);
+
+        /** Final answer: refused, a further try is harmless. {@code retryAfter} 0 gives no advice. */
+        void refuse(String request, long retryAfter);
+
+        /** Final answer: failed, nothing promised. */
+        void fail(String request);
+
+        /** Stops waiting for an attempt. */
+        void cancel(String request, int attempt);
+
+        /** Asks for a call of {@link Balancer#timer} after {@code delay}. */
+        void timer(String token, long delay);
+
+        /** Asks an upstream for its load. */
+        void probe(String upstream);
+
+        /** Closes idle connections to an upstream. */
+        void closeIdle(String upstream);
+
+        /** Subscribes to changes of the list, or ends that. */
+        void watch(boolean on);
+
+        /** Asks for the complete list once. */
+        void fetch();
+
+        /** Sends a message to one peer, or to all if {@code peer} is negative. */
+        void tell(int peer, byte[] body);
+
+        /** A line for the operators. */
+        void log(String text);
+    }
+
+    /** What a list of upstreams is: changes, the whole, the whole as held before a restart, or a failed call. */
+    enum ListKind { CHANGES, COMPLETE, RESTORED, UNAVAILABLE }
+
+    /** State of an upstream in the list. */
+    enum State { READY, DRAINING, GONE }
+
+    /** How an attempt ended. */
+    enum Outcome {
+        /** Served. */ OK(false),
+        /** An error; it may have run. */ ERROR(false),
+        /** Rejected unseen. */ FULL(true),
+        /** No answer in time; it may have run or still run. */ TIMEOUT(false),
+        /** No connection could be had. */ CONNECT_FAILED(true),
+        /** Broken while outstanding; it may have run. */ RESET(false),
+        /** Called off; it may have run. */ CANCELLED(false),
+        /** Never sent. */ MOOT(true);
+
+        /** Whether this outcome proves that the attempt never ran. */
+        public final boolean neverRan;
+
+        Outcome(boolean neverRan) {
+            this.neverRan = neverRan;
+        }
+    }
+
+    /** Whether a request may run more than once. */
+    enum Effect { SAFE, KEYED, UNSAFE }
+
+    /** Which upstreams discard the repeat of a keyed request: all, those of one zone, or those of one cell. */
+    enum Scope { ALL, ZONE, CELL }
+
+    /** How load reports come: within answers, by probes alone, or not at all. */
+    enum Reports { IN_ANSWERS, BY_PROBE, NONE }
+
+    /** What an upstream's rating means. */
+    enum Ratings { NONE, NOMINAL, ROUGH, LIVE }
+
+    /** One upstream as the list names it; {@code launchedAt} 0 means long ago. */
+    record Upstream(String id, int zone, int kind, int cell, State state, double rating, long launchedAt) { }
+
+    /** A request; {@code expectedWork} is 0 without a hint, {@code key} null without a key. */
+    record Request(String id, int classIndex, int tenant, String key, long expectedWork, long timeLeft,
+            boolean write, boolean retry) { }
+
+    /** The end of an attempt; {@code concluded} says that the request needs no further answer. */
+    record AttemptEnd(String request, int attempt, String upstream, Outcome outcome, long took,
+            boolean concluded, LoadReport load) { }
+
+    /** A load report; a value that the upstream does not report is NaN. Times are microseconds. */
+    record LoadReport(double utilisation, double active, double waiting, double serviceTime,
+            double servedPerSecond, double errorsPerSecond) { }
+
+    /** A class of requests. {@code aimStretch} lengthens the aim by that multiple of the request's own work. */
+    record RequestClass(long aim, double aimStretch, long giveUp, double worth, double lateWorth, Effect effect,
+            Scope scope, long memorySpan, boolean stream) { }
+
+    /** A tenant: its allowance in requests a second across all balancers, 0 for none stated. */
+    record Tenant(double allowance, double share) { }
+
+    /** What the balancer may do. */
+    record Limits(int maxAttempts, boolean secondCopies, boolean probes, boolean cancel, boolean peers,
+            int maxOpen, boolean retryAfter, long maxRetryAfter, long connectTimeout, long connectIdle,
+            int streamsPerConnection) { }
+
+    /** The figures of the rules. */
+    record RuleFigures(long answerSlack, long askWithin, double startCapacity, long coldTime, long drainGrace,
+            double fallMultiple, long fallTime) { }
+
+    /** Prices in points of the result, for each unit of what they are charged on. */
+    record Prices(double crossZone, double waste, double probe, double lateFail, double handshake) { }
+
+    /** All that an instance is told at its start. */
+    record Settings(int zone, int zones, int position, int groupSize, List<RequestClass> classes,
+            List<Tenant> tenants, double overShareWorth, boolean worthByWork, Limits limits, RuleFigures rules,
+            Prices prices, Reports reports, Ratings ratings, boolean askForList, boolean warmKeys, long tick) { }
+}
--- /dev/null
+++ b/src/main/java/astergate/Policy.java
@@ -0,0 +1,929 @@
+package astergate; // the interface of this module is in Balancer.java
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+
+/**
+ * The decisions. Each period every upstream is reweighted by how far its reported utilisation lies below or
+ * above the fleet mean; a request goes to an upstream in proportion to (weight / (in-flight + 1))^bias. What
+ * goes beyond that is a factor on the weight or a filter before the pick, and says what it guards against.
+ */
+public final class Policy implements Balancer {
+
+    // ---- Settings and tunables -----------------------------------------------------------------------
+
+    /** How often timers look at deadlines and held requests. */
+    private static final long SWEEP = 10_000;
+    /** Mean reweighting period; each is drawn from half to one and a half of it, so balancers drift apart. */
+    private static final long PERIOD = 250_000;
+    /** Change of the log weight per period for a utilisation 1.0 off the mean. */
+    private static final double GAIN = 0.25;
+    /** Share of the learnt log weight that is forgotten each period: the leak towards the rating. */
+    private static final double LEAK = 0.02;
+    /** Bound of the learnt log weight: a factor of about 4.5 either way. */
+    private static final double CLAMP = 1.5;
+    /** A report older than this says nothing; the mean weight applies. */
+    private static final long FRESH = 3_000_000;
+    /** Our traffic of so long a time, and so many upstreams at least, are the sample that we pick from. */
+    private static final long APERTURE_TIME = 3_000_000;
+    private static final int LEAST_APERTURE = 6;
+    /** Typical answer times in which a reported crowd is half forgotten twice; and the most that counts. */
+    private static final double CROWD_TIMES = 20;
+    private static final double MOST_CROWD = 1e3;
+    /** Balancers that share one ring of upstreams to sample from. */
+    private static final int SLOTS = 8;
+    /** Share of their aims that answers may take, and how fast the share of requests let in follows. */
+    private static final double ADMISSION_TARGET = 0.7;
+    private static final double ADMISSION_GAIN = 0.2;
+    private static final double LEAST_ADMITTED = 0.1;
+    /** Retry budget: further attempts as a share of requests, and how many may be saved up. */
+    private static final double RETRY_SHARE = 0.2;
+    private static final double MOST_RETRIES = 3;
+    /** Exponent of the pick: high enough that a clearly less loaded upstream nearly always wins. */
+    private static final double BIAS = 4;
+    /** Weight of the own zone: one, and this much for each point that crossing costs. */
+    private static final double CROSSING = 80;
+    /** How much more likely a key's home is in the own zone, where crossing costs. */
+    private static final double OWN_HOME = 4;
+    /** Weight factor for the upstream where a key is at home, where warm keys save work. */
+    private static final double HOME = 2.5;
+    /** In-flight limit of an upstream, by all balancers together, before anything is known: a short queue. */
+    private static final double FIRST_TOTAL = 3;
+    /** Lower bound of our own limit. */
+    private static final double LEAST_LIMIT = 0.05;
+    /** Waiting at an upstream that we aim at, as a share of the aim of the request's class. */
+    private static final double WAIT_SHARE = 0.28;
+    /** Least and most cut on an answer that waited too long; the step up is for a round of answers. */
+    private static final double LIMIT_CUT = 0.8;
+    private static final double DEEPEST_CUT = 0.4;
+    private static final double LIMIT_STEP = 0.3;
+    /** How fast the least service time seen at an upstream is forgotten: it doubles in half a minute. */
+    private static final double LEAST_DRIFT = Math.log(2) / 30e6;
+    /** Smoothing of each answer into an upstream's own times. */
+    private static final double SMOOTH = 0.15;
+    /** Smoothing of what is kept over all upstreams: slower, as many more answers feed it. */
+    private static final double SMOOTH_ALL = 0.02;
+    /** An upstream that answers nothing for this many typical answer times is held to hang. */
+    private static final double HANG_TIMES = 6;
+    /** First and longest ejection. */
+    private static final long FIRST_EJECTION = 1_000_000;
+    private static final long LONGEST_EJECTION = 8_000_000;
+    /** Panic threshold: ejections are ignored while fewer than this share of ready upstreams is left. */
+    private static final double PANIC = 0.4;
+    /** Points of the result that probing may cost; with the price this gives the probes for each request. */
+    private static final double PROBE_POINTS = 0.003;
+    /** No upstream is probed more often than this. */
+    private static final long PROBE_GAP = 300_000;
+    /** Mean pause before a failed subscription to the list is tried again. */
+    private static final long ASK_AGAIN = 1_000_000;
+    /** Part of our share of a cold upstream's budget that we use: the rest is for what we cannot see. */
+    private static final double COLD_CARE = 0.5;
+    /** Least size of a cold upstream's bucket, in mean requests; a dearer request does not go there. */
+    private static final double COLD_COST = 1.2;
+    /** A request is given up a sweep and this long before its time: later, its answer counts as lost. */
+    private static final long MARGIN_TICKS = 3;
+
+    private final Settings settings;
+    private final Actions out;
+    private final SplittableRandom random;
+    private final long margin;
+    private final long waitTarget;
+
+    private final Map<String, Up> byId = new LinkedHashMap<>();
+    private final List<Up> ups = new ArrayList<>();
+    private final Map<String, Req> open = new HashMap<>();
+    private final PriorityQueue<Req> byDeadline = new PriorityQueue<>(
+            Comparator.<Req>comparingLong(r -> r.deadline).thenComparingLong(r -> r.number));
+    private final TreeSet<Req> held = new TreeSet<>(
+            Comparator.<Req>comparingDouble(r -> -r.value).thenComparingLong(r -> -r.number));
+    private final double[] classTook;
+    private final double[] refusedAfter;
+    private final double[] tenantTokens;
+    private final long[] tenantAt;
+    private long requestNumber;
+    private long nextReweight;
+    private long nextProbe;
+    private double requestRate;
+    private long periods;
+    private double meanCrowd;
+    private double admitted = 1;
+    private double retryTokens = MOST_RETRIES;
+    private long requestsSince;
+    private double typicalTook;
+    private double meanCost;
+    private double ratings;
+    private long askAgainAt = Long.MAX_VALUE;
+
+    /** Creates an instance; bad settings are refused with the field's name. */
+    public Policy(Settings settings, long seed, Actions out) {
+        SettingsCheck.check(settings);
+        this.settings = settings;
+        this.out = out;
+        this.random = new SplittableRandom(seed);
+        this.margin = SWEEP + MARGIN_TICKS * Math.max(settings.tick(), 1_000);
+        long tightest = Long.MAX_VALUE;
+        for (RequestClass c : settings.classes()) {
+            tightest = Math.min(tightest, c.aim());
+        }
+        this.waitTarget = (long) (WAIT_SHARE * tightest);
+        this.tenantTokens = new double[settings.tenants().size()];
+        this.tenantAt = new long[settings.tenants().size()];
+        this.refusedAfter = new double[settings.classes().size()];
+        this.classTook = new double[settings.classes().size()];
+    }
+
+    /** What is known of one upstream. */
+    private static final class Up {
+        final String id;
+        Upstream entry;
+        int inFlight;
+        double workInFlight;
+        double logWeight;
+        double weight = 1;
+        double load = Double.NaN;
+        LoadReport report;
+        long reportAt = Long.MIN_VALUE / 2;
+        double limit;
+        long restUntil;
+        long cutAt;
+        double least;
+        long leastAt;
+        double took;
+        double errors;
+        long progressAt;
+        long answeredAt = Long.MIN_VALUE / 2;
+        boolean hanging;
+        long ejectedUntil;
+        long ejection = FIRST_EJECTION;
+        double tokens;
+        long tokensAt;
+        long probedAt = Long.MIN_VALUE / 2;
+        double rank;
+        double crowd;
+
+        Up(String id, long now) {
+            this.id = id;
+            this.tokensAt = now;
+        }
+    }
+
+    /** One attempt of a request. */
+    private static final class Try {
+        final Up up;
+        final long sentAt;
+        boolean limited;
+        boolean outstanding = true;
+        boolean mayHaveRun = true;
+
+        Try(Up up, long sentAt) {
+            this.up = up;
+            this.sentAt = sentAt;
+        }
+    }
+
+    /** One request that is owed an answer. */
+    private static final class Req {
+        final Request request;
+        final RequestClass cls;
+        final long number;
+        final long arrivedAt;
+        final long deadline;
+        long aimAt;
+        final List<Try> tries = new ArrayList<>(1);
+        double cost;
+        double value;
+        int outstanding;
+        boolean ended;
+        boolean streaming;
+        boolean waiting;
+
+        Req(Request request, RequestClass cls, long number, long now) {
+            this.request = request;
+            this.cls = cls;
+            this.number = number;
+            this.arrivedAt = now;
+            this.deadline = now + request.timeLeft();
+            long aim = cls.aim() + (long) (cls.aimStretch() * request.expectedWork());
+            this.aimAt = Math.min(deadline, now + aim);
+        }
+
+        /** The first attempt that may have run; one still out may have. */
+        Try guard() {
+            for (Try t : tries) {
+                if (t.mayHaveRun) {
+                    return t;
+                }
+            }
+            return null;
+        }
+    }
+
+    @Override
+    public void start(long now) {
+        nextReweight = now + jitter(PERIOD);
+        nextProbe = now + jitter(PROBE_GAP);
+        out.timer("sweep", SWEEP);
+        if (settings.askForList()) {
+            out.watch(true);
+        }
+    }
+
+    private long jitter(long period) {
+        return period / 2 + random.nextLong(period);
+    }
+
+    // ---- Upstream list -------------------------------------------------------------------------------
+
+    @Override
+    public void upstreams(long now, ListKind kind, List<Upstream> entries) {
+        if (kind == ListKind.UNAVAILABLE) {
+            askAgainAt = now + jitter(ASK_AGAIN);
+            return;
+        }
+        if (kind != ListKind.CHANGES) {
+            Set<String> named = new HashSet<>();
+            entries.forEach(e -> named.add(e.id()));
+            ups.removeIf(u -> !named.contains(u.id));
+        }
+        entries.forEach(e -> apply(now, e));
+        ups.removeIf(u -> u.entry.state() != State.READY);
+        order();
+        pump(now);
+    }
+
+    /**
+     * The order in which we sample: a ring of hashes that a few balancers share, each entering it elsewhere,
+     * so that all upstreams are in about as many samples. Where crossing has a price, the own zone is sooner.
+     */
+    private void order() {
+        ups.sort(Comparator.<Up>comparingDouble(u -> u.rank).thenComparing(u -> u.id));
+        Collections.rotate(ups, settings.position() % SLOTS * ups.size() / SLOTS);
+        int[] seen = new int[2];
+        Map<Up, Double> turn = new HashMap<>();
+        ups.forEach(u -> turn.put(u, ++seen[zoneFactor(u) > 1 ? 1 : 0] / zoneFactor(u)));
+        ups.sort(Comparator.comparingDouble(turn::get));
+    }
+
+    private void apply(long now, Upstream e) {
+        Up up = byId.get(e.id());
+        if (up == null || e.launchedAt() > up.entry.launchedAt()) {
+            // A new process: what was known of the old one, and what it still held of ours, says nothing now.
+            ups.remove(up);
+            up = new Up(e.id(), now);
+            up.limit = firstLimit();
+            up.tokens = meanCost * (2 * random.nextDouble() - 1);
+            up.rank = unit(settings.position() / SLOTS, up.id.hashCode());
+            byId.put(e.id(), up);
+        }
+        up.entry = e;
+        if (e.state() == State.READY && !ups.contains(up)) {
+            ups.add(up);
+        }
+    }
+
+    private double firstLimit() {
+        return Math.max(LEAST_LIMIT, FIRST_TOTAL / settings.groupSize());
+    }
+
+    // ---- Reweighting ---------------------------------------------------------------------------------
+
+    private void reweight(long now) {
+        double sum = 0;
+        int fresh = 0;
+        ratings = 0;
+        for (Up up : ups) {
+            ratings += rating(up);
+            up.load = now - up.reportAt <= FRESH && up.report != null
+                    ? Math.max(0, Math.min(1, up.report.utilisation())) : Double.NaN;
+            if (!Double.isNaN(up.load)) {
+                sum += up.load;
+                fresh++;
+            }
+        }
+        double mean = fresh == 0 ? 0 : sum / fresh;
+        double logSum = 0;
+        for (Up up : ups) {
+            if (!Double.isNaN(up.load)) {
+                double moved = up.logWeight * (1 - LEAK) + GAIN * (mean - up.load);
+                up.logWeight = Math.max(-CLAMP, Math.min(CLAMP, moved));
+                logSum += up.logWeight;
+            }
+        }
+        for (Up up : ups) {
+            if (Double.isNaN(up.load)) {
+                up.logWeight = fresh == 0 ? up.logWeight * (1 - LEAK) : logSum / fresh;
+            }
+            up.weight = rating(up) * Math.exp(up.logWeight);
+        }
+    }
+
+    private double rating(Up up) {
+        return settings.ratings() == Ratings.NONE || !(up.entry.rating() > 0) ? 1 : up.entry.rating();
+    }
+
+    private void learn(Up up, LoadReport report, long now) {
+        if (report == null || !(report.utilisation() >= -0.5 && report.utilisation() <= 2)) {
+            return;
+        }
+        up.report = report;
+        up.reportAt = now;
+        double active = report.active() >= 0 ? report.active() : report.waiting();
+        up.crowd = active >= 0 ? Math.min(active, MOST_CROWD) : 0;
+        meanCrowd += SMOOTH * (up.crowd - meanCrowd);
+    }
+
+    // ---- Health --------------------------------------------------------------------------------------
+
+    /**
+     * The in-flight limit: additive increase, multiplicative decrease on the waiting seen at an upstream.
+     * Only answers move it, with one cut at most for each round of sends, or one slow answer would close it.
+     */
+    private void adjustLimit(Up up, Try t, double wait, long aim, long now) {
+        double target = WAIT_SHARE * aim;
+        if (wait > target) {
+            if (t.sentAt >= up.cutAt) {
+                double cut = Math.max(DEEPEST_CUT, Math.min(LIMIT_CUT, target / wait));
+                up.limit = Math.max(LEAST_LIMIT, up.limit * cut);
+                up.cutAt = now;
+            }
+        } else if (t.limited) {
+            up.limit += LIMIT_STEP * Math.min(up.limit, 1 / up.limit);
+        }
+    }
+
+    /**
+     * What of an answer's time was waiting: all beyond the least service time seen lately. The reported
+     * service time will not do: it rises with the crowd on an upstream that slows down when crowded.
+     */
+    private double waitOf(Up up, Req r, long took, long now) {
+        boolean hinted = r.request.expectedWork() > 0;
+        double reported = up.report == null ? Double.NaN : up.report.serviceTime();
+        double sample = hinted ? took / r.cost : reported > 0 ? reported : up.took;
+        double drifted = up.least * Math.exp((now - up.leastAt) * LEAST_DRIFT);
+        up.least = up.least == 0 ? sample : Math.min(sample, drifted);
+        up.leastAt = now;
+        return took - (hinted ? ownService(r, up.least) : up.least);
+    }
+
+    /** The time that a request's hinted work takes at so much for a unit; 0 without a hint. */
+    private static double ownService(Req r, double unit) {
+        return r.request.expectedWork() > 0 ? r.cost * unit : 0;
+    }
+
+    private void checkHanging(long now) {
+        for (Up up : ups) {
+            long quiet = now - up.progressAt;
+            double expected = HANG_TIMES * Math.max(Math.max(up.took, typicalTook), waitTarget)
+                    + up.workInFlight * Math.max(1, up.least);
+            if (!up.hanging && up.inFlight > 0 && quiet > expected) {
+                up.hanging = true;
+                eject(up, now);
+            }
+        }
+    }
+
+    private void eject(Up up, long now) {
+        if (up.ejectedUntil <= now) {
+            up.ejectedUntil = now + up.ejection;
+            up.ejection = Math.min(LONGEST_EJECTION, up.ejection * 2);
+        }
+    }
+
+    private void noteOutcome(Up up, Req r, Try t, AttemptEnd end, long now) {
+        if (end.outcome() == Outcome.OK) {
+            up.progressAt = now;
+            up.answeredAt = now;
+            up.hanging = false;
+            up.ejectedUntil = 0;
+            up.ejection = FIRST_EJECTION;
+            up.errors *= 1 - SMOOTH;
+            up.took = smooth(up.took, end.took(), SMOOTH);
+            typicalTook = smooth(typicalTook, end.took(), SMOOTH_ALL);
+            adjustLimit(up, t, waitOf(up, r, end.took(), now), r.cls.aim(), now);
+            rest(up, end.took(), now);
+            int c = r.request.classIndex();
+            classTook[c] = smooth(classTook[c], end.took(), SMOOTH_ALL);
+        } else if (end.outcome() == Outcome.TIMEOUT || end.outcome() == Outcome.CANCELLED) {
+            // No answer in all that time is the longest waiting there is; the work may still run there.
+            adjustLimit(up, t, end.took() - ownService(r, up.least), r.cls.aim(), now);
+            rest(up, end.took(), now);
+        } else if (end.outcome() == Outcome.CONNECT_FAILED) {
+            // Nothing answered since that attempt was sent: dead, not a full table of connections.
+            if (up.answeredAt < t.sentAt) {
+                eject(up, now);
+            } else {
+                up.limit = Math.min(up.limit, Math.max(1, up.inFlight));
+            }
+        } else if (end.outcome() == Outcome.FULL) {
+            up.limit = Math.max(LEAST_LIMIT, Math.min(up.limit, up.inFlight + 1) * LIMIT_CUT);
+            if (sparse()) {
+                up.restUntil = now + (long) typicalTook;
+            }
+            rest(up, typicalTook, now);
+        } else if (end.outcome() == Outcome.ERROR || end.outcome() == Outcome.RESET) {
+            up.progressAt = now;
+            up.errors += SMOOTH * (1 - up.errors);
+            if (up.errors > 0.5) {
+                eject(up, now);
+            }
+        }
+    }
+
+    /** With many balancers even one in flight from each is too much: below one, the limit is a pause. */
+    private void rest(Up up, double took, long now) {
+        if (up.limit < 1 && !sparse()) {
+            up.restUntil = Math.max(up.restUntil, now + (long) (took * (1 / up.limit - 1)));
+        }
+    }
+
+    private static double smooth(double old, double sample, double share) {
+        return old == 0 ? sample : old + share * (sample - old);
+    }
+
+    private boolean ejected(Up up, long now) {
+        return up.ejectedUntil > now || up.ejection > FIRST_EJECTION && up.inFlight > 0;
+    }
+
+    private boolean panic(long now) {
+        int left = 0;
+        for (Up up : ups) {
+            left += ejected(up, now) ? 0 : 1;
+        }
+        return left < PANIC * ups.size();
+    }
+
+    // ---- The pick ------------------------------------------------------------------------------------
+
+    /** Draws an upstream in proportion to (weight / (in-flight + 1))^bias; null if none may take it now. */
+    private Up pick(Req r, long now, boolean pressing) {
+        boolean panic = panic(now);
+        double[] scores = new double[ups.size()];
+        double sum = 0;
+        int wanted = aperture();
+        Up home = homeOf(r, now);
+        for (int i = 0; i < scores.length && wanted > 0; i++) {
+            Up up = ups.get(i);
+            if (!mayTake(up, r, now, panic) || (!pressing || sparse()) && !hasRoom(up, now)) {
+                continue;
+            }
+            double w = up.weight * warmth(up, now) * Math.pow(1 - up.errors, 2) * zoneFactor(up)
+                    * (up == home ? HOME : 1);
+            if (up.ejection > FIRST_EJECTION) {
+                w *= r.cls.effect() == Effect.UNSAFE ? 0.02 : 0.3;
+            }
+            double others = sparse() ? crowd(up, now) : 0;
+            scores[i] = (sparse() ? w : power(w)) / power(loadUnits(up) + others + 1);
+            sum += scores[i];
+            wanted--;
+        }
+        return sum > 0 ? draw(scores, sum) : null;
+    }
+
+    private boolean mayTake(Up up, Req r, long now, boolean panic) {
+        return maySend(r, up, now) && (panic || !ejected(up, now)) && coldRoom(up, r, now);
+    }
+
+    /**
+     * What others have in flight there, as last reported: with a sliver of the traffic our own count tells
+     * little. It fades to the mean within some answer times, as a queue forgets.
+     */
+    private double crowd(Up up, long now) {
+        double fade = 1 - (now - up.reportAt) / (CROWD_TIMES * typicalTook);
+        return up.report == null || fade <= 0 ? meanCrowd : meanCrowd + fade * (up.crowd - meanCrowd);
+    }
+
+    private static double power(double x) {
+        return x * x * x * x;
+    }
+
+    private Up draw(double[] scores, double sum) {
+        double x = random.nextDouble() * sum;
+        Up last = null;
+        for (int i = 0; i < scores.length; i++) {
+            if (scores[i] > 0) {
+                last = ups.get(i);
+                x -= scores[i];
+                if (x < 0) {
+                    break;
+                }
+            }
+        }
+        return last;
+    }
+
+    /** In flight, half by count and half by hinted work in mean requests: one heavy request holds up many. */
+    private double loadUnits(Up up) {
+        return (up.inFlight + Math.max(0, up.workInFlight) / Math.max(meanCost, 1)) / 2;
+    }
+
+    private boolean hasRoom(Up up, long now) {
+        return now >= up.restUntil
+                && (sparse() || up.inFlight + 1 <= Math.max(1, up.limit * warmth(up, now)));
+    }
+
+    /**
+     * With more balancers than upstreams, ours is hardly ever the request that another one waits for: what an
+     * answer took tells of the others' load; a limit on our own in-flight would refuse what has room.
+     */
+    private boolean sparse() {
+        return settings.groupSize() > ups.size();
+    }
+
+    /**
+     * The schedule is sampled where our traffic cannot keep reports of all upstreams fresh: only the first so
+     * many in our own rendezvous order that are well take part, each balancer sampling others.
+     */
+    private int aperture() {
+        return periods >= 4 ? (int) Math.max(LEAST_APERTURE, requestRate * APERTURE_TIME / 1e6) : ups.size();
+    }
+
+    private double zoneFactor(Up up) {
+        return up.entry.zone() == settings.zone() ? 1 + CROSSING * settings.prices().crossZone() : 1;
+    }
+
+    /** Where a key is at home: the same upstream at every balancer, by rendezvous hashing, if it is well. */
+    private Up homeOf(Req r, long now) {
+        String key = r.request.key();
+        if (!settings.warmKeys() || key == null) {
+            return null;
+        }
+        Up best = null;
+        double most = Double.NEGATIVE_INFINITY;
+        for (Up up : ups) {
+            if (ejected(up, now)) {
+                continue;
+            }
+            double near = rating(up) * (zoneFactor(up) > 1 ? OWN_HOME : 1);
+            double score = -near / Math.log(unit(key.hashCode(), up.id.hashCode()));
+            if (score > most) {
+                most = score;
+                best = up;
+            }
+        }
+        return best;
+    }
+
+    /** A number between 0 and 1 that two hashes give, for rendezvous hashing. */
+    private static double unit(int a, int b) {
+        return new SplittableRandom(((long) a << 32) ^ b).nextDouble() + 0x1.0p-53;
+    }
+
+    // ---- Attempts and retries ------------------------------------------------------------------------
+
+    /** What rules 1 to 3 leave open for a further attempt. */
+    private boolean maySend(Req r, Up up, long now) {
+        if (r.ended || r.streaming || r.tries.size() >= settings.limits().maxAttempts()
+                || up.entry.state() != State.READY || now >= r.deadline) {
+            return false;
+        }
+        if (r.tries.isEmpty()) {
+            return true;
+        }
+        if (r.outstanding > 0 && !settings.limits().secondCopies()) {
+            return false;
+        }
+        Try guard = r.guard();
+        if (guard == null || r.cls.effect() == Effect.SAFE) {
+            return true;
+        }
+        return r.cls.effect() == Effect.KEYED && sameGroup(r.cls.scope(), guard.up, up)
+                && now - guard.sentAt < r.cls.memorySpan() - margin;
+    }
+
+    private static boolean sameGroup(Scope scope, Up a, Up b) {
+        return scope == Scope.ALL || scope == Scope.ZONE && a.entry.zone() == b.entry.zone()
+                || scope == Scope.CELL && a.entry.cell() == b.entry.cell();
+    }
+
+    private static boolean mayRefuse(Req r) {
+        return r.cls.effect() == Effect.SAFE || r.guard() == null
+                || r.cls.effect() == Effect.KEYED && r.cls.scope() == Scope.ALL;
+    }
+
+    private void send(Req r, Up up, long now) {
+        hold(r, false);
+        if (up.inFlight == 0) {
+            up.progressAt = now;
+        }
+        Try t = new Try(up, now);
+        r.tries.add(t);
+        r.outstanding++;
+        up.inFlight++;
+        t.limited = up.limit < 1 ? now - up.restUntil < up.took : up.inFlight + 1 > up.limit;
+        up.workInFlight += r.cost;
+        up.tokens -= coldCharge(r);
+        out.send(r.request.id(), up.id, 0);
+    }
+
+    @Override
+    public void outcome(long now, AttemptEnd end) {
+        Up up = byId.get(end.upstream());
+        if (up != null) {
+            learn(up, end.load(), now);
+        }
+        Req r = open.get(end.request());
+        if (r == null || end.attempt() < 0 || end.attempt() >= r.tries.size()) {
+            return;
+        }
+        Try t = r.tries.get(end.attempt());
+        if (t.outstanding) {
+            t.outstanding = false;
+            r.outstanding--;
+            t.mayHaveRun = !end.outcome().neverRan;
+            t.up.inFlight--;
+            t.up.workInFlight -= r.cost;
+            noteOutcome(t.up, r, t, end, now);
+            if (end.outcome() == Outcome.FULL) {
+                steerAdmission(1.5);
+            } else if (!end.outcome().neverRan) {
+                steerAdmission((double) end.took() / r.cls.aim());
+            }
+        }
+        if (end.concluded()) {
+            r.ended = true;
+        }
+        if (r.ended) {
+            forgetIfDone(r);
+        } else if (r.outstanding == 0) {
+            next(r, now);
+        }
+        pump(now);
+    }
+
+    /** After an attempt has failed: another one where that is legal and of use, else the final answer. */
+    private void next(Req r, long now) {
+        boolean mayTry = now < r.deadline - margin && (!sparse() || retryTokens-- >= 1);
+        Up up = r.guard() == null || !mayTry ? null : pick(r, now, true);
+        if (up != null) {
+            send(r, up, now);
+        } else if (mayTry && r.guard() == null && r.tries.size() < settings.limits().maxAttempts()) {
+            hold(r, true);
+        } else {
+            finish(r, now);
+        }
+    }
+
+    /** The final answer of a request that could not be served: a refusal where legal, else a failure. */
+    private void finish(Req r, long now) {
+        hold(r, false);
+        if (mayRefuse(r)) {
+            out.refuse(r.request.id(), 0);
+            int c = r.request.classIndex();
+            refusedAfter[c] += r.request.retry() ? 0 : 0.05 * (now - r.arrivedAt - refusedAfter[c]);
+        } else {
+            out.fail(r.request.id());
+        }
+        conclude(r, now);
+    }
+
+    private void conclude(Req r, long now) {
+        hold(r, false);
+        r.ended = true;
+        for (int i = 0; i < r.tries.size(); i++) {
+            if (r.tries.get(i).outstanding && settings.limits().cancel() && !r.streaming) {
+                out.cancel(r.request.id(), i);
+            }
+        }
+        forgetIfDone(r);
+    }
+
+    private void forgetIfDone(Req r) {
+        if (r.outstanding == 0) {
+            open.remove(r.request.id());
+        }
+    }
+
+    @Override
+    public void opened(long now, String request, int attempt) {
+        Req r = open.get(request);
+        if (r != null) {
+            r.streaming = true;
+        }
+    }
+
+    @Override
+    public void clientGone(long now, String request) {
+        Req r = open.get(request);
+        if (r != null && !r.ended) {
+            conclude(r, now);
+        }
+    }
+
+    // ---- Admission and load shedding -----------------------------------------------------------------
+
+    @Override
+    public void request(long now, Request request) {
+        Req r = new Req(request, settings.classes().get(request.classIndex()), requestNumber++, now);
+        double typical = classTook[request.classIndex()];
+        // The aim of a retry runs from the first try, and a refusal is what mostly lies behind it.
+        r.aimAt -= request.retry() ? (long) refusedAfter[request.classIndex()] : 0;
+        r.cost = request.expectedWork() > 0 ? request.expectedWork() : typical > 0 ? typical : 1;
+        r.value = r.cls.worth() / (settings.worthByWork() ? 1 : r.cost)
+                * (withinShare(request.tenant(), now) ? 1 : settings.overShareWorth());
+        meanCost = smooth(meanCost, r.cost, 0.01);
+        requestsSince++;
+        open.put(request.id(), r);
+        byDeadline.add(r);
+        if (now >= r.deadline - margin) {
+            finish(r, now); // a late try of an impatient client: no time is left to find that out at leisure
+            return;
+        }
+        if (sparse() && random.nextDouble() >= admitted) {
+            finish(r, now);
+            return;
+        }
+        retryTokens = Math.max(0, Math.min(MOST_RETRIES, retryTokens + RETRY_SHARE));
+        hold(r, true);
+        pump(now);
+    }
+
+    /**
+     * Load shedding without a word between balancers: the share that is let in follows how much of their aims
+     * our answers take. It guards against a jam of the whole fleet, where all is served and all of it late.
+     */
+    private void steerAdmission(double shareOfAim) {
+        double moved = admitted + ADMISSION_GAIN * (ADMISSION_TARGET - Math.min(2, shareOfAim));
+        admitted = Math.max(LEAST_ADMITTED, Math.min(1, moved));
+    }
+
+    /** Our part of a tenant's allowance, a bucket of a second; beyond it a held request loses its place. */
+    private boolean withinShare(int tenant, long now) {
+        if (tenant < 0 || tenant >= tenantAt.length || settings.tenants().get(tenant).allowance() <= 0) {
+            return true;
+        }
+        double rate = settings.tenants().get(tenant).allowance() / settings.groupSize();
+        double saved = tenantTokens[tenant] + rate * (now - tenantAt[tenant]) / 1e6;
+        boolean within = Math.min(Math.max(rate, 1), saved) >= 1;
+        tenantAt[tenant] = now;
+        tenantTokens[tenant] = Math.min(Math.max(rate, 1), saved) - (within ? 1 : 0);
+        return within;
+    }
+
+    private void hold(Req r, boolean on) {
+        if (on) {
+            held.add(r);
+        } else if (r.waiting) {
+            held.remove(r);
+        }
+        r.waiting = on;
+    }
+
+    /** Sends what is held, dearest first, as long as upstreams have room. */
+    private void pump(long now) {
+        sendHome(now);
+        int misses = 0;
+        for (Req r = held.isEmpty() ? null : held.first(); r != null && misses < 3;) {
+            Req following = held.higher(r);
+            Up up = pick(r, now, false);
+            if (up != null) {
+                send(r, up, now);
+            } else {
+                misses++;
+            }
+            r = following;
+        }
+    }
+
+    /**
+     * Held requests go first where their keys are at home: with scarce room, the first of the queue would
+     * take it, keys would be served cold everywhere, and the dearer work would keep the jam alive.
+     */
+    private void sendHome(long now) {
+        boolean panic = panic(now);
+        for (Req r : held.size() < 2 || !settings.warmKeys() ? List.<Req>of() : new ArrayList<>(held)) {
+            Up home = homeOf(r, now);
+            if (home != null && hasRoom(home, now) && mayTake(home, r, now, panic)) {
+                send(r, home, now);
+            }
+        }
+    }
+
+    /** Refuses held requests whose aim can no longer be met and that are worth nothing late. */
+    private void shed(long now) {
+        for (Req r : new ArrayList<>(held)) {
+            if (now + classTook[r.request.classIndex()] > r.aimAt && r.cls.lateWorth() <= 0) {
+                finish(r, now);
+            }
+        }
+    }
+
+    // ---- Cold-start budget ---------------------------------------------------------------------------
+
+    private double warmth(Up up, long now) {
+        long age = now - up.entry.launchedAt();
+        RuleFigures f = settings.rules();
+        if (up.entry.launchedAt() <= 0 || age >= f.coldTime() || f.coldTime() <= 0) {
+            return 1;
+        }
+        return f.startCapacity() + (1 - f.startCapacity()) * Math.max(0, age) / f.coldTime();
+    }
+
+    /**
+     * A cold upstream takes fallMultiple times its capacity at most. Our part is a share of that multiple of
+     * its even part of our traffic: over all balancers this sums to the capacity, however uneven traffic is
+     * and soon after a restart too. The bucket starts at random, or all would send a first request at once.
+     */
+    private boolean coldRoom(Up up, Req r, long now) {
+        double warmth = warmth(up, now);
+        if (warmth >= 1) {
+            return true;
+        }
+        double even = admitted * requestRate / 1e6 * meanCost * rating(up) / Math.max(ratings, rating(up));
+        double rate = COLD_CARE * settings.rules().fallMultiple() * warmth * even;
+        double most = Math.max(rate * settings.rules().fallTime(), COLD_COST * meanCost);
+        up.tokens = Math.min(most, up.tokens + rate * (now - up.tokensAt));
+        up.tokensAt = now;
+        return up.tokens >= coldCharge(r);
+    }
+
+    /** At least a mean request: those with hints small enough for the bucket are dearer than they say. */
+    private double coldCharge(Req r) {
+        return Math.max(r.cost, meanCost);
+    }
+
+    private void measureRate(long period) {
+        periods++;
+        requestRate += Math.max(0.1, 1.0 / periods) * (requestsSince * 1e6 / period - requestRate);
+        requestsSince = 0;
+    }
+
+    // ---- Deadlines and timers ------------------------------------------------------------------------
+
+    @Override
+    public void timer(long now, String token) {
+        if (!token.equals("sweep")) {
+            return;
+        }
+        out.timer("sweep", SWEEP);
+        expire(now);
+        checkHanging(now);
+        shed(now);
+        if (now >= nextReweight) {
+            long period = jitter(PERIOD);
+            measureRate(period);
+            reweight(now);
+            nextReweight = now + period;
+        }
+        if (now >= askAgainAt && settings.askForList()) {
+            askAgainAt = Long.MAX_VALUE;
+            out.watch(true);
+        }
+        probe(now);
+        pump(now);
+    }
+
+    private void expire(long now) {
+        while (!byDeadline.isEmpty()) {
+            Req r = byDeadline.peek();
+            if (!r.ended && r.deadline - margin > now) {
+                return;
+            }
+            byDeadline.poll();
+            if (!r.ended && !r.streaming) {
+                finish(r, now);
+            }
+        }
+    }
+
+    /** A slow steady probe where reports come no other way; its rate follows from price and traffic. */
+    private void probe(long now) {
+        if (settings.reports() != Reports.BY_PROBE || !settings.limits().probes() || now < nextProbe
+                || ups.isEmpty()) {
+            return;
+        }
+        double share = settings.prices().probe() > 0 ? PROBE_POINTS / settings.prices().probe() : 1;
+        double perSecond = Math.min(share * Math.max(requestRate, 1), ups.size() * 1e6 / PROBE_GAP);
+        nextProbe = now + jitter((long) (1e6 / perSecond));
+        Up oldest = ups.get(0);
+        for (Up up : ups) {
+            if (up.probedAt < oldest.probedAt) {
+                oldest = up;
+            }
+        }
+        oldest.probedAt = now;
+        out.probe(oldest.id);
+    }
+
+    @Override
+    public void probed(long now, String upstream, Outcome outcome, LoadReport load) {
+        Up up = byId.get(upstream);
+        if (up != null && outcome == Outcome.OK) {
+            learn(up, load, now);
+        }
+    }
+
+    @Override
+    public void peerMessage(long now, int from, byte[] body) {
+        // Balancers need nothing from each other.
+    }
+}
--- /dev/null
+++ b/src/main/java/astergate/package-info.java
@@ -0,0 +1,2 @@
+/** Load-balancing decisions for proxies: {@link astergate.Balancer} is the interface. */
+package astergate;
--- /dev/null
+++ b/src/main/java/astergate/wire/Batches.java
@@ -0,0 +1,400 @@
+package astergate.wire;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import astergate.Balancer.AttemptEnd;
+import astergate.Balancer.ListKind;
+import astergate.Balancer.LoadReport;
+import astergate.Balancer.Outcome;
+import astergate.Balancer.Request;
+import astergate.Balancer.Settings;
+import astergate.Balancer.State;
+import astergate.Balancer.Upstream;
+
+/** Reads one batch at a time and hands its events to the instances. */
+final class Batches {
+    private static final JsonFactory JSON = JsonFactory.builder()
+            .disable(StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION).build();
+    private static final Outcome[] OUTCOMES = Outcome.values();
+    private static final Map<String, State> STATES = Map.of(
+            "Ready", State.READY, "Terminating", State.DRAINING, "Gone", State.GONE);
+    private static final Map<String, ListKind> FORMS = Map.of("update", ListKind.CHANGES,
+            "replace", ListKind.COMPLETE, "restored", ListKind.RESTORED, "unavailable", ListKind.UNAVAILABLE);
+
+    private final Desk desk;
+    private final Replies replies;
+    private final PrintStream err;
+    private final Map<Integer, List<String>> reportNames = new java.util.HashMap<>();
+
+    Batches(Desk desk, Replies replies, PrintStream err) {
+        this.desk = desk;
+        this.replies = replies;
+        this.err = err;
+    }
+
+    /** The fields of one event, whatever its kind; a text that is absent is null, a number NaN. */
+    private static final class Event {
+        String kind;
+        double who = Double.NaN;
+        double seed = Double.NaN;
+        long seedExact;
+        SettingsReader.Found facts;
+        String corr;
+        String upstream;
+        double attempt = Double.NaN;
+        double ending = Double.NaN;
+        double took = Double.NaN;
+        Boolean last;
+        double[] feedback;
+        boolean write;
+        boolean retry;
+        double effort = Double.NaN;
+        double budget = Double.NaN;
+        double lane = Double.NaN;
+        double party = Double.NaN;
+        String entity;
+        String ctx;
+        String form;
+        List<Upstream> elements;
+        double from = Double.NaN;
+        String body;
+    }
+
+    /** Answers one line; what the modules do goes into the reply. */
+    ByteArrayOutputStream answer(byte[] line, int length) throws BadInput, IOException {
+        replies.begin();
+        double now = Double.NaN;
+        boolean inputFirst = false;
+        boolean inputSeen = false;
+        try (JsonParser json = JSON.createParser(line, 0, length)) {
+            if (json.nextToken() != JsonToken.START_OBJECT) {
+                throw new BadInput("not a JSON object");
+            }
+            while (json.nextToken() == JsonToken.FIELD_NAME) {
+                String name = json.currentName();
+                JsonToken value = json.nextToken();
+                if (name.equals("moment-s") && value.isNumeric()) {
+                    now = json.getDoubleValue();
+                } else if (name.equals("input") && value == JsonToken.START_ARRAY) {
+                    inputSeen = true;
+                    inputFirst = Double.isNaN(now);
+                    if (inputFirst) {
+                        json.skipChildren();
+                    } else {
+                        events(json, micros(now));
+                    }
+                } else {
+                    json.skipChildren();
+                }
+            }
+            if (json.nextToken() != null) {
+                throw new BadInput("text after the end of the batch");
+            }
+        } catch (JsonProcessingException e) {
+            throw new BadInput("not JSON: " + e.getOriginalMessage().lines().findFirst().orElse(""));
+        }
+        if (Double.isNaN(now)) {
+            throw new BadInput("no clock (moment-s)");
+        }
+        if (!inputSeen) {
+            throw new BadInput("no array of events (input)");
+        }
+        if (inputFirst) {
+            again(line, length, micros(now));
+        }
+        return replies.end();
+    }
+
+    /** The clock came after the events: read these now that the time is known. */
+    private void again(byte[] line, int length, long now) throws BadInput, IOException {
+        try (JsonParser json = JSON.createParser(line, 0, length)) {
+            json.nextToken();
+            while (json.nextToken() == JsonToken.FIELD_NAME) {
+                boolean input = json.currentName().equals("input");
+                json.nextToken();
+                if (input) {
+                    events(json, now);
+                } else {
+                    json.skipChildren();
+                }
+            }
+        }
+    }
+
+    private void events(JsonParser json, long now) throws BadInput, IOException {
+        while (json.nextToken() == JsonToken.START_OBJECT) {
+            dispatch(read(json), now);
+        }
+        if (json.currentToken() != JsonToken.END_ARRAY) {
+            throw new BadInput("an event that is not an object");
+        }
+    }
+
+    private Event read(JsonParser json) throws BadInput, IOException {
+        Event e = new Event();
+        while (json.nextToken() == JsonToken.FIELD_NAME) {
+            String name = json.currentName();
+            JsonToken value = json.nextToken();
+            if (value == JsonToken.VALUE_NULL) {
+                continue;
+            }
+            if (!texts(e, name, json, value) && !numbers(e, name, json) && !nested(e, name, json, value)) {
+                json.skipChildren();
+            }
+        }
+        return e;
+    }
+
+    private static boolean texts(Event e, String name, JsonParser json, JsonToken value) throws IOException {
+        switch (name) {
+            case "kind" -> e.kind = json.getText();
+            case "corr" -> e.corr = json.getText();
+            case "upstream" -> e.upstream = json.getText();
+            case "entity" -> e.entity = json.getText();
+            case "ctx" -> e.ctx = json.getText();
+            case "form" -> e.form = json.getText();
+            case "body" -> e.body = json.getText();
+            case "last" -> e.last = value == JsonToken.VALUE_TRUE;
+            case "is-write" -> e.write = value == JsonToken.VALUE_TRUE;
+            case "is-retry" -> e.retry = value == JsonToken.VALUE_TRUE;
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean numbers(Event e, String name, JsonParser json) throws BadInput, IOException {
+        switch (name) {
+            case "who" -> e.who = number(json, name);
+            case "attempt" -> e.attempt = number(json, name);
+            case "ending" -> e.ending = number(json, name);
+            case "took-s" -> e.took = number(json, name);
+            case "effort-s" -> e.effort = number(json, name);
+            case "time-budget-s" -> e.budget = number(json, name);
+            case "lane" -> e.lane = number(json, name);
+            case "party" -> e.party = number(json, name);
+            case "from" -> e.from = number(json, name);
+            case "init-seed" -> {
+                e.seed = number(json, name);
+                e.seedExact = json.currentToken() == JsonToken.VALUE_NUMBER_INT
+                        ? json.getBigIntegerValue().longValue() : (long) e.seed;
+            }
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean nested(Event e, String name, JsonParser json, JsonToken value)
+            throws BadInput, IOException {
+        if (name.equals("facts") && value == JsonToken.START_OBJECT) {
+            e.facts = SettingsReader.read(json);
+        } else if (name.equals("feedback") && value == JsonToken.START_ARRAY) {
+            e.feedback = row(json);
+        } else if (name.equals("elements") && value == JsonToken.START_ARRAY) {
+            e.elements = entries(json);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    static double number(JsonParser json, String name) throws BadInput, IOException {
+        if (!json.currentToken().isNumeric()) {
+            throw new BadInput("field " + name + " is not a number");
+        }
+        return json.getDoubleValue();
+    }
+
+    private static double[] row(JsonParser json) throws IOException {
+        double[] values = new double[8];
+        int n = 0;
+        for (JsonToken t = json.nextToken(); t != null && t != JsonToken.END_ARRAY; t = json.nextToken()) {
+            if (n < values.length) {
+                values[n++] = t.isNumeric() ? json.getDoubleValue() : Double.NaN;
+            }
+            json.skipChildren();
+        }
+        return java.util.Arrays.copyOf(values, n);
+    }
+
+    private static List<Upstream> entries(JsonParser json) throws BadInput, IOException {
+        List<Upstream> list = new ArrayList<>();
+        while (json.nextToken() == JsonToken.START_OBJECT) {
+            list.add(entry(json));
+        }
+        return list;
+    }
+
+    private static Upstream entry(JsonParser json) throws BadInput, IOException {
+        String id = null;
+        int zone = 0;
+        int kind = 0;
+        int cell = 0;
+        State state = null;
+        double rating = 1;
+        double launched = 0;
+        while (json.nextToken() == JsonToken.FIELD_NAME) {
+            String name = json.currentName();
+            if (json.nextToken() == JsonToken.VALUE_NULL) {
+                continue;
+            }
+            switch (name) {
+                case "upstream" -> id = json.getText();
+                case "failure-domain" -> zone = (int) number(json, name);
+                case "type" -> kind = (int) number(json, name);
+                case "block" -> cell = (int) number(json, name);
+                case "readiness" -> state = STATES.get(json.getText());
+                case "rating" -> rating = number(json, name);
+                case "launched-s" -> launched = number(json, name);
+                default -> json.skipChildren();
+            }
+        }
+        required(id != null, "upstream (in elements)");
+        required(state != null, "readiness (in elements)");
+        return new Upstream(id, zone, kind, cell, state, rating, micros(launched));
+    }
+
+    private void dispatch(Event e, long now) throws BadInput {
+        required(e.kind != null, "kind");
+        if (!SettingsReader.EVENTS.contains(e.kind)) {
+            err.println("skipped an event of unknown kind " + e.kind);
+            return;
+        }
+        int who = whole(e.who, "who");
+        switch (e.kind) {
+            case "create" -> create(e, who, now);
+            case "destroy" -> {
+                desk.destroy(who);
+                reportNames.remove(who);
+            }
+            case "sync" -> sync(e, who, now);
+            case "work-item" -> workItem(e, who, now);
+            case "answer" -> answer(e, who, now);
+            case "ping-result" -> ping(e, who, now);
+            case "client-gone" -> {
+                required(e.corr != null, "corr");
+                desk.tell(who, b -> b.clientGone(now, e.corr));
+            }
+            case "opened" -> {
+                required(e.corr != null, "corr");
+                int attempt = whole(e.attempt, "attempt");
+                desk.tell(who, b -> b.opened(now, e.corr, attempt));
+            }
+            case "reminder" -> {
+                required(e.ctx != null, "ctx");
+                desk.tell(who, b -> b.timer(now, e.ctx));
+            }
+            default -> whisper(e, who, now);
+        }
+    }
+
+    private void create(Event e, int who, long now) throws BadInput {
+        required(e.facts != null, "facts");
+        whole(e.seed, "init-seed");
+        Settings settings = e.facts.settings();
+        reportNames.put(who, e.facts.reportNames());
+        desk.create(who, now, e.seedExact, settings);
+    }
+
+    private void sync(Event e, int who, long now) throws BadInput {
+        ListKind kind = e.form == null ? null : FORMS.get(e.form);
+        required(kind != null, "form");
+        required(e.elements != null || kind == ListKind.UNAVAILABLE, "elements");
+        List<Upstream> entries = e.elements == null ? List.of() : e.elements;
+        desk.tell(who, b -> b.upstreams(now, kind, entries));
+    }
+
+    private void workItem(Event e, int who, long now) throws BadInput {
+        required(e.corr != null, "corr");
+        required(!Double.isNaN(e.budget), "time-budget-s");
+        int lane = whole(e.lane, "lane");
+        Request request = new Request(e.corr, lane, Double.isNaN(e.party) ? 0 : (int) e.party, e.entity,
+                Double.isNaN(e.effort) ? 0 : micros(e.effort), micros(e.budget), e.write, e.retry);
+        desk.tell(who, b -> b.request(now, request));
+    }
+
+    private void answer(Event e, int who, long now) throws BadInput {
+        required(e.corr != null, "corr");
+        required(e.upstream != null, "upstream");
+        required(e.last != null, "last");
+        AttemptEnd end = new AttemptEnd(e.corr, whole(e.attempt, "attempt"), e.upstream, outcome(e), took(e),
+                e.last, report(e, who));
+        desk.tell(who, b -> b.outcome(now, end));
+    }
+
+    private void ping(Event e, int who, long now) throws BadInput {
+        required(e.upstream != null, "upstream");
+        Outcome outcome = outcome(e);
+        LoadReport load = report(e, who);
+        desk.tell(who, b -> b.probed(now, e.upstream, outcome, load));
+    }
+
+    private void whisper(Event e, int who, long now) throws BadInput {
+        int from = whole(e.from, "from");
+        required(e.body != null, "body");
+        byte[] body;
+        try {
+            body = HexFormat.of().parseHex(e.body);
+        } catch (IllegalArgumentException bad) {
+            throw new BadInput("field body is not hex digits");
+        }
+        desk.tell(who, b -> b.peerMessage(now, from, body));
+    }
+
+    private static long took(Event e) throws BadInput {
+        required(!Double.isNaN(e.took), "took-s");
+        return micros(e.took);
+    }
+
+    private static Outcome outcome(Event e) throws BadInput {
+        int code = whole(e.ending, "ending");
+        if (code < 0 || code >= OUTCOMES.length) {
+            throw new BadInput("field ending has no outcome " + code);
+        }
+        return OUTCOMES[code];
+    }
+
+    private LoadReport report(Event e, int who) {
+        List<String> names = reportNames.get(who);
+        if (e.feedback == null || names == null) {
+            return null;
+        }
+        double[] r = new double[SettingsReader.REPORTED.size()];
+        java.util.Arrays.fill(r, Double.NaN);
+        for (int i = 0; i < names.size() && i < e.feedback.length; i++) {
+            int place = SettingsReader.REPORTED.indexOf(names.get(i));
+            if (place >= 0) {
+                r[place] = e.feedback[i];
+            }
+        }
+        return new LoadReport(r[0], r[1], r[2], r[3] * 1_000, r[4], r[5]);
+    }
+
+    static long micros(double seconds) {
+        return Math.round(seconds * 1e6);
+    }
+
+    private static void required(boolean there, String field) throws BadInput {
+        if (!there) {
+            throw new BadInput("field " + field + " is missing or not understood");
+        }
+    }
+
+    private static int whole(double value, String field) throws BadInput {
+        required(!Double.isNaN(value), field);
+        return (int) value;
+    }
+}
--- /dev/null
+++ b/src/test/java/astergate/PolicyTest.java
@@ -0,0 +1,689 @@
+package astergate;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import astergate.Balancer.ListKind;
+import astergate.Balancer.LoadReport;
+import astergate.Balancer.Outcome;
+import astergate.Balancer.Ratings;
+import astergate.Balancer.Reports;
+import astergate.Balancer.State;
+import astergate.Balancer.Upstream;
+
+/** Each rule and each departure of the module, acting and not acting. */
+class PolicyTest {
+    private static final long SECOND = Host.SECOND;
+    private static final long MILLI = Host.MILLI;
+    private final Host.Config config = new Host.Config();
+
+    private static int count(Host h, String upstream) {
+        return h.perUpstream.getOrDefault(upstream, 0);
+    }
+
+    // The mechanism
+
+    @Test
+    void weightFallsAboveTheMeanUtilisationAndRisesBelow() {
+        Host h = Host.of(config).list(3);
+        for (int i = 0; i < 600; i++) {
+            h.serve(0, 20 * MILLI, u -> u.equals("u0") ? 0.9 : u.equals("u1") ? 0.5 : 0.1);
+        }
+        assertTrue(count(h, "u0") < count(h, "u1"), h.perUpstream.toString());
+        assertTrue(count(h, "u1") * 2 < count(h, "u2"), h.perUpstream.toString());
+    }
+
+    @Test
+    void equalUtilisationKeepsSharesAlike() {
+        Host h = Host.of(config).list(3);
+        for (int i = 0; i < 600; i++) {
+            h.serve(0, 20 * MILLI, u -> 0.6);
+        }
+        for (int i = 0; i < 3; i++) {
+            assertEquals(200, count(h, "u" + i), 50, h.perUpstream.toString());
+        }
+    }
+
+    @Test
+    void withoutReportsPicksFollowInFlight() {
+        Host h = Host.of(config).list(4);
+        for (int i = 0; i < 4; i++) {
+            h.request(2, 2 * SECOND);
+        }
+        assertTrue(h.perUpstream.size() >= 3, h.perUpstream.toString());
+    }
+
+    @Test
+    void nominalRatingIsTheStartingWeightAndSilentOnesAreNot() {
+        for (Ratings ratings : List.of(Ratings.NOMINAL, Ratings.NONE)) {
+            config.ratings = ratings;
+            Host h = Host.of(config);
+            h.balancer.upstreams(h.now, ListKind.RESTORED, List.of(
+                    new Upstream("u0", 0, 0, 0, State.READY, 3, 0), new Upstream("u1", 0, 0, 0, State.READY, 1, 0)));
+            h.advance(SECOND);
+            for (int i = 0; i < 200; i++) {
+                h.serve(0, 20 * MILLI, u -> 0.5);
+            }
+            assertEquals(ratings == Ratings.NOMINAL, count(h, "u0") > 150, h.perUpstream.toString());
+        }
+    }
+
+    @Test
+    void nonsenseReportsAreNoReportsAndSlightExcessIsClamped() {
+        double[] nonsense = {Double.NaN, -7, 1e9, Double.POSITIVE_INFINITY};
+        Host h = Host.of(config).list(3);
+        for (int i = 0; i < 400; i++) {
+            double bad = nonsense[i % nonsense.length];
+            h.serve(0, 20 * MILLI, u -> u.equals("u0") ? bad : 0.5);
+        }
+        assertEquals(133, count(h, "u0"), 50, h.perUpstream.toString());
+        Host full = Host.of(config).list(3);
+        for (int i = 0; i < 400; i++) {
+            full.serve(0, 20 * MILLI, u -> u.equals("u0") ? 1.03 : 0.3);
+        }
+        assertTrue(count(full, "u0") < 80, full.perUpstream.toString());
+    }
+
+    @Test
+    void probesRunOnlyWhereReportsComeByProbe() {
+        Host none = Host.of(config).list(3);
+        none.advance(5 * SECOND);
+        assertTrue(none.probes.isEmpty());
+        config.reports = Reports.BY_PROBE;
+        Host h = Host.of(config).list(3);
+        h.advance(60 * SECOND);
+        assertEquals(3, new HashSet<>(h.probes).size());
+        config.probes = false;
+        Host forbidden = Host.of(config).list(3);
+        forbidden.advance(5 * SECOND);
+        assertTrue(forbidden.probes.isEmpty());
+    }
+
+    @Test
+    void sameEventsGiveSameActionsAndInstancesAreIndependent() {
+        List<List<String>> runs = new ArrayList<>();
+        for (int run = 0; run < 2; run++) {
+            Host h = Host.of(config).list(5);
+            Host other = run == 0 ? null : Host.of(config).list(2);
+            for (int i = 0; i < 200; i++) {
+                h.serve(i % 3, 15 * MILLI, u -> u.equals("u1") ? 0.9 : 0.4);
+                if (other != null) {
+                    other.serve(0, 90 * MILLI, u -> 1);
+                }
+            }
+            runs.add(h.done);
+        }
+        assertEquals(runs.get(0), runs.get(1));
+    }
+
+    // Factors on the weight
+
+    @Test
+    void ownZoneIsPreferredWhereCrossingHasAPrice() {
+        for (double price : new double[] {0, 0.05}) {
+            config.crossZone = price;
+            Host h = Host.of(config).list(3);
+            for (int i = 0; i < 300; i++) {
+                h.serve(0, 20 * MILLI, u -> 0.3);
+            }
+            assertEquals(price > 0, count(h, "u0") > 250, h.perUpstream.toString());
+        }
+    }
+
+    @Test
+    void aKeyHasOneHomeWhereWarmKeysHelp() {
+        for (boolean warm : new boolean[] {false, true}) {
+            config.warmKeys = warm;
+            Host h = Host.of(config).list(6);
+            for (int i = 0; i < 200; i++) {
+                String id = h.request(0, 2 * SECOND, "key", 20 * MILLI);
+                h.advance(20 * MILLI);
+                h.end(id, Outcome.OK, 20 * MILLI, null);
+            }
+            int most = h.perUpstream.values().stream().max(Integer::compare).orElse(0);
+            assertEquals(warm, most > 150, h.perUpstream.toString());
+        }
+    }
+
+    @Test
+    void withScarceRoomHeldKeysGoHome() {
+        config.warmKeys = true;
+        Host h = Host.of(config).list(4);
+        Map<String, String> homes = new HashMap<>();
+        for (int i = 0; i < 40; i++) {
+            String id = h.request(0, 2 * SECOND, "key" + i, 20 * MILLI);
+            homes.put("key" + i, h.lastUpstream(id));
+            h.advance(20 * MILLI);
+            h.end(id, Outcome.OK, 20 * MILLI, null);
+        }
+        h.advance(SECOND);
+        List<String> out = new ArrayList<>();
+        Map<String, String> waiting = new LinkedHashMap<>();
+        for (int i = 0; i < 120; i++) {
+            String id = h.request(0, 2 * SECOND, "key" + i % 40, 20 * MILLI);
+            if (h.lastUpstream(id) == null) {
+                waiting.put(id, homes.get("key" + i % 40));
+            } else {
+                out.add(id);
+            }
+        }
+        h.advance(20 * MILLI);
+        out.forEach(id -> h.end(id, Outcome.OK, 20 * MILLI, null));
+        waiting.keySet().removeIf(id -> h.lastUpstream(id) == null);
+        long home = waiting.entrySet().stream().filter(w -> w.getValue().equals(h.lastUpstream(w.getKey())))
+                .count();
+        assertTrue(waiting.size() > 8, "sent " + waiting.size());
+        assertTrue(home > 0.75 * waiting.size(), home + " of " + waiting.size());
+    }
+
+    @Test
+    void homesLieMostlyInTheOwnZoneWhereCrossingHasAPrice() {
+        int[] own = new int[2];
+        config.warmKeys = true;
+        for (int priced = 0; priced < 2; priced++) {
+            config.crossZone = priced * 0.0001;
+            Host h = Host.of(config).list(6);
+            for (int i = 0; i < 300; i++) {
+                String id = h.request(0, 2 * SECOND, "key" + i, 20 * MILLI);
+                h.advance(20 * MILLI);
+                h.end(id, Outcome.OK, 20 * MILLI, null);
+            }
+            own[priced] = count(h, "u0") + count(h, "u3");
+        }
+        assertTrue(own[1] > own[0] + 50, own[0] + " " + own[1]);
+    }
+
+    @Test
+    void rareErrorsAndSlowAnswersEjectNobody() {
+        Host h = Host.of(config).list(3);
+        for (int i = 0; i < 300; i++) {
+            String id = h.request(0, 2 * SECOND);
+            boolean slow = h.lastUpstream(id).equals("u0");
+            h.advance(slow ? 60 * MILLI : 20 * MILLI);
+            if (slow && i % 20 == 0) {
+                h.end(id, Outcome.ERROR, 60 * MILLI, Host.report(0.5));
+            }
+            h.end(id, Outcome.OK, 20 * MILLI, Host.report(0.5));
+        }
+        assertTrue(count(h, "u0") > 40, h.perUpstream.toString());
+        assertEquals(List.of(), h.cancelled);
+    }
+
+    @Test
+    void quickErrorsEjectAnUpstreamThatWouldOtherwiseLookIdle() {
+        Host h = Host.of(config).list(4);
+        for (int i = 0; i < 300; i++) {
+            String id = h.request(0, 2 * SECOND);
+            h.advance(5 * MILLI);
+            while (h.lastUpstream(id).equals("u0") && h.sends.get(id).size() < 4) {
+                h.end(id, Outcome.ERROR, 5 * MILLI, Host.report(0.01));
+            }
+            if (!h.lastUpstream(id).equals("u0")) {
+                h.end(id, Outcome.OK, 5 * MILLI, Host.report(0.5));
+            }
+        }
+        assertTrue(count(h, "u0") < 40, h.perUpstream.toString());
+    }
+
+    @Test
+    void aHangingUpstreamIsLeft() {
+        Host h = Host.of(config).list(4);
+        for (int i = 0; i < 200; i++) {
+            String id = h.request(0, 2 * SECOND);
+            h.advance(20 * MILLI);
+            if (!h.lastUpstream(id).equals("u0")) {
+                h.end(id, Outcome.OK, 20 * MILLI, Host.report(0.5));
+            }
+        }
+        assertTrue(count(h, "u0") > 0 && count(h, "u0") < 12, h.perUpstream.toString());
+    }
+
+    @Test
+    void panicThresholdIgnoresEjectionsWhenNearlyAllAreEjected() {
+        Host h = Host.of(config).list(3);
+        for (int i = 0; i < 60; i++) {
+            String id = h.request(0, 2 * SECOND);
+            h.advance(5 * MILLI);
+            for (int k = 0; k < 4 && h.lastUpstream(id) != null && h.sends.get(id).size() > k; k++) {
+                h.end(id, Outcome.CONNECT_FAILED, 5 * MILLI, null);
+            }
+        }
+        h.advance(100 * MILLI);
+        h.perUpstream.clear();
+        h.request(2, 2 * SECOND);
+        h.advance(500 * MILLI);
+        assertFalse(h.perUpstream.isEmpty());
+    }
+
+    @Test
+    void failedConnectsEjectADeadUpstreamButNotOneThatStillAnswers() {
+        for (boolean dead : new boolean[] {true, false}) {
+            Host h = Host.of(config).list(1);
+            String first = h.request(0, 2 * SECOND);
+            String second = h.request(2, 2 * SECOND);
+            h.advance(5 * MILLI);
+            if (!dead) {
+                h.end(first, Outcome.OK, 5 * MILLI, null);
+            }
+            h.end(second, Outcome.CONNECT_FAILED, 5 * MILLI, null);
+            if (!dead) {
+                h.end(second, Outcome.OK, 5 * MILLI, null);
+            }
+            h.change(Host.up(1, State.READY, 0));
+            h.advance(100 * MILLI);
+            h.perUpstream.clear();
+            for (int i = 0; i < 40; i++) {
+                h.serve(0, 5 * MILLI, u -> 0.5);
+            }
+            assertEquals(dead, count(h, "u0") == 0, dead + h.perUpstream.toString());
+        }
+    }
+
+    // In-flight limit, holding and shedding
+
+    @Test
+    void slowAnswersLowerTheInFlightLimitAndRequestsAreHeld() {
+        Host h = Host.of(config).list(2);
+        for (int i = 0; i < 60; i++) {
+            String id = h.request(0, 2 * SECOND);
+            if (h.lastUpstream(id) != null) {
+                h.advance(i < 10 ? 20 * MILLI : 900 * MILLI);
+                h.end(id, Outcome.OK, i < 10 ? 20 * MILLI : 900 * MILLI, null);
+            }
+        }
+        h.perUpstream.clear();
+        for (int i = 0; i < 20; i++) {
+            h.request(0, 2 * SECOND);
+        }
+        int sent = h.perUpstream.values().stream().mapToInt(Integer::intValue).sum();
+        assertTrue(sent <= 2, "sent " + sent);
+    }
+
+    @Test
+    void withRoomNothingIsHeld() {
+        Host h = Host.of(config).list(4);
+        String id = h.request(0, 2 * SECOND);
+        assertNotEquals(null, h.lastUpstream(id));
+    }
+
+    @Test
+    void dearerHeldRequestsGoFirst() {
+        Host h = Host.of(config);
+        String cheap = h.request(0, 2 * SECOND);
+        String dear = h.request(2, 2 * SECOND);
+        assertNull(h.lastUpstream(cheap));
+        h.list(1);
+        int sentDear = h.done.indexOf(h.now + " send " + dear + " u0");
+        int sentCheap = h.done.indexOf(h.now + " send " + cheap + " u0");
+        assertTrue(sentDear >= 0 && sentDear < sentCheap, h.done.toString());
+    }
+
+    @Test
+    void aMarkedRetryIsShedSoonerThanAFirstTryOnceRefusalsAreUsual() {
+        for (boolean retry : new boolean[] {true, false}) {
+            config.lateWorth = 0;
+            Host h = Host.of(config);
+            for (int i = 0; i < 100; i++) {
+                h.request(0, 2 * SECOND);
+                h.advance(510 * MILLI);
+            }
+            h.refused.clear();
+            h.balancer.request(h.now, new Balancer.Request("again", 0, 0, null, 0, 2 * SECOND, false, retry));
+            h.advance(100 * MILLI);
+            assertEquals(retry, h.refused.contains("again"));
+        }
+    }
+
+    @Test
+    void whatLiesBeyondATenantsShareLosesItsPlace() {
+        for (double allowance : new double[] {0, 1}) {
+            config.tenants = List.of(new Balancer.Tenant(allowance, 1));
+            Host h = Host.of(config);
+            String first = h.request(0, 2 * SECOND);
+            String second = h.request(0, 2 * SECOND);
+            h.list(1);
+            int sentFirst = h.done.indexOf(h.now + " send " + first + " u0");
+            int sentSecond = h.done.indexOf(h.now + " send " + second + " u0");
+            assertEquals(allowance > 0, sentFirst < sentSecond, h.done.toString());
+        }
+    }
+
+    @Test
+    void heldRequestsPastTheirAimAreRefusedWhereLateIsWorthNothing() {
+        for (double late : new double[] {0, 0.5}) {
+            config.lateWorth = late;
+            Host h = Host.of(config);
+            h.request(0, 2 * SECOND);
+            h.advance(600 * MILLI);
+            assertEquals(late == 0 ? 1 : 0, h.refused.size());
+            h.advance(1_500 * MILLI);
+            assertEquals(1, h.refused.size());
+        }
+    }
+
+    // More balancers than upstreams
+
+    /** Incident i255b3e: limits far below one in flight refused nearly all while upstreams idled. */
+    @Test
+    void aLargeGroupDoesNotRefuseForALimitOnItsOwnInFlight() {
+        config.group = 300;
+        Host h = Host.of(config).list(40);
+        for (int i = 0; i < 100; i++) {
+            h.serve(i % 3, 200 * MILLI, u -> 0.6);
+        }
+        assertEquals(List.of(), h.refused);
+        assertEquals(100, h.sends.size());
+    }
+
+    /** With the rating to the fourth power, the large machines of a mixed fleet got nearly all. */
+    @Test
+    void aLargeGroupPicksInProportionToTheRatingNotToItsFourthPower() {
+        config.group = 300;
+        config.ratings = Ratings.NOMINAL;
+        Host h = Host.of(config);
+        h.balancer.upstreams(h.now, ListKind.RESTORED, List.of(
+                new Upstream("u0", 0, 0, 0, State.READY, 3, 0), new Upstream("u1", 0, 0, 0, State.READY, 1, 0)));
+        h.advance(SECOND);
+        for (int i = 0; i < 400; i++) {
+            h.serve(0, 20 * MILLI, u -> 0.5);
+        }
+        assertEquals(300, count(h, "u0"), 40, h.perUpstream.toString());
+    }
+
+    @Test
+    void aSliverOfTrafficGoesToASampleThatDiffersBetweenBalancers() {
+        config.group = 300;
+        Set<String> all = new HashSet<>();
+        for (int position = 0; position < 8; position++) {
+            config.position = position;
+            Host h = Host.of(config).list(40);
+            h.advance(3 * SECOND);
+            h.perUpstream.clear();
+            for (int i = 0; i < 60; i++) {
+                h.serve(0, 300 * MILLI, u -> 0.5);
+            }
+            assertTrue(h.perUpstream.size() <= 16, h.perUpstream.toString());
+            all.addAll(h.perUpstream.keySet());
+        }
+        assertEquals(40, all.size());
+    }
+
+    @Test
+    void aReportedCrowdIsLeftAloneUntilTheReportHasFaded() {
+        config.group = 300;
+        Host h = Host.of(config).list(4);
+        h.advance(2 * SECOND);
+        for (int i = 0; i < 200; i++) {
+            String id = h.request(0, 2 * SECOND);
+            String at = h.lastUpstream(id);
+            h.advance(20 * MILLI);
+            h.end(id, Outcome.OK, 20 * MILLI, new LoadReport(0.5, at.equals("u0") ? 9 : 1, 0, 20, 1, 0));
+        }
+        assertTrue(count(h, "u0") > 2 && count(h, "u0") < 25, h.perUpstream.toString());
+    }
+
+    /** Incidents id2fe46 and i1f431d: a jammed fleet served everything, and all of it late. */
+    @Test
+    void whenAnswersTakeTheirWholeAimALargeGroupLetsLessInAndThenMoreAgain() {
+        config.group = 300;
+        Host h = Host.of(config).list(4);
+        for (int i = 0; i < 60; i++) {
+            h.serve(0, 900 * MILLI, u -> 1);
+        }
+        int refused = h.refused.size();
+        assertTrue(refused > 20, "refused " + refused);
+        for (int i = 0; i < 400; i++) {
+            h.serve(0, 20 * MILLI, u -> 0.5);
+        }
+        h.refused.clear();
+        for (int i = 0; i < 50; i++) {
+            h.serve(0, 20 * MILLI, u -> 0.5);
+        }
+        assertEquals(List.of(), h.refused);
+    }
+
+    @Test
+    void fullQueuesEverywhereAreNotAskedOverAndOver() {
+        config.group = 300;
+        Host h = Host.of(config).list(20);
+        for (int i = 0; i < 50; i++) {
+            String id = h.request(0, 2 * SECOND);
+            while (h.lastUpstream(id) != null && !h.refused.contains(id)) {
+                h.end(id, Outcome.FULL, MILLI, null);
+                h.advance(20 * MILLI);
+            }
+        }
+        int sends = h.sends.values().stream().mapToInt(List::size).sum();
+        assertTrue(sends <= 50 * 1.2 + 3, "sends " + sends);
+    }
+
+    // The rules
+
+    @Test
+    void anAnswerIsGivenBeforeTheClientsOwnTimeWithNoUpstreamAtAll() {
+        Host h = Host.of(config);
+        h.request(2, 300 * MILLI);
+        h.advance(299 * MILLI);
+        assertEquals(1, h.refused.size());
+    }
+
+    /** Deadlines were looked at on a beat of 10 ms, which is coarser than what a short tick leaves. */
+    @Test
+    void anAnswerIsGivenInTimeWhereverTheDeadlineFallsBetweenTwoLooks() {
+        config.tick = MILLI;
+        for (int offset = 0; offset < 12; offset++) {
+            Host h = Host.of(config);
+            h.advance(offset * MILLI);
+            h.request(2, 300 * MILLI);
+            h.advance(300 * MILLI);
+            assertEquals(1, h.refused.size(), "offset " + offset);
+        }
+    }
+
+    @Test
+    void aTryWithHardlyAnyTimeLeftIsAnsweredAtOnce() {
+        Host h = Host.of(config);
+        h.request(2, 4 * MILLI);
+        assertEquals(1, h.refused.size());
+    }
+
+    @Test
+    void anUnsafeRequestThatMayHaveRunFailsAndIsNeverSentAgain() {
+        Host h = Host.of(config).list(3);
+        String id = h.request(2, 2 * SECOND);
+        h.end(id, Outcome.RESET, MILLI, null);
+        assertEquals(1, h.sends.get(id).size());
+        assertEquals(List.of(id), h.failed);
+    }
+
+    @Test
+    void anUnsafeRequestThatProvablyNeverRanIsSentAgain() {
+        Host h = Host.of(config).list(3);
+        String id = h.request(2, 2 * SECOND);
+        h.end(id, Outcome.FULL, MILLI, null);
+        h.advance(100 * MILLI);
+        assertEquals(2, h.sends.get(id).size());
+    }
+
+    @Test
+    void aKeyedRequestIsRepeatedOnlyWithinItsZoneAndTime() {
+        Host h = Host.of(config).list(9);
+        String id = h.request(1, 2 * SECOND);
+        h.end(id, Outcome.RESET, MILLI, null);
+        assertEquals(2, h.sends.get(id).size());
+        List<Integer> zones = h.sends.get(id).stream().map(u -> Integer.parseInt(u.substring(1)) % 3).toList();
+        assertEquals(zones.get(0), zones.get(1));
+        h.advance(1_100 * MILLI);
+        h.end(id, Outcome.RESET, 1_100 * MILLI, null);
+        assertEquals(2, h.sends.get(id).size());
+        assertEquals(List.of(id), h.failed);
+    }
+
+    @Test
+    void nothingGoesToADrainingUpstreamFromTheMomentItIsTold() {
+        Host h = Host.of(config).list(2);
+        h.change(Host.up(0, State.DRAINING, 0));
+        for (int i = 0; i < 50; i++) {
+            h.serve(0, 5 * MILLI, u -> 0.5);
+        }
+        assertEquals(0, count(h, "u0"));
+        h.balancer.upstreams(h.now, ListKind.COMPLETE, List.of(Host.up(2, State.READY, 0)));
+        h.perUpstream.clear();
+        h.serve(0, 5 * MILLI, u -> 0.5);
+        assertEquals(Set.of("u2"), h.perUpstream.keySet());
+    }
+
+    @Test
+    void aColdUpstreamGetsSomeWorkButLittle() {
+        Host h = Host.of(config).list(3);
+        for (int i = 0; i < 500; i++) {
+            h.serve(0, 10 * MILLI, u -> 0.6);
+        }
+        h.change(Host.up(0, State.READY, h.now - MILLI));
+        h.perUpstream.clear();
+        for (int i = 0; i < 500; i++) {
+            h.serve(0, 10 * MILLI, u -> 0.6);
+        }
+        assertTrue(count(h, "u0") > 0 && count(h, "u0") < 60, h.perUpstream.toString());
+    }
+
+    @Test
+    void halfTheFleetGoneUnknownToTheListCostsLittle() {
+        Host h = Host.of(config).list(6);
+        int failedConnects = 0;
+        int served = 0;
+        for (int i = 0; i < 400; i++) {
+            String id = h.request(i % 3, 2 * SECOND);
+            for (int tries = 0; tries < 4 && h.lastUpstream(id) != null; tries++) {
+                h.advance(5 * MILLI);
+                if (h.lastUpstream(id).compareTo("u3") >= 0) {
+                    h.end(id, Outcome.OK, 5 * MILLI, Host.report(0.5));
+                    served++;
+                    break;
+                }
+                failedConnects++;
+                h.end(id, Outcome.CONNECT_FAILED, 5 * MILLI, null);
+            }
+        }
+        assertTrue(served >= 395, "served " + served);
+        assertTrue(failedConnects > 2 && failedConnects < 40, "failed connects " + failedConnects);
+        for (int i = 3; i < 6; i++) {
+            assertTrue(count(h, "u" + i) > 80, h.perUpstream.toString());
+        }
+    }
+
+    /** Incident i618e92: small hints passed the bucket one by one, and their true work pushed the server over. */
+    @Test
+    void aColdUpstreamIsChargedAMeanRequestForEachSmallHint() {
+        int[] sent = new int[2];
+        for (int small = 0; small < 2; small++) {
+            Host h = Host.of(config).list(3);
+            for (int i = 0; i < 500; i++) {
+                h.serve(0, 10 * MILLI, u -> 0.6);
+            }
+            h.change(Host.up(0, State.READY, h.now - MILLI));
+            h.change(Host.up(1, State.GONE, 0));
+            h.change(Host.up(2, State.GONE, 0));
+            h.sends.clear();
+            Set<String> ended = new HashSet<>();
+            for (int i = 0; i < 60; i++) {
+                h.request(0, 2 * SECOND, null, small == 0 ? 20 * MILLI : 2 * MILLI);
+                h.advance(20 * MILLI);
+                for (String id : List.copyOf(h.sends.keySet())) {
+                    if (h.lastUpstream(id).equals("u0") && ended.add(id)) {
+                        h.end(id, Outcome.OK, 10 * MILLI, Host.report(0.6));
+                    }
+                }
+            }
+            sent[small] = ended.size();
+        }
+        assertTrue(sent[0] > 0 && sent[1] > 0 && sent[1] <= 2 * sent[0], sent[0] + " " + sent[1]);
+    }
+
+    @Test
+    void whenAllUpstreamsAreColdRequestsAreAnsweredInTimeAllTheSame() {
+        Host h = Host.of(config);
+        h.balancer.upstreams(h.now, ListKind.RESTORED, List.of(Host.up(0, State.READY, h.now - MILLI)));
+        for (int i = 0; i < 20; i++) {
+            h.request(0, SECOND);
+        }
+        h.advance(2 * SECOND);
+        int sent = h.sends.size();
+        assertTrue(sent < 20);
+        assertEquals(20, h.refused.size(), "all answered: none was served by this test's upstream");
+    }
+
+    // Shapes of settings
+
+    @Test
+    void aSubscriptionIsAskedForWhereTheListMustBeAsked() {
+        config.ask = true;
+        Host h = Host.of(config);
+        assertTrue(h.done.contains(h.now + " watch true"));
+        h.balancer.upstreams(h.now, ListKind.UNAVAILABLE, List.of());
+        h.advance(5 * SECOND);
+        assertTrue(h.done.stream().filter(d -> d.endsWith("watch true")).count() >= 2);
+        config.ask = false;
+        assertTrue(Host.of(config).done.isEmpty());
+    }
+
+    @Test
+    void aStreamThatHasBegunIsLeftAlone() {
+        config.stream = true;
+        Host h = Host.of(config).list(1);
+        String id = h.request(0, 500 * MILLI);
+        h.balancer.opened(h.now, id, 0);
+        h.advance(5 * SECOND);
+        assertEquals(List.of(), h.failed);
+        assertEquals(List.of(), h.refused);
+        assertEquals(List.of(), h.cancelled);
+    }
+
+    @Test
+    void fiveHundredUpstreamsAndOneAreBothServed() {
+        Host many = Host.of(config).list(500);
+        Host one = Host.of(config).list(1);
+        for (int i = 0; i < 100; i++) {
+            many.serve(0, 5 * MILLI, u -> 0.5);
+            one.serve(0, 5 * MILLI, u -> 0.5);
+        }
+        assertTrue(many.perUpstream.size() > 50);
+        assertEquals(100, count(one, "u0"));
+    }
+
+    @Test
+    void lateAndUnknownEventsAreIgnored() {
+        Host h = Host.of(config).list(1);
+        h.balancer.clientGone(h.now, "never");
+        h.balancer.probed(h.now, "never", Outcome.OK, null);
+        h.balancer.probed(h.now, "u0", Outcome.TIMEOUT, null);
+        h.balancer.timer(h.now, "never");
+        h.balancer.peerMessage(h.now, 1, new byte[0]);
+        h.balancer.outcome(h.now, new Balancer.AttemptEnd("never", 0, "u0", Outcome.OK, 1, true,
+                new LoadReport(1, 1, 1, 1, 1, 1)));
+        assertTrue(h.done.isEmpty(), h.done.toString());
+    }
+
+    @Test
+    void badSettingsAreRefusedWithTheFieldsName() {
+        config.zones = 0;
+        IllegalArgumentException e = assertThrows(IllegalArgumentException.class, () -> Host.of(config));
+        assertTrue(e.getMessage().contains("zones"));
+        config.zones = 1;
+        config.group = 0;
+        e = assertThrows(IllegalArgumentException.class, () -> Host.of(config));
+        assertTrue(e.getMessage().contains("groupSize"));
+    }
+}
