--- /dev/null
+++ b/src/main/java/astergate/net/Attempt.java
@@ -0,0 +1,30 @@
+package astergate.net;
+
+import io.netty.util.concurrent.Future;
+
+/** One attempt of a call at an upstream. It ends once, whatever happens first; see {@link Node#ended}. */
+final class Attempt {
+    final Call call;
+    final int number;
+    final String upstream;
+    final long startedAt;
+    /** When we stop waiting, on the module's clock. */
+    final long until;
+    /** Set while the request is on a connection. */
+    UpstreamPool.Connection connection;
+    /** Whether the last byte was handed to the kernel: from then on the request may have run. */
+    boolean written;
+    boolean ended;
+    /** Until the end proves the opposite. */
+    boolean mayHaveRun = true;
+    /** Ends the attempt at a time-out of its own; null if it may wait as long as the call. */
+    Future<?> timeout;
+
+    Attempt(Call call, int number, String upstream, long startedAt, long until) {
+        this.call = call;
+        this.number = number;
+        this.upstream = upstream;
+        this.startedAt = startedAt;
+        this.until = until;
+    }
+}
--- /dev/null
+++ b/src/main/java/astergate/net/Call.java
@@ -0,0 +1,48 @@
+package astergate.net;
+
+import astergate.Balancer.Request;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One client's request, from its arrival to its final answer and the end of its last attempt. */
+final class Call {
+    final Request request;
+    final HttpMethod method;
+    final String uri;
+    /** The headers that go on to upstreams, the budget apart. */
+    final HttpHeaders headers;
+    final byte[] body;
+    final Reply reply;
+    final List<Attempt> attempts = new ArrayList<>(1);
+    long deadline;
+    Future<?> backstop;
+    boolean answered;
+
+    /** Where the final answer goes; used once. */
+    interface Reply {
+        /** Answers with the body of an upstream. */
+        void served(String contentType, byte[] body);
+
+        /** Answers that trying again is harmless; {@code retryAfter} in microseconds, 0 for no advice. */
+        void refused(long retryAfter);
+
+        /** Answers that it failed, and promises nothing. */
+        void failed();
+    }
+
+    Call(Request request, HttpMethod method, String uri, HttpHeaders headers, byte[] body, Reply reply) {
+        this.request = request;
+        this.method = method;
+        this.uri = uri;
+        this.headers = headers;
+        this.body = body;
+        this.reply = reply;
+    }
+
+    boolean attemptsEnded() {
+        return attempts.stream().allMatch(a -> a.ended);
+    }
+}
--- /dev/null
+++ b/src/main/java/astergate/net/Config.java
@@ -0,0 +1,122 @@
+package astergate.net;
+
+import astergate.Balancer.Reports;
+import astergate.Balancer.RequestClass;
+import astergate.Balancer.Settings;
+import astergate.wire.BadInput;
+import astergate.wire.SettingsReader;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** The configuration of one start; anything missing or malformed is refused with the name of the field. */
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        SettingsReader.Found facts, MemberList known) {
+
+    static final JsonMapper JSON = new JsonMapper();
+    private static final int FEWEST_SOCKETS = 128;
+
+    /** A configuration that the program cannot run with; the message is for the operator. */
+    static final class Bad extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Bad(String message) {
+            super(message);
+        }
+    }
+
+    static Config load(String path) throws Bad {
+        if (path == null || path.isEmpty()) {
+            throw new Bad("BALANCER_CONFIG is not set");
+        }
+        try {
+            return parse(Files.readAllBytes(Path.of(path)));
+        } catch (JsonProcessingException e) {
+            throw new Bad(path + " is not JSON: " + e.getOriginalMessage().lines().findFirst().orElse(""));
+        } catch (IOException e) {
+            throw new Bad("cannot read " + path + ": " + e.getMessage());
+        }
+    }
+
+    static Config parse(byte[] json) throws Bad, IOException {
+        JsonNode root = JSON.readTree(json);
+        SettingsReader.Found facts = facts(root.path("settings"));
+        int sockets = root.path("limits").path("sockets").asInt(0);
+        require(sockets >= FEWEST_SOCKETS, "limits.sockets (at least " + FEWEST_SOCKETS + ")");
+        require(root.path("name").isTextual(), "name");
+        MemberList known;
+        try {
+            known = root.path("known").isMissingNode() ? MemberList.EMPTY
+                    : MemberList.read(root.path("known"), facts);
+        } catch (MemberList.Malformed e) {
+            throw new Bad("configuration: known: " + e.getMessage());
+        }
+        return new Config(root.path("name").asText(), address(root, "listen"), address(root, "discovery"),
+                seed(root), sockets, facts, known);
+    }
+
+    private static SettingsReader.Found facts(JsonNode node) throws Bad, IOException {
+        require(node.isObject(), "settings");
+        SettingsReader.Found facts;
+        try (JsonParser json = node.traverse()) {
+            json.nextToken();
+            facts = SettingsReader.read(json);
+        } catch (BadInput e) {
+            throw new Bad("configuration: " + e.getMessage());
+        }
+        Settings s = facts.settings();
+        require(s.limits().connectTimeout() > 0, "settings.ceilings.connect-timeout-s");
+        require(s.limits().connectIdle() > 0, "settings.ceilings.conn-idle-s");
+        require(!facts.classNames().contains(""), "settings.classes[].name");
+        unsupported(s.limits().probes(), "ceilings.probes");
+        unsupported(s.reports() == Reports.BY_PROBE, "report.via");
+        unsupported(s.limits().peers(), "ceilings.peers");
+        unsupported(s.classes().stream().anyMatch(RequestClass::stream), "classes[].stream");
+        return facts;
+    }
+
+    /** Guards against running half-blind: probes, peer datagrams and streams are not built in. */
+    private static void unsupported(boolean wanted, String setting) throws Bad {
+        if (wanted) {
+            throw new Bad("configuration: settings." + setting + " asks for what this balancer does not have");
+        }
+    }
+
+    private static long seed(JsonNode root) throws Bad {
+        try {
+            return Long.parseUnsignedLong(root.path("seed").asText(), 16);
+        } catch (NumberFormatException e) {
+            throw new Bad("configuration: seed is missing or not a hexadecimal number");
+        }
+    }
+
+    private static InetSocketAddress address(JsonNode root, String field) throws Bad {
+        InetSocketAddress address = address(root.path(field).asText());
+        require(address != null, field);
+        return address;
+    }
+
+    /** An address as {@code ip:port}; null if it is none. There is no DNS, so names are refused too. */
+    static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            byte[] ip = colon < 0 ? null : io.netty.util.NetUtil.createByteArrayFromIpAddressString(
+                    text.substring(0, colon));
+            return ip == null ? null : new InetSocketAddress(java.net.InetAddress.getByAddress(ip),
+                    Integer.parseInt(text.substring(colon + 1)));
+        } catch (IllegalArgumentException | java.net.UnknownHostException e) {
+            return null;
+        }
+    }
+
+    private static void require(boolean ok, String field) throws Bad {
+        if (!ok) {
+            throw new Bad("configuration: " + field + " is missing or malformed");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/astergate/net/Discovery.java
@@ -0,0 +1,189 @@
+package astergate.net;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Asks discovery for the whole list once and then watches it, one call after the other without a pause. A call
+ * that fails changes nothing: the list as last heard stays in force.
+ */
+final class Discovery {
+    /** How long a watch waits for news; short, so that a discovery that has fallen silent is noticed. */
+    private static final int HOLD_MS = 5_000;
+    /** How much longer than that an answer may take. */
+    private static final int PATIENCE_MS = 2_000;
+    private static final int CONNECT_TIMEOUT_MS = 1_000;
+    private static final int LEAST_PAUSE_MS = 20;
+    private static final int MORE_PAUSE_MS = 80;
+
+    private final EventLoop loop;
+    private final Config config;
+    private final Consumer<MemberList> listener;
+    private final Log log;
+    private final Random random;
+    private final Bootstrap bootstrap;
+    private boolean watching;
+    private boolean calling;
+    private boolean whole = true;
+    private boolean listed;
+    private long revision = -1;
+    private Channel channel;
+    private Future<?> patience;
+
+    /** The listener gets each list, and null for a failed call where lists are asked for. */
+    Discovery(EventLoop loop, Config config, Consumer<MemberList> listener, Log log) {
+        this.loop = loop;
+        this.config = config;
+        this.listener = listener;
+        this.log = log;
+        this.random = new Random(config.seed());
+        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                        ch.pipeline().addLast(new HttpClientCodec(),
+                                new HttpObjectAggregator(UpstreamPool.MAX_BODY), new Answers());
+                    }
+                });
+    }
+
+    /** Whether discovery has answered since the start. */
+    boolean listed() {
+        return listed;
+    }
+
+    /** Keeps watching, or stops after the call that is out. */
+    void watch(boolean on) {
+        watching = on;
+        if (on && !calling) {
+            call();
+        }
+    }
+
+    /** Asks for the whole list at once; a watch that waits is broken off for it. */
+    void fetch() {
+        whole = true;
+        if (calling && channel != null) {
+            channel.close();
+        } else if (!calling) {
+            call();
+        }
+    }
+
+    private void call() {
+        calling = true;
+        if (channel != null && channel.isActive()) {
+            write();
+            return;
+        }
+        bootstrap.connect(config.discovery()).addListener((io.netty.channel.ChannelFuture connected) -> {
+            channel = connected.channel();
+            if (connected.isSuccess()) {
+                write();
+            } else {
+                failed("no connection");
+            }
+        });
+    }
+
+    private void write() {
+        String uri = "/catalog/members" + (whole ? "" : "?from=" + revision + "&hold_ms=" + HOLD_MS);
+        DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
+        request.headers().set(HttpHeaderNames.HOST, config.discovery().getAddress().getHostAddress());
+        Channel asked = channel;
+        patience = loop.schedule(() -> asked.close(), (whole ? 0 : HOLD_MS) + PATIENCE_MS, TimeUnit.MILLISECONDS);
+        channel.writeAndFlush(request);
+    }
+
+    private void failed(String why) {
+        calling = false;
+        log.line("discovery: " + why);
+        if (config.facts().settings().askForList()) {
+            // There the module decides when to ask again.
+            watching = false;
+            listener.accept(null);
+        } else {
+            loop.schedule(() -> watch(true), LEAST_PAUSE_MS + random.nextInt(MORE_PAUSE_MS), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void answered(FullHttpResponse response) {
+        MemberList list;
+        try {
+            if (response.status().code() != 200 || response.decoderResult().isFailure()) {
+                failed("answered " + response.status());
+                return;
+            }
+            list = MemberList.read(Config.JSON.readTree(ByteBufUtil.getBytes(response.content())), config.facts());
+        } catch (MemberList.Malformed | JsonProcessingException e) {
+            failed("malformed list: " + e.getMessage().lines().findFirst().orElse(""));
+            return;
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+        whole = false;
+        calling = false;
+        listed = true;
+        revision = list.revision();
+        if (watching) {
+            call(); // first, as the watch counts as broken off if the next call is late
+        }
+        if (list.complete() || !list.members().isEmpty()) {
+            listener.accept(list);
+        }
+    }
+
+    /** The answers on one connection. */
+    private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            patience.cancel(false);
+            if (!HttpUtil.isKeepAlive(response)) {
+                channel = null;
+                ctx.close();
+            }
+            answered(response);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (ctx.channel() == channel) {
+                channel = null;
+                if (calling) {
+                    patience.cancel(false);
+                    failed("call broken off");
+                }
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            log.line("discovery: " + cause);
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/astergate/net/Frontend.java
@@ -0,0 +1,302 @@
+package astergate.net;
+
+import astergate.Balancer.Effect;
+import astergate.Balancer.Request;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Queue;
+import java.util.Set;
+
+/**
+ * HTTP from clients. Requests that are not in order are turned down here and never reach the module; all others
+ * get one answer each, in whatever way they end.
+ */
+final class Frontend {
+    private static final String PATH = "/api";
+    /** Share of the sockets for clients; at that many, connections are no longer accepted. */
+    private static final double CLIENT_SHARE = 0.55;
+    /** Connections below that number from which on new ones are refused if no idle one can be closed. */
+    private static final int REFUSED_ABOVE = 32;
+    private static final long LONGEST_BUDGET_MS = 3_600_000;
+    private static final List<CharSequence> PASSED_ON = List.of(HttpHeaderNames.HOST, "X-Call-Id",
+            "Idempotency-Key", "X-Call-Class", "X-Caller", HttpHeaderNames.CONTENT_TYPE);
+
+    private final EventLoop loop;
+    private final Config config;
+    private final Node node;
+    private final int mostConnections;
+    private final Set<Connection> idle = new LinkedHashSet<>();
+    private int connections;
+    private Channel listener;
+    private boolean draining;
+
+    /** A request that is not in order; the message goes to the client. */
+    private static final class BadRequest extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        BadRequest(String message) {
+            super(message);
+        }
+    }
+
+    Frontend(EventLoop loop, Config config, Node node) {
+        this.loop = loop;
+        this.config = config;
+        this.node = node;
+        this.mostConnections = (int) (CLIENT_SHARE * config.sockets());
+    }
+
+    ChannelFuture bind() {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                        ch.pipeline().addLast(new HttpServerCodec(),
+                                new HttpObjectAggregator(UpstreamPool.MAX_BODY, true), new Connection(ch));
+                    }
+                }).bind(config.listen());
+        listener = bound.channel();
+        return bound;
+    }
+
+    /** From now on every answer closes its connection, and the front is told not to send us more. */
+    void drain() {
+        draining = true;
+    }
+
+    /** Ends accepting, and closes the connections that wait for a request. */
+    void close() {
+        listener.close();
+        List.copyOf(idle).forEach(c -> c.channel.close());
+    }
+
+    /** Whether the last client connection is gone, with its answer written. */
+    boolean closed() {
+        return connections == 0;
+    }
+
+    // ---- Reading requests ----------------------------------------------------------------------------
+
+    private Call read(FullHttpRequest http, QueryStringDecoder query, Call.Reply reply) throws BadRequest {
+        HttpHeaders h = http.headers();
+        String id = h.get("X-Call-Id");
+        require(id != null && !id.isBlank(), "X-Call-Id");
+        require(!node.knows(id), "X-Call-Id (a request with it is open)");
+        int cls = config.facts().classNames().indexOf(h.get("X-Call-Class"));
+        require(cls >= 0, "X-Call-Class");
+        long budget = number(h.get("X-Budget-Ms"));
+        require(budget > 0 && budget <= LONGEST_BUDGET_MS, "X-Budget-Ms");
+        Effect effect = config.facts().settings().classes().get(cls).effect();
+        // Without a key upstreams cannot drop repeats, and the module would send some.
+        require(effect != Effect.KEYED || h.contains("Idempotency-Key"), "Idempotency-Key");
+        int tenant = config.facts().tenantNames().isEmpty() ? 0
+                : config.facts().tenantNames().indexOf(h.get("X-Caller"));
+        String key = query.parameters().getOrDefault("obj", List.of()).stream().findFirst().orElse(null);
+        HttpHeaders onward = new DefaultHttpHeaders();
+        for (CharSequence name : PASSED_ON) {
+            if (h.contains(name)) {
+                onward.set(name, h.get(name));
+            }
+        }
+        Request request = new Request(id, cls, tenant, key, Math.max(0, number(h.get("X-Call-Cost"))),
+                budget * 1_000, !http.method().equals(HttpMethod.GET), "1".equals(h.get("X-Again")));
+        return new Call(request, http.method(), http.uri(), onward, ByteBufUtil.getBytes(http.content()), reply);
+    }
+
+    private static void require(boolean ok, String what) throws BadRequest {
+        if (!ok) {
+            throw new BadRequest("missing or malformed: " + what);
+        }
+    }
+
+    /** A whole number that is not negative; -1 for anything else. */
+    private static long number(String text) {
+        return text != null && text.matches("[0-9]{1,12}") ? Long.parseLong(text) : -1;
+    }
+
+    // ---- Connections ---------------------------------------------------------------------------------
+
+    /** One connection of a client: one request at a time, further ones wait for their turn. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> implements Call.Reply {
+        private final Channel channel;
+        private final Queue<FullHttpRequest> waiting = new ArrayDeque<>();
+        private Call call;
+        private boolean answering;
+        private boolean keepAlive;
+        private boolean refuseAll;
+
+        Connection(Channel channel) {
+            this.channel = channel;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            connections++;
+            channel.closeFuture().addListener(closed -> {
+                connections--;
+                listener.config().setAutoRead(true);
+            });
+            if (connections > mostConnections - REFUSED_ABOVE) {
+                makeRoom();
+            }
+            listener.config().setAutoRead(connections < mostConnections);
+            idle.add(this);
+        }
+
+        /** Guards against running out of sockets: idle clients make way, else this one is refused. */
+        private void makeRoom() {
+            if (idle.isEmpty()) {
+                refuseAll = true;
+            } else {
+                idle.iterator().next().channel.close();
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest http) {
+            if (answering) {
+                waiting.add(http.retain());
+                channel.config().setAutoRead(false);
+            } else {
+                handle(http);
+            }
+        }
+
+        private void handle(FullHttpRequest http) {
+            answering = true;
+            idle.remove(this);
+            keepAlive = HttpUtil.isKeepAlive(http);
+            QueryStringDecoder query = new QueryStringDecoder(http.uri());
+            if (http.decoderResult().isFailure()) {
+                keepAlive = false;
+                answer(HttpResponseStatus.BAD_REQUEST, "text/plain", "malformed request".getBytes(), 0);
+            } else if (query.rawPath().equals("/_health")) {
+                answer(node.ready() && !draining ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                        "text/plain", new byte[0], 0);
+            } else if (!query.rawPath().equals(PATH)) {
+                answer(HttpResponseStatus.NOT_FOUND, "text/plain", new byte[0], 0);
+            } else if (refuseAll) {
+                keepAlive = false;
+                refused(0);
+            } else {
+                accept(http, query);
+            }
+        }
+
+        private void accept(FullHttpRequest http, QueryStringDecoder query) {
+            try {
+                call = read(http, query, this);
+            } catch (BadRequest | IllegalArgumentException e) {
+                answer(HttpResponseStatus.BAD_REQUEST, "text/plain", String.valueOf(e.getMessage()).getBytes(), 0);
+                return;
+            }
+            node.accept(call);
+        }
+
+        @Override
+        public void served(String contentType, byte[] body) {
+            answer(HttpResponseStatus.OK, contentType, body, 0);
+        }
+
+        @Override
+        public void refused(long retryAfter) {
+            answer(HttpResponseStatus.SERVICE_UNAVAILABLE, null, new byte[0], retryAfter);
+        }
+
+        @Override
+        public void failed() {
+            answer(HttpResponseStatus.BAD_GATEWAY, null, new byte[0], 0);
+        }
+
+        private void answer(HttpResponseStatus status, String contentType, byte[] body, long retryAfter) {
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                    Unpooled.wrappedBuffer(body));
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            if (contentType != null) {
+                response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+            }
+            if (retryAfter > 0) {
+                response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfter / 1e6);
+            }
+            boolean keep = keepAlive && !draining;
+            HttpUtil.setKeepAlive(response, keep);
+            call = null;
+            ChannelFuture written = channel.writeAndFlush(response);
+            if (!keep) {
+                written.addListener(ChannelFutureListener.CLOSE);
+                return;
+            }
+            answering = false;
+            if (waiting.isEmpty()) {
+                idle.add(this);
+            } else {
+                loop.execute(this::takeNext);
+            }
+        }
+
+        private void takeNext() {
+            if (!answering && !waiting.isEmpty() && channel.isActive()) {
+                FullHttpRequest http = waiting.poll();
+                channel.config().setAutoRead(waiting.isEmpty());
+                handle(http);
+                http.release();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            idle.remove(this);
+            waiting.forEach(FullHttpRequest::release);
+            waiting.clear();
+            if (call != null) {
+                Call left = call;
+                call = null;
+                node.clientGone(left);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (cause instanceof java.io.IOException) {
+                ctx.close(); // the client has gone; what it asked for ends in channelInactive
+                return;
+            }
+            node.log().line("request not handled: " + cause);
+            if (answering) {
+                keepAlive = false;
+                answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, null, new byte[0], 0);
+            } else {
+                ctx.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/astergate/net/Node.java
@@ -0,0 +1,305 @@
+package astergate.net;
+
+import astergate.Balancer;
+import astergate.Policy;
+import io.netty.channel.EventLoop;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Carries out what the module decides. It owns the clock and the table of open calls, hands the module its
+ * events one after another, and sees to it that each call gets one answer even where the module fails to.
+ */
+final class Node implements Balancer.Actions {
+    /** The last moment for an answer, before the client's time is over: the way back takes time too. */
+    private static final long BACKSTOP = 6_000;
+    /** What a request took to get here: its budget counts from the client's sending. */
+    private static final long WAY_IN = 2_000;
+    /** What a refusal advises where advice is allowed and the module has none. */
+    private static final long RETRY_AFTER = 1_000_000;
+    /** Share of the sockets for connections to upstreams; clients have one each, too. */
+    private static final double UPSTREAM_SHARE = 0.35;
+
+    private final EventLoop loop;
+    private final Config config;
+    private final Balancer.Settings settings;
+    private final Log log;
+    private final UpstreamPool pool;
+    private final Discovery discovery;
+    private final Balancer module;
+    private final Map<String, Call> calls = new HashMap<>();
+    private final Queue<Runnable> events = new ArrayDeque<>();
+    private final long startedAt = System.currentTimeMillis() * 1_000;
+    private final long startedNanos = System.nanoTime();
+    private boolean handling;
+
+    Node(EventLoop loop, Config config) {
+        this.loop = loop;
+        this.config = config;
+        this.settings = config.facts().settings();
+        this.log = new Log(System.err, this::now);
+        this.pool = new UpstreamPool(loop, this::now, config.facts(), (int) (UPSTREAM_SHARE * config.sockets()),
+                this::ended, log);
+        this.discovery = new Discovery(loop, config, this::listed, log);
+        this.module = new Policy(settings, config.seed(), this);
+    }
+
+    /** The module's clock: the wall clock of the start, carried on by the monotonic one. */
+    long now() {
+        return startedAt + (System.nanoTime() - startedNanos) / 1_000;
+    }
+
+    Log log() {
+        return log;
+    }
+
+    /** Starts with the list as last known, until discovery answers. */
+    void start() {
+        deliver(null, () -> module.start(now()));
+        pool.update(config.known());
+        deliver(null, () -> module.upstreams(now(), Balancer.ListKind.RESTORED, config.known().upstreams()));
+        if (!settings.askForList()) {
+            discovery.watch(true);
+        }
+    }
+
+    /** Whether a list from discovery itself has come, or at least one from before the start. */
+    boolean ready() {
+        return discovery.listed();
+    }
+
+    boolean idle() {
+        return calls.isEmpty();
+    }
+
+    // ---- Events for the module -----------------------------------------------------------------------
+
+    /**
+     * Hands over an event once the module is done with the one before: it must not be called from within its
+     * own actions. If it throws while it handles a call, that call is answered here, as nobody else will.
+     */
+    private void deliver(Call call, Runnable event) {
+        events.add(() -> {
+            try {
+                event.run();
+            } catch (RuntimeException e) {
+                log.line("the decision module failed: " + e + " at " + e.getStackTrace()[0]);
+                if (call != null) {
+                    giveUp(call);
+                }
+            }
+        });
+        if (handling) {
+            return;
+        }
+        handling = true;
+        for (Runnable next = events.poll(); next != null; next = events.poll()) {
+            next.run();
+        }
+        handling = false;
+    }
+
+    private void listed(MemberList list) {
+        if (list == null) {
+            deliver(null, () -> module.upstreams(now(), Balancer.ListKind.UNAVAILABLE, java.util.List.of()));
+            return;
+        }
+        pool.update(list);
+        Balancer.ListKind kind = list.complete() ? Balancer.ListKind.COMPLETE : Balancer.ListKind.CHANGES;
+        deliver(null, () -> module.upstreams(now(), kind, list.upstreams()));
+    }
+
+    /** Whether a request with this id is open: ids are new with every request. */
+    boolean knows(String id) {
+        return calls.containsKey(id);
+    }
+
+    /** A client's request; from here on it is owed one answer. */
+    void accept(Call call) {
+        if (calls.size() >= settings.limits().maxOpen()) {
+            answer(call, () -> call.reply.refused(advice(0)));
+            return;
+        }
+        String id = call.request.id();
+        long left = call.request.timeLeft() - WAY_IN;
+        call.deadline = now() + left;
+        calls.put(id, call);
+        call.backstop = loop.schedule(() -> expire(call), left - BACKSTOP, TimeUnit.MICROSECONDS);
+        Balancer.Request r = call.request;
+        deliver(call, () -> module.request(now(), new Balancer.Request(id, r.classIndex(), r.tenant(), r.key(),
+                r.expectedWork(), call.deadline - now(), r.write(), r.retry())));
+    }
+
+    /** The client has closed its connection before its answer. */
+    void clientGone(Call call) {
+        if (!call.answered) {
+            call.answered = true;
+            deliver(call, () -> module.clientGone(now(), call.request.id()));
+            forgetIfDone(call);
+        }
+    }
+
+    /** The call's time is over: its attempts time out, and it is answered here if the module does not. */
+    private void expire(Call call) {
+        for (Attempt a : java.util.List.copyOf(call.attempts)) {
+            timeOut(a);
+        }
+        giveUp(call);
+    }
+
+    private void timeOut(Attempt a) {
+        if (!a.ended) {
+            pool.stop(a, a.written ? Balancer.Outcome.TIMEOUT : Balancer.Outcome.CONNECT_FAILED);
+        }
+    }
+
+    /** Guards against a call that the module leaves without an answer: it is refused only if it never ran. */
+    private void giveUp(Call call) {
+        if (call.answered) {
+            return;
+        }
+        log.line("answered without the module: " + call.request.id());
+        if (call.attempts.stream().anyMatch(a -> a.mayHaveRun)) {
+            answer(call, call.reply::failed);
+        } else {
+            answer(call, () -> call.reply.refused(advice(0)));
+        }
+        deliver(null, () -> module.clientGone(now(), call.request.id()));
+        forgetIfDone(call);
+    }
+
+    /** The end of an attempt, once for each; the first answer that is a success goes on to the client. */
+    private void ended(Attempt a, Balancer.Outcome outcome, Balancer.LoadReport load, String type, byte[] body) {
+        if (a.ended) {
+            return;
+        }
+        a.ended = true;
+        a.mayHaveRun = !outcome.neverRan;
+        if (a.timeout != null) {
+            a.timeout.cancel(false);
+        }
+        Call call = a.call;
+        if (outcome == Balancer.Outcome.OK) {
+            answer(call, () -> call.reply.served(type, body));
+        }
+        Balancer.AttemptEnd end = new Balancer.AttemptEnd(call.request.id(), a.number, a.upstream, outcome,
+                now() - a.startedAt, call.answered, load);
+        deliver(call, () -> module.outcome(now(), end));
+        forgetIfDone(call);
+    }
+
+    private void answer(Call call, Runnable how) {
+        if (!call.answered) {
+            call.answered = true;
+            how.run();
+        }
+    }
+
+    private void forgetIfDone(Call call) {
+        if (call.answered && call.attemptsEnded()) {
+            if (call.backstop != null) {
+                call.backstop.cancel(false);
+            }
+            calls.remove(call.request.id(), call);
+        }
+    }
+
+    // ---- Actions of the module -----------------------------------------------------------------------
+
+    private void with(String request, Consumer<Call> action) {
+        Call call = calls.get(request);
+        if (call != null) {
+            action.accept(call);
+        }
+    }
+
+    @Override
+    public void send(String request, String upstream, long timeout) {
+        with(request, call -> {
+            long now = now();
+            long until = timeout > 0 ? Math.min(now + timeout, call.deadline) : call.deadline;
+            Attempt a = new Attempt(call, call.attempts.size(), upstream, now, until);
+            call.attempts.add(a);
+            if (call.answered || a.number >= settings.limits().maxAttempts() || until <= now) {
+                ended(a, Balancer.Outcome.MOOT, null, null, null);
+                return;
+            }
+            if (until < call.deadline) {
+                a.timeout = loop.schedule(() -> timeOut(a), until - now, TimeUnit.MICROSECONDS);
+            }
+            pool.start(a);
+        });
+    }
+
+    @Override
+    public void refuse(String request, long retryAfter) {
+        with(request, call -> {
+            answer(call, () -> call.reply.refused(advice(retryAfter)));
+            forgetIfDone(call);
+        });
+    }
+
+    private long advice(long retryAfter) {
+        return settings.limits().retryAfter()
+                ? Math.min(retryAfter > 0 ? retryAfter : RETRY_AFTER, settings.limits().maxRetryAfter()) : 0;
+    }
+
+    @Override
+    public void fail(String request) {
+        with(request, call -> {
+            answer(call, call.reply::failed);
+            forgetIfDone(call);
+        });
+    }
+
+    @Override
+    public void cancel(String request, int attempt) {
+        with(request, call -> {
+            Attempt a = call.attempts.get(attempt);
+            if (!a.ended) {
+                pool.stop(a, Balancer.Outcome.CANCELLED);
+            }
+        });
+    }
+
+    @Override
+    public void timer(String token, long delay) {
+        loop.schedule(() -> deliver(null, () -> module.timer(now(), token)), delay, TimeUnit.MICROSECONDS);
+    }
+
+    @Override
+    public void closeIdle(String upstream) {
+        pool.closeIdle(upstream);
+    }
+
+    @Override
+    public void watch(boolean on) {
+        if (settings.askForList()) {
+            discovery.watch(on);
+        }
+    }
+
+    @Override
+    public void fetch() {
+        discovery.fetch();
+    }
+
+    @Override
+    public void log(String text) {
+        log.line(text);
+    }
+
+    @Override
+    public void probe(String upstream) {
+        throw new UnsupportedOperationException("probes: the configuration is refused where they are allowed");
+    }
+
+    @Override
+    public void tell(int peer, byte[] body) {
+        throw new UnsupportedOperationException("peers: the configuration is refused where they are allowed");
+    }
+}
--- a/src/main/java/astergate/wire/BadInput.java
+++ b/src/main/java/astergate/wire/BadInput.java
@@ -1,7 +1,7 @@
 package astergate.wire;
 
 /** A line of input that is not what the wire prescribes; the message says what is wrong with it. */
-final class BadInput extends Exception {
+public final class BadInput extends Exception {
     private static final long serialVersionUID = 1L;
 
     BadInput(String message) {
--- a/src/main/java/astergate/wire/Batches.java
+++ b/src/main/java/astergate/wire/Batches.java
@@ -372,15 +372,10 @@
         if (e.feedback == null || names == null) {
             return null;
         }
-        double[] r = new double[SettingsReader.REPORTED.size()];
-        java.util.Arrays.fill(r, Double.NaN);
-        for (int i = 0; i < names.size() && i < e.feedback.length; i++) {
-            int place = SettingsReader.REPORTED.indexOf(names.get(i));
-            if (place >= 0) {
-                r[place] = e.feedback[i];
-            }
-        }
-        return new LoadReport(r[0], r[1], r[2], r[3] * 1_000, r[4], r[5]);
+        return SettingsReader.loadReport(name -> {
+            int place = names.indexOf(name);
+            return place >= 0 && place < e.feedback.length ? e.feedback[place] : Double.NaN;
+        });
     }
 
     static long micros(double seconds) {
--- a/src/main/java/astergate/wire/SettingsReader.java
+++ b/src/main/java/astergate/wire/SettingsReader.java
@@ -8,8 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import astergate.Balancer.Effect;
 import astergate.Balancer.Limits;
+import astergate.Balancer.LoadReport;
 import astergate.Balancer.Prices;
 import astergate.Balancer.Ratings;
 import astergate.Balancer.Reports;
@@ -20,11 +22,9 @@
 import astergate.Balancer.Tenant;
 
 /** Reads the settings that an instance is created with. Keys it does not know are skipped. */
-final class SettingsReader {
+public final class SettingsReader {
     static final Set<String> EVENTS = Set.of("create", "destroy", "sync", "work-item", "answer", "ping-result",
             "client-gone", "opened", "reminder", "whisper");
-    /** The values of a load report, in the order of the fields of the module's record. */
-    static final List<String> REPORTED = List.of("cpu", "active", "waiting", "avg_ms", "rps", "err_rps");
 
     private static final Map<String, Effect> EFFECTS = Map.of(
             "free", Effect.SAFE, "guarded", Effect.KEYED, "single_shot", Effect.UNSAFE);
@@ -37,8 +37,9 @@
 
     private SettingsReader() { }
 
-    /** What was found: the settings for the module, and the names of the values in a load report. */
-    record Found(Settings settings, List<String> reportNames) { }
+    /** What was found: the settings for the module, and the names that stand for its indices elsewhere. */
+    public record Found(Settings settings, List<String> reportNames, List<String> classNames,
+            List<String> tenantNames, List<String> localities, List<String> kinds) { }
 
     /** One object of the settings, flat: numbers and bools as numbers, texts, and lists of objects. */
     private static final class Node {
@@ -79,7 +80,15 @@
         }
     }
 
-    static Found read(JsonParser json) throws BadInput, IOException {
+    /** A load report from its values by name; NaN for one that is not there. */
+    public static LoadReport loadReport(ToDoubleFunction<String> value) {
+        return new LoadReport(value.applyAsDouble("cpu"), value.applyAsDouble("active"),
+                value.applyAsDouble("waiting"), value.applyAsDouble("avg_ms") * 1_000,
+                value.applyAsDouble("rps"), value.applyAsDouble("err_rps"));
+    }
+
+    /** Reads the object that the parser has just entered. */
+    public static Found read(JsonParser json) throws BadInput, IOException {
         Node facts = node(json);
         List<RequestClass> classes = new ArrayList<>();
         for (Node c : facts.list("classes")) {
@@ -92,10 +101,6 @@
             tenants.add(new Tenant(t.number("allowance-per-s", 0), t.number("share", 0)));
         }
         Node report = facts.object("report");
-        List<String> names = new ArrayList<>();
-        for (Node n : report.list("names")) {
-            names.add(n.texts.getOrDefault("", ""));
-        }
         Settings settings = new Settings((int) facts.number("az", 0),
                 Math.max(1, facts.list("localities").size()), (int) facts.number("position", 0),
                 (int) facts.number("group-size", 1), classes, tenants, facts.number("over-share-worth", 1),
@@ -104,7 +109,12 @@
                 report.choice("via", VIA, Reports.NONE), facts.choice("weights", WEIGHTS, Ratings.NONE),
                 "on_request".equals(facts.texts.get("discovery")), facts.object("extra").flag("warm-keys"),
                 facts.time("tick-s"));
-        return new Found(settings, names);
+        return new Found(settings, texts(report, "names", ""), texts(facts, "classes", "name"),
+                texts(facts, "parties", "name"), texts(facts, "localities", ""), texts(facts, "kinds", ""));
+    }
+
+    private static List<String> texts(Node node, String list, String field) {
+        return node.list(list).stream().map(n -> n.texts.getOrDefault(field, "")).toList();
     }
 
     private static Limits limits(Node n) {
