--- a/src/main/java/astergate/net/Discovery.java
+++ b/src/main/java/astergate/net/Discovery.java
@@ -122,6 +122,11 @@
     private void failed(String why) {
         calling = false;
         log.line("discovery: " + why);
+        if (channel != null) {
+            Channel old = channel;
+            channel = null;
+            old.close(); // an answer that was not understood may have left anything behind on it
+        }
         if (config.facts().settings().askForList()) {
             // There the module decides when to ask again.
             watching = false;
@@ -172,9 +177,9 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             if (ctx.channel() == channel) {
+                patience.cancel(false);
                 channel = null;
                 if (calling) {
-                    patience.cancel(false);
                     failed("call broken off");
                 }
             }
--- a/src/main/java/astergate/net/Frontend.java
+++ b/src/main/java/astergate/net/Frontend.java
@@ -29,10 +29,12 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.util.ArrayDeque;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * HTTP from clients. Requests that are not in order are turned down here and never reach the module; all others
@@ -42,8 +44,11 @@
     private static final String PATH = "/api";
     /** Share of the sockets for clients; at that many, connections are no longer accepted. */
     private static final double CLIENT_SHARE = 0.55;
-    /** Connections below that number from which on new ones are refused if no idle one can be closed. */
-    private static final int REFUSED_ABOVE = 32;
+    /** So many below that, new ones are refused what they ask for, if no idle one can be closed for them. */
+    private static final int REFUSING = 32;
+    /** A connection idle for less may have a request on its way, which closing it would lose. */
+    private static final long IDLE_FOR = 500_000;
+    private static final long MAKE_ROOM_EVERY_MS = 100;
     private static final long LONGEST_BUDGET_MS = 3_600_000;
     private static final List<CharSequence> PASSED_ON = List.of(HttpHeaderNames.HOST, "X-Call-Id",
             "Idempotency-Key", "X-Call-Class", "X-Caller", HttpHeaderNames.CONTENT_TYPE);
@@ -73,6 +78,7 @@
         this.mostConnections = (int) (CLIENT_SHARE * config.sockets());
     }
 
+    /** Starts listening; the future is done when that has worked or failed. */
     ChannelFuture bind() {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024)
@@ -85,18 +91,32 @@
                     }
                 }).bind(config.listen());
         listener = bound.channel();
+        loop.scheduleWithFixedDelay(this::makeRoom, MAKE_ROOM_EVERY_MS, MAKE_ROOM_EVERY_MS, TimeUnit.MILLISECONDS);
         return bound;
     }
 
+    /** Guards against running out of sockets: clients that have been idle longest make way for new ones. */
+    private void makeRoom() {
+        Iterator<Connection> longest = idle.iterator();
+        while (connections > mostConnections - REFUSING && longest.hasNext()) {
+            Connection c = longest.next();
+            if (node.now() - c.idleSince <= IDLE_FOR) {
+                return;
+            }
+            longest.remove();
+            c.channel.close();
+        }
+    }
+
     /** From now on every answer closes its connection, and the front is told not to send us more. */
     void drain() {
         draining = true;
     }
 
-    /** Ends accepting, and closes the connections that wait for a request. */
+    /** Closes the connections that wait for a request, and ends accepting. */
     void close() {
-        listener.close();
         List.copyOf(idle).forEach(c -> c.channel.close());
+        listener.close();
     }
 
     /** Whether the last client connection is gone, with its answer written. */
@@ -153,6 +173,7 @@
         private boolean answering;
         private boolean keepAlive;
         private boolean refuseAll;
+        private long idleSince;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -163,22 +184,17 @@
             connections++;
             channel.closeFuture().addListener(closed -> {
                 connections--;
-                listener.config().setAutoRead(true);
+                listener.config().setAutoRead(connections < mostConnections);
             });
-            if (connections > mostConnections - REFUSED_ABOVE) {
-                makeRoom();
-            }
+            makeRoom();
+            refuseAll = connections > mostConnections - REFUSING;
             listener.config().setAutoRead(connections < mostConnections);
-            idle.add(this);
+            rest();
         }
 
-        /** Guards against running out of sockets: idle clients make way, else this one is refused. */
-        private void makeRoom() {
-            if (idle.isEmpty()) {
-                refuseAll = true;
-            } else {
-                idle.iterator().next().channel.close();
-            }
+        private void rest() {
+            idleSince = node.now();
+            idle.add(this);
         }
 
         @Override
@@ -204,9 +220,11 @@
                         "text/plain", new byte[0], 0);
             } else if (!query.rawPath().equals(PATH)) {
                 answer(HttpResponseStatus.NOT_FOUND, "text/plain", new byte[0], 0);
+            } else if (!http.method().equals(HttpMethod.GET) && !http.method().equals(HttpMethod.POST)) {
+                answer(HttpResponseStatus.METHOD_NOT_ALLOWED, "text/plain", new byte[0], 0);
             } else if (refuseAll) {
                 keepAlive = false;
-                refused(0);
+                refused(node.advice(0));
             } else {
                 accept(http, query);
             }
@@ -257,7 +275,7 @@
             }
             answering = false;
             if (waiting.isEmpty()) {
-                idle.add(this);
+                rest();
             } else {
                 loop.execute(this::takeNext);
             }
--- a/src/main/java/astergate/net/Main.java
+++ b/src/main/java/astergate/net/Main.java
@@ -18,9 +18,9 @@
     private final Frontend frontend;
     private final CountDownLatch done = new CountDownLatch(1);
 
-    private Main(EventLoop loop, Config config) {
+    Main(EventLoop loop, Config config, Node node) {
         this.loop = loop;
-        this.node = new Node(loop, config);
+        this.node = node;
         this.frontend = new Frontend(loop, config, node);
     }
 
@@ -36,28 +36,36 @@
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         Main main;
         try {
-            main = new Main(loop, config);
+            main = new Main(loop, config, new Node(loop, config));
         } catch (IllegalArgumentException e) {
             fail("settings: " + e.getMessage());
             return;
         }
-        ChannelFuture bound = main.frontend.bind().await();
+        ChannelFuture bound = main.bind().await();
         if (!bound.isSuccess()) {
             fail("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
             return;
         }
-        loop.execute(main.node::start);
         Runtime.getRuntime().addShutdownHook(new Thread(main::end));
         System.err.println(config.name() + " listens on " + config.listen());
     }
 
+    /** Listens, and starts the module once that has worked. */
+    ChannelFuture bind() {
+        return frontend.bind().addListener(bound -> {
+            if (bound.isSuccess()) {
+                node.start();
+            }
+        });
+    }
+
     private static void fail(String why) {
         System.err.println("cannot start: " + why);
         System.exit(2);
     }
 
     /** Runs in the shutdown hook, which the JVM waits for: serve on, then close, then finish what is held. */
-    private void end() {
+    void end() {
         loop.execute(frontend::drain);
         loop.schedule(this::close, LISTEN_ON_MS, TimeUnit.MILLISECONDS);
         try {
--- a/src/main/java/astergate/net/Node.java
+++ b/src/main/java/astergate/net/Node.java
@@ -9,6 +9,7 @@
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /**
  * Carries out what the module decides. It owns the clock and the table of open calls, hands the module its
@@ -19,6 +20,8 @@
     private static final long BACKSTOP = 6_000;
     /** What a request took to get here: its budget counts from the client's sending. */
     private static final long WAY_IN = 2_000;
+    /** How long the first list is waited for before clients are let in with the one from the configuration. */
+    private static final long WAIT_FOR_LIST = 1_500_000;
     /** What a refusal advises where advice is allowed and the module has none. */
     private static final long RETRY_AFTER = 1_000_000;
     /** Share of the sockets for connections to upstreams; clients have one each, too. */
@@ -38,6 +41,11 @@
     private boolean handling;
 
     Node(EventLoop loop, Config config) {
+        this(loop, config, actions -> new Policy(config.facts().settings(), config.seed(), actions));
+    }
+
+    /** For tests, which bring a module of their own. */
+    Node(EventLoop loop, Config config, Function<Balancer.Actions, Balancer> module) {
         this.loop = loop;
         this.config = config;
         this.settings = config.facts().settings();
@@ -45,7 +53,7 @@
         this.pool = new UpstreamPool(loop, this::now, config.facts(), (int) (UPSTREAM_SHARE * config.sockets()),
                 this::ended, log);
         this.discovery = new Discovery(loop, config, this::listed, log);
-        this.module = new Policy(settings, config.seed(), this);
+        this.module = module.apply(this);
     }
 
     /** The module's clock: the wall clock of the start, carried on by the monotonic one. */
@@ -67,9 +75,9 @@
         }
     }
 
-    /** Whether a list from discovery itself has come, or at least one from before the start. */
+    /** Whether discovery has answered; if it stays silent, what was known before the start has to do. */
     boolean ready() {
-        return discovery.listed();
+        return discovery.listed() || !config.known().members().isEmpty() && now() - startedAt > WAIT_FOR_LIST;
     }
 
     boolean idle() {
@@ -97,10 +105,13 @@
             return;
         }
         handling = true;
-        for (Runnable next = events.poll(); next != null; next = events.poll()) {
-            next.run();
+        try {
+            for (Runnable next = events.poll(); next != null; next = events.poll()) {
+                next.run();
+            }
+        } finally {
+            handling = false; // after an error too, or no event would ever be handled again
         }
-        handling = false;
     }
 
     private void listed(MemberList list) {
@@ -243,7 +254,8 @@
         });
     }
 
-    private long advice(long retryAfter) {
+    /** What a refusal tells the client about when to come back, in microseconds; 0 where that is not allowed. */
+    long advice(long retryAfter) {
         return settings.limits().retryAfter()
                 ? Math.min(retryAfter > 0 ? retryAfter : RETRY_AFTER, settings.limits().maxRetryAfter()) : 0;
     }
--- a/src/main/java/astergate/net/UpstreamPool.java
+++ b/src/main/java/astergate/net/UpstreamPool.java
@@ -31,8 +31,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -95,21 +97,21 @@
     void update(MemberList list) {
         long now = clock.getAsLong();
         if (list.complete()) {
-            List<String> named = list.members().stream().map(m -> m.upstream().id()).toList();
-            targets.forEach((id, t) -> {
-                if (!named.contains(id)) {
-                    retire(t, now);
-                }
-            });
+            Set<String> named = new HashSet<>();
+            list.members().forEach(m -> named.add(m.upstream().id()));
+            List.copyOf(targets.keySet()).stream().filter(id -> !named.contains(id)).forEach(this::forget);
         }
         for (MemberList.Member m : list.members()) {
+            if (m.upstream().state() == State.GONE) {
+                forget(m.upstream().id());
+                continue;
+            }
             Target t = targets.computeIfAbsent(m.upstream().id(), id -> new Target());
-            boolean moved = m.address() != null && !m.address().equals(t.address);
-            if (moved || m.upstream().launchedAt() != t.launchedAt) {
+            if (!m.address().equals(t.address) || m.upstream().launchedAt() != t.launchedAt) {
                 // Connections to the process before, or to where it was: the next request on one would be reset.
                 closeIdle(t);
             }
-            t.address = m.address() == null ? t.address : m.address();
+            t.address = m.address();
             t.launchedAt = m.upstream().launchedAt();
             if (m.upstream().state() == State.READY) {
                 t.unreadySince = Long.MAX_VALUE;
@@ -119,6 +121,14 @@
         }
     }
 
+    /** An upstream that is gone: ids of machines are new each time, and the table must not grow for ever. */
+    private void forget(String upstream) {
+        Target t = targets.remove(upstream);
+        if (t != null) {
+            retire(t, clock.getAsLong());
+        }
+    }
+
     private static void retire(Target t, long now) {
         t.unreadySince = Math.min(t.unreadySince, now);
         closeIdle(t);
@@ -151,7 +161,7 @@
     /** Starts an attempt on the connection used last, or on a new one. */
     void start(Attempt attempt) {
         Target t = targets.get(attempt.upstream);
-        if (t == null || t.address == null) {
+        if (t == null) {
             end(attempt, Outcome.MOOT);
             return;
         }
@@ -180,6 +190,9 @@
                 channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_BODY), c);
             }
         }).connect(t.address).addListener(connected -> {
+            if (c.channel == null) {
+                connections--; // not even a socket could be had, so no close will count it off
+            }
             if (!connected.isSuccess()) {
                 end(attempt, Outcome.CONNECT_FAILED);
             } else if (attempt.ended) {
--- /dev/null
+++ b/src/test/java/astergate/net/DiscoveryTest.java
@@ -0,0 +1,103 @@
+package astergate.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.Test;
+
+/** Lists as discovery gives them, and what is kept when it fails. */
+class DiscoveryTest {
+    private final BlockingQueue<String> replies = new LinkedBlockingQueue<>();
+    private ScriptedModule module;
+
+    /** Discovery that answers each call with the next reply; an empty one breaks the connection. */
+    private Loopback start(String... members) throws Exception {
+        Peer discovery = new Peer((request, socket) -> {
+            String reply = replies.take();
+            if (reply.isEmpty()) {
+                socket.close();
+            } else {
+                Peer.reply(socket, reply.equals("503") ? 503 : 200, reply);
+            }
+        });
+        Loopback.Setup setup = Loopback.setup().discovery(discovery).module(actions -> {
+            module = new ScriptedModule(actions);
+            module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
+            return module;
+        });
+        setup.members.addAll(List.of(members));
+        return setup.start();
+    }
+
+    private static String calls(Loopback lb) {
+        return String.join("\n", lb.discovery.requests.stream().map(Peer.Message::line).toList());
+    }
+
+    private void awaitLists(String... wanted) throws InterruptedException {
+        Loopback.await(String.join(", ", wanted), () -> module.lists.equals(List.of(wanted)));
+    }
+
+    @Test
+    void theKnownListThenTheWholeThenChanges() throws Exception {
+        String known = Loopback.member("old", "127.0.0.1:1", "up");
+        String up = Loopback.member("u", "127.0.0.1:1", "up");
+        replies.add(Loopback.list(41, true, up));
+        replies.add(Loopback.list(41, false));
+        replies.add(Loopback.list(43, false, up.replace("\"up\"", "\"draining\"")));
+        replies.add(Loopback.list(44, false, "{\"id\":\"u\",\"phase\":\"removed\"}"));
+        try (Loopback lb = start(known)) {
+            awaitLists("RESTORED old:READY", "COMPLETE u:READY", "CHANGES u:DRAINING", "CHANGES u:GONE");
+            Loopback.await("the next watch", () -> lb.discovery.requests.size() == 5);
+            assertEquals("GET /catalog/members HTTP/1.1", lb.discovery.requests.get(0).line());
+            assertTrue(calls(lb).contains("from=41&hold_ms="));
+            assertTrue(lb.discovery.requests.get(4).line().contains("from=44&hold_ms="));
+            assertEquals(1, lb.discovery.sockets.size());
+        }
+    }
+
+    @Test
+    void failuresChangeNothingAndAreTriedAgain() throws Exception {
+        String up = Loopback.member("u", "127.0.0.1:1", "up");
+        replies.add("503");
+        replies.add("");
+        replies.add("{\"revision\":7,\"complete\":true,\"members\":[{\"id\":\"u\",\"phase\":\"up\"}]}");
+        replies.add("no JSON");
+        replies.add("[1,2]");
+        replies.add(Loopback.list(8, true, up));
+        try (Loopback lb = start(up)) {
+            awaitLists("RESTORED u:READY", "COMPLETE u:READY");
+            assertTrue(lb.discovery.requests.size() >= 6);
+        }
+    }
+
+    /** A connection to where an upstream was must not carry what is meant for where it is now. */
+    @Test
+    void anUpstreamThatMovesIsReachedAtItsNewAddress() throws Exception {
+        try (Peer a = Peer.serving("old"); Peer b = Peer.serving("new");
+                Loopback lb = start(Loopback.member("u", a.address(), "up"))) {
+            assertEquals("old", lb.ask("id-1", "order", 2000).body());
+            replies.add(Loopback.list(2, true, Loopback.member("u", b.address(), "up")));
+            awaitLists("RESTORED u:READY", "COMPLETE u:READY");
+            assertEquals("new", lb.ask("id-2", "order", 2000).body());
+            Loopback.await("old connection closed", () -> a.left.get() == 1);
+        }
+    }
+
+    /** The module sends to a drained upstream only by mistake; past half the grace nothing goes out any more. */
+    @Test
+    void nothingGoesToAnUpstreamDrainedLongAgo() throws Exception {
+        try (Peer up = Peer.serving("x"); Loopback lb = start(Loopback.member("u", up.address(), "draining"))) {
+            module.onEnd = (m, end) -> m.actions.refuse(end.request(), 0);
+            int served = 0;
+            long end = System.nanoTime() + 10_000_000_000L;
+            for (int i = 0; lb.ask("id-" + i, "order", 2000).status() == 200; i++) {
+                assertTrue(System.nanoTime() < end, "still sending");
+                served++;
+            }
+            assertEquals(served, up.requests.size());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/astergate/net/Loopback.java
@@ -0,0 +1,180 @@
+package astergate.net;
+
+import static org.junit.jupiter.api.Assertions.fail;
+
+import astergate.Balancer;
+import astergate.Policy;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+
+/** A balancer on loopback with its discovery and the clients of a test. */
+final class Loopback implements AutoCloseable {
+    static final String SETTINGS = "{\"az\":0,\"localities\":[\"a\",\"b\"],\"kinds\":[\"k\"],\"group-size\":1,"
+            + "\"classes\":["
+            + "{\"name\":\"read\",\"aim-s\":0.5,\"give-up-s\":2,\"repeat\":\"free\"},"
+            + "{\"name\":\"update\",\"aim-s\":0.5,\"give-up-s\":2,\"repeat\":\"guarded\",\"dedup-scope\":\"zone\","
+            + "\"memory-span-s\":2},"
+            + "{\"name\":\"order\",\"aim-s\":0.5,\"give-up-s\":2,\"repeat\":\"single_shot\"}],"
+            + "\"ceilings\":{\"cancel\":true,\"may-duplicate\":true,\"try-limit\":4,\"max-open\":1000,"
+            + "\"conn-idle-s\":1.0,\"connect-timeout-s\":0.12,\"multiplex\":1,\"retry-after\":false,"
+            + "\"max-retry-after-s\":1.2,\"probes\":false,\"peers\":false},"
+            + "\"report\":{\"names\":[\"waiting\",\"cpu\",\"avg_ms\"],\"via\":\"piggyback\"},"
+            + "\"rules\":{\"drain-grace-s\":0.4,\"start-capacity\":0.3,\"cold-s\":9,\"fall-multiple\":4,"
+            + "\"fall-s\":1.5},"
+            + "\"discovery\":\"pushed\",\"tick-s\":0.005}";
+    private static final long PATIENCE_MS = 10_000;
+
+    final Peer discovery;
+    final Main main;
+    final Node node;
+    final EventLoop loop;
+    final InetSocketAddress address;
+    private final List<Socket> clients = new ArrayList<>();
+
+    /** What a test may vary. */
+    static final class Setup {
+        String settings = SETTINGS;
+        int sockets = 1024;
+        Peer discovery;
+        Function<Balancer.Actions, Balancer> module;
+        final List<String> members = new ArrayList<>();
+
+        Setup upstream(String id, String address) {
+            members.add(member(id, address, "up"));
+            return this;
+        }
+
+        Setup setting(String from, String to) {
+            settings = settings.replace(from, to);
+            return this;
+        }
+
+        Setup sockets(int most) {
+            sockets = most;
+            return this;
+        }
+
+        Setup discovery(Peer wanted) {
+            discovery = wanted;
+            return this;
+        }
+
+        Setup module(Function<Balancer.Actions, Balancer> wanted) {
+            module = wanted;
+            return this;
+        }
+
+        Loopback start() throws Exception {
+            return new Loopback(this);
+        }
+    }
+
+    static Setup setup() {
+        return new Setup();
+    }
+
+    static String member(String id, String address, String phase) {
+        return "{\"id\":\"" + id + "\",\"host_port\":\"" + address + "\",\"locality\":\"a\",\"flavor\":\"k\","
+                + "\"cell\":1,\"phase\":\"" + phase + "\",\"size\":1.0,\"up_since_ms\":0}";
+    }
+
+    static String list(int revision, boolean complete, String... members) {
+        return "{\"revision\":" + revision + ",\"complete\":" + complete + ",\"members\":["
+                + String.join(",", members) + "]}";
+    }
+
+    static Config config(String settings, String discovery, int sockets, String known) throws Exception {
+        return Config.parse(("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery + "\","
+                + "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + known
+                + ",\"settings\":" + settings + "}").getBytes(StandardCharsets.UTF_8));
+    }
+
+    private Loopback(Setup setup) throws Exception {
+        String known = list(1, true, setup.members.toArray(new String[0]));
+        discovery = setup.discovery != null ? setup.discovery : new Peer((request, socket) -> {
+            if (request.line().contains("from=")) {
+                Thread.sleep(PATIENCE_MS); // nothing new; the end of the test ends the watch
+            }
+            Peer.reply(socket, 200, known);
+        });
+        Config config = config(setup.settings, discovery.address(), setup.sockets, known);
+        loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        node = new Node(loop, config, setup.module != null ? setup.module
+                : actions -> new Policy(config.facts().settings(), config.seed(), actions));
+        main = new Main(loop, config, node);
+        ChannelFuture bound = main.bind().sync();
+        address = (InetSocketAddress) bound.channel().localAddress();
+    }
+
+    /** A client's connection. */
+    Socket connect() throws IOException {
+        Socket socket = new Socket(address.getAddress(), address.getPort());
+        socket.setSoTimeout((int) PATIENCE_MS);
+        clients.add(socket);
+        return socket;
+    }
+
+    /** A request of a class as clients write it. */
+    static String request(String id, String cls, int budgetMs) {
+        String key = cls.equals("update") ? "Idempotency-Key: k-" + id + "\r\n" : "";
+        return (cls.equals("read") ? "GET" : "POST") + " /api?obj=o1&x=%20y HTTP/1.1\r\nHost: origin.svc\r\n"
+                + "X-Call-Id: " + id + "\r\nX-Call-Class: " + cls + "\r\nX-Budget-Ms: " + budgetMs + "\r\n" + key
+                + (cls.equals("read") ? "\r\n" : "Content-Length: 4\r\n\r\nwork");
+    }
+
+    /** Sends a request on a new connection and waits for its answer; null if there is none. */
+    Peer.Message ask(String id, String cls, int budgetMs) throws IOException {
+        return ask(connect(), request(id, cls, budgetMs));
+    }
+
+    static Peer.Message ask(Socket socket, String text) throws IOException {
+        Peer.write(socket, text);
+        return answer(socket);
+    }
+
+    static Peer.Message answer(Socket socket) throws IOException {
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        return Peer.read(in);
+    }
+
+    /** The status that {@code /_health} answers. */
+    int health() {
+        try (Socket socket = connect()) {
+            return ask(socket, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").status();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    /** Waits for a condition rather than for some time; generous, as a busy machine may be slow. */
+    static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + PATIENCE_MS * 1_000_000;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                fail("not within " + PATIENCE_MS + " ms: " + what);
+            }
+            Thread.sleep(2);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Socket client : clients) {
+            client.close();
+        }
+        discovery.close();
+        loop.parent().shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/src/test/java/astergate/net/MainTest.java
@@ -0,0 +1,102 @@
+package astergate.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The start, with good and bad configurations, and the end on SIGTERM. */
+class MainTest {
+    @TempDir
+    private Path folder;
+
+    /** Clients go on for a while after SIGTERM: they are served, told to go, and lose nothing that was taken. */
+    @Test
+    void anOrderlyEndServesWhatComesAndFinishesWhatIsHeld() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        try (Peer up = new Peer((request, socket) -> {
+            if (request.headers().get("x-call-id").equals("slow")) {
+                release.await();
+            }
+            Peer.reply(socket, 200, "x");
+        }); Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+            Socket held = lb.connect();
+            Peer.write(held, Loopback.request("slow", "order", 60_000));
+            Socket kept = lb.connect();
+            Loopback.await("ready", () -> lb.health() == 200);
+            Loopback.await("sent", () -> up.requests.size() == 1);
+            Thread end = new Thread(lb.main::end);
+            end.start();
+            Loopback.await("draining", () -> lb.health() == 503);
+            Peer.Message late = lb.ask("late", "order", 60_000);
+            assertEquals(200, late.status(), "a new connection");
+            assertEquals("close", late.headers().get("connection"));
+            assertEquals("close", Loopback.ask(kept, Loopback.request("kept", "order", 60_000))
+                    .headers().get("connection"), "an open connection");
+            Loopback.await("listener closed", () -> refusesConnections(lb));
+            assertTrue(end.isAlive(), "one request is still held");
+            release.countDown();
+            assertEquals(200, Loopback.answer(held).status());
+            end.join(10_000);
+            assertTrue(!end.isAlive(), "the end waits for nothing more");
+        }
+    }
+
+    private static boolean refusesConnections(Loopback lb) {
+        try {
+            lb.connect();
+            return false;
+        } catch (ConnectException e) {
+            return true;
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"'\"probes\":false', '\"probes\":true', ceilings.probes",
+        "'\"peers\":false', '\"peers\":true', ceilings.peers", "piggyback, pull, report.via",
+        "'\"repeat\":\"free\"', '\"repeat\":\"free\",\"stream\":true', stream",
+        "'\"conn-idle-s\":1.0,', '', conn-idle-s", "'\"repeat\":\"free\"', '\"repeat\":\"maybe\"', repeat"})
+    void settingsThatCannotBeServedAreRefusedByName(String from, String to, String named) {
+        Config.Bad bad = assertThrows(Config.Bad.class, () -> Loopback.config(
+                Loopback.SETTINGS.replace(from, to), "127.0.0.1:1", 1024, Loopback.list(1, true)));
+        assertTrue(bad.getMessage().contains(named), bad.getMessage());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"{}, settings", "{, JSON", "'', settings", "'{\"settings\":[]}', settings",
+        "'{\"settings\":{}}', connect-timeout-s"})
+    void aBadConfigurationEndsTheStartWithOneLine(String json, String named) throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, json);
+        assertFailedStart(file.toString(), named);
+    }
+
+    @Test
+    void aMissingConfigurationEndsTheStartWithOneLine() throws Exception {
+        assertFailedStart(folder.resolve("nonesuch").toString(), "nonesuch");
+    }
+
+    private static void assertFailedStart(String config, String named) throws Exception {
+        ProcessBuilder start = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-cp",
+                System.getProperty("java.class.path"), "astergate.net.Main").redirectErrorStream(true);
+        start.environment().put("BALANCER_CONFIG", config);
+        Process process = start.start();
+        String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertTrue(process.waitFor() != 0);
+        assertEquals(1, said.lines().count(), said);
+        assertTrue(said.contains(named), said);
+    }
+}
--- /dev/null
+++ b/src/test/java/astergate/net/NodeTest.java
@@ -0,0 +1,179 @@
+package astergate.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import astergate.Balancer.AttemptEnd;
+import astergate.Balancer.Outcome;
+import astergate.Balancer.Request;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.function.BiConsumer;
+import org.junit.jupiter.api.Test;
+
+/** What the node does with the decisions of a module, above all with those that are no good. */
+class NodeTest {
+    private ScriptedModule module;
+
+    private Loopback.Setup scripted(BiConsumer<ScriptedModule, Request> onRequest) {
+        return Loopback.setup().module(actions -> {
+            module = new ScriptedModule(actions);
+            module.onRequest = onRequest;
+            return module;
+        });
+    }
+
+    private List<Outcome> outcomes() {
+        return module.ends.stream().map(AttemptEnd::outcome).toList();
+    }
+
+    @Test
+    void aModuleThatThrowsOnARequestLeavesItRefused() throws Exception {
+        try (Loopback lb = scripted((m, r) -> {
+            throw new IllegalStateException("on purpose");
+        }).start()) {
+            assertEquals(503, lb.ask("id-1", "order", 2000).status());
+            assertEquals(503, lb.ask("id-2", "order", 2000).status(), "it goes on handling events");
+        }
+    }
+
+    @Test
+    void aModuleThatThrowsAfterItHasSentLeavesTheRequestFailed() throws Exception {
+        try (Peer up = Peer.serving("x"); Loopback lb = scripted((m, r) -> {
+            m.actions.send(r.id(), "u", 0);
+            throw new IllegalStateException("on purpose");
+        }).upstream("u", up.address()).start()) {
+            assertEquals(502, lb.ask("id-1", "order", 2000).status());
+        }
+    }
+
+    @Test
+    void aModuleThatForgetsARequestDoesNotLoseIt() throws Exception {
+        try (Peer up = new Peer((request, socket) -> { }); Loopback lb = scripted((m, r) -> {
+            if (r.classIndex() == 2) {
+                m.actions.send(r.id(), "u", 0);
+            }
+        }).upstream("u", up.address()).start()) {
+            long start = System.nanoTime();
+            assertEquals(503, lb.ask("id-1", "read", 300).status(), "never sent");
+            assertEquals(502, lb.ask("id-2", "order", 300).status(), "may have run");
+            assertTrue(System.nanoTime() - start < 5_000_000_000L, "not much later than their budgets");
+            Loopback.await("told", () -> module.gone.size() == 2);
+            assertEquals(List.of(Outcome.TIMEOUT), outcomes());
+            assertTrue(lb.node.idle());
+        }
+    }
+
+    @Test
+    void onlyTheFirstAnswerCounts() throws Exception {
+        try (Loopback lb = scripted((m, r) -> {
+            m.actions.refuse(r.id(), 0);
+            m.actions.fail(r.id());
+            m.actions.refuse(r.id(), 0);
+        }).start()) {
+            Socket client = lb.connect();
+            assertEquals(503, Loopback.ask(client, Loopback.request("id-1", "order", 2000)).status());
+            assertEquals(503, Loopback.ask(client, Loopback.request("id-2", "order", 2000)).status());
+        }
+    }
+
+    @Test
+    void sendsThatAreTooManyOrTooLateAreNeverSent() throws Exception {
+        try (Peer up = Peer.serving("x"); Loopback lb = scripted((m, r) -> {
+            for (int i = 0; i < 5; i++) {
+                m.actions.send(r.id(), i == 0 ? "unheard-of" : "u", 0);
+            }
+            m.actions.refuse(r.id(), 0);
+            m.actions.cancel(r.id(), 1);
+        }).upstream("u", up.address()).start()) {
+            assertEquals(503, lb.ask("id-1", "read", 2000).status());
+            Loopback.await("ends", () -> module.ends.size() == 5);
+            assertEquals(2, outcomes().stream().filter(o -> o == Outcome.MOOT).count());
+            assertEquals(1, outcomes().stream().filter(o -> o == Outcome.CANCELLED).count());
+            assertFalse(module.calledFromWithin, "no event within an action");
+            Loopback.await("forgotten", lb.node::idle);
+        }
+    }
+
+    /** The connection is still coming up when the attempt is called off: it must not carry the request. */
+    @Test
+    void whatIsCancelledWhileConnectingIsNotSent() throws Exception {
+        try (Peer up = Peer.serving("x"); Loopback lb = scripted((m, r) -> {
+            m.actions.send(r.id(), "u", 0);
+            if (r.id().equals("id-1")) {
+                m.actions.cancel(r.id(), 0);
+                m.actions.refuse(r.id(), 0);
+            }
+        }).upstream("u", up.address()).start()) {
+            assertEquals(503, lb.ask("id-1", "order", 2000).status());
+            assertEquals(200, lb.ask("id-2", "order", 2000).status());
+            assertEquals(1, up.requests.size());
+            assertEquals("id-2", up.requests.get(0).headers().get("x-call-id"));
+        }
+    }
+
+    @Test
+    void anAttemptsOwnTimeOutEndsItAlone() throws Exception {
+        try (Peer silent = new Peer((request, socket) -> { }); Peer up = Peer.serving("x");
+                Loopback lb = scripted((m, r) -> m.actions.send(r.id(), "a", 50_000))
+                        .upstream("a", silent.address()).upstream("b", up.address()).start()) {
+            module.onEnd = (m, end) -> {
+                if (end.outcome() == Outcome.TIMEOUT) {
+                    m.actions.send(end.request(), "b", 0);
+                }
+            };
+            assertEquals(200, lb.ask("id-1", "read", 2000).status());
+            assertEquals(List.of(Outcome.TIMEOUT, Outcome.OK), outcomes());
+            Loopback.await("connection closed", () -> silent.left.get() == 1);
+        }
+    }
+
+    /** Nothing listens to the request any more: a full queue of connections holds it back past its time. */
+    @Test
+    void whatNeverGotAConnectionIsKnownNotToHaveRun() throws Exception {
+        try (ServerSocket dead = new ServerSocket(0, 1, java.net.InetAddress.getByName("127.0.0.1"));
+                Socket first = new Socket(dead.getInetAddress(), dead.getLocalPort());
+                Socket second = new Socket(dead.getInetAddress(), dead.getLocalPort());
+                Loopback lb = scripted((m, r) -> m.actions.send(r.id(), "a", 30_000))
+                        .upstream("a", "127.0.0.1:" + dead.getLocalPort()).start()) {
+            module.onEnd = (m, end) -> m.actions.refuse(end.request(), 0);
+            assertTrue(first.isConnected() && second.isConnected());
+            assertEquals(503, lb.ask("id-1", "order", 2000).status());
+            assertEquals(List.of(Outcome.CONNECT_FAILED), outcomes());
+        }
+    }
+
+    @Test
+    void theSecondCopyOfARequestEndsQuietly() throws Exception {
+        try (Peer up = Peer.serving("x"); Loopback lb = scripted((m, r) -> {
+            m.actions.send(r.id(), "u", 0);
+            m.actions.send(r.id(), "u", 0);
+        }).upstream("u", up.address()).start()) {
+            Socket client = lb.connect();
+            assertEquals(200, Loopback.ask(client, Loopback.request("id-1", "read", 2000)).status());
+            Loopback.await("both ended", () -> module.ends.size() == 2);
+            assertTrue(module.ends.stream().allMatch(AttemptEnd::concluded));
+            assertEquals(200, Loopback.ask(client, Loopback.request("id-2", "read", 2000)).status());
+        }
+    }
+
+    @Test
+    void moreOpenRequestsThanAllowedAreRefusedUnseen() throws Exception {
+        try (Loopback lb = scripted((m, r) -> { }).setting("\"max-open\":1000", "\"max-open\":1").start()) {
+            Peer.write(lb.connect(), Loopback.request("id-1", "order", 60_000));
+            Loopback.await("held", () -> !lb.node.idle());
+            assertEquals(503, lb.ask("id-2", "order", 60_000).status());
+        }
+    }
+
+    @Test
+    void anIdThatIsOpenIsNotTakenTwice() throws Exception {
+        try (Loopback lb = scripted((m, r) -> { }).start()) {
+            Peer.write(lb.connect(), Loopback.request("id-1", "order", 60_000));
+            Loopback.await("held", () -> !lb.node.idle());
+            assertEquals(400, lb.ask("id-1", "order", 60_000).status());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/astergate/net/Peer.java
@@ -0,0 +1,131 @@
+package astergate.net;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A server on loopback that does to each request what a test says: an upstream, or discovery. */
+final class Peer implements AutoCloseable {
+    private final ServerSocket listener;
+    private final Script script;
+    final List<Message> requests = new CopyOnWriteArrayList<>();
+    final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    /** Connections that the other side has closed. */
+    final AtomicInteger left = new AtomicInteger();
+
+    /** What happens once a request has been read. */
+    interface Script {
+        void run(Message request, Socket socket) throws IOException, InterruptedException;
+    }
+
+    /** One message: its first line, headers with names in lower case, and body. */
+    record Message(String line, Map<String, String> headers, String body) {
+        int status() {
+            return Integer.parseInt(line.split(" ")[1]);
+        }
+    }
+
+    Peer(Script script) throws IOException {
+        this.listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        this.script = script;
+        thread(this::accept);
+    }
+
+    /** A peer that answers every request with 200, this body and such further headers. */
+    static Peer serving(String body, String... headers) throws IOException {
+        return new Peer((request, socket) -> reply(socket, 200, body, headers));
+    }
+
+    String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    private static void thread(Runnable work) {
+        Thread thread = new Thread(work);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                sockets.add(socket);
+                thread(() -> serve(socket));
+            }
+        } catch (IOException closed) {
+            return; // the test is over
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            for (Message m = read(in); m != null; m = read(in)) {
+                requests.add(m);
+                script.run(m, socket);
+            }
+        } catch (IOException | InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        left.incrementAndGet();
+    }
+
+    static void reply(Socket socket, int status, String body, String... headers) throws IOException {
+        String more = headers.length == 0 ? "" : String.join("\r\n", headers) + "\r\n";
+        write(socket, "HTTP/1.1 " + status + " x\r\n" + more + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+    }
+
+    static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    /** Reads one message; null at the end of the stream, or when it breaks. */
+    static Message read(InputStream in) throws IOException {
+        String line = line(in);
+        if (line == null) {
+            return null;
+        }
+        Map<String, String> headers = new TreeMap<>();
+        for (String h = line(in); h != null && !h.isEmpty(); h = line(in)) {
+            headers.put(h.substring(0, h.indexOf(':')).toLowerCase(), h.substring(h.indexOf(':') + 1).trim());
+        }
+        byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
+        return new Message(line, headers, new String(body, StandardCharsets.ISO_8859_1));
+    }
+
+    private static String line(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int c = in.read(); c != '\n'; c = in.read()) {
+            if (c < 0) {
+                return null;
+            }
+            line.write(c);
+        }
+        return line.toString(StandardCharsets.ISO_8859_1).trim();
+    }
+
+    @Override
+    public void close() {
+        try {
+            listener.close();
+            for (Socket s : sockets) {
+                s.close();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/astergate/net/ScriptedModule.java
@@ -0,0 +1,82 @@
+package astergate.net;
+
+import astergate.Balancer;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BiConsumer;
+
+/** A module that does what a test says, and keeps what it was told. */
+final class ScriptedModule implements Balancer {
+    final Actions actions;
+    final List<AttemptEnd> ends = new CopyOnWriteArrayList<>();
+    final List<String> gone = new CopyOnWriteArrayList<>();
+    final List<String> lists = new CopyOnWriteArrayList<>();
+    BiConsumer<ScriptedModule, Request> onRequest = (m, r) -> { };
+    BiConsumer<ScriptedModule, AttemptEnd> onEnd = (m, e) -> { };
+    private boolean busy;
+    volatile boolean calledFromWithin;
+
+    ScriptedModule(Actions actions) {
+        this.actions = actions;
+    }
+
+    private void event(Runnable script) {
+        calledFromWithin |= busy;
+        busy = true;
+        try {
+            script.run();
+        } finally {
+            busy = false;
+        }
+    }
+
+    @Override
+    public void start(long now) {
+        lists.clear();
+    }
+
+    @Override
+    public void upstreams(long now, ListKind kind, List<Upstream> entries) {
+        StringBuilder text = new StringBuilder(kind.toString());
+        entries.forEach(e -> text.append(' ').append(e.id()).append(':').append(e.state()));
+        event(() -> lists.add(text.toString()));
+    }
+
+    @Override
+    public void request(long now, Request request) {
+        event(() -> onRequest.accept(this, request));
+    }
+
+    @Override
+    public void outcome(long now, AttemptEnd end) {
+        event(() -> {
+            ends.add(end);
+            onEnd.accept(this, end);
+        });
+    }
+
+    @Override
+    public void opened(long now, String request, int attempt) {
+        throw new AssertionError("there are no streams");
+    }
+
+    @Override
+    public void clientGone(long now, String request) {
+        event(() -> gone.add(request));
+    }
+
+    @Override
+    public void probed(long now, String upstream, Outcome outcome, LoadReport load) {
+        throw new AssertionError("there are no probes");
+    }
+
+    @Override
+    public void timer(long now, String token) {
+        event(() -> lists.add("timer " + token));
+    }
+
+    @Override
+    public void peerMessage(long now, int from, byte[] body) {
+        throw new AssertionError("there are no peers");
+    }
+}
--- /dev/null
+++ b/src/test/java/astergate/net/ServingTest.java
@@ -0,0 +1,236 @@
+package astergate.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** From client to upstream and back, and each way in which that goes wrong. */
+class ServingTest {
+    @Test
+    void aRequestGoesOnUnchangedAndItsAnswerComesBack() throws Exception {
+        try (Peer up = Peer.serving("the answer", "X-Load-Report: {\"waiting\":2,\"cpu\":0.6,\"avg_ms\":9}");
+                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+            Peer.Message answer = lb.ask("id-1", "update", 900);
+            assertEquals(200, answer.status());
+            assertEquals("the answer", answer.body());
+            Peer.Message seen = up.requests.get(0);
+            assertEquals("POST /api?obj=o1&x=%20y HTTP/1.1", seen.line());
+            assertEquals("work", seen.body());
+            assertEquals("id-1", seen.headers().get("x-call-id"));
+            assertEquals("k-id-1", seen.headers().get("idempotency-key"));
+            int budget = Integer.parseInt(seen.headers().get("x-budget-ms"));
+            assertTrue(budget > 0 && budget < 900, "the time left, not the client's: " + budget);
+        }
+    }
+
+    @Test
+    void connectionsOnBothSidesAreUsedAgain() throws Exception {
+        try (Peer up = Peer.serving("x"); Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+            Socket client = lb.connect();
+            for (int i = 0; i < 5; i++) {
+                assertEquals(200, Loopback.ask(client, Loopback.request("id-" + i, "order", 2000)).status());
+            }
+            assertEquals(1, up.sockets.size());
+        }
+    }
+
+    @Test
+    void pipelinedRequestsAreAnsweredInTheirOrder() throws Exception {
+        try (Peer up = new Peer((request, socket) -> Peer.reply(socket, 200, request.headers().get("x-call-id")));
+                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+            Socket client = lb.connect();
+            Peer.write(client, Loopback.request("a", "read", 2000) + Loopback.request("b", "read", 2000));
+            java.io.InputStream in = new java.io.BufferedInputStream(client.getInputStream());
+            assertEquals("a", Peer.read(in).body());
+            assertEquals("b", Peer.read(in).body());
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"X-Call-Id: id-1, X-Other: 1", "X-Call-Class: order, X-Call-Class: nonesuch",
+        "X-Budget-Ms: 900, X-Budget-Ms: soon", "X-Budget-Ms: 900, X-Budget-Ms: -5", "X-Budget-Ms: 900, X-Budget-Ms: 0",
+        "X-Call-Class: order, X-Call-Class: update", "/api?obj=o1&x=%20y, /api?obj=%zz",
+        "Content-Length: 4, Content-Length: 70000", "POST /api, DELETE /api", "HTTP/1.1, HTTQ/9"})
+    void aMalformedRequestIsTurnedDownHere(String from, String to) throws Exception {
+        try (Peer up = Peer.serving("x"); Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+            Peer.Message answer = Loopback.ask(lb.connect(),
+                    Loopback.request("id-1", "order", 900).replace(from, to));
+            assertEquals(4, answer.status() / 100, answer.line());
+            assertEquals(200, lb.ask("id-2", "order", 900).status());
+            assertEquals(1, up.requests.size(), "only the good one reaches an upstream");
+        }
+    }
+
+    @Test
+    void anUnknownPathIsNotFound() throws Exception {
+        try (Loopback lb = Loopback.setup().start()) {
+            assertEquals(404, Loopback.ask(lb.connect(), "GET /else HTTP/1.1\r\nHost: x\r\n\r\n").status());
+        }
+    }
+
+    @Test
+    void healthTellsWhenDiscoveryHasAnswered() throws Exception {
+        try (Loopback lb = Loopback.setup().start()) {
+            Loopback.await("ready", () -> lb.health() == 200);
+        }
+    }
+
+    /** An upstream that fails once the request may have run: an unsafe request must not be sent again. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf", "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n", "nonsense\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhalf",
+        "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n"})
+    void anUnsafeRequestThatMayHaveRunFailsAndIsNotRepeated(String answer) throws Exception {
+        Peer.Script script = (request, socket) -> {
+            Peer.write(socket, answer);
+            socket.close();
+        };
+        try (Peer a = new Peer(script); Peer b = new Peer(script);
+                Loopback lb = Loopback.setup().upstream("a", a.address()).upstream("b", b.address()).start()) {
+            assertEquals(502, lb.ask("id-1", "order", 2000).status());
+            assertEquals(1, a.requests.size() + b.requests.size());
+        }
+    }
+
+    @Test
+    void anOverlongAnswerFailsAndItsConnectionIsDropped() throws Exception {
+        try (Peer up = Peer.serving("x".repeat(UpstreamPool.MAX_BODY + 1));
+                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+            assertEquals(502, lb.ask("id-1", "order", 2000).status());
+            Loopback.await("connection closed", () -> up.left.get() == 1);
+        }
+    }
+
+    @Test
+    void whatWasRejectedUnseenGoesElsewhere() throws Exception {
+        try (Peer full = new Peer((request, socket) -> Peer.reply(socket, 503, "", "X-Rejected: 1"));
+                Peer up = Peer.serving("x");
+                Loopback lb = Loopback.setup().upstream("a", full.address()).upstream("b", up.address()).start()) {
+            for (int i = 0; i < 8; i++) {
+                assertEquals(200, lb.ask("id-" + i, "order", 2000).status());
+            }
+            assertTrue(full.requests.size() > 0);
+        }
+    }
+
+    @Test
+    void whatIsRefusedAConnectionGoesElsewhere() throws Exception {
+        String dead;
+        try (Peer gone = Peer.serving("x")) {
+            dead = gone.address();
+        }
+        assertServedDespite(dead);
+    }
+
+    /** An upstream that never answers a SYN, as its queue of connections is full. */
+    @Test
+    void whatGetsNoConnectionInTimeGoesElsewhere() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0, 1, java.net.InetAddress.getByName("127.0.0.1"));
+                Socket first = new Socket(silent.getInetAddress(), silent.getLocalPort());
+                Socket second = new Socket(silent.getInetAddress(), silent.getLocalPort())) {
+            assertTrue(first.isConnected() && second.isConnected());
+            assertServedDespite("127.0.0.1:" + silent.getLocalPort());
+        }
+    }
+
+    private static void assertServedDespite(String bad) throws Exception {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = Loopback.setup().upstream("a", bad).upstream("b", up.address()).start()) {
+            for (int i = 0; i < 8; i++) {
+                assertEquals(200, lb.ask("id-" + i, "order", 2000).status());
+            }
+            assertEquals(8, up.requests.size());
+        }
+    }
+
+    @Test
+    void aSilentUpstreamCostsTheClientNoMoreThanItsBudget() throws Exception {
+        try (Peer up = new Peer((request, socket) -> { });
+                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+            long start = System.nanoTime();
+            assertEquals(502, lb.ask("id-1", "order", 400).status());
+            long took = (System.nanoTime() - start) / 1_000_000;
+            assertTrue(took >= 300 && took < 5_000, "took " + took + " ms"); // a slow machine is late
+            Loopback.await("attempt given up", () -> up.left.get() == 1);
+        }
+    }
+
+    @Test
+    void withNoUpstreamTheRequestIsRefusedAndToldWhenToComeBack() throws Exception {
+        try (Loopback lb = Loopback.setup().setting("\"retry-after\":false", "\"retry-after\":true").start()) {
+            Peer.Message answer = lb.ask("id-1", "order", 300);
+            assertEquals(503, answer.status());
+            assertEquals(1.0, Double.parseDouble(answer.headers().get("retry-after")));
+        }
+        try (Loopback lb = Loopback.setup().start()) {
+            assertNull(lb.ask("id-1", "order", 300).headers().get("retry-after"), "where it is not allowed");
+        }
+    }
+
+    @Test
+    void aClientThatLeavesEndsItsAttempt() throws Exception {
+        try (Peer up = new Peer((request, socket) -> { });
+                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+            Socket client = lb.connect();
+            Peer.write(client, Loopback.request("id-1", "order", 60_000));
+            Loopback.await("sent", () -> up.requests.size() == 1);
+            client.close();
+            Loopback.await("attempt given up", () -> up.left.get() == 1);
+        }
+    }
+
+    @Test
+    void idleConnectionsAreClosedBeforeTheUpstreamDoesIt() throws Exception {
+        try (Peer up = Peer.serving("x"); Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+            assertEquals(200, lb.ask("id-1", "order", 2000).status());
+            Loopback.await("closed as idle", () -> up.left.get() == 1);
+        }
+    }
+
+    @Test
+    void moreClientsThanSocketsAreRefusedAndNobodyDies() throws Exception {
+        try (Peer up = new Peer((request, socket) -> { });
+                Loopback lb = Loopback.setup().upstream("u", up.address()).sockets(128).start()) {
+            List<Socket> clients = new ArrayList<>();
+            for (int i = 0; i < 64; i++) {
+                Socket client = lb.connect();
+                clients.add(client);
+                Peer.write(client, Loopback.request("id-" + i, "order", 1500));
+            }
+            for (Socket client : clients) {
+                int status = Loopback.answer(client).status();
+                assertTrue(status == 503 || status == 502, "status " + status);
+                client.close();
+            }
+            Loopback.await("all forgotten", lb.node::idle);
+            assertEquals(404, Loopback.ask(lb.connect(), "GET /else HTTP/1.1\r\nHost: x\r\n\r\n").status());
+        }
+    }
+
+    @Test
+    void idleClientsMakeRoomForNewOnes() throws Exception {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = Loopback.setup().upstream("u", up.address()).sockets(128).start()) {
+            for (int i = 0; i < 100; i++) {
+                lb.connect();
+            }
+            Loopback.await("served again", () -> lb.health() == 200);
+            Peer.Message answer = lb.ask("id-1", "order", 2000);
+            for (int i = 2; answer.status() == 503; i++) {
+                assertTrue(i < 1000, "refused for ever");
+                answer = lb.ask("id-" + i, "order", 2000);
+            }
+            assertEquals(200, answer.status());
+        }
+    }
+}
