Take lateness of the loop off the budget, and answer a request whose handling threw

To blame and mended, from reading: - Node.accept counted a budget from the moment of reading, though the loop may have been late and the request may have lain in the kernel as long (whatALateLoopTookIsTakenOffTheBudget: 60 s left after 200 ms of waiting before, now 200 ms less). A timer that is overdue, or was, tells how late. - Frontend.exceptionCaught could answer a call that the node would answer once more.

--- a/src/main/java/astergate/net/Frontend.java
+++ b/src/main/java/astergate/net/Frontend.java
@@ -170,7 +170,10 @@
         private final Channel channel;
         private final Queue<FullHttpRequest> waiting = new ArrayDeque<>();
         private Call call;
+        /** From the arrival of a request until its answer is written and the connection is free again. */
         private boolean answering;
+        /** From the arrival of a request until its answer: guards against a second one. */
+        private boolean owed;
         private boolean keepAlive;
         private boolean refuseAll;
         private long idleSince;
@@ -209,6 +212,7 @@
 
         private void handle(FullHttpRequest http) {
             answering = true;
+            owed = true;
             idle.remove(this);
             keepAlive = HttpUtil.isKeepAlive(http);
             QueryStringDecoder query = new QueryStringDecoder(http.uri());
@@ -256,6 +260,10 @@
         }
 
         private void answer(HttpResponseStatus status, String contentType, byte[] body, long retryAfter) {
+            if (!owed) {
+                return;
+            }
+            owed = false;
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                     Unpooled.wrappedBuffer(body));
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
@@ -285,8 +293,13 @@
             if (!answering && !waiting.isEmpty() && channel.isActive()) {
                 FullHttpRequest http = waiting.poll();
                 channel.config().setAutoRead(waiting.isEmpty());
-                handle(http);
-                http.release();
+                try {
+                    handle(http);
+                } catch (RuntimeException e) {
+                    crashed(e);
+                } finally {
+                    http.release();
+                }
             }
         }
 
@@ -308,12 +321,19 @@
                 ctx.close(); // the client has gone; what it asked for ends in channelInactive
                 return;
             }
+            crashed(cause);
+        }
+
+        /** Guards against a request left without an answer because handling it threw. */
+        private void crashed(Throwable cause) {
             node.log().line("request not handled: " + cause);
-            if (answering) {
-                keepAlive = false;
+            keepAlive = false;
+            if (call != null) {
+                node.giveUp(call);
+            } else if (owed) {
                 answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, null, new byte[0], 0);
             } else {
-                ctx.close();
+                channel.close();
             }
         }
     }
--- a/src/main/java/astergate/net/Node.java
+++ b/src/main/java/astergate/net/Node.java
@@ -39,6 +39,10 @@
     private final long startedAt = System.currentTimeMillis() * 1_000;
     private final long startedNanos = System.nanoTime();
     private boolean handling;
+    /** When the timer that the module set last is due; it always has one. */
+    private long timerDue = Long.MAX_VALUE;
+    /** How late the last timer was. */
+    private long lateness;
 
     Node(EventLoop loop, Config config) {
         this(loop, config, actions -> new Policy(config.facts().settings(), config.seed(), actions));
@@ -136,7 +140,9 @@
             return;
         }
         String id = call.request.id();
-        long left = call.request.timeLeft() - WAY_IN;
+        // If a timer is overdue or just was, the loop is late, and the request may have waited as long to be read.
+        long late = Math.max(lateness, now() - timerDue);
+        long left = call.request.timeLeft() - WAY_IN - late;
         call.deadline = now() + left;
         calls.put(id, call);
         call.backstop = loop.schedule(() -> expire(call), left - BACKSTOP, TimeUnit.MICROSECONDS);
@@ -168,8 +174,11 @@
         }
     }
 
-    /** Guards against a call that the module leaves without an answer: it is refused only if it never ran. */
-    private void giveUp(Call call) {
+    /**
+     * Guards against a call that the module, or a fault of ours, leaves without an answer: it is refused only if
+     * it never ran.
+     */
+    void giveUp(Call call) {
         if (call.answered) {
             return;
         }
@@ -280,7 +289,12 @@
 
     @Override
     public void timer(String token, long delay) {
-        loop.schedule(() -> deliver(null, () -> module.timer(now(), token)), delay, TimeUnit.MICROSECONDS);
+        long due = now() + delay;
+        timerDue = due;
+        loop.schedule(() -> {
+            lateness = Math.max(0, now() - due);
+            deliver(null, () -> module.timer(now(), token));
+        }, delay, TimeUnit.MICROSECONDS);
     }
 
     @Override
--- a/src/test/java/astergate/net/NodeTest.java
+++ b/src/test/java/astergate/net/NodeTest.java
@@ -1,5 +1,6 @@
 package astergate.net;
 
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -10,6 +11,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import org.junit.jupiter.api.Test;
 
@@ -66,6 +69,31 @@
         }
     }
 
+    /** A budget counts from the client's sending: time that the request lay unread is taken off. */
+    @Test
+    void whatALateLoopTookIsTakenOffTheBudget() throws Exception {
+        AtomicLong left = new AtomicLong();
+        try (Loopback lb = scripted((m, r) -> {
+            left.set(r.timeLeft());
+            m.actions.refuse(r.id(), 0);
+        }).start()) {
+            Socket client = lb.connect();
+            assertEquals(503, Loopback.ask(client, Loopback.request("id-1", "order", 60_000)).status());
+            CountDownLatch blocked = new CountDownLatch(1);
+            CountDownLatch release = new CountDownLatch(1);
+            lb.loop.execute(() -> {
+                blocked.countDown();
+                assertDoesNotThrow(() -> release.await());
+            });
+            blocked.await();
+            Peer.write(client, Loopback.request("id-2", "order", 60_000));
+            Thread.sleep(200); // the lateness itself
+            release.countDown();
+            assertEquals(503, Loopback.answer(client).status());
+            assertTrue(left.get() < 60_000_000 - 150_000, "left " + left.get());
+        }
+    }
+
     @Test
     void onlyTheFirstAnswerCounts() throws Exception {
         try (Loopback lb = scripted((m, r) -> {
--- a/src/test/java/astergate/net/ScriptedModule.java
+++ b/src/test/java/astergate/net/ScriptedModule.java
@@ -32,7 +32,7 @@
 
     @Override
     public void start(long now) {
-        lists.clear();
+        actions.timer("tick", 5_000);
     }
 
     @Override
@@ -72,7 +72,7 @@
 
     @Override
     public void timer(long now, String token) {
-        event(() -> lists.add("timer " + token));
+        event(() -> actions.timer(token, 5_000));
     }
 
     @Override
