Leave no attempt out after a call's end, and try SIGTERM on the whole program

To blame and mended, from reading: - Node.expire ended the attempts before it gave the call up; one that the module sends in answer to that would have had no end where cancelling is not allowed. It looks once more now. - UpstreamPool.write left out Content-Length for an unsafe POST without a body. - The hook for SIGTERM was only tested from inside; now a test starts the program, ends it with a request held, and gets the answer.

--- a/src/main/java/astergate/net/Main.java
+++ b/src/main/java/astergate/net/Main.java
@@ -47,7 +47,7 @@
             return;
         }
         Runtime.getRuntime().addShutdownHook(new Thread(main::end));
-        System.err.println(config.name() + " listens on " + config.listen());
+        System.err.println(config.name() + " listens on " + bound.channel().localAddress());
     }
 
     /** Listens, and starts the module once that has worked. */
--- a/src/main/java/astergate/net/Node.java
+++ b/src/main/java/astergate/net/Node.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
@@ -120,7 +121,7 @@
 
     private void listed(MemberList list) {
         if (list == null) {
-            deliver(null, () -> module.upstreams(now(), Balancer.ListKind.UNAVAILABLE, java.util.List.of()));
+            deliver(null, () -> module.upstreams(now(), Balancer.ListKind.UNAVAILABLE, List.of()));
             return;
         }
         pool.update(list);
@@ -162,10 +163,9 @@
 
     /** The call's time is over: its attempts time out, and it is answered here if the module does not. */
     private void expire(Call call) {
-        for (Attempt a : java.util.List.copyOf(call.attempts)) {
-            timeOut(a);
-        }
+        List.copyOf(call.attempts).forEach(this::timeOut);
         giveUp(call);
+        List.copyOf(call.attempts).forEach(this::timeOut); // what was sent in reply to that would be out for ever
     }
 
     private void timeOut(Attempt a) {
--- a/src/main/java/astergate/net/UpstreamPool.java
+++ b/src/main/java/astergate/net/UpstreamPool.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -232,7 +233,7 @@
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method, call.uri,
                 Unpooled.wrappedBuffer(call.body));
         request.headers().set(call.headers).set("X-Budget-Ms", leftMs);
-        if (call.body.length > 0 || request.headers().contains("Idempotency-Key")) {
+        if (call.body.length > 0 || call.method.equals(HttpMethod.POST)) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body.length);
         }
         c.current = attempt;
--- a/src/test/java/astergate/net/Loopback.java
+++ b/src/test/java/astergate/net/Loopback.java
@@ -96,9 +96,13 @@
     }
 
     static Config config(String settings, String discovery, int sockets, String known) throws Exception {
-        return Config.parse(("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery + "\","
+        return Config.parse(configText(settings, discovery, sockets, known));
+    }
+
+    static byte[] configText(String settings, String discovery, int sockets, String known) {
+        return ("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery + "\","
                 + "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + known
-                + ",\"settings\":" + settings + "}").getBytes(StandardCharsets.UTF_8));
+                + ",\"settings\":" + settings + "}").getBytes(StandardCharsets.UTF_8);
     }
 
     private Loopback(Setup setup) throws Exception {
--- a/src/test/java/astergate/net/MainTest.java
+++ b/src/test/java/astergate/net/MainTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.Socket;
@@ -11,6 +12,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -89,11 +91,46 @@
         assertFailedStart(folder.resolve("nonesuch").toString(), "nonesuch");
     }
 
-    private static void assertFailedStart(String config, String named) throws Exception {
+    /** The whole program: SIGTERM reaches it, and what it holds is answered before it ends. */
+    @Test
+    void theProgramEndsOnSigtermWithNothingLost() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        try (Peer up = new Peer((request, socket) -> {
+            release.await();
+            Peer.reply(socket, 200, "x");
+        })) {
+            Path file = folder.resolve("config.json");
+            Files.write(file, Loopback.configText(Loopback.SETTINGS, "127.0.0.1:1", 1024,
+                    Loopback.list(1, true, Loopback.member("u", up.address(), "up"))));
+            Process process = start(file.toString());
+            try (BufferedReader said = process.inputReader()) {
+                String line = said.readLine();
+                while (!line.contains("listens on")) {
+                    line = said.readLine();
+                }
+                try (Socket client = new Socket("127.0.0.1", Integer.parseInt(line.replaceAll(".*:", "")))) {
+                    Peer.write(client, Loopback.request("id-1", "order", 60_000));
+                    Loopback.await("sent", () -> up.requests.size() == 1);
+                    process.destroy();
+                    release.countDown();
+                    assertEquals("x", Loopback.answer(client).body());
+                }
+                assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static Process start(String config) throws IOException {
         ProcessBuilder start = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-cp",
                 System.getProperty("java.class.path"), "astergate.net.Main").redirectErrorStream(true);
         start.environment().put("BALANCER_CONFIG", config);
-        Process process = start.start();
+        return start.start();
+    }
+
+    private static void assertFailedStart(String config, String named) throws Exception {
+        Process process = start(config);
         String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertTrue(process.waitFor() != 0);
         assertEquals(1, said.lines().count(), said);
