Do not let a watch spin, and know the listener before the first client comes

One that does so with nothing new would have made Discovery.answered call again without a rest, taking the core from the requests. It pauses 20 to 100 ms then, under the 200 ms after which a watch counts as broken off (aWatchThatEndsAtOnceDoesNotSpin). To blame besides: Frontend.bind kept the listener in a field from the caller's thread, after the loop could have accepted a client that needs it; it is kept at its registration on the loop now.

--- a/src/main/java/astergate/net/Config.java
+++ b/src/main/java/astergate/net/Config.java
@@ -9,8 +9,11 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.netty.util.NetUtil;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 
@@ -105,11 +108,11 @@
     static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         try {
-            byte[] ip = colon < 0 ? null : io.netty.util.NetUtil.createByteArrayFromIpAddressString(
+            byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(
                     text.substring(0, colon));
-            return ip == null ? null : new InetSocketAddress(java.net.InetAddress.getByAddress(ip),
+            return ip == null ? null : new InetSocketAddress(InetAddress.getByAddress(ip),
                     Integer.parseInt(text.substring(colon + 1)));
-        } catch (IllegalArgumentException | java.net.UnknownHostException e) {
+        } catch (IllegalArgumentException | UnknownHostException e) {
             return null;
         }
     }
--- a/src/main/java/astergate/net/Discovery.java
+++ b/src/main/java/astergate/net/Discovery.java
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -21,6 +22,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -32,7 +34,9 @@
 final class Discovery {
     /** How long a watch waits for news; short, so that a discovery that has fallen silent is noticed. */
     private static final int HOLD_MS = 5_000;
-    /** How much longer than that an answer may take. */
+    /** A watch that ends sooner than that without news is not renewed at once: it would go on without a rest. */
+    private static final long SHORTEST_WATCH_NS = 50_000_000;
+    /** How much longer than it holds a call may take. */
     private static final int PATIENCE_MS = 2_000;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     private static final int LEAST_PAUSE_MS = 20;
@@ -51,6 +55,7 @@
     private long revision = -1;
     private Channel channel;
     private Future<?> patience;
+    private long askedAt;
 
     /** The listener gets each list, and null for a failed call where lists are asked for. */
     Discovery(EventLoop loop, Config config, Consumer<MemberList> listener, Log log) {
@@ -100,7 +105,7 @@
             write();
             return;
         }
-        bootstrap.connect(config.discovery()).addListener((io.netty.channel.ChannelFuture connected) -> {
+        bootstrap.connect(config.discovery()).addListener((ChannelFuture connected) -> {
             channel = connected.channel();
             if (connected.isSuccess()) {
                 write();
@@ -114,6 +119,7 @@
         String uri = "/catalog/members" + (whole ? "" : "?from=" + revision + "&hold_ms=" + HOLD_MS);
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
         request.headers().set(HttpHeaderNames.HOST, config.discovery().getAddress().getHostAddress());
+        askedAt = System.nanoTime();
         Channel asked = channel;
         patience = loop.schedule(() -> asked.close(), (whole ? 0 : HOLD_MS) + PATIENCE_MS, TimeUnit.MILLISECONDS);
         channel.writeAndFlush(request);
@@ -132,7 +138,7 @@
             watching = false;
             listener.accept(null);
         } else {
-            loop.schedule(() -> watch(true), LEAST_PAUSE_MS + random.nextInt(MORE_PAUSE_MS), TimeUnit.MILLISECONDS);
+            again();
         }
     }
 
@@ -148,20 +154,28 @@
             failed("malformed list: " + e.getMessage().lines().findFirst().orElse(""));
             return;
         } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
+            throw new UncheckedIOException(e);
         }
+        boolean news = whole || list.revision() != revision;
         whole = false;
         calling = false;
         listed = true;
         revision = list.revision();
-        if (watching) {
-            call(); // first, as the watch counts as broken off if the next call is late
+        if (!news && System.nanoTime() - askedAt < SHORTEST_WATCH_NS) {
+            again();
+        } else if (watching) {
+            call(); // before the list is handed on, as the watch counts as broken off if the next call is late
         }
         if (list.complete() || !list.members().isEmpty()) {
             listener.accept(list);
         }
     }
 
+    /** Goes on watching after a short pause, in which the watch does not yet count as broken off. */
+    private void again() {
+        loop.schedule(() -> watch(watching), LEAST_PAUSE_MS + random.nextInt(MORE_PAUSE_MS), TimeUnit.MILLISECONDS);
+    }
+
     /** The answers on one connection. */
     private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override
--- a/src/main/java/astergate/net/Frontend.java
+++ b/src/main/java/astergate/net/Frontend.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -28,6 +29,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
@@ -80,9 +82,16 @@
 
     /** Starts listening; the future is done when that has worked or failed. */
     ChannelFuture bind() {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        loop.scheduleWithFixedDelay(this::makeRoom, MAKE_ROOM_EVERY_MS, MAKE_ROOM_EVERY_MS, TimeUnit.MILLISECONDS);
+        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<ServerChannel>() {
+                    @Override
+                    protected void initChannel(ServerChannel ch) {
+                        listener = ch; // here, on the loop: a client may be there before the caller's thread goes on
+                    }
+                })
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
@@ -90,9 +99,6 @@
                                 new HttpObjectAggregator(UpstreamPool.MAX_BODY, true), new Connection(ch));
                     }
                 }).bind(config.listen());
-        listener = bound.channel();
-        loop.scheduleWithFixedDelay(this::makeRoom, MAKE_ROOM_EVERY_MS, MAKE_ROOM_EVERY_MS, TimeUnit.MILLISECONDS);
-        return bound;
     }
 
     /** Guards against running out of sockets: clients that have been idle longest make way for new ones. */
@@ -317,7 +323,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (cause instanceof java.io.IOException) {
+            if (cause instanceof IOException) {
                 ctx.close(); // the client has gone; what it asked for ends in channelInactive
                 return;
             }
--- a/src/main/java/astergate/net/UpstreamPool.java
+++ b/src/main/java/astergate/net/UpstreamPool.java
@@ -28,6 +28,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -317,7 +318,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (!(cause instanceof java.io.IOException)) {
+            if (!(cause instanceof IOException)) {
                 // An over-long answer, mostly; it has run, and its rest must not be read as the next answer.
                 log.line("answer of an upstream given up: " + cause);
                 finish(Outcome.ERROR, null, null, null);
--- a/src/test/java/astergate/net/DiscoveryTest.java
+++ b/src/test/java/astergate/net/DiscoveryTest.java
@@ -73,6 +73,24 @@
         }
     }
 
+    /** An agent that answers at once, with nothing new: the watch goes on, but not as fast as it can. */
+    @Test
+    void aWatchThatEndsAtOnceDoesNotSpin() throws Exception {
+        String up = Loopback.member("u", "127.0.0.1:1", "up");
+        replies.add(Loopback.list(1, true, up));
+        try (Loopback lb = start()) {
+            awaitLists("RESTORED", "COMPLETE u:READY");
+            long start = System.nanoTime();
+            for (int i = 0; i < 10; i++) {
+                replies.add(Loopback.list(1, false));
+            }
+            Loopback.await("ten more calls", () -> lb.discovery.requests.size() == 12);
+            assertTrue(System.nanoTime() - start >= 9 * 20_000_000L, "without a rest");
+            replies.add(Loopback.list(2, false, up.replace("\"up\"", "\"draining\"")));
+            awaitLists("RESTORED", "COMPLETE u:READY", "CHANGES u:DRAINING");
+        }
+    }
+
     /** A connection to where an upstream was must not carry what is meant for where it is now. */
     @Test
     void anUpstreamThatMovesIsReachedAtItsNewAddress() throws Exception {
