--- a/src/main/java/astergate/net/UpstreamPool.java
+++ b/src/main/java/astergate/net/UpstreamPool.java
@@ -225,7 +225,7 @@
         boolean drained = c.target.unreadySince != Long.MAX_VALUE
                 && now - c.target.unreadySince > settings.rules().drainGrace() / 2;
         long leftMs = (attempt.until - now) / 1_000;
-        if (drained || leftMs <= 0) {
+        if (attempt.call.answered || drained || leftMs <= 0) {
             release(c);
             end(attempt, Outcome.MOOT);
             return;
--- a/src/test/java/astergate/net/NodeTest.java
+++ b/src/test/java/astergate/net/NodeTest.java
@@ -118,8 +118,9 @@
         }).upstream("u", up.address()).start()) {
             assertEquals(503, lb.ask("id-1", "read", 2000).status());
             Loopback.await("ends", () -> module.ends.size() == 5);
-            assertEquals(2, outcomes().stream().filter(o -> o == Outcome.MOOT).count());
+            assertEquals(4, outcomes().stream().filter(o -> o == Outcome.MOOT).count());
             assertEquals(1, outcomes().stream().filter(o -> o == Outcome.CANCELLED).count());
+            assertTrue(up.requests.isEmpty());
             assertFalse(module.calledFromWithin, "no event within an action");
             Loopback.await("forgotten", lb.node::idle);
         }
@@ -142,6 +143,22 @@
         }
     }
 
+    /** After the final answer nothing more is sent, also by a module that may not or does not cancel. */
+    @Test
+    void whatIsAnsweredWhileConnectingIsNotSent() throws Exception {
+        try (Peer up = Peer.serving("x"); Loopback lb = scripted((m, r) -> {
+            m.actions.send(r.id(), "u", 0);
+            if (r.id().equals("id-1")) {
+                m.actions.refuse(r.id(), 0);
+            }
+        }).upstream("u", up.address()).start()) {
+            assertEquals(503, lb.ask("id-1", "order", 2000).status());
+            Loopback.await("ended", () -> outcomes().equals(List.of(Outcome.MOOT)));
+            assertEquals(200, lb.ask("id-2", "order", 2000).status());
+            assertEquals(1, up.requests.size());
+        }
+    }
+
     @Test
     void anAttemptsOwnTimeOutEndsItAlone() throws Exception {
         try (Peer silent = new Peer((request, socket) -> { }); Peer up = Peer.serving("x");
