Follow SIGHUP to the discovery that the configuration names

To blame: Main installed no handler, and SIGHUP ends a JVM; Discovery took its address from the configuration of the start. Now the signal's thread reads the file, the loop switches Discovery over: the whole list is asked for at the new address, the old connection is closed and no longer heard, the list stays in force meanwhile. A bad file changes nothing and costs one line; other changed fields are named as waiting for a restart. Besides: lists were cut off at 64 KiB; where no socket can be had, Netty calls the listener of a connect on a thread of its own.

Checked: tests on the whole program (two moves, a bad file between, SIGTERM after), with equal revisions at both addresses, and with a list of a thousand upstreams. sun.misc.Signal by name fails -Werror, so it is looked up.

--- a/src/main/java/astergate/net/Config.java
+++ b/src/main/java/astergate/net/Config.java
@@ -16,6 +16,11 @@
 import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
 
 /** The configuration of one start; anything missing or malformed is refused with the name of the field. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
@@ -46,6 +51,19 @@
         }
     }
 
+    /** The fields in which the other one differs and that are read at the start only; its seed and list always are. */
+    List<String> needRestart(Config other) {
+        List<String> fields = new ArrayList<>();
+        Map<String, Function<Config, Object>> fixed = new TreeMap<>(Map.of("name", Config::name,
+                "listen", Config::listen, "limits.sockets", Config::sockets, "settings", Config::facts));
+        fixed.forEach((field, value) -> {
+            if (!value.apply(this).equals(value.apply(other))) {
+                fields.add(field);
+            }
+        });
+        return fields;
+    }
+
     static Config parse(byte[] json) throws Bad, IOException {
         JsonNode root = JSON.readTree(json);
         SettingsReader.Found facts = facts(root.path("settings"));
--- a/src/main/java/astergate/net/Discovery.java
+++ b/src/main/java/astergate/net/Discovery.java
@@ -23,6 +23,7 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -39,6 +40,8 @@
     /** How much longer than it holds a call may take. */
     private static final int PATIENCE_MS = 2_000;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
+    /** The longest list: far more than any fleet's, and little enough to hold at once. */
+    private static final int LONGEST_LIST = 1 << 20;
     private static final int LEAST_PAUSE_MS = 20;
     private static final int MORE_PAUSE_MS = 80;
 
@@ -53,6 +56,7 @@
     private boolean whole = true;
     private boolean listed;
     private long revision = -1;
+    private InetSocketAddress address;
     private Channel channel;
     private Future<?> patience;
     private long askedAt;
@@ -64,6 +68,7 @@
         this.listener = listener;
         this.log = log;
         this.random = new Random(config.seed());
+        this.address = config.discovery();
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -71,7 +76,7 @@
                     @Override
                     protected void initChannel(SocketChannel ch) {
                         ch.pipeline().addLast(new HttpClientCodec(),
-                                new HttpObjectAggregator(UpstreamPool.MAX_BODY), new Answers());
+                                new HttpObjectAggregator(LONGEST_LIST), new Answers());
                     }
                 });
     }
@@ -99,26 +104,55 @@
         }
     }
 
+    /**
+     * Goes on at another address, where revisions may be others: the whole list is asked for there. The list as
+     * last heard stays in force until then, and what the old address still says is not listened to.
+     */
+    void moveTo(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        whole = true;
+        Channel old = channel;
+        channel = null;
+        if (old != null) {
+            old.close();
+        }
+        if (patience != null) {
+            patience.cancel(false);
+        }
+        if (calling) {
+            call();
+        }
+    }
+
     private void call() {
         calling = true;
         if (channel != null && channel.isActive()) {
             write();
             return;
         }
-        bootstrap.connect(config.discovery()).addListener((ChannelFuture connected) -> {
-            channel = connected.channel();
-            if (connected.isSuccess()) {
-                write();
-            } else {
-                failed("no connection");
-            }
-        });
+        ChannelFuture connecting = bootstrap.connect(address);
+        channel = connecting.channel();
+        // Where no socket can be had, the listener would run on a thread of Netty's and not on the loop.
+        connecting.addListener(done -> loop.execute(() -> connected(connecting)));
+    }
+
+    private void connected(ChannelFuture connecting) {
+        if (connecting.channel() != channel) {
+            connecting.channel().close(); // the address has changed while it came up
+        } else if (connecting.isSuccess()) {
+            write();
+        } else {
+            failed("no connection");
+        }
     }
 
     private void write() {
         String uri = "/catalog/members" + (whole ? "" : "?from=" + revision + "&hold_ms=" + HOLD_MS);
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
-        request.headers().set(HttpHeaderNames.HOST, config.discovery().getAddress().getHostAddress());
+        request.headers().set(HttpHeaderNames.HOST, address.getAddress().getHostAddress());
         askedAt = System.nanoTime();
         Channel asked = channel;
         patience = loop.schedule(() -> asked.close(), (whole ? 0 : HOLD_MS) + PATIENCE_MS, TimeUnit.MILLISECONDS);
@@ -180,6 +214,10 @@
     private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            if (ctx.channel() != channel || !calling) {
+                ctx.close(); // from an address that is no longer ours, or more than was asked for
+                return;
+            }
             patience.cancel(false);
             if (!HttpUtil.isKeepAlive(response)) {
                 channel = null;
@@ -191,7 +229,9 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             if (ctx.channel() == channel) {
-                patience.cancel(false);
+                if (patience != null) {
+                    patience.cancel(false);
+                }
                 channel = null;
                 if (calling) {
                     failed("call broken off");
--- a/src/main/java/astergate/net/Main.java
+++ b/src/main/java/astergate/net/Main.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.lang.reflect.Proxy;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -26,9 +27,10 @@
 
     /** Runs until SIGTERM; ends with 2 if the configuration or the address to listen on is no good. */
     public static void main(String[] args) throws InterruptedException {
+        String path = System.getenv("BALANCER_CONFIG");
         Config config;
         try {
-            config = Config.load(System.getenv("BALANCER_CONFIG"));
+            config = Config.load(path);
         } catch (Config.Bad e) {
             fail(e.getMessage());
             return;
@@ -41,6 +43,7 @@
             fail("settings: " + e.getMessage());
             return;
         }
+        onHangup(() -> main.reload(path));
         ChannelFuture bound = main.bind().await();
         if (!bound.isSuccess()) {
             fail("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
@@ -64,6 +67,42 @@
         System.exit(2);
     }
 
+    /**
+     * Guards against the end that SIGHUP is to a JVM. The class that takes signals is in every JDK but in no
+     * standard, so compilers warn of its name; it is looked up instead. Signals come on threads of the JVM's.
+     */
+    private static void onHangup(Runnable action) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object ours = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
+                    (proxy, method, arguments) -> {
+                        if (method.getDeclaringClass() == handler) {
+                            action.run();
+                            return null;
+                        }
+                        return method.invoke(action, arguments); // equals and the like, if anyone asks
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), ours);
+        } catch (ReflectiveOperationException e) {
+            System.err.println("SIGHUP cannot be handled here and will end the program: " + e);
+        }
+    }
+
+    /**
+     * Reads the configuration again, on the thread of the signal; the loop only takes over the result. Several
+     * signals are handled in turn, so that what was read last is in force last. A bad file changes nothing.
+     */
+    private synchronized void reload(String path) {
+        try {
+            Config changed = Config.load(path);
+            loop.execute(() -> node.reload(changed));
+        } catch (Config.Bad e) {
+            loop.execute(() -> node.log().line("reload: the old configuration stays in force: " + e.getMessage()));
+        }
+    }
+
     /** Runs in the shutdown hook, which the JVM waits for: serve on, then close, then finish what is held. */
     void end() {
         loop.execute(frontend::drain);
--- a/src/main/java/astergate/net/Node.java
+++ b/src/main/java/astergate/net/Node.java
@@ -80,6 +80,16 @@
         }
     }
 
+    /** Takes over what may change while we run, from a configuration that was read anew. */
+    void reload(Config changed) {
+        List<String> fixed = config.needRestart(changed);
+        if (!fixed.isEmpty()) {
+            log.line("reload: " + String.join(", ", fixed) + " stay as they are until a restart");
+        }
+        log.line("reload: discovery at " + changed.discovery());
+        discovery.moveTo(changed.discovery());
+    }
+
     /** Whether discovery has answered; if it stays silent, what was known before the start has to do. */
     boolean ready() {
         return discovery.listed() || !config.known().members().isEmpty() && now() - startedAt > WAIT_FOR_LIST;
--- a/src/test/java/astergate/net/DiscoveryTest.java
+++ b/src/test/java/astergate/net/DiscoveryTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Lists as discovery gives them, and what is kept when it fails. */
@@ -91,6 +92,50 @@
         }
     }
 
+    /** A large fleet's list is longer than the bodies of requests and answers. */
+    @Test
+    void aListOfAThousandUpstreamsIsTakenWhole() throws Exception {
+        String[] many = IntStream.range(0, 1000).mapToObj(i -> Loopback.member("u" + i, "127.0.0.1:1", "up"))
+                .toArray(String[]::new);
+        replies.add(Loopback.list(1, true, many));
+        try (Loopback lb = start()) {
+            Loopback.await("the list", () -> module.lists.size() == 2 && module.lists.get(1).contains("u999:READY"));
+            Loopback.await("a watch from there on", () -> calls(lb).contains("from=1&"));
+        }
+    }
+
+    /** After a move nothing of the old address counts, and a revision heard there is not built upon. */
+    @Test
+    void anotherDiscoveryIsAskedForTheWholeListAndTheOldOneNoLongerHeard() throws Exception {
+        String up = Loopback.member("u", "127.0.0.1:1", "up");
+        replies.add(Loopback.list(41, true, up));
+        try (Loopback lb = start(); Peer next = new Peer((request, socket) -> {
+            if (!request.line().contains("from=")) {
+                Peer.reply(socket, 200, Loopback.list(3, true, up.replace("\"u\"", "\"v\"")));
+            }
+        })) {
+            awaitLists("RESTORED", "COMPLETE u:READY");
+            Loopback.await("a watch", () -> lb.discovery.requests.size() == 2);
+            Config changed = Loopback.config(Loopback.SETTINGS, next.address(), 512, Loopback.list(1, true));
+            lb.loop.execute(() -> lb.node.reload(changed));
+            Loopback.await("a watch there", () -> next.requests.size() == 2);
+            replies.add(Loopback.list(42, true));
+            Loopback.await("the old one is left", () -> lb.discovery.left.get() == 1);
+            awaitLists("RESTORED", "COMPLETE u:READY", "COMPLETE v:READY");
+            assertEquals("GET /catalog/members HTTP/1.1", next.requests.get(0).line());
+            assertTrue(next.requests.get(1).line().contains("from=3&"));
+        }
+    }
+
+    @Test
+    void whatAReloadCannotChangeIsNamed() throws Exception {
+        Config now = Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, Loopback.list(1, true));
+        Config then = Loopback.config(Loopback.SETTINGS.replace("\"az\":0", "\"az\":1"), "127.0.0.1:2", 512,
+                Loopback.list(9, true, Loopback.member("u", "127.0.0.1:1", "up")));
+        assertEquals(List.of("limits.sockets", "settings"), now.needRestart(then));
+        assertEquals(List.of(), now.needRestart(now));
+    }
+
     /** A connection to where an upstream was must not carry what is meant for where it is now. */
     @Test
     void anUpstreamThatMovesIsReachedAtItsNewAddress() throws Exception {
--- a/src/test/java/astergate/net/MainTest.java
+++ b/src/test/java/astergate/net/MainTest.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -122,6 +123,62 @@
         }
     }
 
+    /**
+     * The whole program: each SIGHUP takes it to the discovery that the file names then, a bad file changes
+     * nothing, and SIGTERM still ends it.
+     */
+    @Test
+    void onSighupTheProgramGoesToTheDiscoveryThatTheFileNames() throws Exception {
+        Path file = folder.resolve("config.json");
+        try (Peer first = discovery("first"); Peer second = discovery("second"); Peer third = discovery("third")) {
+            Files.write(file, configAt(first));
+            Process process = start(file.toString());
+            try (BufferedReader said = process.inputReader()) {
+                Loopback.await("the first list is asked for", () -> first.requests.size() == 2);
+                hangUp(process, file, configAt(second));
+                Loopback.await("the second is watched", () -> second.requests.size() == 2);
+                assertEquals("GET /catalog/members HTTP/1.1", second.requests.get(0).line(), "the whole list");
+                Loopback.await("the first is left", () -> first.left.get() == 1);
+                hangUp(process, file, "{\"name\":".getBytes(StandardCharsets.UTF_8));
+                awaitLine(said, "the old configuration stays in force");
+                hangUp(process, file, configAt(third));
+                Loopback.await("the third is watched", () -> third.requests.size() == 2);
+                assertTrue(process.isAlive());
+                process.destroy();
+                assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static byte[] configAt(Peer discovery) {
+        return Loopback.configText(Loopback.SETTINGS, discovery.address(), 1024, Loopback.list(1, true));
+    }
+
+    /** Discovery that names one upstream and then has no news; revisions are the same everywhere. */
+    private static Peer discovery(String id) throws IOException {
+        return new Peer((request, socket) -> {
+            if (!request.line().contains("from=")) {
+                Peer.reply(socket, 200, Loopback.list(7, true, Loopback.member(id, "127.0.0.1:1", "up")));
+            }
+        });
+    }
+
+    /** Replaces the file as a whole, as deployments do, and sends SIGHUP. */
+    private void hangUp(Process process, Path file, byte[] text) throws Exception {
+        Path next = Files.write(folder.resolve("next.json"), text);
+        Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
+    private static void awaitLine(BufferedReader said, String wanted) throws IOException {
+        String line = said.readLine();
+        while (!line.contains(wanted)) {
+            line = said.readLine();
+        }
+    }
+
     private static Process start(String config) throws IOException {
         ProcessBuilder start = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-cp",
                 System.getProperty("java.class.path"), "astergate.net.Main").redirectErrorStream(true);
