--- a/src/test/java/astergate/net/MainTest.java
+++ b/src/test/java/astergate/net/MainTest.java
@@ -152,6 +152,16 @@
         }
     }
 
+    /** What the build runs for the archive of classes: were it cut short, starts would be slow and nobody know why. */
+    @Test
+    void theTrainingGoesThroughToItsEnd() throws Exception {
+        Process training = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-cp",
+                System.getProperty("java.class.path"), "astergate.net.Training").redirectErrorStream(true).start();
+        String said = new String(training.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(0, training.waitFor());
+        assertTrue(!said.contains("cut short"), said);
+    }
+
     private static byte[] configAt(Peer discovery) {
         return Loopback.configText(Loopback.SETTINGS, discovery.address(), 1024, Loopback.list(1, true));
     }
