Believe an answer only whole, in order and with nothing behind it

To blame: UpstreamPool released a connection while the rest of the same read lay behind the answer, so the module's next request was answered with it; Netty takes any protocol name and status number, drops a length that contradicts chunks, and reads a header line without a colon as a name. Now AnswerDecoder throws at the first sign of a spoilt head; an answer is handed on at the end of its read, its connection reused only if nothing was left and after 2 ms at rest; data on an idle connection closes it; an answer that stands still for 100 ms has failed; a load report counts as a whole or not at all. Also: a connect that finds no socket was reported on a thread of Netty's own; an upstream that moves while a connection comes up is not written to at its old address.

Ruled out: lengths that are too short (none), copies read as the next answer (none left).

--- a/src/main/java/astergate/net/Node.java
+++ b/src/main/java/astergate/net/Node.java
@@ -203,7 +203,7 @@
     }
 
     /** The end of an attempt, once for each; the first answer that is a success goes on to the client. */
-    private void ended(Attempt a, Balancer.Outcome outcome, Balancer.LoadReport load, String type, byte[] body) {
+    private void ended(Attempt a, Balancer.Outcome outcome, Answer answer) {
         if (a.ended) {
             return;
         }
@@ -214,10 +214,10 @@
         }
         Call call = a.call;
         if (outcome == Balancer.Outcome.OK) {
-            answer(call, () -> call.reply.served(type, body));
+            answer(call, () -> call.reply.served(answer.contentType(), answer.body()));
         }
         Balancer.AttemptEnd end = new Balancer.AttemptEnd(call.request.id(), a.number, a.upstream, outcome,
-                now() - a.startedAt, call.answered, load);
+                now() - a.startedAt, call.answered, answer == null ? null : answer.load());
         deliver(call, () -> module.outcome(now(), end));
         forgetIfDone(call);
     }
@@ -255,7 +255,7 @@
             Attempt a = new Attempt(call, call.attempts.size(), upstream, now, until);
             call.attempts.add(a);
             if (call.answered || a.number >= settings.limits().maxAttempts() || until <= now) {
-                ended(a, Balancer.Outcome.MOOT, null, null, null);
+                ended(a, Balancer.Outcome.MOOT, null);
                 return;
             }
             if (until < call.deadline) {
--- a/src/main/java/astergate/net/UpstreamPool.java
+++ b/src/main/java/astergate/net/UpstreamPool.java
@@ -1,16 +1,13 @@
 package astergate.net;
 
-import astergate.Balancer.LoadReport;
 import astergate.Balancer.Outcome;
 import astergate.Balancer.Settings;
 import astergate.Balancer.State;
 import astergate.wire.SettingsReader;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -21,12 +18,11 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -34,6 +30,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -49,6 +46,10 @@
     /** Share of the settings' idle time after which we close: upstreams may close sooner than they say. */
     private static final double IDLE_SHARE = 0.6;
     private static final long CLOSE_STALE_EVERY_MS = 500;
+    /** What comes right behind an answer and does not belong to it must be here before the next request goes out. */
+    private static final long REST = 2_000;
+    /** An answer that has begun is whole soon after; one that stands still for longer is spoilt. */
+    private static final long WHOLE_WITHIN_MS = 100;
 
     private final EventLoop loop;
     private final LongSupplier clock;
@@ -64,7 +65,8 @@
 
     /** Learns how each attempt ended, once. */
     interface Listener {
-        void ended(Attempt attempt, Outcome outcome, LoadReport load, String contentType, byte[] body);
+        /** The answer is null where none came that could be read. */
+        void ended(Attempt attempt, Outcome outcome, Answer answer);
     }
 
     /** An upstream that discovery has named. */
@@ -168,7 +170,7 @@
             return;
         }
         closeStale();
-        Connection c = t.idle.poll();
+        Connection c = rested(t);
         if (c != null) {
             write(c, attempt);
         } else {
@@ -176,6 +178,22 @@
         }
     }
 
+    /** The connection used last that has stood still since its answer; null if there is none. */
+    private Connection rested(Target t) {
+        long now = clock.getAsLong();
+        for (Iterator<Connection> idle = t.idle.iterator(); idle.hasNext();) {
+            Connection c = idle.next();
+            if (now - c.idleSince >= REST) {
+                idle.remove();
+                if (c.channel.isActive() && !c.decoder.hasMore()) {
+                    return c;
+                }
+                c.channel.close();
+            }
+        }
+        return null;
+    }
+
     private void connect(Target t, Attempt attempt) {
         if (connections >= mostConnections && !closeLongestIdle()) {
             // All our sockets are busy: that upstream has nothing of it, as if its table were full.
@@ -189,22 +207,36 @@
             protected void initChannel(SocketChannel channel) {
                 c.channel = channel;
                 channel.closeFuture().addListener(closed -> connections--);
-                channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_BODY), c);
-            }
-        }).connect(t.address).addListener(connected -> {
-            if (c.channel == null) {
-                connections--; // not even a socket could be had, so no close will count it off
+                channel.pipeline().addLast(new HttpRequestEncoder(), c.decoder,
+                        new HttpObjectAggregator(MAX_BODY), c);
             }
-            if (!connected.isSuccess()) {
-                end(attempt, Outcome.CONNECT_FAILED);
-            } else if (attempt.ended) {
-                release(c); // given up meanwhile: nothing is sent, and the connection is as good as new
+        }).connect(t.address).addListener((ChannelFuture connected) -> {
+            if (loop.inEventLoop()) {
+                connected(c, attempt, connected);
             } else {
-                write(c, attempt);
+                // Where no socket can be had, Netty calls on a thread of its own.
+                loop.execute(() -> connected(c, attempt, connected));
             }
         });
     }
 
+    private void connected(Connection c, Attempt attempt, ChannelFuture connected) {
+        if (c.channel == null) {
+            connections--; // not even a socket could be had, so no close will count it off
+        }
+        if (!connected.isSuccess()) {
+            end(attempt, Outcome.CONNECT_FAILED);
+        } else if (attempt.ended) {
+            release(c); // given up meanwhile: nothing is sent, and the connection is as good as new
+        } else if (!c.channel.remoteAddress().equals(c.target.address)) {
+            // The upstream has moved while the connection came up; another one may be at that address by now.
+            c.channel.close();
+            end(attempt, Outcome.CONNECT_FAILED);
+        } else {
+            write(c, attempt);
+        }
+    }
+
     private boolean closeLongestIdle() {
         Target longest = null;
         for (Target t : targets.values()) {
@@ -245,7 +277,7 @@
                 attempt.written = true;
             } else {
                 c.channel.close();
-                c.finish(Outcome.CONNECT_FAILED, null, null, null);
+                c.fail(Outcome.CONNECT_FAILED);
             }
         });
     }
@@ -261,7 +293,7 @@
     }
 
     private void end(Attempt attempt, Outcome outcome) {
-        listener.ended(attempt, outcome, null, null, null);
+        listener.ended(attempt, outcome, null);
     }
 
     private void release(Connection c) {
@@ -274,11 +306,17 @@
         }
     }
 
-    /** A connection to an upstream and the attempt on it, if any. */
+    /**
+     * A connection to an upstream and the attempt on it, if any. An answer is handed on only once all is read that
+     * came with it: the module may send the next request at once, and must not be given what lies behind.
+     */
     final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final Target target;
+        private final AnswerDecoder decoder = new AnswerDecoder();
         private Channel channel;
         private Attempt current;
+        private Answer answer;
+        private Attempt begun;
         private long idleSince;
 
         Connection(Target target) {
@@ -290,73 +328,76 @@
             if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 return;
             }
-            if (current == null || response.decoderResult().isFailure()) {
-                log.line("malformed answer from an upstream");
-                ctx.close();
-                finish(Outcome.ERROR, null, null, null);
-                return;
+            if (current == null || answer != null) {
+                ctx.close(); // a second answer to one request
+            } else if (response.decoderResult().isFailure()) {
+                spoilt(response.decoderResult().cause());
+            } else {
+                answer = Answer.of(response, reportNames, log);
             }
-            Outcome outcome = outcome(response);
-            LoadReport load = loadReport(response.headers().get("X-Load-Report"));
-            String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE);
-            byte[] body = ByteBufUtil.getBytes(response.content());
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (answer != null) {
+                handOn();
+            } else if (current == null) {
+                ctx.close(); // whatever has come was not asked for
+            } else if (begun != current) {
+                Attempt attempt = current;
+                begun = attempt;
+                loop.schedule(() -> {
+                    if (current == attempt) {
+                        spoilt("it stands still");
+                    }
+                }, WHOLE_WITHIN_MS, TimeUnit.MILLISECONDS);
+            }
+            ctx.fireChannelReadComplete();
+        }
+
+        private void handOn() {
             Attempt attempt = current;
+            Answer whole = answer;
             current = null;
-            if (attempt.written && HttpUtil.isKeepAlive(response)) {
+            answer = null;
+            if (attempt.written && !whole.last() && !decoder.hasMore()) {
                 release(this);
             } else {
-                ctx.close();
+                channel.close();
             }
-            listener.ended(attempt, outcome, load, type, body);
+            listener.ended(attempt, whole.outcome(), whole);
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             target.idle.remove(this);
-            finish(current != null && !current.written ? Outcome.CONNECT_FAILED : Outcome.RESET, null, null, null);
+            fail(current != null && !current.written ? Outcome.CONNECT_FAILED : Outcome.RESET);
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (!(cause instanceof IOException)) {
-                // An over-long answer, mostly; it has run, and its rest must not be read as the next answer.
-                log.line("answer of an upstream given up: " + cause);
-                finish(Outcome.ERROR, null, null, null);
-            }
-            ctx.close();
-        }
-
-        private void finish(Outcome outcome, LoadReport load, String type, byte[] body) {
-            Attempt attempt = current;
-            current = null;
-            if (attempt != null) {
-                listener.ended(attempt, outcome, load, type, body);
+            if (cause instanceof IOException) {
+                ctx.close(); // the connection broke; its attempt ends in channelInactive
+            } else {
+                spoilt(cause);
             }
         }
-    }
 
-    // ---- Answers -------------------------------------------------------------------------------------
-
-    private static Outcome outcome(FullHttpResponse response) {
-        int status = response.status().code();
-        if (status == 200) {
-            return Outcome.OK;
+        /** It has run, and the rest of it must not be read as the next answer. A whole one before it stands. */
+        private void spoilt(Object why) {
+            log.line("answer of an upstream given up: " + why);
+            channel.close();
+            fail(Outcome.ERROR);
         }
-        boolean rejected = "1".equals(response.headers().get("X-Rejected"));
-        return rejected && (status == 503 || status == 504) ? Outcome.FULL : Outcome.ERROR;
-    }
 
-    private LoadReport loadReport(String json) {
-        if (json == null) {
-            return null;
-        }
-        try {
-            JsonNode values = Config.JSON.readTree(json);
-            return SettingsReader.loadReport(name -> reportNames.contains(name)
-                    ? values.path(name).asDouble(Double.NaN) : Double.NaN);
-        } catch (JsonProcessingException e) {
-            log.line("malformed load report from an upstream");
-            return null;
+        private void fail(Outcome outcome) {
+            if (answer != null) {
+                handOn();
+            } else if (current != null) {
+                Attempt attempt = current;
+                current = null;
+                listener.ended(attempt, outcome, null);
+            }
         }
     }
 }
--- a/src/test/java/astergate/net/ServingTest.java
+++ b/src/test/java/astergate/net/ServingTest.java
@@ -38,6 +38,7 @@
             Socket client = lb.connect();
             for (int i = 0; i < 5; i++) {
                 assertEquals(200, Loopback.ask(client, Loopback.request("id-" + i, "order", 2000)).status());
+                Thread.sleep(20); // a connection stands still for a moment before it is used again
             }
             assertEquals(1, up.sockets.size());
         }
