Serve some hundred requests inside the process before the first client

Checked: per thread, a start with 1,000 requests costs 0.6 to 0.8 s in the compiler (2,500 methods) and as much in code not yet compiled. Ruled out: the collector (0.02 s), class loading (archived); other compile thresholds and a larger young generation change the sum by 10% at most.

Mended: WarmUp lets another balancer of the same settings serve itself over Netty's in-process channels, with no socket, and drops it; Transport is what the two differ in. The price is a later start, which a planned restart pays.

Restarts keep a zone without a balancer.

--- a/src/main/java/astergate/net/Discovery.java
+++ b/src/main/java/astergate/net/Discovery.java
@@ -10,8 +10,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -47,6 +45,7 @@
 
     private final EventLoop loop;
     private final Config config;
+    private final Transport transport;
     private final Consumer<MemberList> listener;
     private final Log log;
     private final Random random;
@@ -62,19 +61,19 @@
     private long askedAt;
 
     /** The listener gets each list, and null for a failed call where lists are asked for. */
-    Discovery(EventLoop loop, Config config, Consumer<MemberList> listener, Log log) {
+    Discovery(EventLoop loop, Config config, Transport transport, Consumer<MemberList> listener, Log log) {
         this.loop = loop;
         this.config = config;
         this.listener = listener;
         this.log = log;
+        this.transport = transport;
         this.random = new Random(config.seed());
         this.address = config.discovery();
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
+        this.bootstrap = transport.client(loop)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .handler(new ChannelInitializer<SocketChannel>() {
+                .handler(new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(SocketChannel ch) {
+                    protected void initChannel(Channel ch) {
                         ch.pipeline().addLast(new HttpClientCodec(),
                                 new HttpObjectAggregator(LONGEST_LIST), new Answers());
                     }
@@ -133,7 +132,7 @@
             write();
             return;
         }
-        ChannelFuture connecting = bootstrap.connect(address);
+        ChannelFuture connecting = bootstrap.connect(transport.at(address));
         channel = connecting.channel();
         // Where no socket can be had, the listener would run on a thread of Netty's and not on the loop.
         connecting.addListener(done -> loop.execute(() -> connected(connecting)));
--- a/src/main/java/astergate/net/Frontend.java
+++ b/src/main/java/astergate/net/Frontend.java
@@ -2,7 +2,6 @@
 
 import astergate.Balancer.Effect;
 import astergate.Balancer.Request;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -10,12 +9,9 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -57,6 +53,7 @@
 
     private final EventLoop loop;
     private final Config config;
+    private final Transport transport;
     private final Node node;
     private final int mostConnections;
     private final Set<Connection> idle = new LinkedHashSet<>();
@@ -73,7 +70,8 @@
         }
     }
 
-    Frontend(EventLoop loop, Config config, Node node) {
+    Frontend(EventLoop loop, Config config, Node node, Transport transport) {
+        this.transport = transport;
         this.loop = loop;
         this.config = config;
         this.node = node;
@@ -83,22 +81,20 @@
     /** Starts listening; the future is done when that has worked or failed. */
     ChannelFuture bind() {
         loop.scheduleWithFixedDelay(this::makeRoom, MAKE_ROOM_EVERY_MS, MAKE_ROOM_EVERY_MS, TimeUnit.MILLISECONDS);
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 1024)
-                .childOption(ChannelOption.TCP_NODELAY, true)
+        return transport.server(loop)
                 .handler(new ChannelInitializer<ServerChannel>() {
                     @Override
                     protected void initChannel(ServerChannel ch) {
                         listener = ch; // here, on the loop: a client may be there before the caller's thread goes on
                     }
                 })
-                .childHandler(new ChannelInitializer<SocketChannel>() {
+                .childHandler(new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(SocketChannel ch) {
+                    protected void initChannel(Channel ch) {
                         ch.pipeline().addLast(new HttpServerCodec(),
                                 new HttpObjectAggregator(UpstreamPool.MAX_BODY, true), new Connection(ch));
                     }
-                }).bind(config.listen());
+                }).bind(transport.at(config.listen()));
     }
 
     /** Guards against running out of sockets: clients that have been idle longest make way for new ones. */
--- a/src/main/java/astergate/net/Main.java
+++ b/src/main/java/astergate/net/Main.java
@@ -19,10 +19,10 @@
     private final Frontend frontend;
     private final CountDownLatch done = new CountDownLatch(1);
 
-    Main(EventLoop loop, Config config, Node node) {
+    Main(EventLoop loop, Config config, Node node, Transport transport) {
         this.loop = loop;
         this.node = node;
-        this.frontend = new Frontend(loop, config, node);
+        this.frontend = new Frontend(loop, config, node, transport);
     }
 
     /** Runs until SIGTERM; ends with 2 if the configuration or the address to listen on is no good. */
@@ -38,12 +38,13 @@
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         Main main;
         try {
-            main = new Main(loop, config, new Node(loop, config));
+            main = new Main(loop, config, new Node(loop, config, Transport.SOCKETS), Transport.SOCKETS);
         } catch (IllegalArgumentException e) {
             fail("settings: " + e.getMessage());
             return;
         }
         onHangup(() -> main.reload(path));
+        WarmUp.run(config);
         ChannelFuture bound = main.bind().await();
         if (!bound.isSuccess()) {
             fail("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
--- a/src/main/java/astergate/net/Node.java
+++ b/src/main/java/astergate/net/Node.java
@@ -45,19 +45,21 @@
     /** How late the last timer was. */
     private long lateness;
 
-    Node(EventLoop loop, Config config) {
-        this(loop, config, actions -> new Policy(config.facts().settings(), config.seed(), actions));
+    Node(EventLoop loop, Config config, Transport transport) {
+        this(loop, config, transport,
+                actions -> new Policy(config.facts().settings(), config.seed(), actions));
     }
 
     /** For tests, which bring a module of their own. */
-    Node(EventLoop loop, Config config, Function<Balancer.Actions, Balancer> module) {
+    Node(EventLoop loop, Config config, Transport transport,
+            Function<Balancer.Actions, Balancer> module) {
         this.loop = loop;
         this.config = config;
         this.settings = config.facts().settings();
-        this.log = new Log(System.err, this::now);
-        this.pool = new UpstreamPool(loop, this::now, config.facts(), (int) (UPSTREAM_SHARE * config.sockets()),
-                this::ended, log);
-        this.discovery = new Discovery(loop, config, this::listed, log);
+        this.log = new Log(transport.log(), this::now);
+        this.pool = new UpstreamPool(loop, transport, this::now, config.facts(),
+                (int) (UPSTREAM_SHARE * config.sockets()), this::ended, log);
+        this.discovery = new Discovery(loop, config, transport, this::listed, log);
         this.module = module.apply(this);
     }
 
--- a/src/main/java/astergate/net/Training.java
+++ b/src/main/java/astergate/net/Training.java
@@ -31,7 +31,8 @@
             thread(() -> accept(peers));
             EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
             Config config = Config.parse(config("127.0.0.1:" + peers.getLocalPort()));
-            Main main = new Main(loop, config, new Node(loop, config));
+            WarmUp.run(config);
+            Main main = new Main(loop, config, new Node(loop, config, Transport.SOCKETS), Transport.SOCKETS);
             InetSocketAddress at = (InetSocketAddress) main.bind().sync().channel().localAddress();
             for (int i = 0; i < REQUESTS; i++) {
                 expect("200", ask(at, i % 3 == 0 ? "read" : i % 3 == 1 ? "update" : "order", i));
--- /dev/null
+++ b/src/main/java/astergate/net/Transport.java
@@ -0,0 +1,76 @@
+package astergate.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.local.LocalAddress;
+import io.netty.channel.local.LocalChannel;
+import io.netty.channel.local.LocalServerChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
+
+/** What connections are made of: TCP, or queues inside the process, on which {@link WarmUp} runs the same code. */
+enum Transport {
+    /** TCP. */
+    SOCKETS {
+        @Override
+        Bootstrap client(EventLoop loop) {
+            return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
+        }
+
+        @Override
+        ServerBootstrap server(EventLoop loop) {
+            return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_BACKLOG, BACKLOG).childOption(ChannelOption.TCP_NODELAY, true);
+        }
+
+        @Override
+        SocketAddress at(InetSocketAddress address) {
+            return address;
+        }
+
+        @Override
+        PrintStream log() {
+            return System.err;
+        }
+    },
+    /** No sockets at all. */
+    INSIDE {
+        @Override
+        Bootstrap client(EventLoop loop) {
+            return new Bootstrap().group(loop).channel(LocalChannel.class);
+        }
+
+        @Override
+        ServerBootstrap server(EventLoop loop) {
+            return new ServerBootstrap().group(loop).channel(LocalServerChannel.class);
+        }
+
+        @Override
+        SocketAddress at(InetSocketAddress address) {
+            return new LocalAddress(address.toString());
+        }
+
+        @Override
+        PrintStream log() {
+            return new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
+        }
+    };
+
+    private static final int BACKLOG = 1024;
+
+    abstract Bootstrap client(EventLoop loop);
+
+    abstract ServerBootstrap server(EventLoop loop);
+
+    abstract SocketAddress at(InetSocketAddress address);
+
+    /** Where what happens on these connections is written down. */
+    abstract PrintStream log();
+}
--- a/src/main/java/astergate/net/UpstreamPool.java
+++ b/src/main/java/astergate/net/UpstreamPool.java
@@ -13,8 +13,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -25,7 +23,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -52,6 +50,7 @@
     private static final long WHOLE_WITHIN_MS = 100;
 
     private final EventLoop loop;
+    private final Transport transport;
     private final LongSupplier clock;
     private final Settings settings;
     private final List<String> reportNames;
@@ -72,14 +71,15 @@
     /** An upstream that discovery has named. */
     private static final class Target {
         final Deque<Connection> idle = new ArrayDeque<>();
-        InetSocketAddress address;
+        SocketAddress address;
         long launchedAt;
         long unreadySince = Long.MAX_VALUE;
     }
 
-    UpstreamPool(EventLoop loop, LongSupplier clock, SettingsReader.Found facts, int mostConnections,
-            Listener listener, Log log) {
+    UpstreamPool(EventLoop loop, Transport transport, LongSupplier clock, SettingsReader.Found facts,
+            int mostConnections, Listener listener, Log log) {
         this.loop = loop;
+        this.transport = transport;
         this.clock = clock;
         this.settings = facts.settings();
         this.reportNames = facts.reportNames();
@@ -87,8 +87,7 @@
         this.listener = listener;
         this.log = log;
         this.idleTime = (long) (IDLE_SHARE * settings.limits().connectIdle());
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
+        this.bootstrap = transport.client(loop)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
                         (int) Math.max(1, settings.limits().connectTimeout() / 1_000));
         loop.scheduleWithFixedDelay(this::closeStale, CLOSE_STALE_EVERY_MS, CLOSE_STALE_EVERY_MS,
@@ -111,11 +110,12 @@
                 continue;
             }
             Target t = targets.computeIfAbsent(m.upstream().id(), id -> new Target());
-            if (!m.address().equals(t.address) || m.upstream().launchedAt() != t.launchedAt) {
+            SocketAddress address = transport.at(m.address());
+            if (!address.equals(t.address) || m.upstream().launchedAt() != t.launchedAt) {
                 // Connections to the process before, or to where it was: the next request on one would be reset.
                 closeIdle(t);
             }
-            t.address = m.address();
+            t.address = address;
             t.launchedAt = m.upstream().launchedAt();
             if (m.upstream().state() == State.READY) {
                 t.unreadySince = Long.MAX_VALUE;
@@ -202,9 +202,9 @@
         }
         connections++;
         Connection c = new Connection(t);
-        bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
+        bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
-            protected void initChannel(SocketChannel channel) {
+            protected void initChannel(Channel channel) {
                 c.channel = channel;
                 channel.closeFuture().addListener(closed -> connections--);
                 channel.pipeline().addLast(new HttpRequestEncoder(), c.decoder,
--- a/src/test/java/astergate/net/Loopback.java
+++ b/src/test/java/astergate/net/Loopback.java
@@ -115,9 +115,9 @@
         });
         Config config = config(setup.settings, discovery.address(), setup.sockets, known);
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        node = new Node(loop, config, setup.module != null ? setup.module
+        node = new Node(loop, config, Transport.SOCKETS, setup.module != null ? setup.module
                 : actions -> new Policy(config.facts().settings(), config.seed(), actions));
-        main = new Main(loop, config, node);
+        main = new Main(loop, config, node, Transport.SOCKETS);
         ChannelFuture bound = main.bind().sync();
         address = (InetSocketAddress) bound.channel().localAddress();
     }
--- a/src/test/java/astergate/net/MainTest.java
+++ b/src/test/java/astergate/net/MainTest.java
@@ -162,6 +162,12 @@
         assertTrue(!said.contains("cut short"), said);
     }
 
+    @Test
+    void theWarmUpAnswersAllItsRequests() throws Exception {
+        Config config = Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, Loopback.list(1, true));
+        assertEquals(WarmUp.REQUESTS, WarmUp.run(config), "answers");
+    }
+
     private static byte[] configAt(Peer discovery) {
         return Loopback.configText(Loopback.SETTINGS, discovery.address(), 1024, Loopback.list(1, true));
     }
