Turn down at the head what cannot be served, and let nobody hold a connection for nothing

To blame: Frontend.Connection took the next request when an answer was queued, not written, and had no limit of time. Now RequestCheck stops a request at its head or at the 64 KiB of its body (400, 404, 405, 408, 413, 417, 431, 505, 414), what follows is thrown away, our side is ended first and the rest read for up to 2 s; a connection is new, reading, open, writing, idle or leaving, each with a limit; the longest idle make way where room is short, silent ones first. The module forgets upstreams that are gone (Policy.byId grew with each new id); a test counts them.

--- a/src/main/java/astergate/Policy.java
+++ b/src/main/java/astergate/Policy.java
@@ -253,10 +253,11 @@
         if (kind != ListKind.CHANGES) {
             Set<String> named = new HashSet<>();
             entries.forEach(e -> named.add(e.id()));
-            ups.removeIf(u -> !named.contains(u.id));
+            byId.keySet().retainAll(named);
         }
         entries.forEach(e -> apply(now, e));
-        ups.removeIf(u -> u.entry.state() != State.READY);
+        byId.values().removeIf(u -> u.entry.state() == State.GONE); // new ids come all day
+        ups.removeIf(u -> byId.get(u.id) != u || u.entry.state() != State.READY);
         order();
         pump(now);
     }
--- a/src/main/java/astergate/net/Frontend.java
+++ b/src/main/java/astergate/net/Frontend.java
@@ -4,14 +4,16 @@
 import astergate.Balancer.Request;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.ServerChannel;
-import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -20,19 +22,23 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.Iterator;
-import java.util.LinkedHashSet;
+import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 
 /**
  * HTTP from clients. Requests that are not in order are turned down here and never reach the module; all others
@@ -41,12 +47,28 @@
 final class Frontend {
     private static final String PATH = "/api";
     /** Share of the sockets for clients; at that many, connections are no longer accepted. */
-    private static final double CLIENT_SHARE = 0.55;
-    /** So many below that, new ones are refused what they ask for, if no idle one can be closed for them. */
-    private static final int REFUSING = 32;
-    /** A connection idle for less may have a request on its way, which closing it would lose. */
-    private static final long IDLE_FOR = 500_000;
-    private static final long MAKE_ROOM_EVERY_MS = 100;
+    private static final double CLIENT_SHARE = 0.5;
+    /** From so many below that, connections without a request make way, and further requests are refused. */
+    private static final int RESERVE = 32;
+    private static final long LOOK_EVERY_MS = 50;
+    /** How long a new connection may take for its first whole request, and an old one for its next. */
+    private static final long REQUEST_WITHIN = 2_000_000;
+    /** How long the client may take to read its answer. */
+    private static final long READ_WITHIN = 2_000_000;
+    /** How long the rest of what the client sends is thrown away, so that it gets to read why. */
+    private static final long LEAVE_WITHIN = 2_000_000;
+    /** A connection that has asked is closed when idle for that long: some clients never do. */
+    private static final long LONGEST_IDLE = 5_000_000;
+    /** Where room is short, a connection without a request may be closed after that; at the limit, after less. */
+    private static final long IDLE_FOR = 2_000_000;
+    private static final long LEAST_IDLE = 500_000;
+    /** Clients that connect for a request send it at once; one that is silent for longer makes way if need be. */
+    private static final long SILENT_FOR = 100_000;
+    private static final int LEAST_READ = 512;
+    private static final int FIRST_READ = 2_048;
+    /** The most that a client may have us read in one go: as many requests as fit may have to wait their turn. */
+    private static final int MOST_READ = 16_384;
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,12}");
     private static final long LONGEST_BUDGET_MS = 3_600_000;
     private static final List<CharSequence> PASSED_ON = List.of(HttpHeaderNames.HOST, "X-Call-Id",
             "Idempotency-Key", "X-Call-Class", "X-Caller", HttpHeaderNames.CONTENT_TYPE);
@@ -56,8 +78,9 @@
     private final Transport transport;
     private final Node node;
     private final int mostConnections;
-    private final Set<Connection> idle = new LinkedHashSet<>();
-    private int connections;
+    private final Set<Connection> connections = new HashSet<>();
+    /** Connections with a request that is not answered, or whose answer is not yet out. */
+    private int busy;
     private Channel listener;
     private boolean draining;
 
@@ -80,7 +103,7 @@
 
     /** Starts listening; the future is done when that has worked or failed. */
     ChannelFuture bind() {
-        loop.scheduleWithFixedDelay(this::makeRoom, MAKE_ROOM_EVERY_MS, MAKE_ROOM_EVERY_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(this::look, LOOK_EVERY_MS, LOOK_EVERY_MS, TimeUnit.MILLISECONDS);
         return transport.server(loop)
                 .handler(new ChannelInitializer<ServerChannel>() {
                     @Override
@@ -91,23 +114,30 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpServerCodec(),
-                                new HttpObjectAggregator(UpstreamPool.MAX_BODY, true), new Connection(ch));
+                        ch.config().setRecvByteBufAllocator(
+                                new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, MOST_READ));
+                        ch.pipeline().addLast(new RequestCheck.Decoder(), new HttpResponseEncoder(),
+                                new RequestCheck(Frontend.this::fault),
+                                new HttpObjectAggregator(UpstreamPool.MAX_BODY), new Connection(ch));
                     }
                 }).bind(transport.at(config.listen()));
     }
 
-    /** Guards against running out of sockets: clients that have been idle longest make way for new ones. */
+    private void look() {
+        long now = node.now();
+        List.copyOf(connections).forEach(c -> c.look(now));
+        makeRoom();
+    }
+
+    /** Guards against running out of sockets: of the connections without a request, the longest idle make way. */
     private void makeRoom() {
-        Iterator<Connection> longest = idle.iterator();
-        while (connections > mostConnections - REFUSING && longest.hasNext()) {
-            Connection c = longest.next();
-            if (node.now() - c.idleSince <= IDLE_FOR) {
-                return;
-            }
-            longest.remove();
-            c.channel.close();
+        if (connections.size() > mostConnections - RESERVE) {
+            long now = node.now();
+            boolean full = connections.size() >= mostConnections;
+            connections.stream().filter(c -> c.mayGo(now, full)).sorted(Comparator.comparingLong(c -> c.since))
+                    .limit(connections.size() - mostConnections + RESERVE).toList().forEach(c -> c.channel.close());
         }
+        listener.config().setAutoRead(connections.size() < mostConnections);
     }
 
     /** From now on every answer closes its connection, and the front is told not to send us more. */
@@ -115,23 +145,41 @@
         draining = true;
     }
 
-    /** Closes the connections that wait for a request, and ends accepting. */
+    /** Closes the connections on which no request has been taken, and ends accepting. */
     void close() {
-        List.copyOf(idle).forEach(c -> c.channel.close());
+        connections.stream().filter(Connection::withoutRequest).toList().forEach(c -> c.channel.close());
         listener.close();
     }
 
-    /** Whether the last client connection is gone, with its answer written. */
-    boolean closed() {
-        return connections == 0;
+    /** How many client connections there are, those included whose last answer is still on its way. */
+    int clients() {
+        return connections.size();
     }
 
     // ---- Reading requests ----------------------------------------------------------------------------
 
-    private Call read(FullHttpRequest http, QueryStringDecoder query, Call.Reply reply) throws BadRequest {
+    /** What is wrong with the head of a request, before its body is read; null if it is in order. */
+    private RequestCheck.Refused fault(HttpRequest head) {
+        String path = new QueryStringDecoder(head.uri()).rawPath();
+        if (path.equals("/_health")) {
+            return null;
+        } else if (!path.equals(PATH)) {
+            return new RequestCheck.Refused(HttpResponseStatus.NOT_FOUND, "not found");
+        } else if (!head.method().equals(HttpMethod.GET) && !head.method().equals(HttpMethod.POST)) {
+            return new RequestCheck.Refused(HttpResponseStatus.METHOD_NOT_ALLOWED, "GET or POST");
+        }
+        try {
+            read(head);
+            return null;
+        } catch (BadRequest | IllegalArgumentException e) {
+            return new RequestCheck.Refused(HttpResponseStatus.BAD_REQUEST, String.valueOf(e.getMessage()));
+        }
+    }
+
+    private Request read(HttpRequest http) throws BadRequest {
         HttpHeaders h = http.headers();
         String id = h.get("X-Call-Id");
-        require(id != null && !id.isBlank(), "X-Call-Id");
+        require(id != null && !id.isBlank() && h.getAll("X-Call-Id").size() == 1, "X-Call-Id");
         require(!node.knows(id), "X-Call-Id (a request with it is open)");
         int cls = config.facts().classNames().indexOf(h.get("X-Call-Class"));
         require(cls >= 0, "X-Call-Class");
@@ -142,16 +190,20 @@
         require(effect != Effect.KEYED || h.contains("Idempotency-Key"), "Idempotency-Key");
         int tenant = config.facts().tenantNames().isEmpty() ? 0
                 : config.facts().tenantNames().indexOf(h.get("X-Caller"));
-        String key = query.parameters().getOrDefault("obj", List.of()).stream().findFirst().orElse(null);
+        String key = new QueryStringDecoder(http.uri()).parameters().getOrDefault("obj", List.of()).stream()
+                .findFirst().orElse(null);
+        return new Request(id, cls, tenant, key, Math.max(0, number(h.get("X-Call-Cost"))), budget * 1_000,
+                !http.method().equals(HttpMethod.GET), "1".equals(h.get("X-Again")));
+    }
+
+    private static HttpHeaders onward(HttpHeaders h) {
         HttpHeaders onward = new DefaultHttpHeaders();
         for (CharSequence name : PASSED_ON) {
             if (h.contains(name)) {
                 onward.set(name, h.get(name));
             }
         }
-        Request request = new Request(id, cls, tenant, key, Math.max(0, number(h.get("X-Call-Cost"))),
-                budget * 1_000, !http.method().equals(HttpMethod.GET), "1".equals(h.get("X-Again")));
-        return new Call(request, http.method(), http.uri(), onward, ByteBufUtil.getBytes(http.content()), reply);
+        return onward;
     }
 
     private static void require(boolean ok, String what) throws BadRequest {
@@ -162,23 +214,35 @@
 
     /** A whole number that is not negative; -1 for anything else. */
     private static long number(String text) {
-        return text != null && text.matches("[0-9]{1,12}") ? Long.parseLong(text) : -1;
+        return text != null && NUMBER.matcher(text).matches() ? Long.parseLong(text) : -1;
     }
 
     // ---- Connections ---------------------------------------------------------------------------------
 
+    /** What a connection is at. */
+    private enum Phase {
+        /** Nothing has come yet. */ NEW,
+        /** A part of a request has come. */ READING,
+        /** A request is being handled. */ OPEN,
+        /** Its answer is on its way. */ WRITING,
+        /** It is out, and the next request may come. */ IDLE,
+        /** The last answer is out; what still comes is thrown away. */ LEAVING
+    }
+
     /** One connection of a client: one request at a time, further ones wait for their turn. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> implements Call.Reply {
+    private final class Connection extends ChannelInboundHandlerAdapter implements Call.Reply {
         private final Channel channel;
-        private final Queue<FullHttpRequest> waiting = new ArrayDeque<>();
+        /** Whole requests, and the word that one is refused, behind which nothing comes. */
+        private final Queue<Object> waiting = new ArrayDeque<>();
+        private Phase phase = Phase.NEW;
+        /** Since when, on the module's clock. */
+        private long since;
         private Call call;
-        /** From the arrival of a request until its answer is written and the connection is free again. */
-        private boolean answering;
         /** From the arrival of a request until its answer: guards against a second one. */
         private boolean owed;
         private boolean keepAlive;
-        private boolean refuseAll;
-        private long idleSince;
+        /** Whether the read that is going on has brought a request. */
+        private boolean whole;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -186,61 +250,112 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            connections++;
+            since = node.now();
+            connections.add(this);
             channel.closeFuture().addListener(closed -> {
-                connections--;
-                listener.config().setAutoRead(connections < mostConnections);
+                busy -= isBusy() ? 1 : 0;
+                connections.remove(this);
+                makeRoom();
             });
             makeRoom();
-            refuseAll = connections > mostConnections - REFUSING;
-            listener.config().setAutoRead(connections < mostConnections);
-            rest();
         }
 
-        private void rest() {
-            idleSince = node.now();
-            idle.add(this);
+        private void enter(Phase next) {
+            busy -= isBusy() ? 1 : 0;
+            phase = next;
+            since = node.now();
+            busy += isBusy() ? 1 : 0;
+        }
+
+        private boolean isBusy() {
+            return phase == Phase.OPEN || phase == Phase.WRITING;
+        }
+
+        private boolean withoutRequest() {
+            return phase == Phase.NEW || phase == Phase.READING || phase == Phase.IDLE;
+        }
+
+        private boolean mayGo(long now, boolean full) {
+            long stood = now - since;
+            return phase == Phase.LEAVING || phase == Phase.NEW && stood > SILENT_FOR
+                    || phase == Phase.IDLE && stood > (full ? LEAST_IDLE : IDLE_FOR);
+        }
+
+        /** Guards against clients that are silent, send half of something, do not read, or never go. */
+        private void look(long now) {
+            long stood = now - since;
+            if (phase == Phase.READING && stood > REQUEST_WITHIN) {
+                take(new RequestCheck.Refused(HttpResponseStatus.REQUEST_TIMEOUT, "the request is not whole"));
+            } else if (phase == Phase.NEW && stood > REQUEST_WITHIN || phase == Phase.IDLE && stood > LONGEST_IDLE
+                    || phase == Phase.WRITING && stood > READ_WITHIN
+                    || phase == Phase.LEAVING && stood > LEAVE_WITHIN) {
+                channel.close();
+            }
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest http) {
-            if (answering) {
-                waiting.add(http.retain());
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            whole = true;
+            if (phase == Phase.LEAVING) {
+                ReferenceCountUtil.release(message);
+            } else if (isBusy() || !waiting.isEmpty()) {
+                waiting.add(message);
                 channel.config().setAutoRead(false);
             } else {
-                handle(http);
+                take(message);
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (!whole && phase == Phase.NEW) {
+                phase = Phase.READING; // since it came: a byte now and then must not prolong it
+            } else if (!whole && phase == Phase.IDLE) {
+                enter(Phase.READING);
             }
+            whole = false;
+        }
+
+        private void take(Object message) {
+            try {
+                owed = true;
+                enter(Phase.OPEN);
+                if (message instanceof RequestCheck.Refused refused) {
+                    turnDown(refused.status(), refused.why());
+                } else {
+                    handle((FullHttpRequest) message);
+                }
+            } catch (RuntimeException e) {
+                crashed(e);
+            } finally {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        private void turnDown(HttpResponseStatus status, String why) {
+            keepAlive = false;
+            answer(status, "text/plain", why.getBytes(StandardCharsets.UTF_8), 0);
         }
 
         private void handle(FullHttpRequest http) {
-            answering = true;
-            owed = true;
-            idle.remove(this);
             keepAlive = HttpUtil.isKeepAlive(http);
-            QueryStringDecoder query = new QueryStringDecoder(http.uri());
-            if (http.decoderResult().isFailure()) {
-                keepAlive = false;
-                answer(HttpResponseStatus.BAD_REQUEST, "text/plain", "malformed request".getBytes(), 0);
-            } else if (query.rawPath().equals("/_health")) {
+            if (new QueryStringDecoder(http.uri()).rawPath().equals("/_health")) {
                 answer(node.ready() && !draining ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
                         "text/plain", new byte[0], 0);
-            } else if (!query.rawPath().equals(PATH)) {
-                answer(HttpResponseStatus.NOT_FOUND, "text/plain", new byte[0], 0);
-            } else if (!http.method().equals(HttpMethod.GET) && !http.method().equals(HttpMethod.POST)) {
-                answer(HttpResponseStatus.METHOD_NOT_ALLOWED, "text/plain", new byte[0], 0);
-            } else if (refuseAll) {
+            } else if (busy > mostConnections - RESERVE) {
                 keepAlive = false;
                 refused(node.advice(0));
             } else {
-                accept(http, query);
+                accept(http);
             }
         }
 
-        private void accept(FullHttpRequest http, QueryStringDecoder query) {
+        private void accept(FullHttpRequest http) {
             try {
-                call = read(http, query, this);
+                call = new Call(read(http), http.method(), http.uri(), onward(http.headers()),
+                        ByteBufUtil.getBytes(http.content()), this);
             } catch (BadRequest | IllegalArgumentException e) {
-                answer(HttpResponseStatus.BAD_REQUEST, "text/plain", String.valueOf(e.getMessage()).getBytes(), 0);
+                turnDown(HttpResponseStatus.BAD_REQUEST, String.valueOf(e.getMessage()));
                 return;
             }
             node.accept(call);
@@ -278,38 +393,57 @@
             boolean keep = keepAlive && !draining;
             HttpUtil.setKeepAlive(response, keep);
             call = null;
-            ChannelFuture written = channel.writeAndFlush(response);
+            enter(Phase.WRITING);
+            channel.writeAndFlush(response).addListener(written -> {
+                if (written.isSuccess()) {
+                    written(keep);
+                }
+            });
+        }
+
+        /** Only now comes the next request: answers to a client that does not read must not pile up. */
+        private void written(boolean keep) {
             if (!keep) {
-                written.addListener(ChannelFutureListener.CLOSE);
+                leave();
                 return;
             }
-            answering = false;
-            if (waiting.isEmpty()) {
-                rest();
-            } else {
+            enter(Phase.IDLE);
+            if (!waiting.isEmpty()) {
                 loop.execute(this::takeNext);
             }
         }
 
+        /**
+         * Ends our side only: closing at once while more is coming would reset the connection, and the client might
+         * never get to read its answer.
+         */
+        private void leave() {
+            enter(Phase.LEAVING);
+            discardWaiting();
+            channel.config().setAutoRead(true);
+            if (channel instanceof DuplexChannel duplex) {
+                duplex.shutdownOutput();
+            } else {
+                channel.close();
+            }
+        }
+
+        private void discardWaiting() {
+            waiting.forEach(ReferenceCountUtil::release);
+            waiting.clear();
+        }
+
         private void takeNext() {
-            if (!answering && !waiting.isEmpty() && channel.isActive()) {
-                FullHttpRequest http = waiting.poll();
+            if (phase == Phase.IDLE && !waiting.isEmpty() && channel.isActive()) {
+                Object next = waiting.poll();
                 channel.config().setAutoRead(waiting.isEmpty());
-                try {
-                    handle(http);
-                } catch (RuntimeException e) {
-                    crashed(e);
-                } finally {
-                    http.release();
-                }
+                take(next);
             }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            idle.remove(this);
-            waiting.forEach(FullHttpRequest::release);
-            waiting.clear();
+            discardWaiting();
             if (call != null) {
                 Call left = call;
                 call = null;
@@ -319,7 +453,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (cause instanceof IOException) {
+            if (cause instanceof IOException || cause instanceof PrematureChannelClosureException) {
                 ctx.close(); // the client has gone; what it asked for ends in channelInactive
                 return;
             }
--- a/src/main/java/astergate/net/Main.java
+++ b/src/main/java/astergate/net/Main.java
@@ -104,6 +104,11 @@
         }
     }
 
+    /** For tests: the open connections of clients; asked on the loop. */
+    int clients() {
+        return loop.submit(frontend::clients).syncUninterruptibly().getNow();
+    }
+
     /** Runs in the shutdown hook, which the JVM waits for: serve on, then close, then finish what is held. */
     void end() {
         loop.execute(frontend::drain);
@@ -118,7 +123,7 @@
     private void close() {
         frontend.close();
         loop.scheduleWithFixedDelay(() -> {
-            if (node.idle() && frontend.closed()) {
+            if (node.idle() && frontend.clients() == 0) {
                 done.countDown();
             }
         }, 0, LOOK_EVERY_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/astergate/PolicyTest.java
+++ b/src/test/java/astergate/PolicyTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.lang.reflect.Field;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -56,6 +57,23 @@
         }
     }
 
+    /** Machines are replaced all day by new ones under new ids; those that are gone must leave nothing behind. */
+    @Test
+    void upstreamsThatAreGoneAreForgotten() throws ReflectiveOperationException {
+        Host h = Host.of(config).list(3);
+        for (int i = 0; i < 100; i++) {
+            h.balancer.upstreams(h.now, ListKind.CHANGES, List.of(new Upstream("n" + i, 0, 0, 0, State.READY, 1, 0),
+                    new Upstream("n" + (i - 2), 0, 0, 0, State.GONE, 1, 0)));
+        }
+        Field known = Policy.class.getDeclaredField("byId");
+        known.setAccessible(true);
+        assertEquals(Set.of("u0", "u1", "u2", "n98", "n99"), ((Map<?, ?>) known.get(h.balancer)).keySet());
+        h.balancer.upstreams(h.now, ListKind.COMPLETE, List.of(new Upstream("n99", 0, 0, 0, State.READY, 1, 0)));
+        assertEquals(Set.of("n99"), ((Map<?, ?>) known.get(h.balancer)).keySet());
+        h.serve(0, 20 * MILLI, u -> 0.5);
+        assertEquals(Map.of("n99", 1), h.perUpstream);
+    }
+
     @Test
     void withoutReportsPicksFollowInFlight() {
         Host h = Host.of(config).list(4);
