--- a/src/main/java/astergate/net/UpstreamPool.java
+++ b/src/main/java/astergate/net/UpstreamPool.java
@@ -45,7 +45,7 @@
     private static final double IDLE_SHARE = 0.6;
     private static final long CLOSE_STALE_EVERY_MS = 500;
     /** What comes right behind an answer and does not belong to it must be here before the next request goes out. */
-    private static final long REST = 2_000;
+    private static final long REST = 1_000;
     /** An answer that has begun is whole soon after; one that stands still for longer is spoilt. */
     private static final long WHOLE_WITHIN_MS = 100;
 
