--- a/src/main/java/astergate/net/Main.java
+++ b/src/main/java/astergate/net/Main.java
@@ -44,7 +44,7 @@
             return;
         }
         onHangup(() -> main.reload(path));
-        WarmUp.run(config);
+        WarmUp.run(config, WarmUp.LONGEST_S);
         ChannelFuture bound = main.bind().await();
         if (!bound.isSuccess()) {
             fail("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
--- a/src/main/java/astergate/net/Training.java
+++ b/src/main/java/astergate/net/Training.java
@@ -31,7 +31,7 @@
             thread(() -> accept(peers));
             EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
             Config config = Config.parse(config("127.0.0.1:" + peers.getLocalPort()));
-            WarmUp.run(config);
+            WarmUp.run(config, WarmUp.LONGEST_S);
             Main main = new Main(loop, config, new Node(loop, config, Transport.SOCKETS), Transport.SOCKETS);
             InetSocketAddress at = (InetSocketAddress) main.bind().sync().channel().localAddress();
             for (int i = 0; i < REQUESTS; i++) {
--- a/src/main/java/astergate/net/WarmUp.java
+++ b/src/main/java/astergate/net/WarmUp.java
@@ -46,7 +46,7 @@
     private static final int BODY = 1_000;
     private static final int WORK = 200;
     private static final int BUDGET_MS = 2_000;
-    private static final long LONGEST_S = 4;
+    static final long LONGEST_S = 4;
 
     private final Config config;
     private final EventLoop loop;
@@ -60,7 +60,7 @@
     }
 
     /** Returns when all requests are answered, or when it has taken too long; tells how many were. */
-    static long run(Config like) throws InterruptedException {
+    static long run(Config like, long longestS) throws InterruptedException {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
         List<MemberList.Member> members = new ArrayList<>();
         for (int i = 0; i < UPSTREAMS; i++) {
@@ -70,9 +70,9 @@
         WarmUp run = new WarmUp(new Config(like.name(), like.listen(), like.discovery(), like.seed(), like.sockets(),
                 like.facts(), new MemberList(1, true, members)), group.next());
         group.execute(run::start);
-        run.answers.await(LONGEST_S, TimeUnit.SECONDS);
+        run.answers.await(longestS, TimeUnit.SECONDS);
         long left = run.answers.getCount();
-        group.shutdownGracefully(0, LONGEST_S, TimeUnit.SECONDS).await();
+        group.shutdownGracefully(0, longestS, TimeUnit.SECONDS).await();
         return REQUESTS - left;
     }
 
