Pass on long answers, and do not let held requests make every event dear

The node's log named the cause: 'answer of an upstream given up: the length 140178', some thousand times, from 128 KB to 396 KB. The same length came at each try of one request (218 lengths once, 116 two to four times), so it belongs to the request and is no spoilt answer. To blame: MAX_BODY, the limit for requests, in AnswerDecoder and UpstreamPool. Answers may now have 512 KiB; one of 3 GB is still turned away at its head. As such an answer takes several reads, 'stands still' is now measured from the last of them.

--- a/src/main/java/astergate/Policy.java
+++ b/src/main/java/astergate/Policy.java
@@ -119,6 +119,7 @@
     private double admitted = 1;
     private double retryTokens = MOST_RETRIES;
     private long requestsSince;
+    private long lists;
     private double typicalTook;
     private double meanCost;
     private double ratings;
@@ -131,11 +132,8 @@
         this.out = out;
         this.random = new SplittableRandom(seed);
         this.margin = SWEEP + MARGIN_TICKS * Math.max(settings.tick(), 1_000);
-        long tightest = Long.MAX_VALUE;
-        for (RequestClass c : settings.classes()) {
-            tightest = Math.min(tightest, c.aim());
-        }
-        this.waitTarget = (long) (WAIT_SHARE * tightest);
+        this.waitTarget = (long) (WAIT_SHARE
+                * settings.classes().stream().mapToLong(RequestClass::aim).min().orElse(Long.MAX_VALUE));
         this.tenantTokens = new double[settings.tenants().size()];
         this.tenantAt = new long[settings.tenants().size()];
         this.refusedAfter = new double[settings.classes().size()];
@@ -206,6 +204,8 @@
         boolean ended;
         boolean streaming;
         boolean waiting;
+        Up home;
+        long homeIn = -1;
 
         Req(Request request, RequestClass cls, long number, long now) {
             this.request = request;
@@ -219,12 +219,7 @@
 
         /** The first attempt that may have run; one still out may have. */
         Try guard() {
-            for (Try t : tries) {
-                if (t.mayHaveRun) {
-                    return t;
-                }
-            }
-            return null;
+            return tries.stream().filter(t -> t.mayHaveRun).findFirst().orElse(null);
         }
     }
 
@@ -267,6 +262,7 @@
      * so that all upstreams are in about as many samples. Where crossing has a price, the own zone is sooner.
      */
     private void order() {
+        lists++;
         ups.sort(Comparator.<Up>comparingDouble(u -> u.rank).thenComparing(u -> u.id));
         Collections.rotate(ups, settings.position() % SLOTS * ups.size() / SLOTS);
         int[] seen = new int[2];
@@ -552,18 +548,24 @@
         return up.entry.zone() == settings.zone() ? 1 + CROSSING * settings.prices().crossZone() : 1;
     }
 
-    /** Where a key is at home: the same upstream at every balancer, by rendezvous hashing, if it is well. */
+    /** Where a key is at home, if that is well; found once for a list: what is held is asked all the time. */
     private Up homeOf(Req r, long now) {
-        String key = r.request.key();
-        if (!settings.warmKeys() || key == null) {
+        if (!settings.warmKeys() || r.request.key() == null) {
             return null;
         }
+        if (r.homeIn != lists) {
+            r.homeIn = lists;
+            r.home = home(r.request.key(), ups);
+        }
+        return r.home == null || !ejected(r.home, now) ? r.home
+                : home(r.request.key(), ups.stream().filter(up -> !ejected(up, now)).toList());
+    }
+
+    /** The same upstream at every balancer, by rendezvous hashing. */
+    private Up home(String key, List<Up> among) {
         Up best = null;
         double most = Double.NEGATIVE_INFINITY;
-        for (Up up : ups) {
-            if (ejected(up, now)) {
-                continue;
-            }
+        for (Up up : among) {
             double near = rating(up) * (zoneFactor(up) > 1 ? OWN_HOME : 1);
             double score = -near / Math.log(unit(key.hashCode(), up.id.hashCode()));
             if (score > most) {
@@ -781,6 +783,9 @@
 
     /** Sends what is held, dearest first, as long as upstreams have room. */
     private void pump(long now) {
+        if (held.isEmpty() || ups.stream().noneMatch(up -> hasRoom(up, now))) {
+            return; // trying all that is held at every event would cost the more the further behind we are
+        }
         sendHome(now);
         int misses = 0;
         for (Req r = held.isEmpty() ? null : held.first(); r != null && misses < 3;) {
@@ -905,12 +910,7 @@
         double share = settings.prices().probe() > 0 ? PROBE_POINTS / settings.prices().probe() : 1;
         double perSecond = Math.min(share * Math.max(requestRate, 1), ups.size() * 1e6 / PROBE_GAP);
         nextProbe = now + jitter((long) (1e6 / perSecond));
-        Up oldest = ups.get(0);
-        for (Up up : ups) {
-            if (up.probedAt < oldest.probedAt) {
-                oldest = up;
-            }
-        }
+        Up oldest = Collections.min(ups, Comparator.comparingLong(up -> up.probedAt));
         oldest.probedAt = now;
         out.probe(oldest.id);
     }
--- a/src/main/java/astergate/net/AnswerDecoder.java
+++ b/src/main/java/astergate/net/AnswerDecoder.java
@@ -84,7 +84,7 @@
         List<String> codings = h.getAll(HttpHeaderNames.TRANSFER_ENCODING);
         if (codings.isEmpty()) {
             long length = HttpUtil.getContentLength(head, -1L);
-            return length < 0 || length > UpstreamPool.MAX_BODY ? "the length "
+            return length < 0 || length > UpstreamPool.MAX_ANSWER ? "the length "
                     + h.get(HttpHeaderNames.CONTENT_LENGTH) : null;
         }
         return codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0)) ? null
--- a/src/main/java/astergate/net/Frontend.java
+++ b/src/main/java/astergate/net/Frontend.java
@@ -118,7 +118,7 @@
                                 new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, MOST_READ));
                         ch.pipeline().addLast(new RequestCheck.Decoder(), new HttpResponseEncoder(),
                                 new RequestCheck(Frontend.this::fault),
-                                new HttpObjectAggregator(UpstreamPool.MAX_BODY), new Connection(ch));
+                                new HttpObjectAggregator(RequestCheck.MAX_BODY), new Connection(ch));
                     }
                 }).bind(transport.at(config.listen()));
     }
--- a/src/main/java/astergate/net/RequestCheck.java
+++ b/src/main/java/astergate/net/RequestCheck.java
@@ -24,6 +24,9 @@
  * away unread: where such a request ends is anybody's guess.
  */
 final class RequestCheck extends ChannelInboundHandlerAdapter {
+    /** The most that the protocol allows. */
+    static final int MAX_BODY = 64 * 1024;
+
     /** Further checks of a head that can be read; null if it is in order. */
     private final Function<HttpRequest, Refused> further;
     private boolean refused;
@@ -71,7 +74,7 @@
             return verdict != null ? verdict : further.apply(head);
         }
         body += part instanceof HttpContent content ? content.content().readableBytes() : 0;
-        return body > UpstreamPool.MAX_BODY ? tooLarge() : null;
+        return body > MAX_BODY ? tooLarge() : null;
     }
 
     private static Refused framing(HttpRequest head) {
@@ -88,11 +91,11 @@
         if (expected != null && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)) {
             return new Refused(HttpResponseStatus.EXPECTATION_FAILED, "malformed: Expect");
         }
-        return HttpUtil.getContentLength(head, 0L) > UpstreamPool.MAX_BODY ? tooLarge() : null;
+        return HttpUtil.getContentLength(head, 0L) > MAX_BODY ? tooLarge() : null;
     }
 
     private static Refused tooLarge() {
         return new Refused(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "a body of more than "
-                + UpstreamPool.MAX_BODY + " bytes");
+                + MAX_BODY + " bytes");
     }
 }
--- a/src/main/java/astergate/net/UpstreamPool.java
+++ b/src/main/java/astergate/net/UpstreamPool.java
@@ -40,14 +40,15 @@
  * nothing: each attempt is written once at most, and its end says whether it can have run.
  */
 final class UpstreamPool {
-    static final int MAX_BODY = 64 * 1024;
+    /** Longer than any body ought to be: on some days answers in order have six times as much. */
+    static final int MAX_ANSWER = 512 * 1024;
     /** Share of the settings' idle time after which we close: upstreams may close sooner than they say. */
     private static final double IDLE_SHARE = 0.6;
     private static final long CLOSE_STALE_EVERY_MS = 500;
     /** What comes right behind an answer and does not belong to it must be here before the next request goes out. */
     private static final long REST = 1_000;
-    /** An answer that has begun is whole soon after; one that stands still for longer is spoilt. */
-    private static final long WHOLE_WITHIN_MS = 100;
+    /** An answer that has begun goes on coming until it is whole; one that stands still for so long is spoilt. */
+    private static final long STILL_FOR = 100_000;
 
     private final EventLoop loop;
     private final Transport transport;
@@ -208,7 +209,7 @@
                 c.channel = channel;
                 channel.closeFuture().addListener(closed -> connections--);
                 channel.pipeline().addLast(new HttpRequestEncoder(), c.decoder,
-                        new HttpObjectAggregator(MAX_BODY), c);
+                        new HttpObjectAggregator(MAX_ANSWER), c);
             }
         }).connect(t.address).addListener((ChannelFuture connected) -> {
             if (loop.inEventLoop()) {
@@ -317,6 +318,7 @@
         private Attempt current;
         private Answer answer;
         private Attempt begun;
+        private long readAt;
         private long idleSince;
 
         Connection(Target target) {
@@ -343,18 +345,28 @@
                 handOn();
             } else if (current == null) {
                 ctx.close(); // whatever has come was not asked for
-            } else if (begun != current) {
-                Attempt attempt = current;
-                begun = attempt;
-                loop.schedule(() -> {
-                    if (current == attempt) {
-                        spoilt("it stands still");
-                    }
-                }, WHOLE_WITHIN_MS, TimeUnit.MILLISECONDS);
+            } else {
+                readAt = clock.getAsLong();
+                if (begun != current) {
+                    begun = current;
+                    watch(current, STILL_FOR);
+                }
             }
             ctx.fireChannelReadComplete();
         }
 
+        /** Guards against half an answer on a connection that stays open. */
+        private void watch(Attempt attempt, long delay) {
+            loop.schedule(() -> {
+                long left = readAt + STILL_FOR - clock.getAsLong();
+                if (current == attempt && left > 0) {
+                    watch(attempt, left);
+                } else if (current == attempt) {
+                    spoilt("it stands still");
+                }
+            }, delay, TimeUnit.MICROSECONDS);
+        }
+
         private void handOn() {
             Attempt attempt = current;
             Answer whole = answer;
--- a/src/main/java/astergate/net/WarmUp.java
+++ b/src/main/java/astergate/net/WarmUp.java
@@ -97,7 +97,7 @@
         return new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(codec.get(), new HttpObjectAggregator(UpstreamPool.MAX_BODY), last.get());
+                channel.pipeline().addLast(codec.get(), new HttpObjectAggregator(RequestCheck.MAX_BODY), last.get());
             }
         };
     }
--- a/src/test/java/astergate/PolicyTest.java
+++ b/src/test/java/astergate/PolicyTest.java
@@ -5,9 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.reflect.Field;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -206,6 +208,22 @@
         assertTrue(home > 0.75 * waiting.size(), home + " of " + waiting.size());
     }
 
+    /**
+     * Nobody answers and thousands are held: a further one must not cost more for it. Took minutes when each event
+     * looked for the home of all that was held; now some hundred milliseconds.
+     */
+    @Test
+    void whatIsHeldDoesNotMakeFurtherRequestsDear() {
+        config.warmKeys = true;
+        Host h = Host.of(config).list(10);
+        assertTimeoutPreemptively(Duration.ofSeconds(20), () -> {
+            for (int i = 0; i < 30_000; i++) {
+                h.request(0, 2 * SECOND, "key" + i, 20 * MILLI);
+            }
+        });
+        assertTrue(h.sends.size() < 100, "the rest is held: " + h.sends.size());
+    }
+
     @Test
     void homesLieMostlyInTheOwnZoneWhereCrossingHasAPrice() {
         int[] own = new int[2];
