--- a/src/main/java/astergate/net/Frontend.java
+++ b/src/main/java/astergate/net/Frontend.java
@@ -46,6 +46,7 @@
  */
 final class Frontend {
     private static final String PATH = "/api";
+    private static final String HEALTH = "/_health";
     /** Share of the sockets for clients; at that many, connections are no longer accepted. */
     private static final double CLIENT_SHARE = 0.5;
     /** From so many below that, connections without a request make way, and further requests are refused. */
@@ -70,6 +71,7 @@
     private static final int MOST_READ = 16_384;
     private static final Pattern NUMBER = Pattern.compile("[0-9]{1,12}");
     private static final long LONGEST_BUDGET_MS = 3_600_000;
+    private static final String OPEN_ID = "X-Call-Id (a request with it is open)";
     private static final List<CharSequence> PASSED_ON = List.of(HttpHeaderNames.HOST, "X-Call-Id",
             "Idempotency-Key", "X-Call-Class", "X-Caller", HttpHeaderNames.CONTENT_TYPE);
 
@@ -83,6 +85,7 @@
     private int busy;
     private Channel listener;
     private boolean draining;
+    private boolean closing;
 
     /** A request that is not in order; the message goes to the client. */
     private static final class BadRequest extends Exception {
@@ -116,9 +119,10 @@
                     protected void initChannel(Channel ch) {
                         ch.config().setRecvByteBufAllocator(
                                 new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, MOST_READ));
+                        Connection connection = new Connection(ch);
                         ch.pipeline().addLast(new RequestCheck.Decoder(), new HttpResponseEncoder(),
-                                new RequestCheck(Frontend.this::fault),
-                                new HttpObjectAggregator(RequestCheck.MAX_BODY), new Connection(ch));
+                                new RequestCheck(connection::fault),
+                                new HttpObjectAggregator(RequestCheck.MAX_BODY), connection);
                     }
                 }).bind(transport.at(config.listen()));
     }
@@ -140,15 +144,19 @@
         listener.config().setAutoRead(connections.size() < mostConnections);
     }
 
-    /** From now on every answer closes its connection, and the front is told not to send us more. */
+    /** From now on the front is told not to send us more. */
     void drain() {
         draining = true;
     }
 
-    /** Closes the connections on which no request has been taken, and ends accepting. */
+    void stopListening() {
+        listener.close();
+    }
+
+    /** Closes the connections on which no request has been taken; further answers close theirs. */
     void close() {
+        closing = true;
         connections.stream().filter(Connection::withoutRequest).toList().forEach(c -> c.channel.close());
-        listener.close();
     }
 
     /** How many client connections there are, those included whose last answer is still on its way. */
@@ -158,29 +166,11 @@
 
     // ---- Reading requests ----------------------------------------------------------------------------
 
-    /** What is wrong with the head of a request, before its body is read; null if it is in order. */
-    private RequestCheck.Refused fault(HttpRequest head) {
-        String path = new QueryStringDecoder(head.uri()).rawPath();
-        if (path.equals("/_health")) {
-            return null;
-        } else if (!path.equals(PATH)) {
-            return new RequestCheck.Refused(HttpResponseStatus.NOT_FOUND, "not found");
-        } else if (!head.method().equals(HttpMethod.GET) && !head.method().equals(HttpMethod.POST)) {
-            return new RequestCheck.Refused(HttpResponseStatus.METHOD_NOT_ALLOWED, "GET or POST");
-        }
-        try {
-            read(head);
-            return null;
-        } catch (BadRequest | IllegalArgumentException e) {
-            return new RequestCheck.Refused(HttpResponseStatus.BAD_REQUEST, String.valueOf(e.getMessage()));
-        }
-    }
-
-    private Request read(HttpRequest http) throws BadRequest {
+    private Request read(HttpRequest http, QueryStringDecoder uri) throws BadRequest {
         HttpHeaders h = http.headers();
         String id = h.get("X-Call-Id");
         require(id != null && !id.isBlank() && h.getAll("X-Call-Id").size() == 1, "X-Call-Id");
-        require(!node.knows(id), "X-Call-Id (a request with it is open)");
+        require(!node.knows(id), OPEN_ID);
         int cls = config.facts().classNames().indexOf(h.get("X-Call-Class"));
         require(cls >= 0, "X-Call-Class");
         long budget = number(h.get("X-Budget-Ms"));
@@ -190,17 +180,18 @@
         require(effect != Effect.KEYED || h.contains("Idempotency-Key"), "Idempotency-Key");
         int tenant = config.facts().tenantNames().isEmpty() ? 0
                 : config.facts().tenantNames().indexOf(h.get("X-Caller"));
-        String key = new QueryStringDecoder(http.uri()).parameters().getOrDefault("obj", List.of()).stream()
-                .findFirst().orElse(null);
-        return new Request(id, cls, tenant, key, Math.max(0, number(h.get("X-Call-Cost"))), budget * 1_000,
-                !http.method().equals(HttpMethod.GET), "1".equals(h.get("X-Again")));
+        List<String> keys = uri.parameters().getOrDefault("obj", List.of());
+        return new Request(id, cls, tenant, keys.isEmpty() ? null : keys.get(0),
+                Math.max(0, number(h.get("X-Call-Cost"))), budget * 1_000, !http.method().equals(HttpMethod.GET),
+                "1".equals(h.get("X-Again")));
     }
 
     private static HttpHeaders onward(HttpHeaders h) {
         HttpHeaders onward = new DefaultHttpHeaders();
         for (CharSequence name : PASSED_ON) {
-            if (h.contains(name)) {
-                onward.set(name, h.get(name));
+            String value = h.get(name);
+            if (value != null) {
+                onward.set(name, value);
             }
         }
         return onward;
@@ -234,6 +225,8 @@
         private final Channel channel;
         /** Whole requests, and the word that one is refused, behind which nothing comes. */
         private final Queue<Object> waiting = new ArrayDeque<>();
+        /** What the heads of requests said that are in order, until the rest of each has come and it is its turn. */
+        private final Queue<Request> heads = new ArrayDeque<>();
         private Phase phase = Phase.NEW;
         /** Since when, on the module's clock. */
         private long since;
@@ -293,6 +286,27 @@
             }
         }
 
+        /** What is wrong with the head of a request, before its body is read; null if it is in order. */
+        private RequestCheck.Refused fault(HttpRequest head) {
+            QueryStringDecoder uri = new QueryStringDecoder(head.uri());
+            if (uri.rawPath().equals(HEALTH)) {
+                return null;
+            } else if (!uri.rawPath().equals(PATH)) {
+                return new RequestCheck.Refused(HttpResponseStatus.NOT_FOUND, "not found");
+            } else if (!head.method().equals(HttpMethod.GET) && !head.method().equals(HttpMethod.POST)) {
+                return new RequestCheck.Refused(HttpResponseStatus.METHOD_NOT_ALLOWED, "GET or POST");
+            }
+            try {
+                Request request = read(head, uri);
+                if (phase != Phase.LEAVING) {
+                    heads.add(request);
+                }
+                return null;
+            } catch (BadRequest | IllegalArgumentException e) {
+                return new RequestCheck.Refused(HttpResponseStatus.BAD_REQUEST, String.valueOf(e.getMessage()));
+            }
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             whole = true;
@@ -339,26 +353,22 @@
 
         private void handle(FullHttpRequest http) {
             keepAlive = HttpUtil.isKeepAlive(http);
-            if (new QueryStringDecoder(http.uri()).rawPath().equals("/_health")) {
+            if (!http.uri().startsWith(PATH)) { // only these two have come that far
                 answer(node.ready() && !draining ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
                         "text/plain", new byte[0], 0);
-            } else if (busy > mostConnections - RESERVE) {
+                return;
+            }
+            Request request = heads.remove();
+            if (busy > mostConnections - RESERVE) {
                 keepAlive = false;
                 refused(node.advice(0));
+            } else if (node.knows(request.id())) { // since its head came
+                turnDown(HttpResponseStatus.BAD_REQUEST, OPEN_ID);
             } else {
-                accept(http);
-            }
-        }
-
-        private void accept(FullHttpRequest http) {
-            try {
-                call = new Call(read(http), http.method(), http.uri(), onward(http.headers()),
+                call = new Call(request, http.method(), http.uri(), onward(http.headers()),
                         ByteBufUtil.getBytes(http.content()), this);
-            } catch (BadRequest | IllegalArgumentException e) {
-                turnDown(HttpResponseStatus.BAD_REQUEST, String.valueOf(e.getMessage()));
-                return;
+                node.accept(call);
             }
-            node.accept(call);
         }
 
         @Override
@@ -390,7 +400,7 @@
             if (retryAfter > 0) {
                 response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfter / 1e6);
             }
-            boolean keep = keepAlive && !draining;
+            boolean keep = keepAlive && !closing;
             HttpUtil.setKeepAlive(response, keep);
             call = null;
             enter(Phase.WRITING);
@@ -431,6 +441,7 @@
         private void discardWaiting() {
             waiting.forEach(ReferenceCountUtil::release);
             waiting.clear();
+            heads.clear();
         }
 
         private void takeNext() {
--- a/src/main/java/astergate/net/Main.java
+++ b/src/main/java/astergate/net/Main.java
@@ -12,6 +12,11 @@
 public final class Main {
     /** New connections go on coming for up to 0.4 s after SIGTERM; only then is the listener closed. */
     private static final long LISTEN_ON_MS = 550;
+    /** SIGKILL comes so long after SIGTERM, and the longest deadline more. */
+    private static final long KILLED_AFTER_MS = 700;
+    /** What answers must be ahead of that, and how much time a last request gets. */
+    private static final long SPARE_MS = 60;
+    private static final long LAST_BUDGET_MS = 200;
     private static final long LOOK_EVERY_MS = 5;
 
     private final EventLoop loop;
@@ -109,10 +114,19 @@
         return loop.submit(frontend::clients).syncUninterruptibly().getNow();
     }
 
-    /** Runs in the shutdown hook, which the JVM waits for: serve on, then close, then finish what is held. */
+    /**
+     * Runs in the shutdown hook, which the JVM waits for. Clients go on using the connections that they have, and
+     * another balancer may be away at the same time, so we serve on these for as long as an answer is sure to be
+     * out before SIGKILL; then they are closed, and what is held is finished.
+     */
     void end() {
-        loop.execute(frontend::drain);
-        loop.schedule(this::close, LISTEN_ON_MS, TimeUnit.MILLISECONDS);
+        long serveOn = KILLED_AFTER_MS + node.longestDeadline() / 1_000 - SPARE_MS;
+        loop.execute(() -> {
+            frontend.drain();
+            node.answerAllWithin(serveOn * 1_000);
+        });
+        loop.schedule(this::stopListening, LISTEN_ON_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(frontend::close, Math.max(LISTEN_ON_MS, serveOn - LAST_BUDGET_MS), TimeUnit.MILLISECONDS);
         try {
             done.await();
         } catch (InterruptedException e) {
@@ -120,8 +134,8 @@
         }
     }
 
-    private void close() {
-        frontend.close();
+    private void stopListening() {
+        frontend.stopListening();
         loop.scheduleWithFixedDelay(() -> {
             if (node.idle() && frontend.clients() == 0) {
                 done.countDown();
--- a/src/main/java/astergate/net/Node.java
+++ b/src/main/java/astergate/net/Node.java
@@ -44,6 +44,8 @@
     private long timerDue = Long.MAX_VALUE;
     /** How late the last timer was. */
     private long lateness;
+    /** When the last answer must be out, once the end is near. */
+    private long lastMoment = Long.MAX_VALUE;
 
     Node(EventLoop loop, Config config, Transport transport) {
         this(loop, config, transport,
@@ -97,6 +99,16 @@
         return discovery.listed() || !config.known().members().isEmpty() && now() - startedAt > WAIT_FOR_LIST;
     }
 
+    /** The longest that clients wait for an answer, in microseconds. */
+    long longestDeadline() {
+        return settings.classes().stream().mapToLong(Balancer.RequestClass::giveUp).max().orElse(0);
+    }
+
+    /** What comes from now on has no more time than that, in microseconds, whatever its client would grant. */
+    void answerAllWithin(long time) {
+        lastMoment = now() + time;
+    }
+
     boolean idle() {
         return calls.isEmpty();
     }
@@ -155,7 +167,7 @@
         String id = call.request.id();
         // If a timer is overdue or just was, the loop is late, and the request may have waited as long to be read.
         long late = Math.max(lateness, now() - timerDue);
-        long left = call.request.timeLeft() - WAY_IN - late;
+        long left = Math.min(call.request.timeLeft() - WAY_IN - late, lastMoment - now());
         call.deadline = now() + left;
         calls.put(id, call);
         call.backstop = loop.schedule(() -> expire(call), left - BACKSTOP, TimeUnit.MICROSECONDS);
--- a/src/main/java/astergate/net/UpstreamPool.java
+++ b/src/main/java/astergate/net/UpstreamPool.java
@@ -154,10 +154,12 @@
 
     private void closeStale() {
         long now = clock.getAsLong();
-        for (Target t : targets.values()) {
-            while (!t.idle.isEmpty() && now - t.idle.peekLast().idleSince > idleTime) {
-                t.idle.pollLast().channel.close();
-            }
+        targets.values().forEach(t -> closeStale(t, now));
+    }
+
+    private void closeStale(Target t, long now) {
+        while (!t.idle.isEmpty() && now - t.idle.peekLast().idleSince > idleTime) {
+            t.idle.pollLast().channel.close();
         }
     }
 
@@ -170,7 +172,6 @@
             end(attempt, Outcome.MOOT);
             return;
         }
-        closeStale();
         Connection c = rested(t);
         if (c != null) {
             write(c, attempt);
@@ -182,6 +183,7 @@
     /** The connection used last that has stood still since its answer; null if there is none. */
     private Connection rested(Target t) {
         long now = clock.getAsLong();
+        closeStale(t, now);
         for (Iterator<Connection> idle = t.idle.iterator(); idle.hasNext();) {
             Connection c = idle.next();
             if (now - c.idleSince >= REST) {
