Let idle client connections go before clients run out of them; take our lateness off upstream times

Probes (printed once a second, not kept): the module held nothing, had 0 to 10 requests open, limits of 1 to 3 for each upstream and refused next to nothing; of 160 client connections 128 were idle and 32 silent, while 100 requests a second came where 640 were tried. 128 is the third of 384 sockets that clients may hold: they had no connection left for further requests. To blame: Frontend.LONGEST_IDLE of 5 s, and makeRoom, which looks at our limit (192) only. Idle connections now go after 2 s, and after 0.5 s, longest idle first, while those idle and busy are more than a quarter of the sockets.

Checked on the way and no cause of it: the module's limits.

--- a/src/main/java/astergate/net/Frontend.java
+++ b/src/main/java/astergate/net/Frontend.java
@@ -59,10 +59,11 @@
     /** How long the rest of what the client sends is thrown away, so that it gets to read why. */
     private static final long LEAVE_WITHIN = 2_000_000;
     /** A connection that has asked is closed when idle for that long: some clients never do. */
-    private static final long LONGEST_IDLE = 5_000_000;
-    /** Where room is short, a connection without a request may be closed after that; at the limit, after less. */
-    private static final long IDLE_FOR = 2_000_000;
+    private static final long LONGEST_IDLE = 2_000_000;
+    /** Where room is short, on their side or ours, it is closed after that. */
     private static final long LEAST_IDLE = 500_000;
+    /** Clients may hold a third of the sockets; from this share on, they are about to run out of connections. */
+    private static final double SHORT_OF_SHARE = 0.25;
     /** Clients that connect for a request send it at once; one that is silent for longer makes way if need be. */
     private static final long SILENT_FOR = 100_000;
     private static final int LEAST_READ = 512;
@@ -130,15 +131,26 @@
     private void look() {
         long now = node.now();
         List.copyOf(connections).forEach(c -> c.look(now));
+        letIdleGo(now);
         makeRoom();
     }
 
+    /**
+     * Guards against clients that ask once and keep their connection: at the limit that clients have, further requests
+     * find no connection and never reach us, while we have nothing to do.
+     */
+    private void letIdleGo(long now) {
+        List<Connection> idle = connections.stream().filter(c -> c.phase == Phase.IDLE)
+                .sorted(Comparator.comparingLong(c -> c.since)).toList();
+        long over = busy + idle.size() - (long) (SHORT_OF_SHARE * config.sockets());
+        idle.stream().limit(Math.max(0, over)).filter(c -> now - c.since > LEAST_IDLE).forEach(c -> c.channel.close());
+    }
+
     /** Guards against running out of sockets: of the connections without a request, the longest idle make way. */
     private void makeRoom() {
         if (connections.size() > mostConnections - RESERVE) {
             long now = node.now();
-            boolean full = connections.size() >= mostConnections;
-            connections.stream().filter(c -> c.mayGo(now, full)).sorted(Comparator.comparingLong(c -> c.since))
+            connections.stream().filter(c -> c.mayGo(now)).sorted(Comparator.comparingLong(c -> c.since))
                     .limit(connections.size() - mostConnections + RESERVE).toList().forEach(c -> c.channel.close());
         }
         listener.config().setAutoRead(connections.size() < mostConnections);
@@ -268,10 +280,10 @@
             return phase == Phase.NEW || phase == Phase.READING || phase == Phase.IDLE;
         }
 
-        private boolean mayGo(long now, boolean full) {
+        private boolean mayGo(long now) {
             long stood = now - since;
             return phase == Phase.LEAVING || phase == Phase.NEW && stood > SILENT_FOR
-                    || phase == Phase.IDLE && stood > (full ? LEAST_IDLE : IDLE_FOR);
+                    || phase == Phase.IDLE && stood > LEAST_IDLE;
         }
 
         /** Guards against clients that are silent, send half of something, do not read, or never go. */
--- a/src/main/java/astergate/net/Main.java
+++ b/src/main/java/astergate/net/Main.java
@@ -16,7 +16,7 @@
     private static final long KILLED_AFTER_MS = 700;
     /** What answers must be ahead of that, and how much time a last request gets. */
     private static final long SPARE_MS = 60;
-    private static final long LAST_BUDGET_MS = 200;
+    private static final long LAST_BUDGET_MS = 120;
     private static final long LOOK_EVERY_MS = 5;
 
     private final EventLoop loop;
--- a/src/main/java/astergate/net/Node.java
+++ b/src/main/java/astergate/net/Node.java
@@ -165,9 +165,7 @@
             return;
         }
         String id = call.request.id();
-        // If a timer is overdue or just was, the loop is late, and the request may have waited as long to be read.
-        long late = Math.max(lateness, now() - timerDue);
-        long left = Math.min(call.request.timeLeft() - WAY_IN - late, lastMoment - now());
+        long left = Math.min(call.request.timeLeft() - WAY_IN - late(), lastMoment - now());
         call.deadline = now() + left;
         calls.put(id, call);
         call.backstop = loop.schedule(() -> expire(call), left - BACKSTOP, TimeUnit.MICROSECONDS);
@@ -176,6 +174,11 @@
                 r.expectedWork(), call.deadline - now(), r.write(), r.retry())));
     }
 
+    /** If a timer is overdue or just was, the loop is late, and what it reads may have waited as long to be read. */
+    private long late() {
+        return Math.max(lateness, now() - timerDue);
+    }
+
     /** The client has closed its connection before its answer. */
     void clientGone(Call call) {
         if (!call.answered) {
@@ -230,8 +233,10 @@
         if (outcome == Balancer.Outcome.OK) {
             answer(call, () -> call.reply.served(answer.contentType(), answer.body()));
         }
+        // Our own lateness is none of the upstream's: the module would take it for a crowd there and send less.
+        long took = Math.max(0, now() - a.startedAt - late());
         Balancer.AttemptEnd end = new Balancer.AttemptEnd(call.request.id(), a.number, a.upstream, outcome,
-                now() - a.startedAt, call.answered, answer == null ? null : answer.load());
+                took, call.answered, answer == null ? null : answer.load());
         deliver(call, () -> module.outcome(now(), end));
         forgetIfDone(call);
     }
--- a/src/test/java/astergate/net/NodeTest.java
+++ b/src/test/java/astergate/net/NodeTest.java
@@ -94,6 +94,30 @@
         }
     }
 
+    /** Else the module would lower its limits of an upstream that is well, because we are slow. */
+    @Test
+    void whatALateLoopTookIsNotBlamedOnTheUpstream() throws Exception {
+        CountDownLatch blocked = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        try (Peer up = new Peer((request, socket) -> {
+            blocked.await();
+            Peer.reply(socket, 200, "x");
+            Thread.sleep(1_500); // the lateness itself
+            release.countDown();
+        }); Loopback lb = scripted((m, r) -> m.actions.send(r.id(), "u", 0)).upstream("u", up.address()).start()) {
+            Socket client = lb.connect();
+            Peer.write(client, Loopback.request("id-1", "order", 60_000));
+            Loopback.await("sent", () -> up.requests.size() == 1);
+            lb.loop.execute(() -> {
+                blocked.countDown();
+                assertDoesNotThrow(() -> release.await());
+            });
+            assertEquals(200, Loopback.answer(client).status());
+            Loopback.await("told", () -> module.ends.size() == 1);
+            assertTrue(module.ends.get(0).took() < 1_000_000, "took " + module.ends.get(0).took());
+        }
+    }
+
     @Test
     void onlyTheFirstAnswerCounts() throws Exception {
         try (Loopback lb = scripted((m, r) -> {
--- a/src/test/java/astergate/net/RudeClientsTest.java
+++ b/src/test/java/astergate/net/RudeClientsTest.java
@@ -125,4 +125,21 @@
             }
         }
     }
+
+    /** Clients may hold a third of the sockets: what idles there takes the place of their next requests. */
+    @Test
+    void connectionsThatAreKeptForNothingMakeWayForRequests() throws Exception {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = Loopback.setup().upstream("u", up.address()).sockets(200).start()) {
+            Socket first = lb.connect();
+            assertEquals(200, Loopback.ask(first, Loopback.request("first", "order", 60_000)).status());
+            long answered = System.nanoTime();
+            for (int i = 0; i < 60; i++) {
+                assertEquals(200, lb.ask("id-" + i, "order", 60_000).status());
+            }
+            assertEquals(-1, first.getInputStream().read());
+            long kept = (System.nanoTime() - answered) / 1_000_000;
+            assertTrue(kept < 1_900, "sooner than where there is room: " + kept + " ms");
+        }
+    }
 }
