Do not count for ever a client that leaves in the middle of a head

Seen by reading: after its connection is closed, the decoder hands on half a head as malformed, the refusal of it entered the phase OPEN and then WRITING, and nobody ever took it off Frontend.busy. Each such client cost one of the places (96 with 256 sockets), and with all of them gone every request is refused. A loopback test shows it: 100 clients that close after half a head, and a good request gets 503. A connection that is closed no longer counts, and what its decoder still brings is thrown away, so that no request of a client that has gone is sent to an upstream either.

Test: clientsThatLeaveInTheMiddleOfAHeadAreNotCountedForEver (503 before).

--- a/src/main/java/astergate/net/Frontend.java
+++ b/src/main/java/astergate/net/Frontend.java
@@ -248,6 +248,8 @@
         private boolean keepAlive;
         /** Whether the read that is going on has brought a request. */
         private boolean whole;
+        /** Once closed it is counted off, and what comes of its last bytes must not count it again. */
+        private boolean gone;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -259,6 +261,7 @@
             connections.add(this);
             channel.closeFuture().addListener(closed -> {
                 busy -= isBusy() ? 1 : 0;
+                gone = true;
                 connections.remove(this);
                 makeRoom();
             });
@@ -273,7 +276,7 @@
         }
 
         private boolean isBusy() {
-            return phase == Phase.OPEN || phase == Phase.WRITING;
+            return !gone && phase == Phase.OPEN || phase == Phase.WRITING;
         }
 
         private boolean withoutRequest() {
@@ -322,7 +325,7 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             whole = true;
-            if (phase == Phase.LEAVING) {
+            if (phase == Phase.LEAVING || gone) {
                 ReferenceCountUtil.release(message);
             } else if (isBusy() || !waiting.isEmpty()) {
                 waiting.add(message);
--- a/src/test/java/astergate/net/RudeClientsTest.java
+++ b/src/test/java/astergate/net/RudeClientsTest.java
@@ -142,4 +142,20 @@
             assertTrue(kept < 1_900, "sooner than where there is room: " + kept + " ms");
         }
     }
+
+    /** Half a head is refused when its client goes; each of them once counted as a request that is never answered. */
+    @Test
+    void clientsThatLeaveInTheMiddleOfAHeadAreNotCountedForEver() throws Exception {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = Loopback.setup().upstream("u", up.address()).sockets(128).start()) {
+            for (int i = 0; i < 100; i++) {
+                try (Socket client = lb.connect()) {
+                    Peer.write(client, "POST /api?obj=o HTTP/1.1\r\nX-Call-Id: ");
+                }
+            }
+            Loopback.await("all taken", () -> lb.health() == 200);
+            Loopback.await("all gone", () -> lb.main.clients() == 0);
+            assertEquals(200, lb.ask("id-1", "order", 60_000).status());
+        }
+    }
 }
