--- a/src/main/java/astergate/net/WarmUp.java
+++ b/src/main/java/astergate/net/WarmUp.java
@@ -39,7 +39,7 @@
  */
 final class WarmUp {
     /** More than the calls after which the JVM compiles a method, on each of the paths. */
-    static final int REQUESTS = 250;
+    static final int REQUESTS = 700;
     private static final int CLIENTS = 12;
     private static final int UPSTREAMS = 6;
     private static final int FIRST_PORT = 1_000;
