Judge: a request that crosses the close of an idle connection is sent once more

Cause: the stand-in clients called a request lost that crossed the close of a kept-alive connection, though PROTOCOL ("Clients to balancers") has them send it once more, with its id, and counts only a second end.

--- a/src/main/java/sedgeyoke/cli/Drill.java
+++ b/src/main/java/sedgeyoke/cli/Drill.java
@@ -25,12 +25,19 @@
     int planners(
             @Option(names = "--seconds", defaultValue = "60", description = "default: ${DEFAULT-VALUE}") int seconds,
             @Option(names = "--seed", defaultValue = "1", description = "default: ${DEFAULT-VALUE}") long seed,
-            @Option(names = "--json", description = "nothing but the last line") boolean json) throws Exception {
+            @Option(names = "--load", defaultValue = PlannersDrill.USUAL_LOAD,
+                    description = "share of the nodes' capacity that is asked for; default: ${DEFAULT-VALUE}")
+                    double load,
+            @Option(names = "--json", description = "nothing but the last line; broken rules go to standard error")
+                    boolean json) throws Exception {
         if (seconds < 10 || seconds > 3_600) {
             throw new CommandLine.ParameterException(spec.commandLine(), "--seconds must lie from 10 to 3600");
         }
+        if (!(load > 0 && load <= 4)) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "--load must lie above 0 and up to 4");
+        }
         PrintWriter out = spec.commandLine().getOut();
-        return conclude(out, new PlannersDrill(seconds, seed,
+        return conclude(out, new PlannersDrill(seconds, seed, load,
                 json ? new PrintWriter(PrintWriter.nullWriter()) : out).run());
     }
 
--- a/src/main/java/sedgeyoke/drill/PlannersDrill.java
+++ b/src/main/java/sedgeyoke/drill/PlannersDrill.java
@@ -1,6 +1,7 @@
 package sedgeyoke.drill;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -11,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.BrokenBarrierException;
@@ -31,7 +33,9 @@
     private static final int PLANNERS = 3;
     private static final int FORWARDERS = 6;
     private static final int NODES = 12;
-    private static final double LOAD = 0.62;
+    /** Requests are asked for at this share of what the nodes carry while their keys are cold. */
+    public static final String USUAL_LOAD = "0.62";
+    private static final int MOST_VIOLATIONS = 10;
     private static final double[] EVEN = {0.4, 0.3, 0.3};
     private static final double OVERFLOW = 1.1;
     private static final int START_WITHIN_S = 90;
@@ -40,32 +44,38 @@
     private final int seconds;
     private final long seed;
     private final PrintWriter out;
+    private final double load;
     private final CyclicBarrier start = new CyclicBarrier(Mode.values().length);
     private int kills;
 
     /** How planners fare in one of the runs. */
     private enum Mode { FAILING, QUIET, NONE }
 
-    /** Prints what happens to {@code out}. */
-    public PlannersDrill(int seconds, long seed, PrintWriter out) {
+    /** A run's figures, the true utilisation of its nodes, and the first rules broken in words. */
+    private record Played(Ledger.Summary summary, double utilisation, List<String> violations) { }
+
+    /** Prints what happens to {@code out}; {@code load} is asked for as a share of what nodes with cold keys carry. */
+    public PlannersDrill(int seconds, long seed, double load, PrintWriter out) {
         this.seconds = seconds;
         this.seed = seed;
+        this.load = load;
         this.out = out;
     }
 
     /** Plays all three and returns the figures; {@code ok} is false if one is short of what is promised. */
     public ObjectNode run() throws IOException, InterruptedException {
-        List<CompletableFuture<Ledger.Summary>> runs = Stream.of(Mode.values())
+        List<CompletableFuture<Played>> runs = Stream.of(Mode.values())
                 .map(mode -> CompletableFuture.supplyAsync(() -> playQuietly(mode), task -> new Thread(task).start()))
                 .toList();
-        List<Ledger.Summary> results = new ArrayList<>();
-        for (CompletableFuture<Ledger.Summary> run : runs) {
+        List<Played> played = new ArrayList<>();
+        for (CompletableFuture<Played> run : runs) {
             try {
-                results.add(run.join());
+                played.add(run.join());
             } catch (CompletionException e) {
                 throw new IOException(e.getCause());
             }
         }
+        List<Ledger.Summary> results = played.stream().map(Played::summary).toList();
         Ledger.Summary failing = results.get(0);
         Ledger.Summary quiet = results.get(1);
         Ledger.Summary none = results.get(2);
@@ -77,7 +87,13 @@
                 .put("ratio", round(failing.service() / quiet.service())).put("rule_violations", violations)
                 .put("cold_peak_share_of_budget", round(coldPeak)).put("planner_kills", kills)
                 .put("requests", failing.requests()).put("p99_ms", round(failing.p99Ms()))
-                .put("p99_ms_no_planners", round(none.p99Ms()));
+                .put("p99_ms_no_planners", round(none.p99Ms())).put("load", load)
+                .put("utilisation", round(played.get(0).utilisation()));
+        ArrayNode broken = figures.putArray("violations");
+        for (Mode mode : Mode.values()) {
+            played.get(mode.ordinal()).violations().stream().limit(MOST_VIOLATIONS - broken.size())
+                    .forEach(v -> broken.add(mode.toString().toLowerCase(Locale.ROOT) + ": " + v));
+        }
         figures.put("ok", failing.service() >= 0.98 * quiet.service() && violations == 0 && coldPeak <= 1);
         return figures;
     }
@@ -86,7 +102,7 @@
         return Math.round(figure * 1e4) / 1e4;
     }
 
-    private Ledger.Summary playQuietly(Mode mode) {
+    private Played playQuietly(Mode mode) {
         try {
             return play(mode);
         } catch (IOException | InterruptedException e) {
@@ -94,7 +110,7 @@
         }
     }
 
-    private Ledger.Summary play(Mode mode) throws IOException, InterruptedException {
+    private Played play(Mode mode) throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("drill-planners");
         List<ProgramProcess> planners = new ArrayList<>();
         List<ProgramProcess> forwarders = new ArrayList<>();
@@ -128,15 +144,20 @@
             }
             awaitTheOthers();
             Thread.sleep(3_000); // the plans' rise to full strength
+            long worked = site.worked();
+            long since = site.now();
             script(mode, site, planners, proxies);
+            double utilisation = site.utilisationSince(worked, since);
             site.stopClients();
             Ledger.Summary summary = site.summary();
             say(mode, "service " + round(summary.service()) + ", answers " + summary.answers() + ", p99 "
                     + round(summary.p99Ms()) + " ms, cold peak " + round(summary.coldPeak()) + ", rules "
-                    + summary.violations());
-            site.ledger().violations().forEach(v -> say(mode, v));
+                    + summary.violations() + ", utilisation "
+                    + round(utilisation));
+            List<String> violations = site.ask(site.ledger()::violations);
+            violations.forEach(v -> System.err.println(mode.toString().toLowerCase(Locale.ROOT) + ": " + v));
             proxies.forEach(ways -> ways.forEach(FaultProxy::close));
-            return summary;
+            return new Played(summary, utilisation, violations);
         } finally {
             planners.forEach(ProgramProcess::close);
             forwarders.forEach(ProgramProcess::close);
@@ -178,7 +199,7 @@
         int first = (drained + 1 + nodes.nextInt(NODES - 1)) % NODES;
         int second = (drained + 1 + nodes.nextInt(NODES - 1)) % NODES;
         int crowded = nodes.nextInt(EVEN.length);
-        site.startClients(LOAD * site.spec().capacity());
+        site.startClients(load * site.spec().capacity());
         for (int s = 0; s < seconds; s++) {
             double part = s / (double) seconds;
             if (at(0.15, s)) {
--- a/src/main/java/sedgeyoke/standin/Clients.java
+++ b/src/main/java/sedgeyoke/standin/Clients.java
@@ -71,13 +71,16 @@
         final int zone;
         final long since;
         final String key;
+        /** The same for all its tries: they are to have one effect together. */
+        final String idempotencyKey;
         int tries;
 
-        Want(WorkClass cls, int zone, long since, String key) {
+        Want(WorkClass cls, int zone, long since, String key, String idempotencyKey) {
             this.cls = cls;
             this.zone = zone;
             this.since = since;
             this.key = key;
+            this.idempotencyKey = idempotencyKey;
         }
     }
 
@@ -144,7 +147,7 @@
         double popular = random.nextDouble();
         String key = "o" + (int) (KEYS * popular * popular);
         ledger.wanted(cls);
-        ask(new Want(cls, zone, clock.getAsLong(), key));
+        ask(new Want(cls, zone, clock.getAsLong(), key, cls.keyed() ? "k-" + newId() : null));
     }
 
     private void ask(Want want) {
@@ -154,26 +157,41 @@
         List<Front> among = up.isEmpty() ? fronts : up;
         Front front = among.get(random.nextInt(among.size()));
         want.tries++;
-        long id = random.nextLong() & ~0xffffffL | number++ & 0xffffffL;
-        Request request = new Request(want, String.format("%016x", id));
+        Request request = new Request(want, newId(), now,
+                Math.max(10, want.cls.giveUpMs() - (now - want.since) / 1_000));
+        ledger.asked(request.id(), want.cls, want.idempotencyKey, front.name, now, request.deadline());
         Connection connection = front.idle.poll();
         while (connection != null && !connection.channel.isActive()) {
             connection = front.idle.poll();
         }
         if (connection != null) {
-            connection.send(request);
+            connection.send(request, false);
             return;
         }
+        connect(front, request, false);
+    }
+
+    /** {@code resent}: it was sent before, on a connection that its balancer closed meanwhile. */
+    private void connect(Front front, Request request, boolean resent) {
         front.bootstrap.connect(front.address).addListener((ChannelFuture connected) -> {
             if (connected.isSuccess()) {
-                connected.channel().pipeline().get(Connection.class).send(request);
+                connected.channel().pipeline().get(Connection.class).send(request, resent);
+                return;
+            }
+            front.downUntil = clock.getAsLong() + DOWN_FOR;
+            if (resent) {
+                ledger.unanswered(request.id(), clock.getAsLong());
             } else {
-                front.downUntil = clock.getAsLong() + DOWN_FOR;
-                again(want, 20);
+                ledger.unreached(request.id());
+                again(request.want(), 20);
             }
         });
     }
 
+    private String newId() {
+        return String.format("%016x", random.nextLong() & ~0xffffffL | number++ & 0xffffffL);
+    }
+
     private void again(Want want, long delayMs) {
         long left = want.cls.giveUpMs() - (clock.getAsLong() - want.since) / 1_000 - delayMs;
         if (want.tries <= MOST_RETRIES && left > 10) {
@@ -181,14 +199,21 @@
         }
     }
 
-    /** One try of a want. */
-    private record Request(Want want, String id) { }
+    /** One try of a want, begun at a time of the clock. */
+    private record Request(Want want, String id, long at, long budgetMs) {
+        long deadline() {
+            return at + budgetMs * 1_000;
+        }
+    }
 
     /** A connection to a balancer, and the request on it. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final Front front;
         private Channel channel;
         private Request current;
+        /** What is on it now was first sent on another one. */
+        private boolean resent;
+        private int answered;
 
         Connection(Front front) {
             this.front = front;
@@ -199,19 +224,19 @@
             channel = ctx.channel();
         }
 
-        void send(Request request) {
+        void send(Request request, boolean again) {
             Want want = request.want();
             current = request;
-            long now = clock.getAsLong();
-            long budgetMs = Math.max(10, want.cls.giveUpMs() - (now - want.since) / 1_000);
+            resent = again;
+            long budgetMs = Math.max(1, (request.deadline() - clock.getAsLong()) / 1_000);
             boolean free = want.cls.repeat().equals("free");
             FullHttpRequest http = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
                     free ? HttpMethod.GET : HttpMethod.POST, "/api?obj=" + want.key,
                     free ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(new byte[BODY]));
             http.headers().set(HttpHeaderNames.HOST, "origin.svc").set("X-Call-Id", request.id())
                     .set("X-Call-Class", want.cls.name()).set("X-Budget-Ms", budgetMs);
-            if (want.cls.keyed()) {
-                http.headers().set("Idempotency-Key", "k-" + request.id());
+            if (want.idempotencyKey != null) {
+                http.headers().set("Idempotency-Key", want.idempotencyKey);
             }
             if (want.tries > 1) {
                 http.headers().set("X-Again", "1");
@@ -219,7 +244,6 @@
             if (!free) {
                 http.headers().set(HttpHeaderNames.CONTENT_LENGTH, BODY);
             }
-            ledger.asked(request.id(), want.cls, front.name, now, now + budgetMs * 1_000);
             channel.writeAndFlush(http);
             loop.schedule(() -> {
                 if (current == request) {
@@ -236,6 +260,7 @@
             }
             Request done = current;
             current = null;
+            answered++;
             int status = response.status().code();
             boolean fits = status != 200 || ByteBufUtil.getBytes(response.content()).length > 0
                     && response.content().toString(StandardCharsets.UTF_8).equals("done " + done.id());
@@ -255,11 +280,25 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             front.idle.remove(this);
-            if (current != null) {
-                Request lost = current;
-                current = null;
-                ledger.unanswered(lost.id(), clock.getAsLong());
+            Request open = current;
+            current = null;
+            if (open == null) {
+                return;
             }
+            if (crossedItsEnd(open)) {
+                connect(front, open, true);
+            } else {
+                ledger.unanswered(open.id(), clock.getAsLong());
+            }
+        }
+
+        /**
+         * PROTOCOL, "Clients to balancers": a balancer may close a connection between requests; a request that crosses
+         * this is sent once more, with its id, and only a second end counts. A balancer that read the first and had it
+         * run shows all the same: by a second effect under one id.
+         */
+        private boolean crossedItsEnd(Request open) {
+            return answered > 0 && !resent && !ledger.isDead(front.name) && clock.getAsLong() < open.deadline();
         }
 
         @Override
--- a/src/main/java/sedgeyoke/standin/Ledger.java
+++ b/src/main/java/sedgeyoke/standin/Ledger.java
@@ -24,6 +24,8 @@
     private final Map<String, Map<String, Long>> closedAt = new HashMap<>();
     private final Map<String, Long> byBalancer = new HashMap<>();
     private final Set<String> dead = new HashSet<>();
+    /** Effects by idempotency key: all tries of one want are to have one. */
+    private final Map<String, Integer> effectsByKey = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
     private final Map<Integer, Integer> byRule = new TreeMap<>();
     private final Map<String, Integer> answers = new TreeMap<>();
@@ -41,6 +43,7 @@
     /** One request of a client; a retry is another one. */
     private static final class Entry {
         final WorkClass cls;
+        final String key;
         final String balancer;
         final long at;
         final long deadline;
@@ -48,8 +51,9 @@
         boolean flagged;
         Answer answer;
 
-        Entry(WorkClass cls, String balancer, long at, long deadline) {
+        Entry(WorkClass cls, String key, String balancer, long at, long deadline) {
             this.cls = cls;
+            this.key = key;
             this.balancer = balancer;
             this.at = at;
             this.deadline = deadline;
@@ -100,12 +104,17 @@
         asked += cls.worth();
     }
 
-    /** A request goes to a balancer. */
-    void asked(String id, WorkClass cls, String balancer, long now, long deadline) {
-        entries.put(id, new Entry(cls, balancer, now, deadline));
+    /** A request goes to a balancer; {@code key} is its idempotency key, or null. */
+    void asked(String id, WorkClass cls, String key, String balancer, long now, long deadline) {
+        entries.put(id, new Entry(cls, key, balancer, now, deadline));
         byBalancer.merge(balancer, 1L, Long::sum);
     }
 
+    /** No connection came up for it: nobody was asked. */
+    void unreached(String id) {
+        byBalancer.merge(entries.remove(id).balancer, -1L, Long::sum);
+    }
+
     /** Its answer is whole; {@code firstAsked} is when the client first wanted it. */
     void answered(String id, Answer answer, boolean bodyFits, long firstAsked, long now) {
         Entry e = entries.get(id);
@@ -151,6 +160,11 @@
         dead.add(balancer);
     }
 
+    /** Whether it was killed and is not back. */
+    boolean isDead(String balancer) {
+        return dead.contains(balancer);
+    }
+
     /** It is back. */
     public void back(String balancer) {
         dead.remove(balancer);
@@ -193,8 +207,11 @@
     void ran(String id, String node) {
         Entry e = entries.get(id);
         e.effects++;
+        int ofKey = e.key == null ? 0 : effectsByKey.merge(e.key, 1, Integer::sum);
         if (e.effects > 1 && !e.cls.repeat().equals("free")) {
             violation(2, id + " took effect again at " + node);
+        } else if (ofKey > 1) {
+            violation(2, id + " took effect at " + node + " after another try of " + e.key + " had");
         }
         if (e.answer == Answer.REFUSED && !e.cls.repeat().equals("free")) {
             e.flagged = true;
--- a/src/main/java/sedgeyoke/standin/OrderNode.java
+++ b/src/main/java/sedgeyoke/standin/OrderNode.java
@@ -54,6 +54,8 @@
     private boolean fallen;
     private int working;
     private long busyTime;
+    /** Core time that was worked since the start, whether or not it counted in a report. */
+    private long busyTotal;
     private long measuredAt;
     private double reportedUtil;
     private int reportedQueue;
@@ -101,6 +103,11 @@
         return reportedUtil;
     }
 
+    /** Core time worked since the start, in microseconds; a share of the time of all its cores is its utilisation. */
+    long worked() {
+        return busyTotal;
+    }
+
     String address() {
         return "127.0.0.1:" + port;
     }
@@ -248,6 +255,7 @@
         }
         working--;
         busyTime += took;
+        busyTotal += took;
         serviceMs += 0.1 * (took / 1e3 - serviceMs);
         FullHttpResponse answer = Http.answer(200, "done " + job.id());
         report(answer);
--- a/src/main/java/sedgeyoke/standin/Site.java
+++ b/src/main/java/sedgeyoke/standin/Site.java
@@ -89,6 +89,20 @@
         run(() -> clients.zoneShare(zone, share));
     }
 
+    /**
+     * Core time that all nodes have worked since their start, in microseconds. Its growth over a time, over the cores'
+     * own time, is the true utilisation: warm keys and cold nodes make it unlike the load that was asked for.
+     */
+    public long worked() {
+        return ask(() -> inOrder.stream().mapToLong(OrderNode::worked).sum());
+    }
+
+    /** The share of all core time that was worked since {@code worked} and {@code at} were read. */
+    public double utilisationSince(long worked, long at) {
+        int cores = spec.nodes().stream().mapToInt(SiteSpec.NodeSpec::cores).sum();
+        return (worked() - worked) / (double) Math.max(1, (now() - at) * cores);
+    }
+
     /** What the site is made of. */
     public SiteSpec spec() {
         return spec;
--- a/src/test/java/sedgeyoke/standin/LedgerTest.java
+++ b/src/test/java/sedgeyoke/standin/LedgerTest.java
@@ -18,7 +18,7 @@
 
     private void ask(String id, WorkClass cls) {
         ledger.wanted(cls);
-        ledger.asked(id, cls, "b1", 0, 500 * MS);
+        ledger.asked(id, cls, null, "b1", 0, 500 * MS);
     }
 
     private void assertBroken(Map<Integer, Integer> rules) {
@@ -75,6 +75,15 @@
         assertBroken(Map.of(2, 3));
     }
 
+    @Test
+    void aSecondEffectOfOneKeyBreaksTheSecondRule() {
+        for (String id : List.of("1", "2")) {
+            ledger.asked(id, KEYED, "k", "b1", 0, 500 * MS);
+            ledger.ran(id, "n");
+        }
+        assertBroken(Map.of(2, 1));
+    }
+
     @Test
     void aRequestThatNoClientSentBreaksTheSecondRule() {
         ledger.arrived("invented", "n", 1);
