--- /dev/null
+++ b/bench/src/BodiesCost.java
@@ -0,0 +1,389 @@
+package sedgeyoke.drill;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Short requests and 64 MB bodies through one core, in turn: the balancer with and without [bodies], the program of
+ * another
+ * checkout (BodiesCost SECONDS ROUNDS [CHECKOUT]), and a Netty relay that parses nothing, as the limit.
+ */
+public final class BodiesCost {
+    private static final int LONG = 64 << 20;
+    private static final int SHORT = 200;
+    private static final int CONNECTIONS = 32;
+    private static final int LONG_CONNECTIONS = 4;
+    private static final int NODES = 12;
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final EventLoopGroup LOOPS = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
+    private static final byte[] BLOCK = new byte[64 << 10];
+
+    private BodiesCost() { }
+
+    /** Something that passes requests on. */
+    private record Through(String name, ProgramProcess process, InetSocketAddress address) { }
+
+    private enum Load { SHORT, UP, DOWN }
+
+    public static void main(String[] args) throws Exception {
+        int seconds = args.length > 0 ? Integer.parseInt(args[0]) : 5;
+        int rounds = args.length > 1 ? Integer.parseInt(args[1]) : 5;
+        Path folder = Files.createTempDirectory("bodies-cost");
+        List<Channel> nodes = new ArrayList<>();
+        for (int i = 0; i < NODES; i++) {
+            nodes.add(server(new Node0()));
+        }
+        List<Through> all = new ArrayList<>();
+        try {
+            all.add(relay(folder, port(nodes.get(0))));
+            all.add(balancer(folder, "off", ProgramProcess.home(), nodes, ""));
+            all.add(balancer(folder, "on", ProgramProcess.home(), nodes, "[bodies]\nenabled = true\n"
+                    + (args.length > 3 ? args[3].replace(';', '\n') + "\n" : "")));
+            if (args.length > 2 && !args[2].equals("-")) {
+                all.add(balancer(folder, "before", Path.of(args[2]), nodes, ""));
+            }
+            Map<String, List<double[]>> figures = new LinkedHashMap<>();
+            for (int round = -1; round < rounds; round++) { // the first is for warming up
+                for (Through t : all) {
+                    for (Load load : Load.values()) {
+                        boolean passes = load == Load.SHORT || t.name.equals("relay") || t.name.equals("on");
+                        if (!passes) {
+                            continue;
+                        }
+                        double[] figure = measure(t, load, seconds);
+                        if (round >= 0) {
+                            figures.computeIfAbsent(t.name + " " + load, k -> new ArrayList<>()).add(figure);
+                        }
+                    }
+                }
+            }
+            figures.forEach((name, f) -> {
+                double rate = median(f, 0);
+                double cpu = median(f, 1);
+                String unit = name.endsWith("SHORT") ? "%.0f requests/s, %.1f us of processor time each"
+                        : "%.0f MB/s, %.2f s of processor time a GB";
+                System.out.printf(Locale.ROOT, "%-14s " + unit + "%n", name,
+                        name.endsWith("SHORT") ? rate : rate / 1e6, name.endsWith("SHORT") ? cpu * 1e6 : cpu * 1e9);
+            });
+            ObjectNode json = JSON.createObjectNode();
+            ratio(json, figures, "short_cpu_on_to_relay", "on SHORT", "relay SHORT", 1);
+            ratio(json, figures, "short_cpu_off_to_before", "off SHORT", "before SHORT", 1);
+            ratio(json, figures, "short_cpu_on_to_before", "on SHORT", "before SHORT", 1);
+            ratio(json, figures, "up_rate_to_relay", "on UP", "relay UP", 0);
+            ratio(json, figures, "down_rate_to_relay", "on DOWN", "relay DOWN", 0);
+            System.out.println(json);
+        } finally {
+            all.forEach(t -> t.process.close());
+            LOOPS.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    private static double median(List<double[]> figures, int index) {
+        double[] sorted = figures.stream().mapToDouble(f -> f[index]).sorted().toArray();
+        return sorted[sorted.length / 2];
+    }
+
+    private static void ratio(ObjectNode json, Map<String, List<double[]>> figures, String name, String a, String b,
+            int index) {
+        if (figures.containsKey(a) && figures.containsKey(b)) {
+            json.put(name, Math.round(1e3 * median(figures.get(a), index) / median(figures.get(b), index)) / 1e3);
+        }
+    }
+
+    // ---- What is measured ----------------------------------------------------------------------------
+
+    /** Rate (requests or bytes a second) and processor seconds for each request or byte. */
+    private static double[] measure(Through t, Load load, int seconds) throws Exception {
+        AtomicLong done = new AtomicLong();
+        List<Channel> clients = new ArrayList<>();
+        for (int i = 0; i < (load == Load.SHORT ? CONNECTIONS : LONG_CONNECTIONS); i++) {
+            Client client = new Client(load, done);
+            clients.add(new Bootstrap().group(LOOPS).channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true).handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel ch) {
+                            ch.pipeline().addLast(new HttpClientCodec(), client);
+                        }
+                    }).connect(t.address).sync().channel());
+        }
+        Thread.sleep(500);
+        long before = done.get();
+        double cpu = t.process.cpuSeconds();
+        long at = System.nanoTime();
+        Thread.sleep(seconds * 1_000L);
+        long count = done.get() - before;
+        double took = (System.nanoTime() - at) / 1e9;
+        double used = t.process.cpuSeconds() - cpu;
+        for (Channel c : clients) {
+            c.close().sync();
+        }
+        Thread.sleep(200);
+        return new double[] {count / took, used / Math.max(1, count)};
+    }
+
+    /** Asks again as soon as it is answered; counts requests, or bytes of bodies. */
+    private static final class Client extends SimpleChannelInboundHandler<HttpObject> {
+        private static final AtomicLong IDS = new AtomicLong();
+        private final Load load;
+        private final AtomicLong done;
+        private long left;
+
+        Client(Load load, AtomicLong done) {
+            this.load = load;
+            this.done = done;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            ask(ctx);
+        }
+
+        private void ask(ChannelHandlerContext ctx) {
+            left = load == Load.UP ? LONG : SHORT;
+            HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/api?obj=" + load);
+            head.headers().set("Host", "x").set("X-Call-Id", "b" + IDS.incrementAndGet())
+                    .set("X-Call-Class", "trade-confirm").set("X-Budget-Ms", 60_000).set("Content-Length", left);
+            ctx.write(head);
+            go(ctx);
+        }
+
+        private void go(ChannelHandlerContext ctx) {
+            while (left > 0 && ctx.channel().isWritable()) {
+                int n = (int) Math.min(left, BLOCK.length);
+                left -= n;
+                ctx.write(new DefaultHttpContent(Unpooled.wrappedBuffer(BLOCK, 0, n))).addListener(f -> {
+                    if (load == Load.UP && f.isSuccess()) {
+                        done.addAndGet(n);
+                    }
+                });
+                if (left == 0) {
+                    ctx.write(LastHttpContent.EMPTY_LAST_CONTENT);
+                }
+            }
+            ctx.flush();
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            go(ctx);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+            if (message instanceof HttpResponse r && r.status().code() != 200) {
+                System.err.println("answered with " + r.status());
+            }
+            if (message instanceof HttpContent content) {
+                if (load == Load.DOWN) {
+                    done.addAndGet(content.content().readableBytes());
+                }
+                if (content instanceof LastHttpContent) {
+                    if (load == Load.SHORT) {
+                        done.incrementAndGet();
+                    }
+                    ask(ctx);
+                }
+            }
+        }
+    }
+
+    /** Answers at once; DOWN with a long body. */
+    @io.netty.channel.ChannelHandler.Sharable
+    private static final class Node0 extends SimpleChannelInboundHandler<HttpObject> {
+        private static final io.netty.util.AttributeKey<long[]> LEFT = io.netty.util.AttributeKey.valueOf("left");
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+            if (message instanceof HttpRequest r) {
+                ctx.channel().attr(LEFT).set(new long[] {r.uri().endsWith("DOWN") ? LONG : 2});
+            }
+            if (message instanceof LastHttpContent) {
+                HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+                head.headers().set("Content-Length", ctx.channel().attr(LEFT).get()[0]);
+                ctx.write(head);
+                go(ctx);
+            }
+        }
+
+        private static void go(ChannelHandlerContext ctx) {
+            long[] left = ctx.channel().attr(LEFT).get();
+            while (left != null && left[0] > 0 && ctx.channel().isWritable()) {
+                int n = (int) Math.min(left[0], BLOCK.length);
+                left[0] -= n;
+                ctx.write(new DefaultHttpContent(Unpooled.wrappedBuffer(BLOCK, 0, n)));
+                if (left[0] == 0) {
+                    ctx.write(LastHttpContent.EMPTY_LAST_CONTENT);
+                }
+            }
+            ctx.flush();
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            go(ctx);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    private static Channel server(Node0 handler) {
+        return new ServerBootstrap().group(LOOPS).channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ch.pipeline().addLast(new HttpServerCodec(), handler);
+                    }
+                }).bind(InetAddress.getLoopbackAddress(), 0).syncUninterruptibly().channel();
+    }
+
+    private static int port(Channel listener) {
+        return ((InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    // ---- What it goes through ------------------------------------------------------------------------
+
+    private static Through balancer(Path folder, String name, Path home, List<Channel> nodes, String operator)
+            throws IOException, InterruptedException {
+        StringBuilder members = new StringBuilder();
+        for (int i = 0; i < NODES; i++) {
+            members.append(i == 0 ? "" : ",").append("{\"id\":\"n").append(i).append("\",\"host_port\":\"127.0.0.1:")
+                    .append(port(nodes.get(i))).append("\",\"locality\":\"kagoshima\",\"flavor\":\"fast\",\"cell\":0,"
+                    + "\"phase\":\"up\",\"size\":1.0,\"up_since_ms\":0}");
+        }
+        int nowhere;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            nowhere = free.getLocalPort();
+        }
+        ObjectNode configuration = (ObjectNode) JSON.readTree(Sites.orders(NODES).configuration(name, "127.0.0.1:0",
+                "127.0.0.1:" + nowhere, 0, 0, 1, 7));
+        configuration.withObject("/known").put("revision", 1).set("members", JSON.readTree("[" + members + "]"));
+        Path json = Files.writeString(folder.resolve(name + ".json"), configuration.toString());
+        List<String> command = new ArrayList<>(List.of(home.resolve("bin/sedgeyoke").toString(), "serve"));
+        if (!operator.isEmpty()) {
+            command.addAll(List.of("--config", Files.writeString(folder.resolve(name + ".toml"), operator).toString()));
+        }
+        return start(folder, name, Map.of("BALANCER_CONFIG", json.toString()), command);
+    }
+
+    /** The relay under the options of 'run', so that the machine below is the same. */
+    private static Through relay(Path folder, int port) throws IOException, InterruptedException {
+        String run = Files.readAllLines(ProgramProcess.home().resolve("deploy/balancer.toml")).stream()
+                .filter(l -> l.startsWith("run = ")).findFirst().orElseThrow();
+        List<String> command = new ArrayList<>(List.of("java"));
+        Arrays.stream(run.split(" ")).filter(w -> w.startsWith("-X") && !w.contains("hare") || w.startsWith("-D"))
+                .forEach(command::add);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), Relay.class.getName(), "" + port));
+        return start(folder, "relay", Map.of(), command);
+    }
+
+    private static Through start(Path folder, String name, Map<String, String> environment, List<String> command)
+            throws IOException, InterruptedException {
+        List<String> pinned = new ArrayList<>(List.of("taskset", "-c", "7"));
+        pinned.addAll(command);
+        ProgramProcess process = ProgramProcess.of(folder.resolve(name + ".log"), environment, pinned);
+        process.start();
+        return new Through(name, process, new InetSocketAddress(InetAddress.getLoopbackAddress(), process.port()));
+    }
+
+    /** Bytes from one socket to another, with back pressure, on one loop. */
+    public static final class Relay extends ChannelInboundHandlerAdapter {
+        private final Channel to;
+
+        private Relay(Channel to) {
+            this.to = to;
+        }
+
+        public static void main(String[] args) {
+            EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+            InetSocketAddress target = new InetSocketAddress(InetAddress.getLoopbackAddress(),
+                    Integer.parseInt(args[0]));
+            Channel listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                    .childOption(ChannelOption.AUTO_READ, false).childOption(ChannelOption.TCP_NODELAY, true)
+                    .childHandler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel client) {
+                            new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                                    .option(ChannelOption.TCP_NODELAY, true).handler(new Relay(client))
+                                    .connect(target).addListener((ChannelFuture connected) -> {
+                                        client.pipeline().addLast(new Relay(connected.channel()));
+                                        client.config().setAutoRead(true);
+                                    });
+                        }
+                    }).bind(InetAddress.getLoopbackAddress(), 0).syncUninterruptibly().channel();
+            System.err.println("relay listens on " + listener.localAddress());
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            to.write(message);
+            if (!to.isWritable()) {
+                ctx.channel().config().setAutoRead(false);
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            to.flush();
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            to.config().setAutoRead(ctx.channel().isWritable());
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            to.close();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- a/src/main/java/sedgeyoke/body/BodyLimits.java
+++ b/src/main/java/sedgeyoke/body/BodyLimits.java
@@ -11,23 +11,24 @@
  * @param longestUpload a body may take that long, however fast it comes
  * @param longestStill an answer that has begun, or a client that reads one, may stand still for so long
  * @param longestBody bytes of a body in either direction
+ * @param socketBuffer what the kernel is asked to hold for a socket and direction; 0 leaves it to the system
  */
 public record BodyLimits(boolean streaming, int ceiling, long total, long leastRate, long rateWindow,
-        long longestUpload, long longestStill, long longestBody) {
+        long longestUpload, long longestStill, long longestBody, int socketBuffer) {
     private static final int PLATFORM_REQUEST = 64 * 1024;
-    private static final int READ = 16 * 1024;
+    private static final int MOST_READ = 16 * 1024;
 
     /** The platform's: bodies of 64 KiB, 2 s for a request and for reading its answer, and nothing passed through. */
     public static final BodyLimits PLATFORM = new BodyLimits(false, PLATFORM_REQUEST, 0, 0, 2_000_000, 2_000_000,
-            2_000_000, PLATFORM_REQUEST);
+            2_000_000, PLATFORM_REQUEST, 0);
 
     /** Bytes that are gathered before a request goes on in parts: one more read must still fit under the ceiling. */
     public int gathered() {
-        return streaming ? ceiling - READ : ceiling;
+        return streaming ? ceiling - read() : ceiling;
     }
 
-    /** What a long request is counted with against the total: it may hold its ceiling in each direction. */
-    public long reserved() {
-        return 2L * ceiling;
+    /** The most that one read may bring. */
+    public int read() {
+        return Math.min(MOST_READ, ceiling / 4);
     }
 }
--- a/src/main/java/sedgeyoke/cli/Drill.java
+++ b/src/main/java/sedgeyoke/cli/Drill.java
@@ -5,6 +5,7 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import sedgeyoke.drill.BodiesDrill;
 import sedgeyoke.drill.PlannersDrill;
 
 /** {@code drill NAME}: measures what the product promises, against stand-ins. */
@@ -41,6 +42,24 @@
                 json ? new PrintWriter(PrintWriter.nullWriter()) : out).run());
     }
 
+    @Command(name = "bodies", mixinStandardHelpOptions = true, description = {
+        "Long bodies both ways through one balancer: half of the pairs have a client that trickles, half a node.",
+        "Ends with 0 if every pair is whole at both ends and memory stays flat under its ceiling."})
+    int bodies(
+            @Option(names = "--pairs", defaultValue = "1000", description = "default: ${DEFAULT-VALUE}") int pairs,
+            @Option(names = "--seconds", defaultValue = "60", description = "default: ${DEFAULT-VALUE}") int seconds,
+            @Option(names = "--seed", defaultValue = "1", description = "default: ${DEFAULT-VALUE}") long seed,
+            @Option(names = "--off", description = "leaves [bodies] off, to compare") boolean off,
+            @Option(names = "--json", description = "nothing but the last line") boolean json) throws Exception {
+        if (seconds < 5 || seconds > 3_600 || pairs < 1 || pairs > 1_200) {
+            throw new CommandLine.ParameterException(spec.commandLine(),
+                    "--seconds must lie from 5 to 3600, --pairs from 1 to 1200");
+        }
+        PrintWriter out = spec.commandLine().getOut();
+        return conclude(out, new BodiesDrill(pairs, seconds, seed, !off,
+                json ? new PrintWriter(PrintWriter.nullWriter()) : out).run());
+    }
+
     private static int conclude(PrintWriter out, ObjectNode figures) {
         out.println(figures);
         out.flush();
--- a/src/main/java/sedgeyoke/decide/Balancer.java
+++ b/src/main/java/sedgeyoke/decide/Balancer.java
@@ -28,6 +28,13 @@
     /** A streamed answer has begun; the attempt belongs to the client from now on. */
     void opened(long now, String request, int attempt);
 
+    /**
+     * From now on an attempt is a transfer, at the pace of whoever is slower: its body goes out in parts, or its answer
+     * has begun and is not whole yet. It takes a connection of the upstream, and none of its work that we could count:
+     * what a kernel still holds of a body hides when the upstream has it all.
+     */
+    void transfers(long now, String request, int attempt);
+
     /** The client has left; nothing is owed for this request any more. */
     void clientGone(long now, String request);
 
@@ -122,9 +129,18 @@
     /** One upstream as the list names it; {@code launchedAt} 0 means long ago. */
     record Upstream(String id, int zone, int kind, int cell, State state, double rating, long launchedAt) { }
 
-    /** A request; {@code expectedWork} is 0 without a hint, {@code key} null without a key. */
+    /**
+     * A request; {@code expectedWork} is 0 without a hint, {@code key} null without a key. {@code coming} says that its
+     * body is still on the way: an upstream begins its work when the client is done, whenever that is.
+     */
     record Request(String id, int classIndex, int tenant, String key, long expectedWork, long timeLeft,
-            boolean write, boolean retry) { }
+            boolean write, boolean retry, boolean coming) {
+        /** A request that is whole. */
+        public Request(String id, int classIndex, int tenant, String key, long expectedWork, long timeLeft,
+                boolean write, boolean retry) {
+            this(id, classIndex, tenant, key, expectedWork, timeLeft, write, retry, false);
+        }
+    }
 
     /** The end of an attempt; {@code concluded} says that the request needs no further answer. */
     record AttemptEnd(String request, int attempt, String upstream, Outcome outcome, long took,
--- a/src/main/java/sedgeyoke/decide/Policy.java
+++ b/src/main/java/sedgeyoke/decide/Policy.java
@@ -90,6 +90,8 @@
     private static final double COLD_CARE = 0.5;
     /** Least size of a cold upstream's bucket, in mean requests; a dearer request does not go there. */
     private static final double COLD_COST = 1.2;
+    /** What a transfer counts in the pick, beside a request at work: a connection, no core. */
+    private static final double TRANSFER_COST = 0.1;
     /** How far our in-flight limit follows the planned one, as an exponent on their ratio. */
     private static final double PLANNED_LIMIT = 0.5;
     /** A request is given up a sweep and this long before its time: later, its answer counts as lost. */
@@ -152,7 +154,9 @@
     private static final class Up {
         final String id;
         Upstream entry;
+        /** Attempts that it may be working on, and beside them those that are transfers. */
         int inFlight;
+        int transfers;
         int streams;
         double workInFlight;
         double logWeight;
@@ -201,6 +205,7 @@
         boolean outstanding = true;
         boolean mayHaveRun = true;
         boolean streaming;
+        boolean transfer;
 
         Try(Up up, long sentAt) {
             this.up = up;
@@ -423,6 +428,9 @@
             up.ejectedUntil = 0;
             up.ejection = FIRST_EJECTION;
             up.errors *= 1 - SMOOTH;
+            if (r.request.coming()) {
+                return; // since its last byte went out, buffers took as much time as the upstream
+            }
             up.took = smooth(up.took, end.took(), SMOOTH);
             typicalTook = smooth(typicalTook, end.took(), SMOOTH_ALL);
             adjustLimit(up, t, waitOf(up, r, end.took(), now), r.cls.aim(), now);
@@ -430,6 +438,9 @@
             int c = r.request.classIndex();
             classTook[c] = smooth(classTook[c], end.took(), SMOOTH_ALL);
         } else if (end.outcome() == Outcome.TIMEOUT || end.outcome() == Outcome.CANCELLED) {
+            if (r.request.coming()) {
+                return;
+            }
             // No answer in all that time is the longest waiting there is; the work may still run there.
             adjustLimit(up, t, end.took() - ownService(r, up.least), r.cls.aim(), now);
             rest(up, end.took(), now);
@@ -539,7 +550,8 @@
 
     /** In flight, half by count and half by hinted work in mean requests: one heavy request holds up many. */
     private double loadUnits(Up up) {
-        return (up.inFlight + Math.max(0, up.workInFlight) / Math.max(meanCost, 1)) / 2;
+        double atWork = (up.inFlight + Math.max(0, up.workInFlight) / Math.max(meanCost, 1)) / 2;
+        return atWork + TRANSFER_COST * up.transfers;
     }
 
     private boolean hasRoom(Up up, long now) {
@@ -640,14 +652,33 @@
         Try t = new Try(up, now);
         r.tries.add(t);
         r.outstanding++;
-        up.inFlight++;
+        atWork(t, r, 1);
         t.limited = up.limit < 1 ? now - up.restUntil < up.took : up.inFlight + 1 > up.limit;
-        up.workInFlight += r.cost;
         up.sent++;
         up.cold.spend(coldCharge(r));
         out.send(r.request.id(), up.id, 0);
     }
 
+    /** Counts an attempt in (1) or off (-1), as work or as a transfer. */
+    private static void atWork(Try t, Req r, int sign) {
+        t.up.transfers += t.transfer ? sign : 0;
+        t.up.inFlight += t.transfer ? 0 : sign;
+        t.up.workInFlight += t.transfer ? 0 : sign * r.cost;
+        t.up.streams += t.streaming && !t.transfer ? sign : 0;
+    }
+
+    @Override
+    public void transfers(long now, String request, int attempt) {
+        Req r = open.get(request);
+        Try t = r == null || attempt < 0 || attempt >= r.tries.size() ? null : r.tries.get(attempt);
+        if (t != null && t.outstanding && !t.transfer) {
+            atWork(t, r, -1);
+            t.transfer = true;
+            atWork(t, r, 1);
+            pump(now);
+        }
+    }
+
     @Override
     public void outcome(long now, AttemptEnd end) {
         Up up = byId.get(end.upstream());
@@ -663,13 +694,11 @@
             t.outstanding = false;
             r.outstanding--;
             t.mayHaveRun = !end.outcome().neverRan;
-            t.up.inFlight--;
-            t.up.streams -= t.streaming ? 1 : 0;
-            t.up.workInFlight -= r.cost;
+            atWork(t, r, -1);
             noteOutcome(t.up, r, t, end, now);
             if (end.outcome() == Outcome.FULL) {
                 steerAdmission(1.5);
-            } else if (!end.outcome().neverRan) {
+            } else if (!end.outcome().neverRan && !r.request.coming()) {
                 steerAdmission((double) end.took() / r.cls.aim());
             }
         }
@@ -862,14 +891,15 @@
      * A cold upstream takes fallMultiple times its capacity at most. Our part is a share of that multiple of
      * its even part of our traffic: over all balancers this sums to the capacity, however uneven traffic is
      * and soon after a restart too. The bucket starts at random, or all would send a first request at once.
-     * Where planners run, balancers lend these parts to each other; no planner ever makes a new one.
+     * Where planners run, balancers lend these parts to each other; no planner ever makes a new one. A body
+     * that is still coming is not sent there: its work would come whenever its client likes, many at once.
      */
     private boolean coldRoom(Up up, Req r, long now) {
         if (warmth(up, now) >= 1) {
             return true;
         }
         refillCold(up, now);
-        return up.cold.tokens() >= coldCharge(r);
+        return !r.request.coming() && up.cold.tokens() >= coldCharge(r);
     }
 
     private double coldRate(Up up, long now) {
--- a/src/main/java/sedgeyoke/drill/PlannersDrill.java
+++ b/src/main/java/sedgeyoke/drill/PlannersDrill.java
@@ -52,7 +52,7 @@
     private enum Mode { FAILING, QUIET, NONE }
 
     /** A run's figures, the true utilisation of its nodes, and the first rules broken in words. */
-    private record Played(Ledger.Summary summary, double utilisation, List<String> violations) { }
+    private record Played(Ledger.Summary summary, double utilisation, double stalledMs, List<String> violations) { }
 
     /** Prints what happens to {@code out}; {@code load} is asked for as a share of what nodes with cold keys carry. */
     public PlannersDrill(int seconds, long seed, double load, PrintWriter out) {
@@ -88,7 +88,8 @@
                 .put("cold_peak_share_of_budget", round(coldPeak)).put("planner_kills", kills)
                 .put("requests", failing.requests()).put("p99_ms", round(failing.p99Ms()))
                 .put("p99_ms_no_planners", round(none.p99Ms())).put("load", load)
-                .put("utilisation", round(played.get(0).utilisation()));
+                .put("utilisation", round(played.get(0).utilisation())).put("judge_stalled_ms",
+                        round(played.stream().mapToDouble(Played::stalledMs).max().orElse(0)));
         ArrayNode broken = figures.putArray("violations");
         for (Mode mode : Mode.values()) {
             played.get(mode.ordinal()).violations().stream().limit(MOST_VIOLATIONS - broken.size())
@@ -157,7 +158,7 @@
             List<String> violations = site.ask(site.ledger()::violations);
             violations.forEach(v -> System.err.println(mode.toString().toLowerCase(Locale.ROOT) + ": " + v));
             proxies.forEach(ways -> ways.forEach(FaultProxy::close));
-            return new Played(summary, utilisation, violations);
+            return new Played(summary, utilisation, site.ask(site.ledger()::stalledMs), violations);
         } finally {
             planners.forEach(ProgramProcess::close);
             forwarders.forEach(ProgramProcess::close);
@@ -179,7 +180,8 @@
         out.flush();
     }
 
-    private static void deleteUnlessAsked(Path folder) throws IOException {
+    /** Files of a run, kept where the system property {@code sedgeyoke.keep} is true. */
+    static void deleteUnlessAsked(Path folder) throws IOException {
         if (Boolean.getBoolean("sedgeyoke.keep")) {
             return;
         }
--- a/src/main/java/sedgeyoke/net/Attempt.java
+++ b/src/main/java/sedgeyoke/net/Attempt.java
@@ -17,8 +17,10 @@
     boolean ended;
     /** Since when the upstream has had the whole request: its start, or the last byte of a long body. */
     long askedAt;
-    /** When the first part of an answer that is passed on as it comes was here; 0 for none. */
-    long begunAt;
+    /** When the first part of a long or slow answer was here; 0 for none. */
+    long answeringSince;
+    /** Whether its answer is being passed on. */
+    boolean begun;
     /** Until the end proves the opposite. */
     boolean mayHaveRun = true;
     /** Ends the attempt at a time-out of its own; null if it may wait as long as the call. */
--- a/src/main/java/sedgeyoke/net/Frontend.java
+++ b/src/main/java/sedgeyoke/net/Frontend.java
@@ -15,7 +15,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.ServerChannel;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -76,8 +75,6 @@
     private static final long SILENT_FOR = 100_000;
     private static final int LEAST_READ = 512;
     private static final int FIRST_READ = 2_048;
-    /** The most that a client may have us read in one go: as many requests as fit may have to wait their turn. */
-    private static final int MOST_READ = 16_384;
     private static final Pattern NUMBER = Pattern.compile("[0-9]{1,12}");
     private static final long LONGEST_BUDGET_MS = 3_600_000;
     /** Fields that would change how a message is read must not come behind it (RFC 9110, section 6.5.1). */
@@ -112,7 +109,7 @@
 
     Frontend(EventLoop loop, Config config, Node node, Transport transport, BodyLimits limits) {
         this.limits = limits;
-        this.budget = new BodyBudget(limits);
+        this.budget = node.budget();
         this.transport = transport;
         this.loop = loop;
         this.config = config;
@@ -134,11 +131,11 @@
                     @Override
                     protected void initChannel(Channel ch) {
                         ch.config().setRecvByteBufAllocator(
-                                new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, MOST_READ));
+                                // as many requests as one read brings may have to wait their turn
+                                new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, limits.read()));
                         Connection connection = new Connection(ch);
                         if (limits.streaming()) {
-                            ch.config().setWriteBufferWaterMark(new WriteBufferWaterMark(limits.ceiling() / 8,
-                                    limits.ceiling() / 4));
+                            Transport.limit(ch, limits);
                         }
                         ch.pipeline().addLast(new RequestCheck.Decoder(), new HttpResponseEncoder(),
                                 new RequestCheck(connection::fault, limits.longestBody()), connection);
@@ -267,8 +264,8 @@
         private HttpRequest head;
         private RequestBody body;
         private Pace pace;
-        /** Whether its body goes on as it comes, and is counted with the budget. */
-        private boolean counted;
+        /** Bodies that go on as they come, and are counted with the budget. */
+        private int counted;
         /** Where the answer comes from that is passed on as it comes. */
         private AnswerStream.Source answering;
         private Phase phase = Phase.NEW;
@@ -410,7 +407,9 @@
                 pace.came(content.content().readableBytes());
             }
             boolean last = content instanceof LastHttpContent;
-            if (body.add(content.content()) && !beginLong()) {
+            boolean begins = body.add(content.content());
+            budget.holds(body.held());
+            if (begins && !beginLong()) {
                 return;
             }
             if (last) {
@@ -439,16 +438,14 @@
                 refused(node.advice(0));
                 return false;
             }
-            counted = true;
+            counted++;
             take(body);
             return body != null;
         }
 
         private void uncount() {
-            if (counted) {
-                counted = false;
-                budget.release();
-            }
+            budget.release(counted);
+            counted = 0;
         }
 
         /** Ends a request whose rest cannot or will not be read; what has begun to go out never gets its last byte. */
@@ -569,6 +566,10 @@
         @Override
         public AnswerStream.Sink begin(AnswerStream.Head head, AnswerStream.Source source) {
             owed = false;
+            if (counted == 0 || !call.body.finished()) { // else what was kept for the request serves for the answer
+                budget.begun();
+                counted++;
+            }
             call = null;
             answering = source;
             HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
@@ -594,6 +595,7 @@
                     since = node.now(); // it reads on
                 }
             });
+            budget.holds(Transport.pending(channel));
             return channel.isWritable();
         }
 
--- a/src/main/java/sedgeyoke/net/Node.java
+++ b/src/main/java/sedgeyoke/net/Node.java
@@ -1,5 +1,6 @@
 package sedgeyoke.net;
 
+import sedgeyoke.body.BodyBudget;
 import sedgeyoke.body.BodyLimits;
 import sedgeyoke.body.CutRequest;
 import sedgeyoke.decide.Balancer;
@@ -31,6 +32,7 @@
     private static final double UPSTREAM_SHARE = 0.35;
 
     private final BodyLimits bodies;
+    private final BodyBudget budget;
     private final EventLoop loop;
     private final Config config;
     private final Balancer.Settings settings;
@@ -59,12 +61,13 @@
     Node(EventLoop loop, Config config, Transport transport, BodyLimits bodies,
             Function<Balancer.Actions, Balancer> module) {
         this.bodies = bodies;
+        this.budget = new BodyBudget(bodies);
         this.loop = loop;
         this.config = config;
         this.settings = config.facts().settings();
         this.log = new Log(transport.log(), this::now);
         this.pool = new UpstreamPool(loop, transport, this::now, config.facts(),
-                (int) (UPSTREAM_SHARE * config.sockets()), bodies, this, log);
+                (int) (UPSTREAM_SHARE * config.sockets()), bodies, budget, this, log);
         this.discovery = new Discovery(loop, config, transport, this::listed, log);
         this.module = module.apply(this);
     }
@@ -79,6 +82,11 @@
         return log;
     }
 
+    /** What long bodies hold. */
+    BodyBudget budget() {
+        return budget;
+    }
+
     /** Starts with the list as last known, until discovery answers. */
     void start() {
         deliver(null, () -> module.start(now()));
@@ -104,6 +112,14 @@
         return discovery.listed() || !config.known().members().isEmpty() && now() - startedAt > WAIT_FOR_LIST;
     }
 
+    /** The last word on long bodies, where they are on. */
+    void reportBodies() {
+        if (bodies.streaming()) {
+            log.line("bodies: at most " + budget.largest() + " of " + bodies.ceiling()
+                    + " bytes held for one in a direction, " + budget.refused() + " refused for want of room");
+        }
+    }
+
     /** The longest that clients wait for an answer, in microseconds. */
     long longestDeadline() {
         return settings.classes().stream().mapToLong(Balancer.RequestClass::giveUp).max().orElse(0);
@@ -188,7 +204,7 @@
         call.backstop = loop.schedule(() -> expire(call), left - BACKSTOP, TimeUnit.MICROSECONDS);
         Balancer.Request r = call.request;
         deliver(call, () -> module.request(now(), new Balancer.Request(id, r.classIndex(), r.tenant(), r.key(),
-                r.expectedWork(), call.deadline - now(), r.write(), r.retry())));
+                r.expectedWork(), call.deadline - now(), r.write(), r.retry(), call.body.streams())));
     }
 
     /** If a timer is overdue or just was, the loop is late, and what it reads may have waited as long to be read. */
@@ -213,7 +229,7 @@
     }
 
     private void timeOut(Attempt a) {
-        if (!a.ended && a.begunAt == 0) { // an answer that has begun has limits of its own
+        if (!a.ended && !a.begun) { // an answer that has begun has limits of its own
             pool.stop(a, a.written ? Balancer.Outcome.TIMEOUT : Balancer.Outcome.CONNECT_FAILED);
         }
     }
@@ -257,14 +273,16 @@
             return null;
         }
         call.answered = true;
-        a.begunAt = now();
+        a.begun = true;
         bind(a);
+        answering(a);
         return call.reply.begin(head, source);
     }
 
     @Override
     public void taken(Attempt a) {
         bind(a);
+        transfers(a);
     }
 
     /** From here on the attempt is the call's last one, and neither its time-out nor the deadline ends it. */
@@ -275,6 +293,18 @@
         }
     }
 
+    @Override
+    public void answering(Attempt a) {
+        if (a.answeringSince == 0) {
+            a.answeringSince = now();
+            transfers(a);
+        }
+    }
+
+    private void transfers(Attempt a) {
+        deliver(a.call, () -> module.transfers(now(), a.call.request.id(), a.number));
+    }
+
     @Override
     public void asked(Attempt a) {
         Call call = a.call;
@@ -310,7 +340,7 @@
             answer(call, call.reply::failed);
         }
         // Our own lateness is none of the upstream's: the module would take it for a crowd there and send less.
-        long until = a.begunAt > 0 ? a.begunAt : now();
+        long until = a.answeringSince > 0 ? a.answeringSince : now();
         long took = Math.max(0, until - a.askedAt - late());
         Balancer.AttemptEnd end = new Balancer.AttemptEnd(call.request.id(), a.number, a.upstream, outcome,
                 took, call.answered, answer == null ? null : answer.load());
--- a/src/main/java/sedgeyoke/net/RequestBody.java
+++ b/src/main/java/sedgeyoke/net/RequestBody.java
@@ -13,12 +13,14 @@
     private final Source source;
     private final int most;
     private final Gathered kept;
-    private ByteBuf rest = Unpooled.EMPTY_BUFFER;
+    private final Overflow rest = new Overflow();
     private boolean ended;
     private boolean streams;
     private boolean gone;
     private boolean aborted;
     private boolean finished;
+    /** The sink has asked for a pause. */
+    private boolean paused;
     private Sink sink;
 
     /** The client's side: whether to read on. */
@@ -60,28 +62,39 @@
         }
         boolean begins = !streams;
         streams = true;
-        if (sink == null || rest.isReadable()) {
+        if (sink == null || paused || !rest.isEmpty()) {
             hold(part);
             source.read(false);
-        } else if (!sink.part(part)) {
-            source.read(false);
+        } else {
+            pass(part);
         }
         return begins;
     }
 
+    /** True if the sink wants more. */
+    private boolean pass(ByteBuf part) {
+        paused = true; // until it says otherwise: from within, it may do so before it returns
+        if (sink.part(part)) {
+            paused = false;
+        } else if (paused) {
+            source.read(false);
+        }
+        return !paused;
+    }
+
     /** One read's worth that came before the pause took hold. */
     private void hold(ByteBuf part) {
         if (aborted || gone && sink == null) {
             part.release(); // nobody will ever take it
         } else {
-            rest = rest.isReadable() ? Unpooled.wrappedBuffer(rest, part) : part;
+            rest.add(part);
         }
     }
 
     /** The last byte has come. */
     void end() {
         ended = true;
-        if (streams && sink != null && !rest.isReadable()) {
+        if (streams && sink != null && rest.isEmpty()) {
             finish();
         }
     }
@@ -98,7 +111,6 @@
     void abort() {
         aborted = true;
         rest.release();
-        rest = Unpooled.EMPTY_BUFFER;
         if (sink != null && !ended) {
             Sink to = sink;
             sink = null;
@@ -116,6 +128,16 @@
         return ended;
     }
 
+    /** Whether all of it has gone on to an attempt. */
+    boolean finished() {
+        return finished;
+    }
+
+    /** Bytes of it that are held here. */
+    int held() {
+        return kept.size() + rest.size();
+    }
+
     /** The whole body, where it is whole. */
     byte[] bytes() {
         return kept.bytes();
@@ -133,7 +155,7 @@
     void streamTo(Sink to) {
         gone = true;
         sink = to;
-        if (to.part(Unpooled.wrappedBuffer(kept.take()))) {
+        if (pass(Unpooled.wrappedBuffer(kept.take()))) {
             demand();
         }
     }
@@ -143,12 +165,9 @@
         if (sink == null) {
             return;
         }
-        if (rest.isReadable()) {
-            ByteBuf next = rest;
-            rest = Unpooled.EMPTY_BUFFER;
-            if (!sink.part(next)) {
-                return;
-            }
+        paused = false;
+        if (!rest.isEmpty() && !pass(rest.take())) {
+            return;
         }
         if (ended) {
             finish();
@@ -162,7 +181,6 @@
         if (sink == from) {
             sink = null;
             rest.release();
-            rest = Unpooled.EMPTY_BUFFER;
             source.read(true);
         }
     }
--- a/src/main/java/sedgeyoke/net/Server.java
+++ b/src/main/java/sedgeyoke/net/Server.java
@@ -101,7 +101,8 @@
     private void stopListening() {
         frontend.stopListening();
         loop.scheduleWithFixedDelay(() -> {
-            if (node.idle() && frontend.clients() == 0) {
+            if (node.idle() && frontend.clients() == 0 && done.getCount() > 0) {
+                node.reportBodies();
                 done.countDown();
             }
         }, 0, LOOK_EVERY_MS, TimeUnit.MILLISECONDS);
--- a/src/main/java/sedgeyoke/net/Transport.java
+++ b/src/main/java/sedgeyoke/net/Transport.java
@@ -2,8 +2,11 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.local.LocalAddress;
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.local.LocalServerChannel;
@@ -14,6 +17,7 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
+import sedgeyoke.body.BodyLimits;
 
 /** What connections are made of: TCP, or queues inside the process, on which {@link WarmUp} runs the same code. */
 enum Transport {
@@ -65,6 +69,24 @@
 
     private static final int BACKLOG = 1024;
 
+    /**
+     * Bounds what is held for a long body on its way out: in this process by water marks, in the kernel by its
+     * buffers.
+     */
+    static void limit(Channel channel, BodyLimits limits) {
+        channel.config().setWriteBufferWaterMark(new WriteBufferWaterMark(limits.ceiling() / 8, limits.ceiling() / 4));
+        if (limits.socketBuffer() > 0) {
+            channel.config().setOption(ChannelOption.SO_SNDBUF, limits.socketBuffer());
+            channel.config().setOption(ChannelOption.SO_RCVBUF, limits.socketBuffer());
+        }
+    }
+
+    /** Bytes that wait in this process to be written; 0 once the channel is closed. */
+    static long pending(Channel channel) {
+        ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
+        return out == null ? 0 : out.totalPendingWriteBytes();
+    }
+
     abstract Bootstrap client(EventLoop loop);
 
     abstract ServerBootstrap server(EventLoop loop);
--- a/src/main/java/sedgeyoke/net/UpstreamPool.java
+++ b/src/main/java/sedgeyoke/net/UpstreamPool.java
@@ -1,5 +1,6 @@
 package sedgeyoke.net;
 
+import sedgeyoke.body.BodyBudget;
 import sedgeyoke.body.BodyLimits;
 import sedgeyoke.decide.Balancer.Outcome;
 import sedgeyoke.decide.Balancer.Settings;
@@ -16,7 +17,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -63,8 +63,6 @@
     private static final long STILL_FOR = 100_000;
     private static final int LEAST_READ = 512;
     private static final int FIRST_READ = 4_096;
-    /** What one read may bring where bodies have a ceiling. */
-    private static final int MOST_READ = 16_384;
 
     private final EventLoop loop;
     private final Transport transport;
@@ -75,6 +73,7 @@
     private final Listener listener;
     private final Log log;
     private final BodyLimits bodies;
+    private final BodyBudget budget;
     private final long idleTime;
     private final int mostGathered;
     private final Bootstrap bootstrap;
@@ -89,6 +88,9 @@
          */
         AnswerStream.Sink begun(Attempt attempt, AnswerStream.Head head, AnswerStream.Source source);
 
+        /** The first part of a good answer has come, and not all of it: from here on it is a transfer. */
+        void answering(Attempt attempt);
+
         /** A long body begins to go out on an attempt, and can go out on no other. */
         void taken(Attempt attempt);
 
@@ -108,8 +110,9 @@
     }
 
     UpstreamPool(EventLoop loop, Transport transport, LongSupplier clock, SettingsReader.Found facts,
-            int mostConnections, BodyLimits bodies, Listener listener, Log log) {
+            int mostConnections, BodyLimits bodies, BodyBudget budget, Listener listener, Log log) {
         this.bodies = bodies;
+        this.budget = budget;
         this.mostGathered = bodies.streaming() ? bodies.gathered() : MAX_ANSWER;
         this.loop = loop;
         this.transport = transport;
@@ -246,9 +249,8 @@
                         c);
                 if (bodies.streaming()) {
                     channel.config().setRecvByteBufAllocator(
-                            new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, MOST_READ));
-                    channel.config().setWriteBufferWaterMark(new WriteBufferWaterMark(bodies.ceiling() / 8,
-                            bodies.ceiling() / 4));
+                            new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, bodies.read()));
+                    Transport.limit(channel, bodies);
                 }
             }
         }).connect(t.address).addListener((ChannelFuture connected) -> {
@@ -388,6 +390,8 @@
         /** Where the answer goes as it comes, and whether all of it has come. */
         private AnswerStream.Sink sink;
         private boolean passedOn;
+        private final Overflow rest = new Overflow();
+        private boolean paused;
         private boolean informational;
         /** The body that goes out in parts. */
         private Upload upload;
@@ -430,8 +434,8 @@
                 return;
             }
             if (sink != null) {
-                if (part.isReadable() && !sink.part(part.retain())) {
-                    channel.config().setAutoRead(false);
+                if (part.isReadable()) {
+                    passOn(part.retain());
                 }
             } else {
                 gathered.add(part);
@@ -454,13 +458,27 @@
                 fail(Outcome.RESET);
                 return false;
             }
-            sink.part(Unpooled.wrappedBuffer(gathered.take()));
+            passOn(Unpooled.wrappedBuffer(gathered.take()));
             return true;
         }
 
+        private void passOn(ByteBuf part) {
+            if (paused) {
+                rest.add(part);
+            } else {
+                paused = !sink.part(part);
+            }
+            if (paused) {
+                channel.config().setAutoRead(false);
+            }
+        }
+
         private void whole(LastHttpContent last) {
             if (sink != null) {
                 passedOn = true;
+                if (!rest.isEmpty()) {
+                    sink.part(rest.take());
+                }
                 sink.end(last.trailingHeaders());
             } else {
                 answer = Answer.of(head, gathered.take(), reportNames, log);
@@ -471,7 +489,13 @@
         @Override
         public void demand() {
             readAt = clock.getAsLong();
-            channel.config().setAutoRead(true);
+            paused = false;
+            if (sink != null && !rest.isEmpty()) {
+                passOn(rest.take());
+            }
+            if (!paused) {
+                channel.config().setAutoRead(true);
+            }
         }
 
         @Override
@@ -502,6 +526,10 @@
                 if (begun != current) {
                     begun = current;
                     watch(current, stillFor());
+                    if (bodies.streaming() && head != null && Answer.outcome(head) == Outcome.OK) {
+                        listener.answering(current);
+                        passOnIfSlow(current);
+                    }
                 }
             }
             ctx.fireChannelReadComplete();
@@ -524,6 +552,8 @@
             sink = null;
             head = null;
             passedOn = false;
+            paused = false;
+            rest.release();
             gathered.clear();
             if (upload != null) {
                 upload.attempt.call.body.detach(upload);
@@ -535,6 +565,15 @@
             return bodies.streaming() ? bodies.longestStill() : STILL_FOR;
         }
 
+        /** Guards against an upstream taken for one that hangs, and a client kept waiting, by a slow short answer. */
+        private void passOnIfSlow(Attempt attempt) {
+            loop.schedule(() -> {
+                if (current == attempt && sink == null && answer == null && head != null) {
+                    passOn();
+                }
+            }, STILL_FOR, TimeUnit.MICROSECONDS);
+        }
+
         /** Guards against half an answer on a connection that stays open. */
         private void watch(Attempt attempt, long delay) {
             loop.schedule(() -> {
@@ -616,6 +655,7 @@
             @Override
             public boolean part(ByteBuf data) {
                 channel.writeAndFlush(new DefaultHttpContent(data)).addListener(this::sent);
+                budget.holds(Transport.pending(channel) + attempt.call.body.held());
                 return channel.isWritable();
             }
 
--- a/src/main/java/sedgeyoke/operator/OperatorFile.java
+++ b/src/main/java/sedgeyoke/operator/OperatorFile.java
@@ -34,13 +34,14 @@
             Key.number("plans.drift_ppm", 1_000, 0, 50_000),
             Key.text("plans.certificate"), Key.text("plans.key"), Key.text("plans.trust"),
             Key.flag("bodies.enabled"),
-            Key.number("bodies.ceiling_kib", 64, 48, 1_024),
+            Key.number("bodies.ceiling_kib", 64, 16, 1_024),
             Key.number("bodies.total_mib", 16, 1, 65_536),
             Key.number("bodies.least_rate", 1_000, 0, 1L << 30),
             Key.number("bodies.rate_window_ms", 10_000, 100, 600_000),
             Key.number("bodies.longest_upload_s", 120, 1, 86_400),
             Key.number("bodies.longest_still_ms", 5_000, 100, 600_000),
             Key.number("bodies.longest_body_mib", 1_024, 1, 1 << 20),
+            Key.number("bodies.socket_buffer_kib", 256, 0, 65_536),
             Key.flag("planner.enabled"),
             Key.text("planner.name"),
             Key.address("planner.listen"),
@@ -212,7 +213,7 @@
         return new BodyLimits(true, (int) number("bodies.ceiling_kib") << 10, number("bodies.total_mib") << 20,
                 number("bodies.least_rate"), number("bodies.rate_window_ms") * 1_000,
                 number("bodies.longest_upload_s") * 1_000_000, number("bodies.longest_still_ms") * 1_000,
-                number("bodies.longest_body_mib") << 20);
+                number("bodies.longest_body_mib") << 20, (int) number("bodies.socket_buffer_kib") << 10);
     }
 
     /** Section {@code [planner]}. */
--- /dev/null
+++ b/src/main/java/sedgeyoke/standin/BulkClient.java
@@ -0,0 +1,138 @@
+package sedgeyoke.standin;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+
+/** The client's end of a {@link BulkPair}: one connection, one request, no retries. */
+public final class BulkClient extends SimpleChannelInboundHandler<HttpObject> {
+    private final BulkPair pair;
+    private final long budgetMs;
+    private final CompletableFuture<BulkPair> done = new CompletableFuture<>();
+    private BulkSender sender;
+    private BulkReceiver receiver;
+
+    private BulkClient(BulkPair pair, long budgetMs) {
+        this.pair = pair;
+        this.budgetMs = budgetMs;
+    }
+
+    /** Asks a balancer; done when it has ended in whatever way. */
+    public static CompletableFuture<BulkPair> ask(EventLoop loop, InetSocketAddress balancer, BulkPair pair,
+            long budgetMs, int buffer) {
+        BulkClient client = new BulkClient(pair, budgetMs);
+        pair.startedNanos = System.nanoTime();
+        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.AUTO_READ, false)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        BulkReceiver.prepare(ch, buffer);
+                        ch.pipeline().addLast(new HttpClientCodec(), client);
+                    }
+                }).connect(balancer).addListener((ChannelFuture connected) -> {
+                    if (!connected.isSuccess()) {
+                        client.end(BulkPair.End.CUT);
+                    }
+                });
+        return client.done;
+    }
+
+    private void end(BulkPair.End how) {
+        if (pair.end == BulkPair.End.OPEN) {
+            pair.endedNanos = System.nanoTime();
+            pair.end = how;
+            done.complete(pair);
+        }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/api?obj=" + pair.id);
+        head.headers().set(HttpHeaderNames.HOST, "origin.svc").set("X-Call-Id", pair.id)
+                .set("X-Call-Class", pair.cls.name()).set("X-Budget-Ms", budgetMs);
+        if (pair.cls.keyed()) {
+            head.headers().set("Idempotency-Key", "k-" + pair.id);
+        }
+        if (pair.chunkedUp) {
+            head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        } else {
+            head.headers().set(HttpHeaderNames.CONTENT_LENGTH, pair.upLength);
+        }
+        ctx.write(head);
+        sender = new BulkSender(ctx.channel(), pair.upOffset, pair.upLength, pair.rate(pair.upLength, true, true),
+                digest -> pair.upSent = digest);
+        sender.go();
+        ctx.read();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+        if (message instanceof HttpResponse head) {
+            pair.status = head.status().code();
+            if (pair.status != 200) {
+                end(pair.status == 503 || pair.status == 429 ? BulkPair.End.REFUSED : BulkPair.End.FAILED);
+                ctx.close();
+                return;
+            }
+            receiver = new BulkReceiver(ctx.channel(), pair.downLength, pair.rate(pair.downLength, true, false));
+        }
+        if (message instanceof HttpContent content && receiver != null) {
+            if (message.decoderResult().isFailure()) {
+                ctx.close();
+                return;
+            }
+            receiver.part(content.content());
+            if (message instanceof LastHttpContent) {
+                pair.downArrived = receiver.digest();
+                end(BulkPair.End.COMPLETE);
+                ctx.close();
+            }
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (receiver != null) {
+            receiver.more();
+        } else {
+            ctx.read();
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (sender != null) {
+            sender.go();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        end(BulkPair.End.CUT);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+}
--- a/src/main/java/sedgeyoke/standin/DiscoveryStandin.java
+++ b/src/main/java/sedgeyoke/standin/DiscoveryStandin.java
@@ -59,9 +59,13 @@
 
     /** What is true of a node from now on; {@code up}, {@code draining} or {@code removed}. */
     void set(OrderNode node, String phase) {
+        set(node.spec(), node.address(), node.launchedAt(), phase);
+    }
+
+    /** The same for a node of any make. */
+    void set(SiteSpec.NodeSpec spec, String address, long launchedAt, String phase) {
         revision++;
-        SiteSpec.NodeSpec spec = node.spec();
-        Member m = new Member(spec.id(), node.address(), spec.zone(), spec.kind(), phase, node.launchedAt(), revision);
+        Member m = new Member(spec.id(), address, spec.zone(), spec.kind(), phase, launchedAt, revision);
         members.put(m.id(), m);
         long at = revision;
         agents.values().forEach(a -> loop.schedule(() -> a.learn(at), a.delayMs, TimeUnit.MILLISECONDS));
--- a/src/main/java/sedgeyoke/standin/Site.java
+++ b/src/main/java/sedgeyoke/standin/Site.java
@@ -36,6 +36,7 @@
             nodes.put(n.id(), node);
             inOrder.add(node);
         }
+        loop.scheduleAtFixedRate(() -> ledger.beat(now()), Ledger.BEAT, Ledger.BEAT, TimeUnit.MICROSECONDS);
         inOrder.forEach(n -> run(() -> discovery.set(n, "up")));
     }
 
--- /dev/null
+++ b/src/test/java/sedgeyoke/net/BodyPropertiesTest.java
@@ -0,0 +1,296 @@
+package sedgeyoke.net;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.lifecycle.AfterContainer;
+import net.jqwik.api.lifecycle.BeforeContainer;
+import sedgeyoke.body.BodyLimits;
+
+/** Whatever the splits, pauses and resets: what comes out equals what went in, or is visibly cut; nothing is kept. */
+class BodyPropertiesTest {
+    private static final int CEILING = 64 * 1024;
+    private static final BodyLimits LIMITS = new BodyLimits(true, CEILING, 64L << 20, 0, 1_000_000, 30_000_000,
+            5_000_000, 1L << 40, 0);
+    private static final int READ = LIMITS.read();
+    private static final int LONGEST = 400_000;
+    private static final Map<String, byte[]> ARRIVED = new ConcurrentHashMap<>();
+    private static final Map<String, Answering> ANSWERS = new ConcurrentHashMap<>();
+    private static Peer node;
+    private static Loopback lb;
+    private static int number;
+
+    /** How a node answers a request: so many bytes in such writes, cut before the end or not. */
+    private record Answering(byte[] body, boolean chunked, int[] splits, int cutAt) { }
+
+    @BeforeContainer
+    static void start() throws Exception {
+        node = new Peer((request, socket) -> {
+            String id = request.headers().get("x-call-id");
+            ARRIVED.put(id, request.raw());
+            write(socket, ANSWERS.get(id));
+        });
+        lb = Loopback.setup().upstream("u", node.address()).bodies(LIMITS).start();
+    }
+
+    @AfterContainer
+    static void end() throws Exception {
+        Loopback.await("nothing is left", () -> lb.server.reservedForBodies() == 0);
+        lb.close();
+        node.close();
+        assertTrue(Leaks.watching());
+        Leaks.assertNone();
+    }
+
+    // ---- The exchange alone --------------------------------------------------------------------------
+
+    /** A client that obeys, as far as one read goes, and an attempt that pauses, asks, or goes away, by a script. */
+    @Property(seed = "20261201", tries = 2_000)
+    void aBodyGoesThroughWholeOrNeverEnds(
+            @ForAll @Size(min = 1, max = 60) List<@IntRange(min = 1, max = 12_000) Integer> parts,
+            @ForAll long seed) {
+        Exchange exchange = new Exchange(parts, new Random(seed));
+        for (int step = 0; step < 4_000 && !exchange.over && !exchange.sink.ended; step++) {
+            exchange.step();
+            assertTrue(exchange.body.held() <= CEILING, "held " + exchange.body.held());
+        }
+        exchange.assertWholeOrCut();
+    }
+
+    /** One body on its way, and what its two sides do to it. */
+    private static final class Exchange {
+        private final List<Integer> parts;
+        private final Random random;
+        private final byte[] all;
+        private final List<ByteBuf> made = new ArrayList<>();
+        private boolean reading = true;
+        private final RequestBody body = new RequestBody(on -> reading = on, LIMITS.gathered());
+        private final Script sink;
+        private int at;
+        private int next;
+        private boolean taken;
+        private boolean over;
+
+        Exchange(List<Integer> parts, Random random) {
+            this.parts = parts;
+            this.random = random;
+            this.all = new byte[parts.stream().mapToInt(Integer::intValue).sum()];
+            this.sink = new Script(random);
+            random.nextBytes(all);
+        }
+
+        void step() {
+            switch (random.nextInt(12)) {
+                case 0, 1, 2, 3, 4 -> read();
+                case 5, 6 -> {
+                    if (!taken && body.streams()) {
+                        taken = true;
+                        body.streamTo(sink);
+                    }
+                }
+                case 7, 8, 9, 10 -> {
+                    if (taken && sink.full) {
+                        sink.full = false;
+                        body.demand();
+                    }
+                }
+                default -> {
+                    over = random.nextInt(200) == 0;
+                    if (over && taken && random.nextBoolean()) {
+                        body.detach(sink);
+                    } else if (over) {
+                        body.abort();
+                    }
+                }
+            }
+        }
+
+        /** Of one read, all comes in, whatever was said meanwhile. */
+        private void read() {
+            if (!reading || next == parts.size()) {
+                return;
+            }
+            for (int room = READ; next < parts.size() && parts.get(next) <= room; next++) {
+                ByteBuf part = Unpooled.copiedBuffer(all, at, parts.get(next));
+                made.add(part);
+                room -= parts.get(next);
+                at += parts.get(next);
+                body.add(part);
+            }
+            if (next == parts.size()) {
+                body.end();
+            }
+        }
+
+        void assertWholeOrCut() {
+            byte[] got = sink.got.toByteArray();
+            if (!body.streams() && body.ended()) {
+                assertArrayEquals(all, body.bytes());
+            } else {
+                assertArrayEquals(sink.ended ? all : Arrays.copyOf(all, got.length), got);
+            }
+            body.abort();
+            sink.mine.forEach(ByteBuf::release);
+            made.forEach(part -> assertEquals(0, part.refCnt()));
+        }
+    }
+
+    /** An attempt that keeps what it was given until the end, as a socket might. */
+    private static final class Script implements RequestBody.Sink {
+        private final Random random;
+        private final ByteArrayOutputStream got = new ByteArrayOutputStream();
+        private final List<ByteBuf> mine = new ArrayList<>();
+        private boolean full;
+        private boolean ended;
+        private boolean aborted;
+
+        Script(Random random) {
+            this.random = random;
+        }
+
+        @Override
+        public boolean part(ByteBuf data) {
+            assertFalse(ended || aborted || full && data.readableBytes() > CEILING);
+            mine.add(data);
+            got.writeBytes(io.netty.buffer.ByteBufUtil.getBytes(data));
+            full = random.nextInt(3) == 0;
+            return !full;
+        }
+
+        @Override
+        public void end() {
+            assertFalse(ended || aborted, "a second end");
+            ended = true;
+        }
+
+        @Override
+        public void abort() {
+            assertFalse(ended, "an end after the end");
+            aborted = true;
+        }
+    }
+
+    // ---- Through the balancer ------------------------------------------------------------------------
+
+    @Property(seed = "20261201", tries = 120, shrinking = ShrinkingMode.OFF)
+    void bothDirectionsThroughTheBalancer(@ForAll @IntRange(max = LONGEST) int up,
+            @ForAll @IntRange(max = LONGEST) int down, @ForAll boolean chunkedUp, @ForAll boolean chunkedDown,
+            @ForAll @Size(min = 1, max = 8) int[] splits) throws Exception {
+        String id = "p" + number++;
+        byte[] sent = bytes(up, number);
+        byte[] answer = bytes(down, -number);
+        ANSWERS.put(id, new Answering(answer, chunkedDown, splits, Integer.MAX_VALUE));
+        try (Socket client = lb.connect()) {
+            ask(client, id, sent, chunkedUp, splits, Integer.MAX_VALUE);
+            Peer.Message got = Loopback.answer(client);
+            assertEquals(200, got.status());
+            assertArrayEquals(answer, got.raw());
+            assertArrayEquals(sent, ARRIVED.remove(id));
+        }
+    }
+
+    /** A client that goes in the middle: the node never has the last byte, and so never answers. */
+    @Property(seed = "20261201", tries = 60, shrinking = ShrinkingMode.OFF)
+    void anUploadThatEndsEarlyNeverArrives(@ForAll @IntRange(min = 2, max = LONGEST) int up,
+            @ForAll boolean chunked, @ForAll @IntRange(min = 1, max = 99) int percent,
+            @ForAll @Size(min = 1, max = 8) int[] splits) throws Exception {
+        String id = "q" + number++;
+        ANSWERS.put(id, new Answering(new byte[0], false, splits, Integer.MAX_VALUE));
+        try (Socket client = lb.connect()) {
+            ask(client, id, bytes(up, number), chunked, splits, Math.max(1, (int) ((long) up * percent / 100)));
+        }
+        Loopback.await("nothing is left", () -> lb.server.reservedForBodies() == 0 && idle());
+        assertFalse(ARRIVED.containsKey(id));
+    }
+
+    /** A node that goes in the middle: the client gets a final answer, or can see that what it has is not whole. */
+    @Property(seed = "20261201", tries = 60, shrinking = ShrinkingMode.OFF)
+    void anAnswerThatEndsEarlyIsNeverTakenForWhole(@ForAll @IntRange(min = 2, max = LONGEST) int down,
+            @ForAll boolean chunked, @ForAll @IntRange(min = 1, max = 99) int percent,
+            @ForAll @Size(min = 1, max = 8) int[] splits) throws Exception {
+        String id = "s" + number++;
+        byte[] answer = bytes(down, number);
+        ANSWERS.put(id, new Answering(answer, chunked, splits, Math.max(1, (int) ((long) down * percent / 100))));
+        try (Socket client = lb.connect()) {
+            ask(client, id, bytes(100, number), false, splits, Integer.MAX_VALUE);
+            Peer.Message got = visible(client);
+            assertTrue(got == null || got.status() == 502, "taken for whole: " + got);
+        }
+        Loopback.await("nothing is left", () -> lb.server.reservedForBodies() == 0 && idle());
+        ARRIVED.remove(id);
+    }
+
+    private static Peer.Message visible(Socket client) {
+        try {
+            return Loopback.answer(client);
+        } catch (IOException | NumberFormatException cut) {
+            return null; // without its last chunk
+        }
+    }
+
+    private static boolean idle() {
+        return lb.loop.submit(lb.node::idle).syncUninterruptibly().getNow();
+    }
+
+    private static byte[] bytes(int length, long seed) {
+        byte[] bytes = new byte[length];
+        new Random(seed).nextBytes(bytes);
+        return bytes;
+    }
+
+    private static void ask(Socket client, String id, byte[] body, boolean chunked, int[] splits, int cutAt)
+            throws IOException {
+        Peer.write(client, "POST /api?obj=o HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id
+                + "\r\nX-Call-Class: order\r\nX-Budget-Ms: 9000\r\n" + framing(body, chunked));
+        body(client, body, chunked, splits, cutAt);
+    }
+
+    private static void write(Socket socket, Answering answer) throws IOException {
+        Peer.write(socket, "HTTP/1.1 200 x\r\n" + framing(answer.body(), answer.chunked()));
+        body(socket, answer.body(), answer.chunked(), answer.splits(), answer.cutAt());
+        if (answer.cutAt() < Integer.MAX_VALUE) {
+            socket.close();
+        }
+    }
+
+    private static String framing(byte[] body, boolean chunked) {
+        return chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "Content-Length: " + body.length + "\r\n\r\n";
+    }
+
+    private static void body(Socket socket, byte[] body, boolean chunked, int[] splits, int cutAt)
+            throws IOException {
+        int until = Math.min(body.length, cutAt);
+        for (int at = 0, i = 0; at < until; i++) {
+            int n = Math.min(until - at, 1 + Math.floorMod(splits[i % splits.length], 50_000));
+            if (chunked) {
+                Peer.write(socket, Integer.toHexString(n) + "\r\n");
+            }
+            socket.getOutputStream().write(body, at, n);
+            if (chunked) {
+                Peer.write(socket, "\r\n");
+            }
+            at += n;
+        }
+        if (chunked && cutAt == Integer.MAX_VALUE) {
+            Peer.write(socket, "0\r\n\r\n");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/sedgeyoke/net/FuzzTest.java
@@ -0,0 +1,185 @@
+package sedgeyoke.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import sedgeyoke.body.BodyLimits;
+
+/**
+ * Bytes that nobody should send, from clients and from order nodes: seeds in order, changed by a seeded hand. No
+ * exception may leave a handler, no call stay open, and no client be left without an end. {@code -Dfuzz.inputs=N}
+ * sets how
+ * many of each; the usual number takes some seconds.
+ */
+class FuzzTest {
+    private static final int INPUTS = Integer.getInteger("fuzz.inputs", 800);
+    private static final long SEED = Long.getLong("fuzz.seed", 20_261_201);
+    private static final String HEAD = "POST /api?obj=o HTTP/1.1\r\nHost: x\r\nX-Call-Id: %s\r\nX-Call-Class: order\r\n"
+            + "X-Budget-Ms: 400\r\n";
+    private static final List<String> REQUESTS = List.of(
+            HEAD + "Content-Length: 4\r\n\r\nwork",
+            HEAD + "Transfer-Encoding: chunked\r\n\r\n4\r\nwork\r\n0\r\n\r\n",
+            HEAD + "Transfer-Encoding: chunked\r\n\r\n4;a=b\r\nwork\r\n0\r\nX-T: 1\r\nContent-Length: 9\r\n\r\n",
+            HEAD + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\nwork",
+            HEAD + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nwork",
+            HEAD + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            HEAD + "Content-Length : 4\r\n\r\nwork", HEAD + "Content-Length: 4\n\nwork",
+            HEAD + "Content-Length: 60000\r\n\r\n" + "x".repeat(60_000),
+            HEAD + "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\nwork\r\n0\r\n\r\n",
+            "GET /api?obj=o HTTP/1.1\r\nHost: x\r\nX-Call-Id: %s\r\nX-Call-Class: read\r\nX-Budget-Ms: 400\r\n\r\n",
+            "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+    private static final List<String> ANSWERS = List.of(
+            "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok",
+            "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-T: 1\r\n\r\n",
+            "HTTP/1.1 100 x\r\n\r\nHTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok",
+            "HTTP/1.1 503 x\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 200 x\r\nX-Load-Report: {\"waiting\":1,\"cpu\":0.5,\"avg_ms\":3}\r\nContent-Length: 2\r\n\r\nok",
+            "HTTP/1.1 200 x\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            "HTTP/1.1 200 x\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+            "HTTP/1.1 200 x\r\nContent-Length: 60000\r\n\r\n" + "y".repeat(60_000),
+            "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 x\r\nContent-Length: 3\r\n\r\nbad");
+    private static final String[] PIECES = {"\r\n", "\n", "\r", ":", " ", "\t", "0", "-1", "ffffffffffffffff", "\0",
+        "Content-Length: 7\r\n", "Transfer-Encoding: chunked\r\n", "Transfer-Encoding: gzip, chunked\r\n", "HTTP/1.1",
+        "HTTP/2.0", "99999999999999999999", "\u00ff", ";", ",", "0\r\n\r\n", "Connection: close\r\n"};
+    private static final BodyLimits LIMITS = new BodyLimits(true, 32 * 1024, 4L << 20, 0, 1_000_000, 2_000_000,
+            300_000, 1L << 30, 0);
+    private static final List<String> FAULTS = List.of("request not handled", "decision module failed",
+            "answered without the module", "NullPointer", "IllegalState", "IllegalReference", "ClassCast",
+            "OutOfBounds");
+    private static final ByteArrayOutputStream LOGGED = new ByteArrayOutputStream();
+    private static PrintStream usual;
+    private static volatile byte[] answer = "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok"
+            .getBytes(StandardCharsets.ISO_8859_1);
+    private static volatile boolean closes;
+    private static Peer node;
+    private static Loopback lb;
+    private static int number;
+
+    @BeforeAll
+    static void start() throws Exception {
+        usual = System.err;
+        System.setErr(new PrintStream(LOGGED, true, StandardCharsets.UTF_8));
+        node = new Peer((request, socket) -> {
+            socket.getOutputStream().write(answer);
+            if (closes) {
+                socket.close();
+            }
+        });
+        lb = Loopback.setup().upstream("u", node.address()).bodies(LIMITS).start();
+    }
+
+    @AfterAll
+    static void end() throws Exception {
+        Loopback.await("nothing is left", () -> lb.server.reservedForBodies() == 0 && idle());
+        lb.close();
+        node.close();
+        System.setErr(usual);
+        assertTrue(Leaks.watching());
+        Leaks.assertNone();
+    }
+
+    private static boolean idle() {
+        return lb.loop.submit(lb.node::idle).syncUninterruptibly().getNow();
+    }
+
+    private static void assertNoFault(byte[] input) {
+        String logged = LOGGED.toString(StandardCharsets.UTF_8);
+        LOGGED.reset();
+        FAULTS.forEach(f -> assertFalse(logged.contains(f), () -> logged + "\nafter "
+                + new String(input, StandardCharsets.ISO_8859_1)));
+    }
+
+    /** A seed with up to four changes: bytes flipped, cut out, doubled, or pieces of the protocol put in. */
+    private static byte[] changed(String seed, SplittableRandom random) {
+        StringBuilder text = new StringBuilder(seed);
+        for (int i = random.nextInt(5); i > 0 && text.length() > 1; i--) {
+            int at = random.nextInt(Math.min(text.length(), 400));
+            switch (random.nextInt(5)) {
+                case 0 -> text.setCharAt(at, (char) random.nextInt(256));
+                case 1 -> text.delete(at, Math.min(text.length(), at + 1 + random.nextInt(20)));
+                case 2 -> text.insert(at, PIECES[random.nextInt(PIECES.length)]);
+                case 3 -> text.insert(at, text.substring(at, Math.min(text.length(), at + 1 + random.nextInt(60))));
+                default -> text.setLength(at + 1);
+            }
+        }
+        return text.toString().getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    @Test
+    void clientsMaySendAnything() throws Exception {
+        SplittableRandom random = new SplittableRandom(SEED);
+        for (int i = 0; i < INPUTS; i++) {
+            String seed = REQUESTS.get(random.nextInt(REQUESTS.size())).replace("%s", "f" + number++);
+            byte[] input = changed(seed, random);
+            try (Socket client = lb.connect()) {
+                int first = random.nextInt(input.length + 1);
+                client.getOutputStream().write(input, 0, first);
+                client.getOutputStream().write(input, first, input.length - first);
+                client.shutdownOutput();
+                assertEnds(client, input);
+            } catch (IOException closed) {
+                continue; // while we were still sending: as good an end as any
+            } finally {
+                assertNoFault(input);
+            }
+        }
+        Loopback.await("no call stays open", FuzzTest::idle);
+    }
+
+    private static void assertEnds(Socket client, byte[] input) throws IOException {
+        try {
+            client.getInputStream().readAllBytes();
+        } catch (SocketTimeoutException e) {
+            throw new AssertionError("left without an end: " + new String(input, StandardCharsets.ISO_8859_1), e);
+        }
+    }
+
+    @Test
+    void nodesMayAnswerAnything() throws Exception {
+        SplittableRandom random = new SplittableRandom(SEED + 1);
+        byte[] before = answer;
+        try {
+            for (int i = 0; i < INPUTS; i++) {
+                answer = changed(ANSWERS.get(random.nextInt(ANSWERS.size())), random);
+                closes = random.nextInt(4) > 0;
+                try (Socket client = lb.connect()) {
+                    Peer.write(client, Loopback.request("g" + number++, "order", 60));
+                    String head = new String(client.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1);
+                    assertTrue(List.of("HTTP/1.1 200", "HTTP/1.1 502", "HTTP/1.1 503").contains(head),
+                            () -> head + " to " + new String(answer, StandardCharsets.ISO_8859_1));
+                }
+                assertNoFault(answer);
+            }
+        } finally {
+            answer = before;
+            closes = false;
+        }
+        Loopback.await("no call stays open", FuzzTest::idle);
+    }
+
+    /** The check itself: a hand that changes nothing would find nothing. */
+    @Test
+    void inputsAreChanged() {
+        SplittableRandom random = new SplittableRandom(1);
+        long same = 0;
+        for (int i = 0; i < 100; i++) {
+            same += Arrays.equals(changed(REQUESTS.get(0), random), REQUESTS.get(0)
+                    .getBytes(StandardCharsets.ISO_8859_1)) ? 1 : 0;
+        }
+        assertTrue(same < 40, same + " of 100 unchanged");
+        assertEquals(12, REQUESTS.size());
+    }
+}
--- a/src/test/java/sedgeyoke/net/Loopback.java
+++ b/src/test/java/sedgeyoke/net/Loopback.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.fail;
 
+import sedgeyoke.body.BodyBudget;
 import sedgeyoke.body.BodyLimits;
 import sedgeyoke.decide.Balancer;
 import sedgeyoke.decide.Policy;
@@ -19,6 +20,8 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
+import java.util.function.ToLongFunction;
 
 /** A balancer on loopback with its discovery and the clients of a test. */
 final class Loopback implements AutoCloseable {
@@ -169,6 +172,24 @@
         }
     }
 
+    /** What long bodies hold; asked on the loop. */
+    long budget(ToLongFunction<BodyBudget> question) {
+        return loop.submit(() -> question.applyAsLong(node.budget())).syncUninterruptibly().getNow();
+    }
+
+    /** Waits until something that only grows has come beyond {@code least} and has stood still for a while. */
+    static void awaitStill(long least, LongSupplier figure) throws InterruptedException {
+        long[] last = {0, System.nanoTime()};
+        await("it stands still", () -> {
+            long now = figure.getAsLong();
+            if (now != last[0]) {
+                last[0] = now;
+                last[1] = System.nanoTime();
+            }
+            return now > least && System.nanoTime() - last[1] > 200_000_000;
+        });
+    }
+
     /** Waits for a condition rather than for some time; generous, as a busy machine may be slow. */
     static void await(String what, BooleanSupplier condition) throws InterruptedException {
         long end = System.nanoTime() + PATIENCE_MS * 1_000_000;
--- a/src/test/java/sedgeyoke/net/Peer.java
+++ b/src/test/java/sedgeyoke/net/Peer.java
@@ -13,12 +13,14 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A server on loopback that does to each request what a test says: an upstream, or discovery. */
 final class Peer implements AutoCloseable {
     private final ServerSocket listener;
     private final Script script;
+    private final CountDownLatch go;
     final List<Message> requests = new CopyOnWriteArrayList<>();
     final List<Socket> sockets = new CopyOnWriteArrayList<>();
     /** Connections that the other side has closed. */
@@ -41,6 +43,12 @@
     }
 
     Peer(Script script) throws IOException {
+        this(script, new CountDownLatch(0));
+    }
+
+    /** A peer that reads nothing before {@code go}, with a small buffer in the kernel. */
+    Peer(Script script, CountDownLatch go) throws IOException {
+        this.go = go;
         this.listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
         this.script = script;
         thread(this::accept);
@@ -75,6 +83,7 @@
 
     private void serve(Socket socket) {
         try (socket) {
+            go.await();
             InputStream in = new BufferedInputStream(socket.getInputStream());
             for (Message m = read(in); m != null; m = read(in)) {
                 requests.add(m);
--- a/src/test/java/sedgeyoke/net/ScriptedModule.java
+++ b/src/test/java/sedgeyoke/net/ScriptedModule.java
@@ -60,6 +60,11 @@
         throw new AssertionError("there are no streams");
     }
 
+    @Override
+    public void transfers(long now, String request, int attempt) {
+        throw new AssertionError("there are no streams");
+    }
+
     @Override
     public void clientGone(long now, String request) {
         event(() -> gone.add(request));
--- a/src/test/java/sedgeyoke/standin/LedgerTest.java
+++ b/src/test/java/sedgeyoke/standin/LedgerTest.java
@@ -49,6 +49,33 @@
         assertBroken(Map.of(1, 4));
     }
 
+    /**
+     * While the judge's own loop does not run, it notes nothing; that is no balancer's fault, and nothing more is
+     * excused.
+     */
+    @Test
+    void whatCameWhileTheJudgeStoodStillIsNotLate() {
+        ledger.beat(0);
+        ask("1", UNSAFE);
+        ask("2", UNSAFE);
+        ledger.beat(510 * MS); // half a second late
+        ledger.answered("1", Answer.FAILED, true, 0, 1_069 * MS);
+        assertBroken(Map.of());
+        ledger.answered("2", Answer.FAILED, true, 0, 1_071 * MS);
+        assertBroken(Map.of(1, 1));
+        assertEquals(500, ledger.stalledMs());
+    }
+
+    @Test
+    void aPulseInTimeExcusesNothing() {
+        for (long t = 0; t < 600 * MS; t += 10 * MS) {
+            ledger.beat(t);
+        }
+        ask("1", UNSAFE);
+        ledger.answered("1", Answer.FAILED, true, 0, 571 * MS);
+        assertBroken(Map.of(1, 1));
+    }
+
     @Test
     void whatAKilledBalancerHeldIsNotLost() {
         ask("1", UNSAFE);
