Long bodies: larger reads and parts; a request answered before its end says that it closes

And an answer given while a long body was still coming promised to keep the connection, which was then closed.

Change: where bodies are passed through, one read may bring half of the ceiling (64 KiB at most), and all of it goes on in one part; the ceiling holds as before, less is gathered before a body streams.

--- a/src/main/java/sedgeyoke/body/BodyLimits.java
+++ b/src/main/java/sedgeyoke/body/BodyLimits.java
@@ -17,6 +17,9 @@
         long longestUpload, long longestStill, long longestBody, int socketBuffer) {
     private static final int PLATFORM_REQUEST = 64 * 1024;
     private static final int MOST_READ = 16 * 1024;
+    private static final int MOST_LONG_READ = 64 * 1024;
+    /** What decoders of HTTP/1.1 give out at once, as they come. */
+    private static final int USUAL_PART = 8 * 1024;
 
     /** The platform's: bodies of 64 KiB, 2 s for a request and for reading its answer, and nothing passed through. */
     public static final BodyLimits PLATFORM = new BodyLimits(false, PLATFORM_REQUEST, 0, 0, 2_000_000, 2_000_000,
@@ -27,8 +30,13 @@
         return streaming ? ceiling - read() : ceiling;
     }
 
-    /** The most that one read may bring. */
+    /** The most that is passed on in one part: all that a read brings, where bodies go on as they come. */
+    public int part() {
+        return streaming ? read() : USUAL_PART;
+    }
+
+    /** The most that one read may bring: the larger, the fewer calls of the kernel a long body takes. */
     public int read() {
-        return Math.min(MOST_READ, ceiling / 4);
+        return streaming ? Math.min(MOST_LONG_READ, ceiling / 2) : MOST_READ;
     }
 }
--- a/src/main/java/sedgeyoke/net/AnswerDecoder.java
+++ b/src/main/java/sedgeyoke/net/AnswerDecoder.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -28,8 +29,9 @@
     private int informational;
     private boolean within;
 
-    /** {@code mostBytes}: an answer that says it is longer is not read. */
-    AnswerDecoder(long mostBytes) {
+    /** {@code mostBytes}: an answer that says it is longer is not read; {@code part}: given out at once. */
+    AnswerDecoder(long mostBytes, int part) {
+        super(new HttpDecoderConfig().setMaxChunkSize(part));
         this.mostBytes = mostBytes;
     }
 
--- a/src/main/java/sedgeyoke/net/Frontend.java
+++ b/src/main/java/sedgeyoke/net/Frontend.java
@@ -137,7 +137,7 @@
                         if (limits.streaming()) {
                             Transport.limit(ch, limits);
                         }
-                        ch.pipeline().addLast(new RequestCheck.Decoder(), new HttpResponseEncoder(),
+                        ch.pipeline().addLast(new RequestCheck.Decoder(limits.part()), new HttpResponseEncoder(),
                                 new RequestCheck(connection::fault, limits.longestBody()), connection);
                     }
                 }).bind(transport.at(config.listen()));
@@ -548,7 +548,7 @@
             if (retryAfter > 0) {
                 response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfter / 1e6);
             }
-            boolean keep = keepAlive && !closing;
+            boolean keep = keepAlive && !closing && this.body == null; // what is left of a body is not read on
             HttpUtil.setKeepAlive(response, keep);
             call = null;
             enter(Phase.WRITING);
--- a/src/main/java/sedgeyoke/net/RequestCheck.java
+++ b/src/main/java/sedgeyoke/net/RequestCheck.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
@@ -35,6 +36,11 @@
 
     /** Guards against a request that hides another one in its body: by its length it ends elsewhere than by chunks. */
     static final class Decoder extends HttpRequestDecoder {
+        /** {@code part} is the most that it gives out of a body at once. */
+        Decoder(int part) {
+            super(new HttpDecoderConfig().setMaxChunkSize(part));
+        }
+
         @Override
         protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
             throw new CorruptedFrameException("both Content-Length and Transfer-Encoding");
--- a/src/main/java/sedgeyoke/net/UpstreamPool.java
+++ b/src/main/java/sedgeyoke/net/UpstreamPool.java
@@ -377,7 +377,8 @@
      */
     final class Connection extends SimpleChannelInboundHandler<HttpObject> implements AnswerStream.Source {
         private final Target target;
-        private final AnswerDecoder decoder = new AnswerDecoder(bodies.streaming() ? bodies.longestBody() : MAX_ANSWER);
+        private final AnswerDecoder decoder = new AnswerDecoder(bodies.streaming() ? bodies.longestBody() : MAX_ANSWER,
+                bodies.part());
         private Channel channel;
         private Attempt current;
         private Answer answer;
