An emulator in virtual time around the real module and planners, and experiments on it

Need: nobody could measure whether planners help.

Change: sedgeyoke.emulate plays a tier as discrete events, one thread a run, all from one seed, with the real Policy, Planner and Follower through their interfaces; nodes, clients, front, discovery, network, clocks and sixteen kinds of faults are modelled. The node's model and the judge move to sedgeyoke.site and are shared with the stand-ins on sockets.

Each request ends once and no work is lost in the books, looked at every 10 ms of runs with all kinds of faults; four rules kept on six seeds with planners and without.

--- a/src/main/java/sedgeyoke/drill/BodiesDrill.java
+++ b/src/main/java/sedgeyoke/drill/BodiesDrill.java
@@ -32,8 +32,9 @@
 import sedgeyoke.standin.BulkPair.End;
 import sedgeyoke.standin.BulkPair.Pace;
 import sedgeyoke.standin.BulkSite;
-import sedgeyoke.standin.SiteSpec;
-import sedgeyoke.standin.WorkClass;
+import sedgeyoke.standin.Configurations;
+import sedgeyoke.site.SiteSpec;
+import sedgeyoke.site.WorkClass;
 
 /**
  * Long bodies in both directions at once, through one balancer under {@code run}'s own line: half of the pairs have a
@@ -106,7 +107,7 @@
     }
 
     private ProgramProcess balancer(Path folder, BulkSite site) throws IOException {
-        ObjectNode configuration = (ObjectNode) JSON.readTree(site.spec().configuration("b0", "127.0.0.1:0",
+        ObjectNode configuration = (ObjectNode) JSON.readTree(Configurations.of(site.spec(), "b0", "127.0.0.1:0",
                 site.discovery(), 0, 0, 1, seed));
         configuration.withObject("/limits").put("sockets", SOCKETS);
         Path json = Files.writeString(folder.resolve("b0.json"), configuration.toString());
--- a/src/main/java/sedgeyoke/drill/DemoRun.java
+++ b/src/main/java/sedgeyoke/drill/DemoRun.java
@@ -8,7 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import sedgeyoke.decide.Balancer;
-import sedgeyoke.standin.Ledger;
+import sedgeyoke.site.Ledger;
 import sedgeyoke.standin.OrderNode;
 import sedgeyoke.standin.Site;
 
@@ -96,7 +96,7 @@
             double[] seen = weights.getOrDefault(n.spec().id(), new double[2]);
             out.println(String.format(Locale.ROOT, "%-6s %-10s %5.1f  %6.2f  %9.0f  %11.2f  %s", n.spec().id(),
                     site.spec().zones().get(n.spec().zone()), n.spec().capacity(), seen[0], seen[1],
-                    site.ask(n::utilisation), site.ask(n::state)));
+                    site.ask(n.model()::utilisation), site.ask(n.model()::state)));
         }
         out.flush();
     }
--- a/src/main/java/sedgeyoke/drill/PlannersDrill.java
+++ b/src/main/java/sedgeyoke/drill/PlannersDrill.java
@@ -22,7 +22,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.stream.Stream;
 import sedgeyoke.standin.FaultProxy;
-import sedgeyoke.standin.Ledger;
+import sedgeyoke.site.Ledger;
 import sedgeyoke.standin.Site;
 
 /**
--- a/src/main/java/sedgeyoke/drill/Sites.java
+++ b/src/main/java/sedgeyoke/drill/Sites.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import sedgeyoke.standin.SiteSpec;
+import sedgeyoke.site.SiteSpec;
 
 /** The sites that demo and drills play on. */
 public final class Sites {
--- a/src/main/java/sedgeyoke/drill/TierProcesses.java
+++ b/src/main/java/sedgeyoke/drill/TierProcesses.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import sedgeyoke.standin.Certificates;
+import sedgeyoke.standin.Configurations;
 import sedgeyoke.standin.Site;
 
 /** Planners and forwarders as processes of the program, with all their files in one folder. */
@@ -42,7 +43,7 @@
     /** The platform's configuration of a forwarder of a site, which discovery tells of changes so much later. */
     public static String configuration(Site site, String name, int zone, int position, int group, long delayMs,
             long seed) {
-        return site.spec().configuration(name, "127.0.0.1:0", site.discoveryFor(name, delayMs), zone, position, group,
-                seed);
+        return Configurations.of(site.spec(), name, "127.0.0.1:0", site.discoveryFor(name, delayMs), zone, position,
+                group, seed);
     }
 }
--- /dev/null
+++ b/src/main/java/sedgeyoke/emulate/Forwarder.java
@@ -0,0 +1,514 @@
+package sedgeyoke.emulate;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import sedgeyoke.decide.Balancer;
+import sedgeyoke.decide.Balancer.AttemptEnd;
+import sedgeyoke.decide.Balancer.ListKind;
+import sedgeyoke.decide.Balancer.LoadReport;
+import sedgeyoke.decide.Balancer.Outcome;
+import sedgeyoke.decide.Balancer.Request;
+import sedgeyoke.decide.Balancer.State;
+import sedgeyoke.plan.Follower;
+import sedgeyoke.plan.LeaseTerms;
+import sedgeyoke.plan.PlanMessage;
+import sedgeyoke.plan.Report;
+import sedgeyoke.site.NodeModel;
+
+/**
+ * One balancer: the real module, and around it what the program's sockets would do. It hands over events in order and
+ * never from within an action, gives each call one answer, ends what has no time left, and connects where no connection
+ * is idle.
+ */
+final class Forwarder implements Balancer.Actions {
+    /** As the program has them: the way in is taken off the budget, and the last moment lies so much before its end. */
+    private static final long WAY_IN = 2_000;
+    private static final long BACKSTOP = 6_000;
+    private static final long RETRY_AFTER = 1_000_000;
+
+    private final World world;
+    private final Fleet fleet;
+    private final Spec spec;
+    private final Balancer.Settings settings;
+    private final Policies.Maker maker;
+    private final Fleet.Agent agent;
+    private final long skew;
+    private final double drift;
+    private Balancer module;
+    private Follower follower;
+    private final Map<String, Call> calls = new HashMap<>();
+    private final Map<String, Fleet.Entry> targets = new HashMap<>();
+    private final Map<Integer, Integer> idle = new HashMap<>();
+    private final Queue<Runnable> events = new ArrayDeque<>();
+    private boolean handling;
+    private boolean alive;
+    private int process;
+    private long pausedUntil;
+    private long lastTold;
+    private final List<PlannerHost> planners;
+    private final Map<PlannerHost, Long> connectedAt = new HashMap<>();
+    long attempts;
+
+    /** Who a balancer is. */
+    record Spec(String name, int zone, int position, long seed) { }
+
+    /** A client's request and where its answer goes. */
+    static final class Call {
+        final Request request;
+        final String idempotencyKey;
+        final Clients.Try back;
+        final List<Attempt> attempts = new ArrayList<>(1);
+        long deadline;
+        boolean answered;
+
+        Call(Request request, String idempotencyKey, Clients.Try back) {
+            this.request = request;
+            this.idempotencyKey = idempotencyKey;
+            this.back = back;
+        }
+
+        boolean done() {
+            return answered && attempts.stream().allMatch(a -> a.ended);
+        }
+    }
+
+    /** One attempt of a call at a node. */
+    final class Attempt {
+        private final Call call;
+        private final int number;
+        private final String upstream;
+        private final int address;
+        private final long startedAt;
+        private final int mine = process;
+        private Machine machine;
+        private int machineProcess;
+        private boolean written;
+        private boolean ended;
+
+        Attempt(Call call, int number, String upstream, int address) {
+            this.call = call;
+            this.number = number;
+            this.upstream = upstream;
+            this.address = address;
+            this.startedAt = world.time.now();
+        }
+
+        /** The connection ends under it; the news travels. */
+        void broken() {
+            if (!ended) {
+                world.time.after(world.delay(machine.zone, spec.zone), () -> end(this,
+                        written ? Outcome.RESET : Outcome.CONNECT_FAILED, null));
+            }
+        }
+    }
+
+    Forwarder(World world, Fleet fleet, Spec spec, Balancer.Settings settings, Policies.Maker maker,
+            List<PlannerHost> planners) {
+        this.world = world;
+        this.fleet = fleet;
+        this.spec = spec;
+        this.settings = settings;
+        this.maker = maker;
+        this.planners = planners;
+        Scenario.Network n = world.scenario.network();
+        this.skew = n.clockSkewMs() == 0 ? 0 : world.random.nextLong(-n.clockSkewMs() * 1_000,
+                n.clockSkewMs() * 1_000 + 1);
+        this.drift = n.clockDriftPpm() * 1e-6 * (2 * world.random.nextDouble() - 1);
+        this.agent = fleet.agent(this);
+    }
+
+    String name() {
+        return spec.name();
+    }
+
+    int zone() {
+        return spec.zone();
+    }
+
+    boolean alive() {
+        return alive;
+    }
+
+    /** Requests that are owed an answer. */
+    long owed() {
+        return calls.values().stream().filter(c -> !c.answered).count();
+    }
+
+    /** Its own clock. */
+    private long now() {
+        return world.time.now() + skew + (long) (drift * (world.time.now() - World.START));
+    }
+
+    // ---- Its life ------------------------------------------------------------------------------------
+
+    void start() {
+        alive = true;
+        process++;
+        module = maker.make(settings, spec.seed() + 7919L * process, this, fleet);
+        int mine = process;
+        deliver(() -> module.start(now()));
+        agent.whole();
+        Scenario.PlannerSpec p = world.scenario.planners();
+        if (!planners.isEmpty()) {
+            double leastGrant = 1.2e6 / Math.max(1, settings.rules().fallTime());
+            follower = new Follower(new Follower.Identity(spec.name(), spec.seed() * 31 + process, spec.zone(),
+                    p.leaseMs() * 1_000, p.fadeMs() * 1_000, leastGrant), new LeaseTerms(p.driftPpm()), now());
+            deliver(() -> module.plan(now(), follower.plan(now())));
+            planners.forEach(host -> connectedAt.put(host, world.time.now() + world.random.nextLong(200_000)));
+            scheduleReport(mine);
+        }
+    }
+
+    /** SIGKILL: what it held is lost, and its clients see their connections end. */
+    void kill() {
+        alive = false;
+        process++;
+        world.ledger.died(name());
+        calls.values().forEach(c -> {
+            c.attempts.forEach(a -> {
+                if (a.machine != null) {
+                    a.machine.open.remove(a);
+                }
+                a.ended = true;
+            });
+            if (!c.answered) {
+                c.back.connectionEnded();
+            }
+        });
+        calls.clear();
+        events.clear();
+        idle.clear();
+        targets.clear();
+        handling = false;
+    }
+
+    void revive() {
+        world.ledger.back(name());
+        start();
+    }
+
+    void pause(long until) {
+        pausedUntil = until;
+    }
+
+    // ---- Events for the module -----------------------------------------------------------------------
+
+    /** What happens to this process, if it still runs by then; while it is paused, all waits in order. */
+    private void inTurn(int mine, Runnable what) {
+        if (mine != process || !alive) {
+            return;
+        }
+        if (world.time.now() < pausedUntil) {
+            world.time.after(pausedUntil - world.time.now(), () -> inTurn(mine, what));
+            return;
+        }
+        what.run();
+    }
+
+    private void deliver(Runnable event) {
+        events.add(event);
+        if (handling) {
+            return;
+        }
+        handling = true;
+        try {
+            for (Runnable next = events.poll(); next != null; next = events.poll()) {
+                next.run();
+            }
+        } finally {
+            handling = false;
+        }
+    }
+
+    void listed(ListKind kind, List<Fleet.Entry> entries) {
+        inTurn(process, () -> {
+            if (kind == ListKind.COMPLETE) {
+                targets.clear();
+            }
+            for (Fleet.Entry e : entries) {
+                Fleet.Entry before = e.upstream().state() == State.GONE ? targets.remove(e.upstream().id())
+                        : targets.put(e.upstream().id(), e);
+                if (before != null && (before.address() != e.address()
+                        || before.upstream().launchedAt() != e.upstream().launchedAt())) {
+                    idle.remove(before.address());
+                }
+            }
+            deliver(() -> module.upstreams(now(), kind, entries.stream().map(Fleet.Entry::upstream).toList()));
+        });
+    }
+
+    /** A request has come in; the front found us alive. */
+    void accept(Call call) {
+        inTurn(process, () -> {
+            long left = call.request.timeLeft() - WAY_IN;
+            call.deadline = world.time.now() + left;
+            calls.put(call.request.id(), call);
+            int mine = process;
+            world.time.after(left - BACKSTOP, () -> inTurn(mine, () -> expire(call)));
+            Request r = call.request;
+            deliver(() -> module.request(now(), new Request(r.id(), r.classIndex(), r.tenant(), r.key(),
+                    r.expectedWork(), left, r.write(), r.retry())));
+        });
+    }
+
+    private void expire(Call call) {
+        for (Attempt a : List.copyOf(call.attempts)) {
+            if (!a.ended) {
+                drop(a);
+                ended(a, a.written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, null);
+            }
+        }
+        if (!call.answered) {
+            boolean mayHaveRun = call.attempts.stream().anyMatch(a -> a.written);
+            answer(call, mayHaveRun ? Clients.Answer.FAILED : Clients.Answer.REFUSED, 0);
+            deliver(() -> module.clientGone(now(), call.request.id()));
+        }
+        forgetIfDone(call);
+    }
+
+    /** An attempt that nobody waits for any more: its connection is closed, whatever still runs at the node. */
+    private static void drop(Attempt a) {
+        if (a.machine != null) {
+            a.machine.open.remove(a);
+        }
+    }
+
+    private void answer(Call call, Clients.Answer how, long retryAfter) {
+        if (!call.answered) {
+            call.answered = true;
+            world.time.after(world.delay(spec.zone, call.back.zone()), () -> call.back.answered(how, retryAfter));
+        }
+    }
+
+    private void forgetIfDone(Call call) {
+        if (call.done()) {
+            calls.remove(call.request.id(), call);
+        }
+    }
+
+    /** News of an attempt has come to this process. */
+    private void end(Attempt a, Outcome outcome, NodeModel.Answer answer) {
+        inTurn(a.mine, () -> ended(a, outcome, answer));
+    }
+
+    private void ended(Attempt a, Outcome outcome, NodeModel.Answer answer) {
+        if (a.ended) {
+            return;
+        }
+        a.ended = true;
+        Call call = a.call;
+        if (outcome == Outcome.OK) {
+            answer(call, Clients.Answer.SERVED, 0);
+        }
+        if (answer != null) {
+            idle.merge(a.address, 1, Integer::sum);
+        }
+        LoadReport load = answer == null ? null : new LoadReport(answer.utilisation(), Double.NaN, answer.waiting(),
+                answer.serviceMs() * 1_000, Double.NaN, Double.NaN);
+        AttemptEnd end = new AttemptEnd(call.request.id(), a.number, a.upstream, outcome,
+                world.time.now() - a.startedAt, call.answered, load);
+        deliver(() -> module.outcome(now(), end));
+        forgetIfDone(call);
+    }
+
+    // ---- Actions of the module -----------------------------------------------------------------------
+
+    @Override
+    public void send(String request, String upstream, long timeout) {
+        Call call = calls.get(request);
+        if (call == null) {
+            return;
+        }
+        Fleet.Entry target = targets.get(upstream);
+        Attempt a = new Attempt(call, call.attempts.size(), upstream, target == null ? -1 : target.address());
+        call.attempts.add(a);
+        if (call.answered || target == null || world.time.now() >= call.deadline) {
+            ended(a, Outcome.MOOT, null);
+            return;
+        }
+        attempts++;
+        Machine m = fleet.at(target.address());
+        int zone = target.upstream().zone();
+        Integer waiting = idle.get(target.address());
+        if (waiting != null && waiting > 0) {
+            idle.put(target.address(), waiting - 1);
+            write(a, m);
+        } else if (m == null) {
+            world.time.after(2 * world.delay(spec.zone, zone), () -> end(a, Outcome.CONNECT_FAILED, null));
+        } else if (m.model.silent()) {
+            world.time.after(settings.limits().connectTimeout(), () -> end(a, Outcome.CONNECT_FAILED, null));
+        } else {
+            world.time.after(2 * world.delay(spec.zone, zone), () -> inTurn(a.mine, () -> {
+                if (!a.ended) {
+                    write(a, fleet.at(a.address));
+                }
+            }));
+        }
+    }
+
+    /** The request goes out on a connection; it may break on the way. */
+    private void write(Attempt a, Machine m) {
+        if (m == null) { // what the connection led to has gone meanwhile
+            world.time.after(world.delay(spec.zone, spec.zone), () -> end(a, Outcome.RESET, null));
+            a.written = true;
+            return;
+        }
+        a.machine = m;
+        a.machineProcess = m.process;
+        a.written = true;
+        m.open.add(a);
+        world.time.after(world.delay(spec.zone, m.zone), () -> arrive(a, m));
+    }
+
+    private void arrive(Attempt a, Machine m) {
+        if (a.machineProcess != m.process) {
+            return; // the end of its connection is on its way already
+        }
+        Request r = a.call.request;
+        m.arrived++;
+        m.model.take(r.id(), r.key(), a.call.idempotencyKey, answer -> {
+            m.open.remove(a);
+            Outcome outcome = switch (answer.kind()) {
+                case DONE -> Outcome.OK;
+                case FULL -> Outcome.FULL;
+                default -> Outcome.ERROR;
+            };
+            world.time.after(world.delay(m.zone, spec.zone), () -> end(a, outcome, answer));
+        });
+    }
+
+    @Override
+    public void refuse(String request, long retryAfter) {
+        finish(request, Clients.Answer.REFUSED, settings.limits().retryAfter()
+                ? Math.min(retryAfter > 0 ? retryAfter : RETRY_AFTER, settings.limits().maxRetryAfter()) : 0);
+    }
+
+    @Override
+    public void fail(String request) {
+        finish(request, Clients.Answer.FAILED, 0);
+    }
+
+    private void finish(String request, Clients.Answer how, long retryAfter) {
+        Call call = calls.get(request);
+        if (call != null) {
+            answer(call, how, retryAfter);
+            forgetIfDone(call);
+        }
+    }
+
+    @Override
+    public void cancel(String request, int attempt) {
+        Call call = calls.get(request);
+        Attempt a = call == null ? null : call.attempts.get(attempt);
+        if (a != null && !a.ended) {
+            drop(a);
+            ended(a, Outcome.CANCELLED, null);
+        }
+    }
+
+    @Override
+    public void timer(String token, long delay) {
+        int mine = process;
+        world.time.after(delay, () -> inTurn(mine, () -> deliver(() -> module.timer(now(), token))));
+    }
+
+    /** A probe is an answer with nothing but its report; it goes round the node's queue. */
+    @Override
+    public void probe(String upstream) {
+        Fleet.Entry target = targets.get(upstream);
+        Machine m = target == null ? null : fleet.at(target.address());
+        int mine = process;
+        long there = world.delay(spec.zone, target == null ? spec.zone : target.upstream().zone());
+        world.time.after(there, () -> {
+            boolean answers = m != null && !m.model.silent();
+            LoadReport load = !answers ? null : new LoadReport(m.model.utilisation(), m.model.inFlight(),
+                    Double.NaN, m.model.serviceMs() * 1_000, Double.NaN, Double.NaN);
+            world.time.after(there, () -> inTurn(mine, () -> deliver(() -> module.probed(now(), upstream,
+                    answers ? Outcome.OK : Outcome.TIMEOUT, load))));
+        });
+    }
+
+    @Override
+    public void closeIdle(String upstream) {
+        Fleet.Entry target = targets.get(upstream);
+        if (target != null) {
+            idle.remove(target.address());
+        }
+    }
+
+    @Override
+    public void watch(boolean on) {
+        // Changes are pushed.
+    }
+
+    @Override
+    public void fetch() {
+        agent.whole();
+    }
+
+    @Override
+    public void tell(int peer, byte[] body) {
+        throw new UnsupportedOperationException("balancers do not talk to each other here");
+    }
+
+    @Override
+    public void log(String text) {
+        // Nobody reads it.
+    }
+
+    // ---- Planners ------------------------------------------------------------------------------------
+
+    private void scheduleReport(int mine) {
+        long every = world.scenario.planners().reportMs() * 1_000;
+        long delay = every - every / 8 + world.random.nextLong(Math.max(1, every / 4));
+        world.time.after(delay, () -> inTurn(mine, () -> {
+            deliver(this::report);
+            scheduleReport(mine);
+        }));
+    }
+
+    /** What is lent with a report is known to the module before the report can reach anyone. */
+    private void report() {
+        long now = now();
+        Balancer.Summary summary = null;
+        Map<PlannerHost, Report> reports = new HashMap<>();
+        List<PlannerHost> to = new ArrayList<>();
+        for (PlannerHost p : planners) {
+            if (connected(p) && follower.due(now, p.name())) {
+                summary = summary == null ? module.summary(now) : summary;
+                reports.put(p, follower.report(now, p.name(), summary));
+                to.add(p);
+            }
+        }
+        module.plan(now, follower.plan(now));
+        to.forEach(p -> p.hear(this, reports.get(p)));
+    }
+
+    /** A planner that was away is found again after a random pause: all at once would be a herd. */
+    private boolean connected(PlannerHost p) {
+        if (!p.alive()) {
+            connectedAt.put(p, Long.MAX_VALUE);
+            return false;
+        }
+        if (connectedAt.get(p) == Long.MAX_VALUE) {
+            connectedAt.put(p, world.time.now() + 200_000 + world.random.nextLong(2_000_000));
+        }
+        return world.time.now() >= connectedAt.get(p);
+    }
+
+    /** Messages of one planner keep their order, as on one connection. */
+    void hear(PlanMessage plan, long delay) {
+        long at = Math.max(lastTold, world.time.now() + delay);
+        lastTold = at;
+        int mine = process;
+        world.time.after(at - world.time.now(), () -> inTurn(mine, () -> {
+            if (follower.heard(now(), plan)) {
+                deliver(() -> module.plan(now(), follower.plan(now())));
+            }
+        }));
+    }
+}
--- /dev/null
+++ b/src/main/java/sedgeyoke/emulate/Machine.java
@@ -0,0 +1,37 @@
+package sedgeyoke.emulate;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import sedgeyoke.site.NodeModel;
+
+/** An order node at an address, with the attempts that are on connections to it. */
+final class Machine {
+    final NodeModel model;
+    final int address;
+    final int zone;
+    /** Rises with each end of its process: what was sent to one before does not reach this one. */
+    int process;
+    /** Nothing is there any more, or something else is. */
+    boolean gone;
+    final Set<Forwarder.Attempt> open = new LinkedHashSet<>();
+    /** For the figures: requests sent to it in this second. */
+    long arrived;
+
+    Machine(NodeModel model, int address) {
+        this.model = model;
+        this.address = address;
+        this.zone = model.spec().zone();
+    }
+
+    String id() {
+        return model.spec().id();
+    }
+
+    /** Its process ends and the machine says so: all connections break. */
+    void breakConnections() {
+        process++;
+        List.copyOf(open).forEach(Forwarder.Attempt::broken);
+        open.clear();
+    }
+}
--- /dev/null
+++ b/src/main/java/sedgeyoke/emulate/Scenarios.java
@@ -0,0 +1,52 @@
+package sedgeyoke.emulate;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import sedgeyoke.site.SiteSpec;
+import sedgeyoke.site.WorkClass;
+
+/** Scenarios that tests, benchmarks and experiments begin from. */
+public final class Scenarios {
+    private static final int CORES = 2;
+    private static final double FAST = 1.8;
+    private static final double SLOW = 0.9;
+    private static final int QUEUE = 40;
+    private static final int ENDLESS = Integer.MAX_VALUE;
+
+    private Scenarios() { }
+
+    /** Three zones like the platform's, nodes dealt out unevenly, every third slow; steady traffic, no faults. */
+    public static Scenario orders(int nodes, int forwarders, double load, double seconds) {
+        List<SiteSpec.NodeSpec> specs = new ArrayList<>();
+        for (int i = 0; i < nodes; i++) {
+            specs.add(new SiteSpec.NodeSpec("n" + i, i % 4 == 3 ? 0 : i % 4, CORES, i % 3 == 2 ? SLOW : FAST, QUEUE));
+        }
+        SiteSpec site = new SiteSpec(List.of("kagoshima", "miyazaki", "oita"), SiteSpec.orders(), specs,
+                SiteSpec.RuleSpec.USUAL, false);
+        int third = forwarders / 3;
+        return new Scenario(site, seconds, Math.min(10, seconds / 4), List.of(forwarders - 2 * third, third, third),
+                Policies.OURS, Scenario.PlannerSpec.usual(0), new Scenario.Traffic(load, List.of(0.4, 0.3, 0.3),
+                        List.of(), 1, 500, 2, Scenario.Retries.BACKOFF, 0.3), Scenario.Network.USUAL, List.of());
+    }
+
+    /**
+     * One zone, one balancer, no delays, endless queues, no keys and no time limits that matter: what queueing theory
+     * has formulas for.
+     *
+     * @param load utilisation
+     * @param spread of the work, whose mean is 10 ms
+     */
+    public static Scenario queue(int nodes, int cores, double load, WorkClass.Spread spread, String policy,
+            double seconds) {
+        WorkClass work = new WorkClass("work", "single_shot", 1, 3_000_000, 3_000_000, 1, 10, spread);
+        List<SiteSpec.NodeSpec> specs = new ArrayList<>();
+        for (int i = 0; i < nodes; i++) {
+            specs.add(new SiteSpec.NodeSpec("n" + i, 0, cores, 1, ENDLESS));
+        }
+        SiteSpec site = new SiteSpec(List.of("one"), List.of(work), specs, SiteSpec.RuleSpec.USUAL, false);
+        return new Scenario(site, seconds, seconds / 20, List.of(1), policy, Scenario.PlannerSpec.usual(0),
+                new Scenario.Traffic(load, List.of(1.0), Collections.emptyList(), 1, 0, 1, Scenario.Retries.NONE, 0),
+                new Scenario.Network(0, 0, 0, 0, 0, 0, 0, 0, 0, 0), List.of());
+    }
+}
--- /dev/null
+++ b/src/main/java/sedgeyoke/emulate/Tally.java
@@ -0,0 +1,81 @@
+package sedgeyoke.emulate;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.HdrHistogram.Histogram;
+import sedgeyoke.site.Ledger;
+import sedgeyoke.site.WorkClass;
+
+/** Figures by second, and those of the time after the warm-up. */
+final class Tally {
+    private static final long LONGEST_US = 60_000_000;
+    private final long startedAt;
+    private final long countsFrom;
+    private final List<Second> seconds = new ArrayList<>();
+    private final Histogram latency = new Histogram(LONGEST_US, 3);
+    private double asked;
+    private double served;
+
+    /** One second of clients' time, by when something was first wanted. */
+    static final class Second {
+        double asked;
+        double served;
+        long wanted;
+        long refused;
+        long failed;
+        long answered;
+        double tookSum;
+        long tookMost;
+    }
+
+    Tally(long startedAt, double warmUp) {
+        this.startedAt = startedAt;
+        this.countsFrom = startedAt + (long) (warmUp * 1e6);
+    }
+
+    private Second at(long time) {
+        int s = (int) ((time - startedAt) / 1_000_000);
+        while (seconds.size() <= s) {
+            seconds.add(new Second());
+        }
+        return seconds.get(s);
+    }
+
+    void wanted(WorkClass cls, long now) {
+        Second s = at(now);
+        s.asked += cls.worth();
+        s.wanted++;
+        asked += now >= countsFrom ? cls.worth() : 0;
+    }
+
+    void answered(WorkClass cls, Ledger.Answer how, long took, long since) {
+        Second s = at(since);
+        if (how == Ledger.Answer.SERVED) {
+            double worth = took <= cls.aimMs() * 1_000L ? cls.worth() : 0;
+            s.served += worth;
+            s.answered++;
+            s.tookSum += took;
+            s.tookMost = Math.max(s.tookMost, took);
+            if (since >= countsFrom) {
+                served += worth;
+                latency.recordValue(Math.min(took, LONGEST_US));
+            }
+        } else if (how == Ledger.Answer.REFUSED) {
+            s.refused++;
+        } else {
+            s.failed++;
+        }
+    }
+
+    double service() {
+        return asked == 0 ? 1 : served / asked;
+    }
+
+    Histogram latency() {
+        return latency;
+    }
+
+    List<Second> seconds() {
+        return seconds;
+    }
+}
--- /dev/null
+++ b/src/main/java/sedgeyoke/emulate/World.java
@@ -0,0 +1,53 @@
+package sedgeyoke.emulate;
+
+import java.util.SplittableRandom;
+import sedgeyoke.site.Ledger;
+import sedgeyoke.site.NodeModel;
+
+/** What all parts of one run share: time, chance, the network's delays and the judge. */
+final class World {
+    /** Long enough after zero that a start at zero means long ago. */
+    static final long START = 1_000_000_000L;
+    private static final long LOOPBACK_US = 20;
+
+    final Scenario scenario;
+    final Timeline time = new Timeline(START);
+    final Ledger ledger;
+    final SplittableRandom random;
+    /** Whom faults strike: the same for the same seed, whatever policies and planners do. */
+    final SplittableRandom faults;
+    private final SplittableRandom delays;
+
+    World(Scenario scenario, long seed) {
+        this.scenario = scenario;
+        SplittableRandom root = new SplittableRandom(seed);
+        this.random = root.split();
+        this.delays = root.split();
+        this.faults = root.split();
+        this.ledger = new Ledger(scenario.site());
+    }
+
+    /** One way between two zones, for one message; -1 is the same machine. */
+    long delay(int from, int to) {
+        Scenario.Network n = scenario.network();
+        long base = from < 0 || to < 0 ? LOOPBACK_US : from == to ? n.inZoneUs() : n.crossZoneUs();
+        double jitter = n.jitter() <= 0 ? 0 : -Math.log(1 - delays.nextDouble()) * n.jitter() * base;
+        long stalled = n.stall() > 0 && delays.nextDouble() < n.stall() ? n.stallUs() : 0;
+        return base + (long) jitter + stalled;
+    }
+
+    /** For node models. */
+    NodeModel.Host host() {
+        return new NodeModel.Host() {
+            @Override
+            public long now() {
+                return time.now();
+            }
+
+            @Override
+            public void after(long delay, Runnable what) {
+                time.after(delay, what);
+            }
+        };
+    }
+}
--- a/src/main/java/sedgeyoke/standin/Ledger.java
+++ b/src/main/java/sedgeyoke/site/Ledger.java
@@ -1,4 +1,4 @@
-package sedgeyoke.standin;
+package sedgeyoke.site;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -6,6 +6,8 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -13,7 +15,7 @@
 
 /**
  * What truly happened, as clients, order nodes and discovery saw it, and whether it kept the four rules. All times are
- * microseconds of one clock. Confined to the stand-ins' event loop; {@link #summary} may be asked for at its end.
+ * microseconds of one clock. Confined to one thread; {@link #summary} may be asked for at its end.
  */
 public final class Ledger {
     /** The rules on sockets allow so much more for each time limit. */
@@ -21,16 +23,17 @@
     private static final long ANSWER_SLACK = 20_000 + SOCKET_SLACK;
     private static final int MOST_TEXTS = 20;
     /** How often the judge looks whether it is late itself. */
-    static final long BEAT = 10_000;
+    public static final long BEAT = 10_000;
+    private static final long KNOWN_FOR = 20_000_000;
     private static final long STALLS_KNOWN_FOR = 30_000_000;
 
     private final SiteSpec site;
-    private final Map<String, Entry> entries = new HashMap<>();
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final Map<String, Map<String, Long>> closedAt = new HashMap<>();
     private final Map<String, Long> byBalancer = new HashMap<>();
     private final Set<String> dead = new HashSet<>();
     /** Effects by idempotency key: all tries of one want are to have one. */
-    private final Map<String, Integer> effectsByKey = new HashMap<>();
+    private final Map<String, long[]> effectsByKey = new LinkedHashMap<>();
     private final List<String> violations = new ArrayList<>();
     private final Map<Integer, Integer> byRule = new TreeMap<>();
     private final Map<String, Integer> answers = new TreeMap<>();
@@ -41,6 +44,7 @@
     private long requests;
     private long attempts;
     private double coldPeak;
+    private long refusedAndRan;
     /**
      * Times in which the judge itself stood still: from, for how long. What it notes right after is older than that.
      */
@@ -91,7 +95,8 @@
         }
     }
 
-    Ledger(SiteSpec site) {
+    /** Nothing has happened yet. */
+    public Ledger(SiteSpec site) {
         this.site = site;
     }
 
@@ -112,7 +117,7 @@
      * not
      * get to run, nothing that reaches them is noted, and no balancer must be blamed for it.
      */
-    void beat(long now) {
+    public void beat(long now) {
         long late = lastBeat == Long.MIN_VALUE ? 0 : now - lastBeat - BEAT;
         lastBeat = now;
         if (late > BEAT) {
@@ -141,24 +146,24 @@
     // ---- Clients -------------------------------------------------------------------------------------
 
     /** Something is wanted; its retries count as part of it. */
-    void wanted(WorkClass cls) {
+    public void wanted(WorkClass cls) {
         requests++;
         asked += cls.worth();
     }
 
     /** A request goes to a balancer; {@code key} is its idempotency key, or null. */
-    void asked(String id, WorkClass cls, String key, String balancer, long now, long deadline) {
+    public void asked(String id, WorkClass cls, String key, String balancer, long now, long deadline) {
         entries.put(id, new Entry(cls, key, balancer, now, deadline));
         byBalancer.merge(balancer, 1L, Long::sum);
     }
 
     /** No connection came up for it: nobody was asked. */
-    void unreached(String id) {
+    public void unreached(String id) {
         byBalancer.merge(entries.remove(id).balancer, -1L, Long::sum);
     }
 
     /** Its answer is whole; {@code firstAsked} is when the client first wanted it. */
-    void answered(String id, Answer answer, boolean bodyFits, long firstAsked, long now) {
+    public void answered(String id, Answer answer, boolean bodyFits, long firstAsked, long now) {
         Entry e = entries.get(id);
         if (e.answer != null) {
             violation(1, id + " answered twice");
@@ -186,7 +191,7 @@
     }
 
     /** The connection ended without an answer. */
-    void unanswered(String id, long now) {
+    public void unanswered(String id, long now) {
         Entry e = entries.get(id);
         if (e.answer == null) {
             e.answer = Answer.NONE;
@@ -197,13 +202,37 @@
         }
     }
 
+    /**
+     * Forgets requests whose time was over so long ago that nothing can come of them any more: a long run would
+     * otherwise
+     * hold them all.
+     */
+    public void forget(long now) {
+        for (Iterator<Map.Entry<String, Entry>> all = entries.entrySet().iterator(); all.hasNext();) {
+            Entry e = all.next().getValue();
+            if (e.answer == null || now - e.deadline < KNOWN_FOR) {
+                break; // in the order in which they were asked, and near enough in that of their deadlines
+            }
+            if (e.answer == Answer.REFUSED && e.effects > 0 && !e.flagged && !e.cls.repeat().equals("free")) {
+                refusedAndRan++;
+            }
+            all.remove();
+        }
+        for (Iterator<Map.Entry<String, long[]>> all = effectsByKey.entrySet().iterator(); all.hasNext();) {
+            if (now - all.next().getValue()[1] < KNOWN_FOR) {
+                break;
+            }
+            all.remove();
+        }
+    }
+
     /** A balancer was killed: what it held is its clients' to retry. */
     public void died(String balancer) {
         dead.add(balancer);
     }
 
     /** Whether it was killed and is not back. */
-    boolean isDead(String balancer) {
+    public boolean isDead(String balancer) {
         return dead.contains(balancer);
     }
 
@@ -215,7 +244,7 @@
     // ---- Discovery -----------------------------------------------------------------------------------
 
     /** Discovery has written to a balancer what a node's state is. */
-    void told(String balancer, String node, boolean ready, long now) {
+    public void told(String balancer, String node, boolean ready, long now) {
         Map<String, Long> closed = closedAt.computeIfAbsent(balancer, b -> new HashMap<>());
         if (ready) {
             closed.remove(node);
@@ -227,7 +256,7 @@
     // ---- Order nodes ---------------------------------------------------------------------------------
 
     /** The last byte of an attempt has reached a node; null if no client sent such a request. */
-    WorkClass arrived(String id, String node, long now) {
+    public WorkClass arrived(String id, String node, long now) {
         Entry e = entries.get(id);
         attempts++;
         if (e == null) {
@@ -247,13 +276,17 @@
     }
 
     /** It has run with an effect. */
-    void ran(String id, String node) {
+    public void ran(String id, String node) {
         Entry e = entries.get(id);
         e.effects++;
-        int ofKey = e.key == null ? 0 : effectsByKey.merge(e.key, 1, Integer::sum);
+        long[] ofKey = e.key == null ? new long[1] : effectsByKey.computeIfAbsent(e.key, k -> new long[2]);
+        ofKey[0]++;
+        if (e.key != null) {
+            ofKey[1] = e.deadline;
+        }
         if (e.effects > 1 && !e.cls.repeat().equals("free")) {
             violation(2, id + " took effect again at " + node);
-        } else if (ofKey > 1) {
+        } else if (ofKey[0] > 1) {
             violation(2, id + " took effect at " + node + " after another try of " + e.key + " had");
         }
         if (e.answer == Answer.REFUSED && !e.cls.repeat().equals("free")) {
@@ -263,12 +296,12 @@
     }
 
     /** How much a cold node was sent in the last window, as a share of what makes it fall over. */
-    void coldLoad(double share) {
+    public void coldLoad(double share) {
         coldPeak = Math.max(coldPeak, share);
     }
 
     /** A cold node has fallen over. */
-    void fell(String node) {
+    public void fell(String node) {
         violation(4, node + " was pushed over");
     }
 
@@ -279,6 +312,7 @@
         Map<Integer, Integer> rules = new TreeMap<>(byRule);
         long refusedAfterRun = entries.values().stream().filter(e -> e.answer == Answer.REFUSED && e.effects > 0
                 && !e.flagged && !e.cls.repeat().equals("free")).count();
+        refusedAfterRun += refusedAndRan;
         if (refusedAfterRun > 0) {
             rules.merge(2, (int) refusedAfterRun, Integer::sum);
         }
@@ -298,7 +332,7 @@
     }
 
     /** Requests that a client still waits for. */
-    long open() {
+    public long open() {
         return entries.values().stream().filter(e -> e.answer == null).count();
     }
 }
--- /dev/null
+++ b/src/main/java/sedgeyoke/site/SiteSpec.java
@@ -0,0 +1,69 @@
+package sedgeyoke.site;
+
+import java.util.List;
+
+/**
+ * What a site is made of, and the figures that every balancer of it is told.
+ *
+ * @param zones its data centres
+ * @param classes the classes of requests
+ * @param nodes the order nodes at the start
+ * @param rules the figures of the rules
+ * @param retryAfter whether refusals may tell clients when to come back
+ */
+public record SiteSpec(List<String> zones, List<WorkClass> classes, List<NodeSpec> nodes, RuleSpec rules,
+        boolean retryAfter) {
+    /** What nodes are called by their speed. */
+    public static final List<String> KINDS = List.of("fast", "slow");
+
+    /**
+     * The figures of the rules, times in milliseconds.
+     *
+     * @param drainGraceMs nothing new may reach a node so long after the balancer was told that it drains
+     * @param startCapacity share of its capacity that a node has at its start
+     * @param coldMs it is warm after that
+     * @param fallMultiple sent more than this multiple of what it can do
+     * @param fallMs over so long a time, it falls over
+     */
+    public record RuleSpec(long drainGraceMs, double startCapacity, long coldMs, double fallMultiple, long fallMs) {
+        /** The platform's. */
+        public static final RuleSpec USUAL = new RuleSpec(1_000, 0.32, 9_000, 4, 1_500);
+    }
+
+    /**
+     * An order node.
+     *
+     * @param id the same at every balancer
+     * @param zone its data centre, by number
+     * @param cores how many requests it works on at once
+     * @param speed work that a core does in a millisecond, in milliseconds of work
+     * @param queue requests that may wait; further ones are turned away
+     */
+    public record NodeSpec(String id, int zone, int cores, double speed, int queue) {
+        /** Work that it does in a second once warm, in seconds. */
+        public double capacity() {
+            return cores * speed;
+        }
+
+        /** By number of {@link #KINDS}. */
+        public int kind() {
+            return speed >= 1.2 ? 0 : 1;
+        }
+    }
+
+    /** Orders as the platform's site has them: keyed position updates and unsafe trade confirmations. */
+    public static List<WorkClass> orders() {
+        return List.of(new WorkClass("position-update", "guarded", 0.54, 250, 500, 10, 50),
+                new WorkClass("trade-confirm", "single_shot", 0.46, 800, 2_500, 30, 100));
+    }
+
+    /** Mean work of a request, in seconds. */
+    public double meanWork() {
+        return classes.stream().mapToDouble(c -> c.share() * c.workMs()).sum() / 1_000;
+    }
+
+    /** What all its nodes can do, in requests a second. */
+    public double capacity() {
+        return nodes.stream().mapToDouble(NodeSpec::capacity).sum() / meanWork();
+    }
+}
--- a/src/main/java/sedgeyoke/standin/BulkPair.java
+++ b/src/main/java/sedgeyoke/standin/BulkPair.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.SplittableRandom;
+import sedgeyoke.site.WorkClass;
 
 /**
  * A client and a node that exchange a long request and a long answer, and what became of these. One side sets the pace:
--- a/src/main/java/sedgeyoke/standin/BulkSite.java
+++ b/src/main/java/sedgeyoke/standin/BulkSite.java
@@ -3,6 +3,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.util.Map;
+import sedgeyoke.site.Ledger;
+import sedgeyoke.site.SiteSpec;
 
 /** Order nodes for long bodies and the discovery that names them, without any clients of their own. */
 public final class BulkSite implements AutoCloseable {
--- a/src/main/java/sedgeyoke/standin/Clients.java
+++ b/src/main/java/sedgeyoke/standin/Clients.java
@@ -24,6 +24,9 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import sedgeyoke.site.Ledger;
+import sedgeyoke.site.SiteSpec;
+import sedgeyoke.site.WorkClass;
 
 /**
  * The desks: requests at a steady mean rate that wait for no answer, dealt out among the balancers of each zone, one at
--- a/src/main/java/sedgeyoke/standin/DiscoveryStandin.java
+++ b/src/main/java/sedgeyoke/standin/DiscoveryStandin.java
@@ -19,6 +19,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import sedgeyoke.site.Ledger;
+import sedgeyoke.site.SiteSpec;
 
 /**
  * Discovery, with an agent of its own for each balancer: so it knows when it has told whom, which the rule on drains is
@@ -59,7 +61,7 @@
 
     /** What is true of a node from now on; {@code up}, {@code draining} or {@code removed}. */
     void set(OrderNode node, String phase) {
-        set(node.spec(), node.address(), node.launchedAt(), phase);
+        set(node.spec(), node.address(), node.model().launchedAt(), phase);
     }
 
     /** The same for a node of any make. */
--- a/src/main/java/sedgeyoke/standin/Site.java
+++ b/src/main/java/sedgeyoke/standin/Site.java
@@ -10,6 +10,10 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import sedgeyoke.site.Ledger;
+import sedgeyoke.site.SiteSpec;
+import sedgeyoke.site.WorkClass;
+import sedgeyoke.site.ZoneMemory;
 
 /** A whole site on loopback, balancers apart: discovery, order nodes and clients on one event loop. */
 public final class Site implements AutoCloseable {
@@ -29,7 +33,7 @@
         this.ledger = new Ledger(spec);
         this.discovery = new DiscoveryStandin(loop, this::now, ledger, spec);
         this.clients = new Clients(spec, loop, this::now, ledger, zoneShare, seed);
-        List<Map<String, Long>> memories = spec.zones().stream().map(z -> OrderNode.zoneMemory()).toList();
+        List<ZoneMemory> memories = spec.zones().stream().map(z -> new ZoneMemory()).toList();
         for (SiteSpec.NodeSpec n : spec.nodes()) {
             OrderNode node = new OrderNode(n, spec, loop, this::now, ledger, memories.get(n.zone()), seed);
             node.start();
@@ -95,7 +99,7 @@
      * own time, is the true utilisation: warm keys and cold nodes make it unlike the load that was asked for.
      */
     public long worked() {
-        return ask(() -> inOrder.stream().mapToLong(OrderNode::worked).sum());
+        return ask(() -> inOrder.stream().mapToLong(n -> n.model().worked()).sum());
     }
 
     /** The share of all core time that was worked since {@code worked} and {@code at} were read. */
--- a/src/test/java/sedgeyoke/LayoutTest.java
+++ b/src/test/java/sedgeyoke/LayoutTest.java
@@ -28,7 +28,8 @@
 
     @Test
     void whatDecidesHasNoInputOutputClockOrThread() {
-        pure("sedgeyoke.decide..", "sedgeyoke.plan..", "sedgeyoke.body..").check(PROGRAM);
+        pure("sedgeyoke.decide..", "sedgeyoke.plan..", "sedgeyoke.body..", "sedgeyoke.site..", "sedgeyoke.emulate..")
+                .check(PROGRAM);
     }
 
     @Test
--- /dev/null
+++ b/src/test/java/sedgeyoke/emulate/EmulationTest.java
@@ -0,0 +1,143 @@
+package sedgeyoke.emulate;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import sedgeyoke.emulate.Scenario.Fault;
+import sedgeyoke.emulate.Scenario.Kind;
+import sedgeyoke.emulate.Scenario.PlannerSpec;
+
+/**
+ * Whether the emulator can be believed: theory, conservation at each step, the same seed, and the rules under faults.
+ */
+class EmulationTest {
+    private static Scenario small(double load) {
+        return Scenarios.orders(12, 6, load, 12);
+    }
+
+    private static Fault fault(double at, Kind kind, int count, double every, double lasts, double value) {
+        return new Fault(at, kind, -1, count, every, lasts, value);
+    }
+
+    private static Scenario troubled() {
+        List<Fault> faults = new ArrayList<>();
+        faults.add(fault(1, Kind.RESTART_NODE, 2, 3, 0, 0));
+        faults.add(fault(2, Kind.REPLACE_NODE, 2, 2.5, 0, 0));
+        faults.add(fault(2.2, Kind.REPLACE_NODE_IN_PLACE, 1, 0, 0, 0));
+        faults.add(fault(3, Kind.DRAIN_NODE, 1, 0, 0, 2));
+        faults.add(fault(4, Kind.KILL_FORWARDER, 1, 0, 1, 0));
+        faults.add(fault(5, Kind.VANISH_NODE, 1, 0, 0, 0));
+        faults.add(fault(5, Kind.ZONE_LOAD, 1, 0, 3, 2));
+        faults.add(fault(6, Kind.ERRORS_SLOW, 1, 0, 2, 0));
+        faults.add(fault(6, Kind.ERRORS_FAST, 1, 0, 2, 0));
+        faults.add(fault(7, Kind.DISCOVERY_DOWN, 1, 0, 2, 0));
+        faults.add(fault(2, Kind.KILL_PLANNER, 3, 2, 1, 0));
+        faults.add(fault(3, Kind.PAUSE_PLANNER, 2, 3, 1.5, 0));
+        faults.add(fault(6, Kind.CUT_PLANNER_OUT, 1, 0, 2, 0));
+        faults.add(fault(7, Kind.CUT_PLANNER_IN, 1, 0, 2, 0));
+        return small(0.6).withFaults(faults).withPlanners(PlannerSpec.usual(3));
+    }
+
+    static List<Theory.Check> theory() {
+        return Theory.checks(0.12, 2);
+    }
+
+    @ParameterizedTest
+    @MethodSource("theory")
+    void agreesWithQueueingTheory(Theory.Check check) {
+        assertTrue(check.relativeError() <= 0.03, check + " is off by " + check.relativeError());
+    }
+
+    /** The check itself: a queue with a tenth more work is told apart. */
+    @Test
+    void theoryWouldFindATenthMoreWork() {
+        assertTrue(new Theory.Check("", 0.01, 0.011).relativeError() > 0.03);
+    }
+
+    @Test
+    void theSameSeedGivesTheSameRunToTheLastEvent() {
+        Outcome a = new Emulation(troubled(), 5).run();
+        Outcome b = new Emulation(troubled(), 5).run();
+        Outcome c = new Emulation(troubled(), 6).run();
+        assertEquals(text(a), text(b));
+        assertNotEquals(text(a), text(c));
+    }
+
+    private static String text(Outcome o) {
+        return o.service() + " " + o.events() + " " + o.attempts() + " " + o.answers() + " " + o.seconds() + o.nodes()
+                + o.latency().getMean() + o.warmUps() + o.coldPeak() + o.violations();
+    }
+
+    /** The same wants reach every policy: only then are differences the policy's. */
+    @Test
+    void whatClientsWantDoesNotDependOnWhoDecides() {
+        List<Long> first = null;
+        for (String policy : Policies.names()) {
+            Outcome o = new Emulation(small(0.5).withPolicy(policy), 3).run();
+            List<Long> wanted = o.seconds().stream().map(Outcome.Second::wanted).toList();
+            first = first == null ? wanted : first;
+            assertEquals(first, wanted, policy);
+        }
+    }
+
+    @Test
+    void eachRequestEndsOnceAndNoWorkGetsLost() {
+        Emulation e = new Emulation(troubled(), 9);
+        e.begin();
+        for (int step = 0; step < 1_200; step++) {
+            e.play(10_000);
+            assertTrue(e.openAtClients() >= e.openAtForwarders(), "a balancer owes what nobody waits for");
+            assertTrue(e.unaccountedWork() < 1e-6, "work is lost in the books: " + e.unaccountedWork());
+        }
+        e.stopClients();
+        e.play(5_000_000);
+        assertEquals(0, e.openAtClients());
+        assertEquals(0, e.openAtForwarders());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void theRulesHoldUnderFaults(long seed) {
+        for (Scenario s : List.of(troubled(), troubled().withPlanners(PlannerSpec.usual(0)))) {
+            Outcome o = new Emulation(s, seed).run();
+            assertEquals(Map.of(), o.violations(), o.broken().toString());
+            assertTrue(o.coldPeak() <= 1);
+            assertTrue(o.service() > 0.6, "service " + o.service());
+        }
+    }
+
+    /** Faults must do something, or the tests above show nothing. */
+    @ParameterizedTest
+    @EnumSource(value = Kind.class, names = {"RESTART_NODE", "DRAIN_NODE", "VANISH_NODE", "REPLACE_NODE",
+        "REPLACE_NODE_IN_PLACE", "SLOW_NODE", "ERRORS_FAST", "ERRORS_SLOW", "ZONE_LOAD", "KILL_FORWARDER",
+        "PAUSE_FORWARDER"})
+    void eachFaultChangesARun(Kind kind) {
+        Scenario calm = small(0.6);
+        Scenario struck = calm.withFaults(List.of(fault(4, kind, 3, 1, 2, 3)));
+        assertNotEquals(text(new Emulation(calm, 2).run()), text(new Emulation(struck, 2).run()));
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = Kind.class, names = {"KILL_PLANNER", "PAUSE_PLANNER", "CUT_PLANNER_OUT", "CUT_PLANNER_IN"})
+    void eachFaultOfAPlannerChangesARun(Kind kind) {
+        Scenario calm = small(0.6).withPlanners(PlannerSpec.usual(1));
+        Scenario struck = calm.withFaults(List.of(fault(4, kind, 1, 0, 3, 0)));
+        assertNotEquals(text(new Emulation(calm, 2).run()), text(new Emulation(struck, 2).run()));
+    }
+
+    @Test
+    void anOracleBeatsChance() {
+        double random = new Emulation(small(0.75).withPolicy("random"), 4).run().service();
+        double oracle = new Emulation(small(0.75).withPolicy("oracle"), 4).run().service();
+        assertTrue(oracle > random + 0.02, "oracle " + oracle + ", random " + random);
+    }
+}
--- a/src/test/java/sedgeyoke/standin/LedgerTest.java
+++ b/src/test/java/sedgeyoke/site/LedgerTest.java
@@ -1,11 +1,11 @@
-package sedgeyoke.standin;
+package sedgeyoke.site;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import sedgeyoke.standin.Ledger.Answer;
+import sedgeyoke.site.Ledger.Answer;
 
 /** The judge itself: each rule broken once on purpose, and the same step in order beside it. */
 class LedgerTest {
--- a/src/test/java/sedgeyoke/standin/ClientsTest.java
+++ b/src/test/java/sedgeyoke/standin/ClientsTest.java
@@ -19,6 +19,8 @@
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import sedgeyoke.site.Ledger;
+import sedgeyoke.site.SiteSpec;
 
 /** Clients against a scripted balancer: what crosses the end of an idle connection is no loss, all else is. */
 class ClientsTest {
