--- a/src/test/java/sedgeyoke/emulate/EmulationTest.java
+++ b/src/test/java/sedgeyoke/emulate/EmulationTest.java
@@ -135,8 +135,8 @@
     }
 
     /**
-     * Many forwarders that all see the same crowds at once, as planners showed them, all go where there was none: service
-     * fell from 0.94 to 0.24. Each is to go by what it has seen of crowds itself.
+     * Many forwarders that all see the same crowds at once, as planners showed them, all go where there was none:
+     * service fell from 0.94 to 0.24. Each is to go by what it has seen of crowds itself.
      */
     @Test
     void forwardersThatFollowPlannersAreNoHerd() {
