One way to hand a module its events in order; what nobody called is gone

The emulator's balancer had written again how net.Node hands over events; the judge could forget old requests, and nobody asked it to; the network had a delay for a place that does not exist; an exchange kept a status that only its client read.

Change: sedgeyoke.decide.InOrder serves both hosts of a module; the rest is taken out. Behaviour stays.

--- a/src/main/java/sedgeyoke/emulate/Forwarder.java
+++ b/src/main/java/sedgeyoke/emulate/Forwarder.java
@@ -1,11 +1,9 @@
 package sedgeyoke.emulate;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Queue;
 import sedgeyoke.decide.Balancer;
 import sedgeyoke.decide.Balancer.AttemptEnd;
 import sedgeyoke.decide.Balancer.ListKind;
@@ -13,6 +11,7 @@
 import sedgeyoke.decide.Balancer.Outcome;
 import sedgeyoke.decide.Balancer.Request;
 import sedgeyoke.decide.Balancer.State;
+import sedgeyoke.decide.InOrder;
 import sedgeyoke.plan.Follower;
 import sedgeyoke.plan.LeaseTerms;
 import sedgeyoke.plan.PlanMessage;
@@ -43,8 +42,7 @@
     private final Map<String, Call> calls = new HashMap<>();
     private final Map<String, Fleet.Entry> targets = new HashMap<>();
     private final Map<Integer, Integer> idle = new HashMap<>();
-    private final Queue<Runnable> events = new ArrayDeque<>();
-    private boolean handling;
+    private InOrder events = new InOrder();
     private boolean alive;
     private int process;
     private long pausedUntil;
@@ -180,10 +178,9 @@
             }
         });
         calls.clear();
-        events.clear();
+        events = new InOrder();
         idle.clear();
         targets.clear();
-        handling = false;
     }
 
     void revive() {
@@ -210,18 +207,7 @@
     }
 
     private void deliver(Runnable event) {
-        events.add(event);
-        if (handling) {
-            return;
-        }
-        handling = true;
-        try {
-            for (Runnable next = events.poll(); next != null; next = events.poll()) {
-                next.run();
-            }
-        } finally {
-            handling = false;
-        }
+        events.handle(event);
     }
 
     void listed(ListKind kind, List<Fleet.Entry> entries) {
--- a/src/main/java/sedgeyoke/emulate/World.java
+++ b/src/main/java/sedgeyoke/emulate/World.java
@@ -8,7 +8,6 @@
 final class World {
     /** Long enough after zero that a start at zero means long ago. */
     static final long START = 1_000_000_000L;
-    private static final long LOOPBACK_US = 20;
 
     final Scenario scenario;
     final Timeline time = new Timeline(START);
@@ -27,10 +26,10 @@
         this.ledger = new Ledger(scenario.site());
     }
 
-    /** One way between two zones, for one message; -1 is the same machine. */
+    /** One way between two zones, for one message. */
     long delay(int from, int to) {
         Scenario.Network n = scenario.network();
-        long base = from < 0 || to < 0 ? LOOPBACK_US : from == to ? n.inZoneUs() : n.crossZoneUs();
+        long base = from == to ? n.inZoneUs() : n.crossZoneUs();
         double jitter = n.jitter() <= 0 ? 0 : -Math.log(1 - delays.nextDouble()) * n.jitter() * base;
         long stalled = n.stall() > 0 && delays.nextDouble() < n.stall() ? n.stallUs() : 0;
         return base + (long) jitter + stalled;
--- a/src/main/java/sedgeyoke/net/Node.java
+++ b/src/main/java/sedgeyoke/net/Node.java
@@ -4,13 +4,12 @@
 import sedgeyoke.body.BodyLimits;
 import sedgeyoke.body.CutRequest;
 import sedgeyoke.decide.Balancer;
+import sedgeyoke.decide.InOrder;
 import sedgeyoke.decide.Policy;
 import io.netty.channel.EventLoop;
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -41,10 +40,9 @@
     private final Discovery discovery;
     private final Balancer module;
     private final Map<String, Call> calls = new HashMap<>();
-    private final Queue<Runnable> events = new ArrayDeque<>();
+    private final InOrder events = new InOrder();
     private final long startedAt = System.currentTimeMillis() * 1_000;
     private final long startedNanos = System.nanoTime();
-    private boolean handling;
     /** When the timer that the module set last is due; it always has one. */
     private long timerDue = Long.MAX_VALUE;
     /** How late the last timer was. */
@@ -141,7 +139,7 @@
      * own actions. If it throws while it handles a call, that call is answered here, as nobody else will.
      */
     private void deliver(Call call, Runnable event) {
-        events.add(() -> {
+        events.handle(() -> {
             try {
                 event.run();
             } catch (RuntimeException e) {
@@ -151,17 +149,6 @@
                 }
             }
         });
-        if (handling) {
-            return;
-        }
-        handling = true;
-        try {
-            for (Runnable next = events.poll(); next != null; next = events.poll()) {
-                next.run();
-            }
-        } finally {
-            handling = false; // after an error too, or no event would ever be handled again
-        }
     }
 
     @Override
--- a/src/main/java/sedgeyoke/site/Ledger.java
+++ b/src/main/java/sedgeyoke/site/Ledger.java
@@ -6,8 +6,6 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -24,16 +22,15 @@
     private static final int MOST_TEXTS = 20;
     /** How often the judge looks whether it is late itself. */
     public static final long BEAT = 10_000;
-    private static final long KNOWN_FOR = 20_000_000;
     private static final long STALLS_KNOWN_FOR = 30_000_000;
 
     private final SiteSpec site;
-    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final Map<String, Entry> entries = new HashMap<>();
     private final Map<String, Map<String, Long>> closedAt = new HashMap<>();
     private final Map<String, Long> byBalancer = new HashMap<>();
     private final Set<String> dead = new HashSet<>();
     /** Effects by idempotency key: all tries of one want are to have one. */
-    private final Map<String, long[]> effectsByKey = new LinkedHashMap<>();
+    private final Map<String, Integer> effectsByKey = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
     private final Map<Integer, Integer> byRule = new TreeMap<>();
     private final Map<String, Integer> answers = new TreeMap<>();
@@ -44,7 +41,6 @@
     private long requests;
     private long attempts;
     private double coldPeak;
-    private long refusedAndRan;
     /**
      * Times in which the judge itself stood still: from, for how long. What it notes right after is older than that.
      */
@@ -202,30 +198,6 @@
         }
     }
 
-    /**
-     * Forgets requests whose time was over so long ago that nothing can come of them any more: a long run would
-     * otherwise
-     * hold them all.
-     */
-    public void forget(long now) {
-        for (Iterator<Map.Entry<String, Entry>> all = entries.entrySet().iterator(); all.hasNext();) {
-            Entry e = all.next().getValue();
-            if (e.answer == null || now - e.deadline < KNOWN_FOR) {
-                break; // in the order in which they were asked, and near enough in that of their deadlines
-            }
-            if (e.answer == Answer.REFUSED && e.effects > 0 && !e.flagged && !e.cls.repeat().equals("free")) {
-                refusedAndRan++;
-            }
-            all.remove();
-        }
-        for (Iterator<Map.Entry<String, long[]>> all = effectsByKey.entrySet().iterator(); all.hasNext();) {
-            if (now - all.next().getValue()[1] < KNOWN_FOR) {
-                break;
-            }
-            all.remove();
-        }
-    }
-
     /** A balancer was killed: what it held is its clients' to retry. */
     public void died(String balancer) {
         dead.add(balancer);
@@ -279,14 +251,10 @@
     public void ran(String id, String node) {
         Entry e = entries.get(id);
         e.effects++;
-        long[] ofKey = e.key == null ? new long[1] : effectsByKey.computeIfAbsent(e.key, k -> new long[2]);
-        ofKey[0]++;
-        if (e.key != null) {
-            ofKey[1] = e.deadline;
-        }
+        int ofKey = e.key == null ? 0 : effectsByKey.merge(e.key, 1, Integer::sum);
         if (e.effects > 1 && !e.cls.repeat().equals("free")) {
             violation(2, id + " took effect again at " + node);
-        } else if (ofKey[0] > 1) {
+        } else if (ofKey > 1) {
             violation(2, id + " took effect at " + node + " after another try of " + e.key + " had");
         }
         if (e.answer == Answer.REFUSED && !e.cls.repeat().equals("free")) {
@@ -312,7 +280,6 @@
         Map<Integer, Integer> rules = new TreeMap<>(byRule);
         long refusedAfterRun = entries.values().stream().filter(e -> e.answer == Answer.REFUSED && e.effects > 0
                 && !e.flagged && !e.cls.repeat().equals("free")).count();
-        refusedAfterRun += refusedAndRan;
         if (refusedAfterRun > 0) {
             rules.merge(2, (int) refusedAfterRun, Integer::sum);
         }
--- a/src/main/java/sedgeyoke/standin/BulkClient.java
+++ b/src/main/java/sedgeyoke/standin/BulkClient.java
@@ -88,9 +88,9 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
         if (message instanceof HttpResponse head) {
-            pair.status = head.status().code();
-            if (pair.status != 200) {
-                end(pair.status == 503 || pair.status == 429 ? BulkPair.End.REFUSED : BulkPair.End.FAILED);
+            int status = head.status().code();
+            if (status != 200) {
+                end(status == 503 || status == 429 ? BulkPair.End.REFUSED : BulkPair.End.FAILED);
                 ctx.close();
                 return;
             }
--- a/src/main/java/sedgeyoke/standin/BulkPair.java
+++ b/src/main/java/sedgeyoke/standin/BulkPair.java
@@ -44,7 +44,6 @@
     volatile byte[] downSent;
     volatile byte[] downArrived;
     volatile int ran;
-    volatile int status;
     volatile End end = End.OPEN;
     volatile long startedNanos;
     volatile long endedNanos;
@@ -111,11 +110,6 @@
         return end;
     }
 
-    /** Its status, 0 where none came. */
-    public int status() {
-        return status;
-    }
-
     /** Whether it had an effect twice: repeats of a keyed request are dropped by nodes, and count for none. */
     public boolean ranTwice() {
         return ran > 1 && !cls.keyed();
