--- a/src/main/java/sedgeyoke/decide/Balancer.java
+++ b/src/main/java/sedgeyoke/decide/Balancer.java
@@ -223,7 +223,8 @@
 
     /**
      * How this balancer stands with one upstream. {@code sent} counts attempts since it is known; {@code reportedAt}
-     * 0 means that it has no report; {@code ejected} that it is avoided, by our own choice or by hand; {@code coldRight} is our own right while it is cold, in mean requests a second.
+     * 0 means that it has no report; {@code ejected} that it is avoided, by our own choice or by hand;
+     * {@code coldRight} is our own right while it is cold, in mean requests a second.
      */
     record Standing(String id, int zone, State state, long launchedAt, int inFlight, long sent, double weight,
             double limit, double utilisation, double waiting, long reportedAt, boolean ejected, double coldRight) { }
--- a/src/main/java/sedgeyoke/net/Config.java
+++ b/src/main/java/sedgeyoke/net/Config.java
@@ -25,8 +25,8 @@
  * where operators knock (DAYS, "In operation"), null where the platform has no such door; {@code folder} is what the
  * processes of one balancer share during an upgrade, null for none.
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress ops, Path folder,
-        long seed, int sockets, SettingsReader.Found facts, MemberList known) {
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress ops,
+        Path folder, long seed, int sockets, SettingsReader.Found facts, MemberList known) {
 
     static final JsonMapper JSON = new JsonMapper();
     private static final int FEWEST_SOCKETS = 128;
@@ -74,7 +74,8 @@
     List<String> needRestart(Config other) {
         List<String> fields = new ArrayList<>();
         Map<String, Function<Config, Object>> fixed = new TreeMap<>(Map.of("name", Config::name,
-                "listen", Config::listen, "ops", c -> String.valueOf(c.ops()), "limits.sockets", Config::sockets, "settings", Config::facts));
+                "listen", Config::listen, "ops", c -> String.valueOf(c.ops()),
+                "limits.sockets", Config::sockets, "settings", Config::facts));
         fixed.forEach((field, value) -> {
             if (!value.apply(this).equals(value.apply(other))) {
                 fields.add(field);
@@ -98,7 +99,8 @@
             throw new Bad("configuration: known: " + e.getMessage());
         }
         return new Config(root.path("name").asText(), address(root, "listen"), address(root, "discovery"),
-                root.path("ops").isMissingNode() ? null : address(root, "ops"), null, seed(root), sockets, facts, known);
+                root.path("ops").isMissingNode() ? null : address(root, "ops"), null, seed(root), sockets,
+                facts, known);
     }
 
     private static SettingsReader.Found facts(JsonNode node) throws Bad, IOException {
--- a/src/main/java/sedgeyoke/net/Frontend.java
+++ b/src/main/java/sedgeyoke/net/Frontend.java
@@ -585,7 +585,8 @@
             if (retryAfter > 0) {
                 response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfter / 1e6);
             }
-            boolean keep = keepAlive && !closing && !handedOver && this.body == null; // what is left of a body is not read on
+            // What is left of a body is not read on.
+            boolean keep = keepAlive && !closing && !handedOver && this.body == null;
             HttpUtil.setKeepAlive(response, keep);
             call = null;
             enter(Phase.WRITING);
--- a/src/main/java/sedgeyoke/net/WarmUp.java
+++ b/src/main/java/sedgeyoke/net/WarmUp.java
@@ -72,8 +72,8 @@
             members.add(new MemberList.Member(new Balancer.Upstream("u" + i, 0, 0, 0, Balancer.State.READY, 1, 0),
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), FIRST_PORT + i)));
         }
-        WarmUp run = new WarmUp(new Config(like.name(), like.listen(), like.discovery(), null, null, like.seed(), like.sockets(),
-                like.facts(), new MemberList(1, true, members)), group.next(), like.bodies());
+        WarmUp run = new WarmUp(new Config(like.name(), like.listen(), like.discovery(), null, null, like.seed(),
+                like.sockets(), like.facts(), new MemberList(1, true, members)), group.next(), like.bodies());
         group.execute(run::start);
         run.answers.await(longestS, TimeUnit.SECONDS);
         long left = run.answers.getCount();
--- a/src/main/java/sedgeyoke/serve/Main.java
+++ b/src/main/java/sedgeyoke/serve/Main.java
@@ -49,7 +49,8 @@
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         Server server = null;
         try {
-            server = Server.onSockets(loop, config, features == null ? config.bodies() : features.bodies(), inherited());
+            server = Server.onSockets(loop, config, features == null ? config.bodies() : features.bodies(),
+                    inherited());
         } catch (IllegalArgumentException e) {
             fail("settings: " + e.getMessage());
         }
--- a/src/test/java/sedgeyoke/net/Loopback.java
+++ b/src/test/java/sedgeyoke/net/Loopback.java
@@ -141,7 +141,8 @@
             Peer.reply(socket, 200, known);
         });
         Config config = config(setup.settings, discovery.address(), setup.sockets, known)
-                .with(setup.folder == null ? null : "127.0.0.1:0", setup.folder == null ? null : setup.folder.toString());
+                .with(setup.folder == null ? null : "127.0.0.1:0",
+                        setup.folder == null ? null : setup.folder.toString());
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         node = new Node(loop, config, Transport.SOCKETS, setup.bodies, setup.module != null ? setup.module
                 : actions -> new Policy(config.facts().settings(), config.seed(), actions));
--- a/src/test/java/sedgeyoke/net/OpsDoorTest.java
+++ b/src/test/java/sedgeyoke/net/OpsDoorTest.java
@@ -147,7 +147,8 @@
             List<Socket> stuck = new ArrayList<>();
             for (int i = 0; i < 200; i++) {
                 Socket socket = new Socket(lb.door.getAddress(), lb.door.getPort());
-                Peer.write(socket, i % 2 == 0 ? "GET /admin/st" : "POST /admin/cordon HTTP/1.1\r\nContent-Length: 9\r\n\r\n");
+                Peer.write(socket, i % 2 == 0 ? "GET /admin/st"
+                        : "POST /admin/cordon HTTP/1.1\r\nContent-Length: 9\r\n\r\n");
                 stuck.add(socket);
             }
             for (int i = 0; i < 20; i++) {
