Answers that go on until their connection ends are read; a reset is no end

Change: such an answer is read, gathered or passed on like any other; its connection is not used again; a reset ends it as broken, and one without Connection: close is spoilt as before. Not taken: taking any answer without a length, as a head that lost it in garbling reads the same. Bytes of an answer are counted, so one that never ends is cut at the longest body. A long answer with a length and Connection: close no longer leaves its connection to the next request.

Taking a reset for an end, as a planted fault, fails three tests.

--- a/src/main/java/sedgeyoke/net/AnswerDecoder.java
+++ b/src/main/java/sedgeyoke/net/AnswerDecoder.java
@@ -19,8 +19,9 @@
 import java.util.List;
 
 /**
- * Reads answers of upstreams and throws at the first sign that one is spoilt, as soon as its head tells. It wants
- * each answer to say how long it is: one that goes on until the connection ends cannot be told from half of one.
+ * Reads answers of upstreams and throws at the first sign that one is spoilt, as soon as its head tells. An answer must
+ * say how long it is, or that its connection ends with it (RFC 9112, section 6.3): it is whole then if that ends in
+ * order, and broken if it is reset.
  */
 final class AnswerDecoder extends HttpResponseDecoder {
     private static final int MOST_INFORMATIONAL = 20;
@@ -92,7 +93,8 @@
         List<String> codings = h.getAll(HttpHeaderNames.TRANSFER_ENCODING);
         if (codings.isEmpty()) {
             long length = HttpUtil.getContentLength(head, -1L);
-            return length < 0 || length > mostBytes ? "the length "
+            boolean ends = length < 0 && !h.contains(HttpHeaderNames.CONTENT_LENGTH) && !HttpUtil.isKeepAlive(head);
+            return length < 0 && !ends || length > mostBytes ? "the length "
                     + h.get(HttpHeaderNames.CONTENT_LENGTH) : null;
         }
         return codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0)) ? null
--- a/src/main/java/sedgeyoke/net/UpstreamPool.java
+++ b/src/main/java/sedgeyoke/net/UpstreamPool.java
@@ -414,6 +414,9 @@
         /** Where the answer goes as it comes, and whether all of it has come. */
         private AnswerStream.Sink sink;
         private boolean passedOn;
+        /** Of the answer that is being read: whether the upstream ends the connection with it, and its bytes so far. */
+        private boolean lastHere;
+        private long length;
         private final Overflow rest = new Overflow();
         private boolean paused;
         private boolean informational;
@@ -445,6 +448,8 @@
                 return;
             }
             head = response;
+            lastHere = !HttpUtil.isKeepAlive(response);
+            length = 0;
             gathered.clear();
         }
 
@@ -454,6 +459,11 @@
                 return;
             }
             ByteBuf part = content.content();
+            length += part.readableBytes();
+            if (bodies.streaming() && length > bodies.longestBody()) {
+                spoilt("longer than " + bodies.longestBody() + " bytes"); // nothing in its head told
+                return;
+            }
             if (sink == null && gathered.size() + part.readableBytes() > mostGathered && !passOn()) {
                 return;
             }
@@ -561,7 +571,7 @@
 
         private void endPassedOn() {
             Attempt attempt = current;
-            boolean reusable = attempt.written && !decoder.hasMore();
+            boolean reusable = attempt.written && !lastHere && !decoder.hasMore();
             forgetAnswer();
             current = null;
             if (reusable) {
@@ -634,7 +644,9 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (cause instanceof IOException) {
-                ctx.close(); // the connection broke; its attempt ends in channelInactive
+                // Before the close: an answer that goes on until its connection ends would be taken for whole.
+                fail(current != null && !current.written ? Outcome.CONNECT_FAILED : Outcome.RESET);
+                ctx.close();
             } else {
                 spoilt(cause);
             }
--- a/src/test/java/sedgeyoke/net/BodiesTest.java
+++ b/src/test/java/sedgeyoke/net/BodiesTest.java
@@ -320,4 +320,92 @@
             assertArrayEquals(new int[] {0}, new int[] {up.requests.size()});
         }
     }
+
+    private static final String UNTIL_THE_END = "HTTP/1.1 200 x\r\nConnection: close\r\n\r\n";
+
+    @ParameterizedTest
+    @CsvSource({"0", "300", "49153", "3000000"})
+    void anAnswerMayGoOnUntilItsConnectionEnds(int length) throws Exception {
+        byte[] answer = bytes(length);
+        try (Peer up = new Peer((request, socket) -> {
+            Peer.write(socket, UNTIL_THE_END);
+            socket.getOutputStream().write(answer);
+            socket.close();
+        }); Loopback lb = serving(up)) {
+            for (int i = 0; i < 3; i++) { // no connection that has ended so is used again
+                Peer.Message got = lb.ask("id-" + i, "order", 5_000);
+                assertEquals(200, got.status());
+                assertEquals(digest(answer), digest(got.raw()));
+            }
+        }
+    }
+
+    /** A reset is no end: what came before it is half of an answer at best. */
+    @ParameterizedTest
+    @CsvSource({"300", "49153", "3000000"})
+    void oneThatIsResetIsNotServed(int length) throws Exception {
+        CountDownLatch read = new CountDownLatch(1);
+        byte[] answer = bytes(length);
+        try (Peer up = new Peer((request, socket) -> {
+            Peer.write(socket, UNTIL_THE_END);
+            socket.getOutputStream().write(answer);
+            read.await();
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }); Loopback lb = serving(up)) {
+            Socket client = lb.connect();
+            Peer.write(client, Loopback.request("a", "order", 5_000));
+            InputStream in = new BufferedInputStream(client.getInputStream());
+            assertEquals('H', in.read(), "it is being passed on, a short one as it is slow");
+            read.countDown();
+            String got = new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertTrue(!got.endsWith("0\r\n\r\n"), "the client can tell");
+        }
+    }
+
+    @Test
+    void oneThatSaysNothingOfItsEndIsSpoilt() throws Exception {
+        try (Peer up = new Peer((request, socket) -> {
+            Peer.write(socket, "HTTP/1.1 200 x\r\n\r\nhalf");
+            socket.close();
+        }); Loopback lb = serving(up)) {
+            assertEquals(502, lb.ask("a", "order", 5_000).status());
+        }
+    }
+
+    /** An answer that says that its connection ends with it: the next request must not meet that end. */
+    @Test
+    void aLongAnswerWithConnectionCloseIsTheLastOnItsConnection() throws Exception {
+        byte[] answer = bytes(3_000_000);
+        AtomicInteger connections = new AtomicInteger();
+        try (Peer up = new Peer((request, socket) -> {
+            connections.incrementAndGet();
+            Peer.write(socket, "HTTP/1.1 200 x\r\nConnection: close\r\nContent-Length: " + answer.length + "\r\n\r\n");
+            socket.getOutputStream().write(answer);
+            Thread.sleep(200); // it closes when it likes
+            socket.close();
+        }); Loopback lb = serving(up)) {
+            for (int i = 0; i < 3; i++) {
+                assertEquals(digest(answer), digest(lb.ask("id-" + i, "order", 5_000).raw()));
+            }
+            assertEquals(3, connections.get());
+        }
+    }
+
+    @Test
+    void oneThatNeverEndsIsCutAtTheLongestBody() throws Exception {
+        BodyLimits small = new BodyLimits(true, 64 * 1024, 8L * MB, 1_000, 1_000_000, 30_000_000, 5_000_000, MB, 0);
+        try (Peer up = new Peer((request, socket) -> {
+            Peer.write(socket, UNTIL_THE_END);
+            while (true) {
+                socket.getOutputStream().write(bytes(100_000));
+            }
+        }); Loopback lb = Loopback.setup().upstream("u", up.address()).bodies(small).start()) {
+            Socket client = lb.connect();
+            Peer.write(client, Loopback.request("a", "order", 5_000));
+            byte[] got = client.getInputStream().readAllBytes();
+            assertTrue(got.length < 2 * MB, "it ends");
+            assertTrue(!new String(got, StandardCharsets.ISO_8859_1).endsWith("0\r\n\r\n"), "and the client can tell");
+        }
+    }
 }
