--- a/src/main/java/sedgeyoke/decide/Policy.java
+++ b/src/main/java/sedgeyoke/decide/Policy.java
@@ -1032,11 +1032,11 @@
         out.timer("sweep", SWEEP);
         expire(now);
         checkHanging(now);
-        boolean counts = planned.strength(now) > 0;
-        if (counts || wasPlanned) {
-            steer(now);
+        double strength = planned.strength(now);
+        if (strength < 1 && (strength > 0 || wasPlanned)) {
+            steer(now); // while it fades or rises; at full strength the next plan is soon enough
         }
-        wasPlanned = counts;
+        wasPlanned = strength > 0;
         shed(now);
         if (now >= nextReweight) {
             long period = jitter(PERIOD);
--- a/src/main/java/sedgeyoke/emulate/Forwarder.java
+++ b/src/main/java/sedgeyoke/emulate/Forwarder.java
@@ -492,7 +492,7 @@
         lastTold = at;
         int mine = process;
         world.time.after(at - world.time.now(), () -> inTurn(mine, () -> {
-            if (follower.heard(now(), plan)) {
+            if (follower.heard(now(), plan) && follower.matters(now(), plan)) {
                 deliver(() -> module.plan(now(), follower.plan(now())));
             }
         }));
--- a/src/main/java/sedgeyoke/link/PlannerLink.java
+++ b/src/main/java/sedgeyoke/link/PlannerLink.java
@@ -163,7 +163,7 @@
             }
             PlanMessage plan = Messages.plan(peer(), frame.getPlan());
             long now = port.now();
-            if (follower.heard(now, plan)) {
+            if (follower.heard(now, plan) && follower.matters(now, plan)) {
                 port.deliver(() -> port.module().plan(port.now(), follower.plan(port.now())));
             }
         }
--- a/src/main/java/sedgeyoke/plan/Follower.java
+++ b/src/main/java/sedgeyoke/plan/Follower.java
@@ -162,6 +162,11 @@
         return true;
     }
 
+    /** Whether what the module is to know changes with a message: of planners on standby, few change anything. */
+    public boolean matters(long now, PlanMessage m) {
+        return m.planner().equals(follow(now)) || !m.grants().isEmpty();
+    }
+
     /** Whether a message answers a report of this process: the times in it are of its clock only then. */
     boolean answersUs(PlanMessage m) {
         return m.echo().incarnation() == self.incarnation();
