--- a/src/main/java/sedgeyoke/net/Node.java
+++ b/src/main/java/sedgeyoke/net/Node.java
@@ -28,6 +28,8 @@
     private static final long WAY_IN = 2_000;
     /** How long the first list is waited for before clients are let in with the one from the configuration. */
     private static final long WAIT_FOR_LIST = 1_500_000;
+    /** SIGKILL waits for no longer deadline than that (PROTOCOL, "Figures"). */
+    private static final long LONGEST_DEADLINE = 3_000_000;
     /** What a refusal advises where advice is allowed and the module has none. */
     private static final long RETRY_AFTER = 1_000_000;
     /** Share of the sockets for connections to upstreams; clients have one each, too. */
@@ -179,9 +181,10 @@
         }
     }
 
-    /** The longest that clients wait for an answer, in microseconds. */
+    /** The longest that clients wait for an answer, in microseconds, as far as the platform counts it. */
     long longestDeadline() {
-        return settings.classes().stream().mapToLong(Balancer.RequestClass::giveUp).max().orElse(0);
+        return Math.min(LONGEST_DEADLINE,
+                settings.classes().stream().mapToLong(Balancer.RequestClass::giveUp).max().orElse(0));
     }
 
     /** What comes from now on has no more time than that, in microseconds, whatever its client would grant. */
@@ -189,6 +192,21 @@
         lastMoment = now() + time;
     }
 
+    /**
+     * Ends what is still open, transfers above all, just before we are killed: cut in order, an upload whose last byte
+     * never went out is refused, and an answer that is not whole can be told from one that is.
+     */
+    void endAll() {
+        List.copyOf(calls.values()).forEach(call -> {
+            List.copyOf(call.attempts).forEach(a -> {
+                if (!a.ended) {
+                    pool.stop(a, a.written ? Balancer.Outcome.CANCELLED : Balancer.Outcome.CONNECT_FAILED);
+                }
+            });
+            giveUp(call);
+        });
+    }
+
     boolean idle() {
         return calls.isEmpty();
     }
--- a/src/main/java/sedgeyoke/net/Server.java
+++ b/src/main/java/sedgeyoke/net/Server.java
@@ -132,6 +132,7 @@
         });
         loop.schedule(this::stopListening, LISTEN_ON_MS, TimeUnit.MILLISECONDS);
         loop.schedule(frontend::close, Math.max(LISTEN_ON_MS, serveOn - LAST_BUDGET_MS), TimeUnit.MILLISECONDS);
+        loop.schedule(node::endAll, serveOn, TimeUnit.MILLISECONDS);
         try {
             done.await();
         } catch (InterruptedException e) {
--- /dev/null
+++ b/src/test/java/sedgeyoke/net/EndWithBodiesTest.java
@@ -0,0 +1,104 @@
+package sedgeyoke.net;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedInputStream;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import sedgeyoke.body.BodyLimits;
+
+/** SIGTERM while long bodies are on their way: what may finish finishes, the rest ends in order. */
+class EndWithBodiesTest {
+    private static final BodyLimits LIMITS = new BodyLimits(true, 64 * 1024, 8L << 20, 0, 1_000_000, 30_000_000,
+            30_000_000, 1L << 40, 0);
+    private static final int LENGTH = 400_000;
+    private static final int HALF = LENGTH / 2;
+
+    private static String upload(String id) {
+        return "POST /api?obj=o HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Call-Class: order\r\n"
+                + "X-Budget-Ms: 60000\r\nContent-Length: " + LENGTH + "\r\n\r\n";
+    }
+
+    /** A node that answers a request for the long answer in two halves, the second when it is let. */
+    private static Peer node(CountDownLatch second) throws Exception {
+        return new Peer((request, socket) -> {
+            if (request.raw().length > 10) {
+                Peer.reply(socket, 200, "" + request.raw().length);
+                return;
+            }
+            Peer.write(socket, "HTTP/1.1 200 x\r\nContent-Length: " + LENGTH + "\r\n\r\n");
+            socket.getOutputStream().write(new byte[HALF]);
+            second.await();
+            socket.getOutputStream().write(new byte[HALF]);
+        });
+    }
+
+    private static Thread end(Loopback lb) throws InterruptedException {
+        Thread end = new Thread(lb.server::end);
+        end.start();
+        Loopback.await("draining", () -> lb.health() == 503);
+        return end;
+    }
+
+    @Test
+    void whatIsOnItsWayIsFinished() throws Exception {
+        CountDownLatch second = new CountDownLatch(1);
+        try (Peer up = node(second);
+                Loopback lb = Loopback.setup().upstream("u", up.address()).bodies(LIMITS).start()) {
+            Loopback.await("ready", () -> lb.health() == 200);
+            Socket down = lb.connect();
+            Peer.write(down, Loopback.request("down", "order", 60_000));
+            InputStream answer = new BufferedInputStream(down.getInputStream());
+            answer.mark(1);
+            assertEquals('H', answer.read(), "it is on its way");
+            answer.reset();
+            Socket sending = lb.connect();
+            Peer.write(sending, upload("up"));
+            sending.getOutputStream().write(new byte[HALF]);
+            Loopback.await("it goes on", () -> up.sockets.size() == 2);
+            Thread end = end(lb);
+            second.countDown();
+            sending.getOutputStream().write(new byte[HALF]);
+            assertEquals("" + LENGTH, Loopback.answer(sending).body());
+            assertArrayEquals(new byte[LENGTH], Peer.read(answer).raw());
+            down.close();
+            sending.close();
+            end.join(10_000);
+            assertFalse(end.isAlive());
+        }
+    }
+
+    /** Neither could ever finish; each gets one final word before the process is killed, and the end waits no more. */
+    @Test
+    void whatCannotFinishEndsInOrder() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        try (Peer up = node(never); Loopback lb = Loopback.setup().upstream("u", up.address()).bodies(LIMITS)
+                .setting("\"give-up-s\":2", "\"give-up-s\":0.3").start()) {
+            Loopback.await("ready", () -> lb.health() == 200);
+            Socket down = lb.connect();
+            Peer.write(down, Loopback.request("down", "order", 60_000));
+            InputStream answer = new BufferedInputStream(down.getInputStream());
+            assertEquals('H', answer.read());
+            Socket sending = lb.connect();
+            Peer.write(sending, upload("up"));
+            sending.getOutputStream().write(new byte[HALF]);
+            Loopback.await("it goes on", () -> up.sockets.size() == 2);
+            Thread end = end(lb);
+            assertEquals(503, Loopback.answer(sending).status(), "its last byte never went out: it never ran");
+            byte[] got = answer.readAllBytes();
+            assertTrue(got.length < LENGTH, "the client can tell: " + got.length);
+            assertTrue(new String(got, 0, 200, StandardCharsets.ISO_8859_1).contains("" + LENGTH));
+            down.close();
+            sending.close();
+            end.join(10_000);
+            assertFalse(end.isAlive());
+            assertEquals(1, up.requests.size(), "the upload never ran");
+        }
+    }
+}
