--- a/src/main/java/sedgeyoke/cli/ExperimentCommand.java
+++ b/src/main/java/sedgeyoke/cli/ExperimentCommand.java
@@ -26,8 +26,10 @@
     private long seed;
     @Option(names = "--jobs", description = "runs side by side; default: one for each processor")
     private Integer jobs;
-    @Option(names = "--out", paramLabel = "DIR", description = "writes runs.jsonl and runs.csv there")
+    @Option(names = "--out", paramLabel = "DIR", description = "writes runs.jsonl, runs.csv and report.html there")
     private Path out;
+    @Option(names = "--resume", description = "goes on from the runs that are in DIR")
+    private boolean resume;
     @Option(names = "--json", description = "nothing but the last line")
     private boolean json;
 
@@ -37,17 +39,19 @@
             throw new CommandLine.ParameterException(spec.commandLine(),
                     "--seeds must lie from 1 to 100000, --jobs from 1 to 256");
         }
+        if (resume && out == null) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "--resume needs --out");
+        }
         PrintWriter printer = spec.commandLine().getOut();
-        ExperimentFile experiment;
+        ObjectNode figures;
         try {
-            experiment = ExperimentFile.load(file);
+            figures = new Experiment(ExperimentFile.load(file), new Experiment.Plan(seed, seeds, jobs == null
+                    ? Runtime.getRuntime().availableProcessors() : jobs, out, resume),
+                    json ? new PrintWriter(PrintWriter.nullWriter()) : printer).run();
         } catch (BadExperiment e) {
             spec.commandLine().getErr().println(e.getMessage());
             return CommandLine.ExitCode.USAGE;
         }
-        ObjectNode figures = new Experiment(experiment, seed, seeds,
-                jobs == null ? Runtime.getRuntime().availableProcessors() : jobs, out,
-                json ? new PrintWriter(PrintWriter.nullWriter()) : printer).run();
         printer.println(figures);
         printer.flush();
         return figures.path("ok").asBoolean() ? CommandLine.ExitCode.OK : CommandLine.ExitCode.SOFTWARE;
--- a/src/main/java/sedgeyoke/experiment/Experiment.java
+++ b/src/main/java/sedgeyoke/experiment/Experiment.java
@@ -15,46 +15,49 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
 import sedgeyoke.emulate.Emulation;
-import sedgeyoke.emulate.Outcome;
-import sedgeyoke.emulate.Scenario;
+import sedgeyoke.emulate.Policies;
 import sedgeyoke.emulate.Theory;
 
 /** Plays all variants of an experiment with the same seeds, side by side, and says what differs. */
 public final class Experiment {
-    /** Of the lines in {@code runs.jsonl}; see docs/experiments.md. */
-    private static final int SCHEMA = 1;
     private static final int MOST_BROKEN = 10;
     private static final double THEORY_SCALE = 1;
     private static final double THEORY_WITHIN = 0.03;
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final ExperimentFile file;
-    private final long firstSeed;
-    private final int seeds;
-    private final int jobs;
-    private final Path out;
+    private final Plan plan;
     private final PrintWriter say;
-
-    /** {@code out} is a folder for the runs, or null; progress goes to {@code say}. */
-    public Experiment(ExperimentFile file, long firstSeed, int seeds, int jobs, Path out, PrintWriter say) {
+    private int done;
+
+    /**
+     * How it is played.
+     *
+     * @param firstSeed of those that each variant is played with
+     * @param seeds runs of each variant at each point
+     * @param jobs runs side by side
+     * @param out a folder for the runs and the report, or null
+     * @param resume whether to go on from the runs that are there
+     */
+    public record Plan(long firstSeed, int seeds, int jobs, Path out, boolean resume) { }
+
+    /** Progress goes to {@code say}. */
+    public Experiment(ExperimentFile file, Plan plan, PrintWriter say) {
         this.file = file;
-        this.firstSeed = firstSeed;
-        this.seeds = seeds;
-        this.jobs = jobs;
-        this.out = out;
+        this.plan = plan;
         this.say = say;
     }
 
     /** Plays it and returns the figures; {@code ok} is false where a rule was broken or theory is missed. */
-    public ObjectNode run() throws IOException, InterruptedException {
+    public ObjectNode run() throws IOException, InterruptedException, BadExperiment {
         return file.theory() ? theory() : compare();
     }
 
     private ObjectNode theory() {
-        List<Theory.Check> checks = Theory.checks(THEORY_SCALE, firstSeed);
+        List<Theory.Check> checks = Theory.checks(THEORY_SCALE, plan.firstSeed());
         double worst = 0;
         for (Theory.Check c : checks) {
             say.printf(Locale.ROOT, "%-70s expected %.5f, seen %.5f, off by %.2f%%%n", c.name(), c.expected(), c.seen(),
@@ -62,42 +65,61 @@
             worst = Math.max(worst, c.relativeError());
         }
         say.flush();
-        return JSON.createObjectNode().put("experiment", file.name()).put("seed", firstSeed)
-                .put("checks", checks.size()).put("worst_relative_error", round(worst))
+        return JSON.createObjectNode().put("experiment", file.name()).put("seed", plan.firstSeed())
+                .put("checks", checks.size()).put("worst_relative_error", Run.round(worst))
                 .put("ok", worst <= THEORY_WITHIN);
     }
 
-    private ObjectNode compare() throws IOException, InterruptedException {
-        ExecutorService pool = Executors.newFixedThreadPool(jobs, task -> {
+    private ObjectNode compare() throws IOException, InterruptedException, BadExperiment {
+        RunFile kept = plan.out() == null ? null : new RunFile(plan.out());
+        Map<Run.Key, Run> before = kept != null && plan.resume() ? kept.read(file) : Map.of();
+        if (kept != null && !plan.resume()) {
+            kept.clear();
+        }
+        List<Run> runs = play(kept, before);
+        if (kept != null) {
+            kept.finish(runs);
+        }
+        ObjectNode figures = figures(runs);
+        if (plan.out() != null) {
+            Files.writeString(plan.out().resolve("report.html"), Report.of(file, runs, figures));
+        }
+        return figures;
+    }
+
+    // ---- Runs ----------------------------------------------------------------------------------------
+
+    private List<Run> play(RunFile kept, Map<Run.Key, Run> before) throws IOException, InterruptedException {
+        ExecutorService pool = Executors.newFixedThreadPool(plan.jobs(), task -> {
             Thread thread = new Thread(task, "run");
             thread.setDaemon(true);
             return thread;
         });
-        Map<String, List<Future<Outcome>>> runs = new LinkedHashMap<>();
-        AtomicInteger done = new AtomicInteger();
         long startedAt = System.nanoTime();
+        int all = file.points().stream().mapToInt(p -> p.variants().size()).sum() * plan.seeds();
+        Map<Run.Key, Future<Run>> playing = new LinkedHashMap<>();
         try {
-            file.variants().keySet().forEach(v -> runs.put(v, new ArrayList<>()));
-            for (int i = 0; i < seeds; i++) {
-                long seed = firstSeed + i;
-                for (Map.Entry<String, Scenario> v : file.variants().entrySet()) {
-                    runs.get(v.getKey()).add(pool.submit(() -> {
-                        Outcome o = new Emulation(v.getValue(), seed).run();
-                        progress(done.incrementAndGet(), startedAt);
-                        return o;
-                    }));
-                }
-            }
-            Map<String, List<Outcome>> outcomes = new LinkedHashMap<>();
-            for (Map.Entry<String, List<Future<Outcome>>> v : runs.entrySet()) {
-                List<Outcome> all = new ArrayList<>();
-                for (Future<Outcome> f : v.getValue()) {
-                    all.add(f.get());
+            for (ExperimentFile.Point point : file.points()) {
+                for (int i = 0; i < plan.seeds(); i++) {
+                    long seed = plan.firstSeed() + i;
+                    for (String variant : point.variants().keySet()) {
+                        Run.Key key = new Run.Key(point.label(), variant, seed);
+                        if (!before.containsKey(key)) {
+                            playing.put(key, pool.submit(() -> {
+                                Run run = Run.of(file, point, variant,
+                                        new Emulation(point.variants().get(variant), seed).run(),
+                                        seed == plan.firstSeed());
+                                if (kept != null) {
+                                    kept.add(run);
+                                }
+                                progress(all - before.size(), startedAt);
+                                return run;
+                            }));
+                        }
+                    }
                 }
-                outcomes.put(v.getKey(), all);
             }
-            write(outcomes);
-            return figures(outcomes);
+            return inOrder(before, playing);
         } catch (ExecutionException e) {
             throw new IllegalStateException("a run failed: " + e.getCause(), e.getCause());
         } finally {
@@ -105,8 +127,23 @@
         }
     }
 
-    private synchronized void progress(int done, long startedAt) {
-        int all = seeds * file.variants().size();
+    /** By point, variant and seed. */
+    private List<Run> inOrder(Map<Run.Key, Run> before, Map<Run.Key, Future<Run>> playing)
+            throws InterruptedException, ExecutionException {
+        List<Run> runs = new ArrayList<>();
+        for (ExperimentFile.Point point : file.points()) {
+            for (String variant : point.variants().keySet()) {
+                for (int i = 0; i < plan.seeds(); i++) {
+                    Run.Key key = new Run.Key(point.label(), variant, plan.firstSeed() + i);
+                    runs.add(before.containsKey(key) ? before.get(key) : playing.get(key).get());
+                }
+            }
+        }
+        return runs;
+    }
+
+    private synchronized void progress(int all, long startedAt) {
+        done++;
         double took = (System.nanoTime() - startedAt) / 1e9;
         if (done % Math.max(1, all / 10) == 0) {
             say.printf(Locale.ROOT, "%d of %d runs, about %.0f s left%n", done, all, took / done * (all - done));
@@ -116,109 +153,95 @@
 
     // ---- Figures -------------------------------------------------------------------------------------
 
-    private static double[] each(List<Outcome> outcomes, ToDoubleFunction<Outcome> figure) {
-        return outcomes.stream().mapToDouble(figure).toArray();
+    private static double[] each(List<Run> runs, ToDoubleFunction<Run> figure) {
+        return runs.stream().mapToDouble(figure).toArray();
     }
 
-    private static double mean(List<Outcome> outcomes, ToDoubleFunction<Outcome> figure) {
-        return outcomes.stream().mapToDouble(figure).average().orElse(0);
+    private static double mean(List<Run> runs, ToDoubleFunction<Run> figure) {
+        return runs.stream().mapToDouble(figure).average().orElse(0);
     }
 
-    private static double round(double figure) {
-        return Math.round(figure * 1e5) / 1e5;
+    private ObjectNode figures(List<Run> runs) {
+        ObjectNode figures = JSON.createObjectNode().put("experiment", file.name()).put("seeds", plan.seeds())
+                .put("first_seed", plan.firstSeed());
+        if (file.points().size() == 1) {
+            compared(figures, file.points().get(0), runs);
+        } else {
+            for (ExperimentFile.Point point : file.points()) {
+                ObjectNode at = JSON.createObjectNode();
+                point.at().forEach((key, value) -> at.put(key, value));
+                ObjectNode p = figures.withArray("points").addObject();
+                p.set("at", at);
+                compared(p, point, runs.stream().filter(r -> r.point().equals(point.label())).toList());
+            }
+        }
+        say.flush();
+        return broken(figures, runs);
     }
 
-    private ObjectNode figures(Map<String, List<Outcome>> outcomes) {
-        ObjectNode figures = JSON.createObjectNode().put("experiment", file.name()).put("seeds", seeds)
-                .put("first_seed", firstSeed);
+    /** What the variants of one point show. */
+    private void compared(ObjectNode figures, ExperimentFile.Point point, List<Run> runs) {
+        Function<String, List<Run>> of = name -> runs.stream().filter(r -> r.variant().equals(name)).toList();
         ObjectNode service = figures.putObject("service");
         ObjectNode variants = figures.putObject("variants");
-        List<Outcome> base = outcomes.get(file.base());
-        outcomes.forEach((name, all) -> {
-            service.put(name, round(mean(all, Outcome::service)));
-            ObjectNode v = variants.putObject(name).put("service", round(mean(all, Outcome::service)))
-                    .put("p50_ms", round(mean(all, o -> o.percentileMs(50))))
-                    .put("p99_ms", round(mean(all, o -> o.percentileMs(99))))
-                    .put("attempts_per_request", round(mean(all, Outcome::attemptsPerRequest)))
-                    .put("utilisation", round(mean(all, Outcome::utilisation)))
-                    .put("warm_up_s", round(mean(all, Outcome::warmUp)))
-                    .put("cold_peak_share_of_budget", round(all.stream().mapToDouble(Outcome::coldPeak).max()
+        List<Run> base = of.apply(file.base());
+        for (String name : point.variants().keySet()) {
+            List<Run> all = of.apply(name);
+            service.put(name, Run.round(mean(all, Run::service)));
+            ObjectNode v = variants.putObject(name).put("service", Run.round(mean(all, Run::service)))
+                    .put("p50_ms", Run.round(mean(all, Run::p50Ms)))
+                    .put("p99_ms", Run.round(mean(all, Run::p99Ms)))
+                    .put("attempts_per_request", Run.round(mean(all, Run::attemptsPerRequest)))
+                    .put("utilisation", Run.round(mean(all, Run::utilisation)))
+                    .put("warm_up_s", Run.round(mean(all, Run::warmUpS)))
+                    .put("cold_peak_share_of_budget", Run.round(all.stream().mapToDouble(Run::coldPeak).max()
                             .orElse(0)))
-                    .put("rule_violations", all.stream().mapToInt(Outcome::ruleViolations).sum());
+                    .put("rule_violations", all.stream().mapToInt(Run::ruleViolations).sum());
             if (!name.equals(file.base())) {
-                put(v.putObject("service_over_" + file.base()), Paired.of(each(all, Outcome::service),
-                        each(base, Outcome::service)));
-            }
-            say.println(name + " " + v);
-        });
-        say.flush();
-        return conclude(figures, outcomes);
-    }
-
-    private static void put(ObjectNode to, Paired p) {
-        to.put("mean", round(p.mean())).put("low", round(p.low())).put("high", round(p.high())).put("wins", p.wins())
-                .put("losses", p.losses());
-    }
-
-    /** The figures that an experiment with two sides is judged by; rules count in ours alone. */
-    private ObjectNode conclude(ObjectNode figures, Map<String, List<Outcome>> outcomes) {
-        List<String> broken = new ArrayList<>();
-        double cold = 0;
-        for (Map.Entry<String, List<Outcome>> v : outcomes.entrySet()) {
-            if (file.variants().get(v.getKey()).policy().equals(sedgeyoke.emulate.Policies.OURS)) {
-                for (Outcome o : v.getValue()) {
-                    o.broken().forEach(text -> broken.add(v.getKey() + ", seed " + o.seed() + ": " + text));
-                    cold = Math.max(cold, o.coldPeak());
-                }
+                put(v.putObject("service_over_" + file.base()), Paired.of(each(all, Run::service),
+                        each(base, Run::service)));
             }
+            say.println((point.label() + " " + name).strip() + " " + v);
         }
-        figures.put("rule_violations", broken.size()).put("cold_peak_share_of_budget", round(cold));
-        broken.stream().limit(MOST_BROKEN).forEach(figures.withArray("violations")::add);
         if (!file.with().isEmpty()) {
-            List<Outcome> with = outcomes.get(file.with());
-            List<Outcome> without = outcomes.get(file.base());
-            Paired gain = Paired.of(each(with, Outcome::service), each(without, Outcome::service));
-            figures.put("service_gain", round(gain.mean())).put("service_gain_low", round(gain.low()))
-                    .put("service_gain_high", round(gain.high())).put("warm_up_s", round(mean(with, Outcome::warmUp)))
-                    .put("warm_up_s_without", round(mean(without, Outcome::warmUp)));
+            List<Run> with = of.apply(file.with());
+            Paired gain = Paired.of(each(with, Run::service), each(base, Run::service));
+            figures.put("service_gain", Run.round(gain.mean())).put("service_gain_low", Run.round(gain.low()))
+                    .put("service_gain_high", Run.round(gain.high()))
+                    .put("warm_up_s", Run.round(mean(with, Run::warmUpS)))
+                    .put("warm_up_s_without", Run.round(mean(base, Run::warmUpS)));
             if (!file.failing().isEmpty()) {
-                List<Outcome> failing = outcomes.get(file.failing());
-                double least = 1;
-                for (int i = 0; i < seeds; i++) {
-                    least = Math.min(least, failing.get(i).service() / with.get(i).service());
-                }
-                figures.put("ratio_failing", round(mean(failing, Outcome::service) / mean(with, Outcome::service)))
-                        .put("ratio_failing_least", round(least));
+                failing(figures, of.apply(file.failing()), with);
             }
         }
-        return figures.put("ok", broken.isEmpty());
     }
 
-    // ---- Files ---------------------------------------------------------------------------------------
+    private static void put(ObjectNode to, Paired p) {
+        to.put("mean", Run.round(p.mean())).put("low", Run.round(p.low())).put("high", Run.round(p.high()))
+                .put("wins", p.wins()).put("losses", p.losses());
+    }
 
-    private void write(Map<String, List<Outcome>> outcomes) throws IOException {
-        if (out == null) {
-            return;
+    private static void failing(ObjectNode figures, List<Run> failing, List<Run> with) {
+        double least = 1;
+        for (int i = 0; i < with.size(); i++) {
+            least = Math.min(least, failing.get(i).service() / with.get(i).service());
         }
-        Files.createDirectories(out);
-        List<String> lines = new ArrayList<>();
-        List<String> csv = new ArrayList<>(List.of("variant,seed,service,requests,attempts,p50_ms,p99_ms,warm_up_s,"
-                + "cold_peak,utilisation,rule_violations"));
-        outcomes.forEach((name, all) -> all.forEach(o -> {
-            ObjectNode run = JSON.createObjectNode().put("schema", SCHEMA).put("experiment", file.name())
-                    .put("variant", name).put("seed", o.seed()).put("service", o.service())
-                    .put("requests", o.requests())
-                    .put("attempts", o.attempts()).put("p50_ms", o.percentileMs(50)).put("p99_ms", o.percentileMs(99))
-                    .put("warm_up_s", o.warmUp()).put("cold_peak", o.coldPeak()).put("utilisation", o.utilisation())
-                    .put("rule_violations", o.ruleViolations()).put("events", o.events());
-            o.broken().forEach(run.withArray("violations")::add);
-            o.seconds().forEach(s -> run.withArray("service_by_second").add(round(s.service())));
-            lines.add(run.toString());
-            csv.add(String.format(Locale.ROOT, "%s,%d,%.5f,%d,%d,%.2f,%.2f,%.2f,%.4f,%.4f,%d", name, o.seed(),
-                    o.service(), o.requests(), o.attempts(), o.percentileMs(50), o.percentileMs(99), o.warmUp(),
-                    o.coldPeak(), o.utilisation(), o.ruleViolations()));
-        }));
-        Files.write(out.resolve("runs.jsonl"), lines);
-        Files.write(out.resolve("runs.csv"), csv);
+        figures.put("ratio_failing", Run.round(mean(failing, Run::service) / mean(with, Run::service)))
+                .put("ratio_failing_least", Run.round(least));
+    }
+
+    /** Rules count in our own variants alone. */
+    private ObjectNode broken(ObjectNode figures, List<Run> runs) {
+        Map<String, String> policies = new LinkedHashMap<>();
+        file.points().forEach(p -> p.variants().forEach((name, s) -> policies.put(name, s.policy())));
+        List<Run> ours = runs.stream().filter(r -> policies.get(r.variant()).equals(Policies.OURS)).toList();
+        List<String> broken = new ArrayList<>();
+        ours.forEach(r -> r.violations().forEach(text -> broken.add((r.point() + " " + r.variant()).strip()
+                + ", seed " + r.seed() + ": " + text)));
+        int violations = ours.stream().mapToInt(Run::ruleViolations).sum();
+        figures.put("rule_violations", violations).put("cold_peak_share_of_budget",
+                Run.round(ours.stream().mapToDouble(Run::coldPeak).max().orElse(0)));
+        broken.stream().limit(MOST_BROKEN).forEach(figures.withArray("violations")::add);
+        return figures.put("ok", violations == 0);
     }
 }
--- a/src/main/java/sedgeyoke/experiment/ExperimentFile.java
+++ b/src/main/java/sedgeyoke/experiment/ExperimentFile.java
@@ -1,11 +1,16 @@
 package sedgeyoke.experiment;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
+import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.tomlj.Toml;
 import org.tomlj.TomlParseResult;
@@ -22,29 +27,62 @@
  * @param name of the file, without its ending
  * @param title in a line
  * @param theory whether it is the comparison with queueing theory, which has no scenario
- * @param variants by name, in the file's order
+ * @param digest SHA-256 of its text: runs of another file are not mixed with its own
+ * @param points what is swept, and the variants at each point of it; one point without anything where nothing is
  * @param base the variant that the others are compared with
  * @param failing the variant whose service is to stay near that of {@code with}; empty for none
  * @param with the variant that is to be better than {@code base}; empty for none
+ * @param hunt what {@code hunt} may vary; null where the file has none
  */
-public record ExperimentFile(String name, String title, boolean theory, Map<String, Scenario> variants, String base,
-        String with, String failing) {
+public record ExperimentFile(String name, String title, boolean theory, String digest, List<Point> points,
+        String base, String with, String failing, HuntSpec hunt) {
     private static final long LARGEST = 1 << 20;
     private static final int MOST_NODES = 5_000;
     private static final int MOST_FORWARDERS = 2_000;
     private static final int MOST_VARIANTS = 32;
+    private static final int MOST_POINTS = 64;
+    /** What a sweep or a hunt may vary of a scenario. */
+    static final List<String> VARIABLE = List.of("nodes", "forwarders", "load", "seconds", "burst", "keys", "skew",
+            "uneven_front", "cross_zone_us", "jitter", "stall", "discovery_most_ms", "notice_ms", "clock_skew_ms");
+
+    /**
+     * Variants at one point of a sweep, with the same scenario.
+     *
+     * @param at what is swept and its values here, in the file's order
+     * @param variants by name, in the file's order
+     */
+    public record Point(Map<String, Double> at, Map<String, Scenario> variants) {
+        /** Such as {@code forwarders=30}; empty where nothing is swept. */
+        public String label() {
+            return String.join(" ", at.entrySet().stream().map(e -> e.getKey() + "=" + (e.getValue() == Math.rint(
+                    e.getValue()) ? "" + e.getValue().longValue() : "" + e.getValue())).toList());
+        }
+    }
+
+    /**
+     * What a hunt may vary, and what it looks for.
+     *
+     * @param variant whose failure is looked for
+     * @param against it should do better than that one; empty: only a broken rule counts
+     * @param tries scenarios that are drawn
+     * @param mostFaults in each, beside those of the variants
+     * @param kinds of faults
+     * @param ranges least and most value of each key of the scenario that varies
+     * @param scenario the file's own values of all keys
+     * @param variants the file's tables of the two
+     */
+    public record HuntSpec(String variant, String against, int tries, int mostFaults, List<Scenario.Kind> kinds,
+            Map<String, double[]> ranges, Map<String, Object> scenario, List<Map<String, Object>> variants) { }
 
     /** Reads a file; throws with all that is wrong in it. */
     public static ExperimentFile load(Path file) throws BadExperiment {
         List<Problem> problems = new ArrayList<>();
-        TomlParseResult toml = null;
+        String text = "";
         try {
             if (Files.size(file) > LARGEST) {
                 problems.add(new Problem(file.toString(), 0, "", "is larger than " + LARGEST + " bytes"));
             } else {
-                toml = Toml.parse(file);
-                toml.errors().forEach(e -> problems.add(new Problem(file.toString(), e.position().line(), "",
-                        e.getMessage())));
+                text = Files.readString(file);
             }
         } catch (IOException e) {
             problems.add(new Problem(file.toString(), 0, "", "cannot be read: " + e));
@@ -52,46 +90,128 @@
         if (!problems.isEmpty()) {
             throw new BadExperiment(problems);
         }
-        ExperimentFile read = read(file, new Table(file, "", toml, 1, problems));
+        return parse(file, text);
+    }
+
+    /** Reads a text as if it were in that file. */
+    static ExperimentFile parse(Path file, String text) throws BadExperiment {
+        List<Problem> problems = new ArrayList<>();
+        TomlParseResult toml = Toml.parse(text);
+        toml.errors().forEach(e -> problems.add(new Problem(file.toString(), e.position().line(), "",
+                e.getMessage())));
+        if (!problems.isEmpty()) {
+            throw new BadExperiment(problems);
+        }
+        ExperimentFile read = read(file, digest(text), new Table(file, "", toml, 1, problems), problems);
         if (!problems.isEmpty()) {
             throw new BadExperiment(problems);
         }
         return read;
     }
 
-    private static ExperimentFile read(Path file, Table root) {
+    private static String digest(String text) {
+        try {
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256")
+                    .digest(text.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e); // every JDK has it
+        }
+    }
+
+    private static ExperimentFile read(Path file, String digest, Table root, List<Problem> problems) {
         String stem = file.getFileName().toString().replaceAll("\\.toml$", "");
         String title = root.text("title", stem);
         boolean theory = root.flag("theory", false);
-        Map<String, Scenario> variants = new LinkedHashMap<>();
+        List<Point> points = new ArrayList<>();
         String base = "";
         String with = "";
         String failing = "";
+        HuntSpec hunt = null;
         if (!theory) {
             Table t = root.table("scenario");
-            Scenario scenario = scenario(t);
-            t.done();
             List<Fault> faults = faults(root);
-            for (Table v : root.tables("variants")) {
-                String name = v.text("name", null);
-                if (name == null || variants.containsKey(name) || variants.size() == MOST_VARIANTS) {
-                    v.problem("name", "must be there, and unlike that of " + MOST_VARIANTS + " others at most");
-                    continue;
+            List<Table> tables = root.tables("variants");
+            for (Map<String, Double> at : sweep(root)) {
+                if (points.isEmpty() || problems.isEmpty()) { // what is wrong at one point is wrong at each
+                    points.add(new Point(at, variants(tables, scenario(t.with(at)), faults)));
                 }
-                variants.put(name, variant(v, scenario, faults));
-                v.done();
             }
-            if (variants.isEmpty()) {
+            if (tables.isEmpty()) {
                 root.problem("variants", "at least one [[variants]] is needed");
             }
+            Map<String, Scenario> variants = points.isEmpty() ? Map.of() : points.get(0).variants();
             Table compare = root.table("compare");
             base = named(compare, "base", variants, variants.isEmpty() ? "" : variants.keySet().iterator().next());
             with = named(compare, "with", variants, "");
             failing = named(compare, "failing", variants, "");
             compare.done();
+            hunt = root.has("hunt") ? hunt(root.table("hunt"), t, tables, variants) : null;
         }
         root.done();
-        return new ExperimentFile(stem, title, theory, variants, base, with, failing);
+        return new ExperimentFile(stem, title, theory, digest, points, base, with, failing, hunt);
+    }
+
+    private static Map<String, Scenario> variants(List<Table> tables, Scenario scenario, List<Fault> faults) {
+        Map<String, Scenario> variants = new LinkedHashMap<>();
+        for (Table v : tables) {
+            String name = v.text("name", null);
+            if (name == null || variants.containsKey(name) || variants.size() == MOST_VARIANTS) {
+                v.problem("name", "must be there, and unlike that of " + MOST_VARIANTS + " others at most");
+                continue;
+            }
+            variants.put(name, variant(v, scenario, faults));
+            v.done();
+        }
+        return variants;
+    }
+
+    /** All combinations of what is swept; one with nothing where nothing is. */
+    private static List<Map<String, Double>> sweep(Table root) {
+        List<Map<String, Double>> points = List.of(Map.of());
+        for (Table axis : root.tables("sweep")) {
+            String key = axis.text("key", "");
+            if (!VARIABLE.contains(key)) {
+                axis.problem("key", "is one of " + String.join(", ", VARIABLE));
+            }
+            List<Double> values = axis.numbers("values", List.of(), 1, MOST_POINTS);
+            axis.done();
+            List<Map<String, Double>> more = new ArrayList<>();
+            for (Map<String, Double> point : points) {
+                for (double value : values) {
+                    Map<String, Double> next = new LinkedHashMap<>(point);
+                    next.put(key, value);
+                    more.add(next);
+                }
+            }
+            points = more;
+            if (points.size() > MOST_POINTS) {
+                axis.problem("values", "make more than " + MOST_POINTS + " points together with what was swept before");
+                return List.of();
+            }
+        }
+        return points;
+    }
+
+    private static HuntSpec hunt(Table t, Table scenario, List<Table> tables, Map<String, Scenario> variants) {
+        String variant = named(t, "variant", variants, variants.isEmpty() ? "" : variants.keySet().iterator().next());
+        String against = named(t, "against", variants, "");
+        Map<String, double[]> ranges = new LinkedHashMap<>();
+        Table r = t.table("ranges");
+        for (String key : r.keys()) {
+            List<Double> range = r.numbers(key, List.of(0.0, 0.0), 2, 2);
+            if (!VARIABLE.contains(key) || range.get(0) > range.get(1)) {
+                r.problem(key, "must be [least, most] of one of " + String.join(", ", VARIABLE));
+            }
+            ranges.put(key, new double[] {range.get(0), range.get(1)});
+        }
+        List<String> kinds = java.util.Arrays.stream(Scenario.Kind.values()).map(Table::name).toList();
+        HuntSpec spec = new HuntSpec(variant, against, (int) t.whole("tries", 40, 1, 100_000),
+                (int) t.whole("most_faults", 4, 0, 50), t.texts("kinds", kinds).stream()
+                        .map(k -> Scenario.Kind.valueOf(k.toUpperCase(Locale.ROOT))).toList(), ranges,
+                scenario.plain(), tables.stream().map(Table::plain)
+                        .filter(v -> v.get("name").equals(variant) || v.get("name").equals(against)).toList());
+        t.done();
+        return spec;
     }
 
     private static String named(Table compare, String key, Map<String, Scenario> variants, String fallback) {
@@ -121,8 +241,10 @@
                 t.whole("discovery_most_ms", n.discoveryMostMs(), 0, 60_000),
                 t.whole("notice_ms", n.noticeMs(), 0, 60_000), t.whole("clock_skew_ms", n.clockSkewMs(), 0, 1_000),
                 t.whole("clock_drift_ppm", n.clockDriftPpm(), 0, 1_000));
-        return new Scenario(s.site(), seconds, t.number("warm_up", s.warmUp(), 0, seconds / 2), s.forwarders(),
-                s.policy(), s.planners(), traffic, network, List.of());
+        double warmUp = t.number("warm_up", s.warmUp(), 0, seconds / 2);
+        t.done();
+        return new Scenario(s.site(), seconds, warmUp, s.forwarders(), s.policy(), s.planners(), traffic, network,
+                List.of());
     }
 
     private static Scenario variant(Table v, Scenario scenario, List<Fault> common) {
--- a/src/main/java/sedgeyoke/experiment/Table.java
+++ b/src/main/java/sedgeyoke/experiment/Table.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import org.tomlj.TomlArray;
 import org.tomlj.TomlTable;
@@ -18,8 +19,16 @@
     private final int line;
     private final List<Problem> problems;
     private final Set<String> read = new LinkedHashSet<>();
+    /** Values that stand in for the file's: a sweep's. */
+    private final Map<String, Double> instead;
 
     Table(Path file, String name, TomlTable toml, int line, List<Problem> problems) {
+        this(file, name, toml, line, problems, Map.of());
+    }
+
+    private Table(Path file, String name, TomlTable toml, int line, List<Problem> problems,
+            Map<String, Double> instead) {
+        this.instead = instead;
         this.file = file;
         this.name = name;
         this.toml = toml;
@@ -33,6 +42,10 @@
 
     private Object value(String key) {
         read.add(key);
+        Double other = instead.get(key);
+        if (other != null) {
+            return other == Math.rint(other) ? (Object) other.longValue() : other;
+        }
         return has(key) ? toml.get(List.of(key)) : null;
     }
 
@@ -125,6 +138,37 @@
         return numbers;
     }
 
+    /** The same table with other values for some keys. */
+    Table with(Map<String, Double> values) {
+        return new Table(file, name, toml, line, problems, values);
+    }
+
+    /** Its keys; none where it is not there. */
+    Set<String> keys() {
+        return toml == null ? Set.of() : toml.keySet();
+    }
+
+    /** The whole of it as plain maps, lists and values. */
+    Map<String, Object> plain() {
+        return toml == null ? Map.of() : toml.toMap();
+    }
+
+    List<String> texts(String key, List<String> among) {
+        Object value = value(key);
+        if (value == null) {
+            return among;
+        }
+        List<String> texts = new ArrayList<>();
+        if (value instanceof TomlArray array) {
+            array.toList().forEach(t -> texts.add(String.valueOf(t)));
+        }
+        if (texts.isEmpty() || !among.containsAll(texts)) {
+            problem(key, "must be a list of some of " + String.join(", ", among));
+            return among;
+        }
+        return texts;
+    }
+
     /** Tables of a list, like {@code [[faults]]}. */
     List<Table> tables(String key) {
         Object value = value(key);
@@ -146,7 +190,8 @@
             problem(key, "must be a table, [" + key + "]");
         }
         var at = has(key) ? toml.inputPositionOf(List.of(key)) : null;
-        return new Table(file, key, value instanceof TomlTable t ? t : null, at == null ? line : at.line(), problems);
+        return new Table(file, (name.isEmpty() ? "" : name + ".") + key, value instanceof TomlTable t ? t : null,
+                at == null ? line : at.line(), problems);
     }
 
     /** Whatever nobody has asked for is not known. */
--- a/src/test/java/sedgeyoke/experiment/ExperimentTest.java
+++ b/src/test/java/sedgeyoke/experiment/ExperimentTest.java
@@ -31,8 +31,76 @@
     }
 
     private ObjectNode play(int jobs, Path out) throws Exception {
-        return new Experiment(ExperimentFile.load(file(SMALL)), 3, 3, jobs, out, new PrintWriter(new StringWriter()))
-                .run();
+        return play(SMALL, jobs, out, false, new StringWriter());
+    }
+
+    private ObjectNode play(String text, int jobs, Path out, boolean resume, StringWriter said) throws Exception {
+        return new Experiment(ExperimentFile.load(file(text)), new Experiment.Plan(3, 3, jobs, out, resume),
+                new PrintWriter(said)).run();
+    }
+
+    /** Whatever ended the program, what was finished is not played again, and nothing differs in the end. */
+    @Test
+    void anExperimentThatWasBrokenOffGoesOn() throws Exception {
+        Path out = folder.resolve("whole");
+        ObjectNode whole = play(1, out);
+        String all = Files.readString(out.resolve("runs.jsonl"));
+        List<String> lines = all.lines().toList();
+        Path cut = Files.createDirectories(folder.resolve("cut"));
+        Files.writeString(cut.resolve("runs.jsonl"), lines.get(7) + "\n" + lines.get(2) + "\n"
+                + lines.get(5).substring(0, 200)); // the last one was being written
+        StringWriter said = new StringWriter();
+        assertEquals(whole, play(SMALL, 2, cut, true, said));
+        assertEquals(all, Files.readString(cut.resolve("runs.jsonl")));
+        assertTrue(said.toString().contains("7 of 7 runs"), said.toString());
+        assertEquals(whole, play(SMALL, 2, cut, true, new StringWriter()), "and once more, with nothing left to play");
+    }
+
+    @Test
+    void runsOfAnotherFileAreNotMixedIn() throws Exception {
+        Path out = folder.resolve("out");
+        play(2, out);
+        String before = Files.readString(out.resolve("runs.jsonl"));
+        BadExperiment bad = assertThrows(BadExperiment.class,
+                () -> play(SMALL.replace("0.5", "0.6"), 2, out, true, new StringWriter()));
+        assertTrue(bad.getMessage().contains("runs.jsonl:1: file_sha256: is of another file"), bad.getMessage());
+        assertEquals(before, Files.readString(out.resolve("runs.jsonl")));
+        Files.writeString(out.resolve("runs.jsonl"), before.replaceFirst("\n", "\nnoise\n"));
+        assertTrue(assertThrows(BadExperiment.class, () -> play(SMALL, 2, out, true, new StringWriter())).getMessage()
+                .contains("runs.jsonl:2: is no run"));
+        Files.writeString(out.resolve("runs.jsonl"), "{\"schema\":1}\n");
+        assertTrue(assertThrows(BadExperiment.class, () -> play(SMALL, 2, out, true, new StringWriter())).getMessage()
+                .contains("schema: is 1"));
+    }
+
+    @Test
+    void theReportIsOnePageWithAllItNeeds() throws Exception {
+        Path out = folder.resolve("out");
+        ObjectNode figures = play("title = \"</script><b>\"\n" + SMALL, 2, out, false, new StringWriter());
+        String page = Files.readString(out.resolve("report.html"));
+        assertTrue(page.contains("\\u003c/script>") && !page.contains("</script><b>"), "a title ends no script");
+        assertTrue(!page.matches("(?s).*(src|href)\\s*=\\s*[\"']?(https?:)?//.*"), "nothing is fetched");
+        assertTrue(page.contains("echarts") && page.length() > 500_000, "the library stands in it");
+        assertTrue(page.contains(figures.toString().replace("<", "\\u003c")));
+        for (String drawn : List.of("service_by_second", "mean_ms_by_second", "latency_ms", "cold_peak", "replace_node",
+                "kill_planner", "\"n0\":")) {
+            assertTrue(page.contains(drawn), drawn);
+        }
+    }
+
+    @Test
+    void aSweepComparesAtEachOfItsPoints() throws Exception {
+        Path out = folder.resolve("out");
+        ObjectNode figures = play(SMALL + "[[sweep]]\nkey = \"forwarders\"\nvalues = [3, 6]\n"
+                + "[[sweep]]\nkey = \"load\"\nvalues = [0.3, 0.5]\n", 4, out, false, new StringWriter());
+        assertEquals(4, figures.path("points").size());
+        assertEquals(6, figures.path("points").get(2).path("at").path("forwarders").asInt());
+        assertEquals(0.3, figures.path("points").get(2).path("at").path("load").asDouble());
+        assertTrue(figures.path("points").get(3).has("service_gain_low"));
+        assertEquals(4 * 9, Files.readAllLines(out.resolve("runs.jsonl")).size());
+        ObjectNode alone = play(2, null);
+        assertEquals(alone.path("service"), figures.path("points").get(1).path("service"),
+                "the point with the file's own values is the file without a sweep");
     }
 
     @Test
@@ -78,7 +146,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"theory", "planners", "peers"})
+    @ValueSource(strings = {"theory", "planners", "peers", "hunt", "sizes"})
     void whatIsShippedCanBeRead(String name) throws Exception {
         assertEquals(name, ExperimentFile.load(Path.of("experiments", name + ".toml")).name());
     }
