Planners tell no utilisation: forwarders weigh by their own answers, and planners pay

With the same fresh reports at the same moment all forwarders move their weights as one, so nodes are crowded in turn (attempts a request 1.025, 1.003 without).

--- a/src/main/java/sedgeyoke/decide/Balancer.java
+++ b/src/main/java/sedgeyoke/decide/Balancer.java
@@ -181,17 +181,14 @@
             Prices prices, Reports reports, Ratings ratings, boolean askForList, boolean warmKeys, long tick) { }
 
     /**
-     * What planners say of one upstream.
+     * What planners say of one upstream. Its reports are no part of it: with the same ones at the same moment, all
+     * balancers move their weights as one, and a large tier serves less than if each went by its own answers.
      *
-     * @param utilisation as last reported to anyone; NaN where nobody has a report
-     * @param waiting requests waiting there, of the same report; NaN where it has none
-     * @param reportedAt when that report was made, on this module's clock
      * @param limit in flight from this balancer; NaN for no word on it
      * @param launchedAt its latest start that anyone was told of; 0 for none
      * @param draining whether anyone was told that it drains: nothing new is sent there, whatever our own list says
      */
-    record UpstreamView(String id, double utilisation, double waiting, long reportedAt, double limit,
-            long launchedAt, boolean draining) { }
+    record UpstreamView(String id, double limit, long launchedAt, boolean draining) { }
 
     /** A right to send so many mean requests a second to a cold upstream, until then. */
     record ColdGrant(double rate, long until) { }
--- a/src/main/java/sedgeyoke/decide/Policy.java
+++ b/src/main/java/sedgeyoke/decide/Policy.java
@@ -966,7 +966,7 @@
         }
     }
 
-    /** A planner can show us a fresher report and make us send less; it adds nothing to our own list. */
+    /** A planner can make us send less, or more by a grant; it adds nothing to our own list. */
     private void apply(long now, UpstreamView view) {
         Up up = byId.get(view.id());
         if (up == null) {
@@ -976,11 +976,6 @@
             up.toldLaunch = view.launchedAt(); // a start that our own list has yet to tell of
             up.cold = new ColdBucket(0, now);
         }
-        if (view.reportedAt() > up.reportAt && view.reportedAt() <= now && view.utilisation() >= 0) {
-            up.report = new LoadReport(view.utilisation(), Double.NaN, view.waiting(), up.report == null
-                    ? Double.NaN : up.report.serviceTime(), Double.NaN, Double.NaN);
-            up.reportAt = view.reportedAt();
-        }
         up.stopped = view.draining();
         up.plannedLimit = view.limit();
     }
--- a/src/main/java/sedgeyoke/link/Messages.java
+++ b/src/main/java/sedgeyoke/link/Messages.java
@@ -105,16 +105,9 @@
     static ByteString board(List<PlanMessage.View> views) {
         Board.Builder board = Board.newBuilder();
         for (PlanMessage.View v : views) {
-            ViewMessage.Builder view = ViewMessage.newBuilder().setUpstream(v.upstream()).setZone(v.zone())
-                    .setAgeUs(v.age()).setTotalLimit((float) Math.max(0, v.totalLimit()))
-                    .setLaunchedAt(v.launchedAt()).setDraining(v.draining());
-            if (v.utilisation() >= 0) {
-                view.setUtilisation((float) v.utilisation());
-            }
-            if (v.waiting() >= 0) {
-                view.setWaiting((float) v.waiting());
-            }
-            board.addViews(view);
+            board.addViews(ViewMessage.newBuilder().setUpstream(v.upstream()).setZone(v.zone())
+                    .setTotalLimit((float) Math.max(0, v.totalLimit())).setLaunchedAt(v.launchedAt())
+                    .setDraining(v.draining()));
         }
         return board.build().toByteString();
     }
@@ -138,12 +131,9 @@
         require(m.getGrantForUs() >= 0 && m.getGrantForUs() <= LONGEST_LEASE, "time of grants");
         List<PlanMessage.View> views = new ArrayList<>(board.getViewsCount());
         for (ViewMessage v : board.getViewsList()) {
-            require(id(v.getUpstream()) && number(v.getTotalLimit())
-                    && (!v.hasUtilisation() || number(v.getUtilisation()))
-                    && (!v.hasWaiting() || number(v.getWaiting())), "view");
-            views.add(new PlanMessage.View(v.getUpstream(), v.getZone(),
-                    v.hasUtilisation() ? v.getUtilisation() : Double.NaN, v.hasWaiting() ? v.getWaiting() : Double.NaN,
-                    v.hasUtilisation() ? v.getAgeUs() : -1, v.getTotalLimit(), v.getLaunchedAt(), v.getDraining()));
+            require(id(v.getUpstream()) && number(v.getTotalLimit()), "view");
+            views.add(new PlanMessage.View(v.getUpstream(), v.getZone(), v.getTotalLimit(), v.getLaunchedAt(),
+                    v.getDraining()));
         }
         List<Double> spill = new ArrayList<>(m.getSpillCount());
         for (float s : m.getSpillList()) {
--- a/src/main/java/sedgeyoke/plan/Fleet.java
+++ b/src/main/java/sedgeyoke/plan/Fleet.java
@@ -31,7 +31,6 @@
         long launchedAt;
         final Set<String> drainers = new HashSet<>();
         double utilisation = Double.NaN;
-        double waiting = Double.NaN;
         long reportedAt = Long.MIN_VALUE;
         double totalLimit;
         double rate;
@@ -94,7 +93,6 @@
             if (at > u.reportedAt) {
                 u.reportedAt = at;
                 u.utilisation = load.utilisation();
-                u.waiting = load.waiting();
             }
         }
     }
--- a/src/main/java/sedgeyoke/plan/Follower.java
+++ b/src/main/java/sedgeyoke/plan/Follower.java
@@ -203,10 +203,8 @@
         for (View v : views.values()) {
             PlanMessage.View view = v.view();
             boolean shared = view.zone() >= 0 && view.zone() < shares.size();
-            known.add(new UpstreamView(view.upstream(), view.utilisation(), view.waiting(),
-                    view.age() < 0 ? 0 : v.at() - view.age(),
-                    shared ? view.totalLimit() * shares.get(view.zone()) : Double.NaN, view.launchedAt(),
-                    view.draining()));
+            known.add(new UpstreamView(view.upstream(), shared ? view.totalLimit() * shares.get(view.zone())
+                    : Double.NaN, view.launchedAt(), view.draining()));
         }
         return new Balancer.Plan(heardAt, fadeTime, known,
                 guide == null ? List.of() : guide.message().spill(), quietUntil, rights(now));
--- a/src/main/java/sedgeyoke/plan/PlanMessage.java
+++ b/src/main/java/sedgeyoke/plan/PlanMessage.java
@@ -26,15 +26,11 @@
      *
      * @param upstream its id
      * @param zone its zone
-     * @param utilisation the freshest report; NaN if there is none
-     * @param waiting of the same report
-     * @param age of that report when this was sent, in microseconds; negative without one
      * @param totalLimit in-flight limits of all forwarders together
      * @param launchedAt the latest start that any forwarder was told of
      * @param draining whether any forwarder was told that it drains
      */
-    public record View(String upstream, int zone, double utilisation, double waiting, long age, double totalLimit,
-            long launchedAt, boolean draining) { }
+    public record View(String upstream, int zone, double totalLimit, long launchedAt, boolean draining) { }
 
     /** A right of {@code rate} mean requests a second to an upstream that is cold since {@code launchedAt}. */
     public record Grant(String upstream, long launchedAt, double rate) { }
--- a/src/main/java/sedgeyoke/plan/Planner.java
+++ b/src/main/java/sedgeyoke/plan/Planner.java
@@ -110,7 +110,7 @@
         fleet.measure(now);
         Collection<Member> present = members.values();
         Spill spill = Spill.of(fleet, present);
-        List<PlanMessage.View> views = views(now);
+        List<PlanMessage.View> views = views();
         Map<String, List<PlanMessage.Grant>> grants = pool.grant(now, present, fleet, spill);
         List<Out> out = new ArrayList<>(members.size());
         for (Member m : present) {
@@ -126,12 +126,10 @@
         return out;
     }
 
-    private List<PlanMessage.View> views(long now) {
+    private List<PlanMessage.View> views() {
         List<PlanMessage.View> views = new ArrayList<>();
         for (Fleet.Upstream u : turn.take(fleet.upstreams(), MOST_VIEWS)) {
-            views.add(new PlanMessage.View(u.id, u.zone, u.utilisation, u.waiting,
-                    u.reportedAt == Long.MIN_VALUE ? -1 : now - u.reportedAt, u.totalLimit, u.launchedAt,
-                    u.draining()));
+            views.add(new PlanMessage.View(u.id, u.zone, u.totalLimit, u.launchedAt, u.draining()));
         }
         return views;
     }
