One pool for runs, one way to refuse unheard, one word on an answer's last connection

Change: Jobs.pool, refuseUnheard, and the connection's own word alone; Answer.last is gone. Behaviour stays.

--- a/src/main/java/sedgeyoke/experiment/Experiment.java
+++ b/src/main/java/sedgeyoke/experiment/Experiment.java
@@ -13,7 +13,6 @@
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
@@ -90,11 +89,7 @@
     // ---- Runs ----------------------------------------------------------------------------------------
 
     private List<Run> play(RunFile kept, Map<Run.Key, Run> before) throws IOException, InterruptedException {
-        ExecutorService pool = Executors.newFixedThreadPool(plan.jobs(), task -> {
-            Thread thread = new Thread(task, "run");
-            thread.setDaemon(true);
-            return thread;
-        });
+        ExecutorService pool = Jobs.pool(plan.jobs());
         long startedAt = System.nanoTime();
         int all = file.points().stream().mapToInt(p -> p.variants().size()).sum() * plan.seeds();
         Map<Run.Key, Future<Run>> playing = new LinkedHashMap<>();
--- a/src/main/java/sedgeyoke/experiment/Hunt.java
+++ b/src/main/java/sedgeyoke/experiment/Hunt.java
@@ -14,7 +14,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import sedgeyoke.emulate.Emulation;
 import sedgeyoke.emulate.Outcome;
@@ -73,11 +72,7 @@
 
     /** Hunts; {@code found} says whether anything was, and {@code file} where it is. */
     public ObjectNode run() throws IOException, InterruptedException {
-        ExecutorService pool = Executors.newFixedThreadPool(jobs, task -> {
-            Thread thread = new Thread(task, "hunt");
-            thread.setDaemon(true);
-            return thread;
-        });
+        ExecutorService pool = Jobs.pool(jobs);
         try {
             Found worst = search(pool);
             ObjectNode figures = JSON.createObjectNode().put("experiment", file.name()).put("seed", seed)
--- a/src/main/java/sedgeyoke/net/Answer.java
+++ b/src/main/java/sedgeyoke/net/Answer.java
@@ -7,18 +7,17 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpUtil;
 import java.util.List;
 import java.util.function.Predicate;
 
-/** What an upstream answered, whole and in order; {@code last} if nothing more is to be sent on its connection. */
-record Answer(Outcome outcome, LoadReport load, String contentType, byte[] body, boolean last) {
+/** What an upstream answered, whole and in order. */
+record Answer(Outcome outcome, LoadReport load, String contentType, byte[] body) {
     /** No figure of a load report is as large as that: times are in milliseconds, the others are counts or shares. */
     private static final double LARGEST = 1e7;
 
     static Answer of(HttpResponse response, byte[] body, List<String> reportNames, Log log) {
         return new Answer(outcome(response), loadReport(response.headers().getAll("X-Load-Report"), reportNames, log),
-                response.headers().get(HttpHeaderNames.CONTENT_TYPE), body, !HttpUtil.isKeepAlive(response));
+                response.headers().get(HttpHeaderNames.CONTENT_TYPE), body);
     }
 
     static Outcome outcome(HttpResponse response) {
--- a/src/main/java/sedgeyoke/net/Frontend.java
+++ b/src/main/java/sedgeyoke/net/Frontend.java
@@ -484,11 +484,10 @@
                 body.abort();
                 body = null;
                 pace = null;
-                node.endedUnheard(heads.remove().classIndex(), Figures.End.REFUSED);
+                Request unheard = heads.remove();
                 owed = true;
                 enter(Phase.OPEN);
-                keepAlive = false;
-                refused(node.advice(0));
+                refuseUnheard(unheard);
                 return false;
             }
             counted++;
@@ -496,6 +495,13 @@
             return body != null;
         }
 
+        /** There is no room for it, and the module never hears of it. */
+        private void refuseUnheard(Request request) {
+            keepAlive = false;
+            node.refusedUnheard(request.classIndex());
+            refused(node.advice(0));
+        }
+
         private void uncount() {
             budget.release(counted);
             counted = 0;
@@ -561,9 +567,7 @@
             }
             Request request = heads.remove();
             if (busy > mostConnections - RESERVE) {
-                keepAlive = false;
-                node.endedUnheard(request.classIndex(), Figures.End.REFUSED);
-                refused(node.advice(0));
+                refuseUnheard(request);
             } else if (node.knows(request.id())) { // since its head came
                 turnDown(HttpResponseStatus.BAD_REQUEST, OPEN_ID);
             } else {
--- a/src/main/java/sedgeyoke/net/Node.java
+++ b/src/main/java/sedgeyoke/net/Node.java
@@ -153,9 +153,9 @@
         return figures.text(inFlight, standings.size(), excluded);
     }
 
-    /** Counts a request that ended without a call of its own. */
-    void endedUnheard(int classIndex, Figures.End how) {
-        figures.ended(classIndex, how);
+    /** Counts a request that was refused without a call of its own. */
+    void refusedUnheard(int classIndex) {
+        figures.ended(classIndex, Figures.End.REFUSED);
     }
 
     /** Takes over what may change while we run, from a configuration that was read anew. */
--- a/src/main/java/sedgeyoke/net/UpstreamPool.java
+++ b/src/main/java/sedgeyoke/net/UpstreamPool.java
@@ -627,7 +627,7 @@
             current = null;
             answer = null;
             forgetAnswer();
-            if (attempt.written && !whole.last() && !decoder.hasMore()) {
+            if (attempt.written && !lastHere && !decoder.hasMore()) {
                 release(this);
             } else {
                 channel.close();
