Short warm-up where traffic is thin; watches go on from the known list and back off

Checked: a start takes 1.2 s of processor time, of which C1 compiles 0.5 s; the 700 requests of the warm-up are 0.6 s of it. Ruled out: class loading (39 classes come from outside the archive), the wait for a first list.

Cause: WarmUp.REQUESTS was one number for every fleet. Now upstreams for each balancer over the shortest aim, which grow with its traffic, tell whether compiled code is waited for; peers of the warm-up send and take bare bytes (8% less). Discovery began with the whole list although the configuration brings a revision, gave up after 2 s what discovery was about to answer, and Policy asked again at one pace. Now a watch goes on from the known revision where discovery is asked, patience is 5 s, pauses double up to a quarter of the time within which we have to ask; changes that count from an older revision than ours are not believed.

--- a/src/main/java/sedgeyoke/decide/Policy.java
+++ b/src/main/java/sedgeyoke/decide/Policy.java
@@ -84,8 +84,12 @@
     private static final double PROBE_POINTS = 0.003;
     /** No upstream is probed more often than this. */
     private static final long PROBE_GAP = 300_000;
-    /** Mean pause before a failed subscription to the list is tried again. */
-    private static final long ASK_AGAIN = 1_000_000;
+    /**
+     * Mean pause before a failed subscription to the list is tried again. It doubles with each failure, as
+     * what fails for one balancer fails for all, up to this share of the time within which we have to ask.
+     */
+    private static final long ASK_AGAIN = 500_000;
+    private static final double ASK_SHARE = 0.25;
     /** Part of our share of a cold upstream's budget that we use: the rest is for what we cannot see. */
     private static final double COLD_CARE = 0.5;
     /** Least size of a cold upstream's bucket, in mean requests; a dearer request does not go there. */
@@ -133,6 +137,7 @@
     private final long[] classSince;
     private final double[] classRate;
     private long askAgainAt = Long.MAX_VALUE;
+    private long askPause;
 
     /** Creates an instance; bad settings are refused with the field's name. */
     public Policy(Settings settings, long seed, Actions out) {
@@ -267,9 +272,12 @@
     @Override
     public void upstreams(long now, ListKind kind, List<Upstream> entries) {
         if (kind == ListKind.UNAVAILABLE) {
-            askAgainAt = now + jitter(ASK_AGAIN);
+            long longest = (long) Math.max(ASK_AGAIN, ASK_SHARE * settings.rules().askWithin());
+            askPause = Math.min(longest, Math.max(ASK_AGAIN, 2 * askPause));
+            askAgainAt = now + jitter(askPause);
             return;
         }
+        askPause = 0;
         if (kind != ListKind.CHANGES) {
             Set<String> named = new HashSet<>();
             entries.forEach(e -> named.add(e.id()));
--- a/src/main/java/sedgeyoke/net/Discovery.java
+++ b/src/main/java/sedgeyoke/net/Discovery.java
@@ -28,15 +28,20 @@
 
 /**
  * Asks discovery for the whole list once and then watches it, one call after the other without a pause. A call
- * that fails changes nothing: the list as last heard stays in force.
+ * that fails changes nothing: the list as last heard stays in force. Where discovery is one service for all balancers,
+ * the list of the configuration is the one to go on from: each line that is asked for is work there, and a dozen
+ * balancers that start at once and ask for all of it keep each other from getting any.
  */
 final class Discovery {
     /** How long a watch waits for news; short, so that a discovery that has fallen silent is noticed. */
     private static final int HOLD_MS = 5_000;
     /** A watch that ends sooner than that without news is not renewed at once: it would go on without a rest. */
     private static final long SHORTEST_WATCH_NS = 50_000_000;
-    /** How much longer than it holds a call may take. */
-    private static final int PATIENCE_MS = 2_000;
+    /**
+     * How much longer than it holds a call may take. Giving up sooner helps nobody where discovery works through calls
+     * in turn: what it was about to answer is thrown away, and the next call stands at the end of the queue.
+     */
+    private static final int PATIENCE_MS = 5_000;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     /** The longest list: far more than any fleet's, and little enough to hold at once. */
     private static final int LONGEST_LIST = 1 << 20;
@@ -52,9 +57,11 @@
     private final Bootstrap bootstrap;
     private boolean watching;
     private boolean calling;
-    private boolean whole = true;
+    private boolean whole;
     private boolean listed;
-    private long revision = -1;
+    /** Whether the listener knows of a failed call and of none since that went well. */
+    private boolean failing;
+    private long revision;
     private InetSocketAddress address;
     private Channel channel;
     private Future<?> patience;
@@ -69,6 +76,8 @@
         this.transport = transport;
         this.random = new Random(config.seed());
         this.address = config.discovery();
+        this.whole = !config.facts().settings().askForList() || config.known().members().isEmpty();
+        this.revision = config.known().revision();
         this.bootstrap = transport.client(loop)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .handler(new ChannelInitializer<Channel>() {
@@ -169,6 +178,7 @@
         if (config.facts().settings().askForList()) {
             // There the module decides when to ask again.
             watching = false;
+            failing = true;
             listener.accept(null);
         } else {
             again();
@@ -189,6 +199,11 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
+        if (!list.complete() && list.revision() < revision) {
+            whole = true; // another discovery, or one that lost its memory: what it counts from is not what we have
+            failed("revision " + list.revision() + " after " + revision);
+            return;
+        }
         boolean news = whole || list.revision() != revision;
         whole = false;
         calling = false;
@@ -199,7 +214,8 @@
         } else if (watching) {
             call(); // before the list is handed on, as the watch counts as broken off if the next call is late
         }
-        if (list.complete() || !list.members().isEmpty()) {
+        if (list.complete() || !list.members().isEmpty() || failing) {
+            failing = false;
             listener.accept(list);
         }
     }
--- a/src/main/java/sedgeyoke/net/Training.java
+++ b/src/main/java/sedgeyoke/net/Training.java
@@ -31,7 +31,7 @@
             thread(() -> accept(peers));
             EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
             Config config = Config.parse(config("127.0.0.1:" + peers.getLocalPort()));
-            WarmUp.run(config, WarmUp.LONGEST_S);
+            WarmUp.run(config, WarmUp.MOST_REQUESTS, WarmUp.LONGEST_S);
             Server server = Server.onSockets(loop, config);
             InetSocketAddress at = server.listen();
             for (int i = 0; i < REQUESTS; i++) {
--- a/src/main/java/sedgeyoke/net/WarmUp.java
+++ b/src/main/java/sedgeyoke/net/WarmUp.java
@@ -3,6 +3,7 @@
 import sedgeyoke.body.BodyLimits;
 import sedgeyoke.decide.Balancer;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
@@ -13,17 +14,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.local.LocalIoHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -36,36 +26,63 @@
 /**
  * Guards against meeting the first clients with code that is not yet compiled: it costs several times the processor
  * time then, and at the full rate of requests a part of a core is far behind for seconds. Before the balancer
- * listens, another one like it serves some hundred requests inside the process, without a socket, and is dropped.
+ * listens, another one like it serves some requests inside the process, without a socket, and is dropped. Its peers
+ * send and take bare bytes: code that serves no client is not worth a start's processor time.
  */
 public final class WarmUp {
     /** More than the calls after which the JVM compiles a method, on each of the paths. */
-    static final int REQUESTS = 700;
+    static final int MOST_REQUESTS = 700;
+    /** Enough for each path to have been walked: its classes are loaded, and its calls linked. */
+    static final int FEWEST_REQUESTS = 30;
+    /**
+     * Upstreams for each balancer, over the shortest aim in seconds, from which compiled code is waited for. Both grow
+     * with the requests a second that a balancer is there for. Below that, code that is interpreted keeps up while
+     * the JVM compiles it beside the traffic, and a start in half the time is worth more: where most of a large
+     * fleet starts at once, clients have nowhere else to go.
+     */
+    private static final double BUSY = 12;
     private static final int CLIENTS = 12;
     private static final int UPSTREAMS = 6;
     private static final int FIRST_PORT = 1_000;
     private static final int BODY = 1_000;
     private static final int WORK = 200;
-    private static final int LARGEST_BODY = 64 * 1024;
+    /** One upstream's answers in so many are one refusal, one failure, and else good. */
+    private static final int KINDS = 20;
     private static final int BUDGET_MS = 2_000;
     /** How long it may take, in seconds. */
     public static final long LONGEST_S = 4;
 
     private final Config config;
     private final EventLoop loop;
-    private final CountDownLatch answers = new CountDownLatch(REQUESTS);
+    private final int requests;
+    private final CountDownLatch answers;
     private final BodyLimits bodies;
+    private final List<String> classes;
+    private final String report;
     private int asked;
     private int handled;
 
-    private WarmUp(Config config, EventLoop loop, BodyLimits bodies) {
+    private WarmUp(Config config, EventLoop loop, BodyLimits bodies, int requests) {
         this.bodies = bodies;
         this.config = config;
         this.loop = loop;
+        this.requests = requests;
+        this.answers = new CountDownLatch(requests);
+        this.classes = config.facts().classNames();
+        this.report = "{" + String.join(",", config.facts().reportNames().stream()
+                .map(n -> "\"" + n + "\":0.5").toList()) + "}";
+    }
+
+    /** How many requests a balancer with that configuration is to have served before it listens. */
+    public static int requests(Config config) {
+        Balancer.Settings settings = config.facts().settings();
+        long aim = settings.classes().stream().mapToLong(Balancer.RequestClass::aim).min().orElse(0);
+        double busy = config.known().members().size() * 1e6 / (Math.max(1, aim) * (double) settings.groupSize());
+        return config.known().members().isEmpty() || busy >= BUSY ? MOST_REQUESTS : FEWEST_REQUESTS;
     }
 
     /** Returns when all requests are answered, or when it has taken too long; tells how many were. */
-    public static long run(Config like, long longestS) throws InterruptedException {
+    public static long run(Config like, int requests, long longestS) throws InterruptedException {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
         List<MemberList.Member> members = new ArrayList<>();
         for (int i = 0; i < UPSTREAMS; i++) {
@@ -73,88 +90,90 @@
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), FIRST_PORT + i)));
         }
         WarmUp run = new WarmUp(new Config(like.name(), like.listen(), like.discovery(), null, null, like.seed(),
-                like.sockets(), like.facts(), new MemberList(1, true, members)), group.next(), like.bodies());
+                like.sockets(), like.facts(), new MemberList(1, true, members)), group.next(), like.bodies(), requests);
         group.execute(run::start);
         run.answers.await(longestS, TimeUnit.SECONDS);
         long left = run.answers.getCount();
         group.shutdownGracefully(0, longestS, TimeUnit.SECONDS).await();
-        return REQUESTS - left;
+        return requests - left;
     }
 
     private void start() {
-        config.known().members().forEach(m -> serve(m.address()));
-        serve(config.discovery());
+        config.known().members().forEach(m -> serve(m.address(), Upstream::new));
+        serve(config.discovery(), Lists::new);
         Node node = new Node(loop, config, Transport.INSIDE, bodies);
         new Server(loop, config, node, Transport.INSIDE, bodies).bind();
-        Bootstrap client = Transport.INSIDE.client(loop).handler(pipeline(HttpClientCodec::new, Client::new));
+        Bootstrap client = Transport.INSIDE.client(loop).handler(pipeline(Client::new));
         for (int i = 0; i < CLIENTS; i++) {
             client.connect(Transport.INSIDE.at(config.listen()));
         }
     }
 
-    private void serve(InetSocketAddress address) {
-        Transport.INSIDE.server(loop).childHandler(pipeline(HttpServerCodec::new, Upstream::new))
-                .bind(Transport.INSIDE.at(address));
+    private void serve(InetSocketAddress address, Supplier<ChannelHandler> peer) {
+        Transport.INSIDE.server(loop).childHandler(pipeline(peer)).bind(Transport.INSIDE.at(address));
     }
 
-    private static ChannelHandler pipeline(Supplier<ChannelHandler> codec,
-            Supplier<ChannelHandler> last) {
+    private static ChannelHandler pipeline(Supplier<ChannelHandler> peer) {
         return new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(codec.get(), new HttpObjectAggregator(LARGEST_BODY), last.get());
+                channel.pipeline().addLast(peer.get());
             }
         };
     }
 
-    /** Serves most requests, and turns some away or fails them; it is discovery as well, and has no news. */
-    private final class Upstream extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private static ByteBuf bytes(String head, int body) {
+        return Unpooled.wrappedBuffer(head.getBytes(StandardCharsets.US_ASCII), new byte[body]);
+    }
+
+    private static String list(List<MemberList.Member> known) {
+        List<String> members = known.stream().map(m -> "{\"id\":\"" + m.upstream().id()
+                + "\",\"host_port\":\"127.0.0.1:" + m.address().getPort() + "\",\"phase\":\"up\"}").toList();
+        return "{\"revision\":1,\"complete\":true,\"members\":[" + String.join(",", members) + "]}";
+    }
+
+    /** Gives its list once, and has no news after that. */
+    private final class Lists extends SimpleChannelInboundHandler<ByteBuf> {
+        private boolean told;
+
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            if (request.uri().startsWith("/catalog")) {
-                if (!request.uri().contains("from=")) {
-                    byte[] list = list().getBytes(StandardCharsets.UTF_8);
-                    FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-                            Unpooled.wrappedBuffer(list));
-                    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, list.length);
-                    ctx.writeAndFlush(answer);
-                }
-                return;
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf request) {
+            if (!told) {
+                told = true;
+                String list = list(config.known().members());
+                ctx.writeAndFlush(bytes("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list, 0));
             }
-            int kind = handled++ % 20;
-            FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, kind == 0
-                    ? HttpResponseStatus.SERVICE_UNAVAILABLE : kind == 1 ? HttpResponseStatus.INTERNAL_SERVER_ERROR
-                    : HttpResponseStatus.OK, Unpooled.wrappedBuffer(new byte[BODY]));
-            answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, BODY).set("X-Load-Report", report());
-            if (kind == 0) {
-                answer.headers().set("X-Rejected", "1");
-            }
-            ctx.writeAndFlush(answer);
-        }
-
-        private String list() {
-            List<String> members = config.known().members().stream().map(m -> "{\"id\":\"" + m.upstream().id()
-                    + "\",\"host_port\":\"127.0.0.1:" + m.address().getPort() + "\",\"phase\":\"up\"}").toList();
-            return "{\"revision\":1,\"complete\":true,\"members\":[" + String.join(",", members) + "]}";
         }
+    }
 
-        private String report() {
-            List<String> figures = config.facts().reportNames().stream().map(n -> "\"" + n + "\":0.5").toList();
-            return "{" + String.join(",", figures) + "}";
+    /** Serves most requests, and turns some away or fails them. */
+    private final class Upstream extends SimpleChannelInboundHandler<ByteBuf> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf request) {
+            if (request.getByte(request.writerIndex() - 1) != 0) {
+                return; // a head: the zeros of the body are still to come
+            }
+            int kind = handled++ % KINDS;
+            ctx.writeAndFlush(bytes((kind == 0 ? "HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1"
+                    : kind == 1 ? "HTTP/1.1 500 Internal Server Error" : "HTTP/1.1 200 OK") + "\r\nX-Load-Report: "
+                    + report + "\r\nContent-Length: " + BODY + "\r\n\r\n", BODY));
         }
     }
 
-    /** Asks again as soon as it is answered. */
-    private final class Client extends SimpleChannelInboundHandler<FullHttpResponse> {
+    /** Asks again a moment after the head of its answer; all of an answer this short comes with it. */
+    private final class Client extends SimpleChannelInboundHandler<ByteBuf> {
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             ask(ctx);
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf answer) {
+            if (answer.getByte(answer.readerIndex()) != 'H') {
+                return; // the rest of one
+            }
             answers.countDown();
-            if (asked < REQUESTS) {
+            if (asked < requests) {
                 // Not at once: a connection to an upstream rests for a moment before it is used again.
                 loop.schedule(() -> ask(ctx), 3, TimeUnit.MILLISECONDS);
             }
@@ -162,13 +181,9 @@
 
         private void ask(ChannelHandlerContext ctx) {
             int number = asked++;
-            List<String> classes = config.facts().classNames();
-            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
-                    "/api?obj=k" + number % 100, Unpooled.wrappedBuffer(new byte[WORK]));
-            request.headers().set(HttpHeaderNames.HOST, "x").set("X-Call-Id", "warm-" + number)
-                    .set("X-Call-Class", classes.get(number % classes.size())).set("X-Budget-Ms", BUDGET_MS)
-                    .set("Idempotency-Key", "k" + number).set(HttpHeaderNames.CONTENT_LENGTH, WORK);
-            ctx.writeAndFlush(request);
+            ctx.writeAndFlush(bytes("POST /api?obj=k" + number % 100 + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: warm-"
+                    + number + "\r\nX-Call-Class: " + classes.get(number % classes.size()) + "\r\nX-Budget-Ms: " + BUDGET_MS
+                    + "\r\nIdempotency-Key: k" + number + "\r\nContent-Length: " + WORK + "\r\n\r\n", WORK));
         }
     }
 }
--- a/src/main/java/sedgeyoke/serve/Main.java
+++ b/src/main/java/sedgeyoke/serve/Main.java
@@ -56,7 +56,7 @@
         }
         Main main = new Main(path, server, features);
         Hangup.run(main::reload);
-        WarmUp.run(config, WarmUp.LONGEST_S);
+        WarmUp.run(config, WarmUp.requests(config), WarmUp.LONGEST_S);
         ChannelFuture bound = server.bind().await();
         if (!bound.isSuccess()) {
             fail("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
--- a/src/test/java/sedgeyoke/decide/PolicyTest.java
+++ b/src/test/java/sedgeyoke/decide/PolicyTest.java
@@ -675,6 +675,35 @@
         assertTrue(Host.of(config).done.isEmpty());
     }
 
+    /** What fails for one balancer fails for all: asking on at one pace keeps an overbooked discovery overbooked. */
+    @Test
+    void aSubscriptionThatFailsIsAskedForMoreAndMoreSeldomButWithinTheTimeAllowed() {
+        config.ask = true;
+        Host h = Host.of(config);
+        long before = h.now;
+        int asked = 1;
+        List<Long> pauses = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            h.balancer.upstreams(h.now, ListKind.UNAVAILABLE, List.of());
+            before = h.now;
+            for (; asks(h) == asked; h.advance(10 * MILLI)) {
+                assertTrue(h.now - before < 10 * SECOND, "never asked again");
+            }
+            asked++;
+            pauses.add(h.now - before);
+        }
+        assertTrue(pauses.get(0) < SECOND, "soon at first: " + pauses);
+        pauses.subList(3, 8).forEach(p -> assertTrue(p > SECOND && p < 5 * SECOND, "seldom later on: " + pauses));
+        h.balancer.upstreams(h.now, ListKind.CHANGES, List.of());
+        h.balancer.upstreams(h.now, ListKind.UNAVAILABLE, List.of());
+        h.advance(SECOND);
+        assertEquals(asked + 1, asks(h), "soon again after one that went well");
+    }
+
+    private static int asks(Host h) {
+        return (int) h.done.stream().filter(d -> d.endsWith("watch true")).count();
+    }
+
     @Test
     void aStreamThatHasBegunIsLeftAlone() {
         config.stream = true;
--- a/src/test/java/sedgeyoke/net/DiscoveryTest.java
+++ b/src/test/java/sedgeyoke/net/DiscoveryTest.java
@@ -16,6 +16,11 @@
 
     /** Discovery that answers each call with the next reply; an empty one breaks the connection. */
     private Loopback start(String... members) throws Exception {
+        return start(false, members);
+    }
+
+    /** The same; {@code asked} where discovery is one service for all balancers. */
+    private Loopback start(boolean asked, String... members) throws Exception {
         Peer discovery = new Peer((request, socket) -> {
             String reply = replies.take();
             if (reply.isEmpty()) {
@@ -30,6 +35,9 @@
             return module;
         });
         setup.members.addAll(List.of(members));
+        if (asked) {
+            setup.setting("\"discovery\":\"pushed\"", "\"discovery\":\"on_request\"");
+        }
         return setup.start();
     }
 
@@ -74,6 +82,54 @@
         }
     }
 
+    /** A dozen balancers that start together and ask for all lines keep each other from getting any. */
+    @Test
+    void whereDiscoveryIsAskedTheListGoesOnFromTheKnownOne() throws Exception {
+        String up = Loopback.member("u", "127.0.0.1:1", "up");
+        replies.add(Loopback.list(2, false, up.replace("\"up\"", "\"draining\"")));
+        try (Loopback lb = start(true, up)) {
+            lb.loop.execute(() -> module.actions.watch(true));
+            awaitLists("RESTORED u:READY", "CHANGES u:DRAINING");
+            assertTrue(lb.discovery.requests.get(0).line().contains("from=1&hold_ms="));
+        }
+        try (Loopback lb = start(true)) {
+            lb.loop.execute(() -> module.actions.watch(true));
+            Loopback.await("a call", () -> !lb.discovery.requests.isEmpty());
+            assertEquals("GET /catalog/members HTTP/1.1", lb.discovery.requests.get(0).line(), "nothing was known");
+        }
+    }
+
+    /** Changes that count from an older list than ours would leave ours wrong for good. */
+    @Test
+    void aRevisionThatGoesBackIsNoNewsAndTheWholeListIsAskedFor() throws Exception {
+        String up = Loopback.member("u", "127.0.0.1:1", "up");
+        replies.add(Loopback.list(0, false, up.replace("\"up\"", "\"draining\"")));
+        replies.add(Loopback.list(0, true, up));
+        try (Loopback lb = start(true, up)) {
+            lb.loop.execute(() -> module.actions.watch(true));
+            awaitLists("RESTORED u:READY", "UNAVAILABLE");
+            lb.loop.execute(() -> module.actions.watch(true));
+            awaitLists("RESTORED u:READY", "UNAVAILABLE", "COMPLETE u:READY");
+            assertEquals("GET /catalog/members HTTP/1.1", lb.discovery.requests.get(1).line());
+        }
+    }
+
+    /** The module backs off as long as calls fail, so it has to hear of one that went well without any news. */
+    @Test
+    void aCallThatWentWellAfterAFailureIsTold() throws Exception {
+        String up = Loopback.member("u", "127.0.0.1:1", "up");
+        replies.add("503");
+        replies.add(Loopback.list(1, false));
+        replies.add(Loopback.list(1, false));
+        try (Loopback lb = start(true, up)) {
+            lb.loop.execute(() -> module.actions.watch(true));
+            awaitLists("RESTORED u:READY", "UNAVAILABLE");
+            lb.loop.execute(() -> module.actions.watch(true));
+            Loopback.await("the watch after two answers", () -> lb.discovery.requests.size() == 4);
+            awaitLists("RESTORED u:READY", "UNAVAILABLE", "CHANGES");
+        }
+    }
+
     /** An agent that answers at once, with nothing new: the watch goes on, but not as fast as it can. */
     @Test
     void aWatchThatEndsAtOnceDoesNotSpin() throws Exception {
--- a/src/test/java/sedgeyoke/net/MainTest.java
+++ b/src/test/java/sedgeyoke/net/MainTest.java
@@ -14,6 +14,7 @@
 import java.nio.file.StandardCopyOption;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -162,7 +163,20 @@
     @Test
     void theWarmUpAnswersAllItsRequests() throws Exception {
         Config config = Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, Loopback.list(1, true));
-        assertEquals(WarmUp.REQUESTS, WarmUp.run(config, 60), "answers");
+        assertEquals(WarmUp.MOST_REQUESTS, WarmUp.run(config, WarmUp.MOST_REQUESTS, 60), "answers");
+    }
+
+    /** Where each balancer of many has little to do, a dozen that start at once must not compile first. */
+    @Test
+    void theWarmUpIsShortWhereTrafficIsThin() throws Exception {
+        String members = Loopback.list(1, true, IntStream.range(0, 60)
+                .mapToObj(i -> Loopback.member("u" + i, "127.0.0.1:1", "up")).toArray(String[]::new));
+        String many = Loopback.SETTINGS.replace("\"group-size\":1,", "\"group-size\":14,");
+        assertEquals(WarmUp.FEWEST_REQUESTS, WarmUp.requests(Loopback.config(many, "127.0.0.1:1", 1024, members)));
+        assertEquals(WarmUp.MOST_REQUESTS,
+                WarmUp.requests(Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, members)), "one for all");
+        assertEquals(WarmUp.MOST_REQUESTS,
+                WarmUp.requests(Loopback.config(many, "127.0.0.1:1", 1024, Loopback.list(1, true))), "nothing known");
     }
 
     private static byte[] configAt(Peer discovery) {
