--- a/src/main/java/sedgeyoke/decide/Policy.java
+++ b/src/main/java/sedgeyoke/decide/Policy.java
@@ -67,6 +67,8 @@
     private static final double LIMIT_CUT = 0.8;
     private static final double DEEPEST_CUT = 0.4;
     private static final double LIMIT_STEP = 0.3;
+    /** Reported utilisation below which nothing waits for a core. */
+    private static final double ROOM = 0.8;
     /** How fast the least service time seen at an upstream is forgotten: it doubles in half a minute. */
     private static final double LEAST_DRIFT = Math.log(2) / 30e6;
     /** Smoothing of each answer into an upstream's own times. */
@@ -400,7 +402,7 @@
      */
     private void adjustLimit(Up up, Try t, double wait, long aim, long now) {
         double target = WAIT_SHARE * aim;
-        if (wait > target) {
+        if (wait > target && !reportsRoom(up, now)) {
             if (t.sentAt >= up.cutAt) {
                 double cut = Math.max(DEEPEST_CUT, Math.min(LIMIT_CUT, target / wait));
                 up.limit = Math.max(LEAST_LIMIT, up.limit * cut);
@@ -411,6 +413,14 @@
         }
     }
 
+    /**
+     * Whether its cores are not busy, by its latest report, which tells of all balancers' requests: there, an
+     * answer that took long was long work. With a sliver of the traffic, our own answers are too few to tell.
+     */
+    private static boolean reportsRoom(Up up, long now) {
+        return up.report != null && now - up.reportAt <= FRESH && up.report.utilisation() < ROOM;
+    }
+
     /**
      * What of an answer's time was waiting: all beyond the least service time seen lately. The reported
      * service time will not do: it rises with the crowd on an upstream that slows down when crowded.
--- a/src/main/java/sedgeyoke/net/WarmUp.java
+++ b/src/main/java/sedgeyoke/net/WarmUp.java
@@ -182,7 +182,8 @@
         private void ask(ChannelHandlerContext ctx) {
             int number = asked++;
             ctx.writeAndFlush(bytes("POST /api?obj=k" + number % 100 + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: warm-"
-                    + number + "\r\nX-Call-Class: " + classes.get(number % classes.size()) + "\r\nX-Budget-Ms: " + BUDGET_MS
+                    + number + "\r\nX-Call-Class: " + classes.get(number % classes.size())
+                    + "\r\nX-Budget-Ms: " + BUDGET_MS
                     + "\r\nIdempotency-Key: k" + number + "\r\nContent-Length: " + WORK + "\r\n\r\n", WORK));
         }
     }
--- a/src/test/java/sedgeyoke/decide/PolicyTest.java
+++ b/src/test/java/sedgeyoke/decide/PolicyTest.java
@@ -347,6 +347,23 @@
         assertTrue(sent <= 2, "sent " + sent);
     }
 
+    /** In a large fleet our own answers are few: long work at idle upstreams closed them to thin traffic. */
+    @Test
+    void longAnswersLowerTheLimitOnlyWhereCoresAreReportedBusy() {
+        for (double utilisation : new double[] {0.4, 0.95}) {
+            Host h = Host.of(config).list(2);
+            for (int i = 0; i < 60; i++) {
+                h.serve(0, i < 10 ? 20 * MILLI : 300 * MILLI, u -> utilisation);
+            }
+            h.perUpstream.clear();
+            for (int i = 0; i < 20; i++) {
+                h.request(0, 2 * SECOND);
+            }
+            int sent = h.perUpstream.values().stream().mapToInt(Integer::intValue).sum();
+            assertEquals(utilisation > 0.9, sent <= 2, sent + " sent at " + utilisation);
+        }
+    }
+
     @Test
     void withRoomNothingIsHeld() {
         Host h = Host.of(config).list(4);
--- a/src/test/java/sedgeyoke/net/DiscoveryTest.java
+++ b/src/test/java/sedgeyoke/net/DiscoveryTest.java
@@ -88,6 +88,7 @@
         String up = Loopback.member("u", "127.0.0.1:1", "up");
         replies.add(Loopback.list(2, false, up.replace("\"up\"", "\"draining\"")));
         try (Loopback lb = start(true, up)) {
+            assertEquals(200, lb.health(), "no news is no reason to keep clients waiting");
             lb.loop.execute(() -> module.actions.watch(true));
             awaitLists("RESTORED u:READY", "CHANGES u:DRAINING");
             assertTrue(lb.discovery.requests.get(0).line().contains("from=1&hold_ms="));
