The warm-up reaches its upstreams; watches that fall silent are noticed in 4.5 s

A watch now holds 2 s and is given up 2.5 s after that; the whole list keeps 5 s (discovery works through calls in turn).

Cause: Transport.INSIDE names a place by InetSocketAddress.toString, which has the host's name where that is known: upstreams listened at localhost/127.0.0.1:1000 and were asked for at /127.0.0.1:1000 as soon as the warm-up's own list came. So nothing behind the pick was ever warm. The test counted answers; it counts 200s now.

--- a/src/main/java/sedgeyoke/net/Discovery.java
+++ b/src/main/java/sedgeyoke/net/Discovery.java
@@ -33,15 +33,17 @@
  * balancers that start at once and ask for all of it keep each other from getting any.
  */
 final class Discovery {
-    /** How long a watch waits for news; short, so that a discovery that has fallen silent is noticed. */
-    private static final int HOLD_MS = 5_000;
+    /** How long a watch waits for news; short, so that one that has fallen silent is noticed. */
+    private static final int HOLD_MS = 2_000;
     /** A watch that ends sooner than that without news is not renewed at once: it would go on without a rest. */
     private static final long SHORTEST_WATCH_NS = 50_000_000;
     /**
-     * How much longer than it holds a call may take. Giving up sooner helps nobody where discovery works through calls
+     * How long a call for the whole list may take. Giving up sooner helps nobody where discovery works through calls
      * in turn: what it was about to answer is thrown away, and the next call stands at the end of the queue.
      */
     private static final int PATIENCE_MS = 5_000;
+    /** How much longer than it holds a watch may take: changes that it does not bring reach nobody meanwhile. */
+    private static final int WATCH_PATIENCE_MS = 2_500;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     /** The longest list: far more than any fleet's, and little enough to hold at once. */
     private static final int LONGEST_LIST = 1 << 20;
@@ -163,7 +165,8 @@
         request.headers().set(HttpHeaderNames.HOST, address.getAddress().getHostAddress());
         askedAt = System.nanoTime();
         Channel asked = channel;
-        patience = loop.schedule(() -> asked.close(), (whole ? 0 : HOLD_MS) + PATIENCE_MS, TimeUnit.MILLISECONDS);
+        patience = loop.schedule(() -> asked.close(), whole ? PATIENCE_MS : HOLD_MS + WATCH_PATIENCE_MS,
+                TimeUnit.MILLISECONDS);
         channel.writeAndFlush(request);
     }
 
--- a/src/main/java/sedgeyoke/net/Transport.java
+++ b/src/main/java/sedgeyoke/net/Transport.java
@@ -59,7 +59,8 @@
 
         @Override
         SocketAddress at(InetSocketAddress address) {
-            return new LocalAddress(address.toString());
+            // Not toString: it has the host's name too, where that is known, and there is one place for both.
+            return new LocalAddress(address.getAddress().getHostAddress() + ":" + address.getPort());
         }
 
         @Override
--- a/src/main/java/sedgeyoke/net/WarmUp.java
+++ b/src/main/java/sedgeyoke/net/WarmUp.java
@@ -44,6 +44,7 @@
     private static final int CLIENTS = 12;
     private static final int UPSTREAMS = 6;
     private static final int FIRST_PORT = 1_000;
+    private static final String STATUS_LINE = "HTTP/1.1 200";
     private static final int BODY = 1_000;
     private static final int WORK = 200;
     /** One upstream's answers in so many are one refusal, one failure, and else good. */
@@ -59,6 +60,7 @@
     private final BodyLimits bodies;
     private final List<String> classes;
     private final String report;
+    private int served;
     private int asked;
     private int handled;
 
@@ -81,7 +83,7 @@
         return config.known().members().isEmpty() || busy >= BUSY ? MOST_REQUESTS : FEWEST_REQUESTS;
     }
 
-    /** Returns when all requests are answered, or when it has taken too long; tells how many were. */
+    /** Returns when all requests are answered, or when it has taken too long; tells how many were served. */
     public static long run(Config like, int requests, long longestS) throws InterruptedException {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
         List<MemberList.Member> members = new ArrayList<>();
@@ -93,9 +95,8 @@
                 like.sockets(), like.facts(), new MemberList(1, true, members)), group.next(), like.bodies(), requests);
         group.execute(run::start);
         run.answers.await(longestS, TimeUnit.SECONDS);
-        long left = run.answers.getCount();
         group.shutdownGracefully(0, longestS, TimeUnit.SECONDS).await();
-        return requests - left;
+        return run.served;
     }
 
     private void start() {
@@ -173,6 +174,8 @@
                 return; // the rest of one
             }
             answers.countDown();
+            served += answer.toString(answer.readerIndex(), STATUS_LINE.length(), StandardCharsets.US_ASCII)
+                    .equals(STATUS_LINE) ? 1 : 0;
             if (asked < requests) {
                 // Not at once: a connection to an upstream rests for a moment before it is used again.
                 loop.schedule(() -> ask(ctx), 3, TimeUnit.MILLISECONDS);
--- a/src/test/java/sedgeyoke/net/DiscoveryTest.java
+++ b/src/test/java/sedgeyoke/net/DiscoveryTest.java
@@ -131,6 +131,18 @@
         }
     }
 
+    /** What a watch that has fallen silent does not bring reaches nobody until the next call. */
+    @Test
+    void aWatchThatFallsSilentIsGivenUpSoonAfterItsTime() throws Exception {
+        String up = Loopback.member("u", "127.0.0.1:1", "up");
+        replies.add(Loopback.list(1, true, up)); // and then nothing more
+        try (Loopback lb = start()) {
+            Loopback.await("a second watch", () -> lb.discovery.requests.size() == 3);
+            assertTrue(lb.discovery.requests.get(1).line().contains("from=1&hold_ms="));
+            assertTrue(lb.discovery.requests.get(2).line().contains("from=1&hold_ms="));
+        }
+    }
+
     /** An agent that answers at once, with nothing new: the watch goes on, but not as fast as it can. */
     @Test
     void aWatchThatEndsAtOnceDoesNotSpin() throws Exception {
