One word on a fresh report and on a list to go on from; two tests keep their bounds

The check for a fresh report stood twice in Policy; which list a watch goes on from was decided in Discovery and once more in Node.ready(). MainTest had lost the count of all answers of the warm-up beside the share served, and RudeClientsTest looked only up to the first answer that ends its connection: both hold over all requests again, the latter for each 0.5 s in which idle connections make way.

--- a/src/main/java/sedgeyoke/decide/Policy.java
+++ b/src/main/java/sedgeyoke/decide/Policy.java
@@ -355,7 +355,7 @@
         ratings = 0;
         for (Up up : ups) {
             ratings += rating(up);
-            up.load = now - up.reportAt <= FRESH && up.report != null
+            up.load = freshlyReported(up, now)
                     ? Math.max(0, Math.min(1, up.report.utilisation())) : Double.NaN;
             if (!Double.isNaN(up.load)) {
                 sum += up.load;
@@ -379,6 +379,10 @@
         }
     }
 
+    private static boolean freshlyReported(Up up, long now) {
+        return up.report != null && now - up.reportAt <= FRESH;
+    }
+
     private double rating(Up up) {
         return settings.ratings() == Ratings.NONE || !(up.entry.rating() > 0) ? 1 : up.entry.rating();
     }
@@ -418,7 +422,7 @@
      * answer that took long was long work. With a sliver of the traffic, our own answers are too few to tell.
      */
     private static boolean reportsRoom(Up up, long now) {
-        return up.report != null && now - up.reportAt <= FRESH && up.report.utilisation() < ROOM;
+        return freshlyReported(up, now) && up.report.utilisation() < ROOM;
     }
 
     /**
--- a/src/main/java/sedgeyoke/net/Discovery.java
+++ b/src/main/java/sedgeyoke/net/Discovery.java
@@ -79,6 +79,7 @@
         this.random = new Random(config.seed());
         this.address = config.discovery();
         this.whole = !config.facts().settings().askForList() || config.known().members().isEmpty();
+        this.listed = !whole; // a watch is answered only when there is news: clients must not wait for that
         this.revision = config.known().revision();
         this.bootstrap = transport.client(loop)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -91,7 +92,7 @@
                 });
     }
 
-    /** Whether discovery has answered since the start. */
+    /** Whether discovery has answered since the start, or need not have: a watch goes on from the known list. */
     boolean listed() {
         return listed;
     }
--- a/src/main/java/sedgeyoke/net/Node.java
+++ b/src/main/java/sedgeyoke/net/Node.java
@@ -168,13 +168,9 @@
         discovery.moveTo(changed.discovery());
     }
 
-    /**
-     * Whether discovery has answered; if it stays silent, what was known before the start has to do. A watch that goes
-     * on from there is answered only when there is news: clients must not wait for that.
-     */
+    /** Whether discovery has answered; if it stays silent, what was known before the start has to do. */
     boolean ready() {
-        return discovery.listed() || !config.known().members().isEmpty()
-                && (settings.askForList() || now() - startedAt > WAIT_FOR_LIST);
+        return discovery.listed() || !config.known().members().isEmpty() && now() - startedAt > WAIT_FOR_LIST;
     }
 
     /** The last word on long bodies, where they are on. */
--- a/src/main/java/sedgeyoke/net/WarmUp.java
+++ b/src/main/java/sedgeyoke/net/WarmUp.java
@@ -64,6 +64,9 @@
     private int asked;
     private int handled;
 
+    /** What became of a warm-up's requests: answered in time, however, and of these served. */
+    public record Result(long answered, int served) { }
+
     private WarmUp(Config config, EventLoop loop, BodyLimits bodies, int requests) {
         this.bodies = bodies;
         this.config = config;
@@ -83,8 +86,8 @@
         return config.known().members().isEmpty() || busy >= BUSY ? MOST_REQUESTS : FEWEST_REQUESTS;
     }
 
-    /** Returns when all requests are answered, or when it has taken too long; tells how many were served. */
-    public static long run(Config like, int requests, long longestS) throws InterruptedException {
+    /** Returns when all requests are answered, or when it has taken too long. */
+    public static Result run(Config like, int requests, long longestS) throws InterruptedException {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
         List<MemberList.Member> members = new ArrayList<>();
         for (int i = 0; i < UPSTREAMS; i++) {
@@ -95,8 +98,9 @@
                 like.sockets(), like.facts(), new MemberList(1, true, members)), group.next(), like.bodies(), requests);
         group.execute(run::start);
         run.answers.await(longestS, TimeUnit.SECONDS);
+        long left = run.answers.getCount();
         group.shutdownGracefully(0, longestS, TimeUnit.SECONDS).await();
-        return run.served;
+        return new Result(requests - left, run.served);
     }
 
     private void start() {
--- a/src/test/java/sedgeyoke/net/MainTest.java
+++ b/src/test/java/sedgeyoke/net/MainTest.java
@@ -162,10 +162,11 @@
 
     /** Upstreams were bound under a name and asked for by number: each request was refused, and no answer was warm. */
     @Test
-    void theWarmUpServesItsRequests() throws Exception {
+    void theWarmUpAnswersAllItsRequestsAndServesMost() throws Exception {
         Config config = Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, Loopback.list(1, true));
-        long served = WarmUp.run(config, WarmUp.MOST_REQUESTS, 60);
-        assertTrue(served > 0.9 * WarmUp.MOST_REQUESTS, "served: " + served);
+        WarmUp.Result result = WarmUp.run(config, WarmUp.MOST_REQUESTS, 60);
+        assertEquals(WarmUp.MOST_REQUESTS, result.answered(), "answers");
+        assertTrue(result.served() > 0.9 * WarmUp.MOST_REQUESTS, "served: " + result.served());
     }
 
     /** Where each balancer of many has little to do, a dozen that start at once must not compile first. */
--- a/src/test/java/sedgeyoke/net/RudeClientsTest.java
+++ b/src/test/java/sedgeyoke/net/RudeClientsTest.java
@@ -156,15 +156,17 @@
         int usual = 30; // below 0.17 of these
         try (Peer up = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
                 Loopback lb = Loopback.setup().upstream("u", up.address()).sockets(sockets).start()) {
-            int kept = -1; // before the first that is not; idle ones make way later, so that more are kept
+            int kept = 0;
+            long start = System.nanoTime();
             for (int i = 0; i < 2 * sockets; i++) { // far more than clients may hold at once
                 Peer.Message answer = lb.ask("id-" + i, "order", 5_000);
                 assertEquals(200, answer.status());
                 boolean keeps = !"close".equals(answer.headers().get("connection"));
                 assertTrue(keeps || i >= usual, "the first ones are kept: " + i);
-                kept = kept < 0 && !keeps ? i : kept;
+                kept += keeps ? 1 : 0;
             }
-            assertTrue(kept >= usual && kept < sockets / 4, "kept: " + kept);
+            long rounds = 1 + (System.nanoTime() - start) / 500_000_000L; // idle ones make way for as many after 0.5 s
+            assertTrue(kept >= usual && kept < rounds * sockets / 4, "kept: " + kept + " in " + rounds + " rounds");
         }
     }
 
