A request that is not answered in time lowers the limit, whatever was reported before

Found on reading adjustLimit again: the check for reported room, meant for long answers, stood in what time-outs and cancellations share. Their report is up to 3 s old and older than the silence, so an upstream that went silent after it had reported idle cores was not cut, and its limit could rise. The check now stands where an answer is learnt from. PolicyTest shows it: two silent upstreams took three requests each, and take one each with the mend.

--- a/src/main/java/sedgeyoke/decide/Policy.java
+++ b/src/main/java/sedgeyoke/decide/Policy.java
@@ -406,7 +406,7 @@
      */
     private void adjustLimit(Up up, Try t, double wait, long aim, long now) {
         double target = WAIT_SHARE * aim;
-        if (wait > target && !reportsRoom(up, now)) {
+        if (wait > target) {
             if (t.sentAt >= up.cutAt) {
                 double cut = Math.max(DEEPEST_CUT, Math.min(LIMIT_CUT, target / wait));
                 up.limit = Math.max(LEAST_LIMIT, up.limit * cut);
@@ -476,7 +476,8 @@
             }
             up.took = smooth(up.took, end.took(), SMOOTH);
             typicalTook = smooth(typicalTook, end.took(), SMOOTH_ALL);
-            adjustLimit(up, t, waitOf(up, r, end.took(), now), r.cls.aim(), now);
+            double wait = waitOf(up, r, end.took(), now);
+            adjustLimit(up, t, reportsRoom(up, now) ? 0 : wait, r.cls.aim(), now);
             rest(up, end.took(), now);
             int c = r.request.classIndex();
             classTook[c] = smooth(classTook[c], end.took(), SMOOTH_ALL);
--- a/src/test/java/sedgeyoke/decide/PolicyTest.java
+++ b/src/test/java/sedgeyoke/decide/PolicyTest.java
@@ -364,6 +364,23 @@
         }
     }
 
+    /** Its last report says nothing about the work that it has not answered since. */
+    @Test
+    void noAnswerInTimeLowersTheLimitWhateverWasReportedBefore() {
+        Host h = Host.of(config).list(2);
+        for (int i = 0; i < 10; i++) {
+            h.serve(0, 20 * MILLI, u -> 0.4);
+        }
+        List<String> silent = List.of(h.request(2, 2 * SECOND), h.request(2, 2 * SECOND));
+        h.advance(300 * MILLI);
+        silent.forEach(id -> h.end(id, Outcome.TIMEOUT, 300 * MILLI, null));
+        h.perUpstream.clear();
+        for (int i = 0; i < 20; i++) {
+            h.request(0, 2 * SECOND);
+        }
+        assertEquals(Map.of("u0", 1, "u1", 1), h.perUpstream);
+    }
+
     @Test
     void withRoomNothingIsHeld() {
         Host h = Host.of(config).list(4);
