Thin traffic: keys go home, homes follow speed of kinds, crowds show in service times

Offered work is 1.1 of what the upstreams do with cold keys. A balancer has 8.5 requests a second, aims are scaled by 2.6.

Ruled out: crossing of zones (own zone 0.64 to 0.91 of the picks), age of reports (late 7% at half a second, 11% beyond 4 s), our own in flight (0 at 99% of the picks), errors and time-outs of upstreams (none).

Cause, in Policy where sparse() holds: pick() gave a key's home 2.5 times the weight of one upstream, and only if the home was in this balancer's own sample, so a key was served cold nearly everywhere; home() dealt keys evenly to fast and slow kinds; crowd() looks at what waits, but requests at work share the cores there, so a crowd shows in the reported service time alone. Now the home is in every sample and as good as another with so much fewer in flight, ratings of kinds follow their reported service times, and the pick is divided by an upstream's service time over the mean, as long as the report holds. Besides: crowd() gave NaN for a report that came before any answer.

The emulator did not see it, as its nodes worked on one request a core. NodeModel shares cores among slots now, loses two fifths when crowded, and its reports come late; work_scale and slots_per_core in an experiment's scenario.

Three tests fail without the mend.

--- a/src/main/java/sedgeyoke/decide/Policy.java
+++ b/src/main/java/sedgeyoke/decide/Policy.java
@@ -57,6 +57,8 @@
     private static final double OWN_HOME = 4;
     /** Weight factor for the upstream where a key is at home, where warm keys save work. */
     private static final double HOME = 2.5;
+    /** Where traffic is thin: a home is as good as another upstream with so much fewer others in flight. */
+    private static final double THIN_HOME = 5;
     /** In-flight limit of an upstream, by all balancers together, before anything is known: a short queue. */
     private static final double FIRST_TOTAL = 3;
     /** Lower bound of our own limit. */
@@ -94,6 +96,8 @@
     private static final double ASK_SHARE = 0.25;
     /** Part of our share of a cold upstream's budget that we use: the rest is for what we cannot see. */
     private static final double COLD_CARE = 0.5;
+    /** Most that the speed of a kind may count, either way: reports may be nonsense. */
+    private static final double MOST_SPEED = 5;
     /** Least size of a cold upstream's bucket, in mean requests; a dearer request does not go there. */
     private static final double COLD_COST = 1.2;
     /** What a transfer counts in the pick, beside a request at work: a connection, no core. */
@@ -108,6 +112,7 @@
     private final SplittableRandom random;
     private final long margin;
     private final long waitTarget;
+    private final long longestWait;
 
     private final Map<String, Up> byId = new LinkedHashMap<>();
     private final List<Up> ups = new ArrayList<>();
@@ -127,6 +132,9 @@
     private double requestRate;
     private long periods;
     private double meanCrowd;
+    /** Service time as reported by all upstreams, and by those of each kind. */
+    private double meanService;
+    private final Map<Integer, Double> kindService = new HashMap<>();
     private double admitted = 1;
     private double retryTokens = MOST_RETRIES;
     private long requestsSince;
@@ -150,6 +158,7 @@
         this.margin = SWEEP + MARGIN_TICKS * Math.max(settings.tick(), 1_000);
         this.waitTarget = (long) (WAIT_SHARE
                 * settings.classes().stream().mapToLong(RequestClass::aim).min().orElse(Long.MAX_VALUE));
+        this.longestWait = settings.classes().stream().mapToLong(RequestClass::giveUp).max().orElse(0);
         this.tenantTokens = new double[settings.tenants().size()];
         this.tenantAt = new long[settings.tenants().size()];
         this.refusedAfter = new double[settings.classes().size()];
@@ -384,7 +393,16 @@
     }
 
     private double rating(Up up) {
-        return settings.ratings() == Ratings.NONE || !(up.entry.rating() > 0) ? 1 : up.entry.rating();
+        return settings.ratings() == Ratings.NONE || !(up.entry.rating() > 0) ? speed(up) : up.entry.rating();
+    }
+
+    /**
+     * How fast upstreams of its kind are, against the mean of all: with thin traffic it takes too long to
+     * learn that of each upstream, and homes that are dealt out evenly crowd the slow ones.
+     */
+    private double speed(Up up) {
+        double kind = kindService.getOrDefault(up.entry.kind(), meanService);
+        return sparse() && kind > 0 ? Math.max(1 / MOST_SPEED, Math.min(MOST_SPEED, meanService / kind)) : 1;
     }
 
     private void learn(Up up, LoadReport report, long now) {
@@ -396,6 +414,11 @@
         double active = report.active() >= 0 ? report.active() : report.waiting();
         up.crowd = active >= 0 ? Math.min(active, MOST_CROWD) : 0;
         meanCrowd += SMOOTH * (up.crowd - meanCrowd);
+        if (serviceTold(report)) {
+            meanService = smooth(meanService, report.serviceTime(), SMOOTH_ALL);
+            kindService.merge(up.entry.kind(), report.serviceTime(),
+                    (old, seen) -> smooth(old, seen, SMOOTH_ALL));
+        }
     }
 
     // ---- Health --------------------------------------------------------------------------------------
@@ -542,18 +565,21 @@
         double sum = 0;
         int wanted = aperture();
         Up home = homeOf(r, now);
-        for (int i = 0; i < scores.length && wanted > 0; i++) {
+        for (int i = 0; i < scores.length; i++) {
             Up up = ups.get(i);
-            if (!mayTake(up, r, now, panic) || (!pressing || sparse()) && !hasRoom(up, now)) {
+            // A key has one home in the whole fleet, which most balancers' own samples leave out.
+            if (wanted <= 0 && up != home || !mayTake(up, r, now, panic)
+                    || (!pressing || sparse()) && !hasRoom(up, now)) {
                 continue;
             }
-            double w = up.weight * warmth(up, now) * Math.pow(1 - up.errors, 2) * (zoneFactor(up) + up.spill)
-                    * (up == home ? HOME : 1);
+            double w = up.weight * warmth(up, now) * Math.pow(1 - up.errors, 2) * (zoneFactor(up) + up.spill);
             if (up.ejection > FIRST_EJECTION) {
                 w *= r.cls.effect() == Effect.UNSAFE ? 0.02 : 0.3;
             }
             double others = sparse() ? crowd(up, now) : 0;
-            scores[i] = (sparse() ? w : power(w)) / power(loadUnits(up) + others + 1);
+            double atHome = up != home ? 1 : power(sparse() ? THIN_HOME : HOME);
+            scores[i] = (sparse() ? w / slowness(up, now) : power(w)) * atHome
+                    / power(loadUnits(up) + others + 1);
             sum += scores[i];
             wanted--;
         }
@@ -569,8 +595,27 @@
      * little. It fades to the mean within some answer times, as a queue forgets.
      */
     private double crowd(Up up, long now) {
-        double fade = 1 - (now - up.reportAt) / (CROWD_TIMES * typicalTook);
-        return up.report == null || fade <= 0 ? meanCrowd : meanCrowd + fade * (up.crowd - meanCrowd);
+        return meanCrowd + memory(up, now) * (up.crowd - meanCrowd);
+    }
+
+    /**
+     * How much longer its service takes than elsewhere, as last reported: where requests at work share the
+     * cores, a crowd shows in that and nothing waits.
+     */
+    private double slowness(Up up, long now) {
+        return up.report == null || !serviceTold(up.report) ? 1
+                : Math.pow(up.report.serviceTime() / meanService, memory(up, now));
+    }
+
+    /** Longer than any client waits is nonsense, and would spoil the means for long. */
+    private boolean serviceTold(LoadReport report) {
+        return report.serviceTime() > 0 && report.serviceTime() <= longestWait;
+    }
+
+    /** How much of its last report still holds, from 1 to 0. */
+    private double memory(Up up, long now) {
+        double forgotten = (now - up.reportAt) / Math.max(1, CROWD_TIMES * typicalTook);
+        return up.report == null ? 0 : Math.max(0, 1 - forgotten);
     }
 
     private static double power(double x) {
--- a/src/main/java/sedgeyoke/emulate/Fleet.java
+++ b/src/main/java/sedgeyoke/emulate/Fleet.java
@@ -175,7 +175,7 @@
         go(m);
         SiteSpec.NodeSpec old = m.model.spec();
         Machine fresh = add(new SiteSpec.NodeSpec(old.id() + "-r" + ++replacements, old.zone(), old.cores(),
-                old.speed(), old.queue()), inPlace ? m.address : addresses++);
+                old.speed(), old.slots(), old.queue()), inPlace ? m.address : addresses++);
         fresh.model.restart();
         tell(fresh, State.READY);
     }
--- a/src/main/java/sedgeyoke/emulate/Scenarios.java
+++ b/src/main/java/sedgeyoke/emulate/Scenarios.java
@@ -18,11 +18,18 @@
 
     /** Three zones like the platform's, nodes dealt out unevenly, every third slow; steady traffic, no faults. */
     public static Scenario orders(int nodes, int forwarders, double load, double seconds) {
+        return orders(nodes, forwarders, load, seconds, 1, 1);
+    }
+
+    /** The same with work, aims and deadlines so many times as long, and nodes that work on several for each core. */
+    public static Scenario orders(int nodes, int forwarders, double load, double seconds, double workScale,
+            int slotsPerCore) {
         List<SiteSpec.NodeSpec> specs = new ArrayList<>();
         for (int i = 0; i < nodes; i++) {
-            specs.add(new SiteSpec.NodeSpec("n" + i, i % 4 == 3 ? 0 : i % 4, CORES, i % 3 == 2 ? SLOW : FAST, QUEUE));
+            specs.add(new SiteSpec.NodeSpec("n" + i, i % 4 == 3 ? 0 : i % 4, CORES, i % 3 == 2 ? SLOW : FAST,
+                    CORES * slotsPerCore, QUEUE));
         }
-        SiteSpec site = new SiteSpec(List.of("kagoshima", "miyazaki", "oita"), SiteSpec.orders(), specs,
+        SiteSpec site = new SiteSpec(List.of("kagoshima", "miyazaki", "oita"), SiteSpec.orders(workScale), specs,
                 SiteSpec.RuleSpec.USUAL, false);
         int third = forwarders / 3;
         return new Scenario(site, seconds, Math.min(10, seconds / 4), List.of(forwarders - 2 * third, third, third),
--- a/src/main/java/sedgeyoke/experiment/ExperimentFile.java
+++ b/src/main/java/sedgeyoke/experiment/ExperimentFile.java
@@ -42,7 +42,7 @@
     private static final int MOST_VARIANTS = 32;
     private static final int MOST_POINTS = 64;
     /** What a sweep or a hunt may vary of a scenario. */
-    static final List<String> VARIABLE = List.of("nodes", "forwarders", "load", "seconds", "burst", "keys", "skew",
+    static final List<String> VARIABLE = List.of("nodes", "forwarders", "load", "seconds", "work_scale", "burst", "keys", "skew",
             "uneven_front", "cross_zone_us", "jitter", "stall", "discovery_most_ms", "notice_ms", "clock_skew_ms");
 
     /**
@@ -226,7 +226,8 @@
         int nodes = (int) t.whole("nodes", 12, 1, MOST_NODES);
         int forwarders = (int) t.whole("forwarders", 6, 3, MOST_FORWARDERS);
         double seconds = t.number("seconds", 30, 1, 3_600);
-        Scenario s = Scenarios.orders(nodes, forwarders, t.number("load", 0.6, 0.01, 10), seconds);
+        Scenario s = Scenarios.orders(nodes, forwarders, t.number("load", 0.6, 0.01, 10), seconds,
+                t.number("work_scale", 1, 0.1, 20), (int) t.whole("slots_per_core", 1, 1, 1_000));
         Scenario.Traffic u = s.traffic();
         Scenario.Network n = s.network();
         Scenario.Traffic traffic = new Scenario.Traffic(u.load(), t.numbers("zone_share", u.zoneShare(), 3, 3),
--- a/src/main/java/sedgeyoke/site/NodeModel.java
+++ b/src/main/java/sedgeyoke/site/NodeModel.java
@@ -1,25 +1,35 @@
 package sedgeyoke.site;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 
 /**
- * An order node: so many cores of some speed, a queue, a memory for keys, load reports, and a cold start after which it
+ * An order node: so many cores of some speed, shared by what is at work, a queue, a memory for keys, load reports, and a cold start after which it
  * can be pushed over. Work takes time but no processor. What it does is written into the {@link Ledger}. It knows
  * neither sockets nor threads: the host gives it a clock, timers and the way back, so the same node serves stand-ins on
  * real sockets and the emulator in virtual time. Times are microseconds.
  */
 public final class NodeModel {
     private static final long REPORT_EVERY = 500_000;
+    /** What is measured shows in answers so much later. */
+    private static final long REPORT_DELAY = 250_000;
     private static final long KEY_WARM_FOR = 8_000_000;
     private static final double WARM_KEY_WORK = 0.6;
     private static final int MOST_KEYS = 200;
     /** A little slack for chance, as the platform's rule has. */
     private static final double SLACK_REQUESTS = 2;
     private static final double SMOOTH = 0.1;
+    /** Beyond so many requests at work for each core it gets less done, down to the least at twice as many. */
+    private static final double CROWDED_FROM = 6;
+    private static final double CROWDED_LOSS = 0.4;
+    /** While it warms up, its speed is looked at so often. */
+    private static final long WARMING_LOOK = 50_000;
     private static final double FIRST_SERVICE_MS = 30;
 
     private final SiteSpec.NodeSpec spec;
@@ -33,20 +43,24 @@
     private final Deque<double[]> coldArrivals = new ArrayDeque<>();
     private double coldSum;
     private final Map<String, Long> warmKeys = new LinkedHashMap<>(16, 0.75f, true);
-    private long process;
     private long launchedAt;
     private boolean silent;
     private boolean draining;
     private boolean fallen;
     private Failing failing = Failing.NOT;
     private double slowdown = 1;
-    private int working;
-    private long busyTime;
-    private long busyTotal;
+    /** Those at work, by the progress at which each is done: all of them progress alike. */
+    private final PriorityQueue<Active> working = new PriorityQueue<>();
+    /** Seconds of work done for each request that was at work all the time, and when that was last brought up. */
+    private double progress;
+    private long progressAt;
+    private long looks;
+    private long started;
+    private double busyTime;
+    private double busyTotal;
     private long measuredAt;
-    private double reportedUtil;
-    private int reportedQueue;
     private double serviceMs = FIRST_SERVICE_MS;
+    private Measured reported = new Measured(0, 0, FIRST_SERVICE_MS);
     private double workIn;
     private double workDone;
     private double workLost;
@@ -85,7 +99,19 @@
     public record Answer(Kind kind, double utilisation, int waiting, int active, double serviceMs) { }
 
     /** A request in its queue or at work; {@code work} as if its key were cold. */
-    private record Job(String id, String key, double work, boolean effect, boolean fails, Reply reply, long process) { }
+    private record Job(String id, String key, double work, boolean effect, boolean fails, Reply reply) { }
+
+    /** What a load report tells. */
+    private record Measured(double utilisation, int waiting, double serviceMs) { }
+
+    /** One at work. */
+    private record Active(Job job, double doneAt, long since, long number) implements Comparable<Active> {
+        @Override
+        public int compareTo(Active other) {
+            int first = Double.compare(doneAt, other.doneAt);
+            return first != 0 ? first : Long.compare(number, other.number);
+        }
+    }
 
     /** A node that is warm and idle. {@code zoneEffects} is shared by the nodes of its zone. */
     public NodeModel(SiteSpec.NodeSpec spec, SiteSpec site, Host host, Ledger ledger, ZoneMemory zoneEffects,
@@ -101,6 +127,7 @@
     /** Begins to measure itself, with a phase of its own. */
     public void start() {
         measuredAt = host.now();
+        progressAt = measuredAt;
         host.after(1 + random.nextLong(REPORT_EVERY), this::measure);
     }
 
@@ -118,12 +145,12 @@
 
     /** Requests waiting and at work. */
     public int inFlight() {
-        return queue.size() + working;
+        return queue.size() + working.size();
     }
 
     /** How busy its cores were lately, 0 to 1. */
     public double utilisation() {
-        return reportedUtil;
+        return reported.utilisation();
     }
 
     /** Mean time of a request at work lately, in milliseconds. */
@@ -133,7 +160,8 @@
 
     /** Core time worked since the start; a share of the time of all its cores is its true utilisation. */
     public long worked() {
-        return busyTotal;
+        progress();
+        return Math.round(busyTotal);
     }
 
     /** Its latest start; 0 for long ago. */
@@ -189,11 +217,12 @@
     }
 
     private void lose() {
-        process++;
+        progress();
+        looks++;
         workLost += queue.stream().mapToDouble(Job::work).sum() + workAtCores;
         workAtCores = 0;
         queue.clear();
-        working = 0;
+        working.clear();
     }
 
     /** It finishes what it has and wants nothing new. */
@@ -208,7 +237,9 @@
 
     /** Work takes that many times as long from now on. */
     public void slow(double factor) {
+        progress();
         slowdown = factor;
+        look();
     }
 
     /** Share of its capacity that it has now. */
@@ -224,10 +255,12 @@
 
     private void measure() {
         long now = host.now();
-        reportedUtil = Math.min(1, busyTime / (double) Math.max(1, (now - measuredAt) * spec.cores()));
-        reportedQueue = queue.size();
+        progress();
+        double utilisation = Math.min(1, busyTime / Math.max(1, (now - measuredAt) * spec.cores()));
+        Measured seen = new Measured(utilisation, queue.size(), serviceMs);
         busyTime = 0;
         measuredAt = now;
+        host.after(REPORT_DELAY, () -> reported = seen);
         host.after(REPORT_EVERY, this::measure);
     }
 
@@ -266,7 +299,7 @@
         if (silent) {
             return;
         }
-        if (draining || queue.size() >= spec.queue()) {
+        if (draining || working.size() >= spec.slots() && queue.size() >= spec.queue()) {
             reply.answer(report(Kind.FULL));
             return;
         }
@@ -276,23 +309,66 @@
         }
         boolean effect = idempotencyKey == null || !effects.known(idempotencyKey, now);
         workIn += work;
-        queue.add(new Job(id, key, work, effect, failing == Failing.SLOW, reply, process));
+        queue.add(new Job(id, key, work, effect, failing == Failing.SLOW, reply));
         next();
     }
 
     private void next() {
-        while (working < spec.cores() && !queue.isEmpty()) {
+        progress();
+        while (working.size() < spec.slots() && !queue.isEmpty()) {
             Job job = queue.poll();
-            working++;
             workAtCores += job.work();
             if (job.effect()) {
                 ledger.ran(job.id(), spec.id());
             }
             long now = host.now();
             double work = warm(job.key(), now) ? job.work() * WARM_KEY_WORK : job.work();
-            long takes = Math.round(work * 1e6 * slowdown / (spec.speed() * warmth()));
-            host.after(takes, () -> done(job, takes));
+            working.add(new Active(job, progress + work, now, started++));
+        }
+        look();
+    }
+
+    /** Seconds of work that each request at work gets done in a microsecond. */
+    private double pace() {
+        double perCore = working.size() / (double) spec.cores();
+        double crowded = Math.min(1, Math.max(0, perCore / CROWDED_FROM - 1));
+        return spec.speed() * warmth() / slowdown / Math.max(1, perCore) * (1 - CROWDED_LOSS * crowded) / 1e6;
+    }
+
+    /** Brings up what was done since the last look; to be called before anything changes the pace. */
+    private void progress() {
+        long now = host.now();
+        double busy = (now - progressAt) * (double) Math.min(working.size(), spec.cores());
+        busyTime += busy;
+        busyTotal += busy;
+        progress += (now - progressAt) * pace();
+        progressAt = now;
+    }
+
+    /** Looks again when the next one is done; earlier looks that are still to come count for nothing. */
+    private void look() {
+        long mine = ++looks;
+        if (working.isEmpty()) {
+            return;
+        }
+        double left = Math.max(0, working.peek().doneAt() - progress) / pace();
+        long wait = Math.max(1, Math.round(left));
+        host.after(warmth() < 1 ? Math.min(wait, WARMING_LOOK) : wait, () -> {
+            if (mine == looks) {
+                finish();
+            }
+        });
+    }
+
+    private void finish() {
+        progress();
+        List<Active> done = new ArrayList<>();
+        // Half a microsecond of work counts as done: the clock has no smaller step.
+        while (!working.isEmpty() && working.peek().doneAt() <= progress + pace() / 2) {
+            done.add(working.poll());
         }
+        done.forEach(this::done);
+        next();
     }
 
     private boolean warm(String key, long now) {
@@ -306,21 +382,14 @@
         return met != null && now - met < KEY_WARM_FOR;
     }
 
-    private void done(Job job, long took) {
-        if (job.process() != process) {
-            return; // the process that did it is gone
-        }
-        working--;
-        workAtCores -= job.work();
-        workDone += job.work();
-        busyTime += took;
-        busyTotal += took;
-        serviceMs += SMOOTH * (took / 1e3 - serviceMs);
-        job.reply().answer(report(job.fails() ? Kind.ERROR : Kind.DONE));
-        next();
+    private void done(Active it) {
+        workAtCores -= it.job().work();
+        workDone += it.job().work();
+        serviceMs += SMOOTH * ((host.now() - it.since()) / 1e3 - serviceMs);
+        it.job().reply().answer(report(it.job().fails() ? Kind.ERROR : Kind.DONE));
     }
 
     private Answer report(Kind kind) {
-        return new Answer(kind, reportedUtil, reportedQueue, inFlight(), serviceMs);
+        return new Answer(kind, reported.utilisation(), reported.waiting(), inFlight(), reported.serviceMs());
     }
 }
--- a/src/main/java/sedgeyoke/site/SiteSpec.java
+++ b/src/main/java/sedgeyoke/site/SiteSpec.java
@@ -35,11 +35,17 @@
      *
      * @param id the same at every balancer
      * @param zone its data centre, by number
-     * @param cores how many requests it works on at once
+     * @param cores how many requests it works on at full speed
      * @param speed work that a core does in a millisecond, in milliseconds of work
+     * @param slots requests that it works on at once, its cores shared evenly among them; {@code cores} at least
      * @param queue requests that may wait; further ones are turned away
      */
-    public record NodeSpec(String id, int zone, int cores, double speed, int queue) {
+    public record NodeSpec(String id, int zone, int cores, double speed, int slots, int queue) {
+        /** One that works on a request for each core, and lets the others wait in turn. */
+        public NodeSpec(String id, int zone, int cores, double speed, int queue) {
+            this(id, zone, cores, speed, cores, queue);
+        }
+
         /** Work that it does in a second once warm, in seconds. */
         public double capacity() {
             return cores * speed;
@@ -53,8 +59,21 @@
 
     /** Orders as the platform's site has them: keyed position updates and unsafe trade confirmations. */
     public static List<WorkClass> orders() {
-        return List.of(new WorkClass("position-update", "guarded", 0.54, 250, 500, 10, 50),
-                new WorkClass("trade-confirm", "single_shot", 0.46, 800, 2_500, 30, 100));
+        return orders(1);
+    }
+
+    /**
+     * The same with work, aims and deadlines so many times as long: the platform scales them where a fleet is large, so
+     * that the same nodes carry fewer requests a second and each balancer sees fewer of them.
+     */
+    public static List<WorkClass> orders(double scale) {
+        return List.of(order("position-update", "guarded", 0.54, 250 * scale, 500 * scale, 10, 50 * scale),
+                order("trade-confirm", "single_shot", 0.46, 800 * scale, 2_500 * scale, 30, 100 * scale));
+    }
+
+    private static WorkClass order(String name, String repeat, double share, double aimMs, double giveUpMs,
+            double worth, double workMs) {
+        return new WorkClass(name, repeat, share, (int) Math.round(aimMs), (int) Math.round(giveUpMs), worth, workMs);
     }
 
     /** Mean work of a request, in seconds. */
--- a/src/test/java/sedgeyoke/decide/PolicyTest.java
+++ b/src/test/java/sedgeyoke/decide/PolicyTest.java
@@ -11,6 +11,8 @@
 import java.lang.reflect.Field;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -490,6 +492,70 @@
         assertEquals(40, all.size());
     }
 
+    /** A hundred balancers that each spread a key over a sample of their own serve it cold nearly everywhere. */
+    @Test
+    void aKeyHasOneHomeForAllBalancersOfALargeGroupUnlessACrowdIsThere() {
+        config.group = 300;
+        config.warmKeys = true;
+        String home = null;
+        for (boolean crowded : new boolean[] {false, true}) {
+            Map<String, Integer> everywhere = new HashMap<>();
+            for (int position = 0; position < 16; position++) {
+                config.position = position;
+                Host h = Host.of(config).list(40);
+                h.advance(3 * SECOND);
+                for (int i = 0; i < 20; i++) {
+                    String id = h.request(0, 2 * SECOND, "key", 20 * MILLI);
+                    h.advance(100 * MILLI);
+                    double waiting = crowded && h.lastUpstream(id).equals(home) ? 30 : 0.5;
+                    h.end(id, Outcome.OK, 100 * MILLI, new LoadReport(0.5, Double.NaN, waiting, 20, 1, 0));
+                }
+                h.perUpstream.forEach((u, n) -> everywhere.merge(u, n, Integer::sum));
+            }
+            home = crowded ? home : Collections.max(everywhere.keySet(), Comparator.comparing(everywhere::get));
+            assertEquals(!crowded, everywhere.get(home) > 240, everywhere.toString());
+        }
+    }
+
+    /** Requests at work share the cores there, so that nothing waits and a crowd shows in the service time alone. */
+    @Test
+    void inALargeGroupUpstreamsWhoseServiceTakesLongGetLess() {
+        config.group = 300;
+        Host h = Host.of(config).list(4);
+        h.advance(2 * SECOND);
+        for (int i = 0; i < 400; i++) {
+            String id = h.request(0, 2 * SECOND);
+            double service = h.lastUpstream(id).equals("u0") ? 800 * MILLI : 100 * MILLI;
+            h.advance(20 * MILLI);
+            h.end(id, Outcome.OK, 20 * MILLI, new LoadReport(0.5, Double.NaN, 0, service, 1, 0));
+        }
+        assertTrue(count(h, "u0") > 2 && count(h, "u0") < 50, h.perUpstream.toString());
+    }
+
+    /** Half the homes at slow machines crowded these while the fast ones had room. */
+    @Test
+    void inALargeGroupHomesAndPicksFollowTheSpeedOfKinds() {
+        config.group = 300;
+        config.warmKeys = true;
+        Host h = Host.of(config);
+        List<Upstream> all = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            all.add(new Upstream("u" + i, 0, i % 2, 0, State.READY, 1, 0));
+        }
+        h.balancer.upstreams(h.now, ListKind.RESTORED, all);
+        h.advance(2 * SECOND);
+        int slow = 0;
+        for (int i = 0; i < 1200; i++) {
+            String id = h.request(0, 2 * SECOND, "key" + i, 20 * MILLI);
+            int kind = Integer.parseInt(h.lastUpstream(id).substring(1)) % 2;
+            slow += i >= 400 ? kind : 0;
+            h.advance(20 * MILLI);
+            h.end(id, Outcome.OK, 20 * MILLI, new LoadReport(0.5, Double.NaN, 0, kind == 1 ? 90 * MILLI : 30 * MILLI,
+                    1, 0));
+        }
+        assertEquals(200, slow, 60);
+    }
+
     @Test
     void aReportedCrowdIsLeftAloneUntilTheReportHasFaded() {
         config.group = 300;
--- /dev/null
+++ b/src/test/java/sedgeyoke/emulate/SharedCoresTest.java
@@ -0,0 +1,95 @@
+package sedgeyoke.emulate;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import sedgeyoke.site.Ledger;
+import sedgeyoke.site.NodeModel;
+import sedgeyoke.site.SiteSpec;
+import sedgeyoke.site.WorkClass;
+import sedgeyoke.site.ZoneMemory;
+
+/** What is at work at an order node shares its cores evenly; what finds no slot waits. */
+class SharedCoresTest {
+    private static final long MS = 1_000;
+    private final Timeline time = new Timeline(0);
+    private final List<Long> doneAt = new ArrayList<>();
+    private final List<NodeModel.Answer> answers = new ArrayList<>();
+
+    private NodeModel node(int cores, int slots, int queue) {
+        WorkClass work = new WorkClass("work", "free", 1, 10_000, 10_000, 1, 100, WorkClass.Spread.CONSTANT);
+        SiteSpec site = new SiteSpec(List.of("a"), List.of(work), List.of(), SiteSpec.RuleSpec.USUAL, false);
+        Ledger ledger = new Ledger(site);
+        NodeModel.Host host = new NodeModel.Host() {
+            @Override
+            public long now() {
+                return time.now();
+            }
+
+            @Override
+            public void after(long delay, Runnable what) {
+                time.after(delay, what);
+            }
+        };
+        NodeModel node = new NodeModel(new SiteSpec.NodeSpec("n", 0, cores, 1, slots, queue), site, host, ledger,
+                new ZoneMemory(), 1);
+        node.start();
+        for (int i = 0; i < 20; i++) {
+            ledger.wanted(work);
+            ledger.asked("r" + i, work, null, "b", 0, 10_000 * MS);
+        }
+        return node;
+    }
+
+    private void ask(NodeModel node, int number) {
+        node.take("r" + number, null, null, answer -> {
+            answers.add(answer);
+            doneAt.add(Math.round(time.now() / 1e3));
+        });
+    }
+
+    @Test
+    void twoOnOneCoreTakeTwiceAsLongAndOneThatComesLaterSharesFromThenOn() {
+        NodeModel node = node(1, 3, 0);
+        ask(node, 0);
+        ask(node, 1);
+        time.after(150 * MS, () -> ask(node, 2)); // the first two have 25 ms of work left each by then
+        time.runUntil(1_000 * MS);
+        assertEquals(List.of(225L, 225L, 300L), doneAt);
+        assertEquals(300 * MS, node.worked(), MS);
+        assertEquals(0, node.unaccounted(), 1e-9);
+    }
+
+    @Test
+    void withAsManySlotsAsCoresOthersWaitInTurnAndBeyondTheQueueTheyAreTurnedAway() {
+        NodeModel node = node(2, 2, 1);
+        for (int i = 0; i < 4; i++) {
+            ask(node, i);
+        }
+        time.runUntil(1_000 * MS);
+        assertEquals(List.of(0L, 100L, 100L, 200L), doneAt);
+        assertEquals(NodeModel.Kind.FULL, answers.get(0).kind());
+    }
+
+    @Test
+    void aCrowdAtWorkGetsLessDoneInAll() {
+        NodeModel node = node(1, 12, 0);
+        for (int i = 0; i < 12; i++) {
+            ask(node, i);
+        }
+        time.runUntil(10_000 * MS);
+        assertEquals(12, doneAt.size());
+        assertEquals(2_000, doneAt.get(11), 5); // 1.2 s of work by a node that has lost two fifths of its speed
+    }
+
+    @Test
+    void aNodeThatSlowsDownHalfWayTakesLongerForTheRest() {
+        NodeModel node = node(1, 1, 0);
+        ask(node, 0);
+        time.after(50 * MS, () -> node.slow(3));
+        time.runUntil(1_000 * MS);
+        assertEquals(List.of(200L), doneAt);
+    }
+}
