--- a/src/main/java/sedgeyoke/emulate/Clients.java
+++ b/src/main/java/sedgeyoke/emulate/Clients.java
@@ -245,7 +245,7 @@
     private Front deal(List<Front> fronts, long now) {
         double sum = 0;
         for (Front f : fronts) {
-            f.deadSince = f.forwarder.alive() ? Long.MAX_VALUE : Math.min(f.deadSince, now);
+            f.deadSince = f.forwarder.takes() ? Long.MAX_VALUE : Math.min(f.deadSince, now);
             sum += usable(f, now) ? f.weight : 0;
         }
         double x = random.nextDouble() * sum;
--- a/src/main/java/sedgeyoke/emulate/Emulation.java
+++ b/src/main/java/sedgeyoke/emulate/Emulation.java
@@ -21,6 +21,8 @@
     private static final double AFTERWARDS = 4;
     /** A forwarder that is started again takes so long before it takes requests, as the program does. */
     private static final long START_UP = 1_200_000;
+    /** SIGKILL comes so long after SIGTERM at the latest: the longest deadline that counts, and 0.7 s. */
+    private static final long KILLED_AFTER = 3_700_000;
     private static final long LONGEST_RETRY_AFTER = 1_200_000;
 
     private final World world;
@@ -140,6 +142,14 @@
         return fleet.all().stream().filter(m -> m.model.inFlight() >= requests).count();
     }
 
+    int leastConnections() {
+        return fleet.all().stream().mapToInt(m -> m.connections).min().orElse(0);
+    }
+
+    int mostConnections() {
+        return fleet.all().stream().mapToInt(m -> m.connections).max().orElse(0);
+    }
+
     void stopClients() {
         clients.stop();
     }
@@ -171,7 +181,9 @@
                 s.answered == 0 ? 0 : s.tookSum / s.answered / 1e3, s.tookMost / 1e3)).toList();
         int counted = Math.max(1, lookedAt - (int) Math.floor(world.scenario.warmUp()));
         return new Outcome(seed, tally.service(), summary.requests(),
-                forwarders.stream().mapToLong(f -> f.attempts).sum(), tally.latency(), summary.answers(),
+                forwarders.stream().mapToLong(f -> f.attempts).sum(),
+                forwarders.stream().mapToLong(f -> f.handshakes).sum(),
+                forwarders.stream().mapToLong(f -> f.crossings).sum(), tally.latency(), summary.answers(),
                 summary.violations(), world.ledger.violations(), summary.coldPeak(), warming.seconds(),
                 workedShare / counted, seconds, utilisation, world.time.done());
     }
@@ -191,7 +203,11 @@
         switch (f.kind()) {
             case RESTART_NODE -> node(who, fleet::restart);
             case DRAIN_NODE -> node(who, m -> fleet.drain(m, (long) (f.value() * SECOND)));
-            case VANISH_NODE -> node(who, fleet::vanish);
+            case VANISH_NODE -> node(who, m -> {
+                fleet.vanish(m);
+                later(lasts, () -> fleet.restart(m));
+            });
+            case LOSE_ZONE, CUT_ZONE, LOSE_ANSWERS, RESET_CONNECTIONS -> network(f, who, lasts);
             case REPLACE_NODE -> node(who, m -> fleet.replace(m, false));
             case REPLACE_NODE_IN_PLACE -> node(who, m -> fleet.replace(m, true));
             case SLOW_NODE -> node(who, m -> {
@@ -204,7 +220,7 @@
                 later(lasts, () -> m.model.fail(sedgeyoke.site.NodeModel.Failing.NOT));
             });
             case ZONE_LOAD -> {
-                int zone = pick(who, world.scenario.site().zones().size());
+                int zone = pick(who, zones());
                 clients.zoneLoad(zone, f.value());
                 later(lasts, () -> clients.zoneLoad(zone, 1 / f.value()));
             }
@@ -219,11 +235,38 @@
                     later(lasts == 0 ? 0 : lasts + START_UP, it::revive);
                 }
             }
+            case RESTART_FORWARDER -> {
+                Forwarder it = forwarders.get(pick(who, forwarders.size()));
+                it.leave(KILLED_AFTER, () -> later(START_UP, it::revive));
+            }
             case PAUSE_FORWARDER -> forwarders.get(pick(who, forwarders.size())).pause(world.time.now() + lasts);
             default -> planner(f, who, lasts);
         }
     }
 
+    private void network(Scenario.Fault f, int who, long lasts) {
+        switch (f.kind()) {
+            case LOSE_ZONE -> fleet.zone(pick(who, zones())).forEach(m -> {
+                fleet.vanish(m);
+                later(lasts, () -> fleet.restart(m));
+            });
+            case CUT_ZONE -> {
+                int zone = pick(who, zones());
+                world.cut(zone, true);
+                later(lasts, () -> world.cut(zone, false));
+            }
+            case LOSE_ANSWERS -> {
+                world.lostAnswers = f.value();
+                later(lasts, () -> world.lostAnswers = 0);
+            }
+            case RESET_CONNECTIONS -> {
+                world.resetConnections = f.value();
+                later(lasts, () -> world.resetConnections = 0);
+            }
+            default -> throw new IllegalStateException(f.kind().toString());
+        }
+    }
+
     private void planner(Scenario.Fault f, int who, long lasts) {
         if (planners.isEmpty()) {
             return; // the same scenario is played without any
@@ -250,6 +293,10 @@
         }
     }
 
+    private int zones() {
+        return world.scenario.site().zones().size();
+    }
+
     private int pick(int who, int among) {
         return who < 0 ? world.faults.nextInt(among) : Math.floorMod(who, among);
     }
--- a/src/main/java/sedgeyoke/emulate/Fleet.java
+++ b/src/main/java/sedgeyoke/emulate/Fleet.java
@@ -113,6 +113,11 @@
         return inOrder.stream().filter(m -> !m.gone && !m.model.silent()).toList();
     }
 
+    /** Those of a zone that run. */
+    List<Machine> zone(int zone) {
+        return running().stream().filter(m -> m.zone == zone).toList();
+    }
+
     List<Entry> current() {
         return list.values().stream().filter(e -> e.upstream().state() != State.GONE).toList();
     }
--- a/src/main/java/sedgeyoke/emulate/Forwarder.java
+++ b/src/main/java/sedgeyoke/emulate/Forwarder.java
@@ -1,6 +1,8 @@
 package sedgeyoke.emulate;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +30,8 @@
     private static final long WAY_IN = 2_000;
     private static final long BACKSTOP = 6_000;
     private static final long RETRY_AFTER = 1_000_000;
+    /** After SIGTERM the program listens on for so long. */
+    private static final long LISTENS_ON = 550_000;
 
     private final World world;
     private final Fleet fleet;
@@ -41,7 +45,7 @@
     private Follower follower;
     private final Map<String, Call> calls = new HashMap<>();
     private final Map<String, Fleet.Entry> targets = new HashMap<>();
-    private final Map<Integer, Integer> idle = new HashMap<>();
+    private final Map<Integer, Deque<Idle>> idle = new HashMap<>();
     private InOrder events = new InOrder();
     private boolean alive;
     private int process;
@@ -49,7 +53,16 @@
     private long lastTold;
     private final List<PlannerHost> planners;
     private final Map<PlannerHost, Long> connectedAt = new HashMap<>();
+    /** A planned restart has begun: nothing new is taken once the front has noticed. */
+    private boolean leaving;
+    private int taken;
+    private long busyUntil;
     long attempts;
+    long handshakes;
+    long crossings;
+
+    /** A connection to a node's process on which nothing is open, since when. */
+    private record Idle(int machineProcess, long since) { }
 
     /** Who a balancer is. */
     record Spec(String name, int zone, int position, long seed) { }
@@ -84,6 +97,7 @@
         private final int mine = process;
         private Machine machine;
         private int machineProcess;
+        private boolean connected;
         private boolean written;
         private boolean ended;
 
@@ -145,6 +159,9 @@
 
     void start() {
         alive = true;
+        leaving = false;
+        taken = 0;
+        busyUntil = 0;
         process++;
         module = maker.make(settings, spec.seed() + 7919L * process, this, fleet);
         int mine = process;
@@ -163,14 +180,13 @@
 
     /** SIGKILL: what it held is lost, and its clients see their connections end. */
     void kill() {
+        idle.keySet().forEach(this::closeIdle);
         alive = false;
         process++;
         world.ledger.died(name());
         calls.values().forEach(c -> {
             c.attempts.forEach(a -> {
-                if (a.machine != null) {
-                    a.machine.open.remove(a);
-                }
+                drop(a);
                 a.ended = true;
             });
             if (!c.answered) {
@@ -183,6 +199,34 @@
         targets.clear();
     }
 
+    /** SIGTERM: after a moment clients go elsewhere, and it ends once nothing is open, or when its time is up. */
+    void leave(long atMost, Runnable ended) {
+        if (!alive || leaving) {
+            return;
+        }
+        leaving = true;
+        int mine = process;
+        long until = world.time.now() + atMost;
+        world.time.after(LISTENS_ON, () -> endWhenIdle(mine, until, ended));
+    }
+
+    private void endWhenIdle(int mine, long until, Runnable ended) {
+        if (mine != process || !alive) {
+            return;
+        }
+        if (calls.isEmpty() || world.time.now() >= until) {
+            kill();
+            ended.run();
+        } else {
+            world.time.after(LISTENS_ON / 10, () -> endWhenIdle(mine, until, ended));
+        }
+    }
+
+    /** Whether the front still deals requests to it. */
+    boolean takes() {
+        return alive && !leaving;
+    }
+
     void revive() {
         world.ledger.back(name());
         start();
@@ -220,7 +264,7 @@
                         : targets.put(e.upstream().id(), e);
                 if (before != null && (before.address() != e.address()
                         || before.upstream().launchedAt() != e.upstream().launchedAt())) {
-                    idle.remove(before.address());
+                    closeIdle(before.address());
                 }
             }
             deliver(() -> module.upstreams(now(), kind, entries.stream().map(Fleet.Entry::upstream).toList()));
@@ -229,11 +273,28 @@
 
     /** A request has come in; the front found us alive. */
     void accept(Call call) {
-        inTurn(process, () -> {
-            long left = call.request.timeLeft() - WAY_IN;
+        int mine = process;
+        int before = taken++;
+        long young = world.scenario.network().youngUs()
+                * Math.max(0, Scenario.Network.YOUNG_REQUESTS - before) / Scenario.Network.YOUNG_REQUESTS;
+        if (young == 0) {
+            taken(mine, call, 0);
+            return;
+        }
+        long now = world.time.now();
+        busyUntil = Math.max(now, busyUntil) + young;
+        world.time.after(busyUntil - now, () -> taken(mine, call, world.time.now() - now));
+    }
+
+    private void taken(int mine, Call call, long late) {
+        if (mine != process) {
+            call.back.connectionEnded(); // it was killed with this in its hands
+            return;
+        }
+        inTurn(mine, () -> {
+            long left = call.request.timeLeft() - WAY_IN - late;
             call.deadline = world.time.now() + left;
             calls.put(call.request.id(), call);
-            int mine = process;
             world.time.after(left - BACKSTOP, () -> inTurn(mine, () -> expire(call)));
             Request r = call.request;
             deliver(() -> module.request(now(), new Request(r.id(), r.classIndex(), r.tenant(), r.key(),
@@ -260,9 +321,46 @@
     private static void drop(Attempt a) {
         if (a.machine != null) {
             a.machine.open.remove(a);
+            disconnected(a);
+        }
+    }
+
+    private static void disconnected(Attempt a) {
+        if (a.connected && a.machineProcess == a.machine.process) {
+            a.machine.connections--;
+        }
+        a.connected = false;
+    }
+
+    private void closeIdle(int address) {
+        Machine m = fleet.at(address);
+        Deque<Idle> closed = idle.getOrDefault(address, new ArrayDeque<>());
+        closed.forEach(c -> closed(m, c));
+        closed.clear();
+    }
+
+    private static void closed(Machine m, Idle c) {
+        if (m != null && m.process == c.machineProcess()) {
+            m.connections--;
         }
     }
 
+    /** Takes the connection used last; what has been idle for too long, or led to a process that is gone, goes. */
+    private boolean reuse(int address, Machine m) {
+        Deque<Idle> waiting = idle.get(address);
+        while (waiting != null && !waiting.isEmpty()
+                && world.time.now() - waiting.peekFirst().since() > settings.limits().connectIdle()) {
+            closed(m, waiting.pollFirst());
+        }
+        while (waiting != null && !waiting.isEmpty()) {
+            Idle last = waiting.pollLast();
+            if (m != null && last.machineProcess() == m.process) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void answer(Call call, Clients.Answer how, long retryAfter) {
         if (!call.answered) {
             call.answered = true;
@@ -290,8 +388,12 @@
         if (outcome == Outcome.OK) {
             answer(call, Clients.Answer.SERVED, 0);
         }
-        if (answer != null) {
-            idle.merge(a.address, 1, Integer::sum);
+        if (answer != null && a.connected && a.machineProcess == a.machine.process) {
+            idle.computeIfAbsent(a.address, x -> new ArrayDeque<>())
+                    .add(new Idle(a.machineProcess, world.time.now()));
+            a.connected = false;
+        } else if (a.machine != null) {
+            disconnected(a);
         }
         LoadReport load = answer == null ? null : new LoadReport(answer.utilisation(), Double.NaN, answer.waiting(),
                 answer.serviceMs() * 1_000, Double.NaN, Double.NaN);
@@ -319,18 +421,25 @@
         attempts++;
         Machine m = fleet.at(target.address());
         int zone = target.upstream().zone();
-        Integer waiting = idle.get(target.address());
-        if (waiting != null && waiting > 0) {
-            idle.put(target.address(), waiting - 1);
+        crossings += zone == spec.zone ? 0 : 1;
+        if (reuse(target.address(), m)) {
             write(a, m);
-        } else if (m == null) {
+            return;
+        }
+        handshakes++;
+        int most = world.scenario.network().connections();
+        if (m == null || most > 0 && m.connections >= most) {
             world.time.after(2 * world.delay(spec.zone, zone), () -> end(a, Outcome.CONNECT_FAILED, null));
-        } else if (m.model.silent()) {
+        } else if (m.model.silent() || world.severed(spec.zone, zone)) {
             world.time.after(settings.limits().connectTimeout(), () -> end(a, Outcome.CONNECT_FAILED, null));
         } else {
             world.time.after(2 * world.delay(spec.zone, zone), () -> inTurn(a.mine, () -> {
                 if (!a.ended) {
-                    write(a, fleet.at(a.address));
+                    Machine there = fleet.at(a.address);
+                    if (there != null) {
+                        there.connections++;
+                    }
+                    write(a, there);
                 }
             }));
         }
@@ -346,7 +455,11 @@
         a.machine = m;
         a.machineProcess = m.process;
         a.written = true;
+        a.connected = true;
         m.open.add(a);
+        if (world.severed(spec.zone, m.zone)) {
+            return; // it gets nowhere, and nothing says so
+        }
         world.time.after(world.delay(spec.zone, m.zone), () -> arrive(a, m));
     }
 
@@ -357,7 +470,15 @@
         Request r = a.call.request;
         m.arrived++;
         m.model.take(r.id(), r.key(), a.call.idempotencyKey, answer -> {
+            if (world.severed(m.zone, spec.zone)
+                    || world.lostAnswers > 0 && world.random.nextDouble() < world.lostAnswers) {
+                return;
+            }
             m.open.remove(a);
+            if (world.resetConnections > 0 && world.random.nextDouble() < world.resetConnections) {
+                a.broken();
+                return;
+            }
             Outcome outcome = switch (answer.kind()) {
                 case DONE -> Outcome.OK;
                 case FULL -> Outcome.FULL;
@@ -422,7 +543,7 @@
     public void closeIdle(String upstream) {
         Fleet.Entry target = targets.get(upstream);
         if (target != null) {
-            idle.remove(target.address());
+            closeIdle(target.address());
         }
     }
 
--- a/src/main/java/sedgeyoke/emulate/Machine.java
+++ b/src/main/java/sedgeyoke/emulate/Machine.java
@@ -15,6 +15,8 @@
     /** Nothing is there any more, or something else is. */
     boolean gone;
     final Set<Forwarder.Attempt> open = new LinkedHashSet<>();
+    /** Connections that balancers hold to this process. */
+    int connections;
     /** For the figures: requests sent to it in this second. */
     long arrived;
 
@@ -31,6 +33,7 @@
     /** Its process ends and the machine says so: all connections break. */
     void breakConnections() {
         process++;
+        connections = 0;
         List.copyOf(open).forEach(Forwarder.Attempt::broken);
         open.clear();
     }
--- a/src/main/java/sedgeyoke/emulate/Outcome.java
+++ b/src/main/java/sedgeyoke/emulate/Outcome.java
@@ -11,6 +11,8 @@
  * @param service worth answered in time over worth asked for, after the warm-up
  * @param requests wants of clients, without their retries
  * @param attempts requests that were sent to nodes
+ * @param handshakes connections that were opened to nodes
+ * @param crossings attempts that went to another zone
  * @param latency of answers that were served, from the first try, in microseconds
  * @param answers final answers by kind
  * @param violations how often each rule was broken
@@ -22,7 +24,8 @@
  * @param nodes true utilisation of each node by second, -1 while it was not there
  * @param events how many things happened
  */
-public record Outcome(long seed, double service, long requests, long attempts, Histogram latency,
+public record Outcome(long seed, double service, long requests, long attempts, long handshakes,
+        long crossings, Histogram latency,
         Map<String, Integer> answers, Map<Integer, Integer> violations, List<String> broken, double coldPeak,
         List<Double> warmUps, double utilisation, List<Second> seconds, Map<String, List<Double>> nodes, long events) {
 
@@ -49,6 +52,16 @@
         return warmUps.stream().mapToDouble(Double::doubleValue).average().orElse(0);
     }
 
+    /** Connections opened for each request. */
+    public double handshakesPerRequest() {
+        return requests == 0 ? 0 : handshakes / (double) requests;
+    }
+
+    /** Attempts that crossed zones for each request. */
+    public double crossingsPerRequest() {
+        return requests == 0 ? 0 : crossings / (double) requests;
+    }
+
     /** Attempts for each request. */
     public double attemptsPerRequest() {
         return requests == 0 ? 0 : attempts / (double) requests;
--- a/src/main/java/sedgeyoke/emulate/Scenarios.java
+++ b/src/main/java/sedgeyoke/emulate/Scenarios.java
@@ -54,6 +54,6 @@
         SiteSpec site = new SiteSpec(List.of("one"), List.of(work), specs, SiteSpec.RuleSpec.USUAL, false);
         return new Scenario(site, seconds, seconds / 20, List.of(1), policy, Scenario.PlannerSpec.usual(0),
                 new Scenario.Traffic(load, List.of(1.0), Collections.emptyList(), 1, 0, 1, Scenario.Retries.NONE, 0),
-                new Scenario.Network(0, 0, 0, 0, 0, 0, 0, 0, 0, 0), List.of());
+                new Scenario.Network(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0), List.of());
     }
 }
--- a/src/main/java/sedgeyoke/emulate/World.java
+++ b/src/main/java/sedgeyoke/emulate/World.java
@@ -16,6 +16,10 @@
     /** Whom faults strike: the same for the same seed, whatever policies and planners do. */
     final SplittableRandom faults;
     private final SplittableRandom delays;
+    private final int[] cuts;
+    /** Shares of answers that get lost and of connections that are reset, at the moment. */
+    double lostAnswers;
+    double resetConnections;
 
     World(Scenario scenario, long seed) {
         this.scenario = scenario;
@@ -24,6 +28,17 @@
         this.delays = root.split();
         this.faults = root.split();
         this.ledger = new Ledger(scenario.site());
+        this.cuts = new int[scenario.site().zones().size()];
+    }
+
+    /** A zone is cut off from the others, or no longer so. */
+    void cut(int zone, boolean on) {
+        cuts[zone] += on ? 1 : -1;
+    }
+
+    /** Whether what one zone sends the other gets nowhere. */
+    boolean severed(int from, int to) {
+        return from != to && (cuts[from] > 0 || cuts[to] > 0);
     }
 
     /** One way between two zones, for one message. */
--- a/src/main/java/sedgeyoke/experiment/Experiment.java
+++ b/src/main/java/sedgeyoke/experiment/Experiment.java
@@ -164,6 +164,9 @@
         } else {
             for (ExperimentFile.Point point : file.points()) {
                 ObjectNode at = JSON.createObjectNode();
+                if (!point.day().isEmpty()) {
+                    at.put("day", point.day());
+                }
                 point.at().forEach((key, value) -> at.put(key, value));
                 ObjectNode p = figures.withArray("points").addObject();
                 p.set("at", at);
@@ -188,6 +191,8 @@
                     .put("p99_ms", Run.round(mean(all, Run::p99Ms)))
                     .put("attempts_per_request", Run.round(mean(all, Run::attemptsPerRequest)))
                     .put("utilisation", Run.round(mean(all, Run::utilisation)))
+                    .put("handshakes_per_request", Run.round(mean(all, Run::handshakesPerRequest)))
+                    .put("crossings_per_request", Run.round(mean(all, Run::crossingsPerRequest)))
                     .put("warm_up_s", Run.round(mean(all, Run::warmUpS)))
                     .put("cold_peak_share_of_budget", Run.round(all.stream().mapToDouble(Run::coldPeak).max()
                             .orElse(0)))
--- a/src/main/java/sedgeyoke/experiment/ExperimentFile.java
+++ b/src/main/java/sedgeyoke/experiment/ExperimentFile.java
@@ -41,19 +41,26 @@
     private static final int MOST_FORWARDERS = 2_000;
     private static final int MOST_VARIANTS = 32;
     private static final int MOST_POINTS = 64;
+    private static final int MOST_DAYS = 32;
     /** What a sweep or a hunt may vary of a scenario. */
-    static final List<String> VARIABLE = List.of("nodes", "forwarders", "load", "seconds", "work_scale", "burst", "keys", "skew",
-            "uneven_front", "cross_zone_us", "jitter", "stall", "discovery_most_ms", "notice_ms", "clock_skew_ms");
+    static final List<String> VARIABLE = List.of("nodes", "forwarders", "load", "seconds", "work_scale",
+            "slots_per_core", "burst", "keys", "skew", "uneven_front", "cross_zone_us", "jitter", "stall",
+            "discovery_most_ms", "notice_ms", "clock_skew_ms");
 
     /**
-     * Variants at one point of a sweep, with the same scenario.
+     * Variants on one day and at one point of a sweep, with the same scenario.
      *
+     * @param day its name; empty where the file has no days
      * @param at what is swept and its values here, in the file's order
      * @param variants by name, in the file's order
      */
-    public record Point(Map<String, Double> at, Map<String, Scenario> variants) {
+    public record Point(String day, Map<String, Double> at, Map<String, Scenario> variants) {
         /** Such as {@code forwarders=30}; empty where nothing is swept. */
         public String label() {
+            return (day + " " + swept()).strip();
+        }
+
+        private String swept() {
             return String.join(" ", at.entrySet().stream().map(e -> e.getKey() + "=" + (e.getValue() == Math.rint(
                     e.getValue()) ? "" + e.getValue().longValue() : "" + e.getValue())).toList());
         }
@@ -131,9 +138,13 @@
             Table t = root.table("scenario");
             List<Fault> faults = faults(root);
             List<Table> tables = root.tables("variants");
-            for (Map<String, Double> at : sweep(root)) {
-                if (points.isEmpty() || problems.isEmpty()) { // what is wrong at one point is wrong at each
-                    points.add(new Point(at, variants(tables, scenario(t.with(at)), faults)));
+            List<Map<String, Double>> sweep = sweep(root);
+            for (Day day : days(root, t, faults)) {
+                for (Map<String, Double> at : sweep) {
+                    if (points.isEmpty() || problems.isEmpty()) { // what is wrong at one point is wrong at each
+                        points.add(new Point(day.name(), at, variants(tables, scenario(day.scenario().with(at)),
+                                day.faults())));
+                    }
                 }
             }
             if (tables.isEmpty()) {
@@ -145,12 +156,37 @@
             with = named(compare, "with", variants, "");
             failing = named(compare, "failing", variants, "");
             compare.done();
+            if (root.has("hunt") && root.has("days")) {
+                root.problem("hunt", "looks for scenarios of its own: not in a file with days");
+            }
             hunt = root.has("hunt") ? hunt(root.table("hunt"), t, tables, variants) : null;
         }
         root.done();
         return new ExperimentFile(stem, title, theory, digest, points, base, with, failing, hunt);
     }
 
+    /** One day: what it changes of the file's scenario, and what happens on it beside the file's own faults. */
+    private record Day(String name, Table scenario, List<Fault> faults) { }
+
+    /** The days that the file has, or one without a name that changes nothing. */
+    private static List<Day> days(Table root, Table scenario, List<Fault> common) {
+        List<Day> days = new ArrayList<>();
+        for (Table t : root.tables("days")) {
+            String name = t.text("name", null);
+            if (name == null || !name.matches("[a-z0-9+-]{1,32}") || days.size() == MOST_DAYS
+                    || days.stream().anyMatch(d -> d.name().equals(name))) {
+                t.problem("name", "must be there, of a-z, 0-9, + and -, and unlike that of " + MOST_DAYS
+                        + " others at most");
+                continue;
+            }
+            List<Fault> faults = new ArrayList<>(common);
+            faults.addAll(faults(t));
+            days.add(new Day(name, t.table("scenario").over(scenario), faults));
+            t.done();
+        }
+        return days.isEmpty() ? List.of(new Day("", scenario, common)) : days;
+    }
+
     private static Map<String, Scenario> variants(List<Table> tables, Scenario scenario, List<Fault> faults) {
         Map<String, Scenario> variants = new LinkedHashMap<>();
         for (Table v : tables) {
@@ -241,7 +277,9 @@
                 t.whole("discovery_ms", n.discoveryMs(), 0, 60_000),
                 t.whole("discovery_most_ms", n.discoveryMostMs(), 0, 60_000),
                 t.whole("notice_ms", n.noticeMs(), 0, 60_000), t.whole("clock_skew_ms", n.clockSkewMs(), 0, 1_000),
-                t.whole("clock_drift_ppm", n.clockDriftPpm(), 0, 1_000));
+                t.whole("clock_drift_ppm", n.clockDriftPpm(), 0, 1_000),
+                (int) t.whole("connections", n.connections(), 0, 1_000_000),
+                t.whole("young_us", n.youngUs(), 0, 1_000_000));
         double warmUp = t.number("warm_up", s.warmUp(), 0, seconds / 2);
         t.done();
         return new Scenario(s.site(), seconds, warmUp, s.forwarders(), s.policy(), s.planners(), traffic, network,
--- a/src/main/java/sedgeyoke/experiment/Run.java
+++ b/src/main/java/sedgeyoke/experiment/Run.java
@@ -18,14 +18,17 @@
  * @param latencyMs times of served answers at {@link #PERCENTILES}
  * @param meanMsBySecond mean time of served answers, by when the request was first wanted
  * @param nodes true utilisation of each node by second, -1 while it was not there; for the first seed alone
+ * @param handshakesPerRequest connections opened to nodes
+ * @param crossingsPerRequest attempts to nodes of another zone
  * @param violations the first broken rules, in words
  */
 @JsonNaming(SnakeCaseStrategy.class)
 record Run(int schema, String experiment, String fileSha256, String point, String variant, long seed, double service,
         long requests, long attempts, double p50Ms, double p99Ms, double warmUpS, double coldPeak, double utilisation,
-        int ruleViolations, long events, List<Double> latencyMs, List<Double> serviceBySecond,
+        double handshakesPerRequest, double crossingsPerRequest, int ruleViolations, long events,
+        List<Double> latencyMs, List<Double> serviceBySecond,
         List<Double> meanMsBySecond, Map<String, List<Double>> nodes, List<String> violations) {
-    static final int SCHEMA = 2;
+    static final int SCHEMA = 3;
     static final List<Double> PERCENTILES = List.of(1.0, 5.0, 10.0, 25.0, 50.0, 75.0, 90.0, 95.0, 99.0, 99.9, 100.0);
     private static final double DIGITS = 1e5;
 
@@ -37,7 +40,8 @@
         }
         return new Run(SCHEMA, file.name(), file.digest(), point.label(), variant, o.seed(), o.service(),
                 o.requests(), o.attempts(), o.percentileMs(50), o.percentileMs(99), o.warmUp(), o.coldPeak(),
-                o.utilisation(), o.ruleViolations(), o.events(), PERCENTILES.stream().map(o::percentileMs).toList(),
+                o.utilisation(), o.handshakesPerRequest(), o.crossingsPerRequest(), o.ruleViolations(),
+                o.events(), PERCENTILES.stream().map(o::percentileMs).toList(),
                 o.seconds().stream().map(s -> round(s.service())).toList(),
                 o.seconds().stream().map(s -> round(s.meanMs())).toList(), nodes, o.broken());
     }
--- a/src/main/java/sedgeyoke/experiment/RunFile.java
+++ b/src/main/java/sedgeyoke/experiment/RunFile.java
@@ -87,11 +87,12 @@
     void finish(List<Run> runs) throws IOException {
         write(runs);
         List<String> csv = new ArrayList<>(List.of("point,variant,seed,service,requests,attempts,p50_ms,p99_ms,"
-                + "warm_up_s,cold_peak,utilisation,rule_violations"));
+                + "warm_up_s,cold_peak,utilisation,handshakes_per_request,crossings_per_request,rule_violations"));
         for (Run r : runs) {
-            csv.add(String.format(Locale.ROOT, "%s,%s,%d,%.5f,%d,%d,%.2f,%.2f,%.2f,%.4f,%.4f,%d", r.point(),
+            csv.add(String.format(Locale.ROOT, "%s,%s,%d,%.5f,%d,%d,%.2f,%.2f,%.2f,%.4f,%.4f,%.4f,%.4f,%d", r.point(),
                     r.variant(), r.seed(), r.service(), r.requests(), r.attempts(), r.p50Ms(), r.p99Ms(),
-                    r.warmUpS(), r.coldPeak(), r.utilisation(), r.ruleViolations()));
+                    r.warmUpS(), r.coldPeak(), r.utilisation(), r.handshakesPerRequest(),
+                    r.crossingsPerRequest(), r.ruleViolations()));
         }
         Files.write(table, csv);
     }
--- a/src/main/java/sedgeyoke/experiment/Table.java
+++ b/src/main/java/sedgeyoke/experiment/Table.java
@@ -21,14 +21,17 @@
     private final Set<String> read = new LinkedHashSet<>();
     /** Values that stand in for the file's: a sweep's. */
     private final Map<String, Double> instead;
+    /** Where what is not in this one is looked up; null for nowhere. */
+    private final Table behind;
 
     Table(Path file, String name, TomlTable toml, int line, List<Problem> problems) {
-        this(file, name, toml, line, problems, Map.of());
+        this(file, name, toml, line, problems, Map.of(), null);
     }
 
     private Table(Path file, String name, TomlTable toml, int line, List<Problem> problems,
-            Map<String, Double> instead) {
+            Map<String, Double> instead, Table behind) {
         this.instead = instead;
+        this.behind = behind;
         this.file = file;
         this.name = name;
         this.toml = toml;
@@ -46,10 +49,14 @@
         if (other != null) {
             return other == Math.rint(other) ? (Object) other.longValue() : other;
         }
-        return has(key) ? toml.get(List.of(key)) : null;
+        return has(key) ? toml.get(List.of(key)) : behind != null ? behind.value(key) : null;
     }
 
     void problem(String key, String message) {
+        if (behind != null && !has(key) && behind.has(key)) {
+            behind.problem(key, message);
+            return;
+        }
         var at = has(key) ? toml.inputPositionOf(List.of(key)) : null;
         problems.add(new Problem(file.toString(), at == null ? line : at.line(), name.isEmpty() ? key
                 : name + "." + key, message));
@@ -140,7 +147,12 @@
 
     /** The same table with other values for some keys. */
     Table with(Map<String, Double> values) {
-        return new Table(file, name, toml, line, problems, values);
+        return new Table(file, name, toml, line, problems, values, behind);
+    }
+
+    /** This table, and what it does not have as that one has it. */
+    Table over(Table other) {
+        return new Table(file, name, toml, line, problems, instead, other);
     }
 
     /** Its keys; none where it is not there. */
--- a/src/main/java/sedgeyoke/site/NodeModel.java
+++ b/src/main/java/sedgeyoke/site/NodeModel.java
@@ -10,10 +10,10 @@
 import java.util.SplittableRandom;
 
 /**
- * An order node: so many cores of some speed, shared by what is at work, a queue, a memory for keys, load reports, and a cold start after which it
- * can be pushed over. Work takes time but no processor. What it does is written into the {@link Ledger}. It knows
- * neither sockets nor threads: the host gives it a clock, timers and the way back, so the same node serves stand-ins on
- * real sockets and the emulator in virtual time. Times are microseconds.
+ * An order node: so many cores of some speed, shared by what is at work, a queue, a memory for keys, load reports, and
+ * a cold start after which it can be pushed over. Work takes time but no processor. What it does is written into the
+ * {@link Ledger}. It knows neither sockets nor threads: the host gives it a clock, timers and the way back, so the same
+ * node serves stand-ins on real sockets and the emulator in virtual time. Times are microseconds.
  */
 public final class NodeModel {
     private static final long REPORT_EVERY = 500_000;
--- a/src/test/java/sedgeyoke/experiment/ExperimentTest.java
+++ b/src/test/java/sedgeyoke/experiment/ExperimentTest.java
@@ -103,6 +103,23 @@
                 "the point with the file's own values is the file without a sweep");
     }
 
+    /** A day changes some of the scenario and adds faults; what it does not name is the file's. */
+    @Test
+    void daysArePlayedEachWithItsOwnScenarioAndFaults() throws Exception {
+        String days = "[[days]]\nname = \"calm\"\n[[days]]\nname = \"busy\"\n[days.scenario]\nload = 0.9\n"
+                + "[[days.faults]]\nat = 1\ndo = \"slow_node\"\nvalue = 5\n";
+        ObjectNode figures = play(SMALL + days, 4, null, false, new StringWriter());
+        assertEquals("calm", figures.path("points").get(0).path("at").path("day").asText());
+        assertEquals(play(2, null).path("service"), figures.path("points").get(0).path("service"));
+        assertEquals("busy", figures.path("points").get(1).path("at").path("day").asText());
+        assertTrue(figures.path("points").get(1).path("service").path("none").asDouble()
+                < figures.path("points").get(0).path("service").path("none").asDouble(), figures.toString());
+        assertTrue(assertThrows(BadExperiment.class, () -> play(SMALL + days.replace("load", "lode"), 1, null, false,
+                new StringWriter())).getMessage().contains("lode: is not known"));
+        assertTrue(assertThrows(BadExperiment.class, () -> play(SMALL + days.replace("busy", "calm"), 1, null, false,
+                new StringWriter())).getMessage().contains("days[1].name: must be there"));
+    }
+
     @Test
     void theSameFiguresHoweverManyRunsGoSideBySide() throws Exception {
         ObjectNode alone = play(1, folder.resolve("a"));
