Cold upstreams get their part of thin traffic from the start

Cause: the bucket of a cold upstream counted in a unit that lagged. meanCost followed each request by a hundredth, from 1 on, while a request costs what its class takes now: with nine requests a second nearly all were dearer than a bucket may ever hold (COLD_COST times meanCost). The bucket began between -1 and 1, a debt of ten seconds; and its rate fell with the share that we let in, so that the jam of the old ones kept the new ones idle. Change: buckets hold mean requests, the mean is that of the classes by their rates, they begin between 0 and 1, the share let in counts by its root, and COLD_COST 1.5 admits the dearer of the site's classes (1.4 mean requests), kept out before. A test: 181 of 2,400 requests to five cold ones of ten, none before.

--- a/src/main/java/sedgeyoke/decide/ColdBucket.java
+++ b/src/main/java/sedgeyoke/decide/ColdBucket.java
@@ -4,11 +4,11 @@
 import sedgeyoke.decide.Balancer.ColdRight;
 
 /**
- * The token bucket of one cold upstream. Tokens are work. They accrue at the rate of the rights that we
- * hold, and what may be saved up is what those rights give in the time in which an upstream falls over.
- * So all balancers together never send more in any such time than twice what their rights give, whoever
- * holds the rights when: a right that is lent accrues nothing here, and what had been saved up under it
- * is forfeited.
+ * The token bucket of one cold upstream. Tokens are mean requests. They accrue at the rate of the rights
+ * that we hold, and what may be saved up is what those rights give in the time in which an upstream falls
+ * over. So all balancers together never send more in any such time than twice what their rights give,
+ * whoever holds the rights when: a right that is lent accrues nothing here, and what had been saved up
+ * under it is forfeited.
  */
 public final class ColdBucket {
     private double tokens;
@@ -23,9 +23,9 @@
     /**
      * Brings the bucket up to now. It must be called before rights change, and once more right after.
      *
-     * @param own what our own right gives, in work per microsecond
+     * @param own what our own right gives, in mean requests per microsecond
      * @param right what planners and we have agreed on, or null
-     * @param unit work per microsecond that a granted rate of one stands for
+     * @param unit mean requests per microsecond that a granted rate of one stands for
      * @param quietUntil until then our own right may still be lent by a process that we were before
      * @param floor what may be saved up at least where no planner has a say
      */
@@ -49,12 +49,12 @@
         at = now;
     }
 
-    /** Work that may be sent now. */
+    /** Mean requests that may be sent now. */
     public double tokens() {
         return tokens;
     }
 
-    /** Notes that so much work was sent. */
+    /** Notes that so many mean requests were sent. */
     public void spend(double work) {
         tokens -= work;
     }
--- a/src/main/java/sedgeyoke/decide/Policy.java
+++ b/src/main/java/sedgeyoke/decide/Policy.java
@@ -98,8 +98,10 @@
     private static final double COLD_CARE = 0.5;
     /** Most that the speed of a kind may count, either way: reports may be nonsense. */
     private static final double MOST_SPEED = 5;
+    /** Requests a second that each class is held to have at least, until they were counted. */
+    private static final double LEAST_RATE = 0.01;
     /** Least size of a cold upstream's bucket, in mean requests; a dearer request does not go there. */
-    private static final double COLD_COST = 1.2;
+    private static final double COLD_COST = 1.5;
     /** What a transfer counts in the pick, beside a request at work: a connection, no core. */
     private static final double TRANSFER_COST = 0.1;
     /** How far our in-flight limit follows the planned one, as an exponent on their ratio. */
@@ -329,7 +331,7 @@
     private Up renew(String id, long now) {
         Up up = new Up(id);
         up.limit = firstLimit();
-        up.cold = new ColdBucket(meanCost * (2 * random.nextDouble() - 1), now);
+        up.cold = new ColdBucket(random.nextDouble(), now);
         up.rank = unit(settings.position() / SLOTS, id.hashCode());
         byId.put(id, up);
         return up;
@@ -868,13 +870,12 @@
     @Override
     public void request(long now, Request request) {
         Req r = new Req(request, settings.classes().get(request.classIndex()), requestNumber++, now);
-        double typical = classTook[request.classIndex()];
         // The aim of a retry runs from the first try, and a refusal is what mostly lies behind it.
         r.aimAt -= request.retry() ? (long) refusedAfter[request.classIndex()] : 0;
-        r.cost = request.expectedWork() > 0 ? request.expectedWork() : typical > 0 ? typical : 1;
+        r.cost = request.expectedWork() > 0 ? request.expectedWork() : costOf(request.classIndex());
         r.value = r.cls.worth() / (settings.worthByWork() ? 1 : r.cost)
                 * (withinShare(request.tenant(), now) ? 1 : settings.overShareWorth());
-        meanCost = smooth(meanCost, r.cost, 0.01);
+        meanCost = request.expectedWork() > 0 ? smooth(meanCost, r.cost, 0.01) : meanOfClasses();
         requestsSince++;
         classSince[request.classIndex()]++;
         open.put(request.id(), r);
@@ -980,6 +981,7 @@
      * A cold upstream takes fallMultiple times its capacity at most. Our part is a share of that multiple of
      * its even part of our traffic: over all balancers this sums to the capacity, however uneven traffic is
      * and soon after a restart too. The bucket starts at random, or all would send a first request at once.
+     * While we shed, for the jam of the warm ones, a cold one is still owed more than what we let in.
      * Where planners run, balancers lend these parts to each other; no planner ever makes a new one. A body
      * that is still coming is not sent there: its work would come whenever its client likes, many at once.
      */
@@ -992,18 +994,39 @@
     }
 
     private double coldRate(Up up, long now) {
-        double even = admitted * requestRate / 1e6 * meanCost * rating(up) / Math.max(ratings, rating(up));
+        double even = Math.sqrt(admitted) * requestRate / 1e6 * rating(up) / Math.max(ratings, rating(up));
         return COLD_CARE * settings.rules().fallMultiple() * warmth(up, now) * even;
     }
 
     private void refillCold(Up up, long now) {
-        up.cold.refill(now, coldRate(up, now), planned.right(up.id, up.launchedAt()), meanCost / 1e6,
-                planned.quietUntil(), settings.rules().fallTime(), COLD_COST * meanCost);
+        up.cold.refill(now, coldRate(up, now), planned.right(up.id, up.launchedAt()), 1e-6,
+                planned.quietUntil(), settings.rules().fallTime(), COLD_COST);
     }
 
-    /** At least a mean request: those with hints small enough for the bucket are dearer than they say. */
+    /**
+     * In mean requests, and one at least: those with hints small enough for the bucket are dearer than they
+     * say. The bucket holds mean requests, too: what one costs is learnt while it fills.
+     */
     private double coldCharge(Req r) {
-        return Math.max(r.cost, meanCost);
+        return Math.max(r.cost / meanCost, 1);
+    }
+
+    /** What a request without a hint costs: the time that its class takes, as far as that is known. */
+    private double costOf(int classIndex) {
+        double known = classTook[classIndex] > 0 ? classTook[classIndex] : typicalTook;
+        return known > 0 ? known : 1;
+    }
+
+    /** Of the classes by their rates, so that it moves with them: a mean of its own would lag behind. */
+    private double meanOfClasses() {
+        double cost = 0;
+        double rates = 0;
+        for (int c = 0; c < classRate.length; c++) {
+            double rate = Math.max(classRate[c], LEAST_RATE);
+            cost += rate * costOf(c);
+            rates += rate;
+        }
+        return cost / rates;
     }
 
     private void measureRate(long period) {
@@ -1077,7 +1100,7 @@
             boolean cold = warmth(up, now) < 1 && meanCost > 0;
             double used = reported ? up.report.utilisation() : Double.NaN;
             double waiting = reported ? up.report.waiting() : Double.NaN;
-            double right = cold ? coldRate(up, now) / meanCost * 1e6 : 0;
+            double right = cold ? coldRate(up, now) * 1e6 : 0;
             standings.add(new Standing(up.id, up.entry.zone(), up.entry.state(), up.launchedAt(),
                     up.inFlight, up.sent, up.weight, up.limit, used, waiting, reported ? up.reportAt : 0,
                     ejected(up, now) || cordoned.containsKey(up.id), right));
--- a/src/test/java/sedgeyoke/decide/PolicyTest.java
+++ b/src/test/java/sedgeyoke/decide/PolicyTest.java
@@ -695,6 +695,38 @@
         assertTrue(count(h, "u0") > 0 && count(h, "u0") < 60, h.perUpstream.toString());
     }
 
+    /**
+     * Six in ten replaced: the new ones got nothing until they were warm. What a mean request costs lagged behind
+     * what each costs, so that nearly all were dearer than a bucket may hold, and buckets began in debt.
+     */
+    @Test
+    void aColdUpstreamGetsItsPartOfThinTrafficFromTheStart() {
+        config.group = 300;
+        int cold = 0;
+        int all = 0;
+        for (int seed = 0; seed < 60; seed++) {
+            Host h = Host.of(config);
+            h.balancer = new Policy(h.settings(), seed, h);
+            h.balancer.start(h.now);
+            h.list(10);
+            for (int i = 0; i < 60; i++) {
+                if (i == 20) {
+                    for (int u = 5; u < 10; u++) {
+                        h.change(Host.up(u, State.READY, h.now));
+                    }
+                    h.perUpstream.clear();
+                }
+                String id = h.request(i % 2, 2 * SECOND, null, 0);
+                h.advance(50 * MILLI);
+                h.end(id, Outcome.OK, (i % 2 + 1) * 50 * MILLI, Host.report(0.5));
+            }
+            cold += h.perUpstream.entrySet().stream().filter(e -> e.getKey().charAt(1) >= '5')
+                    .mapToInt(Map.Entry::getValue).sum();
+            all += h.perUpstream.values().stream().mapToInt(Integer::intValue).sum();
+        }
+        assertTrue(cold > all / 20 && cold < all / 3, cold + " of " + all);
+    }
+
     @Test
     void halfTheFleetGoneUnknownToTheListCostsLittle() {
         Host h = Host.of(config).list(6);
