--- a/src/main/java/sedgeyoke/net/Discovery.java
+++ b/src/main/java/sedgeyoke/net/Discovery.java
@@ -42,11 +42,6 @@
      * in turn: what it was about to answer is thrown away, and the next call stands at the end of the queue.
      */
     private static final int PATIENCE_MS = 5_000;
-    /**
-     * The same where lists are pushed: an agent on our own machine answers at once or, while discovery is down, not at
-     * all, and what is said after a move counts as told 4 s after SIGHUP (DAYS, "New configurations and restarts").
-     */
-    private static final int AGENT_PATIENCE_MS = 1_000;
     /** How much longer than it holds a watch may take: changes that it does not bring reach nobody meanwhile. */
     private static final int WATCH_PATIENCE_MS = 2_500;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
@@ -171,19 +166,11 @@
         request.headers().set(HttpHeaderNames.HOST, address.getAddress().getHostAddress());
         askedAt = System.nanoTime();
         Channel asked = channel;
-        patience = loop.schedule(() -> asked.close(), patienceMs(config.facts().settings().askForList(), whole),
+        patience = loop.schedule(() -> asked.close(), whole ? PATIENCE_MS : HOLD_MS + WATCH_PATIENCE_MS,
                 TimeUnit.MILLISECONDS);
         channel.writeAndFlush(request);
     }
 
-    /** How long a call may take before it is given up and another one is made. */
-    static int patienceMs(boolean askForList, boolean whole) {
-        if (askForList) {
-            return whole ? PATIENCE_MS : HOLD_MS + WATCH_PATIENCE_MS;
-        }
-        return whole ? AGENT_PATIENCE_MS : HOLD_MS + AGENT_PATIENCE_MS;
-    }
-
     private void failed(String why) {
         calling = false;
         log.line("discovery: " + why);
--- a/src/test/java/sedgeyoke/net/DiscoveryTest.java
+++ b/src/test/java/sedgeyoke/net/DiscoveryTest.java
@@ -143,22 +143,6 @@
         }
     }
 
-    /**
-     * roll+mass: a call for the whole list that stayed silent was waited for 5 s, and then sent to upstreams that
-     * counted as told to drain 4 s after SIGHUP. Two silent calls in a row must fit into these.
-     */
-    @Test
-    void anAgentThatSaysNothingIsAskedAgainLongBeforeItsListCountsAsTold() throws Exception {
-        int told = 4_000; // PROTOCOL and DAYS: after SIGHUP; the grace of a drain comes on top
-        assertTrue(2 * (Discovery.patienceMs(false, true) + 100) < told);
-        assertTrue(Discovery.patienceMs(false, false) < told);
-        assertEquals(5_000, Discovery.patienceMs(true, true), "giving up is dear there");
-        try (Loopback lb = start()) {
-            Loopback.await("a second call for the whole list", () -> lb.discovery.requests.size() == 2);
-            assertTrue(!lb.discovery.requests.get(1).line().contains("from="));
-        }
-    }
-
     /** An agent that answers at once, with nothing new: the watch goes on, but not as fast as it can. */
     @Test
     void aWatchThatEndsAtOnceDoesNotSpin() throws Exception {
