Emulator: an idle connection belongs to its machine; a test uses the world's own host

Found on reading the change again: an idle connection was kept with the number of the node's process alone and looked up by address, so that after a replacement at the same address it passed for one to the new node, and its end was booked there. It keeps its machine now, and the lookups are gone. SharedCoresTest wrote World.host() again; it uses that.

--- a/src/main/java/sedgeyoke/emulate/Forwarder.java
+++ b/src/main/java/sedgeyoke/emulate/Forwarder.java
@@ -62,7 +62,11 @@
     long crossings;
 
     /** A connection to a node's process on which nothing is open, since when. */
-    private record Idle(int machineProcess, long since) { }
+    private record Idle(Machine machine, int machineProcess, long since) {
+        boolean open() {
+            return machine.process == machineProcess;
+        }
+    }
 
     /** Who a balancer is. */
     record Spec(String name, int zone, int position, long seed) { }
@@ -333,28 +337,24 @@
     }
 
     private void closeIdle(int address) {
-        Machine m = fleet.at(address);
         Deque<Idle> closed = idle.getOrDefault(address, new ArrayDeque<>());
-        closed.forEach(c -> closed(m, c));
+        closed.forEach(Forwarder::closed);
         closed.clear();
     }
 
-    private static void closed(Machine m, Idle c) {
-        if (m != null && m.process == c.machineProcess()) {
-            m.connections--;
-        }
+    private static void closed(Idle c) {
+        c.machine().connections -= c.open() ? 1 : 0;
     }
 
     /** Takes the connection used last; what has been idle for too long, or led to a process that is gone, goes. */
-    private boolean reuse(int address, Machine m) {
+    private boolean reuse(int address) {
         Deque<Idle> waiting = idle.get(address);
         while (waiting != null && !waiting.isEmpty()
                 && world.time.now() - waiting.peekFirst().since() > settings.limits().connectIdle()) {
-            closed(m, waiting.pollFirst());
+            closed(waiting.pollFirst());
         }
         while (waiting != null && !waiting.isEmpty()) {
-            Idle last = waiting.pollLast();
-            if (m != null && last.machineProcess() == m.process) {
+            if (waiting.pollLast().open()) {
                 return true;
             }
         }
@@ -390,7 +390,7 @@
         }
         if (answer != null && a.connected && a.machineProcess == a.machine.process) {
             idle.computeIfAbsent(a.address, x -> new ArrayDeque<>())
-                    .add(new Idle(a.machineProcess, world.time.now()));
+                    .add(new Idle(a.machine, a.machineProcess, world.time.now()));
             a.connected = false;
         } else if (a.machine != null) {
             disconnected(a);
@@ -422,7 +422,7 @@
         Machine m = fleet.at(target.address());
         int zone = target.upstream().zone();
         crossings += zone == spec.zone ? 0 : 1;
-        if (reuse(target.address(), m)) {
+        if (reuse(target.address())) {
             write(a, m);
             return;
         }
--- a/src/test/java/sedgeyoke/emulate/SharedCoresTest.java
+++ b/src/test/java/sedgeyoke/emulate/SharedCoresTest.java
@@ -14,7 +14,8 @@
 /** What is at work at an order node shares its cores evenly; what finds no slot waits. */
 class SharedCoresTest {
     private static final long MS = 1_000;
-    private final Timeline time = new Timeline(0);
+    private final World world = new World(Scenarios.orders(1, 3, 1, 1), 1);
+    private final Timeline time = world.time;
     private final List<Long> doneAt = new ArrayList<>();
     private final List<NodeModel.Answer> answers = new ArrayList<>();
 
@@ -22,23 +23,12 @@
         WorkClass work = new WorkClass("work", "free", 1, 10_000, 10_000, 1, 100, WorkClass.Spread.CONSTANT);
         SiteSpec site = new SiteSpec(List.of("a"), List.of(work), List.of(), SiteSpec.RuleSpec.USUAL, false);
         Ledger ledger = new Ledger(site);
-        NodeModel.Host host = new NodeModel.Host() {
-            @Override
-            public long now() {
-                return time.now();
-            }
-
-            @Override
-            public void after(long delay, Runnable what) {
-                time.after(delay, what);
-            }
-        };
-        NodeModel node = new NodeModel(new SiteSpec.NodeSpec("n", 0, cores, 1, slots, queue), site, host, ledger,
-                new ZoneMemory(), 1);
+        NodeModel node = new NodeModel(new SiteSpec.NodeSpec("n", 0, cores, 1, slots, queue), site, world.host(),
+                ledger, new ZoneMemory(), 1);
         node.start();
         for (int i = 0; i < 20; i++) {
             ledger.wanted(work);
-            ledger.asked("r" + i, work, null, "b", 0, 10_000 * MS);
+            ledger.asked("r" + i, work, null, "b", World.START, World.START + 10_000 * MS);
         }
         return node;
     }
@@ -46,7 +36,7 @@
     private void ask(NodeModel node, int number) {
         node.take("r" + number, null, null, answer -> {
             answers.add(answer);
-            doneAt.add(Math.round(time.now() / 1e3));
+            doneAt.add(Math.round((time.now() - World.START) / 1e3));
         });
     }
 
@@ -56,7 +46,7 @@
         ask(node, 0);
         ask(node, 1);
         time.after(150 * MS, () -> ask(node, 2)); // the first two have 25 ms of work left each by then
-        time.runUntil(1_000 * MS);
+        time.runUntil(World.START + 1_000 * MS);
         assertEquals(List.of(225L, 225L, 300L), doneAt);
         assertEquals(300 * MS, node.worked(), MS);
         assertEquals(0, node.unaccounted(), 1e-9);
@@ -68,7 +58,7 @@
         for (int i = 0; i < 4; i++) {
             ask(node, i);
         }
-        time.runUntil(1_000 * MS);
+        time.runUntil(World.START + 1_000 * MS);
         assertEquals(List.of(0L, 100L, 100L, 200L), doneAt);
         assertEquals(NodeModel.Kind.FULL, answers.get(0).kind());
     }
@@ -79,7 +69,7 @@
         for (int i = 0; i < 12; i++) {
             ask(node, i);
         }
-        time.runUntil(10_000 * MS);
+        time.runUntil(World.START + 10_000 * MS);
         assertEquals(12, doneAt.size());
         assertEquals(2_000, doneAt.get(11), 5); // 1.2 s of work by a node that has lost two fifths of its speed
     }
@@ -89,7 +79,7 @@
         NodeModel node = node(1, 1, 0);
         ask(node, 0);
         time.after(50 * MS, () -> node.slow(3));
-        time.runUntil(1_000 * MS);
+        time.runUntil(World.START + 1_000 * MS);
         assertEquals(List.of(200L), doneAt);
     }
 }
