Cold upstreams are sent what they are due; homes leave slow zones and jams

The small zones kagoshima and miyazaki ran at 0.88 to 0.99 of their cores, oita at 0.58 to 0.75: homes were dealt out four to one for the own zone whatever its load.

Policy: speed counts by kind and zone; an attempt that was given up tells how long service takes at least; a home that takes three times as long passes its keys on to the next in their order; a cold upstream with something due is preferred as a home is.

--- a/src/main/java/sedgeyoke/decide/Policy.java
+++ b/src/main/java/sedgeyoke/decide/Policy.java
@@ -40,6 +40,8 @@
     /** Typical answer times in which a reported crowd is half forgotten twice; and the most that counts. */
     private static final double CROWD_TIMES = 20;
     private static final double MOST_CROWD = 1e3;
+    /** Where traffic is thin, a home whose service takes so many times as long as elsewhere is none. */
+    private static final double JAMMED = 3;
     /** Balancers that share one ring of upstreams to sample from. */
     private static final int SLOTS = 8;
     /** Share of their aims that answers may take, and how fast the share of requests let in follows. */
@@ -205,6 +207,9 @@
         long probedAt = Long.MIN_VALUE / 2;
         double rank;
         double crowd;
+        /** Service time as last reported, or that which an attempt at least had when it was given up. */
+        double service;
+        long serviceAt;
 
         Up(String id) {
             this.id = id;
@@ -399,14 +404,19 @@
     }
 
     /**
-     * How fast upstreams of its kind are, against the mean of all: with thin traffic it takes too long to
-     * learn that of each upstream, and homes that are dealt out evenly crowd the slow ones.
+     * How fast upstreams of its kind and zone are, against the mean of all: with thin traffic it takes too long
+     * to learn that of each upstream, and homes that are dealt out evenly crowd slow ones and small zones.
      */
     private double speed(Up up) {
-        double kind = kindService.getOrDefault(up.entry.kind(), meanService);
+        double kind = kindService.getOrDefault(peers(up), meanService);
         return sparse() && kind > 0 ? Math.max(1 / MOST_SPEED, Math.min(MOST_SPEED, meanService / kind)) : 1;
     }
 
+    /** Those that share its zone and kind. */
+    private int peers(Up up) {
+        return up.entry.kind() * settings.zones() + up.entry.zone();
+    }
+
     private void learn(Up up, LoadReport report, long now) {
         if (report == null || !(report.utilisation() >= -0.5 && report.utilisation() <= 2)) {
             return;
@@ -417,9 +427,10 @@
         up.crowd = active >= 0 ? Math.min(active, MOST_CROWD) : 0;
         meanCrowd += SMOOTH * (up.crowd - meanCrowd);
         if (serviceTold(report)) {
+            up.service = report.serviceTime();
+            up.serviceAt = now;
             meanService = smooth(meanService, report.serviceTime(), SMOOTH_ALL);
-            kindService.merge(up.entry.kind(), report.serviceTime(),
-                    (old, seen) -> smooth(old, seen, SMOOTH_ALL));
+            kindService.merge(peers(up), report.serviceTime(), (old, seen) -> smooth(old, seen, SMOOTH_ALL));
         }
     }
 
@@ -513,6 +524,10 @@
             // No answer in all that time is the longest waiting there is; the work may still run there.
             adjustLimit(up, t, end.took() - ownService(r, up.least), r.cls.aim(), now);
             rest(up, end.took(), now);
+            if (end.took() > meanService * slowness(up, now)) {
+                up.service = end.took(); // no report came with it: a jam is where reports are missing
+                up.serviceAt = now;
+            }
         } else if (end.outcome() == Outcome.CONNECT_FAILED) {
             // Nothing answered since that attempt was sent: dead, not a full table of connections.
             if (up.answeredAt < t.sentAt) {
@@ -579,8 +594,10 @@
                 w *= r.cls.effect() == Effect.UNSAFE ? 0.02 : 0.3;
             }
             double others = sparse() ? crowd(up, now) : 0;
-            double atHome = up != home ? 1 : power(sparse() ? THIN_HOME : HOME);
-            scores[i] = (sparse() ? w / slowness(up, now) : power(w)) * atHome
+            // A part of a cold one that is not taken when it is due is lost, as traffic is thin: it warms by work.
+            double drawn = !sparse() ? up == home ? power(HOME) : 1
+                    : up == home || warmth(up, now) < 1 ? power(THIN_HOME) : 1;
+            scores[i] = (sparse() ? w / slowness(up, now) : power(w)) * drawn
                     / power(loadUnits(up) + others + 1);
             sum += scores[i];
             wanted--;
@@ -597,16 +614,13 @@
      * little. It fades to the mean within some answer times, as a queue forgets.
      */
     private double crowd(Up up, long now) {
-        return meanCrowd + memory(up, now) * (up.crowd - meanCrowd);
+        return meanCrowd + memory(up.reportAt, now) * (up.crowd - meanCrowd);
     }
 
-    /**
-     * How much longer its service takes than elsewhere, as last reported: where requests at work share the
-     * cores, a crowd shows in that and nothing waits.
-     */
+    /** How much longer its service takes than elsewhere, as last seen: where cores are shared, crowds show in that. */
     private double slowness(Up up, long now) {
-        return up.report == null || !serviceTold(up.report) ? 1
-                : Math.pow(up.report.serviceTime() / meanService, memory(up, now));
+        return up.service > 0 && meanService > 0
+                ? Math.pow(up.service / meanService, memory(up.serviceAt, now)) : 1;
     }
 
     /** Longer than any client waits is nonsense, and would spoil the means for long. */
@@ -614,10 +628,9 @@
         return report.serviceTime() > 0 && report.serviceTime() <= longestWait;
     }
 
-    /** How much of its last report still holds, from 1 to 0. */
-    private double memory(Up up, long now) {
-        double forgotten = (now - up.reportAt) / Math.max(1, CROWD_TIMES * typicalTook);
-        return up.report == null ? 0 : Math.max(0, 1 - forgotten);
+    /** How much of what was seen then still holds, from 1 to 0. */
+    private double memory(long seenAt, long now) {
+        return Math.max(0, 1 - (now - seenAt) / Math.max(1, CROWD_TIMES * typicalTook));
     }
 
     private static double power(double x) {
@@ -679,8 +692,13 @@
             r.homeIn = lists;
             r.home = home(r.request.key(), ups);
         }
-        return r.home == null || !ejected(r.home, now) ? r.home
-                : home(r.request.key(), ups.stream().filter(up -> !ejected(up, now)).toList());
+        return r.home == null || well(r.home, now) ? r.home
+                : home(r.request.key(), ups.stream().filter(up -> well(up, now)).toList());
+    }
+
+    /** Whether keys may be at home there; else they are so at the next one in their order, the same for all. */
+    private boolean well(Up up, long now) {
+        return !ejected(up, now) && (!sparse() || slowness(up, now) < JAMMED);
     }
 
     /** The same upstream at every balancer, by rendezvous hashing. */
