--- a/src/main/java/sedgeyoke/decide/Policy.java
+++ b/src/main/java/sedgeyoke/decide/Policy.java
@@ -404,8 +404,8 @@
     }
 
     /**
-     * How fast upstreams of its kind and zone are, against the mean of all: with thin traffic it takes too long
-     * to learn that of each upstream, and homes that are dealt out evenly crowd slow ones and small zones.
+     * How fast upstreams of its kind and zone are, against the mean of all: with thin traffic it takes too
+     * long to learn that of each upstream, and homes dealt out evenly crowd the slow ones and small zones.
      */
     private double speed(Up up) {
         double kind = kindService.getOrDefault(peers(up), meanService);
@@ -594,7 +594,7 @@
                 w *= r.cls.effect() == Effect.UNSAFE ? 0.02 : 0.3;
             }
             double others = sparse() ? crowd(up, now) : 0;
-            // A part of a cold one that is not taken when it is due is lost, as traffic is thin: it warms by work.
+            // What a cold one is due runs over if not taken now, as traffic is thin, and it warms by work.
             double drawn = !sparse() ? up == home ? power(HOME) : 1
                     : up == home || warmth(up, now) < 1 ? power(THIN_HOME) : 1;
             scores[i] = (sparse() ? w / slowness(up, now) : power(w)) * drawn
@@ -617,7 +617,7 @@
         return meanCrowd + memory(up.reportAt, now) * (up.crowd - meanCrowd);
     }
 
-    /** How much longer its service takes than elsewhere, as last seen: where cores are shared, crowds show in that. */
+    /** How much longer its service takes than elsewhere, as last seen: a crowd that shares the cores shows there. */
     private double slowness(Up up, long now) {
         return up.service > 0 && meanService > 0
                 ? Math.pow(up.service / meanService, memory(up.serviceAt, now)) : 1;
