--- a/src/main/java/sedgeyoke/decide/Policy.java
+++ b/src/main/java/sedgeyoke/decide/Policy.java
@@ -617,7 +617,7 @@
         return meanCrowd + memory(up.reportAt, now) * (up.crowd - meanCrowd);
     }
 
-    /** How much longer its service takes than elsewhere, as last seen: a crowd that shares the cores shows there. */
+    /** How much longer its service takes than elsewhere, as last seen: crowds share cores and show there. */
     private double slowness(Up up, long now) {
         return up.service > 0 && meanService > 0
                 ? Math.pow(up.service / meanService, memory(up.serviceAt, now)) : 1;
@@ -696,7 +696,7 @@
                 : home(r.request.key(), ups.stream().filter(up -> well(up, now)).toList());
     }
 
-    /** Whether keys may be at home there; else they are so at the next one in their order, the same for all. */
+    /** Whether keys may be at home there; else they are at the next one in their order, the same for all. */
     private boolean well(Up up, long now) {
         return !ejected(up, now) && (!sparse() || slowness(up, now) < JAMMED);
     }
