--- a/src/main/java/sedgeyoke/decide/Policy.java
+++ b/src/main/java/sedgeyoke/decide/Policy.java
@@ -51,6 +51,9 @@
     /** Retry budget: further attempts as a share of requests, and how many may be saved up. */
     private static final double RETRY_SHARE = 0.2;
     private static final double MOST_RETRIES = 3;
+    /** Where traffic is thin: what an error counts, as few come by chance, and what a period leaves of it. */
+    private static final double THIN_ERROR = 0.8;
+    private static final double THIN_FADE = 0.95;
     /** Exponent of the pick: high enough that a clearly less loaded upstream nearly always wins. */
     private static final double BIAS = 4;
     /** Weight of the own zone: one, and this much for each point that crossing costs. */
@@ -370,6 +373,7 @@
         int fresh = 0;
         ratings = 0;
         for (Up up : ups) {
+            up.errors *= sparse() ? THIN_FADE : 1;
             ratings += rating(up);
             up.load = freshlyReported(up, now)
                     ? Math.max(0, Math.min(1, up.report.utilisation())) : Double.NaN;
@@ -543,8 +547,8 @@
             rest(up, typicalTook, now);
         } else if (end.outcome() == Outcome.ERROR || end.outcome() == Outcome.RESET) {
             up.progressAt = now;
-            up.errors += SMOOTH * (1 - up.errors);
-            if (up.errors > 0.5) {
+            up.errors += (sparse() && end.outcome() == Outcome.ERROR ? THIN_ERROR : SMOOTH) * (1 - up.errors);
+            if (up.errors > 0.5 && !sparse()) {
                 eject(up, now);
             }
         }
@@ -609,10 +613,7 @@
         return maySend(r, up, now) && (panic || !ejected(up, now)) && coldRoom(up, r, now);
     }
 
-    /**
-     * What others have in flight there, as last reported: with a sliver of the traffic our own count tells
-     * little. It fades to the mean within some answer times, as a queue forgets.
-     */
+    /** What others have in flight there, as last reported; it fades to the mean, as a queue forgets. */
     private double crowd(Up up, long now) {
         return meanCrowd + memory(up.reportAt, now) * (up.crowd - meanCrowd);
     }
@@ -698,7 +699,7 @@
 
     /** Whether keys may be at home there; else they are at the next one in their order, the same for all. */
     private boolean well(Up up, long now) {
-        return !ejected(up, now) && (!sparse() || slowness(up, now) < JAMMED);
+        return !ejected(up, now) && (!sparse() || up.errors < 0.5 && slowness(up, now) < JAMMED);
     }
 
     /** The same upstream at every balancer, by rendezvous hashing. */
@@ -894,7 +895,7 @@
         r.value = r.cls.worth() / (settings.worthByWork() ? 1 : r.cost)
                 * (withinShare(request.tenant(), now) ? 1 : settings.overShareWorth());
         meanCost = request.expectedWork() > 0 ? smooth(meanCost, r.cost, 0.01) : meanOfClasses();
-        requestsSince++;
+        requestsSince += request.retry() ? 0 : 1; // a want that comes again adds no room at cold ones
         classSince[request.classIndex()]++;
         open.put(request.id(), r);
         byDeadline.add(r);
--- a/src/test/java/sedgeyoke/decide/Host.java
+++ b/src/test/java/sedgeyoke/decide/Host.java
@@ -43,6 +43,8 @@
     private Settings settings;
     Balancer balancer;
     RuleChecker checker;
+    /** Whether requests come from clients that try again, and say so. */
+    boolean again;
 
     private record Timer(long at, long n, String token) { }
 
@@ -114,7 +116,7 @@
 
     String request(int cls, long timeLeft, String key, long work) {
         String id = "r" + requestCount++;
-        Request r = new Request(id, cls, 0, key, work, timeLeft, false, false);
+        Request r = new Request(id, cls, 0, key, work, timeLeft, false, again);
         if (checker != null) {
             checker.arrived(now, r);
         }
--- a/src/test/java/sedgeyoke/decide/PolicyTest.java
+++ b/src/test/java/sedgeyoke/decide/PolicyTest.java
@@ -753,18 +753,49 @@
      */
     @Test
     void aColdUpstreamGetsItsPartOfThinTrafficFromTheStart() {
-        assertTrue(coldShare(i -> null) > 0.05);
+        assertTrue(coldShare(i -> null, false) > 0.05);
     }
 
     /** Then keys went home to warm ones that were full, while what the cold ones were due ran over and was lost. */
     @Test
     void aColdUpstreamGetsItsPartOfThinTrafficAlsoWhereKeysAreAtHomeElsewhere() {
-        double share = coldShare(i -> "key" + i % 7);
+        double share = coldShare(i -> "key" + i % 7, false);
         assertTrue(share > 0.09, "share " + share);
     }
 
-    /** What the cold half of the upstreams gets of requests with such keys. */
-    private double coldShare(IntFunction<String> key) {
+    /** While seven in ten balancers were down, clients came again and again, and cold ones got twice their part. */
+    @Test
+    void clientsThatComeAgainDoNotRaiseTheBudgetOfColdUpstreams() {
+        double first = coldShare(i -> "key" + i % 7, false);
+        double again = coldShare(i -> "key" + i % 7, true);
+        assertTrue(again < 0.7 * first, again + " and " + first);
+    }
+
+    /** One in eight fails fast: each of a hundred balancers needed five errors of it to see that. */
+    @Test
+    void inALargeGroupOneErrorSendsKeysElsewhereForSomeSeconds() {
+        config.group = 300;
+        config.warmKeys = true;
+        Host h = Host.of(config).list(12);
+        h.advance(2 * SECOND);
+        String failed = h.request(0, 2 * SECOND, "key", 0);
+        String home = h.lastUpstream(failed);
+        h.advance(10 * MILLI);
+        h.end(failed, Outcome.ERROR, 10 * MILLI, null);
+        int elsewhere = 0;
+        for (int i = 0; i < 10; i++) {
+            String id = h.request(0, 2 * SECOND, "key", 0);
+            elsewhere += h.lastUpstream(id).equals(home) ? 0 : 1;
+            h.advance(10 * MILLI);
+            h.end(id, Outcome.OK, 10 * MILLI, Host.report(0.5));
+        }
+        assertTrue(elsewhere >= 9, elsewhere + " of 10");
+        h.advance(10 * SECOND);
+        assertEquals(home, h.lastUpstream(h.request(0, 2 * SECOND, "key", 0)));
+    }
+
+    /** What the cold half of the upstreams gets of requests with such keys, three in four perhaps tried again. */
+    private double coldShare(IntFunction<String> key, boolean again) {
         config.group = 300;
         config.warmKeys = true;
         int cold = 0;
@@ -781,6 +812,7 @@
                     }
                     h.perUpstream.clear();
                 }
+                h.again = again && i % 4 > 0;
                 String id = h.request(i % 2, 2 * SECOND, key.apply(i), 0);
                 h.advance(50 * MILLI);
                 h.end(id, Outcome.OK, (i % 2 + 1) * 50 * MILLI, Host.report(0.5));
