The log says when SIGHUP is ignored, as under nohup

Hangup tells from what Signal.handle returns. HangupTest starts a JVM with and without the signal ignored; it fails without the line.

--- a/src/main/java/sedgeyoke/serve/Hangup.java
+++ b/src/main/java/sedgeyoke/serve/Hangup.java
@@ -8,7 +8,9 @@
 
     /**
      * Guards against the end that SIGHUP is to a JVM. The class that takes signals is in every JDK but in no
-     * standard, so compilers warn of its name; it is looked up instead. Signals come on threads of the JVM's.
+     * standard, so compilers warn of its name; it is looked up instead. Signals come on threads of the JVM's. A JVM
+     * leaves a signal alone that was ignored when it began, as under nohup: that is said, for else a changed
+     * configuration is never taken up, and nothing tells why.
      */
     public static void run(Runnable action) {
         try {
@@ -22,8 +24,12 @@
                         }
                         return method.invoke(action, arguments); // equals and the like, if anyone asks
                     });
-            signal.getMethod("handle", signal, handler)
+            Object before = signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), ours);
+            if (before == handler.getField("SIG_IGN").get(null)) {
+                System.err.println("SIGHUP is ignored, as whoever started this program has it (nohup does):"
+                        + " no changed configuration will be taken up");
+            }
         } catch (ReflectiveOperationException e) {
             System.err.println("SIGHUP cannot be handled here and will end the program: " + e);
         }
--- /dev/null
+++ b/src/test/java/sedgeyoke/serve/HangupTest.java
@@ -0,0 +1,66 @@
+package sedgeyoke.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+
+/** SIGHUP in a process of its own, with and without someone who had it ignored before. */
+class HangupTest {
+    /** Says when SIGHUP is handled, and when it has come; ends with its standard input. */
+    static final class Program {
+        private Program() { }
+
+        public static void main(String[] arguments) throws IOException {
+            Hangup.run(() -> System.err.println("came"));
+            System.err.println("ready");
+            while (System.in.read() >= 0) {
+                continue;
+            }
+        }
+    }
+
+    private static Process start(String before) throws IOException {
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        return new ProcessBuilder("/bin/sh", "-c", before + " exec \"$0\" -Xshare:auto -cp \"$1\" \"$2\"", java,
+                System.getProperty("java.class.path"), Program.class.getName()).redirectErrorStream(true).start();
+    }
+
+    private static void hangUp(Process process) throws IOException, InterruptedException {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
+    /** Plays of the standing test under nohup broke the rule on drains: no balancer took up a new configuration. */
+    @Test
+    void thatItIsIgnoredIsSaid() throws IOException, InterruptedException {
+        Process process = start("trap '' HUP;");
+        try (BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream()))) {
+            assertTrue(out.readLine().startsWith("SIGHUP is ignored"));
+            assertEquals("ready", out.readLine());
+            hangUp(process);
+            process.getOutputStream().close();
+            assertEquals(null, out.readLine());
+            assertEquals(0, process.waitFor());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    @Test
+    void elseItIsHandledAndNothingIsSaid() throws IOException, InterruptedException {
+        Process process = start("");
+        try (BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream()))) {
+            assertEquals("ready", out.readLine());
+            hangUp(process);
+            assertEquals("came", out.readLine());
+            process.getOutputStream().close();
+            assertEquals(0, process.waitFor());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+}
