PolicyTest: slow kinds and slow zones are judged by one loop

Two tests had the same loop, one with slow kinds, one with a slow zone; both call atSlow now, with their assertions as they were.

--- a/src/test/java/sedgeyoke/decide/PolicyTest.java
+++ b/src/test/java/sedgeyoke/decide/PolicyTest.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.IntFunction;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import sedgeyoke.decide.Balancer.ListKind;
 import sedgeyoke.decide.Balancer.LoadReport;
@@ -536,50 +537,33 @@
     /** Half the homes at slow machines crowded these while the fast ones had room. */
     @Test
     void inALargeGroupHomesAndPicksFollowTheSpeedOfKinds() {
-        config.group = 300;
-        config.warmKeys = true;
-        Host h = Host.of(config);
-        List<Upstream> all = new ArrayList<>();
-        for (int i = 0; i < 40; i++) {
-            all.add(new Upstream("u" + i, 0, i % 2, 0, State.READY, 1, 0));
-        }
-        h.balancer.upstreams(h.now, ListKind.RESTORED, all);
-        h.advance(2 * SECOND);
-        int slow = 0;
-        for (int i = 0; i < 1200; i++) {
-            String id = h.request(0, 2 * SECOND, "key" + i, 20 * MILLI);
-            int kind = Integer.parseInt(h.lastUpstream(id).substring(1)) % 2;
-            slow += i >= 400 ? kind : 0;
-            h.advance(20 * MILLI);
-            h.end(id, Outcome.OK, 20 * MILLI, new LoadReport(0.5, Double.NaN, 0, kind == 1 ? 90 * MILLI : 30 * MILLI,
-                    1, 0));
-        }
-        assertEquals(200, slow, 60);
+        assertEquals(200, atSlow(1, i -> new Upstream("u" + i, 0, i % 2, 0, State.READY, 1, 0)), 60);
     }
 
     /** Zones are not equally large: homes in the own one, dealt out by kind alone, jammed the small ones. */
     @Test
     void inALargeGroupHomesLeaveAZoneWhereServiceTakesLonger() {
+        config.crossZone = 0.06;
+        int own = atSlow(0, i -> new Upstream("u" + i, i % 2, 0, 0, State.READY, 1, 0));
+        assertTrue(own > 300 && own < 560, own + " of 800");
+    }
+
+    /** Of 800 keyed requests, after 400 others, those at every second upstream, three times as slow as the rest. */
+    private int atSlow(int parity, IntFunction<Upstream> upstream) {
         config.group = 300;
         config.warmKeys = true;
-        config.crossZone = 0.06;
         Host h = Host.of(config);
-        List<Upstream> all = new ArrayList<>();
-        for (int i = 0; i < 40; i++) {
-            all.add(new Upstream("u" + i, i % 2, 0, 0, State.READY, 1, 0));
-        }
-        h.balancer.upstreams(h.now, ListKind.RESTORED, all);
+        h.balancer.upstreams(h.now, ListKind.RESTORED, IntStream.range(0, 40).mapToObj(upstream).toList());
         h.advance(2 * SECOND);
-        int own = 0;
+        int atSlow = 0;
         for (int i = 0; i < 1200; i++) {
             String id = h.request(0, 2 * SECOND, "key" + i, 20 * MILLI);
-            int zone = Integer.parseInt(h.lastUpstream(id).substring(1)) % 2;
-            own += i >= 400 ? 1 - zone : 0;
+            boolean slow = Integer.parseInt(h.lastUpstream(id).substring(1)) % 2 == parity;
+            atSlow += i >= 400 && slow ? 1 : 0;
             h.advance(20 * MILLI);
-            h.end(id, Outcome.OK, 20 * MILLI, new LoadReport(0.5, Double.NaN, 0, zone == 0 ? 90 * MILLI : 30 * MILLI,
-                    1, 0));
+            h.end(id, Outcome.OK, 20 * MILLI, new LoadReport(0.5, Double.NaN, 0, slow ? 90 * MILLI : 30 * MILLI, 1, 0));
         }
-        assertTrue(own > 300 && own < 560, own + " of 800");
+        return atSlow;
     }
 
     /** Each of a hundred balancers went back to a jam as soon as its short ejection had ended, and kept it alive. */
