A silent agent is asked again within the time that drains leave

Cause (read, Discovery.write/failed): a watch or whole list that an agent does not answer was given up after 4.5 and 5 s, and the call after it waited as long. Change, where lists are pushed only (the agent stands on this machine and answers at once): the first byte of an answer may take half of drain-grace-s, 0.1 to 0.5 s; after a failed call the next asks with hold_ms=0 until one is answered; who has begun to answer has the 5 s of before. Where lists are asked for nothing changes.

--- a/src/main/java/sedgeyoke/net/Discovery.java
+++ b/src/main/java/sedgeyoke/net/Discovery.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -44,6 +45,15 @@
     private static final int PATIENCE_MS = 5_000;
     /** How much longer than it holds a watch may take: changes that it does not bring reach nobody meanwhile. */
     private static final int WATCH_PATIENCE_MS = 2_500;
+    /**
+     * How long the first byte of an answer may take where lists are pushed: the agent stands on this machine and
+     * answers at once, or is silent. What a silent watch misses counts as told 6 s after it fell silent, and what the
+     * agent gets at the end of an outage at once (STANDING), so that two silent calls in a row must cost less than the
+     * one, and a call that is silent during an outage less than the time that drains leave.
+     */
+    private static final int LONGEST_SILENCE_MS = 500;
+    /** A loop on a part of a core is late itself by some such time. */
+    private static final int LEAST_SILENCE_MS = 100;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     /** The longest list: far more than any fleet's, and little enough to hold at once. */
     private static final int LONGEST_LIST = 1 << 20;
@@ -68,6 +78,13 @@
     private Channel channel;
     private Future<?> patience;
     private long askedAt;
+    /** Whether something has come of the answer that is waited for. */
+    private boolean begun;
+    private final boolean pushed;
+    /** How long nothing at all may come where lists are pushed; drains leave at least twice that. */
+    private final int silence;
+    /** A call to an agent failed: the next asks what there is and does not wait for news, which silence looks like. */
+    private boolean doubting;
 
     /** The listener gets each list, and null for a failed call where lists are asked for. */
     Discovery(EventLoop loop, Config config, Transport transport, Consumer<MemberList> listener, Log log) {
@@ -78,15 +95,18 @@
         this.transport = transport;
         this.random = new Random(config.seed());
         this.address = config.discovery();
+        this.pushed = !config.facts().settings().askForList();
+        long grace = config.facts().settings().rules().drainGrace() / 1_000;
+        this.silence = (int) Math.max(LEAST_SILENCE_MS, Math.min(LONGEST_SILENCE_MS, grace / 2));
         this.whole = !config.facts().settings().askForList() || config.known().members().isEmpty();
         this.listed = !whole; // a watch is answered only when there is news: clients must not wait for that
         this.revision = config.known().revision();
         this.bootstrap = transport.client(loop)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, pushed ? silence : CONNECT_TIMEOUT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(),
+                        ch.pipeline().addLast(new FirstBytes(), new HttpClientCodec(),
                                 new HttpObjectAggregator(LONGEST_LIST), new Answers());
                     }
                 });
@@ -161,18 +181,24 @@
     }
 
     private void write() {
-        String uri = "/catalog/members" + (whole ? "" : "?from=" + revision + "&hold_ms=" + HOLD_MS);
+        int hold = whole || doubting ? 0 : HOLD_MS;
+        String uri = "/catalog/members" + (whole ? "" : "?from=" + revision + "&hold_ms=" + hold);
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
         request.headers().set(HttpHeaderNames.HOST, address.getAddress().getHostAddress());
         askedAt = System.nanoTime();
-        Channel asked = channel;
-        patience = loop.schedule(() -> asked.close(), whole ? PATIENCE_MS : HOLD_MS + WATCH_PATIENCE_MS,
-                TimeUnit.MILLISECONDS);
+        begun = false;
+        patience(pushed ? hold + silence : whole ? PATIENCE_MS : HOLD_MS + WATCH_PATIENCE_MS);
         channel.writeAndFlush(request);
     }
 
+    private void patience(int ms) {
+        Channel asked = channel;
+        patience = loop.schedule(() -> asked.close(), ms, TimeUnit.MILLISECONDS);
+    }
+
     private void failed(String why) {
         calling = false;
+        doubting = pushed;
         log.line("discovery: " + why);
         if (channel != null) {
             Channel old = channel;
@@ -208,7 +234,8 @@
             failed("revision " + list.revision() + " after " + revision);
             return;
         }
-        boolean news = whole || list.revision() != revision;
+        boolean news = whole || doubting || list.revision() != revision;
+        doubting = false;
         whole = false;
         calling = false;
         listed = true;
@@ -229,6 +256,18 @@
         loop.schedule(() -> watch(watching), LEAST_PAUSE_MS + random.nextInt(MORE_PAUSE_MS), TimeUnit.MILLISECONDS);
     }
 
+    /** Whoever has begun to answer is not silent: a long list may take its time from then on. */
+    private final class FirstBytes extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            if (ctx.channel() == channel && calling && pushed && !begun && patience.cancel(false)) {
+                begun = true;
+                patience(PATIENCE_MS);
+            }
+            ctx.fireChannelRead(bytes);
+        }
+    }
+
     /** The answers on one connection. */
     private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override
