Clients that leave while they wait are seen; ends, repeats and copies are looked at again

Causes, with lines at: - Frontend.channelRead:418 turned reading off as soon as anything came behind an open request: neither FIN nor RST was seen then, and the request was sent on whenever the module got to it. Seen on sockets: 210 of 210 clients with bytes behind their request were not noticed within 10 s (FIN and RST; without such bytes all were). A request and its client's end that lie in one read: sent, 210 of 210. A loop held up for 0.3 s: 54 to 66 of 210 sent before their ends were read. - UpstreamPool.stop:384 told the module of the end before it closed the connection: the next copy was written while the first was out, also where two may not be. - UpstreamPool.write:352 did not look whether upstreams still remember the first attempt of a keyed request. - UpstreamPool.channelInactive: whether the last byte had gone out was read from a flag that is set by a listener which may run later. - REST 1 ms: a second answer some milliseconds late (STANDING, join) met the next request on its connection. - Frontend.close: half a request whose last byte was under way was cut without an answer; requests unread in the kernel were reset. Server.look: the listener was closed with connections in its backlog where the loop was late. Change: reading goes on behind an open request, at most 80 KiB of it kept for one connection and 8 MiB for all, the rest thrown away and the connection ended after what came whole; a request is handled once all is read that came with it; a loop over 0.1 s late reads before it writes; the connection is closed before its end is told; a repeat has a time until when it may go out; REST is 10 ms; at the end half requests are answered 503, kept connections get one more read first, the listener closes when its backlog is empty. Result: LeavingClientsTest, 22 cases of 210 clients each, 0 sent on; with the program before 16 of the 22 failed.

--- a/src/main/java/sedgeyoke/net/Ending.java
+++ b/src/main/java/sedgeyoke/net/Ending.java
@@ -36,9 +36,10 @@
         due = at;
     }
 
-    /** A look; one that comes late leaves less time to the kill. */
-    void looked(long now) {
+    /** A look; one that comes late leaves less time to the kill. How late it is. */
+    long looked(long now) {
         worst = Math.max(worst, now - due);
+        return now - due;
     }
 
     /** Until then new connections may come. */
--- a/src/main/java/sedgeyoke/net/Frontend.java
+++ b/src/main/java/sedgeyoke/net/Frontend.java
@@ -77,6 +77,16 @@
     private static final double CROWDED_SHARE = 0.17;
     /** Clients that connect for a request send it at once; one that is silent for longer makes way if need be. */
     private static final long SILENT_FOR = 100_000;
+    /**
+     * Bytes that a client may send behind a request that is open, as much as one more; on all connections together so
+     * many times that.
+     */
+    private static final int MOST_AHEAD = 80 * 1024;
+    private static final int MOST_AHEAD_IN_ALL = 100;
+    /** Connections accepted in one pass of the loop (Netty's bound). */
+    private static final int MOST_ACCEPTED = 16;
+    /** Reads in a row on one connection, before others have their turn. */
+    private static final int MOST_READS = 16;
     private static final int LEAST_READ = 512;
     private static final int FIRST_READ = 2_048;
     private static final Pattern NUMBER = Pattern.compile("[0-9]{1,12}");
@@ -100,6 +110,10 @@
     private int busy;
     /** Connections that wait for their next request. */
     private int idle;
+    /** Bytes that have come behind open requests, on all connections. */
+    private long ahead;
+    private long accepted;
+    private long acceptedBefore = -MOST_ACCEPTED; // whoever asks first has to ask again
     private Channel listener;
     private boolean draining;
     private boolean closing;
@@ -143,13 +157,15 @@
                     @Override
                     protected void initChannel(Channel ch) {
                         ch.config().setRecvByteBufAllocator(
-                                // as many requests as one read brings may have to wait their turn
-                                new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, limits.read()));
+                                // on until nothing is left: the end of a client that has left comes behind its request
+                                new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, limits.read())
+                                        .respectMaybeMoreData(false).maxMessagesPerRead(MOST_READS));
                         Connection connection = new Connection(ch);
                         if (limits.streaming()) {
                             Transport.limit(ch, limits);
                         }
-                        ch.pipeline().addLast(new RequestCheck.Decoder(limits.part()), new HttpResponseEncoder(),
+                        ch.pipeline().addLast(connection.new ReadAhead(), new RequestCheck.Decoder(limits.part()),
+                                new HttpResponseEncoder(),
                                 new RequestCheck(connection::fault, limits.longestBody()), connection);
                     }
                 });
@@ -220,7 +236,9 @@
     }
 
     void stopListening() {
-        listener.close();
+        if (listener != null) { // it may never have come to listening
+            listener.close();
+        }
     }
 
     /** Requests that are taken and whose answer is not yet out. */
@@ -228,10 +246,25 @@
         return busy;
     }
 
-    /** Closes the connections on which no request has been taken; further answers close theirs. */
-    void close() {
+    /**
+     * Ends the connections on which no request has begun to come; further answers end theirs. To be called again and
+     * again: the first call only has requests refused from then on, and what had come by then is read before the next.
+     *
+     * @param last nobody is waited for any more
+     */
+    void close(boolean last) {
+        if (closing) {
+            long now = node.now();
+            List.copyOf(connections).forEach(c -> c.end(now, last));
+        }
         closing = true;
-        connections.stream().filter(Connection::withoutRequest).toList().forEach(c -> c.channel.close());
+    }
+
+    /** Whether fewer connections have come since it was asked last than one pass takes: then the kernel holds none. */
+    boolean backlogEmpty() {
+        boolean empty = accepted - acceptedBefore < MOST_ACCEPTED;
+        acceptedBefore = accepted;
+        return empty;
     }
 
     /** What long bodies are counted with now. */
@@ -323,6 +356,12 @@
         /** From the arrival of a request until its answer: guards against a second one. */
         private boolean owed;
         private boolean keepAlive;
+        /** Bytes that have come behind the open request, and whether they were too many: then no more is listened to. */
+        private int ahead;
+        private boolean deaf;
+        /** A request whose last byte has just come, until all is read that came with it; whether that goes on. */
+        private RequestBody arrived;
+        private boolean reading;
         /** Whether the read that is going on has brought a request. */
         private boolean whole;
         /** Once closed it is counted off, and what comes of its last bytes must not count it again. */
@@ -336,9 +375,11 @@
         public void channelActive(ChannelHandlerContext ctx) {
             since = node.now();
             connections.add(this);
+            accepted++;
             channel.closeFuture().addListener(closed -> {
                 count(-1);
                 gone = true;
+                caughtUp();
                 uncount();
                 connections.remove(this);
                 makeRoom();
@@ -362,8 +403,15 @@
             return !gone && (phase == Phase.OPEN || phase == Phase.WRITING); // an answer may cross the close
         }
 
-        private boolean withoutRequest() {
-            return phase == Phase.NEW || phase == Phase.READING || phase == Phase.IDLE;
+        /** Of a request that has begun to come the last byte may be here: only an answer ends its connection. */
+        private void end(long now, boolean last) {
+            if (phase == Phase.IDLE || phase == Phase.NEW && now - since > SILENT_FOR) {
+                leave();
+            } else if (last && phase == Phase.LEAVING) {
+                channel.close();
+            } else if (last && phase == Phase.READING && (body == null || !body.streams())) {
+                turnDownBody(new RequestCheck.Refused(HttpResponseStatus.SERVICE_UNAVAILABLE, "it ends"));
+            }
         }
 
         private boolean mayGo(long now) {
@@ -407,16 +455,56 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
+            reading = true;
             if (phase == Phase.LEAVING || gone) {
                 ReferenceCountUtil.release(message);
-            } else if (body == null && (isBusy() || !waiting.isEmpty())) {
-                waiting.add(message);
-                channel.config().setAutoRead(false);
+            } else if (mustWait()) {
+                waiting.add(message); // and reading goes on: else nobody would see that the client leaves
             } else {
                 feed(message);
             }
         }
 
+        /** Whether what comes is not of the request that is being read, but behind it. */
+        private boolean mustWait() {
+            return body == null && (isBusy() || !waiting.isEmpty());
+        }
+
+        /** Whether another request may follow on this connection. */
+        private boolean mayFollow() {
+            return keepAlive && mayKeep() && body == null && !(deaf && waiting.stream()
+                    .noneMatch(m -> m instanceof LastHttpContent || m instanceof RequestCheck.Refused));
+        }
+
+        /**
+         * What comes behind an open request is read, as the end of a client that leaves comes behind it, but no more is
+         * kept than may be of use. Where it is too much, the rest is thrown away, what has come whole is answered, and
+         * the connection ends.
+         */
+        private final class ReadAhead extends ChannelInboundHandlerAdapter {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+                if (mustWait()) {
+                    int more = ((ByteBuf) bytes).readableBytes();
+                    Connection.this.ahead += more;
+                    Frontend.this.ahead += more;
+                    deaf |= Connection.this.ahead > MOST_AHEAD
+                            || Frontend.this.ahead > (long) MOST_AHEAD_IN_ALL * MOST_AHEAD;
+                }
+                if (deaf) {
+                    ReferenceCountUtil.release(bytes);
+                } else {
+                    ctx.fireChannelRead(bytes);
+                }
+            }
+        }
+
+        /** Nothing waits behind a request any more. */
+        private void caughtUp() {
+            Frontend.this.ahead -= ahead;
+            ahead = 0;
+        }
+
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
             if (!whole && phase == Phase.NEW) {
@@ -425,9 +513,22 @@
                 enter(Phase.READING);
             }
             whole = false;
+            reading = false;
+            if (arrived != null) {
+                loop.execute(this::handleArrived); // once a close that came with it has been seen
+            }
             ctx.fireChannelReadComplete();
         }
 
+        /** Guards against requests that are sent on though their client has left: its end came with its request. */
+        private void handleArrived() {
+            RequestBody complete = arrived;
+            arrived = null;
+            if (complete != null && channel.isActive()) {
+                whileOwed(() -> handle(head, complete));
+            }
+        }
+
         /** Takes in what is not to wait: the next request, or more of the one that is being read. */
         private void feed(Object message) {
             if (message instanceof RequestCheck.Refused refused) {
@@ -472,8 +573,15 @@
                 body = null;
                 boolean begun = complete.streams();
                 complete.end();
-                if (!begun) {
-                    take(complete);
+                if (begun) {
+                    read(true);
+                } else {
+                    owed = true;
+                    enter(Phase.OPEN);
+                    arrived = complete;
+                    if (!reading) {
+                        handleArrived();
+                    }
                 }
             }
         }
@@ -491,7 +599,11 @@
                 return false;
             }
             counted++;
-            take(body);
+            RequestBody begins = body;
+            owed = true;
+            enter(Phase.OPEN);
+            whole = true;
+            whileOwed(() -> handle(head, begins));
             return body != null;
         }
 
@@ -513,7 +625,10 @@
             body = null;
             pace = null;
             if (broken == null || !broken.streams()) {
-                take(verdict);
+                owed = true;
+                enter(Phase.OPEN);
+                whole = true;
+                turnDown(verdict.status(), verdict.why());
             } else {
                 Call cut = call;
                 turnDown(verdict.status(), verdict.why());
@@ -529,25 +644,18 @@
             broken.abort();
         }
 
-        /** A client's body is read as fast as an attempt takes it. */
+        /** A client's body is read as fast as an attempt takes it; once it is whole, the client's end is waited for. */
         @Override
         public void read(boolean on) {
             if (pace != null) {
                 pace.reading(on, node.now());
             }
-            channel.config().setAutoRead(on);
+            channel.config().setAutoRead(on || body == null);
         }
 
-        private void take(Object message) {
+        private void whileOwed(Runnable handling) {
             try {
-                owed = true;
-                enter(Phase.OPEN);
-                whole = true;
-                if (message instanceof RequestCheck.Refused refused) {
-                    turnDown(refused.status(), refused.why());
-                } else {
-                    handle(head, (RequestBody) message);
-                }
+                handling.run();
             } catch (RuntimeException e) {
                 crashed(e);
             }
@@ -607,7 +715,7 @@
                 response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfter / 1e6);
             }
             // What is left of a body is not read on.
-            boolean keep = keepAlive && mayKeep() && this.body == null;
+            boolean keep = mayFollow();
             HttpUtil.setKeepAlive(response, keep);
             call = null;
             enter(Phase.WRITING);
@@ -640,7 +748,7 @@
             if (head.contentType() != null) {
                 response.headers().set(HttpHeaderNames.CONTENT_TYPE, head.contentType());
             }
-            keepAlive &= mayKeep() && body == null;
+            keepAlive = mayFollow();
             HttpUtil.setKeepAlive(response, keepAlive);
             enter(Phase.WRITING);
             channel.write(response);
@@ -693,8 +801,9 @@
                 return;
             }
             enter(Phase.IDLE);
+            channel.config().setAutoRead(true); // a long body that no attempt took has left it off
             if (waiting.isEmpty()) {
-                channel.config().setAutoRead(true); // a long body that no attempt took has left it off
+                caughtUp();
             } else {
                 loop.execute(this::takeNext);
             }
@@ -724,6 +833,7 @@
             waiting.forEach(ReferenceCountUtil::release);
             waiting.clear();
             heads.clear();
+            caughtUp();
         }
 
         private void takeNext() {
@@ -731,8 +841,8 @@
                     && (phase == Phase.IDLE || phase == Phase.READING && body != null)) {
                 feed(waiting.poll());
             }
-            if (waiting.isEmpty() && phase != Phase.LEAVING && (body == null || !body.streams())) {
-                channel.config().setAutoRead(true);
+            if (waiting.isEmpty()) {
+                caughtUp();
             }
         }
 
--- a/src/main/java/sedgeyoke/net/Node.java
+++ b/src/main/java/sedgeyoke/net/Node.java
@@ -292,7 +292,8 @@
     }
 
     /** If a timer is overdue or just was, the loop is late, and what it reads may have waited as long to be read. */
-    private long late() {
+    @Override
+    public long late() {
         return Math.max(lateness, now() - timerDue);
     }
 
@@ -482,7 +483,7 @@
         with(request, call -> {
             long now = now();
             long until = timeout > 0 ? Math.min(now + timeout, call.deadline) : call.deadline;
-            Attempt a = new Attempt(call, call.attempts.size(), upstream, now, until);
+            Attempt a = new Attempt(call, call.attempts.size(), upstream, now, until, repeatUntil(call));
             call.attempts.add(a);
             if (call.answered || a.number >= settings.limits().maxAttempts() || until <= now) {
                 ended(a, Balancer.Outcome.MOOT, null);
@@ -495,6 +496,17 @@
         });
     }
 
+    /**
+     * Until when a further attempt may go out: upstreams drop a repeat of a keyed request only as long as they remember
+     * the first one that may have run. The module looks at that when it chooses, but a connection may take its time.
+     */
+    private long repeatUntil(Call call) {
+        Balancer.RequestClass cls = settings.classes().get(call.request.classIndex());
+        return cls.effect() != Balancer.Effect.KEYED ? Long.MAX_VALUE
+                : call.attempts.stream().filter(a -> a.mayHaveRun).mapToLong(a -> a.startedAt + cls.memorySpan())
+                        .min().orElse(Long.MAX_VALUE);
+    }
+
     @Override
     public void refuse(String request, long retryAfter) {
         with(request, call -> {
--- a/src/main/java/sedgeyoke/net/Server.java
+++ b/src/main/java/sedgeyoke/net/Server.java
@@ -141,13 +141,14 @@
     /** Looks again and again what the time is, rather than once at each moment: how late we are counts, too. */
     private void look(Ending ending) {
         long now = node.now();
-        ending.looked(now);
+        boolean late = ending.looked(now) > LOOK_EVERY_MS * 1_000;
         node.answerUntil(ending.lastAnswer(), ending.lastRequest());
-        if (now >= ending.listenUntil() && !frontend.shared()) {
+        // A loop that is late may have more to accept than one pass takes: closed unserved, these would be lost.
+        if (now >= ending.listenUntil() && !frontend.shared() && frontend.backlogEmpty() && !late) {
             frontend.stopListening();
         }
         if (now >= ending.lastRequest()) {
-            frontend.close();
+            frontend.close(now >= ending.lastAnswer());
         }
         if (now >= ending.lastAnswer()) {
             node.endAll();
--- a/src/main/java/sedgeyoke/net/UpstreamPool.java
+++ b/src/main/java/sedgeyoke/net/UpstreamPool.java
@@ -57,10 +57,15 @@
     /** Share of the settings' idle time after which we close: upstreams may close sooner than they say. */
     private static final double IDLE_SHARE = 0.6;
     private static final long CLOSE_STALE_EVERY_MS = 500;
-    /** What comes right behind an answer and does not belong to it must be here before the next request goes out. */
-    private static final long REST = 1_000;
+    /**
+     * What comes behind an answer and does not belong to it must be here before the next request goes out: a second
+     * answer may come some milliseconds late (STANDING, join), and would be taken for the next one's.
+     */
+    private static final long REST = 10_000;
     /** An answer that has begun goes on coming until it is whole; one that stands still for so long is spoilt. */
     private static final long STILL_FOR = 100_000;
+    /** A loop that is so late first reads what has come. */
+    private static final long LATE = 100_000;
     private static final int LEAST_READ = 512;
     private static final int FIRST_READ = 4_096;
 
@@ -101,6 +106,9 @@
         /** The last byte of a long body has gone out. */
         void asked(Attempt attempt);
 
+        /** How late the loop is, in microseconds. */
+        long late();
+
         /** The answer is null where none came that could be read. */
         void ended(Attempt attempt, Outcome outcome, Answer answer);
     }
@@ -226,7 +234,7 @@
     /** Starts an attempt on the connection used last, or on a new one. */
     void start(Attempt attempt) {
         Target t = targets.get(attempt.upstream);
-        if (t == null) {
+        if (t == null || attempt.call.answered) {
             end(attempt, Outcome.MOOT);
             return;
         }
@@ -319,11 +327,17 @@
 
     /** The last look before anything goes out: time may have passed while the connection came up. */
     private void write(Connection c, Attempt attempt) {
+        if (!attempt.readFirst && listener.late() > LATE) {
+            // What came while the loop was held up is read before this runs again: its client may long have left.
+            attempt.readFirst = true;
+            loop.schedule(() -> write(c, attempt), 0, TimeUnit.MICROSECONDS);
+            return;
+        }
         long now = clock.getAsLong();
         boolean drained = c.target.unreadySince != Long.MAX_VALUE
                 && now - c.target.unreadySince > settings.rules().drainGrace() / 2;
         long leftMs = (attempt.until - now) / 1_000;
-        if (attempt.call.answered || drained || leftMs <= 0) {
+        if (attempt.ended || attempt.call.answered || drained || leftMs <= 0 || now >= attempt.repeatUntil) {
             release(c);
             end(attempt, Outcome.MOOT);
             return;
@@ -342,10 +356,13 @@
         if (body.length > 0 || call.method.equals(HttpMethod.POST)) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
         }
-        c.channel.writeAndFlush(request).addListener(sent -> {
+        c.sent = c.channel.writeAndFlush(request);
+        c.sent.addListener(sent -> {
             // Success means that the kernel has it all; a failure proves that the last byte never went out.
             if (sent.isSuccess()) {
-                listener.written(attempt);
+                if (!attempt.written) {
+                    listener.written(attempt);
+                }
             } else {
                 c.channel.close();
                 c.fail(Outcome.CONNECT_FAILED);
@@ -363,21 +380,26 @@
         } else {
             head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
+        c.sent = null; // its last byte is the upload's
         c.upload = c.new Upload(attempt);
         c.channel.write(head);
         listener.taken(attempt);
         call.body.streamTo(c.upload);
     }
 
-    /** Stops waiting; what is out is closed, what was not yet sent stays unsent. */
+    /**
+     * Stops waiting; what is out is closed, what was not yet sent stays unsent. Closed before the end is told: the
+     * module may answer that with another attempt, and where two copies may not be out at once, the upstreams would
+     * see two on open connections.
+     */
     void stop(Attempt attempt, Outcome outcome) {
         Connection c = attempt.connection;
-        end(attempt, outcome);
         if (c != null && c.current == attempt) {
             c.current = null;
             c.cutAnswer();
             c.channel.close();
         }
+        end(attempt, outcome);
     }
 
     private void end(Attempt attempt, Outcome outcome) {
@@ -404,6 +426,8 @@
                 bodies.part());
         private Channel channel;
         private Attempt current;
+        /** Done once the kernel has all of the request that is on the connection, told or not yet told. */
+        private ChannelFuture sent;
         private Answer answer;
         private Attempt begun;
         private long readAt;
@@ -638,14 +662,25 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             target.idle.remove(this);
-            fail(current != null && !current.written ? Outcome.CONNECT_FAILED : Outcome.RESET);
+            fail(broken());
+        }
+
+        /**
+         * What a break means for the attempt. Guards against one that is taken for never run though all of it is out:
+         * that the write is done may be told later than that the connection broke.
+         */
+        private Outcome broken() {
+            if (current != null && !current.written && sent != null && sent.isSuccess()) {
+                listener.written(current);
+            }
+            return current != null && !current.written ? Outcome.CONNECT_FAILED : Outcome.RESET;
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (cause instanceof IOException) {
                 // Before the close: an answer that goes on until its connection ends would be taken for whole.
-                fail(current != null && !current.written ? Outcome.CONNECT_FAILED : Outcome.RESET);
+                fail(broken());
                 ctx.close();
             } else {
                 spoilt(cause);
--- /dev/null
+++ b/src/test/java/sedgeyoke/net/LeavingClientsTest.java
@@ -0,0 +1,239 @@
+package sedgeyoke.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import sedgeyoke.decide.Balancer.Outcome;
+
+/**
+ * Clients that leave while their requests wait, in each place where one may wait: whatever the module decides after
+ * that, nothing of it reaches an upstream. Where the crossing lies is held by the test: the module sends only once it
+ * knows that the clients have gone, or the loop stands still while they go.
+ */
+class LeavingClientsTest {
+    private static final int CLIENTS = 210;
+    private static final int FAR_TOO_MUCH = 300_000;
+    private ScriptedModule module;
+
+    /** How a client leaves. */
+    private enum Leaving {
+        FIN, RST,
+        /** It ends its sending side only: the end of one that has gone looks the same, and is taken for it. */ HALF,
+        /** Behind its request it has sent another one, a part of one, and more than anybody keeps. */
+        FIN_BEHIND_ANOTHER, RST_BEHIND_ANOTHER, FIN_BEHIND_A_PART, FIN_BEHIND_TOO_MUCH, RST_BEHIND_TOO_MUCH;
+
+        private void leave(Socket socket, String id) throws IOException {
+            String next = Loopback.request(id + "-next", "order", 20_000);
+            if (name().endsWith("ANOTHER")) {
+                Peer.write(socket, next);
+            } else if (name().endsWith("PART")) {
+                Peer.write(socket, next.substring(0, next.length() - 1));
+            } else if (name().endsWith("MUCH")) {
+                Peer.write(socket, next.repeat(FAR_TOO_MUCH / next.length()));
+            }
+            if (name().startsWith("RST")) {
+                socket.setSoLinger(true, 0);
+            }
+            if (this == HALF) {
+                socket.shutdownOutput();
+            } else {
+                socket.close();
+            }
+        }
+    }
+
+    private Loopback start(Peer up) throws Exception {
+        return start(Loopback.setup().upstream("u", up.address()));
+    }
+
+    private Loopback start(Loopback.Setup setup) throws Exception {
+        return setup.module(actions -> {
+            module = new ScriptedModule(actions);
+            return module;
+        }).start();
+    }
+
+    private List<Socket> clients(Loopback lb, Leaving how) throws IOException {
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            Socket socket = lb.connect();
+            Peer.write(socket, Loopback.request(how + "-" + i, "order", 20_000));
+            sockets.add(socket);
+        }
+        return sockets;
+    }
+
+    private static Set<String> ids(Leaving how) {
+        return IntStream.range(0, CLIENTS).mapToObj(i -> how + "-" + i).collect(Collectors.toSet());
+    }
+
+    private static void leave(List<Socket> sockets, Leaving how) throws IOException {
+        for (int i = 0; i < sockets.size(); i++) {
+            how.leave(sockets.get(i), how + "-" + i);
+        }
+    }
+
+    /** A request that is served comes to the upstream behind all that was to come to it before. */
+    private void assertOnlyTheLastIsSent(Loopback lb, Peer up) throws Exception {
+        module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
+        assertEquals(200, lb.ask("last", "order", 20_000).status());
+        assertEquals(1, up.requests.size(), "what came to the upstream, the last one among it");
+        Loopback.await("nothing is left of them", () -> lb.loop.submit(() -> lb.node.idle()).syncUninterruptibly()
+                .getNow());
+        assertTrue(module.ends.stream().allMatch(e -> e.outcome().neverRan || e.request().equals("last")));
+    }
+
+    @ParameterizedTest
+    @EnumSource(Leaving.class)
+    void whileTheModuleHoldsTheirs(Leaving how) throws Exception {
+        try (Peer up = Peer.serving("x"); Loopback lb = start(up)) {
+            Set<String> held = java.util.concurrent.ConcurrentHashMap.newKeySet();
+            module.onRequest = (m, r) -> held.add(r.id());
+            List<Socket> sockets = clients(lb, how);
+            Loopback.await("all are held", () -> held.equals(ids(how)));
+            leave(sockets, how);
+            Loopback.await("all have gone", () -> new HashSet<>(module.gone).equals(ids(how)));
+            lb.loop.submit(() -> held.forEach(id -> module.actions.send(id, "u", 0))).sync();
+            assertOnlyTheLastIsSent(lb, up);
+            if (how == Leaving.HALF) {
+                assertNull(Loopback.answer(sockets.get(0)), "it is told that nothing comes");
+            }
+        }
+    }
+
+    /** The first attempt of each is turned away unseen, and the module waits before it tries again. */
+    @ParameterizedTest
+    @EnumSource(value = Leaving.class, names = {"FIN", "RST", "FIN_BEHIND_ANOTHER"})
+    void whileARepeatWaits(Leaving how) throws Exception {
+        try (Peer full = new Peer((request, socket) -> Peer.reply(socket, 503, "", "X-Rejected: 1"));
+                Peer up = Peer.serving("x"); Loopback lb = start(Loopback.setup().upstream("full", full.address())
+                        .upstream("u", up.address()))) {
+            module.onRequest = (m, r) -> m.actions.send(r.id(), "full", 0);
+            List<Socket> sockets = clients(lb, how);
+            Loopback.await("all were turned away", () -> module.ends.size() == CLIENTS);
+            leave(sockets, how);
+            Loopback.await("all have gone", () -> new HashSet<>(module.gone).equals(ids(how)));
+            lb.loop.submit(() -> ids(how).forEach(id -> module.actions.send(id, "u", 0))).sync();
+            assertOnlyTheLastIsSent(lb, up);
+        }
+    }
+
+    /** The loop has begun to connect and stands still until the clients have gone and the connections are up. */
+    @ParameterizedTest
+    @EnumSource(value = Leaving.class, names = {"FIN", "RST", "FIN_BEHIND_ANOTHER"})
+    void whileTheirConnectionsComeUp(Leaving how) throws Exception {
+        try (Peer up = Peer.serving("x"); Loopback lb = start(up)) {
+            Set<String> held = java.util.concurrent.ConcurrentHashMap.newKeySet();
+            module.onRequest = (m, r) -> held.add(r.id());
+            List<Socket> sockets = clients(lb, how);
+            Loopback.await("all are held", () -> held.equals(ids(how)));
+            standStill(lb, () -> held.forEach(id -> module.actions.send(id, "u", 0)), () -> leave(sockets, how),
+                    LeavingClientsTest::late);
+            Loopback.await("all have gone", () -> new HashSet<>(module.gone).equals(ids(how)));
+            assertOnlyTheLastIsSent(lb, up);
+        }
+    }
+
+    /** What the loop reads first when it goes on are requests whose clients' ends lie right behind them. */
+    @ParameterizedTest
+    @EnumSource(value = Leaving.class, names = {"FIN", "RST", "FIN_BEHIND_ANOTHER", "FIN_BEHIND_A_PART"})
+    void inTheSameReadAsTheirRequest(Leaving how) throws Exception {
+        try (Peer up = Peer.serving("x"); Loopback lb = start(up)) {
+            module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
+            standStill(lb, () -> { }, () -> leave(clients(lb, how), how), () -> { });
+            Loopback.await("none is left", () -> lb.server.clients() == 0);
+            assertOnlyTheLastIsSent(lb, up);
+        }
+    }
+
+    /** A timer is due when the loop goes on, and the module sends before anything that came meanwhile is read. */
+    @ParameterizedTest
+    @EnumSource(value = Leaving.class, names = {"FIN", "RST", "FIN_BEHIND_ANOTHER"})
+    void whileTheLoopIsHeldUp(Leaving how) throws Exception {
+        try (Peer up = Peer.serving("x"); Loopback lb = start(up)) {
+            Set<String> held = java.util.concurrent.ConcurrentHashMap.newKeySet();
+            module.onRequest = (m, r) -> held.add(r.id());
+            List<Socket> sockets = clients(lb, how);
+            Loopback.await("all are held", () -> held.equals(ids(how)));
+            standStill(lb, () -> { }, () -> leave(sockets, how), () -> {
+                late();
+                held.forEach(id -> module.actions.send(id, "u", 0));
+            });
+            Loopback.await("all have gone", () -> new HashSet<>(module.gone).equals(ids(how)));
+            assertOnlyTheLastIsSent(lb, up);
+        }
+    }
+
+    /** Behind too much, what came whole before it is answered, and then the connection ends in order. */
+    @Test
+    void whoStaysAndSendsFarTooMuchIsAnsweredAndEnded() throws Exception {
+        try (Peer up = Peer.serving("x"); Loopback lb = start(up)) {
+            Set<String> held = java.util.concurrent.ConcurrentHashMap.newKeySet();
+            module.onRequest = (m, r) -> held.add(r.id());
+            Socket socket = lb.connect();
+            Peer.write(socket, Loopback.request("first", "order", 20_000));
+            Peer.write(socket, Loopback.request("second", "order", 20_000));
+            Loopback.await("held", () -> held.contains("first"));
+            byte[] noise = new byte[FAR_TOO_MUCH];
+            Peer.write(socket, Loopback.request("third", "order", 20_000).replace("Content-Length: 4", "Content-Length: "
+                    + 65_536));
+            socket.getOutputStream().write(noise);
+            module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
+            lb.loop.submit(() -> module.actions.send("first", "u", 0)).sync();
+            java.io.InputStream in = new java.io.BufferedInputStream(socket.getInputStream());
+            assertEquals(200, Peer.read(in).status());
+            assertEquals(200, Peer.read(in).status());
+            Peer.Message last = null;
+            for (Peer.Message m = Peer.read(in); m != null; m = Peer.read(in)) {
+                last = m; // the third, if it came whole before it was too much
+            }
+            assertTrue(last == null || "close".equals(last.headers().get("connection")));
+            assertTrue(module.ends.stream().allMatch(e -> e.outcome() == Outcome.OK));
+        }
+    }
+
+    /** The loop stands for as long as a request may go on waiting once its client has left. */
+    private static void late() {
+        for (long began = System.nanoTime(); System.nanoTime() - began < 300_000_000;) {
+            LockSupport.parkNanos(1_000_000);
+        }
+    }
+
+    private interface Step {
+        void run() throws Exception;
+    }
+
+    /** On the loop: {@code before}, then nothing until {@code meanwhile} is done elsewhere, then {@code after}. */
+    private static void standStill(Loopback lb, Runnable before, Step meanwhile, Runnable after) throws Exception {
+        CountDownLatch stands = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        io.netty.util.concurrent.Future<?> task = lb.loop.submit(() -> {
+            before.run();
+            stands.countDown();
+            go.await();
+            after.run();
+            return null;
+        });
+        stands.await();
+        try {
+            meanwhile.run();
+        } finally {
+            go.countDown();
+        }
+        task.sync();
+    }
+}
