SIGTERM and SIGHUP are listened to before the first client may come

Cause (read, serve.Main): the shutdown hook was added after the listener stood, the operators' door and the features were open: a SIGTERM in between ended the JVM at once with what was taken unanswered. SIGHUP had a handler only after the configuration was read and the server made; before that it is a JVM's end, and a changed configuration read in between was missed. Change: the hook is added before the listener is bound; the handler of SIGHUP comes first, and a signal that came before there was a server is made good once there is one. No test forces the windows of some ms themselves.

--- a/src/main/java/sedgeyoke/serve/Main.java
+++ b/src/main/java/sedgeyoke/serve/Main.java
@@ -19,6 +19,11 @@
     /** No reading of files holds up a signal for longer, in microseconds; else a broken disk would end us too early. */
     private static final long LONGEST_HELD_UP = 500_000;
 
+    /** Who takes a SIGHUP; null until there is anyone. */
+    private static Main running;
+    /** Whether one came before: what was read then may be older than what it speaks of. */
+    private static boolean hungUp;
+
     private final String configPath;
     private final Server server;
     private final Features features;
@@ -40,6 +45,7 @@
         } else if (args.length > 0) {
             fail(USAGE);
         }
+        Hangup.run(Main::hangup); // first: without it SIGHUP is our end
         String path = System.getenv("BALANCER_CONFIG");
         Config config = null;
         Features features = null;
@@ -60,8 +66,10 @@
             fail("settings: " + e.getMessage());
         }
         Main main = new Main(path, server, features);
-        Hangup.run(main::reload);
+        start(main);
         WarmUp.run(config, WarmUp.requests(config), WarmUp.LONGEST_S);
+        // Before the first client may come: a signal that found no hook would end us with what is taken unanswered.
+        Runtime.getRuntime().addShutdownHook(new Thread(main::end));
         ChannelFuture bound = server.bind().await();
         if (!bound.isSuccess()) {
             fail("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
@@ -77,10 +85,31 @@
         } catch (Features.Bad e) {
             fail(e.getMessage());
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(main::end));
         System.err.println(config.name() + " listens on " + bound.channel().localAddress());
     }
 
+    private static void start(Main main) {
+        boolean again;
+        synchronized (Main.class) {
+            running = main;
+            again = hungUp;
+        }
+        if (again) {
+            main.reload();
+        }
+    }
+
+    private static void hangup() {
+        Main main;
+        synchronized (Main.class) {
+            main = running;
+            hungUp |= main == null;
+        }
+        if (main != null) {
+            main.reload();
+        }
+    }
+
     /** The clients' listener where the platform holds it, as descriptor 0; null where we are to bind our own. */
     private static ServerSocketChannel inherited() {
         String named = System.getenv("BALANCER_ACCEPT_FD");
