--- a/src/main/java/sedgeyoke/net/Frontend.java
+++ b/src/main/java/sedgeyoke/net/Frontend.java
@@ -356,11 +356,12 @@
         /** From the arrival of a request until its answer: guards against a second one. */
         private boolean owed;
         private boolean keepAlive;
-        /** Bytes that have come behind the open request, and whether they were too many: then no more is listened to. */
+        /** Bytes that have come behind the open request, and whether they were too many: then the rest is unheard. */
         private int ahead;
         private boolean deaf;
-        /** A request whose last byte has just come, until all is read that came with it; whether that goes on. */
+        /** A request whose last byte has just come, until all is read that came with it. */
         private RequestBody arrived;
+        /** Whether a read is going on. */
         private boolean reading;
         /** Whether the read that is going on has brought a request. */
         private boolean whole;
--- a/src/test/java/sedgeyoke/net/CrossingsTest.java
+++ b/src/test/java/sedgeyoke/net/CrossingsTest.java
@@ -181,7 +181,7 @@
         }
     }
 
-    /** The loop stands still over the last moment for requests, and they come meanwhile on connections that are kept. */
+    /** The loop stands still over the last moment for requests; they come meanwhile on connections that are kept. */
     @Test
     void requestsThatComeJustAsConnectionsAreClosedAreAnswered() throws Exception {
         try (Loopback lb = start(ending())) {
@@ -307,7 +307,8 @@
             if (request.line().contains("from=")) {
                 return; // nothing new, and no word of it
             }
-            Peer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list.substring(0, 9));
+            Peer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n"
+                    + list.substring(0, 9));
             standUntil(System.nanoTime() + 900 * MS);
             Peer.write(socket, list.substring(9));
         });
--- a/src/test/java/sedgeyoke/net/LeavingClientsTest.java
+++ b/src/test/java/sedgeyoke/net/LeavingClientsTest.java
@@ -189,8 +189,8 @@
             Peer.write(socket, Loopback.request("second", "order", 20_000));
             Loopback.await("held", () -> held.contains("first"));
             byte[] noise = new byte[FAR_TOO_MUCH];
-            Peer.write(socket, Loopback.request("third", "order", 20_000).replace("Content-Length: 4", "Content-Length: "
-                    + 65_536));
+            Peer.write(socket, Loopback.request("third", "order", 20_000).replace("Content-Length: 4",
+                    "Content-Length: 65536"));
             socket.getOutputStream().write(noise);
             module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
             lb.loop.submit(() -> module.actions.send("first", "u", 0)).sync();
