Stored files of this program as test data, and tests that read and rewrite them

Need: names and packages are about to change, and what runs in the field has stored folders, cordon files and runs that must stay readable. No test read a file that another build had written.

The tests assert on their content, start a replica and a balancer from them, and write the same content again to the same bytes.

The name of the cordon file has the program's name in it, and so has its first line; both are now held by a test. Leases are not stored.

The whole suite was not run.

--- /dev/null
+++ b/src/test/java/sedgeyoke/link/StoredFolderTest.java
@@ -0,0 +1,254 @@
+package sedgeyoke.link;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.URISyntaxException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import java.util.zip.ZipEntry;
+import java.util.zip.ZipInputStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import sedgeyoke.agree.Command;
+import sedgeyoke.agree.Document;
+import sedgeyoke.agree.Entry;
+import sedgeyoke.agree.Keeper;
+import sedgeyoke.agree.Member;
+import sedgeyoke.agree.Members;
+import sedgeyoke.agree.Outcome;
+import sedgeyoke.agree.Rules;
+import sedgeyoke.agree.Schema;
+import sedgeyoke.agree.Slot;
+import sedgeyoke.agree.SnapshotState;
+import sedgeyoke.agree.Timing;
+import sedgeyoke.agree.Version;
+import sedgeyoke.lease.Drift;
+import sedgeyoke.store.FileDisk;
+
+/**
+ * Folders that an earlier program wrote: {@code keeper}, made by the calls of {@link StoredFolderScript}, and
+ * {@code process-k0.zip}, of one of three processes. They stay readable, and what is written now has the same bytes.
+ */
+class StoredFolderTest {
+    private static final Timing TIMING = Timing.usual(2_000_000, new Drift(200));
+    private static final long PROCESS_FOLDER = -845_745_965_871_894_833L;
+
+    @TempDir
+    private Path folder;
+
+    private static Path stored(String name) throws URISyntaxException {
+        return Path.of(StoredFolderTest.class.getResource("/stored/" + name).toURI());
+    }
+
+    private static Map<String, byte[]> files(Path of) throws IOException {
+        Map<String, byte[]> files = new TreeMap<>();
+        try (Stream<Path> paths = Files.list(of)) {
+            for (Path path : paths.filter(p -> !p.endsWith("lock")).toList()) {
+                files.put(path.getFileName().toString(), Files.readAllBytes(path));
+            }
+        }
+        return files;
+    }
+
+    private Path copy(String name) throws IOException, URISyntaxException {
+        Path copy = Files.createDirectories(folder.resolve(name));
+        for (Map.Entry<String, byte[]> file : files(stored(name)).entrySet()) {
+            Files.write(copy.resolve(file.getKey()), file.getValue());
+        }
+        return copy;
+    }
+
+    // ---- The folder of the script --------------------------------------------------------------------
+
+    private KeeperFolder openScripted(FileDisk disk) throws Exception {
+        return KeeperFolder.open(new StoredFolderScript.KnownDisk(disk), StoredFolderScript.OWNER,
+                StoredFolderScript.SEGMENT_BYTES);
+    }
+
+    @Test
+    void theStoredFolderHasAFileOfEachKindAndMoreThanOneSegment() throws Exception {
+        assertEquals(List.of("log-0000000000000001", "log-0000000000000002", "log-0000000000000003",
+                "log-0000000000000004", "mark-0000000000000001", "mark-0000000000000002", "mark-0000000000000003",
+                "mark-0000000000000004", "slot-a", "slot-b", "snap-0000000000000008", "snap-000000000000000e"),
+                List.copyOf(files(stored("keeper")).keySet()));
+    }
+
+    @Test
+    void theSlotIsRead() throws Exception {
+        try (FileDisk disk = FileDisk.take(copy("keeper"))) {
+            KeeperFolder read = openScripted(disk);
+            assertEquals("orders", read.tier());
+            assertEquals("k0", read.keeper());
+            assertEquals(0x6b30_c0ff_ee01L, read.folder());
+            assertEquals(new Slot(3, "k1", List.of(103L, 102L, 101L), Map.of("k1", new Slot.Known(11, 201), "k2",
+                    new Slot.Known(12, 301)), true), read.recovered().slot());
+            assertEquals(Members.of(List.of(new Member("k0", 0, "127.0.0.1:7100"),
+                    new Member("k1", 0, "127.0.0.1:7101"), new Member("k2", 0, "127.0.0.1:7102"))), read.founders());
+        }
+    }
+
+    @Test
+    void nothingIsJudgedDamaged() throws Exception {
+        try (FileDisk disk = FileDisk.take(copy("keeper"))) {
+            KeeperFolder read = openScripted(disk);
+            assertEquals(List.of(), read.damage());
+            assertFalse(read.recovered().lost());
+            assertNull(read.recovered().doubt());
+            assertEquals(new KeeperFolder.Report("orders", "k0", 0x6b30_c0ff_ee01L, 3, 20, 14, List.of()),
+                    KeeperFolder.check(disk));
+        }
+    }
+
+    @Test
+    void theSnapshotIsRead() throws Exception {
+        try (FileDisk disk = FileDisk.take(copy("keeper"))) {
+            SnapshotState snapshot = openScripted(disk).recovered().snapshot();
+            assertEquals(14, snapshot.covered());
+            assertEquals(1, snapshot.term());
+            assertEquals(StoredFolderScript.THREE, snapshot.state().members());
+            assertEquals(6, snapshot.state().active().number());
+            assertNull(snapshot.state().pending());
+            assertEquals(List.of(0L, 1L, 2L, 3L, 4L, 5L), snapshot.state().history().stream().map(Version::number)
+                    .toList());
+            assertEquals(new Outcome(Outcome.Kind.DONE, 3, ""), snapshot.state().requests().get("request-3"));
+            assertEquals(new Outcome(Outcome.Kind.CONFLICT, 6, "made from version 2, the newest is 6"),
+                    snapshot.state().requests().get("request-late"));
+        }
+    }
+
+    @Test
+    void aFieldOfEachKindIsReadFromTheSnapshot() throws Exception {
+        try (FileDisk disk = FileDisk.take(copy("keeper"))) {
+            Version active = openScripted(disk).recovered().snapshot().state().active();
+            assertEquals("operator-1", active.author());
+            assertEquals("change 6", active.reason());
+            assertEquals(1_700_000_000_006L, active.atMs());
+            assertEquals(5, active.parent());
+            Document content = active.content();
+            assertEquals(Map.of("balancers", 12.0, "retries", 0.25, "cold_share", 0.5), content.numbers());
+            assertEquals(Map.of("tenant_shares", Map.of("shop", 0.5, "reports", 0.125)), content.tables());
+            assertEquals(Map.of("upstreams_out", Map.of("n-17", "disk", "n-4", "Übergang 4→5"), "zones_out",
+                    Map.of("z-b", ""), "repeat_groups", Map.of("carts", "keyed")), content.names());
+        }
+    }
+
+    @Test
+    void theEntriesBehindTheSnapshotAreRead() throws Exception {
+        try (FileDisk disk = FileDisk.take(copy("keeper"))) {
+            List<Entry> entries = openScripted(disk).recovered().entries();
+            assertEquals(List.of(15L, 16L, 17L, 18L, 19L, 20L), entries.stream().map(Entry::index).toList());
+            assertEquals(List.of(2L, 2L, 3L, 3L, 3L, 3L), entries.stream().map(Entry::term).toList());
+            assertEquals(new Command.Nothing(), entries.get(0).command());
+            assertEquals(new Command.Change(StoredFolderScript.JOINING), entries.get(1).command());
+            assertEquals(new Command.Nothing(), entries.get(2).command());
+            Command.Write write = (Command.Write) entries.get(3).command();
+            assertEquals("request-7", write.request());
+            assertEquals(6, write.parent());
+            assertEquals(0.75, write.content().number(Schema.COLD_SHARE));
+            assertEquals(Map.of("n-4", "Übergang 4→5"), write.content().names(Schema.UPSTREAMS_OUT));
+            assertEquals(new Command.Activate(7), entries.get(4).command());
+            assertEquals("request-8", ((Command.Write) entries.get(5).command()).request());
+        }
+    }
+
+    @Test
+    void aReplicaStartsFromIt() throws Exception {
+        try (FileDisk disk = FileDisk.take(copy("keeper"))) {
+            KeeperFolder read = openScripted(disk);
+            Keeper started = new Keeper(new Keeper.Self("k0", read.folder(), 104), new Rules(TIMING), read.recovered(),
+                    read.founders(), new AgreeCodec(), new SplittableRandom(1), 0);
+            assertEquals(3, started.term());
+            assertEquals(20, started.last());
+            assertEquals(14, started.commit());
+            assertEquals(6, started.active().number());
+            assertEquals(6, started.history().size());
+            assertEquals(StoredFolderScript.JOINING, started.members());
+            assertEquals(new Member("k3", 13, "127.0.0.1:7103"), started.members().learner());
+        }
+    }
+
+    /** The numbers of its files are not those of the stored ones. */
+    @Test
+    void aCopyOfAFolderIsStillToldFromTheFolder() throws Exception {
+        try (FileDisk disk = FileDisk.take(copy("keeper"))) {
+            String doubt = KeeperFolder.open(disk, StoredFolderScript.OWNER).recovered().doubt();
+            assertTrue(doubt.startsWith("the folder is a copy"), doubt);
+        }
+    }
+
+    @Test
+    void theSameCallsWriteTheSameBytes() throws Exception {
+        Path written = folder.resolve("written");
+        StoredFolderScript.write(written);
+        Map<String, byte[]> expected = files(stored("keeper"));
+        Map<String, byte[]> found = files(written);
+        assertEquals(expected.keySet(), found.keySet());
+        expected.forEach((name, bytes) -> assertArrayEquals(bytes, found.get(name), name));
+    }
+
+    // ---- The folder of a process ---------------------------------------------------------------------
+
+    private Path unzip() throws IOException, URISyntaxException {
+        Path to = Files.createDirectories(folder.resolve("process"));
+        try (ZipInputStream zip = new ZipInputStream(Files.newInputStream(stored("process-k0.zip")))) {
+            for (ZipEntry entry = zip.getNextEntry(); entry != null; entry = zip.getNextEntry()) {
+                Files.write(to.resolve(entry.getName()), zip.readAllBytes());
+            }
+        }
+        return to;
+    }
+
+    @Test
+    void theFolderOfAProcessIsRead() throws Exception {
+        try (FileDisk disk = FileDisk.take(unzip())) {
+            assertEquals(new KeeperFolder.Report("drill", "k0", PROCESS_FOLDER, 2, 11, 0, List.of()),
+                    KeeperFolder.check(disk));
+            KeeperFolder read = KeeperFolder.open(disk, new KeeperFolder.Owner("drill", "k0", "", false));
+            assertFalse(read.recovered().lost());
+            Slot slot = read.recovered().slot();
+            assertEquals(2, slot.term());
+            assertEquals("", slot.vote());
+            assertEquals(2, slot.runs().size(), "it was started twice");
+            assertEquals(Set.of("k1", "k2"), slot.known().keySet());
+            assertEquals(3_065_505_099_982_323_699L, slot.known().get("k1").folder());
+            assertEquals(-49_336_320_848_735_039L, slot.known().get("k2").folder());
+            assertTrue(slot.sound());
+            assertEquals(Set.of("k0", "k1", "k2"), read.founders().voters().keySet());
+        }
+    }
+
+    @Test
+    void theEntriesOfAProcessAreRead() throws Exception {
+        try (FileDisk disk = FileDisk.take(unzip())) {
+            List<Entry> entries = KeeperFolder.open(disk, new KeeperFolder.Owner("drill", "k0", "", false)).recovered()
+                    .entries();
+            assertEquals(11, entries.size());
+            assertEquals(2, entries.get(entries.size() - 1).term());
+            List<Member> voters = entries.stream().filter(e -> e.command() instanceof Command.Change)
+                    .flatMap(e -> ((Command.Change) e.command()).members().voters().values().stream()).toList();
+            assertEquals(List.of(new Member("k0", PROCESS_FOLDER, "127.0.0.1:19948"),
+                    new Member("k1", 3_065_505_099_982_323_699L, "127.0.0.1:19949"),
+                    new Member("k2", -49_336_320_848_735_039L, "127.0.0.1:19950")), voters);
+            List<Command.Write> writes = entries.stream().filter(e -> e.command() instanceof Command.Write)
+                    .map(e -> (Command.Write) e.command()).toList();
+            assertEquals(List.of("request-1", "request-2", "request-3", "request-4"), writes.stream()
+                    .map(Command.Write::request).toList());
+            assertEquals(List.of(1L, 2L, 3L, 4L), entries.stream().filter(e -> e.command() instanceof Command.Activate)
+                    .map(e -> ((Command.Activate) e.command()).version()).toList());
+            assertEquals(new Document(Map.of("retries", 0.5), Map.of("tenant_shares", Map.of("shop", 0.5)),
+                    Map.of("upstreams_out", Map.of("n-4", "disk", "n-17", ""))), writes.get(3).content());
+            assertEquals(1_796_190_120_069L, writes.get(3).atMs());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/sedgeyoke/net/StoredCordonsTest.java
@@ -0,0 +1,59 @@
+package sedgeyoke.net;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A file of cordoned upstreams that an earlier program wrote: it is found, read, and written alike. */
+class StoredCordonsTest {
+    private static final String NAME = "sedgeyoke-cordons-n0";
+    private static final Map<String, Long> IDS = Map.of("u0", 1_700_000_000_001L, "node 4", 1_700_000_000_002L, "u1",
+            1_700_000_000_003L, "Übergang-4", 0L);
+
+    @TempDir
+    private Path folder;
+    private Path stored;
+    private Path copy;
+
+    @BeforeEach
+    void copyStoredFile() throws Exception {
+        stored = Path.of(StoredCordonsTest.class.getResource("/stored/cordons/" + NAME).toURI());
+        copy = Files.copy(stored, folder.resolve(NAME));
+    }
+
+    @Test
+    void idsAndTimesAreRead() throws Exception {
+        Cordons cordons = new Cordons(copy);
+        assertTrue(cordons.refresh());
+        assertEquals(IDS, cordons.out());
+    }
+
+    @Test
+    void theSameIdsAreWrittenAsTheSameBytes() throws Exception {
+        Path written = folder.resolve("written");
+        Cordons cordons = new Cordons(written);
+        for (Map.Entry<String, Long> id : IDS.entrySet()) {
+            assertTrue(cordons.set(id.getKey(), true, id.getValue()));
+        }
+        assertArrayEquals(Files.readAllBytes(stored), Files.readAllBytes(written));
+    }
+
+    /** The name of the file is stored, too: a balancer that looks for another one sends to what is out. */
+    @Test
+    void aBalancerFindsTheFileInItsFolder() throws Exception {
+        try (Peer first = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
+                Peer second = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
+                Peer third = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
+                Loopback balancer = Loopback.setup().door(folder).upstream("u0", first.address())
+                        .upstream("u1", second.address()).upstream("u2", third.address()).start()) {
+            assertEquals(2, balancer.figure("upstreams_excluded"));
+        }
+    }
+}
