Decision module: moving average, rates, token bucket and draws become classes of their own

Change: arithmetic that knows nothing of upstreams, requests or settings (MovingAverage, RateEstimator, TokenBucket, RendezvousHash, WeightedDraw) moves out of Policy.

--- /dev/null
+++ b/src/main/java/sedgeyoke/decide/MovingAverage.java
@@ -0,0 +1,11 @@
+package sedgeyoke.decide;
+
+/** An exponentially weighted moving average whose value 0 stands for no sample yet. */
+final class MovingAverage {
+    private MovingAverage() {}
+
+    /** The average after one more sample, which counts with this weight; the first sample counts in full. */
+    static double next(double average, double sample, double weight) {
+        return average == 0 ? sample : average + weight * (sample - average);
+    }
+}
--- a/src/main/java/sedgeyoke/decide/Policy.java
+++ b/src/main/java/sedgeyoke/decide/Policy.java
@@ -1,17 +1,18 @@
 package sedgeyoke.decide; // the interface of this module is in Balancer.java
 
+import static java.util.Comparator.comparingLong;
+
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 
 /**
  * The decisions. Each period every upstream is reweighted by how far its reported utilisation lies below or
@@ -126,33 +127,29 @@
     private Map<String, Long> cordoned = Map.of();
     private final Map<String, Req> open = new HashMap<>();
     private final PriorityQueue<Req> byDeadline = new PriorityQueue<>(
-            Comparator.<Req>comparingLong(r -> r.deadline).thenComparingLong(r -> r.number));
+            comparingLong((Req r) -> r.deadline).thenComparingLong(r -> r.number));
     private final TreeSet<Req> held = new TreeSet<>(
             Comparator.<Req>comparingDouble(r -> -r.value).thenComparingLong(r -> -r.number));
     private final double[] classTook;
     private final double[] refusedAfter;
-    private final double[] tenantTokens;
-    private final long[] tenantAt;
+    private final List<TokenBucket> tenantTokens;
     private long requestNumber;
     private long nextReweight;
     private long nextProbe;
-    private double requestRate;
-    private long periods;
     private double meanCrowd;
     /** Service time as reported by all upstreams, and by those of each kind. */
     private double meanService;
     private final Map<Integer, Double> kindService = new HashMap<>();
     private double admitted = 1;
     private double retryTokens = MOST_RETRIES;
-    private long requestsSince;
     private long lists;
     private double typicalTook;
     private double meanCost;
     private double ratings;
     private final Planned planned = new Planned();
     private boolean wasPlanned;
-    private final long[] classSince;
-    private final double[] classRate;
+    private final RateEstimator requestRate = new RateEstimator();
+    private final List<RateEstimator> classRates;
     private long askAgainAt = Long.MAX_VALUE;
     private long askPause;
 
@@ -163,15 +160,14 @@
         this.out = out;
         this.random = new SplittableRandom(seed);
         this.margin = SWEEP + MARGIN_TICKS * Math.max(settings.tick(), 1_000);
-        this.waitTarget = (long) (WAIT_SHARE
-                * settings.classes().stream().mapToLong(RequestClass::aim).min().orElse(Long.MAX_VALUE));
-        this.longestWait = settings.classes().stream().mapToLong(RequestClass::giveUp).max().orElse(0);
-        this.tenantTokens = new double[settings.tenants().size()];
-        this.tenantAt = new long[settings.tenants().size()];
-        this.refusedAfter = new double[settings.classes().size()];
-        this.classTook = new double[settings.classes().size()];
-        this.classSince = new long[settings.classes().size()];
-        this.classRate = new double[settings.classes().size()];
+        List<RequestClass> classes = settings.classes();
+        long shortestAim = classes.stream().mapToLong(RequestClass::aim).min().orElse(Long.MAX_VALUE);
+        this.waitTarget = (long) (WAIT_SHARE * shortestAim);
+        this.longestWait = classes.stream().mapToLong(RequestClass::giveUp).max().orElse(0);
+        this.tenantTokens = settings.tenants().stream().map(tenant -> new TokenBucket()).toList();
+        this.refusedAfter = new double[classes.size()];
+        this.classTook = new double[classes.size()];
+        this.classRates = classes.stream().map(each -> new RateEstimator()).toList();
     }
 
     /** What is known of one upstream. */
@@ -300,9 +296,7 @@
         }
         askPause = 0;
         if (kind != ListKind.CHANGES) {
-            Set<String> named = new HashSet<>();
-            entries.forEach(e -> named.add(e.id()));
-            byId.keySet().retainAll(named);
+            byId.keySet().retainAll(entries.stream().map(Upstream::id).collect(Collectors.toSet()));
         }
         entries.forEach(e -> apply(now, e));
         byId.values().removeIf(u -> u.entry.state() == State.GONE); // new ids come all day
@@ -340,7 +334,7 @@
         Up up = new Up(id);
         up.limit = firstLimit();
         up.cold = new ColdBucket(random.nextDouble(), now);
-        up.rank = unit(settings.position() / SLOTS, id.hashCode());
+        up.rank = RendezvousHash.unit(settings.position() / SLOTS, id.hashCode());
         byId.put(id, up);
         return up;
     }
@@ -375,9 +369,9 @@
         for (Up up : ups) {
             up.errors *= sparse() ? THIN_FADE : 1;
             ratings += rating(up);
-            up.load = freshlyReported(up, now)
-                    ? Math.max(0, Math.min(1, up.report.utilisation())) : Double.NaN;
-            if (!Double.isNaN(up.load)) {
+            up.load = Double.NaN;
+            if (freshlyReported(up, now)) {
+                up.load = Math.max(0, Math.min(1, up.report.utilisation()));
                 sum += up.load;
                 fresh++;
             }
@@ -433,8 +427,9 @@
         if (serviceTold(report)) {
             up.service = report.serviceTime();
             up.serviceAt = now;
-            meanService = smooth(meanService, report.serviceTime(), SMOOTH_ALL);
-            kindService.merge(peers(up), report.serviceTime(), (old, seen) -> smooth(old, seen, SMOOTH_ALL));
+            meanService = MovingAverage.next(meanService, up.service, SMOOTH_ALL);
+            int peers = peers(up);
+            kindService.merge(peers, up.service, (old, seen) -> MovingAverage.next(old, seen, SMOOTH_ALL));
         }
     }
 
@@ -514,13 +509,13 @@
             if (r.request.coming()) {
                 return; // since its last byte went out, buffers took as much time as the upstream
             }
-            up.took = smooth(up.took, end.took(), SMOOTH);
-            typicalTook = smooth(typicalTook, end.took(), SMOOTH_ALL);
+            up.took = MovingAverage.next(up.took, end.took(), SMOOTH);
+            typicalTook = MovingAverage.next(typicalTook, end.took(), SMOOTH_ALL);
             double wait = waitOf(up, r, end.took(), now);
             adjustLimit(up, t, reportsRoom(up, now) ? 0 : wait, r.cls.aim(), now);
             rest(up, end.took(), now);
             int c = r.request.classIndex();
-            classTook[c] = smooth(classTook[c], end.took(), SMOOTH_ALL);
+            classTook[c] = MovingAverage.next(classTook[c], end.took(), SMOOTH_ALL);
         } else if (end.outcome() == Outcome.TIMEOUT || end.outcome() == Outcome.CANCELLED) {
             if (r.request.coming()) {
                 return;
@@ -561,10 +556,6 @@
         }
     }
 
-    private static double smooth(double old, double sample, double share) {
-        return old == 0 ? sample : old + share * (sample - old);
-    }
-
     private boolean ejected(Up up, long now) {
         return up.ejectedUntil > now || up.ejection > FIRST_EJECTION && up.inFlight > 0;
     }
@@ -599,14 +590,14 @@
             }
             double others = sparse() ? crowd(up, now) : 0;
             // What a cold one is due runs over if not taken now, as traffic is thin, and it warms by work.
-            double drawn = !sparse() ? up == home ? power(HOME) : 1
-                    : up == home || warmth(up, now) < 1 ? power(THIN_HOME) : 1;
-            scores[i] = (sparse() ? w / slowness(up, now) : power(w)) * drawn
-                    / power(loadUnits(up) + others + 1);
+            boolean preferred = up == home || sparse() && warmth(up, now) < 1;
+            double drawn = preferred ? power(sparse() ? THIN_HOME : HOME) : 1;
+            double score = sparse() ? w / slowness(up, now) : power(w);
+            scores[i] = score * drawn / power(loadUnits(up) + others + 1);
             sum += scores[i];
             wanted--;
         }
-        return sum > 0 ? draw(scores, sum) : null;
+        return sum > 0 ? ups.get(WeightedDraw.draw(scores, sum, random)) : null;
     }
 
     private boolean mayTake(Up up, Req r, long now, boolean panic) {
@@ -620,8 +611,8 @@
 
     /** How much longer its service takes than elsewhere, as last seen: crowds share cores and show there. */
     private double slowness(Up up, long now) {
-        return up.service > 0 && meanService > 0
-                ? Math.pow(up.service / meanService, memory(up.serviceAt, now)) : 1;
+        double ratio = up.service > 0 && meanService > 0 ? up.service / meanService : 1;
+        return Math.pow(ratio, memory(up.serviceAt, now));
     }
 
     /** Longer than any client waits is nonsense, and would spoil the means for long. */
@@ -638,21 +629,6 @@
         return x * x * x * x;
     }
 
-    private Up draw(double[] scores, double sum) {
-        double x = random.nextDouble() * sum;
-        Up last = null;
-        for (int i = 0; i < scores.length; i++) {
-            if (scores[i] > 0) {
-                last = ups.get(i);
-                x -= scores[i];
-                if (x < 0) {
-                    break;
-                }
-            }
-        }
-        return last;
-    }
-
     /** In flight, half by count and half by hinted work in mean requests: one heavy request holds up many. */
     private double loadUnits(Up up) {
         double atWork = (up.inFlight + Math.max(0, up.workInFlight) / Math.max(meanCost, 1)) / 2;
@@ -677,7 +653,9 @@
      * many in our own rendezvous order that are well take part, each balancer sampling others.
      */
     private int aperture() {
-        return periods >= 4 ? (int) Math.max(LEAST_APERTURE, requestRate * APERTURE_TIME / 1e6) : ups.size();
+        return requestRate.periods() >= 4
+                ? (int) Math.max(LEAST_APERTURE, requestRate.perSecond() * APERTURE_TIME / 1e6)
+                : ups.size();
     }
 
     private double zoneFactor(Up up) {
@@ -708,7 +686,7 @@
         double most = Double.NEGATIVE_INFINITY;
         for (Up up : among) {
             double near = rating(up) * (zoneFactor(up) > 1 ? OWN_HOME : 1);
-            double score = -near / Math.log(unit(key.hashCode(), up.id.hashCode()));
+            double score = RendezvousHash.score(near, key.hashCode(), up.id.hashCode());
             if (score > most) {
                 most = score;
                 best = up;
@@ -717,11 +695,6 @@
         return best;
     }
 
-    /** A number between 0 and 1 that two hashes give, for rendezvous hashing. */
-    private static double unit(int a, int b) {
-        return new SplittableRandom(((long) a << 32) ^ b).nextDouble() + 0x1.0p-53;
-    }
-
     // ---- Attempts and retries ------------------------------------------------------------------------
 
     /** What rules 1 to 3 leave open for a further attempt. */
@@ -894,9 +867,11 @@
         r.cost = request.expectedWork() > 0 ? request.expectedWork() : costOf(request.classIndex());
         r.value = r.cls.worth() / (settings.worthByWork() ? 1 : r.cost)
                 * (withinShare(request.tenant(), now) ? 1 : settings.overShareWorth());
-        meanCost = request.expectedWork() > 0 ? smooth(meanCost, r.cost, 0.01) : meanOfClasses();
-        requestsSince += request.retry() ? 0 : 1; // a want that comes again adds no room at cold ones
-        classSince[request.classIndex()]++;
+        meanCost = request.expectedWork() > 0 ? MovingAverage.next(meanCost, r.cost, 0.01) : meanOfClasses();
+        if (!request.retry()) {
+            requestRate.count(); // a retry of a client adds no room at cold ones
+        }
+        classRates.get(request.classIndex()).count();
         open.put(request.id(), r);
         byDeadline.add(r);
         if (now >= r.deadline - margin) {
@@ -923,15 +898,13 @@
 
     /** Our part of a tenant's allowance, a bucket of a second; beyond it a held request loses its place. */
     private boolean withinShare(int tenant, long now) {
-        if (tenant < 0 || tenant >= tenantAt.length || settings.tenants().get(tenant).allowance() <= 0) {
+        if (tenant < 0
+                || tenant >= tenantTokens.size()
+                || settings.tenants().get(tenant).allowance() <= 0) {
             return true;
         }
-        double rate = settings.tenants().get(tenant).allowance() / settings.groupSize();
-        double saved = tenantTokens[tenant] + rate * (now - tenantAt[tenant]) / 1e6;
-        boolean within = Math.min(Math.max(rate, 1), saved) >= 1;
-        tenantAt[tenant] = now;
-        tenantTokens[tenant] = Math.min(Math.max(rate, 1), saved) - (within ? 1 : 0);
-        return within;
+        double perSecond = settings.tenants().get(tenant).allowance() / settings.groupSize();
+        return tenantTokens.get(tenant).tryTake(perSecond, now);
     }
 
     private void hold(Req r, boolean on) {
@@ -1013,13 +986,16 @@
     }
 
     private double coldRate(Up up, long now) {
-        double even = Math.sqrt(admitted) * requestRate / 1e6 * rating(up) / Math.max(ratings, rating(up));
+        double rating = rating(up);
+        double letIn = Math.sqrt(admitted) * requestRate.perSecond() / 1e6;
+        double even = letIn * rating / Math.max(ratings, rating);
         return COLD_CARE * settings.rules().fallMultiple() * warmth(up, now) * even;
     }
 
     private void refillCold(Up up, long now) {
-        up.cold.refill(now, coldRate(up, now), planned.right(up.id, up.launchedAt()), 1e-6,
-                planned.quietUntil(), settings.rules().fallTime(), COLD_COST);
+        ColdRight right = planned.right(up.id, up.launchedAt());
+        long fallTime = settings.rules().fallTime();
+        up.cold.refill(now, coldRate(up, now), right, 1e-6, planned.quietUntil(), fallTime, COLD_COST);
     }
 
     /**
@@ -1040,24 +1016,14 @@
     private double meanOfClasses() {
         double cost = 0;
         double rates = 0;
-        for (int c = 0; c < classRate.length; c++) {
-            double rate = Math.max(classRate[c], LEAST_RATE);
+        for (int c = 0; c < classRates.size(); c++) {
+            double rate = Math.max(classRates.get(c).perSecond(), LEAST_RATE);
             cost += rate * costOf(c);
             rates += rate;
         }
         return cost / rates;
     }
 
-    private void measureRate(long period) {
-        periods++;
-        requestRate += Math.max(0.1, 1.0 / periods) * (requestsSince * 1e6 / period - requestRate);
-        requestsSince = 0;
-        for (int c = 0; c < classRate.length; c++) {
-            classRate[c] += Math.max(0.1, 1.0 / periods) * (classSince[c] * 1e6 / period - classRate[c]);
-            classSince[c] = 0;
-        }
-    }
-
     // ---- Plans ---------------------------------------------------------------------------------------
 
     @Override
@@ -1109,10 +1075,7 @@
 
     @Override
     public Summary summary(long now) {
-        List<Double> demand = new ArrayList<>();
-        for (double rate : classRate) {
-            demand.add(rate);
-        }
+        List<Double> demand = classRates.stream().map(RateEstimator::perSecond).toList();
         List<Standing> standings = new ArrayList<>(byId.size());
         for (Up up : byId.values()) {
             boolean reported = up.report != null;
@@ -1145,7 +1108,8 @@
         shed(now);
         if (now >= nextReweight) {
             long period = jitter(PERIOD);
-            measureRate(period);
+            requestRate.endPeriod(period);
+            classRates.forEach(rate -> rate.endPeriod(period));
             reweight(now);
             nextReweight = now + period;
         }
@@ -1172,12 +1136,14 @@
 
     /** A slow steady probe where reports come no other way; its rate follows from price and traffic. */
     private void probe(long now) {
-        if (settings.reports() != Reports.BY_PROBE || !settings.limits().probes() || now < nextProbe
-                || ups.isEmpty()) {
+        boolean allowed = settings.reports() == Reports.BY_PROBE && settings.limits().probes();
+        if (!allowed || now < nextProbe || ups.isEmpty()) {
             return;
         }
-        double share = settings.prices().probe() > 0 ? PROBE_POINTS / settings.prices().probe() : 1;
-        double perSecond = Math.min(share * Math.max(requestRate, 1), ups.size() * 1e6 / PROBE_GAP);
+        double share =
+                settings.prices().probe() > 0 ? PROBE_POINTS / settings.prices().probe() : 1;
+        double requests = Math.max(requestRate.perSecond(), 1);
+        double perSecond = Math.min(share * requests, ups.size() * 1e6 / PROBE_GAP);
         nextProbe = now + jitter((long) (1e6 / perSecond));
         Up oldest = Collections.min(ups, Comparator.comparingLong(up -> up.probedAt));
         oldest.probedAt = now;
