--- a/bench/src/BodiesCost.java
+++ b/bench/src/BodiesCost.java
@@ -31,8 +31,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -60,12 +60,16 @@
     private static final EventLoopGroup LOOPS = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
     private static final byte[] BLOCK = new byte[64 << 10];
 
-    private BodiesCost() { }
+    private BodiesCost() {}
 
     /** Something that passes requests on. */
-    private record Through(String name, ProgramProcess process, InetSocketAddress address) { }
+    private record Through(String name, ProgramProcess process, InetSocketAddress address) {}
 
-    private enum Load { SHORT, UP, DOWN }
+    private enum Load {
+        SHORT,
+        UP,
+        DOWN
+    }
 
     public static void main(String[] args) throws Exception {
         int seconds = args.length > 0 ? Integer.parseInt(args[0]) : 5;
@@ -79,8 +83,12 @@
         try {
             all.add(relay(folder, port(nodes.get(0))));
             all.add(balancer(folder, "off", ProgramProcess.home(), nodes, ""));
-            all.add(balancer(folder, "on", ProgramProcess.home(), nodes, "[bodies]\nenabled = true\n"
-                    + (args.length > 3 ? args[3].replace(';', '\n') + "\n" : "")));
+            all.add(balancer(
+                    folder,
+                    "on",
+                    ProgramProcess.home(),
+                    nodes,
+                    "[bodies]\nenabled = true\n" + (args.length > 3 ? args[3].replace(';', '\n') + "\n" : "")));
             if (args.length > 2 && !args[2].equals("-")) {
                 all.add(balancer(folder, "before", Path.of(args[2]), nodes, ""));
             }
@@ -94,7 +102,8 @@
                         }
                         double[] figure = measure(t, load, seconds);
                         if (round >= 0) {
-                            figures.computeIfAbsent(t.name + " " + load, k -> new ArrayList<>()).add(figure);
+                            figures.computeIfAbsent(t.name + " " + load, k -> new ArrayList<>())
+                                    .add(figure);
                         }
                     }
                 }
@@ -102,10 +111,15 @@
             figures.forEach((name, f) -> {
                 double rate = median(f, 0);
                 double cpu = median(f, 1);
-                String unit = name.endsWith("SHORT") ? "%.0f requests/s, %.1f us of processor time each"
+                String unit = name.endsWith("SHORT")
+                        ? "%.0f requests/s, %.1f us of processor time each"
                         : "%.0f MB/s, %.2f s of processor time a GB";
-                System.out.printf(Locale.ROOT, "%-14s " + unit + "%n", name,
-                        name.endsWith("SHORT") ? rate : rate / 1e6, name.endsWith("SHORT") ? cpu * 1e6 : cpu * 1e9);
+                System.out.printf(
+                        Locale.ROOT,
+                        "%-14s " + unit + "%n",
+                        name,
+                        name.endsWith("SHORT") ? rate : rate / 1e6,
+                        name.endsWith("SHORT") ? cpu * 1e6 : cpu * 1e9);
             });
             ObjectNode json = JSON.createObjectNode();
             ratio(json, figures, "short_cpu_on_to_relay", "on SHORT", "relay SHORT", 1);
@@ -125,8 +139,8 @@
         return sorted[sorted.length / 2];
     }
 
-    private static void ratio(ObjectNode json, Map<String, List<double[]>> figures, String name, String a, String b,
-            int index) {
+    private static void ratio(
+            ObjectNode json, Map<String, List<double[]>> figures, String name, String a, String b, int index) {
         if (figures.containsKey(a) && figures.containsKey(b)) {
             json.put(name, Math.round(1e3 * median(figures.get(a), index) / median(figures.get(b), index)) / 1e3);
         }
@@ -140,13 +154,19 @@
         List<Channel> clients = new ArrayList<>();
         for (int i = 0; i < (load == Load.SHORT ? CONNECTIONS : LONG_CONNECTIONS); i++) {
             Client client = new Client(load, done);
-            clients.add(new Bootstrap().group(LOOPS).channel(NioSocketChannel.class)
-                    .option(ChannelOption.TCP_NODELAY, true).handler(new ChannelInitializer<Channel>() {
+            clients.add(new Bootstrap()
+                    .group(LOOPS)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel ch) {
                             ch.pipeline().addLast(new HttpClientCodec(), client);
                         }
-                    }).connect(t.address).sync().channel());
+                    })
+                    .connect(t.address)
+                    .sync()
+                    .channel());
         }
         Thread.sleep(500);
         long before = done.get();
@@ -177,11 +197,12 @@
                 while (left > 0 && ctx.channel().isWritable()) {
                     int n = (int) Math.min(left, BLOCK.length);
                     left -= n;
-                    ctx.write(new DefaultHttpContent(Unpooled.wrappedBuffer(BLOCK, 0, n))).addListener(f -> {
-                        if (f.isSuccess()) {
-                            written.accept(n);
-                        }
-                    });
+                    ctx.write(new DefaultHttpContent(Unpooled.wrappedBuffer(BLOCK, 0, n)))
+                            .addListener(f -> {
+                                if (f.isSuccess()) {
+                                    written.accept(n);
+                                }
+                            });
                     if (left == 0) {
                         ctx.write(LastHttpContent.EMPTY_LAST_CONTENT);
                     }
@@ -212,8 +233,12 @@
         private void ask(ChannelHandlerContext ctx) {
             body.left = load == Load.UP ? LONG : SHORT;
             HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/api?obj=" + load);
-            head.headers().set("Host", "x").set("X-Call-Id", "b" + IDS.incrementAndGet())
-                    .set("X-Call-Class", "trade-confirm").set("X-Budget-Ms", 60_000).set("Content-Length", body.left);
+            head.headers()
+                    .set("Host", "x")
+                    .set("X-Call-Id", "b" + IDS.incrementAndGet())
+                    .set("X-Call-Class", "trade-confirm")
+                    .set("X-Budget-Ms", 60_000)
+                    .set("Content-Length", body.left);
             ctx.write(head);
             go(ctx);
         }
@@ -265,13 +290,13 @@
                 head.headers().set("Content-Length", length);
                 ctx.write(head);
                 body.left = length;
-                body.go(ctx, n -> { });
+                body.go(ctx, n -> {});
             }
         }
 
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            body.go(ctx, n -> { });
+            body.go(ctx, n -> {});
         }
 
         @Override
@@ -281,13 +306,19 @@
     }
 
     private static Channel server() {
-        return new ServerBootstrap().group(LOOPS).channel(NioServerSocketChannel.class)
-                .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new ChannelInitializer<Channel>() {
+        return new ServerBootstrap()
+                .group(LOOPS)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
                         ch.pipeline().addLast(new HttpServerCodec(), new Node0());
                     }
-                }).bind(InetAddress.getLoopbackAddress(), 0).syncUninterruptibly().channel();
+                })
+                .bind(InetAddress.getLoopbackAddress(), 0)
+                .syncUninterruptibly()
+                .channel();
     }
 
     private static int port(Channel listener) {
@@ -300,21 +331,28 @@
             throws IOException, InterruptedException {
         StringBuilder members = new StringBuilder();
         for (int i = 0; i < NODES; i++) {
-            members.append(i == 0 ? "" : ",").append("{\"id\":\"n").append(i).append("\",\"host_port\":\"127.0.0.1:")
-                    .append(port(nodes.get(i))).append("\",\"locality\":\"kagoshima\",\"flavor\":\"fast\",\"cell\":0,"
-                    + "\"phase\":\"up\",\"size\":1.0,\"up_since_ms\":0}");
+            members.append(i == 0 ? "" : ",")
+                    .append("{\"id\":\"n")
+                    .append(i)
+                    .append("\",\"host_port\":\"127.0.0.1:")
+                    .append(port(nodes.get(i)))
+                    .append("\",\"locality\":\"kagoshima\",\"flavor\":\"fast\",\"cell\":0,"
+                            + "\"phase\":\"up\",\"size\":1.0,\"up_since_ms\":0}");
         }
         int nowhere;
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             nowhere = free.getLocalPort();
         }
-        ObjectNode configuration = (ObjectNode) JSON.readTree(sedgeyoke.standin.Configurations.of(Sites.orders(NODES), name, "127.0.0.1:0",
-                "127.0.0.1:" + nowhere, 0, 0, 1, 7));
+        ObjectNode configuration = (ObjectNode) JSON.readTree(sedgeyoke.standin.Configurations.of(
+                Sites.orders(NODES), name, "127.0.0.1:0", "127.0.0.1:" + nowhere, 0, 0, 1, 7));
         configuration.withObject("/known").put("revision", 1).set("members", JSON.readTree("[" + members + "]"));
         Path json = Files.writeString(folder.resolve(name + ".json"), configuration.toString());
-        List<String> command = new ArrayList<>(List.of(home.resolve("bin/sedgeyoke").toString(), "serve"));
+        List<String> command =
+                new ArrayList<>(List.of(home.resolve("bin/sedgeyoke").toString(), "serve"));
         if (!operator.isEmpty()) {
-            command.addAll(List.of("--config", Files.writeString(folder.resolve(name + ".toml"), operator).toString()));
+            command.addAll(List.of(
+                    "--config",
+                    Files.writeString(folder.resolve(name + ".toml"), operator).toString()));
         }
         return start(folder, name, Map.of("BALANCER_CONFIG", json.toString()), command);
     }
@@ -322,9 +360,12 @@
     /** The relay under the options of 'run', so that the machine below is the same. */
     private static Through relay(Path folder, int port) throws IOException, InterruptedException {
         String run = Files.readAllLines(ProgramProcess.home().resolve("deploy/balancer.toml")).stream()
-                .filter(l -> l.startsWith("run = ")).findFirst().orElseThrow();
+                .filter(l -> l.startsWith("run = "))
+                .findFirst()
+                .orElseThrow();
         List<String> command = new ArrayList<>(List.of("java"));
-        Arrays.stream(run.split(" ")).filter(w -> w.startsWith("-X") && !w.contains("hare") || w.startsWith("-D"))
+        Arrays.stream(run.split(" "))
+                .filter(w -> w.startsWith("-X") && !w.contains("hare") || w.startsWith("-D"))
                 .forEach(command::add);
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), Relay.class.getName(), "" + port));
         return start(folder, "relay", Map.of(), command);
@@ -349,21 +390,31 @@
 
         public static void main(String[] args) {
             EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-            InetSocketAddress target = new InetSocketAddress(InetAddress.getLoopbackAddress(),
-                    Integer.parseInt(args[0]));
-            Channel listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                    .childOption(ChannelOption.AUTO_READ, false).childOption(ChannelOption.TCP_NODELAY, true)
+            InetSocketAddress target =
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), Integer.parseInt(args[0]));
+            Channel listener = new ServerBootstrap()
+                    .group(loop)
+                    .channel(NioServerSocketChannel.class)
+                    .childOption(ChannelOption.AUTO_READ, false)
+                    .childOption(ChannelOption.TCP_NODELAY, true)
                     .childHandler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel client) {
-                            new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                                    .option(ChannelOption.TCP_NODELAY, true).handler(new Relay(client))
-                                    .connect(target).addListener((ChannelFuture connected) -> {
+                            new Bootstrap()
+                                    .group(loop)
+                                    .channel(NioSocketChannel.class)
+                                    .option(ChannelOption.TCP_NODELAY, true)
+                                    .handler(new Relay(client))
+                                    .connect(target)
+                                    .addListener((ChannelFuture connected) -> {
                                         client.pipeline().addLast(new Relay(connected.channel()));
                                         client.config().setAutoRead(true);
                                     });
                         }
-                    }).bind(InetAddress.getLoopbackAddress(), 0).syncUninterruptibly().channel();
+                    })
+                    .bind(InetAddress.getLoopbackAddress(), 0)
+                    .syncUninterruptibly()
+                    .channel();
             System.err.println("relay listens on " + listener.localAddress());
         }
 
--- a/bench/src/PlanCost.java
+++ b/bench/src/PlanCost.java
@@ -22,7 +22,7 @@
     private static final List<String> NAMES = List.of("off", "on");
     private static final int WARM_UP_S = 12;
 
-    private PlanCost() { }
+    private PlanCost() {}
 
     /** Arguments: requests a second (600), seconds (30). */
     public static void main(String[] args) throws Exception {
@@ -41,7 +41,9 @@
             List<ProgramProcess> forwarders = new ArrayList<>();
             for (int f = 0; f < NAMES.size(); f++) {
                 String name = NAMES.get(f);
-                forwarders.add(tier.forwarder(name, TierProcesses.configuration(site, name, 0, f, NAMES.size(), 100, f),
+                forwarders.add(tier.forwarder(
+                        name,
+                        TierProcesses.configuration(site, name, 0, f, NAMES.size(), 100, f),
                         name.equals("off") ? List.of() : ports));
             }
             all.addAll(forwarders);
@@ -52,28 +54,46 @@
                 p.port();
             }
             for (int f = 0; f < 2; f++) {
-                site.balancer(NAMES.get(f), 0, new InetSocketAddress(InetAddress.getLoopbackAddress(),
-                        forwarders.get(f).port()));
+                site.balancer(
+                        NAMES.get(f),
+                        0,
+                        new InetSocketAddress(
+                                InetAddress.getLoopbackAddress(),
+                                forwarders.get(f).port()));
             }
             site.startClients(rate);
             Thread.sleep(warmUp * 1_000L);
             double[] total = new double[2];
             for (int part = 0; part < 3; part++) {
-                double[] cpu = {forwarders.get(0).cpuSeconds(), forwarders.get(1).cpuSeconds()};
-                long[] asked = {site.ask(() -> site.ledger().askedOf("off")), site.ask(() -> site.ledger().askedOf("on"))};
+                double[] cpu = {
+                    forwarders.get(0).cpuSeconds(), forwarders.get(1).cpuSeconds()
+                };
+                long[] asked = {
+                    site.ask(() -> site.ledger().askedOf("off")),
+                    site.ask(() -> site.ledger().askedOf("on"))
+                };
                 Thread.sleep(seconds * 1_000L / 3);
                 for (int f = 0; f < 2; f++) {
                     String name = NAMES.get(f);
                     double used = forwarders.get(f).cpuSeconds() - cpu[f];
                     long served = site.ask(() -> site.ledger().askedOf(name)) - asked[f];
                     total[f] += used / served / 3;
-                    System.out.printf(Locale.ROOT, "part %d plans %-3s  %6d requests  %.1f us of processor time each%n",
-                            part + 1, name, served, used / served * 1e6);
+                    System.out.printf(
+                            Locale.ROOT,
+                            "part %d plans %-3s  %6d requests  %.1f us of processor time each%n",
+                            part + 1,
+                            name,
+                            served,
+                            used / served * 1e6);
                 }
             }
             site.stopClients();
-            System.out.printf(Locale.ROOT, "on / off: %.3f   (service %.4f, rules broken %d)%n", total[1] / total[0],
-                    site.summary().service(), site.summary().ruleViolations());
+            System.out.printf(
+                    Locale.ROOT,
+                    "on / off: %.3f   (service %.4f, rules broken %d)%n",
+                    total[1] / total[0],
+                    site.summary().service(),
+                    site.summary().ruleViolations());
         } finally {
             all.forEach(ProgramProcess::close);
         }
--- a/bench/src/PlannerScale.java
+++ b/bench/src/PlannerScale.java
@@ -22,7 +22,7 @@
     private static final int WARM_UP = 40;
     private static final int PER_SECOND = 5;
 
-    private PlannerScale() { }
+    private PlannerScale() {}
 
     /** Prints a table. */
     public static void main(String[] args) throws Exception {
@@ -47,19 +47,28 @@
             long now = 1_000_000_000L + round * (1_000_000L / PER_SECOND);
             List<byte[]> messages = new ArrayList<>();
             for (int f = 0; f < forwarders; f++) {
-                messages.add(Frame.newBuilder().setReport(Messages.of(report(f, round, stamp, upstreams, cold,
-                        random))).build().toByteArray());
+                messages.add(Frame.newBuilder()
+                        .setReport(Messages.of(report(f, round, stamp, upstreams, cold, random)))
+                        .build()
+                        .toByteArray());
             }
             long began = System.nanoTime();
             for (int f = 0; f < forwarders; f++) {
-                planner.report(now, Messages.report("f" + f, Frame.parseFrom(messages.get(f)).getReport()));
+                planner.report(
+                        now,
+                        Messages.report(
+                                "f" + f, Frame.parseFrom(messages.get(f)).getReport()));
             }
             long reported = System.nanoTime();
             List<Planner.Out> planned = planner.plan(now);
             ByteString board = Messages.board(planned.get(0).message().views());
             long bytes = 0;
             for (Planner.Out o : planned) {
-                bytes += Frame.newBuilder().setPlan(Messages.of(o, board)).build().toByteArray().length;
+                bytes += Frame.newBuilder()
+                        .setPlan(Messages.of(o, board))
+                        .build()
+                        .toByteArray()
+                        .length;
             }
             long done = System.nanoTime();
             PlanMessage first = planned.get(0).message();
@@ -79,10 +88,18 @@
         for (long p : plans) {
             all += p;
         }
-        System.out.printf(Locale.ROOT, "%10d %9d %4d   %13.2f %5.1f   %9.1f   %12.1f   %14.1f   %7.0f   %15.2f%n",
-                forwarders, upstreams, cold, plans[plans.length / 2] / 1e6, plans[(int) (plans.length * 0.95)] / 1e6,
-                reports / rounds / forwarders / 1e3, out / rounds / forwarders * PER_SECOND / 1e3,
-                in / rounds / forwarders * PER_SECOND / 1e3, heap / 1e6,
+        System.out.printf(
+                Locale.ROOT,
+                "%10d %9d %4d   %13.2f %5.1f   %9.1f   %12.1f   %14.1f   %7.0f   %15.2f%n",
+                forwarders,
+                upstreams,
+                cold,
+                plans[plans.length / 2] / 1e6,
+                plans[(int) (plans.length * 0.95)] / 1e6,
+                reports / rounds / forwarders / 1e3,
+                out / rounds / forwarders * PER_SECOND / 1e3,
+                in / rounds / forwarders * PER_SECOND / 1e3,
+                heap / 1e6,
                 (all + reports) / rounds * PER_SECOND / 1e9);
         Reference.reachabilityFence(planner); // the heap was to be measured with it
     }
@@ -92,15 +109,34 @@
         int n = Math.min(upstreams, Report.MOST_LOADS);
         for (int i = 0; i < n; i++) {
             int u = (round * n + f + i) % upstreams;
-            loads.add(new Report.Load(String.format("s-%08x", u * 0x9E3779B9), u % 3, false,
-                    u < cold ? 1_764_580_000_000_000L : 0, random.nextInt(4), round * 20L, 1 + random.nextDouble(),
-                    random.nextDouble(), random.nextInt(5), random.nextInt(500_000), false));
+            loads.add(new Report.Load(
+                    String.format("s-%08x", u * 0x9E3779B9),
+                    u % 3,
+                    false,
+                    u < cold ? 1_764_580_000_000_000L : 0,
+                    random.nextInt(4),
+                    round * 20L,
+                    1 + random.nextDouble(),
+                    random.nextDouble(),
+                    random.nextInt(5),
+                    random.nextInt(500_000),
+                    false));
         }
         List<Report.Deposit> deposits = new ArrayList<>();
         for (int u = 0; u < Math.min(cold, Report.MOST_DEPOSITS); u++) {
             deposits.add(new Report.Deposit(String.format("s-%08x", u * 0x9E3779B9), 1_764_580_000_000_000L, 0.05));
         }
-        return new Report("f" + f, 3, round + 1, 77, new Report.Stamp(7, stamp), f % 3, 1_500_000, 0.8,
-                List.of(10.0, 8.0), loads, deposits);
+        return new Report(
+                "f" + f,
+                3,
+                round + 1,
+                77,
+                new Report.Stamp(7, stamp),
+                f % 3,
+                1_500_000,
+                0.8,
+                List.of(10.0, 8.0),
+                loads,
+                deposits);
     }
 }
--- a/src/main/java/sedgeyoke/agree/Action.java
+++ b/src/main/java/sedgeyoke/agree/Action.java
@@ -5,7 +5,7 @@
 /** What a keeper wants done, in order. */
 public sealed interface Action {
     /** Send a message; it may get lost. */
-    record Send(String to, Message message) implements Action { }
+    record Send(String to, Message message) implements Action {}
 
     /**
      * Make all of this last, in this order, and say so with {@link Event.Persisted}; several may be under way.
@@ -18,17 +18,17 @@
      * @param entries to be appended
      */
     record Persist(long token, Slot slot, SnapshotState snapshot, long restart, long keep, List<Entry> entries)
-            implements Action { }
+            implements Action {}
 
     /** Answer whoever asked. */
-    record Answer(long token, Outcome outcome) implements Action { }
+    record Answer(long token, Outcome outcome) implements Action {}
 
     /** Leases for balancers that asked here. */
-    record Grant(LeaseGrant grant) implements Action { }
+    record Grant(LeaseGrant grant) implements Action {}
 
     /** The registry has changed: balancers that follow here are to hear of it. */
-    record News(Version active, Version pending) implements Action { }
+    record News(Version active, Version pending) implements Action {}
 
     /** A line for the log. */
-    record Say(String line) implements Action { }
+    record Say(String line) implements Action {}
 }
--- a/src/main/java/sedgeyoke/agree/Adherent.java
+++ b/src/main/java/sedgeyoke/agree/Adherent.java
@@ -15,8 +15,10 @@
 
     /** By what it acts. */
     public enum Mode {
-        /** Under a lease. */ LEASED,
-        /** Without a keeper's word. */ ALONE
+        /** Under a lease. */
+        LEASED,
+        /** Without a keeper's word. */
+        ALONE
     }
 
     /**
@@ -26,7 +28,7 @@
      * @param pending the version that is to take effect, 0 if none is known
      * @param until when the lease runs out
      */
-    public record Acting(Mode mode, long version, long pending, long until, Document document) { }
+    public record Acting(Mode mode, long version, long pending, long until, Document document) {}
 
     /** {@code last}: what an earlier process of this balancer acted on last, or {@link Version#NONE}. */
     public Adherent(String name, long run, Rules rules, Version last) {
@@ -85,7 +87,8 @@
     public Acting acting(long now) {
         Document both = pending == null ? active.content() : rules.between(active.content(), pending.content());
         long next = pending == null ? 0 : pending.number();
-        return now < leaseUntil ? new Acting(Mode.LEASED, active.number(), next, leaseUntil, both)
+        return now < leaseUntil
+                ? new Acting(Mode.LEASED, active.number(), next, leaseUntil, both)
                 : new Acting(Mode.ALONE, active.number(), next, leaseUntil, rules.alone(both));
     }
 
--- a/src/main/java/sedgeyoke/agree/Command.java
+++ b/src/main/java/sedgeyoke/agree/Command.java
@@ -3,10 +3,10 @@
 /** What an entry of the log does once it is committed. */
 public sealed interface Command {
     /** Nothing: by it a new leader commits what it found. */
-    record Nothing() implements Command { }
+    record Nothing() implements Command {}
 
     /** The keepers are these, from the moment that the entry is in a log. */
-    record Change(Members members) implements Command { }
+    record Change(Members members) implements Command {}
 
     /**
      * A new version, if the newest one is still the one it was made from.
@@ -14,8 +14,8 @@
      * @param request the writer's own number for it: however often it comes, it is done once
      */
     record Write(String request, long parent, String author, String reason, long atMs, Document content)
-            implements Command { }
+            implements Command {}
 
     /** A pending version takes effect: nobody acts on the one before any more but together with it. */
-    record Activate(long version) implements Command { }
+    record Activate(long version) implements Command {}
 }
--- a/src/main/java/sedgeyoke/agree/Document.java
+++ b/src/main/java/sedgeyoke/agree/Document.java
@@ -11,8 +11,8 @@
  * @param tables by field, then by name
  * @param names by field, then by name, with a note each
  */
-public record Document(Map<String, Double> numbers, Map<String, Map<String, Double>> tables,
-        Map<String, Map<String, String>> names) {
+public record Document(
+        Map<String, Double> numbers, Map<String, Map<String, Double>> tables, Map<String, Map<String, String>> names) {
     /** Nothing is set. */
     public static final Document EMPTY = new Document(Map.of(), Map.of(), Map.of());
 
@@ -71,7 +71,8 @@
 
     /** How many fields, names and rows it holds: what its size is bounded by. */
     int entries() {
-        return numbers.size() + tables.values().stream().mapToInt(Map::size).sum()
+        return numbers.size()
+                + tables.values().stream().mapToInt(Map::size).sum()
                 + names.values().stream().mapToInt(Map::size).sum();
     }
 }
--- a/src/main/java/sedgeyoke/agree/Field.java
+++ b/src/main/java/sedgeyoke/agree/Field.java
@@ -18,32 +18,52 @@
  * @param since the first version of the schema that has it
  * @param says one sentence for people
  */
-public record Field(String name, Kind kind, String unit, double least, double most, double usual, Meet meet,
-        Alone alone, int since, String says) {
+public record Field(
+        String name,
+        Kind kind,
+        String unit,
+        double least,
+        double most,
+        double usual,
+        Meet meet,
+        Alone alone,
+        int since,
+        String says) {
     /** What a field holds. */
     public enum Kind {
-        /** One number. */ NUMBER,
-        /** Numbers by name. */ TABLE,
-        /** Names, each with a note. */ NAMES
+        /** One number. */
+        NUMBER,
+        /** Numbers by name. */
+        TABLE,
+        /** Names, each with a note. */
+        NAMES
     }
 
     /** How two versions meet: what contradicts neither. */
     public enum Meet {
-        /** What either has: what is out in one of them is out. */ UNION,
-        /** What both have. */ COMMON,
-        /** The smaller number. */ LEAST,
-        /** The larger number. */ GREATEST,
-        /** None is stricter: the older holds until the newer is in force; they may overlap. */ LATER
+        /** What either has: what is out in one of them is out. */
+        UNION,
+        /** What both have. */
+        COMMON,
+        /** The smaller number. */
+        LEAST,
+        /** The larger number. */
+        GREATEST,
+        /** None is stricter: the older holds until the newer is in force; they may overlap. */
+        LATER
     }
 
     /** What holds without a lease, when later versions may be in force that nobody has told of. */
     public enum Alone {
-        /** As last known. */ LAST,
+        /** As last known. */
+        LAST,
         /**
          * The meet of what was last known with the floor, a field of its own that later versions may only loosen: so
          * that an old floor is never looser than the one that later versions count with.
-         */ FLOOR,
-        /** This is such a floor: as last known, and only ever loosened. */ IS_FLOOR
+         */
+        FLOOR,
+        /** This is such a floor: as last known, and only ever loosened. */
+        IS_FLOOR
     }
 
     private static final String FLOOR_SUFFIX = "_alone";
--- a/src/main/java/sedgeyoke/agree/Keeper.java
+++ b/src/main/java/sedgeyoke/agree/Keeper.java
@@ -4,8 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.SplittableRandom;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
@@ -23,6 +23,7 @@
     private static final int PIECE = 32 * 1024;
     /** Requests that wait for a leader's answer; further ones are told to come back. */
     private static final int MOST_WAITING = 1_000;
+
     private static final long TELL_EVERY = 30_000_000;
     private static final long FORWARD_TIME = 3_000_000;
 
@@ -39,6 +40,7 @@
     private final Map<String, Slot.Known> known;
     /** The newest term that each has spoken in, as it had it on disk then. */
     private final Map<String, Long> heardTerms = new HashMap<>();
+
     private SnapshotState snapshot;
     private Members members;
 
@@ -53,6 +55,7 @@
     private long heardOfLeader;
     /** How far the log is the present leader's; -1 while that is not known. */
     private long matched = -1;
+
     private long toldAt;
     private long introducedAt;
 
@@ -74,6 +77,7 @@
     private final List<Confirming> confirming = new ArrayList<>();
     /** What was passed on to a leader, and until when its answer is waited for. */
     private final Map<Long, Long> forwarded = new TreeMap<>();
+
     private final List<Message.Grants> early = new ArrayList<>();
     private Message.Piece incoming;
     private byte[] assembled;
@@ -84,23 +88,27 @@
 
     /** What a keeper is at. */
     public enum Role {
-        /** It follows, or waits for a leader. */ FOLLOWER,
-        /** It asks whether it could win. */ ASKING,
-        /** It stands. */ CANDIDATE,
-        /** It leads. */ LEADER
+        /** It follows, or waits for a leader. */
+        FOLLOWER,
+        /** It asks whether it could win. */
+        ASKING,
+        /** It stands. */
+        CANDIDATE,
+        /** It leads. */
+        LEADER
     }
 
     /** What a folder says of the keeper that has it. */
-    public record Recovered(Slot slot, SnapshotState snapshot, List<Entry> entries, String doubt, boolean lost) { }
+    public record Recovered(Slot slot, SnapshotState snapshot, List<Entry> entries, String doubt, boolean lost) {}
 
     /** Who it is. */
-    public record Self(String name, long folder, long run) { }
+    public record Self(String name, long folder, long run) {}
 
     /** Somebody waits for an entry: {@code from} is a keeper that passed it on, or null for one who asked here. */
-    private record Waiting(long term, String from, long token) { }
+    private record Waiting(long term, String from, long token) {}
 
     /** Something that is done once a round has shown that we still lead. */
-    private record Confirming(long round, Runnable then, Runnable otherwise) { }
+    private record Confirming(long round, Runnable then, Runnable otherwise) {}
 
     /** What is to be made to last, and what may be said only then. */
     private final class Storing {
@@ -108,10 +116,12 @@
         private final TreeMap<Long, List<Action.Send>> held = new TreeMap<>();
         /** When each was begun, and up to where the log is on disk once it is done. */
         private final TreeMap<Long, long[]> open = new TreeMap<>();
+
         private final List<Entry> appended = new ArrayList<>();
         private boolean slot;
         /** The entry behind which the log on disk is to begin anew; -1 if it goes on. */
         private long restart = -1;
+
         private SnapshotState snapshot;
         private long keep = -1;
         private long tokens;
@@ -154,8 +164,16 @@
         void flush() {
             if (slot || restart >= 0 || snapshot != null || keep >= 0 || !appended.isEmpty()) {
                 tokens++;
-                out.add(new Action.Persist(tokens, slot ? new Slot(term, vote, List.copyOf(runs), new TreeMap<>(known),
-                        standing.doubt() == null) : null, snapshot, restart, keep, List.copyOf(appended)));
+                out.add(new Action.Persist(
+                        tokens,
+                        slot
+                                ? new Slot(
+                                        term, vote, List.copyOf(runs), new TreeMap<>(known), standing.doubt() == null)
+                                : null,
+                        snapshot,
+                        restart,
+                        keep,
+                        List.copyOf(appended)));
                 open.put(tokens, new long[] {now, log.last()});
                 slotToken = slot ? tokens : slotToken;
                 slot = false;
@@ -180,8 +198,14 @@
      *
      * @param members as the tier was founded; with no voters for one that is to join
      */
-    public Keeper(Self self, Rules rules, Recovered found, Members members, StateCodec codec,
-            SplittableRandom random, long now) {
+    public Keeper(
+            Self self,
+            Rules rules,
+            Recovered found,
+            Members members,
+            StateCodec codec,
+            SplittableRandom random,
+            long now) {
         this.name = self.name();
         this.folder = self.folder();
         this.rules = rules;
@@ -283,17 +307,48 @@
 
     /** All that it is, but for times, in words that are the same for equal ones: for checkers of its states. */
     public String describe() {
-        StringBuilder text = new StringBuilder(256).append(role).append(' ').append(term).append(' ').append(vote)
-                .append(' ').append(leader).append(' ').append(commit).append('/').append(applied).append(' ')
-                .append(matched).append(' ').append(round).append('/').append(confirmed).append(' ')
-                .append(standing.sound()).append(quiet()).append(now <= stoodAt + timing.election()).append(runs)
-                .append(new TreeMap<>(known)).append(new TreeMap<>(votes)).append(proposed.keySet())
+        StringBuilder text = new StringBuilder(256)
+                .append(role)
+                .append(' ')
+                .append(term)
+                .append(' ')
+                .append(vote)
+                .append(' ')
+                .append(leader)
+                .append(' ')
+                .append(commit)
+                .append('/')
+                .append(applied)
+                .append(' ')
+                .append(matched)
+                .append(' ')
+                .append(round)
+                .append('/')
+                .append(confirmed)
+                .append(' ')
+                .append(standing.sound())
+                .append(quiet())
+                .append(now <= stoodAt + timing.election())
+                .append(runs)
+                .append(new TreeMap<>(known))
+                .append(new TreeMap<>(votes))
+                .append(proposed.keySet())
                 .append(storing.durable);
         for (long i = log.base() + 1; i <= log.last(); i++) {
             text.append(' ').append(log.term(i)).append(log.get(i).command());
         }
-        peers.forEach((n, p) -> text.append(' ').append(n).append(p.next).append(',').append(p.match).append(',')
-                .append(p.run).append(',').append(p.sound).append(',').append(p.round).append(now >= p.busyUntil));
+        peers.forEach((n, p) -> text.append(' ')
+                .append(n)
+                .append(p.next)
+                .append(',')
+                .append(p.match)
+                .append(',')
+                .append(p.run)
+                .append(',')
+                .append(p.sound)
+                .append(',')
+                .append(p.round)
+                .append(now >= p.busyUntil));
         return text.toString();
     }
 
@@ -348,7 +403,9 @@
         if (standing.becomesSound(members, name, leader, term, matched)) {
             storing.slot = true;
             if (doubtful) {
-                standing.knownRuns().stream().filter(r -> r != 0 && !runs.contains(r)).forEach(runs::add);
+                standing.knownRuns().stream()
+                        .filter(r -> r != 0 && !runs.contains(r))
+                        .forEach(runs::add);
                 runs.subList(Math.min(Slot.MOST_RUNS, runs.size()), runs.size()).clear();
                 say("sound again: has all that it may have promised, up to entry " + log.last());
                 storing.restart(log.base()); // whatever was bad on disk is replaced
@@ -359,15 +416,18 @@
     private void tick() {
         forwarded.entrySet().removeIf(f -> {
             if (now >= f.getValue()) {
-                out.add(new Action.Answer(f.getKey(), new Outcome(Outcome.Kind.UNKNOWN, registry.newest().number(),
-                        "no answer of the leader")));
+                out.add(new Action.Answer(
+                        f.getKey(),
+                        new Outcome(Outcome.Kind.UNKNOWN, registry.newest().number(), "no answer of the leader")));
             }
             return now >= f.getValue();
         });
         if (!standing.sound() && standing.shouldAsk(now)) {
             recall();
-        } else if (leader != null && !leader.equals(name) && now - introducedAt >= (standing.target(leader, term) < 0
-                ? 2 * timing.heartbeat() : 2 * timing.election())) {
+        } else if (leader != null
+                && !leader.equals(name)
+                && now - introducedAt
+                        >= (standing.target(leader, term) < 0 ? 2 * timing.heartbeat() : 2 * timing.election())) {
             introducedAt = now; // the leader is to know which run this is, whatever it has heard last
             promise(leader, new Message.Recall(term, List.copyOf(runs), standing.number()));
         }
@@ -387,8 +447,9 @@
     private void tellDoubt() {
         if (now - toldAt > TELL_EVERY || toldAt == 0) {
             toldAt = Math.max(1, now);
-            say("in doubt, decides nothing: " + (standing.doubt() == null ? "too few keepers have answered yet"
-                    : standing.doubt()) + "; needs " + majority() + " sound keepers, or all of "
+            say("in doubt, decides nothing: "
+                    + (standing.doubt() == null ? "too few keepers have answered yet" : standing.doubt()) + "; needs "
+                    + majority() + " sound keepers, or all of "
                     + members.voters().keySet());
         }
     }
@@ -425,7 +486,9 @@
         if (!isHim(from, itsFolder, m)) {
             return;
         }
-        if (m instanceof Message.Append || m instanceof Message.Appended || m instanceof Message.Voted
+        if (m instanceof Message.Append
+                || m instanceof Message.Appended
+                || m instanceof Message.Voted
                 || m instanceof Message.Vote) {
             heardTerms.merge(from, m.term(), Math::max);
         }
@@ -448,7 +511,10 @@
             if (wins()) {
                 standForElection(false);
             }
-        } else if (m instanceof Message.Voted v && role == Role.CANDIDATE && v.term() == term && v.granted()
+        } else if (m instanceof Message.Voted v
+                && role == Role.CANDIDATE
+                && v.term() == term
+                && v.granted()
                 && rules.votesStillCount(now, stoodAt)) {
             votes.put(from, v.sound());
         } else if (m instanceof Message.Recall r) {
@@ -479,8 +545,9 @@
             }
         } else if (m instanceof Message.Asks a && role == Role.LEADER) {
             long askedAt = now;
-            whenConfirmed(() -> send(from, new Message.Grants(term, a.number(), commit, grants(a.asks(), askedAt))),
-                    () -> { });
+            whenConfirmed(
+                    () -> send(from, new Message.Grants(term, a.number(), commit, grants(a.asks(), askedAt))),
+                    () -> {});
         } else if (m instanceof Message.Grants g && early.size() < MOST_WAITING) {
             early.add(g);
         }
@@ -505,8 +572,12 @@
             if (m instanceof Message.Append || m instanceof Message.Piece) {
                 return true; // it leads, so it is this keeper's log that is behind and has its predecessor
             } else if (m instanceof Message.Recall || m instanceof Message.PreVote) {
-                send(from, new Message.NotAMember(term, "keeps folder " + Long.toHexString(itsFolder) + ", known is "
-                        + Long.toHexString(expected)));
+                send(
+                        from,
+                        new Message.NotAMember(
+                                term,
+                                "keeps folder " + Long.toHexString(itsFolder) + ", known is "
+                                        + Long.toHexString(expected)));
             }
             return false;
         }
@@ -528,8 +599,7 @@
         // One that is late, from a run that is over, is taken for the newest too; the next one of the run that lasts
         // puts that right, and the answer is to a question that nobody waits for any more.
         Slot.Known before = known.getOrDefault(from, new Slot.Known(itsFolder, 0));
-        boolean past = rules.isOfThePast(before.run(), r.runs(),
-                heardTerms.getOrDefault(from, 0L), r.term());
+        boolean past = rules.isOfThePast(before.run(), r.runs(), heardTerms.getOrDefault(from, 0L), r.term());
         if (before.run() != r.runs().get(0)) {
             known.put(from, new Slot.Known(itsFolder, r.runs().get(0)));
             storing.slot = true;
@@ -544,8 +614,17 @@
             peer.round = 0;
             peer.busyUntil = now;
         }
-        promise(from, new Message.Recalled(term, r.number(), past, standing.sound(), standing.lost(),
-                role == Role.LEADER, log.last(), before.run()));
+        promise(
+                from,
+                new Message.Recalled(
+                        term,
+                        r.number(),
+                        past,
+                        standing.sound(),
+                        standing.lost(),
+                        role == Role.LEADER,
+                        log.last(),
+                        before.run()));
     }
 
     // ---- Elections -----------------------------------------------------------------------------------
@@ -585,8 +664,9 @@
     }
 
     private void resign() {
-        proposed.values().forEach(w -> answer(w, new Outcome(Outcome.Kind.UNKNOWN, registry.newest().number(),
-                "the leader has changed")));
+        proposed.values()
+                .forEach(w -> answer(
+                        w, new Outcome(Outcome.Kind.UNKNOWN, registry.newest().number(), "the leader has changed")));
         proposed.clear();
         confirming.forEach(c -> c.otherwise().run());
         confirming.clear();
@@ -605,7 +685,8 @@
             standForElection(false);
             return;
         }
-        members.voters().keySet().stream().filter(n -> !n.equals(name))
+        members.voters().keySet().stream()
+                .filter(n -> !n.equals(name))
                 .forEach(to -> promise(to, new Message.PreVote(term, log.last(), log.lastTerm())));
     }
 
@@ -621,7 +702,8 @@
         restElection();
         votes.clear();
         votes.put(name, standing.sound());
-        members.voters().keySet().stream().filter(n -> !n.equals(name))
+        members.voters().keySet().stream()
+                .filter(n -> !n.equals(name))
                 .forEach(to -> promise(to, new Message.Vote(term, log.last(), log.lastTerm(), handedOver)));
     }
 
@@ -632,8 +714,11 @@
             }
             follow(v.term(), null);
         }
-        boolean granted = v.term() == term && rules.mayVoteFor(from, vote) && mayHelp()
-                && (role == Role.FOLLOWER || role == Role.ASKING) && upToDate(v.lastIndex(), v.lastTerm());
+        boolean granted = v.term() == term
+                && rules.mayVoteFor(from, vote)
+                && mayHelp()
+                && (role == Role.FOLLOWER || role == Role.ASKING)
+                && upToDate(v.lastIndex(), v.lastTerm());
         if (granted) {
             role = Role.FOLLOWER;
             vote = from;
@@ -650,7 +735,8 @@
     /** A majority of sound keepers, or all that there are. */
     private boolean wins() {
         long in = votes.keySet().stream().filter(members.voters()::containsKey).count();
-        long soundOnes = votes.entrySet().stream().filter(v -> v.getValue() && members.voters().containsKey(v.getKey()))
+        long soundOnes = votes.entrySet().stream()
+                .filter(v -> v.getValue() && members.voters().containsKey(v.getKey()))
                 .count();
         return soundOnes >= majority() || in == members.voters().size();
     }
@@ -670,8 +756,10 @@
     }
 
     private void leaderTick() {
-        long heard = peers.entrySet().stream().filter(p -> members.voters().containsKey(p.getKey())
-                && now - p.getValue().heardAt < 2 * timing.election()).count();
+        long heard = peers.entrySet().stream()
+                .filter(p ->
+                        members.voters().containsKey(p.getKey()) && now - p.getValue().heardAt < 2 * timing.election())
+                .count();
         int self = members.voters().containsKey(name) ? 1 : 0;
         if (heard + self < majority()) {
             say("hears of too few keepers");
@@ -690,7 +778,8 @@
         }
         String best = null;
         for (Map.Entry<String, Peer> p : peers.entrySet()) {
-            if (members.voters().containsKey(p.getKey()) && p.getValue().sound
+            if (members.voters().containsKey(p.getKey())
+                    && p.getValue().sound
                     && (best == null || p.getValue().match > peers.get(best).match)) {
                 best = p.getKey();
             }
@@ -867,7 +956,9 @@
     }
 
     private void piece(String from, Message.Piece p) {
-        if (p.term() < term || p.size() > Integer.MAX_VALUE / 2 || p.offset() < 0
+        if (p.term() < term
+                || p.size() > Integer.MAX_VALUE / 2
+                || p.offset() < 0
                 || p.offset() + p.bytes().length > p.size()) {
             return;
         }
@@ -950,8 +1041,14 @@
             news |= e.command() instanceof Command.Write || e.command() instanceof Command.Activate;
             Waiting w = proposed.remove(e.index());
             if (w != null) {
-                answer(w, w.term() == e.term() ? outcome : new Outcome(Outcome.Kind.UNKNOWN,
-                        registry.newest().number(), "another entry took its place"));
+                answer(
+                        w,
+                        w.term() == e.term()
+                                ? outcome
+                                : new Outcome(
+                                        Outcome.Kind.UNKNOWN,
+                                        registry.newest().number(),
+                                        "another entry took its place"));
             }
             if (e.command() instanceof Command.Change && role == Role.LEADER) {
                 changed();
@@ -995,11 +1092,11 @@
         if (role == Role.LEADER) {
             decide(new Waiting(term, null, token), request);
         } else if (leader == null) {
-            out.add(new Action.Answer(token, new Outcome(Outcome.Kind.NO_LEADER, registry.newest().number(),
-                    "no leader is known")));
+            out.add(new Action.Answer(
+                    token, new Outcome(Outcome.Kind.NO_LEADER, registry.newest().number(), "no leader is known")));
         } else if (forwarded.size() >= MOST_WAITING) {
-            out.add(new Action.Answer(token, new Outcome(Outcome.Kind.BUSY, registry.newest().number(),
-                    "too many requests wait")));
+            out.add(new Action.Answer(
+                    token, new Outcome(Outcome.Kind.BUSY, registry.newest().number(), "too many requests wait")));
         } else {
             forwarded.put(token, now + FORWARD_TIME);
             send(leader, new Message.Forward(term, token, request));
@@ -1021,13 +1118,22 @@
         } else if (proposed.size() + confirming.size() >= MOST_WAITING) {
             answer(w, new Outcome(Outcome.Kind.BUSY, registry.newest().number(), "too many requests wait"));
         } else if (request instanceof Request.Read) {
-            whenConfirmed(() -> answer(w, new Outcome(Outcome.Kind.DONE, registry.newest().number(), "")),
-                    () -> answer(w, new Outcome(Outcome.Kind.NO_LEADER, registry.newest().number(), "leads no more")));
+            whenConfirmed(
+                    () -> answer(
+                            w, new Outcome(Outcome.Kind.DONE, registry.newest().number(), "")),
+                    () -> answer(
+                            w,
+                            new Outcome(
+                                    Outcome.Kind.NO_LEADER, registry.newest().number(), "leads no more")));
         } else if (request instanceof Request.Set set) {
             Outcome before = refusal(set.write());
             if (before != null) { // decided by what is committed, which only a leader may say that is the newest
-                whenConfirmed(() -> answer(w, before), () -> answer(w, new Outcome(Outcome.Kind.UNKNOWN,
-                        registry.newest().number(), "leads no more")));
+                whenConfirmed(
+                        () -> answer(w, before),
+                        () -> answer(
+                                w,
+                                new Outcome(
+                                        Outcome.Kind.UNKNOWN, registry.newest().number(), "leads no more")));
             } else {
                 proposed.put(put(set.write()), w);
             }
@@ -1048,12 +1154,15 @@
         }
         List<String> faults = Schema.faults(registry.active().content(), write.content());
         if (faults.isEmpty() && Schema.needs(write.content()) > leases.oldestSchema(now)) {
-            return new Outcome(Outcome.Kind.BUSY, registry.active().number(),
+            return new Outcome(
+                    Outcome.Kind.BUSY,
+                    registry.active().number(),
                     "a balancer knows the schema up to version " + leases.oldestSchema(now) + ", this needs "
-                    + Schema.needs(write.content()));
+                            + Schema.needs(write.content()));
         }
-        return faults.isEmpty() ? null : new Outcome(Outcome.Kind.REFUSED, registry.active().number(),
-                String.join("; ", faults));
+        return faults.isEmpty()
+                ? null
+                : new Outcome(Outcome.Kind.REFUSED, registry.active().number(), String.join("; ", faults));
     }
 
     private void change(Waiting w, Request request) {
@@ -1065,7 +1174,8 @@
             if (members.member(add.member().name()) != null) {
                 fault = add.member().name() + " is a keeper already; remove it first";
             } else if (members.voters().size() >= Members.MOST || members.learner() != null) {
-                fault = members.learner() != null ? members.learner().name() + " is still catching up"
+                fault = members.learner() != null
+                        ? members.learner().name() + " is still catching up"
                         : Members.MOST + " keepers at most";
             } else {
                 next = members.withLearner(add.member());
@@ -1108,7 +1218,9 @@
                 confirmed = round;
             }
         }
-        List<Confirming> done = confirming.stream().filter(c -> rules.confirmed(c.round(), confirmed)).toList();
+        List<Confirming> done = confirming.stream()
+                .filter(c -> rules.confirmed(c.round(), confirmed))
+                .toList();
         confirming.removeAll(done);
         done.forEach(c -> c.then().run());
     }
@@ -1116,7 +1228,7 @@
     private void leasesAsked(List<LeaseAsk> asks) {
         if (role == Role.LEADER) {
             long askedAt = now;
-            whenConfirmed(() -> grants(asks, askedAt).forEach(g -> out.add(new Action.Grant(g))), () -> { });
+            whenConfirmed(() -> grants(asks, askedAt).forEach(g -> out.add(new Action.Grant(g))), () -> {});
         } else if (leader != null) {
             send(leader, new Message.Asks(term, 0, List.copyOf(asks)));
         }
@@ -1126,7 +1238,9 @@
         if (commit < firstOfTerm || applied < commit) {
             return List.of(); // what a leader before may have committed is not known yet
         }
-        return asks.stream().map(a -> leases.grant(a, askedAt, registry.active(), registry.pending())).toList();
+        return asks.stream()
+                .map(a -> leases.grant(a, askedAt, registry.active(), registry.pending()))
+                .toList();
     }
 
     /** What only time or others' answers make possible: a version in force, a learner a voter, folders known. */
@@ -1141,7 +1255,8 @@
         if (!rules.mayChange(members, registry.members())) {
             return;
         }
-        Peer learner = members.learner() == null ? null : peers.get(members.learner().name());
+        Peer learner =
+                members.learner() == null ? null : peers.get(members.learner().name());
         if (learner != null && learner.sound && learner.match >= commit && learner.match > 0) {
             put(new Command.Change(members.promoted()));
             return;
--- a/src/main/java/sedgeyoke/agree/Leases.java
+++ b/src/main/java/sedgeyoke/agree/Leases.java
@@ -16,9 +16,9 @@
     private final long quietUntil;
 
     /** One process of a balancer. */
-    private record Holder(String balancer, long run) { }
+    private record Holder(String balancer, long run) {}
 
-    private record Held(long holds, long until, int schema) { }
+    private record Held(long holds, long until, int schema) {}
 
     /** A leader begins. */
     Leases(Rules rules, long now) {
@@ -42,8 +42,12 @@
             Held before = held.get(holder);
             long until = rules.heldUntil(askedAt);
             // an ask that comes late must not shorten what a later one was granted
-            held.put(holder, new Held(before == null ? ask.holds() : Math.max(before.holds(), ask.holds()),
-                    before == null ? until : Math.max(until, before.until()), ask.schema()));
+            held.put(
+                    holder,
+                    new Held(
+                            before == null ? ask.holds() : Math.max(before.holds(), ask.holds()),
+                            before == null ? until : Math.max(until, before.until()),
+                            ask.schema()));
         }
         return new LeaseGrant(ask.balancer(), ask.run(), ask.stamp(), active.number(), next, leased);
     }
@@ -56,7 +60,10 @@
 
     /** The oldest schema that a holder knows. */
     int oldestSchema(long now) {
-        return held.values().stream().filter(h -> h.until() > now).mapToInt(Held::schema).min()
+        return held.values().stream()
+                .filter(h -> h.until() > now)
+                .mapToInt(Held::schema)
+                .min()
                 .orElse(Schema.VERSION);
     }
 
--- a/src/main/java/sedgeyoke/agree/Member.java
+++ b/src/main/java/sedgeyoke/agree/Member.java
@@ -8,4 +8,4 @@
  * @param folder the number of its folder, drawn when that was made; 0 while it is not known
  * @param address where it listens, host and port
  */
-public record Member(String name, long folder, String address) { }
+public record Member(String name, long folder, String address) {}
--- a/src/main/java/sedgeyoke/agree/Members.java
+++ b/src/main/java/sedgeyoke/agree/Members.java
@@ -63,8 +63,8 @@
     /** With what is known now of folders that were not known when the tier was founded. */
     Members bound(Map<String, Long> folders) {
         Map<String, Member> known = new TreeMap<>(voters);
-        known.replaceAll((name, m) -> m.folder() != 0 ? m
-                : new Member(name, folders.getOrDefault(name, 0L), m.address()));
+        known.replaceAll(
+                (name, m) -> m.folder() != 0 ? m : new Member(name, folders.getOrDefault(name, 0L), m.address()));
         return new Members(known, learner);
     }
 }
--- a/src/main/java/sedgeyoke/agree/Message.java
+++ b/src/main/java/sedgeyoke/agree/Message.java
@@ -8,16 +8,16 @@
     long term();
 
     /** Would you vote for me in the term after yours, if I asked? Changes nothing at whoever is asked. */
-    record PreVote(long term, long lastIndex, long lastTerm) implements Message { }
+    record PreVote(long term, long lastIndex, long lastTerm) implements Message {}
 
     /** The answer; {@code sound} as for votes. */
-    record PreVoted(long term, boolean granted, boolean sound) implements Message { }
+    record PreVoted(long term, boolean granted, boolean sound) implements Message {}
 
     /** Vote for me in this term. {@code handedOver}: the leader wants it; being content with it is no reason. */
-    record Vote(long term, long lastIndex, long lastTerm, boolean handedOver) implements Message { }
+    record Vote(long term, long lastIndex, long lastTerm, boolean handedOver) implements Message {}
 
     /** The answer. {@code sound}: whoever votes has lost nothing of what it ever promised. */
-    record Voted(long term, boolean granted, boolean sound) implements Message { }
+    record Voted(long term, boolean granted, boolean sound) implements Message {}
 
     /**
      * Entries behind one that both sides have; none as a heartbeat.
@@ -25,7 +25,7 @@
      * @param round counts the leader's rounds; its echo proves that the leader still led when the round began
      */
     record Append(long term, long prevIndex, long prevTerm, List<Entry> entries, long commit, long round)
-            implements Message { }
+            implements Message {}
 
     /**
      * The answer, once all that it promises is on disk.
@@ -34,17 +34,17 @@
      * @param run the sender's run: what an earlier one had may be gone
      * @param sound whether it counts
      */
-    record Appended(long term, boolean ok, long matched, long round, long run, boolean sound) implements Message { }
+    record Appended(long term, boolean ok, long matched, long round, long run, boolean sound) implements Message {}
 
     /** A part of a snapshot. */
     record Piece(long term, long covered, long coveredTerm, long offset, long size, byte[] bytes, long round)
-            implements Message { }
+            implements Message {}
 
     /** How much of it is there. */
-    record PieceTaken(long term, long covered, long next, long round) implements Message { }
+    record PieceTaken(long term, long covered, long next, long round) implements Message {}
 
     /** Stand for election now: the leader wants to go. */
-    record StandNow(long term) implements Message { }
+    record StandNow(long term) implements Message {}
 
     /**
      * I have just started, and want to know what you know of me and of the tier.
@@ -52,7 +52,7 @@
      * @param runs the sender's runs, the present one first, as far as its disk remembers
      * @param number of this question, by the sender
      */
-    record Recall(long term, List<Long> runs, long number) implements Message { }
+    record Recall(long term, List<Long> runs, long number) implements Message {}
 
     /**
      * The answer.
@@ -64,21 +64,29 @@
      * @param lastIndex of my log
      * @param knownRun the run of yours that I knew before
      */
-    record Recalled(long term, long number, boolean past, boolean sound, boolean lost, boolean leads,
-            long lastIndex, long knownRun) implements Message { }
+    record Recalled(
+            long term,
+            long number,
+            boolean past,
+            boolean sound,
+            boolean lost,
+            boolean leads,
+            long lastIndex,
+            long knownRun)
+            implements Message {}
 
     /** You are no keeper any more, or another one has your name. */
-    record NotAMember(long term, String why) implements Message { }
+    record NotAMember(long term, String why) implements Message {}
 
     /** Somebody asked me what only a leader can answer. */
-    record Forward(long term, long token, Request request) implements Message { }
+    record Forward(long term, long token, Request request) implements Message {}
 
     /** What became of it. */
-    record Forwarded(long term, long token, Outcome outcome) implements Message { }
+    record Forwarded(long term, long token, Outcome outcome) implements Message {}
 
     /** Balancers that follow me ask for leases. */
-    record Asks(long term, long number, List<LeaseAsk> asks) implements Message { }
+    record Asks(long term, long number, List<LeaseAsk> asks) implements Message {}
 
     /** Their leases, good once the receiver has applied the log up to {@code commit}. */
-    record Grants(long term, long number, long commit, List<LeaseGrant> grants) implements Message { }
+    record Grants(long term, long number, long commit, List<LeaseGrant> grants) implements Message {}
 }
--- a/src/main/java/sedgeyoke/agree/Peer.java
+++ b/src/main/java/sedgeyoke/agree/Peer.java
@@ -4,6 +4,7 @@
 final class Peer {
     /** The next entry to send, and the last one that is known to be there. */
     long next;
+
     long match;
     /** Its run, as it said itself; 0 while it has not said. What another run had is not counted. */
     long run;
@@ -11,11 +12,13 @@
     boolean sound;
     /** When it was heard of, and the newest round that it has echoed. */
     long heardAt;
+
     long round;
     /** Entries are under way until then; so long no more are sent. */
     long busyUntil;
     /** How much of a snapshot is there, and of which. */
     long offset;
+
     long offsetOf;
 
     Peer(long next, long run, long now) {
--- a/src/main/java/sedgeyoke/agree/Registry.java
+++ b/src/main/java/sedgeyoke/agree/Registry.java
@@ -14,6 +14,7 @@
 public final class Registry {
     /** Versions and requests that are remembered. A request is sure to be known again for so many later ones. */
     static final int MOST_VERSIONS = 200;
+
     static final int MOST_REQUESTS = 2_000;
 
     private final Rules rules;
@@ -29,8 +30,8 @@
      * @param history versions before the active one, oldest first
      * @param requests what became of requests, oldest first
      */
-    public record State(Members members, Version active, Version pending, List<Version> history,
-            Map<String, Outcome> requests) { }
+    public record State(
+            Members members, Version active, Version pending, List<Version> history, Map<String, Outcome> requests) {}
 
     /** Before anything; {@code members} as the tier was founded with, or none for one that is to join. */
     Registry(Members members, Rules rules) {
@@ -131,10 +132,14 @@
      */
     Outcome check(long parent) {
         if (!rules.follows(parent, newest().number())) {
-            return new Outcome(Outcome.Kind.CONFLICT, newest().number(), "made from version " + parent
-                    + ", the newest is " + newest().number());
+            return new Outcome(
+                    Outcome.Kind.CONFLICT,
+                    newest().number(),
+                    "made from version " + parent + ", the newest is " + newest().number());
         }
-        return pending == null ? null : new Outcome(Outcome.Kind.BUSY, pending.number(), "version "
-                + pending.number() + " is still taking effect");
+        return pending == null
+                ? null
+                : new Outcome(
+                        Outcome.Kind.BUSY, pending.number(), "version " + pending.number() + " is still taking effect");
     }
 }
--- a/src/main/java/sedgeyoke/agree/Schema.java
+++ b/src/main/java/sedgeyoke/agree/Schema.java
@@ -17,48 +17,149 @@
     public static final int VERSION = 1;
     /** Names in one set: as many as an operator's door takes by hand. */
     private static final int MOST_NAMES = 1_000;
+
     private static final int LONGEST_NAME = 128;
     private static final int LONGEST_NOTE = 256;
 
     /** Upstreams that nobody sends to. */
-    public static final Field UPSTREAMS_OUT = new Field("upstreams_out", Kind.NAMES, "upstream ids", 0, MOST_NAMES, 0,
-            Meet.UNION, Alone.LAST, 1, "upstreams out by hand: nobody sends to them");
+    public static final Field UPSTREAMS_OUT = new Field(
+            "upstreams_out",
+            Kind.NAMES,
+            "upstream ids",
+            0,
+            MOST_NAMES,
+            0,
+            Meet.UNION,
+            Alone.LAST,
+            1,
+            "upstreams out by hand: nobody sends to them");
     /** Zones that nobody sends to. */
-    public static final Field ZONES_OUT = new Field("zones_out", Kind.NAMES, "zones", 0, MOST_NAMES, 0, Meet.UNION,
-            Alone.LAST, 1, "zones out by hand: nobody sends to their upstreams");
+    public static final Field ZONES_OUT = new Field(
+            "zones_out",
+            Kind.NAMES,
+            "zones",
+            0,
+            MOST_NAMES,
+            0,
+            Meet.UNION,
+            Alone.LAST,
+            1,
+            "zones out by hand: nobody sends to their upstreams");
     /** How many balancers parts of budgets are cut for. */
-    public static final Field BALANCERS = new Field("balancers", Kind.NUMBER, "balancers", 1, 100_000, 1,
-            Meet.GREATEST, Alone.FLOOR, 1, "number of balancers that budgets are cut for");
+    public static final Field BALANCERS = new Field(
+            "balancers",
+            Kind.NUMBER,
+            "balancers",
+            1,
+            100_000,
+            1,
+            Meet.GREATEST,
+            Alone.FLOOR,
+            1,
+            "number of balancers that budgets are cut for");
     /** Its floor. */
-    public static final Field BALANCERS_ALONE = new Field("balancers_alone", Kind.NUMBER, "balancers", 1, 100_000,
-            100_000, Meet.GREATEST, Alone.IS_FLOOR, 1, "the same, for a balancer that hears no keeper");
+    public static final Field BALANCERS_ALONE = new Field(
+            "balancers_alone",
+            Kind.NUMBER,
+            "balancers",
+            1,
+            100_000,
+            100_000,
+            Meet.GREATEST,
+            Alone.IS_FLOOR,
+            1,
+            "the same, for a balancer that hears no keeper");
     /** Second tries for each first try. */
-    public static final Field RETRIES = new Field("retries", Kind.NUMBER, "share of first tries", 0, 1, 1, Meet.LEAST,
-            Alone.FLOOR, 1, "second tries for each first try, over the tier");
+    public static final Field RETRIES = new Field(
+            "retries",
+            Kind.NUMBER,
+            "share of first tries",
+            0,
+            1,
+            1,
+            Meet.LEAST,
+            Alone.FLOOR,
+            1,
+            "second tries for each first try, over the tier");
     /** Its floor. */
-    public static final Field RETRIES_ALONE = new Field("retries_alone", Kind.NUMBER, "share of first tries", 0, 1, 0,
-            Meet.LEAST, Alone.IS_FLOOR, 1, "the same, for a balancer that hears no keeper");
+    public static final Field RETRIES_ALONE = new Field(
+            "retries_alone",
+            Kind.NUMBER,
+            "share of first tries",
+            0,
+            1,
+            0,
+            Meet.LEAST,
+            Alone.IS_FLOOR,
+            1,
+            "the same, for a balancer that hears no keeper");
     /** Part of what settings allow a cold upstream. */
-    public static final Field COLD_SHARE = new Field("cold_share", Kind.NUMBER, "share", 0, 1, 1, Meet.LEAST,
-            Alone.FLOOR, 1, "part of what the settings allow a cold upstream");
+    public static final Field COLD_SHARE = new Field(
+            "cold_share",
+            Kind.NUMBER,
+            "share",
+            0,
+            1,
+            1,
+            Meet.LEAST,
+            Alone.FLOOR,
+            1,
+            "part of what the settings allow a cold upstream");
     /** Its floor. */
-    public static final Field COLD_SHARE_ALONE = new Field("cold_share_alone", Kind.NUMBER, "share", 0, 1, 0,
-            Meet.LEAST, Alone.IS_FLOOR, 1, "the same, for a balancer that hears no keeper");
+    public static final Field COLD_SHARE_ALONE = new Field(
+            "cold_share_alone",
+            Kind.NUMBER,
+            "share",
+            0,
+            1,
+            0,
+            Meet.LEAST,
+            Alone.IS_FLOOR,
+            1,
+            "the same, for a balancer that hears no keeper");
     /** Tenants' shares. */
-    public static final Field TENANT_SHARES = new Field("tenant_shares", Kind.TABLE, "share of capacity", 0, 1, 1,
-            Meet.LEAST, Alone.LAST, 1, "most of the capacity that a tenant may use");
+    public static final Field TENANT_SHARES = new Field(
+            "tenant_shares",
+            Kind.TABLE,
+            "share of capacity",
+            0,
+            1,
+            1,
+            Meet.LEAST,
+            Alone.LAST,
+            1,
+            "most of the capacity that a tenant may use");
     /** Where a keyed repeat is dropped. */
-    public static final Field REPEAT_GROUPS = new Field("repeat_groups", Kind.NAMES, "groups", 0, MOST_NAMES, 0,
-            Meet.COMMON, Alone.LAST, 1, "groups whose upstreams drop a keyed repeat");
+    public static final Field REPEAT_GROUPS = new Field(
+            "repeat_groups",
+            Kind.NAMES,
+            "groups",
+            0,
+            MOST_NAMES,
+            0,
+            Meet.COMMON,
+            Alone.LAST,
+            1,
+            "groups whose upstreams drop a keyed repeat");
     /** Where planners listen. */
-    public static final Field PLANNERS = new Field("planners", Kind.NAMES, "addresses", 0, 16, 0, Meet.LATER,
-            Alone.LAST, 1, "where planners listen");
+    public static final Field PLANNERS = new Field(
+            "planners", Kind.NAMES, "addresses", 0, 16, 0, Meet.LATER, Alone.LAST, 1, "where planners listen");
 
     /** All of them. */
-    public static final List<Field> FIELDS = List.of(UPSTREAMS_OUT, ZONES_OUT, BALANCERS, BALANCERS_ALONE, RETRIES,
-            RETRIES_ALONE, COLD_SHARE, COLD_SHARE_ALONE, TENANT_SHARES, REPEAT_GROUPS, PLANNERS);
+    public static final List<Field> FIELDS = List.of(
+            UPSTREAMS_OUT,
+            ZONES_OUT,
+            BALANCERS,
+            BALANCERS_ALONE,
+            RETRIES,
+            RETRIES_ALONE,
+            COLD_SHARE,
+            COLD_SHARE_ALONE,
+            TENANT_SHARES,
+            REPEAT_GROUPS,
+            PLANNERS);
 
-    private Schema() { }
+    private Schema() {}
 
     private static Field field(String name) {
         return FIELDS.stream().filter(f -> f.name().equals(name)).findFirst().orElse(null);
@@ -66,9 +167,13 @@
 
     /** The newest version of the schema that a document needs. */
     public static int needs(Document document) {
-        return FIELDS.stream().filter(f -> document.numbers().containsKey(f.name())
-                || document.tables().containsKey(f.name()) || document.names().containsKey(f.name()))
-                .mapToInt(Field::since).max().orElse(1);
+        return FIELDS.stream()
+                .filter(f -> document.numbers().containsKey(f.name())
+                        || document.tables().containsKey(f.name())
+                        || document.names().containsKey(f.name()))
+                .mapToInt(Field::since)
+                .max()
+                .orElse(1);
     }
 
     /** All that is wrong with a document that is to follow another one; each with its key. */
@@ -161,8 +266,9 @@
         for (Field f : FIELDS) {
             if (f.kind() == Kind.NUMBER) {
                 double met = f.meet(older.number(f), newer.number(f));
-                numbers.put(f.name(), alone && f.alone() == Alone.FLOOR
-                        ? f.meet(met, older.number(field(f.floorName()))) : met);
+                numbers.put(
+                        f.name(),
+                        alone && f.alone() == Alone.FLOOR ? f.meet(met, older.number(field(f.floorName()))) : met);
             } else if (f.kind() == Kind.TABLE) {
                 tables.put(f.name(), f.meetTables(older.table(f), newer.table(f)));
             } else {
@@ -176,13 +282,16 @@
     public static List<String> contradictions(Document acting, Document inForce) {
         List<String> found = new ArrayList<>();
         for (Field f : FIELDS) {
-            boolean fits = switch (f.kind()) {
-                case NUMBER -> f.meet(acting.number(f), inForce.number(f)) == acting.number(f);
-                case TABLE -> f.meetTables(acting.table(f), inForce.table(f)).entrySet().stream()
-                        .allMatch(e -> e.getValue().equals(acting.table(f).getOrDefault(e.getKey(), f.usual())));
-                case NAMES -> f.meetNames(acting.names(f), inForce.names(f)).keySet()
-                        .equals(acting.names(f).keySet());
-            };
+            boolean fits =
+                    switch (f.kind()) {
+                        case NUMBER -> f.meet(acting.number(f), inForce.number(f)) == acting.number(f);
+                        case TABLE -> f.meetTables(acting.table(f), inForce.table(f)).entrySet().stream()
+                                .allMatch(
+                                        e -> e.getValue().equals(acting.table(f).getOrDefault(e.getKey(), f.usual())));
+                        case NAMES -> f.meetNames(acting.names(f), inForce.names(f))
+                                .keySet()
+                                .equals(acting.names(f).keySet());
+                    };
             if (!fits) {
                 found.add(f.name());
             }
--- a/src/main/java/sedgeyoke/agree/Slot.java
+++ b/src/main/java/sedgeyoke/agree/Slot.java
@@ -19,5 +19,5 @@
     static final int MOST_RUNS = 32;
 
     /** Another keeper: its folder, and the run that was heard of last; 0 if none was. */
-    public record Known(long folder, long run) { }
+    public record Known(long folder, long run) {}
 }
--- a/src/main/java/sedgeyoke/agree/SnapshotState.java
+++ b/src/main/java/sedgeyoke/agree/SnapshotState.java
@@ -7,4 +7,4 @@
  * @param term its term
  * @param state what the log up to there says
  */
-public record SnapshotState(long covered, long term, Registry.State state) { }
+public record SnapshotState(long covered, long term, Registry.State state) {}
--- a/src/main/java/sedgeyoke/agree/Standing.java
+++ b/src/main/java/sedgeyoke/agree/Standing.java
@@ -26,6 +26,7 @@
     private boolean settled;
     /** Of the question that is asked; unlike that of any other run, whose answers may be late. */
     private long number;
+
     private boolean waited;
     private long askedAt;
 
@@ -71,12 +72,15 @@
         }
         List<Message.Recalled> others = voters(members, self);
         long bad = others.stream().filter(Message.Recalled::lost).count() + (lost ? 1 : 0);
-        return others.size() == members.voters().size() - 1 && bad < rules.majority(members.voters().size());
+        return others.size() == members.voters().size() - 1
+                && bad < rules.majority(members.voters().size());
     }
 
     private List<Message.Recalled> voters(Members members, String self) {
-        return replies.entrySet().stream().filter(e -> !e.getKey().equals(self)
-                && members.voters().containsKey(e.getKey())).map(Map.Entry::getValue).toList();
+        return replies.entrySet().stream()
+                .filter(e -> !e.getKey().equals(self) && members.voters().containsKey(e.getKey()))
+                .map(Map.Entry::getValue)
+                .toList();
     }
 
     /** Whether it is time to ask the others again. */
@@ -142,7 +146,8 @@
 
     /** Whether so many have answered that whatever was committed, and whoever may have been voted for, is known. */
     private boolean enough(Members members, String self) {
-        long others = voters(members, self).stream().filter(Message.Recalled::sound).count();
+        long others =
+                voters(members, self).stream().filter(Message.Recalled::sound).count();
         return waited && (others >= rules.majority(members.voters().size()) || unanimous(members, self));
     }
 
@@ -156,7 +161,8 @@
         }
         if (doubt == null) {
             sound = !members.voters().containsKey(self)
-                    || voters(members, self).size() >= rules.majority(members.voters().size()) - 1;
+                    || voters(members, self).size()
+                            >= rules.majority(members.voters().size()) - 1;
         } else if (leader != null && leader.equals(self)) {
             sound = true; // all have voted for it: nobody has more
         } else if (settled && enough(members, self)) {
--- a/src/main/java/sedgeyoke/body/BodyLimits.java
+++ b/src/main/java/sedgeyoke/body/BodyLimits.java
@@ -13,8 +13,16 @@
  * @param longestBody bytes of a body in either direction
  * @param socketBuffer what the kernel is asked to hold for a socket and direction; 0 leaves it to the system
  */
-public record BodyLimits(boolean streaming, int ceiling, long total, long leastRate, long rateWindow,
-        long longestUpload, long longestStill, long longestBody, int socketBuffer) {
+public record BodyLimits(
+        boolean streaming,
+        int ceiling,
+        long total,
+        long leastRate,
+        long rateWindow,
+        long longestUpload,
+        long longestStill,
+        long longestBody,
+        int socketBuffer) {
     private static final int PLATFORM_REQUEST = 64 * 1024;
     private static final int MOST_READ = 16 * 1024;
     private static final int MOST_LONG_READ = 64 * 1024;
@@ -22,15 +30,15 @@
     private static final int USUAL_PART = 8 * 1024;
 
     /** The platform's: bodies of 64 KiB, 2 s for a request and for reading its answer, and nothing passed through. */
-    public static final BodyLimits PLATFORM = new BodyLimits(false, PLATFORM_REQUEST, 0, 0, 2_000_000, 2_000_000,
-            2_000_000, PLATFORM_REQUEST, 0);
+    public static final BodyLimits PLATFORM =
+            new BodyLimits(false, PLATFORM_REQUEST, 0, 0, 2_000_000, 2_000_000, 2_000_000, PLATFORM_REQUEST, 0);
 
     /**
      * The platform's where operators have a door (DAYS, "Size"): 32 MB in either direction, many at once; what fits
      * into 64 KiB is gathered whole, so that it can be sent again.
      */
-    public static final BodyLimits OPERATED = new BodyLimits(true, 2 * PLATFORM_REQUEST, 32 << 20, 4_000, 2_500_000,
-            600_000_000, 3_000_000, 34 << 20, 0);
+    public static final BodyLimits OPERATED =
+            new BodyLimits(true, 2 * PLATFORM_REQUEST, 32 << 20, 4_000, 2_500_000, 600_000_000, 3_000_000, 34 << 20, 0);
 
     /** Bytes that are gathered before a request goes on in parts: one more read must still fit under the ceiling. */
     public int gathered() {
--- a/src/main/java/sedgeyoke/body/CutRequest.java
+++ b/src/main/java/sedgeyoke/body/CutRequest.java
@@ -11,22 +11,30 @@
  * harmless".
  */
 public final class CutRequest {
-    private CutRequest() { }
+    private CutRequest() {}
 
     /** How far the body of a request got. */
     public enum Body {
-        /** All of it is here. */ WHOLE,
-        /** The client is still sending, and nothing has gone on. */ HELD,
-        /** A part has gone on and is here no more; the last byte was not written. */ PART_GONE,
-        /** All of it has gone on; it is here no more. */ ALL_GONE
+        /** All of it is here. */
+        WHOLE,
+        /** The client is still sending, and nothing has gone on. */
+        HELD,
+        /** A part has gone on and is here no more; the last byte was not written. */
+        PART_GONE,
+        /** All of it has gone on; it is here no more. */
+        ALL_GONE
     }
 
     /** What comes next. */
     public enum Next {
-        /** The module decides: another attempt, or the final answer. */ MODULE,
-        /** Final: refused, trying again is harmless. */ REFUSE,
-        /** Final: failed, nothing promised. */ FAIL,
-        /** It is served. */ SERVED
+        /** The module decides: another attempt, or the final answer. */
+        MODULE,
+        /** Final: refused, trying again is harmless. */
+        REFUSE,
+        /** Final: failed, nothing promised. */
+        FAIL,
+        /** It is served. */
+        SERVED
     }
 
     /** What comes next after the end of an attempt. */
--- a/src/main/java/sedgeyoke/cli/Check.java
+++ b/src/main/java/sedgeyoke/cli/Check.java
@@ -10,7 +10,9 @@
 import sedgeyoke.operator.OperatorFile;
 
 /** {@code check}: whether an operator's file is in order, with all that is wrong in it. */
-@Command(name = "check", mixinStandardHelpOptions = true,
+@Command(
+        name = "check",
+        mixinStandardHelpOptions = true,
         description = "Reads an operator's file as a start would, and says all that is wrong with it.")
 final class Check implements Callable<Integer> {
     @CommandLine.Spec
--- a/src/main/java/sedgeyoke/cli/Demo.java
+++ b/src/main/java/sedgeyoke/cli/Demo.java
@@ -7,14 +7,21 @@
 import sedgeyoke.drill.DemoRun;
 
 /** {@code demo}: the whole thing on loopback. */
-@Command(name = "demo", mixinStandardHelpOptions = true, description = {
-    "Plays discovery, order nodes, three balancers and their clients on loopback.",
-    "Ends with 0, or with 1 and the rule that broke."})
+@Command(
+        name = "demo",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Plays discovery, order nodes, three balancers and their clients on loopback.",
+            "Ends with 0, or with 1 and the rule that broke."
+        })
 final class Demo implements Callable<Integer> {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
-    @Option(names = "--seconds", paramLabel = "N", defaultValue = "30",
+    @Option(
+            names = "--seconds",
+            paramLabel = "N",
+            defaultValue = "30",
             description = "how long, 3 to 3600; default: ${DEFAULT-VALUE}")
     private int seconds;
 
@@ -27,6 +34,11 @@
             throw new CommandLine.ParameterException(spec.commandLine(), "--seconds must lie from 3 to 3600");
         }
         boolean live = System.console() != null;
-        return new DemoRun(seconds, seed, live, spec.commandLine().getOut()).run().ruleViolations() == 0 ? 0 : 1;
+        return new DemoRun(seconds, seed, live, spec.commandLine().getOut())
+                                .run()
+                                .ruleViolations()
+                        == 0
+                ? 0
+                : 1;
     }
 }
--- a/src/main/java/sedgeyoke/cli/Keep.java
+++ b/src/main/java/sedgeyoke/cli/Keep.java
@@ -7,16 +7,25 @@
 import sedgeyoke.link.KeeperMain;
 
 /** {@code keep}: one keeper. */
-@Command(name = "keep", mixinStandardHelpOptions = true, description = {
-    "Runs one keeper until SIGTERM, as [keeper] in the operator's file sets it.",
-    "Ends with 2 if it cannot start, and with 3 if its disk has failed."})
+@Command(
+        name = "keep",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Runs one keeper until SIGTERM, as [keeper] in the operator's file sets it.",
+            "Ends with 2 if it cannot start, and with 3 if its disk has failed."
+        })
 final class Keep implements Callable<Integer> {
-    @Option(names = "--config", paramLabel = "FILE", description = "operator's file; default: SEDGEYOKE_OPERATOR",
+    @Option(
+            names = "--config",
+            paramLabel = "FILE",
+            description = "operator's file; default: SEDGEYOKE_OPERATOR",
             defaultValue = "${env:SEDGEYOKE_OPERATOR}")
     private Path config;
 
-    @Option(names = "--found", description = "founds a new tier if the folder is empty; else such a keeper waits"
-            + " until it is added to one")
+    @Option(
+            names = "--found",
+            description =
+                    "founds a new tier if the folder is empty; else such a keeper waits" + " until it is added to one")
     private boolean found;
 
     @Override
--- a/src/main/java/sedgeyoke/cli/KeeperCommand.java
+++ b/src/main/java/sedgeyoke/cli/KeeperCommand.java
@@ -19,11 +19,17 @@
     static final String EXIT_CODES = "Exit codes: 0 done, 1 refused, 2 wrong usage or a bad file, 3 outcome unknown"
             + " (ask again with --request), 4 no majority of keepers.";
 
-    @Option(names = "--config", paramLabel = "FILE", description = "file with [operator]; else SEDGEYOKE_OPERATOR",
+    @Option(
+            names = "--config",
+            paramLabel = "FILE",
+            description = "file with [operator]; else SEDGEYOKE_OPERATOR",
             defaultValue = "${env:SEDGEYOKE_OPERATOR}")
     Path config;
 
-    @Option(names = "--timeout", paramLabel = "S", defaultValue = "10",
+    @Option(
+            names = "--timeout",
+            paramLabel = "S",
+            defaultValue = "10",
             description = "how long an answer is waited for, in seconds; default: ${DEFAULT-VALUE}")
     int timeout;
 
--- a/src/main/java/sedgeyoke/cli/KeepersCommand.java
+++ b/src/main/java/sedgeyoke/cli/KeepersCommand.java
@@ -20,7 +20,10 @@
 import sedgeyoke.store.FileDisk;
 
 /** {@code keepers}: those who hold what the tier has agreed on. */
-@Command(name = "keepers", mixinStandardHelpOptions = true, footer = {"", KeeperCommand.EXIT_CODES},
+@Command(
+        name = "keepers",
+        mixinStandardHelpOptions = true,
+        footer = {"", KeeperCommand.EXIT_CODES},
         description = "Looks after the keepers of a tier.")
 final class KeepersCommand implements Runnable {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -50,14 +53,22 @@
                 voters = s.voters().size();
                 all.add(JSON.valueToTree(s));
                 if (!common.json) {
-                    out.printf("%-12s %-9s term %d, commit %d of %d, version %d%s, %d followers, %s%n", s.name(),
-                            s.role(), s.term(), s.commit(), s.last(), s.active(), s.pending() == 0 ? "" : " ("
-                            + s.pending() + " takes effect)", s.followers(),
+                    out.printf(
+                            "%-12s %-9s term %d, commit %d of %d, version %d%s, %d followers, %s%n",
+                            s.name(),
+                            s.role(),
+                            s.term(),
+                            s.commit(),
+                            s.last(),
+                            s.active(),
+                            s.pending() == 0 ? "" : " (" + s.pending() + " takes effect)",
+                            s.followers(),
                             s.sound() ? "sound" : "in doubt: " + s.doubt());
                     if (s.role().equals("leader")) {
-                        out.printf("  a version holds everywhere within %d ms; rules contradict for %d ms at most;"
-                                + " %d balancers hold a lease%n", s.holdsWithinMs(), s.contradictionBoundMs(),
-                                s.holders());
+                        out.printf(
+                                "  a version holds everywhere within %d ms; rules contradict for %d ms at most;"
+                                        + " %d balancers hold a lease%n",
+                                s.holdsWithinMs(), s.contradictionBoundMs(), s.holders());
                     }
                 }
             }
@@ -68,11 +79,19 @@
         });
     }
 
-    @Command(name = "add", mixinStandardHelpOptions = true,
+    @Command(
+            name = "add",
+            mixinStandardHelpOptions = true,
             description = "A keeper joins; it decides with the others once it has caught up.")
-    int add(@Mixin KeeperCommand common, @Parameters(paramLabel = "NAME=ADDRESS") String keeper,
-            @Option(names = "--folder", required = true, paramLabel = "HEX",
-                    description = "the number of its folder, as 'keepers check' prints it") String folder)
+    int add(
+            @Mixin KeeperCommand common,
+            @Parameters(paramLabel = "NAME=ADDRESS") String keeper,
+            @Option(
+                            names = "--folder",
+                            required = true,
+                            paramLabel = "HEX",
+                            description = "the number of its folder, as 'keepers check' prints it")
+                    String folder)
             throws InterruptedException {
         String[] parts = keeper.split("=", 2);
         if (parts.length != 2) {
@@ -82,21 +101,24 @@
     }
 
     @Command(name = "remove", mixinStandardHelpOptions = true, description = "A keeper goes.")
-    int remove(@Mixin KeeperCommand common, @Parameters(paramLabel = "NAME") String name)
-            throws InterruptedException {
+    int remove(@Mixin KeeperCommand common, @Parameters(paramLabel = "NAME") String name) throws InterruptedException {
         return change(common, new Request.Remove(name, 0));
     }
 
     private int change(KeeperCommand common, Request request) throws InterruptedException {
         return common.run(spec, (client, settings) -> {
             Outcome outcome = client.ask(request, common.withinMs()).outcome();
-            spec.commandLine().getOut().println(outcome.kind().name().toLowerCase()
-                    + (outcome.text().isEmpty() ? "" : ": " + outcome.text()));
+            spec.commandLine()
+                    .getOut()
+                    .println(outcome.kind().name().toLowerCase()
+                            + (outcome.text().isEmpty() ? "" : ": " + outcome.text()));
             return KeeperCommand.code(outcome);
         });
     }
 
-    @Command(name = "check", mixinStandardHelpOptions = true,
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
             description = "Reads the folder of a keeper that does not run, and says what of it can be believed.")
     int check(@Parameters(paramLabel = "FOLDER") Path folder) {
         PrintWriter out = spec.commandLine().getOut();
--- a/src/main/java/sedgeyoke/cli/Plan.java
+++ b/src/main/java/sedgeyoke/cli/Plan.java
@@ -7,10 +7,15 @@
 import sedgeyoke.link.PlannerMain;
 
 /** {@code plan}: one planner. */
-@Command(name = "plan", mixinStandardHelpOptions = true,
+@Command(
+        name = "plan",
+        mixinStandardHelpOptions = true,
         description = "Runs one planner until SIGTERM, as [planner] in the operator's file sets it.")
 final class Plan implements Callable<Integer> {
-    @Option(names = "--config", paramLabel = "FILE", description = "operator's file; default: SEDGEYOKE_OPERATOR",
+    @Option(
+            names = "--config",
+            paramLabel = "FILE",
+            description = "operator's file; default: SEDGEYOKE_OPERATOR",
             defaultValue = "${env:SEDGEYOKE_OPERATOR}")
     private Path config;
 
--- a/src/main/java/sedgeyoke/cli/Sedgeyoke.java
+++ b/src/main/java/sedgeyoke/cli/Sedgeyoke.java
@@ -6,11 +6,23 @@
 import picocli.CommandLine.IVersionProvider;
 
 /** The command {@code sedgeyoke}; without a command of its own it says which there are. */
-@Command(name = "sedgeyoke", mixinStandardHelpOptions = true, versionProvider = Sedgeyoke.Version.class,
+@Command(
+        name = "sedgeyoke",
+        mixinStandardHelpOptions = true,
+        versionProvider = Sedgeyoke.Version.class,
         description = "A load balancer whose decisions follow reported utilisation.",
-        subcommands = {Serve.class, Plan.class, Keep.class, SettingsCommand.class, KeepersCommand.class,
-            Check.class, Demo.class, Drill.class, ExperimentCommand.class,
-            HuntCommand.class},
+        subcommands = {
+            Serve.class,
+            Plan.class,
+            Keep.class,
+            SettingsCommand.class,
+            KeepersCommand.class,
+            Check.class,
+            Demo.class,
+            Drill.class,
+            ExperimentCommand.class,
+            HuntCommand.class
+        },
         footer = {"", "Exit codes: 0 done, 1 a rule was broken or a check failed, 2 wrong usage or a bad file."})
 public final class Sedgeyoke implements Callable<Integer> {
     @CommandLine.Spec
@@ -22,7 +34,9 @@
     }
 
     static int run(String... args) {
-        return new CommandLine(new Sedgeyoke()).setCaseInsensitiveEnumValuesAllowed(true).execute(args);
+        return new CommandLine(new Sedgeyoke())
+                .setCaseInsensitiveEnumValuesAllowed(true)
+                .execute(args);
     }
 
     @Override
@@ -36,8 +50,9 @@
         @Override
         public String[] getVersion() {
             String version = Sedgeyoke.class.getPackage().getImplementationVersion();
-            return new String[] {"sedgeyoke " + (version == null ? "(not from a jar)" : version)
-                + ", Java " + Runtime.version()};
+            return new String[] {
+                "sedgeyoke " + (version == null ? "(not from a jar)" : version) + ", Java " + Runtime.version()
+            };
         }
     }
 }
--- a/src/main/java/sedgeyoke/cli/Serve.java
+++ b/src/main/java/sedgeyoke/cli/Serve.java
@@ -7,9 +7,13 @@
 import sedgeyoke.serve.Main;
 
 /** {@code serve}: one balancer. {@code bin/sedgeyoke} starts it without this class, which has its help. */
-@Command(name = "serve", mixinStandardHelpOptions = true, description = {
-    "Runs one balancer until SIGTERM, as 'run' in deploy/balancer.toml does.",
-    "The platform's configuration is taken from the file that BALANCER_CONFIG names."})
+@Command(
+        name = "serve",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Runs one balancer until SIGTERM, as 'run' in deploy/balancer.toml does.",
+            "The platform's configuration is taken from the file that BALANCER_CONFIG names."
+        })
 final class Serve implements Callable<Integer> {
     @Option(names = "--config", paramLabel = "FILE", description = "operator's file; default: SEDGEYOKE_OPERATOR")
     private Path config;
--- a/src/main/java/sedgeyoke/cli/SettingsCommand.java
+++ b/src/main/java/sedgeyoke/cli/SettingsCommand.java
@@ -22,7 +22,10 @@
 import sedgeyoke.link.KeeperClient;
 
 /** {@code settings}: what the tier has agreed on. */
-@Command(name = "settings", mixinStandardHelpOptions = true, footer = {"", KeeperCommand.EXIT_CODES},
+@Command(
+        name = "settings",
+        mixinStandardHelpOptions = true,
+        footer = {"", KeeperCommand.EXIT_CODES},
         description = "Reads and sets what the balancers of a tier agree on, by way of the keepers.")
 final class SettingsCommand implements Runnable {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -38,13 +41,17 @@
     @Command(name = "fields", description = "Lists all keys: unit, bounds, how versions meet, what holds alone.")
     int fields() {
         for (Field f : Schema.FIELDS) {
-            spec.commandLine().getOut().println(f.name() + " | " + f.unit() + " | " + f.least() + " to " + f.most()
-                    + " | meet: " + f.meet() + " | alone: " + f.alone() + " | " + f.says());
+            spec.commandLine()
+                    .getOut()
+                    .println(f.name() + " | " + f.unit() + " | " + f.least() + " to " + f.most() + " | meet: "
+                            + f.meet() + " | alone: " + f.alone() + " | " + f.says());
         }
         return 0;
     }
 
-    @Command(name = "get", mixinStandardHelpOptions = true,
+    @Command(
+            name = "get",
+            mixinStandardHelpOptions = true,
             description = "Prints the newest version, and whether it is in force everywhere.")
     int get(@Mixin KeeperCommand common) throws InterruptedException {
         return common.run(spec, (client, settings) -> {
@@ -67,48 +74,87 @@
         });
     }
 
-    @Command(name = "set", mixinStandardHelpOptions = true, description = {
-        "Makes a new version from the newest one.",
-        "KEY=NUMBER, KEY+=NAME, KEY-=NAME, KEY.NAME=NUMBER, KEY= (unset)."})
-    int set(@Mixin KeeperCommand common,
+    @Command(
+            name = "set",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Makes a new version from the newest one.",
+                "KEY=NUMBER, KEY+=NAME, KEY-=NAME, KEY.NAME=NUMBER, KEY= (unset)."
+            })
+    int set(
+            @Mixin KeeperCommand common,
             @Parameters(arity = "1..*", paramLabel = "CHANGE", description = "such as upstreams_out+=n3 retries=0.2")
                     List<String> changes,
             @Option(names = "--reason", defaultValue = "", description = "why, for the history") String reason,
             @Option(names = "--request", description = "the number of an earlier try whose outcome is not known")
                     String request,
             @Option(names = "--parent", description = "the version that it has to be made from; default: the newest")
-                    Long parent) throws InterruptedException {
+                    Long parent)
+            throws InterruptedException {
         return common.run(spec, (client, settings) -> {
             KeeperClient.Answer now = client.ask(new Request.Read(), common.withinMs());
             if (now.outcome().kind() != Outcome.Kind.DONE) {
                 return tell(now.outcome(), null, common.json);
             }
             if (parent != null && parent != now.newest().number()) {
-                return tell(new Outcome(Outcome.Kind.CONFLICT, now.newest().number(), "the newest version is "
-                        + now.newest().number()), null, common.json);
+                return tell(
+                        new Outcome(
+                                Outcome.Kind.CONFLICT,
+                                now.newest().number(),
+                                "the newest version is " + now.newest().number()),
+                        null,
+                        common.json);
             }
             String number = request != null ? request : UUID.randomUUID().toString();
-            return tell(client.set(number, now.newest(), settings.name(), reason,
-                    changed(now.newest().content(), changes), common.withinMs()).outcome(), number, common.json);
+            return tell(
+                    client.set(
+                                    number,
+                                    now.newest(),
+                                    settings.name(),
+                                    reason,
+                                    changed(now.newest().content(), changes),
+                                    common.withinMs())
+                            .outcome(),
+                    number,
+                    common.json);
         });
     }
 
-    @Command(name = "rollback", mixinStandardHelpOptions = true,
+    @Command(
+            name = "rollback",
+            mixinStandardHelpOptions = true,
             description = "Makes a new version with the content of an earlier one.")
     int rollback(@Mixin KeeperCommand common, @Parameters(paramLabel = "VERSION") long version)
             throws InterruptedException {
         return common.run(spec, (client, settings) -> {
             KeeperClient.Answer now = client.ask(new Request.Read(), common.withinMs());
             KeeperClient.Answer before = client.history(common.withinMs());
-            Version old = before == null ? null : before.history().stream().filter(v -> v.number() == version)
-                    .findFirst().orElse(null);
+            Version old = before == null
+                    ? null
+                    : before.history().stream()
+                            .filter(v -> v.number() == version)
+                            .findFirst()
+                            .orElse(null);
             if (now.outcome().kind() != Outcome.Kind.DONE || old == null) {
-                return tell(old == null ? new Outcome(Outcome.Kind.REFUSED, 0, "version " + version
-                        + " is not remembered") : now.outcome(), null, common.json);
+                return tell(
+                        old == null
+                                ? new Outcome(Outcome.Kind.REFUSED, 0, "version " + version + " is not remembered")
+                                : now.outcome(),
+                        null,
+                        common.json);
             }
             String number = UUID.randomUUID().toString();
-            return tell(client.set(number, now.newest(), settings.name(), "back to version " + version, old.content(),
-                    common.withinMs()).outcome(), number, common.json);
+            return tell(
+                    client.set(
+                                    number,
+                                    now.newest(),
+                                    settings.name(),
+                                    "back to version " + version,
+                                    old.content(),
+                                    common.withinMs())
+                            .outcome(),
+                    number,
+                    common.json);
         });
     }
 
@@ -160,8 +206,11 @@
     private int tell(Outcome outcome, String request, boolean json) {
         PrintWriter out = spec.commandLine().getOut();
         if (json) {
-            out.println(JSON.createObjectNode().put("outcome", outcome.kind().name().toLowerCase())
-                    .put("version", outcome.version()).put("text", outcome.text()).put("request", request));
+            out.println(JSON.createObjectNode()
+                    .put("outcome", outcome.kind().name().toLowerCase())
+                    .put("version", outcome.version())
+                    .put("text", outcome.text())
+                    .put("request", request));
         } else {
             out.println(outcome.kind().name().toLowerCase() + ", version " + outcome.version()
                     + (outcome.text().isEmpty() ? "" : ": " + outcome.text())
@@ -177,8 +226,11 @@
         PrintWriter out = spec.commandLine().getOut();
         Version v = answer.newest();
         if (json) {
-            ObjectNode node = JSON.createObjectNode().put("version", v.number())
-                    .put("in_force", answer.active().number()).put("author", v.author()).put("reason", v.reason())
+            ObjectNode node = JSON.createObjectNode()
+                    .put("version", v.number())
+                    .put("in_force", answer.active().number())
+                    .put("author", v.author())
+                    .put("reason", v.reason())
                     .put("at_ms", v.atMs());
             node.set("numbers", JSON.valueToTree(v.content().numbers()));
             node.set("tables", JSON.valueToTree(v.content().tables()));
@@ -186,8 +238,10 @@
             out.println(node);
             return 0;
         }
-        out.println(line(v) + (answer.pending() == null ? "" : "; takes effect, in force is "
-                + answer.active().number()));
+        out.println(line(v)
+                + (answer.pending() == null
+                        ? ""
+                        : "; takes effect, in force is " + answer.active().number()));
         rows(v.content()).forEach(row -> out.println("  " + row));
         return 0;
     }
--- a/src/main/java/sedgeyoke/decide/Balancer.java
+++ b/src/main/java/sedgeyoke/decide/Balancer.java
@@ -96,21 +96,38 @@
     }
 
     /** What a list of upstreams is: changes, the whole, the whole as held before a restart, or a failed call. */
-    enum ListKind { CHANGES, COMPLETE, RESTORED, UNAVAILABLE }
+    enum ListKind {
+        CHANGES,
+        COMPLETE,
+        RESTORED,
+        UNAVAILABLE
+    }
 
     /** State of an upstream in the list. */
-    enum State { READY, DRAINING, GONE }
+    enum State {
+        READY,
+        DRAINING,
+        GONE
+    }
 
     /** How an attempt ended. */
     enum Outcome {
-        /** Served. */ OK(false),
-        /** An error; it may have run. */ ERROR(false),
-        /** Rejected unseen. */ FULL(true),
-        /** No answer in time; it may have run or still run. */ TIMEOUT(false),
-        /** No connection could be had. */ CONNECT_FAILED(true),
-        /** Broken while outstanding; it may have run. */ RESET(false),
-        /** Called off; it may have run. */ CANCELLED(false),
-        /** Never sent. */ MOOT(true);
+        /** Served. */
+        OK(false),
+        /** An error; it may have run. */
+        ERROR(false),
+        /** Rejected unseen. */
+        FULL(true),
+        /** No answer in time; it may have run or still run. */
+        TIMEOUT(false),
+        /** No connection could be had. */
+        CONNECT_FAILED(true),
+        /** Broken while outstanding; it may have run. */
+        RESET(false),
+        /** Called off; it may have run. */
+        CANCELLED(false),
+        /** Never sent. */
+        MOOT(true);
 
         /** Whether this outcome proves that the attempt never ran. */
         public final boolean neverRan;
@@ -121,64 +138,144 @@
     }
 
     /** Whether a request may run more than once. */
-    enum Effect { SAFE, KEYED, UNSAFE }
+    enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** Which upstreams discard the repeat of a keyed request: all, those of one zone, or those of one cell. */
-    enum Scope { ALL, ZONE, CELL }
+    enum Scope {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** How load reports come: within answers, by probes alone, or not at all. */
-    enum Reports { IN_ANSWERS, BY_PROBE, NONE }
+    enum Reports {
+        IN_ANSWERS,
+        BY_PROBE,
+        NONE
+    }
 
     /** What an upstream's rating means. */
-    enum Ratings { NONE, NOMINAL, ROUGH, LIVE }
+    enum Ratings {
+        NONE,
+        NOMINAL,
+        ROUGH,
+        LIVE
+    }
 
     /** One upstream as the list names it; {@code launchedAt} 0 means long ago. */
-    record Upstream(String id, int zone, int kind, int cell, State state, double rating, long launchedAt) { }
+    record Upstream(String id, int zone, int kind, int cell, State state, double rating, long launchedAt) {}
 
     /**
      * A request; {@code expectedWork} is 0 without a hint, {@code key} null without a key. {@code coming} says that its
      * body is still on the way: an upstream begins its work when the client is done, whenever that is.
      */
-    record Request(String id, int classIndex, int tenant, String key, long expectedWork, long timeLeft,
-            boolean write, boolean retry, boolean coming) {
+    record Request(
+            String id,
+            int classIndex,
+            int tenant,
+            String key,
+            long expectedWork,
+            long timeLeft,
+            boolean write,
+            boolean retry,
+            boolean coming) {
         /** A request that is whole. */
-        public Request(String id, int classIndex, int tenant, String key, long expectedWork, long timeLeft,
-                boolean write, boolean retry) {
+        public Request(
+                String id,
+                int classIndex,
+                int tenant,
+                String key,
+                long expectedWork,
+                long timeLeft,
+                boolean write,
+                boolean retry) {
             this(id, classIndex, tenant, key, expectedWork, timeLeft, write, retry, false);
         }
     }
 
     /** The end of an attempt; {@code concluded} says that the request needs no further answer. */
-    record AttemptEnd(String request, int attempt, String upstream, Outcome outcome, long took,
-            boolean concluded, LoadReport load) { }
+    record AttemptEnd(
+            String request,
+            int attempt,
+            String upstream,
+            Outcome outcome,
+            long took,
+            boolean concluded,
+            LoadReport load) {}
 
     /** A load report; a value that the upstream does not report is NaN. Times are microseconds. */
-    record LoadReport(double utilisation, double active, double waiting, double serviceTime,
-            double servedPerSecond, double errorsPerSecond) { }
+    record LoadReport(
+            double utilisation,
+            double active,
+            double waiting,
+            double serviceTime,
+            double servedPerSecond,
+            double errorsPerSecond) {}
 
     /** A class of requests. {@code aimStretch} lengthens the aim by that multiple of the request's own work. */
-    record RequestClass(long aim, double aimStretch, long giveUp, double worth, double lateWorth, Effect effect,
-            Scope scope, long memorySpan, boolean stream) { }
+    record RequestClass(
+            long aim,
+            double aimStretch,
+            long giveUp,
+            double worth,
+            double lateWorth,
+            Effect effect,
+            Scope scope,
+            long memorySpan,
+            boolean stream) {}
 
     /** A tenant: its allowance in requests a second across all balancers, 0 for none stated. */
-    record Tenant(double allowance, double share) { }
+    record Tenant(double allowance, double share) {}
 
     /** What the balancer may do. */
-    record Limits(int maxAttempts, boolean secondCopies, boolean probes, boolean cancel, boolean peers,
-            int maxOpen, boolean retryAfter, long maxRetryAfter, long connectTimeout, long connectIdle,
-            int streamsPerConnection) { }
+    record Limits(
+            int maxAttempts,
+            boolean secondCopies,
+            boolean probes,
+            boolean cancel,
+            boolean peers,
+            int maxOpen,
+            boolean retryAfter,
+            long maxRetryAfter,
+            long connectTimeout,
+            long connectIdle,
+            int streamsPerConnection) {}
 
     /** The figures of the rules. */
-    record RuleFigures(long answerSlack, long askWithin, double startCapacity, long coldTime, long drainGrace,
-            double fallMultiple, long fallTime) { }
+    record RuleFigures(
+            long answerSlack,
+            long askWithin,
+            double startCapacity,
+            long coldTime,
+            long drainGrace,
+            double fallMultiple,
+            long fallTime) {}
 
     /** Prices in points of the result, for each unit of what they are charged on. */
-    record Prices(double crossZone, double waste, double probe, double lateFail, double handshake) { }
+    record Prices(double crossZone, double waste, double probe, double lateFail, double handshake) {}
 
     /** All that an instance is told at its start. */
-    record Settings(int zone, int zones, int position, int groupSize, List<RequestClass> classes,
-            List<Tenant> tenants, double overShareWorth, boolean worthByWork, Limits limits, RuleFigures rules,
-            Prices prices, Reports reports, Ratings ratings, boolean askForList, boolean warmKeys, long tick) { }
+    record Settings(
+            int zone,
+            int zones,
+            int position,
+            int groupSize,
+            List<RequestClass> classes,
+            List<Tenant> tenants,
+            double overShareWorth,
+            boolean worthByWork,
+            Limits limits,
+            RuleFigures rules,
+            Prices prices,
+            Reports reports,
+            Ratings ratings,
+            boolean askForList,
+            boolean warmKeys,
+            long tick) {}
 
     /**
      * What planners say of one upstream. Its reports are no part of it: with the same ones at the same moment, all
@@ -188,23 +285,28 @@
      * @param launchedAt its latest start that anyone was told of; 0 for none
      * @param draining whether anyone was told that it drains: nothing new is sent there, whatever our own list says
      */
-    record UpstreamView(String id, double limit, long launchedAt, boolean draining) { }
+    record UpstreamView(String id, double limit, long launchedAt, boolean draining) {}
 
     /** A right to send so many mean requests a second to a cold upstream, until then. */
-    record ColdGrant(double rate, long until) { }
+    record ColdGrant(double rate, long until) {}
 
     /**
      * Rights on an upstream that is cold since {@code launchedAt}: our own is lent until some time, and others'
      * are granted to us.
      */
-    record ColdRight(long launchedAt, long lentUntil, List<ColdGrant> grants) { }
+    record ColdRight(long launchedAt, long lentUntil, List<ColdGrant> grants) {}
 
     /**
      * A plan. {@code heardAt} is when a planner was last heard, 0 for never; {@code fadeTime} how long it then takes
      * to fade out; {@code spill} the share of our zone's requests that is to go to each zone, or empty;
      * {@code quietUntil} until when our own rights on cold upstreams must not be used.
      */
-    record Plan(long heardAt, long fadeTime, List<UpstreamView> upstreams, List<Double> spill, long quietUntil,
+    record Plan(
+            long heardAt,
+            long fadeTime,
+            List<UpstreamView> upstreams,
+            List<Double> spill,
+            long quietUntil,
             Map<String, ColdRight> cold) {
 
         /**
@@ -213,7 +315,8 @@
          */
         public ColdRight right(String upstream, long launchedAt) {
             ColdRight right = cold.get(upstream);
-            return right == null || right.launchedAt() == launchedAt ? right
+            return right == null || right.launchedAt() == launchedAt
+                    ? right
                     : new ColdRight(launchedAt, right.lentUntil(), List.of());
         }
     }
@@ -223,9 +326,21 @@
      * 0 means that it has no report; {@code ejected} that it is avoided, by our own choice or by hand;
      * {@code coldRight} is our own right while it is cold, in mean requests a second.
      */
-    record Standing(String id, int zone, State state, long launchedAt, int inFlight, long sent, double weight,
-            double limit, double utilisation, double waiting, long reportedAt, boolean ejected, double coldRight) { }
+    record Standing(
+            String id,
+            int zone,
+            State state,
+            long launchedAt,
+            int inFlight,
+            long sent,
+            double weight,
+            double limit,
+            double utilisation,
+            double waiting,
+            long reportedAt,
+            boolean ejected,
+            double coldRight) {}
 
     /** What a balancer tells of itself: requests a second by class, upstreams, and how many requests it holds. */
-    record Summary(List<Double> demand, List<Standing> upstreams, int held) { }
+    record Summary(List<Double> demand, List<Standing> upstreams, int held) {}
 }
--- a/src/main/java/sedgeyoke/decide/ColdBucket.java
+++ b/src/main/java/sedgeyoke/decide/ColdBucket.java
@@ -29,8 +29,8 @@
      * @param quietUntil until then our own right may still be lent by a process that we were before
      * @param floor what may be saved up at least where no planner has a say
      */
-    public void refill(long now, double own, ColdRight right, double unit, long quietUntil, long fallTime,
-            double floor) {
+    public void refill(
+            long now, double own, ColdRight right, double unit, long quietUntil, long fallTime, double floor) {
         if (right == null && at >= quietUntil) {
             tokens = Math.min(Math.max(own * fallTime, floor), tokens + own * (now - at));
             at = now;
--- a/src/main/java/sedgeyoke/decide/Policy.java
+++ b/src/main/java/sedgeyoke/decide/Policy.java
@@ -37,9 +37,11 @@
     private static final long FRESH = 3_000_000;
     /** Our traffic of so long a time, and so many upstreams at least, are the sample that we pick from. */
     private static final long APERTURE_TIME = 3_000_000;
+
     private static final int LEAST_APERTURE = 6;
     /** Typical answer times in which a reported crowd is half forgotten twice; and the most that counts. */
     private static final double CROWD_TIMES = 20;
+
     private static final double MOST_CROWD = 1e3;
     /** Where traffic is thin, a home whose service takes so many times as long as elsewhere is none. */
     private static final double JAMMED = 3;
@@ -47,13 +49,16 @@
     private static final int SLOTS = 8;
     /** Share of their aims that answers may take, and how fast the share of requests let in follows. */
     private static final double ADMISSION_TARGET = 0.7;
+
     private static final double ADMISSION_GAIN = 0.2;
     private static final double LEAST_ADMITTED = 0.1;
     /** Retry budget: further attempts as a share of requests, and how many may be saved up. */
     private static final double RETRY_SHARE = 0.2;
+
     private static final double MOST_RETRIES = 3;
     /** Where traffic is thin: what an error counts, as few come by chance, and what a period leaves of it. */
     private static final double THIN_ERROR = 0.8;
+
     private static final double THIN_FADE = 0.95;
     /** Exponent of the pick: high enough that a clearly less loaded upstream nearly always wins. */
     private static final double BIAS = 4;
@@ -73,6 +78,7 @@
     private static final double WAIT_SHARE = 0.28;
     /** Least and most cut on an answer that waited too long; the step up is for a round of answers. */
     private static final double LIMIT_CUT = 0.8;
+
     private static final double DEEPEST_CUT = 0.4;
     private static final double LIMIT_STEP = 0.3;
     /** Reported utilisation below which nothing waits for a core. */
@@ -87,6 +93,7 @@
     private static final double HANG_TIMES = 6;
     /** First and longest ejection. */
     private static final long FIRST_EJECTION = 1_000_000;
+
     private static final long LONGEST_EJECTION = 8_000_000;
     /** Panic threshold: ejections are ignored while fewer than this share of ready upstreams is left. */
     private static final double PANIC = 0.4;
@@ -99,6 +106,7 @@
      * what fails for one balancer fails for all, up to this share of the time within which we have to ask.
      */
     private static final long ASK_AGAIN = 500_000;
+
     private static final double ASK_SHARE = 0.25;
     /** Part of our share of a cold upstream's budget that we use: the rest is for what we cannot see. */
     private static final double COLD_CARE = 0.5;
@@ -126,10 +134,10 @@
     private final List<Up> ups = new ArrayList<>();
     private Map<String, Long> cordoned = Map.of();
     private final Map<String, Req> open = new HashMap<>();
-    private final PriorityQueue<Req> byDeadline = new PriorityQueue<>(
-            comparingLong((Req r) -> r.deadline).thenComparingLong(r -> r.number));
-    private final TreeSet<Req> held = new TreeSet<>(
-            Comparator.<Req>comparingDouble(r -> -r.value).thenComparingLong(r -> -r.number));
+    private final PriorityQueue<Req> byDeadline =
+            new PriorityQueue<>(comparingLong((Req r) -> r.deadline).thenComparingLong(r -> r.number));
+    private final TreeSet<Req> held =
+            new TreeSet<>(Comparator.<Req>comparingDouble(r -> -r.value).thenComparingLong(r -> -r.number));
     private final double[] classTook;
     private final double[] refusedAfter;
     private final List<TokenBucket> tenantTokens;
@@ -139,6 +147,7 @@
     private double meanCrowd;
     /** Service time as reported by all upstreams, and by those of each kind. */
     private double meanService;
+
     private final Map<Integer, Double> kindService = new HashMap<>();
     private double admitted = 1;
     private double retryTokens = MOST_RETRIES;
@@ -163,8 +172,10 @@
         List<RequestClass> classes = settings.classes();
         long shortestAim = classes.stream().mapToLong(RequestClass::aim).min().orElse(Long.MAX_VALUE);
         this.waitTarget = (long) (WAIT_SHARE * shortestAim);
-        this.longestWait = classes.stream().mapToLong(RequestClass::giveUp).max().orElse(0);
-        this.tenantTokens = settings.tenants().stream().map(tenant -> new TokenBucket()).toList();
+        this.longestWait =
+                classes.stream().mapToLong(RequestClass::giveUp).max().orElse(0);
+        this.tenantTokens =
+                settings.tenants().stream().map(tenant -> new TokenBucket()).toList();
         this.refusedAfter = new double[classes.size()];
         this.classTook = new double[classes.size()];
         this.classRates = classes.stream().map(each -> new RateEstimator()).toList();
@@ -176,6 +187,7 @@
         Upstream entry;
         /** Attempts that it may be working on, and beside them those that are transfers. */
         int inFlight;
+
         int transfers;
         int streams;
         double workInFlight;
@@ -208,6 +220,7 @@
         double crowd;
         /** Service time as last reported, or that which an attempt at least had when it was given up. */
         double service;
+
         long serviceAt;
 
         Up(String id) {
@@ -289,7 +302,8 @@
     @Override
     public void upstreams(long now, ListKind kind, List<Upstream> entries) {
         if (kind == ListKind.UNAVAILABLE) {
-            long longest = (long) Math.max(ASK_AGAIN, ASK_SHARE * settings.rules().askWithin());
+            long longest =
+                    (long) Math.max(ASK_AGAIN, ASK_SHARE * settings.rules().askWithin());
             askPause = Math.min(longest, Math.max(ASK_AGAIN, 2 * askPause));
             askAgainAt = now + jitter(askPause);
             return;
@@ -311,7 +325,8 @@
     private void order() {
         lists++;
         ups.clear();
-        byId.values().stream().filter(u -> u.entry.state() == State.READY && !cordoned.containsKey(u.id))
+        byId.values().stream()
+                .filter(u -> u.entry.state() == State.READY && !cordoned.containsKey(u.id))
                 .forEach(ups::add);
         ups.sort(Comparator.<Up>comparingDouble(u -> u.rank).thenComparing(u -> u.id));
         Collections.rotate(ups, settings.position() % SLOTS * ups.size() / SLOTS);
@@ -580,7 +595,8 @@
         for (int i = 0; i < scores.length; i++) {
             Up up = ups.get(i);
             // A key has one home in the whole fleet, which most balancers' own samples leave out.
-            if (wanted <= 0 && up != home || !mayTake(up, r, now, panic)
+            if (wanted <= 0 && up != home
+                    || !mayTake(up, r, now, panic)
                     || (!pressing || sparse()) && !hasRoom(up, now)) {
                 continue;
             }
@@ -659,7 +675,9 @@
     }
 
     private double zoneFactor(Up up) {
-        return up.entry.zone() == settings.zone() ? 1 + CROSSING * settings.prices().crossZone() : 1;
+        return up.entry.zone() == settings.zone()
+                ? 1 + CROSSING * settings.prices().crossZone()
+                : 1;
     }
 
     /** Where a key is at home, if that is well; found once for a list: what is held is asked all the time. */
@@ -671,7 +689,8 @@
             r.homeIn = lists;
             r.home = home(r.request.key(), ups);
         }
-        return r.home == null || well(r.home, now) ? r.home
+        return r.home == null || well(r.home, now)
+                ? r.home
                 : home(r.request.key(), ups.stream().filter(up -> well(up, now)).toList());
     }
 
@@ -699,8 +718,12 @@
 
     /** What rules 1 to 3 leave open for a further attempt. */
     private boolean maySend(Req r, Up up, long now) {
-        if (r.ended || r.streaming || r.tries.size() >= settings.limits().maxAttempts()
-                || up.entry.state() != State.READY || up.stopped || now >= r.deadline) {
+        if (r.ended
+                || r.streaming
+                || r.tries.size() >= settings.limits().maxAttempts()
+                || up.entry.state() != State.READY
+                || up.stopped
+                || now >= r.deadline) {
             return false;
         }
         if (r.tries.isEmpty()) {
@@ -713,17 +736,20 @@
         if (guard == null || r.cls.effect() == Effect.SAFE) {
             return true;
         }
-        return r.cls.effect() == Effect.KEYED && sameGroup(r.cls.scope(), guard.up, up)
+        return r.cls.effect() == Effect.KEYED
+                && sameGroup(r.cls.scope(), guard.up, up)
                 && now - guard.sentAt < r.cls.memorySpan() - margin;
     }
 
     private static boolean sameGroup(Scope scope, Up a, Up b) {
-        return scope == Scope.ALL || scope == Scope.ZONE && a.entry.zone() == b.entry.zone()
+        return scope == Scope.ALL
+                || scope == Scope.ZONE && a.entry.zone() == b.entry.zone()
                 || scope == Scope.CELL && a.entry.cell() == b.entry.cell();
     }
 
     private static boolean mayRefuse(Req r) {
-        return r.cls.effect() == Effect.SAFE || r.guard() == null
+        return r.cls.effect() == Effect.SAFE
+                || r.guard() == null
                 || r.cls.effect() == Effect.KEYED && r.cls.scope() == Scope.ALL;
     }
 
@@ -802,7 +828,9 @@
         Up up = r.guard() == null || !mayTry ? null : pick(r, now, true);
         if (up != null) {
             send(r, up, now);
-        } else if (mayTry && r.guard() == null && r.tries.size() < settings.limits().maxAttempts()) {
+        } else if (mayTry
+                && r.guard() == null
+                && r.tries.size() < settings.limits().maxAttempts()) {
             hold(r, true);
         } else {
             finish(r, now);
@@ -865,7 +893,8 @@
         // The aim of a retry runs from the first try, and a refusal is what mostly lies behind it.
         r.aimAt -= request.retry() ? (long) refusedAfter[request.classIndex()] : 0;
         r.cost = request.expectedWork() > 0 ? request.expectedWork() : costOf(request.classIndex());
-        r.value = r.cls.worth() / (settings.worthByWork() ? 1 : r.cost)
+        r.value = r.cls.worth()
+                / (settings.worthByWork() ? 1 : r.cost)
                 * (withinShare(request.tenant(), now) ? 1 : settings.overShareWorth());
         meanCost = request.expectedWork() > 0 ? MovingAverage.next(meanCost, r.cost, 0.01) : meanOfClasses();
         if (!request.retry()) {
@@ -923,7 +952,7 @@
         }
         sendHome(now);
         int misses = 0;
-        for (Req r = held.isEmpty() ? null : held.first(); r != null && misses < 3;) {
+        for (Req r = held.isEmpty() ? null : held.first(); r != null && misses < 3; ) {
             Req following = held.higher(r);
             Up up = pick(r, now, false);
             if (up != null) {
@@ -1048,7 +1077,8 @@
         if (up == null) {
             return;
         }
-        if (view.launchedAt() > up.launchedAt() && view.launchedAt() <= now + settings.rules().coldTime()) {
+        if (view.launchedAt() > up.launchedAt()
+                && view.launchedAt() <= now + settings.rules().coldTime()) {
             up.toldLaunch = view.launchedAt(); // a start that our own list has yet to tell of
             up.cold = new ColdBucket(0, now);
         }
@@ -1083,9 +1113,20 @@
             double used = reported ? up.report.utilisation() : Double.NaN;
             double waiting = reported ? up.report.waiting() : Double.NaN;
             double right = cold ? coldRate(up, now) * 1e6 : 0;
-            standings.add(new Standing(up.id, up.entry.zone(), up.entry.state(), up.launchedAt(),
-                    up.inFlight, up.sent, up.weight, up.limit, used, waiting, reported ? up.reportAt : 0,
-                    ejected(up, now) || cordoned.containsKey(up.id), right));
+            standings.add(new Standing(
+                    up.id,
+                    up.entry.zone(),
+                    up.entry.state(),
+                    up.launchedAt(),
+                    up.inFlight,
+                    up.sent,
+                    up.weight,
+                    up.limit,
+                    used,
+                    waiting,
+                    reported ? up.reportAt : 0,
+                    ejected(up, now) || cordoned.containsKey(up.id),
+                    right));
         }
         return new Summary(demand, standings, held.size());
     }
@@ -1136,7 +1177,8 @@
 
     /** A slow steady probe where reports come no other way; its rate follows from price and traffic. */
     private void probe(long now) {
-        boolean allowed = settings.reports() == Reports.BY_PROBE && settings.limits().probes();
+        boolean allowed =
+                settings.reports() == Reports.BY_PROBE && settings.limits().probes();
         if (!allowed || now < nextProbe || ups.isEmpty()) {
             return;
         }
--- a/src/main/java/sedgeyoke/decide/SettingsCheck.java
+++ b/src/main/java/sedgeyoke/decide/SettingsCheck.java
@@ -6,7 +6,7 @@
 
 /** Checks settings before a module is built on them; it decides nothing. */
 final class SettingsCheck {
-    private SettingsCheck() { }
+    private SettingsCheck() {}
 
     /** Refuses bad settings with the name of the field. */
     static void check(Settings s) {
--- a/src/main/java/sedgeyoke/drill/AgreeDrill.java
+++ b/src/main/java/sedgeyoke/drill/AgreeDrill.java
@@ -49,6 +49,7 @@
     private static final long LEASE_MS = 2_000;
     /** What was on its way when a balancer learned of a version may arrive so much later. */
     private static final long ON_THE_WAY = 100_000;
+
     private static final long WRITE_MS = 8_000;
     private static final int WRITERS = 2;
 
@@ -66,23 +67,29 @@
     private final Map<String, List<long[]>> arrivals = new ConcurrentHashMap<>();
     /** Times in which a balancer could hear no keeper: number, from, until. */
     private final List<long[]> alone = new CopyOnWriteArrayList<>();
-    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(Duration.ofSeconds(1)).build();
+
+    private final HttpClient http = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(1))
+            .build();
     private volatile boolean over;
 
     /** A write as whoever made it saw it; times are of the site's clock. */
-    private record Write(long from, long until, Outcome outcome, String request, Document content) { }
+    private record Write(long from, long until, Outcome outcome, String request, Document content) {}
 
     /** What is played. */
     public enum Mode {
-        /** All of it. */ FAULTS,
-        /** The same without faults, to compare with. */ QUIET,
-        /** With faults, but nothing is agreed: each balancer is told by itself, through its own door. */ WITHOUT
+        /** All of it. */
+        FAULTS,
+        /** The same without faults, to compare with. */
+        QUIET,
+        /** With faults, but nothing is agreed: each balancer is told by itself, through its own door. */
+        WITHOUT
     }
 
     /** {@code program}: how the program is started. */
-    public AgreeDrill(int keepers, int balancers, int seconds, long seed, Mode mode, List<String> program,
-            PrintWriter out) {
+    public AgreeDrill(
+            int keepers, int balancers, int seconds, long seed, Mode mode, List<String> program, PrintWriter out) {
         this.keeperCount = keepers;
         this.balancerCount = balancers;
         this.seconds = seconds;
@@ -99,9 +106,11 @@
         final List<Integer> ports = new ArrayList<>();
         /** Ways from a keeper to another, and from a balancer to each keeper. */
         final FaultProxy[][] between = new FaultProxy[keeperCount][keeperCount];
+
         final FaultProxy[][] ways = new FaultProxy[balancerCount][keeperCount];
         /** Where each balancer is told by itself, and the way there. */
         final FaultProxy[] doors = new FaultProxy[balancerCount];
+
         final TierProcesses processes;
 
         Tier(Site site, Path folder) throws IOException, InterruptedException {
@@ -113,7 +122,9 @@
                 Map<String, Integer> others = new LinkedHashMap<>();
                 for (int o = 0; o < keeperCount; o++) {
                     between[k][o] = o == k ? null : proxy(site, ports.get(o));
-                    others.put("k" + o, o == k ? ports.get(o) : between[k][o].address().getPort());
+                    others.put(
+                            "k" + o,
+                            o == k ? ports.get(o) : between[k][o].address().getPort());
                 }
                 keepers.add(processes.keeper("k" + k, ports.get(k), others, LEASE_MS));
                 keepers.get(k).start();
@@ -126,12 +137,18 @@
                 }
                 int door = ProgramProcess.freePort();
                 doors[b] = proxy(site, door);
-                balancers.add(processes.agreeing("b" + b, TierProcesses.configuration(site, "b" + b, b % EVEN.length,
-                        b, balancerCount, 300, seed * 31 + b), mode == Mode.WITHOUT ? List.of() : at, LEASE_MS, door));
+                balancers.add(processes.agreeing(
+                        "b" + b,
+                        TierProcesses.configuration(
+                                site, "b" + b, b % EVEN.length, b, balancerCount, 300, seed * 31 + b),
+                        mode == Mode.WITHOUT ? List.of() : at,
+                        LEASE_MS,
+                        door));
                 balancers.get(b).start();
             }
             for (int b = 0; b < balancerCount; b++) {
-                site.balancer("b" + b, b % EVEN.length, loopback(balancers.get(b).port()));
+                site.balancer(
+                        "b" + b, b % EVEN.length, loopback(balancers.get(b).port()));
             }
             for (ProgramProcess k : keepers) {
                 k.port();
@@ -147,7 +164,9 @@
         }
 
         void heal() {
-            Stream.concat(Stream.of(doors), Stream.concat(Stream.of(between), Stream.of(ways)).flatMap(Stream::of))
+            Stream.concat(
+                            Stream.of(doors),
+                            Stream.concat(Stream.of(between), Stream.of(ways)).flatMap(Stream::of))
                     .filter(p -> p != null)
                     .forEach(p -> {
                         p.stall(false, false);
@@ -169,10 +188,11 @@
     /** Plays it and returns the figures; {@code ok} is false if one is short of what is promised. */
     public ObjectNode run() throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("drill-agree");
-        try (Site site = new Site(Sites.orders(NODES), EVEN, seed); Tier tier = new Tier(site, folder)) {
-            site.run(() -> site.ledger().listen((balancer, node, now) -> arrivals
-                    .computeIfAbsent(node, n -> new ArrayList<>())
-                    .add(new long[] {Integer.parseInt(balancer.substring(1)), now})));
+        try (Site site = new Site(Sites.orders(NODES), EVEN, seed);
+                Tier tier = new Tier(site, folder)) {
+            site.run(() -> site.ledger()
+                    .listen((balancer, node, now) -> arrivals.computeIfAbsent(node, n -> new ArrayList<>())
+                            .add(new long[] {Integer.parseInt(balancer.substring(1)), now})));
             TlsFiles files = tier.processes.operator("op");
             awaitLeader(tier, files);
             Thread.sleep(2 * LEASE_MS);
@@ -248,9 +268,12 @@
         for (FaultProxy door : tier.doors) {
             for (Map.Entry<String, String> call : calls.entrySet()) {
                 try {
-                    http.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + door.address().getPort()
-                            + "/admin/" + call.getValue())).timeout(Duration.ofSeconds(1))
-                            .POST(HttpRequest.BodyPublishers.ofString(call.getKey())).build(),
+                    http.send(
+                            HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
+                                            + door.address().getPort() + "/admin/" + call.getValue()))
+                                    .timeout(Duration.ofSeconds(1))
+                                    .POST(HttpRequest.BodyPublishers.ofString(call.getKey()))
+                                    .build(),
                             HttpResponse.BodyHandlers.discarding());
                 } catch (IOException e) {
                     count("not_told");
@@ -349,7 +372,8 @@
 
     private static void flip(Path folder, SplittableRandom random) throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
-            List<Path> all = files.filter(f -> f.getFileName().toString().matches("(log|mark|slot|snap)-.*")).sorted()
+            List<Path> all = files.filter(f -> f.getFileName().toString().matches("(log|mark|slot|snap)-.*"))
+                    .sorted()
                     .toList();
             Path file = all.get(random.nextInt(all.size()));
             try (RandomAccessFile bytes = new RandomAccessFile(file.toFile(), "rw")) {
@@ -377,12 +401,16 @@
     private long[] contradictions() {
         long worst = 0;
         long worstAlone = 0;
-        List<Write> done = writes.stream().filter(w -> w.outcome().kind() == Outcome.Kind.DONE)
-                .sorted((a, b) -> Long.compare(a.outcome().version(), b.outcome().version())).toList();
+        List<Write> done = writes.stream()
+                .filter(w -> w.outcome().kind() == Outcome.Kind.DONE)
+                .sorted((a, b) ->
+                        Long.compare(a.outcome().version(), b.outcome().version()))
+                .toList();
         for (int i = 0; i < done.size(); i++) {
             Write w = done.get(i);
             String node = node(w);
-            boolean known = i + 1 < done.size() && done.get(i + 1).outcome().version() == w.outcome().version() + 1;
+            boolean known = i + 1 < done.size()
+                    && done.get(i + 1).outcome().version() == w.outcome().version() + 1;
             long until = i + 1 < done.size() ? done.get(i + 1).from() : Long.MAX_VALUE;
             for (long[] a : arrivals.getOrDefault(node, List.of())) {
                 if (a[1] > w.until() && a[1] < until && (known || i + 1 == done.size())) {
@@ -400,8 +428,11 @@
 
     /** Each version puts one node out and the one before back: never may both be in use. */
     private int strictContradictions() {
-        List<Write> done = writes.stream().filter(w -> w.outcome().kind() == Outcome.Kind.DONE)
-                .sorted((a, b) -> Long.compare(a.outcome().version(), b.outcome().version())).toList();
+        List<Write> done = writes.stream()
+                .filter(w -> w.outcome().kind() == Outcome.Kind.DONE)
+                .sorted((a, b) ->
+                        Long.compare(a.outcome().version(), b.outcome().version()))
+                .toList();
         int found = 0;
         for (int i = 1; i < done.size(); i++) {
             Write before = done.get(i - 1);
@@ -412,10 +443,16 @@
                 continue;
             }
             long until = i + 1 < done.size() ? done.get(i + 1).from() : Long.MAX_VALUE;
-            long first = arrivals.getOrDefault(back, List.of()).stream().filter(a -> a[1] >= next.from() + ON_THE_WAY
-                    && !wasAlone(a[0], a[1])).mapToLong(a -> a[1]).min().orElse(Long.MAX_VALUE);
-            long last = arrivals.getOrDefault(out, List.of()).stream().filter(a -> a[1] >= next.from() && a[1] < until
-                    && !wasAlone(a[0], a[1])).mapToLong(a -> a[1]).max().orElse(0);
+            long first = arrivals.getOrDefault(back, List.of()).stream()
+                    .filter(a -> a[1] >= next.from() + ON_THE_WAY && !wasAlone(a[0], a[1]))
+                    .mapToLong(a -> a[1])
+                    .min()
+                    .orElse(Long.MAX_VALUE);
+            long last = arrivals.getOrDefault(out, List.of()).stream()
+                    .filter(a -> a[1] >= next.from() && a[1] < until && !wasAlone(a[0], a[1]))
+                    .mapToLong(a -> a[1])
+                    .max()
+                    .orElse(0);
             found += first < until && last > first + ON_THE_WAY ? 1 : 0;
         }
         return found;
@@ -427,8 +464,10 @@
 
     private boolean inOrder() {
         List<long[]> ops = new ArrayList<>(reads);
-        writes.stream().filter(w -> w.outcome().kind() == Outcome.Kind.DONE)
-                .forEach(w -> ops.add(new long[] {w.from(), w.until(), w.outcome().version()}));
+        writes.stream()
+                .filter(w -> w.outcome().kind() == Outcome.Kind.DONE)
+                .forEach(w ->
+                        ops.add(new long[] {w.from(), w.until(), w.outcome().version()}));
         for (long[] a : ops) {
             for (long[] b : ops) {
                 if (a[1] < b[0] && b[2] < a[2]) {
@@ -442,12 +481,22 @@
     private ObjectNode figures(Site site, Version last, Tier tier, TlsFiles files)
             throws IOException, InterruptedException {
         Ledger.Summary summary = site.summary();
-        long done = writes.stream().filter(w -> w.outcome().kind() == Outcome.Kind.DONE).count();
-        long unknown = writes.stream().filter(w -> w.outcome().kind() == Outcome.Kind.UNKNOWN).count();
-        long versions = writes.stream().filter(w -> w.outcome().kind() == Outcome.Kind.DONE)
-                .mapToLong(w -> w.outcome().version()).distinct().count();
-        long highest = writes.stream().filter(w -> w.outcome().kind() == Outcome.Kind.DONE)
-                .mapToLong(w -> w.outcome().version()).max().orElse(0);
+        long done = writes.stream()
+                .filter(w -> w.outcome().kind() == Outcome.Kind.DONE)
+                .count();
+        long unknown = writes.stream()
+                .filter(w -> w.outcome().kind() == Outcome.Kind.UNKNOWN)
+                .count();
+        long versions = writes.stream()
+                .filter(w -> w.outcome().kind() == Outcome.Kind.DONE)
+                .mapToLong(w -> w.outcome().version())
+                .distinct()
+                .count();
+        long highest = writes.stream()
+                .filter(w -> w.outcome().kind() == Outcome.Kind.DONE)
+                .mapToLong(w -> w.outcome().version())
+                .max()
+                .orElse(0);
         long lost = last == null ? -1 : done - versions + Math.max(0, highest - last.number());
         long bound = 0;
         int sound = 0;
@@ -459,19 +508,31 @@
             }
         }
         long[] contradictions = contradictions();
-        ObjectNode figures = JSON.createObjectNode().put("drill", "agree").put("seed", seed).put("seconds", seconds)
-                .put("keepers", keeperCount).put("balancers", balancerCount)
+        ObjectNode figures = JSON.createObjectNode()
+                .put("drill", "agree")
+                .put("seed", seed)
+                .put("seconds", seconds)
+                .put("keepers", keeperCount)
+                .put("balancers", balancerCount)
                 .put("mode", mode.toString().toLowerCase(Locale.ROOT));
         figures.set("faults", JSON.valueToTree(faults));
-        figures.put("writes", done).put("unknown", unknown).put("lost_commits", lost).put("linearizable", inOrder())
-                .put("contradiction_max_ms", contradictions[0]).put("holds_within_ms", bound)
-                .put("strict_contradictions", strictContradictions()).put("alone_max_ms", contradictions[1])
+        figures.put("writes", done)
+                .put("unknown", unknown)
+                .put("lost_commits", lost)
+                .put("linearizable", inOrder())
+                .put("contradiction_max_ms", contradictions[0])
+                .put("holds_within_ms", bound)
+                .put("strict_contradictions", strictContradictions())
+                .put("alone_max_ms", contradictions[1])
                 .put("keepers_sound_at_end", sound)
-                .put("service", Math.round(summary.service() * 1e4) / 1e4).put("requests", summary.requests())
-                .put("rule_violations", summary.ruleViolations()).put("judge_stalled_ms",
-                        site.ask(site.ledger()::stalledMs));
+                .put("service", Math.round(summary.service() * 1e4) / 1e4)
+                .put("requests", summary.requests())
+                .put("rule_violations", summary.ruleViolations())
+                .put("judge_stalled_ms", site.ask(site.ledger()::stalledMs));
         site.ask(site.ledger()::violations).forEach(v -> out.println("rule: " + v));
-        boolean safe = lost == 0 && inOrder() && contradictions[0] <= bound + ON_THE_WAY / 1_000
+        boolean safe = lost == 0
+                && inOrder()
+                && contradictions[0] <= bound + ON_THE_WAY / 1_000
                 && strictContradictions() == 0;
         return figures.put("ok", safe && done > 0 && summary.ruleViolations() == 0 && sound == keeperCount);
     }
--- a/src/main/java/sedgeyoke/drill/BodiesDrill.java
+++ b/src/main/java/sedgeyoke/drill/BodiesDrill.java
@@ -27,14 +27,14 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import sedgeyoke.site.SiteSpec;
+import sedgeyoke.site.WorkClass;
 import sedgeyoke.standin.BulkClient;
 import sedgeyoke.standin.BulkPair;
 import sedgeyoke.standin.BulkPair.End;
 import sedgeyoke.standin.BulkPair.Pace;
 import sedgeyoke.standin.BulkSite;
 import sedgeyoke.standin.Configurations;
-import sedgeyoke.site.SiteSpec;
-import sedgeyoke.site.WorkClass;
 
 /**
  * Long bodies in both directions at once, through one balancer under {@code run}'s own line: half of the pairs have a
@@ -51,6 +51,7 @@
     private static final int SOCKET_BUFFER = 64 << 10;
     /** Parts of the time in which pairs begin, and in which each of their two ways goes. */
     private static final double RAMP = 0.06;
+
     private static final double WAY = 0.42;
     private static final int MOST_RETRIES = 5;
     private static final long RETRY_MS = 500;
@@ -107,26 +108,43 @@
     }
 
     private ProgramProcess balancer(Path folder, BulkSite site) throws IOException {
-        ObjectNode configuration = (ObjectNode) JSON.readTree(Configurations.of(site.spec(), "b0", "127.0.0.1:0",
-                site.discovery(), 0, 0, 1, seed));
+        ObjectNode configuration = (ObjectNode)
+                JSON.readTree(Configurations.of(site.spec(), "b0", "127.0.0.1:0", site.discovery(), 0, 0, 1, seed));
         configuration.withObject("/limits").put("sockets", SOCKETS);
         Path json = Files.writeString(folder.resolve("b0.json"), configuration.toString());
-        Path toml = Files.writeString(folder.resolve("b0.toml"), "[bodies]\nenabled = " + on + "\nceiling_kib = "
-                + CEILING_KIB + "\ntotal_mib = " + (pairs * CEILING_KIB / 1_024 + 8) + "\nleast_rate = 0\n"
-                + "longest_upload_s = " + 4 * seconds + "\nlongest_still_ms = " + 1_000 * seconds
-                + "\nsocket_buffer_kib = " + (SOCKET_BUFFER >> 10) + "\n");
-        return new ProgramProcess(folder.resolve("b0.log"), Map.of("BALANCER_CONFIG", json.toString()), "serve",
-                "--config", toml.toString());
+        Path toml = Files.writeString(
+                folder.resolve("b0.toml"),
+                "[bodies]\nenabled = " + on + "\nceiling_kib = "
+                        + CEILING_KIB + "\ntotal_mib = " + (pairs * CEILING_KIB / 1_024 + 8) + "\nleast_rate = 0\n"
+                        + "longest_upload_s = " + 4 * seconds + "\nlongest_still_ms = " + 1_000 * seconds
+                        + "\nsocket_buffer_kib = " + (SOCKET_BUFFER >> 10) + "\n");
+        return new ProgramProcess(
+                folder.resolve("b0.log"),
+                Map.of("BALANCER_CONFIG", json.toString()),
+                "serve",
+                "--config",
+                toml.toString());
     }
 
-    private void play(SiteSpec spec, EventLoopGroup loops, InetSocketAddress address, ProgramProcess balancer,
-            List<BulkPair> longOnes, List<BulkPair> shortOnes) throws InterruptedException {
+    private void play(
+            SiteSpec spec,
+            EventLoopGroup loops,
+            InetSocketAddress address,
+            ProgramProcess balancer,
+            List<BulkPair> longOnes,
+            List<BulkPair> shortOnes)
+            throws InterruptedException {
         SplittableRandom random = new SplittableRandom(seed);
         long total = seconds * 1_000_000_000L;
         List<CompletableFuture<BulkPair>> open = new ArrayList<>();
         for (int i = 0; i < pairs; i++) {
-            BulkPair pair = BulkPair.draw(String.format("%08x%08x", seed, i), drawClass(spec, random),
-                    i % 2 == 0 ? Pace.SLOW_CLIENT : Pace.SLOW_NODE, SHORTEST, LONGEST, (long) (WAY * seconds * 1e3),
+            BulkPair pair = BulkPair.draw(
+                    String.format("%08x%08x", seed, i),
+                    drawClass(spec, random),
+                    i % 2 == 0 ? Pace.SLOW_CLIENT : Pace.SLOW_NODE,
+                    SHORTEST,
+                    LONGEST,
+                    (long) (WAY * seconds * 1e3),
                     random);
             known.put(pair.id(), pair);
             longOnes.add(pair);
@@ -139,8 +157,14 @@
                 open.add(ask(loops.next(), address, begun, longOnes, 0));
             }
             while (shortOnes.size() < SHORT_PER_SECOND * t / 1e9) {
-                BulkPair pair = BulkPair.draw(String.format("s%07x%08x", seed, shortOnes.size()),
-                        drawClass(spec, random), Pace.NONE, SHORT_BYTES, SHORT_BYTES, 0, random);
+                BulkPair pair = BulkPair.draw(
+                        String.format("s%07x%08x", seed, shortOnes.size()),
+                        drawClass(spec, random),
+                        Pace.NONE,
+                        SHORT_BYTES,
+                        SHORT_BYTES,
+                        0,
+                        random);
                 known.put(pair.id(), pair);
                 shortOnes.add(pair);
                 open.add(BulkClient.ask(loops.next(), address, pair, SHORT_BUDGET_MS, SOCKET_BUFFER));
@@ -160,23 +184,27 @@
     }
 
     /** A refusal is harmless to try again, so a client does, a few times and with a pause. */
-    private CompletableFuture<BulkPair> ask(EventLoop loop, InetSocketAddress address, int index, List<BulkPair> all,
-            int retries) {
+    private CompletableFuture<BulkPair> ask(
+            EventLoop loop, InetSocketAddress address, int index, List<BulkPair> all, int retries) {
         BulkPair pair = all.get(index);
-        return BulkClient.ask(loop, address, pair, 2_000L * seconds, SOCKET_BUFFER).thenCompose(ended -> {
-            if (ended.end() != End.REFUSED || retries == MOST_RETRIES) {
-                return CompletableFuture.completedFuture(ended);
-            }
-            refused.incrementAndGet();
-            CompletableFuture<BulkPair> later = new CompletableFuture<>();
-            loop.schedule(() -> {
-                BulkPair next = pair.again(pair.id().substring(0, 16) + "-" + retries);
-                known.put(next.id(), next);
-                all.set(index, next);
-                ask(loop, address, index, all, retries + 1).thenAccept(later::complete);
-            }, RETRY_MS, TimeUnit.MILLISECONDS);
-            return later;
-        });
+        return BulkClient.ask(loop, address, pair, 2_000L * seconds, SOCKET_BUFFER)
+                .thenCompose(ended -> {
+                    if (ended.end() != End.REFUSED || retries == MOST_RETRIES) {
+                        return CompletableFuture.completedFuture(ended);
+                    }
+                    refused.incrementAndGet();
+                    CompletableFuture<BulkPair> later = new CompletableFuture<>();
+                    loop.schedule(
+                            () -> {
+                                BulkPair next = pair.again(pair.id().substring(0, 16) + "-" + retries);
+                                known.put(next.id(), next);
+                                all.set(index, next);
+                                ask(loop, address, index, all, retries + 1).thenAccept(later::complete);
+                            },
+                            RETRY_MS,
+                            TimeUnit.MILLISECONDS);
+                    return later;
+                });
     }
 
     private static WorkClass drawClass(SiteSpec spec, SplittableRandom random) {
@@ -192,28 +220,48 @@
         }
     }
 
-    private ObjectNode figures(double start, double cpu, List<BulkPair> longOnes, List<BulkPair> shortOnes,
-            String log) {
+    private ObjectNode figures(
+            double start, double cpu, List<BulkPair> longOnes, List<BulkPair> shortOnes, String log) {
         long complete = count(longOnes, End.COMPLETE);
-        long mismatches = longOnes.stream().filter(p -> p.end() == End.COMPLETE && !p.digestsMatch()).count();
-        long cut = count(longOnes, End.CUT) + count(longOnes, End.OPEN);
-        long twice = longOnes.stream().filter(p -> p.ranTwice()).count() + shortOnes.stream().filter(p -> p.ranTwice())
+        long mismatches = longOnes.stream()
+                .filter(p -> p.end() == End.COMPLETE && !p.digestsMatch())
                 .count();
+        long cut = count(longOnes, End.CUT) + count(longOnes, End.OPEN);
+        long twice = longOnes.stream().filter(p -> p.ranTwice()).count()
+                + shortOnes.stream().filter(p -> p.ranTwice()).count();
         double peak = resident.stream().mapToDouble(r -> r[1]).max().orElse(0);
-        ObjectNode figures = JSON.createObjectNode().put("drill", "bodies").put("seed", seed).put("seconds", seconds)
-                .put("bodies_on", on).put("pairs", pairs).put("completed", complete)
-                .put("refused_and_retried", refused.get()).put("refused", count(longOnes, End.REFUSED))
+        ObjectNode figures = JSON.createObjectNode()
+                .put("drill", "bodies")
+                .put("seed", seed)
+                .put("seconds", seconds)
+                .put("bodies_on", on)
+                .put("pairs", pairs)
+                .put("completed", complete)
+                .put("refused_and_retried", refused.get())
+                .put("refused", count(longOnes, End.REFUSED))
                 .put("failed", count(longOnes, End.FAILED))
-                .put("digest_mismatches", mismatches).put("cut_short", cut).put("ran_twice", twice)
-                .put("mib", longOnes.stream().filter(p -> p.end() == End.COMPLETE).mapToLong(BulkPair::bytes).sum()
-                        >> 20)
-                .put("cpu_s", round(cpu)).put("rss_mb_start", round(start)).put("rss_mb_peak", round(peak));
+                .put("digest_mismatches", mismatches)
+                .put("cut_short", cut)
+                .put("ran_twice", twice)
+                .put(
+                        "mib",
+                        longOnes.stream()
+                                        .filter(p -> p.end() == End.COMPLETE)
+                                        .mapToLong(BulkPair::bytes)
+                                        .sum()
+                                >> 20)
+                .put("cpu_s", round(cpu))
+                .put("rss_mb_start", round(start))
+                .put("rss_mb_peak", round(peak));
         ArrayNode quarters = figures.putArray("rss_mb_quarters");
         double[] means = new double[QUARTERS];
         for (int q = 0; q < QUARTERS; q++) {
             int quarter = q;
-            means[q] = resident.stream().filter(r -> (int) (r[0] * QUARTERS) == quarter).mapToDouble(r -> r[1])
-                    .average().orElse(0);
+            means[q] = resident.stream()
+                    .filter(r -> (int) (r[0] * QUARTERS) == quarter)
+                    .mapToDouble(r -> r[1])
+                    .average()
+                    .orElse(0);
             quarters.add(round(means[q]));
         }
         Matcher said = LAST_WORD.matcher(log);
@@ -221,14 +269,20 @@
         long largest = heard ? Long.parseLong(said.group(1)) : -1;
         long ceiling = heard ? Long.parseLong(said.group(2)) : -1;
         long shortServed = count(shortOnes, End.COMPLETE);
-        double[] took = shortOnes.stream().filter(p -> p.end() == End.COMPLETE).mapToDouble(BulkPair::tookMs).sorted()
+        double[] took = shortOnes.stream()
+                .filter(p -> p.end() == End.COMPLETE)
+                .mapToDouble(BulkPair::tookMs)
+                .sorted()
                 .toArray();
-        figures.put("ceiling_bytes_per_request", ceiling).put("largest_buffered_bytes", largest)
-                .put("short_asked", shortOnes.size()).put("short_served", shortServed)
+        figures.put("ceiling_bytes_per_request", ceiling)
+                .put("largest_buffered_bytes", largest)
+                .put("short_asked", shortOnes.size())
+                .put("short_served", shortServed)
                 .put("short_p99_ms", took.length == 0 ? -1 : round(took[(int) (0.99 * (took.length - 1))]));
         boolean flat = Math.abs(means[QUARTERS - 1] - means[1]) <= 0.05 * means[1];
-        return figures.put("ok", complete == pairs && mismatches == 0 && cut == 0 && twice == 0 && flat && heard
-                && largest <= ceiling);
+        return figures.put(
+                "ok",
+                complete == pairs && mismatches == 0 && cut == 0 && twice == 0 && flat && heard && largest <= ceiling);
     }
 
     private static long count(List<BulkPair> among, End end) {
--- a/src/main/java/sedgeyoke/drill/DemoRun.java
+++ b/src/main/java/sedgeyoke/drill/DemoRun.java
@@ -73,8 +73,15 @@
 
     private void show(Site site, List<LocalBalancer> balancers, int second) {
         Ledger.Summary now = site.summary();
-        String head = String.format(Locale.ROOT, "%3d s  service %.3f  p50 %.0f ms  p99 %.0f ms  answers %s%s", second,
-                now.service(), now.p50Ms(), now.p99Ms(), now.answers(), event.isEmpty() ? "" : "  (" + event + ")");
+        String head = String.format(
+                Locale.ROOT,
+                "%3d s  service %.3f  p50 %.0f ms  p99 %.0f ms  answers %s%s",
+                second,
+                now.service(),
+                now.p50Ms(),
+                now.p99Ms(),
+                now.answers(),
+                event.isEmpty() ? "" : "  (" + event + ")");
         if (!live) {
             out.println(head);
             out.flush();
@@ -94,19 +101,32 @@
         out.println("node   zone       speed  weight  in flight  utilisation  state");
         for (OrderNode n : site.nodes()) {
             double[] seen = weights.getOrDefault(n.spec().id(), new double[2]);
-            out.println(String.format(Locale.ROOT, "%-6s %-10s %5.1f  %6.2f  %9.0f  %11.2f  %s", n.spec().id(),
-                    site.spec().zones().get(n.spec().zone()), n.spec().capacity(), seen[0], seen[1],
-                    site.ask(n.model()::utilisation), site.ask(n.model()::state)));
+            out.println(String.format(
+                    Locale.ROOT,
+                    "%-6s %-10s %5.1f  %6.2f  %9.0f  %11.2f  %s",
+                    n.spec().id(),
+                    site.spec().zones().get(n.spec().zone()),
+                    n.spec().capacity(),
+                    seen[0],
+                    seen[1],
+                    site.ask(n.model()::utilisation),
+                    site.ask(n.model()::state)));
         }
         out.flush();
     }
 
     private void conclude(Site site, Ledger.Summary summary) {
         out.println();
-        out.println(String.format(Locale.ROOT, "%d requests, service %.3f, p50 %.0f ms, p99 %.0f ms, answers %s",
-                summary.requests(), summary.service(), summary.p50Ms(), summary.p99Ms(), summary.answers()));
-        out.println(String.format(Locale.ROOT, "coldest moment: %.2f of what makes a node fall over",
-                summary.coldPeak()));
+        out.println(String.format(
+                Locale.ROOT,
+                "%d requests, service %.3f, p50 %.0f ms, p99 %.0f ms, answers %s",
+                summary.requests(),
+                summary.service(),
+                summary.p50Ms(),
+                summary.p99Ms(),
+                summary.answers()));
+        out.println(
+                String.format(Locale.ROOT, "coldest moment: %.2f of what makes a node fall over", summary.coldPeak()));
         if (summary.ruleViolations() == 0) {
             out.println("all four rules kept");
         } else {
--- a/src/main/java/sedgeyoke/drill/PlannersDrill.java
+++ b/src/main/java/sedgeyoke/drill/PlannersDrill.java
@@ -14,15 +14,15 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.BrokenBarrierException;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.stream.Stream;
-import sedgeyoke.standin.FaultProxy;
 import sedgeyoke.site.Ledger;
+import sedgeyoke.standin.FaultProxy;
 import sedgeyoke.standin.Site;
 
 /**
@@ -35,6 +35,7 @@
     private static final int NODES = 12;
     /** Requests are asked for at this share of what the nodes carry while their keys are cold. */
     public static final String USUAL_LOAD = "0.62";
+
     private static final int MOST_VIOLATIONS = 10;
     private static final double[] EVEN = {0.4, 0.3, 0.3};
     private static final double OVERFLOW = 1.1;
@@ -49,10 +50,14 @@
     private int kills;
 
     /** How planners fare in one of the runs. */
-    private enum Mode { FAILING, QUIET, NONE }
+    private enum Mode {
+        FAILING,
+        QUIET,
+        NONE
+    }
 
     /** A run's figures, the true utilisation of its nodes, and the first rules broken in words. */
-    private record Played(Ledger.Summary summary, double utilisation, double stalledMs, List<String> violations) { }
+    private record Played(Ledger.Summary summary, double utilisation, double stalledMs, List<String> violations) {}
 
     /** Prints what happens to {@code out}; {@code load} is asked for as a share of what nodes with cold keys carry. */
     public PlannersDrill(int seconds, long seed, double load, PrintWriter out) {
@@ -79,20 +84,36 @@
         Ledger.Summary failing = results.get(0);
         Ledger.Summary quiet = results.get(1);
         Ledger.Summary none = results.get(2);
-        int violations = results.stream().mapToInt(Ledger.Summary::ruleViolations).sum();
-        double coldPeak = results.stream().mapToDouble(Ledger.Summary::coldPeak).max().orElse(0);
-        ObjectNode figures = JSON.createObjectNode().put("drill", "planners").put("seed", seed).put("seconds", seconds)
-                .put("service", round(failing.service())).put("service_baseline", round(quiet.service()))
+        int violations =
+                results.stream().mapToInt(Ledger.Summary::ruleViolations).sum();
+        double coldPeak =
+                results.stream().mapToDouble(Ledger.Summary::coldPeak).max().orElse(0);
+        ObjectNode figures = JSON.createObjectNode()
+                .put("drill", "planners")
+                .put("seed", seed)
+                .put("seconds", seconds)
+                .put("service", round(failing.service()))
+                .put("service_baseline", round(quiet.service()))
                 .put("service_no_planners", round(none.service()))
-                .put("ratio", round(failing.service() / quiet.service())).put("rule_violations", violations)
-                .put("cold_peak_share_of_budget", round(coldPeak)).put("planner_kills", kills)
-                .put("requests", failing.requests()).put("p99_ms", round(failing.p99Ms()))
-                .put("p99_ms_no_planners", round(none.p99Ms())).put("load", load)
-                .put("utilisation", round(played.get(0).utilisation())).put("judge_stalled_ms",
-                        round(played.stream().mapToDouble(Played::stalledMs).max().orElse(0)));
+                .put("ratio", round(failing.service() / quiet.service()))
+                .put("rule_violations", violations)
+                .put("cold_peak_share_of_budget", round(coldPeak))
+                .put("planner_kills", kills)
+                .put("requests", failing.requests())
+                .put("p99_ms", round(failing.p99Ms()))
+                .put("p99_ms_no_planners", round(none.p99Ms()))
+                .put("load", load)
+                .put("utilisation", round(played.get(0).utilisation()))
+                .put(
+                        "judge_stalled_ms",
+                        round(played.stream()
+                                .mapToDouble(Played::stalledMs)
+                                .max()
+                                .orElse(0)));
         ArrayNode broken = figures.putArray("violations");
         for (Mode mode : Mode.values()) {
-            played.get(mode.ordinal()).violations().stream().limit(MOST_VIOLATIONS - broken.size())
+            played.get(mode.ordinal()).violations().stream()
+                    .limit(MOST_VIOLATIONS - broken.size())
                     .forEach(v -> broken.add(mode.toString().toLowerCase(Locale.ROOT) + ": " + v));
         }
         figures.put("ok", failing.service() >= 0.98 * quiet.service() && violations == 0 && coldPeak <= 1);
@@ -127,18 +148,24 @@
             for (int f = 0; f < FORWARDERS; f++) {
                 List<FaultProxy> ways = new ArrayList<>();
                 for (int port : ports) {
-                    ways.add(new FaultProxy(site.loop(), 0, new InetSocketAddress(InetAddress.getLoopbackAddress(),
-                            port)));
+                    ways.add(new FaultProxy(
+                            site.loop(), 0, new InetSocketAddress(InetAddress.getLoopbackAddress(), port)));
                 }
                 proxies.add(ways);
-                forwarders.add(tier.forwarder("b" + f, TierProcesses.configuration(site, "b" + f, f % EVEN.length, f,
-                        FORWARDERS, 300 + 250L * f, seed * 31 + f), ways.stream().map(w -> w.address().getPort())
-                        .toList()));
+                forwarders.add(tier.forwarder(
+                        "b" + f,
+                        TierProcesses.configuration(
+                                site, "b" + f, f % EVEN.length, f, FORWARDERS, 300 + 250L * f, seed * 31 + f),
+                        ways.stream().map(w -> w.address().getPort()).toList()));
                 forwarders.get(f).start();
             }
             for (int f = 0; f < FORWARDERS; f++) {
-                site.balancer("b" + f, f % EVEN.length, new InetSocketAddress(InetAddress.getLoopbackAddress(),
-                        forwarders.get(f).port()));
+                site.balancer(
+                        "b" + f,
+                        f % EVEN.length,
+                        new InetSocketAddress(
+                                InetAddress.getLoopbackAddress(),
+                                forwarders.get(f).port()));
             }
             for (ProgramProcess p : planners) {
                 p.port();
@@ -151,10 +178,12 @@
             double utilisation = site.utilisationSince(worked, since);
             site.stopClients();
             Ledger.Summary summary = site.summary();
-            say(mode, "service " + round(summary.service()) + ", answers " + summary.answers() + ", p99 "
-                    + round(summary.p99Ms()) + " ms, cold peak " + round(summary.coldPeak()) + ", rules "
-                    + summary.violations() + ", utilisation "
-                    + round(utilisation));
+            say(
+                    mode,
+                    "service " + round(summary.service()) + ", answers " + summary.answers() + ", p99 "
+                            + round(summary.p99Ms()) + " ms, cold peak " + round(summary.coldPeak()) + ", rules "
+                            + summary.violations() + ", utilisation "
+                            + round(utilisation));
             List<String> violations = site.ask(site.ledger()::violations);
             violations.forEach(v -> System.err.println(mode.toString().toLowerCase(Locale.ROOT) + ": " + v));
             proxies.forEach(ways -> ways.forEach(FaultProxy::close));
@@ -228,8 +257,13 @@
         return second == (int) (part * seconds);
     }
 
-    private void trouble(double part, int second, SplittableRandom random, List<ProgramProcess> planners,
-            List<List<FaultProxy>> proxies) throws IOException {
+    private void trouble(
+            double part,
+            int second,
+            SplittableRandom random,
+            List<ProgramProcess> planners,
+            List<List<FaultProxy>> proxies)
+            throws IOException {
         if (second % 3 == 1 && part < 0.85) {
             ProgramProcess p = planners.get(random.nextInt(PLANNERS));
             if (p.alive()) {
--- a/src/main/java/sedgeyoke/drill/ProgramProcess.java
+++ b/src/main/java/sedgeyoke/drill/ProgramProcess.java
@@ -23,8 +23,8 @@
     private static final long LOOK_MS = 20;
     private static final int FIRST_PORT = 12_000;
     private static final int PORTS = 16_000;
-    private static final AtomicInteger NEXT_PORT = new AtomicInteger(
-            (int) (ProcessHandle.current().pid() * 37 % PORTS));
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 37 % PORTS));
 
     /** All that run: a drill that is ended from outside must not leave them behind. */
     private static final Set<Process> RUNNING = ConcurrentHashMap.newKeySet();
@@ -40,7 +40,10 @@
 
     /** {@code arguments} follow the program's name; {@code log} is appended to. */
     public ProgramProcess(Path log, Map<String, String> environment, String... arguments) {
-        this(log, environment, Stream.concat(program().stream(), Stream.of(arguments)).toList());
+        this(
+                log,
+                environment,
+                Stream.concat(program().stream(), Stream.of(arguments)).toList());
     }
 
     private ProgramProcess(Path log, Map<String, String> environment, List<String> command) {
@@ -66,7 +69,8 @@
 
     /** Starts it, or starts it again. */
     public void start() throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+        ProcessBuilder builder = new ProcessBuilder(command)
+                .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
         builder.environment().putAll(environment);
         process = builder.start();
@@ -92,7 +96,9 @@
 
     /** SIGSTOP, or SIGCONT. */
     public void pause(boolean on) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", on ? "-STOP" : "-CONT", Long.toString(process.pid())).start().waitFor();
+        new ProcessBuilder("kill", on ? "-STOP" : "-CONT", Long.toString(process.pid()))
+                .start()
+                .waitFor();
     }
 
     /** SIGKILL. */
@@ -116,8 +122,10 @@
     /** Resident memory as the system counts it, in MB of 10^6 bytes. */
     public double residentMb() {
         try (Stream<String> status = Files.lines(Path.of("/proc/" + process.pid() + "/status"))) {
-            return status.filter(l -> l.startsWith("VmRSS:")).mapToDouble(l ->
-                    Long.parseLong(l.replaceAll("[^0-9]", "")) * 1_024 / 1e6).findFirst().orElse(Double.NaN);
+            return status.filter(l -> l.startsWith("VmRSS:"))
+                    .mapToDouble(l -> Long.parseLong(l.replaceAll("[^0-9]", "")) * 1_024 / 1e6)
+                    .findFirst()
+                    .orElse(Double.NaN);
         } catch (IOException e) {
             return Double.NaN; // no such system, or it has ended
         }
--- a/src/main/java/sedgeyoke/drill/Sites.java
+++ b/src/main/java/sedgeyoke/drill/Sites.java
@@ -11,7 +11,7 @@
     private static final int CORES = 2;
     private static final int QUEUE = 40;
 
-    private Sites() { }
+    private Sites() {}
 
     /** Three zones like the platform's, with so many nodes dealt out unevenly; every third is slow. */
     public static SiteSpec orders(int nodes) {
@@ -20,7 +20,7 @@
             int zone = i % 4 == 3 ? 0 : i % 4; // the first zone has twice as many
             specs.add(new SiteSpec.NodeSpec("n" + (i + 1), zone, CORES, i % 3 == 2 ? SLOW : FAST, QUEUE));
         }
-        return new SiteSpec(List.of("kagoshima", "miyazaki", "oita"), SiteSpec.orders(), specs,
-                SiteSpec.RuleSpec.USUAL, false);
+        return new SiteSpec(
+                List.of("kagoshima", "miyazaki", "oita"), SiteSpec.orders(), specs, SiteSpec.RuleSpec.USUAL, false);
     }
 }
--- a/src/main/java/sedgeyoke/drill/TierProcesses.java
+++ b/src/main/java/sedgeyoke/drill/TierProcesses.java
@@ -31,7 +31,9 @@
     }
 
     private ProgramProcess process(String name, Map<String, String> environment, String... arguments) {
-        return ProgramProcess.of(folder.resolve(name + ".log"), environment,
+        return ProgramProcess.of(
+                folder.resolve(name + ".log"),
+                environment,
                 Stream.concat(program.stream(), Stream.of(arguments)).toList());
     }
 
@@ -47,14 +49,16 @@
     }
 
     /** A keeper that will listen on a port, founder of a tier; {@code others}: where it finds each keeper. */
-    public ProgramProcess keeper(String name, int port, Map<String, Integer> others, long leaseMs)
-            throws IOException {
-        String keepers = others.entrySet().stream().map(o -> "\"" + o.getKey() + "=127.0.0.1:" + o.getValue() + "\"")
+    public ProgramProcess keeper(String name, int port, Map<String, Integer> others, long leaseMs) throws IOException {
+        String keepers = others.entrySet().stream()
+                .map(o -> "\"" + o.getKey() + "=127.0.0.1:" + o.getValue() + "\"")
                 .collect(Collectors.joining(", "));
-        Path file = Files.writeString(folder.resolve(name + ".toml"), "[keeper]\nenabled = true\ntier = \"drill\"\n"
-                + "name = \"" + name + "\"\nlisten = \"127.0.0.1:" + port + "\"\nfolder = \"kept-" + name
-                + "\"\nkeepers = [" + keepers + "]\nlease_ms = " + leaseMs + "\n"
-                + certificates.issue(name, "keeper"));
+        Path file = Files.writeString(
+                folder.resolve(name + ".toml"),
+                "[keeper]\nenabled = true\ntier = \"drill\"\n"
+                        + "name = \"" + name + "\"\nlisten = \"127.0.0.1:" + port + "\"\nfolder = \"kept-" + name
+                        + "\"\nkeepers = [" + keepers + "]\nlease_ms = " + leaseMs + "\n"
+                        + certificates.issue(name, "keeper"));
         return process(name, Map.of(), "keep", "--found", "--config", file.toString());
     }
 
@@ -62,40 +66,59 @@
      * A balancer with the platform's configuration that acts on what keepers at these ports agree, if any, with a door
      * for operators; not started.
      */
-    public ProgramProcess agreeing(String name, String configuration, List<Integer> keeperPorts, long leaseMs,
-            int door) throws IOException {
+    public ProgramProcess agreeing(String name, String configuration, List<Integer> keeperPorts, long leaseMs, int door)
+            throws IOException {
         Path json = Files.writeString(folder.resolve(name + ".json"), configuration);
-        String addresses = keeperPorts.stream().map(p -> "\"127.0.0.1:" + p + "\"").collect(Collectors.joining(", "));
+        String addresses =
+                keeperPorts.stream().map(p -> "\"127.0.0.1:" + p + "\"").collect(Collectors.joining(", "));
         Path own = Files.createDirectories(folder.resolve("tmp-" + name));
-        Path toml = Files.writeString(folder.resolve(name + ".toml"), keeperPorts.isEmpty() ? ""
-                : "[agreed]\nenabled = true\nkeepers = [" + addresses + "]\nlease_ms = " + leaseMs + "\n"
-                + certificates.issue(name, "forwarder"));
-        return process(name, Map.of("BALANCER_CONFIG", json.toString(), "BALANCER_OPS", "127.0.0.1:" + door, "TMPDIR",
-                own.toString()), "serve", "--config", toml.toString());
+        Path toml = Files.writeString(
+                folder.resolve(name + ".toml"),
+                keeperPorts.isEmpty()
+                        ? ""
+                        : "[agreed]\nenabled = true\nkeepers = [" + addresses + "]\nlease_ms = " + leaseMs + "\n"
+                                + certificates.issue(name, "forwarder"));
+        return process(
+                name,
+                Map.of(
+                        "BALANCER_CONFIG",
+                        json.toString(),
+                        "BALANCER_OPS",
+                        "127.0.0.1:" + door,
+                        "TMPDIR",
+                        own.toString()),
+                "serve",
+                "--config",
+                toml.toString());
     }
 
     /** A planner that will listen on a port; not started. */
     public ProgramProcess planner(String name, int port) throws IOException {
-        Path file = Files.writeString(folder.resolve(name + ".toml"), "[planner]\nenabled = true\nname = \"" + name
-                + "\"\nlisten = \"127.0.0.1:" + port + "\"\n" + certificates.issue(name, "planner"));
+        Path file = Files.writeString(
+                folder.resolve(name + ".toml"),
+                "[planner]\nenabled = true\nname = \"" + name + "\"\nlisten = \"127.0.0.1:" + port + "\"\n"
+                        + certificates.issue(name, "planner"));
         return process(name, Map.of(), "plan", "--config", file.toString());
     }
 
     /** A forwarder with the platform's configuration, that follows planners at these ports, if any; not started. */
-    public ProgramProcess forwarder(String name, String configuration, List<Integer> plannerPorts)
-            throws IOException {
+    public ProgramProcess forwarder(String name, String configuration, List<Integer> plannerPorts) throws IOException {
         Path json = Files.writeString(folder.resolve(name + ".json"), configuration);
-        String addresses = plannerPorts.stream().map(p -> "\"127.0.0.1:" + p + "\"").collect(Collectors.joining(", "));
-        Path toml = Files.writeString(folder.resolve(name + ".toml"), plannerPorts.isEmpty() ? ""
-                : "[plans]\nenabled = true\nplanners = [" + addresses + "]\n"
-                + certificates.issue(name, "forwarder"));
+        String addresses =
+                plannerPorts.stream().map(p -> "\"127.0.0.1:" + p + "\"").collect(Collectors.joining(", "));
+        Path toml = Files.writeString(
+                folder.resolve(name + ".toml"),
+                plannerPorts.isEmpty()
+                        ? ""
+                        : "[plans]\nenabled = true\nplanners = [" + addresses + "]\n"
+                                + certificates.issue(name, "forwarder"));
         return process(name, Map.of("BALANCER_CONFIG", json.toString()), "serve", "--config", toml.toString());
     }
 
     /** The platform's configuration of a forwarder of a site, which discovery tells of changes so much later. */
-    public static String configuration(Site site, String name, int zone, int position, int group, long delayMs,
-            long seed) {
-        return Configurations.of(site.spec(), name, "127.0.0.1:0", site.discoveryFor(name, delayMs), zone, position,
-                group, seed);
+    public static String configuration(
+            Site site, String name, int zone, int position, int group, long delayMs, long seed) {
+        return Configurations.of(
+                site.spec(), name, "127.0.0.1:0", site.discoveryFor(name, delayMs), zone, position, group, seed);
     }
 }
--- a/src/main/java/sedgeyoke/emulate/Baseline.java
+++ b/src/main/java/sedgeyoke/emulate/Baseline.java
@@ -55,10 +55,10 @@
     abstract Up choose(long now, List<Up> from);
 
     /** An answer was seen, or a probe's. */
-    void seen(long now, Up up, LoadReport load, long took) { }
+    void seen(long now, Up up, LoadReport load, long took) {}
 
     /** A request has come. */
-    void asked(long now, List<Up> among) { }
+    void asked(long now, List<Up> among) {}
 
     List<Up> ready() {
         return ready;
@@ -143,7 +143,8 @@
         RequestClass cls = settings.classes().get(r.request.classIndex());
         List<Up> others = new ArrayList<>();
         for (Up u : ready) {
-            boolean fits = r.mayHaveRun == null || cls.effect() == Effect.SAFE
+            boolean fits = r.mayHaveRun == null
+                    || cls.effect() == Effect.SAFE
                     || cls.effect() == Effect.KEYED && u.zone == r.mayHaveRun.zone;
             if (fits && !r.tried.contains(u)) {
                 others.add(u);
--- a/src/main/java/sedgeyoke/emulate/Clients.java
+++ b/src/main/java/sedgeyoke/emulate/Clients.java
@@ -21,6 +21,7 @@
     private final World world;
     /** What is asked for and when is the same for the same seed, whatever becomes of it. */
     private final SplittableRandom arrivals;
+
     private final SplittableRandom random;
     private final List<List<Front>> zones = new ArrayList<>();
     private final double[] zoneShare;
@@ -35,7 +36,11 @@
     private long open;
 
     /** How a balancer answers. */
-    enum Answer { SERVED, REFUSED, FAILED }
+    enum Answer {
+        SERVED,
+        REFUSED,
+        FAILED
+    }
 
     /** A balancer as the front of its zone sees it. */
     private static final class Front {
@@ -91,11 +96,12 @@
             ended = true;
             open--;
             long now = world.time.now();
-            Ledger.Answer how = switch (answer) {
-                case SERVED -> Ledger.Answer.SERVED;
-                case REFUSED -> Ledger.Answer.REFUSED;
-                default -> Ledger.Answer.FAILED;
-            };
+            Ledger.Answer how =
+                    switch (answer) {
+                        case SERVED -> Ledger.Answer.SERVED;
+                        case REFUSED -> Ledger.Answer.REFUSED;
+                        default -> Ledger.Answer.FAILED;
+                    };
             world.ledger.answered(id, how, true, want.since, now);
             tally.answered(want.cls, how, now - want.since, want.since);
             if (answer == Answer.REFUSED) {
@@ -229,8 +235,8 @@
         world.ledger.asked(id, want.cls, want.idempotencyKey, front.forwarder.name(), now, now + left);
         open++;
         Try mine = new Try(want, id);
-        Request request = new Request(id, want.classIndex, 0, want.key, 0, left, !want.cls.repeat().equals("free"),
-                want.tries > 1);
+        Request request = new Request(
+                id, want.classIndex, 0, want.key, 0, left, !want.cls.repeat().equals("free"), want.tries > 1);
         Forwarder to = front.forwarder;
         world.time.after(world.delay(want.zone, to.zone()), () -> {
             if (to.alive()) {
@@ -263,7 +269,8 @@
     }
 
     private boolean usable(Front f, long now) {
-        return f.deadSince == Long.MAX_VALUE || now - f.deadSince < world.scenario.network().noticeMs() * 1_000;
+        return f.deadSince == Long.MAX_VALUE
+                || now - f.deadSince < world.scenario.network().noticeMs() * 1_000;
     }
 
     private void again(Want want, long delay) {
--- a/src/main/java/sedgeyoke/emulate/Emulation.java
+++ b/src/main/java/sedgeyoke/emulate/Emulation.java
@@ -23,6 +23,7 @@
     private static final long START_UP = 1_200_000;
     /** SIGKILL comes so long after SIGTERM at the latest: the longest deadline that counts, and 0.7 s. */
     private static final long KILLED_AFTER = 3_700_000;
+
     private static final long LONGEST_RETRY_AFTER = 1_200_000;
 
     private final World world;
@@ -55,9 +56,13 @@
         while (Arrays.stream(left).sum() > 0) { // by turns of the zones, as the platform numbers them
             for (int z = 0; z < zones; z++) {
                 if (left[z]-- > 0) {
-                    Forwarder f = new Forwarder(world, fleet, new Forwarder.Spec("b" + position, z, position,
-                            seed * 1_000_003 + position), settings(scenario, z, position++),
-                            Policies.maker(scenario.policy()), planners);
+                    Forwarder f = new Forwarder(
+                            world,
+                            fleet,
+                            new Forwarder.Spec("b" + position, z, position, seed * 1_000_003 + position),
+                            settings(scenario, z, position++),
+                            Policies.maker(scenario.policy()),
+                            planners);
                     forwarders.add(f);
                     clients.balancer(f);
                 } else {
@@ -72,22 +77,58 @@
         List<RequestClass> classes = new ArrayList<>();
         for (WorkClass c : site.classes()) {
             Effect effect = c.repeat().equals("free") ? Effect.SAFE : c.keyed() ? Effect.KEYED : Effect.UNSAFE;
-            classes.add(new RequestClass(c.aimMs() * 1_000L, 0, c.giveUpMs() * 1_000L, c.worth(), 0, effect,
-                    c.keyed() ? Scope.ZONE : Scope.ALL, 2_500_000, false));
+            classes.add(new RequestClass(
+                    c.aimMs() * 1_000L,
+                    0,
+                    c.giveUpMs() * 1_000L,
+                    c.worth(),
+                    0,
+                    effect,
+                    c.keyed() ? Scope.ZONE : Scope.ALL,
+                    2_500_000,
+                    false));
         }
         SiteSpec.RuleSpec r = site.rules();
-        return new Balancer.Settings(zone, site.zones().size(), position, scenario.tier(), classes, List.of(), 1, false,
-                new Balancer.Limits(4, true, false, true, false, 20_000, site.retryAfter(), LONGEST_RETRY_AFTER,
-                        120_000, 10 * SECOND, 1),
-                new Balancer.RuleFigures(20_000, 10 * SECOND, r.startCapacity(), r.coldMs() * 1_000,
-                        r.drainGraceMs() * 1_000, r.fallMultiple(), r.fallMs() * 1_000),
-                new Balancer.Prices(0.06, 0.02, 0, 0.05, 0), Balancer.Reports.IN_ANSWERS, Balancer.Ratings.NONE, false,
-                scenario.traffic().keys() > 0, 5_000);
+        return new Balancer.Settings(
+                zone,
+                site.zones().size(),
+                position,
+                scenario.tier(),
+                classes,
+                List.of(),
+                1,
+                false,
+                new Balancer.Limits(
+                        4,
+                        true,
+                        false,
+                        true,
+                        false,
+                        20_000,
+                        site.retryAfter(),
+                        LONGEST_RETRY_AFTER,
+                        120_000,
+                        10 * SECOND,
+                        1),
+                new Balancer.RuleFigures(
+                        20_000,
+                        10 * SECOND,
+                        r.startCapacity(),
+                        r.coldMs() * 1_000,
+                        r.drainGraceMs() * 1_000,
+                        r.fallMultiple(),
+                        r.fallMs() * 1_000),
+                new Balancer.Prices(0.06, 0.02, 0, 0.05, 0),
+                Balancer.Reports.IN_ANSWERS,
+                Balancer.Ratings.NONE,
+                false,
+                scenario.traffic().keys() > 0,
+                5_000);
     }
 
     /** Plays it to its end. */
     public Outcome run() {
-        return run(second -> { });
+        return run(second -> {});
     }
 
     /** Plays it to its end, and says after each second which it was. */
@@ -134,7 +175,10 @@
     }
 
     double unaccountedWork() {
-        return fleet.all().stream().mapToDouble(m -> Math.abs(m.model.unaccounted())).max().orElse(0);
+        return fleet.all().stream()
+                .mapToDouble(m -> Math.abs(m.model.unaccounted()))
+                .max()
+                .orElse(0);
     }
 
     /** Nodes with so many requests waiting or at work, at least. */
@@ -176,16 +220,33 @@
 
     private Outcome outcome() {
         var summary = world.ledger.summary();
-        List<Outcome.Second> seconds = tally.seconds().stream().map(s -> new Outcome.Second(
-                s.asked == 0 ? 1 : s.served / s.asked, s.wanted, s.refused, s.failed,
-                s.answered == 0 ? 0 : s.tookSum / s.answered / 1e3, s.tookMost / 1e3)).toList();
+        List<Outcome.Second> seconds = tally.seconds().stream()
+                .map(s -> new Outcome.Second(
+                        s.asked == 0 ? 1 : s.served / s.asked,
+                        s.wanted,
+                        s.refused,
+                        s.failed,
+                        s.answered == 0 ? 0 : s.tookSum / s.answered / 1e3,
+                        s.tookMost / 1e3))
+                .toList();
         int counted = Math.max(1, lookedAt - (int) Math.floor(world.scenario.warmUp()));
-        return new Outcome(seed, tally.service(), summary.requests(),
+        return new Outcome(
+                seed,
+                tally.service(),
+                summary.requests(),
                 forwarders.stream().mapToLong(f -> f.attempts).sum(),
                 forwarders.stream().mapToLong(f -> f.handshakes).sum(),
-                forwarders.stream().mapToLong(f -> f.crossings).sum(), tally.latency(), summary.answers(),
-                summary.violations(), world.ledger.violations(), summary.coldPeak(), warming.seconds(),
-                workedShare / counted, seconds, utilisation, world.time.done());
+                forwarders.stream().mapToLong(f -> f.crossings).sum(),
+                tally.latency(),
+                summary.answers(),
+                summary.violations(),
+                world.ledger.violations(),
+                summary.coldPeak(),
+                warming.seconds(),
+                workedShare / counted,
+                seconds,
+                utilisation,
+                world.time.done());
     }
 
     // ---- Faults --------------------------------------------------------------------------------------
@@ -215,8 +276,10 @@
                 later(lasts, () -> m.model.slow(1));
             });
             case ERRORS_FAST, ERRORS_SLOW -> node(who, m -> {
-                m.model.fail(f.kind() == Scenario.Kind.ERRORS_FAST ? sedgeyoke.site.NodeModel.Failing.FAST
-                        : sedgeyoke.site.NodeModel.Failing.SLOW);
+                m.model.fail(
+                        f.kind() == Scenario.Kind.ERRORS_FAST
+                                ? sedgeyoke.site.NodeModel.Failing.FAST
+                                : sedgeyoke.site.NodeModel.Failing.SLOW);
                 later(lasts, () -> m.model.fail(sedgeyoke.site.NodeModel.Failing.NOT));
             });
             case ZONE_LOAD -> {
--- a/src/main/java/sedgeyoke/emulate/Fleet.java
+++ b/src/main/java/sedgeyoke/emulate/Fleet.java
@@ -27,7 +27,7 @@
     private boolean down;
 
     /** An upstream and where it is. */
-    record Entry(Upstream upstream, int address) { }
+    record Entry(Upstream upstream, int address) {}
 
     /** Discovery as one balancer has it. */
     final class Agent {
@@ -45,8 +45,8 @@
                 missed.put(entry.upstream().id(), entry);
                 return;
             }
-            world.ledger.told(forwarder.name(), entry.upstream().id(), entry.upstream().state() == State.READY,
-                    world.time.now());
+            world.ledger.told(
+                    forwarder.name(), entry.upstream().id(), entry.upstream().state() == State.READY, world.time.now());
             forwarder.listed(ListKind.CHANGES, List.of(entry));
         }
 
@@ -59,8 +59,12 @@
         /** The whole list, to a balancer that has just started. */
         void whole() {
             missed.clear();
-            list.values().forEach(e -> world.ledger.told(forwarder.name(), e.upstream().id(),
-                    e.upstream().state() == State.READY, world.time.now()));
+            list.values()
+                    .forEach(e -> world.ledger.told(
+                            forwarder.name(),
+                            e.upstream().id(),
+                            e.upstream().state() == State.READY,
+                            world.time.now()));
             forwarder.listed(ListKind.COMPLETE, current());
         }
     }
@@ -76,8 +80,8 @@
     }
 
     private Machine add(SiteSpec.NodeSpec spec, int address) {
-        NodeModel model = new NodeModel(spec, world.scenario.site(), world.host(), world.ledger,
-                memories.get(spec.zone()), seed);
+        NodeModel model =
+                new NodeModel(spec, world.scenario.site(), world.host(), world.ledger, memories.get(spec.zone()), seed);
         model.start();
         Machine m = new Machine(model, address);
         byId.put(spec.id(), m);
@@ -87,8 +91,8 @@
     }
 
     private static Entry entry(Machine m, State state) {
-        return new Entry(new Upstream(m.id(), m.zone, m.model.spec().kind(), m.zone, state, 1,
-                m.model.launchedAt()), m.address);
+        return new Entry(
+                new Upstream(m.id(), m.zone, m.model.spec().kind(), m.zone, state, 1, m.model.launchedAt()), m.address);
     }
 
     // ---- What others ask -----------------------------------------------------------------------------
@@ -119,13 +123,15 @@
     }
 
     List<Entry> current() {
-        return list.values().stream().filter(e -> e.upstream().state() != State.GONE).toList();
+        return list.values().stream()
+                .filter(e -> e.upstream().state() != State.GONE)
+                .toList();
     }
 
     Agent agent(Forwarder forwarder) {
         Scenario.Network n = world.scenario.network();
-        long delay = n.discoveryMs() * 1_000 + world.random.nextLong(
-                Math.max(1, (n.discoveryMostMs() - n.discoveryMs()) * 1_000));
+        long delay = n.discoveryMs() * 1_000
+                + world.random.nextLong(Math.max(1, (n.discoveryMostMs() - n.discoveryMs()) * 1_000));
         Agent agent = new Agent(forwarder, delay);
         agents.add(agent);
         return agent;
@@ -179,8 +185,15 @@
     void replace(Machine m, boolean inPlace) {
         go(m);
         SiteSpec.NodeSpec old = m.model.spec();
-        Machine fresh = add(new SiteSpec.NodeSpec(old.id() + "-r" + ++replacements, old.zone(), old.cores(),
-                old.speed(), old.slots(), old.queue()), inPlace ? m.address : addresses++);
+        Machine fresh = add(
+                new SiteSpec.NodeSpec(
+                        old.id() + "-r" + ++replacements,
+                        old.zone(),
+                        old.cores(),
+                        old.speed(),
+                        old.slots(),
+                        old.queue()),
+                inPlace ? m.address : addresses++);
         fresh.model.restart();
         tell(fresh, State.READY);
     }
