--- a/src/main/java/sedgeyoke/emulate/Forwarder.java
+++ b/src/main/java/sedgeyoke/emulate/Forwarder.java
@@ -28,6 +28,7 @@
 final class Forwarder implements Balancer.Actions {
     /** As the program has them: the way in is taken off the budget, and the last moment lies so much before its end. */
     private static final long WAY_IN = 2_000;
+
     private static final long BACKSTOP = 6_000;
     private static final long RETRY_AFTER = 1_000_000;
     /** After SIGTERM the program listens on for so long. */
@@ -55,6 +56,7 @@
     private final Map<PlannerHost, Long> connectedAt = new HashMap<>();
     /** A planned restart has begun: nothing new is taken once the front has noticed. */
     private boolean leaving;
+
     private int taken;
     private long busyUntil;
     long attempts;
@@ -69,7 +71,7 @@
     }
 
     /** Who a balancer is. */
-    record Spec(String name, int zone, int position, long seed) { }
+    record Spec(String name, int zone, int position, long seed) {}
 
     /** A client's request and where its answer goes. */
     static final class Call {
@@ -116,13 +118,19 @@
         /** The connection ends under it; the news travels. */
         void broken() {
             if (!ended) {
-                world.time.after(world.delay(machine.zone, spec.zone), () -> end(this,
-                        written ? Outcome.RESET : Outcome.CONNECT_FAILED, null));
+                world.time.after(
+                        world.delay(machine.zone, spec.zone),
+                        () -> end(this, written ? Outcome.RESET : Outcome.CONNECT_FAILED, null));
             }
         }
     }
 
-    Forwarder(World world, Fleet fleet, Spec spec, Balancer.Settings settings, Policies.Maker maker,
+    Forwarder(
+            World world,
+            Fleet fleet,
+            Spec spec,
+            Balancer.Settings settings,
+            Policies.Maker maker,
             List<PlannerHost> planners) {
         this.world = world;
         this.fleet = fleet;
@@ -131,8 +139,8 @@
         this.maker = maker;
         this.planners = planners;
         Scenario.Network n = world.scenario.network();
-        this.skew = n.clockSkewMs() == 0 ? 0 : world.random.nextLong(-n.clockSkewMs() * 1_000,
-                n.clockSkewMs() * 1_000 + 1);
+        this.skew =
+                n.clockSkewMs() == 0 ? 0 : world.random.nextLong(-n.clockSkewMs() * 1_000, n.clockSkewMs() * 1_000 + 1);
         this.drift = n.clockDriftPpm() * 1e-6 * (2 * world.random.nextDouble() - 1);
         this.agent = fleet.agent(this);
     }
@@ -174,8 +182,16 @@
         Scenario.PlannerSpec p = world.scenario.planners();
         if (!planners.isEmpty()) {
             double leastGrant = 1.2e6 / Math.max(1, settings.rules().fallTime());
-            follower = new Follower(new Follower.Identity(spec.name(), spec.seed() * 31 + process, spec.zone(),
-                    p.leaseMs() * 1_000, p.fadeMs() * 1_000, leastGrant), new LeaseTerms(p.driftPpm()), now());
+            follower = new Follower(
+                    new Follower.Identity(
+                            spec.name(),
+                            spec.seed() * 31 + process,
+                            spec.zone(),
+                            p.leaseMs() * 1_000,
+                            p.fadeMs() * 1_000,
+                            leastGrant),
+                    new LeaseTerms(p.driftPpm()),
+                    now());
             deliver(() -> module.plan(now(), follower.plan(now())));
             planners.forEach(host -> connectedAt.put(host, world.time.now() + world.random.nextLong(200_000)));
             scheduleReport(mine);
@@ -264,14 +280,18 @@
                 targets.clear();
             }
             for (Fleet.Entry e : entries) {
-                Fleet.Entry before = e.upstream().state() == State.GONE ? targets.remove(e.upstream().id())
+                Fleet.Entry before = e.upstream().state() == State.GONE
+                        ? targets.remove(e.upstream().id())
                         : targets.put(e.upstream().id(), e);
-                if (before != null && (before.address() != e.address()
-                        || before.upstream().launchedAt() != e.upstream().launchedAt())) {
+                if (before != null
+                        && (before.address() != e.address()
+                                || before.upstream().launchedAt()
+                                        != e.upstream().launchedAt())) {
                     closeIdle(before.address());
                 }
             }
-            deliver(() -> module.upstreams(now(), kind, entries.stream().map(Fleet.Entry::upstream).toList()));
+            deliver(() -> module.upstreams(
+                    now(), kind, entries.stream().map(Fleet.Entry::upstream).toList()));
         });
     }
 
@@ -280,7 +300,8 @@
         int mine = process;
         int before = taken++;
         long young = world.scenario.network().youngUs()
-                * Math.max(0, Scenario.Network.YOUNG_REQUESTS - before) / Scenario.Network.YOUNG_REQUESTS;
+                * Math.max(0, Scenario.Network.YOUNG_REQUESTS - before)
+                / Scenario.Network.YOUNG_REQUESTS;
         if (young == 0) {
             taken(mine, call, 0);
             return;
@@ -301,8 +322,17 @@
             calls.put(call.request.id(), call);
             world.time.after(left - BACKSTOP, () -> inTurn(mine, () -> expire(call)));
             Request r = call.request;
-            deliver(() -> module.request(now(), new Request(r.id(), r.classIndex(), r.tenant(), r.key(),
-                    r.expectedWork(), left, r.write(), r.retry())));
+            deliver(() -> module.request(
+                    now(),
+                    new Request(
+                            r.id(),
+                            r.classIndex(),
+                            r.tenant(),
+                            r.key(),
+                            r.expectedWork(),
+                            left,
+                            r.write(),
+                            r.retry())));
         });
     }
 
@@ -349,8 +379,10 @@
     /** Takes the connection used last; what has been idle for too long, or led to a process that is gone, goes. */
     private boolean reuse(int address) {
         Deque<Idle> waiting = idle.get(address);
-        while (waiting != null && !waiting.isEmpty()
-                && world.time.now() - waiting.peekFirst().since() > settings.limits().connectIdle()) {
+        while (waiting != null
+                && !waiting.isEmpty()
+                && world.time.now() - waiting.peekFirst().since()
+                        > settings.limits().connectIdle()) {
             closed(waiting.pollFirst());
         }
         while (waiting != null && !waiting.isEmpty()) {
@@ -395,10 +427,17 @@
         } else if (a.machine != null) {
             disconnected(a);
         }
-        LoadReport load = answer == null ? null : new LoadReport(answer.utilisation(), Double.NaN, answer.waiting(),
-                answer.serviceMs() * 1_000, Double.NaN, Double.NaN);
-        AttemptEnd end = new AttemptEnd(call.request.id(), a.number, a.upstream, outcome,
-                world.time.now() - a.startedAt, call.answered, load);
+        LoadReport load = answer == null
+                ? null
+                : new LoadReport(
+                        answer.utilisation(),
+                        Double.NaN,
+                        answer.waiting(),
+                        answer.serviceMs() * 1_000,
+                        Double.NaN,
+                        Double.NaN);
+        AttemptEnd end = new AttemptEnd(
+                call.request.id(), a.number, a.upstream, outcome, world.time.now() - a.startedAt, call.answered, load);
         deliver(() -> module.outcome(now(), end));
         forgetIfDone(call);
     }
@@ -433,15 +472,17 @@
         } else if (m.model.silent() || world.severed(spec.zone, zone)) {
             world.time.after(settings.limits().connectTimeout(), () -> end(a, Outcome.CONNECT_FAILED, null));
         } else {
-            world.time.after(2 * world.delay(spec.zone, zone), () -> inTurn(a.mine, () -> {
-                if (!a.ended) {
-                    Machine there = fleet.at(a.address);
-                    if (there != null) {
-                        there.connections++;
-                    }
-                    write(a, there);
-                }
-            }));
+            world.time.after(
+                    2 * world.delay(spec.zone, zone),
+                    () -> inTurn(a.mine, () -> {
+                        if (!a.ended) {
+                            Machine there = fleet.at(a.address);
+                            if (there != null) {
+                                there.connections++;
+                            }
+                            write(a, there);
+                        }
+                    }));
         }
     }
 
@@ -479,19 +520,26 @@
                 a.broken();
                 return;
             }
-            Outcome outcome = switch (answer.kind()) {
-                case DONE -> Outcome.OK;
-                case FULL -> Outcome.FULL;
-                default -> Outcome.ERROR;
-            };
+            Outcome outcome =
+                    switch (answer.kind()) {
+                        case DONE -> Outcome.OK;
+                        case FULL -> Outcome.FULL;
+                        default -> Outcome.ERROR;
+                    };
             world.time.after(world.delay(m.zone, spec.zone), () -> end(a, outcome, answer));
         });
     }
 
     @Override
     public void refuse(String request, long retryAfter) {
-        finish(request, Clients.Answer.REFUSED, settings.limits().retryAfter()
-                ? Math.min(retryAfter > 0 ? retryAfter : RETRY_AFTER, settings.limits().maxRetryAfter()) : 0);
+        finish(
+                request,
+                Clients.Answer.REFUSED,
+                settings.limits().retryAfter()
+                        ? Math.min(
+                                retryAfter > 0 ? retryAfter : RETRY_AFTER,
+                                settings.limits().maxRetryAfter())
+                        : 0);
     }
 
     @Override
@@ -529,13 +577,25 @@
         Fleet.Entry target = targets.get(upstream);
         Machine m = target == null ? null : fleet.at(target.address());
         int mine = process;
-        long there = world.delay(spec.zone, target == null ? spec.zone : target.upstream().zone());
+        long there = world.delay(
+                spec.zone, target == null ? spec.zone : target.upstream().zone());
         world.time.after(there, () -> {
             boolean answers = m != null && !m.model.silent();
-            LoadReport load = !answers ? null : new LoadReport(m.model.utilisation(), m.model.inFlight(),
-                    Double.NaN, m.model.serviceMs() * 1_000, Double.NaN, Double.NaN);
-            world.time.after(there, () -> inTurn(mine, () -> deliver(() -> module.probed(now(), upstream,
-                    answers ? Outcome.OK : Outcome.TIMEOUT, load))));
+            LoadReport load = !answers
+                    ? null
+                    : new LoadReport(
+                            m.model.utilisation(),
+                            m.model.inFlight(),
+                            Double.NaN,
+                            m.model.serviceMs() * 1_000,
+                            Double.NaN,
+                            Double.NaN);
+            world.time.after(
+                    there,
+                    () -> inTurn(
+                            mine,
+                            () -> deliver(() ->
+                                    module.probed(now(), upstream, answers ? Outcome.OK : Outcome.TIMEOUT, load))));
         });
     }
 
@@ -572,10 +632,12 @@
     private void scheduleReport(int mine) {
         long every = world.scenario.planners().reportMs() * 1_000;
         long delay = every - every / 8 + world.random.nextLong(Math.max(1, every / 4));
-        world.time.after(delay, () -> inTurn(mine, () -> {
-            deliver(this::report);
-            scheduleReport(mine);
-        }));
+        world.time.after(
+                delay,
+                () -> inTurn(mine, () -> {
+                    deliver(this::report);
+                    scheduleReport(mine);
+                }));
     }
 
     /** What is lent with a report is known to the module before the report can reach anyone. */
@@ -612,10 +674,12 @@
         long at = Math.max(lastTold, world.time.now() + delay);
         lastTold = at;
         int mine = process;
-        world.time.after(at - world.time.now(), () -> inTurn(mine, () -> {
-            if (follower.heard(now(), plan) && follower.matters(now(), plan)) {
-                deliver(() -> module.plan(now(), follower.plan(now())));
-            }
-        }));
+        world.time.after(
+                at - world.time.now(),
+                () -> inTurn(mine, () -> {
+                    if (follower.heard(now(), plan) && follower.matters(now(), plan)) {
+                        deliver(() -> module.plan(now(), follower.plan(now())));
+                    }
+                }));
     }
 }
--- a/src/main/java/sedgeyoke/emulate/Machine.java
+++ b/src/main/java/sedgeyoke/emulate/Machine.java
@@ -14,6 +14,7 @@
     int process;
     /** Nothing is there any more, or something else is. */
     boolean gone;
+
     final Set<Forwarder.Attempt> open = new LinkedHashSet<>();
     /** Connections that balancers hold to this process. */
     int connections;
--- a/src/main/java/sedgeyoke/emulate/Outcome.java
+++ b/src/main/java/sedgeyoke/emulate/Outcome.java
@@ -24,13 +24,26 @@
  * @param nodes true utilisation of each node by second, -1 while it was not there
  * @param events how many things happened
  */
-public record Outcome(long seed, double service, long requests, long attempts, long handshakes,
-        long crossings, Histogram latency,
-        Map<String, Integer> answers, Map<Integer, Integer> violations, List<String> broken, double coldPeak,
-        List<Double> warmUps, double utilisation, List<Second> seconds, Map<String, List<Double>> nodes, long events) {
+public record Outcome(
+        long seed,
+        double service,
+        long requests,
+        long attempts,
+        long handshakes,
+        long crossings,
+        Histogram latency,
+        Map<String, Integer> answers,
+        Map<Integer, Integer> violations,
+        List<String> broken,
+        double coldPeak,
+        List<Double> warmUps,
+        double utilisation,
+        List<Second> seconds,
+        Map<String, List<Double>> nodes,
+        long events) {
 
     /** One second, by when clients first wanted something. */
-    public record Second(double service, long wanted, long refused, long failed, double meanMs, double mostMs) { }
+    public record Second(double service, long wanted, long refused, long failed, double meanMs, double mostMs) {}
 
     /** Rules broken, of all kinds. */
     public int ruleViolations() {
--- a/src/main/java/sedgeyoke/emulate/PlannerHost.java
+++ b/src/main/java/sedgeyoke/emulate/PlannerHost.java
@@ -26,6 +26,7 @@
     private long muteUntil;
     /** For the figures: messages sent and upstreams in them. */
     long messages;
+
     long views;
 
     PlannerHost(World world, int number) {
@@ -51,8 +52,9 @@
     void start() {
         alive = true;
         process++;
-        planner = new Planner(new Planner.Settings(name, name.hashCode() * 1_000L + process, MOST_FORWARDERS,
-                MOST_UPSTREAMS), new LeaseTerms(world.scenario.planners().driftPpm()));
+        planner = new Planner(
+                new Planner.Settings(name, name.hashCode() * 1_000L + process, MOST_FORWARDERS, MOST_UPSTREAMS),
+                new LeaseTerms(world.scenario.planners().driftPpm()));
         schedulePlan(process);
     }
 
@@ -87,10 +89,12 @@
     }
 
     private void schedulePlan(int mine) {
-        world.time.after(world.scenario.planners().planMs() * 1_000, () -> inTurn(mine, () -> {
-            plan();
-            schedulePlan(mine);
-        }));
+        world.time.after(
+                world.scenario.planners().planMs() * 1_000,
+                () -> inTurn(mine, () -> {
+                    plan();
+                    schedulePlan(mine);
+                }));
     }
 
     private void plan() {
@@ -110,9 +114,11 @@
         if (world.time.now() < deafUntil) {
             return;
         }
-        world.time.after(world.delay(from.zone(), zone), () -> inTurn(mine, () -> {
-            forwarders.put(from.name(), from);
-            planner.report(now(), report);
-        }));
+        world.time.after(
+                world.delay(from.zone(), zone),
+                () -> inTurn(mine, () -> {
+                    forwarders.put(from.name(), from);
+                    planner.report(now(), report);
+                }));
     }
 }
--- a/src/main/java/sedgeyoke/emulate/Policies.java
+++ b/src/main/java/sedgeyoke/emulate/Policies.java
@@ -36,7 +36,7 @@
         MAKERS.put("oracle", (settings, seed, out, fleet) -> new Oracle(settings, seed, out, fleet));
     }
 
-    private Policies() { }
+    private Policies() {}
 
     /** Makes a policy for one balancer. */
     interface Maker {
@@ -269,11 +269,18 @@
             for (Up up : from) {
                 Machine m = fleet.byId(up.id);
                 boolean serves = m != null && !m.gone && m.model.serves();
-                double waits = serves ? Math.max(0, m.model.inFlight() + 1 - m.model.spec().cores()) : 0;
-                order.put(up.id, serves ? (waits + m.model.spec().cores()) / m.model.speedNow()
-                        + 1e-9 * random.nextDouble() : Double.MAX_VALUE);
+                double waits = serves
+                        ? Math.max(0, m.model.inFlight() + 1 - m.model.spec().cores())
+                        : 0;
+                order.put(
+                        up.id,
+                        serves
+                                ? (waits + m.model.spec().cores()) / m.model.speedNow() + 1e-9 * random.nextDouble()
+                                : Double.MAX_VALUE);
             }
-            return from.stream().min(Comparator.comparingDouble(u -> order.get(u.id))).orElseThrow();
+            return from.stream()
+                    .min(Comparator.comparingDouble(u -> order.get(u.id)))
+                    .orElseThrow();
         }
     }
 }
--- a/src/main/java/sedgeyoke/emulate/Scenario.java
+++ b/src/main/java/sedgeyoke/emulate/Scenario.java
@@ -16,8 +16,16 @@
  * @param network delays, and how late news is
  * @param faults what happens on the way, in any order
  */
-public record Scenario(SiteSpec site, double seconds, double warmUp, List<Integer> forwarders, String policy,
-        PlannerSpec planners, Traffic traffic, Network network, List<Fault> faults) {
+public record Scenario(
+        SiteSpec site,
+        double seconds,
+        double warmUp,
+        List<Integer> forwarders,
+        String policy,
+        PlannerSpec planners,
+        Traffic traffic,
+        Network network,
+        List<Fault> faults) {
 
     /** Balancers of all zones. */
     public int tier() {
@@ -43,10 +51,14 @@
 
     /** What a client does with a refusal. */
     public enum Retries {
-        /** It gives up. */ NONE,
-        /** It asks again at once. */ AT_ONCE,
-        /** It waits longer each time. */ BACKOFF,
-        /** It waits for as long as it was told, if at all, and else as with {@link #BACKOFF}. */ RETRY_AFTER
+        /** It gives up. */
+        NONE,
+        /** It asks again at once. */
+        AT_ONCE,
+        /** It waits longer each time. */
+        BACKOFF,
+        /** It waits for as long as it was told, if at all, and else as with {@link #BACKOFF}. */
+        RETRY_AFTER
     }
 
     /**
@@ -61,8 +73,15 @@
      * @param retries what becomes of a refusal
      * @param unevenFront how unevenly the front deals out: 0 evenly, 1 so that the first gets twice the last's
      */
-    public record Traffic(double load, List<Double> zoneShare, List<Double> curve, int burst, int keys, double skew,
-            Retries retries, double unevenFront) { }
+    public record Traffic(
+            double load,
+            List<Double> zoneShare,
+            List<Double> curve,
+            int burst,
+            int keys,
+            double skew,
+            Retries retries,
+            double unevenFront) {}
 
     /**
      * Delays.
@@ -81,39 +100,69 @@
      * @param youngUs what the first request costs a process that has just started; each further one costs less, until
      *     after {@link #YOUNG_REQUESTS} none costs anything
      */
-    public record Network(long inZoneUs, long crossZoneUs, double jitter, double stall, long stallUs,
-            long discoveryMs, long discoveryMostMs, long noticeMs, long clockSkewMs, long clockDriftPpm,
-            int connections, long youngUs) {
+    public record Network(
+            long inZoneUs,
+            long crossZoneUs,
+            double jitter,
+            double stall,
+            long stallUs,
+            long discoveryMs,
+            long discoveryMostMs,
+            long noticeMs,
+            long clockSkewMs,
+            long clockDriftPpm,
+            int connections,
+            long youngUs) {
         /** A process is young for so many requests: by then most of what they run is compiled. */
         public static final int YOUNG_REQUESTS = 60;
         /** Like the platform's. */
-        public static final Network USUAL = new Network(150, 900, 0.3, 0, 200_000, 300, 1_500, 1_500, 5, 50,
-                0, 0);
+        public static final Network USUAL = new Network(150, 900, 0.3, 0, 200_000, 300, 1_500, 1_500, 5, 50, 0, 0);
     }
 
     /** What may happen. */
     public enum Kind {
-        /** A node starts anew, cold. */ RESTART_NODE,
-        /** A node is drained, and goes {@link Fault#value} seconds later. */ DRAIN_NODE,
-        /** A node falls silent, and is back cold after {@link Fault#lasts}, if that is not 0. */ VANISH_NODE,
-        /** A node goes, and another one starts cold under a new id. */ REPLACE_NODE,
-        /** The same, at the address of the one that went. */ REPLACE_NODE_IN_PLACE,
-        /** A node's work takes {@link Fault#value} times as long. */ SLOW_NODE,
-        /** A node answers errors at once. */ ERRORS_FAST,
-        /** A node answers errors after the work. */ ERRORS_SLOW,
-        /** All nodes of a zone fall silent, and are back cold after {@link Fault#lasts}. */ LOSE_ZONE,
-        /** What a zone and the others send each other gets nowhere; nobody is told. */ CUT_ZONE,
-        /** This share of answers gets lost, their connections silent. */ LOSE_ANSWERS,
-        /** This share of connections is reset when the answer is due. */ RESET_CONNECTIONS,
-        /** A zone's part of the traffic is multiplied by {@link Fault#value}. */ ZONE_LOAD,
-        /** Discovery tells nobody anything. */ DISCOVERY_DOWN,
-        /** A balancer dies; it is back after {@link Fault#lasts}. */ KILL_FORWARDER,
-        /** A balancer ends in order, as on SIGTERM, and starts again. */ RESTART_FORWARDER,
-        /** A balancer does nothing for a while, and then goes on. */ PAUSE_FORWARDER,
-        /** A planner dies; it is back after {@link Fault#lasts}. */ KILL_PLANNER,
-        /** A planner does nothing for a while, and then goes on where it was. */ PAUSE_PLANNER,
-        /** What a planner sends gets nowhere, while it still hears. */ CUT_PLANNER_OUT,
-        /** What a planner is sent gets nowhere, while it is still heard. */ CUT_PLANNER_IN
+        /** A node starts anew, cold. */
+        RESTART_NODE,
+        /** A node is drained, and goes {@link Fault#value} seconds later. */
+        DRAIN_NODE,
+        /** A node falls silent, and is back cold after {@link Fault#lasts}, if that is not 0. */
+        VANISH_NODE,
+        /** A node goes, and another one starts cold under a new id. */
+        REPLACE_NODE,
+        /** The same, at the address of the one that went. */
+        REPLACE_NODE_IN_PLACE,
+        /** A node's work takes {@link Fault#value} times as long. */
+        SLOW_NODE,
+        /** A node answers errors at once. */
+        ERRORS_FAST,
+        /** A node answers errors after the work. */
+        ERRORS_SLOW,
+        /** All nodes of a zone fall silent, and are back cold after {@link Fault#lasts}. */
+        LOSE_ZONE,
+        /** What a zone and the others send each other gets nowhere; nobody is told. */
+        CUT_ZONE,
+        /** This share of answers gets lost, their connections silent. */
+        LOSE_ANSWERS,
+        /** This share of connections is reset when the answer is due. */
+        RESET_CONNECTIONS,
+        /** A zone's part of the traffic is multiplied by {@link Fault#value}. */
+        ZONE_LOAD,
+        /** Discovery tells nobody anything. */
+        DISCOVERY_DOWN,
+        /** A balancer dies; it is back after {@link Fault#lasts}. */
+        KILL_FORWARDER,
+        /** A balancer ends in order, as on SIGTERM, and starts again. */
+        RESTART_FORWARDER,
+        /** A balancer does nothing for a while, and then goes on. */
+        PAUSE_FORWARDER,
+        /** A planner dies; it is back after {@link Fault#lasts}. */
+        KILL_PLANNER,
+        /** A planner does nothing for a while, and then goes on where it was. */
+        PAUSE_PLANNER,
+        /** What a planner sends gets nowhere, while it still hears. */
+        CUT_PLANNER_OUT,
+        /** What a planner is sent gets nowhere, while it is still heard. */
+        CUT_PLANNER_IN
     }
 
     /**
@@ -126,7 +175,7 @@
      * @param lasts how long; 0 for good
      * @param value as the kind says
      */
-    public record Fault(double at, Kind kind, int who, int count, double every, double lasts, double value) { }
+    public record Fault(double at, Kind kind, int who, int count, double every, double lasts, double value) {}
 
     /** The same with another policy. */
     public Scenario withPolicy(String name) {
--- a/src/main/java/sedgeyoke/emulate/Scenarios.java
+++ b/src/main/java/sedgeyoke/emulate/Scenarios.java
@@ -14,7 +14,7 @@
     private static final int QUEUE = 40;
     private static final int ENDLESS = Integer.MAX_VALUE;
 
-    private Scenarios() { }
+    private Scenarios() {}
 
     /** Three zones like the platform's, nodes dealt out unevenly, every third slow; steady traffic, no faults. */
     public static Scenario orders(int nodes, int forwarders, double load, double seconds) {
@@ -22,19 +22,30 @@
     }
 
     /** The same with work, aims and deadlines so many times as long, and nodes that work on several for each core. */
-    public static Scenario orders(int nodes, int forwarders, double load, double seconds, double workScale,
-            int slotsPerCore) {
+    public static Scenario orders(
+            int nodes, int forwarders, double load, double seconds, double workScale, int slotsPerCore) {
         List<SiteSpec.NodeSpec> specs = new ArrayList<>();
         for (int i = 0; i < nodes; i++) {
-            specs.add(new SiteSpec.NodeSpec("n" + i, i % 4 == 3 ? 0 : i % 4, CORES, i % 3 == 2 ? SLOW : FAST,
-                    CORES * slotsPerCore, QUEUE));
+            specs.add(new SiteSpec.NodeSpec(
+                    "n" + i, i % 4 == 3 ? 0 : i % 4, CORES, i % 3 == 2 ? SLOW : FAST, CORES * slotsPerCore, QUEUE));
         }
-        SiteSpec site = new SiteSpec(List.of("kagoshima", "miyazaki", "oita"), SiteSpec.orders(workScale), specs,
-                SiteSpec.RuleSpec.USUAL, false);
+        SiteSpec site = new SiteSpec(
+                List.of("kagoshima", "miyazaki", "oita"),
+                SiteSpec.orders(workScale),
+                specs,
+                SiteSpec.RuleSpec.USUAL,
+                false);
         int third = forwarders / 3;
-        return new Scenario(site, seconds, Math.min(10, seconds / 4), List.of(forwarders - 2 * third, third, third),
-                Policies.OURS, Scenario.PlannerSpec.usual(0), new Scenario.Traffic(load, List.of(0.4, 0.3, 0.3),
-                        List.of(), 1, 500, 2, Scenario.Retries.BACKOFF, 0.3), Scenario.Network.USUAL, List.of());
+        return new Scenario(
+                site,
+                seconds,
+                Math.min(10, seconds / 4),
+                List.of(forwarders - 2 * third, third, third),
+                Policies.OURS,
+                Scenario.PlannerSpec.usual(0),
+                new Scenario.Traffic(load, List.of(0.4, 0.3, 0.3), List.of(), 1, 500, 2, Scenario.Retries.BACKOFF, 0.3),
+                Scenario.Network.USUAL,
+                List.of());
     }
 
     /**
@@ -44,16 +55,23 @@
      * @param load utilisation
      * @param spread of the work, whose mean is 10 ms
      */
-    public static Scenario queue(int nodes, int cores, double load, WorkClass.Spread spread, String policy,
-            double seconds) {
+    public static Scenario queue(
+            int nodes, int cores, double load, WorkClass.Spread spread, String policy, double seconds) {
         WorkClass work = new WorkClass("work", "single_shot", 1, 3_000_000, 3_000_000, 1, 10, spread);
         List<SiteSpec.NodeSpec> specs = new ArrayList<>();
         for (int i = 0; i < nodes; i++) {
             specs.add(new SiteSpec.NodeSpec("n" + i, 0, cores, 1, ENDLESS));
         }
         SiteSpec site = new SiteSpec(List.of("one"), List.of(work), specs, SiteSpec.RuleSpec.USUAL, false);
-        return new Scenario(site, seconds, seconds / 20, List.of(1), policy, Scenario.PlannerSpec.usual(0),
+        return new Scenario(
+                site,
+                seconds,
+                seconds / 20,
+                List.of(1),
+                policy,
+                Scenario.PlannerSpec.usual(0),
                 new Scenario.Traffic(load, List.of(1.0), Collections.emptyList(), 1, 0, 1, Scenario.Retries.NONE, 0),
-                new Scenario.Network(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0), List.of());
+                new Scenario.Network(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0),
+                List.of());
     }
 }
--- a/src/main/java/sedgeyoke/emulate/Theory.java
+++ b/src/main/java/sedgeyoke/emulate/Theory.java
@@ -8,7 +8,7 @@
 public final class Theory {
     private static final double MEAN_S = 0.01;
 
-    private Theory() { }
+    private Theory() {}
 
     /** One comparison: mean time in the system in seconds, or a share of servers. */
     public record Check(String name, double expected, double seen) {
@@ -23,24 +23,38 @@
         List<Check> all = new ArrayList<>();
         for (int cores : new int[] {1, 2, 8}) {
             for (double load : new double[] {0.5, 0.8}) {
-                Outcome o = new Emulation(Scenarios.queue(1, cores, load, Spread.EXPONENTIAL, "random",
-                        (load > 0.6 ? 40_000 : 8_000) * scale / cores), seed).run();
-                all.add(new Check("M/M/" + cores + " at " + load + ", mean time in the system (Erlang C)",
-                        MEAN_S + erlangC(cores, load) * MEAN_S / (cores * (1 - load)), o.meanUs() / 1e6));
+                Outcome o = new Emulation(
+                                Scenarios.queue(
+                                        1,
+                                        cores,
+                                        load,
+                                        Spread.EXPONENTIAL,
+                                        "random",
+                                        (load > 0.6 ? 40_000 : 8_000) * scale / cores),
+                                seed)
+                        .run();
+                all.add(new Check(
+                        "M/M/" + cores + " at " + load + ", mean time in the system (Erlang C)",
+                        MEAN_S + erlangC(cores, load) * MEAN_S / (cores * (1 - load)),
+                        o.meanUs() / 1e6));
             }
         }
         for (Spread spread : List.of(Spread.CONSTANT, Spread.TWO_KINDS)) {
             double load = 0.7;
             Outcome o = new Emulation(Scenarios.queue(1, 1, load, spread, "random", 30_000 * scale), seed).run();
             double second = spread == Spread.CONSTANT ? 1 : 0.1 * 5.5 * 5.5 + 0.9 * 0.25; // of work over its mean
-            all.add(new Check("M/G/1 at " + load + " with " + spread + " work (Pollaczek and Khinchine)",
-                    MEAN_S + load * MEAN_S * second / (2 * (1 - load)), o.meanUs() / 1e6));
+            all.add(new Check(
+                    "M/G/1 at " + load + " with " + spread + " work (Pollaczek and Khinchine)",
+                    MEAN_S + load * MEAN_S * second / (2 * (1 - load)),
+                    o.meanUs() / 1e6));
         }
         double load = 0.9;
         double[] tail = tails(load, scale, seed);
         for (int i = 1; i <= 3; i++) {
-            all.add(new Check("two choices at " + load + ", servers with " + i + " or more (Mitzenmacher)",
-                    Math.pow(load, Math.pow(2, i) - 1), tail[i]));
+            all.add(new Check(
+                    "two choices at " + load + ", servers with " + i + " or more (Mitzenmacher)",
+                    Math.pow(load, Math.pow(2, i) - 1),
+                    tail[i]));
         }
         return all;
     }
--- a/src/main/java/sedgeyoke/emulate/World.java
+++ b/src/main/java/sedgeyoke/emulate/World.java
@@ -15,10 +15,12 @@
     final SplittableRandom random;
     /** Whom faults strike: the same for the same seed, whatever policies and planners do. */
     final SplittableRandom faults;
+
     private final SplittableRandom delays;
     private final int[] cuts;
     /** Shares of answers that get lost and of connections that are reset, at the moment. */
     double lostAnswers;
+
     double resetConnections;
 
     World(Scenario scenario, long seed) {
--- a/src/main/java/sedgeyoke/experiment/BadExperiment.java
+++ b/src/main/java/sedgeyoke/experiment/BadExperiment.java
@@ -9,6 +9,7 @@
     private static final int MOST_LINES = 20;
 
     BadExperiment(List<Problem> problems) {
-        super(String.join("\n", problems.stream().limit(MOST_LINES).map(Problem::toString).toList()));
+        super(String.join(
+                "\n", problems.stream().limit(MOST_LINES).map(Problem::toString).toList()));
     }
 }
--- a/src/main/java/sedgeyoke/experiment/Draft.java
+++ b/src/main/java/sedgeyoke/experiment/Draft.java
@@ -17,7 +17,11 @@
  * @param variants tables of the variants, as a file has them
  * @param compare keys of {@code [compare]}
  */
-record Draft(String title, Map<String, Object> scenario, List<Fault> faults, List<Map<String, Object>> variants,
+record Draft(
+        String title,
+        Map<String, Object> scenario,
+        List<Fault> faults,
+        List<Map<String, Object>> variants,
         Map<String, Object> compare) {
 
     /** The same with another value of a key of the scenario. */
--- a/src/main/java/sedgeyoke/experiment/Experiment.java
+++ b/src/main/java/sedgeyoke/experiment/Experiment.java
@@ -41,7 +41,7 @@
      * @param out a folder for the runs and the report, or null
      * @param resume whether to go on from the runs that are there
      */
-    public record Plan(long firstSeed, int seeds, int jobs, Path out, boolean resume) { }
+    public record Plan(long firstSeed, int seeds, int jobs, Path out, boolean resume) {}
 
     /** Progress goes to {@code say}. */
     public Experiment(ExperimentFile file, Plan plan, PrintWriter say) {
@@ -59,13 +59,21 @@
         List<Theory.Check> checks = Theory.checks(THEORY_SCALE, plan.firstSeed());
         double worst = 0;
         for (Theory.Check c : checks) {
-            say.printf(Locale.ROOT, "%-70s expected %.5f, seen %.5f, off by %.2f%%%n", c.name(), c.expected(), c.seen(),
+            say.printf(
+                    Locale.ROOT,
+                    "%-70s expected %.5f, seen %.5f, off by %.2f%%%n",
+                    c.name(),
+                    c.expected(),
+                    c.seen(),
                     100 * c.relativeError());
             worst = Math.max(worst, c.relativeError());
         }
         say.flush();
-        return JSON.createObjectNode().put("experiment", file.name()).put("seed", plan.firstSeed())
-                .put("checks", checks.size()).put("worst_relative_error", Run.round(worst))
+        return JSON.createObjectNode()
+                .put("experiment", file.name())
+                .put("seed", plan.firstSeed())
+                .put("checks", checks.size())
+                .put("worst_relative_error", Run.round(worst))
                 .put("ok", worst <= THEORY_WITHIN);
     }
 
@@ -101,7 +109,10 @@
                         Run.Key key = new Run.Key(point.label(), variant, seed);
                         if (!before.containsKey(key)) {
                             playing.put(key, pool.submit(() -> {
-                                Run run = Run.of(file, point, variant,
+                                Run run = Run.of(
+                                        file,
+                                        point,
+                                        variant,
                                         new Emulation(point.variants().get(variant), seed).run(),
                                         seed == plan.firstSeed());
                                 if (kept != null) {
@@ -130,7 +141,10 @@
             for (String variant : point.variants().keySet()) {
                 for (int i = 0; i < plan.seeds(); i++) {
                     Run.Key key = new Run.Key(point.label(), variant, plan.firstSeed() + i);
-                    runs.add(before.containsKey(key) ? before.get(key) : playing.get(key).get());
+                    runs.add(
+                            before.containsKey(key)
+                                    ? before.get(key)
+                                    : playing.get(key).get());
                 }
             }
         }
@@ -157,7 +171,9 @@
     }
 
     private ObjectNode figures(List<Run> runs) {
-        ObjectNode figures = JSON.createObjectNode().put("experiment", file.name()).put("seeds", plan.seeds())
+        ObjectNode figures = JSON.createObjectNode()
+                .put("experiment", file.name())
+                .put("seeds", plan.seeds())
                 .put("first_seed", plan.firstSeed());
         if (file.points().size() == 1) {
             compared(figures, file.points().get(0), runs);
@@ -170,7 +186,12 @@
                 point.at().forEach((key, value) -> at.put(key, value));
                 ObjectNode p = figures.withArray("points").addObject();
                 p.set("at", at);
-                compared(p, point, runs.stream().filter(r -> r.point().equals(point.label())).toList());
+                compared(
+                        p,
+                        point,
+                        runs.stream()
+                                .filter(r -> r.point().equals(point.label()))
+                                .toList());
             }
         }
         say.flush();
@@ -179,14 +200,16 @@
 
     /** What the variants of one point show. */
     private void compared(ObjectNode figures, ExperimentFile.Point point, List<Run> runs) {
-        Function<String, List<Run>> of = name -> runs.stream().filter(r -> r.variant().equals(name)).toList();
+        Function<String, List<Run>> of =
+                name -> runs.stream().filter(r -> r.variant().equals(name)).toList();
         ObjectNode service = figures.putObject("service");
         ObjectNode variants = figures.putObject("variants");
         List<Run> base = of.apply(file.base());
         for (String name : point.variants().keySet()) {
             List<Run> all = of.apply(name);
             service.put(name, Run.round(mean(all, Run::service)));
-            ObjectNode v = variants.putObject(name).put("service", Run.round(mean(all, Run::service)))
+            ObjectNode v = variants.putObject(name)
+                    .put("service", Run.round(mean(all, Run::service)))
                     .put("p50_ms", Run.round(mean(all, Run::p50Ms)))
                     .put("p99_ms", Run.round(mean(all, Run::p99Ms)))
                     .put("attempts_per_request", Run.round(mean(all, Run::attemptsPerRequest)))
@@ -194,19 +217,27 @@
                     .put("handshakes_per_request", Run.round(mean(all, Run::handshakesPerRequest)))
                     .put("crossings_per_request", Run.round(mean(all, Run::crossingsPerRequest)))
                     .put("warm_up_s", Run.round(mean(all, Run::warmUpS)))
-                    .put("cold_peak_share_of_budget", Run.round(all.stream().mapToDouble(Run::coldPeak).max()
-                            .orElse(0)))
-                    .put("rule_violations", all.stream().mapToInt(Run::ruleViolations).sum());
+                    .put(
+                            "cold_peak_share_of_budget",
+                            Run.round(all.stream()
+                                    .mapToDouble(Run::coldPeak)
+                                    .max()
+                                    .orElse(0)))
+                    .put(
+                            "rule_violations",
+                            all.stream().mapToInt(Run::ruleViolations).sum());
             if (!name.equals(file.base())) {
-                put(v.putObject("service_over_" + file.base()), Paired.of(each(all, Run::service),
-                        each(base, Run::service)));
+                put(
+                        v.putObject("service_over_" + file.base()),
+                        Paired.of(each(all, Run::service), each(base, Run::service)));
             }
             say.println((point.label() + " " + name).strip() + " " + v);
         }
         if (!file.with().isEmpty()) {
             List<Run> with = of.apply(file.with());
             Paired gain = Paired.of(each(with, Run::service), each(base, Run::service));
-            figures.put("service_gain", Run.round(gain.mean())).put("service_gain_low", Run.round(gain.low()))
+            figures.put("service_gain", Run.round(gain.mean()))
+                    .put("service_gain_low", Run.round(gain.low()))
                     .put("service_gain_high", Run.round(gain.high()))
                     .put("warm_up_s", Run.round(mean(with, Run::warmUpS)))
                     .put("warm_up_s_without", Run.round(mean(base, Run::warmUpS)));
@@ -217,8 +248,11 @@
     }
 
     private static void put(ObjectNode to, Paired p) {
-        to.put("mean", Run.round(p.mean())).put("low", Run.round(p.low())).put("high", Run.round(p.high()))
-                .put("wins", p.wins()).put("losses", p.losses());
+        to.put("mean", Run.round(p.mean()))
+                .put("low", Run.round(p.low()))
+                .put("high", Run.round(p.high()))
+                .put("wins", p.wins())
+                .put("losses", p.losses());
     }
 
     private static void failing(ObjectNode figures, List<Run> failing, List<Run> with) {
@@ -234,13 +268,18 @@
     private ObjectNode broken(ObjectNode figures, List<Run> runs) {
         Map<String, String> policies = new LinkedHashMap<>();
         file.points().forEach(p -> p.variants().forEach((name, s) -> policies.put(name, s.policy())));
-        List<Run> ours = runs.stream().filter(r -> policies.get(r.variant()).equals(Policies.OURS)).toList();
+        List<Run> ours = runs.stream()
+                .filter(r -> policies.get(r.variant()).equals(Policies.OURS))
+                .toList();
         List<String> broken = new ArrayList<>();
-        ours.forEach(r -> r.violations().forEach(text -> broken.add((r.point() + " " + r.variant()).strip()
-                + ", seed " + r.seed() + ": " + text)));
+        ours.forEach(r -> r.violations()
+                .forEach(text ->
+                        broken.add((r.point() + " " + r.variant()).strip() + ", seed " + r.seed() + ": " + text)));
         int violations = ours.stream().mapToInt(Run::ruleViolations).sum();
-        figures.put("rule_violations", violations).put("cold_peak_share_of_budget",
-                Run.round(ours.stream().mapToDouble(Run::coldPeak).max().orElse(0)));
+        figures.put("rule_violations", violations)
+                .put(
+                        "cold_peak_share_of_budget",
+                        Run.round(ours.stream().mapToDouble(Run::coldPeak).max().orElse(0)));
         broken.stream().limit(MOST_BROKEN).forEach(figures.withArray("violations")::add);
         return figures.put("ok", violations == 0);
     }
--- a/src/main/java/sedgeyoke/experiment/ExperimentFile.java
+++ b/src/main/java/sedgeyoke/experiment/ExperimentFile.java
@@ -34,8 +34,16 @@
  * @param with the variant that is to be better than {@code base}; empty for none
  * @param hunt what {@code hunt} may vary; null where the file has none
  */
-public record ExperimentFile(String name, String title, boolean theory, String digest, List<Point> points,
-        String base, String with, String failing, HuntSpec hunt) {
+public record ExperimentFile(
+        String name,
+        String title,
+        boolean theory,
+        String digest,
+        List<Point> points,
+        String base,
+        String with,
+        String failing,
+        HuntSpec hunt) {
     private static final long LARGEST = 1 << 20;
     private static final int MOST_NODES = 5_000;
     private static final int MOST_FORWARDERS = 2_000;
@@ -43,9 +51,23 @@
     private static final int MOST_POINTS = 64;
     private static final int MOST_DAYS = 32;
     /** What a sweep or a hunt may vary of a scenario. */
-    static final List<String> VARIABLE = List.of("nodes", "forwarders", "load", "seconds", "work_scale",
-            "slots_per_core", "burst", "keys", "skew", "uneven_front", "cross_zone_us", "jitter", "stall",
-            "discovery_most_ms", "notice_ms", "clock_skew_ms");
+    static final List<String> VARIABLE = List.of(
+            "nodes",
+            "forwarders",
+            "load",
+            "seconds",
+            "work_scale",
+            "slots_per_core",
+            "burst",
+            "keys",
+            "skew",
+            "uneven_front",
+            "cross_zone_us",
+            "jitter",
+            "stall",
+            "discovery_most_ms",
+            "notice_ms",
+            "clock_skew_ms");
 
     /**
      * Variants on one day and at one point of a sweep, with the same scenario.
@@ -61,8 +83,14 @@
         }
 
         private String swept() {
-            return String.join(" ", at.entrySet().stream().map(e -> e.getKey() + "=" + (e.getValue() == Math.rint(
-                    e.getValue()) ? "" + e.getValue().longValue() : "" + e.getValue())).toList());
+            return String.join(
+                    " ",
+                    at.entrySet().stream()
+                            .map(e -> e.getKey() + "="
+                                    + (e.getValue() == Math.rint(e.getValue())
+                                            ? "" + e.getValue().longValue()
+                                            : "" + e.getValue()))
+                            .toList());
         }
     }
 
@@ -78,8 +106,15 @@
      * @param scenario the file's own values of all keys
      * @param variants the file's tables of the two
      */
-    public record HuntSpec(String variant, String against, int tries, int mostFaults, List<Scenario.Kind> kinds,
-            Map<String, double[]> ranges, Map<String, Object> scenario, List<Map<String, Object>> variants) { }
+    public record HuntSpec(
+            String variant,
+            String against,
+            int tries,
+            int mostFaults,
+            List<Scenario.Kind> kinds,
+            Map<String, double[]> ranges,
+            Map<String, Object> scenario,
+            List<Map<String, Object>> variants) {}
 
     /** Reads a file; throws with all that is wrong in it. */
     public static ExperimentFile load(Path file) throws BadExperiment {
@@ -104,8 +139,9 @@
     static ExperimentFile parse(Path file, String text) throws BadExperiment {
         List<Problem> problems = new ArrayList<>();
         TomlParseResult toml = Toml.parse(text);
-        toml.errors().forEach(e -> problems.add(new Problem(file.toString(), e.position().line(), "",
-                e.getMessage())));
+        toml.errors()
+                .forEach(e ->
+                        problems.add(new Problem(file.toString(), e.position().line(), "", e.getMessage())));
         if (!problems.isEmpty()) {
             throw new BadExperiment(problems);
         }
@@ -118,8 +154,8 @@
 
     private static String digest(String text) {
         try {
-            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256")
-                    .digest(text.getBytes(StandardCharsets.UTF_8)));
+            return HexFormat.of()
+                    .formatHex(MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8)));
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException(e); // every JDK has it
         }
@@ -142,17 +178,24 @@
             for (Day day : days(root, t, faults)) {
                 for (Map<String, Double> at : sweep) {
                     if (points.isEmpty() || problems.isEmpty()) { // what is wrong at one point is wrong at each
-                        points.add(new Point(day.name(), at, variants(tables, scenario(day.scenario().with(at)),
-                                day.faults())));
+                        points.add(new Point(
+                                day.name(),
+                                at,
+                                variants(tables, scenario(day.scenario().with(at)), day.faults())));
                     }
                 }
             }
             if (tables.isEmpty()) {
                 root.problem("variants", "at least one [[variants]] is needed");
             }
-            Map<String, Scenario> variants = points.isEmpty() ? Map.of() : points.get(0).variants();
+            Map<String, Scenario> variants =
+                    points.isEmpty() ? Map.of() : points.get(0).variants();
             Table compare = root.table("compare");
-            base = named(compare, "base", variants, variants.isEmpty() ? "" : variants.keySet().iterator().next());
+            base = named(
+                    compare,
+                    "base",
+                    variants,
+                    variants.isEmpty() ? "" : variants.keySet().iterator().next());
             with = named(compare, "with", variants, "");
             failing = named(compare, "failing", variants, "");
             compare.done();
@@ -166,17 +209,20 @@
     }
 
     /** One day: what it changes of the file's scenario, and what happens on it beside the file's own faults. */
-    private record Day(String name, Table scenario, List<Fault> faults) { }
+    private record Day(String name, Table scenario, List<Fault> faults) {}
 
     /** The days that the file has, or one without a name that changes nothing. */
     private static List<Day> days(Table root, Table scenario, List<Fault> common) {
         List<Day> days = new ArrayList<>();
         for (Table t : root.tables("days")) {
             String name = t.text("name", null);
-            if (name == null || !name.matches("[a-z0-9+-]{1,32}") || days.size() == MOST_DAYS
+            if (name == null
+                    || !name.matches("[a-z0-9+-]{1,32}")
+                    || days.size() == MOST_DAYS
                     || days.stream().anyMatch(d -> d.name().equals(name))) {
-                t.problem("name", "must be there, of a-z, 0-9, + and -, and unlike that of " + MOST_DAYS
-                        + " others at most");
+                t.problem(
+                        "name",
+                        "must be there, of a-z, 0-9, + and -, and unlike that of " + MOST_DAYS + " others at most");
                 continue;
             }
             List<Fault> faults = new ArrayList<>(common);
@@ -229,7 +275,11 @@
     }
 
     private static HuntSpec hunt(Table t, Table scenario, List<Table> tables, Map<String, Scenario> variants) {
-        String variant = named(t, "variant", variants, variants.isEmpty() ? "" : variants.keySet().iterator().next());
+        String variant = named(
+                t,
+                "variant",
+                variants,
+                variants.isEmpty() ? "" : variants.keySet().iterator().next());
         String against = named(t, "against", variants, "");
         Map<String, double[]> ranges = new LinkedHashMap<>();
         Table r = t.table("ranges");
@@ -240,12 +290,23 @@
             }
             ranges.put(key, new double[] {range.get(0), range.get(1)});
         }
-        List<String> kinds = java.util.Arrays.stream(Scenario.Kind.values()).map(Table::name).toList();
-        HuntSpec spec = new HuntSpec(variant, against, (int) t.whole("tries", 40, 1, 100_000),
-                (int) t.whole("most_faults", 4, 0, 50), t.texts("kinds", kinds).stream()
-                        .map(k -> Scenario.Kind.valueOf(k.toUpperCase(Locale.ROOT))).toList(), ranges,
-                scenario.plain(), tables.stream().map(Table::plain)
-                        .filter(v -> v.get("name").equals(variant) || v.get("name").equals(against)).toList());
+        List<String> kinds =
+                java.util.Arrays.stream(Scenario.Kind.values()).map(Table::name).toList();
+        HuntSpec spec = new HuntSpec(
+                variant,
+                against,
+                (int) t.whole("tries", 40, 1, 100_000),
+                (int) t.whole("most_faults", 4, 0, 50),
+                t.texts("kinds", kinds).stream()
+                        .map(k -> Scenario.Kind.valueOf(k.toUpperCase(Locale.ROOT)))
+                        .toList(),
+                ranges,
+                scenario.plain(),
+                tables.stream()
+                        .map(Table::plain)
+                        .filter(v ->
+                                v.get("name").equals(variant) || v.get("name").equals(against))
+                        .toList());
         t.done();
         return spec;
     }
@@ -262,28 +323,37 @@
         int nodes = (int) t.whole("nodes", 12, 1, MOST_NODES);
         int forwarders = (int) t.whole("forwarders", 6, 3, MOST_FORWARDERS);
         double seconds = t.number("seconds", 30, 1, 3_600);
-        Scenario s = Scenarios.orders(nodes, forwarders, t.number("load", 0.6, 0.01, 10), seconds,
-                t.number("work_scale", 1, 0.1, 20), (int) t.whole("slots_per_core", 1, 1, 1_000));
+        Scenario s = Scenarios.orders(
+                nodes, forwarders, t.number("load", 0.6, 0.01, 10), seconds, t.number("work_scale", 1, 0.1, 20), (int)
+                        t.whole("slots_per_core", 1, 1, 1_000));
         Scenario.Traffic u = s.traffic();
         Scenario.Network n = s.network();
-        Scenario.Traffic traffic = new Scenario.Traffic(u.load(), t.numbers("zone_share", u.zoneShare(), 3, 3),
-                t.numbers("curve", u.curve(), 0, 10_000), (int) t.whole("burst", u.burst(), 1, 10_000),
-                (int) t.whole("keys", u.keys(), 0, 10_000_000), t.number("skew", u.skew(), 0.1, 20),
+        Scenario.Traffic traffic = new Scenario.Traffic(
+                u.load(),
+                t.numbers("zone_share", u.zoneShare(), 3, 3),
+                t.numbers("curve", u.curve(), 0, 10_000),
+                (int) t.whole("burst", u.burst(), 1, 10_000),
+                (int) t.whole("keys", u.keys(), 0, 10_000_000),
+                t.number("skew", u.skew(), 0.1, 20),
                 t.choice("retries", Scenario.Retries.class, u.retries()),
                 t.number("uneven_front", u.unevenFront(), 0, 100));
-        Scenario.Network network = new Scenario.Network(t.whole("in_zone_us", n.inZoneUs(), 0, 1_000_000),
-                t.whole("cross_zone_us", n.crossZoneUs(), 0, 1_000_000), t.number("jitter", n.jitter(), 0, 10),
-                t.number("stall", n.stall(), 0, 1), t.whole("stall_us", n.stallUs(), 0, 10_000_000),
+        Scenario.Network network = new Scenario.Network(
+                t.whole("in_zone_us", n.inZoneUs(), 0, 1_000_000),
+                t.whole("cross_zone_us", n.crossZoneUs(), 0, 1_000_000),
+                t.number("jitter", n.jitter(), 0, 10),
+                t.number("stall", n.stall(), 0, 1),
+                t.whole("stall_us", n.stallUs(), 0, 10_000_000),
                 t.whole("discovery_ms", n.discoveryMs(), 0, 60_000),
                 t.whole("discovery_most_ms", n.discoveryMostMs(), 0, 60_000),
-                t.whole("notice_ms", n.noticeMs(), 0, 60_000), t.whole("clock_skew_ms", n.clockSkewMs(), 0, 1_000),
+                t.whole("notice_ms", n.noticeMs(), 0, 60_000),
+                t.whole("clock_skew_ms", n.clockSkewMs(), 0, 1_000),
                 t.whole("clock_drift_ppm", n.clockDriftPpm(), 0, 1_000),
                 (int) t.whole("connections", n.connections(), 0, 1_000_000),
                 t.whole("young_us", n.youngUs(), 0, 1_000_000));
         double warmUp = t.number("warm_up", s.warmUp(), 0, seconds / 2);
         t.done();
-        return new Scenario(s.site(), seconds, warmUp, s.forwarders(), s.policy(), s.planners(), traffic, network,
-                List.of());
+        return new Scenario(
+                s.site(), seconds, warmUp, s.forwarders(), s.policy(), s.planners(), traffic, network, List.of());
     }
 
     private static Scenario variant(Table v, Scenario scenario, List<Fault> common) {
@@ -293,9 +363,13 @@
             policy = Policies.OURS;
         }
         PlannerSpec usual = PlannerSpec.usual((int) v.whole("planners", 0, 0, 16));
-        PlannerSpec planners = new PlannerSpec(usual.count(), v.whole("report_ms", usual.reportMs(), 50, 2_000),
-                v.whole("plan_ms", usual.planMs(), 50, 2_000), v.whole("lease_ms", usual.leaseMs(), 300, 10_000),
-                v.whole("fade_ms", usual.fadeMs(), 500, 60_000), usual.driftPpm());
+        PlannerSpec planners = new PlannerSpec(
+                usual.count(),
+                v.whole("report_ms", usual.reportMs(), 50, 2_000),
+                v.whole("plan_ms", usual.planMs(), 50, 2_000),
+                v.whole("lease_ms", usual.leaseMs(), 300, 10_000),
+                v.whole("fade_ms", usual.fadeMs(), 500, 60_000),
+                usual.driftPpm());
         List<Fault> faults = new ArrayList<>(common);
         faults.addAll(faults(v));
         return scenario.withPolicy(policy).withPlanners(planners).withFaults(faults);
@@ -308,9 +382,14 @@
             if (kind == null) {
                 t.problem("do", "must be there");
             }
-            faults.add(new Fault(t.number("at", 0, 0, 3_600), kind, (int) t.whole("who", -1, -1, MOST_NODES),
-                    (int) t.whole("count", 1, 1, 10_000), t.number("every", 0, 0, 3_600),
-                    t.number("lasts", 0, 0, 3_600), t.number("value", 0, 0, 1_000)));
+            faults.add(new Fault(
+                    t.number("at", 0, 0, 3_600),
+                    kind,
+                    (int) t.whole("who", -1, -1, MOST_NODES),
+                    (int) t.whole("count", 1, 1, 10_000),
+                    t.number("every", 0, 0, 3_600),
+                    t.number("lasts", 0, 0, 3_600),
+                    t.number("value", 0, 0, 1_000)));
             t.done();
         }
         return faults;
--- a/src/main/java/sedgeyoke/experiment/Hunt.java
+++ b/src/main/java/sedgeyoke/experiment/Hunt.java
@@ -33,6 +33,7 @@
     private static final double STILL = 0.7;
     /** Less than that is no loss worth a file. */
     private static final double LEAST_LOSS = 0.002;
+
     private static final double BROKEN = 1_000;
     private static final int MOST_STEPS = 80;
     private static final int FEWEST_FORWARDERS = 3;
@@ -75,8 +76,12 @@
         ExecutorService pool = Jobs.pool(jobs);
         try {
             Found worst = search(pool);
-            ObjectNode figures = JSON.createObjectNode().put("experiment", file.name()).put("seed", seed)
-                    .put("variant", spec.variant()).put("against", spec.against()).put("tries", spec.tries());
+            ObjectNode figures = JSON.createObjectNode()
+                    .put("experiment", file.name())
+                    .put("seed", seed)
+                    .put("variant", spec.variant())
+                    .put("against", spec.against())
+                    .put("tries", spec.tries());
             if (worst == null || worst.badness() < LEAST_LOSS) {
                 return figures.put("plays", played).put("found", false).put("rule_broken", false);
             }
@@ -87,8 +92,11 @@
             if (!small.broken()) {
                 figures.put("loss", Run.round(small.badness()));
             }
-            return figures.put("plays", played).put("found", true).put("rule_broken", small.broken())
-                    .put("faults", small.draft().faults().size()).put("faults_drawn", worst.draft().faults().size())
+            return figures.put("plays", played)
+                    .put("found", true)
+                    .put("rule_broken", small.broken())
+                    .put("faults", small.draft().faults().size())
+                    .put("faults_drawn", worst.draft().faults().size())
                     .put("file", at.toString());
         } catch (ExecutionException e) {
             throw new IllegalStateException("a run failed: " + e.getCause(), e.getCause());
@@ -130,21 +138,28 @@
         int count = spec.mostFaults() == 0 ? 0 : 1 + random.nextInt(spec.mostFaults());
         for (int i = 0; i < count; i++) {
             Kind kind = spec.kinds().get(random.nextInt(spec.kinds().size()));
-            double value = switch (kind) {
-                case ZONE_LOAD, SLOW_NODE -> 1 + 2 * random.nextDouble();
-                case DRAIN_NODE -> 1 + 3 * random.nextDouble();
-                default -> 0;
-            };
-            faults.add(new Fault(seconds * (0.2 + 0.6 * random.nextDouble()), kind, random.nextInt(1_000), 1, 0,
-                    1 + (MOST_LASTS - 1) * random.nextDouble(), value));
+            double value =
+                    switch (kind) {
+                        case ZONE_LOAD, SLOW_NODE -> 1 + 2 * random.nextDouble();
+                        case DRAIN_NODE -> 1 + 3 * random.nextDouble();
+                        default -> 0;
+                    };
+            faults.add(new Fault(
+                    seconds * (0.2 + 0.6 * random.nextDouble()),
+                    kind,
+                    random.nextInt(1_000),
+                    1,
+                    0,
+                    1 + (MOST_LASTS - 1) * random.nextDouble(),
+                    value));
         }
         Map<String, Object> compare = new LinkedHashMap<>();
         compare.put("base", spec.against().isEmpty() ? spec.variant() : spec.against());
         if (!spec.against().isEmpty()) {
             compare.put("with", spec.variant());
         }
-        return new Draft("Found by a hunt of " + file.name() + " with seed " + seed, scenario, faults, spec.variants(),
-                compare);
+        return new Draft(
+                "Found by a hunt of " + file.name() + " with seed " + seed, scenario, faults, spec.variants(), compare);
     }
 
     /** Sizes are drawn by their logarithm: between 3 and 300, small ones matter as much. */
@@ -177,15 +192,21 @@
 
     private double badness(Draft draft) throws BadExperiment {
         Map<String, Scenario> variants = ExperimentFile.parse(Path.of(file.name() + "-draft.toml"), draft.text())
-                .points().get(0).variants();
+                .points()
+                .get(0)
+                .variants();
         double loss = 0;
         for (int i = 0; i < PLAYS; i++) {
             Outcome ours = new Emulation(variants.get(spec.variant()), seed + i).run();
             if (ours.ruleViolations() > 0) {
                 return BROKEN + ours.ruleViolations();
             }
-            loss += spec.against().isEmpty() ? 0
-                    : new Emulation(variants.get(spec.against()), seed + i).run().service() - ours.service();
+            loss += spec.against().isEmpty()
+                    ? 0
+                    : new Emulation(variants.get(spec.against()), seed + i)
+                                    .run()
+                                    .service()
+                            - ours.service();
         }
         return loss / PLAYS;
     }
--- a/src/main/java/sedgeyoke/experiment/Jobs.java
+++ b/src/main/java/sedgeyoke/experiment/Jobs.java
@@ -5,7 +5,7 @@
 
 /** Threads that play runs side by side; none of them keeps the program from ending. */
 final class Jobs {
-    private Jobs() { }
+    private Jobs() {}
 
     static ExecutorService pool(int jobs) {
         return Executors.newFixedThreadPool(jobs, task -> {
--- a/src/main/java/sedgeyoke/experiment/Paired.java
+++ b/src/main/java/sedgeyoke/experiment/Paired.java
@@ -35,8 +35,11 @@
             }
             means[d] = sum / differences.length;
         }
-        return new Paired(StatUtils.mean(differences), new Percentile(LOW).evaluate(means),
-                new Percentile(HIGH).evaluate(means), (int) Arrays.stream(differences).filter(d -> d > 0).count(),
+        return new Paired(
+                StatUtils.mean(differences),
+                new Percentile(LOW).evaluate(means),
+                new Percentile(HIGH).evaluate(means),
+                (int) Arrays.stream(differences).filter(d -> d > 0).count(),
                 (int) Arrays.stream(differences).filter(d -> d < 0).count());
     }
 }
--- a/src/main/java/sedgeyoke/experiment/Report.java
+++ b/src/main/java/sedgeyoke/experiment/Report.java
@@ -22,13 +22,15 @@
     private static final String PLOTS = "/META-INF/resources/webjars/echarts/5.3.1/dist/echarts.min.js";
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    private Report() { }
+    private Report() {}
 
     /** The page. */
     static String of(ExperimentFile file, List<Run> runs, ObjectNode figures) throws IOException {
         // Whatever stands in a title or an id must not end the script that it stands in.
         String data = JSON.writeValueAsString(data(file, runs, figures)).replace("<", "\\u003c");
-        return text(PAGE).replace("/*PLOTS*/", text(PLOTS).replace("</script", "<\\/script")).replace("/*DATA*/", data);
+        return text(PAGE)
+                .replace("/*PLOTS*/", text(PLOTS).replace("</script", "<\\/script"))
+                .replace("/*DATA*/", data);
     }
 
     private static String text(String resource) throws IOException {
@@ -42,8 +44,11 @@
 
     /** What the page draws. */
     static ObjectNode data(ExperimentFile file, List<Run> runs, ObjectNode figures) {
-        ObjectNode data = JSON.createObjectNode().put("title", file.title()).put("name", file.name())
-                .put("base", file.base()).put("first_seed", figures.path("first_seed").asLong())
+        ObjectNode data = JSON.createObjectNode()
+                .put("title", file.title())
+                .put("name", file.name())
+                .put("base", file.base())
+                .put("first_seed", figures.path("first_seed").asLong())
                 .put("seeds", figures.path("seeds").asInt());
         data.set("figures", figures);
         ArrayNode percentiles = data.putArray("percentiles");
@@ -52,18 +57,29 @@
         for (ExperimentFile.Point point : file.points()) {
             ObjectNode p = points.addObject().put("label", point.label());
             ArrayNode variants = p.putArray("variants");
-            point.variants().forEach((name, scenario) -> variants.add(variant(name, scenario, runs.stream()
-                    .filter(r -> r.point().equals(point.label()) && r.variant().equals(name)).toList())));
+            point.variants()
+                    .forEach((name, scenario) -> variants.add(variant(
+                            name,
+                            scenario,
+                            runs.stream()
+                                    .filter(r -> r.point().equals(point.label())
+                                            && r.variant().equals(name))
+                                    .toList())));
         }
         return data;
     }
 
     private static ObjectNode variant(String name, Scenario scenario, List<Run> runs) {
-        ObjectNode v = JSON.createObjectNode().put("name", name).put("policy", scenario.policy())
+        ObjectNode v = JSON.createObjectNode()
+                .put("name", name)
+                .put("policy", scenario.policy())
                 .put("planners", scenario.planners().count());
         ArrayNode faults = v.putArray("faults");
         for (Scenario.Fault f : scenario.faults()) {
-            faults.addObject().put("at", f.at()).put("what", Table.name(f.kind())).put("count", f.count())
+            faults.addObject()
+                    .put("at", f.at())
+                    .put("what", Table.name(f.kind()))
+                    .put("count", f.count())
                     .put("until", f.at() + f.every() * Math.max(0, f.count() - 1) + f.lasts());
         }
         put(v, "service_by_second", mean(runs, Run::serviceBySecond));
@@ -92,7 +108,11 @@
         List<Double> means = new ArrayList<>();
         for (int i = 0; i < most; i++) {
             int place = i;
-            means.add(runs.stream().map(of).filter(l -> l.size() > place).mapToDouble(l -> l.get(place)).average()
+            means.add(runs.stream()
+                    .map(of)
+                    .filter(l -> l.size() > place)
+                    .mapToDouble(l -> l.get(place))
+                    .average()
                     .orElse(0));
         }
         return means;
--- a/src/main/java/sedgeyoke/experiment/Run.java
+++ b/src/main/java/sedgeyoke/experiment/Run.java
@@ -23,11 +23,30 @@
  * @param violations the first broken rules, in words
  */
 @JsonNaming(SnakeCaseStrategy.class)
-record Run(int schema, String experiment, String fileSha256, String point, String variant, long seed, double service,
-        long requests, long attempts, double p50Ms, double p99Ms, double warmUpS, double coldPeak, double utilisation,
-        double handshakesPerRequest, double crossingsPerRequest, int ruleViolations, long events,
-        List<Double> latencyMs, List<Double> serviceBySecond,
-        List<Double> meanMsBySecond, Map<String, List<Double>> nodes, List<String> violations) {
+record Run(
+        int schema,
+        String experiment,
+        String fileSha256,
+        String point,
+        String variant,
+        long seed,
+        double service,
+        long requests,
+        long attempts,
+        double p50Ms,
+        double p99Ms,
+        double warmUpS,
+        double coldPeak,
+        double utilisation,
+        double handshakesPerRequest,
+        double crossingsPerRequest,
+        int ruleViolations,
+        long events,
+        List<Double> latencyMs,
+        List<Double> serviceBySecond,
+        List<Double> meanMsBySecond,
+        Map<String, List<Double>> nodes,
+        List<String> violations) {
     static final int SCHEMA = 3;
     static final List<Double> PERCENTILES = List.of(1.0, 5.0, 10.0, 25.0, 50.0, 75.0, 90.0, 95.0, 99.0, 99.9, 100.0);
     private static final double DIGITS = 1e5;
@@ -36,14 +55,35 @@
     static Run of(ExperimentFile file, ExperimentFile.Point point, String variant, Outcome o, boolean whole) {
         Map<String, List<Double>> nodes = new LinkedHashMap<>();
         if (whole) {
-            o.nodes().forEach((id, row) -> nodes.put(id, row.stream().map(u -> Math.round(u * 100) / 100.0).toList()));
+            o.nodes()
+                    .forEach((id, row) -> nodes.put(
+                            id,
+                            row.stream().map(u -> Math.round(u * 100) / 100.0).toList()));
         }
-        return new Run(SCHEMA, file.name(), file.digest(), point.label(), variant, o.seed(), o.service(),
-                o.requests(), o.attempts(), o.percentileMs(50), o.percentileMs(99), o.warmUp(), o.coldPeak(),
-                o.utilisation(), o.handshakesPerRequest(), o.crossingsPerRequest(), o.ruleViolations(),
-                o.events(), PERCENTILES.stream().map(o::percentileMs).toList(),
+        return new Run(
+                SCHEMA,
+                file.name(),
+                file.digest(),
+                point.label(),
+                variant,
+                o.seed(),
+                o.service(),
+                o.requests(),
+                o.attempts(),
+                o.percentileMs(50),
+                o.percentileMs(99),
+                o.warmUp(),
+                o.coldPeak(),
+                o.utilisation(),
+                o.handshakesPerRequest(),
+                o.crossingsPerRequest(),
+                o.ruleViolations(),
+                o.events(),
+                PERCENTILES.stream().map(o::percentileMs).toList(),
                 o.seconds().stream().map(s -> round(s.service())).toList(),
-                o.seconds().stream().map(s -> round(s.meanMs())).toList(), nodes, o.broken());
+                o.seconds().stream().map(s -> round(s.meanMs())).toList(),
+                nodes,
+                o.broken());
     }
 
     static double round(double figure) {
@@ -59,5 +99,5 @@
     }
 
     /** What tells runs of one experiment apart. */
-    record Key(String point, String variant, long seed) { }
+    record Key(String point, String variant, long seed) {}
 }
--- a/src/main/java/sedgeyoke/experiment/RunFile.java
+++ b/src/main/java/sedgeyoke/experiment/RunFile.java
@@ -64,7 +64,10 @@
             }
             return JSON.readValue(line, Run.class);
         } catch (JsonProcessingException e) {
-            throw bad(number, "", "is no run: " + e.getOriginalMessage().lines().findFirst().orElse(""));
+            throw bad(
+                    number,
+                    "",
+                    "is no run: " + e.getOriginalMessage().lines().findFirst().orElse(""));
         }
     }
 
@@ -79,8 +82,12 @@
 
     /** Adds one; runs end on several threads. */
     synchronized void add(Run run) throws IOException {
-        Files.writeString(lines, JSON.writeValueAsString(run) + "\n", StandardCharsets.UTF_8,
-                StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        Files.writeString(
+                lines,
+                JSON.writeValueAsString(run) + "\n",
+                StandardCharsets.UTF_8,
+                StandardOpenOption.CREATE,
+                StandardOpenOption.APPEND);
     }
 
     /** All of them in order, whatever order they ended in, and the table of their figures. */
@@ -89,10 +96,23 @@
         List<String> csv = new ArrayList<>(List.of("point,variant,seed,service,requests,attempts,p50_ms,p99_ms,"
                 + "warm_up_s,cold_peak,utilisation,handshakes_per_request,crossings_per_request,rule_violations"));
         for (Run r : runs) {
-            csv.add(String.format(Locale.ROOT, "%s,%s,%d,%.5f,%d,%d,%.2f,%.2f,%.2f,%.4f,%.4f,%.4f,%.4f,%d", r.point(),
-                    r.variant(), r.seed(), r.service(), r.requests(), r.attempts(), r.p50Ms(), r.p99Ms(),
-                    r.warmUpS(), r.coldPeak(), r.utilisation(), r.handshakesPerRequest(),
-                    r.crossingsPerRequest(), r.ruleViolations()));
+            csv.add(String.format(
+                    Locale.ROOT,
+                    "%s,%s,%d,%.5f,%d,%d,%.2f,%.2f,%.2f,%.4f,%.4f,%.4f,%.4f,%d",
+                    r.point(),
+                    r.variant(),
+                    r.seed(),
+                    r.service(),
+                    r.requests(),
+                    r.attempts(),
+                    r.p50Ms(),
+                    r.p99Ms(),
+                    r.warmUpS(),
+                    r.coldPeak(),
+                    r.utilisation(),
+                    r.handshakesPerRequest(),
+                    r.crossingsPerRequest(),
+                    r.ruleViolations()));
         }
         Files.write(table, csv);
     }
--- a/src/main/java/sedgeyoke/experiment/Table.java
+++ b/src/main/java/sedgeyoke/experiment/Table.java
@@ -28,8 +28,14 @@
         this(file, name, toml, line, problems, Map.of(), null);
     }
 
-    private Table(Path file, String name, TomlTable toml, int line, List<Problem> problems,
-            Map<String, Double> instead, Table behind) {
+    private Table(
+            Path file,
+            String name,
+            TomlTable toml,
+            int line,
+            List<Problem> problems,
+            Map<String, Double> instead,
+            Table behind) {
         this.instead = instead;
         this.behind = behind;
         this.file = file;
@@ -58,8 +64,8 @@
             return;
         }
         var at = has(key) ? toml.inputPositionOf(List.of(key)) : null;
-        problems.add(new Problem(file.toString(), at == null ? line : at.line(), name.isEmpty() ? key
-                : name + "." + key, message));
+        problems.add(new Problem(
+                file.toString(), at == null ? line : at.line(), name.isEmpty() ? key : name + "." + key, message));
     }
 
     double number(String key, double fallback, double least, double most) {
@@ -118,8 +124,14 @@
                 return e;
             }
         }
-        problem(key, "is one of " + String.join(", ", java.util.Arrays.stream(type.getEnumConstants())
-                .map(Table::name).toList()) + ", not " + text);
+        problem(
+                key,
+                "is one of "
+                        + String.join(
+                                ", ",
+                                java.util.Arrays.stream(type.getEnumConstants())
+                                        .map(Table::name)
+                                        .toList()) + ", not " + text);
         return fallback;
     }
 
@@ -187,8 +199,12 @@
         List<Table> tables = new ArrayList<>();
         if (value instanceof TomlArray array && array.toList().stream().allMatch(TomlTable.class::isInstance)) {
             for (int i = 0; i < array.size(); i++) {
-                tables.add(new Table(file, (name.isEmpty() ? "" : name + ".") + key + "[" + i + "]", array.getTable(i),
-                        array.inputPositionOf(i).line(), problems));
+                tables.add(new Table(
+                        file,
+                        (name.isEmpty() ? "" : name + ".") + key + "[" + i + "]",
+                        array.getTable(i),
+                        array.inputPositionOf(i).line(),
+                        problems));
             }
         } else if (value != null) {
             problem(key, "must be a list of tables, [[" + key + "]]");
@@ -202,15 +218,20 @@
             problem(key, "must be a table, [" + key + "]");
         }
         var at = has(key) ? toml.inputPositionOf(List.of(key)) : null;
-        return new Table(file, (name.isEmpty() ? "" : name + ".") + key, value instanceof TomlTable t ? t : null,
-                at == null ? line : at.line(), problems);
+        return new Table(
+                file,
+                (name.isEmpty() ? "" : name + ".") + key,
+                value instanceof TomlTable t ? t : null,
+                at == null ? line : at.line(),
+                problems);
     }
 
     /** Whatever nobody has asked for is not known. */
     void done() {
         if (toml != null) {
-            toml.keySet().stream().filter(k -> !read.contains(k)).forEach(k -> problem(k, "is not known; keys here are "
-                    + String.join(", ", read)));
+            toml.keySet().stream()
+                    .filter(k -> !read.contains(k))
+                    .forEach(k -> problem(k, "is not known; keys here are " + String.join(", ", read)));
         }
     }
 }
--- a/src/main/java/sedgeyoke/link/AgreeCodec.java
+++ b/src/main/java/sedgeyoke/link/AgreeCodec.java
@@ -63,15 +63,19 @@
 
     static DocumentMessage of(Document d) {
         DocumentMessage.Builder m = DocumentMessage.newBuilder();
-        d.numbers().forEach((f, v) -> m.addNumbers(NumberField.newBuilder().setField(f).setValue(v)));
+        d.numbers()
+                .forEach((f, v) ->
+                        m.addNumbers(NumberField.newBuilder().setField(f).setValue(v)));
         d.tables().forEach((f, rows) -> {
             TableField.Builder field = TableField.newBuilder().setField(f);
-            rows.forEach((n, v) -> field.addRows(TableRow.newBuilder().setName(n).setValue(v)));
+            rows.forEach(
+                    (n, v) -> field.addRows(TableRow.newBuilder().setName(n).setValue(v)));
             m.addTables(field);
         });
         d.names().forEach((f, rows) -> {
             NamesField.Builder field = NamesField.newBuilder().setField(f);
-            rows.forEach((n, note) -> field.addRows(NameRow.newBuilder().setName(n).setNote(note)));
+            rows.forEach(
+                    (n, note) -> field.addRows(NameRow.newBuilder().setName(n).setNote(note)));
             m.addNames(field);
         });
         return m.build();
@@ -94,19 +98,29 @@
     }
 
     static VersionMessage of(Version v) {
-        return VersionMessage.newBuilder().setNumber(v.number()).setParent(v.parent()).setAuthor(v.author())
-                .setReason(v.reason()).setAtMs(v.atMs()).setContent(of(v.content())).build();
+        return VersionMessage.newBuilder()
+                .setNumber(v.number())
+                .setParent(v.parent())
+                .setAuthor(v.author())
+                .setReason(v.reason())
+                .setAtMs(v.atMs())
+                .setContent(of(v.content()))
+                .build();
     }
 
     static Version version(VersionMessage m) {
-        return new Version(m.getNumber(), m.getParent(), m.getAuthor(), m.getReason(), m.getAtMs(),
-                document(m.getContent()));
+        return new Version(
+                m.getNumber(), m.getParent(), m.getAuthor(), m.getReason(), m.getAtMs(), document(m.getContent()));
     }
 
     // ---- The log -------------------------------------------------------------------------------------
 
     static MemberMessage of(Member m) {
-        return MemberMessage.newBuilder().setName(m.name()).setFolder(m.folder()).setAddress(m.address()).build();
+        return MemberMessage.newBuilder()
+                .setName(m.name())
+                .setFolder(m.folder())
+                .setAddress(m.address())
+                .build();
     }
 
     static Member member(MemberMessage m) {
@@ -123,22 +137,31 @@
     }
 
     static Members members(MembersMessage m) {
-        Members voters = Members.of(m.getVotersList().stream().map(AgreeCodec::member).toList());
+        Members voters =
+                Members.of(m.getVotersList().stream().map(AgreeCodec::member).toList());
         return m.hasLearner() ? new Members(voters.voters(), member(m.getLearner())) : voters;
     }
 
     static WriteMessage of(Command.Write w) {
-        return WriteMessage.newBuilder().setRequest(w.request()).setParent(w.parent()).setAuthor(w.author())
-                .setReason(w.reason()).setAtMs(w.atMs()).setContent(of(w.content())).build();
+        return WriteMessage.newBuilder()
+                .setRequest(w.request())
+                .setParent(w.parent())
+                .setAuthor(w.author())
+                .setReason(w.reason())
+                .setAtMs(w.atMs())
+                .setContent(of(w.content()))
+                .build();
     }
 
     static Command.Write write(WriteMessage m) throws Messages.Implausible {
-        if (m.getRequest().isEmpty() || m.getRequest().length() > LONGEST_TEXT || m.getAuthor().length() > LONGEST_TEXT
+        if (m.getRequest().isEmpty()
+                || m.getRequest().length() > LONGEST_TEXT
+                || m.getAuthor().length() > LONGEST_TEXT
                 || m.getReason().length() > LONGEST_TEXT) {
             throw new Messages.Implausible("request, author or reason");
         }
-        return new Command.Write(m.getRequest(), m.getParent(), m.getAuthor(), m.getReason(), m.getAtMs(),
-                document(m.getContent()));
+        return new Command.Write(
+                m.getRequest(), m.getParent(), m.getAuthor(), m.getReason(), m.getAtMs(), document(m.getContent()));
     }
 
     static EntryMessage of(Entry e) {
@@ -156,38 +179,49 @@
     }
 
     static Entry entry(EntryMessage m) throws Messages.Implausible {
-        Command command = switch (m.getCommandCase()) {
-            case CHANGE -> new Command.Change(members(m.getChange()));
-            case WRITE -> write(m.getWrite());
-            case ACTIVATE -> new Command.Activate(m.getActivate());
-            case NOTHING -> new Command.Nothing();
-            default -> throw new Messages.Implausible("command of entry " + m.getIndex()
-                    + ": a newer program may have written it");
-        };
+        Command command =
+                switch (m.getCommandCase()) {
+                    case CHANGE -> new Command.Change(members(m.getChange()));
+                    case WRITE -> write(m.getWrite());
+                    case ACTIVATE -> new Command.Activate(m.getActivate());
+                    case NOTHING -> new Command.Nothing();
+                    default -> throw new Messages.Implausible(
+                            "command of entry " + m.getIndex() + ": a newer program may have written it");
+                };
         return new Entry(m.getIndex(), m.getTerm(), command);
     }
 
     static OutcomeMessage of(Outcome o) {
-        return OutcomeMessage.newBuilder().setKind(o.kind().ordinal()).setVersion(o.version()).setText(o.text())
+        return OutcomeMessage.newBuilder()
+                .setKind(o.kind().ordinal())
+                .setVersion(o.version())
+                .setText(o.text())
                 .build();
     }
 
     static Outcome outcome(OutcomeMessage m) {
         Outcome.Kind[] kinds = Outcome.Kind.values();
-        return new Outcome(m.getKind() >= 0 && m.getKind() < kinds.length ? kinds[m.getKind()] : Outcome.Kind.UNKNOWN,
-                m.getVersion(), m.getText());
+        return new Outcome(
+                m.getKind() >= 0 && m.getKind() < kinds.length ? kinds[m.getKind()] : Outcome.Kind.UNKNOWN,
+                m.getVersion(),
+                m.getText());
     }
 
     @Override
     public byte[] encode(SnapshotState s) {
-        SnapshotMessage.Builder m = SnapshotMessage.newBuilder().setCovered(s.covered()).setTerm(s.term())
-                .setMembers(of(s.state().members())).setActive(of(s.state().active()));
+        SnapshotMessage.Builder m = SnapshotMessage.newBuilder()
+                .setCovered(s.covered())
+                .setTerm(s.term())
+                .setMembers(of(s.state().members()))
+                .setActive(of(s.state().active()));
         if (s.state().pending() != null) {
             m.setPending(of(s.state().pending()));
         }
         s.state().history().forEach(v -> m.addHistory(of(v)));
-        s.state().requests().forEach((r, o) -> m.addRequests(RequestOutcome.newBuilder().setRequest(r)
-                .setOutcome(of(o))));
+        s.state()
+                .requests()
+                .forEach((r, o) ->
+                        m.addRequests(RequestOutcome.newBuilder().setRequest(r).setOutcome(of(o))));
         return m.build().toByteArray();
     }
 
@@ -197,9 +231,15 @@
             SnapshotMessage m = SnapshotMessage.parseFrom(bytes);
             Map<String, Outcome> requests = new LinkedHashMap<>();
             m.getRequestsList().forEach(r -> requests.put(r.getRequest(), outcome(r.getOutcome())));
-            return new SnapshotState(m.getCovered(), m.getTerm(), new Registry.State(members(m.getMembers()),
-                    version(m.getActive()), m.hasPending() ? version(m.getPending()) : null,
-                    m.getHistoryList().stream().map(AgreeCodec::version).toList(), requests));
+            return new SnapshotState(
+                    m.getCovered(),
+                    m.getTerm(),
+                    new Registry.State(
+                            members(m.getMembers()),
+                            version(m.getActive()),
+                            m.hasPending() ? version(m.getPending()) : null,
+                            m.getHistoryList().stream().map(AgreeCodec::version).toList(),
+                            requests));
         } catch (InvalidProtocolBufferException e) {
             return null;
         }
@@ -208,8 +248,13 @@
     // ---- Leases and requests -------------------------------------------------------------------------
 
     static AskMessage of(LeaseAsk a) {
-        return AskMessage.newBuilder().setBalancer(a.balancer()).setRun(a.run()).setStamp(a.stamp())
-                .setHolds(a.holds()).setSchema(a.schema()).build();
+        return AskMessage.newBuilder()
+                .setBalancer(a.balancer())
+                .setRun(a.run())
+                .setStamp(a.stamp())
+                .setHolds(a.holds())
+                .setSchema(a.schema())
+                .build();
     }
 
     static LeaseAsk ask(AskMessage m) {
@@ -217,13 +262,18 @@
     }
 
     static GrantMessage of(LeaseGrant g) {
-        return GrantMessage.newBuilder().setBalancer(g.balancer()).setRun(g.run()).setStamp(g.stamp())
-                .setActive(g.active()).setPending(g.pending()).setLeased(g.leased()).build();
+        return GrantMessage.newBuilder()
+                .setBalancer(g.balancer())
+                .setRun(g.run())
+                .setStamp(g.stamp())
+                .setActive(g.active())
+                .setPending(g.pending())
+                .setLeased(g.leased())
+                .build();
     }
 
     static LeaseGrant grant(GrantMessage m) {
-        return new LeaseGrant(m.getBalancer(), m.getRun(), m.getStamp(), m.getActive(), m.getPending(),
-                m.getLeased());
+        return new LeaseGrant(m.getBalancer(), m.getRun(), m.getStamp(), m.getActive(), m.getPending(), m.getLeased());
     }
 
     static RequestMessage of(Request r) {
@@ -244,7 +294,8 @@
         return switch (m.getRequestCase()) {
             case SET -> new Request.Set(write(m.getSet()));
             case ADD -> new Request.Add(member(m.getAdd()));
-            case REMOVE -> new Request.Remove(m.getRemove().getName(), m.getRemove().getFolder());
+            case REMOVE -> new Request.Remove(
+                    m.getRemove().getName(), m.getRemove().getFolder());
             case READ -> new Request.Read();
             default -> throw new Messages.Implausible("request: a newer program may have sent it");
         };
@@ -253,30 +304,46 @@
     // ---- Between keepers -----------------------------------------------------------------------------
 
     static KeeperMessage of(long folder, Message message) {
-        KeeperMessage.Builder m = KeeperMessage.newBuilder().setTerm(message.term()).setFolder(folder);
+        KeeperMessage.Builder m =
+                KeeperMessage.newBuilder().setTerm(message.term()).setFolder(folder);
         if (message instanceof Message.PreVote v) {
             m.setPreVote(Standing.newBuilder().setLastIndex(v.lastIndex()).setLastTerm(v.lastTerm()));
         } else if (message instanceof Message.PreVoted v) {
             m.setPreVoted(Granted.newBuilder().setGranted(v.granted()).setSound(v.sound()));
         } else if (message instanceof Message.Vote v) {
-            m.setVote(Standing.newBuilder().setLastIndex(v.lastIndex()).setLastTerm(v.lastTerm())
+            m.setVote(Standing.newBuilder()
+                    .setLastIndex(v.lastIndex())
+                    .setLastTerm(v.lastTerm())
                     .setHandedOver(v.handedOver()));
         } else if (message instanceof Message.Voted v) {
             m.setVoted(Granted.newBuilder().setGranted(v.granted()).setSound(v.sound()));
         } else if (message instanceof Message.Append a) {
-            AppendMessage.Builder b = AppendMessage.newBuilder().setPrevIndex(a.prevIndex()).setPrevTerm(a.prevTerm())
-                    .setCommit(a.commit()).setRound(a.round());
+            AppendMessage.Builder b = AppendMessage.newBuilder()
+                    .setPrevIndex(a.prevIndex())
+                    .setPrevTerm(a.prevTerm())
+                    .setCommit(a.commit())
+                    .setRound(a.round());
             a.entries().forEach(e -> b.addEntries(of(e)));
             m.setAppend(b);
         } else if (message instanceof Message.Appended a) {
-            m.setAppended(AppendedMessage.newBuilder().setOk(a.ok()).setMatched(a.matched()).setRound(a.round())
-                    .setRun(a.run()).setSound(a.sound()));
+            m.setAppended(AppendedMessage.newBuilder()
+                    .setOk(a.ok())
+                    .setMatched(a.matched())
+                    .setRound(a.round())
+                    .setRun(a.run())
+                    .setSound(a.sound()));
         } else if (message instanceof Message.Piece p) {
-            m.setPiece(PieceMessage.newBuilder().setCovered(p.covered()).setCoveredTerm(p.coveredTerm())
-                    .setOffset(p.offset()).setSize(p.size()).setBytes(ByteString.copyFrom(p.bytes()))
+            m.setPiece(PieceMessage.newBuilder()
+                    .setCovered(p.covered())
+                    .setCoveredTerm(p.coveredTerm())
+                    .setOffset(p.offset())
+                    .setSize(p.size())
+                    .setBytes(ByteString.copyFrom(p.bytes()))
                     .setRound(p.round()));
         } else if (message instanceof Message.PieceTaken p) {
-            m.setPieceTaken(PieceTakenMessage.newBuilder().setCovered(p.covered()).setNext(p.next())
+            m.setPieceTaken(PieceTakenMessage.newBuilder()
+                    .setCovered(p.covered())
+                    .setNext(p.next())
                     .setRound(p.round()));
         } else if (message instanceof Message.StandNow) {
             m.setStandNow(true);
@@ -290,8 +357,14 @@
         if (message instanceof Message.Recall r) {
             m.setRecall(RecallMessage.newBuilder().addAllRuns(r.runs()).setNumber(r.number()));
         } else if (message instanceof Message.Recalled r) {
-            m.setRecalled(RecalledMessage.newBuilder().setNumber(r.number()).setPast(r.past()).setSound(r.sound())
-                    .setLost(r.lost()).setLeads(r.leads()).setLastIndex(r.lastIndex()).setKnownRun(r.knownRun()));
+            m.setRecalled(RecalledMessage.newBuilder()
+                    .setNumber(r.number())
+                    .setPast(r.past())
+                    .setSound(r.sound())
+                    .setLost(r.lost())
+                    .setLeads(r.leads())
+                    .setLastIndex(r.lastIndex())
+                    .setKnownRun(r.knownRun()));
         } else if (message instanceof Message.NotAMember n) {
             m.setNotAMember(n.why());
         } else if (message instanceof Message.Forward f) {
@@ -299,10 +372,13 @@
         } else if (message instanceof Message.Forwarded f) {
             m.setForwarded(ForwardedMessage.newBuilder().setToken(f.token()).setOutcome(of(f.outcome())));
         } else if (message instanceof Message.Asks a) {
-            m.setAsks(AsksMessage.newBuilder().setNumber(a.number())
+            m.setAsks(AsksMessage.newBuilder()
+                    .setNumber(a.number())
                     .addAllAsks(a.asks().stream().map(AgreeCodec::of).toList()));
         } else if (message instanceof Message.Grants g) {
-            m.setGrants(GrantsMessage.newBuilder().setNumber(g.number()).setCommit(g.commit())
+            m.setGrants(GrantsMessage.newBuilder()
+                    .setNumber(g.number())
+                    .setCommit(g.commit())
                     .addAllGrants(g.grants().stream().map(AgreeCodec::of).toList()));
         }
     }
@@ -314,37 +390,71 @@
             throw new Messages.Implausible("term");
         }
         return switch (m.getBodyCase()) {
-            case PRE_VOTE -> new Message.PreVote(term, m.getPreVote().getLastIndex(), m.getPreVote().getLastTerm());
-            case PRE_VOTED -> new Message.PreVoted(term, m.getPreVoted().getGranted(), m.getPreVoted().getSound());
-            case VOTE -> new Message.Vote(term, m.getVote().getLastIndex(), m.getVote().getLastTerm(),
+            case PRE_VOTE -> new Message.PreVote(
+                    term, m.getPreVote().getLastIndex(), m.getPreVote().getLastTerm());
+            case PRE_VOTED -> new Message.PreVoted(
+                    term, m.getPreVoted().getGranted(), m.getPreVoted().getSound());
+            case VOTE -> new Message.Vote(
+                    term,
+                    m.getVote().getLastIndex(),
+                    m.getVote().getLastTerm(),
                     m.getVote().getHandedOver());
-            case VOTED -> new Message.Voted(term, m.getVoted().getGranted(), m.getVoted().getSound());
+            case VOTED -> new Message.Voted(
+                    term, m.getVoted().getGranted(), m.getVoted().getSound());
             case APPEND -> append(term, m.getAppend());
-            case APPENDED -> new Message.Appended(term, m.getAppended().getOk(), m.getAppended().getMatched(),
-                    m.getAppended().getRound(), m.getAppended().getRun(), m.getAppended().getSound());
-            case PIECE -> new Message.Piece(term, m.getPiece().getCovered(), m.getPiece().getCoveredTerm(),
-                    m.getPiece().getOffset(), m.getPiece().getSize(), m.getPiece().getBytes().toByteArray(),
+            case APPENDED -> new Message.Appended(
+                    term,
+                    m.getAppended().getOk(),
+                    m.getAppended().getMatched(),
+                    m.getAppended().getRound(),
+                    m.getAppended().getRun(),
+                    m.getAppended().getSound());
+            case PIECE -> new Message.Piece(
+                    term,
+                    m.getPiece().getCovered(),
+                    m.getPiece().getCoveredTerm(),
+                    m.getPiece().getOffset(),
+                    m.getPiece().getSize(),
+                    m.getPiece().getBytes().toByteArray(),
                     m.getPiece().getRound());
-            case PIECE_TAKEN -> new Message.PieceTaken(term, m.getPieceTaken().getCovered(),
-                    m.getPieceTaken().getNext(), m.getPieceTaken().getRound());
+            case PIECE_TAKEN -> new Message.PieceTaken(
+                    term,
+                    m.getPieceTaken().getCovered(),
+                    m.getPieceTaken().getNext(),
+                    m.getPieceTaken().getRound());
             case STAND_NOW -> new Message.StandNow(term);
             case RECALL -> {
                 if (m.getRecall().getRunsCount() == 0 || m.getRecall().getRunsCount() > 1_000) {
                     throw new Messages.Implausible("runs");
                 }
-                yield new Message.Recall(term, m.getRecall().getRunsList(), m.getRecall().getNumber());
+                yield new Message.Recall(
+                        term, m.getRecall().getRunsList(), m.getRecall().getNumber());
             }
-            case RECALLED -> new Message.Recalled(term, m.getRecalled().getNumber(), m.getRecalled().getPast(),
-                    m.getRecalled().getSound(), m.getRecalled().getLost(), m.getRecalled().getLeads(),
-                    m.getRecalled().getLastIndex(), m.getRecalled().getKnownRun());
+            case RECALLED -> new Message.Recalled(
+                    term,
+                    m.getRecalled().getNumber(),
+                    m.getRecalled().getPast(),
+                    m.getRecalled().getSound(),
+                    m.getRecalled().getLost(),
+                    m.getRecalled().getLeads(),
+                    m.getRecalled().getLastIndex(),
+                    m.getRecalled().getKnownRun());
             case NOT_A_MEMBER -> new Message.NotAMember(term, m.getNotAMember());
-            case FORWARD -> new Message.Forward(term, m.getForward().getToken(), request(m.getForward().getRequest()));
-            case FORWARDED -> new Message.Forwarded(term, m.getForwarded().getToken(),
-                    outcome(m.getForwarded().getOutcome()));
-            case ASKS -> new Message.Asks(term, m.getAsks().getNumber(),
+            case FORWARD -> new Message.Forward(
+                    term, m.getForward().getToken(), request(m.getForward().getRequest()));
+            case FORWARDED -> new Message.Forwarded(
+                    term, m.getForwarded().getToken(), outcome(m.getForwarded().getOutcome()));
+            case ASKS -> new Message.Asks(
+                    term,
+                    m.getAsks().getNumber(),
                     m.getAsks().getAsksList().stream().map(AgreeCodec::ask).toList());
-            case GRANTS -> new Message.Grants(term, m.getGrants().getNumber(), m.getGrants().getCommit(),
-                    m.getGrants().getGrantsList().stream().map(AgreeCodec::grant).toList());
+            case GRANTS -> new Message.Grants(
+                    term,
+                    m.getGrants().getNumber(),
+                    m.getGrants().getCommit(),
+                    m.getGrants().getGrantsList().stream()
+                            .map(AgreeCodec::grant)
+                            .toList());
             default -> throw new Messages.Implausible("message: a newer program may have sent it");
         };
     }
--- a/src/main/java/sedgeyoke/link/AgreedLink.java
+++ b/src/main/java/sedgeyoke/link/AgreedLink.java
@@ -53,8 +53,15 @@
      * @param clock microseconds, only growing
      * @param acting is told on the loop whenever what the balancer acts on changes
      */
-    public AgreedLink(EventLoop loop, AgreedSettings settings, String name, long run, LongSupplier clock,
-            Consumer<String> log, Consumer<Adherent.Acting> acting) throws IOException {
+    public AgreedLink(
+            EventLoop loop,
+            AgreedSettings settings,
+            String name,
+            long run,
+            LongSupplier clock,
+            Consumer<String> log,
+            Consumer<Adherent.Acting> acting)
+            throws IOException {
         this.loop = loop;
         this.settings = settings;
         this.clock = clock;
@@ -90,18 +97,22 @@
         }
         unanswered++;
         if (connection != null && connection.peer() != null) {
-            connection.send(Frame.newBuilder().setLeaseAsk(AgreeCodec.of(adherent.ask(clock.getAsLong()))).build());
+            connection.send(Frame.newBuilder()
+                    .setLeaseAsk(AgreeCodec.of(adherent.ask(clock.getAsLong())))
+                    .build());
         }
     }
 
     private void tell(long now) {
         Adherent.Acting next = adherent.acting(now);
-        if (told == null || next.mode() != told.mode() || next.version() != told.version()
+        if (told == null
+                || next.mode() != told.mode()
+                || next.version() != told.version()
                 || next.pending() != told.pending()) {
             told = next;
             log.accept("agreed: acts " + (next.mode() == Adherent.Mode.LEASED ? "under a lease" : "alone")
-                    + " on version " + next.version() + (next.pending() == 0 ? "" : " and " + next.pending()
-                    + ", which is to take effect"));
+                    + " on version " + next.version()
+                    + (next.pending() == 0 ? "" : " and " + next.pending() + ", which is to take effect"));
             acting.accept(next);
         }
     }
@@ -142,7 +153,9 @@
                 LeaseReply reply = frame.getLeaseReply();
                 unanswered = 0;
                 long now = clock.getAsLong();
-                if (adherent.heard(now, AgreeCodec.grant(reply.getGrant()),
+                if (adherent.heard(
+                        now,
+                        AgreeCodec.grant(reply.getGrant()),
                         reply.hasActive() ? AgreeCodec.version(reply.getActive()) : null,
                         reply.hasPending() ? AgreeCodec.version(reply.getPending()) : null)) {
                     nextAsk = now;
--- a/src/main/java/sedgeyoke/link/KeeperClient.java
+++ b/src/main/java/sedgeyoke/link/KeeperClient.java
@@ -17,9 +17,9 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import sedgeyoke.agree.Command;
 import sedgeyoke.agree.Member;
 import sedgeyoke.agree.Outcome;
-import sedgeyoke.agree.Command;
 import sedgeyoke.agree.Request;
 import sedgeyoke.agree.Version;
 import sedgeyoke.link.proto.Frame;
@@ -51,15 +51,30 @@
     }
 
     /** What a keeper says of itself. */
-    public record Status(String name, String role, long term, String leader, long commit, long last, boolean sound,
-            String doubt, List<Member> voters, Member learner, long active, long pending, int holders, int followers,
-            long contradictionBoundMs, long holdsWithinMs, long folder) { }
+    public record Status(
+            String name,
+            String role,
+            long term,
+            String leader,
+            long commit,
+            long last,
+            boolean sound,
+            String doubt,
+            List<Member> voters,
+            Member learner,
+            long active,
+            long pending,
+            int holders,
+            int followers,
+            long contradictionBoundMs,
+            long holdsWithinMs,
+            long folder) {}
 
     /** Throws if the TLS files are no good. {@code name}: as in the operator's certificate. */
     public KeeperClient(List<InetSocketAddress> keepers, String name, TlsFiles files) throws IOException {
         this.keepers = List.copyOf(keepers);
         this.name = name;
-        this.tls = new Tls(files, false, line -> { });
+        this.tls = new Tls(files, false, line -> {});
     }
 
     /** Asks until somebody knows, for so long at the most. */
@@ -68,8 +83,13 @@
         boolean mayBeDone = false;
         Answer last = null;
         while (System.nanoTime() < end) {
-            OperatorReply reply = once(keepers.get(next), OperatorAsk.newBuilder().setToken(1)
-                    .setRequest(AgreeCodec.of(request)).build(), left(end));
+            OperatorReply reply = once(
+                    keepers.get(next),
+                    OperatorAsk.newBuilder()
+                            .setToken(1)
+                            .setRequest(AgreeCodec.of(request))
+                            .build(),
+                    left(end));
             if (reply != null && reply.hasOutcome()) {
                 last = answer(reply);
                 Outcome.Kind kind = last.outcome().kind();
@@ -83,23 +103,30 @@
             next = (next + 1) % keepers.size();
             TimeUnit.MILLISECONDS.sleep(PAUSE_MS);
         }
-        Outcome none = new Outcome(mayBeDone ? Outcome.Kind.UNKNOWN : Outcome.Kind.NO_LEADER, 0,
+        Outcome none = new Outcome(
+                mayBeDone ? Outcome.Kind.UNKNOWN : Outcome.Kind.NO_LEADER,
+                0,
                 last == null ? "no keeper has answered" : last.outcome().text());
-        return new Answer(none, last == null ? Version.NONE : last.active(), last == null ? null : last.pending(),
-                List.of());
+        return new Answer(
+                none, last == null ? Version.NONE : last.active(), last == null ? null : last.pending(), List.of());
     }
 
     /** Sets a new version made from one that was read. */
-    public Answer set(String request, Version from, String author, String reason, sedgeyoke.agree.Document content,
-            long withinMs) throws InterruptedException {
-        return ask(new Request.Set(new Command.Write(request, from.number(), author, reason,
-                System.currentTimeMillis(), content)), withinMs);
+    public Answer set(
+            String request, Version from, String author, String reason, sedgeyoke.agree.Document content, long withinMs)
+            throws InterruptedException {
+        return ask(
+                new Request.Set(
+                        new Command.Write(request, from.number(), author, reason, System.currentTimeMillis(), content)),
+                withinMs);
     }
 
     /** The versions before the present one, by any keeper that answers; null if none does. */
     public Answer history(long withinMs) throws InterruptedException {
         for (InetSocketAddress keeper : keepers) {
-            OperatorReply reply = once(keeper, OperatorAsk.newBuilder().setToken(1).setHistory(true).build(),
+            OperatorReply reply = once(
+                    keeper,
+                    OperatorAsk.newBuilder().setToken(1).setHistory(true).build(),
                     Math.min(ONE_MS, withinMs));
             if (reply != null) {
                 return answer(reply);
@@ -110,15 +137,30 @@
 
     /** What one keeper says of itself; null if it says nothing. */
     public Status status(InetSocketAddress keeper) throws InterruptedException {
-        OperatorReply reply = once(keeper, OperatorAsk.newBuilder().setToken(1).setStatus(true).build(), ONE_MS);
+        OperatorReply reply = once(
+                keeper, OperatorAsk.newBuilder().setToken(1).setStatus(true).build(), ONE_MS);
         if (reply == null || !reply.hasStatus()) {
             return null;
         }
         StatusMessage s = reply.getStatus();
         sedgeyoke.agree.Members members = AgreeCodec.members(s.getMembers());
-        return new Status(s.getName(), s.getRole(), s.getTerm(), s.getLeader(), s.getCommit(), s.getLast(),
-                s.getSound(), s.getDoubt(), List.copyOf(members.voters().values()), members.learner(), s.getActive(),
-                s.getPending(), s.getHolders(), s.getFollowers(), s.getContradictionBoundMs(), s.getHoldsWithinMs(),
+        return new Status(
+                s.getName(),
+                s.getRole(),
+                s.getTerm(),
+                s.getLeader(),
+                s.getCommit(),
+                s.getLast(),
+                s.getSound(),
+                s.getDoubt(),
+                List.copyOf(members.voters().values()),
+                members.learner(),
+                s.getActive(),
+                s.getPending(),
+                s.getHolders(),
+                s.getFollowers(),
+                s.getContradictionBoundMs(),
+                s.getHoldsWithinMs(),
                 s.getFolder());
     }
 
@@ -127,22 +169,27 @@
     }
 
     private static Answer answer(OperatorReply r) {
-        return new Answer(r.hasOutcome() ? AgreeCodec.outcome(r.getOutcome()) : null,
-                AgreeCodec.version(r.getActive()), r.hasPending() ? AgreeCodec.version(r.getPending()) : null,
+        return new Answer(
+                r.hasOutcome() ? AgreeCodec.outcome(r.getOutcome()) : null,
+                AgreeCodec.version(r.getActive()),
+                r.hasPending() ? AgreeCodec.version(r.getPending()) : null,
                 r.getHistoryList().stream().map(AgreeCodec::version).toList());
     }
 
     private OperatorReply once(InetSocketAddress keeper, OperatorAsk ask, long withinMs) throws InterruptedException {
         CompletableFuture<OperatorReply> reply = new CompletableFuture<>();
         Connection connection = new Connection(ask, reply);
-        ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        ChannelFuture connecting = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) withinMs)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
                         connection.install(ch, tls.handler(ch));
                     }
-                }).connect(keeper);
+                })
+                .connect(keeper);
         connecting.addListener(done -> {
             if (!done.isSuccess()) {
                 reply.complete(null);
@@ -168,7 +215,7 @@
         private final CompletableFuture<OperatorReply> reply;
 
         Connection(OperatorAsk ask, CompletableFuture<OperatorReply> reply) {
-            super(Set.of(Tls.Role.KEEPER), name, line -> { });
+            super(Set.of(Tls.Role.KEEPER), name, line -> {});
             this.ask = ask;
             this.reply = reply;
         }
--- a/src/main/java/sedgeyoke/link/KeeperFolder.java
+++ b/src/main/java/sedgeyoke/link/KeeperFolder.java
@@ -39,6 +39,7 @@
     private SlotMessage slot;
     /** The snapshot before the newest: the log goes on from there, in case the newest rots. */
     private long olderCovered;
+
     private Keeper.Recovered recovered;
     private List<Damage> damage = List.of();
 
@@ -52,7 +53,7 @@
     }
 
     /** What whoever opens a folder knows of it: whose it is to be, and the system's number of its present start. */
-    public record Owner(String tier, String keeper, String boot, boolean forcesMayLie) { }
+    public record Owner(String tier, String keeper, String boot, boolean forcesMayLie) {}
 
     private KeeperFolder(Disk disk, Owner owner, int segmentBytes) throws DiskFault, Unusable {
         this.disk = disk;
@@ -61,8 +62,13 @@
         this.slot = readSlot(owner);
         this.snapshots = new Snapshots(disk, slot.getFolder());
         Optional<Snapshots.Snapshot> newest = snapshots.newest();
-        this.log = SegmentLog.open(disk, slot.getFolder(), segmentBytes, slot.getGeneration(),
-                generation -> saveSlot(slot.toBuilder().setGeneration(generation).build()));
+        this.log = SegmentLog.open(
+                disk,
+                slot.getFolder(),
+                segmentBytes,
+                slot.getGeneration(),
+                generation ->
+                        saveSlot(slot.toBuilder().setGeneration(generation).build()));
         recover(owner, newest);
     }
 
@@ -82,8 +88,14 @@
             throw new Unusable("the folder is not empty");
         }
         TwinFile file = TwinFile.open(disk, SLOT);
-        SlotMessage first = SlotMessage.newBuilder().setTier(owner.tier()).setKeeper(owner.keeper())
-                .setFolder(folder).setSound(true).setBoot(owner.boot()).setFounders(AgreeCodec.of(founders)).build();
+        SlotMessage first = SlotMessage.newBuilder()
+                .setTier(owner.tier())
+                .setKeeper(owner.keeper())
+                .setFolder(folder)
+                .setSound(true)
+                .setBoot(owner.boot())
+                .setFounders(AgreeCodec.of(founders))
+                .build();
         file.save(first.toByteArray()); // makes the files, so that they can be told from copies
         file.save(first.toBuilder().setIdentity(file.identity()).build().toByteArray());
     }
@@ -99,15 +111,22 @@
     }
 
     /** What can be said of a folder that nobody uses. */
-    public record Report(String tier, String keeper, long folder, long term, long last, long covered,
-            List<Damage> damage) { }
+    public record Report(
+            String tier, String keeper, long folder, long term, long last, long covered, List<Damage> damage) {}
 
     /** Reads a folder as a start would, whoever's it is, and changes nothing in it. */
     public static Report check(Disk disk) throws DiskFault, Unusable {
         KeeperFolder f = new KeeperFolder(new ReadOnly(disk), new Owner("", "", "", false), SEGMENT_BYTES);
-        long covered = f.recovered.snapshot() == null ? 0 : f.recovered.snapshot().covered();
-        return new Report(f.tier(), f.keeper(), f.folder(), f.recovered.slot().term(),
-                covered + f.recovered.entries().size(), covered, f.damage);
+        long covered =
+                f.recovered.snapshot() == null ? 0 : f.recovered.snapshot().covered();
+        return new Report(
+                f.tier(),
+                f.keeper(),
+                f.folder(),
+                f.recovered.slot().term(),
+                covered + f.recovered.entries().size(),
+                covered,
+                f.damage);
     }
 
     /** A disk on which nothing happens. */
@@ -133,22 +152,22 @@
         }
 
         @Override
-        public void allocate(String name, long length) { }
+        public void allocate(String name, long length) {}
 
         @Override
-        public void write(String name, long at, byte[] bytes) { }
+        public void write(String name, long at, byte[] bytes) {}
 
         @Override
-        public void force(String name) { }
+        public void force(String name) {}
 
         @Override
-        public void forceNames() { }
+        public void forceNames() {}
 
         @Override
-        public void rename(String from, String to) { }
+        public void rename(String from, String to) {}
 
         @Override
-        public void delete(String name) { }
+        public void delete(String name) {}
     }
 
     private SlotMessage readSlot(Owner owner) throws Unusable {
@@ -156,8 +175,9 @@
             throw new Unusable(slotFile.damage() + ": this keeper has to be replaced: empty the folder, then 'keepers"
                     + " remove " + owner.keeper() + "' and 'keepers add' it");
         }
-        byte[] content = slotFile.content().orElseThrow(() -> new Unusable("no " + SLOT
-                + " file: not a keeper's folder, or its disk has lost it"));
+        byte[] content = slotFile.content()
+                .orElseThrow(
+                        () -> new Unusable("no " + SLOT + " file: not a keeper's folder, or its disk has lost it"));
         try {
             SlotMessage read = SlotMessage.parseFrom(content);
             if (!owner.tier().isEmpty() && !read.getTier().equals(owner.tier())) {
@@ -180,12 +200,16 @@
         long first = entries.isEmpty() ? log.last() + 1 : entries.get(0).index();
         if (first > covered + 1 || covered < slot.getCovered() && log.last() < slot.getCovered()) {
             found.addAll(snapshots.damage());
-            found.add(new Damage("log", 0, covered + 1, "entries up to " + slot.getCovered()
-                    + " are in no snapshot and not in the log"));
+            found.add(new Damage(
+                    "log",
+                    0,
+                    covered + 1,
+                    "entries up to " + slot.getCovered() + " are in no snapshot and not in the log"));
             entries = List.of();
         }
-        boolean follows = covered == 0 || covered == first - 1 || entries.stream().anyMatch(e -> e.index() == covered
-                && e.term() == snapshot.term());
+        boolean follows = covered == 0
+                || covered == first - 1
+                || entries.stream().anyMatch(e -> e.index() == covered && e.term() == snapshot.term());
         entries = follows ? entries.stream().filter(e -> e.index() > covered).toList() : List.of();
         damage = List.copyOf(found);
         if (log.last() != covered + entries.size()) {
@@ -197,8 +221,12 @@
         }
         Map<String, Slot.Known> known = new HashMap<>();
         slot.getKnownList().forEach(k -> known.put(k.getName(), new Slot.Known(k.getFolder(), k.getRun())));
-        recovered = new Keeper.Recovered(new Slot(slot.getTerm(), slot.getVote(), slot.getRunsList(), known,
-                slot.getSound()), snapshot, entries, doubt(owner, found), !found.isEmpty());
+        recovered = new Keeper.Recovered(
+                new Slot(slot.getTerm(), slot.getVote(), slot.getRunsList(), known, slot.getSound()),
+                snapshot,
+                entries,
+                doubt(owner, found),
+                !found.isEmpty());
     }
 
     private String doubt(Owner owner, List<Damage> found) throws DiskFault {
@@ -211,7 +239,8 @@
             return "the folder is a copy: what its keeper promised since that was made is not in it";
         }
         return owner.forcesMayLie() && !owner.boot().equals(slot.getBoot())
-                ? "the machine has started anew since, and what was forced may not have lasted" : null;
+                ? "the machine has started anew since, and what was forced may not have lasted"
+                : null;
     }
 
     private static List<Entry> entries(List<SegmentLog.Record> records) throws Unusable {
@@ -264,10 +293,19 @@
     /** Makes what a keeper wants to last last; all of it does once this has returned. */
     public void carryOut(Action.Persist p) throws DiskFault {
         if (p.slot() != null) {
-            SlotMessage.Builder next = slot.toBuilder().setTerm(p.slot().term()).setVote(p.slot().vote())
-                    .setSound(p.slot().sound()).clearRuns().addAllRuns(p.slot().runs()).clearKnown();
-            p.slot().known().forEach((name, k) -> next.addKnown(KnownMessage.newBuilder().setName(name)
-                    .setFolder(k.folder()).setRun(k.run())));
+            SlotMessage.Builder next = slot.toBuilder()
+                    .setTerm(p.slot().term())
+                    .setVote(p.slot().vote())
+                    .setSound(p.slot().sound())
+                    .clearRuns()
+                    .addAllRuns(p.slot().runs())
+                    .clearKnown();
+            p.slot()
+                    .known()
+                    .forEach((name, k) -> next.addKnown(KnownMessage.newBuilder()
+                            .setName(name)
+                            .setFolder(k.folder())
+                            .setRun(k.run())));
             if (p.slot().sound()) {
                 next.setBoot(boot).setIdentity(slotFile.identity());
             }
--- a/src/main/java/sedgeyoke/link/KeeperMain.java
+++ b/src/main/java/sedgeyoke/link/KeeperMain.java
@@ -34,7 +34,7 @@
     private static final long HAND_OVER_MS = 300;
     private static final int DISK_FAILED = 3;
 
-    private KeeperMain() { }
+    private KeeperMain() {}
 
     /**
      * Runs until SIGTERM, or until its disk fails (3); returns 2 if the file, the folder or the address is no good.
@@ -73,20 +73,21 @@
             files.close();
             return fail(settings.folder() + ": " + e.getMessage());
         }
-        folder.damage().forEach(d -> System.err.println("keeper " + settings.name() + ": " + settings.folder() + "/"
-                + d));
+        folder.damage()
+                .forEach(d -> System.err.println("keeper " + settings.name() + ": " + settings.folder() + "/" + d));
         return serve(settings, folder);
     }
 
     private static KeeperFolder open(Disk disk, KeeperSettings settings, boolean found)
             throws DiskFault, KeeperFolder.Unusable {
-        KeeperFolder.Owner owner = new KeeperFolder.Owner(settings.tier(), settings.name(), boot(),
-                settings.forcesMayLie());
+        KeeperFolder.Owner owner =
+                new KeeperFolder.Owner(settings.tier(), settings.name(), boot(), settings.forcesMayLie());
         if (KeeperFolder.isEmpty(disk)) {
             List<Member> founders = new ArrayList<>();
             if (found) {
-                settings.keepers().forEach((name, at) -> founders.add(new Member(name, 0, at.getAddress()
-                        .getHostAddress() + ":" + at.getPort())));
+                settings.keepers()
+                        .forEach((name, at) -> founders.add(
+                                new Member(name, 0, at.getAddress().getHostAddress() + ":" + at.getPort())));
             }
             KeeperFolder.make(disk, owner, new SecureRandom().nextLong() | 1, Members.of(founders));
         }
@@ -114,9 +115,16 @@
         CountDownLatch ended = new CountDownLatch(1);
         Log log = new Log(System.err, clock);
         try {
-            KeeperServer server = new KeeperServer(loop, disk, settings, new Rules(Timing.usual(
-                    settings.leaseMs() * 1_000, new Drift(settings.driftPpm()))), folder,
-                    new SecureRandom().nextLong() | 1, clock, log::line, why -> {
+            KeeperServer server = new KeeperServer(
+                    loop,
+                    disk,
+                    settings,
+                    new Rules(Timing.usual(settings.leaseMs() * 1_000, new Drift(settings.driftPpm()))),
+                    folder,
+                    new SecureRandom().nextLong() | 1,
+                    clock,
+                    log::line,
+                    why -> {
                         System.err.println("keeper " + settings.name() + ": " + why);
                         ended.countDown();
                     });
--- a/src/main/java/sedgeyoke/link/KeeperServer.java
+++ b/src/main/java/sedgeyoke/link/KeeperServer.java
@@ -48,8 +48,10 @@
     private static final long MOST_WAITING = 1_000;
     /** An answer is held back no longer than that for the version that it names. */
     private static final long ANSWER_WITHIN = 3_000_000;
+
     private static final long ALIVE_EVERY = 1_000_000;
-    private static final Frame ALIVE = Frame.newBuilder().setNews(NewsMessage.newBuilder()).build();
+    private static final Frame ALIVE =
+            Frame.newBuilder().setNews(NewsMessage.newBuilder()).build();
 
     private final EventLoop loop;
     private final Executor disk;
@@ -73,7 +75,7 @@
     private volatile boolean stopped;
 
     /** Who waits for what: an answer goes out once the version that it names is known here, if that is soon. */
-    private record Asked(Incoming from, long token, long until) { }
+    private record Asked(Incoming from, long token, long until) {}
 
     /**
      * Throws if the TLS files are no good.
@@ -81,8 +83,17 @@
      * @param disk runs one thing after the other, on a thread of its own
      * @param fatal is told of a disk that has failed: the process is to end, as nothing is known of what is on it
      */
-    public KeeperServer(EventLoop loop, Executor disk, KeeperSettings settings, Rules rules, KeeperFolder folder,
-            long run, LongSupplier clock, Consumer<String> log, Consumer<String> fatal) throws IOException {
+    public KeeperServer(
+            EventLoop loop,
+            Executor disk,
+            KeeperSettings settings,
+            Rules rules,
+            KeeperFolder folder,
+            long run,
+            LongSupplier clock,
+            Consumer<String> log,
+            Consumer<String> fatal)
+            throws IOException {
         this.loop = loop;
         this.disk = disk;
         this.settings = settings;
@@ -94,8 +105,14 @@
         this.server = new Tls(settings.tls(), true, log);
         this.client = new Tls(settings.tls(), false, log);
         this.random = new SplittableRandom(run);
-        this.keeper = new Keeper(new Keeper.Self(settings.name(), folder.folder(), run), rules, folder.recovered(),
-                folder.founders(), new AgreeCodec(), random.split(), clock.getAsLong());
+        this.keeper = new Keeper(
+                new Keeper.Self(settings.name(), folder.folder(), run),
+                rules,
+                folder.recovered(),
+                folder.founders(),
+                new AgreeCodec(),
+                random.split(),
+                clock.getAsLong());
         settings.keepers().forEach((name, address) -> {
             if (!name.equals(settings.name())) {
                 others.put(name, new Other(name, address));
@@ -189,8 +206,11 @@
                 follower.granted(g.grant());
             }
         } else if (action instanceof Action.News n) {
-            long newest = n.pending() == null ? n.active().number() : n.pending().number();
-            Frame news = Frame.newBuilder().setNews(NewsMessage.newBuilder().setNewest(newest)).build();
+            long newest =
+                    n.pending() == null ? n.active().number() : n.pending().number();
+            Frame news = Frame.newBuilder()
+                    .setNews(NewsMessage.newBuilder().setNewest(newest))
+                    .build();
             followers.values().forEach(f -> f.send(news));
         } else if (action instanceof Action.Say s) {
             log.accept("keeper " + settings.name() + " " + s.line());
@@ -216,26 +236,34 @@
         } else if (keeper.pending() != null && keeper.pending().number() == number) {
             return keeper.pending();
         }
-        return keeper.history().stream().filter(v -> v.number() == number).findFirst().orElse(null);
+        return keeper.history().stream()
+                .filter(v -> v.number() == number)
+                .findFirst()
+                .orElse(null);
     }
 
     // ---- Operators -----------------------------------------------------------------------------------
 
     private void answer(Asked waiting, Outcome outcome) {
-        long known = keeper.pending() == null ? keeper.active().number() : keeper.pending().number();
+        long known = keeper.pending() == null
+                ? keeper.active().number()
+                : keeper.pending().number();
         boolean behind = outcome.kind() == Outcome.Kind.DONE && known < outcome.version();
         if (behind && clock.getAsLong() < waiting.until()) { // decided elsewhere; it is on its way
             loop.schedule(() -> answer(waiting, outcome), TICK_MS, TimeUnit.MILLISECONDS);
             return;
         }
-        OperatorReply.Builder reply = reply(waiting.token()).setOutcome(AgreeCodec.of(behind ? new Outcome(
-                Outcome.Kind.UNKNOWN, known, "this keeper does not hear what was decided") : outcome));
+        OperatorReply.Builder reply = reply(waiting.token())
+                .setOutcome(AgreeCodec.of(
+                        behind
+                                ? new Outcome(Outcome.Kind.UNKNOWN, known, "this keeper does not hear what was decided")
+                                : outcome));
         waiting.from().send(Frame.newBuilder().setOperatorReply(reply).build());
     }
 
     private OperatorReply.Builder reply(long token) {
-        OperatorReply.Builder reply = OperatorReply.newBuilder().setToken(token)
-                .setActive(AgreeCodec.of(keeper.active()));
+        OperatorReply.Builder reply =
+                OperatorReply.newBuilder().setToken(token).setActive(AgreeCodec.of(keeper.active()));
         if (keeper.pending() != null) {
             reply.setPending(AgreeCodec.of(keeper.pending()));
         }
@@ -243,15 +271,25 @@
     }
 
     private StatusMessage status() {
-        return StatusMessage.newBuilder().setName(settings.name()).setRole(keeper.role().name().toLowerCase())
-                .setTerm(keeper.term()).setLeader(keeper.leader() == null ? "" : keeper.leader())
-                .setCommit(keeper.commit()).setLast(keeper.last()).setSound(keeper.sound())
-                .setDoubt(keeper.doubt() == null ? "" : keeper.doubt()).setMembers(AgreeCodec.of(keeper.members()))
+        return StatusMessage.newBuilder()
+                .setName(settings.name())
+                .setRole(keeper.role().name().toLowerCase())
+                .setTerm(keeper.term())
+                .setLeader(keeper.leader() == null ? "" : keeper.leader())
+                .setCommit(keeper.commit())
+                .setLast(keeper.last())
+                .setSound(keeper.sound())
+                .setDoubt(keeper.doubt() == null ? "" : keeper.doubt())
+                .setMembers(AgreeCodec.of(keeper.members()))
                 .setActive(keeper.active().number())
-                .setPending(keeper.pending() == null ? 0 : keeper.pending().number()).setHolders(keeper.holders())
-                .setLeaseMs(settings.leaseMs()).setFolder(folder.folder()).setFollowers(followers.size())
+                .setPending(keeper.pending() == null ? 0 : keeper.pending().number())
+                .setHolders(keeper.holders())
+                .setLeaseMs(settings.leaseMs())
+                .setFolder(folder.folder())
+                .setFollowers(followers.size())
                 .setContradictionBoundMs((rules.timing().contradictionBound() + 999) / 1_000)
-                .setHoldsWithinMs((rules.timing().holdsWithin() + 999) / 1_000).build();
+                .setHoldsWithinMs((rules.timing().holdsWithin() + 999) / 1_000)
+                .build();
     }
 
     // ---- Connections ---------------------------------------------------------------------------------
@@ -270,7 +308,9 @@
 
         void send(Message message) {
             if (connection != null && connection.peer() != null) {
-                connection.send(Frame.newBuilder().setKeeper(AgreeCodec.of(folder.folder(), message)).build());
+                connection.send(Frame.newBuilder()
+                        .setKeeper(AgreeCodec.of(folder.folder(), message))
+                        .build());
             }
         }
 
@@ -374,14 +414,18 @@
 
         private void operator(OperatorAsk ask) throws Messages.Implausible {
             if (ask.getBodyCase() == OperatorAsk.BodyCase.STATUS) {
-                send(Frame.newBuilder().setOperatorReply(reply(ask.getToken()).setStatus(status())).build());
+                send(Frame.newBuilder()
+                        .setOperatorReply(reply(ask.getToken()).setStatus(status()))
+                        .build());
             } else if (ask.getBodyCase() == OperatorAsk.BodyCase.HISTORY) {
                 OperatorReply.Builder reply = reply(ask.getToken());
                 keeper.history().forEach(v -> reply.addHistory(AgreeCodec.of(v)));
                 send(Frame.newBuilder().setOperatorReply(reply).build());
             } else if (asked.size() >= MOST_WAITING) {
-                send(Frame.newBuilder().setOperatorReply(reply(ask.getToken()).setOutcome(AgreeCodec.of(new Outcome(
-                        Outcome.Kind.BUSY, 0, "too many requests wait")))).build());
+                send(Frame.newBuilder()
+                        .setOperatorReply(reply(ask.getToken())
+                                .setOutcome(AgreeCodec.of(new Outcome(Outcome.Kind.BUSY, 0, "too many requests wait"))))
+                        .build());
             } else {
                 sedgeyoke.agree.Request request = AgreeCodec.request(ask.getRequest());
                 long token = ++tokens;
--- a/src/main/java/sedgeyoke/link/Messages.java
+++ b/src/main/java/sedgeyoke/link/Messages.java
@@ -19,12 +19,13 @@
 final class Messages {
     /** Further entries than any sender of ours makes are a fault of the sender. */
     private static final int MOST_ENTRIES = 4 * Report.MOST_LOADS;
+
     private static final int MOST_ZONES = 1_000;
     private static final int LONGEST_ID = 256;
     private static final long LONGEST_LEASE = 60_000_000;
     private static final double LARGEST = 1e9;
 
-    private Messages() { }
+    private Messages() {}
 
     /** A message that is in order by the schema but says what cannot be. */
     static final class Implausible extends Exception {
@@ -52,13 +53,26 @@
     // ---- Reports -------------------------------------------------------------------------------------
 
     static ReportMessage of(Report r) {
-        ReportMessage.Builder m = ReportMessage.newBuilder().setIncarnation(r.incarnation()).setSequence(r.sequence())
-                .setSentAt(r.sentAt()).setEcho(stamp(r.echo())).setZone(r.zone()).setLeaseUs(r.lease())
-                .setLeastGrant(r.leastGrant()).addAllDemand(r.demand());
+        ReportMessage.Builder m = ReportMessage.newBuilder()
+                .setIncarnation(r.incarnation())
+                .setSequence(r.sequence())
+                .setSentAt(r.sentAt())
+                .setEcho(stamp(r.echo()))
+                .setZone(r.zone())
+                .setLeaseUs(r.lease())
+                .setLeastGrant(r.leastGrant())
+                .addAllDemand(r.demand());
         for (Report.Load l : r.loads()) {
-            LoadMessage.Builder load = LoadMessage.newBuilder().setUpstream(l.upstream()).setZone(l.zone())
-                    .setDraining(l.draining()).setLaunchedAt(l.launchedAt()).setInFlight(l.inFlight())
-                    .setSent(l.sent()).setLimit((float) l.limit()).setAgeUs(l.age()).setEjected(l.ejected());
+            LoadMessage.Builder load = LoadMessage.newBuilder()
+                    .setUpstream(l.upstream())
+                    .setZone(l.zone())
+                    .setDraining(l.draining())
+                    .setLaunchedAt(l.launchedAt())
+                    .setInFlight(l.inFlight())
+                    .setSent(l.sent())
+                    .setLimit((float) l.limit())
+                    .setAgeUs(l.age())
+                    .setEjected(l.ejected());
             if (l.utilisation() >= 0) {
                 load.setUtilisation((float) l.utilisation());
             }
@@ -82,12 +96,26 @@
         }
         List<Report.Load> loads = new ArrayList<>(m.getLoadsCount());
         for (LoadMessage l : m.getLoadsList()) {
-            require(id(l.getUpstream()) && l.getZone() < MOST_ZONES && number(l.getLimit()) && l.getSent() >= 0
-                    && l.getInFlight() >= 0 && (!l.hasUtilisation() || number(l.getUtilisation()))
-                    && (!l.hasWaiting() || number(l.getWaiting())), "load");
-            loads.add(new Report.Load(l.getUpstream(), Math.max(-1, l.getZone()), l.getDraining(), l.getLaunchedAt(),
-                    l.getInFlight(), l.getSent(), l.getLimit(), l.hasUtilisation() ? l.getUtilisation() : Double.NaN,
-                    l.hasWaiting() ? l.getWaiting() : Double.NaN, l.hasUtilisation() ? l.getAgeUs() : -1,
+            require(
+                    id(l.getUpstream())
+                            && l.getZone() < MOST_ZONES
+                            && number(l.getLimit())
+                            && l.getSent() >= 0
+                            && l.getInFlight() >= 0
+                            && (!l.hasUtilisation() || number(l.getUtilisation()))
+                            && (!l.hasWaiting() || number(l.getWaiting())),
+                    "load");
+            loads.add(new Report.Load(
+                    l.getUpstream(),
+                    Math.max(-1, l.getZone()),
+                    l.getDraining(),
+                    l.getLaunchedAt(),
+                    l.getInFlight(),
+                    l.getSent(),
+                    l.getLimit(),
+                    l.hasUtilisation() ? l.getUtilisation() : Double.NaN,
+                    l.hasWaiting() ? l.getWaiting() : Double.NaN,
+                    l.hasUtilisation() ? l.getAgeUs() : -1,
                     l.getEjected()));
         }
         List<Report.Deposit> deposits = new ArrayList<>(m.getDepositsCount());
@@ -95,8 +123,18 @@
             require(id(d.getUpstream()) && number(d.getRate()), "deposit");
             deposits.add(new Report.Deposit(d.getUpstream(), d.getLaunchedAt(), d.getRate()));
         }
-        return new Report(forwarder, m.getIncarnation(), m.getSequence(), m.getSentAt(), stamp(m.getEcho()),
-                m.getZone(), m.getLeaseUs(), m.getLeastGrant(), List.copyOf(m.getDemandList()), loads, deposits);
+        return new Report(
+                forwarder,
+                m.getIncarnation(),
+                m.getSequence(),
+                m.getSentAt(),
+                stamp(m.getEcho()),
+                m.getZone(),
+                m.getLeaseUs(),
+                m.getLeastGrant(),
+                List.copyOf(m.getDemandList()),
+                loads,
+                deposits);
     }
 
     // ---- Plans ---------------------------------------------------------------------------------------
@@ -105,8 +143,11 @@
     static ByteString board(List<PlanMessage.View> views) {
         Board.Builder board = Board.newBuilder();
         for (PlanMessage.View v : views) {
-            board.addViews(ViewMessage.newBuilder().setUpstream(v.upstream()).setZone(v.zone())
-                    .setTotalLimit((float) Math.max(0, v.totalLimit())).setLaunchedAt(v.launchedAt())
+            board.addViews(ViewMessage.newBuilder()
+                    .setUpstream(v.upstream())
+                    .setZone(v.zone())
+                    .setTotalLimit((float) Math.max(0, v.totalLimit()))
+                    .setLaunchedAt(v.launchedAt())
                     .setDraining(v.draining()));
         }
         return board.build().toByteString();
@@ -114,8 +155,13 @@
 
     static PlanFrame of(Planner.Out out, ByteString board) {
         PlanMessage p = out.message();
-        PlanFrame.Builder m = PlanFrame.newBuilder().setIncarnation(p.incarnation()).setSequence(p.sequence())
-                .setSentAt(p.sentAt()).setEcho(stamp(p.echo())).setCoverage(p.coverage()).setBoard(board)
+        PlanFrame.Builder m = PlanFrame.newBuilder()
+                .setIncarnation(p.incarnation())
+                .setSequence(p.sequence())
+                .setSentAt(p.sentAt())
+                .setEcho(stamp(p.echo()))
+                .setCoverage(p.coverage())
+                .setBoard(board)
                 .setGrantForUs(p.grantFor());
         p.spill().forEach(s -> m.addSpill(s.floatValue()));
         p.limitShares().forEach(s -> m.addLimitShares(Double.isNaN(s) ? -1 : s));
@@ -126,14 +172,18 @@
     /** Reads a plan of a planner whose name the certificate gave. */
     static PlanMessage plan(String planner, PlanFrame m) throws Implausible, InvalidProtocolBufferException {
         Board board = Board.parseFrom(m.getBoard());
-        require(board.getViewsCount() <= MOST_ENTRIES && m.getGrantsCount() <= MOST_ENTRIES
-                && m.getSpillCount() <= MOST_ZONES && m.getLimitSharesCount() <= MOST_ZONES, "number of entries");
+        require(
+                board.getViewsCount() <= MOST_ENTRIES
+                        && m.getGrantsCount() <= MOST_ENTRIES
+                        && m.getSpillCount() <= MOST_ZONES
+                        && m.getLimitSharesCount() <= MOST_ZONES,
+                "number of entries");
         require(m.getGrantForUs() >= 0 && m.getGrantForUs() <= LONGEST_LEASE, "time of grants");
         List<PlanMessage.View> views = new ArrayList<>(board.getViewsCount());
         for (ViewMessage v : board.getViewsList()) {
             require(id(v.getUpstream()) && number(v.getTotalLimit()), "view");
-            views.add(new PlanMessage.View(v.getUpstream(), v.getZone(), v.getTotalLimit(), v.getLaunchedAt(),
-                    v.getDraining()));
+            views.add(new PlanMessage.View(
+                    v.getUpstream(), v.getZone(), v.getTotalLimit(), v.getLaunchedAt(), v.getDraining()));
         }
         List<Double> spill = new ArrayList<>(m.getSpillCount());
         for (float s : m.getSpillList()) {
@@ -150,12 +200,26 @@
             require(id(g.getUpstream()) && number(g.getRate()), "grant");
             grants.add(new PlanMessage.Grant(g.getUpstream(), g.getLaunchedAt(), g.getRate()));
         }
-        return new PlanMessage(planner, m.getIncarnation(), m.getSequence(), m.getSentAt(), stamp(m.getEcho()),
-                m.getCoverage(), views, spill, shares, m.getGrantForUs(), grants);
+        return new PlanMessage(
+                planner,
+                m.getIncarnation(),
+                m.getSequence(),
+                m.getSentAt(),
+                stamp(m.getEcho()),
+                m.getCoverage(),
+                views,
+                spill,
+                shares,
+                m.getGrantForUs(),
+                grants);
     }
 
     private static RightMessage right(String upstream, long launchedAt, double rate) {
-        return RightMessage.newBuilder().setUpstream(upstream).setLaunchedAt(launchedAt).setRate(rate).build();
+        return RightMessage.newBuilder()
+                .setUpstream(upstream)
+                .setLaunchedAt(launchedAt)
+                .setRate(rate)
+                .build();
     }
 
     private static Stamp stamp(Report.Stamp s) {
--- a/src/main/java/sedgeyoke/link/Peers.java
+++ b/src/main/java/sedgeyoke/link/Peers.java
@@ -38,11 +38,13 @@
 abstract class Peers extends SimpleChannelInboundHandler<ByteBuf> {
     /** Versions of the messages that this program speaks. */
     static final int LOWEST_VERSION = 1;
+
     static final int HIGHEST_VERSION = 1;
     /** The largest frame: several times the largest that a sender of ours makes. */
     static final int LARGEST_FRAME = 256 * 1024;
     /** Connected, yet silent for so long: closed. */
     private static final int SILENT_S = 5;
+
     private static final int HANDSHAKE_MS = 3_000;
     private static final int CONNECT_TIMEOUT_MS = 500;
     private static final int BACKLOG = 256;
@@ -75,13 +77,19 @@
         tls.setHandshakeTimeoutMillis(HANDSHAKE_MS);
         ch.config().setWriteBufferWaterMark(WAITING);
         ChannelPipeline p = ch.pipeline();
-        p.addLast(tls, new ReadTimeoutHandler(SILENT_S, TimeUnit.SECONDS),
-                new LengthFieldBasedFrameDecoder(LARGEST_FRAME, 0, 4, 0, 4), new LengthFieldPrepender(4), this);
+        p.addLast(
+                tls,
+                new ReadTimeoutHandler(SILENT_S, TimeUnit.SECONDS),
+                new LengthFieldBasedFrameDecoder(LARGEST_FRAME, 0, 4, 0, 4),
+                new LengthFieldPrepender(4),
+                this);
     }
 
     /** Connects to an address, with this connection on it; the listener hears on the loop what became of that. */
     final void dial(EventLoop loop, Tls files, InetSocketAddress to, Consumer<Boolean> done) {
-        new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<Channel>() {
@@ -89,20 +97,29 @@
                     protected void initChannel(Channel ch) {
                         install(ch, files.handler(ch));
                     }
-                }).connect(to).addListener(connected -> loop.execute(() -> done.accept(connected.isSuccess())));
+                })
+                .connect(to)
+                .addListener(connected -> loop.execute(() -> done.accept(connected.isSuccess())));
     }
 
     /** Listens, with a connection of its own for whoever comes; returns the address. Not to be called on the loop. */
     static InetSocketAddress listen(EventLoop loop, InetSocketAddress at, Consumer<Channel> accept) {
-        return (InetSocketAddress) new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+        return (InetSocketAddress) new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
                         accept.accept(ch);
                     }
-                }).bind(at).syncUninterruptibly().channel().localAddress();
+                })
+                .bind(at)
+                .syncUninterruptibly()
+                .channel()
+                .localAddress();
     }
 
     /** The peer's name, once it has greeted; null before. */
@@ -137,8 +154,8 @@
     final void close(String why) {
         if (!ended) {
             ended = true;
-            log.accept("link with " + (peer == null ? String.valueOf(channel.remoteAddress()) : peer) + " closed: "
-                    + why);
+            log.accept(
+                    "link with " + (peer == null ? String.valueOf(channel.remoteAddress()) : peer) + " closed: " + why);
         }
         channel.close();
     }
@@ -158,8 +175,12 @@
             }
             peer = known.name();
             role = known.role();
-            send(Frame.newBuilder().setHello(Hello.newBuilder().setLowestVersion(LOWEST_VERSION)
-                    .setHighestVersion(HIGHEST_VERSION).setName(ownName)).build());
+            send(Frame.newBuilder()
+                    .setHello(Hello.newBuilder()
+                            .setLowestVersion(LOWEST_VERSION)
+                            .setHighestVersion(HIGHEST_VERSION)
+                            .setName(ownName))
+                    .build());
         }
     }
 
--- a/src/main/java/sedgeyoke/link/PlannerLink.java
+++ b/src/main/java/sedgeyoke/link/PlannerLink.java
@@ -93,8 +93,8 @@
             }
         }
         port.module().plan(now, follower.plan(now));
-        reports.forEach((connection, report) ->
-                connection.send(Frame.newBuilder().setReport(Messages.of(report)).build()));
+        reports.forEach((connection, report) -> connection.send(
+                Frame.newBuilder().setReport(Messages.of(report)).build()));
     }
 
     /** One planner's address. */
--- a/src/main/java/sedgeyoke/link/PlannerMain.java
+++ b/src/main/java/sedgeyoke/link/PlannerMain.java
@@ -15,7 +15,7 @@
 
 /** One planner as a process. */
 public final class PlannerMain {
-    private PlannerMain() { }
+    private PlannerMain() {}
 
     /** Runs until SIGTERM; returns 2 if the file or the address is no good. */
     public static int run(Path operator) throws InterruptedException {
@@ -36,8 +36,8 @@
         long startedNanos = System.nanoTime();
         LongSupplier clock = () -> startedAt + (System.nanoTime() - startedNanos) / 1_000;
         try {
-            PlannerServer server = new PlannerServer(loop, settings, new SecureRandom().nextLong() | 1, clock,
-                    new Log(System.err, clock)::line);
+            PlannerServer server = new PlannerServer(
+                    loop, settings, new SecureRandom().nextLong() | 1, clock, new Log(System.err, clock)::line);
             System.err.println("planner " + settings.name() + " listens on " + server.start());
         } catch (IOException e) {
             return fail(e.getMessage());
--- a/src/main/java/sedgeyoke/link/PlannerServer.java
+++ b/src/main/java/sedgeyoke/link/PlannerServer.java
@@ -33,15 +33,17 @@
     private int connections;
 
     /** Throws if the TLS files are no good. */
-    public PlannerServer(EventLoop loop, PlannerSettings settings, long incarnation, LongSupplier clock,
-            Consumer<String> log) throws IOException {
+    public PlannerServer(
+            EventLoop loop, PlannerSettings settings, long incarnation, LongSupplier clock, Consumer<String> log)
+            throws IOException {
         this.loop = loop;
         this.settings = settings;
         this.clock = clock;
         this.log = log;
         this.tls = new Tls(settings.tls(), true, log);
-        this.planner = new Planner(new Planner.Settings(settings.name(), incarnation, settings.mostForwarders(),
-                settings.mostUpstreams()), new LeaseTerms(settings.driftPpm()));
+        this.planner = new Planner(
+                new Planner.Settings(settings.name(), incarnation, settings.mostForwarders(), settings.mostUpstreams()),
+                new LeaseTerms(settings.driftPpm()));
     }
 
     /** Listens and begins to plan; returns the address. Not to be called on the loop. */
@@ -64,11 +66,14 @@
     private void plan() {
         long now = clock.getAsLong();
         List<Planner.Out> plans = planner.plan(now);
-        ByteString board = plans.isEmpty() ? ByteString.EMPTY : Messages.board(plans.get(0).message().views());
+        ByteString board = plans.isEmpty()
+                ? ByteString.EMPTY
+                : Messages.board(plans.get(0).message().views());
         for (Planner.Out out : plans) {
             Forwarder forwarder = forwarders.get(out.forwarder());
             if (forwarder != null) {
-                forwarder.send(Frame.newBuilder().setPlan(Messages.of(out, board)).build());
+                forwarder.send(
+                        Frame.newBuilder().setPlan(Messages.of(out, board)).build());
             }
         }
     }
--- a/src/main/java/sedgeyoke/link/Tls.java
+++ b/src/main/java/sedgeyoke/link/Tls.java
@@ -31,7 +31,10 @@
 final class Tls {
     /** The parts a peer can have. */
     enum Role {
-        FORWARDER("forwarder"), PLANNER("planner"), KEEPER("keeper"), OPERATOR("operator");
+        FORWARDER("forwarder"),
+        PLANNER("planner"),
+        KEEPER("keeper"),
+        OPERATOR("operator");
 
         final String unit;
 
@@ -71,13 +74,20 @@
         File certificate = files.certificate().toFile();
         File key = files.key().toFile();
         try {
-            SslContextBuilder builder = server ? SslContextBuilder.forServer(certificate, key)
+            SslContextBuilder builder = server
+                    ? SslContextBuilder.forServer(certificate, key)
                     : SslContextBuilder.forClient().keyManager(certificate, key);
-            return builder.trustManager(files.trust().toFile()).clientAuth(ClientAuth.REQUIRE)
-                    .sslProvider(SslProvider.JDK).protocols("TLSv1.3").endpointIdentificationAlgorithm(null).build();
+            return builder.trustManager(files.trust().toFile())
+                    .clientAuth(ClientAuth.REQUIRE)
+                    .sslProvider(SslProvider.JDK)
+                    .protocols("TLSv1.3")
+                    .endpointIdentificationAlgorithm(null)
+                    .build();
         } catch (IllegalArgumentException | IOException e) {
-            throw new IOException("TLS files " + files.certificate() + ", " + files.key() + ", " + files.trust() + ": "
-                    + e.getMessage(), e);
+            throw new IOException(
+                    "TLS files " + files.certificate() + ", " + files.key() + ", " + files.trust() + ": "
+                            + e.getMessage(),
+                    e);
         }
     }
 
@@ -102,13 +112,14 @@
     }
 
     /** Who a peer is. */
-    record Peer(String name, Role role) { }
+    record Peer(String name, Role role) {}
 
     /** The peer, if its certificate gives it one of these roles; else null. */
     static Peer peer(SslHandler handler, Set<Role> roles) {
         try {
             Certificate[] chain = handler.engine().getSession().getPeerCertificates();
-            LdapName subject = new LdapName(((X509Certificate) chain[0]).getSubjectX500Principal().getName());
+            LdapName subject = new LdapName(
+                    ((X509Certificate) chain[0]).getSubjectX500Principal().getName());
             String name = null;
             Role role = null;
             for (Rdn rdn : subject.getRdns()) {
--- a/src/main/java/sedgeyoke/net/Answer.java
+++ b/src/main/java/sedgeyoke/net/Answer.java
@@ -1,14 +1,14 @@
 package sedgeyoke.net;
 
-import sedgeyoke.decide.Balancer.LoadReport;
-import sedgeyoke.decide.Balancer.Outcome;
-import sedgeyoke.wire.SettingsReader;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
 import java.util.function.Predicate;
+import sedgeyoke.decide.Balancer.LoadReport;
+import sedgeyoke.decide.Balancer.Outcome;
+import sedgeyoke.wire.SettingsReader;
 
 /** What an upstream answered, whole and in order. */
 record Answer(Outcome outcome, LoadReport load, String contentType, byte[] body) {
@@ -16,8 +16,11 @@
     private static final double LARGEST = 1e7;
 
     static Answer of(HttpResponse response, byte[] body, List<String> reportNames, Log log) {
-        return new Answer(outcome(response), loadReport(response.headers().getAll("X-Load-Report"), reportNames, log),
-                response.headers().get(HttpHeaderNames.CONTENT_TYPE), body);
+        return new Answer(
+                outcome(response),
+                loadReport(response.headers().getAll("X-Load-Report"), reportNames, log),
+                response.headers().get(HttpHeaderNames.CONTENT_TYPE),
+                body);
     }
 
     static Outcome outcome(HttpResponse response) {
@@ -45,12 +48,14 @@
             return null;
         }
         JsonNode report = values;
-        return SettingsReader.loadReport(name -> names.contains(name)
-                ? report.path(name).asDouble(Double.NaN) : Double.NaN);
+        return SettingsReader.loadReport(
+                name -> names.contains(name) ? report.path(name).asDouble(Double.NaN) : Double.NaN);
     }
 
     private static Predicate<String> sane(JsonNode values) {
-        return name -> values.path(name).isMissingNode() || values.path(name).isNumber()
-                && values.path(name).asDouble() >= 0 && values.path(name).asDouble() <= LARGEST;
+        return name -> values.path(name).isMissingNode()
+                || values.path(name).isNumber()
+                        && values.path(name).asDouble() >= 0
+                        && values.path(name).asDouble() <= LARGEST;
     }
 }
--- a/src/main/java/sedgeyoke/net/AnswerDecoder.java
+++ b/src/main/java/sedgeyoke/net/AnswerDecoder.java
@@ -46,7 +46,8 @@
         int before = out.size();
         int start = in.readerIndex();
         super.decode(ctx, in, out);
-        within = out.size() > before ? !(out.get(out.size() - 1) instanceof LastHttpContent)
+        within = out.size() > before
+                ? !(out.get(out.size() - 1) instanceof LastHttpContent)
                 : within || in.readerIndex() > start;
         if (out.size() > before && out.get(before) instanceof HttpResponse head) {
             String fault = fault(head);
@@ -83,7 +84,8 @@
         }
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             return ++informational > MOST_INFORMATIONAL || head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)
-                    ? "the status " + head.status().code() : null;
+                    ? "the status " + head.status().code()
+                    : null;
         }
         informational = 0;
         if (head.status().codeClass() == HttpStatusClass.UNKNOWN) {
@@ -94,10 +96,12 @@
         if (codings.isEmpty()) {
             long length = HttpUtil.getContentLength(head, -1L);
             boolean ends = length < 0 && !h.contains(HttpHeaderNames.CONTENT_LENGTH) && !HttpUtil.isKeepAlive(head);
-            return length < 0 && !ends || length > mostBytes ? "the length "
-                    + h.get(HttpHeaderNames.CONTENT_LENGTH) : null;
+            return length < 0 && !ends || length > mostBytes
+                    ? "the length " + h.get(HttpHeaderNames.CONTENT_LENGTH)
+                    : null;
         }
-        return codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0)) ? null
+        return codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0))
+                ? null
                 : "the transfer encoding " + codings;
     }
 }
--- a/src/main/java/sedgeyoke/net/AnswerStream.java
+++ b/src/main/java/sedgeyoke/net/AnswerStream.java
@@ -5,7 +5,7 @@
 
 /** An answer that is passed on as it comes, of whatever protocol. */
 final class AnswerStream {
-    private AnswerStream() { }
+    private AnswerStream() {}
 
     /**
      * What is known of it when it begins.
@@ -13,7 +13,7 @@
      * @param contentType as the upstream says, or null
      * @param length in bytes; negative where only its end will tell
      */
-    record Head(String contentType, long length) { }
+    record Head(String contentType, long length) {}
 
     /** The upstream's side. */
     interface Source {
--- a/src/main/java/sedgeyoke/net/Attempt.java
+++ b/src/main/java/sedgeyoke/net/Attempt.java
@@ -16,6 +16,7 @@
     UpstreamPool.Connection connection;
     /** Whether the last byte was handed to the kernel: from then on the request may have run. */
     boolean written;
+
     boolean ended;
     /** Whether it was put off until a loop that was late has read what had come. */
     boolean readFirst;
--- a/src/main/java/sedgeyoke/net/Call.java
+++ b/src/main/java/sedgeyoke/net/Call.java
@@ -1,11 +1,11 @@
 package sedgeyoke.net;
 
-import sedgeyoke.decide.Balancer.Request;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.List;
+import sedgeyoke.decide.Balancer.Request;
 
 /** One client's request, from its arrival to its final answer and the end of its last attempt. */
 final class Call {
@@ -14,14 +14,17 @@
     final String uri;
     /** The headers that go on to upstreams, the budget apart. */
     final HttpHeaders headers;
+
     final RequestBody body;
     /** Bytes of the body as its head said; negative where only its end tells. */
     final long length;
+
     final Reply reply;
     final List<Attempt> attempts = new ArrayList<>(1);
     long deadline;
     /** The attempt whose answer is being passed on, or that the body goes to in parts; it is the call's last one. */
     Attempt bound;
+
     Future<?> backstop;
     boolean answered;
 
@@ -40,7 +43,13 @@
         void failed();
     }
 
-    Call(Request request, HttpMethod method, String uri, HttpHeaders headers, RequestBody body, long length,
+    Call(
+            Request request,
+            HttpMethod method,
+            String uri,
+            HttpHeaders headers,
+            RequestBody body,
+            long length,
             Reply reply) {
         this.request = request;
         this.method = method;
--- a/src/main/java/sedgeyoke/net/Config.java
+++ b/src/main/java/sedgeyoke/net/Config.java
@@ -1,11 +1,5 @@
 package sedgeyoke.net;
 
-import sedgeyoke.body.BodyLimits;
-import sedgeyoke.decide.Balancer.Reports;
-import sedgeyoke.decide.Balancer.RequestClass;
-import sedgeyoke.decide.Balancer.Settings;
-import sedgeyoke.wire.BadInput;
-import sedgeyoke.wire.SettingsReader;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -19,14 +13,28 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Function;
+import sedgeyoke.body.BodyLimits;
+import sedgeyoke.decide.Balancer.Reports;
+import sedgeyoke.decide.Balancer.RequestClass;
+import sedgeyoke.decide.Balancer.Settings;
+import sedgeyoke.wire.BadInput;
+import sedgeyoke.wire.SettingsReader;
 
 /**
  * The configuration of one start; anything missing or malformed is refused with the name of the field. {@code ops} is
  * where operators knock (DAYS, "In operation"), null where the platform has no such door; {@code folder} is what the
  * processes of one balancer share during an upgrade, null for none.
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress ops,
-        Path folder, long seed, int sockets, SettingsReader.Found facts, MemberList known) {
+public record Config(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        InetSocketAddress ops,
+        Path folder,
+        long seed,
+        int sockets,
+        SettingsReader.Found facts,
+        MemberList known) {
 
     static final JsonMapper JSON = new JsonMapper();
     private static final int FEWEST_SOCKETS = 128;
@@ -49,7 +57,8 @@
             return parse(Files.readAllBytes(Path.of(path)))
                     .with(System.getenv("BALANCER_OPS"), System.getenv("TMPDIR"));
         } catch (JsonProcessingException e) {
-            throw new Bad(path + " is not JSON: " + e.getOriginalMessage().lines().findFirst().orElse(""));
+            throw new Bad(path + " is not JSON: "
+                    + e.getOriginalMessage().lines().findFirst().orElse(""));
         } catch (IOException e) {
             throw new Bad("cannot read " + path + ": " + e.getMessage());
         }
@@ -73,9 +82,17 @@
     /** The fields in which the other one differs and that are read at the start only; its seed and list always are. */
     List<String> needRestart(Config other) {
         List<String> fields = new ArrayList<>();
-        Map<String, Function<Config, Object>> fixed = new TreeMap<>(Map.of("name", Config::name,
-                "listen", Config::listen, "ops", c -> String.valueOf(c.ops()),
-                "limits.sockets", Config::sockets, "settings", Config::facts));
+        Map<String, Function<Config, Object>> fixed = new TreeMap<>(Map.of(
+                "name",
+                Config::name,
+                "listen",
+                Config::listen,
+                "ops",
+                c -> String.valueOf(c.ops()),
+                "limits.sockets",
+                Config::sockets,
+                "settings",
+                Config::facts));
         fixed.forEach((field, value) -> {
             if (!value.apply(this).equals(value.apply(other))) {
                 fields.add(field);
@@ -93,14 +110,20 @@
         require(root.path("name").isTextual(), "name");
         MemberList known;
         try {
-            known = root.path("known").isMissingNode() ? MemberList.EMPTY
-                    : MemberList.read(root.path("known"), facts);
+            known = root.path("known").isMissingNode() ? MemberList.EMPTY : MemberList.read(root.path("known"), facts);
         } catch (MemberList.Malformed e) {
             throw new Bad("configuration: known: " + e.getMessage());
         }
-        return new Config(root.path("name").asText(), address(root, "listen"), address(root, "discovery"),
-                root.path("ops").isMissingNode() ? null : address(root, "ops"), null, seed(root), sockets,
-                facts, known);
+        return new Config(
+                root.path("name").asText(),
+                address(root, "listen"),
+                address(root, "discovery"),
+                root.path("ops").isMissingNode() ? null : address(root, "ops"),
+                null,
+                seed(root),
+                sockets,
+                facts,
+                known);
     }
 
     private static SettingsReader.Found facts(JsonNode node) throws Bad, IOException {
--- a/src/main/java/sedgeyoke/net/Cordons.java
+++ b/src/main/java/sedgeyoke/net/Cordons.java
@@ -23,6 +23,7 @@
 final class Cordons {
     /** Far more than anyone takes out by hand; a bound on what is kept of ids that may never come back. */
     static final int MOST = 1_000;
+
     private static final String FIRST_LINE = "sedgeyoke cordons 1";
     private static final String LAST_LINE = "end";
 
@@ -75,7 +76,9 @@
 
     private void write() throws IOException {
         StringBuilder text = new StringBuilder(FIRST_LINE).append('\n');
-        new TreeMap<>(out).forEach((id, since) -> text.append(since).append(' ').append(id).append('\n'));
+        new TreeMap<>(out)
+                .forEach(
+                        (id, since) -> text.append(since).append(' ').append(id).append('\n'));
         text.append(LAST_LINE).append('\n');
         Path next = file.resolveSibling(file.getFileName() + ".next");
         Files.writeString(next, text);
@@ -106,7 +109,9 @@
 
     private Map<String, Long> parse(String text) throws IOException {
         List<String> lines = text.lines().toList();
-        if (lines.size() < 2 || lines.size() > MOST + 2 || !lines.get(0).equals(FIRST_LINE)
+        if (lines.size() < 2
+                || lines.size() > MOST + 2
+                || !lines.get(0).equals(FIRST_LINE)
                 || !lines.get(lines.size() - 1).equals(LAST_LINE)) {
             throw new IOException(file + ": not whole, or of another version");
         }
--- a/src/main/java/sedgeyoke/net/Discovery.java
+++ b/src/main/java/sedgeyoke/net/Discovery.java
@@ -54,9 +54,11 @@
     private static final int LONGEST_SILENCE_MS = 500;
     /** A loop on a part of a core is late itself by some such time. */
     private static final int LEAST_SILENCE_MS = 100;
+
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     /** The longest list: far more than any fleet's, and little enough to hold at once. */
     private static final int LONGEST_LIST = 1 << 20;
+
     private static final int LEAST_PAUSE_MS = 20;
     private static final int MORE_PAUSE_MS = 80;
 
@@ -73,6 +75,7 @@
     private boolean listed;
     /** Whether the listener knows of a failed call and of none since that went well. */
     private boolean failing;
+
     private long revision;
     private InetSocketAddress address;
     private Channel channel;
@@ -80,6 +83,7 @@
     private long askedAt;
     /** Whether something has come of the answer that is waited for. */
     private boolean begun;
+
     private final boolean pushed;
     /** How long nothing at all may come where lists are pushed; drains leave at least twice that. */
     private final int silence;
@@ -98,16 +102,22 @@
         this.pushed = !config.facts().settings().askForList();
         long grace = config.facts().settings().rules().drainGrace() / 1_000;
         this.silence = (int) Math.max(LEAST_SILENCE_MS, Math.min(LONGEST_SILENCE_MS, grace / 2));
-        this.whole = !config.facts().settings().askForList() || config.known().members().isEmpty();
+        this.whole = !config.facts().settings().askForList()
+                || config.known().members().isEmpty();
         this.listed = !whole; // a watch is answered only when there is news: clients must not wait for that
         this.revision = config.known().revision();
-        this.bootstrap = transport.client(loop)
+        this.bootstrap = transport
+                .client(loop)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, pushed ? silence : CONNECT_TIMEOUT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new FirstBytes(), new HttpClientCodec(),
-                                new HttpObjectAggregator(LONGEST_LIST), new Answers());
+                        ch.pipeline()
+                                .addLast(
+                                        new FirstBytes(),
+                                        new HttpClientCodec(),
+                                        new HttpObjectAggregator(LONGEST_LIST),
+                                        new Answers());
                     }
                 });
     }
--- a/src/main/java/sedgeyoke/net/Figures.java
+++ b/src/main/java/sedgeyoke/net/Figures.java
@@ -12,9 +12,12 @@
 
     /** How a request ended, as its client saw it. */
     enum End {
-        /** Answered with what an upstream made. */ SERVED,
-        /** Told that trying again is harmless. */ REFUSED,
-        /** Any other answer, or one that was cut. */ FAILED;
+        /** Answered with what an upstream made. */
+        SERVED,
+        /** Told that trying again is harmless. */
+        REFUSED,
+        /** Any other answer, or one that was cut. */
+        FAILED;
 
         private final String label = name().toLowerCase(java.util.Locale.ROOT);
     }
@@ -50,6 +53,12 @@
     }
 
     private static void line(StringBuilder text, String name, long value, char type) {
-        text.append(PREFIX).append(name).append(':').append(value).append('|').append(type).append('\n');
+        text.append(PREFIX)
+                .append(name)
+                .append(':')
+                .append(value)
+                .append('|')
+                .append(type)
+                .append('\n');
     }
 }
--- a/src/main/java/sedgeyoke/net/Frontend.java
+++ b/src/main/java/sedgeyoke/net/Frontend.java
@@ -1,10 +1,5 @@
 package sedgeyoke.net;
 
-import sedgeyoke.body.BodyBudget;
-import sedgeyoke.body.BodyLimits;
-import sedgeyoke.body.Pace;
-import sedgeyoke.decide.Balancer.Effect;
-import sedgeyoke.decide.Balancer.Request;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -19,8 +14,8 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -50,6 +45,11 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
+import sedgeyoke.body.BodyBudget;
+import sedgeyoke.body.BodyLimits;
+import sedgeyoke.body.Pace;
+import sedgeyoke.decide.Balancer.Effect;
+import sedgeyoke.decide.Balancer.Request;
 
 /**
  * HTTP from clients. Requests that are not in order are turned down here and never reach the module; all others
@@ -62,6 +62,7 @@
     private static final double CLIENT_SHARE = 0.5;
     /** From so many below that, connections without a request make way, and further requests are refused. */
     private static final int RESERVE = 32;
+
     private static final long LOOK_EVERY_MS = 50;
     /** How long a new connection may take for its first whole request, and an old one for its next. */
     private static final long REQUEST_WITHIN = 2_600_000;
@@ -82,21 +83,39 @@
      * many times that.
      */
     private static final int MOST_AHEAD = 80 * 1024;
+
     private static final int MOST_AHEAD_IN_ALL = 100;
     /** Connections accepted in one pass of the loop (Netty's bound). */
     private static final int MOST_ACCEPTED = 16;
     /** Reads in a row on one connection, before others have their turn. */
     private static final int MOST_READS = 16;
+
     private static final int LEAST_READ = 512;
     private static final int FIRST_READ = 2_048;
     private static final Pattern NUMBER = Pattern.compile("[0-9]{1,12}");
     private static final long LONGEST_BUDGET_MS = 3_600_000;
     /** Fields that would change how a message is read must not come behind it (RFC 9110, section 6.5.1). */
-    private static final Set<String> NO_TRAILERS = Set.of("content-length", "transfer-encoding", "host", "trailer",
-            "connection", "content-encoding", "content-type", "content-range", "te", "upgrade", "keep-alive");
+    private static final Set<String> NO_TRAILERS = Set.of(
+            "content-length",
+            "transfer-encoding",
+            "host",
+            "trailer",
+            "connection",
+            "content-encoding",
+            "content-type",
+            "content-range",
+            "te",
+            "upgrade",
+            "keep-alive");
+
     private static final String OPEN_ID = "X-Call-Id (a request with it is open)";
-    private static final List<CharSequence> PASSED_ON = List.of(HttpHeaderNames.HOST, "X-Call-Id",
-            "Idempotency-Key", "X-Call-Class", "X-Caller", HttpHeaderNames.CONTENT_TYPE);
+    private static final List<CharSequence> PASSED_ON = List.of(
+            HttpHeaderNames.HOST,
+            "X-Call-Id",
+            "Idempotency-Key",
+            "X-Call-Class",
+            "X-Caller",
+            HttpHeaderNames.CONTENT_TYPE);
 
     private final EventLoop loop;
     private final Config config;
@@ -112,6 +131,7 @@
     private int idle;
     /** Bytes that have come behind open requests, on all connections. */
     private long ahead;
+
     private long accepted;
     private long acceptedBefore = -MOST_ACCEPTED; // whoever asks first has to ask again
     private Channel listener;
@@ -119,6 +139,7 @@
     private boolean closing;
     /** Another process accepts from the same listener, and clients are to go to it. */
     private boolean handedOver;
+
     private final ServerSocketChannel inherited;
 
     /** A request that is not in order; the message goes to the client. */
@@ -131,7 +152,12 @@
     }
 
     /** {@code inherited} is the listener that the platform holds, or null: then we bind our own. */
-    Frontend(EventLoop loop, Config config, Node node, Transport transport, BodyLimits limits,
+    Frontend(
+            EventLoop loop,
+            Config config,
+            Node node,
+            Transport transport,
+            BodyLimits limits,
             ServerSocketChannel inherited) {
         this.inherited = inherited;
         this.limits = limits;
@@ -156,17 +182,24 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.config().setRecvByteBufAllocator(
-                                // on until nothing is left: the end of a client that has left comes behind its request
-                                new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, limits.read())
-                                        .respectMaybeMoreData(false).maxMessagesPerRead(MOST_READS));
+                        ch.config()
+                                .setRecvByteBufAllocator(
+                                        // on until nothing is left: the end of a client that has left comes behind its
+                                        // request
+                                        new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, limits.read())
+                                                .respectMaybeMoreData(false)
+                                                .maxMessagesPerRead(MOST_READS));
                         Connection connection = new Connection(ch);
                         if (limits.streaming()) {
                             Transport.limit(ch, limits);
                         }
-                        ch.pipeline().addLast(connection.new ReadAhead(), new RequestCheck.Decoder(limits.part()),
-                                new HttpResponseEncoder(),
-                                new RequestCheck(connection::fault, limits.longestBody()), connection);
+                        ch.pipeline()
+                                .addLast(
+                                        connection.new ReadAhead(),
+                                        new RequestCheck.Decoder(limits.part()),
+                                        new HttpResponseEncoder(),
+                                        new RequestCheck(connection::fault, limits.longestBody()),
+                                        connection);
                     }
                 });
         return inherited == null ? server.bind(transport.at(config.listen())) : server.register();
@@ -192,18 +225,27 @@
      * find no connection and never reach us, while we have nothing to do.
      */
     private void letIdleGo(long now) {
-        List<Connection> idle = connections.stream().filter(Connection::rests)
-                .sorted(Comparator.comparingLong(c -> c.since)).toList();
+        List<Connection> idle = connections.stream()
+                .filter(Connection::rests)
+                .sorted(Comparator.comparingLong(c -> c.since))
+                .toList();
         long over = busy + idle.size() - (long) (SHORT_OF_SHARE * config.sockets());
-        idle.stream().limit(Math.max(0, over)).filter(c -> now - c.since > LEAST_IDLE).forEach(c -> c.channel.close());
+        idle.stream()
+                .limit(Math.max(0, over))
+                .filter(c -> now - c.since > LEAST_IDLE)
+                .forEach(c -> c.channel.close());
     }
 
     /** Guards against running out of sockets: of the connections without a request, the longest idle make way. */
     private void makeRoom() {
         if (connections.size() > mostConnections - RESERVE) {
             long now = node.now();
-            connections.stream().filter(c -> c.mayGo(now)).sorted(Comparator.comparingLong(c -> c.since))
-                    .limit(connections.size() - mostConnections + RESERVE).toList().forEach(c -> c.channel.close());
+            connections.stream()
+                    .filter(c -> c.mayGo(now))
+                    .sorted(Comparator.comparingLong(c -> c.since))
+                    .limit(connections.size() - mostConnections + RESERVE)
+                    .toList()
+                    .forEach(c -> c.channel.close());
         }
         listener.config().setAutoRead(accepting() && connections.size() < mostConnections);
     }
@@ -291,11 +333,18 @@
         Effect effect = config.facts().settings().classes().get(cls).effect();
         // Without a key upstreams cannot drop repeats, and the module would send some.
         require(effect != Effect.KEYED || h.contains("Idempotency-Key"), "Idempotency-Key");
-        int tenant = config.facts().tenantNames().isEmpty() ? 0
+        int tenant = config.facts().tenantNames().isEmpty()
+                ? 0
                 : config.facts().tenantNames().indexOf(h.get("X-Caller"));
         List<String> keys = uri.parameters().getOrDefault("obj", List.of());
-        return new Request(id, cls, tenant, keys.isEmpty() ? null : keys.get(0),
-                Math.max(0, number(h.get("X-Call-Cost"))), budget * 1_000, !http.method().equals(HttpMethod.GET),
+        return new Request(
+                id,
+                cls,
+                tenant,
+                keys.isEmpty() ? null : keys.get(0),
+                Math.max(0, number(h.get("X-Call-Cost"))),
+                budget * 1_000,
+                !http.method().equals(HttpMethod.GET),
                 "1".equals(h.get("X-Again")));
     }
 
@@ -325,12 +374,18 @@
 
     /** What a connection is at. */
     private enum Phase {
-        /** Nothing has come yet. */ NEW,
-        /** A part of a request has come. */ READING,
-        /** A request is being handled. */ OPEN,
-        /** Its answer is on its way. */ WRITING,
-        /** It is out, and the next request may come. */ IDLE,
-        /** The last answer is out; what still comes is thrown away. */ LEAVING
+        /** Nothing has come yet. */
+        NEW,
+        /** A part of a request has come. */
+        READING,
+        /** A request is being handled. */
+        OPEN,
+        /** Its answer is on its way. */
+        WRITING,
+        /** It is out, and the next request may come. */
+        IDLE,
+        /** The last answer is out; what still comes is thrown away. */
+        LEAVING
     }
 
     /** One connection of a client: one request at a time, further ones wait for their turn. */
@@ -343,21 +398,26 @@
         private final Queue<Request> heads = new ArrayDeque<>();
         /** The request that is being read, its body, and how fast that comes. */
         private HttpRequest head;
+
         private RequestBody body;
         private Pace pace;
         /** Bodies that go on as they come, and are counted with the budget. */
         private int counted;
         /** Where the answer comes from that is passed on as it comes. */
         private AnswerStream.Source answering;
+
         private Phase phase = Phase.NEW;
         /** Since when, on the module's clock. */
         private long since;
+
         private Call call;
         /** From the arrival of a request until its answer: guards against a second one. */
         private boolean owed;
+
         private boolean keepAlive;
         /** Bytes that have come behind the open request, and whether they were too many: then the rest is unheard. */
         private int ahead;
+
         private boolean deaf;
         /** The last part of the request that is being read, until all is read that came with it. */
         private LastHttpContent lastPart;
@@ -443,7 +503,8 @@
             long stood = now - since;
             if (lastPart == null && pace != null ? pace.tooSlow(now) : half() && stood > REQUEST_WITHIN) {
                 turnDownBody(new RequestCheck.Refused(HttpResponseStatus.REQUEST_TIMEOUT, "the request is not whole"));
-            } else if (phase == Phase.NEW && stood > REQUEST_WITHIN || rests() && stood > LONGEST_IDLE
+            } else if (phase == Phase.NEW && stood > REQUEST_WITHIN
+                    || rests() && stood > LONGEST_IDLE
                     || phase == Phase.WRITING && stood > limits.longestStill()
                     || phase == Phase.LEAVING && stood > LEAVE_WITHIN) {
                 channel.close();
@@ -490,8 +551,12 @@
 
         /** Whether another request may follow on this connection. */
         private boolean mayFollow() {
-            return keepAlive && mayKeep() && body == null && !(deaf && waiting.stream()
-                    .noneMatch(m -> m instanceof LastHttpContent || m instanceof RequestCheck.Refused));
+            return keepAlive
+                    && mayKeep()
+                    && body == null
+                    && !(deaf
+                            && waiting.stream()
+                                    .noneMatch(m -> m instanceof LastHttpContent || m instanceof RequestCheck.Refused));
         }
 
         /**
@@ -566,8 +631,8 @@
                 body = new RequestBody(this, limits.gathered());
                 pace = limits.streaming() ? new Pace(limits, node.now()) : null;
                 if (HttpUtil.is100ContinueExpected(request)) {
-                    channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                            HttpResponseStatus.CONTINUE));
+                    channel.writeAndFlush(
+                            new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
                 }
             }
             if (reading && body != null && message instanceof LastHttpContent last) {
@@ -692,8 +757,11 @@
         private void handle(HttpRequest http, RequestBody complete) {
             keepAlive = HttpUtil.isKeepAlive(http);
             if (!http.uri().startsWith(PATH)) { // only these two have come that far
-                answer(takesClients() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                        "text/plain", new byte[0], 0);
+                answer(
+                        takesClients() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                        "text/plain",
+                        new byte[0],
+                        0);
                 return;
             }
             Request request = heads.remove();
@@ -702,8 +770,14 @@
             } else if (node.knows(request.id())) { // since its head came
                 turnDown(HttpResponseStatus.BAD_REQUEST, OPEN_ID);
             } else {
-                call = new Call(request, http.method(), http.uri(), onward(http.headers()), complete,
-                        HttpUtil.getContentLength(http, -1L), this);
+                call = new Call(
+                        request,
+                        http.method(),
+                        http.uri(),
+                        onward(http.headers()),
+                        complete,
+                        HttpUtil.getContentLength(http, -1L),
+                        this);
                 node.accept(call);
             }
         }
@@ -728,8 +802,8 @@
                 return;
             }
             owed = false;
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                    Unpooled.wrappedBuffer(body));
+            FullHttpResponse response =
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             if (contentType != null) {
                 response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
@@ -866,7 +940,8 @@
         }
 
         private void takeNext() {
-            while (!waiting.isEmpty() && channel.isActive()
+            while (!waiting.isEmpty()
+                    && channel.isActive()
                     && (phase == Phase.IDLE || phase == Phase.READING && body != null)) {
                 feed(waiting.poll());
             }
--- a/src/main/java/sedgeyoke/net/IpAddress.java
+++ b/src/main/java/sedgeyoke/net/IpAddress.java
@@ -7,15 +7,16 @@
 
 /** Addresses as {@code ip:port}. Names are none: the platform has no DNS, and a look-up would block. */
 public final class IpAddress {
-    private IpAddress() { }
+    private IpAddress() {}
 
     /** The address; null if the text is none. */
     public static InetSocketAddress parse(String text) {
         int colon = text.lastIndexOf(':');
         try {
             byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
-            return ip == null ? null : new InetSocketAddress(InetAddress.getByAddress(ip),
-                    Integer.parseInt(text.substring(colon + 1)));
+            return ip == null
+                    ? null
+                    : new InetSocketAddress(InetAddress.getByAddress(ip), Integer.parseInt(text.substring(colon + 1)));
         } catch (IllegalArgumentException | UnknownHostException e) {
             return null;
         }
--- a/src/main/java/sedgeyoke/net/MemberList.java
+++ b/src/main/java/sedgeyoke/net/MemberList.java
@@ -1,22 +1,22 @@
 package sedgeyoke.net;
 
-import sedgeyoke.decide.Balancer.State;
-import sedgeyoke.decide.Balancer.Upstream;
-import sedgeyoke.wire.SettingsReader;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import sedgeyoke.decide.Balancer.State;
+import sedgeyoke.decide.Balancer.Upstream;
+import sedgeyoke.wire.SettingsReader;
 
 /** A list of upstreams in discovery's form, whole or changes of it, read before any of it is believed. */
 public record MemberList(long revision, boolean complete, List<Member> members) {
     static final MemberList EMPTY = new MemberList(-1, true, List.of());
-    private static final Map<String, State> PHASES = Map.of(
-            "up", State.READY, "draining", State.DRAINING, "removed", State.GONE);
+    private static final Map<String, State> PHASES =
+            Map.of("up", State.READY, "draining", State.DRAINING, "removed", State.GONE);
 
     /** One entry: what the module is told, and where to connect to. */
-    public record Member(Upstream upstream, InetSocketAddress address) { }
+    public record Member(Upstream upstream, InetSocketAddress address) {}
 
     /** A reply that is not a list of upstreams. */
     public static final class Malformed extends Exception {
@@ -29,7 +29,8 @@
 
     /** Localities and kinds become the indices of the settings; one that is not in them becomes -1. */
     public static MemberList read(JsonNode root, SettingsReader.Found facts) throws Malformed {
-        if (!root.path("revision").canConvertToLong() || !root.path("complete").isBoolean()
+        if (!root.path("revision").canConvertToLong()
+                || !root.path("complete").isBoolean()
                 || !root.path("members").isArray()) {
             throw new Malformed("no revision, complete or members");
         }
@@ -42,11 +43,19 @@
                 throw new Malformed("an entry without id, phase or host_port");
             }
             // The module's clock is the wall clock as it stood at the start, so times of start map as they are.
-            members.add(new Member(new Upstream(id, facts.localities().indexOf(m.path("locality").asText("")),
-                    facts.kinds().indexOf(m.path("flavor").asText("")), m.path("cell").asInt(), state,
-                    m.path("size").asDouble(1), m.path("up_since_ms").asLong() * 1_000), address));
+            members.add(new Member(
+                    new Upstream(
+                            id,
+                            facts.localities().indexOf(m.path("locality").asText("")),
+                            facts.kinds().indexOf(m.path("flavor").asText("")),
+                            m.path("cell").asInt(),
+                            state,
+                            m.path("size").asDouble(1),
+                            m.path("up_since_ms").asLong() * 1_000),
+                    address));
         }
-        return new MemberList(root.path("revision").asLong(), root.path("complete").asBoolean(), members);
+        return new MemberList(
+                root.path("revision").asLong(), root.path("complete").asBoolean(), members);
     }
 
     /** The entries as the module is told them. */
