--- a/src/main/java/sedgeyoke/net/Node.java
+++ b/src/main/java/sedgeyoke/net/Node.java
@@ -1,11 +1,5 @@
 package sedgeyoke.net;
 
-import sedgeyoke.body.BodyBudget;
-import sedgeyoke.body.BodyLimits;
-import sedgeyoke.body.CutRequest;
-import sedgeyoke.decide.Balancer;
-import sedgeyoke.decide.InOrder;
-import sedgeyoke.decide.Policy;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.util.HashMap;
@@ -16,6 +10,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import sedgeyoke.body.BodyBudget;
+import sedgeyoke.body.BodyLimits;
+import sedgeyoke.body.CutRequest;
+import sedgeyoke.decide.Balancer;
+import sedgeyoke.decide.InOrder;
+import sedgeyoke.decide.Policy;
 
 /**
  * Carries out what the module decides. It owns the clock and the table of open calls, hands the module its
@@ -52,6 +52,7 @@
     private final Cordons cordons;
     /** What the tier has agreed is out, and since when we know. */
     private Map<String, Long> agreedOut = Map.of();
+
     private final long startedAt = System.currentTimeMillis() * 1_000;
     private final long startedNanos = System.nanoTime();
     /** When the timer that the module set last is due; it always has one. */
@@ -64,12 +65,20 @@
     private long lastRequest = Long.MAX_VALUE;
 
     Node(EventLoop loop, Config config, Transport transport, BodyLimits bodies) {
-        this(loop, config, transport, bodies,
+        this(
+                loop,
+                config,
+                transport,
+                bodies,
                 actions -> new Policy(config.facts().settings(), config.seed(), actions));
     }
 
     /** For tests, which bring a module of their own. */
-    Node(EventLoop loop, Config config, Transport transport, BodyLimits bodies,
+    Node(
+            EventLoop loop,
+            Config config,
+            Transport transport,
+            BodyLimits bodies,
             Function<Balancer.Actions, Balancer> module) {
         this.bodies = bodies;
         this.budget = new BodyBudget(bodies);
@@ -77,13 +86,24 @@
         this.config = config;
         this.settings = config.facts().settings();
         this.log = new Log(transport.log(), this::now);
-        this.pool = new UpstreamPool(loop, transport, this::now, config.facts(),
-                (int) (UPSTREAM_SHARE * config.sockets()), bodies, budget, this, log);
+        this.pool = new UpstreamPool(
+                loop,
+                transport,
+                this::now,
+                config.facts(),
+                (int) (UPSTREAM_SHARE * config.sockets()),
+                bodies,
+                budget,
+                this,
+                log);
         this.discovery = new Discovery(loop, config, transport, this::listed, log);
         this.module = module.apply(this);
         this.figures = new Figures(config.facts().classNames());
-        this.cordons = new Cordons(config.ops() == null || config.folder() == null ? null
-                : config.folder().resolve("sedgeyoke-cordons-" + config.name().replaceAll("[^A-Za-z0-9_-]", "_")));
+        this.cordons = new Cordons(
+                config.ops() == null || config.folder() == null
+                        ? null
+                        : config.folder()
+                                .resolve("sedgeyoke-cordons-" + config.name().replaceAll("[^A-Za-z0-9_-]", "_")));
     }
 
     /** The module's clock: the wall clock of the start, carried on by the monotonic one. */
@@ -105,14 +125,17 @@
     void start() {
         deliver(null, () -> module.start(now()));
         pool.update(config.known());
-        deliver(null, () -> module.upstreams(now(), Balancer.ListKind.RESTORED, config.known().upstreams()));
+        deliver(
+                null,
+                () -> module.upstreams(
+                        now(), Balancer.ListKind.RESTORED, config.known().upstreams()));
         if (!settings.askForList()) {
             discovery.watch(true);
         }
         if (config.ops() != null) {
             lookAtCordons(); // before the first client
-            loop.scheduleWithFixedDelay(this::lookAtCordons, LOOK_AT_CORDONS_MS, LOOK_AT_CORDONS_MS,
-                    TimeUnit.MILLISECONDS);
+            loop.scheduleWithFixedDelay(
+                    this::lookAtCordons, LOOK_AT_CORDONS_MS, LOOK_AT_CORDONS_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -166,7 +189,8 @@
     String figures(int inFlight) {
         List<Balancer.Standing> standings = module.summary(now()).upstreams();
         int excluded = (int) standings.stream()
-                .filter(s -> s.ejected() || s.state() != Balancer.State.READY).count();
+                .filter(s -> s.ejected() || s.state() != Balancer.State.READY)
+                .count();
         return figures.text(inFlight, standings.size(), excluded);
     }
 
@@ -200,8 +224,12 @@
 
     /** The longest that clients wait for an answer, in microseconds, as far as the platform counts it. */
     long longestDeadline() {
-        return Math.min(LONGEST_DEADLINE,
-                settings.classes().stream().mapToLong(Balancer.RequestClass::giveUp).max().orElse(0));
+        return Math.min(
+                LONGEST_DEADLINE,
+                settings.classes().stream()
+                        .mapToLong(Balancer.RequestClass::giveUp)
+                        .max()
+                        .orElse(0));
     }
 
     /** No answer is out later than that, whatever its client would grant, and no request is tried from then on. */
@@ -287,8 +315,20 @@
         calls.put(id, call);
         call.backstop = loop.schedule(() -> expire(call), left - BACKSTOP, TimeUnit.MICROSECONDS);
         Balancer.Request r = call.request;
-        deliver(call, () -> module.request(now(), new Balancer.Request(id, r.classIndex(), r.tenant(), r.key(),
-                r.expectedWork(), call.deadline - now(), r.write(), r.retry(), call.body.streams())));
+        deliver(
+                call,
+                () -> module.request(
+                        now(),
+                        new Balancer.Request(
+                                id,
+                                r.classIndex(),
+                                r.tenant(),
+                                r.key(),
+                                r.expectedWork(),
+                                call.deadline - now(),
+                                r.write(),
+                                r.retry(),
+                                call.body.streams())));
     }
 
     /** If a timer is overdue or just was, the loop is late, and what it reads may have waited as long to be read. */
@@ -423,7 +463,8 @@
         if (outcome == Balancer.Outcome.OK && answer != null) {
             answer(call, Figures.End.SERVED, () -> call.reply.served(answer.contentType(), answer.body()));
         } else if (a.begun) {
-            figures.ended(call.request.classIndex(),
+            figures.ended(
+                    call.request.classIndex(),
                     outcome == Balancer.Outcome.OK ? Figures.End.SERVED : Figures.End.FAILED);
         }
         Balancer.RequestClass cls = settings.classes().get(call.request.classIndex());
@@ -437,8 +478,14 @@
         // Our own lateness is none of the upstream's: the module would take it for a crowd there and send less.
         long until = a.answeringSince > 0 ? a.answeringSince : now();
         long took = Math.max(0, until - a.askedAt - late());
-        Balancer.AttemptEnd end = new Balancer.AttemptEnd(call.request.id(), a.number, a.upstream, outcome,
-                took, call.answered, answer == null ? null : answer.load());
+        Balancer.AttemptEnd end = new Balancer.AttemptEnd(
+                call.request.id(),
+                a.number,
+                a.upstream,
+                outcome,
+                took,
+                call.answered,
+                answer == null ? null : answer.load());
         deliver(call, () -> module.outcome(now(), end));
         forgetIfDone(call);
     }
@@ -502,9 +549,13 @@
      */
     private long repeatUntil(Call call) {
         Balancer.RequestClass cls = settings.classes().get(call.request.classIndex());
-        return cls.effect() != Balancer.Effect.KEYED ? Long.MAX_VALUE
-                : call.attempts.stream().filter(a -> a.mayHaveRun).mapToLong(a -> a.startedAt + cls.memorySpan())
-                        .min().orElse(Long.MAX_VALUE);
+        return cls.effect() != Balancer.Effect.KEYED
+                ? Long.MAX_VALUE
+                : call.attempts.stream()
+                        .filter(a -> a.mayHaveRun)
+                        .mapToLong(a -> a.startedAt + cls.memorySpan())
+                        .min()
+                        .orElse(Long.MAX_VALUE);
     }
 
     @Override
@@ -518,7 +569,10 @@
     /** What a refusal tells the client about when to come back, in microseconds; 0 where that is not allowed. */
     long advice(long retryAfter) {
         return settings.limits().retryAfter()
-                ? Math.min(retryAfter > 0 ? retryAfter : RETRY_AFTER, settings.limits().maxRetryAfter()) : 0;
+                ? Math.min(
+                        retryAfter > 0 ? retryAfter : RETRY_AFTER,
+                        settings.limits().maxRetryAfter())
+                : 0;
     }
 
     @Override
@@ -543,10 +597,13 @@
     public void timer(String token, long delay) {
         long due = now() + delay;
         timerDue = due;
-        loop.schedule(() -> {
-            lateness = Math.max(0, now() - due);
-            deliver(null, () -> module.timer(now(), token));
-        }, delay, TimeUnit.MICROSECONDS);
+        loop.schedule(
+                () -> {
+                    lateness = Math.max(0, now() - due);
+                    deliver(null, () -> module.timer(now(), token));
+                },
+                delay,
+                TimeUnit.MICROSECONDS);
     }
 
     @Override
--- a/src/main/java/sedgeyoke/net/OpsDoor.java
+++ b/src/main/java/sedgeyoke/net/OpsDoor.java
@@ -60,12 +60,16 @@
     }
 
     ChannelFuture bind(InetSocketAddress at) {
-        return transport.server(loop).childHandler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel ch) {
-                ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(LONGEST_CALL), new Caller());
-            }
-        }).bind(transport.at(at));
+        return transport
+                .server(loop)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ch.pipeline()
+                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(LONGEST_CALL), new Caller());
+                    }
+                })
+                .bind(transport.at(at));
     }
 
     private FullHttpResponse answer(FullHttpRequest call) {
@@ -83,7 +87,8 @@
         } else if (path.equals("/admin/stats")) {
             return response(HttpResponseStatus.OK, operations.figures());
         }
-        return operations.healthy() ? response(HttpResponseStatus.OK, "ok\n")
+        return operations.healthy()
+                ? response(HttpResponseStatus.OK, "ok\n")
                 : response(HttpResponseStatus.SERVICE_UNAVAILABLE, "takes no clients\n");
     }
 
@@ -91,15 +96,17 @@
         if (id.isEmpty() || id.length() > LONGEST_ID || id.chars().anyMatch(c -> c <= ' ')) {
             return response(HttpResponseStatus.BAD_REQUEST, "the body is the id of an upstream\n");
         }
-        return operations.cordon(id, out) ? response(HttpResponseStatus.OK, "ok\n")
+        return operations.cordon(id, out)
+                ? response(HttpResponseStatus.OK, "ok\n")
                 : response(HttpResponseStatus.NOT_FOUND, "no such upstream, or no room for more\n");
     }
 
     private static FullHttpResponse response(HttpResponseStatus status, String text) {
         byte[] body = text.getBytes(StandardCharsets.UTF_8);
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                Unpooled.wrappedBuffer(body));
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
+        response.headers()
+                .set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
                 .set(HttpHeaderNames.CONTENT_LENGTH, body.length)
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         return response;
--- a/src/main/java/sedgeyoke/net/RequestBody.java
+++ b/src/main/java/sedgeyoke/net/RequestBody.java
@@ -21,6 +21,7 @@
     private boolean finished;
     /** The sink has asked for a pause. */
     private boolean paused;
+
     private Sink sink;
 
     /** The client's side: whether to read on. */
--- a/src/main/java/sedgeyoke/net/RequestCheck.java
+++ b/src/main/java/sedgeyoke/net/RequestCheck.java
@@ -27,12 +27,13 @@
 final class RequestCheck extends ChannelInboundHandlerAdapter {
     /** Further checks of a head that can be read; null if it is in order. */
     private final Function<HttpRequest, Refused> further;
+
     private final long mostBytes;
     private boolean refused;
     private long body;
 
     /** Goes up the pipeline in place of the request. */
-    record Refused(HttpResponseStatus status, String why) { }
+    record Refused(HttpResponseStatus status, String why) {}
 
     /** Guards against a request that hides another one in its body: by its length it ends elsewhere than by chunks. */
     static final class Decoder extends HttpRequestDecoder {
@@ -69,9 +70,13 @@
     private Refused check(HttpObject part) {
         Throwable fault = part.decoderResult().cause();
         if (fault != null) {
-            return new Refused(fault instanceof TooLongHttpHeaderException
-                    ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : fault instanceof TooLongHttpLineException
-                    ? HttpResponseStatus.REQUEST_URI_TOO_LONG : HttpResponseStatus.BAD_REQUEST, "malformed request");
+            return new Refused(
+                    fault instanceof TooLongHttpHeaderException
+                            ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                            : fault instanceof TooLongHttpLineException
+                                    ? HttpResponseStatus.REQUEST_URI_TOO_LONG
+                                    : HttpResponseStatus.BAD_REQUEST,
+                    "malformed request");
         }
         if (part instanceof HttpRequest head) {
             body = 0;
@@ -88,8 +93,8 @@
             return new Refused(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "HTTP/1.1 is spoken here");
         }
         List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        if (!codings.isEmpty() && (codings.size() > 1
-                || !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0)))) {
+        if (!codings.isEmpty()
+                && (codings.size() > 1 || !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0)))) {
             return new Refused(HttpResponseStatus.BAD_REQUEST, "missing or malformed: Transfer-Encoding");
         }
         String expected = head.headers().get(HttpHeaderNames.EXPECT);
@@ -100,7 +105,6 @@
     }
 
     private Refused tooLarge() {
-        return new Refused(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "a body of more than "
-                + mostBytes + " bytes");
+        return new Refused(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "a body of more than " + mostBytes + " bytes");
     }
 }
--- a/src/main/java/sedgeyoke/net/Server.java
+++ b/src/main/java/sedgeyoke/net/Server.java
@@ -24,7 +24,12 @@
         this(loop, config, node, transport, bodies, null);
     }
 
-    Server(EventLoop loop, Config config, Node node, Transport transport, BodyLimits bodies,
+    Server(
+            EventLoop loop,
+            Config config,
+            Node node,
+            Transport transport,
+            BodyLimits bodies,
             ServerSocketChannel inherited) {
         this.loop = loop;
         this.config = config;
@@ -44,8 +49,8 @@
      * @param inherited a listener that the platform holds and that other processes may share, or null
      */
     public static Server onSockets(EventLoop loop, Config config, BodyLimits bodies, ServerSocketChannel inherited) {
-        return new Server(loop, config, new Node(loop, config, Transport.SOCKETS, bodies), Transport.SOCKETS, bodies,
-                inherited);
+        return new Server(
+                loop, config, new Node(loop, config, Transport.SOCKETS, bodies), Transport.SOCKETS, bodies, inherited);
     }
 
     /** Listens, and starts the module once that has worked. */
--- a/src/main/java/sedgeyoke/net/Training.java
+++ b/src/main/java/sedgeyoke/net/Training.java
@@ -23,7 +23,7 @@
     private static final int PATIENCE_MS = 2_000;
     private static final String REPORT = "X-Load-Report: {\"queue\":0,\"waiting\":0,\"cpu\":0.5,\"avg_ms\":9}\r\n";
 
-    private Training() { }
+    private Training() {}
 
     /** Ends with 0 whatever happens: without a complete archive a start is slower, and no more than that. */
     public static void main(String[] args) {
@@ -60,9 +60,11 @@
     private static String ask(InetSocketAddress at, String cls, int number) throws IOException {
         try (Socket client = new Socket(at.getAddress(), at.getPort())) {
             client.setSoTimeout(PATIENCE_MS);
-            write(client, "POST /api?obj=k HTTP/1.1\r\nHost: x\r\nX-Call-Id: t-" + number + "\r\nX-Call-Class: " + cls
-                    + "\r\nX-Budget-Ms: 900\r\nIdempotency-Key: k-" + number + "\r\nConnection: close\r\n"
-                    + "Content-Length: 4\r\n\r\nwork");
+            write(
+                    client,
+                    "POST /api?obj=k HTTP/1.1\r\nHost: x\r\nX-Call-Id: t-" + number + "\r\nX-Call-Class: " + cls
+                            + "\r\nX-Budget-Ms: 900\r\nIdempotency-Key: k-" + number + "\r\nConnection: close\r\n"
+                            + "Content-Length: 4\r\n\r\nwork");
             return new String(client.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
         }
     }
@@ -84,7 +86,8 @@
 
     /** Discovery and an upstream in one; it answers a request once its head has come. */
     private static void serve(Socket socket, String address) {
-        try (socket; InputStream in = socket.getInputStream()) {
+        try (socket;
+                InputStream in = socket.getInputStream()) {
             BufferedReader lines = new BufferedReader(new InputStreamReader(in, StandardCharsets.ISO_8859_1));
             for (String line = lines.readLine(); line != null; line = lines.readLine()) {
                 if (line.contains("from=")) {
@@ -92,8 +95,9 @@
                 }
                 if (line.contains("/catalog") || line.contains("/api")) {
                     String body = line.contains("/api") ? "done" : list(address);
-                    write(socket, "HTTP/1.1 200 OK\r\n" + REPORT + "Content-Length: " + body.length() + "\r\n\r\n"
-                            + body);
+                    write(
+                            socket,
+                            "HTTP/1.1 200 OK\r\n" + REPORT + "Content-Length: " + body.length() + "\r\n\r\n" + body);
                 }
             }
         } catch (IOException | InterruptedException e) {
@@ -110,12 +114,13 @@
     private static byte[] config(String peers) {
         String cls = "\",\"aim-s\":0.5,\"give-up-s\":2,\"memory-span-s\":2,\"dedup-scope\":\"zone\",\"repeat\":\"";
         return ("{\"name\":\"training\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + peers + "\",\"seed\":\"1\","
-                + "\"limits\":{\"sockets\":1024},\"known\":" + list(peers) + ",\"settings\":{\"az\":0,\"group-size\":1,"
-                + "\"localities\":[\"a\"],\"kinds\":[\"k\"],\"classes\":[{\"name\":\"read" + cls + "free\"},"
-                + "{\"name\":\"update" + cls + "guarded\"},{\"name\":\"order" + cls + "single_shot\"}],"
-                + "\"ceilings\":{\"cancel\":true,\"may-duplicate\":true,\"try-limit\":4,\"max-open\":1000,"
-                + "\"conn-idle-s\":1,\"connect-timeout-s\":0.5},\"discovery\":\"pushed\",\"tick-s\":0.005,"
-                + "\"report\":{\"names\":[\"waiting\",\"cpu\",\"avg_ms\"],\"via\":\"piggyback\"}}}")
+                        + "\"limits\":{\"sockets\":1024},\"known\":" + list(peers)
+                        + ",\"settings\":{\"az\":0,\"group-size\":1,"
+                        + "\"localities\":[\"a\"],\"kinds\":[\"k\"],\"classes\":[{\"name\":\"read" + cls + "free\"},"
+                        + "{\"name\":\"update" + cls + "guarded\"},{\"name\":\"order" + cls + "single_shot\"}],"
+                        + "\"ceilings\":{\"cancel\":true,\"may-duplicate\":true,\"try-limit\":4,\"max-open\":1000,"
+                        + "\"conn-idle-s\":1,\"connect-timeout-s\":0.5},\"discovery\":\"pushed\",\"tick-s\":0.005,"
+                        + "\"report\":{\"names\":[\"waiting\",\"cpu\",\"avg_ms\"],\"via\":\"piggyback\"}}}")
                 .getBytes(StandardCharsets.UTF_8);
     }
 }
--- a/src/main/java/sedgeyoke/net/Transport.java
+++ b/src/main/java/sedgeyoke/net/Transport.java
@@ -31,8 +31,11 @@
 
         @Override
         ServerBootstrap server(EventLoop loop) {
-            return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                    .option(ChannelOption.SO_BACKLOG, BACKLOG).childOption(ChannelOption.TCP_NODELAY, true);
+            return new ServerBootstrap()
+                    .group(loop)
+                    .channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                    .childOption(ChannelOption.TCP_NODELAY, true);
         }
 
         @Override
@@ -73,8 +76,11 @@
 
     /** A listener that the platform holds, and that other processes may accept from, too. */
     ServerBootstrap server(EventLoop loop, ServerSocketChannel inherited) {
-        return new ServerBootstrap().group(loop).channelFactory(() -> new NioServerSocketChannel(inherited))
-                .option(ChannelOption.AUTO_READ, false).childOption(ChannelOption.TCP_NODELAY, true);
+        return new ServerBootstrap()
+                .group(loop)
+                .channelFactory(() -> new NioServerSocketChannel(inherited))
+                .option(ChannelOption.AUTO_READ, false)
+                .childOption(ChannelOption.TCP_NODELAY, true);
     }
 
     /**
--- a/src/main/java/sedgeyoke/net/UpstreamPool.java
+++ b/src/main/java/sedgeyoke/net/UpstreamPool.java
@@ -1,11 +1,5 @@
 package sedgeyoke.net;
 
-import sedgeyoke.body.BodyBudget;
-import sedgeyoke.body.BodyLimits;
-import sedgeyoke.decide.Balancer.Outcome;
-import sedgeyoke.decide.Balancer.Settings;
-import sedgeyoke.decide.Balancer.State;
-import sedgeyoke.wire.SettingsReader;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -46,6 +40,12 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import sedgeyoke.body.BodyBudget;
+import sedgeyoke.body.BodyLimits;
+import sedgeyoke.decide.Balancer.Outcome;
+import sedgeyoke.decide.Balancer.Settings;
+import sedgeyoke.decide.Balancer.State;
+import sedgeyoke.wire.SettingsReader;
 
 /**
  * Connections to upstreams, one request on each at a time, and what became of the attempts on them. It resends
@@ -56,6 +56,7 @@
     static final int MAX_ANSWER = 512 * 1024;
     /** Share of the settings' idle time after which we close: upstreams may close sooner than they say. */
     private static final double IDLE_SHARE = 0.6;
+
     private static final long CLOSE_STALE_EVERY_MS = 500;
     /**
      * What comes behind an answer and does not belong to it must be here before the next request goes out: a second
@@ -66,6 +67,7 @@
     private static final long STILL_FOR = 100_000;
     /** A loop that is so late first reads what has come. */
     private static final long LATE = 100_000;
+
     private static final int LEAST_READ = 512;
     private static final int FIRST_READ = 4_096;
 
@@ -120,11 +122,20 @@
         long launchedAt;
         /** Whether the list would have it used. */
         boolean listed;
+
         long unreadySince = Long.MAX_VALUE;
     }
 
-    UpstreamPool(EventLoop loop, Transport transport, LongSupplier clock, SettingsReader.Found facts,
-            int mostConnections, BodyLimits bodies, BodyBudget budget, Listener listener, Log log) {
+    UpstreamPool(
+            EventLoop loop,
+            Transport transport,
+            LongSupplier clock,
+            SettingsReader.Found facts,
+            int mostConnections,
+            BodyLimits bodies,
+            BodyBudget budget,
+            Listener listener,
+            Log log) {
         this.bodies = bodies;
         this.budget = budget;
         this.mostGathered = bodies.streaming() ? bodies.gathered() : MAX_ANSWER;
@@ -137,11 +148,10 @@
         this.listener = listener;
         this.log = log;
         this.idleTime = (long) (IDLE_SHARE * settings.limits().connectIdle());
-        this.bootstrap = transport.client(loop)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                        (int) Math.max(1, settings.limits().connectTimeout() / 1_000));
-        loop.scheduleWithFixedDelay(this::closeStale, CLOSE_STALE_EVERY_MS, CLOSE_STALE_EVERY_MS,
-                TimeUnit.MILLISECONDS);
+        this.bootstrap = transport.client(loop).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
+                Math.max(1, settings.limits().connectTimeout() / 1_000));
+        loop.scheduleWithFixedDelay(
+                this::closeStale, CLOSE_STALE_EVERY_MS, CLOSE_STALE_EVERY_MS, TimeUnit.MILLISECONDS);
     }
 
     // ---- Upstreams -----------------------------------------------------------------------------------
@@ -152,7 +162,9 @@
         if (list.complete()) {
             Set<String> named = new HashSet<>();
             list.members().forEach(m -> named.add(m.upstream().id()));
-            List.copyOf(targets.keySet()).stream().filter(id -> !named.contains(id)).forEach(this::forget);
+            List.copyOf(targets.keySet()).stream()
+                    .filter(id -> !named.contains(id))
+                    .forEach(this::forget);
         }
         for (MemberList.Member m : list.members()) {
             if (m.upstream().state() == State.GONE) {
@@ -250,7 +262,7 @@
     private Connection rested(Target t) {
         long now = clock.getAsLong();
         closeStale(t, now);
-        for (Iterator<Connection> idle = t.idle.iterator(); idle.hasNext();) {
+        for (Iterator<Connection> idle = t.idle.iterator(); idle.hasNext(); ) {
             Connection c = idle.next();
             if (now - c.idleSince >= REST) {
                 idle.remove();
@@ -271,27 +283,31 @@
         }
         connections++;
         Connection c = new Connection(t);
-        bootstrap.clone().handler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                c.channel = channel;
-                channel.closeFuture().addListener(closed -> connections--);
-                channel.pipeline().addLast(new HttpRequestEncoder(), c.decoder,
-                        c);
-                if (bodies.streaming()) {
-                    channel.config().setRecvByteBufAllocator(
-                            new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, bodies.read()));
-                    Transport.limit(channel, bodies);
-                }
-            }
-        }).connect(t.address).addListener((ChannelFuture connected) -> {
-            if (loop.inEventLoop()) {
-                connected(c, attempt, connected);
-            } else {
-                // Where no socket can be had, Netty calls on a thread of its own.
-                loop.execute(() -> connected(c, attempt, connected));
-            }
-        });
+        bootstrap
+                .clone()
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        c.channel = channel;
+                        channel.closeFuture().addListener(closed -> connections--);
+                        channel.pipeline().addLast(new HttpRequestEncoder(), c.decoder, c);
+                        if (bodies.streaming()) {
+                            channel.config()
+                                    .setRecvByteBufAllocator(
+                                            new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, bodies.read()));
+                            Transport.limit(channel, bodies);
+                        }
+                    }
+                })
+                .connect(t.address)
+                .addListener((ChannelFuture connected) -> {
+                    if (loop.inEventLoop()) {
+                        connected(c, attempt, connected);
+                    } else {
+                        // Where no socket can be had, Netty calls on a thread of its own.
+                        loop.execute(() -> connected(c, attempt, connected));
+                    }
+                });
     }
 
     private void connected(Connection c, Attempt attempt, ChannelFuture connected) {
@@ -314,8 +330,8 @@
     private boolean closeLongestIdle() {
         Target longest = null;
         for (Target t : targets.values()) {
-            if (!t.idle.isEmpty() && (longest == null
-                    || t.idle.peekLast().idleSince < longest.idle.peekLast().idleSince)) {
+            if (!t.idle.isEmpty()
+                    && (longest == null || t.idle.peekLast().idleSince < longest.idle.peekLast().idleSince)) {
                 longest = t;
             }
         }
@@ -350,8 +366,8 @@
             return;
         }
         byte[] body = call.body.bytes();
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method, call.uri,
-                Unpooled.wrappedBuffer(body));
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method, call.uri, Unpooled.wrappedBuffer(body));
         request.headers().set(call.headers).set("X-Budget-Ms", leftMs);
         if (body.length > 0 || call.method.equals(HttpMethod.POST)) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
@@ -407,7 +423,8 @@
     }
 
     private void release(Connection c) {
-        if (c.channel.isActive() && c.target.unreadySince == Long.MAX_VALUE
+        if (c.channel.isActive()
+                && c.target.unreadySince == Long.MAX_VALUE
                 && c.channel.remoteAddress().equals(c.target.address)) {
             c.idleSince = clock.getAsLong();
             c.target.idle.push(c);
@@ -422,24 +439,28 @@
      */
     final class Connection extends SimpleChannelInboundHandler<HttpObject> implements AnswerStream.Source {
         private final Target target;
-        private final AnswerDecoder decoder = new AnswerDecoder(bodies.streaming() ? bodies.longestBody() : MAX_ANSWER,
-                bodies.part());
+        private final AnswerDecoder decoder =
+                new AnswerDecoder(bodies.streaming() ? bodies.longestBody() : MAX_ANSWER, bodies.part());
         private Channel channel;
         private Attempt current;
         /** Done once the kernel has all of the request that is on the connection, told or not yet told. */
         private ChannelFuture sent;
+
         private Answer answer;
         private Attempt begun;
         private long readAt;
         private long idleSince;
         /** Of the answer that is being read. */
         private HttpResponse head;
+
         private final Gathered gathered = new Gathered(mostGathered);
         /** Where the answer goes as it comes, and whether all of it has come. */
         private AnswerStream.Sink sink;
+
         private boolean passedOn;
         /** Of the answer that is being read: whether the upstream ends the connection with it, and its bytes so far. */
         private boolean lastHere;
+
         private long length;
         private final Overflow rest = new Overflow();
         private boolean paused;
@@ -509,8 +530,11 @@
                 spoilt("longer than " + mostGathered + " bytes");
                 return false;
             }
-            sink = listener.begun(current, new AnswerStream.Head(head.headers().get(HttpHeaderNames.CONTENT_TYPE),
-                    HttpUtil.getContentLength(head, -1L)), this);
+            sink = listener.begun(
+                    current,
+                    new AnswerStream.Head(
+                            head.headers().get(HttpHeaderNames.CONTENT_TYPE), HttpUtil.getContentLength(head, -1L)),
+                    this);
             if (sink == null) { // another attempt was faster
                 channel.close();
                 fail(Outcome.RESET);
@@ -625,24 +649,30 @@
 
         /** Guards against an upstream taken for one that hangs, and a client kept waiting, by a slow short answer. */
         private void passOnIfSlow(Attempt attempt) {
-            loop.schedule(() -> {
-                if (current == attempt && sink == null && answer == null && head != null) {
-                    passOn();
-                }
-            }, STILL_FOR, TimeUnit.MICROSECONDS);
+            loop.schedule(
+                    () -> {
+                        if (current == attempt && sink == null && answer == null && head != null) {
+                            passOn();
+                        }
+                    },
+                    STILL_FOR,
+                    TimeUnit.MICROSECONDS);
         }
 
         /** Guards against half an answer on a connection that stays open. */
         private void watch(Attempt attempt, long delay) {
-            loop.schedule(() -> {
-                boolean held = !channel.config().isAutoRead(); // by us, as its client reads too slowly
-                long left = held ? stillFor() : readAt + stillFor() - clock.getAsLong();
-                if (current == attempt && left > 0) {
-                    watch(attempt, left);
-                } else if (current == attempt) {
-                    spoilt("it stands still");
-                }
-            }, delay, TimeUnit.MICROSECONDS);
+            loop.schedule(
+                    () -> {
+                        boolean held = !channel.config().isAutoRead(); // by us, as its client reads too slowly
+                        long left = held ? stillFor() : readAt + stillFor() - clock.getAsLong();
+                        if (current == attempt && left > 0) {
+                            watch(attempt, left);
+                        } else if (current == attempt) {
+                            spoilt("it stands still");
+                        }
+                    },
+                    delay,
+                    TimeUnit.MICROSECONDS);
         }
 
         private void handOn() {
--- a/src/main/java/sedgeyoke/net/WarmUp.java
+++ b/src/main/java/sedgeyoke/net/WarmUp.java
@@ -1,7 +1,5 @@
 package sedgeyoke.net;
 
-import sedgeyoke.body.BodyLimits;
-import sedgeyoke.decide.Balancer;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -22,6 +20,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import sedgeyoke.body.BodyLimits;
+import sedgeyoke.decide.Balancer;
 
 /**
  * Guards against meeting the first clients with code that is not yet compiled: it costs several times the processor
@@ -41,6 +41,7 @@
      * fleet starts at once, clients have nowhere else to go.
      */
     private static final double BUSY = 12;
+
     private static final int CLIENTS = 12;
     private static final int UPSTREAMS = 6;
     private static final int FIRST_PORT = 1_000;
@@ -49,6 +50,7 @@
     private static final int WORK = 200;
     /** One upstream's answers in so many are one refusal, one failure, and else good. */
     private static final int KINDS = 20;
+
     private static final int BUDGET_MS = 2_000;
     /** How long it may take, in seconds. */
     public static final long LONGEST_S = 4;
@@ -65,7 +67,7 @@
     private int handled;
 
     /** What became of a warm-up's requests: answered in time, however, and of these served. */
-    public record Result(long answered, int served) { }
+    public record Result(long answered, int served) {}
 
     private WarmUp(Config config, EventLoop loop, BodyLimits bodies, int requests) {
         this.bodies = bodies;
@@ -74,14 +76,21 @@
         this.requests = requests;
         this.answers = new CountDownLatch(requests);
         this.classes = config.facts().classNames();
-        this.report = "{" + String.join(",", config.facts().reportNames().stream()
-                .map(n -> "\"" + n + "\":0.5").toList()) + "}";
+        this.report = "{"
+                + String.join(
+                        ",",
+                        config.facts().reportNames().stream()
+                                .map(n -> "\"" + n + "\":0.5")
+                                .toList()) + "}";
     }
 
     /** How many requests a balancer with that configuration is to have served before it listens. */
     public static int requests(Config config) {
         Balancer.Settings settings = config.facts().settings();
-        long aim = settings.classes().stream().mapToLong(Balancer.RequestClass::aim).min().orElse(0);
+        long aim = settings.classes().stream()
+                .mapToLong(Balancer.RequestClass::aim)
+                .min()
+                .orElse(0);
         double busy = config.known().members().size() * 1e6 / (Math.max(1, aim) * (double) settings.groupSize());
         return config.known().members().isEmpty() || busy >= BUSY ? MOST_REQUESTS : FEWEST_REQUESTS;
     }
@@ -91,11 +100,24 @@
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
         List<MemberList.Member> members = new ArrayList<>();
         for (int i = 0; i < UPSTREAMS; i++) {
-            members.add(new MemberList.Member(new Balancer.Upstream("u" + i, 0, 0, 0, Balancer.State.READY, 1, 0),
+            members.add(new MemberList.Member(
+                    new Balancer.Upstream("u" + i, 0, 0, 0, Balancer.State.READY, 1, 0),
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), FIRST_PORT + i)));
         }
-        WarmUp run = new WarmUp(new Config(like.name(), like.listen(), like.discovery(), null, null, like.seed(),
-                like.sockets(), like.facts(), new MemberList(1, true, members)), group.next(), like.bodies(), requests);
+        WarmUp run = new WarmUp(
+                new Config(
+                        like.name(),
+                        like.listen(),
+                        like.discovery(),
+                        null,
+                        null,
+                        like.seed(),
+                        like.sockets(),
+                        like.facts(),
+                        new MemberList(1, true, members)),
+                group.next(),
+                like.bodies(),
+                requests);
         group.execute(run::start);
         run.answers.await(longestS, TimeUnit.SECONDS);
         long left = run.answers.getCount();
@@ -132,8 +154,10 @@
     }
 
     private static String list(List<MemberList.Member> known) {
-        List<String> members = known.stream().map(m -> "{\"id\":\"" + m.upstream().id()
-                + "\",\"host_port\":\"127.0.0.1:" + m.address().getPort() + "\",\"phase\":\"up\"}").toList();
+        List<String> members = known.stream()
+                .map(m -> "{\"id\":\"" + m.upstream().id() + "\",\"host_port\":\"127.0.0.1:"
+                        + m.address().getPort() + "\",\"phase\":\"up\"}")
+                .toList();
         return "{\"revision\":1,\"complete\":true,\"members\":[" + String.join(",", members) + "]}";
     }
 
@@ -159,9 +183,13 @@
                 return; // a head: the zeros of the body are still to come
             }
             int kind = handled++ % KINDS;
-            ctx.writeAndFlush(bytes((kind == 0 ? "HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1"
-                    : kind == 1 ? "HTTP/1.1 500 Internal Server Error" : "HTTP/1.1 200 OK") + "\r\nX-Load-Report: "
-                    + report + "\r\nContent-Length: " + BODY + "\r\n\r\n", BODY));
+            ctx.writeAndFlush(bytes(
+                    (kind == 0
+                                    ? "HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1"
+                                    : kind == 1 ? "HTTP/1.1 500 Internal Server Error" : "HTTP/1.1 200 OK")
+                            + "\r\nX-Load-Report: "
+                            + report + "\r\nContent-Length: " + BODY + "\r\n\r\n",
+                    BODY));
         }
     }
 
@@ -179,7 +207,9 @@
             }
             answers.countDown();
             served += answer.toString(answer.readerIndex(), STATUS_LINE.length(), StandardCharsets.US_ASCII)
-                    .equals(STATUS_LINE) ? 1 : 0;
+                            .equals(STATUS_LINE)
+                    ? 1
+                    : 0;
             if (asked < requests) {
                 // Not at once: a connection to an upstream rests for a moment before it is used again.
                 loop.schedule(() -> ask(ctx), 3, TimeUnit.MILLISECONDS);
@@ -188,10 +218,12 @@
 
         private void ask(ChannelHandlerContext ctx) {
             int number = asked++;
-            ctx.writeAndFlush(bytes("POST /api?obj=k" + number % 100 + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: warm-"
-                    + number + "\r\nX-Call-Class: " + classes.get(number % classes.size())
-                    + "\r\nX-Budget-Ms: " + BUDGET_MS
-                    + "\r\nIdempotency-Key: k" + number + "\r\nContent-Length: " + WORK + "\r\n\r\n", WORK));
+            ctx.writeAndFlush(bytes(
+                    "POST /api?obj=k" + number % 100 + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: warm-"
+                            + number + "\r\nX-Call-Class: " + classes.get(number % classes.size())
+                            + "\r\nX-Budget-Ms: " + BUDGET_MS
+                            + "\r\nIdempotency-Key: k" + number + "\r\nContent-Length: " + WORK + "\r\n\r\n",
+                    WORK));
         }
     }
 }
--- a/src/main/java/sedgeyoke/operator/Addresses.java
+++ b/src/main/java/sedgeyoke/operator/Addresses.java
@@ -10,7 +10,7 @@
 final class Addresses {
     private static final String WANTED = "must be an address as ip:port, such as 127.0.0.1:7500";
 
-    private Addresses() { }
+    private Addresses() {}
 
     static String fault(String text) {
         return IpAddress.parse(text) == null ? WANTED + ", not '" + text + "'" : null;
@@ -24,7 +24,11 @@
         if (texts.stream().distinct().count() < texts.size()) {
             return "names an address twice";
         }
-        return texts.stream().map(t -> fault((String) t)).filter(f -> f != null).findFirst().orElse(null);
+        return texts.stream()
+                .map(t -> fault((String) t))
+                .filter(f -> f != null)
+                .findFirst()
+                .orElse(null);
     }
 
     /** Addresses by name, of a list of {@code name=address} that is in order. */
@@ -50,7 +54,9 @@
         if (texts.size() > most) {
             return "must name at most " + most + ", not " + texts.size();
         }
-        return named(texts).size() < texts.size() || named(texts).values().stream().distinct().count() < texts.size()
-                ? "names one twice" : null;
+        return named(texts).size() < texts.size()
+                        || named(texts).values().stream().distinct().count() < texts.size()
+                ? "names one twice"
+                : null;
     }
 }
--- a/src/main/java/sedgeyoke/operator/AgreedSettings.java
+++ b/src/main/java/sedgeyoke/operator/AgreedSettings.java
@@ -12,5 +12,5 @@
  * @param driftPpm as {@link KeeperSettings#driftPpm}
  * @param tls its files
  */
-public record AgreedSettings(boolean enabled, List<InetSocketAddress> keepers, long leaseMs, long driftPpm,
-        TlsFiles tls) { }
+public record AgreedSettings(
+        boolean enabled, List<InetSocketAddress> keepers, long leaseMs, long driftPpm, TlsFiles tls) {}
--- a/src/main/java/sedgeyoke/operator/BadOperatorFile.java
+++ b/src/main/java/sedgeyoke/operator/BadOperatorFile.java
@@ -17,7 +17,8 @@
     }
 
     private static String text(List<Problem> problems) {
-        String shown = problems.stream().limit(MOST_LINES).map(Problem::toString).collect(Collectors.joining("\n"));
+        String shown =
+                problems.stream().limit(MOST_LINES).map(Problem::toString).collect(Collectors.joining("\n"));
         int more = problems.size() - MOST_LINES;
         return more > 0 ? shown + "\n(" + more + " further problems)" : shown;
     }
--- a/src/main/java/sedgeyoke/operator/ClientSettings.java
+++ b/src/main/java/sedgeyoke/operator/ClientSettings.java
@@ -10,4 +10,4 @@
  * @param keepers where they listen; at most 7
  * @param tls its files
  */
-public record ClientSettings(String name, List<InetSocketAddress> keepers, TlsFiles tls) { }
+public record ClientSettings(String name, List<InetSocketAddress> keepers, TlsFiles tls) {}
--- a/src/main/java/sedgeyoke/operator/KeeperSettings.java
+++ b/src/main/java/sedgeyoke/operator/KeeperSettings.java
@@ -19,6 +19,15 @@
  * @param mostFollowers further connections of balancers are turned away
  * @param tls its files
  */
-public record KeeperSettings(boolean enabled, String tier, String name, InetSocketAddress listen, Path folder,
-        Map<String, InetSocketAddress> keepers, long leaseMs, long driftPpm, boolean forcesMayLie, int mostFollowers,
-        TlsFiles tls) { }
+public record KeeperSettings(
+        boolean enabled,
+        String tier,
+        String name,
+        InetSocketAddress listen,
+        Path folder,
+        Map<String, InetSocketAddress> keepers,
+        long leaseMs,
+        long driftPpm,
+        boolean forcesMayLie,
+        int mostFollowers,
+        TlsFiles tls) {}
--- a/src/main/java/sedgeyoke/operator/Key.java
+++ b/src/main/java/sedgeyoke/operator/Key.java
@@ -15,7 +15,10 @@
 
     /** The types that values have. */
     enum Type {
-        BOOLEAN("true or false"), INTEGER("a whole number"), STRING("a text"), STRINGS("a list of texts");
+        BOOLEAN("true or false"),
+        INTEGER("a whole number"),
+        STRING("a text"),
+        STRINGS("a list of texts");
 
         final String says;
 
@@ -29,8 +32,14 @@
     }
 
     static Key number(String path, long fallback, long least, long most) {
-        return new Key(path, Type.INTEGER, fallback, false, value -> (long) value < least || (long) value > most
-                ? "must lie from " + least + " to " + most + ", not " + value : null);
+        return new Key(
+                path,
+                Type.INTEGER,
+                fallback,
+                false,
+                value -> (long) value < least || (long) value > most
+                        ? "must lie from " + least + " to " + most + ", not " + value
+                        : null);
     }
 
     static Key text(String path) {
--- a/src/main/java/sedgeyoke/operator/OperatorFile.java
+++ b/src/main/java/sedgeyoke/operator/OperatorFile.java
@@ -33,7 +33,9 @@
             Key.number("plans.lease_ms", 1_500, 300, 10_000),
             Key.number("plans.fade_ms", 4_000, 500, 60_000).reloading(),
             Key.number("plans.drift_ppm", 1_000, 0, 50_000),
-            Key.text("plans.certificate"), Key.text("plans.key"), Key.text("plans.trust"),
+            Key.text("plans.certificate"),
+            Key.text("plans.key"),
+            Key.text("plans.trust"),
             Key.flag("bodies.enabled"),
             Key.number("bodies.ceiling_kib", 64, 16, 1_024),
             Key.number("bodies.total_mib", 16, 1, 65_536),
@@ -51,7 +53,9 @@
             Key.number("planner.drift_ppm", 1_000, 0, 50_000),
             Key.number("planner.most_forwarders", 1_000, 1, 10_000),
             Key.number("planner.most_upstreams", 1_000, 1, 20_000),
-            Key.text("planner.certificate"), Key.text("planner.key"), Key.text("planner.trust"),
+            Key.text("planner.certificate"),
+            Key.text("planner.key"),
+            Key.text("planner.trust"),
             Key.flag("keeper.enabled"),
             Key.text("keeper.tier"),
             Key.text("keeper.name"),
@@ -62,17 +66,23 @@
             Key.number("keeper.drift_ppm", 1_000, 0, 50_000),
             Key.flag("keeper.forces_may_lie"),
             Key.number("keeper.most_followers", 1_000, 1, 4_096),
-            Key.text("keeper.certificate"), Key.text("keeper.key"), Key.text("keeper.trust"),
+            Key.text("keeper.certificate"),
+            Key.text("keeper.key"),
+            Key.text("keeper.trust"),
             Key.flag("agreed.enabled"),
             Key.addresses("agreed.keepers", MOST_KEEPERS),
             Key.number("agreed.lease_ms", 3_000, 1_000, 60_000),
             Key.number("agreed.drift_ppm", 1_000, 0, 50_000),
-            Key.text("agreed.certificate"), Key.text("agreed.key"), Key.text("agreed.trust"),
+            Key.text("agreed.certificate"),
+            Key.text("agreed.key"),
+            Key.text("agreed.trust"),
             Key.text("operator.name"),
             Key.addresses("operator.keepers", MOST_KEEPERS),
-            Key.text("operator.certificate"), Key.text("operator.key"), Key.text("operator.trust"));
-    private static final Map<String, Key> BY_PATH = KEYS.stream()
-            .collect(Collectors.toMap(Key::path, k -> k, (a, b) -> a, LinkedHashMap::new));
+            Key.text("operator.certificate"),
+            Key.text("operator.key"),
+            Key.text("operator.trust"));
+    private static final Map<String, Key> BY_PATH =
+            KEYS.stream().collect(Collectors.toMap(Key::path, k -> k, (a, b) -> a, LinkedHashMap::new));
 
     private final Path file;
     private final Map<String, Object> values;
@@ -101,8 +111,9 @@
 
     private static OperatorFile read(Path file, TomlParseResult toml) throws BadOperatorFile {
         List<Problem> problems = new ArrayList<>();
-        toml.errors().forEach(e -> problems.add(new Problem(file.toString(), e.position().line(), "",
-                e.getMessage())));
+        toml.errors()
+                .forEach(e ->
+                        problems.add(new Problem(file.toString(), e.position().line(), "", e.getMessage())));
         Map<String, Object> values = new LinkedHashMap<>();
         if (problems.isEmpty()) { // of a file that is no TOML, every key would be a second complaint
             for (String path : toml.dottedKeySet(true)) {
@@ -118,8 +129,8 @@
         throw new BadOperatorFile(problems);
     }
 
-    private static void check(Path file, TomlParseResult toml, String path, Map<String, Object> values,
-            List<Problem> problems) {
+    private static void check(
+            Path file, TomlParseResult toml, String path, Map<String, Object> values, List<Problem> problems) {
         Key key = BY_PATH.get(path);
         Object value = toml.get(path);
         if (key == null) {
@@ -132,7 +143,8 @@
             return;
         }
         Object typed = typed(key.type(), value);
-        String fault = typed == null ? "must be " + key.type().says : key.fault().apply(typed);
+        String fault =
+                typed == null ? "must be " + key.type().says : key.fault().apply(typed);
         if (fault != null) {
             problems.add(new Problem(file.toString(), line(toml, path), path, fault));
         } else {
@@ -142,7 +154,8 @@
 
     private static Object typed(Key.Type type, Object value) {
         if (value instanceof TomlArray array) {
-            List<Object> items = IntStream.range(0, array.size()).mapToObj(array::get).toList();
+            List<Object> items =
+                    IntStream.range(0, array.size()).mapToObj(array::get).toList();
             return type == Key.Type.STRINGS && items.stream().allMatch(String.class::isInstance) ? items : null;
         }
         boolean fits = type == Key.Type.BOOLEAN && value instanceof Boolean
@@ -163,18 +176,35 @@
             require(toml, problems, "agreed", "keepers", "certificate", "key", "trust");
         }
         if (flag("keeper.enabled")) {
-            require(toml, problems, "keeper", "tier", "name", "listen", "folder", "keepers", "certificate", "key",
+            require(
+                    toml,
+                    problems,
+                    "keeper",
+                    "tier",
+                    "name",
+                    "listen",
+                    "folder",
+                    "keepers",
+                    "certificate",
+                    "key",
                     "trust");
-            if (values.containsKey("keeper.name") && values.containsKey("keeper.keepers")
+            if (values.containsKey("keeper.name")
+                    && values.containsKey("keeper.keepers")
                     && !Addresses.named((List<?>) values.get("keeper.keepers")).containsKey(value("keeper.name"))) {
-                problems.add(new Problem(file.toString(), line(toml, "keeper.keepers"), "keeper.keepers",
+                problems.add(new Problem(
+                        file.toString(),
+                        line(toml, "keeper.keepers"),
+                        "keeper.keepers",
                         "must name " + value("keeper.name") + " itself, too"));
             }
         }
         if (flag("plans.enabled") && flag("planner.enabled")) {
-            problems.add(new Problem(file.toString(), line(toml, "planner.enabled"), "planner.enabled",
+            problems.add(new Problem(
+                    file.toString(),
+                    line(toml, "planner.enabled"),
+                    "planner.enabled",
                     "excludes plans.enabled (line " + line(toml, "plans.enabled")
-                    + "): a process is a forwarder or a planner; use a file for each"));
+                            + "): a process is a forwarder or a planner; use a file for each"));
         }
     }
 
@@ -184,7 +214,10 @@
             Object value = values.get(path);
             boolean reported = problems.stream().anyMatch(p -> p.key().equals(path));
             if (!reported && (value == null || value instanceof List<?> list && list.isEmpty())) {
-                problems.add(new Problem(file.toString(), line(toml, section + ".enabled"), path,
+                problems.add(new Problem(
+                        file.toString(),
+                        line(toml, section + ".enabled"),
+                        path,
                         "is needed where " + section + ".enabled is true"));
             }
         }
@@ -198,10 +231,12 @@
     private static String nearest(String path) {
         int dot = path.indexOf('.');
         String section = dot < 0 ? path : path.substring(0, dot);
-        String known = KEYS.stream().filter(k -> k.section().equals(section))
-                .map(k -> k.path().substring(section.length() + 1)).collect(Collectors.joining(", "));
-        return known.isEmpty() ? "sections are "
-                + KEYS.stream().map(Key::section).distinct().collect(Collectors.joining(", "))
+        String known = KEYS.stream()
+                .filter(k -> k.section().equals(section))
+                .map(k -> k.path().substring(section.length() + 1))
+                .collect(Collectors.joining(", "));
+        return known.isEmpty()
+                ? "sections are " + KEYS.stream().map(Key::section).distinct().collect(Collectors.joining(", "))
                 : "keys of [" + section + "] are " + known;
     }
 
@@ -226,7 +261,8 @@
     }
 
     private List<InetSocketAddress> addresses(String path) {
-        return ((List<?>) value(path)).stream().map(text -> IpAddress.parse((String) text)).toList();
+        return ((List<?>) value(path))
+                .stream().map(text -> IpAddress.parse((String) text)).toList();
     }
 
     private TlsFiles tls(String section) {
@@ -235,8 +271,14 @@
 
     /** Section {@code [plans]}. Relative paths are taken from the file's own folder. */
     public PlansSettings plans() {
-        return new PlansSettings(flag("plans.enabled"), addresses("plans.planners"), number("plans.report_every_ms"),
-                number("plans.lease_ms"), number("plans.fade_ms"), number("plans.drift_ppm"), tls("plans"));
+        return new PlansSettings(
+                flag("plans.enabled"),
+                addresses("plans.planners"),
+                number("plans.report_every_ms"),
+                number("plans.lease_ms"),
+                number("plans.fade_ms"),
+                number("plans.drift_ppm"),
+                tls("plans"));
     }
 
     /** Section {@code [bodies]}; the platform's limits where it is off. */
@@ -244,33 +286,56 @@
         if (!flag("bodies.enabled")) {
             return BodyLimits.PLATFORM;
         }
-        return new BodyLimits(true, (int) number("bodies.ceiling_kib") << 10, number("bodies.total_mib") << 20,
-                number("bodies.least_rate"), number("bodies.rate_window_ms") * 1_000,
-                number("bodies.longest_upload_s") * 1_000_000, number("bodies.longest_still_ms") * 1_000,
-                number("bodies.longest_body_mib") << 20, (int) number("bodies.socket_buffer_kib") << 10);
+        return new BodyLimits(
+                true,
+                (int) number("bodies.ceiling_kib") << 10,
+                number("bodies.total_mib") << 20,
+                number("bodies.least_rate"),
+                number("bodies.rate_window_ms") * 1_000,
+                number("bodies.longest_upload_s") * 1_000_000,
+                number("bodies.longest_still_ms") * 1_000,
+                number("bodies.longest_body_mib") << 20,
+                (int) number("bodies.socket_buffer_kib") << 10);
     }
 
     /** Section {@code [planner]}. */
     public PlannerSettings planner() {
-        return new PlannerSettings(flag("planner.enabled"), (String) value("planner.name"),
-                IpAddress.parse((String) value("planner.listen")), number("planner.plan_every_ms"),
-                number("planner.lease_ms"), number("planner.drift_ppm"), (int) number("planner.most_forwarders"),
-                (int) number("planner.most_upstreams"), tls("planner"));
+        return new PlannerSettings(
+                flag("planner.enabled"),
+                (String) value("planner.name"),
+                IpAddress.parse((String) value("planner.listen")),
+                number("planner.plan_every_ms"),
+                number("planner.lease_ms"),
+                number("planner.drift_ppm"),
+                (int) number("planner.most_forwarders"),
+                (int) number("planner.most_upstreams"),
+                tls("planner"));
     }
 
     /** Section {@code [keeper]}. */
     public KeeperSettings keeper() {
-        return new KeeperSettings(flag("keeper.enabled"), (String) value("keeper.tier"),
-                (String) value("keeper.name"), IpAddress.parse((String) value("keeper.listen")),
-                path("keeper.folder"), Addresses.named((List<?>) value("keeper.keepers")), number("keeper.lease_ms"),
-                number("keeper.drift_ppm"), flag("keeper.forces_may_lie"), (int) number("keeper.most_followers"),
+        return new KeeperSettings(
+                flag("keeper.enabled"),
+                (String) value("keeper.tier"),
+                (String) value("keeper.name"),
+                IpAddress.parse((String) value("keeper.listen")),
+                path("keeper.folder"),
+                Addresses.named((List<?>) value("keeper.keepers")),
+                number("keeper.lease_ms"),
+                number("keeper.drift_ppm"),
+                flag("keeper.forces_may_lie"),
+                (int) number("keeper.most_followers"),
                 tls("keeper"));
     }
 
     /** Section {@code [agreed]}. */
     public AgreedSettings agreed() {
-        return new AgreedSettings(flag("agreed.enabled"), addresses("agreed.keepers"), number("agreed.lease_ms"),
-                number("agreed.drift_ppm"), tls("agreed"));
+        return new AgreedSettings(
+                flag("agreed.enabled"),
+                addresses("agreed.keepers"),
+                number("agreed.lease_ms"),
+                number("agreed.drift_ppm"),
+                tls("agreed"));
     }
 
     /** Section {@code [operator]}; throws where a key of it is missing, as a command cannot do without any. */
@@ -289,13 +354,17 @@
 
     /** The keys whose values differ in a file that was read later and that are not taken over without a restart. */
     public List<String> needRestart(OperatorFile later) {
-        return KEYS.stream().filter(k -> !k.reloads() && !Objects.equals(value(k.path()), later.value(k.path())))
-                .map(Key::path).toList();
+        return KEYS.stream()
+                .filter(k -> !k.reloads() && !Objects.equals(value(k.path()), later.value(k.path())))
+                .map(Key::path)
+                .toList();
     }
 
     /** All keys, one a line with its default: the source of the table in the operators' documentation. */
     public static List<String> table() {
-        return KEYS.stream().map(k -> k.path() + " | " + k.type().says + " | " + k.fallback() + " | "
-                + (k.reloads() ? "SIGHUP" : "restart")).toList();
+        return KEYS.stream()
+                .map(k -> k.path() + " | " + k.type().says + " | " + k.fallback() + " | "
+                        + (k.reloads() ? "SIGHUP" : "restart"))
+                .toList();
     }
 }
--- a/src/main/java/sedgeyoke/operator/PlannerSettings.java
+++ b/src/main/java/sedgeyoke/operator/PlannerSettings.java
@@ -15,5 +15,13 @@
  * @param mostUpstreams what is reported of further ones is left out
  * @param tls its files
  */
-public record PlannerSettings(boolean enabled, String name, InetSocketAddress listen, long planEveryMs, long leaseMs,
-        long driftPpm, int mostForwarders, int mostUpstreams, TlsFiles tls) { }
+public record PlannerSettings(
+        boolean enabled,
+        String name,
+        InetSocketAddress listen,
+        long planEveryMs,
+        long leaseMs,
+        long driftPpm,
+        int mostForwarders,
+        int mostUpstreams,
+        TlsFiles tls) {}
--- a/src/main/java/sedgeyoke/operator/PlansSettings.java
+++ b/src/main/java/sedgeyoke/operator/PlansSettings.java
@@ -14,5 +14,11 @@
  * @param driftPpm how far a clock may run fast or slow, in parts per million
  * @param tls its files
  */
-public record PlansSettings(boolean enabled, List<InetSocketAddress> planners, long reportEveryMs, long leaseMs,
-        long fadeMs, long driftPpm, TlsFiles tls) { }
+public record PlansSettings(
+        boolean enabled,
+        List<InetSocketAddress> planners,
+        long reportEveryMs,
+        long leaseMs,
+        long fadeMs,
+        long driftPpm,
+        TlsFiles tls) {}
--- a/src/main/java/sedgeyoke/operator/TlsFiles.java
+++ b/src/main/java/sedgeyoke/operator/TlsFiles.java
@@ -9,4 +9,4 @@
  * @param key its private key (PKCS #8)
  * @param trust the certificates of those who may have issued the peer's
  */
-public record TlsFiles(Path certificate, Path key, Path trust) { }
+public record TlsFiles(Path certificate, Path key, Path trust) {}
--- a/src/main/java/sedgeyoke/plan/ColdPool.java
+++ b/src/main/java/sedgeyoke/plan/ColdPool.java
@@ -32,12 +32,12 @@
         final Map<String, List<Held>> held = new TreeMap<>();
     }
 
-    private record Lent(double rate, long launchedAt, long until) { }
+    private record Lent(double rate, long launchedAt, long until) {}
 
-    record Held(double rate, long until) { }
+    record Held(double rate, long until) {}
 
     /** A forwarder that may get a grant, how much it wants one, and until when a grant to it would be out. */
-    private record Candidate(Planner.Member member, double weight, long until) { }
+    private record Candidate(Planner.Member member, double weight, long until) {}
 
     ColdPool(LeaseTerms terms) {
         this.terms = terms;
@@ -53,7 +53,9 @@
         }
         lentBy.put(forwarder, deposits.stream().map(Report.Deposit::upstream).toList());
         for (Report.Deposit d : deposits) {
-            upstreams.computeIfAbsent(d.upstream(), id -> new Upstream()).lent
+            upstreams
+                    .computeIfAbsent(d.upstream(), id -> new Upstream())
+                    .lent
                     .put(forwarder, new Lent(d.rate(), d.launchedAt(), until));
         }
     }
@@ -64,8 +66,7 @@
     }
 
     /** Grants for all that are present, which replace those before. */
-    Map<String, List<PlanMessage.Grant>> grant(long now, Collection<Planner.Member> members, Fleet fleet,
-            Spill spill) {
+    Map<String, List<PlanMessage.Grant>> grant(long now, Collection<Planner.Member> members, Fleet fleet, Spill spill) {
         Map<String, List<PlanMessage.Grant>> grants = new HashMap<>();
         Map<Integer, List<Candidate>> byZone = new HashMap<>();
         for (Map.Entry<String, Upstream> e : upstreams.entrySet()) {
@@ -94,7 +95,9 @@
         List<Candidate> candidates = new ArrayList<>();
         for (Planner.Member m : members) {
             if (!m.answered && now - m.heardAt <= terms.grantFor(m.last.lease()) / 2) {
-                candidates.add(new Candidate(m, (m.demand() + 1e-9) * spill.affinity(m.last.zone(), zone),
+                candidates.add(new Candidate(
+                        m,
+                        (m.demand() + 1e-9) * spill.affinity(m.last.zone(), zone),
                         terms.outstandingUntil(m.heardAt, terms.grantFor(m.last.lease()))));
             }
         }
@@ -130,7 +133,8 @@
         int fits = least > 0 ? (int) (USED * available / least) : candidates.size();
         List<Candidate> chosen = holdersFirst(u, candidates, Math.max(fits, 1));
         double weights = chosen.stream().mapToDouble(Candidate::weight).sum();
-        while (chosen.size() > 1 && USED * available * chosen.get(chosen.size() - 1).weight() / weights < least) {
+        while (chosen.size() > 1
+                && USED * available * chosen.get(chosen.size() - 1).weight() / weights < least) {
             weights -= chosen.get(chosen.size() - 1).weight(); // its part would be too small to be of use
             chosen = chosen.subList(0, chosen.size() - 1);
         }
@@ -174,12 +178,17 @@
 
     /** What is lent for at least as long, of the process that runs there now. */
     private static double available(Upstream u, long launchedAt, long end) {
-        return u.lent.values().stream().filter(l -> l.until() >= end && l.launchedAt() == launchedAt)
-                .mapToDouble(Lent::rate).sum();
+        return u.lent.values().stream()
+                .filter(l -> l.until() >= end && l.launchedAt() == launchedAt)
+                .mapToDouble(Lent::rate)
+                .sum();
     }
 
     private static double holds(Upstream u, String forwarder) {
-        return u.held.getOrDefault(forwarder, List.of()).stream().mapToDouble(Held::rate).max().orElse(0);
+        return u.held.getOrDefault(forwarder, List.of()).stream()
+                .mapToDouble(Held::rate)
+                .max()
+                .orElse(0);
     }
 
     private static double outstanding(Upstream u) {
--- a/src/main/java/sedgeyoke/plan/Fleet.java
+++ b/src/main/java/sedgeyoke/plan/Fleet.java
@@ -14,9 +14,11 @@
     private static final long FORGOTTEN_AFTER = 10_000_000;
     /** A report older than that says nothing of what an upstream can do. */
     private static final long FRESH = 3_000_000;
+
     private static final double SMOOTH = 0.2;
     /** Below that utilisation, throughput tells little of capacity. */
     private static final double LEAST_UTILISATION = 0.15;
+
     private static final double LEAST_RATE = 2;
 
     private final int most;
@@ -149,7 +151,11 @@
 
     /** What each zone can do, in requests a second; an upstream of unknown capacity counts as the others' mean. */
     double[] zoneCapacity(int zones) {
-        double mean = byId.values().stream().mapToDouble(u -> u.capacity).filter(c -> c > 0).average().orElse(0);
+        double mean = byId.values().stream()
+                .mapToDouble(u -> u.capacity)
+                .filter(c -> c > 0)
+                .average()
+                .orElse(0);
         double[] capacity = new double[zones];
         for (Upstream u : byId.values()) {
             boolean counts = u.zone >= 0 && u.zone < zones && !u.draining() && fresh(u, measuredAt);
--- a/src/main/java/sedgeyoke/plan/Follower.java
+++ b/src/main/java/sedgeyoke/plan/Follower.java
@@ -29,6 +29,7 @@
     private static final double CLEARLY_MORE = 1.1;
     /** A view that was not renewed for so long is dropped. */
     private static final long VIEW_WITHIN = 5_000_000;
+
     private static final int MOST_VIEWS = 20_000;
     /** A deposit is worth something only if most of its lease is left when it gets to the planner. */
     private static final int ECHO_SHARE = 3;
@@ -55,16 +56,16 @@
      * @param fadeTime how long a plan takes to fade out, in microseconds
      * @param leastGrant the smallest grant that it can use, in mean requests a second
      */
-    public record Identity(String name, long incarnation, int zone, long lease, long fadeTime, double leastGrant) { }
+    public record Identity(String name, long incarnation, int zone, long lease, long fadeTime, double leastGrant) {}
 
     /** A planner's last message and when it came. */
-    private record Heard(PlanMessage message, long at) { }
+    private record Heard(PlanMessage message, long at) {}
 
     /** Our right on an upstream, to which process of which planner it is lent, and until when by our clock. */
-    record Lent(String planner, long incarnation, long until) { }
+    record Lent(String planner, long incarnation, long until) {}
 
     /** A view and when it came. */
-    private record View(PlanMessage.View view, long at) { }
+    private record View(PlanMessage.View view, long at) {}
 
     /** Starts at {@code now}; until a lease from then it uses none of its own rights on cold upstreams. */
     public Follower(Identity self, LeaseTerms terms, long now) {
@@ -96,8 +97,10 @@
      */
     public Report report(long now, String planner, Balancer.Summary summary) {
         Heard heard = planners.get(planner);
-        Report.Stamp echo = heard == null ? Report.Stamp.NONE
-                : new Report.Stamp(heard.message().incarnation(), heard.message().sentAt());
+        Report.Stamp echo = heard == null
+                ? Report.Stamp.NONE
+                : new Report.Stamp(
+                        heard.message().incarnation(), heard.message().sentAt());
         List<Report.Deposit> deposits = new ArrayList<>();
         if (heard != null && planner.equals(follow(now)) && now - heard.at() <= self.lease() / ECHO_SHARE) {
             for (Standing s : summary.upstreams()) {
@@ -107,8 +110,18 @@
                 }
             }
         }
-        return new Report(self.name(), self.incarnation(), ++sequence, now, echo, self.zone(), self.lease(),
-                self.leastGrant(), summary.demand(), loads(now, summary.upstreams()), deposits);
+        return new Report(
+                self.name(),
+                self.incarnation(),
+                ++sequence,
+                now,
+                echo,
+                self.zone(),
+                self.lease(),
+                self.leastGrant(),
+                summary.demand(),
+                loads(now, summary.upstreams()),
+                deposits);
     }
 
     /** Whether our right may be lent to a planner's process: another one may have passed it on already. */
@@ -134,9 +147,18 @@
     private List<Report.Load> loads(long now, List<Standing> all) {
         List<Report.Load> loads = new ArrayList<>();
         for (Standing s : turn.take(all, Report.MOST_LOADS)) {
-            loads.add(new Report.Load(s.id(), s.zone(), s.state() == State.DRAINING, s.launchedAt(), s.inFlight(),
-                    s.sent(), s.limit(), s.utilisation(), s.waiting(),
-                    s.reportedAt() > 0 ? Math.max(0, now - s.reportedAt()) : -1, s.ejected()));
+            loads.add(new Report.Load(
+                    s.id(),
+                    s.zone(),
+                    s.state() == State.DRAINING,
+                    s.launchedAt(),
+                    s.inFlight(),
+                    s.sent(),
+                    s.limit(),
+                    s.utilisation(),
+                    s.waiting(),
+                    s.reportedAt() > 0 ? Math.max(0, now - s.reportedAt()) : -1,
+                    s.ejected()));
         }
         return loads;
     }
@@ -146,7 +168,8 @@
     /** Takes in a message; false if an older one than what is known, or the answer to another process's report. */
     public boolean heard(long now, PlanMessage m) {
         Heard before = planners.get(m.planner());
-        boolean older = before != null && before.message().incarnation() == m.incarnation()
+        boolean older = before != null
+                && before.message().incarnation() == m.incarnation()
                 && before.message().sequence() >= m.sequence();
         if (older || !answersUs(m) || m.echo().at() > now) {
             return false;
@@ -182,7 +205,8 @@
             }
         }
         Heard current = leader == null ? null : planners.get(leader);
-        boolean stay = current != null && now - current.at() <= FOLLOW_WITHIN
+        boolean stay = current != null
+                && now - current.at() <= FOLLOW_WITHIN
                 && best.message().coverage() <= CLEARLY_MORE * current.message().coverage();
         leader = stay ? leader : best == null ? null : best.message().planner();
         return leader;
@@ -190,7 +214,9 @@
 
     /** Coverage of the planner that is followed and of the others that are heard: for who watches. */
     public int heardPlanners(long now) {
-        return (int) planners.values().stream().filter(h -> now - h.at() <= FOLLOW_WITHIN).count();
+        return (int) planners.values().stream()
+                .filter(h -> now - h.at() <= FOLLOW_WITHIN)
+                .count();
     }
 
     /** What the module is to know now. */
@@ -203,11 +229,19 @@
         for (View v : views.values()) {
             PlanMessage.View view = v.view();
             boolean shared = view.zone() >= 0 && view.zone() < shares.size();
-            known.add(new UpstreamView(view.upstream(), shared ? view.totalLimit() * shares.get(view.zone())
-                    : Double.NaN, view.launchedAt(), view.draining()));
+            known.add(new UpstreamView(
+                    view.upstream(),
+                    shared ? view.totalLimit() * shares.get(view.zone()) : Double.NaN,
+                    view.launchedAt(),
+                    view.draining()));
         }
-        return new Balancer.Plan(heardAt, fadeTime, known,
-                guide == null ? List.of() : guide.message().spill(), quietUntil, rights(now));
+        return new Balancer.Plan(
+                heardAt,
+                fadeTime,
+                known,
+                guide == null ? List.of() : guide.message().spill(),
+                quietUntil,
+                rights(now));
     }
 
     private Map<String, ColdRight> rights(long now) {
@@ -215,7 +249,8 @@
         Map<String, List<ColdGrant>> grants = new HashMap<>();
         Map<String, Long> launched = new HashMap<>();
         for (Heard h : planners.values()) {
-            long until = terms.usableUntil(h.message().echo().at(), h.at(), h.message().grantFor());
+            long until = terms.usableUntil(
+                    h.message().echo().at(), h.at(), h.message().grantFor());
             for (PlanMessage.Grant g : until > now ? h.message().grants() : List.<PlanMessage.Grant>of()) {
                 long newest = launched.merge(g.upstream(), g.launchedAt(), Math::max);
                 List<ColdGrant> held = grants.computeIfAbsent(g.upstream(), id -> new ArrayList<>());
@@ -229,8 +264,12 @@
         TreeSet<String> ids = new TreeSet<>(lent.keySet());
         ids.addAll(grants.keySet());
         for (String id : ids) {
-            rights.put(id, new ColdRight(launched.getOrDefault(id, 0L),
-                    lent.containsKey(id) ? lent.get(id).until() : Long.MIN_VALUE, grants.getOrDefault(id, List.of())));
+            rights.put(
+                    id,
+                    new ColdRight(
+                            launched.getOrDefault(id, 0L),
+                            lent.containsKey(id) ? lent.get(id).until() : Long.MIN_VALUE,
+                            grants.getOrDefault(id, List.of())));
         }
         return rights;
     }
--- a/src/main/java/sedgeyoke/plan/PlanMessage.java
+++ b/src/main/java/sedgeyoke/plan/PlanMessage.java
@@ -17,8 +17,17 @@
  * @param grantFor how long the grants hold, in microseconds, counted from the echoed stamp
  * @param grants rights to send to cold upstreams, all that this planner grants to this forwarder
  */
-public record PlanMessage(String planner, long incarnation, long sequence, long sentAt, Report.Stamp echo,
-        int coverage, List<View> views, List<Double> spill, List<Double> limitShares, long grantFor,
+public record PlanMessage(
+        String planner,
+        long incarnation,
+        long sequence,
+        long sentAt,
+        Report.Stamp echo,
+        int coverage,
+        List<View> views,
+        List<Double> spill,
+        List<Double> limitShares,
+        long grantFor,
         List<Grant> grants) {
 
     /**
@@ -30,8 +39,8 @@
      * @param launchedAt the latest start that any forwarder was told of
      * @param draining whether any forwarder was told that it drains
      */
-    public record View(String upstream, int zone, double totalLimit, long launchedAt, boolean draining) { }
+    public record View(String upstream, int zone, double totalLimit, long launchedAt, boolean draining) {}
 
     /** A right of {@code rate} mean requests a second to an upstream that is cold since {@code launchedAt}. */
-    public record Grant(String upstream, long launchedAt, double rate) { }
+    public record Grant(String upstream, long launchedAt, double rate) {}
 }
--- a/src/main/java/sedgeyoke/plan/Planner.java
+++ b/src/main/java/sedgeyoke/plan/Planner.java
@@ -33,10 +33,10 @@
      * @param mostForwarders further ones are not heard
      * @param mostUpstreams what is reported of further ones is left out
      */
-    public record Settings(String name, long incarnation, int mostForwarders, int mostUpstreams) { }
+    public record Settings(String name, long incarnation, int mostForwarders, int mostUpstreams) {}
 
     /** A message and whom it is for. */
-    public record Out(String forwarder, PlanMessage message) { }
+    public record Out(String forwarder, PlanMessage message) {}
 
     /** A forwarder that reports. */
     static final class Member {
@@ -87,7 +87,9 @@
         m.heardAt = now;
         m.answered = false;
         fleet.reported(now, report);
-        pool.deposited(report.forwarder(), lentToUs(report) ? report.deposits() : List.of(),
+        pool.deposited(
+                report.forwarder(),
+                lentToUs(report) ? report.deposits() : List.of(),
                 terms.depositUntil(report.echo().at(), now, report.lease()));
         return true;
     }
@@ -118,10 +120,20 @@
                 continue; // it has an answer to that report, and a grant is an answer to one
             }
             m.answered = true;
-            out.add(new Out(m.last.forwarder(), new PlanMessage(settings.name(), settings.incarnation(), ++sequence,
-                    now, new Report.Stamp(m.last.incarnation(), m.last.sentAt()), members.size(), views,
-                    spill.row(m.last.zone()), spill.limitShares(m.last.zone(), m.demand()),
-                    terms.grantFor(m.last.lease()), grants.getOrDefault(m.last.forwarder(), List.of()))));
+            out.add(new Out(
+                    m.last.forwarder(),
+                    new PlanMessage(
+                            settings.name(),
+                            settings.incarnation(),
+                            ++sequence,
+                            now,
+                            new Report.Stamp(m.last.incarnation(), m.last.sentAt()),
+                            members.size(),
+                            views,
+                            spill.row(m.last.zone()),
+                            spill.limitShares(m.last.zone(), m.demand()),
+                            terms.grantFor(m.last.lease()),
+                            grants.getOrDefault(m.last.forwarder(), List.of()))));
         }
         return out;
     }
--- a/src/main/java/sedgeyoke/plan/Report.java
+++ b/src/main/java/sedgeyoke/plan/Report.java
@@ -18,8 +18,18 @@
  * @param loads how it stands with some upstreams; a report has room for so many, and the others keep what was told
  * @param deposits rights of its own that it will not use while the lease runs
  */
-public record Report(String forwarder, long incarnation, long sequence, long sentAt, Stamp echo, int zone, long lease,
-        double leastGrant, List<Double> demand, List<Load> loads, List<Deposit> deposits) {
+public record Report(
+        String forwarder,
+        long incarnation,
+        long sequence,
+        long sentAt,
+        Stamp echo,
+        int zone,
+        long lease,
+        double leastGrant,
+        List<Double> demand,
+        List<Load> loads,
+        List<Deposit> deposits) {
     /** The most upstreams in one report. */
     public static final int MOST_LOADS = 128;
     /** The most deposits in one report. */
@@ -51,9 +61,19 @@
      * @param age of that report, in microseconds; negative without one
      * @param ejected whether the forwarder keeps off it for now
      */
-    public record Load(String upstream, int zone, boolean draining, long launchedAt, int inFlight, long sent,
-            double limit, double utilisation, double waiting, long age, boolean ejected) { }
+    public record Load(
+            String upstream,
+            int zone,
+            boolean draining,
+            long launchedAt,
+            int inFlight,
+            long sent,
+            double limit,
+            double utilisation,
+            double waiting,
+            long age,
+            boolean ejected) {}
 
     /** A right of {@code rate} mean requests a second to send to an upstream that is cold since {@code launchedAt}. */
-    public record Deposit(String upstream, long launchedAt, double rate) { }
+    public record Deposit(String upstream, long launchedAt, double rate) {}
 }
--- a/src/main/java/sedgeyoke/plan/Spill.java
+++ b/src/main/java/sedgeyoke/plan/Spill.java
@@ -29,7 +29,9 @@
     }
 
     static Spill of(Fleet fleet, Collection<Planner.Member> members) {
-        int zones = Math.max(fleet.zones(), members.stream().mapToInt(m -> m.last.zone() + 1).max().orElse(0));
+        int zones = Math.max(
+                fleet.zones(),
+                members.stream().mapToInt(m -> m.last.zone() + 1).max().orElse(0));
         double[] demand = new double[zones];
         members.forEach(m -> demand[m.last.zone()] += m.demand());
         return of(demand, fleet.zoneCapacity(zones));
@@ -53,7 +55,8 @@
         }
         double[][] shares = new double[zones][zones];
         for (int z = 0; z < zones; z++) {
-            double over = demand[z] <= 0 || possible <= 0 || allRoom <= 0 ? 0
+            double over = demand[z] <= 0 || possible <= 0 || allRoom <= 0
+                    ? 0
                     : Math.max(0, demand[z] - full * capacity[z]) / demand[z];
             for (int to = 0; to < zones; to++) {
                 shares[z][to] = to == z ? 1 - over : allRoom > 0 ? over * room[to] / allRoom : 0;
--- a/src/main/java/sedgeyoke/serve/Features.java
+++ b/src/main/java/sedgeyoke/serve/Features.java
@@ -74,9 +74,15 @@
             return;
         }
         Balancer.Settings settings = config.facts().settings();
-        double leastGrant = LEAST_GRANT_REQUESTS * 1e6 / Math.max(1, settings.rules().fallTime());
-        Follower.Identity self = new Follower.Identity(config.name(), new SecureRandom().nextLong() | 1,
-                settings.zone(), plans.leaseMs() * 1_000, plans.fadeMs() * 1_000, leastGrant);
+        double leastGrant =
+                LEAST_GRANT_REQUESTS * 1e6 / Math.max(1, settings.rules().fallTime());
+        Follower.Identity self = new Follower.Identity(
+                config.name(),
+                new SecureRandom().nextLong() | 1,
+                settings.zone(),
+                plans.leaseMs() * 1_000,
+                plans.fadeMs() * 1_000,
+                leastGrant);
         try {
             planners = new PlannerLink(loop, server.port(), self, plans);
         } catch (IOException e) {
@@ -93,8 +99,15 @@
         }
         ModulePort port = server.port();
         try {
-            AgreedLink link = new AgreedLink(loop, agreed, config.name(), new SecureRandom().nextLong() | 1, port::now,
-                    port::log, acting -> port.agreedOut(acting.document().names(Schema.UPSTREAMS_OUT).keySet()));
+            AgreedLink link = new AgreedLink(
+                    loop,
+                    agreed,
+                    config.name(),
+                    new SecureRandom().nextLong() | 1,
+                    port::now,
+                    port::log,
+                    acting -> port.agreedOut(
+                            acting.document().names(Schema.UPSTREAMS_OUT).keySet()));
             loop.execute(link::start);
         } catch (IOException e) {
             throw new Bad(path + ": [agreed]: " + e.getMessage());
--- a/src/main/java/sedgeyoke/serve/Hangup.java
+++ b/src/main/java/sedgeyoke/serve/Hangup.java
@@ -4,7 +4,7 @@
 
 /** SIGHUP, which ends a JVM that does not handle it. */
 public final class Hangup {
-    private Hangup() { }
+    private Hangup() {}
 
     /**
      * Guards against the end that SIGHUP is to a JVM. The class that takes signals is in every JDK but in no
@@ -16,8 +16,8 @@
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object ours = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
-                    (proxy, method, arguments) -> {
+            Object ours = Proxy.newProxyInstance(
+                    handler.getClassLoader(), new Class<?>[] {handler}, (proxy, method, arguments) -> {
                         if (method.getDeclaringClass() == handler) {
                             action.run();
                             return null;
--- a/src/main/java/sedgeyoke/serve/Main.java
+++ b/src/main/java/sedgeyoke/serve/Main.java
@@ -29,6 +29,7 @@
     private final Features features;
     /** When the last reading of files began and ended, by the monotonic clock; 0 for not yet. */
     private volatile long reloadBegan;
+
     private volatile long reloadEnded;
 
     private Main(String configPath, Server server, Features features) {
@@ -60,8 +61,8 @@
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         Server server = null;
         try {
-            server = Server.onSockets(loop, config, features == null ? config.bodies() : features.bodies(),
-                    inherited());
+            server =
+                    Server.onSockets(loop, config, features == null ? config.bodies() : features.bodies(), inherited());
         } catch (IllegalArgumentException e) {
             fail("settings: " + e.getMessage());
         }
@@ -76,7 +77,8 @@
         }
         ChannelFuture door = server.openDoor();
         if (door != null && !door.await().isSuccess()) {
-            fail("cannot listen for operators on " + config.ops() + ": " + door.cause().getMessage());
+            fail("cannot listen for operators on " + config.ops() + ": "
+                    + door.cause().getMessage());
         }
         try {
             if (features != null) {
--- a/src/main/java/sedgeyoke/site/Ledger.java
+++ b/src/main/java/sedgeyoke/site/Ledger.java
@@ -18,10 +18,12 @@
 public final class Ledger {
     /** The rules on sockets allow so much more for each time limit. */
     private static final long SOCKET_SLACK = 50_000;
+
     private static final long ANSWER_SLACK = 20_000 + SOCKET_SLACK;
     private static final int MOST_TEXTS = 20;
     /** How often the judge looks whether it is late itself. */
     public static final long BEAT = 10_000;
+
     private static final long STALLS_KNOWN_FOR = 30_000_000;
 
     private final SiteSpec site;
@@ -29,9 +31,10 @@
     private final Map<String, Map<String, Long>> closedAt = new HashMap<>();
     private final Map<String, Long> byBalancer = new HashMap<>();
     private final Set<String> dead = new HashSet<>();
-    private Arrivals arrivals = (balancer, node, now) -> { };
+    private Arrivals arrivals = (balancer, node, now) -> {};
     /** Effects by idempotency key: all tries of one want are to have one. */
     private final Map<String, Integer> effectsByKey = new HashMap<>();
+
     private final List<String> violations = new ArrayList<>();
     private final Map<Integer, Integer> byRule = new TreeMap<>();
     private final Map<String, Integer> answers = new TreeMap<>();
@@ -46,6 +49,7 @@
      * Times in which the judge itself stood still: from, for how long. What it notes right after is older than that.
      */
     private final Deque<long[]> stalls = new ArrayDeque<>();
+
     private long lastBeat = Long.MIN_VALUE;
     private long stalled;
 
@@ -61,7 +65,12 @@
     }
 
     /** How a client saw its request end. */
-    public enum Answer { SERVED, REFUSED, FAILED, NONE }
+    public enum Answer {
+        SERVED,
+        REFUSED,
+        FAILED,
+        NONE
+    }
 
     /** One request of a client; a retry is another one. */
     private static final class Entry {
@@ -95,8 +104,15 @@
      * @param violations how often each rule was broken
      * @param coldPeak the most that a cold node was sent, as a share of what makes it fall over
      */
-    public record Summary(long requests, double service, double p50Ms, double p99Ms, long attempts,
-            Map<String, Integer> answers, Map<Integer, Integer> violations, double coldPeak) {
+    public record Summary(
+            long requests,
+            double service,
+            double p50Ms,
+            double p99Ms,
+            long attempts,
+            Map<String, Integer> answers,
+            Map<Integer, Integer> violations,
+            double coldPeak) {
         /** Rules broken, of all kinds. */
         public int ruleViolations() {
             return violations.values().stream().mapToInt(Integer::intValue).sum();
@@ -254,8 +270,9 @@
         Long closed = closedAt.getOrDefault(e.balancer, Map.of()).get(node);
         long grace = site.rules().drainGraceMs() * 1_000 + SOCKET_SLACK;
         if (closed != null && now - closed > grace + stalledSince(closed)) {
-            violation(3, id + " sent to " + node + " " + (now - closed) / 1_000 + " ms after " + e.balancer
-                    + " was told");
+            violation(
+                    3,
+                    id + " sent to " + node + " " + (now - closed) / 1_000 + " ms after " + e.balancer + " was told");
         }
         return e.cls;
     }
@@ -291,15 +308,26 @@
     /** What was refused must not have run; checked at the end too, as an answer may overtake its own run. */
     public Summary summary() {
         Map<Integer, Integer> rules = new TreeMap<>(byRule);
-        long refusedAfterRun = entries.values().stream().filter(e -> e.answer == Answer.REFUSED && e.effects > 0
-                && !e.flagged && !e.cls.repeat().equals("free")).count();
+        long refusedAfterRun = entries.values().stream()
+                .filter(e -> e.answer == Answer.REFUSED
+                        && e.effects > 0
+                        && !e.flagged
+                        && !e.cls.repeat().equals("free"))
+                .count();
         if (refusedAfterRun > 0) {
             rules.merge(2, (int) refusedAfterRun, Integer::sum);
         }
         long[] sorted = Arrays.copyOf(latencies, latencyCount);
         Arrays.sort(sorted);
-        return new Summary(requests, asked == 0 ? 1 : served / asked, percentile(sorted, 0.5),
-                percentile(sorted, 0.99), attempts, new TreeMap<>(answers), rules, coldPeak);
+        return new Summary(
+                requests,
+                asked == 0 ? 1 : served / asked,
+                percentile(sorted, 0.5),
+                percentile(sorted, 0.99),
+                attempts,
+                new TreeMap<>(answers),
+                rules,
+                coldPeak);
     }
 
     private static double percentile(long[] sorted, double share) {
--- a/src/main/java/sedgeyoke/site/NodeModel.java
+++ b/src/main/java/sedgeyoke/site/NodeModel.java
@@ -19,17 +19,21 @@
     private static final long REPORT_EVERY = 500_000;
     /** What is measured shows in answers so much later. */
     private static final long REPORT_DELAY = 250_000;
+
     private static final long KEY_WARM_FOR = 8_000_000;
     private static final double WARM_KEY_WORK = 0.6;
     private static final int MOST_KEYS = 200;
     /** A little slack for chance, as the platform's rule has. */
     private static final double SLACK_REQUESTS = 2;
+
     private static final double SMOOTH = 0.1;
     /** Beyond so many requests at work for each core it gets less done, down to the least at twice as many. */
     private static final double CROWDED_FROM = 6;
+
     private static final double CROWDED_LOSS = 0.4;
     /** While it warms up, its speed is looked at so often. */
     private static final long WARMING_LOOK = 50_000;
+
     private static final double FIRST_SERVICE_MS = 30;
 
     private final SiteSpec.NodeSpec spec;
@@ -39,6 +43,7 @@
     private final SplittableRandom random;
     /** Keys whose repeats the nodes of one zone drop: shared among them. */
     private final ZoneMemory effects;
+
     private final Deque<Job> queue = new ArrayDeque<>();
     private final Deque<double[]> coldArrivals = new ArrayDeque<>();
     private double coldSum;
@@ -53,6 +58,7 @@
     private final PriorityQueue<Active> working = new PriorityQueue<>();
     /** Seconds of work done for each request that was at work all the time, and when that was last brought up. */
     private double progress;
+
     private long progressAt;
     private long looks;
     private long started;
@@ -83,26 +89,32 @@
 
     /** What an answer is. */
     public enum Kind {
-        /** Run. */ DONE,
-        /** Rejected unseen, as the queue is full or the node drains. */ FULL,
-        /** Failed; it may have run. */ ERROR
+        /** Run. */
+        DONE,
+        /** Rejected unseen, as the queue is full or the node drains. */
+        FULL,
+        /** Failed; it may have run. */
+        ERROR
     }
 
     /** How a node may fail without going down. */
     public enum Failing {
-        /** It does not. */ NOT,
-        /** Errors at once, without any work. */ FAST,
-        /** Errors after all the work, whose effect stands. */ SLOW
+        /** It does not. */
+        NOT,
+        /** Errors at once, without any work. */
+        FAST,
+        /** Errors after all the work, whose effect stands. */
+        SLOW
     }
 
     /** An answer with the node's load report: cores in use, 0 to 1, requests waiting, mean service time. */
-    public record Answer(Kind kind, double utilisation, int waiting, int active, double serviceMs) { }
+    public record Answer(Kind kind, double utilisation, int waiting, int active, double serviceMs) {}
 
     /** A request in its queue or at work; {@code work} as if its key were cold. */
-    private record Job(String id, String key, double work, boolean effect, boolean fails, Reply reply) { }
+    private record Job(String id, String key, double work, boolean effect, boolean fails, Reply reply) {}
 
     /** What a load report tells. */
-    private record Measured(double utilisation, int waiting, double serviceMs) { }
+    private record Measured(double utilisation, int waiting, double serviceMs) {}
 
     /** One at work. */
     private record Active(Job job, double doneAt, long since, long number) implements Comparable<Active> {
@@ -114,8 +126,8 @@
     }
 
     /** A node that is warm and idle. {@code zoneEffects} is shared by the nodes of its zone. */
-    public NodeModel(SiteSpec.NodeSpec spec, SiteSpec site, Host host, Ledger ledger, ZoneMemory zoneEffects,
-            long seed) {
+    public NodeModel(
+            SiteSpec.NodeSpec spec, SiteSpec site, Host host, Ledger ledger, ZoneMemory zoneEffects, long seed) {
         this.spec = spec;
         this.site = site;
         this.host = host;
--- a/src/main/java/sedgeyoke/site/SiteSpec.java
+++ b/src/main/java/sedgeyoke/site/SiteSpec.java
@@ -11,8 +11,8 @@
  * @param rules the figures of the rules
  * @param retryAfter whether refusals may tell clients when to come back
  */
-public record SiteSpec(List<String> zones, List<WorkClass> classes, List<NodeSpec> nodes, RuleSpec rules,
-        boolean retryAfter) {
+public record SiteSpec(
+        List<String> zones, List<WorkClass> classes, List<NodeSpec> nodes, RuleSpec rules, boolean retryAfter) {
     /** What nodes are called by their speed. */
     public static final List<String> KINDS = List.of("fast", "slow");
 
@@ -67,12 +67,13 @@
      * that the same nodes carry fewer requests a second and each balancer sees fewer of them.
      */
     public static List<WorkClass> orders(double scale) {
-        return List.of(order("position-update", "guarded", 0.54, 250 * scale, 500 * scale, 10, 50 * scale),
+        return List.of(
+                order("position-update", "guarded", 0.54, 250 * scale, 500 * scale, 10, 50 * scale),
                 order("trade-confirm", "single_shot", 0.46, 800 * scale, 2_500 * scale, 30, 100 * scale));
     }
 
-    private static WorkClass order(String name, String repeat, double share, double aimMs, double giveUpMs,
-            double worth, double workMs) {
+    private static WorkClass order(
+            String name, String repeat, double share, double aimMs, double giveUpMs, double worth, double workMs) {
         return new WorkClass(name, repeat, share, (int) Math.round(aimMs), (int) Math.round(giveUpMs), worth, workMs);
     }
 
--- a/src/main/java/sedgeyoke/site/WorkClass.java
+++ b/src/main/java/sedgeyoke/site/WorkClass.java
@@ -14,8 +14,8 @@
  * @param workMs mean work on a core of speed 1
  * @param spread how work differs from one request to the next
  */
-public record WorkClass(String name, String repeat, double share, int aimMs, int giveUpMs, double worth,
-        double workMs, Spread spread) {
+public record WorkClass(
+        String name, String repeat, double share, int aimMs, int giveUpMs, double worth, double workMs, Spread spread) {
     private static final double LEAST = 0.4;
     private static final double MOST = 4;
 
@@ -26,10 +26,14 @@
 
     /** Distributions of work about its mean. */
     public enum Spread {
-        /** 0.4 of the mean at least, the rest exponential, cut at four times the mean. */ USUAL,
-        /** Exponential, as queueing theory likes it. */ EXPONENTIAL,
-        /** Always the mean. */ CONSTANT,
-        /** One in ten takes five and a half times the mean, the others half of it. */ TWO_KINDS
+        /** 0.4 of the mean at least, the rest exponential, cut at four times the mean. */
+        USUAL,
+        /** Exponential, as queueing theory likes it. */
+        EXPONENTIAL,
+        /** Always the mean. */
+        CONSTANT,
+        /** One in ten takes five and a half times the mean, the others half of it. */
+        TWO_KINDS
     }
 
     /** The work of one request, in seconds. */
@@ -43,7 +47,6 @@
         };
     }
 
-
     /** Whether order nodes drop repeats by their key. */
     public boolean keyed() {
         return repeat.equals("guarded");
--- a/src/main/java/sedgeyoke/standin/BulkClient.java
+++ b/src/main/java/sedgeyoke/standin/BulkClient.java
@@ -37,11 +37,14 @@
     }
 
     /** Asks a balancer; done when it has ended in whatever way. */
-    public static CompletableFuture<BulkPair> ask(EventLoop loop, InetSocketAddress balancer, BulkPair pair,
-            long budgetMs, int buffer) {
+    public static CompletableFuture<BulkPair> ask(
+            EventLoop loop, InetSocketAddress balancer, BulkPair pair, long budgetMs, int buffer) {
         BulkClient client = new BulkClient(pair, budgetMs);
         pair.startedNanos = System.nanoTime();
-        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.AUTO_READ, false)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
@@ -49,7 +52,9 @@
                         BulkReceiver.prepare(ch, buffer);
                         ch.pipeline().addLast(new HttpClientCodec(), client);
                     }
-                }).connect(balancer).addListener((ChannelFuture connected) -> {
+                })
+                .connect(balancer)
+                .addListener((ChannelFuture connected) -> {
                     if (!connected.isSuccess()) {
                         client.end(BulkPair.End.CUT);
                     }
@@ -68,8 +73,11 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/api?obj=" + pair.id);
-        head.headers().set(HttpHeaderNames.HOST, "origin.svc").set("X-Call-Id", pair.id)
-                .set("X-Call-Class", pair.cls.name()).set("X-Budget-Ms", budgetMs);
+        head.headers()
+                .set(HttpHeaderNames.HOST, "origin.svc")
+                .set("X-Call-Id", pair.id)
+                .set("X-Call-Class", pair.cls.name())
+                .set("X-Budget-Ms", budgetMs);
         if (pair.cls.keyed()) {
             head.headers().set("Idempotency-Key", "k-" + pair.id);
         }
@@ -79,7 +87,11 @@
             head.headers().set(HttpHeaderNames.CONTENT_LENGTH, pair.upLength);
         }
         ctx.write(head);
-        sender = new BulkSender(ctx.channel(), pair.upOffset, pair.upLength, pair.rate(pair.upLength, true, true),
+        sender = new BulkSender(
+                ctx.channel(),
+                pair.upOffset,
+                pair.upLength,
+                pair.rate(pair.upLength, true, true),
                 digest -> pair.upSent = digest);
         sender.go();
         ctx.read();
--- a/src/main/java/sedgeyoke/standin/BulkContent.java
+++ b/src/main/java/sedgeyoke/standin/BulkContent.java
@@ -14,13 +14,14 @@
 final class BulkContent {
     /** No power of two, so that no buffer size divides it. */
     private static final int SIZE = 1_000_003;
+
     private static final byte[] BLOCK = new byte[SIZE];
 
     static {
         new SplittableRandom(20_261_201).nextBytes(BLOCK);
     }
 
-    private BulkContent() { }
+    private BulkContent() {}
 
     /** At most {@code most} bytes of the body with this offset, from {@code at} on; one byte at least. */
     static ByteBuf part(int offset, long at, int most) {
--- a/src/main/java/sedgeyoke/standin/BulkNode.java
+++ b/src/main/java/sedgeyoke/standin/BulkNode.java
@@ -35,8 +35,11 @@
     /** Listens; {@code pairs} are found by {@code X-Call-Id}, {@code buffer} is for each socket. Not on the loop. */
     public BulkNode(EventLoop loop, Map<String, BulkPair> pairs, int buffer) {
         this.pairs = pairs;
-        Channel listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).childOption(ChannelOption.TCP_NODELAY, true)
+        Channel listener = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.AUTO_READ, false)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -44,7 +47,10 @@
                         BulkReceiver.prepare(ch, buffer);
                         ch.pipeline().addLast(new HttpServerCodec(LINE, HEADERS, CHUNK), new Connection());
                     }
-                }).bind(Http.loopback(0)).syncUninterruptibly().channel();
+                })
+                .bind(Http.loopback(0))
+                .syncUninterruptibly()
+                .channel();
         port = ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
@@ -93,8 +99,12 @@
                 head.headers().set(HttpHeaderNames.CONTENT_LENGTH, done.downLength);
             }
             ctx.write(head);
-            sender = new BulkSender(ctx.channel(), done.downOffset, done.downLength,
-                    done.rate(done.downLength, false, true), digest -> {
+            sender = new BulkSender(
+                    ctx.channel(),
+                    done.downOffset,
+                    done.downLength,
+                    done.rate(done.downLength, false, true),
+                    digest -> {
                         done.downSent = digest;
                         sender = null;
                         ctx.channel().eventLoop().execute(ctx::read); // the next request
--- a/src/main/java/sedgeyoke/standin/BulkPair.java
+++ b/src/main/java/sedgeyoke/standin/BulkPair.java
@@ -12,18 +12,26 @@
 public final class BulkPair {
     /** Shape of an exchange. */
     public enum Pace {
-        /** The client trickles; the node is fast. */ SLOW_CLIENT,
-        /** The node trickles; the client is fast. */ SLOW_NODE,
-        /** Nobody waits for anybody. */ NONE
+        /** The client trickles; the node is fast. */
+        SLOW_CLIENT,
+        /** The node trickles; the client is fast. */
+        SLOW_NODE,
+        /** Nobody waits for anybody. */
+        NONE
     }
 
     /** How it ended, as the client saw it. */
     public enum End {
-        /** Still on its way. */ OPEN,
-        /** Answered with 200, and whole. */ COMPLETE,
-        /** 429 or 503. */ REFUSED,
-        /** Any other answer. */ FAILED,
-        /** The connection ended before the answer did. */ CUT
+        /** Still on its way. */
+        OPEN,
+        /** Answered with 200, and whole. */
+        COMPLETE,
+        /** 429 or 503. */
+        REFUSED,
+        /** Any other answer. */
+        FAILED,
+        /** The connection ended before the answer did. */
+        CUT
     }
 
     private static final long BUFFERED = 256 << 10;
@@ -39,6 +47,7 @@
     final boolean chunkedDown;
     /** How long each direction takes at its pace, in milliseconds. */
     final long wayMs;
+
     volatile byte[] upSent;
     volatile byte[] upArrived;
     volatile byte[] downSent;
@@ -48,8 +57,8 @@
     volatile long startedNanos;
     volatile long endedNanos;
 
-    private BulkPair(String id, WorkClass cls, Pace pace, long upLength, long downLength, long wayMs,
-            SplittableRandom random) {
+    private BulkPair(
+            String id, WorkClass cls, Pace pace, long upLength, long downLength, long wayMs, SplittableRandom random) {
         this.id = id;
         this.cls = cls;
         this.pace = pace;
@@ -63,8 +72,8 @@
     }
 
     /** A pair with lengths from {@code least} to {@code most} bytes, evenly in their logarithms. */
-    public static BulkPair draw(String id, WorkClass cls, Pace pace, long least, long most, long wayMs,
-            SplittableRandom random) {
+    public static BulkPair draw(
+            String id, WorkClass cls, Pace pace, long least, long most, long wayMs, SplittableRandom random) {
         return new BulkPair(id, cls, pace, length(least, most, random), length(least, most, random), wayMs, random);
     }
 
@@ -127,7 +136,9 @@
 
     /** Whether both bodies arrived as they were sent; asked of complete ones. */
     public boolean digestsMatch() {
-        return Arrays.equals(upSent, upArrived) && Arrays.equals(downSent, downArrived)
-                && upSent != null && downSent != null;
+        return Arrays.equals(upSent, upArrived)
+                && Arrays.equals(downSent, downArrived)
+                && upSent != null
+                && downSent != null;
     }
 }
--- a/src/main/java/sedgeyoke/standin/BulkReceiver.java
+++ b/src/main/java/sedgeyoke/standin/BulkReceiver.java
@@ -40,7 +40,8 @@
 
     /** Reads on, now or when it is time; to be called after each read. */
     void more() {
-        double dueMs = perSecond == 0 || received >= length ? 0
+        double dueMs = perSecond == 0 || received >= length
+                ? 0
                 : received / perSecond * 1e3 - (System.nanoTime() - startedAt) / 1e6;
         if (dueMs <= 0) {
             channel.read();
--- a/src/main/java/sedgeyoke/standin/Certificates.java
+++ b/src/main/java/sedgeyoke/standin/Certificates.java
@@ -19,7 +19,9 @@
     public Certificates(Path folder) throws IOException {
         this.folder = folder;
         try {
-            this.authority = builder("CN=stand-in authority").setIsCertificateAuthority(true).buildSelfSigned();
+            this.authority = builder("CN=stand-in authority")
+                    .setIsCertificateAuthority(true)
+                    .buildSelfSigned();
         } catch (Exception e) { // the builder declares nothing narrower
             throw new IOException("no certificate authority", e);
         }
@@ -28,7 +30,10 @@
 
     private static CertificateBuilder builder(String subject) {
         Instant now = Instant.now();
-        return new CertificateBuilder().subject(subject).notBefore(now.minus(VALID)).notAfter(now.plus(VALID))
+        return new CertificateBuilder()
+                .subject(subject)
+                .notBefore(now.minus(VALID))
+                .notAfter(now.plus(VALID))
                 .algorithm(CertificateBuilder.Algorithm.ecp256);
     }
 
--- a/src/main/java/sedgeyoke/standin/Clients.java
+++ b/src/main/java/sedgeyoke/standin/Clients.java
@@ -76,6 +76,7 @@
         final String key;
         /** The same for all its tries: they are to have one effect together. */
         final String idempotencyKey;
+
         int tries;
 
         Want(WorkClass cls, int zone, long since, String key, String idempotencyKey) {
@@ -160,8 +161,8 @@
         List<Front> among = up.isEmpty() ? fronts : up;
         Front front = among.get(random.nextInt(among.size()));
         want.tries++;
-        Request request = new Request(want, newId(), now,
-                Math.max(10, want.cls.giveUpMs() - (now - want.since) / 1_000));
+        Request request =
+                new Request(want, newId(), now, Math.max(10, want.cls.giveUpMs() - (now - want.since) / 1_000));
         ledger.asked(request.id(), want.cls, want.idempotencyKey, front.name, now, request.deadline());
         Connection connection = front.idle.poll();
         while (connection != null && !connection.channel.isActive()) {
@@ -216,6 +217,7 @@
         private Request current;
         /** What is on it now was first sent on another one. */
         private boolean resent;
+
         private int answered;
 
         Connection(Front front) {
@@ -233,11 +235,16 @@
             resent = again;
             long budgetMs = Math.max(1, (request.deadline() - clock.getAsLong()) / 1_000);
             boolean free = want.cls.repeat().equals("free");
-            FullHttpRequest http = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-                    free ? HttpMethod.GET : HttpMethod.POST, "/api?obj=" + want.key,
+            FullHttpRequest http = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1,
+                    free ? HttpMethod.GET : HttpMethod.POST,
+                    "/api?obj=" + want.key,
                     free ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(new byte[BODY]));
-            http.headers().set(HttpHeaderNames.HOST, "origin.svc").set("X-Call-Id", request.id())
-                    .set("X-Call-Class", want.cls.name()).set("X-Budget-Ms", budgetMs);
+            http.headers()
+                    .set(HttpHeaderNames.HOST, "origin.svc")
+                    .set("X-Call-Id", request.id())
+                    .set("X-Call-Class", want.cls.name())
+                    .set("X-Budget-Ms", budgetMs);
             if (want.idempotencyKey != null) {
                 http.headers().set("Idempotency-Key", want.idempotencyKey);
             }
@@ -248,11 +255,14 @@
                 http.headers().set(HttpHeaderNames.CONTENT_LENGTH, BODY);
             }
             channel.writeAndFlush(http);
-            loop.schedule(() -> {
-                if (current == request) {
-                    channel.close(); // its loss is noted in channelInactive
-                }
-            }, budgetMs + PATIENCE_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        if (current == request) {
+                            channel.close(); // its loss is noted in channelInactive
+                        }
+                    },
+                    budgetMs + PATIENCE_MS,
+                    TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -265,9 +275,13 @@
             current = null;
             answered++;
             int status = response.status().code();
-            boolean fits = status != 200 || ByteBufUtil.getBytes(response.content()).length > 0
-                    && response.content().toString(StandardCharsets.UTF_8).equals("done " + done.id());
-            Ledger.Answer answer = status == 200 ? Ledger.Answer.SERVED
+            boolean fits = status != 200
+                    || ByteBufUtil.getBytes(response.content()).length > 0
+                            && response.content()
+                                    .toString(StandardCharsets.UTF_8)
+                                    .equals("done " + done.id());
+            Ledger.Answer answer = status == 200
+                    ? Ledger.Answer.SERVED
                     : status == 429 || status == 503 ? Ledger.Answer.REFUSED : Ledger.Answer.FAILED;
             ledger.answered(done.id(), answer, fits, done.want().since, clock.getAsLong());
             if (HttpUtil.isKeepAlive(response)) {
--- a/src/main/java/sedgeyoke/standin/Configurations.java
+++ b/src/main/java/sedgeyoke/standin/Configurations.java
@@ -10,36 +10,61 @@
 public final class Configurations {
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    private Configurations() { }
+    private Configurations() {}
 
     /** The configuration of a balancer of a site. */
-    public static String of(SiteSpec site, String name, String listen, String discovery, int zone, int position,
-            int group, long seed) {
-        ObjectNode root = JSON.createObjectNode().put("name", name).put("listen", listen).put("discovery", discovery)
+    public static String of(
+            SiteSpec site, String name, String listen, String discovery, int zone, int position, int group, long seed) {
+        ObjectNode root = JSON.createObjectNode()
+                .put("name", name)
+                .put("listen", listen)
+                .put("discovery", discovery)
                 .put("seed", Long.toHexString(seed));
         root.putObject("limits").put("cores", 1.0).put("memory_mb", 192).put("sockets", 1_024);
         root.putObject("known").put("revision", 0).put("complete", true).putArray("members");
-        ObjectNode s = root.putObject("settings").put("az", zone).put("group-size", group).put("position", position)
-                .put("discovery", "pushed").put("tick-s", 0.005).put("weights", "silent").put("counted-by", "request");
+        ObjectNode s = root.putObject("settings")
+                .put("az", zone)
+                .put("group-size", group)
+                .put("position", position)
+                .put("discovery", "pushed")
+                .put("tick-s", 0.005)
+                .put("weights", "silent")
+                .put("counted-by", "request");
         site.zones().forEach(s.putArray("localities")::add);
         SiteSpec.KINDS.forEach(s.putArray("kinds")::add);
         s.putObject("extra").put("warm-keys", true);
         s.putObject("prices").put("cross-zone", 0.06).put("late-fail", 0.05).put("waste", 0.02);
         ObjectNode report = s.putObject("report").put("via", "piggyback");
         report.putArray("names").add("waiting").add("cpu").add("avg_ms");
-        s.putObject("ceilings").put("cancel", true).put("may-duplicate", true).put("try-limit", 4)
-                .put("max-open", 20_000).put("conn-idle-s", 10.0).put("connect-timeout-s", 0.12).put("multiplex", 1)
-                .put("retry-after", site.retryAfter()).put("max-retry-after-s", 1.2);
-        s.putObject("rules").put("answer-slack-s", 0.02).put("ask-within-s", 10.0)
+        s.putObject("ceilings")
+                .put("cancel", true)
+                .put("may-duplicate", true)
+                .put("try-limit", 4)
+                .put("max-open", 20_000)
+                .put("conn-idle-s", 10.0)
+                .put("connect-timeout-s", 0.12)
+                .put("multiplex", 1)
+                .put("retry-after", site.retryAfter())
+                .put("max-retry-after-s", 1.2);
+        s.putObject("rules")
+                .put("answer-slack-s", 0.02)
+                .put("ask-within-s", 10.0)
                 .put("drain-grace-s", site.rules().drainGraceMs() / 1e3)
                 .put("start-capacity", site.rules().startCapacity())
-                .put("cold-s", site.rules().coldMs() / 1e3).put("fall-multiple", site.rules().fallMultiple())
+                .put("cold-s", site.rules().coldMs() / 1e3)
+                .put("fall-multiple", site.rules().fallMultiple())
                 .put("fall-s", site.rules().fallMs() / 1e3);
         ArrayNode list = s.putArray("classes");
         for (WorkClass c : site.classes()) {
-            list.addObject().put("name", c.name()).put("repeat", c.repeat()).put("aim-s", c.aimMs() / 1e3)
-                    .put("give-up-s", c.giveUpMs() / 1e3).put("worth", c.worth()).put("late-worth", 0.0)
-                    .put("dedup-scope", c.keyed() ? "zone" : "all").put("memory-span-s", 2.5);
+            list.addObject()
+                    .put("name", c.name())
+                    .put("repeat", c.repeat())
+                    .put("aim-s", c.aimMs() / 1e3)
+                    .put("give-up-s", c.giveUpMs() / 1e3)
+                    .put("worth", c.worth())
+                    .put("late-worth", 0.0)
+                    .put("dedup-scope", c.keyed() ? "zone" : "all")
+                    .put("memory-span-s", 2.5);
         }
         return root.toString();
     }
--- a/src/main/java/sedgeyoke/standin/DiscoveryStandin.java
+++ b/src/main/java/sedgeyoke/standin/DiscoveryStandin.java
@@ -40,8 +40,8 @@
     private boolean down;
 
     /** One node as the list has it. */
-    private record Member(String id, String address, int zone, int kind, String phase, long launchedAt,
-            long revision) { }
+    private record Member(
+            String id, String address, int zone, int kind, String phase, long launchedAt, long revision) {}
 
     DiscoveryStandin(EventLoop loop, LongSupplier clock, Ledger ledger, SiteSpec site) {
         this.loop = loop;
@@ -85,10 +85,17 @@
         ObjectNode root = JSON.createObjectNode().put("revision", upTo).put("complete", from < 0);
         ArrayNode list = root.putArray("members");
         for (Member m : members.values()) {
-            if (m.revision() > from && m.revision() <= upTo && !(from < 0 && m.phase().equals("removed"))) {
-                list.addObject().put("id", m.id()).put("host_port", m.address())
-                        .put("locality", site.zones().get(m.zone())).put("flavor", SiteSpec.KINDS.get(m.kind()))
-                        .put("cell", m.zone()).put("phase", m.phase()).put("size", 1.0)
+            if (m.revision() > from
+                    && m.revision() <= upTo
+                    && !(from < 0 && m.phase().equals("removed"))) {
+                list.addObject()
+                        .put("id", m.id())
+                        .put("host_port", m.address())
+                        .put("locality", site.zones().get(m.zone()))
+                        .put("flavor", SiteSpec.KINDS.get(m.kind()))
+                        .put("cell", m.zone())
+                        .put("phase", m.phase())
+                        .put("size", 1.0)
                         .put("up_since_ms", m.launchedAt() / 1_000);
             }
         }
@@ -119,13 +126,14 @@
             if (timeout != null) {
                 timeout.cancel(false);
             }
-            members.values().stream().filter(m -> m.revision() > from && m.revision() <= known)
+            members.values().stream()
+                    .filter(m -> m.revision() > from && m.revision() <= known)
                     .forEach(m -> ledger.told(balancer, m.id(), m.phase().equals("up"), clock.getAsLong()));
             ctx.writeAndFlush(Http.answer(200, list(from, known)));
         }
     }
 
-    private record Watch(ChannelHandlerContext ctx, long from, ScheduledFuture<?> timeout) { }
+    private record Watch(ChannelHandlerContext ctx, long from, ScheduledFuture<?> timeout) {}
 
     /** The calls on one connection. */
     private final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
@@ -153,15 +161,19 @@
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             Map<String, List<String>> query = new QueryStringDecoder(request.uri()).parameters();
             long from = Long.parseLong(query.getOrDefault("from", List.of("-1")).get(0));
-            long hold = Long.parseLong(query.getOrDefault("hold_ms", List.of("0")).get(0));
+            long hold =
+                    Long.parseLong(query.getOrDefault("hold_ms", List.of("0")).get(0));
             if (from < 0 || from < agent.known) {
                 agent.answer(ctx, from, null);
                 return;
             }
-            ScheduledFuture<?> timeout = loop.schedule(() -> {
-                agent.watches.removeIf(w -> w.ctx() == ctx);
-                agent.answer(ctx, from, null);
-            }, Math.min(hold, LONGEST_HOLD_MS), TimeUnit.MILLISECONDS);
+            ScheduledFuture<?> timeout = loop.schedule(
+                    () -> {
+                        agent.watches.removeIf(w -> w.ctx() == ctx);
+                        agent.answer(ctx, from, null);
+                    },
+                    Math.min(hold, LONGEST_HOLD_MS),
+                    TimeUnit.MILLISECONDS);
             agent.watches.add(new Watch(ctx, from, timeout));
         }
 
--- a/src/main/java/sedgeyoke/standin/FaultProxy.java
+++ b/src/main/java/sedgeyoke/standin/FaultProxy.java
@@ -43,14 +43,20 @@
     public FaultProxy(EventLoop loop, int port, InetSocketAddress target) {
         this.loop = loop;
         this.target = target;
-        this.listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.AUTO_READ, false)
+        this.listener = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.AUTO_READ, false)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel client) {
                         accept(client);
                     }
-                }).bind(Http.loopback(port)).syncUninterruptibly().channel();
+                })
+                .bind(Http.loopback(port))
+                .syncUninterruptibly()
+                .channel();
     }
 
     /** Where clients of the target connect instead. */
@@ -86,8 +92,12 @@
         Side towards = new Side(true);
         Side back = new Side(false);
         client.pipeline().addLast(towards);
-        ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.AUTO_READ, false).handler(back).connect(target);
+        ChannelFuture connecting = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.AUTO_READ, false)
+                .handler(back)
+                .connect(target);
         towards.to = connecting.channel();
         back.to = client;
         connecting.addListener(connected -> {
--- a/src/main/java/sedgeyoke/standin/Http.java
+++ b/src/main/java/sedgeyoke/standin/Http.java
@@ -28,7 +28,7 @@
     private static final int LONGEST = 1 << 20;
     private static final int BACKLOG = 512;
 
-    private Http() { }
+    private Http() {}
 
     static InetSocketAddress loopback(int port) {
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
@@ -36,38 +36,45 @@
 
     /** Listens on a port of loopback, 0 for any; returns once that works. Not to be called on the loop. */
     static Channel listen(EventLoop loop, int port, Supplier<ChannelHandler> handler) {
-        return bootstrap(loop, handler).bind(loopback(port)).syncUninterruptibly().channel();
+        return bootstrap(loop, handler)
+                .bind(loopback(port))
+                .syncUninterruptibly()
+                .channel();
     }
 
     static ServerBootstrap bootstrap(EventLoop loop, Supplier<ChannelHandler> handler) {
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+        return new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(LONGEST),
-                                handler.get());
+                        ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(LONGEST), handler.get());
                     }
                 });
     }
 
     static Bootstrap client(EventLoop loop, Supplier<ChannelHandler> handler) {
-        return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_000)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LONGEST),
-                                handler.get());
+                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LONGEST), handler.get());
                     }
                 });
     }
 
     static FullHttpResponse answer(int status, String body) {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes));
+        FullHttpResponse answer = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes));
         answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
         return answer;
     }
--- a/src/main/java/sedgeyoke/standin/OrderNode.java
+++ b/src/main/java/sedgeyoke/standin/OrderNode.java
@@ -26,20 +26,32 @@
     private final Set<Channel> connections = new HashSet<>();
     private int port;
 
-    OrderNode(SiteSpec.NodeSpec spec, SiteSpec site, EventLoop loop, LongSupplier clock, Ledger ledger,
-            ZoneMemory memory, long seed) {
+    OrderNode(
+            SiteSpec.NodeSpec spec,
+            SiteSpec site,
+            EventLoop loop,
+            LongSupplier clock,
+            Ledger ledger,
+            ZoneMemory memory,
+            long seed) {
         this.loop = loop;
-        this.model = new NodeModel(spec, site, new NodeModel.Host() {
-            @Override
-            public long now() {
-                return clock.getAsLong();
-            }
-
-            @Override
-            public void after(long delay, Runnable what) {
-                loop.schedule(what, delay, TimeUnit.MICROSECONDS);
-            }
-        }, ledger, memory, seed);
+        this.model = new NodeModel(
+                spec,
+                site,
+                new NodeModel.Host() {
+                    @Override
+                    public long now() {
+                        return clock.getAsLong();
+                    }
+
+                    @Override
+                    public void after(long delay, Runnable what) {
+                        loop.schedule(what, delay, TimeUnit.MICROSECONDS);
+                    }
+                },
+                ledger,
+                memory,
+                seed);
     }
 
     /** Listens on a port of its own, which it keeps over restarts. Not to be called on the loop. */
@@ -84,22 +96,29 @@
             ctx.writeAndFlush(Http.answer(404, ""));
             return;
         }
-        String key = new QueryStringDecoder(request.uri()).parameters().getOrDefault("obj", List.of("")).get(0);
+        String key = new QueryStringDecoder(request.uri())
+                .parameters()
+                .getOrDefault("obj", List.of(""))
+                .get(0);
         model.take(id, key, request.headers().get("Idempotency-Key"), answer -> ctx.writeAndFlush(http(id, answer)));
     }
 
     private static FullHttpResponse http(String id, NodeModel.Answer answer) {
-        FullHttpResponse http = switch (answer.kind()) {
-            case DONE -> Http.answer(200, "done " + id);
-            case FULL -> Http.answer(503, "");
-            default -> Http.answer(500, "");
-        };
+        FullHttpResponse http =
+                switch (answer.kind()) {
+                    case DONE -> Http.answer(200, "done " + id);
+                    case FULL -> Http.answer(503, "");
+                    default -> Http.answer(500, "");
+                };
         if (answer.kind() == NodeModel.Kind.FULL) {
             http.headers().set("X-Rejected", "1");
         }
-        http.headers().set("X-Load-Report", "{\"waiting\":" + answer.waiting() + ",\"cpu\":"
-                + Math.round(answer.utilisation() * 1_000) / 1e3 + ",\"avg_ms\":"
-                + Math.round(answer.serviceMs() * 10) / 10.0 + "}");
+        http.headers()
+                .set(
+                        "X-Load-Report",
+                        "{\"waiting\":" + answer.waiting() + ",\"cpu\":"
+                                + Math.round(answer.utilisation() * 1_000) / 1e3 + ",\"avg_ms\":"
+                                + Math.round(answer.serviceMs() * 10) / 10.0 + "}");
         return http;
     }
 
--- a/src/main/java/sedgeyoke/standin/Site.java
+++ b/src/main/java/sedgeyoke/standin/Site.java
@@ -33,7 +33,8 @@
         this.ledger = new Ledger(spec);
         this.discovery = new DiscoveryStandin(loop, this::now, ledger, spec);
         this.clients = new Clients(spec, loop, this::now, ledger, zoneShare, seed);
-        List<ZoneMemory> memories = spec.zones().stream().map(z -> new ZoneMemory()).toList();
+        List<ZoneMemory> memories =
+                spec.zones().stream().map(z -> new ZoneMemory()).toList();
         for (SiteSpec.NodeSpec n : spec.nodes()) {
             OrderNode node = new OrderNode(n, spec, loop, this::now, ledger, memories.get(n.zone()), seed);
             node.start();
@@ -82,7 +83,8 @@
     /** Ends the traffic, and waits until all that is asked is answered or given up. */
     public void stopClients() throws InterruptedException {
         run(clients::stop);
-        long longest = spec.classes().stream().mapToLong(WorkClass::giveUpMs).max().orElse(0);
+        long longest =
+                spec.classes().stream().mapToLong(WorkClass::giveUpMs).max().orElse(0);
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(longest + 2_000);
         while (System.nanoTime() < end && ask(ledger::open) > 0) {
             Thread.sleep(20);
@@ -124,7 +126,11 @@
     }
 
     /** What is to happen to a node, told to discovery as discovery would notice it. */
-    public enum Fault { VANISH, RESTART, DRAIN }
+    public enum Fault {
+        VANISH,
+        RESTART,
+        DRAIN
+    }
 
     /** Has it happen. */
     public void strike(String id, Fault fault) {
--- a/src/main/java/sedgeyoke/store/DiskFault.java
+++ b/src/main/java/sedgeyoke/store/DiskFault.java
@@ -6,11 +6,16 @@
 
     /** What the disk said no to, as far as an operator needs to tell cases apart. */
     public enum Kind {
-        /** No room left. */ FULL,
-        /** It may only be read. */ READ_ONLY,
-        /** The folder or the file is not there. */ GONE,
-        /** Another process has it. */ IN_USE,
-        /** Anything else. */ FAILED
+        /** No room left. */
+        FULL,
+        /** It may only be read. */
+        READ_ONLY,
+        /** The folder or the file is not there. */
+        GONE,
+        /** Another process has it. */
+        IN_USE,
+        /** Anything else. */
+        FAILED
     }
 
     private final Kind kind;
--- a/src/main/java/sedgeyoke/store/FileDisk.java
+++ b/src/main/java/sedgeyoke/store/FileDisk.java
@@ -67,8 +67,8 @@
     }
 
     private static DiskFault fault(String name, IOException e) {
-        String text = String.valueOf(e instanceof FileSystemException f && f.getReason() != null ? f.getReason()
-                : e.getMessage());
+        String text = String.valueOf(
+                e instanceof FileSystemException f && f.getReason() != null ? f.getReason() : e.getMessage());
         DiskFault.Kind kind = DiskFault.Kind.FAILED;
         if (e instanceof NoSuchFileException) {
             kind = DiskFault.Kind.GONE;
@@ -117,7 +117,10 @@
     @Override
     public List<String> names() throws DiskFault {
         try (Stream<Path> files = Files.list(folder)) {
-            return files.map(p -> p.getFileName().toString()).filter(n -> !n.equals(LOCK)).sorted().toList();
+            return files.map(p -> p.getFileName().toString())
+                    .filter(n -> !n.equals(LOCK))
+                    .sorted()
+                    .toList();
         } catch (IOException e) {
             throw fault("", e);
         }
@@ -132,7 +135,8 @@
     @Override
     public String identity(String name) throws DiskFault {
         try {
-            Object key = Files.readAttributes(path(name), BasicFileAttributes.class).fileKey();
+            Object key =
+                    Files.readAttributes(path(name), BasicFileAttributes.class).fileKey();
             return key == null ? "" : key.toString().replaceAll(".*(ino=[0-9]+).*", "$1");
         } catch (NoSuchFileException e) {
             return "";
@@ -161,12 +165,14 @@
         } catch (IOException e) {
             throw fault(name, e);
         }
-        with(name, channel -> { // zeros that are written, so that a full disk says so now and not later
-            for (long at = 0; at < length; at += ZEROS) {
-                writeAll(channel, at, ByteBuffer.allocate((int) Math.min(ZEROS, length - at)));
-            }
-            return null;
-        });
+        with(
+                name,
+                channel -> { // zeros that are written, so that a full disk says so now and not later
+                    for (long at = 0; at < length; at += ZEROS) {
+                        writeAll(channel, at, ByteBuffer.allocate((int) Math.min(ZEROS, length - at)));
+                    }
+                    return null;
+                });
     }
 
     private static void writeAll(FileChannel channel, long at, ByteBuffer bytes) throws IOException {
--- a/src/main/java/sedgeyoke/store/SegmentLog.java
+++ b/src/main/java/sedgeyoke/store/SegmentLog.java
@@ -31,13 +31,15 @@
     private final List<Damage> damage = new ArrayList<>();
     /** Segments that are there but not believed, as they lie behind a part that is lost. */
     private final List<Long> beyond = new ArrayList<>();
+
     private long highestBegun;
     /** What was written and is not yet forced. */
     private boolean unforced;
+
     private boolean broken;
 
     /** One record. */
-    public record Record(long index, byte[] payload) { }
+    public record Record(long index, byte[] payload) {}
 
     /** Is told of each new segment before it holds anything, and keeps the number where it cannot get lost. */
     public interface Generations {
@@ -118,8 +120,8 @@
         }
         for (long generation : found) {
             if (generation != expected) {
-                damage.add(new Damage(name(LOG, expected), 0, 0, "segments are missing before "
-                        + name(LOG, generation)));
+                damage.add(
+                        new Damage(name(LOG, expected), 0, 0, "segments are missing before " + name(LOG, generation)));
             }
             expected = generation + 1;
             if (damage.isEmpty()) {
@@ -132,8 +134,8 @@
 
     private void readSegment(long generation) throws DiskFault {
         String file = name(LOG, generation);
-        ByteBuffer bytes = ByteBuffer.wrap(disk.read(file, 0, (int) Math.min(Integer.MAX_VALUE - 8,
-                disk.length(file))));
+        ByteBuffer bytes =
+                ByteBuffer.wrap(disk.read(file, 0, (int) Math.min(Integer.MAX_VALUE - 8, disk.length(file))));
         ByteBuffer mark = lastMark(generation);
         if (!headIsGood(bytes, generation)) {
             damage.add(new Damage(file, 0, mark == null ? 0 : mark.getLong(8), "no head of a segment of this folder"));
@@ -149,8 +151,8 @@
         if (mark != null && (s.end != promised || s.sum != mark.getInt(4) || s.records.size() != mark.getInt(16))) {
             int from = s.end < promised ? s.records.size() : 0; // else an old block: which one cannot be told
             s.records.subList(from, s.records.size()).clear();
-            damage.add(new Damage(file, from == 0 ? HEAD : s.end, s.next(),
-                    "records that were promised are not there"));
+            damage.add(
+                    new Damage(file, from == 0 ? HEAD : s.end, s.next(), "records that were promised are not there"));
         }
         if (damage.isEmpty()) {
             int marked = s.end;
@@ -161,8 +163,8 @@
         }
         s.clean = zeros(bytes, s.end);
         if (!segments.isEmpty() && s.first > last() + 1) {
-            damage.add(new Damage(file, 0, last() + 1, "begins with record " + s.first + ", the one before ends with "
-                    + last()));
+            damage.add(new Damage(
+                    file, 0, last() + 1, "begins with record " + s.first + ", the one before ends with " + last()));
             beyond.add(generation);
             return;
         }
@@ -171,7 +173,9 @@
     }
 
     private boolean headIsGood(ByteBuffer bytes, long generation) {
-        return bytes.capacity() >= HEAD && bytes.getInt(0) == MAGIC && bytes.getLong(8) == generation
+        return bytes.capacity() >= HEAD
+                && bytes.getInt(0) == MAGIC
+                && bytes.getLong(8) == generation
                 && bytes.getInt(4) == headSum(generation, bytes.getLong(16));
     }
 
@@ -198,7 +202,10 @@
     }
 
     private int recordSum(Segment s, byte[] payload) {
-        return new Checksum().with(identity, s.generation, s.end, s.next(), payload.length).with(payload).value();
+        return new Checksum()
+                .with(identity, s.generation, s.end, s.next(), payload.length)
+                .with(payload)
+                .value();
     }
 
     private static void add(Segment s, byte[] payload, int sum) {
@@ -233,22 +240,35 @@
             }
         }
         if (bad || length < 0) {
-            damage.add(new Damage(file, 0, last == null ? 0 : last.getLong(8) + last.getInt(16),
+            damage.add(new Damage(
+                    file,
+                    0,
+                    last == null ? 0 : last.getLong(8) + last.getInt(16),
                     length < 0 ? "the marks are gone" : "a mark is not whole"));
         }
         return last;
     }
 
     private int markSum(ByteBuffer mark, long generation) {
-        return new Checksum().with(identity, generation, mark.getInt(4), mark.getLong(8), mark.getInt(16),
-                mark.getInt(20), mark.getInt(28)).value();
+        return new Checksum()
+                .with(
+                        identity,
+                        generation,
+                        mark.getInt(4),
+                        mark.getLong(8),
+                        mark.getInt(16),
+                        mark.getInt(20),
+                        mark.getInt(28))
+                .value();
     }
 
     /** A segment that begins before the last record of those before it has cut these off. */
     private void cutFrom(long first) {
         for (Segment s : segments.values()) {
             if (s.next() > first) {
-                s.records.subList((int) Math.max(0, first - s.first), s.records.size()).clear();
+                s.records
+                        .subList((int) Math.max(0, first - s.first), s.records.size())
+                        .clear();
             }
         }
     }
@@ -288,8 +308,15 @@
                 s = begin(r.index(), Math.max(segmentBytes, HEAD + length));
             }
             int sum = recordSum(s, r.payload());
-            write(name(LOG, s.generation), s.end, ByteBuffer.allocate(length).putInt(r.payload().length).putInt(sum)
-                    .putLong(r.index()).put(r.payload()).array());
+            write(
+                    name(LOG, s.generation),
+                    s.end,
+                    ByteBuffer.allocate(length)
+                            .putInt(r.payload().length)
+                            .putInt(sum)
+                            .putLong(r.index())
+                            .put(r.payload())
+                            .array());
             add(s, r.payload(), sum);
             unforced = true;
         }
@@ -300,8 +327,12 @@
         try {
             disk.allocate(name(LOG, generation), size);
             disk.allocate(name(MARK, generation), 0);
-            byte[] head = ByteBuffer.allocate(HEAD).putInt(MAGIC).putInt(headSum(generation, first))
-                    .putLong(generation).putLong(first).array();
+            byte[] head = ByteBuffer.allocate(HEAD)
+                    .putInt(MAGIC)
+                    .putInt(headSum(generation, first))
+                    .putLong(generation)
+                    .putLong(first)
+                    .array();
             disk.write(name(LOG, generation), 0, head);
             disk.force(name(LOG, generation));
             disk.force(name(MARK, generation));
@@ -340,8 +371,12 @@
         try {
             disk.force(name(LOG, s.generation));
             s.marks++;
-            ByteBuffer mark = ByteBuffer.allocate(MARK_BYTES).putInt(4, s.sum).putLong(8, s.first)
-                    .putInt(16, s.records.size()).putInt(20, s.end).putInt(28, s.marks);
+            ByteBuffer mark = ByteBuffer.allocate(MARK_BYTES)
+                    .putInt(4, s.sum)
+                    .putLong(8, s.first)
+                    .putInt(16, s.records.size())
+                    .putInt(20, s.end)
+                    .putInt(28, s.marks);
             mark.putInt(0, markSum(mark, s.generation));
             disk.write(name(MARK, s.generation), (long) (s.marks - 1) * MARK_BYTES, mark.array());
             disk.force(name(MARK, s.generation));
--- a/src/main/java/sedgeyoke/store/Snapshots.java
+++ b/src/main/java/sedgeyoke/store/Snapshots.java
@@ -22,7 +22,7 @@
     private final List<Damage> damage = new ArrayList<>();
 
     /** A state and the last record that it covers. */
-    public record Snapshot(long covered, byte[] state) { }
+    public record Snapshot(long covered, byte[] state) {}
 
     /** {@code identity}: of the folder; a snapshot of another one is none. */
     public Snapshots(Disk disk, long identity) {
@@ -35,9 +35,11 @@
     }
 
     private List<Long> found() throws DiskFault {
-        return disk.names().stream().filter(n -> n.matches(NAME + "[0-9a-f]{16}"))
+        return disk.names().stream()
+                .filter(n -> n.matches(NAME + "[0-9a-f]{16}"))
                 .map(n -> Long.parseUnsignedLong(n.substring(NAME.length()), 16))
-                .sorted((a, b) -> Long.compare(b, a)).toList();
+                .sorted((a, b) -> Long.compare(b, a))
+                .toList();
     }
 
     /** The newest that is whole; those that are not are damage. */
@@ -92,9 +94,16 @@
     public void save(Snapshot s) throws DiskFault {
         String part = name(PART, s.covered());
         disk.allocate(part, 0);
-        disk.write(part, 0, ByteBuffer.allocate(HEAD + s.state().length).putInt(MAGIC)
-                .putInt(sum(s.covered(), s.state())).putLong(s.covered()).putLong(s.state().length).put(s.state())
-                .array());
+        disk.write(
+                part,
+                0,
+                ByteBuffer.allocate(HEAD + s.state().length)
+                        .putInt(MAGIC)
+                        .putInt(sum(s.covered(), s.state()))
+                        .putLong(s.covered())
+                        .putLong(s.state().length)
+                        .put(s.state())
+                        .array());
         disk.force(part);
         disk.rename(part, name(NAME, s.covered()));
         disk.forceNames();
--- a/src/main/java/sedgeyoke/store/TwinFile.java
+++ b/src/main/java/sedgeyoke/store/TwinFile.java
@@ -11,6 +11,7 @@
 public final class TwinFile {
     /** What a record may hold; far more than any of ours does. */
     public static final int LONGEST = 64 * 1024;
+
     private static final int MAGIC = 0x53594c54;
     private static final int HEAD = 20;
 
@@ -64,8 +65,13 @@
 
     private void write(int copy) throws DiskFault {
         int sum = new Checksum().with(sequence, content.length).with(content).value();
-        byte[] bytes = ByteBuffer.allocate(HEAD + content.length).putInt(MAGIC).putInt(content.length)
-                .putLong(sequence).putInt(sum).put(content).array();
+        byte[] bytes = ByteBuffer.allocate(HEAD + content.length)
+                .putInt(MAGIC)
+                .putInt(content.length)
+                .putLong(sequence)
+                .putInt(sum)
+                .put(content)
+                .array();
         if (disk.length(names[copy]) < 0) {
             disk.allocate(names[copy], HEAD);
             disk.forceNames();
@@ -86,8 +92,9 @@
 
     /** What is wrong where no copy can be believed although there are some; null if nothing is. */
     public Damage damage() {
-        return content == null && damaged ? new Damage(names[0], 0, -1, "neither this copy nor " + names[1]
-                + " is whole") : null;
+        return content == null && damaged
+                ? new Damage(names[0], 0, -1, "neither this copy nor " + names[1] + " is whole")
+                : null;
     }
 
     /** Replaces the record. After a fault the folder is not to be used any more. */
--- a/src/main/java/sedgeyoke/wire/Batches.java
+++ b/src/main/java/sedgeyoke/wire/Batches.java
@@ -24,12 +24,20 @@
 /** Reads one batch at a time and hands its events to the instances. */
 final class Batches {
     private static final JsonFactory JSON = JsonFactory.builder()
-            .disable(StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION).build();
+            .disable(StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION)
+            .build();
     private static final Outcome[] OUTCOMES = Outcome.values();
-    private static final Map<String, State> STATES = Map.of(
-            "Ready", State.READY, "Terminating", State.DRAINING, "Gone", State.GONE);
-    private static final Map<String, ListKind> FORMS = Map.of("update", ListKind.CHANGES,
-            "replace", ListKind.COMPLETE, "restored", ListKind.RESTORED, "unavailable", ListKind.UNAVAILABLE);
+    private static final Map<String, State> STATES =
+            Map.of("Ready", State.READY, "Terminating", State.DRAINING, "Gone", State.GONE);
+    private static final Map<String, ListKind> FORMS = Map.of(
+            "update",
+            ListKind.CHANGES,
+            "replace",
+            ListKind.COMPLETE,
+            "restored",
+            ListKind.RESTORED,
+            "unavailable",
+            ListKind.UNAVAILABLE);
 
     private final Desk desk;
     private final Replies replies;
@@ -101,7 +109,8 @@
                 throw new BadInput("text after the end of the batch");
             }
         } catch (JsonProcessingException e) {
-            throw new BadInput("not JSON: " + e.getOriginalMessage().lines().findFirst().orElse(""));
+            throw new BadInput(
+                    "not JSON: " + e.getOriginalMessage().lines().findFirst().orElse(""));
         }
         if (Double.isNaN(now)) {
             throw new BadInput("no clock (moment-s)");
@@ -188,7 +197,8 @@
             case "init-seed" -> {
                 e.seed = number(json, name);
                 e.seedExact = json.currentToken() == JsonToken.VALUE_NUMBER_INT
-                        ? json.getBigIntegerValue().longValue() : (long) e.seed;
+                        ? json.getBigIntegerValue().longValue()
+                        : (long) e.seed;
             }
             default -> {
                 return false;
@@ -197,8 +207,7 @@
         return true;
     }
 
-    private static boolean nested(Event e, String name, JsonParser json, JsonToken value)
-            throws BadInput, IOException {
+    private static boolean nested(Event e, String name, JsonParser json, JsonToken value) throws BadInput, IOException {
         if (name.equals("facts") && value == JsonToken.START_OBJECT) {
             e.facts = SettingsReader.read(json);
         } else if (name.equals("feedback") && value == JsonToken.START_ARRAY) {
@@ -321,8 +330,15 @@
         required(e.corr != null, "corr");
         required(!Double.isNaN(e.budget), "time-budget-s");
         int lane = whole(e.lane, "lane");
-        Request request = new Request(e.corr, lane, Double.isNaN(e.party) ? 0 : (int) e.party, e.entity,
-                Double.isNaN(e.effort) ? 0 : micros(e.effort), micros(e.budget), e.write, e.retry);
+        Request request = new Request(
+                e.corr,
+                lane,
+                Double.isNaN(e.party) ? 0 : (int) e.party,
+                e.entity,
+                Double.isNaN(e.effort) ? 0 : micros(e.effort),
+                micros(e.budget),
+                e.write,
+                e.retry);
         desk.tell(who, b -> b.request(now, request));
     }
 
@@ -330,8 +346,8 @@
         required(e.corr != null, "corr");
         required(e.upstream != null, "upstream");
         required(e.last != null, "last");
-        AttemptEnd end = new AttemptEnd(e.corr, whole(e.attempt, "attempt"), e.upstream, outcome(e), took(e),
-                e.last, report(e, who));
+        AttemptEnd end = new AttemptEnd(
+                e.corr, whole(e.attempt, "attempt"), e.upstream, outcome(e), took(e), e.last, report(e, who));
         desk.tell(who, b -> b.outcome(now, end));
     }
 
--- a/src/main/java/sedgeyoke/wire/Replies.java
+++ b/src/main/java/sedgeyoke/wire/Replies.java
@@ -127,7 +127,7 @@
 
         @Override
         public void fetch() {
-            action("reload", () -> { });
+            action("reload", () -> {});
         }
 
         @Override
--- a/src/main/java/sedgeyoke/wire/SettingsReader.java
+++ b/src/main/java/sedgeyoke/wire/SettingsReader.java
@@ -23,23 +23,36 @@
 
 /** Reads the settings that an instance is created with. Keys it does not know are skipped. */
 public final class SettingsReader {
-    static final Set<String> EVENTS = Set.of("create", "destroy", "sync", "work-item", "answer", "ping-result",
-            "client-gone", "opened", "reminder", "whisper");
-
-    private static final Map<String, Effect> EFFECTS = Map.of(
-            "free", Effect.SAFE, "guarded", Effect.KEYED, "single_shot", Effect.UNSAFE);
-    private static final Map<String, Scope> SCOPES = Map.of(
-            "all", Scope.ALL, "zone", Scope.ZONE, "cell", Scope.CELL);
-    private static final Map<String, Reports> VIA = Map.of(
-            "piggyback", Reports.IN_ANSWERS, "pull", Reports.BY_PROBE, "silent", Reports.NONE);
-    private static final Map<String, Ratings> WEIGHTS = Map.of("silent", Ratings.NONE,
-            "nominal", Ratings.NOMINAL, "rough", Ratings.ROUGH, "live", Ratings.LIVE);
-
-    private SettingsReader() { }
+    static final Set<String> EVENTS = Set.of(
+            "create",
+            "destroy",
+            "sync",
+            "work-item",
+            "answer",
+            "ping-result",
+            "client-gone",
+            "opened",
+            "reminder",
+            "whisper");
+
+    private static final Map<String, Effect> EFFECTS =
+            Map.of("free", Effect.SAFE, "guarded", Effect.KEYED, "single_shot", Effect.UNSAFE);
+    private static final Map<String, Scope> SCOPES = Map.of("all", Scope.ALL, "zone", Scope.ZONE, "cell", Scope.CELL);
+    private static final Map<String, Reports> VIA =
+            Map.of("piggyback", Reports.IN_ANSWERS, "pull", Reports.BY_PROBE, "silent", Reports.NONE);
+    private static final Map<String, Ratings> WEIGHTS =
+            Map.of("silent", Ratings.NONE, "nominal", Ratings.NOMINAL, "rough", Ratings.ROUGH, "live", Ratings.LIVE);
+
+    private SettingsReader() {}
 
     /** What was found: the settings for the module, and the names that stand for its indices elsewhere. */
-    public record Found(Settings settings, List<String> reportNames, List<String> classNames,
-            List<String> tenantNames, List<String> localities, List<String> kinds) { }
+    public record Found(
+            Settings settings,
+            List<String> reportNames,
+            List<String> classNames,
+            List<String> tenantNames,
+            List<String> localities,
+            List<String> kinds) {}
 
     /** One object of the settings, flat: numbers and bools as numbers, texts, and lists of objects. */
     private static final class Node {
@@ -82,9 +95,13 @@
 
     /** A load report from its values by name; NaN for one that is not there. */
     public static LoadReport loadReport(ToDoubleFunction<String> value) {
-        return new LoadReport(value.applyAsDouble("cpu"), value.applyAsDouble("active"),
-                value.applyAsDouble("waiting"), value.applyAsDouble("avg_ms") * 1_000,
-                value.applyAsDouble("rps"), value.applyAsDouble("err_rps"));
+        return new LoadReport(
+                value.applyAsDouble("cpu"),
+                value.applyAsDouble("active"),
+                value.applyAsDouble("waiting"),
+                value.applyAsDouble("avg_ms") * 1_000,
+                value.applyAsDouble("rps"),
+                value.applyAsDouble("err_rps"));
     }
 
     /** Reads the object that the parser has just entered. */
@@ -92,46 +109,87 @@
         Node facts = node(json);
         List<RequestClass> classes = new ArrayList<>();
         for (Node c : facts.list("classes")) {
-            classes.add(new RequestClass(c.time("aim-s"), c.number("aim-stretch", 0), c.time("give-up-s"),
-                    c.number("worth", 1), c.number("late-worth", 0), c.choice("repeat", EFFECTS, Effect.UNSAFE),
-                    c.choice("dedup-scope", SCOPES, Scope.CELL), c.time("memory-span-s"), c.flag("stream")));
+            classes.add(new RequestClass(
+                    c.time("aim-s"),
+                    c.number("aim-stretch", 0),
+                    c.time("give-up-s"),
+                    c.number("worth", 1),
+                    c.number("late-worth", 0),
+                    c.choice("repeat", EFFECTS, Effect.UNSAFE),
+                    c.choice("dedup-scope", SCOPES, Scope.CELL),
+                    c.time("memory-span-s"),
+                    c.flag("stream")));
         }
         List<Tenant> tenants = new ArrayList<>();
         for (Node t : facts.list("parties")) {
             tenants.add(new Tenant(t.number("allowance-per-s", 0), t.number("share", 0)));
         }
         Node report = facts.object("report");
-        Settings settings = new Settings((int) facts.number("az", 0),
-                Math.max(1, facts.list("localities").size()), (int) facts.number("position", 0),
-                (int) facts.number("group-size", 1), classes, tenants, facts.number("over-share-worth", 1),
-                "work".equals(facts.texts.get("counted-by")), limits(facts.object("ceilings")),
-                rules(facts.object("rules")), prices(facts.object("prices")),
-                report.choice("via", VIA, Reports.NONE), facts.choice("weights", WEIGHTS, Ratings.NONE),
-                "on_request".equals(facts.texts.get("discovery")), facts.object("extra").flag("warm-keys"),
+        Settings settings = new Settings(
+                (int) facts.number("az", 0),
+                Math.max(1, facts.list("localities").size()),
+                (int) facts.number("position", 0),
+                (int) facts.number("group-size", 1),
+                classes,
+                tenants,
+                facts.number("over-share-worth", 1),
+                "work".equals(facts.texts.get("counted-by")),
+                limits(facts.object("ceilings")),
+                rules(facts.object("rules")),
+                prices(facts.object("prices")),
+                report.choice("via", VIA, Reports.NONE),
+                facts.choice("weights", WEIGHTS, Ratings.NONE),
+                "on_request".equals(facts.texts.get("discovery")),
+                facts.object("extra").flag("warm-keys"),
                 facts.time("tick-s"));
-        return new Found(settings, texts(report, "names", ""), texts(facts, "classes", "name"),
-                texts(facts, "parties", "name"), texts(facts, "localities", ""), texts(facts, "kinds", ""));
+        return new Found(
+                settings,
+                texts(report, "names", ""),
+                texts(facts, "classes", "name"),
+                texts(facts, "parties", "name"),
+                texts(facts, "localities", ""),
+                texts(facts, "kinds", ""));
     }
 
     private static List<String> texts(Node node, String list, String field) {
-        return node.list(list).stream().map(n -> n.texts.getOrDefault(field, "")).toList();
+        return node.list(list).stream()
+                .map(n -> n.texts.getOrDefault(field, ""))
+                .toList();
     }
 
     private static Limits limits(Node n) {
-        return new Limits((int) n.number("try-limit", 1), n.flag("may-duplicate"), n.flag("probes"),
-                n.flag("cancel"), n.flag("peers"), (int) n.number("max-open", 0), n.flag("retry-after"),
-                n.time("max-retry-after-s"), n.time("connect-timeout-s"), n.time("conn-idle-s"),
+        return new Limits(
+                (int) n.number("try-limit", 1),
+                n.flag("may-duplicate"),
+                n.flag("probes"),
+                n.flag("cancel"),
+                n.flag("peers"),
+                (int) n.number("max-open", 0),
+                n.flag("retry-after"),
+                n.time("max-retry-after-s"),
+                n.time("connect-timeout-s"),
+                n.time("conn-idle-s"),
                 (int) n.number("multiplex", 1));
     }
 
     private static RuleFigures rules(Node n) {
-        return new RuleFigures(n.time("answer-slack-s"), n.time("ask-within-s"), n.number("start-capacity", 1),
-                n.time("cold-s"), n.time("drain-grace-s"), n.number("fall-multiple", 1), n.time("fall-s"));
+        return new RuleFigures(
+                n.time("answer-slack-s"),
+                n.time("ask-within-s"),
+                n.number("start-capacity", 1),
+                n.time("cold-s"),
+                n.time("drain-grace-s"),
+                n.number("fall-multiple", 1),
+                n.time("fall-s"));
     }
 
     private static Prices prices(Node n) {
-        return new Prices(n.number("cross-zone", 0), n.number("waste", 0), n.number("probe", 0),
-                n.number("late-fail", 0), n.number("handshake", 0));
+        return new Prices(
+                n.number("cross-zone", 0),
+                n.number("waste", 0),
+                n.number("probe", 0),
+                n.number("late-fail", 0),
+                n.number("handshake", 0));
     }
 
     private static Node node(JsonParser json) throws IOException {
@@ -171,7 +229,7 @@
             case VALUE_TRUE -> node.numbers.put(name, 1.0);
             case VALUE_FALSE -> node.numbers.put(name, 0.0);
             case VALUE_STRING -> node.texts.put(name, json.getText());
-            default -> { }
+            default -> {}
         }
     }
 }
--- a/src/main/java/sedgeyoke/wire/WireHost.java
+++ b/src/main/java/sedgeyoke/wire/WireHost.java
@@ -9,7 +9,7 @@
 
 /** Command line: {@code wirehost} reads batches on standard input and writes a reply for each. */
 public final class WireHost {
-    private WireHost() { }
+    private WireHost() {}
 
     /** Runs the adapter; see {@link #run}. */
     public static void main(String[] args) {
--- a/src/test/java/sedgeyoke/agree/ExplicitStatesTest.java
+++ b/src/test/java/sedgeyoke/agree/ExplicitStatesTest.java
@@ -83,16 +83,25 @@
         }
 
         void start(int k, long run) {
-            List<Member> members = Arrays.stream(NAMES).map(n -> new Member(n, 1, n)).toList();
-            keepers[k] = new Keeper(new Keeper.Self(NAMES[k], 1, run), rules.apply(TIMING), new Keeper.Recovered(
-                    slots[k], null, List.copyOf(disks.get(k)), null, false), Members.of(members), NoSnapshots.CODEC,
-                    new SplittableRandom(1), clocks[k]);
+            List<Member> members =
+                    Arrays.stream(NAMES).map(n -> new Member(n, 1, n)).toList();
+            keepers[k] = new Keeper(
+                    new Keeper.Self(NAMES[k], 1, run),
+                    rules.apply(TIMING),
+                    new Keeper.Recovered(slots[k], null, List.copyOf(disks.get(k)), null, false),
+                    Members.of(members),
+                    NoSnapshots.CODEC,
+                    new SplittableRandom(1),
+                    clocks[k]);
             int before = net.size();
             on(k, new Event.Tick(), true);
             Message.Recall asked = (Message.Recall) net.get(before).message;
             String other = NAMES[(k + 1) % NAMES.length];
-            on(k, new Event.Received(other, 1, new Message.Recalled(0, asked.number(), false, true, false, false, 0,
-                    0)), true);
+            on(
+                    k,
+                    new Event.Received(
+                            other, 1, new Message.Recalled(0, asked.number(), false, true, false, false, 0, 0)),
+                    true);
         }
 
         /** {@code lasts} false: the process ends before what it wants to last is on disk. */
@@ -172,14 +181,23 @@
                     clocks[what] += 2 * TIMING.election() + 1;
                     on(what, new Event.Tick(), true);
                     net.removeIf(f -> f.message instanceof Message.PreVote); // it changes nothing at whoever is asked
-                    on(what, new Event.Received(NAMES[(what + 1) % NAMES.length], 1, new Message.PreVoted(
-                            keepers[what].term(), true, true)), true);
+                    on(
+                            what,
+                            new Event.Received(
+                                    NAMES[(what + 1) % NAMES.length],
+                                    1,
+                                    new Message.PreVoted(keepers[what].term(), true, true)),
+                            true);
                 }
                 case 3 -> crash(what);
                 case 4 -> {
                     int write = left[1]--;
-                    on(what, new Event.Asked(write, new Request.Set(new Command.Write("w" + write, 0, "", "", 0,
-                            Document.EMPTY))), true);
+                    on(
+                            what,
+                            new Event.Asked(
+                                    write,
+                                    new Request.Set(new Command.Write("w" + write, 0, "", "", 0, Document.EMPTY))),
+                            true);
                 }
                 default -> {
                     left[3]--;
@@ -217,8 +235,11 @@
         long fingerprint() {
             StringBuilder text = new StringBuilder(1_024);
             for (int k = 0; k < NAMES.length; k++) {
-                text.append(keepers[k].describe()).append(slots[k].term()).append(slots[k].vote())
-                        .append(disks.get(k).size()).append('|');
+                text.append(keepers[k].describe())
+                        .append(slots[k].term())
+                        .append(slots[k].vote())
+                        .append(disks.get(k).size())
+                        .append('|');
             }
             net.stream().filter(f -> !f.came || left[4] > 0).forEach(text::append);
             text.append(leaders).append(committed).append(Arrays.toString(left));
@@ -250,7 +271,7 @@
         return w;
     }
 
-    private record Found(long states, int depth, String breach) { }
+    private record Found(long states, int depth, String breach) {}
 
     private static Found explore(Function<Timing, Rules> rules, int most) {
         Set<Long> seen = ConcurrentHashMap.newKeySet();
@@ -258,26 +279,31 @@
         List<List<int[]>> level = List.of(List.of());
         int depth = 0;
         for (; !level.isEmpty() && seen.size() < most && breaches.isEmpty(); depth++) {
-            level = level.parallelStream().flatMap(path -> {
-                List<List<int[]>> next = new ArrayList<>();
-                for (int[] step : replay(rules, path).steps()) {
-                    if (seen.size() >= most) {
-                        break;
-                    }
-                    World w = replay(rules, path);
-                    w.step(step);
-                    List<int[]> longer = new ArrayList<>(path);
-                    longer.add(step);
-                    if (w.breach != null) {
-                        breaches.put(w.breach, longer);
-                    } else if (seen.add(w.fingerprint())) {
-                        next.add(longer);
-                    }
-                }
-                return next.stream();
-            }).toList();
+            level = level.parallelStream()
+                    .flatMap(path -> {
+                        List<List<int[]>> next = new ArrayList<>();
+                        for (int[] step : replay(rules, path).steps()) {
+                            if (seen.size() >= most) {
+                                break;
+                            }
+                            World w = replay(rules, path);
+                            w.step(step);
+                            List<int[]> longer = new ArrayList<>(path);
+                            longer.add(step);
+                            if (w.breach != null) {
+                                breaches.put(w.breach, longer);
+                            } else if (seen.add(w.fingerprint())) {
+                                next.add(longer);
+                            }
+                        }
+                        return next.stream();
+                    })
+                    .toList();
         }
-        return new Found(seen.size(), depth, breaches.isEmpty() ? null : breaches.keySet().iterator().next());
+        return new Found(
+                seen.size(),
+                depth,
+                breaches.isEmpty() ? null : breaches.keySet().iterator().next());
     }
 
     @Test
@@ -292,12 +318,14 @@
 
     @Test
     void aPlantedMistakeIsFound() {
-        Found found = explore(t -> new Rules(t) {
-            @Override
-            boolean mayVoteFor(String candidate, String votedFor) {
-                return true;
-            }
-        }, MOST_STATES);
+        Found found = explore(
+                t -> new Rules(t) {
+                    @Override
+                    boolean mayVoteFor(String candidate, String votedFor) {
+                        return true;
+                    }
+                },
+                MOST_STATES);
         System.out.println("explicit, two votes in a term: " + found);
         assertNotNull(found.breach());
     }
--- a/src/test/java/sedgeyoke/agree/KeeperRulesTest.java
+++ b/src/test/java/sedgeyoke/agree/KeeperRulesTest.java
@@ -38,12 +38,21 @@
             for (int i = 0; i < terms.length; i++) {
                 entries.add(new Entry(i + 1, terms[i], new Command.Nothing()));
             }
-            Slot slot = new Slot(term, "", List.of(4L), new HashMap<>(Map.of("b", new Slot.Known(FOLDER, 5L), "c",
-                    new Slot.Known(FOLDER, 6L))), doubt == null);
-            keeper = new Keeper(new Keeper.Self("a", FOLDER, 9), rules.apply(TIMING),
+            Slot slot = new Slot(
+                    term,
+                    "",
+                    List.of(4L),
+                    new HashMap<>(Map.of("b", new Slot.Known(FOLDER, 5L), "c", new Slot.Known(FOLDER, 6L))),
+                    doubt == null);
+            keeper = new Keeper(
+                    new Keeper.Self("a", FOLDER, 9),
+                    rules.apply(TIMING),
                     new Keeper.Recovered(slot, null, entries, doubt, doubt != null),
-                    Members.of(List.of(new Member("a", FOLDER, "a"), new Member("b", FOLDER, "b"),
-                            new Member("c", FOLDER, "c"))), new NoCodec(), new SplittableRandom(1), now);
+                    Members.of(List.of(
+                            new Member("a", FOLDER, "a"), new Member("b", FOLDER, "b"), new Member("c", FOLDER, "c"))),
+                    new NoCodec(),
+                    new SplittableRandom(1),
+                    now);
         }
 
         void on(Event event) {
@@ -68,7 +77,9 @@
         /** The number under which it asked what others know. */
         long asked() {
             on(new Event.Tick());
-            return said(Message.Recall.class).stream().mapToLong(Message.Recall::number).reduce((x, y) -> y)
+            return said(Message.Recall.class).stream()
+                    .mapToLong(Message.Recall::number)
+                    .reduce((x, y) -> y)
                     .orElseThrow();
         }
 
@@ -91,12 +102,18 @@
         }
 
         <T extends Message> List<T> said(Class<T> kind) {
-            return out.stream().filter(Action.Send.class::isInstance).map(a -> ((Action.Send) a).message())
-                    .filter(kind::isInstance).map(kind::cast).toList();
+            return out.stream()
+                    .filter(Action.Send.class::isInstance)
+                    .map(a -> ((Action.Send) a).message())
+                    .filter(kind::isInstance)
+                    .map(kind::cast)
+                    .toList();
         }
 
         List<Outcome> answers() {
-            return out.stream().filter(Action.Answer.class::isInstance).map(a -> ((Action.Answer) a).outcome())
+            return out.stream()
+                    .filter(Action.Answer.class::isInstance)
+                    .map(a -> ((Action.Answer) a).outcome())
                     .toList();
         }
     }
@@ -114,7 +131,7 @@
     }
 
     /** A history and whether the rule is kept in it. */
-    private record History(Predicate<Function<Timing, Rules>> kept, Function<Timing, Rules> planted) { }
+    private record History(Predicate<Function<Timing, Rules>> kept, Function<Timing, Rules> planted) {}
 
     private static boolean refusesAnOlderLongerLog(Function<Timing, Rules> rules) {
         Alone a = new Alone(rules, null, 2, 1, 2);
@@ -208,8 +225,9 @@
 
     static Stream<Arguments> histories() {
         Map<String, History> all = new LinkedHashMap<>();
-        all.put("logs are compared by length alone", new History(KeeperRulesTest::refusesAnOlderLongerLog,
-                t -> new Rules(t) {
+        all.put(
+                "logs are compared by length alone",
+                new History(KeeperRulesTest::refusesAnOlderLongerLog, t -> new Rules(t) {
                     @Override
                     boolean upToDate(long lastIndex, long lastTerm, long ownIndex, long ownTerm) {
                         return lastIndex >= ownIndex;
@@ -221,8 +239,9 @@
                 return true;
             }
         }));
-        all.put("whoever may have lost something counts", new History(KeeperRulesTest::countsOnlySoundOnes,
-                t -> new Rules(t) {
+        all.put(
+                "whoever may have lost something counts",
+                new History(KeeperRulesTest::countsOnlySoundOnes, t -> new Rules(t) {
                     @Override
                     boolean counts(boolean sound) {
                         return true;
@@ -234,34 +253,40 @@
                 return 0;
             }
         }));
-        all.put("nobody remembers what a keeper has said", new History(KeeperRulesTest::remembersRuns,
-                t -> new Rules(t) {
+        all.put(
+                "nobody remembers what a keeper has said",
+                new History(KeeperRulesTest::remembersRuns, t -> new Rules(t) {
                     @Override
                     boolean isOfThePast(long knownRun, List<Long> runs, long heardTerm, long term) {
                         return false;
                     }
                 }));
-        all.put("another folder is taken for the one before", new History(KeeperRulesTest::knowsFolders,
-                t -> new Rules(t) {
+        all.put(
+                "another folder is taken for the one before",
+                new History(KeeperRulesTest::knowsFolders, t -> new Rules(t) {
                     @Override
                     boolean sameFolder(long known, long said) {
                         return true;
                     }
                 }));
         more(all);
-        return all.entrySet().stream().map(e -> Arguments.of(e.getKey(), e.getValue().kept(), e.getValue().planted()));
+        return all.entrySet().stream()
+                .map(e -> Arguments.of(
+                        e.getKey(), e.getValue().kept(), e.getValue().planted()));
     }
 
     private static void more(Map<String, History> all) {
-        all.put("entries of earlier terms are committed by counting", new History(
-                KeeperRulesTest::commitsOnlyItsOwnTerm, t -> new Rules(t) {
+        all.put(
+                "entries of earlier terms are committed by counting",
+                new History(KeeperRulesTest::commitsOnlyItsOwnTerm, t -> new Rules(t) {
                     @Override
                     boolean mayCommit(long entryTerm, long term) {
                         return true;
                     }
                 }));
-        all.put("what a run before has acknowledged counts", new History(KeeperRulesTest::countsNoOldRun,
-                t -> new Rules(t) {
+        all.put(
+                "what a run before has acknowledged counts",
+                new History(KeeperRulesTest::countsNoOldRun, t -> new Rules(t) {
                     @Override
                     boolean sameRun(long known, long said) {
                         return true;
@@ -283,8 +308,8 @@
 
     @ParameterizedTest(name = "{0}")
     @MethodSource("histories")
-    void theRuleHoldsAndThePlantedMistakeIsFound(String what, Predicate<Function<Timing, Rules>> kept,
-            Function<Timing, Rules> planted) {
+    void theRuleHoldsAndThePlantedMistakeIsFound(
+            String what, Predicate<Function<Timing, Rules>> kept, Function<Timing, Rules> planted) {
         assertTrue(kept.test(Rules::new), "kept");
         assertFalse(kept.test(planted), "found");
     }
@@ -312,28 +337,39 @@
         long now = 0;
         for (long run = 0; run < 3 * Leases.MOST; run++) {
             now += TIMING.lease() / 100;
-            assertTrue(leases.grant(new LeaseAsk("b", run, 0, 0, 1), now, Version.NONE, null).leased());
+            assertTrue(leases.grant(new LeaseAsk("b", run, 0, 0, 1), now, Version.NONE, null)
+                    .leased());
         }
         assertTrue(leases.size(now) <= 102, "hold one: " + leases.size(now));
         for (long run = 0; run < Leases.MOST; run++) {
             leases.grant(new LeaseAsk("c", run, 0, 0, 1), now, Version.NONE, null);
         }
-        assertFalse(leases.grant(new LeaseAsk("d", 1, 0, 0, 1), now, Version.NONE, null).leased(), "there is a bound");
+        assertFalse(
+                leases.grant(new LeaseAsk("d", 1, 0, 0, 1), now, Version.NONE, null)
+                        .leased(),
+                "there is a bound");
     }
 
     /** A floor that was agreed once may only get looser: a balancer that is alone goes by the old one. */
     @Test
     void floorsMayOnlyBeLoosened() {
         Document before = Document.EMPTY.with(Schema.RETRIES_ALONE, 0.1).with(Schema.BALANCERS_ALONE, 50);
-        assertEquals(List.of(), Schema.faults(before, before.with(Schema.RETRIES_ALONE, 0.2)
-                .with(Schema.BALANCERS_ALONE, 40)));
-        assertEquals(1, Schema.faults(before, before.with(Schema.RETRIES_ALONE, 0.05)).size());
-        assertEquals(1, Schema.faults(before, before.with(Schema.BALANCERS_ALONE, 60)).size());
+        assertEquals(
+                List.of(),
+                Schema.faults(before, before.with(Schema.RETRIES_ALONE, 0.2).with(Schema.BALANCERS_ALONE, 40)));
+        assertEquals(
+                1,
+                Schema.faults(before, before.with(Schema.RETRIES_ALONE, 0.05)).size());
+        assertEquals(
+                1,
+                Schema.faults(before, before.with(Schema.BALANCERS_ALONE, 60)).size());
     }
 
     @Test
     void whatIsWrongWithADocumentIsToldByKey() {
-        Document bad = new Document(Map.of("retries", 2.0, "nonesuch", 1.0), Map.of("upstreams_out", Map.of("x", 1.0)),
+        Document bad = new Document(
+                Map.of("retries", 2.0, "nonesuch", 1.0),
+                Map.of("upstreams_out", Map.of("x", 1.0)),
                 Map.of("zones_out", Map.of("", "note")));
         List<String> faults = Schema.faults(Document.EMPTY, bad);
         assertTrue(faults.stream().anyMatch(f -> f.startsWith("retries: 2.0")), faults.toString());
@@ -350,8 +386,11 @@
             Document a = draw(random);
             Document b = draw(random);
             assertEquals(List.of(), Schema.contradictions(Schema.meet(a, b), a));
-            assertEquals(List.of(), Schema.contradictions(Schema.meet(a, b), b).stream()
-                    .filter(f -> !f.equals("planners")).toList());
+            assertEquals(
+                    List.of(),
+                    Schema.contradictions(Schema.meet(a, b), b).stream()
+                            .filter(f -> !f.equals("planners"))
+                            .toList());
             assertEquals(Schema.meet(a, b).numbers(), Schema.meet(b, a).numbers());
             assertEquals(List.of(), Schema.contradictions(Schema.alone(a), a));
         }
--- a/src/test/java/sedgeyoke/agree/PlantedRules.java
+++ b/src/test/java/sedgeyoke/agree/PlantedRules.java
@@ -6,7 +6,7 @@
 
 /** Rules that are each wrong in one place; here, as they may only be overridden from within the package. */
 public final class PlantedRules {
-    private PlantedRules() { }
+    private PlantedRules() {}
 
     /** By what is wrong. */
     public static Map<String, Function<Timing, Rules>> all() {
--- a/src/test/java/sedgeyoke/body/BodyRulesTest.java
+++ b/src/test/java/sedgeyoke/body/BodyRulesTest.java
@@ -16,8 +16,8 @@
 
 /** The table of docs/design/bodies.md, every cell of it, and the limits. */
 class BodyRulesTest {
-    private static final BodyLimits LIMITS = new BodyLimits(true, 65_536, 300_000, 1_000, 1_000_000, 60_000_000,
-            2_000_000, 1 << 30, 0);
+    private static final BodyLimits LIMITS =
+            new BodyLimits(true, 65_536, 300_000, 1_000, 1_000_000, 60_000_000, 2_000_000, 1 << 30, 0);
     private static final Set<Outcome> PROVES_IT_NEVER_RAN = Set.of(Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT);
 
     @Test
@@ -28,7 +28,9 @@
                 for (CutRequest.Body body : CutRequest.Body.values()) {
                     for (Outcome outcome : Outcome.values()) {
                         CutRequest.Next next = CutRequest.after(effect, scope, body, outcome);
-                        assertEquals(expected(effect, scope, body, outcome), next,
+                        assertEquals(
+                                expected(effect, scope, body, outcome),
+                                next,
                                 effect + " " + scope + " " + body + " " + outcome);
                         cells.add(next.toString());
                     }
@@ -48,7 +50,8 @@
         } else if (body == CutRequest.Body.PART_GONE || PROVES_IT_NEVER_RAN.contains(outcome)) {
             return CutRequest.Next.REFUSE;
         }
-        return effect == Effect.SAFE || effect == Effect.KEYED && scope == Scope.ALL ? CutRequest.Next.REFUSE
+        return effect == Effect.SAFE || effect == Effect.KEYED && scope == Scope.ALL
+                ? CutRequest.Next.REFUSE
                 : CutRequest.Next.FAIL;
     }
 
--- a/src/test/java/sedgeyoke/cli/CommandLineTest.java
+++ b/src/test/java/sedgeyoke/cli/CommandLineTest.java
@@ -18,12 +18,14 @@
     @TempDir
     private Path folder;
 
-    private record Ran(int code, String out, String err) { }
+    private record Ran(int code, String out, String err) {}
 
     private static Ran run(String... args) {
         StringWriter out = new StringWriter();
         StringWriter err = new StringWriter();
-        int code = new CommandLine(new Sedgeyoke()).setOut(new PrintWriter(out)).setErr(new PrintWriter(err))
+        int code = new CommandLine(new Sedgeyoke())
+                .setOut(new PrintWriter(out))
+                .setErr(new PrintWriter(err))
                 .execute(args);
         return new Ran(code, out.toString(), err.toString());
     }
@@ -36,8 +38,16 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"nonesuch", "demo --seconds=1", "demo --seconds=x", "drill", "drill nonesuch",
-        "check", "serve --nonesuch"})
+    @ValueSource(
+            strings = {
+                "nonesuch",
+                "demo --seconds=1",
+                "demo --seconds=x",
+                "drill",
+                "drill nonesuch",
+                "check",
+                "serve --nonesuch"
+            })
     void wrongUsageEndsWithTwo(String line) {
         Ran ran = run(line.split(" "));
         assertEquals(2, ran.code());
@@ -67,6 +77,7 @@
         Ran ran = run("demo", "--seconds", "4", "--seed", "3");
         assertEquals(0, ran.code(), ran.out());
         assertTrue(ran.out().contains("all four rules kept"), ran.out());
-        assertEquals(4, ran.out().lines().filter(l -> l.contains(" s  service ")).count());
+        assertEquals(
+                4, ran.out().lines().filter(l -> l.contains(" s  service ")).count());
     }
 }
--- a/src/test/java/sedgeyoke/decide/CordonTest.java
+++ b/src/test/java/sedgeyoke/decide/CordonTest.java
@@ -25,7 +25,9 @@
     }
 
     private Standing standing(String upstream) {
-        return host.balancer.summary(host.now).upstreams().stream().filter(s -> s.id().equals(upstream)).findFirst()
+        return host.balancer.summary(host.now).upstreams().stream()
+                .filter(s -> s.id().equals(upstream))
+                .findFirst()
                 .orElseThrow();
     }
 
--- a/src/test/java/sedgeyoke/decide/FourRulesTest.java
+++ b/src/test/java/sedgeyoke/decide/FourRulesTest.java
@@ -23,7 +23,7 @@
 class FourRulesTest {
     private static final long SECOND = Host.SECOND;
 
-    private record Out(String id, int attempt, String upstream, long sentAt, long endsAt, Outcome outcome) { }
+    private record Out(String id, int attempt, String upstream, long sentAt, long endsAt, Outcome outcome) {}
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
@@ -49,7 +49,10 @@
             gather(host, random, out);
             served += deliver(host, out);
             if (step < 3_400 && random.nextInt(3) > 0) {
-                host.request(random.nextInt(3), 200_000 + random.nextLong(1_800_000), "k" + random.nextInt(9),
+                host.request(
+                        random.nextInt(3),
+                        200_000 + random.nextLong(1_800_000),
+                        "k" + random.nextInt(9),
                         5_000 + random.nextLong(40_000));
                 gather(host, random, out);
             }
@@ -114,8 +117,10 @@
 
     private RuleChecker checker() {
         RuleChecker c = new RuleChecker(new Host.Config().settings(), 1.0);
-        c.told(0, ListKind.RESTORED, List.of(Host.up(0, State.READY, 0), Host.up(1, State.READY, 0),
-                Host.up(2, State.READY, 10 * SECOND)));
+        c.told(
+                0,
+                ListKind.RESTORED,
+                List.of(Host.up(0, State.READY, 0), Host.up(1, State.READY, 0), Host.up(2, State.READY, 10 * SECOND)));
         return c;
     }
 
--- a/src/test/java/sedgeyoke/decide/Host.java
+++ b/src/test/java/sedgeyoke/decide/Host.java
@@ -46,7 +46,7 @@
     /** Whether requests come from clients that try again, and say so. */
     boolean again;
 
-    private record Timer(long at, long n, String token) { }
+    private record Timer(long at, long n, String token) {}
 
     /** What a test may vary of the settings. */
     static final class Config {
@@ -70,13 +70,26 @@
         Settings settings() {
             List<RequestClass> classes = new ArrayList<>();
             for (Effect e : Effect.values()) {
-                classes.add(new RequestClass(SECOND / 2, 0, 2 * SECOND, 1 + e.ordinal(), lateWorth, e, scope,
-                        SECOND, stream));
+                classes.add(new RequestClass(
+                        SECOND / 2, 0, 2 * SECOND, 1 + e.ordinal(), lateWorth, e, scope, SECOND, stream));
             }
-            return new Settings(0, zones, position, group, classes, tenants, 0.2, true,
+            return new Settings(
+                    0,
+                    zones,
+                    position,
+                    group,
+                    classes,
+                    tenants,
+                    0.2,
+                    true,
                     new Limits(4, secondCopies, probes, cancel, false, 20_000, false, 0, SECOND / 4, 10 * SECOND, 1),
                     new RuleFigures(20 * MILLI, 10 * SECOND, 0.2, 20 * SECOND, SECOND, 3, 2 * SECOND),
-                    new Prices(crossZone, 0.1, 0.01, 0.05, 0), reports, ratings, ask, warmKeys, tick);
+                    new Prices(crossZone, 0.1, 0.01, 0.05, 0),
+                    reports,
+                    ratings,
+                    ask,
+                    warmKeys,
+                    tick);
         }
     }
 
@@ -131,8 +144,8 @@
 
     void end(String id, Outcome outcome, long took, LoadReport load) {
         int attempt = sends.get(id).size() - 1;
-        balancer.outcome(now, new AttemptEnd(id, attempt, lastUpstream(id), outcome, took,
-                outcome == Outcome.OK, load));
+        balancer.outcome(
+                now, new AttemptEnd(id, attempt, lastUpstream(id), outcome, took, outcome == Outcome.OK, load));
     }
 
     /** Sends a request, lets it be served after {@code took} with the upstream's utilisation; its upstream. */
--- a/src/test/java/sedgeyoke/decide/ModuleSizeTest.java
+++ b/src/test/java/sedgeyoke/decide/ModuleSizeTest.java
@@ -20,13 +20,17 @@
         if (filled > 1_200) {
             return "too long: " + filled;
         }
-        return lines.stream().filter(l -> l.length() > 110).findFirst().map(l -> "too wide: " + l).orElse("");
+        return lines.stream()
+                .filter(l -> l.length() > 110)
+                .findFirst()
+                .map(l -> "too wide: " + l)
+                .orElse("");
     }
 
     @Test
     void moduleIsWithinItsLimits() throws IOException {
-        Matcher policy = Pattern.compile("(?m)^policy = \\[(.*)]")
-                .matcher(Files.readString(Path.of("deploy/balancer.toml")));
+        Matcher policy =
+                Pattern.compile("(?m)^policy = \\[(.*)]").matcher(Files.readString(Path.of("deploy/balancer.toml")));
         assertTrue(policy.find());
         List<String> lines = new ArrayList<>();
         for (String file : policy.group(1).replaceAll("[\" ]", "").split(",")) {
--- a/src/test/java/sedgeyoke/decide/PlanTest.java
+++ b/src/test/java/sedgeyoke/decide/PlanTest.java
@@ -34,7 +34,7 @@
         return new UpstreamView(id, limit, 0, draining);
     }
 
-    private record Out(String id, int attempt, String upstream, long endsAt) { }
+    private record Out(String id, int attempt, String upstream, long endsAt) {}
 
     /** Some seconds of seeded events with a cold start at step 600; {@code plans} is asked before each step. */
     private static Host play(long seed, BiConsumer<Host, Integer> plans) {
@@ -55,15 +55,26 @@
             for (; seen < host.done.size(); seen++) {
                 String[] done = host.done.get(seen).split(" ");
                 if (done[1].equals("send")) {
-                    out.add(new Out(done[2], host.sends.get(done[2]).indexOf(done[3]), done[3],
+                    out.add(new Out(
+                            done[2],
+                            host.sends.get(done[2]).indexOf(done[3]),
+                            done[3],
                             host.now + random.nextInt(120_000)));
                 }
             }
             for (Out o : List.copyOf(out)) {
                 if (o.endsAt() <= host.now) {
                     out.remove(o);
-                    host.balancer.outcome(host.now, new AttemptEnd(o.id(), o.attempt(), o.upstream(), Outcome.OK,
-                            20_000, true, Host.report(random.nextDouble())));
+                    host.balancer.outcome(
+                            host.now,
+                            new AttemptEnd(
+                                    o.id(),
+                                    o.attempt(),
+                                    o.upstream(),
+                                    Outcome.OK,
+                                    20_000,
+                                    true,
+                                    Host.report(random.nextDouble())));
                 }
             }
         }
@@ -71,18 +82,21 @@
     }
 
     private static List<String> sendsTo(Host host, String upstream) {
-        return host.done.stream().filter(d -> d.contains(" send ") && d.endsWith(" " + upstream)).toList();
+        return host.done.stream()
+                .filter(d -> d.contains(" send ") && d.endsWith(" " + upstream))
+                .toList();
     }
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void withoutPlannersAllIsDecidedAsWithoutTheFeature(long seed) {
-        List<String> without = play(seed, (host, step) -> { }).done;
+        List<String> without = play(seed, (host, step) -> {}).done;
         List<String> quiet = play(seed, (host, step) -> {
-            if (step % 40 == 0) {
-                host.balancer.plan(host.now, plan(0, List.of(), List.of(), Map.of()));
-            }
-        }).done;
+                    if (step % 40 == 0) {
+                        host.balancer.plan(host.now, plan(0, List.of(), List.of(), Map.of()));
+                    }
+                })
+                .done;
         assertTrue(without.size() >= 1_500, "only " + without.size());
         assertEquals(without, quiet);
     }
@@ -92,33 +106,50 @@
     @ValueSource(longs = {1, 2, 3, 4})
     void onceAPlanHasRunOutAllIsDecidedAsWithoutIt(long seed) {
         List<String> without = play(seed, (host, step) -> {
-            if (step == 0) {
-                host.advance(10 * SECOND);
-            }
-        }).done;
+                    if (step == 0) {
+                        host.advance(10 * SECOND);
+                    }
+                })
+                .done;
         List<String> runOut = play(seed, (host, step) -> {
-            if (step == 0) {
-                host.balancer.plan(host.now, plan(host.now, List.of(view("u1", 0.1, true),
-                        view("u2", 9, false)), List.of(0.0, 1.0, 0.0), Map.of()));
-                host.advance(10 * SECOND);
-            }
-        }).done;
+                    if (step == 0) {
+                        host.balancer.plan(
+                                host.now,
+                                plan(
+                                        host.now,
+                                        List.of(view("u1", 0.1, true), view("u2", 9, false)),
+                                        List.of(0.0, 1.0, 0.0),
+                                        Map.of()));
+                        host.advance(10 * SECOND);
+                    }
+                })
+                .done;
         assertEquals(without, runOut);
     }
 
     @Test
     void whileItCountsItChangesDecisions() {
-        List<String> without = play(1, (host, step) -> { }).done;
-        List<String> planned = play(1, (host, step) -> host.balancer.plan(host.now, plan(host.now,
-                List.of(view("u1", 1, false)), List.of(0.5, 0.5, 0.0), Map.of()))).done;
+        List<String> without = play(1, (host, step) -> {}).done;
+        List<String> planned = play(
+                        1,
+                        (host, step) -> host.balancer.plan(
+                                host.now,
+                                plan(host.now, List.of(view("u1", 1, false)), List.of(0.5, 0.5, 0.0), Map.of())))
+                .done;
         assertNotEquals(without, planned);
     }
 
     @Test
     void aPlannersWordOfADrainStopsSendsButNeverStartsAny() {
-        Host host = play(1, (h, step) -> h.balancer.plan(h.now, plan(h.now,
-                List.of(view("u1", Double.NaN, step > 400),
-                        view("stranger", 9, false)), List.of(), Map.of())));
+        Host host = play(
+                1,
+                (h, step) -> h.balancer.plan(
+                        h.now,
+                        plan(
+                                h.now,
+                                List.of(view("u1", Double.NaN, step > 400), view("stranger", 9, false)),
+                                List.of(),
+                                Map.of())));
         List<String> sent = sendsTo(host, "u1");
         long last = Long.parseLong(sent.get(sent.size() - 1).split(" ")[0]);
         assertTrue(sent.size() > 10 && last <= 100 * SECOND + 401 * 5_000, "last of " + sent.size() + " at " + last);
@@ -132,7 +163,7 @@
             all.add(view("u" + i, Double.NaN, true));
         }
         Host host = play(1, (h, step) -> h.balancer.plan(h.now, plan(h.now, all, List.of(), Map.of())));
-        assertEquals(play(1, (h, step) -> { }).done, host.done);
+        assertEquals(play(1, (h, step) -> {}).done, host.done);
     }
 
     /** A right that is lent accrues nothing and forfeits what was saved; a granted one is used. */
@@ -150,11 +181,18 @@
                 launched[0] = h.now; // the change came after the last step
             }
             if (step > COLD_AT) {
-                h.balancer.plan(h.now, plan(h.now, List.of(), List.of(),
-                        Map.of("u2", new ColdRight(launched[0], Long.MAX_VALUE, grants))));
+                h.balancer.plan(
+                        h.now,
+                        plan(
+                                h.now,
+                                List.of(),
+                                List.of(),
+                                Map.of("u2", new ColdRight(launched[0], Long.MAX_VALUE, grants))));
             }
         });
-        return (int) sendsTo(host, "u2").stream().filter(d -> Long.parseLong(d.split(" ")[0]) > launched[0]).count();
+        return (int) sendsTo(host, "u2").stream()
+                .filter(d -> Long.parseLong(d.split(" ")[0]) > launched[0])
+                .count();
     }
 
     @Test
@@ -163,8 +201,9 @@
         assertEquals(0, host.balancer.summary(host.now).upstreams().get(0).coldRight());
         host.request(0, 2 * SECOND);
         host.advance(SECOND);
-        host.balancer.plan(host.now, plan(host.now, List.of(new UpstreamView("u0", Double.NaN,
-                host.now, false)), List.of(), Map.of()));
+        host.balancer.plan(
+                host.now,
+                plan(host.now, List.of(new UpstreamView("u0", Double.NaN, host.now, false)), List.of(), Map.of()));
         assertTrue(host.balancer.summary(host.now).upstreams().get(0).coldRight() > 0);
     }
 
