--- a/src/test/java/sedgeyoke/decide/PolicyTest.java
+++ b/src/test/java/sedgeyoke/decide/PolicyTest.java
@@ -68,8 +68,12 @@
     void upstreamsThatAreGoneAreForgotten() throws ReflectiveOperationException {
         Host h = Host.of(config).list(3);
         for (int i = 0; i < 100; i++) {
-            h.balancer.upstreams(h.now, ListKind.CHANGES, List.of(new Upstream("n" + i, 0, 0, 0, State.READY, 1, 0),
-                    new Upstream("n" + (i - 2), 0, 0, 0, State.GONE, 1, 0)));
+            h.balancer.upstreams(
+                    h.now,
+                    ListKind.CHANGES,
+                    List.of(
+                            new Upstream("n" + i, 0, 0, 0, State.READY, 1, 0),
+                            new Upstream("n" + (i - 2), 0, 0, 0, State.GONE, 1, 0)));
         }
         Field known = Policy.class.getDeclaredField("byId");
         known.setAccessible(true);
@@ -94,8 +98,12 @@
         for (Ratings ratings : List.of(Ratings.NOMINAL, Ratings.NONE)) {
             config.ratings = ratings;
             Host h = Host.of(config);
-            h.balancer.upstreams(h.now, ListKind.RESTORED, List.of(
-                    new Upstream("u0", 0, 0, 0, State.READY, 3, 0), new Upstream("u1", 0, 0, 0, State.READY, 1, 0)));
+            h.balancer.upstreams(
+                    h.now,
+                    ListKind.RESTORED,
+                    List.of(
+                            new Upstream("u0", 0, 0, 0, State.READY, 3, 0),
+                            new Upstream("u1", 0, 0, 0, State.READY, 1, 0)));
             h.advance(SECOND);
             for (int i = 0; i < 200; i++) {
                 h.serve(0, 20 * MILLI, u -> 0.5);
@@ -206,7 +214,8 @@
         h.advance(20 * MILLI);
         out.forEach(id -> h.end(id, Outcome.OK, 20 * MILLI, null));
         waiting.keySet().removeIf(id -> h.lastUpstream(id) == null);
-        long home = waiting.entrySet().stream().filter(w -> w.getValue().equals(h.lastUpstream(w.getKey())))
+        long home = waiting.entrySet().stream()
+                .filter(w -> w.getValue().equals(h.lastUpstream(w.getKey())))
                 .count();
         assertTrue(waiting.size() > 8, "sent " + waiting.size());
         assertTrue(home > 0.75 * waiting.size(), home + " of " + waiting.size());
@@ -296,7 +305,9 @@
         for (int i = 0; i < 60; i++) {
             String id = h.request(0, 2 * SECOND);
             h.advance(5 * MILLI);
-            for (int k = 0; k < 4 && h.lastUpstream(id) != null && h.sends.get(id).size() > k; k++) {
+            for (int k = 0;
+                    k < 4 && h.lastUpstream(id) != null && h.sends.get(id).size() > k;
+                    k++) {
                 h.end(id, Outcome.CONNECT_FAILED, 5 * MILLI, null);
             }
         }
@@ -363,7 +374,8 @@
             for (int i = 0; i < 20; i++) {
                 h.request(0, 2 * SECOND);
             }
-            int sent = h.perUpstream.values().stream().mapToInt(Integer::intValue).sum();
+            int sent =
+                    h.perUpstream.values().stream().mapToInt(Integer::intValue).sum();
             assertEquals(utilisation > 0.9, sent <= 2, sent + " sent at " + utilisation);
         }
     }
@@ -467,8 +479,12 @@
         config.group = 300;
         config.ratings = Ratings.NOMINAL;
         Host h = Host.of(config);
-        h.balancer.upstreams(h.now, ListKind.RESTORED, List.of(
-                new Upstream("u0", 0, 0, 0, State.READY, 3, 0), new Upstream("u1", 0, 0, 0, State.READY, 1, 0)));
+        h.balancer.upstreams(
+                h.now,
+                ListKind.RESTORED,
+                List.of(
+                        new Upstream("u0", 0, 0, 0, State.READY, 3, 0),
+                        new Upstream("u1", 0, 0, 0, State.READY, 1, 0)));
         h.advance(SECOND);
         for (int i = 0; i < 400; i++) {
             h.serve(0, 20 * MILLI, u -> 0.5);
@@ -553,7 +569,10 @@
         config.group = 300;
         config.warmKeys = true;
         Host h = Host.of(config);
-        h.balancer.upstreams(h.now, ListKind.RESTORED, IntStream.range(0, 40).mapToObj(upstream).toList());
+        h.balancer.upstreams(
+                h.now,
+                ListKind.RESTORED,
+                IntStream.range(0, 40).mapToObj(upstream).toList());
         h.advance(2 * SECOND);
         int atSlow = 0;
         for (int i = 0; i < 1200; i++) {
@@ -695,7 +714,9 @@
         String id = h.request(1, 2 * SECOND);
         h.end(id, Outcome.RESET, MILLI, null);
         assertEquals(2, h.sends.get(id).size());
-        List<Integer> zones = h.sends.get(id).stream().map(u -> Integer.parseInt(u.substring(1)) % 3).toList();
+        List<Integer> zones = h.sends.get(id).stream()
+                .map(u -> Integer.parseInt(u.substring(1)) % 3)
+                .toList();
         assertEquals(zones.get(0), zones.get(1));
         h.advance(1_100 * MILLI);
         h.end(id, Outcome.RESET, 1_100 * MILLI, null);
@@ -801,8 +822,10 @@
                 h.advance(50 * MILLI);
                 h.end(id, Outcome.OK, (i % 2 + 1) * 50 * MILLI, Host.report(0.5));
             }
-            cold += h.perUpstream.entrySet().stream().filter(e -> e.getKey().charAt(1) >= '5')
-                    .mapToInt(Map.Entry::getValue).sum();
+            cold += h.perUpstream.entrySet().stream()
+                    .filter(e -> e.getKey().charAt(1) >= '5')
+                    .mapToInt(Map.Entry::getValue)
+                    .sum();
             all += h.perUpstream.values().stream().mapToInt(Integer::intValue).sum();
         }
         assertTrue(cold < all / 3, cold + " of " + all);
@@ -950,8 +973,9 @@
         h.balancer.probed(h.now, "u0", Outcome.TIMEOUT, null);
         h.balancer.timer(h.now, "never");
         h.balancer.peerMessage(h.now, 1, new byte[0]);
-        h.balancer.outcome(h.now, new Balancer.AttemptEnd("never", 0, "u0", Outcome.OK, 1, true,
-                new LoadReport(1, 1, 1, 1, 1, 1)));
+        h.balancer.outcome(
+                h.now,
+                new Balancer.AttemptEnd("never", 0, "u0", Outcome.OK, 1, true, new LoadReport(1, 1, 1, 1, 1, 1)));
         assertTrue(h.done.isEmpty(), h.done.toString());
     }
 
--- a/src/test/java/sedgeyoke/decide/RuleChecker.java
+++ b/src/test/java/sedgeyoke/decide/RuleChecker.java
@@ -26,7 +26,7 @@
     private final Map<String, Case> cases = new HashMap<>();
     private final Map<String, Deque<long[]>> coldSends = new HashMap<>();
 
-    private record Sent(long at, Upstream upstream) { }
+    private record Sent(long at, Upstream upstream) {}
 
     private static final class Case {
         Request request;
@@ -114,7 +114,10 @@
         }
         double start = settings.rules().startCapacity();
         double share = start + (1 - start) * age / settings.rules().coldTime();
-        double budget = settings.rules().fallMultiple() * share * warmWorkPerMicro * settings.rules().fallTime();
+        double budget = settings.rules().fallMultiple()
+                * share
+                * warmWorkPerMicro
+                * settings.rules().fallTime();
         if (window.stream().mapToLong(w -> w[1]).sum() > budget) {
             breaches.add("4: cold upstream pushed over " + u.id());
         }
@@ -132,8 +135,8 @@
     void refused(long now, String id) {
         Case c = cases.get(id);
         boolean mayHaveRun = c.ran.contains(true);
-        if (mayHaveRun && (c.cls.effect() == Effect.UNSAFE
-                || c.cls.effect() == Effect.KEYED && c.cls.scope() != Scope.ALL)) {
+        if (mayHaveRun
+                && (c.cls.effect() == Effect.UNSAFE || c.cls.effect() == Effect.KEYED && c.cls.scope() != Scope.ALL)) {
             breaches.add("2: refused though it may have run " + id);
         }
         answered(now, id);
--- a/src/test/java/sedgeyoke/decide/TransfersTest.java
+++ b/src/test/java/sedgeyoke/decide/TransfersTest.java
@@ -40,7 +40,9 @@
     }
 
     private static int inFlight(Host h) {
-        return h.balancer.summary(h.now).upstreams().stream().mapToInt(Standing::inFlight).sum();
+        return h.balancer.summary(h.now).upstreams().stream()
+                .mapToInt(Standing::inFlight)
+                .sum();
     }
 
     @Test
@@ -93,10 +95,13 @@
             begin(slow, coming(slow, "t" + i));
             slow.advance(30_000_000);
             none.advance(30_000_000);
-            slow.balancer.outcome(slow.now, new AttemptEnd("t" + i, 0, "u0", i % 2 == 0 ? Outcome.OK : Outcome.TIMEOUT,
-                    29_000_000, true, null));
+            slow.balancer.outcome(
+                    slow.now,
+                    new AttemptEnd(
+                            "t" + i, 0, "u0", i % 2 == 0 ? Outcome.OK : Outcome.TIMEOUT, 29_000_000, true, null));
         }
-        assertEquals(none.balancer.summary(none.now).upstreams().get(0).limit(),
+        assertEquals(
+                none.balancer.summary(none.now).upstreams().get(0).limit(),
                 slow.balancer.summary(slow.now).upstreams().get(0).limit());
     }
 
--- a/src/test/java/sedgeyoke/drill/AgreeProcessesTest.java
+++ b/src/test/java/sedgeyoke/drill/AgreeProcessesTest.java
@@ -31,8 +31,12 @@
 /** Keepers and balancers as processes of the program, and what happens when some of them fail. */
 class AgreeProcessesTest {
     private static final long PATIENCE_MS = 60_000;
-    private static final List<String> PROGRAM = List.of(Path.of(System.getProperty("java.home"), "bin", "java")
-            .toString(), "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-cp", System.getProperty("java.class.path"),
+    private static final List<String> PROGRAM = List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-XX:TieredStopAtLevel=1",
+            "-Xshare:auto",
+            "-cp",
+            System.getProperty("java.class.path"),
             "sedgeyoke.cli.Sedgeyoke");
 
     /** Three keepers and a way to ask them. */
@@ -69,7 +73,8 @@
         long set(String request, double retries) throws InterruptedException {
             Version from = read();
             Document next = from.content().with(Schema.RETRIES, retries);
-            Outcome outcome = client.set(request, from, "op", "", next, PATIENCE_MS).outcome();
+            Outcome outcome =
+                    client.set(request, from, "op", "", next, PATIENCE_MS).outcome();
             assertEquals(Outcome.Kind.DONE, outcome.kind(), outcome.text());
             return outcome.version();
         }
@@ -151,7 +156,8 @@
     void anEmptyDiskUnderAnOldNameIsANewKeeper(@TempDir Path folder) throws Exception {
         try (Keepers k = new Keepers(folder)) {
             k.set("one", 0.25);
-            await("its folder is known to all", () -> k.ports.keySet().stream().map(k::status)
+            await("its folder is known to all", () -> k.ports.keySet().stream()
+                    .map(k::status)
                     .allMatch(s -> s != null && s.voters().stream().allMatch(m -> m.folder() != 0)));
             long old = k.status("k2").folder();
             k.processes.get("k2").kill();
@@ -163,19 +169,28 @@
             assertNotEquals(old, folderNow);
             k.set("two", 0.5);
             assertEquals(0, k.status("k2").active(), "nobody tells it anything");
-            assertEquals(Outcome.Kind.DONE, k.client.ask(new Request.Remove("k2", old), PATIENCE_MS).outcome().kind());
+            assertEquals(
+                    Outcome.Kind.DONE,
+                    k.client
+                            .ask(new Request.Remove("k2", old), PATIENCE_MS)
+                            .outcome()
+                            .kind());
             KeeperClient.Answer[] added = new KeeperClient.Answer[1];
             await("it is added", () -> {
                 try {
-                    added[0] = k.client.ask(new Request.Add(new Member("k2", folderNow, "127.0.0.1:"
-                            + k.ports.get("k2"))), PATIENCE_MS);
+                    added[0] = k.client.ask(
+                            new Request.Add(new Member("k2", folderNow, "127.0.0.1:" + k.ports.get("k2"))),
+                            PATIENCE_MS);
                     return added[0].outcome().kind() == Outcome.Kind.DONE;
                 } catch (InterruptedException e) {
                     throw new IllegalStateException(e);
                 }
             });
-            await("it has caught up and votes", () -> k.status("k0").voters().stream()
-                    .anyMatch(m -> m.name().equals("k2") && m.folder() == folderNow) && k.status("k2").active() >= 2);
+            await(
+                    "it has caught up and votes",
+                    () -> k.status("k0").voters().stream()
+                                    .anyMatch(m -> m.name().equals("k2") && m.folder() == folderNow)
+                            && k.status("k2").active() >= 2);
         }
     }
 
@@ -206,8 +221,10 @@
     void twoKeepersCannotHaveOneFolder(@TempDir Path folder) throws Exception {
         try (Keepers k = new Keepers(folder)) {
             List<String> command = new ArrayList<>(PROGRAM);
-            command.addAll(List.of("keep", "--config", k.folder.resolve("k0.toml").toString()));
-            Process second = new ProcessBuilder(command).redirectErrorStream(true).start();
+            command.addAll(
+                    List.of("keep", "--config", k.folder.resolve("k0.toml").toString()));
+            Process second =
+                    new ProcessBuilder(command).redirectErrorStream(true).start();
             String said = new String(second.getInputStream().readAllBytes());
             assertEquals(2, second.waitFor(), said);
             assertTrue(said.contains("is held by another process"), said);
@@ -217,15 +234,17 @@
     /** The drill in small: three keepers and three balancers, with faults on every way between them. */
     @Test
     void theDrillHoldsInSmall() throws Exception {
-        ObjectNode figures = new AgreeDrill(3, 3, 16, 3, AgreeDrill.Mode.FAULTS, PROGRAM,
-                new PrintWriter(System.out, true)).run();
+        ObjectNode figures =
+                new AgreeDrill(3, 3, 16, 3, AgreeDrill.Mode.FAULTS, PROGRAM, new PrintWriter(System.out, true)).run();
         System.out.println(figures);
         assertEquals(0, figures.path("lost_commits").asInt(), figures.toString());
         assertTrue(figures.path("linearizable").asBoolean(), figures.toString());
         assertTrue(figures.path("writes").asInt() > 0, figures.toString());
         assertEquals(0, figures.path("strict_contradictions").asInt(), figures.toString());
         assertEquals(3, figures.path("keepers_sound_at_end").asInt(), figures.toString());
-        assertTrue(figures.path("contradiction_max_ms").asLong() <= figures.path("holds_within_ms").asLong() + 100,
+        assertTrue(
+                figures.path("contradiction_max_ms").asLong()
+                        <= figures.path("holds_within_ms").asLong() + 100,
                 figures.toString());
     }
 }
--- a/src/test/java/sedgeyoke/emulate/EmulationTest.java
+++ b/src/test/java/sedgeyoke/emulate/EmulationTest.java
@@ -117,9 +117,24 @@
 
     /** Faults must do something, or the tests above show nothing. */
     @ParameterizedTest
-    @EnumSource(value = Kind.class, names = {"RESTART_NODE", "DRAIN_NODE", "VANISH_NODE", "REPLACE_NODE",
-        "REPLACE_NODE_IN_PLACE", "SLOW_NODE", "ERRORS_FAST", "ERRORS_SLOW", "ZONE_LOAD", "KILL_FORWARDER",
-        "PAUSE_FORWARDER", "RESTART_FORWARDER", "LOSE_ZONE", "CUT_ZONE"})
+    @EnumSource(
+            value = Kind.class,
+            names = {
+                "RESTART_NODE",
+                "DRAIN_NODE",
+                "VANISH_NODE",
+                "REPLACE_NODE",
+                "REPLACE_NODE_IN_PLACE",
+                "SLOW_NODE",
+                "ERRORS_FAST",
+                "ERRORS_SLOW",
+                "ZONE_LOAD",
+                "KILL_FORWARDER",
+                "PAUSE_FORWARDER",
+                "RESTART_FORWARDER",
+                "LOSE_ZONE",
+                "CUT_ZONE"
+            })
     void eachFaultChangesARun(Kind kind) {
         Scenario calm = small(0.6);
         Scenario struck = calm.withFaults(List.of(fault(4, kind, 3, 1, 2, 3)));
@@ -127,7 +142,9 @@
     }
 
     @ParameterizedTest
-    @EnumSource(value = Kind.class, names = {"LOSE_ANSWERS", "RESET_CONNECTIONS"})
+    @EnumSource(
+            value = Kind.class,
+            names = {"LOSE_ANSWERS", "RESET_CONNECTIONS"})
     void faultsOnTheWayBackChangeARun(Kind kind) {
         Scenario calm = small(0.6);
         Scenario struck = calm.withFaults(List.of(fault(4, kind, 1, 0, 3, 0.05)));
@@ -140,14 +157,37 @@
     void theRulesHoldWhereConnectionsAreScarceAndBalancersRestart(long seed) {
         Scenario s = Scenarios.orders(12, 6, 0.5, 14, 2.6, 16);
         Scenario.Network n = s.network();
-        Scenario.Network scarce = new Scenario.Network(n.inZoneUs(), n.crossZoneUs(), n.jitter(), n.stall(),
-                n.stallUs(), n.discoveryMs(), n.discoveryMostMs(), n.noticeMs(), n.clockSkewMs(), n.clockDriftPpm(),
-                10, 10_000);
-        Emulation run = new Emulation(new Scenario(s.site(), s.seconds(), s.warmUp(), s.forwarders(), s.policy(),
-                s.planners(), s.traffic(), scarce, List.of(fault(2, Kind.RESTART_FORWARDER, 6, 1, 0, 0),
-                fault(3, Kind.LOSE_ANSWERS, 1, 0, 4, 0.02), fault(3, Kind.RESET_CONNECTIONS, 1, 0, 4, 0.02),
-                fault(5, Kind.LOSE_ZONE, 1, 0, 2, 0), fault(9, Kind.CUT_ZONE, 1, 0, 2, 0),
-                fault(4, Kind.KILL_FORWARDER, 2, 0, 1, 0))), seed);
+        Scenario.Network scarce = new Scenario.Network(
+                n.inZoneUs(),
+                n.crossZoneUs(),
+                n.jitter(),
+                n.stall(),
+                n.stallUs(),
+                n.discoveryMs(),
+                n.discoveryMostMs(),
+                n.noticeMs(),
+                n.clockSkewMs(),
+                n.clockDriftPpm(),
+                10,
+                10_000);
+        Emulation run = new Emulation(
+                new Scenario(
+                        s.site(),
+                        s.seconds(),
+                        s.warmUp(),
+                        s.forwarders(),
+                        s.policy(),
+                        s.planners(),
+                        s.traffic(),
+                        scarce,
+                        List.of(
+                                fault(2, Kind.RESTART_FORWARDER, 6, 1, 0, 0),
+                                fault(3, Kind.LOSE_ANSWERS, 1, 0, 4, 0.02),
+                                fault(3, Kind.RESET_CONNECTIONS, 1, 0, 4, 0.02),
+                                fault(5, Kind.LOSE_ZONE, 1, 0, 2, 0),
+                                fault(9, Kind.CUT_ZONE, 1, 0, 2, 0),
+                                fault(4, Kind.KILL_FORWARDER, 2, 0, 1, 0))),
+                seed);
         Outcome o = run.run();
         assertEquals(Map.of(), o.violations(), o.broken().toString());
         assertEquals(0, run.openAtClients());
@@ -157,7 +197,9 @@
     }
 
     @ParameterizedTest
-    @EnumSource(value = Kind.class, names = {"KILL_PLANNER", "PAUSE_PLANNER", "CUT_PLANNER_OUT", "CUT_PLANNER_IN"})
+    @EnumSource(
+            value = Kind.class,
+            names = {"KILL_PLANNER", "PAUSE_PLANNER", "CUT_PLANNER_OUT", "CUT_PLANNER_IN"})
     void eachFaultOfAPlannerChangesARun(Kind kind) {
         Scenario calm = small(0.6).withPlanners(PlannerSpec.usual(1));
         Scenario struck = calm.withFaults(List.of(fault(4, kind, 1, 0, 3, 0)));
@@ -172,7 +214,9 @@
     void forwardersThatFollowPlannersAreNoHerd() {
         Scenario without = Scenarios.orders(24, 60, 0.8, 14);
         double none = new Emulation(without, 1).run().service();
-        double with = new Emulation(without.withPlanners(PlannerSpec.usual(3)), 1).run().service();
+        double with = new Emulation(without.withPlanners(PlannerSpec.usual(3)), 1)
+                .run()
+                .service();
         assertTrue(with >= none - 0.02, "with planners " + with + ", without " + none);
     }
 
--- a/src/test/java/sedgeyoke/emulate/SharedCoresTest.java
+++ b/src/test/java/sedgeyoke/emulate/SharedCoresTest.java
@@ -23,8 +23,8 @@
         WorkClass work = new WorkClass("work", "free", 1, 10_000, 10_000, 1, 100, WorkClass.Spread.CONSTANT);
         SiteSpec site = new SiteSpec(List.of("a"), List.of(work), List.of(), SiteSpec.RuleSpec.USUAL, false);
         Ledger ledger = new Ledger(site);
-        NodeModel node = new NodeModel(new SiteSpec.NodeSpec("n", 0, cores, 1, slots, queue), site, world.host(),
-                ledger, new ZoneMemory(), 1);
+        NodeModel node = new NodeModel(
+                new SiteSpec.NodeSpec("n", 0, cores, 1, slots, queue), site, world.host(), ledger, new ZoneMemory(), 1);
         node.start();
         for (int i = 0; i < 20; i++) {
             ledger.wanted(work);
--- a/src/test/java/sedgeyoke/emulate/TimelineTest.java
+++ b/src/test/java/sedgeyoke/emulate/TimelineTest.java
@@ -10,7 +10,7 @@
 
 /** Virtual time goes forward only, and of the same moment, what was asked for first comes first. */
 class TimelineTest {
-    private record Event(long at, int number) { }
+    private record Event(long at, int number) {}
 
     @Test
     void eventsComeInOrderOfTimeAndThenOfAsking() {
--- a/src/test/java/sedgeyoke/experiment/HuntTest.java
+++ b/src/test/java/sedgeyoke/experiment/HuntTest.java
@@ -22,6 +22,7 @@
             + "[[variants]]\nname = \"blind\"\npolicy = \"random\"\n[hunt]\nvariant = \"blind\"\ntries = 6\n"
             + "most_faults = 5\nkinds = [\"restart_node\", \"pause_forwarder\", \"discovery_down\"]\n"
             + "[hunt.ranges]\nnodes = [4, 8]\nload = [0.6, 0.8]\n";
+
     private static final String LOSS = "[scenario]\nnodes = 6\nforwarders = 6\nseconds = 6\nload = 0.7\n"
             + "[[variants]]\nname = \"ours\"\n[[variants]]\nname = \"blind\"\npolicy = \"random\"\n"
             + "[hunt]\nvariant = \"blind\"\nagainst = \"ours\"\ntries = 4\nmost_faults = 3\nkinds = [\"slow_node\"]\n"
@@ -66,20 +67,26 @@
 
     @Test
     void nothingIsFoundWhereNothingIs() throws Exception {
-        ObjectNode none = hunt(LOSS.replace("variant = \"blind\"\nagainst = \"ours\"",
-                "variant = \"ours\"\nagainst = \"blind\""), 4);
+        ObjectNode none = hunt(
+                LOSS.replace("variant = \"blind\"\nagainst = \"ours\"", "variant = \"ours\"\nagainst = \"blind\""), 4);
         assertFalse(none.path("found").asBoolean(), none.toString());
         assertFalse(none.has("file"));
     }
 
     @Test
     void aFileThatIsWrongSaysWhere() throws Exception {
-        Path file = Files.writeString(folder.resolve("w.toml"), COLD.replace("[4, 8]", "[8, 4]")
-                .replace("\"restart_node\"", "\"explode\"").replace("variant = \"blind\"", "variant = \"none\""));
-        String said = assertThrows(BadExperiment.class, () -> ExperimentFile.load(file)).getMessage();
-        for (String wrong : new String[] {"w.toml:16: hunt.ranges.nodes: must be [least, most]",
-            "w.toml:14: hunt.kinds: must be a list of some of restart_node", 
-            "w.toml:11: hunt.variant: is no variant"}) {
+        Path file = Files.writeString(
+                folder.resolve("w.toml"),
+                COLD.replace("[4, 8]", "[8, 4]")
+                        .replace("\"restart_node\"", "\"explode\"")
+                        .replace("variant = \"blind\"", "variant = \"none\""));
+        String said = assertThrows(BadExperiment.class, () -> ExperimentFile.load(file))
+                .getMessage();
+        for (String wrong : new String[] {
+            "w.toml:16: hunt.ranges.nodes: must be [least, most]",
+            "w.toml:14: hunt.kinds: must be a list of some of restart_node",
+            "w.toml:11: hunt.variant: is no variant"
+        }) {
             assertTrue(said.contains(wrong), wrong + " is not in:\n" + said);
         }
     }
--- a/src/test/java/sedgeyoke/experiment/StoredRunsTest.java
+++ b/src/test/java/sedgeyoke/experiment/StoredRunsTest.java
@@ -21,12 +21,14 @@
 
     @TempDir
     private Path folder;
+
     private Path stored;
     private ExperimentFile experiment;
 
     @BeforeEach
     void copyStoredRuns() throws Exception {
-        stored = Path.of(StoredRunsTest.class.getResource("/stored/experiment/" + RUNS).toURI());
+        stored = Path.of(
+                StoredRunsTest.class.getResource("/stored/experiment/" + RUNS).toURI());
         experiment = ExperimentFile.load(stored.resolveSibling("small.toml"));
         Files.copy(stored, folder.resolve(RUNS));
     }
@@ -34,8 +36,13 @@
     @Test
     void runsAreRead() throws Exception {
         Map<Run.Key, Run> runs = new RunFile(folder).read(experiment);
-        assertEquals(Set.of(new Run.Key("", "ours", 1), new Run.Key("", "ours", 2), new Run.Key("", "planned", 1),
-                new Run.Key("", "planned", 2)), runs.keySet());
+        assertEquals(
+                Set.of(
+                        new Run.Key("", "ours", 1),
+                        new Run.Key("", "ours", 2),
+                        new Run.Key("", "planned", 1),
+                        new Run.Key("", "planned", 2)),
+                runs.keySet());
         Run run = runs.get(new Run.Key("", "ours", 1));
         assertEquals(3, run.schema());
         assertEquals("small", run.experiment());
--- a/src/test/java/sedgeyoke/link/AgreeCodecTest.java
+++ b/src/test/java/sedgeyoke/link/AgreeCodecTest.java
@@ -29,25 +29,37 @@
 
 /** What keepers say comes back as it was said; what is no message of theirs is told and harms nothing. */
 class AgreeCodecTest {
-    private static final Document CONTENT = Document.EMPTY.with(Schema.UPSTREAMS_OUT, Map.of("n1", "why", "n2", ""))
-            .with(Schema.RETRIES, 0.25).withTable(Schema.TENANT_SHARES, Map.of("acme", 0.5));
+    private static final Document CONTENT = Document.EMPTY
+            .with(Schema.UPSTREAMS_OUT, Map.of("n1", "why", "n2", ""))
+            .with(Schema.RETRIES, 0.25)
+            .withTable(Schema.TENANT_SHARES, Map.of("acme", 0.5));
     private static final Command.Write WRITE = new Command.Write("r1", 4, "op", "why", 77, CONTENT);
     private static final Members MEMBERS = Members.of(List.of(new Member("a", 1, "x:1"), new Member("b", 2, "x:2")));
-    private static final List<Entry> ENTRIES = List.of(new Entry(8, 2, WRITE), new Entry(9, 3, new Command.Nothing()),
-            new Entry(10, 3, new Command.Activate(5)), new Entry(11, 3, new Command.Change(new Members(
-                    MEMBERS.voters(), new Member("c", 3, "x:3")))));
+    private static final List<Entry> ENTRIES = List.of(
+            new Entry(8, 2, WRITE),
+            new Entry(9, 3, new Command.Nothing()),
+            new Entry(10, 3, new Command.Activate(5)),
+            new Entry(11, 3, new Command.Change(new Members(MEMBERS.voters(), new Member("c", 3, "x:3")))));
 
     private static List<Message> messages() {
         Outcome outcome = new Outcome(Outcome.Kind.BUSY, 5, "later");
-        return List.of(new Message.PreVote(3, 9, 2), new Message.PreVoted(3, true, false),
-                new Message.Vote(3, 9, 2, true), new Message.Voted(3, true, true),
-                new Message.Append(3, 7, 2, ENTRIES, 6, 12), new Message.Appended(3, true, 11, 12, 99, true),
-                new Message.PieceTaken(3, 6, 512, 12), new Message.StandNow(3),
-                new Message.Recall(3, List.of(9L, 8L), 4), new Message.Recalled(3, 4, true, true, false, true, 11, 8),
-                new Message.NotAMember(3, "why"), new Message.Forward(3, 1, new Request.Set(WRITE)),
+        return List.of(
+                new Message.PreVote(3, 9, 2),
+                new Message.PreVoted(3, true, false),
+                new Message.Vote(3, 9, 2, true),
+                new Message.Voted(3, true, true),
+                new Message.Append(3, 7, 2, ENTRIES, 6, 12),
+                new Message.Appended(3, true, 11, 12, 99, true),
+                new Message.PieceTaken(3, 6, 512, 12),
+                new Message.StandNow(3),
+                new Message.Recall(3, List.of(9L, 8L), 4),
+                new Message.Recalled(3, 4, true, true, false, true, 11, 8),
+                new Message.NotAMember(3, "why"),
+                new Message.Forward(3, 1, new Request.Set(WRITE)),
                 new Message.Forward(3, 1, new Request.Read()),
                 new Message.Forward(3, 1, new Request.Add(new Member("c", 3, "x:3"))),
-                new Message.Forward(3, 1, new Request.Remove("c", 3)), new Message.Forwarded(3, 1, outcome),
+                new Message.Forward(3, 1, new Request.Remove("c", 3)),
+                new Message.Forwarded(3, 1, outcome),
                 new Message.Asks(3, 2, List.of(new LeaseAsk("b1", 5, -6, 4, 1))),
                 new Message.Grants(3, 2, 6, List.of(new LeaseGrant("b1", 5, -6, 4, 5, true))));
     }
@@ -70,8 +82,15 @@
         requests.put("z", new Outcome(Outcome.Kind.DONE, 4, ""));
         requests.put("a", new Outcome(Outcome.Kind.CONFLICT, 4, "no"));
         Version active = new Version(4, 3, "op", "", 1, CONTENT);
-        SnapshotState state = new SnapshotState(11, 3, new Registry.State(MEMBERS, active,
-                new Version(5, 4, "op", "x", 2, Document.EMPTY), List.of(Version.NONE), requests));
+        SnapshotState state = new SnapshotState(
+                11,
+                3,
+                new Registry.State(
+                        MEMBERS,
+                        active,
+                        new Version(5, 4, "op", "x", 2, Document.EMPTY),
+                        List.of(Version.NONE),
+                        requests));
         AgreeCodec codec = new AgreeCodec();
         byte[] bytes = codec.encode(state);
         assertEquals(state, codec.decode(bytes));
@@ -81,9 +100,11 @@
 
     @Test
     void whatMakesNoSenseIsTold() {
-        List<Message> bad = List.of(new Message.Append(3, 7, 2, List.of(ENTRIES.get(1)), 6, 12),
+        List<Message> bad = List.of(
+                new Message.Append(3, 7, 2, List.of(ENTRIES.get(1)), 6, 12),
                 new Message.Append(2, 7, 2, List.of(new Entry(8, 9, new Command.Nothing())), 6, 12),
-                new Message.Recall(3, List.of(), 1), new Message.Vote(-1, 0, 0, false));
+                new Message.Recall(3, List.of(), 1),
+                new Message.Vote(-1, 0, 0, false));
         for (Message m : bad) {
             assertThrows(Messages.Implausible.class, () -> AgreeCodec.message(AgreeCodec.of(7, m)), m.toString());
         }
@@ -100,8 +121,8 @@
             for (int flips = random.nextInt(4); flips >= 0; flips--) {
                 bytes[random.nextInt(bytes.length)] ^= (byte) (1 << random.nextInt(8));
             }
-            byte[] cut = java.util.Arrays.copyOf(bytes, random.nextInt(3) == 0 ? random.nextInt(bytes.length)
-                    : bytes.length);
+            byte[] cut = java.util.Arrays.copyOf(
+                    bytes, random.nextInt(3) == 0 ? random.nextInt(bytes.length) : bytes.length);
             try {
                 AgreeCodec.message(KeeperMessage.parseFrom(cut));
             } catch (InvalidProtocolBufferException | Messages.Implausible e) {
--- a/src/test/java/sedgeyoke/link/AgreeSafetyTest.java
+++ b/src/test/java/sedgeyoke/link/AgreeSafetyTest.java
@@ -33,27 +33,39 @@
         AtomicInteger diskFaults = new AtomicInteger();
         AtomicInteger doubts = new AtomicInteger();
         AtomicLong leased = new AtomicLong();
-        String first = LongStream.range(FROM, FROM + SEEDS).parallel().mapToObj(seed -> {
-            AgreeSimulation s = new AgreeSimulation(seed, new AgreeSimulation.Faults());
-            s.trace = SEEDS == 1;
-            String breach = s.play();
-            commits.addAndGet(s.commits);
-            crashes.addAndGet(s.crashes);
-            diskFaults.addAndGet(s.diskFaults);
-            doubts.addAndGet(s.doubts);
-            leased.addAndGet(s.leasedSteps);
-            return breach == null ? null : "seed " + seed + " " + breach;
-        }).filter(b -> b != null).findFirst().orElse(null);
+        String first = LongStream.range(FROM, FROM + SEEDS)
+                .parallel()
+                .mapToObj(seed -> {
+                    AgreeSimulation s = new AgreeSimulation(seed, new AgreeSimulation.Faults());
+                    s.trace = SEEDS == 1;
+                    String breach = s.play();
+                    commits.addAndGet(s.commits);
+                    crashes.addAndGet(s.crashes);
+                    diskFaults.addAndGet(s.diskFaults);
+                    doubts.addAndGet(s.doubts);
+                    leased.addAndGet(s.leasedSteps);
+                    return breach == null ? null : "seed " + seed + " " + breach;
+                })
+                .filter(b -> b != null)
+                .findFirst()
+                .orElse(null);
         System.out.println(SEEDS + " seeds: " + commits + " commits, " + crashes + " crashes, " + diskFaults
                 + " faults of disks, " + doubts + " starts in doubt, " + leased + " steps under lease");
         assertNull(first);
-        assertTrue(SEEDS < 100 || commits.get() > 20 * SEEDS && crashes.get() > SEEDS && diskFaults.get() > SEEDS / 2
-                && doubts.get() > SEEDS / 4, "a simulation in which nothing happens shows nothing");
+        assertTrue(
+                SEEDS < 100
+                        || commits.get() > 20 * SEEDS
+                                && crashes.get() > SEEDS
+                                && diskFaults.get() > SEEDS / 2
+                                && doubts.get() > SEEDS / 4,
+                "a simulation in which nothing happens shows nothing");
     }
 
     /** A seed that has found each; if what is drawn changes, the seeds from 1 on are tried. */
-    private static final Map<String, Long> FOUND_BY = Map.ofEntries(Map.entry("half is a majority", 313L),
-            Map.entry("a shorter log may lead", 877L), Map.entry("two votes in a term", 318L),
+    private static final Map<String, Long> FOUND_BY = Map.ofEntries(
+            Map.entry("half is a majority", 313L),
+            Map.entry("a shorter log may lead", 877L),
+            Map.entry("two votes in a term", 318L),
             Map.entry("promises do not wait for the disk", 1_731L),
             Map.entry("a lease counts from when the answer came", 501L),
             Map.entry("leases of leaders before are forgotten", 313L),
@@ -75,14 +87,17 @@
     @ParameterizedTest(name = "{0}")
     @MethodSource("planted")
     void aPlantedMistakeIsFound(String what, AgreeSimulation.Faults faults) {
-        LongStream seeds = LongStream.concat(LongStream.of(FOUND_BY.getOrDefault(what, 1L)),
-                LongStream.rangeClosed(1, TRIES));
+        LongStream seeds =
+                LongStream.concat(LongStream.of(FOUND_BY.getOrDefault(what, 1L)), LongStream.rangeClosed(1, TRIES));
         String found = seeds.mapToObj(seed -> {
                     String breach = new AgreeSimulation(seed, faults).play();
                     return breach == null ? null : "seed " + seed + " " + breach;
-                }).filter(b -> b != null).findFirst().orElse(null);
-        System.out.println(what + ": " + (found == null ? "NOT FOUND" : found.substring(0,
-                Math.min(160, found.length()))));
+                })
+                .filter(b -> b != null)
+                .findFirst()
+                .orElse(null);
+        System.out.println(
+                what + ": " + (found == null ? "NOT FOUND" : found.substring(0, Math.min(160, found.length()))));
         assertNotNull(found, what);
     }
 }
--- a/src/test/java/sedgeyoke/link/AgreeSimulation.java
+++ b/src/test/java/sedgeyoke/link/AgreeSimulation.java
@@ -67,6 +67,7 @@
     private final Map<Long, String> leaders = new HashMap<>();
     /** What was ever seen as committed. */
     final TreeMap<Long, Entry> committed = new TreeMap<>();
+
     private final Set<String> bad = new HashSet<>();
     private long boots = 1;
     private long folders = 100;
@@ -75,6 +76,7 @@
     final List<Op> history = new ArrayList<>();
     /** Prints what keepers say, for whoever replays a seed. */
     boolean trace;
+
     int commits;
     int crashes;
     int diskFaults;
@@ -94,15 +96,15 @@
         }
     }
 
-    private record Wire(String from, long folder, Message message) { }
+    private record Wire(String from, long folder, Message message) {}
 
-    private record Ask(int from, long token, Request request) { }
+    private record Ask(int from, long token, Request request) {}
 
-    private record Answer(long token, Outcome outcome) { }
+    private record Answer(long token, Outcome outcome) {}
 
-    private record Lease(int from, LeaseAsk ask) { }
+    private record Lease(int from, LeaseAsk ask) {}
 
-    private record Granted(LeaseGrant grant, Version active, Version pending) { }
+    private record Granted(LeaseGrant grant, Version active, Version pending) {}
 
     AgreeSimulation(long seed, Faults faults) {
         super(seed);
@@ -215,7 +217,8 @@
                 k.disk.loseWrite = true;
                 k.latent = true;
             }
-            case 3 -> k.spoil(() -> k.disk.staleReads = k.disk.names().get(random.nextInt(k.disk.names().size())));
+            case 3 -> k.spoil(() -> k.disk.staleReads =
+                    k.disk.names().get(random.nextInt(k.disk.names().size())));
             case 4 -> {
                 k.disk.refuses = random.nextBoolean() ? DiskFault.Kind.FULL : DiskFault.Kind.FAILED;
                 k.disk.refusesForceOnly = random.nextBoolean();
@@ -284,8 +287,15 @@
         }
 
         boolean isWell() {
-            return !dead && !latent && keeper != null && keeper.sound() && disk.refuses == null && !disk.forceLies
-                    && disk.staleReads == null && !disk.misdirect && !disk.loseWrite
+            return !dead
+                    && !latent
+                    && keeper != null
+                    && keeper.sound()
+                    && disk.refuses == null
+                    && !disk.forceLies
+                    && disk.staleReads == null
+                    && !disk.misdirect
+                    && !disk.loseWrite
                     && keeper.members().voters().containsKey(name);
         }
 
@@ -362,13 +372,22 @@
                 found = new Keeper.Recovered(found.slot(), found.snapshot(), found.entries(), null, false);
             }
             tell(name + " begins: term " + found.slot().term() + " last "
-                    + (found.entries().isEmpty() ? "-" : found.entries().get(found.entries().size() - 1).index())
-                    + " covered " + (found.snapshot() == null ? 0 : found.snapshot().covered()) + " doubt "
+                    + (found.entries().isEmpty()
+                            ? "-"
+                            : found.entries().get(found.entries().size() - 1).index())
+                    + " covered "
+                    + (found.snapshot() == null ? 0 : found.snapshot().covered()) + " doubt "
                     + found.doubt());
             doubts += found.doubt() != null ? 1 : 0;
             joined = joined || folder.founders().voters().isEmpty();
-            keeper = new Keeper(new Keeper.Self(name, folder.folder(), runs++), rules, found, folder.founders(),
-                    new AgreeCodec(), random.split(), clock());
+            keeper = new Keeper(
+                    new Keeper.Self(name, folder.folder(), runs++),
+                    rules,
+                    found,
+                    folder.founders(),
+                    new AgreeCodec(),
+                    random.split(),
+                    clock());
             diskFreeAt = now;
         }
 
@@ -405,8 +424,8 @@
             }
             for (Action a : actions) {
                 if (a instanceof Action.Send s) {
-                    AgreeSimulation.this.send(number, keeper(s.to()).number, new Wire(name, folder.folder(),
-                            s.message()));
+                    AgreeSimulation.this.send(
+                            number, keeper(s.to()).number, new Wire(name, folder.folder(), s.message()));
                 } else if (a instanceof Action.Say say) {
                     tell(name + " says " + say.line());
                 } else if (a instanceof Action.Persist p) {
@@ -420,8 +439,13 @@
                 } else if (a instanceof Action.Grant g) {
                     Integer to = askedLease.get(g.grant().balancer());
                     if (to != null) {
-                        AgreeSimulation.this.send(number, to, new Granted(g.grant(), version(g.grant().active()),
-                                version(g.grant().pending())));
+                        AgreeSimulation.this.send(
+                                number,
+                                to,
+                                new Granted(
+                                        g.grant(),
+                                        version(g.grant().active()),
+                                        version(g.grant().pending())));
                     }
                 }
             }
@@ -431,8 +455,12 @@
             if (keeper.active().number() == numberOf) {
                 return keeper.active();
             }
-            return keeper.pending() != null && keeper.pending().number() == numberOf ? keeper.pending()
-                    : keeper.history().stream().filter(v -> v.number() == numberOf).findFirst().orElse(null);
+            return keeper.pending() != null && keeper.pending().number() == numberOf
+                    ? keeper.pending()
+                    : keeper.history().stream()
+                            .filter(v -> v.number() == numberOf)
+                            .findFirst()
+                            .orElse(null);
         }
 
         @Override
@@ -507,7 +535,9 @@
                 nextAsk = clock();
             }
             if (adherent.active().number() < before) {
-                fail("%s went back from version %d to %d", name, before, adherent.active().number());
+                fail(
+                        "%s went back from version %d to %d",
+                        name, before, adherent.active().number());
             }
             last = adherent.active();
         }
@@ -599,18 +629,28 @@
                     out.put("n" + i, "");
                 }
             }
-            Document content = Document.EMPTY.with(Schema.UPSTREAMS_OUT, out)
-                    .with(Schema.BALANCERS, 1 + random.nextInt(50)).with(Schema.RETRIES, random.nextDouble());
-            return new Request.Set(new Command.Write("r" + number + "-" + done, known, "w" + number, "", now / 1_000,
-                    content));
+            Document content = Document.EMPTY
+                    .with(Schema.UPSTREAMS_OUT, out)
+                    .with(Schema.BALANCERS, 1 + random.nextInt(50))
+                    .with(Schema.RETRIES, random.nextDouble());
+            return new Request.Set(
+                    new Command.Write("r" + number + "-" + done, known, "w" + number, "", now / 1_000, content));
         }
 
         private Member anyMember(String name) {
             for (KeeperBox k : keepers) {
                 if (k.keeper != null && k.keeper.role() == Keeper.Role.LEADER) {
                     Member m = k.keeper.members().voters().get(name);
-                    return m != null ? m : k.keeper.members().learner() != null
-                            && k.keeper.members().learner().name().equals(name) ? k.keeper.members().learner() : null;
+                    return m != null
+                            ? m
+                            : k.keeper.members().learner() != null
+                                            && k.keeper
+                                                    .members()
+                                                    .learner()
+                                                    .name()
+                                                    .equals(name)
+                                    ? k.keeper.members().learner()
+                                    : null;
                 }
             }
             return new Member(name, 0, name); // nobody to ask
@@ -650,11 +690,14 @@
     private void checkBetween(BalancerBox b) {
         Version next = b.adherent.pending();
         if (next != null) {
-            List<String> broken = new ArrayList<>(Schema.contradictions(b.acting().document(), next.content()));
-            broken.addAll(Schema.contradictions(b.acting().document(), b.adherent.active().content()));
+            List<String> broken =
+                    new ArrayList<>(Schema.contradictions(b.acting().document(), next.content()));
+            broken.addAll(Schema.contradictions(
+                    b.acting().document(), b.adherent.active().content()));
             if (!broken.isEmpty()) {
-                fail("%s breaks %s between versions %d and %d", b.name, broken, b.adherent.active().number(),
-                        next.number());
+                fail(
+                        "%s breaks %s between versions %d and %d",
+                        b.name, broken, b.adherent.active().number(), next.number());
             }
         }
     }
@@ -665,15 +708,19 @@
                 Document inForce = k.keeper.active().content();
                 if (acting.number(Schema.RETRIES) > inForce.number(Schema.RETRIES)
                         || acting.number(Schema.BALANCERS) < inForce.number(Schema.BALANCERS)) {
-                    fail("%s is alone and looser than version %d", name, k.keeper.active().number());
+                    fail(
+                            "%s is alone and looser than version %d",
+                            name, k.keeper.active().number());
                 }
             }
         }
     }
 
     private void checkLiveness() {
-        KeeperBox leader = keepers.stream().filter(k -> k.keeper != null && k.keeper.role() == Keeper.Role.LEADER)
-                .reduce((a, b) -> a.keeper.term() > b.keeper.term() ? a : b).orElse(null);
+        KeeperBox leader = keepers.stream()
+                .filter(k -> k.keeper != null && k.keeper.role() == Keeper.Role.LEADER)
+                .reduce((a, b) -> a.keeper.term() > b.keeper.term() ? a : b)
+                .orElse(null);
         if (leader == null) {
             fail("nobody leads %d s after the last fault: %s", (END - FAULTS_END) / 1_000_000, states());
             return;
@@ -683,8 +730,9 @@
                 fail("%s is still in doubt: %s; %s", k.name, k.keeper.doubt(), states());
             }
         }
-        if (history.stream().noneMatch(o -> o.from > FAULTS_END + 8_000_000 && o.outcome != null
-                && o.request instanceof Request.Set)) {
+        if (history.stream()
+                .noneMatch(o ->
+                        o.from > FAULTS_END + 8_000_000 && o.outcome != null && o.request instanceof Request.Set)) {
             fail("nothing was decided after the last fault: %s", states());
         }
         for (BalancerBox b : balancers) {
@@ -696,10 +744,17 @@
 
     private String states() {
         StringBuilder text = new StringBuilder();
-        keepers.forEach(k -> text.append(k.name).append(k.keeper == null ? " down" : " " + k.keeper.role() + " term "
-                + k.keeper.term() + " commit " + k.keeper.commit() + " last " + k.keeper.last() + " sound "
-                + k.keeper.sound() + " doubt " + k.keeper.doubt() + " leader " + k.keeper.leader() + " members "
-                + k.keeper.members() + " folder " + k.folder.folder()).append("; "));
+        keepers.forEach(k -> text.append(k.name)
+                .append(
+                        k.keeper == null
+                                ? " down"
+                                : " " + k.keeper.role() + " term "
+                                        + k.keeper.term() + " commit " + k.keeper.commit() + " last " + k.keeper.last()
+                                        + " sound "
+                                        + k.keeper.sound() + " doubt " + k.keeper.doubt() + " leader "
+                                        + k.keeper.leader() + " members "
+                                        + k.keeper.members() + " folder " + k.folder.folder())
+                .append("; "));
         return text.toString();
     }
 
@@ -713,7 +768,8 @@
             }
         }
         Map<String, Outcome> results = new LogPlayer().play(committed.values());
-        List<Op> ended = new ArrayList<>(history.stream().filter(o -> o.outcome != null).toList());
+        List<Op> ended =
+                new ArrayList<>(history.stream().filter(o -> o.outcome != null).toList());
         for (Op o : ended) {
             if (o.request instanceof Request.Set s && o.outcome.kind() == Outcome.Kind.DONE) {
                 Outcome real = results.get(s.write().request());
@@ -730,7 +786,8 @@
         for (Op a : ended) {
             for (Op b : ended) {
                 if (a.until < b.from && isRead(a) && isRead(b) && b.outcome.version() < a.outcome.version()) {
-                    fail("version %d was answered at %d and %d to %s, which was asked after that at %d",
+                    fail(
+                            "version %d was answered at %d and %d to %s, which was asked after that at %d",
                             a.outcome.version(), a.until, b.outcome.version(), b.request, b.from);
                 }
             }
@@ -738,8 +795,9 @@
     }
 
     private static boolean isRead(Op o) {
-        return o.outcome.version() > 0 && (o.request instanceof Request.Read || o.request instanceof Request.Set
-                && o.outcome.kind() == Outcome.Kind.DONE);
+        return o.outcome.version() > 0
+                && (o.request instanceof Request.Read
+                        || o.request instanceof Request.Set && o.outcome.kind() == Outcome.Kind.DONE);
     }
 
     /** What a log makes of its writes, by a model of its own. */
@@ -754,8 +812,9 @@
                     pending = false;
                 } else if (e.command() instanceof Command.Write w && !results.containsKey(w.request())) {
                     boolean ok = !pending && w.parent() == active;
-                    results.put(w.request(), new Outcome(ok ? Outcome.Kind.DONE : Outcome.Kind.CONFLICT,
-                            ok ? active + 1 : active, ""));
+                    results.put(
+                            w.request(),
+                            new Outcome(ok ? Outcome.Kind.DONE : Outcome.Kind.CONFLICT, ok ? active + 1 : active, ""));
                     pending |= ok;
                 }
             }
--- a/src/test/java/sedgeyoke/link/LinkTest.java
+++ b/src/test/java/sedgeyoke/link/LinkTest.java
@@ -50,6 +50,7 @@
 
     @TempDir
     private Path folder;
+
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final List<String> log = new CopyOnWriteArrayList<>();
     private final List<AutoCloseable> open = new ArrayList<>();
@@ -64,9 +65,11 @@
     @BeforeEach
     void start() throws Exception {
         certificates = new Certificates(folder);
-        Path file = Files.writeString(folder.resolve("p.toml"), "[planner]\nenabled = true\nname = \"p1\"\n"
-                + "plan_every_ms = 50\nmost_forwarders = 4\nlisten = \"127.0.0.1:0\"\n"
-                + certificates.issue("p1", "planner"));
+        Path file = Files.writeString(
+                folder.resolve("p.toml"),
+                "[planner]\nenabled = true\nname = \"p1\"\n"
+                        + "plan_every_ms = 50\nmost_forwarders = 4\nlisten = \"127.0.0.1:0\"\n"
+                        + certificates.issue("p1", "planner"));
         PlannerSettings settings = OperatorFile.load(file).planner();
         planner = new PlannerServer(loop, settings, 7, this::now, log::add);
         address = planner.start();
@@ -103,12 +106,17 @@
         final DataInputStream in;
 
         Raw(Path with, String name) throws Exception {
-            SslContextBuilder builder = SslContextBuilder.forClient().trustManager(folder.resolve("ca.pem").toFile());
+            SslContextBuilder builder = SslContextBuilder.forClient()
+                    .trustManager(folder.resolve("ca.pem").toFile());
             if (name != null) {
-                builder.keyManager(with.resolve(name + ".pem").toFile(), with.resolve(name + ".key").toFile());
+                builder.keyManager(
+                        with.resolve(name + ".pem").toFile(),
+                        with.resolve(name + ".key").toFile());
             }
-            SSLContext context = ((io.netty.handler.ssl.JdkSslContext) builder
-                    .sslProvider(io.netty.handler.ssl.SslProvider.JDK).build()).context();
+            SSLContext context = ((io.netty.handler.ssl.JdkSslContext)
+                            builder.sslProvider(io.netty.handler.ssl.SslProvider.JDK)
+                                    .build())
+                    .context();
             socket = (SSLSocket) context.getSocketFactory().createSocket(address.getAddress(), address.getPort());
             socket.setSoTimeout((int) PATIENCE_MS);
             open.add(this);
@@ -148,14 +156,27 @@
     }
 
     private static Frame hello(String name, int lowest, int highest) {
-        return Frame.newBuilder().setHello(Hello.newBuilder().setName(name).setLowestVersion(lowest)
-                .setHighestVersion(highest)).build();
+        return Frame.newBuilder()
+                .setHello(Hello.newBuilder()
+                        .setName(name)
+                        .setLowestVersion(lowest)
+                        .setHighestVersion(highest))
+                .build();
     }
 
     private static Frame report(long sequence) {
-        return Frame.newBuilder().setReport(ReportMessage.newBuilder().setIncarnation(9).setSequence(sequence)
-                .setSentAt(5).setLeaseUs(1_000_000).addDemand(3).addLoads(LoadMessage.newBuilder().setUpstream("u")
-                .setLimit(2).setUtilisation(0.5f))).build();
+        return Frame.newBuilder()
+                .setReport(ReportMessage.newBuilder()
+                        .setIncarnation(9)
+                        .setSequence(sequence)
+                        .setSentAt(5)
+                        .setLeaseUs(1_000_000)
+                        .addDemand(3)
+                        .addLoads(LoadMessage.newBuilder()
+                                .setUpstream("u")
+                                .setLimit(2)
+                                .setUtilisation(0.5f)))
+                .build();
     }
 
     private Raw forwarder(String name) throws Exception {
@@ -224,8 +245,16 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"too long", "no message", "no greeting", "twice a greeting", "a bad id", "a bad number",
-        "too many"})
+    @ValueSource(
+            strings = {
+                "too long",
+                "no message",
+                "no greeting",
+                "twice a greeting",
+                "a bad id",
+                "a bad number",
+                "too many"
+            })
     void whatIsNotInOrderEndsThatLinkAlone(String fault) throws Exception {
         Raw bad = forwarder("bad");
         if (!fault.equals("no greeting")) {
@@ -237,13 +266,14 @@
             case "no message" -> bad.send(new byte[] {(byte) 0xff, 1, 2, 3});
             case "twice a greeting" -> bad.send(hello("bad", 1, 1));
             case "a bad id" -> report.setLoads(0, report.getLoads(0).toBuilder().setUpstream("x".repeat(300)));
-            case "a bad number" -> report.setLoads(0, report.getLoads(0).toBuilder().setLimit(Float.NaN));
+            case "a bad number" -> report.setLoads(
+                    0, report.getLoads(0).toBuilder().setLimit(Float.NaN));
             case "too many" -> {
                 for (int i = 0; i < 1_000; i++) {
                     report.addLoads(report.getLoads(0));
                 }
             }
-            default -> { }
+            default -> {}
         }
         try {
             bad.send(Frame.newBuilder().setReport(report).build());
@@ -264,7 +294,9 @@
         for (int i = 0; i < 40; i++) { // views enough to make plans long
             ReportMessage.Builder r = report(++sequence).getReport().toBuilder().clearLoads();
             for (int u = 0; u < 120; u++) {
-                r.addLoads(LoadMessage.newBuilder().setUpstream("u" + i + "-" + u + "x".repeat(200)).setLimit(1));
+                r.addLoads(LoadMessage.newBuilder()
+                        .setUpstream("u" + i + "-" + u + "x".repeat(200))
+                        .setLimit(1));
             }
             deaf.send(Frame.newBuilder().setReport(r).build());
         }
@@ -329,8 +361,8 @@
     @Test
     void badFilesEndTheStartWithTheirNames() {
         Path none = folder.resolve("none.pem");
-        IOException bad = assertThrows(IOException.class, () -> new Tls(
-                new sedgeyoke.operator.TlsFiles(none, none, none), true, log::add));
+        IOException bad = assertThrows(
+                IOException.class, () -> new Tls(new sedgeyoke.operator.TlsFiles(none, none, none), true, log::add));
         assertTrue(bad.toString().contains("none.pem"), bad.toString());
     }
 
@@ -344,14 +376,17 @@
         }
 
         final AtomicReference<Balancer.Plan> plan = new AtomicReference<>();
-        final Balancer module = (Balancer) java.lang.reflect.Proxy.newProxyInstance(getClass().getClassLoader(),
-                new Class<?>[] {Balancer.class}, (proxy, method, arguments) -> {
+        final Balancer module = (Balancer) java.lang.reflect.Proxy.newProxyInstance(
+                getClass().getClassLoader(), new Class<?>[] {Balancer.class}, (proxy, method, arguments) -> {
                     if (method.getName().equals("plan")) {
                         plan.set((Balancer.Plan) arguments[1]);
                         return null;
                     }
-                    return new Balancer.Summary(List.of(2.0), List.of(new Balancer.Standing("u", 0,
-                            Balancer.State.READY, 50, 1, 1, 1, 3, 0.4, 1, now() - 1_000, false, 6)), 0);
+                    return new Balancer.Summary(
+                            List.of(2.0),
+                            List.of(new Balancer.Standing(
+                                    "u", 0, Balancer.State.READY, 50, 1, 1, 1, 3, 0.4, 1, now() - 1_000, false, 6)),
+                            0);
                 });
 
         @Override
@@ -377,16 +412,25 @@
 
     @Test
     void aForwarderLendsGetsGrantsAndOutlivesItsPlanner() throws Exception {
-        Path file = Files.writeString(folder.resolve("f.toml"), "[plans]\nenabled = true\nreport_every_ms = 50\n"
-                + "planners = [\"127.0.0.1:" + address.getPort() + "\", \"127.0.0.1:1\"]\n"
-                + certificates.issue("f1", "forwarder"));
+        Path file = Files.writeString(
+                folder.resolve("f.toml"),
+                "[plans]\nenabled = true\nreport_every_ms = 50\n"
+                        + "planners = [\"127.0.0.1:" + address.getPort() + "\", \"127.0.0.1:1\"]\n"
+                        + certificates.issue("f1", "forwarder"));
         Port port = new Port();
-        PlannerLink link = new PlannerLink(loop, port, new Follower.Identity("f1", 3, 0, 1_500_000, 4_000_000, 1),
+        PlannerLink link = new PlannerLink(
+                loop,
+                port,
+                new Follower.Identity("f1", 3, 0, 1_500_000, 4_000_000, 1),
                 OperatorFile.load(file).plans());
         loop.execute(link::start);
-        await("quiet from the start", () -> port.plan.get() != null && port.plan.get().quietUntil() > now());
-        await("lent and granted", () -> port.plan.get().cold().containsKey("u")
-                && !port.plan.get().cold().get("u").grants().isEmpty());
+        await(
+                "quiet from the start",
+                () -> port.plan.get() != null && port.plan.get().quietUntil() > now());
+        await(
+                "lent and granted",
+                () -> port.plan.get().cold().containsKey("u")
+                        && !port.plan.get().cold().get("u").grants().isEmpty());
         assertEquals(4.8, port.plan.get().cold().get("u").grants().get(0).rate(), 0.01);
         assertEquals("u", port.plan.get().upstreams().get(0).id());
         assertEquals(1, loop.submit(link::heard).syncUninterruptibly().getNow());
--- a/src/test/java/sedgeyoke/link/StoredFolderScript.java
+++ b/src/test/java/sedgeyoke/link/StoredFolderScript.java
@@ -23,14 +23,18 @@
 
 /** The calls that wrote the stored folder {@code keeper}; the same calls must go on writing the same bytes. */
 final class StoredFolderScript {
-    static final KeeperFolder.Owner OWNER = new KeeperFolder.Owner("orders", "k0",
-            "0b9c3f5e-5d0a-4c1e-9a61-2f4b7c8d9e10", false);
+    static final KeeperFolder.Owner OWNER =
+            new KeeperFolder.Owner("orders", "k0", "0b9c3f5e-5d0a-4c1e-9a61-2f4b7c8d9e10", false);
     static final long FOLDER = 0x6b30_c0ff_ee01L;
     static final int SEGMENT_BYTES = 1_024;
-    static final Members FOUNDERS = Members.of(List.of(new Member("k0", 0, "127.0.0.1:7100"),
-            new Member("k1", 0, "127.0.0.1:7101"), new Member("k2", 0, "127.0.0.1:7102")));
-    static final Members THREE = Members.of(List.of(new Member("k0", FOLDER, "127.0.0.1:7100"),
-            new Member("k1", 11, "127.0.0.1:7101"), new Member("k2", 12, "127.0.0.1:7102")));
+    static final Members FOUNDERS = Members.of(List.of(
+            new Member("k0", 0, "127.0.0.1:7100"),
+            new Member("k1", 0, "127.0.0.1:7101"),
+            new Member("k2", 0, "127.0.0.1:7102")));
+    static final Members THREE = Members.of(List.of(
+            new Member("k0", FOLDER, "127.0.0.1:7100"),
+            new Member("k1", 11, "127.0.0.1:7101"),
+            new Member("k2", 12, "127.0.0.1:7102")));
     static final Members JOINING = new Members(THREE.voters(), new Member("k3", 13, "127.0.0.1:7103"));
     private static final int BEFORE_WRITES = 2;
     private static final Map<String, Slot.Known> NOBODY = Map.of();
@@ -114,17 +118,31 @@
                 snapshot(new SnapshotState(8, 1, state(3, Map.of())));
             }
         }
-        snapshot(new SnapshotState(14, 1, state(6, Map.of("request-late", new Outcome(Outcome.Kind.CONFLICT, 6,
-                "made from version 2, the newest is 6")))));
+        snapshot(new SnapshotState(
+                14,
+                1,
+                state(
+                        6,
+                        Map.of(
+                                "request-late",
+                                new Outcome(Outcome.Kind.CONFLICT, 6, "made from version 2, the newest is 6")))));
         slot(new Slot(2, "k2", List.of(102L, 101L), Map.of("k1", new Slot.Known(11, 201)), true));
-        append(new Entry(15, 2, new Command.Nothing()), new Entry(16, 2, new Command.Change(JOINING)),
+        append(
+                new Entry(15, 2, new Command.Nothing()),
+                new Entry(16, 2, new Command.Change(JOINING)),
                 new Entry(17, 2, write(7)));
         Map<String, Slot.Known> known = new LinkedHashMap<>();
         known.put("k1", new Slot.Known(11, 201));
         known.put("k2", new Slot.Known(12, 301));
         slot(new Slot(3, "k1", List.of(103L, 102L, 101L), known, true));
-        persist(null, null, 16, List.of(new Entry(17, 3, new Command.Nothing()), new Entry(18, 3, write(7)),
-                new Entry(19, 3, new Command.Activate(7))));
+        persist(
+                null,
+                null,
+                16,
+                List.of(
+                        new Entry(17, 3, new Command.Nothing()),
+                        new Entry(18, 3, write(7)),
+                        new Entry(19, 3, new Command.Activate(7))));
         append(new Entry(20, 3, write(8)));
     }
 
@@ -153,13 +171,25 @@
 
     private static Command.Write write(int number) {
         Version version = version(number);
-        return new Command.Write("request-" + number, version.parent(), version.author(), version.reason(),
-                version.atMs(), version.content());
+        return new Command.Write(
+                "request-" + number,
+                version.parent(),
+                version.author(),
+                version.reason(),
+                version.atMs(),
+                version.content());
     }
 
     private static Version version(int number) {
-        return number == 0 ? Version.NONE : new Version(number, number - 1, "operator-" + number % 5,
-                "change " + number, 1_700_000_000_000L + number, content(number));
+        return number == 0
+                ? Version.NONE
+                : new Version(
+                        number,
+                        number - 1,
+                        "operator-" + number % 5,
+                        "change " + number,
+                        1_700_000_000_000L + number,
+                        content(number));
     }
 
     /** Each version sets one thing more; the last ones take some back. */
@@ -172,8 +202,9 @@
             case 4 -> content(3).with(Schema.ZONES_OUT, Map.of("z-b", ""));
             case 5 -> content(4).with(Schema.REPEAT_GROUPS, Map.of("carts", "keyed"));
             case 6 -> content(5).with(Schema.COLD_SHARE, 0.5);
-            case 7 -> content(6).with(Schema.COLD_SHARE, 0.75).with(Schema.UPSTREAMS_OUT,
-                    Map.of("n-4", "Übergang 4→5"));
+            case 7 -> content(6)
+                    .with(Schema.COLD_SHARE, 0.75)
+                    .with(Schema.UPSTREAMS_OUT, Map.of("n-4", "Übergang 4→5"));
             default -> content(7).with(Schema.ZONES_OUT, Map.of());
         };
     }
--- a/src/test/java/sedgeyoke/link/StoredFolderTest.java
+++ b/src/test/java/sedgeyoke/link/StoredFolderTest.java
@@ -12,8 +12,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
-import java.util.SplittableRandom;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.stream.Stream;
 import java.util.zip.ZipEntry;
@@ -72,15 +72,26 @@
     // ---- The folder of the script --------------------------------------------------------------------
 
     private KeeperFolder openScripted(FileDisk disk) throws Exception {
-        return KeeperFolder.open(new StoredFolderScript.KnownDisk(disk), StoredFolderScript.OWNER,
-                StoredFolderScript.SEGMENT_BYTES);
+        return KeeperFolder.open(
+                new StoredFolderScript.KnownDisk(disk), StoredFolderScript.OWNER, StoredFolderScript.SEGMENT_BYTES);
     }
 
     @Test
     void theStoredFolderHasAFileOfEachKindAndMoreThanOneSegment() throws Exception {
-        assertEquals(List.of("log-0000000000000001", "log-0000000000000002", "log-0000000000000003",
-                "log-0000000000000004", "mark-0000000000000001", "mark-0000000000000002", "mark-0000000000000003",
-                "mark-0000000000000004", "slot-a", "slot-b", "snap-0000000000000008", "snap-000000000000000e"),
+        assertEquals(
+                List.of(
+                        "log-0000000000000001",
+                        "log-0000000000000002",
+                        "log-0000000000000003",
+                        "log-0000000000000004",
+                        "mark-0000000000000001",
+                        "mark-0000000000000002",
+                        "mark-0000000000000003",
+                        "mark-0000000000000004",
+                        "slot-a",
+                        "slot-b",
+                        "snap-0000000000000008",
+                        "snap-000000000000000e"),
                 List.copyOf(files(stored("keeper")).keySet()));
     }
 
@@ -91,10 +102,20 @@
             assertEquals("orders", read.tier());
             assertEquals("k0", read.keeper());
             assertEquals(0x6b30_c0ff_ee01L, read.folder());
-            assertEquals(new Slot(3, "k1", List.of(103L, 102L, 101L), Map.of("k1", new Slot.Known(11, 201), "k2",
-                    new Slot.Known(12, 301)), true), read.recovered().slot());
-            assertEquals(Members.of(List.of(new Member("k0", 0, "127.0.0.1:7100"),
-                    new Member("k1", 0, "127.0.0.1:7101"), new Member("k2", 0, "127.0.0.1:7102"))), read.founders());
+            assertEquals(
+                    new Slot(
+                            3,
+                            "k1",
+                            List.of(103L, 102L, 101L),
+                            Map.of("k1", new Slot.Known(11, 201), "k2", new Slot.Known(12, 301)),
+                            true),
+                    read.recovered().slot());
+            assertEquals(
+                    Members.of(List.of(
+                            new Member("k0", 0, "127.0.0.1:7100"),
+                            new Member("k1", 0, "127.0.0.1:7101"),
+                            new Member("k2", 0, "127.0.0.1:7102"))),
+                    read.founders());
         }
     }
 
@@ -105,7 +126,8 @@
             assertEquals(List.of(), read.damage());
             assertFalse(read.recovered().lost());
             assertNull(read.recovered().doubt());
-            assertEquals(new KeeperFolder.Report("orders", "k0", 0x6b30_c0ff_ee01L, 3, 20, 14, List.of()),
+            assertEquals(
+                    new KeeperFolder.Report("orders", "k0", 0x6b30_c0ff_ee01L, 3, 20, 14, List.of()),
                     KeeperFolder.check(disk));
         }
     }
@@ -119,10 +141,14 @@
             assertEquals(StoredFolderScript.THREE, snapshot.state().members());
             assertEquals(6, snapshot.state().active().number());
             assertNull(snapshot.state().pending());
-            assertEquals(List.of(0L, 1L, 2L, 3L, 4L, 5L), snapshot.state().history().stream().map(Version::number)
-                    .toList());
-            assertEquals(new Outcome(Outcome.Kind.DONE, 3, ""), snapshot.state().requests().get("request-3"));
-            assertEquals(new Outcome(Outcome.Kind.CONFLICT, 6, "made from version 2, the newest is 6"),
+            assertEquals(
+                    List.of(0L, 1L, 2L, 3L, 4L, 5L),
+                    snapshot.state().history().stream().map(Version::number).toList());
+            assertEquals(
+                    new Outcome(Outcome.Kind.DONE, 3, ""),
+                    snapshot.state().requests().get("request-3"));
+            assertEquals(
+                    new Outcome(Outcome.Kind.CONFLICT, 6, "made from version 2, the newest is 6"),
                     snapshot.state().requests().get("request-late"));
         }
     }
@@ -138,8 +164,15 @@
             Document content = active.content();
             assertEquals(Map.of("balancers", 12.0, "retries", 0.25, "cold_share", 0.5), content.numbers());
             assertEquals(Map.of("tenant_shares", Map.of("shop", 0.5, "reports", 0.125)), content.tables());
-            assertEquals(Map.of("upstreams_out", Map.of("n-17", "disk", "n-4", "Übergang 4→5"), "zones_out",
-                    Map.of("z-b", ""), "repeat_groups", Map.of("carts", "keyed")), content.names());
+            assertEquals(
+                    Map.of(
+                            "upstreams_out",
+                            Map.of("n-17", "disk", "n-4", "Übergang 4→5"),
+                            "zones_out",
+                            Map.of("z-b", ""),
+                            "repeat_groups",
+                            Map.of("carts", "keyed")),
+                    content.names());
         }
     }
 
@@ -147,10 +180,16 @@
     void theEntriesBehindTheSnapshotAreRead() throws Exception {
         try (FileDisk disk = FileDisk.take(copy("keeper"))) {
             List<Entry> entries = openScripted(disk).recovered().entries();
-            assertEquals(List.of(15L, 16L, 17L, 18L, 19L, 20L), entries.stream().map(Entry::index).toList());
-            assertEquals(List.of(2L, 2L, 3L, 3L, 3L, 3L), entries.stream().map(Entry::term).toList());
+            assertEquals(
+                    List.of(15L, 16L, 17L, 18L, 19L, 20L),
+                    entries.stream().map(Entry::index).toList());
+            assertEquals(
+                    List.of(2L, 2L, 3L, 3L, 3L, 3L),
+                    entries.stream().map(Entry::term).toList());
             assertEquals(new Command.Nothing(), entries.get(0).command());
-            assertEquals(new Command.Change(StoredFolderScript.JOINING), entries.get(1).command());
+            assertEquals(
+                    new Command.Change(StoredFolderScript.JOINING),
+                    entries.get(1).command());
             assertEquals(new Command.Nothing(), entries.get(2).command());
             Command.Write write = (Command.Write) entries.get(3).command();
             assertEquals("request-7", write.request());
@@ -166,15 +205,22 @@
     void aReplicaStartsFromIt() throws Exception {
         try (FileDisk disk = FileDisk.take(copy("keeper"))) {
             KeeperFolder read = openScripted(disk);
-            Keeper started = new Keeper(new Keeper.Self("k0", read.folder(), 104), new Rules(TIMING), read.recovered(),
-                    read.founders(), new AgreeCodec(), new SplittableRandom(1), 0);
+            Keeper started = new Keeper(
+                    new Keeper.Self("k0", read.folder(), 104),
+                    new Rules(TIMING),
+                    read.recovered(),
+                    read.founders(),
+                    new AgreeCodec(),
+                    new SplittableRandom(1),
+                    0);
             assertEquals(3, started.term());
             assertEquals(20, started.last());
             assertEquals(14, started.commit());
             assertEquals(6, started.active().number());
             assertEquals(6, started.history().size());
             assertEquals(StoredFolderScript.JOINING, started.members());
-            assertEquals(new Member("k3", 13, "127.0.0.1:7103"), started.members().learner());
+            assertEquals(
+                    new Member("k3", 13, "127.0.0.1:7103"), started.members().learner());
         }
     }
 
@@ -182,7 +228,9 @@
     @Test
     void aCopyOfAFolderIsStillToldFromTheFolder() throws Exception {
         try (FileDisk disk = FileDisk.take(copy("keeper"))) {
-            String doubt = KeeperFolder.open(disk, StoredFolderScript.OWNER).recovered().doubt();
+            String doubt = KeeperFolder.open(disk, StoredFolderScript.OWNER)
+                    .recovered()
+                    .doubt();
             assertTrue(doubt.startsWith("the folder is a copy"), doubt);
         }
     }
@@ -212,7 +260,8 @@
     @Test
     void theFolderOfAProcessIsRead() throws Exception {
         try (FileDisk disk = FileDisk.take(unzip())) {
-            assertEquals(new KeeperFolder.Report("drill", "k0", PROCESS_FOLDER, 2, 11, 0, List.of()),
+            assertEquals(
+                    new KeeperFolder.Report("drill", "k0", PROCESS_FOLDER, 2, 11, 0, List.of()),
                     KeeperFolder.check(disk));
             KeeperFolder read = KeeperFolder.open(disk, new KeeperFolder.Owner("drill", "k0", "", false));
             assertFalse(read.recovered().lost());
@@ -231,23 +280,40 @@
     @Test
     void theEntriesOfAProcessAreRead() throws Exception {
         try (FileDisk disk = FileDisk.take(unzip())) {
-            List<Entry> entries = KeeperFolder.open(disk, new KeeperFolder.Owner("drill", "k0", "", false)).recovered()
+            List<Entry> entries = KeeperFolder.open(disk, new KeeperFolder.Owner("drill", "k0", "", false))
+                    .recovered()
                     .entries();
             assertEquals(11, entries.size());
             assertEquals(2, entries.get(entries.size() - 1).term());
-            List<Member> voters = entries.stream().filter(e -> e.command() instanceof Command.Change)
-                    .flatMap(e -> ((Command.Change) e.command()).members().voters().values().stream()).toList();
-            assertEquals(List.of(new Member("k0", PROCESS_FOLDER, "127.0.0.1:19948"),
-                    new Member("k1", 3_065_505_099_982_323_699L, "127.0.0.1:19949"),
-                    new Member("k2", -49_336_320_848_735_039L, "127.0.0.1:19950")), voters);
-            List<Command.Write> writes = entries.stream().filter(e -> e.command() instanceof Command.Write)
-                    .map(e -> (Command.Write) e.command()).toList();
-            assertEquals(List.of("request-1", "request-2", "request-3", "request-4"), writes.stream()
-                    .map(Command.Write::request).toList());
-            assertEquals(List.of(1L, 2L, 3L, 4L), entries.stream().filter(e -> e.command() instanceof Command.Activate)
-                    .map(e -> ((Command.Activate) e.command()).version()).toList());
-            assertEquals(new Document(Map.of("retries", 0.5), Map.of("tenant_shares", Map.of("shop", 0.5)),
-                    Map.of("upstreams_out", Map.of("n-4", "disk", "n-17", ""))), writes.get(3).content());
+            List<Member> voters = entries.stream()
+                    .filter(e -> e.command() instanceof Command.Change)
+                    .flatMap(e -> ((Command.Change) e.command()).members().voters().values().stream())
+                    .toList();
+            assertEquals(
+                    List.of(
+                            new Member("k0", PROCESS_FOLDER, "127.0.0.1:19948"),
+                            new Member("k1", 3_065_505_099_982_323_699L, "127.0.0.1:19949"),
+                            new Member("k2", -49_336_320_848_735_039L, "127.0.0.1:19950")),
+                    voters);
+            List<Command.Write> writes = entries.stream()
+                    .filter(e -> e.command() instanceof Command.Write)
+                    .map(e -> (Command.Write) e.command())
+                    .toList();
+            assertEquals(
+                    List.of("request-1", "request-2", "request-3", "request-4"),
+                    writes.stream().map(Command.Write::request).toList());
+            assertEquals(
+                    List.of(1L, 2L, 3L, 4L),
+                    entries.stream()
+                            .filter(e -> e.command() instanceof Command.Activate)
+                            .map(e -> ((Command.Activate) e.command()).version())
+                            .toList());
+            assertEquals(
+                    new Document(
+                            Map.of("retries", 0.5),
+                            Map.of("tenant_shares", Map.of("shop", 0.5)),
+                            Map.of("upstreams_out", Map.of("n-4", "disk", "n-17", ""))),
+                    writes.get(3).content());
             assertEquals(1_796_190_120_069L, writes.get(3).atMs());
         }
     }
--- a/src/test/java/sedgeyoke/net/AnswersTest.java
+++ b/src/test/java/sedgeyoke/net/AnswersTest.java
@@ -4,14 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
-import sedgeyoke.decide.Balancer.Outcome;
-import sedgeyoke.decide.Balancer.Request;
 import java.net.Socket;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import sedgeyoke.decide.Balancer.Outcome;
+import sedgeyoke.decide.Balancer.Request;
 
 /** Answers that are spoilt, and good ones that bring more than belongs to them. */
 class AnswersTest {
@@ -22,25 +22,28 @@
     /** A module that has one request out at a time and sends the next as soon as it hears of an end. */
     private Loopback oneAfterTheOther(Peer up) throws Exception {
         Queue<Request> waiting = new ArrayDeque<>();
-        return Loopback.setup().upstream("u", up.address()).module(actions -> {
-            module = new ScriptedModule(actions);
-            module.onRequest = (m, r) -> {
-                waiting.add(r);
-                if (waiting.size() == 1) {
-                    m.actions.send(r.id(), "u", 0);
-                }
-            };
-            module.onEnd = (m, end) -> {
-                waiting.poll();
-                if (end.outcome() != Outcome.OK) {
-                    m.actions.fail(end.request());
-                }
-                if (!waiting.isEmpty()) {
-                    m.actions.send(waiting.peek().id(), "u", 0);
-                }
-            };
-            return module;
-        }).start();
+        return Loopback.setup()
+                .upstream("u", up.address())
+                .module(actions -> {
+                    module = new ScriptedModule(actions);
+                    module.onRequest = (m, r) -> {
+                        waiting.add(r);
+                        if (waiting.size() == 1) {
+                            m.actions.send(r.id(), "u", 0);
+                        }
+                    };
+                    module.onEnd = (m, end) -> {
+                        waiting.poll();
+                        if (end.outcome() != Outcome.OK) {
+                            m.actions.fail(end.request());
+                        }
+                        if (!waiting.isEmpty()) {
+                            m.actions.send(waiting.peek().id(), "u", 0);
+                        }
+                    };
+                    return module;
+                })
+                .start();
     }
 
     /** What lies behind an answer must not become the answer to the request that is sent next. */
@@ -48,11 +51,12 @@
     @ValueSource(strings = {"", "noise", "noise\r\n\r\n", "HTTP/1.1 200 OK\r\n"})
     void whatComesBehindAnAnswerIsNobodysAnswer(String noise) throws Exception {
         try (Peer up = new Peer((request, socket) -> {
-            Thread.sleep(20); // so that the next request waits for the end of this one
-            String id = request.headers().get("x-call-id");
-            String answer = "HTTP/1.1 200 OK\r\nContent-Length: " + id.length() + "\r\n\r\n" + id;
-            Peer.write(socket, answer + (noise.isEmpty() ? answer : noise));
-        }); Loopback lb = oneAfterTheOther(up)) {
+                    Thread.sleep(20); // so that the next request waits for the end of this one
+                    String id = request.headers().get("x-call-id");
+                    String answer = "HTTP/1.1 200 OK\r\nContent-Length: " + id.length() + "\r\n\r\n" + id;
+                    Peer.write(socket, answer + (noise.isEmpty() ? answer : noise));
+                });
+                Loopback lb = oneAfterTheOther(up)) {
             Socket[] clients = new Socket[6];
             for (int i = 0; i < clients.length; i++) {
                 clients[i] = lb.connect();
@@ -66,7 +70,8 @@
 
     @Test
     void whatComesOnAnIdleConnectionClosesIt() throws Exception {
-        try (Peer up = Peer.serving("x"); Loopback lb = oneAfterTheOther(up)) {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = oneAfterTheOther(up)) {
             assertEquals(200, lb.ask("id-1", "order", LONG_MS).status());
             Peer.write(up.sockets.get(0), "n");
             Loopback.await("closed", () -> up.left.get() == 1);
@@ -76,21 +81,30 @@
 
     /** The connection stays open, so that only what was read can tell. */
     @ParameterizedTest
-    @ValueSource(strings = {"ICY/1.0 200 OK\r\nContent-Length: 1\r\n\r\nx",
-        "HTTP/1.1 2OO OK\r\nContent-Length: 1\r\n\r\nx",
-        "HTTP/1.1 99 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 2000 OK\r\nContent-Length: 1\r\n\r\nx",
-        "HTTP/1.1 101 Up\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx",
-        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nx", "HTTP/1.1 200 OK\r\nContent-Length: one\r\n\r\nx",
-        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
-        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nx",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
-        "HTTP/1.1 200 OK\r\nno header\r\nContent-Length: 1\r\n\r\nx",
-        "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nx", "HTTP/1.1 200 OK\r\n\r\nx",
-        "HTTP/1.1 200 OK\r\nX-Endless: ", "noise"})
+    @ValueSource(
+            strings = {
+                "ICY/1.0 200 OK\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 2OO OK\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 99 OK\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 2000 OK\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 101 Up\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nContent-Length: one\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+                "HTTP/1.1 200 OK\r\nno header\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nX-Endless: ",
+                "noise"
+            })
     void aSpoiltAnswerIsAFailedAttemptAtOnce(String answer) throws Exception {
-        try (Peer up = new Peer((request, socket) -> Peer.write(socket, answer)); Loopback lb = oneAfterTheOther(up)) {
+        try (Peer up = new Peer((request, socket) -> Peer.write(socket, answer));
+                Loopback lb = oneAfterTheOther(up)) {
             assertEquals(502, lb.ask("id-1", "order", LONG_MS).status());
             assertEquals(Outcome.ERROR, module.ends.get(0).outcome());
             Loopback.await("connection closed", () -> up.left.get() == 1);
@@ -99,8 +113,11 @@
 
     @Test
     void informationalAnswersAheadAreSkipped() throws Exception {
-        try (Peer up = new Peer((request, socket) -> Peer.write(socket, "HTTP/1.1 100 Continue\r\n\r\n"
-                + "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"));
+        try (Peer up = new Peer(
+                        (request, socket) -> Peer.write(
+                                socket,
+                                "HTTP/1.1 100 Continue\r\n\r\n"
+                                        + "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"));
                 Loopback lb = oneAfterTheOther(up)) {
             assertEquals("x", lb.ask("id-1", "order", LONG_MS).body());
             assertEquals("x", lb.ask("id-2", "order", LONG_MS).body());
@@ -108,12 +125,25 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"[1]", "7", "null", "\"x\"", "{",
-        "{\"cpu\":\"0.5\"}", "{\"cpu\":-3}", "{\"cpu\":{\"a\":1}}",
-        "{\"cpu\":1e999}", "{\"cpu\":0.5,\"waiting\":1e12}", "{\"cpu\":null}", "noise",
-        "{\"cpu\":0.5}\r\nX-Load-Report: {\"cpu\":0.1}"})
+    @ValueSource(
+            strings = {
+                "[1]",
+                "7",
+                "null",
+                "\"x\"",
+                "{",
+                "{\"cpu\":\"0.5\"}",
+                "{\"cpu\":-3}",
+                "{\"cpu\":{\"a\":1}}",
+                "{\"cpu\":1e999}",
+                "{\"cpu\":0.5,\"waiting\":1e12}",
+                "{\"cpu\":null}",
+                "noise",
+                "{\"cpu\":0.5}\r\nX-Load-Report: {\"cpu\":0.1}"
+            })
     void aLoadReportThatCannotBeReadCostsNoAnswer(String report) throws Exception {
-        try (Peer up = Peer.serving("x", "X-Load-Report: " + report); Loopback lb = oneAfterTheOther(up)) {
+        try (Peer up = Peer.serving("x", "X-Load-Report: " + report);
+                Loopback lb = oneAfterTheOther(up)) {
             assertEquals("x", lb.ask("id-1", "order", LONG_MS).body());
             Loopback.await("told", () -> !module.ends.isEmpty());
             assertNull(module.ends.get(0).load());
--- a/src/test/java/sedgeyoke/net/BodiesTest.java
+++ b/src/test/java/sedgeyoke/net/BodiesTest.java
@@ -24,8 +24,8 @@
 /** Long bodies in both directions, and all the ways in which they end early. */
 class BodiesTest {
     private static final int MB = 1 << 20;
-    private static final BodyLimits LIMITS = new BodyLimits(true, 64 * 1024, 8L * MB, 1_000, 1_000_000, 30_000_000,
-            5_000_000, 1L << 40, 0);
+    private static final BodyLimits LIMITS =
+            new BodyLimits(true, 64 * 1024, 8L * MB, 1_000, 1_000_000, 30_000_000, 5_000_000, 1L << 40, 0);
 
     private static byte[] bytes(int length) {
         byte[] bytes = new byte[length];
@@ -54,10 +54,11 @@
         AtomicReference<byte[]> arrived = new AtomicReference<>();
         byte[] answer = bytes(length + 7);
         try (Peer up = new Peer((request, socket) -> {
-            arrived.set(request.raw());
-            Peer.write(socket, "HTTP/1.1 200 x\r\nContent-Length: " + answer.length + "\r\n\r\n");
-            socket.getOutputStream().write(answer);
-        }); Loopback lb = serving(up)) {
+                    arrived.set(request.raw());
+                    Peer.write(socket, "HTTP/1.1 200 x\r\nContent-Length: " + answer.length + "\r\n\r\n");
+                    socket.getOutputStream().write(answer);
+                });
+                Loopback lb = serving(up)) {
             Socket client = lb.connect();
             OutputStream out = client.getOutputStream();
             if (declared) {
@@ -77,7 +78,10 @@
             assertEquals(200, got.status());
             assertEquals(digest(answer), digest(got.raw()));
             assertEquals(digest(sent), digest(arrived.get()));
-            assertEquals(200, Loopback.ask(client, Loopback.request("b", "order", 5_000)).status(), "kept alive");
+            assertEquals(
+                    200,
+                    Loopback.ask(client, Loopback.request("b", "order", 5_000)).status(),
+                    "kept alive");
             Loopback.await("nothing is left", () -> lb.server.reservedForBodies() == 0);
         }
     }
@@ -86,16 +90,17 @@
     void aNodeFasterThanItsClientIsHeldBack() throws Exception {
         AtomicLong written = new AtomicLong();
         try (Peer up = new Peer((request, socket) -> {
-            Peer.write(socket, "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n");
-            byte[] chunk = new byte[10_000];
-            for (int i = 0; i < 5_000; i++) {
-                Peer.write(socket, "2710\r\n");
-                socket.getOutputStream().write(chunk);
-                Peer.write(socket, "\r\n");
-                written.addAndGet(chunk.length);
-            }
-            Peer.write(socket, "0\r\nX-Sum: 7\r\nContent-Length: 3\r\n\r\n");
-        }); Loopback lb = serving(up)) {
+                    Peer.write(socket, "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    byte[] chunk = new byte[10_000];
+                    for (int i = 0; i < 5_000; i++) {
+                        Peer.write(socket, "2710\r\n");
+                        socket.getOutputStream().write(chunk);
+                        Peer.write(socket, "\r\n");
+                        written.addAndGet(chunk.length);
+                    }
+                    Peer.write(socket, "0\r\nX-Sum: 7\r\nContent-Length: 3\r\n\r\n");
+                });
+                Loopback lb = serving(up)) {
             Socket client = new Socket();
             client.setReceiveBufferSize(16_384);
             client.connect(lb.address);
@@ -134,22 +139,31 @@
         byte[] body = new byte[chunks];
         Arrays.fill(body, (byte) 'x');
         byte[] framed = ("1\r\nx\r\n".repeat(chunks) + "0\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
-        BodyLimits limits = new BodyLimits(true, 32 * 1024, 8L * MB, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40,
-                16 * 1024);
-        try (Peer node = new Peer((request, socket) -> {
-            arrived.set(request.raw());
-            if (!up) {
-                Peer.write(socket, "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n");
-                socket.getOutputStream().write(framed);
-            } else {
-                Peer.reply(socket, 200, "done");
-            }
-        }, go); Loopback lb = Loopback.setup().upstream("u", node.address()).bodies(limits).start()) {
+        BodyLimits limits =
+                new BodyLimits(true, 32 * 1024, 8L * MB, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40, 16 * 1024);
+        try (Peer node = new Peer(
+                        (request, socket) -> {
+                            arrived.set(request.raw());
+                            if (!up) {
+                                Peer.write(socket, "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n");
+                                socket.getOutputStream().write(framed);
+                            } else {
+                                Peer.reply(socket, 200, "done");
+                            }
+                        },
+                        go);
+                Loopback lb = Loopback.setup()
+                        .upstream("u", node.address())
+                        .bodies(limits)
+                        .start()) {
             Socket client = lb.connect();
             Thread writer = new Thread(() -> {
                 try {
-                    Peer.write(client, up ? upload("a", "order", "Transfer-Encoding: chunked")
-                            : Loopback.request("a", "order", 5_000));
+                    Peer.write(
+                            client,
+                            up
+                                    ? upload("a", "order", "Transfer-Encoding: chunked")
+                                    : Loopback.request("a", "order", 5_000));
                     client.getOutputStream().write(up ? framed : new byte[0]);
                 } catch (java.io.IOException e) {
                     throw new java.io.UncheckedIOException(e);
@@ -173,10 +187,11 @@
     @Test
     void anAnswerThatBreaksOffIsVisiblyNotWhole() throws Exception {
         try (Peer up = new Peer((request, socket) -> {
-            Peer.write(socket, "HTTP/1.1 200 x\r\nContent-Length: 1000000\r\n\r\n");
-            socket.getOutputStream().write(new byte[400_000]);
-            socket.close();
-        }); Loopback lb = serving(up)) {
+                    Peer.write(socket, "HTTP/1.1 200 x\r\nContent-Length: 1000000\r\n\r\n");
+                    socket.getOutputStream().write(new byte[400_000]);
+                    socket.close();
+                });
+                Loopback lb = serving(up)) {
             Socket client = lb.connect();
             Peer.write(client, Loopback.request("a", "read", 5_000));
             byte[] all = client.getInputStream().readAllBytes();
@@ -189,7 +204,8 @@
     @Test
     void aClientThatLeavesWhileSendingLeavesNothingThatRan() throws Exception {
         AtomicInteger begun = new AtomicInteger();
-        try (Peer up = new Peer((request, socket) -> begun.incrementAndGet()); Loopback lb = serving(up)) {
+        try (Peer up = new Peer((request, socket) -> begun.incrementAndGet());
+                Loopback lb = serving(up)) {
             Socket client = lb.connect();
             Peer.write(client, upload("a", "order", "Content-Length: 2000000"));
             client.getOutputStream().write(new byte[500_000]);
@@ -204,7 +220,8 @@
     /** The last byte was never written: whatever the class, trying again is harmless. */
     @Test
     void aNodeThatGoesInTheMiddleOfAnUploadGivesARefusal() throws Exception {
-        try (Peer up = new Peer((request, socket) -> { }); Loopback lb = serving(up)) {
+        try (Peer up = new Peer((request, socket) -> {});
+                Loopback lb = serving(up)) {
             Socket client = lb.connect();
             Peer.write(client, upload("a", "order", "Content-Length: 2000000"));
             client.getOutputStream().write(new byte[500_000]);
@@ -216,7 +233,8 @@
 
     @Test
     void aNodeThatGoesAfterTheLastByteGivesAFailure() throws Exception {
-        try (Peer up = new Peer((request, socket) -> socket.close()); Loopback lb = serving(up)) {
+        try (Peer up = new Peer((request, socket) -> socket.close());
+                Loopback lb = serving(up)) {
             Socket client = lb.connect();
             Peer.write(client, upload("a", "order", "Content-Length: 200000"));
             client.getOutputStream().write(new byte[200_000]);
@@ -228,14 +246,16 @@
     @Test
     void whenThereIsNoRoomFurtherLongRequestsAreRefusedAndShortOnesServed() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        BodyLimits two = new BodyLimits(true, 64 * 1024, 2 * 64 * 1024, 0, 1_000_000, 30_000_000, 5_000_000,
-                1L << 40, 0);
+        BodyLimits two =
+                new BodyLimits(true, 64 * 1024, 2 * 64 * 1024, 0, 1_000_000, 30_000_000, 5_000_000, 1L << 40, 0);
         try (Peer up = new Peer((request, socket) -> {
-            if (request.raw().length > 10_000) {
-                go.await();
-            }
-            Peer.reply(socket, 200, "x");
-        }); Loopback lb = Loopback.setup().upstream("u", up.address()).bodies(two).start()) {
+                    if (request.raw().length > 10_000) {
+                        go.await();
+                    }
+                    Peer.reply(socket, 200, "x");
+                });
+                Loopback lb =
+                        Loopback.setup().upstream("u", up.address()).bodies(two).start()) {
             Socket[] clients = new Socket[3];
             for (int i = 0; i < 3; i++) {
                 clients[i] = lb.connect();
@@ -258,7 +278,10 @@
     void aTrickleIsToldThatItIsTooSlow() throws Exception {
         BodyLimits strict = new BodyLimits(true, 64 * 1024, MB, 1_000, 300_000, 30_000_000, 5_000_000, 1L << 40, 0);
         try (Peer up = Peer.serving("x");
-                Loopback lb = Loopback.setup().upstream("u", up.address()).bodies(strict).start()) {
+                Loopback lb = Loopback.setup()
+                        .upstream("u", up.address())
+                        .bodies(strict)
+                        .start()) {
             Socket client = lb.connect();
             Peer.write(client, upload("a", "order", "Content-Length: 100000"));
             client.getOutputStream().write(new byte[60]);
@@ -269,7 +292,8 @@
 
     @Test
     void oneThatWaitsForAWordIsToldToGoOn() throws Exception {
-        try (Peer up = Peer.serving("x"); Loopback lb = serving(up)) {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = serving(up)) {
             Socket client = lb.connect();
             Peer.write(client, upload("a", "order", "Content-Length: 4\r\nExpect: 100-continue"));
             InputStream in = new BufferedInputStream(client.getInputStream());
@@ -282,7 +306,8 @@
     @Test
     void nonsenseInTheMiddleOfALongBodyNeverGetsItsLastByte() throws Exception {
         AtomicInteger begun = new AtomicInteger();
-        try (Peer up = new Peer((request, socket) -> begun.incrementAndGet()); Loopback lb = serving(up)) {
+        try (Peer up = new Peer((request, socket) -> begun.incrementAndGet());
+                Loopback lb = serving(up)) {
             Socket client = lb.connect();
             Peer.write(client, upload("a", "order", "Transfer-Encoding: chunked"));
             byte[] chunk = bytes(100_000);
@@ -306,14 +331,18 @@
             Peer.Message refused = Loopback.answer(client);
             assertEquals(503, refused.status());
             if (!"close".equals(refused.headers().get("connection"))) {
-                assertEquals(503, Loopback.ask(client, Loopback.request("b", "order", 300)).status());
+                assertEquals(
+                        503,
+                        Loopback.ask(client, Loopback.request("b", "order", 300))
+                                .status());
             }
         }
     }
 
     @Test
     void whatIsOffStaysAsThePlatformHasIt() throws Exception {
-        try (Peer up = Peer.serving("x"); Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             Socket client = lb.connect();
             Peer.write(client, upload("a", "order", "Content-Length: 65537"));
             assertEquals(413, Loopback.answer(client).status());
@@ -328,10 +357,11 @@
     void anAnswerMayGoOnUntilItsConnectionEnds(int length) throws Exception {
         byte[] answer = bytes(length);
         try (Peer up = new Peer((request, socket) -> {
-            Peer.write(socket, UNTIL_THE_END);
-            socket.getOutputStream().write(answer);
-            socket.close();
-        }); Loopback lb = serving(up)) {
+                    Peer.write(socket, UNTIL_THE_END);
+                    socket.getOutputStream().write(answer);
+                    socket.close();
+                });
+                Loopback lb = serving(up)) {
             for (int i = 0; i < 3; i++) { // no connection that has ended so is used again
                 Peer.Message got = lb.ask("id-" + i, "order", 5_000);
                 assertEquals(200, got.status());
@@ -347,12 +377,13 @@
         CountDownLatch read = new CountDownLatch(1);
         byte[] answer = bytes(length);
         try (Peer up = new Peer((request, socket) -> {
-            Peer.write(socket, UNTIL_THE_END);
-            socket.getOutputStream().write(answer);
-            read.await();
-            socket.setSoLinger(true, 0);
-            socket.close();
-        }); Loopback lb = serving(up)) {
+                    Peer.write(socket, UNTIL_THE_END);
+                    socket.getOutputStream().write(answer);
+                    read.await();
+                    socket.setSoLinger(true, 0);
+                    socket.close();
+                });
+                Loopback lb = serving(up)) {
             Socket client = lb.connect();
             Peer.write(client, Loopback.request("a", "order", 5_000));
             InputStream in = new BufferedInputStream(client.getInputStream());
@@ -366,9 +397,10 @@
     @Test
     void oneThatSaysNothingOfItsEndIsSpoilt() throws Exception {
         try (Peer up = new Peer((request, socket) -> {
-            Peer.write(socket, "HTTP/1.1 200 x\r\n\r\nhalf");
-            socket.close();
-        }); Loopback lb = serving(up)) {
+                    Peer.write(socket, "HTTP/1.1 200 x\r\n\r\nhalf");
+                    socket.close();
+                });
+                Loopback lb = serving(up)) {
             assertEquals(502, lb.ask("a", "order", 5_000).status());
         }
     }
@@ -379,14 +411,18 @@
         byte[] answer = bytes(3_000_000);
         AtomicInteger connections = new AtomicInteger();
         try (Peer up = new Peer((request, socket) -> {
-            connections.incrementAndGet();
-            Peer.write(socket, "HTTP/1.1 200 x\r\nConnection: close\r\nContent-Length: " + answer.length + "\r\n\r\n");
-            socket.getOutputStream().write(answer);
-            Thread.sleep(200); // it closes when it likes
-            socket.close();
-        }); Loopback lb = serving(up)) {
+                    connections.incrementAndGet();
+                    Peer.write(
+                            socket,
+                            "HTTP/1.1 200 x\r\nConnection: close\r\nContent-Length: " + answer.length + "\r\n\r\n");
+                    socket.getOutputStream().write(answer);
+                    Thread.sleep(200); // it closes when it likes
+                    socket.close();
+                });
+                Loopback lb = serving(up)) {
             for (int i = 0; i < 3; i++) {
-                assertEquals(digest(answer), digest(lb.ask("id-" + i, "order", 5_000).raw()));
+                assertEquals(
+                        digest(answer), digest(lb.ask("id-" + i, "order", 5_000).raw()));
             }
             assertEquals(3, connections.get());
         }
@@ -396,11 +432,15 @@
     void oneThatNeverEndsIsCutAtTheLongestBody() throws Exception {
         BodyLimits small = new BodyLimits(true, 64 * 1024, 8L * MB, 1_000, 1_000_000, 30_000_000, 5_000_000, MB, 0);
         try (Peer up = new Peer((request, socket) -> {
-            Peer.write(socket, UNTIL_THE_END);
-            while (true) {
-                socket.getOutputStream().write(bytes(100_000));
-            }
-        }); Loopback lb = Loopback.setup().upstream("u", up.address()).bodies(small).start()) {
+                    Peer.write(socket, UNTIL_THE_END);
+                    while (true) {
+                        socket.getOutputStream().write(bytes(100_000));
+                    }
+                });
+                Loopback lb = Loopback.setup()
+                        .upstream("u", up.address())
+                        .bodies(small)
+                        .start()) {
             Socket client = lb.connect();
             Peer.write(client, Loopback.request("a", "order", 5_000));
             byte[] got = client.getInputStream().readAllBytes();
--- a/src/test/java/sedgeyoke/net/BodyPropertiesTest.java
+++ b/src/test/java/sedgeyoke/net/BodyPropertiesTest.java
@@ -13,9 +13,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.Map;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
@@ -28,8 +28,8 @@
 /** Whatever the splits, pauses and resets: what comes out equals what went in, or is visibly cut; nothing is kept. */
 class BodyPropertiesTest {
     private static final int CEILING = 64 * 1024;
-    private static final BodyLimits LIMITS = new BodyLimits(true, CEILING, 64L << 20, 0, 1_000_000, 30_000_000,
-            5_000_000, 1L << 40, 0);
+    private static final BodyLimits LIMITS =
+            new BodyLimits(true, CEILING, 64L << 20, 0, 1_000_000, 30_000_000, 5_000_000, 1L << 40, 0);
     private static final int READ = LIMITS.read();
     private static final int LONGEST = 400_000;
     private static final Map<String, byte[]> ARRIVED = new ConcurrentHashMap<>();
@@ -39,7 +39,7 @@
     private static int number;
 
     /** How a node answers a request: so many bytes in such writes, cut before the end or not. */
-    private record Answering(byte[] body, boolean chunked, int[] splits, int cutAt) { }
+    private record Answering(byte[] body, boolean chunked, int[] splits, int cutAt) {}
 
     @BeforeContainer
     static void start() throws Exception {
@@ -65,8 +65,7 @@
     /** A client that obeys, as far as one read goes, and an attempt that pauses, asks, or goes away, by a script. */
     @Property(seed = "20261201", tries = 2_000)
     void aBodyGoesThroughWholeOrNeverEnds(
-            @ForAll @Size(min = 1, max = 60) List<@IntRange(min = 1, max = 12_000) Integer> parts,
-            @ForAll long seed) {
+            @ForAll @Size(min = 1, max = 60) List<@IntRange(min = 1, max = 12_000) Integer> parts, @ForAll long seed) {
         Exchange exchange = new Exchange(parts, new Random(seed));
         for (int step = 0; step < 4_000 && !exchange.over && !exchange.sink.ended; step++) {
             exchange.step();
@@ -191,9 +190,13 @@
     // ---- Through the balancer ------------------------------------------------------------------------
 
     @Property(seed = "20261201", tries = 120, shrinking = ShrinkingMode.OFF)
-    void bothDirectionsThroughTheBalancer(@ForAll @IntRange(max = LONGEST) int up,
-            @ForAll @IntRange(max = LONGEST) int down, @ForAll boolean chunkedUp, @ForAll boolean chunkedDown,
-            @ForAll @Size(min = 1, max = 8) int[] splits) throws Exception {
+    void bothDirectionsThroughTheBalancer(
+            @ForAll @IntRange(max = LONGEST) int up,
+            @ForAll @IntRange(max = LONGEST) int down,
+            @ForAll boolean chunkedUp,
+            @ForAll boolean chunkedDown,
+            @ForAll @Size(min = 1, max = 8) int[] splits)
+            throws Exception {
         String id = "p" + number++;
         byte[] sent = bytes(up, number);
         byte[] answer = bytes(down, -number);
@@ -209,9 +212,12 @@
 
     /** A client that goes in the middle: the node never has the last byte, and so never answers. */
     @Property(seed = "20261201", tries = 60, shrinking = ShrinkingMode.OFF)
-    void anUploadThatEndsEarlyNeverArrives(@ForAll @IntRange(min = 2, max = LONGEST) int up,
-            @ForAll boolean chunked, @ForAll @IntRange(min = 1, max = 99) int percent,
-            @ForAll @Size(min = 1, max = 8) int[] splits) throws Exception {
+    void anUploadThatEndsEarlyNeverArrives(
+            @ForAll @IntRange(min = 2, max = LONGEST) int up,
+            @ForAll boolean chunked,
+            @ForAll @IntRange(min = 1, max = 99) int percent,
+            @ForAll @Size(min = 1, max = 8) int[] splits)
+            throws Exception {
         String id = "q" + number++;
         ANSWERS.put(id, new Answering(new byte[0], false, splits, Integer.MAX_VALUE));
         try (Socket client = lb.connect()) {
@@ -223,9 +229,12 @@
 
     /** A node that goes in the middle: the client gets a final answer, or can see that what it has is not whole. */
     @Property(seed = "20261201", tries = 60, shrinking = ShrinkingMode.OFF)
-    void anAnswerThatEndsEarlyIsNeverTakenForWhole(@ForAll @IntRange(min = 2, max = LONGEST) int down,
-            @ForAll boolean chunked, @ForAll @IntRange(min = 1, max = 99) int percent,
-            @ForAll @Size(min = 1, max = 8) int[] splits) throws Exception {
+    void anAnswerThatEndsEarlyIsNeverTakenForWhole(
+            @ForAll @IntRange(min = 2, max = LONGEST) int down,
+            @ForAll boolean chunked,
+            @ForAll @IntRange(min = 1, max = 99) int percent,
+            @ForAll @Size(min = 1, max = 8) int[] splits)
+            throws Exception {
         String id = "s" + number++;
         byte[] answer = bytes(down, number);
         ANSWERS.put(id, new Answering(answer, chunked, splits, Math.max(1, (int) ((long) down * percent / 100))));
@@ -258,8 +267,10 @@
 
     private static void ask(Socket client, String id, byte[] body, boolean chunked, int[] splits, int cutAt)
             throws IOException {
-        Peer.write(client, "POST /api?obj=o HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id
-                + "\r\nX-Call-Class: order\r\nX-Budget-Ms: 9000\r\n" + framing(body, chunked));
+        Peer.write(
+                client,
+                "POST /api?obj=o HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id
+                        + "\r\nX-Call-Class: order\r\nX-Budget-Ms: 9000\r\n" + framing(body, chunked));
         body(client, body, chunked, splits, cutAt);
     }
 
@@ -275,8 +286,7 @@
         return chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "Content-Length: " + body.length + "\r\n\r\n";
     }
 
-    private static void body(Socket socket, byte[] body, boolean chunked, int[] splits, int cutAt)
-            throws IOException {
+    private static void body(Socket socket, byte[] body, boolean chunked, int[] splits, int cutAt) throws IOException {
         int until = Math.min(body.length, cutAt);
         for (int at = 0, i = 0; at < until; i++) {
             int n = Math.min(until - at, 1 + Math.floorMod(splits[i % splits.length], 50_000));
--- a/src/test/java/sedgeyoke/net/CordonsTest.java
+++ b/src/test/java/sedgeyoke/net/CordonsTest.java
@@ -21,6 +21,7 @@
 class CordonsTest {
     @TempDir
     private Path folder;
+
     private Path file;
 
     @BeforeEach
@@ -67,8 +68,16 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "x", "sedgeyoke cordons 1\n5 s-1\n", "sedgeyoke cordons 2\n5 s-1\nend\n",
-        "sedgeyoke cordons 1\nfive s-1\nend\n", "sedgeyoke cordons 1\n5\nend\n", "sedgeyoke cordons 1\nend\n5 s"})
+    @ValueSource(
+            strings = {
+                "",
+                "x",
+                "sedgeyoke cordons 1\n5 s-1\n",
+                "sedgeyoke cordons 2\n5 s-1\nend\n",
+                "sedgeyoke cordons 1\nfive s-1\nend\n",
+                "sedgeyoke cordons 1\n5\nend\n",
+                "sedgeyoke cordons 1\nend\n5 s"
+            })
     void aFileThatIsNoGoodChangesNothingAndIsToldOfOnce(String content) throws Exception {
         Cordons cordons = new Cordons(file);
         cordons.set("s", true, 1);
@@ -90,9 +99,15 @@
     void twoWritersAtOnceKeepEachOthersWord() throws Exception {
         Process[] writers = new Process[2];
         for (int w = 0; w < writers.length; w++) {
-            writers[w] = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-cp",
-                    System.getProperty("java.class.path"), Writer.class.getName(), file.toString(), "w" + w)
-                    .redirectErrorStream(true).start();
+            writers[w] = new ProcessBuilder(
+                            System.getProperty("java.home") + "/bin/java",
+                            "-cp",
+                            System.getProperty("java.class.path"),
+                            Writer.class.getName(),
+                            file.toString(),
+                            "w" + w)
+                    .redirectErrorStream(true)
+                    .start();
         }
         for (Process w : writers) {
             String said = new String(w.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
--- a/src/test/java/sedgeyoke/net/CrossingsTest.java
+++ b/src/test/java/sedgeyoke/net/CrossingsTest.java
@@ -28,9 +28,10 @@
 
     private Loopback start(Loopback.Setup setup) throws Exception {
         return setup.module(actions -> {
-            module = new ScriptedModule(actions);
-            return module;
-        }).start();
+                    module = new ScriptedModule(actions);
+                    return module;
+                })
+                .start();
     }
 
     private static void standUntil(long nanos) {
@@ -45,15 +46,17 @@
     @Test
     void anAttemptThatIsStoppedIsOffTheWireBeforeTheNextOneGoesOut() throws Exception {
         CompletableFuture<Boolean> firstClosed = new CompletableFuture<>();
-        try (Peer silent = new Peer((request, socket) -> { });
+        try (Peer silent = new Peer((request, socket) -> {});
                 Peer second = new Peer((request, socket) -> {
                     if (request.headers().get("x-call-id").equals("id-1")) {
                         firstClosed.complete(Boolean.TRUE);
                     }
                     Peer.reply(socket, 200, "x");
                 });
-                Loopback lb = start(Loopback.setup().setting("\"may-duplicate\":true", "\"may-duplicate\":false")
-                        .upstream("a", silent.address()).upstream("b", second.address()))) {
+                Loopback lb = start(Loopback.setup()
+                        .setting("\"may-duplicate\":true", "\"may-duplicate\":false")
+                        .upstream("a", silent.address())
+                        .upstream("b", second.address()))) {
             module.onRequest = (m, r) -> m.actions.send(r.id(), "b", 0);
             assertEquals(200, lb.ask("warm", "read", 5_000).status());
             standUntil(System.nanoTime() + 30 * MS); // until that connection may carry the next request
@@ -83,9 +86,12 @@
     /** The module chose while upstreams still remembered the first one; the connection came up when they did not. */
     @Test
     void aRepeatWhoseTimeHasRunOutWhileItConnectedIsNotSent() throws Exception {
-        try (Peer resets = new Peer((request, socket) -> socket.close()); Peer up = Peer.serving("x");
-                Loopback lb = start(Loopback.setup().setting("\"memory-span-s\":2", "\"memory-span-s\":0.25")
-                        .upstream("a", resets.address()).upstream("b", up.address()))) {
+        try (Peer resets = new Peer((request, socket) -> socket.close());
+                Peer up = Peer.serving("x");
+                Loopback lb = start(Loopback.setup()
+                        .setting("\"memory-span-s\":2", "\"memory-span-s\":0.25")
+                        .upstream("a", resets.address())
+                        .upstream("b", up.address()))) {
             module.onRequest = (m, r) -> m.actions.send(r.id(), r.id().equals("id-1") ? "a" : "b", 0);
             module.onEnd = (m, end) -> {
                 if (end.outcome() == Outcome.RESET) {
@@ -98,7 +104,8 @@
             assertEquals(502, lb.ask("id-1", "update", 5_000).status());
             assertEquals(200, lb.ask("id-2", "update", 5_000).status());
             assertEquals(1, up.requests.size(), "only the second one");
-            assertEquals(List.of(Outcome.RESET, Outcome.MOOT, Outcome.OK),
+            assertEquals(
+                    List.of(Outcome.RESET, Outcome.MOOT, Outcome.OK),
                     module.ends.stream().map(e -> e.outcome()).toList());
         }
     }
@@ -115,15 +122,16 @@
     private boolean secondAnswer() throws Exception {
         CountDownLatch nextSent = new CountDownLatch(1);
         try (Peer up = new Peer((request, socket) -> {
-            if (request.headers().get("x-call-id").equals("id-1")) {
-                Peer.reply(socket, 200, "first");
-                nextSent.await();
-                Peer.reply(socket, 200, "first");
-            } else {
-                nextSent.countDown();
-                Peer.reply(socket, 200, "second");
-            }
-        }); Loopback lb = start(Loopback.setup().upstream("u", up.address()))) {
+                    if (request.headers().get("x-call-id").equals("id-1")) {
+                        Peer.reply(socket, 200, "first");
+                        nextSent.await();
+                        Peer.reply(socket, 200, "first");
+                    } else {
+                        nextSent.countDown();
+                        Peer.reply(socket, 200, "second");
+                    }
+                });
+                Loopback lb = start(Loopback.setup().upstream("u", up.address()))) {
             AtomicInteger held = new AtomicInteger();
             module.onRequest = (m, r) -> held.incrementAndGet();
             Socket next = lb.connect();
@@ -191,18 +199,24 @@
             List<Socket> sockets = new ArrayList<>();
             for (int i = 0; i < 20; i++) {
                 Socket socket = lb.connect();
-                assertEquals(503, Loopback.ask(socket, Loopback.request("kept-" + i, "order", 5_000)).status());
+                assertEquals(
+                        503,
+                        Loopback.ask(socket, Loopback.request("kept-" + i, "order", 5_000))
+                                .status());
                 sockets.add(socket);
             }
             CountDownLatch stands = new CountDownLatch(1);
             CountDownLatch go = new CountDownLatch(1);
             long told = end(lb);
-            lb.loop.schedule(() -> {
-                stands.countDown();
-                go.await();
-                standUntil(told + 700 * MS);
-                return null;
-            }, 590, TimeUnit.MILLISECONDS);
+            lb.loop.schedule(
+                    () -> {
+                        stands.countDown();
+                        go.await();
+                        standUntil(told + 700 * MS);
+                        return null;
+                    },
+                    590,
+                    TimeUnit.MILLISECONDS);
             stands.await();
             for (int i = 0; i < 20; i++) {
                 Peer.write(sockets.get(i), Loopback.request("id-" + i, "order", 5_000));
@@ -223,12 +237,15 @@
             CountDownLatch stands = new CountDownLatch(1);
             CountDownLatch go = new CountDownLatch(1);
             long told = end(lb);
-            lb.loop.schedule(() -> {
-                stands.countDown();
-                go.await();
-                standUntil(told + 580 * MS);
-                return null;
-            }, 500, TimeUnit.MILLISECONDS);
+            lb.loop.schedule(
+                    () -> {
+                        stands.countDown();
+                        go.await();
+                        standUntil(told + 580 * MS);
+                        return null;
+                    },
+                    500,
+                    TimeUnit.MILLISECONDS);
             stands.await();
             List<Socket> sockets = new ArrayList<>();
             for (int i = 0; i < 60; i++) {
@@ -276,15 +293,21 @@
             // Before the last moment for answers, at 0.75 s, it is answered; just behind that, the loop stands for as
             // long as the next look takes to be due, and what is due behind it has come before the look.
             lb.loop.schedule(() -> module.actions.send("id-1", "u", 0), 700, TimeUnit.MILLISECONDS);
-            lb.loop.schedule(() -> {
-                lb.loop.schedule(() -> {
-                    stands.countDown();
-                    sent.await();
-                    closing[0] = System.nanoTime();
-                    return null;
-                }, 0, TimeUnit.MILLISECONDS);
-                standUntil(System.nanoTime() + 15 * MS);
-            }, 755, TimeUnit.MILLISECONDS);
+            lb.loop.schedule(
+                    () -> {
+                        lb.loop.schedule(
+                                () -> {
+                                    stands.countDown();
+                                    sent.await();
+                                    closing[0] = System.nanoTime();
+                                    return null;
+                                },
+                                0,
+                                TimeUnit.MILLISECONDS);
+                        standUntil(System.nanoTime() + 15 * MS);
+                    },
+                    755,
+                    TimeUnit.MILLISECONDS);
             stands.await();
             Peer.write(client, Loopback.request("id-2", "order", 5_000));
             sent.countDown();
@@ -306,11 +329,13 @@
             Peer.write(client, Loopback.request("id-1", "order", 20_000) + Loopback.request("id-2", "order", 20_000));
             Loopback.await("held", () -> held.contains("id-1"));
             module.onRequest = (m, r) -> m.actions.refuse(r.id(), 0);
-            lb.loop.submit(() -> {
-                lb.loop.schedule(() -> module.actions.refuse("id-1", 0), 0, TimeUnit.MILLISECONDS);
-                lb.loop.schedule(() -> standUntil(System.nanoTime() + 2_100 * MS), 0, TimeUnit.MILLISECONDS);
-                standUntil(System.nanoTime() + 60 * MS); // until these and the look at all connections are due
-            }).sync();
+            lb.loop
+                    .submit(() -> {
+                        lb.loop.schedule(() -> module.actions.refuse("id-1", 0), 0, TimeUnit.MILLISECONDS);
+                        lb.loop.schedule(() -> standUntil(System.nanoTime() + 2_100 * MS), 0, TimeUnit.MILLISECONDS);
+                        standUntil(System.nanoTime() + 60 * MS); // until these and the look at all connections are due
+                    })
+                    .sync();
             java.io.InputStream in = new java.io.BufferedInputStream(client.getInputStream());
             assertEquals(503, Peer.read(in).status());
             Peer.Message second = Peer.read(in);
@@ -382,14 +407,18 @@
             if (request.line().contains("from=")) {
                 return; // nothing new, and no word of it
             }
-            Peer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n"
-                    + list.substring(0, 9));
+            Peer.write(
+                    socket, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list.substring(0, 9));
             standUntil(System.nanoTime() + 900 * MS);
             Peer.write(socket, list.substring(9));
         });
         try (Loopback lb = start(Loopback.setup().discovery(discovery))) {
             Loopback.await("whole", () -> module.lists.contains("COMPLETE u:READY"));
-            assertEquals(1, lb.discovery.requests.stream().filter(r -> !r.line().contains("from=")).count());
+            assertEquals(
+                    1,
+                    lb.discovery.requests.stream()
+                            .filter(r -> !r.line().contains("from="))
+                            .count());
         }
     }
 }
--- a/src/test/java/sedgeyoke/net/DiscoveryTest.java
+++ b/src/test/java/sedgeyoke/net/DiscoveryTest.java
@@ -42,7 +42,8 @@
     }
 
     private static String calls(Loopback lb) {
-        return String.join("\n", lb.discovery.requests.stream().map(Peer.Message::line).toList());
+        return String.join(
+                "\n", lb.discovery.requests.stream().map(Peer.Message::line).toList());
     }
 
     private void awaitLists(String... wanted) throws InterruptedException {
@@ -60,7 +61,9 @@
         try (Loopback lb = start(known)) {
             awaitLists("RESTORED old:READY", "COMPLETE u:READY", "CHANGES u:DRAINING", "CHANGES u:GONE");
             Loopback.await("the next watch", () -> lb.discovery.requests.size() == 5);
-            assertEquals("GET /catalog/members HTTP/1.1", lb.discovery.requests.get(0).line());
+            assertEquals(
+                    "GET /catalog/members HTTP/1.1",
+                    lb.discovery.requests.get(0).line());
             assertTrue(calls(lb).contains("from=41&hold_ms="));
             assertTrue(lb.discovery.requests.get(4).line().contains("from=44&hold_ms="));
             assertEquals(1, lb.discovery.sockets.size());
@@ -96,7 +99,10 @@
         try (Loopback lb = start(true)) {
             lb.loop.execute(() -> module.actions.watch(true));
             Loopback.await("a call", () -> !lb.discovery.requests.isEmpty());
-            assertEquals("GET /catalog/members HTTP/1.1", lb.discovery.requests.get(0).line(), "nothing was known");
+            assertEquals(
+                    "GET /catalog/members HTTP/1.1",
+                    lb.discovery.requests.get(0).line(),
+                    "nothing was known");
         }
     }
 
@@ -111,7 +117,9 @@
             awaitLists("RESTORED u:READY", "UNAVAILABLE");
             lb.loop.execute(() -> module.actions.watch(true));
             awaitLists("RESTORED u:READY", "UNAVAILABLE", "COMPLETE u:READY");
-            assertEquals("GET /catalog/members HTTP/1.1", lb.discovery.requests.get(1).line());
+            assertEquals(
+                    "GET /catalog/members HTTP/1.1",
+                    lb.discovery.requests.get(1).line());
         }
     }
 
@@ -164,11 +172,14 @@
     /** A large fleet's list is longer than the bodies of requests and answers. */
     @Test
     void aListOfAThousandUpstreamsIsTakenWhole() throws Exception {
-        String[] many = IntStream.range(0, 1000).mapToObj(i -> Loopback.member("u" + i, "127.0.0.1:1", "up"))
+        String[] many = IntStream.range(0, 1000)
+                .mapToObj(i -> Loopback.member("u" + i, "127.0.0.1:1", "up"))
                 .toArray(String[]::new);
         replies.add(Loopback.list(1, true, many));
         try (Loopback lb = start()) {
-            Loopback.await("the list", () -> module.lists.size() == 2 && module.lists.get(1).contains("u999:READY"));
+            Loopback.await(
+                    "the list",
+                    () -> module.lists.size() == 2 && module.lists.get(1).contains("u999:READY"));
             Loopback.await("a watch from there on", () -> calls(lb).contains("from=1&"));
         }
     }
@@ -178,11 +189,12 @@
     void anotherDiscoveryIsAskedForTheWholeListAndTheOldOneNoLongerHeard() throws Exception {
         String up = Loopback.member("u", "127.0.0.1:1", "up");
         replies.add(Loopback.list(41, true, up));
-        try (Loopback lb = start(); Peer next = new Peer((request, socket) -> {
-            if (!request.line().contains("from=")) {
-                Peer.reply(socket, 200, Loopback.list(3, true, up.replace("\"u\"", "\"v\"")));
-            }
-        })) {
+        try (Loopback lb = start();
+                Peer next = new Peer((request, socket) -> {
+                    if (!request.line().contains("from=")) {
+                        Peer.reply(socket, 200, Loopback.list(3, true, up.replace("\"u\"", "\"v\"")));
+                    }
+                })) {
             awaitLists("RESTORED", "COMPLETE u:READY");
             Loopback.await("a watch", () -> lb.discovery.requests.size() == 2);
             Config changed = Loopback.config(Loopback.SETTINGS, next.address(), 512, Loopback.list(1, true));
@@ -199,7 +211,10 @@
     @Test
     void whatAReloadCannotChangeIsNamed() throws Exception {
         Config now = Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, Loopback.list(1, true));
-        Config then = Loopback.config(Loopback.SETTINGS.replace("\"az\":0", "\"az\":1"), "127.0.0.1:2", 512,
+        Config then = Loopback.config(
+                Loopback.SETTINGS.replace("\"az\":0", "\"az\":1"),
+                "127.0.0.1:2",
+                512,
                 Loopback.list(9, true, Loopback.member("u", "127.0.0.1:1", "up")));
         assertEquals(List.of("limits.sockets", "settings"), now.needRestart(then));
         assertEquals(List.of(), now.needRestart(now));
@@ -208,7 +223,8 @@
     /** A connection to where an upstream was must not carry what is meant for where it is now. */
     @Test
     void anUpstreamThatMovesIsReachedAtItsNewAddress() throws Exception {
-        try (Peer a = Peer.serving("old"); Peer b = Peer.serving("new");
+        try (Peer a = Peer.serving("old");
+                Peer b = Peer.serving("new");
                 Loopback lb = start(Loopback.member("u", a.address(), "up"))) {
             assertEquals("old", lb.ask("id-1", "order", 2000).body());
             replies.add(Loopback.list(2, true, Loopback.member("u", b.address(), "up")));
@@ -221,7 +237,8 @@
     /** The module sends to a drained upstream only by mistake; past half the grace nothing goes out any more. */
     @Test
     void nothingGoesToAnUpstreamDrainedLongAgo() throws Exception {
-        try (Peer up = Peer.serving("x"); Loopback lb = start(Loopback.member("u", up.address(), "draining"))) {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = start(Loopback.member("u", up.address(), "draining"))) {
             module.onEnd = (m, end) -> m.actions.refuse(end.request(), 0);
             int served = 0;
             long end = System.nanoTime() + 10_000_000_000L;
--- a/src/test/java/sedgeyoke/net/EndWithBodiesTest.java
+++ b/src/test/java/sedgeyoke/net/EndWithBodiesTest.java
@@ -15,8 +15,8 @@
 
 /** SIGTERM while long bodies are on their way: what may finish finishes, the rest ends in order. */
 class EndWithBodiesTest {
-    private static final BodyLimits LIMITS = new BodyLimits(true, 64 * 1024, 8L << 20, 0, 1_000_000, 30_000_000,
-            30_000_000, 1L << 40, 0);
+    private static final BodyLimits LIMITS =
+            new BodyLimits(true, 64 * 1024, 8L << 20, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40, 0);
     private static final int LENGTH = 400_000;
     private static final int HALF = LENGTH / 2;
 
@@ -50,7 +50,10 @@
     void whatIsOnItsWayIsFinished() throws Exception {
         CountDownLatch second = new CountDownLatch(1);
         try (Peer up = node(second);
-                Loopback lb = Loopback.setup().upstream("u", up.address()).bodies(LIMITS).start()) {
+                Loopback lb = Loopback.setup()
+                        .upstream("u", up.address())
+                        .bodies(LIMITS)
+                        .start()) {
             Loopback.await("ready", () -> lb.health() == 200);
             Socket down = lb.connect();
             Peer.write(down, Loopback.request("down", "order", 60_000));
@@ -78,8 +81,12 @@
     @Test
     void whatCannotFinishEndsInOrder() throws Exception {
         CountDownLatch never = new CountDownLatch(1);
-        try (Peer up = node(never); Loopback lb = Loopback.setup().upstream("u", up.address()).bodies(LIMITS)
-                .setting("\"give-up-s\":2", "\"give-up-s\":0.3").start()) {
+        try (Peer up = node(never);
+                Loopback lb = Loopback.setup()
+                        .upstream("u", up.address())
+                        .bodies(LIMITS)
+                        .setting("\"give-up-s\":2", "\"give-up-s\":0.3")
+                        .start()) {
             Loopback.await("ready", () -> lb.health() == 200);
             Socket down = lb.connect();
             Peer.write(down, Loopback.request("down", "order", 60_000));
--- a/src/test/java/sedgeyoke/net/EndingTest.java
+++ b/src/test/java/sedgeyoke/net/EndingTest.java
@@ -112,11 +112,14 @@
     private static boolean play(int heldBeforeKill, List<String> faults) throws Exception {
         AtomicInteger taken = new AtomicInteger();
         AtomicInteger answered = new AtomicInteger();
-        try (Loopback lb = Loopback.setup().setting("\"give-up-s\":2", "\"give-up-s\":0.3").module(actions -> {
-            ScriptedModule module = new ScriptedModule(actions);
-            module.onRequest = (m, r) -> taken.incrementAndGet(); // and no answer
-            return module;
-        }).start()) {
+        try (Loopback lb = Loopback.setup()
+                .setting("\"give-up-s\":2", "\"give-up-s\":0.3")
+                .module(actions -> {
+                    ScriptedModule module = new ScriptedModule(actions);
+                    module.onRequest = (m, r) -> taken.incrementAndGet(); // and no answer
+                    return module;
+                })
+                .start()) {
             Loopback.await("ready", () -> lb.health() == 200);
             int clients = 20;
             List<Socket> sockets = new ArrayList<>();
@@ -126,27 +129,33 @@
             Loopback.await("all are known", () -> lb.server.clients() >= clients);
             long[] told = new long[1];
             Thread end = new Thread(lb.server::end);
-            lb.loop.submit(() -> {
-                told[0] = System.nanoTime();
-                lb.loop.schedule(() -> java.util.concurrent.locks.LockSupport.parkNanos(100_000_000),
-                        1_000 - heldBeforeKill, TimeUnit.MILLISECONDS);
-                end.start();
-            }).sync();
-            List<Thread> asking = IntStream.range(0, clients).mapToObj(i -> new Thread(() -> {
-                java.util.concurrent.locks.LockSupport.parkNanos(told[0] + (500 + i * 25) * 1_000_000L
-                        - System.nanoTime());
-                try {
-                    Peer.write(sockets.get(i), Loopback.request("id-" + i, "order", 3_000));
-                    if (Loopback.answer(sockets.get(i)) != null) {
-                        answered.incrementAndGet();
-                    }
-                } catch (IOException closed) {
-                    return; // before it was written: the client sends it elsewhere
-                }
-            })).toList();
+            lb.loop
+                    .submit(() -> {
+                        told[0] = System.nanoTime();
+                        lb.loop.schedule(
+                                () -> java.util.concurrent.locks.LockSupport.parkNanos(100_000_000),
+                                1_000 - heldBeforeKill,
+                                TimeUnit.MILLISECONDS);
+                        end.start();
+                    })
+                    .sync();
+            List<Thread> asking = IntStream.range(0, clients)
+                    .mapToObj(i -> new Thread(() -> {
+                        java.util.concurrent.locks.LockSupport.parkNanos(
+                                told[0] + (500 + i * 25) * 1_000_000L - System.nanoTime());
+                        try {
+                            Peer.write(sockets.get(i), Loopback.request("id-" + i, "order", 3_000));
+                            if (Loopback.answer(sockets.get(i)) != null) {
+                                answered.incrementAndGet();
+                            }
+                        } catch (IOException closed) {
+                            return; // before it was written: the client sends it elsewhere
+                        }
+                    }))
+                    .toList();
             asking.forEach(Thread::start);
             long still = 0;
-            for (long t = System.nanoTime(); t < told[0] + KILLED * 1_000;) {
+            for (long t = System.nanoTime(); t < told[0] + KILLED * 1_000; ) {
                 java.util.concurrent.locks.LockSupport.parkNanos(2_000_000);
                 long now = System.nanoTime();
                 still = Math.max(still, now - t);
--- a/src/test/java/sedgeyoke/net/FuzzTest.java
+++ b/src/test/java/sedgeyoke/net/FuzzTest.java
@@ -27,8 +27,8 @@
 class FuzzTest {
     private static final int INPUTS = Integer.getInteger("fuzz.inputs", 800);
     private static final long SEED = Long.getLong("fuzz.seed", 20_261_201);
-    private static final String HEAD = "POST /api?obj=o HTTP/1.1\r\nHost: x\r\nX-Call-Id: %s\r\nX-Call-Class: order\r\n"
-            + "X-Budget-Ms: 400\r\n";
+    private static final String HEAD =
+            "POST /api?obj=o HTTP/1.1\r\nHost: x\r\nX-Call-Id: %s\r\nX-Call-Class: order\r\n" + "X-Budget-Ms: 400\r\n";
     private static final List<String> REQUESTS = List.of(
             HEAD + "Content-Length: 4\r\n\r\nwork",
             HEAD + "Transfer-Encoding: chunked\r\n\r\n4\r\nwork\r\n0\r\n\r\n",
@@ -36,7 +36,8 @@
             HEAD + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\nwork",
             HEAD + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nwork",
             HEAD + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-            HEAD + "Content-Length : 4\r\n\r\nwork", HEAD + "Content-Length: 4\n\nwork",
+            HEAD + "Content-Length : 4\r\n\r\nwork",
+            HEAD + "Content-Length: 4\n\nwork",
             HEAD + "Content-Length: 60000\r\n\r\n" + "x".repeat(60_000),
             HEAD + "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\nwork\r\n0\r\n\r\n",
             "GET /api?obj=o HTTP/1.1\r\nHost: x\r\nX-Call-Id: %s\r\nX-Call-Class: read\r\nX-Budget-Ms: 400\r\n\r\n",
@@ -51,18 +52,44 @@
             "HTTP/1.1 200 x\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
             "HTTP/1.1 200 x\r\nContent-Length: 60000\r\n\r\n" + "y".repeat(60_000),
             "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 x\r\nContent-Length: 3\r\n\r\nbad");
-    private static final String[] PIECES = {"\r\n", "\n", "\r", ":", " ", "\t", "0", "-1", "ffffffffffffffff", "\0",
-        "Content-Length: 7\r\n", "Transfer-Encoding: chunked\r\n", "Transfer-Encoding: gzip, chunked\r\n", "HTTP/1.1",
-        "HTTP/2.0", "99999999999999999999", "\u00ff", ";", ",", "0\r\n\r\n", "Connection: close\r\n"};
-    private static final BodyLimits LIMITS = new BodyLimits(true, 32 * 1024, 4L << 20, 0, 1_000_000, 2_000_000,
-            300_000, 1L << 30, 0);
-    private static final List<String> FAULTS = List.of("request not handled", "decision module failed",
-            "answered without the module", "NullPointer", "IllegalState", "IllegalReference", "ClassCast",
+    private static final String[] PIECES = {
+        "\r\n",
+        "\n",
+        "\r",
+        ":",
+        " ",
+        "\t",
+        "0",
+        "-1",
+        "ffffffffffffffff",
+        "\0",
+        "Content-Length: 7\r\n",
+        "Transfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "HTTP/1.1",
+        "HTTP/2.0",
+        "99999999999999999999",
+        "\u00ff",
+        ";",
+        ",",
+        "0\r\n\r\n",
+        "Connection: close\r\n"
+    };
+    private static final BodyLimits LIMITS =
+            new BodyLimits(true, 32 * 1024, 4L << 20, 0, 1_000_000, 2_000_000, 300_000, 1L << 30, 0);
+    private static final List<String> FAULTS = List.of(
+            "request not handled",
+            "decision module failed",
+            "answered without the module",
+            "NullPointer",
+            "IllegalState",
+            "IllegalReference",
+            "ClassCast",
             "OutOfBounds");
     private static final ByteArrayOutputStream LOGGED = new ByteArrayOutputStream();
     private static PrintStream usual;
-    private static volatile byte[] answer = "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok"
-            .getBytes(StandardCharsets.ISO_8859_1);
+    private static volatile byte[] answer =
+            "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok".getBytes(StandardCharsets.ISO_8859_1);
     private static volatile boolean closes;
     private static Peer node;
     private static Loopback lb;
@@ -98,8 +125,8 @@
     private static void assertNoFault(byte[] input) {
         String logged = LOGGED.toString(StandardCharsets.UTF_8);
         LOGGED.reset();
-        FAULTS.forEach(f -> assertFalse(logged.contains(f), () -> logged + "\nafter "
-                + new String(input, StandardCharsets.ISO_8859_1)));
+        FAULTS.forEach(f -> assertFalse(
+                logged.contains(f), () -> logged + "\nafter " + new String(input, StandardCharsets.ISO_8859_1)));
     }
 
     /** A seed with up to four changes: bytes flipped, cut out, doubled, or pieces of the protocol put in. */
@@ -158,7 +185,9 @@
                 try (Socket client = lb.connect()) {
                     Peer.write(client, Loopback.request("g" + number++, "order", 60));
                     String head = new String(client.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1);
-                    assertTrue(List.of("HTTP/1.1 200", "HTTP/1.1 502", "HTTP/1.1 503").contains(head),
+                    assertTrue(
+                            List.of("HTTP/1.1 200", "HTTP/1.1 502", "HTTP/1.1 503")
+                                    .contains(head),
                             () -> head + " to " + new String(answer, StandardCharsets.ISO_8859_1));
                 }
                 assertNoFault(answer);
@@ -176,8 +205,10 @@
         SplittableRandom random = new SplittableRandom(1);
         long same = 0;
         for (int i = 0; i < 100; i++) {
-            same += Arrays.equals(changed(REQUESTS.get(0), random), REQUESTS.get(0)
-                    .getBytes(StandardCharsets.ISO_8859_1)) ? 1 : 0;
+            same += Arrays.equals(
+                            changed(REQUESTS.get(0), random), REQUESTS.get(0).getBytes(StandardCharsets.ISO_8859_1))
+                    ? 1
+                    : 0;
         }
         assertTrue(same < 40, same + " of 100 unchanged");
         assertEquals(12, REQUESTS.size());
--- a/src/test/java/sedgeyoke/net/HandOverTest.java
+++ b/src/test/java/sedgeyoke/net/HandOverTest.java
@@ -22,7 +22,11 @@
     }
 
     private Loopback start(ServerSocketChannel listener, Peer up, Peer discovery) throws Exception {
-        return Loopback.setup().door(folder).inherited(listener).discovery(discovery).upstream("u", up.address())
+        return Loopback.setup()
+                .door(folder)
+                .inherited(listener)
+                .discovery(discovery)
+                .upstream("u", up.address())
                 .start();
     }
 
@@ -42,7 +46,10 @@
                 Loopback old = start(listener, up, discovery(up))) {
             Loopback.await("ready", () -> old.health() == 200);
             Socket kept = old.connect();
-            assertEquals(200, Loopback.ask(kept, Loopback.request("first", "order", 5_000)).status());
+            assertEquals(
+                    200,
+                    Loopback.ask(kept, Loopback.request("first", "order", 5_000))
+                            .status());
             Socket silent = old.connect(); // accepted, and asks only later
             Loopback.await("accepted", () -> old.server.clients() >= 2);
             try (Loopback next = start(listener, up, discovery(up))) {
@@ -57,7 +64,10 @@
                 Peer.Message last = Loopback.ask(kept, Loopback.request("second", "order", 5_000));
                 assertEquals(200, last.status());
                 assertEquals("close", last.headers().get("connection"), "it is told to go where the new one is");
-                assertEquals(200, Loopback.ask(silent, Loopback.request("third", "order", 5_000)).status());
+                assertEquals(
+                        200,
+                        Loopback.ask(silent, Loopback.request("third", "order", 5_000))
+                                .status());
                 kept.close();
                 silent.close();
                 end.join(10_000);
@@ -83,7 +93,11 @@
                 Peer silent = new Peer((request, socket) -> Thread.sleep(10_000));
                 Loopback old = start(listener, up, discovery(up))) {
             Loopback.await("ready", () -> old.health() == 200);
-            try (Loopback next = Loopback.setup().door(folder).inherited(listener).discovery(silent).start()) {
+            try (Loopback next = Loopback.setup()
+                    .door(folder)
+                    .inherited(listener)
+                    .discovery(silent)
+                    .start()) {
                 for (int i = 0; i < 30; i++) {
                     assertEquals(200, old.ask("n-" + i, "order", 5_000).status());
                 }
@@ -95,10 +109,15 @@
 
     @Test
     void aDescriptorThatIsNoListenerEndsTheStartByName() throws Exception {
-        Path config = Files.write(folder.resolve("config.json"),
+        Path config = Files.write(
+                folder.resolve("config.json"),
                 Loopback.configText(Loopback.SETTINGS, "127.0.0.1:1", 1024, Loopback.list(1, true)));
-        ProcessBuilder start = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-cp",
-                System.getProperty("java.class.path"), "sedgeyoke.serve.Main").redirectErrorStream(true);
+        ProcessBuilder start = new ProcessBuilder(
+                        System.getProperty("java.home") + "/bin/java",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "sedgeyoke.serve.Main")
+                .redirectErrorStream(true);
         start.environment().put("BALANCER_CONFIG", config.toString());
         start.environment().put("BALANCER_ACCEPT_FD", "0");
         Process process = start.start();
--- a/src/test/java/sedgeyoke/net/LeavingClientsTest.java
+++ b/src/test/java/sedgeyoke/net/LeavingClientsTest.java
@@ -32,10 +32,16 @@
 
     /** How a client leaves. */
     private enum Leaving {
-        FIN, RST,
-        /** It ends its sending side only: the end of one that has gone looks the same, and is taken for it. */ HALF,
+        FIN,
+        RST,
+        /** It ends its sending side only: the end of one that has gone looks the same, and is taken for it. */
+        HALF,
         /** Behind its request it has sent another one, a part of one, and more than anybody keeps. */
-        FIN_BEHIND_ANOTHER, RST_BEHIND_ANOTHER, FIN_BEHIND_A_PART, FIN_BEHIND_TOO_MUCH, RST_BEHIND_TOO_MUCH;
+        FIN_BEHIND_ANOTHER,
+        RST_BEHIND_ANOTHER,
+        FIN_BEHIND_A_PART,
+        FIN_BEHIND_TOO_MUCH,
+        RST_BEHIND_TOO_MUCH;
 
         private void leave(Socket socket, String id) throws IOException {
             String next = Loopback.request(id + "-next", "order", 20_000);
@@ -63,9 +69,10 @@
 
     private Loopback start(Loopback.Setup setup) throws Exception {
         return setup.module(actions -> {
-            module = new ScriptedModule(actions);
-            return module;
-        }).start();
+                    module = new ScriptedModule(actions);
+                    return module;
+                })
+                .start();
     }
 
     private List<Socket> clients(Loopback lb, Leaving how) throws IOException {
@@ -93,22 +100,27 @@
         module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
         assertEquals(200, lb.ask("last", "order", 20_000).status());
         assertEquals(1, up.requests.size(), "what came to the upstream, the last one among it");
-        Loopback.await("nothing is left of them", () -> lb.loop.submit(() -> lb.node.idle()).syncUninterruptibly()
-                .getNow());
-        assertTrue(module.ends.stream().allMatch(e -> e.outcome().neverRan || e.request().equals("last")));
+        Loopback.await(
+                "nothing is left of them",
+                () -> lb.loop.submit(() -> lb.node.idle()).syncUninterruptibly().getNow());
+        assertTrue(module.ends.stream()
+                .allMatch(e -> e.outcome().neverRan || e.request().equals("last")));
     }
 
     @ParameterizedTest
     @EnumSource(Leaving.class)
     void whileTheModuleHoldsTheirs(Leaving how) throws Exception {
-        try (Peer up = Peer.serving("x"); Loopback lb = start(up)) {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = start(up)) {
             Set<String> held = java.util.concurrent.ConcurrentHashMap.newKeySet();
             module.onRequest = (m, r) -> held.add(r.id());
             List<Socket> sockets = clients(lb, how);
             Loopback.await("all are held", () -> held.equals(ids(how)));
             leave(sockets, how);
             Loopback.await("all have gone", () -> new HashSet<>(module.gone).equals(ids(how)));
-            lb.loop.submit(() -> held.forEach(id -> module.actions.send(id, "u", 0))).sync();
+            lb.loop
+                    .submit(() -> held.forEach(id -> module.actions.send(id, "u", 0)))
+                    .sync();
             assertOnlyTheLastIsSent(lb, up);
             if (how == Leaving.HALF) {
                 assertNull(Loopback.answer(sockets.get(0)), "it is told that nothing comes");
@@ -118,31 +130,42 @@
 
     /** The first attempt of each is turned away unseen, and the module waits before it tries again. */
     @ParameterizedTest
-    @EnumSource(value = Leaving.class, names = {"FIN", "RST", "FIN_BEHIND_ANOTHER"})
+    @EnumSource(
+            value = Leaving.class,
+            names = {"FIN", "RST", "FIN_BEHIND_ANOTHER"})
     void whileARepeatWaits(Leaving how) throws Exception {
         try (Peer full = new Peer((request, socket) -> Peer.reply(socket, 503, "", "X-Rejected: 1"));
-                Peer up = Peer.serving("x"); Loopback lb = start(Loopback.setup().upstream("full", full.address())
-                        .upstream("u", up.address()))) {
+                Peer up = Peer.serving("x");
+                Loopback lb =
+                        start(Loopback.setup().upstream("full", full.address()).upstream("u", up.address()))) {
             module.onRequest = (m, r) -> m.actions.send(r.id(), "full", 0);
             List<Socket> sockets = clients(lb, how);
             Loopback.await("all were turned away", () -> module.ends.size() == CLIENTS);
             leave(sockets, how);
             Loopback.await("all have gone", () -> new HashSet<>(module.gone).equals(ids(how)));
-            lb.loop.submit(() -> ids(how).forEach(id -> module.actions.send(id, "u", 0))).sync();
+            lb.loop
+                    .submit(() -> ids(how).forEach(id -> module.actions.send(id, "u", 0)))
+                    .sync();
             assertOnlyTheLastIsSent(lb, up);
         }
     }
 
     /** The loop has begun to connect and stands still until the clients have gone and the connections are up. */
     @ParameterizedTest
-    @EnumSource(value = Leaving.class, names = {"FIN", "RST", "FIN_BEHIND_ANOTHER"})
+    @EnumSource(
+            value = Leaving.class,
+            names = {"FIN", "RST", "FIN_BEHIND_ANOTHER"})
     void whileTheirConnectionsComeUp(Leaving how) throws Exception {
-        try (Peer up = Peer.serving("x"); Loopback lb = start(up)) {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = start(up)) {
             Set<String> held = java.util.concurrent.ConcurrentHashMap.newKeySet();
             module.onRequest = (m, r) -> held.add(r.id());
             List<Socket> sockets = clients(lb, how);
             Loopback.await("all are held", () -> held.equals(ids(how)));
-            standStill(lb, () -> held.forEach(id -> module.actions.send(id, "u", 0)), () -> leave(sockets, how),
+            standStill(
+                    lb,
+                    () -> held.forEach(id -> module.actions.send(id, "u", 0)),
+                    () -> leave(sockets, how),
                     LeavingClientsTest::late);
             Loopback.await("all have gone", () -> new HashSet<>(module.gone).equals(ids(how)));
             assertOnlyTheLastIsSent(lb, up);
@@ -151,11 +174,14 @@
 
     /** What the loop reads first when it goes on are requests whose clients' ends lie right behind them. */
     @ParameterizedTest
-    @EnumSource(value = Leaving.class, names = {"FIN", "RST", "FIN_BEHIND_ANOTHER", "FIN_BEHIND_A_PART"})
+    @EnumSource(
+            value = Leaving.class,
+            names = {"FIN", "RST", "FIN_BEHIND_ANOTHER", "FIN_BEHIND_A_PART"})
     void inTheSameReadAsTheirRequest(Leaving how) throws Exception {
-        try (Peer up = Peer.serving("x"); Loopback lb = start(up)) {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = start(up)) {
             module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
-            standStill(lb, () -> { }, () -> leave(clients(lb, how), how), () -> { });
+            standStill(lb, () -> {}, () -> leave(clients(lb, how), how), () -> {});
             Loopback.await("none is left", () -> lb.server.clients() == 0);
             assertOnlyTheLastIsSent(lb, up);
         }
@@ -163,14 +189,17 @@
 
     /** A timer is due when the loop goes on, and the module sends before anything that came meanwhile is read. */
     @ParameterizedTest
-    @EnumSource(value = Leaving.class, names = {"FIN", "RST", "FIN_BEHIND_ANOTHER"})
+    @EnumSource(
+            value = Leaving.class,
+            names = {"FIN", "RST", "FIN_BEHIND_ANOTHER"})
     void whileTheLoopIsHeldUp(Leaving how) throws Exception {
-        try (Peer up = Peer.serving("x"); Loopback lb = start(up)) {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = start(up)) {
             Set<String> held = java.util.concurrent.ConcurrentHashMap.newKeySet();
             module.onRequest = (m, r) -> held.add(r.id());
             List<Socket> sockets = clients(lb, how);
             Loopback.await("all are held", () -> held.equals(ids(how)));
-            standStill(lb, () -> { }, () -> leave(sockets, how), () -> {
+            standStill(lb, () -> {}, () -> leave(sockets, how), () -> {
                 late();
                 held.forEach(id -> module.actions.send(id, "u", 0));
             });
@@ -184,10 +213,12 @@
      * kernel, where they are met only once an attempt takes the body. It never gets the last part, so it never begins.
      */
     @ParameterizedTest
-    @EnumSource(value = Leaving.class, names = {"FIN", "RST"})
+    @EnumSource(
+            value = Leaving.class,
+            names = {"FIN", "RST"})
     void whileALongBodyWaits(Leaving how) throws Exception {
-        BodyLimits limits = new BodyLimits(true, 64 * 1024, 64L << 20, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40,
-                0);
+        BodyLimits limits =
+                new BodyLimits(true, 64 * 1024, 64L << 20, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40, 0);
         String body = "w".repeat(100_000);
         try (Peer up = Peer.serving("x");
                 Loopback lb = start(Loopback.setup().upstream("u", up.address()).bodies(limits))) {
@@ -197,8 +228,10 @@
             List<Socket> sockets = new ArrayList<>();
             for (int i = 0; i < CLIENTS; i++) {
                 Socket socket = lb.connect();
-                Peer.write(socket, Loopback.request(how + "-" + i, "order", 20_000)
-                        .replace("Content-Length: 4\r\n\r\nwork", "Content-Length: 100000\r\n\r\n" + body));
+                Peer.write(
+                        socket,
+                        Loopback.request(how + "-" + i, "order", 20_000)
+                                .replace("Content-Length: 4\r\n\r\nwork", "Content-Length: 100000\r\n\r\n" + body));
                 sockets.add(socket);
             }
             Loopback.await("all are held", () -> held.equals(ids(how)));
@@ -218,7 +251,8 @@
     /** Behind too much, what came whole before it is answered, and then the connection ends in order. */
     @Test
     void whoStaysAndSendsFarTooMuchIsAnsweredAndEnded() throws Exception {
-        try (Peer up = Peer.serving("x"); Loopback lb = start(up)) {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = start(up)) {
             Set<String> held = java.util.concurrent.ConcurrentHashMap.newKeySet();
             module.onRequest = (m, r) -> held.add(r.id());
             Socket socket = lb.connect();
@@ -226,8 +260,9 @@
             Peer.write(socket, Loopback.request("second", "order", 20_000));
             Loopback.await("held", () -> held.contains("first"));
             byte[] noise = new byte[FAR_TOO_MUCH];
-            Peer.write(socket, Loopback.request("third", "order", 20_000).replace("Content-Length: 4",
-                    "Content-Length: 65536"));
+            Peer.write(
+                    socket,
+                    Loopback.request("third", "order", 20_000).replace("Content-Length: 4", "Content-Length: 65536"));
             socket.getOutputStream().write(noise);
             module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
             lb.loop.submit(() -> module.actions.send("first", "u", 0)).sync();
@@ -245,7 +280,7 @@
 
     /** The loop stands for as long as a request may go on waiting once its client has left. */
     private static void late() {
-        for (long began = System.nanoTime(); System.nanoTime() - began < 300_000_000;) {
+        for (long began = System.nanoTime(); System.nanoTime() - began < 300_000_000; ) {
             LockSupport.parkNanos(1_000_000);
         }
     }
--- a/src/test/java/sedgeyoke/net/Loopback.java
+++ b/src/test/java/sedgeyoke/net/Loopback.java
@@ -2,10 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.fail;
 
-import sedgeyoke.body.BodyBudget;
-import sedgeyoke.body.BodyLimits;
-import sedgeyoke.decide.Balancer;
-import sedgeyoke.decide.Policy;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -24,6 +20,10 @@
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.ToLongFunction;
+import sedgeyoke.body.BodyBudget;
+import sedgeyoke.body.BodyLimits;
+import sedgeyoke.decide.Balancer;
+import sedgeyoke.decide.Policy;
 
 /** A balancer on loopback with its discovery and the clients of a test. */
 final class Loopback implements AutoCloseable {
@@ -49,6 +49,7 @@
     final InetSocketAddress address;
     /** Where operators knock; null without such a door. */
     final InetSocketAddress door;
+
     private final List<Socket> clients = new ArrayList<>();
 
     /** What a test may vary. */
@@ -118,8 +119,8 @@
     }
 
     static String list(int revision, boolean complete, String... members) {
-        return "{\"revision\":" + revision + ",\"complete\":" + complete + ",\"members\":["
-                + String.join(",", members) + "]}";
+        return "{\"revision\":" + revision + ",\"complete\":" + complete + ",\"members\":[" + String.join(",", members)
+                + "]}";
     }
 
     static Config config(String settings, String discovery, int sockets, String known) throws Exception {
@@ -128,29 +129,41 @@
 
     static byte[] configText(String settings, String discovery, int sockets, String known) {
         return ("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery + "\","
-                + "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + known
-                + ",\"settings\":" + settings + "}").getBytes(StandardCharsets.UTF_8);
+                        + "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + known
+                        + ",\"settings\":" + settings + "}")
+                .getBytes(StandardCharsets.UTF_8);
     }
 
     private Loopback(Setup setup) throws Exception {
         String known = list(1, true, setup.members.toArray(new String[0]));
-        discovery = setup.discovery != null ? setup.discovery : new Peer((request, socket) -> {
-            if (request.line().contains("from=")) {
-                Thread.sleep(PATIENCE_MS); // nothing new; the end of the test ends the watch
-            }
-            Peer.reply(socket, 200, known);
-        });
+        discovery = setup.discovery != null
+                ? setup.discovery
+                : new Peer((request, socket) -> {
+                    if (request.line().contains("from=")) {
+                        Thread.sleep(PATIENCE_MS); // nothing new; the end of the test ends the watch
+                    }
+                    Peer.reply(socket, 200, known);
+                });
         Config config = config(setup.settings, discovery.address(), setup.sockets, known)
-                .with(setup.folder == null ? null : "127.0.0.1:0",
+                .with(
+                        setup.folder == null ? null : "127.0.0.1:0",
                         setup.folder == null ? null : setup.folder.toString());
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        node = new Node(loop, config, Transport.SOCKETS, setup.bodies, setup.module != null ? setup.module
-                : actions -> new Policy(config.facts().settings(), config.seed(), actions));
+        node = new Node(
+                loop,
+                config,
+                Transport.SOCKETS,
+                setup.bodies,
+                setup.module != null
+                        ? setup.module
+                        : actions -> new Policy(config.facts().settings(), config.seed(), actions));
         server = new Server(loop, config, node, Transport.SOCKETS, setup.bodies, setup.inherited);
         ChannelFuture bound = server.bind().sync();
         address = (InetSocketAddress) bound.channel().localAddress();
         ChannelFuture opened = server.openDoor();
-        door = opened == null ? null : (InetSocketAddress) opened.sync().channel().localAddress();
+        door = opened == null
+                ? null
+                : (InetSocketAddress) opened.sync().channel().localAddress();
     }
 
     /** A client's connection. */
@@ -188,17 +201,24 @@
     Peer.Message call(String method, String path, String body) throws IOException {
         try (Socket socket = new Socket(door.getAddress(), door.getPort())) {
             socket.setSoTimeout((int) PATIENCE_MS);
-            return ask(socket, method + " " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length()
-                    + "\r\n\r\n" + body);
+            return ask(
+                    socket,
+                    method + " " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                            + body);
         }
     }
 
     /** A figure that operators are told; -1 if there is none of that name. */
     long figure(String name) {
         try {
-            return call("GET", "/admin/stats", "").body().lines().map(l -> l.split("[:|]"))
-                    .filter(l -> l[0].equals("edge_balancer." + name)).mapToLong(l -> Long.parseLong(l[1]))
-                    .findFirst().orElse(-1);
+            return call("GET", "/admin/stats", "")
+                    .body()
+                    .lines()
+                    .map(l -> l.split("[:|]"))
+                    .filter(l -> l[0].equals("edge_balancer." + name))
+                    .mapToLong(l -> Long.parseLong(l[1]))
+                    .findFirst()
+                    .orElse(-1);
         } catch (IOException e) {
             throw new java.io.UncheckedIOException(e);
         }
@@ -215,7 +235,9 @@
 
     /** What long bodies hold; asked on the loop. */
     long budget(ToLongFunction<BodyBudget> question) {
-        return loop.submit(() -> question.applyAsLong(node.budget())).syncUninterruptibly().getNow();
+        return loop.submit(() -> question.applyAsLong(node.budget()))
+                .syncUninterruptibly()
+                .getNow();
     }
 
     /** Waits until something that only grows has come beyond {@code least} and has stood still for a while. */
@@ -249,6 +271,8 @@
         }
         discovery.close();
         // Until it has ended it may still ask for its discovery, at a port that the next test may be given.
-        loop.parent().shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).syncUninterruptibly();
+        loop.parent()
+                .shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS)
+                .syncUninterruptibly();
     }
 }
--- a/src/test/java/sedgeyoke/net/MainTest.java
+++ b/src/test/java/sedgeyoke/net/MainTest.java
@@ -34,12 +34,15 @@
     void anOrderlyEndServesWhatComesAndFinishesWhatIsHeld() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
         try (Peer up = new Peer((request, socket) -> {
-            if (request.headers().get("x-call-id").equals("slow")) {
-                release.await();
-            }
-            Peer.reply(socket, 200, "x");
-        }); Loopback lb = Loopback.setup().upstream("u", up.address())
-                .setting("\"give-up-s\":2", "\"give-up-s\":4").start()) {
+                    if (request.headers().get("x-call-id").equals("slow")) {
+                        release.await();
+                    }
+                    Peer.reply(socket, 200, "x");
+                });
+                Loopback lb = Loopback.setup()
+                        .upstream("u", up.address())
+                        .setting("\"give-up-s\":2", "\"give-up-s\":4")
+                        .start()) {
             Socket held = lb.connect();
             Peer.write(held, Loopback.request("slow", "order", 60_000));
             Socket kept = lb.connect();
@@ -50,7 +53,10 @@
             Loopback.await("draining", () -> lb.health() == 503);
             assertEquals(200, lb.ask("late", "order", 60_000).status(), "a new connection");
             Loopback.await("listener closed", () -> refusesConnections(lb));
-            assertEquals(200, Loopback.ask(kept, Loopback.request("kept", "order", 60_000)).status(),
+            assertEquals(
+                    200,
+                    Loopback.ask(kept, Loopback.request("kept", "order", 60_000))
+                            .status(),
                     "an open connection is served on");
             assertEquals(-1, kept.getInputStream().read(), "until it is closed for the end");
             assertTrue(end.isAlive(), "one request is still held");
@@ -73,19 +79,30 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"'\"probes\":false', '\"probes\":true', ceilings.probes",
-        "'\"peers\":false', '\"peers\":true', ceilings.peers", "piggyback, pull, report.via",
+    @CsvSource({
+        "'\"probes\":false', '\"probes\":true', ceilings.probes",
+        "'\"peers\":false', '\"peers\":true', ceilings.peers",
+        "piggyback, pull, report.via",
         "'\"repeat\":\"free\"', '\"repeat\":\"free\",\"stream\":true', stream",
-        "'\"conn-idle-s\":1.0,', '', conn-idle-s", "'\"repeat\":\"free\"', '\"repeat\":\"maybe\"', repeat"})
+        "'\"conn-idle-s\":1.0,', '', conn-idle-s",
+        "'\"repeat\":\"free\"', '\"repeat\":\"maybe\"', repeat"
+    })
     void settingsThatCannotBeServedAreRefusedByName(String from, String to, String named) {
-        Config.Bad bad = assertThrows(Config.Bad.class, () -> Loopback.config(
-                Loopback.SETTINGS.replace(from, to), "127.0.0.1:1", 1024, Loopback.list(1, true)));
+        Config.Bad bad = assertThrows(
+                Config.Bad.class,
+                () -> Loopback.config(
+                        Loopback.SETTINGS.replace(from, to), "127.0.0.1:1", 1024, Loopback.list(1, true)));
         assertTrue(bad.getMessage().contains(named), bad.getMessage());
     }
 
     @ParameterizedTest
-    @CsvSource({"{}, settings", "{, JSON", "'', settings", "'{\"settings\":[]}', settings",
-        "'{\"settings\":{}}', connect-timeout-s"})
+    @CsvSource({
+        "{}, settings",
+        "{, JSON",
+        "'', settings",
+        "'{\"settings\":[]}', settings",
+        "'{\"settings\":{}}', connect-timeout-s"
+    })
     void aBadConfigurationEndsTheStartWithOneLine(String json, String named) throws Exception {
         Path file = folder.resolve("config.json");
         Files.writeString(file, json);
@@ -106,8 +123,13 @@
             Peer.reply(socket, 200, "x");
         })) {
             Path file = folder.resolve("config.json");
-            Files.write(file, Loopback.configText(Loopback.SETTINGS, "127.0.0.1:1", 1024,
-                    Loopback.list(1, true, Loopback.member("u", up.address(), "up"))));
+            Files.write(
+                    file,
+                    Loopback.configText(
+                            Loopback.SETTINGS,
+                            "127.0.0.1:1",
+                            1024,
+                            Loopback.list(1, true, Loopback.member("u", up.address(), "up"))));
             Process process = start(file.toString());
             try (BufferedReader said = process.inputReader()) {
                 String line = awaitLine(said, "listens on");
@@ -132,14 +154,17 @@
     @Test
     void onSighupTheProgramGoesToTheDiscoveryThatTheFileNames() throws Exception {
         Path file = folder.resolve("config.json");
-        try (Peer first = discovery("first"); Peer second = discovery("second"); Peer third = discovery("third")) {
+        try (Peer first = discovery("first");
+                Peer second = discovery("second");
+                Peer third = discovery("third")) {
             Files.write(file, configAt(first));
             Process process = start(file.toString());
             try (BufferedReader said = process.inputReader()) {
                 Loopback.await("the first list is asked for", () -> first.requests.size() == 2);
                 hangUp(process, file, configAt(second));
                 Loopback.await("the second is watched", () -> second.requests.size() == 2);
-                assertEquals("GET /catalog/members HTTP/1.1", second.requests.get(0).line(), "the whole list");
+                assertEquals(
+                        "GET /catalog/members HTTP/1.1", second.requests.get(0).line(), "the whole list");
                 Loopback.await("the first is left", () -> first.left.get() == 1);
                 hangUp(process, file, "{\"name\":".getBytes(StandardCharsets.UTF_8));
                 awaitLine(said, "the old configuration stays in force");
@@ -161,7 +186,8 @@
     @Test
     void aSighupInTheFirstMomentsIsMadeGood() throws Exception {
         Path file = pipe("config.json");
-        try (Peer first = discovery("first"); Peer second = discovery("second")) {
+        try (Peer first = discovery("first");
+                Peer second = discovery("second")) {
             Process process = start(file.toString());
             try {
                 try (OutputStream held = Files.newOutputStream(file)) { // once the program has begun to read
@@ -188,14 +214,22 @@
             Peer.reply(socket, 200, "x");
         })) {
             int port = freePort();
-            Path file = Files.writeString(folder.resolve("config.json"), new String(Loopback.configText(
-                    Loopback.SETTINGS, "127.0.0.1:1", 1024, Loopback.list(1, true,
-                    Loopback.member("u", up.address(), "up"))), StandardCharsets.UTF_8)
-                    .replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + port + "\""));
+            Path file = Files.writeString(
+                    folder.resolve("config.json"),
+                    new String(
+                                    Loopback.configText(
+                                            Loopback.SETTINGS,
+                                            "127.0.0.1:1",
+                                            1024,
+                                            Loopback.list(1, true, Loopback.member("u", up.address(), "up"))),
+                                    StandardCharsets.UTF_8)
+                            .replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + port + "\""));
             pipe("held.pem");
-            Path operator = Files.writeString(folder.resolve("operator.toml"), "[plans]\nenabled = true\n"
-                    + "planners = [\"127.0.0.1:1\"]\ncertificate = \"held.pem\"\nkey = \"held.pem\"\n"
-                    + "trust = \"held.pem\"\n");
+            Path operator = Files.writeString(
+                    folder.resolve("operator.toml"),
+                    "[plans]\nenabled = true\n"
+                            + "planners = [\"127.0.0.1:1\"]\ncertificate = \"held.pem\"\nkey = \"held.pem\"\n"
+                            + "trust = \"held.pem\"\n");
             Process process = start(file.toString(), "--config", operator.toString());
             try (Socket client = connect(port)) {
                 Peer.write(client, Loopback.request("id-1", "order", 60_000));
@@ -249,8 +283,13 @@
     /** What the build runs for the archive of classes: were it cut short, starts would be slow and nobody know why. */
     @Test
     void theTrainingGoesThroughToItsEnd() throws Exception {
-        Process training = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-cp",
-                System.getProperty("java.class.path"), "sedgeyoke.net.Training").redirectErrorStream(true).start();
+        Process training = new ProcessBuilder(
+                        System.getProperty("java.home") + "/bin/java",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "sedgeyoke.net.Training")
+                .redirectErrorStream(true)
+                .start();
         String said = new String(training.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(0, training.waitFor());
         assertTrue(!said.contains("cut short"), said);
@@ -268,14 +307,22 @@
     /** Where each balancer of many has little to do, a dozen that start at once must not compile first. */
     @Test
     void theWarmUpIsShortWhereTrafficIsThin() throws Exception {
-        String members = Loopback.list(1, true, IntStream.range(0, 60)
-                .mapToObj(i -> Loopback.member("u" + i, "127.0.0.1:1", "up")).toArray(String[]::new));
+        String members = Loopback.list(
+                1,
+                true,
+                IntStream.range(0, 60)
+                        .mapToObj(i -> Loopback.member("u" + i, "127.0.0.1:1", "up"))
+                        .toArray(String[]::new));
         String many = Loopback.SETTINGS.replace("\"group-size\":1,", "\"group-size\":14,");
         assertEquals(WarmUp.FEWEST_REQUESTS, WarmUp.requests(Loopback.config(many, "127.0.0.1:1", 1024, members)));
-        assertEquals(WarmUp.MOST_REQUESTS,
-                WarmUp.requests(Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, members)), "one for all");
-        assertEquals(WarmUp.MOST_REQUESTS,
-                WarmUp.requests(Loopback.config(many, "127.0.0.1:1", 1024, Loopback.list(1, true))), "nothing known");
+        assertEquals(
+                WarmUp.MOST_REQUESTS,
+                WarmUp.requests(Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, members)),
+                "one for all");
+        assertEquals(
+                WarmUp.MOST_REQUESTS,
+                WarmUp.requests(Loopback.config(many, "127.0.0.1:1", 1024, Loopback.list(1, true))),
+                "nothing known");
     }
 
     private static byte[] configAt(Peer discovery) {
@@ -295,7 +342,11 @@
     static void hangUp(Process process, Path file, byte[] text) throws Exception {
         Path next = Files.write(file.resolveSibling("next"), text);
         Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("kill", "-HUP", Long.toString(process.pid()))
+                        .start()
+                        .waitFor());
     }
 
     static String awaitLine(BufferedReader said, String wanted) throws IOException {
@@ -308,8 +359,12 @@
     }
 
     private static Process start(String config, String... arguments) throws IOException {
-        ProcessBuilder start = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-cp",
-                System.getProperty("java.class.path"), "sedgeyoke.serve.Main").redirectErrorStream(true);
+        ProcessBuilder start = new ProcessBuilder(
+                        System.getProperty("java.home") + "/bin/java",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "sedgeyoke.serve.Main")
+                .redirectErrorStream(true);
         start.command().addAll(List.of(arguments));
         start.environment().put("BALANCER_CONFIG", config);
         return start.start();
--- a/src/test/java/sedgeyoke/net/NodeTest.java
+++ b/src/test/java/sedgeyoke/net/NodeTest.java
@@ -5,9 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import sedgeyoke.decide.Balancer.AttemptEnd;
-import sedgeyoke.decide.Balancer.Outcome;
-import sedgeyoke.decide.Balancer.Request;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
@@ -15,6 +12,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import org.junit.jupiter.api.Test;
+import sedgeyoke.decide.Balancer.AttemptEnd;
+import sedgeyoke.decide.Balancer.Outcome;
+import sedgeyoke.decide.Balancer.Request;
 
 /** What the node does with the decisions of a module, above all with those that are no good. */
 class NodeTest {
@@ -35,8 +35,9 @@
     @Test
     void aModuleThatThrowsOnARequestLeavesItRefused() throws Exception {
         try (Loopback lb = scripted((m, r) -> {
-            throw new IllegalStateException("on purpose");
-        }).start()) {
+                    throw new IllegalStateException("on purpose");
+                })
+                .start()) {
             assertEquals(503, lb.ask("id-1", "order", 2000).status());
             assertEquals(503, lb.ask("id-2", "order", 2000).status(), "it goes on handling events");
         }
@@ -44,21 +45,27 @@
 
     @Test
     void aModuleThatThrowsAfterItHasSentLeavesTheRequestFailed() throws Exception {
-        try (Peer up = Peer.serving("x"); Loopback lb = scripted((m, r) -> {
-            m.actions.send(r.id(), "u", 0);
-            throw new IllegalStateException("on purpose");
-        }).upstream("u", up.address()).start()) {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = scripted((m, r) -> {
+                            m.actions.send(r.id(), "u", 0);
+                            throw new IllegalStateException("on purpose");
+                        })
+                        .upstream("u", up.address())
+                        .start()) {
             assertEquals(502, lb.ask("id-1", "order", 2000).status());
         }
     }
 
     @Test
     void aModuleThatForgetsARequestDoesNotLoseIt() throws Exception {
-        try (Peer up = new Peer((request, socket) -> { }); Loopback lb = scripted((m, r) -> {
-            if (r.classIndex() == 2) {
-                m.actions.send(r.id(), "u", 0);
-            }
-        }).upstream("u", up.address()).start()) {
+        try (Peer up = new Peer((request, socket) -> {});
+                Loopback lb = scripted((m, r) -> {
+                            if (r.classIndex() == 2) {
+                                m.actions.send(r.id(), "u", 0);
+                            }
+                        })
+                        .upstream("u", up.address())
+                        .start()) {
             long start = System.nanoTime();
             assertEquals(503, lb.ask("id-1", "read", 1_000).status(), "never sent");
             assertEquals(502, lb.ask("id-2", "order", 1_000).status(), "may have run");
@@ -74,11 +81,15 @@
     void whatALateLoopTookIsTakenOffTheBudget() throws Exception {
         AtomicLong left = new AtomicLong();
         try (Loopback lb = scripted((m, r) -> {
-            left.set(r.timeLeft());
-            m.actions.refuse(r.id(), 0);
-        }).start()) {
+                    left.set(r.timeLeft());
+                    m.actions.refuse(r.id(), 0);
+                })
+                .start()) {
             Socket client = lb.connect();
-            assertEquals(503, Loopback.ask(client, Loopback.request("id-1", "order", 60_000)).status());
+            assertEquals(
+                    503,
+                    Loopback.ask(client, Loopback.request("id-1", "order", 60_000))
+                            .status());
             CountDownLatch blocked = new CountDownLatch(1);
             CountDownLatch release = new CountDownLatch(1);
             lb.loop.execute(() -> {
@@ -100,11 +111,14 @@
         CountDownLatch blocked = new CountDownLatch(1);
         CountDownLatch release = new CountDownLatch(1);
         try (Peer up = new Peer((request, socket) -> {
-            blocked.await();
-            Peer.reply(socket, 200, "x");
-            Thread.sleep(1_500); // the lateness itself
-            release.countDown();
-        }); Loopback lb = scripted((m, r) -> m.actions.send(r.id(), "u", 0)).upstream("u", up.address()).start()) {
+                    blocked.await();
+                    Peer.reply(socket, 200, "x");
+                    Thread.sleep(1_500); // the lateness itself
+                    release.countDown();
+                });
+                Loopback lb = scripted((m, r) -> m.actions.send(r.id(), "u", 0))
+                        .upstream("u", up.address())
+                        .start()) {
             Socket client = lb.connect();
             Peer.write(client, Loopback.request("id-1", "order", 60_000));
             Loopback.await("sent", () -> up.requests.size() == 1);
@@ -114,36 +128,49 @@
             });
             assertEquals(200, Loopback.answer(client).status());
             Loopback.await("told", () -> module.ends.size() == 1);
-            assertTrue(module.ends.get(0).took() < 1_000_000, "took " + module.ends.get(0).took());
+            assertTrue(
+                    module.ends.get(0).took() < 1_000_000,
+                    "took " + module.ends.get(0).took());
         }
     }
 
     @Test
     void onlyTheFirstAnswerCounts() throws Exception {
         try (Loopback lb = scripted((m, r) -> {
-            m.actions.refuse(r.id(), 0);
-            m.actions.fail(r.id());
-            m.actions.refuse(r.id(), 0);
-        }).start()) {
+                    m.actions.refuse(r.id(), 0);
+                    m.actions.fail(r.id());
+                    m.actions.refuse(r.id(), 0);
+                })
+                .start()) {
             Socket client = lb.connect();
-            assertEquals(503, Loopback.ask(client, Loopback.request("id-1", "order", 2000)).status());
-            assertEquals(503, Loopback.ask(client, Loopback.request("id-2", "order", 2000)).status());
+            assertEquals(
+                    503,
+                    Loopback.ask(client, Loopback.request("id-1", "order", 2000))
+                            .status());
+            assertEquals(
+                    503,
+                    Loopback.ask(client, Loopback.request("id-2", "order", 2000))
+                            .status());
         }
     }
 
     @Test
     void sendsThatAreTooManyOrTooLateAreNeverSent() throws Exception {
-        try (Peer up = Peer.serving("x"); Loopback lb = scripted((m, r) -> {
-            for (int i = 0; i < 5; i++) {
-                m.actions.send(r.id(), i == 0 ? "unheard-of" : "u", 0);
-            }
-            m.actions.refuse(r.id(), 0);
-            m.actions.cancel(r.id(), 1);
-        }).upstream("u", up.address()).start()) {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = scripted((m, r) -> {
+                            for (int i = 0; i < 5; i++) {
+                                m.actions.send(r.id(), i == 0 ? "unheard-of" : "u", 0);
+                            }
+                            m.actions.refuse(r.id(), 0);
+                            m.actions.cancel(r.id(), 1);
+                        })
+                        .upstream("u", up.address())
+                        .start()) {
             assertEquals(503, lb.ask("id-1", "read", 2000).status());
             Loopback.await("ends", () -> module.ends.size() == 5);
             assertEquals(4, outcomes().stream().filter(o -> o == Outcome.MOOT).count());
-            assertEquals(1, outcomes().stream().filter(o -> o == Outcome.CANCELLED).count());
+            assertEquals(
+                    1, outcomes().stream().filter(o -> o == Outcome.CANCELLED).count());
             assertTrue(up.requests.isEmpty());
             assertFalse(module.calledFromWithin, "no event within an action");
             Loopback.await("forgotten", lb.node::idle);
@@ -153,13 +180,16 @@
     /** The connection is still coming up when the attempt is called off: it must not carry the request. */
     @Test
     void whatIsCancelledWhileConnectingIsNotSent() throws Exception {
-        try (Peer up = Peer.serving("x"); Loopback lb = scripted((m, r) -> {
-            m.actions.send(r.id(), "u", 0);
-            if (r.id().equals("id-1")) {
-                m.actions.cancel(r.id(), 0);
-                m.actions.refuse(r.id(), 0);
-            }
-        }).upstream("u", up.address()).start()) {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = scripted((m, r) -> {
+                            m.actions.send(r.id(), "u", 0);
+                            if (r.id().equals("id-1")) {
+                                m.actions.cancel(r.id(), 0);
+                                m.actions.refuse(r.id(), 0);
+                            }
+                        })
+                        .upstream("u", up.address())
+                        .start()) {
             assertEquals(503, lb.ask("id-1", "order", 2000).status());
             assertEquals(200, lb.ask("id-2", "order", 2000).status());
             assertEquals(1, up.requests.size());
@@ -170,12 +200,15 @@
     /** After the final answer nothing more is sent, also by a module that may not or does not cancel. */
     @Test
     void whatIsAnsweredWhileConnectingIsNotSent() throws Exception {
-        try (Peer up = Peer.serving("x"); Loopback lb = scripted((m, r) -> {
-            m.actions.send(r.id(), "u", 0);
-            if (r.id().equals("id-1")) {
-                m.actions.refuse(r.id(), 0);
-            }
-        }).upstream("u", up.address()).start()) {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = scripted((m, r) -> {
+                            m.actions.send(r.id(), "u", 0);
+                            if (r.id().equals("id-1")) {
+                                m.actions.refuse(r.id(), 0);
+                            }
+                        })
+                        .upstream("u", up.address())
+                        .start()) {
             assertEquals(503, lb.ask("id-1", "order", 2000).status());
             Loopback.await("ended", () -> outcomes().equals(List.of(Outcome.MOOT)));
             assertEquals(200, lb.ask("id-2", "order", 2000).status());
@@ -185,9 +218,12 @@
 
     @Test
     void anAttemptsOwnTimeOutEndsItAlone() throws Exception {
-        try (Peer silent = new Peer((request, socket) -> { }); Peer up = Peer.serving("x");
+        try (Peer silent = new Peer((request, socket) -> {});
+                Peer up = Peer.serving("x");
                 Loopback lb = scripted((m, r) -> m.actions.send(r.id(), "a", 50_000))
-                        .upstream("a", silent.address()).upstream("b", up.address()).start()) {
+                        .upstream("a", silent.address())
+                        .upstream("b", up.address())
+                        .start()) {
             module.onEnd = (m, end) -> {
                 if (end.outcome() == Outcome.TIMEOUT) {
                     m.actions.send(end.request(), "b", 0);
@@ -206,7 +242,8 @@
                 Socket first = new Socket(dead.getInetAddress(), dead.getLocalPort());
                 Socket second = new Socket(dead.getInetAddress(), dead.getLocalPort());
                 Loopback lb = scripted((m, r) -> m.actions.send(r.id(), "a", 30_000))
-                        .upstream("a", "127.0.0.1:" + dead.getLocalPort()).start()) {
+                        .upstream("a", "127.0.0.1:" + dead.getLocalPort())
+                        .start()) {
             module.onEnd = (m, end) -> m.actions.refuse(end.request(), 0);
             assertTrue(first.isConnected() && second.isConnected());
             assertEquals(503, lb.ask("id-1", "order", 2000).status());
@@ -216,21 +253,30 @@
 
     @Test
     void theSecondCopyOfARequestEndsQuietly() throws Exception {
-        try (Peer up = Peer.serving("x"); Loopback lb = scripted((m, r) -> {
-            m.actions.send(r.id(), "u", 0);
-            m.actions.send(r.id(), "u", 0);
-        }).upstream("u", up.address()).start()) {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = scripted((m, r) -> {
+                            m.actions.send(r.id(), "u", 0);
+                            m.actions.send(r.id(), "u", 0);
+                        })
+                        .upstream("u", up.address())
+                        .start()) {
             Socket client = lb.connect();
-            assertEquals(200, Loopback.ask(client, Loopback.request("id-1", "read", 2000)).status());
+            assertEquals(
+                    200,
+                    Loopback.ask(client, Loopback.request("id-1", "read", 2000)).status());
             Loopback.await("both ended", () -> module.ends.size() == 2);
             assertTrue(module.ends.stream().allMatch(AttemptEnd::concluded));
-            assertEquals(200, Loopback.ask(client, Loopback.request("id-2", "read", 2000)).status());
+            assertEquals(
+                    200,
+                    Loopback.ask(client, Loopback.request("id-2", "read", 2000)).status());
         }
     }
 
     @Test
     void moreOpenRequestsThanAllowedAreRefusedUnseen() throws Exception {
-        try (Loopback lb = scripted((m, r) -> { }).setting("\"max-open\":1000", "\"max-open\":1").start()) {
+        try (Loopback lb = scripted((m, r) -> {})
+                .setting("\"max-open\":1000", "\"max-open\":1")
+                .start()) {
             Peer.write(lb.connect(), Loopback.request("id-1", "order", 60_000));
             Loopback.await("held", () -> !lb.node.idle());
             assertEquals(503, lb.ask("id-2", "order", 60_000).status());
@@ -239,7 +285,7 @@
 
     @Test
     void anIdThatIsOpenIsNotTakenTwice() throws Exception {
-        try (Loopback lb = scripted((m, r) -> { }).start()) {
+        try (Loopback lb = scripted((m, r) -> {}).start()) {
             Peer.write(lb.connect(), Loopback.request("id-1", "order", 60_000));
             Loopback.await("held", () -> !lb.node.idle());
             assertEquals(400, lb.ask("id-1", "order", 60_000).status());
--- a/src/test/java/sedgeyoke/net/OperatorTest.java
+++ b/src/test/java/sedgeyoke/net/OperatorTest.java
@@ -19,11 +19,17 @@
     private Path folder;
 
     private Process start(String operator) throws IOException {
-        Path config = Files.write(folder.resolve("config.json"),
+        Path config = Files.write(
+                folder.resolve("config.json"),
                 Loopback.configText(Loopback.SETTINGS, "127.0.0.1:1", 1024, Loopback.list(1, true)));
         Path file = Files.writeString(folder.resolve("operator.toml"), operator);
-        ProcessBuilder start = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-cp",
-                System.getProperty("java.class.path"), "sedgeyoke.serve.Main", "--config", file.toString())
+        ProcessBuilder start = new ProcessBuilder(
+                        System.getProperty("java.home") + "/bin/java",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "sedgeyoke.serve.Main",
+                        "--config",
+                        file.toString())
                 .redirectErrorStream(true);
         start.environment().put("BALANCER_CONFIG", config.toString());
         return start.start();
@@ -51,9 +57,13 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"[bodies];ceiling_kib = 7 | operator.toml:2: bodies.ceiling_kib",
-        "[planner];enabled = true;name = 'p';listen = '127.0.0.1:0';certificate = 'c';key = 'k';trust = 'c' |planner's",
-        "[plans];enabled = true;planners = ['127.0.0.1:1'];certificate = 'c';key = 'k';trust = 't' | TLS files"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "[bodies];ceiling_kib = 7 | operator.toml:2: bodies.ceiling_kib",
+                "[planner];enabled = true;name = 'p';listen = '127.0.0.1:0';certificate = 'c';key = 'k';trust = 'c' |planner's",
+                "[plans];enabled = true;planners = ['127.0.0.1:1'];certificate = 'c';key = 'k';trust = 't' | TLS files"
+            })
     void aFileThatIsNoGoodEndsTheStart(String operator, String named) throws Exception {
         Process process = start(operator.replace(';', '\n').replace('\'', '"'));
         String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
