--- a/src/test/java/sedgeyoke/net/OpsDoorTest.java
+++ b/src/test/java/sedgeyoke/net/OpsDoorTest.java
@@ -31,12 +31,23 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"GET, /admin/health, '', 200", "GET, /admin/stats, '', 200", "POST, /admin/cordon, u0, 200",
-        "POST, /admin/cordon, ' u0\n', 200", "POST, /admin/cordon, nonesuch, 404", "POST, /admin/uncordon, u0, 200",
-        "POST, /admin/uncordon, nonesuch, 404", "GET, /admin/cordon, u0, 405", "POST, /admin/health, '', 405",
-        "POST, /admin/cordon, '', 400", "POST, /admin/cordon, u0 u1, 400", "GET, /nonesuch, '', 404"})
+    @CsvSource({
+        "GET, /admin/health, '', 200",
+        "GET, /admin/stats, '', 200",
+        "POST, /admin/cordon, u0, 200",
+        "POST, /admin/cordon, ' u0\n', 200",
+        "POST, /admin/cordon, nonesuch, 404",
+        "POST, /admin/uncordon, u0, 200",
+        "POST, /admin/uncordon, nonesuch, 404",
+        "GET, /admin/cordon, u0, 405",
+        "POST, /admin/health, '', 405",
+        "POST, /admin/cordon, '', 400",
+        "POST, /admin/cordon, u0 u1, 400",
+        "GET, /nonesuch, '', 404"
+    })
     void callsAndTheirAnswers(String method, String path, String body, int status) throws Exception {
-        try (Peer up = good(); Loopback lb = start(up)) {
+        try (Peer up = good();
+                Loopback lb = start(up)) {
             Loopback.await("ready", () -> lb.health() == 200);
             assertEquals(status, lb.call(method, path, body).status());
         }
@@ -46,10 +57,11 @@
     void figuresAreWhatPeersSaw() throws Exception {
         AtomicInteger seen = new AtomicInteger();
         try (Peer up = new Peer((request, socket) -> {
-            seen.incrementAndGet();
-            boolean fails = request.headers().get("x-call-id").startsWith("bad");
-            Peer.reply(socket, fails ? 500 : 200, "x");
-        }); Loopback lb = start(up)) {
+                    seen.incrementAndGet();
+                    boolean fails = request.headers().get("x-call-id").startsWith("bad");
+                    Peer.reply(socket, fails ? 500 : 200, "x");
+                });
+                Loopback lb = start(up)) {
             for (int i = 0; i < 5; i++) {
                 assertEquals(200, lb.ask("good-" + i, "order", 2_000).status());
             }
@@ -72,9 +84,10 @@
     void aRefusalAndARequestInFlightAreCounted() throws Exception {
         java.util.concurrent.CountDownLatch release = new java.util.concurrent.CountDownLatch(1);
         try (Peer up = new Peer((request, socket) -> {
-            release.await();
-            Peer.reply(socket, 200, "x");
-        }); Loopback lb = start(up)) {
+                    release.await();
+                    Peer.reply(socket, 200, "x");
+                });
+                Loopback lb = start(up)) {
             Socket held = lb.connect();
             Peer.write(held, Loopback.request("held", "order", 60_000));
             Loopback.await("in flight", () -> lb.figure("in_flight") == 1 && lb.figure("attempts.order") == 1);
@@ -90,7 +103,9 @@
 
     @Test
     void whatIsTakenOutGetsNothingUntilItIsGivenBack() throws Exception {
-        try (Peer a = good(); Peer b = good(); Loopback lb = start(a, b)) {
+        try (Peer a = good();
+                Peer b = good();
+                Loopback lb = start(a, b)) {
             Loopback.await("both in use", () -> {
                 askOnce(lb);
                 return !a.requests.isEmpty() && !b.requests.isEmpty();
@@ -114,7 +129,8 @@
 
     private void askOnce(Loopback lb) {
         try {
-            assertEquals(200, lb.ask("n-" + asked.incrementAndGet(), "read", 2_000).status());
+            assertEquals(
+                    200, lb.ask("n-" + asked.incrementAndGet(), "read", 2_000).status());
         } catch (java.io.IOException e) {
             throw new java.io.UncheckedIOException(e);
         }
@@ -123,7 +139,9 @@
     /** Two processes of one balancer: what one is told binds the other, and the next. */
     @Test
     void aWordSaidToOneProcessBindsTheOthers() throws Exception {
-        try (Peer a = good(); Peer b = good(); Loopback old = start(a, b)) {
+        try (Peer a = good();
+                Peer b = good();
+                Loopback old = start(a, b)) {
             assertEquals(200, old.call("POST", "/admin/cordon", "u0").status());
             try (Loopback next = start(a, b)) {
                 assertEquals(1, next.figure("upstreams_excluded"));
@@ -142,13 +160,15 @@
 
     @Test
     void callersThatNeverFinishKeepNobodyOut() throws Exception {
-        try (Peer up = good(); Loopback lb = start(up)) {
+        try (Peer up = good();
+                Loopback lb = start(up)) {
             Loopback.await("ready", () -> lb.health() == 200);
             List<Socket> stuck = new ArrayList<>();
             for (int i = 0; i < 200; i++) {
                 Socket socket = new Socket(lb.door.getAddress(), lb.door.getPort());
-                Peer.write(socket, i % 2 == 0 ? "GET /admin/st"
-                        : "POST /admin/cordon HTTP/1.1\r\nContent-Length: 9\r\n\r\n");
+                Peer.write(
+                        socket,
+                        i % 2 == 0 ? "GET /admin/st" : "POST /admin/cordon HTTP/1.1\r\nContent-Length: 9\r\n\r\n");
                 stuck.add(socket);
             }
             for (int i = 0; i < 20; i++) {
@@ -175,7 +195,8 @@
 
     @Test
     void healthIsNoOnceClientsAreNoLongerTaken() throws Exception {
-        try (Peer up = good(); Loopback lb = start(up)) {
+        try (Peer up = good();
+                Loopback lb = start(up)) {
             Loopback.await("ready", () -> lb.health() == 200);
             Thread end = new Thread(lb.server::end);
             end.start();
--- a/src/test/java/sedgeyoke/net/OtherClientsTest.java
+++ b/src/test/java/sedgeyoke/net/OtherClientsTest.java
@@ -22,8 +22,8 @@
 
 /** A client that nobody here wrote, the JDK's: it offers an upgrade to HTTP/2 first, chunks and waits for a word. */
 class OtherClientsTest {
-    private static final BodyLimits LIMITS = new BodyLimits(true, 64 * 1024, 8L << 20, 1_000, 1_000_000, 30_000_000,
-            5_000_000, 1L << 40, 0);
+    private static final BodyLimits LIMITS =
+            new BodyLimits(true, 64 * 1024, 8L << 20, 1_000, 1_000_000, 30_000_000, 5_000_000, 1L << 40, 0);
 
     private static byte[] bytes(int length) {
         byte[] bytes = new byte[length];
@@ -33,7 +33,9 @@
 
     private static HttpRequest.Builder request(Loopback lb, String id) {
         return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + lb.address.getPort() + "/api?obj=o"))
-                .timeout(Duration.ofSeconds(20)).header("X-Call-Id", id).header("X-Call-Class", "order")
+                .timeout(Duration.ofSeconds(20))
+                .header("X-Call-Id", id)
+                .header("X-Call-Class", "order")
                 .header("X-Budget-Ms", "20000"); // whole it has to be, not fast
     }
 
@@ -48,20 +50,35 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"HTTP_2, 100, true, false", "HTTP_1_1, 100, false, false", "HTTP_1_1, 3000000, true, false",
-        "HTTP_1_1, 3000000, false, false", "HTTP_1_1, 3000000, true, true", "HTTP_1_1, 3000000, false, true"})
+    @CsvSource({
+        "HTTP_2, 100, true, false",
+        "HTTP_1_1, 100, false, false",
+        "HTTP_1_1, 3000000, true, false",
+        "HTTP_1_1, 3000000, false, false",
+        "HTTP_1_1, 3000000, true, true",
+        "HTTP_1_1, 3000000, false, true"
+    })
     void whatItSendsAndReadsIsWhole(HttpClient.Version version, int length, boolean declared, boolean expects)
             throws Exception {
         byte[] sent = bytes(length);
         byte[] wanted = new byte[2 * length];
         System.arraycopy(sent, 0, wanted, 0, length);
         System.arraycopy(sent, 0, wanted, length, length);
-        try (Peer up = echo(); Loopback lb = Loopback.setup().upstream("u", up.address()).bodies(LIMITS).start()) {
+        try (Peer up = echo();
+                Loopback lb = Loopback.setup()
+                        .upstream("u", up.address())
+                        .bodies(LIMITS)
+                        .start()) {
             HttpClient client = HttpClient.newBuilder().version(version).build();
             for (int i = 0; i < 3; i++) {
-                HttpResponse<byte[]> got = client.send(request(lb, "id-" + i).expectContinue(expects)
-                        .POST(declared ? BodyPublishers.ofByteArray(sent)
-                                : BodyPublishers.ofInputStream(() -> new ByteArrayInputStream(sent))).build(),
+                HttpResponse<byte[]> got = client.send(
+                        request(lb, "id-" + i)
+                                .expectContinue(expects)
+                                .POST(
+                                        declared
+                                                ? BodyPublishers.ofByteArray(sent)
+                                                : BodyPublishers.ofInputStream(() -> new ByteArrayInputStream(sent)))
+                                .build(),
                         BodyHandlers.ofByteArray());
                 assertEquals(200, got.statusCode());
                 assertArrayEquals(wanted, got.body());
@@ -72,13 +89,21 @@
 
     @Test
     void manyAtOnceGetEachItsOwn() throws Exception {
-        try (Peer up = echo(); Loopback lb = Loopback.setup().upstream("u", up.address()).bodies(LIMITS).start()) {
-            HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+        try (Peer up = echo();
+                Loopback lb = Loopback.setup()
+                        .upstream("u", up.address())
+                        .bodies(LIMITS)
+                        .start()) {
+            HttpClient client =
+                    HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
             List<CompletableFuture<HttpResponse<byte[]>>> all = new ArrayList<>();
             int many = 24;
             for (int i = 0; i < many; i++) {
                 byte[] sent = bytes(1_000 + 9_973 * i);
-                all.add(client.sendAsync(request(lb, "id-" + i).POST(BodyPublishers.ofByteArray(sent)).build(),
+                all.add(client.sendAsync(
+                        request(lb, "id-" + i)
+                                .POST(BodyPublishers.ofByteArray(sent))
+                                .build(),
                         BodyHandlers.ofByteArray()));
             }
             for (int i = 0; i < many; i++) {
--- a/src/test/java/sedgeyoke/net/Peer.java
+++ b/src/test/java/sedgeyoke/net/Peer.java
@@ -116,7 +116,9 @@
         }
         Map<String, String> headers = new TreeMap<>();
         for (String h = line(in); h != null && !h.isEmpty(); h = line(in)) {
-            headers.put(h.substring(0, h.indexOf(':')).toLowerCase(), h.substring(h.indexOf(':') + 1).trim());
+            headers.put(
+                    h.substring(0, h.indexOf(':')).toLowerCase(),
+                    h.substring(h.indexOf(':') + 1).trim());
         }
         byte[] body;
         if (headers.getOrDefault("transfer-encoding", "").equals("chunked")) {
--- a/src/test/java/sedgeyoke/net/RudeClientsTest.java
+++ b/src/test/java/sedgeyoke/net/RudeClientsTest.java
@@ -28,20 +28,30 @@
 
     /** The error comes at once and whole, then the end; nothing reaches an upstream, also not what lies behind. */
     @ParameterizedTest
-    @CsvSource({"Content-Length: 4, 'Content-Length: 4\r\nTransfer-Encoding: chunked', 400",
+    @CsvSource({
+        "Content-Length: 4, 'Content-Length: 4\r\nTransfer-Encoding: chunked', 400",
         "Content-Length: 4, 'Content-Length: 4\r\nContent-Length: 5', 400",
         "Content-Length: 4, Content-Length: -4, 400",
-        "Content-Length: 4, Content-Length: 99999999999999999999, 400", "Content-Length: 4, Content-Length: four, 400",
-        "Content-Length: 4, Content-Length: 60000000, 413", "Content-Length: 4, Transfer-Encoding: gzip, 400",
-        "Content-Length: 4, 'Transfer-Encoding: gzip, chunked', 400", "HTTP/1.1, HTTP/2.7, 505",
-        "X-Call-Class: order, X-Call-Class: nonesuch, 400", "X-Budget-Ms: 900, X-Budget-Ms: soon, 400",
-        "X-Call-Id: id-1, X-Other: 1, 400", "X-Call-Id: id-1, 'X-Call-Id: id-1\r\nX-Call-Id: id-2', 400",
-        "Content-Length: 4, 'Content-Length: 4\r\nExpect: 200-ok', 417", "POST /api, POST /else, 404"})
+        "Content-Length: 4, Content-Length: 99999999999999999999, 400",
+        "Content-Length: 4, Content-Length: four, 400",
+        "Content-Length: 4, Content-Length: 60000000, 413",
+        "Content-Length: 4, Transfer-Encoding: gzip, 400",
+        "Content-Length: 4, 'Transfer-Encoding: gzip, chunked', 400",
+        "HTTP/1.1, HTTP/2.7, 505",
+        "X-Call-Class: order, X-Call-Class: nonesuch, 400",
+        "X-Budget-Ms: 900, X-Budget-Ms: soon, 400",
+        "X-Call-Id: id-1, X-Other: 1, 400",
+        "X-Call-Id: id-1, 'X-Call-Id: id-1\r\nX-Call-Id: id-2', 400",
+        "Content-Length: 4, 'Content-Length: 4\r\nExpect: 200-ok', 417",
+        "POST /api, POST /else, 404"
+    })
     void whatCannotBeServedIsTurnedDownAndItsConnectionEnded(String from, String to, int status) throws Exception {
-        try (Peer up = Peer.serving("x"); Loopback lb = serving(up)) {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = serving(up)) {
             Socket client = lb.connect();
-            Peer.write(client, Loopback.request("id-1", "order", 900).replace(from, to)
-                    + Loopback.request("id-3", "order", 900));
+            Peer.write(
+                    client,
+                    Loopback.request("id-1", "order", 900).replace(from, to) + Loopback.request("id-3", "order", 900));
             InputStream in = new BufferedInputStream(client.getInputStream());
             Peer.Message answer = Peer.read(in);
             assertEquals(status, answer.status(), answer.line());
@@ -65,8 +75,9 @@
     void whoSendsFarTooMuchStillReadsTheAnswer() throws Exception {
         try (Loopback lb = Loopback.setup().start()) {
             Socket client = lb.connect();
-            Peer.write(client, Loopback.request("id-1", "order", 900)
-                    .replace("Content-Length: 4", "Content-Length: 60000000"));
+            Peer.write(
+                    client,
+                    Loopback.request("id-1", "order", 900).replace("Content-Length: 4", "Content-Length: 60000000"));
             OutputStream out = client.getOutputStream();
             for (int i = 0; i < 300; i++) {
                 out.write(new byte[100_000]);
@@ -93,7 +104,8 @@
     @Test
     void answersDoNotPileUpForWhoDoesNotRead() throws Exception {
         String body = "x".repeat(64 * 1024);
-        try (Peer up = Peer.serving(body); Loopback lb = serving(up)) {
+        try (Peer up = Peer.serving(body);
+                Loopback lb = serving(up)) {
             Socket client = lb.connect();
             StringBuilder many = new StringBuilder();
             for (int i = 0; i < 1_000; i++) {
@@ -117,7 +129,10 @@
     @Test
     void hundredsOfSilentClientsDoNotKeepOutTheOthers() throws Exception {
         try (Peer up = Peer.serving("x");
-                Loopback lb = Loopback.setup().upstream("u", up.address()).sockets(128).start()) {
+                Loopback lb = Loopback.setup()
+                        .upstream("u", up.address())
+                        .sockets(128)
+                        .start()) {
             List<Socket> silent = new ArrayList<>();
             for (int i = 0; i < 300; i++) {
                 silent.add(lb.connect());
@@ -135,9 +150,15 @@
     @Test
     void connectionsThatAreKeptForNothingMakeWayForRequests() throws Exception {
         try (Peer up = Peer.serving("x");
-                Loopback lb = Loopback.setup().upstream("u", up.address()).sockets(200).start()) {
+                Loopback lb = Loopback.setup()
+                        .upstream("u", up.address())
+                        .sockets(200)
+                        .start()) {
             Socket first = lb.connect();
-            assertEquals(200, Loopback.ask(first, Loopback.request("first", "order", 60_000)).status());
+            assertEquals(
+                    200,
+                    Loopback.ask(first, Loopback.request("first", "order", 60_000))
+                            .status());
             long answered = System.nanoTime();
             for (int i = 0; i < 60; i++) {
                 assertEquals(200, lb.ask("id-" + i, "order", 60_000).status());
@@ -155,7 +176,10 @@
         int sockets = 200;
         int usual = 30; // below 0.17 of these
         try (Peer up = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
-                Loopback lb = Loopback.setup().upstream("u", up.address()).sockets(sockets).start()) {
+                Loopback lb = Loopback.setup()
+                        .upstream("u", up.address())
+                        .sockets(sockets)
+                        .start()) {
             int kept = 0;
             long start = System.nanoTime();
             for (int i = 0; i < 2 * sockets; i++) { // far more than clients may hold at once
@@ -173,7 +197,10 @@
     @Test
     void clientsThatLeaveInTheMiddleOfAHeadAreNotCountedForEver() throws Exception {
         try (Peer up = Peer.serving("x");
-                Loopback lb = Loopback.setup().upstream("u", up.address()).sockets(128).start()) {
+                Loopback lb = Loopback.setup()
+                        .upstream("u", up.address())
+                        .sockets(128)
+                        .start()) {
             for (int i = 0; i < 100; i++) {
                 try (Socket client = lb.connect()) {
                     Peer.write(client, "POST /api?obj=o HTTP/1.1\r\nX-Call-Id: ");
@@ -194,14 +221,19 @@
         Semaphore answer = new Semaphore(0);
         AtomicInteger answered = new AtomicInteger();
         try (Peer up = new Peer((request, socket) -> {
-            answer.acquire();
-            Peer.reply(socket, 200, "x");
-            answered.incrementAndGet();
-        }); Loopback lb = Loopback.setup().upstream("u", up.address()).sockets(128).module(actions -> {
-            ScriptedModule module = new ScriptedModule(actions);
-            module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
-            return module;
-        }).start()) {
+                    answer.acquire();
+                    Peer.reply(socket, 200, "x");
+                    answered.incrementAndGet();
+                });
+                Loopback lb = Loopback.setup()
+                        .upstream("u", up.address())
+                        .sockets(128)
+                        .module(actions -> {
+                            ScriptedModule module = new ScriptedModule(actions);
+                            module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
+                            return module;
+                        })
+                        .start()) {
             for (int round = 0; round < 2; round++) { // 32 may be busy with so few sockets
                 crossAnswers(lb, up, answer, answered);
             }
--- a/src/test/java/sedgeyoke/net/ScriptedModule.java
+++ b/src/test/java/sedgeyoke/net/ScriptedModule.java
@@ -1,10 +1,10 @@
 package sedgeyoke.net;
 
-import sedgeyoke.decide.Balancer;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiConsumer;
+import sedgeyoke.decide.Balancer;
 
 /** A module that does what a test says, and keeps what it was told. */
 final class ScriptedModule implements Balancer {
@@ -13,10 +13,11 @@
     final List<String> gone = new CopyOnWriteArrayList<>();
     final List<String> lists = new CopyOnWriteArrayList<>();
     final List<String> cordons = new CopyOnWriteArrayList<>();
-    BiConsumer<ScriptedModule, Request> onRequest = (m, r) -> { };
-    BiConsumer<ScriptedModule, AttemptEnd> onEnd = (m, e) -> { };
+    BiConsumer<ScriptedModule, Request> onRequest = (m, r) -> {};
+    BiConsumer<ScriptedModule, AttemptEnd> onEnd = (m, e) -> {};
     /** Whether the test has bodies that go on as they come. */
     boolean streams;
+
     private boolean busy;
     volatile boolean calledFromWithin;
 
--- a/src/test/java/sedgeyoke/net/ServingTest.java
+++ b/src/test/java/sedgeyoke/net/ServingTest.java
@@ -34,10 +34,14 @@
 
     @Test
     void connectionsOnBothSidesAreUsedAgain() throws Exception {
-        try (Peer up = Peer.serving("x"); Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             Socket client = lb.connect();
             for (int i = 0; i < 5; i++) {
-                assertEquals(200, Loopback.ask(client, Loopback.request("id-" + i, "order", 2000)).status());
+                assertEquals(
+                        200,
+                        Loopback.ask(client, Loopback.request("id-" + i, "order", 2000))
+                                .status());
                 Thread.sleep(20); // a connection stands still for a moment before it is used again
             }
             assertEquals(1, up.sockets.size());
@@ -46,7 +50,8 @@
 
     @Test
     void pipelinedRequestsAreAnsweredInTheirOrder() throws Exception {
-        try (Peer up = new Peer((request, socket) -> Peer.reply(socket, 200, request.headers().get("x-call-id")));
+        try (Peer up = new Peer((request, socket) ->
+                        Peer.reply(socket, 200, request.headers().get("x-call-id")));
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             Socket client = lb.connect();
             Peer.write(client, Loopback.request("a", "read", 2000) + Loopback.request("b", "read", 2000));
@@ -57,14 +62,23 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"X-Call-Id: id-1, X-Other: 1", "X-Call-Class: order, X-Call-Class: nonesuch",
-        "X-Budget-Ms: 900, X-Budget-Ms: soon", "X-Budget-Ms: 900, X-Budget-Ms: -5", "X-Budget-Ms: 900, X-Budget-Ms: 0",
-        "X-Call-Class: order, X-Call-Class: update", "/api?obj=o1&x=%20y, /api?obj=%zz",
-        "Content-Length: 4, Content-Length: 70000", "POST /api, DELETE /api", "HTTP/1.1, HTTQ/9"})
+    @CsvSource({
+        "X-Call-Id: id-1, X-Other: 1",
+        "X-Call-Class: order, X-Call-Class: nonesuch",
+        "X-Budget-Ms: 900, X-Budget-Ms: soon",
+        "X-Budget-Ms: 900, X-Budget-Ms: -5",
+        "X-Budget-Ms: 900, X-Budget-Ms: 0",
+        "X-Call-Class: order, X-Call-Class: update",
+        "/api?obj=o1&x=%20y, /api?obj=%zz",
+        "Content-Length: 4, Content-Length: 70000",
+        "POST /api, DELETE /api",
+        "HTTP/1.1, HTTQ/9"
+    })
     void aMalformedRequestIsTurnedDownHere(String from, String to) throws Exception {
-        try (Peer up = Peer.serving("x"); Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
-            Peer.Message answer = Loopback.ask(lb.connect(),
-                    Loopback.request("id-1", "order", 900).replace(from, to));
+        try (Peer up = Peer.serving("x");
+                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+            Peer.Message answer = Loopback.ask(
+                    lb.connect(), Loopback.request("id-1", "order", 900).replace(from, to));
             assertEquals(4, answer.status() / 100, answer.line());
             assertEquals(200, lb.ask("id-2", "order", 900).status());
             assertEquals(1, up.requests.size(), "only the good one reaches an upstream");
@@ -74,7 +88,10 @@
     @Test
     void anUnknownPathIsNotFound() throws Exception {
         try (Loopback lb = Loopback.setup().start()) {
-            assertEquals(404, Loopback.ask(lb.connect(), "GET /else HTTP/1.1\r\nHost: x\r\n\r\n").status());
+            assertEquals(
+                    404,
+                    Loopback.ask(lb.connect(), "GET /else HTTP/1.1\r\nHost: x\r\n\r\n")
+                            .status());
         }
     }
 
@@ -87,17 +104,27 @@
 
     /** An upstream that fails once the request may have run: an unsafe request must not be sent again. */
     @ParameterizedTest
-    @ValueSource(strings = {"", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf", "HTTP/1.1 200 OK\r\n",
-        "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n", "nonsense\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhalf",
-        "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n"})
+    @ValueSource(
+            strings = {
+                "",
+                "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf",
+                "HTTP/1.1 200 OK\r\n",
+                "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n",
+                "nonsense\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhalf",
+                "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n"
+            })
     void anUnsafeRequestThatMayHaveRunFailsAndIsNotRepeated(String answer) throws Exception {
         Peer.Script script = (request, socket) -> {
             Peer.write(socket, answer);
             socket.close();
         };
-        try (Peer a = new Peer(script); Peer b = new Peer(script);
-                Loopback lb = Loopback.setup().upstream("a", a.address()).upstream("b", b.address()).start()) {
+        try (Peer a = new Peer(script);
+                Peer b = new Peer(script);
+                Loopback lb = Loopback.setup()
+                        .upstream("a", a.address())
+                        .upstream("b", b.address())
+                        .start()) {
             assertEquals(502, lb.ask("id-1", "order", 2000).status());
             assertEquals(1, a.requests.size() + b.requests.size());
         }
@@ -107,7 +134,8 @@
     @Test
     void aLongAnswerComesBackWhole() throws Exception {
         String body = "0123456789".repeat(40_000);
-        try (Peer up = Peer.serving(body); Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+        try (Peer up = Peer.serving(body);
+                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             assertEquals(body, lb.ask("id-1", "order", 10_000).body());
         }
     }
@@ -125,7 +153,10 @@
     void whatWasRejectedUnseenGoesElsewhere() throws Exception {
         try (Peer full = new Peer((request, socket) -> Peer.reply(socket, 503, "", "X-Rejected: 1"));
                 Peer up = Peer.serving("x");
-                Loopback lb = Loopback.setup().upstream("a", full.address()).upstream("b", up.address()).start()) {
+                Loopback lb = Loopback.setup()
+                        .upstream("a", full.address())
+                        .upstream("b", up.address())
+                        .start()) {
             for (int i = 0; i < 8; i++) {
                 assertEquals(200, lb.ask("id-" + i, "order", 2000).status());
             }
@@ -155,7 +186,10 @@
 
     private static void assertServedDespite(String bad) throws Exception {
         try (Peer up = Peer.serving("x");
-                Loopback lb = Loopback.setup().upstream("a", bad).upstream("b", up.address()).start()) {
+                Loopback lb = Loopback.setup()
+                        .upstream("a", bad)
+                        .upstream("b", up.address())
+                        .start()) {
             for (int i = 0; i < 8; i++) {
                 assertEquals(200, lb.ask("id-" + i, "order", 2000).status());
             }
@@ -165,7 +199,7 @@
 
     @Test
     void aSilentUpstreamCostsTheClientNoMoreThanItsBudget() throws Exception {
-        try (Peer up = new Peer((request, socket) -> { });
+        try (Peer up = new Peer((request, socket) -> {});
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             long start = System.nanoTime();
             assertEquals(502, lb.ask("id-1", "order", 400).status());
@@ -177,7 +211,9 @@
 
     @Test
     void withNoUpstreamTheRequestIsRefusedAndToldWhenToComeBack() throws Exception {
-        try (Loopback lb = Loopback.setup().setting("\"retry-after\":false", "\"retry-after\":true").start()) {
+        try (Loopback lb = Loopback.setup()
+                .setting("\"retry-after\":false", "\"retry-after\":true")
+                .start()) {
             Peer.Message answer = lb.ask("id-1", "order", 300);
             assertEquals(503, answer.status());
             assertEquals(1.0, Double.parseDouble(answer.headers().get("retry-after")));
@@ -189,7 +225,7 @@
 
     @Test
     void aClientThatLeavesEndsItsAttempt() throws Exception {
-        try (Peer up = new Peer((request, socket) -> { });
+        try (Peer up = new Peer((request, socket) -> {});
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             Socket client = lb.connect();
             Peer.write(client, Loopback.request("id-1", "order", 60_000));
@@ -201,7 +237,8 @@
 
     @Test
     void idleConnectionsAreClosedBeforeTheUpstreamDoesIt() throws Exception {
-        try (Peer up = Peer.serving("x"); Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+        try (Peer up = Peer.serving("x");
+                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             assertEquals(200, lb.ask("id-1", "order", 2000).status());
             Loopback.await("closed as idle", () -> up.left.get() == 1);
         }
@@ -209,8 +246,11 @@
 
     @Test
     void moreClientsThanSocketsAreRefusedAndNobodyDies() throws Exception {
-        try (Peer up = new Peer((request, socket) -> { });
-                Loopback lb = Loopback.setup().upstream("u", up.address()).sockets(128).start()) {
+        try (Peer up = new Peer((request, socket) -> {});
+                Loopback lb = Loopback.setup()
+                        .upstream("u", up.address())
+                        .sockets(128)
+                        .start()) {
             List<Socket> clients = new ArrayList<>();
             for (int i = 0; i < 64; i++) {
                 Socket client = lb.connect();
@@ -223,14 +263,20 @@
                 client.close();
             }
             Loopback.await("all forgotten", lb.node::idle);
-            assertEquals(404, Loopback.ask(lb.connect(), "GET /else HTTP/1.1\r\nHost: x\r\n\r\n").status());
+            assertEquals(
+                    404,
+                    Loopback.ask(lb.connect(), "GET /else HTTP/1.1\r\nHost: x\r\n\r\n")
+                            .status());
         }
     }
 
     @Test
     void idleClientsMakeRoomForNewOnes() throws Exception {
         try (Peer up = Peer.serving("x");
-                Loopback lb = Loopback.setup().upstream("u", up.address()).sockets(128).start()) {
+                Loopback lb = Loopback.setup()
+                        .upstream("u", up.address())
+                        .sockets(128)
+                        .start()) {
             for (int i = 0; i < 100; i++) {
                 lb.connect();
             }
--- a/src/test/java/sedgeyoke/net/StoredCordonsTest.java
+++ b/src/test/java/sedgeyoke/net/StoredCordonsTest.java
@@ -14,17 +14,19 @@
 /** A file of cordoned upstreams that an earlier program wrote: it is found, read, and written alike. */
 class StoredCordonsTest {
     private static final String NAME = "sedgeyoke-cordons-n0";
-    private static final Map<String, Long> IDS = Map.of("u0", 1_700_000_000_001L, "node 4", 1_700_000_000_002L, "u1",
-            1_700_000_000_003L, "Übergang-4", 0L);
+    private static final Map<String, Long> IDS =
+            Map.of("u0", 1_700_000_000_001L, "node 4", 1_700_000_000_002L, "u1", 1_700_000_000_003L, "Übergang-4", 0L);
 
     @TempDir
     private Path folder;
+
     private Path stored;
     private Path copy;
 
     @BeforeEach
     void copyStoredFile() throws Exception {
-        stored = Path.of(StoredCordonsTest.class.getResource("/stored/cordons/" + NAME).toURI());
+        stored = Path.of(
+                StoredCordonsTest.class.getResource("/stored/cordons/" + NAME).toURI());
         copy = Files.copy(stored, folder.resolve(NAME));
     }
 
@@ -51,8 +53,12 @@
         try (Peer first = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
                 Peer second = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
                 Peer third = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
-                Loopback balancer = Loopback.setup().door(folder).upstream("u0", first.address())
-                        .upstream("u1", second.address()).upstream("u2", third.address()).start()) {
+                Loopback balancer = Loopback.setup()
+                        .door(folder)
+                        .upstream("u0", first.address())
+                        .upstream("u1", second.address())
+                        .upstream("u2", third.address())
+                        .start()) {
             assertEquals(2, balancer.figure("upstreams_excluded"));
         }
     }
--- a/src/test/java/sedgeyoke/operator/OperatorFileTest.java
+++ b/src/test/java/sedgeyoke/operator/OperatorFileTest.java
@@ -48,29 +48,36 @@
 
     @Test
     void pathsAreTakenFromTheFilesOwnFolder() throws Exception {
-        assertEquals(folder.toAbsolutePath().resolve("a.pem"), read(FORWARDER).plans().tls().certificate());
+        assertEquals(
+                folder.toAbsolutePath().resolve("a.pem"),
+                read(FORWARDER).plans().tls().certificate());
         assertEquals(7500, read(FORWARDER).plans().planners().get(0).getPort());
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "plans.enabled = 1                              | 1 | plans.enabled       | true or false",
-        "[plans];report_every_ms = '200'                | 2 | plans.report_every_ms | whole number",
-        "[plans];report_every_ms = 10                   | 2 | plans.report_every_ms | from 50 to 2000",
-        "[plans];planners = ['planner.local:7500']      | 2 | plans.planners      | ip:port",
-        "[plans];planners = ['127.0.0.1:99999']         | 2 | plans.planners      | ip:port",
-        "[plans];planners = ['1.1.1.1:1', '1.1.1.1:1']  | 2 | plans.planners      | twice",
-        "[plans];planners = [1]                         | 2 | plans.planners      | list of texts",
-        "[plans];planer = []                            | 2 | plans.planer        | keys of [plans] are enabled",
-        "[plan];x = 1 | 1 | plan                | sections are plans, bodies, planner",
-        "x = 1 | 1 | x                   | sections are plans, bodies, planner",
-        "[plans];enabled = true                         | 2 | plans.planners      | is needed",
-        "[planner];enabled = true                       | 2 | planner.listen      | is needed",
-        "[planner];name = ' '                           | 2 | planner.name        | not be empty",
-        "[plans;                                        | 1 | ''                  | ''"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "plans.enabled = 1                              | 1 | plans.enabled       | true or false",
+                "[plans];report_every_ms = '200'                | 2 | plans.report_every_ms | whole number",
+                "[plans];report_every_ms = 10                   | 2 | plans.report_every_ms | from 50 to 2000",
+                "[plans];planners = ['planner.local:7500']      | 2 | plans.planners      | ip:port",
+                "[plans];planners = ['127.0.0.1:99999']         | 2 | plans.planners      | ip:port",
+                "[plans];planners = ['1.1.1.1:1', '1.1.1.1:1']  | 2 | plans.planners      | twice",
+                "[plans];planners = [1]                         | 2 | plans.planners      | list of texts",
+                "[plans];planer = []                            | 2 | plans.planer        | keys of [plans] are enabled",
+                "[plan];x = 1 | 1 | plan                | sections are plans, bodies, planner",
+                "x = 1 | 1 | x                   | sections are plans, bodies, planner",
+                "[plans];enabled = true                         | 2 | plans.planners      | is needed",
+                "[planner];enabled = true                       | 2 | planner.listen      | is needed",
+                "[planner];name = ' '                           | 2 | planner.name        | not be empty",
+                "[plans;                                        | 1 | ''                  | ''"
+            })
     void whatIsWrongIsNamedWithItsLineAndWhatWouldBeRight(String text, int line, String key, String says) {
         List<Problem> found = problems(text.replace(';', '\n').replace('\'', '"'));
-        Problem problem = found.stream().filter(p -> p.key().equals(key == null ? "" : key)).findFirst()
+        Problem problem = found.stream()
+                .filter(p -> p.key().equals(key == null ? "" : key))
+                .findFirst()
                 .orElseThrow(() -> new AssertionError(found.toString()));
         assertEquals(line, problem.line(), problem.toString());
         assertTrue(problem.message().contains(says == null ? "" : says), problem.toString());
@@ -81,7 +88,8 @@
     void featuresThatExcludeEachOtherAreNamedTogether() {
         List<Problem> found = problems(FORWARDER + "[planner]\nenabled = true\nname = \"p\"\n"
                 + "listen = \"127.0.0.1:1\"\ncertificate = \"a\"\nkey = \"a\"\ntrust = \"a\"\n");
-        assertEquals(List.of("planner.enabled"), found.stream().map(Problem::key).toList());
+        assertEquals(
+                List.of("planner.enabled"), found.stream().map(Problem::key).toList());
         assertTrue(found.get(0).message().contains("excludes plans.enabled (line 2)"), found.toString());
     }
 
@@ -106,7 +114,9 @@
     @Test
     void aFileFarTooLargeIsNotRead() throws Exception {
         Path large = Files.write(folder.resolve("large"), new byte[(1 << 20) + 1]);
-        assertTrue(assertThrows(BadOperatorFile.class, () -> OperatorFile.load(large)).getMessage().contains("larger"));
+        assertTrue(assertThrows(BadOperatorFile.class, () -> OperatorFile.load(large))
+                .getMessage()
+                .contains("larger"));
     }
 
     @Test
--- a/src/test/java/sedgeyoke/plan/PlanSafetyTest.java
+++ b/src/test/java/sedgeyoke/plan/PlanSafetyTest.java
@@ -28,12 +28,16 @@
         Integer one = Integer.getInteger("sedgeyoke.seed");
         int from = one == null ? 1 : one;
         int to = one == null ? SEEDS : one;
-        List<PlanSimulation> played = IntStream.rangeClosed(from, to).parallel().mapToObj(seed -> {
-            PlanSimulation simulation = new PlanSimulation(seed, new PlanSimulation.Faults());
-            assertNull(simulation.play(SECONDS), "seed " + seed + " (alone: -Dsedgeyoke.seed=" + seed + ")");
-            return simulation;
-        }).toList();
-        double granted = played.stream().mapToDouble(s -> s.mostGranted).average().orElse(0);
+        List<PlanSimulation> played = IntStream.rangeClosed(from, to)
+                .parallel()
+                .mapToObj(seed -> {
+                    PlanSimulation simulation = new PlanSimulation(seed, new PlanSimulation.Faults());
+                    assertNull(simulation.play(SECONDS), "seed " + seed + " (alone: -Dsedgeyoke.seed=" + seed + ")");
+                    return simulation;
+                })
+                .toList();
+        double granted =
+                played.stream().mapToDouble(s -> s.mostGranted).average().orElse(0);
         double worst = played.stream().mapToDouble(s -> s.worstWindow).max().orElse(0);
         System.out.println("plan safety: " + played.size() + " seeds, "
                 + played.stream().mapToInt(s -> s.restarts).sum() + " crashes, most granted at once " + granted
@@ -83,8 +87,8 @@
                 return sentAt + lease / 3;
             }
         }));
-        mistakes.put("a restarted lender knows nothing of what it lent", followers(
-                new LeaseTerms(PlanSimulation.DRIFT_PPM) {
+        mistakes.put(
+                "a restarted lender knows nothing of what it lent", followers(new LeaseTerms(PlanSimulation.DRIFT_PPM) {
                     @Override
                     long quietUntil(long startedAt, long lease) {
                         return startedAt;
@@ -99,29 +103,36 @@
     }
 
     private static void mistakesInBooks(Map<String, PlanSimulation.Faults> mistakes) {
-        mistakes.put("only the newest grant counts", with(f -> f.pool = terms -> new ColdPool(terms) {
-            @Override
-            void note(List<Held> held, Held grant) {
-                held.clear();
-                held.add(grant);
-            }
-        }));
-        mistakes.put("a restarted lender lends again", with(f -> f.follower = (self, now) ->
-                new Follower(self, new LeaseTerms(PlanSimulation.DRIFT_PPM), now) {
-                    @Override
-                    boolean mayLend(long at) {
-                        return true;
-                    }
-                }));
-        mistakes.put("a right is lent to two planners", with(f -> f.follower = (self, now) ->
-                new Follower(self, new LeaseTerms(PlanSimulation.DRIFT_PPM), now) {
+        mistakes.put(
+                "only the newest grant counts",
+                with(f -> f.pool = terms -> new ColdPool(terms) {
                     @Override
-                    boolean lentTo(Lent before, PlanMessage to) {
-                        return true;
+                    void note(List<Held> held, Held grant) {
+                        held.clear();
+                        held.add(grant);
                     }
                 }));
-        mistakes.put("what was lent to the planner before counts", with(f -> f.planner = (self, terms) ->
-                new Planner(self, terms, new ColdPool(terms)) {
+        mistakes.put(
+                "a restarted lender lends again",
+                with(f ->
+                        f.follower = (self, now) -> new Follower(self, new LeaseTerms(PlanSimulation.DRIFT_PPM), now) {
+                            @Override
+                            boolean mayLend(long at) {
+                                return true;
+                            }
+                        }));
+        mistakes.put(
+                "a right is lent to two planners",
+                with(f ->
+                        f.follower = (self, now) -> new Follower(self, new LeaseTerms(PlanSimulation.DRIFT_PPM), now) {
+                            @Override
+                            boolean lentTo(Lent before, PlanMessage to) {
+                                return true;
+                            }
+                        }));
+        mistakes.put(
+                "what was lent to the planner before counts",
+                with(f -> f.planner = (self, terms) -> new Planner(self, terms, new ColdPool(terms)) {
                     @Override
                     boolean lentToUs(Report report) {
                         return true;
@@ -134,8 +145,11 @@
     @ParameterizedTest(name = "{0}")
     @MethodSource("mistakes")
     void theSimulationFindsEachMistake(String name, PlanSimulation.Faults faults) {
-        assertTrue(IntStream.rangeClosed(1, 400).parallel()
-                .anyMatch(seed -> new PlanSimulation(seed, faults).play(SECONDS) != null), name);
+        assertTrue(
+                IntStream.rangeClosed(1, 400)
+                        .parallel()
+                        .anyMatch(seed -> new PlanSimulation(seed, faults).play(SECONDS) != null),
+                name);
     }
 
     @Test
--- a/src/test/java/sedgeyoke/plan/PlanSimulation.java
+++ b/src/test/java/sedgeyoke/plan/PlanSimulation.java
@@ -49,6 +49,7 @@
     private long savingUntil;
     /** How much of all rights was in grants at most: a simulation in which nothing moves shows nothing. */
     double mostGranted;
+
     double worstWindow;
     int restarts;
 
@@ -121,7 +122,8 @@
         protected void begin() {
             LeaseTerms terms = faults.terms.apply(DRIFT_PPM);
             Planner.Settings self = new Planner.Settings("p" + number, incarnations++, 100, 100);
-            planner = faults.planner == null ? new Planner(self, terms, faults.pool.apply(terms))
+            planner = faults.planner == null
+                    ? new Planner(self, terms, faults.pool.apply(terms))
                     : faults.planner.apply(self, terms);
             nextPlan = clock();
         }
@@ -136,7 +138,8 @@
             if (clock() >= nextPlan) {
                 nextPlan = clock() + REPORT_EVERY;
                 for (Planner.Out out : planner.plan(clock())) {
-                    PlanSimulation.this.send(number, Integer.parseInt(out.forwarder().substring(1)), out.message());
+                    PlanSimulation.this.send(
+                            number, Integer.parseInt(out.forwarder().substring(1)), out.message());
                 }
             }
         }
@@ -157,8 +160,8 @@
 
         @Override
         protected void begin() {
-            follower = faults.follower.apply(new Follower.Identity("f" + number, incarnations++, 0, LEASE, 4_000_000,
-                    leastGrant), clock());
+            follower = faults.follower.apply(
+                    new Follower.Identity("f" + number, incarnations++, 0, LEASE, 4_000_000, leastGrant), clock());
             buckets = new ColdBucket[NODES];
             for (int n = 0; n < NODES; n++) {
                 buckets[n] = new ColdBucket(0, clock());
@@ -227,8 +230,20 @@
         private void report() {
             List<Balancer.Standing> standings = new ArrayList<>();
             for (int n = 0; n < NODES; n++) {
-                standings.add(new Balancer.Standing("n" + n, 0, Balancer.State.READY, believes[n], 1, now / 10_000, 1,
-                        3, 0.5, 0, clock(), false, cold(n) ? BASE : 0));
+                standings.add(new Balancer.Standing(
+                        "n" + n,
+                        0,
+                        Balancer.State.READY,
+                        believes[n],
+                        1,
+                        now / 10_000,
+                        1,
+                        3,
+                        0.5,
+                        0,
+                        clock(),
+                        false,
+                        cold(n) ? BASE : 0));
             }
             Balancer.Summary summary = new Balancer.Summary(List.of(10.0 + random.nextInt(30)), standings, 0);
             Map<Integer, Report> reports = new HashMap<>();
@@ -247,8 +262,12 @@
             ColdRight right = right(n);
             long at = clock();
             boolean own = at >= plan.quietUntil() && (right == null || at >= right.lentUntil());
-            double granted = right == null ? 0 : right.grants().stream().filter(g -> at < g.until())
-                    .mapToDouble(Balancer.ColdGrant::rate).sum();
+            double granted = right == null
+                    ? 0
+                    : right.grants().stream()
+                            .filter(g -> at < g.until())
+                            .mapToDouble(Balancer.ColdGrant::rate)
+                            .sum();
             return new double[] {own ? BASE : 0, granted};
         }
     }
@@ -265,8 +284,8 @@
             }
             mostGranted = Math.max(mostGranted, granted / all);
             if (own + granted > all * (1 + 1e-9)) {
-                breach = String.format("at %.2f s node %d: own %.1f + granted %.1f of %.1f", now / 1e6, n, own, granted,
-                        all);
+                breach = String.format(
+                        "at %.2f s node %d: own %.1f + granted %.1f of %.1f", now / 1e6, n, own, granted, all);
             }
             Deque<double[]> window = spent.get(n);
             while (!window.isEmpty() && window.peek()[0] <= now - FALL) {
--- a/src/test/java/sedgeyoke/plan/PlannerTest.java
+++ b/src/test/java/sedgeyoke/plan/PlannerTest.java
@@ -24,21 +24,30 @@
         return new Report.Load(id, zone, false, 0, 1, 0, limit, utilisation, 2, age, false);
     }
 
-    private Report report(String from, int zone, double demand, Report.Stamp echo, List<Report.Load> loads,
+    private Report report(
+            String from,
+            int zone,
+            double demand,
+            Report.Stamp echo,
+            List<Report.Load> loads,
             List<Report.Deposit> deposits) {
         return new Report(from, 1, ++sequence, 5 * SECOND, echo, zone, LEASE, 1, List.of(demand), loads, deposits);
     }
 
     private static PlanMessage to(String forwarder, List<Planner.Out> out) {
-        return out.stream().filter(o -> o.forwarder().equals(forwarder)).findFirst().orElseThrow().message();
+        return out.stream()
+                .filter(o -> o.forwarder().equals(forwarder))
+                .findFirst()
+                .orElseThrow()
+                .message();
     }
 
     @Test
     void limitsOfAllForwardersAreAddedUp() {
-        planner.report(SECOND, report("a", 0, 10, Report.Stamp.NONE, List.of(load("u", 0, 2, 0.9, 400_000)),
-                List.of()));
-        planner.report(SECOND, report("b", 0, 10, Report.Stamp.NONE, List.of(load("u", 0, 3, 0.4, 100_000)),
-                List.of()));
+        planner.report(
+                SECOND, report("a", 0, 10, Report.Stamp.NONE, List.of(load("u", 0, 2, 0.9, 400_000)), List.of()));
+        planner.report(
+                SECOND, report("b", 0, 10, Report.Stamp.NONE, List.of(load("u", 0, 3, 0.4, 100_000)), List.of()));
         PlanMessage.View view = to("a", planner.plan(SECOND + 50_000)).views().get(0);
         assertEquals(5, view.totalLimit());
     }
@@ -101,10 +110,16 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"100, 100, 100, 100, 1, 0", "120, 40, 100, 100, 0.667, 0.333", "300, 100, 100, 300, 0.333, 0.667",
-        "10, 0, 0, 100, 0, 1", "10, 10, 0, 0, 1, 0", "0, 0, 100, 100, 1, 0"})
-    void aZoneKeepsWhatItsOwnCarryAndSpillsTheRest(double here, double there, double canHere, double canThere,
-            double stays, double goes) {
+    @CsvSource({
+        "100, 100, 100, 100, 1, 0",
+        "120, 40, 100, 100, 0.667, 0.333",
+        "300, 100, 100, 300, 0.333, 0.667",
+        "10, 0, 0, 100, 0, 1",
+        "10, 10, 0, 0, 1, 0",
+        "0, 0, 100, 100, 1, 0"
+    })
+    void aZoneKeepsWhatItsOwnCarryAndSpillsTheRest(
+            double here, double there, double canHere, double canThere, double stays, double goes) {
         Spill spill = Spill.of(new double[] {here, there}, new double[] {canHere, canThere});
         assertEquals(stays, spill.row(0).get(0), 0.001);
         assertEquals(goes, spill.row(0).get(1), 0.001);
@@ -117,29 +132,50 @@
         planner.report(SECOND, report("a", 0, 10, new Report.Stamp(6, SECOND), List.of(cold), rights));
         assertTrue(to("a", planner.plan(SECOND)).grants().isEmpty(), "lent to a process before this one");
         for (String from : List.of("a", "b", "c")) {
-            planner.report(SECOND, report(from, 0, from.equals("c") ? 90 : 5, new Report.Stamp(7, SECOND),
-                    List.of(cold), rights));
+            planner.report(
+                    SECOND,
+                    report(from, 0, from.equals("c") ? 90 : 5, new Report.Stamp(7, SECOND), List.of(cold), rights));
         }
         List<Planner.Out> out = planner.plan(SECOND);
-        double sum = out.stream().flatMap(o -> o.message().grants().stream())
-                .mapToDouble(PlanMessage.Grant::rate).sum();
+        double sum = out.stream()
+                .flatMap(o -> o.message().grants().stream())
+                .mapToDouble(PlanMessage.Grant::rate)
+                .sum();
         assertTrue(sum > 4 && sum <= 6, "granted " + sum);
         assertTrue(to("c", out).grants().get(0).rate() > 3, "to the busiest first");
-        assertTrue(out.stream().flatMap(o -> o.message().grants().stream()).allMatch(g -> g.rate() >= 1.5),
+        assertTrue(
+                out.stream().flatMap(o -> o.message().grants().stream()).allMatch(g -> g.rate() >= 1.5),
                 "and none too small to be used");
-        assertTrue(planner.plan(SECOND + LEASE).stream().allMatch(o -> o.message().grants().isEmpty()),
+        assertTrue(
+                planner.plan(SECOND + LEASE).stream()
+                        .allMatch(o -> o.message().grants().isEmpty()),
                 "the deposits have run out");
     }
 
     // ---- The forwarder's side ------------------------------------------------------------------------
 
-    private final Follower follower = new Follower(new Follower.Identity("a", 3, 0, LEASE, 4 * SECOND, 1),
-            new LeaseTerms(0), 0);
+    private final Follower follower =
+            new Follower(new Follower.Identity("a", 3, 0, LEASE, 4 * SECOND, 1), new LeaseTerms(0), 0);
 
-    private static PlanMessage message(String planner, long incarnation, long sequence, long echoedAt, int coverage,
+    private static PlanMessage message(
+            String planner,
+            long incarnation,
+            long sequence,
+            long echoedAt,
+            int coverage,
             List<PlanMessage.Grant> grants) {
-        return new PlanMessage(planner, incarnation, sequence, 77, new Report.Stamp(3, echoedAt), coverage, List.of(),
-                List.of(1.0), List.of(1.0), 600_000, grants);
+        return new PlanMessage(
+                planner,
+                incarnation,
+                sequence,
+                77,
+                new Report.Stamp(3, echoedAt),
+                coverage,
+                List.of(),
+                List.of(1.0),
+                List.of(1.0),
+                600_000,
+                grants);
     }
 
     @Test
@@ -150,8 +186,10 @@
         assertFalse(follower.heard(now, message("p", 1, 4, now, 3, List.of())));
         assertTrue(follower.heard(now, message("p", 2, 1, now, 3, List.of())), "another process of it");
         assertFalse(follower.heard(now, message("p", 2, 9, now + 1, 3, List.of())), "from the future");
-        assertFalse(follower.heard(now, new PlanMessage("p", 2, 9, 77, new Report.Stamp(4, now), 3, List.of(),
-                List.of(), List.of(), 1, List.of())));
+        assertFalse(follower.heard(
+                now,
+                new PlanMessage(
+                        "p", 2, 9, 77, new Report.Stamp(4, now), 3, List.of(), List.of(), List.of(), 1, List.of())));
     }
 
     @Test
@@ -170,8 +208,11 @@
     }
 
     private static Balancer.Summary coldSummary() {
-        return new Balancer.Summary(List.of(1.0), List.of(new Balancer.Standing("u", 0, Balancer.State.READY, 50, 0, 0,
-                1, 1, Double.NaN, Double.NaN, 0, false, 2)), 0);
+        return new Balancer.Summary(
+                List.of(1.0),
+                List.of(new Balancer.Standing(
+                        "u", 0, Balancer.State.READY, 50, 0, 0, 1, 1, Double.NaN, Double.NaN, 0, false, 2)),
+                0);
     }
 
     @Test
@@ -181,7 +222,9 @@
         follower.heard(now, message("p1", 1, 1, now, 10, List.of()));
         follower.heard(now, message("p2", 1, 1, now, 10, List.of()));
         assertEquals(List.of(), follower.report(now, "p2", coldSummary()).deposits());
-        assertEquals(List.of(new Report.Deposit("u", 50, 2)), follower.report(now, "p1", coldSummary()).deposits());
+        assertEquals(
+                List.of(new Report.Deposit("u", 50, 2)),
+                follower.report(now, "p1", coldSummary()).deposits());
         assertEquals(now + LEASE, follower.plan(now).cold().get("u").lentUntil());
         assertEquals(now + LEASE, follower.plan(now + LEASE - 1).cold().get("u").lentUntil());
         assertNull(follower.plan(now + LEASE).cold().get("u"));
--- a/src/test/java/sedgeyoke/serve/HangupTest.java
+++ b/src/test/java/sedgeyoke/serve/HangupTest.java
@@ -13,7 +13,7 @@
 class HangupTest {
     /** Says when SIGHUP is handled, and when it has come; ends with its standard input. */
     static final class Program {
-        private Program() { }
+        private Program() {}
 
         public static void main(String[] arguments) throws IOException {
             Hangup.run(() -> System.err.println("came"));
@@ -26,12 +26,23 @@
 
     private static Process start(String before) throws IOException {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        return new ProcessBuilder("/bin/sh", "-c", before + " exec \"$0\" -Xshare:auto -cp \"$1\" \"$2\"", java,
-                System.getProperty("java.class.path"), Program.class.getName()).redirectErrorStream(true).start();
+        return new ProcessBuilder(
+                        "/bin/sh",
+                        "-c",
+                        before + " exec \"$0\" -Xshare:auto -cp \"$1\" \"$2\"",
+                        java,
+                        System.getProperty("java.class.path"),
+                        Program.class.getName())
+                .redirectErrorStream(true)
+                .start();
     }
 
     private static void hangUp(Process process) throws IOException, InterruptedException {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("kill", "-HUP", Long.toString(process.pid()))
+                        .start()
+                        .waitFor());
     }
 
     /** Plays of the standing test under nohup broke the rule on drains: no balancer took up a new configuration. */
--- a/src/test/java/sedgeyoke/sim/SimWorld.java
+++ b/src/test/java/sedgeyoke/sim/SimWorld.java
@@ -18,8 +18,9 @@
     protected final SplittableRandom random;
     /** How bad things get, 0 to 1. */
     protected final double severity;
-    private final PriorityQueue<Message> network = new PriorityQueue<>(
-            (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
+
+    private final PriorityQueue<Message> network =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
     private final List<Process> processes = new ArrayList<>();
     private final double lossRate;
     private final double longDelayRate;
@@ -31,7 +32,7 @@
     /** What was broken, or null. */
     protected String breach;
 
-    private record Message(long at, long number, int to, Object body) { }
+    private record Message(long at, long number, int to, Object body) {}
 
     /** A world of a seed. */
     protected SimWorld(long seed) {
@@ -111,8 +112,8 @@
         }
         int copies = !calm && random.nextInt(10) == 0 ? 2 : 1;
         for (int i = 0; i < copies; i++) {
-            long delay = !calm && random.nextDouble() < longDelayRate ? random.nextLong(2_500_000)
-                    : random.nextLong(60_000);
+            long delay =
+                    !calm && random.nextDouble() < longDelayRate ? random.nextLong(2_500_000) : random.nextLong(60_000);
             network.add(new Message(now + delay, messages++, to, body));
         }
     }
@@ -126,6 +127,7 @@
     public abstract class Process {
         /** Its number. */
         public final int number;
+
         private final double rate;
         private long offset;
         private final List<Object> waiting = new ArrayList<>();
--- a/src/test/java/sedgeyoke/site/LedgerTest.java
+++ b/src/test/java/sedgeyoke/site/LedgerTest.java
@@ -13,8 +13,8 @@
     private static final WorkClass KEYED = SiteSpec.orders().get(0);
     private static final WorkClass UNSAFE = SiteSpec.orders().get(1);
 
-    private final Ledger ledger = new Ledger(new SiteSpec(List.of("a"), SiteSpec.orders(), List.of(),
-            SiteSpec.RuleSpec.USUAL, false));
+    private final Ledger ledger =
+            new Ledger(new SiteSpec(List.of("a"), SiteSpec.orders(), List.of(), SiteSpec.RuleSpec.USUAL, false));
 
     private void ask(String id, WorkClass cls) {
         ledger.wanted(cls);
--- a/src/test/java/sedgeyoke/standin/ClientsTest.java
+++ b/src/test/java/sedgeyoke/standin/ClientsTest.java
@@ -26,14 +26,18 @@
 class ClientsTest {
     private static final int WANTED = 40;
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-    private final SiteSpec site = new SiteSpec(List.of("a"), SiteSpec.orders(), List.of(), SiteSpec.RuleSpec.USUAL,
-            false);
+    private final SiteSpec site =
+            new SiteSpec(List.of("a"), SiteSpec.orders(), List.of(), SiteSpec.RuleSpec.USUAL, false);
     private final Ledger ledger = new Ledger(site);
     private final Map<String, Integer> seen = new HashMap<>();
     private final Map<String, Set<String>> idsByKey = new HashMap<>();
 
     /** What a scripted balancer does with a request. */
-    private enum Does { ANSWER, REFUSE, CLOSE }
+    private enum Does {
+        ANSWER,
+        REFUSE,
+        CLOSE
+    }
 
     /** {@code before}: requests answered on this connection; {@code times}: how often this id has come so far. */
     private interface Script {
@@ -79,12 +83,14 @@
 
     /** Until enough is wanted, and one want has been tried so often. */
     private Ledger.Summary play(Script script, int tries) throws InterruptedException {
-        InetSocketAddress address = (InetSocketAddress) Http.listen(loop, 0, () -> new Scripted(script)).localAddress();
+        InetSocketAddress address = (InetSocketAddress)
+                Http.listen(loop, 0, () -> new Scripted(script)).localAddress();
         Clients clients = new Clients(site, loop, () -> System.nanoTime() / 1_000, ledger, new double[] {1}, 7);
         loop.submit(() -> {
-            clients.balancer("b", 0, address);
-            clients.start(300);
-        }).sync();
+                    clients.balancer("b", 0, address);
+                    clients.start(300);
+                })
+                .sync();
         await(() -> ledger.summary().requests() >= WANTED && mostTries() >= tries);
         loop.submit(clients::stop).sync();
         await(() -> ledger.open() == 0);
--- a/src/test/java/sedgeyoke/standin/FaultProxyTest.java
+++ b/src/test/java/sedgeyoke/standin/FaultProxyTest.java
@@ -42,7 +42,8 @@
 
     @Test
     void bytesPassInOrderAlsoWhenDelayed() throws IOException {
-        try (Socket client = connect(); Socket server = target.accept()) {
+        try (Socket client = connect();
+                Socket server = target.accept()) {
             byte[] sent = new byte[300_000];
             new java.util.Random(1).nextBytes(sent);
             proxy.delay(3);
@@ -60,13 +61,15 @@
 
     @Test
     void whatIsStalledComesOnceItIsLetGo() throws IOException {
-        try (Socket client = connect(); Socket server = target.accept()) {
+        try (Socket client = connect();
+                Socket server = target.accept()) {
             proxy.stall(true, false);
             client.getOutputStream().write(7);
             server.getOutputStream().write(8);
             assertEquals(8, client.getInputStream().read(), "the other way is open");
             server.setSoTimeout(50);
-            assertThrows(SocketTimeoutException.class, () -> server.getInputStream().read());
+            assertThrows(
+                    SocketTimeoutException.class, () -> server.getInputStream().read());
             proxy.stall(false, false);
             server.setSoTimeout(10_000);
             assertEquals(7, server.getInputStream().read());
@@ -75,7 +78,8 @@
 
     @Test
     void aCutEndsWhatIsOpenAndRefusesTheRest() throws IOException {
-        try (Socket client = connect(); Socket server = target.accept()) {
+        try (Socket client = connect();
+                Socket server = target.accept()) {
             client.getOutputStream().write(1);
             assertEquals(1, server.getInputStream().read());
             proxy.cut(true);
--- a/src/test/java/sedgeyoke/store/SimDisk.java
+++ b/src/test/java/sedgeyoke/store/SimDisk.java
@@ -24,6 +24,7 @@
         final TreeSet<Integer> dirty = new TreeSet<>();
         /** What was there before, for reads that return it. */
         byte[] old;
+
         final long identity;
 
         Content(long identity) {
--- a/src/test/java/sedgeyoke/store/StoreTest.java
+++ b/src/test/java/sedgeyoke/store/StoreTest.java
@@ -39,7 +39,9 @@
     }
 
     private static List<String> texts(SegmentLog log) {
-        return log.records().stream().map(r -> r.index() + " " + new String(r.payload())).toList();
+        return log.records().stream()
+                .map(r -> r.index() + " " + new String(r.payload()))
+                .toList();
     }
 
     @Test
@@ -207,7 +209,8 @@
         for (String copy : List.of("slot-a", "slot-b")) {
             for (int bit = 0; bit < 8 * disk.bytes(copy).length; bit++) {
                 disk.flipBit(copy, bit / 8, bit % 8);
-                assertArrayEquals("kept".getBytes(), TwinFile.open(disk, "slot").content().orElseThrow());
+                assertArrayEquals(
+                        "kept".getBytes(), TwinFile.open(disk, "slot").content().orElseThrow());
             }
         }
         disk.flipBit("slot-a", 21, 1);
@@ -241,13 +244,17 @@
     void aFolderIsHeldByOneAndReadBack(@TempDir Path folder) throws Exception {
         List<String> found = new ArrayList<>();
         try (FileDisk disk = FileDisk.take(folder)) {
-            assertEquals(DiskFault.Kind.IN_USE, assertThrows(DiskFault.class, () -> FileDisk.take(folder)).kind());
+            assertEquals(
+                    DiskFault.Kind.IN_USE,
+                    assertThrows(DiskFault.class, () -> FileDisk.take(folder)).kind());
             assertThrows(IllegalArgumentException.class, () -> disk.length("../x"));
             script(open(disk));
             String identity = disk.identity("log-0000000000000001");
             disk.write("log-0000000000000001", SEGMENT - 1, new byte[1]);
             assertEquals(identity, disk.identity("log-0000000000000001"));
-            assertEquals(DiskFault.Kind.GONE, assertThrows(DiskFault.class, () -> disk.read("no", 0, 1)).kind());
+            assertEquals(
+                    DiskFault.Kind.GONE,
+                    assertThrows(DiskFault.class, () -> disk.read("no", 0, 1)).kind());
         }
         try (FileDisk disk = FileDisk.take(folder)) {
             found.addAll(texts(open(disk)));
--- a/src/test/java/sedgeyoke/wire/WireHostTest.java
+++ b/src/test/java/sedgeyoke/wire/WireHostTest.java
@@ -28,13 +28,15 @@
             + "\"is-retry\":false,\"effort-s\":null,\"time-budget-s\":0.24,\"lane\":0,\"entity\":null,"
             + "\"party\":null,\"new-field\":[1]}";
 
-    private record Result(int exit, String out, String err) { }
+    private record Result(int exit, String out, String err) {}
 
     private static Result run(String input, String... args) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
-        int exit = WireHost.run(args.length == 0 ? new String[] {"wirehost"} : args,
-                new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out,
+        int exit = WireHost.run(
+                args.length == 0 ? new String[] {"wirehost"} : args,
+                new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)),
+                out,
                 new PrintStream(err, true, StandardCharsets.UTF_8));
         return new Result(exit, out.toString(StandardCharsets.UTF_8), err.toString(StandardCharsets.UTF_8));
     }
@@ -52,12 +54,15 @@
 
     @Test
     void aRequestIsRelayedAndServed() {
-        Result r = run(batch("10", CREATE) + batch("10.000001", ITEM)
-                + batch("10.1", "{\"kind\":\"answer\",\"who\":1,\"corr\":\"é-1\",\"attempt\":0,\"upstream\":\"h:1\","
-                + "\"ending\":0,\"took-s\":0.1,\"last\":true,\"feedback\":null}"));
+        Result r = run(batch("10", CREATE)
+                + batch("10.000001", ITEM)
+                + batch(
+                        "10.1",
+                        "{\"kind\":\"answer\",\"who\":1,\"corr\":\"é-1\",\"attempt\":0,\"upstream\":\"h:1\","
+                                + "\"ending\":0,\"took-s\":0.1,\"last\":true,\"feedback\":null}"));
         String[] lines = r.out.split("\n");
-        assertTrue(lines[0].contains(
-                "{\"kind\":\"remind\",\"who\":1,\"ctx\":\"sweep\",\"sleep-for-s\":0.010000}"), r.out);
+        assertTrue(
+                lines[0].contains("{\"kind\":\"remind\",\"who\":1,\"ctx\":\"sweep\",\"sleep-for-s\":0.010000}"), r.out);
         assertEquals(
                 "{\"decisions\":[{\"kind\":\"relay\",\"who\":1,\"corr\":\"é-1\",\"upstream\":\"h:1\"}]}", lines[1]);
         assertEquals("{\"decisions\":[]}", lines[2]);
@@ -71,15 +76,19 @@
 
     @Test
     void everyEventKindIsRead() {
-        Result r = run(batch("10", CREATE, ITEM,
+        Result r = run(batch(
+                "10",
+                CREATE,
+                ITEM,
                 "{\"kind\":\"opened\",\"who\":1,\"corr\":\"é-1\",\"took-s\":0.1,\"upstream\":\"h:1\",\"attempt\":0}",
                 "{\"kind\":\"client-gone\",\"who\":1,\"corr\":\"é-1\"}",
                 "{\"kind\":\"ping-result\",\"who\":1,\"took-s\":0.1,\"ending\":0,\"upstream\":\"h:1\","
-                + "\"feedback\":[0.5,12]}",
+                        + "\"feedback\":[0.5,12]}",
                 "{\"kind\":\"reminder\",\"who\":1,\"ctx\":\"sweep\"}",
                 "{\"kind\":\"whisper\",\"who\":1,\"from\":2,\"body\":\"68692037\"}",
                 "{\"kind\":\"sync\",\"who\":1,\"form\":\"unavailable\",\"stamp\":1,\"elements\":null}",
-                "{\"kind\":\"destroy\",\"who\":1}", CREATE,
+                "{\"kind\":\"destroy\",\"who\":1}",
+                CREATE,
                 "{\"kind\":\"of-the-future\",\"who\":1}"));
         assertEquals(0, r.exit, r.err);
         assertEquals(1, r.err.lines().count());
@@ -105,40 +114,49 @@
         a.log("two \"words\"");
         replies.bug(4, "broken");
         String who = ",\"who\":4";
-        assertEquals("{\"decisions\":["
-                + "{\"kind\":\"relay\"" + who + ",\"corr\":\"r\",\"upstream\":\"u\",\"allow-for-s\":0.080000},"
-                + "{\"kind\":\"turn-away\"" + who + ",\"corr\":\"r\",\"come-back-s\":1.500000},"
-                + "{\"kind\":\"surrender\"" + who + ",\"corr\":\"r\"},"
-                + "{\"kind\":\"cancel\"" + who + ",\"corr\":\"r\",\"attempt\":2},"
-                + "{\"kind\":\"remind\"" + who + ",\"ctx\":\"t\",\"sleep-for-s\":0.000001},"
-                + "{\"kind\":\"ask-load\"" + who + ",\"upstream\":\"u\"},"
-                + "{\"kind\":\"shut-idle\"" + who + ",\"upstream\":\"u\"},"
-                + "{\"kind\":\"tail\"" + who + ",\"want\":false},"
-                + "{\"kind\":\"reload\"" + who + "},"
-                + "{\"kind\":\"share\"" + who + ",\"target\":\"all\",\"body\":\"0f\"},"
-                + "{\"kind\":\"share\"" + who + ",\"target\":3,\"body\":\"a0\"},"
-                + "{\"kind\":\"record\"" + who + ",\"msg\":\"two \\\"words\\\"\"},"
-                + "{\"kind\":\"bug\"" + who
-                + ",\"msg\":\"broken\"}]}\n", replies.end().toString(StandardCharsets.UTF_8));
+        assertEquals(
+                "{\"decisions\":["
+                        + "{\"kind\":\"relay\"" + who + ",\"corr\":\"r\",\"upstream\":\"u\",\"allow-for-s\":0.080000},"
+                        + "{\"kind\":\"turn-away\"" + who + ",\"corr\":\"r\",\"come-back-s\":1.500000},"
+                        + "{\"kind\":\"surrender\"" + who + ",\"corr\":\"r\"},"
+                        + "{\"kind\":\"cancel\"" + who + ",\"corr\":\"r\",\"attempt\":2},"
+                        + "{\"kind\":\"remind\"" + who + ",\"ctx\":\"t\",\"sleep-for-s\":0.000001},"
+                        + "{\"kind\":\"ask-load\"" + who + ",\"upstream\":\"u\"},"
+                        + "{\"kind\":\"shut-idle\"" + who + ",\"upstream\":\"u\"},"
+                        + "{\"kind\":\"tail\"" + who + ",\"want\":false},"
+                        + "{\"kind\":\"reload\"" + who + "},"
+                        + "{\"kind\":\"share\"" + who + ",\"target\":\"all\",\"body\":\"0f\"},"
+                        + "{\"kind\":\"share\"" + who + ",\"target\":3,\"body\":\"a0\"},"
+                        + "{\"kind\":\"record\"" + who + ",\"msg\":\"two \\\"words\\\"\"},"
+                        + "{\"kind\":\"bug\"" + who
+                        + ",\"msg\":\"broken\"}]}\n",
+                replies.end().toString(StandardCharsets.UTF_8));
     }
 
     @Test
     void aRefusedSettingIsABugOfThatInstance() {
-        Result r = run(batch("10", CREATE.replace("\"aim-s\":0.5", "\"aim-s\":-1")
-                .replaceAll(",\\{\"kind\":\"sync\".*", "")));
+        Result r = run(
+                batch("10", CREATE.replace("\"aim-s\":0.5", "\"aim-s\":-1").replaceAll(",\\{\"kind\":\"sync\".*", "")));
         assertTrue(r.out.contains("\"bug\"") && r.out.contains("aim"), r.out + r.err);
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
-        "nonsense|not JSON", "[1]|not a JSON object", "{\"input\":[]}|no clock",
-        "{\"moment-s\":1}|no array of events",
-        "{\"moment-s\":1,\"input\":[7]}|an event that is not an object",
-        "{\"moment-s\":1,\"input\":[{\"who\":1}]}|field kind",
-        "{\"moment-s\":1,\"input\":[{\"kind\":\"destroy\"}]}|field who",
-        "{\"moment-s\":1,\"input\":[{\"kind\":\"client-gone\",\"who\":9,\"corr\":\"x\"}]}|does not exist",
-        "{\"moment-s\":1,\"input\":[{\"kind\":\"client-gone\",\"who\":\"a\",\"corr\":\"x\"}]}|not a number",
-        "{\"moment-s\":1,\"input\":[]} {}|text after the end", "{\"moment-s\":1,\"input\":[|not JSON"})
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '`',
+            value = {
+                "nonsense|not JSON",
+                "[1]|not a JSON object",
+                "{\"input\":[]}|no clock",
+                "{\"moment-s\":1}|no array of events",
+                "{\"moment-s\":1,\"input\":[7]}|an event that is not an object",
+                "{\"moment-s\":1,\"input\":[{\"who\":1}]}|field kind",
+                "{\"moment-s\":1,\"input\":[{\"kind\":\"destroy\"}]}|field who",
+                "{\"moment-s\":1,\"input\":[{\"kind\":\"client-gone\",\"who\":9,\"corr\":\"x\"}]}|does not exist",
+                "{\"moment-s\":1,\"input\":[{\"kind\":\"client-gone\",\"who\":\"a\",\"corr\":\"x\"}]}|not a number",
+                "{\"moment-s\":1,\"input\":[]} {}|text after the end",
+                "{\"moment-s\":1,\"input\":[|not JSON"
+            })
     void badLinesEndWithOnePlainMessage(String line, String message) {
         Result r = run(batch("0.5") + line + "\n");
         assertEquals(1, r.exit);
