What the formatter made too long or too wide is split

Need: formatted code has a statement part a line, which took five methods over 60 lines and left strings over 120 columns and one line of the decision module over 110.

Change: the methods are split where a part has a name of its own; strings are cut; ColdBucket.refill no longer takes the unit of a rate, which was the same at both callers. Nothing else changes.

--- a/src/main/java/sedgeyoke/cli/Drill.java
+++ b/src/main/java/sedgeyoke/cli/Drill.java
@@ -28,10 +28,11 @@
             name = "agree",
             mixinStandardHelpOptions = true,
             description = {
-                "Keepers and balancers as processes, a proxy on every way between two of them, writers and traffic: keepers are"
-                        + " killed, stopped, cut off and have bits of their folders flipped, a minority of them at once.",
-                "Ends with 0 if no committed version was lost, answers came in order, no rule broke, and no request reached a"
-                        + " node that was out for longer than is stated."
+                "Keepers and balancers as processes, a proxy on every way between two of them, writers and traffic:"
+                        + " keepers are killed, stopped, cut off and have bits of their folders flipped, a minority"
+                        + " of them at once.",
+                "Ends with 0 if no committed version was lost, answers came in order, no rule broke, and no request"
+                        + " reached a node that was out for longer than is stated."
             })
     int agree(
             @Option(names = "--keepers", defaultValue = "5", description = "default: ${DEFAULT-VALUE}") int keepers,
@@ -99,7 +100,8 @@
             name = "bodies",
             mixinStandardHelpOptions = true,
             description = {
-                "Long bodies both ways through one balancer: half of the pairs have a client that trickles, half a node.",
+                "Long bodies both ways through one balancer: half of the pairs have a client that trickles, half a"
+                        + " node.",
                 "Ends with 0 if every pair is whole at both ends and memory stays flat under its ceiling."
             })
     int bodies(
--- a/src/main/java/sedgeyoke/cli/HuntCommand.java
+++ b/src/main/java/sedgeyoke/cli/HuntCommand.java
@@ -17,7 +17,8 @@
         name = "hunt",
         mixinStandardHelpOptions = true,
         description = {
-            "Looks through the scenarios that [hunt] of an experiment's file allows for the worst one, and makes it small.",
+            "Looks through the scenarios that [hunt] of an experiment's file allows for the worst one, and makes it"
+                    + " small.",
             "Ends with 1 if a rule was broken; the last line is one JSON object."
         })
 final class HuntCommand implements Callable<Integer> {
--- a/src/main/java/sedgeyoke/decide/ColdBucket.java
+++ b/src/main/java/sedgeyoke/decide/ColdBucket.java
@@ -11,6 +11,8 @@
  * under it is forfeited.
  */
 public final class ColdBucket {
+    private static final double SECONDS_PER_MICRO = 1e-6;
+
     private double tokens;
     private long at;
 
@@ -25,12 +27,10 @@
      *
      * @param own what our own right gives, in mean requests per microsecond
      * @param right what planners and we have agreed on, or null
-     * @param unit mean requests per microsecond that a granted rate of one stands for
      * @param quietUntil until then our own right may still be lent by a process that we were before
      * @param floor what may be saved up at least where no planner has a say
      */
-    public void refill(
-            long now, double own, ColdRight right, double unit, long quietUntil, long fallTime, double floor) {
+    public void refill(long now, double own, ColdRight right, long quietUntil, long fallTime, double floor) {
         if (right == null && at >= quietUntil) {
             tokens = Math.min(Math.max(own * fallTime, floor), tokens + own * (now - at));
             at = now;
@@ -41,8 +41,8 @@
         double gained = own * Math.max(0, now - Math.max(at, ownFrom));
         if (right != null) {
             for (ColdGrant g : right.grants()) {
-                rate += now < g.until() ? g.rate() * unit : 0;
-                gained += g.rate() * unit * Math.max(0, Math.min(now, g.until()) - at);
+                rate += now < g.until() ? g.rate() * SECONDS_PER_MICRO : 0;
+                gained += g.rate() * SECONDS_PER_MICRO * Math.max(0, Math.min(now, g.until()) - at);
             }
         }
         tokens = Math.min(rate * fallTime, tokens + gained);
--- a/src/main/java/sedgeyoke/decide/Policy.java
+++ b/src/main/java/sedgeyoke/decide/Policy.java
@@ -1024,7 +1024,7 @@
     private void refillCold(Up up, long now) {
         ColdRight right = planned.right(up.id, up.launchedAt());
         long fallTime = settings.rules().fallTime();
-        up.cold.refill(now, coldRate(up, now), right, 1e-6, planned.quietUntil(), fallTime, COLD_COST);
+        up.cold.refill(now, coldRate(up, now), right, planned.quietUntil(), fallTime, COLD_COST);
     }
 
     /**
--- a/src/main/java/sedgeyoke/drill/BodiesDrill.java
+++ b/src/main/java/sedgeyoke/drill/BodiesDrill.java
@@ -254,15 +254,9 @@
                 .put("rss_mb_start", round(start))
                 .put("rss_mb_peak", round(peak));
         ArrayNode quarters = figures.putArray("rss_mb_quarters");
-        double[] means = new double[QUARTERS];
-        for (int q = 0; q < QUARTERS; q++) {
-            int quarter = q;
-            means[q] = resident.stream()
-                    .filter(r -> (int) (r[0] * QUARTERS) == quarter)
-                    .mapToDouble(r -> r[1])
-                    .average()
-                    .orElse(0);
-            quarters.add(round(means[q]));
+        double[] means = residentByQuarter();
+        for (double mean : means) {
+            quarters.add(round(mean));
         }
         Matcher said = LAST_WORD.matcher(log);
         boolean heard = said.find();
@@ -285,6 +279,19 @@
                 complete == pairs && mismatches == 0 && cut == 0 && twice == 0 && flat && heard && largest <= ceiling);
     }
 
+    private double[] residentByQuarter() {
+        double[] means = new double[QUARTERS];
+        for (int q = 0; q < QUARTERS; q++) {
+            int quarter = q;
+            means[q] = resident.stream()
+                    .filter(r -> (int) (r[0] * QUARTERS) == quarter)
+                    .mapToDouble(r -> r[1])
+                    .average()
+                    .orElse(0);
+        }
+        return means;
+    }
+
     private static long count(List<BulkPair> among, End end) {
         return among.stream().filter(p -> p.end() == end).count();
     }
--- a/src/main/java/sedgeyoke/drill/PlannersDrill.java
+++ b/src/main/java/sedgeyoke/drill/PlannersDrill.java
@@ -178,12 +178,7 @@
             double utilisation = site.utilisationSince(worked, since);
             site.stopClients();
             Ledger.Summary summary = site.summary();
-            say(
-                    mode,
-                    "service " + round(summary.service()) + ", answers " + summary.answers() + ", p99 "
-                            + round(summary.p99Ms()) + " ms, cold peak " + round(summary.coldPeak()) + ", rules "
-                            + summary.violations() + ", utilisation "
-                            + round(utilisation));
+            say(mode, describe(summary, utilisation));
             List<String> violations = site.ask(site.ledger()::violations);
             violations.forEach(v -> System.err.println(mode.toString().toLowerCase(Locale.ROOT) + ": " + v));
             proxies.forEach(ways -> ways.forEach(FaultProxy::close));
@@ -195,6 +190,12 @@
         }
     }
 
+    private static String describe(Ledger.Summary summary, double utilisation) {
+        return "service " + round(summary.service()) + ", answers " + summary.answers() + ", p99 "
+                + round(summary.p99Ms()) + " ms, cold peak " + round(summary.coldPeak()) + ", rules "
+                + summary.violations() + ", utilisation " + round(utilisation);
+    }
+
     /** All runs begin at once: they share the machine, and none is to meet the starts of another. */
     private void awaitTheOthers() throws InterruptedException, IOException {
         try {
--- a/src/main/java/sedgeyoke/link/AgreeCodec.java
+++ b/src/main/java/sedgeyoke/link/AgreeCodec.java
@@ -402,43 +402,16 @@
             case VOTED -> new Message.Voted(
                     term, m.getVoted().getGranted(), m.getVoted().getSound());
             case APPEND -> append(term, m.getAppend());
-            case APPENDED -> new Message.Appended(
-                    term,
-                    m.getAppended().getOk(),
-                    m.getAppended().getMatched(),
-                    m.getAppended().getRound(),
-                    m.getAppended().getRun(),
-                    m.getAppended().getSound());
-            case PIECE -> new Message.Piece(
-                    term,
-                    m.getPiece().getCovered(),
-                    m.getPiece().getCoveredTerm(),
-                    m.getPiece().getOffset(),
-                    m.getPiece().getSize(),
-                    m.getPiece().getBytes().toByteArray(),
-                    m.getPiece().getRound());
+            case APPENDED -> appended(term, m.getAppended());
+            case PIECE -> piece(term, m.getPiece());
             case PIECE_TAKEN -> new Message.PieceTaken(
                     term,
                     m.getPieceTaken().getCovered(),
                     m.getPieceTaken().getNext(),
                     m.getPieceTaken().getRound());
             case STAND_NOW -> new Message.StandNow(term);
-            case RECALL -> {
-                if (m.getRecall().getRunsCount() == 0 || m.getRecall().getRunsCount() > 1_000) {
-                    throw new Messages.Implausible("runs");
-                }
-                yield new Message.Recall(
-                        term, m.getRecall().getRunsList(), m.getRecall().getNumber());
-            }
-            case RECALLED -> new Message.Recalled(
-                    term,
-                    m.getRecalled().getNumber(),
-                    m.getRecalled().getPast(),
-                    m.getRecalled().getSound(),
-                    m.getRecalled().getLost(),
-                    m.getRecalled().getLeads(),
-                    m.getRecalled().getLastIndex(),
-                    m.getRecalled().getKnownRun());
+            case RECALL -> recall(term, m.getRecall());
+            case RECALLED -> recalled(term, m.getRecalled());
             case NOT_A_MEMBER -> new Message.NotAMember(term, m.getNotAMember());
             case FORWARD -> new Message.Forward(
                     term, m.getForward().getToken(), request(m.getForward().getRequest()));
@@ -459,6 +432,40 @@
         };
     }
 
+    private static Message appended(long term, AppendedMessage m) {
+        return new Message.Appended(term, m.getOk(), m.getMatched(), m.getRound(), m.getRun(), m.getSound());
+    }
+
+    private static Message piece(long term, PieceMessage m) {
+        return new Message.Piece(
+                term,
+                m.getCovered(),
+                m.getCoveredTerm(),
+                m.getOffset(),
+                m.getSize(),
+                m.getBytes().toByteArray(),
+                m.getRound());
+    }
+
+    private static Message recall(long term, RecallMessage m) throws Messages.Implausible {
+        if (m.getRunsCount() == 0 || m.getRunsCount() > 1_000) {
+            throw new Messages.Implausible("runs");
+        }
+        return new Message.Recall(term, m.getRunsList(), m.getNumber());
+    }
+
+    private static Message recalled(long term, RecalledMessage m) {
+        return new Message.Recalled(
+                term,
+                m.getNumber(),
+                m.getPast(),
+                m.getSound(),
+                m.getLost(),
+                m.getLeads(),
+                m.getLastIndex(),
+                m.getKnownRun());
+    }
+
     private static Message append(long term, AppendMessage m) throws Messages.Implausible {
         List<Entry> entries = new ArrayList<>(m.getEntriesCount());
         long expected = m.getPrevIndex();
--- a/src/test/java/sedgeyoke/net/AnswersTest.java
+++ b/src/test/java/sedgeyoke/net/AnswersTest.java
@@ -113,11 +113,11 @@
 
     @Test
     void informationalAnswersAheadAreSkipped() throws Exception {
-        try (Peer up = new Peer(
-                        (request, socket) -> Peer.write(
-                                socket,
-                                "HTTP/1.1 100 Continue\r\n\r\n"
-                                        + "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"));
+        try (Peer up = new Peer((request, socket) -> Peer.write(
+                        socket,
+                        "HTTP/1.1 100 Continue\r\n\r\n"
+                                + "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                                + "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"));
                 Loopback lb = oneAfterTheOther(up)) {
             assertEquals("x", lb.ask("id-1", "order", LONG_MS).body());
             assertEquals("x", lb.ask("id-2", "order", LONG_MS).body());
--- a/src/test/java/sedgeyoke/net/EndingTest.java
+++ b/src/test/java/sedgeyoke/net/EndingTest.java
@@ -108,6 +108,18 @@
         assertEquals(List.of(), faults);
     }
 
+    /** Waits until then, and tells for how long at most this thread did not run. */
+    private static long longestStall(long untilNanos) {
+        long still = 0;
+        for (long t = System.nanoTime(); t < untilNanos; ) {
+            java.util.concurrent.locks.LockSupport.parkNanos(2_000_000);
+            long now = System.nanoTime();
+            still = Math.max(still, now - t);
+            t = now;
+        }
+        return still;
+    }
+
     /** False if the judge stood still itself: then it cannot tell what was answered in time, and plays again. */
     private static boolean play(int heldBeforeKill, List<String> faults) throws Exception {
         AtomicInteger taken = new AtomicInteger();
@@ -154,13 +166,7 @@
                     }))
                     .toList();
             asking.forEach(Thread::start);
-            long still = 0;
-            for (long t = System.nanoTime(); t < told[0] + KILLED * 1_000; ) {
-                java.util.concurrent.locks.LockSupport.parkNanos(2_000_000);
-                long now = System.nanoTime();
-                still = Math.max(still, now - t);
-                t = now;
-            }
+            long still = longestStall(told[0] + KILLED * 1_000);
             int inTime = answered.get();
             int known = taken.get();
             for (Thread a : asking) {
--- a/src/test/java/sedgeyoke/net/OperatorTest.java
+++ b/src/test/java/sedgeyoke/net/OperatorTest.java
@@ -61,8 +61,10 @@
             delimiter = '|',
             value = {
                 "[bodies];ceiling_kib = 7 | operator.toml:2: bodies.ceiling_kib",
-                "[planner];enabled = true;name = 'p';listen = '127.0.0.1:0';certificate = 'c';key = 'k';trust = 'c' |planner's",
-                "[plans];enabled = true;planners = ['127.0.0.1:1'];certificate = 'c';key = 'k';trust = 't' | TLS files"
+                "[planner];enabled = true;name = 'p';listen = '127.0.0.1:0';certificate = 'c';key = 'k';trust = 'c'"
+                        + " |planner's",
+                "[plans];enabled = true;planners = ['127.0.0.1:1'];certificate = 'c';key = 'k';trust = 't'"
+                        + " | TLS files"
             })
     void aFileThatIsNoGoodEndsTheStart(String operator, String named) throws Exception {
         Process process = start(operator.replace(';', '\n').replace('\'', '"'));
--- a/src/test/java/sedgeyoke/operator/OperatorFileTest.java
+++ b/src/test/java/sedgeyoke/operator/OperatorFileTest.java
@@ -65,7 +65,7 @@
                 "[plans];planners = ['127.0.0.1:99999']         | 2 | plans.planners      | ip:port",
                 "[plans];planners = ['1.1.1.1:1', '1.1.1.1:1']  | 2 | plans.planners      | twice",
                 "[plans];planners = [1]                         | 2 | plans.planners      | list of texts",
-                "[plans];planer = []                            | 2 | plans.planer        | keys of [plans] are enabled",
+                "[plans];planer = []                           | 2 | plans.planer        | keys of [plans] are enabled",
                 "[plan];x = 1 | 1 | plan                | sections are plans, bodies, planner",
                 "x = 1 | 1 | x                   | sections are plans, bodies, planner",
                 "[plans];enabled = true                         | 2 | plans.planners      | is needed",
--- a/src/test/java/sedgeyoke/plan/PlanSimulation.java
+++ b/src/test/java/sedgeyoke/plan/PlanSimulation.java
@@ -185,7 +185,7 @@
         }
 
         private void refill(int n) {
-            buckets[n].refill(clock(), BASE / 1e6, right(n), 1e-6, plan.quietUntil(), faults.saveFor, 0);
+            buckets[n].refill(clock(), BASE / 1e6, right(n), plan.quietUntil(), faults.saveFor, 0);
         }
 
         private void install() {
