Formatted: the wider replay of the decision module

Need: the replay came from the program as it was before it was formatted.

Change: the formatter's form of it, nothing else.

--- a/src/test/java/sedgeyoke/decide/PolicyReplayTest.java
+++ b/src/test/java/sedgeyoke/decide/PolicyReplayTest.java
@@ -58,8 +58,30 @@
 
     /** What enters the digest, events first; its code is the ordinal. */
     private enum Kind {
-        START, LIST, REQUEST, OUTCOME, OPENED, TRANSFERS, CLIENT_GONE, PROBED, TIMER_DUE, PEER, PLAN, CORDONS, SUMMARY,
-        SEND, REFUSE, FAIL, CANCEL, TIMER, PROBE, WATCH, CLOSE_IDLE, FETCH, TELL, LOG
+        START,
+        LIST,
+        REQUEST,
+        OUTCOME,
+        OPENED,
+        TRANSFERS,
+        CLIENT_GONE,
+        PROBED,
+        TIMER_DUE,
+        PEER,
+        PLAN,
+        CORDONS,
+        SUMMARY,
+        SEND,
+        REFUSE,
+        FAIL,
+        CANCEL,
+        TIMER,
+        PROBE,
+        WATCH,
+        CLOSE_IDLE,
+        FETCH,
+        TELL,
+        LOG
     }
 
     @Test
@@ -81,13 +103,14 @@
 
     private static void assertCovered(int[] counts) {
         for (Kind kind : Kind.values()) {
-            int least = switch (kind) {
-                case START -> SEEDS;
-                case CLOSE_IDLE, FETCH, TELL, LOG -> 0; // the module has no use for them
-                case PROBE, WATCH, CORDONS -> 150;
-                case SEND, REQUEST, OUTCOME, TIMER_DUE, TIMER -> 20_000;
-                default -> 500;
-            };
+            int least =
+                    switch (kind) {
+                        case START -> SEEDS;
+                        case CLOSE_IDLE, FETCH, TELL, LOG -> 0; // the module has no use for them
+                        case PROBE, WATCH, CORDONS -> 150;
+                        case SEND, REQUEST, OUTCOME, TIMER_DUE, TIMER -> 20_000;
+                        default -> 500;
+                    };
             int count = counts[kind.ordinal()];
             assertTrue(count >= least, () -> kind + " occurred only " + count + " times");
         }
@@ -98,7 +121,10 @@
         for (int group = 0; group < found.size(); group++) {
             boolean same = found.get(group).equals(EXPECTED_GROUPS.get(group));
             text.append(Replay.manyBalancers(group) ? "more balancers than upstreams" : "few balancers")
-                    .append(", reports ").append(Replay.reports(group)).append(": ").append(found.get(group))
+                    .append(", reports ")
+                    .append(Replay.reports(group))
+                    .append(": ")
+                    .append(found.get(group))
                     .append(same ? " as before\n" : " DIFFERS\n");
         }
         return text.toString();
@@ -185,7 +211,7 @@
     }
 
     /** A thing to do later. */
-    private record Due(long at, long number, Runnable task) { }
+    private record Due(long at, long number, Runnable task) {}
 
     /** One run: a host that plays clients, upstreams, discovery, planners and operators at random. */
     private static final class Replay implements Balancer.Actions {
@@ -195,8 +221,8 @@
         private static final int DEAD = 3;
         /** Traffic so thin that the sample of upstreams is the least one; it plays fewer steps, as each is long. */
         private static final long THIN_PACE = 400;
-        private static final double[] NONSENSE =
-            {Double.NaN, -1, 1e300, 0, Double.POSITIVE_INFINITY, -0.3, 1.5, 3};
+
+        private static final double[] NONSENSE = {Double.NaN, -1, 1e300, 0, Double.POSITIVE_INFINITY, -0.3, 1.5, 3};
 
         private final SplittableRandom random;
         private final Journal journal;
@@ -245,9 +271,16 @@
         private Settings settings(int seed) {
             List<RequestClass> classes = new ArrayList<>();
             for (int i = 0; i < 5; i++) {
-                classes.add(new RequestClass(one(50, 200, 600) * MILLI, random.nextInt(2), one(1, 2, 3) * SECOND,
-                        1 + random.nextInt(4), random.nextInt(2) * 0.5, Effect.values()[i % 3],
-                        Scope.values()[random.nextInt(3)], one(100, 1_000, 5_000) * MILLI, chance(0.3)));
+                classes.add(new RequestClass(
+                        one(50, 200, 600) * MILLI,
+                        random.nextInt(2),
+                        one(1, 2, 3) * SECOND,
+                        1 + random.nextInt(4),
+                        random.nextInt(2) * 0.5,
+                        Effect.values()[i % 3],
+                        Scope.values()[random.nextInt(3)],
+                        one(100, 1_000, 5_000) * MILLI,
+                        chance(0.3)));
             }
             List<Tenant> tenants = new ArrayList<>();
             for (int i = random.nextInt(4); i > 0; i--) {
@@ -255,14 +288,43 @@
             }
             int zones = 1 + random.nextInt(3);
             int group = manyBalancers(seed) ? upstreams + random.nextInt(12) : 1 + random.nextInt(3);
-            Limits limits = new Limits(1 + random.nextInt(4), chance(0.5), chance(0.8), chance(0.7), chance(0.5),
-                    20_000, chance(0.5), SECOND, SECOND / 4, 10 * SECOND, 1);
-            RuleFigures rules = new RuleFigures(20 * MILLI, one(1, 4, 10) * SECOND, 0.1 + 0.4 * random.nextDouble(),
-                    one(0, 3, 20) * SECOND, SECOND, 1 + random.nextInt(4), one(1, 2, 4) * SECOND);
+            Limits limits = new Limits(
+                    1 + random.nextInt(4),
+                    chance(0.5),
+                    chance(0.8),
+                    chance(0.7),
+                    chance(0.5),
+                    20_000,
+                    chance(0.5),
+                    SECOND,
+                    SECOND / 4,
+                    10 * SECOND,
+                    1);
+            RuleFigures rules = new RuleFigures(
+                    20 * MILLI,
+                    one(1, 4, 10) * SECOND,
+                    0.1 + 0.4 * random.nextDouble(),
+                    one(0, 3, 20) * SECOND,
+                    SECOND,
+                    1 + random.nextInt(4),
+                    one(1, 2, 4) * SECOND);
             Prices prices = new Prices(random.nextInt(2) * 0.02, 0.1, random.nextInt(2) * 0.001, 0.05, 0);
-            return new Settings(random.nextInt(zones), zones, random.nextInt(20), group, classes, tenants, 0.2,
-                    chance(0.5), limits, rules, prices, Reports.values()[reports(seed)],
-                    Ratings.values()[random.nextInt(Ratings.values().length)], chance(0.6), chance(0.6),
+            return new Settings(
+                    random.nextInt(zones),
+                    zones,
+                    random.nextInt(20),
+                    group,
+                    classes,
+                    tenants,
+                    0.2,
+                    chance(0.5),
+                    limits,
+                    rules,
+                    prices,
+                    Reports.values()[reports(seed)],
+                    Ratings.values()[random.nextInt(Ratings.values().length)],
+                    chance(0.6),
+                    chance(0.6),
                     random.nextInt(6) * MILLI);
         }
 
@@ -332,12 +394,28 @@
         private void request() {
             String id = "r" + requests++;
             long expected = chance(0.5) ? 0 : 1 + random.nextLong(3 * work);
-            Request r = new Request(id, random.nextInt(settings.classes().size()), random.nextInt(5) - 1,
-                    chance(0.5) ? "k" + random.nextInt(30) : null, expected,
+            Request r = new Request(
+                    id,
+                    random.nextInt(settings.classes().size()),
+                    random.nextInt(5) - 1,
+                    chance(0.5) ? "k" + random.nextInt(30) : null,
+                    expected,
                     chance(0.05) ? random.nextLong(50 * MILLI) : 300 * MILLI + random.nextLong(3 * SECOND),
-                    chance(0.5), chance(0.2), chance(0.1));
-            journal.note(Kind.REQUEST, now, id, r.classIndex(), r.tenant(), r.key(), r.expectedWork(), r.timeLeft(),
-                    r.write(), r.retry(), r.coming());
+                    chance(0.5),
+                    chance(0.2),
+                    chance(0.1));
+            journal.note(
+                    Kind.REQUEST,
+                    now,
+                    id,
+                    r.classIndex(),
+                    r.tenant(),
+                    r.key(),
+                    r.expectedWork(),
+                    r.timeLeft(),
+                    r.write(),
+                    r.retry(),
+                    r.coming());
             balancer.request(now, r);
         }
 
@@ -379,9 +457,14 @@
 
         private LoadReport load(String upstream) {
             Played p = played.get(Integer.parseInt(upstream.substring(1)));
-            double[] v = {Math.min(1, p.busy / 5.0 * p.slowness + 0.2 * random.nextDouble()),
-                p.busy + random.nextInt(3), random.nextInt(3), work * p.slowness * (0.7 + 0.6 * random.nextDouble()),
-                random.nextInt(50), random.nextInt(3)};
+            double[] v = {
+                Math.min(1, p.busy / 5.0 * p.slowness + 0.2 * random.nextDouble()),
+                p.busy + random.nextInt(3),
+                random.nextInt(3),
+                work * p.slowness * (0.7 + 0.6 * random.nextDouble()),
+                random.nextInt(50),
+                random.nextInt(3)
+            };
             for (int i = 0; i < v.length; i++) {
                 v[i] = chance(0.05) ? NONSENSE[random.nextInt(NONSENSE.length)] : v[i];
             }
@@ -413,11 +496,17 @@
             for (int i = first; i < Math.min(UNIVERSE, first + size); i++) {
                 Played p = played.get(i);
                 p.launchedAt = chance(0.4) ? now - random.nextLong(4 * SECOND) : p.launchedAt;
-                State state = kind == ListKind.CHANGES && chance(0.3) ? State.values()[1 + random.nextInt(2)]
-                        : State.READY;
+                State state =
+                        kind == ListKind.CHANGES && chance(0.3) ? State.values()[1 + random.nextInt(2)] : State.READY;
                 double rating = chance(0.1) ? NONSENSE[random.nextInt(4)] : 0.5 + random.nextDouble();
-                Upstream e = new Upstream("u" + i, i % settings.zones(), i % 4 / 2, i % 3, state,
-                        rating > 100 ? 100 : rating, p.launchedAt);
+                Upstream e = new Upstream(
+                        "u" + i,
+                        i % settings.zones(),
+                        i % 4 / 2,
+                        i % 3,
+                        state,
+                        rating > 100 ? 100 : rating,
+                        p.launchedAt);
                 entries.add(e);
                 journal.put(e.id());
                 journal.put(state);
@@ -497,8 +586,19 @@
             journal.note(Kind.SUMMARY, now, s.held());
             s.demand().forEach(journal::put);
             for (Standing u : s.upstreams()) {
-                List<Object> values = List.of(u.id(), u.zone(), u.state(), u.launchedAt(), u.inFlight(), u.sent(),
-                        u.weight(), u.limit(), u.utilisation(), u.waiting(), u.reportedAt(), u.ejected(),
+                List<Object> values = List.of(
+                        u.id(),
+                        u.zone(),
+                        u.state(),
+                        u.launchedAt(),
+                        u.inFlight(),
+                        u.sent(),
+                        u.weight(),
+                        u.limit(),
+                        u.utilisation(),
+                        u.waiting(),
+                        u.reportedAt(),
+                        u.ejected(),
                         u.coldRight());
                 values.forEach(journal::put);
             }
@@ -531,8 +631,8 @@
                 case 2 -> later(SECOND + 20 * took, () -> end(a, chance(0.5) ? Outcome.TIMEOUT : Outcome.OK));
                 case DEAD -> later(MILLI, () -> end(a, Outcome.CONNECT_FAILED));
                 case 4 -> later(MILLI, () -> end(a, Outcome.FULL));
-                case 5 -> later(took / 2,
-                        () -> end(a, chance(0.2) ? Outcome.OK : chance(0.5) ? Outcome.ERROR : Outcome.RESET));
+                case 5 -> later(
+                        took / 2, () -> end(a, chance(0.2) ? Outcome.OK : chance(0.5) ? Outcome.ERROR : Outcome.RESET));
                 default -> later(took, () -> end(a, Outcome.OK));
             }
         }
