--- a/bench/src/PlanCost.java
+++ b/bench/src/PlanCost.java
@@ -1,4 +1,4 @@
-package sedgeyoke.link;
+package sedgeyoke.plan.remote;
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
--- a/bench/src/PlannerScale.java
+++ b/bench/src/PlannerScale.java
@@ -1,4 +1,4 @@
-package sedgeyoke.link;
+package sedgeyoke.plan.remote;
 
 import com.google.protobuf.ByteString;
 import java.lang.ref.Reference;
@@ -6,11 +6,11 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
-import sedgeyoke.link.proto.Frame;
-import sedgeyoke.plan.LeaseTerms;
+import sedgeyoke.lease.LeaseClock;
+import sedgeyoke.plan.ForwarderReport;
 import sedgeyoke.plan.PlanMessage;
 import sedgeyoke.plan.Planner;
-import sedgeyoke.plan.Report;
+import sedgeyoke.transport.proto.Frame;
 
 /**
  * PlannerScale: what a plan costs for 10, 100 and 1,000 forwarders and as many upstreams, messages encoded and read.
@@ -36,7 +36,7 @@
     }
 
     private static void play(int forwarders, int upstreams, int cold) throws Exception {
-        Planner planner = new Planner(new Planner.Settings("p", 7, forwarders, upstreams), new LeaseTerms(1_000));
+        Planner planner = new Planner(new Planner.Settings("p", 7, forwarders, upstreams), new LeaseClock(1_000));
         SplittableRandom random = new SplittableRandom(1);
         long[] plans = new long[ROUNDS - WARM_UP];
         long reports = 0;
@@ -104,12 +104,13 @@
         Reference.reachabilityFence(planner); // the heap was to be measured with it
     }
 
-    private static Report report(int f, int round, long stamp, int upstreams, int cold, SplittableRandom random) {
-        List<Report.Load> loads = new ArrayList<>();
+    private static ForwarderReport report(
+            int f, int round, long stamp, int upstreams, int cold, SplittableRandom random) {
+        List<ForwarderReport.Load> loads = new ArrayList<>();
         int n = Math.min(upstreams, Report.MOST_LOADS);
         for (int i = 0; i < n; i++) {
             int u = (round * n + f + i) % upstreams;
-            loads.add(new Report.Load(
+            loads.add(new ForwarderReport.Load(
                     String.format("s-%08x", u * 0x9E3779B9),
                     u % 3,
                     false,
@@ -126,7 +127,7 @@
         for (int u = 0; u < Math.min(cold, Report.MOST_DEPOSITS); u++) {
             deposits.add(new Report.Deposit(String.format("s-%08x", u * 0x9E3779B9), 1_764_580_000_000_000L, 0.05));
         }
-        return new Report(
+        return new ForwarderReport(
                 "f" + f,
                 3,
                 round + 1,
--- a/src/main/java/sedgeyoke/body/Pace.java
+++ b/src/main/java/sedgeyoke/body/MinimumTransferRate.java
@@ -4,7 +4,7 @@
  * Whether an upload is fast enough: over each window it must bring its least rate, and in all it must not take longer
  * than it may. Time in which we ourselves read nothing is not held against it. Times are microseconds.
  */
-public final class Pace {
+public final class MinimumTransferRate {
     private final BodyLimits limits;
     private final long startedAt;
     private long windowAt;
@@ -13,7 +13,7 @@
     private long paused;
 
     /** An upload that begins now. */
-    public Pace(BodyLimits limits, long now) {
+    public MinimumTransferRate(BodyLimits limits, long now) {
         this.limits = limits;
         this.startedAt = now;
         this.windowAt = now;
--- a/src/main/java/sedgeyoke/body/CutRequest.java
+++ b/src/main/java/sedgeyoke/body/PartialRequestPolicy.java
@@ -1,8 +1,8 @@
 package sedgeyoke.body;
 
-import sedgeyoke.decide.Balancer.Effect;
-import sedgeyoke.decide.Balancer.Outcome;
-import sedgeyoke.decide.Balancer.Scope;
+import sedgeyoke.policy.LoadBalancingPolicy.Effect;
+import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
+import sedgeyoke.policy.LoadBalancingPolicy.Scope;
 
 /**
  * What becomes of a request when an attempt of it ends, by how far its body got. While the body is whole here, or
@@ -10,8 +10,8 @@
  * further attempt can be made by anyone, and only the rules on refusals are left: PROTOCOL says when "trying again is
  * harmless".
  */
-public final class CutRequest {
-    private CutRequest() {}
+public final class PartialRequestPolicy {
+    private PartialRequestPolicy() {}
 
     /** How far the body of a request got. */
     public enum Body {
--- a/src/main/java/sedgeyoke/cli/Check.java
+++ b/src/main/java/sedgeyoke/cli/CheckCommand.java
@@ -6,15 +6,15 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
-import sedgeyoke.operator.BadOperatorFile;
-import sedgeyoke.operator.OperatorFile;
+import sedgeyoke.settings.InvalidOperatorFileException;
+import sedgeyoke.settings.OperatorFile;
 
 /** {@code check}: whether an operator's file is in order, with all that is wrong in it. */
 @Command(
         name = "check",
         mixinStandardHelpOptions = true,
         description = "Reads an operator's file as a start would, and says all that is wrong with it.")
-final class Check implements Callable<Integer> {
+final class CheckCommand implements Callable<Integer> {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
@@ -44,7 +44,7 @@
                     + (read.keeper().enabled() ? "on" : "off") + ", planner "
                     + (read.planner().enabled() ? "on" : "off"));
             return 0;
-        } catch (BadOperatorFile e) {
+        } catch (InvalidOperatorFileException e) {
             spec.commandLine().getErr().println(e.getMessage());
             return 1;
         }
--- a/src/main/java/sedgeyoke/cli/KeeperCommand.java
+++ b/src/main/java/sedgeyoke/cli/ConfigClientOptions.java
@@ -5,14 +5,14 @@
 import java.nio.file.Path;
 import picocli.CommandLine;
 import picocli.CommandLine.Option;
-import sedgeyoke.agree.Outcome;
-import sedgeyoke.link.KeeperClient;
-import sedgeyoke.operator.BadOperatorFile;
-import sedgeyoke.operator.ClientSettings;
-import sedgeyoke.operator.OperatorFile;
+import sedgeyoke.consensus.RequestResult;
+import sedgeyoke.consensus.server.ConfigClient;
+import sedgeyoke.settings.ClientSettings;
+import sedgeyoke.settings.InvalidOperatorFileException;
+import sedgeyoke.settings.OperatorFile;
 
 /** What all commands that ask the keepers have in common: how they reach them, and what their exit codes say. */
-final class KeeperCommand {
+final class ConfigClientOptions {
     static final int REFUSED = 1;
     static final int UNKNOWN = 3;
     static final int NO_QUORUM = 4;
@@ -38,7 +38,7 @@
 
     /** What a command does once it has a way to the keepers. */
     interface Work {
-        int with(KeeperClient client, ClientSettings settings) throws InterruptedException, IOException;
+        int with(ConfigClient client, ClientSettings settings) throws InterruptedException, IOException;
     }
 
     int run(CommandLine.Model.CommandSpec spec, Work work) throws InterruptedException {
@@ -49,10 +49,10 @@
         }
         try {
             ClientSettings settings = OperatorFile.load(config).operator();
-            try (KeeperClient client = new KeeperClient(settings.keepers(), settings.name(), settings.tls())) {
+            try (ConfigClient client = new ConfigClient(settings.keepers(), settings.name(), settings.tls())) {
                 return work.with(client, settings);
             }
-        } catch (BadOperatorFile | IOException e) {
+        } catch (InvalidOperatorFileException | IOException e) {
             err.println(e.getMessage());
             return CommandLine.ExitCode.USAGE;
         }
@@ -62,7 +62,7 @@
         return 1_000L * timeout;
     }
 
-    static int code(Outcome outcome) {
+    static int code(RequestResult outcome) {
         return switch (outcome.kind()) {
             case DONE -> 0;
             case CONFLICT, REFUSED -> REFUSED;
--- a/src/main/java/sedgeyoke/cli/Keep.java
+++ b/src/main/java/sedgeyoke/cli/ConfigServerCommand.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import sedgeyoke.link.KeeperMain;
+import sedgeyoke.consensus.server.ConfigServerMain;
 
 /** {@code keep}: one keeper. */
 @Command(
@@ -14,7 +14,7 @@
             "Runs one keeper until SIGTERM, as [keeper] in the operator's file sets it.",
             "Ends with 2 if it cannot start, and with 3 if its disk has failed."
         })
-final class Keep implements Callable<Integer> {
+final class ConfigServerCommand implements Callable<Integer> {
     @Option(
             names = "--config",
             paramLabel = "FILE",
@@ -30,6 +30,6 @@
 
     @Override
     public Integer call() throws InterruptedException {
-        return KeeperMain.run(config, found);
+        return ConfigServerMain.run(config, found);
     }
 }
--- a/src/main/java/sedgeyoke/cli/KeepersCommand.java
+++ b/src/main/java/sedgeyoke/cli/ConfigServersCommand.java
@@ -11,21 +11,21 @@
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
-import sedgeyoke.agree.Member;
-import sedgeyoke.agree.Outcome;
-import sedgeyoke.agree.Request;
-import sedgeyoke.link.KeeperClient;
-import sedgeyoke.link.KeeperFolder;
-import sedgeyoke.store.DiskFault;
+import sedgeyoke.consensus.ClientRequest;
+import sedgeyoke.consensus.Member;
+import sedgeyoke.consensus.RequestResult;
+import sedgeyoke.consensus.server.ConfigClient;
+import sedgeyoke.consensus.storage.ReplicaStorage;
+import sedgeyoke.store.DiskException;
 import sedgeyoke.store.FileDisk;
 
 /** {@code keepers}: those who hold what the tier has agreed on. */
 @Command(
         name = "keepers",
         mixinStandardHelpOptions = true,
-        footer = {"", KeeperCommand.EXIT_CODES},
+        footer = {"", ConfigClientOptions.EXIT_CODES},
         description = "Looks after the keepers of a tier.")
-final class KeepersCommand implements Runnable {
+final class ConfigServersCommand implements Runnable {
     private static final ObjectMapper JSON = new ObjectMapper();
 
     @CommandLine.Spec
@@ -37,14 +37,14 @@
     }
 
     @Command(name = "status", mixinStandardHelpOptions = true, description = "What each keeper says of itself.")
-    int status(@Mixin KeeperCommand common) throws InterruptedException {
+    int status(@Mixin ConfigClientOptions common) throws InterruptedException {
         return common.run(spec, (client, settings) -> {
             PrintWriter out = spec.commandLine().getOut();
             ArrayNode all = JSON.createArrayNode();
             int sound = 0;
             int voters = settings.keepers().size();
             for (InetSocketAddress at : settings.keepers()) {
-                KeeperClient.Status s = client.status(at);
+                ConfigClient.Status s = client.status(at);
                 if (s == null) {
                     out.print(common.json ? "" : at + "  does not answer\n");
                     continue;
@@ -75,7 +75,7 @@
             if (common.json) {
                 out.println(all);
             }
-            return sound > voters / 2 ? 0 : KeeperCommand.NO_QUORUM;
+            return sound > voters / 2 ? 0 : ConfigClientOptions.NO_QUORUM;
         });
     }
 
@@ -84,7 +84,7 @@
             mixinStandardHelpOptions = true,
             description = "A keeper joins; it decides with the others once it has caught up.")
     int add(
-            @Mixin KeeperCommand common,
+            @Mixin ConfigClientOptions common,
             @Parameters(paramLabel = "NAME=ADDRESS") String keeper,
             @Option(
                             names = "--folder",
@@ -97,22 +97,24 @@
         if (parts.length != 2) {
             throw new CommandLine.ParameterException(spec.commandLine(), "NAME=ADDRESS, not " + keeper);
         }
-        return change(common, new Request.Add(new Member(parts[0], Long.parseUnsignedLong(folder, 16), parts[1])));
+        return change(
+                common, new ClientRequest.Add(new Member(parts[0], Long.parseUnsignedLong(folder, 16), parts[1])));
     }
 
     @Command(name = "remove", mixinStandardHelpOptions = true, description = "A keeper goes.")
-    int remove(@Mixin KeeperCommand common, @Parameters(paramLabel = "NAME") String name) throws InterruptedException {
-        return change(common, new Request.Remove(name, 0));
+    int remove(@Mixin ConfigClientOptions common, @Parameters(paramLabel = "NAME") String name)
+            throws InterruptedException {
+        return change(common, new ClientRequest.Remove(name, 0));
     }
 
-    private int change(KeeperCommand common, Request request) throws InterruptedException {
+    private int change(ConfigClientOptions common, ClientRequest request) throws InterruptedException {
         return common.run(spec, (client, settings) -> {
-            Outcome outcome = client.ask(request, common.withinMs()).outcome();
+            RequestResult outcome = client.ask(request, common.withinMs()).outcome();
             spec.commandLine()
                     .getOut()
                     .println(outcome.kind().name().toLowerCase()
                             + (outcome.text().isEmpty() ? "" : ": " + outcome.text()));
-            return KeeperCommand.code(outcome);
+            return ConfigClientOptions.code(outcome);
         });
     }
 
@@ -127,15 +129,15 @@
             return CommandLine.ExitCode.USAGE;
         }
         try (FileDisk disk = FileDisk.take(folder)) {
-            KeeperFolder.Report report = KeeperFolder.check(disk);
+            ReplicaStorage.Report report = ReplicaStorage.check(disk);
             out.println("keeper " + report.keeper() + " of tier " + report.tier() + ", folder "
                     + Long.toHexString(report.folder()) + ", term " + report.term() + ", entries up to "
                     + report.last() + (report.covered() == 0 ? "" : ", snapshot up to " + report.covered()));
             report.damage().forEach(d -> out.println("  lost: " + d));
-            return report.damage().isEmpty() ? 0 : KeeperCommand.REFUSED;
-        } catch (DiskFault | KeeperFolder.Unusable e) {
+            return report.damage().isEmpty() ? 0 : ConfigClientOptions.REFUSED;
+        } catch (DiskException | ReplicaStorage.Unusable e) {
             spec.commandLine().getErr().println(folder + ": " + e.getMessage());
-            return KeeperCommand.REFUSED;
+            return ConfigClientOptions.REFUSED;
         }
     }
 }
--- a/src/main/java/sedgeyoke/cli/Demo.java
+++ b/src/main/java/sedgeyoke/cli/DemoCommand.java
@@ -14,7 +14,7 @@
             "Plays discovery, order nodes, three balancers and their clients on loopback.",
             "Ends with 0, or with 1 and the rule that broke."
         })
-final class Demo implements Callable<Integer> {
+final class DemoCommand implements Callable<Integer> {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
--- a/src/main/java/sedgeyoke/cli/Drill.java
+++ b/src/main/java/sedgeyoke/cli/DrillCommand.java
@@ -5,8 +5,8 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import sedgeyoke.drill.AgreeDrill;
 import sedgeyoke.drill.BodiesDrill;
+import sedgeyoke.drill.ConsensusDrill;
 import sedgeyoke.drill.PlannersDrill;
 import sedgeyoke.drill.ProgramProcess;
 
@@ -15,7 +15,7 @@
         name = "drill",
         mixinStandardHelpOptions = true,
         description = "Plays faults against real processes on loopback; the last line is one JSON object.")
-final class Drill implements Runnable {
+final class DrillCommand implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
@@ -45,7 +45,7 @@
                             defaultValue = "faults",
                             description = "faults, quiet (the same without them) or"
                                     + " without (nothing is agreed, each balancer is told by itself)")
-                    AgreeDrill.Mode mode,
+                    ConsensusDrill.Mode mode,
             @Option(names = "--json", description = "nothing but the last line") boolean json)
             throws Exception {
         if (keepers < 1 || keepers > 7 || balancers < 3 || balancers > 60 || seconds < 12 || seconds > 3_600) {
@@ -55,7 +55,7 @@
         PrintWriter out = spec.commandLine().getOut();
         return conclude(
                 out,
-                new AgreeDrill(
+                new ConsensusDrill(
                                 keepers,
                                 balancers,
                                 seconds,
--- a/src/main/java/sedgeyoke/cli/ExperimentCommand.java
+++ b/src/main/java/sedgeyoke/cli/ExperimentCommand.java
@@ -8,9 +8,9 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
-import sedgeyoke.experiment.BadExperiment;
 import sedgeyoke.experiment.Experiment;
 import sedgeyoke.experiment.ExperimentFile;
+import sedgeyoke.experiment.InvalidExperimentException;
 
 /** {@code experiment FILE}: plays variants of a scenario in virtual time, with the same seeds, and compares them. */
 @Command(
@@ -64,7 +64,7 @@
                                     resume),
                             json ? new PrintWriter(PrintWriter.nullWriter()) : printer)
                     .run();
-        } catch (BadExperiment e) {
+        } catch (InvalidExperimentException e) {
             spec.commandLine().getErr().println(e.getMessage());
             return CommandLine.ExitCode.USAGE;
         }
--- a/src/main/java/sedgeyoke/cli/Plan.java
+++ b/src/main/java/sedgeyoke/cli/PlannerCommand.java
@@ -4,14 +4,14 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import sedgeyoke.link.PlannerMain;
+import sedgeyoke.plan.remote.PlannerMain;
 
 /** {@code plan}: one planner. */
 @Command(
         name = "plan",
         mixinStandardHelpOptions = true,
         description = "Runs one planner until SIGTERM, as [planner] in the operator's file sets it.")
-final class Plan implements Callable<Integer> {
+final class PlannerCommand implements Callable<Integer> {
     @Option(
             names = "--config",
             paramLabel = "FILE",
--- a/src/main/java/sedgeyoke/cli/Sedgeyoke.java
+++ b/src/main/java/sedgeyoke/cli/Sedgeyoke.java
@@ -12,16 +12,16 @@
         versionProvider = Sedgeyoke.Version.class,
         description = "A load balancer whose decisions follow reported utilisation.",
         subcommands = {
-            Serve.class,
-            Plan.class,
-            Keep.class,
+            ServeCommand.class,
+            PlannerCommand.class,
+            ConfigServerCommand.class,
             SettingsCommand.class,
-            KeepersCommand.class,
-            Check.class,
-            Demo.class,
-            Drill.class,
+            ConfigServersCommand.class,
+            CheckCommand.class,
+            DemoCommand.class,
+            DrillCommand.class,
             ExperimentCommand.class,
-            HuntCommand.class
+            WorstCaseSearchCommand.class
         },
         footer = {"", "Exit codes: 0 done, 1 a rule was broken or a check failed, 2 wrong usage or a bad file."})
 public final class Sedgeyoke implements Callable<Integer> {
--- a/src/main/java/sedgeyoke/cli/Serve.java
+++ b/src/main/java/sedgeyoke/cli/ServeCommand.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import sedgeyoke.serve.Main;
+import sedgeyoke.serve.BalancerMain;
 
 /** {@code serve}: one balancer. {@code bin/sedgeyoke} starts it without this class, which has its help. */
 @Command(
@@ -14,13 +14,13 @@
             "Runs one balancer until SIGTERM, as 'run' in deploy/balancer.toml does.",
             "The platform's configuration is taken from the file that BALANCER_CONFIG names."
         })
-final class Serve implements Callable<Integer> {
+final class ServeCommand implements Callable<Integer> {
     @Option(names = "--config", paramLabel = "FILE", description = "operator's file; default: SEDGEYOKE_OPERATOR")
     private Path config;
 
     @Override
     public Integer call() throws InterruptedException {
-        Main.main(config == null ? new String[0] : new String[] {"--config", config.toString()});
+        BalancerMain.main(config == null ? new String[0] : new String[] {"--config", config.toString()});
         Thread.currentThread().join(); // the event loop serves; SIGTERM ends the process
         return 0;
     }
--- a/src/main/java/sedgeyoke/cli/SettingsCommand.java
+++ b/src/main/java/sedgeyoke/cli/SettingsCommand.java
@@ -13,19 +13,19 @@
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
-import sedgeyoke.agree.Document;
-import sedgeyoke.agree.Field;
-import sedgeyoke.agree.Outcome;
-import sedgeyoke.agree.Request;
-import sedgeyoke.agree.Schema;
-import sedgeyoke.agree.Version;
-import sedgeyoke.link.KeeperClient;
+import sedgeyoke.consensus.ClientRequest;
+import sedgeyoke.consensus.ConfigDocument;
+import sedgeyoke.consensus.ConfigField;
+import sedgeyoke.consensus.ConfigSchema;
+import sedgeyoke.consensus.ConfigVersion;
+import sedgeyoke.consensus.RequestResult;
+import sedgeyoke.consensus.server.ConfigClient;
 
 /** {@code settings}: what the tier has agreed on. */
 @Command(
         name = "settings",
         mixinStandardHelpOptions = true,
-        footer = {"", KeeperCommand.EXIT_CODES},
+        footer = {"", ConfigClientOptions.EXIT_CODES},
         description = "Reads and sets what the balancers of a tier agree on, by way of the keepers.")
 final class SettingsCommand implements Runnable {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -40,7 +40,7 @@
 
     @Command(name = "fields", description = "Lists all keys: unit, bounds, how versions meet, what holds alone.")
     int fields() {
-        for (Field f : Schema.FIELDS) {
+        for (ConfigField f : ConfigSchema.FIELDS) {
             spec.commandLine()
                     .getOut()
                     .println(f.name() + " | " + f.unit() + " | " + f.least() + " to " + f.most() + " | meet: "
@@ -53,20 +53,20 @@
             name = "get",
             mixinStandardHelpOptions = true,
             description = "Prints the newest version, and whether it is in force everywhere.")
-    int get(@Mixin KeeperCommand common) throws InterruptedException {
+    int get(@Mixin ConfigClientOptions common) throws InterruptedException {
         return common.run(spec, (client, settings) -> {
-            KeeperClient.Answer answer = client.ask(new Request.Read(), common.withinMs());
+            ConfigClient.Answer answer = client.ask(new ClientRequest.Read(), common.withinMs());
             return show(answer, common.json);
         });
     }
 
     @Command(name = "history", mixinStandardHelpOptions = true, description = "Lists the versions before, newest last.")
-    int history(@Mixin KeeperCommand common) throws InterruptedException {
+    int history(@Mixin ConfigClientOptions common) throws InterruptedException {
         return common.run(spec, (client, settings) -> {
-            KeeperClient.Answer answer = client.history(common.withinMs());
+            ConfigClient.Answer answer = client.history(common.withinMs());
             if (answer == null) {
                 spec.commandLine().getErr().println("no keeper has answered");
-                return KeeperCommand.NO_QUORUM;
+                return ConfigClientOptions.NO_QUORUM;
             }
             answer.history().forEach(v -> spec.commandLine().getOut().println(line(v)));
             spec.commandLine().getOut().println(line(answer.active()));
@@ -82,7 +82,7 @@
                 "KEY=NUMBER, KEY+=NAME, KEY-=NAME, KEY.NAME=NUMBER, KEY= (unset)."
             })
     int set(
-            @Mixin KeeperCommand common,
+            @Mixin ConfigClientOptions common,
             @Parameters(arity = "1..*", paramLabel = "CHANGE", description = "such as upstreams_out+=n3 retries=0.2")
                     List<String> changes,
             @Option(names = "--reason", defaultValue = "", description = "why, for the history") String reason,
@@ -92,14 +92,14 @@
                     Long parent)
             throws InterruptedException {
         return common.run(spec, (client, settings) -> {
-            KeeperClient.Answer now = client.ask(new Request.Read(), common.withinMs());
-            if (now.outcome().kind() != Outcome.Kind.DONE) {
+            ConfigClient.Answer now = client.ask(new ClientRequest.Read(), common.withinMs());
+            if (now.outcome().kind() != RequestResult.Kind.DONE) {
                 return tell(now.outcome(), null, common.json);
             }
             if (parent != null && parent != now.newest().number()) {
                 return tell(
-                        new Outcome(
-                                Outcome.Kind.CONFLICT,
+                        new RequestResult(
+                                RequestResult.Kind.CONFLICT,
                                 now.newest().number(),
                                 "the newest version is " + now.newest().number()),
                         null,
@@ -124,21 +124,22 @@
             name = "rollback",
             mixinStandardHelpOptions = true,
             description = "Makes a new version with the content of an earlier one.")
-    int rollback(@Mixin KeeperCommand common, @Parameters(paramLabel = "VERSION") long version)
+    int rollback(@Mixin ConfigClientOptions common, @Parameters(paramLabel = "VERSION") long version)
             throws InterruptedException {
         return common.run(spec, (client, settings) -> {
-            KeeperClient.Answer now = client.ask(new Request.Read(), common.withinMs());
-            KeeperClient.Answer before = client.history(common.withinMs());
-            Version old = before == null
+            ConfigClient.Answer now = client.ask(new ClientRequest.Read(), common.withinMs());
+            ConfigClient.Answer before = client.history(common.withinMs());
+            ConfigVersion old = before == null
                     ? null
                     : before.history().stream()
                             .filter(v -> v.number() == version)
                             .findFirst()
                             .orElse(null);
-            if (now.outcome().kind() != Outcome.Kind.DONE || old == null) {
+            if (now.outcome().kind() != RequestResult.Kind.DONE || old == null) {
                 return tell(
                         old == null
-                                ? new Outcome(Outcome.Kind.REFUSED, 0, "version " + version + " is not remembered")
+                                ? new RequestResult(
+                                        RequestResult.Kind.REFUSED, 0, "version " + version + " is not remembered")
                                 : now.outcome(),
                         null,
                         common.json);
@@ -158,7 +159,7 @@
         });
     }
 
-    private Document changed(Document from, List<String> changes) {
+    private ConfigDocument changed(ConfigDocument from, List<String> changes) {
         Map<String, Double> numbers = new TreeMap<>(from.numbers());
         Map<String, Map<String, Double>> tables = new TreeMap<>(from.tables());
         Map<String, Map<String, String>> names = new TreeMap<>(from.names());
@@ -192,7 +193,7 @@
                 numbers.put(key, number(change, value));
             }
         }
-        return new Document(numbers, tables, names);
+        return new ConfigDocument(numbers, tables, names);
     }
 
     private double number(String change, String value) {
@@ -203,7 +204,7 @@
         }
     }
 
-    private int tell(Outcome outcome, String request, boolean json) {
+    private int tell(RequestResult outcome, String request, boolean json) {
         PrintWriter out = spec.commandLine().getOut();
         if (json) {
             out.println(JSON.createObjectNode()
@@ -214,17 +215,17 @@
         } else {
             out.println(outcome.kind().name().toLowerCase() + ", version " + outcome.version()
                     + (outcome.text().isEmpty() ? "" : ": " + outcome.text())
-                    + (outcome.kind() == Outcome.Kind.UNKNOWN ? "; ask again with --request " + request : ""));
+                    + (outcome.kind() == RequestResult.Kind.UNKNOWN ? "; ask again with --request " + request : ""));
         }
-        return KeeperCommand.code(outcome);
+        return ConfigClientOptions.code(outcome);
     }
 
-    private int show(KeeperClient.Answer answer, boolean json) {
-        if (answer.outcome().kind() != Outcome.Kind.DONE) {
+    private int show(ConfigClient.Answer answer, boolean json) {
+        if (answer.outcome().kind() != RequestResult.Kind.DONE) {
             return tell(answer.outcome(), null, json);
         }
         PrintWriter out = spec.commandLine().getOut();
-        Version v = answer.newest();
+        ConfigVersion v = answer.newest();
         if (json) {
             ObjectNode node = JSON.createObjectNode()
                     .put("version", v.number())
@@ -246,12 +247,12 @@
         return 0;
     }
 
-    private static String line(Version v) {
+    private static String line(ConfigVersion v) {
         return "version " + v.number() + (v.author().isEmpty() ? "" : " by " + v.author())
                 + (v.reason().isEmpty() ? "" : " (" + v.reason() + ")");
     }
 
-    private static List<String> rows(Document d) {
+    private static List<String> rows(ConfigDocument d) {
         List<String> rows = new ArrayList<>();
         d.numbers().forEach((k, v) -> rows.add(k + " = " + v));
         d.tables().forEach((k, t) -> t.forEach((n, v) -> rows.add(k + "." + n + " = " + v)));
--- a/src/main/java/sedgeyoke/cli/HuntCommand.java
+++ b/src/main/java/sedgeyoke/cli/WorstCaseSearchCommand.java
@@ -8,9 +8,9 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
-import sedgeyoke.experiment.BadExperiment;
 import sedgeyoke.experiment.ExperimentFile;
-import sedgeyoke.experiment.Hunt;
+import sedgeyoke.experiment.InvalidExperimentException;
+import sedgeyoke.experiment.WorstCaseSearch;
 
 /** {@code hunt FILE}: the scenario, of those that a file allows, in which a variant does worst. */
 @Command(
@@ -21,7 +21,7 @@
                     + " small.",
             "Ends with 1 if a rule was broken; the last line is one JSON object."
         })
-final class HuntCommand implements Callable<Integer> {
+final class WorstCaseSearchCommand implements Callable<Integer> {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
@@ -49,7 +49,7 @@
         ExperimentFile experiment;
         try {
             experiment = ExperimentFile.load(file);
-        } catch (BadExperiment e) {
+        } catch (InvalidExperimentException e) {
             spec.commandLine().getErr().println(e.getMessage());
             return CommandLine.ExitCode.USAGE;
         }
@@ -57,7 +57,7 @@
             spec.commandLine().getErr().println(file + ": hunt: is needed, with what may vary");
             return CommandLine.ExitCode.USAGE;
         }
-        ObjectNode figures = new Hunt(
+        ObjectNode figures = new WorstCaseSearch(
                         experiment,
                         seed,
                         jobs == null ? Runtime.getRuntime().availableProcessors() : jobs,
--- a/src/main/java/sedgeyoke/agree/Action.java
+++ b/src/main/java/sedgeyoke/consensus/Action.java
@@ -1,11 +1,11 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 import java.util.List;
 
 /** What a keeper wants done, in order. */
 public sealed interface Action {
     /** Send a message; it may get lost. */
-    record Send(String to, Message message) implements Action {}
+    record Send(String to, RaftMessage message) implements Action {}
 
     /**
      * Make all of this last, in this order, and say so with {@link Event.Persisted}; several may be under way.
@@ -17,17 +17,17 @@
      * @param keep entries behind this one go first; -1 if none do
      * @param entries to be appended
      */
-    record Persist(long token, Slot slot, SnapshotState snapshot, long restart, long keep, List<Entry> entries)
+    record Persist(long token, HardState slot, Snapshot snapshot, long restart, long keep, List<LogEntry> entries)
             implements Action {}
 
     /** Answer whoever asked. */
-    record Answer(long token, Outcome outcome) implements Action {}
+    record Answer(long token, RequestResult outcome) implements Action {}
 
     /** Leases for balancers that asked here. */
-    record Grant(LeaseGrant grant) implements Action {}
+    record Grant(LeaseResponse grant) implements Action {}
 
     /** The registry has changed: balancers that follow here are to hear of it. */
-    record News(Version active, Version pending) implements Action {}
+    record News(ConfigVersion active, ConfigVersion pending) implements Action {}
 
     /** A line for the log. */
     record Say(String line) implements Action {}
--- a/src/main/java/sedgeyoke/agree/Request.java
+++ b/src/main/java/sedgeyoke/consensus/ClientRequest.java
@@ -1,16 +1,16 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 /** What may be asked of the keepers, by way of any of them. */
-public sealed interface Request {
+public sealed interface ClientRequest {
     /** A new version; see {@link Command.Write}. */
-    record Set(Command.Write write) implements Request {}
+    record Set(Command.Write write) implements ClientRequest {}
 
     /** Whatever was committed before this was asked is applied at whoever answers: a read that is never stale. */
-    record Read() implements Request {}
+    record Read() implements ClientRequest {}
 
     /** A keeper joins; it is a voter once it has caught up. */
-    record Add(Member member) implements Request {}
+    record Add(Member member) implements ClientRequest {}
 
     /** A keeper goes, the one with this folder: a copy that comes late must not take its successor. 0 for any. */
-    record Remove(String name, long folder) implements Request {}
+    record Remove(String name, long folder) implements ClientRequest {}
 }
--- a/src/main/java/sedgeyoke/agree/Command.java
+++ b/src/main/java/sedgeyoke/consensus/Command.java
@@ -1,4 +1,4 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 /** What an entry of the log does once it is committed. */
 public sealed interface Command {
@@ -6,14 +6,14 @@
     record Nothing() implements Command {}
 
     /** The keepers are these, from the moment that the entry is in a log. */
-    record Change(Members members) implements Command {}
+    record Change(Membership members) implements Command {}
 
     /**
      * A new version, if the newest one is still the one it was made from.
      *
      * @param request the writer's own number for it: however often it comes, it is done once
      */
-    record Write(String request, long parent, String author, String reason, long atMs, Document content)
+    record Write(String request, long parent, String author, String reason, long atMs, ConfigDocument content)
             implements Command {}
 
     /** A pending version takes effect: nobody acts on the one before any more but together with it. */
--- a/src/main/java/sedgeyoke/agree/Document.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigDocument.java
@@ -1,4 +1,4 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 import java.util.Map;
 import java.util.TreeMap;
@@ -11,13 +11,13 @@
  * @param tables by field, then by name
  * @param names by field, then by name, with a note each
  */
-public record Document(
+public record ConfigDocument(
         Map<String, Double> numbers, Map<String, Map<String, Double>> tables, Map<String, Map<String, String>> names) {
     /** Nothing is set. */
-    public static final Document EMPTY = new Document(Map.of(), Map.of(), Map.of());
+    public static final ConfigDocument EMPTY = new ConfigDocument(Map.of(), Map.of(), Map.of());
 
     /** Copies what it is given, without empty tables and sets: they say no more than absent ones. */
-    public Document {
+    public ConfigDocument {
         numbers = java.util.Collections.unmodifiableMap(new TreeMap<>(numbers));
         tables = copy(tables);
         names = copy(names);
@@ -34,39 +34,39 @@
     }
 
     /** A number, or what is usual. */
-    public double number(Field field) {
+    public double number(ConfigField field) {
         return numbers.getOrDefault(field.name(), field.usual());
     }
 
     /** A table; empty if not set. */
-    public Map<String, Double> table(Field field) {
+    public Map<String, Double> table(ConfigField field) {
         return tables.getOrDefault(field.name(), Map.of());
     }
 
     /** A set of names with their notes; empty if not set. */
-    public Map<String, String> names(Field field) {
+    public Map<String, String> names(ConfigField field) {
         return names.getOrDefault(field.name(), Map.of());
     }
 
     /** The same with one number. */
-    public Document with(Field field, double number) {
+    public ConfigDocument with(ConfigField field, double number) {
         Map<String, Double> changed = new TreeMap<>(numbers);
         changed.put(field.name(), number);
-        return new Document(changed, tables, names);
+        return new ConfigDocument(changed, tables, names);
     }
 
     /** The same with one set. */
-    public Document with(Field field, Map<String, String> set) {
+    public ConfigDocument with(ConfigField field, Map<String, String> set) {
         Map<String, Map<String, String>> changed = new TreeMap<>(names);
         changed.put(field.name(), set);
-        return new Document(numbers, tables, changed);
+        return new ConfigDocument(numbers, tables, changed);
     }
 
     /** The same with one table. */
-    public Document withTable(Field field, Map<String, Double> table) {
+    public ConfigDocument withTable(ConfigField field, Map<String, Double> table) {
         Map<String, Map<String, Double>> changed = new TreeMap<>(tables);
         changed.put(field.name(), table);
-        return new Document(numbers, changed, names);
+        return new ConfigDocument(numbers, changed, names);
     }
 
     /** How many fields, names and rows it holds: what its size is bounded by. */
--- a/src/main/java/sedgeyoke/agree/Field.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigField.java
@@ -1,4 +1,4 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 import java.util.Map;
 import java.util.TreeMap;
@@ -18,7 +18,7 @@
  * @param since the first version of the schema that has it
  * @param says one sentence for people
  */
-public record Field(
+public record ConfigField(
         String name,
         Kind kind,
         String unit,
--- a/src/main/java/sedgeyoke/agree/Schema.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigSchema.java
@@ -1,18 +1,18 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import sedgeyoke.agree.Field.Alone;
-import sedgeyoke.agree.Field.Kind;
-import sedgeyoke.agree.Field.Meet;
+import sedgeyoke.consensus.ConfigField.Alone;
+import sedgeyoke.consensus.ConfigField.Kind;
+import sedgeyoke.consensus.ConfigField.Meet;
 
 /**
  * The fields of a document, and what is said of a whole one. A document can stop sends and cut budgets; none of its
  * fields can start a send that a balancer's own list forbids, since none of them adds to that list.
  */
-public final class Schema {
+public final class ConfigSchema {
     /** The version of this schema; balancers and keepers say which one they know. */
     public static final int VERSION = 1;
     /** Names in one set: as many as an operator's door takes by hand. */
@@ -22,7 +22,7 @@
     private static final int LONGEST_NOTE = 256;
 
     /** Upstreams that nobody sends to. */
-    public static final Field UPSTREAMS_OUT = new Field(
+    public static final ConfigField UPSTREAMS_OUT = new ConfigField(
             "upstreams_out",
             Kind.NAMES,
             "upstream ids",
@@ -34,7 +34,7 @@
             1,
             "upstreams out by hand: nobody sends to them");
     /** Zones that nobody sends to. */
-    public static final Field ZONES_OUT = new Field(
+    public static final ConfigField ZONES_OUT = new ConfigField(
             "zones_out",
             Kind.NAMES,
             "zones",
@@ -46,7 +46,7 @@
             1,
             "zones out by hand: nobody sends to their upstreams");
     /** How many balancers parts of budgets are cut for. */
-    public static final Field BALANCERS = new Field(
+    public static final ConfigField BALANCERS = new ConfigField(
             "balancers",
             Kind.NUMBER,
             "balancers",
@@ -58,7 +58,7 @@
             1,
             "number of balancers that budgets are cut for");
     /** Its floor. */
-    public static final Field BALANCERS_ALONE = new Field(
+    public static final ConfigField BALANCERS_ALONE = new ConfigField(
             "balancers_alone",
             Kind.NUMBER,
             "balancers",
@@ -70,7 +70,7 @@
             1,
             "the same, for a balancer that hears no keeper");
     /** Second tries for each first try. */
-    public static final Field RETRIES = new Field(
+    public static final ConfigField RETRIES = new ConfigField(
             "retries",
             Kind.NUMBER,
             "share of first tries",
@@ -82,7 +82,7 @@
             1,
             "second tries for each first try, over the tier");
     /** Its floor. */
-    public static final Field RETRIES_ALONE = new Field(
+    public static final ConfigField RETRIES_ALONE = new ConfigField(
             "retries_alone",
             Kind.NUMBER,
             "share of first tries",
@@ -94,7 +94,7 @@
             1,
             "the same, for a balancer that hears no keeper");
     /** Part of what settings allow a cold upstream. */
-    public static final Field COLD_SHARE = new Field(
+    public static final ConfigField COLD_SHARE = new ConfigField(
             "cold_share",
             Kind.NUMBER,
             "share",
@@ -106,7 +106,7 @@
             1,
             "part of what the settings allow a cold upstream");
     /** Its floor. */
-    public static final Field COLD_SHARE_ALONE = new Field(
+    public static final ConfigField COLD_SHARE_ALONE = new ConfigField(
             "cold_share_alone",
             Kind.NUMBER,
             "share",
@@ -118,7 +118,7 @@
             1,
             "the same, for a balancer that hears no keeper");
     /** Tenants' shares. */
-    public static final Field TENANT_SHARES = new Field(
+    public static final ConfigField TENANT_SHARES = new ConfigField(
             "tenant_shares",
             Kind.TABLE,
             "share of capacity",
@@ -130,7 +130,7 @@
             1,
             "most of the capacity that a tenant may use");
     /** Where a keyed repeat is dropped. */
-    public static final Field REPEAT_GROUPS = new Field(
+    public static final ConfigField REPEAT_GROUPS = new ConfigField(
             "repeat_groups",
             Kind.NAMES,
             "groups",
@@ -142,11 +142,11 @@
             1,
             "groups whose upstreams drop a keyed repeat");
     /** Where planners listen. */
-    public static final Field PLANNERS = new Field(
+    public static final ConfigField PLANNERS = new ConfigField(
             "planners", Kind.NAMES, "addresses", 0, 16, 0, Meet.LATER, Alone.LAST, 1, "where planners listen");
 
     /** All of them. */
-    public static final List<Field> FIELDS = List.of(
+    public static final List<ConfigField> FIELDS = List.of(
             UPSTREAMS_OUT,
             ZONES_OUT,
             BALANCERS,
@@ -159,34 +159,34 @@
             REPEAT_GROUPS,
             PLANNERS);
 
-    private Schema() {}
+    private ConfigSchema() {}
 
-    private static Field field(String name) {
+    private static ConfigField field(String name) {
         return FIELDS.stream().filter(f -> f.name().equals(name)).findFirst().orElse(null);
     }
 
     /** The newest version of the schema that a document needs. */
-    public static int needs(Document document) {
+    public static int needs(ConfigDocument document) {
         return FIELDS.stream()
                 .filter(f -> document.numbers().containsKey(f.name())
                         || document.tables().containsKey(f.name())
                         || document.names().containsKey(f.name()))
-                .mapToInt(Field::since)
+                .mapToInt(ConfigField::since)
                 .max()
                 .orElse(1);
     }
 
     /** All that is wrong with a document that is to follow another one; each with its key. */
-    public static List<String> faults(Document before, Document next) {
+    public static List<String> faults(ConfigDocument before, ConfigDocument next) {
         List<String> faults = new ArrayList<>();
         next.numbers().forEach((name, value) -> {
-            Field f = expect(name, Kind.NUMBER, faults);
+            ConfigField f = expect(name, Kind.NUMBER, faults);
             if (f != null) {
                 number(name, f, value, faults);
             }
         });
         next.tables().forEach((name, rows) -> {
-            Field f = expect(name, Kind.TABLE, faults);
+            ConfigField f = expect(name, Kind.TABLE, faults);
             if (f != null) {
                 size(name, rows.size(), MOST_NAMES, faults);
                 rows.forEach((row, value) -> {
@@ -196,7 +196,7 @@
             }
         });
         next.names().forEach((name, rows) -> {
-            Field f = expect(name, Kind.NAMES, faults);
+            ConfigField f = expect(name, Kind.NAMES, faults);
             if (f != null) {
                 size(name, rows.size(), (int) f.most(), faults);
                 rows.forEach((row, note) -> {
@@ -207,7 +207,7 @@
                 });
             }
         });
-        for (Field f : FIELDS) {
+        for (ConfigField f : FIELDS) {
             if (f.alone() == Alone.IS_FLOOR && !f.loosens(before.number(f), next.number(f))) {
                 faults.add(f.name() + ": " + before.number(f) + " may only be loosened, not made " + next.number(f)
                         + ": a balancer that is alone goes by the old one");
@@ -216,8 +216,8 @@
         return faults;
     }
 
-    private static Field expect(String name, Kind kind, List<String> faults) {
-        Field f = field(name);
+    private static ConfigField expect(String name, Kind kind, List<String> faults) {
+        ConfigField f = field(name);
         if (f == null) {
             faults.add(printable(name) + ": no such key");
         } else if (f.kind() != kind) {
@@ -227,7 +227,7 @@
         return f;
     }
 
-    private static void number(String key, Field f, double value, List<String> faults) {
+    private static void number(String key, ConfigField f, double value, List<String> faults) {
         if (!(value >= f.least() && value <= f.most())) { // and no NaN
             faults.add(key + ": " + value + " is not " + f.least() + " to " + f.most() + " (" + f.unit() + ")");
         }
@@ -250,20 +250,20 @@
     }
 
     /** What contradicts neither of two versions: the stricter of each field; of what has no stricter, the older. */
-    public static Document meet(Document older, Document newer) {
+    public static ConfigDocument meet(ConfigDocument older, ConfigDocument newer) {
         return combine(older, newer, false);
     }
 
     /** What may be done without a lease by one that knows this document last. */
-    public static Document alone(Document last) {
+    public static ConfigDocument alone(ConfigDocument last) {
         return combine(last, last, true);
     }
 
-    private static Document combine(Document older, Document newer, boolean alone) {
+    private static ConfigDocument combine(ConfigDocument older, ConfigDocument newer, boolean alone) {
         Map<String, Double> numbers = new TreeMap<>();
         Map<String, Map<String, Double>> tables = new TreeMap<>();
         Map<String, Map<String, String>> names = new TreeMap<>();
-        for (Field f : FIELDS) {
+        for (ConfigField f : FIELDS) {
             if (f.kind() == Kind.NUMBER) {
                 double met = f.meet(older.number(f), newer.number(f));
                 numbers.put(
@@ -275,13 +275,13 @@
                 names.put(f.name(), f.meetNames(older.names(f), newer.names(f)));
             }
         }
-        return new Document(numbers, tables, names);
+        return new ConfigDocument(numbers, tables, names);
     }
 
     /** The fields in which whoever acts by one document may do what another one forbids. */
-    public static List<String> contradictions(Document acting, Document inForce) {
+    public static List<String> contradictions(ConfigDocument acting, ConfigDocument inForce) {
         List<String> found = new ArrayList<>();
-        for (Field f : FIELDS) {
+        for (ConfigField f : FIELDS) {
             boolean fits =
                     switch (f.kind()) {
                         case NUMBER -> f.meet(acting.number(f), inForce.number(f)) == acting.number(f);
--- a/src/main/java/sedgeyoke/agree/Registry.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigStateMachine.java
@@ -1,4 +1,4 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -11,18 +11,18 @@
  * What the committed log says: versions and what became of requests. It is the same on every keeper that has applied
  * as much, and is bounded however long the log was.
  */
-public final class Registry {
+public final class ConfigStateMachine {
     /** Versions and requests that are remembered. A request is sure to be known again for so many later ones. */
     static final int MOST_VERSIONS = 200;
 
     static final int MOST_REQUESTS = 2_000;
 
-    private final Rules rules;
-    private final Deque<Version> history = new ArrayDeque<>();
-    private final Map<String, Outcome> requests = new LinkedHashMap<>();
-    private Version active = Version.NONE;
-    private Version pending;
-    private Members members;
+    private final SafetyRules rules;
+    private final Deque<ConfigVersion> history = new ArrayDeque<>();
+    private final Map<String, RequestResult> requests = new LinkedHashMap<>();
+    private ConfigVersion active = ConfigVersion.NONE;
+    private ConfigVersion pending;
+    private Membership members;
 
     /**
      * All of it, for a snapshot.
@@ -31,16 +31,20 @@
      * @param requests what became of requests, oldest first
      */
     public record State(
-            Members members, Version active, Version pending, List<Version> history, Map<String, Outcome> requests) {}
+            Membership members,
+            ConfigVersion active,
+            ConfigVersion pending,
+            List<ConfigVersion> history,
+            Map<String, RequestResult> requests) {}
 
     /** Before anything; {@code members} as the tier was founded with, or none for one that is to join. */
-    Registry(Members members, Rules rules) {
+    ConfigStateMachine(Membership members, SafetyRules rules) {
         this.rules = rules;
         this.members = members;
     }
 
     /** As a snapshot has it. */
-    Registry(State state, Rules rules) {
+    ConfigStateMachine(State state, SafetyRules rules) {
         this.rules = rules;
         restore(state);
     }
@@ -60,35 +64,35 @@
         requests.putAll(state.requests());
     }
 
-    Version active() {
+    ConfigVersion active() {
         return active;
     }
 
     /** The version that is to take effect, or null. */
-    Version pending() {
+    ConfigVersion pending() {
         return pending;
     }
 
-    Version newest() {
+    ConfigVersion newest() {
         return pending == null ? active : pending;
     }
 
-    Members members() {
+    Membership members() {
         return members;
     }
 
     /** Versions that were in force before, oldest first. */
-    List<Version> history() {
+    List<ConfigVersion> history() {
         return new ArrayList<>(history);
     }
 
     /** What became of a request; null if nobody remembers. */
-    Outcome outcome(String request) {
+    RequestResult outcome(String request) {
         return requests.get(request);
     }
 
     /** Applies a committed command; what became of it, for one that somebody waits for. */
-    Outcome apply(Command command) {
+    RequestResult apply(Command command) {
         if (command instanceof Command.Change change) {
             members = change.members();
         } else if (command instanceof Command.Activate activate) {
@@ -103,21 +107,22 @@
         } else if (command instanceof Command.Write write) {
             return write(write);
         }
-        return new Outcome(Outcome.Kind.DONE, newest().number(), "");
+        return new RequestResult(RequestResult.Kind.DONE, newest().number(), "");
     }
 
-    private Outcome write(Command.Write w) {
-        Outcome before = requests.get(w.request());
+    private RequestResult write(Command.Write w) {
+        RequestResult before = requests.get(w.request());
         if (!rules.again(before)) {
             return before;
         }
-        Outcome outcome = check(w.parent());
-        if (outcome != null && outcome.kind() == Outcome.Kind.BUSY) {
+        RequestResult outcome = check(w.parent());
+        if (outcome != null && outcome.kind() == RequestResult.Kind.BUSY) {
             return outcome; // not remembered: it may come again
         }
         if (outcome == null) {
-            pending = new Version(active.number() + 1, active.number(), w.author(), w.reason(), w.atMs(), w.content());
-            outcome = new Outcome(Outcome.Kind.DONE, pending.number(), "");
+            pending = new ConfigVersion(
+                    active.number() + 1, active.number(), w.author(), w.reason(), w.atMs(), w.content());
+            outcome = new RequestResult(RequestResult.Kind.DONE, pending.number(), "");
         }
         if (requests.size() >= MOST_REQUESTS) {
             requests.remove(requests.keySet().iterator().next());
@@ -130,16 +135,18 @@
      * Why a version cannot be made now from that parent; null if it can. What a document may hold is not looked at here
      * but before it is put into the log: keepers of two programs must apply an entry alike.
      */
-    Outcome check(long parent) {
+    RequestResult check(long parent) {
         if (!rules.follows(parent, newest().number())) {
-            return new Outcome(
-                    Outcome.Kind.CONFLICT,
+            return new RequestResult(
+                    RequestResult.Kind.CONFLICT,
                     newest().number(),
                     "made from version " + parent + ", the newest is " + newest().number());
         }
         return pending == null
                 ? null
-                : new Outcome(
-                        Outcome.Kind.BUSY, pending.number(), "version " + pending.number() + " is still taking effect");
+                : new RequestResult(
+                        RequestResult.Kind.BUSY,
+                        pending.number(),
+                        "version " + pending.number() + " is still taking effect");
     }
 }
--- a/src/main/java/sedgeyoke/agree/Adherent.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigSubscriber.java
@@ -1,16 +1,16 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 /**
  * The side of a balancer that acts on documents. It acts on a version under a lease alone; while another version is to
  * take effect, on the meet of both; without a lease, on what contradicts no version that could be in force, as the
  * schema says. A keeper's word that is older than one it has acted on changes nothing.
  */
-public final class Adherent {
+public final class ConfigSubscriber {
     private final String name;
     private final long run;
-    private final Rules rules;
-    private Version active;
-    private Version pending;
+    private final SafetyRules rules;
+    private ConfigVersion active;
+    private ConfigVersion pending;
     private long leaseUntil = Long.MIN_VALUE;
 
     /** By what it acts. */
@@ -28,10 +28,10 @@
      * @param pending the version that is to take effect, 0 if none is known
      * @param until when the lease runs out
      */
-    public record Acting(Mode mode, long version, long pending, long until, Document document) {}
+    public record Acting(Mode mode, long version, long pending, long until, ConfigDocument document) {}
 
-    /** {@code last}: what an earlier process of this balancer acted on last, or {@link Version#NONE}. */
-    public Adherent(String name, long run, Rules rules, Version last) {
+    /** {@code last}: what an earlier process of this balancer acted on last, or {@link ConfigVersion#NONE}. */
+    public ConfigSubscriber(String name, long run, SafetyRules rules, ConfigVersion last) {
         this.name = name;
         this.run = run;
         this.rules = rules;
@@ -39,8 +39,8 @@
     }
 
     /** What to ask a keeper now. */
-    public LeaseAsk ask(long now) {
-        return new LeaseAsk(name, run, now, newest(), Schema.VERSION);
+    public LeaseRequest ask(long now) {
+        return new LeaseRequest(name, run, now, newest(), ConfigSchema.VERSION);
     }
 
     /** The newest version that it holds. */
@@ -52,13 +52,13 @@
      * A keeper's answer, with the versions that it names as far as they were not held; null where they were. True if it
      * wants to ask again at once: it holds something newer than what it had asked with.
      */
-    public boolean heard(long now, LeaseGrant grant, Version itsActive, Version itsPending) {
+    public boolean heard(long now, LeaseResponse grant, ConfigVersion itsActive, ConfigVersion itsPending) {
         if (!grant.balancer().equals(name) || grant.run() != run || rules.isOld(grant.active(), active.number())) {
             return false; // another's, or a word of the past
         }
         long before = newest();
-        Version inForce = held(grant.active(), itsActive);
-        Version next = grant.pending() == 0 ? null : held(grant.pending(), itsPending);
+        ConfigVersion inForce = held(grant.active(), itsActive);
+        ConfigVersion next = grant.pending() == 0 ? null : held(grant.pending(), itsPending);
         if (inForce == null || grant.pending() != 0 && next == null) {
             return false; // not whole
         }
@@ -74,7 +74,7 @@
         return newest() > before;
     }
 
-    private Version held(long number, Version told) {
+    private ConfigVersion held(long number, ConfigVersion told) {
         if (active.number() == number) {
             return active;
         } else if (pending != null && pending.number() == number) {
@@ -85,7 +85,7 @@
 
     /** What it acts on at this moment. */
     public Acting acting(long now) {
-        Document both = pending == null ? active.content() : rules.between(active.content(), pending.content());
+        ConfigDocument both = pending == null ? active.content() : rules.between(active.content(), pending.content());
         long next = pending == null ? 0 : pending.number();
         return now < leaseUntil
                 ? new Acting(Mode.LEASED, active.number(), next, leaseUntil, both)
@@ -93,12 +93,12 @@
     }
 
     /** The version in force that it acts on, to be kept for its next process. */
-    public Version active() {
+    public ConfigVersion active() {
         return active;
     }
 
     /** The version that is to take effect, or null. */
-    public Version pending() {
+    public ConfigVersion pending() {
         return pending;
     }
 }
--- a/src/main/java/sedgeyoke/agree/Version.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigVersion.java
@@ -1,4 +1,4 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 /**
  * A document with its place in the history of the tier.
@@ -10,7 +10,7 @@
  * @param atMs when, by the wall clock of the keeper that took it; for people, nothing is decided by it
  * @param content what it says
  */
-public record Version(long number, long parent, String author, String reason, long atMs, Document content) {
+public record ConfigVersion(long number, long parent, String author, String reason, long atMs, ConfigDocument content) {
     /** What holds before anybody has set anything. */
-    public static final Version NONE = new Version(0, 0, "", "", 0, Document.EMPTY);
+    public static final ConfigVersion NONE = new ConfigVersion(0, 0, "", "", 0, ConfigDocument.EMPTY);
 }
--- a/src/main/java/sedgeyoke/agree/Event.java
+++ b/src/main/java/sedgeyoke/consensus/Event.java
@@ -1,4 +1,4 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 import java.util.List;
 
@@ -8,16 +8,16 @@
     record Tick() implements Event {}
 
     /** A message from a keeper that its certificate names; {@code folder} is what it says that it keeps. */
-    record Received(String from, long folder, Message message) implements Event {}
+    record Received(String from, long folder, RaftMessage message) implements Event {}
 
     /** What was asked for under this token, and all before it, is on disk. */
     record Persisted(long token) implements Event {}
 
     /** Somebody asks; the answer bears the token. */
-    record Asked(long token, Request request) implements Event {}
+    record Asked(long token, ClientRequest request) implements Event {}
 
     /** Balancers that follow here ask for leases. */
-    record LeasesAsked(List<LeaseAsk> asks) implements Event {}
+    record LeasesAsked(List<LeaseRequest> asks) implements Event {}
 
     /** The keeper is about to end: if it leads, another one is to. */
     record Leave() implements Event {}
--- a/src/main/java/sedgeyoke/agree/Slot.java
+++ b/src/main/java/sedgeyoke/consensus/HardState.java
@@ -1,4 +1,4 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 import java.util.List;
 import java.util.Map;
@@ -12,7 +12,7 @@
  * @param known others as it has heard from them: with which folder, and which run
  * @param sound whether it had no doubt that it had lost nothing when this was written
  */
-public record Slot(long term, String vote, List<Long> runs, Map<String, Known> known, boolean sound) {
+public record HardState(long term, String vote, List<Long> runs, Map<String, Known> known, boolean sound) {
     /** A vote that may have been given to anyone. */
     public static final String UNKNOWN = "?";
     /** Runs that are remembered; a peer that was away for longer takes the keeper for one of the past. */
--- a/src/main/java/sedgeyoke/agree/LeaseAsk.java
+++ b/src/main/java/sedgeyoke/consensus/LeaseRequest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 /**
  * A balancer asks for a lease on what it holds.
@@ -9,4 +9,4 @@
  * @param holds the newest version that it holds ready
  * @param schema the newest schema that it knows
  */
-public record LeaseAsk(String balancer, long run, long stamp, long holds, int schema) {}
+public record LeaseRequest(String balancer, long run, long stamp, long holds, int schema) {}
--- a/src/main/java/sedgeyoke/agree/LeaseGrant.java
+++ b/src/main/java/sedgeyoke/consensus/LeaseResponse.java
@@ -1,4 +1,4 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 /**
  * The answer to an ask.
@@ -10,4 +10,4 @@
  * @param pending the version that is to take effect; 0 if there is none
  * @param leased false if it holds too old a version: it is to take the news and ask again
  */
-public record LeaseGrant(String balancer, long run, long stamp, long active, long pending, boolean leased) {}
+public record LeaseResponse(String balancer, long run, long stamp, long active, long pending, boolean leased) {}
--- a/src/main/java/sedgeyoke/agree/Leases.java
+++ b/src/main/java/sedgeyoke/consensus/LeaseTable.java
@@ -1,4 +1,4 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -7,11 +7,11 @@
  * What a leader knows of the leases that it has granted. It is not replicated: a new leader takes it that every
  * balancer holds one until those of its predecessors have run out.
  */
-final class Leases {
+final class LeaseTable {
     /** More holders are told of news and granted nothing. */
     static final int MOST = 4_096;
 
-    private final Rules rules;
+    private final SafetyRules rules;
     private final Map<Holder, Held> held = new HashMap<>();
     private final long quietUntil;
 
@@ -21,7 +21,7 @@
     private record Held(long holds, long until, int schema) {}
 
     /** A leader begins. */
-    Leases(Rules rules, long now) {
+    LeaseTable(SafetyRules rules, long now) {
         this.rules = rules;
         this.quietUntil = rules.predecessorsLeasesEnd(now);
     }
@@ -30,7 +30,7 @@
      * The answer to an ask that came at {@code askedAt}, given that this keeper still led after that. The lease counts
      * at the balancer from when it sent the ask, which is earlier.
      */
-    LeaseGrant grant(LeaseAsk ask, long askedAt, Version active, Version pending) {
+    LeaseResponse grant(LeaseRequest ask, long askedAt, ConfigVersion active, ConfigVersion pending) {
         long next = pending == null ? 0 : pending.number();
         Holder holder = new Holder(ask.balancer(), ask.run());
         if (held.size() >= MOST) { // processes that are over are no reason to refuse others
@@ -49,7 +49,7 @@
                             before == null ? until : Math.max(until, before.until()),
                             ask.schema()));
         }
-        return new LeaseGrant(ask.balancer(), ask.run(), ask.stamp(), active.number(), next, leased);
+        return new LeaseResponse(ask.balancer(), ask.run(), ask.stamp(), active.number(), next, leased);
     }
 
     /** Whether nobody acts on a version before this one without knowing it. */
@@ -64,7 +64,7 @@
                 .filter(h -> h.until() > now)
                 .mapToInt(Held::schema)
                 .min()
-                .orElse(Schema.VERSION);
+                .orElse(ConfigSchema.VERSION);
     }
 
     /** How many hold a lease. */
--- a/src/main/java/sedgeyoke/agree/Member.java
+++ b/src/main/java/sedgeyoke/consensus/Member.java
@@ -1,4 +1,4 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 /**
  * A keeper of the tier: a name and the folder that it keeps. One that comes back under its name with another folder is
--- a/src/main/java/sedgeyoke/agree/Members.java
+++ b/src/main/java/sedgeyoke/consensus/Membership.java
@@ -1,4 +1,4 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -12,20 +12,20 @@
  * @param voters by name
  * @param learner the one that is being added, or null
  */
-public record Members(Map<String, Member> voters, Member learner) {
+public record Membership(Map<String, Member> voters, Member learner) {
     /** More would only make each decision slower. */
     public static final int MOST = 7;
 
     /** Copies what it is given. */
-    public Members {
+    public Membership {
         voters = java.util.Collections.unmodifiableMap(new TreeMap<>(voters));
     }
 
     /** The first set of a tier. */
-    public static Members of(List<Member> founders) {
+    public static Membership of(List<Member> founders) {
         Map<String, Member> voters = new TreeMap<>();
         founders.forEach(m -> voters.put(m.name(), m));
-        return new Members(voters, null);
+        return new Membership(voters, null);
     }
 
     /** A member of that name, the learner included; null if there is none. */
@@ -43,28 +43,28 @@
         return names;
     }
 
-    Members withLearner(Member added) {
-        return new Members(voters, added);
+    Membership withLearner(Member added) {
+        return new Membership(voters, added);
     }
 
     /** The learner is a voter from now on. */
-    Members promoted() {
+    Membership promoted() {
         Map<String, Member> more = new TreeMap<>(voters);
         more.put(learner.name(), learner);
-        return new Members(more, null);
+        return new Membership(more, null);
     }
 
-    Members without(String name) {
+    Membership without(String name) {
         Map<String, Member> fewer = new TreeMap<>(voters);
         fewer.remove(name);
-        return new Members(fewer, learner != null && learner.name().equals(name) ? null : learner);
+        return new Membership(fewer, learner != null && learner.name().equals(name) ? null : learner);
     }
 
     /** With what is known now of folders that were not known when the tier was founded. */
-    Members bound(Map<String, Long> folders) {
+    Membership bound(Map<String, Long> folders) {
         Map<String, Member> known = new TreeMap<>(voters);
         known.replaceAll(
                 (name, m) -> m.folder() != 0 ? m : new Member(name, folders.getOrDefault(name, 0L), m.address()));
-        return new Members(known, learner);
+        return new Membership(known, learner);
     }
 }
--- a/src/main/java/sedgeyoke/agree/Entries.java
+++ b/src/main/java/sedgeyoke/consensus/RaftLog.java
@@ -1,15 +1,15 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 import java.util.ArrayList;
 import java.util.List;
 
 /** The log in memory, behind an entry that a snapshot or nothing stands for. */
-final class Entries {
-    private final List<Entry> list;
+final class RaftLog {
+    private final List<LogEntry> list;
     private long base;
     private long baseTerm;
 
-    Entries(long base, long baseTerm, List<Entry> entries) {
+    RaftLog(long base, long baseTerm, List<LogEntry> entries) {
         this.base = base;
         this.baseTerm = baseTerm;
         this.list = new ArrayList<>(entries);
@@ -36,17 +36,17 @@
         return index < base || index > last() ? -1 : get(index).term();
     }
 
-    Entry get(long index) {
+    LogEntry get(long index) {
         return list.get((int) (index - base - 1));
     }
 
     /** Entries from one on, so many at most. */
-    List<Entry> from(long index, int most) {
+    List<LogEntry> from(long index, int most) {
         int at = (int) (index - base - 1);
         return at >= list.size() ? List.of() : List.copyOf(list.subList(at, Math.min(list.size(), at + most)));
     }
 
-    void add(Entry entry) {
+    void add(LogEntry entry) {
         if (entry.index() != last() + 1) {
             throw new IllegalStateException("entry " + entry.index() + " after " + last());
         }
@@ -75,7 +75,7 @@
     }
 
     /** The last set of keepers in the log, or null if no entry has one. */
-    Members lastMembers() {
+    Membership lastMembers() {
         for (int i = list.size() - 1; i >= 0; i--) {
             if (list.get(i).command() instanceof Command.Change change) {
                 return change.members();
--- a/src/main/java/sedgeyoke/agree/Keeper.java
+++ b/src/main/java/sedgeyoke/consensus/RaftNode.java
@@ -1,4 +1,4 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,12 +13,12 @@
  * One keeper: elections with a vote before the vote, a log that a leader replicates, snapshots, reads that are never
  * stale, keepers that come and go, leases (after the Raft dissertation, chapters 3, 4, 6 and 9; PreVote and CheckQuorum
  * as there). What it promises to others goes out only once it is on disk; what it does not know whether it promised, it
- * learns from them first ({@link Standing}).
+ * learns from them first ({@link ReplicaRecovery}).
  *
  * <p>Events go in one after the other, with the time of a clock that only grows; actions come out, to be carried out in
  * order. All methods are for one thread.
  */
-public final class Keeper {
+public final class RaftNode {
     private static final int MOST_ENTRIES = 64;
     private static final int PIECE = 32 * 1024;
     /** Requests that wait for a leader's answer; further ones are told to come back. */
@@ -29,20 +29,20 @@
 
     private final String name;
     private final long folder;
-    private final Timing timing;
-    private final Rules rules;
+    private final RaftTiming timing;
+    private final SafetyRules rules;
     private final SplittableRandom random;
     private final StateCodec codec;
-    private final Entries log;
-    private final Registry registry;
-    private final Standing standing;
+    private final RaftLog log;
+    private final ConfigStateMachine registry;
+    private final ReplicaRecovery standing;
     private final List<Long> runs;
-    private final Map<String, Slot.Known> known;
+    private final Map<String, HardState.Known> known;
     /** The newest term that each has spoken in, as it had it on disk then. */
     private final Map<String, Long> heardTerms = new HashMap<>();
 
-    private SnapshotState snapshot;
-    private Members members;
+    private Snapshot snapshot;
+    private Membership members;
 
     private Role role = Role.FOLLOWER;
     private long term;
@@ -63,8 +63,8 @@
     private final Map<String, Boolean> votes = new HashMap<>();
     private long stoodAt;
     private boolean handedOver;
-    private final Map<String, Peer> peers = new TreeMap<>();
-    private Leases leases;
+    private final Map<String, ReplicationProgress> peers = new TreeMap<>();
+    private LeaseTable leases;
     private long round;
     private long confirmed;
     private long roundAt;
@@ -78,8 +78,8 @@
     /** What was passed on to a leader, and until when its answer is waited for. */
     private final Map<Long, Long> forwarded = new TreeMap<>();
 
-    private final List<Message.Grants> early = new ArrayList<>();
-    private Message.Piece incoming;
+    private final List<RaftMessage.Grants> early = new ArrayList<>();
+    private RaftMessage.Piece incoming;
     private byte[] assembled;
 
     // what goes to disk
@@ -99,7 +99,7 @@
     }
 
     /** What a folder says of the keeper that has it. */
-    public record Recovered(Slot slot, SnapshotState snapshot, List<Entry> entries, String doubt, boolean lost) {}
+    public record Recovered(HardState slot, Snapshot snapshot, List<LogEntry> entries, String doubt, boolean lost) {}
 
     /** Who it is. */
     public record Self(String name, long folder, long run) {}
@@ -117,12 +117,12 @@
         /** When each was begun, and up to where the log is on disk once it is done. */
         private final TreeMap<Long, long[]> open = new TreeMap<>();
 
-        private final List<Entry> appended = new ArrayList<>();
+        private final List<LogEntry> appended = new ArrayList<>();
         private boolean slot;
         /** The entry behind which the log on disk is to begin anew; -1 if it goes on. */
         private long restart = -1;
 
-        private SnapshotState snapshot;
+        private Snapshot snapshot;
         private long keep = -1;
         private long tokens;
         private long slotToken;
@@ -167,7 +167,7 @@
                 out.add(new Action.Persist(
                         tokens,
                         slot
-                                ? new Slot(
+                                ? new HardState(
                                         term, vote, List.copyOf(runs), new TreeMap<>(known), standing.doubt() == null)
                                 : null,
                         snapshot,
@@ -198,11 +198,11 @@
      *
      * @param members as the tier was founded; with no voters for one that is to join
      */
-    public Keeper(
+    public RaftNode(
             Self self,
-            Rules rules,
+            SafetyRules rules,
             Recovered found,
-            Members members,
+            Membership members,
             StateCodec codec,
             SplittableRandom random,
             long now) {
@@ -218,14 +218,16 @@
         this.known = new HashMap<>(found.slot().known());
         this.runs = new ArrayList<>(found.slot().runs());
         runs.add(0, self.run());
-        runs.subList(Math.min(Slot.MOST_RUNS, runs.size()), runs.size()).clear();
+        runs.subList(Math.min(HardState.MOST_RUNS, runs.size()), runs.size()).clear();
         this.snapshot = found.snapshot();
         long covered = snapshot == null ? 0 : snapshot.covered();
-        this.log = new Entries(covered, snapshot == null ? 0 : snapshot.term(), found.entries());
-        this.registry = snapshot == null ? new Registry(members, rules) : new Registry(snapshot.state(), rules);
+        this.log = new RaftLog(covered, snapshot == null ? 0 : snapshot.term(), found.entries());
+        this.registry = snapshot == null
+                ? new ConfigStateMachine(members, rules)
+                : new ConfigStateMachine(snapshot.state(), rules);
         this.commit = covered;
         this.applied = covered;
-        this.standing = new Standing(rules, self.run(), found.doubt(), found.lost(), now);
+        this.standing = new ReplicaRecovery(rules, self.run(), found.doubt(), found.lost(), now);
         storing.durable = log.last();
         storing.slot = true; // the new run: others must not hear of it before the disk knows
         takeMembers();
@@ -266,27 +268,27 @@
     }
 
     /** An entry that it has. */
-    public Entry entry(long index) {
+    public LogEntry entry(long index) {
         return log.get(index);
     }
 
     /** The version in force. */
-    public Version active() {
+    public ConfigVersion active() {
         return registry.active();
     }
 
     /** The version that is to take effect, or null. */
-    public Version pending() {
+    public ConfigVersion pending() {
         return registry.pending();
     }
 
     /** Versions before, oldest first. */
-    public List<Version> history() {
+    public List<ConfigVersion> history() {
         return registry.history();
     }
 
     /** The keepers, by the newest set in the log. */
-    public Members members() {
+    public Membership members() {
         return members;
     }
 
@@ -406,7 +408,8 @@
                 standing.knownRuns().stream()
                         .filter(r -> r != 0 && !runs.contains(r))
                         .forEach(runs::add);
-                runs.subList(Math.min(Slot.MOST_RUNS, runs.size()), runs.size()).clear();
+                runs.subList(Math.min(HardState.MOST_RUNS, runs.size()), runs.size())
+                        .clear();
                 say("sound again: has all that it may have promised, up to entry " + log.last());
                 storing.restart(log.base()); // whatever was bad on disk is replaced
             }
@@ -418,7 +421,8 @@
             if (now >= f.getValue()) {
                 out.add(new Action.Answer(
                         f.getKey(),
-                        new Outcome(Outcome.Kind.UNKNOWN, registry.newest().number(), "no answer of the leader")));
+                        new RequestResult(
+                                RequestResult.Kind.UNKNOWN, registry.newest().number(), "no answer of the leader")));
             }
             return now >= f.getValue();
         });
@@ -429,7 +433,7 @@
                 && now - introducedAt
                         >= (standing.target(leader, term) < 0 ? 2 * timing.heartbeat() : 2 * timing.election())) {
             introducedAt = now; // the leader is to know which run this is, whatever it has heard last
-            promise(leader, new Message.Recall(term, List.copyOf(runs), standing.number()));
+            promise(leader, new RaftMessage.Recall(term, List.copyOf(runs), standing.number()));
         }
         if (role == Role.LEADER) {
             leaderTick();
@@ -460,7 +464,7 @@
             all.add(leader); // which this keeper's log may not know yet as one
         }
         all.remove(name);
-        all.forEach(to -> promise(to, new Message.Recall(term, List.copyOf(runs), standing.number())));
+        all.forEach(to -> promise(to, new RaftMessage.Recall(term, List.copyOf(runs), standing.number())));
     }
 
     private void restElection() {
@@ -471,84 +475,84 @@
         out.add(new Action.Say(line));
     }
 
-    private void send(String to, Message message) {
+    private void send(String to, RaftMessage message) {
         out.add(new Action.Send(to, message));
     }
 
     /** Sends it once all that was decided so far is on disk. */
-    private void promise(String to, Message message) {
+    private void promise(String to, RaftMessage message) {
         storing.promises.add(new Action.Send(to, message));
     }
 
     // ---- Messages ------------------------------------------------------------------------------------
 
-    private void received(String from, long itsFolder, Message m) {
+    private void received(String from, long itsFolder, RaftMessage m) {
         if (!isHim(from, itsFolder, m)) {
             return;
         }
-        if (m instanceof Message.Append
-                || m instanceof Message.Appended
-                || m instanceof Message.Voted
-                || m instanceof Message.Vote) {
+        if (m instanceof RaftMessage.Append
+                || m instanceof RaftMessage.Appended
+                || m instanceof RaftMessage.Voted
+                || m instanceof RaftMessage.Vote) {
             heardTerms.merge(from, m.term(), Math::max);
         }
-        if (m instanceof Message.Vote v) {
+        if (m instanceof RaftMessage.Vote v) {
             vote(from, v);
             return;
         }
         if (m.term() > term) {
             follow(m.term(), null);
         }
-        if (m instanceof Message.Append a) {
+        if (m instanceof RaftMessage.Append a) {
             append(from, a);
-        } else if (m instanceof Message.Appended a) {
+        } else if (m instanceof RaftMessage.Appended a) {
             appended(from, a);
-        } else if (m instanceof Message.PreVote v) {
+        } else if (m instanceof RaftMessage.PreVote v) {
             boolean granted = v.term() >= term && mayHelp() && upToDate(v.lastIndex(), v.lastTerm()) && quiet();
-            promise(from, new Message.PreVoted(term, granted, standing.sound()));
-        } else if (m instanceof Message.PreVoted v && role == Role.ASKING && v.term() == term && v.granted()) {
+            promise(from, new RaftMessage.PreVoted(term, granted, standing.sound()));
+        } else if (m instanceof RaftMessage.PreVoted v && role == Role.ASKING && v.term() == term && v.granted()) {
             votes.put(from, v.sound());
             if (wins()) {
                 standForElection(false);
             }
-        } else if (m instanceof Message.Voted v
+        } else if (m instanceof RaftMessage.Voted v
                 && role == Role.CANDIDATE
                 && v.term() == term
                 && v.granted()
                 && rules.votesStillCount(now, stoodAt)) {
             votes.put(from, v.sound());
-        } else if (m instanceof Message.Recall r) {
+        } else if (m instanceof RaftMessage.Recall r) {
             recalled(from, itsFolder, r);
-        } else if (m instanceof Message.Recalled r) {
+        } else if (m instanceof RaftMessage.Recalled r) {
             if (standing.answered(from, r)) {
                 say("in doubt: " + standing.doubt());
             }
-        } else if (m instanceof Message.Piece p) {
+        } else if (m instanceof RaftMessage.Piece p) {
             piece(from, p);
-        } else if (m instanceof Message.PieceTaken p) {
+        } else if (m instanceof RaftMessage.PieceTaken p) {
             pieceTaken(from, p);
-        } else if (m instanceof Message.StandNow s && s.term() == term && from.equals(leader) && mayHelp()) {
+        } else if (m instanceof RaftMessage.StandNow s && s.term() == term && from.equals(leader) && mayHelp()) {
             standForElection(true);
-        } else if (m instanceof Message.NotAMember n) {
+        } else if (m instanceof RaftMessage.NotAMember n) {
             notAMember(from, n);
         } else {
             passedOn(from, m);
         }
     }
 
-    private void passedOn(String from, Message m) {
-        if (m instanceof Message.Forward f) {
+    private void passedOn(String from, RaftMessage m) {
+        if (m instanceof RaftMessage.Forward f) {
             forward(from, f);
-        } else if (m instanceof Message.Forwarded f) {
+        } else if (m instanceof RaftMessage.Forwarded f) {
             if (forwarded.remove(f.token()) != null) {
                 out.add(new Action.Answer(f.token(), f.outcome()));
             }
-        } else if (m instanceof Message.Asks a && role == Role.LEADER) {
+        } else if (m instanceof RaftMessage.Asks a && role == Role.LEADER) {
             long askedAt = now;
             whenConfirmed(
-                    () -> send(from, new Message.Grants(term, a.number(), commit, grants(a.asks(), askedAt))),
+                    () -> send(from, new RaftMessage.Grants(term, a.number(), commit, grants(a.asks(), askedAt))),
                     () -> {});
-        } else if (m instanceof Message.Grants g && early.size() < MOST_WAITING) {
+        } else if (m instanceof RaftMessage.Grants g && early.size() < MOST_WAITING) {
             early.add(g);
         }
     }
@@ -557,24 +561,24 @@
      * Whether a message is from the keeper that this one knows under that name. Guards against one that came back with
      * an empty disk, and against those that were removed and do not know.
      */
-    private boolean isHim(String from, long itsFolder, Message m) {
+    private boolean isHim(String from, long itsFolder, RaftMessage m) {
         Member member = members.member(from);
         if (member == null) { // this keeper's own log may be behind, so that what a leader says is taken all the same
-            if ((m instanceof Message.PreVote || m instanceof Message.Recall) && !quiet()) {
-                send(from, new Message.NotAMember(term, "is no keeper of this tier"));
+            if ((m instanceof RaftMessage.PreVote || m instanceof RaftMessage.Recall) && !quiet()) {
+                send(from, new RaftMessage.NotAMember(term, "is no keeper of this tier"));
                 return false;
             }
             return true;
         }
-        Slot.Known before = known.get(from);
+        HardState.Known before = known.get(from);
         long expected = member.folder() != 0 ? member.folder() : before == null ? 0 : before.folder();
         if (expected != 0 && !rules.sameFolder(expected, itsFolder)) {
-            if (m instanceof Message.Append || m instanceof Message.Piece) {
+            if (m instanceof RaftMessage.Append || m instanceof RaftMessage.Piece) {
                 return true; // it leads, so it is this keeper's log that is behind and has its predecessor
-            } else if (m instanceof Message.Recall || m instanceof Message.PreVote) {
+            } else if (m instanceof RaftMessage.Recall || m instanceof RaftMessage.PreVote) {
                 send(
                         from,
-                        new Message.NotAMember(
+                        new RaftMessage.NotAMember(
                                 term,
                                 "keeps folder " + Long.toHexString(itsFolder) + ", known is "
                                         + Long.toHexString(expected)));
@@ -582,30 +586,30 @@
             return false;
         }
         if (before == null || before.folder() != itsFolder) {
-            known.put(from, new Slot.Known(itsFolder, 0));
+            known.put(from, new HardState.Known(itsFolder, 0));
             storing.slot = true;
         }
         return true;
     }
 
-    private void notAMember(String from, Message.NotAMember n) {
+    private void notAMember(String from, RaftMessage.NotAMember n) {
         if (role != Role.LEADER && now - toldAt > TELL_EVERY || toldAt == 0) {
             toldAt = Math.max(1, now);
             say(from + " says that this keeper " + n.why() + "; it decides nothing until it is added ('keepers add')");
         }
     }
 
-    private void recalled(String from, long itsFolder, Message.Recall r) {
+    private void recalled(String from, long itsFolder, RaftMessage.Recall r) {
         // One that is late, from a run that is over, is taken for the newest too; the next one of the run that lasts
         // puts that right, and the answer is to a question that nobody waits for any more.
-        Slot.Known before = known.getOrDefault(from, new Slot.Known(itsFolder, 0));
+        HardState.Known before = known.getOrDefault(from, new HardState.Known(itsFolder, 0));
         boolean past = rules.isOfThePast(before.run(), r.runs(), heardTerms.getOrDefault(from, 0L), r.term());
         if (before.run() != r.runs().get(0)) {
-            known.put(from, new Slot.Known(itsFolder, r.runs().get(0)));
+            known.put(from, new HardState.Known(itsFolder, r.runs().get(0)));
             storing.slot = true;
         }
         heardTerms.put(from, r.term());
-        Peer peer = peers.get(from);
+        ReplicationProgress peer = peers.get(from);
         if (peer != null && peer.run != r.runs().get(0)) {
             peer.run = r.runs().get(0);
             peer.match = 0;
@@ -616,7 +620,7 @@
         }
         promise(
                 from,
-                new Message.Recalled(
+                new RaftMessage.Recalled(
                         term,
                         r.number(),
                         past,
@@ -666,7 +670,9 @@
     private void resign() {
         proposed.values()
                 .forEach(w -> answer(
-                        w, new Outcome(Outcome.Kind.UNKNOWN, registry.newest().number(), "the leader has changed")));
+                        w,
+                        new RequestResult(
+                                RequestResult.Kind.UNKNOWN, registry.newest().number(), "the leader has changed")));
         proposed.clear();
         confirming.forEach(c -> c.otherwise().run());
         confirming.clear();
@@ -687,7 +693,7 @@
         }
         members.voters().keySet().stream()
                 .filter(n -> !n.equals(name))
-                .forEach(to -> promise(to, new Message.PreVote(term, log.last(), log.lastTerm())));
+                .forEach(to -> promise(to, new RaftMessage.PreVote(term, log.last(), log.lastTerm())));
     }
 
     private void standForElection(boolean wanted) {
@@ -704,10 +710,10 @@
         votes.put(name, standing.sound());
         members.voters().keySet().stream()
                 .filter(n -> !n.equals(name))
-                .forEach(to -> promise(to, new Message.Vote(term, log.last(), log.lastTerm(), handedOver)));
+                .forEach(to -> promise(to, new RaftMessage.Vote(term, log.last(), log.lastTerm(), handedOver)));
     }
 
-    private void vote(String from, Message.Vote v) {
+    private void vote(String from, RaftMessage.Vote v) {
         if (v.term() > term) {
             if (!v.handedOver() && !quiet()) {
                 return; // content with the leader that there is
@@ -725,7 +731,7 @@
             storing.slot = true;
             restElection();
         }
-        promise(from, new Message.Voted(term, granted, standing.sound()));
+        promise(from, new RaftMessage.Voted(term, granted, standing.sound()));
     }
 
     private int majority() {
@@ -745,7 +751,7 @@
         role = Role.LEADER;
         leader = name;
         say("leads, term " + term);
-        leases = new Leases(rules, now);
+        leases = new LeaseTable(rules, now);
         round = 0;
         confirmed = 0;
         roundAt = now - timing.heartbeat();
@@ -777,7 +783,7 @@
             return;
         }
         String best = null;
-        for (Map.Entry<String, Peer> p : peers.entrySet()) {
+        for (Map.Entry<String, ReplicationProgress> p : peers.entrySet()) {
             if (members.voters().containsKey(p.getKey())
                     && p.getValue().sound
                     && (best == null || p.getValue().match > peers.get(best).match)) {
@@ -786,14 +792,14 @@
         }
         if (best != null) {
             say("hands the lead to " + best);
-            send(best, new Message.StandNow(term));
+            send(best, new RaftMessage.StandNow(term));
         }
     }
 
     // ---- The log, as a leader ------------------------------------------------------------------------
 
     private long put(Command command) {
-        Entry entry = new Entry(log.last() + 1, term, command);
+        LogEntry entry = new LogEntry(log.last() + 1, term, command);
         log.add(entry);
         storing.appended.add(entry);
         if (command instanceof Command.Change) {
@@ -804,12 +810,13 @@
     }
 
     private void addPeer(String n) {
-        Slot.Known before = known.get(n);
-        peers.computeIfAbsent(n, added -> new Peer(log.last() + 1, before == null ? 0 : before.run(), now));
+        HardState.Known before = known.get(n);
+        peers.computeIfAbsent(
+                n, added -> new ReplicationProgress(log.last() + 1, before == null ? 0 : before.run(), now));
     }
 
     private void takeMembers() {
-        Members inLog = log.lastMembers();
+        Membership inLog = log.lastMembers();
         members = inLog != null ? inLog : snapshot != null ? snapshot.state().members() : registry.members();
     }
 
@@ -825,13 +832,13 @@
         });
     }
 
-    private void sendEntries(String to, Peer p, int most) {
+    private void sendEntries(String to, ReplicationProgress p, int most) {
         long prev = Math.max(log.base(), p.next - 1);
-        List<Entry> entries = p.next <= log.base() ? List.of() : log.from(p.next, most);
+        List<LogEntry> entries = p.next <= log.base() ? List.of() : log.from(p.next, most);
         if (!entries.isEmpty()) {
             p.busyUntil = now + timing.election() / 2;
         }
-        send(to, new Message.Append(term, prev, log.term(prev), entries, commit, round));
+        send(to, new RaftMessage.Append(term, prev, log.term(prev), entries, commit, round));
         if (p.next <= log.base() && most > 0) {
             sendPiece(to, p);
         }
@@ -845,8 +852,8 @@
         });
     }
 
-    private void appended(String from, Message.Appended a) {
-        Peer p = peers.get(from);
+    private void appended(String from, RaftMessage.Appended a) {
+        ReplicationProgress p = peers.get(from);
         if (role != Role.LEADER || a.term() != term || p == null) {
             return;
         }
@@ -876,7 +883,7 @@
     private void advanceCommit() {
         List<Long> have = new ArrayList<>();
         members.voters().keySet().forEach(n -> {
-            Peer p = peers.get(n);
+            ReplicationProgress p = peers.get(n);
             have.add(n.equals(name) ? storing.durable : p != null && p.sound ? p.match : 0);
         });
         have.sort(null);
@@ -888,26 +895,26 @@
 
     // ---- The log, as a follower ----------------------------------------------------------------------
 
-    private void append(String from, Message.Append a) {
+    private void append(String from, RaftMessage.Append a) {
         if (a.term() < term) {
-            promise(from, new Message.Appended(term, false, log.last(), 0, runs.get(0), false));
+            promise(from, new RaftMessage.Appended(term, false, log.last(), 0, runs.get(0), false));
             return;
         }
         heard(from);
         long have = log.term(a.prevIndex());
         if (a.prevIndex() < log.base()) { // all of it is covered: what is committed is the same everywhere
-            promise(from, new Message.Appended(term, true, log.base(), a.round(), runs.get(0), standing.sound()));
+            promise(from, new RaftMessage.Appended(term, true, log.base(), a.round(), runs.get(0), standing.sound()));
             return;
         } else if (have != a.prevTerm()) {
             long hint = Math.min(log.last(), a.prevIndex() - 1);
             while (have >= 0 && hint > log.base() && hint > commit && log.term(hint) == have) {
                 hint--; // a whole term at a time
             }
-            promise(from, new Message.Appended(term, false, hint, a.round(), runs.get(0), standing.sound()));
+            promise(from, new RaftMessage.Appended(term, false, hint, a.round(), runs.get(0), standing.sound()));
             return;
         }
         boolean changed = false;
-        for (Entry e : a.entries()) {
+        for (LogEntry e : a.entries()) {
             if (log.term(e.index()) == e.term()) {
                 continue;
             }
@@ -927,7 +934,7 @@
         }
         matched = a.prevIndex() + a.entries().size();
         commit = Math.max(commit, Math.min(a.commit(), matched));
-        promise(from, new Message.Appended(term, true, matched, a.round(), runs.get(0), standing.sound()));
+        promise(from, new RaftMessage.Appended(term, true, matched, a.round(), runs.get(0), standing.sound()));
     }
 
     private void heard(String from) {
@@ -940,7 +947,7 @@
 
     // ---- Snapshots -----------------------------------------------------------------------------------
 
-    private void sendPiece(String to, Peer p) {
+    private void sendPiece(String to, ReplicationProgress p) {
         if (piecesOf != snapshot.covered() || pieces == null) {
             pieces = codec.encode(snapshot);
             piecesOf = snapshot.covered();
@@ -952,10 +959,13 @@
         int length = (int) Math.min(PIECE, pieces.length - p.offset);
         byte[] bytes = java.util.Arrays.copyOfRange(pieces, (int) p.offset, (int) p.offset + length);
         p.busyUntil = now + timing.election() / 2;
-        send(to, new Message.Piece(term, snapshot.covered(), snapshot.term(), p.offset, pieces.length, bytes, round));
+        send(
+                to,
+                new RaftMessage.Piece(
+                        term, snapshot.covered(), snapshot.term(), p.offset, pieces.length, bytes, round));
     }
 
-    private void piece(String from, Message.Piece p) {
+    private void piece(String from, RaftMessage.Piece p) {
         if (p.term() < term
                 || p.size() > Integer.MAX_VALUE / 2
                 || p.offset() < 0
@@ -964,7 +974,7 @@
         }
         heard(from);
         if (p.covered() <= commit) {
-            promise(from, new Message.PieceTaken(term, p.covered(), p.size(), p.round()));
+            promise(from, new RaftMessage.PieceTaken(term, p.covered(), p.size(), p.round()));
             return;
         }
         if (incoming == null || incoming.covered() != p.covered() || incoming.term() != p.term()) {
@@ -978,7 +988,7 @@
         }
         long have = assembled.length;
         if (have == p.size()) {
-            SnapshotState state = codec.decode(assembled);
+            Snapshot state = codec.decode(assembled);
             incoming = null;
             assembled = null;
             if (state == null || state.covered() != p.covered() || state.term() != p.coveredTerm()) {
@@ -987,10 +997,10 @@
             }
             install(state);
         }
-        promise(from, new Message.PieceTaken(term, p.covered(), have, p.round()));
+        promise(from, new RaftMessage.PieceTaken(term, p.covered(), have, p.round()));
     }
 
-    private void install(SnapshotState state) {
+    private void install(Snapshot state) {
         boolean follows = log.term(state.covered()) == state.term();
         snapshot = state;
         storing.snapshot = state;
@@ -1009,8 +1019,8 @@
         out.add(new Action.News(registry.active(), registry.pending()));
     }
 
-    private void pieceTaken(String from, Message.PieceTaken t) {
-        Peer p = peers.get(from);
+    private void pieceTaken(String from, RaftMessage.PieceTaken t) {
+        ReplicationProgress p = peers.get(from);
         if (role != Role.LEADER || t.term() != term || p == null || t.covered() != p.offsetOf) {
             return;
         }
@@ -1026,7 +1036,7 @@
     }
 
     private void takeSnapshot() {
-        snapshot = new SnapshotState(applied, log.term(applied), registry.state());
+        snapshot = new Snapshot(applied, log.term(applied), registry.state());
         storing.snapshot = snapshot;
         log.compact(applied - timing.snapshotEvery()); // those who are not far behind need no snapshot
     }
@@ -1036,8 +1046,8 @@
     private void apply() {
         boolean news = false;
         while (applied < commit) {
-            Entry e = log.get(++applied);
-            Outcome outcome = registry.apply(e.command());
+            LogEntry e = log.get(++applied);
+            RequestResult outcome = registry.apply(e.command());
             news |= e.command() instanceof Command.Write || e.command() instanceof Command.Activate;
             Waiting w = proposed.remove(e.index());
             if (w != null) {
@@ -1045,8 +1055,8 @@
                         w,
                         w.term() == e.term()
                                 ? outcome
-                                : new Outcome(
-                                        Outcome.Kind.UNKNOWN,
+                                : new RequestResult(
+                                        RequestResult.Kind.UNKNOWN,
                                         registry.newest().number(),
                                         "another entry took its place"));
             }
@@ -1080,60 +1090,77 @@
 
     // ---- Requests ------------------------------------------------------------------------------------
 
-    private void answer(Waiting w, Outcome outcome) {
+    private void answer(Waiting w, RequestResult outcome) {
         if (w.from() == null) {
             out.add(new Action.Answer(w.token(), outcome));
         } else {
-            send(w.from(), new Message.Forwarded(term, w.token(), outcome));
+            send(w.from(), new RaftMessage.Forwarded(term, w.token(), outcome));
         }
     }
 
-    private void asked(long token, Request request) {
+    private void asked(long token, ClientRequest request) {
         if (role == Role.LEADER) {
             decide(new Waiting(term, null, token), request);
         } else if (leader == null) {
             out.add(new Action.Answer(
-                    token, new Outcome(Outcome.Kind.NO_LEADER, registry.newest().number(), "no leader is known")));
+                    token,
+                    new RequestResult(
+                            RequestResult.Kind.NO_LEADER, registry.newest().number(), "no leader is known")));
         } else if (forwarded.size() >= MOST_WAITING) {
             out.add(new Action.Answer(
-                    token, new Outcome(Outcome.Kind.BUSY, registry.newest().number(), "too many requests wait")));
+                    token,
+                    new RequestResult(RequestResult.Kind.BUSY, registry.newest().number(), "too many requests wait")));
         } else {
             forwarded.put(token, now + FORWARD_TIME);
-            send(leader, new Message.Forward(term, token, request));
+            send(leader, new RaftMessage.Forward(term, token, request));
         }
     }
 
-    private void forward(String from, Message.Forward f) {
+    private void forward(String from, RaftMessage.Forward f) {
         Waiting w = new Waiting(term, from, f.token());
         if (role == Role.LEADER) {
             decide(w, f.request());
         } else {
-            answer(w, new Outcome(Outcome.Kind.NO_LEADER, registry.newest().number(), "does not lead"));
+            answer(
+                    w,
+                    new RequestResult(
+                            RequestResult.Kind.NO_LEADER, registry.newest().number(), "does not lead"));
         }
     }
 
-    private void decide(Waiting w, Request request) {
+    private void decide(Waiting w, ClientRequest request) {
         if (commit < firstOfTerm) {
-            answer(w, new Outcome(Outcome.Kind.NO_LEADER, registry.newest().number(), "has only just begun to lead"));
+            answer(
+                    w,
+                    new RequestResult(
+                            RequestResult.Kind.NO_LEADER, registry.newest().number(), "has only just begun to lead"));
         } else if (proposed.size() + confirming.size() >= MOST_WAITING) {
-            answer(w, new Outcome(Outcome.Kind.BUSY, registry.newest().number(), "too many requests wait"));
-        } else if (request instanceof Request.Read) {
+            answer(
+                    w,
+                    new RequestResult(RequestResult.Kind.BUSY, registry.newest().number(), "too many requests wait"));
+        } else if (request instanceof ClientRequest.Read) {
             whenConfirmed(
                     () -> answer(
-                            w, new Outcome(Outcome.Kind.DONE, registry.newest().number(), "")),
+                            w,
+                            new RequestResult(
+                                    RequestResult.Kind.DONE, registry.newest().number(), "")),
                     () -> answer(
                             w,
-                            new Outcome(
-                                    Outcome.Kind.NO_LEADER, registry.newest().number(), "leads no more")));
-        } else if (request instanceof Request.Set set) {
-            Outcome before = refusal(set.write());
+                            new RequestResult(
+                                    RequestResult.Kind.NO_LEADER,
+                                    registry.newest().number(),
+                                    "leads no more")));
+        } else if (request instanceof ClientRequest.Set set) {
+            RequestResult before = refusal(set.write());
             if (before != null) { // decided by what is committed, which only a leader may say that is the newest
                 whenConfirmed(
                         () -> answer(w, before),
                         () -> answer(
                                 w,
-                                new Outcome(
-                                        Outcome.Kind.UNKNOWN, registry.newest().number(), "leads no more")));
+                                new RequestResult(
+                                        RequestResult.Kind.UNKNOWN,
+                                        registry.newest().number(),
+                                        "leads no more")));
             } else {
                 proposed.put(put(set.write()), w);
             }
@@ -1143,44 +1170,45 @@
     }
 
     /** What is known of a write before it is put into the log; null if it has to be. */
-    private Outcome refusal(Command.Write write) {
-        Outcome before = registry.outcome(write.request());
+    private RequestResult refusal(Command.Write write) {
+        RequestResult before = registry.outcome(write.request());
         if (before != null) {
             return before;
         }
-        Outcome stale = registry.check(write.parent());
+        RequestResult stale = registry.check(write.parent());
         if (stale != null) {
             return stale;
         }
-        List<String> faults = Schema.faults(registry.active().content(), write.content());
-        if (faults.isEmpty() && Schema.needs(write.content()) > leases.oldestSchema(now)) {
-            return new Outcome(
-                    Outcome.Kind.BUSY,
+        List<String> faults = ConfigSchema.faults(registry.active().content(), write.content());
+        if (faults.isEmpty() && ConfigSchema.needs(write.content()) > leases.oldestSchema(now)) {
+            return new RequestResult(
+                    RequestResult.Kind.BUSY,
                     registry.active().number(),
                     "a balancer knows the schema up to version " + leases.oldestSchema(now) + ", this needs "
-                            + Schema.needs(write.content()));
+                            + ConfigSchema.needs(write.content()));
         }
         return faults.isEmpty()
                 ? null
-                : new Outcome(Outcome.Kind.REFUSED, registry.active().number(), String.join("; ", faults));
+                : new RequestResult(
+                        RequestResult.Kind.REFUSED, registry.active().number(), String.join("; ", faults));
     }
 
-    private void change(Waiting w, Request request) {
-        Members next = null;
+    private void change(Waiting w, ClientRequest request) {
+        Membership next = null;
         String fault = null;
         if (!rules.mayChange(members, registry.members())) {
             fault = "another change of keepers is not committed yet";
-        } else if (request instanceof Request.Add add) {
+        } else if (request instanceof ClientRequest.Add add) {
             if (members.member(add.member().name()) != null) {
                 fault = add.member().name() + " is a keeper already; remove it first";
-            } else if (members.voters().size() >= Members.MOST || members.learner() != null) {
+            } else if (members.voters().size() >= Membership.MOST || members.learner() != null) {
                 fault = members.learner() != null
                         ? members.learner().name() + " is still catching up"
-                        : Members.MOST + " keepers at most";
+                        : Membership.MOST + " keepers at most";
             } else {
                 next = members.withLearner(add.member());
             }
-        } else if (request instanceof Request.Remove remove) {
+        } else if (request instanceof ClientRequest.Remove remove) {
             Member gone = members.member(remove.name());
             if (gone == null || remove.folder() != 0 && remove.folder() != gone.folder()) {
                 fault = remove.name() + " with that folder is no keeper";
@@ -1191,7 +1219,10 @@
             }
         }
         if (next == null) {
-            answer(w, new Outcome(Outcome.Kind.REFUSED, registry.newest().number(), fault));
+            answer(
+                    w,
+                    new RequestResult(
+                            RequestResult.Kind.REFUSED, registry.newest().number(), fault));
         } else {
             proposed.put(put(new Command.Change(next)), w);
         }
@@ -1207,7 +1238,7 @@
     private void confirm() {
         List<Long> echoed = new ArrayList<>();
         members.voters().keySet().forEach(n -> {
-            Peer p = peers.get(n);
+            ReplicationProgress p = peers.get(n);
             echoed.add(n.equals(name) ? round : p != null && p.sound ? p.round : 0);
         });
         echoed.sort(null);
@@ -1225,16 +1256,16 @@
         done.forEach(c -> c.then().run());
     }
 
-    private void leasesAsked(List<LeaseAsk> asks) {
+    private void leasesAsked(List<LeaseRequest> asks) {
         if (role == Role.LEADER) {
             long askedAt = now;
             whenConfirmed(() -> grants(asks, askedAt).forEach(g -> out.add(new Action.Grant(g))), () -> {});
         } else if (leader != null) {
-            send(leader, new Message.Asks(term, 0, List.copyOf(asks)));
+            send(leader, new RaftMessage.Asks(term, 0, List.copyOf(asks)));
         }
     }
 
-    private List<LeaseGrant> grants(List<LeaseAsk> asks, long askedAt) {
+    private List<LeaseResponse> grants(List<LeaseRequest> asks, long askedAt) {
         if (commit < firstOfTerm || applied < commit) {
             return List.of(); // what a leader before may have committed is not known yet
         }
@@ -1248,14 +1279,14 @@
         if (commit < firstOfTerm) {
             return;
         }
-        Version next = registry.pending();
+        ConfigVersion next = registry.pending();
         if (next != null && leases.allHold(next.number(), now) && !log.activates(next.number(), commit)) {
             put(new Command.Activate(next.number()));
         }
         if (!rules.mayChange(members, registry.members())) {
             return;
         }
-        Peer learner =
+        ReplicationProgress learner =
                 members.learner() == null ? null : peers.get(members.learner().name());
         if (learner != null && learner.sound && learner.match >= commit && learner.match > 0) {
             put(new Command.Change(members.promoted()));
@@ -1264,7 +1295,7 @@
         Map<String, Long> folders = new HashMap<>();
         known.forEach((n, k) -> folders.put(n, k.folder()));
         folders.put(name, folder);
-        Members bound = members.bound(folders);
+        Membership bound = members.bound(folders);
         if (!bound.equals(members) && bound.voters().values().stream().allMatch(m -> m.folder() != 0)) {
             put(new Command.Change(bound));
         }
--- a/src/main/java/sedgeyoke/agree/Timing.java
+++ b/src/main/java/sedgeyoke/consensus/RaftTiming.java
@@ -1,6 +1,6 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
-import sedgeyoke.lease.Drift;
+import sedgeyoke.lease.ClockDrift;
 
 /**
  * The times that keepers and those who follow them go by, in microseconds. All processes of a tier have the same lease
@@ -12,14 +12,14 @@
  * @param drift how far clocks may run fast or slow
  * @param snapshotEvery entries from one snapshot to the next
  */
-public record Timing(long election, long heartbeat, long lease, Drift drift, int snapshotEvery) {
+public record RaftTiming(long election, long heartbeat, long lease, ClockDrift drift, int snapshotEvery) {
     /** Fit for machines of one site: a leader that dies is followed by another one within about two seconds. */
-    public static Timing usual(long lease, Drift drift) {
-        return new Timing(800_000, 100_000, lease, drift, 1_000);
+    public static RaftTiming usual(long lease, ClockDrift drift) {
+        return new RaftTiming(800_000, 100_000, lease, drift, 1_000);
     }
 
     /** Checks that the times fit each other. */
-    public Timing {
+    public RaftTiming {
         if (heartbeat <= 0 || election < 3 * heartbeat || lease < election || snapshotEvery < 1) {
             throw new IllegalArgumentException("heartbeat, election and lease must each be clearly longer: " + heartbeat
                     + ", " + election + ", " + lease);
--- a/src/main/java/sedgeyoke/agree/Standing.java
+++ b/src/main/java/sedgeyoke/consensus/ReplicaRecovery.java
@@ -1,4 +1,4 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -13,12 +13,12 @@
  * doubt: it decides nothing until it has learned from the others whatever it may have promised (the argument is that of
  * recovery in Viewstamped Replication, and stands in docs/design/agreement.md).
  */
-final class Standing {
+final class ReplicaRecovery {
     private static final int NUMBERS_OF_A_RUN = 16;
 
-    private final Rules rules;
+    private final SafetyRules rules;
     private final long startedAt;
-    private final Map<String, Message.Recalled> replies = new HashMap<>();
+    private final Map<String, RaftMessage.Recalled> replies = new HashMap<>();
     private final Set<Long> knownRuns = new LinkedHashSet<>();
     private String doubt;
     private boolean lost;
@@ -34,7 +34,7 @@
      * {@code run}: drawn at its start; {@code doubt}: why what is on disk may not be all, or null; {@code lost}: that
      * some of it surely is gone.
      */
-    Standing(Rules rules, long run, String doubt, boolean lost, long now) {
+    ReplicaRecovery(SafetyRules rules, long run, String doubt, boolean lost, long now) {
         this.rules = rules;
         this.number = run << NUMBERS_OF_A_RUN;
         this.startedAt = now;
@@ -58,7 +58,7 @@
     }
 
     /** Whether it may vote. In doubt it may where every keeper is heard of and too few of them are sound. */
-    boolean mayVote(Members members, String self) {
+    boolean mayVote(Membership members, String self) {
         return sound || unanimous(members, self);
     }
 
@@ -66,17 +66,17 @@
      * Whether all keepers of the tier have answered, too few of them sound to decide alone, and no more of them have
      * surely lost something than a minority: then the best log of all has all that was ever committed.
      */
-    boolean unanimous(Members members, String self) {
+    boolean unanimous(Membership members, String self) {
         if (sound || !waited || !members.voters().containsKey(self)) {
             return false;
         }
-        List<Message.Recalled> others = voters(members, self);
-        long bad = others.stream().filter(Message.Recalled::lost).count() + (lost ? 1 : 0);
+        List<RaftMessage.Recalled> others = voters(members, self);
+        long bad = others.stream().filter(RaftMessage.Recalled::lost).count() + (lost ? 1 : 0);
         return others.size() == members.voters().size() - 1
                 && bad < rules.majority(members.voters().size());
     }
 
-    private List<Message.Recalled> voters(Members members, String self) {
+    private List<RaftMessage.Recalled> voters(Membership members, String self) {
         return replies.entrySet().stream()
                 .filter(e -> !e.getKey().equals(self) && members.voters().containsKey(e.getKey()))
                 .map(Map.Entry::getValue)
@@ -104,7 +104,7 @@
     }
 
     /** An answer; true if it is news that this keeper is of the past. */
-    boolean answered(String from, Message.Recalled reply) {
+    boolean answered(String from, RaftMessage.Recalled reply) {
         if (reply.number() != number) {
             return false;
         }
@@ -126,17 +126,20 @@
 
     /** The highest term that others have told of. */
     long highestTerm() {
-        return replies.values().stream().mapToLong(Message.Recalled::term).max().orElse(0);
+        return replies.values().stream()
+                .mapToLong(RaftMessage.Recalled::term)
+                .max()
+                .orElse(0);
     }
 
     /** How far the log has to match a leader's of this term; -1 while that leader has not answered. */
     long target(String leader, long term) {
-        Message.Recalled reply = leader == null ? null : replies.get(leader);
+        RaftMessage.Recalled reply = leader == null ? null : replies.get(leader);
         return reply == null || !reply.leads() || reply.term() != term ? -1 : reply.lastIndex();
     }
 
     /** Whether what others know is known well enough for their term to be taken over. True once only. */
-    boolean settles(Members members, String self) {
+    boolean settles(Membership members, String self) {
         if (doubt == null || settled || !enough(members, self)) {
             return false;
         }
@@ -145,9 +148,10 @@
     }
 
     /** Whether so many have answered that whatever was committed, and whoever may have been voted for, is known. */
-    private boolean enough(Members members, String self) {
-        long others =
-                voters(members, self).stream().filter(Message.Recalled::sound).count();
+    private boolean enough(Membership members, String self) {
+        long others = voters(members, self).stream()
+                .filter(RaftMessage.Recalled::sound)
+                .count();
         return waited && (others >= rules.majority(members.voters().size()) || unanimous(members, self));
     }
 
@@ -155,7 +159,7 @@
      * Whether it is sound from now on. {@code matched}: up to where its log is that of the present leader; -1 if there
      * is none.
      */
-    boolean becomesSound(Members members, String self, String leader, long term, long matched) {
+    boolean becomesSound(Membership members, String self, String leader, long term, long matched) {
         if (sound) {
             return false;
         }
--- a/src/main/java/sedgeyoke/agree/Peer.java
+++ b/src/main/java/sedgeyoke/consensus/ReplicationProgress.java
@@ -1,7 +1,7 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 /** What a leader knows of another keeper. */
-final class Peer {
+final class ReplicationProgress {
     /** The next entry to send, and the last one that is known to be there. */
     long next;
 
@@ -21,7 +21,7 @@
 
     long offsetOf;
 
-    Peer(long next, long run, long now) {
+    ReplicationProgress(long next, long run, long now) {
         this.next = next;
         this.run = run;
         this.heardAt = now;
--- a/src/main/java/sedgeyoke/agree/Outcome.java
+++ b/src/main/java/sedgeyoke/consensus/RequestResult.java
@@ -1,4 +1,4 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 /**
  * What became of a request to the keepers.
@@ -7,7 +7,7 @@
  * @param version the version that it made, or the newest one
  * @param text for people: why not, or by when it holds
  */
-public record Outcome(Kind kind, long version, String text) {
+public record RequestResult(Kind kind, long version, String text) {
     /** What is sure. */
     public enum Kind {
         /** It is done and stays done. */
--- a/src/main/java/sedgeyoke/agree/Rules.java
+++ b/src/main/java/sedgeyoke/consensus/SafetyRules.java
@@ -1,19 +1,19 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 /**
  * The rules that safety hangs on, each in one place: docs/design/agreement.md argues with them, and tests put a wrong
  * one in the place of each to see that it is found. Times are microseconds of the clock of the side that asks.
  */
-public class Rules {
-    private final Timing timing;
+public class SafetyRules {
+    private final RaftTiming timing;
 
     /** Rules that go by such times. */
-    public Rules(Timing timing) {
+    public SafetyRules(RaftTiming timing) {
         this.timing = timing;
     }
 
     /** The times that they go by. */
-    public final Timing timing() {
+    public final RaftTiming timing() {
         return timing;
     }
 
@@ -64,7 +64,7 @@
 
     /** The vote of a keeper that cannot know whom it has voted for in a term. */
     String voteAfterDoubt() {
-        return Slot.UNKNOWN;
+        return HardState.UNKNOWN;
     }
 
     /** Up to where a keeper in doubt has to match the leader's log, given how long that was when it was asked. */
@@ -83,7 +83,7 @@
     }
 
     /** Neighbouring sets of keepers have a majority in common only if one changes at a time. */
-    boolean mayChange(Members inLog, Members committed) {
+    boolean mayChange(Membership inLog, Membership committed) {
         return inLog.equals(committed);
     }
 
@@ -118,13 +118,13 @@
     }
 
     /** By what a balancer acts while a version is to take effect. */
-    Document between(Document active, Document pending) {
-        return Schema.meet(active, pending);
+    ConfigDocument between(ConfigDocument active, ConfigDocument pending) {
+        return ConfigSchema.meet(active, pending);
     }
 
     /** By what a balancer acts without a lease. */
-    Document alone(Document last) {
-        return Schema.alone(last);
+    ConfigDocument alone(ConfigDocument last) {
+        return ConfigSchema.alone(last);
     }
 
     /** Whether a write that was made from a version may follow the newest. */
@@ -133,7 +133,7 @@
     }
 
     /** Whether a request that is known already is done again. */
-    boolean again(Outcome before) {
+    boolean again(RequestResult before) {
         return before == null;
     }
 }
--- a/src/main/java/sedgeyoke/agree/SnapshotState.java
+++ b/src/main/java/sedgeyoke/consensus/Snapshot.java
@@ -1,4 +1,4 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 /**
  * A state and the entry up to which it is one.
@@ -7,4 +7,4 @@
  * @param term its term
  * @param state what the log up to there says
  */
-public record SnapshotState(long covered, long term, Registry.State state) {}
+public record Snapshot(long covered, long term, ConfigStateMachine.State state) {}
--- a/src/main/java/sedgeyoke/link/AgreeCodec.java
+++ b/src/main/java/sedgeyoke/consensus/codec/ConsensusCodec.java
@@ -1,4 +1,4 @@
-package sedgeyoke.link;
+package sedgeyoke.consensus.codec;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -7,61 +7,63 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import sedgeyoke.agree.Command;
-import sedgeyoke.agree.Document;
-import sedgeyoke.agree.Entry;
-import sedgeyoke.agree.LeaseAsk;
-import sedgeyoke.agree.LeaseGrant;
-import sedgeyoke.agree.Member;
-import sedgeyoke.agree.Members;
-import sedgeyoke.agree.Message;
-import sedgeyoke.agree.Outcome;
-import sedgeyoke.agree.Registry;
-import sedgeyoke.agree.Request;
-import sedgeyoke.agree.SnapshotState;
-import sedgeyoke.agree.StateCodec;
-import sedgeyoke.agree.Version;
-import sedgeyoke.link.proto.AppendMessage;
-import sedgeyoke.link.proto.AppendedMessage;
-import sedgeyoke.link.proto.AskMessage;
-import sedgeyoke.link.proto.AsksMessage;
-import sedgeyoke.link.proto.DocumentMessage;
-import sedgeyoke.link.proto.EntryMessage;
-import sedgeyoke.link.proto.ForwardMessage;
-import sedgeyoke.link.proto.ForwardedMessage;
-import sedgeyoke.link.proto.GrantMessage;
-import sedgeyoke.link.proto.Granted;
-import sedgeyoke.link.proto.GrantsMessage;
-import sedgeyoke.link.proto.KeeperMessage;
-import sedgeyoke.link.proto.MemberMessage;
-import sedgeyoke.link.proto.MembersMessage;
-import sedgeyoke.link.proto.NameRow;
-import sedgeyoke.link.proto.NamesField;
-import sedgeyoke.link.proto.NumberField;
-import sedgeyoke.link.proto.OutcomeMessage;
-import sedgeyoke.link.proto.PieceMessage;
-import sedgeyoke.link.proto.PieceTakenMessage;
-import sedgeyoke.link.proto.RecallMessage;
-import sedgeyoke.link.proto.RecalledMessage;
-import sedgeyoke.link.proto.RequestMessage;
-import sedgeyoke.link.proto.RequestOutcome;
-import sedgeyoke.link.proto.SnapshotMessage;
-import sedgeyoke.link.proto.Standing;
-import sedgeyoke.link.proto.TableField;
-import sedgeyoke.link.proto.TableRow;
-import sedgeyoke.link.proto.VersionMessage;
-import sedgeyoke.link.proto.WriteMessage;
+import sedgeyoke.consensus.ClientRequest;
+import sedgeyoke.consensus.Command;
+import sedgeyoke.consensus.ConfigDocument;
+import sedgeyoke.consensus.ConfigStateMachine;
+import sedgeyoke.consensus.ConfigVersion;
+import sedgeyoke.consensus.LeaseRequest;
+import sedgeyoke.consensus.LeaseResponse;
+import sedgeyoke.consensus.LogEntry;
+import sedgeyoke.consensus.Member;
+import sedgeyoke.consensus.Membership;
+import sedgeyoke.consensus.RaftMessage;
+import sedgeyoke.consensus.RequestResult;
+import sedgeyoke.consensus.Snapshot;
+import sedgeyoke.consensus.StateCodec;
+import sedgeyoke.transport.InvalidMessageException;
+import sedgeyoke.transport.proto.AppendMessage;
+import sedgeyoke.transport.proto.AppendedMessage;
+import sedgeyoke.transport.proto.AskMessage;
+import sedgeyoke.transport.proto.AsksMessage;
+import sedgeyoke.transport.proto.DocumentMessage;
+import sedgeyoke.transport.proto.EntryMessage;
+import sedgeyoke.transport.proto.ForwardMessage;
+import sedgeyoke.transport.proto.ForwardedMessage;
+import sedgeyoke.transport.proto.GrantMessage;
+import sedgeyoke.transport.proto.Granted;
+import sedgeyoke.transport.proto.GrantsMessage;
+import sedgeyoke.transport.proto.KeeperMessage;
+import sedgeyoke.transport.proto.MemberMessage;
+import sedgeyoke.transport.proto.MembersMessage;
+import sedgeyoke.transport.proto.NameRow;
+import sedgeyoke.transport.proto.NamesField;
+import sedgeyoke.transport.proto.NumberField;
+import sedgeyoke.transport.proto.OutcomeMessage;
+import sedgeyoke.transport.proto.PieceMessage;
+import sedgeyoke.transport.proto.PieceTakenMessage;
+import sedgeyoke.transport.proto.RecallMessage;
+import sedgeyoke.transport.proto.RecalledMessage;
+import sedgeyoke.transport.proto.RequestMessage;
+import sedgeyoke.transport.proto.RequestOutcome;
+import sedgeyoke.transport.proto.SnapshotMessage;
+import sedgeyoke.transport.proto.Standing;
+import sedgeyoke.transport.proto.TableField;
+import sedgeyoke.transport.proto.TableRow;
+import sedgeyoke.transport.proto.VersionMessage;
+import sedgeyoke.transport.proto.WriteMessage;
 
 /**
- * Between the records of {@link sedgeyoke.agree} and the messages of the schema, on links and on disk. Nothing that is
- * read can make more of itself than its bytes; what makes no sense is {@link Messages.Implausible}.
+ * Between the records of {@link sedgeyoke.consensus} and the messages of the schema, on links and on disk. Nothing that
+ * is read can make more of itself than its bytes; what makes no sense is {@link InvalidMessageException}.
  */
-public final class AgreeCodec implements StateCodec {
+public final class ConsensusCodec implements StateCodec {
     private static final int LONGEST_TEXT = 4_096;
 
     // ---- Documents and versions ----------------------------------------------------------------------
 
-    static DocumentMessage of(Document d) {
+    /** Encodes a {@code ConfigDocument}. */
+    public static DocumentMessage of(ConfigDocument d) {
         DocumentMessage.Builder m = DocumentMessage.newBuilder();
         d.numbers()
                 .forEach((f, v) ->
@@ -81,7 +83,8 @@
         return m.build();
     }
 
-    static Document document(DocumentMessage m) {
+    /** Decodes a {@code DocumentMessage}. */
+    public static ConfigDocument document(DocumentMessage m) {
         Map<String, Double> numbers = new TreeMap<>();
         m.getNumbersList().forEach(n -> numbers.put(n.getField(), n.getValue()));
         Map<String, Map<String, Double>> tables = new TreeMap<>();
@@ -94,10 +97,11 @@
             Map<String, String> rows = names.computeIfAbsent(t.getField(), f -> new TreeMap<>());
             t.getRowsList().forEach(r -> rows.put(r.getName(), r.getNote()));
         });
-        return new Document(numbers, tables, names);
+        return new ConfigDocument(numbers, tables, names);
     }
 
-    static VersionMessage of(Version v) {
+    /** Encodes a {@code ConfigVersion}. */
+    public static VersionMessage of(ConfigVersion v) {
         return VersionMessage.newBuilder()
                 .setNumber(v.number())
                 .setParent(v.parent())
@@ -108,14 +112,16 @@
                 .build();
     }
 
-    static Version version(VersionMessage m) {
-        return new Version(
+    /** Decodes a {@code VersionMessage}. */
+    public static ConfigVersion version(VersionMessage m) {
+        return new ConfigVersion(
                 m.getNumber(), m.getParent(), m.getAuthor(), m.getReason(), m.getAtMs(), document(m.getContent()));
     }
 
     // ---- The log -------------------------------------------------------------------------------------
 
-    static MemberMessage of(Member m) {
+    /** Encodes a {@code Member}. */
+    public static MemberMessage of(Member m) {
         return MemberMessage.newBuilder()
                 .setName(m.name())
                 .setFolder(m.folder())
@@ -123,11 +129,13 @@
                 .build();
     }
 
-    static Member member(MemberMessage m) {
+    /** Decodes a {@code MemberMessage}. */
+    public static Member member(MemberMessage m) {
         return new Member(m.getName(), m.getFolder(), m.getAddress());
     }
 
-    static MembersMessage of(Members members) {
+    /** Encodes a {@code Membership}. */
+    public static MembersMessage of(Membership members) {
         MembersMessage.Builder m = MembersMessage.newBuilder();
         members.voters().values().forEach(v -> m.addVoters(of(v)));
         if (members.learner() != null) {
@@ -136,13 +144,15 @@
         return m.build();
     }
 
-    static Members members(MembersMessage m) {
-        Members voters =
-                Members.of(m.getVotersList().stream().map(AgreeCodec::member).toList());
-        return m.hasLearner() ? new Members(voters.voters(), member(m.getLearner())) : voters;
+    /** Decodes a {@code MembersMessage}. */
+    public static Membership members(MembersMessage m) {
+        Membership voters = Membership.of(
+                m.getVotersList().stream().map(ConsensusCodec::member).toList());
+        return m.hasLearner() ? new Membership(voters.voters(), member(m.getLearner())) : voters;
     }
 
-    static WriteMessage of(Command.Write w) {
+    /** Encodes a {@code Command.Write}. */
+    public static WriteMessage of(Command.Write w) {
         return WriteMessage.newBuilder()
                 .setRequest(w.request())
                 .setParent(w.parent())
@@ -153,18 +163,20 @@
                 .build();
     }
 
-    static Command.Write write(WriteMessage m) throws Messages.Implausible {
+    /** Decodes a {@code WriteMessage}; throws where it is out of bounds. */
+    public static Command.Write write(WriteMessage m) throws InvalidMessageException {
         if (m.getRequest().isEmpty()
                 || m.getRequest().length() > LONGEST_TEXT
                 || m.getAuthor().length() > LONGEST_TEXT
                 || m.getReason().length() > LONGEST_TEXT) {
-            throw new Messages.Implausible("request, author or reason");
+            throw new InvalidMessageException("request, author or reason");
         }
         return new Command.Write(
                 m.getRequest(), m.getParent(), m.getAuthor(), m.getReason(), m.getAtMs(), document(m.getContent()));
     }
 
-    static EntryMessage of(Entry e) {
+    /** Encodes a {@code LogEntry}. */
+    public static EntryMessage of(LogEntry e) {
         EntryMessage.Builder m = EntryMessage.newBuilder().setIndex(e.index()).setTerm(e.term());
         if (e.command() instanceof Command.Change c) {
             m.setChange(of(c.members()));
@@ -178,20 +190,22 @@
         return m.build();
     }
 
-    static Entry entry(EntryMessage m) throws Messages.Implausible {
+    /** Decodes a {@code EntryMessage}; throws where it is out of bounds. */
+    public static LogEntry entry(EntryMessage m) throws InvalidMessageException {
         Command command =
                 switch (m.getCommandCase()) {
                     case CHANGE -> new Command.Change(members(m.getChange()));
                     case WRITE -> write(m.getWrite());
                     case ACTIVATE -> new Command.Activate(m.getActivate());
                     case NOTHING -> new Command.Nothing();
-                    default -> throw new Messages.Implausible(
+                    default -> throw new InvalidMessageException(
                             "command of entry " + m.getIndex() + ": a newer program may have written it");
                 };
-        return new Entry(m.getIndex(), m.getTerm(), command);
+        return new LogEntry(m.getIndex(), m.getTerm(), command);
     }
 
-    static OutcomeMessage of(Outcome o) {
+    /** Encodes a {@code RequestResult}. */
+    public static OutcomeMessage of(RequestResult o) {
         return OutcomeMessage.newBuilder()
                 .setKind(o.kind().ordinal())
                 .setVersion(o.version())
@@ -199,16 +213,17 @@
                 .build();
     }
 
-    static Outcome outcome(OutcomeMessage m) {
-        Outcome.Kind[] kinds = Outcome.Kind.values();
-        return new Outcome(
-                m.getKind() >= 0 && m.getKind() < kinds.length ? kinds[m.getKind()] : Outcome.Kind.UNKNOWN,
+    /** Decodes a {@code OutcomeMessage}. */
+    public static RequestResult outcome(OutcomeMessage m) {
+        RequestResult.Kind[] kinds = RequestResult.Kind.values();
+        return new RequestResult(
+                m.getKind() >= 0 && m.getKind() < kinds.length ? kinds[m.getKind()] : RequestResult.Kind.UNKNOWN,
                 m.getVersion(),
                 m.getText());
     }
 
     @Override
-    public byte[] encode(SnapshotState s) {
+    public byte[] encode(Snapshot s) {
         SnapshotMessage.Builder m = SnapshotMessage.newBuilder()
                 .setCovered(s.covered())
                 .setTerm(s.term())
@@ -226,19 +241,21 @@
     }
 
     @Override
-    public SnapshotState decode(byte[] bytes) {
+    public Snapshot decode(byte[] bytes) {
         try {
             SnapshotMessage m = SnapshotMessage.parseFrom(bytes);
-            Map<String, Outcome> requests = new LinkedHashMap<>();
+            Map<String, RequestResult> requests = new LinkedHashMap<>();
             m.getRequestsList().forEach(r -> requests.put(r.getRequest(), outcome(r.getOutcome())));
-            return new SnapshotState(
+            return new Snapshot(
                     m.getCovered(),
                     m.getTerm(),
-                    new Registry.State(
+                    new ConfigStateMachine.State(
                             members(m.getMembers()),
                             version(m.getActive()),
                             m.hasPending() ? version(m.getPending()) : null,
-                            m.getHistoryList().stream().map(AgreeCodec::version).toList(),
+                            m.getHistoryList().stream()
+                                    .map(ConsensusCodec::version)
+                                    .toList(),
                             requests));
         } catch (InvalidProtocolBufferException e) {
             return null;
@@ -247,7 +264,8 @@
 
     // ---- Leases and requests -------------------------------------------------------------------------
 
-    static AskMessage of(LeaseAsk a) {
+    /** Encodes a {@code LeaseRequest}. */
+    public static AskMessage of(LeaseRequest a) {
         return AskMessage.newBuilder()
                 .setBalancer(a.balancer())
                 .setRun(a.run())
@@ -257,11 +275,13 @@
                 .build();
     }
 
-    static LeaseAsk ask(AskMessage m) {
-        return new LeaseAsk(m.getBalancer(), m.getRun(), m.getStamp(), m.getHolds(), m.getSchema());
+    /** Decodes a {@code AskMessage}. */
+    public static LeaseRequest ask(AskMessage m) {
+        return new LeaseRequest(m.getBalancer(), m.getRun(), m.getStamp(), m.getHolds(), m.getSchema());
     }
 
-    static GrantMessage of(LeaseGrant g) {
+    /** Encodes a {@code LeaseResponse}. */
+    public static GrantMessage of(LeaseResponse g) {
         return GrantMessage.newBuilder()
                 .setBalancer(g.balancer())
                 .setRun(g.run())
@@ -272,17 +292,20 @@
                 .build();
     }
 
-    static LeaseGrant grant(GrantMessage m) {
-        return new LeaseGrant(m.getBalancer(), m.getRun(), m.getStamp(), m.getActive(), m.getPending(), m.getLeased());
+    /** Decodes a {@code GrantMessage}. */
+    public static LeaseResponse grant(GrantMessage m) {
+        return new LeaseResponse(
+                m.getBalancer(), m.getRun(), m.getStamp(), m.getActive(), m.getPending(), m.getLeased());
     }
 
-    static RequestMessage of(Request r) {
+    /** Encodes a {@code ClientRequest}. */
+    public static RequestMessage of(ClientRequest r) {
         RequestMessage.Builder m = RequestMessage.newBuilder();
-        if (r instanceof Request.Set s) {
+        if (r instanceof ClientRequest.Set s) {
             m.setSet(of(s.write()));
-        } else if (r instanceof Request.Add a) {
+        } else if (r instanceof ClientRequest.Add a) {
             m.setAdd(of(a.member()));
-        } else if (r instanceof Request.Remove e) {
+        } else if (r instanceof ClientRequest.Remove e) {
             m.setRemove(MemberMessage.newBuilder().setName(e.name()).setFolder(e.folder()));
         } else {
             m.setRead(true);
@@ -290,34 +313,36 @@
         return m.build();
     }
 
-    static Request request(RequestMessage m) throws Messages.Implausible {
+    /** Decodes a {@code RequestMessage}; throws where it is out of bounds. */
+    public static ClientRequest request(RequestMessage m) throws InvalidMessageException {
         return switch (m.getRequestCase()) {
-            case SET -> new Request.Set(write(m.getSet()));
-            case ADD -> new Request.Add(member(m.getAdd()));
-            case REMOVE -> new Request.Remove(
+            case SET -> new ClientRequest.Set(write(m.getSet()));
+            case ADD -> new ClientRequest.Add(member(m.getAdd()));
+            case REMOVE -> new ClientRequest.Remove(
                     m.getRemove().getName(), m.getRemove().getFolder());
-            case READ -> new Request.Read();
-            default -> throw new Messages.Implausible("request: a newer program may have sent it");
+            case READ -> new ClientRequest.Read();
+            default -> throw new InvalidMessageException("request: a newer program may have sent it");
         };
     }
 
     // ---- Between keepers -----------------------------------------------------------------------------
 
-    static KeeperMessage of(long folder, Message message) {
+    /** Encodes a {@code long}. */
+    public static KeeperMessage of(long folder, RaftMessage message) {
         KeeperMessage.Builder m =
                 KeeperMessage.newBuilder().setTerm(message.term()).setFolder(folder);
-        if (message instanceof Message.PreVote v) {
+        if (message instanceof RaftMessage.PreVote v) {
             m.setPreVote(Standing.newBuilder().setLastIndex(v.lastIndex()).setLastTerm(v.lastTerm()));
-        } else if (message instanceof Message.PreVoted v) {
+        } else if (message instanceof RaftMessage.PreVoted v) {
             m.setPreVoted(Granted.newBuilder().setGranted(v.granted()).setSound(v.sound()));
-        } else if (message instanceof Message.Vote v) {
+        } else if (message instanceof RaftMessage.Vote v) {
             m.setVote(Standing.newBuilder()
                     .setLastIndex(v.lastIndex())
                     .setLastTerm(v.lastTerm())
                     .setHandedOver(v.handedOver()));
-        } else if (message instanceof Message.Voted v) {
+        } else if (message instanceof RaftMessage.Voted v) {
             m.setVoted(Granted.newBuilder().setGranted(v.granted()).setSound(v.sound()));
-        } else if (message instanceof Message.Append a) {
+        } else if (message instanceof RaftMessage.Append a) {
             AppendMessage.Builder b = AppendMessage.newBuilder()
                     .setPrevIndex(a.prevIndex())
                     .setPrevTerm(a.prevTerm())
@@ -325,14 +350,14 @@
                     .setRound(a.round());
             a.entries().forEach(e -> b.addEntries(of(e)));
             m.setAppend(b);
-        } else if (message instanceof Message.Appended a) {
+        } else if (message instanceof RaftMessage.Appended a) {
             m.setAppended(AppendedMessage.newBuilder()
                     .setOk(a.ok())
                     .setMatched(a.matched())
                     .setRound(a.round())
                     .setRun(a.run())
                     .setSound(a.sound()));
-        } else if (message instanceof Message.Piece p) {
+        } else if (message instanceof RaftMessage.Piece p) {
             m.setPiece(PieceMessage.newBuilder()
                     .setCovered(p.covered())
                     .setCoveredTerm(p.coveredTerm())
@@ -340,12 +365,12 @@
                     .setSize(p.size())
                     .setBytes(ByteString.copyFrom(p.bytes()))
                     .setRound(p.round()));
-        } else if (message instanceof Message.PieceTaken p) {
+        } else if (message instanceof RaftMessage.PieceTaken p) {
             m.setPieceTaken(PieceTakenMessage.newBuilder()
                     .setCovered(p.covered())
                     .setNext(p.next())
                     .setRound(p.round()));
-        } else if (message instanceof Message.StandNow) {
+        } else if (message instanceof RaftMessage.StandNow) {
             m.setStandNow(true);
         } else {
             rest(m, message);
@@ -353,10 +378,10 @@
         return m.build();
     }
 
-    private static void rest(KeeperMessage.Builder m, Message message) {
-        if (message instanceof Message.Recall r) {
+    private static void rest(KeeperMessage.Builder m, RaftMessage message) {
+        if (message instanceof RaftMessage.Recall r) {
             m.setRecall(RecallMessage.newBuilder().addAllRuns(r.runs()).setNumber(r.number()));
-        } else if (message instanceof Message.Recalled r) {
+        } else if (message instanceof RaftMessage.Recalled r) {
             m.setRecalled(RecalledMessage.newBuilder()
                     .setNumber(r.number())
                     .setPast(r.past())
@@ -365,79 +390,79 @@
                     .setLeads(r.leads())
                     .setLastIndex(r.lastIndex())
                     .setKnownRun(r.knownRun()));
-        } else if (message instanceof Message.NotAMember n) {
+        } else if (message instanceof RaftMessage.NotAMember n) {
             m.setNotAMember(n.why());
-        } else if (message instanceof Message.Forward f) {
+        } else if (message instanceof RaftMessage.Forward f) {
             m.setForward(ForwardMessage.newBuilder().setToken(f.token()).setRequest(of(f.request())));
-        } else if (message instanceof Message.Forwarded f) {
+        } else if (message instanceof RaftMessage.Forwarded f) {
             m.setForwarded(ForwardedMessage.newBuilder().setToken(f.token()).setOutcome(of(f.outcome())));
-        } else if (message instanceof Message.Asks a) {
+        } else if (message instanceof RaftMessage.Asks a) {
             m.setAsks(AsksMessage.newBuilder()
                     .setNumber(a.number())
-                    .addAllAsks(a.asks().stream().map(AgreeCodec::of).toList()));
-        } else if (message instanceof Message.Grants g) {
+                    .addAllAsks(a.asks().stream().map(ConsensusCodec::of).toList()));
+        } else if (message instanceof RaftMessage.Grants g) {
             m.setGrants(GrantsMessage.newBuilder()
                     .setNumber(g.number())
                     .setCommit(g.commit())
-                    .addAllGrants(g.grants().stream().map(AgreeCodec::of).toList()));
+                    .addAllGrants(g.grants().stream().map(ConsensusCodec::of).toList()));
         }
     }
 
     /** Reads what another keeper says. */
-    static Message message(KeeperMessage m) throws Messages.Implausible {
+    public static RaftMessage message(KeeperMessage m) throws InvalidMessageException {
         long term = m.getTerm();
         if (term < 0) {
-            throw new Messages.Implausible("term");
+            throw new InvalidMessageException("term");
         }
         return switch (m.getBodyCase()) {
-            case PRE_VOTE -> new Message.PreVote(
+            case PRE_VOTE -> new RaftMessage.PreVote(
                     term, m.getPreVote().getLastIndex(), m.getPreVote().getLastTerm());
-            case PRE_VOTED -> new Message.PreVoted(
+            case PRE_VOTED -> new RaftMessage.PreVoted(
                     term, m.getPreVoted().getGranted(), m.getPreVoted().getSound());
-            case VOTE -> new Message.Vote(
+            case VOTE -> new RaftMessage.Vote(
                     term,
                     m.getVote().getLastIndex(),
                     m.getVote().getLastTerm(),
                     m.getVote().getHandedOver());
-            case VOTED -> new Message.Voted(
+            case VOTED -> new RaftMessage.Voted(
                     term, m.getVoted().getGranted(), m.getVoted().getSound());
             case APPEND -> append(term, m.getAppend());
             case APPENDED -> appended(term, m.getAppended());
             case PIECE -> piece(term, m.getPiece());
-            case PIECE_TAKEN -> new Message.PieceTaken(
+            case PIECE_TAKEN -> new RaftMessage.PieceTaken(
                     term,
                     m.getPieceTaken().getCovered(),
                     m.getPieceTaken().getNext(),
                     m.getPieceTaken().getRound());
-            case STAND_NOW -> new Message.StandNow(term);
+            case STAND_NOW -> new RaftMessage.StandNow(term);
             case RECALL -> recall(term, m.getRecall());
             case RECALLED -> recalled(term, m.getRecalled());
-            case NOT_A_MEMBER -> new Message.NotAMember(term, m.getNotAMember());
-            case FORWARD -> new Message.Forward(
+            case NOT_A_MEMBER -> new RaftMessage.NotAMember(term, m.getNotAMember());
+            case FORWARD -> new RaftMessage.Forward(
                     term, m.getForward().getToken(), request(m.getForward().getRequest()));
-            case FORWARDED -> new Message.Forwarded(
+            case FORWARDED -> new RaftMessage.Forwarded(
                     term, m.getForwarded().getToken(), outcome(m.getForwarded().getOutcome()));
-            case ASKS -> new Message.Asks(
+            case ASKS -> new RaftMessage.Asks(
                     term,
                     m.getAsks().getNumber(),
-                    m.getAsks().getAsksList().stream().map(AgreeCodec::ask).toList());
-            case GRANTS -> new Message.Grants(
+                    m.getAsks().getAsksList().stream().map(ConsensusCodec::ask).toList());
+            case GRANTS -> new RaftMessage.Grants(
                     term,
                     m.getGrants().getNumber(),
                     m.getGrants().getCommit(),
                     m.getGrants().getGrantsList().stream()
-                            .map(AgreeCodec::grant)
+                            .map(ConsensusCodec::grant)
                             .toList());
-            default -> throw new Messages.Implausible("message: a newer program may have sent it");
+            default -> throw new InvalidMessageException("message: a newer program may have sent it");
         };
     }
 
-    private static Message appended(long term, AppendedMessage m) {
-        return new Message.Appended(term, m.getOk(), m.getMatched(), m.getRound(), m.getRun(), m.getSound());
+    private static RaftMessage appended(long term, AppendedMessage m) {
+        return new RaftMessage.Appended(term, m.getOk(), m.getMatched(), m.getRound(), m.getRun(), m.getSound());
     }
 
-    private static Message piece(long term, PieceMessage m) {
-        return new Message.Piece(
+    private static RaftMessage piece(long term, PieceMessage m) {
+        return new RaftMessage.Piece(
                 term,
                 m.getCovered(),
                 m.getCoveredTerm(),
@@ -447,15 +472,15 @@
                 m.getRound());
     }
 
-    private static Message recall(long term, RecallMessage m) throws Messages.Implausible {
+    private static RaftMessage recall(long term, RecallMessage m) throws InvalidMessageException {
         if (m.getRunsCount() == 0 || m.getRunsCount() > 1_000) {
-            throw new Messages.Implausible("runs");
+            throw new InvalidMessageException("runs");
         }
-        return new Message.Recall(term, m.getRunsList(), m.getNumber());
+        return new RaftMessage.Recall(term, m.getRunsList(), m.getNumber());
     }
 
-    private static Message recalled(long term, RecalledMessage m) {
-        return new Message.Recalled(
+    private static RaftMessage recalled(long term, RecalledMessage m) {
+        return new RaftMessage.Recalled(
                 term,
                 m.getNumber(),
                 m.getPast(),
@@ -466,15 +491,15 @@
                 m.getKnownRun());
     }
 
-    private static Message append(long term, AppendMessage m) throws Messages.Implausible {
-        List<Entry> entries = new ArrayList<>(m.getEntriesCount());
+    private static RaftMessage append(long term, AppendMessage m) throws InvalidMessageException {
+        List<LogEntry> entries = new ArrayList<>(m.getEntriesCount());
         long expected = m.getPrevIndex();
         for (EntryMessage e : m.getEntriesList()) {
             if (e.getIndex() != ++expected || e.getTerm() < m.getPrevTerm() || e.getTerm() > term) {
-                throw new Messages.Implausible("order of entries");
+                throw new InvalidMessageException("order of entries");
             }
             entries.add(entry(e));
         }
-        return new Message.Append(term, m.getPrevIndex(), m.getPrevTerm(), entries, m.getCommit(), m.getRound());
+        return new RaftMessage.Append(term, m.getPrevIndex(), m.getPrevTerm(), entries, m.getCommit(), m.getRound());
     }
 }
--- a/src/main/java/sedgeyoke/link/KeeperClient.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigClient.java
@@ -1,4 +1,4 @@
-package sedgeyoke.link;
+package sedgeyoke.consensus.server;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -17,35 +17,41 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import sedgeyoke.agree.Command;
-import sedgeyoke.agree.Member;
-import sedgeyoke.agree.Outcome;
-import sedgeyoke.agree.Request;
-import sedgeyoke.agree.Version;
-import sedgeyoke.link.proto.Frame;
-import sedgeyoke.link.proto.OperatorAsk;
-import sedgeyoke.link.proto.OperatorReply;
-import sedgeyoke.link.proto.StatusMessage;
-import sedgeyoke.operator.TlsFiles;
+import sedgeyoke.consensus.ClientRequest;
+import sedgeyoke.consensus.Command;
+import sedgeyoke.consensus.ConfigDocument;
+import sedgeyoke.consensus.ConfigVersion;
+import sedgeyoke.consensus.Member;
+import sedgeyoke.consensus.Membership;
+import sedgeyoke.consensus.RequestResult;
+import sedgeyoke.consensus.codec.ConsensusCodec;
+import sedgeyoke.settings.TlsFiles;
+import sedgeyoke.transport.FramedConnection;
+import sedgeyoke.transport.MutualTls;
+import sedgeyoke.transport.proto.Frame;
+import sedgeyoke.transport.proto.OperatorAsk;
+import sedgeyoke.transport.proto.OperatorReply;
+import sedgeyoke.transport.proto.StatusMessage;
 
 /**
  * Operators' way to the keepers. It asks one after the other until one knows, and says so where nobody does: what was
  * written and not answered may be done, and is asked for again under the same number.
  */
-public final class KeeperClient implements AutoCloseable {
+public final class ConfigClient implements AutoCloseable {
     private static final long ONE_MS = 1_500;
     private static final long PAUSE_MS = 100;
 
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final List<InetSocketAddress> keepers;
     private final String name;
-    private final Tls tls;
+    private final MutualTls tls;
     private int next;
 
     /** What became of a request, with the versions that the keeper who answered knew. */
-    public record Answer(Outcome outcome, Version active, Version pending, List<Version> history) {
+    public record Answer(
+            RequestResult outcome, ConfigVersion active, ConfigVersion pending, List<ConfigVersion> history) {
         /** The newest of them. */
-        public Version newest() {
+        public ConfigVersion newest() {
             return pending == null ? active : pending;
         }
     }
@@ -71,14 +77,14 @@
             long folder) {}
 
     /** Throws if the TLS files are no good. {@code name}: as in the operator's certificate. */
-    public KeeperClient(List<InetSocketAddress> keepers, String name, TlsFiles files) throws IOException {
+    public ConfigClient(List<InetSocketAddress> keepers, String name, TlsFiles files) throws IOException {
         this.keepers = List.copyOf(keepers);
         this.name = name;
-        this.tls = new Tls(files, false, line -> {});
+        this.tls = new MutualTls(files, false, line -> {});
     }
 
     /** Asks until somebody knows, for so long at the most. */
-    public Answer ask(Request request, long withinMs) throws InterruptedException {
+    public Answer ask(ClientRequest request, long withinMs) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(withinMs);
         boolean mayBeDone = false;
         Answer last = null;
@@ -87,36 +93,41 @@
                     keepers.get(next),
                     OperatorAsk.newBuilder()
                             .setToken(1)
-                            .setRequest(AgreeCodec.of(request))
+                            .setRequest(ConsensusCodec.of(request))
                             .build(),
                     left(end));
             if (reply != null && reply.hasOutcome()) {
                 last = answer(reply);
-                Outcome.Kind kind = last.outcome().kind();
-                mayBeDone |= kind == Outcome.Kind.UNKNOWN;
-                if (kind == Outcome.Kind.DONE || kind == Outcome.Kind.CONFLICT || kind == Outcome.Kind.REFUSED) {
+                RequestResult.Kind kind = last.outcome().kind();
+                mayBeDone |= kind == RequestResult.Kind.UNKNOWN;
+                if (kind == RequestResult.Kind.DONE
+                        || kind == RequestResult.Kind.CONFLICT
+                        || kind == RequestResult.Kind.REFUSED) {
                     return last;
                 }
             } else {
-                mayBeDone |= !(request instanceof Request.Read);
+                mayBeDone |= !(request instanceof ClientRequest.Read);
             }
             next = (next + 1) % keepers.size();
             TimeUnit.MILLISECONDS.sleep(PAUSE_MS);
         }
-        Outcome none = new Outcome(
-                mayBeDone ? Outcome.Kind.UNKNOWN : Outcome.Kind.NO_LEADER,
+        RequestResult none = new RequestResult(
+                mayBeDone ? RequestResult.Kind.UNKNOWN : RequestResult.Kind.NO_LEADER,
                 0,
                 last == null ? "no keeper has answered" : last.outcome().text());
         return new Answer(
-                none, last == null ? Version.NONE : last.active(), last == null ? null : last.pending(), List.of());
+                none,
+                last == null ? ConfigVersion.NONE : last.active(),
+                last == null ? null : last.pending(),
+                List.of());
     }
 
     /** Sets a new version made from one that was read. */
     public Answer set(
-            String request, Version from, String author, String reason, sedgeyoke.agree.Document content, long withinMs)
+            String request, ConfigVersion from, String author, String reason, ConfigDocument content, long withinMs)
             throws InterruptedException {
         return ask(
-                new Request.Set(
+                new ClientRequest.Set(
                         new Command.Write(request, from.number(), author, reason, System.currentTimeMillis(), content)),
                 withinMs);
     }
@@ -143,7 +154,7 @@
             return null;
         }
         StatusMessage s = reply.getStatus();
-        sedgeyoke.agree.Members members = AgreeCodec.members(s.getMembers());
+        Membership members = ConsensusCodec.members(s.getMembers());
         return new Status(
                 s.getName(),
                 s.getRole(),
@@ -170,10 +181,10 @@
 
     private static Answer answer(OperatorReply r) {
         return new Answer(
-                r.hasOutcome() ? AgreeCodec.outcome(r.getOutcome()) : null,
-                AgreeCodec.version(r.getActive()),
-                r.hasPending() ? AgreeCodec.version(r.getPending()) : null,
-                r.getHistoryList().stream().map(AgreeCodec::version).toList());
+                r.hasOutcome() ? ConsensusCodec.outcome(r.getOutcome()) : null,
+                ConsensusCodec.version(r.getActive()),
+                r.hasPending() ? ConsensusCodec.version(r.getPending()) : null,
+                r.getHistoryList().stream().map(ConsensusCodec::version).toList());
     }
 
     private OperatorReply once(InetSocketAddress keeper, OperatorAsk ask, long withinMs) throws InterruptedException {
@@ -210,30 +221,30 @@
     }
 
     /** One question. */
-    private final class Connection extends Peers {
+    private final class Connection extends FramedConnection {
         private final OperatorAsk ask;
         private final CompletableFuture<OperatorReply> reply;
 
         Connection(OperatorAsk ask, CompletableFuture<OperatorReply> reply) {
-            super(Set.of(Tls.Role.KEEPER), name, line -> {});
+            super(Set.of(MutualTls.Role.KEEPER), name, line -> {});
             this.ask = ask;
             this.reply = reply;
         }
 
         @Override
-        void ready() {
+        protected void ready() {
             send(Frame.newBuilder().setOperatorAsk(ask).build());
         }
 
         @Override
-        void message(Frame frame) {
+        protected void message(Frame frame) {
             if (frame.hasOperatorReply()) {
                 reply.complete(frame.getOperatorReply());
             }
         }
 
         @Override
-        void gone() {
+        protected void gone() {
             reply.complete(null);
         }
     }
--- a/src/main/java/sedgeyoke/link/KeeperServer.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigServer.java
@@ -1,4 +1,4 @@
-package sedgeyoke.link;
+package sedgeyoke.consensus.server;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.Channel;
@@ -17,30 +17,36 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import sedgeyoke.agree.Action;
-import sedgeyoke.agree.Event;
-import sedgeyoke.agree.Keeper;
-import sedgeyoke.agree.LeaseAsk;
-import sedgeyoke.agree.LeaseGrant;
-import sedgeyoke.agree.Message;
-import sedgeyoke.agree.Outcome;
-import sedgeyoke.agree.Rules;
-import sedgeyoke.agree.Version;
-import sedgeyoke.link.proto.Frame;
-import sedgeyoke.link.proto.KeeperMessage;
-import sedgeyoke.link.proto.LeaseReply;
-import sedgeyoke.link.proto.NewsMessage;
-import sedgeyoke.link.proto.OperatorAsk;
-import sedgeyoke.link.proto.OperatorReply;
-import sedgeyoke.link.proto.StatusMessage;
-import sedgeyoke.operator.KeeperSettings;
-import sedgeyoke.store.DiskFault;
+import sedgeyoke.consensus.Action;
+import sedgeyoke.consensus.ClientRequest;
+import sedgeyoke.consensus.ConfigVersion;
+import sedgeyoke.consensus.Event;
+import sedgeyoke.consensus.LeaseRequest;
+import sedgeyoke.consensus.LeaseResponse;
+import sedgeyoke.consensus.RaftMessage;
+import sedgeyoke.consensus.RaftNode;
+import sedgeyoke.consensus.RequestResult;
+import sedgeyoke.consensus.SafetyRules;
+import sedgeyoke.consensus.codec.ConsensusCodec;
+import sedgeyoke.consensus.storage.ReplicaStorage;
+import sedgeyoke.settings.ConfigServerSettings;
+import sedgeyoke.store.DiskException;
+import sedgeyoke.transport.FramedConnection;
+import sedgeyoke.transport.InvalidMessageException;
+import sedgeyoke.transport.MutualTls;
+import sedgeyoke.transport.proto.Frame;
+import sedgeyoke.transport.proto.KeeperMessage;
+import sedgeyoke.transport.proto.LeaseReply;
+import sedgeyoke.transport.proto.NewsMessage;
+import sedgeyoke.transport.proto.OperatorAsk;
+import sedgeyoke.transport.proto.OperatorReply;
+import sedgeyoke.transport.proto.StatusMessage;
 
 /**
  * A keeper on sockets and a disk. The keeper and all connections are on one loop; the disk is on a thread of its own,
  * since it may stall, and the loop has to go on hearing and saying what waits for no disk. It decides nothing.
  */
-public final class KeeperServer {
+public final class ConfigServer {
     private static final int SPARE = 32;
     private static final long TICK_MS = 20;
     private static final long LEAST_PAUSE_MS = 100;
@@ -55,20 +61,20 @@
 
     private final EventLoop loop;
     private final Executor disk;
-    private final KeeperSettings settings;
-    private final KeeperFolder folder;
+    private final ConfigServerSettings settings;
+    private final ReplicaStorage folder;
     private final LongSupplier clock;
     private final Consumer<String> log;
     private final Consumer<String> fatal;
-    private final Rules rules;
-    private final Tls server;
-    private final Tls client;
-    private final Keeper keeper;
+    private final SafetyRules rules;
+    private final MutualTls server;
+    private final MutualTls client;
+    private final RaftNode keeper;
     private final SplittableRandom random;
     private final Map<String, Other> others = new HashMap<>();
     private final Map<String, Incoming> followers = new HashMap<>();
     private final Map<Long, Asked> asked = new TreeMap<>();
-    private final List<LeaseAsk> asks = new ArrayList<>();
+    private final List<LeaseRequest> asks = new ArrayList<>();
     private final Set<Incoming> incoming = new HashSet<>();
     private long tokens;
     private long aliveAt;
@@ -83,12 +89,12 @@
      * @param disk runs one thing after the other, on a thread of its own
      * @param fatal is told of a disk that has failed: the process is to end, as nothing is known of what is on it
      */
-    public KeeperServer(
+    public ConfigServer(
             EventLoop loop,
             Executor disk,
-            KeeperSettings settings,
-            Rules rules,
-            KeeperFolder folder,
+            ConfigServerSettings settings,
+            SafetyRules rules,
+            ReplicaStorage folder,
             long run,
             LongSupplier clock,
             Consumer<String> log,
@@ -102,15 +108,15 @@
         this.log = log;
         this.fatal = fatal;
         this.rules = rules;
-        this.server = new Tls(settings.tls(), true, log);
-        this.client = new Tls(settings.tls(), false, log);
+        this.server = new MutualTls(settings.tls(), true, log);
+        this.client = new MutualTls(settings.tls(), false, log);
         this.random = new SplittableRandom(run);
-        this.keeper = new Keeper(
-                new Keeper.Self(settings.name(), folder.folder(), run),
+        this.keeper = new RaftNode(
+                new RaftNode.Self(settings.name(), folder.folder(), run),
                 rules,
                 folder.recovered(),
                 folder.founders(),
-                new AgreeCodec(),
+                new ConsensusCodec(),
                 random.split(),
                 clock.getAsLong());
         settings.keepers().forEach((name, address) -> {
@@ -122,7 +128,7 @@
 
     /** Listens and begins; returns the address. Not to be called on the loop. */
     public InetSocketAddress start() {
-        InetSocketAddress address = Peers.listen(loop, settings.listen(), this::accept);
+        InetSocketAddress address = FramedConnection.listen(loop, settings.listen(), this::accept);
         loop.execute(() -> others.values().forEach(Other::connect));
         loop.scheduleWithFixedDelay(this::tick, 0, TICK_MS, TimeUnit.MILLISECONDS);
         return address;
@@ -146,7 +152,7 @@
 
     private void tick() {
         if (!asks.isEmpty()) { // those of one tick go together
-            List<LeaseAsk> all = List.copyOf(asks);
+            List<LeaseRequest> all = List.copyOf(asks);
             asks.clear();
             on(new Event.LeasesAsked(all));
         }
@@ -160,7 +166,7 @@
                 }
             });
             incoming.forEach(i -> {
-                if (i.peer() != null && i.role() == Tls.Role.KEEPER) {
+                if (i.peer() != null && i.role() == MutualTls.Role.KEEPER) {
                     i.send(ALIVE);
                 }
             });
@@ -224,13 +230,13 @@
         try {
             folder.carryOut(p);
             loop.execute(() -> on(new Event.Persisted(p.token())));
-        } catch (DiskFault | RuntimeException e) {
+        } catch (DiskException | RuntimeException e) {
             loop.execute(() -> stop("the disk has failed (" + e.getMessage() + "): what is on it is not known; mend it"
                     + " and start again"));
         }
     }
 
-    private Version version(long number) {
+    private ConfigVersion version(long number) {
         if (keeper.active().number() == number) {
             return keeper.active();
         } else if (keeper.pending() != null && keeper.pending().number() == number) {
@@ -244,28 +250,29 @@
 
     // ---- Operators -----------------------------------------------------------------------------------
 
-    private void answer(Asked waiting, Outcome outcome) {
+    private void answer(Asked waiting, RequestResult outcome) {
         long known = keeper.pending() == null
                 ? keeper.active().number()
                 : keeper.pending().number();
-        boolean behind = outcome.kind() == Outcome.Kind.DONE && known < outcome.version();
+        boolean behind = outcome.kind() == RequestResult.Kind.DONE && known < outcome.version();
         if (behind && clock.getAsLong() < waiting.until()) { // decided elsewhere; it is on its way
             loop.schedule(() -> answer(waiting, outcome), TICK_MS, TimeUnit.MILLISECONDS);
             return;
         }
         OperatorReply.Builder reply = reply(waiting.token())
-                .setOutcome(AgreeCodec.of(
+                .setOutcome(ConsensusCodec.of(
                         behind
-                                ? new Outcome(Outcome.Kind.UNKNOWN, known, "this keeper does not hear what was decided")
+                                ? new RequestResult(
+                                        RequestResult.Kind.UNKNOWN, known, "this keeper does not hear what was decided")
                                 : outcome));
         waiting.from().send(Frame.newBuilder().setOperatorReply(reply).build());
     }
 
     private OperatorReply.Builder reply(long token) {
         OperatorReply.Builder reply =
-                OperatorReply.newBuilder().setToken(token).setActive(AgreeCodec.of(keeper.active()));
+                OperatorReply.newBuilder().setToken(token).setActive(ConsensusCodec.of(keeper.active()));
         if (keeper.pending() != null) {
-            reply.setPending(AgreeCodec.of(keeper.pending()));
+            reply.setPending(ConsensusCodec.of(keeper.pending()));
         }
         return reply;
     }
@@ -280,7 +287,7 @@
                 .setLast(keeper.last())
                 .setSound(keeper.sound())
                 .setDoubt(keeper.doubt() == null ? "" : keeper.doubt())
-                .setMembers(AgreeCodec.of(keeper.members()))
+                .setMembers(ConsensusCodec.of(keeper.members()))
                 .setActive(keeper.active().number())
                 .setPending(keeper.pending() == null ? 0 : keeper.pending().number())
                 .setHolders(keeper.holders())
@@ -306,10 +313,10 @@
             this.address = address;
         }
 
-        void send(Message message) {
+        void send(RaftMessage message) {
             if (connection != null && connection.peer() != null) {
                 connection.send(Frame.newBuilder()
-                        .setKeeper(AgreeCodec.of(folder.folder(), message))
+                        .setKeeper(ConsensusCodec.of(folder.folder(), message))
                         .build());
             }
         }
@@ -334,16 +341,16 @@
     }
 
     /** A connection that this keeper has made to another one. */
-    private final class Outgoing extends Peers {
+    private final class Outgoing extends FramedConnection {
         private final Other to;
 
         Outgoing(Other to) {
-            super(Set.of(Tls.Role.KEEPER), settings.name(), log);
+            super(Set.of(MutualTls.Role.KEEPER), settings.name(), log);
             this.to = to;
         }
 
         @Override
-        void ready() {
+        protected void ready() {
             if (!to.name.equals(peer())) {
                 close("is " + peer() + " and should be " + to.name);
                 return;
@@ -352,7 +359,7 @@
         }
 
         @Override
-        void message(Frame frame) throws Messages.Implausible {
+        protected void message(Frame frame) throws InvalidMessageException {
             if (frame.hasKeeper()) {
                 heard(peer(), frame.getKeeper());
             } else if (!frame.hasNews()) {
@@ -361,28 +368,31 @@
         }
 
         @Override
-        void gone() {
+        protected void gone() {
             if (to.connection == this || to.connection == null) {
                 to.again();
             }
         }
     }
 
-    private void heard(String from, KeeperMessage message) throws Messages.Implausible {
-        on(new Event.Received(from, message.getFolder(), AgreeCodec.message(message)));
+    private void heard(String from, KeeperMessage message) throws InvalidMessageException {
+        on(new Event.Received(from, message.getFolder(), ConsensusCodec.message(message)));
     }
 
     /** A connection from another keeper, a balancer or an operator. */
-    private final class Incoming extends Peers {
-        private LeaseAsk open;
+    private final class Incoming extends FramedConnection {
+        private LeaseRequest open;
 
         Incoming() {
-            super(Set.of(Tls.Role.KEEPER, Tls.Role.FORWARDER, Tls.Role.OPERATOR), settings.name(), log);
+            super(
+                    Set.of(MutualTls.Role.KEEPER, MutualTls.Role.FORWARDER, MutualTls.Role.OPERATOR),
+                    settings.name(),
+                    log);
         }
 
         @Override
-        void ready() {
-            if (role() == Tls.Role.FORWARDER) {
+        protected void ready() {
+            if (role() == MutualTls.Role.FORWARDER) {
                 Incoming before = followers.put(peer(), this);
                 if (before != null && before != this) {
                     before.close("it has connected anew");
@@ -391,13 +401,13 @@
         }
 
         @Override
-        void message(Frame frame) throws Messages.Implausible, InvalidProtocolBufferException {
-            if (frame.hasKeeper() && role() == Tls.Role.KEEPER) {
+        protected void message(Frame frame) throws InvalidMessageException, InvalidProtocolBufferException {
+            if (frame.hasKeeper() && role() == MutualTls.Role.KEEPER) {
                 heard(peer(), frame.getKeeper());
-            } else if (frame.hasNews() && role() == Tls.Role.KEEPER) {
+            } else if (frame.hasNews() && role() == MutualTls.Role.KEEPER) {
                 return; // it lives
-            } else if (frame.hasLeaseAsk() && role() == Tls.Role.FORWARDER) {
-                LeaseAsk ask = AgreeCodec.ask(frame.getLeaseAsk());
+            } else if (frame.hasLeaseAsk() && role() == MutualTls.Role.FORWARDER) {
+                LeaseRequest ask = ConsensusCodec.ask(frame.getLeaseAsk());
                 if (!ask.balancer().equals(peer())) {
                     close("asks for " + ask.balancer());
                     return;
@@ -405,29 +415,30 @@
                 asks.removeIf(a -> a.balancer().equals(peer())); // a newer one stands for it
                 asks.add(ask);
                 open = ask;
-            } else if (frame.hasOperatorAsk() && role() == Tls.Role.OPERATOR) {
+            } else if (frame.hasOperatorAsk() && role() == MutualTls.Role.OPERATOR) {
                 operator(frame.getOperatorAsk());
             } else {
-                close("sends what a " + role().unit + " does not");
+                close("sends what a " + role().unit() + " does not");
             }
         }
 
-        private void operator(OperatorAsk ask) throws Messages.Implausible {
+        private void operator(OperatorAsk ask) throws InvalidMessageException {
             if (ask.getBodyCase() == OperatorAsk.BodyCase.STATUS) {
                 send(Frame.newBuilder()
                         .setOperatorReply(reply(ask.getToken()).setStatus(status()))
                         .build());
             } else if (ask.getBodyCase() == OperatorAsk.BodyCase.HISTORY) {
                 OperatorReply.Builder reply = reply(ask.getToken());
-                keeper.history().forEach(v -> reply.addHistory(AgreeCodec.of(v)));
+                keeper.history().forEach(v -> reply.addHistory(ConsensusCodec.of(v)));
                 send(Frame.newBuilder().setOperatorReply(reply).build());
             } else if (asked.size() >= MOST_WAITING) {
                 send(Frame.newBuilder()
                         .setOperatorReply(reply(ask.getToken())
-                                .setOutcome(AgreeCodec.of(new Outcome(Outcome.Kind.BUSY, 0, "too many requests wait"))))
+                                .setOutcome(ConsensusCodec.of(
+                                        new RequestResult(RequestResult.Kind.BUSY, 0, "too many requests wait"))))
                         .build());
             } else {
-                sedgeyoke.agree.Request request = AgreeCodec.request(ask.getRequest());
+                ClientRequest request = ConsensusCodec.request(ask.getRequest());
                 long token = ++tokens;
                 asked.put(token, new Asked(this, ask.getToken(), clock.getAsLong() + ANSWER_WITHIN));
                 on(new Event.Asked(token, request));
@@ -435,25 +446,25 @@
         }
 
         /** Tells what was granted, with the versions that the asker does not hold. */
-        void granted(LeaseGrant grant) {
+        void granted(LeaseResponse grant) {
             long holds = open == null ? 0 : open.holds();
-            Version active = version(grant.active());
-            Version pending = grant.pending() == 0 ? null : version(grant.pending());
+            ConfigVersion active = version(grant.active());
+            ConfigVersion pending = grant.pending() == 0 ? null : version(grant.pending());
             if (active == null || grant.pending() != 0 && pending == null) {
                 return; // not known here yet; the balancer asks again
             }
-            LeaseReply.Builder reply = LeaseReply.newBuilder().setGrant(AgreeCodec.of(grant));
+            LeaseReply.Builder reply = LeaseReply.newBuilder().setGrant(ConsensusCodec.of(grant));
             if (holds < active.number() || pending != null && holds < pending.number()) {
-                reply.setActive(AgreeCodec.of(active));
+                reply.setActive(ConsensusCodec.of(active));
                 if (pending != null) {
-                    reply.setPending(AgreeCodec.of(pending));
+                    reply.setPending(ConsensusCodec.of(pending));
                 }
             }
             send(Frame.newBuilder().setLeaseReply(reply).build());
         }
 
         @Override
-        void gone() {
+        protected void gone() {
             if (peer() != null) {
                 followers.remove(peer(), this);
             }
--- a/src/main/java/sedgeyoke/link/KeeperMain.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigServerMain.java
@@ -1,4 +1,4 @@
-package sedgeyoke.link;
+package sedgeyoke.consensus.server;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -15,26 +15,27 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.UnaryOperator;
-import sedgeyoke.agree.Member;
-import sedgeyoke.agree.Members;
-import sedgeyoke.agree.Rules;
-import sedgeyoke.agree.Timing;
-import sedgeyoke.lease.Drift;
-import sedgeyoke.net.Log;
-import sedgeyoke.operator.BadOperatorFile;
-import sedgeyoke.operator.KeeperSettings;
-import sedgeyoke.operator.OperatorFile;
+import sedgeyoke.consensus.Member;
+import sedgeyoke.consensus.Membership;
+import sedgeyoke.consensus.RaftTiming;
+import sedgeyoke.consensus.SafetyRules;
+import sedgeyoke.consensus.storage.ReplicaStorage;
+import sedgeyoke.lease.ClockDrift;
+import sedgeyoke.proxy.RateLimitedLog;
+import sedgeyoke.settings.ConfigServerSettings;
+import sedgeyoke.settings.InvalidOperatorFileException;
+import sedgeyoke.settings.OperatorFile;
 import sedgeyoke.store.Disk;
-import sedgeyoke.store.DiskFault;
+import sedgeyoke.store.DiskException;
 import sedgeyoke.store.FileDisk;
 
 /** One keeper as a process. */
-public final class KeeperMain {
+public final class ConfigServerMain {
     private static final Path BOOT = Path.of("/proc/sys/kernel/random/boot_id");
     private static final long HAND_OVER_MS = 300;
     private static final int DISK_FAILED = 3;
 
-    private KeeperMain() {}
+    private ConfigServerMain() {}
 
     /**
      * Runs until SIGTERM, or until its disk fails (3); returns 2 if the file, the folder or the address is no good.
@@ -47,29 +48,29 @@
 
     /** The same on a disk that {@code wrapped} makes of the real one. */
     static int run(Path operator, boolean found, UnaryOperator<Disk> wrapped) throws InterruptedException {
-        KeeperSettings settings;
+        ConfigServerSettings settings;
         try {
             if (operator == null) {
                 return fail("no operator's file: --config or SEDGEYOKE_OPERATOR must name one");
             }
             settings = OperatorFile.load(operator).keeper();
-        } catch (BadOperatorFile e) {
+        } catch (InvalidOperatorFileException e) {
             return fail(e.getMessage());
         }
         if (!settings.enabled()) {
             return fail(operator + ": keeper.enabled is not true");
         }
         FileDisk files;
-        KeeperFolder folder;
+        ReplicaStorage folder;
         try {
             files = FileDisk.take(settings.folder());
-        } catch (DiskFault e) {
+        } catch (DiskException e) {
             return fail(settings.folder() + ": " + e.getMessage());
         }
         Disk disk = wrapped.apply(files);
         try {
             folder = open(disk, settings, found);
-        } catch (DiskFault | KeeperFolder.Unusable e) {
+        } catch (DiskException | ReplicaStorage.Unusable e) {
             files.close();
             return fail(settings.folder() + ": " + e.getMessage());
         }
@@ -78,20 +79,20 @@
         return serve(settings, folder);
     }
 
-    private static KeeperFolder open(Disk disk, KeeperSettings settings, boolean found)
-            throws DiskFault, KeeperFolder.Unusable {
-        KeeperFolder.Owner owner =
-                new KeeperFolder.Owner(settings.tier(), settings.name(), boot(), settings.forcesMayLie());
-        if (KeeperFolder.isEmpty(disk)) {
+    private static ReplicaStorage open(Disk disk, ConfigServerSettings settings, boolean found)
+            throws DiskException, ReplicaStorage.Unusable {
+        ReplicaStorage.Owner owner =
+                new ReplicaStorage.Owner(settings.tier(), settings.name(), boot(), settings.forcesMayLie());
+        if (ReplicaStorage.isEmpty(disk)) {
             List<Member> founders = new ArrayList<>();
             if (found) {
                 settings.keepers()
                         .forEach((name, at) -> founders.add(
                                 new Member(name, 0, at.getAddress().getHostAddress() + ":" + at.getPort())));
             }
-            KeeperFolder.make(disk, owner, new SecureRandom().nextLong() | 1, Members.of(founders));
+            ReplicaStorage.make(disk, owner, new SecureRandom().nextLong() | 1, Membership.of(founders));
         }
-        return KeeperFolder.open(disk, owner);
+        return ReplicaStorage.open(disk, owner);
     }
 
     /** The system's number of its present start; an empty one where it has none, which is never the same as before. */
@@ -103,7 +104,7 @@
         }
     }
 
-    private static int serve(KeeperSettings settings, KeeperFolder folder) throws InterruptedException {
+    private static int serve(ConfigServerSettings settings, ReplicaStorage folder) throws InterruptedException {
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         ExecutorService disk = Executors.newSingleThreadExecutor(work -> {
             Thread thread = new Thread(work, "disk");
@@ -113,13 +114,13 @@
         long startedNanos = System.nanoTime();
         LongSupplier clock = () -> (System.nanoTime() - startedNanos) / 1_000;
         CountDownLatch ended = new CountDownLatch(1);
-        Log log = new Log(System.err, clock);
+        RateLimitedLog log = new RateLimitedLog(System.err, clock);
         try {
-            KeeperServer server = new KeeperServer(
+            ConfigServer server = new ConfigServer(
                     loop,
                     disk,
                     settings,
-                    new Rules(Timing.usual(settings.leaseMs() * 1_000, new Drift(settings.driftPpm()))),
+                    new SafetyRules(RaftTiming.usual(settings.leaseMs() * 1_000, new ClockDrift(settings.driftPpm()))),
                     folder,
                     new SecureRandom().nextLong() | 1,
                     clock,
--- a/src/main/java/sedgeyoke/link/AgreedLink.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigSubscription.java
@@ -1,4 +1,4 @@
-package sedgeyoke.link;
+package sedgeyoke.consensus.server;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
@@ -8,21 +8,25 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import sedgeyoke.agree.Adherent;
-import sedgeyoke.agree.Rules;
-import sedgeyoke.agree.Timing;
-import sedgeyoke.agree.Version;
-import sedgeyoke.lease.Drift;
-import sedgeyoke.link.proto.Frame;
-import sedgeyoke.link.proto.LeaseReply;
-import sedgeyoke.operator.AgreedSettings;
+import sedgeyoke.consensus.ConfigSubscriber;
+import sedgeyoke.consensus.ConfigVersion;
+import sedgeyoke.consensus.RaftTiming;
+import sedgeyoke.consensus.SafetyRules;
+import sedgeyoke.consensus.codec.ConsensusCodec;
+import sedgeyoke.lease.ClockDrift;
+import sedgeyoke.settings.ConfigSubscriptionSettings;
+import sedgeyoke.transport.FramedConnection;
+import sedgeyoke.transport.InvalidMessageException;
+import sedgeyoke.transport.MutualTls;
+import sedgeyoke.transport.proto.Frame;
+import sedgeyoke.transport.proto.LeaseReply;
 
 /**
  * The side of a balancer that acts on what the keepers agree: a connection to one of them, asks at a steady rate, and
  * what the balancer acts on whenever that changes. A keeper that does not answer is left for another one. It runs on
  * the balancer's loop and waits for nothing.
  */
-public final class AgreedLink {
+public final class ConfigSubscription {
     private static final long LOOK_EVERY_MS = 20;
     /** So often a lease is asked for anew within its time. */
     private static final int ASKS_IN_A_LEASE = 6;
@@ -30,16 +34,16 @@
     private static final int PATIENCE = 2;
 
     private final EventLoop loop;
-    private final AgreedSettings settings;
+    private final ConfigSubscriptionSettings settings;
     private final LongSupplier clock;
     private final Consumer<String> log;
-    private final Consumer<Adherent.Acting> acting;
+    private final Consumer<ConfigSubscriber.Acting> acting;
     private final String name;
-    private final Tls tls;
-    private final Adherent adherent;
+    private final MutualTls tls;
+    private final ConfigSubscriber adherent;
     private final SplittableRandom random;
     private final long askEvery;
-    private Adherent.Acting told;
+    private ConfigSubscriber.Acting told;
     private int at;
     private Connection connection;
     private boolean connecting;
@@ -53,14 +57,14 @@
      * @param clock microseconds, only growing
      * @param acting is told on the loop whenever what the balancer acts on changes
      */
-    public AgreedLink(
+    public ConfigSubscription(
             EventLoop loop,
-            AgreedSettings settings,
+            ConfigSubscriptionSettings settings,
             String name,
             long run,
             LongSupplier clock,
             Consumer<String> log,
-            Consumer<Adherent.Acting> acting)
+            Consumer<ConfigSubscriber.Acting> acting)
             throws IOException {
         this.loop = loop;
         this.settings = settings;
@@ -68,9 +72,9 @@
         this.log = log;
         this.acting = acting;
         this.name = name;
-        this.tls = new Tls(settings.tls(), false, log);
-        Timing timing = Timing.usual(settings.leaseMs() * 1_000, new Drift(settings.driftPpm()));
-        this.adherent = new Adherent(name, run, new Rules(timing), Version.NONE);
+        this.tls = new MutualTls(settings.tls(), false, log);
+        RaftTiming timing = RaftTiming.usual(settings.leaseMs() * 1_000, new ClockDrift(settings.driftPpm()));
+        this.adherent = new ConfigSubscriber(name, run, new SafetyRules(timing), ConfigVersion.NONE);
         this.random = new SplittableRandom(run);
         this.askEvery = timing.lease() / ASKS_IN_A_LEASE;
         this.at = random.nextInt(settings.keepers().size());
@@ -98,19 +102,19 @@
         unanswered++;
         if (connection != null && connection.peer() != null) {
             connection.send(Frame.newBuilder()
-                    .setLeaseAsk(AgreeCodec.of(adherent.ask(clock.getAsLong())))
+                    .setLeaseAsk(ConsensusCodec.of(adherent.ask(clock.getAsLong())))
                     .build());
         }
     }
 
     private void tell(long now) {
-        Adherent.Acting next = adherent.acting(now);
+        ConfigSubscriber.Acting next = adherent.acting(now);
         if (told == null
                 || next.mode() != told.mode()
                 || next.version() != told.version()
                 || next.pending() != told.pending()) {
             told = next;
-            log.accept("agreed: acts " + (next.mode() == Adherent.Mode.LEASED ? "under a lease" : "alone")
+            log.accept("agreed: acts " + (next.mode() == ConfigSubscriber.Mode.LEASED ? "under a lease" : "alone")
                     + " on version " + next.version()
                     + (next.pending() == 0 ? "" : " and " + next.pending() + ", which is to take effect"));
             acting.accept(next);
@@ -133,18 +137,18 @@
     }
 
     /** A connection to a keeper. */
-    private final class Connection extends Peers {
+    private final class Connection extends FramedConnection {
         Connection() {
-            super(Set.of(Tls.Role.KEEPER), name, log);
+            super(Set.of(MutualTls.Role.KEEPER), name, log);
         }
 
         @Override
-        void ready() {
+        protected void ready() {
             nextAsk = clock.getAsLong();
         }
 
         @Override
-        void message(Frame frame) throws Messages.Implausible, InvalidProtocolBufferException {
+        protected void message(Frame frame) throws InvalidMessageException, InvalidProtocolBufferException {
             if (frame.hasNews()) {
                 if (frame.getNews().getNewest() > adherent.newest()) {
                     nextAsk = clock.getAsLong();
@@ -155,9 +159,9 @@
                 long now = clock.getAsLong();
                 if (adherent.heard(
                         now,
-                        AgreeCodec.grant(reply.getGrant()),
-                        reply.hasActive() ? AgreeCodec.version(reply.getActive()) : null,
-                        reply.hasPending() ? AgreeCodec.version(reply.getPending()) : null)) {
+                        ConsensusCodec.grant(reply.getGrant()),
+                        reply.hasActive() ? ConsensusCodec.version(reply.getActive()) : null,
+                        reply.hasPending() ? ConsensusCodec.version(reply.getPending()) : null)) {
                     nextAsk = now;
                 }
                 tell(now);
@@ -167,7 +171,7 @@
         }
 
         @Override
-        void gone() {
+        protected void gone() {
             if (connection == this) {
                 connection = null;
             }
