--- a/src/main/java/sedgeyoke/link/KeeperFolder.java
+++ b/src/main/java/sedgeyoke/consensus/storage/ReplicaStorage.java
@@ -1,4 +1,4 @@
-package sedgeyoke.link;
+package sedgeyoke.consensus.storage;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
@@ -6,42 +6,44 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import sedgeyoke.agree.Action;
-import sedgeyoke.agree.Entry;
-import sedgeyoke.agree.Keeper;
-import sedgeyoke.agree.Members;
-import sedgeyoke.agree.Slot;
-import sedgeyoke.agree.SnapshotState;
-import sedgeyoke.link.proto.EntryMessage;
-import sedgeyoke.link.proto.KnownMessage;
-import sedgeyoke.link.proto.SlotMessage;
-import sedgeyoke.store.Damage;
+import sedgeyoke.consensus.Action;
+import sedgeyoke.consensus.HardState;
+import sedgeyoke.consensus.LogEntry;
+import sedgeyoke.consensus.Membership;
+import sedgeyoke.consensus.RaftNode;
+import sedgeyoke.consensus.Snapshot;
+import sedgeyoke.consensus.codec.ConsensusCodec;
+import sedgeyoke.store.Corruption;
 import sedgeyoke.store.Disk;
-import sedgeyoke.store.DiskFault;
+import sedgeyoke.store.DiskException;
+import sedgeyoke.store.DualCopyFile;
 import sedgeyoke.store.SegmentLog;
 import sedgeyoke.store.Snapshots;
-import sedgeyoke.store.TwinFile;
+import sedgeyoke.transport.InvalidMessageException;
+import sedgeyoke.transport.proto.EntryMessage;
+import sedgeyoke.transport.proto.KnownMessage;
+import sedgeyoke.transport.proto.SlotMessage;
 
 /**
  * What a keeper keeps: terms and votes in a twin file, the log in segments, snapshots. It reads a folder back as what
  * can be believed of it, with the reasons where that may not be all that was promised.
  */
-public final class KeeperFolder {
+public final class ReplicaStorage {
     private static final String SLOT = "slot";
     private static final int SEGMENT_BYTES = 1 << 20;
 
     private final Disk disk;
     private final String boot;
-    private final AgreeCodec codec = new AgreeCodec();
-    private final TwinFile slotFile;
+    private final ConsensusCodec codec = new ConsensusCodec();
+    private final DualCopyFile slotFile;
     private final Snapshots snapshots;
     private final SegmentLog log;
     private SlotMessage slot;
     /** The snapshot before the newest: the log goes on from there, in case the newest rots. */
     private long olderCovered;
 
-    private Keeper.Recovered recovered;
-    private List<Damage> damage = List.of();
+    private RaftNode.Recovered recovered;
+    private List<Corruption> damage = List.of();
 
     /** A folder that no keeper can be started from; the message says why, and what to do. */
     public static final class Unusable extends Exception {
@@ -55,10 +57,10 @@
     /** What whoever opens a folder knows of it: whose it is to be, and the system's number of its present start. */
     public record Owner(String tier, String keeper, String boot, boolean forcesMayLie) {}
 
-    private KeeperFolder(Disk disk, Owner owner, int segmentBytes) throws DiskFault, Unusable {
+    private ReplicaStorage(Disk disk, Owner owner, int segmentBytes) throws DiskException, Unusable {
         this.disk = disk;
         this.boot = owner.boot();
-        this.slotFile = TwinFile.open(disk, SLOT);
+        this.slotFile = DualCopyFile.open(disk, SLOT);
         this.slot = readSlot(owner);
         this.snapshots = new Snapshots(disk, slot.getFolder());
         Optional<Snapshots.Snapshot> newest = snapshots.newest();
@@ -73,7 +75,7 @@
     }
 
     /** Whether a folder holds nothing yet. */
-    public static boolean isEmpty(Disk disk) throws DiskFault {
+    public static boolean isEmpty(Disk disk) throws DiskException {
         return disk.names().isEmpty();
     }
 
@@ -83,40 +85,40 @@
      * @param folder its number, drawn at random
      * @param founders the keepers of a tier that is founded; none where it is to join one
      */
-    public static void make(Disk disk, Owner owner, long folder, Members founders) throws DiskFault, Unusable {
+    public static void make(Disk disk, Owner owner, long folder, Membership founders) throws DiskException, Unusable {
         if (!isEmpty(disk)) {
             throw new Unusable("the folder is not empty");
         }
-        TwinFile file = TwinFile.open(disk, SLOT);
+        DualCopyFile file = DualCopyFile.open(disk, SLOT);
         SlotMessage first = SlotMessage.newBuilder()
                 .setTier(owner.tier())
                 .setKeeper(owner.keeper())
                 .setFolder(folder)
                 .setSound(true)
                 .setBoot(owner.boot())
-                .setFounders(AgreeCodec.of(founders))
+                .setFounders(ConsensusCodec.of(founders))
                 .build();
         file.save(first.toByteArray()); // makes the files, so that they can be told from copies
         file.save(first.toBuilder().setIdentity(file.identity()).build().toByteArray());
     }
 
     /** Reads a folder. */
-    public static KeeperFolder open(Disk disk, Owner owner) throws DiskFault, Unusable {
-        return new KeeperFolder(disk, owner, SEGMENT_BYTES);
+    public static ReplicaStorage open(Disk disk, Owner owner) throws DiskException, Unusable {
+        return new ReplicaStorage(disk, owner, SEGMENT_BYTES);
     }
 
     /** The same with segments of another size. */
-    public static KeeperFolder open(Disk disk, Owner owner, int segmentBytes) throws DiskFault, Unusable {
-        return new KeeperFolder(disk, owner, segmentBytes);
+    public static ReplicaStorage open(Disk disk, Owner owner, int segmentBytes) throws DiskException, Unusable {
+        return new ReplicaStorage(disk, owner, segmentBytes);
     }
 
     /** What can be said of a folder that nobody uses. */
     public record Report(
-            String tier, String keeper, long folder, long term, long last, long covered, List<Damage> damage) {}
+            String tier, String keeper, long folder, long term, long last, long covered, List<Corruption> damage) {}
 
     /** Reads a folder as a start would, whoever's it is, and changes nothing in it. */
-    public static Report check(Disk disk) throws DiskFault, Unusable {
-        KeeperFolder f = new KeeperFolder(new ReadOnly(disk), new Owner("", "", "", false), SEGMENT_BYTES);
+    public static Report check(Disk disk) throws DiskException, Unusable {
+        ReplicaStorage f = new ReplicaStorage(new ReadOnly(disk), new Owner("", "", "", false), SEGMENT_BYTES);
         long covered =
                 f.recovered.snapshot() == null ? 0 : f.recovered.snapshot().covered();
         return new Report(
@@ -132,22 +134,22 @@
     /** A disk on which nothing happens. */
     private record ReadOnly(Disk disk) implements Disk {
         @Override
-        public List<String> names() throws DiskFault {
+        public List<String> names() throws DiskException {
             return disk.names();
         }
 
         @Override
-        public long length(String name) throws DiskFault {
+        public long length(String name) throws DiskException {
             return disk.length(name);
         }
 
         @Override
-        public String identity(String name) throws DiskFault {
+        public String identity(String name) throws DiskException {
             return disk.identity(name);
         }
 
         @Override
-        public byte[] read(String name, long at, int length) throws DiskFault {
+        public byte[] read(String name, long at, int length) throws DiskException {
             return disk.read(name, at, length);
         }
 
@@ -191,16 +193,16 @@
         }
     }
 
-    private void recover(Owner owner, Optional<Snapshots.Snapshot> newest) throws DiskFault, Unusable {
-        List<Damage> found = new ArrayList<>(log.damage());
-        SnapshotState snapshot = newest.map(s -> codec.decode(s.state())).orElse(null);
+    private void recover(Owner owner, Optional<Snapshots.Snapshot> newest) throws DiskException, Unusable {
+        List<Corruption> found = new ArrayList<>(log.damage());
+        Snapshot snapshot = newest.map(s -> codec.decode(s.state())).orElse(null);
         long covered = snapshot == null ? 0 : snapshot.covered();
         olderCovered = covered;
-        List<Entry> entries = entries(log.records());
+        List<LogEntry> entries = entries(log.records());
         long first = entries.isEmpty() ? log.last() + 1 : entries.get(0).index();
         if (first > covered + 1 || covered < slot.getCovered() && log.last() < slot.getCovered()) {
             found.addAll(snapshots.damage());
-            found.add(new Damage(
+            found.add(new Corruption(
                     "log",
                     0,
                     covered + 1,
@@ -219,19 +221,19 @@
                 log.continueBehind(covered + entries.size()); // what is bad stays, until it has been replaced
             }
         }
-        Map<String, Slot.Known> known = new HashMap<>();
-        slot.getKnownList().forEach(k -> known.put(k.getName(), new Slot.Known(k.getFolder(), k.getRun())));
-        recovered = new Keeper.Recovered(
-                new Slot(slot.getTerm(), slot.getVote(), slot.getRunsList(), known, slot.getSound()),
+        Map<String, HardState.Known> known = new HashMap<>();
+        slot.getKnownList().forEach(k -> known.put(k.getName(), new HardState.Known(k.getFolder(), k.getRun())));
+        recovered = new RaftNode.Recovered(
+                new HardState(slot.getTerm(), slot.getVote(), slot.getRunsList(), known, slot.getSound()),
                 snapshot,
                 entries,
                 doubt(owner, found),
                 !found.isEmpty());
     }
 
-    private String doubt(Owner owner, List<Damage> found) throws DiskFault {
+    private String doubt(Owner owner, List<Corruption> found) throws DiskException {
         if (!found.isEmpty()) {
-            return String.join("; ", found.stream().map(Damage::toString).toList());
+            return String.join("; ", found.stream().map(Corruption::toString).toList());
         } else if (!slot.getSound()) {
             return "was in doubt when it ended";
         }
@@ -243,12 +245,12 @@
                 : null;
     }
 
-    private static List<Entry> entries(List<SegmentLog.Record> records) throws Unusable {
-        List<Entry> entries = new ArrayList<>(records.size());
+    private static List<LogEntry> entries(List<SegmentLog.Record> records) throws Unusable {
+        List<LogEntry> entries = new ArrayList<>(records.size());
         for (SegmentLog.Record r : records) {
             try {
-                entries.add(AgreeCodec.entry(EntryMessage.parseFrom(r.payload())));
-            } catch (InvalidProtocolBufferException | Messages.Implausible e) {
+                entries.add(ConsensusCodec.entry(EntryMessage.parseFrom(r.payload())));
+            } catch (InvalidProtocolBufferException | InvalidMessageException e) {
                 throw new Unusable("record " + r.index() + " is whole but no entry: " + e.getMessage());
             }
         }
@@ -256,12 +258,12 @@
     }
 
     /** What can be believed. */
-    public Keeper.Recovered recovered() {
+    public RaftNode.Recovered recovered() {
         return recovered;
     }
 
     /** What was promised and is not there. */
-    public List<Damage> damage() {
+    public List<Corruption> damage() {
         return damage;
     }
 
@@ -281,17 +283,17 @@
     }
 
     /** The keepers as the tier was founded; none where it has joined. */
-    public Members founders() {
-        return AgreeCodec.members(slot.getFounders());
+    public Membership founders() {
+        return ConsensusCodec.members(slot.getFounders());
     }
 
-    private void saveSlot(SlotMessage next) throws DiskFault {
+    private void saveSlot(SlotMessage next) throws DiskException {
         slot = next;
         slotFile.save(next.toByteArray());
     }
 
     /** Makes what a keeper wants to last last; all of it does once this has returned. */
-    public void carryOut(Action.Persist p) throws DiskFault {
+    public void carryOut(Action.Persist p) throws DiskException {
         if (p.slot() != null) {
             SlotMessage.Builder next = slot.toBuilder()
                     .setTerm(p.slot().term())
@@ -316,8 +318,8 @@
             saveSlot(slot.toBuilder().setCovered(p.snapshot().covered()).build());
         }
         List<SegmentLog.Record> records = new ArrayList<>(p.entries().size());
-        for (Entry e : p.entries()) {
-            records.add(new SegmentLog.Record(e.index(), AgreeCodec.of(e).toByteArray()));
+        for (LogEntry e : p.entries()) {
+            records.add(new SegmentLog.Record(e.index(), ConsensusCodec.of(e).toByteArray()));
         }
         if (p.restart() >= 0) {
             log.restart(p.restart(), records);
--- a/src/main/java/sedgeyoke/drill/BodiesDrill.java
+++ b/src/main/java/sedgeyoke/drill/BodiesDrill.java
@@ -27,8 +27,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import sedgeyoke.site.SiteSpec;
-import sedgeyoke.site.WorkClass;
+import sedgeyoke.model.RequestClassModel;
+import sedgeyoke.model.SiteModel;
 import sedgeyoke.standin.BulkClient;
 import sedgeyoke.standin.BulkPair;
 import sedgeyoke.standin.BulkPair.End;
@@ -127,7 +127,7 @@
     }
 
     private void play(
-            SiteSpec spec,
+            SiteModel spec,
             EventLoopGroup loops,
             InetSocketAddress address,
             ProgramProcess balancer,
@@ -207,7 +207,7 @@
                 });
     }
 
-    private static WorkClass drawClass(SiteSpec spec, SplittableRandom random) {
+    private static RequestClassModel drawClass(SiteModel spec, SplittableRandom random) {
         return spec.classes().get(random.nextInt(spec.classes().size()));
     }
 
--- a/src/main/java/sedgeyoke/drill/AgreeDrill.java
+++ b/src/main/java/sedgeyoke/drill/ConsensusDrill.java
@@ -24,14 +24,14 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Stream;
-import sedgeyoke.agree.Document;
-import sedgeyoke.agree.Outcome;
-import sedgeyoke.agree.Request;
-import sedgeyoke.agree.Schema;
-import sedgeyoke.agree.Version;
-import sedgeyoke.link.KeeperClient;
-import sedgeyoke.operator.TlsFiles;
-import sedgeyoke.site.Ledger;
+import sedgeyoke.consensus.ClientRequest;
+import sedgeyoke.consensus.ConfigDocument;
+import sedgeyoke.consensus.ConfigSchema;
+import sedgeyoke.consensus.ConfigVersion;
+import sedgeyoke.consensus.RequestResult;
+import sedgeyoke.consensus.server.ConfigClient;
+import sedgeyoke.model.InvariantChecker;
+import sedgeyoke.settings.TlsFiles;
 import sedgeyoke.standin.FaultProxy;
 import sedgeyoke.standin.Site;
 
@@ -41,7 +41,7 @@
  * have bits of their folders flipped while they are down, a minority of them at once. What is judged is what nodes saw:
  * requests that arrive at a node that is out.
  */
-public final class AgreeDrill {
+public final class ConsensusDrill {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final double[] EVEN = {0.34, 0.33, 0.33};
     private static final int NODES = 12;
@@ -75,7 +75,7 @@
     private volatile boolean over;
 
     /** A write as whoever made it saw it; times are of the site's clock. */
-    private record Write(long from, long until, Outcome outcome, String request, Document content) {}
+    private record Write(long from, long until, RequestResult outcome, String request, ConfigDocument content) {}
 
     /** What is played. */
     public enum Mode {
@@ -88,7 +88,7 @@
     }
 
     /** {@code program}: how the program is started. */
-    public AgreeDrill(
+    public ConsensusDrill(
             int keepers, int balancers, int seconds, long seed, Mode mode, List<String> program, PrintWriter out) {
         this.keeperCount = keepers;
         this.balancerCount = balancers;
@@ -160,7 +160,7 @@
         }
 
         List<InetSocketAddress> addresses() {
-            return ports.stream().map(AgreeDrill::loopback).toList();
+            return ports.stream().map(ConsensusDrill::loopback).toList();
         }
 
         void heal() {
@@ -209,7 +209,7 @@
                 w.join();
             }
             site.stopClients();
-            Version last = finalVersion(tier, files);
+            ConfigVersion last = finalVersion(tier, files);
             return figures(site, last, tier, files);
         } finally {
             PlannersDrill.deleteUnlessAsked(folder);
@@ -217,17 +217,17 @@
     }
 
     private void awaitLeader(Tier tier, TlsFiles files) throws IOException, InterruptedException {
-        try (KeeperClient client = new KeeperClient(tier.addresses(), "op", files)) {
-            if (client.ask(new Request.Read(), 60_000).outcome().kind() != Outcome.Kind.DONE) {
+        try (ConfigClient client = new ConfigClient(tier.addresses(), "op", files)) {
+            if (client.ask(new ClientRequest.Read(), 60_000).outcome().kind() != RequestResult.Kind.DONE) {
                 throw new IOException("no leader after a minute");
             }
         }
     }
 
-    private Version finalVersion(Tier tier, TlsFiles files) throws IOException, InterruptedException {
-        try (KeeperClient client = new KeeperClient(tier.addresses(), "op", files)) {
-            KeeperClient.Answer answer = client.ask(new Request.Read(), 30_000);
-            return answer.outcome().kind() == Outcome.Kind.DONE ? answer.newest() : null;
+    private ConfigVersion finalVersion(Tier tier, TlsFiles files) throws IOException, InterruptedException {
+        try (ConfigClient client = new ConfigClient(tier.addresses(), "op", files)) {
+            ConfigClient.Answer answer = client.ask(new ClientRequest.Read(), 30_000);
+            return answer.outcome().kind() == RequestResult.Kind.DONE ? answer.newest() : null;
         }
     }
 
@@ -235,21 +235,21 @@
 
     private void write(Site site, Tier tier, TlsFiles files, int number) {
         SplittableRandom random = new SplittableRandom(seed * 7 + number);
-        try (KeeperClient client = new KeeperClient(tier.addresses(), "op", files)) {
+        try (ConfigClient client = new ConfigClient(tier.addresses(), "op", files)) {
             for (int i = 0; !over; i++) {
                 long readFrom = site.now();
-                KeeperClient.Answer now = client.ask(new Request.Read(), WRITE_MS);
-                if (now.outcome().kind() != Outcome.Kind.DONE) {
+                ConfigClient.Answer now = client.ask(new ClientRequest.Read(), WRITE_MS);
+                if (now.outcome().kind() != RequestResult.Kind.DONE) {
                     continue;
                 }
                 reads.add(new long[] {readFrom, site.now(), now.outcome().version()});
                 Map<String, String> nodes = new TreeMap<>();
                 nodes.put("n" + (1 + random.nextInt(NODES)), "drill");
-                Document content = now.newest().content().with(Schema.UPSTREAMS_OUT, nodes);
+                ConfigDocument content = now.newest().content().with(ConfigSchema.UPSTREAMS_OUT, nodes);
                 long from = site.now();
                 String request = "w" + number + "-" + i;
-                KeeperClient.Answer done = client.set(request, now.newest(), "w" + number, "drill", content, WRITE_MS);
-                if (mode == Mode.WITHOUT && done.outcome().kind() == Outcome.Kind.DONE) {
+                ConfigClient.Answer done = client.set(request, now.newest(), "w" + number, "drill", content, WRITE_MS);
+                if (mode == Mode.WITHOUT && done.outcome().kind() == RequestResult.Kind.DONE) {
                     tellEach(tier, now.newest().content(), content);
                 }
                 writes.add(new Write(from, site.now(), done.outcome(), request, content));
@@ -261,10 +261,11 @@
     }
 
     /** One after the other, as a tool would that has a list of them; whoever does not answer is left out. */
-    private synchronized void tellEach(Tier tier, Document before, Document next) throws InterruptedException {
+    private synchronized void tellEach(Tier tier, ConfigDocument before, ConfigDocument next)
+            throws InterruptedException {
         Map<String, String> calls = new LinkedHashMap<>();
-        next.names(Schema.UPSTREAMS_OUT).keySet().forEach(id -> calls.put(id, "cordon"));
-        before.names(Schema.UPSTREAMS_OUT).keySet().forEach(id -> calls.putIfAbsent(id, "uncordon"));
+        next.names(ConfigSchema.UPSTREAMS_OUT).keySet().forEach(id -> calls.put(id, "cordon"));
+        before.names(ConfigSchema.UPSTREAMS_OUT).keySet().forEach(id -> calls.putIfAbsent(id, "uncordon"));
         for (FaultProxy door : tier.doors) {
             for (Map.Entry<String, String> call : calls.entrySet()) {
                 try {
@@ -402,7 +403,7 @@
         long worst = 0;
         long worstAlone = 0;
         List<Write> done = writes.stream()
-                .filter(w -> w.outcome().kind() == Outcome.Kind.DONE)
+                .filter(w -> w.outcome().kind() == RequestResult.Kind.DONE)
                 .sorted((a, b) ->
                         Long.compare(a.outcome().version(), b.outcome().version()))
                 .toList();
@@ -429,7 +430,7 @@
     /** Each version puts one node out and the one before back: never may both be in use. */
     private int strictContradictions() {
         List<Write> done = writes.stream()
-                .filter(w -> w.outcome().kind() == Outcome.Kind.DONE)
+                .filter(w -> w.outcome().kind() == RequestResult.Kind.DONE)
                 .sorted((a, b) ->
                         Long.compare(a.outcome().version(), b.outcome().version()))
                 .toList();
@@ -459,13 +460,13 @@
     }
 
     private static String node(Write w) {
-        return w.content().names(Schema.UPSTREAMS_OUT).keySet().iterator().next();
+        return w.content().names(ConfigSchema.UPSTREAMS_OUT).keySet().iterator().next();
     }
 
     private boolean inOrder() {
         List<long[]> ops = new ArrayList<>(reads);
         writes.stream()
-                .filter(w -> w.outcome().kind() == Outcome.Kind.DONE)
+                .filter(w -> w.outcome().kind() == RequestResult.Kind.DONE)
                 .forEach(w ->
                         ops.add(new long[] {w.from(), w.until(), w.outcome().version()}));
         for (long[] a : ops) {
@@ -478,31 +479,31 @@
         return true;
     }
 
-    private ObjectNode figures(Site site, Version last, Tier tier, TlsFiles files)
+    private ObjectNode figures(Site site, ConfigVersion last, Tier tier, TlsFiles files)
             throws IOException, InterruptedException {
-        Ledger.Summary summary = site.summary();
+        InvariantChecker.Summary summary = site.summary();
         long done = writes.stream()
-                .filter(w -> w.outcome().kind() == Outcome.Kind.DONE)
+                .filter(w -> w.outcome().kind() == RequestResult.Kind.DONE)
                 .count();
         long unknown = writes.stream()
-                .filter(w -> w.outcome().kind() == Outcome.Kind.UNKNOWN)
+                .filter(w -> w.outcome().kind() == RequestResult.Kind.UNKNOWN)
                 .count();
         long versions = writes.stream()
-                .filter(w -> w.outcome().kind() == Outcome.Kind.DONE)
+                .filter(w -> w.outcome().kind() == RequestResult.Kind.DONE)
                 .mapToLong(w -> w.outcome().version())
                 .distinct()
                 .count();
         long highest = writes.stream()
-                .filter(w -> w.outcome().kind() == Outcome.Kind.DONE)
+                .filter(w -> w.outcome().kind() == RequestResult.Kind.DONE)
                 .mapToLong(w -> w.outcome().version())
                 .max()
                 .orElse(0);
         long lost = last == null ? -1 : done - versions + Math.max(0, highest - last.number());
         long bound = 0;
         int sound = 0;
-        try (KeeperClient client = new KeeperClient(tier.addresses(), "op", files)) {
+        try (ConfigClient client = new ConfigClient(tier.addresses(), "op", files)) {
             for (InetSocketAddress at : tier.addresses()) {
-                KeeperClient.Status status = client.status(at);
+                ConfigClient.Status status = client.status(at);
                 bound = status == null ? bound : status.holdsWithinMs();
                 sound += status != null && status.sound() ? 1 : 0;
             }
--- a/src/main/java/sedgeyoke/drill/DemoRun.java
+++ b/src/main/java/sedgeyoke/drill/DemoRun.java
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import sedgeyoke.decide.Balancer;
-import sedgeyoke.site.Ledger;
+import sedgeyoke.model.InvariantChecker;
+import sedgeyoke.policy.LoadBalancingPolicy;
 import sedgeyoke.standin.OrderNode;
 import sedgeyoke.standin.Site;
 
@@ -40,11 +40,11 @@
     }
 
     /** Plays it and prints the summary; returns what clients and nodes saw. */
-    public Ledger.Summary run() throws IOException, InterruptedException {
+    public InvariantChecker.Summary run() throws IOException, InterruptedException {
         try (Site site = new Site(Sites.orders(NODES), ZONE_SHARE, seed)) {
-            List<LocalBalancer> balancers = new ArrayList<>();
+            List<InProcessBalancer> balancers = new ArrayList<>();
             for (int i = 0; i < BALANCERS; i++) {
-                balancers.add(new LocalBalancer(site, "b" + (i + 1), i, i, BALANCERS, seed + i));
+                balancers.add(new InProcessBalancer(site, "b" + (i + 1), i, i, BALANCERS, seed + i));
             }
             Thread.sleep(500); // discovery's first lists
             site.startClients(LOAD * site.spec().capacity());
@@ -54,8 +54,8 @@
                 show(site, balancers, second);
             }
             site.stopClients();
-            Ledger.Summary summary = site.summary();
-            balancers.forEach(LocalBalancer::close);
+            InvariantChecker.Summary summary = site.summary();
+            balancers.forEach(InProcessBalancer::close);
             conclude(site, summary);
             return summary;
         }
@@ -71,8 +71,8 @@
         }
     }
 
-    private void show(Site site, List<LocalBalancer> balancers, int second) {
-        Ledger.Summary now = site.summary();
+    private void show(Site site, List<InProcessBalancer> balancers, int second) {
+        InvariantChecker.Summary now = site.summary();
         String head = String.format(
                 Locale.ROOT,
                 "%3d s  service %.3f  p50 %.0f ms  p99 %.0f ms  answers %s%s",
@@ -88,8 +88,8 @@
             return;
         }
         Map<String, double[]> weights = new HashMap<>();
-        for (LocalBalancer b : balancers) {
-            for (Balancer.Standing s : b.summary().upstreams()) {
+        for (InProcessBalancer b : balancers) {
+            for (LoadBalancingPolicy.Standing s : b.summary().upstreams()) {
                 double[] sum = weights.computeIfAbsent(s.id(), id -> new double[2]);
                 sum[0] += s.weight() / balancers.size();
                 sum[1] += s.inFlight();
@@ -115,7 +115,7 @@
         out.flush();
     }
 
-    private void conclude(Site site, Ledger.Summary summary) {
+    private void conclude(Site site, InvariantChecker.Summary summary) {
         out.println();
         out.println(String.format(
                 Locale.ROOT,
--- a/src/main/java/sedgeyoke/drill/LocalBalancer.java
+++ b/src/main/java/sedgeyoke/drill/InProcessBalancer.java
@@ -8,24 +8,24 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import sedgeyoke.decide.Balancer;
-import sedgeyoke.net.Config;
-import sedgeyoke.net.ModulePort;
-import sedgeyoke.net.Server;
+import sedgeyoke.policy.LoadBalancingPolicy;
+import sedgeyoke.proxy.BalancerConfig;
+import sedgeyoke.proxy.BalancerServer;
+import sedgeyoke.proxy.ModulePort;
 import sedgeyoke.standin.Site;
 
 /** A balancer inside this process, on a loop of its own; it shares nothing with others but the network. */
-public final class LocalBalancer implements AutoCloseable {
+public final class InProcessBalancer implements AutoCloseable {
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-    private final Server server;
+    private final BalancerServer server;
     private final InetSocketAddress address;
 
     /** Starts it, and tells the site's clients of it. */
-    public LocalBalancer(Site site, String name, int zone, int position, int group, long seed) throws IOException {
+    public InProcessBalancer(Site site, String name, int zone, int position, int group, long seed) throws IOException {
         String text = TierProcesses.configuration(site, name, zone, position, group, position * 100L, seed);
         try {
-            server = Server.onSockets(loop, Config.parse(text.getBytes(StandardCharsets.UTF_8)));
-        } catch (Config.Bad e) {
+            server = BalancerServer.onSockets(loop, BalancerConfig.parse(text.getBytes(StandardCharsets.UTF_8)));
+        } catch (BalancerConfig.Bad e) {
             throw new IllegalStateException(e);
         }
         address = server.listen();
@@ -33,8 +33,8 @@
     }
 
     /** What its module knows. */
-    public Balancer.Summary summary() {
-        CompletableFuture<Balancer.Summary> summary = new CompletableFuture<>();
+    public LoadBalancingPolicy.Summary summary() {
+        CompletableFuture<LoadBalancingPolicy.Summary> summary = new CompletableFuture<>();
         ModulePort port = server.port();
         loop.execute(() -> port.deliver(() -> summary.complete(port.module().summary(port.now()))));
         return summary.join();
--- a/src/main/java/sedgeyoke/drill/PlannersDrill.java
+++ b/src/main/java/sedgeyoke/drill/PlannersDrill.java
@@ -21,7 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.stream.Stream;
-import sedgeyoke.site.Ledger;
+import sedgeyoke.model.InvariantChecker;
 import sedgeyoke.standin.FaultProxy;
 import sedgeyoke.standin.Site;
 
@@ -57,7 +57,8 @@
     }
 
     /** A run's figures, the true utilisation of its nodes, and the first rules broken in words. */
-    private record Played(Ledger.Summary summary, double utilisation, double stalledMs, List<String> violations) {}
+    private record Played(
+            InvariantChecker.Summary summary, double utilisation, double stalledMs, List<String> violations) {}
 
     /** Prints what happens to {@code out}; {@code load} is asked for as a share of what nodes with cold keys carry. */
     public PlannersDrill(int seconds, long seed, double load, PrintWriter out) {
@@ -80,14 +81,18 @@
                 throw new IOException(e.getCause());
             }
         }
-        List<Ledger.Summary> results = played.stream().map(Played::summary).toList();
-        Ledger.Summary failing = results.get(0);
-        Ledger.Summary quiet = results.get(1);
-        Ledger.Summary none = results.get(2);
-        int violations =
-                results.stream().mapToInt(Ledger.Summary::ruleViolations).sum();
-        double coldPeak =
-                results.stream().mapToDouble(Ledger.Summary::coldPeak).max().orElse(0);
+        List<InvariantChecker.Summary> results =
+                played.stream().map(Played::summary).toList();
+        InvariantChecker.Summary failing = results.get(0);
+        InvariantChecker.Summary quiet = results.get(1);
+        InvariantChecker.Summary none = results.get(2);
+        int violations = results.stream()
+                .mapToInt(InvariantChecker.Summary::ruleViolations)
+                .sum();
+        double coldPeak = results.stream()
+                .mapToDouble(InvariantChecker.Summary::coldPeak)
+                .max()
+                .orElse(0);
         ObjectNode figures = JSON.createObjectNode()
                 .put("drill", "planners")
                 .put("seed", seed)
@@ -177,7 +182,7 @@
             script(mode, site, planners, proxies);
             double utilisation = site.utilisationSince(worked, since);
             site.stopClients();
-            Ledger.Summary summary = site.summary();
+            InvariantChecker.Summary summary = site.summary();
             say(mode, describe(summary, utilisation));
             List<String> violations = site.ask(site.ledger()::violations);
             violations.forEach(v -> System.err.println(mode.toString().toLowerCase(Locale.ROOT) + ": " + v));
@@ -190,7 +195,7 @@
         }
     }
 
-    private static String describe(Ledger.Summary summary, double utilisation) {
+    private static String describe(InvariantChecker.Summary summary, double utilisation) {
         return "service " + round(summary.service()) + ", answers " + summary.answers() + ", p99 "
                 + round(summary.p99Ms()) + " ms, cold peak " + round(summary.coldPeak()) + ", rules "
                 + summary.violations() + ", utilisation " + round(utilisation);
--- a/src/main/java/sedgeyoke/drill/Sites.java
+++ b/src/main/java/sedgeyoke/drill/Sites.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import sedgeyoke.site.SiteSpec;
+import sedgeyoke.model.SiteModel;
 
 /** The sites that demo and drills play on. */
 public final class Sites {
@@ -14,13 +14,13 @@
     private Sites() {}
 
     /** Three zones like the platform's, with so many nodes dealt out unevenly; every third is slow. */
-    public static SiteSpec orders(int nodes) {
-        List<SiteSpec.NodeSpec> specs = new ArrayList<>();
+    public static SiteModel orders(int nodes) {
+        List<SiteModel.NodeSpec> specs = new ArrayList<>();
         for (int i = 0; i < nodes; i++) {
             int zone = i % 4 == 3 ? 0 : i % 4; // the first zone has twice as many
-            specs.add(new SiteSpec.NodeSpec("n" + (i + 1), zone, CORES, i % 3 == 2 ? SLOW : FAST, QUEUE));
+            specs.add(new SiteModel.NodeSpec("n" + (i + 1), zone, CORES, i % 3 == 2 ? SLOW : FAST, QUEUE));
         }
-        return new SiteSpec(
-                List.of("kagoshima", "miyazaki", "oita"), SiteSpec.orders(), specs, SiteSpec.RuleSpec.USUAL, false);
+        return new SiteModel(
+                List.of("kagoshima", "miyazaki", "oita"), SiteModel.orders(), specs, SiteModel.RuleSpec.USUAL, false);
     }
 }
--- a/src/main/java/sedgeyoke/drill/TierProcesses.java
+++ b/src/main/java/sedgeyoke/drill/TierProcesses.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
-import sedgeyoke.operator.TlsFiles;
+import sedgeyoke.settings.TlsFiles;
 import sedgeyoke.standin.Certificates;
 import sedgeyoke.standin.Configurations;
 import sedgeyoke.standin.Site;
--- a/src/main/java/sedgeyoke/experiment/Experiment.java
+++ b/src/main/java/sedgeyoke/experiment/Experiment.java
@@ -16,9 +16,9 @@
 import java.util.concurrent.Future;
 import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
-import sedgeyoke.emulate.Emulation;
-import sedgeyoke.emulate.Policies;
-import sedgeyoke.emulate.Theory;
+import sedgeyoke.simulation.BaselinePolicies;
+import sedgeyoke.simulation.QueueingTheory;
+import sedgeyoke.simulation.Simulation;
 
 /** Plays all variants of an experiment with the same seeds, side by side, and says what differs. */
 public final class Experiment {
@@ -51,14 +51,14 @@
     }
 
     /** Plays it and returns the figures; {@code ok} is false where a rule was broken or theory is missed. */
-    public ObjectNode run() throws IOException, InterruptedException, BadExperiment {
+    public ObjectNode run() throws IOException, InterruptedException, InvalidExperimentException {
         return file.theory() ? theory() : compare();
     }
 
     private ObjectNode theory() {
-        List<Theory.Check> checks = Theory.checks(THEORY_SCALE, plan.firstSeed());
+        List<QueueingTheory.Check> checks = QueueingTheory.checks(THEORY_SCALE, plan.firstSeed());
         double worst = 0;
-        for (Theory.Check c : checks) {
+        for (QueueingTheory.Check c : checks) {
             say.printf(
                     Locale.ROOT,
                     "%-70s expected %.5f, seen %.5f, off by %.2f%%%n",
@@ -77,8 +77,8 @@
                 .put("ok", worst <= THEORY_WITHIN);
     }
 
-    private ObjectNode compare() throws IOException, InterruptedException, BadExperiment {
-        RunFile kept = plan.out() == null ? null : new RunFile(plan.out());
+    private ObjectNode compare() throws IOException, InterruptedException, InvalidExperimentException {
+        RunLog kept = plan.out() == null ? null : new RunLog(plan.out());
         Map<Run.Key, Run> before = kept != null && plan.resume() ? kept.read(file) : Map.of();
         if (kept != null && !plan.resume()) {
             kept.clear();
@@ -96,8 +96,8 @@
 
     // ---- Runs ----------------------------------------------------------------------------------------
 
-    private List<Run> play(RunFile kept, Map<Run.Key, Run> before) throws IOException, InterruptedException {
-        ExecutorService pool = Jobs.pool(plan.jobs());
+    private List<Run> play(RunLog kept, Map<Run.Key, Run> before) throws IOException, InterruptedException {
+        ExecutorService pool = WorkerThreads.pool(plan.jobs());
         long startedAt = System.nanoTime();
         int all = file.points().stream().mapToInt(p -> p.variants().size()).sum() * plan.seeds();
         Map<Run.Key, Future<Run>> playing = new LinkedHashMap<>();
@@ -113,7 +113,7 @@
                                         file,
                                         point,
                                         variant,
-                                        new Emulation(point.variants().get(variant), seed).run(),
+                                        new Simulation(point.variants().get(variant), seed).run(),
                                         seed == plan.firstSeed());
                                 if (kept != null) {
                                     kept.add(run);
@@ -229,13 +229,13 @@
             if (!name.equals(file.base())) {
                 put(
                         v.putObject("service_over_" + file.base()),
-                        Paired.of(each(all, Run::service), each(base, Run::service)));
+                        PairedBootstrap.of(each(all, Run::service), each(base, Run::service)));
             }
             say.println((point.label() + " " + name).strip() + " " + v);
         }
         if (!file.with().isEmpty()) {
             List<Run> with = of.apply(file.with());
-            Paired gain = Paired.of(each(with, Run::service), each(base, Run::service));
+            PairedBootstrap gain = PairedBootstrap.of(each(with, Run::service), each(base, Run::service));
             figures.put("service_gain", Run.round(gain.mean()))
                     .put("service_gain_low", Run.round(gain.low()))
                     .put("service_gain_high", Run.round(gain.high()))
@@ -247,7 +247,7 @@
         }
     }
 
-    private static void put(ObjectNode to, Paired p) {
+    private static void put(ObjectNode to, PairedBootstrap p) {
         to.put("mean", Run.round(p.mean()))
                 .put("low", Run.round(p.low()))
                 .put("high", Run.round(p.high()))
@@ -269,7 +269,7 @@
         Map<String, String> policies = new LinkedHashMap<>();
         file.points().forEach(p -> p.variants().forEach((name, s) -> policies.put(name, s.policy())));
         List<Run> ours = runs.stream()
-                .filter(r -> policies.get(r.variant()).equals(Policies.OURS))
+                .filter(r -> policies.get(r.variant()).equals(BaselinePolicies.OURS))
                 .toList();
         List<String> broken = new ArrayList<>();
         ours.forEach(r -> r.violations()
--- a/src/main/java/sedgeyoke/experiment/ExperimentFile.java
+++ b/src/main/java/sedgeyoke/experiment/ExperimentFile.java
@@ -14,12 +14,12 @@
 import java.util.Map;
 import org.tomlj.Toml;
 import org.tomlj.TomlParseResult;
-import sedgeyoke.emulate.Policies;
-import sedgeyoke.emulate.Scenario;
-import sedgeyoke.emulate.Scenario.Fault;
-import sedgeyoke.emulate.Scenario.PlannerSpec;
-import sedgeyoke.emulate.Scenarios;
-import sedgeyoke.operator.Problem;
+import sedgeyoke.settings.ConfigProblem;
+import sedgeyoke.simulation.BaselinePolicies;
+import sedgeyoke.simulation.Scenario;
+import sedgeyoke.simulation.Scenario.Fault;
+import sedgeyoke.simulation.Scenario.PlannerSpec;
+import sedgeyoke.simulation.Scenarios;
 
 /**
  * An experiment as its file has it.
@@ -117,37 +117,37 @@
             List<Map<String, Object>> variants) {}
 
     /** Reads a file; throws with all that is wrong in it. */
-    public static ExperimentFile load(Path file) throws BadExperiment {
-        List<Problem> problems = new ArrayList<>();
+    public static ExperimentFile load(Path file) throws InvalidExperimentException {
+        List<ConfigProblem> problems = new ArrayList<>();
         String text = "";
         try {
             if (Files.size(file) > LARGEST) {
-                problems.add(new Problem(file.toString(), 0, "", "is larger than " + LARGEST + " bytes"));
+                problems.add(new ConfigProblem(file.toString(), 0, "", "is larger than " + LARGEST + " bytes"));
             } else {
                 text = Files.readString(file);
             }
         } catch (IOException e) {
-            problems.add(new Problem(file.toString(), 0, "", "cannot be read: " + e));
+            problems.add(new ConfigProblem(file.toString(), 0, "", "cannot be read: " + e));
         }
         if (!problems.isEmpty()) {
-            throw new BadExperiment(problems);
+            throw new InvalidExperimentException(problems);
         }
         return parse(file, text);
     }
 
     /** Reads a text as if it were in that file. */
-    static ExperimentFile parse(Path file, String text) throws BadExperiment {
-        List<Problem> problems = new ArrayList<>();
+    static ExperimentFile parse(Path file, String text) throws InvalidExperimentException {
+        List<ConfigProblem> problems = new ArrayList<>();
         TomlParseResult toml = Toml.parse(text);
         toml.errors()
-                .forEach(e ->
-                        problems.add(new Problem(file.toString(), e.position().line(), "", e.getMessage())));
+                .forEach(e -> problems.add(
+                        new ConfigProblem(file.toString(), e.position().line(), "", e.getMessage())));
         if (!problems.isEmpty()) {
-            throw new BadExperiment(problems);
+            throw new InvalidExperimentException(problems);
         }
         ExperimentFile read = read(file, digest(text), new Table(file, "", toml, 1, problems), problems);
         if (!problems.isEmpty()) {
-            throw new BadExperiment(problems);
+            throw new InvalidExperimentException(problems);
         }
         return read;
     }
@@ -161,7 +161,7 @@
         }
     }
 
-    private static ExperimentFile read(Path file, String digest, Table root, List<Problem> problems) {
+    private static ExperimentFile read(Path file, String digest, Table root, List<ConfigProblem> problems) {
         String stem = file.getFileName().toString().replaceAll("\\.toml$", "");
         String title = root.text("title", stem);
         boolean theory = root.flag("theory", false);
@@ -357,10 +357,10 @@
     }
 
     private static Scenario variant(Table v, Scenario scenario, List<Fault> common) {
-        String policy = v.text("policy", Policies.OURS);
-        if (!Policies.names().contains(policy)) {
-            v.problem("policy", "is one of " + String.join(", ", Policies.names()));
-            policy = Policies.OURS;
+        String policy = v.text("policy", BaselinePolicies.OURS);
+        if (!BaselinePolicies.names().contains(policy)) {
+            v.problem("policy", "is one of " + String.join(", ", BaselinePolicies.names()));
+            policy = BaselinePolicies.OURS;
         }
         PlannerSpec usual = PlannerSpec.usual((int) v.whole("planners", 0, 0, 16));
         PlannerSpec planners = new PlannerSpec(
--- a/src/main/java/sedgeyoke/experiment/BadExperiment.java
+++ b/src/main/java/sedgeyoke/experiment/InvalidExperimentException.java
@@ -1,15 +1,16 @@
 package sedgeyoke.experiment;
 
 import java.util.List;
-import sedgeyoke.operator.Problem;
+import sedgeyoke.settings.ConfigProblem;
 
 /** An experiment's file that cannot be played; the message has all that is wrong with it, a line each. */
-public final class BadExperiment extends Exception {
+public final class InvalidExperimentException extends Exception {
     private static final long serialVersionUID = 1L;
     private static final int MOST_LINES = 20;
 
-    BadExperiment(List<Problem> problems) {
+    InvalidExperimentException(List<ConfigProblem> problems) {
         super(String.join(
-                "\n", problems.stream().limit(MOST_LINES).map(Problem::toString).toList()));
+                "\n",
+                problems.stream().limit(MOST_LINES).map(ConfigProblem::toString).toList()));
     }
 }
--- a/src/main/java/sedgeyoke/experiment/Paired.java
+++ b/src/main/java/sedgeyoke/experiment/PairedBootstrap.java
@@ -16,14 +16,14 @@
  * @param wins seeds in which it was better
  * @param losses seeds in which it was worse
  */
-public record Paired(double mean, double low, double high, int wins, int losses) {
+public record PairedBootstrap(double mean, double low, double high, int wins, int losses) {
     private static final int DRAWS = 10_000;
     private static final double LOW = 2.5;
     private static final double HIGH = 97.5;
     private static final long SEED = 20_261_201;
 
     /** Compares figures of the same seeds; the interval is a point where there is one seed alone. */
-    public static Paired of(double[] figures, double[] base) {
+    public static PairedBootstrap of(double[] figures, double[] base) {
         double[] differences = new double[figures.length];
         Arrays.setAll(differences, i -> figures[i] - base[i]);
         Well19937c random = new Well19937c(SEED);
@@ -35,7 +35,7 @@
             }
             means[d] = sum / differences.length;
         }
-        return new Paired(
+        return new PairedBootstrap(
                 StatUtils.mean(differences),
                 new Percentile(LOW).evaluate(means),
                 new Percentile(HIGH).evaluate(means),
--- a/src/main/java/sedgeyoke/experiment/Report.java
+++ b/src/main/java/sedgeyoke/experiment/Report.java
@@ -11,7 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
-import sedgeyoke.emulate.Scenario;
+import sedgeyoke.simulation.Scenario;
 
 /**
  * An experiment as one page that needs no network: the plotting library and the data stand in it. What is drawn is
--- a/src/main/java/sedgeyoke/experiment/Run.java
+++ b/src/main/java/sedgeyoke/experiment/Run.java
@@ -5,7 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import sedgeyoke.emulate.Outcome;
+import sedgeyoke.simulation.Outcome;
 
 /**
  * One finished run, as a line of {@code runs.jsonl} keeps it; all figures and the report come from these alone, so that
--- a/src/main/java/sedgeyoke/experiment/RunFile.java
+++ b/src/main/java/sedgeyoke/experiment/RunLog.java
@@ -14,26 +14,26 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import sedgeyoke.operator.Problem;
+import sedgeyoke.settings.ConfigProblem;
 
 /**
  * The runs of an experiment in its folder. Each is added as it ends, so that whatever ends the program leaves what was
  * finished; a last line that is not whole is what was being written then, and is played again.
  */
-final class RunFile {
+final class RunLog {
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final Path lines;
     private final Path table;
 
-    RunFile(Path folder) throws IOException {
+    RunLog(Path folder) throws IOException {
         Files.createDirectories(folder);
         this.lines = folder.resolve("runs.jsonl");
         this.table = folder.resolve("runs.csv");
     }
 
     /** The runs that are there; throws where they are of another experiment, or no runs at all. */
-    Map<Run.Key, Run> read(ExperimentFile of) throws IOException, BadExperiment {
+    Map<Run.Key, Run> read(ExperimentFile of) throws IOException, InvalidExperimentException {
         Map<Run.Key, Run> runs = new LinkedHashMap<>();
         String text;
         try {
@@ -56,7 +56,7 @@
         return runs;
     }
 
-    private Run parse(String line, int number) throws BadExperiment {
+    private Run parse(String line, int number) throws InvalidExperimentException {
         try {
             int schema = JSON.readTree(line).path("schema").asInt();
             if (schema != Run.SCHEMA) {
@@ -71,8 +71,8 @@
         }
     }
 
-    private BadExperiment bad(int line, String key, String message) {
-        return new BadExperiment(List.of(new Problem(lines.toString(), line, key, message)));
+    private InvalidExperimentException bad(int line, String key, String message) {
+        return new InvalidExperimentException(List.of(new ConfigProblem(lines.toString(), line, key, message)));
     }
 
     /** Begins anew. */
--- a/src/main/java/sedgeyoke/experiment/Draft.java
+++ b/src/main/java/sedgeyoke/experiment/ScenarioDraft.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import sedgeyoke.emulate.Scenario.Fault;
+import sedgeyoke.simulation.Scenario.Fault;
 
 /**
  * An experiment that is being made up, and its text: what is played is read back from that text, so that a file that
@@ -17,7 +17,7 @@
  * @param variants tables of the variants, as a file has them
  * @param compare keys of {@code [compare]}
  */
-record Draft(
+record ScenarioDraft(
         String title,
         Map<String, Object> scenario,
         List<Fault> faults,
@@ -25,17 +25,17 @@
         Map<String, Object> compare) {
 
     /** The same with another value of a key of the scenario. */
-    Draft with(String key, Object value) {
+    ScenarioDraft with(String key, Object value) {
         Map<String, Object> other = new LinkedHashMap<>(scenario);
         other.put(key, value);
-        return new Draft(title, other, faults, variants, compare);
+        return new ScenarioDraft(title, other, faults, variants, compare);
     }
 
     /** The same without one of its faults. */
-    Draft without(int fault) {
+    ScenarioDraft without(int fault) {
         List<Fault> fewer = new ArrayList<>(faults);
         fewer.remove(fault);
-        return new Draft(title, scenario, fewer, variants, compare);
+        return new ScenarioDraft(title, scenario, fewer, variants, compare);
     }
 
     /** As a file. */
@@ -87,7 +87,8 @@
         if (value instanceof String s) {
             return '"' + s.replace("\\", "\\\\").replace("\"", "\\\"") + '"';
         } else if (value instanceof List<?> list) {
-            return "[" + String.join(", ", list.stream().map(Draft::value).toList()) + "]";
+            return "["
+                    + String.join(", ", list.stream().map(ScenarioDraft::value).toList()) + "]";
         } else if (value instanceof Double d) {
             return String.format(Locale.ROOT, "%.4f", d).replaceAll("(\\.\\d+?)0+$", "$1");
         }
--- a/src/main/java/sedgeyoke/experiment/Table.java
+++ b/src/main/java/sedgeyoke/experiment/Table.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import org.tomlj.TomlArray;
 import org.tomlj.TomlTable;
-import sedgeyoke.operator.Problem;
+import sedgeyoke.settings.ConfigProblem;
 
 /** One table of an experiment's file. Each key that is read is checked; one that nobody reads is a problem too. */
 final class Table {
@@ -17,14 +17,14 @@
     private final String name;
     private final TomlTable toml;
     private final int line;
-    private final List<Problem> problems;
+    private final List<ConfigProblem> problems;
     private final Set<String> read = new LinkedHashSet<>();
     /** Values that stand in for the file's: a sweep's. */
     private final Map<String, Double> instead;
     /** Where what is not in this one is looked up; null for nowhere. */
     private final Table behind;
 
-    Table(Path file, String name, TomlTable toml, int line, List<Problem> problems) {
+    Table(Path file, String name, TomlTable toml, int line, List<ConfigProblem> problems) {
         this(file, name, toml, line, problems, Map.of(), null);
     }
 
@@ -33,7 +33,7 @@
             String name,
             TomlTable toml,
             int line,
-            List<Problem> problems,
+            List<ConfigProblem> problems,
             Map<String, Double> instead,
             Table behind) {
         this.instead = instead;
@@ -64,7 +64,7 @@
             return;
         }
         var at = has(key) ? toml.inputPositionOf(List.of(key)) : null;
-        problems.add(new Problem(
+        problems.add(new ConfigProblem(
                 file.toString(), at == null ? line : at.line(), name.isEmpty() ? key : name + "." + key, message));
     }
 
--- a/src/main/java/sedgeyoke/experiment/Hunt.java
+++ b/src/main/java/sedgeyoke/experiment/WorstCaseSearch.java
@@ -15,18 +15,18 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Future;
-import sedgeyoke.emulate.Emulation;
-import sedgeyoke.emulate.Outcome;
-import sedgeyoke.emulate.Scenario;
-import sedgeyoke.emulate.Scenario.Fault;
-import sedgeyoke.emulate.Scenario.Kind;
+import sedgeyoke.simulation.Outcome;
+import sedgeyoke.simulation.Scenario;
+import sedgeyoke.simulation.Scenario.Fault;
+import sedgeyoke.simulation.Scenario.Kind;
+import sedgeyoke.simulation.Simulation;
 
 /**
  * Looks through the scenarios that a file allows for the one in which a variant does worst, by a broken rule or by what
  * it loses against another one, and makes that one small: fewest faults, balancers, nodes and seconds that still show
  * it. The same seed finds the same, however many runs go side by side.
  */
-public final class Hunt {
+public final class WorstCaseSearch {
     /** Both sides are played with so many seeds: one alone may be luck. */
     private static final int PLAYS = 2;
     /** A smaller scenario must still show that part of the loss. */
@@ -51,7 +51,7 @@
     private long played;
 
     /** {@code out} is the folder for what is found. */
-    public Hunt(ExperimentFile file, long seed, int jobs, Path out, PrintWriter say) {
+    public WorstCaseSearch(ExperimentFile file, long seed, int jobs, Path out, PrintWriter say) {
         this.file = file;
         this.spec = file.hunt();
         this.seed = seed;
@@ -61,7 +61,7 @@
     }
 
     /** How bad a draft is for the variant: above {@link #BROKEN} it broke rules, else what it loses. */
-    private record Found(Draft draft, double badness) {
+    private record Found(ScenarioDraft draft, double badness) {
         boolean broken() {
             return badness >= BROKEN;
         }
@@ -73,7 +73,7 @@
 
     /** Hunts; {@code found} says whether anything was, and {@code file} where it is. */
     public ObjectNode run() throws IOException, InterruptedException {
-        ExecutorService pool = Jobs.pool(jobs);
+        ExecutorService pool = WorkerThreads.pool(jobs);
         try {
             Found worst = search(pool);
             ObjectNode figures = JSON.createObjectNode()
@@ -107,7 +107,7 @@
 
     private Found search(ExecutorService pool) throws InterruptedException, ExecutionException {
         SplittableRandom random = new SplittableRandom(seed);
-        List<Draft> drafts = new ArrayList<>();
+        List<ScenarioDraft> drafts = new ArrayList<>();
         for (int i = 0; i < spec.tries(); i++) {
             drafts.add(draw(random.split()));
         }
@@ -130,7 +130,7 @@
                 + found.draft().faults().size() + " faults, " + found.draft().scenario();
     }
 
-    private Draft draw(SplittableRandom random) {
+    private ScenarioDraft draw(SplittableRandom random) {
         Map<String, Object> scenario = new LinkedHashMap<>(spec.scenario());
         spec.ranges().forEach((key, range) -> scenario.put(key, drawn(key, range, random)));
         double seconds = scenario.get("seconds") instanceof Number n ? n.doubleValue() : 30;
@@ -158,7 +158,7 @@
         if (!spec.against().isEmpty()) {
             compare.put("with", spec.variant());
         }
-        return new Draft(
+        return new ScenarioDraft(
                 "Found by a hunt of " + file.name() + " with seed " + seed, scenario, faults, spec.variants(), compare);
     }
 
@@ -176,10 +176,10 @@
 
     // ---- Judging -------------------------------------------------------------------------------------
 
-    private List<Double> judge(ExecutorService pool, List<Draft> drafts)
+    private List<Double> judge(ExecutorService pool, List<ScenarioDraft> drafts)
             throws InterruptedException, ExecutionException {
         List<Future<Double>> playing = new ArrayList<>();
-        for (Draft d : drafts) {
+        for (ScenarioDraft d : drafts) {
             playing.add(pool.submit(() -> badness(d)));
         }
         List<Double> badness = new ArrayList<>();
@@ -190,20 +190,20 @@
         return badness;
     }
 
-    private double badness(Draft draft) throws BadExperiment {
+    private double badness(ScenarioDraft draft) throws InvalidExperimentException {
         Map<String, Scenario> variants = ExperimentFile.parse(Path.of(file.name() + "-draft.toml"), draft.text())
                 .points()
                 .get(0)
                 .variants();
         double loss = 0;
         for (int i = 0; i < PLAYS; i++) {
-            Outcome ours = new Emulation(variants.get(spec.variant()), seed + i).run();
+            Outcome ours = new Simulation(variants.get(spec.variant()), seed + i).run();
             if (ours.ruleViolations() > 0) {
                 return BROKEN + ours.ruleViolations();
             }
             loss += spec.against().isEmpty()
                     ? 0
-                    : new Emulation(variants.get(spec.against()), seed + i)
+                    : new Simulation(variants.get(spec.against()), seed + i)
                                     .run()
                                     .service()
                             - ours.service();
@@ -217,7 +217,7 @@
     private Found shrink(ExecutorService pool, Found worst) throws InterruptedException, ExecutionException {
         Found small = worst;
         for (int step = 0; step < MOST_STEPS; step++) {
-            List<Draft> smaller = smaller(small.draft());
+            List<ScenarioDraft> smaller = smaller(small.draft());
             List<Double> badness = judge(pool, smaller);
             Found next = null;
             for (int i = 0; i < smaller.size() && next == null; i++) {
@@ -233,8 +233,8 @@
         return small;
     }
 
-    private static List<Draft> smaller(Draft d) {
-        List<Draft> smaller = new ArrayList<>();
+    private static List<ScenarioDraft> smaller(ScenarioDraft d) {
+        List<ScenarioDraft> smaller = new ArrayList<>();
         for (int i = 0; i < d.faults().size(); i++) {
             smaller.add(d.without(i));
         }
@@ -248,7 +248,7 @@
         return smaller;
     }
 
-    private static void halve(Draft d, String key, int least, List<Draft> smaller) {
+    private static void halve(ScenarioDraft d, String key, int least, List<ScenarioDraft> smaller) {
         if (d.scenario().get(key) instanceof Number n && n.longValue() > least) {
             smaller.add(d.with(key, Math.max(least, n.longValue() / 2)));
         }
--- a/src/main/java/sedgeyoke/lease/Drift.java
+++ b/src/main/java/sedgeyoke/lease/ClockDrift.java
@@ -5,13 +5,13 @@
  * holds takes it for longer; whoever uses what was lent takes it for shorter. Times are microseconds of the clock of
  * the side that asks; clocks are monotonic and may start anywhere.
  */
-public record Drift(long ppm) {
+public record ClockDrift(long ppm) {
     private static final double MILLION = 1e6;
     /** More than any clock that is worth the name; a larger figure is a slip of whoever set it. */
     public static final long MOST_PPM = 100_000;
 
     /** {@code ppm}: parts per million that any clock may run fast or slow. */
-    public Drift {
+    public ClockDrift {
         if (ppm < 0 || ppm > MOST_PPM) {
             throw new IllegalArgumentException("drift of " + ppm + " ppm: 0 to " + MOST_PPM);
         }
--- a/src/main/java/sedgeyoke/plan/LeaseTerms.java
+++ b/src/main/java/sedgeyoke/lease/LeaseClock.java
@@ -1,28 +1,26 @@
-package sedgeyoke.plan;
-
-import sedgeyoke.lease.Drift;
+package sedgeyoke.lease;
 
 /**
  * The arithmetic of leases on clocks that agree on nothing but, within a bound, on how fast time passes. Each side
  * counts from the moment that is safe for the others: who lends or counts what others hold, long; who uses what was
  * lent, short. Every time is one of the clock of the side that asks.
  */
-public class LeaseTerms {
+public class LeaseClock {
     private static final double GRANT_SHARE = 0.4;
-    private final Drift drift;
+    private final ClockDrift drift;
 
     /** {@code driftPpm}: how far any clock may run fast or slow, in parts per million. */
-    public LeaseTerms(long driftPpm) {
-        this.drift = new Drift(driftPpm);
+    public LeaseClock(long driftPpm) {
+        this.drift = new ClockDrift(driftPpm);
     }
 
     /** A lender keeps off until then what it deposited at {@code sentAt}. */
-    long lentUntil(long sentAt, long lease) {
+    public long lentUntil(long sentAt, long lease) {
         return sentAt + drift.longer(lease);
     }
 
     /** A process that has just started keeps off all its rights until then: one before it may have lent them. */
-    long quietUntil(long startedAt, long lease) {
+    public long quietUntil(long startedAt, long lease) {
         return startedAt + drift.longer(lease);
     }
 
@@ -30,22 +28,22 @@
      * A planner counts on a deposit until then. It was made after the message that it echoes was sent, however long
      * it took to come.
      */
-    long depositUntil(long echoedAt, long receivedAt, long lease) {
+    public long depositUntil(long echoedAt, long receivedAt, long lease) {
         return echoedAt + drift.shorter(lease);
     }
 
     /** How long a grant holds, given the lease behind it. */
-    long grantFor(long lease) {
+    public long grantFor(long lease) {
         return (long) (lease * GRANT_SHARE);
     }
 
     /** A forwarder uses a grant until then: it counts from when it sent the report that the grant answers. */
-    long usableUntil(long echoedAt, long receivedAt, long grantFor) {
+    public long usableUntil(long echoedAt, long receivedAt, long grantFor) {
         return echoedAt + drift.shorter(grantFor);
     }
 
     /** A planner takes a grant for used until then: it counts from when the report that it answers had come. */
-    long outstandingUntil(long reportedAt, long grantFor) {
+    public long outstandingUntil(long reportedAt, long grantFor) {
         return reportedAt + drift.longer(grantFor);
     }
 }
--- a/src/main/java/sedgeyoke/site/ZoneMemory.java
+++ b/src/main/java/sedgeyoke/model/IdempotencyKeyCache.java
@@ -1,4 +1,4 @@
-package sedgeyoke.site;
+package sedgeyoke.model;
 
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -7,7 +7,7 @@
 /**
  * The keys of requests that the nodes of one zone have run lately, and whose repeats they drop. Times: microseconds.
  */
-public final class ZoneMemory {
+public final class IdempotencyKeyCache {
     private static final long KNOWN_FOR = 2_500_000;
 
     private final Map<String, Long> effects = new LinkedHashMap<>();
--- a/src/main/java/sedgeyoke/site/Ledger.java
+++ b/src/main/java/sedgeyoke/model/InvariantChecker.java
@@ -1,4 +1,4 @@
-package sedgeyoke.site;
+package sedgeyoke.model;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -15,7 +15,7 @@
  * What truly happened, as clients, order nodes and discovery saw it, and whether it kept the four rules. All times are
  * microseconds of one clock. Confined to one thread; {@link #summary} may be asked for at its end.
  */
-public final class Ledger {
+public final class InvariantChecker {
     /** The rules on sockets allow so much more for each time limit. */
     private static final long SOCKET_SLACK = 50_000;
 
@@ -26,7 +26,7 @@
 
     private static final long STALLS_KNOWN_FOR = 30_000_000;
 
-    private final SiteSpec site;
+    private final SiteModel site;
     private final Map<String, Entry> entries = new HashMap<>();
     private final Map<String, Map<String, Long>> closedAt = new HashMap<>();
     private final Map<String, Long> byBalancer = new HashMap<>();
@@ -74,7 +74,7 @@
 
     /** One request of a client; a retry is another one. */
     private static final class Entry {
-        final WorkClass cls;
+        final RequestClassModel cls;
         final String key;
         final String balancer;
         final long at;
@@ -83,7 +83,7 @@
         boolean flagged;
         Answer answer;
 
-        Entry(WorkClass cls, String key, String balancer, long at, long deadline) {
+        Entry(RequestClassModel cls, String key, String balancer, long at, long deadline) {
             this.cls = cls;
             this.key = key;
             this.balancer = balancer;
@@ -120,7 +120,7 @@
     }
 
     /** Nothing has happened yet. */
-    public Ledger(SiteSpec site) {
+    public InvariantChecker(SiteModel site) {
         this.site = site;
     }
 
@@ -170,13 +170,13 @@
     // ---- Clients -------------------------------------------------------------------------------------
 
     /** Something is wanted; its retries count as part of it. */
-    public void wanted(WorkClass cls) {
+    public void wanted(RequestClassModel cls) {
         requests++;
         asked += cls.worth();
     }
 
     /** A request goes to a balancer; {@code key} is its idempotency key, or null. */
-    public void asked(String id, WorkClass cls, String key, String balancer, long now, long deadline) {
+    public void asked(String id, RequestClassModel cls, String key, String balancer, long now, long deadline) {
         entries.put(id, new Entry(cls, key, balancer, now, deadline));
         byBalancer.merge(balancer, 1L, Long::sum);
     }
@@ -256,7 +256,7 @@
     // ---- Order nodes ---------------------------------------------------------------------------------
 
     /** The last byte of an attempt has reached a node; null if no client sent such a request. */
-    public WorkClass arrived(String id, String node, long now) {
+    public RequestClassModel arrived(String id, String node, long now) {
         Entry e = entries.get(id);
         attempts++;
         if (e == null) {
--- a/src/main/java/sedgeyoke/site/WorkClass.java
+++ b/src/main/java/sedgeyoke/model/RequestClassModel.java
@@ -1,4 +1,4 @@
-package sedgeyoke.site;
+package sedgeyoke.model;
 
 import java.util.SplittableRandom;
 
@@ -14,13 +14,14 @@
  * @param workMs mean work on a core of speed 1
  * @param spread how work differs from one request to the next
  */
-public record WorkClass(
+public record RequestClassModel(
         String name, String repeat, double share, int aimMs, int giveUpMs, double worth, double workMs, Spread spread) {
     private static final double LEAST = 0.4;
     private static final double MOST = 4;
 
     /** A class whose work is like the platform's. */
-    public WorkClass(String name, String repeat, double share, int aimMs, int giveUpMs, double worth, double workMs) {
+    public RequestClassModel(
+            String name, String repeat, double share, int aimMs, int giveUpMs, double worth, double workMs) {
         this(name, repeat, share, aimMs, giveUpMs, worth, workMs, Spread.USUAL);
     }
 
--- a/src/main/java/sedgeyoke/site/SiteSpec.java
+++ b/src/main/java/sedgeyoke/model/SiteModel.java
@@ -1,4 +1,4 @@
-package sedgeyoke.site;
+package sedgeyoke.model;
 
 import java.util.List;
 
@@ -11,8 +11,8 @@
  * @param rules the figures of the rules
  * @param retryAfter whether refusals may tell clients when to come back
  */
-public record SiteSpec(
-        List<String> zones, List<WorkClass> classes, List<NodeSpec> nodes, RuleSpec rules, boolean retryAfter) {
+public record SiteModel(
+        List<String> zones, List<RequestClassModel> classes, List<NodeSpec> nodes, RuleSpec rules, boolean retryAfter) {
     /** What nodes are called by their speed. */
     public static final List<String> KINDS = List.of("fast", "slow");
 
@@ -58,7 +58,7 @@
     }
 
     /** Orders as the platform's site has them: keyed position updates and unsafe trade confirmations. */
-    public static List<WorkClass> orders() {
+    public static List<RequestClassModel> orders() {
         return orders(1);
     }
 
@@ -66,15 +66,16 @@
      * The same with work, aims and deadlines so many times as long: the platform scales them where a fleet is large, so
      * that the same nodes carry fewer requests a second and each balancer sees fewer of them.
      */
-    public static List<WorkClass> orders(double scale) {
+    public static List<RequestClassModel> orders(double scale) {
         return List.of(
                 order("position-update", "guarded", 0.54, 250 * scale, 500 * scale, 10, 50 * scale),
                 order("trade-confirm", "single_shot", 0.46, 800 * scale, 2_500 * scale, 30, 100 * scale));
     }
 
-    private static WorkClass order(
+    private static RequestClassModel order(
             String name, String repeat, double share, double aimMs, double giveUpMs, double worth, double workMs) {
-        return new WorkClass(name, repeat, share, (int) Math.round(aimMs), (int) Math.round(giveUpMs), worth, workMs);
+        return new RequestClassModel(
+                name, repeat, share, (int) Math.round(aimMs), (int) Math.round(giveUpMs), worth, workMs);
     }
 
     /** Mean work of a request, in seconds. */
--- a/src/main/java/sedgeyoke/site/NodeModel.java
+++ b/src/main/java/sedgeyoke/model/UpstreamModel.java
@@ -1,4 +1,4 @@
-package sedgeyoke.site;
+package sedgeyoke.model;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -12,10 +12,10 @@
 /**
  * An order node: so many cores of some speed, shared by what is at work, a queue, a memory for keys, load reports, and
  * a cold start after which it can be pushed over. Work takes time but no processor. What it does is written into the
- * {@link Ledger}. It knows neither sockets nor threads: the host gives it a clock, timers and the way back, so the same
- * node serves stand-ins on real sockets and the emulator in virtual time. Times are microseconds.
+ * {@link InvariantChecker}. It knows neither sockets nor threads: the host gives it a clock, timers and the way back,
+ * so the same node serves stand-ins on real sockets and the emulator in virtual time. Times are microseconds.
  */
-public final class NodeModel {
+public final class UpstreamModel {
     private static final long REPORT_EVERY = 500_000;
     /** What is measured shows in answers so much later. */
     private static final long REPORT_DELAY = 250_000;
@@ -36,13 +36,13 @@
 
     private static final double FIRST_SERVICE_MS = 30;
 
-    private final SiteSpec.NodeSpec spec;
-    private final SiteSpec site;
+    private final SiteModel.NodeSpec spec;
+    private final SiteModel site;
     private final Host host;
-    private final Ledger ledger;
+    private final InvariantChecker ledger;
     private final SplittableRandom random;
     /** Keys whose repeats the nodes of one zone drop: shared among them. */
-    private final ZoneMemory effects;
+    private final IdempotencyKeyCache effects;
 
     private final Deque<Job> queue = new ArrayDeque<>();
     private final Deque<double[]> coldArrivals = new ArrayDeque<>();
@@ -126,8 +126,13 @@
     }
 
     /** A node that is warm and idle. {@code zoneEffects} is shared by the nodes of its zone. */
-    public NodeModel(
-            SiteSpec.NodeSpec spec, SiteSpec site, Host host, Ledger ledger, ZoneMemory zoneEffects, long seed) {
+    public UpstreamModel(
+            SiteModel.NodeSpec spec,
+            SiteModel site,
+            Host host,
+            InvariantChecker ledger,
+            IdempotencyKeyCache zoneEffects,
+            long seed) {
         this.spec = spec;
         this.site = site;
         this.host = host;
@@ -151,7 +156,7 @@
     }
 
     /** What it is made of. */
-    public SiteSpec.NodeSpec spec() {
+    public SiteModel.NodeSpec spec() {
         return spec;
     }
 
@@ -301,7 +306,7 @@
     /** The last byte of a request has come. {@code idempotencyKey} is null where it has none. */
     public void take(String id, String key, String idempotencyKey, Reply reply) {
         long now = host.now();
-        WorkClass cls = ledger.arrived(id, spec.id(), now);
+        RequestClassModel cls = ledger.arrived(id, spec.id(), now);
         if (cls == null) {
             reply.answer(report(Kind.ERROR));
             return;
--- a/src/main/java/sedgeyoke/plan/Follower.java
+++ b/src/main/java/sedgeyoke/plan/Follower.java
@@ -8,12 +8,13 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import sedgeyoke.decide.Balancer;
-import sedgeyoke.decide.Balancer.ColdGrant;
-import sedgeyoke.decide.Balancer.ColdRight;
-import sedgeyoke.decide.Balancer.Standing;
-import sedgeyoke.decide.Balancer.State;
-import sedgeyoke.decide.Balancer.UpstreamView;
+import sedgeyoke.lease.LeaseClock;
+import sedgeyoke.policy.LoadBalancingPolicy;
+import sedgeyoke.policy.LoadBalancingPolicy.ColdGrant;
+import sedgeyoke.policy.LoadBalancingPolicy.ColdRight;
+import sedgeyoke.policy.LoadBalancingPolicy.Standing;
+import sedgeyoke.policy.LoadBalancingPolicy.State;
+import sedgeyoke.policy.LoadBalancingPolicy.UpstreamView;
 
 /**
  * The forwarder's side. It reports to every planner, follows one of them, lends that one its rights on cold upstreams
@@ -35,7 +36,7 @@
     private static final int ECHO_SHARE = 3;
 
     private final Identity self;
-    private final LeaseTerms terms;
+    private final LeaseClock terms;
     private final long quietUntil;
     private final Map<String, Heard> planners = new TreeMap<>();
     private final Map<String, Lent> lent = new HashMap<>();
@@ -44,7 +45,7 @@
     private String leader;
     private long fadeTime;
     private long sequence;
-    private final InTurn turn = new InTurn();
+    private final RotatingBatch turn = new RotatingBatch();
 
     /**
      * Who this forwarder is.
@@ -68,7 +69,7 @@
     private record View(PlanMessage.View view, long at) {}
 
     /** Starts at {@code now}; until a lease from then it uses none of its own rights on cold upstreams. */
-    public Follower(Identity self, LeaseTerms terms, long now) {
+    public Follower(Identity self, LeaseClock terms, long now) {
         this.self = self;
         this.fadeTime = self.fadeTime();
         this.terms = terms;
@@ -95,22 +96,22 @@
      * The report for one planner. If that is the one that is followed, rights on cold upstreams are lent with it:
      * the caller must give the module {@link #plan} before it sends the report.
      */
-    public Report report(long now, String planner, Balancer.Summary summary) {
+    public ForwarderReport report(long now, String planner, LoadBalancingPolicy.Summary summary) {
         Heard heard = planners.get(planner);
-        Report.Stamp echo = heard == null
-                ? Report.Stamp.NONE
-                : new Report.Stamp(
+        ForwarderReport.Stamp echo = heard == null
+                ? ForwarderReport.Stamp.NONE
+                : new ForwarderReport.Stamp(
                         heard.message().incarnation(), heard.message().sentAt());
-        List<Report.Deposit> deposits = new ArrayList<>();
+        List<ForwarderReport.Deposit> deposits = new ArrayList<>();
         if (heard != null && planner.equals(follow(now)) && now - heard.at() <= self.lease() / ECHO_SHARE) {
             for (Standing s : summary.upstreams()) {
                 boolean cold = s.coldRight() > 0 && s.state() == State.READY;
-                if (cold && deposits.size() < Report.MOST_DEPOSITS && lend(now, s.id(), heard.message())) {
-                    deposits.add(new Report.Deposit(s.id(), s.launchedAt(), s.coldRight()));
+                if (cold && deposits.size() < ForwarderReport.MOST_DEPOSITS && lend(now, s.id(), heard.message())) {
+                    deposits.add(new ForwarderReport.Deposit(s.id(), s.launchedAt(), s.coldRight()));
                 }
             }
         }
-        return new Report(
+        return new ForwarderReport(
                 self.name(),
                 self.incarnation(),
                 ++sequence,
@@ -144,10 +145,10 @@
         return before.planner().equals(to.planner()) && before.incarnation() == to.incarnation();
     }
 
-    private List<Report.Load> loads(long now, List<Standing> all) {
-        List<Report.Load> loads = new ArrayList<>();
-        for (Standing s : turn.take(all, Report.MOST_LOADS)) {
-            loads.add(new Report.Load(
+    private List<ForwarderReport.Load> loads(long now, List<Standing> all) {
+        List<ForwarderReport.Load> loads = new ArrayList<>();
+        for (Standing s : turn.take(all, ForwarderReport.MOST_LOADS)) {
+            loads.add(new ForwarderReport.Load(
                     s.id(),
                     s.zone(),
                     s.state() == State.DRAINING,
@@ -220,7 +221,7 @@
     }
 
     /** What the module is to know now. */
-    public Balancer.Plan plan(long now) {
+    public LoadBalancingPolicy.Plan plan(long now) {
         String followed = follow(now);
         long heardAt = planners.values().stream().mapToLong(Heard::at).max().orElse(0);
         Heard guide = followed == null ? null : planners.get(followed);
@@ -235,7 +236,7 @@
                     view.launchedAt(),
                     view.draining()));
         }
-        return new Balancer.Plan(
+        return new LoadBalancingPolicy.Plan(
                 heardAt,
                 fadeTime,
                 known,
--- a/src/main/java/sedgeyoke/plan/Report.java
+++ b/src/main/java/sedgeyoke/plan/ForwarderReport.java
@@ -18,7 +18,7 @@
  * @param loads how it stands with some upstreams; a report has room for so many, and the others keep what was told
  * @param deposits rights of its own that it will not use while the lease runs
  */
-public record Report(
+public record ForwarderReport(
         String forwarder,
         long incarnation,
         long sequence,
--- a/src/main/java/sedgeyoke/plan/PlanMessage.java
+++ b/src/main/java/sedgeyoke/plan/PlanMessage.java
@@ -22,7 +22,7 @@
         long incarnation,
         long sequence,
         long sentAt,
-        Report.Stamp echo,
+        ForwarderReport.Stamp echo,
         int coverage,
         List<View> views,
         List<Double> spill,
--- a/src/main/java/sedgeyoke/plan/Planner.java
+++ b/src/main/java/sedgeyoke/plan/Planner.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import sedgeyoke.lease.LeaseClock;
 
 /**
  * One planner. It merges what forwarders report and gives each a plan. It owns no right to any upstream: what it
@@ -18,12 +19,12 @@
     static final int MOST_VIEWS = 250;
 
     private final Settings settings;
-    private final LeaseTerms terms;
+    private final LeaseClock terms;
     private final Map<String, Member> members = new TreeMap<>();
-    private final Fleet fleet;
-    private final ColdPool pool;
+    private final UpstreamAggregate fleet;
+    private final SlowStartQuotaPool pool;
     private long sequence;
-    private final InTurn turn = new InTurn();
+    private final RotatingBatch turn = new RotatingBatch();
 
     /**
      * What a planner is told at its start.
@@ -40,7 +41,7 @@
 
     /** A forwarder that reports. */
     static final class Member {
-        Report last;
+        ForwarderReport last;
         long heardAt;
         boolean answered;
 
@@ -54,20 +55,20 @@
     }
 
     /** Starts with nothing known. */
-    public Planner(Settings settings, LeaseTerms terms) {
-        this(settings, terms, new ColdPool(terms));
+    public Planner(Settings settings, LeaseClock terms) {
+        this(settings, terms, new SlowStartQuotaPool(terms));
     }
 
     /** For tests, which bring a pool with a fault. */
-    Planner(Settings settings, LeaseTerms terms, ColdPool pool) {
+    Planner(Settings settings, LeaseClock terms, SlowStartQuotaPool pool) {
         this.settings = settings;
         this.terms = terms;
-        this.fleet = new Fleet(settings.mostUpstreams());
+        this.fleet = new UpstreamAggregate(settings.mostUpstreams());
         this.pool = pool;
     }
 
     /** Takes in a report; false if it is no newer than what is known, or there are too many forwarders already. */
-    public boolean report(long now, Report report) {
+    public boolean report(long now, ForwarderReport report) {
         Member m = members.get(report.forwarder());
         if (m == null && members.size() >= settings.mostForwarders()) {
             return false;
@@ -95,7 +96,7 @@
     }
 
     /** Whether the deposits of a report were made to this process: one before it may have passed them on. */
-    boolean lentToUs(Report report) {
+    boolean lentToUs(ForwarderReport report) {
         return report.echo().incarnation() == settings.incarnation();
     }
 
@@ -111,7 +112,7 @@
         });
         fleet.measure(now);
         Collection<Member> present = members.values();
-        Spill spill = Spill.of(fleet, present);
+        ZoneSpillover spill = ZoneSpillover.of(fleet, present);
         List<PlanMessage.View> views = views();
         Map<String, List<PlanMessage.Grant>> grants = pool.grant(now, present, fleet, spill);
         List<Out> out = new ArrayList<>(members.size());
@@ -127,7 +128,7 @@
                             settings.incarnation(),
                             ++sequence,
                             now,
-                            new Report.Stamp(m.last.incarnation(), m.last.sentAt()),
+                            new ForwarderReport.Stamp(m.last.incarnation(), m.last.sentAt()),
                             members.size(),
                             views,
                             spill.row(m.last.zone()),
@@ -140,7 +141,7 @@
 
     private List<PlanMessage.View> views() {
         List<PlanMessage.View> views = new ArrayList<>();
-        for (Fleet.Upstream u : turn.take(fleet.upstreams(), MOST_VIEWS)) {
+        for (UpstreamAggregate.Upstream u : turn.take(fleet.upstreams(), MOST_VIEWS)) {
             views.add(new PlanMessage.View(u.id, u.zone, u.totalLimit, u.launchedAt, u.draining()));
         }
         return views;
--- a/src/main/java/sedgeyoke/plan/InTurn.java
+++ b/src/main/java/sedgeyoke/plan/RotatingBatch.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /** Takes some of a list at a time, all in turn: a message has room for so many, and the others come next. */
-final class InTurn {
+final class RotatingBatch {
     private int next;
 
     <T> List<T> take(List<T> all, int most) {
--- a/src/main/java/sedgeyoke/plan/ColdPool.java
+++ b/src/main/java/sedgeyoke/plan/SlowStartQuotaPool.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import sedgeyoke.lease.LeaseClock;
 
 /**
  * Rights on cold upstreams that forwarders have lent to this planner, and what it has passed on of them. It keeps one
@@ -15,13 +16,13 @@
  * A grant that was sent may be used until it has run out, whether or not a newer one was sent since: messages may be
  * late or lost, so both count and the larger one is held against the deposits.
  */
-class ColdPool {
+class SlowStartQuotaPool {
     /** Part of the deposits that is granted: they change a little with each report, and must still cover all. */
     private static final double USED = 0.8;
     /** Room in a grant over the least one of use. */
     private static final double GRANT_ROOM = 1.5;
 
-    private final LeaseTerms terms;
+    private final LeaseClock terms;
     private final Map<String, Upstream> upstreams = new TreeMap<>();
     /** Upstreams that a forwarder's last report lent rights on: few, where all upstreams may be many. */
     private final Map<String, List<String>> lentBy = new HashMap<>();
@@ -39,20 +40,22 @@
     /** A forwarder that may get a grant, how much it wants one, and until when a grant to it would be out. */
     private record Candidate(Planner.Member member, double weight, long until) {}
 
-    ColdPool(LeaseTerms terms) {
+    SlowStartQuotaPool(LeaseClock terms) {
         this.terms = terms;
     }
 
     /** A forwarder's report: its deposits replace those before, as the lender keeps off all of them anyway. */
-    void deposited(String forwarder, List<Report.Deposit> deposits, long until) {
+    void deposited(String forwarder, List<ForwarderReport.Deposit> deposits, long until) {
         for (String id : lentBy.getOrDefault(forwarder, List.of())) {
             Upstream u = upstreams.get(id);
             if (u != null) {
                 u.lent.remove(forwarder);
             }
         }
-        lentBy.put(forwarder, deposits.stream().map(Report.Deposit::upstream).toList());
-        for (Report.Deposit d : deposits) {
+        lentBy.put(
+                forwarder,
+                deposits.stream().map(ForwarderReport.Deposit::upstream).toList());
+        for (ForwarderReport.Deposit d : deposits) {
             upstreams
                     .computeIfAbsent(d.upstream(), id -> new Upstream())
                     .lent
@@ -66,13 +69,14 @@
     }
 
     /** Grants for all that are present, which replace those before. */
-    Map<String, List<PlanMessage.Grant>> grant(long now, Collection<Planner.Member> members, Fleet fleet, Spill spill) {
+    Map<String, List<PlanMessage.Grant>> grant(
+            long now, Collection<Planner.Member> members, UpstreamAggregate fleet, ZoneSpillover spill) {
         Map<String, List<PlanMessage.Grant>> grants = new HashMap<>();
         Map<Integer, List<Candidate>> byZone = new HashMap<>();
         for (Map.Entry<String, Upstream> e : upstreams.entrySet()) {
             Upstream u = e.getValue();
             prune(u, now);
-            Fleet.Upstream seen = fleet.get(e.getKey());
+            UpstreamAggregate.Upstream seen = fleet.get(e.getKey());
             if (seen != null && !seen.draining() && !u.lent.isEmpty()) {
                 List<Candidate> fit = byZone.computeIfAbsent(seen.zone, z -> candidates(now, members, spill, z));
                 share(u, seen.launchedAt, fit)
@@ -91,7 +95,7 @@
     }
 
     /** Forwarders whose traffic fits a zone best come first; a grant answers a report, which must be fresh. */
-    private List<Candidate> candidates(long now, Collection<Planner.Member> members, Spill spill, int zone) {
+    private List<Candidate> candidates(long now, Collection<Planner.Member> members, ZoneSpillover spill, int zone) {
         List<Candidate> candidates = new ArrayList<>();
         for (Planner.Member m : members) {
             if (!m.answered && now - m.heardAt <= terms.grantFor(m.last.lease()) / 2) {
--- a/src/main/java/sedgeyoke/plan/Fleet.java
+++ b/src/main/java/sedgeyoke/plan/UpstreamAggregate.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 
 /** The upstreams as all reports together show them. */
-final class Fleet {
+final class UpstreamAggregate {
     /** An upstream that nobody has mentioned for so long is forgotten: ids are new all day. */
     private static final long FORGOTTEN_AFTER = 10_000_000;
     /** A report older than that says nothing of what an upstream can do. */
@@ -55,7 +55,7 @@
         long sent;
     }
 
-    Fleet(int most) {
+    UpstreamAggregate(int most) {
         this.most = most;
     }
 
@@ -67,9 +67,9 @@
         return byId.get(id);
     }
 
-    void reported(long now, Report report) {
+    void reported(long now, ForwarderReport report) {
         Map<String, Part> own = parts.computeIfAbsent(report.forwarder(), f -> new HashMap<>());
-        for (Report.Load load : report.loads()) {
+        for (ForwarderReport.Load load : report.loads()) {
             Upstream u = byId.get(load.upstream());
             if (u == null) {
                 if (byId.size() >= most) {
@@ -100,7 +100,7 @@
     }
 
     /** The latest start that anyone was told of counts, and a drain of that process that anyone was told of. */
-    private static void tell(Upstream u, String forwarder, Report.Load load) {
+    private static void tell(Upstream u, String forwarder, ForwarderReport.Load load) {
         if (load.launchedAt() > u.launchedAt) {
             u.launchedAt = load.launchedAt();
             u.drainers.clear();
--- a/src/main/java/sedgeyoke/plan/Spill.java
+++ b/src/main/java/sedgeyoke/plan/ZoneSpillover.java
@@ -8,7 +8,7 @@
  * How much of each zone's traffic goes where: a zone keeps what its own upstreams carry, and what is over goes to
  * zones with room, in proportion to that room. Where no zone has room, all are to be equally full.
  */
-final class Spill {
+final class ZoneSpillover {
     /** A zone is full at that share of what its upstreams can do. */
     private static final double FULL = 0.8;
     /** Every zone counts a little for every other, or a limit of nothing would stop what is sent there all the same. */
@@ -18,7 +18,7 @@
     /** What all forwarders together count for, by the upstream's zone. */
     private final double[] counted;
 
-    private Spill(double[][] shares, double[] demand) {
+    private ZoneSpillover(double[][] shares, double[] demand) {
         this.shares = shares;
         this.counted = new double[shares.length];
         for (int to = 0; to < shares.length; to++) {
@@ -28,7 +28,7 @@
         }
     }
 
-    static Spill of(Fleet fleet, Collection<Planner.Member> members) {
+    static ZoneSpillover of(UpstreamAggregate fleet, Collection<Planner.Member> members) {
         int zones = Math.max(
                 fleet.zones(),
                 members.stream().mapToInt(m -> m.last.zone() + 1).max().orElse(0));
@@ -38,7 +38,7 @@
     }
 
     /** Demand and capacity by zone, in requests a second. */
-    static Spill of(double[] demand, double[] capacity) {
+    static ZoneSpillover of(double[] demand, double[] capacity) {
         int zones = demand.length;
         double wanted = 0;
         double possible = 0;
@@ -62,7 +62,7 @@
                 shares[z][to] = to == z ? 1 - over : allRoom > 0 ? over * room[to] / allRoom : 0;
             }
         }
-        return new Spill(shares, demand);
+        return new ZoneSpillover(shares, demand);
     }
 
     /** Share of a zone's requests that goes to each zone. */
--- a/src/main/java/sedgeyoke/link/PlannerLink.java
+++ b/src/main/java/sedgeyoke/plan/remote/PlannerClient.java
@@ -1,4 +1,4 @@
-package sedgeyoke.link;
+package sedgeyoke.plan.remote;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
@@ -11,40 +11,43 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import sedgeyoke.decide.Balancer;
-import sedgeyoke.link.proto.Frame;
-import sedgeyoke.net.ModulePort;
-import sedgeyoke.operator.PlansSettings;
+import sedgeyoke.lease.LeaseClock;
 import sedgeyoke.plan.Follower;
-import sedgeyoke.plan.LeaseTerms;
+import sedgeyoke.plan.ForwarderReport;
 import sedgeyoke.plan.PlanMessage;
-import sedgeyoke.plan.Report;
+import sedgeyoke.policy.LoadBalancingPolicy;
+import sedgeyoke.proxy.ModulePort;
+import sedgeyoke.settings.PlannerClientSettings;
+import sedgeyoke.transport.FramedConnection;
+import sedgeyoke.transport.InvalidMessageException;
+import sedgeyoke.transport.MutualTls;
+import sedgeyoke.transport.proto.Frame;
 
 /**
  * The forwarder's side: a connection to each planner, reports at a steady rate, and plans for the module. It runs on
  * the balancer's loop and never waits for anything: a planner that is away is tried again after a random pause.
  */
-public final class PlannerLink {
+public final class PlannerClient {
     private static final long LEAST_PAUSE_MS = 200;
     private static final long LONGEST_PAUSE_MS = 3_000;
 
     private final EventLoop loop;
     private final ModulePort port;
     private final String name;
-    private final Tls tls;
+    private final MutualTls tls;
     private final Follower follower;
     private final SplittableRandom random;
     private final List<Target> targets = new ArrayList<>();
     private long reportEveryMs;
 
     /** Throws if the TLS files are no good. */
-    public PlannerLink(EventLoop loop, ModulePort port, Follower.Identity self, PlansSettings settings)
+    public PlannerClient(EventLoop loop, ModulePort port, Follower.Identity self, PlannerClientSettings settings)
             throws IOException {
         this.loop = loop;
         this.port = port;
         this.name = self.name();
-        this.tls = new Tls(settings.tls(), false, port::log);
-        this.follower = new Follower(self, new LeaseTerms(settings.driftPpm()), port.now());
+        this.tls = new MutualTls(settings.tls(), false, port::log);
+        this.follower = new Follower(self, new LeaseClock(settings.driftPpm()), port.now());
         this.random = new SplittableRandom(self.incarnation());
         this.reportEveryMs = settings.reportEveryMs();
         settings.planners().forEach(address -> targets.add(new Target(address)));
@@ -58,7 +61,7 @@
     }
 
     /** Takes over what may change while we run; on the loop. */
-    public void reloaded(PlansSettings changed) {
+    public void reloaded(PlannerClientSettings changed) {
         reportEveryMs = changed.reportEveryMs();
         follower.fadeTime(changed.fadeMs() * 1_000);
     }
@@ -85,8 +88,8 @@
     /** What is lent with a report must be known to the module before the report can reach anyone. */
     private void reportNow() {
         long now = port.now();
-        Balancer.Summary summary = port.module().summary(now);
-        Map<Connection, Report> reports = new LinkedHashMap<>();
+        LoadBalancingPolicy.Summary summary = port.module().summary(now);
+        Map<Connection, ForwarderReport> reports = new LinkedHashMap<>();
         for (Target t : targets) {
             if (t.connection != null && t.connection.peer() != null && follower.due(now, t.connection.peer())) {
                 reports.put(t.connection, follower.report(now, t.connection.peer(), summary));
@@ -94,7 +97,7 @@
         }
         port.module().plan(now, follower.plan(now));
         reports.forEach((connection, report) -> connection.send(
-                Frame.newBuilder().setReport(Messages.of(report)).build()));
+                Frame.newBuilder().setReport(PlannerCodec.of(report)).build()));
     }
 
     /** One planner's address. */
@@ -128,26 +131,26 @@
     }
 
     /** A connection to a planner. */
-    private final class Connection extends Peers {
+    private final class Connection extends FramedConnection {
         private final Target target;
 
         Connection(Target target) {
-            super(Set.of(Tls.Role.PLANNER), name, port::log);
+            super(Set.of(MutualTls.Role.PLANNER), name, port::log);
             this.target = target;
         }
 
         @Override
-        void ready() {
+        protected void ready() {
             target.pauseMs = LEAST_PAUSE_MS;
         }
 
         @Override
-        void message(Frame frame) throws Messages.Implausible, InvalidProtocolBufferException {
+        protected void message(Frame frame) throws InvalidMessageException, InvalidProtocolBufferException {
             if (!frame.hasPlan()) {
                 close("sends what is no plan");
                 return;
             }
-            PlanMessage plan = Messages.plan(peer(), frame.getPlan());
+            PlanMessage plan = PlannerCodec.plan(peer(), frame.getPlan());
             long now = port.now();
             if (follower.heard(now, plan) && follower.matters(now, plan)) {
                 port.deliver(() -> port.module().plan(port.now(), follower.plan(port.now())));
@@ -155,7 +158,7 @@
         }
 
         @Override
-        void gone() {
+        protected void gone() {
             if (target.connection == this) {
                 target.again();
             }
--- a/src/main/java/sedgeyoke/link/Messages.java
+++ b/src/main/java/sedgeyoke/plan/remote/PlannerCodec.java
@@ -1,44 +1,36 @@
-package sedgeyoke.link;
+package sedgeyoke.plan.remote;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
 import java.util.List;
-import sedgeyoke.link.proto.Board;
-import sedgeyoke.link.proto.LoadMessage;
-import sedgeyoke.link.proto.PlanFrame;
-import sedgeyoke.link.proto.ReportMessage;
-import sedgeyoke.link.proto.RightMessage;
-import sedgeyoke.link.proto.Stamp;
-import sedgeyoke.link.proto.ViewMessage;
+import sedgeyoke.plan.ForwarderReport;
 import sedgeyoke.plan.PlanMessage;
 import sedgeyoke.plan.Planner;
-import sedgeyoke.plan.Report;
+import sedgeyoke.transport.InvalidMessageException;
+import sedgeyoke.transport.proto.Board;
+import sedgeyoke.transport.proto.LoadMessage;
+import sedgeyoke.transport.proto.PlanFrame;
+import sedgeyoke.transport.proto.ReportMessage;
+import sedgeyoke.transport.proto.RightMessage;
+import sedgeyoke.transport.proto.Stamp;
+import sedgeyoke.transport.proto.ViewMessage;
 
 /** Between the records of {@link sedgeyoke.plan} and the messages of the schema, with a bound on all that is read. */
-final class Messages {
+final class PlannerCodec {
     /** Further entries than any sender of ours makes are a fault of the sender. */
-    private static final int MOST_ENTRIES = 4 * Report.MOST_LOADS;
+    private static final int MOST_ENTRIES = 4 * ForwarderReport.MOST_LOADS;
 
     private static final int MOST_ZONES = 1_000;
     private static final int LONGEST_ID = 256;
     private static final long LONGEST_LEASE = 60_000_000;
     private static final double LARGEST = 1e9;
 
-    private Messages() {}
+    private PlannerCodec() {}
 
-    /** A message that is in order by the schema but says what cannot be. */
-    static final class Implausible extends Exception {
-        private static final long serialVersionUID = 1L;
-
-        Implausible(String what) {
-            super("implausible " + what);
-        }
-    }
-
-    private static void require(boolean plausible, String what) throws Implausible {
+    private static void require(boolean plausible, String what) throws InvalidMessageException {
         if (!plausible) {
-            throw new Implausible(what);
+            throw new InvalidMessageException(what);
         }
     }
 
@@ -52,7 +44,7 @@
 
     // ---- Reports -------------------------------------------------------------------------------------
 
-    static ReportMessage of(Report r) {
+    static ReportMessage of(ForwarderReport r) {
         ReportMessage.Builder m = ReportMessage.newBuilder()
                 .setIncarnation(r.incarnation())
                 .setSequence(r.sequence())
@@ -62,7 +54,7 @@
                 .setLeaseUs(r.lease())
                 .setLeastGrant(r.leastGrant())
                 .addAllDemand(r.demand());
-        for (Report.Load l : r.loads()) {
+        for (ForwarderReport.Load l : r.loads()) {
             LoadMessage.Builder load = LoadMessage.newBuilder()
                     .setUpstream(l.upstream())
                     .setZone(l.zone())
@@ -86,7 +78,7 @@
     }
 
     /** Reads a report of a forwarder whose name the certificate gave. */
-    static Report report(String forwarder, ReportMessage m) throws Implausible {
+    static ForwarderReport report(String forwarder, ReportMessage m) throws InvalidMessageException {
         require(m.getLoadsCount() <= MOST_ENTRIES && m.getDepositsCount() <= MOST_ENTRIES, "number of entries");
         require(m.getZone() >= 0 && m.getZone() < MOST_ZONES, "zone");
         require(m.getLeaseUs() >= 0 && m.getLeaseUs() <= LONGEST_LEASE, "lease");
@@ -94,7 +86,7 @@
         for (double demand : m.getDemandList()) {
             require(number(demand), "demand");
         }
-        List<Report.Load> loads = new ArrayList<>(m.getLoadsCount());
+        List<ForwarderReport.Load> loads = new ArrayList<>(m.getLoadsCount());
         for (LoadMessage l : m.getLoadsList()) {
             require(
                     id(l.getUpstream())
@@ -105,7 +97,7 @@
                             && (!l.hasUtilisation() || number(l.getUtilisation()))
                             && (!l.hasWaiting() || number(l.getWaiting())),
                     "load");
-            loads.add(new Report.Load(
+            loads.add(new ForwarderReport.Load(
                     l.getUpstream(),
                     Math.max(-1, l.getZone()),
                     l.getDraining(),
@@ -118,12 +110,12 @@
                     l.hasUtilisation() ? l.getAgeUs() : -1,
                     l.getEjected()));
         }
-        List<Report.Deposit> deposits = new ArrayList<>(m.getDepositsCount());
+        List<ForwarderReport.Deposit> deposits = new ArrayList<>(m.getDepositsCount());
         for (RightMessage d : m.getDepositsList()) {
             require(id(d.getUpstream()) && number(d.getRate()), "deposit");
-            deposits.add(new Report.Deposit(d.getUpstream(), d.getLaunchedAt(), d.getRate()));
+            deposits.add(new ForwarderReport.Deposit(d.getUpstream(), d.getLaunchedAt(), d.getRate()));
         }
-        return new Report(
+        return new ForwarderReport(
                 forwarder,
                 m.getIncarnation(),
                 m.getSequence(),
@@ -170,7 +162,8 @@
     }
 
     /** Reads a plan of a planner whose name the certificate gave. */
-    static PlanMessage plan(String planner, PlanFrame m) throws Implausible, InvalidProtocolBufferException {
+    static PlanMessage plan(String planner, PlanFrame m)
+            throws InvalidMessageException, InvalidProtocolBufferException {
         Board board = Board.parseFrom(m.getBoard());
         require(
                 board.getViewsCount() <= MOST_ENTRIES
@@ -222,11 +215,11 @@
                 .build();
     }
 
-    private static Stamp stamp(Report.Stamp s) {
+    private static Stamp stamp(ForwarderReport.Stamp s) {
         return Stamp.newBuilder().setIncarnation(s.incarnation()).setAt(s.at()).build();
     }
 
-    private static Report.Stamp stamp(Stamp s) {
-        return new Report.Stamp(s.getIncarnation(), s.getAt());
+    private static ForwarderReport.Stamp stamp(Stamp s) {
+        return new ForwarderReport.Stamp(s.getIncarnation(), s.getAt());
     }
 }
--- a/src/main/java/sedgeyoke/link/PlannerMain.java
+++ b/src/main/java/sedgeyoke/plan/remote/PlannerMain.java
@@ -1,4 +1,4 @@
-package sedgeyoke.link;
+package sedgeyoke.plan.remote;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -8,10 +8,10 @@
 import java.security.SecureRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.LongSupplier;
-import sedgeyoke.net.Log;
-import sedgeyoke.operator.BadOperatorFile;
-import sedgeyoke.operator.OperatorFile;
-import sedgeyoke.operator.PlannerSettings;
+import sedgeyoke.proxy.RateLimitedLog;
+import sedgeyoke.settings.InvalidOperatorFileException;
+import sedgeyoke.settings.OperatorFile;
+import sedgeyoke.settings.PlannerSettings;
 
 /** One planner as a process. */
 public final class PlannerMain {
@@ -25,7 +25,7 @@
                 return fail("no operator's file: --config or SEDGEYOKE_OPERATOR must name one");
             }
             settings = OperatorFile.load(operator).planner();
-        } catch (BadOperatorFile e) {
+        } catch (InvalidOperatorFileException e) {
             return fail(e.getMessage());
         }
         if (!settings.enabled()) {
@@ -37,7 +37,11 @@
         LongSupplier clock = () -> startedAt + (System.nanoTime() - startedNanos) / 1_000;
         try {
             PlannerServer server = new PlannerServer(
-                    loop, settings, new SecureRandom().nextLong() | 1, clock, new Log(System.err, clock)::line);
+                    loop,
+                    settings,
+                    new SecureRandom().nextLong() | 1,
+                    clock,
+                    new RateLimitedLog(System.err, clock)::line);
             System.err.println("planner " + settings.name() + " listens on " + server.start());
         } catch (IOException e) {
             return fail(e.getMessage());
--- a/src/main/java/sedgeyoke/link/PlannerServer.java
+++ b/src/main/java/sedgeyoke/plan/remote/PlannerServer.java
@@ -1,4 +1,4 @@
-package sedgeyoke.link;
+package sedgeyoke.plan.remote;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -13,10 +13,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import sedgeyoke.link.proto.Frame;
-import sedgeyoke.operator.PlannerSettings;
-import sedgeyoke.plan.LeaseTerms;
+import sedgeyoke.lease.LeaseClock;
 import sedgeyoke.plan.Planner;
+import sedgeyoke.settings.PlannerSettings;
+import sedgeyoke.transport.FramedConnection;
+import sedgeyoke.transport.InvalidMessageException;
+import sedgeyoke.transport.MutualTls;
+import sedgeyoke.transport.proto.Frame;
 
 /** A planner on sockets. All of it runs on one event loop. */
 public final class PlannerServer {
@@ -27,7 +30,7 @@
     private final PlannerSettings settings;
     private final LongSupplier clock;
     private final Consumer<String> log;
-    private final Tls tls;
+    private final MutualTls tls;
     private final Planner planner;
     private final Map<String, Forwarder> forwarders = new HashMap<>();
     private int connections;
@@ -40,15 +43,15 @@
         this.settings = settings;
         this.clock = clock;
         this.log = log;
-        this.tls = new Tls(settings.tls(), true, log);
+        this.tls = new MutualTls(settings.tls(), true, log);
         this.planner = new Planner(
                 new Planner.Settings(settings.name(), incarnation, settings.mostForwarders(), settings.mostUpstreams()),
-                new LeaseTerms(settings.driftPpm()));
+                new LeaseClock(settings.driftPpm()));
     }
 
     /** Listens and begins to plan; returns the address. Not to be called on the loop. */
     public InetSocketAddress start() {
-        InetSocketAddress address = Peers.listen(loop, settings.listen(), this::accept);
+        InetSocketAddress address = FramedConnection.listen(loop, settings.listen(), this::accept);
         loop.scheduleAtFixedRate(this::plan, settings.planEveryMs(), settings.planEveryMs(), TimeUnit.MILLISECONDS);
         return address;
     }
@@ -68,12 +71,12 @@
         List<Planner.Out> plans = planner.plan(now);
         ByteString board = plans.isEmpty()
                 ? ByteString.EMPTY
-                : Messages.board(plans.get(0).message().views());
+                : PlannerCodec.board(plans.get(0).message().views());
         for (Planner.Out out : plans) {
             Forwarder forwarder = forwarders.get(out.forwarder());
             if (forwarder != null) {
                 forwarder.send(
-                        Frame.newBuilder().setPlan(Messages.of(out, board)).build());
+                        Frame.newBuilder().setPlan(PlannerCodec.of(out, board)).build());
             }
         }
     }
@@ -84,13 +87,13 @@
     }
 
     /** One forwarder's connection. */
-    private final class Forwarder extends Peers {
+    private final class Forwarder extends FramedConnection {
         Forwarder() {
-            super(Set.of(Tls.Role.FORWARDER), settings.name(), log);
+            super(Set.of(MutualTls.Role.FORWARDER), settings.name(), log);
         }
 
         @Override
-        void ready() {
+        protected void ready() {
             Forwarder before = forwarders.put(peer(), this);
             if (before != null) {
                 before.close("it has connected anew");
@@ -98,16 +101,16 @@
         }
 
         @Override
-        void message(Frame frame) throws Messages.Implausible, InvalidProtocolBufferException {
+        protected void message(Frame frame) throws InvalidMessageException, InvalidProtocolBufferException {
             if (!frame.hasReport()) {
                 close("sends what is no report");
                 return;
             }
-            planner.report(clock.getAsLong(), Messages.report(peer(), frame.getReport()));
+            planner.report(clock.getAsLong(), PlannerCodec.report(peer(), frame.getReport()));
         }
 
         @Override
-        void gone() {
+        protected void gone() {
             forwarders.remove(peer(), this);
         }
     }
--- a/src/main/java/sedgeyoke/decide/Balancer.java
+++ b/src/main/java/sedgeyoke/policy/LoadBalancingPolicy.java
@@ -1,17 +1,17 @@
-package sedgeyoke.decide;
+package sedgeyoke.policy;
 
 import java.util.List;
 import java.util.Map;
 
 /**
  * The whole interface of the decision module: events come in as method calls, decisions go out through
- * {@link Actions}. {@link Policy} is the implementation.
+ * {@link Actions}. {@link UtilizationWeightedPolicy} is the implementation.
  *
  * <p>All times are microseconds of one clock that only advances; {@code now} is passed in with each event and
  * durations are microseconds too. An instance is not safe for use by several threads at once: call it from
  * one thread, or guard it by one lock. It never blocks, and it calls {@link Actions} only from within an event.
  */
-public interface Balancer {
+public interface LoadBalancingPolicy {
 
     /** Brings up the instance: sets its first timer. Call it once, before any other event. */
     void start(long now);
@@ -73,7 +73,7 @@
         /** Stops waiting for an attempt. */
         void cancel(String request, int attempt);
 
-        /** Asks for a call of {@link Balancer#timer} after {@code delay}. */
+        /** Asks for a call of {@link LoadBalancingPolicy#timer} after {@code delay}. */
         void timer(String token, long delay);
 
         /** Asks an upstream for its load. */
--- a/src/main/java/sedgeyoke/decide/MovingAverage.java
+++ b/src/main/java/sedgeyoke/policy/MovingAverage.java
@@ -1,4 +1,4 @@
-package sedgeyoke.decide;
+package sedgeyoke.policy;
 
 /** An exponentially weighted moving average whose value 0 stands for no sample yet. */
 final class MovingAverage {
--- a/src/main/java/sedgeyoke/decide/Planned.java
+++ b/src/main/java/sedgeyoke/policy/PlanBlend.java
@@ -1,15 +1,15 @@
-package sedgeyoke.decide; // of the module: how much a plan counts
+package sedgeyoke.policy; // of the module: how much a plan counts
 
 import java.util.List;
-import sedgeyoke.decide.Balancer.ColdRight;
-import sedgeyoke.decide.Balancer.Plan;
+import sedgeyoke.policy.LoadBalancingPolicy.ColdRight;
+import sedgeyoke.policy.LoadBalancingPolicy.Plan;
 
 /**
  * The plan heard last and how much it counts. It counts in full while plans keep coming, fades out over
  * the time that it states once they don't, and comes back as gently: neither the end of the planners nor
  * their return is a step in traffic.
  */
-final class Planned {
+final class PlanBlend {
     /** A plan heard so long ago is still as good as new. */
     private static final long FULL_FOR = 1_000_000;
     /** Time from nothing to full strength. */
--- a/src/main/java/sedgeyoke/decide/RateEstimator.java
+++ b/src/main/java/sedgeyoke/policy/RateEstimator.java
@@ -1,4 +1,4 @@
-package sedgeyoke.decide;
+package sedgeyoke.policy;
 
 /** A smoothed rate of events, measured in periods. The first periods count for more, so that it settles quickly. */
 final class RateEstimator {
--- a/src/main/java/sedgeyoke/decide/RendezvousHash.java
+++ b/src/main/java/sedgeyoke/policy/RendezvousHash.java
@@ -1,4 +1,4 @@
-package sedgeyoke.decide;
+package sedgeyoke.policy;
 
 import java.util.SplittableRandom;
 
--- a/src/main/java/sedgeyoke/decide/InOrder.java
+++ b/src/main/java/sedgeyoke/policy/SerializedEvents.java
@@ -1,13 +1,13 @@
-package sedgeyoke.decide;
+package sedgeyoke.policy;
 
 import java.util.ArrayDeque;
 import java.util.Queue;
 
 /**
  * Hands a module its events one after another: what comes while one is being handled, from within the module's own
- * actions too, waits for its turn. For whoever hosts a {@link Balancer}, on one thread.
+ * actions too, waits for its turn. For whoever hosts a {@link LoadBalancingPolicy}, on one thread.
  */
-public final class InOrder {
+public final class SerializedEvents {
     private final Queue<Runnable> events = new ArrayDeque<>();
     private boolean handling;
 
--- a/src/main/java/sedgeyoke/decide/SettingsCheck.java
+++ b/src/main/java/sedgeyoke/policy/SettingsValidator.java
@@ -1,12 +1,12 @@
-package sedgeyoke.decide;
+package sedgeyoke.policy;
 
-import sedgeyoke.decide.Balancer.RequestClass;
-import sedgeyoke.decide.Balancer.Settings;
-import sedgeyoke.decide.Balancer.Tenant;
+import sedgeyoke.policy.LoadBalancingPolicy.RequestClass;
+import sedgeyoke.policy.LoadBalancingPolicy.Settings;
+import sedgeyoke.policy.LoadBalancingPolicy.Tenant;
 
 /** Checks settings before a module is built on them; it decides nothing. */
-final class SettingsCheck {
-    private SettingsCheck() {}
+final class SettingsValidator {
+    private SettingsValidator() {}
 
     /** Refuses bad settings with the name of the field. */
     static void check(Settings s) {
--- a/src/main/java/sedgeyoke/decide/ColdBucket.java
+++ b/src/main/java/sedgeyoke/policy/SlowStartBucket.java
@@ -1,7 +1,7 @@
-package sedgeyoke.decide; // of the module: what a cold upstream may be sent
+package sedgeyoke.policy; // of the module: what a cold upstream may be sent
 
-import sedgeyoke.decide.Balancer.ColdGrant;
-import sedgeyoke.decide.Balancer.ColdRight;
+import sedgeyoke.policy.LoadBalancingPolicy.ColdGrant;
+import sedgeyoke.policy.LoadBalancingPolicy.ColdRight;
 
 /**
  * The token bucket of one cold upstream. Tokens are mean requests. They accrue at the rate of the rights
@@ -10,14 +10,14 @@
  * whoever holds the rights when: a right that is lent accrues nothing here, and what had been saved up
  * under it is forfeited.
  */
-public final class ColdBucket {
+public final class SlowStartBucket {
     private static final double SECONDS_PER_MICRO = 1e-6;
 
     private double tokens;
     private long at;
 
     /** A bucket that holds so much now; less than nothing is a debt. */
-    public ColdBucket(double tokens, long now) {
+    public SlowStartBucket(double tokens, long now) {
         this.tokens = tokens;
         this.at = now;
     }
--- a/src/main/java/sedgeyoke/decide/TokenBucket.java
+++ b/src/main/java/sedgeyoke/policy/TokenBucket.java
@@ -1,4 +1,4 @@
-package sedgeyoke.decide;
+package sedgeyoke.policy;
 
 /** A token bucket that holds the tokens of one second, and one token at least. It starts empty at time 0. */
 final class TokenBucket {
--- a/src/main/java/sedgeyoke/decide/Policy.java
+++ b/src/main/java/sedgeyoke/policy/UtilizationWeightedPolicy.java
@@ -1,4 +1,4 @@
-package sedgeyoke.decide; // the interface of this module is in Balancer.java
+package sedgeyoke.policy; // the interface of this module is in Balancer.java
 
 import static java.util.Comparator.comparingLong;
 
@@ -19,7 +19,7 @@
  * above the fleet mean; a request goes to an upstream in proportion to (weight / (in-flight + 1))^bias. What
  * goes beyond that is a factor on the weight or a filter before the pick, and says what it guards against.
  */
-public final class Policy implements Balancer {
+public final class UtilizationWeightedPolicy implements LoadBalancingPolicy {
 
     // ---- Settings and tunables -----------------------------------------------------------------------
 
@@ -155,7 +155,7 @@
     private double typicalTook;
     private double meanCost;
     private double ratings;
-    private final Planned planned = new Planned();
+    private final PlanBlend planned = new PlanBlend();
     private boolean wasPlanned;
     private final RateEstimator requestRate = new RateEstimator();
     private final List<RateEstimator> classRates;
@@ -163,8 +163,8 @@
     private long askPause;
 
     /** Creates an instance; bad settings are refused with the field's name. */
-    public Policy(Settings settings, long seed, Actions out) {
-        SettingsCheck.check(settings);
+    public UtilizationWeightedPolicy(Settings settings, long seed, Actions out) {
+        SettingsValidator.check(settings);
         this.settings = settings;
         this.out = out;
         this.random = new SplittableRandom(seed);
@@ -208,7 +208,7 @@
         boolean hanging;
         long ejectedUntil;
         long ejection = FIRST_EJECTION;
-        ColdBucket cold;
+        SlowStartBucket cold;
         long sent;
         double limitFactor = 1;
         double plannedLimit = Double.NaN;
@@ -348,7 +348,7 @@
     private Up renew(String id, long now) {
         Up up = new Up(id);
         up.limit = firstLimit();
-        up.cold = new ColdBucket(random.nextDouble(), now);
+        up.cold = new SlowStartBucket(random.nextDouble(), now);
         up.rank = RendezvousHash.unit(settings.position() / SLOTS, id.hashCode());
         byId.put(id, up);
         return up;
@@ -1080,7 +1080,7 @@
         if (view.launchedAt() > up.launchedAt()
                 && view.launchedAt() <= now + settings.rules().coldTime()) {
             up.toldLaunch = view.launchedAt(); // a start that our own list has yet to tell of
-            up.cold = new ColdBucket(0, now);
+            up.cold = new SlowStartBucket(0, now);
         }
         up.stopped = view.draining();
         up.plannedLimit = view.limit();
--- /dev/null
+++ b/src/main/java/sedgeyoke/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Load-balancing decisions for proxies: {@link sedgeyoke.policy.LoadBalancingPolicy} is the interface. */
+package sedgeyoke.policy;
--- a/src/main/java/sedgeyoke/net/OpsDoor.java
+++ b/src/main/java/sedgeyoke/proxy/AdminServer.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -30,7 +30,7 @@
  * balancer's loop, so that each answer is of one moment. Callers that never finish their call take a place each, of a
  * few, and the oldest of them makes way.
  */
-final class OpsDoor {
+final class AdminServer {
     private static final int MOST_CALLERS = 32;
     private static final int LONGEST_CALL = 4_096;
     private static final int LONGEST_ID = 256;
@@ -53,7 +53,7 @@
         boolean cordon(String id, boolean out);
     }
 
-    OpsDoor(EventLoop loop, Transport transport, Operations operations) {
+    AdminServer(EventLoop loop, Transport transport, Operations operations) {
         this.loop = loop;
         this.transport = transport;
         this.operations = operations;
--- a/src/main/java/sedgeyoke/net/Attempt.java
+++ b/src/main/java/sedgeyoke/proxy/Attempt.java
@@ -1,10 +1,10 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import io.netty.util.concurrent.Future;
 
-/** One attempt of a call at an upstream. It ends once, whatever happens first; see {@link Node#ended}. */
+/** One attempt of a call at an upstream. It ends once, whatever happens first; see {@link ProxyCore#ended}. */
 final class Attempt {
-    final Call call;
+    final Exchange call;
     final int number;
     final String upstream;
     final long startedAt;
@@ -13,7 +13,7 @@
     /** From then on upstreams may have forgotten an earlier attempt that may have run: nothing may go out. */
     final long repeatUntil;
     /** Set while the request is on a connection. */
-    UpstreamPool.Connection connection;
+    UpstreamConnectionPool.Connection connection;
     /** Whether the last byte was handed to the kernel: from then on the request may have run. */
     boolean written;
 
@@ -31,7 +31,7 @@
     /** Ends the attempt at a time-out of its own; null if it may wait as long as the call. */
     Future<?> timeout;
 
-    Attempt(Call call, int number, String upstream, long startedAt, long until, long repeatUntil) {
+    Attempt(Exchange call, int number, String upstream, long startedAt, long until, long repeatUntil) {
         this.call = call;
         this.number = number;
         this.upstream = upstream;
--- a/src/main/java/sedgeyoke/net/Config.java
+++ b/src/main/java/sedgeyoke/proxy/BalancerConfig.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -14,18 +14,18 @@
 import java.util.TreeMap;
 import java.util.function.Function;
 import sedgeyoke.body.BodyLimits;
-import sedgeyoke.decide.Balancer.Reports;
-import sedgeyoke.decide.Balancer.RequestClass;
-import sedgeyoke.decide.Balancer.Settings;
-import sedgeyoke.wire.BadInput;
-import sedgeyoke.wire.SettingsReader;
+import sedgeyoke.policy.LoadBalancingPolicy.Reports;
+import sedgeyoke.policy.LoadBalancingPolicy.RequestClass;
+import sedgeyoke.policy.LoadBalancingPolicy.Settings;
+import sedgeyoke.simulator.InvalidInputException;
+import sedgeyoke.simulator.SettingsReader;
 
 /**
  * The configuration of one start; anything missing or malformed is refused with the name of the field. {@code ops} is
  * where operators knock (DAYS, "In operation"), null where the platform has no such door; {@code folder} is what the
  * processes of one balancer share during an upgrade, null for none.
  */
-public record Config(
+public record BalancerConfig(
         String name,
         InetSocketAddress listen,
         InetSocketAddress discovery,
@@ -34,7 +34,7 @@
         long seed,
         int sockets,
         SettingsReader.Found facts,
-        MemberList known) {
+        EndpointList known) {
 
     static final JsonMapper JSON = new JsonMapper();
     private static final int FEWEST_SOCKETS = 128;
@@ -49,7 +49,7 @@
     }
 
     /** Reads the file that the platform names. */
-    public static Config load(String path) throws Bad {
+    public static BalancerConfig load(String path) throws Bad {
         if (path == null || path.isEmpty()) {
             throw new Bad("BALANCER_CONFIG is not set");
         }
@@ -65,13 +65,13 @@
     }
 
     /** The file's word on the door counts; the environment's where it has none. */
-    Config with(String address, String shared) throws Bad {
+    BalancerConfig with(String address, String shared) throws Bad {
         InetSocketAddress door = ops != null || address == null || address.isEmpty() ? ops : IpAddress.parse(address);
         if (door == null && ops == null && address != null && !address.isEmpty()) {
             throw new Bad("BALANCER_OPS is malformed: " + address);
         }
         Path of = shared == null || shared.isEmpty() ? null : Path.of(shared);
-        return new Config(name, listen, discovery, door, of, seed, sockets, facts, known);
+        return new BalancerConfig(name, listen, discovery, door, of, seed, sockets, facts, known);
     }
 
     /** Bodies are long where operators have their door: one deployment brings both (DAYS, "Size"). */
@@ -80,19 +80,19 @@
     }
 
     /** The fields in which the other one differs and that are read at the start only; its seed and list always are. */
-    List<String> needRestart(Config other) {
+    List<String> needRestart(BalancerConfig other) {
         List<String> fields = new ArrayList<>();
-        Map<String, Function<Config, Object>> fixed = new TreeMap<>(Map.of(
+        Map<String, Function<BalancerConfig, Object>> fixed = new TreeMap<>(Map.of(
                 "name",
-                Config::name,
+                BalancerConfig::name,
                 "listen",
-                Config::listen,
+                BalancerConfig::listen,
                 "ops",
                 c -> String.valueOf(c.ops()),
                 "limits.sockets",
-                Config::sockets,
+                BalancerConfig::sockets,
                 "settings",
-                Config::facts));
+                BalancerConfig::facts));
         fixed.forEach((field, value) -> {
             if (!value.apply(this).equals(value.apply(other))) {
                 fields.add(field);
@@ -102,19 +102,21 @@
     }
 
     /** Reads a configuration; throws with the name of the field that is no good. */
-    public static Config parse(byte[] json) throws Bad, IOException {
+    public static BalancerConfig parse(byte[] json) throws Bad, IOException {
         JsonNode root = JSON.readTree(json);
         SettingsReader.Found facts = facts(root.path("settings"));
         int sockets = root.path("limits").path("sockets").asInt(0);
         require(sockets >= FEWEST_SOCKETS, "limits.sockets (at least " + FEWEST_SOCKETS + ")");
         require(root.path("name").isTextual(), "name");
-        MemberList known;
+        EndpointList known;
         try {
-            known = root.path("known").isMissingNode() ? MemberList.EMPTY : MemberList.read(root.path("known"), facts);
-        } catch (MemberList.Malformed e) {
+            known = root.path("known").isMissingNode()
+                    ? EndpointList.EMPTY
+                    : EndpointList.read(root.path("known"), facts);
+        } catch (EndpointList.Malformed e) {
             throw new Bad("configuration: known: " + e.getMessage());
         }
-        return new Config(
+        return new BalancerConfig(
                 root.path("name").asText(),
                 address(root, "listen"),
                 address(root, "discovery"),
@@ -132,7 +134,7 @@
         try (JsonParser json = node.traverse()) {
             json.nextToken();
             facts = SettingsReader.read(json);
-        } catch (BadInput e) {
+        } catch (InvalidInputException e) {
             throw new Bad("configuration: " + e.getMessage());
         }
         Settings s = facts.settings();
--- a/src/main/java/sedgeyoke/net/Server.java
+++ b/src/main/java/sedgeyoke/proxy/BalancerServer.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -9,37 +9,37 @@
 import sedgeyoke.body.BodyLimits;
 
 /** One balancer: its module, its sockets and its end, all on one event loop. */
-public final class Server {
+public final class BalancerServer {
     /** How often we look, once told to end, what is to be done by now. */
     private static final long LOOK_EVERY_MS = 5;
 
     private final EventLoop loop;
-    private final Config config;
-    private final Node node;
-    private final OpsDoor door;
-    private final Frontend frontend;
+    private final BalancerConfig config;
+    private final ProxyCore node;
+    private final AdminServer door;
+    private final HttpFrontend frontend;
     private final CountDownLatch done = new CountDownLatch(1);
 
-    Server(EventLoop loop, Config config, Node node, Transport transport, BodyLimits bodies) {
+    BalancerServer(EventLoop loop, BalancerConfig config, ProxyCore node, Transport transport, BodyLimits bodies) {
         this(loop, config, node, transport, bodies, null);
     }
 
-    Server(
+    BalancerServer(
             EventLoop loop,
-            Config config,
-            Node node,
+            BalancerConfig config,
+            ProxyCore node,
             Transport transport,
             BodyLimits bodies,
             ServerSocketChannel inherited) {
         this.loop = loop;
         this.config = config;
         this.node = node;
-        this.frontend = new Frontend(loop, config, node, transport, bodies, inherited);
-        this.door = new OpsDoor(loop, transport, new Operations());
+        this.frontend = new HttpFrontend(loop, config, node, transport, bodies, inherited);
+        this.door = new AdminServer(loop, transport, new Operations());
     }
 
     /** A balancer on TCP; throws {@link IllegalArgumentException} with the name of a setting that is no good. */
-    public static Server onSockets(EventLoop loop, Config config) {
+    public static BalancerServer onSockets(EventLoop loop, BalancerConfig config) {
         return onSockets(loop, config, config.bodies(), null);
     }
 
@@ -48,9 +48,15 @@
      *
      * @param inherited a listener that the platform holds and that other processes may share, or null
      */
-    public static Server onSockets(EventLoop loop, Config config, BodyLimits bodies, ServerSocketChannel inherited) {
-        return new Server(
-                loop, config, new Node(loop, config, Transport.SOCKETS, bodies), Transport.SOCKETS, bodies, inherited);
+    public static BalancerServer onSockets(
+            EventLoop loop, BalancerConfig config, BodyLimits bodies, ServerSocketChannel inherited) {
+        return new BalancerServer(
+                loop,
+                config,
+                new ProxyCore(loop, config, Transport.SOCKETS, bodies),
+                Transport.SOCKETS,
+                bodies,
+                inherited);
     }
 
     /** Listens, and starts the module once that has worked. */
@@ -68,7 +74,7 @@
     }
 
     /** What the door asks for; on the loop. */
-    private final class Operations implements OpsDoor.Operations {
+    private final class Operations implements AdminServer.Operations {
         @Override
         public boolean healthy() {
             return frontend.takesClients();
@@ -96,7 +102,7 @@
     }
 
     /** Takes over what may change while we run; may be called on any thread. */
-    public void reload(Config changed) {
+    public void reload(BalancerConfig changed) {
         loop.execute(() -> node.reload(changed));
     }
 
@@ -128,7 +134,7 @@
      * @param late for how long, in microseconds, the signal may have been under way to us
      */
     public void end(long late) {
-        Ending ending = new Ending(node.now() - late, node.longestDeadline());
+        GracefulShutdown ending = new GracefulShutdown(node.now() - late, node.longestDeadline());
         loop.execute(() -> {
             frontend.drain();
             if (frontend.shared()) {
@@ -144,7 +150,7 @@
     }
 
     /** Looks again and again what the time is, rather than once at each moment: how late we are counts, too. */
-    private void look(Ending ending) {
+    private void look(GracefulShutdown ending) {
         long now = node.now();
         boolean late = ending.looked(now) > LOOK_EVERY_MS * 1_000;
         node.answerUntil(ending.lastAnswer(), ending.lastRequest());
--- a/src/main/java/sedgeyoke/net/Gathered.java
+++ b/src/main/java/sedgeyoke/proxy/BodyAccumulator.java
@@ -1,11 +1,11 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import java.util.Arrays;
 
 /** Bytes of a body that are put together here. Most bodies come in one part, which is copied once. */
-final class Gathered {
+final class BodyAccumulator {
     private static final byte[] NONE = {};
 
     private final int most;
@@ -13,7 +13,7 @@
     private int size;
 
     /** No more than {@code most} bytes are ever added, and no more are ever held. */
-    Gathered(int most) {
+    BodyAccumulator(int most) {
         this.most = most;
     }
 
--- a/src/main/java/sedgeyoke/net/Training.java
+++ b/src/main/java/sedgeyoke/proxy/ClassArchiveTraining.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -18,28 +18,28 @@
  * classes a start needs, ready for use. Loading them one by one is most of the processor time of a start, and a
  * balancer that is restarted has part of a core for it while clients wait.
  */
-public final class Training {
+public final class ClassArchiveTraining {
     private static final int REQUESTS = 200;
     private static final int PATIENCE_MS = 2_000;
     private static final String REPORT = "X-Load-Report: {\"queue\":0,\"waiting\":0,\"cpu\":0.5,\"avg_ms\":9}\r\n";
 
-    private Training() {}
+    private ClassArchiveTraining() {}
 
     /** Ends with 0 whatever happens: without a complete archive a start is slower, and no more than that. */
     public static void main(String[] args) {
         try (ServerSocket peers = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
             thread(() -> accept(peers));
             EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-            Config config = Config.parse(config("127.0.0.1:" + peers.getLocalPort()));
-            WarmUp.run(config, WarmUp.MOST_REQUESTS, WarmUp.LONGEST_S);
-            Server server = Server.onSockets(loop, config);
+            BalancerConfig config = BalancerConfig.parse(config("127.0.0.1:" + peers.getLocalPort()));
+            JitWarmUp.run(config, JitWarmUp.MOST_REQUESTS, JitWarmUp.LONGEST_S);
+            BalancerServer server = BalancerServer.onSockets(loop, config);
             InetSocketAddress at = server.listen();
             for (int i = 0; i < REQUESTS; i++) {
                 expect("200", ask(at, i % 3 == 0 ? "read" : i % 3 == 1 ? "update" : "order", i));
             }
             expect("400", ask(at, "nonesuch", REQUESTS));
             server.end();
-        } catch (Config.Bad | IOException | InterruptedException e) {
+        } catch (BalancerConfig.Bad | IOException | InterruptedException e) {
             System.err.println("training cut short: " + e);
         }
         System.exit(0);
--- a/src/main/java/sedgeyoke/net/Cordons.java
+++ b/src/main/java/sedgeyoke/proxy/CordonStore.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import java.io.IOException;
 import java.nio.channels.FileChannel;
@@ -20,7 +20,7 @@
  * memory (DEPLOY, "deploy/balancer.toml"), so reading and writing it is quick. The file is replaced as a whole, and
  * what cannot be read changes nothing. To be used on one thread.
  */
-final class Cordons {
+final class CordonStore {
     /** Far more than anyone takes out by hand; a bound on what is kept of ids that may never come back. */
     static final int MOST = 1_000;
 
@@ -32,7 +32,7 @@
     private String read = "";
 
     /** {@code file} may be null: then the set ends with the process. */
-    Cordons(Path file) {
+    CordonStore(Path file) {
         this.file = file;
     }
 
--- a/src/main/java/sedgeyoke/net/Discovery.java
+++ b/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import io.netty.bootstrap.Bootstrap;
@@ -33,7 +33,7 @@
  * the list of the configuration is the one to go on from: each line that is asked for is work there, and a dozen
  * balancers that start at once and ask for all of it keep each other from getting any.
  */
-final class Discovery {
+final class DiscoveryClient {
     /** How long a watch waits for news; short, so that one that has fallen silent is noticed. */
     private static final int HOLD_MS = 2_000;
     /** A watch that ends sooner than that without news is not renewed at once: it would go on without a rest. */
@@ -63,10 +63,10 @@
     private static final int MORE_PAUSE_MS = 80;
 
     private final EventLoop loop;
-    private final Config config;
+    private final BalancerConfig config;
     private final Transport transport;
-    private final Consumer<MemberList> listener;
-    private final Log log;
+    private final Consumer<EndpointList> listener;
+    private final RateLimitedLog log;
     private final Random random;
     private final Bootstrap bootstrap;
     private boolean watching;
@@ -91,7 +91,12 @@
     private boolean doubting;
 
     /** The listener gets each list, and null for a failed call where lists are asked for. */
-    Discovery(EventLoop loop, Config config, Transport transport, Consumer<MemberList> listener, Log log) {
+    DiscoveryClient(
+            EventLoop loop,
+            BalancerConfig config,
+            Transport transport,
+            Consumer<EndpointList> listener,
+            RateLimitedLog log) {
         this.loop = loop;
         this.config = config;
         this.listener = listener;
@@ -226,14 +231,15 @@
     }
 
     private void answered(FullHttpResponse response) {
-        MemberList list;
+        EndpointList list;
         try {
             if (response.status().code() != 200 || response.decoderResult().isFailure()) {
                 failed("answered " + response.status());
                 return;
             }
-            list = MemberList.read(Config.JSON.readTree(ByteBufUtil.getBytes(response.content())), config.facts());
-        } catch (MemberList.Malformed | JsonProcessingException e) {
+            list = EndpointList.read(
+                    BalancerConfig.JSON.readTree(ByteBufUtil.getBytes(response.content())), config.facts());
+        } catch (EndpointList.Malformed | JsonProcessingException e) {
             failed("malformed list: " + e.getMessage().lines().findFirst().orElse(""));
             return;
         } catch (IOException e) {
--- a/src/main/java/sedgeyoke/net/MemberList.java
+++ b/src/main/java/sedgeyoke/proxy/EndpointList.java
@@ -1,17 +1,17 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import sedgeyoke.decide.Balancer.State;
-import sedgeyoke.decide.Balancer.Upstream;
-import sedgeyoke.wire.SettingsReader;
+import sedgeyoke.policy.LoadBalancingPolicy.State;
+import sedgeyoke.policy.LoadBalancingPolicy.Upstream;
+import sedgeyoke.simulator.SettingsReader;
 
 /** A list of upstreams in discovery's form, whole or changes of it, read before any of it is believed. */
-public record MemberList(long revision, boolean complete, List<Member> members) {
-    static final MemberList EMPTY = new MemberList(-1, true, List.of());
+public record EndpointList(long revision, boolean complete, List<Member> members) {
+    static final EndpointList EMPTY = new EndpointList(-1, true, List.of());
     private static final Map<String, State> PHASES =
             Map.of("up", State.READY, "draining", State.DRAINING, "removed", State.GONE);
 
@@ -28,7 +28,7 @@
     }
 
     /** Localities and kinds become the indices of the settings; one that is not in them becomes -1. */
-    public static MemberList read(JsonNode root, SettingsReader.Found facts) throws Malformed {
+    public static EndpointList read(JsonNode root, SettingsReader.Found facts) throws Malformed {
         if (!root.path("revision").canConvertToLong()
                 || !root.path("complete").isBoolean()
                 || !root.path("members").isArray()) {
@@ -54,7 +54,7 @@
                             m.path("up_since_ms").asLong() * 1_000),
                     address));
         }
-        return new MemberList(
+        return new EndpointList(
                 root.path("revision").asLong(), root.path("complete").asBoolean(), members);
     }
 
--- a/src/main/java/sedgeyoke/net/Call.java
+++ b/src/main/java/sedgeyoke/proxy/Exchange.java
@@ -1,14 +1,14 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.List;
-import sedgeyoke.decide.Balancer.Request;
+import sedgeyoke.policy.LoadBalancingPolicy.Request;
 
 /** One client's request, from its arrival to its final answer and the end of its last attempt. */
-final class Call {
+final class Exchange {
     final Request request;
     final HttpMethod method;
     final String uri;
@@ -34,7 +34,7 @@
         void served(String contentType, byte[] body);
 
         /** Begins an answer of an upstream that is passed on as it comes. */
-        AnswerStream.Sink begin(AnswerStream.Head head, AnswerStream.Source source);
+        ResponseStream.Sink begin(ResponseStream.Head head, ResponseStream.Source source);
 
         /** Answers that trying again is harmless; {@code retryAfter} in microseconds, 0 for no advice. */
         void refused(long retryAfter);
@@ -43,7 +43,7 @@
         void failed();
     }
 
-    Call(
+    Exchange(
             Request request,
             HttpMethod method,
             String uri,
--- a/src/main/java/sedgeyoke/net/Ending.java
+++ b/src/main/java/sedgeyoke/proxy/GracefulShutdown.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 /**
  * The moments of an end on SIGTERM, in microseconds of the module's clock. SIGKILL comes a known time after SIGTERM,
@@ -7,7 +7,7 @@
  * earliest moment at which the signal may have come, and the more time before the kill is kept free the later we were
  * seen to be since.
  */
-final class Ending {
+final class GracefulShutdown {
     /** New connections go on coming for up to 0.4 s after SIGTERM; only then is the listener closed. */
     private static final long LISTEN_ON = 550_000;
     /** SIGKILL comes so long after SIGTERM, and the longest deadline more (PROTOCOL, "Figures"). */
@@ -25,7 +25,7 @@
     private long worst;
 
     /** {@code told}: when the signal may have come at the earliest; {@code longestDeadline}: that of any request. */
-    Ending(long told, long longestDeadline) {
+    GracefulShutdown(long told, long longestDeadline) {
         this.told = told;
         this.killed = told + longestDeadline + KILLED_AFTER;
         this.due = told;
--- a/src/main/java/sedgeyoke/net/Frontend.java
+++ b/src/main/java/sedgeyoke/proxy/HttpFrontend.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -47,15 +47,15 @@
 import java.util.regex.Pattern;
 import sedgeyoke.body.BodyBudget;
 import sedgeyoke.body.BodyLimits;
-import sedgeyoke.body.Pace;
-import sedgeyoke.decide.Balancer.Effect;
-import sedgeyoke.decide.Balancer.Request;
+import sedgeyoke.body.MinimumTransferRate;
+import sedgeyoke.policy.LoadBalancingPolicy.Effect;
+import sedgeyoke.policy.LoadBalancingPolicy.Request;
 
 /**
  * HTTP from clients. Requests that are not in order are turned down here and never reach the module; all others
  * get one answer each, in whatever way they end.
  */
-final class Frontend {
+final class HttpFrontend {
     private static final String PATH = "/api";
     private static final String HEALTH = "/_health";
     /** Share of the sockets for clients; at that many, connections are no longer accepted. */
@@ -118,9 +118,9 @@
             HttpHeaderNames.CONTENT_TYPE);
 
     private final EventLoop loop;
-    private final Config config;
+    private final BalancerConfig config;
     private final Transport transport;
-    private final Node node;
+    private final ProxyCore node;
     private final BodyLimits limits;
     private final BodyBudget budget;
     private final int mostConnections;
@@ -152,10 +152,10 @@
     }
 
     /** {@code inherited} is the listener that the platform holds, or null: then we bind our own. */
-    Frontend(
+    HttpFrontend(
             EventLoop loop,
-            Config config,
-            Node node,
+            BalancerConfig config,
+            ProxyCore node,
             Transport transport,
             BodyLimits limits,
             ServerSocketChannel inherited) {
@@ -196,9 +196,9 @@
                         ch.pipeline()
                                 .addLast(
                                         connection.new ReadAhead(),
-                                        new RequestCheck.Decoder(limits.part()),
+                                        new RequestValidator.Decoder(limits.part()),
                                         new HttpResponseEncoder(),
-                                        new RequestCheck(connection::fault, limits.longestBody()),
+                                        new RequestValidator(connection::fault, limits.longestBody()),
                                         connection);
                     }
                 });
@@ -390,7 +390,7 @@
 
     /** One connection of a client: one request at a time, further ones wait for their turn. */
     private final class Connection extends ChannelInboundHandlerAdapter
-            implements Call.Reply, RequestBody.Source, AnswerStream.Sink {
+            implements Exchange.Reply, RequestBody.Source, ResponseStream.Sink {
         private final Channel channel;
         /** What came behind the request that is being handled, and the word that one is refused. */
         private final Queue<Object> waiting = new ArrayDeque<>();
@@ -400,17 +400,17 @@
         private HttpRequest head;
 
         private RequestBody body;
-        private Pace pace;
+        private MinimumTransferRate pace;
         /** Bodies that go on as they come, and are counted with the budget. */
         private int counted;
         /** Where the answer comes from that is passed on as it comes. */
-        private AnswerStream.Source answering;
+        private ResponseStream.Source answering;
 
         private Phase phase = Phase.NEW;
         /** Since when, on the module's clock. */
         private long since;
 
-        private Call call;
+        private Exchange call;
         /** From the arrival of a request until its answer: guards against a second one. */
         private boolean owed;
 
@@ -484,7 +484,7 @@
             } else if (last && lingers(now)) {
                 channel.close();
             } else if (last && half() && (body == null || !body.streams())) {
-                turnDownBody(new RequestCheck.Refused(HttpResponseStatus.SERVICE_UNAVAILABLE, "it ends"));
+                turnDownBody(new RequestValidator.Refused(HttpResponseStatus.SERVICE_UNAVAILABLE, "it ends"));
             }
         }
 
@@ -502,7 +502,8 @@
         private void look(long now) {
             long stood = now - since;
             if (lastPart == null && pace != null ? pace.tooSlow(now) : half() && stood > REQUEST_WITHIN) {
-                turnDownBody(new RequestCheck.Refused(HttpResponseStatus.REQUEST_TIMEOUT, "the request is not whole"));
+                turnDownBody(
+                        new RequestValidator.Refused(HttpResponseStatus.REQUEST_TIMEOUT, "the request is not whole"));
             } else if (phase == Phase.NEW && stood > REQUEST_WITHIN
                     || rests() && stood > LONGEST_IDLE
                     || phase == Phase.WRITING && stood > limits.longestStill()
@@ -512,14 +513,14 @@
         }
 
         /** What is wrong with the head of a request, before its body is read; null if it is in order. */
-        private RequestCheck.Refused fault(HttpRequest head) {
+        private RequestValidator.Refused fault(HttpRequest head) {
             QueryStringDecoder uri = new QueryStringDecoder(head.uri());
             if (uri.rawPath().equals(HEALTH)) {
                 return null;
             } else if (!uri.rawPath().equals(PATH)) {
-                return new RequestCheck.Refused(HttpResponseStatus.NOT_FOUND, "not found");
+                return new RequestValidator.Refused(HttpResponseStatus.NOT_FOUND, "not found");
             } else if (!head.method().equals(HttpMethod.GET) && !head.method().equals(HttpMethod.POST)) {
-                return new RequestCheck.Refused(HttpResponseStatus.METHOD_NOT_ALLOWED, "GET or POST");
+                return new RequestValidator.Refused(HttpResponseStatus.METHOD_NOT_ALLOWED, "GET or POST");
             }
             try {
                 Request request = request(head, uri);
@@ -528,7 +529,7 @@
                 }
                 return null;
             } catch (BadRequest | IllegalArgumentException e) {
-                return new RequestCheck.Refused(HttpResponseStatus.BAD_REQUEST, String.valueOf(e.getMessage()));
+                return new RequestValidator.Refused(HttpResponseStatus.BAD_REQUEST, String.valueOf(e.getMessage()));
             }
         }
 
@@ -556,7 +557,8 @@
                     && body == null
                     && !(deaf
                             && waiting.stream()
-                                    .noneMatch(m -> m instanceof LastHttpContent || m instanceof RequestCheck.Refused));
+                                    .noneMatch(m ->
+                                            m instanceof LastHttpContent || m instanceof RequestValidator.Refused));
         }
 
         /**
@@ -570,9 +572,9 @@
                 if (mustWait()) {
                     int more = ((ByteBuf) bytes).readableBytes();
                     Connection.this.ahead += more;
-                    Frontend.this.ahead += more;
+                    HttpFrontend.this.ahead += more;
                     deaf |= Connection.this.ahead > MOST_AHEAD
-                            || Frontend.this.ahead > (long) MOST_AHEAD_IN_ALL * MOST_AHEAD;
+                            || HttpFrontend.this.ahead > (long) MOST_AHEAD_IN_ALL * MOST_AHEAD;
                 }
                 if (deaf) {
                     ReferenceCountUtil.release(bytes);
@@ -584,7 +586,7 @@
 
         /** Nothing waits behind a request any more. */
         private void caughtUp() {
-            Frontend.this.ahead -= ahead;
+            HttpFrontend.this.ahead -= ahead;
             ahead = 0;
         }
 
@@ -619,7 +621,7 @@
 
         /** Takes in what is not to wait: the next request, or more of the one that is being read. */
         private void feed(Object message) {
-            if (message instanceof RequestCheck.Refused refused) {
+            if (message instanceof RequestValidator.Refused refused) {
                 turnDownBody(refused);
                 return;
             }
@@ -629,7 +631,7 @@
                 }
                 head = request;
                 body = new RequestBody(this, limits.gathered());
-                pace = limits.streaming() ? new Pace(limits, node.now()) : null;
+                pace = limits.streaming() ? new MinimumTransferRate(limits, node.now()) : null;
                 if (HttpUtil.is100ContinueExpected(request)) {
                     channel.writeAndFlush(
                             new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -707,7 +709,7 @@
         }
 
         /** Ends a request whose rest cannot or will not be read; what has begun to go out never gets its last byte. */
-        private void turnDownBody(RequestCheck.Refused verdict) {
+        private void turnDownBody(RequestValidator.Refused verdict) {
             RequestBody broken = body;
             body = null;
             pace = null;
@@ -718,14 +720,14 @@
                 whole = reading;
                 turnDown(verdict.status(), verdict.why());
             } else {
-                Call cut = call;
+                Exchange cut = call;
                 turnDown(verdict.status(), verdict.why());
                 cut(cut, broken);
             }
         }
 
         /** The client will send no more of a body that has begun to go on. */
-        private void cut(Call cut, RequestBody broken) {
+        private void cut(Exchange cut, RequestBody broken) {
             if (cut != null) {
                 node.cutShort(cut);
             }
@@ -770,7 +772,7 @@
             } else if (node.knows(request.id())) { // since its head came
                 turnDown(HttpResponseStatus.BAD_REQUEST, OPEN_ID);
             } else {
-                call = new Call(
+                call = new Exchange(
                         request,
                         http.method(),
                         http.uri(),
@@ -828,7 +830,7 @@
         }
 
         @Override
-        public AnswerStream.Sink begin(AnswerStream.Head head, AnswerStream.Source source) {
+        public ResponseStream.Sink begin(ResponseStream.Head head, ResponseStream.Source source) {
             owed = false;
             if (counted == 0 || !call.body.finished()) { // else what was kept for the request serves for the answer
                 budget.begun();
@@ -956,7 +958,7 @@
             RequestBody broken = body;
             body = null;
             pace = null;
-            Call left = call;
+            Exchange left = call;
             call = null;
             if (broken != null) {
                 cut(broken.streams() ? left : null, broken);
@@ -964,7 +966,7 @@
                 node.clientGone(left);
             }
             if (answering != null) {
-                AnswerStream.Source from = answering;
+                ResponseStream.Source from = answering;
                 answering = null;
                 from.cancel();
             }
--- a/src/main/java/sedgeyoke/net/IpAddress.java
+++ b/src/main/java/sedgeyoke/proxy/IpAddress.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
--- a/src/main/java/sedgeyoke/net/WarmUp.java
+++ b/src/main/java/sedgeyoke/proxy/JitWarmUp.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -21,7 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import sedgeyoke.body.BodyLimits;
-import sedgeyoke.decide.Balancer;
+import sedgeyoke.policy.LoadBalancingPolicy;
 
 /**
  * Guards against meeting the first clients with code that is not yet compiled: it costs several times the processor
@@ -29,7 +29,7 @@
  * listens, another one like it serves some requests inside the process, without a socket, and is dropped. Its peers
  * send and take bare bytes: code that serves no client is not worth a start's processor time.
  */
-public final class WarmUp {
+public final class JitWarmUp {
     /** More than the calls after which the JVM compiles a method, on each of the paths. */
     static final int MOST_REQUESTS = 700;
     /** Enough for each path to have been walked: its classes are loaded, and its calls linked. */
@@ -55,7 +55,7 @@
     /** How long it may take, in seconds. */
     public static final long LONGEST_S = 4;
 
-    private final Config config;
+    private final BalancerConfig config;
     private final EventLoop loop;
     private final int requests;
     private final CountDownLatch answers;
@@ -69,7 +69,7 @@
     /** What became of a warm-up's requests: answered in time, however, and of these served. */
     public record Result(long answered, int served) {}
 
-    private WarmUp(Config config, EventLoop loop, BodyLimits bodies, int requests) {
+    private JitWarmUp(BalancerConfig config, EventLoop loop, BodyLimits bodies, int requests) {
         this.bodies = bodies;
         this.config = config;
         this.loop = loop;
@@ -85,10 +85,10 @@
     }
 
     /** How many requests a balancer with that configuration is to have served before it listens. */
-    public static int requests(Config config) {
-        Balancer.Settings settings = config.facts().settings();
+    public static int requests(BalancerConfig config) {
+        LoadBalancingPolicy.Settings settings = config.facts().settings();
         long aim = settings.classes().stream()
-                .mapToLong(Balancer.RequestClass::aim)
+                .mapToLong(LoadBalancingPolicy.RequestClass::aim)
                 .min()
                 .orElse(0);
         double busy = config.known().members().size() * 1e6 / (Math.max(1, aim) * (double) settings.groupSize());
@@ -96,16 +96,16 @@
     }
 
     /** Returns when all requests are answered, or when it has taken too long. */
-    public static Result run(Config like, int requests, long longestS) throws InterruptedException {
+    public static Result run(BalancerConfig like, int requests, long longestS) throws InterruptedException {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
-        List<MemberList.Member> members = new ArrayList<>();
+        List<EndpointList.Member> members = new ArrayList<>();
         for (int i = 0; i < UPSTREAMS; i++) {
-            members.add(new MemberList.Member(
-                    new Balancer.Upstream("u" + i, 0, 0, 0, Balancer.State.READY, 1, 0),
+            members.add(new EndpointList.Member(
+                    new LoadBalancingPolicy.Upstream("u" + i, 0, 0, 0, LoadBalancingPolicy.State.READY, 1, 0),
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), FIRST_PORT + i)));
         }
-        WarmUp run = new WarmUp(
-                new Config(
+        JitWarmUp run = new JitWarmUp(
+                new BalancerConfig(
                         like.name(),
                         like.listen(),
                         like.discovery(),
@@ -114,7 +114,7 @@
                         like.seed(),
                         like.sockets(),
                         like.facts(),
-                        new MemberList(1, true, members)),
+                        new EndpointList(1, true, members)),
                 group.next(),
                 like.bodies(),
                 requests);
@@ -128,8 +128,8 @@
     private void start() {
         config.known().members().forEach(m -> serve(m.address(), Upstream::new));
         serve(config.discovery(), Lists::new);
-        Node node = new Node(loop, config, Transport.INSIDE, bodies);
-        new Server(loop, config, node, Transport.INSIDE, bodies).bind();
+        ProxyCore node = new ProxyCore(loop, config, Transport.INSIDE, bodies);
+        new BalancerServer(loop, config, node, Transport.INSIDE, bodies).bind();
         Bootstrap client = Transport.INSIDE.client(loop).handler(pipeline(Client::new));
         for (int i = 0; i < CLIENTS; i++) {
             client.connect(Transport.INSIDE.at(config.listen()));
@@ -153,7 +153,7 @@
         return Unpooled.wrappedBuffer(head.getBytes(StandardCharsets.US_ASCII), new byte[body]);
     }
 
-    private static String list(List<MemberList.Member> known) {
+    private static String list(List<EndpointList.Member> known) {
         List<String> members = known.stream()
                 .map(m -> "{\"id\":\"" + m.upstream().id() + "\",\"host_port\":\"127.0.0.1:"
                         + m.address().getPort() + "\",\"phase\":\"up\"}")
--- a/src/main/java/sedgeyoke/net/ModulePort.java
+++ b/src/main/java/sedgeyoke/proxy/ModulePort.java
@@ -1,7 +1,7 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import java.util.Set;
-import sedgeyoke.decide.Balancer;
+import sedgeyoke.policy.LoadBalancingPolicy;
 
 /**
  * The way to the decision module for features that stand beside the balancer. All calls are made on the balancer's
@@ -18,7 +18,7 @@
     void deliver(Runnable event);
 
     /** The module; to be called from within {@link #deliver} only. */
-    Balancer module();
+    LoadBalancingPolicy module();
 
     /** What the tier has agreed is out by hand, beside what this balancer has been told: nobody sends to either. */
     void agreedOut(Set<String> upstreams);
--- a/src/main/java/sedgeyoke/net/Node.java
+++ b/src/main/java/sedgeyoke/proxy/ProxyCore.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
@@ -12,16 +12,16 @@
 import java.util.function.Function;
 import sedgeyoke.body.BodyBudget;
 import sedgeyoke.body.BodyLimits;
-import sedgeyoke.body.CutRequest;
-import sedgeyoke.decide.Balancer;
-import sedgeyoke.decide.InOrder;
-import sedgeyoke.decide.Policy;
+import sedgeyoke.body.PartialRequestPolicy;
+import sedgeyoke.policy.LoadBalancingPolicy;
+import sedgeyoke.policy.SerializedEvents;
+import sedgeyoke.policy.UtilizationWeightedPolicy;
 
 /**
  * Carries out what the module decides. It owns the clock and the table of open calls, hands the module its
  * events one after another, and sees to it that each call gets one answer even where the module fails to.
  */
-final class Node implements Balancer.Actions, ModulePort, UpstreamPool.Listener {
+final class ProxyCore implements LoadBalancingPolicy.Actions, ModulePort, UpstreamConnectionPool.Listener {
     /** How soon what one process of a balancer was told by hand reaches the other one. */
     private static final long LOOK_AT_CORDONS_MS = 100;
     /** The last moment for an answer, before the client's time is over: the way back takes time too. */
@@ -40,16 +40,16 @@
     private final BodyLimits bodies;
     private final BodyBudget budget;
     private final EventLoop loop;
-    private final Config config;
-    private final Balancer.Settings settings;
-    private final Log log;
-    private final UpstreamPool pool;
-    private final Discovery discovery;
-    private final Balancer module;
-    private final Map<String, Call> calls = new HashMap<>();
-    private final InOrder events = new InOrder();
-    private final Figures figures;
-    private final Cordons cordons;
+    private final BalancerConfig config;
+    private final LoadBalancingPolicy.Settings settings;
+    private final RateLimitedLog log;
+    private final UpstreamConnectionPool pool;
+    private final DiscoveryClient discovery;
+    private final LoadBalancingPolicy module;
+    private final Map<String, Exchange> calls = new HashMap<>();
+    private final SerializedEvents events = new SerializedEvents();
+    private final RequestMetrics figures;
+    private final CordonStore cordons;
     /** What the tier has agreed is out, and since when we know. */
     private Map<String, Long> agreedOut = Map.of();
 
@@ -64,29 +64,29 @@
     /** From then on requests are refused at once: there is no time left to try them. */
     private long lastRequest = Long.MAX_VALUE;
 
-    Node(EventLoop loop, Config config, Transport transport, BodyLimits bodies) {
+    ProxyCore(EventLoop loop, BalancerConfig config, Transport transport, BodyLimits bodies) {
         this(
                 loop,
                 config,
                 transport,
                 bodies,
-                actions -> new Policy(config.facts().settings(), config.seed(), actions));
+                actions -> new UtilizationWeightedPolicy(config.facts().settings(), config.seed(), actions));
     }
 
     /** For tests, which bring a module of their own. */
-    Node(
+    ProxyCore(
             EventLoop loop,
-            Config config,
+            BalancerConfig config,
             Transport transport,
             BodyLimits bodies,
-            Function<Balancer.Actions, Balancer> module) {
+            Function<LoadBalancingPolicy.Actions, LoadBalancingPolicy> module) {
         this.bodies = bodies;
         this.budget = new BodyBudget(bodies);
         this.loop = loop;
         this.config = config;
         this.settings = config.facts().settings();
-        this.log = new Log(transport.log(), this::now);
-        this.pool = new UpstreamPool(
+        this.log = new RateLimitedLog(transport.log(), this::now);
+        this.pool = new UpstreamConnectionPool(
                 loop,
                 transport,
                 this::now,
@@ -96,10 +96,10 @@
                 budget,
                 this,
                 log);
-        this.discovery = new Discovery(loop, config, transport, this::listed, log);
+        this.discovery = new DiscoveryClient(loop, config, transport, this::listed, log);
         this.module = module.apply(this);
-        this.figures = new Figures(config.facts().classNames());
-        this.cordons = new Cordons(
+        this.figures = new RequestMetrics(config.facts().classNames());
+        this.cordons = new CordonStore(
                 config.ops() == null || config.folder() == null
                         ? null
                         : config.folder()
@@ -112,7 +112,7 @@
         return startedAt + (System.nanoTime() - startedNanos) / 1_000;
     }
 
-    Log log() {
+    RateLimitedLog log() {
         return log;
     }
 
@@ -128,7 +128,9 @@
         deliver(
                 null,
                 () -> module.upstreams(
-                        now(), Balancer.ListKind.RESTORED, config.known().upstreams()));
+                        now(),
+                        LoadBalancingPolicy.ListKind.RESTORED,
+                        config.known().upstreams()));
         if (!settings.askForList()) {
             discovery.watch(true);
         }
@@ -187,20 +189,20 @@
 
     /** Figures for operators; {@code inFlight} requests are taken and not yet ended. */
     String figures(int inFlight) {
-        List<Balancer.Standing> standings = module.summary(now()).upstreams();
+        List<LoadBalancingPolicy.Standing> standings = module.summary(now()).upstreams();
         int excluded = (int) standings.stream()
-                .filter(s -> s.ejected() || s.state() != Balancer.State.READY)
+                .filter(s -> s.ejected() || s.state() != LoadBalancingPolicy.State.READY)
                 .count();
         return figures.text(inFlight, standings.size(), excluded);
     }
 
     /** Counts a request that was refused without a call of its own. */
     void refusedUnheard(int classIndex) {
-        figures.ended(classIndex, Figures.End.REFUSED);
+        figures.ended(classIndex, RequestMetrics.End.REFUSED);
     }
 
     /** Takes over what may change while we run, from a configuration that was read anew. */
-    void reload(Config changed) {
+    void reload(BalancerConfig changed) {
         List<String> fixed = config.needRestart(changed);
         if (!fixed.isEmpty()) {
             log.line("reload: " + String.join(", ", fixed) + " stay as they are until a restart");
@@ -227,7 +229,7 @@
         return Math.min(
                 LONGEST_DEADLINE,
                 settings.classes().stream()
-                        .mapToLong(Balancer.RequestClass::giveUp)
+                        .mapToLong(LoadBalancingPolicy.RequestClass::giveUp)
                         .max()
                         .orElse(0));
     }
@@ -246,7 +248,11 @@
         List.copyOf(calls.values()).forEach(call -> {
             List.copyOf(call.attempts).forEach(a -> {
                 if (!a.ended) {
-                    pool.stop(a, a.written ? Balancer.Outcome.CANCELLED : Balancer.Outcome.CONNECT_FAILED);
+                    pool.stop(
+                            a,
+                            a.written
+                                    ? LoadBalancingPolicy.Outcome.CANCELLED
+                                    : LoadBalancingPolicy.Outcome.CONNECT_FAILED);
                 }
             });
             giveUp(call);
@@ -263,7 +269,7 @@
      * Hands over an event once the module is done with the one before: it must not be called from within its
      * own actions. If it throws while it handles a call, that call is answered here, as nobody else will.
      */
-    private void deliver(Call call, Runnable event) {
+    private void deliver(Exchange call, Runnable event) {
         events.handle(() -> {
             try {
                 event.run();
@@ -282,17 +288,18 @@
     }
 
     @Override
-    public Balancer module() {
+    public LoadBalancingPolicy module() {
         return module;
     }
 
-    private void listed(MemberList list) {
+    private void listed(EndpointList list) {
         if (list == null) {
-            deliver(null, () -> module.upstreams(now(), Balancer.ListKind.UNAVAILABLE, List.of()));
+            deliver(null, () -> module.upstreams(now(), LoadBalancingPolicy.ListKind.UNAVAILABLE, List.of()));
             return;
         }
         pool.update(list);
-        Balancer.ListKind kind = list.complete() ? Balancer.ListKind.COMPLETE : Balancer.ListKind.CHANGES;
+        LoadBalancingPolicy.ListKind kind =
+                list.complete() ? LoadBalancingPolicy.ListKind.COMPLETE : LoadBalancingPolicy.ListKind.CHANGES;
         deliver(null, () -> module.upstreams(now(), kind, list.upstreams()));
     }
 
@@ -302,7 +309,7 @@
     }
 
     /** A client's request; from here on it is owed one answer. */
-    void accept(Call call) {
+    void accept(Exchange call) {
         if (calls.size() >= settings.limits().maxOpen() || now() >= lastRequest) {
             refuse(call, 0);
             return;
@@ -314,12 +321,12 @@
         call.deadline = now() + left;
         calls.put(id, call);
         call.backstop = loop.schedule(() -> expire(call), left - BACKSTOP, TimeUnit.MICROSECONDS);
-        Balancer.Request r = call.request;
+        LoadBalancingPolicy.Request r = call.request;
         deliver(
                 call,
                 () -> module.request(
                         now(),
-                        new Balancer.Request(
+                        new LoadBalancingPolicy.Request(
                                 id,
                                 r.classIndex(),
                                 r.tenant(),
@@ -338,7 +345,7 @@
     }
 
     /** The client has closed its connection before its answer. */
-    void clientGone(Call call) {
+    void clientGone(Exchange call) {
         if (!call.answered) {
             call.answered = true;
             deliver(call, () -> module.clientGone(now(), call.request.id()));
@@ -347,7 +354,7 @@
     }
 
     /** The call's time is over: its attempts time out, and it is answered here if the module does not. */
-    private void expire(Call call) {
+    private void expire(Exchange call) {
         List.copyOf(call.attempts).forEach(this::timeOut);
         giveUp(call);
         List.copyOf(call.attempts).forEach(this::timeOut); // what was sent in reply to that would be out for ever
@@ -355,7 +362,7 @@
 
     private void timeOut(Attempt a) {
         if (!a.ended && !a.begun) { // an answer that has begun has limits of its own
-            pool.stop(a, a.written ? Balancer.Outcome.TIMEOUT : Balancer.Outcome.CONNECT_FAILED);
+            pool.stop(a, a.written ? LoadBalancingPolicy.Outcome.TIMEOUT : LoadBalancingPolicy.Outcome.CONNECT_FAILED);
         }
     }
 
@@ -363,7 +370,7 @@
      * Guards against a call that the module, or a fault of ours, leaves without an answer: it is refused only if
      * it never ran.
      */
-    void giveUp(Call call) {
+    void giveUp(Exchange call) {
         if (call.answered) {
             return;
         }
@@ -378,13 +385,13 @@
     }
 
     /** The client will send no more of a body of which a part has gone on: it can never have run. */
-    void cutShort(Call call) {
+    void cutShort(Exchange call) {
         if (!call.answered) {
             call.answered = true;
-            figures.ended(call.request.classIndex(), Figures.End.FAILED);
+            figures.ended(call.request.classIndex(), RequestMetrics.End.FAILED);
             List.copyOf(call.attempts).forEach(a -> {
                 if (!a.ended) {
-                    pool.stop(a, a.written ? Balancer.Outcome.CANCELLED : Balancer.Outcome.MOOT);
+                    pool.stop(a, a.written ? LoadBalancingPolicy.Outcome.CANCELLED : LoadBalancingPolicy.Outcome.MOOT);
                 }
             });
             deliver(call, () -> module.clientGone(now(), call.request.id()));
@@ -393,8 +400,8 @@
     }
 
     @Override
-    public AnswerStream.Sink begun(Attempt a, AnswerStream.Head head, AnswerStream.Source source) {
-        Call call = a.call;
+    public ResponseStream.Sink begun(Attempt a, ResponseStream.Head head, ResponseStream.Source source) {
+        Exchange call = a.call;
         if (call.answered || a.ended) {
             return null;
         }
@@ -439,7 +446,7 @@
 
     @Override
     public void asked(Attempt a) {
-        Call call = a.call;
+        Exchange call = a.call;
         a.askedAt = now();
         if (!call.answered && call.backstop != null) {
             call.backstop.cancel(false);
@@ -450,7 +457,7 @@
 
     /** The end of an attempt, once for each; the first answer that is a success goes on to the client. */
     @Override
-    public void ended(Attempt a, Balancer.Outcome outcome, Answer answer) {
+    public void ended(Attempt a, LoadBalancingPolicy.Outcome outcome, UpstreamResponse answer) {
         if (a.ended) {
             return;
         }
@@ -459,26 +466,27 @@
         if (a.timeout != null) {
             a.timeout.cancel(false);
         }
-        Call call = a.call;
-        if (outcome == Balancer.Outcome.OK && answer != null) {
-            answer(call, Figures.End.SERVED, () -> call.reply.served(answer.contentType(), answer.body()));
+        Exchange call = a.call;
+        if (outcome == LoadBalancingPolicy.Outcome.OK && answer != null) {
+            answer(call, RequestMetrics.End.SERVED, () -> call.reply.served(answer.contentType(), answer.body()));
         } else if (a.begun) {
             figures.ended(
                     call.request.classIndex(),
-                    outcome == Balancer.Outcome.OK ? Figures.End.SERVED : Figures.End.FAILED);
+                    outcome == LoadBalancingPolicy.Outcome.OK ? RequestMetrics.End.SERVED : RequestMetrics.End.FAILED);
         }
-        Balancer.RequestClass cls = settings.classes().get(call.request.classIndex());
-        CutRequest.Next next = CutRequest.after(cls.effect(), cls.scope(), call.body.state(a.written), outcome);
-        if (next == CutRequest.Next.REFUSE) {
+        LoadBalancingPolicy.RequestClass cls = settings.classes().get(call.request.classIndex());
+        PartialRequestPolicy.Next next =
+                PartialRequestPolicy.after(cls.effect(), cls.scope(), call.body.state(a.written), outcome);
+        if (next == PartialRequestPolicy.Next.REFUSE) {
             a.mayHaveRun = false;
             refuse(call, 0);
-        } else if (next == CutRequest.Next.FAIL) {
+        } else if (next == PartialRequestPolicy.Next.FAIL) {
             fail(call);
         }
         // Our own lateness is none of the upstream's: the module would take it for a crowd there and send less.
         long until = a.answeringSince > 0 ? a.answeringSince : now();
         long took = Math.max(0, until - a.askedAt - late());
-        Balancer.AttemptEnd end = new Balancer.AttemptEnd(
+        LoadBalancingPolicy.AttemptEnd end = new LoadBalancingPolicy.AttemptEnd(
                 call.request.id(),
                 a.number,
                 a.upstream,
@@ -490,7 +498,7 @@
         forgetIfDone(call);
     }
 
-    private void answer(Call call, Figures.End end, Runnable how) {
+    private void answer(Exchange call, RequestMetrics.End end, Runnable how) {
         if (!call.answered) {
             call.answered = true;
             figures.ended(call.request.classIndex(), end);
@@ -498,15 +506,15 @@
         }
     }
 
-    private void refuse(Call call, long retryAfter) {
-        answer(call, Figures.End.REFUSED, () -> call.reply.refused(advice(retryAfter)));
+    private void refuse(Exchange call, long retryAfter) {
+        answer(call, RequestMetrics.End.REFUSED, () -> call.reply.refused(advice(retryAfter)));
     }
 
-    private void fail(Call call) {
-        answer(call, Figures.End.FAILED, call.reply::failed);
+    private void fail(Exchange call) {
+        answer(call, RequestMetrics.End.FAILED, call.reply::failed);
     }
 
-    private void forgetIfDone(Call call) {
+    private void forgetIfDone(Exchange call) {
         if (call.answered && call.attemptsEnded()) {
             if (call.backstop != null) {
                 call.backstop.cancel(false);
@@ -518,8 +526,8 @@
 
     // ---- Actions of the module -----------------------------------------------------------------------
 
-    private void with(String request, Consumer<Call> action) {
-        Call call = calls.get(request);
+    private void with(String request, Consumer<Exchange> action) {
+        Exchange call = calls.get(request);
         if (call != null) {
             action.accept(call);
         }
@@ -533,7 +541,7 @@
             Attempt a = new Attempt(call, call.attempts.size(), upstream, now, until, repeatUntil(call));
             call.attempts.add(a);
             if (call.answered || a.number >= settings.limits().maxAttempts() || until <= now) {
-                ended(a, Balancer.Outcome.MOOT, null);
+                ended(a, LoadBalancingPolicy.Outcome.MOOT, null);
                 return;
             }
             if (until < call.deadline) {
@@ -547,9 +555,9 @@
      * Until when a further attempt may go out: upstreams drop a repeat of a keyed request only as long as they remember
      * the first one that may have run. The module looks at that when it chooses, but a connection may take its time.
      */
-    private long repeatUntil(Call call) {
-        Balancer.RequestClass cls = settings.classes().get(call.request.classIndex());
-        return cls.effect() != Balancer.Effect.KEYED
+    private long repeatUntil(Exchange call) {
+        LoadBalancingPolicy.RequestClass cls = settings.classes().get(call.request.classIndex());
+        return cls.effect() != LoadBalancingPolicy.Effect.KEYED
                 ? Long.MAX_VALUE
                 : call.attempts.stream()
                         .filter(a -> a.mayHaveRun)
@@ -588,7 +596,7 @@
         with(request, call -> {
             Attempt a = call.attempts.get(attempt);
             if (!a.ended) {
-                pool.stop(a, Balancer.Outcome.CANCELLED);
+                pool.stop(a, LoadBalancingPolicy.Outcome.CANCELLED);
             }
         });
     }
--- a/src/main/java/sedgeyoke/net/Log.java
+++ b/src/main/java/sedgeyoke/proxy/RateLimitedLog.java
@@ -1,10 +1,10 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import java.io.PrintStream;
 import java.util.function.LongSupplier;
 
 /** The log, at a bounded rate: a peer that misbehaves must not cost us the time to write about it. */
-public final class Log {
+public final class RateLimitedLog {
     private static final int LINES_PER_SECOND = 20;
 
     private final PrintStream out;
@@ -14,7 +14,7 @@
     private long dropped;
 
     /** Writes to {@code out}; the clock gives microseconds. To be used on one thread. */
-    public Log(PrintStream out, LongSupplier micros) {
+    public RateLimitedLog(PrintStream out, LongSupplier micros) {
         this.out = out;
         this.micros = micros;
     }
--- a/src/main/java/sedgeyoke/net/Overflow.java
+++ b/src/main/java/sedgeyoke/proxy/ReadOverflowBuffer.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -8,7 +8,7 @@
  * piece by piece, tiny chunks would each take some hundred bytes in a queue, and a read of some kilobytes holds
  * hundreds.
  */
-final class Overflow {
+final class ReadOverflowBuffer {
     private ByteBuf held = Unpooled.EMPTY_BUFFER;
 
     /** Takes over a part. */
--- a/src/main/java/sedgeyoke/net/RequestBody.java
+++ b/src/main/java/sedgeyoke/proxy/RequestBody.java
@@ -1,8 +1,8 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import sedgeyoke.body.CutRequest;
+import sedgeyoke.body.PartialRequestPolicy;
 
 /**
  * The body of a request between its client and an attempt, of whatever protocol. A short one is gathered whole and can
@@ -12,8 +12,8 @@
 final class RequestBody {
     private final Source source;
     private final int most;
-    private final Gathered kept;
-    private final Overflow rest = new Overflow();
+    private final BodyAccumulator kept;
+    private final ReadOverflowBuffer rest = new ReadOverflowBuffer();
     private boolean ended;
     private boolean streams;
     private boolean gone;
@@ -45,7 +45,7 @@
     RequestBody(Source source, int most) {
         this.source = source;
         this.most = most;
-        this.kept = new Gathered(most);
+        this.kept = new BodyAccumulator(most);
     }
 
     // ---- From the client -----------------------------------------------------------------------------
@@ -145,11 +145,11 @@
     }
 
     /** How far it got; {@code written} says whether an attempt has had its last byte. */
-    CutRequest.Body state(boolean written) {
+    PartialRequestPolicy.Body state(boolean written) {
         if (gone) {
-            return written ? CutRequest.Body.ALL_GONE : CutRequest.Body.PART_GONE;
+            return written ? PartialRequestPolicy.Body.ALL_GONE : PartialRequestPolicy.Body.PART_GONE;
         }
-        return ended && !streams ? CutRequest.Body.WHOLE : CutRequest.Body.HELD;
+        return ended && !streams ? PartialRequestPolicy.Body.WHOLE : PartialRequestPolicy.Body.HELD;
     }
 
     /** Passes on what is held and then whatever comes; what was passed on is not kept. Once only. */
--- a/src/main/java/sedgeyoke/net/Figures.java
+++ b/src/main/java/sedgeyoke/proxy/RequestMetrics.java
@@ -1,9 +1,9 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import java.util.List;
 
 /** Counts of one process for operators, by class of request. All begin at 0 with it. To be used on one thread. */
-final class Figures {
+final class RequestMetrics {
     private static final String PREFIX = "edge_balancer.";
 
     private final List<String> classes;
@@ -22,7 +22,7 @@
         private final String label = name().toLowerCase(java.util.Locale.ROOT);
     }
 
-    Figures(List<String> classes) {
+    RequestMetrics(List<String> classes) {
         this.classes = classes;
         this.ends = new long[End.values().length][classes.size()];
         this.attempts = new long[classes.size()];
--- a/src/main/java/sedgeyoke/net/RequestCheck.java
+++ b/src/main/java/sedgeyoke/proxy/RequestValidator.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -24,7 +24,7 @@
  * Stops a request that cannot be served before any of its body is kept. What follows on that connection is thrown
  * away unread: where such a request ends is anybody's guess.
  */
-final class RequestCheck extends ChannelInboundHandlerAdapter {
+final class RequestValidator extends ChannelInboundHandlerAdapter {
     /** Further checks of a head that can be read; null if it is in order. */
     private final Function<HttpRequest, Refused> further;
 
@@ -48,7 +48,7 @@
         }
     }
 
-    RequestCheck(Function<HttpRequest, Refused> further, long mostBytes) {
+    RequestValidator(Function<HttpRequest, Refused> further, long mostBytes) {
         this.further = further;
         this.mostBytes = mostBytes;
     }
--- a/src/main/java/sedgeyoke/net/AnswerStream.java
+++ b/src/main/java/sedgeyoke/proxy/ResponseStream.java
@@ -1,11 +1,11 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 
 /** An answer that is passed on as it comes, of whatever protocol. */
-final class AnswerStream {
-    private AnswerStream() {}
+final class ResponseStream {
+    private ResponseStream() {}
 
     /**
      * What is known of it when it begins.
--- a/src/main/java/sedgeyoke/net/Transport.java
+++ b/src/main/java/sedgeyoke/proxy/Transport.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -20,7 +20,7 @@
 import java.nio.charset.StandardCharsets;
 import sedgeyoke.body.BodyLimits;
 
-/** What connections are made of: TCP, or queues inside the process, on which {@link WarmUp} runs the same code. */
+/** What connections are made of: TCP, or queues inside the process, on which {@link JitWarmUp} runs the same code. */
 enum Transport {
     /** TCP. */
     SOCKETS {
--- a/src/main/java/sedgeyoke/net/UpstreamPool.java
+++ b/src/main/java/sedgeyoke/proxy/UpstreamConnectionPool.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -42,16 +42,16 @@
 import java.util.function.LongSupplier;
 import sedgeyoke.body.BodyBudget;
 import sedgeyoke.body.BodyLimits;
-import sedgeyoke.decide.Balancer.Outcome;
-import sedgeyoke.decide.Balancer.Settings;
-import sedgeyoke.decide.Balancer.State;
-import sedgeyoke.wire.SettingsReader;
+import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
+import sedgeyoke.policy.LoadBalancingPolicy.Settings;
+import sedgeyoke.policy.LoadBalancingPolicy.State;
+import sedgeyoke.simulator.SettingsReader;
 
 /**
  * Connections to upstreams, one request on each at a time, and what became of the attempts on them. It resends
  * nothing: each attempt is written once at most, and its end says whether it can have run.
  */
-final class UpstreamPool {
+final class UpstreamConnectionPool {
     /** Longer than any body ought to be: on some days answers in order have six times as much. */
     static final int MAX_ANSWER = 512 * 1024;
     /** Share of the settings' idle time after which we close: upstreams may close sooner than they say. */
@@ -78,7 +78,7 @@
     private final List<String> reportNames;
     private final int mostConnections;
     private final Listener listener;
-    private final Log log;
+    private final RateLimitedLog log;
     private final BodyLimits bodies;
     private final BodyBudget budget;
     private final long idleTime;
@@ -94,7 +94,7 @@
          * A long answer has begun and is passed on as it comes; null if it is of no use any more. Its end is told
          * like any other, without an answer.
          */
-        AnswerStream.Sink begun(Attempt attempt, AnswerStream.Head head, AnswerStream.Source source);
+        ResponseStream.Sink begun(Attempt attempt, ResponseStream.Head head, ResponseStream.Source source);
 
         /** The first part of a good answer has come, and not all of it: from here on it is a transfer. */
         void answering(Attempt attempt);
@@ -112,7 +112,7 @@
         long late();
 
         /** The answer is null where none came that could be read. */
-        void ended(Attempt attempt, Outcome outcome, Answer answer);
+        void ended(Attempt attempt, Outcome outcome, UpstreamResponse answer);
     }
 
     /** An upstream that discovery has named. */
@@ -126,7 +126,7 @@
         long unreadySince = Long.MAX_VALUE;
     }
 
-    UpstreamPool(
+    UpstreamConnectionPool(
             EventLoop loop,
             Transport transport,
             LongSupplier clock,
@@ -135,7 +135,7 @@
             BodyLimits bodies,
             BodyBudget budget,
             Listener listener,
-            Log log) {
+            RateLimitedLog log) {
         this.bodies = bodies;
         this.budget = budget;
         this.mostGathered = bodies.streaming() ? bodies.gathered() : MAX_ANSWER;
@@ -157,7 +157,7 @@
     // ---- Upstreams -----------------------------------------------------------------------------------
 
     /** Takes over a list; called before the module hears of it. */
-    void update(MemberList list) {
+    void update(EndpointList list) {
         long now = clock.getAsLong();
         if (list.complete()) {
             Set<String> named = new HashSet<>();
@@ -166,7 +166,7 @@
                     .filter(id -> !named.contains(id))
                     .forEach(this::forget);
         }
-        for (MemberList.Member m : list.members()) {
+        for (EndpointList.Member m : list.members()) {
             if (m.upstream().state() == State.GONE) {
                 forget(m.upstream().id());
                 continue;
@@ -358,7 +358,7 @@
             end(attempt, Outcome.MOOT);
             return;
         }
-        Call call = attempt.call;
+        Exchange call = attempt.call;
         c.current = attempt;
         attempt.connection = c;
         if (call.body.streams()) {
@@ -388,7 +388,7 @@
 
     /** A long body goes out as it comes; the head says how long it is if the client did. */
     private void stream(Connection c, Attempt attempt) {
-        Call call = attempt.call;
+        Exchange call = attempt.call;
         HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, call.method, call.uri);
         head.headers().set(call.headers).set("X-Budget-Ms", call.request.timeLeft() / 1_000);
         if (call.length >= 0) {
@@ -437,32 +437,32 @@
      * A connection to an upstream and the attempt on it, if any. An answer is handed on only once all is read that
      * came with it: the module may send the next request at once, and must not be given what lies behind.
      */
-    final class Connection extends SimpleChannelInboundHandler<HttpObject> implements AnswerStream.Source {
+    final class Connection extends SimpleChannelInboundHandler<HttpObject> implements ResponseStream.Source {
         private final Target target;
-        private final AnswerDecoder decoder =
-                new AnswerDecoder(bodies.streaming() ? bodies.longestBody() : MAX_ANSWER, bodies.part());
+        private final UpstreamResponseDecoder decoder =
+                new UpstreamResponseDecoder(bodies.streaming() ? bodies.longestBody() : MAX_ANSWER, bodies.part());
         private Channel channel;
         private Attempt current;
         /** Done once the kernel has all of the request that is on the connection, told or not yet told. */
         private ChannelFuture sent;
 
-        private Answer answer;
+        private UpstreamResponse answer;
         private Attempt begun;
         private long readAt;
         private long idleSince;
         /** Of the answer that is being read. */
         private HttpResponse head;
 
-        private final Gathered gathered = new Gathered(mostGathered);
+        private final BodyAccumulator gathered = new BodyAccumulator(mostGathered);
         /** Where the answer goes as it comes, and whether all of it has come. */
-        private AnswerStream.Sink sink;
+        private ResponseStream.Sink sink;
 
         private boolean passedOn;
         /** Of the answer that is being read: whether the upstream ends the connection with it, and its bytes so far. */
         private boolean lastHere;
 
         private long length;
-        private final Overflow rest = new Overflow();
+        private final ReadOverflowBuffer rest = new ReadOverflowBuffer();
         private boolean paused;
         private boolean informational;
         /** The body that goes out in parts. */
@@ -526,13 +526,13 @@
 
         /** More than is gathered: from now on it goes to the client as it comes, if that may be. */
         private boolean passOn() {
-            if (!bodies.streaming() || Answer.outcome(head) != Outcome.OK) {
+            if (!bodies.streaming() || UpstreamResponse.outcome(head) != Outcome.OK) {
                 spoilt("longer than " + mostGathered + " bytes");
                 return false;
             }
             sink = listener.begun(
                     current,
-                    new AnswerStream.Head(
+                    new ResponseStream.Head(
                             head.headers().get(HttpHeaderNames.CONTENT_TYPE), HttpUtil.getContentLength(head, -1L)),
                     this);
             if (sink == null) { // another attempt was faster
@@ -563,7 +563,7 @@
                 }
                 sink.end(last.trailingHeaders());
             } else {
-                answer = Answer.of(head, gathered.take(), reportNames, log);
+                answer = UpstreamResponse.of(head, gathered.take(), reportNames, log);
             }
             head = null;
         }
@@ -608,7 +608,7 @@
                 if (begun != current) {
                     begun = current;
                     watch(current, stillFor());
-                    if (bodies.streaming() && head != null && Answer.outcome(head) == Outcome.OK) {
+                    if (bodies.streaming() && head != null && UpstreamResponse.outcome(head) == Outcome.OK) {
                         listener.answering(current);
                         passOnIfSlow(current);
                     }
@@ -677,7 +677,7 @@
 
         private void handOn() {
             Attempt attempt = current;
-            Answer whole = answer;
+            UpstreamResponse whole = answer;
             current = null;
             answer = null;
             forgetAnswer();
@@ -737,7 +737,7 @@
 
         /** What was passed on of an answer is not whole, and the client has to see that. */
         private void cutAnswer() {
-            AnswerStream.Sink to = sink;
+            ResponseStream.Sink to = sink;
             boolean unfinished = to != null && !passedOn;
             forgetAnswer();
             if (unfinished) {
--- a/src/main/java/sedgeyoke/net/Answer.java
+++ b/src/main/java/sedgeyoke/proxy/UpstreamResponse.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -6,17 +6,17 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
 import java.util.function.Predicate;
-import sedgeyoke.decide.Balancer.LoadReport;
-import sedgeyoke.decide.Balancer.Outcome;
-import sedgeyoke.wire.SettingsReader;
+import sedgeyoke.policy.LoadBalancingPolicy.LoadReport;
+import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
+import sedgeyoke.simulator.SettingsReader;
 
 /** What an upstream answered, whole and in order. */
-record Answer(Outcome outcome, LoadReport load, String contentType, byte[] body) {
+record UpstreamResponse(Outcome outcome, LoadReport load, String contentType, byte[] body) {
     /** No figure of a load report is as large as that: times are in milliseconds, the others are counts or shares. */
     private static final double LARGEST = 1e7;
 
-    static Answer of(HttpResponse response, byte[] body, List<String> reportNames, Log log) {
-        return new Answer(
+    static UpstreamResponse of(HttpResponse response, byte[] body, List<String> reportNames, RateLimitedLog log) {
+        return new UpstreamResponse(
                 outcome(response),
                 loadReport(response.headers().getAll("X-Load-Report"), reportNames, log),
                 response.headers().get(HttpHeaderNames.CONTENT_TYPE),
@@ -33,13 +33,13 @@
     }
 
     /** A report counts as a whole or not at all: one figure that cannot be, and the others are not believed either. */
-    private static LoadReport loadReport(List<String> headers, List<String> names, Log log) {
+    private static LoadReport loadReport(List<String> headers, List<String> names, RateLimitedLog log) {
         if (headers.isEmpty()) {
             return null;
         }
         JsonNode values;
         try {
-            values = headers.size() == 1 ? Config.JSON.readTree(headers.get(0)) : null;
+            values = headers.size() == 1 ? BalancerConfig.JSON.readTree(headers.get(0)) : null;
         } catch (JsonProcessingException e) {
             values = null;
         }
--- a/src/main/java/sedgeyoke/net/AnswerDecoder.java
+++ b/src/main/java/sedgeyoke/proxy/UpstreamResponseDecoder.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -23,7 +23,7 @@
  * say how long it is, or that its connection ends with it (RFC 9112, section 6.3): it is whole then if that ends in
  * order, and broken if it is reset.
  */
-final class AnswerDecoder extends HttpResponseDecoder {
+final class UpstreamResponseDecoder extends HttpResponseDecoder {
     private static final int MOST_INFORMATIONAL = 20;
 
     private final long mostBytes;
@@ -31,7 +31,7 @@
     private boolean within;
 
     /** {@code mostBytes}: an answer that says it is longer is not read; {@code part}: given out at once. */
-    AnswerDecoder(long mostBytes, int part) {
+    UpstreamResponseDecoder(long mostBytes, int part) {
         super(new HttpDecoderConfig().setMaxChunkSize(part));
         this.mostBytes = mostBytes;
     }
