--- a/src/main/java/sedgeyoke/serve/Main.java
+++ b/src/main/java/sedgeyoke/serve/BalancerMain.java
@@ -6,33 +6,33 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
-import sedgeyoke.net.Config;
-import sedgeyoke.net.Server;
-import sedgeyoke.net.WarmUp;
+import sedgeyoke.proxy.BalancerConfig;
+import sedgeyoke.proxy.BalancerServer;
+import sedgeyoke.proxy.JitWarmUp;
 
 /**
  * Starts one balancer from its environment and ends it in order on SIGTERM. What the operator's file turns on is in
- * {@link Features}, which is loaded only where such a file is named.
+ * {@link OptionalFeatures}, which is loaded only where such a file is named.
  */
-public final class Main {
+public final class BalancerMain {
     private static final String USAGE = "usage: serve [--config FILE]";
     /** No reading of files holds up a signal for longer, in microseconds; else a broken disk would end us too early. */
     private static final long LONGEST_HELD_UP = 500_000;
 
     /** Who takes a SIGHUP; null until there is anyone. */
-    private static Main running;
+    private static BalancerMain running;
     /** Whether one came before: what was read then may be older than what it speaks of. */
     private static boolean hungUp;
 
     private final String configPath;
-    private final Server server;
-    private final Features features;
+    private final BalancerServer server;
+    private final OptionalFeatures features;
     /** When the last reading of files began and ended, by the monotonic clock; 0 for not yet. */
     private volatile long reloadBegan;
 
     private volatile long reloadEnded;
 
-    private Main(String configPath, Server server, Features features) {
+    private BalancerMain(String configPath, BalancerServer server, OptionalFeatures features) {
         this.configPath = configPath;
         this.server = server;
         this.features = features;
@@ -46,29 +46,29 @@
         } else if (args.length > 0) {
             fail(USAGE);
         }
-        Hangup.run(Main::hangup); // first: without it SIGHUP is our end
+        ReloadSignal.run(BalancerMain::hangup); // first: without it SIGHUP is our end
         String path = System.getenv("BALANCER_CONFIG");
-        Config config = null;
-        Features features = null;
+        BalancerConfig config = null;
+        OptionalFeatures features = null;
         try {
-            config = Config.load(path);
-            features = operator == null || operator.isEmpty() ? null : Features.load(operator);
-        } catch (Config.Bad | Features.Bad e) {
+            config = BalancerConfig.load(path);
+            features = operator == null || operator.isEmpty() ? null : OptionalFeatures.load(operator);
+        } catch (BalancerConfig.Bad | OptionalFeatures.Bad e) {
             fail(e.getMessage());
         } catch (NoClassDefFoundError e) { // 'run' has no library of a feature
             fail(operator + " needs target/lib/features/* on the class path: start with 'bin/sedgeyoke serve'");
         }
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        Server server = null;
+        BalancerServer server = null;
         try {
-            server =
-                    Server.onSockets(loop, config, features == null ? config.bodies() : features.bodies(), inherited());
+            server = BalancerServer.onSockets(
+                    loop, config, features == null ? config.bodies() : features.bodies(), inherited());
         } catch (IllegalArgumentException e) {
             fail("settings: " + e.getMessage());
         }
-        Main main = new Main(path, server, features);
+        BalancerMain main = new BalancerMain(path, server, features);
         start(main);
-        WarmUp.run(config, WarmUp.requests(config), WarmUp.LONGEST_S);
+        JitWarmUp.run(config, JitWarmUp.requests(config), JitWarmUp.LONGEST_S);
         // Before the first client may come: a signal that found no hook would end us with what is taken unanswered.
         Runtime.getRuntime().addShutdownHook(new Thread(main::end));
         ChannelFuture bound = server.bind().await();
@@ -84,15 +84,15 @@
             if (features != null) {
                 features.start(loop, server, config);
             }
-        } catch (Features.Bad e) {
+        } catch (OptionalFeatures.Bad e) {
             fail(e.getMessage());
         }
         System.err.println(config.name() + " listens on " + bound.channel().localAddress());
     }
 
-    private static void start(Main main) {
+    private static void start(BalancerMain main) {
         boolean again;
-        synchronized (Main.class) {
+        synchronized (BalancerMain.class) {
             running = main;
             again = hungUp;
         }
@@ -102,8 +102,8 @@
     }
 
     private static void hangup() {
-        Main main;
-        synchronized (Main.class) {
+        BalancerMain main;
+        synchronized (BalancerMain.class) {
             main = running;
             hungUp |= main == null;
         }
@@ -152,8 +152,8 @@
     private synchronized void reload() {
         reloadBegan = System.nanoTime();
         try {
-            server.reload(Config.load(configPath));
-        } catch (Config.Bad e) {
+            server.reload(BalancerConfig.load(configPath));
+        } catch (BalancerConfig.Bad e) {
             server.log("reload: the old configuration stays in force: " + e.getMessage());
         }
         if (features != null) {
--- a/src/main/java/sedgeyoke/serve/Features.java
+++ b/src/main/java/sedgeyoke/serve/OptionalFeatures.java
@@ -6,31 +6,31 @@
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.function.Consumer;
-import sedgeyoke.agree.Schema;
 import sedgeyoke.body.BodyLimits;
-import sedgeyoke.decide.Balancer;
-import sedgeyoke.link.AgreedLink;
-import sedgeyoke.link.PlannerLink;
-import sedgeyoke.net.Config;
-import sedgeyoke.net.ModulePort;
-import sedgeyoke.net.Server;
-import sedgeyoke.operator.AgreedSettings;
-import sedgeyoke.operator.BadOperatorFile;
-import sedgeyoke.operator.OperatorFile;
-import sedgeyoke.operator.PlansSettings;
+import sedgeyoke.consensus.ConfigSchema;
+import sedgeyoke.consensus.server.ConfigSubscription;
 import sedgeyoke.plan.Follower;
+import sedgeyoke.plan.remote.PlannerClient;
+import sedgeyoke.policy.LoadBalancingPolicy;
+import sedgeyoke.proxy.BalancerConfig;
+import sedgeyoke.proxy.BalancerServer;
+import sedgeyoke.proxy.ModulePort;
+import sedgeyoke.settings.ConfigSubscriptionSettings;
+import sedgeyoke.settings.InvalidOperatorFileException;
+import sedgeyoke.settings.OperatorFile;
+import sedgeyoke.settings.PlannerClientSettings;
 
 /** What the operator's file turns on beside the balancer, and what becomes of it on SIGHUP. */
-final class Features {
+final class OptionalFeatures {
     /** A grant must let through this many mean requests in the time in which a cold upstream falls over. */
     private static final double LEAST_GRANT_REQUESTS = 1.2;
 
     private final Path path;
     private final OperatorFile file;
     private EventLoop loop;
-    private PlannerLink planners;
+    private PlannerClient planners;
 
-    private Features(Path path, OperatorFile file) {
+    private OptionalFeatures(Path path, OperatorFile file) {
         this.path = path;
         this.file = file;
     }
@@ -44,7 +44,7 @@
         }
     }
 
-    static Features load(String operator) throws Bad {
+    static OptionalFeatures load(String operator) throws Bad {
         Path path = Path.of(operator);
         try {
             OperatorFile file = OperatorFile.load(path);
@@ -54,8 +54,8 @@
             if (file.planner().enabled()) {
                 throw new Bad(operator + ": planner.enabled: this file is a planner's; start it with 'plan'");
             }
-            return new Features(path, file);
-        } catch (BadOperatorFile e) {
+            return new OptionalFeatures(path, file);
+        } catch (InvalidOperatorFileException e) {
             throw new Bad(e.getMessage());
         }
     }
@@ -66,14 +66,14 @@
     }
 
     /** Starts what is on, once the balancer listens; throws if it cannot be. */
-    synchronized void start(EventLoop on, Server server, Config config) throws Bad {
+    synchronized void start(EventLoop on, BalancerServer server, BalancerConfig config) throws Bad {
         loop = on;
         startAgreed(server, config);
-        PlansSettings plans = file.plans();
+        PlannerClientSettings plans = file.plans();
         if (!plans.enabled()) {
             return;
         }
-        Balancer.Settings settings = config.facts().settings();
+        LoadBalancingPolicy.Settings settings = config.facts().settings();
         double leastGrant =
                 LEAST_GRANT_REQUESTS * 1e6 / Math.max(1, settings.rules().fallTime());
         Follower.Identity self = new Follower.Identity(
@@ -84,7 +84,7 @@
                 plans.fadeMs() * 1_000,
                 leastGrant);
         try {
-            planners = new PlannerLink(loop, server.port(), self, plans);
+            planners = new PlannerClient(loop, server.port(), self, plans);
         } catch (IOException e) {
             throw new Bad(path + ": [plans]: " + e.getMessage());
         }
@@ -92,14 +92,14 @@
     }
 
     /** What the keepers agree is out is out here, too; the module hears of it as it does of what is out by hand. */
-    private void startAgreed(Server server, Config config) throws Bad {
-        AgreedSettings agreed = file.agreed();
+    private void startAgreed(BalancerServer server, BalancerConfig config) throws Bad {
+        ConfigSubscriptionSettings agreed = file.agreed();
         if (!agreed.enabled()) {
             return;
         }
         ModulePort port = server.port();
         try {
-            AgreedLink link = new AgreedLink(
+            ConfigSubscription link = new ConfigSubscription(
                     loop,
                     agreed,
                     config.name(),
@@ -107,7 +107,7 @@
                     port::now,
                     port::log,
                     acting -> port.agreedOut(
-                            acting.document().names(Schema.UPSTREAMS_OUT).keySet()));
+                            acting.document().names(ConfigSchema.UPSTREAMS_OUT).keySet()));
             loop.execute(link::start);
         } catch (IOException e) {
             throw new Bad(path + ": [agreed]: " + e.getMessage());
@@ -125,7 +125,7 @@
             if (planners != null) {
                 loop.execute(() -> planners.reloaded(changed.plans()));
             }
-        } catch (BadOperatorFile e) {
+        } catch (InvalidOperatorFileException e) {
             log.accept("reload: the old operator's file stays in force: " + e.getMessage());
         }
     }
--- a/src/main/java/sedgeyoke/serve/Hangup.java
+++ b/src/main/java/sedgeyoke/serve/ReloadSignal.java
@@ -3,8 +3,8 @@
 import java.lang.reflect.Proxy;
 
 /** SIGHUP, which ends a JVM that does not handle it. */
-public final class Hangup {
-    private Hangup() {}
+public final class ReloadSignal {
+    private ReloadSignal() {}
 
     /**
      * Guards against the end that SIGHUP is to a JVM. The class that takes signals is in every JDK but in no
--- a/src/main/java/sedgeyoke/operator/Addresses.java
+++ b/src/main/java/sedgeyoke/settings/Addresses.java
@@ -1,10 +1,10 @@
-package sedgeyoke.operator;
+package sedgeyoke.settings;
 
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import sedgeyoke.net.IpAddress;
+import sedgeyoke.proxy.IpAddress;
 
 /** What is wrong with addresses in an operator's file. */
 final class Addresses {
--- a/src/main/java/sedgeyoke/operator/ClientSettings.java
+++ b/src/main/java/sedgeyoke/settings/ClientSettings.java
@@ -1,4 +1,4 @@
-package sedgeyoke.operator;
+package sedgeyoke.settings;
 
 import java.net.InetSocketAddress;
 import java.util.List;
--- a/src/main/java/sedgeyoke/operator/Problem.java
+++ b/src/main/java/sedgeyoke/settings/ConfigProblem.java
@@ -1,4 +1,4 @@
-package sedgeyoke.operator;
+package sedgeyoke.settings;
 
 /**
  * One thing that is wrong with an operator's file.
@@ -8,7 +8,7 @@
  * @param key the key in dotted form, or an empty text
  * @param message what is wrong and what would be right
  */
-public record Problem(String file, int line, String key, String message) {
+public record ConfigProblem(String file, int line, String key, String message) {
 
     @Override
     public String toString() {
--- a/src/main/java/sedgeyoke/operator/KeeperSettings.java
+++ b/src/main/java/sedgeyoke/settings/ConfigServerSettings.java
@@ -1,4 +1,4 @@
-package sedgeyoke.operator;
+package sedgeyoke.settings;
 
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -19,7 +19,7 @@
  * @param mostFollowers further connections of balancers are turned away
  * @param tls its files
  */
-public record KeeperSettings(
+public record ConfigServerSettings(
         boolean enabled,
         String tier,
         String name,
--- a/src/main/java/sedgeyoke/operator/AgreedSettings.java
+++ b/src/main/java/sedgeyoke/settings/ConfigSubscriptionSettings.java
@@ -1,4 +1,4 @@
-package sedgeyoke.operator;
+package sedgeyoke.settings;
 
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -8,9 +8,9 @@
  *
  * @param enabled whether it does at all
  * @param keepers where they listen; at most 7
- * @param leaseMs as {@link KeeperSettings#leaseMs}
- * @param driftPpm as {@link KeeperSettings#driftPpm}
+ * @param leaseMs as {@link ConfigServerSettings#leaseMs}
+ * @param driftPpm as {@link ConfigServerSettings#driftPpm}
  * @param tls its files
  */
-public record AgreedSettings(
+public record ConfigSubscriptionSettings(
         boolean enabled, List<InetSocketAddress> keepers, long leaseMs, long driftPpm, TlsFiles tls) {}
--- a/src/main/java/sedgeyoke/operator/BadOperatorFile.java
+++ b/src/main/java/sedgeyoke/settings/InvalidOperatorFileException.java
@@ -1,30 +1,30 @@
-package sedgeyoke.operator;
+package sedgeyoke.settings;
 
 import java.util.List;
 import java.util.stream.Collectors;
 
 /** An operator's file that cannot be used. It carries all that is wrong with it, not just the first. */
-public final class BadOperatorFile extends Exception {
+public final class InvalidOperatorFileException extends Exception {
     private static final long serialVersionUID = 1L;
     /** A file of another kind may be wrong in every line; nobody reads more than that. */
     private static final int MOST_LINES = 20;
 
-    private final transient List<Problem> problems;
+    private final transient List<ConfigProblem> problems;
 
-    BadOperatorFile(List<Problem> problems) {
+    InvalidOperatorFileException(List<ConfigProblem> problems) {
         super(text(problems));
         this.problems = List.copyOf(problems);
     }
 
-    private static String text(List<Problem> problems) {
+    private static String text(List<ConfigProblem> problems) {
         String shown =
-                problems.stream().limit(MOST_LINES).map(Problem::toString).collect(Collectors.joining("\n"));
+                problems.stream().limit(MOST_LINES).map(ConfigProblem::toString).collect(Collectors.joining("\n"));
         int more = problems.size() - MOST_LINES;
         return more > 0 ? shown + "\n(" + more + " further problems)" : shown;
     }
 
     /** What is wrong, in the order of the file's lines. */
-    public List<Problem> problems() {
+    public List<ConfigProblem> problems() {
         return problems;
     }
 }
--- a/src/main/java/sedgeyoke/operator/Key.java
+++ b/src/main/java/sedgeyoke/settings/Key.java
@@ -1,4 +1,4 @@
-package sedgeyoke.operator;
+package sedgeyoke.settings;
 
 import java.util.function.Function;
 
--- a/src/main/java/sedgeyoke/operator/OperatorFile.java
+++ b/src/main/java/sedgeyoke/settings/OperatorFile.java
@@ -1,4 +1,4 @@
-package sedgeyoke.operator;
+package sedgeyoke.settings;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -16,7 +16,7 @@
 import org.tomlj.TomlArray;
 import org.tomlj.TomlParseResult;
 import sedgeyoke.body.BodyLimits;
-import sedgeyoke.net.IpAddress;
+import sedgeyoke.proxy.IpAddress;
 
 /**
  * An operator's file that was read and found in order. Every key has a default, so an empty file is a good one and
@@ -93,27 +93,27 @@
     }
 
     /** Reads a file; throws with all that is wrong in it, each with its line. */
-    public static OperatorFile load(Path file) throws BadOperatorFile {
+    public static OperatorFile load(Path file) throws InvalidOperatorFileException {
         String name = file.toString();
         try {
             if (Files.size(file) > LARGEST_FILE) {
-                throw bad(new Problem(name, 0, "", "is larger than " + LARGEST_FILE + " bytes"));
+                throw bad(new ConfigProblem(name, 0, "", "is larger than " + LARGEST_FILE + " bytes"));
             }
             return read(file, Toml.parse(file));
         } catch (IOException e) {
-            throw bad(new Problem(name, 0, "", "cannot be read: " + e));
+            throw bad(new ConfigProblem(name, 0, "", "cannot be read: " + e));
         }
     }
 
-    private static BadOperatorFile bad(Problem problem) {
-        return new BadOperatorFile(List.of(problem));
+    private static InvalidOperatorFileException bad(ConfigProblem problem) {
+        return new InvalidOperatorFileException(List.of(problem));
     }
 
-    private static OperatorFile read(Path file, TomlParseResult toml) throws BadOperatorFile {
-        List<Problem> problems = new ArrayList<>();
+    private static OperatorFile read(Path file, TomlParseResult toml) throws InvalidOperatorFileException {
+        List<ConfigProblem> problems = new ArrayList<>();
         toml.errors()
-                .forEach(e ->
-                        problems.add(new Problem(file.toString(), e.position().line(), "", e.getMessage())));
+                .forEach(e -> problems.add(
+                        new ConfigProblem(file.toString(), e.position().line(), "", e.getMessage())));
         Map<String, Object> values = new LinkedHashMap<>();
         if (problems.isEmpty()) { // of a file that is no TOML, every key would be a second complaint
             for (String path : toml.dottedKeySet(true)) {
@@ -125,12 +125,12 @@
                 return read;
             }
         }
-        problems.sort(Comparator.comparingInt(Problem::line));
-        throw new BadOperatorFile(problems);
+        problems.sort(Comparator.comparingInt(ConfigProblem::line));
+        throw new InvalidOperatorFileException(problems);
     }
 
     private static void check(
-            Path file, TomlParseResult toml, String path, Map<String, Object> values, List<Problem> problems) {
+            Path file, TomlParseResult toml, String path, Map<String, Object> values, List<ConfigProblem> problems) {
         Key key = BY_PATH.get(path);
         Object value = toml.get(path);
         if (key == null) {
@@ -138,7 +138,8 @@
                 return;
             }
             if (!toml.isTable(path) || BY_PATH.keySet().stream().noneMatch(k -> k.startsWith(path + "."))) {
-                problems.add(new Problem(file.toString(), line(toml, path), path, "is not known; " + nearest(path)));
+                problems.add(
+                        new ConfigProblem(file.toString(), line(toml, path), path, "is not known; " + nearest(path)));
             }
             return;
         }
@@ -146,7 +147,7 @@
         String fault =
                 typed == null ? "must be " + key.type().says : key.fault().apply(typed);
         if (fault != null) {
-            problems.add(new Problem(file.toString(), line(toml, path), path, fault));
+            problems.add(new ConfigProblem(file.toString(), line(toml, path), path, fault));
         } else {
             values.put(path, typed);
         }
@@ -165,7 +166,7 @@
     }
 
     /** What no key shows alone: what a feature needs when on, and features that exclude each other. */
-    private void checkTogether(TomlParseResult toml, List<Problem> problems) {
+    private void checkTogether(TomlParseResult toml, List<ConfigProblem> problems) {
         if (flag("plans.enabled")) {
             require(toml, problems, "plans", "planners", "certificate", "key", "trust");
         }
@@ -191,7 +192,7 @@
             if (values.containsKey("keeper.name")
                     && values.containsKey("keeper.keepers")
                     && !Addresses.named((List<?>) values.get("keeper.keepers")).containsKey(value("keeper.name"))) {
-                problems.add(new Problem(
+                problems.add(new ConfigProblem(
                         file.toString(),
                         line(toml, "keeper.keepers"),
                         "keeper.keepers",
@@ -199,7 +200,7 @@
             }
         }
         if (flag("plans.enabled") && flag("planner.enabled")) {
-            problems.add(new Problem(
+            problems.add(new ConfigProblem(
                     file.toString(),
                     line(toml, "planner.enabled"),
                     "planner.enabled",
@@ -208,13 +209,13 @@
         }
     }
 
-    private void require(TomlParseResult toml, List<Problem> problems, String section, String... keys) {
+    private void require(TomlParseResult toml, List<ConfigProblem> problems, String section, String... keys) {
         for (String key : keys) {
             String path = section + "." + key;
             Object value = values.get(path);
             boolean reported = problems.stream().anyMatch(p -> p.key().equals(path));
             if (!reported && (value == null || value instanceof List<?> list && list.isEmpty())) {
-                problems.add(new Problem(
+                problems.add(new ConfigProblem(
                         file.toString(),
                         line(toml, section + ".enabled"),
                         path,
@@ -270,8 +271,8 @@
     }
 
     /** Section {@code [plans]}. Relative paths are taken from the file's own folder. */
-    public PlansSettings plans() {
-        return new PlansSettings(
+    public PlannerClientSettings plans() {
+        return new PlannerClientSettings(
                 flag("plans.enabled"),
                 addresses("plans.planners"),
                 number("plans.report_every_ms"),
@@ -313,8 +314,8 @@
     }
 
     /** Section {@code [keeper]}. */
-    public KeeperSettings keeper() {
-        return new KeeperSettings(
+    public ConfigServerSettings keeper() {
+        return new ConfigServerSettings(
                 flag("keeper.enabled"),
                 (String) value("keeper.tier"),
                 (String) value("keeper.name"),
@@ -329,8 +330,8 @@
     }
 
     /** Section {@code [agreed]}. */
-    public AgreedSettings agreed() {
-        return new AgreedSettings(
+    public ConfigSubscriptionSettings agreed() {
+        return new ConfigSubscriptionSettings(
                 flag("agreed.enabled"),
                 addresses("agreed.keepers"),
                 number("agreed.lease_ms"),
@@ -339,15 +340,15 @@
     }
 
     /** Section {@code [operator]}; throws where a key of it is missing, as a command cannot do without any. */
-    public ClientSettings operator() throws BadOperatorFile {
-        List<Problem> missing = new ArrayList<>();
+    public ClientSettings operator() throws InvalidOperatorFileException {
+        List<ConfigProblem> missing = new ArrayList<>();
         for (String key : List.of("name", "keepers", "certificate", "key", "trust")) {
             if (!values.containsKey("operator." + key)) {
-                missing.add(new Problem(file.toString(), 0, "operator." + key, "is needed to reach the keepers"));
+                missing.add(new ConfigProblem(file.toString(), 0, "operator." + key, "is needed to reach the keepers"));
             }
         }
         if (!missing.isEmpty()) {
-            throw new BadOperatorFile(missing);
+            throw new InvalidOperatorFileException(missing);
         }
         return new ClientSettings((String) value("operator.name"), addresses("operator.keepers"), tls("operator"));
     }
--- a/src/main/java/sedgeyoke/operator/PlansSettings.java
+++ b/src/main/java/sedgeyoke/settings/PlannerClientSettings.java
@@ -1,4 +1,4 @@
-package sedgeyoke.operator;
+package sedgeyoke.settings;
 
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -14,7 +14,7 @@
  * @param driftPpm how far a clock may run fast or slow, in parts per million
  * @param tls its files
  */
-public record PlansSettings(
+public record PlannerClientSettings(
         boolean enabled,
         List<InetSocketAddress> planners,
         long reportEveryMs,
--- a/src/main/java/sedgeyoke/operator/PlannerSettings.java
+++ b/src/main/java/sedgeyoke/settings/PlannerSettings.java
@@ -1,4 +1,4 @@
-package sedgeyoke.operator;
+package sedgeyoke.settings;
 
 import java.net.InetSocketAddress;
 
@@ -9,8 +9,8 @@
  * @param name its name, unlike that of any other planner of the tier
  * @param listen where forwarders connect
  * @param planEveryMs how often it plans, in milliseconds
- * @param leaseMs as {@link PlansSettings#leaseMs}
- * @param driftPpm as {@link PlansSettings#driftPpm}
+ * @param leaseMs as {@link PlannerClientSettings#leaseMs}
+ * @param driftPpm as {@link PlannerClientSettings#driftPpm}
  * @param mostForwarders further ones are turned away
  * @param mostUpstreams what is reported of further ones is left out
  * @param tls its files
--- a/src/main/java/sedgeyoke/emulate/Policies.java
+++ b/src/main/java/sedgeyoke/simulation/BaselinePolicies.java
@@ -1,4 +1,4 @@
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -8,25 +8,25 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import sedgeyoke.decide.Balancer;
-import sedgeyoke.decide.Balancer.Actions;
-import sedgeyoke.decide.Balancer.LoadReport;
-import sedgeyoke.decide.Balancer.Settings;
-import sedgeyoke.decide.Policy;
+import sedgeyoke.policy.LoadBalancingPolicy;
+import sedgeyoke.policy.LoadBalancingPolicy.Actions;
+import sedgeyoke.policy.LoadBalancingPolicy.LoadReport;
+import sedgeyoke.policy.LoadBalancingPolicy.Settings;
+import sedgeyoke.policy.UtilizationWeightedPolicy;
 
 /**
  * Who may decide in a run: our own module, and policies from their published descriptions to compare it with. These
  * live
  * here and never in the product's path.
  */
-public final class Policies {
+public final class BaselinePolicies {
     /** Our own. */
     public static final String OURS = "sedgeyoke";
 
     private static final Map<String, Maker> MAKERS = new LinkedHashMap<>();
 
     static {
-        MAKERS.put(OURS, (settings, seed, out, fleet) -> new Policy(settings, seed, out));
+        MAKERS.put(OURS, (settings, seed, out, fleet) -> new UtilizationWeightedPolicy(settings, seed, out));
         MAKERS.put("random", (settings, seed, out, fleet) -> new RandomChoice(settings, seed, out));
         MAKERS.put("round-robin", (settings, seed, out, fleet) -> new RoundRobin(settings, seed, out));
         MAKERS.put("two-choices", (settings, seed, out, fleet) -> new TwoChoices(settings, seed, out));
@@ -36,11 +36,11 @@
         MAKERS.put("oracle", (settings, seed, out, fleet) -> new Oracle(settings, seed, out, fleet));
     }
 
-    private Policies() {}
+    private BaselinePolicies() {}
 
     /** Makes a policy for one balancer. */
     interface Maker {
-        Balancer make(Settings settings, long seed, Actions out, Fleet fleet);
+        LoadBalancingPolicy make(Settings settings, long seed, Actions out, SimulatedUpstreams fleet);
     }
 
     /** All names. */
@@ -57,7 +57,7 @@
     }
 
     /** Any, evenly. */
-    private static final class RandomChoice extends Baseline {
+    private static final class RandomChoice extends BaselinePolicy {
         private final SplittableRandom random;
 
         RandomChoice(Settings settings, long seed, Actions out) {
@@ -72,7 +72,7 @@
     }
 
     /** Each in turn, from a random place on. */
-    private static final class RoundRobin extends Baseline {
+    private static final class RoundRobin extends BaselinePolicy {
         private int next;
 
         RoundRobin(Settings settings, long seed, Actions out) {
@@ -91,7 +91,7 @@
      * in
      * Randomized Load Balancing", IEEE Transactions on Parallel and Distributed Systems 12(10), 2001.
      */
-    private static final class TwoChoices extends Baseline {
+    private static final class TwoChoices extends BaselinePolicy {
         private final SplittableRandom random;
 
         TwoChoices(Settings settings, long seed, Actions out) {
@@ -113,7 +113,7 @@
      * (Envoy documentation, "Supported load balancers", section "Weighted least request"). The order is kept as smooth
      * weighted round robin. Nodes' cores stand for the weights that an operator would set by hand.
      */
-    private static final class EnvoyLeastRequest extends Baseline {
+    private static final class EnvoyLeastRequest extends BaselinePolicy {
         EnvoyLeastRequest(Settings settings, Actions out) {
             super(settings, out);
         }
@@ -134,7 +134,7 @@
     }
 
     /** The fewest of our own in flight, ties at random: join the shortest queue as far as one balancer can see it. */
-    private static final class ShortestQueue extends Baseline {
+    private static final class ShortestQueue extends BaselinePolicy {
         private final SplittableRandom random;
 
         ShortestQueue(Settings settings, long seed, Actions out) {
@@ -167,7 +167,7 @@
      * NSDI 2024, sections 3 and 4 (pool of 16, three probes a request, quantile 0.84, probes live for a second and are
      * used a few times).
      */
-    private static final class Prequal extends Baseline {
+    private static final class Prequal extends BaselinePolicy {
         private static final int POOL = 16;
         private static final int PROBES = 3;
         private static final double HOT = 0.84;
@@ -252,12 +252,12 @@
      * can
      * have that: it shows how much there is to gain.
      */
-    private static final class Oracle extends Baseline {
+    private static final class Oracle extends BaselinePolicy {
         private final SplittableRandom random;
-        private final Fleet fleet;
+        private final SimulatedUpstreams fleet;
         private final Map<String, Double> order = new HashMap<>();
 
-        Oracle(Settings settings, long seed, Actions out, Fleet fleet) {
+        Oracle(Settings settings, long seed, Actions out, SimulatedUpstreams fleet) {
             super(settings, out);
             this.random = new SplittableRandom(seed);
             this.fleet = fleet;
@@ -267,7 +267,7 @@
         Up choose(long now, List<Up> from) {
             order.clear();
             for (Up up : from) {
-                Machine m = fleet.byId(up.id);
+                SimulatedUpstream m = fleet.byId(up.id);
                 boolean serves = m != null && !m.gone && m.model.serves();
                 double waits = serves
                         ? Math.max(0, m.model.inFlight() + 1 - m.model.spec().cores())
--- a/src/main/java/sedgeyoke/emulate/Baseline.java
+++ b/src/main/java/sedgeyoke/simulation/BaselinePolicy.java
@@ -1,4 +1,4 @@
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -6,13 +6,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import sedgeyoke.decide.Balancer;
+import sedgeyoke.policy.LoadBalancingPolicy;
 
 /**
  * What the compared policies have in common: the list, their own counts, and retries within the rules. What they differ
  * in is {@link #choose}. They know nothing of cold nodes: their authors did not have that rule.
  */
-abstract class Baseline implements Balancer {
+abstract class BaselinePolicy implements LoadBalancingPolicy {
     private static final int MOST_TRIES = 3;
 
     final Settings settings;
@@ -46,7 +46,7 @@
         }
     }
 
-    Baseline(Settings settings, Actions out) {
+    BaselinePolicy(Settings settings, Actions out) {
         this.settings = settings;
         this.out = out;
     }
--- a/src/main/java/sedgeyoke/emulate/Timeline.java
+++ b/src/main/java/sedgeyoke/simulation/EventQueue.java
@@ -1,4 +1,4 @@
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
 
 import java.util.Arrays;
 
@@ -6,7 +6,7 @@
  * Virtual time: what is to happen, in the order of its time and, within one microsecond, in the order in which it was
  * asked for. A heap in two arrays: a run has tens of millions of events.
  */
-final class Timeline {
+final class EventQueue {
     private static final int FIRST_SIZE = 1 << 12;
 
     private long[] times = new long[FIRST_SIZE];
@@ -17,7 +17,7 @@
     private long now;
     private long done;
 
-    Timeline(long start) {
+    EventQueue(long start) {
         now = start;
     }
 
--- a/src/main/java/sedgeyoke/emulate/Outcome.java
+++ b/src/main/java/sedgeyoke/simulation/Outcome.java
@@ -1,4 +1,4 @@
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
 
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/sedgeyoke/emulate/Theory.java
+++ b/src/main/java/sedgeyoke/simulation/QueueingTheory.java
@@ -1,14 +1,14 @@
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
 
 import java.util.ArrayList;
 import java.util.List;
-import sedgeyoke.site.WorkClass.Spread;
+import sedgeyoke.model.RequestClassModel.Spread;
 
 /** Runs whose results queueing theory knows, and how far off the emulator is. */
-public final class Theory {
+public final class QueueingTheory {
     private static final double MEAN_S = 0.01;
 
-    private Theory() {}
+    private QueueingTheory() {}
 
     /** One comparison: mean time in the system in seconds, or a share of servers. */
     public record Check(String name, double expected, double seen) {
@@ -23,7 +23,7 @@
         List<Check> all = new ArrayList<>();
         for (int cores : new int[] {1, 2, 8}) {
             for (double load : new double[] {0.5, 0.8}) {
-                Outcome o = new Emulation(
+                Outcome o = new Simulation(
                                 Scenarios.queue(
                                         1,
                                         cores,
@@ -41,7 +41,7 @@
         }
         for (Spread spread : List.of(Spread.CONSTANT, Spread.TWO_KINDS)) {
             double load = 0.7;
-            Outcome o = new Emulation(Scenarios.queue(1, 1, load, spread, "random", 30_000 * scale), seed).run();
+            Outcome o = new Simulation(Scenarios.queue(1, 1, load, spread, "random", 30_000 * scale), seed).run();
             double second = spread == Spread.CONSTANT ? 1 : 0.1 * 5.5 * 5.5 + 0.9 * 0.25; // of work over its mean
             all.add(new Check(
                     "M/G/1 at " + load + " with " + spread + " work (Pollaczek and Khinchine)",
@@ -75,7 +75,7 @@
     /** Shares of 500 servers with so many or more requests, over time, under two choices. */
     private static double[] tails(double load, double scale, long seed) {
         int servers = 500;
-        Emulation e = new Emulation(Scenarios.queue(servers, 1, load, Spread.EXPONENTIAL, "two-choices", 1e6), seed);
+        Simulation e = new Simulation(Scenarios.queue(servers, 1, load, Spread.EXPONENTIAL, "two-choices", 1e6), seed);
         e.begin();
         e.play(2_000_000);
         double[] sums = new double[4];
--- a/src/main/java/sedgeyoke/emulate/Scenario.java
+++ b/src/main/java/sedgeyoke/simulation/Scenario.java
@@ -1,7 +1,7 @@
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
 
 import java.util.List;
-import sedgeyoke.site.SiteSpec;
+import sedgeyoke.model.SiteModel;
 
 /**
  * What is played. All times are seconds unless a name says otherwise.
@@ -10,14 +10,14 @@
  * @param seconds how long clients ask
  * @param warmUp seconds at the start that count for no figure
  * @param forwarders balancers in each zone
- * @param policy who decides, see {@link Policies}
+ * @param policy who decides, see {@link BaselinePolicies}
  * @param planners how many, 0 for none; and their settings
  * @param traffic what clients do
  * @param network delays, and how late news is
  * @param faults what happens on the way, in any order
  */
 public record Scenario(
-        SiteSpec site,
+        SiteModel site,
         double seconds,
         double warmUp,
         List<Integer> forwarders,
--- a/src/main/java/sedgeyoke/emulate/Scenarios.java
+++ b/src/main/java/sedgeyoke/simulation/Scenarios.java
@@ -1,10 +1,10 @@
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
 
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import sedgeyoke.site.SiteSpec;
-import sedgeyoke.site.WorkClass;
+import sedgeyoke.model.RequestClassModel;
+import sedgeyoke.model.SiteModel;
 
 /** Scenarios that tests, benchmarks and experiments begin from. */
 public final class Scenarios {
@@ -24,16 +24,16 @@
     /** The same with work, aims and deadlines so many times as long, and nodes that work on several for each core. */
     public static Scenario orders(
             int nodes, int forwarders, double load, double seconds, double workScale, int slotsPerCore) {
-        List<SiteSpec.NodeSpec> specs = new ArrayList<>();
+        List<SiteModel.NodeSpec> specs = new ArrayList<>();
         for (int i = 0; i < nodes; i++) {
-            specs.add(new SiteSpec.NodeSpec(
+            specs.add(new SiteModel.NodeSpec(
                     "n" + i, i % 4 == 3 ? 0 : i % 4, CORES, i % 3 == 2 ? SLOW : FAST, CORES * slotsPerCore, QUEUE));
         }
-        SiteSpec site = new SiteSpec(
+        SiteModel site = new SiteModel(
                 List.of("kagoshima", "miyazaki", "oita"),
-                SiteSpec.orders(workScale),
+                SiteModel.orders(workScale),
                 specs,
-                SiteSpec.RuleSpec.USUAL,
+                SiteModel.RuleSpec.USUAL,
                 false);
         int third = forwarders / 3;
         return new Scenario(
@@ -41,7 +41,7 @@
                 seconds,
                 Math.min(10, seconds / 4),
                 List.of(forwarders - 2 * third, third, third),
-                Policies.OURS,
+                BaselinePolicies.OURS,
                 Scenario.PlannerSpec.usual(0),
                 new Scenario.Traffic(load, List.of(0.4, 0.3, 0.3), List.of(), 1, 500, 2, Scenario.Retries.BACKOFF, 0.3),
                 Scenario.Network.USUAL,
@@ -56,13 +56,13 @@
      * @param spread of the work, whose mean is 10 ms
      */
     public static Scenario queue(
-            int nodes, int cores, double load, WorkClass.Spread spread, String policy, double seconds) {
-        WorkClass work = new WorkClass("work", "single_shot", 1, 3_000_000, 3_000_000, 1, 10, spread);
-        List<SiteSpec.NodeSpec> specs = new ArrayList<>();
+            int nodes, int cores, double load, RequestClassModel.Spread spread, String policy, double seconds) {
+        RequestClassModel work = new RequestClassModel("work", "single_shot", 1, 3_000_000, 3_000_000, 1, 10, spread);
+        List<SiteModel.NodeSpec> specs = new ArrayList<>();
         for (int i = 0; i < nodes; i++) {
-            specs.add(new SiteSpec.NodeSpec("n" + i, 0, cores, 1, ENDLESS));
+            specs.add(new SiteModel.NodeSpec("n" + i, 0, cores, 1, ENDLESS));
         }
-        SiteSpec site = new SiteSpec(List.of("one"), List.of(work), specs, SiteSpec.RuleSpec.USUAL, false);
+        SiteModel site = new SiteModel(List.of("one"), List.of(work), specs, SiteModel.RuleSpec.USUAL, false);
         return new Scenario(
                 site,
                 seconds,
--- a/src/main/java/sedgeyoke/emulate/Clients.java
+++ b/src/main/java/sedgeyoke/simulation/SimulatedClients.java
@@ -1,24 +1,24 @@
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
 
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
-import sedgeyoke.decide.Balancer.Request;
-import sedgeyoke.site.Ledger;
-import sedgeyoke.site.WorkClass;
+import sedgeyoke.model.InvariantChecker;
+import sedgeyoke.model.RequestClassModel;
+import sedgeyoke.policy.LoadBalancingPolicy.Request;
 
 /**
  * The desks and the front layer before the balancers. Requests come by a rate that follows a curve, wait for no answer,
  * and are dealt out among the balancers of their zone; a dead one is noticed late.
  */
-final class Clients {
+final class SimulatedClients {
     private static final int MOST_RETRIES = 2;
     private static final long UNREACHED_WAIT = 20_000;
     private static final long FIRST_BACKOFF = 60_000;
     private static final long LEAST_LEFT = 10_000;
 
-    private final World world;
+    private final SimulationContext world;
     /** What is asked for and when is the same for the same seed, whatever becomes of it. */
     private final SplittableRandom arrivals;
 
@@ -27,7 +27,7 @@
     private final double[] zoneShare;
     private final double perSecond;
     private final double[] keyOf;
-    private final Tally tally;
+    private final TimeSeries tally;
     private boolean asking;
     private long startedAt;
     private double nextAt;
@@ -44,11 +44,11 @@
 
     /** A balancer as the front of its zone sees it. */
     private static final class Front {
-        final Forwarder forwarder;
+        final SimulatedForwarder forwarder;
         final double weight;
         long deadSince = Long.MAX_VALUE;
 
-        Front(Forwarder forwarder, double weight) {
+        Front(SimulatedForwarder forwarder, double weight) {
             this.forwarder = forwarder;
             this.weight = weight;
         }
@@ -56,7 +56,7 @@
 
     /** Something that a desk wants, with all its tries. */
     private static final class Want {
-        final WorkClass cls;
+        final RequestClassModel cls;
         final int classIndex;
         final int zone;
         final long since;
@@ -64,7 +64,7 @@
         final String idempotencyKey;
         int tries;
 
-        Want(WorkClass cls, int classIndex, int zone, long since, String key, String idempotencyKey) {
+        Want(RequestClassModel cls, int classIndex, int zone, long since, String key, String idempotencyKey) {
             this.cls = cls;
             this.classIndex = classIndex;
             this.zone = zone;
@@ -96,11 +96,11 @@
             ended = true;
             open--;
             long now = world.time.now();
-            Ledger.Answer how =
+            InvariantChecker.Answer how =
                     switch (answer) {
-                        case SERVED -> Ledger.Answer.SERVED;
-                        case REFUSED -> Ledger.Answer.REFUSED;
-                        default -> Ledger.Answer.FAILED;
+                        case SERVED -> InvariantChecker.Answer.SERVED;
+                        case REFUSED -> InvariantChecker.Answer.REFUSED;
+                        default -> InvariantChecker.Answer.FAILED;
                     };
             world.ledger.answered(id, how, true, want.since, now);
             tally.answered(want.cls, how, now - want.since, want.since);
@@ -128,7 +128,7 @@
         }
     }
 
-    Clients(World world, Tally tally) {
+    SimulatedClients(SimulationContext world, TimeSeries tally) {
         this.world = world;
         this.tally = tally;
         this.arrivals = world.random.split();
@@ -140,7 +140,7 @@
         this.keyOf = new double[] {t.keys(), t.skew()};
     }
 
-    void balancer(Forwarder f) {
+    void balancer(SimulatedForwarder f) {
         List<Front> zone = zones.get(f.zone());
         zone.add(new Front(f, 1));
         double uneven = world.scenario.traffic().unevenFront();
@@ -199,7 +199,7 @@
     }
 
     private void arrive(double all) {
-        List<WorkClass> classes = world.scenario.site().classes();
+        List<RequestClassModel> classes = world.scenario.site().classes();
         double x = arrivals.nextDouble();
         int c = 0;
         while (c < classes.size() - 1 && (x -= classes.get(c).share()) >= 0) {
@@ -211,7 +211,7 @@
             zone++;
         }
         String key = keyOf[0] <= 0 ? null : "o" + (int) (keyOf[0] * Math.pow(arrivals.nextDouble(), keyOf[1]));
-        WorkClass cls = classes.get(c);
+        RequestClassModel cls = classes.get(c);
         world.ledger.wanted(cls);
         tally.wanted(cls, world.time.now());
         ask(new Want(cls, c, zone, world.time.now(), key, cls.keyed() ? "k" + wants++ : null));
@@ -237,10 +237,10 @@
         Try mine = new Try(want, id);
         Request request = new Request(
                 id, want.classIndex, 0, want.key, 0, left, !want.cls.repeat().equals("free"), want.tries > 1);
-        Forwarder to = front.forwarder;
+        SimulatedForwarder to = front.forwarder;
         world.time.after(world.delay(want.zone, to.zone()), () -> {
             if (to.alive()) {
-                to.accept(new Forwarder.Call(request, want.idempotencyKey, mine));
+                to.accept(new SimulatedForwarder.Call(request, want.idempotencyKey, mine));
             } else {
                 mine.connectionEnded();
             }
--- a/src/main/java/sedgeyoke/emulate/Forwarder.java
+++ b/src/main/java/sedgeyoke/simulation/SimulatedForwarder.java
@@ -1,4 +1,4 @@
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -6,26 +6,26 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import sedgeyoke.decide.Balancer;
-import sedgeyoke.decide.Balancer.AttemptEnd;
-import sedgeyoke.decide.Balancer.ListKind;
-import sedgeyoke.decide.Balancer.LoadReport;
-import sedgeyoke.decide.Balancer.Outcome;
-import sedgeyoke.decide.Balancer.Request;
-import sedgeyoke.decide.Balancer.State;
-import sedgeyoke.decide.InOrder;
+import sedgeyoke.lease.LeaseClock;
+import sedgeyoke.model.UpstreamModel;
 import sedgeyoke.plan.Follower;
-import sedgeyoke.plan.LeaseTerms;
+import sedgeyoke.plan.ForwarderReport;
 import sedgeyoke.plan.PlanMessage;
-import sedgeyoke.plan.Report;
-import sedgeyoke.site.NodeModel;
+import sedgeyoke.policy.LoadBalancingPolicy;
+import sedgeyoke.policy.LoadBalancingPolicy.AttemptEnd;
+import sedgeyoke.policy.LoadBalancingPolicy.ListKind;
+import sedgeyoke.policy.LoadBalancingPolicy.LoadReport;
+import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
+import sedgeyoke.policy.LoadBalancingPolicy.Request;
+import sedgeyoke.policy.LoadBalancingPolicy.State;
+import sedgeyoke.policy.SerializedEvents;
 
 /**
  * One balancer: the real module, and around it what the program's sockets would do. It hands over events in order and
  * never from within an action, gives each call one answer, ends what has no time left, and connects where no connection
  * is idle.
  */
-final class Forwarder implements Balancer.Actions {
+final class SimulatedForwarder implements LoadBalancingPolicy.Actions {
     /** As the program has them: the way in is taken off the budget, and the last moment lies so much before its end. */
     private static final long WAY_IN = 2_000;
 
@@ -34,26 +34,26 @@
     /** After SIGTERM the program listens on for so long. */
     private static final long LISTENS_ON = 550_000;
 
-    private final World world;
-    private final Fleet fleet;
+    private final SimulationContext world;
+    private final SimulatedUpstreams fleet;
     private final Spec spec;
-    private final Balancer.Settings settings;
-    private final Policies.Maker maker;
-    private final Fleet.Agent agent;
+    private final LoadBalancingPolicy.Settings settings;
+    private final BaselinePolicies.Maker maker;
+    private final SimulatedUpstreams.Agent agent;
     private final long skew;
     private final double drift;
-    private Balancer module;
+    private LoadBalancingPolicy module;
     private Follower follower;
     private final Map<String, Call> calls = new HashMap<>();
-    private final Map<String, Fleet.Entry> targets = new HashMap<>();
+    private final Map<String, SimulatedUpstreams.Entry> targets = new HashMap<>();
     private final Map<Integer, Deque<Idle>> idle = new HashMap<>();
-    private InOrder events = new InOrder();
+    private SerializedEvents events = new SerializedEvents();
     private boolean alive;
     private int process;
     private long pausedUntil;
     private long lastTold;
-    private final List<PlannerHost> planners;
-    private final Map<PlannerHost, Long> connectedAt = new HashMap<>();
+    private final List<SimulatedPlanner> planners;
+    private final Map<SimulatedPlanner, Long> connectedAt = new HashMap<>();
     /** A planned restart has begun: nothing new is taken once the front has noticed. */
     private boolean leaving;
 
@@ -64,7 +64,7 @@
     long crossings;
 
     /** A connection to a node's process on which nothing is open, since when. */
-    private record Idle(Machine machine, int machineProcess, long since) {
+    private record Idle(SimulatedUpstream machine, int machineProcess, long since) {
         boolean open() {
             return machine.process == machineProcess;
         }
@@ -77,12 +77,12 @@
     static final class Call {
         final Request request;
         final String idempotencyKey;
-        final Clients.Try back;
+        final SimulatedClients.Try back;
         final List<Attempt> attempts = new ArrayList<>(1);
         long deadline;
         boolean answered;
 
-        Call(Request request, String idempotencyKey, Clients.Try back) {
+        Call(Request request, String idempotencyKey, SimulatedClients.Try back) {
             this.request = request;
             this.idempotencyKey = idempotencyKey;
             this.back = back;
@@ -101,7 +101,7 @@
         private final int address;
         private final long startedAt;
         private final int mine = process;
-        private Machine machine;
+        private SimulatedUpstream machine;
         private int machineProcess;
         private boolean connected;
         private boolean written;
@@ -125,13 +125,13 @@
         }
     }
 
-    Forwarder(
-            World world,
-            Fleet fleet,
+    SimulatedForwarder(
+            SimulationContext world,
+            SimulatedUpstreams fleet,
             Spec spec,
-            Balancer.Settings settings,
-            Policies.Maker maker,
-            List<PlannerHost> planners) {
+            LoadBalancingPolicy.Settings settings,
+            BaselinePolicies.Maker maker,
+            List<SimulatedPlanner> planners) {
         this.world = world;
         this.fleet = fleet;
         this.spec = spec;
@@ -164,7 +164,7 @@
 
     /** Its own clock. */
     private long now() {
-        return world.time.now() + skew + (long) (drift * (world.time.now() - World.START));
+        return world.time.now() + skew + (long) (drift * (world.time.now() - SimulationContext.START));
     }
 
     // ---- Its life ------------------------------------------------------------------------------------
@@ -190,7 +190,7 @@
                             p.leaseMs() * 1_000,
                             p.fadeMs() * 1_000,
                             leastGrant),
-                    new LeaseTerms(p.driftPpm()),
+                    new LeaseClock(p.driftPpm()),
                     now());
             deliver(() -> module.plan(now(), follower.plan(now())));
             planners.forEach(host -> connectedAt.put(host, world.time.now() + world.random.nextLong(200_000)));
@@ -214,7 +214,7 @@
             }
         });
         calls.clear();
-        events = new InOrder();
+        events = new SerializedEvents();
         idle.clear();
         targets.clear();
     }
@@ -274,13 +274,13 @@
         events.handle(event);
     }
 
-    void listed(ListKind kind, List<Fleet.Entry> entries) {
+    void listed(ListKind kind, List<SimulatedUpstreams.Entry> entries) {
         inTurn(process, () -> {
             if (kind == ListKind.COMPLETE) {
                 targets.clear();
             }
-            for (Fleet.Entry e : entries) {
-                Fleet.Entry before = e.upstream().state() == State.GONE
+            for (SimulatedUpstreams.Entry e : entries) {
+                SimulatedUpstreams.Entry before = e.upstream().state() == State.GONE
                         ? targets.remove(e.upstream().id())
                         : targets.put(e.upstream().id(), e);
                 if (before != null
@@ -291,7 +291,9 @@
                 }
             }
             deliver(() -> module.upstreams(
-                    now(), kind, entries.stream().map(Fleet.Entry::upstream).toList()));
+                    now(),
+                    kind,
+                    entries.stream().map(SimulatedUpstreams.Entry::upstream).toList()));
         });
     }
 
@@ -345,7 +347,7 @@
         }
         if (!call.answered) {
             boolean mayHaveRun = call.attempts.stream().anyMatch(a -> a.written);
-            answer(call, mayHaveRun ? Clients.Answer.FAILED : Clients.Answer.REFUSED, 0);
+            answer(call, mayHaveRun ? SimulatedClients.Answer.FAILED : SimulatedClients.Answer.REFUSED, 0);
             deliver(() -> module.clientGone(now(), call.request.id()));
         }
         forgetIfDone(call);
@@ -368,7 +370,7 @@
 
     private void closeIdle(int address) {
         Deque<Idle> closed = idle.getOrDefault(address, new ArrayDeque<>());
-        closed.forEach(Forwarder::closed);
+        closed.forEach(SimulatedForwarder::closed);
         closed.clear();
     }
 
@@ -393,7 +395,7 @@
         return false;
     }
 
-    private void answer(Call call, Clients.Answer how, long retryAfter) {
+    private void answer(Call call, SimulatedClients.Answer how, long retryAfter) {
         if (!call.answered) {
             call.answered = true;
             world.time.after(world.delay(spec.zone, call.back.zone()), () -> call.back.answered(how, retryAfter));
@@ -407,18 +409,18 @@
     }
 
     /** News of an attempt has come to this process. */
-    private void end(Attempt a, Outcome outcome, NodeModel.Answer answer) {
+    private void end(Attempt a, Outcome outcome, UpstreamModel.Answer answer) {
         inTurn(a.mine, () -> ended(a, outcome, answer));
     }
 
-    private void ended(Attempt a, Outcome outcome, NodeModel.Answer answer) {
+    private void ended(Attempt a, Outcome outcome, UpstreamModel.Answer answer) {
         if (a.ended) {
             return;
         }
         a.ended = true;
         Call call = a.call;
         if (outcome == Outcome.OK) {
-            answer(call, Clients.Answer.SERVED, 0);
+            answer(call, SimulatedClients.Answer.SERVED, 0);
         }
         if (answer != null && a.connected && a.machineProcess == a.machine.process) {
             idle.computeIfAbsent(a.address, x -> new ArrayDeque<>())
@@ -450,7 +452,7 @@
         if (call == null) {
             return;
         }
-        Fleet.Entry target = targets.get(upstream);
+        SimulatedUpstreams.Entry target = targets.get(upstream);
         Attempt a = new Attempt(call, call.attempts.size(), upstream, target == null ? -1 : target.address());
         call.attempts.add(a);
         if (call.answered || target == null || world.time.now() >= call.deadline) {
@@ -458,7 +460,7 @@
             return;
         }
         attempts++;
-        Machine m = fleet.at(target.address());
+        SimulatedUpstream m = fleet.at(target.address());
         int zone = target.upstream().zone();
         crossings += zone == spec.zone ? 0 : 1;
         if (reuse(target.address())) {
@@ -476,7 +478,7 @@
                     2 * world.delay(spec.zone, zone),
                     () -> inTurn(a.mine, () -> {
                         if (!a.ended) {
-                            Machine there = fleet.at(a.address);
+                            SimulatedUpstream there = fleet.at(a.address);
                             if (there != null) {
                                 there.connections++;
                             }
@@ -487,7 +489,7 @@
     }
 
     /** The request goes out on a connection; it may break on the way. */
-    private void write(Attempt a, Machine m) {
+    private void write(Attempt a, SimulatedUpstream m) {
         if (m == null) { // what the connection led to has gone meanwhile
             world.time.after(world.delay(spec.zone, spec.zone), () -> end(a, Outcome.RESET, null));
             a.written = true;
@@ -504,7 +506,7 @@
         world.time.after(world.delay(spec.zone, m.zone), () -> arrive(a, m));
     }
 
-    private void arrive(Attempt a, Machine m) {
+    private void arrive(Attempt a, SimulatedUpstream m) {
         if (a.machineProcess != m.process) {
             return; // the end of its connection is on its way already
         }
@@ -534,7 +536,7 @@
     public void refuse(String request, long retryAfter) {
         finish(
                 request,
-                Clients.Answer.REFUSED,
+                SimulatedClients.Answer.REFUSED,
                 settings.limits().retryAfter()
                         ? Math.min(
                                 retryAfter > 0 ? retryAfter : RETRY_AFTER,
@@ -544,10 +546,10 @@
 
     @Override
     public void fail(String request) {
-        finish(request, Clients.Answer.FAILED, 0);
+        finish(request, SimulatedClients.Answer.FAILED, 0);
     }
 
-    private void finish(String request, Clients.Answer how, long retryAfter) {
+    private void finish(String request, SimulatedClients.Answer how, long retryAfter) {
         Call call = calls.get(request);
         if (call != null) {
             answer(call, how, retryAfter);
@@ -574,8 +576,8 @@
     /** A probe is an answer with nothing but its report; it goes round the node's queue. */
     @Override
     public void probe(String upstream) {
-        Fleet.Entry target = targets.get(upstream);
-        Machine m = target == null ? null : fleet.at(target.address());
+        SimulatedUpstreams.Entry target = targets.get(upstream);
+        SimulatedUpstream m = target == null ? null : fleet.at(target.address());
         int mine = process;
         long there = world.delay(
                 spec.zone, target == null ? spec.zone : target.upstream().zone());
@@ -601,7 +603,7 @@
 
     @Override
     public void closeIdle(String upstream) {
-        Fleet.Entry target = targets.get(upstream);
+        SimulatedUpstreams.Entry target = targets.get(upstream);
         if (target != null) {
             closeIdle(target.address());
         }
@@ -643,10 +645,10 @@
     /** What is lent with a report is known to the module before the report can reach anyone. */
     private void report() {
         long now = now();
-        Balancer.Summary summary = null;
-        Map<PlannerHost, Report> reports = new HashMap<>();
-        List<PlannerHost> to = new ArrayList<>();
-        for (PlannerHost p : planners) {
+        LoadBalancingPolicy.Summary summary = null;
+        Map<SimulatedPlanner, ForwarderReport> reports = new HashMap<>();
+        List<SimulatedPlanner> to = new ArrayList<>();
+        for (SimulatedPlanner p : planners) {
             if (connected(p) && follower.due(now, p.name())) {
                 summary = summary == null ? module.summary(now) : summary;
                 reports.put(p, follower.report(now, p.name(), summary));
@@ -658,7 +660,7 @@
     }
 
     /** A planner that was away is found again after a random pause: all at once would be a herd. */
-    private boolean connected(PlannerHost p) {
+    private boolean connected(SimulatedPlanner p) {
         if (!p.alive()) {
             connectedAt.put(p, Long.MAX_VALUE);
             return false;
--- a/src/main/java/sedgeyoke/emulate/PlannerHost.java
+++ b/src/main/java/sedgeyoke/simulation/SimulatedPlanner.java
@@ -1,23 +1,23 @@
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
 
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import sedgeyoke.plan.LeaseTerms;
+import sedgeyoke.lease.LeaseClock;
+import sedgeyoke.plan.ForwarderReport;
 import sedgeyoke.plan.Planner;
-import sedgeyoke.plan.Report;
 
 /** One planner: the real one, with the link's delays and the ways in which its process can fail. */
-final class PlannerHost {
+final class SimulatedPlanner {
     private static final int MOST_FORWARDERS = 10_000;
     private static final int MOST_UPSTREAMS = 20_000;
 
-    private final World world;
+    private final SimulationContext world;
     private final String name;
     private final int zone;
     private final long skew;
     private final double drift;
-    private final Map<String, Forwarder> forwarders = new HashMap<>();
+    private final Map<String, SimulatedForwarder> forwarders = new HashMap<>();
     private Planner planner;
     private boolean alive;
     private int process;
@@ -29,7 +29,7 @@
 
     long views;
 
-    PlannerHost(World world, int number) {
+    SimulatedPlanner(SimulationContext world, int number) {
         this.world = world;
         this.name = "p" + number;
         this.zone = number % world.scenario.site().zones().size();
@@ -54,7 +54,7 @@
         process++;
         planner = new Planner(
                 new Planner.Settings(name, name.hashCode() * 1_000L + process, MOST_FORWARDERS, MOST_UPSTREAMS),
-                new LeaseTerms(world.scenario.planners().driftPpm()));
+                new LeaseClock(world.scenario.planners().driftPpm()));
         schedulePlan(process);
     }
 
@@ -100,7 +100,7 @@
     private void plan() {
         List<Planner.Out> plans = planner.plan(now());
         for (Planner.Out out : plans) {
-            Forwarder f = forwarders.get(out.forwarder());
+            SimulatedForwarder f = forwarders.get(out.forwarder());
             messages++;
             views += out.message().views().size();
             if (f != null && world.time.now() >= muteUntil) {
@@ -109,7 +109,7 @@
         }
     }
 
-    void hear(Forwarder from, Report report) {
+    void hear(SimulatedForwarder from, ForwarderReport report) {
         int mine = process;
         if (world.time.now() < deafUntil) {
             return;
--- a/src/main/java/sedgeyoke/emulate/Machine.java
+++ b/src/main/java/sedgeyoke/simulation/SimulatedUpstream.java
@@ -1,13 +1,13 @@
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
 
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import sedgeyoke.site.NodeModel;
+import sedgeyoke.model.UpstreamModel;
 
 /** An order node at an address, with the attempts that are on connections to it. */
-final class Machine {
-    final NodeModel model;
+final class SimulatedUpstream {
+    final UpstreamModel model;
     final int address;
     final int zone;
     /** Rises with each end of its process: what was sent to one before does not reach this one. */
@@ -15,13 +15,13 @@
     /** Nothing is there any more, or something else is. */
     boolean gone;
 
-    final Set<Forwarder.Attempt> open = new LinkedHashSet<>();
+    final Set<SimulatedForwarder.Attempt> open = new LinkedHashSet<>();
     /** Connections that balancers hold to this process. */
     int connections;
     /** For the figures: requests sent to it in this second. */
     long arrived;
 
-    Machine(NodeModel model, int address) {
+    SimulatedUpstream(UpstreamModel model, int address) {
         this.model = model;
         this.address = address;
         this.zone = model.spec().zone();
@@ -35,7 +35,7 @@
     void breakConnections() {
         process++;
         connections = 0;
-        List.copyOf(open).forEach(Forwarder.Attempt::broken);
+        List.copyOf(open).forEach(SimulatedForwarder.Attempt::broken);
         open.clear();
     }
 }
--- a/src/main/java/sedgeyoke/emulate/Fleet.java
+++ b/src/main/java/sedgeyoke/simulation/SimulatedUpstreams.java
@@ -1,25 +1,25 @@
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import sedgeyoke.decide.Balancer.ListKind;
-import sedgeyoke.decide.Balancer.State;
-import sedgeyoke.decide.Balancer.Upstream;
-import sedgeyoke.site.NodeModel;
-import sedgeyoke.site.SiteSpec;
-import sedgeyoke.site.ZoneMemory;
+import sedgeyoke.model.IdempotencyKeyCache;
+import sedgeyoke.model.SiteModel;
+import sedgeyoke.model.UpstreamModel;
+import sedgeyoke.policy.LoadBalancingPolicy.ListKind;
+import sedgeyoke.policy.LoadBalancingPolicy.State;
+import sedgeyoke.policy.LoadBalancingPolicy.Upstream;
 
 /** All order nodes, and discovery, which tells each balancer of changes after a delay of that balancer's own. */
-final class Fleet {
-    private final World world;
+final class SimulatedUpstreams {
+    private final SimulationContext world;
     private final long seed;
-    private final Map<String, Machine> byId = new TreeMap<>();
-    private final Map<Integer, Machine> byAddress = new HashMap<>();
-    private final List<Machine> inOrder = new ArrayList<>();
-    private final List<ZoneMemory> memories = new ArrayList<>();
+    private final Map<String, SimulatedUpstream> byId = new TreeMap<>();
+    private final Map<Integer, SimulatedUpstream> byAddress = new HashMap<>();
+    private final List<SimulatedUpstream> inOrder = new ArrayList<>();
+    private final List<IdempotencyKeyCache> memories = new ArrayList<>();
     private final Map<String, Entry> list = new TreeMap<>();
     private final List<Agent> agents = new ArrayList<>();
     private int addresses;
@@ -31,11 +31,11 @@
 
     /** Discovery as one balancer has it. */
     final class Agent {
-        private final Forwarder forwarder;
+        private final SimulatedForwarder forwarder;
         private final long delay;
         private final Map<String, Entry> missed = new TreeMap<>();
 
-        Agent(Forwarder forwarder, long delay) {
+        Agent(SimulatedForwarder forwarder, long delay) {
             this.forwarder = forwarder;
             this.delay = delay;
         }
@@ -69,28 +69,28 @@
         }
     }
 
-    Fleet(World world, long seed) {
+    SimulatedUpstreams(SimulationContext world, long seed) {
         this.world = world;
         this.seed = seed;
-        world.scenario.site().zones().forEach(z -> memories.add(new ZoneMemory()));
-        for (SiteSpec.NodeSpec spec : world.scenario.site().nodes()) {
-            Machine m = add(spec, addresses++);
+        world.scenario.site().zones().forEach(z -> memories.add(new IdempotencyKeyCache()));
+        for (SiteModel.NodeSpec spec : world.scenario.site().nodes()) {
+            SimulatedUpstream m = add(spec, addresses++);
             list.put(m.id(), entry(m, State.READY));
         }
     }
 
-    private Machine add(SiteSpec.NodeSpec spec, int address) {
-        NodeModel model =
-                new NodeModel(spec, world.scenario.site(), world.host(), world.ledger, memories.get(spec.zone()), seed);
+    private SimulatedUpstream add(SiteModel.NodeSpec spec, int address) {
+        UpstreamModel model = new UpstreamModel(
+                spec, world.scenario.site(), world.host(), world.ledger, memories.get(spec.zone()), seed);
         model.start();
-        Machine m = new Machine(model, address);
+        SimulatedUpstream m = new SimulatedUpstream(model, address);
         byId.put(spec.id(), m);
         byAddress.put(address, m);
         inOrder.add(m);
         return m;
     }
 
-    private static Entry entry(Machine m, State state) {
+    private static Entry entry(SimulatedUpstream m, State state) {
         return new Entry(
                 new Upstream(m.id(), m.zone, m.model.spec().kind(), m.zone, state, 1, m.model.launchedAt()), m.address);
     }
@@ -98,27 +98,27 @@
     // ---- What others ask -----------------------------------------------------------------------------
 
     /** What listens at an address now; null if nothing does. */
-    Machine at(int address) {
-        Machine m = byAddress.get(address);
+    SimulatedUpstream at(int address) {
+        SimulatedUpstream m = byAddress.get(address);
         return m == null || m.gone ? null : m;
     }
 
-    Machine byId(String id) {
+    SimulatedUpstream byId(String id) {
         return byId.get(id);
     }
 
     /** All that ever were. */
-    List<Machine> all() {
+    List<SimulatedUpstream> all() {
         return inOrder;
     }
 
     /** Those that stand in the list and run. */
-    List<Machine> running() {
+    List<SimulatedUpstream> running() {
         return inOrder.stream().filter(m -> !m.gone && !m.model.silent()).toList();
     }
 
     /** Those of a zone that run. */
-    List<Machine> zone(int zone) {
+    List<SimulatedUpstream> zone(int zone) {
         return running().stream().filter(m -> m.zone == zone).toList();
     }
 
@@ -128,7 +128,7 @@
                 .toList();
     }
 
-    Agent agent(Forwarder forwarder) {
+    Agent agent(SimulatedForwarder forwarder) {
         Scenario.Network n = world.scenario.network();
         long delay = n.discoveryMs() * 1_000
                 + world.random.nextLong(Math.max(1, (n.discoveryMostMs() - n.discoveryMs()) * 1_000));
@@ -139,7 +139,7 @@
 
     // ---- What happens to nodes -----------------------------------------------------------------------
 
-    private void tell(Machine m, State state) {
+    private void tell(SimulatedUpstream m, State state) {
         Entry entry = entry(m, state);
         list.put(m.id(), entry);
         for (Agent agent : agents) {
@@ -154,13 +154,13 @@
         }
     }
 
-    void restart(Machine m) {
+    void restart(SimulatedUpstream m) {
         m.breakConnections();
         m.model.restart();
         tell(m, State.READY);
     }
 
-    void drain(Machine m, long goesAfter) {
+    void drain(SimulatedUpstream m, long goesAfter) {
         m.model.drain();
         tell(m, State.DRAINING);
         if (goesAfter > 0) {
@@ -169,7 +169,7 @@
     }
 
     /** The process ends, and the machine refuses connections. */
-    private void go(Machine m) {
+    private void go(SimulatedUpstream m) {
         m.breakConnections();
         m.model.vanish();
         m.gone = true;
@@ -177,16 +177,16 @@
     }
 
     /** Nothing answers any more, and nothing says so. */
-    void vanish(Machine m) {
+    void vanish(SimulatedUpstream m) {
         m.model.vanish();
     }
 
     /** The node goes and another one, as large, starts cold elsewhere or at its address. */
-    void replace(Machine m, boolean inPlace) {
+    void replace(SimulatedUpstream m, boolean inPlace) {
         go(m);
-        SiteSpec.NodeSpec old = m.model.spec();
-        Machine fresh = add(
-                new SiteSpec.NodeSpec(
+        SiteModel.NodeSpec old = m.model.spec();
+        SimulatedUpstream fresh = add(
+                new SiteModel.NodeSpec(
                         old.id() + "-r" + ++replacements,
                         old.zone(),
                         old.cores(),
--- a/src/main/java/sedgeyoke/emulate/Emulation.java
+++ b/src/main/java/sedgeyoke/simulation/Simulation.java
@@ -1,4 +1,4 @@
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -7,15 +7,16 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
-import sedgeyoke.decide.Balancer;
-import sedgeyoke.decide.Balancer.Effect;
-import sedgeyoke.decide.Balancer.RequestClass;
-import sedgeyoke.decide.Balancer.Scope;
-import sedgeyoke.site.SiteSpec;
-import sedgeyoke.site.WorkClass;
+import sedgeyoke.model.RequestClassModel;
+import sedgeyoke.model.SiteModel;
+import sedgeyoke.model.UpstreamModel;
+import sedgeyoke.policy.LoadBalancingPolicy;
+import sedgeyoke.policy.LoadBalancingPolicy.Effect;
+import sedgeyoke.policy.LoadBalancingPolicy.RequestClass;
+import sedgeyoke.policy.LoadBalancingPolicy.Scope;
 
 /** One run of a scenario. */
-public final class Emulation {
+public final class Simulation {
     private static final long SECOND = 1_000_000;
     /** After the clients' last request, until all that is open must have ended. */
     private static final double AFTERWARDS = 4;
@@ -26,29 +27,29 @@
 
     private static final long LONGEST_RETRY_AFTER = 1_200_000;
 
-    private final World world;
+    private final SimulationContext world;
     private final long seed;
-    private final Fleet fleet;
-    private final Tally tally;
-    private final Warming warming;
-    private final Clients clients;
-    private final List<Forwarder> forwarders = new ArrayList<>();
-    private final List<PlannerHost> planners = new ArrayList<>();
+    private final SimulatedUpstreams fleet;
+    private final TimeSeries tally;
+    private final SlowStartMeasure warming;
+    private final SimulatedClients clients;
+    private final List<SimulatedForwarder> forwarders = new ArrayList<>();
+    private final List<SimulatedPlanner> planners = new ArrayList<>();
     private final Map<String, List<Double>> utilisation = new LinkedHashMap<>();
     private final Map<String, Long> worked = new LinkedHashMap<>();
     private double workedShare;
     private int lookedAt;
 
     /** Sets it up; nothing has happened yet. */
-    public Emulation(Scenario scenario, long seed) {
+    public Simulation(Scenario scenario, long seed) {
         this.seed = seed;
-        this.world = new World(scenario, seed);
-        this.fleet = new Fleet(world, seed);
-        this.tally = new Tally(World.START, scenario.warmUp());
-        this.warming = new Warming(world, fleet);
-        this.clients = new Clients(world, tally);
+        this.world = new SimulationContext(scenario, seed);
+        this.fleet = new SimulatedUpstreams(world, seed);
+        this.tally = new TimeSeries(SimulationContext.START, scenario.warmUp());
+        this.warming = new SlowStartMeasure(world, fleet);
+        this.clients = new SimulatedClients(world, tally);
         for (int p = 0; p < scenario.planners().count(); p++) {
-            planners.add(new PlannerHost(world, p));
+            planners.add(new SimulatedPlanner(world, p));
         }
         int position = 0;
         int zones = scenario.site().zones().size();
@@ -56,12 +57,12 @@
         while (Arrays.stream(left).sum() > 0) { // by turns of the zones, as the platform numbers them
             for (int z = 0; z < zones; z++) {
                 if (left[z]-- > 0) {
-                    Forwarder f = new Forwarder(
+                    SimulatedForwarder f = new SimulatedForwarder(
                             world,
                             fleet,
-                            new Forwarder.Spec("b" + position, z, position, seed * 1_000_003 + position),
+                            new SimulatedForwarder.Spec("b" + position, z, position, seed * 1_000_003 + position),
                             settings(scenario, z, position++),
-                            Policies.maker(scenario.policy()),
+                            BaselinePolicies.maker(scenario.policy()),
                             planners);
                     forwarders.add(f);
                     clients.balancer(f);
@@ -72,10 +73,10 @@
         }
     }
 
-    static Balancer.Settings settings(Scenario scenario, int zone, int position) {
-        SiteSpec site = scenario.site();
+    static LoadBalancingPolicy.Settings settings(Scenario scenario, int zone, int position) {
+        SiteModel site = scenario.site();
         List<RequestClass> classes = new ArrayList<>();
-        for (WorkClass c : site.classes()) {
+        for (RequestClassModel c : site.classes()) {
             Effect effect = c.repeat().equals("free") ? Effect.SAFE : c.keyed() ? Effect.KEYED : Effect.UNSAFE;
             classes.add(new RequestClass(
                     c.aimMs() * 1_000L,
@@ -88,8 +89,8 @@
                     2_500_000,
                     false));
         }
-        SiteSpec.RuleSpec r = site.rules();
-        return new Balancer.Settings(
+        SiteModel.RuleSpec r = site.rules();
+        return new LoadBalancingPolicy.Settings(
                 zone,
                 site.zones().size(),
                 position,
@@ -98,7 +99,7 @@
                 List.of(),
                 1,
                 false,
-                new Balancer.Limits(
+                new LoadBalancingPolicy.Limits(
                         4,
                         true,
                         false,
@@ -110,7 +111,7 @@
                         120_000,
                         10 * SECOND,
                         1),
-                new Balancer.RuleFigures(
+                new LoadBalancingPolicy.RuleFigures(
                         20_000,
                         10 * SECOND,
                         r.startCapacity(),
@@ -118,9 +119,9 @@
                         r.drainGraceMs() * 1_000,
                         r.fallMultiple(),
                         r.fallMs() * 1_000),
-                new Balancer.Prices(0.06, 0.02, 0, 0.05, 0),
-                Balancer.Reports.IN_ANSWERS,
-                Balancer.Ratings.NONE,
+                new LoadBalancingPolicy.Prices(0.06, 0.02, 0, 0.05, 0),
+                LoadBalancingPolicy.Reports.IN_ANSWERS,
+                LoadBalancingPolicy.Ratings.NONE,
                 false,
                 scenario.traffic().keys() > 0,
                 5_000);
@@ -137,7 +138,7 @@
         Scenario s = world.scenario;
         int whole = (int) Math.ceil(s.seconds());
         for (int second = 1; second <= whole; second++) {
-            world.time.runUntil(World.START + (long) (Math.min(second, s.seconds()) * SECOND));
+            world.time.runUntil(SimulationContext.START + (long) (Math.min(second, s.seconds()) * SECOND));
             measure(second > s.warmUp());
             progress.accept(second);
         }
@@ -148,8 +149,8 @@
 
     /** Starts everything; time has not moved yet. */
     void begin() {
-        planners.forEach(PlannerHost::start);
-        forwarders.forEach(Forwarder::start);
+        planners.forEach(SimulatedPlanner::start);
+        forwarders.forEach(SimulatedForwarder::start);
         world.scenario.faults().forEach(this::plan);
         world.time.after(0, clients::start);
         look();
@@ -157,7 +158,7 @@
 
     private void look() {
         warming.look();
-        world.time.after(Warming.EVERY, this::look);
+        world.time.after(SlowStartMeasure.EVERY, this::look);
     }
 
     /** Plays on for so many microseconds; for tests that look at each step. */
@@ -171,7 +172,7 @@
     }
 
     long openAtForwarders() {
-        return forwarders.stream().mapToLong(Forwarder::owed).sum();
+        return forwarders.stream().mapToLong(SimulatedForwarder::owed).sum();
     }
 
     double unaccountedWork() {
@@ -201,7 +202,7 @@
     private void measure(boolean counts) {
         double sum = 0;
         double cores = 0;
-        for (Machine m : fleet.all()) {
+        for (SimulatedUpstream m : fleet.all()) {
             long now = m.model.worked();
             long before = worked.getOrDefault(m.id(), 0L);
             worked.put(m.id(), now);
@@ -278,9 +279,9 @@
             case ERRORS_FAST, ERRORS_SLOW -> node(who, m -> {
                 m.model.fail(
                         f.kind() == Scenario.Kind.ERRORS_FAST
-                                ? sedgeyoke.site.NodeModel.Failing.FAST
-                                : sedgeyoke.site.NodeModel.Failing.SLOW);
-                later(lasts, () -> m.model.fail(sedgeyoke.site.NodeModel.Failing.NOT));
+                                ? UpstreamModel.Failing.FAST
+                                : UpstreamModel.Failing.SLOW);
+                later(lasts, () -> m.model.fail(UpstreamModel.Failing.NOT));
             });
             case ZONE_LOAD -> {
                 int zone = pick(who, zones());
@@ -292,14 +293,14 @@
                 later(lasts, () -> fleet.discoveryDown(false));
             }
             case KILL_FORWARDER -> {
-                Forwarder it = forwarders.get(pick(who, forwarders.size()));
+                SimulatedForwarder it = forwarders.get(pick(who, forwarders.size()));
                 if (it.alive()) {
                     it.kill();
                     later(lasts == 0 ? 0 : lasts + START_UP, it::revive);
                 }
             }
             case RESTART_FORWARDER -> {
-                Forwarder it = forwarders.get(pick(who, forwarders.size()));
+                SimulatedForwarder it = forwarders.get(pick(who, forwarders.size()));
                 it.leave(KILLED_AFTER, () -> later(START_UP, it::revive));
             }
             case PAUSE_FORWARDER -> forwarders.get(pick(who, forwarders.size())).pause(world.time.now() + lasts);
@@ -334,7 +335,7 @@
         if (planners.isEmpty()) {
             return; // the same scenario is played without any
         }
-        PlannerHost p = planners.get(pick(who, planners.size()));
+        SimulatedPlanner p = planners.get(pick(who, planners.size()));
         long until = world.time.now() + lasts;
         switch (f.kind()) {
             case KILL_PLANNER -> {
@@ -365,10 +366,10 @@
     }
 
     /** Of those that run and are in the list; by number they keep the order in which they came. */
-    private void node(int who, Consumer<Machine> what) {
-        List<Machine> running = who < 0 ? fleet.running() : fleet.all();
+    private void node(int who, Consumer<SimulatedUpstream> what) {
+        List<SimulatedUpstream> running = who < 0 ? fleet.running() : fleet.all();
         if (!running.isEmpty()) {
-            Machine m = running.get(pick(who, running.size()));
+            SimulatedUpstream m = running.get(pick(who, running.size()));
             if (!m.gone) {
                 what.accept(m);
             }
--- a/src/main/java/sedgeyoke/emulate/World.java
+++ b/src/main/java/sedgeyoke/simulation/SimulationContext.java
@@ -1,17 +1,17 @@
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
 
 import java.util.SplittableRandom;
-import sedgeyoke.site.Ledger;
-import sedgeyoke.site.NodeModel;
+import sedgeyoke.model.InvariantChecker;
+import sedgeyoke.model.UpstreamModel;
 
 /** What all parts of one run share: time, chance, the network's delays and the judge. */
-final class World {
+final class SimulationContext {
     /** Long enough after zero that a start at zero means long ago. */
     static final long START = 1_000_000_000L;
 
     final Scenario scenario;
-    final Timeline time = new Timeline(START);
-    final Ledger ledger;
+    final EventQueue time = new EventQueue(START);
+    final InvariantChecker ledger;
     final SplittableRandom random;
     /** Whom faults strike: the same for the same seed, whatever policies and planners do. */
     final SplittableRandom faults;
@@ -23,13 +23,13 @@
 
     double resetConnections;
 
-    World(Scenario scenario, long seed) {
+    SimulationContext(Scenario scenario, long seed) {
         this.scenario = scenario;
         SplittableRandom root = new SplittableRandom(seed);
         this.random = root.split();
         this.delays = root.split();
         this.faults = root.split();
-        this.ledger = new Ledger(scenario.site());
+        this.ledger = new InvariantChecker(scenario.site());
         this.cuts = new int[scenario.site().zones().size()];
     }
 
@@ -53,8 +53,8 @@
     }
 
     /** For node models. */
-    NodeModel.Host host() {
-        return new NodeModel.Host() {
+    UpstreamModel.Host host() {
+        return new UpstreamModel.Host() {
             @Override
             public long now() {
                 return time.now();
--- a/src/main/java/sedgeyoke/emulate/Warming.java
+++ b/src/main/java/sedgeyoke/simulation/SlowStartMeasure.java
@@ -1,4 +1,4 @@
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -9,13 +9,13 @@
  * How soon nodes that started cold get their share of the traffic: the first moment at which one has been sent, over a
  * second, so large a part of what its full capacity is due. Looked at four times a second.
  */
-final class Warming {
+final class SlowStartMeasure {
     static final long EVERY = 250_000;
     private static final int WINDOW = 4;
     private static final double ENOUGH = 0.8;
 
-    private final World world;
-    private final Fleet fleet;
+    private final SimulationContext world;
+    private final SimulatedUpstreams fleet;
     private final Map<String, Start> starts = new LinkedHashMap<>();
     private final Map<String, long[]> before = new LinkedHashMap<>();
 
@@ -29,7 +29,7 @@
         }
     }
 
-    Warming(World world, Fleet fleet) {
+    SlowStartMeasure(SimulationContext world, SimulatedUpstreams fleet) {
         this.world = world;
         this.fleet = fleet;
     }
@@ -38,7 +38,7 @@
         double sent = 0;
         double capacity = 0;
         Map<String, Double> own = new LinkedHashMap<>();
-        for (Machine m : fleet.running()) {
+        for (SimulatedUpstream m : fleet.running()) {
             long[] last = before.computeIfAbsent(m.id(), id -> new long[WINDOW + 1]);
             System.arraycopy(last, 0, last, 1, WINDOW);
             last[0] = m.arrived;
@@ -47,11 +47,11 @@
                 sent += last[0] - last[WINDOW];
                 capacity += m.model.spec().capacity();
             }
-            if (m.model.launchedAt() > World.START) {
+            if (m.model.launchedAt() > SimulationContext.START) {
                 starts.computeIfAbsent(m.id() + "@" + m.model.launchedAt(), k -> new Start(m.model.launchedAt()));
             }
         }
-        for (Machine m : fleet.running()) {
+        for (SimulatedUpstream m : fleet.running()) {
             Start s = starts.get(m.id() + "@" + m.model.launchedAt());
             double due = sent * m.model.spec().capacity() / Math.max(capacity, 1e-9);
             boolean window = s != null && world.time.now() - s.at >= WINDOW * EVERY;
--- a/src/main/java/sedgeyoke/emulate/Tally.java
+++ b/src/main/java/sedgeyoke/simulation/TimeSeries.java
@@ -1,13 +1,13 @@
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
 
 import java.util.ArrayList;
 import java.util.List;
 import org.HdrHistogram.Histogram;
-import sedgeyoke.site.Ledger;
-import sedgeyoke.site.WorkClass;
+import sedgeyoke.model.InvariantChecker;
+import sedgeyoke.model.RequestClassModel;
 
 /** Figures by second, and those of the time after the warm-up. */
-final class Tally {
+final class TimeSeries {
     private static final long LONGEST_US = 60_000_000;
     private final long startedAt;
     private final long countsFrom;
@@ -28,7 +28,7 @@
         long tookMost;
     }
 
-    Tally(long startedAt, double warmUp) {
+    TimeSeries(long startedAt, double warmUp) {
         this.startedAt = startedAt;
         this.countsFrom = startedAt + (long) (warmUp * 1e6);
     }
@@ -41,16 +41,16 @@
         return seconds.get(s);
     }
 
-    void wanted(WorkClass cls, long now) {
+    void wanted(RequestClassModel cls, long now) {
         Second s = at(now);
         s.asked += cls.worth();
         s.wanted++;
         asked += now >= countsFrom ? cls.worth() : 0;
     }
 
-    void answered(WorkClass cls, Ledger.Answer how, long took, long since) {
+    void answered(RequestClassModel cls, InvariantChecker.Answer how, long took, long since) {
         Second s = at(since);
-        if (how == Ledger.Answer.SERVED) {
+        if (how == InvariantChecker.Answer.SERVED) {
             double worth = took <= cls.aimMs() * 1_000L ? cls.worth() : 0;
             s.served += worth;
             s.answered++;
@@ -60,7 +60,7 @@
                 served += worth;
                 latency.recordValue(Math.min(took, LONGEST_US));
             }
-        } else if (how == Ledger.Answer.REFUSED) {
+        } else if (how == InvariantChecker.Answer.REFUSED) {
             s.refused++;
         } else {
             s.failed++;
--- a/src/main/java/sedgeyoke/emulate/package-info.java
+++ b/src/main/java/sedgeyoke/simulation/package-info.java
@@ -5,4 +5,4 @@
  * the
  * same run to the last event. See docs/design/emulator.md for what is modelled and what is not.
  */
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
--- a/src/main/java/sedgeyoke/wire/Batches.java
+++ b/src/main/java/sedgeyoke/simulator/BatchReader.java
@@ -1,4 +1,4 @@
-package sedgeyoke.wire;
+package sedgeyoke.simulator;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -12,17 +12,17 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
-import sedgeyoke.decide.Balancer.AttemptEnd;
-import sedgeyoke.decide.Balancer.ListKind;
-import sedgeyoke.decide.Balancer.LoadReport;
-import sedgeyoke.decide.Balancer.Outcome;
-import sedgeyoke.decide.Balancer.Request;
-import sedgeyoke.decide.Balancer.Settings;
-import sedgeyoke.decide.Balancer.State;
-import sedgeyoke.decide.Balancer.Upstream;
+import sedgeyoke.policy.LoadBalancingPolicy.AttemptEnd;
+import sedgeyoke.policy.LoadBalancingPolicy.ListKind;
+import sedgeyoke.policy.LoadBalancingPolicy.LoadReport;
+import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
+import sedgeyoke.policy.LoadBalancingPolicy.Request;
+import sedgeyoke.policy.LoadBalancingPolicy.Settings;
+import sedgeyoke.policy.LoadBalancingPolicy.State;
+import sedgeyoke.policy.LoadBalancingPolicy.Upstream;
 
 /** Reads one batch at a time and hands its events to the instances. */
-final class Batches {
+final class BatchReader {
     private static final JsonFactory JSON = JsonFactory.builder()
             .disable(StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION)
             .build();
@@ -39,12 +39,12 @@
             "unavailable",
             ListKind.UNAVAILABLE);
 
-    private final Desk desk;
-    private final Replies replies;
+    private final PolicyInstances desk;
+    private final ReplyWriter replies;
     private final PrintStream err;
     private final Map<Integer, List<String>> reportNames = new java.util.HashMap<>();
 
-    Batches(Desk desk, Replies replies, PrintStream err) {
+    BatchReader(PolicyInstances desk, ReplyWriter replies, PrintStream err) {
         this.desk = desk;
         this.replies = replies;
         this.err = err;
@@ -79,14 +79,14 @@
     }
 
     /** Answers one line; what the modules do goes into the reply. */
-    ByteArrayOutputStream answer(byte[] line, int length) throws BadInput, IOException {
+    ByteArrayOutputStream answer(byte[] line, int length) throws InvalidInputException, IOException {
         replies.begin();
         double now = Double.NaN;
         boolean inputFirst = false;
         boolean inputSeen = false;
         try (JsonParser json = JSON.createParser(line, 0, length)) {
             if (json.nextToken() != JsonToken.START_OBJECT) {
-                throw new BadInput("not a JSON object");
+                throw new InvalidInputException("not a JSON object");
             }
             while (json.nextToken() == JsonToken.FIELD_NAME) {
                 String name = json.currentName();
@@ -106,17 +106,17 @@
                 }
             }
             if (json.nextToken() != null) {
-                throw new BadInput("text after the end of the batch");
+                throw new InvalidInputException("text after the end of the batch");
             }
         } catch (JsonProcessingException e) {
-            throw new BadInput(
+            throw new InvalidInputException(
                     "not JSON: " + e.getOriginalMessage().lines().findFirst().orElse(""));
         }
         if (Double.isNaN(now)) {
-            throw new BadInput("no clock (moment-s)");
+            throw new InvalidInputException("no clock (moment-s)");
         }
         if (!inputSeen) {
-            throw new BadInput("no array of events (input)");
+            throw new InvalidInputException("no array of events (input)");
         }
         if (inputFirst) {
             again(line, length, micros(now));
@@ -125,7 +125,7 @@
     }
 
     /** The clock came after the events: read these now that the time is known. */
-    private void again(byte[] line, int length, long now) throws BadInput, IOException {
+    private void again(byte[] line, int length, long now) throws InvalidInputException, IOException {
         try (JsonParser json = JSON.createParser(line, 0, length)) {
             json.nextToken();
             while (json.nextToken() == JsonToken.FIELD_NAME) {
@@ -140,16 +140,16 @@
         }
     }
 
-    private void events(JsonParser json, long now) throws BadInput, IOException {
+    private void events(JsonParser json, long now) throws InvalidInputException, IOException {
         while (json.nextToken() == JsonToken.START_OBJECT) {
             dispatch(read(json), now);
         }
         if (json.currentToken() != JsonToken.END_ARRAY) {
-            throw new BadInput("an event that is not an object");
+            throw new InvalidInputException("an event that is not an object");
         }
     }
 
-    private Event read(JsonParser json) throws BadInput, IOException {
+    private Event read(JsonParser json) throws InvalidInputException, IOException {
         Event e = new Event();
         while (json.nextToken() == JsonToken.FIELD_NAME) {
             String name = json.currentName();
@@ -183,7 +183,7 @@
         return true;
     }
 
-    private static boolean numbers(Event e, String name, JsonParser json) throws BadInput, IOException {
+    private static boolean numbers(Event e, String name, JsonParser json) throws InvalidInputException, IOException {
         switch (name) {
             case "who" -> e.who = number(json, name);
             case "attempt" -> e.attempt = number(json, name);
@@ -207,7 +207,8 @@
         return true;
     }
 
-    private static boolean nested(Event e, String name, JsonParser json, JsonToken value) throws BadInput, IOException {
+    private static boolean nested(Event e, String name, JsonParser json, JsonToken value)
+            throws InvalidInputException, IOException {
         if (name.equals("facts") && value == JsonToken.START_OBJECT) {
             e.facts = SettingsReader.read(json);
         } else if (name.equals("feedback") && value == JsonToken.START_ARRAY) {
@@ -220,9 +221,9 @@
         return true;
     }
 
-    static double number(JsonParser json, String name) throws BadInput, IOException {
+    static double number(JsonParser json, String name) throws InvalidInputException, IOException {
         if (!json.currentToken().isNumeric()) {
-            throw new BadInput("field " + name + " is not a number");
+            throw new InvalidInputException("field " + name + " is not a number");
         }
         return json.getDoubleValue();
     }
@@ -239,7 +240,7 @@
         return java.util.Arrays.copyOf(values, n);
     }
 
-    private static List<Upstream> entries(JsonParser json) throws BadInput, IOException {
+    private static List<Upstream> entries(JsonParser json) throws InvalidInputException, IOException {
         List<Upstream> list = new ArrayList<>();
         while (json.nextToken() == JsonToken.START_OBJECT) {
             list.add(entry(json));
@@ -247,7 +248,7 @@
         return list;
     }
 
-    private static Upstream entry(JsonParser json) throws BadInput, IOException {
+    private static Upstream entry(JsonParser json) throws InvalidInputException, IOException {
         String id = null;
         int zone = 0;
         int kind = 0;
@@ -276,7 +277,7 @@
         return new Upstream(id, zone, kind, cell, state, rating, micros(launched));
     }
 
-    private void dispatch(Event e, long now) throws BadInput {
+    private void dispatch(Event e, long now) throws InvalidInputException {
         required(e.kind != null, "kind");
         if (!SettingsReader.EVENTS.contains(e.kind)) {
             err.println("skipped an event of unknown kind " + e.kind);
@@ -310,7 +311,7 @@
         }
     }
 
-    private void create(Event e, int who, long now) throws BadInput {
+    private void create(Event e, int who, long now) throws InvalidInputException {
         required(e.facts != null, "facts");
         whole(e.seed, "init-seed");
         Settings settings = e.facts.settings();
@@ -318,7 +319,7 @@
         desk.create(who, now, e.seedExact, settings);
     }
 
-    private void sync(Event e, int who, long now) throws BadInput {
+    private void sync(Event e, int who, long now) throws InvalidInputException {
         ListKind kind = e.form == null ? null : FORMS.get(e.form);
         required(kind != null, "form");
         required(e.elements != null || kind == ListKind.UNAVAILABLE, "elements");
@@ -326,7 +327,7 @@
         desk.tell(who, b -> b.upstreams(now, kind, entries));
     }
 
-    private void workItem(Event e, int who, long now) throws BadInput {
+    private void workItem(Event e, int who, long now) throws InvalidInputException {
         required(e.corr != null, "corr");
         required(!Double.isNaN(e.budget), "time-budget-s");
         int lane = whole(e.lane, "lane");
@@ -342,7 +343,7 @@
         desk.tell(who, b -> b.request(now, request));
     }
 
-    private void answer(Event e, int who, long now) throws BadInput {
+    private void answer(Event e, int who, long now) throws InvalidInputException {
         required(e.corr != null, "corr");
         required(e.upstream != null, "upstream");
         required(e.last != null, "last");
@@ -351,34 +352,34 @@
         desk.tell(who, b -> b.outcome(now, end));
     }
 
-    private void ping(Event e, int who, long now) throws BadInput {
+    private void ping(Event e, int who, long now) throws InvalidInputException {
         required(e.upstream != null, "upstream");
         Outcome outcome = outcome(e);
         LoadReport load = report(e, who);
         desk.tell(who, b -> b.probed(now, e.upstream, outcome, load));
     }
 
-    private void whisper(Event e, int who, long now) throws BadInput {
+    private void whisper(Event e, int who, long now) throws InvalidInputException {
         int from = whole(e.from, "from");
         required(e.body != null, "body");
         byte[] body;
         try {
             body = HexFormat.of().parseHex(e.body);
         } catch (IllegalArgumentException bad) {
-            throw new BadInput("field body is not hex digits");
+            throw new InvalidInputException("field body is not hex digits");
         }
         desk.tell(who, b -> b.peerMessage(now, from, body));
     }
 
-    private static long took(Event e) throws BadInput {
+    private static long took(Event e) throws InvalidInputException {
         required(!Double.isNaN(e.took), "took-s");
         return micros(e.took);
     }
 
-    private static Outcome outcome(Event e) throws BadInput {
+    private static Outcome outcome(Event e) throws InvalidInputException {
         int code = whole(e.ending, "ending");
         if (code < 0 || code >= OUTCOMES.length) {
-            throw new BadInput("field ending has no outcome " + code);
+            throw new InvalidInputException("field ending has no outcome " + code);
         }
         return OUTCOMES[code];
     }
@@ -398,13 +399,13 @@
         return Math.round(seconds * 1e6);
     }
 
-    private static void required(boolean there, String field) throws BadInput {
+    private static void required(boolean there, String field) throws InvalidInputException {
         if (!there) {
-            throw new BadInput("field " + field + " is missing or not understood");
+            throw new InvalidInputException("field " + field + " is missing or not understood");
         }
     }
 
-    private static int whole(double value, String field) throws BadInput {
+    private static int whole(double value, String field) throws InvalidInputException {
         required(!Double.isNaN(value), field);
         return (int) value;
     }
--- a/src/main/java/sedgeyoke/wire/BadInput.java
+++ b/src/main/java/sedgeyoke/simulator/InvalidInputException.java
@@ -1,10 +1,10 @@
-package sedgeyoke.wire;
+package sedgeyoke.simulator;
 
 /** A line of input that is not what the wire prescribes; the message says what is wrong with it. */
-public final class BadInput extends Exception {
+public final class InvalidInputException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    BadInput(String message) {
+    InvalidInputException(String message) {
         super(message);
     }
 }
--- a/src/main/java/sedgeyoke/wire/Desk.java
+++ b/src/main/java/sedgeyoke/simulator/PolicyInstances.java
@@ -1,23 +1,23 @@
-package sedgeyoke.wire;
+package sedgeyoke.simulator;
 
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
-import sedgeyoke.decide.Balancer;
-import sedgeyoke.decide.Policy;
+import sedgeyoke.policy.LoadBalancingPolicy;
+import sedgeyoke.policy.UtilizationWeightedPolicy;
 
 /** Keeps one module for each instance and hands it its events; they share nothing. */
-final class Desk {
-    private final Map<Integer, Balancer> instances = new HashMap<>();
-    private final Replies replies;
+final class PolicyInstances {
+    private final Map<Integer, LoadBalancingPolicy> instances = new HashMap<>();
+    private final ReplyWriter replies;
 
-    Desk(Replies replies) {
+    PolicyInstances(ReplyWriter replies) {
         this.replies = replies;
     }
 
-    void create(int who, long now, long seed, Balancer.Settings settings) {
+    void create(int who, long now, long seed, LoadBalancingPolicy.Settings settings) {
         guarded(who, () -> {
-            Balancer balancer = new Policy(settings, seed, replies.forInstance(who));
+            LoadBalancingPolicy balancer = new UtilizationWeightedPolicy(settings, seed, replies.forInstance(who));
             instances.put(who, balancer);
             balancer.start(now);
         });
@@ -27,10 +27,10 @@
         instances.remove(who);
     }
 
-    void tell(int who, Consumer<Balancer> event) throws BadInput {
-        Balancer balancer = instances.get(who);
+    void tell(int who, Consumer<LoadBalancingPolicy> event) throws InvalidInputException {
+        LoadBalancingPolicy balancer = instances.get(who);
         if (balancer == null) {
-            throw new BadInput("an event for instance " + who + ", which does not exist");
+            throw new InvalidInputException("an event for instance " + who + ", which does not exist");
         }
         guarded(who, () -> event.accept(balancer));
     }
--- a/src/main/java/sedgeyoke/wire/Replies.java
+++ b/src/main/java/sedgeyoke/simulator/ReplyWriter.java
@@ -1,4 +1,4 @@
-package sedgeyoke.wire;
+package sedgeyoke.simulator;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -7,10 +7,10 @@
 import java.io.UncheckedIOException;
 import java.math.BigDecimal;
 import java.util.HexFormat;
-import sedgeyoke.decide.Balancer;
+import sedgeyoke.policy.LoadBalancingPolicy;
 
 /** Writes the actions of all instances into one reply. */
-final class Replies {
+final class ReplyWriter {
     private static final JsonFactory JSON = new JsonFactory();
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream(1 << 14);
     private JsonGenerator json;
@@ -30,7 +30,7 @@
         return bytes;
     }
 
-    Balancer.Actions forInstance(int who) {
+    LoadBalancingPolicy.Actions forInstance(int who) {
         return new Writer(who);
     }
 
@@ -44,7 +44,7 @@
     }
 
     /** The sink of one instance. */
-    private final class Writer implements Balancer.Actions {
+    private final class Writer implements LoadBalancingPolicy.Actions {
         private final int who;
 
         Writer(int who) {
--- a/src/main/java/sedgeyoke/wire/SettingsReader.java
+++ b/src/main/java/sedgeyoke/simulator/SettingsReader.java
@@ -1,4 +1,4 @@
-package sedgeyoke.wire;
+package sedgeyoke.simulator;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -9,17 +9,17 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
-import sedgeyoke.decide.Balancer.Effect;
-import sedgeyoke.decide.Balancer.Limits;
-import sedgeyoke.decide.Balancer.LoadReport;
-import sedgeyoke.decide.Balancer.Prices;
-import sedgeyoke.decide.Balancer.Ratings;
-import sedgeyoke.decide.Balancer.Reports;
-import sedgeyoke.decide.Balancer.RequestClass;
-import sedgeyoke.decide.Balancer.RuleFigures;
-import sedgeyoke.decide.Balancer.Scope;
-import sedgeyoke.decide.Balancer.Settings;
-import sedgeyoke.decide.Balancer.Tenant;
+import sedgeyoke.policy.LoadBalancingPolicy.Effect;
+import sedgeyoke.policy.LoadBalancingPolicy.Limits;
+import sedgeyoke.policy.LoadBalancingPolicy.LoadReport;
+import sedgeyoke.policy.LoadBalancingPolicy.Prices;
+import sedgeyoke.policy.LoadBalancingPolicy.Ratings;
+import sedgeyoke.policy.LoadBalancingPolicy.Reports;
+import sedgeyoke.policy.LoadBalancingPolicy.RequestClass;
+import sedgeyoke.policy.LoadBalancingPolicy.RuleFigures;
+import sedgeyoke.policy.LoadBalancingPolicy.Scope;
+import sedgeyoke.policy.LoadBalancingPolicy.Settings;
+import sedgeyoke.policy.LoadBalancingPolicy.Tenant;
 
 /** Reads the settings that an instance is created with. Keys it does not know are skipped. */
 public final class SettingsReader {
@@ -66,7 +66,7 @@
         }
 
         long time(String name) {
-            return Batches.micros(number(name, 0));
+            return BatchReader.micros(number(name, 0));
         }
 
         boolean flag(String name) {
@@ -81,13 +81,13 @@
             return lists.getOrDefault(name, List.of());
         }
 
-        <T> T choice(String name, Map<String, T> values, T otherwise) throws BadInput {
+        <T> T choice(String name, Map<String, T> values, T otherwise) throws InvalidInputException {
             String text = texts.get(name);
             if (text == null) {
                 return otherwise;
             }
             if (!values.containsKey(text)) {
-                throw new BadInput("setting " + name + " has the unknown value " + text);
+                throw new InvalidInputException("setting " + name + " has the unknown value " + text);
             }
             return values.get(text);
         }
@@ -105,7 +105,7 @@
     }
 
     /** Reads the object that the parser has just entered. */
-    public static Found read(JsonParser json) throws BadInput, IOException {
+    public static Found read(JsonParser json) throws InvalidInputException, IOException {
         Node facts = node(json);
         List<RequestClass> classes = new ArrayList<>();
         for (Node c : facts.list("classes")) {
--- a/src/main/java/sedgeyoke/wire/WireHost.java
+++ b/src/main/java/sedgeyoke/simulator/SimulatorMain.java
@@ -1,4 +1,4 @@
-package sedgeyoke.wire;
+package sedgeyoke.simulator;
 
 import java.io.BufferedOutputStream;
 import java.io.ByteArrayOutputStream;
@@ -8,8 +8,8 @@
 import java.io.PrintStream;
 
 /** Command line: {@code wirehost} reads batches on standard input and writes a reply for each. */
-public final class WireHost {
-    private WireHost() {}
+public final class SimulatorMain {
+    private SimulatorMain() {}
 
     /** Runs the adapter; see {@link #run}. */
     public static void main(String[] args) {
@@ -22,8 +22,8 @@
             err.println("usage: java -jar sedgeyoke.jar wirehost");
             return 2;
         }
-        Replies replies = new Replies();
-        Batches batches = new Batches(new Desk(replies), replies, err);
+        ReplyWriter replies = new ReplyWriter();
+        BatchReader batches = new BatchReader(new PolicyInstances(replies), replies, err);
         long line = 0;
         try (OutputStream out = new BufferedOutputStream(stdout, 1 << 16)) {
             Lines lines = new Lines(in);
@@ -34,7 +34,7 @@
                 out.flush();
             }
             return 0;
-        } catch (BadInput | IOException e) {
+        } catch (InvalidInputException | IOException e) {
             err.println("line " + Math.max(line, 1) + ": " + e.getMessage());
             return 1;
         }
--- a/src/main/java/sedgeyoke/wire/package-info.java
+++ b/src/main/java/sedgeyoke/simulator/package-info.java
@@ -1,2 +1,2 @@
 /** The adapter between the decision module and a bench that speaks JSON lines; it decides nothing. */
-package sedgeyoke.wire;
+package sedgeyoke.simulator;
--- a/src/main/java/sedgeyoke/standin/BulkPair.java
+++ b/src/main/java/sedgeyoke/standin/BulkPair.java
@@ -2,7 +2,7 @@
 
 import java.util.Arrays;
 import java.util.SplittableRandom;
-import sedgeyoke.site.WorkClass;
+import sedgeyoke.model.RequestClassModel;
 
 /**
  * A client and a node that exchange a long request and a long answer, and what became of these. One side sets the pace:
@@ -37,7 +37,7 @@
     private static final long BUFFERED = 256 << 10;
 
     final String id;
-    final WorkClass cls;
+    final RequestClassModel cls;
     final Pace pace;
     final long upLength;
     final long downLength;
@@ -58,7 +58,13 @@
     volatile long endedNanos;
 
     private BulkPair(
-            String id, WorkClass cls, Pace pace, long upLength, long downLength, long wayMs, SplittableRandom random) {
+            String id,
+            RequestClassModel cls,
+            Pace pace,
+            long upLength,
+            long downLength,
+            long wayMs,
+            SplittableRandom random) {
         this.id = id;
         this.cls = cls;
         this.pace = pace;
@@ -73,7 +79,7 @@
 
     /** A pair with lengths from {@code least} to {@code most} bytes, evenly in their logarithms. */
     public static BulkPair draw(
-            String id, WorkClass cls, Pace pace, long least, long most, long wayMs, SplittableRandom random) {
+            String id, RequestClassModel cls, Pace pace, long least, long most, long wayMs, SplittableRandom random) {
         return new BulkPair(id, cls, pace, length(least, most, random), length(least, most, random), wayMs, random);
     }
 
--- a/src/main/java/sedgeyoke/standin/Clients.java
+++ b/src/main/java/sedgeyoke/standin/Clients.java
@@ -24,9 +24,9 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import sedgeyoke.site.Ledger;
-import sedgeyoke.site.SiteSpec;
-import sedgeyoke.site.WorkClass;
+import sedgeyoke.model.InvariantChecker;
+import sedgeyoke.model.RequestClassModel;
+import sedgeyoke.model.SiteModel;
 
 /**
  * The desks: requests at a steady mean rate that wait for no answer, dealt out among the balancers of each zone, one at
@@ -41,10 +41,10 @@
     /** How long beyond its time a client still looks for its answer, to tell a late one from a lost one. */
     private static final long PATIENCE_MS = 700;
 
-    private final SiteSpec site;
+    private final SiteModel site;
     private final EventLoop loop;
     private final LongSupplier clock;
-    private final Ledger ledger;
+    private final InvariantChecker ledger;
     private final SplittableRandom random;
     private final List<List<Front>> zones = new ArrayList<>();
     private final double[] zoneShare;
@@ -70,7 +70,7 @@
 
     /** Something that a desk wants, with all its tries. */
     private static final class Want {
-        final WorkClass cls;
+        final RequestClassModel cls;
         final int zone;
         final long since;
         final String key;
@@ -79,7 +79,7 @@
 
         int tries;
 
-        Want(WorkClass cls, int zone, long since, String key, String idempotencyKey) {
+        Want(RequestClassModel cls, int zone, long since, String key, String idempotencyKey) {
             this.cls = cls;
             this.zone = zone;
             this.since = since;
@@ -88,7 +88,13 @@
         }
     }
 
-    Clients(SiteSpec site, EventLoop loop, LongSupplier clock, Ledger ledger, double[] zoneShare, long seed) {
+    Clients(
+            SiteModel site,
+            EventLoop loop,
+            LongSupplier clock,
+            InvariantChecker ledger,
+            double[] zoneShare,
+            long seed) {
         this.site = site;
         this.loop = loop;
         this.clock = clock;
@@ -131,8 +137,8 @@
 
     private void arrive() {
         double x = random.nextDouble();
-        WorkClass cls = site.classes().get(site.classes().size() - 1);
-        for (WorkClass c : site.classes()) {
+        RequestClassModel cls = site.classes().get(site.classes().size() - 1);
+        for (RequestClassModel c : site.classes()) {
             x -= c.share();
             if (x < 0) {
                 cls = c;
@@ -280,16 +286,16 @@
                             && response.content()
                                     .toString(StandardCharsets.UTF_8)
                                     .equals("done " + done.id());
-            Ledger.Answer answer = status == 200
-                    ? Ledger.Answer.SERVED
-                    : status == 429 || status == 503 ? Ledger.Answer.REFUSED : Ledger.Answer.FAILED;
+            InvariantChecker.Answer answer = status == 200
+                    ? InvariantChecker.Answer.SERVED
+                    : status == 429 || status == 503 ? InvariantChecker.Answer.REFUSED : InvariantChecker.Answer.FAILED;
             ledger.answered(done.id(), answer, fits, done.want().since, clock.getAsLong());
             if (HttpUtil.isKeepAlive(response)) {
                 front.idle.push(this);
             } else {
                 ctx.close();
             }
-            if (answer == Ledger.Answer.REFUSED) {
+            if (answer == InvariantChecker.Answer.REFUSED) {
                 again(done.want(), 30L << done.want().tries);
             }
         }
--- a/src/main/java/sedgeyoke/standin/Configurations.java
+++ b/src/main/java/sedgeyoke/standin/Configurations.java
@@ -3,8 +3,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import sedgeyoke.site.SiteSpec;
-import sedgeyoke.site.WorkClass;
+import sedgeyoke.model.RequestClassModel;
+import sedgeyoke.model.SiteModel;
 
 /** What balancers are told at their start, as the platform's file has it (DEPLOY, PROTOCOL). */
 public final class Configurations {
@@ -14,7 +14,14 @@
 
     /** The configuration of a balancer of a site. */
     public static String of(
-            SiteSpec site, String name, String listen, String discovery, int zone, int position, int group, long seed) {
+            SiteModel site,
+            String name,
+            String listen,
+            String discovery,
+            int zone,
+            int position,
+            int group,
+            long seed) {
         ObjectNode root = JSON.createObjectNode()
                 .put("name", name)
                 .put("listen", listen)
@@ -31,7 +38,7 @@
                 .put("weights", "silent")
                 .put("counted-by", "request");
         site.zones().forEach(s.putArray("localities")::add);
-        SiteSpec.KINDS.forEach(s.putArray("kinds")::add);
+        SiteModel.KINDS.forEach(s.putArray("kinds")::add);
         s.putObject("extra").put("warm-keys", true);
         s.putObject("prices").put("cross-zone", 0.06).put("late-fail", 0.05).put("waste", 0.02);
         ObjectNode report = s.putObject("report").put("via", "piggyback");
@@ -55,7 +62,7 @@
                 .put("fall-multiple", site.rules().fallMultiple())
                 .put("fall-s", site.rules().fallMs() / 1e3);
         ArrayNode list = s.putArray("classes");
-        for (WorkClass c : site.classes()) {
+        for (RequestClassModel c : site.classes()) {
             list.addObject()
                     .put("name", c.name())
                     .put("repeat", c.repeat())
--- a/src/main/java/sedgeyoke/standin/DiscoveryStandin.java
+++ b/src/main/java/sedgeyoke/standin/DiscoveryStandin.java
@@ -19,8 +19,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import sedgeyoke.site.Ledger;
-import sedgeyoke.site.SiteSpec;
+import sedgeyoke.model.InvariantChecker;
+import sedgeyoke.model.SiteModel;
 
 /**
  * Discovery, with an agent of its own for each balancer: so it knows when it has told whom, which the rule on drains is
@@ -32,8 +32,8 @@
 
     private final EventLoop loop;
     private final LongSupplier clock;
-    private final Ledger ledger;
-    private final SiteSpec site;
+    private final InvariantChecker ledger;
+    private final SiteModel site;
     private final Map<String, Member> members = new HashMap<>();
     private final Map<String, Agent> agents = new HashMap<>();
     private long revision;
@@ -43,7 +43,7 @@
     private record Member(
             String id, String address, int zone, int kind, String phase, long launchedAt, long revision) {}
 
-    DiscoveryStandin(EventLoop loop, LongSupplier clock, Ledger ledger, SiteSpec site) {
+    DiscoveryStandin(EventLoop loop, LongSupplier clock, InvariantChecker ledger, SiteModel site) {
         this.loop = loop;
         this.clock = clock;
         this.ledger = ledger;
@@ -65,7 +65,7 @@
     }
 
     /** The same for a node of any make. */
-    void set(SiteSpec.NodeSpec spec, String address, long launchedAt, String phase) {
+    void set(SiteModel.NodeSpec spec, String address, long launchedAt, String phase) {
         revision++;
         Member m = new Member(spec.id(), address, spec.zone(), spec.kind(), phase, launchedAt, revision);
         members.put(m.id(), m);
@@ -92,7 +92,7 @@
                         .put("id", m.id())
                         .put("host_port", m.address())
                         .put("locality", site.zones().get(m.zone()))
-                        .put("flavor", SiteSpec.KINDS.get(m.kind()))
+                        .put("flavor", SiteModel.KINDS.get(m.kind()))
                         .put("cell", m.zone())
                         .put("phase", m.phase())
                         .put("size", 1.0)
--- a/src/main/java/sedgeyoke/standin/OrderNode.java
+++ b/src/main/java/sedgeyoke/standin/OrderNode.java
@@ -14,31 +14,31 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import sedgeyoke.site.Ledger;
-import sedgeyoke.site.NodeModel;
-import sedgeyoke.site.SiteSpec;
-import sedgeyoke.site.ZoneMemory;
+import sedgeyoke.model.IdempotencyKeyCache;
+import sedgeyoke.model.InvariantChecker;
+import sedgeyoke.model.SiteModel;
+import sedgeyoke.model.UpstreamModel;
 
-/** An order node on a real socket: the {@link NodeModel}, spoken to as PROTOCOL has it ("Balancers to order nodes"). */
+/** An order node on a real socket: the {@link UpstreamModel}, reached as PROTOCOL, "Balancers to order nodes", has it. */
 public final class OrderNode {
     private final EventLoop loop;
-    private final NodeModel model;
+    private final UpstreamModel model;
     private final Set<Channel> connections = new HashSet<>();
     private int port;
 
     OrderNode(
-            SiteSpec.NodeSpec spec,
-            SiteSpec site,
+            SiteModel.NodeSpec spec,
+            SiteModel site,
             EventLoop loop,
             LongSupplier clock,
-            Ledger ledger,
-            ZoneMemory memory,
+            InvariantChecker ledger,
+            IdempotencyKeyCache memory,
             long seed) {
         this.loop = loop;
-        this.model = new NodeModel(
+        this.model = new UpstreamModel(
                 spec,
                 site,
-                new NodeModel.Host() {
+                new UpstreamModel.Host() {
                     @Override
                     public long now() {
                         return clock.getAsLong();
@@ -61,12 +61,12 @@
     }
 
     /** What it does; to be asked on the loop. */
-    public NodeModel model() {
+    public UpstreamModel model() {
         return model;
     }
 
     /** What it is made of. */
-    public SiteSpec.NodeSpec spec() {
+    public SiteModel.NodeSpec spec() {
         return model.spec();
     }
 
@@ -103,14 +103,14 @@
         model.take(id, key, request.headers().get("Idempotency-Key"), answer -> ctx.writeAndFlush(http(id, answer)));
     }
 
-    private static FullHttpResponse http(String id, NodeModel.Answer answer) {
+    private static FullHttpResponse http(String id, UpstreamModel.Answer answer) {
         FullHttpResponse http =
                 switch (answer.kind()) {
                     case DONE -> Http.answer(200, "done " + id);
                     case FULL -> Http.answer(503, "");
                     default -> Http.answer(500, "");
                 };
-        if (answer.kind() == NodeModel.Kind.FULL) {
+        if (answer.kind() == UpstreamModel.Kind.FULL) {
             http.headers().set("X-Rejected", "1");
         }
         http.headers()
--- a/src/main/java/sedgeyoke/standin/Site.java
+++ b/src/main/java/sedgeyoke/standin/Site.java
@@ -10,16 +10,16 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
-import sedgeyoke.site.Ledger;
-import sedgeyoke.site.SiteSpec;
-import sedgeyoke.site.WorkClass;
-import sedgeyoke.site.ZoneMemory;
+import sedgeyoke.model.IdempotencyKeyCache;
+import sedgeyoke.model.InvariantChecker;
+import sedgeyoke.model.RequestClassModel;
+import sedgeyoke.model.SiteModel;
 
 /** A whole site on loopback, balancers apart: discovery, order nodes and clients on one event loop. */
 public final class Site implements AutoCloseable {
-    private final SiteSpec spec;
+    private final SiteModel spec;
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-    private final Ledger ledger;
+    private final InvariantChecker ledger;
     private final DiscoveryStandin discovery;
     private final Clients clients;
     private final Map<String, OrderNode> nodes = new HashMap<>();
@@ -28,20 +28,21 @@
     private final long startedNanos = System.nanoTime();
 
     /** Starts the nodes; {@code zoneShare} is each zone's part of the traffic. */
-    public Site(SiteSpec spec, double[] zoneShare, long seed) {
+    public Site(SiteModel spec, double[] zoneShare, long seed) {
         this.spec = spec;
-        this.ledger = new Ledger(spec);
+        this.ledger = new InvariantChecker(spec);
         this.discovery = new DiscoveryStandin(loop, this::now, ledger, spec);
         this.clients = new Clients(spec, loop, this::now, ledger, zoneShare, seed);
-        List<ZoneMemory> memories =
-                spec.zones().stream().map(z -> new ZoneMemory()).toList();
-        for (SiteSpec.NodeSpec n : spec.nodes()) {
+        List<IdempotencyKeyCache> memories =
+                spec.zones().stream().map(z -> new IdempotencyKeyCache()).toList();
+        for (SiteModel.NodeSpec n : spec.nodes()) {
             OrderNode node = new OrderNode(n, spec, loop, this::now, ledger, memories.get(n.zone()), seed);
             node.start();
             nodes.put(n.id(), node);
             inOrder.add(node);
         }
-        loop.scheduleAtFixedRate(() -> ledger.beat(now()), Ledger.BEAT, Ledger.BEAT, TimeUnit.MICROSECONDS);
+        loop.scheduleAtFixedRate(
+                () -> ledger.beat(now()), InvariantChecker.BEAT, InvariantChecker.BEAT, TimeUnit.MICROSECONDS);
         inOrder.forEach(n -> run(() -> discovery.set(n, "up")));
     }
 
@@ -83,8 +84,10 @@
     /** Ends the traffic, and waits until all that is asked is answered or given up. */
     public void stopClients() throws InterruptedException {
         run(clients::stop);
-        long longest =
-                spec.classes().stream().mapToLong(WorkClass::giveUpMs).max().orElse(0);
+        long longest = spec.classes().stream()
+                .mapToLong(RequestClassModel::giveUpMs)
+                .max()
+                .orElse(0);
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(longest + 2_000);
         while (System.nanoTime() < end && ask(ledger::open) > 0) {
             Thread.sleep(20);
@@ -106,12 +109,12 @@
 
     /** The share of all core time that was worked since {@code worked} and {@code at} were read. */
     public double utilisationSince(long worked, long at) {
-        int cores = spec.nodes().stream().mapToInt(SiteSpec.NodeSpec::cores).sum();
+        int cores = spec.nodes().stream().mapToInt(SiteModel.NodeSpec::cores).sum();
         return (worked() - worked) / (double) Math.max(1, (now() - at) * cores);
     }
 
     /** What the site is made of. */
-    public SiteSpec spec() {
+    public SiteModel spec() {
         return spec;
     }
 
@@ -121,7 +124,7 @@
     }
 
     /** What happened. */
-    public Ledger ledger() {
+    public InvariantChecker ledger() {
         return ledger;
     }
 
@@ -157,7 +160,7 @@
     }
 
     /** The figures so far. */
-    public Ledger.Summary summary() {
+    public InvariantChecker.Summary summary() {
         return ask(ledger::summary);
     }
 
--- a/src/main/java/sedgeyoke/store/Damage.java
+++ b/src/main/java/sedgeyoke/store/Corruption.java
@@ -8,7 +8,7 @@
  * @param from the first record that may be lost, or -1 if none is
  * @param what what is wrong, for people
  */
-public record Damage(String file, long offset, long from, String what) {
+public record Corruption(String file, long offset, long from, String what) {
     @Override
     public String toString() {
         return file + " at byte " + offset + ": " + what + (from < 0 ? "" : ", records from " + from + " on");
--- a/src/main/java/sedgeyoke/store/DiskFault.java
+++ b/src/main/java/sedgeyoke/store/DiskException.java
@@ -1,7 +1,7 @@
 package sedgeyoke.store;
 
 /** A disk that has said no. Whoever gets one stops using the folder: what is on it now is not known. */
-public final class DiskFault extends Exception {
+public final class DiskException extends Exception {
     private static final long serialVersionUID = 1L;
 
     /** What the disk said no to, as far as an operator needs to tell cases apart. */
@@ -22,7 +22,7 @@
     private final String file;
 
     /** {@code file} is the name in its folder, or an empty text where the folder is meant. */
-    public DiskFault(Kind kind, String file, String why) {
+    public DiskException(Kind kind, String file, String why) {
         super((file.isEmpty() ? "" : file + ": ") + why);
         this.kind = kind;
         this.file = file;
--- a/src/main/java/sedgeyoke/store/TwinFile.java
+++ b/src/main/java/sedgeyoke/store/DualCopyFile.java
@@ -8,7 +8,7 @@
  * after the other, so that a save that was cut off, and any one copy that has rotted, went elsewhere or reads as it was
  * before, leaves the other. Once a save has returned, both copies hold it.
  */
-public final class TwinFile {
+public final class DualCopyFile {
     /** What a record may hold; far more than any of ours does. */
     public static final int LONGEST = 64 * 1024;
 
@@ -21,14 +21,14 @@
     private byte[] content;
     private boolean damaged;
 
-    private TwinFile(Disk disk, String name) {
+    private DualCopyFile(Disk disk, String name) {
         this.disk = disk;
         this.names = new String[] {name + "-a", name + "-b"};
     }
 
     /** Reads both copies, and writes the one that is behind anew. */
-    public static TwinFile open(Disk disk, String name) throws DiskFault {
-        TwinFile twin = new TwinFile(disk, name);
+    public static DualCopyFile open(Disk disk, String name) throws DiskException {
+        DualCopyFile twin = new DualCopyFile(disk, name);
         long[] found = {twin.read(0), twin.read(1)};
         if (twin.content != null && found[0] != found[1]) {
             twin.write(found[0] < found[1] ? 0 : 1);
@@ -37,7 +37,7 @@
     }
 
     /** Takes in one copy if it is newer; returns its number, 0 if there is none and -1 if it is no good. */
-    private long read(int copy) throws DiskFault {
+    private long read(int copy) throws DiskException {
         long length = disk.length(names[copy]);
         if (length < 0) {
             return 0;
@@ -63,7 +63,7 @@
         return -1;
     }
 
-    private void write(int copy) throws DiskFault {
+    private void write(int copy) throws DiskException {
         int sum = new Checksum().with(sequence, content.length).with(content).value();
         byte[] bytes = ByteBuffer.allocate(HEAD + content.length)
                 .putInt(MAGIC)
@@ -81,7 +81,7 @@
     }
 
     /** What tells these two files from copies of them. */
-    public String identity() throws DiskFault {
+    public String identity() throws DiskException {
         return disk.identity(names[0]) + " " + disk.identity(names[1]);
     }
 
@@ -91,14 +91,14 @@
     }
 
     /** What is wrong where no copy can be believed although there are some; null if nothing is. */
-    public Damage damage() {
+    public Corruption damage() {
         return content == null && damaged
-                ? new Damage(names[0], 0, -1, "neither this copy nor " + names[1] + " is whole")
+                ? new Corruption(names[0], 0, -1, "neither this copy nor " + names[1] + " is whole")
                 : null;
     }
 
     /** Replaces the record. After a fault the folder is not to be used any more. */
-    public void save(byte[] next) throws DiskFault {
+    public void save(byte[] next) throws DiskException {
         if (next.length > LONGEST) {
             throw new IllegalArgumentException(next.length + " bytes: " + LONGEST + " at most");
         }
--- a/src/main/java/sedgeyoke/store/FileDisk.java
+++ b/src/main/java/sedgeyoke/store/FileDisk.java
@@ -37,7 +37,7 @@
     }
 
     /** Takes a folder; makes it if there is none. Fails where another process has it. */
-    public static FileDisk take(Path folder) throws DiskFault {
+    public static FileDisk take(Path folder) throws DiskException {
         FileChannel channel = null;
         try {
             Files.createDirectories(folder);
@@ -49,7 +49,7 @@
             return new FileDisk(folder, channel);
         } catch (OverlappingFileLockException e) {
             closeQuietly(channel);
-            throw new DiskFault(DiskFault.Kind.IN_USE, "", folder + " is held by another process");
+            throw new DiskException(DiskException.Kind.IN_USE, "", folder + " is held by another process");
         } catch (IOException e) {
             closeQuietly(channel);
             throw fault("", e);
@@ -66,18 +66,18 @@
         }
     }
 
-    private static DiskFault fault(String name, IOException e) {
+    private static DiskException fault(String name, IOException e) {
         String text = String.valueOf(
                 e instanceof FileSystemException f && f.getReason() != null ? f.getReason() : e.getMessage());
-        DiskFault.Kind kind = DiskFault.Kind.FAILED;
+        DiskException.Kind kind = DiskException.Kind.FAILED;
         if (e instanceof NoSuchFileException) {
-            kind = DiskFault.Kind.GONE;
+            kind = DiskException.Kind.GONE;
         } else if (text.contains("No space left") || text.contains("quota")) {
-            kind = DiskFault.Kind.FULL;
+            kind = DiskException.Kind.FULL;
         } else if (e instanceof AccessDeniedException || text.contains("Read-only")) {
-            kind = DiskFault.Kind.READ_ONLY;
+            kind = DiskException.Kind.READ_ONLY;
         }
-        return new DiskFault(kind, name, e.getClass().getSimpleName() + ": " + text);
+        return new DiskException(kind, name, e.getClass().getSimpleName() + ": " + text);
     }
 
     private Path path(String name) {
@@ -92,7 +92,7 @@
         T on(FileChannel channel) throws IOException;
     }
 
-    private <T> T with(String name, Work<T> work) throws DiskFault {
+    private <T> T with(String name, Work<T> work) throws DiskException {
         try {
             FileChannel channel = open.get(name);
             if (channel == null) {
@@ -101,7 +101,7 @@
             }
             return work.on(channel);
         } catch (ReadOnlyFileSystemException e) {
-            throw new DiskFault(DiskFault.Kind.READ_ONLY, name, "the file system may only be read");
+            throw new DiskException(DiskException.Kind.READ_ONLY, name, "the file system may only be read");
         } catch (IOException e) {
             throw fault(name, e);
         }
@@ -115,7 +115,7 @@
     }
 
     @Override
-    public List<String> names() throws DiskFault {
+    public List<String> names() throws DiskException {
         try (Stream<Path> files = Files.list(folder)) {
             return files.map(p -> p.getFileName().toString())
                     .filter(n -> !n.equals(LOCK))
@@ -127,13 +127,13 @@
     }
 
     @Override
-    public long length(String name) throws DiskFault {
+    public long length(String name) throws DiskException {
         return Files.exists(path(name)) ? with(name, FileChannel::size) : -1;
     }
 
     /** The number of its inode; its device may be another one after each start of the system. */
     @Override
-    public String identity(String name) throws DiskFault {
+    public String identity(String name) throws DiskException {
         try {
             Object key =
                     Files.readAttributes(path(name), BasicFileAttributes.class).fileKey();
@@ -146,7 +146,7 @@
     }
 
     @Override
-    public byte[] read(String name, long at, int length) throws DiskFault {
+    public byte[] read(String name, long at, int length) throws DiskException {
         return with(name, channel -> {
             ByteBuffer bytes = ByteBuffer.allocate((int) Math.max(0, Math.min(length, channel.size() - at)));
             while (bytes.hasRemaining() && channel.read(bytes, at + bytes.position()) >= 0) {
@@ -157,7 +157,7 @@
     }
 
     @Override
-    public void allocate(String name, long length) throws DiskFault {
+    public void allocate(String name, long length) throws DiskException {
         try {
             forget(name);
             Files.deleteIfExists(path(name));
@@ -183,7 +183,7 @@
     }
 
     @Override
-    public void write(String name, long at, byte[] bytes) throws DiskFault {
+    public void write(String name, long at, byte[] bytes) throws DiskException {
         with(name, channel -> {
             writeAll(channel, at, ByteBuffer.wrap(bytes));
             return null;
@@ -191,7 +191,7 @@
     }
 
     @Override
-    public void force(String name) throws DiskFault {
+    public void force(String name) throws DiskException {
         with(name, channel -> {
             channel.force(true);
             return null;
@@ -199,7 +199,7 @@
     }
 
     @Override
-    public void forceNames() throws DiskFault {
+    public void forceNames() throws DiskException {
         try (FileChannel names = FileChannel.open(folder, StandardOpenOption.READ)) {
             names.force(true);
         } catch (IOException e) {
@@ -208,7 +208,7 @@
     }
 
     @Override
-    public void rename(String from, String to) throws DiskFault {
+    public void rename(String from, String to) throws DiskException {
         try {
             forget(from);
             forget(to);
@@ -219,7 +219,7 @@
     }
 
     @Override
-    public void delete(String name) throws DiskFault {
+    public void delete(String name) throws DiskException {
         try {
             forget(name);
             Files.deleteIfExists(path(name));
--- a/src/main/java/sedgeyoke/store/SegmentLog.java
+++ b/src/main/java/sedgeyoke/store/SegmentLog.java
@@ -11,8 +11,8 @@
  * checksum covers folder, generation, place and number, so that one that was written to the wrong place, or is left of
  * an earlier use, is none. After each force of records a mark is written beside the segment and forced too: it says how
  * far records were promised and what their sums were. What is bad beyond the last mark was never promised and is left
- * out; what is bad before it has been promised and is gone: that is {@link Damage}, and never taken for a torn tail.
- * Cutting off records from a number on begins a new segment, since a disk may give back what was there before.
+ * out; what is bad before it has been promised and is gone: that is {@link Corruption}, and never taken for a torn
+ * tail. Cutting off records from a number on begins a new segment, since a disk may give back what was there before.
  */
 public final class SegmentLog {
     private static final String LOG = "log-";
@@ -28,7 +28,7 @@
     private final int segmentBytes;
     private final Generations generations;
     private final TreeMap<Long, Segment> segments = new TreeMap<>();
-    private final List<Damage> damage = new ArrayList<>();
+    private final List<Corruption> damage = new ArrayList<>();
     /** Segments that are there but not believed, as they lie behind a part that is lost. */
     private final List<Long> beyond = new ArrayList<>();
 
@@ -44,7 +44,7 @@
     /** Is told of each new segment before it holds anything, and keeps the number where it cannot get lost. */
     public interface Generations {
         /** The highest generation is this from now on; returns once that is sure to be found again. */
-        void begun(long generation) throws DiskFault;
+        void begun(long generation) throws DiskException;
     }
 
     /** A segment as far as it is believed. */
@@ -85,7 +85,7 @@
      * @param highest the highest generation that was begun as far as its keeper knows, 0 if none was
      */
     public static SegmentLog open(Disk disk, long identity, int segmentBytes, long highest, Generations generations)
-            throws DiskFault {
+            throws DiskException {
         SegmentLog log = new SegmentLog(disk, identity, segmentBytes, generations);
         log.read(highest);
         log.forceRecords();
@@ -98,7 +98,7 @@
 
     // ---- Reading -------------------------------------------------------------------------------------
 
-    private void read(long highest) throws DiskFault {
+    private void read(long highest) throws DiskException {
         highestBegun = highest;
         List<Long> found = new ArrayList<>();
         for (String name : disk.names()) {
@@ -116,12 +116,12 @@
         found.removeIf(generation -> generation > highest);
         long expected = found.isEmpty() ? 1 : found.get(0);
         if (highest > 0 && (found.isEmpty() || found.get(found.size() - 1) != highest)) {
-            damage.add(new Damage(name(LOG, highest), 0, 0, "the last segment is gone"));
+            damage.add(new Corruption(name(LOG, highest), 0, 0, "the last segment is gone"));
         }
         for (long generation : found) {
             if (generation != expected) {
-                damage.add(
-                        new Damage(name(LOG, expected), 0, 0, "segments are missing before " + name(LOG, generation)));
+                damage.add(new Corruption(
+                        name(LOG, expected), 0, 0, "segments are missing before " + name(LOG, generation)));
             }
             expected = generation + 1;
             if (damage.isEmpty()) {
@@ -132,13 +132,14 @@
         }
     }
 
-    private void readSegment(long generation) throws DiskFault {
+    private void readSegment(long generation) throws DiskException {
         String file = name(LOG, generation);
         ByteBuffer bytes =
                 ByteBuffer.wrap(disk.read(file, 0, (int) Math.min(Integer.MAX_VALUE - 8, disk.length(file))));
         ByteBuffer mark = lastMark(generation);
         if (!headIsGood(bytes, generation)) {
-            damage.add(new Damage(file, 0, mark == null ? 0 : mark.getLong(8), "no head of a segment of this folder"));
+            damage.add(
+                    new Corruption(file, 0, mark == null ? 0 : mark.getLong(8), "no head of a segment of this folder"));
             beyond.add(generation);
             return;
         }
@@ -151,8 +152,8 @@
         if (mark != null && (s.end != promised || s.sum != mark.getInt(4) || s.records.size() != mark.getInt(16))) {
             int from = s.end < promised ? s.records.size() : 0; // else an old block: which one cannot be told
             s.records.subList(from, s.records.size()).clear();
-            damage.add(
-                    new Damage(file, from == 0 ? HEAD : s.end, s.next(), "records that were promised are not there"));
+            damage.add(new Corruption(
+                    file, from == 0 ? HEAD : s.end, s.next(), "records that were promised are not there"));
         }
         if (damage.isEmpty()) {
             int marked = s.end;
@@ -163,7 +164,7 @@
         }
         s.clean = zeros(bytes, s.end);
         if (!segments.isEmpty() && s.first > last() + 1) {
-            damage.add(new Damage(
+            damage.add(new Corruption(
                     file, 0, last() + 1, "begins with record " + s.first + ", the one before ends with " + last()));
             beyond.add(generation);
             return;
@@ -224,7 +225,7 @@
     }
 
     /** The last mark that is whole, or null. A bad one behind it says that something promised may be lost. */
-    private ByteBuffer lastMark(long generation) throws DiskFault {
+    private ByteBuffer lastMark(long generation) throws DiskException {
         String file = name(MARK, generation);
         long length = disk.length(file);
         ByteBuffer last = null;
@@ -240,7 +241,7 @@
             }
         }
         if (bad || length < 0) {
-            damage.add(new Damage(
+            damage.add(new Corruption(
                     file,
                     0,
                     last == null ? 0 : last.getLong(8) + last.getInt(16),
@@ -276,7 +277,7 @@
     // ---- What there is -------------------------------------------------------------------------------
 
     /** What was promised and cannot be believed, as found when the folder was read. */
-    public List<Damage> damage() {
+    public List<Corruption> damage() {
         return List.copyOf(damage);
     }
 
@@ -295,7 +296,7 @@
     // ---- Writing -------------------------------------------------------------------------------------
 
     /** Writes records, which must follow on; they are promised once {@link #force} has returned. */
-    public void append(List<Record> records) throws DiskFault {
+    public void append(List<Record> records) throws DiskException {
         check();
         for (Record r : records) {
             Segment s = segments.isEmpty() ? null : segments.lastEntry().getValue();
@@ -322,7 +323,7 @@
         }
     }
 
-    private Segment begin(long first, int size) throws DiskFault {
+    private Segment begin(long first, int size) throws DiskException {
         long generation = highestBegun + 1;
         try {
             disk.allocate(name(LOG, generation), size);
@@ -338,7 +339,7 @@
             disk.force(name(MARK, generation));
             disk.forceNames();
             generations.begun(generation);
-        } catch (DiskFault e) {
+        } catch (DiskException e) {
             broken = true;
             throw e;
         }
@@ -348,22 +349,22 @@
         return s;
     }
 
-    private void write(String file, long at, byte[] bytes) throws DiskFault {
+    private void write(String file, long at, byte[] bytes) throws DiskException {
         try {
             disk.write(file, at, bytes);
-        } catch (DiskFault e) {
+        } catch (DiskException e) {
             broken = true;
             throw e;
         }
     }
 
     /** Promises all that was appended: forces the records, then the mark that says so. */
-    public void force() throws DiskFault {
+    public void force() throws DiskException {
         check();
         forceRecords();
     }
 
-    private void forceRecords() throws DiskFault {
+    private void forceRecords() throws DiskException {
         if (!unforced) {
             return;
         }
@@ -381,21 +382,21 @@
             disk.write(name(MARK, s.generation), (long) (s.marks - 1) * MARK_BYTES, mark.array());
             disk.force(name(MARK, s.generation));
             unforced = false;
-        } catch (DiskFault e) {
+        } catch (DiskException e) {
             broken = true; // what was written since the last force may or may not be there
             throw e;
         }
     }
 
     /** Cuts off all records behind one, for good once it has returned. */
-    public void truncate(long lastKept) throws DiskFault {
+    public void truncate(long lastKept) throws DiskException {
         if (lastKept < last()) {
             continueBehind(lastKept);
         }
     }
 
     /** The next record is the one behind this, whatever there is: later ones are cut off, and a gap is left open. */
-    public void continueBehind(long index) throws DiskFault {
+    public void continueBehind(long index) throws DiskException {
         check();
         forceRecords();
         cutFrom(index + 1);
@@ -406,7 +407,7 @@
      * Begins anew behind a snapshot that covers all up to a record, with such records; what was there before goes, bad
      * parts included, but not before the new ones are promised.
      */
-    public void restart(long covered, List<Record> records) throws DiskFault {
+    public void restart(long covered, List<Record> records) throws DiskException {
         check();
         List<Long> old = new ArrayList<>(segments.keySet());
         old.addAll(beyond);
@@ -422,7 +423,7 @@
     }
 
     /** Deletes segments that hold nothing but records up to one that a snapshot covers. */
-    public void dropThrough(long covered) throws DiskFault {
+    public void dropThrough(long covered) throws DiskException {
         check();
         List<Long> old = new ArrayList<>();
         for (Segment s : segments.headMap(highestBegun).values()) {
@@ -434,7 +435,7 @@
         drop(old);
     }
 
-    private void drop(List<Long> generationsToDrop) throws DiskFault {
+    private void drop(List<Long> generationsToDrop) throws DiskException {
         try {
             for (long generation : generationsToDrop) { // oldest first: a crash in between leaves no gap
                 disk.delete(name(LOG, generation));
@@ -444,7 +445,7 @@
             if (!generationsToDrop.isEmpty()) {
                 disk.forceNames();
             }
-        } catch (DiskFault e) {
+        } catch (DiskException e) {
             broken = true;
             throw e;
         }
--- a/src/main/java/sedgeyoke/store/Snapshots.java
+++ b/src/main/java/sedgeyoke/store/Snapshots.java
@@ -19,7 +19,7 @@
 
     private final Disk disk;
     private final long identity;
-    private final List<Damage> damage = new ArrayList<>();
+    private final List<Corruption> damage = new ArrayList<>();
 
     /** A state and the last record that it covers. */
     public record Snapshot(long covered, byte[] state) {}
@@ -34,7 +34,7 @@
         return kind + String.format(Locale.ROOT, "%016x", covered);
     }
 
-    private List<Long> found() throws DiskFault {
+    private List<Long> found() throws DiskException {
         return disk.names().stream()
                 .filter(n -> n.matches(NAME + "[0-9a-f]{16}"))
                 .map(n -> Long.parseUnsignedLong(n.substring(NAME.length()), 16))
@@ -43,7 +43,7 @@
     }
 
     /** The newest that is whole; those that are not are damage. */
-    public Optional<Snapshot> newest() throws DiskFault {
+    public Optional<Snapshot> newest() throws DiskException {
         damage.clear();
         for (String name : disk.names()) {
             if (name.startsWith(PART)) {
@@ -55,12 +55,12 @@
             if (state != null) {
                 return Optional.of(new Snapshot(covered, state));
             }
-            damage.add(new Damage(name(NAME, covered), 0, -1, "a snapshot that is not whole"));
+            damage.add(new Corruption(name(NAME, covered), 0, -1, "a snapshot that is not whole"));
         }
         return Optional.empty();
     }
 
-    private byte[] read(long covered) throws DiskFault {
+    private byte[] read(long covered) throws DiskException {
         String file = name(NAME, covered);
         long length = disk.length(file);
         if (length < HEAD || length > Integer.MAX_VALUE - 8) {
@@ -86,12 +86,12 @@
     }
 
     /** What {@link #newest} could not believe. */
-    public List<Damage> damage() {
+    public List<Corruption> damage() {
         return List.copyOf(damage);
     }
 
     /** Saves a state; it is sure to be found again once this has returned. */
-    public void save(Snapshot s) throws DiskFault {
+    public void save(Snapshot s) throws DiskException {
         String part = name(PART, s.covered());
         disk.allocate(part, 0);
         disk.write(
--- a/src/main/java/sedgeyoke/link/Peers.java
+++ b/src/main/java/sedgeyoke/transport/FramedConnection.java
@@ -1,4 +1,4 @@
-package sedgeyoke.link;
+package sedgeyoke.transport;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
@@ -27,21 +27,21 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
-import sedgeyoke.link.proto.Frame;
-import sedgeyoke.link.proto.Hello;
+import sedgeyoke.transport.proto.Frame;
+import sedgeyoke.transport.proto.Hello;
 
 /**
  * One connection between a forwarder and a planner, the same on both sides: TLS, frames, a greeting that fits the
  * certificate, then messages. Whatever is wrong closes it with one line and disturbs nothing else. Messages are
  * states, not steps: while the peer reads too slowly, newer ones replace older ones instead of queuing behind them.
  */
-abstract class Peers extends SimpleChannelInboundHandler<ByteBuf> {
+public abstract class FramedConnection extends SimpleChannelInboundHandler<ByteBuf> {
     /** Versions of the messages that this program speaks. */
-    static final int LOWEST_VERSION = 1;
+    public static final int LOWEST_VERSION = 1;
 
-    static final int HIGHEST_VERSION = 1;
+    public static final int HIGHEST_VERSION = 1;
     /** The largest frame: several times the largest that a sender of ours makes. */
-    static final int LARGEST_FRAME = 256 * 1024;
+    public static final int LARGEST_FRAME = 256 * 1024;
     /** Connected, yet silent for so long: closed. */
     private static final int SILENT_S = 5;
 
@@ -53,25 +53,25 @@
     /** Who reads nothing for so many messages is let go. */
     private static final int MOST_LEFT_OUT = 50;
 
-    private final Set<Tls.Role> peerRoles;
+    private final Set<MutualTls.Role> peerRoles;
     private final String ownName;
     private final Consumer<String> log;
     private SslHandler tls;
     private Channel channel;
     private String peer;
-    private Tls.Role role;
+    private MutualTls.Role role;
     private boolean greeted;
     private boolean ended;
     private int leftOut;
 
-    Peers(Set<Tls.Role> peerRoles, String ownName, Consumer<String> log) {
+    protected FramedConnection(Set<MutualTls.Role> peerRoles, String ownName, Consumer<String> log) {
         this.peerRoles = peerRoles;
         this.ownName = ownName;
         this.log = log;
     }
 
     /** Sets up a new channel for this connection. */
-    final void install(Channel ch, SslHandler handler) {
+    public final void install(Channel ch, SslHandler handler) {
         channel = ch;
         tls = handler;
         tls.setHandshakeTimeoutMillis(HANDSHAKE_MS);
@@ -86,7 +86,7 @@
     }
 
     /** Connects to an address, with this connection on it; the listener hears on the loop what became of that. */
-    final void dial(EventLoop loop, Tls files, InetSocketAddress to, Consumer<Boolean> done) {
+    public final void dial(EventLoop loop, MutualTls files, InetSocketAddress to, Consumer<Boolean> done) {
         new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -103,7 +103,7 @@
     }
 
     /** Listens, with a connection of its own for whoever comes; returns the address. Not to be called on the loop. */
-    static InetSocketAddress listen(EventLoop loop, InetSocketAddress at, Consumer<Channel> accept) {
+    public static InetSocketAddress listen(EventLoop loop, InetSocketAddress at, Consumer<Channel> accept) {
         return (InetSocketAddress) new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
@@ -123,26 +123,26 @@
     }
 
     /** The peer's name, once it has greeted; null before. */
-    final String peer() {
+    public final String peer() {
         return greeted ? peer : null;
     }
 
     /** What the peer is, as its certificate says; null before that was seen. */
-    final Tls.Role role() {
+    public final MutualTls.Role role() {
         return role;
     }
 
     /** The greeting is over. */
-    abstract void ready();
+    protected abstract void ready();
 
     /** A message from a peer that has greeted. */
-    abstract void message(Frame frame) throws Messages.Implausible, InvalidProtocolBufferException;
+    protected abstract void message(Frame frame) throws InvalidMessageException, InvalidProtocolBufferException;
 
     /** The connection is over, whether or not it ever was ready. */
-    abstract void gone();
+    protected abstract void gone();
 
     /** Sends a message unless the peer reads too slowly; who reads nothing at all is let go. */
-    final void send(Frame frame) {
+    public final void send(Frame frame) {
         if (channel.isWritable()) {
             leftOut = 0;
             channel.writeAndFlush(Unpooled.wrappedBuffer(frame.toByteArray()));
@@ -151,7 +151,8 @@
         }
     }
 
-    final void close(String why) {
+    /** Closes the connection and logs why, once. */
+    public final void close(String why) {
         if (!ended) {
             ended = true;
             log.accept(
@@ -167,10 +168,11 @@
                 close("no TLS: " + reason(done.cause()));
                 return;
             }
-            Tls.Peer known = Tls.peer(tls, peerRoles);
+            MutualTls.Peer known = MutualTls.peer(tls, peerRoles);
             if (known == null) {
                 close("its certificate is no "
-                        + peerRoles.stream().map(r -> r.unit).sorted().collect(Collectors.joining(" or ")) + "'s");
+                        + peerRoles.stream().map(MutualTls.Role::unit).sorted().collect(Collectors.joining(" or "))
+                        + "'s");
                 return;
             }
             peer = known.name();
@@ -193,7 +195,7 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) throws IOException, Messages.Implausible {
+    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) throws IOException, InvalidMessageException {
         if (peer == null || ended) {
             return; // nothing is believed before TLS has said who it is
         }
--- a/src/main/java/sedgeyoke/link/Tls.java
+++ b/src/main/java/sedgeyoke/transport/MutualTls.java
@@ -1,4 +1,4 @@
-package sedgeyoke.link;
+package sedgeyoke.transport;
 
 import io.netty.channel.Channel;
 import io.netty.handler.ssl.ClientAuth;
@@ -22,25 +22,30 @@
 import javax.net.ssl.SSLEngine;
 import javax.net.ssl.SSLParameters;
 import javax.net.ssl.SSLPeerUnverifiedException;
-import sedgeyoke.operator.TlsFiles;
+import sedgeyoke.settings.TlsFiles;
 
 /**
  * Mutual TLS 1.3 from files, taken up anew when they change. Who a peer is stands in its certificate's subject: the
  * common name is its name, the organisational unit its role. Addresses are no part of it: there is no DNS.
  */
-final class Tls {
+public final class MutualTls {
     /** The parts a peer can have. */
-    enum Role {
+    public enum Role {
         FORWARDER("forwarder"),
         PLANNER("planner"),
         KEEPER("keeper"),
         OPERATOR("operator");
 
-        final String unit;
+        private final String unit;
 
         Role(String unit) {
             this.unit = unit;
         }
+
+        /** The organisational unit that a certificate of this role has. */
+        public String unit() {
+            return unit;
+        }
     }
 
     private final TlsFiles files;
@@ -50,7 +55,7 @@
     private SslContext context;
 
     /** Reads the files; throws if they are no good. */
-    Tls(TlsFiles files, boolean server, Consumer<String> log) throws IOException {
+    public MutualTls(TlsFiles files, boolean server, Consumer<String> log) throws IOException {
         this.files = files;
         this.server = server;
         this.log = log;
@@ -92,7 +97,7 @@
     }
 
     /** For a new connection; files that changed are read first, and what cannot be read changes nothing. */
-    SslHandler handler(Channel channel) {
+    public SslHandler handler(Channel channel) {
         try {
             List<Object> now = stateOfFiles();
             if (!now.equals(state)) {
--- a/src/test/java/sedgeyoke/LayoutTest.java
+++ b/src/test/java/sedgeyoke/LayoutTest.java
@@ -49,13 +49,13 @@
     @Test
     void whatDecidesHasNoInputOutputClockOrThread() {
         pure(
-                        "sedgeyoke.decide..",
-                        "sedgeyoke.plan..",
+                        "sedgeyoke.policy..",
+                        "sedgeyoke.plan",
                         "sedgeyoke.body..",
-                        "sedgeyoke.site..",
-                        "sedgeyoke.emulate..",
+                        "sedgeyoke.model..",
+                        "sedgeyoke.simulation..",
                         "sedgeyoke.lease..",
-                        "sedgeyoke.agree..")
+                        "sedgeyoke.consensus")
                 .check(PROGRAM);
         noClasses()
                 .that()
@@ -76,27 +76,27 @@
 
     @Test
     void thatRuleCanFail() {
-        assertThrows(AssertionError.class, () -> pure("sedgeyoke.net..").check(PROGRAM));
+        assertThrows(AssertionError.class, () -> pure("sedgeyoke.proxy..").check(PROGRAM));
     }
 
     @Test
     void dependenciesPointOneWay() {
-        slices().matching("sedgeyoke.(*)..").should().beFreeOfCycles().check(PROGRAM);
+        slices().matching("sedgeyoke.(**)").should().beFreeOfCycles().check(PROGRAM);
     }
 
     @Test
     void whatDecidesKnowsNoneOfTheOthers() {
         noClasses()
                 .that()
-                .resideInAPackage("sedgeyoke.decide..")
+                .resideInAPackage("sedgeyoke.policy..")
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(
-                        "sedgeyoke.net..",
-                        "sedgeyoke.wire..",
+                        "sedgeyoke.proxy..",
+                        "sedgeyoke.simulator..",
                         "sedgeyoke.plan..",
-                        "sedgeyoke.link..",
-                        "sedgeyoke.operator..",
+                        "sedgeyoke.transport..",
+                        "sedgeyoke.settings..",
                         "sedgeyoke.cli..",
                         "sedgeyoke.standin..")
                 .check(PROGRAM);
@@ -111,11 +111,11 @@
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(
-                        "sedgeyoke.net..",
-                        "sedgeyoke.wire..",
-                        "sedgeyoke.decide..",
+                        "sedgeyoke.proxy..",
+                        "sedgeyoke.simulator..",
+                        "sedgeyoke.policy..",
                         "sedgeyoke.plan..",
-                        "sedgeyoke.link..")
+                        "sedgeyoke.transport..")
                 .check(PROGRAM);
     }
 
@@ -124,27 +124,32 @@
     void theServingPathKnowsNoLibraryOfAFeature() {
         noClasses()
                 .that()
-                .resideInAnyPackage("sedgeyoke.net..", "sedgeyoke.decide..", "sedgeyoke.wire..")
+                .resideInAnyPackage("sedgeyoke.proxy..", "sedgeyoke.policy..", "sedgeyoke.simulator..")
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(
                         "picocli..",
                         "org.tomlj..",
                         "com.google.protobuf..",
-                        "sedgeyoke.operator..",
-                        "sedgeyoke.link..",
+                        "sedgeyoke.settings..",
+                        "sedgeyoke.transport..",
                         "sedgeyoke.plan..",
-                        "sedgeyoke.agree..",
+                        "sedgeyoke.consensus..",
                         "sedgeyoke.store..")
                 .check(PROGRAM);
         noClasses()
                 .that()
-                .haveSimpleName("Main")
+                .haveSimpleName("BalancerMain")
                 .and()
                 .resideInAPackage("sedgeyoke.serve")
                 .should()
                 .dependOnClassesThat()
-                .resideInAnyPackage("sedgeyoke.operator..", "sedgeyoke.link..", "picocli..")
+                .resideInAnyPackage(
+                        "sedgeyoke.settings..",
+                        "sedgeyoke.transport..",
+                        "sedgeyoke.plan..",
+                        "sedgeyoke.consensus..",
+                        "picocli..")
                 .check(PROGRAM);
     }
 }
--- a/src/test/java/sedgeyoke/body/BodyRulesTest.java
+++ b/src/test/java/sedgeyoke/body/BodyRulesTest.java
@@ -10,9 +10,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import sedgeyoke.decide.Balancer.Effect;
-import sedgeyoke.decide.Balancer.Outcome;
-import sedgeyoke.decide.Balancer.Scope;
+import sedgeyoke.policy.LoadBalancingPolicy.Effect;
+import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
+import sedgeyoke.policy.LoadBalancingPolicy.Scope;
 
 /** The table of docs/design/bodies.md, every cell of it, and the limits. */
 class BodyRulesTest {
@@ -25,9 +25,9 @@
         List<String> cells = new ArrayList<>();
         for (Effect effect : Effect.values()) {
             for (Scope scope : Scope.values()) {
-                for (CutRequest.Body body : CutRequest.Body.values()) {
+                for (PartialRequestPolicy.Body body : PartialRequestPolicy.Body.values()) {
                     for (Outcome outcome : Outcome.values()) {
-                        CutRequest.Next next = CutRequest.after(effect, scope, body, outcome);
+                        PartialRequestPolicy.Next next = PartialRequestPolicy.after(effect, scope, body, outcome);
                         assertEquals(
                                 expected(effect, scope, body, outcome),
                                 next,
@@ -41,18 +41,19 @@
         assertEquals(4, Set.copyOf(cells).size(), "each of the four occurs");
     }
 
-    private static CutRequest.Next expected(Effect effect, Scope scope, CutRequest.Body body, Outcome outcome) {
-        boolean gone = body == CutRequest.Body.PART_GONE || body == CutRequest.Body.ALL_GONE;
+    private static PartialRequestPolicy.Next expected(
+            Effect effect, Scope scope, PartialRequestPolicy.Body body, Outcome outcome) {
+        boolean gone = body == PartialRequestPolicy.Body.PART_GONE || body == PartialRequestPolicy.Body.ALL_GONE;
         if (outcome == Outcome.OK) {
-            return CutRequest.Next.SERVED;
+            return PartialRequestPolicy.Next.SERVED;
         } else if (!gone) {
-            return CutRequest.Next.MODULE;
-        } else if (body == CutRequest.Body.PART_GONE || PROVES_IT_NEVER_RAN.contains(outcome)) {
-            return CutRequest.Next.REFUSE;
+            return PartialRequestPolicy.Next.MODULE;
+        } else if (body == PartialRequestPolicy.Body.PART_GONE || PROVES_IT_NEVER_RAN.contains(outcome)) {
+            return PartialRequestPolicy.Next.REFUSE;
         }
         return effect == Effect.SAFE || effect == Effect.KEYED && scope == Scope.ALL
-                ? CutRequest.Next.REFUSE
-                : CutRequest.Next.FAIL;
+                ? PartialRequestPolicy.Next.REFUSE
+                : PartialRequestPolicy.Next.FAIL;
     }
 
     @Test
@@ -77,14 +78,14 @@
     @ParameterizedTest
     @CsvSource({"1000, 1000000, false", "999, 1000000, true", "0, 999999, false", "0, 1000000, true"})
     void anUploadMustBringItsRateOverEachWindow(long bytes, long after, boolean slow) {
-        Pace pace = new Pace(LIMITS, 5_000_000);
+        MinimumTransferRate pace = new MinimumTransferRate(LIMITS, 5_000_000);
         pace.came(bytes);
         assertEquals(slow, pace.tooSlow(5_000_000 + after));
     }
 
     @Test
     void timeInWhichNothingIsReadIsNotHeldAgainstIt() {
-        Pace pace = new Pace(LIMITS, 0);
+        MinimumTransferRate pace = new MinimumTransferRate(LIMITS, 0);
         pace.came(500);
         pace.reading(false, 500_000);
         assertFalse(pace.tooSlow(50_000_000));
@@ -95,7 +96,7 @@
 
     @Test
     void noUploadTakesForEver() {
-        Pace pace = new Pace(LIMITS, 0);
+        MinimumTransferRate pace = new MinimumTransferRate(LIMITS, 0);
         for (long now = 0; now <= 60_000_000; now += 1_000_000) {
             assertFalse(pace.tooSlow(now), "at " + now);
             pace.came(5_000);
--- a/src/test/java/sedgeyoke/agree/ExplicitStatesTest.java
+++ b/src/test/java/sedgeyoke/consensus/ExplicitStatesTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -15,7 +15,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
-import sedgeyoke.lease.Drift;
+import sedgeyoke.lease.ClockDrift;
 
 /**
  * Every state that three keepers can come to, breadth first, up to a number of them: any message delivered, one of them
@@ -24,8 +24,8 @@
  * them alone count once.
  */
 class ExplicitStatesTest {
-    private static final Timing TIMING = new Timing(600_000, 100_000, 1_500_000, new Drift(0), 1_000);
-    private static final int MOST_STATES = Integer.getInteger("sedgeyoke.agree.states", 150_000);
+    private static final RaftTiming TIMING = new RaftTiming(600_000, 100_000, 1_500_000, new ClockDrift(0), 1_000);
+    private static final int MOST_STATES = Integer.getInteger("sedgeyoke.consensus.states", 150_000);
     private static final long TERMS = 2;
     private static final int WRITES = 2;
     private static final int CRASHES = 1;
@@ -38,10 +38,10 @@
     private static final class Flying {
         final int from;
         final int to;
-        final Message message;
+        final RaftMessage message;
         boolean came;
 
-        Flying(int from, int to, Message message) {
+        Flying(int from, int to, RaftMessage message) {
             this.from = from;
             this.to = to;
             this.message = message;
@@ -55,26 +55,26 @@
 
     /** Three keepers, what is on their disks and what is under way. */
     private static final class World {
-        final Function<Timing, Rules> rules;
-        final Keeper[] keepers = new Keeper[NAMES.length];
-        final Slot[] slots = new Slot[NAMES.length];
-        final List<List<Entry>> disks = new ArrayList<>();
+        final Function<RaftTiming, SafetyRules> rules;
+        final RaftNode[] keepers = new RaftNode[NAMES.length];
+        final HardState[] slots = new HardState[NAMES.length];
+        final List<List<LogEntry>> disks = new ArrayList<>();
         final long[] clocks = new long[NAMES.length];
         final long[] runs = {1, 2, 3};
         final List<Flying> net = new ArrayList<>();
         final Map<Long, String> leaders = new TreeMap<>();
-        final Map<Long, Entry> committed = new TreeMap<>();
+        final Map<Long, LogEntry> committed = new TreeMap<>();
         final int[] left = {STANDS, WRITES, CRASHES, ROUNDS, DOUBLES};
         String breach;
 
-        World(Function<Timing, Rules> rules) {
+        World(Function<RaftTiming, SafetyRules> rules) {
             this.rules = rules;
             for (int k = 0; k < NAMES.length; k++) {
-                Map<String, Slot.Known> known = new HashMap<>();
+                Map<String, HardState.Known> known = new HashMap<>();
                 for (int o = 0; o < NAMES.length; o++) {
-                    known.put(NAMES[o], new Slot.Known(1, o == k ? 0 : o + 1L));
+                    known.put(NAMES[o], new HardState.Known(1, o == k ? 0 : o + 1L));
                 }
-                slots[k] = new Slot(0, "", List.of(), known, true);
+                slots[k] = new HardState(0, "", List.of(), known, true);
                 disks.add(new ArrayList<>());
                 clocks[k] = 10_000_000;
                 start(k, runs[k]);
@@ -85,22 +85,22 @@
         void start(int k, long run) {
             List<Member> members =
                     Arrays.stream(NAMES).map(n -> new Member(n, 1, n)).toList();
-            keepers[k] = new Keeper(
-                    new Keeper.Self(NAMES[k], 1, run),
+            keepers[k] = new RaftNode(
+                    new RaftNode.Self(NAMES[k], 1, run),
                     rules.apply(TIMING),
-                    new Keeper.Recovered(slots[k], null, List.copyOf(disks.get(k)), null, false),
-                    Members.of(members),
+                    new RaftNode.Recovered(slots[k], null, List.copyOf(disks.get(k)), null, false),
+                    Membership.of(members),
                     NoSnapshots.CODEC,
                     new SplittableRandom(1),
                     clocks[k]);
             int before = net.size();
             on(k, new Event.Tick(), true);
-            Message.Recall asked = (Message.Recall) net.get(before).message;
+            RaftMessage.Recall asked = (RaftMessage.Recall) net.get(before).message;
             String other = NAMES[(k + 1) % NAMES.length];
             on(
                     k,
                     new Event.Received(
-                            other, 1, new Message.Recalled(0, asked.number(), false, true, false, false, 0, 0)),
+                            other, 1, new RaftMessage.Recalled(0, asked.number(), false, true, false, false, 0, 0)),
                     true);
         }
 
@@ -125,7 +125,7 @@
             if (p.slot() != null) {
                 slots[k] = p.slot();
             }
-            List<Entry> disk = disks.get(k);
+            List<LogEntry> disk = disks.get(k);
             if (p.restart() >= 0) {
                 disk.clear();
             } else if (p.keep() >= 0) {
@@ -146,13 +146,13 @@
                 }
             }
             for (int k = 0; k < NAMES.length; k++) {
-                if (left[0] > 0 && keepers[k].term() < TERMS && keepers[k].role() != Keeper.Role.LEADER) {
+                if (left[0] > 0 && keepers[k].term() < TERMS && keepers[k].role() != RaftNode.Role.LEADER) {
                     steps.add(new int[] {2, k});
                 }
                 if (left[2] > 0) {
                     steps.add(new int[] {3, k});
                 }
-                if (keepers[k].role() == Keeper.Role.LEADER) {
+                if (keepers[k].role() == RaftNode.Role.LEADER) {
                     if (left[1] > 0) {
                         steps.add(new int[] {4, k});
                     }
@@ -180,13 +180,14 @@
                     left[0]--;
                     clocks[what] += 2 * TIMING.election() + 1;
                     on(what, new Event.Tick(), true);
-                    net.removeIf(f -> f.message instanceof Message.PreVote); // it changes nothing at whoever is asked
+                    net.removeIf(
+                            f -> f.message instanceof RaftMessage.PreVote); // it changes nothing at whoever is asked
                     on(
                             what,
                             new Event.Received(
                                     NAMES[(what + 1) % NAMES.length],
                                     1,
-                                    new Message.PreVoted(keepers[what].term(), true, true)),
+                                    new RaftMessage.PreVoted(keepers[what].term(), true, true)),
                             true);
                 }
                 case 3 -> crash(what);
@@ -196,7 +197,8 @@
                             what,
                             new Event.Asked(
                                     write,
-                                    new Request.Set(new Command.Write("w" + write, 0, "", "", 0, Document.EMPTY))),
+                                    new ClientRequest.Set(
+                                            new Command.Write("w" + write, 0, "", "", 0, ConfigDocument.EMPTY))),
                             true);
                 }
                 default -> {
@@ -217,14 +219,14 @@
 
         private void check() {
             for (int k = 0; k < NAMES.length && breach == null; k++) {
-                if (keepers[k].role() == Keeper.Role.LEADER) {
+                if (keepers[k].role() == RaftNode.Role.LEADER) {
                     String other = leaders.putIfAbsent(keepers[k].term(), NAMES[k]);
                     if (other != null && !other.equals(NAMES[k])) {
                         breach = other + " and " + NAMES[k] + " lead in term " + keepers[k].term();
                     }
                 }
                 for (long i = 1; i <= keepers[k].commit(); i++) {
-                    Entry before = committed.putIfAbsent(i, keepers[k].entry(i));
+                    LogEntry before = committed.putIfAbsent(i, keepers[k].entry(i));
                     if (before != null && !before.equals(keepers[k].entry(i))) {
                         breach = "entry " + i + " was " + before + ", is " + keepers[k].entry(i);
                     }
@@ -255,17 +257,17 @@
         static final NoSnapshots CODEC = new NoSnapshots();
 
         @Override
-        public byte[] encode(SnapshotState state) {
+        public byte[] encode(Snapshot state) {
             throw new AssertionError("too few entries for one");
         }
 
         @Override
-        public SnapshotState decode(byte[] bytes) {
+        public Snapshot decode(byte[] bytes) {
             throw new AssertionError("nobody sends one");
         }
     }
 
-    private static World replay(Function<Timing, Rules> rules, List<int[]> path) {
+    private static World replay(Function<RaftTiming, SafetyRules> rules, List<int[]> path) {
         World w = new World(rules);
         path.forEach(w::step);
         return w;
@@ -273,7 +275,7 @@
 
     private record Found(long states, int depth, String breach) {}
 
-    private static Found explore(Function<Timing, Rules> rules, int most) {
+    private static Found explore(Function<RaftTiming, SafetyRules> rules, int most) {
         Set<Long> seen = ConcurrentHashMap.newKeySet();
         Map<String, List<int[]>> breaches = new ConcurrentHashMap<>();
         List<List<int[]>> level = List.of(List.of());
@@ -309,7 +311,7 @@
     @Test
     void noStateBreaksAnything() {
         long began = System.nanoTime();
-        Found found = explore(Rules::new, MOST_STATES);
+        Found found = explore(SafetyRules::new, MOST_STATES);
         System.out.println("explicit: " + found.states() + " states, depth " + found.depth() + ", "
                 + (System.nanoTime() - began) / 1_000_000 + " ms");
         assertNull(found.breach());
@@ -319,7 +321,7 @@
     @Test
     void aPlantedMistakeIsFound() {
         Found found = explore(
-                t -> new Rules(t) {
+                t -> new SafetyRules(t) {
                     @Override
                     boolean mayVoteFor(String candidate, String votedFor) {
                         return true;
