--- a/src/test/java/sedgeyoke/agree/KeeperRulesTest.java
+++ b/src/test/java/sedgeyoke/consensus/RaftNodeRulesTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.agree;
+package sedgeyoke.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -17,38 +17,38 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
-import sedgeyoke.lease.Drift;
+import sedgeyoke.lease.ClockDrift;
 
 /**
  * Histories written for rules whose breach is too rare for seeds: each holds with the rule as it is, and fails with a
  * mistake in its place.
  */
-class KeeperRulesTest {
-    private static final Timing TIMING = new Timing(600_000, 100_000, 1_500_000, new Drift(1_000), 1_000);
+class RaftNodeRulesTest {
+    private static final RaftTiming TIMING = new RaftTiming(600_000, 100_000, 1_500_000, new ClockDrift(1_000), 1_000);
     private static final long FOLDER = 7;
 
     /** One keeper of three, whose messages go nowhere and whose disk is quick. */
     private static final class Alone {
-        final Keeper keeper;
+        final RaftNode keeper;
         final List<Action> out = new ArrayList<>();
         long now = 10_000_000;
 
-        Alone(Function<Timing, Rules> rules, String doubt, long term, long... terms) {
-            List<Entry> entries = new ArrayList<>();
+        Alone(Function<RaftTiming, SafetyRules> rules, String doubt, long term, long... terms) {
+            List<LogEntry> entries = new ArrayList<>();
             for (int i = 0; i < terms.length; i++) {
-                entries.add(new Entry(i + 1, terms[i], new Command.Nothing()));
+                entries.add(new LogEntry(i + 1, terms[i], new Command.Nothing()));
             }
-            Slot slot = new Slot(
+            HardState slot = new HardState(
                     term,
                     "",
                     List.of(4L),
-                    new HashMap<>(Map.of("b", new Slot.Known(FOLDER, 5L), "c", new Slot.Known(FOLDER, 6L))),
+                    new HashMap<>(Map.of("b", new HardState.Known(FOLDER, 5L), "c", new HardState.Known(FOLDER, 6L))),
                     doubt == null);
-            keeper = new Keeper(
-                    new Keeper.Self("a", FOLDER, 9),
+            keeper = new RaftNode(
+                    new RaftNode.Self("a", FOLDER, 9),
                     rules.apply(TIMING),
-                    new Keeper.Recovered(slot, null, entries, doubt, doubt != null),
-                    Members.of(List.of(
+                    new RaftNode.Recovered(slot, null, entries, doubt, doubt != null),
+                    Membership.of(List.of(
                             new Member("a", FOLDER, "a"), new Member("b", FOLDER, "b"), new Member("c", FOLDER, "c"))),
                     new NoCodec(),
                     new SplittableRandom(1),
@@ -65,7 +65,7 @@
             }
         }
 
-        void hears(String from, Message message) {
+        void hears(String from, RaftMessage message) {
             on(new Event.Received(from, FOLDER, message));
         }
 
@@ -77,31 +77,31 @@
         /** The number under which it asked what others know. */
         long asked() {
             on(new Event.Tick());
-            return said(Message.Recall.class).stream()
-                    .mapToLong(Message.Recall::number)
+            return said(RaftMessage.Recall.class).stream()
+                    .mapToLong(RaftMessage.Recall::number)
                     .reduce((x, y) -> y)
                     .orElseThrow();
         }
 
         void becomesSound() {
-            hears("b", new Message.Recalled(keeper.term(), asked(), false, true, false, false, 0, 0));
+            hears("b", new RaftMessage.Recalled(keeper.term(), asked(), false, true, false, false, 0, 0));
             assertTrue(keeper.sound());
         }
 
         void leads() {
             becomesSound();
             passes(2 * TIMING.election());
-            hears("b", new Message.PreVoted(keeper.term(), true, true));
-            hears("b", new Message.Voted(keeper.term(), true, true));
-            assertEquals(Keeper.Role.LEADER, keeper.role());
+            hears("b", new RaftMessage.PreVoted(keeper.term(), true, true));
+            hears("b", new RaftMessage.Voted(keeper.term(), true, true));
+            assertEquals(RaftNode.Role.LEADER, keeper.role());
         }
 
         void acknowledges(String from, boolean sound) {
             long run = from.equals("b") ? 5 : 6;
-            hears(from, new Message.Appended(keeper.term(), true, keeper.last(), 100, run, sound));
+            hears(from, new RaftMessage.Appended(keeper.term(), true, keeper.last(), 100, run, sound));
         }
 
-        <T extends Message> List<T> said(Class<T> kind) {
+        <T extends RaftMessage> List<T> said(Class<T> kind) {
             return out.stream()
                     .filter(Action.Send.class::isInstance)
                     .map(a -> ((Action.Send) a).message())
@@ -110,7 +110,7 @@
                     .toList();
         }
 
-        List<Outcome> answers() {
+        List<RequestResult> answers() {
             return out.stream()
                     .filter(Action.Answer.class::isInstance)
                     .map(a -> ((Action.Answer) a).outcome())
@@ -120,142 +120,147 @@
 
     private static final class NoCodec implements StateCodec {
         @Override
-        public byte[] encode(SnapshotState state) {
+        public byte[] encode(Snapshot state) {
             throw new AssertionError("no snapshot is sent");
         }
 
         @Override
-        public SnapshotState decode(byte[] bytes) {
+        public Snapshot decode(byte[] bytes) {
             throw new AssertionError("no snapshot comes");
         }
     }
 
     /** A history and whether the rule is kept in it. */
-    private record History(Predicate<Function<Timing, Rules>> kept, Function<Timing, Rules> planted) {}
+    private record History(
+            Predicate<Function<RaftTiming, SafetyRules>> kept, Function<RaftTiming, SafetyRules> planted) {}
 
-    private static boolean refusesAnOlderLongerLog(Function<Timing, Rules> rules) {
+    private static boolean refusesAnOlderLongerLog(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, null, 2, 1, 2);
         a.becomesSound();
-        a.hears("c", new Message.Vote(3, 5, 1, false));
-        return !a.said(Message.Voted.class).get(0).granted();
+        a.hears("c", new RaftMessage.Vote(3, 5, 1, false));
+        return !a.said(RaftMessage.Voted.class).get(0).granted();
     }
 
-    private static boolean changesOneAtATime(Function<Timing, Rules> rules) {
+    private static boolean changesOneAtATime(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, null, 1, 1);
         a.leads();
         a.acknowledges("b", true);
-        a.on(new Event.Asked(1, new Request.Add(new Member("d", 8, "d"))));
-        a.on(new Event.Asked(2, new Request.Remove("c", 0)));
-        return a.answers().stream().anyMatch(o -> o.kind() == Outcome.Kind.REFUSED);
+        a.on(new Event.Asked(1, new ClientRequest.Add(new Member("d", 8, "d"))));
+        a.on(new Event.Asked(2, new ClientRequest.Remove("c", 0)));
+        return a.answers().stream().anyMatch(o -> o.kind() == RequestResult.Kind.REFUSED);
     }
 
-    private static boolean countsOnlySoundOnes(Function<Timing, Rules> rules) {
+    private static boolean countsOnlySoundOnes(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, null, 1, 1);
         a.leads();
         a.acknowledges("b", false);
         return a.keeper.commit() == 0;
     }
 
-    private static boolean waitsForTheLeadersLog(Function<Timing, Rules> rules) {
+    private static boolean waitsForTheLeadersLog(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, "a part is gone", 1, 1);
         a.passes(4 * TIMING.election());
-        a.hears("b", new Message.Append(2, 1, 1, List.of(), 0, 1));
+        a.hears("b", new RaftMessage.Append(2, 1, 1, List.of(), 0, 1));
         for (int i = 0; i < 2; i++) { // the second answer is to what was asked after the leader was known
             long asked = a.asked();
-            a.hears("b", new Message.Recalled(2, asked, false, true, false, true, 9, 0));
-            a.hears("c", new Message.Recalled(2, asked, false, true, false, false, 9, 0));
-            a.hears("b", new Message.Append(2, 1, 1, List.of(), 0, 2));
+            a.hears("b", new RaftMessage.Recalled(2, asked, false, true, false, true, 9, 0));
+            a.hears("c", new RaftMessage.Recalled(2, asked, false, true, false, false, 9, 0));
+            a.hears("b", new RaftMessage.Append(2, 1, 1, List.of(), 0, 2));
         }
         return !a.keeper.sound();
     }
 
-    private static boolean remembersRuns(Function<Timing, Rules> rules) {
+    private static boolean remembersRuns(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, null, 1, 1);
         a.becomesSound();
-        a.hears("c", new Message.Recall(1, List.of(99L, 3L), 1));
-        return a.said(Message.Recalled.class).get(0).past();
+        a.hears("c", new RaftMessage.Recall(1, List.of(99L, 3L), 1));
+        return a.said(RaftMessage.Recalled.class).get(0).past();
     }
 
-    private static boolean knowsFolders(Function<Timing, Rules> rules) {
+    private static boolean knowsFolders(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, null, 1, 1);
         a.becomesSound();
-        a.on(new Event.Received("c", FOLDER + 1, new Message.Vote(2, 5, 1, false)));
-        return a.said(Message.Voted.class).isEmpty();
+        a.on(new Event.Received("c", FOLDER + 1, new RaftMessage.Vote(2, 5, 1, false)));
+        return a.said(RaftMessage.Voted.class).isEmpty();
     }
 
-    private static boolean commitsOnlyItsOwnTerm(Function<Timing, Rules> rules) {
+    private static boolean commitsOnlyItsOwnTerm(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, null, 3, 1, 2);
         a.leads();
         long run = 5;
-        a.hears("b", new Message.Appended(a.keeper.term(), true, 2, 1, run, true)); // not yet its own entry
+        a.hears("b", new RaftMessage.Appended(a.keeper.term(), true, 2, 1, run, true)); // not yet its own entry
         return a.keeper.commit() == 0;
     }
 
-    private static boolean countsNoOldRun(Function<Timing, Rules> rules) {
+    private static boolean countsNoOldRun(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, null, 1, 1);
         a.leads();
-        a.hears("b", new Message.Recall(a.keeper.term(), List.of(50L, 5L), 1));
+        a.hears("b", new RaftMessage.Recall(a.keeper.term(), List.of(50L, 5L), 1));
         a.acknowledges("b", true); // from the run before
         return a.keeper.commit() == 0;
     }
 
-    private static boolean countsNoLateVote(Function<Timing, Rules> rules) {
+    private static boolean countsNoLateVote(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, null, 1, 1);
         a.becomesSound();
         a.passes(2 * TIMING.election());
-        a.hears("b", new Message.PreVoted(a.keeper.term(), true, true));
+        a.hears("b", new RaftMessage.PreVoted(a.keeper.term(), true, true));
         a.now += TIMING.election() + 1;
-        a.hears("b", new Message.Voted(a.keeper.term(), true, true));
-        return a.keeper.role() != Keeper.Role.LEADER;
+        a.hears("b", new RaftMessage.Voted(a.keeper.term(), true, true));
+        return a.keeper.role() != RaftNode.Role.LEADER;
     }
 
-    private static boolean forgetsNoVote(Function<Timing, Rules> rules) {
+    private static boolean forgetsNoVote(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, "a part is gone", 1, 1);
         a.passes(4 * TIMING.election());
         long asked = a.asked();
-        a.hears("b", new Message.Recalled(2, asked, false, true, false, true, 1, 0));
-        a.hears("c", new Message.Recalled(2, asked, false, true, false, false, 1, 0));
-        a.hears("b", new Message.Append(2, 1, 1, List.of(), 0, 1));
-        a.hears("b", new Message.Recalled(2, a.asked(), false, true, false, true, 1, 0));
+        a.hears("b", new RaftMessage.Recalled(2, asked, false, true, false, true, 1, 0));
+        a.hears("c", new RaftMessage.Recalled(2, asked, false, true, false, false, 1, 0));
+        a.hears("b", new RaftMessage.Append(2, 1, 1, List.of(), 0, 1));
+        a.hears("b", new RaftMessage.Recalled(2, a.asked(), false, true, false, true, 1, 0));
         assertTrue(a.keeper.sound(), "it has all");
         a.passes(2 * TIMING.election());
-        a.hears("c", new Message.Vote(2, 9, 9, false));
-        return a.said(Message.Voted.class).stream().noneMatch(Message.Voted::granted);
+        a.hears("c", new RaftMessage.Vote(2, 9, 9, false));
+        return a.said(RaftMessage.Voted.class).stream().noneMatch(RaftMessage.Voted::granted);
     }
 
     static Stream<Arguments> histories() {
         Map<String, History> all = new LinkedHashMap<>();
         all.put(
                 "logs are compared by length alone",
-                new History(KeeperRulesTest::refusesAnOlderLongerLog, t -> new Rules(t) {
+                new History(RaftNodeRulesTest::refusesAnOlderLongerLog, t -> new SafetyRules(t) {
                     @Override
                     boolean upToDate(long lastIndex, long lastTerm, long ownIndex, long ownTerm) {
                         return lastIndex >= ownIndex;
                     }
                 }));
-        all.put("two keepers change at a time", new History(KeeperRulesTest::changesOneAtATime, t -> new Rules(t) {
-            @Override
-            boolean mayChange(Members inLog, Members committed) {
-                return true;
-            }
-        }));
+        all.put(
+                "two keepers change at a time",
+                new History(RaftNodeRulesTest::changesOneAtATime, t -> new SafetyRules(t) {
+                    @Override
+                    boolean mayChange(Membership inLog, Membership committed) {
+                        return true;
+                    }
+                }));
         all.put(
                 "whoever may have lost something counts",
-                new History(KeeperRulesTest::countsOnlySoundOnes, t -> new Rules(t) {
+                new History(RaftNodeRulesTest::countsOnlySoundOnes, t -> new SafetyRules(t) {
                     @Override
                     boolean counts(boolean sound) {
                         return true;
                     }
                 }));
-        all.put("in doubt, any log will do", new History(KeeperRulesTest::waitsForTheLeadersLog, t -> new Rules(t) {
-            @Override
-            long targetAfterDoubt(long leadersLast) {
-                return 0;
-            }
-        }));
+        all.put(
+                "in doubt, any log will do",
+                new History(RaftNodeRulesTest::waitsForTheLeadersLog, t -> new SafetyRules(t) {
+                    @Override
+                    long targetAfterDoubt(long leadersLast) {
+                        return 0;
+                    }
+                }));
         all.put(
                 "nobody remembers what a keeper has said",
-                new History(KeeperRulesTest::remembersRuns, t -> new Rules(t) {
+                new History(RaftNodeRulesTest::remembersRuns, t -> new SafetyRules(t) {
                     @Override
                     boolean isOfThePast(long knownRun, List<Long> runs, long heardTerm, long term) {
                         return false;
@@ -263,7 +268,7 @@
                 }));
         all.put(
                 "another folder is taken for the one before",
-                new History(KeeperRulesTest::knowsFolders, t -> new Rules(t) {
+                new History(RaftNodeRulesTest::knowsFolders, t -> new SafetyRules(t) {
                     @Override
                     boolean sameFolder(long known, long said) {
                         return true;
@@ -278,7 +283,7 @@
     private static void more(Map<String, History> all) {
         all.put(
                 "entries of earlier terms are committed by counting",
-                new History(KeeperRulesTest::commitsOnlyItsOwnTerm, t -> new Rules(t) {
+                new History(RaftNodeRulesTest::commitsOnlyItsOwnTerm, t -> new SafetyRules(t) {
                     @Override
                     boolean mayCommit(long entryTerm, long term) {
                         return true;
@@ -286,66 +291,68 @@
                 }));
         all.put(
                 "what a run before has acknowledged counts",
-                new History(KeeperRulesTest::countsNoOldRun, t -> new Rules(t) {
+                new History(RaftNodeRulesTest::countsNoOldRun, t -> new SafetyRules(t) {
                     @Override
                     boolean sameRun(long known, long said) {
                         return true;
                     }
                 }));
-        all.put("votes count for ever", new History(KeeperRulesTest::countsNoLateVote, t -> new Rules(t) {
+        all.put("votes count for ever", new History(RaftNodeRulesTest::countsNoLateVote, t -> new SafetyRules(t) {
             @Override
             boolean votesStillCount(long now, long stoodAt) {
                 return true;
             }
         }));
-        all.put("a vote that may be lost was none", new History(KeeperRulesTest::forgetsNoVote, t -> new Rules(t) {
-            @Override
-            String voteAfterDoubt() {
-                return "";
-            }
-        }));
+        all.put(
+                "a vote that may be lost was none",
+                new History(RaftNodeRulesTest::forgetsNoVote, t -> new SafetyRules(t) {
+                    @Override
+                    String voteAfterDoubt() {
+                        return "";
+                    }
+                }));
     }
 
     @ParameterizedTest(name = "{0}")
     @MethodSource("histories")
     void theRuleHoldsAndThePlantedMistakeIsFound(
-            String what, Predicate<Function<Timing, Rules>> kept, Function<Timing, Rules> planted) {
-        assertTrue(kept.test(Rules::new), "kept");
+            String what, Predicate<Function<RaftTiming, SafetyRules>> kept, Function<RaftTiming, SafetyRules> planted) {
+        assertTrue(kept.test(SafetyRules::new), "kept");
         assertFalse(kept.test(planted), "found");
     }
 
     /** Also where its own term is the highest of all: what it did in that term may be what was lost. */
     @Test
     void aVoteInItsOwnHighestTermIsNotKnownEither() {
-        Alone a = new Alone(Rules::new, "a part is gone", 5, 1);
+        Alone a = new Alone(SafetyRules::new, "a part is gone", 5, 1);
         a.passes(4 * TIMING.election());
         long asked = a.asked();
-        a.hears("b", new Message.Recalled(2, asked, false, true, false, false, 1, 0));
-        a.hears("c", new Message.Recalled(2, asked, false, true, false, false, 1, 0));
-        a.hears("b", new Message.Append(5, 1, 1, List.of(), 0, 1));
-        a.hears("b", new Message.Recalled(5, a.asked(), false, true, false, true, 1, 0));
+        a.hears("b", new RaftMessage.Recalled(2, asked, false, true, false, false, 1, 0));
+        a.hears("c", new RaftMessage.Recalled(2, asked, false, true, false, false, 1, 0));
+        a.hears("b", new RaftMessage.Append(5, 1, 1, List.of(), 0, 1));
+        a.hears("b", new RaftMessage.Recalled(5, a.asked(), false, true, false, true, 1, 0));
         assertTrue(a.keeper.sound(), "it has all");
         a.passes(2 * TIMING.election());
-        a.hears("c", new Message.Vote(5, 9, 9, false));
-        assertTrue(a.said(Message.Voted.class).stream().noneMatch(Message.Voted::granted));
+        a.hears("c", new RaftMessage.Vote(5, 9, 9, false));
+        assertTrue(a.said(RaftMessage.Voted.class).stream().noneMatch(RaftMessage.Voted::granted));
     }
 
     /** A balancer that is started again and again leaves nothing behind that others would be refused for. */
     @Test
     void processesThatAreOverMakeRoomForOthers() {
-        Leases leases = new Leases(new Rules(TIMING), 0);
+        LeaseTable leases = new LeaseTable(new SafetyRules(TIMING), 0);
         long now = 0;
-        for (long run = 0; run < 3 * Leases.MOST; run++) {
+        for (long run = 0; run < 3 * LeaseTable.MOST; run++) {
             now += TIMING.lease() / 100;
-            assertTrue(leases.grant(new LeaseAsk("b", run, 0, 0, 1), now, Version.NONE, null)
+            assertTrue(leases.grant(new LeaseRequest("b", run, 0, 0, 1), now, ConfigVersion.NONE, null)
                     .leased());
         }
         assertTrue(leases.size(now) <= 102, "hold one: " + leases.size(now));
-        for (long run = 0; run < Leases.MOST; run++) {
-            leases.grant(new LeaseAsk("c", run, 0, 0, 1), now, Version.NONE, null);
+        for (long run = 0; run < LeaseTable.MOST; run++) {
+            leases.grant(new LeaseRequest("c", run, 0, 0, 1), now, ConfigVersion.NONE, null);
         }
         assertFalse(
-                leases.grant(new LeaseAsk("d", 1, 0, 0, 1), now, Version.NONE, null)
+                leases.grant(new LeaseRequest("d", 1, 0, 0, 1), now, ConfigVersion.NONE, null)
                         .leased(),
                 "there is a bound");
     }
@@ -353,25 +360,29 @@
     /** A floor that was agreed once may only get looser: a balancer that is alone goes by the old one. */
     @Test
     void floorsMayOnlyBeLoosened() {
-        Document before = Document.EMPTY.with(Schema.RETRIES_ALONE, 0.1).with(Schema.BALANCERS_ALONE, 50);
+        ConfigDocument before =
+                ConfigDocument.EMPTY.with(ConfigSchema.RETRIES_ALONE, 0.1).with(ConfigSchema.BALANCERS_ALONE, 50);
         assertEquals(
                 List.of(),
-                Schema.faults(before, before.with(Schema.RETRIES_ALONE, 0.2).with(Schema.BALANCERS_ALONE, 40)));
+                ConfigSchema.faults(
+                        before, before.with(ConfigSchema.RETRIES_ALONE, 0.2).with(ConfigSchema.BALANCERS_ALONE, 40)));
         assertEquals(
                 1,
-                Schema.faults(before, before.with(Schema.RETRIES_ALONE, 0.05)).size());
+                ConfigSchema.faults(before, before.with(ConfigSchema.RETRIES_ALONE, 0.05))
+                        .size());
         assertEquals(
                 1,
-                Schema.faults(before, before.with(Schema.BALANCERS_ALONE, 60)).size());
+                ConfigSchema.faults(before, before.with(ConfigSchema.BALANCERS_ALONE, 60))
+                        .size());
     }
 
     @Test
     void whatIsWrongWithADocumentIsToldByKey() {
-        Document bad = new Document(
+        ConfigDocument bad = new ConfigDocument(
                 Map.of("retries", 2.0, "nonesuch", 1.0),
                 Map.of("upstreams_out", Map.of("x", 1.0)),
                 Map.of("zones_out", Map.of("", "note")));
-        List<String> faults = Schema.faults(Document.EMPTY, bad);
+        List<String> faults = ConfigSchema.faults(ConfigDocument.EMPTY, bad);
         assertTrue(faults.stream().anyMatch(f -> f.startsWith("retries: 2.0")), faults.toString());
         assertTrue(faults.stream().anyMatch(f -> f.startsWith("nonesuch: no such key")), faults.toString());
         assertTrue(faults.stream().anyMatch(f -> f.startsWith("upstreams_out: ")), faults.toString());
@@ -383,27 +394,28 @@
     void theMeetContradictsNeither() {
         SplittableRandom random = new SplittableRandom(1);
         for (int i = 0; i < 2_000; i++) {
-            Document a = draw(random);
-            Document b = draw(random);
-            assertEquals(List.of(), Schema.contradictions(Schema.meet(a, b), a));
+            ConfigDocument a = draw(random);
+            ConfigDocument b = draw(random);
+            assertEquals(List.of(), ConfigSchema.contradictions(ConfigSchema.meet(a, b), a));
             assertEquals(
                     List.of(),
-                    Schema.contradictions(Schema.meet(a, b), b).stream()
+                    ConfigSchema.contradictions(ConfigSchema.meet(a, b), b).stream()
                             .filter(f -> !f.equals("planners"))
                             .toList());
-            assertEquals(Schema.meet(a, b).numbers(), Schema.meet(b, a).numbers());
-            assertEquals(List.of(), Schema.contradictions(Schema.alone(a), a));
+            assertEquals(
+                    ConfigSchema.meet(a, b).numbers(), ConfigSchema.meet(b, a).numbers());
+            assertEquals(List.of(), ConfigSchema.contradictions(ConfigSchema.alone(a), a));
         }
     }
 
-    private static Document draw(SplittableRandom random) {
-        Document d = Document.EMPTY;
-        for (Field f : Schema.FIELDS) {
+    private static ConfigDocument draw(SplittableRandom random) {
+        ConfigDocument d = ConfigDocument.EMPTY;
+        for (ConfigField f : ConfigSchema.FIELDS) {
             if (random.nextBoolean()) {
                 continue;
-            } else if (f.kind() == Field.Kind.NUMBER) {
+            } else if (f.kind() == ConfigField.Kind.NUMBER) {
                 d = d.with(f, f.least() + random.nextDouble() * (f.most() - f.least()));
-            } else if (f.kind() == Field.Kind.NAMES) {
+            } else if (f.kind() == ConfigField.Kind.NAMES) {
                 d = d.with(f, random.nextBoolean() ? Map.of("x", "1") : Map.of("x", "2", "y", ""));
             } else {
                 d = d.withTable(f, random.nextBoolean() ? Map.of("t", random.nextDouble()) : Map.of("u", 0.5));
--- a/src/test/java/sedgeyoke/link/AgreeSafetyTest.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSafetyTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.link;
+package sedgeyoke.consensus.server;
 
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -14,15 +14,15 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
-import sedgeyoke.agree.PlantedRules;
+import sedgeyoke.consensus.PlantedRules;
 
 /**
  * The invariants of agreement over many seeds, and mistakes that each have to be found. A failing seed is played again
- * by {@code -Dsedgeyoke.agree.from=SEED -Dsedgeyoke.agree.seeds=1}, which prints what keepers said.
+ * by {@code -Dsedgeyoke.consensus.from=SEED -Dsedgeyoke.consensus.seeds=1}, which prints what keepers said.
  */
-class AgreeSafetyTest {
-    private static final long SEEDS = Long.getLong("sedgeyoke.agree.seeds", 300);
-    private static final long FROM = Long.getLong("sedgeyoke.agree.from", 1);
+class ConsensusSafetyTest {
+    private static final long SEEDS = Long.getLong("sedgeyoke.consensus.seeds", 300);
+    private static final long FROM = Long.getLong("sedgeyoke.consensus.from", 1);
     /** Seeds that a mistake is given to be found in. */
     private static final long TRIES = 200;
 
@@ -36,7 +36,7 @@
         String first = LongStream.range(FROM, FROM + SEEDS)
                 .parallel()
                 .mapToObj(seed -> {
-                    AgreeSimulation s = new AgreeSimulation(seed, new AgreeSimulation.Faults());
+                    ConsensusSimulation s = new ConsensusSimulation(seed, new ConsensusSimulation.Faults());
                     s.trace = SEEDS == 1;
                     String breach = s.play();
                     commits.addAndGet(s.commits);
@@ -72,13 +72,13 @@
             Map.entry("a leader takes itself for one without asking", 1_162L));
 
     static Stream<Arguments> planted() {
-        Map<String, AgreeSimulation.Faults> all = new LinkedHashMap<>();
+        Map<String, ConsensusSimulation.Faults> all = new LinkedHashMap<>();
         PlantedRules.all().forEach((what, rules) -> {
-            AgreeSimulation.Faults f = new AgreeSimulation.Faults();
+            ConsensusSimulation.Faults f = new ConsensusSimulation.Faults();
             f.rules = rules;
             all.put(what, f);
         });
-        AgreeSimulation.Faults damage = new AgreeSimulation.Faults();
+        ConsensusSimulation.Faults damage = new ConsensusSimulation.Faults();
         damage.trustsDamage = true;
         all.put("what is damaged is taken for absent", damage);
         return all.entrySet().stream().map(e -> Arguments.of(e.getKey(), e.getValue()));
@@ -86,11 +86,11 @@
 
     @ParameterizedTest(name = "{0}")
     @MethodSource("planted")
-    void aPlantedMistakeIsFound(String what, AgreeSimulation.Faults faults) {
+    void aPlantedMistakeIsFound(String what, ConsensusSimulation.Faults faults) {
         LongStream seeds =
                 LongStream.concat(LongStream.of(FOUND_BY.getOrDefault(what, 1L)), LongStream.rangeClosed(1, TRIES));
         String found = seeds.mapToObj(seed -> {
-                    String breach = new AgreeSimulation(seed, faults).play();
+                    String breach = new ConsensusSimulation(seed, faults).play();
                     return breach == null ? null : "seed " + seed + " " + breach;
                 })
                 .filter(b -> b != null)
--- a/src/test/java/sedgeyoke/link/AgreeSimulation.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
@@ -1,4 +1,4 @@
-package sedgeyoke.link;
+package sedgeyoke.consensus.server;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -10,27 +10,29 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
-import sedgeyoke.agree.Action;
-import sedgeyoke.agree.Adherent;
-import sedgeyoke.agree.Command;
-import sedgeyoke.agree.Document;
-import sedgeyoke.agree.Entry;
-import sedgeyoke.agree.Event;
-import sedgeyoke.agree.Keeper;
-import sedgeyoke.agree.LeaseAsk;
-import sedgeyoke.agree.LeaseGrant;
-import sedgeyoke.agree.Member;
-import sedgeyoke.agree.Members;
-import sedgeyoke.agree.Message;
-import sedgeyoke.agree.Outcome;
-import sedgeyoke.agree.Request;
-import sedgeyoke.agree.Rules;
-import sedgeyoke.agree.Schema;
-import sedgeyoke.agree.Timing;
-import sedgeyoke.agree.Version;
-import sedgeyoke.lease.Drift;
-import sedgeyoke.sim.SimWorld;
-import sedgeyoke.store.DiskFault;
+import sedgeyoke.consensus.Action;
+import sedgeyoke.consensus.ClientRequest;
+import sedgeyoke.consensus.Command;
+import sedgeyoke.consensus.ConfigDocument;
+import sedgeyoke.consensus.ConfigSchema;
+import sedgeyoke.consensus.ConfigSubscriber;
+import sedgeyoke.consensus.ConfigVersion;
+import sedgeyoke.consensus.Event;
+import sedgeyoke.consensus.LeaseRequest;
+import sedgeyoke.consensus.LeaseResponse;
+import sedgeyoke.consensus.LogEntry;
+import sedgeyoke.consensus.Member;
+import sedgeyoke.consensus.Membership;
+import sedgeyoke.consensus.RaftMessage;
+import sedgeyoke.consensus.RaftNode;
+import sedgeyoke.consensus.RaftTiming;
+import sedgeyoke.consensus.RequestResult;
+import sedgeyoke.consensus.SafetyRules;
+import sedgeyoke.consensus.codec.ConsensusCodec;
+import sedgeyoke.consensus.storage.ReplicaStorage;
+import sedgeyoke.lease.ClockDrift;
+import sedgeyoke.simulation.SeededNetwork;
+import sedgeyoke.store.DiskException;
 import sedgeyoke.store.SimDisk;
 
 /**
@@ -39,18 +41,18 @@
  * neither knows the other's; versions only grow; alone nobody is looser than any version ever in force. Checked of the
  * history: whatever was answered is so, and in the order in which it was answered.
  */
-final class AgreeSimulation extends SimWorld {
+final class ConsensusSimulation extends SeededNetwork {
     static final int DRIFT_PPM = 2_000;
     private static final int SEGMENT = 2_048;
     private static final long FAULTS_END = 25_000_000;
     private static final long END = 50_000_000;
     private static final int BALANCERS = 4;
     private static final int WRITERS = 2;
-    private static final Timing TIMING = new Timing(600_000, 100_000, 1_500_000, new Drift(DRIFT_PPM), 24);
+    private static final RaftTiming TIMING = new RaftTiming(600_000, 100_000, 1_500_000, new ClockDrift(DRIFT_PPM), 24);
 
     /** What may be wrong on purpose. */
     static class Faults {
-        Function<Timing, Rules> rules = Rules::new;
+        Function<RaftTiming, SafetyRules> rules = SafetyRules::new;
         /** Whether what a folder has lost is taken for absent. */
         boolean trustsDamage;
         /** Whether a folder that was copied, or that outlived its machine's end, is believed. */
@@ -58,15 +60,15 @@
     }
 
     private final Faults faults;
-    private final Rules rules;
+    private final SafetyRules rules;
     private final List<KeeperBox> keepers = new ArrayList<>();
     private final List<BalancerBox> balancers = new ArrayList<>();
     private final List<Writer> writers = new ArrayList<>();
-    private final Members founders;
+    private final Membership founders;
     private final boolean liars;
     private final Map<Long, String> leaders = new HashMap<>();
     /** What was ever seen as committed. */
-    final TreeMap<Long, Entry> committed = new TreeMap<>();
+    final TreeMap<Long, LogEntry> committed = new TreeMap<>();
 
     private final Set<String> bad = new HashSet<>();
     private long boots = 1;
@@ -85,28 +87,28 @@
 
     /** One request as whoever asked saw it. */
     static final class Op {
-        final Request request;
+        final ClientRequest request;
         final long from;
         long until = Long.MAX_VALUE;
-        Outcome outcome;
+        RequestResult outcome;
 
-        Op(Request request, long from) {
+        Op(ClientRequest request, long from) {
             this.request = request;
             this.from = from;
         }
     }
 
-    private record Wire(String from, long folder, Message message) {}
+    private record Wire(String from, long folder, RaftMessage message) {}
 
-    private record Ask(int from, long token, Request request) {}
+    private record Ask(int from, long token, ClientRequest request) {}
 
-    private record Answer(long token, Outcome outcome) {}
+    private record Answer(long token, RequestResult outcome) {}
 
-    private record Lease(int from, LeaseAsk ask) {}
+    private record Lease(int from, LeaseRequest ask) {}
 
-    private record Granted(LeaseGrant grant, Version active, Version pending) {}
+    private record Granted(LeaseResponse grant, ConfigVersion active, ConfigVersion pending) {}
 
-    AgreeSimulation(long seed, Faults faults) {
+    ConsensusSimulation(long seed, Faults faults) {
         super(seed);
         this.faults = faults;
         this.rules = faults.rules.apply(TIMING);
@@ -116,7 +118,7 @@
         for (int i = 0; i < size; i++) {
             first.add(new Member("k" + i, 0, "k" + i));
         }
-        founders = Members.of(first);
+        founders = Membership.of(first);
         for (int i = 0; i < size; i++) {
             keepers.add(new KeeperBox("k" + i, seed));
         }
@@ -220,7 +222,7 @@
             case 3 -> k.spoil(() -> k.disk.staleReads =
                     k.disk.names().get(random.nextInt(k.disk.names().size())));
             case 4 -> {
-                k.disk.refuses = random.nextBoolean() ? DiskFault.Kind.FULL : DiskFault.Kind.FAILED;
+                k.disk.refuses = random.nextBoolean() ? DiskException.Kind.FULL : DiskException.Kind.FAILED;
                 k.disk.refusesForceOnly = random.nextBoolean();
             }
             case 5 -> k.spoil(() -> k.disk.loseFile());
@@ -251,8 +253,8 @@
         private final String name;
         SimDisk disk;
         private SimDisk backup;
-        private KeeperFolder folder;
-        private Keeper keeper;
+        private ReplicaStorage folder;
+        private RaftNode keeper;
         private final Deque<Action.Persist> queue = new ArrayDeque<>();
         private long diskFreeAt;
         private long stalledUntil;
@@ -274,16 +276,16 @@
             begin();
         }
 
-        private void make(Members members) {
+        private void make(Membership members) {
             try {
-                KeeperFolder.make(disk, owner(), folders++, members);
-            } catch (DiskFault | KeeperFolder.Unusable e) {
+                ReplicaStorage.make(disk, owner(), folders++, members);
+            } catch (DiskException | ReplicaStorage.Unusable e) {
                 throw new IllegalStateException(e);
             }
         }
 
-        private KeeperFolder.Owner owner() {
-            return new KeeperFolder.Owner("t", name, boot, liars);
+        private ReplicaStorage.Owner owner() {
+            return new ReplicaStorage.Owner("t", name, boot, liars);
         }
 
         boolean isWell() {
@@ -308,7 +310,7 @@
                     while (!queue.isEmpty()) {
                         folder.carryOut(queue.poll());
                     }
-                } catch (SimDisk.Cut | DiskFault | IllegalStateException e) {
+                } catch (SimDisk.Cut | DiskException | IllegalStateException e) {
                     queue.clear();
                 }
                 disk.cutAfter = -1;
@@ -348,28 +350,28 @@
         protected void begin() {
             looked = 0;
             try {
-                if (KeeperFolder.isEmpty(disk)) {
+                if (ReplicaStorage.isEmpty(disk)) {
                     disk.mend();
-                    make(new Members(Map.of(), null));
+                    make(new Membership(Map.of(), null));
                 }
-                folder = KeeperFolder.open(disk, owner(), SEGMENT);
-            } catch (KeeperFolder.Unusable e) { // the operator replaces it
+                folder = ReplicaStorage.open(disk, owner(), SEGMENT);
+            } catch (ReplicaStorage.Unusable e) { // the operator replaces it
                 disk.wipe();
                 disk.mend();
                 begin();
                 return;
-            } catch (DiskFault e) {
+            } catch (DiskException e) {
                 disk.mend();
                 crash(now + 500_000);
                 return;
             }
             disk.staleReads = null;
             latent = disk.misdirect || disk.loseWrite; // then it is still to come
-            Keeper.Recovered found = folder.recovered();
+            RaftNode.Recovered found = folder.recovered();
             if (faults.trustsDamage) {
-                found = new Keeper.Recovered(found.slot(), found.snapshot(), found.entries(), null, false);
+                found = new RaftNode.Recovered(found.slot(), found.snapshot(), found.entries(), null, false);
             } else if (faults.trustsReboots && !found.lost()) {
-                found = new Keeper.Recovered(found.slot(), found.snapshot(), found.entries(), null, false);
+                found = new RaftNode.Recovered(found.slot(), found.snapshot(), found.entries(), null, false);
             }
             tell(name + " begins: term " + found.slot().term() + " last "
                     + (found.entries().isEmpty()
@@ -380,12 +382,12 @@
                     + found.doubt());
             doubts += found.doubt() != null ? 1 : 0;
             joined = joined || folder.founders().voters().isEmpty();
-            keeper = new Keeper(
-                    new Keeper.Self(name, folder.folder(), runs++),
+            keeper = new RaftNode(
+                    new RaftNode.Self(name, folder.folder(), runs++),
                     rules,
                     found,
                     folder.founders(),
-                    new AgreeCodec(),
+                    new ConsensusCodec(),
                     random.split(),
                     clock());
             diskFreeAt = now;
@@ -424,7 +426,7 @@
             }
             for (Action a : actions) {
                 if (a instanceof Action.Send s) {
-                    AgreeSimulation.this.send(
+                    ConsensusSimulation.this.send(
                             number, keeper(s.to()).number, new Wire(name, folder.folder(), s.message()));
                 } else if (a instanceof Action.Say say) {
                     tell(name + " says " + say.line());
@@ -434,12 +436,12 @@
                     Integer to = asked.remove(w.token());
                     Long theirs = answers.remove(w.token());
                     if (to != null) {
-                        AgreeSimulation.this.send(number, to, new Answer(theirs, w.outcome()));
+                        ConsensusSimulation.this.send(number, to, new Answer(theirs, w.outcome()));
                     }
                 } else if (a instanceof Action.Grant g) {
                     Integer to = askedLease.get(g.grant().balancer());
                     if (to != null) {
-                        AgreeSimulation.this.send(
+                        ConsensusSimulation.this.send(
                                 number,
                                 to,
                                 new Granted(
@@ -451,7 +453,7 @@
             }
         }
 
-        private Version version(long numberOf) {
+        private ConfigVersion version(long numberOf) {
             if (keeper.active().number() == numberOf) {
                 return keeper.active();
             }
@@ -469,7 +471,7 @@
                 Action.Persist p = queue.poll();
                 try {
                     folder.carryOut(p);
-                } catch (DiskFault | IllegalStateException e) { // it stops; somebody mends the disk
+                } catch (DiskException | IllegalStateException e) { // it stops; somebody mends the disk
                     queue.clear();
                     crash(now + 300_000 + random.nextLong(2_000_000));
                     disk.mend();
@@ -486,15 +488,15 @@
             if (keeper == null) {
                 return;
             }
-            if (keeper.role() == Keeper.Role.LEADER) {
+            if (keeper.role() == RaftNode.Role.LEADER) {
                 String other = leaders.putIfAbsent(keeper.term(), name);
                 if (other != null && !other.equals(name)) {
                     fail("%s and %s lead in term %d", name, other, keeper.term());
                 }
             }
             for (long i = Math.max(looked, keeper.base()) + 1; i <= keeper.commit(); i++) {
-                Entry e = keeper.entry(i);
-                Entry before = committed.putIfAbsent(i, e);
+                LogEntry e = keeper.entry(i);
+                LogEntry before = committed.putIfAbsent(i, e);
                 if (before == null) {
                     commits++;
                 } else if (!before.equals(e)) {
@@ -508,11 +510,11 @@
     /** A balancer. */
     private final class BalancerBox extends Process {
         private final String name;
-        private Adherent adherent;
+        private ConfigSubscriber adherent;
         private int to;
         private long nextAsk;
         private long heardAt;
-        private Version last = Version.NONE;
+        private ConfigVersion last = ConfigVersion.NONE;
 
         BalancerBox(String name) {
             super(DRIFT_PPM);
@@ -522,7 +524,7 @@
 
         @Override
         protected void begin() {
-            adherent = new Adherent(name, runs++, rules, last);
+            adherent = new ConfigSubscriber(name, runs++, rules, last);
             nextAsk = clock();
         }
 
@@ -553,7 +555,7 @@
             }
         }
 
-        Adherent.Acting acting() {
+        ConfigSubscriber.Acting acting() {
             return adherent.acting(clock());
         }
     }
@@ -583,8 +585,10 @@
                 return;
             }
             known = Math.max(known, a.outcome().version());
-            Outcome.Kind kind = a.outcome().kind();
-            if (kind == Outcome.Kind.UNKNOWN || kind == Outcome.Kind.NO_LEADER || kind == Outcome.Kind.BUSY) {
+            RequestResult.Kind kind = a.outcome().kind();
+            if (kind == RequestResult.Kind.UNKNOWN
+                    || kind == RequestResult.Kind.NO_LEADER
+                    || kind == RequestResult.Kind.BUSY) {
                 askedAt = 0; // again, with the same number
                 return;
             }
@@ -608,9 +612,9 @@
             }
         }
 
-        private Request draw() {
+        private ClientRequest draw() {
             if (random.nextInt(3) == 0) {
-                return new Request.Read();
+                return new ClientRequest.Read();
             }
             for (KeeperBox k : keepers) {
                 if (k.keeper == null || !k.joined) {
@@ -618,9 +622,9 @@
                 }
                 Member member = anyMember(k.name);
                 if (member != null && member.folder() != 0 && member.folder() != k.folder.folder()) {
-                    return new Request.Remove(k.name, member.folder());
+                    return new ClientRequest.Remove(k.name, member.folder());
                 } else if (member == null) {
-                    return new Request.Add(new Member(k.name, k.folder.folder(), k.name));
+                    return new ClientRequest.Add(new Member(k.name, k.folder.folder(), k.name));
                 }
             }
             Map<String, String> out = new TreeMap<>();
@@ -629,17 +633,17 @@
                     out.put("n" + i, "");
                 }
             }
-            Document content = Document.EMPTY
-                    .with(Schema.UPSTREAMS_OUT, out)
-                    .with(Schema.BALANCERS, 1 + random.nextInt(50))
-                    .with(Schema.RETRIES, random.nextDouble());
-            return new Request.Set(
+            ConfigDocument content = ConfigDocument.EMPTY
+                    .with(ConfigSchema.UPSTREAMS_OUT, out)
+                    .with(ConfigSchema.BALANCERS, 1 + random.nextInt(50))
+                    .with(ConfigSchema.RETRIES, random.nextDouble());
+            return new ClientRequest.Set(
                     new Command.Write("r" + number + "-" + done, known, "w" + number, "", now / 1_000, content));
         }
 
         private Member anyMember(String name) {
             for (KeeperBox k : keepers) {
-                if (k.keeper != null && k.keeper.role() == Keeper.Role.LEADER) {
+                if (k.keeper != null && k.keeper.role() == RaftNode.Role.LEADER) {
                     Member m = k.keeper.members().voters().get(name);
                     return m != null
                             ? m
@@ -667,8 +671,8 @@
             if (b.dead) {
                 continue;
             }
-            Adherent.Acting a = b.acting();
-            if (a.mode() == Adherent.Mode.LEASED) {
+            ConfigSubscriber.Acting a = b.acting();
+            if (a.mode() == ConfigSubscriber.Mode.LEASED) {
                 leasedSteps++;
                 newestAlone = Math.max(newestAlone, a.version());
                 oldestTold = Math.min(oldestTold, Math.max(a.version(), a.pending()));
@@ -680,7 +684,7 @@
             fail("one acts on version %d, another knows nothing beyond %d", newestAlone, oldestTold);
         }
         for (BalancerBox b : balancers) {
-            if (!b.dead && b.acting().mode() == Adherent.Mode.LEASED) {
+            if (!b.dead && b.acting().mode() == ConfigSubscriber.Mode.LEASED) {
                 checkBetween(b);
             }
         }
@@ -688,11 +692,11 @@
 
     /** While a version is to take effect, whoever knows it breaks neither it nor the one before. */
     private void checkBetween(BalancerBox b) {
-        Version next = b.adherent.pending();
+        ConfigVersion next = b.adherent.pending();
         if (next != null) {
             List<String> broken =
-                    new ArrayList<>(Schema.contradictions(b.acting().document(), next.content()));
-            broken.addAll(Schema.contradictions(
+                    new ArrayList<>(ConfigSchema.contradictions(b.acting().document(), next.content()));
+            broken.addAll(ConfigSchema.contradictions(
                     b.acting().document(), b.adherent.active().content()));
             if (!broken.isEmpty()) {
                 fail(
@@ -702,12 +706,12 @@
         }
     }
 
-    private void checkAlone(String name, Document acting) {
+    private void checkAlone(String name, ConfigDocument acting) {
         for (KeeperBox k : keepers) {
             if (k.keeper != null) {
-                Document inForce = k.keeper.active().content();
-                if (acting.number(Schema.RETRIES) > inForce.number(Schema.RETRIES)
-                        || acting.number(Schema.BALANCERS) < inForce.number(Schema.BALANCERS)) {
+                ConfigDocument inForce = k.keeper.active().content();
+                if (acting.number(ConfigSchema.RETRIES) > inForce.number(ConfigSchema.RETRIES)
+                        || acting.number(ConfigSchema.BALANCERS) < inForce.number(ConfigSchema.BALANCERS)) {
                     fail(
                             "%s is alone and looser than version %d",
                             name, k.keeper.active().number());
@@ -718,7 +722,7 @@
 
     private void checkLiveness() {
         KeeperBox leader = keepers.stream()
-                .filter(k -> k.keeper != null && k.keeper.role() == Keeper.Role.LEADER)
+                .filter(k -> k.keeper != null && k.keeper.role() == RaftNode.Role.LEADER)
                 .reduce((a, b) -> a.keeper.term() > b.keeper.term() ? a : b)
                 .orElse(null);
         if (leader == null) {
@@ -731,12 +735,13 @@
             }
         }
         if (history.stream()
-                .noneMatch(o ->
-                        o.from > FAULTS_END + 8_000_000 && o.outcome != null && o.request instanceof Request.Set)) {
+                .noneMatch(o -> o.from > FAULTS_END + 8_000_000
+                        && o.outcome != null
+                        && o.request instanceof ClientRequest.Set)) {
             fail("nothing was decided after the last fault: %s", states());
         }
         for (BalancerBox b : balancers) {
-            if (b.acting().mode() != Adherent.Mode.LEASED) {
+            if (b.acting().mode() != ConfigSubscriber.Mode.LEASED) {
                 fail("%s has no lease long after the last fault: %s", b.name, states());
             }
         }
@@ -767,18 +772,18 @@
                 return;
             }
         }
-        Map<String, Outcome> results = new LogPlayer().play(committed.values());
+        Map<String, RequestResult> results = new LogPlayer().play(committed.values());
         List<Op> ended =
                 new ArrayList<>(history.stream().filter(o -> o.outcome != null).toList());
         for (Op o : ended) {
-            if (o.request instanceof Request.Set s && o.outcome.kind() == Outcome.Kind.DONE) {
-                Outcome real = results.get(s.write().request());
-                if (real == null || real.kind() != Outcome.Kind.DONE || real.version() != o.outcome.version()) {
+            if (o.request instanceof ClientRequest.Set s && o.outcome.kind() == RequestResult.Kind.DONE) {
+                RequestResult real = results.get(s.write().request());
+                if (real == null || real.kind() != RequestResult.Kind.DONE || real.version() != o.outcome.version()) {
                     fail("%s was answered %s, is %s", s.write().request(), o.outcome, real);
                 }
-            } else if (o.request instanceof Request.Set s) {
-                Outcome real = results.get(s.write().request());
-                if (real != null && real.kind() == Outcome.Kind.DONE) {
+            } else if (o.request instanceof ClientRequest.Set s) {
+                RequestResult real = results.get(s.write().request());
+                if (real != null && real.kind() == RequestResult.Kind.DONE) {
                     fail("%s was answered %s and is done: %s", s.write().request(), o.outcome, real);
                 }
             }
@@ -796,17 +801,17 @@
 
     private static boolean isRead(Op o) {
         return o.outcome.version() > 0
-                && (o.request instanceof Request.Read
-                        || o.request instanceof Request.Set && o.outcome.kind() == Outcome.Kind.DONE);
+                && (o.request instanceof ClientRequest.Read
+                        || o.request instanceof ClientRequest.Set && o.outcome.kind() == RequestResult.Kind.DONE);
     }
 
     /** What a log makes of its writes, by a model of its own. */
     private static final class LogPlayer {
-        Map<String, Outcome> play(Iterable<Entry> log) {
-            Map<String, Outcome> results = new HashMap<>();
+        Map<String, RequestResult> play(Iterable<LogEntry> log) {
+            Map<String, RequestResult> results = new HashMap<>();
             long active = 0;
             boolean pending = false;
-            for (Entry e : log) {
+            for (LogEntry e : log) {
                 if (e.command() instanceof Command.Activate a && pending && a.version() == active + 1) {
                     active++;
                     pending = false;
@@ -814,7 +819,10 @@
                     boolean ok = !pending && w.parent() == active;
                     results.put(
                             w.request(),
-                            new Outcome(ok ? Outcome.Kind.DONE : Outcome.Kind.CONFLICT, ok ? active + 1 : active, ""));
+                            new RequestResult(
+                                    ok ? RequestResult.Kind.DONE : RequestResult.Kind.CONFLICT,
+                                    ok ? active + 1 : active,
+                                    ""));
                     pending |= ok;
                 }
             }
--- /dev/null
+++ b/src/test/java/sedgeyoke/consensus/storage/StoredFolderScript.java
@@ -0,0 +1,223 @@
+package sedgeyoke.consensus.storage;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import sedgeyoke.consensus.Action;
+import sedgeyoke.consensus.Command;
+import sedgeyoke.consensus.ConfigDocument;
+import sedgeyoke.consensus.ConfigSchema;
+import sedgeyoke.consensus.ConfigStateMachine;
+import sedgeyoke.consensus.ConfigVersion;
+import sedgeyoke.consensus.HardState;
+import sedgeyoke.consensus.LogEntry;
+import sedgeyoke.consensus.Member;
+import sedgeyoke.consensus.Membership;
+import sedgeyoke.consensus.RequestResult;
+import sedgeyoke.consensus.Snapshot;
+import sedgeyoke.store.Disk;
+import sedgeyoke.store.DiskException;
+import sedgeyoke.store.FileDisk;
+
+/** The calls that wrote the stored folder {@code keeper}; the same calls must go on writing the same bytes. */
+final class StoredFolderScript {
+    static final ReplicaStorage.Owner OWNER =
+            new ReplicaStorage.Owner("orders", "k0", "0b9c3f5e-5d0a-4c1e-9a61-2f4b7c8d9e10", false);
+    static final long FOLDER = 0x6b30_c0ff_ee01L;
+    static final int SEGMENT_BYTES = 1_024;
+    static final Membership FOUNDERS = Membership.of(List.of(
+            new Member("k0", 0, "127.0.0.1:7100"),
+            new Member("k1", 0, "127.0.0.1:7101"),
+            new Member("k2", 0, "127.0.0.1:7102")));
+    static final Membership THREE = Membership.of(List.of(
+            new Member("k0", FOLDER, "127.0.0.1:7100"),
+            new Member("k1", 11, "127.0.0.1:7101"),
+            new Member("k2", 12, "127.0.0.1:7102")));
+    static final Membership JOINING = new Membership(THREE.voters(), new Member("k3", 13, "127.0.0.1:7103"));
+    private static final int BEFORE_WRITES = 2;
+    private static final Map<String, HardState.Known> NOBODY = Map.of();
+
+    private final ReplicaStorage folder;
+    private long token;
+
+    /** A disk whose files have the same identity wherever they lie. */
+    record KnownDisk(Disk disk) implements Disk {
+        @Override
+        public String identity(String name) {
+            return "ino=" + (name.endsWith("-a") ? 1001 : 1002);
+        }
+
+        @Override
+        public List<String> names() throws DiskException {
+            return disk.names();
+        }
+
+        @Override
+        public long length(String name) throws DiskException {
+            return disk.length(name);
+        }
+
+        @Override
+        public byte[] read(String name, long at, int length) throws DiskException {
+            return disk.read(name, at, length);
+        }
+
+        @Override
+        public void allocate(String name, long length) throws DiskException {
+            disk.allocate(name, length);
+        }
+
+        @Override
+        public void write(String name, long at, byte[] bytes) throws DiskException {
+            disk.write(name, at, bytes);
+        }
+
+        @Override
+        public void force(String name) throws DiskException {
+            disk.force(name);
+        }
+
+        @Override
+        public void forceNames() throws DiskException {
+            disk.forceNames();
+        }
+
+        @Override
+        public void rename(String from, String to) throws DiskException {
+            disk.rename(from, to);
+        }
+
+        @Override
+        public void delete(String name) throws DiskException {
+            disk.delete(name);
+        }
+    }
+
+    private StoredFolderScript(ReplicaStorage folder) {
+        this.folder = folder;
+    }
+
+    /** Writes the folder. */
+    static void write(Path at) throws DiskException, ReplicaStorage.Unusable {
+        try (FileDisk files = FileDisk.take(at)) {
+            Disk disk = new KnownDisk(files);
+            ReplicaStorage.make(disk, OWNER, FOLDER, FOUNDERS);
+            new StoredFolderScript(ReplicaStorage.open(disk, OWNER, SEGMENT_BYTES)).run();
+        }
+    }
+
+    private void run() throws DiskException {
+        slot(new HardState(1, "k0", List.of(101L), NOBODY, true));
+        append(new LogEntry(1, 1, new Command.Nothing()));
+        append(new LogEntry(2, 1, new Command.Change(THREE)));
+        for (int number = 1; number <= 6; number++) {
+            writeVersion(number);
+            if (number == 3) {
+                snapshot(new Snapshot(8, 1, state(3, Map.of())));
+            }
+        }
+        snapshot(new Snapshot(
+                14,
+                1,
+                state(
+                        6,
+                        Map.of(
+                                "request-late",
+                                new RequestResult(
+                                        RequestResult.Kind.CONFLICT, 6, "made from version 2, the newest is 6")))));
+        slot(new HardState(2, "k2", List.of(102L, 101L), Map.of("k1", new HardState.Known(11, 201)), true));
+        append(
+                new LogEntry(15, 2, new Command.Nothing()),
+                new LogEntry(16, 2, new Command.Change(JOINING)),
+                new LogEntry(17, 2, write(7)));
+        Map<String, HardState.Known> known = new LinkedHashMap<>();
+        known.put("k1", new HardState.Known(11, 201));
+        known.put("k2", new HardState.Known(12, 301));
+        slot(new HardState(3, "k1", List.of(103L, 102L, 101L), known, true));
+        persist(
+                null,
+                null,
+                16,
+                List.of(
+                        new LogEntry(17, 3, new Command.Nothing()),
+                        new LogEntry(18, 3, write(7)),
+                        new LogEntry(19, 3, new Command.Activate(7))));
+        append(new LogEntry(20, 3, write(8)));
+    }
+
+    private void writeVersion(int number) throws DiskException {
+        long index = BEFORE_WRITES + 2L * number - 1;
+        append(new LogEntry(index, 1, write(number)));
+        append(new LogEntry(index + 1, 1, new Command.Activate(number)));
+    }
+
+    private void slot(HardState slot) throws DiskException {
+        persist(slot, null, -1, List.of());
+    }
+
+    private void snapshot(Snapshot state) throws DiskException {
+        persist(null, state, -1, List.of());
+    }
+
+    private void append(LogEntry... entries) throws DiskException {
+        persist(null, null, -1, List.of(entries));
+    }
+
+    private void persist(HardState slot, Snapshot snapshot, long keep, List<LogEntry> entries) throws DiskException {
+        token++;
+        folder.carryOut(new Action.Persist(token, slot, snapshot, -1, keep, entries));
+    }
+
+    private static Command.Write write(int number) {
+        ConfigVersion version = version(number);
+        return new Command.Write(
+                "request-" + number,
+                version.parent(),
+                version.author(),
+                version.reason(),
+                version.atMs(),
+                version.content());
+    }
+
+    private static ConfigVersion version(int number) {
+        return number == 0
+                ? ConfigVersion.NONE
+                : new ConfigVersion(
+                        number,
+                        number - 1,
+                        "operator-" + number % 5,
+                        "change " + number,
+                        1_700_000_000_000L + number,
+                        content(number));
+    }
+
+    /** Each version sets one thing more; the last ones take some back. */
+    private static ConfigDocument content(int number) {
+        return switch (number) {
+            case 0 -> ConfigDocument.EMPTY;
+            case 1 -> content(0).with(ConfigSchema.RETRIES, 0.25).with(ConfigSchema.BALANCERS, 12);
+            case 2 -> content(1).with(ConfigSchema.UPSTREAMS_OUT, Map.of("n-17", "disk", "n-4", "Übergang 4→5"));
+            case 3 -> content(2).withTable(ConfigSchema.TENANT_SHARES, Map.of("shop", 0.5, "reports", 0.125));
+            case 4 -> content(3).with(ConfigSchema.ZONES_OUT, Map.of("z-b", ""));
+            case 5 -> content(4).with(ConfigSchema.REPEAT_GROUPS, Map.of("carts", "keyed"));
+            case 6 -> content(5).with(ConfigSchema.COLD_SHARE, 0.5);
+            case 7 -> content(6)
+                    .with(ConfigSchema.COLD_SHARE, 0.75)
+                    .with(ConfigSchema.UPSTREAMS_OUT, Map.of("n-4", "Übergang 4→5"));
+            default -> content(7).with(ConfigSchema.ZONES_OUT, Map.of());
+        };
+    }
+
+    private static ConfigStateMachine.State state(int active, Map<String, RequestResult> more) {
+        List<ConfigVersion> history = new ArrayList<>();
+        Map<String, RequestResult> requests = new LinkedHashMap<>();
+        for (int number = 0; number < active; number++) {
+            history.add(version(number));
+            requests.put("request-" + (number + 1), new RequestResult(RequestResult.Kind.DONE, number + 1, ""));
+        }
+        requests.putAll(more);
+        return new ConfigStateMachine.State(THREE, version(active), null, history, requests);
+    }
+}
--- a/src/test/java/sedgeyoke/link/StoredFolderTest.java
+++ b/src/test/java/sedgeyoke/consensus/storage/StoredFolderTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.link;
+package sedgeyoke.consensus.storage;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -20,20 +20,21 @@
 import java.util.zip.ZipInputStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import sedgeyoke.agree.Command;
-import sedgeyoke.agree.Document;
-import sedgeyoke.agree.Entry;
-import sedgeyoke.agree.Keeper;
-import sedgeyoke.agree.Member;
-import sedgeyoke.agree.Members;
-import sedgeyoke.agree.Outcome;
-import sedgeyoke.agree.Rules;
-import sedgeyoke.agree.Schema;
-import sedgeyoke.agree.Slot;
-import sedgeyoke.agree.SnapshotState;
-import sedgeyoke.agree.Timing;
-import sedgeyoke.agree.Version;
-import sedgeyoke.lease.Drift;
+import sedgeyoke.consensus.Command;
+import sedgeyoke.consensus.ConfigDocument;
+import sedgeyoke.consensus.ConfigSchema;
+import sedgeyoke.consensus.ConfigVersion;
+import sedgeyoke.consensus.HardState;
+import sedgeyoke.consensus.LogEntry;
+import sedgeyoke.consensus.Member;
+import sedgeyoke.consensus.Membership;
+import sedgeyoke.consensus.RaftNode;
+import sedgeyoke.consensus.RaftTiming;
+import sedgeyoke.consensus.RequestResult;
+import sedgeyoke.consensus.SafetyRules;
+import sedgeyoke.consensus.Snapshot;
+import sedgeyoke.consensus.codec.ConsensusCodec;
+import sedgeyoke.lease.ClockDrift;
 import sedgeyoke.store.FileDisk;
 
 /**
@@ -41,7 +42,7 @@
  * {@code process-k0.zip}, of one of three processes. They stay readable, and what is written now has the same bytes.
  */
 class StoredFolderTest {
-    private static final Timing TIMING = Timing.usual(2_000_000, new Drift(200));
+    private static final RaftTiming TIMING = RaftTiming.usual(2_000_000, new ClockDrift(200));
     private static final long PROCESS_FOLDER = -845_745_965_871_894_833L;
 
     @TempDir
@@ -71,8 +72,8 @@
 
     // ---- The folder of the script --------------------------------------------------------------------
 
-    private KeeperFolder openScripted(FileDisk disk) throws Exception {
-        return KeeperFolder.open(
+    private ReplicaStorage openScripted(FileDisk disk) throws Exception {
+        return ReplicaStorage.open(
                 new StoredFolderScript.KnownDisk(disk), StoredFolderScript.OWNER, StoredFolderScript.SEGMENT_BYTES);
     }
 
@@ -98,20 +99,20 @@
     @Test
     void theSlotIsRead() throws Exception {
         try (FileDisk disk = FileDisk.take(copy("keeper"))) {
-            KeeperFolder read = openScripted(disk);
+            ReplicaStorage read = openScripted(disk);
             assertEquals("orders", read.tier());
             assertEquals("k0", read.keeper());
             assertEquals(0x6b30_c0ff_ee01L, read.folder());
             assertEquals(
-                    new Slot(
+                    new HardState(
                             3,
                             "k1",
                             List.of(103L, 102L, 101L),
-                            Map.of("k1", new Slot.Known(11, 201), "k2", new Slot.Known(12, 301)),
+                            Map.of("k1", new HardState.Known(11, 201), "k2", new HardState.Known(12, 301)),
                             true),
                     read.recovered().slot());
             assertEquals(
-                    Members.of(List.of(
+                    Membership.of(List.of(
                             new Member("k0", 0, "127.0.0.1:7100"),
                             new Member("k1", 0, "127.0.0.1:7101"),
                             new Member("k2", 0, "127.0.0.1:7102"))),
@@ -122,20 +123,20 @@
     @Test
     void nothingIsJudgedDamaged() throws Exception {
         try (FileDisk disk = FileDisk.take(copy("keeper"))) {
-            KeeperFolder read = openScripted(disk);
+            ReplicaStorage read = openScripted(disk);
             assertEquals(List.of(), read.damage());
             assertFalse(read.recovered().lost());
             assertNull(read.recovered().doubt());
             assertEquals(
-                    new KeeperFolder.Report("orders", "k0", 0x6b30_c0ff_ee01L, 3, 20, 14, List.of()),
-                    KeeperFolder.check(disk));
+                    new ReplicaStorage.Report("orders", "k0", 0x6b30_c0ff_ee01L, 3, 20, 14, List.of()),
+                    ReplicaStorage.check(disk));
         }
     }
 
     @Test
     void theSnapshotIsRead() throws Exception {
         try (FileDisk disk = FileDisk.take(copy("keeper"))) {
-            SnapshotState snapshot = openScripted(disk).recovered().snapshot();
+            Snapshot snapshot = openScripted(disk).recovered().snapshot();
             assertEquals(14, snapshot.covered());
             assertEquals(1, snapshot.term());
             assertEquals(StoredFolderScript.THREE, snapshot.state().members());
@@ -143,12 +144,14 @@
             assertNull(snapshot.state().pending());
             assertEquals(
                     List.of(0L, 1L, 2L, 3L, 4L, 5L),
-                    snapshot.state().history().stream().map(Version::number).toList());
+                    snapshot.state().history().stream()
+                            .map(ConfigVersion::number)
+                            .toList());
             assertEquals(
-                    new Outcome(Outcome.Kind.DONE, 3, ""),
+                    new RequestResult(RequestResult.Kind.DONE, 3, ""),
                     snapshot.state().requests().get("request-3"));
             assertEquals(
-                    new Outcome(Outcome.Kind.CONFLICT, 6, "made from version 2, the newest is 6"),
+                    new RequestResult(RequestResult.Kind.CONFLICT, 6, "made from version 2, the newest is 6"),
                     snapshot.state().requests().get("request-late"));
         }
     }
@@ -156,12 +159,13 @@
     @Test
     void aFieldOfEachKindIsReadFromTheSnapshot() throws Exception {
         try (FileDisk disk = FileDisk.take(copy("keeper"))) {
-            Version active = openScripted(disk).recovered().snapshot().state().active();
+            ConfigVersion active =
+                    openScripted(disk).recovered().snapshot().state().active();
             assertEquals("operator-1", active.author());
             assertEquals("change 6", active.reason());
             assertEquals(1_700_000_000_006L, active.atMs());
             assertEquals(5, active.parent());
-            Document content = active.content();
+            ConfigDocument content = active.content();
             assertEquals(Map.of("balancers", 12.0, "retries", 0.25, "cold_share", 0.5), content.numbers());
             assertEquals(Map.of("tenant_shares", Map.of("shop", 0.5, "reports", 0.125)), content.tables());
             assertEquals(
@@ -179,13 +183,13 @@
     @Test
     void theEntriesBehindTheSnapshotAreRead() throws Exception {
         try (FileDisk disk = FileDisk.take(copy("keeper"))) {
-            List<Entry> entries = openScripted(disk).recovered().entries();
+            List<LogEntry> entries = openScripted(disk).recovered().entries();
             assertEquals(
                     List.of(15L, 16L, 17L, 18L, 19L, 20L),
-                    entries.stream().map(Entry::index).toList());
+                    entries.stream().map(LogEntry::index).toList());
             assertEquals(
                     List.of(2L, 2L, 3L, 3L, 3L, 3L),
-                    entries.stream().map(Entry::term).toList());
+                    entries.stream().map(LogEntry::term).toList());
             assertEquals(new Command.Nothing(), entries.get(0).command());
             assertEquals(
                     new Command.Change(StoredFolderScript.JOINING),
@@ -194,8 +198,8 @@
             Command.Write write = (Command.Write) entries.get(3).command();
             assertEquals("request-7", write.request());
             assertEquals(6, write.parent());
-            assertEquals(0.75, write.content().number(Schema.COLD_SHARE));
-            assertEquals(Map.of("n-4", "Übergang 4→5"), write.content().names(Schema.UPSTREAMS_OUT));
+            assertEquals(0.75, write.content().number(ConfigSchema.COLD_SHARE));
+            assertEquals(Map.of("n-4", "Übergang 4→5"), write.content().names(ConfigSchema.UPSTREAMS_OUT));
             assertEquals(new Command.Activate(7), entries.get(4).command());
             assertEquals("request-8", ((Command.Write) entries.get(5).command()).request());
         }
@@ -204,13 +208,13 @@
     @Test
     void aReplicaStartsFromIt() throws Exception {
         try (FileDisk disk = FileDisk.take(copy("keeper"))) {
-            KeeperFolder read = openScripted(disk);
-            Keeper started = new Keeper(
-                    new Keeper.Self("k0", read.folder(), 104),
-                    new Rules(TIMING),
+            ReplicaStorage read = openScripted(disk);
+            RaftNode started = new RaftNode(
+                    new RaftNode.Self("k0", read.folder(), 104),
+                    new SafetyRules(TIMING),
                     read.recovered(),
                     read.founders(),
-                    new AgreeCodec(),
+                    new ConsensusCodec(),
                     new SplittableRandom(1),
                     0);
             assertEquals(3, started.term());
@@ -228,7 +232,7 @@
     @Test
     void aCopyOfAFolderIsStillToldFromTheFolder() throws Exception {
         try (FileDisk disk = FileDisk.take(copy("keeper"))) {
-            String doubt = KeeperFolder.open(disk, StoredFolderScript.OWNER)
+            String doubt = ReplicaStorage.open(disk, StoredFolderScript.OWNER)
                     .recovered()
                     .doubt();
             assertTrue(doubt.startsWith("the folder is a copy"), doubt);
@@ -261,11 +265,11 @@
     void theFolderOfAProcessIsRead() throws Exception {
         try (FileDisk disk = FileDisk.take(unzip())) {
             assertEquals(
-                    new KeeperFolder.Report("drill", "k0", PROCESS_FOLDER, 2, 11, 0, List.of()),
-                    KeeperFolder.check(disk));
-            KeeperFolder read = KeeperFolder.open(disk, new KeeperFolder.Owner("drill", "k0", "", false));
+                    new ReplicaStorage.Report("drill", "k0", PROCESS_FOLDER, 2, 11, 0, List.of()),
+                    ReplicaStorage.check(disk));
+            ReplicaStorage read = ReplicaStorage.open(disk, new ReplicaStorage.Owner("drill", "k0", "", false));
             assertFalse(read.recovered().lost());
-            Slot slot = read.recovered().slot();
+            HardState slot = read.recovered().slot();
             assertEquals(2, slot.term());
             assertEquals("", slot.vote());
             assertEquals(2, slot.runs().size(), "it was started twice");
@@ -280,7 +284,7 @@
     @Test
     void theEntriesOfAProcessAreRead() throws Exception {
         try (FileDisk disk = FileDisk.take(unzip())) {
-            List<Entry> entries = KeeperFolder.open(disk, new KeeperFolder.Owner("drill", "k0", "", false))
+            List<LogEntry> entries = ReplicaStorage.open(disk, new ReplicaStorage.Owner("drill", "k0", "", false))
                     .recovered()
                     .entries();
             assertEquals(11, entries.size());
@@ -309,7 +313,7 @@
                             .map(e -> ((Command.Activate) e.command()).version())
                             .toList());
             assertEquals(
-                    new Document(
+                    new ConfigDocument(
                             Map.of("retries", 0.5),
                             Map.of("tenant_shares", Map.of("shop", 0.5)),
                             Map.of("upstreams_out", Map.of("n-4", "disk", "n-17", ""))),
--- a/src/test/java/sedgeyoke/drill/AgreeProcessesTest.java
+++ b/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
@@ -20,16 +20,16 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import sedgeyoke.agree.Document;
-import sedgeyoke.agree.Member;
-import sedgeyoke.agree.Outcome;
-import sedgeyoke.agree.Request;
-import sedgeyoke.agree.Schema;
-import sedgeyoke.agree.Version;
-import sedgeyoke.link.KeeperClient;
+import sedgeyoke.consensus.ClientRequest;
+import sedgeyoke.consensus.ConfigDocument;
+import sedgeyoke.consensus.ConfigSchema;
+import sedgeyoke.consensus.ConfigVersion;
+import sedgeyoke.consensus.Member;
+import sedgeyoke.consensus.RequestResult;
+import sedgeyoke.consensus.server.ConfigClient;
 
 /** Keepers and balancers as processes of the program, and what happens when some of them fail. */
-class AgreeProcessesTest {
+class ConsensusProcessesTest {
     private static final long PATIENCE_MS = 60_000;
     private static final List<String> PROGRAM = List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -46,7 +46,7 @@
         final Map<String, Integer> ports = new LinkedHashMap<>();
         final Map<String, ProgramProcess> processes = new LinkedHashMap<>();
         final List<InetSocketAddress> addresses = new ArrayList<>();
-        final KeeperClient client;
+        final ConfigClient client;
 
         Keepers(Path folder) throws Exception {
             this.folder = folder;
@@ -59,27 +59,27 @@
                 processes.put(name, tier.keeper(name, ports.get(name), ports, 2_000));
                 processes.get(name).start();
             }
-            client = new KeeperClient(addresses, "op", tier.operator("op"));
+            client = new ConfigClient(addresses, "op", tier.operator("op"));
             read();
         }
 
-        Version read() throws InterruptedException {
-            KeeperClient.Answer answer = client.ask(new Request.Read(), PATIENCE_MS);
-            assertEquals(Outcome.Kind.DONE, answer.outcome().kind());
+        ConfigVersion read() throws InterruptedException {
+            ConfigClient.Answer answer = client.ask(new ClientRequest.Read(), PATIENCE_MS);
+            assertEquals(RequestResult.Kind.DONE, answer.outcome().kind());
             return answer.newest();
         }
 
         /** Sets it, however often the version before is still taking effect; the version that it made. */
         long set(String request, double retries) throws InterruptedException {
-            Version from = read();
-            Document next = from.content().with(Schema.RETRIES, retries);
-            Outcome outcome =
+            ConfigVersion from = read();
+            ConfigDocument next = from.content().with(ConfigSchema.RETRIES, retries);
+            RequestResult outcome =
                     client.set(request, from, "op", "", next, PATIENCE_MS).outcome();
-            assertEquals(Outcome.Kind.DONE, outcome.kind(), outcome.text());
+            assertEquals(RequestResult.Kind.DONE, outcome.kind(), outcome.text());
             return outcome.version();
         }
 
-        KeeperClient.Status status(String name) {
+        ConfigClient.Status status(String name) {
             try {
                 return client.status(addresses.get(List.copyOf(ports.keySet()).indexOf(name)));
             } catch (InterruptedException e) {
@@ -127,7 +127,7 @@
                 await("its end", () -> !p.alive());
                 p.start();
             }
-            assertEquals(0.25, k.read().content().number(Schema.RETRIES));
+            assertEquals(0.25, k.read().content().number(ConfigSchema.RETRIES));
             assertEquals(version, k.set("one", 0.25), "the same request, the same version");
             assertNotEquals(version, k.set("two", 0.5));
         }
@@ -143,11 +143,11 @@
             long version = k.set("two", 0.5);
             k.processes.get(before).pause(false);
             await("it follows", () -> {
-                KeeperClient.Status s = k.status(before);
+                ConfigClient.Status s = k.status(before);
                 return s != null && s.role().equals("follower") && s.active() + s.pending() >= version;
             });
             assertNotEquals(before, k.leader());
-            assertEquals(0.5, k.read().content().number(Schema.RETRIES));
+            assertEquals(0.5, k.read().content().number(ConfigSchema.RETRIES));
         }
     }
 
@@ -170,18 +170,18 @@
             k.set("two", 0.5);
             assertEquals(0, k.status("k2").active(), "nobody tells it anything");
             assertEquals(
-                    Outcome.Kind.DONE,
+                    RequestResult.Kind.DONE,
                     k.client
-                            .ask(new Request.Remove("k2", old), PATIENCE_MS)
+                            .ask(new ClientRequest.Remove("k2", old), PATIENCE_MS)
                             .outcome()
                             .kind());
-            KeeperClient.Answer[] added = new KeeperClient.Answer[1];
+            ConfigClient.Answer[] added = new ConfigClient.Answer[1];
             await("it is added", () -> {
                 try {
                     added[0] = k.client.ask(
-                            new Request.Add(new Member("k2", folderNow, "127.0.0.1:" + k.ports.get("k2"))),
+                            new ClientRequest.Add(new Member("k2", folderNow, "127.0.0.1:" + k.ports.get("k2"))),
                             PATIENCE_MS);
-                    return added[0].outcome().kind() == Outcome.Kind.DONE;
+                    return added[0].outcome().kind() == RequestResult.Kind.DONE;
                 } catch (InterruptedException e) {
                     throw new IllegalStateException(e);
                 }
@@ -210,7 +210,7 @@
             Files.write(segment, bytes);
             k.processes.get("k1").start();
             await("it is sound and has all", () -> {
-                KeeperClient.Status s = k.status("k1");
+                ConfigClient.Status s = k.status("k1");
                 return s != null && s.sound() && s.active() + s.pending() >= version;
             });
             assertTrue(Files.readString(folder.resolve("k1.log")).contains("log-0000000000000001"), "it is said");
@@ -234,8 +234,9 @@
     /** The drill in small: three keepers and three balancers, with faults on every way between them. */
     @Test
     void theDrillHoldsInSmall() throws Exception {
-        ObjectNode figures =
-                new AgreeDrill(3, 3, 16, 3, AgreeDrill.Mode.FAULTS, PROGRAM, new PrintWriter(System.out, true)).run();
+        ObjectNode figures = new ConsensusDrill(
+                        3, 3, 16, 3, ConsensusDrill.Mode.FAULTS, PROGRAM, new PrintWriter(System.out, true))
+                .run();
         System.out.println(figures);
         assertEquals(0, figures.path("lost_commits").asInt(), figures.toString());
         assertTrue(figures.path("linearizable").asBoolean(), figures.toString());
--- a/src/test/java/sedgeyoke/experiment/ExperimentTest.java
+++ b/src/test/java/sedgeyoke/experiment/ExperimentTest.java
@@ -66,16 +66,17 @@
         Path out = folder.resolve("out");
         play(2, out);
         String before = Files.readString(out.resolve("runs.jsonl"));
-        BadExperiment bad = assertThrows(
-                BadExperiment.class, () -> play(SMALL.replace("0.5", "0.6"), 2, out, true, new StringWriter()));
+        InvalidExperimentException bad = assertThrows(
+                InvalidExperimentException.class,
+                () -> play(SMALL.replace("0.5", "0.6"), 2, out, true, new StringWriter()));
         assertTrue(bad.getMessage().contains("runs.jsonl:1: file_sha256: is of another file"), bad.getMessage());
         assertEquals(before, Files.readString(out.resolve("runs.jsonl")));
         Files.writeString(out.resolve("runs.jsonl"), before.replaceFirst("\n", "\nnoise\n"));
-        assertTrue(assertThrows(BadExperiment.class, () -> play(SMALL, 2, out, true, new StringWriter()))
+        assertTrue(assertThrows(InvalidExperimentException.class, () -> play(SMALL, 2, out, true, new StringWriter()))
                 .getMessage()
                 .contains("runs.jsonl:2: is no run"));
         Files.writeString(out.resolve("runs.jsonl"), "{\"schema\":1}\n");
-        assertTrue(assertThrows(BadExperiment.class, () -> play(SMALL, 2, out, true, new StringWriter()))
+        assertTrue(assertThrows(InvalidExperimentException.class, () -> play(SMALL, 2, out, true, new StringWriter()))
                 .getMessage()
                 .contains("schema: is 1"));
     }
@@ -145,12 +146,12 @@
                                 .asDouble(),
                 figures.toString());
         assertTrue(assertThrows(
-                        BadExperiment.class,
+                        InvalidExperimentException.class,
                         () -> play(SMALL + days.replace("load", "lode"), 1, null, false, new StringWriter()))
                 .getMessage()
                 .contains("lode: is not known"));
         assertTrue(assertThrows(
-                        BadExperiment.class,
+                        InvalidExperimentException.class,
                         () -> play(SMALL + days.replace("busy", "calm"), 1, null, false, new StringWriter()))
                 .getMessage()
                 .contains("days[1].name: must be there"));
@@ -181,8 +182,8 @@
 
     @Test
     void allThatIsWrongInAFileIsSaidWithItsLine() throws Exception {
-        BadExperiment bad = assertThrows(
-                BadExperiment.class,
+        InvalidExperimentException bad = assertThrows(
+                InvalidExperimentException.class,
                 () -> ExperimentFile.load(file("[scenario]\nnodes = 0\n"
                         + "nods = 3\nretries = \"often\"\nzone_share = [1]\n[[faults]]\nat = 2\ndo = \"explode\"\n"
                         + "[[variants]]\nname = \"a\"\npolicy = \"magic\"\n[compare]\nbase = \"b\"\n")));
@@ -202,14 +203,14 @@
     @ValueSource(strings = {"", "variants = 3", "[scenario", "[[variants]]\nname = 3", "title = 7\n[[variants]]\n"})
     void whatIsNoExperimentIsRefused(String text) throws Exception {
         Path file = file(text);
-        assertTrue(assertThrows(BadExperiment.class, () -> ExperimentFile.load(file))
+        assertTrue(assertThrows(InvalidExperimentException.class, () -> ExperimentFile.load(file))
                 .getMessage()
                 .contains("e.toml"));
     }
 
     @Test
     void aFileThatIsNotThereIsRefused() {
-        assertThrows(BadExperiment.class, () -> ExperimentFile.load(folder.resolve("none.toml")));
+        assertThrows(InvalidExperimentException.class, () -> ExperimentFile.load(folder.resolve("none.toml")));
     }
 
     @ParameterizedTest
@@ -229,12 +230,12 @@
             better[i] = base[i] + 0.01 + 0.001 * i;
             noise[i] = base[i] + (i % 2 == 0 ? 0.01 : -0.01);
         }
-        Paired gain = Paired.of(better, base);
+        PairedBootstrap gain = PairedBootstrap.of(better, base);
         assertTrue(gain.low() > 0.01 && gain.low() < gain.mean() && gain.mean() < gain.high());
         assertEquals(8, gain.wins());
-        Paired none = Paired.of(noise, base);
+        PairedBootstrap none = PairedBootstrap.of(noise, base);
         assertTrue(none.low() < 0 && none.high() > 0);
         assertEquals(4, none.losses());
-        assertEquals(new Paired(0, 0, 0, 0, 0), Paired.of(base, base));
+        assertEquals(new PairedBootstrap(0, 0, 0, 0, 0), PairedBootstrap.of(base, base));
     }
 }
--- a/src/test/java/sedgeyoke/experiment/StoredRunsTest.java
+++ b/src/test/java/sedgeyoke/experiment/StoredRunsTest.java
@@ -35,7 +35,7 @@
 
     @Test
     void runsAreRead() throws Exception {
-        Map<Run.Key, Run> runs = new RunFile(folder).read(experiment);
+        Map<Run.Key, Run> runs = new RunLog(folder).read(experiment);
         assertEquals(
                 Set.of(
                         new Run.Key("", "ours", 1),
--- a/src/test/java/sedgeyoke/experiment/HuntTest.java
+++ b/src/test/java/sedgeyoke/experiment/WorstCaseSearchTest.java
@@ -12,11 +12,11 @@
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import sedgeyoke.emulate.Emulation;
-import sedgeyoke.emulate.Outcome;
+import sedgeyoke.simulation.Outcome;
+import sedgeyoke.simulation.Simulation;
 
 /** A hunt must find what is there to be found, make it small, and write down what shows it again. */
-class HuntTest {
+class WorstCaseSearchTest {
     /** Random choice knows no cold nodes: any restart under load breaks rule 4. */
     private static final String COLD = "[scenario]\nnodes = 6\nforwarders = 6\nseconds = 8\nload = 0.7\nwarm_up = 1\n"
             + "[[variants]]\nname = \"blind\"\npolicy = \"random\"\n[hunt]\nvariant = \"blind\"\ntries = 6\n"
@@ -33,7 +33,8 @@
 
     private ObjectNode hunt(String text, int jobs) throws Exception {
         Path file = Files.writeString(folder.resolve("h.toml"), text);
-        return new Hunt(ExperimentFile.load(file), 5, jobs, folder, new PrintWriter(new StringWriter())).run();
+        return new WorstCaseSearch(ExperimentFile.load(file), 5, jobs, folder, new PrintWriter(new StringWriter()))
+                .run();
     }
 
     @Test
@@ -43,7 +44,7 @@
         assertEquals(1, found.path("faults").asInt(), "one restart is enough: " + found);
         ExperimentFile again = ExperimentFile.load(Path.of(found.path("file").asText()));
         assertEquals("blind", again.base());
-        Outcome played = new Emulation(again.points().get(0).variants().get("blind"), 5).run();
+        Outcome played = new Simulation(again.points().get(0).variants().get("blind"), 5).run();
         assertTrue(played.ruleViolations() > 0, "what was written shows it");
     }
 
@@ -80,7 +81,7 @@
                 COLD.replace("[4, 8]", "[8, 4]")
                         .replace("\"restart_node\"", "\"explode\"")
                         .replace("variant = \"blind\"", "variant = \"none\""));
-        String said = assertThrows(BadExperiment.class, () -> ExperimentFile.load(file))
+        String said = assertThrows(InvalidExperimentException.class, () -> ExperimentFile.load(file))
                 .getMessage();
         for (String wrong : new String[] {
             "w.toml:16: hunt.ranges.nodes: must be [least, most]",
--- a/src/test/java/sedgeyoke/site/LedgerTest.java
+++ b/src/test/java/sedgeyoke/model/InvariantCheckerTest.java
@@ -1,22 +1,22 @@
-package sedgeyoke.site;
+package sedgeyoke.model;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import sedgeyoke.site.Ledger.Answer;
+import sedgeyoke.model.InvariantChecker.Answer;
 
 /** The judge itself: each rule broken once on purpose, and the same step in order beside it. */
-class LedgerTest {
+class InvariantCheckerTest {
     private static final long MS = 1_000;
-    private static final WorkClass KEYED = SiteSpec.orders().get(0);
-    private static final WorkClass UNSAFE = SiteSpec.orders().get(1);
+    private static final RequestClassModel KEYED = SiteModel.orders().get(0);
+    private static final RequestClassModel UNSAFE = SiteModel.orders().get(1);
 
-    private final Ledger ledger =
-            new Ledger(new SiteSpec(List.of("a"), SiteSpec.orders(), List.of(), SiteSpec.RuleSpec.USUAL, false));
+    private final InvariantChecker ledger = new InvariantChecker(
+            new SiteModel(List.of("a"), SiteModel.orders(), List.of(), SiteModel.RuleSpec.USUAL, false));
 
-    private void ask(String id, WorkClass cls) {
+    private void ask(String id, RequestClassModel cls) {
         ledger.wanted(cls);
         ledger.asked(id, cls, null, "b1", 0, 500 * MS);
     }
--- a/src/test/java/sedgeyoke/plan/PlanSafetyTest.java
+++ b/src/test/java/sedgeyoke/plan/PlanSafetyTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import sedgeyoke.lease.LeaseClock;
 
 /**
  * The safety of grants over seeded misfortune. {@code -Dsedgeyoke.seeds=10000} plays more seeds, and
@@ -52,11 +53,11 @@
         return faults;
     }
 
-    private static PlanSimulation.Faults planners(LeaseTerms terms) {
+    private static PlanSimulation.Faults planners(LeaseClock terms) {
         return with(f -> f.terms = drift -> terms);
     }
 
-    private static PlanSimulation.Faults followers(LeaseTerms terms) {
+    private static PlanSimulation.Faults followers(LeaseClock terms) {
         return with(f -> f.follower = (self, now) -> new Follower(self, terms, now));
     }
 
@@ -69,34 +70,34 @@
     }
 
     private static void mistakesInTime(Map<String, PlanSimulation.Faults> mistakes) {
-        mistakes.put("a deposit counts from when it came", planners(new LeaseTerms(PlanSimulation.DRIFT_PPM) {
+        mistakes.put("a deposit counts from when it came", planners(new LeaseClock(PlanSimulation.DRIFT_PPM) {
             @Override
-            long depositUntil(long echoedAt, long receivedAt, long lease) {
+            public long depositUntil(long echoedAt, long receivedAt, long lease) {
                 return receivedAt + lease;
             }
         }));
-        mistakes.put("a grant counts from when it came", followers(new LeaseTerms(PlanSimulation.DRIFT_PPM) {
+        mistakes.put("a grant counts from when it came", followers(new LeaseClock(PlanSimulation.DRIFT_PPM) {
             @Override
-            long usableUntil(long echoedAt, long receivedAt, long grantFor) {
+            public long usableUntil(long echoedAt, long receivedAt, long grantFor) {
                 return receivedAt + grantFor;
             }
         }));
-        mistakes.put("a lender takes back too soon", followers(new LeaseTerms(PlanSimulation.DRIFT_PPM) {
+        mistakes.put("a lender takes back too soon", followers(new LeaseClock(PlanSimulation.DRIFT_PPM) {
             @Override
-            long lentUntil(long sentAt, long lease) {
+            public long lentUntil(long sentAt, long lease) {
                 return sentAt + lease / 3;
             }
         }));
         mistakes.put(
-                "a restarted lender knows nothing of what it lent", followers(new LeaseTerms(PlanSimulation.DRIFT_PPM) {
+                "a restarted lender knows nothing of what it lent", followers(new LeaseClock(PlanSimulation.DRIFT_PPM) {
                     @Override
-                    long quietUntil(long startedAt, long lease) {
+                    public long quietUntil(long startedAt, long lease) {
                         return startedAt;
                     }
                 }));
-        mistakes.put("a grant is held for used too short a time", planners(new LeaseTerms(PlanSimulation.DRIFT_PPM) {
+        mistakes.put("a grant is held for used too short a time", planners(new LeaseClock(PlanSimulation.DRIFT_PPM) {
             @Override
-            long outstandingUntil(long reportedAt, long grantFor) {
+            public long outstandingUntil(long reportedAt, long grantFor) {
                 return reportedAt + grantFor / 4;
             }
         }));
@@ -105,7 +106,7 @@
     private static void mistakesInBooks(Map<String, PlanSimulation.Faults> mistakes) {
         mistakes.put(
                 "only the newest grant counts",
-                with(f -> f.pool = terms -> new ColdPool(terms) {
+                with(f -> f.pool = terms -> new SlowStartQuotaPool(terms) {
                     @Override
                     void note(List<Held> held, Held grant) {
                         held.clear();
@@ -115,26 +116,26 @@
         mistakes.put(
                 "a restarted lender lends again",
                 with(f ->
-                        f.follower = (self, now) -> new Follower(self, new LeaseTerms(PlanSimulation.DRIFT_PPM), now) {
+                        f.follower = (self, now) -> new Follower(self, new LeaseClock(PlanSimulation.DRIFT_PPM), now) {
                             @Override
-                            boolean mayLend(long at) {
+                            public boolean mayLend(long at) {
                                 return true;
                             }
                         }));
         mistakes.put(
                 "a right is lent to two planners",
                 with(f ->
-                        f.follower = (self, now) -> new Follower(self, new LeaseTerms(PlanSimulation.DRIFT_PPM), now) {
+                        f.follower = (self, now) -> new Follower(self, new LeaseClock(PlanSimulation.DRIFT_PPM), now) {
                             @Override
-                            boolean lentTo(Lent before, PlanMessage to) {
+                            public boolean lentTo(Lent before, PlanMessage to) {
                                 return true;
                             }
                         }));
         mistakes.put(
                 "what was lent to the planner before counts",
-                with(f -> f.planner = (self, terms) -> new Planner(self, terms, new ColdPool(terms)) {
+                with(f -> f.planner = (self, terms) -> new Planner(self, terms, new SlowStartQuotaPool(terms)) {
                     @Override
-                    boolean lentToUs(Report report) {
+                    public boolean lentToUs(ForwarderReport report) {
                         return true;
                     }
                 }));
--- a/src/test/java/sedgeyoke/plan/PlanSimulation.java
+++ b/src/test/java/sedgeyoke/plan/PlanSimulation.java
@@ -8,17 +8,18 @@
 import java.util.Map;
 import java.util.function.BiFunction;
 import java.util.function.LongFunction;
-import sedgeyoke.decide.Balancer;
-import sedgeyoke.decide.Balancer.ColdRight;
-import sedgeyoke.decide.ColdBucket;
-import sedgeyoke.sim.SimWorld;
+import sedgeyoke.lease.LeaseClock;
+import sedgeyoke.policy.LoadBalancingPolicy;
+import sedgeyoke.policy.LoadBalancingPolicy.ColdRight;
+import sedgeyoke.policy.SlowStartBucket;
+import sedgeyoke.simulation.SeededNetwork;
 
 /**
  * Planners and forwarders on one thread, with a network, clocks and processes that fail by seed. At every step it
  * checks that nobody together holds more rights on a cold node than there are, and that no window brings it more than
  * its budget. Forwarders are greedy: they spend whatever their buckets hold, at once or saved up.
  */
-final class PlanSimulation extends SimWorld {
+final class PlanSimulation extends SeededNetwork {
     static final long LEASE = 1_500_000;
     static final long FALL = 1_500_000;
     static final long COLD = 9_000_000;
@@ -31,11 +32,11 @@
 
     /** What may be wrong on purpose. */
     static final class Faults {
-        LongFunction<LeaseTerms> terms = LeaseTerms::new;
-        java.util.function.Function<LeaseTerms, ColdPool> pool = ColdPool::new;
+        LongFunction<LeaseClock> terms = LeaseClock::new;
+        java.util.function.Function<LeaseClock, SlowStartQuotaPool> pool = SlowStartQuotaPool::new;
         BiFunction<Follower.Identity, Long, Follower> follower =
-                (self, now) -> new Follower(self, new LeaseTerms(DRIFT_PPM), now);
-        BiFunction<Planner.Settings, LeaseTerms, Planner> planner;
+                (self, now) -> new Follower(self, new LeaseClock(DRIFT_PPM), now);
+        BiFunction<Planner.Settings, LeaseClock, Planner> planner;
         long saveFor = FALL;
     }
 
@@ -120,7 +121,7 @@
 
         @Override
         protected void begin() {
-            LeaseTerms terms = faults.terms.apply(DRIFT_PPM);
+            LeaseClock terms = faults.terms.apply(DRIFT_PPM);
             Planner.Settings self = new Planner.Settings("p" + number, incarnations++, 100, 100);
             planner = faults.planner == null
                     ? new Planner(self, terms, faults.pool.apply(terms))
@@ -130,7 +131,7 @@
 
         @Override
         protected void handle(Object body) {
-            planner.report(clock(), (Report) body);
+            planner.report(clock(), (ForwarderReport) body);
         }
 
         @Override
@@ -148,9 +149,9 @@
     private final class ForwarderBox extends Process {
         private final List<long[]> news = new ArrayList<>();
         private final long[] believes = new long[NODES];
-        private ColdBucket[] buckets;
+        private SlowStartBucket[] buckets;
         private Follower follower;
-        private Balancer.Plan plan;
+        private LoadBalancingPolicy.Plan plan;
         private long nextReport;
 
         ForwarderBox() {
@@ -162,9 +163,9 @@
         protected void begin() {
             follower = faults.follower.apply(
                     new Follower.Identity("f" + number, incarnations++, 0, LEASE, 4_000_000, leastGrant), clock());
-            buckets = new ColdBucket[NODES];
+            buckets = new SlowStartBucket[NODES];
             for (int n = 0; n < NODES; n++) {
-                buckets[n] = new ColdBucket(0, clock());
+                buckets[n] = new SlowStartBucket(0, clock());
             }
             plan = follower.plan(clock());
             nextReport = clock() + random.nextLong(REPORT_EVERY);
@@ -208,7 +209,7 @@
                 boolean due = x[0] <= now;
                 if (due && x[2] > believes[(int) x[1]]) {
                     believes[(int) x[1]] = x[2];
-                    buckets[(int) x[1]] = new ColdBucket(0, clock());
+                    buckets[(int) x[1]] = new SlowStartBucket(0, clock());
                 }
                 return due;
             });
@@ -228,12 +229,12 @@
         }
 
         private void report() {
-            List<Balancer.Standing> standings = new ArrayList<>();
+            List<LoadBalancingPolicy.Standing> standings = new ArrayList<>();
             for (int n = 0; n < NODES; n++) {
-                standings.add(new Balancer.Standing(
+                standings.add(new LoadBalancingPolicy.Standing(
                         "n" + n,
                         0,
-                        Balancer.State.READY,
+                        LoadBalancingPolicy.State.READY,
                         believes[n],
                         1,
                         now / 10_000,
@@ -245,8 +246,9 @@
                         false,
                         cold(n) ? BASE : 0));
             }
-            Balancer.Summary summary = new Balancer.Summary(List.of(10.0 + random.nextInt(30)), standings, 0);
-            Map<Integer, Report> reports = new HashMap<>();
+            LoadBalancingPolicy.Summary summary =
+                    new LoadBalancingPolicy.Summary(List.of(10.0 + random.nextInt(30)), standings, 0);
+            Map<Integer, ForwarderReport> reports = new HashMap<>();
             for (PlannerBox p : planners) {
                 reports.put(p.number, follower.report(clock(), "p" + p.number, summary));
             }
@@ -266,7 +268,7 @@
                     ? 0
                     : right.grants().stream()
                             .filter(g -> at < g.until())
-                            .mapToDouble(Balancer.ColdGrant::rate)
+                            .mapToDouble(LoadBalancingPolicy.ColdGrant::rate)
                             .sum();
             return new double[] {own ? BASE : 0, granted};
         }
--- a/src/test/java/sedgeyoke/plan/PlannerTest.java
+++ b/src/test/java/sedgeyoke/plan/PlannerTest.java
@@ -11,27 +11,29 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import sedgeyoke.decide.Balancer;
+import sedgeyoke.lease.LeaseClock;
+import sedgeyoke.policy.LoadBalancingPolicy;
 
 /** What a planner makes of reports, and what a forwarder makes of plans. */
 class PlannerTest {
     private static final long SECOND = 1_000_000;
     private static final long LEASE = 1_500_000;
-    private final Planner planner = new Planner(new Planner.Settings("p", 7, 3, 4), new LeaseTerms(0));
+    private final Planner planner = new Planner(new Planner.Settings("p", 7, 3, 4), new LeaseClock(0));
     private long sequence;
 
-    private static Report.Load load(String id, int zone, double limit, double utilisation, long age) {
-        return new Report.Load(id, zone, false, 0, 1, 0, limit, utilisation, 2, age, false);
+    private static ForwarderReport.Load load(String id, int zone, double limit, double utilisation, long age) {
+        return new ForwarderReport.Load(id, zone, false, 0, 1, 0, limit, utilisation, 2, age, false);
     }
 
-    private Report report(
+    private ForwarderReport report(
             String from,
             int zone,
             double demand,
-            Report.Stamp echo,
-            List<Report.Load> loads,
-            List<Report.Deposit> deposits) {
-        return new Report(from, 1, ++sequence, 5 * SECOND, echo, zone, LEASE, 1, List.of(demand), loads, deposits);
+            ForwarderReport.Stamp echo,
+            List<ForwarderReport.Load> loads,
+            List<ForwarderReport.Deposit> deposits) {
+        return new ForwarderReport(
+                from, 1, ++sequence, 5 * SECOND, echo, zone, LEASE, 1, List.of(demand), loads, deposits);
     }
 
     private static PlanMessage to(String forwarder, List<Planner.Out> out) {
@@ -45,17 +47,22 @@
     @Test
     void limitsOfAllForwardersAreAddedUp() {
         planner.report(
-                SECOND, report("a", 0, 10, Report.Stamp.NONE, List.of(load("u", 0, 2, 0.9, 400_000)), List.of()));
+                SECOND,
+                report("a", 0, 10, ForwarderReport.Stamp.NONE, List.of(load("u", 0, 2, 0.9, 400_000)), List.of()));
         planner.report(
-                SECOND, report("b", 0, 10, Report.Stamp.NONE, List.of(load("u", 0, 3, 0.4, 100_000)), List.of()));
+                SECOND,
+                report("b", 0, 10, ForwarderReport.Stamp.NONE, List.of(load("u", 0, 3, 0.4, 100_000)), List.of()));
         PlanMessage.View view = to("a", planner.plan(SECOND + 50_000)).views().get(0);
         assertEquals(5, view.totalLimit());
     }
 
     @Test
     void whoFallsSilentTakesItsPartWithIt() {
-        planner.report(SECOND, report("a", 0, 10, Report.Stamp.NONE, List.of(load("u", 0, 2, 0.9, 0)), List.of()));
-        planner.report(4 * SECOND, report("b", 0, 30, Report.Stamp.NONE, List.of(load("u", 0, 3, 0.4, 0)), List.of()));
+        planner.report(
+                SECOND, report("a", 0, 10, ForwarderReport.Stamp.NONE, List.of(load("u", 0, 2, 0.9, 0)), List.of()));
+        planner.report(
+                4 * SECOND,
+                report("b", 0, 30, ForwarderReport.Stamp.NONE, List.of(load("u", 0, 3, 0.4, 0)), List.of()));
         PlanMessage message = to("b", planner.plan(4 * SECOND));
         assertEquals(1, message.coverage());
         assertEquals(3, message.views().get(0).totalLimit());
@@ -64,8 +71,10 @@
 
     @Test
     void limitsAreSplitByDemand() {
-        planner.report(SECOND, report("a", 0, 10, Report.Stamp.NONE, List.of(load("u", 0, 2, 0.9, 0)), List.of()));
-        planner.report(SECOND, report("b", 0, 30, Report.Stamp.NONE, List.of(load("u", 0, 2, 0.4, 0)), List.of()));
+        planner.report(
+                SECOND, report("a", 0, 10, ForwarderReport.Stamp.NONE, List.of(load("u", 0, 2, 0.9, 0)), List.of()));
+        planner.report(
+                SECOND, report("b", 0, 30, ForwarderReport.Stamp.NONE, List.of(load("u", 0, 2, 0.4, 0)), List.of()));
         List<Planner.Out> out = planner.plan(SECOND);
         assertEquals(0.25, to("a", out).limitShares().get(0), 1e-9);
         assertEquals(0.75, to("b", out).limitShares().get(0), 1e-9);
@@ -73,37 +82,37 @@
 
     @Test
     void oldAndRepeatedReportsAndTooManyForwardersAreNotHeard() {
-        Report first = report("a", 0, 10, Report.Stamp.NONE, List.of(), List.of());
-        Report second = report("a", 0, 20, Report.Stamp.NONE, List.of(), List.of());
+        ForwarderReport first = report("a", 0, 10, ForwarderReport.Stamp.NONE, List.of(), List.of());
+        ForwarderReport second = report("a", 0, 20, ForwarderReport.Stamp.NONE, List.of(), List.of());
         assertTrue(planner.report(SECOND, second));
         assertFalse(planner.report(SECOND, first));
         assertFalse(planner.report(SECOND, second));
-        assertTrue(planner.report(SECOND, report("b", 0, 1, Report.Stamp.NONE, List.of(), List.of())));
-        assertTrue(planner.report(SECOND, report("c", 0, 1, Report.Stamp.NONE, List.of(), List.of())));
-        assertFalse(planner.report(SECOND, report("d", 0, 1, Report.Stamp.NONE, List.of(), List.of())));
+        assertTrue(planner.report(SECOND, report("b", 0, 1, ForwarderReport.Stamp.NONE, List.of(), List.of())));
+        assertTrue(planner.report(SECOND, report("c", 0, 1, ForwarderReport.Stamp.NONE, List.of(), List.of())));
+        assertFalse(planner.report(SECOND, report("d", 0, 1, ForwarderReport.Stamp.NONE, List.of(), List.of())));
     }
 
     @Test
     void furtherUpstreamsThanItHoldsAreLeftOut() {
-        List<Report.Load> many = new ArrayList<>();
+        List<ForwarderReport.Load> many = new ArrayList<>();
         for (int i = 0; i < 100; i++) {
             many.add(load("u" + i, 0, 1, 0.5, 0));
         }
-        planner.report(SECOND, report("a", 0, 1, Report.Stamp.NONE, many, List.of()));
+        planner.report(SECOND, report("a", 0, 1, ForwarderReport.Stamp.NONE, many, List.of()));
         assertEquals(4, to("a", planner.plan(SECOND)).views().size());
     }
 
     @Test
     void aDrainThatOneWasToldOfIsPassedOnUntilTheNodeStartsAnew() {
-        Report.Load drains = new Report.Load("u", 0, true, 50, 1, 0, 1, 0.5, 0, 0, false);
-        Report.Load knowsNothing = new Report.Load("u", 0, false, 50, 1, 0, 1, 0.5, 0, 0, false);
-        Report.Load anew = new Report.Load("u", 0, false, 60, 1, 0, 1, 0.5, 0, 0, false);
-        planner.report(SECOND, report("a", 0, 1, Report.Stamp.NONE, List.of(drains), List.of()));
-        planner.report(SECOND, report("b", 0, 1, Report.Stamp.NONE, List.of(knowsNothing), List.of()));
+        ForwarderReport.Load drains = new ForwarderReport.Load("u", 0, true, 50, 1, 0, 1, 0.5, 0, 0, false);
+        ForwarderReport.Load knowsNothing = new ForwarderReport.Load("u", 0, false, 50, 1, 0, 1, 0.5, 0, 0, false);
+        ForwarderReport.Load anew = new ForwarderReport.Load("u", 0, false, 60, 1, 0, 1, 0.5, 0, 0, false);
+        planner.report(SECOND, report("a", 0, 1, ForwarderReport.Stamp.NONE, List.of(drains), List.of()));
+        planner.report(SECOND, report("b", 0, 1, ForwarderReport.Stamp.NONE, List.of(knowsNothing), List.of()));
         assertTrue(to("b", planner.plan(SECOND)).views().get(0).draining());
         assertEquals(List.of(), planner.plan(SECOND), "every report is answered once");
-        planner.report(SECOND, report("a", 0, 1, Report.Stamp.NONE, List.of(), List.of()));
-        planner.report(SECOND, report("b", 0, 1, Report.Stamp.NONE, List.of(anew), List.of()));
+        planner.report(SECOND, report("a", 0, 1, ForwarderReport.Stamp.NONE, List.of(), List.of()));
+        planner.report(SECOND, report("b", 0, 1, ForwarderReport.Stamp.NONE, List.of(anew), List.of()));
         PlanMessage.View view = to("a", planner.plan(SECOND)).views().get(0);
         assertFalse(view.draining());
         assertEquals(60, view.launchedAt());
@@ -120,21 +129,27 @@
     })
     void aZoneKeepsWhatItsOwnCarryAndSpillsTheRest(
             double here, double there, double canHere, double canThere, double stays, double goes) {
-        Spill spill = Spill.of(new double[] {here, there}, new double[] {canHere, canThere});
+        ZoneSpillover spill = ZoneSpillover.of(new double[] {here, there}, new double[] {canHere, canThere});
         assertEquals(stays, spill.row(0).get(0), 0.001);
         assertEquals(goes, spill.row(0).get(1), 0.001);
     }
 
     @Test
     void grantsAreMadeOfDepositsAndNothingElse() {
-        List<Report.Deposit> rights = List.of(new Report.Deposit("u", 50, 2));
-        Report.Load cold = new Report.Load("u", 0, false, 50, 0, 0, 1, 0.1, 0, 0, false);
-        planner.report(SECOND, report("a", 0, 10, new Report.Stamp(6, SECOND), List.of(cold), rights));
+        List<ForwarderReport.Deposit> rights = List.of(new ForwarderReport.Deposit("u", 50, 2));
+        ForwarderReport.Load cold = new ForwarderReport.Load("u", 0, false, 50, 0, 0, 1, 0.1, 0, 0, false);
+        planner.report(SECOND, report("a", 0, 10, new ForwarderReport.Stamp(6, SECOND), List.of(cold), rights));
         assertTrue(to("a", planner.plan(SECOND)).grants().isEmpty(), "lent to a process before this one");
         for (String from : List.of("a", "b", "c")) {
             planner.report(
                     SECOND,
-                    report(from, 0, from.equals("c") ? 90 : 5, new Report.Stamp(7, SECOND), List.of(cold), rights));
+                    report(
+                            from,
+                            0,
+                            from.equals("c") ? 90 : 5,
+                            new ForwarderReport.Stamp(7, SECOND),
+                            List.of(cold),
+                            rights));
         }
         List<Planner.Out> out = planner.plan(SECOND);
         double sum = out.stream()
@@ -155,7 +170,7 @@
     // ---- The forwarder's side ------------------------------------------------------------------------
 
     private final Follower follower =
-            new Follower(new Follower.Identity("a", 3, 0, LEASE, 4 * SECOND, 1), new LeaseTerms(0), 0);
+            new Follower(new Follower.Identity("a", 3, 0, LEASE, 4 * SECOND, 1), new LeaseClock(0), 0);
 
     private static PlanMessage message(
             String planner,
@@ -169,7 +184,7 @@
                 incarnation,
                 sequence,
                 77,
-                new Report.Stamp(3, echoedAt),
+                new ForwarderReport.Stamp(3, echoedAt),
                 coverage,
                 List.of(),
                 List.of(1.0),
@@ -189,7 +204,17 @@
         assertFalse(follower.heard(
                 now,
                 new PlanMessage(
-                        "p", 2, 9, 77, new Report.Stamp(4, now), 3, List.of(), List.of(), List.of(), 1, List.of())));
+                        "p",
+                        2,
+                        9,
+                        77,
+                        new ForwarderReport.Stamp(4, now),
+                        3,
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        1,
+                        List.of())));
     }
 
     @Test
@@ -207,11 +232,11 @@
         assertEquals(now, follower.plan(later).heardAt(), "so it fades from then");
     }
 
-    private static Balancer.Summary coldSummary() {
-        return new Balancer.Summary(
+    private static LoadBalancingPolicy.Summary coldSummary() {
+        return new LoadBalancingPolicy.Summary(
                 List.of(1.0),
-                List.of(new Balancer.Standing(
-                        "u", 0, Balancer.State.READY, 50, 0, 0, 1, 1, Double.NaN, Double.NaN, 0, false, 2)),
+                List.of(new LoadBalancingPolicy.Standing(
+                        "u", 0, LoadBalancingPolicy.State.READY, 50, 0, 0, 1, 1, Double.NaN, Double.NaN, 0, false, 2)),
                 0);
     }
 
@@ -223,7 +248,7 @@
         follower.heard(now, message("p2", 1, 1, now, 10, List.of()));
         assertEquals(List.of(), follower.report(now, "p2", coldSummary()).deposits());
         assertEquals(
-                List.of(new Report.Deposit("u", 50, 2)),
+                List.of(new ForwarderReport.Deposit("u", 50, 2)),
                 follower.report(now, "p1", coldSummary()).deposits());
         assertEquals(now + LEASE, follower.plan(now).cold().get("u").lentUntil());
         assertEquals(now + LEASE, follower.plan(now + LEASE - 1).cold().get("u").lentUntil());
@@ -244,13 +269,14 @@
 
     @Test
     void aReportHasABoundedSizeAndTakesAllUpstreamsInTurn() {
-        List<Balancer.Standing> many = new ArrayList<>();
+        List<LoadBalancingPolicy.Standing> many = new ArrayList<>();
         for (int i = 0; i < 300; i++) {
-            many.add(new Balancer.Standing("u" + i, 0, Balancer.State.READY, 50, 0, 0, 1, 1, 0.5, 0, 9, false, 2));
+            many.add(new LoadBalancingPolicy.Standing(
+                    "u" + i, 0, LoadBalancingPolicy.State.READY, 50, 0, 0, 1, 1, 0.5, 0, 9, false, 2));
         }
-        Balancer.Summary summary = new Balancer.Summary(List.of(1.0), many, 0);
-        List<Report.Load> first = follower.report(SECOND, "p", summary).loads();
-        assertEquals(Report.MOST_LOADS, first.size());
+        LoadBalancingPolicy.Summary summary = new LoadBalancingPolicy.Summary(List.of(1.0), many, 0);
+        List<ForwarderReport.Load> first = follower.report(SECOND, "p", summary).loads();
+        assertEquals(ForwarderReport.MOST_LOADS, first.size());
         assertNotEquals(first, follower.report(SECOND, "p", summary).loads());
     }
 }
--- a/src/test/java/sedgeyoke/link/LinkTest.java
+++ b/src/test/java/sedgeyoke/plan/remote/PlannerLinkTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.link;
+package sedgeyoke.plan.remote;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -33,19 +33,21 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import sedgeyoke.decide.Balancer;
-import sedgeyoke.link.proto.Frame;
-import sedgeyoke.link.proto.Hello;
-import sedgeyoke.link.proto.LoadMessage;
-import sedgeyoke.link.proto.ReportMessage;
-import sedgeyoke.net.ModulePort;
-import sedgeyoke.operator.OperatorFile;
-import sedgeyoke.operator.PlannerSettings;
 import sedgeyoke.plan.Follower;
+import sedgeyoke.policy.LoadBalancingPolicy;
+import sedgeyoke.proxy.ModulePort;
+import sedgeyoke.settings.OperatorFile;
+import sedgeyoke.settings.PlannerSettings;
 import sedgeyoke.standin.Certificates;
+import sedgeyoke.transport.FramedConnection;
+import sedgeyoke.transport.MutualTls;
+import sedgeyoke.transport.proto.Frame;
+import sedgeyoke.transport.proto.Hello;
+import sedgeyoke.transport.proto.LoadMessage;
+import sedgeyoke.transport.proto.ReportMessage;
 
 /** The link with peers that are in order and with peers that are not; the planner must outlive them all. */
-class LinkTest {
+class PlannerLinkTest {
     private static final long PATIENCE_MS = 10_000;
 
     @TempDir
@@ -262,7 +264,7 @@
         }
         ReportMessage.Builder report = report(1).getReport().toBuilder();
         switch (fault) {
-            case "too long" -> bad.out.writeInt(Peers.LARGEST_FRAME + 1);
+            case "too long" -> bad.out.writeInt(FramedConnection.LARGEST_FRAME + 1);
             case "no message" -> bad.send(new byte[] {(byte) 0xff, 1, 2, 3});
             case "twice a greeting" -> bad.send(hello("bad", 1, 1));
             case "a bad id" -> report.setLoads(0, report.getLoads(0).toBuilder().setUpstream("x".repeat(300)));
@@ -362,7 +364,8 @@
     void badFilesEndTheStartWithTheirNames() {
         Path none = folder.resolve("none.pem");
         IOException bad = assertThrows(
-                IOException.class, () -> new Tls(new sedgeyoke.operator.TlsFiles(none, none, none), true, log::add));
+                IOException.class,
+                () -> new MutualTls(new sedgeyoke.settings.TlsFiles(none, none, none), true, log::add));
         assertTrue(bad.toString().contains("none.pem"), bad.toString());
     }
 
@@ -375,23 +378,35 @@
             throw new AssertionError("planners put nothing out by hand");
         }
 
-        final AtomicReference<Balancer.Plan> plan = new AtomicReference<>();
-        final Balancer module = (Balancer) java.lang.reflect.Proxy.newProxyInstance(
-                getClass().getClassLoader(), new Class<?>[] {Balancer.class}, (proxy, method, arguments) -> {
+        final AtomicReference<LoadBalancingPolicy.Plan> plan = new AtomicReference<>();
+        final LoadBalancingPolicy module = (LoadBalancingPolicy) java.lang.reflect.Proxy.newProxyInstance(
+                getClass().getClassLoader(), new Class<?>[] {LoadBalancingPolicy.class}, (proxy, method, arguments) -> {
                     if (method.getName().equals("plan")) {
-                        plan.set((Balancer.Plan) arguments[1]);
+                        plan.set((LoadBalancingPolicy.Plan) arguments[1]);
                         return null;
                     }
-                    return new Balancer.Summary(
+                    return new LoadBalancingPolicy.Summary(
                             List.of(2.0),
-                            List.of(new Balancer.Standing(
-                                    "u", 0, Balancer.State.READY, 50, 1, 1, 1, 3, 0.4, 1, now() - 1_000, false, 6)),
+                            List.of(new LoadBalancingPolicy.Standing(
+                                    "u",
+                                    0,
+                                    LoadBalancingPolicy.State.READY,
+                                    50,
+                                    1,
+                                    1,
+                                    1,
+                                    3,
+                                    0.4,
+                                    1,
+                                    now() - 1_000,
+                                    false,
+                                    6)),
                             0);
                 });
 
         @Override
         public long now() {
-            return LinkTest.this.now();
+            return PlannerLinkTest.this.now();
         }
 
         @Override
@@ -400,7 +415,7 @@
         }
 
         @Override
-        public Balancer module() {
+        public LoadBalancingPolicy module() {
             return module;
         }
 
@@ -418,7 +433,7 @@
                         + "planners = [\"127.0.0.1:" + address.getPort() + "\", \"127.0.0.1:1\"]\n"
                         + certificates.issue("f1", "forwarder"));
         Port port = new Port();
-        PlannerLink link = new PlannerLink(
+        PlannerClient link = new PlannerClient(
                 loop,
                 port,
                 new Follower.Identity("f1", 3, 0, 1_500_000, 4_000_000, 1),
--- a/src/test/java/sedgeyoke/decide/CordonTest.java
+++ b/src/test/java/sedgeyoke/policy/CordonTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.decide;
+package sedgeyoke.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -8,18 +8,19 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import sedgeyoke.decide.Balancer.Standing;
-import sedgeyoke.decide.Balancer.State;
+import sedgeyoke.policy.LoadBalancingPolicy.Standing;
+import sedgeyoke.policy.LoadBalancingPolicy.State;
 
 /** Upstreams that operators take out of service by hand, and what they are when they come back. */
 class CordonTest {
     private static final int REQUESTS = 300;
-    private final Host host = Host.of(new Host.Config()).list(3);
+    private final PolicyHarness host =
+            PolicyHarness.of(new PolicyHarness.Config()).list(3);
 
     private long sentTo(String upstream) {
         int before = host.perUpstream.getOrDefault(upstream, 0);
         for (int i = 0; i < REQUESTS; i++) {
-            host.serve(0, 5 * Host.MILLI, id -> 0.4);
+            host.serve(0, 5 * PolicyHarness.MILLI, id -> 0.4);
         }
         return host.perUpstream.getOrDefault(upstream, 0) - before;
     }
@@ -37,12 +38,12 @@
         host.balancer.cordons(host.now, Map.of("u1", host.now));
         assertEquals(0, sentTo("u1"));
         assertTrue(standing("u1").ejected(), "operators are told that it is avoided");
-        host.change(Host.up(1, State.READY, 0));
+        host.change(PolicyHarness.up(1, State.READY, 0));
         host.list(3);
-        host.change(Host.up(1, State.READY, host.now)); // it has restarted
+        host.change(PolicyHarness.up(1, State.READY, host.now)); // it has restarted
         assertEquals(0, sentTo("u1"));
-        host.change(Host.up(1, State.GONE, 0));
-        host.change(Host.up(1, State.READY, host.now));
+        host.change(PolicyHarness.up(1, State.GONE, 0));
+        host.change(PolicyHarness.up(1, State.READY, host.now));
         assertEquals(0, sentTo("u1"), "also when it was gone from the list between");
         host.balancer.cordons(host.now, Map.of());
         assertFalse(standing("u1").ejected());
@@ -54,22 +55,22 @@
     void itComesBackColdEvenIfTheListHasYetToTellOfItsRestart() {
         assertTrue(sentTo("u1") > 0);
         host.balancer.cordons(host.now, Map.of("u1", host.now));
-        host.advance(5 * Host.SECOND);
+        host.advance(5 * PolicyHarness.SECOND);
         host.balancer.cordons(host.now, Map.of());
         assertEquals(host.now, standing("u1").launchedAt());
         assertTrue(standing("u1").coldRight() > 0, "a cold one has a right of so much");
-        long told = host.now - 2 * Host.SECOND;
-        host.change(Host.up(1, State.READY, told));
+        long told = host.now - 2 * PolicyHarness.SECOND;
+        host.change(PolicyHarness.up(1, State.READY, told));
         assertEquals(told, standing("u1").launchedAt(), "what the list tells later is its true start");
     }
 
     @Test
     void aRestartThatTheListHasToldOfIsItsStart() {
         host.balancer.cordons(host.now, Map.of("u1", host.now));
-        host.advance(Host.SECOND);
+        host.advance(PolicyHarness.SECOND);
         long told = host.now;
-        host.change(Host.up(1, State.READY, told));
-        host.advance(5 * Host.SECOND);
+        host.change(PolicyHarness.up(1, State.READY, told));
+        host.advance(5 * PolicyHarness.SECOND);
         host.balancer.cordons(host.now, Map.of());
         assertEquals(told, standing("u1").launchedAt());
     }
@@ -88,17 +89,17 @@
     @Test
     void withAllOutRequestsWaitAndTheNextOneGivenBackServesThem() {
         host.balancer.cordons(host.now, Map.of("u0", host.now, "u1", host.now, "u2", host.now));
-        host.advance(Host.SECOND);
-        host.change(Host.up(2, State.READY, host.now));
+        host.advance(PolicyHarness.SECOND);
+        host.change(PolicyHarness.up(2, State.READY, host.now));
         host.advance(host.settings().rules().coldTime()); // what it was taken out for is long over
-        String waiting = host.request(0, 2 * Host.SECOND);
+        String waiting = host.request(0, 2 * PolicyHarness.SECOND);
         assertNull(host.lastUpstream(waiting));
         host.balancer.cordons(host.now, Map.of("u0", host.now, "u1", host.now));
         assertEquals("u2", host.lastUpstream(waiting));
-        host.end(waiting, Balancer.Outcome.OK, 5 * Host.MILLI, null);
+        host.end(waiting, LoadBalancingPolicy.Outcome.OK, 5 * PolicyHarness.MILLI, null);
         host.balancer.cordons(host.now, Map.of("u0", host.now, "u1", host.now, "u2", host.now));
-        String late = host.request(0, Host.SECOND);
-        host.advance(3 * Host.SECOND);
+        String late = host.request(0, PolicyHarness.SECOND);
+        host.advance(3 * PolicyHarness.SECOND);
         assertNull(host.lastUpstream(late));
         assertEquals(List.of(late), host.refused);
     }
--- a/src/test/java/sedgeyoke/decide/RuleChecker.java
+++ b/src/test/java/sedgeyoke/policy/InvariantRecorder.java
@@ -1,4 +1,4 @@
-package sedgeyoke.decide;
+package sedgeyoke.policy;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -6,18 +6,18 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import sedgeyoke.decide.Balancer.AttemptEnd;
-import sedgeyoke.decide.Balancer.Effect;
-import sedgeyoke.decide.Balancer.ListKind;
-import sedgeyoke.decide.Balancer.Request;
-import sedgeyoke.decide.Balancer.RequestClass;
-import sedgeyoke.decide.Balancer.Scope;
-import sedgeyoke.decide.Balancer.Settings;
-import sedgeyoke.decide.Balancer.State;
-import sedgeyoke.decide.Balancer.Upstream;
+import sedgeyoke.policy.LoadBalancingPolicy.AttemptEnd;
+import sedgeyoke.policy.LoadBalancingPolicy.Effect;
+import sedgeyoke.policy.LoadBalancingPolicy.ListKind;
+import sedgeyoke.policy.LoadBalancingPolicy.Request;
+import sedgeyoke.policy.LoadBalancingPolicy.RequestClass;
+import sedgeyoke.policy.LoadBalancingPolicy.Scope;
+import sedgeyoke.policy.LoadBalancingPolicy.Settings;
+import sedgeyoke.policy.LoadBalancingPolicy.State;
+import sedgeyoke.policy.LoadBalancingPolicy.Upstream;
 
 /** The four rules, judged from outside on what was told and what was done; it shares no code with the module. */
-final class RuleChecker {
+final class InvariantRecorder {
     final List<String> breaches = new ArrayList<>();
     private final Settings settings;
     private final double warmWorkPerMicro;
@@ -39,7 +39,7 @@
     }
 
     /** {@code warmWorkPerMicro}: the most that a warm upstream does in this test. */
-    RuleChecker(Settings settings, double warmWorkPerMicro) {
+    InvariantRecorder(Settings settings, double warmWorkPerMicro) {
         this.settings = settings;
         this.warmWorkPerMicro = warmWorkPerMicro;
     }
--- a/src/test/java/sedgeyoke/decide/FourRulesTest.java
+++ b/src/test/java/sedgeyoke/policy/InvariantsTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.decide;
+package sedgeyoke.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -10,18 +10,18 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import sedgeyoke.decide.Balancer.AttemptEnd;
-import sedgeyoke.decide.Balancer.ListKind;
-import sedgeyoke.decide.Balancer.LoadReport;
-import sedgeyoke.decide.Balancer.Outcome;
-import sedgeyoke.decide.Balancer.Request;
-import sedgeyoke.decide.Balancer.Scope;
-import sedgeyoke.decide.Balancer.State;
-import sedgeyoke.decide.Balancer.Upstream;
+import sedgeyoke.policy.LoadBalancingPolicy.AttemptEnd;
+import sedgeyoke.policy.LoadBalancingPolicy.ListKind;
+import sedgeyoke.policy.LoadBalancingPolicy.LoadReport;
+import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
+import sedgeyoke.policy.LoadBalancingPolicy.Request;
+import sedgeyoke.policy.LoadBalancingPolicy.Scope;
+import sedgeyoke.policy.LoadBalancingPolicy.State;
+import sedgeyoke.policy.LoadBalancingPolicy.Upstream;
 
 /** Random legal event sequences against the independent checker, and the checker against planted breaches. */
-class FourRulesTest {
-    private static final long SECOND = Host.SECOND;
+class InvariantsTest {
+    private static final long SECOND = PolicyHarness.SECOND;
 
     private record Out(String id, int attempt, String upstream, long sentAt, long endsAt, Outcome outcome) {}
 
@@ -29,16 +29,16 @@
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
     void randomLegalEventsKeepTheRules(long seed) {
         SplittableRandom random = new SplittableRandom(seed);
-        Host.Config config = new Host.Config();
+        PolicyHarness.Config config = new PolicyHarness.Config();
         config.secondCopies = seed % 2 == 0;
         config.scope = Scope.values()[(int) (seed % 3)];
         config.warmKeys = seed % 3 == 0;
         config.cancel = seed % 4 != 0;
-        Host host = Host.of(config);
-        host.checker = new RuleChecker(config.settings(), 1.0);
+        PolicyHarness host = PolicyHarness.of(config);
+        host.checker = new InvariantRecorder(config.settings(), 1.0);
         List<Upstream> all = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
-            all.add(Host.up(i, State.READY, 0));
+            all.add(PolicyHarness.up(i, State.READY, 0));
         }
         host.checker.told(host.now, ListKind.RESTORED, all);
         host.balancer.upstreams(host.now, ListKind.RESTORED, all);
@@ -71,7 +71,7 @@
         assertTrue(served > 200, "served " + served);
     }
 
-    private static void gather(Host host, SplittableRandom random, List<Out> out) {
+    private static void gather(PolicyHarness host, SplittableRandom random, List<Out> out) {
         for (String line : host.done) {
             String[] f = line.split(" ");
             if (f[1].equals("send")) {
@@ -91,13 +91,13 @@
         host.done.clear();
     }
 
-    private static int deliver(Host host, List<Out> out) {
+    private static int deliver(PolicyHarness host, List<Out> out) {
         int served = 0;
         for (Out x : new ArrayList<>(out)) {
             if (x.endsAt <= host.now && out.remove(x)) {
                 boolean ok = x.outcome == Outcome.OK;
                 served += ok ? 1 : 0;
-                LoadReport load = ok ? Host.report(0.5) : null;
+                LoadReport load = ok ? PolicyHarness.report(0.5) : null;
                 AttemptEnd end = new AttemptEnd(x.id, x.attempt, x.upstream, x.outcome, host.now - x.sentAt, ok, load);
                 host.checker.ended(end);
                 host.balancer.outcome(host.now, end);
@@ -106,21 +106,24 @@
         return served;
     }
 
-    private static void change(Host host, SplittableRandom random) {
+    private static void change(PolicyHarness host, SplittableRandom random) {
         int i = random.nextInt(6);
         int what = random.nextInt(4);
         State state = what == 0 ? State.DRAINING : what == 1 ? State.GONE : State.READY;
-        Upstream u = Host.up(i, state, state == State.READY ? host.now - random.nextLong(SECOND) : 0);
+        Upstream u = PolicyHarness.up(i, state, state == State.READY ? host.now - random.nextLong(SECOND) : 0);
         host.checker.told(host.now, ListKind.CHANGES, List.of(u));
         host.balancer.upstreams(host.now, ListKind.CHANGES, List.of(u));
     }
 
-    private RuleChecker checker() {
-        RuleChecker c = new RuleChecker(new Host.Config().settings(), 1.0);
+    private InvariantRecorder checker() {
+        InvariantRecorder c = new InvariantRecorder(new PolicyHarness.Config().settings(), 1.0);
         c.told(
                 0,
                 ListKind.RESTORED,
-                List.of(Host.up(0, State.READY, 0), Host.up(1, State.READY, 0), Host.up(2, State.READY, 10 * SECOND)));
+                List.of(
+                        PolicyHarness.up(0, State.READY, 0),
+                        PolicyHarness.up(1, State.READY, 0),
+                        PolicyHarness.up(2, State.READY, 10 * SECOND)));
         return c;
     }
 
@@ -128,14 +131,14 @@
         return new Request("r", cls, 0, null, work, SECOND, false, false);
     }
 
-    private static void caught(RuleChecker c, String rule) {
+    private static void caught(InvariantRecorder c, String rule) {
         assertFalse(c.breaches.isEmpty());
         assertTrue(c.breaches.get(0).startsWith(rule), c.breaches.toString());
     }
 
     @Test
     void checkerCatchesAMissingAnswer() {
-        RuleChecker c = checker();
+        InvariantRecorder c = checker();
         c.arrived(0, request(0, 1));
         c.finish(2 * SECOND);
         caught(c, "1");
@@ -143,7 +146,7 @@
 
     @Test
     void checkerCatchesARepeatedUnsafeRequest() {
-        RuleChecker c = checker();
+        InvariantRecorder c = checker();
         c.arrived(0, request(2, 1));
         c.sent(0, "r", "u0");
         c.ended(new AttemptEnd("r", 0, "u0", Outcome.RESET, 1, false, null));
@@ -153,7 +156,7 @@
 
     @Test
     void checkerCatchesAKeyedRepeatInAnotherZone() {
-        RuleChecker c = checker();
+        InvariantRecorder c = checker();
         c.arrived(0, request(1, 1));
         c.sent(0, "r", "u0");
         c.ended(new AttemptEnd("r", 0, "u0", Outcome.TIMEOUT, 1, false, null));
@@ -163,8 +166,8 @@
 
     @Test
     void checkerCatchesASendToADrainedUpstream() {
-        RuleChecker c = checker();
-        c.told(0, ListKind.CHANGES, List.of(Host.up(0, State.DRAINING, 0)));
+        InvariantRecorder c = checker();
+        c.told(0, ListKind.CHANGES, List.of(PolicyHarness.up(0, State.DRAINING, 0)));
         c.arrived(2 * SECOND, request(0, 1));
         c.sent(2 * SECOND, "r", "u0");
         caught(c, "3");
@@ -172,7 +175,7 @@
 
     @Test
     void checkerCatchesAPushedOverUpstream() {
-        RuleChecker c = checker();
+        InvariantRecorder c = checker();
         c.arrived(11 * SECOND, request(0, 5 * SECOND));
         c.sent(11 * SECOND, "r", "u2");
         caught(c, "4");
--- a/src/test/java/sedgeyoke/decide/ModuleSizeTest.java
+++ b/src/test/java/sedgeyoke/policy/ModuleSizeTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.decide;
+package sedgeyoke.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/sedgeyoke/decide/PlanTest.java
+++ b/src/test/java/sedgeyoke/policy/PlanTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.decide;
+package sedgeyoke.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -12,17 +12,17 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import sedgeyoke.decide.Balancer.AttemptEnd;
-import sedgeyoke.decide.Balancer.ColdGrant;
-import sedgeyoke.decide.Balancer.ColdRight;
-import sedgeyoke.decide.Balancer.Outcome;
-import sedgeyoke.decide.Balancer.Plan;
-import sedgeyoke.decide.Balancer.State;
-import sedgeyoke.decide.Balancer.UpstreamView;
+import sedgeyoke.policy.LoadBalancingPolicy.AttemptEnd;
+import sedgeyoke.policy.LoadBalancingPolicy.ColdGrant;
+import sedgeyoke.policy.LoadBalancingPolicy.ColdRight;
+import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
+import sedgeyoke.policy.LoadBalancingPolicy.Plan;
+import sedgeyoke.policy.LoadBalancingPolicy.State;
+import sedgeyoke.policy.LoadBalancingPolicy.UpstreamView;
 
 /** What plans change in the module, and that they change nothing where there are none. */
 class PlanTest {
-    private static final long SECOND = Host.SECOND;
+    private static final long SECOND = PolicyHarness.SECOND;
     private static final long FADE = 4 * SECOND;
     private static final int COLD_AT = 600;
 
@@ -37,19 +37,19 @@
     private record Out(String id, int attempt, String upstream, long endsAt) {}
 
     /** Some seconds of seeded events with a cold start at step 600; {@code plans} is asked before each step. */
-    private static Host play(long seed, BiConsumer<Host, Integer> plans) {
+    private static PolicyHarness play(long seed, BiConsumer<PolicyHarness, Integer> plans) {
         SplittableRandom random = new SplittableRandom(seed);
-        Host.Config config = new Host.Config();
+        PolicyHarness.Config config = new PolicyHarness.Config();
         config.warmKeys = true;
         config.crossZone = 0.005;
-        Host host = Host.of(config).list(6);
+        PolicyHarness host = PolicyHarness.of(config).list(6);
         List<Out> out = new ArrayList<>();
         int seen = 0;
         for (int step = 0; step < 1_500; step++) {
             plans.accept(host, step);
             host.advance(5_000);
             if (step == COLD_AT) {
-                host.change(Host.up(2, State.READY, host.now));
+                host.change(PolicyHarness.up(2, State.READY, host.now));
             }
             host.request(random.nextInt(3), 2 * SECOND, "k" + random.nextInt(30), 0);
             for (; seen < host.done.size(); seen++) {
@@ -74,14 +74,14 @@
                                     Outcome.OK,
                                     20_000,
                                     true,
-                                    Host.report(random.nextDouble())));
+                                    PolicyHarness.report(random.nextDouble())));
                 }
             }
         }
         return host;
     }
 
-    private static List<String> sendsTo(Host host, String upstream) {
+    private static List<String> sendsTo(PolicyHarness host, String upstream) {
         return host.done.stream()
                 .filter(d -> d.contains(" send ") && d.endsWith(" " + upstream))
                 .toList();
@@ -141,7 +141,7 @@
 
     @Test
     void aPlannersWordOfADrainStopsSendsButNeverStartsAny() {
-        Host host = play(
+        PolicyHarness host = play(
                 1,
                 (h, step) -> h.balancer.plan(
                         h.now,
@@ -162,7 +162,7 @@
         for (int i = 0; i < 6; i++) {
             all.add(view("u" + i, Double.NaN, true));
         }
-        Host host = play(1, (h, step) -> h.balancer.plan(h.now, plan(h.now, all, List.of(), Map.of())));
+        PolicyHarness host = play(1, (h, step) -> h.balancer.plan(h.now, plan(h.now, all, List.of(), Map.of())));
         assertEquals(play(1, (h, step) -> {}).done, host.done);
     }
 
@@ -176,7 +176,7 @@
 
     private static int sendsToCold(List<ColdGrant> grants) {
         long[] launched = new long[1];
-        Host host = play(3, (h, step) -> {
+        PolicyHarness host = play(3, (h, step) -> {
             if (step == COLD_AT + 1) {
                 launched[0] = h.now; // the change came after the last step
             }
@@ -197,7 +197,7 @@
 
     @Test
     void aStartThatOnlyPlannersToldOfIsTakenForCold() {
-        Host host = Host.of(new Host.Config()).list(1);
+        PolicyHarness host = PolicyHarness.of(new PolicyHarness.Config()).list(1);
         assertEquals(0, host.balancer.summary(host.now).upstreams().get(0).coldRight());
         host.request(0, 2 * SECOND);
         host.advance(SECOND);
@@ -209,7 +209,7 @@
 
     @Test
     void aPlanFadesOutAndComesBackWithoutAStep() {
-        Planned planned = new Planned();
+        PlanBlend planned = new PlanBlend();
         long now = 10 * SECOND;
         double before = planned.strength(now);
         double steepest = 0;
--- a/src/test/java/sedgeyoke/decide/Host.java
+++ b/src/test/java/sedgeyoke/policy/PolicyHarness.java
@@ -1,30 +1,30 @@
-package sedgeyoke.decide;
+package sedgeyoke.policy;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import sedgeyoke.decide.Balancer.AttemptEnd;
-import sedgeyoke.decide.Balancer.Effect;
-import sedgeyoke.decide.Balancer.Limits;
-import sedgeyoke.decide.Balancer.ListKind;
-import sedgeyoke.decide.Balancer.LoadReport;
-import sedgeyoke.decide.Balancer.Outcome;
-import sedgeyoke.decide.Balancer.Prices;
-import sedgeyoke.decide.Balancer.Ratings;
-import sedgeyoke.decide.Balancer.Reports;
-import sedgeyoke.decide.Balancer.Request;
-import sedgeyoke.decide.Balancer.RequestClass;
-import sedgeyoke.decide.Balancer.RuleFigures;
-import sedgeyoke.decide.Balancer.Scope;
-import sedgeyoke.decide.Balancer.Settings;
-import sedgeyoke.decide.Balancer.State;
-import sedgeyoke.decide.Balancer.Tenant;
-import sedgeyoke.decide.Balancer.Upstream;
+import sedgeyoke.policy.LoadBalancingPolicy.AttemptEnd;
+import sedgeyoke.policy.LoadBalancingPolicy.Effect;
+import sedgeyoke.policy.LoadBalancingPolicy.Limits;
+import sedgeyoke.policy.LoadBalancingPolicy.ListKind;
+import sedgeyoke.policy.LoadBalancingPolicy.LoadReport;
+import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
+import sedgeyoke.policy.LoadBalancingPolicy.Prices;
+import sedgeyoke.policy.LoadBalancingPolicy.Ratings;
+import sedgeyoke.policy.LoadBalancingPolicy.Reports;
+import sedgeyoke.policy.LoadBalancingPolicy.Request;
+import sedgeyoke.policy.LoadBalancingPolicy.RequestClass;
+import sedgeyoke.policy.LoadBalancingPolicy.RuleFigures;
+import sedgeyoke.policy.LoadBalancingPolicy.Scope;
+import sedgeyoke.policy.LoadBalancingPolicy.Settings;
+import sedgeyoke.policy.LoadBalancingPolicy.State;
+import sedgeyoke.policy.LoadBalancingPolicy.Tenant;
+import sedgeyoke.policy.LoadBalancingPolicy.Upstream;
 
 /** A host for one module in tests: keeps its clock and timers, and all that it did. */
-class Host implements Balancer.Actions {
+class PolicyHarness implements LoadBalancingPolicy.Actions {
     static final long SECOND = 1_000_000;
     static final long MILLI = 1_000;
 
@@ -41,8 +41,8 @@
     private long timerCount;
     private int requestCount;
     private Settings settings;
-    Balancer balancer;
-    RuleChecker checker;
+    LoadBalancingPolicy balancer;
+    InvariantRecorder checker;
     /** Whether requests come from clients that try again, and say so. */
     boolean again;
 
@@ -93,10 +93,10 @@
         }
     }
 
-    static Host of(Config config) {
-        Host host = new Host();
+    static PolicyHarness of(Config config) {
+        PolicyHarness host = new PolicyHarness();
         host.settings = config.settings();
-        host.balancer = new Policy(host.settings, 7, host);
+        host.balancer = new UtilizationWeightedPolicy(host.settings, 7, host);
         host.balancer.start(host.now);
         return host;
     }
@@ -109,7 +109,7 @@
         return settings;
     }
 
-    Host list(int n) {
+    PolicyHarness list(int n) {
         List<Upstream> all = new ArrayList<>();
         for (int i = 0; i < n; i++) {
             all.add(up(i, State.READY, 0));
--- a/src/test/java/sedgeyoke/decide/PolicyReplayTest.java
+++ b/src/test/java/sedgeyoke/policy/PolicyReplayTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.decide;
+package sedgeyoke.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -16,35 +16,35 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
-import sedgeyoke.decide.Balancer.AttemptEnd;
-import sedgeyoke.decide.Balancer.ColdGrant;
-import sedgeyoke.decide.Balancer.ColdRight;
-import sedgeyoke.decide.Balancer.Effect;
-import sedgeyoke.decide.Balancer.Limits;
-import sedgeyoke.decide.Balancer.ListKind;
-import sedgeyoke.decide.Balancer.LoadReport;
-import sedgeyoke.decide.Balancer.Outcome;
-import sedgeyoke.decide.Balancer.Plan;
-import sedgeyoke.decide.Balancer.Prices;
-import sedgeyoke.decide.Balancer.Ratings;
-import sedgeyoke.decide.Balancer.Reports;
-import sedgeyoke.decide.Balancer.Request;
-import sedgeyoke.decide.Balancer.RequestClass;
-import sedgeyoke.decide.Balancer.RuleFigures;
-import sedgeyoke.decide.Balancer.Scope;
-import sedgeyoke.decide.Balancer.Settings;
-import sedgeyoke.decide.Balancer.Standing;
-import sedgeyoke.decide.Balancer.State;
-import sedgeyoke.decide.Balancer.Summary;
-import sedgeyoke.decide.Balancer.Tenant;
-import sedgeyoke.decide.Balancer.Upstream;
-import sedgeyoke.decide.Balancer.UpstreamView;
+import sedgeyoke.policy.LoadBalancingPolicy.AttemptEnd;
+import sedgeyoke.policy.LoadBalancingPolicy.ColdGrant;
+import sedgeyoke.policy.LoadBalancingPolicy.ColdRight;
+import sedgeyoke.policy.LoadBalancingPolicy.Effect;
+import sedgeyoke.policy.LoadBalancingPolicy.Limits;
+import sedgeyoke.policy.LoadBalancingPolicy.ListKind;
+import sedgeyoke.policy.LoadBalancingPolicy.LoadReport;
+import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
+import sedgeyoke.policy.LoadBalancingPolicy.Plan;
+import sedgeyoke.policy.LoadBalancingPolicy.Prices;
+import sedgeyoke.policy.LoadBalancingPolicy.Ratings;
+import sedgeyoke.policy.LoadBalancingPolicy.Reports;
+import sedgeyoke.policy.LoadBalancingPolicy.Request;
+import sedgeyoke.policy.LoadBalancingPolicy.RequestClass;
+import sedgeyoke.policy.LoadBalancingPolicy.RuleFigures;
+import sedgeyoke.policy.LoadBalancingPolicy.Scope;
+import sedgeyoke.policy.LoadBalancingPolicy.Settings;
+import sedgeyoke.policy.LoadBalancingPolicy.Standing;
+import sedgeyoke.policy.LoadBalancingPolicy.State;
+import sedgeyoke.policy.LoadBalancingPolicy.Summary;
+import sedgeyoke.policy.LoadBalancingPolicy.Tenant;
+import sedgeyoke.policy.LoadBalancingPolicy.Upstream;
+import sedgeyoke.policy.LoadBalancingPolicy.UpstreamView;
 
 /**
- * Freezes what {@link Policy} decides: random events of all kinds, under random settings, are replayed, and a digest
- * of all events and all decisions is held against a constant. A refactoring must leave it as it is; a commit that
- * means to change decisions replaces the constants by those that the failure prints. Names of types and constants
- * never enter the digest.
+ * Freezes what {@link UtilizationWeightedPolicy} decides: random events of all kinds, under random settings, are
+ * replayed, and a digest of all events and all decisions is held against a constant. A refactoring must leave it as it
+ * is; a commit that means to change decisions replaces the constants by those that the failure prints. Names of types
+ * and constants never enter the digest.
  */
 class PolicyReplayTest {
     private static final int SEEDS = 150;
@@ -214,7 +214,7 @@
     private record Due(long at, long number, Runnable task) {}
 
     /** One run: a host that plays clients, upstreams, discovery, planners and operators at random. */
-    private static final class Replay implements Balancer.Actions {
+    private static final class Replay implements LoadBalancingPolicy.Actions {
         private static final long MILLI = 1_000;
         private static final long SECOND = 1_000_000;
         private static final int UNIVERSE = 20;
@@ -227,7 +227,7 @@
         private final SplittableRandom random;
         private final Journal journal;
         private final Settings settings;
-        private final Balancer balancer;
+        private final LoadBalancingPolicy balancer;
         private final PriorityQueue<Due> due = new PriorityQueue<>(
                 (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
         private final Map<String, List<Attempt>> attempts = new HashMap<>();
@@ -257,7 +257,7 @@
             }
             played.get(0).mood = chance(0.5) ? DEAD : 0; // for good, so that it is ejected again and again
             this.settings = settings(seed);
-            this.balancer = new Policy(settings, seed, this);
+            this.balancer = new UtilizationWeightedPolicy(settings, seed, this);
         }
 
         static boolean manyBalancers(int seed) {
--- a/src/test/java/sedgeyoke/decide/PolicyTest.java
+++ b/src/test/java/sedgeyoke/policy/PolicyTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.decide;
+package sedgeyoke.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -22,21 +22,21 @@
 import java.util.function.IntFunction;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
-import sedgeyoke.decide.Balancer.ListKind;
-import sedgeyoke.decide.Balancer.LoadReport;
-import sedgeyoke.decide.Balancer.Outcome;
-import sedgeyoke.decide.Balancer.Ratings;
-import sedgeyoke.decide.Balancer.Reports;
-import sedgeyoke.decide.Balancer.State;
-import sedgeyoke.decide.Balancer.Upstream;
+import sedgeyoke.policy.LoadBalancingPolicy.ListKind;
+import sedgeyoke.policy.LoadBalancingPolicy.LoadReport;
+import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
+import sedgeyoke.policy.LoadBalancingPolicy.Ratings;
+import sedgeyoke.policy.LoadBalancingPolicy.Reports;
+import sedgeyoke.policy.LoadBalancingPolicy.State;
+import sedgeyoke.policy.LoadBalancingPolicy.Upstream;
 
 /** Each rule and each departure of the module, acting and not acting. */
 class PolicyTest {
-    private static final long SECOND = Host.SECOND;
-    private static final long MILLI = Host.MILLI;
-    private final Host.Config config = new Host.Config();
+    private static final long SECOND = PolicyHarness.SECOND;
+    private static final long MILLI = PolicyHarness.MILLI;
+    private final PolicyHarness.Config config = new PolicyHarness.Config();
 
-    private static int count(Host h, String upstream) {
+    private static int count(PolicyHarness h, String upstream) {
         return h.perUpstream.getOrDefault(upstream, 0);
     }
 
@@ -44,7 +44,7 @@
 
     @Test
     void weightFallsAboveTheMeanUtilisationAndRisesBelow() {
-        Host h = Host.of(config).list(3);
+        PolicyHarness h = PolicyHarness.of(config).list(3);
         for (int i = 0; i < 600; i++) {
             h.serve(0, 20 * MILLI, u -> u.equals("u0") ? 0.9 : u.equals("u1") ? 0.5 : 0.1);
         }
@@ -54,7 +54,7 @@
 
     @Test
     void equalUtilisationKeepsSharesAlike() {
-        Host h = Host.of(config).list(3);
+        PolicyHarness h = PolicyHarness.of(config).list(3);
         for (int i = 0; i < 600; i++) {
             h.serve(0, 20 * MILLI, u -> 0.6);
         }
@@ -66,7 +66,7 @@
     /** Machines are replaced all day by new ones under new ids; those that are gone must leave nothing behind. */
     @Test
     void upstreamsThatAreGoneAreForgotten() throws ReflectiveOperationException {
-        Host h = Host.of(config).list(3);
+        PolicyHarness h = PolicyHarness.of(config).list(3);
         for (int i = 0; i < 100; i++) {
             h.balancer.upstreams(
                     h.now,
@@ -75,7 +75,7 @@
                             new Upstream("n" + i, 0, 0, 0, State.READY, 1, 0),
                             new Upstream("n" + (i - 2), 0, 0, 0, State.GONE, 1, 0)));
         }
-        Field known = Policy.class.getDeclaredField("byId");
+        Field known = UtilizationWeightedPolicy.class.getDeclaredField("byId");
         known.setAccessible(true);
         assertEquals(Set.of("u0", "u1", "u2", "n98", "n99"), ((Map<?, ?>) known.get(h.balancer)).keySet());
         h.balancer.upstreams(h.now, ListKind.COMPLETE, List.of(new Upstream("n99", 0, 0, 0, State.READY, 1, 0)));
@@ -86,7 +86,7 @@
 
     @Test
     void withoutReportsPicksFollowInFlight() {
-        Host h = Host.of(config).list(4);
+        PolicyHarness h = PolicyHarness.of(config).list(4);
         for (int i = 0; i < 4; i++) {
             h.request(2, 2 * SECOND);
         }
@@ -97,7 +97,7 @@
     void nominalRatingIsTheStartingWeightAndSilentOnesAreNot() {
         for (Ratings ratings : List.of(Ratings.NOMINAL, Ratings.NONE)) {
             config.ratings = ratings;
-            Host h = Host.of(config);
+            PolicyHarness h = PolicyHarness.of(config);
             h.balancer.upstreams(
                     h.now,
                     ListKind.RESTORED,
@@ -115,13 +115,13 @@
     @Test
     void nonsenseReportsAreNoReportsAndSlightExcessIsClamped() {
         double[] nonsense = {Double.NaN, -7, 1e9, Double.POSITIVE_INFINITY};
-        Host h = Host.of(config).list(3);
+        PolicyHarness h = PolicyHarness.of(config).list(3);
         for (int i = 0; i < 400; i++) {
             double bad = nonsense[i % nonsense.length];
             h.serve(0, 20 * MILLI, u -> u.equals("u0") ? bad : 0.5);
         }
         assertEquals(133, count(h, "u0"), 50, h.perUpstream.toString());
-        Host full = Host.of(config).list(3);
+        PolicyHarness full = PolicyHarness.of(config).list(3);
         for (int i = 0; i < 400; i++) {
             full.serve(0, 20 * MILLI, u -> u.equals("u0") ? 1.03 : 0.3);
         }
@@ -130,15 +130,15 @@
 
     @Test
     void probesRunOnlyWhereReportsComeByProbe() {
-        Host none = Host.of(config).list(3);
+        PolicyHarness none = PolicyHarness.of(config).list(3);
         none.advance(5 * SECOND);
         assertTrue(none.probes.isEmpty());
         config.reports = Reports.BY_PROBE;
-        Host h = Host.of(config).list(3);
+        PolicyHarness h = PolicyHarness.of(config).list(3);
         h.advance(60 * SECOND);
         assertEquals(3, new HashSet<>(h.probes).size());
         config.probes = false;
-        Host forbidden = Host.of(config).list(3);
+        PolicyHarness forbidden = PolicyHarness.of(config).list(3);
         forbidden.advance(5 * SECOND);
         assertTrue(forbidden.probes.isEmpty());
     }
@@ -147,8 +147,8 @@
     void sameEventsGiveSameActionsAndInstancesAreIndependent() {
         List<List<String>> runs = new ArrayList<>();
         for (int run = 0; run < 2; run++) {
-            Host h = Host.of(config).list(5);
-            Host other = run == 0 ? null : Host.of(config).list(2);
+            PolicyHarness h = PolicyHarness.of(config).list(5);
+            PolicyHarness other = run == 0 ? null : PolicyHarness.of(config).list(2);
             for (int i = 0; i < 200; i++) {
                 h.serve(i % 3, 15 * MILLI, u -> u.equals("u1") ? 0.9 : 0.4);
                 if (other != null) {
@@ -166,7 +166,7 @@
     void ownZoneIsPreferredWhereCrossingHasAPrice() {
         for (double price : new double[] {0, 0.05}) {
             config.crossZone = price;
-            Host h = Host.of(config).list(3);
+            PolicyHarness h = PolicyHarness.of(config).list(3);
             for (int i = 0; i < 300; i++) {
                 h.serve(0, 20 * MILLI, u -> 0.3);
             }
@@ -178,7 +178,7 @@
     void aKeyHasOneHomeWhereWarmKeysHelp() {
         for (boolean warm : new boolean[] {false, true}) {
             config.warmKeys = warm;
-            Host h = Host.of(config).list(6);
+            PolicyHarness h = PolicyHarness.of(config).list(6);
             for (int i = 0; i < 200; i++) {
                 String id = h.request(0, 2 * SECOND, "key", 20 * MILLI);
                 h.advance(20 * MILLI);
@@ -192,7 +192,7 @@
     @Test
     void withScarceRoomHeldKeysGoHome() {
         config.warmKeys = true;
-        Host h = Host.of(config).list(4);
+        PolicyHarness h = PolicyHarness.of(config).list(4);
         Map<String, String> homes = new HashMap<>();
         for (int i = 0; i < 40; i++) {
             String id = h.request(0, 2 * SECOND, "key" + i, 20 * MILLI);
@@ -228,7 +228,7 @@
     @Test
     void whatIsHeldDoesNotMakeFurtherRequestsDear() {
         config.warmKeys = true;
-        Host h = Host.of(config).list(10);
+        PolicyHarness h = PolicyHarness.of(config).list(10);
         assertTimeoutPreemptively(Duration.ofSeconds(20), () -> {
             for (int i = 0; i < 30_000; i++) {
                 h.request(0, 2 * SECOND, "key" + i, 20 * MILLI);
@@ -243,7 +243,7 @@
         config.warmKeys = true;
         for (int priced = 0; priced < 2; priced++) {
             config.crossZone = priced * 0.0001;
-            Host h = Host.of(config).list(6);
+            PolicyHarness h = PolicyHarness.of(config).list(6);
             for (int i = 0; i < 300; i++) {
                 String id = h.request(0, 2 * SECOND, "key" + i, 20 * MILLI);
                 h.advance(20 * MILLI);
@@ -256,15 +256,15 @@
 
     @Test
     void rareErrorsAndSlowAnswersEjectNobody() {
-        Host h = Host.of(config).list(3);
+        PolicyHarness h = PolicyHarness.of(config).list(3);
         for (int i = 0; i < 300; i++) {
             String id = h.request(0, 2 * SECOND);
             boolean slow = h.lastUpstream(id).equals("u0");
             h.advance(slow ? 60 * MILLI : 20 * MILLI);
             if (slow && i % 20 == 0) {
-                h.end(id, Outcome.ERROR, 60 * MILLI, Host.report(0.5));
+                h.end(id, Outcome.ERROR, 60 * MILLI, PolicyHarness.report(0.5));
             }
-            h.end(id, Outcome.OK, 20 * MILLI, Host.report(0.5));
+            h.end(id, Outcome.OK, 20 * MILLI, PolicyHarness.report(0.5));
         }
         assertTrue(count(h, "u0") > 40, h.perUpstream.toString());
         assertEquals(List.of(), h.cancelled);
@@ -272,15 +272,15 @@
 
     @Test
     void quickErrorsEjectAnUpstreamThatWouldOtherwiseLookIdle() {
-        Host h = Host.of(config).list(4);
+        PolicyHarness h = PolicyHarness.of(config).list(4);
         for (int i = 0; i < 300; i++) {
             String id = h.request(0, 2 * SECOND);
             h.advance(5 * MILLI);
             while (h.lastUpstream(id).equals("u0") && h.sends.get(id).size() < 4) {
-                h.end(id, Outcome.ERROR, 5 * MILLI, Host.report(0.01));
+                h.end(id, Outcome.ERROR, 5 * MILLI, PolicyHarness.report(0.01));
             }
             if (!h.lastUpstream(id).equals("u0")) {
-                h.end(id, Outcome.OK, 5 * MILLI, Host.report(0.5));
+                h.end(id, Outcome.OK, 5 * MILLI, PolicyHarness.report(0.5));
             }
         }
         assertTrue(count(h, "u0") < 40, h.perUpstream.toString());
@@ -288,12 +288,12 @@
 
     @Test
     void aHangingUpstreamIsLeft() {
-        Host h = Host.of(config).list(4);
+        PolicyHarness h = PolicyHarness.of(config).list(4);
         for (int i = 0; i < 200; i++) {
             String id = h.request(0, 2 * SECOND);
             h.advance(20 * MILLI);
             if (!h.lastUpstream(id).equals("u0")) {
-                h.end(id, Outcome.OK, 20 * MILLI, Host.report(0.5));
+                h.end(id, Outcome.OK, 20 * MILLI, PolicyHarness.report(0.5));
             }
         }
         assertTrue(count(h, "u0") > 0 && count(h, "u0") < 12, h.perUpstream.toString());
@@ -301,7 +301,7 @@
 
     @Test
     void panicThresholdIgnoresEjectionsWhenNearlyAllAreEjected() {
-        Host h = Host.of(config).list(3);
+        PolicyHarness h = PolicyHarness.of(config).list(3);
         for (int i = 0; i < 60; i++) {
             String id = h.request(0, 2 * SECOND);
             h.advance(5 * MILLI);
@@ -321,7 +321,7 @@
     @Test
     void failedConnectsEjectADeadUpstreamButNotOneThatStillAnswers() {
         for (boolean dead : new boolean[] {true, false}) {
-            Host h = Host.of(config).list(1);
+            PolicyHarness h = PolicyHarness.of(config).list(1);
             String first = h.request(0, 2 * SECOND);
             String second = h.request(2, 2 * SECOND);
             h.advance(5 * MILLI);
@@ -332,7 +332,7 @@
             if (!dead) {
                 h.end(second, Outcome.OK, 5 * MILLI, null);
             }
-            h.change(Host.up(1, State.READY, 0));
+            h.change(PolicyHarness.up(1, State.READY, 0));
             h.advance(100 * MILLI);
             h.perUpstream.clear();
             for (int i = 0; i < 40; i++) {
@@ -346,7 +346,7 @@
 
     @Test
     void slowAnswersLowerTheInFlightLimitAndRequestsAreHeld() {
-        Host h = Host.of(config).list(2);
+        PolicyHarness h = PolicyHarness.of(config).list(2);
         for (int i = 0; i < 60; i++) {
             String id = h.request(0, 2 * SECOND);
             if (h.lastUpstream(id) != null) {
@@ -366,7 +366,7 @@
     @Test
     void longAnswersLowerTheLimitOnlyWhereCoresAreReportedBusy() {
         for (double utilisation : new double[] {0.4, 0.95}) {
-            Host h = Host.of(config).list(2);
+            PolicyHarness h = PolicyHarness.of(config).list(2);
             for (int i = 0; i < 60; i++) {
                 h.serve(0, i < 10 ? 20 * MILLI : 300 * MILLI, u -> utilisation);
             }
@@ -383,7 +383,7 @@
     /** Its last report says nothing about the work that it has not answered since. */
     @Test
     void noAnswerInTimeLowersTheLimitWhateverWasReportedBefore() {
-        Host h = Host.of(config).list(2);
+        PolicyHarness h = PolicyHarness.of(config).list(2);
         for (int i = 0; i < 10; i++) {
             h.serve(0, 20 * MILLI, u -> 0.4);
         }
@@ -399,14 +399,14 @@
 
     @Test
     void withRoomNothingIsHeld() {
-        Host h = Host.of(config).list(4);
+        PolicyHarness h = PolicyHarness.of(config).list(4);
         String id = h.request(0, 2 * SECOND);
         assertNotEquals(null, h.lastUpstream(id));
     }
 
     @Test
     void dearerHeldRequestsGoFirst() {
-        Host h = Host.of(config);
+        PolicyHarness h = PolicyHarness.of(config);
         String cheap = h.request(0, 2 * SECOND);
         String dear = h.request(2, 2 * SECOND);
         assertNull(h.lastUpstream(cheap));
@@ -420,13 +420,14 @@
     void aMarkedRetryIsShedSoonerThanAFirstTryOnceRefusalsAreUsual() {
         for (boolean retry : new boolean[] {true, false}) {
             config.lateWorth = 0;
-            Host h = Host.of(config);
+            PolicyHarness h = PolicyHarness.of(config);
             for (int i = 0; i < 100; i++) {
                 h.request(0, 2 * SECOND);
                 h.advance(510 * MILLI);
             }
             h.refused.clear();
-            h.balancer.request(h.now, new Balancer.Request("again", 0, 0, null, 0, 2 * SECOND, false, retry));
+            h.balancer.request(
+                    h.now, new LoadBalancingPolicy.Request("again", 0, 0, null, 0, 2 * SECOND, false, retry));
             h.advance(100 * MILLI);
             assertEquals(retry, h.refused.contains("again"));
         }
@@ -435,8 +436,8 @@
     @Test
     void whatLiesBeyondATenantsShareLosesItsPlace() {
         for (double allowance : new double[] {0, 1}) {
-            config.tenants = List.of(new Balancer.Tenant(allowance, 1));
-            Host h = Host.of(config);
+            config.tenants = List.of(new LoadBalancingPolicy.Tenant(allowance, 1));
+            PolicyHarness h = PolicyHarness.of(config);
             String first = h.request(0, 2 * SECOND);
             String second = h.request(0, 2 * SECOND);
             h.list(1);
@@ -450,7 +451,7 @@
     void heldRequestsPastTheirAimAreRefusedWhereLateIsWorthNothing() {
         for (double late : new double[] {0, 0.5}) {
             config.lateWorth = late;
-            Host h = Host.of(config);
+            PolicyHarness h = PolicyHarness.of(config);
             h.request(0, 2 * SECOND);
             h.advance(600 * MILLI);
             assertEquals(late == 0 ? 1 : 0, h.refused.size());
@@ -465,7 +466,7 @@
     @Test
     void aLargeGroupDoesNotRefuseForALimitOnItsOwnInFlight() {
         config.group = 300;
-        Host h = Host.of(config).list(40);
+        PolicyHarness h = PolicyHarness.of(config).list(40);
         for (int i = 0; i < 100; i++) {
             h.serve(i % 3, 200 * MILLI, u -> 0.6);
         }
@@ -478,7 +479,7 @@
     void aLargeGroupPicksInProportionToTheRatingNotToItsFourthPower() {
         config.group = 300;
         config.ratings = Ratings.NOMINAL;
-        Host h = Host.of(config);
+        PolicyHarness h = PolicyHarness.of(config);
         h.balancer.upstreams(
                 h.now,
                 ListKind.RESTORED,
@@ -498,7 +499,7 @@
         Set<String> all = new HashSet<>();
         for (int position = 0; position < 8; position++) {
             config.position = position;
-            Host h = Host.of(config).list(40);
+            PolicyHarness h = PolicyHarness.of(config).list(40);
             h.advance(3 * SECOND);
             h.perUpstream.clear();
             for (int i = 0; i < 60; i++) {
@@ -520,7 +521,7 @@
             Map<String, Integer> everywhere = new HashMap<>();
             for (int position = 0; position < 16; position++) {
                 config.position = position;
-                Host h = Host.of(config).list(40);
+                PolicyHarness h = PolicyHarness.of(config).list(40);
                 h.advance(3 * SECOND);
                 for (int i = 0; i < 20; i++) {
                     String id = h.request(0, 2 * SECOND, "key", 20 * MILLI);
@@ -539,7 +540,7 @@
     @Test
     void inALargeGroupUpstreamsWhoseServiceTakesLongGetLess() {
         config.group = 300;
-        Host h = Host.of(config).list(4);
+        PolicyHarness h = PolicyHarness.of(config).list(4);
         h.advance(2 * SECOND);
         for (int i = 0; i < 400; i++) {
             String id = h.request(0, 2 * SECOND);
@@ -568,7 +569,7 @@
     private int atSlow(int parity, IntFunction<Upstream> upstream) {
         config.group = 300;
         config.warmKeys = true;
-        Host h = Host.of(config);
+        PolicyHarness h = PolicyHarness.of(config);
         h.balancer.upstreams(
                 h.now,
                 ListKind.RESTORED,
@@ -590,7 +591,7 @@
     void inALargeGroupAnUpstreamThatGaveNoAnswerInTimeIsNoHomeForAWhile() {
         config.group = 300;
         config.warmKeys = true;
-        Host h = Host.of(config).list(12);
+        PolicyHarness h = PolicyHarness.of(config).list(12);
         h.advance(2 * SECOND);
         String home = null;
         for (int i = 0; i < 60; i++) {
@@ -614,7 +615,7 @@
     @Test
     void aReportedCrowdIsLeftAloneUntilTheReportHasFaded() {
         config.group = 300;
-        Host h = Host.of(config).list(4);
+        PolicyHarness h = PolicyHarness.of(config).list(4);
         h.advance(2 * SECOND);
         for (int i = 0; i < 200; i++) {
             String id = h.request(0, 2 * SECOND);
@@ -629,7 +630,7 @@
     @Test
     void whenAnswersTakeTheirWholeAimALargeGroupLetsLessInAndThenMoreAgain() {
         config.group = 300;
-        Host h = Host.of(config).list(4);
+        PolicyHarness h = PolicyHarness.of(config).list(4);
         for (int i = 0; i < 60; i++) {
             h.serve(0, 900 * MILLI, u -> 1);
         }
@@ -648,7 +649,7 @@
     @Test
     void fullQueuesEverywhereAreNotAskedOverAndOver() {
         config.group = 300;
-        Host h = Host.of(config).list(20);
+        PolicyHarness h = PolicyHarness.of(config).list(20);
         for (int i = 0; i < 50; i++) {
             String id = h.request(0, 2 * SECOND);
             while (h.lastUpstream(id) != null && !h.refused.contains(id)) {
@@ -664,7 +665,7 @@
 
     @Test
     void anAnswerIsGivenBeforeTheClientsOwnTimeWithNoUpstreamAtAll() {
-        Host h = Host.of(config);
+        PolicyHarness h = PolicyHarness.of(config);
         h.request(2, 300 * MILLI);
         h.advance(299 * MILLI);
         assertEquals(1, h.refused.size());
@@ -675,7 +676,7 @@
     void anAnswerIsGivenInTimeWhereverTheDeadlineFallsBetweenTwoLooks() {
         config.tick = MILLI;
         for (int offset = 0; offset < 12; offset++) {
-            Host h = Host.of(config);
+            PolicyHarness h = PolicyHarness.of(config);
             h.advance(offset * MILLI);
             h.request(2, 300 * MILLI);
             h.advance(300 * MILLI);
@@ -685,14 +686,14 @@
 
     @Test
     void aTryWithHardlyAnyTimeLeftIsAnsweredAtOnce() {
-        Host h = Host.of(config);
+        PolicyHarness h = PolicyHarness.of(config);
         h.request(2, 4 * MILLI);
         assertEquals(1, h.refused.size());
     }
 
     @Test
     void anUnsafeRequestThatMayHaveRunFailsAndIsNeverSentAgain() {
-        Host h = Host.of(config).list(3);
+        PolicyHarness h = PolicyHarness.of(config).list(3);
         String id = h.request(2, 2 * SECOND);
         h.end(id, Outcome.RESET, MILLI, null);
         assertEquals(1, h.sends.get(id).size());
@@ -701,7 +702,7 @@
 
     @Test
     void anUnsafeRequestThatProvablyNeverRanIsSentAgain() {
-        Host h = Host.of(config).list(3);
+        PolicyHarness h = PolicyHarness.of(config).list(3);
         String id = h.request(2, 2 * SECOND);
         h.end(id, Outcome.FULL, MILLI, null);
         h.advance(100 * MILLI);
@@ -710,7 +711,7 @@
 
     @Test
     void aKeyedRequestIsRepeatedOnlyWithinItsZoneAndTime() {
-        Host h = Host.of(config).list(9);
+        PolicyHarness h = PolicyHarness.of(config).list(9);
         String id = h.request(1, 2 * SECOND);
         h.end(id, Outcome.RESET, MILLI, null);
         assertEquals(2, h.sends.get(id).size());
@@ -726,13 +727,13 @@
 
     @Test
     void nothingGoesToADrainingUpstreamFromTheMomentItIsTold() {
-        Host h = Host.of(config).list(2);
-        h.change(Host.up(0, State.DRAINING, 0));
+        PolicyHarness h = PolicyHarness.of(config).list(2);
+        h.change(PolicyHarness.up(0, State.DRAINING, 0));
         for (int i = 0; i < 50; i++) {
             h.serve(0, 5 * MILLI, u -> 0.5);
         }
         assertEquals(0, count(h, "u0"));
-        h.balancer.upstreams(h.now, ListKind.COMPLETE, List.of(Host.up(2, State.READY, 0)));
+        h.balancer.upstreams(h.now, ListKind.COMPLETE, List.of(PolicyHarness.up(2, State.READY, 0)));
         h.perUpstream.clear();
         h.serve(0, 5 * MILLI, u -> 0.5);
         assertEquals(Set.of("u2"), h.perUpstream.keySet());
@@ -740,11 +741,11 @@
 
     @Test
     void aColdUpstreamGetsSomeWorkButLittle() {
-        Host h = Host.of(config).list(3);
+        PolicyHarness h = PolicyHarness.of(config).list(3);
         for (int i = 0; i < 500; i++) {
             h.serve(0, 10 * MILLI, u -> 0.6);
         }
-        h.change(Host.up(0, State.READY, h.now - MILLI));
+        h.change(PolicyHarness.up(0, State.READY, h.now - MILLI));
         h.perUpstream.clear();
         for (int i = 0; i < 500; i++) {
             h.serve(0, 10 * MILLI, u -> 0.6);
@@ -781,7 +782,7 @@
     void inALargeGroupOneErrorSendsKeysElsewhereForSomeSeconds() {
         config.group = 300;
         config.warmKeys = true;
-        Host h = Host.of(config).list(12);
+        PolicyHarness h = PolicyHarness.of(config).list(12);
         h.advance(2 * SECOND);
         String failed = h.request(0, 2 * SECOND, "key", 0);
         String home = h.lastUpstream(failed);
@@ -792,7 +793,7 @@
             String id = h.request(0, 2 * SECOND, "key", 0);
             elsewhere += h.lastUpstream(id).equals(home) ? 0 : 1;
             h.advance(10 * MILLI);
-            h.end(id, Outcome.OK, 10 * MILLI, Host.report(0.5));
+            h.end(id, Outcome.OK, 10 * MILLI, PolicyHarness.report(0.5));
         }
         assertTrue(elsewhere >= 9, elsewhere + " of 10");
         h.advance(10 * SECOND);
@@ -806,21 +807,21 @@
         int cold = 0;
         int all = 0;
         for (int seed = 0; seed < 60; seed++) {
-            Host h = Host.of(config);
-            h.balancer = new Policy(h.settings(), seed, h);
+            PolicyHarness h = PolicyHarness.of(config);
+            h.balancer = new UtilizationWeightedPolicy(h.settings(), seed, h);
             h.balancer.start(h.now);
             h.list(10);
             for (int i = 0; i < 60; i++) {
                 if (i == 20) {
                     for (int u = 5; u < 10; u++) {
-                        h.change(Host.up(u, State.READY, h.now));
+                        h.change(PolicyHarness.up(u, State.READY, h.now));
                     }
                     h.perUpstream.clear();
                 }
                 h.again = again && i % 4 > 0;
                 String id = h.request(i % 2, 2 * SECOND, key.apply(i), 0);
                 h.advance(50 * MILLI);
-                h.end(id, Outcome.OK, (i % 2 + 1) * 50 * MILLI, Host.report(0.5));
+                h.end(id, Outcome.OK, (i % 2 + 1) * 50 * MILLI, PolicyHarness.report(0.5));
             }
             cold += h.perUpstream.entrySet().stream()
                     .filter(e -> e.getKey().charAt(1) >= '5')
@@ -834,7 +835,7 @@
 
     @Test
     void halfTheFleetGoneUnknownToTheListCostsLittle() {
-        Host h = Host.of(config).list(6);
+        PolicyHarness h = PolicyHarness.of(config).list(6);
         int failedConnects = 0;
         int served = 0;
         for (int i = 0; i < 400; i++) {
@@ -842,7 +843,7 @@
             for (int tries = 0; tries < 4 && h.lastUpstream(id) != null; tries++) {
                 h.advance(5 * MILLI);
                 if (h.lastUpstream(id).compareTo("u3") >= 0) {
-                    h.end(id, Outcome.OK, 5 * MILLI, Host.report(0.5));
+                    h.end(id, Outcome.OK, 5 * MILLI, PolicyHarness.report(0.5));
                     served++;
                     break;
                 }
@@ -862,13 +863,13 @@
     void aColdUpstreamIsChargedAMeanRequestForEachSmallHint() {
         int[] sent = new int[2];
         for (int small = 0; small < 2; small++) {
-            Host h = Host.of(config).list(3);
+            PolicyHarness h = PolicyHarness.of(config).list(3);
             for (int i = 0; i < 500; i++) {
                 h.serve(0, 10 * MILLI, u -> 0.6);
             }
-            h.change(Host.up(0, State.READY, h.now - MILLI));
-            h.change(Host.up(1, State.GONE, 0));
-            h.change(Host.up(2, State.GONE, 0));
+            h.change(PolicyHarness.up(0, State.READY, h.now - MILLI));
+            h.change(PolicyHarness.up(1, State.GONE, 0));
+            h.change(PolicyHarness.up(2, State.GONE, 0));
             h.sends.clear();
             Set<String> ended = new HashSet<>();
             for (int i = 0; i < 60; i++) {
@@ -876,7 +877,7 @@
                 h.advance(20 * MILLI);
                 for (String id : List.copyOf(h.sends.keySet())) {
                     if (h.lastUpstream(id).equals("u0") && ended.add(id)) {
-                        h.end(id, Outcome.OK, 10 * MILLI, Host.report(0.6));
+                        h.end(id, Outcome.OK, 10 * MILLI, PolicyHarness.report(0.6));
                     }
                 }
             }
@@ -887,8 +888,8 @@
 
     @Test
     void whenAllUpstreamsAreColdRequestsAreAnsweredInTimeAllTheSame() {
-        Host h = Host.of(config);
-        h.balancer.upstreams(h.now, ListKind.RESTORED, List.of(Host.up(0, State.READY, h.now - MILLI)));
+        PolicyHarness h = PolicyHarness.of(config);
+        h.balancer.upstreams(h.now, ListKind.RESTORED, List.of(PolicyHarness.up(0, State.READY, h.now - MILLI)));
         for (int i = 0; i < 20; i++) {
             h.request(0, SECOND);
         }
@@ -903,20 +904,20 @@
     @Test
     void aSubscriptionIsAskedForWhereTheListMustBeAsked() {
         config.ask = true;
-        Host h = Host.of(config);
+        PolicyHarness h = PolicyHarness.of(config);
         assertTrue(h.done.contains(h.now + " watch true"));
         h.balancer.upstreams(h.now, ListKind.UNAVAILABLE, List.of());
         h.advance(5 * SECOND);
         assertTrue(h.done.stream().filter(d -> d.endsWith("watch true")).count() >= 2);
         config.ask = false;
-        assertTrue(Host.of(config).done.isEmpty());
+        assertTrue(PolicyHarness.of(config).done.isEmpty());
     }
 
     /** What fails for one balancer fails for all: asking on at one pace keeps an overbooked discovery overbooked. */
     @Test
     void aSubscriptionThatFailsIsAskedForMoreAndMoreSeldomButWithinTheTimeAllowed() {
         config.ask = true;
-        Host h = Host.of(config);
+        PolicyHarness h = PolicyHarness.of(config);
         long before = h.now;
         int asked = 1;
         List<Long> pauses = new ArrayList<>();
@@ -937,14 +938,14 @@
         assertEquals(asked + 1, asks(h), "soon again after one that went well");
     }
 
-    private static int asks(Host h) {
+    private static int asks(PolicyHarness h) {
         return (int) h.done.stream().filter(d -> d.endsWith("watch true")).count();
     }
 
     @Test
     void aStreamThatHasBegunIsLeftAlone() {
         config.stream = true;
-        Host h = Host.of(config).list(1);
+        PolicyHarness h = PolicyHarness.of(config).list(1);
         String id = h.request(0, 500 * MILLI);
         h.balancer.opened(h.now, id, 0);
         h.advance(5 * SECOND);
@@ -955,8 +956,8 @@
 
     @Test
     void fiveHundredUpstreamsAndOneAreBothServed() {
-        Host many = Host.of(config).list(500);
-        Host one = Host.of(config).list(1);
+        PolicyHarness many = PolicyHarness.of(config).list(500);
+        PolicyHarness one = PolicyHarness.of(config).list(1);
         for (int i = 0; i < 100; i++) {
             many.serve(0, 5 * MILLI, u -> 0.5);
             one.serve(0, 5 * MILLI, u -> 0.5);
@@ -967,7 +968,7 @@
 
     @Test
     void lateAndUnknownEventsAreIgnored() {
-        Host h = Host.of(config).list(1);
+        PolicyHarness h = PolicyHarness.of(config).list(1);
         h.balancer.clientGone(h.now, "never");
         h.balancer.probed(h.now, "never", Outcome.OK, null);
         h.balancer.probed(h.now, "u0", Outcome.TIMEOUT, null);
@@ -975,18 +976,19 @@
         h.balancer.peerMessage(h.now, 1, new byte[0]);
         h.balancer.outcome(
                 h.now,
-                new Balancer.AttemptEnd("never", 0, "u0", Outcome.OK, 1, true, new LoadReport(1, 1, 1, 1, 1, 1)));
+                new LoadBalancingPolicy.AttemptEnd(
+                        "never", 0, "u0", Outcome.OK, 1, true, new LoadReport(1, 1, 1, 1, 1, 1)));
         assertTrue(h.done.isEmpty(), h.done.toString());
     }
 
     @Test
     void badSettingsAreRefusedWithTheFieldsName() {
         config.zones = 0;
-        IllegalArgumentException e = assertThrows(IllegalArgumentException.class, () -> Host.of(config));
+        IllegalArgumentException e = assertThrows(IllegalArgumentException.class, () -> PolicyHarness.of(config));
         assertTrue(e.getMessage().contains("zones"));
         config.zones = 1;
         config.group = 0;
-        e = assertThrows(IllegalArgumentException.class, () -> Host.of(config));
+        e = assertThrows(IllegalArgumentException.class, () -> PolicyHarness.of(config));
         assertTrue(e.getMessage().contains("groupSize"));
     }
 }
--- a/src/test/java/sedgeyoke/decide/TransfersTest.java
+++ b/src/test/java/sedgeyoke/policy/TransfersTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.decide;
+package sedgeyoke.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -13,33 +13,33 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import sedgeyoke.decide.Balancer.AttemptEnd;
-import sedgeyoke.decide.Balancer.Outcome;
-import sedgeyoke.decide.Balancer.Request;
-import sedgeyoke.decide.Balancer.Standing;
-import sedgeyoke.decide.Balancer.State;
+import sedgeyoke.policy.LoadBalancingPolicy.AttemptEnd;
+import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
+import sedgeyoke.policy.LoadBalancingPolicy.Request;
+import sedgeyoke.policy.LoadBalancingPolicy.Standing;
+import sedgeyoke.policy.LoadBalancingPolicy.State;
 
 /** Attempts at their client's pace: they take a connection of an upstream, and none of its work. */
 class TransfersTest {
-    private static final long SECOND = Host.SECOND;
+    private static final long SECOND = PolicyHarness.SECOND;
 
-    private static Host host(int upstreams) {
-        Host.Config config = new Host.Config();
+    private static PolicyHarness host(int upstreams) {
+        PolicyHarness.Config config = new PolicyHarness.Config();
         config.probes = false;
-        return Host.of(config).list(upstreams);
+        return PolicyHarness.of(config).list(upstreams);
     }
 
-    private static String coming(Host h, String id) {
+    private static String coming(PolicyHarness h, String id) {
         h.balancer.request(h.now, new Request(id, 2, 0, null, 0, 100 * SECOND, true, false, true));
         return id;
     }
 
-    private static void begin(Host h, String id) {
+    private static void begin(PolicyHarness h, String id) {
         h.balancer.opened(h.now, id, 0);
         h.balancer.transfers(h.now, id, 0);
     }
 
-    private static int inFlight(Host h) {
+    private static int inFlight(PolicyHarness h) {
         return h.balancer.summary(h.now).upstreams().stream()
                 .mapToInt(Standing::inFlight)
                 .sum();
@@ -47,7 +47,7 @@
 
     @Test
     void fiftyTransfersLeaveRoomForWorkOnOneUpstream() {
-        Host h = host(1);
+        PolicyHarness h = host(1);
         for (int i = 0; i < 50; i++) {
             String id = coming(h, "t" + i);
             assertNotNull(h.lastUpstream(id), "transfer " + i + " has to wait");
@@ -60,7 +60,7 @@
     /** The same without a word on their pace: the first limit lets three in, as it does for work. */
     @Test
     void withoutTheirPaceTheyCountAsWork() {
-        Host h = host(1);
+        PolicyHarness h = host(1);
         int sent = 0;
         for (int i = 0; i < 50; i++) {
             sent += h.lastUpstream(coming(h, "t" + i)) != null ? 1 : 0;
@@ -70,7 +70,7 @@
 
     @Test
     void anAnswerThatHasBegunMakesRoom() {
-        Host h = host(1);
+        PolicyHarness h = host(1);
         for (int i = 0; i < 3; i++) {
             h.request(0, SECOND);
         }
@@ -84,9 +84,9 @@
     /** After its last byte too: how long that took says more of buffers on the way than of the upstream. */
     @Test
     void transfersTeachNothingAboutTheTimeOfWork() {
-        Host slow = host(1);
-        Host none = host(1);
-        for (Host h : List.of(slow, none)) {
+        PolicyHarness slow = host(1);
+        PolicyHarness none = host(1);
+        for (PolicyHarness h : List.of(slow, none)) {
             for (int i = 0; i < 200; i++) {
                 h.serve(0, 5_000, u -> 0.5);
             }
@@ -107,7 +107,7 @@
 
     @Test
     void anUpstreamThatHoldsATransferDoesNotHang() {
-        Host h = host(2);
+        PolicyHarness h = host(2);
         begin(h, coming(h, "t"));
         h.advance(60 * SECOND);
         assertTrue(h.balancer.summary(h.now).upstreams().stream().noneMatch(Standing::ejected));
@@ -116,11 +116,11 @@
     /** Its work would arrive whenever its client is done, and many at once at worst: no budget covers that. */
     @Test
     void aBodyThatIsStillComingDoesNotGoToAColdUpstream() {
-        Host h = host(2);
+        PolicyHarness h = host(2);
         for (int i = 0; i < 400; i++) {
             h.serve(0, 5_000, u -> 0.5);
         }
-        h.change(Host.up(1, State.READY, h.now));
+        h.change(PolicyHarness.up(1, State.READY, h.now));
         h.advance(2 * SECOND);
         for (int i = 0; i < 30; i++) {
             begin(h, coming(h, "t" + i));
@@ -138,7 +138,7 @@
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void nothingIsLeftBehind(long seed) {
         SplittableRandom random = new SplittableRandom(seed);
-        Host h = host(4);
+        PolicyHarness h = host(4);
         Map<String, Boolean> atWork = new HashMap<>();
         List<String> ids = new ArrayList<>();
         for (int step = 0; step < 3_000; step++) {
@@ -177,7 +177,7 @@
     }
 
     /** What was held may have found its place. */
-    private static void found(Host h, Map<String, Boolean> atWork, List<String> ids) {
+    private static void found(PolicyHarness h, Map<String, Boolean> atWork, List<String> ids) {
         h.sends.keySet().forEach(request -> {
             if (!atWork.containsKey(request)) {
                 atWork.put(request, true);
@@ -186,14 +186,15 @@
         });
     }
 
-    private static void transfer(Host h, String id, Map<String, Boolean> atWork) {
+    private static void transfer(PolicyHarness h, String id, Map<String, Boolean> atWork) {
         if (id != null) {
             h.balancer.transfers(h.now, id, 0);
             atWork.put(id, false);
         }
     }
 
-    private static void end(Host h, String id, Outcome outcome, Map<String, Boolean> atWork, List<String> ids) {
+    private static void end(
+            PolicyHarness h, String id, Outcome outcome, Map<String, Boolean> atWork, List<String> ids) {
         if (id != null) {
             h.balancer.outcome(h.now, new AttemptEnd(id, 0, h.sends.get(id).get(0), outcome, 10_000, true, null));
             h.balancer.transfers(h.now, id, 0); // late, and of no effect
--- a/src/test/java/sedgeyoke/net/OpsDoorTest.java
+++ b/src/test/java/sedgeyoke/proxy/AdminServerTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -14,7 +14,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** The operators' door on sockets: calls, figures against what peers saw, and upstreams taken out by hand. */
-class OpsDoorTest {
+class AdminServerTest {
     @TempDir
     private Path folder;
 
--- a/src/test/java/sedgeyoke/net/MainTest.java
+++ b/src/test/java/sedgeyoke/proxy/BalancerProcessTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -25,7 +25,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** The start, with good and bad configurations, and the end on SIGTERM. */
-class MainTest {
+class BalancerProcessTest {
     @TempDir
     private Path folder;
 
@@ -88,8 +88,8 @@
         "'\"repeat\":\"free\"', '\"repeat\":\"maybe\"', repeat"
     })
     void settingsThatCannotBeServedAreRefusedByName(String from, String to, String named) {
-        Config.Bad bad = assertThrows(
-                Config.Bad.class,
+        BalancerConfig.Bad bad = assertThrows(
+                BalancerConfig.Bad.class,
                 () -> Loopback.config(
                         Loopback.SETTINGS.replace(from, to), "127.0.0.1:1", 1024, Loopback.list(1, true)));
         assertTrue(bad.getMessage().contains(named), bad.getMessage());
@@ -287,7 +287,7 @@
                         System.getProperty("java.home") + "/bin/java",
                         "-cp",
                         System.getProperty("java.class.path"),
-                        "sedgeyoke.net.Training")
+                        "sedgeyoke.proxy.ClassArchiveTraining")
                 .redirectErrorStream(true)
                 .start();
         String said = new String(training.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
@@ -298,10 +298,10 @@
     /** Upstreams were bound under a name and asked for by number: each request was refused, and no answer was warm. */
     @Test
     void theWarmUpAnswersAllItsRequestsAndServesMost() throws Exception {
-        Config config = Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, Loopback.list(1, true));
-        WarmUp.Result result = WarmUp.run(config, WarmUp.MOST_REQUESTS, 60);
-        assertEquals(WarmUp.MOST_REQUESTS, result.answered(), "answers");
-        assertTrue(result.served() > 0.9 * WarmUp.MOST_REQUESTS, "served: " + result.served());
+        BalancerConfig config = Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, Loopback.list(1, true));
+        JitWarmUp.Result result = JitWarmUp.run(config, JitWarmUp.MOST_REQUESTS, 60);
+        assertEquals(JitWarmUp.MOST_REQUESTS, result.answered(), "answers");
+        assertTrue(result.served() > 0.9 * JitWarmUp.MOST_REQUESTS, "served: " + result.served());
     }
 
     /** Where each balancer of many has little to do, a dozen that start at once must not compile first. */
@@ -314,14 +314,15 @@
                         .mapToObj(i -> Loopback.member("u" + i, "127.0.0.1:1", "up"))
                         .toArray(String[]::new));
         String many = Loopback.SETTINGS.replace("\"group-size\":1,", "\"group-size\":14,");
-        assertEquals(WarmUp.FEWEST_REQUESTS, WarmUp.requests(Loopback.config(many, "127.0.0.1:1", 1024, members)));
         assertEquals(
-                WarmUp.MOST_REQUESTS,
-                WarmUp.requests(Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, members)),
+                JitWarmUp.FEWEST_REQUESTS, JitWarmUp.requests(Loopback.config(many, "127.0.0.1:1", 1024, members)));
+        assertEquals(
+                JitWarmUp.MOST_REQUESTS,
+                JitWarmUp.requests(Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, members)),
                 "one for all");
         assertEquals(
-                WarmUp.MOST_REQUESTS,
-                WarmUp.requests(Loopback.config(many, "127.0.0.1:1", 1024, Loopback.list(1, true))),
+                JitWarmUp.MOST_REQUESTS,
+                JitWarmUp.requests(Loopback.config(many, "127.0.0.1:1", 1024, Loopback.list(1, true))),
                 "nothing known");
     }
 
@@ -363,7 +364,7 @@
                         System.getProperty("java.home") + "/bin/java",
                         "-cp",
                         System.getProperty("java.class.path"),
-                        "sedgeyoke.serve.Main")
+                        "sedgeyoke.serve.BalancerMain")
                 .redirectErrorStream(true);
         start.command().addAll(List.of(arguments));
         start.environment().put("BALANCER_CONFIG", config);
--- a/src/test/java/sedgeyoke/net/BodiesTest.java
+++ b/src/test/java/sedgeyoke/proxy/BodiesTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/src/test/java/sedgeyoke/net/BodyPropertiesTest.java
+++ b/src/test/java/sedgeyoke/proxy/BodyPropertiesTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -56,8 +56,8 @@
         Loopback.await("nothing is left", () -> lb.server.reservedForBodies() == 0);
         lb.close();
         node.close();
-        assertTrue(Leaks.watching());
-        Leaks.assertNone();
+        assertTrue(LeakRecorder.watching());
+        LeakRecorder.assertNone();
     }
 
     // ---- The exchange alone --------------------------------------------------------------------------
--- a/src/test/java/sedgeyoke/net/CordonsTest.java
+++ b/src/test/java/sedgeyoke/proxy/CordonStoreTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -18,7 +18,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** The set of upstreams that are out by hand, and the file that two processes share. */
-class CordonsTest {
+class CordonStoreTest {
     @TempDir
     private Path folder;
 
@@ -31,12 +31,12 @@
 
     @Test
     void theNextProcessKnowsWhatTheOneBeforeWasTold() throws Exception {
-        Cordons before = new Cordons(file);
+        CordonStore before = new CordonStore(file);
         assertFalse(before.refresh());
         assertTrue(before.set("s-1", true, 7));
         assertTrue(before.set("s-2", true, 8));
         assertTrue(before.set("s-2", true, 9), "twice is as good as once");
-        Cordons next = new Cordons(file);
+        CordonStore next = new CordonStore(file);
         assertTrue(next.refresh());
         assertEquals(Map.of("s-1", 7L, "s-2", 8L), next.out());
         assertTrue(next.set("s-1", false, 10));
@@ -47,7 +47,7 @@
 
     @Test
     void oneCallBackIsEnoughAndOneTooManyDoesNoHarm() throws Exception {
-        Cordons cordons = new Cordons(file);
+        CordonStore cordons = new CordonStore(file);
         cordons.set("s", true, 1);
         cordons.set("s", true, 2);
         assertTrue(cordons.set("s", false, 3));
@@ -57,8 +57,8 @@
 
     @Test
     void whatIsKeptIsBounded() throws Exception {
-        Cordons cordons = new Cordons(null);
-        for (int i = 0; i < Cordons.MOST; i++) {
+        CordonStore cordons = new CordonStore(null);
+        for (int i = 0; i < CordonStore.MOST; i++) {
             assertTrue(cordons.set("s-" + i, true, i));
         }
         assertFalse(cordons.set("one-more", true, 0));
@@ -79,7 +79,7 @@
                 "sedgeyoke cordons 1\nend\n5 s"
             })
     void aFileThatIsNoGoodChangesNothingAndIsToldOfOnce(String content) throws Exception {
-        Cordons cordons = new Cordons(file);
+        CordonStore cordons = new CordonStore(file);
         cordons.set("s", true, 1);
         Files.writeString(file, content);
         assertThrows(IOException.class, cordons::refresh);
@@ -90,7 +90,7 @@
 
     @Test
     void aFolderThatIsGoneIsAnErrorAndNoYes() {
-        Cordons cordons = new Cordons(folder.resolve("nonesuch").resolve("cordons"));
+        CordonStore cordons = new CordonStore(folder.resolve("nonesuch").resolve("cordons"));
         assertThrows(IOException.class, () -> cordons.set("s", true, 1));
     }
 
@@ -113,7 +113,7 @@
             String said = new String(w.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             assertEquals(0, w.waitFor(), said);
         }
-        Cordons read = new Cordons(file);
+        CordonStore read = new CordonStore(file);
         read.refresh();
         assertEquals(2 * Writer.WORDS, read.out().size());
     }
@@ -123,7 +123,7 @@
         static final int WORDS = 300;
 
         public static void main(String[] args) throws IOException {
-            Cordons cordons = new Cordons(Path.of(args[0]));
+            CordonStore cordons = new CordonStore(Path.of(args[0]));
             for (int i = 0; i < WORDS; i++) {
                 cordons.set(args[1] + "-" + i, true, i);
             }
--- a/src/test/java/sedgeyoke/net/CrossingsTest.java
+++ b/src/test/java/sedgeyoke/proxy/CrossingsTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -16,7 +16,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
-import sedgeyoke.decide.Balancer.Outcome;
+import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 
 /**
  * What happens where two things meet in the same milliseconds (docs/design/crossings.md). Each meeting is held by the
--- a/src/test/java/sedgeyoke/net/DiscoveryTest.java
+++ b/src/test/java/sedgeyoke/proxy/DiscoveryTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -197,7 +197,7 @@
                 })) {
             awaitLists("RESTORED", "COMPLETE u:READY");
             Loopback.await("a watch", () -> lb.discovery.requests.size() == 2);
-            Config changed = Loopback.config(Loopback.SETTINGS, next.address(), 512, Loopback.list(1, true));
+            BalancerConfig changed = Loopback.config(Loopback.SETTINGS, next.address(), 512, Loopback.list(1, true));
             lb.loop.execute(() -> lb.node.reload(changed));
             Loopback.await("a watch there", () -> next.requests.size() == 2);
             replies.add(Loopback.list(42, true));
@@ -210,8 +210,8 @@
 
     @Test
     void whatAReloadCannotChangeIsNamed() throws Exception {
-        Config now = Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, Loopback.list(1, true));
-        Config then = Loopback.config(
+        BalancerConfig now = Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, Loopback.list(1, true));
+        BalancerConfig then = Loopback.config(
                 Loopback.SETTINGS.replace("\"az\":0", "\"az\":1"),
                 "127.0.0.1:2",
                 512,
--- a/src/test/java/sedgeyoke/net/FuzzTest.java
+++ b/src/test/java/sedgeyoke/proxy/FuzzTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -114,8 +114,8 @@
         lb.close();
         node.close();
         System.setErr(usual);
-        assertTrue(Leaks.watching());
-        Leaks.assertNone();
+        assertTrue(LeakRecorder.watching());
+        LeakRecorder.assertNone();
     }
 
     private static boolean idle() {
--- a/src/test/java/sedgeyoke/net/EndingTest.java
+++ b/src/test/java/sedgeyoke/proxy/GracefulShutdownTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -16,7 +16,7 @@
  * SIGTERM on a machine that is late: whatever is taken is answered before SIGKILL, and what cannot be answered any more
  * is not taken.
  */
-class EndingTest {
+class GracefulShutdownTest {
     private static final long MS = 1_000;
     private static final long DEADLINE = 300 * MS;
     private static final long KILLED = DEADLINE + 700 * MS;
@@ -27,7 +27,7 @@
 
         /** The signal reaches us {@code signalLate} after it was sent; the loop stands for 100 ms from then on. */
         HeldUpLoop(long signalLate, long knownLate, long heldAt) {
-            Ending ending = new Ending(signalLate - knownLate, DEADLINE);
+            GracefulShutdown ending = new GracefulShutdown(signalLate - knownLate, DEADLINE);
             List<Long> open = new ArrayList<>();
             long unread = signalLate;
             long due = signalLate;
@@ -74,7 +74,7 @@
 
     @Test
     void whoWasLateKeepsMoreTimeFree() {
-        Ending ending = new Ending(0, DEADLINE);
+        GracefulShutdown ending = new GracefulShutdown(0, DEADLINE);
         long before = ending.lastAnswer();
         ending.due(10 * MS);
         ending.looked(210 * MS);
--- a/src/test/java/sedgeyoke/net/HandOverTest.java
+++ b/src/test/java/sedgeyoke/proxy/HandOverTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -116,7 +116,7 @@
                         System.getProperty("java.home") + "/bin/java",
                         "-cp",
                         System.getProperty("java.class.path"),
-                        "sedgeyoke.serve.Main")
+                        "sedgeyoke.serve.BalancerMain")
                 .redirectErrorStream(true);
         start.environment().put("BALANCER_CONFIG", config.toString());
         start.environment().put("BALANCER_ACCEPT_FD", "0");
