--- a/src/test/java/sedgeyoke/net/Leaks.java
+++ b/src/test/java/sedgeyoke/proxy/LeakRecorder.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -11,17 +11,17 @@
  * Netty's leak detector, which tests run at paranoid (see the build file), with what it finds kept: in its own shape it
  * only logs.
  */
-public final class Leaks<T> extends ResourceLeakDetector<T> {
+public final class LeakRecorder<T> extends ResourceLeakDetector<T> {
     private static final List<String> FOUND = new CopyOnWriteArrayList<>();
     private static final int ROUNDS = 5;
 
     /** Netty calls these by reflection. */
-    public Leaks(Class<?> type, int interval) {
+    public LeakRecorder(Class<?> type, int interval) {
         super(type, interval);
     }
 
     /** Netty calls these by reflection. */
-    public Leaks(Class<?> type, int interval, long most) {
+    public LeakRecorder(Class<?> type, int interval, long most) {
         super(type, interval);
     }
 
@@ -43,7 +43,7 @@
     /** Whether the detector was put in place; without it {@link #assertNone} would hold whatever happens. */
     static boolean watching() {
         return ByteBufAllocator.DEFAULT.getClass() != null
-                && Leaks.class.getName().equals(System.getProperty("io.netty.customResourceLeakDetector"))
+                && LeakRecorder.class.getName().equals(System.getProperty("io.netty.customResourceLeakDetector"))
                 && ResourceLeakDetector.getLevel() == Level.PARANOID;
     }
 
--- a/src/test/java/sedgeyoke/net/LeavingClientsTest.java
+++ b/src/test/java/sedgeyoke/proxy/LeavingClientsTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -18,7 +18,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import sedgeyoke.body.BodyLimits;
-import sedgeyoke.decide.Balancer.Outcome;
+import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 
 /**
  * Clients that leave while their requests wait, in each place where one may wait: whatever the module decides after
--- a/src/test/java/sedgeyoke/net/Loopback.java
+++ b/src/test/java/sedgeyoke/proxy/Loopback.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.fail;
 
@@ -22,8 +22,8 @@
 import java.util.function.ToLongFunction;
 import sedgeyoke.body.BodyBudget;
 import sedgeyoke.body.BodyLimits;
-import sedgeyoke.decide.Balancer;
-import sedgeyoke.decide.Policy;
+import sedgeyoke.policy.LoadBalancingPolicy;
+import sedgeyoke.policy.UtilizationWeightedPolicy;
 
 /** A balancer on loopback with its discovery and the clients of a test. */
 final class Loopback implements AutoCloseable {
@@ -43,8 +43,8 @@
     private static final long PATIENCE_MS = 10_000;
 
     final Peer discovery;
-    final Server server;
-    final Node node;
+    final BalancerServer server;
+    final ProxyCore node;
     final EventLoop loop;
     final InetSocketAddress address;
     /** Where operators knock; null without such a door. */
@@ -57,7 +57,7 @@
         String settings = SETTINGS;
         int sockets = 1024;
         Peer discovery;
-        Function<Balancer.Actions, Balancer> module;
+        Function<LoadBalancingPolicy.Actions, LoadBalancingPolicy> module;
         BodyLimits bodies = BodyLimits.PLATFORM;
         Path folder;
         ServerSocketChannel inherited;
@@ -99,7 +99,7 @@
             return this;
         }
 
-        Setup module(Function<Balancer.Actions, Balancer> wanted) {
+        Setup module(Function<LoadBalancingPolicy.Actions, LoadBalancingPolicy> wanted) {
             module = wanted;
             return this;
         }
@@ -123,8 +123,8 @@
                 + "]}";
     }
 
-    static Config config(String settings, String discovery, int sockets, String known) throws Exception {
-        return Config.parse(configText(settings, discovery, sockets, known));
+    static BalancerConfig config(String settings, String discovery, int sockets, String known) throws Exception {
+        return BalancerConfig.parse(configText(settings, discovery, sockets, known));
     }
 
     static byte[] configText(String settings, String discovery, int sockets, String known) {
@@ -144,20 +144,21 @@
                     }
                     Peer.reply(socket, 200, known);
                 });
-        Config config = config(setup.settings, discovery.address(), setup.sockets, known)
+        BalancerConfig config = config(setup.settings, discovery.address(), setup.sockets, known)
                 .with(
                         setup.folder == null ? null : "127.0.0.1:0",
                         setup.folder == null ? null : setup.folder.toString());
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        node = new Node(
+        node = new ProxyCore(
                 loop,
                 config,
                 Transport.SOCKETS,
                 setup.bodies,
                 setup.module != null
                         ? setup.module
-                        : actions -> new Policy(config.facts().settings(), config.seed(), actions));
-        server = new Server(loop, config, node, Transport.SOCKETS, setup.bodies, setup.inherited);
+                        : actions ->
+                                new UtilizationWeightedPolicy(config.facts().settings(), config.seed(), actions));
+        server = new BalancerServer(loop, config, node, Transport.SOCKETS, setup.bodies, setup.inherited);
         ChannelFuture bound = server.bind().sync();
         address = (InetSocketAddress) bound.channel().localAddress();
         ChannelFuture opened = server.openDoor();
--- a/src/test/java/sedgeyoke/net/OperatorTest.java
+++ b/src/test/java/sedgeyoke/proxy/OperatorTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -27,7 +27,7 @@
                         System.getProperty("java.home") + "/bin/java",
                         "-cp",
                         System.getProperty("java.class.path"),
-                        "sedgeyoke.serve.Main",
+                        "sedgeyoke.serve.BalancerMain",
                         "--config",
                         file.toString())
                 .redirectErrorStream(true);
@@ -36,19 +36,19 @@
     }
 
     private void hangUp(Process process, String operator) throws Exception {
-        MainTest.hangUp(process, folder.resolve("operator.toml"), operator.getBytes(StandardCharsets.UTF_8));
+        BalancerProcessTest.hangUp(process, folder.resolve("operator.toml"), operator.getBytes(StandardCharsets.UTF_8));
     }
 
     @Test
     void onSighupWhatNeedsARestartIsNamedAndABadFileChangesNothing() throws Exception {
         Process process = start("[bodies]\nenabled = true\n");
         try (BufferedReader said = process.inputReader()) {
-            MainTest.awaitLine(said, "listens on");
+            BalancerProcessTest.awaitLine(said, "listens on");
             hangUp(process, "[bodies]\nenabled = true\nceiling_kib = 128\n[plans]\nfade_ms = 5000\n");
-            String line = MainTest.awaitLine(said, "until a restart");
+            String line = BalancerProcessTest.awaitLine(said, "until a restart");
             assertTrue(line.contains("bodies.ceiling_kib") && !line.contains("fade_ms"), line);
             hangUp(process, "[bodies]\nenabled = 3\n");
-            line = MainTest.awaitLine(said, "stays in force");
+            line = BalancerProcessTest.awaitLine(said, "stays in force");
             assertTrue(line.contains("operator.toml:2: bodies.enabled"), line);
             assertTrue(process.isAlive());
         } finally {
--- a/src/test/java/sedgeyoke/net/Peer.java
+++ b/src/test/java/sedgeyoke/proxy/Peer.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
--- a/src/test/java/sedgeyoke/net/NodeTest.java
+++ b/src/test/java/sedgeyoke/proxy/ProxyCoreTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -12,12 +12,12 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import org.junit.jupiter.api.Test;
-import sedgeyoke.decide.Balancer.AttemptEnd;
-import sedgeyoke.decide.Balancer.Outcome;
-import sedgeyoke.decide.Balancer.Request;
+import sedgeyoke.policy.LoadBalancingPolicy.AttemptEnd;
+import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
+import sedgeyoke.policy.LoadBalancingPolicy.Request;
 
 /** What the node does with the decisions of a module, above all with those that are no good. */
-class NodeTest {
+class ProxyCoreTest {
     private ScriptedModule module;
 
     private Loopback.Setup scripted(BiConsumer<ScriptedModule, Request> onRequest) {
--- a/src/test/java/sedgeyoke/net/RudeClientsTest.java
+++ b/src/test/java/sedgeyoke/proxy/RudeClientsTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
--- a/src/test/java/sedgeyoke/net/ScriptedModule.java
+++ b/src/test/java/sedgeyoke/proxy/ScriptedModule.java
@@ -1,13 +1,13 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiConsumer;
-import sedgeyoke.decide.Balancer;
+import sedgeyoke.policy.LoadBalancingPolicy;
 
 /** A module that does what a test says, and keeps what it was told. */
-final class ScriptedModule implements Balancer {
+final class ScriptedModule implements LoadBalancingPolicy {
     final Actions actions;
     final List<AttemptEnd> ends = new CopyOnWriteArrayList<>();
     final List<String> gone = new CopyOnWriteArrayList<>();
--- a/src/test/java/sedgeyoke/net/EndWithBodiesTest.java
+++ b/src/test/java/sedgeyoke/proxy/ShutdownWithBodiesTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -14,7 +14,7 @@
 import sedgeyoke.body.BodyLimits;
 
 /** SIGTERM while long bodies are on their way: what may finish finishes, the rest ends in order. */
-class EndWithBodiesTest {
+class ShutdownWithBodiesTest {
     private static final BodyLimits LIMITS =
             new BodyLimits(true, 64 * 1024, 8L << 20, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40, 0);
     private static final int LENGTH = 400_000;
--- a/src/test/java/sedgeyoke/net/StoredCordonsTest.java
+++ b/src/test/java/sedgeyoke/proxy/StoredCordonsTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -32,7 +32,7 @@
 
     @Test
     void idsAndTimesAreRead() throws Exception {
-        Cordons cordons = new Cordons(copy);
+        CordonStore cordons = new CordonStore(copy);
         assertTrue(cordons.refresh());
         assertEquals(IDS, cordons.out());
     }
@@ -40,7 +40,7 @@
     @Test
     void theSameIdsAreWrittenAsTheSameBytes() throws Exception {
         Path written = folder.resolve("written");
-        Cordons cordons = new Cordons(written);
+        CordonStore cordons = new CordonStore(written);
         for (Map.Entry<String, Long> id : IDS.entrySet()) {
             assertTrue(cordons.set(id.getKey(), true, id.getValue()));
         }
--- a/src/test/java/sedgeyoke/net/AnswersTest.java
+++ b/src/test/java/sedgeyoke/proxy/UpstreamResponsesTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.net;
+package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -10,11 +10,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import sedgeyoke.decide.Balancer.Outcome;
-import sedgeyoke.decide.Balancer.Request;
+import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
+import sedgeyoke.policy.LoadBalancingPolicy.Request;
 
 /** Answers that are spoilt, and good ones that bring more than belongs to them. */
-class AnswersTest {
+class UpstreamResponsesTest {
     private static final int LONG_MS = 60_000;
 
     private ScriptedModule module;
--- a/src/test/java/sedgeyoke/serve/HangupTest.java
+++ b/src/test/java/sedgeyoke/serve/ReloadSignalTest.java
@@ -10,13 +10,13 @@
 import org.junit.jupiter.api.Test;
 
 /** SIGHUP in a process of its own, with and without someone who had it ignored before. */
-class HangupTest {
+class ReloadSignalTest {
     /** Says when SIGHUP is handled, and when it has come; ends with its standard input. */
     static final class Program {
         private Program() {}
 
         public static void main(String[] arguments) throws IOException {
-            Hangup.run(() -> System.err.println("came"));
+            ReloadSignal.run(() -> System.err.println("came"));
             System.err.println("ready");
             while (System.in.read() >= 0) {
                 continue;
--- a/src/test/java/sedgeyoke/operator/OperatorFileTest.java
+++ b/src/test/java/sedgeyoke/settings/OperatorFileTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.operator;
+package sedgeyoke.settings;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -22,12 +22,13 @@
     @TempDir
     private Path folder;
 
-    private OperatorFile read(String text) throws BadOperatorFile, IOException {
+    private OperatorFile read(String text) throws InvalidOperatorFileException, IOException {
         return OperatorFile.load(Files.writeString(folder.resolve("operator.toml"), text));
     }
 
-    private List<Problem> problems(String text) {
-        return assertThrows(BadOperatorFile.class, () -> read(text)).problems();
+    private List<ConfigProblem> problems(String text) {
+        return assertThrows(InvalidOperatorFileException.class, () -> read(text))
+                .problems();
     }
 
     @Test
@@ -74,8 +75,8 @@
                 "[plans;                                        | 1 | ''                  | ''"
             })
     void whatIsWrongIsNamedWithItsLineAndWhatWouldBeRight(String text, int line, String key, String says) {
-        List<Problem> found = problems(text.replace(';', '\n').replace('\'', '"'));
-        Problem problem = found.stream()
+        List<ConfigProblem> found = problems(text.replace(';', '\n').replace('\'', '"'));
+        ConfigProblem problem = found.stream()
                 .filter(p -> p.key().equals(key == null ? "" : key))
                 .findFirst()
                 .orElseThrow(() -> new AssertionError(found.toString()));
@@ -86,10 +87,11 @@
 
     @Test
     void featuresThatExcludeEachOtherAreNamedTogether() {
-        List<Problem> found = problems(FORWARDER + "[planner]\nenabled = true\nname = \"p\"\n"
+        List<ConfigProblem> found = problems(FORWARDER + "[planner]\nenabled = true\nname = \"p\"\n"
                 + "listen = \"127.0.0.1:1\"\ncertificate = \"a\"\nkey = \"a\"\ntrust = \"a\"\n");
         assertEquals(
-                List.of("planner.enabled"), found.stream().map(Problem::key).toList());
+                List.of("planner.enabled"),
+                found.stream().map(ConfigProblem::key).toList());
         assertTrue(found.get(0).message().contains("excludes plans.enabled (line 2)"), found.toString());
     }
 
@@ -100,21 +102,23 @@
         for (int i = 0; i < 500; i++) {
             many.append('k').append(i).append(" = 1\n");
         }
-        BadOperatorFile bad = assertThrows(BadOperatorFile.class, () -> read(many.toString()));
+        InvalidOperatorFileException bad =
+                assertThrows(InvalidOperatorFileException.class, () -> read(many.toString()));
         assertEquals(21, bad.getMessage().lines().count());
     }
 
     @Test
     void whatIsNoFileIsSaidInOneLine() {
-        BadOperatorFile bad = assertThrows(BadOperatorFile.class, () -> OperatorFile.load(folder.resolve("none")));
+        InvalidOperatorFileException bad =
+                assertThrows(InvalidOperatorFileException.class, () -> OperatorFile.load(folder.resolve("none")));
         assertEquals(1, bad.getMessage().lines().count());
-        assertThrows(BadOperatorFile.class, () -> OperatorFile.load(folder));
+        assertThrows(InvalidOperatorFileException.class, () -> OperatorFile.load(folder));
     }
 
     @Test
     void aFileFarTooLargeIsNotRead() throws Exception {
         Path large = Files.write(folder.resolve("large"), new byte[(1 << 20) + 1]);
-        assertTrue(assertThrows(BadOperatorFile.class, () -> OperatorFile.load(large))
+        assertTrue(assertThrows(InvalidOperatorFileException.class, () -> OperatorFile.load(large))
                 .getMessage()
                 .contains("larger"));
     }
--- a/src/test/java/sedgeyoke/emulate/TimelineTest.java
+++ b/src/test/java/sedgeyoke/simulation/EventQueueTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -9,13 +9,13 @@
 import org.junit.jupiter.api.Test;
 
 /** Virtual time goes forward only, and of the same moment, what was asked for first comes first. */
-class TimelineTest {
+class EventQueueTest {
     private record Event(long at, int number) {}
 
     @Test
     void eventsComeInOrderOfTimeAndThenOfAsking() {
         SplittableRandom random = new SplittableRandom(1);
-        Timeline time = new Timeline(100);
+        EventQueue time = new EventQueue(100);
         List<Event> asked = new ArrayList<>();
         List<Event> seen = new ArrayList<>();
         for (int i = 0; i < 20_000; i++) {
@@ -37,7 +37,7 @@
 
     @Test
     void whatIsAskedForFromWithinAnEventComesInItsTurn() {
-        Timeline time = new Timeline(0);
+        EventQueue time = new EventQueue(0);
         List<String> seen = new ArrayList<>();
         time.after(5, () -> {
             seen.add("a");
--- a/src/test/java/sedgeyoke/sim/SimWorld.java
+++ b/src/test/java/sedgeyoke/simulation/SeededNetwork.java
@@ -1,4 +1,4 @@
-package sedgeyoke.sim;
+package sedgeyoke.simulation;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -10,7 +10,7 @@
  * Processes on one thread, with clocks that drift, a network that loses, doubles, delays and cuts one way, crashes and
  * pauses, all by seed. What a process decides is its own class's; this one only lets things happen to it.
  */
-public abstract class SimWorld {
+public abstract class SeededNetwork {
     /** How far time goes in one step, in microseconds. */
     public static final long STEP = 10_000;
 
@@ -35,7 +35,7 @@
     private record Message(long at, long number, int to, Object body) {}
 
     /** A world of a seed. */
-    protected SimWorld(long seed) {
+    protected SeededNetwork(long seed) {
         random = new SplittableRandom(seed);
         severity = random.nextDouble();
         lossRate = severity * random.nextDouble() * 0.2;
--- a/src/test/java/sedgeyoke/emulate/EmulationTest.java
+++ b/src/test/java/sedgeyoke/simulation/SimulationTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.emulate;
+package sedgeyoke.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -12,14 +12,14 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import sedgeyoke.emulate.Scenario.Fault;
-import sedgeyoke.emulate.Scenario.Kind;
-import sedgeyoke.emulate.Scenario.PlannerSpec;
+import sedgeyoke.simulation.Scenario.Fault;
+import sedgeyoke.simulation.Scenario.Kind;
+import sedgeyoke.simulation.Scenario.PlannerSpec;
 
 /**
  * Whether the emulator can be believed: theory, conservation at each step, the same seed, and the rules under faults.
  */
-class EmulationTest {
+class SimulationTest {
     private static Scenario small(double load) {
         return Scenarios.orders(12, 6, load, 12);
     }
@@ -47,27 +47,27 @@
         return small(0.6).withFaults(faults).withPlanners(PlannerSpec.usual(3));
     }
 
-    static List<Theory.Check> theory() {
-        return Theory.checks(0.12, 2);
+    static List<QueueingTheory.Check> theory() {
+        return QueueingTheory.checks(0.12, 2);
     }
 
     @ParameterizedTest
     @MethodSource("theory")
-    void agreesWithQueueingTheory(Theory.Check check) {
+    void agreesWithQueueingTheory(QueueingTheory.Check check) {
         assertTrue(check.relativeError() <= 0.03, check + " is off by " + check.relativeError());
     }
 
     /** The check itself: a queue with a tenth more work is told apart. */
     @Test
     void theoryWouldFindATenthMoreWork() {
-        assertTrue(new Theory.Check("", 0.01, 0.011).relativeError() > 0.03);
+        assertTrue(new QueueingTheory.Check("", 0.01, 0.011).relativeError() > 0.03);
     }
 
     @Test
     void theSameSeedGivesTheSameRunToTheLastEvent() {
-        Outcome a = new Emulation(troubled(), 5).run();
-        Outcome b = new Emulation(troubled(), 5).run();
-        Outcome c = new Emulation(troubled(), 6).run();
+        Outcome a = new Simulation(troubled(), 5).run();
+        Outcome b = new Simulation(troubled(), 5).run();
+        Outcome c = new Simulation(troubled(), 6).run();
         assertEquals(text(a), text(b));
         assertNotEquals(text(a), text(c));
     }
@@ -81,8 +81,8 @@
     @Test
     void whatClientsWantDoesNotDependOnWhoDecides() {
         List<Long> first = null;
-        for (String policy : Policies.names()) {
-            Outcome o = new Emulation(small(0.5).withPolicy(policy), 3).run();
+        for (String policy : BaselinePolicies.names()) {
+            Outcome o = new Simulation(small(0.5).withPolicy(policy), 3).run();
             List<Long> wanted = o.seconds().stream().map(Outcome.Second::wanted).toList();
             first = first == null ? wanted : first;
             assertEquals(first, wanted, policy);
@@ -91,7 +91,7 @@
 
     @Test
     void eachRequestEndsOnceAndNoWorkGetsLost() {
-        Emulation e = new Emulation(troubled(), 9);
+        Simulation e = new Simulation(troubled(), 9);
         e.begin();
         for (int step = 0; step < 1_200; step++) {
             e.play(10_000);
@@ -108,7 +108,7 @@
     @ValueSource(longs = {1, 2, 3, 4, 5, 6})
     void theRulesHoldUnderFaults(long seed) {
         for (Scenario s : List.of(troubled(), troubled().withPlanners(PlannerSpec.usual(0)))) {
-            Outcome o = new Emulation(s, seed).run();
+            Outcome o = new Simulation(s, seed).run();
             assertEquals(Map.of(), o.violations(), o.broken().toString());
             assertTrue(o.coldPeak() <= 1);
             assertTrue(o.service() > 0.6, "service " + o.service());
@@ -138,7 +138,7 @@
     void eachFaultChangesARun(Kind kind) {
         Scenario calm = small(0.6);
         Scenario struck = calm.withFaults(List.of(fault(4, kind, 3, 1, 2, 3)));
-        assertNotEquals(text(new Emulation(calm, 2).run()), text(new Emulation(struck, 2).run()));
+        assertNotEquals(text(new Simulation(calm, 2).run()), text(new Simulation(struck, 2).run()));
     }
 
     @ParameterizedTest
@@ -148,7 +148,7 @@
     void faultsOnTheWayBackChangeARun(Kind kind) {
         Scenario calm = small(0.6);
         Scenario struck = calm.withFaults(List.of(fault(4, kind, 1, 0, 3, 0.05)));
-        assertNotEquals(text(new Emulation(calm, 2).run()), text(new Emulation(struck, 2).run()));
+        assertNotEquals(text(new Simulation(calm, 2).run()), text(new Simulation(struck, 2).run()));
     }
 
     /** What the fleet's days bring: nodes hold few connections, processes are young, a zone goes, one is cut. */
@@ -170,7 +170,7 @@
                 n.clockDriftPpm(),
                 10,
                 10_000);
-        Emulation run = new Emulation(
+        Simulation run = new Simulation(
                 new Scenario(
                         s.site(),
                         s.seconds(),
@@ -203,7 +203,7 @@
     void eachFaultOfAPlannerChangesARun(Kind kind) {
         Scenario calm = small(0.6).withPlanners(PlannerSpec.usual(1));
         Scenario struck = calm.withFaults(List.of(fault(4, kind, 1, 0, 3, 0)));
-        assertNotEquals(text(new Emulation(calm, 2).run()), text(new Emulation(struck, 2).run()));
+        assertNotEquals(text(new Simulation(calm, 2).run()), text(new Simulation(struck, 2).run()));
     }
 
     /**
@@ -213,8 +213,8 @@
     @Test
     void forwardersThatFollowPlannersAreNoHerd() {
         Scenario without = Scenarios.orders(24, 60, 0.8, 14);
-        double none = new Emulation(without, 1).run().service();
-        double with = new Emulation(without.withPlanners(PlannerSpec.usual(3)), 1)
+        double none = new Simulation(without, 1).run().service();
+        double with = new Simulation(without.withPlanners(PlannerSpec.usual(3)), 1)
                 .run()
                 .service();
         assertTrue(with >= none - 0.02, "with planners " + with + ", without " + none);
@@ -222,8 +222,10 @@
 
     @Test
     void anOracleBeatsChance() {
-        double random = new Emulation(small(0.75).withPolicy("random"), 4).run().service();
-        double oracle = new Emulation(small(0.75).withPolicy("oracle"), 4).run().service();
+        double random =
+                new Simulation(small(0.75).withPolicy("random"), 4).run().service();
+        double oracle =
+                new Simulation(small(0.75).withPolicy("oracle"), 4).run().service();
         assertTrue(oracle > random + 0.02, "oracle " + oracle + ", random " + random);
     }
 }
--- a/src/test/java/sedgeyoke/wire/WireHostTest.java
+++ b/src/test/java/sedgeyoke/simulator/SimulatorMainTest.java
@@ -1,4 +1,4 @@
-package sedgeyoke.wire;
+package sedgeyoke.simulator;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -11,9 +11,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import sedgeyoke.policy.LoadBalancingPolicy;
 
 /** The wire: every event and action, and every kind of bad line. */
-class WireHostTest {
+class SimulatorMainTest {
     private static final String FACTS = "{\"az\":0,\"later\":{\"x\":[1,{}]},\"classes\":[{\"aim-s\":0.5,"
             + "\"give-up-s\":2,\"repeat\":\"free\",\"worth\":1,\"late-worth\":0,\"name\":\"a\"}],"
             + "\"ceilings\":{\"try-limit\":3,\"cancel\":true,\"probes\":true},\"group-size\":1,"
@@ -33,7 +34,7 @@
     private static Result run(String input, String... args) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
-        int exit = WireHost.run(
+        int exit = SimulatorMain.run(
                 args.length == 0 ? new String[] {"wirehost"} : args,
                 new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)),
                 out,
@@ -97,9 +98,9 @@
 
     @Test
     void everyActionIsWritten() throws Exception {
-        Replies replies = new Replies();
+        ReplyWriter replies = new ReplyWriter();
         replies.begin();
-        sedgeyoke.decide.Balancer.Actions a = replies.forInstance(4);
+        LoadBalancingPolicy.Actions a = replies.forInstance(4);
         a.send("r", "u", 80_000);
         a.refuse("r", 1_500_000);
         a.fail("r");
--- a/src/test/java/sedgeyoke/standin/ClientsTest.java
+++ b/src/test/java/sedgeyoke/standin/ClientsTest.java
@@ -19,16 +19,16 @@
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import sedgeyoke.site.Ledger;
-import sedgeyoke.site.SiteSpec;
+import sedgeyoke.model.InvariantChecker;
+import sedgeyoke.model.SiteModel;
 
 /** Clients against a scripted balancer: what crosses the end of an idle connection is no loss, all else is. */
 class ClientsTest {
     private static final int WANTED = 40;
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-    private final SiteSpec site =
-            new SiteSpec(List.of("a"), SiteSpec.orders(), List.of(), SiteSpec.RuleSpec.USUAL, false);
-    private final Ledger ledger = new Ledger(site);
+    private final SiteModel site =
+            new SiteModel(List.of("a"), SiteModel.orders(), List.of(), SiteModel.RuleSpec.USUAL, false);
+    private final InvariantChecker ledger = new InvariantChecker(site);
     private final Map<String, Integer> seen = new HashMap<>();
     private final Map<String, Set<String>> idsByKey = new HashMap<>();
 
@@ -73,7 +73,7 @@
         loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
-    private Ledger.Summary play(Script script) throws InterruptedException {
+    private InvariantChecker.Summary play(Script script) throws InterruptedException {
         return play(script, 0);
     }
 
@@ -82,7 +82,7 @@
     }
 
     /** Until enough is wanted, and one want has been tried so often. */
-    private Ledger.Summary play(Script script, int tries) throws InterruptedException {
+    private InvariantChecker.Summary play(Script script, int tries) throws InterruptedException {
         InetSocketAddress address = (InetSocketAddress)
                 Http.listen(loop, 0, () -> new Scripted(script)).localAddress();
         Clients clients = new Clients(site, loop, () -> System.nanoTime() / 1_000, ledger, new double[] {1}, 7);
@@ -105,7 +105,7 @@
 
     @Test
     void whatCrossesTheEndOfAnIdleConnectionIsSentOnceMore() throws InterruptedException {
-        Ledger.Summary summary = play((before, times) -> before > 0 ? Does.CLOSE : Does.ANSWER);
+        InvariantChecker.Summary summary = play((before, times) -> before > 0 ? Does.CLOSE : Does.ANSWER);
         assertEquals(Map.of(), summary.violations());
         assertTrue(seen.values().stream().anyMatch(n -> n == 2));
         assertTrue(seen.values().stream().allMatch(n -> n <= 2));
@@ -113,7 +113,7 @@
 
     @Test
     void aSecondEndIsALoss() throws InterruptedException {
-        Ledger.Summary summary = play((before, times) -> before > 0 || times > 1 ? Does.CLOSE : Does.ANSWER);
+        InvariantChecker.Summary summary = play((before, times) -> before > 0 || times > 1 ? Does.CLOSE : Does.ANSWER);
         long twice = seen.values().stream().filter(n -> n == 2).count();
         assertTrue(twice > 0);
         assertEquals(Map.of(1, (int) twice), summary.violations());
@@ -121,7 +121,7 @@
 
     @Test
     void anEndBeforeAnyAnswerIsALossAtOnce() throws InterruptedException {
-        Ledger.Summary summary = play((before, times) -> Does.CLOSE);
+        InvariantChecker.Summary summary = play((before, times) -> Does.CLOSE);
         assertEquals(Map.of(1, seen.size()), summary.violations());
         assertTrue(seen.values().stream().allMatch(n -> n == 1));
     }
--- a/src/test/java/sedgeyoke/store/SimDisk.java
+++ b/src/test/java/sedgeyoke/store/SimDisk.java
@@ -51,7 +51,7 @@
     /** Reads of this file give what was there before its last write; null for none. */
     public String staleReads;
     /** What every write, force or creation says; null if it works. */
-    public DiskFault.Kind refuses;
+    public DiskException.Kind refuses;
     /** Only forces say it. */
     public boolean refusesForceOnly;
     /** Forces so far, for figures. */
@@ -85,21 +85,21 @@
         return new SimDisk(this, seed);
     }
 
-    private void operation(String name, boolean force) throws DiskFault {
+    private void operation(String name, boolean force) throws DiskException {
         operations++;
         if (cutAfter == 0) {
             throw new Cut();
         }
         cutAfter--;
         if (refuses != null && (force || !refusesForceOnly)) {
-            throw new DiskFault(refuses, name, "the simulation says no");
+            throw new DiskException(refuses, name, "the simulation says no");
         }
     }
 
-    private Content content(String name) throws DiskFault {
+    private Content content(String name) throws DiskException {
         Content c = names.get(name);
         if (c == null) {
-            throw new DiskFault(DiskFault.Kind.GONE, name, "no such file");
+            throw new DiskException(DiskException.Kind.GONE, name, "no such file");
         }
         return c;
     }
@@ -120,7 +120,7 @@
     }
 
     @Override
-    public byte[] read(String name, long at, int length) throws DiskFault {
+    public byte[] read(String name, long at, int length) throws DiskException {
         Content c = content(name);
         byte[] from = name.equals(staleReads) && c.old != null ? c.old : c.seen;
         int start = (int) Math.min(at, from.length);
@@ -128,7 +128,7 @@
     }
 
     @Override
-    public void allocate(String name, long length) throws DiskFault {
+    public void allocate(String name, long length) throws DiskException {
         operation(name, false);
         Content c = new Content(files++);
         c.seen = new byte[(int) length];
@@ -139,7 +139,7 @@
     }
 
     @Override
-    public void write(String name, long at, byte[] bytes) throws DiskFault {
+    public void write(String name, long at, byte[] bytes) throws DiskException {
         int whole = bytes.length;
         Content c = content(name);
         if (cutAfter == 0) { // a part of it may have got there
@@ -174,7 +174,7 @@
     }
 
     @Override
-    public void force(String name) throws DiskFault {
+    public void force(String name) throws DiskException {
         operation(name, true);
         forces++;
         if (!forceLies) {
@@ -185,7 +185,7 @@
     }
 
     @Override
-    public void forceNames() throws DiskFault {
+    public void forceNames() throws DiskException {
         operation("", true);
         forces++;
         if (!forceLies) {
@@ -194,14 +194,14 @@
     }
 
     @Override
-    public void rename(String from, String to) throws DiskFault {
+    public void rename(String from, String to) throws DiskException {
         operation(from, false);
         names.put(to, content(from));
         names.remove(from);
     }
 
     @Override
-    public void delete(String name) throws DiskFault {
+    public void delete(String name) throws DiskException {
         operation(name, false);
         names.remove(name);
     }
--- a/src/test/java/sedgeyoke/store/StoreTest.java
+++ b/src/test/java/sedgeyoke/store/StoreTest.java
@@ -19,7 +19,7 @@
     private static final int SEGMENT = 400;
     private long highest;
 
-    private SegmentLog open(Disk disk) throws DiskFault {
+    private SegmentLog open(Disk disk) throws DiskException {
         return SegmentLog.open(disk, IDENTITY, SEGMENT, highest, g -> highest = g);
     }
 
@@ -28,7 +28,7 @@
     }
 
     /** Writes some, cuts two off, writes others in their place; promised counts up to the last force that returned. */
-    private long script(SegmentLog log) throws DiskFault {
+    private long script(SegmentLog log) throws DiskException {
         long promised = 0;
         for (int i = 1; i <= 6; i++) {
             log.append(List.of(record(i, "first " + i)));
@@ -170,10 +170,10 @@
         SimDisk disk = new SimDisk(1);
         SegmentLog log = open(disk);
         script(log);
-        disk.refuses = DiskFault.Kind.FAILED;
+        disk.refuses = DiskException.Kind.FAILED;
         disk.refusesForceOnly = true;
         log.append(List.of(record(7, "x")));
-        assertThrows(DiskFault.class, log::force);
+        assertThrows(DiskException.class, log::force);
         disk.mend();
         assertThrows(IllegalStateException.class, log::force);
         assertThrows(IllegalStateException.class, () -> log.append(List.of(record(8, "x"))));
@@ -184,8 +184,8 @@
         for (int cut = 0; cut < 12; cut++) {
             for (int seed = 0; seed < 20; seed++) {
                 SimDisk disk = new SimDisk(seed);
-                TwinFile.open(disk, "slot").save("old".getBytes());
-                TwinFile file = TwinFile.open(disk, "slot");
+                DualCopyFile.open(disk, "slot").save("old".getBytes());
+                DualCopyFile file = DualCopyFile.open(disk, "slot");
                 disk.cutAfter = cut;
                 boolean saved = false;
                 try {
@@ -195,7 +195,7 @@
                     assertNotNull(e);
                 }
                 disk.powerCut();
-                TwinFile again = TwinFile.open(disk, "slot");
+                DualCopyFile again = DualCopyFile.open(disk, "slot");
                 String found = new String(again.content().orElseThrow());
                 assertTrue(found.equals("new") || !saved && found.equals("old"), found + " cut " + cut);
             }
@@ -205,17 +205,18 @@
     @Test
     void oneBadCopyOfATwinFileIsReplacedAndTwoAreTold() throws Exception {
         SimDisk disk = new SimDisk(1);
-        TwinFile.open(disk, "slot").save("kept".getBytes());
+        DualCopyFile.open(disk, "slot").save("kept".getBytes());
         for (String copy : List.of("slot-a", "slot-b")) {
             for (int bit = 0; bit < 8 * disk.bytes(copy).length; bit++) {
                 disk.flipBit(copy, bit / 8, bit % 8);
                 assertArrayEquals(
-                        "kept".getBytes(), TwinFile.open(disk, "slot").content().orElseThrow());
+                        "kept".getBytes(),
+                        DualCopyFile.open(disk, "slot").content().orElseThrow());
             }
         }
         disk.flipBit("slot-a", 21, 1);
         disk.flipBit("slot-b", 22, 1);
-        assertNotNull(TwinFile.open(disk, "slot").damage());
+        assertNotNull(DualCopyFile.open(disk, "slot").damage());
     }
 
     @Test
@@ -245,16 +246,18 @@
         List<String> found = new ArrayList<>();
         try (FileDisk disk = FileDisk.take(folder)) {
             assertEquals(
-                    DiskFault.Kind.IN_USE,
-                    assertThrows(DiskFault.class, () -> FileDisk.take(folder)).kind());
+                    DiskException.Kind.IN_USE,
+                    assertThrows(DiskException.class, () -> FileDisk.take(folder))
+                            .kind());
             assertThrows(IllegalArgumentException.class, () -> disk.length("../x"));
             script(open(disk));
             String identity = disk.identity("log-0000000000000001");
             disk.write("log-0000000000000001", SEGMENT - 1, new byte[1]);
             assertEquals(identity, disk.identity("log-0000000000000001"));
             assertEquals(
-                    DiskFault.Kind.GONE,
-                    assertThrows(DiskFault.class, () -> disk.read("no", 0, 1)).kind());
+                    DiskException.Kind.GONE,
+                    assertThrows(DiskException.class, () -> disk.read("no", 0, 1))
+                            .kind());
         }
         try (FileDisk disk = FileDisk.take(folder)) {
             found.addAll(texts(open(disk)));
