--- a/src/main/java/sedgeyoke/body/PartialRequestPolicy.java
+++ b/src/main/java/sedgeyoke/body/PartialRequestPolicy.java
@@ -47,7 +47,7 @@
         }
         // An upstream begins a request when its last byte has come: what lacks it never ran, however the attempt ended.
         boolean neverRan = outcome.neverRan || body == Body.PART_GONE;
-        boolean harmless = effect == Effect.SAFE || effect == Effect.KEYED && scope == Scope.ALL;
+        boolean harmless = effect == Effect.SAFE || effect == Effect.IDEMPOTENT_WITH_KEY && scope == Scope.ALL;
         return neverRan || harmless ? Next.REFUSE : Next.FAIL;
     }
 }
--- a/src/main/java/sedgeyoke/drill/DemoRun.java
+++ b/src/main/java/sedgeyoke/drill/DemoRun.java
@@ -89,7 +89,7 @@
         }
         Map<String, double[]> weights = new HashMap<>();
         for (InProcessBalancer b : balancers) {
-            for (LoadBalancingPolicy.Standing s : b.summary().upstreams()) {
+            for (LoadBalancingPolicy.UpstreamStatus s : b.summary().upstreams()) {
                 double[] sum = weights.computeIfAbsent(s.id(), id -> new double[2]);
                 sum[0] += s.weight() / balancers.size();
                 sum[1] += s.inFlight();
--- a/src/main/java/sedgeyoke/plan/Follower.java
+++ b/src/main/java/sedgeyoke/plan/Follower.java
@@ -10,10 +10,10 @@
 import java.util.TreeSet;
 import sedgeyoke.lease.LeaseClock;
 import sedgeyoke.policy.LoadBalancingPolicy;
-import sedgeyoke.policy.LoadBalancingPolicy.ColdGrant;
-import sedgeyoke.policy.LoadBalancingPolicy.ColdRight;
-import sedgeyoke.policy.LoadBalancingPolicy.Standing;
+import sedgeyoke.policy.LoadBalancingPolicy.SlowStartGrant;
+import sedgeyoke.policy.LoadBalancingPolicy.SlowStartQuota;
 import sedgeyoke.policy.LoadBalancingPolicy.State;
+import sedgeyoke.policy.LoadBalancingPolicy.UpstreamStatus;
 import sedgeyoke.policy.LoadBalancingPolicy.UpstreamView;
 
 /**
@@ -104,10 +104,10 @@
                         heard.message().incarnation(), heard.message().sentAt());
         List<ForwarderReport.Deposit> deposits = new ArrayList<>();
         if (heard != null && planner.equals(follow(now)) && now - heard.at() <= self.lease() / ECHO_SHARE) {
-            for (Standing s : summary.upstreams()) {
-                boolean cold = s.coldRight() > 0 && s.state() == State.READY;
+            for (UpstreamStatus s : summary.upstreams()) {
+                boolean cold = s.slowStartQuota() > 0 && s.state() == State.READY;
                 if (cold && deposits.size() < ForwarderReport.MOST_DEPOSITS && lend(now, s.id(), heard.message())) {
-                    deposits.add(new ForwarderReport.Deposit(s.id(), s.launchedAt(), s.coldRight()));
+                    deposits.add(new ForwarderReport.Deposit(s.id(), s.launchedAt(), s.slowStartQuota()));
                 }
             }
         }
@@ -145,9 +145,9 @@
         return before.planner().equals(to.planner()) && before.incarnation() == to.incarnation();
     }
 
-    private List<ForwarderReport.Load> loads(long now, List<Standing> all) {
+    private List<ForwarderReport.Load> loads(long now, List<UpstreamStatus> all) {
         List<ForwarderReport.Load> loads = new ArrayList<>();
-        for (Standing s : turn.take(all, ForwarderReport.MOST_LOADS)) {
+        for (UpstreamStatus s : turn.take(all, ForwarderReport.MOST_LOADS)) {
             loads.add(new ForwarderReport.Load(
                     s.id(),
                     s.zone(),
@@ -245,29 +245,29 @@
                 rights(now));
     }
 
-    private Map<String, ColdRight> rights(long now) {
+    private Map<String, SlowStartQuota> rights(long now) {
         lent.values().removeIf(l -> l.until() <= now);
-        Map<String, List<ColdGrant>> grants = new HashMap<>();
+        Map<String, List<SlowStartGrant>> grants = new HashMap<>();
         Map<String, Long> launched = new HashMap<>();
         for (Heard h : planners.values()) {
             long until = terms.usableUntil(
                     h.message().echo().at(), h.at(), h.message().grantFor());
             for (PlanMessage.Grant g : until > now ? h.message().grants() : List.<PlanMessage.Grant>of()) {
                 long newest = launched.merge(g.upstream(), g.launchedAt(), Math::max);
-                List<ColdGrant> held = grants.computeIfAbsent(g.upstream(), id -> new ArrayList<>());
+                List<SlowStartGrant> held = grants.computeIfAbsent(g.upstream(), id -> new ArrayList<>());
                 if (g.launchedAt() < newest) {
                     continue; // of a process that is gone
                 }
-                held.add(new ColdGrant(g.rate(), until));
+                held.add(new SlowStartGrant(g.rate(), until));
             }
         }
-        Map<String, ColdRight> rights = new HashMap<>();
+        Map<String, SlowStartQuota> rights = new HashMap<>();
         TreeSet<String> ids = new TreeSet<>(lent.keySet());
         ids.addAll(grants.keySet());
         for (String id : ids) {
             rights.put(
                     id,
-                    new ColdRight(
+                    new SlowStartQuota(
                             launched.getOrDefault(id, 0L),
                             lent.containsKey(id) ? lent.get(id).until() : Long.MIN_VALUE,
                             grants.getOrDefault(id, List.of())));
--- a/src/main/java/sedgeyoke/plan/remote/PlannerClient.java
+++ b/src/main/java/sedgeyoke/plan/remote/PlannerClient.java
@@ -55,7 +55,7 @@
 
     /** Begins, on the loop. The module is told at once what of its rights must not be used yet. */
     public void start() {
-        port.deliver(() -> port.module().plan(port.now(), follower.plan(port.now())));
+        port.deliver(() -> port.module().planUpdated(port.now(), follower.plan(port.now())));
         targets.forEach(Target::connect);
         scheduleReport();
     }
@@ -95,7 +95,7 @@
                 reports.put(t.connection, follower.report(now, t.connection.peer(), summary));
             }
         }
-        port.module().plan(now, follower.plan(now));
+        port.module().planUpdated(now, follower.plan(now));
         reports.forEach((connection, report) -> connection.send(
                 Frame.newBuilder().setReport(PlannerCodec.of(report)).build()));
     }
@@ -153,7 +153,7 @@
             PlanMessage plan = PlannerCodec.plan(peer(), frame.getPlan());
             long now = port.now();
             if (follower.heard(now, plan) && follower.matters(now, plan)) {
-                port.deliver(() -> port.module().plan(port.now(), follower.plan(port.now())));
+                port.deliver(() -> port.module().planUpdated(port.now(), follower.plan(port.now())));
             }
         }
 
--- a/src/main/java/sedgeyoke/policy/LoadBalancingPolicy.java
+++ b/src/main/java/sedgeyoke/policy/LoadBalancingPolicy.java
@@ -17,44 +17,44 @@
     void start(long now);
 
     /** The list of upstreams, or changes of it, as discovery told it. */
-    void upstreams(long now, ListKind kind, List<Upstream> entries);
+    void endpointsUpdated(long now, ListKind kind, List<Upstream> entries);
 
     /** A client's request has arrived; one final answer is owed from here on. */
-    void request(long now, Request request);
+    void requestArrived(long now, Request request);
 
     /** The end of one attempt. */
-    void outcome(long now, AttemptEnd end);
+    void attemptEnded(long now, AttemptEnd end);
 
     /** A streamed answer has begun; the attempt belongs to the client from now on. */
-    void opened(long now, String request, int attempt);
+    void responseStarted(long now, String request, int attempt);
 
     /**
      * From now on an attempt is a transfer, at the pace of whoever is slower: its body goes out in parts, or its answer
      * has begun and is not whole yet. It takes a connection of the upstream, and none of its work that we could count:
      * what a kernel still holds of a body hides when the upstream has it all.
      */
-    void transfers(long now, String request, int attempt);
+    void transferStarted(long now, String request, int attempt);
 
     /** The client has left; nothing is owed for this request any more. */
-    void clientGone(long now, String request);
+    void clientDisconnected(long now, String request);
 
     /** The result of a probe; {@code load} is null if none came along. */
-    void probed(long now, String upstream, Outcome outcome, LoadReport load);
+    void healthCheckCompleted(long now, String upstream, Outcome outcome, LoadReport load);
 
-    /** A timer that was set through {@link Actions#timer} is due. */
-    void timer(long now, String token);
+    /** A timer that was set through {@link Actions#setTimer} is due. */
+    void timerFired(long now, String token);
 
     /** A message from another balancer of the tier. */
-    void peerMessage(long now, int from, byte[] body);
+    void peerMessageReceived(long now, int from, byte[] body);
 
     /** What planners say, as a whole: it replaces what they said before. A balancer without planners never hears it. */
-    void plan(long now, Plan plan);
+    void planUpdated(long now, Plan plan);
 
     /**
      * The upstreams that operators have taken out of service by hand, and since when; it replaces what was said before.
      * They are sent nothing, whatever the list says. Ids that the list does not have count too: they may come back.
      */
-    void cordons(long now, Map<String, Long> out);
+    void cordonsUpdated(long now, Map<String, Long> out);
 
     /** What planners are told of this balancer. It asks only, and changes nothing. */
     Summary summary(long now);
@@ -65,7 +65,7 @@
         void send(String request, String upstream, long timeout);
 
         /** Final answer: refused, a further try is harmless. {@code retryAfter} 0 gives no advice. */
-        void refuse(String request, long retryAfter);
+        void reject(String request, long retryAfter);
 
         /** Final answer: failed, nothing promised. */
         void fail(String request);
@@ -73,23 +73,23 @@
         /** Stops waiting for an attempt. */
         void cancel(String request, int attempt);
 
-        /** Asks for a call of {@link LoadBalancingPolicy#timer} after {@code delay}. */
-        void timer(String token, long delay);
+        /** Asks for a call of {@link LoadBalancingPolicy#timerFired} after {@code delay}. */
+        void setTimer(String token, long delay);
 
         /** Asks an upstream for its load. */
-        void probe(String upstream);
+        void healthCheck(String upstream);
 
         /** Closes idle connections to an upstream. */
         void closeIdle(String upstream);
 
         /** Subscribes to changes of the list, or ends that. */
-        void watch(boolean on);
+        void watchEndpoints(boolean on);
 
         /** Asks for the complete list once. */
-        void fetch();
+        void fetchEndpoints();
 
         /** Sends a message to one peer, or to all if {@code peer} is negative. */
-        void tell(int peer, byte[] body);
+        void sendToPeer(int peer, byte[] body);
 
         /** A line for the operators. */
         void log(String text);
@@ -107,7 +107,7 @@
     enum State {
         READY,
         DRAINING,
-        GONE
+        REMOVED
     }
 
     /** How an attempt ended. */
@@ -117,7 +117,7 @@
         /** An error; it may have run. */
         ERROR(false),
         /** Rejected unseen. */
-        FULL(true),
+        REJECTED(true),
         /** No answer in time; it may have run or still run. */
         TIMEOUT(false),
         /** No connection could be had. */
@@ -127,7 +127,7 @@
         /** Called off; it may have run. */
         CANCELLED(false),
         /** Never sent. */
-        MOOT(true);
+        NOT_SENT(true);
 
         /** Whether this outcome proves that the attempt never ran. */
         public final boolean neverRan;
@@ -140,7 +140,7 @@
     /** Whether a request may run more than once. */
     enum Effect {
         SAFE,
-        KEYED,
+        IDEMPOTENT_WITH_KEY,
         UNSAFE
     }
 
@@ -153,8 +153,8 @@
 
     /** How load reports come: within answers, by probes alone, or not at all. */
     enum Reports {
-        IN_ANSWERS,
-        BY_PROBE,
+        IN_RESPONSES,
+        BY_HEALTH_CHECK,
         NONE
     }
 
@@ -170,30 +170,30 @@
     record Upstream(String id, int zone, int kind, int cell, State state, double rating, long launchedAt) {}
 
     /**
-     * A request; {@code expectedWork} is 0 without a hint, {@code key} null without a key. {@code coming} says that its
+     * A request; {@code expectedWork} is 0 without a hint, {@code affinityKey} null without a key. {@code bodyPending} says that its
      * body is still on the way: an upstream begins its work when the client is done, whenever that is.
      */
     record Request(
             String id,
             int classIndex,
             int tenant,
-            String key,
+            String affinityKey,
             long expectedWork,
             long timeLeft,
             boolean write,
             boolean retry,
-            boolean coming) {
+            boolean bodyPending) {
         /** A request that is whole. */
         public Request(
                 String id,
                 int classIndex,
                 int tenant,
-                String key,
+                String affinityKey,
                 long expectedWork,
                 long timeLeft,
                 boolean write,
                 boolean retry) {
-            this(id, classIndex, tenant, key, expectedWork, timeLeft, write, retry, false);
+            this(id, classIndex, tenant, affinityKey, expectedWork, timeLeft, write, retry, false);
         }
     }
 
@@ -203,7 +203,7 @@
             int attempt,
             String upstream,
             Outcome outcome,
-            long took,
+            long duration,
             boolean concluded,
             LoadReport load) {}
 
@@ -216,16 +216,16 @@
             double servedPerSecond,
             double errorsPerSecond) {}
 
-    /** A class of requests. {@code aimStretch} lengthens the aim by that multiple of the request's own work. */
+    /** A class of requests. {@code objectiveStretch} lengthens the latency objective by that multiple of the request's own work. */
     record RequestClass(
-            long aim,
-            double aimStretch,
-            long giveUp,
-            double worth,
-            double lateWorth,
+            long latencyObjective,
+            double objectiveStretch,
+            long clientTimeout,
+            double priorityWeight,
+            double latePriorityWeight,
             Effect effect,
             Scope scope,
-            long memorySpan,
+            long deduplicationWindow,
             boolean stream) {}
 
     /** A tenant: its allowance in requests a second across all balancers, 0 for none stated. */
@@ -234,29 +234,29 @@
     /** What the balancer may do. */
     record Limits(
             int maxAttempts,
-            boolean secondCopies,
-            boolean probes,
+            boolean hedging,
+            boolean healthChecks,
             boolean cancel,
             boolean peers,
-            int maxOpen,
+            int maxConcurrentRequests,
             boolean retryAfter,
             long maxRetryAfter,
             long connectTimeout,
-            long connectIdle,
+            long idleTimeout,
             int streamsPerConnection) {}
 
     /** The figures of the rules. */
-    record RuleFigures(
-            long answerSlack,
-            long askWithin,
-            double startCapacity,
-            long coldTime,
+    record PlatformRules(
+            long responseSlack,
+            long endpointPollLimit,
+            double initialCapacity,
+            long slowStartTime,
             long drainGrace,
-            double fallMultiple,
-            long fallTime) {}
+            double overloadMultiple,
+            long overloadWindow) {}
 
     /** Prices in points of the result, for each unit of what they are charged on. */
-    record Prices(double crossZone, double waste, double probe, double lateFail, double handshake) {}
+    record Prices(double crossZone, double wastedWork, double healthCheck, double lateFailure, double handshake) {}
 
     /** All that an instance is told at its start. */
     record Settings(
@@ -266,16 +266,16 @@
             int groupSize,
             List<RequestClass> classes,
             List<Tenant> tenants,
-            double overShareWorth,
-            boolean worthByWork,
+            double overQuotaPriority,
+            boolean priorityPerRequest,
             Limits limits,
-            RuleFigures rules,
+            PlatformRules rules,
             Prices prices,
             Reports reports,
             Ratings ratings,
-            boolean askForList,
-            boolean warmKeys,
-            long tick) {}
+            boolean subscribesToEndpoints,
+            boolean keyAffinity,
+            long clockTick) {}
 
     /**
      * What planners say of one upstream. Its reports are no part of it: with the same ones at the same moment, all
@@ -288,45 +288,45 @@
     record UpstreamView(String id, double limit, long launchedAt, boolean draining) {}
 
     /** A right to send so many mean requests a second to a cold upstream, until then. */
-    record ColdGrant(double rate, long until) {}
+    record SlowStartGrant(double rate, long expiresAt) {}
 
     /**
      * Rights on an upstream that is cold since {@code launchedAt}: our own is lent until some time, and others'
      * are granted to us.
      */
-    record ColdRight(long launchedAt, long lentUntil, List<ColdGrant> grants) {}
+    record SlowStartQuota(long launchedAt, long delegatedUntil, List<SlowStartGrant> grants) {}
 
     /**
-     * A plan. {@code heardAt} is when a planner was last heard, 0 for never; {@code fadeTime} how long it then takes
-     * to fade out; {@code spill} the share of our zone's requests that is to go to each zone, or empty;
-     * {@code quietUntil} until when our own rights on cold upstreams must not be used.
+     * A plan. {@code lastPlannerContact} is when a planner was last heard, 0 for never; {@code fadeOutTime} how long it then takes
+     * to fade out; {@code zoneSpillover} the share of our zone's requests that is to go to each zone, or empty;
+     * {@code ownQuotaBlockedUntil} until when our own rights on cold upstreams must not be used.
      */
     record Plan(
-            long heardAt,
-            long fadeTime,
+            long lastPlannerContact,
+            long fadeOutTime,
             List<UpstreamView> upstreams,
-            List<Double> spill,
-            long quietUntil,
-            Map<String, ColdRight> cold) {
+            List<Double> zoneSpillover,
+            long ownQuotaBlockedUntil,
+            Map<String, SlowStartQuota> slowStartQuotas) {
 
         /**
          * What was agreed on for an upstream that is cold since {@code launchedAt}; null if nothing. A right that
          * is lent is lent whichever process runs there; a grant is for one process only.
          */
-        public ColdRight right(String upstream, long launchedAt) {
-            ColdRight right = cold.get(upstream);
+        public SlowStartQuota slowStartQuota(String upstream, long launchedAt) {
+            SlowStartQuota right = slowStartQuotas.get(upstream);
             return right == null || right.launchedAt() == launchedAt
                     ? right
-                    : new ColdRight(launchedAt, right.lentUntil(), List.of());
+                    : new SlowStartQuota(launchedAt, right.delegatedUntil(), List.of());
         }
     }
 
     /**
      * How this balancer stands with one upstream. {@code sent} counts attempts since it is known; {@code reportedAt}
      * 0 means that it has no report; {@code ejected} that it is avoided, by our own choice or by hand;
-     * {@code coldRight} is our own right while it is cold, in mean requests a second.
+     * {@code slowStartQuota} is our own right while it is cold, in mean requests a second.
      */
-    record Standing(
+    record UpstreamStatus(
             String id,
             int zone,
             State state,
@@ -339,8 +339,8 @@
             double waiting,
             long reportedAt,
             boolean ejected,
-            double coldRight) {}
+            double slowStartQuota) {}
 
     /** What a balancer tells of itself: requests a second by class, upstreams, and how many requests it holds. */
-    record Summary(List<Double> demand, List<Standing> upstreams, int held) {}
+    record Summary(List<Double> demand, List<UpstreamStatus> upstreams, int queued) {}
 }
--- a/src/main/java/sedgeyoke/policy/PlanBlend.java
+++ b/src/main/java/sedgeyoke/policy/PlanBlend.java
@@ -1,8 +1,8 @@
 package sedgeyoke.policy; // of the module: how much a plan counts
 
 import java.util.List;
-import sedgeyoke.policy.LoadBalancingPolicy.ColdRight;
 import sedgeyoke.policy.LoadBalancingPolicy.Plan;
+import sedgeyoke.policy.LoadBalancingPolicy.SlowStartQuota;
 
 /**
  * The plan heard last and how much it counts. It counts in full while plans keep coming, fades out over
@@ -29,25 +29,25 @@
         if (plan == null) {
             return 0;
         }
-        boolean fresh = plan.heardAt() > 0 && now - plan.heardAt() <= FULL_FOR;
-        double step = (now - strengthAt) / (double) (fresh ? RISE : -plan.fadeTime());
+        boolean fresh = plan.lastPlannerContact() > 0 && now - plan.lastPlannerContact() <= FULL_FOR;
+        double step = (now - strengthAt) / (double) (fresh ? RISE : -plan.fadeOutTime());
         strength = strengthAt == 0 ? 0 : Math.max(0, Math.min(1, strength + step));
         strengthAt = now;
         return strength;
     }
 
     /** What planners and we agreed on for a cold upstream; null if nothing. */
-    ColdRight right(String upstream, long launchedAt) {
-        return plan == null ? null : plan.right(upstream, launchedAt);
+    SlowStartQuota right(String upstream, long launchedAt) {
+        return plan == null ? null : plan.slowStartQuota(upstream, launchedAt);
     }
 
     long quietUntil() {
-        return plan == null ? Long.MIN_VALUE : plan.quietUntil();
+        return plan == null ? Long.MIN_VALUE : plan.ownQuotaBlockedUntil();
     }
 
     /** How near a zone is brought to our own: 0 not at all, 1 as if it were our own. */
     double spill(int zone, int ownZone, long now) {
-        List<Double> shares = plan == null ? List.of() : plan.spill();
+        List<Double> shares = plan == null ? List.of() : plan.zoneSpillover();
         if (zone == ownZone || zone < 0 || zone >= shares.size() || ownZone >= shares.size()) {
             return 0;
         }
--- a/src/main/java/sedgeyoke/policy/SlowStartBucket.java
+++ b/src/main/java/sedgeyoke/policy/SlowStartBucket.java
@@ -1,7 +1,7 @@
 package sedgeyoke.policy; // of the module: what a cold upstream may be sent
 
-import sedgeyoke.policy.LoadBalancingPolicy.ColdGrant;
-import sedgeyoke.policy.LoadBalancingPolicy.ColdRight;
+import sedgeyoke.policy.LoadBalancingPolicy.SlowStartGrant;
+import sedgeyoke.policy.LoadBalancingPolicy.SlowStartQuota;
 
 /**
  * The token bucket of one cold upstream. Tokens are mean requests. They accrue at the rate of the rights
@@ -23,29 +23,29 @@
     }
 
     /**
-     * Brings the bucket up to now. It must be called before rights change, and once more right after.
+     * Brings the bucket up to now. It must be called before quotas change, and once more right after.
      *
-     * @param own what our own right gives, in mean requests per microsecond
-     * @param right what planners and we have agreed on, or null
-     * @param quietUntil until then our own right may still be lent by a process that we were before
-     * @param floor what may be saved up at least where no planner has a say
+     * @param own what our own quota gives, in mean requests per microsecond
+     * @param quota what planners and we have agreed on, or null
+     * @param blockedTo until then our own quota may still be lent by a process that we were before
+     * @param min what may be saved up at least where no planner has a say
      */
-    public void refill(long now, double own, ColdRight right, long quietUntil, long fallTime, double floor) {
-        if (right == null && at >= quietUntil) {
-            tokens = Math.min(Math.max(own * fallTime, floor), tokens + own * (now - at));
+    public void refill(long now, double own, SlowStartQuota quota, long blockedTo, long window, double min) {
+        if (quota == null && at >= blockedTo) {
+            tokens = Math.min(Math.max(own * window, min), tokens + own * (now - at));
             at = now;
             return;
         }
-        long ownFrom = Math.max(quietUntil, right == null ? quietUntil : right.lentUntil());
+        long ownFrom = Math.max(blockedTo, quota == null ? blockedTo : quota.delegatedUntil());
         double rate = now >= ownFrom ? own : 0;
         double gained = own * Math.max(0, now - Math.max(at, ownFrom));
-        if (right != null) {
-            for (ColdGrant g : right.grants()) {
-                rate += now < g.until() ? g.rate() * SECONDS_PER_MICRO : 0;
-                gained += g.rate() * SECONDS_PER_MICRO * Math.max(0, Math.min(now, g.until()) - at);
+        if (quota != null) {
+            for (SlowStartGrant g : quota.grants()) {
+                rate += now < g.expiresAt() ? g.rate() * SECONDS_PER_MICRO : 0;
+                gained += g.rate() * SECONDS_PER_MICRO * Math.max(0, Math.min(now, g.expiresAt()) - at);
             }
         }
-        tokens = Math.min(rate * fallTime, tokens + gained);
+        tokens = Math.min(rate * window, tokens + gained);
         at = now;
     }
 
--- a/src/main/java/sedgeyoke/policy/UtilizationWeightedPolicy.java
+++ b/src/main/java/sedgeyoke/policy/UtilizationWeightedPolicy.java
@@ -1,4 +1,4 @@
-package sedgeyoke.policy; // the interface of this module is in Balancer.java
+package sedgeyoke.policy;
 
 import static java.util.Comparator.comparingLong;
 
@@ -21,8 +21,6 @@
  */
 public final class UtilizationWeightedPolicy implements LoadBalancingPolicy {
 
-    // ---- Settings and tunables -----------------------------------------------------------------------
-
     /** How often timers look at deadlines and held requests. */
     private static final long SWEEP = 10_000;
     /** Mean reweighting period; each is drawn from half to one and a half of it, so balancers drift apart. */
@@ -168,12 +166,13 @@
         this.settings = settings;
         this.out = out;
         this.random = new SplittableRandom(seed);
-        this.margin = SWEEP + MARGIN_TICKS * Math.max(settings.tick(), 1_000);
+        this.margin = SWEEP + MARGIN_TICKS * Math.max(settings.clockTick(), 1_000);
         List<RequestClass> classes = settings.classes();
-        long shortestAim = classes.stream().mapToLong(RequestClass::aim).min().orElse(Long.MAX_VALUE);
+        long shortestAim =
+                classes.stream().mapToLong(RequestClass::latencyObjective).min().orElse(Long.MAX_VALUE);
         this.waitTarget = (long) (WAIT_SHARE * shortestAim);
         this.longestWait =
-                classes.stream().mapToLong(RequestClass::giveUp).max().orElse(0);
+                classes.stream().mapToLong(RequestClass::clientTimeout).max().orElse(0);
         this.tenantTokens =
                 settings.tenants().stream().map(tenant -> new TokenBucket()).toList();
         this.refusedAfter = new double[classes.size()];
@@ -273,7 +272,7 @@
             this.number = number;
             this.arrivedAt = now;
             this.deadline = now + request.timeLeft();
-            long aim = cls.aim() + (long) (cls.aimStretch() * request.expectedWork());
+            long aim = cls.latencyObjective() + (long) (cls.objectiveStretch() * request.expectedWork());
             this.aimAt = Math.min(deadline, now + aim);
         }
 
@@ -287,9 +286,9 @@
     public void start(long now) {
         nextReweight = now + jitter(PERIOD);
         nextProbe = now + jitter(PROBE_GAP);
-        out.timer("sweep", SWEEP);
-        if (settings.askForList()) {
-            out.watch(true);
+        out.setTimer("sweep", SWEEP);
+        if (settings.subscribesToEndpoints()) {
+            out.watchEndpoints(true);
         }
     }
 
@@ -297,13 +296,11 @@
         return period / 2 + random.nextLong(period);
     }
 
-    // ---- Upstream list -------------------------------------------------------------------------------
-
     @Override
-    public void upstreams(long now, ListKind kind, List<Upstream> entries) {
+    public void endpointsUpdated(long now, ListKind kind, List<Upstream> entries) {
         if (kind == ListKind.UNAVAILABLE) {
             long longest =
-                    (long) Math.max(ASK_AGAIN, ASK_SHARE * settings.rules().askWithin());
+                    (long) Math.max(ASK_AGAIN, ASK_SHARE * settings.rules().endpointPollLimit());
             askPause = Math.min(longest, Math.max(ASK_AGAIN, 2 * askPause));
             askAgainAt = now + jitter(askPause);
             return;
@@ -313,7 +310,7 @@
             byId.keySet().retainAll(entries.stream().map(Upstream::id).collect(Collectors.toSet()));
         }
         entries.forEach(e -> apply(now, e));
-        byId.values().removeIf(u -> u.entry.state() == State.GONE); // new ids come all day
+        byId.values().removeIf(u -> u.entry.state() == State.REMOVED); // new ids come all day
         order();
         pump(now);
     }
@@ -356,7 +353,7 @@
 
     /** Operators restart what they take out: it comes back cold as of now, unless the list knows better. */
     @Override
-    public void cordons(long now, Map<String, Long> out) {
+    public void cordonsUpdated(long now, Map<String, Long> out) {
         Map<String, Long> before = cordoned;
         cordoned = Map.copyOf(out);
         before.forEach((id, since) -> {
@@ -375,8 +372,6 @@
         return Math.max(LEAST_LIMIT, FIRST_TOTAL / settings.groupSize());
     }
 
-    // ---- Reweighting ---------------------------------------------------------------------------------
-
     private void reweight(long now) {
         double sum = 0;
         int fresh = 0;
@@ -448,8 +443,6 @@
         }
     }
 
-    // ---- Health --------------------------------------------------------------------------------------
-
     /**
      * The in-flight limit: additive increase, multiplicative decrease on the waiting seen at an upstream.
      * Only answers move it, with one cut at most for each round of sends, or one slow answer would close it.
@@ -521,25 +514,25 @@
             up.ejectedUntil = 0;
             up.ejection = FIRST_EJECTION;
             up.errors *= 1 - SMOOTH;
-            if (r.request.coming()) {
+            if (r.request.bodyPending()) {
                 return; // since its last byte went out, buffers took as much time as the upstream
             }
-            up.took = MovingAverage.next(up.took, end.took(), SMOOTH);
-            typicalTook = MovingAverage.next(typicalTook, end.took(), SMOOTH_ALL);
-            double wait = waitOf(up, r, end.took(), now);
-            adjustLimit(up, t, reportsRoom(up, now) ? 0 : wait, r.cls.aim(), now);
-            rest(up, end.took(), now);
+            up.took = MovingAverage.next(up.took, end.duration(), SMOOTH);
+            typicalTook = MovingAverage.next(typicalTook, end.duration(), SMOOTH_ALL);
+            double wait = waitOf(up, r, end.duration(), now);
+            adjustLimit(up, t, reportsRoom(up, now) ? 0 : wait, r.cls.latencyObjective(), now);
+            rest(up, end.duration(), now);
             int c = r.request.classIndex();
-            classTook[c] = MovingAverage.next(classTook[c], end.took(), SMOOTH_ALL);
+            classTook[c] = MovingAverage.next(classTook[c], end.duration(), SMOOTH_ALL);
         } else if (end.outcome() == Outcome.TIMEOUT || end.outcome() == Outcome.CANCELLED) {
-            if (r.request.coming()) {
+            if (r.request.bodyPending()) {
                 return;
             }
             // No answer in all that time is the longest waiting there is; the work may still run there.
-            adjustLimit(up, t, end.took() - ownService(r, up.least), r.cls.aim(), now);
-            rest(up, end.took(), now);
-            if (end.took() > meanService * slowness(up, now)) {
-                up.service = end.took(); // no report came with it: a jam is where reports are missing
+            adjustLimit(up, t, end.duration() - ownService(r, up.least), r.cls.latencyObjective(), now);
+            rest(up, end.duration(), now);
+            if (end.duration() > meanService * slowness(up, now)) {
+                up.service = end.duration(); // no report came with it: a jam is where reports are missing
                 up.serviceAt = now;
             }
         } else if (end.outcome() == Outcome.CONNECT_FAILED) {
@@ -549,7 +542,7 @@
             } else {
                 up.limit = Math.min(up.limit, Math.max(1, up.inFlight));
             }
-        } else if (end.outcome() == Outcome.FULL) {
+        } else if (end.outcome() == Outcome.REJECTED) {
             up.limit = Math.max(LEAST_LIMIT, Math.min(up.limit, up.inFlight + 1) * LIMIT_CUT);
             if (sparse()) {
                 up.restUntil = now + (long) typicalTook;
@@ -583,8 +576,6 @@
         return left < PANIC * ups.size();
     }
 
-    // ---- The pick ------------------------------------------------------------------------------------
-
     /** Draws an upstream in proportion to (weight / (in-flight + 1))^bias; null if none may take it now. */
     private Up pick(Req r, long now, boolean pressing) {
         boolean panic = panic(now);
@@ -682,16 +673,19 @@
 
     /** Where a key is at home, if that is well; found once for a list: what is held is asked all the time. */
     private Up homeOf(Req r, long now) {
-        if (!settings.warmKeys() || r.request.key() == null) {
+        if (!settings.keyAffinity() || r.request.affinityKey() == null) {
             return null;
         }
         if (r.homeIn != lists) {
             r.homeIn = lists;
-            r.home = home(r.request.key(), ups);
+            r.home = home(r.request.affinityKey(), ups);
+        }
+        if (r.home == null || well(r.home, now)) {
+            return r.home;
         }
-        return r.home == null || well(r.home, now)
-                ? r.home
-                : home(r.request.key(), ups.stream().filter(up -> well(up, now)).toList());
+        return home(
+                r.request.affinityKey(),
+                ups.stream().filter(up -> well(up, now)).toList());
     }
 
     /** Whether keys may be at home there; else they are at the next one in their order, the same for all. */
@@ -714,8 +708,6 @@
         return best;
     }
 
-    // ---- Attempts and retries ------------------------------------------------------------------------
-
     /** What rules 1 to 3 leave open for a further attempt. */
     private boolean maySend(Req r, Up up, long now) {
         if (r.ended
@@ -729,16 +721,16 @@
         if (r.tries.isEmpty()) {
             return true;
         }
-        if (r.outstanding > 0 && !settings.limits().secondCopies()) {
+        if (r.outstanding > 0 && !settings.limits().hedging()) {
             return false;
         }
         Try guard = r.guard();
         if (guard == null || r.cls.effect() == Effect.SAFE) {
             return true;
         }
-        return r.cls.effect() == Effect.KEYED
+        return r.cls.effect() == Effect.IDEMPOTENT_WITH_KEY
                 && sameGroup(r.cls.scope(), guard.up, up)
-                && now - guard.sentAt < r.cls.memorySpan() - margin;
+                && now - guard.sentAt < r.cls.deduplicationWindow() - margin;
     }
 
     private static boolean sameGroup(Scope scope, Up a, Up b) {
@@ -750,7 +742,7 @@
     private static boolean mayRefuse(Req r) {
         return r.cls.effect() == Effect.SAFE
                 || r.guard() == null
-                || r.cls.effect() == Effect.KEYED && r.cls.scope() == Scope.ALL;
+                || r.cls.effect() == Effect.IDEMPOTENT_WITH_KEY && r.cls.scope() == Scope.ALL;
     }
 
     private void send(Req r, Up up, long now) {
@@ -777,7 +769,7 @@
     }
 
     @Override
-    public void transfers(long now, String request, int attempt) {
+    public void transferStarted(long now, String request, int attempt) {
         Req r = open.get(request);
         Try t = r == null || attempt < 0 || attempt >= r.tries.size() ? null : r.tries.get(attempt);
         if (t != null && t.outstanding && !t.transfer) {
@@ -789,7 +781,7 @@
     }
 
     @Override
-    public void outcome(long now, AttemptEnd end) {
+    public void attemptEnded(long now, AttemptEnd end) {
         Up up = byId.get(end.upstream());
         if (up != null) {
             learn(up, end.load(), now);
@@ -805,10 +797,10 @@
             t.mayHaveRun = !end.outcome().neverRan;
             atWork(t, r, -1);
             noteOutcome(t.up, r, t, end, now);
-            if (end.outcome() == Outcome.FULL) {
+            if (end.outcome() == Outcome.REJECTED) {
                 steerAdmission(1.5);
-            } else if (!end.outcome().neverRan && !r.request.coming()) {
-                steerAdmission((double) end.took() / r.cls.aim());
+            } else if (!end.outcome().neverRan && !r.request.bodyPending()) {
+                steerAdmission((double) end.duration() / r.cls.latencyObjective());
             }
         }
         if (end.concluded()) {
@@ -841,7 +833,7 @@
     private void finish(Req r, long now) {
         hold(r, false);
         if (mayRefuse(r)) {
-            out.refuse(r.request.id(), 0);
+            out.reject(r.request.id(), 0);
             int c = r.request.classIndex();
             refusedAfter[c] += r.request.retry() ? 0 : 0.05 * (now - r.arrivedAt - refusedAfter[c]);
         } else {
@@ -853,8 +845,8 @@
     private void conclude(Req r, long now) {
         hold(r, false);
         r.ended = true;
-        for (int i = 0; i < r.tries.size(); i++) {
-            if (r.tries.get(i).outstanding && settings.limits().cancel() && !r.streaming) {
+        for (int i = 0; i < r.tries.size() && settings.limits().cancel() && !r.streaming; i++) {
+            if (r.tries.get(i).outstanding) {
                 out.cancel(r.request.id(), i);
             }
         }
@@ -868,7 +860,7 @@
     }
 
     @Override
-    public void opened(long now, String request, int attempt) {
+    public void responseStarted(long now, String request, int attempt) {
         Req r = open.get(request);
         if (r != null && attempt >= 0 && attempt < r.tries.size() && !r.streaming) {
             r.streaming = true;
@@ -878,24 +870,22 @@
     }
 
     @Override
-    public void clientGone(long now, String request) {
+    public void clientDisconnected(long now, String request) {
         Req r = open.get(request);
         if (r != null && !r.ended) {
             conclude(r, now);
         }
     }
 
-    // ---- Admission and load shedding -----------------------------------------------------------------
-
     @Override
-    public void request(long now, Request request) {
+    public void requestArrived(long now, Request request) {
         Req r = new Req(request, settings.classes().get(request.classIndex()), requestNumber++, now);
         // The aim of a retry runs from the first try, and a refusal is what mostly lies behind it.
         r.aimAt -= request.retry() ? (long) refusedAfter[request.classIndex()] : 0;
         r.cost = request.expectedWork() > 0 ? request.expectedWork() : costOf(request.classIndex());
-        r.value = r.cls.worth()
-                / (settings.worthByWork() ? 1 : r.cost)
-                * (withinShare(request.tenant(), now) ? 1 : settings.overShareWorth());
+        r.value = r.cls.priorityWeight()
+                / (settings.priorityPerRequest() ? 1 : r.cost)
+                * (withinShare(request.tenant(), now) ? 1 : settings.overQuotaPriority());
         meanCost = request.expectedWork() > 0 ? MovingAverage.next(meanCost, r.cost, 0.01) : meanOfClasses();
         if (!request.retry()) {
             requestRate.count(); // a retry of a client adds no room at cold ones
@@ -965,12 +955,12 @@
     }
 
     /**
-     * Held requests go first where their keys are at home: with scarce room, the first of the queue would
-     * take it, keys would be served cold everywhere, and the dearer work would keep the jam alive.
+     * Held requests go first where their keys are at home: the first of the queue would take scarce room,
+     * keys would be served cold everywhere, and the dearer work would keep the jam alive.
      */
     private void sendHome(long now) {
         boolean panic = panic(now);
-        for (Req r : held.size() < 2 || !settings.warmKeys() ? List.<Req>of() : new ArrayList<>(held)) {
+        for (Req r : held.size() < 2 || !settings.keyAffinity() ? List.<Req>of() : new ArrayList<>(held)) {
             Up home = homeOf(r, now);
             if (home != null && hasRoom(home, now) && mayTake(home, r, now, panic)) {
                 send(r, home, now);
@@ -981,21 +971,19 @@
     /** Refuses held requests whose aim can no longer be met and that are worth nothing late. */
     private void shed(long now) {
         for (Req r : new ArrayList<>(held)) {
-            if (now + classTook[r.request.classIndex()] > r.aimAt && r.cls.lateWorth() <= 0) {
+            if (now + classTook[r.request.classIndex()] > r.aimAt && r.cls.latePriorityWeight() <= 0) {
                 finish(r, now);
             }
         }
     }
 
-    // ---- Cold-start budget ---------------------------------------------------------------------------
-
     private double warmth(Up up, long now) {
         long age = now - up.launchedAt();
-        RuleFigures f = settings.rules();
-        if (up.launchedAt() <= 0 || age >= f.coldTime() || f.coldTime() <= 0) {
+        PlatformRules f = settings.rules();
+        if (up.launchedAt() <= 0 || age >= f.slowStartTime() || f.slowStartTime() <= 0) {
             return 1;
         }
-        return f.startCapacity() + (1 - f.startCapacity()) * Math.max(0, age) / f.coldTime();
+        return f.initialCapacity() + (1 - f.initialCapacity()) * Math.max(0, age) / f.slowStartTime();
     }
 
     /**
@@ -1011,19 +999,19 @@
             return true;
         }
         refillCold(up, now);
-        return !r.request.coming() && up.cold.tokens() >= coldCharge(r);
+        return !r.request.bodyPending() && up.cold.tokens() >= coldCharge(r);
     }
 
     private double coldRate(Up up, long now) {
         double rating = rating(up);
         double letIn = Math.sqrt(admitted) * requestRate.perSecond() / 1e6;
         double even = letIn * rating / Math.max(ratings, rating);
-        return COLD_CARE * settings.rules().fallMultiple() * warmth(up, now) * even;
+        return COLD_CARE * settings.rules().overloadMultiple() * warmth(up, now) * even;
     }
 
     private void refillCold(Up up, long now) {
-        ColdRight right = planned.right(up.id, up.launchedAt());
-        long fallTime = settings.rules().fallTime();
+        SlowStartQuota right = planned.right(up.id, up.launchedAt());
+        long fallTime = settings.rules().overloadWindow();
         up.cold.refill(now, coldRate(up, now), right, planned.quietUntil(), fallTime, COLD_COST);
     }
 
@@ -1053,10 +1041,8 @@
         return cost / rates;
     }
 
-    // ---- Plans ---------------------------------------------------------------------------------------
-
     @Override
-    public void plan(long now, Plan plan) {
+    public void planUpdated(long now, Plan plan) {
         ups.forEach(up -> settleCold(up, now));
         planned.hear(now, plan);
         plan.upstreams().forEach(view -> apply(now, view));
@@ -1078,7 +1064,7 @@
             return;
         }
         if (view.launchedAt() > up.launchedAt()
-                && view.launchedAt() <= now + settings.rules().coldTime()) {
+                && view.launchedAt() <= now + settings.rules().slowStartTime()) {
             up.toldLaunch = view.launchedAt(); // a start that our own list has yet to tell of
             up.cold = new SlowStartBucket(0, now);
         }
@@ -1106,14 +1092,14 @@
     @Override
     public Summary summary(long now) {
         List<Double> demand = classRates.stream().map(RateEstimator::perSecond).toList();
-        List<Standing> standings = new ArrayList<>(byId.size());
+        List<UpstreamStatus> standings = new ArrayList<>(byId.size());
         for (Up up : byId.values()) {
             boolean reported = up.report != null;
             boolean cold = warmth(up, now) < 1 && meanCost > 0;
             double used = reported ? up.report.utilisation() : Double.NaN;
             double waiting = reported ? up.report.waiting() : Double.NaN;
             double right = cold ? coldRate(up, now) * 1e6 : 0;
-            standings.add(new Standing(
+            standings.add(new UpstreamStatus(
                     up.id,
                     up.entry.zone(),
                     up.entry.state(),
@@ -1131,14 +1117,12 @@
         return new Summary(demand, standings, held.size());
     }
 
-    // ---- Deadlines and timers ------------------------------------------------------------------------
-
     @Override
-    public void timer(long now, String token) {
+    public void timerFired(long now, String token) {
         if (!token.equals("sweep")) {
             return;
         }
-        out.timer("sweep", SWEEP);
+        out.setTimer("sweep", SWEEP);
         expire(now);
         checkHanging(now);
         double strength = planned.strength(now);
@@ -1154,9 +1138,9 @@
             reweight(now);
             nextReweight = now + period;
         }
-        if (now >= askAgainAt && settings.askForList()) {
+        if (now >= askAgainAt && settings.subscribesToEndpoints()) {
             askAgainAt = Long.MAX_VALUE;
-            out.watch(true);
+            out.watchEndpoints(true);
         }
         probe(now);
         pump(now);
@@ -1175,25 +1159,25 @@
         }
     }
 
-    /** A slow steady probe where reports come no other way; its rate follows from price and traffic. */
+    /** Steady health checks where reports come no other way; their rate follows from price and traffic. */
     private void probe(long now) {
-        boolean allowed =
-                settings.reports() == Reports.BY_PROBE && settings.limits().probes();
+        boolean allowed = settings.reports() == Reports.BY_HEALTH_CHECK
+                && settings.limits().healthChecks();
         if (!allowed || now < nextProbe || ups.isEmpty()) {
             return;
         }
-        double share =
-                settings.prices().probe() > 0 ? PROBE_POINTS / settings.prices().probe() : 1;
+        double price = settings.prices().healthCheck();
+        double share = price > 0 ? PROBE_POINTS / price : 1;
         double requests = Math.max(requestRate.perSecond(), 1);
         double perSecond = Math.min(share * requests, ups.size() * 1e6 / PROBE_GAP);
         nextProbe = now + jitter((long) (1e6 / perSecond));
         Up oldest = Collections.min(ups, Comparator.comparingLong(up -> up.probedAt));
         oldest.probedAt = now;
-        out.probe(oldest.id);
+        out.healthCheck(oldest.id);
     }
 
     @Override
-    public void probed(long now, String upstream, Outcome outcome, LoadReport load) {
+    public void healthCheckCompleted(long now, String upstream, Outcome outcome, LoadReport load) {
         Up up = byId.get(upstream);
         if (up != null && outcome == Outcome.OK) {
             learn(up, load, now);
@@ -1201,7 +1185,7 @@
     }
 
     @Override
-    public void peerMessage(long now, int from, byte[] body) {
+    public void peerMessageReceived(long now, int from, byte[] body) {
         // Balancers need nothing from each other.
     }
 }
--- a/src/main/java/sedgeyoke/proxy/BalancerConfig.java
+++ b/src/main/java/sedgeyoke/proxy/BalancerConfig.java
@@ -139,10 +139,10 @@
         }
         Settings s = facts.settings();
         require(s.limits().connectTimeout() > 0, "settings.ceilings.connect-timeout-s");
-        require(s.limits().connectIdle() > 0, "settings.ceilings.conn-idle-s");
+        require(s.limits().idleTimeout() > 0, "settings.ceilings.conn-idle-s");
         require(!facts.classNames().contains(""), "settings.classes[].name");
-        unsupported(s.limits().probes(), "ceilings.probes");
-        unsupported(s.reports() == Reports.BY_PROBE, "report.via");
+        unsupported(s.limits().healthChecks(), "ceilings.probes");
+        unsupported(s.reports() == Reports.BY_HEALTH_CHECK, "report.via");
         unsupported(s.limits().peers(), "ceilings.peers");
         unsupported(s.classes().stream().anyMatch(RequestClass::stream), "classes[].stream");
         return facts;
--- a/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
+++ b/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
@@ -104,10 +104,10 @@
         this.transport = transport;
         this.random = new Random(config.seed());
         this.address = config.discovery();
-        this.pushed = !config.facts().settings().askForList();
+        this.pushed = !config.facts().settings().subscribesToEndpoints();
         long grace = config.facts().settings().rules().drainGrace() / 1_000;
         this.silence = (int) Math.max(LEAST_SILENCE_MS, Math.min(LONGEST_SILENCE_MS, grace / 2));
-        this.whole = !config.facts().settings().askForList()
+        this.whole = !config.facts().settings().subscribesToEndpoints()
                 || config.known().members().isEmpty();
         this.listed = !whole; // a watch is answered only when there is news: clients must not wait for that
         this.revision = config.known().revision();
@@ -220,7 +220,7 @@
             channel = null;
             old.close(); // an answer that was not understood may have left anything behind on it
         }
-        if (config.facts().settings().askForList()) {
+        if (config.facts().settings().subscribesToEndpoints()) {
             // There the module decides when to ask again.
             watching = false;
             failing = true;
--- a/src/main/java/sedgeyoke/proxy/EndpointList.java
+++ b/src/main/java/sedgeyoke/proxy/EndpointList.java
@@ -13,7 +13,7 @@
 public record EndpointList(long revision, boolean complete, List<Member> members) {
     static final EndpointList EMPTY = new EndpointList(-1, true, List.of());
     private static final Map<String, State> PHASES =
-            Map.of("up", State.READY, "draining", State.DRAINING, "removed", State.GONE);
+            Map.of("up", State.READY, "draining", State.DRAINING, "removed", State.REMOVED);
 
     /** One entry: what the module is told, and where to connect to. */
     public record Member(Upstream upstream, InetSocketAddress address) {}
@@ -39,7 +39,7 @@
             String id = m.path("id").asText("");
             State state = PHASES.get(m.path("phase").asText(""));
             InetSocketAddress address = IpAddress.parse(m.path("host_port").asText(""));
-            if (id.isEmpty() || state == null || address == null && state != State.GONE) {
+            if (id.isEmpty() || state == null || address == null && state != State.REMOVED) {
                 throw new Malformed("an entry without id, phase or host_port");
             }
             // The module's clock is the wall clock as it stood at the start, so times of start map as they are.
--- a/src/main/java/sedgeyoke/proxy/HttpFrontend.java
+++ b/src/main/java/sedgeyoke/proxy/HttpFrontend.java
@@ -332,7 +332,7 @@
         require(budget > 0 && budget <= LONGEST_BUDGET_MS, "X-Budget-Ms");
         Effect effect = config.facts().settings().classes().get(cls).effect();
         // Without a key upstreams cannot drop repeats, and the module would send some.
-        require(effect != Effect.KEYED || h.contains("Idempotency-Key"), "Idempotency-Key");
+        require(effect != Effect.IDEMPOTENT_WITH_KEY || h.contains("Idempotency-Key"), "Idempotency-Key");
         int tenant = config.facts().tenantNames().isEmpty()
                 ? 0
                 : config.facts().tenantNames().indexOf(h.get("X-Caller"));
--- a/src/main/java/sedgeyoke/proxy/JitWarmUp.java
+++ b/src/main/java/sedgeyoke/proxy/JitWarmUp.java
@@ -88,7 +88,7 @@
     public static int requests(BalancerConfig config) {
         LoadBalancingPolicy.Settings settings = config.facts().settings();
         long aim = settings.classes().stream()
-                .mapToLong(LoadBalancingPolicy.RequestClass::aim)
+                .mapToLong(LoadBalancingPolicy.RequestClass::latencyObjective)
                 .min()
                 .orElse(0);
         double busy = config.known().members().size() * 1e6 / (Math.max(1, aim) * (double) settings.groupSize());
--- a/src/main/java/sedgeyoke/proxy/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/ProxyCore.java
@@ -127,11 +127,11 @@
         pool.update(config.known());
         deliver(
                 null,
-                () -> module.upstreams(
+                () -> module.endpointsUpdated(
                         now(),
                         LoadBalancingPolicy.ListKind.RESTORED,
                         config.known().upstreams()));
-        if (!settings.askForList()) {
+        if (!settings.subscribesToEndpoints()) {
             discovery.watch(true);
         }
         if (config.ops() != null) {
@@ -156,7 +156,7 @@
         agreedOut.forEach(out::putIfAbsent);
         log.line("cordons: " + (out.isEmpty() ? "none" : String.join(" ", out.keySet())));
         pool.cordons(out.keySet());
-        deliver(null, () -> module.cordons(now(), out));
+        deliver(null, () -> module.cordonsUpdated(now(), out));
     }
 
     @Override
@@ -189,7 +189,8 @@
 
     /** Figures for operators; {@code inFlight} requests are taken and not yet ended. */
     String figures(int inFlight) {
-        List<LoadBalancingPolicy.Standing> standings = module.summary(now()).upstreams();
+        List<LoadBalancingPolicy.UpstreamStatus> standings =
+                module.summary(now()).upstreams();
         int excluded = (int) standings.stream()
                 .filter(s -> s.ejected() || s.state() != LoadBalancingPolicy.State.READY)
                 .count();
@@ -229,7 +230,7 @@
         return Math.min(
                 LONGEST_DEADLINE,
                 settings.classes().stream()
-                        .mapToLong(LoadBalancingPolicy.RequestClass::giveUp)
+                        .mapToLong(LoadBalancingPolicy.RequestClass::clientTimeout)
                         .max()
                         .orElse(0));
     }
@@ -294,13 +295,13 @@
 
     private void listed(EndpointList list) {
         if (list == null) {
-            deliver(null, () -> module.upstreams(now(), LoadBalancingPolicy.ListKind.UNAVAILABLE, List.of()));
+            deliver(null, () -> module.endpointsUpdated(now(), LoadBalancingPolicy.ListKind.UNAVAILABLE, List.of()));
             return;
         }
         pool.update(list);
         LoadBalancingPolicy.ListKind kind =
                 list.complete() ? LoadBalancingPolicy.ListKind.COMPLETE : LoadBalancingPolicy.ListKind.CHANGES;
-        deliver(null, () -> module.upstreams(now(), kind, list.upstreams()));
+        deliver(null, () -> module.endpointsUpdated(now(), kind, list.upstreams()));
     }
 
     /** Whether a request with this id is open: ids are new with every request. */
@@ -310,7 +311,7 @@
 
     /** A client's request; from here on it is owed one answer. */
     void accept(Exchange call) {
-        if (calls.size() >= settings.limits().maxOpen() || now() >= lastRequest) {
+        if (calls.size() >= settings.limits().maxConcurrentRequests() || now() >= lastRequest) {
             refuse(call, 0);
             return;
         }
@@ -324,13 +325,13 @@
         LoadBalancingPolicy.Request r = call.request;
         deliver(
                 call,
-                () -> module.request(
+                () -> module.requestArrived(
                         now(),
                         new LoadBalancingPolicy.Request(
                                 id,
                                 r.classIndex(),
                                 r.tenant(),
-                                r.key(),
+                                r.affinityKey(),
                                 r.expectedWork(),
                                 call.deadline - now(),
                                 r.write(),
@@ -348,7 +349,7 @@
     void clientGone(Exchange call) {
         if (!call.answered) {
             call.answered = true;
-            deliver(call, () -> module.clientGone(now(), call.request.id()));
+            deliver(call, () -> module.clientDisconnected(now(), call.request.id()));
             forgetIfDone(call);
         }
     }
@@ -380,7 +381,7 @@
         } else {
             refuse(call, 0);
         }
-        deliver(null, () -> module.clientGone(now(), call.request.id()));
+        deliver(null, () -> module.clientDisconnected(now(), call.request.id()));
         forgetIfDone(call);
     }
 
@@ -391,10 +392,12 @@
             figures.ended(call.request.classIndex(), RequestMetrics.End.FAILED);
             List.copyOf(call.attempts).forEach(a -> {
                 if (!a.ended) {
-                    pool.stop(a, a.written ? LoadBalancingPolicy.Outcome.CANCELLED : LoadBalancingPolicy.Outcome.MOOT);
+                    pool.stop(
+                            a,
+                            a.written ? LoadBalancingPolicy.Outcome.CANCELLED : LoadBalancingPolicy.Outcome.NOT_SENT);
                 }
             });
-            deliver(call, () -> module.clientGone(now(), call.request.id()));
+            deliver(call, () -> module.clientDisconnected(now(), call.request.id()));
             forgetIfDone(call);
         }
     }
@@ -422,7 +425,7 @@
     private void bind(Attempt a) {
         if (a.call.bound == null) {
             a.call.bound = a;
-            deliver(a.call, () -> module.opened(now(), a.call.request.id(), a.number));
+            deliver(a.call, () -> module.responseStarted(now(), a.call.request.id(), a.number));
         }
     }
 
@@ -435,7 +438,7 @@
     }
 
     private void transfers(Attempt a) {
-        deliver(a.call, () -> module.transfers(now(), a.call.request.id(), a.number));
+        deliver(a.call, () -> module.transferStarted(now(), a.call.request.id(), a.number));
     }
 
     @Override
@@ -494,7 +497,7 @@
                 took,
                 call.answered,
                 answer == null ? null : answer.load());
-        deliver(call, () -> module.outcome(now(), end));
+        deliver(call, () -> module.attemptEnded(now(), end));
         forgetIfDone(call);
     }
 
@@ -541,7 +544,7 @@
             Attempt a = new Attempt(call, call.attempts.size(), upstream, now, until, repeatUntil(call));
             call.attempts.add(a);
             if (call.answered || a.number >= settings.limits().maxAttempts() || until <= now) {
-                ended(a, LoadBalancingPolicy.Outcome.MOOT, null);
+                ended(a, LoadBalancingPolicy.Outcome.NOT_SENT, null);
                 return;
             }
             if (until < call.deadline) {
@@ -557,17 +560,17 @@
      */
     private long repeatUntil(Exchange call) {
         LoadBalancingPolicy.RequestClass cls = settings.classes().get(call.request.classIndex());
-        return cls.effect() != LoadBalancingPolicy.Effect.KEYED
+        return cls.effect() != LoadBalancingPolicy.Effect.IDEMPOTENT_WITH_KEY
                 ? Long.MAX_VALUE
                 : call.attempts.stream()
                         .filter(a -> a.mayHaveRun)
-                        .mapToLong(a -> a.startedAt + cls.memorySpan())
+                        .mapToLong(a -> a.startedAt + cls.deduplicationWindow())
                         .min()
                         .orElse(Long.MAX_VALUE);
     }
 
     @Override
-    public void refuse(String request, long retryAfter) {
+    public void reject(String request, long retryAfter) {
         with(request, call -> {
             refuse(call, retryAfter);
             forgetIfDone(call);
@@ -602,13 +605,13 @@
     }
 
     @Override
-    public void timer(String token, long delay) {
+    public void setTimer(String token, long delay) {
         long due = now() + delay;
         timerDue = due;
         loop.schedule(
                 () -> {
                     lateness = Math.max(0, now() - due);
-                    deliver(null, () -> module.timer(now(), token));
+                    deliver(null, () -> module.timerFired(now(), token));
                 },
                 delay,
                 TimeUnit.MICROSECONDS);
@@ -620,14 +623,14 @@
     }
 
     @Override
-    public void watch(boolean on) {
-        if (settings.askForList()) {
+    public void watchEndpoints(boolean on) {
+        if (settings.subscribesToEndpoints()) {
             discovery.watch(on);
         }
     }
 
     @Override
-    public void fetch() {
+    public void fetchEndpoints() {
         discovery.fetch();
     }
 
@@ -637,12 +640,12 @@
     }
 
     @Override
-    public void probe(String upstream) {
+    public void healthCheck(String upstream) {
         throw new UnsupportedOperationException("probes: the configuration is refused where they are allowed");
     }
 
     @Override
-    public void tell(int peer, byte[] body) {
+    public void sendToPeer(int peer, byte[] body) {
         throw new UnsupportedOperationException("peers: the configuration is refused where they are allowed");
     }
 }
--- a/src/main/java/sedgeyoke/proxy/UpstreamConnectionPool.java
+++ b/src/main/java/sedgeyoke/proxy/UpstreamConnectionPool.java
@@ -147,7 +147,7 @@
         this.mostConnections = mostConnections;
         this.listener = listener;
         this.log = log;
-        this.idleTime = (long) (IDLE_SHARE * settings.limits().connectIdle());
+        this.idleTime = (long) (IDLE_SHARE * settings.limits().idleTimeout());
         this.bootstrap = transport.client(loop).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
                 Math.max(1, settings.limits().connectTimeout() / 1_000));
         loop.scheduleWithFixedDelay(
@@ -167,7 +167,7 @@
                     .forEach(this::forget);
         }
         for (EndpointList.Member m : list.members()) {
-            if (m.upstream().state() == State.GONE) {
+            if (m.upstream().state() == State.REMOVED) {
                 forget(m.upstream().id());
                 continue;
             }
@@ -247,7 +247,7 @@
     void start(Attempt attempt) {
         Target t = targets.get(attempt.upstream);
         if (t == null || attempt.call.answered) {
-            end(attempt, Outcome.MOOT);
+            end(attempt, Outcome.NOT_SENT);
             return;
         }
         Connection c = rested(t);
@@ -278,7 +278,7 @@
     private void connect(Target t, Attempt attempt) {
         if (connections >= mostConnections && !closeLongestIdle()) {
             // All our sockets are busy: that upstream has nothing of it, as if its table were full.
-            end(attempt, Outcome.FULL);
+            end(attempt, Outcome.REJECTED);
             return;
         }
         connections++;
@@ -355,7 +355,7 @@
         long leftMs = (attempt.until - now) / 1_000;
         if (attempt.ended || attempt.call.answered || drained || leftMs <= 0 || now >= attempt.repeatUntil) {
             release(c);
-            end(attempt, Outcome.MOOT);
+            end(attempt, Outcome.NOT_SENT);
             return;
         }
         Exchange call = attempt.call;
--- a/src/main/java/sedgeyoke/proxy/UpstreamResponse.java
+++ b/src/main/java/sedgeyoke/proxy/UpstreamResponse.java
@@ -29,7 +29,7 @@
             return Outcome.OK;
         }
         boolean rejected = "1".equals(response.headers().get("X-Rejected"));
-        return rejected && (status == 503 || status == 504) ? Outcome.FULL : Outcome.ERROR;
+        return rejected && (status == 503 || status == 504) ? Outcome.REJECTED : Outcome.ERROR;
     }
 
     /** A report counts as a whole or not at all: one figure that cannot be, and the others are not believed either. */
--- a/src/main/java/sedgeyoke/serve/OptionalFeatures.java
+++ b/src/main/java/sedgeyoke/serve/OptionalFeatures.java
@@ -75,7 +75,7 @@
         }
         LoadBalancingPolicy.Settings settings = config.facts().settings();
         double leastGrant =
-                LEAST_GRANT_REQUESTS * 1e6 / Math.max(1, settings.rules().fallTime());
+                LEAST_GRANT_REQUESTS * 1e6 / Math.max(1, settings.rules().overloadWindow());
         Follower.Identity self = new Follower.Identity(
                 config.name(),
                 new SecureRandom().nextLong() | 1,
--- a/src/main/java/sedgeyoke/simulation/BaselinePolicies.java
+++ b/src/main/java/sedgeyoke/simulation/BaselinePolicies.java
@@ -203,7 +203,7 @@
         @Override
         void asked(long now, List<Up> among) {
             for (int i = 0; i < PROBES && !among.isEmpty(); i++) {
-                out.probe(among.get(random.nextInt(among.size())).id);
+                out.healthCheck(among.get(random.nextInt(among.size())).id);
             }
         }
 
--- a/src/main/java/sedgeyoke/simulation/BaselinePolicy.java
+++ b/src/main/java/sedgeyoke/simulation/BaselinePolicy.java
@@ -65,7 +65,7 @@
     }
 
     @Override
-    public void cordons(long now, Map<String, Long> out) {
+    public void cordonsUpdated(long now, Map<String, Long> out) {
         // Nobody takes anything out by hand here.
     }
 
@@ -75,7 +75,7 @@
     }
 
     @Override
-    public void upstreams(long now, ListKind kind, List<Upstream> entries) {
+    public void endpointsUpdated(long now, ListKind kind, List<Upstream> entries) {
         if (kind == ListKind.COMPLETE || kind == ListKind.RESTORED) {
             byId.clear();
             ready.clear();
@@ -85,14 +85,14 @@
             ready.remove(up);
             if (e.state() == State.READY) {
                 ready.add(up);
-            } else if (e.state() == State.GONE) {
+            } else if (e.state() == State.REMOVED) {
                 byId.remove(e.id());
             }
         }
     }
 
     @Override
-    public void request(long now, Request request) {
+    public void requestArrived(long now, Request request) {
         Req r = new Req(request);
         open.put(request.id(), r);
         asked(now, ready);
@@ -115,14 +115,14 @@
         open.remove(r.request.id());
         RequestClass cls = settings.classes().get(r.request.classIndex());
         if (r.mayHaveRun == null || cls.effect() == Effect.SAFE) {
-            out.refuse(r.request.id(), 0);
+            out.reject(r.request.id(), 0);
         } else {
             out.fail(r.request.id());
         }
     }
 
     @Override
-    public void outcome(long now, AttemptEnd end) {
+    public void attemptEnded(long now, AttemptEnd end) {
         Req r = open.get(end.request());
         Up up = byId.get(end.upstream());
         if (r == null) {
@@ -131,7 +131,7 @@
         Up sent = r.tries.get(end.attempt());
         sent.inFlight--;
         if (up == sent) {
-            seen(now, up, end.load(), end.took());
+            seen(now, up, end.load(), end.duration());
         }
         if (end.concluded() || end.outcome() == Outcome.OK) {
             open.remove(end.request());
@@ -145,7 +145,7 @@
         for (Up u : ready) {
             boolean fits = r.mayHaveRun == null
                     || cls.effect() == Effect.SAFE
-                    || cls.effect() == Effect.KEYED && u.zone == r.mayHaveRun.zone;
+                    || cls.effect() == Effect.IDEMPOTENT_WITH_KEY && u.zone == r.mayHaveRun.zone;
             if (fits && !r.tried.contains(u)) {
                 others.add(u);
             }
@@ -155,12 +155,12 @@
     }
 
     @Override
-    public void clientGone(long now, String request) {
+    public void clientDisconnected(long now, String request) {
         open.remove(request);
     }
 
     @Override
-    public void probed(long now, String upstream, Outcome outcome, LoadReport load) {
+    public void healthCheckCompleted(long now, String upstream, Outcome outcome, LoadReport load) {
         Up up = byId.get(upstream);
         if (up != null && outcome == Outcome.OK) {
             seen(now, up, load, -1);
@@ -168,27 +168,27 @@
     }
 
     @Override
-    public void opened(long now, String request, int attempt) {
+    public void responseStarted(long now, String request, int attempt) {
         throw new UnsupportedOperationException("there are no streams here");
     }
 
     @Override
-    public void transfers(long now, String request, int attempt) {
+    public void transferStarted(long now, String request, int attempt) {
         throw new UnsupportedOperationException("there are no streams here");
     }
 
     @Override
-    public void timer(long now, String token) {
+    public void timerFired(long now, String token) {
         // None is ever set.
     }
 
     @Override
-    public void peerMessage(long now, int from, byte[] body) {
+    public void peerMessageReceived(long now, int from, byte[] body) {
         // Nobody sends any.
     }
 
     @Override
-    public void plan(long now, Plan plan) {
+    public void planUpdated(long now, Plan plan) {
         // They take no advice.
     }
 
--- a/src/main/java/sedgeyoke/simulation/SimulatedForwarder.java
+++ b/src/main/java/sedgeyoke/simulation/SimulatedForwarder.java
@@ -181,7 +181,7 @@
         agent.whole();
         Scenario.PlannerSpec p = world.scenario.planners();
         if (!planners.isEmpty()) {
-            double leastGrant = 1.2e6 / Math.max(1, settings.rules().fallTime());
+            double leastGrant = 1.2e6 / Math.max(1, settings.rules().overloadWindow());
             follower = new Follower(
                     new Follower.Identity(
                             spec.name(),
@@ -192,7 +192,7 @@
                             leastGrant),
                     new LeaseClock(p.driftPpm()),
                     now());
-            deliver(() -> module.plan(now(), follower.plan(now())));
+            deliver(() -> module.planUpdated(now(), follower.plan(now())));
             planners.forEach(host -> connectedAt.put(host, world.time.now() + world.random.nextLong(200_000)));
             scheduleReport(mine);
         }
@@ -280,7 +280,7 @@
                 targets.clear();
             }
             for (SimulatedUpstreams.Entry e : entries) {
-                SimulatedUpstreams.Entry before = e.upstream().state() == State.GONE
+                SimulatedUpstreams.Entry before = e.upstream().state() == State.REMOVED
                         ? targets.remove(e.upstream().id())
                         : targets.put(e.upstream().id(), e);
                 if (before != null
@@ -290,7 +290,7 @@
                     closeIdle(before.address());
                 }
             }
-            deliver(() -> module.upstreams(
+            deliver(() -> module.endpointsUpdated(
                     now(),
                     kind,
                     entries.stream().map(SimulatedUpstreams.Entry::upstream).toList()));
@@ -324,13 +324,13 @@
             calls.put(call.request.id(), call);
             world.time.after(left - BACKSTOP, () -> inTurn(mine, () -> expire(call)));
             Request r = call.request;
-            deliver(() -> module.request(
+            deliver(() -> module.requestArrived(
                     now(),
                     new Request(
                             r.id(),
                             r.classIndex(),
                             r.tenant(),
-                            r.key(),
+                            r.affinityKey(),
                             r.expectedWork(),
                             left,
                             r.write(),
@@ -348,7 +348,7 @@
         if (!call.answered) {
             boolean mayHaveRun = call.attempts.stream().anyMatch(a -> a.written);
             answer(call, mayHaveRun ? SimulatedClients.Answer.FAILED : SimulatedClients.Answer.REFUSED, 0);
-            deliver(() -> module.clientGone(now(), call.request.id()));
+            deliver(() -> module.clientDisconnected(now(), call.request.id()));
         }
         forgetIfDone(call);
     }
@@ -384,7 +384,7 @@
         while (waiting != null
                 && !waiting.isEmpty()
                 && world.time.now() - waiting.peekFirst().since()
-                        > settings.limits().connectIdle()) {
+                        > settings.limits().idleTimeout()) {
             closed(waiting.pollFirst());
         }
         while (waiting != null && !waiting.isEmpty()) {
@@ -440,7 +440,7 @@
                         Double.NaN);
         AttemptEnd end = new AttemptEnd(
                 call.request.id(), a.number, a.upstream, outcome, world.time.now() - a.startedAt, call.answered, load);
-        deliver(() -> module.outcome(now(), end));
+        deliver(() -> module.attemptEnded(now(), end));
         forgetIfDone(call);
     }
 
@@ -456,7 +456,7 @@
         Attempt a = new Attempt(call, call.attempts.size(), upstream, target == null ? -1 : target.address());
         call.attempts.add(a);
         if (call.answered || target == null || world.time.now() >= call.deadline) {
-            ended(a, Outcome.MOOT, null);
+            ended(a, Outcome.NOT_SENT, null);
             return;
         }
         attempts++;
@@ -512,7 +512,7 @@
         }
         Request r = a.call.request;
         m.arrived++;
-        m.model.take(r.id(), r.key(), a.call.idempotencyKey, answer -> {
+        m.model.take(r.id(), r.affinityKey(), a.call.idempotencyKey, answer -> {
             if (world.severed(m.zone, spec.zone)
                     || world.lostAnswers > 0 && world.random.nextDouble() < world.lostAnswers) {
                 return;
@@ -525,7 +525,7 @@
             Outcome outcome =
                     switch (answer.kind()) {
                         case DONE -> Outcome.OK;
-                        case FULL -> Outcome.FULL;
+                        case FULL -> Outcome.REJECTED;
                         default -> Outcome.ERROR;
                     };
             world.time.after(world.delay(m.zone, spec.zone), () -> end(a, outcome, answer));
@@ -533,7 +533,7 @@
     }
 
     @Override
-    public void refuse(String request, long retryAfter) {
+    public void reject(String request, long retryAfter) {
         finish(
                 request,
                 SimulatedClients.Answer.REFUSED,
@@ -568,14 +568,14 @@
     }
 
     @Override
-    public void timer(String token, long delay) {
+    public void setTimer(String token, long delay) {
         int mine = process;
-        world.time.after(delay, () -> inTurn(mine, () -> deliver(() -> module.timer(now(), token))));
+        world.time.after(delay, () -> inTurn(mine, () -> deliver(() -> module.timerFired(now(), token))));
     }
 
     /** A probe is an answer with nothing but its report; it goes round the node's queue. */
     @Override
-    public void probe(String upstream) {
+    public void healthCheck(String upstream) {
         SimulatedUpstreams.Entry target = targets.get(upstream);
         SimulatedUpstream m = target == null ? null : fleet.at(target.address());
         int mine = process;
@@ -596,8 +596,8 @@
                     there,
                     () -> inTurn(
                             mine,
-                            () -> deliver(() ->
-                                    module.probed(now(), upstream, answers ? Outcome.OK : Outcome.TIMEOUT, load))));
+                            () -> deliver(() -> module.healthCheckCompleted(
+                                    now(), upstream, answers ? Outcome.OK : Outcome.TIMEOUT, load))));
         });
     }
 
@@ -610,17 +610,17 @@
     }
 
     @Override
-    public void watch(boolean on) {
+    public void watchEndpoints(boolean on) {
         // Changes are pushed.
     }
 
     @Override
-    public void fetch() {
+    public void fetchEndpoints() {
         agent.whole();
     }
 
     @Override
-    public void tell(int peer, byte[] body) {
+    public void sendToPeer(int peer, byte[] body) {
         throw new UnsupportedOperationException("balancers do not talk to each other here");
     }
 
@@ -655,7 +655,7 @@
                 to.add(p);
             }
         }
-        module.plan(now, follower.plan(now));
+        module.planUpdated(now, follower.plan(now));
         to.forEach(p -> p.hear(this, reports.get(p)));
     }
 
@@ -680,7 +680,7 @@
                 at - world.time.now(),
                 () -> inTurn(mine, () -> {
                     if (follower.heard(now(), plan) && follower.matters(now(), plan)) {
-                        deliver(() -> module.plan(now(), follower.plan(now())));
+                        deliver(() -> module.planUpdated(now(), follower.plan(now())));
                     }
                 }));
     }
--- a/src/main/java/sedgeyoke/simulation/SimulatedUpstreams.java
+++ b/src/main/java/sedgeyoke/simulation/SimulatedUpstreams.java
@@ -124,7 +124,7 @@
 
     List<Entry> current() {
         return list.values().stream()
-                .filter(e -> e.upstream().state() != State.GONE)
+                .filter(e -> e.upstream().state() != State.REMOVED)
                 .toList();
     }
 
@@ -173,7 +173,7 @@
         m.breakConnections();
         m.model.vanish();
         m.gone = true;
-        tell(m, State.GONE);
+        tell(m, State.REMOVED);
     }
 
     /** Nothing answers any more, and nothing says so. */
--- a/src/main/java/sedgeyoke/simulation/Simulation.java
+++ b/src/main/java/sedgeyoke/simulation/Simulation.java
@@ -77,7 +77,8 @@
         SiteModel site = scenario.site();
         List<RequestClass> classes = new ArrayList<>();
         for (RequestClassModel c : site.classes()) {
-            Effect effect = c.repeat().equals("free") ? Effect.SAFE : c.keyed() ? Effect.KEYED : Effect.UNSAFE;
+            Effect effect =
+                    c.repeat().equals("free") ? Effect.SAFE : c.keyed() ? Effect.IDEMPOTENT_WITH_KEY : Effect.UNSAFE;
             classes.add(new RequestClass(
                     c.aimMs() * 1_000L,
                     0,
@@ -111,7 +112,7 @@
                         120_000,
                         10 * SECOND,
                         1),
-                new LoadBalancingPolicy.RuleFigures(
+                new LoadBalancingPolicy.PlatformRules(
                         20_000,
                         10 * SECOND,
                         r.startCapacity(),
@@ -120,7 +121,7 @@
                         r.fallMultiple(),
                         r.fallMs() * 1_000),
                 new LoadBalancingPolicy.Prices(0.06, 0.02, 0, 0.05, 0),
-                LoadBalancingPolicy.Reports.IN_ANSWERS,
+                LoadBalancingPolicy.Reports.IN_RESPONSES,
                 LoadBalancingPolicy.Ratings.NONE,
                 false,
                 scenario.traffic().keys() > 0,
--- a/src/main/java/sedgeyoke/simulator/BatchReader.java
+++ b/src/main/java/sedgeyoke/simulator/BatchReader.java
@@ -28,7 +28,7 @@
             .build();
     private static final Outcome[] OUTCOMES = Outcome.values();
     private static final Map<String, State> STATES =
-            Map.of("Ready", State.READY, "Terminating", State.DRAINING, "Gone", State.GONE);
+            Map.of("Ready", State.READY, "Terminating", State.DRAINING, "Gone", State.REMOVED);
     private static final Map<String, ListKind> FORMS = Map.of(
             "update",
             ListKind.CHANGES,
@@ -296,16 +296,16 @@
             case "ping-result" -> ping(e, who, now);
             case "client-gone" -> {
                 required(e.corr != null, "corr");
-                desk.tell(who, b -> b.clientGone(now, e.corr));
+                desk.tell(who, b -> b.clientDisconnected(now, e.corr));
             }
             case "opened" -> {
                 required(e.corr != null, "corr");
                 int attempt = whole(e.attempt, "attempt");
-                desk.tell(who, b -> b.opened(now, e.corr, attempt));
+                desk.tell(who, b -> b.responseStarted(now, e.corr, attempt));
             }
             case "reminder" -> {
                 required(e.ctx != null, "ctx");
-                desk.tell(who, b -> b.timer(now, e.ctx));
+                desk.tell(who, b -> b.timerFired(now, e.ctx));
             }
             default -> whisper(e, who, now);
         }
@@ -324,7 +324,7 @@
         required(kind != null, "form");
         required(e.elements != null || kind == ListKind.UNAVAILABLE, "elements");
         List<Upstream> entries = e.elements == null ? List.of() : e.elements;
-        desk.tell(who, b -> b.upstreams(now, kind, entries));
+        desk.tell(who, b -> b.endpointsUpdated(now, kind, entries));
     }
 
     private void workItem(Event e, int who, long now) throws InvalidInputException {
@@ -340,7 +340,7 @@
                 micros(e.budget),
                 e.write,
                 e.retry);
-        desk.tell(who, b -> b.request(now, request));
+        desk.tell(who, b -> b.requestArrived(now, request));
     }
 
     private void answer(Event e, int who, long now) throws InvalidInputException {
@@ -349,14 +349,14 @@
         required(e.last != null, "last");
         AttemptEnd end = new AttemptEnd(
                 e.corr, whole(e.attempt, "attempt"), e.upstream, outcome(e), took(e), e.last, report(e, who));
-        desk.tell(who, b -> b.outcome(now, end));
+        desk.tell(who, b -> b.attemptEnded(now, end));
     }
 
     private void ping(Event e, int who, long now) throws InvalidInputException {
         required(e.upstream != null, "upstream");
         Outcome outcome = outcome(e);
         LoadReport load = report(e, who);
-        desk.tell(who, b -> b.probed(now, e.upstream, outcome, load));
+        desk.tell(who, b -> b.healthCheckCompleted(now, e.upstream, outcome, load));
     }
 
     private void whisper(Event e, int who, long now) throws InvalidInputException {
@@ -368,7 +368,7 @@
         } catch (IllegalArgumentException bad) {
             throw new InvalidInputException("field body is not hex digits");
         }
-        desk.tell(who, b -> b.peerMessage(now, from, body));
+        desk.tell(who, b -> b.peerMessageReceived(now, from, body));
     }
 
     private static long took(Event e) throws InvalidInputException {
--- a/src/main/java/sedgeyoke/simulator/ReplyWriter.java
+++ b/src/main/java/sedgeyoke/simulator/ReplyWriter.java
@@ -80,7 +80,7 @@
         }
 
         @Override
-        public void refuse(String request, long retryAfter) {
+        public void reject(String request, long retryAfter) {
             action("turn-away", () -> {
                 json.writeStringField("corr", request);
                 if (retryAfter != 0) {
@@ -103,7 +103,7 @@
         }
 
         @Override
-        public void timer(String token, long delay) {
+        public void setTimer(String token, long delay) {
             action("remind", () -> {
                 json.writeStringField("ctx", token);
                 seconds("sleep-for-s", delay);
@@ -111,7 +111,7 @@
         }
 
         @Override
-        public void probe(String upstream) {
+        public void healthCheck(String upstream) {
             action("ask-load", () -> json.writeStringField("upstream", upstream));
         }
 
@@ -121,17 +121,17 @@
         }
 
         @Override
-        public void watch(boolean on) {
+        public void watchEndpoints(boolean on) {
             action("tail", () -> json.writeBooleanField("want", on));
         }
 
         @Override
-        public void fetch() {
+        public void fetchEndpoints() {
             action("reload", () -> {});
         }
 
         @Override
-        public void tell(int peer, byte[] body) {
+        public void sendToPeer(int peer, byte[] body) {
             action("share", () -> {
                 if (peer < 0) {
                     json.writeStringField("target", "all");
--- a/src/main/java/sedgeyoke/simulator/SettingsReader.java
+++ b/src/main/java/sedgeyoke/simulator/SettingsReader.java
@@ -12,11 +12,11 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Effect;
 import sedgeyoke.policy.LoadBalancingPolicy.Limits;
 import sedgeyoke.policy.LoadBalancingPolicy.LoadReport;
+import sedgeyoke.policy.LoadBalancingPolicy.PlatformRules;
 import sedgeyoke.policy.LoadBalancingPolicy.Prices;
 import sedgeyoke.policy.LoadBalancingPolicy.Ratings;
 import sedgeyoke.policy.LoadBalancingPolicy.Reports;
 import sedgeyoke.policy.LoadBalancingPolicy.RequestClass;
-import sedgeyoke.policy.LoadBalancingPolicy.RuleFigures;
 import sedgeyoke.policy.LoadBalancingPolicy.Scope;
 import sedgeyoke.policy.LoadBalancingPolicy.Settings;
 import sedgeyoke.policy.LoadBalancingPolicy.Tenant;
@@ -36,10 +36,10 @@
             "whisper");
 
     private static final Map<String, Effect> EFFECTS =
-            Map.of("free", Effect.SAFE, "guarded", Effect.KEYED, "single_shot", Effect.UNSAFE);
+            Map.of("free", Effect.SAFE, "guarded", Effect.IDEMPOTENT_WITH_KEY, "single_shot", Effect.UNSAFE);
     private static final Map<String, Scope> SCOPES = Map.of("all", Scope.ALL, "zone", Scope.ZONE, "cell", Scope.CELL);
     private static final Map<String, Reports> VIA =
-            Map.of("piggyback", Reports.IN_ANSWERS, "pull", Reports.BY_PROBE, "silent", Reports.NONE);
+            Map.of("piggyback", Reports.IN_RESPONSES, "pull", Reports.BY_HEALTH_CHECK, "silent", Reports.NONE);
     private static final Map<String, Ratings> WEIGHTS =
             Map.of("silent", Ratings.NONE, "nominal", Ratings.NOMINAL, "rough", Ratings.ROUGH, "live", Ratings.LIVE);
 
@@ -172,8 +172,8 @@
                 (int) n.number("multiplex", 1));
     }
 
-    private static RuleFigures rules(Node n) {
-        return new RuleFigures(
+    private static PlatformRules rules(Node n) {
+        return new PlatformRules(
                 n.time("answer-slack-s"),
                 n.time("ask-within-s"),
                 n.number("start-capacity", 1),
--- a/src/test/java/sedgeyoke/body/BodyRulesTest.java
+++ b/src/test/java/sedgeyoke/body/BodyRulesTest.java
@@ -18,7 +18,8 @@
 class BodyRulesTest {
     private static final BodyLimits LIMITS =
             new BodyLimits(true, 65_536, 300_000, 1_000, 1_000_000, 60_000_000, 2_000_000, 1 << 30, 0);
-    private static final Set<Outcome> PROVES_IT_NEVER_RAN = Set.of(Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT);
+    private static final Set<Outcome> PROVES_IT_NEVER_RAN =
+            Set.of(Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT);
 
     @Test
     void everyCellOfTheTable() {
@@ -51,7 +52,7 @@
         } else if (body == PartialRequestPolicy.Body.PART_GONE || PROVES_IT_NEVER_RAN.contains(outcome)) {
             return PartialRequestPolicy.Next.REFUSE;
         }
-        return effect == Effect.SAFE || effect == Effect.KEYED && scope == Scope.ALL
+        return effect == Effect.SAFE || effect == Effect.IDEMPOTENT_WITH_KEY && scope == Scope.ALL
                 ? PartialRequestPolicy.Next.REFUSE
                 : PartialRequestPolicy.Next.FAIL;
     }
--- a/src/test/java/sedgeyoke/plan/PlanSimulation.java
+++ b/src/test/java/sedgeyoke/plan/PlanSimulation.java
@@ -10,7 +10,7 @@
 import java.util.function.LongFunction;
 import sedgeyoke.lease.LeaseClock;
 import sedgeyoke.policy.LoadBalancingPolicy;
-import sedgeyoke.policy.LoadBalancingPolicy.ColdRight;
+import sedgeyoke.policy.LoadBalancingPolicy.SlowStartQuota;
 import sedgeyoke.policy.SlowStartBucket;
 import sedgeyoke.simulation.SeededNetwork;
 
@@ -181,12 +181,12 @@
             return believes[n] > 0 && now - believes[n] < COLD;
         }
 
-        private ColdRight right(int n) {
-            return plan.right("n" + n, believes[n]);
+        private SlowStartQuota right(int n) {
+            return plan.slowStartQuota("n" + n, believes[n]);
         }
 
         private void refill(int n) {
-            buckets[n].refill(clock(), BASE / 1e6, right(n), plan.quietUntil(), faults.saveFor, 0);
+            buckets[n].refill(clock(), BASE / 1e6, right(n), plan.ownQuotaBlockedUntil(), faults.saveFor, 0);
         }
 
         private void install() {
@@ -229,9 +229,9 @@
         }
 
         private void report() {
-            List<LoadBalancingPolicy.Standing> standings = new ArrayList<>();
+            List<LoadBalancingPolicy.UpstreamStatus> standings = new ArrayList<>();
             for (int n = 0; n < NODES; n++) {
-                standings.add(new LoadBalancingPolicy.Standing(
+                standings.add(new LoadBalancingPolicy.UpstreamStatus(
                         "n" + n,
                         0,
                         LoadBalancingPolicy.State.READY,
@@ -261,14 +261,14 @@
             if (dead || !cold(n)) {
                 return new double[2];
             }
-            ColdRight right = right(n);
+            SlowStartQuota right = right(n);
             long at = clock();
-            boolean own = at >= plan.quietUntil() && (right == null || at >= right.lentUntil());
+            boolean own = at >= plan.ownQuotaBlockedUntil() && (right == null || at >= right.delegatedUntil());
             double granted = right == null
                     ? 0
                     : right.grants().stream()
-                            .filter(g -> at < g.until())
-                            .mapToDouble(LoadBalancingPolicy.ColdGrant::rate)
+                            .filter(g -> at < g.expiresAt())
+                            .mapToDouble(LoadBalancingPolicy.SlowStartGrant::rate)
                             .sum();
             return new double[] {own ? BASE : 0, granted};
         }
--- a/src/test/java/sedgeyoke/plan/PlannerTest.java
+++ b/src/test/java/sedgeyoke/plan/PlannerTest.java
@@ -229,13 +229,13 @@
         assertEquals("p3", follower.follow(now));
         long later = now + Follower.FOLLOW_WITHIN + 1;
         assertNull(follower.follow(later));
-        assertEquals(now, follower.plan(later).heardAt(), "so it fades from then");
+        assertEquals(now, follower.plan(later).lastPlannerContact(), "so it fades from then");
     }
 
     private static LoadBalancingPolicy.Summary coldSummary() {
         return new LoadBalancingPolicy.Summary(
                 List.of(1.0),
-                List.of(new LoadBalancingPolicy.Standing(
+                List.of(new LoadBalancingPolicy.UpstreamStatus(
                         "u", 0, LoadBalancingPolicy.State.READY, 50, 0, 0, 1, 1, Double.NaN, Double.NaN, 0, false, 2)),
                 0);
     }
@@ -250,10 +250,12 @@
         assertEquals(
                 List.of(new ForwarderReport.Deposit("u", 50, 2)),
                 follower.report(now, "p1", coldSummary()).deposits());
-        assertEquals(now + LEASE, follower.plan(now).cold().get("u").lentUntil());
-        assertEquals(now + LEASE, follower.plan(now + LEASE - 1).cold().get("u").lentUntil());
-        assertNull(follower.plan(now + LEASE).cold().get("u"));
-        assertEquals(LEASE, follower.plan(now).quietUntil());
+        assertEquals(now + LEASE, follower.plan(now).slowStartQuotas().get("u").delegatedUntil());
+        assertEquals(
+                now + LEASE,
+                follower.plan(now + LEASE - 1).slowStartQuotas().get("u").delegatedUntil());
+        assertNull(follower.plan(now + LEASE).slowStartQuotas().get("u"));
+        assertEquals(LEASE, follower.plan(now).ownQuotaBlockedUntil());
     }
 
     @Test
@@ -262,16 +264,18 @@
         PlanMessage.Grant grant = new PlanMessage.Grant("u", 50, 2);
         follower.heard(now, message("p1", 1, 1, now - 300_000, 10, List.of(grant)));
         follower.heard(now, message("p2", 1, 1, now - 100_000, 10, List.of(grant)));
-        assertEquals(2, follower.plan(now).cold().get("u").grants().size());
-        assertEquals(1, follower.plan(now + 300_000).cold().get("u").grants().size());
-        assertNull(follower.plan(now + 500_000).cold().get("u"));
+        assertEquals(2, follower.plan(now).slowStartQuotas().get("u").grants().size());
+        assertEquals(
+                1,
+                follower.plan(now + 300_000).slowStartQuotas().get("u").grants().size());
+        assertNull(follower.plan(now + 500_000).slowStartQuotas().get("u"));
     }
 
     @Test
     void aReportHasABoundedSizeAndTakesAllUpstreamsInTurn() {
-        List<LoadBalancingPolicy.Standing> many = new ArrayList<>();
+        List<LoadBalancingPolicy.UpstreamStatus> many = new ArrayList<>();
         for (int i = 0; i < 300; i++) {
-            many.add(new LoadBalancingPolicy.Standing(
+            many.add(new LoadBalancingPolicy.UpstreamStatus(
                     "u" + i, 0, LoadBalancingPolicy.State.READY, 50, 0, 0, 1, 1, 0.5, 0, 9, false, 2));
         }
         LoadBalancingPolicy.Summary summary = new LoadBalancingPolicy.Summary(List.of(1.0), many, 0);
--- a/src/test/java/sedgeyoke/plan/remote/PlannerLinkTest.java
+++ b/src/test/java/sedgeyoke/plan/remote/PlannerLinkTest.java
@@ -381,13 +381,13 @@
         final AtomicReference<LoadBalancingPolicy.Plan> plan = new AtomicReference<>();
         final LoadBalancingPolicy module = (LoadBalancingPolicy) java.lang.reflect.Proxy.newProxyInstance(
                 getClass().getClassLoader(), new Class<?>[] {LoadBalancingPolicy.class}, (proxy, method, arguments) -> {
-                    if (method.getName().equals("plan")) {
+                    if (method.getName().equals("planUpdated")) {
                         plan.set((LoadBalancingPolicy.Plan) arguments[1]);
                         return null;
                     }
                     return new LoadBalancingPolicy.Summary(
                             List.of(2.0),
-                            List.of(new LoadBalancingPolicy.Standing(
+                            List.of(new LoadBalancingPolicy.UpstreamStatus(
                                     "u",
                                     0,
                                     LoadBalancingPolicy.State.READY,
@@ -441,12 +441,13 @@
         loop.execute(link::start);
         await(
                 "quiet from the start",
-                () -> port.plan.get() != null && port.plan.get().quietUntil() > now());
+                () -> port.plan.get() != null && port.plan.get().ownQuotaBlockedUntil() > now());
         await(
                 "lent and granted",
-                () -> port.plan.get().cold().containsKey("u")
-                        && !port.plan.get().cold().get("u").grants().isEmpty());
-        assertEquals(4.8, port.plan.get().cold().get("u").grants().get(0).rate(), 0.01);
+                () -> port.plan.get().slowStartQuotas().containsKey("u")
+                        && !port.plan.get().slowStartQuotas().get("u").grants().isEmpty());
+        assertEquals(
+                4.8, port.plan.get().slowStartQuotas().get("u").grants().get(0).rate(), 0.01);
         assertEquals("u", port.plan.get().upstreams().get(0).id());
         assertEquals(1, loop.submit(link::heard).syncUninterruptibly().getNow());
     }
--- a/src/test/java/sedgeyoke/policy/InvariantRecorder.java
+++ b/src/test/java/sedgeyoke/policy/InvariantRecorder.java
@@ -76,19 +76,19 @@
         if (c.over) {
             breaches.add("1: sent after the end " + id);
         }
-        if (!settings.limits().secondCopies() && c.out.contains(true)) {
+        if (!settings.limits().hedging() && c.out.contains(true)) {
             breaches.add("2: two attempts at once " + id);
         }
         int first = c.ran.indexOf(true);
         if (first >= 0 && c.cls.effect() == Effect.UNSAFE) {
             breaches.add("2: unsafe request sent again " + id);
         }
-        if (first >= 0 && c.cls.effect() == Effect.KEYED) {
+        if (first >= 0 && c.cls.effect() == Effect.IDEMPOTENT_WITH_KEY) {
             Sent s = c.sent.get(first);
             boolean near = c.cls.scope() == Scope.ALL
                     || c.cls.scope() == Scope.ZONE && s.upstream.zone() == u.zone()
                     || c.cls.scope() == Scope.CELL && s.upstream.cell() == u.cell();
-            if (!near || now - s.at > c.cls.memorySpan()) {
+            if (!near || now - s.at > c.cls.deduplicationWindow()) {
                 breaches.add("2: keyed request sent outside its group or time " + id);
             }
         }
@@ -104,20 +104,20 @@
 
     private void cold(long now, Upstream u, long work) {
         long age = now - u.launchedAt();
-        if (u.launchedAt() <= 0 || age >= settings.rules().coldTime()) {
+        if (u.launchedAt() <= 0 || age >= settings.rules().slowStartTime()) {
             return;
         }
         Deque<long[]> window = coldSends.computeIfAbsent(u.id(), k -> new ArrayDeque<>());
         window.add(new long[] {now, work});
-        while (window.peek()[0] < now - settings.rules().fallTime()) {
+        while (window.peek()[0] < now - settings.rules().overloadWindow()) {
             window.poll();
         }
-        double start = settings.rules().startCapacity();
-        double share = start + (1 - start) * age / settings.rules().coldTime();
-        double budget = settings.rules().fallMultiple()
+        double start = settings.rules().initialCapacity();
+        double share = start + (1 - start) * age / settings.rules().slowStartTime();
+        double budget = settings.rules().overloadMultiple()
                 * share
                 * warmWorkPerMicro
-                * settings.rules().fallTime();
+                * settings.rules().overloadWindow();
         if (window.stream().mapToLong(w -> w[1]).sum() > budget) {
             breaches.add("4: cold upstream pushed over " + u.id());
         }
@@ -136,7 +136,8 @@
         Case c = cases.get(id);
         boolean mayHaveRun = c.ran.contains(true);
         if (mayHaveRun
-                && (c.cls.effect() == Effect.UNSAFE || c.cls.effect() == Effect.KEYED && c.cls.scope() != Scope.ALL)) {
+                && (c.cls.effect() == Effect.UNSAFE
+                        || c.cls.effect() == Effect.IDEMPOTENT_WITH_KEY && c.cls.scope() != Scope.ALL)) {
             breaches.add("2: refused though it may have run " + id);
         }
         answered(now, id);
@@ -168,7 +169,7 @@
     }
 
     private void late(long now, String id, Case c) {
-        if (now > c.deadline + settings.rules().answerSlack()) {
+        if (now > c.deadline + settings.rules().responseSlack()) {
             breaches.add("1: no answer in time " + id);
         }
     }
--- a/src/test/java/sedgeyoke/policy/InvariantsTest.java
+++ b/src/test/java/sedgeyoke/policy/InvariantsTest.java
@@ -41,7 +41,7 @@
             all.add(PolicyHarness.up(i, State.READY, 0));
         }
         host.checker.told(host.now, ListKind.RESTORED, all);
-        host.balancer.upstreams(host.now, ListKind.RESTORED, all);
+        host.balancer.endpointsUpdated(host.now, ListKind.RESTORED, all);
         List<Out> out = new ArrayList<>();
         int served = 0;
         for (int step = 0; step < 4_000; step++) {
@@ -62,7 +62,7 @@
             if (random.nextInt(200) == 0 && !out.isEmpty()) {
                 String id = out.get(random.nextInt(out.size())).id;
                 host.checker.left(id);
-                host.balancer.clientGone(host.now, id);
+                host.balancer.clientDisconnected(host.now, id);
             }
             gather(host, random, out);
         }
@@ -100,7 +100,7 @@
                 LoadReport load = ok ? PolicyHarness.report(0.5) : null;
                 AttemptEnd end = new AttemptEnd(x.id, x.attempt, x.upstream, x.outcome, host.now - x.sentAt, ok, load);
                 host.checker.ended(end);
-                host.balancer.outcome(host.now, end);
+                host.balancer.attemptEnded(host.now, end);
             }
         }
         return served;
@@ -109,10 +109,10 @@
     private static void change(PolicyHarness host, SplittableRandom random) {
         int i = random.nextInt(6);
         int what = random.nextInt(4);
-        State state = what == 0 ? State.DRAINING : what == 1 ? State.GONE : State.READY;
+        State state = what == 0 ? State.DRAINING : what == 1 ? State.REMOVED : State.READY;
         Upstream u = PolicyHarness.up(i, state, state == State.READY ? host.now - random.nextLong(SECOND) : 0);
         host.checker.told(host.now, ListKind.CHANGES, List.of(u));
-        host.balancer.upstreams(host.now, ListKind.CHANGES, List.of(u));
+        host.balancer.endpointsUpdated(host.now, ListKind.CHANGES, List.of(u));
     }
 
     private InvariantRecorder checker() {
--- a/src/test/java/sedgeyoke/policy/PlanTest.java
+++ b/src/test/java/sedgeyoke/policy/PlanTest.java
@@ -13,10 +13,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import sedgeyoke.policy.LoadBalancingPolicy.AttemptEnd;
-import sedgeyoke.policy.LoadBalancingPolicy.ColdGrant;
-import sedgeyoke.policy.LoadBalancingPolicy.ColdRight;
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 import sedgeyoke.policy.LoadBalancingPolicy.Plan;
+import sedgeyoke.policy.LoadBalancingPolicy.SlowStartGrant;
+import sedgeyoke.policy.LoadBalancingPolicy.SlowStartQuota;
 import sedgeyoke.policy.LoadBalancingPolicy.State;
 import sedgeyoke.policy.LoadBalancingPolicy.UpstreamView;
 
@@ -26,7 +26,8 @@
     private static final long FADE = 4 * SECOND;
     private static final int COLD_AT = 600;
 
-    private static Plan plan(long heardAt, List<UpstreamView> views, List<Double> spill, Map<String, ColdRight> cold) {
+    private static Plan plan(
+            long heardAt, List<UpstreamView> views, List<Double> spill, Map<String, SlowStartQuota> cold) {
         return new Plan(heardAt, FADE, views, spill, 0, cold);
     }
 
@@ -65,7 +66,7 @@
             for (Out o : List.copyOf(out)) {
                 if (o.endsAt() <= host.now) {
                     out.remove(o);
-                    host.balancer.outcome(
+                    host.balancer.attemptEnded(
                             host.now,
                             new AttemptEnd(
                                     o.id(),
@@ -93,7 +94,7 @@
         List<String> without = play(seed, (host, step) -> {}).done;
         List<String> quiet = play(seed, (host, step) -> {
                     if (step % 40 == 0) {
-                        host.balancer.plan(host.now, plan(0, List.of(), List.of(), Map.of()));
+                        host.balancer.planUpdated(host.now, plan(0, List.of(), List.of(), Map.of()));
                     }
                 })
                 .done;
@@ -113,7 +114,7 @@
                 .done;
         List<String> runOut = play(seed, (host, step) -> {
                     if (step == 0) {
-                        host.balancer.plan(
+                        host.balancer.planUpdated(
                                 host.now,
                                 plan(
                                         host.now,
@@ -132,7 +133,7 @@
         List<String> without = play(1, (host, step) -> {}).done;
         List<String> planned = play(
                         1,
-                        (host, step) -> host.balancer.plan(
+                        (host, step) -> host.balancer.planUpdated(
                                 host.now,
                                 plan(host.now, List.of(view("u1", 1, false)), List.of(0.5, 0.5, 0.0), Map.of())))
                 .done;
@@ -143,7 +144,7 @@
     void aPlannersWordOfADrainStopsSendsButNeverStartsAny() {
         PolicyHarness host = play(
                 1,
-                (h, step) -> h.balancer.plan(
+                (h, step) -> h.balancer.planUpdated(
                         h.now,
                         plan(
                                 h.now,
@@ -162,7 +163,7 @@
         for (int i = 0; i < 6; i++) {
             all.add(view("u" + i, Double.NaN, true));
         }
-        PolicyHarness host = play(1, (h, step) -> h.balancer.plan(h.now, plan(h.now, all, List.of(), Map.of())));
+        PolicyHarness host = play(1, (h, step) -> h.balancer.planUpdated(h.now, plan(h.now, all, List.of(), Map.of())));
         assertEquals(play(1, (h, step) -> {}).done, host.done);
     }
 
@@ -170,24 +171,24 @@
     @Test
     void aLentRightSendsNothingAndAGrantSends() {
         assertEquals(0, sendsToCold(List.of()));
-        int granted = sendsToCold(List.of(new ColdGrant(40, Long.MAX_VALUE)));
+        int granted = sendsToCold(List.of(new SlowStartGrant(40, Long.MAX_VALUE)));
         assertTrue(granted > 10, "only " + granted);
     }
 
-    private static int sendsToCold(List<ColdGrant> grants) {
+    private static int sendsToCold(List<SlowStartGrant> grants) {
         long[] launched = new long[1];
         PolicyHarness host = play(3, (h, step) -> {
             if (step == COLD_AT + 1) {
                 launched[0] = h.now; // the change came after the last step
             }
             if (step > COLD_AT) {
-                h.balancer.plan(
+                h.balancer.planUpdated(
                         h.now,
                         plan(
                                 h.now,
                                 List.of(),
                                 List.of(),
-                                Map.of("u2", new ColdRight(launched[0], Long.MAX_VALUE, grants))));
+                                Map.of("u2", new SlowStartQuota(launched[0], Long.MAX_VALUE, grants))));
             }
         });
         return (int) sendsTo(host, "u2").stream()
@@ -198,13 +199,13 @@
     @Test
     void aStartThatOnlyPlannersToldOfIsTakenForCold() {
         PolicyHarness host = PolicyHarness.of(new PolicyHarness.Config()).list(1);
-        assertEquals(0, host.balancer.summary(host.now).upstreams().get(0).coldRight());
+        assertEquals(0, host.balancer.summary(host.now).upstreams().get(0).slowStartQuota());
         host.request(0, 2 * SECOND);
         host.advance(SECOND);
-        host.balancer.plan(
+        host.balancer.planUpdated(
                 host.now,
                 plan(host.now, List.of(new UpstreamView("u0", Double.NaN, host.now, false)), List.of(), Map.of()));
-        assertTrue(host.balancer.summary(host.now).upstreams().get(0).coldRight() > 0);
+        assertTrue(host.balancer.summary(host.now).upstreams().get(0).slowStartQuota() > 0);
     }
 
     @Test
--- a/src/test/java/sedgeyoke/policy/PolicyHarness.java
+++ b/src/test/java/sedgeyoke/policy/PolicyHarness.java
@@ -11,12 +11,12 @@
 import sedgeyoke.policy.LoadBalancingPolicy.ListKind;
 import sedgeyoke.policy.LoadBalancingPolicy.LoadReport;
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
+import sedgeyoke.policy.LoadBalancingPolicy.PlatformRules;
 import sedgeyoke.policy.LoadBalancingPolicy.Prices;
 import sedgeyoke.policy.LoadBalancingPolicy.Ratings;
 import sedgeyoke.policy.LoadBalancingPolicy.Reports;
 import sedgeyoke.policy.LoadBalancingPolicy.Request;
 import sedgeyoke.policy.LoadBalancingPolicy.RequestClass;
-import sedgeyoke.policy.LoadBalancingPolicy.RuleFigures;
 import sedgeyoke.policy.LoadBalancingPolicy.Scope;
 import sedgeyoke.policy.LoadBalancingPolicy.Settings;
 import sedgeyoke.policy.LoadBalancingPolicy.State;
@@ -57,7 +57,7 @@
         boolean secondCopies;
         boolean cancel = true;
         boolean probes = true;
-        Reports reports = Reports.IN_ANSWERS;
+        Reports reports = Reports.IN_RESPONSES;
         Ratings ratings = Ratings.NONE;
         double crossZone;
         boolean ask;
@@ -83,7 +83,7 @@
                     0.2,
                     true,
                     new Limits(4, secondCopies, probes, cancel, false, 20_000, false, 0, SECOND / 4, 10 * SECOND, 1),
-                    new RuleFigures(20 * MILLI, 10 * SECOND, 0.2, 20 * SECOND, SECOND, 3, 2 * SECOND),
+                    new PlatformRules(20 * MILLI, 10 * SECOND, 0.2, 20 * SECOND, SECOND, 3, 2 * SECOND),
                     new Prices(crossZone, 0.1, 0.01, 0.05, 0),
                     reports,
                     ratings,
@@ -114,12 +114,12 @@
         for (int i = 0; i < n; i++) {
             all.add(up(i, State.READY, 0));
         }
-        balancer.upstreams(now, ListKind.RESTORED, all);
+        balancer.endpointsUpdated(now, ListKind.RESTORED, all);
         return this;
     }
 
     void change(Upstream u) {
-        balancer.upstreams(now, ListKind.CHANGES, List.of(u));
+        balancer.endpointsUpdated(now, ListKind.CHANGES, List.of(u));
     }
 
     /** Class 0 is safe, 1 keyed, 2 unsafe. */
@@ -133,7 +133,7 @@
         if (checker != null) {
             checker.arrived(now, r);
         }
-        balancer.request(now, r);
+        balancer.requestArrived(now, r);
         return id;
     }
 
@@ -144,7 +144,7 @@
 
     void end(String id, Outcome outcome, long took, LoadReport load) {
         int attempt = sends.get(id).size() - 1;
-        balancer.outcome(
+        balancer.attemptEnded(
                 now, new AttemptEnd(id, attempt, lastUpstream(id), outcome, took, outcome == Outcome.OK, load));
     }
 
@@ -169,7 +169,7 @@
         while (!timers.isEmpty() && timers.peek().at <= until) {
             Timer t = timers.poll();
             now = Math.max(now, t.at);
-            balancer.timer(now, t.token);
+            balancer.timerFired(now, t.token);
         }
         now = until;
     }
@@ -185,7 +185,7 @@
     }
 
     @Override
-    public void refuse(String request, long retryAfter) {
+    public void reject(String request, long retryAfter) {
         done.add(now + " refuse " + request);
         refused.add(request);
         if (checker != null) {
@@ -209,12 +209,12 @@
     }
 
     @Override
-    public void timer(String token, long delay) {
+    public void setTimer(String token, long delay) {
         timers.add(new Timer(now + Math.max(delay, 1), timerCount++, token));
     }
 
     @Override
-    public void probe(String upstream) {
+    public void healthCheck(String upstream) {
         done.add(now + " probe " + upstream);
         probes.add(upstream);
     }
@@ -225,17 +225,17 @@
     }
 
     @Override
-    public void watch(boolean on) {
+    public void watchEndpoints(boolean on) {
         done.add(now + " watch " + on);
     }
 
     @Override
-    public void fetch() {
+    public void fetchEndpoints() {
         done.add(now + " fetch");
     }
 
     @Override
-    public void tell(int peer, byte[] body) {
+    public void sendToPeer(int peer, byte[] body) {
         done.add(now + " tell " + peer);
     }
 
--- a/src/test/java/sedgeyoke/policy/PolicyReplayTest.java
+++ b/src/test/java/sedgeyoke/policy/PolicyReplayTest.java
@@ -17,27 +17,27 @@
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import sedgeyoke.policy.LoadBalancingPolicy.AttemptEnd;
-import sedgeyoke.policy.LoadBalancingPolicy.ColdGrant;
-import sedgeyoke.policy.LoadBalancingPolicy.ColdRight;
 import sedgeyoke.policy.LoadBalancingPolicy.Effect;
 import sedgeyoke.policy.LoadBalancingPolicy.Limits;
 import sedgeyoke.policy.LoadBalancingPolicy.ListKind;
 import sedgeyoke.policy.LoadBalancingPolicy.LoadReport;
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 import sedgeyoke.policy.LoadBalancingPolicy.Plan;
+import sedgeyoke.policy.LoadBalancingPolicy.PlatformRules;
 import sedgeyoke.policy.LoadBalancingPolicy.Prices;
 import sedgeyoke.policy.LoadBalancingPolicy.Ratings;
 import sedgeyoke.policy.LoadBalancingPolicy.Reports;
 import sedgeyoke.policy.LoadBalancingPolicy.Request;
 import sedgeyoke.policy.LoadBalancingPolicy.RequestClass;
-import sedgeyoke.policy.LoadBalancingPolicy.RuleFigures;
 import sedgeyoke.policy.LoadBalancingPolicy.Scope;
 import sedgeyoke.policy.LoadBalancingPolicy.Settings;
-import sedgeyoke.policy.LoadBalancingPolicy.Standing;
+import sedgeyoke.policy.LoadBalancingPolicy.SlowStartGrant;
+import sedgeyoke.policy.LoadBalancingPolicy.SlowStartQuota;
 import sedgeyoke.policy.LoadBalancingPolicy.State;
 import sedgeyoke.policy.LoadBalancingPolicy.Summary;
 import sedgeyoke.policy.LoadBalancingPolicy.Tenant;
 import sedgeyoke.policy.LoadBalancingPolicy.Upstream;
+import sedgeyoke.policy.LoadBalancingPolicy.UpstreamStatus;
 import sedgeyoke.policy.LoadBalancingPolicy.UpstreamView;
 
 /**
@@ -300,7 +300,7 @@
                     SECOND / 4,
                     10 * SECOND,
                     1);
-            RuleFigures rules = new RuleFigures(
+            PlatformRules rules = new PlatformRules(
                     20 * MILLI,
                     one(1, 4, 10) * SECOND,
                     0.1 + 0.4 * random.nextDouble(),
@@ -410,13 +410,13 @@
                     id,
                     r.classIndex(),
                     r.tenant(),
-                    r.key(),
+                    r.affinityKey(),
                     r.expectedWork(),
                     r.timeLeft(),
                     r.write(),
                     r.retry(),
-                    r.coming());
-            balancer.request(now, r);
+                    r.bodyPending());
+            balancer.requestArrived(now, r);
         }
 
         private void touchAttempt(int what) {
@@ -431,16 +431,16 @@
         private void touch(int what, String request, int attempt) {
             if (what == 0) {
                 journal.note(Kind.CLIENT_GONE, now, request);
-                balancer.clientGone(now, request);
+                balancer.clientDisconnected(now, request);
             } else if (what == 1) {
                 journal.note(Kind.OPENED, now, request, attempt);
-                balancer.opened(now, request, attempt);
+                balancer.responseStarted(now, request, attempt);
             } else if (what < 4) {
                 journal.note(Kind.TRANSFERS, now, request, attempt);
-                balancer.transfers(now, request, attempt);
+                balancer.transferStarted(now, request, attempt);
             } else if (what == 4) {
                 journal.note(Kind.PEER, now, attempt);
-                balancer.peerMessage(now, attempt, new byte[0]);
+                balancer.peerMessageReceived(now, attempt, new byte[0]);
             } else {
                 Outcome outcome = Outcome.values()[random.nextInt(Outcome.values().length)];
                 outcome(request, attempt, "u" + random.nextInt(UNIVERSE), outcome, random.nextLong(SECOND));
@@ -449,10 +449,10 @@
 
         private void outcome(String request, int attempt, String upstream, Outcome outcome, long took) {
             boolean concluded = outcome == Outcome.OK || outcome == Outcome.ERROR && chance(0.2);
-            LoadReport load = chance(settings.reports() == Reports.IN_ANSWERS ? 0.8 : 0.05) ? load(upstream) : null;
+            LoadReport load = chance(settings.reports() == Reports.IN_RESPONSES ? 0.8 : 0.05) ? load(upstream) : null;
             journal.note(Kind.OUTCOME, now, request, attempt, upstream, outcome, took, concluded);
             noteLoad(load);
-            balancer.outcome(now, new AttemptEnd(request, attempt, upstream, outcome, took, concluded, load));
+            balancer.attemptEnded(now, new AttemptEnd(request, attempt, upstream, outcome, took, concluded, load));
         }
 
         private LoadReport load(String upstream) {
@@ -486,7 +486,7 @@
             LoadReport load = chance(0.9) ? load(upstream) : null;
             journal.note(Kind.PROBED, now, upstream, outcome);
             noteLoad(load);
-            balancer.probed(now, upstream, outcome, load);
+            balancer.healthCheckCompleted(now, upstream, outcome, load);
         }
 
         private void list(ListKind kind, int size) {
@@ -513,7 +513,7 @@
                 journal.put(e.rating());
                 journal.put(e.launchedAt());
             }
-            balancer.upstreams(now, kind, entries);
+            balancer.endpointsUpdated(now, kind, entries);
         }
 
         /** Takes one back at most: the module renews those taken back in an order that it doesn't state. */
@@ -529,7 +529,7 @@
                 journal.put(id);
                 journal.put(since);
             });
-            balancer.cordons(now, cordoned);
+            balancer.cordonsUpdated(now, cordoned);
         }
 
         private void plan() {
@@ -537,7 +537,7 @@
                 return;
             }
             List<UpstreamView> views = new ArrayList<>();
-            Map<String, ColdRight> cold = new TreeMap<>();
+            Map<String, SlowStartQuota> cold = new TreeMap<>();
             for (int i = 0; i < UNIVERSE; i++) {
                 if (chance(0.7)) {
                     views.add(view(i));
@@ -555,7 +555,7 @@
             long fadeTime = one(1, 2, 4) * SECOND;
             journal.note(Kind.PLAN, now, heardAt, fadeTime, quietUntil, views.size(), cold.size(), spill.size());
             spill.forEach(journal::put);
-            balancer.plan(now, new Plan(heardAt, fadeTime, views, spill, quietUntil, cold));
+            balancer.planUpdated(now, new Plan(heardAt, fadeTime, views, spill, quietUntil, cold));
         }
 
         private UpstreamView view(int i) {
@@ -568,24 +568,24 @@
             return new UpstreamView("u" + i, limit, launchedAt, draining);
         }
 
-        private ColdRight right(int i) {
+        private SlowStartQuota right(int i) {
             long launchedAt = chance(0.8) ? played.get(i).launchedAt : now;
             long lentUntil = chance(0.5) ? 0 : now + random.nextLong(2 * SECOND);
-            List<ColdGrant> grants = new ArrayList<>();
+            List<SlowStartGrant> grants = new ArrayList<>();
             for (int n = random.nextInt(3); n > 0; n--) {
-                grants.add(new ColdGrant(random.nextInt(20), now + random.nextLong(2 * SECOND)));
+                grants.add(new SlowStartGrant(random.nextInt(20), now + random.nextLong(2 * SECOND)));
             }
             journal.put(launchedAt);
             journal.put(lentUntil);
             grants.forEach(grant -> journal.put(grant.rate()));
-            return new ColdRight(launchedAt, lentUntil, grants);
+            return new SlowStartQuota(launchedAt, lentUntil, grants);
         }
 
         private void summary() {
             Summary s = balancer.summary(now);
-            journal.note(Kind.SUMMARY, now, s.held());
+            journal.note(Kind.SUMMARY, now, s.queued());
             s.demand().forEach(journal::put);
-            for (Standing u : s.upstreams()) {
+            for (UpstreamStatus u : s.upstreams()) {
                 List<Object> values = List.of(
                         u.id(),
                         u.zone(),
@@ -599,7 +599,7 @@
                         u.waiting(),
                         u.reportedAt(),
                         u.ejected(),
-                        u.coldRight());
+                        u.slowStartQuota());
                 values.forEach(journal::put);
             }
         }
@@ -630,7 +630,7 @@
                 case 1 -> later(took, () -> end(a, Outcome.values()[random.nextInt(8)]));
                 case 2 -> later(SECOND + 20 * took, () -> end(a, chance(0.5) ? Outcome.TIMEOUT : Outcome.OK));
                 case DEAD -> later(MILLI, () -> end(a, Outcome.CONNECT_FAILED));
-                case 4 -> later(MILLI, () -> end(a, Outcome.FULL));
+                case 4 -> later(MILLI, () -> end(a, Outcome.REJECTED));
                 case 5 -> later(
                         took / 2, () -> end(a, chance(0.2) ? Outcome.OK : chance(0.5) ? Outcome.ERROR : Outcome.RESET));
                 default -> later(took, () -> end(a, Outcome.OK));
@@ -638,7 +638,7 @@
         }
 
         @Override
-        public void refuse(String request, long retryAfter) {
+        public void reject(String request, long retryAfter) {
             journal.note(Kind.REFUSE, now, request, retryAfter);
         }
 
@@ -655,7 +655,7 @@
         }
 
         @Override
-        public void timer(String token, long delay) {
+        public void setTimer(String token, long delay) {
             if (!tokens.contains(token)) {
                 tokens.add(token);
             }
@@ -663,12 +663,12 @@
             journal.note(Kind.TIMER, now, code, delay);
             later(delay, () -> {
                 journal.note(Kind.TIMER_DUE, now, code);
-                balancer.timer(now, token);
+                balancer.timerFired(now, token);
             });
         }
 
         @Override
-        public void probe(String upstream) {
+        public void healthCheck(String upstream) {
             journal.note(Kind.PROBE, now, upstream);
             later(random.nextLong(20 * MILLI), () -> probed(upstream));
         }
@@ -679,17 +679,17 @@
         }
 
         @Override
-        public void watch(boolean on) {
+        public void watchEndpoints(boolean on) {
             journal.note(Kind.WATCH, now, on);
         }
 
         @Override
-        public void fetch() {
+        public void fetchEndpoints() {
             journal.note(Kind.FETCH, now);
         }
 
         @Override
-        public void tell(int peer, byte[] body) {
+        public void sendToPeer(int peer, byte[] body) {
             journal.note(Kind.TELL, now, peer, new String(body, StandardCharsets.ISO_8859_1));
         }
 
--- a/src/test/java/sedgeyoke/policy/PolicyTest.java
+++ b/src/test/java/sedgeyoke/policy/PolicyTest.java
@@ -68,17 +68,17 @@
     void upstreamsThatAreGoneAreForgotten() throws ReflectiveOperationException {
         PolicyHarness h = PolicyHarness.of(config).list(3);
         for (int i = 0; i < 100; i++) {
-            h.balancer.upstreams(
+            h.balancer.endpointsUpdated(
                     h.now,
                     ListKind.CHANGES,
                     List.of(
                             new Upstream("n" + i, 0, 0, 0, State.READY, 1, 0),
-                            new Upstream("n" + (i - 2), 0, 0, 0, State.GONE, 1, 0)));
+                            new Upstream("n" + (i - 2), 0, 0, 0, State.REMOVED, 1, 0)));
         }
         Field known = UtilizationWeightedPolicy.class.getDeclaredField("byId");
         known.setAccessible(true);
         assertEquals(Set.of("u0", "u1", "u2", "n98", "n99"), ((Map<?, ?>) known.get(h.balancer)).keySet());
-        h.balancer.upstreams(h.now, ListKind.COMPLETE, List.of(new Upstream("n99", 0, 0, 0, State.READY, 1, 0)));
+        h.balancer.endpointsUpdated(h.now, ListKind.COMPLETE, List.of(new Upstream("n99", 0, 0, 0, State.READY, 1, 0)));
         assertEquals(Set.of("n99"), ((Map<?, ?>) known.get(h.balancer)).keySet());
         h.serve(0, 20 * MILLI, u -> 0.5);
         assertEquals(Map.of("n99", 1), h.perUpstream);
@@ -98,7 +98,7 @@
         for (Ratings ratings : List.of(Ratings.NOMINAL, Ratings.NONE)) {
             config.ratings = ratings;
             PolicyHarness h = PolicyHarness.of(config);
-            h.balancer.upstreams(
+            h.balancer.endpointsUpdated(
                     h.now,
                     ListKind.RESTORED,
                     List.of(
@@ -133,7 +133,7 @@
         PolicyHarness none = PolicyHarness.of(config).list(3);
         none.advance(5 * SECOND);
         assertTrue(none.probes.isEmpty());
-        config.reports = Reports.BY_PROBE;
+        config.reports = Reports.BY_HEALTH_CHECK;
         PolicyHarness h = PolicyHarness.of(config).list(3);
         h.advance(60 * SECOND);
         assertEquals(3, new HashSet<>(h.probes).size());
@@ -426,7 +426,7 @@
                 h.advance(510 * MILLI);
             }
             h.refused.clear();
-            h.balancer.request(
+            h.balancer.requestArrived(
                     h.now, new LoadBalancingPolicy.Request("again", 0, 0, null, 0, 2 * SECOND, false, retry));
             h.advance(100 * MILLI);
             assertEquals(retry, h.refused.contains("again"));
@@ -480,7 +480,7 @@
         config.group = 300;
         config.ratings = Ratings.NOMINAL;
         PolicyHarness h = PolicyHarness.of(config);
-        h.balancer.upstreams(
+        h.balancer.endpointsUpdated(
                 h.now,
                 ListKind.RESTORED,
                 List.of(
@@ -570,7 +570,7 @@
         config.group = 300;
         config.warmKeys = true;
         PolicyHarness h = PolicyHarness.of(config);
-        h.balancer.upstreams(
+        h.balancer.endpointsUpdated(
                 h.now,
                 ListKind.RESTORED,
                 IntStream.range(0, 40).mapToObj(upstream).toList());
@@ -653,7 +653,7 @@
         for (int i = 0; i < 50; i++) {
             String id = h.request(0, 2 * SECOND);
             while (h.lastUpstream(id) != null && !h.refused.contains(id)) {
-                h.end(id, Outcome.FULL, MILLI, null);
+                h.end(id, Outcome.REJECTED, MILLI, null);
                 h.advance(20 * MILLI);
             }
         }
@@ -704,7 +704,7 @@
     void anUnsafeRequestThatProvablyNeverRanIsSentAgain() {
         PolicyHarness h = PolicyHarness.of(config).list(3);
         String id = h.request(2, 2 * SECOND);
-        h.end(id, Outcome.FULL, MILLI, null);
+        h.end(id, Outcome.REJECTED, MILLI, null);
         h.advance(100 * MILLI);
         assertEquals(2, h.sends.get(id).size());
     }
@@ -733,7 +733,7 @@
             h.serve(0, 5 * MILLI, u -> 0.5);
         }
         assertEquals(0, count(h, "u0"));
-        h.balancer.upstreams(h.now, ListKind.COMPLETE, List.of(PolicyHarness.up(2, State.READY, 0)));
+        h.balancer.endpointsUpdated(h.now, ListKind.COMPLETE, List.of(PolicyHarness.up(2, State.READY, 0)));
         h.perUpstream.clear();
         h.serve(0, 5 * MILLI, u -> 0.5);
         assertEquals(Set.of("u2"), h.perUpstream.keySet());
@@ -868,8 +868,8 @@
                 h.serve(0, 10 * MILLI, u -> 0.6);
             }
             h.change(PolicyHarness.up(0, State.READY, h.now - MILLI));
-            h.change(PolicyHarness.up(1, State.GONE, 0));
-            h.change(PolicyHarness.up(2, State.GONE, 0));
+            h.change(PolicyHarness.up(1, State.REMOVED, 0));
+            h.change(PolicyHarness.up(2, State.REMOVED, 0));
             h.sends.clear();
             Set<String> ended = new HashSet<>();
             for (int i = 0; i < 60; i++) {
@@ -889,7 +889,7 @@
     @Test
     void whenAllUpstreamsAreColdRequestsAreAnsweredInTimeAllTheSame() {
         PolicyHarness h = PolicyHarness.of(config);
-        h.balancer.upstreams(h.now, ListKind.RESTORED, List.of(PolicyHarness.up(0, State.READY, h.now - MILLI)));
+        h.balancer.endpointsUpdated(h.now, ListKind.RESTORED, List.of(PolicyHarness.up(0, State.READY, h.now - MILLI)));
         for (int i = 0; i < 20; i++) {
             h.request(0, SECOND);
         }
@@ -906,7 +906,7 @@
         config.ask = true;
         PolicyHarness h = PolicyHarness.of(config);
         assertTrue(h.done.contains(h.now + " watch true"));
-        h.balancer.upstreams(h.now, ListKind.UNAVAILABLE, List.of());
+        h.balancer.endpointsUpdated(h.now, ListKind.UNAVAILABLE, List.of());
         h.advance(5 * SECOND);
         assertTrue(h.done.stream().filter(d -> d.endsWith("watch true")).count() >= 2);
         config.ask = false;
@@ -922,7 +922,7 @@
         int asked = 1;
         List<Long> pauses = new ArrayList<>();
         for (int i = 0; i < 8; i++) {
-            h.balancer.upstreams(h.now, ListKind.UNAVAILABLE, List.of());
+            h.balancer.endpointsUpdated(h.now, ListKind.UNAVAILABLE, List.of());
             before = h.now;
             for (; asks(h) == asked; h.advance(10 * MILLI)) {
                 assertTrue(h.now - before < 10 * SECOND, "never asked again");
@@ -932,8 +932,8 @@
         }
         assertTrue(pauses.get(0) < SECOND, "soon at first: " + pauses);
         pauses.subList(3, 8).forEach(p -> assertTrue(p > SECOND && p < 5 * SECOND, "seldom later on: " + pauses));
-        h.balancer.upstreams(h.now, ListKind.CHANGES, List.of());
-        h.balancer.upstreams(h.now, ListKind.UNAVAILABLE, List.of());
+        h.balancer.endpointsUpdated(h.now, ListKind.CHANGES, List.of());
+        h.balancer.endpointsUpdated(h.now, ListKind.UNAVAILABLE, List.of());
         h.advance(SECOND);
         assertEquals(asked + 1, asks(h), "soon again after one that went well");
     }
@@ -947,7 +947,7 @@
         config.stream = true;
         PolicyHarness h = PolicyHarness.of(config).list(1);
         String id = h.request(0, 500 * MILLI);
-        h.balancer.opened(h.now, id, 0);
+        h.balancer.responseStarted(h.now, id, 0);
         h.advance(5 * SECOND);
         assertEquals(List.of(), h.failed);
         assertEquals(List.of(), h.refused);
@@ -969,12 +969,12 @@
     @Test
     void lateAndUnknownEventsAreIgnored() {
         PolicyHarness h = PolicyHarness.of(config).list(1);
-        h.balancer.clientGone(h.now, "never");
-        h.balancer.probed(h.now, "never", Outcome.OK, null);
-        h.balancer.probed(h.now, "u0", Outcome.TIMEOUT, null);
-        h.balancer.timer(h.now, "never");
-        h.balancer.peerMessage(h.now, 1, new byte[0]);
-        h.balancer.outcome(
+        h.balancer.clientDisconnected(h.now, "never");
+        h.balancer.healthCheckCompleted(h.now, "never", Outcome.OK, null);
+        h.balancer.healthCheckCompleted(h.now, "u0", Outcome.TIMEOUT, null);
+        h.balancer.timerFired(h.now, "never");
+        h.balancer.peerMessageReceived(h.now, 1, new byte[0]);
+        h.balancer.attemptEnded(
                 h.now,
                 new LoadBalancingPolicy.AttemptEnd(
                         "never", 0, "u0", Outcome.OK, 1, true, new LoadReport(1, 1, 1, 1, 1, 1)));
--- a/src/test/java/sedgeyoke/policy/TransfersTest.java
+++ b/src/test/java/sedgeyoke/policy/TransfersTest.java
@@ -16,8 +16,8 @@
 import sedgeyoke.policy.LoadBalancingPolicy.AttemptEnd;
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 import sedgeyoke.policy.LoadBalancingPolicy.Request;
-import sedgeyoke.policy.LoadBalancingPolicy.Standing;
 import sedgeyoke.policy.LoadBalancingPolicy.State;
+import sedgeyoke.policy.LoadBalancingPolicy.UpstreamStatus;
 
 /** Attempts at their client's pace: they take a connection of an upstream, and none of its work. */
 class TransfersTest {
@@ -30,18 +30,18 @@
     }
 
     private static String coming(PolicyHarness h, String id) {
-        h.balancer.request(h.now, new Request(id, 2, 0, null, 0, 100 * SECOND, true, false, true));
+        h.balancer.requestArrived(h.now, new Request(id, 2, 0, null, 0, 100 * SECOND, true, false, true));
         return id;
     }
 
     private static void begin(PolicyHarness h, String id) {
-        h.balancer.opened(h.now, id, 0);
-        h.balancer.transfers(h.now, id, 0);
+        h.balancer.responseStarted(h.now, id, 0);
+        h.balancer.transferStarted(h.now, id, 0);
     }
 
     private static int inFlight(PolicyHarness h) {
         return h.balancer.summary(h.now).upstreams().stream()
-                .mapToInt(Standing::inFlight)
+                .mapToInt(UpstreamStatus::inFlight)
                 .sum();
     }
 
@@ -77,7 +77,7 @@
         assertEquals(3, inFlight(h));
         String waits = h.request(0, SECOND);
         assertNull(h.lastUpstream(waits));
-        h.balancer.transfers(h.now, "r0", 0);
+        h.balancer.transferStarted(h.now, "r0", 0);
         assertNotNull(h.lastUpstream(waits));
     }
 
@@ -95,7 +95,7 @@
             begin(slow, coming(slow, "t" + i));
             slow.advance(30_000_000);
             none.advance(30_000_000);
-            slow.balancer.outcome(
+            slow.balancer.attemptEnded(
                     slow.now,
                     new AttemptEnd(
                             "t" + i, 0, "u0", i % 2 == 0 ? Outcome.OK : Outcome.TIMEOUT, 29_000_000, true, null));
@@ -110,7 +110,7 @@
         PolicyHarness h = host(2);
         begin(h, coming(h, "t"));
         h.advance(60 * SECOND);
-        assertTrue(h.balancer.summary(h.now).upstreams().stream().noneMatch(Standing::ejected));
+        assertTrue(h.balancer.summary(h.now).upstreams().stream().noneMatch(UpstreamStatus::ejected));
     }
 
     /** Its work would arrive whenever its client is done, and many at once at worst: no budget covers that. */
@@ -155,12 +155,12 @@
                 case 1, 2 -> transfer(h, id, atWork);
                 case 3 -> {
                     if (id != null) {
-                        h.balancer.opened(h.now, id, 0);
+                        h.balancer.responseStarted(h.now, id, 0);
                     }
                 }
                 case 4 -> {
                     if (id != null && random.nextBoolean()) {
-                        h.balancer.clientGone(h.now, id);
+                        h.balancer.clientDisconnected(h.now, id);
                     }
                 }
                 default -> end(h, id, random.nextBoolean() ? Outcome.OK : Outcome.RESET, atWork, ids);
@@ -188,7 +188,7 @@
 
     private static void transfer(PolicyHarness h, String id, Map<String, Boolean> atWork) {
         if (id != null) {
-            h.balancer.transfers(h.now, id, 0);
+            h.balancer.transferStarted(h.now, id, 0);
             atWork.put(id, false);
         }
     }
@@ -196,8 +196,8 @@
     private static void end(
             PolicyHarness h, String id, Outcome outcome, Map<String, Boolean> atWork, List<String> ids) {
         if (id != null) {
-            h.balancer.outcome(h.now, new AttemptEnd(id, 0, h.sends.get(id).get(0), outcome, 10_000, true, null));
-            h.balancer.transfers(h.now, id, 0); // late, and of no effect
+            h.balancer.attemptEnded(h.now, new AttemptEnd(id, 0, h.sends.get(id).get(0), outcome, 10_000, true, null));
+            h.balancer.transferStarted(h.now, id, 0); // late, and of no effect
             atWork.put(id, null);
             ids.remove(id);
         }
--- a/src/test/java/sedgeyoke/proxy/CrossingsTest.java
+++ b/src/test/java/sedgeyoke/proxy/CrossingsTest.java
@@ -97,7 +97,7 @@
                 if (end.outcome() == Outcome.RESET) {
                     m.actions.send(end.request(), "b", 0);
                     standUntil(System.nanoTime() + 300 * MS); // it connects, and the loop comes to it too late
-                } else if (end.outcome() == Outcome.MOOT) {
+                } else if (end.outcome() == Outcome.NOT_SENT) {
                     m.actions.fail(end.request());
                 }
             };
@@ -105,7 +105,7 @@
             assertEquals(200, lb.ask("id-2", "update", 5_000).status());
             assertEquals(1, up.requests.size(), "only the second one");
             assertEquals(
-                    List.of(Outcome.RESET, Outcome.MOOT, Outcome.OK),
+                    List.of(Outcome.RESET, Outcome.NOT_SENT, Outcome.OK),
                     module.ends.stream().map(e -> e.outcome()).toList());
         }
     }
@@ -195,7 +195,7 @@
     @Test
     void requestsThatComeJustAsConnectionsAreClosedAreAnswered() throws Exception {
         try (Loopback lb = start(ending())) {
-            module.onRequest = (m, r) -> m.actions.refuse(r.id(), 0);
+            module.onRequest = (m, r) -> m.actions.reject(r.id(), 0);
             List<Socket> sockets = new ArrayList<>();
             for (int i = 0; i < 20; i++) {
                 Socket socket = lb.connect();
@@ -232,7 +232,7 @@
     @Test
     void connectionsThatTheKernelHoldsWhenListeningEndsAreServed() throws Exception {
         try (Loopback lb = start(ending())) {
-            module.onRequest = (m, r) -> m.actions.refuse(r.id(), 0);
+            module.onRequest = (m, r) -> m.actions.reject(r.id(), 0);
             Loopback.await("ready", () -> lb.health() == 200);
             CountDownLatch stands = new CountDownLatch(1);
             CountDownLatch go = new CountDownLatch(1);
@@ -328,10 +328,10 @@
             Socket client = lb.connect();
             Peer.write(client, Loopback.request("id-1", "order", 20_000) + Loopback.request("id-2", "order", 20_000));
             Loopback.await("held", () -> held.contains("id-1"));
-            module.onRequest = (m, r) -> m.actions.refuse(r.id(), 0);
+            module.onRequest = (m, r) -> m.actions.reject(r.id(), 0);
             lb.loop
                     .submit(() -> {
-                        lb.loop.schedule(() -> module.actions.refuse("id-1", 0), 0, TimeUnit.MILLISECONDS);
+                        lb.loop.schedule(() -> module.actions.reject("id-1", 0), 0, TimeUnit.MILLISECONDS);
                         lb.loop.schedule(() -> standUntil(System.nanoTime() + 2_100 * MS), 0, TimeUnit.MILLISECONDS);
                         standUntil(System.nanoTime() + 60 * MS); // until these and the look at all connections are due
                     })
--- a/src/test/java/sedgeyoke/proxy/DiscoveryTest.java
+++ b/src/test/java/sedgeyoke/proxy/DiscoveryTest.java
@@ -59,7 +59,7 @@
         replies.add(Loopback.list(43, false, up.replace("\"up\"", "\"draining\"")));
         replies.add(Loopback.list(44, false, "{\"id\":\"u\",\"phase\":\"removed\"}"));
         try (Loopback lb = start(known)) {
-            awaitLists("RESTORED old:READY", "COMPLETE u:READY", "CHANGES u:DRAINING", "CHANGES u:GONE");
+            awaitLists("RESTORED old:READY", "COMPLETE u:READY", "CHANGES u:DRAINING", "CHANGES u:REMOVED");
             Loopback.await("the next watch", () -> lb.discovery.requests.size() == 5);
             assertEquals(
                     "GET /catalog/members HTTP/1.1",
@@ -92,12 +92,12 @@
         replies.add(Loopback.list(2, false, up.replace("\"up\"", "\"draining\"")));
         try (Loopback lb = start(true, up)) {
             assertEquals(200, lb.health(), "no news is no reason to keep clients waiting");
-            lb.loop.execute(() -> module.actions.watch(true));
+            lb.loop.execute(() -> module.actions.watchEndpoints(true));
             awaitLists("RESTORED u:READY", "CHANGES u:DRAINING");
             assertTrue(lb.discovery.requests.get(0).line().contains("from=1&hold_ms="));
         }
         try (Loopback lb = start(true)) {
-            lb.loop.execute(() -> module.actions.watch(true));
+            lb.loop.execute(() -> module.actions.watchEndpoints(true));
             Loopback.await("a call", () -> !lb.discovery.requests.isEmpty());
             assertEquals(
                     "GET /catalog/members HTTP/1.1",
@@ -113,9 +113,9 @@
         replies.add(Loopback.list(0, false, up.replace("\"up\"", "\"draining\"")));
         replies.add(Loopback.list(0, true, up));
         try (Loopback lb = start(true, up)) {
-            lb.loop.execute(() -> module.actions.watch(true));
+            lb.loop.execute(() -> module.actions.watchEndpoints(true));
             awaitLists("RESTORED u:READY", "UNAVAILABLE");
-            lb.loop.execute(() -> module.actions.watch(true));
+            lb.loop.execute(() -> module.actions.watchEndpoints(true));
             awaitLists("RESTORED u:READY", "UNAVAILABLE", "COMPLETE u:READY");
             assertEquals(
                     "GET /catalog/members HTTP/1.1",
@@ -131,9 +131,9 @@
         replies.add(Loopback.list(1, false));
         replies.add(Loopback.list(1, false));
         try (Loopback lb = start(true, up)) {
-            lb.loop.execute(() -> module.actions.watch(true));
+            lb.loop.execute(() -> module.actions.watchEndpoints(true));
             awaitLists("RESTORED u:READY", "UNAVAILABLE");
-            lb.loop.execute(() -> module.actions.watch(true));
+            lb.loop.execute(() -> module.actions.watchEndpoints(true));
             Loopback.await("the watch after two answers", () -> lb.discovery.requests.size() == 4);
             awaitLists("RESTORED u:READY", "UNAVAILABLE", "CHANGES");
         }
@@ -239,7 +239,7 @@
     void nothingGoesToAnUpstreamDrainedLongAgo() throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = start(Loopback.member("u", up.address(), "draining"))) {
-            module.onEnd = (m, end) -> m.actions.refuse(end.request(), 0);
+            module.onEnd = (m, end) -> m.actions.reject(end.request(), 0);
             int served = 0;
             long end = System.nanoTime() + 10_000_000_000L;
             for (int i = 0; lb.ask("id-" + i, "order", 2000).status() == 200; i++) {
--- a/src/test/java/sedgeyoke/proxy/ProxyCoreTest.java
+++ b/src/test/java/sedgeyoke/proxy/ProxyCoreTest.java
@@ -82,7 +82,7 @@
         AtomicLong left = new AtomicLong();
         try (Loopback lb = scripted((m, r) -> {
                     left.set(r.timeLeft());
-                    m.actions.refuse(r.id(), 0);
+                    m.actions.reject(r.id(), 0);
                 })
                 .start()) {
             Socket client = lb.connect();
@@ -129,17 +129,17 @@
             assertEquals(200, Loopback.answer(client).status());
             Loopback.await("told", () -> module.ends.size() == 1);
             assertTrue(
-                    module.ends.get(0).took() < 1_000_000,
-                    "took " + module.ends.get(0).took());
+                    module.ends.get(0).duration() < 1_000_000,
+                    "took " + module.ends.get(0).duration());
         }
     }
 
     @Test
     void onlyTheFirstAnswerCounts() throws Exception {
         try (Loopback lb = scripted((m, r) -> {
-                    m.actions.refuse(r.id(), 0);
+                    m.actions.reject(r.id(), 0);
                     m.actions.fail(r.id());
-                    m.actions.refuse(r.id(), 0);
+                    m.actions.reject(r.id(), 0);
                 })
                 .start()) {
             Socket client = lb.connect();
@@ -161,14 +161,15 @@
                             for (int i = 0; i < 5; i++) {
                                 m.actions.send(r.id(), i == 0 ? "unheard-of" : "u", 0);
                             }
-                            m.actions.refuse(r.id(), 0);
+                            m.actions.reject(r.id(), 0);
                             m.actions.cancel(r.id(), 1);
                         })
                         .upstream("u", up.address())
                         .start()) {
             assertEquals(503, lb.ask("id-1", "read", 2000).status());
             Loopback.await("ends", () -> module.ends.size() == 5);
-            assertEquals(4, outcomes().stream().filter(o -> o == Outcome.MOOT).count());
+            assertEquals(
+                    4, outcomes().stream().filter(o -> o == Outcome.NOT_SENT).count());
             assertEquals(
                     1, outcomes().stream().filter(o -> o == Outcome.CANCELLED).count());
             assertTrue(up.requests.isEmpty());
@@ -185,7 +186,7 @@
                             m.actions.send(r.id(), "u", 0);
                             if (r.id().equals("id-1")) {
                                 m.actions.cancel(r.id(), 0);
-                                m.actions.refuse(r.id(), 0);
+                                m.actions.reject(r.id(), 0);
                             }
                         })
                         .upstream("u", up.address())
@@ -204,13 +205,13 @@
                 Loopback lb = scripted((m, r) -> {
                             m.actions.send(r.id(), "u", 0);
                             if (r.id().equals("id-1")) {
-                                m.actions.refuse(r.id(), 0);
+                                m.actions.reject(r.id(), 0);
                             }
                         })
                         .upstream("u", up.address())
                         .start()) {
             assertEquals(503, lb.ask("id-1", "order", 2000).status());
-            Loopback.await("ended", () -> outcomes().equals(List.of(Outcome.MOOT)));
+            Loopback.await("ended", () -> outcomes().equals(List.of(Outcome.NOT_SENT)));
             assertEquals(200, lb.ask("id-2", "order", 2000).status());
             assertEquals(1, up.requests.size());
         }
@@ -244,7 +245,7 @@
                 Loopback lb = scripted((m, r) -> m.actions.send(r.id(), "a", 30_000))
                         .upstream("a", "127.0.0.1:" + dead.getLocalPort())
                         .start()) {
-            module.onEnd = (m, end) -> m.actions.refuse(end.request(), 0);
+            module.onEnd = (m, end) -> m.actions.reject(end.request(), 0);
             assertTrue(first.isConnected() && second.isConnected());
             assertEquals(503, lb.ask("id-1", "order", 2000).status());
             assertEquals(List.of(Outcome.CONNECT_FAILED), outcomes());
--- a/src/test/java/sedgeyoke/proxy/ScriptedModule.java
+++ b/src/test/java/sedgeyoke/proxy/ScriptedModule.java
@@ -37,23 +37,23 @@
 
     @Override
     public void start(long now) {
-        actions.timer("tick", 5_000);
+        actions.setTimer("tick", 5_000);
     }
 
     @Override
-    public void upstreams(long now, ListKind kind, List<Upstream> entries) {
+    public void endpointsUpdated(long now, ListKind kind, List<Upstream> entries) {
         StringBuilder text = new StringBuilder(kind.toString());
         entries.forEach(e -> text.append(' ').append(e.id()).append(':').append(e.state()));
         event(() -> lists.add(text.toString()));
     }
 
     @Override
-    public void request(long now, Request request) {
+    public void requestArrived(long now, Request request) {
         event(() -> onRequest.accept(this, request));
     }
 
     @Override
-    public void outcome(long now, AttemptEnd end) {
+    public void attemptEnded(long now, AttemptEnd end) {
         event(() -> {
             ends.add(end);
             onEnd.accept(this, end);
@@ -61,46 +61,46 @@
     }
 
     @Override
-    public void opened(long now, String request, int attempt) {
+    public void responseStarted(long now, String request, int attempt) {
         if (!streams) {
             throw new AssertionError("there are no streams");
         }
     }
 
     @Override
-    public void transfers(long now, String request, int attempt) {
+    public void transferStarted(long now, String request, int attempt) {
         if (!streams) {
             throw new AssertionError("there are no streams");
         }
     }
 
     @Override
-    public void clientGone(long now, String request) {
+    public void clientDisconnected(long now, String request) {
         event(() -> gone.add(request));
     }
 
     @Override
-    public void probed(long now, String upstream, Outcome outcome, LoadReport load) {
+    public void healthCheckCompleted(long now, String upstream, Outcome outcome, LoadReport load) {
         throw new AssertionError("there are no probes");
     }
 
     @Override
-    public void timer(long now, String token) {
-        event(() -> actions.timer(token, 5_000));
+    public void timerFired(long now, String token) {
+        event(() -> actions.setTimer(token, 5_000));
     }
 
     @Override
-    public void peerMessage(long now, int from, byte[] body) {
+    public void peerMessageReceived(long now, int from, byte[] body) {
         throw new AssertionError("there are no peers");
     }
 
     @Override
-    public void plan(long now, Plan plan) {
+    public void planUpdated(long now, Plan plan) {
         throw new AssertionError("there are no planners");
     }
 
     @Override
-    public void cordons(long now, Map<String, Long> out) {
+    public void cordonsUpdated(long now, Map<String, Long> out) {
         event(() -> cordons.add(out.keySet().toString()));
     }
 
