--- /dev/null
+++ b/src/test/java/sedgeyoke/KnownRedTest.java
@@ -0,0 +1,224 @@
+package sedgeyoke;
+
+import static org.junit.jupiter.api.Assertions.assertAll;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The script that CI runs, on a copy in a folder of its own and with a stand-in for Maven on its path. */
+class KnownRedTest {
+    private static final String LINE = "sedgeyoke.SomeTest#fails | the clock steps back | issue 7\n";
+    private static final String MAIN_RUN = "mvn -B -ntp verify -Dsurefire.excludesFile=target/known-red/excludes";
+    private static final String MAIN_CLOSING_LINE = "[INFO] Tests run: 40, Failures: 0, Errors: 0, Skipped: 0";
+    private static final long LONGEST_RUN_SECONDS = 60;
+
+    @TempDir
+    Path root;
+
+    /** What a run of the script left: its exit code, all that it printed, and the commands that it gave to Maven. */
+    private record Run(int exitCode, String output, List<String> commands) {}
+
+    @BeforeEach
+    void copyScripts() throws IOException {
+        Files.createDirectories(root.resolve(".ci"));
+        for (String script : List.of("run", "known-red")) {
+            Files.copy(Path.of(".ci", script), root.resolve(".ci").resolve(script), StandardCopyOption.COPY_ATTRIBUTES);
+        }
+    }
+
+    @Test
+    void withoutAListTheTestCommandRunsUnchanged() throws Exception {
+        Run run = run(0, "");
+        assertAll(
+                () -> assertEquals(0, run.exitCode(), run.output()),
+                () -> assertEquals(List.of("mvn -B -ntp verify"), run.commands()),
+                () -> assertEquals(MAIN_CLOSING_LINE, lastLine(run)));
+    }
+
+    @Test
+    void withoutAListTheExitCodeIsMavens() throws Exception {
+        assertEquals(5, run(5, "").exitCode());
+    }
+
+    @Test
+    void aListOfCommentsAloneRunsTheTestCommandUnchanged() throws Exception {
+        list("# nothing is red\n\n");
+        Run run = run(0, "");
+        assertEquals(0, run.exitCode(), run.output());
+        assertEquals(List.of("mvn -B -ntp verify"), run.commands());
+    }
+
+    @Test
+    void aListedTestThatFailsIsPrintedAndPassedOver() throws Exception {
+        list("# see CONTRIBUTING.md\n" + LINE);
+        Run run = run(0, "[ERROR] Tests run: 1, Failures: 1, Errors: 0, Skipped: 0");
+        assertAll(
+                () -> assertEquals(0, run.exitCode(), run.output()),
+                () -> assertEquals(
+                        List.of(
+                                "mvn -B -ntp test-compile",
+                                "mvn -B -ntp surefire:test -Dtest=sedgeyoke.SomeTest#fails",
+                                MAIN_RUN),
+                        run.commands()),
+                () -> assertEquals(
+                        "**/*$*\nsedgeyoke.SomeTest#fails\n",
+                        Files.readString(root.resolve("target/known-red/excludes"))),
+                () -> assertTrue(
+                        run.output()
+                                .contains("known red: sedgeyoke.SomeTest#fails FAILED as listed: "
+                                        + "the clock steps back (issue 7)"),
+                        run.output()),
+                () -> assertEquals(MAIN_CLOSING_LINE, lastLine(run)));
+    }
+
+    @Test
+    void aListedTestThatEndsWithAnErrorCountsAsFailed() throws Exception {
+        list(LINE);
+        Run run = run(0, "[ERROR] Tests run: 1, Failures: 0, Errors: 1, Skipped: 0");
+        assertEquals(0, run.exitCode(), run.output());
+    }
+
+    @Test
+    void aListedTestThatPassesFailsTheRun() throws Exception {
+        list(LINE);
+        Run run = run(0, "[INFO] Tests run: 1, Failures: 0, Errors: 0, Skipped: 0");
+        assertRejected(run, "sedgeyoke.SomeTest#fails: passes; remove its line");
+        assertTrue(run.commands().contains(MAIN_RUN), "the main run is made all the same");
+    }
+
+    @Test
+    void aListedTestThatIsSkippedFailsTheRun() throws Exception {
+        list(LINE);
+        Run run = run(0, "[WARNING] Tests run: 1, Failures: 0, Errors: 0, Skipped: 1");
+        assertRejected(run, "sedgeyoke.SomeTest#fails: no test was executed");
+    }
+
+    @Test
+    void anUnknownTestFailsTheRun() throws Exception {
+        list(LINE);
+        Run run = run(0, "[ERROR] No tests matching pattern \"sedgeyoke.SomeTest#fails\" were executed!");
+        assertRejected(run, "sedgeyoke.SomeTest#fails: no test was executed");
+    }
+
+    @Test
+    void aNameThatTwoClassesHaveFailsTheRun() throws Exception {
+        list("SomeTest#fails | cause | issue\n");
+        Run run = run(
+                0,
+                "[INFO] Running sedgeyoke.plan.SomeTest\n[INFO] Running sedgeyoke.lease.SomeTest\n"
+                        + "[ERROR] Tests run: 2, Failures: 2, Errors: 0, Skipped: 0");
+        assertRejected(run, "SomeTest#fails: more than one class has this name");
+    }
+
+    @Test
+    void threeTestsMayBeListed() throws Exception {
+        list(LINE.repeat(3));
+        Run run = run(0, "[ERROR] Tests run: 1, Failures: 1, Errors: 0, Skipped: 0");
+        assertEquals(0, run.exitCode(), run.output());
+    }
+
+    @Test
+    void fourListedTestsFailTheRunBeforeAnyTestRuns() throws Exception {
+        list(LINE.repeat(4));
+        Run run = run(0, "");
+        assertRejected(run, "4 tests are listed, at most 3 are allowed");
+        assertEquals(List.of(), run.commands());
+    }
+
+    @Test
+    void aLineWithoutAllThreePartsFailsTheRunBeforeAnyTestRuns() throws Exception {
+        List<String> malformed = List.of(
+                "sedgeyoke.SomeTest#fails",
+                "sedgeyoke.SomeTest#fails | cause",
+                "sedgeyoke.SomeTest#fails | cause | ",
+                "sedgeyoke.SomeTest#fails |  | issue 7",
+                "sedgeyoke.SomeTest#fails | cause | issue 7 | more",
+                "sedgeyoke.SomeTest | cause | issue 7",
+                "sedgeyoke.*#fails | cause | issue 7",
+                "SomeTest#fails,OtherTest#fails | cause | issue 7",
+                " | cause | issue 7");
+        for (String line : malformed) {
+            list("# comment\n" + line);
+            Run run = run(0, "[ERROR] Tests run: 1, Failures: 1, Errors: 0, Skipped: 0");
+            assertRejected(run, "line 2 is not 'Class#method | cause | issue': " + line.strip());
+            assertEquals(List.of(), run.commands(), line);
+        }
+    }
+
+    @Test
+    void anotherTestThatFailsGivesMavensExitCode() throws Exception {
+        list(LINE);
+        Run run = run(3, "[ERROR] Tests run: 1, Failures: 1, Errors: 0, Skipped: 0");
+        assertEquals(3, run.exitCode(), run.output());
+    }
+
+    @Test
+    void codeThatDoesNotCompileGivesMavensExitCode() throws Exception {
+        list(LINE);
+        Files.createFile(root.resolve("does-not-compile"));
+        Run run = run(0, "[ERROR] Tests run: 1, Failures: 1, Errors: 0, Skipped: 0");
+        assertEquals(9, run.exitCode(), run.output());
+        assertEquals(List.of("mvn -B -ntp test-compile"), run.commands());
+    }
+
+    private void list(String text) throws IOException {
+        Files.writeString(root.resolve("KNOWN-RED.txt"), text);
+    }
+
+    /** Runs the script with a Maven whose main run ends with a code and which prints this for a listed test. */
+    private Run run(int mainExitCode, String listedTestOutput) throws Exception {
+        Path commands = root.resolve("commands");
+        Files.deleteIfExists(commands);
+        Files.writeString(root.resolve("listed-output"), listedTestOutput + "\n");
+        writeMaven(mainExitCode);
+        ProcessBuilder builder = new ProcessBuilder(root.resolve(".ci/run").toString()).redirectErrorStream(true);
+        builder.environment().put("PATH", root.resolve("bin") + ":" + System.getenv("PATH"));
+        Path output = root.resolve("output");
+        Process process = builder.redirectOutput(output.toFile()).start();
+        try {
+            assertTrue(process.waitFor(LONGEST_RUN_SECONDS, TimeUnit.SECONDS), "the script has not ended");
+        } finally {
+            process.destroyForcibly();
+        }
+        return new Run(
+                process.exitValue(),
+                Files.readString(output, StandardCharsets.UTF_8),
+                Files.exists(commands) ? Files.readAllLines(commands) : List.of());
+    }
+
+    private void writeMaven(int mainExitCode) throws IOException {
+        Path maven = Files.createDirectories(root.resolve("bin")).resolve("mvn");
+        String script =
+                """
+                #!/bin/sh
+                echo "mvn $*" >> commands
+                case "$*" in
+                    *test-compile*) if [ -e does-not-compile ]; then exit 9; fi ;;
+                    *-Dtest=*) cat listed-output; ! grep -q ERROR listed-output ;;
+                    *) echo "%s"; exit %d ;;
+                esac
+                """;
+        Files.writeString(maven, String.format(script, MAIN_CLOSING_LINE, mainExitCode));
+        assertTrue(maven.toFile().setExecutable(true));
+    }
+
+    private static void assertRejected(Run run, String message) {
+        assertEquals(1, run.exitCode(), run.output());
+        assertTrue(run.output().contains("KNOWN-RED.txt: " + message), run.output());
+    }
+
+    private static String lastLine(Run run) {
+        List<String> lines = run.output().lines().toList();
+        return lines.get(lines.size() - 1);
+    }
+}
