--- a/bench/src/PlannerScale.java
+++ b/bench/src/PlannerScale.java
@@ -48,7 +48,7 @@
             List<byte[]> messages = new ArrayList<>();
             for (int f = 0; f < forwarders; f++) {
                 messages.add(Frame.newBuilder()
-                        .setReport(Messages.of(report(f, round, stamp, upstreams, cold, random)))
+                        .setReport(PlannerCodec.of(report(f, round, stamp, upstreams, cold, random)))
                         .build()
                         .toByteArray());
             }
@@ -56,16 +56,16 @@
             for (int f = 0; f < forwarders; f++) {
                 planner.report(
                         now,
-                        Messages.report(
+                        PlannerCodec.report(
                                 "f" + f, Frame.parseFrom(messages.get(f)).getReport()));
             }
             long reported = System.nanoTime();
             List<Planner.Out> planned = planner.plan(now);
-            ByteString board = Messages.board(planned.get(0).message().views());
+            ByteString board = PlannerCodec.board(planned.get(0).message().views());
             long bytes = 0;
             for (Planner.Out o : planned) {
                 bytes += Frame.newBuilder()
-                        .setPlan(Messages.of(o, board))
+                        .setPlan(PlannerCodec.of(o, board))
                         .build()
                         .toByteArray()
                         .length;
@@ -107,7 +107,7 @@
     private static ForwarderReport report(
             int f, int round, long stamp, int upstreams, int cold, SplittableRandom random) {
         List<ForwarderReport.Load> loads = new ArrayList<>();
-        int n = Math.min(upstreams, Report.MOST_LOADS);
+        int n = Math.min(upstreams, ForwarderReport.MOST_LOADS);
         for (int i = 0; i < n; i++) {
             int u = (round * n + f + i) % upstreams;
             loads.add(new ForwarderReport.Load(
@@ -123,16 +123,17 @@
                     random.nextInt(500_000),
                     false));
         }
-        List<Report.Deposit> deposits = new ArrayList<>();
-        for (int u = 0; u < Math.min(cold, Report.MOST_DEPOSITS); u++) {
-            deposits.add(new Report.Deposit(String.format("s-%08x", u * 0x9E3779B9), 1_764_580_000_000_000L, 0.05));
+        List<ForwarderReport.Deposit> deposits = new ArrayList<>();
+        for (int u = 0; u < Math.min(cold, ForwarderReport.MOST_DEPOSITS); u++) {
+            deposits.add(
+                    new ForwarderReport.Deposit(String.format("s-%08x", u * 0x9E3779B9), 1_764_580_000_000_000L, 0.05));
         }
         return new ForwarderReport(
                 "f" + f,
                 3,
                 round + 1,
                 77,
-                new Report.Stamp(7, stamp),
+                new ForwarderReport.Stamp(7, stamp),
                 f % 3,
                 1_500_000,
                 0.8,
