--- a/src/main/java/sedgeyoke/cli/ConfigServersCommand.java
+++ b/src/main/java/sedgeyoke/cli/ConfigServersCommand.java
@@ -98,13 +98,14 @@
             throw new CommandLine.ParameterException(spec.commandLine(), "NAME=ADDRESS, not " + keeper);
         }
         return change(
-                common, new ClientRequest.Add(new Member(parts[0], Long.parseUnsignedLong(folder, 16), parts[1])));
+                common,
+                new ClientRequest.AddMember(new Member(parts[0], Long.parseUnsignedLong(folder, 16), parts[1])));
     }
 
     @Command(name = "remove", mixinStandardHelpOptions = true, description = "A keeper goes.")
     int remove(@Mixin ConfigClientOptions common, @Parameters(paramLabel = "NAME") String name)
             throws InterruptedException {
-        return change(common, new ClientRequest.Remove(name, 0));
+        return change(common, new ClientRequest.RemoveMember(name, 0));
     }
 
     private int change(ConfigClientOptions common, ClientRequest request) throws InterruptedException {
@@ -113,7 +114,7 @@
             spec.commandLine()
                     .getOut()
                     .println(outcome.kind().name().toLowerCase()
-                            + (outcome.text().isEmpty() ? "" : ": " + outcome.text()));
+                            + (outcome.detail().isEmpty() ? "" : ": " + outcome.detail()));
             return ConfigClientOptions.code(outcome);
         });
     }
--- a/src/main/java/sedgeyoke/cli/SettingsCommand.java
+++ b/src/main/java/sedgeyoke/cli/SettingsCommand.java
@@ -43,8 +43,8 @@
         for (ConfigField f : ConfigSchema.FIELDS) {
             spec.commandLine()
                     .getOut()
-                    .println(f.name() + " | " + f.unit() + " | " + f.least() + " to " + f.most() + " | meet: "
-                            + f.meet() + " | alone: " + f.alone() + " | " + f.says());
+                    .println(f.name() + " | " + f.unit() + " | " + f.min() + " to " + f.max() + " | meet: "
+                            + f.mergeRule() + " | alone: " + f.withoutLease() + " | " + f.description());
         }
         return 0;
     }
@@ -210,11 +210,11 @@
             out.println(JSON.createObjectNode()
                     .put("outcome", outcome.kind().name().toLowerCase())
                     .put("version", outcome.version())
-                    .put("text", outcome.text())
+                    .put("text", outcome.detail())
                     .put("request", request));
         } else {
             out.println(outcome.kind().name().toLowerCase() + ", version " + outcome.version()
-                    + (outcome.text().isEmpty() ? "" : ": " + outcome.text())
+                    + (outcome.detail().isEmpty() ? "" : ": " + outcome.detail())
                     + (outcome.kind() == RequestResult.Kind.UNKNOWN ? "; ask again with --request " + request : ""));
         }
         return ConfigClientOptions.code(outcome);
@@ -232,7 +232,7 @@
                     .put("in_force", answer.active().number())
                     .put("author", v.author())
                     .put("reason", v.reason())
-                    .put("at_ms", v.atMs());
+                    .put("at_ms", v.createdAtMillis());
             node.set("numbers", JSON.valueToTree(v.content().numbers()));
             node.set("tables", JSON.valueToTree(v.content().tables()));
             node.set("names", JSON.valueToTree(v.content().names()));
--- a/src/main/java/sedgeyoke/consensus/Action.java
+++ b/src/main/java/sedgeyoke/consensus/Action.java
@@ -11,24 +11,30 @@
      * Make all of this last, in this order, and say so with {@link Event.Persisted}; several may be under way.
      *
      * @param token counts up
-     * @param slot what is to replace what was kept of terms and votes, or null
+     * @param hardState what is to replace what was kept of terms and votes, or null
      * @param snapshot to be kept, or null
-     * @param restart the entry behind which the log begins anew, with the entries as all that it has; -1 if it goes on
-     * @param keep entries behind this one go first; -1 if none do
+     * @param restartLogAfter the entry behind which the log begins anew, with the entries as all that it has; -1 if it goes on
+     * @param truncateAfter entries behind this one go first; -1 if none do
      * @param entries to be appended
      */
-    record Persist(long token, HardState slot, Snapshot snapshot, long restart, long keep, List<LogEntry> entries)
+    record Persist(
+            long token,
+            HardState hardState,
+            Snapshot snapshot,
+            long restartLogAfter,
+            long truncateAfter,
+            List<LogEntry> entries)
             implements Action {}
 
     /** Answer whoever asked. */
-    record Answer(long token, RequestResult outcome) implements Action {}
+    record Respond(long token, RequestResult result) implements Action {}
 
     /** Leases for balancers that asked here. */
-    record Grant(LeaseResponse grant) implements Action {}
+    record SendLease(LeaseResponse response) implements Action {}
 
     /** The registry has changed: balancers that follow here are to hear of it. */
-    record News(ConfigVersion active, ConfigVersion pending) implements Action {}
+    record ConfigChanged(ConfigVersion active, ConfigVersion pending) implements Action {}
 
     /** A line for the log. */
-    record Say(String line) implements Action {}
+    record Log(String line) implements Action {}
 }
--- a/src/main/java/sedgeyoke/consensus/ClientRequest.java
+++ b/src/main/java/sedgeyoke/consensus/ClientRequest.java
@@ -9,8 +9,8 @@
     record Read() implements ClientRequest {}
 
     /** A keeper joins; it is a voter once it has caught up. */
-    record Add(Member member) implements ClientRequest {}
+    record AddMember(Member member) implements ClientRequest {}
 
     /** A keeper goes, the one with this folder: a copy that comes late must not take its successor. 0 for any. */
-    record Remove(String name, long folder) implements ClientRequest {}
+    record RemoveMember(String name, long storageId) implements ClientRequest {}
 }
--- a/src/main/java/sedgeyoke/consensus/ConfigDocument.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigDocument.java
@@ -35,7 +35,7 @@
 
     /** A number, or what is usual. */
     public double number(ConfigField field) {
-        return numbers.getOrDefault(field.name(), field.usual());
+        return numbers.getOrDefault(field.name(), field.defaultValue());
     }
 
     /** A table; empty if not set. */
--- a/src/main/java/sedgeyoke/consensus/ConfigField.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigField.java
@@ -10,25 +10,25 @@
  * @param name its key
  * @param kind what it holds
  * @param unit of its numbers, or what its names are
- * @param least smallest number
- * @param most largest number, or how many names there may be
- * @param usual what holds where nothing is set
- * @param meet how two versions of it meet
- * @param alone what holds of it without a lease
- * @param since the first version of the schema that has it
- * @param says one sentence for people
+ * @param min smallest number
+ * @param max largest number, or how many names there may be
+ * @param defaultValue what holds where nothing is set
+ * @param mergeRule how two versions of it meet
+ * @param withoutLease what holds of it without a lease
+ * @param sinceVersion the first version of the schema that has it
+ * @param description one sentence for people
  */
 public record ConfigField(
         String name,
         Kind kind,
         String unit,
-        double least,
-        double most,
-        double usual,
-        Meet meet,
-        Alone alone,
-        int since,
-        String says) {
+        double min,
+        double max,
+        double defaultValue,
+        MergeRule mergeRule,
+        WithoutLease withoutLease,
+        int sinceVersion,
+        String description) {
     /** What a field holds. */
     public enum Kind {
         /** One number. */
@@ -40,23 +40,23 @@
     }
 
     /** How two versions meet: what contradicts neither. */
-    public enum Meet {
+    public enum MergeRule {
         /** What either has: what is out in one of them is out. */
         UNION,
         /** What both have. */
-        COMMON,
+        INTERSECTION,
         /** The smaller number. */
-        LEAST,
+        MINIMUM,
         /** The larger number. */
-        GREATEST,
+        MAXIMUM,
         /** None is stricter: the older holds until the newer is in force; they may overlap. */
-        LATER
+        OLDER
     }
 
     /** What holds without a lease, when later versions may be in force that nobody has told of. */
-    public enum Alone {
+    public enum WithoutLease {
         /** As last known. */
-        LAST,
+        LAST_KNOWN,
         /**
          * The meet of what was last known with the floor, a field of its own that later versions may only loosen: so
          * that an old floor is never looser than the one that later versions count with.
@@ -75,32 +75,32 @@
 
     /** Whether {@code next} is at least as loose as {@code now}, by the way in which this field gets stricter. */
     boolean loosens(double now, double next) {
-        return meet == Meet.GREATEST ? next <= now : next >= now;
+        return mergeRule == MergeRule.MAXIMUM ? next <= now : next >= now;
     }
 
     /** The meet of two numbers, the older first. */
-    double meet(double older, double newer) {
-        return switch (meet) {
-            case LEAST -> Math.min(older, newer);
-            case GREATEST -> Math.max(older, newer);
+    double merge(double older, double newer) {
+        return switch (mergeRule) {
+            case MINIMUM -> Math.min(older, newer);
+            case MAXIMUM -> Math.max(older, newer);
             default -> older;
         };
     }
 
     /** The meet of two tables of numbers, the older first. */
-    Map<String, Double> meetTables(Map<String, Double> older, Map<String, Double> newer) {
+    Map<String, Double> mergeTables(Map<String, Double> older, Map<String, Double> newer) {
         Map<String, Double> met = new TreeMap<>(older);
-        older.keySet().forEach(n -> met.put(n, meet(older.get(n), newer.getOrDefault(n, usual))));
-        newer.forEach((n, v) -> met.computeIfAbsent(n, absent -> meet(usual, v)));
+        older.keySet().forEach(n -> met.put(n, merge(older.get(n), newer.getOrDefault(n, defaultValue))));
+        newer.forEach((n, v) -> met.computeIfAbsent(n, absent -> merge(defaultValue, v)));
         return met;
     }
 
     /** The meet of two sets, the older first; where both have a name, the newer note. */
-    Map<String, String> meetNames(Map<String, String> older, Map<String, String> newer) {
+    Map<String, String> mergeNames(Map<String, String> older, Map<String, String> newer) {
         Map<String, String> met = new TreeMap<>(older);
-        if (meet == Meet.UNION) {
+        if (mergeRule == MergeRule.UNION) {
             met.putAll(newer);
-        } else if (meet == Meet.COMMON) {
+        } else if (mergeRule == MergeRule.INTERSECTION) {
             met.keySet().retainAll(newer.keySet());
         }
         return met;
--- a/src/main/java/sedgeyoke/consensus/ConfigSchema.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigSchema.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import sedgeyoke.consensus.ConfigField.Alone;
 import sedgeyoke.consensus.ConfigField.Kind;
-import sedgeyoke.consensus.ConfigField.Meet;
+import sedgeyoke.consensus.ConfigField.MergeRule;
+import sedgeyoke.consensus.ConfigField.WithoutLease;
 
 /**
  * The fields of a document, and what is said of a whole one. A document can stop sends and cut budgets; none of its
@@ -16,10 +16,10 @@
     /** The version of this schema; balancers and keepers say which one they know. */
     public static final int VERSION = 1;
     /** Names in one set: as many as an operator's door takes by hand. */
-    private static final int MOST_NAMES = 1_000;
+    private static final int MAX_NAMES = 1_000;
 
-    private static final int LONGEST_NAME = 128;
-    private static final int LONGEST_NOTE = 256;
+    private static final int MAX_NAME_LENGTH = 128;
+    private static final int MAX_NOTE_LENGTH = 256;
 
     /** Upstreams that nobody sends to. */
     public static final ConfigField UPSTREAMS_OUT = new ConfigField(
@@ -27,10 +27,10 @@
             Kind.NAMES,
             "upstream ids",
             0,
-            MOST_NAMES,
+            MAX_NAMES,
             0,
-            Meet.UNION,
-            Alone.LAST,
+            MergeRule.UNION,
+            WithoutLease.LAST_KNOWN,
             1,
             "upstreams out by hand: nobody sends to them");
     /** Zones that nobody sends to. */
@@ -39,10 +39,10 @@
             Kind.NAMES,
             "zones",
             0,
-            MOST_NAMES,
+            MAX_NAMES,
             0,
-            Meet.UNION,
-            Alone.LAST,
+            MergeRule.UNION,
+            WithoutLease.LAST_KNOWN,
             1,
             "zones out by hand: nobody sends to their upstreams");
     /** How many balancers parts of budgets are cut for. */
@@ -53,8 +53,8 @@
             1,
             100_000,
             1,
-            Meet.GREATEST,
-            Alone.FLOOR,
+            MergeRule.MAXIMUM,
+            WithoutLease.FLOOR,
             1,
             "number of balancers that budgets are cut for");
     /** Its floor. */
@@ -65,8 +65,8 @@
             1,
             100_000,
             100_000,
-            Meet.GREATEST,
-            Alone.IS_FLOOR,
+            MergeRule.MAXIMUM,
+            WithoutLease.IS_FLOOR,
             1,
             "the same, for a balancer that hears no keeper");
     /** Second tries for each first try. */
@@ -77,8 +77,8 @@
             0,
             1,
             1,
-            Meet.LEAST,
-            Alone.FLOOR,
+            MergeRule.MINIMUM,
+            WithoutLease.FLOOR,
             1,
             "second tries for each first try, over the tier");
     /** Its floor. */
@@ -89,8 +89,8 @@
             0,
             1,
             0,
-            Meet.LEAST,
-            Alone.IS_FLOOR,
+            MergeRule.MINIMUM,
+            WithoutLease.IS_FLOOR,
             1,
             "the same, for a balancer that hears no keeper");
     /** Part of what settings allow a cold upstream. */
@@ -101,8 +101,8 @@
             0,
             1,
             1,
-            Meet.LEAST,
-            Alone.FLOOR,
+            MergeRule.MINIMUM,
+            WithoutLease.FLOOR,
             1,
             "part of what the settings allow a cold upstream");
     /** Its floor. */
@@ -113,8 +113,8 @@
             0,
             1,
             0,
-            Meet.LEAST,
-            Alone.IS_FLOOR,
+            MergeRule.MINIMUM,
+            WithoutLease.IS_FLOOR,
             1,
             "the same, for a balancer that hears no keeper");
     /** Tenants' shares. */
@@ -125,8 +125,8 @@
             0,
             1,
             1,
-            Meet.LEAST,
-            Alone.LAST,
+            MergeRule.MINIMUM,
+            WithoutLease.LAST_KNOWN,
             1,
             "most of the capacity that a tenant may use");
     /** Where a keyed repeat is dropped. */
@@ -135,15 +135,24 @@
             Kind.NAMES,
             "groups",
             0,
-            MOST_NAMES,
+            MAX_NAMES,
             0,
-            Meet.COMMON,
-            Alone.LAST,
+            MergeRule.INTERSECTION,
+            WithoutLease.LAST_KNOWN,
             1,
             "groups whose upstreams drop a keyed repeat");
     /** Where planners listen. */
     public static final ConfigField PLANNERS = new ConfigField(
-            "planners", Kind.NAMES, "addresses", 0, 16, 0, Meet.LATER, Alone.LAST, 1, "where planners listen");
+            "planners",
+            Kind.NAMES,
+            "addresses",
+            0,
+            16,
+            0,
+            MergeRule.OLDER,
+            WithoutLease.LAST_KNOWN,
+            1,
+            "where planners listen");
 
     /** All of them. */
     public static final List<ConfigField> FIELDS = List.of(
@@ -166,18 +175,18 @@
     }
 
     /** The newest version of the schema that a document needs. */
-    public static int needs(ConfigDocument document) {
+    public static int requiredVersion(ConfigDocument document) {
         return FIELDS.stream()
                 .filter(f -> document.numbers().containsKey(f.name())
                         || document.tables().containsKey(f.name())
                         || document.names().containsKey(f.name()))
-                .mapToInt(ConfigField::since)
+                .mapToInt(ConfigField::sinceVersion)
                 .max()
                 .orElse(1);
     }
 
     /** All that is wrong with a document that is to follow another one; each with its key. */
-    public static List<String> faults(ConfigDocument before, ConfigDocument next) {
+    public static List<String> violations(ConfigDocument before, ConfigDocument next) {
         List<String> faults = new ArrayList<>();
         next.numbers().forEach((name, value) -> {
             ConfigField f = expect(name, Kind.NUMBER, faults);
@@ -188,7 +197,7 @@
         next.tables().forEach((name, rows) -> {
             ConfigField f = expect(name, Kind.TABLE, faults);
             if (f != null) {
-                size(name, rows.size(), MOST_NAMES, faults);
+                size(name, rows.size(), MAX_NAMES, faults);
                 rows.forEach((row, value) -> {
                     name(name, row, faults);
                     number(name + "." + printable(row), f, value, faults);
@@ -198,17 +207,17 @@
         next.names().forEach((name, rows) -> {
             ConfigField f = expect(name, Kind.NAMES, faults);
             if (f != null) {
-                size(name, rows.size(), (int) f.most(), faults);
+                size(name, rows.size(), (int) f.max(), faults);
                 rows.forEach((row, note) -> {
                     name(name, row, faults);
-                    if (note.length() > LONGEST_NOTE) {
-                        faults.add(name + "." + printable(row) + ": a note of over " + LONGEST_NOTE + " characters");
+                    if (note.length() > MAX_NOTE_LENGTH) {
+                        faults.add(name + "." + printable(row) + ": a note of over " + MAX_NOTE_LENGTH + " characters");
                     }
                 });
             }
         });
         for (ConfigField f : FIELDS) {
-            if (f.alone() == Alone.IS_FLOOR && !f.loosens(before.number(f), next.number(f))) {
+            if (f.withoutLease() == WithoutLease.IS_FLOOR && !f.loosens(before.number(f), next.number(f))) {
                 faults.add(f.name() + ": " + before.number(f) + " may only be loosened, not made " + next.number(f)
                         + ": a balancer that is alone goes by the old one");
             }
@@ -228,8 +237,8 @@
     }
 
     private static void number(String key, ConfigField f, double value, List<String> faults) {
-        if (!(value >= f.least() && value <= f.most())) { // and no NaN
-            faults.add(key + ": " + value + " is not " + f.least() + " to " + f.most() + " (" + f.unit() + ")");
+        if (!(value >= f.min() && value <= f.max())) { // and no NaN
+            faults.add(key + ": " + value + " is not " + f.min() + " to " + f.max() + " (" + f.unit() + ")");
         }
     }
 
@@ -240,8 +249,8 @@
     }
 
     private static void name(String key, String row, List<String> faults) {
-        if (row.isBlank() || row.length() > LONGEST_NAME) {
-            faults.add(key + "." + printable(row) + ": a name has 1 to " + LONGEST_NAME + " characters");
+        if (row.isBlank() || row.length() > MAX_NAME_LENGTH) {
+            faults.add(key + "." + printable(row) + ": a name has 1 to " + MAX_NAME_LENGTH + " characters");
         }
     }
 
@@ -250,12 +259,12 @@
     }
 
     /** What contradicts neither of two versions: the stricter of each field; of what has no stricter, the older. */
-    public static ConfigDocument meet(ConfigDocument older, ConfigDocument newer) {
+    public static ConfigDocument merge(ConfigDocument older, ConfigDocument newer) {
         return combine(older, newer, false);
     }
 
     /** What may be done without a lease by one that knows this document last. */
-    public static ConfigDocument alone(ConfigDocument last) {
+    public static ConfigDocument withoutLease(ConfigDocument last) {
         return combine(last, last, true);
     }
 
@@ -265,14 +274,16 @@
         Map<String, Map<String, String>> names = new TreeMap<>();
         for (ConfigField f : FIELDS) {
             if (f.kind() == Kind.NUMBER) {
-                double met = f.meet(older.number(f), newer.number(f));
+                double met = f.merge(older.number(f), newer.number(f));
                 numbers.put(
                         f.name(),
-                        alone && f.alone() == Alone.FLOOR ? f.meet(met, older.number(field(f.floorName()))) : met);
+                        alone && f.withoutLease() == WithoutLease.FLOOR
+                                ? f.merge(met, older.number(field(f.floorName())))
+                                : met);
             } else if (f.kind() == Kind.TABLE) {
-                tables.put(f.name(), f.meetTables(older.table(f), newer.table(f)));
+                tables.put(f.name(), f.mergeTables(older.table(f), newer.table(f)));
             } else {
-                names.put(f.name(), f.meetNames(older.names(f), newer.names(f)));
+                names.put(f.name(), f.mergeNames(older.names(f), newer.names(f)));
             }
         }
         return new ConfigDocument(numbers, tables, names);
@@ -284,11 +295,11 @@
         for (ConfigField f : FIELDS) {
             boolean fits =
                     switch (f.kind()) {
-                        case NUMBER -> f.meet(acting.number(f), inForce.number(f)) == acting.number(f);
-                        case TABLE -> f.meetTables(acting.table(f), inForce.table(f)).entrySet().stream()
-                                .allMatch(
-                                        e -> e.getValue().equals(acting.table(f).getOrDefault(e.getKey(), f.usual())));
-                        case NAMES -> f.meetNames(acting.names(f), inForce.names(f))
+                        case NUMBER -> f.merge(acting.number(f), inForce.number(f)) == acting.number(f);
+                        case TABLE -> f.mergeTables(acting.table(f), inForce.table(f)).entrySet().stream()
+                                .allMatch(e -> e.getValue()
+                                        .equals(acting.table(f).getOrDefault(e.getKey(), f.defaultValue())));
+                        case NAMES -> f.mergeNames(acting.names(f), inForce.names(f))
                                 .keySet()
                                 .equals(acting.names(f).keySet());
                     };
--- a/src/main/java/sedgeyoke/consensus/ConfigStateMachine.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigStateMachine.java
@@ -13,9 +13,9 @@
  */
 public final class ConfigStateMachine {
     /** Versions and requests that are remembered. A request is sure to be known again for so many later ones. */
-    static final int MOST_VERSIONS = 200;
+    static final int MAX_VERSIONS = 200;
 
-    static final int MOST_REQUESTS = 2_000;
+    static final int MAX_REQUESTS = 2_000;
 
     private final SafetyRules rules;
     private final Deque<ConfigVersion> history = new ArrayDeque<>();
@@ -49,7 +49,7 @@
         restore(state);
     }
 
-    State state() {
+    State snapshotState() {
         return new State(members, active, pending, List.copyOf(history), new LinkedHashMap<>(requests));
     }
 
@@ -87,18 +87,18 @@
     }
 
     /** What became of a request; null if nobody remembers. */
-    RequestResult outcome(String request) {
+    RequestResult resultOf(String request) {
         return requests.get(request);
     }
 
     /** Applies a committed command; what became of it, for one that somebody waits for. */
     RequestResult apply(Command command) {
-        if (command instanceof Command.Change change) {
-            members = change.members();
+        if (command instanceof Command.ChangeMembership change) {
+            members = change.membership();
         } else if (command instanceof Command.Activate activate) {
             if (pending != null && pending.number() == activate.version()) {
                 history.add(active);
-                if (history.size() > MOST_VERSIONS) {
+                if (history.size() > MAX_VERSIONS) {
                     history.poll();
                 }
                 active = pending;
@@ -111,23 +111,23 @@
     }
 
     private RequestResult write(Command.Write w) {
-        RequestResult before = requests.get(w.request());
-        if (!rules.again(before)) {
+        RequestResult before = requests.get(w.requestId());
+        if (!rules.appliesRequest(before)) {
             return before;
         }
-        RequestResult outcome = check(w.parent());
+        RequestResult outcome = rejection(w.parentVersion());
         if (outcome != null && outcome.kind() == RequestResult.Kind.BUSY) {
             return outcome; // not remembered: it may come again
         }
         if (outcome == null) {
             pending = new ConfigVersion(
-                    active.number() + 1, active.number(), w.author(), w.reason(), w.atMs(), w.content());
+                    active.number() + 1, active.number(), w.author(), w.reason(), w.createdAtMillis(), w.content());
             outcome = new RequestResult(RequestResult.Kind.DONE, pending.number(), "");
         }
-        if (requests.size() >= MOST_REQUESTS) {
+        if (requests.size() >= MAX_REQUESTS) {
             requests.remove(requests.keySet().iterator().next());
         }
-        requests.put(w.request(), outcome);
+        requests.put(w.requestId(), outcome);
         return outcome;
     }
 
@@ -135,8 +135,8 @@
      * Why a version cannot be made now from that parent; null if it can. What a document may hold is not looked at here
      * but before it is put into the log: keepers of two programs must apply an entry alike.
      */
-    RequestResult check(long parent) {
-        if (!rules.follows(parent, newest().number())) {
+    RequestResult rejection(long parent) {
+        if (!rules.mayFollow(parent, newest().number())) {
             return new RequestResult(
                     RequestResult.Kind.CONFLICT,
                     newest().number(),
--- a/src/main/java/sedgeyoke/consensus/ConfigSubscriber.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigSubscriber.java
@@ -18,17 +18,18 @@
         /** Under a lease. */
         LEASED,
         /** Without a keeper's word. */
-        ALONE
+        WITHOUT_LEASE
     }
 
     /**
      * What it acts on.
      *
-     * @param version the newest version in force that it knows
-     * @param pending the version that is to take effect, 0 if none is known
-     * @param until when the lease runs out
+     * @param activeVersion the newest version in force that it knows
+     * @param pendingVersion the version that is to take effect, 0 if none is known
+     * @param leaseUntilMicros when the lease runs out
      */
-    public record Acting(Mode mode, long version, long pending, long until, ConfigDocument document) {}
+    public record EffectiveConfig(
+            Mode mode, long activeVersion, long pendingVersion, long leaseUntilMicros, ConfigDocument document) {}
 
     /** {@code last}: what an earlier process of this balancer acted on last, or {@link ConfigVersion#NONE}. */
     public ConfigSubscriber(String name, long run, SafetyRules rules, ConfigVersion last) {
@@ -39,12 +40,12 @@
     }
 
     /** What to ask a keeper now. */
-    public LeaseRequest ask(long now) {
-        return new LeaseRequest(name, run, now, newest(), ConfigSchema.VERSION);
+    public LeaseRequest leaseRequest(long now) {
+        return new LeaseRequest(name, run, now, newestVersion(), ConfigSchema.VERSION);
     }
 
     /** The newest version that it holds. */
-    public long newest() {
+    public long newestVersion() {
         return pending == null ? active.number() : pending.number();
     }
 
@@ -52,14 +53,16 @@
      * A keeper's answer, with the versions that it names as far as they were not held; null where they were. True if it
      * wants to ask again at once: it holds something newer than what it had asked with.
      */
-    public boolean heard(long now, LeaseResponse grant, ConfigVersion itsActive, ConfigVersion itsPending) {
-        if (!grant.balancer().equals(name) || grant.run() != run || rules.isOld(grant.active(), active.number())) {
+    public boolean handle(long now, LeaseResponse grant, ConfigVersion itsActive, ConfigVersion itsPending) {
+        if (!grant.balancer().equals(name)
+                || grant.incarnation() != run
+                || rules.isStale(grant.activeVersion(), active.number())) {
             return false; // another's, or a word of the past
         }
-        long before = newest();
-        ConfigVersion inForce = held(grant.active(), itsActive);
-        ConfigVersion next = grant.pending() == 0 ? null : held(grant.pending(), itsPending);
-        if (inForce == null || grant.pending() != 0 && next == null) {
+        long before = newestVersion();
+        ConfigVersion inForce = held(grant.activeVersion(), itsActive);
+        ConfigVersion next = grant.pendingVersion() == 0 ? null : held(grant.pendingVersion(), itsPending);
+        if (inForce == null || grant.pendingVersion() != 0 && next == null) {
             return false; // not whole
         }
         active = inForce;
@@ -68,10 +71,10 @@
         } else if (pending != null && pending.number() <= active.number()) {
             pending = null; // else a word from before it was told of: the stricter one stays
         }
-        if (grant.leased()) {
-            leaseUntil = Math.max(leaseUntil, rules.mayActUntil(grant.stamp(), now));
+        if (grant.granted()) {
+            leaseUntil = Math.max(leaseUntil, rules.leaseUsableUntil(grant.sentAtMicros(), now));
         }
-        return newest() > before;
+        return newestVersion() > before;
     }
 
     private ConfigVersion held(long number, ConfigVersion told) {
@@ -84,12 +87,13 @@
     }
 
     /** What it acts on at this moment. */
-    public Acting acting(long now) {
-        ConfigDocument both = pending == null ? active.content() : rules.between(active.content(), pending.content());
+    public EffectiveConfig effectiveConfig(long now) {
+        ConfigDocument both =
+                pending == null ? active.content() : rules.duringActivation(active.content(), pending.content());
         long next = pending == null ? 0 : pending.number();
         return now < leaseUntil
-                ? new Acting(Mode.LEASED, active.number(), next, leaseUntil, both)
-                : new Acting(Mode.ALONE, active.number(), next, leaseUntil, rules.alone(both));
+                ? new EffectiveConfig(Mode.LEASED, active.number(), next, leaseUntil, both)
+                : new EffectiveConfig(Mode.WITHOUT_LEASE, active.number(), next, leaseUntil, rules.withoutLease(both));
     }
 
     /** The version in force that it acts on, to be kept for its next process. */
--- a/src/main/java/sedgeyoke/consensus/ConfigVersion.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigVersion.java
@@ -7,10 +7,11 @@
  * @param parent the version it was made from
  * @param author who set it
  * @param reason why
- * @param atMs when, by the wall clock of the keeper that took it; for people, nothing is decided by it
+ * @param createdAtMillis when, by the wall clock of the keeper that took it; for people, nothing is decided by it
  * @param content what it says
  */
-public record ConfigVersion(long number, long parent, String author, String reason, long atMs, ConfigDocument content) {
+public record ConfigVersion(
+        long number, long parent, String author, String reason, long createdAtMillis, ConfigDocument content) {
     /** What holds before anybody has set anything. */
     public static final ConfigVersion NONE = new ConfigVersion(0, 0, "", "", 0, ConfigDocument.EMPTY);
 }
--- a/src/main/java/sedgeyoke/consensus/Event.java
+++ b/src/main/java/sedgeyoke/consensus/Event.java
@@ -7,18 +7,18 @@
     /** Time has passed; comes often. */
     record Tick() implements Event {}
 
-    /** A message from a keeper that its certificate names; {@code folder} is what it says that it keeps. */
-    record Received(String from, long folder, RaftMessage message) implements Event {}
+    /** A message from a keeper that its certificate names; {@code storageId} is what it says that it keeps. */
+    record Received(String from, long storageId, RaftMessage message) implements Event {}
 
     /** What was asked for under this token, and all before it, is on disk. */
     record Persisted(long token) implements Event {}
 
     /** Somebody asks; the answer bears the token. */
-    record Asked(long token, ClientRequest request) implements Event {}
+    record RequestReceived(long token, ClientRequest request) implements Event {}
 
     /** Balancers that follow here ask for leases. */
-    record LeasesAsked(List<LeaseRequest> asks) implements Event {}
+    record LeasesRequested(List<LeaseRequest> requests) implements Event {}
 
     /** The keeper is about to end: if it leads, another one is to. */
-    record Leave() implements Event {}
+    record TransferLeadership() implements Event {}
 }
--- a/src/main/java/sedgeyoke/consensus/LeaseTable.java
+++ b/src/main/java/sedgeyoke/consensus/LeaseTable.java
@@ -9,66 +9,70 @@
  */
 final class LeaseTable {
     /** More holders are told of news and granted nothing. */
-    static final int MOST = 4_096;
+    static final int MAX_HOLDERS = 4_096;
 
     private final SafetyRules rules;
-    private final Map<Holder, Held> held = new HashMap<>();
-    private final long quietUntil;
+    private final Map<Holder, Lease> leases = new HashMap<>();
+    private final long earlierLeasesEndAt;
 
     /** One process of a balancer. */
     private record Holder(String balancer, long run) {}
 
-    private record Held(long holds, long until, int schema) {}
+    private record Lease(long heldVersion, long untilMicros, int schemaVersion) {}
 
     /** A leader begins. */
     LeaseTable(SafetyRules rules, long now) {
         this.rules = rules;
-        this.quietUntil = rules.predecessorsLeasesEnd(now);
+        this.earlierLeasesEndAt = rules.earlierLeasesEnd(now);
     }
 
     /**
-     * The answer to an ask that came at {@code askedAt}, given that this keeper still led after that. The lease counts
+     * The answer to an ask that came at {@code requestedAt}, given that this keeper still led after that. The lease counts
      * at the balancer from when it sent the ask, which is earlier.
      */
-    LeaseResponse grant(LeaseRequest ask, long askedAt, ConfigVersion active, ConfigVersion pending) {
+    LeaseResponse grant(LeaseRequest request, long requestedAt, ConfigVersion active, ConfigVersion pending) {
         long next = pending == null ? 0 : pending.number();
-        Holder holder = new Holder(ask.balancer(), ask.run());
-        if (held.size() >= MOST) { // processes that are over are no reason to refuse others
-            held.values().removeIf(h -> h.until() <= askedAt);
+        Holder holder = new Holder(request.balancer(), request.incarnation());
+        if (leases.size() >= MAX_HOLDERS) { // processes that are over are no reason to refuse others
+            leases.values().removeIf(h -> h.untilMicros() <= requestedAt);
         }
-        boolean leased = rules.holdsEnough(ask.holds(), Math.max(next, active.number()))
-                && (held.size() < MOST || held.containsKey(holder));
+        boolean leased = rules.coversVersion(request.heldVersion(), Math.max(next, active.number()))
+                && (leases.size() < MAX_HOLDERS || leases.containsKey(holder));
         if (leased) {
-            Held before = held.get(holder);
-            long until = rules.heldUntil(askedAt);
+            Lease before = leases.get(holder);
+            long until = rules.leaseHeldUntil(requestedAt);
             // an ask that comes late must not shorten what a later one was granted
-            held.put(
+            leases.put(
                     holder,
-                    new Held(
-                            before == null ? ask.holds() : Math.max(before.holds(), ask.holds()),
-                            before == null ? until : Math.max(until, before.until()),
-                            ask.schema()));
+                    new Lease(
+                            before == null
+                                    ? request.heldVersion()
+                                    : Math.max(before.heldVersion(), request.heldVersion()),
+                            before == null ? until : Math.max(until, before.untilMicros()),
+                            request.schemaVersion()));
         }
-        return new LeaseResponse(ask.balancer(), ask.run(), ask.stamp(), active.number(), next, leased);
+        return new LeaseResponse(
+                request.balancer(), request.incarnation(), request.sentAtMicros(), active.number(), next, leased);
     }
 
     /** Whether nobody acts on a version before this one without knowing it. */
-    boolean allHold(long version, long now) {
-        held.values().removeIf(h -> h.until() <= now);
-        return now >= quietUntil && held.values().stream().allMatch(h -> rules.holdsEnough(h.holds(), version));
+    boolean allHoldersCover(long version, long now) {
+        leases.values().removeIf(h -> h.untilMicros() <= now);
+        return now >= earlierLeasesEndAt
+                && leases.values().stream().allMatch(h -> rules.coversVersion(h.heldVersion(), version));
     }
 
     /** The oldest schema that a holder knows. */
-    int oldestSchema(long now) {
-        return held.values().stream()
-                .filter(h -> h.until() > now)
-                .mapToInt(Held::schema)
+    int oldestSchemaVersion(long now) {
+        return leases.values().stream()
+                .filter(h -> h.untilMicros() > now)
+                .mapToInt(Lease::schemaVersion)
                 .min()
                 .orElse(ConfigSchema.VERSION);
     }
 
     /** How many hold a lease. */
-    int size(long now) {
-        return (int) held.values().stream().filter(h -> h.until() > now).count();
+    int holderCount(long now) {
+        return (int) leases.values().stream().filter(h -> h.untilMicros() > now).count();
     }
 }
--- a/src/main/java/sedgeyoke/consensus/Member.java
+++ b/src/main/java/sedgeyoke/consensus/Member.java
@@ -5,7 +5,7 @@
  * another keeper, which knows nothing of what the first has promised.
  *
  * @param name its name, as in its certificate
- * @param folder the number of its folder, drawn when that was made; 0 while it is not known
+ * @param storageId the number of its folder, drawn when that was made; 0 while it is not known
  * @param address where it listens, host and port
  */
-public record Member(String name, long folder, String address) {}
+public record Member(String name, long storageId, String address) {}
--- a/src/main/java/sedgeyoke/consensus/Membership.java
+++ b/src/main/java/sedgeyoke/consensus/Membership.java
@@ -14,7 +14,7 @@
  */
 public record Membership(Map<String, Member> voters, Member learner) {
     /** More would only make each decision slower. */
-    public static final int MOST = 7;
+    public static final int MAX_VOTERS = 7;
 
     /** Copies what it is given. */
     public Membership {
@@ -54,17 +54,17 @@
         return new Membership(more, null);
     }
 
-    Membership without(String name) {
+    Membership withoutMember(String name) {
         Map<String, Member> fewer = new TreeMap<>(voters);
         fewer.remove(name);
         return new Membership(fewer, learner != null && learner.name().equals(name) ? null : learner);
     }
 
     /** With what is known now of folders that were not known when the tier was founded. */
-    Membership bound(Map<String, Long> folders) {
+    Membership withStorageIds(Map<String, Long> folders) {
         Map<String, Member> known = new TreeMap<>(voters);
         known.replaceAll(
-                (name, m) -> m.folder() != 0 ? m : new Member(name, folders.getOrDefault(name, 0L), m.address()));
+                (name, m) -> m.storageId() != 0 ? m : new Member(name, folders.getOrDefault(name, 0L), m.address()));
         return new Membership(known, learner);
     }
 }
--- a/src/main/java/sedgeyoke/consensus/RaftLog.java
+++ b/src/main/java/sedgeyoke/consensus/RaftLog.java
@@ -5,88 +5,90 @@
 
 /** The log in memory, behind an entry that a snapshot or nothing stands for. */
 final class RaftLog {
-    private final List<LogEntry> list;
-    private long base;
+    private final List<LogEntry> entries;
+    private long baseIndex;
     private long baseTerm;
 
     RaftLog(long base, long baseTerm, List<LogEntry> entries) {
-        this.base = base;
+        this.baseIndex = base;
         this.baseTerm = baseTerm;
-        this.list = new ArrayList<>(entries);
+        this.entries = new ArrayList<>(entries);
     }
 
     /** The entry before the first. */
-    long base() {
-        return base;
+    long baseIndex() {
+        return baseIndex;
     }
 
-    long last() {
-        return base + list.size();
+    long lastIndex() {
+        return baseIndex + entries.size();
     }
 
     long lastTerm() {
-        return term(last());
+        return term(lastIndex());
     }
 
     /** The term of an entry; -1 where it is not known. */
     long term(long index) {
-        if (index == base) {
+        if (index == baseIndex) {
             return baseTerm;
         }
-        return index < base || index > last() ? -1 : get(index).term();
+        return index < baseIndex || index > lastIndex() ? -1 : get(index).term();
     }
 
     LogEntry get(long index) {
-        return list.get((int) (index - base - 1));
+        return entries.get((int) (index - baseIndex - 1));
     }
 
     /** Entries from one on, so many at most. */
-    List<LogEntry> from(long index, int most) {
-        int at = (int) (index - base - 1);
-        return at >= list.size() ? List.of() : List.copyOf(list.subList(at, Math.min(list.size(), at + most)));
+    List<LogEntry> entriesFrom(long index, int maxEntries) {
+        int at = (int) (index - baseIndex - 1);
+        return at >= entries.size()
+                ? List.of()
+                : List.copyOf(entries.subList(at, Math.min(entries.size(), at + maxEntries)));
     }
 
-    void add(LogEntry entry) {
-        if (entry.index() != last() + 1) {
-            throw new IllegalStateException("entry " + entry.index() + " after " + last());
+    void append(LogEntry entry) {
+        if (entry.index() != lastIndex() + 1) {
+            throw new IllegalStateException("entry " + entry.index() + " after " + lastIndex());
         }
-        list.add(entry);
+        entries.add(entry);
     }
 
-    void cutBehind(long index) {
-        list.subList((int) (index - base), list.size()).clear();
+    void truncateAfter(long index) {
+        entries.subList((int) (index - baseIndex), entries.size()).clear();
     }
 
     /** Forgets entries up to one that is covered. */
-    void compact(long through) {
-        if (through > base) {
+    void compactThrough(long through) {
+        if (through > baseIndex) {
             long term = term(through);
-            list.subList(0, (int) (through - base)).clear();
-            base = through;
+            entries.subList(0, (int) (through - baseIndex)).clear();
+            baseIndex = through;
             baseTerm = term;
         }
     }
 
     /** Begins anew behind a snapshot. */
-    void restart(long covered, long term) {
-        list.clear();
-        base = covered;
+    void resetTo(long index, long term) {
+        entries.clear();
+        baseIndex = index;
         baseTerm = term;
     }
 
     /** The last set of keepers in the log, or null if no entry has one. */
-    Membership lastMembers() {
-        for (int i = list.size() - 1; i >= 0; i--) {
-            if (list.get(i).command() instanceof Command.Change change) {
-                return change.members();
+    Membership lastMembership() {
+        for (int i = entries.size() - 1; i >= 0; i--) {
+            if (entries.get(i).command() instanceof Command.ChangeMembership change) {
+                return change.membership();
             }
         }
         return null;
     }
 
     /** Whether the log has an activation of a version. */
-    boolean activates(long version, long behind) {
-        for (long i = Math.max(behind, base) + 1; i <= last(); i++) {
+    boolean containsActivation(long version, long afterIndex) {
+        for (long i = Math.max(afterIndex, baseIndex) + 1; i <= lastIndex(); i++) {
             if (get(i).command() instanceof Command.Activate a && a.version() == version) {
                 return true;
             }
--- a/src/main/java/sedgeyoke/consensus/RaftNode.java
+++ b/src/main/java/sedgeyoke/consensus/RaftNode.java
@@ -32,23 +32,23 @@
     private final RaftTiming timing;
     private final SafetyRules rules;
     private final SplittableRandom random;
-    private final StateCodec codec;
+    private final SnapshotCodec codec;
     private final RaftLog log;
     private final ConfigStateMachine registry;
     private final ReplicaRecovery standing;
     private final List<Long> runs;
-    private final Map<String, HardState.Known> known;
+    private final Map<String, HardState.KnownPeer> known;
     /** The newest term that each has spoken in, as it had it on disk then. */
     private final Map<String, Long> heardTerms = new HashMap<>();
 
     private Snapshot snapshot;
-    private Membership members;
+    private Membership membership;
 
     private Role role = Role.FOLLOWER;
     private long term;
     private String vote;
     private String leader;
-    private long commit;
+    private long commitIndex;
     private long applied;
     private long now;
     private long electionDue;
@@ -78,8 +78,8 @@
     /** What was passed on to a leader, and until when its answer is waited for. */
     private final Map<Long, Long> forwarded = new TreeMap<>();
 
-    private final List<RaftMessage.Grants> early = new ArrayList<>();
-    private RaftMessage.Piece incoming;
+    private final List<RaftMessage.LeaseResponses> early = new ArrayList<>();
+    private RaftMessage.InstallSnapshotChunk incoming;
     private byte[] assembled;
 
     // what goes to disk
@@ -91,7 +91,7 @@
         /** It follows, or waits for a leader. */
         FOLLOWER,
         /** It asks whether it could win. */
-        ASKING,
+        PRE_CANDIDATE,
         /** It stands. */
         CANDIDATE,
         /** It leads. */
@@ -99,10 +99,11 @@
     }
 
     /** What a folder says of the keeper that has it. */
-    public record Recovered(HardState slot, Snapshot snapshot, List<LogEntry> entries, String doubt, boolean lost) {}
+    public record StoredState(
+            HardState hardState, Snapshot snapshot, List<LogEntry> entries, String suspectedLoss, boolean dataLost) {}
 
     /** Who it is. */
-    public record Self(String name, long folder, long run) {}
+    public record Identity(String name, long storageId, long incarnation) {}
 
     /** Somebody waits for an entry: {@code from} is a keeper that passed it on, or null for one who asked here. */
     private record Waiting(long term, String from, long token) {}
@@ -143,7 +144,7 @@
         }
 
         boolean stalled() {
-            return !open.isEmpty() && now - open.firstEntry().getValue()[0] > timing.election();
+            return !open.isEmpty() && now - open.firstEntry().getValue()[0] > timing.electionTimeoutMicros();
         }
 
         void cut(long behind) {
@@ -158,7 +159,7 @@
             restart = behind;
             keep = -1;
             appended.clear();
-            appended.addAll(log.from(behind + 1, Integer.MAX_VALUE));
+            appended.addAll(log.entriesFrom(behind + 1, Integer.MAX_VALUE));
         }
 
         void flush() {
@@ -174,7 +175,7 @@
                         restart,
                         keep,
                         List.copyOf(appended)));
-                open.put(tokens, new long[] {now, log.last()});
+                open.put(tokens, new long[] {now, log.lastIndex()});
                 slotToken = slot ? tokens : slotToken;
                 slot = false;
                 restart = -1;
@@ -183,7 +184,7 @@
                 appended.clear();
             }
             if (!promises.isEmpty()) {
-                if (open.isEmpty() || !rules.promisesWaitForDisk()) {
+                if (open.isEmpty() || !rules.responsesWaitForPersistence()) {
                     out.addAll(promises);
                 } else {
                     held.computeIfAbsent(open.lastKey(), t -> new ArrayList<>()).addAll(promises);
@@ -199,40 +200,41 @@
      * @param members as the tier was founded; with no voters for one that is to join
      */
     public RaftNode(
-            Self self,
+            Identity self,
             SafetyRules rules,
-            Recovered found,
+            StoredState found,
             Membership members,
-            StateCodec codec,
+            SnapshotCodec codec,
             SplittableRandom random,
             long now) {
         this.name = self.name();
-        this.folder = self.folder();
+        this.folder = self.storageId();
         this.rules = rules;
         this.timing = rules.timing();
         this.codec = codec;
         this.random = random;
         this.now = now;
-        this.term = found.slot().term();
-        this.vote = found.slot().vote();
-        this.known = new HashMap<>(found.slot().known());
-        this.runs = new ArrayList<>(found.slot().runs());
-        runs.add(0, self.run());
-        runs.subList(Math.min(HardState.MOST_RUNS, runs.size()), runs.size()).clear();
+        this.term = found.hardState().term();
+        this.vote = found.hardState().votedFor();
+        this.known = new HashMap<>(found.hardState().knownPeers());
+        this.runs = new ArrayList<>(found.hardState().incarnations());
+        runs.add(0, self.incarnation());
+        runs.subList(Math.min(HardState.MAX_INCARNATIONS, runs.size()), runs.size())
+                .clear();
         this.snapshot = found.snapshot();
-        long covered = snapshot == null ? 0 : snapshot.covered();
-        this.log = new RaftLog(covered, snapshot == null ? 0 : snapshot.term(), found.entries());
+        long covered = snapshot == null ? 0 : snapshot.lastIncludedIndex();
+        this.log = new RaftLog(covered, snapshot == null ? 0 : snapshot.lastIncludedTerm(), found.entries());
         this.registry = snapshot == null
                 ? new ConfigStateMachine(members, rules)
                 : new ConfigStateMachine(snapshot.state(), rules);
-        this.commit = covered;
+        this.commitIndex = covered;
         this.applied = covered;
-        this.standing = new ReplicaRecovery(rules, self.run(), found.doubt(), found.lost(), now);
-        storing.durable = log.last();
+        this.standing = new ReplicaRecovery(rules, self.incarnation(), found.suspectedLoss(), found.dataLost(), now);
+        storing.durable = log.lastIndex();
         storing.slot = true; // the new run: others must not hear of it before the disk knows
         takeMembers();
         restElection();
-        heardOfLeader = now - timing.election();
+        heardOfLeader = now - timing.electionTimeoutMicros();
     }
 
     // ---- What others may ask -------------------------------------------------------------------------
@@ -253,18 +255,18 @@
     }
 
     /** Up to where the log is committed as far as it knows. */
-    public long commit() {
-        return commit;
+    public long commitIndex() {
+        return commitIndex;
     }
 
     /** The last entry that it has. */
-    public long last() {
-        return log.last();
+    public long lastIndex() {
+        return log.lastIndex();
     }
 
     /** The entry before the first that it has. */
-    public long base() {
-        return log.base();
+    public long baseIndex() {
+        return log.baseIndex();
     }
 
     /** An entry that it has. */
@@ -288,23 +290,23 @@
     }
 
     /** The keepers, by the newest set in the log. */
-    public Membership members() {
-        return members;
+    public Membership membership() {
+        return membership;
     }
 
     /** Whether it may vote and be counted. */
-    public boolean sound() {
+    public boolean isRecovered() {
         return standing.sound();
     }
 
     /** Why it may have lost what it promised; null if it has not. */
-    public String doubt() {
+    public String suspectedLoss() {
         return standing.doubt();
     }
 
     /** How many balancers hold a lease, as far as a leader knows; 0 elsewhere. */
-    public int holders() {
-        return leases == null ? 0 : leases.size(now);
+    public int leaseHolders() {
+        return leases == null ? 0 : leases.holderCount(now);
     }
 
     /** All that it is, but for times, in words that are the same for equal ones: for checkers of its states. */
@@ -318,7 +320,7 @@
                 .append(' ')
                 .append(leader)
                 .append(' ')
-                .append(commit)
+                .append(commitIndex)
                 .append('/')
                 .append(applied)
                 .append(' ')
@@ -330,47 +332,47 @@
                 .append(' ')
                 .append(standing.sound())
                 .append(quiet())
-                .append(now <= stoodAt + timing.election())
+                .append(now <= stoodAt + timing.electionTimeoutMicros())
                 .append(runs)
                 .append(new TreeMap<>(known))
                 .append(new TreeMap<>(votes))
                 .append(proposed.keySet())
                 .append(storing.durable);
-        for (long i = log.base() + 1; i <= log.last(); i++) {
+        for (long i = log.baseIndex() + 1; i <= log.lastIndex(); i++) {
             text.append(' ').append(log.term(i)).append(log.get(i).command());
         }
         peers.forEach((n, p) -> text.append(' ')
                 .append(n)
-                .append(p.next)
+                .append(p.nextIndex)
                 .append(',')
-                .append(p.match)
+                .append(p.matchIndex)
                 .append(',')
-                .append(p.run)
+                .append(p.incarnation)
                 .append(',')
-                .append(p.sound)
+                .append(p.recovered)
                 .append(',')
-                .append(p.round)
-                .append(now >= p.busyUntil));
+                .append(p.confirmedRound)
+                .append(now >= p.inFlightUntil));
         return text.toString();
     }
 
     // ---- Events --------------------------------------------------------------------------------------
 
     /** Takes in an event; returns what is to be done, in order. */
-    public List<Action> on(Event event, long at) {
-        now = Math.max(now, at);
+    public List<Action> handle(Event event, long nowMicros) {
+        now = Math.max(now, nowMicros);
         out = new ArrayList<>();
         if (event instanceof Event.Tick) {
             tick();
         } else if (event instanceof Event.Received r) {
-            received(r.from(), r.folder(), r.message());
+            received(r.from(), r.storageId(), r.message());
         } else if (event instanceof Event.Persisted p) {
             storing.done(p.token());
-        } else if (event instanceof Event.Asked a) {
+        } else if (event instanceof Event.RequestReceived a) {
             asked(a.token(), a.request());
-        } else if (event instanceof Event.LeasesAsked l) {
-            leasesAsked(l.asks());
-        } else if (event instanceof Event.Leave) {
+        } else if (event instanceof Event.LeasesRequested l) {
+            leasesAsked(l.requests());
+        } else if (event instanceof Event.TransferLeadership) {
             handOver();
         }
         settle();
@@ -379,7 +381,7 @@
 
     /** What follows from whatever has happened. */
     private void settle() {
-        if (role == Role.CANDIDATE && storing.votesAreKept() && rules.votesStillCount(now, stoodAt) && wins()) {
+        if (role == Role.CANDIDATE && storing.votesAreKept() && rules.votesAreValid(now, stoodAt) && wins()) {
             lead();
         }
         stand();
@@ -396,22 +398,22 @@
     }
 
     private void stand() {
-        if (standing.settles(members, name)) {
+        if (standing.settles(membership, name)) {
             follow(Math.max(term, standing.highestTerm()), null);
-            vote = rules.voteAfterDoubt(); // whom it voted for in that term may be what was lost, its own included
+            vote = rules.voteAfterRecovery(); // whom it voted for in that term may be what was lost, its own included
             storing.slot = true;
         }
         boolean doubtful = standing.doubt() != null;
-        if (standing.becomesSound(members, name, leader, term, matched)) {
+        if (standing.becomesSound(membership, name, leader, term, matched)) {
             storing.slot = true;
             if (doubtful) {
                 standing.knownRuns().stream()
                         .filter(r -> r != 0 && !runs.contains(r))
                         .forEach(runs::add);
-                runs.subList(Math.min(HardState.MOST_RUNS, runs.size()), runs.size())
+                runs.subList(Math.min(HardState.MAX_INCARNATIONS, runs.size()), runs.size())
                         .clear();
-                say("sound again: has all that it may have promised, up to entry " + log.last());
-                storing.restart(log.base()); // whatever was bad on disk is replaced
+                say("sound again: has all that it may have promised, up to entry " + log.lastIndex());
+                storing.restart(log.baseIndex()); // whatever was bad on disk is replaced
             }
         }
     }
@@ -419,7 +421,7 @@
     private void tick() {
         forwarded.entrySet().removeIf(f -> {
             if (now >= f.getValue()) {
-                out.add(new Action.Answer(
+                out.add(new Action.Respond(
                         f.getKey(),
                         new RequestResult(
                                 RequestResult.Kind.UNKNOWN, registry.newest().number(), "no answer of the leader")));
@@ -431,16 +433,18 @@
         } else if (leader != null
                 && !leader.equals(name)
                 && now - introducedAt
-                        >= (standing.target(leader, term) < 0 ? 2 * timing.heartbeat() : 2 * timing.election())) {
+                        >= (standing.target(leader, term) < 0
+                                ? 2 * timing.heartbeatMicros()
+                                : 2 * timing.electionTimeoutMicros())) {
             introducedAt = now; // the leader is to know which run this is, whatever it has heard last
-            promise(leader, new RaftMessage.Recall(term, List.copyOf(runs), standing.number()));
+            promise(leader, new RaftMessage.RecoveryQuery(term, List.copyOf(runs), standing.number()));
         }
         if (role == Role.LEADER) {
             leaderTick();
         } else if (now >= electionDue) {
             role = Role.FOLLOWER;
             restElection();
-            if (standing.mayVote(members, name) && members.voters().containsKey(name) && !storing.stalled()) {
+            if (standing.mayVote(membership, name) && membership.voters().containsKey(name) && !storing.stalled()) {
                 askBeforeStanding();
             } else if (!standing.sound()) {
                 tellDoubt();
@@ -454,25 +458,25 @@
             say("in doubt, decides nothing: "
                     + (standing.doubt() == null ? "too few keepers have answered yet" : standing.doubt()) + "; needs "
                     + majority() + " sound keepers, or all of "
-                    + members.voters().keySet());
+                    + membership.voters().keySet());
         }
     }
 
     private void recall() {
-        Set<String> all = new TreeSet<>(members.others(name));
+        Set<String> all = new TreeSet<>(membership.others(name));
         if (leader != null) {
             all.add(leader); // which this keeper's log may not know yet as one
         }
         all.remove(name);
-        all.forEach(to -> promise(to, new RaftMessage.Recall(term, List.copyOf(runs), standing.number())));
+        all.forEach(to -> promise(to, new RaftMessage.RecoveryQuery(term, List.copyOf(runs), standing.number())));
     }
 
     private void restElection() {
-        electionDue = now + timing.election() + random.nextLong(timing.election());
+        electionDue = now + timing.electionTimeoutMicros() + random.nextLong(timing.electionTimeoutMicros());
     }
 
     private void say(String line) {
-        out.add(new Action.Say(line));
+        out.add(new Action.Log(line));
     }
 
     private void send(String to, RaftMessage message) {
@@ -490,48 +494,51 @@
         if (!isHim(from, itsFolder, m)) {
             return;
         }
-        if (m instanceof RaftMessage.Append
-                || m instanceof RaftMessage.Appended
-                || m instanceof RaftMessage.Voted
-                || m instanceof RaftMessage.Vote) {
+        if (m instanceof RaftMessage.AppendEntries
+                || m instanceof RaftMessage.AppendEntriesResponse
+                || m instanceof RaftMessage.VoteResponse
+                || m instanceof RaftMessage.RequestVote) {
             heardTerms.merge(from, m.term(), Math::max);
         }
-        if (m instanceof RaftMessage.Vote v) {
+        if (m instanceof RaftMessage.RequestVote v) {
             vote(from, v);
             return;
         }
         if (m.term() > term) {
             follow(m.term(), null);
         }
-        if (m instanceof RaftMessage.Append a) {
+        if (m instanceof RaftMessage.AppendEntries a) {
             append(from, a);
-        } else if (m instanceof RaftMessage.Appended a) {
+        } else if (m instanceof RaftMessage.AppendEntriesResponse a) {
             appended(from, a);
-        } else if (m instanceof RaftMessage.PreVote v) {
+        } else if (m instanceof RaftMessage.RequestPreVote v) {
             boolean granted = v.term() >= term && mayHelp() && upToDate(v.lastIndex(), v.lastTerm()) && quiet();
-            promise(from, new RaftMessage.PreVoted(term, granted, standing.sound()));
-        } else if (m instanceof RaftMessage.PreVoted v && role == Role.ASKING && v.term() == term && v.granted()) {
-            votes.put(from, v.sound());
+            promise(from, new RaftMessage.PreVoteResponse(term, granted, standing.sound()));
+        } else if (m instanceof RaftMessage.PreVoteResponse v
+                && role == Role.PRE_CANDIDATE
+                && v.term() == term
+                && v.granted()) {
+            votes.put(from, v.recovered());
             if (wins()) {
                 standForElection(false);
             }
-        } else if (m instanceof RaftMessage.Voted v
+        } else if (m instanceof RaftMessage.VoteResponse v
                 && role == Role.CANDIDATE
                 && v.term() == term
                 && v.granted()
-                && rules.votesStillCount(now, stoodAt)) {
-            votes.put(from, v.sound());
-        } else if (m instanceof RaftMessage.Recall r) {
+                && rules.votesAreValid(now, stoodAt)) {
+            votes.put(from, v.recovered());
+        } else if (m instanceof RaftMessage.RecoveryQuery r) {
             recalled(from, itsFolder, r);
-        } else if (m instanceof RaftMessage.Recalled r) {
+        } else if (m instanceof RaftMessage.RecoveryReply r) {
             if (standing.answered(from, r)) {
                 say("in doubt: " + standing.doubt());
             }
-        } else if (m instanceof RaftMessage.Piece p) {
+        } else if (m instanceof RaftMessage.InstallSnapshotChunk p) {
             piece(from, p);
-        } else if (m instanceof RaftMessage.PieceTaken p) {
+        } else if (m instanceof RaftMessage.SnapshotChunkAck p) {
             pieceTaken(from, p);
-        } else if (m instanceof RaftMessage.StandNow s && s.term() == term && from.equals(leader) && mayHelp()) {
+        } else if (m instanceof RaftMessage.TimeoutNow s && s.term() == term && from.equals(leader) && mayHelp()) {
             standForElection(true);
         } else if (m instanceof RaftMessage.NotAMember n) {
             notAMember(from, n);
@@ -541,18 +548,21 @@
     }
 
     private void passedOn(String from, RaftMessage m) {
-        if (m instanceof RaftMessage.Forward f) {
+        if (m instanceof RaftMessage.ForwardedRequest f) {
             forward(from, f);
-        } else if (m instanceof RaftMessage.Forwarded f) {
+        } else if (m instanceof RaftMessage.ForwardedResponse f) {
             if (forwarded.remove(f.token()) != null) {
-                out.add(new Action.Answer(f.token(), f.outcome()));
+                out.add(new Action.Respond(f.token(), f.result()));
             }
-        } else if (m instanceof RaftMessage.Asks a && role == Role.LEADER) {
+        } else if (m instanceof RaftMessage.LeaseRequests a && role == Role.LEADER) {
             long askedAt = now;
             whenConfirmed(
-                    () -> send(from, new RaftMessage.Grants(term, a.number(), commit, grants(a.asks(), askedAt))),
+                    () -> send(
+                            from,
+                            new RaftMessage.LeaseResponses(
+                                    term, a.number(), commitIndex, grants(a.requests(), askedAt))),
                     () -> {});
-        } else if (m instanceof RaftMessage.Grants g && early.size() < MOST_WAITING) {
+        } else if (m instanceof RaftMessage.LeaseResponses g && early.size() < MOST_WAITING) {
             early.add(g);
         }
     }
@@ -562,20 +572,20 @@
      * an empty disk, and against those that were removed and do not know.
      */
     private boolean isHim(String from, long itsFolder, RaftMessage m) {
-        Member member = members.member(from);
+        Member member = membership.member(from);
         if (member == null) { // this keeper's own log may be behind, so that what a leader says is taken all the same
-            if ((m instanceof RaftMessage.PreVote || m instanceof RaftMessage.Recall) && !quiet()) {
+            if ((m instanceof RaftMessage.RequestPreVote || m instanceof RaftMessage.RecoveryQuery) && !quiet()) {
                 send(from, new RaftMessage.NotAMember(term, "is no keeper of this tier"));
                 return false;
             }
             return true;
         }
-        HardState.Known before = known.get(from);
-        long expected = member.folder() != 0 ? member.folder() : before == null ? 0 : before.folder();
-        if (expected != 0 && !rules.sameFolder(expected, itsFolder)) {
-            if (m instanceof RaftMessage.Append || m instanceof RaftMessage.Piece) {
+        HardState.KnownPeer before = known.get(from);
+        long expected = member.storageId() != 0 ? member.storageId() : before == null ? 0 : before.storageId();
+        if (expected != 0 && !rules.isSameStorage(expected, itsFolder)) {
+            if (m instanceof RaftMessage.AppendEntries || m instanceof RaftMessage.InstallSnapshotChunk) {
                 return true; // it leads, so it is this keeper's log that is behind and has its predecessor
-            } else if (m instanceof RaftMessage.Recall || m instanceof RaftMessage.PreVote) {
+            } else if (m instanceof RaftMessage.RecoveryQuery || m instanceof RaftMessage.RequestPreVote) {
                 send(
                         from,
                         new RaftMessage.NotAMember(
@@ -585,8 +595,8 @@
             }
             return false;
         }
-        if (before == null || before.folder() != itsFolder) {
-            known.put(from, new HardState.Known(itsFolder, 0));
+        if (before == null || before.storageId() != itsFolder) {
+            known.put(from, new HardState.KnownPeer(itsFolder, 0));
             storing.slot = true;
         }
         return true;
@@ -595,56 +605,58 @@
     private void notAMember(String from, RaftMessage.NotAMember n) {
         if (role != Role.LEADER && now - toldAt > TELL_EVERY || toldAt == 0) {
             toldAt = Math.max(1, now);
-            say(from + " says that this keeper " + n.why() + "; it decides nothing until it is added ('keepers add')");
+            say(from + " says that this keeper " + n.reason()
+                    + "; it decides nothing until it is added ('keepers add')");
         }
     }
 
-    private void recalled(String from, long itsFolder, RaftMessage.Recall r) {
+    private void recalled(String from, long itsFolder, RaftMessage.RecoveryQuery r) {
         // One that is late, from a run that is over, is taken for the newest too; the next one of the run that lasts
         // puts that right, and the answer is to a question that nobody waits for any more.
-        HardState.Known before = known.getOrDefault(from, new HardState.Known(itsFolder, 0));
-        boolean past = rules.isOfThePast(before.run(), r.runs(), heardTerms.getOrDefault(from, 0L), r.term());
-        if (before.run() != r.runs().get(0)) {
-            known.put(from, new HardState.Known(itsFolder, r.runs().get(0)));
+        HardState.KnownPeer before = known.getOrDefault(from, new HardState.KnownPeer(itsFolder, 0));
+        boolean past = rules.isOutdatedReplica(
+                before.incarnation(), r.incarnations(), heardTerms.getOrDefault(from, 0L), r.term());
+        if (before.incarnation() != r.incarnations().get(0)) {
+            known.put(from, new HardState.KnownPeer(itsFolder, r.incarnations().get(0)));
             storing.slot = true;
         }
         heardTerms.put(from, r.term());
         ReplicationProgress peer = peers.get(from);
-        if (peer != null && peer.run != r.runs().get(0)) {
-            peer.run = r.runs().get(0);
-            peer.match = 0;
-            peer.next = log.last() + 1;
-            peer.sound = false;
-            peer.round = 0;
-            peer.busyUntil = now;
+        if (peer != null && peer.incarnation != r.incarnations().get(0)) {
+            peer.incarnation = r.incarnations().get(0);
+            peer.matchIndex = 0;
+            peer.nextIndex = log.lastIndex() + 1;
+            peer.recovered = false;
+            peer.confirmedRound = 0;
+            peer.inFlightUntil = now;
         }
         promise(
                 from,
-                new RaftMessage.Recalled(
+                new RaftMessage.RecoveryReply(
                         term,
-                        r.number(),
+                        r.queryId(),
                         past,
                         standing.sound(),
                         standing.lost(),
                         role == Role.LEADER,
-                        log.last(),
-                        before.run()));
+                        log.lastIndex(),
+                        before.incarnation()));
     }
 
     // ---- Elections -----------------------------------------------------------------------------------
 
     /** Whether this keeper's word may make a leader. */
     private boolean mayHelp() {
-        return standing.mayVote(members, name) && members.voters().containsKey(name);
+        return standing.mayVote(membership, name) && membership.voters().containsKey(name);
     }
 
     private boolean upToDate(long lastIndex, long lastTerm) {
-        return rules.upToDate(lastIndex, lastTerm, log.last(), log.lastTerm());
+        return rules.isLogUpToDate(lastIndex, lastTerm, log.lastIndex(), log.lastTerm());
     }
 
     /** Whether nothing was heard of a leader for as long as one may be silent. */
     private boolean quiet() {
-        return role != Role.LEADER && now - heardOfLeader >= timing.election();
+        return role != Role.LEADER && now - heardOfLeader >= timing.electionTimeoutMicros();
     }
 
     private void follow(long newer, String of) {
@@ -682,7 +694,7 @@
     }
 
     private void askBeforeStanding() {
-        role = Role.ASKING;
+        role = Role.PRE_CANDIDATE;
         leader = null;
         matched = -1;
         votes.clear();
@@ -691,9 +703,9 @@
             standForElection(false);
             return;
         }
-        members.voters().keySet().stream()
+        membership.voters().keySet().stream()
                 .filter(n -> !n.equals(name))
-                .forEach(to -> promise(to, new RaftMessage.PreVote(term, log.last(), log.lastTerm())));
+                .forEach(to -> promise(to, new RaftMessage.RequestPreVote(term, log.lastIndex(), log.lastTerm())));
     }
 
     private void standForElection(boolean wanted) {
@@ -708,14 +720,15 @@
         restElection();
         votes.clear();
         votes.put(name, standing.sound());
-        members.voters().keySet().stream()
+        membership.voters().keySet().stream()
                 .filter(n -> !n.equals(name))
-                .forEach(to -> promise(to, new RaftMessage.Vote(term, log.last(), log.lastTerm(), handedOver)));
+                .forEach(to ->
+                        promise(to, new RaftMessage.RequestVote(term, log.lastIndex(), log.lastTerm(), handedOver)));
     }
 
-    private void vote(String from, RaftMessage.Vote v) {
+    private void vote(String from, RaftMessage.RequestVote v) {
         if (v.term() > term) {
-            if (!v.handedOver() && !quiet()) {
+            if (!v.leadershipTransfer() && !quiet()) {
                 return; // content with the leader that there is
             }
             follow(v.term(), null);
@@ -723,7 +736,7 @@
         boolean granted = v.term() == term
                 && rules.mayVoteFor(from, vote)
                 && mayHelp()
-                && (role == Role.FOLLOWER || role == Role.ASKING)
+                && (role == Role.FOLLOWER || role == Role.PRE_CANDIDATE)
                 && upToDate(v.lastIndex(), v.lastTerm());
         if (granted) {
             role = Role.FOLLOWER;
@@ -731,20 +744,21 @@
             storing.slot = true;
             restElection();
         }
-        promise(from, new RaftMessage.Voted(term, granted, standing.sound()));
+        promise(from, new RaftMessage.VoteResponse(term, granted, standing.sound()));
     }
 
     private int majority() {
-        return rules.majority(members.voters().size());
+        return rules.majority(membership.voters().size());
     }
 
     /** A majority of sound keepers, or all that there are. */
     private boolean wins() {
-        long in = votes.keySet().stream().filter(members.voters()::containsKey).count();
+        long in =
+                votes.keySet().stream().filter(membership.voters()::containsKey).count();
         long soundOnes = votes.entrySet().stream()
-                .filter(v -> v.getValue() && members.voters().containsKey(v.getKey()))
+                .filter(v -> v.getValue() && membership.voters().containsKey(v.getKey()))
                 .count();
-        return soundOnes >= majority() || in == members.voters().size();
+        return soundOnes >= majority() || in == membership.voters().size();
     }
 
     private void lead() {
@@ -754,26 +768,26 @@
         leases = new LeaseTable(rules, now);
         round = 0;
         confirmed = 0;
-        roundAt = now - timing.heartbeat();
-        firstOfTerm = log.last() + 1;
+        roundAt = now - timing.heartbeatMicros();
+        firstOfTerm = log.lastIndex() + 1;
         peers.clear();
-        members.others(name).forEach(this::addPeer);
-        put(new Command.Nothing());
+        membership.others(name).forEach(this::addPeer);
+        put(new Command.NoOp());
     }
 
     private void leaderTick() {
         long heard = peers.entrySet().stream()
-                .filter(p ->
-                        members.voters().containsKey(p.getKey()) && now - p.getValue().heardAt < 2 * timing.election())
+                .filter(p -> membership.voters().containsKey(p.getKey())
+                        && now - p.getValue().lastContactAt < 2 * timing.electionTimeoutMicros())
                 .count();
-        int self = members.voters().containsKey(name) ? 1 : 0;
+        int self = membership.voters().containsKey(name) ? 1 : 0;
         if (heard + self < majority()) {
             say("hears of too few keepers");
             follow(term, null);
         } else if (storing.stalled()) {
-            say("its disk has not answered for " + timing.election() / 1_000 + " ms");
+            say("its disk has not answered for " + timing.electionTimeoutMicros() / 1_000 + " ms");
             follow(term, null);
-        } else if (now - roundAt >= timing.heartbeat()) {
+        } else if (now - roundAt >= timing.heartbeatMicros()) {
             beginRound();
         }
     }
@@ -784,47 +798,48 @@
         }
         String best = null;
         for (Map.Entry<String, ReplicationProgress> p : peers.entrySet()) {
-            if (members.voters().containsKey(p.getKey())
-                    && p.getValue().sound
-                    && (best == null || p.getValue().match > peers.get(best).match)) {
+            if (membership.voters().containsKey(p.getKey())
+                    && p.getValue().recovered
+                    && (best == null || p.getValue().matchIndex > peers.get(best).matchIndex)) {
                 best = p.getKey();
             }
         }
         if (best != null) {
             say("hands the lead to " + best);
-            send(best, new RaftMessage.StandNow(term));
+            send(best, new RaftMessage.TimeoutNow(term));
         }
     }
 
     // ---- The log, as a leader ------------------------------------------------------------------------
 
     private long put(Command command) {
-        LogEntry entry = new LogEntry(log.last() + 1, term, command);
-        log.add(entry);
+        LogEntry entry = new LogEntry(log.lastIndex() + 1, term, command);
+        log.append(entry);
         storing.appended.add(entry);
-        if (command instanceof Command.Change) {
+        if (command instanceof Command.ChangeMembership) {
             takeMembers();
-            members.others(name).forEach(this::addPeer); // one that goes is sent the entry that says so first
+            membership.others(name).forEach(this::addPeer); // one that goes is sent the entry that says so first
         }
         return entry.index();
     }
 
     private void addPeer(String n) {
-        HardState.Known before = known.get(n);
+        HardState.KnownPeer before = known.get(n);
         peers.computeIfAbsent(
-                n, added -> new ReplicationProgress(log.last() + 1, before == null ? 0 : before.run(), now));
+                n,
+                added -> new ReplicationProgress(log.lastIndex() + 1, before == null ? 0 : before.incarnation(), now));
     }
 
     private void takeMembers() {
-        Membership inLog = log.lastMembers();
-        members = inLog != null ? inLog : snapshot != null ? snapshot.state().members() : registry.members();
+        Membership inLog = log.lastMembership();
+        membership = inLog != null ? inLog : snapshot != null ? snapshot.state().members() : registry.members();
     }
 
     private void beginRound() {
         round++;
         roundAt = now;
         peers.forEach((to, p) -> {
-            if (now >= p.busyUntil) {
+            if (now >= p.inFlightUntil) {
                 sendEntries(to, p, MOST_ENTRIES);
             } else {
                 sendEntries(to, p, 0);
@@ -833,48 +848,48 @@
     }
 
     private void sendEntries(String to, ReplicationProgress p, int most) {
-        long prev = Math.max(log.base(), p.next - 1);
-        List<LogEntry> entries = p.next <= log.base() ? List.of() : log.from(p.next, most);
+        long prev = Math.max(log.baseIndex(), p.nextIndex - 1);
+        List<LogEntry> entries = p.nextIndex <= log.baseIndex() ? List.of() : log.entriesFrom(p.nextIndex, most);
         if (!entries.isEmpty()) {
-            p.busyUntil = now + timing.election() / 2;
+            p.inFlightUntil = now + timing.electionTimeoutMicros() / 2;
         }
-        send(to, new RaftMessage.Append(term, prev, log.term(prev), entries, commit, round));
-        if (p.next <= log.base() && most > 0) {
+        send(to, new RaftMessage.AppendEntries(term, prev, log.term(prev), entries, commitIndex, round));
+        if (p.nextIndex <= log.baseIndex() && most > 0) {
             sendPiece(to, p);
         }
     }
 
     private void replicate() {
         peers.forEach((to, p) -> {
-            if (now >= p.busyUntil && p.next <= log.last() && p.next > log.base()) {
+            if (now >= p.inFlightUntil && p.nextIndex <= log.lastIndex() && p.nextIndex > log.baseIndex()) {
                 sendEntries(to, p, MOST_ENTRIES);
             }
         });
     }
 
-    private void appended(String from, RaftMessage.Appended a) {
+    private void appended(String from, RaftMessage.AppendEntriesResponse a) {
         ReplicationProgress p = peers.get(from);
         if (role != Role.LEADER || a.term() != term || p == null) {
             return;
         }
-        if (p.run == 0) {
-            p.run = a.run();
-        } else if (!rules.sameRun(p.run, a.run())) {
+        if (p.incarnation == 0) {
+            p.incarnation = a.incarnation();
+        } else if (!rules.isSameIncarnation(p.incarnation, a.incarnation())) {
             return; // what an earlier run promised may be gone
         }
-        p.heardAt = now;
-        p.sound = rules.counts(a.sound());
-        if (p.sound) {
-            p.round = Math.max(p.round, a.round());
-        }
-        if (a.ok()) {
-            p.busyUntil = now;
-            p.match = Math.max(p.match, a.matched());
-            p.next = Math.max(p.next, p.match + 1);
-        } else if (p.next - 1 > a.matched()) {
-            p.next = Math.max(1, a.matched() + 1);
-            p.busyUntil = now;
-            if (p.next <= log.base()) {
+        p.lastContactAt = now;
+        p.recovered = rules.countsTowardsQuorum(a.recovered());
+        if (p.recovered) {
+            p.confirmedRound = Math.max(p.confirmedRound, a.round());
+        }
+        if (a.success()) {
+            p.inFlightUntil = now;
+            p.matchIndex = Math.max(p.matchIndex, a.matchIndex());
+            p.nextIndex = Math.max(p.nextIndex, p.matchIndex + 1);
+        } else if (p.nextIndex - 1 > a.matchIndex()) {
+            p.nextIndex = Math.max(1, a.matchIndex() + 1);
+            p.inFlightUntil = now;
+            if (p.nextIndex <= log.baseIndex()) {
                 sendPiece(from, p);
             }
         }
@@ -882,35 +897,40 @@
 
     private void advanceCommit() {
         List<Long> have = new ArrayList<>();
-        members.voters().keySet().forEach(n -> {
+        membership.voters().keySet().forEach(n -> {
             ReplicationProgress p = peers.get(n);
-            have.add(n.equals(name) ? storing.durable : p != null && p.sound ? p.match : 0);
+            have.add(n.equals(name) ? storing.durable : p != null && p.recovered ? p.matchIndex : 0);
         });
         have.sort(null);
         long agreed = have.get(have.size() - majority());
-        if (agreed > commit && rules.mayCommit(log.term(agreed), term)) {
-            commit = agreed;
+        if (agreed > commitIndex && rules.mayCommitEntry(log.term(agreed), term)) {
+            commitIndex = agreed;
         }
     }
 
     // ---- The log, as a follower ----------------------------------------------------------------------
 
-    private void append(String from, RaftMessage.Append a) {
+    private void append(String from, RaftMessage.AppendEntries a) {
         if (a.term() < term) {
-            promise(from, new RaftMessage.Appended(term, false, log.last(), 0, runs.get(0), false));
+            promise(from, new RaftMessage.AppendEntriesResponse(term, false, log.lastIndex(), 0, runs.get(0), false));
             return;
         }
         heard(from);
         long have = log.term(a.prevIndex());
-        if (a.prevIndex() < log.base()) { // all of it is covered: what is committed is the same everywhere
-            promise(from, new RaftMessage.Appended(term, true, log.base(), a.round(), runs.get(0), standing.sound()));
+        if (a.prevIndex() < log.baseIndex()) { // all of it is covered: what is committed is the same everywhere
+            promise(
+                    from,
+                    new RaftMessage.AppendEntriesResponse(
+                            term, true, log.baseIndex(), a.round(), runs.get(0), standing.sound()));
             return;
         } else if (have != a.prevTerm()) {
-            long hint = Math.min(log.last(), a.prevIndex() - 1);
-            while (have >= 0 && hint > log.base() && hint > commit && log.term(hint) == have) {
+            long hint = Math.min(log.lastIndex(), a.prevIndex() - 1);
+            while (have >= 0 && hint > log.baseIndex() && hint > commitIndex && log.term(hint) == have) {
                 hint--; // a whole term at a time
             }
-            promise(from, new RaftMessage.Appended(term, false, hint, a.round(), runs.get(0), standing.sound()));
+            promise(
+                    from,
+                    new RaftMessage.AppendEntriesResponse(term, false, hint, a.round(), runs.get(0), standing.sound()));
             return;
         }
         boolean changed = false;
@@ -918,14 +938,14 @@
             if (log.term(e.index()) == e.term()) {
                 continue;
             }
-            if (e.index() <= log.last()) {
-                if (e.index() <= commit) {
+            if (e.index() <= log.lastIndex()) {
+                if (e.index() <= commitIndex) {
                     throw new IllegalStateException("entry " + e.index() + " is committed and would change");
                 }
-                log.cutBehind(e.index() - 1);
+                log.truncateAfter(e.index() - 1);
                 storing.cut(e.index() - 1);
             }
-            log.add(e);
+            log.append(e);
             storing.appended.add(e);
             changed = true;
         }
@@ -933,8 +953,10 @@
             takeMembers();
         }
         matched = a.prevIndex() + a.entries().size();
-        commit = Math.max(commit, Math.min(a.commit(), matched));
-        promise(from, new RaftMessage.Appended(term, true, matched, a.round(), runs.get(0), standing.sound()));
+        commitIndex = Math.max(commitIndex, Math.min(a.leaderCommit(), matched));
+        promise(
+                from,
+                new RaftMessage.AppendEntriesResponse(term, true, matched, a.round(), runs.get(0), standing.sound()));
     }
 
     private void heard(String from) {
@@ -948,104 +970,112 @@
     // ---- Snapshots -----------------------------------------------------------------------------------
 
     private void sendPiece(String to, ReplicationProgress p) {
-        if (piecesOf != snapshot.covered() || pieces == null) {
+        if (piecesOf != snapshot.lastIncludedIndex() || pieces == null) {
             pieces = codec.encode(snapshot);
-            piecesOf = snapshot.covered();
+            piecesOf = snapshot.lastIncludedIndex();
         }
-        if (p.offsetOf != piecesOf) {
-            p.offsetOf = piecesOf;
-            p.offset = 0;
+        if (p.chunkSnapshotIndex != piecesOf) {
+            p.chunkSnapshotIndex = piecesOf;
+            p.chunkOffset = 0;
         }
-        int length = (int) Math.min(PIECE, pieces.length - p.offset);
-        byte[] bytes = java.util.Arrays.copyOfRange(pieces, (int) p.offset, (int) p.offset + length);
-        p.busyUntil = now + timing.election() / 2;
+        int length = (int) Math.min(PIECE, pieces.length - p.chunkOffset);
+        byte[] bytes = java.util.Arrays.copyOfRange(pieces, (int) p.chunkOffset, (int) p.chunkOffset + length);
+        p.inFlightUntil = now + timing.electionTimeoutMicros() / 2;
         send(
                 to,
-                new RaftMessage.Piece(
-                        term, snapshot.covered(), snapshot.term(), p.offset, pieces.length, bytes, round));
+                new RaftMessage.InstallSnapshotChunk(
+                        term,
+                        snapshot.lastIncludedIndex(),
+                        snapshot.lastIncludedTerm(),
+                        p.chunkOffset,
+                        pieces.length,
+                        bytes,
+                        round));
     }
 
-    private void piece(String from, RaftMessage.Piece p) {
+    private void piece(String from, RaftMessage.InstallSnapshotChunk p) {
         if (p.term() < term
-                || p.size() > Integer.MAX_VALUE / 2
+                || p.totalSize() > Integer.MAX_VALUE / 2
                 || p.offset() < 0
-                || p.offset() + p.bytes().length > p.size()) {
+                || p.offset() + p.data().length > p.totalSize()) {
             return;
         }
         heard(from);
-        if (p.covered() <= commit) {
-            promise(from, new RaftMessage.PieceTaken(term, p.covered(), p.size(), p.round()));
+        if (p.lastIncludedIndex() <= commitIndex) {
+            promise(from, new RaftMessage.SnapshotChunkAck(term, p.lastIncludedIndex(), p.totalSize(), p.round()));
             return;
         }
-        if (incoming == null || incoming.covered() != p.covered() || incoming.term() != p.term()) {
+        if (incoming == null || incoming.lastIncludedIndex() != p.lastIncludedIndex() || incoming.term() != p.term()) {
             incoming = p;
             assembled = new byte[0];
         }
         if (p.offset() == assembled.length) {
-            byte[] more = java.util.Arrays.copyOf(assembled, assembled.length + p.bytes().length);
-            System.arraycopy(p.bytes(), 0, more, assembled.length, p.bytes().length);
+            byte[] more = java.util.Arrays.copyOf(assembled, assembled.length + p.data().length);
+            System.arraycopy(p.data(), 0, more, assembled.length, p.data().length);
             assembled = more;
         }
         long have = assembled.length;
-        if (have == p.size()) {
+        if (have == p.totalSize()) {
             Snapshot state = codec.decode(assembled);
             incoming = null;
             assembled = null;
-            if (state == null || state.covered() != p.covered() || state.term() != p.coveredTerm()) {
+            if (state == null
+                    || state.lastIncludedIndex() != p.lastIncludedIndex()
+                    || state.lastIncludedTerm() != p.lastIncludedTerm()) {
                 say("a snapshot of " + from + " cannot be read");
                 return;
             }
             install(state);
         }
-        promise(from, new RaftMessage.PieceTaken(term, p.covered(), have, p.round()));
+        promise(from, new RaftMessage.SnapshotChunkAck(term, p.lastIncludedIndex(), have, p.round()));
     }
 
     private void install(Snapshot state) {
-        boolean follows = log.term(state.covered()) == state.term();
+        boolean follows = log.term(state.lastIncludedIndex()) == state.lastIncludedTerm();
         snapshot = state;
         storing.snapshot = state;
         if (follows) {
-            log.compact(state.covered());
+            log.compactThrough(state.lastIncludedIndex());
         } else {
-            log.restart(state.covered(), state.term());
-            storing.cut(state.covered());
-            storing.restart(state.covered());
+            log.resetTo(state.lastIncludedIndex(), state.lastIncludedTerm());
+            storing.cut(state.lastIncludedIndex());
+            storing.restart(state.lastIncludedIndex());
         }
         registry.restore(state.state());
-        commit = Math.max(commit, state.covered());
-        applied = state.covered();
-        matched = state.covered();
+        commitIndex = Math.max(commitIndex, state.lastIncludedIndex());
+        applied = state.lastIncludedIndex();
+        matched = state.lastIncludedIndex();
         takeMembers();
-        out.add(new Action.News(registry.active(), registry.pending()));
+        out.add(new Action.ConfigChanged(registry.active(), registry.pending()));
     }
 
-    private void pieceTaken(String from, RaftMessage.PieceTaken t) {
+    private void pieceTaken(String from, RaftMessage.SnapshotChunkAck t) {
         ReplicationProgress p = peers.get(from);
-        if (role != Role.LEADER || t.term() != term || p == null || t.covered() != p.offsetOf) {
+        if (role != Role.LEADER || t.term() != term || p == null || t.lastIncludedIndex() != p.chunkSnapshotIndex) {
             return;
         }
-        p.heardAt = now;
-        p.busyUntil = now;
-        p.offset = Math.min(t.next(), pieces == null ? 0 : pieces.length);
-        if (pieces != null && p.offset >= pieces.length) {
-            p.next = Math.max(p.next, t.covered() + 1);
-            p.offset = 0;
-        } else if (p.next <= log.base()) {
+        p.lastContactAt = now;
+        p.inFlightUntil = now;
+        p.chunkOffset = Math.min(t.nextOffset(), pieces == null ? 0 : pieces.length);
+        if (pieces != null && p.chunkOffset >= pieces.length) {
+            p.nextIndex = Math.max(p.nextIndex, t.lastIncludedIndex() + 1);
+            p.chunkOffset = 0;
+        } else if (p.nextIndex <= log.baseIndex()) {
             sendPiece(from, p);
         }
     }
 
     private void takeSnapshot() {
-        snapshot = new Snapshot(applied, log.term(applied), registry.state());
+        snapshot = new Snapshot(applied, log.term(applied), registry.snapshotState());
         storing.snapshot = snapshot;
-        log.compact(applied - timing.snapshotEvery()); // those who are not far behind need no snapshot
+        log.compactThrough(applied - timing.snapshotInterval()); // those who are not far behind need no snapshot
     }
 
     // ---- What is committed ---------------------------------------------------------------------------
 
     private void apply() {
         boolean news = false;
-        while (applied < commit) {
+        while (applied < commitIndex) {
             LogEntry e = log.get(++applied);
             RequestResult outcome = registry.apply(e.command());
             news |= e.command() instanceof Command.Write || e.command() instanceof Command.Activate;
@@ -1060,29 +1090,29 @@
                                         registry.newest().number(),
                                         "another entry took its place"));
             }
-            if (e.command() instanceof Command.Change && role == Role.LEADER) {
+            if (e.command() instanceof Command.ChangeMembership && role == Role.LEADER) {
                 changed();
             }
         }
         if (news) {
-            out.add(new Action.News(registry.active(), registry.pending()));
+            out.add(new Action.ConfigChanged(registry.active(), registry.pending()));
         }
         early.removeIf(g -> {
-            if (g.commit() <= applied) {
-                g.grants().forEach(grant -> out.add(new Action.Grant(grant)));
+            if (g.commitIndex() <= applied) {
+                g.responses().forEach(grant -> out.add(new Action.SendLease(grant)));
             }
-            return g.commit() <= applied;
+            return g.commitIndex() <= applied;
         });
-        if (applied - (snapshot == null ? 0 : snapshot.covered()) >= timing.snapshotEvery()) {
+        if (applied - (snapshot == null ? 0 : snapshot.lastIncludedIndex()) >= timing.snapshotInterval()) {
             takeSnapshot();
         }
     }
 
     /** A set of keepers is committed: whoever is not in it need not be sent anything any more. */
     private void changed() {
-        peers.keySet().removeIf(n -> members.member(n) == null);
-        known.keySet().removeIf(n -> members.member(n) == null);
-        if (members.member(name) == null) {
+        peers.keySet().removeIf(n -> membership.member(n) == null);
+        known.keySet().removeIf(n -> membership.member(n) == null);
+        if (membership.member(name) == null) {
             say("is no keeper any more");
             follow(term, null);
         }
@@ -1092,9 +1122,9 @@
 
     private void answer(Waiting w, RequestResult outcome) {
         if (w.from() == null) {
-            out.add(new Action.Answer(w.token(), outcome));
+            out.add(new Action.Respond(w.token(), outcome));
         } else {
-            send(w.from(), new RaftMessage.Forwarded(term, w.token(), outcome));
+            send(w.from(), new RaftMessage.ForwardedResponse(term, w.token(), outcome));
         }
     }
 
@@ -1102,21 +1132,21 @@
         if (role == Role.LEADER) {
             decide(new Waiting(term, null, token), request);
         } else if (leader == null) {
-            out.add(new Action.Answer(
+            out.add(new Action.Respond(
                     token,
                     new RequestResult(
                             RequestResult.Kind.NO_LEADER, registry.newest().number(), "no leader is known")));
         } else if (forwarded.size() >= MOST_WAITING) {
-            out.add(new Action.Answer(
+            out.add(new Action.Respond(
                     token,
                     new RequestResult(RequestResult.Kind.BUSY, registry.newest().number(), "too many requests wait")));
         } else {
             forwarded.put(token, now + FORWARD_TIME);
-            send(leader, new RaftMessage.Forward(term, token, request));
+            send(leader, new RaftMessage.ForwardedRequest(term, token, request));
         }
     }
 
-    private void forward(String from, RaftMessage.Forward f) {
+    private void forward(String from, RaftMessage.ForwardedRequest f) {
         Waiting w = new Waiting(term, from, f.token());
         if (role == Role.LEADER) {
             decide(w, f.request());
@@ -1129,7 +1159,7 @@
     }
 
     private void decide(Waiting w, ClientRequest request) {
-        if (commit < firstOfTerm) {
+        if (commitIndex < firstOfTerm) {
             answer(
                     w,
                     new RequestResult(
@@ -1171,21 +1201,21 @@
 
     /** What is known of a write before it is put into the log; null if it has to be. */
     private RequestResult refusal(Command.Write write) {
-        RequestResult before = registry.outcome(write.request());
+        RequestResult before = registry.resultOf(write.requestId());
         if (before != null) {
             return before;
         }
-        RequestResult stale = registry.check(write.parent());
+        RequestResult stale = registry.rejection(write.parentVersion());
         if (stale != null) {
             return stale;
         }
-        List<String> faults = ConfigSchema.faults(registry.active().content(), write.content());
-        if (faults.isEmpty() && ConfigSchema.needs(write.content()) > leases.oldestSchema(now)) {
+        List<String> faults = ConfigSchema.violations(registry.active().content(), write.content());
+        if (faults.isEmpty() && ConfigSchema.requiredVersion(write.content()) > leases.oldestSchemaVersion(now)) {
             return new RequestResult(
                     RequestResult.Kind.BUSY,
                     registry.active().number(),
-                    "a balancer knows the schema up to version " + leases.oldestSchema(now) + ", this needs "
-                            + ConfigSchema.needs(write.content()));
+                    "a balancer knows the schema up to version " + leases.oldestSchemaVersion(now) + ", this needs "
+                            + ConfigSchema.requiredVersion(write.content()));
         }
         return faults.isEmpty()
                 ? null
@@ -1196,26 +1226,26 @@
     private void change(Waiting w, ClientRequest request) {
         Membership next = null;
         String fault = null;
-        if (!rules.mayChange(members, registry.members())) {
+        if (!rules.mayChangeMembership(membership, registry.members())) {
             fault = "another change of keepers is not committed yet";
-        } else if (request instanceof ClientRequest.Add add) {
-            if (members.member(add.member().name()) != null) {
+        } else if (request instanceof ClientRequest.AddMember add) {
+            if (membership.member(add.member().name()) != null) {
                 fault = add.member().name() + " is a keeper already; remove it first";
-            } else if (members.voters().size() >= Membership.MOST || members.learner() != null) {
-                fault = members.learner() != null
-                        ? members.learner().name() + " is still catching up"
-                        : Membership.MOST + " keepers at most";
+            } else if (membership.voters().size() >= Membership.MAX_VOTERS || membership.learner() != null) {
+                fault = membership.learner() != null
+                        ? membership.learner().name() + " is still catching up"
+                        : Membership.MAX_VOTERS + " keepers at most";
             } else {
-                next = members.withLearner(add.member());
+                next = membership.withLearner(add.member());
             }
-        } else if (request instanceof ClientRequest.Remove remove) {
-            Member gone = members.member(remove.name());
-            if (gone == null || remove.folder() != 0 && remove.folder() != gone.folder()) {
+        } else if (request instanceof ClientRequest.RemoveMember remove) {
+            Member gone = membership.member(remove.name());
+            if (gone == null || remove.storageId() != 0 && remove.storageId() != gone.storageId()) {
                 fault = remove.name() + " with that folder is no keeper";
-            } else if (members.voters().size() == 1 && members.voters().containsKey(remove.name())) {
+            } else if (membership.voters().size() == 1 && membership.voters().containsKey(remove.name())) {
                 fault = "the last keeper cannot go";
             } else {
-                next = members.without(remove.name());
+                next = membership.withoutMember(remove.name());
             }
         }
         if (next == null) {
@@ -1224,7 +1254,7 @@
                     new RequestResult(
                             RequestResult.Kind.REFUSED, registry.newest().number(), fault));
         } else {
-            proposed.put(put(new Command.Change(next)), w);
+            proposed.put(put(new Command.ChangeMembership(next)), w);
         }
     }
 
@@ -1237,9 +1267,9 @@
 
     private void confirm() {
         List<Long> echoed = new ArrayList<>();
-        members.voters().keySet().forEach(n -> {
+        membership.voters().keySet().forEach(n -> {
             ReplicationProgress p = peers.get(n);
-            echoed.add(n.equals(name) ? round : p != null && p.sound ? p.round : 0);
+            echoed.add(n.equals(name) ? round : p != null && p.recovered ? p.confirmedRound : 0);
         });
         echoed.sort(null);
         confirmed = Math.max(confirmed, echoed.get(echoed.size() - majority()));
@@ -1250,7 +1280,7 @@
             }
         }
         List<Confirming> done = confirming.stream()
-                .filter(c -> rules.confirmed(c.round(), confirmed))
+                .filter(c -> rules.isLeadershipConfirmed(c.round(), confirmed))
                 .toList();
         confirming.removeAll(done);
         done.forEach(c -> c.then().run());
@@ -1259,14 +1289,14 @@
     private void leasesAsked(List<LeaseRequest> asks) {
         if (role == Role.LEADER) {
             long askedAt = now;
-            whenConfirmed(() -> grants(asks, askedAt).forEach(g -> out.add(new Action.Grant(g))), () -> {});
+            whenConfirmed(() -> grants(asks, askedAt).forEach(g -> out.add(new Action.SendLease(g))), () -> {});
         } else if (leader != null) {
-            send(leader, new RaftMessage.Asks(term, 0, List.copyOf(asks)));
+            send(leader, new RaftMessage.LeaseRequests(term, 0, List.copyOf(asks)));
         }
     }
 
     private List<LeaseResponse> grants(List<LeaseRequest> asks, long askedAt) {
-        if (commit < firstOfTerm || applied < commit) {
+        if (commitIndex < firstOfTerm || applied < commitIndex) {
             return List.of(); // what a leader before may have committed is not known yet
         }
         return asks.stream()
@@ -1276,28 +1306,31 @@
 
     /** What only time or others' answers make possible: a version in force, a learner a voter, folders known. */
     private void activate() {
-        if (commit < firstOfTerm) {
+        if (commitIndex < firstOfTerm) {
             return;
         }
         ConfigVersion next = registry.pending();
-        if (next != null && leases.allHold(next.number(), now) && !log.activates(next.number(), commit)) {
+        if (next != null
+                && leases.allHoldersCover(next.number(), now)
+                && !log.containsActivation(next.number(), commitIndex)) {
             put(new Command.Activate(next.number()));
         }
-        if (!rules.mayChange(members, registry.members())) {
+        if (!rules.mayChangeMembership(membership, registry.members())) {
             return;
         }
-        ReplicationProgress learner =
-                members.learner() == null ? null : peers.get(members.learner().name());
-        if (learner != null && learner.sound && learner.match >= commit && learner.match > 0) {
-            put(new Command.Change(members.promoted()));
+        ReplicationProgress learner = membership.learner() == null
+                ? null
+                : peers.get(membership.learner().name());
+        if (learner != null && learner.recovered && learner.matchIndex >= commitIndex && learner.matchIndex > 0) {
+            put(new Command.ChangeMembership(membership.promoted()));
             return;
         }
         Map<String, Long> folders = new HashMap<>();
-        known.forEach((n, k) -> folders.put(n, k.folder()));
+        known.forEach((n, k) -> folders.put(n, k.storageId()));
         folders.put(name, folder);
-        Membership bound = members.bound(folders);
-        if (!bound.equals(members) && bound.voters().values().stream().allMatch(m -> m.folder() != 0)) {
-            put(new Command.Change(bound));
+        Membership bound = membership.withStorageIds(folders);
+        if (!bound.equals(membership) && bound.voters().values().stream().allMatch(m -> m.storageId() != 0)) {
+            put(new Command.ChangeMembership(bound));
         }
     }
 }
--- a/src/main/java/sedgeyoke/consensus/ReplicaRecovery.java
+++ b/src/main/java/sedgeyoke/consensus/ReplicaRecovery.java
@@ -18,7 +18,7 @@
 
     private final SafetyRules rules;
     private final long startedAt;
-    private final Map<String, RaftMessage.Recalled> replies = new HashMap<>();
+    private final Map<String, RaftMessage.RecoveryReply> replies = new HashMap<>();
     private final Set<Long> knownRuns = new LinkedHashSet<>();
     private String doubt;
     private boolean lost;
@@ -40,7 +40,7 @@
         this.startedAt = now;
         this.doubt = doubt;
         this.lost = lost;
-        this.askedAt = now - rules.timing().election();
+        this.askedAt = now - rules.timing().electionTimeoutMicros();
     }
 
     /** Nothing that it ever promised is missing. */
@@ -70,13 +70,13 @@
         if (sound || !waited || !members.voters().containsKey(self)) {
             return false;
         }
-        List<RaftMessage.Recalled> others = voters(members, self);
-        long bad = others.stream().filter(RaftMessage.Recalled::lost).count() + (lost ? 1 : 0);
+        List<RaftMessage.RecoveryReply> others = voters(members, self);
+        long bad = others.stream().filter(RaftMessage.RecoveryReply::dataLost).count() + (lost ? 1 : 0);
         return others.size() == members.voters().size() - 1
                 && bad < rules.majority(members.voters().size());
     }
 
-    private List<RaftMessage.Recalled> voters(Membership members, String self) {
+    private List<RaftMessage.RecoveryReply> voters(Membership members, String self) {
         return replies.entrySet().stream()
                 .filter(e -> !e.getKey().equals(self) && members.voters().containsKey(e.getKey()))
                 .map(Map.Entry::getValue)
@@ -85,13 +85,13 @@
 
     /** Whether it is time to ask the others again. */
     boolean shouldAsk(long now) {
-        if (doubt != null && !waited && now - startedAt >= rules.oldCandidaciesEnd()) {
+        if (doubt != null && !waited && now - startedAt >= rules.recoveryWaitMicros()) {
             waited = true; // answers of before say nothing of votes that were still under way
             number++;
             replies.clear();
-            askedAt = now - rules.timing().election();
+            askedAt = now - rules.timing().electionTimeoutMicros();
         }
-        boolean due = now - askedAt >= 2 * rules.timing().heartbeat();
+        boolean due = now - askedAt >= 2 * rules.timing().heartbeatMicros();
         if (due) {
             askedAt = now;
         }
@@ -104,13 +104,13 @@
     }
 
     /** An answer; true if it is news that this keeper is of the past. */
-    boolean answered(String from, RaftMessage.Recalled reply) {
-        if (reply.number() != number) {
+    boolean answered(String from, RaftMessage.RecoveryReply reply) {
+        if (reply.queryId() != number) {
             return false;
         }
         replies.put(from, reply);
-        knownRuns.add(reply.knownRun());
-        if (reply.past() && doubt == null && !sound) {
+        knownRuns.add(reply.knownIncarnation());
+        if (reply.outdated() && doubt == null && !sound) {
             doubt = from + " remembers a later run than this folder does: it is an old copy";
             replies.clear();
             number++;
@@ -127,15 +127,15 @@
     /** The highest term that others have told of. */
     long highestTerm() {
         return replies.values().stream()
-                .mapToLong(RaftMessage.Recalled::term)
+                .mapToLong(RaftMessage.RecoveryReply::term)
                 .max()
                 .orElse(0);
     }
 
     /** How far the log has to match a leader's of this term; -1 while that leader has not answered. */
     long target(String leader, long term) {
-        RaftMessage.Recalled reply = leader == null ? null : replies.get(leader);
-        return reply == null || !reply.leads() || reply.term() != term ? -1 : reply.lastIndex();
+        RaftMessage.RecoveryReply reply = leader == null ? null : replies.get(leader);
+        return reply == null || !reply.isLeader() || reply.term() != term ? -1 : reply.lastIndex();
     }
 
     /** Whether what others know is known well enough for their term to be taken over. True once only. */
@@ -150,7 +150,7 @@
     /** Whether so many have answered that whatever was committed, and whoever may have been voted for, is known. */
     private boolean enough(Membership members, String self) {
         long others = voters(members, self).stream()
-                .filter(RaftMessage.Recalled::sound)
+                .filter(RaftMessage.RecoveryReply::recovered)
                 .count();
         return waited && (others >= rules.majority(members.voters().size()) || unanimous(members, self));
     }
@@ -171,7 +171,7 @@
             sound = true; // all have voted for it: nobody has more
         } else if (settled && enough(members, self)) {
             long target = target(leader, term);
-            sound = target >= 0 && matched >= rules.targetAfterDoubt(target);
+            sound = target >= 0 && matched >= rules.recoveryTarget(target);
         }
         if (sound) {
             doubt = null;
--- a/src/main/java/sedgeyoke/consensus/RequestResult.java
+++ b/src/main/java/sedgeyoke/consensus/RequestResult.java
@@ -5,9 +5,9 @@
  *
  * @param kind what of it is sure
  * @param version the version that it made, or the newest one
- * @param text for people: why not, or by when it holds
+ * @param detail for people: why not, or by when it holds
  */
-public record RequestResult(Kind kind, long version, String text) {
+public record RequestResult(Kind kind, long version, String detail) {
     /** What is sure. */
     public enum Kind {
         /** It is done and stays done. */
--- a/src/main/java/sedgeyoke/consensus/SafetyRules.java
+++ b/src/main/java/sedgeyoke/consensus/SafetyRules.java
@@ -23,7 +23,7 @@
     }
 
     /** Whether a log may lead ours: whoever has ours and a majority's has all that is committed. */
-    boolean upToDate(long lastIndex, long lastTerm, long ownIndex, long ownTerm) {
+    boolean isLogUpToDate(long lastIndex, long lastTerm, long ownIndex, long ownTerm) {
         return lastTerm > ownTerm || lastTerm == ownTerm && lastIndex >= ownIndex;
     }
 
@@ -33,107 +33,107 @@
     }
 
     /** What is said to be on disk is: others build on it. */
-    boolean promisesWaitForDisk() {
+    boolean responsesWaitForPersistence() {
         return true;
     }
 
     /** Entries of earlier terms are committed by one of this term alone (Raft dissertation, section 3.6.2). */
-    boolean mayCommit(long entryTerm, long term) {
+    boolean mayCommitEntry(long entryTerm, long term) {
         return entryTerm == term;
     }
 
     /** A keeper that may have lost what it promised proves nothing by what it says now. */
-    boolean counts(boolean sound) {
-        return sound;
+    boolean countsTowardsQuorum(boolean recovered) {
+        return recovered;
     }
 
     /** What an earlier run of a keeper has said may be gone with it. */
-    boolean sameRun(long known, long said) {
-        return known == said;
+    boolean isSameIncarnation(long knownIncarnation, long claimedIncarnation) {
+        return knownIncarnation == claimedIncarnation;
     }
 
     /** A candidate counts votes for so long only: whoever forgets a vote waits until none is counted any more. */
-    boolean votesStillCount(long now, long stoodAt) {
-        return now <= stoodAt + timing.candidacy();
+    boolean votesAreValid(long now, long electionStartedAt) {
+        return now <= electionStartedAt + timing.candidacyMicros();
     }
 
     /** How long a keeper in doubt waits before it asks the others for their terms. */
-    long oldCandidaciesEnd() {
-        return timing.drift().longer(timing.drift().longer(2 * timing.candidacy()));
+    long recoveryWaitMicros() {
+        return timing.drift().upperBound(timing.drift().upperBound(2 * timing.candidacyMicros()));
     }
 
     /** The vote of a keeper that cannot know whom it has voted for in a term. */
-    String voteAfterDoubt() {
-        return HardState.UNKNOWN;
+    String voteAfterRecovery() {
+        return HardState.UNKNOWN_VOTE;
     }
 
     /** Up to where a keeper in doubt has to match the leader's log, given how long that was when it was asked. */
-    long targetAfterDoubt(long leadersLast) {
-        return leadersLast;
+    long recoveryTarget(long leaderLastIndex) {
+        return leaderLastIndex;
     }
 
     /** Whether a keeper comes with a folder that does not remember a run of its, or a term that it has spoken in. */
-    boolean isOfThePast(long knownRun, java.util.List<Long> runs, long heardTerm, long term) {
-        return knownRun != 0 && !runs.contains(knownRun) || term < heardTerm;
+    boolean isOutdatedReplica(long knownIncarnation, java.util.List<Long> incarnations, long lastSeenTerm, long term) {
+        return knownIncarnation != 0 && !incarnations.contains(knownIncarnation) || term < lastSeenTerm;
     }
 
     /** Whether a keeper is the one that was known, or another one with its name. */
-    boolean sameFolder(long known, long said) {
-        return known == said;
+    boolean isSameStorage(long knownStorageId, long claimedStorageId) {
+        return knownStorageId == claimedStorageId;
     }
 
     /** Neighbouring sets of keepers have a majority in common only if one changes at a time. */
-    boolean mayChange(Membership inLog, Membership committed) {
+    boolean mayChangeMembership(Membership inLog, Membership committed) {
         return inLog.equals(committed);
     }
 
     /** Whether this keeper still led after something had been asked: shown by a round that began later. */
-    boolean confirmed(long roundNeeded, long roundShown) {
-        return roundNeeded <= roundShown;
+    boolean isLeadershipConfirmed(long requiredRound, long confirmedRound) {
+        return requiredRound <= confirmedRound;
     }
 
     /** A leader takes a lease for held until then; the ask was sent before it came. */
-    long heldUntil(long askedAt) {
-        return askedAt + timing.drift().longer(timing.lease());
+    long leaseHeldUntil(long requestedAt) {
+        return requestedAt + timing.drift().upperBound(timing.leaseMicros());
     }
 
     /** A new leader takes it until then that balancers hold leases of its predecessors. */
-    long predecessorsLeasesEnd(long leadsSince) {
-        return leadsSince + timing.drift().longer(timing.lease());
+    long earlierLeasesEnd(long leaderSince) {
+        return leaderSince + timing.drift().upperBound(timing.leaseMicros());
     }
 
     /** Whether a holder may go on while a version is to take effect, or is in force. */
-    boolean holdsEnough(long holds, long version) {
-        return holds >= version;
+    boolean coversVersion(long heldVersion, long version) {
+        return heldVersion >= version;
     }
 
     /** A balancer acts under a lease until then: it counts from when it asked, not from when the answer came. */
-    long mayActUntil(long stamp, long heardAt) {
-        return stamp + timing.drift().shorter(timing.lease());
+    long leaseUsableUntil(long sentAt, long receivedAt) {
+        return sentAt + timing.drift().lowerBound(timing.leaseMicros());
     }
 
     /** Whether a word is older than one that was acted on: from a keeper of the past. */
-    boolean isOld(long active, long known) {
-        return active < known;
+    boolean isStale(long receivedVersion, long knownVersion) {
+        return receivedVersion < knownVersion;
     }
 
     /** By what a balancer acts while a version is to take effect. */
-    ConfigDocument between(ConfigDocument active, ConfigDocument pending) {
-        return ConfigSchema.meet(active, pending);
+    ConfigDocument duringActivation(ConfigDocument active, ConfigDocument pending) {
+        return ConfigSchema.merge(active, pending);
     }
 
     /** By what a balancer acts without a lease. */
-    ConfigDocument alone(ConfigDocument last) {
-        return ConfigSchema.alone(last);
+    ConfigDocument withoutLease(ConfigDocument last) {
+        return ConfigSchema.withoutLease(last);
     }
 
     /** Whether a write that was made from a version may follow the newest. */
-    boolean follows(long parent, long newest) {
-        return parent == newest;
+    boolean mayFollow(long parentVersion, long newestVersion) {
+        return parentVersion == newestVersion;
     }
 
     /** Whether a request that is known already is done again. */
-    boolean again(RequestResult before) {
-        return before == null;
+    boolean appliesRequest(RequestResult previousResult) {
+        return previousResult == null;
     }
 }
--- a/src/main/java/sedgeyoke/consensus/StateCodec.java
+++ b/src/main/java/sedgeyoke/consensus/SnapshotCodec.java
@@ -1,7 +1,7 @@
 package sedgeyoke.consensus;
 
 /** Between a state and the bytes in which it goes to another keeper. */
-public interface StateCodec {
+public interface SnapshotCodec {
     /** The bytes of a state; the same for equal ones. */
     byte[] encode(Snapshot state);
 
--- a/src/main/java/sedgeyoke/consensus/codec/ConsensusCodec.java
+++ b/src/main/java/sedgeyoke/consensus/codec/ConsensusCodec.java
@@ -20,7 +20,7 @@
 import sedgeyoke.consensus.RaftMessage;
 import sedgeyoke.consensus.RequestResult;
 import sedgeyoke.consensus.Snapshot;
-import sedgeyoke.consensus.StateCodec;
+import sedgeyoke.consensus.SnapshotCodec;
 import sedgeyoke.transport.InvalidMessageException;
 import sedgeyoke.transport.proto.AppendMessage;
 import sedgeyoke.transport.proto.AppendedMessage;
@@ -57,7 +57,7 @@
  * Between the records of {@link sedgeyoke.consensus} and the messages of the schema, on links and on disk. Nothing that
  * is read can make more of itself than its bytes; what makes no sense is {@link InvalidMessageException}.
  */
-public final class ConsensusCodec implements StateCodec {
+public final class ConsensusCodec implements SnapshotCodec {
     private static final int LONGEST_TEXT = 4_096;
 
     // ---- Documents and versions ----------------------------------------------------------------------
@@ -107,7 +107,7 @@
                 .setParent(v.parent())
                 .setAuthor(v.author())
                 .setReason(v.reason())
-                .setAtMs(v.atMs())
+                .setAtMs(v.createdAtMillis())
                 .setContent(of(v.content()))
                 .build();
     }
@@ -124,7 +124,7 @@
     public static MemberMessage of(Member m) {
         return MemberMessage.newBuilder()
                 .setName(m.name())
-                .setFolder(m.folder())
+                .setFolder(m.storageId())
                 .setAddress(m.address())
                 .build();
     }
@@ -154,11 +154,11 @@
     /** Encodes a {@code Command.Write}. */
     public static WriteMessage of(Command.Write w) {
         return WriteMessage.newBuilder()
-                .setRequest(w.request())
-                .setParent(w.parent())
+                .setRequest(w.requestId())
+                .setParent(w.parentVersion())
                 .setAuthor(w.author())
                 .setReason(w.reason())
-                .setAtMs(w.atMs())
+                .setAtMs(w.createdAtMillis())
                 .setContent(of(w.content()))
                 .build();
     }
@@ -178,8 +178,8 @@
     /** Encodes a {@code LogEntry}. */
     public static EntryMessage of(LogEntry e) {
         EntryMessage.Builder m = EntryMessage.newBuilder().setIndex(e.index()).setTerm(e.term());
-        if (e.command() instanceof Command.Change c) {
-            m.setChange(of(c.members()));
+        if (e.command() instanceof Command.ChangeMembership c) {
+            m.setChange(of(c.membership()));
         } else if (e.command() instanceof Command.Write w) {
             m.setWrite(of(w));
         } else if (e.command() instanceof Command.Activate a) {
@@ -194,10 +194,10 @@
     public static LogEntry entry(EntryMessage m) throws InvalidMessageException {
         Command command =
                 switch (m.getCommandCase()) {
-                    case CHANGE -> new Command.Change(members(m.getChange()));
+                    case CHANGE -> new Command.ChangeMembership(members(m.getChange()));
                     case WRITE -> write(m.getWrite());
                     case ACTIVATE -> new Command.Activate(m.getActivate());
-                    case NOTHING -> new Command.Nothing();
+                    case NOTHING -> new Command.NoOp();
                     default -> throw new InvalidMessageException(
                             "command of entry " + m.getIndex() + ": a newer program may have written it");
                 };
@@ -209,7 +209,7 @@
         return OutcomeMessage.newBuilder()
                 .setKind(o.kind().ordinal())
                 .setVersion(o.version())
-                .setText(o.text())
+                .setText(o.detail())
                 .build();
     }
 
@@ -225,8 +225,8 @@
     @Override
     public byte[] encode(Snapshot s) {
         SnapshotMessage.Builder m = SnapshotMessage.newBuilder()
-                .setCovered(s.covered())
-                .setTerm(s.term())
+                .setCovered(s.lastIncludedIndex())
+                .setTerm(s.lastIncludedTerm())
                 .setMembers(of(s.state().members()))
                 .setActive(of(s.state().active()));
         if (s.state().pending() != null) {
@@ -268,10 +268,10 @@
     public static AskMessage of(LeaseRequest a) {
         return AskMessage.newBuilder()
                 .setBalancer(a.balancer())
-                .setRun(a.run())
-                .setStamp(a.stamp())
-                .setHolds(a.holds())
-                .setSchema(a.schema())
+                .setRun(a.incarnation())
+                .setStamp(a.sentAtMicros())
+                .setHolds(a.heldVersion())
+                .setSchema(a.schemaVersion())
                 .build();
     }
 
@@ -284,11 +284,11 @@
     public static GrantMessage of(LeaseResponse g) {
         return GrantMessage.newBuilder()
                 .setBalancer(g.balancer())
-                .setRun(g.run())
-                .setStamp(g.stamp())
-                .setActive(g.active())
-                .setPending(g.pending())
-                .setLeased(g.leased())
+                .setRun(g.incarnation())
+                .setStamp(g.sentAtMicros())
+                .setActive(g.activeVersion())
+                .setPending(g.pendingVersion())
+                .setLeased(g.granted())
                 .build();
     }
 
@@ -303,10 +303,10 @@
         RequestMessage.Builder m = RequestMessage.newBuilder();
         if (r instanceof ClientRequest.Set s) {
             m.setSet(of(s.write()));
-        } else if (r instanceof ClientRequest.Add a) {
+        } else if (r instanceof ClientRequest.AddMember a) {
             m.setAdd(of(a.member()));
-        } else if (r instanceof ClientRequest.Remove e) {
-            m.setRemove(MemberMessage.newBuilder().setName(e.name()).setFolder(e.folder()));
+        } else if (r instanceof ClientRequest.RemoveMember e) {
+            m.setRemove(MemberMessage.newBuilder().setName(e.name()).setFolder(e.storageId()));
         } else {
             m.setRead(true);
         }
@@ -317,8 +317,8 @@
     public static ClientRequest request(RequestMessage m) throws InvalidMessageException {
         return switch (m.getRequestCase()) {
             case SET -> new ClientRequest.Set(write(m.getSet()));
-            case ADD -> new ClientRequest.Add(member(m.getAdd()));
-            case REMOVE -> new ClientRequest.Remove(
+            case ADD -> new ClientRequest.AddMember(member(m.getAdd()));
+            case REMOVE -> new ClientRequest.RemoveMember(
                     m.getRemove().getName(), m.getRemove().getFolder());
             case READ -> new ClientRequest.Read();
             default -> throw new InvalidMessageException("request: a newer program may have sent it");
@@ -331,46 +331,46 @@
     public static KeeperMessage of(long folder, RaftMessage message) {
         KeeperMessage.Builder m =
                 KeeperMessage.newBuilder().setTerm(message.term()).setFolder(folder);
-        if (message instanceof RaftMessage.PreVote v) {
+        if (message instanceof RaftMessage.RequestPreVote v) {
             m.setPreVote(Standing.newBuilder().setLastIndex(v.lastIndex()).setLastTerm(v.lastTerm()));
-        } else if (message instanceof RaftMessage.PreVoted v) {
-            m.setPreVoted(Granted.newBuilder().setGranted(v.granted()).setSound(v.sound()));
-        } else if (message instanceof RaftMessage.Vote v) {
+        } else if (message instanceof RaftMessage.PreVoteResponse v) {
+            m.setPreVoted(Granted.newBuilder().setGranted(v.granted()).setSound(v.recovered()));
+        } else if (message instanceof RaftMessage.RequestVote v) {
             m.setVote(Standing.newBuilder()
                     .setLastIndex(v.lastIndex())
                     .setLastTerm(v.lastTerm())
-                    .setHandedOver(v.handedOver()));
-        } else if (message instanceof RaftMessage.Voted v) {
-            m.setVoted(Granted.newBuilder().setGranted(v.granted()).setSound(v.sound()));
-        } else if (message instanceof RaftMessage.Append a) {
+                    .setHandedOver(v.leadershipTransfer()));
+        } else if (message instanceof RaftMessage.VoteResponse v) {
+            m.setVoted(Granted.newBuilder().setGranted(v.granted()).setSound(v.recovered()));
+        } else if (message instanceof RaftMessage.AppendEntries a) {
             AppendMessage.Builder b = AppendMessage.newBuilder()
                     .setPrevIndex(a.prevIndex())
                     .setPrevTerm(a.prevTerm())
-                    .setCommit(a.commit())
+                    .setCommit(a.leaderCommit())
                     .setRound(a.round());
             a.entries().forEach(e -> b.addEntries(of(e)));
             m.setAppend(b);
-        } else if (message instanceof RaftMessage.Appended a) {
+        } else if (message instanceof RaftMessage.AppendEntriesResponse a) {
             m.setAppended(AppendedMessage.newBuilder()
-                    .setOk(a.ok())
-                    .setMatched(a.matched())
+                    .setOk(a.success())
+                    .setMatched(a.matchIndex())
                     .setRound(a.round())
-                    .setRun(a.run())
-                    .setSound(a.sound()));
-        } else if (message instanceof RaftMessage.Piece p) {
+                    .setRun(a.incarnation())
+                    .setSound(a.recovered()));
+        } else if (message instanceof RaftMessage.InstallSnapshotChunk p) {
             m.setPiece(PieceMessage.newBuilder()
-                    .setCovered(p.covered())
-                    .setCoveredTerm(p.coveredTerm())
+                    .setCovered(p.lastIncludedIndex())
+                    .setCoveredTerm(p.lastIncludedTerm())
                     .setOffset(p.offset())
-                    .setSize(p.size())
-                    .setBytes(ByteString.copyFrom(p.bytes()))
+                    .setSize(p.totalSize())
+                    .setBytes(ByteString.copyFrom(p.data()))
                     .setRound(p.round()));
-        } else if (message instanceof RaftMessage.PieceTaken p) {
+        } else if (message instanceof RaftMessage.SnapshotChunkAck p) {
             m.setPieceTaken(PieceTakenMessage.newBuilder()
-                    .setCovered(p.covered())
-                    .setNext(p.next())
+                    .setCovered(p.lastIncludedIndex())
+                    .setNext(p.nextOffset())
                     .setRound(p.round()));
-        } else if (message instanceof RaftMessage.StandNow) {
+        } else if (message instanceof RaftMessage.TimeoutNow) {
             m.setStandNow(true);
         } else {
             rest(m, message);
@@ -379,32 +379,32 @@
     }
 
     private static void rest(KeeperMessage.Builder m, RaftMessage message) {
-        if (message instanceof RaftMessage.Recall r) {
-            m.setRecall(RecallMessage.newBuilder().addAllRuns(r.runs()).setNumber(r.number()));
-        } else if (message instanceof RaftMessage.Recalled r) {
+        if (message instanceof RaftMessage.RecoveryQuery r) {
+            m.setRecall(RecallMessage.newBuilder().addAllRuns(r.incarnations()).setNumber(r.queryId()));
+        } else if (message instanceof RaftMessage.RecoveryReply r) {
             m.setRecalled(RecalledMessage.newBuilder()
-                    .setNumber(r.number())
-                    .setPast(r.past())
-                    .setSound(r.sound())
-                    .setLost(r.lost())
-                    .setLeads(r.leads())
+                    .setNumber(r.queryId())
+                    .setPast(r.outdated())
+                    .setSound(r.recovered())
+                    .setLost(r.dataLost())
+                    .setLeads(r.isLeader())
                     .setLastIndex(r.lastIndex())
-                    .setKnownRun(r.knownRun()));
+                    .setKnownRun(r.knownIncarnation()));
         } else if (message instanceof RaftMessage.NotAMember n) {
-            m.setNotAMember(n.why());
-        } else if (message instanceof RaftMessage.Forward f) {
+            m.setNotAMember(n.reason());
+        } else if (message instanceof RaftMessage.ForwardedRequest f) {
             m.setForward(ForwardMessage.newBuilder().setToken(f.token()).setRequest(of(f.request())));
-        } else if (message instanceof RaftMessage.Forwarded f) {
-            m.setForwarded(ForwardedMessage.newBuilder().setToken(f.token()).setOutcome(of(f.outcome())));
-        } else if (message instanceof RaftMessage.Asks a) {
+        } else if (message instanceof RaftMessage.ForwardedResponse f) {
+            m.setForwarded(ForwardedMessage.newBuilder().setToken(f.token()).setOutcome(of(f.result())));
+        } else if (message instanceof RaftMessage.LeaseRequests a) {
             m.setAsks(AsksMessage.newBuilder()
                     .setNumber(a.number())
-                    .addAllAsks(a.asks().stream().map(ConsensusCodec::of).toList()));
-        } else if (message instanceof RaftMessage.Grants g) {
+                    .addAllAsks(a.requests().stream().map(ConsensusCodec::of).toList()));
+        } else if (message instanceof RaftMessage.LeaseResponses g) {
             m.setGrants(GrantsMessage.newBuilder()
                     .setNumber(g.number())
-                    .setCommit(g.commit())
-                    .addAllGrants(g.grants().stream().map(ConsensusCodec::of).toList()));
+                    .setCommit(g.commitIndex())
+                    .addAllGrants(g.responses().stream().map(ConsensusCodec::of).toList()));
         }
     }
 
@@ -415,38 +415,38 @@
             throw new InvalidMessageException("term");
         }
         return switch (m.getBodyCase()) {
-            case PRE_VOTE -> new RaftMessage.PreVote(
+            case PRE_VOTE -> new RaftMessage.RequestPreVote(
                     term, m.getPreVote().getLastIndex(), m.getPreVote().getLastTerm());
-            case PRE_VOTED -> new RaftMessage.PreVoted(
+            case PRE_VOTED -> new RaftMessage.PreVoteResponse(
                     term, m.getPreVoted().getGranted(), m.getPreVoted().getSound());
-            case VOTE -> new RaftMessage.Vote(
+            case VOTE -> new RaftMessage.RequestVote(
                     term,
                     m.getVote().getLastIndex(),
                     m.getVote().getLastTerm(),
                     m.getVote().getHandedOver());
-            case VOTED -> new RaftMessage.Voted(
+            case VOTED -> new RaftMessage.VoteResponse(
                     term, m.getVoted().getGranted(), m.getVoted().getSound());
             case APPEND -> append(term, m.getAppend());
             case APPENDED -> appended(term, m.getAppended());
             case PIECE -> piece(term, m.getPiece());
-            case PIECE_TAKEN -> new RaftMessage.PieceTaken(
+            case PIECE_TAKEN -> new RaftMessage.SnapshotChunkAck(
                     term,
                     m.getPieceTaken().getCovered(),
                     m.getPieceTaken().getNext(),
                     m.getPieceTaken().getRound());
-            case STAND_NOW -> new RaftMessage.StandNow(term);
+            case STAND_NOW -> new RaftMessage.TimeoutNow(term);
             case RECALL -> recall(term, m.getRecall());
             case RECALLED -> recalled(term, m.getRecalled());
             case NOT_A_MEMBER -> new RaftMessage.NotAMember(term, m.getNotAMember());
-            case FORWARD -> new RaftMessage.Forward(
+            case FORWARD -> new RaftMessage.ForwardedRequest(
                     term, m.getForward().getToken(), request(m.getForward().getRequest()));
-            case FORWARDED -> new RaftMessage.Forwarded(
+            case FORWARDED -> new RaftMessage.ForwardedResponse(
                     term, m.getForwarded().getToken(), outcome(m.getForwarded().getOutcome()));
-            case ASKS -> new RaftMessage.Asks(
+            case ASKS -> new RaftMessage.LeaseRequests(
                     term,
                     m.getAsks().getNumber(),
                     m.getAsks().getAsksList().stream().map(ConsensusCodec::ask).toList());
-            case GRANTS -> new RaftMessage.Grants(
+            case GRANTS -> new RaftMessage.LeaseResponses(
                     term,
                     m.getGrants().getNumber(),
                     m.getGrants().getCommit(),
@@ -458,11 +458,12 @@
     }
 
     private static RaftMessage appended(long term, AppendedMessage m) {
-        return new RaftMessage.Appended(term, m.getOk(), m.getMatched(), m.getRound(), m.getRun(), m.getSound());
+        return new RaftMessage.AppendEntriesResponse(
+                term, m.getOk(), m.getMatched(), m.getRound(), m.getRun(), m.getSound());
     }
 
     private static RaftMessage piece(long term, PieceMessage m) {
-        return new RaftMessage.Piece(
+        return new RaftMessage.InstallSnapshotChunk(
                 term,
                 m.getCovered(),
                 m.getCoveredTerm(),
@@ -476,11 +477,11 @@
         if (m.getRunsCount() == 0 || m.getRunsCount() > 1_000) {
             throw new InvalidMessageException("runs");
         }
-        return new RaftMessage.Recall(term, m.getRunsList(), m.getNumber());
+        return new RaftMessage.RecoveryQuery(term, m.getRunsList(), m.getNumber());
     }
 
     private static RaftMessage recalled(long term, RecalledMessage m) {
-        return new RaftMessage.Recalled(
+        return new RaftMessage.RecoveryReply(
                 term,
                 m.getNumber(),
                 m.getPast(),
@@ -500,6 +501,7 @@
             }
             entries.add(entry(e));
         }
-        return new RaftMessage.Append(term, m.getPrevIndex(), m.getPrevTerm(), entries, m.getCommit(), m.getRound());
+        return new RaftMessage.AppendEntries(
+                term, m.getPrevIndex(), m.getPrevTerm(), entries, m.getCommit(), m.getRound());
     }
 }
--- a/src/main/java/sedgeyoke/consensus/server/ConfigClient.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigClient.java
@@ -114,7 +114,7 @@
         RequestResult none = new RequestResult(
                 mayBeDone ? RequestResult.Kind.UNKNOWN : RequestResult.Kind.NO_LEADER,
                 0,
-                last == null ? "no keeper has answered" : last.outcome().text());
+                last == null ? "no keeper has answered" : last.outcome().detail());
         return new Answer(
                 none,
                 last == null ? ConfigVersion.NONE : last.active(),
--- a/src/main/java/sedgeyoke/consensus/server/ConfigServer.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigServer.java
@@ -112,7 +112,7 @@
         this.client = new MutualTls(settings.tls(), false, log);
         this.random = new SplittableRandom(run);
         this.keeper = new RaftNode(
-                new RaftNode.Self(settings.name(), folder.folder(), run),
+                new RaftNode.Identity(settings.name(), folder.folder(), run),
                 rules,
                 folder.recovered(),
                 folder.founders(),
@@ -136,7 +136,7 @@
 
     /** The process is about to end: if it leads, another one is to. May be called on any thread. */
     public void leave() {
-        loop.execute(() -> on(new Event.Leave()));
+        loop.execute(() -> on(new Event.TransferLeadership()));
     }
 
     private void accept(Channel ch) {
@@ -154,7 +154,7 @@
         if (!asks.isEmpty()) { // those of one tick go together
             List<LeaseRequest> all = List.copyOf(asks);
             asks.clear();
-            on(new Event.LeasesAsked(all));
+            on(new Event.LeasesRequested(all));
         }
         on(new Event.Tick());
         long now = clock.getAsLong();
@@ -180,7 +180,7 @@
             return;
         }
         try {
-            for (Action action : keeper.on(event, clock.getAsLong())) {
+            for (Action action : keeper.handle(event, clock.getAsLong())) {
                 carryOut(action);
             }
         } catch (RuntimeException e) { // it would go on with half of a step taken
@@ -201,24 +201,24 @@
             }
         } else if (action instanceof Action.Persist p) {
             disk.execute(() -> persist(p));
-        } else if (action instanceof Action.Answer a) {
+        } else if (action instanceof Action.Respond a) {
             Asked waiting = asked.remove(a.token());
             if (waiting != null) {
-                answer(waiting, a.outcome());
+                answer(waiting, a.result());
             }
-        } else if (action instanceof Action.Grant g) {
-            Incoming follower = followers.get(g.grant().balancer());
+        } else if (action instanceof Action.SendLease g) {
+            Incoming follower = followers.get(g.response().balancer());
             if (follower != null) {
-                follower.granted(g.grant());
+                follower.granted(g.response());
             }
-        } else if (action instanceof Action.News n) {
+        } else if (action instanceof Action.ConfigChanged n) {
             long newest =
                     n.pending() == null ? n.active().number() : n.pending().number();
             Frame news = Frame.newBuilder()
                     .setNews(NewsMessage.newBuilder().setNewest(newest))
                     .build();
             followers.values().forEach(f -> f.send(news));
-        } else if (action instanceof Action.Say s) {
+        } else if (action instanceof Action.Log s) {
             log.accept("keeper " + settings.name() + " " + s.line());
         }
     }
@@ -283,19 +283,19 @@
                 .setRole(keeper.role().name().toLowerCase())
                 .setTerm(keeper.term())
                 .setLeader(keeper.leader() == null ? "" : keeper.leader())
-                .setCommit(keeper.commit())
-                .setLast(keeper.last())
-                .setSound(keeper.sound())
-                .setDoubt(keeper.doubt() == null ? "" : keeper.doubt())
-                .setMembers(ConsensusCodec.of(keeper.members()))
+                .setCommit(keeper.commitIndex())
+                .setLast(keeper.lastIndex())
+                .setSound(keeper.isRecovered())
+                .setDoubt(keeper.suspectedLoss() == null ? "" : keeper.suspectedLoss())
+                .setMembers(ConsensusCodec.of(keeper.membership()))
                 .setActive(keeper.active().number())
                 .setPending(keeper.pending() == null ? 0 : keeper.pending().number())
-                .setHolders(keeper.holders())
+                .setHolders(keeper.leaseHolders())
                 .setLeaseMs(settings.leaseMs())
                 .setFolder(folder.folder())
                 .setFollowers(followers.size())
-                .setContradictionBoundMs((rules.timing().contradictionBound() + 999) / 1_000)
-                .setHoldsWithinMs((rules.timing().holdsWithin() + 999) / 1_000)
+                .setContradictionBoundMs((rules.timing().contradictionBoundMicros() + 999) / 1_000)
+                .setHoldsWithinMs((rules.timing().activationBoundMicros() + 999) / 1_000)
                 .build();
     }
 
@@ -441,16 +441,16 @@
                 ClientRequest request = ConsensusCodec.request(ask.getRequest());
                 long token = ++tokens;
                 asked.put(token, new Asked(this, ask.getToken(), clock.getAsLong() + ANSWER_WITHIN));
-                on(new Event.Asked(token, request));
+                on(new Event.RequestReceived(token, request));
             }
         }
 
         /** Tells what was granted, with the versions that the asker does not hold. */
         void granted(LeaseResponse grant) {
-            long holds = open == null ? 0 : open.holds();
-            ConfigVersion active = version(grant.active());
-            ConfigVersion pending = grant.pending() == 0 ? null : version(grant.pending());
-            if (active == null || grant.pending() != 0 && pending == null) {
+            long holds = open == null ? 0 : open.heldVersion();
+            ConfigVersion active = version(grant.activeVersion());
+            ConfigVersion pending = grant.pendingVersion() == 0 ? null : version(grant.pendingVersion());
+            if (active == null || grant.pendingVersion() != 0 && pending == null) {
                 return; // not known here yet; the balancer asks again
             }
             LeaseReply.Builder reply = LeaseReply.newBuilder().setGrant(ConsensusCodec.of(grant));
--- a/src/main/java/sedgeyoke/consensus/server/ConfigServerMain.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigServerMain.java
@@ -120,7 +120,8 @@
                     loop,
                     disk,
                     settings,
-                    new SafetyRules(RaftTiming.usual(settings.leaseMs() * 1_000, new ClockDrift(settings.driftPpm()))),
+                    new SafetyRules(
+                            RaftTiming.defaults(settings.leaseMs() * 1_000, new ClockDrift(settings.driftPpm()))),
                     folder,
                     new SecureRandom().nextLong() | 1,
                     clock,
--- a/src/main/java/sedgeyoke/consensus/server/ConfigSubscription.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigSubscription.java
@@ -37,13 +37,13 @@
     private final ConfigSubscriptionSettings settings;
     private final LongSupplier clock;
     private final Consumer<String> log;
-    private final Consumer<ConfigSubscriber.Acting> acting;
+    private final Consumer<ConfigSubscriber.EffectiveConfig> acting;
     private final String name;
     private final MutualTls tls;
     private final ConfigSubscriber adherent;
     private final SplittableRandom random;
     private final long askEvery;
-    private ConfigSubscriber.Acting told;
+    private ConfigSubscriber.EffectiveConfig told;
     private int at;
     private Connection connection;
     private boolean connecting;
@@ -64,7 +64,7 @@
             long run,
             LongSupplier clock,
             Consumer<String> log,
-            Consumer<ConfigSubscriber.Acting> acting)
+            Consumer<ConfigSubscriber.EffectiveConfig> acting)
             throws IOException {
         this.loop = loop;
         this.settings = settings;
@@ -73,10 +73,10 @@
         this.acting = acting;
         this.name = name;
         this.tls = new MutualTls(settings.tls(), false, log);
-        RaftTiming timing = RaftTiming.usual(settings.leaseMs() * 1_000, new ClockDrift(settings.driftPpm()));
+        RaftTiming timing = RaftTiming.defaults(settings.leaseMs() * 1_000, new ClockDrift(settings.driftPpm()));
         this.adherent = new ConfigSubscriber(name, run, new SafetyRules(timing), ConfigVersion.NONE);
         this.random = new SplittableRandom(run);
-        this.askEvery = timing.lease() / ASKS_IN_A_LEASE;
+        this.askEvery = timing.leaseMicros() / ASKS_IN_A_LEASE;
         this.at = random.nextInt(settings.keepers().size());
     }
 
@@ -102,21 +102,23 @@
         unanswered++;
         if (connection != null && connection.peer() != null) {
             connection.send(Frame.newBuilder()
-                    .setLeaseAsk(ConsensusCodec.of(adherent.ask(clock.getAsLong())))
+                    .setLeaseAsk(ConsensusCodec.of(adherent.leaseRequest(clock.getAsLong())))
                     .build());
         }
     }
 
     private void tell(long now) {
-        ConfigSubscriber.Acting next = adherent.acting(now);
+        ConfigSubscriber.EffectiveConfig next = adherent.effectiveConfig(now);
         if (told == null
                 || next.mode() != told.mode()
-                || next.version() != told.version()
-                || next.pending() != told.pending()) {
+                || next.activeVersion() != told.activeVersion()
+                || next.pendingVersion() != told.pendingVersion()) {
             told = next;
             log.accept("agreed: acts " + (next.mode() == ConfigSubscriber.Mode.LEASED ? "under a lease" : "alone")
-                    + " on version " + next.version()
-                    + (next.pending() == 0 ? "" : " and " + next.pending() + ", which is to take effect"));
+                    + " on version " + next.activeVersion()
+                    + (next.pendingVersion() == 0
+                            ? ""
+                            : " and " + next.pendingVersion() + ", which is to take effect"));
             acting.accept(next);
         }
     }
@@ -150,14 +152,14 @@
         @Override
         protected void message(Frame frame) throws InvalidMessageException, InvalidProtocolBufferException {
             if (frame.hasNews()) {
-                if (frame.getNews().getNewest() > adherent.newest()) {
+                if (frame.getNews().getNewest() > adherent.newestVersion()) {
                     nextAsk = clock.getAsLong();
                 }
             } else if (frame.hasLeaseReply()) {
                 LeaseReply reply = frame.getLeaseReply();
                 unanswered = 0;
                 long now = clock.getAsLong();
-                if (adherent.heard(
+                if (adherent.handle(
                         now,
                         ConsensusCodec.grant(reply.getGrant()),
                         reply.hasActive() ? ConsensusCodec.version(reply.getActive()) : null,
--- a/src/main/java/sedgeyoke/consensus/storage/ReplicaStorage.java
+++ b/src/main/java/sedgeyoke/consensus/storage/ReplicaStorage.java
@@ -42,7 +42,7 @@
     /** The snapshot before the newest: the log goes on from there, in case the newest rots. */
     private long olderCovered;
 
-    private RaftNode.Recovered recovered;
+    private RaftNode.StoredState recovered;
     private List<Corruption> damage = List.of();
 
     /** A folder that no keeper can be started from; the message says why, and what to do. */
@@ -120,12 +120,12 @@
     public static Report check(Disk disk) throws DiskException, Unusable {
         ReplicaStorage f = new ReplicaStorage(new ReadOnly(disk), new Owner("", "", "", false), SEGMENT_BYTES);
         long covered =
-                f.recovered.snapshot() == null ? 0 : f.recovered.snapshot().covered();
+                f.recovered.snapshot() == null ? 0 : f.recovered.snapshot().lastIncludedIndex();
         return new Report(
                 f.tier(),
                 f.keeper(),
                 f.folder(),
-                f.recovered.slot().term(),
+                f.recovered.hardState().term(),
                 covered + f.recovered.entries().size(),
                 covered,
                 f.damage);
@@ -196,7 +196,7 @@
     private void recover(Owner owner, Optional<Snapshots.Snapshot> newest) throws DiskException, Unusable {
         List<Corruption> found = new ArrayList<>(log.damage());
         Snapshot snapshot = newest.map(s -> codec.decode(s.state())).orElse(null);
-        long covered = snapshot == null ? 0 : snapshot.covered();
+        long covered = snapshot == null ? 0 : snapshot.lastIncludedIndex();
         olderCovered = covered;
         List<LogEntry> entries = entries(log.records());
         long first = entries.isEmpty() ? log.last() + 1 : entries.get(0).index();
@@ -211,7 +211,7 @@
         }
         boolean follows = covered == 0
                 || covered == first - 1
-                || entries.stream().anyMatch(e -> e.index() == covered && e.term() == snapshot.term());
+                || entries.stream().anyMatch(e -> e.index() == covered && e.term() == snapshot.lastIncludedTerm());
         entries = follows ? entries.stream().filter(e -> e.index() > covered).toList() : List.of();
         damage = List.copyOf(found);
         if (log.last() != covered + entries.size()) {
@@ -221,9 +221,9 @@
                 log.continueBehind(covered + entries.size()); // what is bad stays, until it has been replaced
             }
         }
-        Map<String, HardState.Known> known = new HashMap<>();
-        slot.getKnownList().forEach(k -> known.put(k.getName(), new HardState.Known(k.getFolder(), k.getRun())));
-        recovered = new RaftNode.Recovered(
+        Map<String, HardState.KnownPeer> known = new HashMap<>();
+        slot.getKnownList().forEach(k -> known.put(k.getName(), new HardState.KnownPeer(k.getFolder(), k.getRun())));
+        recovered = new RaftNode.StoredState(
                 new HardState(slot.getTerm(), slot.getVote(), slot.getRunsList(), known, slot.getSound()),
                 snapshot,
                 entries,
@@ -258,7 +258,7 @@
     }
 
     /** What can be believed. */
-    public RaftNode.Recovered recovered() {
+    public RaftNode.StoredState recovered() {
         return recovered;
     }
 
@@ -294,45 +294,47 @@
 
     /** Makes what a keeper wants to last last; all of it does once this has returned. */
     public void carryOut(Action.Persist p) throws DiskException {
-        if (p.slot() != null) {
+        if (p.hardState() != null) {
             SlotMessage.Builder next = slot.toBuilder()
-                    .setTerm(p.slot().term())
-                    .setVote(p.slot().vote())
-                    .setSound(p.slot().sound())
+                    .setTerm(p.hardState().term())
+                    .setVote(p.hardState().votedFor())
+                    .setSound(p.hardState().intact())
                     .clearRuns()
-                    .addAllRuns(p.slot().runs())
+                    .addAllRuns(p.hardState().incarnations())
                     .clearKnown();
-            p.slot()
-                    .known()
+            p.hardState()
+                    .knownPeers()
                     .forEach((name, k) -> next.addKnown(KnownMessage.newBuilder()
                             .setName(name)
-                            .setFolder(k.folder())
-                            .setRun(k.run())));
-            if (p.slot().sound()) {
+                            .setFolder(k.storageId())
+                            .setRun(k.incarnation())));
+            if (p.hardState().intact()) {
                 next.setBoot(boot).setIdentity(slotFile.identity());
             }
             saveSlot(next.build());
         }
         if (p.snapshot() != null) {
-            snapshots.save(new Snapshots.Snapshot(p.snapshot().covered(), codec.encode(p.snapshot())));
-            saveSlot(slot.toBuilder().setCovered(p.snapshot().covered()).build());
+            snapshots.save(new Snapshots.Snapshot(p.snapshot().lastIncludedIndex(), codec.encode(p.snapshot())));
+            saveSlot(slot.toBuilder()
+                    .setCovered(p.snapshot().lastIncludedIndex())
+                    .build());
         }
         List<SegmentLog.Record> records = new ArrayList<>(p.entries().size());
         for (LogEntry e : p.entries()) {
             records.add(new SegmentLog.Record(e.index(), ConsensusCodec.of(e).toByteArray()));
         }
-        if (p.restart() >= 0) {
-            log.restart(p.restart(), records);
+        if (p.restartLogAfter() >= 0) {
+            log.restart(p.restartLogAfter(), records);
         } else {
-            if (p.keep() >= 0) {
-                log.truncate(p.keep());
+            if (p.truncateAfter() >= 0) {
+                log.truncate(p.truncateAfter());
             }
             log.append(records);
             log.force();
         }
         if (p.snapshot() != null) {
             log.dropThrough(olderCovered);
-            olderCovered = p.snapshot().covered();
+            olderCovered = p.snapshot().lastIncludedIndex();
         }
     }
 }
--- a/src/main/java/sedgeyoke/lease/ClockDrift.java
+++ b/src/main/java/sedgeyoke/lease/ClockDrift.java
@@ -6,24 +6,24 @@
  * the side that asks; clocks are monotonic and may start anywhere.
  */
 public record ClockDrift(long ppm) {
-    private static final double MILLION = 1e6;
+    private static final double PARTS_PER_MILLION = 1e6;
     /** More than any clock that is worth the name; a larger figure is a slip of whoever set it. */
-    public static final long MOST_PPM = 100_000;
+    public static final long MAX_PPM = 100_000;
 
     /** {@code ppm}: parts per million that any clock may run fast or slow. */
     public ClockDrift {
-        if (ppm < 0 || ppm > MOST_PPM) {
-            throw new IllegalArgumentException("drift of " + ppm + " ppm: 0 to " + MOST_PPM);
+        if (ppm < 0 || ppm > MAX_PPM) {
+            throw new IllegalArgumentException("drift of " + ppm + " ppm: 0 to " + MAX_PPM);
         }
     }
 
     /** So much time on any clock is over, whoever measured it, once this much is over here. */
-    public long longer(long time) {
-        return (long) Math.ceil(time * (1 + ppm / MILLION));
+    public long upperBound(long time) {
+        return (long) Math.ceil(time * (1 + ppm / PARTS_PER_MILLION));
     }
 
     /** While no more than this is over here, so much time is over on no clock. */
-    public long shorter(long time) {
-        return (long) Math.floor(time * (1 - ppm / MILLION));
+    public long lowerBound(long time) {
+        return (long) Math.floor(time * (1 - ppm / PARTS_PER_MILLION));
     }
 }
--- a/src/main/java/sedgeyoke/lease/LeaseClock.java
+++ b/src/main/java/sedgeyoke/lease/LeaseClock.java
@@ -6,7 +6,7 @@
  * lent, short. Every time is one of the clock of the side that asks.
  */
 public class LeaseClock {
-    private static final double GRANT_SHARE = 0.4;
+    private static final double GRANT_FRACTION = 0.4;
     private final ClockDrift drift;
 
     /** {@code driftPpm}: how far any clock may run fast or slow, in parts per million. */
@@ -15,35 +15,35 @@
     }
 
     /** A lender keeps off until then what it deposited at {@code sentAt}. */
-    public long lentUntil(long sentAt, long lease) {
-        return sentAt + drift.longer(lease);
+    public long reservedUntil(long sentAt, long lease) {
+        return sentAt + drift.upperBound(lease);
     }
 
     /** A process that has just started keeps off all its rights until then: one before it may have lent them. */
-    public long quietUntil(long startedAt, long lease) {
-        return startedAt + drift.longer(lease);
+    public long startupQuietUntil(long startedAt, long lease) {
+        return startedAt + drift.upperBound(lease);
     }
 
     /**
      * A planner counts on a deposit until then. It was made after the message that it echoes was sent, however long
      * it took to come.
      */
-    public long depositUntil(long echoedAt, long receivedAt, long lease) {
-        return echoedAt + drift.shorter(lease);
+    public long depositCountsUntil(long echoedAt, long receivedAt, long lease) {
+        return echoedAt + drift.lowerBound(lease);
     }
 
     /** How long a grant holds, given the lease behind it. */
-    public long grantFor(long lease) {
-        return (long) (lease * GRANT_SHARE);
+    public long grantDuration(long lease) {
+        return (long) (lease * GRANT_FRACTION);
     }
 
     /** A forwarder uses a grant until then: it counts from when it sent the report that the grant answers. */
-    public long usableUntil(long echoedAt, long receivedAt, long grantFor) {
-        return echoedAt + drift.shorter(grantFor);
+    public long grantUsableUntil(long echoedAt, long receivedAt, long grantFor) {
+        return echoedAt + drift.lowerBound(grantFor);
     }
 
     /** A planner takes a grant for used until then: it counts from when the report that it answers had come. */
-    public long outstandingUntil(long reportedAt, long grantFor) {
-        return reportedAt + drift.longer(grantFor);
+    public long grantOutstandingUntil(long reportedAt, long grantFor) {
+        return reportedAt + drift.upperBound(grantFor);
     }
 }
--- a/src/main/java/sedgeyoke/plan/Follower.java
+++ b/src/main/java/sedgeyoke/plan/Follower.java
@@ -73,7 +73,7 @@
         this.self = self;
         this.fadeTime = self.fadeTime();
         this.terms = terms;
-        this.quietUntil = terms.quietUntil(now, self.lease());
+        this.quietUntil = terms.startupQuietUntil(now, self.lease());
     }
 
     /** From now on plans fade out over that time, in microseconds. */
@@ -130,7 +130,7 @@
         Lent before = lent.get(upstream);
         boolean ours = mayLend(now) && (before == null || before.until() <= now || lentTo(before, to));
         if (ours) {
-            lent.put(upstream, new Lent(to.planner(), to.incarnation(), terms.lentUntil(now, self.lease())));
+            lent.put(upstream, new Lent(to.planner(), to.incarnation(), terms.reservedUntil(now, self.lease())));
         }
         return ours;
     }
@@ -250,7 +250,7 @@
         Map<String, List<ColdGrant>> grants = new HashMap<>();
         Map<String, Long> launched = new HashMap<>();
         for (Heard h : planners.values()) {
-            long until = terms.usableUntil(
+            long until = terms.grantUsableUntil(
                     h.message().echo().at(), h.at(), h.message().grantFor());
             for (PlanMessage.Grant g : until > now ? h.message().grants() : List.<PlanMessage.Grant>of()) {
                 long newest = launched.merge(g.upstream(), g.launchedAt(), Math::max);
--- a/src/main/java/sedgeyoke/plan/Planner.java
+++ b/src/main/java/sedgeyoke/plan/Planner.java
@@ -91,7 +91,7 @@
         pool.deposited(
                 report.forwarder(),
                 lentToUs(report) ? report.deposits() : List.of(),
-                terms.depositUntil(report.echo().at(), now, report.lease()));
+                terms.depositCountsUntil(report.echo().at(), now, report.lease()));
         return true;
     }
 
@@ -133,7 +133,7 @@
                             views,
                             spill.row(m.last.zone()),
                             spill.limitShares(m.last.zone(), m.demand()),
-                            terms.grantFor(m.last.lease()),
+                            terms.grantDuration(m.last.lease()),
                             grants.getOrDefault(m.last.forwarder(), List.of()))));
         }
         return out;
--- a/src/main/java/sedgeyoke/plan/SlowStartQuotaPool.java
+++ b/src/main/java/sedgeyoke/plan/SlowStartQuotaPool.java
@@ -98,11 +98,11 @@
     private List<Candidate> candidates(long now, Collection<Planner.Member> members, ZoneSpillover spill, int zone) {
         List<Candidate> candidates = new ArrayList<>();
         for (Planner.Member m : members) {
-            if (!m.answered && now - m.heardAt <= terms.grantFor(m.last.lease()) / 2) {
+            if (!m.answered && now - m.heardAt <= terms.grantDuration(m.last.lease()) / 2) {
                 candidates.add(new Candidate(
                         m,
                         (m.demand() + 1e-9) * spill.affinity(m.last.zone(), zone),
-                        terms.outstandingUntil(m.heardAt, terms.grantFor(m.last.lease()))));
+                        terms.grantOutstandingUntil(m.heardAt, terms.grantDuration(m.last.lease()))));
             }
         }
         candidates.sort(Comparator.comparingDouble((Candidate c) -> -c.weight())
--- a/src/test/java/sedgeyoke/consensus/ExplicitStatesTest.java
+++ b/src/test/java/sedgeyoke/consensus/ExplicitStatesTest.java
@@ -70,9 +70,9 @@
         World(Function<RaftTiming, SafetyRules> rules) {
             this.rules = rules;
             for (int k = 0; k < NAMES.length; k++) {
-                Map<String, HardState.Known> known = new HashMap<>();
+                Map<String, HardState.KnownPeer> known = new HashMap<>();
                 for (int o = 0; o < NAMES.length; o++) {
-                    known.put(NAMES[o], new HardState.Known(1, o == k ? 0 : o + 1L));
+                    known.put(NAMES[o], new HardState.KnownPeer(1, o == k ? 0 : o + 1L));
                 }
                 slots[k] = new HardState(0, "", List.of(), known, true);
                 disks.add(new ArrayList<>());
@@ -86,28 +86,30 @@
             List<Member> members =
                     Arrays.stream(NAMES).map(n -> new Member(n, 1, n)).toList();
             keepers[k] = new RaftNode(
-                    new RaftNode.Self(NAMES[k], 1, run),
+                    new RaftNode.Identity(NAMES[k], 1, run),
                     rules.apply(TIMING),
-                    new RaftNode.Recovered(slots[k], null, List.copyOf(disks.get(k)), null, false),
+                    new RaftNode.StoredState(slots[k], null, List.copyOf(disks.get(k)), null, false),
                     Membership.of(members),
                     NoSnapshots.CODEC,
                     new SplittableRandom(1),
                     clocks[k]);
             int before = net.size();
             on(k, new Event.Tick(), true);
-            RaftMessage.Recall asked = (RaftMessage.Recall) net.get(before).message;
+            RaftMessage.RecoveryQuery asked = (RaftMessage.RecoveryQuery) net.get(before).message;
             String other = NAMES[(k + 1) % NAMES.length];
             on(
                     k,
                     new Event.Received(
-                            other, 1, new RaftMessage.Recalled(0, asked.number(), false, true, false, false, 0, 0)),
+                            other,
+                            1,
+                            new RaftMessage.RecoveryReply(0, asked.queryId(), false, true, false, false, 0, 0)),
                     true);
         }
 
         /** {@code lasts} false: the process ends before what it wants to last is on disk. */
         void on(int k, Event event, boolean lasts) {
             try {
-                List<Action> actions = keepers[k].on(event, clocks[k]);
+                List<Action> actions = keepers[k].handle(event, clocks[k]);
                 for (Action a : actions) {
                     if (a instanceof Action.Send s) {
                         net.add(new Flying(k, Arrays.asList(NAMES).indexOf(s.to()), s.message()));
@@ -122,14 +124,14 @@
         }
 
         private void keep(int k, Action.Persist p) {
-            if (p.slot() != null) {
-                slots[k] = p.slot();
+            if (p.hardState() != null) {
+                slots[k] = p.hardState();
             }
             List<LogEntry> disk = disks.get(k);
-            if (p.restart() >= 0) {
+            if (p.restartLogAfter() >= 0) {
                 disk.clear();
-            } else if (p.keep() >= 0) {
-                disk.removeIf(e -> e.index() > p.keep());
+            } else if (p.truncateAfter() >= 0) {
+                disk.removeIf(e -> e.index() > p.truncateAfter());
             }
             disk.addAll(p.entries());
         }
@@ -178,16 +180,16 @@
                 }
                 case 2 -> {
                     left[0]--;
-                    clocks[what] += 2 * TIMING.election() + 1;
+                    clocks[what] += 2 * TIMING.electionTimeoutMicros() + 1;
                     on(what, new Event.Tick(), true);
-                    net.removeIf(
-                            f -> f.message instanceof RaftMessage.PreVote); // it changes nothing at whoever is asked
+                    net.removeIf(f ->
+                            f.message instanceof RaftMessage.RequestPreVote); // it changes nothing at whoever is asked
                     on(
                             what,
                             new Event.Received(
                                     NAMES[(what + 1) % NAMES.length],
                                     1,
-                                    new RaftMessage.PreVoted(keepers[what].term(), true, true)),
+                                    new RaftMessage.PreVoteResponse(keepers[what].term(), true, true)),
                             true);
                 }
                 case 3 -> crash(what);
@@ -195,7 +197,7 @@
                     int write = left[1]--;
                     on(
                             what,
-                            new Event.Asked(
+                            new Event.RequestReceived(
                                     write,
                                     new ClientRequest.Set(
                                             new Command.Write("w" + write, 0, "", "", 0, ConfigDocument.EMPTY))),
@@ -203,7 +205,7 @@
                 }
                 default -> {
                     left[3]--;
-                    clocks[what] += TIMING.heartbeat();
+                    clocks[what] += TIMING.heartbeatMicros();
                     on(what, new Event.Tick(), true);
                 }
             }
@@ -225,7 +227,7 @@
                         breach = other + " and " + NAMES[k] + " lead in term " + keepers[k].term();
                     }
                 }
-                for (long i = 1; i <= keepers[k].commit(); i++) {
+                for (long i = 1; i <= keepers[k].commitIndex(); i++) {
                     LogEntry before = committed.putIfAbsent(i, keepers[k].entry(i));
                     if (before != null && !before.equals(keepers[k].entry(i))) {
                         breach = "entry " + i + " was " + before + ", is " + keepers[k].entry(i);
@@ -239,7 +241,7 @@
             for (int k = 0; k < NAMES.length; k++) {
                 text.append(keepers[k].describe())
                         .append(slots[k].term())
-                        .append(slots[k].vote())
+                        .append(slots[k].votedFor())
                         .append(disks.get(k).size())
                         .append('|');
             }
@@ -253,7 +255,7 @@
         }
     }
 
-    private static final class NoSnapshots implements StateCodec {
+    private static final class NoSnapshots implements SnapshotCodec {
         static final NoSnapshots CODEC = new NoSnapshots();
 
         @Override
--- a/src/test/java/sedgeyoke/consensus/PlantedRules.java
+++ b/src/test/java/sedgeyoke/consensus/FaultySafetyRules.java
@@ -5,8 +5,8 @@
 import java.util.function.Function;
 
 /** Rules that are each wrong in one place; here, as they may only be overridden from within the package. */
-public final class PlantedRules {
-    private PlantedRules() {}
+public final class FaultySafetyRules {
+    private FaultySafetyRules() {}
 
     /** By what is wrong. */
     public static Map<String, Function<RaftTiming, SafetyRules>> all() {
@@ -27,7 +27,7 @@
         });
         planted.put("a shorter log may lead", t -> new SafetyRules(t) {
             @Override
-            boolean upToDate(long lastIndex, long lastTerm, long ownIndex, long ownTerm) {
+            boolean isLogUpToDate(long lastIndex, long lastTerm, long ownIndex, long ownTerm) {
                 return true;
             }
         });
@@ -42,7 +42,7 @@
     private static void storage(Map<String, Function<RaftTiming, SafetyRules>> planted) {
         planted.put("promises do not wait for the disk", t -> new SafetyRules(t) {
             @Override
-            boolean promisesWaitForDisk() {
+            boolean responsesWaitForPersistence() {
                 return false;
             }
         });
@@ -51,37 +51,37 @@
     private static void leases(Map<String, Function<RaftTiming, SafetyRules>> planted) {
         planted.put("a lease counts from when the answer came", t -> new SafetyRules(t) {
             @Override
-            long mayActUntil(long stamp, long heardAt) {
-                return heardAt + t.lease();
+            long leaseUsableUntil(long stamp, long heardAt) {
+                return heardAt + t.leaseMicros();
             }
         });
         planted.put("a lease never ends", t -> new SafetyRules(t) {
             @Override
-            long mayActUntil(long stamp, long heardAt) {
+            long leaseUsableUntil(long stamp, long heardAt) {
                 return Long.MAX_VALUE;
             }
         });
         planted.put("a lease is longer for its holder than for the leader", t -> new SafetyRules(t) {
             @Override
-            long heldUntil(long askedAt) {
-                return askedAt + t.lease() / 2;
+            long leaseHeldUntil(long askedAt) {
+                return askedAt + t.leaseMicros() / 2;
             }
         });
         planted.put("leases of leaders before are forgotten", t -> new SafetyRules(t) {
             @Override
-            long predecessorsLeasesEnd(long leadsSince) {
+            long earlierLeasesEnd(long leadsSince) {
                 return leadsSince;
             }
         });
         planted.put("a version takes effect at once", t -> new SafetyRules(t) {
             @Override
-            boolean holdsEnough(long holds, long version) {
+            boolean coversVersion(long holds, long version) {
                 return true;
             }
         });
         planted.put("a leader takes itself for one without asking", t -> new SafetyRules(t) {
             @Override
-            boolean confirmed(long roundNeeded, long roundShown) {
+            boolean isLeadershipConfirmed(long roundNeeded, long roundShown) {
                 return true;
             }
         });
@@ -90,31 +90,31 @@
     private static void documents(Map<String, Function<RaftTiming, SafetyRules>> planted) {
         planted.put("an older word is believed", t -> new SafetyRules(t) {
             @Override
-            boolean isOld(long active, long known) {
+            boolean isStale(long active, long known) {
                 return false;
             }
         });
         planted.put("the newer version holds before it is in force", t -> new SafetyRules(t) {
             @Override
-            ConfigDocument between(ConfigDocument active, ConfigDocument pending) {
+            ConfigDocument duringActivation(ConfigDocument active, ConfigDocument pending) {
                 return pending;
             }
         });
         planted.put("alone, the last version goes on", t -> new SafetyRules(t) {
             @Override
-            ConfigDocument alone(ConfigDocument last) {
+            ConfigDocument withoutLease(ConfigDocument last) {
                 return last;
             }
         });
         planted.put("a write may follow any version", t -> new SafetyRules(t) {
             @Override
-            boolean follows(long parent, long newest) {
+            boolean mayFollow(long parent, long newest) {
                 return true;
             }
         });
         planted.put("a request that comes again is done again", t -> new SafetyRules(t) {
             @Override
-            boolean again(RequestResult before) {
+            boolean appliesRequest(RequestResult before) {
                 return true;
             }
         });
--- a/src/test/java/sedgeyoke/consensus/RaftNodeRulesTest.java
+++ b/src/test/java/sedgeyoke/consensus/RaftNodeRulesTest.java
@@ -36,18 +36,19 @@
         Alone(Function<RaftTiming, SafetyRules> rules, String doubt, long term, long... terms) {
             List<LogEntry> entries = new ArrayList<>();
             for (int i = 0; i < terms.length; i++) {
-                entries.add(new LogEntry(i + 1, terms[i], new Command.Nothing()));
+                entries.add(new LogEntry(i + 1, terms[i], new Command.NoOp()));
             }
             HardState slot = new HardState(
                     term,
                     "",
                     List.of(4L),
-                    new HashMap<>(Map.of("b", new HardState.Known(FOLDER, 5L), "c", new HardState.Known(FOLDER, 6L))),
+                    new HashMap<>(
+                            Map.of("b", new HardState.KnownPeer(FOLDER, 5L), "c", new HardState.KnownPeer(FOLDER, 6L))),
                     doubt == null);
             keeper = new RaftNode(
-                    new RaftNode.Self("a", FOLDER, 9),
+                    new RaftNode.Identity("a", FOLDER, 9),
                     rules.apply(TIMING),
-                    new RaftNode.Recovered(slot, null, entries, doubt, doubt != null),
+                    new RaftNode.StoredState(slot, null, entries, doubt, doubt != null),
                     Membership.of(List.of(
                             new Member("a", FOLDER, "a"), new Member("b", FOLDER, "b"), new Member("c", FOLDER, "c"))),
                     new NoCodec(),
@@ -56,7 +57,7 @@
         }
 
         void on(Event event) {
-            List<Action> actions = keeper.on(event, now);
+            List<Action> actions = keeper.handle(event, now);
             out.addAll(actions);
             for (Action a : actions) {
                 if (a instanceof Action.Persist p) {
@@ -77,28 +78,30 @@
         /** The number under which it asked what others know. */
         long asked() {
             on(new Event.Tick());
-            return said(RaftMessage.Recall.class).stream()
-                    .mapToLong(RaftMessage.Recall::number)
+            return said(RaftMessage.RecoveryQuery.class).stream()
+                    .mapToLong(RaftMessage.RecoveryQuery::queryId)
                     .reduce((x, y) -> y)
                     .orElseThrow();
         }
 
         void becomesSound() {
-            hears("b", new RaftMessage.Recalled(keeper.term(), asked(), false, true, false, false, 0, 0));
-            assertTrue(keeper.sound());
+            hears("b", new RaftMessage.RecoveryReply(keeper.term(), asked(), false, true, false, false, 0, 0));
+            assertTrue(keeper.isRecovered());
         }
 
         void leads() {
             becomesSound();
-            passes(2 * TIMING.election());
-            hears("b", new RaftMessage.PreVoted(keeper.term(), true, true));
-            hears("b", new RaftMessage.Voted(keeper.term(), true, true));
+            passes(2 * TIMING.electionTimeoutMicros());
+            hears("b", new RaftMessage.PreVoteResponse(keeper.term(), true, true));
+            hears("b", new RaftMessage.VoteResponse(keeper.term(), true, true));
             assertEquals(RaftNode.Role.LEADER, keeper.role());
         }
 
         void acknowledges(String from, boolean sound) {
             long run = from.equals("b") ? 5 : 6;
-            hears(from, new RaftMessage.Appended(keeper.term(), true, keeper.last(), 100, run, sound));
+            hears(
+                    from,
+                    new RaftMessage.AppendEntriesResponse(keeper.term(), true, keeper.lastIndex(), 100, run, sound));
         }
 
         <T extends RaftMessage> List<T> said(Class<T> kind) {
@@ -112,13 +115,13 @@
 
         List<RequestResult> answers() {
             return out.stream()
-                    .filter(Action.Answer.class::isInstance)
-                    .map(a -> ((Action.Answer) a).outcome())
+                    .filter(Action.Respond.class::isInstance)
+                    .map(a -> ((Action.Respond) a).result())
                     .toList();
         }
     }
 
-    private static final class NoCodec implements StateCodec {
+    private static final class NoCodec implements SnapshotCodec {
         @Override
         public byte[] encode(Snapshot state) {
             throw new AssertionError("no snapshot is sent");
@@ -137,16 +140,16 @@
     private static boolean refusesAnOlderLongerLog(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, null, 2, 1, 2);
         a.becomesSound();
-        a.hears("c", new RaftMessage.Vote(3, 5, 1, false));
-        return !a.said(RaftMessage.Voted.class).get(0).granted();
+        a.hears("c", new RaftMessage.RequestVote(3, 5, 1, false));
+        return !a.said(RaftMessage.VoteResponse.class).get(0).granted();
     }
 
     private static boolean changesOneAtATime(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, null, 1, 1);
         a.leads();
         a.acknowledges("b", true);
-        a.on(new Event.Asked(1, new ClientRequest.Add(new Member("d", 8, "d"))));
-        a.on(new Event.Asked(2, new ClientRequest.Remove("c", 0)));
+        a.on(new Event.RequestReceived(1, new ClientRequest.AddMember(new Member("d", 8, "d"))));
+        a.on(new Event.RequestReceived(2, new ClientRequest.RemoveMember("c", 0)));
         return a.answers().stream().anyMatch(o -> o.kind() == RequestResult.Kind.REFUSED);
     }
 
@@ -154,74 +157,76 @@
         Alone a = new Alone(rules, null, 1, 1);
         a.leads();
         a.acknowledges("b", false);
-        return a.keeper.commit() == 0;
+        return a.keeper.commitIndex() == 0;
     }
 
     private static boolean waitsForTheLeadersLog(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, "a part is gone", 1, 1);
-        a.passes(4 * TIMING.election());
-        a.hears("b", new RaftMessage.Append(2, 1, 1, List.of(), 0, 1));
+        a.passes(4 * TIMING.electionTimeoutMicros());
+        a.hears("b", new RaftMessage.AppendEntries(2, 1, 1, List.of(), 0, 1));
         for (int i = 0; i < 2; i++) { // the second answer is to what was asked after the leader was known
             long asked = a.asked();
-            a.hears("b", new RaftMessage.Recalled(2, asked, false, true, false, true, 9, 0));
-            a.hears("c", new RaftMessage.Recalled(2, asked, false, true, false, false, 9, 0));
-            a.hears("b", new RaftMessage.Append(2, 1, 1, List.of(), 0, 2));
+            a.hears("b", new RaftMessage.RecoveryReply(2, asked, false, true, false, true, 9, 0));
+            a.hears("c", new RaftMessage.RecoveryReply(2, asked, false, true, false, false, 9, 0));
+            a.hears("b", new RaftMessage.AppendEntries(2, 1, 1, List.of(), 0, 2));
         }
-        return !a.keeper.sound();
+        return !a.keeper.isRecovered();
     }
 
     private static boolean remembersRuns(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, null, 1, 1);
         a.becomesSound();
-        a.hears("c", new RaftMessage.Recall(1, List.of(99L, 3L), 1));
-        return a.said(RaftMessage.Recalled.class).get(0).past();
+        a.hears("c", new RaftMessage.RecoveryQuery(1, List.of(99L, 3L), 1));
+        return a.said(RaftMessage.RecoveryReply.class).get(0).outdated();
     }
 
     private static boolean knowsFolders(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, null, 1, 1);
         a.becomesSound();
-        a.on(new Event.Received("c", FOLDER + 1, new RaftMessage.Vote(2, 5, 1, false)));
-        return a.said(RaftMessage.Voted.class).isEmpty();
+        a.on(new Event.Received("c", FOLDER + 1, new RaftMessage.RequestVote(2, 5, 1, false)));
+        return a.said(RaftMessage.VoteResponse.class).isEmpty();
     }
 
     private static boolean commitsOnlyItsOwnTerm(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, null, 3, 1, 2);
         a.leads();
         long run = 5;
-        a.hears("b", new RaftMessage.Appended(a.keeper.term(), true, 2, 1, run, true)); // not yet its own entry
-        return a.keeper.commit() == 0;
+        a.hears(
+                "b",
+                new RaftMessage.AppendEntriesResponse(a.keeper.term(), true, 2, 1, run, true)); // not yet its own entry
+        return a.keeper.commitIndex() == 0;
     }
 
     private static boolean countsNoOldRun(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, null, 1, 1);
         a.leads();
-        a.hears("b", new RaftMessage.Recall(a.keeper.term(), List.of(50L, 5L), 1));
+        a.hears("b", new RaftMessage.RecoveryQuery(a.keeper.term(), List.of(50L, 5L), 1));
         a.acknowledges("b", true); // from the run before
-        return a.keeper.commit() == 0;
+        return a.keeper.commitIndex() == 0;
     }
 
     private static boolean countsNoLateVote(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, null, 1, 1);
         a.becomesSound();
-        a.passes(2 * TIMING.election());
-        a.hears("b", new RaftMessage.PreVoted(a.keeper.term(), true, true));
-        a.now += TIMING.election() + 1;
-        a.hears("b", new RaftMessage.Voted(a.keeper.term(), true, true));
+        a.passes(2 * TIMING.electionTimeoutMicros());
+        a.hears("b", new RaftMessage.PreVoteResponse(a.keeper.term(), true, true));
+        a.now += TIMING.electionTimeoutMicros() + 1;
+        a.hears("b", new RaftMessage.VoteResponse(a.keeper.term(), true, true));
         return a.keeper.role() != RaftNode.Role.LEADER;
     }
 
     private static boolean forgetsNoVote(Function<RaftTiming, SafetyRules> rules) {
         Alone a = new Alone(rules, "a part is gone", 1, 1);
-        a.passes(4 * TIMING.election());
+        a.passes(4 * TIMING.electionTimeoutMicros());
         long asked = a.asked();
-        a.hears("b", new RaftMessage.Recalled(2, asked, false, true, false, true, 1, 0));
-        a.hears("c", new RaftMessage.Recalled(2, asked, false, true, false, false, 1, 0));
-        a.hears("b", new RaftMessage.Append(2, 1, 1, List.of(), 0, 1));
-        a.hears("b", new RaftMessage.Recalled(2, a.asked(), false, true, false, true, 1, 0));
-        assertTrue(a.keeper.sound(), "it has all");
-        a.passes(2 * TIMING.election());
-        a.hears("c", new RaftMessage.Vote(2, 9, 9, false));
-        return a.said(RaftMessage.Voted.class).stream().noneMatch(RaftMessage.Voted::granted);
+        a.hears("b", new RaftMessage.RecoveryReply(2, asked, false, true, false, true, 1, 0));
+        a.hears("c", new RaftMessage.RecoveryReply(2, asked, false, true, false, false, 1, 0));
+        a.hears("b", new RaftMessage.AppendEntries(2, 1, 1, List.of(), 0, 1));
+        a.hears("b", new RaftMessage.RecoveryReply(2, a.asked(), false, true, false, true, 1, 0));
+        assertTrue(a.keeper.isRecovered(), "it has all");
+        a.passes(2 * TIMING.electionTimeoutMicros());
+        a.hears("c", new RaftMessage.RequestVote(2, 9, 9, false));
+        return a.said(RaftMessage.VoteResponse.class).stream().noneMatch(RaftMessage.VoteResponse::granted);
     }
 
     static Stream<Arguments> histories() {
@@ -230,7 +235,7 @@
                 "logs are compared by length alone",
                 new History(RaftNodeRulesTest::refusesAnOlderLongerLog, t -> new SafetyRules(t) {
                     @Override
-                    boolean upToDate(long lastIndex, long lastTerm, long ownIndex, long ownTerm) {
+                    boolean isLogUpToDate(long lastIndex, long lastTerm, long ownIndex, long ownTerm) {
                         return lastIndex >= ownIndex;
                     }
                 }));
@@ -238,7 +243,7 @@
                 "two keepers change at a time",
                 new History(RaftNodeRulesTest::changesOneAtATime, t -> new SafetyRules(t) {
                     @Override
-                    boolean mayChange(Membership inLog, Membership committed) {
+                    boolean mayChangeMembership(Membership inLog, Membership committed) {
                         return true;
                     }
                 }));
@@ -246,7 +251,7 @@
                 "whoever may have lost something counts",
                 new History(RaftNodeRulesTest::countsOnlySoundOnes, t -> new SafetyRules(t) {
                     @Override
-                    boolean counts(boolean sound) {
+                    boolean countsTowardsQuorum(boolean sound) {
                         return true;
                     }
                 }));
@@ -254,7 +259,7 @@
                 "in doubt, any log will do",
                 new History(RaftNodeRulesTest::waitsForTheLeadersLog, t -> new SafetyRules(t) {
                     @Override
-                    long targetAfterDoubt(long leadersLast) {
+                    long recoveryTarget(long leadersLast) {
                         return 0;
                     }
                 }));
@@ -262,7 +267,7 @@
                 "nobody remembers what a keeper has said",
                 new History(RaftNodeRulesTest::remembersRuns, t -> new SafetyRules(t) {
                     @Override
-                    boolean isOfThePast(long knownRun, List<Long> runs, long heardTerm, long term) {
+                    boolean isOutdatedReplica(long knownRun, List<Long> runs, long heardTerm, long term) {
                         return false;
                     }
                 }));
@@ -270,7 +275,7 @@
                 "another folder is taken for the one before",
                 new History(RaftNodeRulesTest::knowsFolders, t -> new SafetyRules(t) {
                     @Override
-                    boolean sameFolder(long known, long said) {
+                    boolean isSameStorage(long known, long said) {
                         return true;
                     }
                 }));
@@ -285,7 +290,7 @@
                 "entries of earlier terms are committed by counting",
                 new History(RaftNodeRulesTest::commitsOnlyItsOwnTerm, t -> new SafetyRules(t) {
                     @Override
-                    boolean mayCommit(long entryTerm, long term) {
+                    boolean mayCommitEntry(long entryTerm, long term) {
                         return true;
                     }
                 }));
@@ -293,13 +298,13 @@
                 "what a run before has acknowledged counts",
                 new History(RaftNodeRulesTest::countsNoOldRun, t -> new SafetyRules(t) {
                     @Override
-                    boolean sameRun(long known, long said) {
+                    boolean isSameIncarnation(long known, long said) {
                         return true;
                     }
                 }));
         all.put("votes count for ever", new History(RaftNodeRulesTest::countsNoLateVote, t -> new SafetyRules(t) {
             @Override
-            boolean votesStillCount(long now, long stoodAt) {
+            boolean votesAreValid(long now, long stoodAt) {
                 return true;
             }
         }));
@@ -307,7 +312,7 @@
                 "a vote that may be lost was none",
                 new History(RaftNodeRulesTest::forgetsNoVote, t -> new SafetyRules(t) {
                     @Override
-                    String voteAfterDoubt() {
+                    String voteAfterRecovery() {
                         return "";
                     }
                 }));
@@ -325,16 +330,16 @@
     @Test
     void aVoteInItsOwnHighestTermIsNotKnownEither() {
         Alone a = new Alone(SafetyRules::new, "a part is gone", 5, 1);
-        a.passes(4 * TIMING.election());
+        a.passes(4 * TIMING.electionTimeoutMicros());
         long asked = a.asked();
-        a.hears("b", new RaftMessage.Recalled(2, asked, false, true, false, false, 1, 0));
-        a.hears("c", new RaftMessage.Recalled(2, asked, false, true, false, false, 1, 0));
-        a.hears("b", new RaftMessage.Append(5, 1, 1, List.of(), 0, 1));
-        a.hears("b", new RaftMessage.Recalled(5, a.asked(), false, true, false, true, 1, 0));
-        assertTrue(a.keeper.sound(), "it has all");
-        a.passes(2 * TIMING.election());
-        a.hears("c", new RaftMessage.Vote(5, 9, 9, false));
-        assertTrue(a.said(RaftMessage.Voted.class).stream().noneMatch(RaftMessage.Voted::granted));
+        a.hears("b", new RaftMessage.RecoveryReply(2, asked, false, true, false, false, 1, 0));
+        a.hears("c", new RaftMessage.RecoveryReply(2, asked, false, true, false, false, 1, 0));
+        a.hears("b", new RaftMessage.AppendEntries(5, 1, 1, List.of(), 0, 1));
+        a.hears("b", new RaftMessage.RecoveryReply(5, a.asked(), false, true, false, true, 1, 0));
+        assertTrue(a.keeper.isRecovered(), "it has all");
+        a.passes(2 * TIMING.electionTimeoutMicros());
+        a.hears("c", new RaftMessage.RequestVote(5, 9, 9, false));
+        assertTrue(a.said(RaftMessage.VoteResponse.class).stream().noneMatch(RaftMessage.VoteResponse::granted));
     }
 
     /** A balancer that is started again and again leaves nothing behind that others would be refused for. */
@@ -342,18 +347,18 @@
     void processesThatAreOverMakeRoomForOthers() {
         LeaseTable leases = new LeaseTable(new SafetyRules(TIMING), 0);
         long now = 0;
-        for (long run = 0; run < 3 * LeaseTable.MOST; run++) {
-            now += TIMING.lease() / 100;
+        for (long run = 0; run < 3 * LeaseTable.MAX_HOLDERS; run++) {
+            now += TIMING.leaseMicros() / 100;
             assertTrue(leases.grant(new LeaseRequest("b", run, 0, 0, 1), now, ConfigVersion.NONE, null)
-                    .leased());
+                    .granted());
         }
-        assertTrue(leases.size(now) <= 102, "hold one: " + leases.size(now));
-        for (long run = 0; run < LeaseTable.MOST; run++) {
+        assertTrue(leases.holderCount(now) <= 102, "hold one: " + leases.holderCount(now));
+        for (long run = 0; run < LeaseTable.MAX_HOLDERS; run++) {
             leases.grant(new LeaseRequest("c", run, 0, 0, 1), now, ConfigVersion.NONE, null);
         }
         assertFalse(
                 leases.grant(new LeaseRequest("d", 1, 0, 0, 1), now, ConfigVersion.NONE, null)
-                        .leased(),
+                        .granted(),
                 "there is a bound");
     }
 
@@ -364,15 +369,15 @@
                 ConfigDocument.EMPTY.with(ConfigSchema.RETRIES_ALONE, 0.1).with(ConfigSchema.BALANCERS_ALONE, 50);
         assertEquals(
                 List.of(),
-                ConfigSchema.faults(
+                ConfigSchema.violations(
                         before, before.with(ConfigSchema.RETRIES_ALONE, 0.2).with(ConfigSchema.BALANCERS_ALONE, 40)));
         assertEquals(
                 1,
-                ConfigSchema.faults(before, before.with(ConfigSchema.RETRIES_ALONE, 0.05))
+                ConfigSchema.violations(before, before.with(ConfigSchema.RETRIES_ALONE, 0.05))
                         .size());
         assertEquals(
                 1,
-                ConfigSchema.faults(before, before.with(ConfigSchema.BALANCERS_ALONE, 60))
+                ConfigSchema.violations(before, before.with(ConfigSchema.BALANCERS_ALONE, 60))
                         .size());
     }
 
@@ -382,7 +387,7 @@
                 Map.of("retries", 2.0, "nonesuch", 1.0),
                 Map.of("upstreams_out", Map.of("x", 1.0)),
                 Map.of("zones_out", Map.of("", "note")));
-        List<String> faults = ConfigSchema.faults(ConfigDocument.EMPTY, bad);
+        List<String> faults = ConfigSchema.violations(ConfigDocument.EMPTY, bad);
         assertTrue(faults.stream().anyMatch(f -> f.startsWith("retries: 2.0")), faults.toString());
         assertTrue(faults.stream().anyMatch(f -> f.startsWith("nonesuch: no such key")), faults.toString());
         assertTrue(faults.stream().anyMatch(f -> f.startsWith("upstreams_out: ")), faults.toString());
@@ -396,15 +401,15 @@
         for (int i = 0; i < 2_000; i++) {
             ConfigDocument a = draw(random);
             ConfigDocument b = draw(random);
-            assertEquals(List.of(), ConfigSchema.contradictions(ConfigSchema.meet(a, b), a));
+            assertEquals(List.of(), ConfigSchema.contradictions(ConfigSchema.merge(a, b), a));
             assertEquals(
                     List.of(),
-                    ConfigSchema.contradictions(ConfigSchema.meet(a, b), b).stream()
+                    ConfigSchema.contradictions(ConfigSchema.merge(a, b), b).stream()
                             .filter(f -> !f.equals("planners"))
                             .toList());
             assertEquals(
-                    ConfigSchema.meet(a, b).numbers(), ConfigSchema.meet(b, a).numbers());
-            assertEquals(List.of(), ConfigSchema.contradictions(ConfigSchema.alone(a), a));
+                    ConfigSchema.merge(a, b).numbers(), ConfigSchema.merge(b, a).numbers());
+            assertEquals(List.of(), ConfigSchema.contradictions(ConfigSchema.withoutLease(a), a));
         }
     }
 
@@ -414,7 +419,7 @@
             if (random.nextBoolean()) {
                 continue;
             } else if (f.kind() == ConfigField.Kind.NUMBER) {
-                d = d.with(f, f.least() + random.nextDouble() * (f.most() - f.least()));
+                d = d.with(f, f.min() + random.nextDouble() * (f.max() - f.min()));
             } else if (f.kind() == ConfigField.Kind.NAMES) {
                 d = d.with(f, random.nextBoolean() ? Map.of("x", "1") : Map.of("x", "2", "y", ""));
             } else {
