--- a/src/test/java/sedgeyoke/consensus/codec/ConsensusCodecTest.java
+++ b/src/test/java/sedgeyoke/consensus/codec/ConsensusCodecTest.java
@@ -39,31 +39,32 @@
             Membership.of(List.of(new Member("a", 1, "x:1"), new Member("b", 2, "x:2")));
     private static final List<LogEntry> ENTRIES = List.of(
             new LogEntry(8, 2, WRITE),
-            new LogEntry(9, 3, new Command.Nothing()),
+            new LogEntry(9, 3, new Command.NoOp()),
             new LogEntry(10, 3, new Command.Activate(5)),
-            new LogEntry(11, 3, new Command.Change(new Membership(MEMBERS.voters(), new Member("c", 3, "x:3")))));
+            new LogEntry(
+                    11, 3, new Command.ChangeMembership(new Membership(MEMBERS.voters(), new Member("c", 3, "x:3")))));
 
     private static List<RaftMessage> messages() {
         RequestResult outcome = new RequestResult(RequestResult.Kind.BUSY, 5, "later");
         return List.of(
-                new RaftMessage.PreVote(3, 9, 2),
-                new RaftMessage.PreVoted(3, true, false),
-                new RaftMessage.Vote(3, 9, 2, true),
-                new RaftMessage.Voted(3, true, true),
-                new RaftMessage.Append(3, 7, 2, ENTRIES, 6, 12),
-                new RaftMessage.Appended(3, true, 11, 12, 99, true),
-                new RaftMessage.PieceTaken(3, 6, 512, 12),
-                new RaftMessage.StandNow(3),
-                new RaftMessage.Recall(3, List.of(9L, 8L), 4),
-                new RaftMessage.Recalled(3, 4, true, true, false, true, 11, 8),
+                new RaftMessage.RequestPreVote(3, 9, 2),
+                new RaftMessage.PreVoteResponse(3, true, false),
+                new RaftMessage.RequestVote(3, 9, 2, true),
+                new RaftMessage.VoteResponse(3, true, true),
+                new RaftMessage.AppendEntries(3, 7, 2, ENTRIES, 6, 12),
+                new RaftMessage.AppendEntriesResponse(3, true, 11, 12, 99, true),
+                new RaftMessage.SnapshotChunkAck(3, 6, 512, 12),
+                new RaftMessage.TimeoutNow(3),
+                new RaftMessage.RecoveryQuery(3, List.of(9L, 8L), 4),
+                new RaftMessage.RecoveryReply(3, 4, true, true, false, true, 11, 8),
                 new RaftMessage.NotAMember(3, "why"),
-                new RaftMessage.Forward(3, 1, new ClientRequest.Set(WRITE)),
-                new RaftMessage.Forward(3, 1, new ClientRequest.Read()),
-                new RaftMessage.Forward(3, 1, new ClientRequest.Add(new Member("c", 3, "x:3"))),
-                new RaftMessage.Forward(3, 1, new ClientRequest.Remove("c", 3)),
-                new RaftMessage.Forwarded(3, 1, outcome),
-                new RaftMessage.Asks(3, 2, List.of(new LeaseRequest("b1", 5, -6, 4, 1))),
-                new RaftMessage.Grants(3, 2, 6, List.of(new LeaseResponse("b1", 5, -6, 4, 5, true))));
+                new RaftMessage.ForwardedRequest(3, 1, new ClientRequest.Set(WRITE)),
+                new RaftMessage.ForwardedRequest(3, 1, new ClientRequest.Read()),
+                new RaftMessage.ForwardedRequest(3, 1, new ClientRequest.AddMember(new Member("c", 3, "x:3"))),
+                new RaftMessage.ForwardedRequest(3, 1, new ClientRequest.RemoveMember("c", 3)),
+                new RaftMessage.ForwardedResponse(3, 1, outcome),
+                new RaftMessage.LeaseRequests(3, 2, List.of(new LeaseRequest("b1", 5, -6, 4, 1))),
+                new RaftMessage.LeaseResponses(3, 2, 6, List.of(new LeaseResponse("b1", 5, -6, 4, 5, true))));
     }
 
     @Test
@@ -73,9 +74,11 @@
             assertEquals(m, ConsensusCodec.message(sent));
             assertEquals(7, sent.getFolder());
         }
-        RaftMessage.Piece piece = new RaftMessage.Piece(3, 6, 2, 512, 2_000, new byte[] {1, 2}, 12);
-        RaftMessage.Piece back = (RaftMessage.Piece) ConsensusCodec.message(ConsensusCodec.of(7, piece));
-        assertArrayEquals(piece.bytes(), back.bytes());
+        RaftMessage.InstallSnapshotChunk piece =
+                new RaftMessage.InstallSnapshotChunk(3, 6, 2, 512, 2_000, new byte[] {1, 2}, 12);
+        RaftMessage.InstallSnapshotChunk back =
+                (RaftMessage.InstallSnapshotChunk) ConsensusCodec.message(ConsensusCodec.of(7, piece));
+        assertArrayEquals(piece.data(), back.data());
     }
 
     @Test
@@ -103,10 +106,10 @@
     @Test
     void whatMakesNoSenseIsTold() {
         List<RaftMessage> bad = List.of(
-                new RaftMessage.Append(3, 7, 2, List.of(ENTRIES.get(1)), 6, 12),
-                new RaftMessage.Append(2, 7, 2, List.of(new LogEntry(8, 9, new Command.Nothing())), 6, 12),
-                new RaftMessage.Recall(3, List.of(), 1),
-                new RaftMessage.Vote(-1, 0, 0, false));
+                new RaftMessage.AppendEntries(3, 7, 2, List.of(ENTRIES.get(1)), 6, 12),
+                new RaftMessage.AppendEntries(2, 7, 2, List.of(new LogEntry(8, 9, new Command.NoOp())), 6, 12),
+                new RaftMessage.RecoveryQuery(3, List.of(), 1),
+                new RaftMessage.RequestVote(-1, 0, 0, false));
         for (RaftMessage m : bad) {
             assertThrows(
                     InvalidMessageException.class, () -> ConsensusCodec.message(ConsensusCodec.of(7, m)), m.toString());
--- a/src/test/java/sedgeyoke/consensus/server/ConsensusSafetyTest.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSafetyTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
-import sedgeyoke.consensus.PlantedRules;
+import sedgeyoke.consensus.FaultySafetyRules;
 
 /**
  * The invariants of agreement over many seeds, and mistakes that each have to be found. A failing seed is played again
@@ -73,7 +73,7 @@
 
     static Stream<Arguments> planted() {
         Map<String, ConsensusSimulation.Faults> all = new LinkedHashMap<>();
-        PlantedRules.all().forEach((what, rules) -> {
+        FaultySafetyRules.all().forEach((what, rules) -> {
             ConsensusSimulation.Faults f = new ConsensusSimulation.Faults();
             f.rules = rules;
             all.put(what, f);
--- a/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
@@ -292,13 +292,13 @@
             return !dead
                     && !latent
                     && keeper != null
-                    && keeper.sound()
+                    && keeper.isRecovered()
                     && disk.refuses == null
                     && !disk.forceLies
                     && disk.staleReads == null
                     && !disk.misdirect
                     && !disk.loseWrite
-                    && keeper.members().voters().containsKey(name);
+                    && keeper.membership().voters().containsKey(name);
         }
 
         @Override
@@ -367,23 +367,23 @@
             }
             disk.staleReads = null;
             latent = disk.misdirect || disk.loseWrite; // then it is still to come
-            RaftNode.Recovered found = folder.recovered();
+            RaftNode.StoredState found = folder.recovered();
             if (faults.trustsDamage) {
-                found = new RaftNode.Recovered(found.slot(), found.snapshot(), found.entries(), null, false);
-            } else if (faults.trustsReboots && !found.lost()) {
-                found = new RaftNode.Recovered(found.slot(), found.snapshot(), found.entries(), null, false);
+                found = new RaftNode.StoredState(found.hardState(), found.snapshot(), found.entries(), null, false);
+            } else if (faults.trustsReboots && !found.dataLost()) {
+                found = new RaftNode.StoredState(found.hardState(), found.snapshot(), found.entries(), null, false);
             }
-            tell(name + " begins: term " + found.slot().term() + " last "
+            tell(name + " begins: term " + found.hardState().term() + " last "
                     + (found.entries().isEmpty()
                             ? "-"
                             : found.entries().get(found.entries().size() - 1).index())
                     + " covered "
-                    + (found.snapshot() == null ? 0 : found.snapshot().covered()) + " doubt "
-                    + found.doubt());
-            doubts += found.doubt() != null ? 1 : 0;
+                    + (found.snapshot() == null ? 0 : found.snapshot().lastIncludedIndex()) + " doubt "
+                    + found.suspectedLoss());
+            doubts += found.suspectedLoss() != null ? 1 : 0;
             joined = joined || folder.founders().voters().isEmpty();
             keeper = new RaftNode(
-                    new RaftNode.Self(name, folder.folder(), runs++),
+                    new RaftNode.Identity(name, folder.folder(), runs++),
                     rules,
                     found,
                     folder.founders(),
@@ -404,10 +404,10 @@
                 asked.put(++tokens, a.from());
                 long theirs = a.token();
                 answers.put(tokens, theirs);
-                on(new Event.Asked(tokens, a.request()));
+                on(new Event.RequestReceived(tokens, a.request()));
             } else if (body instanceof Lease l) {
                 askedLease.put(l.ask().balancer(), l.from());
-                on(new Event.LeasesAsked(List.of(l.ask())));
+                on(new Event.LeasesRequested(List.of(l.ask())));
             }
         }
 
@@ -419,7 +419,7 @@
             }
             List<Action> actions;
             try {
-                actions = keeper.on(event, clock());
+                actions = keeper.handle(event, clock());
             } catch (IllegalStateException e) {
                 fail("%s: %s", name, e.getMessage());
                 return;
@@ -428,26 +428,26 @@
                 if (a instanceof Action.Send s) {
                     ConsensusSimulation.this.send(
                             number, keeper(s.to()).number, new Wire(name, folder.folder(), s.message()));
-                } else if (a instanceof Action.Say say) {
+                } else if (a instanceof Action.Log say) {
                     tell(name + " says " + say.line());
                 } else if (a instanceof Action.Persist p) {
                     queue.add(p);
-                } else if (a instanceof Action.Answer w) {
+                } else if (a instanceof Action.Respond w) {
                     Integer to = asked.remove(w.token());
                     Long theirs = answers.remove(w.token());
                     if (to != null) {
-                        ConsensusSimulation.this.send(number, to, new Answer(theirs, w.outcome()));
+                        ConsensusSimulation.this.send(number, to, new Answer(theirs, w.result()));
                     }
-                } else if (a instanceof Action.Grant g) {
-                    Integer to = askedLease.get(g.grant().balancer());
+                } else if (a instanceof Action.SendLease g) {
+                    Integer to = askedLease.get(g.response().balancer());
                     if (to != null) {
                         ConsensusSimulation.this.send(
                                 number,
                                 to,
                                 new Granted(
-                                        g.grant(),
-                                        version(g.grant().active()),
-                                        version(g.grant().pending())));
+                                        g.response(),
+                                        version(g.response().activeVersion()),
+                                        version(g.response().pendingVersion())));
                     }
                 }
             }
@@ -494,7 +494,7 @@
                     fail("%s and %s lead in term %d", name, other, keeper.term());
                 }
             }
-            for (long i = Math.max(looked, keeper.base()) + 1; i <= keeper.commit(); i++) {
+            for (long i = Math.max(looked, keeper.baseIndex()) + 1; i <= keeper.commitIndex(); i++) {
                 LogEntry e = keeper.entry(i);
                 LogEntry before = committed.putIfAbsent(i, e);
                 if (before == null) {
@@ -503,7 +503,7 @@
                     fail("%s: entry %d was %s, is %s", name, i, before, e);
                 }
             }
-            looked = keeper.commit();
+            looked = keeper.commitIndex();
         }
     }
 
@@ -533,7 +533,7 @@
             Granted g = (Granted) body;
             heardAt = clock();
             long before = adherent.active().number();
-            if (adherent.heard(clock(), g.grant(), g.active(), g.pending())) {
+            if (adherent.handle(clock(), g.grant(), g.active(), g.pending())) {
                 nextAsk = clock();
             }
             if (adherent.active().number() < before) {
@@ -551,12 +551,12 @@
                 if (clock() - heardAt > 700_000) {
                     to = random.nextInt(keepers.size());
                 }
-                send(number, keepers.get(to).number, new Lease(number, adherent.ask(clock())));
+                send(number, keepers.get(to).number, new Lease(number, adherent.leaseRequest(clock())));
             }
         }
 
-        ConfigSubscriber.Acting acting() {
-            return adherent.acting(clock());
+        ConfigSubscriber.EffectiveConfig acting() {
+            return adherent.effectiveConfig(clock());
         }
     }
 
@@ -621,10 +621,10 @@
                     continue;
                 }
                 Member member = anyMember(k.name);
-                if (member != null && member.folder() != 0 && member.folder() != k.folder.folder()) {
-                    return new ClientRequest.Remove(k.name, member.folder());
+                if (member != null && member.storageId() != 0 && member.storageId() != k.folder.folder()) {
+                    return new ClientRequest.RemoveMember(k.name, member.storageId());
                 } else if (member == null) {
-                    return new ClientRequest.Add(new Member(k.name, k.folder.folder(), k.name));
+                    return new ClientRequest.AddMember(new Member(k.name, k.folder.folder(), k.name));
                 }
             }
             Map<String, String> out = new TreeMap<>();
@@ -644,16 +644,16 @@
         private Member anyMember(String name) {
             for (KeeperBox k : keepers) {
                 if (k.keeper != null && k.keeper.role() == RaftNode.Role.LEADER) {
-                    Member m = k.keeper.members().voters().get(name);
+                    Member m = k.keeper.membership().voters().get(name);
                     return m != null
                             ? m
-                            : k.keeper.members().learner() != null
+                            : k.keeper.membership().learner() != null
                                             && k.keeper
-                                                    .members()
+                                                    .membership()
                                                     .learner()
                                                     .name()
                                                     .equals(name)
-                                    ? k.keeper.members().learner()
+                                    ? k.keeper.membership().learner()
                                     : null;
                 }
             }
@@ -671,11 +671,11 @@
             if (b.dead) {
                 continue;
             }
-            ConfigSubscriber.Acting a = b.acting();
+            ConfigSubscriber.EffectiveConfig a = b.acting();
             if (a.mode() == ConfigSubscriber.Mode.LEASED) {
                 leasedSteps++;
-                newestAlone = Math.max(newestAlone, a.version());
-                oldestTold = Math.min(oldestTold, Math.max(a.version(), a.pending()));
+                newestAlone = Math.max(newestAlone, a.activeVersion());
+                oldestTold = Math.min(oldestTold, Math.max(a.activeVersion(), a.pendingVersion()));
             } else {
                 checkAlone(b.name, a.document());
             }
@@ -730,8 +730,8 @@
             return;
         }
         for (KeeperBox k : keepers) {
-            if (leader.keeper.members().voters().containsKey(k.name) && !k.keeper.sound()) {
-                fail("%s is still in doubt: %s; %s", k.name, k.keeper.doubt(), states());
+            if (leader.keeper.membership().voters().containsKey(k.name) && !k.keeper.isRecovered()) {
+                fail("%s is still in doubt: %s; %s", k.name, k.keeper.suspectedLoss(), states());
             }
         }
         if (history.stream()
@@ -754,11 +754,12 @@
                         k.keeper == null
                                 ? " down"
                                 : " " + k.keeper.role() + " term "
-                                        + k.keeper.term() + " commit " + k.keeper.commit() + " last " + k.keeper.last()
+                                        + k.keeper.term() + " commit " + k.keeper.commitIndex() + " last "
+                                        + k.keeper.lastIndex()
                                         + " sound "
-                                        + k.keeper.sound() + " doubt " + k.keeper.doubt() + " leader "
+                                        + k.keeper.isRecovered() + " doubt " + k.keeper.suspectedLoss() + " leader "
                                         + k.keeper.leader() + " members "
-                                        + k.keeper.members() + " folder " + k.folder.folder())
+                                        + k.keeper.membership() + " folder " + k.folder.folder())
                 .append("; "));
         return text.toString();
     }
@@ -777,14 +778,14 @@
                 new ArrayList<>(history.stream().filter(o -> o.outcome != null).toList());
         for (Op o : ended) {
             if (o.request instanceof ClientRequest.Set s && o.outcome.kind() == RequestResult.Kind.DONE) {
-                RequestResult real = results.get(s.write().request());
+                RequestResult real = results.get(s.write().requestId());
                 if (real == null || real.kind() != RequestResult.Kind.DONE || real.version() != o.outcome.version()) {
-                    fail("%s was answered %s, is %s", s.write().request(), o.outcome, real);
+                    fail("%s was answered %s, is %s", s.write().requestId(), o.outcome, real);
                 }
             } else if (o.request instanceof ClientRequest.Set s) {
-                RequestResult real = results.get(s.write().request());
+                RequestResult real = results.get(s.write().requestId());
                 if (real != null && real.kind() == RequestResult.Kind.DONE) {
-                    fail("%s was answered %s and is done: %s", s.write().request(), o.outcome, real);
+                    fail("%s was answered %s and is done: %s", s.write().requestId(), o.outcome, real);
                 }
             }
         }
@@ -815,10 +816,10 @@
                 if (e.command() instanceof Command.Activate a && pending && a.version() == active + 1) {
                     active++;
                     pending = false;
-                } else if (e.command() instanceof Command.Write w && !results.containsKey(w.request())) {
-                    boolean ok = !pending && w.parent() == active;
+                } else if (e.command() instanceof Command.Write w && !results.containsKey(w.requestId())) {
+                    boolean ok = !pending && w.parentVersion() == active;
                     results.put(
-                            w.request(),
+                            w.requestId(),
                             new RequestResult(
                                     ok ? RequestResult.Kind.DONE : RequestResult.Kind.CONFLICT,
                                     ok ? active + 1 : active,
--- a/src/test/java/sedgeyoke/consensus/storage/StoredFolderScript.java
+++ b/src/test/java/sedgeyoke/consensus/storage/StoredFolderScript.java
@@ -37,7 +37,7 @@
             new Member("k2", 12, "127.0.0.1:7102")));
     static final Membership JOINING = new Membership(THREE.voters(), new Member("k3", 13, "127.0.0.1:7103"));
     private static final int BEFORE_WRITES = 2;
-    private static final Map<String, HardState.Known> NOBODY = Map.of();
+    private static final Map<String, HardState.KnownPeer> NOBODY = Map.of();
 
     private final ReplicaStorage folder;
     private long token;
@@ -110,8 +110,8 @@
 
     private void run() throws DiskException {
         slot(new HardState(1, "k0", List.of(101L), NOBODY, true));
-        append(new LogEntry(1, 1, new Command.Nothing()));
-        append(new LogEntry(2, 1, new Command.Change(THREE)));
+        append(new LogEntry(1, 1, new Command.NoOp()));
+        append(new LogEntry(2, 1, new Command.ChangeMembership(THREE)));
         for (int number = 1; number <= 6; number++) {
             writeVersion(number);
             if (number == 3) {
@@ -127,21 +127,21 @@
                                 "request-late",
                                 new RequestResult(
                                         RequestResult.Kind.CONFLICT, 6, "made from version 2, the newest is 6")))));
-        slot(new HardState(2, "k2", List.of(102L, 101L), Map.of("k1", new HardState.Known(11, 201)), true));
+        slot(new HardState(2, "k2", List.of(102L, 101L), Map.of("k1", new HardState.KnownPeer(11, 201)), true));
         append(
-                new LogEntry(15, 2, new Command.Nothing()),
-                new LogEntry(16, 2, new Command.Change(JOINING)),
+                new LogEntry(15, 2, new Command.NoOp()),
+                new LogEntry(16, 2, new Command.ChangeMembership(JOINING)),
                 new LogEntry(17, 2, write(7)));
-        Map<String, HardState.Known> known = new LinkedHashMap<>();
-        known.put("k1", new HardState.Known(11, 201));
-        known.put("k2", new HardState.Known(12, 301));
+        Map<String, HardState.KnownPeer> known = new LinkedHashMap<>();
+        known.put("k1", new HardState.KnownPeer(11, 201));
+        known.put("k2", new HardState.KnownPeer(12, 301));
         slot(new HardState(3, "k1", List.of(103L, 102L, 101L), known, true));
         persist(
                 null,
                 null,
                 16,
                 List.of(
-                        new LogEntry(17, 3, new Command.Nothing()),
+                        new LogEntry(17, 3, new Command.NoOp()),
                         new LogEntry(18, 3, write(7)),
                         new LogEntry(19, 3, new Command.Activate(7))));
         append(new LogEntry(20, 3, write(8)));
@@ -177,7 +177,7 @@
                 version.parent(),
                 version.author(),
                 version.reason(),
-                version.atMs(),
+                version.createdAtMillis(),
                 version.content());
     }
 
--- a/src/test/java/sedgeyoke/consensus/storage/StoredFolderTest.java
+++ b/src/test/java/sedgeyoke/consensus/storage/StoredFolderTest.java
@@ -42,7 +42,7 @@
  * {@code process-k0.zip}, of one of three processes. They stay readable, and what is written now has the same bytes.
  */
 class StoredFolderTest {
-    private static final RaftTiming TIMING = RaftTiming.usual(2_000_000, new ClockDrift(200));
+    private static final RaftTiming TIMING = RaftTiming.defaults(2_000_000, new ClockDrift(200));
     private static final long PROCESS_FOLDER = -845_745_965_871_894_833L;
 
     @TempDir
@@ -108,9 +108,9 @@
                             3,
                             "k1",
                             List.of(103L, 102L, 101L),
-                            Map.of("k1", new HardState.Known(11, 201), "k2", new HardState.Known(12, 301)),
+                            Map.of("k1", new HardState.KnownPeer(11, 201), "k2", new HardState.KnownPeer(12, 301)),
                             true),
-                    read.recovered().slot());
+                    read.recovered().hardState());
             assertEquals(
                     Membership.of(List.of(
                             new Member("k0", 0, "127.0.0.1:7100"),
@@ -125,8 +125,8 @@
         try (FileDisk disk = FileDisk.take(copy("keeper"))) {
             ReplicaStorage read = openScripted(disk);
             assertEquals(List.of(), read.damage());
-            assertFalse(read.recovered().lost());
-            assertNull(read.recovered().doubt());
+            assertFalse(read.recovered().dataLost());
+            assertNull(read.recovered().suspectedLoss());
             assertEquals(
                     new ReplicaStorage.Report("orders", "k0", 0x6b30_c0ff_ee01L, 3, 20, 14, List.of()),
                     ReplicaStorage.check(disk));
@@ -137,8 +137,8 @@
     void theSnapshotIsRead() throws Exception {
         try (FileDisk disk = FileDisk.take(copy("keeper"))) {
             Snapshot snapshot = openScripted(disk).recovered().snapshot();
-            assertEquals(14, snapshot.covered());
-            assertEquals(1, snapshot.term());
+            assertEquals(14, snapshot.lastIncludedIndex());
+            assertEquals(1, snapshot.lastIncludedTerm());
             assertEquals(StoredFolderScript.THREE, snapshot.state().members());
             assertEquals(6, snapshot.state().active().number());
             assertNull(snapshot.state().pending());
@@ -163,7 +163,7 @@
                     openScripted(disk).recovered().snapshot().state().active();
             assertEquals("operator-1", active.author());
             assertEquals("change 6", active.reason());
-            assertEquals(1_700_000_000_006L, active.atMs());
+            assertEquals(1_700_000_000_006L, active.createdAtMillis());
             assertEquals(5, active.parent());
             ConfigDocument content = active.content();
             assertEquals(Map.of("balancers", 12.0, "retries", 0.25, "cold_share", 0.5), content.numbers());
@@ -190,18 +190,18 @@
             assertEquals(
                     List.of(2L, 2L, 3L, 3L, 3L, 3L),
                     entries.stream().map(LogEntry::term).toList());
-            assertEquals(new Command.Nothing(), entries.get(0).command());
+            assertEquals(new Command.NoOp(), entries.get(0).command());
             assertEquals(
-                    new Command.Change(StoredFolderScript.JOINING),
+                    new Command.ChangeMembership(StoredFolderScript.JOINING),
                     entries.get(1).command());
-            assertEquals(new Command.Nothing(), entries.get(2).command());
+            assertEquals(new Command.NoOp(), entries.get(2).command());
             Command.Write write = (Command.Write) entries.get(3).command();
-            assertEquals("request-7", write.request());
-            assertEquals(6, write.parent());
+            assertEquals("request-7", write.requestId());
+            assertEquals(6, write.parentVersion());
             assertEquals(0.75, write.content().number(ConfigSchema.COLD_SHARE));
             assertEquals(Map.of("n-4", "Übergang 4→5"), write.content().names(ConfigSchema.UPSTREAMS_OUT));
             assertEquals(new Command.Activate(7), entries.get(4).command());
-            assertEquals("request-8", ((Command.Write) entries.get(5).command()).request());
+            assertEquals("request-8", ((Command.Write) entries.get(5).command()).requestId());
         }
     }
 
@@ -210,7 +210,7 @@
         try (FileDisk disk = FileDisk.take(copy("keeper"))) {
             ReplicaStorage read = openScripted(disk);
             RaftNode started = new RaftNode(
-                    new RaftNode.Self("k0", read.folder(), 104),
+                    new RaftNode.Identity("k0", read.folder(), 104),
                     new SafetyRules(TIMING),
                     read.recovered(),
                     read.founders(),
@@ -218,13 +218,13 @@
                     new SplittableRandom(1),
                     0);
             assertEquals(3, started.term());
-            assertEquals(20, started.last());
-            assertEquals(14, started.commit());
+            assertEquals(20, started.lastIndex());
+            assertEquals(14, started.commitIndex());
             assertEquals(6, started.active().number());
             assertEquals(6, started.history().size());
-            assertEquals(StoredFolderScript.JOINING, started.members());
+            assertEquals(StoredFolderScript.JOINING, started.membership());
             assertEquals(
-                    new Member("k3", 13, "127.0.0.1:7103"), started.members().learner());
+                    new Member("k3", 13, "127.0.0.1:7103"), started.membership().learner());
         }
     }
 
@@ -234,7 +234,7 @@
         try (FileDisk disk = FileDisk.take(copy("keeper"))) {
             String doubt = ReplicaStorage.open(disk, StoredFolderScript.OWNER)
                     .recovered()
-                    .doubt();
+                    .suspectedLoss();
             assertTrue(doubt.startsWith("the folder is a copy"), doubt);
         }
     }
@@ -268,15 +268,15 @@
                     new ReplicaStorage.Report("drill", "k0", PROCESS_FOLDER, 2, 11, 0, List.of()),
                     ReplicaStorage.check(disk));
             ReplicaStorage read = ReplicaStorage.open(disk, new ReplicaStorage.Owner("drill", "k0", "", false));
-            assertFalse(read.recovered().lost());
-            HardState slot = read.recovered().slot();
+            assertFalse(read.recovered().dataLost());
+            HardState slot = read.recovered().hardState();
             assertEquals(2, slot.term());
-            assertEquals("", slot.vote());
-            assertEquals(2, slot.runs().size(), "it was started twice");
-            assertEquals(Set.of("k1", "k2"), slot.known().keySet());
-            assertEquals(3_065_505_099_982_323_699L, slot.known().get("k1").folder());
-            assertEquals(-49_336_320_848_735_039L, slot.known().get("k2").folder());
-            assertTrue(slot.sound());
+            assertEquals("", slot.votedFor());
+            assertEquals(2, slot.incarnations().size(), "it was started twice");
+            assertEquals(Set.of("k1", "k2"), slot.knownPeers().keySet());
+            assertEquals(3_065_505_099_982_323_699L, slot.knownPeers().get("k1").storageId());
+            assertEquals(-49_336_320_848_735_039L, slot.knownPeers().get("k2").storageId());
+            assertTrue(slot.intact());
             assertEquals(Set.of("k0", "k1", "k2"), read.founders().voters().keySet());
         }
     }
@@ -290,8 +290,8 @@
             assertEquals(11, entries.size());
             assertEquals(2, entries.get(entries.size() - 1).term());
             List<Member> voters = entries.stream()
-                    .filter(e -> e.command() instanceof Command.Change)
-                    .flatMap(e -> ((Command.Change) e.command()).members().voters().values().stream())
+                    .filter(e -> e.command() instanceof Command.ChangeMembership)
+                    .flatMap(e -> ((Command.ChangeMembership) e.command()).membership().voters().values().stream())
                     .toList();
             assertEquals(
                     List.of(
@@ -305,7 +305,7 @@
                     .toList();
             assertEquals(
                     List.of("request-1", "request-2", "request-3", "request-4"),
-                    writes.stream().map(Command.Write::request).toList());
+                    writes.stream().map(Command.Write::requestId).toList());
             assertEquals(
                     List.of(1L, 2L, 3L, 4L),
                     entries.stream()
@@ -318,7 +318,7 @@
                             Map.of("tenant_shares", Map.of("shop", 0.5)),
                             Map.of("upstreams_out", Map.of("n-4", "disk", "n-17", ""))),
                     writes.get(3).content());
-            assertEquals(1_796_190_120_069L, writes.get(3).atMs());
+            assertEquals(1_796_190_120_069L, writes.get(3).createdAtMillis());
         }
     }
 }
--- a/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
+++ b/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
@@ -75,7 +75,7 @@
             ConfigDocument next = from.content().with(ConfigSchema.RETRIES, retries);
             RequestResult outcome =
                     client.set(request, from, "op", "", next, PATIENCE_MS).outcome();
-            assertEquals(RequestResult.Kind.DONE, outcome.kind(), outcome.text());
+            assertEquals(RequestResult.Kind.DONE, outcome.kind(), outcome.detail());
             return outcome.version();
         }
 
@@ -158,7 +158,7 @@
             k.set("one", 0.25);
             await("its folder is known to all", () -> k.ports.keySet().stream()
                     .map(k::status)
-                    .allMatch(s -> s != null && s.voters().stream().allMatch(m -> m.folder() != 0)));
+                    .allMatch(s -> s != null && s.voters().stream().allMatch(m -> m.storageId() != 0)));
             long old = k.status("k2").folder();
             k.processes.get("k2").kill();
             await("its end", () -> !k.processes.get("k2").alive());
@@ -172,14 +172,14 @@
             assertEquals(
                     RequestResult.Kind.DONE,
                     k.client
-                            .ask(new ClientRequest.Remove("k2", old), PATIENCE_MS)
+                            .ask(new ClientRequest.RemoveMember("k2", old), PATIENCE_MS)
                             .outcome()
                             .kind());
             ConfigClient.Answer[] added = new ConfigClient.Answer[1];
             await("it is added", () -> {
                 try {
                     added[0] = k.client.ask(
-                            new ClientRequest.Add(new Member("k2", folderNow, "127.0.0.1:" + k.ports.get("k2"))),
+                            new ClientRequest.AddMember(new Member("k2", folderNow, "127.0.0.1:" + k.ports.get("k2"))),
                             PATIENCE_MS);
                     return added[0].outcome().kind() == RequestResult.Kind.DONE;
                 } catch (InterruptedException e) {
@@ -189,7 +189,7 @@
             await(
                     "it has caught up and votes",
                     () -> k.status("k0").voters().stream()
-                                    .anyMatch(m -> m.name().equals("k2") && m.folder() == folderNow)
+                                    .anyMatch(m -> m.name().equals("k2") && m.storageId() == folderNow)
                             && k.status("k2").active() >= 2);
         }
     }
--- a/src/test/java/sedgeyoke/plan/PlanSafetyTest.java
+++ b/src/test/java/sedgeyoke/plan/PlanSafetyTest.java
@@ -72,32 +72,32 @@
     private static void mistakesInTime(Map<String, PlanSimulation.Faults> mistakes) {
         mistakes.put("a deposit counts from when it came", planners(new LeaseClock(PlanSimulation.DRIFT_PPM) {
             @Override
-            public long depositUntil(long echoedAt, long receivedAt, long lease) {
+            public long depositCountsUntil(long echoedAt, long receivedAt, long lease) {
                 return receivedAt + lease;
             }
         }));
         mistakes.put("a grant counts from when it came", followers(new LeaseClock(PlanSimulation.DRIFT_PPM) {
             @Override
-            public long usableUntil(long echoedAt, long receivedAt, long grantFor) {
+            public long grantUsableUntil(long echoedAt, long receivedAt, long grantFor) {
                 return receivedAt + grantFor;
             }
         }));
         mistakes.put("a lender takes back too soon", followers(new LeaseClock(PlanSimulation.DRIFT_PPM) {
             @Override
-            public long lentUntil(long sentAt, long lease) {
+            public long reservedUntil(long sentAt, long lease) {
                 return sentAt + lease / 3;
             }
         }));
         mistakes.put(
                 "a restarted lender knows nothing of what it lent", followers(new LeaseClock(PlanSimulation.DRIFT_PPM) {
                     @Override
-                    public long quietUntil(long startedAt, long lease) {
+                    public long startupQuietUntil(long startedAt, long lease) {
                         return startedAt;
                     }
                 }));
         mistakes.put("a grant is held for used too short a time", planners(new LeaseClock(PlanSimulation.DRIFT_PPM) {
             @Override
-            public long outstandingUntil(long reportedAt, long grantFor) {
+            public long grantOutstandingUntil(long reportedAt, long grantFor) {
                 return reportedAt + grantFor / 4;
             }
         }));
