--- a/src/main/java/sedgeyoke/policy/UtilizationWeightedPolicy.java
+++ b/src/main/java/sedgeyoke/policy/UtilizationWeightedPolicy.java
@@ -13,282 +13,115 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
+import java.util.stream.LongStream;
 
 /**
- * The decisions. Each period every upstream is reweighted by how far its reported utilisation lies below or
- * above the fleet mean; a request goes to an upstream in proportion to (weight / (in-flight + 1))^bias. What
- * goes beyond that is a factor on the weight or a filter before the pick, and says what it guards against.
+ * Takes in the events and selects upstreams. Each period reweights every upstream by its reported
+ * utilisation against the mean; a request goes to one in proportion to (weight / (in flight + 1))^4, as in
+ * Envoy's weighted least request with an active request bias. Other rules are factors on that or filters.
  */
 public final class UtilizationWeightedPolicy implements LoadBalancingPolicy {
 
-    /** How often timers look at deadlines and held requests. */
-    private static final long SWEEP = 10_000;
-    /** Mean reweighting period; each is drawn from half to one and a half of it, so balancers drift apart. */
-    private static final long PERIOD = 250_000;
-    /** Change of the log weight per period for a utilisation 1.0 off the mean. */
-    private static final double GAIN = 0.25;
-    /** Share of the learnt log weight that is forgotten each period: the leak towards the rating. */
-    private static final double LEAK = 0.02;
-    /** Bound of the learnt log weight: a factor of about 4.5 either way. */
-    private static final double CLAMP = 1.5;
-    /** A report older than this says nothing; the mean weight applies. */
-    private static final long FRESH = 3_000_000;
-    /** Our traffic of so long a time, and so many upstreams at least, are the sample that we pick from. */
-    private static final long APERTURE_TIME = 3_000_000;
-
-    private static final int LEAST_APERTURE = 6;
-    /** Typical answer times in which a reported crowd is half forgotten twice; and the most that counts. */
-    private static final double CROWD_TIMES = 20;
-
-    private static final double MOST_CROWD = 1e3;
-    /** Where traffic is thin, a home whose service takes so many times as long as elsewhere is none. */
-    private static final double JAMMED = 3;
-    /** Balancers that share one ring of upstreams to sample from. */
-    private static final int SLOTS = 8;
-    /** Share of their aims that answers may take, and how fast the share of requests let in follows. */
-    private static final double ADMISSION_TARGET = 0.7;
-
+    private static final long SWEEP_PERIOD = 10_000; // between checks of deadlines and of the queue
+    private static final long REWEIGHT_PERIOD = 250_000; // mean; jitter keeps balancers out of step
+    private static final double GAIN = 0.25; // change of the log weight for a utilisation 1.0 off the mean
+    private static final double LEAK = 0.02; // share of the learnt log weight that a period forgets
+    private static final double MAX_LOG_WEIGHT = 1.5; // a factor of about 4.5 either way
+    private static final long APERTURE_TIME = 3_000_000; // its requests are the aperture size
+    private static final int MIN_APERTURE = 6;
+    private static final double REPORT_MEMORY = 20; // mean response times until a report counts nothing
+    private static final double MAX_REPORTED_ACTIVE = 1e3;
+    private static final double OVERLOADED_SLOWNESS = 3; // slowness that ends affinity, with sparse traffic
+    private static final int RING_SHARERS = 8; // balancers that share one ring of upstreams
+    private static final double ADMISSION_TARGET = 0.7; // mean response time / objective
     private static final double ADMISSION_GAIN = 0.2;
-    private static final double LEAST_ADMITTED = 0.1;
-    /** Retry budget: further attempts as a share of requests, and how many may be saved up. */
-    private static final double RETRY_SHARE = 0.2;
-
-    private static final double MOST_RETRIES = 3;
-    /** Where traffic is thin: what an error counts, as few come by chance, and what a period leaves of it. */
-    private static final double THIN_ERROR = 0.8;
-
-    private static final double THIN_FADE = 0.95;
-    /** Exponent of the pick: high enough that a clearly less loaded upstream nearly always wins. */
-    private static final double BIAS = 4;
-    /** Weight of the own zone: one, and this much for each point that crossing costs. */
-    private static final double CROSSING = 80;
-    /** How much more likely a key's home is in the own zone, where crossing costs. */
-    private static final double OWN_HOME = 4;
-    /** Weight factor for the upstream where a key is at home, where warm keys save work. */
-    private static final double HOME = 2.5;
-    /** Where traffic is thin: a home is as good as another upstream with so much fewer others in flight. */
-    private static final double THIN_HOME = 5;
-    /** In-flight limit of an upstream, by all balancers together, before anything is known: a short queue. */
-    private static final double FIRST_TOTAL = 3;
-    /** Lower bound of our own limit. */
-    private static final double LEAST_LIMIT = 0.05;
-    /** Waiting at an upstream that we aim at, as a share of the aim of the request's class. */
-    private static final double WAIT_SHARE = 0.28;
-    /** Least and most cut on an answer that waited too long; the step up is for a round of answers. */
-    private static final double LIMIT_CUT = 0.8;
-
-    private static final double DEEPEST_CUT = 0.4;
-    private static final double LIMIT_STEP = 0.3;
-    /** Reported utilisation below which nothing waits for a core. */
-    private static final double ROOM = 0.8;
-    /** How fast the least service time seen at an upstream is forgotten: it doubles in half a minute. */
-    private static final double LEAST_DRIFT = Math.log(2) / 30e6;
-    /** Smoothing of each answer into an upstream's own times. */
-    private static final double SMOOTH = 0.15;
-    /** Smoothing of what is kept over all upstreams: slower, as many more answers feed it. */
-    private static final double SMOOTH_ALL = 0.02;
-    /** An upstream that answers nothing for this many typical answer times is held to hang. */
-    private static final double HANG_TIMES = 6;
-    /** First and longest ejection. */
-    private static final long FIRST_EJECTION = 1_000_000;
-
-    private static final long LONGEST_EJECTION = 8_000_000;
-    /** Panic threshold: ejections are ignored while fewer than this share of ready upstreams is left. */
-    private static final double PANIC = 0.4;
-    /** Points of the result that probing may cost; with the price this gives the probes for each request. */
-    private static final double PROBE_POINTS = 0.003;
-    /** No upstream is probed more often than this. */
-    private static final long PROBE_GAP = 300_000;
-    /**
-     * Mean pause before a failed subscription to the list is tried again. It doubles with each failure, as
-     * what fails for one balancer fails for all, up to this share of the time within which we have to ask.
-     */
-    private static final long ASK_AGAIN = 500_000;
-
-    private static final double ASK_SHARE = 0.25;
-    /** Part of our share of a cold upstream's budget that we use: the rest is for what we cannot see. */
-    private static final double COLD_CARE = 0.5;
-    /** Most that the speed of a kind may count, either way: reports may be nonsense. */
-    private static final double MOST_SPEED = 5;
-    /** Requests a second that each class is held to have at least, until they were counted. */
-    private static final double LEAST_RATE = 0.01;
-    /** Least size of a cold upstream's bucket, in mean requests; a dearer request does not go there. */
-    private static final double COLD_COST = 1.5;
-    /** What a transfer counts in the pick, beside a request at work: a connection, no core. */
-    private static final double TRANSFER_COST = 0.1;
-    /** How far our in-flight limit follows the planned one, as an exponent on their ratio. */
-    private static final double PLANNED_LIMIT = 0.5;
-    /** A request is given up a sweep and this long before its time: later, its answer counts as lost. */
-    private static final long MARGIN_TICKS = 3;
+    private static final double MIN_ADMITTED = 0.1;
+    private static final double SPARSE_ERROR_WEIGHT = 0.8; // with sparse traffic few errors come by chance
+    private static final double SPARSE_ERROR_DECAY = 0.95; // of the error rate, for each period
+    private static final double CROSS_ZONE_WEIGHT = 80; // added to the own zone's weight, times its price
+    private static final double OWN_ZONE_AFFINITY = 4; // weight of the own zone in the affinity hash
+    private static final double AFFINITY_WEIGHT = 2.5; // weight of the affinity upstream, whose cache is warm
+    private static final double SPARSE_AFFINITY_WEIGHT = 5; // the same with sparse traffic
+    private static final double SMOOTHING = 0.15; // for averages of one upstream
+    private static final double FLEET_SMOOTHING = 0.02; // for averages over all upstreams
+    private static final double HEALTH_CHECK_POINTS = 0.003; // points that health checks may cost per request
+    private static final long HEALTH_CHECK_INTERVAL = 300_000; // least time between two of one upstream
+    private static final long RESUBSCRIBE_BACKOFF = 500_000; // first mean backoff; doubles with each failure
+    private static final double MAX_BACKOFF_SHARE = 0.25; // longest backoff, as a share of the poll limit
+    private static final double SLOW_START_USE = 0.5; // share of our slow-start quota that we use
+    private static final double MAX_KIND_SPEED = 5; // bounds the factor, as reports may be wrong
+    private static final double MIN_CLASS_RATE = 0.01; // requests a second of a class, until counted
+    private static final double MIN_BUCKET_SIZE = 1.5; // of a slow-start bucket, in mean requests
+    private static final double TRANSFER_LOAD = 0.1; // of a transfer, in requests: a connection, no core
+    private static final double PLANNED_LIMIT_EXPONENT = 0.5; // on the ratio of planned limit to own limit
+    private static final long MARGIN_TICKS = 3; // requests end a sweep and this before their deadline
 
     private final Settings settings;
-    private final Actions out;
+    private final Actions actions;
     private final SplittableRandom random;
-    private final long margin;
+    private final long deadlineMargin;
     private final long waitTarget;
-    private final long longestWait;
+    private final long longestTimeout;
 
-    private final Map<String, Up> byId = new LinkedHashMap<>();
-    private final List<Up> ups = new ArrayList<>();
+    private final Map<String, UpstreamState> upstreamsById = new LinkedHashMap<>();
+    private final List<UpstreamState> ready = new ArrayList<>();
     private Map<String, Long> cordoned = Map.of();
-    private final Map<String, Req> open = new HashMap<>();
-    private final PriorityQueue<Req> byDeadline =
-            new PriorityQueue<>(comparingLong((Req r) -> r.deadline).thenComparingLong(r -> r.number));
-    private final TreeSet<Req> held =
-            new TreeSet<>(Comparator.<Req>comparingDouble(r -> -r.value).thenComparingLong(r -> -r.number));
-    private final double[] classTook;
-    private final double[] refusedAfter;
+    private final Map<String, RequestState> requests = new HashMap<>();
+    private final PriorityQueue<RequestState> byDeadline = new PriorityQueue<>(
+            comparingLong((RequestState each) -> each.deadline).thenComparingLong(each -> each.number));
+    private final TreeSet<RequestState> queue = new TreeSet<>(
+            Comparator.<RequestState>comparingDouble(r -> -r.priority).thenComparingLong(r -> -r.number));
+    private final double[] classResponseTimes;
+    private final double[] rejectionDelays;
     private final List<TokenBucket> tenantTokens;
     private long requestNumber;
     private long nextReweight;
-    private long nextProbe;
-    private double meanCrowd;
-    /** Service time as reported by all upstreams, and by those of each kind. */
-    private double meanService;
-
-    private final Map<Integer, Double> kindService = new HashMap<>();
-    private double admitted = 1;
-    private double retryTokens = MOST_RETRIES;
-    private long lists;
-    private double typicalTook;
-    private double meanCost;
-    private double ratings;
-    private final PlanBlend planned = new PlanBlend();
-    private boolean wasPlanned;
+    private long nextHealthCheck;
+    private double meanReportedActive;
+    private double meanServiceTime; // as reported by all upstreams
+
+    private final Map<Integer, Double> serviceTimeByKind = new HashMap<>(); // by zone and kind
+    private double admittedShare = 1;
+    private final RetryPolicy retryPolicy;
+    private long listGeneration;
+    private double meanResponseTime;
+    private double meanRequestCost;
+    private double ratingSum;
+    private final PlanBlend plans = new PlanBlend();
+    private boolean planCounted;
     private final RateEstimator requestRate = new RateEstimator();
     private final List<RateEstimator> classRates;
-    private long askAgainAt = Long.MAX_VALUE;
-    private long askPause;
+    private long resubscribeAt = Long.MAX_VALUE;
+    private long resubscribeBackoff;
 
     /** Creates an instance; bad settings are refused with the field's name. */
-    public UtilizationWeightedPolicy(Settings settings, long seed, Actions out) {
+    public UtilizationWeightedPolicy(Settings settings, long seed, Actions actions) {
         SettingsValidator.check(settings);
         this.settings = settings;
-        this.out = out;
+        this.actions = actions;
         this.random = new SplittableRandom(seed);
-        this.margin = SWEEP + MARGIN_TICKS * Math.max(settings.clockTick(), 1_000);
+        this.deadlineMargin = SWEEP_PERIOD + MARGIN_TICKS * Math.max(settings.clockTick(), 1_000);
+        this.retryPolicy = new RetryPolicy(settings, deadlineMargin);
         List<RequestClass> classes = settings.classes();
-        long shortestAim =
-                classes.stream().mapToLong(RequestClass::latencyObjective).min().orElse(Long.MAX_VALUE);
-        this.waitTarget = (long) (WAIT_SHARE * shortestAim);
-        this.longestWait =
+        LongStream objectives = classes.stream().mapToLong(RequestClass::latencyObjective);
+        this.waitTarget =
+                (long) (ConcurrencyLimits.WAIT_TARGET_SHARE * objectives.min().orElse(Long.MAX_VALUE));
+        this.longestTimeout =
                 classes.stream().mapToLong(RequestClass::clientTimeout).max().orElse(0);
         this.tenantTokens =
                 settings.tenants().stream().map(tenant -> new TokenBucket()).toList();
-        this.refusedAfter = new double[classes.size()];
-        this.classTook = new double[classes.size()];
+        this.rejectionDelays = new double[classes.size()];
+        this.classResponseTimes = new double[classes.size()];
         this.classRates = classes.stream().map(each -> new RateEstimator()).toList();
     }
 
-    /** What is known of one upstream. */
-    private static final class Up {
-        final String id;
-        Upstream entry;
-        /** Attempts that it may be working on, and beside them those that are transfers. */
-        int inFlight;
-
-        int transfers;
-        int streams;
-        double workInFlight;
-        double logWeight;
-        double weight = 1;
-        double load = Double.NaN;
-        LoadReport report;
-        long reportAt = Long.MIN_VALUE / 2;
-        double limit;
-        long restUntil;
-        long cutAt;
-        double least;
-        long leastAt;
-        double took;
-        double errors;
-        long progressAt;
-        long answeredAt = Long.MIN_VALUE / 2;
-        boolean hanging;
-        long ejectedUntil;
-        long ejection = FIRST_EJECTION;
-        SlowStartBucket cold;
-        long sent;
-        double limitFactor = 1;
-        double plannedLimit = Double.NaN;
-        double spill;
-        boolean stopped;
-        long toldLaunch;
-        long probedAt = Long.MIN_VALUE / 2;
-        double rank;
-        double crowd;
-        /** Service time as last reported, or that which an attempt at least had when it was given up. */
-        double service;
-
-        long serviceAt;
-
-        Up(String id) {
-            this.id = id;
-        }
-
-        /** Its latest start, by our own list or a planner's word. */
-        long launchedAt() {
-            return Math.max(entry.launchedAt(), toldLaunch);
-        }
-    }
-
-    /** One attempt of a request. */
-    private static final class Try {
-        final Up up;
-        final long sentAt;
-        boolean limited;
-        boolean outstanding = true;
-        boolean mayHaveRun = true;
-        boolean streaming;
-        boolean transfer;
-
-        Try(Up up, long sentAt) {
-            this.up = up;
-            this.sentAt = sentAt;
-        }
-    }
-
-    /** One request that is owed an answer. */
-    private static final class Req {
-        final Request request;
-        final RequestClass cls;
-        final long number;
-        final long arrivedAt;
-        final long deadline;
-        long aimAt;
-        final List<Try> tries = new ArrayList<>(1);
-        double cost;
-        double value;
-        int outstanding;
-        boolean ended;
-        boolean streaming;
-        boolean waiting;
-        Up home;
-        long homeIn = -1;
-
-        Req(Request request, RequestClass cls, long number, long now) {
-            this.request = request;
-            this.cls = cls;
-            this.number = number;
-            this.arrivedAt = now;
-            this.deadline = now + request.timeLeft();
-            long aim = cls.latencyObjective() + (long) (cls.objectiveStretch() * request.expectedWork());
-            this.aimAt = Math.min(deadline, now + aim);
-        }
-
-        /** The first attempt that may have run; one still out may have. */
-        Try guard() {
-            return tries.stream().filter(t -> t.mayHaveRun).findFirst().orElse(null);
-        }
-    }
-
     @Override
     public void start(long now) {
-        nextReweight = now + jitter(PERIOD);
-        nextProbe = now + jitter(PROBE_GAP);
-        out.setTimer("sweep", SWEEP);
+        nextReweight = now + jitter(REWEIGHT_PERIOD);
+        nextHealthCheck = now + jitter(HEALTH_CHECK_INTERVAL);
+        actions.setTimer("sweep", SWEEP_PERIOD);
         if (settings.subscribesToEndpoints()) {
-            out.watchEndpoints(true);
+            actions.watchEndpoints(true);
         }
     }
 
@@ -299,743 +132,620 @@
     @Override
     public void endpointsUpdated(long now, ListKind kind, List<Upstream> entries) {
         if (kind == ListKind.UNAVAILABLE) {
-            long longest =
-                    (long) Math.max(ASK_AGAIN, ASK_SHARE * settings.rules().endpointPollLimit());
-            askPause = Math.min(longest, Math.max(ASK_AGAIN, 2 * askPause));
-            askAgainAt = now + jitter(askPause);
+            long longest = (long) Math.max(
+                    RESUBSCRIBE_BACKOFF, MAX_BACKOFF_SHARE * settings.rules().endpointPollLimit());
+            resubscribeBackoff = Math.min(longest, Math.max(RESUBSCRIBE_BACKOFF, 2 * resubscribeBackoff));
+            resubscribeAt = now + jitter(resubscribeBackoff);
             return;
         }
-        askPause = 0;
+        resubscribeBackoff = 0;
         if (kind != ListKind.CHANGES) {
-            byId.keySet().retainAll(entries.stream().map(Upstream::id).collect(Collectors.toSet()));
-        }
-        entries.forEach(e -> apply(now, e));
-        byId.values().removeIf(u -> u.entry.state() == State.REMOVED); // new ids come all day
-        order();
-        pump(now);
-    }
-
-    /**
-     * The order in which we sample: a ring of hashes that a few balancers share, each entering it elsewhere,
-     * so that all upstreams are in about as many samples. Where crossing has a price, the own zone is sooner.
-     */
-    private void order() {
-        lists++;
-        ups.clear();
-        byId.values().stream()
-                .filter(u -> u.entry.state() == State.READY && !cordoned.containsKey(u.id))
-                .forEach(ups::add);
-        ups.sort(Comparator.<Up>comparingDouble(u -> u.rank).thenComparing(u -> u.id));
-        Collections.rotate(ups, settings.position() % SLOTS * ups.size() / SLOTS);
+            upstreamsById.keySet().retainAll(entries.stream().map(Upstream::id).collect(Collectors.toSet()));
+        }
+        entries.forEach(entry -> apply(now, entry));
+        upstreamsById.values().removeIf(each -> each.entry.state() == State.REMOVED); // or ids would pile up
+        sortUpstreams();
+        dispatchQueued(now);
+    }
+
+    /** Each balancer enters a shared ring elsewhere, so all upstreams are in about as many apertures. */
+    private void sortUpstreams() {
+        listGeneration++;
+        ready.clear();
+        upstreamsById.values().stream()
+                .filter(each -> each.entry.state() == State.READY && !cordoned.containsKey(each.id))
+                .forEach(ready::add);
+        ready.sort(Comparator.<UpstreamState>comparingDouble(upstream -> upstream.ringPosition)
+                .thenComparing(upstream -> upstream.id));
+        Collections.rotate(ready, settings.position() % RING_SHARERS * ready.size() / RING_SHARERS);
         int[] seen = new int[2];
-        Map<Up, Double> turn = new HashMap<>();
-        ups.forEach(u -> turn.put(u, ++seen[zoneFactor(u) > 1 ? 1 : 0] / zoneFactor(u)));
-        ups.sort(Comparator.comparingDouble(turn::get));
+        Map<UpstreamState, Double> turn = new HashMap<>();
+        for (UpstreamState upstream : ready) {
+            double factor = zoneWeight(upstream);
+            turn.put(upstream, ++seen[factor > 1 ? 1 : 0] / factor);
+        }
+        ready.sort(Comparator.comparingDouble(turn::get));
     }
 
-    private void apply(long now, Upstream e) {
-        Up up = byId.get(e.id());
-        if (up == null || e.launchedAt() > up.entry.launchedAt()) {
-            up = renew(e.id(), now);
+    private void apply(long now, Upstream entry) {
+        UpstreamState upstream = upstreamsById.get(entry.id());
+        if (upstream == null || entry.launchedAt() > upstream.entry.launchedAt()) {
+            upstream = addUpstream(entry.id(), now);
         }
-        up.entry = e;
+        upstream.entry = entry;
     }
 
-    /** A new process: what was known of the old one, and what it still held of ours, says nothing now. */
-    private Up renew(String id, long now) {
-        Up up = new Up(id);
-        up.limit = firstLimit();
-        up.cold = new SlowStartBucket(random.nextDouble(), now);
-        up.rank = RendezvousHash.unit(settings.position() / SLOTS, id.hashCode());
-        byId.put(id, up);
-        return up;
+    /** A new process has a new state: nothing known of the old one holds for it. */
+    private UpstreamState addUpstream(String id, long now) {
+        UpstreamState upstream = new UpstreamState(id);
+        upstream.limit = ConcurrencyLimits.initialLimit(settings.groupSize());
+        upstream.slowStart = new SlowStartBucket(random.nextDouble(), now);
+        upstream.ringPosition = RendezvousHash.unit(settings.position() / RING_SHARERS, id.hashCode());
+        upstreamsById.put(id, upstream);
+        return upstream;
     }
 
-    /** Operators restart what they take out: it comes back cold as of now, unless the list knows better. */
+    /**
+     * An upstream whose cordon ends starts slowly from now, as operators restart what they cordon, unless the
+     * list has a later launch. The order of several released at once is that of Map.copyOf, which differs
+     * between JVMs: so do the random draws for their buckets. Known, and left as it is.
+     */
     @Override
-    public void cordonsUpdated(long now, Map<String, Long> out) {
+    public void cordonsUpdated(long now, Map<String, Long> cordons) {
         Map<String, Long> before = cordoned;
-        cordoned = Map.copyOf(out);
+        cordoned = Map.copyOf(cordons);
         before.forEach((id, since) -> {
-            Up old = byId.get(id);
+            UpstreamState old = upstreamsById.get(id);
             if (!cordoned.containsKey(id) && old != null && old.launchedAt() <= since) {
-                Up up = renew(id, now);
-                up.entry = old.entry;
-                up.toldLaunch = now;
+                UpstreamState upstream = addUpstream(id, now);
+                upstream.entry = old.entry;
+                upstream.notifiedLaunchAt = now;
             }
         });
-        order();
-        pump(now);
-    }
-
-    private double firstLimit() {
-        return Math.max(LEAST_LIMIT, FIRST_TOTAL / settings.groupSize());
+        sortUpstreams();
+        dispatchQueued(now);
     }
 
     private void reweight(long now) {
         double sum = 0;
         int fresh = 0;
-        ratings = 0;
-        for (Up up : ups) {
-            up.errors *= sparse() ? THIN_FADE : 1;
-            ratings += rating(up);
-            up.load = Double.NaN;
-            if (freshlyReported(up, now)) {
-                up.load = Math.max(0, Math.min(1, up.report.utilisation()));
-                sum += up.load;
+        ratingSum = 0;
+        for (UpstreamState upstream : ready) {
+            upstream.errorRate *= sparseTraffic() ? SPARSE_ERROR_DECAY : 1;
+            ratingSum += rating(upstream);
+            upstream.utilisation = Double.NaN;
+            if (upstream.hasFreshReport(now)) {
+                upstream.utilisation = Math.max(0, Math.min(1, upstream.report.utilisation()));
+                sum += upstream.utilisation;
                 fresh++;
             }
         }
         double mean = fresh == 0 ? 0 : sum / fresh;
         double logSum = 0;
-        for (Up up : ups) {
-            if (!Double.isNaN(up.load)) {
-                double moved = up.logWeight * (1 - LEAK) + GAIN * (mean - up.load);
-                up.logWeight = Math.max(-CLAMP, Math.min(CLAMP, moved));
-                logSum += up.logWeight;
+        for (UpstreamState upstream : ready) {
+            if (!Double.isNaN(upstream.utilisation)) {
+                double moved = upstream.logWeight * (1 - LEAK) + GAIN * (mean - upstream.utilisation);
+                upstream.logWeight = Math.max(-MAX_LOG_WEIGHT, Math.min(MAX_LOG_WEIGHT, moved));
+                logSum += upstream.logWeight;
             }
         }
-        for (Up up : ups) {
-            if (Double.isNaN(up.load)) {
-                up.logWeight = fresh == 0 ? up.logWeight * (1 - LEAK) : logSum / fresh;
+        for (UpstreamState upstream : ready) {
+            if (Double.isNaN(upstream.utilisation)) {
+                upstream.logWeight = fresh == 0 ? upstream.logWeight * (1 - LEAK) : logSum / fresh;
             }
-            up.weight = rating(up) * Math.exp(up.logWeight);
+            upstream.weight = rating(upstream) * Math.exp(upstream.logWeight);
         }
     }
 
-    private static boolean freshlyReported(Up up, long now) {
-        return up.report != null && now - up.reportAt <= FRESH;
+    private double rating(UpstreamState upstream) {
+        double rating = upstream.entry.rating();
+        return settings.ratings() == Ratings.NONE || !(rating > 0) ? kindSpeed(upstream) : rating;
     }
 
-    private double rating(Up up) {
-        return settings.ratings() == Ratings.NONE || !(up.entry.rating() > 0) ? speed(up) : up.entry.rating();
+    /** Speed of its zone and kind against the mean: sparse traffic learns that of one upstream too slowly. */
+    private double kindSpeed(UpstreamState upstream) {
+        double kind = serviceTimeByKind.getOrDefault(zoneAndKind(upstream), meanServiceTime);
+        double factor = Math.max(1 / MAX_KIND_SPEED, Math.min(MAX_KIND_SPEED, meanServiceTime / kind));
+        return sparseTraffic() && kind > 0 ? factor : 1;
     }
 
-    /**
-     * How fast upstreams of its kind and zone are, against the mean of all: with thin traffic it takes too
-     * long to learn that of each upstream, and homes dealt out evenly crowd the slow ones and small zones.
-     */
-    private double speed(Up up) {
-        double kind = kindService.getOrDefault(peers(up), meanService);
-        return sparse() && kind > 0 ? Math.max(1 / MOST_SPEED, Math.min(MOST_SPEED, meanService / kind)) : 1;
-    }
-
-    /** Those that share its zone and kind. */
-    private int peers(Up up) {
-        return up.entry.kind() * settings.zones() + up.entry.zone();
+    private int zoneAndKind(UpstreamState upstream) {
+        return upstream.entry.kind() * settings.zones() + upstream.entry.zone();
     }
 
-    private void learn(Up up, LoadReport report, long now) {
+    private void recordReport(UpstreamState upstream, LoadReport report, long now) {
         if (report == null || !(report.utilisation() >= -0.5 && report.utilisation() <= 2)) {
             return;
         }
-        up.report = report;
-        up.reportAt = now;
+        upstream.report = report;
+        upstream.reportedAt = now;
         double active = report.active() >= 0 ? report.active() : report.waiting();
-        up.crowd = active >= 0 ? Math.min(active, MOST_CROWD) : 0;
-        meanCrowd += SMOOTH * (up.crowd - meanCrowd);
-        if (serviceTold(report)) {
-            up.service = report.serviceTime();
-            up.serviceAt = now;
-            meanService = MovingAverage.next(meanService, up.service, SMOOTH_ALL);
-            int peers = peers(up);
-            kindService.merge(peers, up.service, (old, seen) -> MovingAverage.next(old, seen, SMOOTH_ALL));
-        }
-    }
-
-    /**
-     * The in-flight limit: additive increase, multiplicative decrease on the waiting seen at an upstream.
-     * Only answers move it, with one cut at most for each round of sends, or one slow answer would close it.
-     */
-    private void adjustLimit(Up up, Try t, double wait, long aim, long now) {
-        double target = WAIT_SHARE * aim;
-        if (wait > target) {
-            if (t.sentAt >= up.cutAt) {
-                double cut = Math.max(DEEPEST_CUT, Math.min(LIMIT_CUT, target / wait));
-                up.limit = Math.max(LEAST_LIMIT, up.limit * cut);
-                up.cutAt = now;
+        upstream.reportedActive = active >= 0 ? Math.min(active, MAX_REPORTED_ACTIVE) : 0;
+        meanReportedActive += SMOOTHING * (upstream.reportedActive - meanReportedActive);
+        if (plausibleServiceTime(report)) {
+            upstream.serviceTime = report.serviceTime();
+            upstream.serviceTimeAt = now;
+            meanServiceTime = MovingAverage.next(meanServiceTime, upstream.serviceTime, FLEET_SMOOTHING);
+            double seen = upstream.serviceTime;
+            int group = zoneAndKind(upstream);
+            serviceTimeByKind.merge(group, seen, (a, b) -> MovingAverage.next(a, b, FLEET_SMOOTHING));
+        }
+    }
+
+    private void recordOutcome(RequestState request, Attempt attempt, AttemptEnd end, long now) {
+        UpstreamState upstream = attempt.upstream;
+        switch (end.outcome()) {
+            case OK -> recordSuccess(request, attempt, end.duration(), now);
+            case TIMEOUT, CANCELLED -> recordNoResponse(request, attempt, end.duration(), now);
+            case CONNECT_FAILED -> {
+                // Without a response since the attempt was sent it is down; else it is out of connections.
+                if (upstream.lastResponseAt < attempt.sentAt) {
+                    OutlierDetection.eject(upstream, now);
+                } else {
+                    upstream.limit = Math.min(upstream.limit, Math.max(1, upstream.inFlight));
+                }
             }
-        } else if (t.limited) {
-            up.limit += LIMIT_STEP * Math.min(up.limit, 1 / up.limit);
-        }
-    }
-
-    /**
-     * Whether its cores are not busy, by its latest report, which tells of all balancers' requests: there, an
-     * answer that took long was long work. With a sliver of the traffic, our own answers are too few to tell.
-     */
-    private static boolean reportsRoom(Up up, long now) {
-        return freshlyReported(up, now) && up.report.utilisation() < ROOM;
-    }
-
-    /**
-     * What of an answer's time was waiting: all beyond the least service time seen lately. The reported
-     * service time will not do: it rises with the crowd on an upstream that slows down when crowded.
-     */
-    private double waitOf(Up up, Req r, long took, long now) {
-        boolean hinted = r.request.expectedWork() > 0;
-        double reported = up.report == null ? Double.NaN : up.report.serviceTime();
-        double sample = hinted ? took / r.cost : reported > 0 ? reported : up.took;
-        double drifted = up.least * Math.exp((now - up.leastAt) * LEAST_DRIFT);
-        up.least = up.least == 0 ? sample : Math.min(sample, drifted);
-        up.leastAt = now;
-        return took - (hinted ? ownService(r, up.least) : up.least);
-    }
-
-    /** The time that a request's hinted work takes at so much for a unit; 0 without a hint. */
-    private static double ownService(Req r, double unit) {
-        return r.request.expectedWork() > 0 ? r.cost * unit : 0;
-    }
-
-    private void checkHanging(long now) {
-        for (Up up : ups) {
-            long quiet = now - up.progressAt;
-            double expected = HANG_TIMES * Math.max(Math.max(up.took, typicalTook), waitTarget)
-                    + up.workInFlight * Math.max(1, up.least);
-            if (!up.hanging && up.inFlight > up.streams && quiet > expected) {
-                up.hanging = true;
-                eject(up, now);
+            case REJECTED -> {
+                double most = Math.min(upstream.limit, upstream.inFlight + 1);
+                double cut = most * ConcurrencyLimits.MAX_LIMIT_FACTOR;
+                upstream.limit = Math.max(ConcurrencyLimits.MIN_LIMIT, cut);
+                if (sparseTraffic()) {
+                    upstream.backOffUntil = now + (long) meanResponseTime;
+                }
+                backOff(upstream, meanResponseTime, now);
             }
+            case ERROR, RESET -> {
+                upstream.lastProgressAt = now;
+                boolean sparseError = sparseTraffic() && end.outcome() == Outcome.ERROR;
+                double smoothing = sparseError ? SPARSE_ERROR_WEIGHT : SMOOTHING;
+                upstream.errorRate += smoothing * (1 - upstream.errorRate);
+                if (upstream.errorRate > 0.5 && !sparseTraffic()) {
+                    OutlierDetection.eject(upstream, now);
+                }
+            }
+            default -> {} // an attempt that was never sent says nothing
         }
     }
 
-    private void eject(Up up, long now) {
-        if (up.ejectedUntil <= now) {
-            up.ejectedUntil = now + up.ejection;
-            up.ejection = Math.min(LONGEST_EJECTION, up.ejection * 2);
+    private void recordSuccess(RequestState request, Attempt attempt, long duration, long now) {
+        UpstreamState upstream = attempt.upstream;
+        upstream.lastProgressAt = now;
+        upstream.lastResponseAt = now;
+        OutlierDetection.recordSuccess(upstream);
+        upstream.errorRate *= 1 - SMOOTHING;
+        if (request.request.bodyPending()) {
+            return; // buffers took as much of the time since its last byte went out as the upstream
         }
+        upstream.meanResponseTime = MovingAverage.next(upstream.meanResponseTime, duration, SMOOTHING);
+        meanResponseTime = MovingAverage.next(meanResponseTime, duration, FLEET_SMOOTHING);
+        double waited = ConcurrencyLimits.waitingTime(upstream, request, duration, now);
+        double wait = upstream.reportsCapacity(now) ? 0 : waited; // then a long response was long work
+        ConcurrencyLimits.adjust(attempt, wait, request.requestClass.latencyObjective(), now);
+        backOff(upstream, duration, now);
+        int index = request.request.classIndex();
+        classResponseTimes[index] = MovingAverage.next(classResponseTimes[index], duration, FLEET_SMOOTHING);
     }
 
-    private void noteOutcome(Up up, Req r, Try t, AttemptEnd end, long now) {
-        if (end.outcome() == Outcome.OK) {
-            up.progressAt = now;
-            up.answeredAt = now;
-            up.hanging = false;
-            up.ejectedUntil = 0;
-            up.ejection = FIRST_EJECTION;
-            up.errors *= 1 - SMOOTH;
-            if (r.request.bodyPending()) {
-                return; // since its last byte went out, buffers took as much time as the upstream
-            }
-            up.took = MovingAverage.next(up.took, end.duration(), SMOOTH);
-            typicalTook = MovingAverage.next(typicalTook, end.duration(), SMOOTH_ALL);
-            double wait = waitOf(up, r, end.duration(), now);
-            adjustLimit(up, t, reportsRoom(up, now) ? 0 : wait, r.cls.latencyObjective(), now);
-            rest(up, end.duration(), now);
-            int c = r.request.classIndex();
-            classTook[c] = MovingAverage.next(classTook[c], end.duration(), SMOOTH_ALL);
-        } else if (end.outcome() == Outcome.TIMEOUT || end.outcome() == Outcome.CANCELLED) {
-            if (r.request.bodyPending()) {
-                return;
-            }
-            // No answer in all that time is the longest waiting there is; the work may still run there.
-            adjustLimit(up, t, end.duration() - ownService(r, up.least), r.cls.latencyObjective(), now);
-            rest(up, end.duration(), now);
-            if (end.duration() > meanService * slowness(up, now)) {
-                up.service = end.duration(); // no report came with it: a jam is where reports are missing
-                up.serviceAt = now;
-            }
-        } else if (end.outcome() == Outcome.CONNECT_FAILED) {
-            // Nothing answered since that attempt was sent: dead, not a full table of connections.
-            if (up.answeredAt < t.sentAt) {
-                eject(up, now);
-            } else {
-                up.limit = Math.min(up.limit, Math.max(1, up.inFlight));
-            }
-        } else if (end.outcome() == Outcome.REJECTED) {
-            up.limit = Math.max(LEAST_LIMIT, Math.min(up.limit, up.inFlight + 1) * LIMIT_CUT);
-            if (sparse()) {
-                up.restUntil = now + (long) typicalTook;
-            }
-            rest(up, typicalTook, now);
-        } else if (end.outcome() == Outcome.ERROR || end.outcome() == Outcome.RESET) {
-            up.progressAt = now;
-            up.errors += (sparse() && end.outcome() == Outcome.ERROR ? THIN_ERROR : SMOOTH) * (1 - up.errors);
-            if (up.errors > 0.5 && !sparse()) {
-                eject(up, now);
-            }
+    /** No response in all that time is the longest waiting there is; the work may still run there. */
+    private void recordNoResponse(RequestState request, Attempt attempt, long duration, long now) {
+        if (request.request.bodyPending()) {
+            return;
         }
-    }
-
-    /** With many balancers even one in flight from each is too much: below one, the limit is a pause. */
-    private void rest(Up up, double took, long now) {
-        if (up.limit < 1 && !sparse()) {
-            up.restUntil = Math.max(up.restUntil, now + (long) (took * (1 / up.limit - 1)));
+        UpstreamState upstream = attempt.upstream;
+        double wait = duration - ConcurrencyLimits.hintedTime(request, upstream.leastServiceTime);
+        ConcurrencyLimits.adjust(attempt, wait, request.requestClass.latencyObjective(), now);
+        backOff(upstream, duration, now);
+        if (duration > meanServiceTime * slowness(upstream, now)) {
+            upstream.serviceTime = duration; // overloaded upstreams send no reports
+            upstream.serviceTimeAt = now;
         }
     }
 
-    private boolean ejected(Up up, long now) {
-        return up.ejectedUntil > now || up.ejection > FIRST_EJECTION && up.inFlight > 0;
-    }
-
-    private boolean panic(long now) {
-        int left = 0;
-        for (Up up : ups) {
-            left += ejected(up, now) ? 0 : 1;
+    private void backOff(UpstreamState upstream, double duration, long now) {
+        if (!sparseTraffic()) {
+            ConcurrencyLimits.backOff(upstream, duration, now);
         }
-        return left < PANIC * ups.size();
     }
 
-    /** Draws an upstream in proportion to (weight / (in-flight + 1))^bias; null if none may take it now. */
-    private Up pick(Req r, long now, boolean pressing) {
-        boolean panic = panic(now);
-        double[] scores = new double[ups.size()];
+    /** Draws an upstream; null if none may take the request now. A retry ignores limits: it is urgent. */
+    private UpstreamState selectUpstream(RequestState request, long now, boolean urgent) {
+        boolean panic = OutlierDetection.isPanic(ready, now);
+        double[] scores = new double[ready.size()];
         double sum = 0;
-        int wanted = aperture();
-        Up home = homeOf(r, now);
+        int wanted = apertureSize();
+        UpstreamState preferred = affinityUpstream(request, now);
         for (int i = 0; i < scores.length; i++) {
-            Up up = ups.get(i);
-            // A key has one home in the whole fleet, which most balancers' own samples leave out.
-            if (wanted <= 0 && up != home
-                    || !mayTake(up, r, now, panic)
-                    || (!pressing || sparse()) && !hasRoom(up, now)) {
+            UpstreamState upstream = ready.get(i);
+            // The affinity upstream is the same for all balancers, so most apertures leave it out.
+            if (wanted <= 0 && upstream != preferred
+                    || !isEligible(upstream, request, now, panic)
+                    || (!urgent || sparseTraffic()) && !hasCapacity(upstream, now)) {
                 continue;
             }
-            double w = up.weight * warmth(up, now) * Math.pow(1 - up.errors, 2) * (zoneFactor(up) + up.spill);
-            if (up.ejection > FIRST_EJECTION) {
-                w *= r.cls.effect() == Effect.UNSAFE ? 0.02 : 0.3;
+            double served = Math.pow(1 - upstream.errorRate, 2);
+            double weight = upstream.weight * warmUpFactor(upstream, now) * served;
+            weight *= zoneWeight(upstream) + upstream.zoneSpillover;
+            if (upstream.ejectionTime > OutlierDetection.FIRST_EJECTION) {
+                weight *= request.requestClass.effect() == Effect.UNSAFE ? 0.02 : 0.3;
             }
-            double others = sparse() ? crowd(up, now) : 0;
-            // What a cold one is due runs over if not taken now, as traffic is thin, and it warms by work.
-            boolean preferred = up == home || sparse() && warmth(up, now) < 1;
-            double drawn = preferred ? power(sparse() ? THIN_HOME : HOME) : 1;
-            double score = sparse() ? w / slowness(up, now) : power(w);
-            scores[i] = score * drawn / power(loadUnits(up) + others + 1);
+            double others = sparseTraffic() ? othersInFlight(upstream, now) : 0;
+            // With sparse traffic the tokens of a slow-starting upstream would go unused.
+            boolean favoured = upstream == preferred || sparseTraffic() && warmUpFactor(upstream, now) < 1;
+            double affinity = sparseTraffic() ? SPARSE_AFFINITY_WEIGHT : AFFINITY_WEIGHT;
+            double drawn = favoured ? fourthPower(affinity) : 1;
+            double score = sparseTraffic() ? weight / slowness(upstream, now) : fourthPower(weight);
+            scores[i] = score * drawn / fourthPower(loadUnits(upstream) + others + 1);
             sum += scores[i];
             wanted--;
         }
-        return sum > 0 ? ups.get(WeightedDraw.draw(scores, sum, random)) : null;
+        return sum > 0 ? ready.get(WeightedDraw.draw(scores, sum, random)) : null;
     }
 
-    private boolean mayTake(Up up, Req r, long now, boolean panic) {
-        return maySend(r, up, now) && (panic || !ejected(up, now)) && coldRoom(up, r, now);
+    private boolean isEligible(UpstreamState upstream, RequestState request, long now, boolean panic) {
+        boolean open = panic || !OutlierDetection.isEjected(upstream, now);
+        return open && retryPolicy.mayAttempt(request, upstream, now) && quotaAllows(upstream, request, now);
     }
 
-    /** What others have in flight there, as last reported; it fades to the mean, as a queue forgets. */
-    private double crowd(Up up, long now) {
-        return meanCrowd + memory(up.reportAt, now) * (up.crowd - meanCrowd);
+    /** What other balancers have in flight there: as last reported, fading to the mean. */
+    private double othersInFlight(UpstreamState upstream, long now) {
+        return meanReportedActive
+                + confidence(upstream.reportedAt, now) * (upstream.reportedActive - meanReportedActive);
     }
 
-    /** How much longer its service takes than elsewhere, as last seen: crowds share cores and show there. */
-    private double slowness(Up up, long now) {
-        double ratio = up.service > 0 && meanService > 0 ? up.service / meanService : 1;
-        return Math.pow(ratio, memory(up.serviceAt, now));
+    /** How much longer its service takes than the mean; concurrent requests share cores and show in it. */
+    private double slowness(UpstreamState upstream, long now) {
+        boolean known = upstream.serviceTime > 0 && meanServiceTime > 0;
+        double ratio = known ? upstream.serviceTime / meanServiceTime : 1;
+        return Math.pow(ratio, confidence(upstream.serviceTimeAt, now));
     }
 
-    /** Longer than any client waits is nonsense, and would spoil the means for long. */
-    private boolean serviceTold(LoadReport report) {
-        return report.serviceTime() > 0 && report.serviceTime() <= longestWait;
+    /** A time longer than any client waits is invalid. */
+    private boolean plausibleServiceTime(LoadReport report) {
+        return report.serviceTime() > 0 && report.serviceTime() <= longestTimeout;
     }
 
-    /** How much of what was seen then still holds, from 1 to 0. */
-    private double memory(long seenAt, long now) {
-        return Math.max(0, 1 - (now - seenAt) / Math.max(1, CROWD_TIMES * typicalTook));
+    /** How much an observation of that time still counts, from 1 to 0. */
+    private double confidence(long seenAt, long now) {
+        return Math.max(0, 1 - (now - seenAt) / Math.max(1, REPORT_MEMORY * meanResponseTime));
     }
 
-    private static double power(double x) {
+    private static double fourthPower(double x) {
         return x * x * x * x;
     }
 
     /** In flight, half by count and half by hinted work in mean requests: one heavy request holds up many. */
-    private double loadUnits(Up up) {
-        double atWork = (up.inFlight + Math.max(0, up.workInFlight) / Math.max(meanCost, 1)) / 2;
-        return atWork + TRANSFER_COST * up.transfers;
+    private double loadUnits(UpstreamState upstream) {
+        double units = Math.max(0, upstream.workInFlight) / Math.max(meanRequestCost, 1);
+        return (upstream.inFlight + units) / 2 + TRANSFER_LOAD * upstream.transfers;
     }
 
-    private boolean hasRoom(Up up, long now) {
-        return now >= up.restUntil
-                && (sparse() || up.inFlight + 1 <= Math.max(1, up.limit * up.limitFactor * warmth(up, now)));
+    private boolean hasCapacity(UpstreamState upstream, long now) {
+        double limit = upstream.limit * upstream.limitFactor * warmUpFactor(upstream, now);
+        boolean belowLimit = upstream.inFlight + 1 <= Math.max(1, limit);
+        return now >= upstream.backOffUntil && (sparseTraffic() || belowLimit);
     }
 
-    /**
-     * With more balancers than upstreams, ours is hardly ever the request that another one waits for: what an
-     * answer took tells of the others' load; a limit on our own in-flight would refuse what has room.
-     */
-    private boolean sparse() {
-        return settings.groupSize() > ups.size();
+    /** With more balancers than upstreams, the load that our requests meet is mostly that of others. */
+    private boolean sparseTraffic() {
+        return settings.groupSize() > ready.size();
     }
 
-    /**
-     * The schedule is sampled where our traffic cannot keep reports of all upstreams fresh: only the first so
-     * many in our own rendezvous order that are well take part, each balancer sampling others.
-     */
-    private int aperture() {
-        return requestRate.periods() >= 4
-                ? (int) Math.max(LEAST_APERTURE, requestRate.perSecond() * APERTURE_TIME / 1e6)
-                : ups.size();
+    /** The first upstreams in our order that our traffic suffices to keep fresh reports of. */
+    private int apertureSize() {
+        double size = Math.max(MIN_APERTURE, requestRate.perSecond() * APERTURE_TIME / 1e6);
+        return requestRate.periods() >= 4 ? (int) size : ready.size();
     }
 
-    private double zoneFactor(Up up) {
-        return up.entry.zone() == settings.zone()
-                ? 1 + CROSSING * settings.prices().crossZone()
-                : 1;
+    private double zoneWeight(UpstreamState upstream) {
+        double ownZoneWeight = 1 + CROSS_ZONE_WEIGHT * settings.prices().crossZone();
+        return upstream.entry.zone() == settings.zone() ? ownZoneWeight : 1;
     }
 
-    /** Where a key is at home, if that is well; found once for a list: what is held is asked all the time. */
-    private Up homeOf(Req r, long now) {
-        if (!settings.keyAffinity() || r.request.affinityKey() == null) {
+    /** The affinity upstream of the request if it is healthy, else the next; cached for each list. */
+    private UpstreamState affinityUpstream(RequestState request, long now) {
+        if (!settings.keyAffinity() || request.request.affinityKey() == null) {
             return null;
         }
-        if (r.homeIn != lists) {
-            r.homeIn = lists;
-            r.home = home(r.request.affinityKey(), ups);
+        if (request.affinityGeneration != listGeneration) {
+            request.affinityGeneration = listGeneration;
+            request.affinityUpstream = highestScore(request.request.affinityKey(), ready);
         }
-        if (r.home == null || well(r.home, now)) {
-            return r.home;
+        if (request.affinityUpstream == null || isHealthy(request.affinityUpstream, now)) {
+            return request.affinityUpstream;
         }
-        return home(
-                r.request.affinityKey(),
-                ups.stream().filter(up -> well(up, now)).toList());
+        List<UpstreamState> healthy =
+                ready.stream().filter(each -> isHealthy(each, now)).toList();
+        return highestScore(request.request.affinityKey(), healthy);
     }
 
-    /** Whether keys may be at home there; else they are at the next one in their order, the same for all. */
-    private boolean well(Up up, long now) {
-        return !ejected(up, now) && (!sparse() || up.errors < 0.5 && slowness(up, now) < JAMMED);
+    /** Whether it may be an affinity upstream now. */
+    private boolean isHealthy(UpstreamState upstream, long now) {
+        boolean served = upstream.errorRate < 0.5 && slowness(upstream, now) < OVERLOADED_SLOWNESS;
+        return !OutlierDetection.isEjected(upstream, now) && (!sparseTraffic() || served);
     }
 
-    /** The same upstream at every balancer, by rendezvous hashing. */
-    private Up home(String key, List<Up> among) {
-        Up best = null;
+    /** The same upstream at every balancer, by rendezvous hashing (Thaler and Ravishankar, 1998). */
+    private UpstreamState highestScore(String key, List<UpstreamState> among) {
+        UpstreamState best = null;
         double most = Double.NEGATIVE_INFINITY;
-        for (Up up : among) {
-            double near = rating(up) * (zoneFactor(up) > 1 ? OWN_HOME : 1);
-            double score = RendezvousHash.score(near, key.hashCode(), up.id.hashCode());
+        for (UpstreamState upstream : among) {
+            double near = rating(upstream) * (zoneWeight(upstream) > 1 ? OWN_ZONE_AFFINITY : 1);
+            double score = RendezvousHash.score(near, key.hashCode(), upstream.id.hashCode());
             if (score > most) {
                 most = score;
-                best = up;
+                best = upstream;
             }
         }
         return best;
     }
 
-    /** What rules 1 to 3 leave open for a further attempt. */
-    private boolean maySend(Req r, Up up, long now) {
-        if (r.ended
-                || r.streaming
-                || r.tries.size() >= settings.limits().maxAttempts()
-                || up.entry.state() != State.READY
-                || up.stopped
-                || now >= r.deadline) {
-            return false;
-        }
-        if (r.tries.isEmpty()) {
-            return true;
-        }
-        if (r.outstanding > 0 && !settings.limits().hedging()) {
-            return false;
-        }
-        Try guard = r.guard();
-        if (guard == null || r.cls.effect() == Effect.SAFE) {
-            return true;
-        }
-        return r.cls.effect() == Effect.IDEMPOTENT_WITH_KEY
-                && sameGroup(r.cls.scope(), guard.up, up)
-                && now - guard.sentAt < r.cls.deduplicationWindow() - margin;
-    }
-
-    private static boolean sameGroup(Scope scope, Up a, Up b) {
-        return scope == Scope.ALL
-                || scope == Scope.ZONE && a.entry.zone() == b.entry.zone()
-                || scope == Scope.CELL && a.entry.cell() == b.entry.cell();
-    }
-
-    private static boolean mayRefuse(Req r) {
-        return r.cls.effect() == Effect.SAFE
-                || r.guard() == null
-                || r.cls.effect() == Effect.IDEMPOTENT_WITH_KEY && r.cls.scope() == Scope.ALL;
-    }
-
-    private void send(Req r, Up up, long now) {
-        hold(r, false);
-        if (up.inFlight == 0) {
-            up.progressAt = now;
+    private void send(RequestState request, UpstreamState upstream, long now) {
+        queue.remove(request);
+        if (upstream.inFlight == 0) {
+            upstream.lastProgressAt = now;
         }
-        Try t = new Try(up, now);
-        r.tries.add(t);
-        r.outstanding++;
-        atWork(t, r, 1);
-        t.limited = up.limit < 1 ? now - up.restUntil < up.took : up.inFlight + 1 > up.limit;
-        up.sent++;
-        up.cold.spend(coldCharge(r));
-        out.send(r.request.id(), up.id, 0);
-    }
-
-    /** Counts an attempt in (1) or off (-1), as work or as a transfer. */
-    private static void atWork(Try t, Req r, int sign) {
-        t.up.transfers += t.transfer ? sign : 0;
-        t.up.inFlight += t.transfer ? 0 : sign;
-        t.up.workInFlight += t.transfer ? 0 : sign * r.cost;
-        t.up.streams += t.streaming && !t.transfer ? sign : 0;
+        Attempt attempt = new Attempt(upstream, now);
+        request.attempts.add(attempt);
+        request.outstanding++;
+        attempt.countInFlight(request.cost, 1);
+        boolean paused = now - upstream.backOffUntil < upstream.meanResponseTime;
+        attempt.sentAtLimit = upstream.limit < 1 ? paused : upstream.inFlight + 1 > upstream.limit;
+        upstream.attemptsSent++;
+        upstream.slowStart.spend(slowStartCost(request));
+        actions.send(request.request.id(), upstream.id, 0);
     }
 
     @Override
-    public void transferStarted(long now, String request, int attempt) {
-        Req r = open.get(request);
-        Try t = r == null || attempt < 0 || attempt >= r.tries.size() ? null : r.tries.get(attempt);
-        if (t != null && t.outstanding && !t.transfer) {
-            atWork(t, r, -1);
-            t.transfer = true;
-            atWork(t, r, 1);
-            pump(now);
+    public void transferStarted(long now, String requestId, int attemptNumber) {
+        RequestState request = requests.get(requestId);
+        Attempt attempt = request == null ? null : request.attempt(attemptNumber);
+        if (attempt != null && attempt.outstanding && !attempt.transfer) {
+            attempt.countInFlight(request.cost, -1);
+            attempt.transfer = true;
+            attempt.countInFlight(request.cost, 1);
+            dispatchQueued(now);
         }
     }
 
     @Override
     public void attemptEnded(long now, AttemptEnd end) {
-        Up up = byId.get(end.upstream());
-        if (up != null) {
-            learn(up, end.load(), now);
+        UpstreamState upstream = upstreamsById.get(end.upstream());
+        if (upstream != null) {
+            recordReport(upstream, end.load(), now);
         }
-        Req r = open.get(end.request());
-        if (r == null || end.attempt() < 0 || end.attempt() >= r.tries.size()) {
+        RequestState request = requests.get(end.request());
+        Attempt attempt = request == null ? null : request.attempt(end.attempt());
+        if (attempt == null) {
             return;
         }
-        Try t = r.tries.get(end.attempt());
-        if (t.outstanding) {
-            t.outstanding = false;
-            r.outstanding--;
-            t.mayHaveRun = !end.outcome().neverRan;
-            atWork(t, r, -1);
-            noteOutcome(t.up, r, t, end, now);
+        if (attempt.outstanding) {
+            attempt.outstanding = false;
+            request.outstanding--;
+            attempt.mayHaveRun = !end.outcome().neverRan;
+            attempt.countInFlight(request.cost, -1);
+            recordOutcome(request, attempt, end, now);
             if (end.outcome() == Outcome.REJECTED) {
-                steerAdmission(1.5);
-            } else if (!end.outcome().neverRan && !r.request.bodyPending()) {
-                steerAdmission((double) end.duration() / r.cls.latencyObjective());
+                adjustAdmission(1.5);
+            } else if (!end.outcome().neverRan && !request.request.bodyPending()) {
+                adjustAdmission((double) end.duration() / request.requestClass.latencyObjective());
             }
         }
-        if (end.concluded()) {
-            r.ended = true;
-        }
-        if (r.ended) {
-            forgetIfDone(r);
-        } else if (r.outstanding == 0) {
-            next(r, now);
-        }
-        pump(now);
-    }
-
-    /** After an attempt has failed: another one where that is legal and of use, else the final answer. */
-    private void next(Req r, long now) {
-        boolean mayTry = now < r.deadline - margin && (!sparse() || retryTokens-- >= 1);
-        Up up = r.guard() == null || !mayTry ? null : pick(r, now, true);
-        if (up != null) {
-            send(r, up, now);
-        } else if (mayTry
-                && r.guard() == null
-                && r.tries.size() < settings.limits().maxAttempts()) {
-            hold(r, true);
+        request.ended |= end.concluded();
+        if (request.ended) {
+            forgetIfDone(request);
+        } else if (request.outstanding == 0) {
+            retryOrFinish(request, now);
+        }
+        dispatchQueued(now);
+    }
+
+    /** After the last attempt failed: another one or the queue where allowed, else the final response. */
+    private void retryOrFinish(RequestState request, long now) {
+        boolean timely = now < request.deadline - deadlineMargin;
+        boolean mayTry = timely && (!sparseTraffic() || retryPolicy.chargeRetry());
+        boolean mayHaveRun = request.firstThatMayHaveRun() != null;
+        UpstreamState upstream = mayTry && mayHaveRun ? selectUpstream(request, now, true) : null;
+        boolean attemptsLeft = request.attempts.size() < settings.limits().maxAttempts();
+        if (upstream != null) {
+            send(request, upstream, now);
+        } else if (mayTry && !mayHaveRun && attemptsLeft) {
+            queue.add(request);
         } else {
-            finish(r, now);
+            finish(request, now);
         }
     }
 
-    /** The final answer of a request that could not be served: a refusal where legal, else a failure. */
-    private void finish(Req r, long now) {
-        hold(r, false);
-        if (mayRefuse(r)) {
-            out.reject(r.request.id(), 0);
-            int c = r.request.classIndex();
-            refusedAfter[c] += r.request.retry() ? 0 : 0.05 * (now - r.arrivedAt - refusedAfter[c]);
+    /** The final response to a request that was not served: a rejection where allowed, else a failure. */
+    private void finish(RequestState request, long now) {
+        queue.remove(request);
+        if (RetryPolicy.mayReject(request)) {
+            actions.reject(request.request.id(), 0);
+            int classIndex = request.request.classIndex();
+            double change = now - request.arrivedAt - rejectionDelays[classIndex];
+            rejectionDelays[classIndex] += request.request.retry() ? 0 : 0.05 * change;
         } else {
-            out.fail(r.request.id());
+            actions.fail(request.request.id());
         }
-        conclude(r, now);
+        conclude(request, now);
     }
 
-    private void conclude(Req r, long now) {
-        hold(r, false);
-        r.ended = true;
-        for (int i = 0; i < r.tries.size() && settings.limits().cancel() && !r.streaming; i++) {
-            if (r.tries.get(i).outstanding) {
-                out.cancel(r.request.id(), i);
+    private void conclude(RequestState request, long now) {
+        queue.remove(request);
+        request.ended = true;
+        boolean cancels = settings.limits().cancel() && !request.streaming;
+        for (int i = 0; i < request.attempts.size(); i++) {
+            if (cancels && request.attempts.get(i).outstanding) {
+                actions.cancel(request.request.id(), i);
             }
         }
-        forgetIfDone(r);
+        forgetIfDone(request);
     }
 
-    private void forgetIfDone(Req r) {
-        if (r.outstanding == 0) {
-            open.remove(r.request.id());
+    private void forgetIfDone(RequestState request) {
+        if (request.outstanding == 0) {
+            requests.remove(request.request.id());
         }
     }
 
     @Override
-    public void responseStarted(long now, String request, int attempt) {
-        Req r = open.get(request);
-        if (r != null && attempt >= 0 && attempt < r.tries.size() && !r.streaming) {
-            r.streaming = true;
-            r.tries.get(attempt).streaming = true;
-            r.tries.get(attempt).up.streams++;
+    public void responseStarted(long now, String requestId, int attemptNumber) {
+        RequestState request = requests.get(requestId);
+        Attempt attempt = request == null ? null : request.attempt(attemptNumber);
+        if (attempt != null && !request.streaming) {
+            request.streaming = true;
+            attempt.streaming = true;
+            attempt.upstream.openStreams++;
         }
     }
 
     @Override
-    public void clientDisconnected(long now, String request) {
-        Req r = open.get(request);
-        if (r != null && !r.ended) {
-            conclude(r, now);
+    public void clientDisconnected(long now, String requestId) {
+        RequestState request = requests.get(requestId);
+        if (request != null && !request.ended) {
+            conclude(request, now);
         }
     }
 
     @Override
-    public void requestArrived(long now, Request request) {
-        Req r = new Req(request, settings.classes().get(request.classIndex()), requestNumber++, now);
-        // The aim of a retry runs from the first try, and a refusal is what mostly lies behind it.
-        r.aimAt -= request.retry() ? (long) refusedAfter[request.classIndex()] : 0;
-        r.cost = request.expectedWork() > 0 ? request.expectedWork() : costOf(request.classIndex());
-        r.value = r.cls.priorityWeight()
-                / (settings.priorityPerRequest() ? 1 : r.cost)
-                * (withinShare(request.tenant(), now) ? 1 : settings.overQuotaPriority());
-        meanCost = request.expectedWork() > 0 ? MovingAverage.next(meanCost, r.cost, 0.01) : meanOfClasses();
-        if (!request.retry()) {
-            requestRate.count(); // a retry of a client adds no room at cold ones
-        }
-        classRates.get(request.classIndex()).count();
-        open.put(request.id(), r);
-        byDeadline.add(r);
-        if (now >= r.deadline - margin) {
-            finish(r, now); // a late try of an impatient client: no time is left to find that out at leisure
-            return;
-        }
-        if (sparse() && random.nextDouble() >= admitted) {
-            finish(r, now);
+    public void requestArrived(long now, Request arrived) {
+        RequestState request =
+                new RequestState(arrived, settings.classes().get(arrived.classIndex()), requestNumber++, now);
+        // The objective of a client's retry runs from its first request, which was mostly rejected.
+        request.objectiveAt -= arrived.retry() ? (long) rejectionDelays[arrived.classIndex()] : 0;
+        request.cost = arrived.expectedWork() > 0 ? arrived.expectedWork() : classCost(arrived.classIndex());
+        request.priority = request.requestClass.priorityWeight()
+                / (settings.priorityPerRequest() ? 1 : request.cost)
+                * (withinTenantQuota(arrived.tenant(), now) ? 1 : settings.overQuotaPriority());
+        boolean hinted = arrived.expectedWork() > 0;
+        meanRequestCost = hinted ? MovingAverage.next(meanRequestCost, request.cost, 0.01) : meanClassCost();
+        if (!arrived.retry()) {
+            requestRate.count(); // retries must not raise the slow-start rate
+        }
+        classRates.get(arrived.classIndex()).count();
+        requests.put(arrived.id(), request);
+        byDeadline.add(request);
+        boolean late = now >= request.deadline - deadlineMargin;
+        if (late || sparseTraffic() && random.nextDouble() >= admittedShare) {
+            finish(request, now);
             return;
         }
-        retryTokens = Math.max(0, Math.min(MOST_RETRIES, retryTokens + RETRY_SHARE));
-        hold(r, true);
-        pump(now);
+        retryPolicy.creditRequest();
+        queue.add(request);
+        dispatchQueued(now);
     }
 
-    /**
-     * Load shedding without a word between balancers: the share that is let in follows how much of their aims
-     * our answers take. It guards against a jam of the whole fleet, where all is served and all of it late.
-     */
-    private void steerAdmission(double shareOfAim) {
-        double moved = admitted + ADMISSION_GAIN * (ADMISSION_TARGET - Math.min(2, shareOfAim));
-        admitted = Math.max(LEAST_ADMITTED, Math.min(1, moved));
+    /** The admitted share follows how much of their objectives responses take: all late helps no client. */
+    private void adjustAdmission(double objectiveShare) {
+        double moved = admittedShare + ADMISSION_GAIN * (ADMISSION_TARGET - Math.min(2, objectiveShare));
+        admittedShare = Math.max(MIN_ADMITTED, Math.min(1, moved));
     }
 
-    /** Our part of a tenant's allowance, a bucket of a second; beyond it a held request loses its place. */
-    private boolean withinShare(int tenant, long now) {
-        if (tenant < 0
-                || tenant >= tenantTokens.size()
-                || settings.tenants().get(tenant).allowance() <= 0) {
-            return true;
-        }
-        double perSecond = settings.tenants().get(tenant).allowance() / settings.groupSize();
-        return tenantTokens.get(tenant).tryTake(perSecond, now);
-    }
-
-    private void hold(Req r, boolean on) {
-        if (on) {
-            held.add(r);
-        } else if (r.waiting) {
-            held.remove(r);
-        }
-        r.waiting = on;
+    /** Whether a request is within our share of its tenant's allowance; beyond it, it loses priority. */
+    private boolean withinTenantQuota(int tenant, long now) {
+        boolean known = tenant >= 0 && tenant < tenantTokens.size();
+        double allowance = known ? settings.tenants().get(tenant).allowance() : 0;
+        return allowance <= 0 || tenantTokens.get(tenant).tryTake(allowance / settings.groupSize(), now);
     }
 
-    /** Sends what is held, dearest first, as long as upstreams have room. */
-    private void pump(long now) {
-        if (held.isEmpty() || ups.stream().noneMatch(up -> hasRoom(up, now))) {
-            return; // trying all that is held at every event would cost the more the further behind we are
+    /** Sends queued requests, by priority, as long as upstreams have capacity. */
+    private void dispatchQueued(long now) {
+        if (queue.isEmpty() || ready.stream().noneMatch(upstream -> hasCapacity(upstream, now))) {
+            return; // trying the queue at every event would cost the more the longer it is
         }
-        sendHome(now);
+        dispatchByAffinity(now);
         int misses = 0;
-        for (Req r = held.isEmpty() ? null : held.first(); r != null && misses < 3; ) {
-            Req following = held.higher(r);
-            Up up = pick(r, now, false);
-            if (up != null) {
-                send(r, up, now);
+        for (RequestState request = queue.isEmpty() ? null : queue.first(); request != null && misses < 3; ) {
+            RequestState following = queue.higher(request);
+            UpstreamState upstream = selectUpstream(request, now, false);
+            if (upstream != null) {
+                send(request, upstream, now);
             } else {
                 misses++;
             }
-            r = following;
+            request = following;
         }
     }
 
-    /**
-     * Held requests go first where their keys are at home: the first of the queue would take scarce room,
-     * keys would be served cold everywhere, and the dearer work would keep the jam alive.
-     */
-    private void sendHome(long now) {
-        boolean panic = panic(now);
-        for (Req r : held.size() < 2 || !settings.keyAffinity() ? List.<Req>of() : new ArrayList<>(held)) {
-            Up home = homeOf(r, now);
-            if (home != null && hasRoom(home, now) && mayTake(home, r, now, panic)) {
-                send(r, home, now);
+    /** Affinity goes before priority: under overload, requests on cold caches would prolong the overload. */
+    private void dispatchByAffinity(long now) {
+        boolean panic = OutlierDetection.isPanic(ready, now);
+        if (queue.size() < 2 || !settings.keyAffinity()) {
+            return;
+        }
+        for (RequestState request : new ArrayList<>(queue)) {
+            UpstreamState preferred = affinityUpstream(request, now);
+            boolean capacity = preferred != null && hasCapacity(preferred, now);
+            if (capacity && isEligible(preferred, request, now, panic)) {
+                send(request, preferred, now);
             }
         }
     }
 
-    /** Refuses held requests whose aim can no longer be met and that are worth nothing late. */
-    private void shed(long now) {
-        for (Req r : new ArrayList<>(held)) {
-            if (now + classTook[r.request.classIndex()] > r.aimAt && r.cls.latePriorityWeight() <= 0) {
-                finish(r, now);
+    /** Rejects queued requests that miss their objective and have no weight when late. */
+    private void shedLate(long now) {
+        for (RequestState request : new ArrayList<>(queue)) {
+            if (now + classResponseTimes[request.request.classIndex()] > request.objectiveAt
+                    && request.requestClass.latePriorityWeight() <= 0) {
+                finish(request, now);
             }
         }
     }
 
-    private double warmth(Up up, long now) {
-        long age = now - up.launchedAt();
-        PlatformRules f = settings.rules();
-        if (up.launchedAt() <= 0 || age >= f.slowStartTime() || f.slowStartTime() <= 0) {
+    private double warmUpFactor(UpstreamState upstream, long now) {
+        long age = now - upstream.launchedAt();
+        PlatformRules rules = settings.rules();
+        if (upstream.launchedAt() <= 0 || age >= rules.slowStartTime() || rules.slowStartTime() <= 0) {
             return 1;
         }
-        return f.initialCapacity() + (1 - f.initialCapacity()) * Math.max(0, age) / f.slowStartTime();
+        double initial = rules.initialCapacity();
+        return initial + (1 - initial) * Math.max(0, age) / rules.slowStartTime();
     }
 
     /**
-     * A cold upstream takes fallMultiple times its capacity at most. Our part is a share of that multiple of
-     * its even part of our traffic: over all balancers this sums to the capacity, however uneven traffic is
-     * and soon after a restart too. The bucket starts at random, or all would send a first request at once.
-     * While we shed, for the jam of the warm ones, a cold one is still owed more than what we let in.
-     * Where planners run, balancers lend these parts to each other; no planner ever makes a new one. A body
-     * that is still coming is not sent there: its work would come whenever its client likes, many at once.
+     * A slow-starting upstream takes overloadMultiple times its capacity at most. Each balancer may send a
+     * share of that multiple of its even part of its own traffic: over all balancers, that sums to capacity.
+     * Planners only delegate quotas. Pending bodies could end all at once, so such requests go elsewhere.
      */
-    private boolean coldRoom(Up up, Req r, long now) {
-        if (warmth(up, now) >= 1) {
+    private boolean quotaAllows(UpstreamState upstream, RequestState request, long now) {
+        if (warmUpFactor(upstream, now) >= 1) {
             return true;
         }
-        refillCold(up, now);
-        return !r.request.bodyPending() && up.cold.tokens() >= coldCharge(r);
+        refillSlowStart(upstream, now);
+        return !request.request.bodyPending() && upstream.slowStart.tokens() >= slowStartCost(request);
     }
 
-    private double coldRate(Up up, long now) {
-        double rating = rating(up);
-        double letIn = Math.sqrt(admitted) * requestRate.perSecond() / 1e6;
-        double even = letIn * rating / Math.max(ratings, rating);
-        return COLD_CARE * settings.rules().overloadMultiple() * warmth(up, now) * even;
+    private double slowStartRate(UpstreamState upstream, long now) {
+        double rating = rating(upstream);
+        double rate = Math.sqrt(admittedShare) * requestRate.perSecond() / 1e6;
+        double even = rate * rating / Math.max(ratingSum, rating);
+        return SLOW_START_USE * settings.rules().overloadMultiple() * warmUpFactor(upstream, now) * even;
     }
 
-    private void refillCold(Up up, long now) {
-        SlowStartQuota right = planned.right(up.id, up.launchedAt());
-        long fallTime = settings.rules().overloadWindow();
-        up.cold.refill(now, coldRate(up, now), right, planned.quietUntil(), fallTime, COLD_COST);
+    private void refillSlowStart(UpstreamState upstream, long now) {
+        SlowStartQuota quota = plans.slowStartQuota(upstream.id, upstream.launchedAt());
+        long window = settings.rules().overloadWindow();
+        double own = slowStartRate(upstream, now);
+        upstream.slowStart.refill(now, own, quota, plans.ownQuotaBlockedUntil(), window, MIN_BUCKET_SIZE);
     }
 
-    /**
-     * In mean requests, and one at least: those with hints small enough for the bucket are dearer than they
-     * say. The bucket holds mean requests, too: what one costs is learnt while it fills.
-     */
-    private double coldCharge(Req r) {
-        return Math.max(r.cost / meanCost, 1);
+    /** In mean requests, and one at least: small hints understate. */
+    private double slowStartCost(RequestState request) {
+        return Math.max(request.cost / meanRequestCost, 1);
     }
 
-    /** What a request without a hint costs: the time that its class takes, as far as that is known. */
-    private double costOf(int classIndex) {
-        double known = classTook[classIndex] > 0 ? classTook[classIndex] : typicalTook;
+    /** The cost of a request without a hint: the response time of its class. */
+    private double classCost(int classIndex) {
+        double known = classResponseTimes[classIndex] > 0 ? classResponseTimes[classIndex] : meanResponseTime;
         return known > 0 ? known : 1;
     }
 
-    /** Of the classes by their rates, so that it moves with them: a mean of its own would lag behind. */
-    private double meanOfClasses() {
+    /** Weighted by the classes' rates; a moving average would lag behind them. */
+    private double meanClassCost() {
         double cost = 0;
         double rates = 0;
-        for (int c = 0; c < classRates.size(); c++) {
-            double rate = Math.max(classRates.get(c).perSecond(), LEAST_RATE);
-            cost += rate * costOf(c);
+        for (int classIndex = 0; classIndex < classRates.size(); classIndex++) {
+            double rate = Math.max(classRates.get(classIndex).perSecond(), MIN_CLASS_RATE);
+            cost += rate * classCost(classIndex);
             rates += rate;
         }
         return cost / rates;
@@ -1043,78 +753,80 @@
 
     @Override
     public void planUpdated(long now, Plan plan) {
-        ups.forEach(up -> settleCold(up, now));
-        planned.hear(now, plan);
+        ready.forEach(upstream -> settleSlowStart(upstream, now));
+        plans.update(now, plan);
         plan.upstreams().forEach(view -> apply(now, view));
-        ups.forEach(up -> settleCold(up, now)); // what was saved up under a lent right is forfeited
-        steer(now);
-        pump(now);
+        ready.forEach(upstream -> settleSlowStart(upstream, now)); // tokens of delegated quotas are forfeited
+        applyPlan(now);
+        dispatchQueued(now);
     }
 
-    private void settleCold(Up up, long now) {
-        if (warmth(up, now) < 1) {
-            refillCold(up, now);
+    private void settleSlowStart(UpstreamState upstream, long now) {
+        if (warmUpFactor(upstream, now) < 1) {
+            refillSlowStart(upstream, now);
         }
     }
 
-    /** A planner can make us send less, or more by a grant; it adds nothing to our own list. */
+    /** A planner can lower what we send, or raise it by grants; it adds no upstream. */
     private void apply(long now, UpstreamView view) {
-        Up up = byId.get(view.id());
-        if (up == null) {
+        UpstreamState upstream = upstreamsById.get(view.id());
+        if (upstream == null) {
             return;
         }
-        if (view.launchedAt() > up.launchedAt()
+        if (view.launchedAt() > upstream.launchedAt()
                 && view.launchedAt() <= now + settings.rules().slowStartTime()) {
-            up.toldLaunch = view.launchedAt(); // a start that our own list has yet to tell of
-            up.cold = new SlowStartBucket(0, now);
+            upstream.notifiedLaunchAt = view.launchedAt(); // the endpoint list will follow
+            upstream.slowStart = new SlowStartBucket(0, now);
         }
-        up.stopped = view.draining();
-        up.plannedLimit = view.limit();
+        upstream.plannedDraining = view.draining();
+        upstream.plannedLimit = view.limit();
     }
 
-    /** Turns the plan into factors, which all stand at their neutral values where it counts for nothing. */
-    private void steer(long now) {
-        double strength = planned.strength(now);
+    /** Turns the plan into factors, which are neutral at strength 0. */
+    private void applyPlan(long now) {
+        double strength = plans.strength(now);
+        double crossZone = settings.prices().crossZone();
         int stopped = 0;
-        for (Up up : ups) {
-            boolean limited = strength > 0 && up.plannedLimit > 0 && up.limit > 0;
-            up.limitFactor = limited ? Math.pow(up.plannedLimit / up.limit, PLANNED_LIMIT * strength) : 1;
-            double near = strength > 0 ? planned.spill(up.entry.zone(), settings.zone(), now) : 0;
-            up.spill = near * CROSSING * settings.prices().crossZone();
-            up.stopped &= strength > 0;
-            stopped += up.stopped ? 1 : 0;
+        for (UpstreamState upstream : ready) {
+            boolean limited = strength > 0 && upstream.plannedLimit > 0 && upstream.limit > 0;
+            double ratio = limited ? upstream.plannedLimit / upstream.limit : 1;
+            upstream.limitFactor = limited ? Math.pow(ratio, PLANNED_LIMIT_EXPONENT * strength) : 1;
+            double near = strength > 0 ? plans.zoneSpillover(upstream.entry.zone(), settings.zone(), now) : 0;
+            upstream.zoneSpillover = near * CROSS_ZONE_WEIGHT * crossZone;
+            upstream.plannedDraining &= strength > 0;
+            stopped += upstream.plannedDraining ? 1 : 0;
         }
-        if (ups.size() - stopped < PANIC * ups.size()) {
-            ups.forEach(up -> up.stopped = false); // so many cannot all drain: we go by our own list
+        if (ready.size() - stopped < OutlierDetection.PANIC_THRESHOLD * ready.size()) {
+            ready.forEach(each -> each.plannedDraining = false); // implausible: use the endpoint list
         }
     }
 
     @Override
     public Summary summary(long now) {
         List<Double> demand = classRates.stream().map(RateEstimator::perSecond).toList();
-        List<UpstreamStatus> standings = new ArrayList<>(byId.size());
-        for (Up up : byId.values()) {
-            boolean reported = up.report != null;
-            boolean cold = warmth(up, now) < 1 && meanCost > 0;
-            double used = reported ? up.report.utilisation() : Double.NaN;
-            double waiting = reported ? up.report.waiting() : Double.NaN;
-            double right = cold ? coldRate(up, now) * 1e6 : 0;
-            standings.add(new UpstreamStatus(
-                    up.id,
-                    up.entry.zone(),
-                    up.entry.state(),
-                    up.launchedAt(),
-                    up.inFlight,
-                    up.sent,
-                    up.weight,
-                    up.limit,
+        List<UpstreamStatus> statuses = new ArrayList<>(upstreamsById.size());
+        for (UpstreamState upstream : upstreamsById.values()) {
+            boolean reported = upstream.report != null;
+            boolean slowStart = warmUpFactor(upstream, now) < 1 && meanRequestCost > 0;
+            double used = reported ? upstream.report.utilisation() : Double.NaN;
+            double waiting = reported ? upstream.report.waiting() : Double.NaN;
+            double quota = slowStart ? slowStartRate(upstream, now) * 1e6 : 0;
+            statuses.add(new UpstreamStatus(
+                    upstream.id,
+                    upstream.entry.zone(),
+                    upstream.entry.state(),
+                    upstream.launchedAt(),
+                    upstream.inFlight,
+                    upstream.attemptsSent,
+                    upstream.weight,
+                    upstream.limit,
                     used,
                     waiting,
-                    reported ? up.reportAt : 0,
-                    ejected(up, now) || cordoned.containsKey(up.id),
-                    right));
+                    reported ? upstream.reportedAt : 0,
+                    OutlierDetection.isEjected(upstream, now) || cordoned.containsKey(upstream.id),
+                    quota));
         }
-        return new Summary(demand, standings, held.size());
+        return new Summary(demand, statuses, queue.size());
     }
 
     @Override
@@ -1122,70 +834,68 @@
         if (!token.equals("sweep")) {
             return;
         }
-        out.setTimer("sweep", SWEEP);
-        expire(now);
-        checkHanging(now);
-        double strength = planned.strength(now);
-        if (strength < 1 && (strength > 0 || wasPlanned)) {
-            steer(now); // while it fades or rises; at full strength the next plan is soon enough
+        actions.setTimer("sweep", SWEEP_PERIOD);
+        expireDeadlines(now);
+        OutlierDetection.ejectHanging(ready, meanResponseTime, waitTarget, now);
+        double strength = plans.strength(now);
+        if (strength < 1 && (strength > 0 || planCounted)) {
+            applyPlan(now); // at full strength the next plan is soon enough
         }
-        wasPlanned = strength > 0;
-        shed(now);
+        planCounted = strength > 0;
+        shedLate(now);
         if (now >= nextReweight) {
-            long period = jitter(PERIOD);
+            long period = jitter(REWEIGHT_PERIOD);
             requestRate.endPeriod(period);
             classRates.forEach(rate -> rate.endPeriod(period));
             reweight(now);
             nextReweight = now + period;
         }
-        if (now >= askAgainAt && settings.subscribesToEndpoints()) {
-            askAgainAt = Long.MAX_VALUE;
-            out.watchEndpoints(true);
+        if (now >= resubscribeAt && settings.subscribesToEndpoints()) {
+            resubscribeAt = Long.MAX_VALUE;
+            actions.watchEndpoints(true);
         }
-        probe(now);
-        pump(now);
+        checkHealth(now);
+        dispatchQueued(now);
     }
 
-    private void expire(long now) {
+    private void expireDeadlines(long now) {
         while (!byDeadline.isEmpty()) {
-            Req r = byDeadline.peek();
-            if (!r.ended && r.deadline - margin > now) {
+            RequestState request = byDeadline.peek();
+            if (!request.ended && request.deadline - deadlineMargin > now) {
                 return;
             }
             byDeadline.poll();
-            if (!r.ended && !r.streaming) {
-                finish(r, now);
+            if (!request.ended && !request.streaming) {
+                finish(request, now);
             }
         }
     }
 
     /** Steady health checks where reports come no other way; their rate follows from price and traffic. */
-    private void probe(long now) {
+    private void checkHealth(long now) {
         boolean allowed = settings.reports() == Reports.BY_HEALTH_CHECK
                 && settings.limits().healthChecks();
-        if (!allowed || now < nextProbe || ups.isEmpty()) {
+        if (!allowed || now < nextHealthCheck || ready.isEmpty()) {
             return;
         }
         double price = settings.prices().healthCheck();
-        double share = price > 0 ? PROBE_POINTS / price : 1;
+        double share = price > 0 ? HEALTH_CHECK_POINTS / price : 1;
         double requests = Math.max(requestRate.perSecond(), 1);
-        double perSecond = Math.min(share * requests, ups.size() * 1e6 / PROBE_GAP);
-        nextProbe = now + jitter((long) (1e6 / perSecond));
-        Up oldest = Collections.min(ups, Comparator.comparingLong(up -> up.probedAt));
-        oldest.probedAt = now;
-        out.healthCheck(oldest.id);
+        double perSecond = Math.min(share * requests, ready.size() * 1e6 / HEALTH_CHECK_INTERVAL);
+        nextHealthCheck = now + jitter((long) (1e6 / perSecond));
+        UpstreamState oldest = Collections.min(ready, comparingLong(each -> each.healthCheckedAt));
+        oldest.healthCheckedAt = now;
+        actions.healthCheck(oldest.id);
     }
 
     @Override
-    public void healthCheckCompleted(long now, String upstream, Outcome outcome, LoadReport load) {
-        Up up = byId.get(upstream);
-        if (up != null && outcome == Outcome.OK) {
-            learn(up, load, now);
+    public void healthCheckCompleted(long now, String upstreamId, Outcome outcome, LoadReport load) {
+        UpstreamState upstream = upstreamsById.get(upstreamId);
+        if (upstream != null && outcome == Outcome.OK) {
+            recordReport(upstream, load, now);
         }
     }
 
     @Override
-    public void peerMessageReceived(long now, int from, byte[] body) {
-        // Balancers need nothing from each other.
-    }
+    public void peerMessageReceived(long now, int from, byte[] body) {} // nothing is sent to peers
 }
--- a/src/test/java/sedgeyoke/policy/PlanTest.java
+++ b/src/test/java/sedgeyoke/policy/PlanTest.java
@@ -217,7 +217,7 @@
         for (int step = 0; step < 3_000; step++) {
             now += 10_000;
             if (step < 800 || step > 1_600) {
-                planned.hear(now, plan(now, List.of(), List.of(), Map.of()));
+                planned.update(now, plan(now, List.of(), List.of(), Map.of()));
             }
             double strength = planned.strength(now);
             steepest = Math.max(steepest, Math.abs(strength - before));
--- a/src/test/java/sedgeyoke/policy/PolicyTest.java
+++ b/src/test/java/sedgeyoke/policy/PolicyTest.java
@@ -8,7 +8,6 @@
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.lang.reflect.Field;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -20,6 +19,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.IntFunction;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import sedgeyoke.policy.LoadBalancingPolicy.ListKind;
@@ -29,6 +29,7 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Reports;
 import sedgeyoke.policy.LoadBalancingPolicy.State;
 import sedgeyoke.policy.LoadBalancingPolicy.Upstream;
+import sedgeyoke.policy.LoadBalancingPolicy.UpstreamStatus;
 
 /** Each rule and each departure of the module, acting and not acting. */
 class PolicyTest {
@@ -63,9 +64,16 @@
         }
     }
 
+    /** Ids of all upstreams that the policy has a state for. */
+    private static Set<String> knownUpstreams(PolicyHarness h) {
+        return h.balancer.summary(h.now).upstreams().stream()
+                .map(UpstreamStatus::id)
+                .collect(Collectors.toSet());
+    }
+
     /** Machines are replaced all day by new ones under new ids; those that are gone must leave nothing behind. */
     @Test
-    void upstreamsThatAreGoneAreForgotten() throws ReflectiveOperationException {
+    void removedUpstreamsAreForgotten() {
         PolicyHarness h = PolicyHarness.of(config).list(3);
         for (int i = 0; i < 100; i++) {
             h.balancer.endpointsUpdated(
@@ -75,11 +83,9 @@
                             new Upstream("n" + i, 0, 0, 0, State.READY, 1, 0),
                             new Upstream("n" + (i - 2), 0, 0, 0, State.REMOVED, 1, 0)));
         }
-        Field known = UtilizationWeightedPolicy.class.getDeclaredField("byId");
-        known.setAccessible(true);
-        assertEquals(Set.of("u0", "u1", "u2", "n98", "n99"), ((Map<?, ?>) known.get(h.balancer)).keySet());
+        assertEquals(Set.of("u0", "u1", "u2", "n98", "n99"), knownUpstreams(h));
         h.balancer.endpointsUpdated(h.now, ListKind.COMPLETE, List.of(new Upstream("n99", 0, 0, 0, State.READY, 1, 0)));
-        assertEquals(Set.of("n99"), ((Map<?, ?>) known.get(h.balancer)).keySet());
+        assertEquals(Set.of("n99"), knownUpstreams(h));
         h.serve(0, 20 * MILLI, u -> 0.5);
         assertEquals(Map.of("n99", 1), h.perUpstream);
     }
