HttpFrontend is split by concern, and connection states have their transitions in one place

Need: one class of 997 lines held the listener, limits on connections, the life of a connection, parsing, responses and timeouts, under names that only this project uses.

Change: HttpFrontend keeps the listener and its part in a graceful shutdown. ClientConnection has one connection, ClientConnectionState its states with the transitions (asserted where assertions are on), ClientConnections the limits on their number, ClientTimeouts the times, RequestParser the heads, ClientResponses the messages to clients, PipelinedRequests what is received behind a request. BadRequest is InvalidRequestException with its status; it has no stack trace, so a rejection costs no more than before. RequestValidator.Refused is Rejection.

--- /dev/null
+++ b/src/main/java/sedgeyoke/proxy/ClientConnection.java
@@ -0,0 +1,629 @@
+package sedgeyoke.proxy;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import sedgeyoke.body.BodyBudget;
+import sedgeyoke.body.BodyLimits;
+import sedgeyoke.body.MinimumTransferRate;
+import sedgeyoke.policy.LoadBalancingPolicy.Request;
+
+/**
+ * One connection of a client: reads one request after the other, hands each to {@link ProxyCore} and writes its
+ * response. Requests that the client pipelines wait until the response before them is written. All methods run on the
+ * event loop.
+ */
+final class ClientConnection extends ChannelInboundHandlerAdapter
+        implements Exchange.Reply, RequestBody.Source, ResponseStream.Sink {
+    private static final byte[] NO_BODY = {};
+
+    private final Channel channel;
+    private final HttpFrontend frontend;
+    private final ClientConnections connections;
+    private final ProxyCore core;
+    private final RequestParser parser;
+    private final BodyLimits limits;
+    private final BodyBudget budget;
+    private final ClientTimeouts timeouts;
+
+    private ClientConnectionState state = ClientConnectionState.NEW;
+    /** When the state was entered, on the clock of the policy. */
+    private long stateSinceMicros;
+    /** Set once the channel is closed: what still happens then must not be counted again. */
+    private boolean closed;
+
+    /** What was received behind the request that is in flight. */
+    private final PipelinedRequests pipelined;
+    /** Valid requests, until the rest of each is received and its turn has come. */
+    private final Queue<Request> validatedRequests = new ArrayDeque<>();
+    /** The request that is being read. */
+    private HttpRequest requestHead;
+    /** Its body until the end of it was received, else null. */
+    private RequestBody requestBody;
+    /** Null unless a body is being read, and long ones are streamed. */
+    private MinimumTransferRate uploadRate;
+    /** The end of the request that is being read, until the channel has no more to read for now. */
+    private LastHttpContent lastContent;
+    /** Whether the channel is in the middle of a read. */
+    private boolean readInProgress;
+    /** Whether that read has brought the end of a request, or its rejection. */
+    private boolean requestCompletedInRead;
+
+    private Exchange exchange;
+    /** From the moment a request is complete or rejected until its response; guards against a second one. */
+    private boolean responseDue;
+    /** Whether the client allows another request after the response; see {@link #mayKeepAlive}. */
+    private boolean keepAlive;
+    /** Where a streamed response comes from; null once it has ended. */
+    private ResponseStream.Source responseSource;
+    /** Streamed bodies of this connection that are counted in the budget. */
+    private int reservedBodies;
+
+    ClientConnection(
+            Channel channel,
+            HttpFrontend frontend,
+            ClientConnections connections,
+            ProxyCore core,
+            RequestParser parser,
+            BodyLimits limits,
+            ClientTimeouts timeouts) {
+        this.channel = channel;
+        this.frontend = frontend;
+        this.connections = connections;
+        this.core = core;
+        this.parser = parser;
+        this.limits = limits;
+        this.budget = core.budget();
+        this.timeouts = timeouts;
+        this.pipelined = new PipelinedRequests(connections);
+    }
+
+    // ---- State ---------------------------------------------------------------------------------------
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        stateSinceMicros = core.now();
+        connections.add(this);
+        channel.closeFuture().addListener(future -> {
+            connections.count(state, -1);
+            closed = true;
+            pipelined.resetCount();
+            releaseBudget();
+            connections.remove(this);
+            frontend.updateAccepting();
+        });
+        frontend.connectionAccepted();
+    }
+
+    private void enter(ClientConnectionState next) {
+        assert state.mayBecome(next) : state + " to " + next;
+        if (!closed) {
+            connections.count(state, -1);
+            connections.count(next, 1);
+        }
+        state = next;
+        stateSinceMicros = core.now();
+    }
+
+    /** When the connection entered its state, on the clock of the policy. */
+    long stateSinceMicros() {
+        return stateSinceMicros;
+    }
+
+    private boolean isBusy() {
+        return !closed && state.isBusy();
+    }
+
+    /** Whether no request is in flight and none has been received. */
+    boolean isIdle() {
+        return state == ClientConnectionState.IDLE && pipelined.isEmpty();
+    }
+
+    /** Whether a request was received in part. */
+    private boolean isRequestIncomplete() {
+        return state == ClientConnectionState.READING && lastContent == null;
+    }
+
+    /** Whether the connection is idle for longer than it may be where connections are scarce. */
+    boolean exceedsShortIdle(long now) {
+        return timeouts.exceedsShortIdle(now - stateSinceMicros);
+    }
+
+    /** Whether the connection may be closed in favour of a new one. */
+    boolean mayMakeRoom(long now) {
+        return timeouts.mayMakeRoom(state, isIdle(), now - stateSinceMicros);
+    }
+
+    /** Closes the channel at once. */
+    void close() {
+        channel.close();
+    }
+
+    /** Rejects a request that comes too slowly, and closes the connection if its state has timed out. */
+    void checkTimeouts(long now) {
+        long elapsed = now - stateSinceMicros;
+        boolean tooSlow = lastContent == null && uploadRate != null
+                ? uploadRate.tooSlow(now)
+                : isRequestIncomplete() && timeouts.requestExpired(elapsed);
+        if (tooSlow) {
+            rejectRequest(
+                    new RequestValidator.Rejection(HttpResponseStatus.REQUEST_TIMEOUT, "the request is not whole"));
+        } else if (timeouts.mustClose(state, isIdle(), elapsed)) {
+            channel.close();
+        }
+    }
+
+    /**
+     * Ends the connection at a graceful shutdown, unless a request has begun: the end of such a request may have been
+     * received by the system, and only its response may end the connection.
+     *
+     * @param immediately also closes connections of clients that do not leave, and rejects incomplete requests
+     */
+    void shutDown(long now, boolean immediately) {
+        long elapsed = now - stateSinceMicros;
+        if (isIdle() || timeouts.isSilent(state, elapsed)) {
+            closeOutput();
+        } else if (immediately && timeouts.isLingering(state, elapsed)) {
+            channel.close();
+        } else if (immediately && isRequestIncomplete() && (requestBody == null || !requestBody.streams())) {
+            rejectRequest(new RequestValidator.Rejection(HttpResponseStatus.SERVICE_UNAVAILABLE, "it ends"));
+        }
+    }
+
+    // ---- Reading requests ----------------------------------------------------------------------------
+
+    /** Checks the head of a request before its body is read; the rejection, or null for a valid request. */
+    RequestValidator.Rejection validate(HttpRequest head) {
+        try {
+            Request request = parser.parse(head);
+            if (request != null && state != ClientConnectionState.CLOSING) {
+                validatedRequests.add(request);
+            }
+            return null;
+        } catch (InvalidRequestException e) {
+            return new RequestValidator.Rejection(e.status(), e.getMessage());
+        }
+    }
+
+    /** Whether what is received belongs to a pipelined request, behind the one that is being read or in flight. */
+    private boolean isPipelined() {
+        return lastContent != null || requestBody == null && (isBusy() || !pipelined.isEmpty());
+    }
+
+    /** Counts bytes before they are decoded, and discards them where too many are pipelined. */
+    final class PipelineLimiter extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            if (isPipelined()) {
+                pipelined.countReceived(((ByteBuf) bytes).readableBytes());
+            }
+            if (pipelined.overflowed()) {
+                ReferenceCountUtil.release(bytes);
+            } else {
+                ctx.fireChannelRead(bytes);
+            }
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        readInProgress = true;
+        if (state == ClientConnectionState.CLOSING || closed) {
+            ReferenceCountUtil.release(message);
+        } else if (isPipelined()) {
+            pipelined.add(message); // and reading goes on: otherwise the end of the connection would not be seen
+        } else {
+            process(message);
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (!requestCompletedInRead && state == ClientConnectionState.NEW) {
+            state = ClientConnectionState.READING; // timed since it connected: single bytes must not prolong it
+        } else if (!requestCompletedInRead && state == ClientConnectionState.IDLE) {
+            enter(ClientConnectionState.READING);
+        }
+        requestCompletedInRead = false;
+        readInProgress = false;
+        if (lastContent != null) {
+            channel.eventLoop().execute(this::processLastContent); // after a close that was received with it
+        }
+        ctx.fireChannelReadComplete();
+    }
+
+    /**
+     * Completes a request once the channel has no more to read for now. The end of a client that has left comes with
+     * the last bytes of its request, and such a request must not be forwarded.
+     */
+    private void processLastContent() {
+        LastHttpContent last = lastContent;
+        lastContent = null;
+        if (last != null && channel.isActive()) {
+            answeringOnFailure(() -> readContent(last));
+        } else {
+            ReferenceCountUtil.release(last);
+        }
+    }
+
+    /** Continues with requests that were pipelined. */
+    private void processPipelined() {
+        while (!pipelined.isEmpty()
+                && channel.isActive()
+                && (state == ClientConnectionState.IDLE
+                        || state == ClientConnectionState.READING && requestBody != null)) {
+            process(pipelined.poll());
+        }
+        if (pipelined.isEmpty()) {
+            pipelined.resetCount();
+        }
+    }
+
+    /** Processes a part of the next request, or of the one that is being read. */
+    private void process(Object message) {
+        if (message instanceof RequestValidator.Rejection rejection) {
+            rejectRequest(rejection);
+            return;
+        }
+        if (message instanceof HttpRequest head) {
+            beginRequest(head);
+        }
+        if (readInProgress && requestBody != null && message instanceof LastHttpContent last) {
+            requestCompletedInRead = true;
+            lastContent = last;
+        } else if (message instanceof HttpContent content) {
+            readContent(content);
+        }
+    }
+
+    private void beginRequest(HttpRequest head) {
+        if (state == ClientConnectionState.NEW || state == ClientConnectionState.IDLE) {
+            enter(ClientConnectionState.READING);
+        }
+        requestHead = head;
+        requestBody = new RequestBody(this, limits.gathered());
+        uploadRate = limits.streaming() ? new MinimumTransferRate(limits, core.now()) : null;
+        if (HttpUtil.is100ContinueExpected(head)) {
+            channel.writeAndFlush(ClientResponses.proceed());
+        }
+    }
+
+    private void readContent(HttpContent content) {
+        if (requestBody == null) {
+            content.release();
+            return;
+        }
+        if (uploadRate != null) {
+            uploadRate.came(content.content().readableBytes());
+        }
+        boolean last = content instanceof LastHttpContent;
+        boolean mustStream = requestBody.add(content.content());
+        budget.holds(requestBody.held());
+        if (mustStream && !beginStreaming()) {
+            return;
+        }
+        if (last) {
+            endRequest();
+        }
+    }
+
+    private void endRequest() {
+        uploadRate = null;
+        RequestBody complete = requestBody;
+        requestBody = null;
+        boolean streaming = complete.streams();
+        complete.end();
+        if (streaming) {
+            read(true);
+        } else {
+            responseDue = true;
+            enter(ClientConnectionState.OPEN);
+            answeringOnFailure(() -> forward(requestHead, complete));
+        }
+    }
+
+    /**
+     * Begins to forward a request whose body is too long to be buffered, or rejects it where too many are streamed.
+     * False if nothing more of the body is to be read.
+     */
+    private boolean beginStreaming() {
+        if (!budget.reserve()) {
+            requestBody.abort();
+            requestBody = null;
+            uploadRate = null;
+            Request rejected = validatedRequests.remove();
+            responseDue = true;
+            enter(ClientConnectionState.OPEN);
+            rejectForLackOfRoom(rejected);
+            return false;
+        }
+        reservedBodies++;
+        RequestBody streamed = requestBody;
+        responseDue = true;
+        enter(ClientConnectionState.OPEN);
+        requestCompletedInRead = readInProgress;
+        answeringOnFailure(() -> forward(requestHead, streamed));
+        return requestBody != null;
+    }
+
+    private void forward(HttpRequest head, RequestBody body) {
+        keepAlive = HttpUtil.isKeepAlive(head);
+        if (RequestParser.isHealthCheck(head)) {
+            HttpResponseStatus status =
+                    frontend.takesClients() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+            respond(status, "text/plain", NO_BODY, 0);
+            return;
+        }
+        Request request = validatedRequests.remove();
+        if (connections.mustReject()) {
+            rejectForLackOfRoom(request);
+        } else if (core.knows(request.id())) { // another connection has sent this id since the head was validated
+            respondAndClose(HttpResponseStatus.BAD_REQUEST, RequestParser.DUPLICATE_ID);
+        } else {
+            exchange = new Exchange(
+                    request,
+                    head.method(),
+                    head.uri(),
+                    RequestParser.forwardedHeaders(head.headers()),
+                    body,
+                    HttpUtil.getContentLength(head, -1L),
+                    this);
+            core.accept(exchange);
+        }
+    }
+
+    /** A streamed body is read as fast as the upstream takes it; after its end the end of the client is awaited. */
+    @Override
+    public void read(boolean on) {
+        if (uploadRate != null) {
+            uploadRate.reading(on, core.now());
+        }
+        channel.config().setAutoRead(on || requestBody == null);
+    }
+
+    // ---- Rejecting requests --------------------------------------------------------------------------
+
+    /** Rejects a request that the policy is not asked about. */
+    private void rejectForLackOfRoom(Request request) {
+        keepAlive = false;
+        core.refusedUnheard(request.classIndex());
+        refused(core.advice(0));
+    }
+
+    /** Rejects a request whose rest cannot or must not be read. If a part was forwarded, its end never will be. */
+    private void rejectRequest(RequestValidator.Rejection rejection) {
+        RequestBody rejected = requestBody;
+        requestBody = null;
+        uploadRate = null;
+        discardLastContent();
+        if (rejected == null || !rejected.streams()) {
+            responseDue = true;
+            enter(ClientConnectionState.OPEN);
+            requestCompletedInRead = readInProgress;
+            respondAndClose(rejection.status(), rejection.reason());
+        } else {
+            Exchange aborted = exchange;
+            respondAndClose(rejection.status(), rejection.reason());
+            abortStreamedRequest(aborted, rejected);
+        }
+    }
+
+    private void abortStreamedRequest(Exchange aborted, RequestBody body) {
+        if (aborted != null) {
+            core.cutShort(aborted);
+        }
+        body.abort();
+    }
+
+    private void respondAndClose(HttpResponseStatus status, String reason) {
+        keepAlive = false;
+        respond(status, "text/plain", reason.getBytes(StandardCharsets.UTF_8), 0);
+    }
+
+    // ---- Writing responses ---------------------------------------------------------------------------
+
+    @Override
+    public void served(String contentType, byte[] body) {
+        respond(HttpResponseStatus.OK, contentType, body, 0);
+    }
+
+    @Override
+    public void refused(long retryAfter) {
+        respond(HttpResponseStatus.SERVICE_UNAVAILABLE, null, NO_BODY, retryAfter);
+    }
+
+    @Override
+    public void failed() {
+        respond(HttpResponseStatus.BAD_GATEWAY, null, NO_BODY, 0);
+    }
+
+    private void respond(HttpResponseStatus status, String contentType, byte[] body, long retryAfterMicros) {
+        if (!responseDue) {
+            return;
+        }
+        responseDue = false;
+        boolean keep = mayKeepAlive();
+        exchange = null;
+        enter(ClientConnectionState.WRITING);
+        writeLast(ClientResponses.complete(status, contentType, body, retryAfterMicros, keep), keep);
+    }
+
+    /** Whether the connection stays open after the response. Not if a rest of the request's body is left unread. */
+    private boolean mayKeepAlive() {
+        return keepAlive && frontend.allowsKeepAlive() && requestBody == null && pipelined.mayContinue();
+    }
+
+    private void writeLast(Object message, boolean keep) {
+        channel.writeAndFlush(message).addListener(written -> {
+            if (written.isSuccess()) {
+                responseWritten(keep);
+            }
+        });
+    }
+
+    @Override
+    public ResponseStream.Sink begin(ResponseStream.Head head, ResponseStream.Source source) {
+        responseDue = false;
+        if (reservedBodies == 0 || !exchange.body.finished()) { // else the request's reservation serves for both
+            budget.begun();
+            reservedBodies++;
+        }
+        exchange = null;
+        responseSource = source;
+        keepAlive = mayKeepAlive();
+        enter(ClientConnectionState.WRITING);
+        channel.write(ClientResponses.streamed(head, keepAlive));
+        return this;
+    }
+
+    @Override
+    public boolean part(ByteBuf data) {
+        channel.writeAndFlush(new DefaultHttpContent(data)).addListener(written -> {
+            if (written.isSuccess() && responseSource != null) {
+                stateSinceMicros = core.now(); // the client reads
+            }
+        });
+        budget.holds(Transport.pending(channel));
+        return channel.isWritable();
+    }
+
+    @Override
+    public void end(HttpHeaders trailers) {
+        responseSource = null;
+        writeLast(ClientResponses.lastContent(trailers), keepAlive);
+    }
+
+    /** Closes the connection: without the announced length or the last chunk the client sees that a part is missing. */
+    @Override
+    public void cut() {
+        responseSource = null;
+        channel.close();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (responseSource != null && channel.isWritable()) {
+            responseSource.demand();
+        }
+        ctx.fireChannelWritabilityChanged();
+    }
+
+    /** Only now the next request may begin: responses to a client that does not read must not accumulate. */
+    private void responseWritten(boolean keep) {
+        releaseBudget();
+        if (!keep || requestBody != null) {
+            closeOutput();
+            return;
+        }
+        enter(ClientConnectionState.IDLE);
+        channel.config().setAutoRead(true); // off if no attempt has taken a long body
+        if (pipelined.isEmpty()) {
+            pipelined.resetCount();
+        } else {
+            channel.eventLoop().execute(this::processPipelined);
+        }
+    }
+
+    // ---- End -----------------------------------------------------------------------------------------
+
+    /**
+     * Ends our side only. Closing the channel while more is received would reset the connection, and the client might
+     * not get to read its response.
+     */
+    private void closeOutput() {
+        enter(ClientConnectionState.CLOSING);
+        discardPipelined();
+        uploadRate = null;
+        if (requestBody != null) {
+            requestBody.abort();
+            requestBody = null;
+        }
+        channel.config().setAutoRead(true);
+        if (channel instanceof DuplexChannel duplex) {
+            duplex.shutdownOutput();
+        } else {
+            channel.close();
+        }
+    }
+
+    private void discardLastContent() {
+        ReferenceCountUtil.release(lastContent);
+        lastContent = null;
+    }
+
+    private void discardPipelined() {
+        discardLastContent();
+        validatedRequests.clear();
+        pipelined.discard();
+    }
+
+    private void releaseBudget() {
+        budget.release(reservedBodies);
+        reservedBodies = 0;
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        discardPipelined();
+        RequestBody incomplete = requestBody;
+        requestBody = null;
+        uploadRate = null;
+        Exchange abandoned = exchange;
+        exchange = null;
+        if (incomplete != null) {
+            abortStreamedRequest(incomplete.streams() ? abandoned : null, incomplete);
+        } else if (abandoned != null) {
+            core.clientGone(abandoned);
+        }
+        if (responseSource != null) {
+            ResponseStream.Source source = responseSource;
+            responseSource = null;
+            source.cancel();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (cause instanceof IOException || cause instanceof PrematureChannelClosureException) {
+            ctx.close(); // the client has closed the connection; channelInactive ends its request
+            return;
+        }
+        answerFailure(cause);
+    }
+
+    private void answeringOnFailure(Runnable handling) {
+        try {
+            handling.run();
+        } catch (RuntimeException e) {
+            answerFailure(e);
+        }
+    }
+
+    /** Responds to a request that would otherwise get no response, because handling it threw. */
+    private void answerFailure(Throwable cause) {
+        core.log().line("request not handled: " + cause);
+        keepAlive = false;
+        if (exchange != null) {
+            core.giveUp(exchange);
+        } else if (responseDue) {
+            respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, null, NO_BODY, 0);
+        } else {
+            channel.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sedgeyoke/proxy/ClientTimeouts.java
@@ -0,0 +1,62 @@
+package sedgeyoke.proxy;
+
+import sedgeyoke.body.BodyLimits;
+
+/**
+ * How long a client's connection may stay in each state. {@code elapsed} is the time since it entered the state, and
+ * {@code idle} says that no request of its client is waiting either; all times are microseconds.
+ */
+final class ClientTimeouts {
+    /** For the first complete request of a new connection, and for the rest of one of which a part was received. */
+    private static final long REQUEST_MICROS = 2_600_000;
+    /** Between the last response and the close, so that the client can read why its connection ends. */
+    private static final long CLOSING_MICROS = 2_000_000;
+    /** Keep-alive timeout. */
+    private static final long IDLE_MICROS = 2_000_000;
+    /** Keep-alive timeout where connections are scarce. */
+    private static final long SHORT_IDLE_MICROS = 500_000;
+    /** A client that connects for a request sends it at once; one that is silent for longer may be closed. */
+    private static final long SILENT_MICROS = 100_000;
+
+    private final long responseMicros;
+
+    ClientTimeouts(BodyLimits limits) {
+        this.responseMicros = limits.longestStill();
+    }
+
+    /** Whether a request that is partly received must be rejected. */
+    boolean requestExpired(long elapsed) {
+        return elapsed > REQUEST_MICROS;
+    }
+
+    /** Whether the connection must be closed, because its client sends nothing, reads nothing or does not leave. */
+    boolean mustClose(ClientConnectionState state, boolean idle, long elapsed) {
+        return state == ClientConnectionState.NEW && elapsed > REQUEST_MICROS
+                || idle && elapsed > IDLE_MICROS
+                || state == ClientConnectionState.WRITING && elapsed > responseMicros
+                || state == ClientConnectionState.CLOSING && elapsed > CLOSING_MICROS;
+    }
+
+    /** Whether a client has connected some time ago and has sent nothing. */
+    boolean isSilent(ClientConnectionState state, long elapsed) {
+        return state == ClientConnectionState.NEW && elapsed > SILENT_MICROS;
+    }
+
+    /**
+     * Whether a client has not left after its last response. Sooner than that the response may be on its way, and
+     * closing a socket with unread bytes would reset the connection under it.
+     */
+    boolean isLingering(ClientConnectionState state, long elapsed) {
+        return state == ClientConnectionState.CLOSING && elapsed > SILENT_MICROS;
+    }
+
+    /** Whether an idle connection may be closed where connections are scarce. */
+    boolean exceedsShortIdle(long elapsed) {
+        return elapsed > SHORT_IDLE_MICROS;
+    }
+
+    /** Whether the connection may be closed in favour of a new one. */
+    boolean mayMakeRoom(ClientConnectionState state, boolean idle, long elapsed) {
+        return isLingering(state, elapsed) || isSilent(state, elapsed) || idle && exceedsShortIdle(elapsed);
+    }
+}
--- /dev/null
+++ b/src/main/java/sedgeyoke/proxy/PipelinedRequests.java
@@ -0,0 +1,84 @@
+package sedgeyoke.proxy;
+
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Queue;
+
+/**
+ * What a client has sent behind the request in flight. It is read, because the end of a client that leaves comes
+ * behind it, but only up to a limit: beyond that the rest is discarded, what was received completely is answered, and
+ * the connection ends. To be used on the event loop.
+ */
+final class PipelinedRequests {
+    /** As much as one more request of the largest size. */
+    private static final int MAX_BYTES = 80 * 1024;
+
+    private static final long MAX_BYTES_OF_ALL_CONNECTIONS = 100L * MAX_BYTES;
+
+    private final ClientConnections connections;
+    /** Parts of requests, and at most one {@link RequestValidator.Rejection} at the end. */
+    private final Queue<Object> messages = new ArrayDeque<>();
+
+    private int bytes;
+    private boolean overflowed;
+
+    PipelinedRequests(ClientConnections connections) {
+        this.connections = connections;
+    }
+
+    /** Counts bytes that were received behind the request in flight. */
+    void countReceived(int received) {
+        bytes += received;
+        connections.countPipelined(received);
+        overflowed |= bytes > MAX_BYTES || connections.pipelinedBytes() > MAX_BYTES_OF_ALL_CONNECTIONS;
+    }
+
+    /** Whether there were too many bytes; from then on whatever is received must be discarded. */
+    boolean overflowed() {
+        return overflowed;
+    }
+
+    /** Queues a decoded part of a request; takes over its reference. */
+    void add(Object message) {
+        messages.add(message);
+    }
+
+    /** The next part, or null; the caller takes over its reference. */
+    Object poll() {
+        return messages.poll();
+    }
+
+    boolean isEmpty() {
+        return messages.isEmpty();
+    }
+
+    /** Whether another request can be completed: not if the rest of it was discarded. */
+    boolean mayContinue() {
+        return !overflowed || containsCompleteRequest();
+    }
+
+    private boolean containsCompleteRequest() {
+        for (Object message : messages) {
+            if (message instanceof LastHttpContent || message instanceof RequestValidator.Rejection) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Stops counting the bytes, once none of them waits any more. */
+    void resetCount() {
+        connections.countPipelined(-bytes);
+        bytes = 0;
+    }
+
+    /** Releases all that waits. */
+    void discard() {
+        for (Object message : messages) {
+            ReferenceCountUtil.release(message);
+        }
+        messages.clear();
+        resetCount();
+    }
+}
--- /dev/null
+++ b/src/main/java/sedgeyoke/proxy/RequestParser.java
@@ -0,0 +1,116 @@
+package sedgeyoke.proxy;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.List;
+import java.util.regex.Pattern;
+import sedgeyoke.policy.LoadBalancingPolicy.Effect;
+import sedgeyoke.policy.LoadBalancingPolicy.Request;
+
+/** Turns the head of an HTTP request into a request of the policy. To be used on the event loop. */
+final class RequestParser {
+    /** Text of the response to a request whose id is in use. */
+    static final String DUPLICATE_ID = "X-Call-Id (a request with it is open)";
+
+    private static final String API_PATH = "/api";
+    private static final String HEALTH_PATH = "/_health";
+    private static final long MAX_BUDGET_MILLIS = 3_600_000;
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,12}");
+    private static final List<CharSequence> FORWARDED_HEADERS = List.of(
+            HttpHeaderNames.HOST,
+            "X-Call-Id",
+            "Idempotency-Key",
+            "X-Call-Class",
+            "X-Caller",
+            HttpHeaderNames.CONTENT_TYPE);
+
+    private final BalancerConfig config;
+    private final ProxyCore core;
+
+    RequestParser(BalancerConfig config, ProxyCore core) {
+        this.config = config;
+        this.core = core;
+    }
+
+    /**
+     * Parses the head of a request.
+     *
+     * @return the request, or null for a health check
+     * @throws InvalidRequestException with the response to a request that cannot be served
+     */
+    Request parse(HttpRequest head) throws InvalidRequestException {
+        QueryStringDecoder uri = new QueryStringDecoder(head.uri());
+        if (uri.rawPath().equals(HEALTH_PATH)) {
+            return null;
+        } else if (!uri.rawPath().equals(API_PATH)) {
+            throw new InvalidRequestException(HttpResponseStatus.NOT_FOUND, "not found");
+        } else if (!head.method().equals(HttpMethod.GET) && !head.method().equals(HttpMethod.POST)) {
+            throw new InvalidRequestException(HttpResponseStatus.METHOD_NOT_ALLOWED, "GET or POST");
+        }
+        try {
+            return parse(head, uri);
+        } catch (IllegalArgumentException e) { // of the query's escapes
+            throw new InvalidRequestException(HttpResponseStatus.BAD_REQUEST, String.valueOf(e.getMessage()));
+        }
+    }
+
+    private Request parse(HttpRequest head, QueryStringDecoder uri) throws InvalidRequestException {
+        HttpHeaders headers = head.headers();
+        String id = headers.get("X-Call-Id");
+        require(id != null && !id.isBlank() && headers.getAll("X-Call-Id").size() == 1, "X-Call-Id");
+        require(!core.knows(id), DUPLICATE_ID);
+        int classIndex = config.facts().classNames().indexOf(headers.get("X-Call-Class"));
+        require(classIndex >= 0, "X-Call-Class");
+        long budgetMillis = number(headers.get("X-Budget-Ms"));
+        require(budgetMillis > 0 && budgetMillis <= MAX_BUDGET_MILLIS, "X-Budget-Ms");
+        Effect effect = config.facts().settings().classes().get(classIndex).effect();
+        // Without a key upstreams cannot drop duplicates, and a retry of the policy would run twice.
+        require(effect != Effect.KEYED || headers.contains("Idempotency-Key"), "Idempotency-Key");
+        int tenant = config.facts().tenantNames().isEmpty()
+                ? 0
+                : config.facts().tenantNames().indexOf(headers.get("X-Caller"));
+        List<String> keys = uri.parameters().getOrDefault("obj", List.of());
+        return new Request(
+                id,
+                classIndex,
+                tenant,
+                keys.isEmpty() ? null : keys.get(0),
+                Math.max(0, number(headers.get("X-Call-Cost"))),
+                budgetMillis * 1_000,
+                !head.method().equals(HttpMethod.GET),
+                "1".equals(headers.get("X-Again")));
+    }
+
+    /** Whether a head that {@link #parse} has accepted is a health check. */
+    static boolean isHealthCheck(HttpRequest head) {
+        return !head.uri().startsWith(API_PATH);
+    }
+
+    /** The headers that are forwarded to an upstream, without the time budget. */
+    static HttpHeaders forwardedHeaders(HttpHeaders headers) {
+        HttpHeaders forwarded = new DefaultHttpHeaders();
+        for (CharSequence name : FORWARDED_HEADERS) {
+            String value = headers.get(name);
+            if (value != null) {
+                forwarded.set(name, value);
+            }
+        }
+        return forwarded;
+    }
+
+    private static void require(boolean condition, String field) throws InvalidRequestException {
+        if (!condition) {
+            throw new InvalidRequestException(HttpResponseStatus.BAD_REQUEST, "missing or malformed: " + field);
+        }
+    }
+
+    /** A non-negative integer; -1 for anything else. */
+    private static long number(String text) {
+        return text != null && NUMBER.matcher(text).matches() ? Long.parseLong(text) : -1;
+    }
+}
--- a/src/main/java/sedgeyoke/proxy/RequestValidator.java
+++ b/src/main/java/sedgeyoke/proxy/RequestValidator.java
@@ -26,14 +26,14 @@
  */
 final class RequestValidator extends ChannelInboundHandlerAdapter {
     /** Further checks of a head that can be read; null if it is in order. */
-    private final Function<HttpRequest, Refused> further;
+    private final Function<HttpRequest, Rejection> further;
 
     private final long mostBytes;
-    private boolean refused;
+    private boolean rejected;
     private long body;
 
     /** Goes up the pipeline in place of the request. */
-    record Refused(HttpResponseStatus status, String why) {}
+    record Rejection(HttpResponseStatus status, String reason) {}
 
     /** Guards against a request that hides another one in its body: by its length it ends elsewhere than by chunks. */
     static final class Decoder extends HttpRequestDecoder {
@@ -48,29 +48,29 @@
         }
     }
 
-    RequestValidator(Function<HttpRequest, Refused> further, long mostBytes) {
+    RequestValidator(Function<HttpRequest, Rejection> further, long mostBytes) {
         this.further = further;
         this.mostBytes = mostBytes;
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        Refused verdict = refused || !(message instanceof HttpObject part) ? null : check(part);
-        if (refused || verdict != null) {
+        Rejection verdict = rejected || !(message instanceof HttpObject part) ? null : check(part);
+        if (rejected || verdict != null) {
             ReferenceCountUtil.release(message);
         } else {
             ctx.fireChannelRead(message);
         }
         if (verdict != null) {
-            refused = true;
+            rejected = true;
             ctx.fireChannelRead(verdict);
         }
     }
 
-    private Refused check(HttpObject part) {
+    private Rejection check(HttpObject part) {
         Throwable fault = part.decoderResult().cause();
         if (fault != null) {
-            return new Refused(
+            return new Rejection(
                     fault instanceof TooLongHttpHeaderException
                             ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
                             : fault instanceof TooLongHttpLineException
@@ -80,31 +80,32 @@
         }
         if (part instanceof HttpRequest head) {
             body = 0;
-            Refused verdict = framing(head);
+            Rejection verdict = framing(head);
             return verdict != null ? verdict : further.apply(head);
         }
         body += part instanceof HttpContent content ? content.content().readableBytes() : 0;
         return body > mostBytes ? tooLarge() : null;
     }
 
-    private Refused framing(HttpRequest head) {
+    private Rejection framing(HttpRequest head) {
         HttpVersion version = head.protocolVersion();
         if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
-            return new Refused(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "HTTP/1.1 is spoken here");
+            return new Rejection(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "HTTP/1.1 is spoken here");
         }
         List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
         if (!codings.isEmpty()
                 && (codings.size() > 1 || !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0)))) {
-            return new Refused(HttpResponseStatus.BAD_REQUEST, "missing or malformed: Transfer-Encoding");
+            return new Rejection(HttpResponseStatus.BAD_REQUEST, "missing or malformed: Transfer-Encoding");
         }
         String expected = head.headers().get(HttpHeaderNames.EXPECT);
         if (expected != null && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)) {
-            return new Refused(HttpResponseStatus.EXPECTATION_FAILED, "malformed: Expect");
+            return new Rejection(HttpResponseStatus.EXPECTATION_FAILED, "malformed: Expect");
         }
         return HttpUtil.getContentLength(head, 0L) > mostBytes ? tooLarge() : null;
     }
 
-    private Refused tooLarge() {
-        return new Refused(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "a body of more than " + mostBytes + " bytes");
+    private Rejection tooLarge() {
+        return new Rejection(
+                HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "a body of more than " + mostBytes + " bytes");
     }
 }
