RaftNode is split into one class for each job of a replica

Need: 1,300 lines in one class hid which state belongs to what. RaftNode now dispatches events and messages (one handler method for each type of message); Election, LogReplication, AppendEntriesHandler, SnapshotTransfer, MembershipChange, LeadershipConfirmation, ConfigLeases, ClientRequests, EntryApplier, PeerIdentities, RecoveryQueries and PersistenceQueue have one job each. The steps of recovery are an enum.

--- a/src/main/java/sedgeyoke/consensus/Action.java
+++ b/src/main/java/sedgeyoke/consensus/Action.java
@@ -2,20 +2,22 @@
 
 import java.util.List;
 
-/** What a keeper wants done, in order. */
+/** An output of a {@link RaftNode}. Actions are to be carried out in the order in which they are returned. */
 public sealed interface Action {
-    /** Send a message; it may get lost. */
+    /** Send a message to a replica; it may get lost. */
     record Send(String to, RaftMessage message) implements Action {}
 
     /**
-     * Make all of this last, in this order, and say so with {@link Event.Persisted}; several may be under way.
+     * Write all of this to disk, in the order of the components, and report it with {@link Event.Persisted}. Several
+     * may be in progress at a time.
      *
-     * @param token counts up
-     * @param hardState what is to replace what was kept of terms and votes, or null
-     * @param snapshot to be kept, or null
-     * @param restartLogAfter the entry behind which the log begins anew, with the entries as all that it has; -1 if it goes on
-     * @param truncateAfter entries behind this one go first; -1 if none do
-     * @param entries to be appended
+     * @param token increases by one with each
+     * @param hardState replaces the stored hard state; null to keep that
+     * @param snapshot to be stored; null if there is none
+     * @param restartLogAfter the index after which the stored log starts anew, with {@code entries} as its only
+     *     contents; -1 to keep the log
+     * @param truncateAfter the index after which stored entries are removed first; -1 to remove none
+     * @param entries to be appended to the stored log
      */
     record Persist(
             long token,
@@ -26,15 +28,15 @@
             List<LogEntry> entries)
             implements Action {}
 
-    /** Answer whoever asked. */
+    /** Return the result of the request that came with this token. */
     record Respond(long token, RequestResult result) implements Action {}
 
-    /** Leases for balancers that asked here. */
+    /** Send a lease response to a balancer that is connected to this replica. */
     record SendLease(LeaseResponse response) implements Action {}
 
-    /** The registry has changed: balancers that follow here are to hear of it. */
+    /** The active or the pending version has changed: notify the balancers that are connected to this replica. */
     record ConfigChanged(ConfigVersion active, ConfigVersion pending) implements Action {}
 
-    /** A line for the log. */
+    /** Write a line to the log. */
     record Log(String line) implements Action {}
 }
--- /dev/null
+++ b/src/main/java/sedgeyoke/consensus/ClientRequests.java
@@ -0,0 +1,200 @@
+package sedgeyoke.consensus;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+
+/**
+ * Clients' requests from their arrival to their result: a follower forwards them, the leader answers reads and rejected
+ * writes after a leadership confirmation, and all others once their entry is committed (Raft thesis, chapter 6).
+ */
+final class ClientRequests {
+    private static final int MAX_WAITING = 1_000;
+    private static final long FORWARD_TIMEOUT_MICROS = 3_000_000;
+    private static final String TOO_MANY = "too many requests wait";
+
+    private final ReplicaState state;
+    private final Outbox outbox;
+    private final LogReplication replication;
+    private final LeadershipConfirmation confirmation;
+    private final MembershipChange membershipChange;
+    private final ConfigLeases leases;
+
+    /** Requests whose entry is not committed yet, by its index. */
+    private final Map<Long, Origin> proposed = new TreeMap<>();
+    /** Until when the leader's response to a forwarded request is awaited, by token. */
+    private final Map<Long, Long> forwarded = new TreeMap<>();
+
+    /**
+     * Where a request came from.
+     *
+     * @param term the term in which it arrived
+     * @param replica the replica that forwarded it; null if it arrived here
+     * @param token identifies it at that replica
+     */
+    private record Origin(long term, String replica, long token) {}
+
+    ClientRequests(
+            ReplicaState state,
+            Outbox outbox,
+            LogReplication replication,
+            LeadershipConfirmation confirmation,
+            MembershipChange membershipChange,
+            ConfigLeases leases) {
+        this.state = state;
+        this.outbox = outbox;
+        this.replication = replication;
+        this.confirmation = confirmation;
+        this.membershipChange = membershipChange;
+        this.leases = leases;
+    }
+
+    /** A client has sent a request to this replica. */
+    void receive(long token, ClientRequest request) {
+        if (state.isLeader()) {
+            process(new Origin(state.term, null, token), request);
+        } else if (state.leader == null) {
+            outbox.respond(token, state.result(RequestResult.Kind.NO_LEADER, "no leader is known"));
+        } else if (forwarded.size() >= MAX_WAITING) {
+            outbox.respond(token, state.result(RequestResult.Kind.BUSY, TOO_MANY));
+        } else {
+            forwarded.put(token, state.now + FORWARD_TIMEOUT_MICROS);
+            outbox.send(state.leader, new RaftMessage.ForwardedRequest(state.term, token, request));
+        }
+    }
+
+    void handle(String from, RaftMessage.ForwardedRequest message) {
+        Origin origin = new Origin(state.term, from, message.token());
+        if (state.isLeader()) {
+            process(origin, message.request());
+        } else {
+            respond(origin, RequestResult.Kind.NO_LEADER, "does not lead");
+        }
+    }
+
+    void handle(RaftMessage.ForwardedResponse message) {
+        if (forwarded.remove(message.token()) != null) {
+            outbox.respond(message.token(), message.result());
+        }
+    }
+
+    /** Ends forwarded requests whose response has not come in time; the leader may still carry them out. */
+    void expireForwarded() {
+        forwarded.entrySet().removeIf(request -> {
+            boolean expired = state.now >= request.getValue();
+            if (expired) {
+                outbox.respond(
+                        request.getKey(), state.result(RequestResult.Kind.UNKNOWN, "the leader has not responded"));
+            }
+            return expired;
+        });
+    }
+
+    /** An entry is committed and applied: whoever proposed it gets the result. */
+    void applied(LogEntry entry, RequestResult result) {
+        Origin origin = proposed.remove(entry.index());
+        if (origin == null) {
+            return;
+        }
+        if (origin.term() == entry.term()) {
+            respond(origin, result);
+        } else {
+            respond(origin, RequestResult.Kind.UNKNOWN, "another entry has replaced it");
+        }
+    }
+
+    /** This replica has ceased to be the leader: entries that it proposed may or may not be committed. */
+    void stop() {
+        proposed.values().forEach(origin -> respond(origin, RequestResult.Kind.UNKNOWN, "the leader has changed"));
+        proposed.clear();
+    }
+
+    private void respond(Origin origin, RequestResult.Kind kind, String detail) {
+        respond(origin, state.result(kind, detail));
+    }
+
+    private void respond(Origin origin, RequestResult result) {
+        if (origin.replica() == null) {
+            outbox.respond(origin.token(), result);
+        } else {
+            outbox.send(origin.replica(), new RaftMessage.ForwardedResponse(state.term, origin.token(), result));
+        }
+    }
+
+    // ---- As the leader -------------------------------------------------------------------------------
+
+    private void process(Origin origin, ClientRequest request) {
+        if (!replication.hasCommittedInTerm()) {
+            respond(origin, RequestResult.Kind.NO_LEADER, "the leader has committed nothing in its term yet");
+        } else if (proposed.size() + confirmation.pendingCount() >= MAX_WAITING) {
+            respond(origin, RequestResult.Kind.BUSY, TOO_MANY);
+        } else if (request instanceof ClientRequest.Read) {
+            read(origin);
+        } else if (request instanceof ClientRequest.Set set) {
+            write(origin, set.write());
+        } else if (request instanceof ClientRequest.AddMember add) {
+            changeMembership(origin, membershipChange.rejection(add), () -> membershipChange.add(add.member()));
+        } else if (request instanceof ClientRequest.RemoveMember remove) {
+            changeMembership(origin, membershipChange.rejection(remove), () -> membershipChange.remove(remove.name()));
+        }
+    }
+
+    private void read(Origin origin) {
+        confirmation.whenConfirmed(
+                () -> respond(origin, RequestResult.Kind.DONE, ""),
+                () -> respond(origin, RequestResult.Kind.NO_LEADER, "the leader has changed"));
+    }
+
+    private void write(Origin origin, Command.Write write) {
+        RequestResult known = resultWithoutEntry(write);
+        if (known == null) {
+            proposed.put(replication.append(write), origin);
+            return;
+        }
+        // the result depends on what is committed, and only a confirmed leader knows that its state is the newest
+        confirmation.whenConfirmed(
+                () -> respond(origin, known),
+                () -> respond(origin, RequestResult.Kind.UNKNOWN, "the leader has changed"));
+    }
+
+    /** The result of a write that needs no entry, as it is repeated or invalid; null if it needs one. */
+    private RequestResult resultWithoutEntry(Command.Write write) {
+        RequestResult earlier = state.stateMachine.resultOf(write.requestId());
+        if (earlier != null) {
+            return earlier;
+        }
+        RequestResult rejection = state.stateMachine.rejection(write.parentVersion());
+        if (rejection != null) {
+            return rejection;
+        }
+        ConfigVersion active = state.stateMachine.active();
+        List<String> violations = ConfigSchema.violations(active.content(), write.content());
+        if (!violations.isEmpty()) {
+            return new RequestResult(RequestResult.Kind.REFUSED, active.number(), String.join("; ", violations));
+        }
+        int required = ConfigSchema.requiredVersion(write.content());
+        int supported = leases.oldestSchemaVersion();
+        if (required > supported) {
+            return new RequestResult(
+                    RequestResult.Kind.BUSY,
+                    active.number(),
+                    "a balancer supports the schema up to version " + supported + ", version " + required
+                            + " is required");
+        }
+        return null;
+    }
+
+    private void changeMembership(Origin origin, String rejection, LongSupplier append) {
+        if (rejection == null) {
+            proposed.put(append.getAsLong(), origin);
+        } else {
+            respond(origin, RequestResult.Kind.REFUSED, rejection);
+        }
+    }
+
+    /** The indices of entries that clients wait for, for {@link RaftNode#describe()}. */
+    String describe() {
+        return proposed.keySet().toString();
+    }
+}
--- a/src/main/java/sedgeyoke/consensus/Event.java
+++ b/src/main/java/sedgeyoke/consensus/Event.java
@@ -2,23 +2,28 @@
 
 import java.util.List;
 
-/** What happens to a keeper. */
+/** An input of a {@link RaftNode}. */
 public sealed interface Event {
-    /** Time has passed; comes often. */
+    /** Time has passed. Has to be delivered several times in each heartbeat interval. */
     record Tick() implements Event {}
 
-    /** A message from a keeper that its certificate names; {@code storageId} is what it says that it keeps. */
+    /**
+     * A message has arrived.
+     *
+     * @param from the sending replica, as authenticated by its certificate
+     * @param storageId the storage id that the sender states
+     */
     record Received(String from, long storageId, RaftMessage message) implements Event {}
 
-    /** What was asked for under this token, and all before it, is on disk. */
+    /** The {@link Action.Persist} with this token, and all before it, are on disk. */
     record Persisted(long token) implements Event {}
 
-    /** Somebody asks; the answer bears the token. */
+    /** A client sent a request; {@link Action.Respond} with the same token carries its result. */
     record RequestReceived(long token, ClientRequest request) implements Event {}
 
-    /** Balancers that follow here ask for leases. */
+    /** Balancers that are connected to this replica request leases. */
     record LeasesRequested(List<LeaseRequest> requests) implements Event {}
 
-    /** The keeper is about to end: if it leads, another one is to. */
+    /** The replica is about to shut down: if it leads, it transfers its leadership. */
     record TransferLeadership() implements Event {}
 }
--- /dev/null
+++ b/src/main/java/sedgeyoke/consensus/PersistenceQueue.java
@@ -0,0 +1,162 @@
+package sedgeyoke.consensus;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+
+/**
+ * Collects what has to be written to disk, and holds back the messages that may only be sent once that is done. A
+ * replica must not acknowledge a vote or an entry that a crash could undo.
+ */
+final class PersistenceQueue {
+    private static final long NONE = -1;
+
+    private final ReplicaState state;
+    private final Outbox outbox;
+
+    /** Messages of the current event that acknowledge state which may not be on disk. */
+    private final List<Action.Send> unsent = new ArrayList<>();
+    /** Messages that wait for the write with this token. */
+    private final TreeMap<Long, List<Action.Send>> waiting = new TreeMap<>();
+    /** Writes in progress by token. */
+    private final TreeMap<Long, Write> writes = new TreeMap<>();
+
+    private final List<LogEntry> appended = new ArrayList<>();
+    private boolean hardStateChanged;
+    private long restartLogAfter = NONE;
+    private long truncateAfter = NONE;
+    private Snapshot snapshot;
+
+    private long lastToken;
+    private long lastHardStateToken;
+    private long durableIndex;
+
+    /** A write in progress; once it is done, the log up to {@code lastIndex} is on disk. */
+    private record Write(long startedAt, long lastIndex) {
+        Write truncatedAfter(long index) {
+            return new Write(startedAt, Math.min(lastIndex, index));
+        }
+    }
+
+    PersistenceQueue(ReplicaState state, Outbox outbox) {
+        this.state = state;
+        this.outbox = outbox;
+        this.durableIndex = state.log.lastIndex();
+    }
+
+    /** The last entry up to which the log is on disk. */
+    long durableIndex() {
+        return durableIndex;
+    }
+
+    /** The hard state differs from the stored one. */
+    void hardStateChanged() {
+        hardStateChanged = true;
+    }
+
+    /** An entry was appended to the log. */
+    void append(LogEntry entry) {
+        appended.add(entry);
+    }
+
+    /** The snapshot was replaced. */
+    void save(Snapshot replaced) {
+        snapshot = replaced;
+    }
+
+    /** The entries after this index were removed from the log. */
+    void truncateAfter(long index) {
+        truncateAfter = truncateAfter == NONE ? index : Math.min(truncateAfter, index);
+        durableIndex = Math.min(durableIndex, index);
+        writes.replaceAll((token, write) -> write.truncatedAfter(index));
+        appended.removeIf(entry -> entry.index() > index);
+    }
+
+    /** The stored log is to be replaced by the entries that the log in memory has after this index. */
+    void restartLogAfter(long index) {
+        restartLogAfter = index;
+        truncateAfter = NONE;
+        appended.clear();
+        appended.addAll(state.log.entriesFrom(index + 1, Integer.MAX_VALUE));
+    }
+
+    /** Sends a message once the state of this replica at the end of the current event is on disk. */
+    void sendWhenPersisted(String to, RaftMessage message) {
+        unsent.add(new Action.Send(to, message));
+    }
+
+    /** The write with this token and all before it are done. */
+    void persisted(long token) {
+        while (!writes.isEmpty() && writes.firstKey() <= token) {
+            durableIndex = writes.pollFirstEntry().getValue().lastIndex();
+        }
+        while (!waiting.isEmpty() && waiting.firstKey() <= token) {
+            outbox.addAll(waiting.pollFirstEntry().getValue());
+        }
+    }
+
+    /** Whether the stored hard state is the present one. */
+    boolean isHardStatePersisted() {
+        return !hardStateChanged && (writes.isEmpty() || writes.firstKey() > lastHardStateToken);
+    }
+
+    /** Whether a write has been in progress for longer than an election timeout. */
+    boolean isStalled() {
+        return !writes.isEmpty()
+                && state.now - writes.firstEntry().getValue().startedAt() > state.timing.electionTimeoutMicros();
+    }
+
+    /** Ends the current event: starts the write that it made necessary, and sends or holds back its messages. */
+    void flush() {
+        if (hasChanges()) {
+            startWrite();
+        }
+        if (unsent.isEmpty()) {
+            return;
+        }
+        if (writes.isEmpty() || !state.rules.responsesWaitForPersistence()) {
+            outbox.addAll(unsent);
+        } else {
+            waiting.computeIfAbsent(writes.lastKey(), token -> new ArrayList<>())
+                    .addAll(unsent);
+        }
+        unsent.clear();
+    }
+
+    private boolean hasChanges() {
+        return hardStateChanged
+                || restartLogAfter != NONE
+                || snapshot != null
+                || truncateAfter != NONE
+                || !appended.isEmpty();
+    }
+
+    private void startWrite() {
+        lastToken++;
+        outbox.add(new Action.Persist(
+                lastToken,
+                hardStateChanged ? hardState() : null,
+                snapshot,
+                restartLogAfter,
+                truncateAfter,
+                List.copyOf(appended)));
+        writes.put(lastToken, new Write(state.now, state.log.lastIndex()));
+        if (hardStateChanged) {
+            lastHardStateToken = lastToken;
+        }
+        hardStateChanged = false;
+        restartLogAfter = NONE;
+        snapshot = null;
+        truncateAfter = NONE;
+        appended.clear();
+    }
+
+    private HardState hardState() {
+        return new HardState(
+                state.term,
+                state.votedFor,
+                List.copyOf(state.incarnations),
+                new TreeMap<>(state.knownPeers),
+                state.recovery.suspectedLoss() == null);
+    }
+}
--- a/src/main/java/sedgeyoke/consensus/RaftMessage.java
+++ b/src/main/java/sedgeyoke/consensus/RaftMessage.java
@@ -2,44 +2,89 @@
 
 import java.util.List;
 
-/** What keepers say to one another. Every message may be lost, late, doubled or out of order. */
+/**
+ * The messages between replicas. Any of them may be lost, delayed, duplicated or reordered. Their form on the wire is
+ * that of {@code consensus.codec.ConsensusCodec}.
+ */
 public sealed interface RaftMessage {
-    /** The sender's term. */
+    /** The sender's current term. */
     long term();
 
-    /** Would you vote for me in the term after yours, if I asked? Changes nothing at whoever is asked. */
-    record RequestPreVote(long term, long lastIndex, long lastTerm) implements RaftMessage {}
+    /** Calls the method of {@code handler} for this type of message. */
+    void deliver(String from, RaftMessageHandler handler);
 
-    /** The answer; {@code recovered} as for votes. */
-    record PreVoteResponse(long term, boolean granted, boolean recovered) implements RaftMessage {}
-
-    /** Vote for me in this term. {@code leadershipTransfer}: the leader wants it; being content with it is no reason. */
-    record RequestVote(long term, long lastIndex, long lastTerm, boolean leadershipTransfer) implements RaftMessage {}
+    /**
+     * Asks whether the receiver would vote for the sender in the next term (Raft thesis, section 9.6). Changes no state
+     * at the receiver.
+     */
+    record RequestPreVote(long term, long lastIndex, long lastTerm) implements RaftMessage {
+        @Override
+        public void deliver(String from, RaftMessageHandler handler) {
+            handler.handle(from, this);
+        }
+    }
+
+    /** The response to {@link RequestPreVote}; {@code recovered} as in {@link VoteResponse}. */
+    record PreVoteResponse(long term, boolean granted, boolean recovered) implements RaftMessage {
+        @Override
+        public void deliver(String from, RaftMessageHandler handler) {
+            handler.handle(from, this);
+        }
+    }
 
-    /** The answer. {@code recovered}: whoever votes has lost nothing of what it ever promised. */
-    record VoteResponse(long term, boolean granted, boolean recovered) implements RaftMessage {}
+    /**
+     * Asks for a vote in the sender's term (Raft thesis, section 3.4).
+     *
+     * @param leadershipTransfer whether the leader initiated this election; then a receiver that still hears from that
+     *     leader takes part all the same
+     */
+    record RequestVote(long term, long lastIndex, long lastTerm, boolean leadershipTransfer) implements RaftMessage {
+        @Override
+        public void deliver(String from, RaftMessageHandler handler) {
+            handler.handle(from, this);
+        }
+    }
+
+    /** The response to {@link RequestVote}. {@code recovered}: the voter has lost nothing that it ever acknowledged. */
+    record VoteResponse(long term, boolean granted, boolean recovered) implements RaftMessage {
+        @Override
+        public void deliver(String from, RaftMessageHandler handler) {
+            handler.handle(from, this);
+        }
+    }
 
     /**
-     * Entries behind one that both sides have; none as a heartbeat.
+     * Log entries that follow the entry {@code prevIndex}; without entries it is a heartbeat (Raft thesis, section 3.5).
      *
-     * @param round counts the leader's rounds; its echo proves that the leader still led when the round began
+     * @param round the leader's heartbeat round; its echo shows that the sender was still leader when the round began
      */
     record AppendEntries(
             long term, long prevIndex, long prevTerm, List<LogEntry> entries, long leaderCommit, long round)
-            implements RaftMessage {}
+            implements RaftMessage {
+        @Override
+        public void deliver(String from, RaftMessageHandler handler) {
+            handler.handle(from, this);
+        }
+    }
 
     /**
-     * The answer, once all that it promises is on disk.
+     * The response to {@link AppendEntries}, sent once all that it acknowledges is on disk.
      *
-     * @param matchIndex the log is the leader's up to here; where {@code success} is false, where to try next
-     * @param incarnation the sender's run: what an earlier one had may be gone
-     * @param recovered whether it counts
+     * @param matchIndex the last entry up to which the log matches the leader's; after a failure, the entry after which
+     *     the leader should retry
+     * @param incarnation the sender's incarnation: what an earlier one acknowledged may be lost
+     * @param recovered whether the sender counts towards a quorum
      */
     record AppendEntriesResponse(
             long term, boolean success, long matchIndex, long round, long incarnation, boolean recovered)
-            implements RaftMessage {}
-
-    /** A part of a snapshot. */
+            implements RaftMessage {
+        @Override
+        public void deliver(String from, RaftMessageHandler handler) {
+            handler.handle(from, this);
+        }
+    }
+
+    /** One chunk of an encoded snapshot: the bytes from {@code offset} on (Raft thesis, section 5.3). */
     record InstallSnapshotChunk(
             long term,
             long lastIncludedIndex,
@@ -48,31 +93,51 @@
             long totalSize,
             byte[] data,
             long round)
-            implements RaftMessage {}
-
-    /** How much of it is there. */
-    record SnapshotChunkAck(long term, long lastIncludedIndex, long nextOffset, long round) implements RaftMessage {}
-
-    /** Stand for election now: the leader wants to go. */
-    record TimeoutNow(long term) implements RaftMessage {}
+            implements RaftMessage {
+        @Override
+        public void deliver(String from, RaftMessageHandler handler) {
+            handler.handle(from, this);
+        }
+    }
+
+    /** The receiver of a snapshot has all bytes before {@code nextOffset}. */
+    record SnapshotChunkAck(long term, long lastIncludedIndex, long nextOffset, long round) implements RaftMessage {
+        @Override
+        public void deliver(String from, RaftMessageHandler handler) {
+            handler.handle(from, this);
+        }
+    }
+
+    /** Tells the receiver to start an election at once: the leader hands over (Raft thesis, section 3.10). */
+    record TimeoutNow(long term) implements RaftMessage {
+        @Override
+        public void deliver(String from, RaftMessageHandler handler) {
+            handler.handle(from, this);
+        }
+    }
 
     /**
-     * I have just started, and want to know what you know of me and of the tier.
+     * Asks what the receiver knows of the sender, which has just started, and of the cluster.
      *
-     * @param incarnations the sender's runs, the present one first, as far as its disk remembers
-     * @param queryId of this question, by the sender
+     * @param incarnations the sender's incarnations, the present one first, as far as its disk has them
+     * @param queryId identifies the query; the reply echoes it
      */
-    record RecoveryQuery(long term, List<Long> incarnations, long queryId) implements RaftMessage {}
+    record RecoveryQuery(long term, List<Long> incarnations, long queryId) implements RaftMessage {
+        @Override
+        public void deliver(String from, RaftMessageHandler handler) {
+            handler.handle(from, this);
+        }
+    }
 
     /**
-     * The answer.
+     * The response to {@link RecoveryQuery}.
      *
-     * @param outdated you had a run that your disk knows nothing of
-     * @param recovered whether I have lost nothing myself
-     * @param dataLost whether I surely have
-     * @param isLeader whether I lead
-     * @param lastIndex of my log
-     * @param knownIncarnation the run of yours that I knew before
+     * @param outdated whether the querying replica had an incarnation, or a term, that its disk does not have
+     * @param recovered whether the sender has itself lost nothing that it acknowledged
+     * @param dataLost whether the sender certainly lost something
+     * @param isLeader whether the sender leads
+     * @param lastIndex the last index of the sender's log
+     * @param knownIncarnation the incarnation of the querying replica that the sender knew before; 0 if none
      */
     record RecoveryReply(
             long term,
@@ -83,21 +148,51 @@
             boolean isLeader,
             long lastIndex,
             long knownIncarnation)
-            implements RaftMessage {}
-
-    /** You are no keeper any more, or another one has your name. */
-    record NotAMember(long term, String reason) implements RaftMessage {}
-
-    /** Somebody asked me what only a leader can answer. */
-    record ForwardedRequest(long term, long token, ClientRequest request) implements RaftMessage {}
-
-    /** What became of it. */
-    record ForwardedResponse(long term, long token, RequestResult result) implements RaftMessage {}
-
-    /** Balancers that follow me ask for leases. */
-    record LeaseRequests(long term, long number, List<LeaseRequest> requests) implements RaftMessage {}
-
-    /** Their leases, good once the receiver has applied the log up to {@code commitIndex}. */
+            implements RaftMessage {
+        @Override
+        public void deliver(String from, RaftMessageHandler handler) {
+            handler.handle(from, this);
+        }
+    }
+
+    /** The receiver is not a member, or another replica has its name. {@code reason} continues "this replica ...". */
+    record NotAMember(long term, String reason) implements RaftMessage {
+        @Override
+        public void deliver(String from, RaftMessageHandler handler) {
+            handler.handle(from, this);
+        }
+    }
+
+    /** A client's request that the sender forwards to the leader; {@code token} identifies it at the sender. */
+    record ForwardedRequest(long term, long token, ClientRequest request) implements RaftMessage {
+        @Override
+        public void deliver(String from, RaftMessageHandler handler) {
+            handler.handle(from, this);
+        }
+    }
+
+    /** The result of a {@link ForwardedRequest}. */
+    record ForwardedResponse(long term, long token, RequestResult result) implements RaftMessage {
+        @Override
+        public void deliver(String from, RaftMessageHandler handler) {
+            handler.handle(from, this);
+        }
+    }
+
+    /** Lease requests of balancers that are connected to the sender. */
+    record LeaseRequests(long term, long number, List<LeaseRequest> requests) implements RaftMessage {
+        @Override
+        public void deliver(String from, RaftMessageHandler handler) {
+            handler.handle(from, this);
+        }
+    }
+
+    /** The responses to {@link LeaseRequests}; valid once the receiver has applied the log up to {@code commitIndex}. */
     record LeaseResponses(long term, long number, long commitIndex, List<LeaseResponse> responses)
-            implements RaftMessage {}
+            implements RaftMessage {
+        @Override
+        public void deliver(String from, RaftMessageHandler handler) {
+            handler.handle(from, this);
+        }
+    }
 }
--- a/src/main/java/sedgeyoke/consensus/RaftTiming.java
+++ b/src/main/java/sedgeyoke/consensus/RaftTiming.java
@@ -14,6 +14,8 @@
  */
 public record RaftTiming(
         long electionTimeoutMicros, long heartbeatMicros, long leaseMicros, ClockDrift drift, int snapshotInterval) {
+    static final long MICROS_PER_MILLI = 1_000;
+
     /** Fit for machines of one site: a leader that dies is followed by another one within about two seconds. */
     public static RaftTiming defaults(long leaseMicros, ClockDrift drift) {
         return new RaftTiming(800_000, 100_000, leaseMicros, drift, 1_000);
--- a/src/main/java/sedgeyoke/consensus/ReplicaRecovery.java
+++ b/src/main/java/sedgeyoke/consensus/ReplicaRecovery.java
@@ -7,124 +7,156 @@
 import java.util.Set;
 
 /**
- * Whether a keeper that has just started may vote and be counted. It may once enough others have not contradicted what
- * its disk remembers of itself. One whose disk may have lost what it promised, because part of it is damaged, because
- * the machine went down and forces may have been lies, or because others remember a run that the disk does not, is in
- * doubt: it decides nothing until it has learned from the others whatever it may have promised (the argument is that of
- * recovery in Viewstamped Replication, and stands in docs/design/agreement.md).
+ * Decides when a replica that has started may vote and count towards a quorum. If its disk is intact, it may once a
+ * majority has not contradicted what the disk says. If the disk may have lost something that the replica acknowledged
+ * (part of it is corrupt, the machine has crashed and writes may have been lost, or others remember an incarnation that
+ * the disk does not), it first has to learn from the others whatever it may have acknowledged. This follows the recovery
+ * protocol of Viewstamped Replication Revisited; docs/design/agreement.md has the argument.
  */
 final class ReplicaRecovery {
-    private static final int NUMBERS_OF_A_RUN = 16;
+    /** Query ids of one incarnation differ in these low bits, those of different incarnations in the others. */
+    private static final int QUERY_ID_BITS = 16;
 
     private final SafetyRules rules;
     private final long startedAt;
+    /** The latest replies to the current query, by replica. */
     private final Map<String, RaftMessage.RecoveryReply> replies = new HashMap<>();
-    private final Set<Long> knownRuns = new LinkedHashSet<>();
-    private String doubt;
-    private boolean lost;
-    private boolean sound;
-    private boolean settled;
-    /** Of the question that is asked; unlike that of any other run, whose answers may be late. */
-    private long number;
 
-    private boolean waited;
-    private long askedAt;
+    private final Set<Long> rememberedIncarnations = new LinkedHashSet<>();
+    private RecoveryState recoveryState;
+    private String suspectedLoss;
+    private boolean dataLost;
+    private long queryId;
+    private long queriedAt;
+
+    /** The steps of recovery, in order. */
+    private enum RecoveryState {
+        /** The disk seems intact; waits for a majority to confirm that. */
+        VERIFYING,
+        /** Something may be lost; waits until no candidate counts a vote that this replica may have forgotten. */
+        WAITING,
+        /** Asks the others what they know. */
+        QUERYING,
+        /** Has taken over the highest term of the others; waits until its log matches that of the leader. */
+        CATCHING_UP,
+        /** May vote and count. */
+        RECOVERED
+    }
 
     /**
-     * {@code run}: drawn at its start; {@code doubt}: why what is on disk may not be all, or null; {@code lost}: that
-     * some of it surely is gone.
+     * Starts recovery.
+     *
+     * @param incarnation of this replica, drawn at its start
+     * @param suspectedLoss why the disk may not have all that was written; null if it seems intact
+     * @param dataLost whether something is certainly lost
+     * @param now in microseconds
      */
-    ReplicaRecovery(SafetyRules rules, long run, String doubt, boolean lost, long now) {
+    ReplicaRecovery(SafetyRules rules, long incarnation, String suspectedLoss, boolean dataLost, long now) {
         this.rules = rules;
-        this.number = run << NUMBERS_OF_A_RUN;
+        this.queryId = incarnation << QUERY_ID_BITS;
         this.startedAt = now;
-        this.doubt = doubt;
-        this.lost = lost;
-        this.askedAt = now - rules.timing().electionTimeoutMicros();
+        this.suspectedLoss = suspectedLoss;
+        this.dataLost = dataLost;
+        this.recoveryState = suspectedLoss == null ? RecoveryState.VERIFYING : RecoveryState.WAITING;
+        makeQueryDue(now);
     }
 
-    /** Nothing that it ever promised is missing. */
-    boolean sound() {
-        return sound;
+    /** Whether nothing that this replica ever acknowledged is missing. */
+    boolean isRecovered() {
+        return recoveryState == RecoveryState.RECOVERED;
     }
 
-    /** Why it is in doubt; null if it is not. */
-    String doubt() {
-        return doubt;
+    /** Why something that this replica acknowledged may be missing; null if there is no reason to think so. */
+    String suspectedLoss() {
+        return suspectedLoss;
     }
 
-    boolean lost() {
-        return lost;
+    /** Whether something that this replica acknowledged is certainly missing. */
+    boolean isDataLost() {
+        return dataLost;
     }
 
-    /** Whether it may vote. In doubt it may where every keeper is heard of and too few of them are sound. */
-    boolean mayVote(Membership members, String self) {
-        return sound || unanimous(members, self);
+    /** Whether this replica may vote: it is recovered, or recovers together with all other voters. */
+    boolean mayVote(Membership membership, String self) {
+        return isRecovered() || isUnanimous(membership, self);
     }
 
     /**
-     * Whether all keepers of the tier have answered, too few of them sound to decide alone, and no more of them have
-     * surely lost something than a minority: then the best log of all has all that was ever committed.
+     * Whether all other voters have replied and less than a majority of all has certainly lost something. Then the best
+     * log of all has all that was ever committed, even if too few are recovered to decide alone.
      */
-    boolean unanimous(Membership members, String self) {
-        if (sound || !waited || !members.voters().containsKey(self)) {
+    private boolean isUnanimous(Membership membership, String self) {
+        int voters = membership.voters().size();
+        if (!acceptsReplies() || !membership.voters().containsKey(self)) {
             return false;
         }
-        List<RaftMessage.RecoveryReply> others = voters(members, self);
-        long bad = others.stream().filter(RaftMessage.RecoveryReply::dataLost).count() + (lost ? 1 : 0);
-        return others.size() == members.voters().size() - 1
-                && bad < rules.majority(members.voters().size());
+        List<RaftMessage.RecoveryReply> others = voterReplies(membership, self);
+        long lossy = others.stream().filter(RaftMessage.RecoveryReply::dataLost).count() + (dataLost ? 1 : 0);
+        return others.size() == voters - 1 && lossy < rules.majority(voters);
+    }
+
+    private boolean acceptsReplies() {
+        return recoveryState == RecoveryState.QUERYING || recoveryState == RecoveryState.CATCHING_UP;
     }
 
-    private List<RaftMessage.RecoveryReply> voters(Membership members, String self) {
+    private List<RaftMessage.RecoveryReply> voterReplies(Membership membership, String self) {
         return replies.entrySet().stream()
-                .filter(e -> !e.getKey().equals(self) && members.voters().containsKey(e.getKey()))
+                .filter(reply ->
+                        !reply.getKey().equals(self) && membership.voters().containsKey(reply.getKey()))
                 .map(Map.Entry::getValue)
                 .toList();
     }
 
-    /** Whether it is time to ask the others again. */
-    boolean shouldAsk(long now) {
-        if (doubt != null && !waited && now - startedAt >= rules.recoveryWaitMicros()) {
-            waited = true; // answers of before say nothing of votes that were still under way
-            number++;
-            replies.clear();
-            askedAt = now - rules.timing().electionTimeoutMicros();
+    /** Whether the others have to be queried now; takes it that they then are. */
+    boolean isQueryDue(long now) {
+        if (recoveryState == RecoveryState.WAITING && now - startedAt >= rules.recoveryWaitMicros()) {
+            recoveryState = RecoveryState.QUERYING;
+            startNewQuery(); // earlier replies do not cover votes that were still counted then
+            makeQueryDue(now);
         }
-        boolean due = now - askedAt >= 2 * rules.timing().heartbeatMicros();
+        boolean due = now - queriedAt >= 2 * rules.timing().heartbeatMicros();
         if (due) {
-            askedAt = now;
+            queriedAt = now;
         }
         return due;
     }
 
-    /** The number of the question that answers are waited for. */
-    long number() {
-        return number;
+    private void startNewQuery() {
+        queryId++;
+        replies.clear();
+    }
+
+    private void makeQueryDue(long now) {
+        queriedAt = now - rules.timing().electionTimeoutMicros();
+    }
+
+    /** The id of the query whose replies are awaited. */
+    long queryId() {
+        return queryId;
     }
 
-    /** An answer; true if it is news that this keeper is of the past. */
-    boolean answered(String from, RaftMessage.RecoveryReply reply) {
-        if (reply.queryId() != number) {
+    /** Handles a reply; returns whether it is the first to show that the disk is an outdated copy. */
+    boolean handle(String from, RaftMessage.RecoveryReply reply) {
+        if (reply.queryId() != queryId) {
             return false;
         }
         replies.put(from, reply);
-        knownRuns.add(reply.knownIncarnation());
-        if (reply.outdated() && doubt == null && !sound) {
-            doubt = from + " remembers a later run than this folder does: it is an old copy";
-            replies.clear();
-            number++;
+        rememberedIncarnations.add(reply.knownIncarnation());
+        if (reply.outdated() && recoveryState == RecoveryState.VERIFYING) {
+            recoveryState = RecoveryState.WAITING;
+            suspectedLoss = from + " knows a later incarnation than this disk does: the disk is an old copy";
+            startNewQuery();
             return true;
         }
         return false;
     }
 
-    /** The runs of this keeper that others have told of: what was lost with them is made up for. */
-    Set<Long> knownRuns() {
-        return knownRuns;
+    /** The incarnations of this replica that the others remember. */
+    Set<Long> rememberedIncarnations() {
+        return rememberedIncarnations;
     }
 
-    /** The highest term that others have told of. */
+    /** The highest term of the others. */
     long highestTerm() {
         return replies.values().stream()
                 .mapToLong(RaftMessage.RecoveryReply::term)
@@ -132,51 +164,58 @@
                 .orElse(0);
     }
 
-    /** How far the log has to match a leader's of this term; -1 while that leader has not answered. */
-    long target(String leader, long term) {
+    /** Up to where the log has to match that of the leader of this term; -1 while that leader has not replied. */
+    long requiredMatchIndex(String leader, long term) {
         RaftMessage.RecoveryReply reply = leader == null ? null : replies.get(leader);
         return reply == null || !reply.isLeader() || reply.term() != term ? -1 : reply.lastIndex();
     }
 
-    /** Whether what others know is known well enough for their term to be taken over. True once only. */
-    boolean settles(Membership members, String self) {
-        if (doubt == null || settled || !enough(members, self)) {
+    /** Whether enough is known by now to take over the term of the others. Returns true once only. */
+    boolean startCatchingUp(Membership membership, String self) {
+        if (recoveryState != RecoveryState.QUERYING || !hasEnoughReplies(membership, self)) {
             return false;
         }
-        settled = true;
+        recoveryState = RecoveryState.CATCHING_UP;
         return true;
     }
 
-    /** Whether so many have answered that whatever was committed, and whoever may have been voted for, is known. */
-    private boolean enough(Membership members, String self) {
-        long others = voters(members, self).stream()
+    /** Whether the replies cover all that was committed and all votes that this replica may have granted. */
+    private boolean hasEnoughReplies(Membership membership, String self) {
+        long recovered = voterReplies(membership, self).stream()
                 .filter(RaftMessage.RecoveryReply::recovered)
                 .count();
-        return waited && (others >= rules.majority(members.voters().size()) || unanimous(members, self));
+        return recovered >= rules.majority(membership.voters().size()) || isUnanimous(membership, self);
     }
 
     /**
-     * Whether it is sound from now on. {@code matched}: up to where its log is that of the present leader; -1 if there
-     * is none.
+     * Completes recovery if its conditions hold; returns whether they do so for the first time.
+     *
+     * @param leader of {@code term}; null if it is not known
+     * @param leaderMatchIndex up to where the log is that of the leader; -1 if that is not known
      */
-    boolean becomesSound(Membership members, String self, String leader, long term, long matched) {
-        if (sound) {
+    boolean complete(Membership membership, String self, String leader, long term, long leaderMatchIndex) {
+        if (isRecovered() || !mayComplete(membership, self, leader, term, leaderMatchIndex)) {
             return false;
         }
-        if (doubt == null) {
-            sound = !members.voters().containsKey(self)
-                    || voters(members, self).size()
-                            >= rules.majority(members.voters().size()) - 1;
-        } else if (leader != null && leader.equals(self)) {
-            sound = true; // all have voted for it: nobody has more
-        } else if (settled && enough(members, self)) {
-            long target = target(leader, term);
-            sound = target >= 0 && matched >= rules.recoveryTarget(target);
+        recoveryState = RecoveryState.RECOVERED;
+        suspectedLoss = null;
+        dataLost = false;
+        return true;
+    }
+
+    private boolean mayComplete(Membership membership, String self, String leader, long term, long leaderMatchIndex) {
+        if (recoveryState == RecoveryState.VERIFYING) {
+            int confirmations = voterReplies(membership, self).size();
+            return !membership.voters().containsKey(self)
+                    || confirmations >= rules.majority(membership.voters().size()) - 1;
+        }
+        if (self.equals(leader)) {
+            return true; // elected by all voters, so no log has more
         }
-        if (sound) {
-            doubt = null;
-            lost = false;
+        if (recoveryState != RecoveryState.CATCHING_UP || !hasEnoughReplies(membership, self)) {
+            return false;
         }
-        return sound;
+        long required = requiredMatchIndex(leader, term);
+        return required >= 0 && leaderMatchIndex >= rules.recoveryTarget(required);
     }
 }
--- /dev/null
+++ b/src/main/java/sedgeyoke/consensus/ReplicaState.java
@@ -0,0 +1,152 @@
+package sedgeyoke.consensus;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The state of one replica that the parts of {@link RaftNode} share: its term and role, its log and what is committed,
+ * and what it knows of the others. Times are microseconds of the replica's monotonic clock.
+ */
+final class ReplicaState {
+    /** The match index while it is not known up to where the log is that of the current leader. */
+    static final long UNKNOWN_INDEX = -1;
+
+    final String name;
+    final long storageId;
+    final SafetyRules rules;
+    final RaftTiming timing;
+    final RaftLog log;
+    final ConfigStateMachine stateMachine;
+    final ReplicaRecovery recovery;
+    /** This replica's incarnations, the present one first. */
+    final List<Long> incarnations;
+    /** Storage id and latest known incarnation of the other replicas. */
+    final Map<String, HardState.KnownPeer> knownPeers;
+
+    /** The latest snapshot; null if there is none. */
+    Snapshot snapshot;
+    /** The latest membership in the log, committed or not (Raft thesis, section 4.1). */
+    Membership membership;
+
+    long now;
+    RaftNode.Role role = RaftNode.Role.FOLLOWER;
+    long term;
+    /** Whom this replica voted for in {@link #term}; see {@link HardState#votedFor()}. */
+    String votedFor;
+    /** The leader of {@link #term}; null while it is not known. */
+    String leader;
+
+    long commitIndex;
+    long lastApplied;
+    long lastLeaderContactAt;
+    /** Up to where the log is that of the current leader, or {@link #UNKNOWN_INDEX}. */
+    long leaderMatchIndex = UNKNOWN_INDEX;
+
+    ReplicaState(
+            RaftNode.Identity identity,
+            SafetyRules rules,
+            RaftNode.StoredState stored,
+            Membership initialMembership,
+            long now) {
+        this.name = identity.name();
+        this.storageId = identity.storageId();
+        this.rules = rules;
+        this.timing = rules.timing();
+        this.now = now;
+        HardState hardState = stored.hardState();
+        this.term = hardState.term();
+        this.votedFor = hardState.votedFor();
+        this.knownPeers = new HashMap<>(hardState.knownPeers());
+        this.incarnations = new ArrayList<>(hardState.incarnations());
+        incarnations.add(0, identity.incarnation());
+        forgetOldIncarnations();
+        this.snapshot = stored.snapshot();
+        this.log = new RaftLog(snapshotIndex(), snapshot == null ? 0 : snapshot.lastIncludedTerm(), stored.entries());
+        this.stateMachine = snapshot == null
+                ? new ConfigStateMachine(initialMembership, rules)
+                : new ConfigStateMachine(snapshot.state(), rules);
+        this.commitIndex = snapshotIndex();
+        this.lastApplied = snapshotIndex();
+        this.recovery =
+                new ReplicaRecovery(rules, identity.incarnation(), stored.suspectedLoss(), stored.dataLost(), now);
+        this.lastLeaderContactAt = now - timing.electionTimeoutMicros();
+        updateMembership();
+    }
+
+    /** The present incarnation of this replica. */
+    long incarnation() {
+        return incarnations.get(0);
+    }
+
+    /** Adds incarnations of this replica that only others remember. */
+    void addIncarnations(Iterable<Long> remembered) {
+        for (long incarnation : remembered) {
+            if (incarnation != 0 && !incarnations.contains(incarnation)) {
+                incarnations.add(incarnation);
+            }
+        }
+        forgetOldIncarnations();
+    }
+
+    private void forgetOldIncarnations() {
+        int kept = Math.min(HardState.MAX_INCARNATIONS, incarnations.size());
+        incarnations.subList(kept, incarnations.size()).clear();
+    }
+
+    boolean isLeader() {
+        return role == RaftNode.Role.LEADER;
+    }
+
+    boolean isVoter() {
+        return membership.voters().containsKey(name);
+    }
+
+    /** The size of the smallest quorum of the voters. */
+    int majority() {
+        return rules.majority(membership.voters().size());
+    }
+
+    /** The names of the other voters. */
+    List<String> otherVoters() {
+        return membership.voters().keySet().stream()
+                .filter(voter -> !voter.equals(name))
+                .toList();
+    }
+
+    /** Whether this replica may vote and become a leader. */
+    boolean mayVote() {
+        return recovery.mayVote(membership, name) && isVoter();
+    }
+
+    /** Whether a log that ends so is at least as up to date as this replica's (Raft thesis, section 3.6.1). */
+    boolean isUpToDate(long lastIndex, long lastTerm) {
+        return rules.isLogUpToDate(lastIndex, lastTerm, log.lastIndex(), log.lastTerm());
+    }
+
+    /** Whether no leader was heard from for at least an election timeout. */
+    boolean hasLostLeader() {
+        return !isLeader() && now - lastLeaderContactAt >= timing.electionTimeoutMicros();
+    }
+
+    /** The last index that the snapshot covers; 0 without a snapshot. */
+    long snapshotIndex() {
+        return snapshot == null ? 0 : snapshot.lastIncludedIndex();
+    }
+
+    /** Takes over the latest membership of the log, or else that of the snapshot, or else the initial one. */
+    void updateMembership() {
+        Membership inLog = log.lastMembership();
+        if (inLog != null) {
+            membership = inLog;
+        } else {
+            membership = snapshot != null ? snapshot.state().members() : stateMachine.members();
+        }
+    }
+
+    /** A result with the number of the newest version. */
+    RequestResult result(RequestResult.Kind kind, String detail) {
+        return new RequestResult(kind, stateMachine.newest().number(), detail);
+    }
+}
--- a/src/main/java/sedgeyoke/consensus/ReplicationProgress.java
+++ b/src/main/java/sedgeyoke/consensus/ReplicationProgress.java
@@ -1,29 +1,43 @@
 package sedgeyoke.consensus;
 
-/** What a leader knows of another keeper. */
+/** What a leader knows of the log of one other replica, and of what it has sent to it. */
 final class ReplicationProgress {
-    /** The next entry to send, and the last one that is known to be there. */
+    /** The next entry to send. */
     long nextIndex;
-
+    /** The last entry that the replica is known to have on disk. */
     long matchIndex;
-    /** Its run, as it said itself; 0 while it has not said. What another run had is not counted. */
+    /** The replica's incarnation, 0 while it is not known; acknowledgements of other incarnations are ignored. */
     long incarnation;
-    /** Whether it counts: it has lost nothing that it promised. */
+    /** Whether the replica counts towards a quorum: it has lost nothing that it acknowledged. */
     boolean recovered;
-    /** When it was heard of, and the newest round that it has echoed. */
+    /** When its latest response arrived, in microseconds. */
     long lastContactAt;
-
+    /** The newest heartbeat round that it has echoed. */
     long confirmedRound;
-    /** Entries are under way until then; so long no more are sent. */
+    /** Until then, in microseconds, entries are assumed to be in flight, and no more are sent. */
     long inFlightUntil;
-    /** How much of a snapshot is there, and of which. */
-    long chunkOffset;
+    /** The last index that the snapshot in transfer covers. */
+    long snapshotIndex;
+    /** How many bytes of that snapshot the replica has. */
+    long snapshotOffset;
 
-    long chunkSnapshotIndex;
-
-    ReplicationProgress(long next, long run, long now) {
-        this.nextIndex = next;
-        this.incarnation = run;
+    ReplicationProgress(long nextIndex, long incarnation, long now) {
+        this.nextIndex = nextIndex;
+        this.incarnation = incarnation;
         this.lastContactAt = now;
     }
+
+    /** The replica has restarted: what an earlier incarnation acknowledged may be lost. */
+    void restarted(long newIncarnation, long newNextIndex, long now) {
+        incarnation = newIncarnation;
+        matchIndex = 0;
+        nextIndex = newNextIndex;
+        recovered = false;
+        confirmedRound = 0;
+        inFlightUntil = now;
+    }
+
+    boolean isInFlight(long now) {
+        return now < inFlightUntil;
+    }
 }
--- /dev/null
+++ b/src/main/java/sedgeyoke/consensus/RoleTransitions.java
@@ -0,0 +1,14 @@
+package sedgeyoke.consensus;
+
+/** The changes of role that the parts of a {@link RaftNode} may initiate. */
+interface RoleTransitions {
+    /**
+     * Becomes a follower, and enters {@code term} if that is newer than the current one.
+     *
+     * @param leader the leader of that term; null if it is not known
+     */
+    void becomeFollower(long term, String leader);
+
+    /** The leader of the current term has sent a message: becomes its follower and restarts the election timeout. */
+    void leaderContact(String leader);
+}
