--- a/src/main/java/sedgeyoke/cli/ConfigServersCommand.java
+++ b/src/main/java/sedgeyoke/cli/ConfigServersCommand.java
@@ -16,6 +16,7 @@
 import sedgeyoke.consensus.RequestResult;
 import sedgeyoke.consensus.server.ConfigClient;
 import sedgeyoke.consensus.storage.ReplicaStorage;
+import sedgeyoke.consensus.storage.UnusableStorageException;
 import sedgeyoke.store.DiskException;
 import sedgeyoke.store.FileDisk;
 
@@ -128,14 +129,15 @@
             spec.commandLine().getErr().println(folder + ": no such folder");
             return CommandLine.ExitCode.USAGE;
         }
-        try (FileDisk disk = FileDisk.take(folder)) {
-            ReplicaStorage.Report report = ReplicaStorage.check(disk);
-            out.println("keeper " + report.keeper() + " of tier " + report.tier() + ", folder "
-                    + Long.toHexString(report.folder()) + ", term " + report.term() + ", entries up to "
-                    + report.last() + (report.covered() == 0 ? "" : ", snapshot up to " + report.covered()));
-            report.damage().forEach(d -> out.println("  lost: " + d));
-            return report.damage().isEmpty() ? 0 : ConfigClientOptions.REFUSED;
-        } catch (DiskException | ReplicaStorage.Unusable e) {
+        try (FileDisk disk = FileDisk.open(folder)) {
+            ReplicaStorage.Report report = ReplicaStorage.inspect(disk);
+            out.println("keeper " + report.server() + " of tier " + report.tier() + ", folder "
+                    + Long.toHexString(report.storageId()) + ", term " + report.term() + ", entries up to "
+                    + report.lastIndex()
+                    + (report.snapshotIndex() == 0 ? "" : ", snapshot up to " + report.snapshotIndex()));
+            report.corruptions().forEach(corruption -> out.println("  lost: " + corruption));
+            return report.corruptions().isEmpty() ? 0 : ConfigClientOptions.REFUSED;
+        } catch (DiskException | UnusableStorageException e) {
             spec.commandLine().getErr().println(folder + ": " + e.getMessage());
             return ConfigClientOptions.REFUSED;
         }
--- a/src/main/java/sedgeyoke/consensus/server/ConfigServer.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigServer.java
@@ -112,7 +112,7 @@
         this.client = new MutualTls(settings.tls(), false, log);
         this.random = new SplittableRandom(run);
         this.keeper = new RaftNode(
-                new RaftNode.Self(settings.name(), folder.folder(), run),
+                new RaftNode.Self(settings.name(), folder.storageId(), run),
                 rules,
                 folder.recovered(),
                 folder.founders(),
@@ -228,7 +228,7 @@
             return;
         }
         try {
-            folder.carryOut(p);
+            folder.persist(p);
             loop.execute(() -> on(new Event.Persisted(p.token())));
         } catch (DiskException | RuntimeException e) {
             loop.execute(() -> stop("the disk has failed (" + e.getMessage() + "): what is on it is not known; mend it"
@@ -292,7 +292,7 @@
                 .setPending(keeper.pending() == null ? 0 : keeper.pending().number())
                 .setHolders(keeper.holders())
                 .setLeaseMs(settings.leaseMs())
-                .setFolder(folder.folder())
+                .setFolder(folder.storageId())
                 .setFollowers(followers.size())
                 .setContradictionBoundMs((rules.timing().contradictionBound() + 999) / 1_000)
                 .setHoldsWithinMs((rules.timing().holdsWithin() + 999) / 1_000)
@@ -316,7 +316,7 @@
         void send(RaftMessage message) {
             if (connection != null && connection.peer() != null) {
                 connection.send(Frame.newBuilder()
-                        .setKeeper(ConsensusCodec.of(folder.folder(), message))
+                        .setKeeper(ConsensusCodec.of(folder.storageId(), message))
                         .build());
             }
         }
--- a/src/main/java/sedgeyoke/consensus/server/ConfigServerMain.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigServerMain.java
@@ -20,6 +20,7 @@
 import sedgeyoke.consensus.RaftTiming;
 import sedgeyoke.consensus.SafetyRules;
 import sedgeyoke.consensus.storage.ReplicaStorage;
+import sedgeyoke.consensus.storage.UnusableStorageException;
 import sedgeyoke.lease.ClockDrift;
 import sedgeyoke.proxy.RateLimitedLog;
 import sedgeyoke.settings.ConfigServerSettings;
@@ -63,24 +64,24 @@
         FileDisk files;
         ReplicaStorage folder;
         try {
-            files = FileDisk.take(settings.folder());
+            files = FileDisk.open(settings.folder());
         } catch (DiskException e) {
             return fail(settings.folder() + ": " + e.getMessage());
         }
         Disk disk = wrapped.apply(files);
         try {
             folder = open(disk, settings, found);
-        } catch (DiskException | ReplicaStorage.Unusable e) {
+        } catch (DiskException | UnusableStorageException e) {
             files.close();
             return fail(settings.folder() + ": " + e.getMessage());
         }
-        folder.damage()
+        folder.corruptions()
                 .forEach(d -> System.err.println("keeper " + settings.name() + ": " + settings.folder() + "/" + d));
         return serve(settings, folder);
     }
 
     private static ReplicaStorage open(Disk disk, ConfigServerSettings settings, boolean found)
-            throws DiskException, ReplicaStorage.Unusable {
+            throws DiskException, UnusableStorageException {
         ReplicaStorage.Owner owner =
                 new ReplicaStorage.Owner(settings.tier(), settings.name(), boot(), settings.forcesMayLie());
         if (ReplicaStorage.isEmpty(disk)) {
@@ -90,7 +91,7 @@
                         .forEach((name, at) -> founders.add(
                                 new Member(name, 0, at.getAddress().getHostAddress() + ":" + at.getPort())));
             }
-            ReplicaStorage.make(disk, owner, new SecureRandom().nextLong() | 1, Membership.of(founders));
+            ReplicaStorage.create(disk, owner, new SecureRandom().nextLong() | 1, Membership.of(founders));
         }
         return ReplicaStorage.open(disk, owner);
     }
--- a/src/main/java/sedgeyoke/consensus/storage/ReplicaStorage.java
+++ b/src/main/java/sedgeyoke/consensus/storage/ReplicaStorage.java
@@ -2,12 +2,8 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import sedgeyoke.consensus.Action;
-import sedgeyoke.consensus.HardState;
 import sedgeyoke.consensus.LogEntry;
 import sedgeyoke.consensus.Membership;
 import sedgeyoke.consensus.RaftNode;
@@ -16,323 +12,266 @@
 import sedgeyoke.store.Corruption;
 import sedgeyoke.store.Disk;
 import sedgeyoke.store.DiskException;
-import sedgeyoke.store.DualCopyFile;
+import sedgeyoke.store.LogRecord;
+import sedgeyoke.store.ReadOnlyDisk;
 import sedgeyoke.store.SegmentLog;
-import sedgeyoke.store.Snapshots;
+import sedgeyoke.store.SnapshotStore;
 import sedgeyoke.transport.InvalidMessageException;
 import sedgeyoke.transport.proto.EntryMessage;
-import sedgeyoke.transport.proto.KnownMessage;
-import sedgeyoke.transport.proto.SlotMessage;
 
 /**
- * What a keeper keeps: terms and votes in a twin file, the log in segments, snapshots. It reads a folder back as what
- * can be believed of it, with the reasons where that may not be all that was promised.
+ * Stores the hard state, log and snapshots of one replica. Opening it recovers the valid part, with the reasons why
+ * durable data may be missing. To be used on one thread after it was opened.
  */
 public final class ReplicaStorage {
-    private static final String SLOT = "slot";
     private static final int SEGMENT_BYTES = 1 << 20;
 
-    private final Disk disk;
-    private final String boot;
+    private final String bootId;
     private final ConsensusCodec codec = new ConsensusCodec();
-    private final DualCopyFile slotFile;
-    private final Snapshots snapshots;
+    private final HardStateFile hardStateFile;
+    private final SnapshotStore snapshots;
     private final SegmentLog log;
-    private SlotMessage slot;
-    /** The snapshot before the newest: the log goes on from there, in case the newest rots. */
-    private long olderCovered;
+    /** Last index of the snapshot before the newest: the log is kept from there, in case the newest is corrupt. */
+    private long previousSnapshotIndex;
 
     private RaftNode.Recovered recovered;
-    private List<Corruption> damage = List.of();
+    private List<Corruption> corruptions = List.of();
 
-    /** A folder that no keeper can be started from; the message says why, and what to do. */
-    public static final class Unusable extends Exception {
-        private static final long serialVersionUID = 1L;
-
-        Unusable(String message) {
-            super(message);
-        }
-    }
-
-    /** What whoever opens a folder knows of it: whose it is to be, and the system's number of its present start. */
-    public record Owner(String tier, String keeper, String boot, boolean forcesMayLie) {}
+    /**
+     * Whom a directory must belong to, and what may have happened to it.
+     *
+     * @param tier name of the tier; empty to accept any
+     * @param server name of the config server; empty to accept any
+     * @param bootId identity of the operating system's present boot; empty if unknown
+     * @param fsyncMayBeLost whether the disk may lose fsynced writes when the machine restarts
+     */
+    public record Owner(String tier, String server, String bootId, boolean fsyncMayBeLost) {}
 
-    private ReplicaStorage(Disk disk, Owner owner, int segmentBytes) throws DiskException, Unusable {
-        this.disk = disk;
-        this.boot = owner.boot();
-        this.slotFile = DualCopyFile.open(disk, SLOT);
-        this.slot = readSlot(owner);
-        this.snapshots = new Snapshots(disk, slot.getFolder());
-        Optional<Snapshots.Snapshot> newest = snapshots.newest();
+    /**
+     * Summary of a directory.
+     *
+     * @param storageId number of the directory
+     * @param lastIndex index of the last valid log entry
+     * @param snapshotIndex index of the last entry that the newest snapshot covers; 0 without one
+     */
+    public record Report(
+            String tier,
+            String server,
+            long storageId,
+            long term,
+            long lastIndex,
+            long snapshotIndex,
+            List<Corruption> corruptions) {}
+
+    private ReplicaStorage(Disk disk, Owner owner, int segmentBytes) throws DiskException, UnusableStorageException {
+        this.bootId = owner.bootId();
+        this.hardStateFile = HardStateFile.open(disk, owner);
+        this.snapshots = new SnapshotStore(disk, hardStateFile.storageId());
+        Snapshot snapshot =
+                snapshots.newest().map(found -> codec.decode(found.state())).orElse(null);
         this.log = SegmentLog.open(
                 disk,
-                slot.getFolder(),
+                hardStateFile.storageId(),
                 segmentBytes,
-                slot.getGeneration(),
-                generation ->
-                        saveSlot(slot.toBuilder().setGeneration(generation).build()));
-        recover(owner, newest);
+                hardStateFile.segmentGeneration(),
+                hardStateFile::saveSegmentGeneration);
+        recover(owner, snapshot);
     }
 
-    /** Whether a folder holds nothing yet. */
+    /** Whether a directory holds no file yet. */
     public static boolean isEmpty(Disk disk) throws DiskException {
-        return disk.names().isEmpty();
+        return disk.fileNames().isEmpty();
     }
 
     /**
-     * Makes an empty folder a keeper's.
+     * Initializes an empty directory.
      *
-     * @param folder its number, drawn at random
-     * @param founders the keepers of a tier that is founded; none where it is to join one
+     * @param storageId number of the directory, drawn at random
+     * @param founders members of a tier that is bootstrapped; none if the server is to join an existing one
      */
-    public static void make(Disk disk, Owner owner, long folder, Membership founders) throws DiskException, Unusable {
+    public static void create(Disk disk, Owner owner, long storageId, Membership founders)
+            throws DiskException, UnusableStorageException {
         if (!isEmpty(disk)) {
-            throw new Unusable("the folder is not empty");
+            throw new UnusableStorageException("the folder is not empty");
         }
-        DualCopyFile file = DualCopyFile.open(disk, SLOT);
-        SlotMessage first = SlotMessage.newBuilder()
-                .setTier(owner.tier())
-                .setKeeper(owner.keeper())
-                .setFolder(folder)
-                .setSound(true)
-                .setBoot(owner.boot())
-                .setFounders(ConsensusCodec.of(founders))
-                .build();
-        file.save(first.toByteArray()); // makes the files, so that they can be told from copies
-        file.save(first.toBuilder().setIdentity(file.identity()).build().toByteArray());
+        HardStateFile.create(disk, owner, storageId, founders);
     }
 
-    /** Reads a folder. */
-    public static ReplicaStorage open(Disk disk, Owner owner) throws DiskException, Unusable {
-        return new ReplicaStorage(disk, owner, SEGMENT_BYTES);
+    /** Opens a directory and recovers its content. */
+    public static ReplicaStorage open(Disk disk, Owner owner) throws DiskException, UnusableStorageException {
+        return open(disk, owner, SEGMENT_BYTES);
     }
 
-    /** The same with segments of another size. */
-    public static ReplicaStorage open(Disk disk, Owner owner, int segmentBytes) throws DiskException, Unusable {
+    /** Opens a directory with log segments of another size in bytes. */
+    public static ReplicaStorage open(Disk disk, Owner owner, int segmentBytes)
+            throws DiskException, UnusableStorageException {
         return new ReplicaStorage(disk, owner, segmentBytes);
     }
 
-    /** What can be said of a folder that nobody uses. */
-    public record Report(
-            String tier, String keeper, long folder, long term, long last, long covered, List<Corruption> damage) {}
-
-    /** Reads a folder as a start would, whoever's it is, and changes nothing in it. */
-    public static Report check(Disk disk) throws DiskException, Unusable {
-        ReplicaStorage f = new ReplicaStorage(new ReadOnly(disk), new Owner("", "", "", false), SEGMENT_BYTES);
-        long covered =
-                f.recovered.snapshot() == null ? 0 : f.recovered.snapshot().covered();
+    /** Recovers a directory of any owner without changing it. No process may be using it. */
+    public static Report inspect(Disk disk) throws DiskException, UnusableStorageException {
+        ReplicaStorage storage = open(new ReadOnlyDisk(disk), new Owner("", "", "", false));
+        long snapshotIndex = storage.recovered.snapshot() == null
+                ? 0
+                : storage.recovered.snapshot().covered();
         return new Report(
-                f.tier(),
-                f.keeper(),
-                f.folder(),
-                f.recovered.slot().term(),
-                covered + f.recovered.entries().size(),
-                covered,
-                f.damage);
+                storage.tier(),
+                storage.server(),
+                storage.storageId(),
+                storage.recovered.slot().term(),
+                snapshotIndex + storage.recovered.entries().size(),
+                snapshotIndex,
+                storage.corruptions);
     }
 
-    /** A disk on which nothing happens. */
-    private record ReadOnly(Disk disk) implements Disk {
-        @Override
-        public List<String> names() throws DiskException {
-            return disk.names();
-        }
-
-        @Override
-        public long length(String name) throws DiskException {
-            return disk.length(name);
-        }
-
-        @Override
-        public String identity(String name) throws DiskException {
-            return disk.identity(name);
-        }
-
-        @Override
-        public byte[] read(String name, long at, int length) throws DiskException {
-            return disk.read(name, at, length);
-        }
-
-        @Override
-        public void allocate(String name, long length) {}
-
-        @Override
-        public void write(String name, long at, byte[] bytes) {}
-
-        @Override
-        public void force(String name) {}
+    // ---- Recovery ------------------------------------------------------------------------------------
 
-        @Override
-        public void forceNames() {}
-
-        @Override
-        public void rename(String from, String to) {}
-
-        @Override
-        public void delete(String name) {}
-    }
-
-    private SlotMessage readSlot(Owner owner) throws Unusable {
-        if (slotFile.damage() != null) {
-            throw new Unusable(slotFile.damage() + ": this keeper has to be replaced: empty the folder, then 'keepers"
-                    + " remove " + owner.keeper() + "' and 'keepers add' it");
-        }
-        byte[] content = slotFile.content()
-                .orElseThrow(
-                        () -> new Unusable("no " + SLOT + " file: not a keeper's folder, or its disk has lost it"));
-        try {
-            SlotMessage read = SlotMessage.parseFrom(content);
-            if (!owner.tier().isEmpty() && !read.getTier().equals(owner.tier())) {
-                throw new Unusable("it belongs to tier " + read.getTier() + ", not " + owner.tier());
-            } else if (!owner.keeper().isEmpty() && !read.getKeeper().equals(owner.keeper())) {
-                throw new Unusable("it belongs to keeper " + read.getKeeper() + ", not " + owner.keeper());
-            }
-            return read;
-        } catch (InvalidProtocolBufferException e) {
-            throw new Unusable(SLOT + ": written by another program: " + e.getMessage());
-        }
-    }
-
-    private void recover(Owner owner, Optional<Snapshots.Snapshot> newest) throws DiskException, Unusable {
-        List<Corruption> found = new ArrayList<>(log.damage());
-        Snapshot snapshot = newest.map(s -> codec.decode(s.state())).orElse(null);
-        long covered = snapshot == null ? 0 : snapshot.covered();
-        olderCovered = covered;
-        List<LogEntry> entries = entries(log.records());
-        long first = entries.isEmpty() ? log.last() + 1 : entries.get(0).index();
-        if (first > covered + 1 || covered < slot.getCovered() && log.last() < slot.getCovered()) {
-            found.addAll(snapshots.damage());
+    private void recover(Owner owner, Snapshot snapshot) throws DiskException, UnusableStorageException {
+        List<Corruption> found = new ArrayList<>(log.corruptions());
+        long snapshotIndex = snapshot == null ? 0 : snapshot.covered();
+        previousSnapshotIndex = snapshotIndex;
+        List<LogEntry> entries = decode(log.records());
+        if (hasGap(entries, snapshotIndex)) {
+            found.addAll(snapshots.corruptions());
             found.add(new Corruption(
                     "log",
                     0,
-                    covered + 1,
-                    "entries up to " + slot.getCovered() + " are in no snapshot and not in the log"));
+                    snapshotIndex + 1,
+                    "entries up to " + hardStateFile.snapshotIndex() + " are in no snapshot and not in the log"));
             entries = List.of();
         }
-        boolean follows = covered == 0
-                || covered == first - 1
-                || entries.stream().anyMatch(e -> e.index() == covered && e.term() == snapshot.term());
-        entries = follows ? entries.stream().filter(e -> e.index() > covered).toList() : List.of();
-        damage = List.copyOf(found);
-        if (log.last() != covered + entries.size()) {
-            if (found.isEmpty()) {
-                log.restart(covered, List.of()); // a snapshot came from elsewhere, and the log had not begun anew yet
-            } else {
-                log.continueBehind(covered + entries.size()); // what is bad stays, until it has been replaced
+        entries = entriesBehind(snapshot, entries);
+        corruptions = List.copyOf(found);
+        long lastIndex = snapshotIndex + entries.size();
+        if (log.lastIndex() != lastIndex) {
+            if (found.isEmpty()) { // the server ended between the save of a leader's snapshot and the log's restart
+                log.restart(snapshotIndex, List.of());
+            } else { // corrupt segments stay until a snapshot replaces them
+                log.continueAfter(lastIndex);
             }
         }
-        Map<String, HardState.Known> known = new HashMap<>();
-        slot.getKnownList().forEach(k -> known.put(k.getName(), new HardState.Known(k.getFolder(), k.getRun())));
         recovered = new RaftNode.Recovered(
-                new HardState(slot.getTerm(), slot.getVote(), slot.getRunsList(), known, slot.getSound()),
-                snapshot,
-                entries,
-                doubt(owner, found),
-                !found.isEmpty());
+                hardStateFile.hardState(), snapshot, entries, recoveryReason(owner, found), !found.isEmpty());
+    }
+
+    private boolean hasGap(List<LogEntry> entries, long snapshotIndex) {
+        long firstIndex =
+                entries.isEmpty() ? log.lastIndex() + 1 : entries.get(0).index();
+        long storedSnapshotIndex = hardStateFile.snapshotIndex();
+        boolean snapshotLost = snapshotIndex < storedSnapshotIndex && log.lastIndex() < storedSnapshotIndex;
+        return firstIndex > snapshotIndex + 1 || snapshotLost;
     }
 
-    private String doubt(Owner owner, List<Corruption> found) throws DiskException {
+    /** Returns the entries that continue a snapshot; none if the log has another history. */
+    private List<LogEntry> entriesBehind(Snapshot snapshot, List<LogEntry> entries) {
+        if (snapshot == null || snapshot.covered() == 0) {
+            return entries;
+        }
+        long firstIndex =
+                entries.isEmpty() ? log.lastIndex() + 1 : entries.get(0).index();
+        boolean continuesSnapshot = snapshot.covered() == firstIndex - 1
+                || entries.stream()
+                        .anyMatch(entry -> entry.index() == snapshot.covered() && entry.term() == snapshot.term());
+        return continuesSnapshot
+                ? entries.stream()
+                        .filter(entry -> entry.index() > snapshot.covered())
+                        .toList()
+                : List.of();
+    }
+
+    /** Returns why the replica cannot rely on its storage before it has queried its peers; null if it can. */
+    private String recoveryReason(Owner owner, List<Corruption> found) throws DiskException {
         if (!found.isEmpty()) {
             return String.join("; ", found.stream().map(Corruption::toString).toList());
-        } else if (!slot.getSound()) {
-            return "was in doubt when it ended";
         }
-        if (!slotFile.identity().equals(slot.getIdentity())) {
-            return "the folder is a copy: what its keeper promised since that was made is not in it";
+        if (!hardStateFile.hardState().sound()) {
+            return "was still recovering when it ended";
         }
-        return owner.forcesMayLie() && !owner.boot().equals(slot.getBoot())
-                ? "the machine has started anew since, and what was forced may not have lasted"
+        if (hardStateFile.isCopy()) {
+            return "the folder is a copy: later writes of its server are not in it";
+        }
+        return owner.fsyncMayBeLost() && hardStateFile.savedBeforeBoot(owner.bootId())
+                ? "the machine has restarted, and fsynced writes may be lost"
                 : null;
     }
 
-    private static List<LogEntry> entries(List<SegmentLog.Record> records) throws Unusable {
+    private static List<LogEntry> decode(List<LogRecord> records) throws UnusableStorageException {
         List<LogEntry> entries = new ArrayList<>(records.size());
-        for (SegmentLog.Record r : records) {
+        for (LogRecord logRecord : records) {
             try {
-                entries.add(ConsensusCodec.entry(EntryMessage.parseFrom(r.payload())));
+                entries.add(ConsensusCodec.entry(EntryMessage.parseFrom(logRecord.payload())));
             } catch (InvalidProtocolBufferException | InvalidMessageException e) {
-                throw new Unusable("record " + r.index() + " is whole but no entry: " + e.getMessage());
+                throw new UnusableStorageException(
+                        "record " + logRecord.index() + " has a valid checksum but is no log entry: " + e.getMessage());
             }
         }
         return entries;
     }
 
-    /** What can be believed. */
+    // ---- Content -------------------------------------------------------------------------------------
+
+    /** Returns what was recovered when the directory was opened. */
     public RaftNode.Recovered recovered() {
         return recovered;
     }
 
-    /** What was promised and is not there. */
-    public List<Corruption> damage() {
-        return damage;
+    /** Returns the durable data that was found missing or invalid when the directory was opened. */
+    public List<Corruption> corruptions() {
+        return corruptions;
     }
 
-    /** The number of this folder. */
-    public long folder() {
-        return slot.getFolder();
+    /** Returns the random number of the directory, which tells it from one that replaced it. */
+    public long storageId() {
+        return hardStateFile.storageId();
     }
 
-    /** Whose it is. */
-    public String keeper() {
-        return slot.getKeeper();
+    /** Returns the name of the config server that the directory belongs to. */
+    public String server() {
+        return hardStateFile.server();
     }
 
-    /** The tier that it belongs to. */
+    /** Returns the name of the tier that the server belongs to. */
     public String tier() {
-        return slot.getTier();
+        return hardStateFile.tier();
     }
 
-    /** The keepers as the tier was founded; none where it has joined. */
+    /** Returns the members of the tier when it was bootstrapped; none at a server that has joined it. */
     public Membership founders() {
-        return ConsensusCodec.members(slot.getFounders());
+        return hardStateFile.founders();
     }
 
-    private void saveSlot(SlotMessage next) throws DiskException {
-        slot = next;
-        slotFile.save(next.toByteArray());
-    }
+    // ---- Writing -------------------------------------------------------------------------------------
 
-    /** Makes what a keeper wants to last last; all of it does once this has returned. */
-    public void carryOut(Action.Persist p) throws DiskException {
-        if (p.slot() != null) {
-            SlotMessage.Builder next = slot.toBuilder()
-                    .setTerm(p.slot().term())
-                    .setVote(p.slot().vote())
-                    .setSound(p.slot().sound())
-                    .clearRuns()
-                    .addAllRuns(p.slot().runs())
-                    .clearKnown();
-            p.slot()
-                    .known()
-                    .forEach((name, k) -> next.addKnown(KnownMessage.newBuilder()
-                            .setName(name)
-                            .setFolder(k.folder())
-                            .setRun(k.run())));
-            if (p.slot().sound()) {
-                next.setBoot(boot).setIdentity(slotFile.identity());
-            }
-            saveSlot(next.build());
+    /** Writes what the node asks for; all of it is durable when this returns. */
+    public void persist(Action.Persist action) throws DiskException {
+        if (action.slot() != null) {
+            hardStateFile.saveHardState(action.slot(), bootId);
         }
-        if (p.snapshot() != null) {
-            snapshots.save(new Snapshots.Snapshot(p.snapshot().covered(), codec.encode(p.snapshot())));
-            saveSlot(slot.toBuilder().setCovered(p.snapshot().covered()).build());
+        Snapshot snapshot = action.snapshot();
+        if (snapshot != null) {
+            snapshots.save(new SnapshotStore.StoredSnapshot(snapshot.covered(), codec.encode(snapshot)));
+            hardStateFile.saveSnapshotIndex(snapshot.covered());
         }
-        List<SegmentLog.Record> records = new ArrayList<>(p.entries().size());
-        for (LogEntry e : p.entries()) {
-            records.add(new SegmentLog.Record(e.index(), ConsensusCodec.of(e).toByteArray()));
+        writeLog(action);
+        if (snapshot != null) {
+            log.deleteThrough(previousSnapshotIndex);
+            previousSnapshotIndex = snapshot.covered();
         }
-        if (p.restart() >= 0) {
-            log.restart(p.restart(), records);
-        } else {
-            if (p.keep() >= 0) {
-                log.truncate(p.keep());
-            }
-            log.append(records);
-            log.force();
+    }
+
+    private void writeLog(Action.Persist action) throws DiskException {
+        List<LogRecord> records = new ArrayList<>(action.entries().size());
+        for (LogEntry entry : action.entries()) {
+            records.add(new LogRecord(entry.index(), ConsensusCodec.of(entry).toByteArray()));
+        }
+        if (action.restart() >= 0) {
+            log.restart(action.restart(), records);
+            return;
         }
-        if (p.snapshot() != null) {
-            log.dropThrough(olderCovered);
-            olderCovered = p.snapshot().covered();
+        if (action.keep() >= 0) {
+            log.truncateAfter(action.keep());
         }
+        log.append(records);
+        log.sync();
     }
 }
--- a/src/main/java/sedgeyoke/store/Checksum.java
+++ b/src/main/java/sedgeyoke/store/Checksum.java
@@ -3,11 +3,11 @@
 import java.nio.ByteBuffer;
 import java.util.zip.CRC32C;
 
-/** CRC-32C (Castagnoli, RFC 3720 appendix B.4) by the JDK, over bytes and over where they belong. */
+/** Computes a CRC-32C (Castagnoli, RFC 3720 appendix B.4) over a block's content and its intended position. */
 final class Checksum {
     private final CRC32C crc = new CRC32C();
 
-    /** Takes in numbers, such as the identity of a folder and a place in it. */
+    /** Adds numbers, such as the identity of a directory and an offset in a file, each as eight bytes big-endian. */
     Checksum with(long... numbers) {
         ByteBuffer bytes = ByteBuffer.allocate(Long.BYTES * numbers.length);
         for (long number : numbers) {
@@ -17,13 +17,13 @@
         return this;
     }
 
-    /** Takes in bytes. */
+    /** Adds bytes. */
     Checksum with(byte[] bytes) {
         crc.update(bytes);
         return this;
     }
 
-    /** The sum; never 0, which is what a disk gives that was never written. */
+    /** Returns the checksum. It is never 0, because 0 is what a block reads as that was never written. */
     int value() {
         int sum = (int) crc.getValue();
         return sum == 0 ? 1 : sum;
--- a/src/main/java/sedgeyoke/store/Disk.java
+++ b/src/main/java/sedgeyoke/store/Disk.java
@@ -3,44 +3,44 @@
 import java.util.List;
 
 /**
- * A folder of files without subfolders. Nothing that was written, created, renamed or deleted is promised before the
- * file and, for names, the folder have been forced. What a disk of this kind may do all the same stands in
- * docs/design/store.md; whoever reads has to check what it gets.
+ * A flat directory of files. Writes are durable only after {@link #fsync}, creations, renames and deletions only after
+ * {@link #fsyncDirectory}. Faults that an implementation may show nevertheless (lost or misplaced writes, bit rot) are
+ * listed in docs/design/store.md; readers verify what they read. Implementations are confined to one thread.
  */
 public interface Disk {
-    /** The names of all files, in no order. */
-    List<String> names() throws DiskException;
+    /** Returns the names of all files, in no particular order. */
+    List<String> fileNames() throws DiskException;
 
-    /** The length of a file in bytes; -1 if there is none of that name. */
-    long length(String name) throws DiskException;
+    /** Returns the length of a file in bytes, or -1 if it does not exist. */
+    long length(String file) throws DiskException;
 
     /**
-     * What tells a file from a copy of it with the same name and content, as far as the disk can tell; a file that is
-     * written to stays the same. Empty if there is none of that name.
+     * Returns an identity that a copy of the file does not share, such as an inode number. Writes do not change it.
+     * Empty if the file does not exist or the platform has no such identity.
      */
-    String identity(String name) throws DiskException;
+    String identity(String file) throws DiskException;
 
-    /** Reads from a place on; fewer bytes than asked for at the end of the file. */
-    byte[] read(String name, long at, int length) throws DiskException;
+    /** Reads up to {@code length} bytes from an offset; returns fewer at the end of the file. */
+    byte[] read(String file, long offset, int length) throws DiskException;
 
-    /** Makes a file of so many zero bytes, in place of one of that name if there is any. */
-    void allocate(String name, long length) throws DiskException;
+    /** Creates a file of {@code length} zero bytes and replaces an existing one. */
+    void allocate(String file, long length) throws DiskException;
 
-    /** Writes to a place; a file grows if need be. Promises nothing. */
-    void write(String name, long at, byte[] bytes) throws DiskException;
+    /** Writes bytes at an offset; the file grows if necessary. */
+    void write(String file, long offset, byte[] bytes) throws DiskException;
 
     /**
-     * Makes the content of a file last. After a fault nothing is known of what was written since the last force, and
-     * a second call proves nothing: pages that could not be written may be gone from memory too.
+     * Makes the content of a file durable. After an error the state of all writes since the last successful call is
+     * unknown, and a repeated call proves nothing: the kernel may have dropped the pages that it could not write.
      */
-    void force(String name) throws DiskException;
+    void fsync(String file) throws DiskException;
 
-    /** Makes creations, renames and deletions last. */
-    void forceNames() throws DiskException;
+    /** Makes creations, renames and deletions durable. */
+    void fsyncDirectory() throws DiskException;
 
-    /** Gives a file another name, in place of one of that name if there is any. */
+    /** Renames a file atomically and replaces an existing file of the new name. */
     void rename(String from, String to) throws DiskException;
 
-    /** Deletes a file, if there is one of that name. */
-    void delete(String name) throws DiskException;
+    /** Deletes a file if it exists. */
+    void delete(String file) throws DiskException;
 }
--- a/src/main/java/sedgeyoke/store/DiskException.java
+++ b/src/main/java/sedgeyoke/store/DiskException.java
@@ -1,39 +1,44 @@
 package sedgeyoke.store;
 
-/** A disk that has said no. Whoever gets one stops using the folder: what is on it now is not known. */
+/** A failed disk operation. After a failed write or fsync the directory must not be used any further. */
 public final class DiskException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    /** What the disk said no to, as far as an operator needs to tell cases apart. */
+    /** Causes that operators treat differently. */
     public enum Kind {
-        /** No room left. */
+        /** No space or quota left. */
         FULL,
-        /** It may only be read. */
+        /** The file system or the file is not writable. */
         READ_ONLY,
-        /** The folder or the file is not there. */
-        GONE,
-        /** Another process has it. */
+        /** The directory or the file does not exist. */
+        NOT_FOUND,
+        /** Another process has locked the directory. */
         IN_USE,
-        /** Anything else. */
-        FAILED
+        /** Any other input or output error. */
+        IO_ERROR
     }
 
     private final Kind kind;
     private final String file;
 
-    /** {@code file} is the name in its folder, or an empty text where the folder is meant. */
-    public DiskException(Kind kind, String file, String why) {
-        super((file.isEmpty() ? "" : file + ": ") + why);
+    /**
+     * Creates the exception.
+     *
+     * @param file name of the file in its directory; empty where the directory itself is meant
+     * @param reason text for operators
+     */
+    public DiskException(Kind kind, String file, String reason) {
+        super((file.isEmpty() ? "" : file + ": ") + reason);
         this.kind = kind;
         this.file = file;
     }
 
-    /** What kind of no it was. */
+    /** Returns the cause. */
     public Kind kind() {
         return kind;
     }
 
-    /** The file that it was about; empty for the folder. */
+    /** Returns the name of the file; empty where the directory itself is meant. */
     public String file() {
         return file;
     }
--- a/src/main/java/sedgeyoke/store/DualCopyFile.java
+++ b/src/main/java/sedgeyoke/store/DualCopyFile.java
@@ -4,103 +4,119 @@
 import java.util.Optional;
 
 /**
- * A small record that is replaced as a whole and must never be lost or go back: two copies, written and forced one
- * after the other, so that a save that was cut off, and any one copy that has rotted, went elsewhere or reads as it was
- * before, leaves the other. Once a save has returned, both copies hold it.
+ * A small record that is replaced atomically and stored twice. The copies are written and made durable one after the
+ * other, so an interrupted save, or the loss, corruption or staleness of one copy, leaves the other one. After
+ * {@link #save} has returned both copies hold the record. To be used on one thread.
  */
 public final class DualCopyFile {
-    /** What a record may hold; far more than any of ours does. */
-    public static final int LONGEST = 64 * 1024;
+    /** Largest content in bytes. */
+    public static final int MAX_CONTENT_BYTES = 64 * 1024;
 
     private static final int MAGIC = 0x53594c54;
-    private static final int HEAD = 20;
+    private static final int HEADER_BYTES = 20;
+    private static final int COPIES = 2;
 
     private final Disk disk;
-    private final String[] names;
+    private final String[] files;
     private long sequence;
     private byte[] content;
-    private boolean damaged;
+    private boolean anyCopyInvalid;
+
+    /** One copy as read from its file; the one with the higher sequence number is the newer. */
+    private record Copy(long sequence, byte[] content) {
+        static final Copy MISSING = new Copy(0, null);
+        static final Copy INVALID = new Copy(-1, null);
+    }
 
     private DualCopyFile(Disk disk, String name) {
         this.disk = disk;
-        this.names = new String[] {name + "-a", name + "-b"};
+        this.files = new String[] {name + "-a", name + "-b"};
     }
 
-    /** Reads both copies, and writes the one that is behind anew. */
+    /** Reads both copies of the record of this name, and overwrites the one that is behind. */
     public static DualCopyFile open(Disk disk, String name) throws DiskException {
-        DualCopyFile twin = new DualCopyFile(disk, name);
-        long[] found = {twin.read(0), twin.read(1)};
-        if (twin.content != null && found[0] != found[1]) {
-            twin.write(found[0] < found[1] ? 0 : 1);
+        DualCopyFile file = new DualCopyFile(disk, name);
+        long[] sequences = new long[COPIES];
+        for (int i = 0; i < COPIES; i++) {
+            Copy copy = file.read(i);
+            sequences[i] = copy.sequence();
+            file.anyCopyInvalid |= copy == Copy.INVALID;
+            if (copy.sequence() > file.sequence) {
+                file.sequence = copy.sequence();
+                file.content = copy.content();
+            }
+        }
+        if (file.content != null && sequences[0] != sequences[1]) {
+            file.write(sequences[0] < sequences[1] ? 0 : 1);
         }
-        return twin;
+        return file;
     }
 
-    /** Takes in one copy if it is newer; returns its number, 0 if there is none and -1 if it is no good. */
-    private long read(int copy) throws DiskException {
-        long length = disk.length(names[copy]);
-        if (length < 0) {
-            return 0;
+    private Copy read(int index) throws DiskException {
+        if (disk.length(files[index]) < 0) {
+            return Copy.MISSING;
         }
-        ByteBuffer bytes = ByteBuffer.wrap(disk.read(names[copy], 0, HEAD + LONGEST));
-        if (bytes.remaining() >= HEAD && bytes.getInt() == MAGIC) {
-            int size = bytes.getInt();
-            long number = bytes.getLong();
-            int sum = bytes.getInt();
-            if (size >= 0 && size <= bytes.remaining()) {
-                byte[] payload = new byte[size];
-                bytes.get(payload);
-                if (sum == new Checksum().with(number, size).with(payload).value()) {
-                    if (number > sequence) {
-                        sequence = number;
-                        content = payload;
-                    }
-                    return number;
-                }
-            }
+        ByteBuffer bytes = ByteBuffer.wrap(disk.read(files[index], 0, HEADER_BYTES + MAX_CONTENT_BYTES));
+        if (bytes.remaining() < HEADER_BYTES || bytes.getInt() != MAGIC) {
+            return Copy.INVALID;
+        }
+        int size = bytes.getInt();
+        long storedSequence = bytes.getLong();
+        int checksum = bytes.getInt();
+        if (size < 0 || size > bytes.remaining()) {
+            return Copy.INVALID;
         }
-        damaged = true;
-        return -1;
+        byte[] stored = new byte[size];
+        bytes.get(stored);
+        return checksum == checksum(storedSequence, stored) ? new Copy(storedSequence, stored) : Copy.INVALID;
+    }
+
+    private static int checksum(long sequence, byte[] content) {
+        return new Checksum().with(sequence, content.length).with(content).value();
     }
 
-    private void write(int copy) throws DiskException {
-        int sum = new Checksum().with(sequence, content.length).with(content).value();
-        byte[] bytes = ByteBuffer.allocate(HEAD + content.length)
+    private void write(int index) throws DiskException {
+        byte[] bytes = ByteBuffer.allocate(HEADER_BYTES + content.length)
                 .putInt(MAGIC)
                 .putInt(content.length)
                 .putLong(sequence)
-                .putInt(sum)
+                .putInt(checksum(sequence, content))
                 .put(content)
                 .array();
-        if (disk.length(names[copy]) < 0) {
-            disk.allocate(names[copy], HEAD);
-            disk.forceNames();
+        if (disk.length(files[index]) < 0) {
+            disk.allocate(files[index], HEADER_BYTES);
+            disk.fsyncDirectory();
         }
-        disk.write(names[copy], 0, bytes);
-        disk.force(names[copy]);
+        disk.write(files[index], 0, bytes);
+        disk.fsync(files[index]);
     }
 
-    /** What tells these two files from copies of them. */
+    /** Returns an identity of the two files that copies of them do not share. */
     public String identity() throws DiskException {
-        return disk.identity(names[0]) + " " + disk.identity(names[1]);
+        return disk.identity(files[0]) + " " + disk.identity(files[1]);
     }
 
-    /** What was saved last; empty if nothing ever was, or if nothing that is left can be believed. */
+    /** Returns the content saved last; empty if nothing was saved or no valid copy is left. */
     public Optional<byte[]> content() {
         return Optional.ofNullable(content);
     }
 
-    /** What is wrong where no copy can be believed although there are some; null if nothing is. */
-    public Corruption damage() {
-        return content == null && damaged
-                ? new Corruption(names[0], 0, -1, "neither this copy nor " + names[1] + " is whole")
-                : null;
+    /** Returns the corruption if copies exist and none of them is valid. */
+    public Optional<Corruption> corruption() {
+        return content == null && anyCopyInvalid
+                ? Optional.of(new Corruption(
+                        files[0], 0, Corruption.NO_RECORD, "neither this copy nor " + files[1] + " is valid"))
+                : Optional.empty();
     }
 
-    /** Replaces the record. After a fault the folder is not to be used any more. */
+    /**
+     * Replaces the content durably. After an exception the directory must not be used any further.
+     *
+     * @throws IllegalArgumentException if the content is larger than {@link #MAX_CONTENT_BYTES}
+     */
     public void save(byte[] next) throws DiskException {
-        if (next.length > LONGEST) {
-            throw new IllegalArgumentException(next.length + " bytes: " + LONGEST + " at most");
+        if (next.length > MAX_CONTENT_BYTES) {
+            throw new IllegalArgumentException(next.length + " bytes: " + MAX_CONTENT_BYTES + " at most");
         }
         sequence++;
         content = next.clone();
--- a/src/main/java/sedgeyoke/store/FileDisk.java
+++ b/src/main/java/sedgeyoke/store/FileDisk.java
@@ -14,45 +14,51 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.nio.file.attribute.BasicFileAttributes;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
 
 /**
- * A folder of the file system, held by one process at a time. Names that could lead out of it are refused. To be used
- * on one thread.
+ * A directory of the file system that one process has locked. Names that could lead out of the directory are rejected
+ * with {@link IllegalArgumentException}. To be used on one thread.
  */
 public final class FileDisk implements Disk, AutoCloseable {
-    private static final String LOCK = "lock";
-    private static final int ZEROS = 1 << 16;
+    private static final String LOCK_FILE = "lock";
+    private static final String NAME_PATTERN = "[A-Za-z0-9][A-Za-z0-9._-]*";
+    private static final int ZERO_BLOCK_BYTES = 1 << 16;
 
-    private final Path folder;
+    private final Path directory;
     private final FileChannel lockFile;
-    private final Map<String, FileChannel> open = new HashMap<>();
+    private final Map<String, FileChannel> openFiles = new HashMap<>();
 
-    private FileDisk(Path folder, FileChannel lockFile) {
-        this.folder = folder;
+    private FileDisk(Path directory, FileChannel lockFile) {
+        this.directory = directory;
         this.lockFile = lockFile;
     }
 
-    /** Takes a folder; makes it if there is none. Fails where another process has it. */
-    public static FileDisk take(Path folder) throws DiskException {
+    /**
+     * Opens and locks a directory, and creates it if it does not exist. Fails with kind IN_USE if another process has
+     * locked it.
+     */
+    public static FileDisk open(Path directory) throws DiskException {
         FileChannel channel = null;
         try {
-            Files.createDirectories(folder);
-            channel = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-            FileLock held = channel.tryLock();
-            if (held == null) {
+            Files.createDirectories(directory);
+            channel =
+                    FileChannel.open(directory.resolve(LOCK_FILE), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+            FileLock lock = channel.tryLock();
+            if (lock == null) {
                 throw new OverlappingFileLockException();
             }
-            return new FileDisk(folder, channel);
+            return new FileDisk(directory, channel);
         } catch (OverlappingFileLockException e) {
             closeQuietly(channel);
-            throw new DiskException(DiskException.Kind.IN_USE, "", folder + " is held by another process");
+            throw new DiskException(DiskException.Kind.IN_USE, "", directory + " is held by another process");
         } catch (IOException e) {
             closeQuietly(channel);
-            throw fault("", e);
+            throw diskException("", e);
         }
     }
 
@@ -62,177 +68,178 @@
                 channel.close();
             }
         } catch (IOException e) {
-            return; // nothing was written on it
+            return; // an unfinished write is not durable either way
         }
     }
 
-    private static DiskException fault(String name, IOException e) {
+    private static DiskException diskException(String file, IOException e) {
         String text = String.valueOf(
                 e instanceof FileSystemException f && f.getReason() != null ? f.getReason() : e.getMessage());
-        DiskException.Kind kind = DiskException.Kind.FAILED;
+        DiskException.Kind kind = DiskException.Kind.IO_ERROR;
         if (e instanceof NoSuchFileException) {
-            kind = DiskException.Kind.GONE;
+            kind = DiskException.Kind.NOT_FOUND;
         } else if (text.contains("No space left") || text.contains("quota")) {
             kind = DiskException.Kind.FULL;
         } else if (e instanceof AccessDeniedException || text.contains("Read-only")) {
             kind = DiskException.Kind.READ_ONLY;
         }
-        return new DiskException(kind, name, e.getClass().getSimpleName() + ": " + text);
+        return new DiskException(kind, file, e.getClass().getSimpleName() + ": " + text);
     }
 
-    private Path path(String name) {
-        if (!name.matches("[A-Za-z0-9][A-Za-z0-9._-]*")) {
-            throw new IllegalArgumentException("no name of a file here: " + name);
+    private Path path(String file) {
+        if (!file.matches(NAME_PATTERN)) {
+            throw new IllegalArgumentException("not a file name: " + file);
         }
-        return folder.resolve(name);
+        return directory.resolve(file);
     }
 
-    /** What may go wrong with a file. */
-    private interface Work<T> {
-        T on(FileChannel channel) throws IOException;
+    /** An operation on an open file. */
+    private interface ChannelOperation<T> {
+        T apply(FileChannel channel) throws IOException;
     }
 
-    private <T> T with(String name, Work<T> work) throws DiskException {
+    private <T> T with(String file, ChannelOperation<T> operation) throws DiskException {
         try {
-            FileChannel channel = open.get(name);
+            FileChannel channel = openFiles.get(file);
             if (channel == null) {
-                channel = FileChannel.open(path(name), StandardOpenOption.READ, StandardOpenOption.WRITE);
-                open.put(name, channel);
+                channel = FileChannel.open(path(file), StandardOpenOption.READ, StandardOpenOption.WRITE);
+                openFiles.put(file, channel);
             }
-            return work.on(channel);
+            return operation.apply(channel);
         } catch (ReadOnlyFileSystemException e) {
-            throw new DiskException(DiskException.Kind.READ_ONLY, name, "the file system may only be read");
+            throw new DiskException(DiskException.Kind.READ_ONLY, file, "the file system is read-only");
         } catch (IOException e) {
-            throw fault(name, e);
+            throw diskException(file, e);
         }
     }
 
-    private void forget(String name) throws IOException {
-        FileChannel channel = open.remove(name);
+    private void closeFile(String file) throws IOException {
+        FileChannel channel = openFiles.remove(file);
         if (channel != null) {
             channel.close();
         }
     }
 
     @Override
-    public List<String> names() throws DiskException {
-        try (Stream<Path> files = Files.list(folder)) {
-            return files.map(p -> p.getFileName().toString())
-                    .filter(n -> !n.equals(LOCK))
+    public List<String> fileNames() throws DiskException {
+        try (Stream<Path> files = Files.list(directory)) {
+            return files.map(path -> path.getFileName().toString())
+                    .filter(file -> !file.equals(LOCK_FILE))
                     .sorted()
                     .toList();
         } catch (IOException e) {
-            throw fault("", e);
+            throw diskException("", e);
         }
     }
 
     @Override
-    public long length(String name) throws DiskException {
-        return Files.exists(path(name)) ? with(name, FileChannel::size) : -1;
+    public long length(String file) throws DiskException {
+        return Files.exists(path(file)) ? with(file, FileChannel::size) : -1;
     }
 
-    /** The number of its inode; its device may be another one after each start of the system. */
+    /** Returns the inode number. The device number is left out, because it may change when the system restarts. */
     @Override
-    public String identity(String name) throws DiskException {
+    public String identity(String file) throws DiskException {
         try {
             Object key =
-                    Files.readAttributes(path(name), BasicFileAttributes.class).fileKey();
+                    Files.readAttributes(path(file), BasicFileAttributes.class).fileKey();
             return key == null ? "" : key.toString().replaceAll(".*(ino=[0-9]+).*", "$1");
         } catch (NoSuchFileException e) {
             return "";
         } catch (IOException e) {
-            throw fault(name, e);
+            throw diskException(file, e);
         }
     }
 
     @Override
-    public byte[] read(String name, long at, int length) throws DiskException {
-        return with(name, channel -> {
-            ByteBuffer bytes = ByteBuffer.allocate((int) Math.max(0, Math.min(length, channel.size() - at)));
-            while (bytes.hasRemaining() && channel.read(bytes, at + bytes.position()) >= 0) {
+    public byte[] read(String file, long offset, int length) throws DiskException {
+        return with(file, channel -> {
+            ByteBuffer bytes = ByteBuffer.allocate((int) Math.max(0, Math.min(length, channel.size() - offset)));
+            while (bytes.hasRemaining() && channel.read(bytes, offset + bytes.position()) >= 0) {
                 continue;
             }
-            return java.util.Arrays.copyOf(bytes.array(), bytes.position());
+            return Arrays.copyOf(bytes.array(), bytes.position());
         });
     }
 
     @Override
-    public void allocate(String name, long length) throws DiskException {
+    public void allocate(String file, long length) throws DiskException {
         try {
-            forget(name);
-            Files.deleteIfExists(path(name));
-            Files.createFile(path(name));
+            closeFile(file);
+            Files.deleteIfExists(path(file));
+            Files.createFile(path(file));
         } catch (IOException e) {
-            throw fault(name, e);
+            throw diskException(file, e);
         }
         with(
-                name,
-                channel -> { // zeros that are written, so that a full disk says so now and not later
-                    for (long at = 0; at < length; at += ZEROS) {
-                        writeAll(channel, at, ByteBuffer.allocate((int) Math.min(ZEROS, length - at)));
+                file,
+                channel -> { // zeros are written, because a sparse file could find the disk full later
+                    for (long offset = 0; offset < length; offset += ZERO_BLOCK_BYTES) {
+                        int bytes = (int) Math.min(ZERO_BLOCK_BYTES, length - offset);
+                        writeAll(channel, offset, ByteBuffer.allocate(bytes));
                     }
                     return null;
                 });
     }
 
-    private static void writeAll(FileChannel channel, long at, ByteBuffer bytes) throws IOException {
-        long from = at;
+    private static void writeAll(FileChannel channel, long offset, ByteBuffer bytes) throws IOException {
+        long position = offset;
         while (bytes.hasRemaining()) {
-            from += channel.write(bytes, from);
+            position += channel.write(bytes, position);
         }
     }
 
     @Override
-    public void write(String name, long at, byte[] bytes) throws DiskException {
-        with(name, channel -> {
-            writeAll(channel, at, ByteBuffer.wrap(bytes));
+    public void write(String file, long offset, byte[] bytes) throws DiskException {
+        with(file, channel -> {
+            writeAll(channel, offset, ByteBuffer.wrap(bytes));
             return null;
         });
     }
 
     @Override
-    public void force(String name) throws DiskException {
-        with(name, channel -> {
+    public void fsync(String file) throws DiskException {
+        with(file, channel -> {
             channel.force(true);
             return null;
         });
     }
 
     @Override
-    public void forceNames() throws DiskException {
-        try (FileChannel names = FileChannel.open(folder, StandardOpenOption.READ)) {
-            names.force(true);
+    public void fsyncDirectory() throws DiskException {
+        try (FileChannel channel = FileChannel.open(directory, StandardOpenOption.READ)) {
+            channel.force(true);
         } catch (IOException e) {
-            throw fault("", e);
+            throw diskException("", e);
         }
     }
 
     @Override
     public void rename(String from, String to) throws DiskException {
         try {
-            forget(from);
-            forget(to);
+            closeFile(from);
+            closeFile(to);
             Files.move(path(from), path(to), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         } catch (IOException e) {
-            throw fault(from, e);
+            throw diskException(from, e);
         }
     }
 
     @Override
-    public void delete(String name) throws DiskException {
+    public void delete(String file) throws DiskException {
         try {
-            forget(name);
-            Files.deleteIfExists(path(name));
+            closeFile(file);
+            Files.deleteIfExists(path(file));
         } catch (IOException e) {
-            throw fault(name, e);
+            throw diskException(file, e);
         }
     }
 
-    /** Lets go of the folder. */
+    /** Closes all files and releases the lock of the directory. */
     @Override
     public void close() {
-        open.values().forEach(FileDisk::closeQuietly);
-        open.clear();
+        openFiles.values().forEach(FileDisk::closeQuietly);
+        openFiles.clear();
         closeQuietly(lockFile);
     }
 }
--- /dev/null
+++ b/src/main/java/sedgeyoke/store/SegmentRecovery.java
@@ -0,0 +1,184 @@
+package sedgeyoke.store;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * Scans the segments of a directory after a start. Records up to the last valid sync mark were durable: if one of them
+ * is missing, that is {@link Corruption}. Valid records behind the mark are kept, since the mark may be what was lost;
+ * an invalid one there is a torn write that was never durable. Segments behind a corruption are not read.
+ */
+final class SegmentRecovery {
+    private final SegmentFiles files;
+    private final SegmentFormat format;
+    private final TreeMap<Long, Segment> segments = new TreeMap<>();
+    private final List<Corruption> corruptions = new ArrayList<>();
+    private final List<Long> unreadGenerations = new ArrayList<>();
+    private boolean unsyncedRecords;
+
+    /**
+     * What a scan found.
+     *
+     * @param segments readable segments by generation
+     * @param corruptions durable data that is missing
+     * @param unreadGenerations segments that exist but are not trusted
+     * @param unsyncedRecords whether the last segment has valid records behind its last sync mark
+     */
+    record Result(
+            TreeMap<Long, Segment> segments,
+            List<Corruption> corruptions,
+            List<Long> unreadGenerations,
+            boolean unsyncedRecords) {}
+
+    private SegmentRecovery(SegmentFiles files, SegmentFormat format) {
+        this.files = files;
+        this.format = format;
+    }
+
+    /**
+     * Scans a directory and deletes segments whose creation was interrupted.
+     *
+     * @param highestGeneration the highest generation whose creation was completed, 0 if none was
+     */
+    static Result scan(SegmentFiles files, SegmentFormat format, long highestGeneration) throws DiskException {
+        SegmentRecovery recovery = new SegmentRecovery(files, format);
+        recovery.readAll(highestGeneration);
+        return new Result(
+                recovery.segments, recovery.corruptions, recovery.unreadGenerations, recovery.unsyncedRecords);
+    }
+
+    private void readAll(long highestGeneration) throws DiskException {
+        List<Long> generations = new ArrayList<>();
+        for (long generation : files.generations()) {
+            if (generation > highestGeneration) { // the process ended before the segment held a record
+                files.delete(generation);
+            } else {
+                generations.add(generation);
+            }
+        }
+        long newest = generations.isEmpty() ? 0 : generations.get(generations.size() - 1);
+        if (newest != highestGeneration) {
+            String missing = SegmentFiles.recordsFile(highestGeneration);
+            corruptions.add(new Corruption(missing, 0, 0, "the last segment is gone"));
+        }
+        long expected = generations.isEmpty() ? 1 : generations.get(0);
+        for (long generation : generations) {
+            if (generation != expected) {
+                corruptions.add(new Corruption(
+                        SegmentFiles.recordsFile(expected),
+                        0,
+                        0,
+                        "segments are missing before " + SegmentFiles.recordsFile(generation)));
+            }
+            expected = generation + 1;
+            if (corruptions.isEmpty()) {
+                readSegment(generation);
+            } else {
+                unreadGenerations.add(generation);
+            }
+        }
+    }
+
+    private void readSegment(long generation) throws DiskException {
+        String name = SegmentFiles.recordsFile(generation);
+        ByteBuffer file = files.readRecords(generation);
+        Optional<SyncMark> mark = lastMark(generation);
+        Optional<Segment> header = format.decodeHeader(file, generation);
+        if (header.isEmpty()) {
+            long firstLost = mark.map(SyncMark::firstIndex).orElse(0L);
+            corruptions.add(new Corruption(name, 0, firstLost, "no valid segment header of this directory"));
+            unreadGenerations.add(generation);
+            return;
+        }
+        Segment segment = header.get();
+        readDurableRecords(file, segment, mark);
+        if (corruptions.isEmpty()) {
+            readUnmarkedRecords(file, segment);
+        }
+        if (!SegmentFormat.isZero(file, segment.endOffset(), file.capacity())) {
+            segment.close();
+        }
+        if (!segments.isEmpty() && segment.firstIndex > nextIndex()) {
+            corruptions.add(new Corruption(
+                    name,
+                    0,
+                    nextIndex(),
+                    "begins with record " + segment.firstIndex + ", the one before ends with " + (nextIndex() - 1)));
+            unreadGenerations.add(generation);
+            return;
+        }
+        segments.values().forEach(earlier -> earlier.dropFrom(segment.firstIndex));
+        segments.put(generation, segment);
+    }
+
+    private long nextIndex() {
+        return segments.lastEntry().getValue().nextIndex();
+    }
+
+    private void readDurableRecords(ByteBuffer file, Segment segment, Optional<SyncMark> lastMark) {
+        if (lastMark.isEmpty()) {
+            return;
+        }
+        SyncMark mark = lastMark.get();
+        segment.syncMarks(mark.number());
+        boolean valid = true;
+        while (valid && segment.endOffset() < mark.endOffset()) {
+            valid = format.readNextRecord(file, segment);
+        }
+        boolean complete = segment.endOffset() == mark.endOffset()
+                && segment.recordsChecksum() == mark.recordsChecksum()
+                && segment.records().size() == mark.recordCount();
+        if (complete) {
+            return;
+        }
+        // If all records are valid but their checksums differ, some block is stale, and which one is unknown.
+        boolean prefixIsValid =
+                segment.endOffset() < mark.endOffset() && !segment.records().isEmpty();
+        if (!prefixIsValid) {
+            segment.dropFrom(segment.firstIndex);
+        }
+        corruptions.add(new Corruption(
+                SegmentFiles.recordsFile(segment.generation),
+                prefixIsValid ? segment.endOffset() : SegmentFormat.HEADER_BYTES,
+                segment.nextIndex(),
+                "durable records are missing"));
+    }
+
+    private void readUnmarkedRecords(ByteBuffer file, Segment segment) {
+        int markedEnd = segment.endOffset();
+        boolean valid = true;
+        while (valid) {
+            valid = format.readNextRecord(file, segment);
+        }
+        unsyncedRecords = segment.endOffset() > markedEnd;
+    }
+
+    /** Returns the last valid mark. An invalid one behind it is a corruption: the records it covered may be lost. */
+    private Optional<SyncMark> lastMark(long generation) throws DiskException {
+        ByteBuffer file = files.readMarks(generation);
+        Optional<SyncMark> last = Optional.empty();
+        boolean invalidBehindLast = false;
+        int lastOffset = file.capacity() - SegmentFormat.MARK_BYTES;
+        for (int offset = 0; offset <= lastOffset; offset += SegmentFormat.MARK_BYTES) {
+            Optional<SyncMark> mark = format.decodeMark(file, offset, generation);
+            if (mark.isPresent()) {
+                last = mark;
+                invalidBehindLast = false;
+            } else if (!SegmentFormat.isZero(file, offset, offset + SegmentFormat.MARK_BYTES)) {
+                invalidBehindLast = true;
+            }
+        }
+        boolean missing = !files.hasMarks(generation);
+        if (missing || invalidBehindLast) {
+            corruptions.add(new Corruption(
+                    SegmentFiles.marksFile(generation),
+                    0,
+                    last.map(SyncMark::nextIndex).orElse(0L),
+                    missing ? "the sync marks are gone" : "a sync mark is invalid"));
+        }
+        return last;
+    }
+}
--- a/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
@@ -30,6 +30,7 @@
 import sedgeyoke.consensus.SafetyRules;
 import sedgeyoke.consensus.codec.ConsensusCodec;
 import sedgeyoke.consensus.storage.ReplicaStorage;
+import sedgeyoke.consensus.storage.UnusableStorageException;
 import sedgeyoke.lease.ClockDrift;
 import sedgeyoke.simulation.SeededNetwork;
 import sedgeyoke.store.DiskException;
@@ -136,7 +137,7 @@
         if (breach == null) {
             calm();
             calmed = true;
-            keepers.forEach(k -> k.disk.mend());
+            keepers.forEach(k -> k.disk.clearFaults());
             playUntil(END);
         }
         if (breach == null) {
@@ -210,25 +211,25 @@
         diskFaults++;
         tell(k.name + " fault of disk " + kind);
         switch (kind) {
-            case 0 -> k.spoil(() -> k.disk.rot());
+            case 0 -> k.spoil(() -> k.disk.flipRandomBit());
             case 1 -> {
-                k.disk.misdirect = true;
+                k.disk.misdirectNextWrite = true;
                 k.latent = true;
             }
             case 2 -> {
-                k.disk.loseWrite = true;
+                k.disk.loseNextWrite = true;
                 k.latent = true;
             }
-            case 3 -> k.spoil(() -> k.disk.staleReads =
-                    k.disk.names().get(random.nextInt(k.disk.names().size())));
+            case 3 -> k.spoil(() -> k.disk.staleReadFile =
+                    k.disk.fileNames().get(random.nextInt(k.disk.fileNames().size())));
             case 4 -> {
-                k.disk.refuses = random.nextBoolean() ? DiskException.Kind.FULL : DiskException.Kind.FAILED;
-                k.disk.refusesForceOnly = random.nextBoolean();
+                k.disk.failure = random.nextBoolean() ? DiskException.Kind.FULL : DiskException.Kind.IO_ERROR;
+                k.disk.failOnlyFsync = random.nextBoolean();
             }
-            case 5 -> k.spoil(() -> k.disk.loseFile());
+            case 5 -> k.spoil(() -> k.disk.deleteRandomFile());
             case 6 -> k.restore();
             case 7 -> k.spoil(() -> k.disk.wipe());
-            default -> k.disk.forceLies = true; // until the power goes
+            default -> k.disk.ignoreFsync = true; // until the power goes
         }
     }
 
@@ -278,8 +279,8 @@
 
         private void make(Membership members) {
             try {
-                ReplicaStorage.make(disk, owner(), folders++, members);
-            } catch (DiskException | ReplicaStorage.Unusable e) {
+                ReplicaStorage.create(disk, owner(), folders++, members);
+            } catch (DiskException | UnusableStorageException e) {
                 throw new IllegalStateException(e);
             }
         }
@@ -293,11 +294,11 @@
                     && !latent
                     && keeper != null
                     && keeper.sound()
-                    && disk.refuses == null
-                    && !disk.forceLies
-                    && disk.staleReads == null
-                    && !disk.misdirect
-                    && !disk.loseWrite
+                    && disk.failure == null
+                    && !disk.ignoreFsync
+                    && disk.staleReadFile == null
+                    && !disk.misdirectNextWrite
+                    && !disk.loseNextWrite
                     && keeper.members().voters().containsKey(name);
         }
 
@@ -305,15 +306,15 @@
         public void crash(long until) {
             boolean power = random.nextInt(3) == 0 && (!liars || mayBeBad(this));
             if (!dead && !queue.isEmpty() && folder != null) { // in the middle of it
-                disk.cutAfter = random.nextInt(6);
+                disk.crashAfterOperations = random.nextInt(6);
                 try {
                     while (!queue.isEmpty()) {
-                        folder.carryOut(queue.poll());
+                        folder.persist(queue.poll());
                     }
-                } catch (SimDisk.Cut | DiskException | IllegalStateException e) {
+                } catch (SimDisk.ProcessCrash | DiskException | IllegalStateException e) {
                     queue.clear();
                 }
-                disk.cutAfter = -1;
+                disk.crashAfterOperations = -1;
             }
             if (power) {
                 disk.powerCut();
@@ -342,7 +343,7 @@
             }
             crash(now + random.nextLong(1_500_000));
             disk = backup.copy(random.nextLong());
-            disk.mend();
+            disk.clearFaults();
             backup = null;
         }
 
@@ -351,22 +352,22 @@
             looked = 0;
             try {
                 if (ReplicaStorage.isEmpty(disk)) {
-                    disk.mend();
+                    disk.clearFaults();
                     make(new Membership(Map.of(), null));
                 }
                 folder = ReplicaStorage.open(disk, owner(), SEGMENT);
-            } catch (ReplicaStorage.Unusable e) { // the operator replaces it
+            } catch (UnusableStorageException e) { // the operator replaces it
                 disk.wipe();
-                disk.mend();
+                disk.clearFaults();
                 begin();
                 return;
             } catch (DiskException e) {
-                disk.mend();
+                disk.clearFaults();
                 crash(now + 500_000);
                 return;
             }
-            disk.staleReads = null;
-            latent = disk.misdirect || disk.loseWrite; // then it is still to come
+            disk.staleReadFile = null;
+            latent = disk.misdirectNextWrite || disk.loseNextWrite; // then it is still to come
             RaftNode.Recovered found = folder.recovered();
             if (faults.trustsDamage) {
                 found = new RaftNode.Recovered(found.slot(), found.snapshot(), found.entries(), null, false);
@@ -383,7 +384,7 @@
             doubts += found.doubt() != null ? 1 : 0;
             joined = joined || folder.founders().voters().isEmpty();
             keeper = new RaftNode(
-                    new RaftNode.Self(name, folder.folder(), runs++),
+                    new RaftNode.Self(name, folder.storageId(), runs++),
                     rules,
                     found,
                     folder.founders(),
@@ -427,7 +428,7 @@
             for (Action a : actions) {
                 if (a instanceof Action.Send s) {
                     ConsensusSimulation.this.send(
-                            number, keeper(s.to()).number, new Wire(name, folder.folder(), s.message()));
+                            number, keeper(s.to()).number, new Wire(name, folder.storageId(), s.message()));
                 } else if (a instanceof Action.Say say) {
                     tell(name + " says " + say.line());
                 } else if (a instanceof Action.Persist p) {
@@ -470,11 +471,11 @@
             if (now >= diskFreeAt && now >= stalledUntil && !queue.isEmpty()) {
                 Action.Persist p = queue.poll();
                 try {
-                    folder.carryOut(p);
+                    folder.persist(p);
                 } catch (DiskException | IllegalStateException e) { // it stops; somebody mends the disk
                     queue.clear();
                     crash(now + 300_000 + random.nextLong(2_000_000));
-                    disk.mend();
+                    disk.clearFaults();
                     return;
                 }
                 diskFreeAt = now + random.nextLong(30_000);
@@ -621,10 +622,10 @@
                     continue;
                 }
                 Member member = anyMember(k.name);
-                if (member != null && member.folder() != 0 && member.folder() != k.folder.folder()) {
+                if (member != null && member.folder() != 0 && member.folder() != k.folder.storageId()) {
                     return new ClientRequest.Remove(k.name, member.folder());
                 } else if (member == null) {
-                    return new ClientRequest.Add(new Member(k.name, k.folder.folder(), k.name));
+                    return new ClientRequest.Add(new Member(k.name, k.folder.storageId(), k.name));
                 }
             }
             Map<String, String> out = new TreeMap<>();
@@ -758,7 +759,7 @@
                                         + " sound "
                                         + k.keeper.sound() + " doubt " + k.keeper.doubt() + " leader "
                                         + k.keeper.leader() + " members "
-                                        + k.keeper.members() + " folder " + k.folder.folder())
+                                        + k.keeper.members() + " folder " + k.folder.storageId())
                 .append("; "));
         return text.toString();
     }
--- a/src/test/java/sedgeyoke/consensus/storage/StoredFolderScript.java
+++ b/src/test/java/sedgeyoke/consensus/storage/StoredFolderScript.java
@@ -21,67 +21,67 @@
 import sedgeyoke.store.DiskException;
 import sedgeyoke.store.FileDisk;
 
-/** The calls that wrote the stored folder {@code keeper}; the same calls must go on writing the same bytes. */
+/** Makes the calls that wrote the stored directory {@code keeper}; they must always write the same bytes. */
 final class StoredFolderScript {
     static final ReplicaStorage.Owner OWNER =
             new ReplicaStorage.Owner("orders", "k0", "0b9c3f5e-5d0a-4c1e-9a61-2f4b7c8d9e10", false);
-    static final long FOLDER = 0x6b30_c0ff_ee01L;
+    static final long STORAGE_ID = 0x6b30_c0ff_ee01L;
     static final int SEGMENT_BYTES = 1_024;
     static final Membership FOUNDERS = Membership.of(List.of(
             new Member("k0", 0, "127.0.0.1:7100"),
             new Member("k1", 0, "127.0.0.1:7101"),
             new Member("k2", 0, "127.0.0.1:7102")));
     static final Membership THREE = Membership.of(List.of(
-            new Member("k0", FOLDER, "127.0.0.1:7100"),
+            new Member("k0", STORAGE_ID, "127.0.0.1:7100"),
             new Member("k1", 11, "127.0.0.1:7101"),
             new Member("k2", 12, "127.0.0.1:7102")));
     static final Membership JOINING = new Membership(THREE.voters(), new Member("k3", 13, "127.0.0.1:7103"));
     private static final int BEFORE_WRITES = 2;
-    private static final Map<String, HardState.Known> NOBODY = Map.of();
+    private static final Map<String, HardState.Known> NO_PEERS = Map.of();
 
-    private final ReplicaStorage folder;
+    private final ReplicaStorage storage;
     private long token;
 
-    /** A disk whose files have the same identity wherever they lie. */
+    /** A disk whose files have the same identity in every directory. */
     record KnownDisk(Disk disk) implements Disk {
         @Override
-        public String identity(String name) {
-            return "ino=" + (name.endsWith("-a") ? 1001 : 1002);
+        public String identity(String file) {
+            return "ino=" + (file.endsWith("-a") ? 1001 : 1002);
         }
 
         @Override
-        public List<String> names() throws DiskException {
-            return disk.names();
+        public List<String> fileNames() throws DiskException {
+            return disk.fileNames();
         }
 
         @Override
-        public long length(String name) throws DiskException {
-            return disk.length(name);
+        public long length(String file) throws DiskException {
+            return disk.length(file);
         }
 
         @Override
-        public byte[] read(String name, long at, int length) throws DiskException {
-            return disk.read(name, at, length);
+        public byte[] read(String file, long offset, int length) throws DiskException {
+            return disk.read(file, offset, length);
         }
 
         @Override
-        public void allocate(String name, long length) throws DiskException {
-            disk.allocate(name, length);
+        public void allocate(String file, long length) throws DiskException {
+            disk.allocate(file, length);
         }
 
         @Override
-        public void write(String name, long at, byte[] bytes) throws DiskException {
-            disk.write(name, at, bytes);
+        public void write(String file, long offset, byte[] bytes) throws DiskException {
+            disk.write(file, offset, bytes);
         }
 
         @Override
-        public void force(String name) throws DiskException {
-            disk.force(name);
+        public void fsync(String file) throws DiskException {
+            disk.fsync(file);
         }
 
         @Override
-        public void forceNames() throws DiskException {
-            disk.forceNames();
+        public void fsyncDirectory() throws DiskException {
+            disk.fsyncDirectory();
         }
 
         @Override
@@ -90,26 +90,26 @@
         }
 
         @Override
-        public void delete(String name) throws DiskException {
-            disk.delete(name);
+        public void delete(String file) throws DiskException {
+            disk.delete(file);
         }
     }
 
-    private StoredFolderScript(ReplicaStorage folder) {
-        this.folder = folder;
+    private StoredFolderScript(ReplicaStorage storage) {
+        this.storage = storage;
     }
 
-    /** Writes the folder. */
-    static void write(Path at) throws DiskException, ReplicaStorage.Unusable {
-        try (FileDisk files = FileDisk.take(at)) {
+    /** Writes the directory. */
+    static void write(Path directory) throws DiskException, UnusableStorageException {
+        try (FileDisk files = FileDisk.open(directory)) {
             Disk disk = new KnownDisk(files);
-            ReplicaStorage.make(disk, OWNER, FOLDER, FOUNDERS);
+            ReplicaStorage.create(disk, OWNER, STORAGE_ID, FOUNDERS);
             new StoredFolderScript(ReplicaStorage.open(disk, OWNER, SEGMENT_BYTES)).run();
         }
     }
 
     private void run() throws DiskException {
-        slot(new HardState(1, "k0", List.of(101L), NOBODY, true));
+        hardState(new HardState(1, "k0", List.of(101L), NO_PEERS, true));
         append(new LogEntry(1, 1, new Command.Nothing()));
         append(new LogEntry(2, 1, new Command.Change(THREE)));
         for (int number = 1; number <= 6; number++) {
@@ -127,7 +127,7 @@
                                 "request-late",
                                 new RequestResult(
                                         RequestResult.Kind.CONFLICT, 6, "made from version 2, the newest is 6")))));
-        slot(new HardState(2, "k2", List.of(102L, 101L), Map.of("k1", new HardState.Known(11, 201)), true));
+        hardState(new HardState(2, "k2", List.of(102L, 101L), Map.of("k1", new HardState.Known(11, 201)), true));
         append(
                 new LogEntry(15, 2, new Command.Nothing()),
                 new LogEntry(16, 2, new Command.Change(JOINING)),
@@ -135,7 +135,7 @@
         Map<String, HardState.Known> known = new LinkedHashMap<>();
         known.put("k1", new HardState.Known(11, 201));
         known.put("k2", new HardState.Known(12, 301));
-        slot(new HardState(3, "k1", List.of(103L, 102L, 101L), known, true));
+        hardState(new HardState(3, "k1", List.of(103L, 102L, 101L), known, true));
         persist(
                 null,
                 null,
@@ -153,21 +153,21 @@
         append(new LogEntry(index + 1, 1, new Command.Activate(number)));
     }
 
-    private void slot(HardState slot) throws DiskException {
-        persist(slot, null, -1, List.of());
+    private void hardState(HardState state) throws DiskException {
+        persist(state, null, -1, List.of());
     }
 
-    private void snapshot(Snapshot state) throws DiskException {
-        persist(null, state, -1, List.of());
+    private void snapshot(Snapshot snapshot) throws DiskException {
+        persist(null, snapshot, -1, List.of());
     }
 
     private void append(LogEntry... entries) throws DiskException {
         persist(null, null, -1, List.of(entries));
     }
 
-    private void persist(HardState slot, Snapshot snapshot, long keep, List<LogEntry> entries) throws DiskException {
+    private void persist(HardState state, Snapshot snapshot, long keep, List<LogEntry> entries) throws DiskException {
         token++;
-        folder.carryOut(new Action.Persist(token, slot, snapshot, -1, keep, entries));
+        storage.persist(new Action.Persist(token, state, snapshot, -1, keep, entries));
     }
 
     private static Command.Write write(int number) {
@@ -193,7 +193,7 @@
                         content(number));
     }
 
-    /** Each version sets one thing more; the last ones take some back. */
+    /** Each version sets one more field; the last ones reset some. */
     private static ConfigDocument content(int number) {
         return switch (number) {
             case 0 -> ConfigDocument.EMPTY;
--- a/src/test/java/sedgeyoke/consensus/storage/StoredFolderTest.java
+++ b/src/test/java/sedgeyoke/consensus/storage/StoredFolderTest.java
@@ -43,7 +43,7 @@
  */
 class StoredFolderTest {
     private static final RaftTiming TIMING = RaftTiming.usual(2_000_000, new ClockDrift(200));
-    private static final long PROCESS_FOLDER = -845_745_965_871_894_833L;
+    private static final long PROCESS_STORAGE_ID = -845_745_965_871_894_833L;
 
     @TempDir
     private Path folder;
@@ -72,7 +72,7 @@
 
     // ---- The folder of the script --------------------------------------------------------------------
 
-    private ReplicaStorage openScripted(FileDisk disk) throws Exception {
+    private ReplicaStorage openScriptedStorage(FileDisk disk) throws Exception {
         return ReplicaStorage.open(
                 new StoredFolderScript.KnownDisk(disk), StoredFolderScript.OWNER, StoredFolderScript.SEGMENT_BYTES);
     }
@@ -97,12 +97,12 @@
     }
 
     @Test
-    void theSlotIsRead() throws Exception {
-        try (FileDisk disk = FileDisk.take(copy("keeper"))) {
-            ReplicaStorage read = openScripted(disk);
+    void theHardStateIsRead() throws Exception {
+        try (FileDisk disk = FileDisk.open(copy("keeper"))) {
+            ReplicaStorage read = openScriptedStorage(disk);
             assertEquals("orders", read.tier());
-            assertEquals("k0", read.keeper());
-            assertEquals(0x6b30_c0ff_ee01L, read.folder());
+            assertEquals("k0", read.server());
+            assertEquals(0x6b30_c0ff_ee01L, read.storageId());
             assertEquals(
                     new HardState(
                             3,
@@ -121,22 +121,22 @@
     }
 
     @Test
-    void nothingIsJudgedDamaged() throws Exception {
-        try (FileDisk disk = FileDisk.take(copy("keeper"))) {
-            ReplicaStorage read = openScripted(disk);
-            assertEquals(List.of(), read.damage());
+    void noCorruptionIsReported() throws Exception {
+        try (FileDisk disk = FileDisk.open(copy("keeper"))) {
+            ReplicaStorage read = openScriptedStorage(disk);
+            assertEquals(List.of(), read.corruptions());
             assertFalse(read.recovered().lost());
             assertNull(read.recovered().doubt());
             assertEquals(
                     new ReplicaStorage.Report("orders", "k0", 0x6b30_c0ff_ee01L, 3, 20, 14, List.of()),
-                    ReplicaStorage.check(disk));
+                    ReplicaStorage.inspect(disk));
         }
     }
 
     @Test
     void theSnapshotIsRead() throws Exception {
-        try (FileDisk disk = FileDisk.take(copy("keeper"))) {
-            Snapshot snapshot = openScripted(disk).recovered().snapshot();
+        try (FileDisk disk = FileDisk.open(copy("keeper"))) {
+            Snapshot snapshot = openScriptedStorage(disk).recovered().snapshot();
             assertEquals(14, snapshot.covered());
             assertEquals(1, snapshot.term());
             assertEquals(StoredFolderScript.THREE, snapshot.state().members());
@@ -158,9 +158,9 @@
 
     @Test
     void aFieldOfEachKindIsReadFromTheSnapshot() throws Exception {
-        try (FileDisk disk = FileDisk.take(copy("keeper"))) {
+        try (FileDisk disk = FileDisk.open(copy("keeper"))) {
             ConfigVersion active =
-                    openScripted(disk).recovered().snapshot().state().active();
+                    openScriptedStorage(disk).recovered().snapshot().state().active();
             assertEquals("operator-1", active.author());
             assertEquals("change 6", active.reason());
             assertEquals(1_700_000_000_006L, active.atMs());
@@ -182,8 +182,8 @@
 
     @Test
     void theEntriesBehindTheSnapshotAreRead() throws Exception {
-        try (FileDisk disk = FileDisk.take(copy("keeper"))) {
-            List<LogEntry> entries = openScripted(disk).recovered().entries();
+        try (FileDisk disk = FileDisk.open(copy("keeper"))) {
+            List<LogEntry> entries = openScriptedStorage(disk).recovered().entries();
             assertEquals(
                     List.of(15L, 16L, 17L, 18L, 19L, 20L),
                     entries.stream().map(LogEntry::index).toList());
@@ -207,10 +207,10 @@
 
     @Test
     void aReplicaStartsFromIt() throws Exception {
-        try (FileDisk disk = FileDisk.take(copy("keeper"))) {
-            ReplicaStorage read = openScripted(disk);
+        try (FileDisk disk = FileDisk.open(copy("keeper"))) {
+            ReplicaStorage read = openScriptedStorage(disk);
             RaftNode started = new RaftNode(
-                    new RaftNode.Self("k0", read.folder(), 104),
+                    new RaftNode.Self("k0", read.storageId(), 104),
                     new SafetyRules(TIMING),
                     read.recovered(),
                     read.founders(),
@@ -228,14 +228,14 @@
         }
     }
 
-    /** The numbers of its files are not those of the stored ones. */
+    /** Its files have other inodes than the stored ones. */
     @Test
-    void aCopyOfAFolderIsStillToldFromTheFolder() throws Exception {
-        try (FileDisk disk = FileDisk.take(copy("keeper"))) {
-            String doubt = ReplicaStorage.open(disk, StoredFolderScript.OWNER)
+    void aCopyOfTheDirectoryIsDetected() throws Exception {
+        try (FileDisk disk = FileDisk.open(copy("keeper"))) {
+            String reason = ReplicaStorage.open(disk, StoredFolderScript.OWNER)
                     .recovered()
                     .doubt();
-            assertTrue(doubt.startsWith("the folder is a copy"), doubt);
+            assertTrue(reason.startsWith("the folder is a copy"), reason);
         }
     }
 
@@ -263,27 +263,27 @@
 
     @Test
     void theFolderOfAProcessIsRead() throws Exception {
-        try (FileDisk disk = FileDisk.take(unzip())) {
+        try (FileDisk disk = FileDisk.open(unzip())) {
             assertEquals(
-                    new ReplicaStorage.Report("drill", "k0", PROCESS_FOLDER, 2, 11, 0, List.of()),
-                    ReplicaStorage.check(disk));
+                    new ReplicaStorage.Report("drill", "k0", PROCESS_STORAGE_ID, 2, 11, 0, List.of()),
+                    ReplicaStorage.inspect(disk));
             ReplicaStorage read = ReplicaStorage.open(disk, new ReplicaStorage.Owner("drill", "k0", "", false));
             assertFalse(read.recovered().lost());
-            HardState slot = read.recovered().slot();
-            assertEquals(2, slot.term());
-            assertEquals("", slot.vote());
-            assertEquals(2, slot.runs().size(), "it was started twice");
-            assertEquals(Set.of("k1", "k2"), slot.known().keySet());
-            assertEquals(3_065_505_099_982_323_699L, slot.known().get("k1").folder());
-            assertEquals(-49_336_320_848_735_039L, slot.known().get("k2").folder());
-            assertTrue(slot.sound());
+            HardState hardState = read.recovered().slot();
+            assertEquals(2, hardState.term());
+            assertEquals("", hardState.vote());
+            assertEquals(2, hardState.runs().size(), "it was started twice");
+            assertEquals(Set.of("k1", "k2"), hardState.known().keySet());
+            assertEquals(3_065_505_099_982_323_699L, hardState.known().get("k1").folder());
+            assertEquals(-49_336_320_848_735_039L, hardState.known().get("k2").folder());
+            assertTrue(hardState.sound());
             assertEquals(Set.of("k0", "k1", "k2"), read.founders().voters().keySet());
         }
     }
 
     @Test
     void theEntriesOfAProcessAreRead() throws Exception {
-        try (FileDisk disk = FileDisk.take(unzip())) {
+        try (FileDisk disk = FileDisk.open(unzip())) {
             List<LogEntry> entries = ReplicaStorage.open(disk, new ReplicaStorage.Owner("drill", "k0", "", false))
                     .recovered()
                     .entries();
@@ -295,7 +295,7 @@
                     .toList();
             assertEquals(
                     List.of(
-                            new Member("k0", PROCESS_FOLDER, "127.0.0.1:19948"),
+                            new Member("k0", PROCESS_STORAGE_ID, "127.0.0.1:19948"),
                             new Member("k1", 3_065_505_099_982_323_699L, "127.0.0.1:19949"),
                             new Member("k2", -49_336_320_848_735_039L, "127.0.0.1:19950")),
                     voters);
--- a/src/test/java/sedgeyoke/store/SimDisk.java
+++ b/src/test/java/sedgeyoke/store/SimDisk.java
@@ -9,21 +9,21 @@
 import java.util.TreeSet;
 
 /**
- * A disk in memory that keeps apart what a process sees and what a power cut leaves, and that lies when told to. Faults
- * come by seed; nothing else is random.
+ * A disk in memory that separates what a process reads from what is durable, and that shows faults on demand. All
+ * randomness comes from the seed.
  */
 public final class SimDisk implements Disk {
-    private static final int SECTOR = 512;
-    private long files;
+    private static final int SECTOR_BYTES = 512;
+    private long filesCreated;
 
-    /** What a file is to the process, and what is known to last of it. */
+    /** A file: its content as the process reads it, and the part that survives a power cut. */
     private final class Content {
-        byte[] seen = new byte[0];
-        byte[] lasting = new byte[0];
-        /** Sectors written since the last force that held. */
-        final TreeSet<Integer> dirty = new TreeSet<>();
-        /** What was there before, for reads that return it. */
-        byte[] old;
+        byte[] current = new byte[0];
+        byte[] durable = new byte[0];
+        /** Sectors written since the last effective fsync. */
+        final TreeSet<Integer> unsyncedSectors = new TreeSet<>();
+        /** Content before the last write, for stale reads. */
+        byte[] previous;
 
         final long identity;
 
@@ -32,271 +32,273 @@
         }
     }
 
-    /** The process ended in the middle of an operation. */
-    public static final class Cut extends RuntimeException {
+    /** Thrown where the process ends in the middle of an operation. */
+    public static final class ProcessCrash extends RuntimeException {
         private static final long serialVersionUID = 1L;
     }
 
-    private TreeMap<String, Content> names = new TreeMap<>();
-    private TreeMap<String, Content> lastingNames = new TreeMap<>();
+    private TreeMap<String, Content> files = new TreeMap<>();
+    private TreeMap<String, Content> durableFiles = new TreeMap<>();
     private final SplittableRandom random;
-    /** Operations until the process is cut off; negative for never. */
-    public int cutAfter = -1;
-    /** Forces return and do nothing. */
-    public boolean forceLies;
-    /** The next write lands elsewhere in its file. */
-    public boolean misdirect;
-    /** The next write does not happen, and says that it did. */
-    public boolean loseWrite;
-    /** Reads of this file give what was there before its last write; null for none. */
-    public String staleReads;
-    /** What every write, force or creation says; null if it works. */
-    public DiskException.Kind refuses;
-    /** Only forces say it. */
-    public boolean refusesForceOnly;
-    /** Forces so far, for figures. */
-    public int forces;
-    /** Operations that change something so far. */
-    public int operations;
-
-    /** Faults of this disk come by this seed. */
+    /** Number of operations until the process crashes; negative for never. */
+    public int crashAfterOperations = -1;
+    /** Fsync returns without effect. */
+    public boolean ignoreFsync;
+    /** The next write goes to a wrong offset of its file. */
+    public boolean misdirectNextWrite;
+    /** The next write returns without effect. */
+    public boolean loseNextWrite;
+    /** Reads of this file return its content before the last write; null for none. */
+    public String staleReadFile;
+    /** Kind of exception that every changing operation throws; null for none. */
+    public DiskException.Kind failure;
+    /** Only fsync throws {@link #failure}. */
+    public boolean failOnlyFsync;
+    /** Number of fsyncs so far. */
+    public int fsyncCount;
+    /** Number of changing operations so far. */
+    public int operationCount;
+
+    /** Creates an empty disk whose faults follow from the seed. */
     public SimDisk(long seed) {
         this.random = new SplittableRandom(seed);
     }
 
     private SimDisk(SimDisk from, long seed) {
         this.random = new SplittableRandom(seed);
-        this.files = from.files;
+        this.filesCreated = from.filesCreated;
         IdentityHashMap<Content, Content> copies = new IdentityHashMap<>();
-        from.names.forEach((n, c) -> names.put(n, copies.computeIfAbsent(c, this::copyOf)));
-        from.lastingNames.forEach((n, c) -> lastingNames.put(n, copies.computeIfAbsent(c, this::copyOf)));
+        from.files.forEach((file, content) -> files.put(file, copies.computeIfAbsent(content, this::copyOf)));
+        from.durableFiles.forEach(
+                (file, content) -> durableFiles.put(file, copies.computeIfAbsent(content, this::copyOf)));
     }
 
     private Content copyOf(Content from) {
-        Content c = new Content(files++);
-        c.seen = from.seen.clone();
-        c.lasting = from.lasting.clone();
-        c.dirty.addAll(from.dirty);
-        return c;
+        Content content = new Content(filesCreated++);
+        content.current = from.current.clone();
+        content.durable = from.durable.clone();
+        content.unsyncedSectors.addAll(from.unsyncedSectors);
+        return content;
     }
 
-    /** What is on it now, as another disk: a backup. */
+    /** Returns a copy with the present content, such as a backup. */
     public SimDisk copy(long seed) {
         return new SimDisk(this, seed);
     }
 
-    private void operation(String name, boolean force) throws DiskException {
-        operations++;
-        if (cutAfter == 0) {
-            throw new Cut();
+    private void operation(String file, boolean fsync) throws DiskException {
+        operationCount++;
+        if (crashAfterOperations == 0) {
+            throw new ProcessCrash();
         }
-        cutAfter--;
-        if (refuses != null && (force || !refusesForceOnly)) {
-            throw new DiskException(refuses, name, "the simulation says no");
+        crashAfterOperations--;
+        if (failure != null && (fsync || !failOnlyFsync)) {
+            throw new DiskException(failure, file, "simulated fault");
         }
     }
 
-    private Content content(String name) throws DiskException {
-        Content c = names.get(name);
-        if (c == null) {
-            throw new DiskException(DiskException.Kind.GONE, name, "no such file");
+    private Content content(String file) throws DiskException {
+        Content content = files.get(file);
+        if (content == null) {
+            throw new DiskException(DiskException.Kind.NOT_FOUND, file, "no such file");
         }
-        return c;
+        return content;
     }
 
     @Override
-    public List<String> names() {
-        return new ArrayList<>(names.keySet());
+    public List<String> fileNames() {
+        return new ArrayList<>(files.keySet());
     }
 
     @Override
-    public long length(String name) {
-        return names.containsKey(name) ? names.get(name).seen.length : -1;
+    public long length(String file) {
+        return files.containsKey(file) ? files.get(file).current.length : -1;
     }
 
     @Override
-    public String identity(String name) {
-        return names.containsKey(name) ? "file" + names.get(name).identity : "";
+    public String identity(String file) {
+        return files.containsKey(file) ? "file" + files.get(file).identity : "";
     }
 
     @Override
-    public byte[] read(String name, long at, int length) throws DiskException {
-        Content c = content(name);
-        byte[] from = name.equals(staleReads) && c.old != null ? c.old : c.seen;
-        int start = (int) Math.min(at, from.length);
-        return Arrays.copyOfRange(from, start, (int) Math.min(from.length, at + length));
+    public byte[] read(String file, long offset, int length) throws DiskException {
+        Content content = content(file);
+        byte[] from = file.equals(staleReadFile) && content.previous != null ? content.previous : content.current;
+        int start = (int) Math.min(offset, from.length);
+        return Arrays.copyOfRange(from, start, (int) Math.min(from.length, offset + length));
     }
 
     @Override
-    public void allocate(String name, long length) throws DiskException {
-        operation(name, false);
-        Content c = new Content(files++);
-        c.seen = new byte[(int) length];
-        for (int s = 0; s <= length / SECTOR; s++) {
-            c.dirty.add(s);
+    public void allocate(String file, long length) throws DiskException {
+        operation(file, false);
+        Content content = new Content(filesCreated++);
+        content.current = new byte[(int) length];
+        for (int sector = 0; sector <= length / SECTOR_BYTES; sector++) {
+            content.unsyncedSectors.add(sector);
         }
-        names.put(name, c);
+        files.put(file, content);
     }
 
     @Override
-    public void write(String name, long at, byte[] bytes) throws DiskException {
-        int whole = bytes.length;
-        Content c = content(name);
-        if (cutAfter == 0) { // a part of it may have got there
-            int part = random.nextInt(whole + 1);
-            put(c, (int) at, Arrays.copyOf(bytes, part));
+    public void write(String file, long offset, byte[] bytes) throws DiskException {
+        int length = bytes.length;
+        Content content = content(file);
+        if (crashAfterOperations == 0) { // a part of it may reach the disk
+            int written = random.nextInt(length + 1);
+            put(content, (int) offset, Arrays.copyOf(bytes, written));
         }
-        operation(name, false);
-        c.old = c.seen.clone();
-        int to = (int) at;
-        if (loseWrite) {
-            loseWrite = false;
+        operation(file, false);
+        content.previous = content.current.clone();
+        int target = (int) offset;
+        if (loseNextWrite) {
+            loseNextWrite = false;
             return;
         }
-        if (misdirect && c.seen.length > whole + SECTOR) {
-            misdirect = false;
-            to = random.nextInt(c.seen.length - whole);
+        if (misdirectNextWrite && content.current.length > length + SECTOR_BYTES) {
+            misdirectNextWrite = false;
+            target = random.nextInt(content.current.length - length);
         }
-        put(c, to, bytes);
+        put(content, target, bytes);
     }
 
-    private void put(Content c, int at, byte[] bytes) {
+    private void put(Content content, int offset, byte[] bytes) {
         if (bytes.length == 0) {
             return;
         }
-        if (c.seen.length < at + bytes.length) {
-            c.seen = Arrays.copyOf(c.seen, at + bytes.length);
+        if (content.current.length < offset + bytes.length) {
+            content.current = Arrays.copyOf(content.current, offset + bytes.length);
         }
-        System.arraycopy(bytes, 0, c.seen, at, bytes.length);
-        for (int s = at / SECTOR; s <= (at + bytes.length - 1) / SECTOR; s++) {
-            c.dirty.add(s);
+        System.arraycopy(bytes, 0, content.current, offset, bytes.length);
+        for (int sector = offset / SECTOR_BYTES; sector <= (offset + bytes.length - 1) / SECTOR_BYTES; sector++) {
+            content.unsyncedSectors.add(sector);
         }
     }
 
     @Override
-    public void force(String name) throws DiskException {
-        operation(name, true);
-        forces++;
-        if (!forceLies) {
-            Content c = content(name);
-            c.lasting = c.seen.clone();
-            c.dirty.clear();
+    public void fsync(String file) throws DiskException {
+        operation(file, true);
+        fsyncCount++;
+        if (!ignoreFsync) {
+            Content content = content(file);
+            content.durable = content.current.clone();
+            content.unsyncedSectors.clear();
         }
     }
 
     @Override
-    public void forceNames() throws DiskException {
+    public void fsyncDirectory() throws DiskException {
         operation("", true);
-        forces++;
-        if (!forceLies) {
-            lastingNames = new TreeMap<>(names);
+        fsyncCount++;
+        if (!ignoreFsync) {
+            durableFiles = new TreeMap<>(files);
         }
     }
 
     @Override
     public void rename(String from, String to) throws DiskException {
         operation(from, false);
-        names.put(to, content(from));
-        names.remove(from);
+        files.put(to, content(from));
+        files.remove(from);
     }
 
     @Override
-    public void delete(String name) throws DiskException {
-        operation(name, false);
-        names.remove(name);
+    public void delete(String file) throws DiskException {
+        operation(file, false);
+        files.remove(file);
     }
 
-    /** The power goes: of what was not forced, some sectors have lasted and some have not, and names as they were. */
+    /** Cuts the power: sectors and directory entries that were not fsynced survive at random. */
     public void powerCut() {
-        TreeMap<String, Content> after = new TreeMap<>(lastingNames);
-        names.forEach((n, c) -> {
-            if (random.nextBoolean() && (lastingNames.containsValue(c) || !lastingNames.containsKey(n))) {
-                after.put(n, c); // a creation that lasted all the same
+        TreeMap<String, Content> after = new TreeMap<>(durableFiles);
+        files.forEach((file, content) -> {
+            if (random.nextBoolean() && (durableFiles.containsValue(content) || !durableFiles.containsKey(file))) {
+                after.put(file, content); // a creation may survive without an fsync
             }
         });
-        after.values().forEach(c -> {
-            byte[] left = Arrays.copyOf(c.lasting, random.nextBoolean() ? c.seen.length : c.lasting.length);
-            for (int s : c.dirty) {
-                int from = s * SECTOR;
-                int to = Math.min(Math.min(from + SECTOR, left.length), c.seen.length);
+        after.values().forEach(content -> {
+            byte[] left = Arrays.copyOf(
+                    content.durable, random.nextBoolean() ? content.current.length : content.durable.length);
+            for (int sector : content.unsyncedSectors) {
+                int from = sector * SECTOR_BYTES;
+                int to = Math.min(Math.min(from + SECTOR_BYTES, left.length), content.current.length);
                 if (from < to && random.nextBoolean()) {
-                    System.arraycopy(c.seen, from, left, from, to - from);
+                    System.arraycopy(content.current, from, left, from, to - from);
                 }
             }
-            c.seen = left;
-            c.lasting = left.clone();
-            c.dirty.clear();
-            c.old = null;
+            content.current = left;
+            content.durable = left.clone();
+            content.unsyncedSectors.clear();
+            content.previous = null;
         });
-        names = after;
-        lastingNames = new TreeMap<>(after);
-        mend();
+        files = after;
+        durableFiles = new TreeMap<>(after);
+        clearFaults();
     }
 
-    /** From now on it tells the truth; what is lost is lost. */
-    public void mend() {
-        cutAfter = -1;
-        forceLies = false;
-        misdirect = false;
-        loseWrite = false;
-        staleReads = null;
-        refuses = null;
-        refusesForceOnly = false;
+    /** Ends all faults; lost data stays lost. */
+    public void clearFaults() {
+        crashAfterOperations = -1;
+        ignoreFsync = false;
+        misdirectNextWrite = false;
+        loseNextWrite = false;
+        staleReadFile = null;
+        failure = null;
+        failOnlyFsync = false;
     }
 
-    /** Flips one bit of a file's content, where there is one that is not zero; false if there is none such. */
-    public boolean flipBit(String name, int place, int bit) {
-        Content c = names.get(name);
-        if (c == null || c.seen.length == 0) {
+    /** Flips one bit of a file; returns false if the file is missing or empty. */
+    public boolean flipBit(String file, int position, int bit) {
+        Content content = files.get(file);
+        if (content == null || content.current.length == 0) {
             return false;
         }
-        c.seen[place % c.seen.length] ^= (byte) (1 << bit % 8);
-        c.lasting = c.seen.clone();
+        content.current[position % content.current.length] ^= (byte) (1 << bit % 8);
+        content.durable = content.current.clone();
         return true;
     }
 
-    /** Flips a bit somewhere in what has been written; false if there is nothing. */
-    public boolean rot() {
-        List<String> all = names();
-        for (int tries = 0; tries < 50 && !all.isEmpty(); tries++) {
-            String name = all.get(random.nextInt(all.size()));
-            byte[] seen = names.get(name).seen;
-            if (seen.length > 0) {
-                int at = random.nextInt(seen.length);
-                if (seen[at] != 0) {
-                    return flipBit(name, at, random.nextInt(8));
+    /** Flips a random bit in a byte that is not zero; returns false if it found none. */
+    public boolean flipRandomBit() {
+        List<String> all = fileNames();
+        for (int attempt = 0; attempt < 50 && !all.isEmpty(); attempt++) {
+            String file = all.get(random.nextInt(all.size()));
+            byte[] current = files.get(file).current;
+            if (current.length > 0) {
+                int offset = random.nextInt(current.length);
+                if (current[offset] != 0) {
+                    return flipBit(file, offset, random.nextInt(8));
                 }
             }
         }
         return false;
     }
 
-    /** Loses a file; the name of the one that it was, or null. */
-    public String loseFile() {
-        if (names.isEmpty()) {
+    /** Deletes a random file and returns its file; null if there is none. */
+    public String deleteRandomFile() {
+        if (files.isEmpty()) {
             return null;
         }
-        String name = names().get(random.nextInt(names.size()));
-        names.remove(name);
-        lastingNames.remove(name);
-        return name;
+        String file = fileNames().get(random.nextInt(files.size()));
+        files.remove(file);
+        durableFiles.remove(file);
+        return file;
     }
 
-    /** Cuts a file off. */
-    public void truncate(String name, int length) {
-        Content c = names.get(name);
-        c.seen = Arrays.copyOf(c.seen, length);
-        c.lasting = c.seen.clone();
+    /** Shortens a file. */
+    public void truncate(String file, int length) {
+        Content content = files.get(file);
+        content.current = Arrays.copyOf(content.current, length);
+        content.durable = content.current.clone();
     }
 
-    /** The content of a file as a process sees it. */
-    public byte[] bytes(String name) {
-        return names.get(name).seen.clone();
+    /** Returns the content of a file as a process reads it. */
+    public byte[] bytes(String file) {
+        return files.get(file).current.clone();
     }
 
-    /** Everything is gone. */
+    /** Deletes all files. */
     public void wipe() {
-        names.clear();
-        lastingNames.clear();
+        files.clear();
+        durableFiles.clear();
     }
 }
--- a/src/test/java/sedgeyoke/store/StoreTest.java
+++ b/src/test/java/sedgeyoke/store/StoreTest.java
@@ -13,102 +13,109 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** What is believed of a folder after everything that a disk may do: by enumeration, not by chance. */
+/** What the store recovers after crashes and disk faults, by enumeration of the fault positions. */
 class StoreTest {
-    private static final long IDENTITY = 77;
-    private static final int SEGMENT = 400;
-    private long highest;
+    private static final long DIRECTORY_IDENTITY = 77;
+    private static final int SEGMENT_BYTES = 400;
+    private long highestGeneration;
 
     private SegmentLog open(Disk disk) throws DiskException {
-        return SegmentLog.open(disk, IDENTITY, SEGMENT, highest, g -> highest = g);
+        return SegmentLog.open(
+                disk,
+                DIRECTORY_IDENTITY,
+                SEGMENT_BYTES,
+                highestGeneration,
+                generation -> highestGeneration = generation);
     }
 
-    private static SegmentLog.Record record(long index, String text) {
-        return new SegmentLog.Record(index, text.getBytes());
+    private static LogRecord record(long index, String text) {
+        return new LogRecord(index, text.getBytes());
     }
 
-    /** Writes some, cuts two off, writes others in their place; promised counts up to the last force that returned. */
-    private long script(SegmentLog log) throws DiskException {
-        long promised = 0;
+    /** Appends and syncs six records; returns the index of the last one. */
+    private long appendSixRecords(SegmentLog log) throws DiskException {
+        long durable = 0;
         for (int i = 1; i <= 6; i++) {
             log.append(List.of(record(i, "first " + i)));
-            log.force();
-            promised = i;
+            log.sync();
+            durable = i;
         }
-        return promised;
+        return durable;
     }
 
     private static List<String> texts(SegmentLog log) {
         return log.records().stream()
-                .map(r -> r.index() + " " + new String(r.payload()))
+                .map(found -> found.index() + " " + new String(found.payload()))
                 .toList();
     }
 
     @Test
-    void whatWasForcedIsThereAndInOrder() throws Exception {
+    void syncedRecordsSurviveAPowerCutInOrder() throws Exception {
         SimDisk disk = new SimDisk(1);
         SegmentLog log = open(disk);
-        script(log);
-        log.truncate(4);
+        appendSixRecords(log);
+        log.truncateAfter(4);
         log.append(List.of(record(5, "second 5")));
-        log.force();
+        log.sync();
         disk.powerCut();
         SegmentLog again = open(disk);
-        assertEquals(List.of(), again.damage());
+        assertEquals(List.of(), again.corruptions());
         assertEquals(List.of("1 first 1", "2 first 2", "3 first 3", "4 first 4", "5 second 5"), texts(again));
-        assertEquals(5, again.last());
-        again.dropThrough(4);
-        assertEquals(5, open(disk).last());
+        assertEquals(5, again.lastIndex());
+        again.deleteThrough(4);
+        assertEquals(5, open(disk).lastIndex());
         again.restart(9, List.of(record(10, "after")));
         assertEquals(List.of("10 after"), texts(open(disk)));
     }
 
-    /** The power goes at each operation of a series of writes: all that was promised is there, nothing is damage. */
+    /** The power is cut at each operation of a series of writes. */
     @Test
-    void aPowerCutAtEachOperationLosesNothingPromised() throws Exception {
+    void aPowerCutAtEachOperationLosesNoDurableRecord() throws Exception {
         for (int seed = 0; seed < 20; seed++) {
-            boolean through = false;
-            for (int cut = 0; !through; cut++) {
-                highest = 0;
+            boolean completed = false;
+            for (int cut = 0; !completed; cut++) {
+                highestGeneration = 0;
                 SimDisk disk = new SimDisk(seed);
                 SegmentLog log = open(disk);
-                long promised = 0;
-                long tried = 0;
-                disk.cutAfter = cut;
+                long durable = 0;
+                long attempted = 0;
+                disk.crashAfterOperations = cut;
                 try {
                     for (int i = 1; i <= 8; i++) {
-                        tried = i;
+                        attempted = i;
                         log.append(List.of(record(i, "x".repeat(i * 9))));
-                        log.force();
-                        promised = i;
+                        log.sync();
+                        durable = i;
                     }
-                    log.truncate(5);
-                    promised = 5;
-                    through = true;
-                } catch (SimDisk.Cut e) {
-                    assertFalse(through);
+                    log.truncateAfter(5);
+                    durable = 5;
+                    completed = true;
+                } catch (SimDisk.ProcessCrash e) {
+                    assertFalse(completed);
                 }
                 disk.powerCut();
                 SegmentLog again = open(disk);
-                assertEquals(List.of(), again.damage(), "seed " + seed + " cut " + cut);
-                assertTrue(again.last() >= promised && again.last() <= tried, again.last() + " of " + promised);
-                again.append(List.of(record(again.last() + 1, "goes on")));
-                again.force();
-                long last = again.last();
+                assertEquals(List.of(), again.corruptions(), "seed " + seed + " cut " + cut);
+                assertTrue(
+                        again.lastIndex() >= durable && again.lastIndex() <= attempted,
+                        again.lastIndex() + " of " + durable);
+                again.append(List.of(record(again.lastIndex() + 1, "goes on")));
+                again.sync();
+                long last = again.lastIndex();
                 disk.powerCut();
-                assertEquals(last, open(disk).last());
+                assertEquals(last, open(disk).lastIndex());
             }
         }
     }
 
-    /** One bit of a segment or of its marks: the records are all there, or it is damage that is told; never others. */
+    /** Flips each bit of a segment and its marks: records are never altered, and missing ones are reported. */
     @Test
-    void everySingleBitFlipIsToldOrHarmless() throws Exception {
+    void everySingleBitFlipIsReportedOrHarmless() throws Exception {
         SimDisk clean = new SimDisk(1);
-        script(open(clean));
+        appendSixRecords(open(clean));
         List<String> all = texts(open(clean));
-        int told = 0;
-        for (String file : clean.names()) {
+        int reported = 0;
+        for (String file : clean.fileNames()) {
             int length = clean.bytes(file).length;
             for (int bit = 0; bit < 8 * length; bit++) {
                 SimDisk disk = clean.copy(1);
@@ -117,81 +124,82 @@
                 List<String> left = texts(log);
                 assertEquals(all.subList(0, left.size()), left, file + " bit " + bit);
                 if (left.size() < all.size()) {
-                    assertFalse(log.damage().isEmpty(), file + " bit " + bit + " lost " + (all.size() - left.size()));
-                    assertTrue(log.damage().get(0).from() <= left.size() + 1);
-                    told++;
+                    assertFalse(
+                            log.corruptions().isEmpty(), file + " bit " + bit + " lost " + (all.size() - left.size()));
+                    assertTrue(log.corruptions().get(0).firstLostRecord() <= left.size() + 1);
+                    reported++;
                 }
             }
         }
-        assertTrue(told > 1_000, "bits that matter: " + told);
+        assertTrue(reported > 1_000, "bits that matter: " + reported);
     }
 
     @Test
-    void everyTruncationIsToldOrHarmless() throws Exception {
+    void everyTruncatedFileIsReportedOrHarmless() throws Exception {
         SimDisk clean = new SimDisk(1);
-        script(open(clean));
-        for (String file : clean.names()) {
+        appendSixRecords(open(clean));
+        for (String file : clean.fileNames()) {
             for (int length = 0; length < clean.bytes(file).length; length++) {
                 SimDisk disk = clean.copy(1);
                 disk.truncate(file, length);
                 SegmentLog log = open(disk);
-                assertTrue(log.records().size() == 6 || !log.damage().isEmpty(), file + " at " + length);
+                assertTrue(log.records().size() == 6 || !log.corruptions().isEmpty(), file + " at " + length);
             }
         }
     }
 
     @Test
-    void aFileThatIsGoneAndALostOrMisplacedWriteAreTold() throws Exception {
+    void aMissingFileAndALostOrMisdirectedWriteAreReported() throws Exception {
         SimDisk clean = new SimDisk(1);
-        script(open(clean));
-        for (String file : clean.names()) {
+        appendSixRecords(open(clean));
+        for (String file : clean.fileNames()) {
             SimDisk disk = clean.copy(1);
             disk.delete(file);
-            assertFalse(open(disk).damage().isEmpty(), file);
+            assertFalse(open(disk).corruptions().isEmpty(), file);
         }
         for (boolean misdirect : List.of(true, false)) {
-            highest = 0;
+            highestGeneration = 0;
             SimDisk disk = new SimDisk(3);
             SegmentLog log = open(disk);
-            script(log);
-            disk.misdirect = misdirect;
-            disk.loseWrite = !misdirect;
+            appendSixRecords(log);
+            disk.misdirectNextWrite = misdirect;
+            disk.loseNextWrite = !misdirect;
             log.append(List.of(record(7, "nowhere")));
-            log.force();
+            log.sync();
             log.append(List.of(record(8, "there")));
-            log.force();
+            log.sync();
             SegmentLog again = open(disk);
-            assertTrue(!again.damage().isEmpty() || again.last() == 8, "misdirected " + misdirect);
+            assertTrue(!again.corruptions().isEmpty() || again.lastIndex() == 8, "misdirected " + misdirect);
         }
     }
 
     @Test
-    void afterAFailedForceNothingIsTriedAgain() throws Exception {
+    void afterAFailedFsyncTheLogRejectsAllWrites() throws Exception {
         SimDisk disk = new SimDisk(1);
         SegmentLog log = open(disk);
-        script(log);
-        disk.refuses = DiskException.Kind.FAILED;
-        disk.refusesForceOnly = true;
+        appendSixRecords(log);
+        disk.failure = DiskException.Kind.IO_ERROR;
+        disk.failOnlyFsync = true;
         log.append(List.of(record(7, "x")));
-        assertThrows(DiskException.class, log::force);
-        disk.mend();
-        assertThrows(IllegalStateException.class, log::force);
+        assertThrows(DiskException.class, log::sync);
+        disk.clearFaults();
+        assertThrows(IllegalStateException.class, log::sync);
         assertThrows(IllegalStateException.class, () -> log.append(List.of(record(8, "x"))));
     }
 
     @Test
-    void aTwinFileIsTheOldOrTheNewWhereverItIsCut() throws Exception {
+    void anInterruptedSaveLeavesTheOldOrTheNewContent() throws Exception {
         for (int cut = 0; cut < 12; cut++) {
             for (int seed = 0; seed < 20; seed++) {
                 SimDisk disk = new SimDisk(seed);
                 DualCopyFile.open(disk, "slot").save("old".getBytes());
                 DualCopyFile file = DualCopyFile.open(disk, "slot");
-                disk.cutAfter = cut;
+                disk.crashAfterOperations = cut;
                 boolean saved = false;
                 try {
                     file.save("new".getBytes());
                     saved = true;
-                } catch (SimDisk.Cut e) {
+                } catch (SimDisk.ProcessCrash e) {
                     assertNotNull(e);
                 }
                 disk.powerCut();
@@ -203,7 +211,7 @@
     }
 
     @Test
-    void oneBadCopyOfATwinFileIsReplacedAndTwoAreTold() throws Exception {
+    void oneInvalidCopyIsReplacedAndTwoAreReported() throws Exception {
         SimDisk disk = new SimDisk(1);
         DualCopyFile.open(disk, "slot").save("kept".getBytes());
         for (String copy : List.of("slot-a", "slot-b")) {
@@ -216,50 +224,51 @@
         }
         disk.flipBit("slot-a", 21, 1);
         disk.flipBit("slot-b", 22, 1);
-        assertNotNull(DualCopyFile.open(disk, "slot").damage());
+        assertTrue(DualCopyFile.open(disk, "slot").corruption().isPresent());
     }
 
     @Test
-    void onlyAWholeSnapshotIsFound() throws Exception {
+    void anInterruptedSaveOfASnapshotLeavesTheOlderOne() throws Exception {
         SimDisk disk = new SimDisk(1);
-        new Snapshots(disk, IDENTITY).save(new Snapshots.Snapshot(5, "five".getBytes()));
+        new SnapshotStore(disk, DIRECTORY_IDENTITY).save(new SnapshotStore.StoredSnapshot(5, "five".getBytes()));
         for (int cut = 0; cut < 8; cut++) {
             SimDisk copy = disk.copy(cut);
-            copy.cutAfter = cut;
+            copy.crashAfterOperations = cut;
             boolean saved = false;
             try {
-                new Snapshots(copy, IDENTITY).save(new Snapshots.Snapshot(9, "nine".getBytes()));
+                new SnapshotStore(copy, DIRECTORY_IDENTITY)
+                        .save(new SnapshotStore.StoredSnapshot(9, "nine".getBytes()));
                 saved = true;
-            } catch (SimDisk.Cut e) {
+            } catch (SimDisk.ProcessCrash e) {
                 assertNotNull(e);
             }
             copy.powerCut();
-            Snapshots again = new Snapshots(copy, IDENTITY);
-            long found = again.newest().orElseThrow().covered();
+            SnapshotStore again = new SnapshotStore(copy, DIRECTORY_IDENTITY);
+            long found = again.newest().orElseThrow().lastIndex();
             assertTrue(found == 9 || !saved && found == 5, "cut " + cut + " found " + found);
         }
     }
 
-    /** The real disk, with the names that could lead out of its folder. */
+    /** The file system; names that could lead out of the directory are rejected. */
     @Test
-    void aFolderIsHeldByOneAndReadBack(@TempDir Path folder) throws Exception {
+    void aDirectoryIsLockedByOneProcessAndCanBeReopened(@TempDir Path folder) throws Exception {
         List<String> found = new ArrayList<>();
-        try (FileDisk disk = FileDisk.take(folder)) {
+        try (FileDisk disk = FileDisk.open(folder)) {
             assertEquals(
                     DiskException.Kind.IN_USE,
-                    assertThrows(DiskException.class, () -> FileDisk.take(folder))
+                    assertThrows(DiskException.class, () -> FileDisk.open(folder))
                             .kind());
             assertThrows(IllegalArgumentException.class, () -> disk.length("../x"));
-            script(open(disk));
+            appendSixRecords(open(disk));
             String identity = disk.identity("log-0000000000000001");
-            disk.write("log-0000000000000001", SEGMENT - 1, new byte[1]);
+            disk.write("log-0000000000000001", SEGMENT_BYTES - 1, new byte[1]);
             assertEquals(identity, disk.identity("log-0000000000000001"));
             assertEquals(
-                    DiskException.Kind.GONE,
+                    DiskException.Kind.NOT_FOUND,
                     assertThrows(DiskException.class, () -> disk.read("no", 0, 1))
                             .kind());
         }
-        try (FileDisk disk = FileDisk.take(folder)) {
+        try (FileDisk disk = FileDisk.open(folder)) {
             found.addAll(texts(open(disk)));
         }
         assertEquals(6, found.size());
