--- a/src/main/java/sedgeyoke/consensus/storage/HardStateFile.java
+++ b/src/main/java/sedgeyoke/consensus/storage/HardStateFile.java
@@ -111,9 +111,9 @@
     }
 
     HardState hardState() {
-        Map<String, HardState.Known> known = new HashMap<>();
+        Map<String, HardState.KnownPeer> known = new HashMap<>();
         stored.getKnownList()
-                .forEach(peer -> known.put(peer.getName(), new HardState.Known(peer.getFolder(), peer.getRun())));
+                .forEach(peer -> known.put(peer.getName(), new HardState.KnownPeer(peer.getFolder(), peer.getRun())));
         return new HardState(stored.getTerm(), stored.getVote(), stored.getRunsList(), known, stored.getSound());
     }
 
@@ -140,17 +140,17 @@
     void saveHardState(HardState state, String bootId) throws DiskException {
         SlotMessage.Builder next = stored.toBuilder()
                 .setTerm(state.term())
-                .setVote(state.vote())
-                .setSound(state.sound())
+                .setVote(state.votedFor())
+                .setSound(state.intact())
                 .clearRuns()
-                .addAllRuns(state.runs())
+                .addAllRuns(state.incarnations())
                 .clearKnown();
-        state.known()
+        state.knownPeers()
                 .forEach((name, peer) -> next.addKnown(KnownMessage.newBuilder()
                         .setName(name)
-                        .setFolder(peer.folder())
-                        .setRun(peer.run())));
-        if (state.sound()) {
+                        .setFolder(peer.storageId())
+                        .setRun(peer.incarnation())));
+        if (state.intact()) {
             next.setBoot(bootId).setIdentity(file.identity());
         }
         save(next.build());
--- a/src/main/java/sedgeyoke/consensus/storage/ReplicaStorage.java
+++ b/src/main/java/sedgeyoke/consensus/storage/ReplicaStorage.java
@@ -34,7 +34,7 @@
     /** Last index of the snapshot before the newest: the log is kept from there, in case the newest is corrupt. */
     private long previousSnapshotIndex;
 
-    private RaftNode.Recovered recovered;
+    private RaftNode.StoredState recovered;
     private List<Corruption> corruptions = List.of();
 
     /**
@@ -113,12 +113,12 @@
         ReplicaStorage storage = open(new ReadOnlyDisk(disk), new Owner("", "", "", false));
         long snapshotIndex = storage.recovered.snapshot() == null
                 ? 0
-                : storage.recovered.snapshot().covered();
+                : storage.recovered.snapshot().lastIncludedIndex();
         return new Report(
                 storage.tier(),
                 storage.server(),
                 storage.storageId(),
-                storage.recovered.slot().term(),
+                storage.recovered.hardState().term(),
                 snapshotIndex + storage.recovered.entries().size(),
                 snapshotIndex,
                 storage.corruptions);
@@ -128,7 +128,7 @@
 
     private void recover(Owner owner, Snapshot snapshot) throws DiskException, UnusableStorageException {
         List<Corruption> found = new ArrayList<>(log.corruptions());
-        long snapshotIndex = snapshot == null ? 0 : snapshot.covered();
+        long snapshotIndex = snapshot == null ? 0 : snapshot.lastIncludedIndex();
         previousSnapshotIndex = snapshotIndex;
         List<LogEntry> entries = decode(log.records());
         if (hasGap(entries, snapshotIndex)) {
@@ -150,8 +150,8 @@
                 log.continueAfter(lastIndex);
             }
         }
-        recovered = new RaftNode.Recovered(
-                hardStateFile.hardState(), snapshot, entries, recoveryReason(owner, found), !found.isEmpty());
+        recovered = new RaftNode.StoredState(
+                hardStateFile.hardState(), snapshot, entries, suspectedLoss(owner, found), !found.isEmpty());
     }
 
     private boolean hasGap(List<LogEntry> entries, long snapshotIndex) {
@@ -164,27 +164,28 @@
 
     /** Returns the entries that continue a snapshot; none if the log has another history. */
     private List<LogEntry> entriesBehind(Snapshot snapshot, List<LogEntry> entries) {
-        if (snapshot == null || snapshot.covered() == 0) {
+        if (snapshot == null || snapshot.lastIncludedIndex() == 0) {
             return entries;
         }
         long firstIndex =
                 entries.isEmpty() ? log.lastIndex() + 1 : entries.get(0).index();
-        boolean continuesSnapshot = snapshot.covered() == firstIndex - 1
+        boolean continuesSnapshot = snapshot.lastIncludedIndex() == firstIndex - 1
                 || entries.stream()
-                        .anyMatch(entry -> entry.index() == snapshot.covered() && entry.term() == snapshot.term());
+                        .anyMatch(entry -> entry.index() == snapshot.lastIncludedIndex()
+                                && entry.term() == snapshot.lastIncludedTerm());
         return continuesSnapshot
                 ? entries.stream()
-                        .filter(entry -> entry.index() > snapshot.covered())
+                        .filter(entry -> entry.index() > snapshot.lastIncludedIndex())
                         .toList()
                 : List.of();
     }
 
     /** Returns why the replica cannot rely on its storage before it has queried its peers; null if it can. */
-    private String recoveryReason(Owner owner, List<Corruption> found) throws DiskException {
+    private String suspectedLoss(Owner owner, List<Corruption> found) throws DiskException {
         if (!found.isEmpty()) {
             return String.join("; ", found.stream().map(Corruption::toString).toList());
         }
-        if (!hardStateFile.hardState().sound()) {
+        if (!hardStateFile.hardState().intact()) {
             return "was still recovering when it ended";
         }
         if (hardStateFile.isCopy()) {
@@ -211,7 +212,7 @@
     // ---- Content -------------------------------------------------------------------------------------
 
     /** Returns what was recovered when the directory was opened. */
-    public RaftNode.Recovered recovered() {
+    public RaftNode.StoredState recovered() {
         return recovered;
     }
 
@@ -244,18 +245,18 @@
 
     /** Writes what the node asks for; all of it is durable when this returns. */
     public void persist(Action.Persist action) throws DiskException {
-        if (action.slot() != null) {
-            hardStateFile.saveHardState(action.slot(), bootId);
+        if (action.hardState() != null) {
+            hardStateFile.saveHardState(action.hardState(), bootId);
         }
         Snapshot snapshot = action.snapshot();
         if (snapshot != null) {
-            snapshots.save(new SnapshotStore.StoredSnapshot(snapshot.covered(), codec.encode(snapshot)));
-            hardStateFile.saveSnapshotIndex(snapshot.covered());
+            snapshots.save(new SnapshotStore.StoredSnapshot(snapshot.lastIncludedIndex(), codec.encode(snapshot)));
+            hardStateFile.saveSnapshotIndex(snapshot.lastIncludedIndex());
         }
         writeLog(action);
         if (snapshot != null) {
             log.deleteThrough(previousSnapshotIndex);
-            previousSnapshotIndex = snapshot.covered();
+            previousSnapshotIndex = snapshot.lastIncludedIndex();
         }
     }
 
@@ -264,12 +265,12 @@
         for (LogEntry entry : action.entries()) {
             records.add(new LogRecord(entry.index(), ConsensusCodec.of(entry).toByteArray()));
         }
-        if (action.restart() >= 0) {
-            log.restart(action.restart(), records);
+        if (action.restartLogAfter() >= 0) {
+            log.restart(action.restartLogAfter(), records);
             return;
         }
-        if (action.keep() >= 0) {
-            log.truncateAfter(action.keep());
+        if (action.truncateAfter() >= 0) {
+            log.truncateAfter(action.truncateAfter());
         }
         log.append(records);
         log.sync();
