--- a/src/main/java/sedgeyoke/plan/Follower.java
+++ b/src/main/java/sedgeyoke/plan/Follower.java
@@ -205,7 +205,7 @@
         Map<String, UsableGrants> byUpstream = new HashMap<>();
         for (PlannerSelection.ReceivedPlan plan : planners.lastPlans()) {
             PlanMessage message = plan.message();
-            long untilMicros = leaseClock.usableUntil(
+            long untilMicros = leaseClock.grantUsableUntil(
                     message.echo().atMicros(), plan.receivedAtMicros(), message.grantDurationMicros());
             if (untilMicros > nowMicros) {
                 for (PlanMessage.Grant grant : message.grants()) {
--- a/src/main/java/sedgeyoke/plan/QuotaDelegation.java
+++ b/src/main/java/sedgeyoke/plan/QuotaDelegation.java
@@ -21,7 +21,7 @@
     QuotaDelegation(LeaseClock leaseClock, long leaseMicros, long startedAtMicros) {
         this.leaseClock = leaseClock;
         this.leaseMicros = leaseMicros;
-        this.quarantinedUntilMicros = leaseClock.quietUntil(startedAtMicros, leaseMicros);
+        this.quarantinedUntilMicros = leaseClock.startupQuietUntil(startedAtMicros, leaseMicros);
     }
 
     /** Until when no own quota is used, as an earlier incarnation may have delegated it. */
@@ -39,7 +39,7 @@
         if (!mayDelegate(nowMicros) || !available) {
             return false;
         }
-        long expiresAtMicros = leaseClock.lentUntil(nowMicros, leaseMicros);
+        long expiresAtMicros = leaseClock.reservedUntil(nowMicros, leaseMicros);
         byUpstream.put(upstream, new Delegation(to.planner(), to.incarnation(), expiresAtMicros));
         return true;
     }
--- a/src/main/java/sedgeyoke/plan/SlowStartQuotaPool.java
+++ b/src/main/java/sedgeyoke/plan/SlowStartQuotaPool.java
@@ -99,14 +99,14 @@
         List<GrantCandidate> candidates = new ArrayList<>();
         for (ReportingForwarder forwarder : forwarders) {
             ForwarderReport report = forwarder.lastReport();
-            long durationMicros = leaseClock.grantFor(report.leaseMicros());
+            long durationMicros = leaseClock.grantDuration(report.leaseMicros());
             boolean recent = nowMicros - forwarder.receivedAtMicros() <= durationMicros / 2;
             if (!forwarder.answered() && recent) {
                 candidates.add(new GrantCandidate(
                         forwarder.name(),
                         report.minGrantRate(),
                         (forwarder.demand() + MIN_DEMAND) * spillover.affinity(forwarder.zone(), zone),
-                        leaseClock.outstandingUntil(forwarder.receivedAtMicros(), durationMicros)));
+                        leaseClock.grantOutstandingUntil(forwarder.receivedAtMicros(), durationMicros)));
             }
         }
         candidates.sort(Comparator.comparingDouble((GrantCandidate candidate) -> -candidate.weight())
--- a/src/test/java/sedgeyoke/plan/PlanSafetyTest.java
+++ b/src/test/java/sedgeyoke/plan/PlanSafetyTest.java
@@ -81,13 +81,13 @@
     private static void faultyLeaseTimes(Map<String, PlanSimulation.Faults> faultyVariants) {
         faultyVariants.put("a deposit is timed from its receipt", planners(new LeaseClock(PlanSimulation.DRIFT_PPM) {
             @Override
-            public long depositUntil(long echoedAt, long receivedAt, long lease) {
+            public long depositCountsUntil(long echoedAt, long receivedAt, long lease) {
                 return receivedAt + lease;
             }
         }));
         faultyVariants.put("a grant is timed from its receipt", followers(new LeaseClock(PlanSimulation.DRIFT_PPM) {
             @Override
-            public long usableUntil(long echoedAt, long receivedAt, long grantFor) {
+            public long grantUsableUntil(long echoedAt, long receivedAt, long grantFor) {
                 return receivedAt + grantFor;
             }
         }));
@@ -95,20 +95,20 @@
                 "a forwarder uses delegated quota before the lease expires",
                 followers(new LeaseClock(PlanSimulation.DRIFT_PPM) {
                     @Override
-                    public long lentUntil(long sentAt, long lease) {
+                    public long reservedUntil(long sentAt, long lease) {
                         return sentAt + lease / 3;
                     }
                 }));
         faultyVariants.put(
                 "a restarted forwarder uses its own quota at once", followers(new LeaseClock(PlanSimulation.DRIFT_PPM) {
                     @Override
-                    public long quietUntil(long startedAt, long lease) {
+                    public long startupQuietUntil(long startedAt, long lease) {
                         return startedAt;
                     }
                 }));
         faultyVariants.put("a grant counts as expired before it is", planners(new LeaseClock(PlanSimulation.DRIFT_PPM) {
             @Override
-            public long outstandingUntil(long reportedAt, long grantFor) {
+            public long grantOutstandingUntil(long reportedAt, long grantFor) {
                 return reportedAt + grantFor / 4;
             }
         }));
