--- a/src/main/java/sedgeyoke/plan/Follower.java
+++ b/src/main/java/sedgeyoke/plan/Follower.java
@@ -7,10 +7,10 @@
 import java.util.TreeSet;
 import sedgeyoke.lease.LeaseClock;
 import sedgeyoke.policy.LoadBalancingPolicy;
-import sedgeyoke.policy.LoadBalancingPolicy.ColdGrant;
-import sedgeyoke.policy.LoadBalancingPolicy.ColdRight;
-import sedgeyoke.policy.LoadBalancingPolicy.Standing;
+import sedgeyoke.policy.LoadBalancingPolicy.SlowStartGrant;
+import sedgeyoke.policy.LoadBalancingPolicy.SlowStartQuota;
 import sedgeyoke.policy.LoadBalancingPolicy.State;
+import sedgeyoke.policy.LoadBalancingPolicy.UpstreamStatus;
 
 /**
  * The forwarder's side of the planner protocol. It reports to every planner, follows the plans of one, delegates its
@@ -106,22 +106,24 @@
                 deposits);
     }
 
-    private List<ForwarderReport.Deposit> delegateQuota(long nowMicros, PlanMessage to, List<Standing> upstreams) {
+    private List<ForwarderReport.Deposit> delegateQuota(
+            long nowMicros, PlanMessage to, List<UpstreamStatus> upstreams) {
         List<ForwarderReport.Deposit> deposits = new ArrayList<>();
-        for (Standing upstream : upstreams) {
-            boolean cold = upstream.coldRight() > 0 && upstream.state() == State.READY;
+        for (UpstreamStatus upstream : upstreams) {
+            boolean cold = upstream.slowStartQuota() > 0 && upstream.state() == State.READY;
             if (cold
                     && deposits.size() < ForwarderReport.MAX_DEPOSITS
                     && delegation.delegate(nowMicros, upstream.id(), to)) {
-                deposits.add(new ForwarderReport.Deposit(upstream.id(), upstream.launchedAt(), upstream.coldRight()));
+                deposits.add(
+                        new ForwarderReport.Deposit(upstream.id(), upstream.launchedAt(), upstream.slowStartQuota()));
             }
         }
         return deposits;
     }
 
-    private List<ForwarderReport.Load> nextLoads(long nowMicros, List<Standing> upstreams) {
+    private List<ForwarderReport.Load> nextLoads(long nowMicros, List<UpstreamStatus> upstreams) {
         List<ForwarderReport.Load> loads = new ArrayList<>();
-        for (Standing upstream : loadBatch.next(upstreams, ForwarderReport.MAX_LOADS)) {
+        for (UpstreamStatus upstream : loadBatch.next(upstreams, ForwarderReport.MAX_LOADS)) {
             long reportAgeMicros = upstream.reportedAt() > 0 ? Math.max(0, nowMicros - upstream.reportedAt()) : -1;
             loads.add(new ForwarderReport.Load(
                     upstream.id(),
@@ -181,22 +183,22 @@
                 fadeTimeMicros,
                 views.upstreamViews(limitShares),
                 spillover,
-                delegation.quarantinedUntilMicros(),
+                delegation.ownQuotaBlockedUntilMicros(),
                 quotaByUpstream(nowMicros));
     }
 
     /** What is delegated and what is granted of each cold upstream's quota. */
-    private Map<String, ColdRight> quotaByUpstream(long nowMicros) {
+    private Map<String, SlowStartQuota> quotaByUpstream(long nowMicros) {
         delegation.removeExpired(nowMicros);
         Map<String, UsableGrants> grants = usableGrants(nowMicros);
         TreeSet<String> upstreams = new TreeSet<>(delegation.upstreams());
         upstreams.addAll(grants.keySet());
-        Map<String, ColdRight> quota = new HashMap<>();
+        Map<String, SlowStartQuota> quota = new HashMap<>();
         for (String upstream : upstreams) {
             UsableGrants usable = grants.getOrDefault(upstream, UsableGrants.NONE);
             quota.put(
                     upstream,
-                    new ColdRight(usable.launchedAt, delegation.delegatedUntilMicros(upstream), usable.grants));
+                    new SlowStartQuota(usable.launchedAt, delegation.delegatedUntilMicros(upstream), usable.grants));
         }
         return quota;
     }
@@ -222,14 +224,14 @@
     private static final class UsableGrants {
         static final UsableGrants NONE = new UsableGrants();
 
-        private final List<ColdGrant> grants = new ArrayList<>();
+        private final List<SlowStartGrant> grants = new ArrayList<>();
         private long launchedAt;
 
         /** Adds a grant, unless it is for an earlier process of the upstream. */
         void add(PlanMessage.Grant grant, long untilMicros) {
             launchedAt = grants.isEmpty() ? grant.launchedAt() : Math.max(launchedAt, grant.launchedAt());
             if (grant.launchedAt() == launchedAt) {
-                grants.add(new ColdGrant(grant.rate(), untilMicros));
+                grants.add(new SlowStartGrant(grant.rate(), untilMicros));
             }
         }
     }
--- a/src/main/java/sedgeyoke/plan/QuotaDelegation.java
+++ b/src/main/java/sedgeyoke/plan/QuotaDelegation.java
@@ -12,7 +12,7 @@
 class QuotaDelegation {
     private final LeaseClock leaseClock;
     private final long leaseMicros;
-    private final long quarantinedUntilMicros;
+    private final long ownQuotaBlockedUntilMicros;
     private final Map<String, Delegation> byUpstream = new HashMap<>();
 
     /** The planner's process that holds the quota on one upstream, and until when on the forwarder's clock. */
@@ -21,12 +21,12 @@
     QuotaDelegation(LeaseClock leaseClock, long leaseMicros, long startedAtMicros) {
         this.leaseClock = leaseClock;
         this.leaseMicros = leaseMicros;
-        this.quarantinedUntilMicros = leaseClock.startupQuietUntil(startedAtMicros, leaseMicros);
+        this.ownQuotaBlockedUntilMicros = leaseClock.startupQuietUntil(startedAtMicros, leaseMicros);
     }
 
     /** Until when no own quota is used, as an earlier incarnation may have delegated it. */
-    long quarantinedUntilMicros() {
-        return quarantinedUntilMicros;
+    long ownQuotaBlockedUntilMicros() {
+        return ownQuotaBlockedUntilMicros;
     }
 
     /**
@@ -46,7 +46,7 @@
 
     /** A process that has just started does not know to whom an earlier incarnation has delegated the same quota. */
     boolean mayDelegate(long nowMicros) {
-        return nowMicros >= quarantinedUntilMicros;
+        return nowMicros >= ownQuotaBlockedUntilMicros;
     }
 
     /** Whether a plan is of the process that the quota is delegated to. */
