--- a/bench/src/BodiesCost.java
+++ b/bench/src/BodiesCost.java
@@ -375,7 +375,7 @@
             throws IOException, InterruptedException {
         List<String> pinned = new ArrayList<>(List.of("taskset", "-c", "7"));
         pinned.addAll(command);
-        ProgramProcess process = ProgramProcess.of(folder.resolve(name + ".log"), environment, pinned);
+        ProgramProcess process = new ProgramProcess(folder.resolve(name + ".log"), environment, pinned);
         process.start();
         return new Through(name, process, new InetSocketAddress(InetAddress.getLoopbackAddress(), process.port()));
     }
--- a/src/main/java/sedgeyoke/cli/CheckCommand.java
+++ b/src/main/java/sedgeyoke/cli/CheckCommand.java
@@ -1,5 +1,6 @@
 package sedgeyoke.cli;
 
+import java.io.PrintWriter;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
@@ -9,11 +10,11 @@
 import sedgeyoke.settings.InvalidOperatorFileException;
 import sedgeyoke.settings.OperatorFile;
 
-/** {@code check}: whether an operator's file is in order, with all that is wrong in it. */
+/** {@code check}: validates an operator's file and prints every problem in it. */
 @Command(
         name = "check",
         mixinStandardHelpOptions = true,
-        description = "Reads an operator's file as a start would, and says all that is wrong with it.")
+        description = "Reads an operator's file as a start would, and prints every problem in it.")
 final class CheckCommand implements Callable<Integer> {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -26,27 +27,36 @@
 
     @Override
     public Integer call() {
-        var out = spec.commandLine().getOut();
+        PrintWriter out = spec.commandLine().getOut();
+        PrintWriter err = spec.commandLine().getErr();
+        if (file == null && !keys) {
+            err.println("check: FILE or --keys is needed");
+            return CommandLine.ExitCode.USAGE;
+        }
         if (keys) {
             OperatorFile.table().forEach(out::println);
         }
         if (file == null) {
-            if (!keys) {
-                spec.commandLine().getErr().println("check: FILE or --keys is needed");
-            }
-            return keys ? 0 : CommandLine.ExitCode.USAGE;
+            return CommandLine.ExitCode.OK;
         }
         try {
-            OperatorFile read = OperatorFile.load(file);
-            out.println(file + ": in order; plans " + (read.plans().enabled() ? "on" : "off") + ", bodies "
-                    + (read.bodies().streaming() ? "on" : "off") + ", agreed "
-                    + (read.agreed().enabled() ? "on" : "off") + ", keeper "
-                    + (read.keeper().enabled() ? "on" : "off") + ", planner "
-                    + (read.planner().enabled() ? "on" : "off"));
-            return 0;
+            out.println(file + ": in order; " + features(OperatorFile.load(file)));
+            return CommandLine.ExitCode.OK;
         } catch (InvalidOperatorFileException e) {
-            spec.commandLine().getErr().println(e.getMessage());
-            return 1;
+            err.println(e.getMessage());
+            return CommandLine.ExitCode.SOFTWARE;
         }
     }
+
+    private static String features(OperatorFile operatorFile) {
+        return "plans " + onOrOff(operatorFile.plans().enabled())
+                + ", bodies " + onOrOff(operatorFile.bodies().streaming())
+                + ", agreed " + onOrOff(operatorFile.agreed().enabled())
+                + ", keeper " + onOrOff(operatorFile.keeper().enabled())
+                + ", planner " + onOrOff(operatorFile.planner().enabled());
+    }
+
+    private static String onOrOff(boolean enabled) {
+        return enabled ? "on" : "off";
+    }
 }
--- a/src/main/java/sedgeyoke/cli/ConfigClientOptions.java
+++ b/src/main/java/sedgeyoke/cli/ConfigClientOptions.java
@@ -2,8 +2,11 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.nio.file.Path;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 import picocli.CommandLine;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import sedgeyoke.consensus.RequestResult;
 import sedgeyoke.consensus.server.ConfigClient;
@@ -11,46 +14,44 @@
 import sedgeyoke.settings.InvalidOperatorFileException;
 import sedgeyoke.settings.OperatorFile;
 
-/** What all commands that ask the keepers have in common: how they reach them, and what their exit codes say. */
+/** Options and exit codes of the commands that talk to the config servers. */
 final class ConfigClientOptions {
-    static final int REFUSED = 1;
-    static final int UNKNOWN = 3;
-    static final int NO_QUORUM = 4;
-    static final String EXIT_CODES = "Exit codes: 0 done, 1 refused, 2 wrong usage or a bad file, 3 outcome unknown"
-            + " (ask again with --request), 4 no majority of keepers.";
+    static final int EXIT_REJECTED = 1;
+    static final int EXIT_UNKNOWN = 3;
+    static final int EXIT_NO_QUORUM = 4;
+    static final String EXIT_CODES = "Exit codes: 0 done, 1 rejected, 2 wrong usage or a bad file, 3 outcome unknown"
+            + " (retry with --request), 4 no quorum of config servers.";
 
-    @Option(
-            names = "--config",
-            paramLabel = "FILE",
-            description = "file with [operator]; else SEDGEYOKE_OPERATOR",
-            defaultValue = "${env:SEDGEYOKE_OPERATOR}")
-    Path config;
+    @Mixin
+    private OperatorFileOption config;
 
     @Option(
             names = "--timeout",
             paramLabel = "S",
             defaultValue = "10",
-            description = "how long an answer is waited for, in seconds; default: ${DEFAULT-VALUE}")
-    int timeout;
+            description = "how long to wait for an answer, in seconds; default: ${DEFAULT-VALUE}")
+    private int timeoutSeconds;
 
     @Option(names = "--json", description = "one JSON object")
-    boolean json;
+    private boolean json;
 
-    /** What a command does once it has a way to the keepers. */
+    /** The work of a command, given a connection to the config servers. */
     interface Work {
-        int with(ConfigClient client, ClientSettings settings) throws InterruptedException, IOException;
+        /** Returns the command's exit code. */
+        int run(ConfigClient client, ClientSettings settings) throws InterruptedException, IOException;
     }
 
-    int run(CommandLine.Model.CommandSpec spec, Work work) throws InterruptedException {
-        PrintWriter err = spec.commandLine().getErr();
-        if (config == null) {
+    /** Runs the work with a client set up from the operator's file; a bad file is a usage error. */
+    int run(CommandSpec command, Work work) throws InterruptedException {
+        PrintWriter err = command.commandLine().getErr();
+        if (config.file() == null) {
             err.println("no operator's file: --config or SEDGEYOKE_OPERATOR must name one");
             return CommandLine.ExitCode.USAGE;
         }
         try {
-            ClientSettings settings = OperatorFile.load(config).operator();
+            ClientSettings settings = OperatorFile.load(config.file()).operator();
             try (ConfigClient client = new ConfigClient(settings.keepers(), settings.name(), settings.tls())) {
-                return work.with(client, settings);
+                return work.run(client, settings);
             }
         } catch (InvalidOperatorFileException | IOException e) {
             err.println(e.getMessage());
@@ -58,16 +59,26 @@
         }
     }
 
-    long withinMs() {
-        return 1_000L * timeout;
+    boolean json() {
+        return json;
+    }
+
+    long timeoutMs() {
+        return TimeUnit.SECONDS.toMillis(timeoutSeconds);
     }
 
-    static int code(RequestResult outcome) {
-        return switch (outcome.kind()) {
-            case DONE -> 0;
-            case CONFLICT, REFUSED -> REFUSED;
-            case UNKNOWN -> UNKNOWN;
-            default -> NO_QUORUM;
+    /** The exit code that stands for the result of a request. */
+    static int exitCode(RequestResult result) {
+        return switch (result.kind()) {
+            case DONE -> CommandLine.ExitCode.OK;
+            case CONFLICT, REFUSED -> EXIT_REJECTED;
+            case UNKNOWN -> EXIT_UNKNOWN;
+            default -> EXIT_NO_QUORUM;
         };
     }
+
+    /** The result's kind as it is printed. */
+    static String kindName(RequestResult result) {
+        return result.kind().name().toLowerCase(Locale.ROOT);
+    }
 }
--- a/src/main/java/sedgeyoke/cli/ConfigServerCommand.java
+++ b/src/main/java/sedgeyoke/cli/ConfigServerCommand.java
@@ -1,35 +1,31 @@
 package sedgeyoke.cli;
 
-import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import sedgeyoke.consensus.server.ConfigServerMain;
 
-/** {@code keep}: one keeper. */
+/** {@code config-server}: runs one config server. */
 @Command(
-        name = "keep",
+        name = "config-server",
         mixinStandardHelpOptions = true,
         description = {
-            "Runs one keeper until SIGTERM, as [keeper] in the operator's file sets it.",
+            "Runs one config server until SIGTERM, as [keeper] in the operator's file sets it.",
             "Ends with 2 if it cannot start, and with 3 if its disk has failed."
         })
 final class ConfigServerCommand implements Callable<Integer> {
-    @Option(
-            names = "--config",
-            paramLabel = "FILE",
-            description = "operator's file; default: SEDGEYOKE_OPERATOR",
-            defaultValue = "${env:SEDGEYOKE_OPERATOR}")
-    private Path config;
+    @Mixin
+    private OperatorFileOption config;
 
     @Option(
-            names = "--found",
-            description =
-                    "founds a new tier if the folder is empty; else such a keeper waits" + " until it is added to one")
-    private boolean found;
+            names = "--bootstrap",
+            description = "bootstraps a new tier if the folder is empty; without it, a server with an empty folder"
+                    + " waits until it is added to a tier")
+    private boolean bootstrap;
 
     @Override
     public Integer call() throws InterruptedException {
-        return ConfigServerMain.run(config, found);
+        return ConfigServerMain.run(config.file(), bootstrap);
     }
 }
--- /dev/null
+++ b/src/main/java/sedgeyoke/cli/ConfigServerStatusFormat.java
@@ -0,0 +1,74 @@
+package sedgeyoke.cli;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import sedgeyoke.consensus.Member;
+import sedgeyoke.consensus.server.ConfigClient;
+
+/** Formats the status of a config server as text or JSON. The JSON keys are an interface: scripts read them. */
+final class ConfigServerStatusFormat {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private ConfigServerStatusFormat() {}
+
+    /** The lines of the text form: one for every server, a second one for the leader. */
+    static List<String> text(ConfigClient.Status status) {
+        List<String> lines = new ArrayList<>();
+        lines.add(String.format(
+                Locale.ROOT,
+                "%-12s %-9s term %d, commit %d of %d, version %d%s, %d followers, %s",
+                status.name(),
+                status.role(),
+                status.term(),
+                status.commit(),
+                status.last(),
+                status.active(),
+                status.pending() == 0 ? "" : " (" + status.pending() + " takes effect)",
+                status.followers(),
+                status.sound() ? "sound" : "in doubt: " + status.doubt()));
+        if (status.role().equals("leader")) {
+            lines.add(String.format(
+                    Locale.ROOT,
+                    "  a version holds everywhere within %d ms; rules contradict for %d ms at most;"
+                            + " %d balancers hold a lease",
+                    status.holdsWithinMs(),
+                    status.contradictionBoundMs(),
+                    status.holders()));
+        }
+        return lines;
+    }
+
+    /** The status as one JSON object. */
+    static ObjectNode json(ConfigClient.Status status) {
+        ObjectNode json = JSON.createObjectNode()
+                .put("name", status.name())
+                .put("role", status.role())
+                .put("term", status.term())
+                .put("leader", status.leader())
+                .put("commit", status.commit())
+                .put("last", status.last())
+                .put("sound", status.sound())
+                .put("doubt", status.doubt());
+        ArrayNode voters = json.putArray("voters");
+        status.voters().forEach(voter -> voters.add(json(voter)));
+        json.set("learner", status.learner() == null ? JSON.nullNode() : json(status.learner()));
+        return json.put("active", status.active())
+                .put("pending", status.pending())
+                .put("holders", status.holders())
+                .put("followers", status.followers())
+                .put("contradictionBoundMs", status.contradictionBoundMs())
+                .put("holdsWithinMs", status.holdsWithinMs())
+                .put("folder", status.folder());
+    }
+
+    private static ObjectNode json(Member member) {
+        return JSON.createObjectNode()
+                .put("name", member.name())
+                .put("folder", member.folder())
+                .put("address", member.address());
+    }
+}
--- a/src/main/java/sedgeyoke/cli/ConfigServersCommand.java
+++ b/src/main/java/sedgeyoke/cli/ConfigServersCommand.java
@@ -16,17 +16,19 @@
 import sedgeyoke.consensus.RequestResult;
 import sedgeyoke.consensus.server.ConfigClient;
 import sedgeyoke.consensus.storage.ReplicaStorage;
+import sedgeyoke.settings.ClientSettings;
 import sedgeyoke.store.DiskException;
 import sedgeyoke.store.FileDisk;
 
-/** {@code keepers}: those who hold what the tier has agreed on. */
+/** {@code config-servers}: status and membership of the config servers of a tier. */
 @Command(
-        name = "keepers",
+        name = "config-servers",
         mixinStandardHelpOptions = true,
         footer = {"", ConfigClientOptions.EXIT_CODES},
-        description = "Looks after the keepers of a tier.")
+        description = "Shows and changes the config servers of a tier.")
 final class ConfigServersCommand implements Runnable {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int HEX = 16;
 
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -36,108 +38,97 @@
         throw new CommandLine.ParameterException(spec.commandLine(), "status, add, remove or check?");
     }
 
-    @Command(name = "status", mixinStandardHelpOptions = true, description = "What each keeper says of itself.")
-    int status(@Mixin ConfigClientOptions common) throws InterruptedException {
-        return common.run(spec, (client, settings) -> {
-            PrintWriter out = spec.commandLine().getOut();
-            ArrayNode all = JSON.createArrayNode();
-            int sound = 0;
-            int voters = settings.keepers().size();
-            for (InetSocketAddress at : settings.keepers()) {
-                ConfigClient.Status s = client.status(at);
-                if (s == null) {
-                    out.print(common.json ? "" : at + "  does not answer\n");
-                    continue;
-                }
-                sound += s.sound() ? 1 : 0;
-                voters = s.voters().size();
-                all.add(JSON.valueToTree(s));
-                if (!common.json) {
-                    out.printf(
-                            "%-12s %-9s term %d, commit %d of %d, version %d%s, %d followers, %s%n",
-                            s.name(),
-                            s.role(),
-                            s.term(),
-                            s.commit(),
-                            s.last(),
-                            s.active(),
-                            s.pending() == 0 ? "" : " (" + s.pending() + " takes effect)",
-                            s.followers(),
-                            s.sound() ? "sound" : "in doubt: " + s.doubt());
-                    if (s.role().equals("leader")) {
-                        out.printf(
-                                "  a version holds everywhere within %d ms; rules contradict for %d ms at most;"
-                                        + " %d balancers hold a lease%n",
-                                s.holdsWithinMs(), s.contradictionBoundMs(), s.holders());
-                    }
-                }
+    @Command(name = "status", mixinStandardHelpOptions = true, description = "Prints the status of each server.")
+    int status(@Mixin ConfigClientOptions options) throws InterruptedException {
+        return options.run(spec, (client, settings) -> printStatus(client, settings, options.json()));
+    }
+
+    private int printStatus(ConfigClient client, ClientSettings settings, boolean json) throws InterruptedException {
+        PrintWriter out = spec.commandLine().getOut();
+        ArrayNode all = JSON.createArrayNode();
+        int recovered = 0;
+        int voters = settings.keepers().size();
+        for (InetSocketAddress address : settings.keepers()) {
+            ConfigClient.Status status = client.status(address);
+            if (status == null) {
+                out.print(json ? "" : address + "  does not answer\n");
+                continue;
             }
-            if (common.json) {
-                out.println(all);
+            recovered += status.sound() ? 1 : 0;
+            voters = status.voters().size();
+            if (json) {
+                all.add(ConfigServerStatusFormat.json(status));
+            } else {
+                ConfigServerStatusFormat.text(status).forEach(out::println);
             }
-            return sound > voters / 2 ? 0 : ConfigClientOptions.NO_QUORUM;
-        });
+        }
+        if (json) {
+            out.println(all);
+        }
+        return recovered > voters / 2 ? CommandLine.ExitCode.OK : ConfigClientOptions.EXIT_NO_QUORUM;
     }
 
     @Command(
             name = "add",
             mixinStandardHelpOptions = true,
-            description = "A keeper joins; it decides with the others once it has caught up.")
+            description = "Adds a server; it votes once it has caught up with the leader.")
     int add(
-            @Mixin ConfigClientOptions common,
-            @Parameters(paramLabel = "NAME=ADDRESS") String keeper,
+            @Mixin ConfigClientOptions options,
+            @Parameters(paramLabel = "NAME=ADDRESS") String server,
             @Option(
                             names = "--folder",
                             required = true,
                             paramLabel = "HEX",
-                            description = "the number of its folder, as 'keepers check' prints it")
+                            description = "the number of its folder, as 'config-servers check' prints it")
                     String folder)
             throws InterruptedException {
-        String[] parts = keeper.split("=", 2);
+        String[] parts = server.split("=", 2);
         if (parts.length != 2) {
-            throw new CommandLine.ParameterException(spec.commandLine(), "NAME=ADDRESS, not " + keeper);
+            throw new CommandLine.ParameterException(spec.commandLine(), "NAME=ADDRESS, not " + server);
         }
-        return change(
-                common, new ClientRequest.Add(new Member(parts[0], Long.parseUnsignedLong(folder, 16), parts[1])));
+        Member member = new Member(parts[0], Long.parseUnsignedLong(folder, HEX), parts[1]);
+        return changeMembership(options, new ClientRequest.Add(member));
     }
 
-    @Command(name = "remove", mixinStandardHelpOptions = true, description = "A keeper goes.")
-    int remove(@Mixin ConfigClientOptions common, @Parameters(paramLabel = "NAME") String name)
+    @Command(name = "remove", mixinStandardHelpOptions = true, description = "Removes a server.")
+    int remove(@Mixin ConfigClientOptions options, @Parameters(paramLabel = "NAME") String name)
             throws InterruptedException {
-        return change(common, new ClientRequest.Remove(name, 0));
+        return changeMembership(options, new ClientRequest.Remove(name, 0));
     }
 
-    private int change(ConfigClientOptions common, ClientRequest request) throws InterruptedException {
-        return common.run(spec, (client, settings) -> {
-            RequestResult outcome = client.ask(request, common.withinMs()).outcome();
-            spec.commandLine()
-                    .getOut()
-                    .println(outcome.kind().name().toLowerCase()
-                            + (outcome.text().isEmpty() ? "" : ": " + outcome.text()));
-            return ConfigClientOptions.code(outcome);
+    private int changeMembership(ConfigClientOptions options, ClientRequest request) throws InterruptedException {
+        return options.run(spec, (client, settings) -> {
+            RequestResult result = client.ask(request, options.timeoutMs()).outcome();
+            String text = result.text().isEmpty() ? "" : ": " + result.text();
+            spec.commandLine().getOut().println(ConfigClientOptions.kindName(result) + text);
+            return ConfigClientOptions.exitCode(result);
         });
     }
 
     @Command(
             name = "check",
             mixinStandardHelpOptions = true,
-            description = "Reads the folder of a keeper that does not run, and says what of it can be believed.")
+            description = "Verifies the folder of a server that is stopped, and prints what is corrupt in it.")
     int check(@Parameters(paramLabel = "FOLDER") Path folder) {
-        PrintWriter out = spec.commandLine().getOut();
+        PrintWriter err = spec.commandLine().getErr();
         if (!Files.isDirectory(folder)) {
-            spec.commandLine().getErr().println(folder + ": no such folder");
+            err.println(folder + ": no such folder");
             return CommandLine.ExitCode.USAGE;
         }
         try (FileDisk disk = FileDisk.take(folder)) {
-            ReplicaStorage.Report report = ReplicaStorage.check(disk);
-            out.println("keeper " + report.keeper() + " of tier " + report.tier() + ", folder "
-                    + Long.toHexString(report.folder()) + ", term " + report.term() + ", entries up to "
-                    + report.last() + (report.covered() == 0 ? "" : ", snapshot up to " + report.covered()));
-            report.damage().forEach(d -> out.println("  lost: " + d));
-            return report.damage().isEmpty() ? 0 : ConfigClientOptions.REFUSED;
+            return printReport(ReplicaStorage.check(disk));
         } catch (DiskException | ReplicaStorage.Unusable e) {
-            spec.commandLine().getErr().println(folder + ": " + e.getMessage());
-            return ConfigClientOptions.REFUSED;
+            err.println(folder + ": " + e.getMessage());
+            return ConfigClientOptions.EXIT_REJECTED;
         }
     }
+
+    private int printReport(ReplicaStorage.Report report) {
+        PrintWriter out = spec.commandLine().getOut();
+        out.println("config server " + report.keeper() + " of tier " + report.tier() + ", folder "
+                + Long.toHexString(report.folder()) + ", term " + report.term() + ", entries up to " + report.last()
+                + (report.covered() == 0 ? "" : ", snapshot up to " + report.covered()));
+        report.damage().forEach(corruption -> out.println("  lost: " + corruption));
+        return report.damage().isEmpty() ? CommandLine.ExitCode.OK : ConfigClientOptions.EXIT_REJECTED;
+    }
 }
--- a/src/main/java/sedgeyoke/cli/DemoCommand.java
+++ b/src/main/java/sedgeyoke/cli/DemoCommand.java
@@ -5,16 +5,20 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import sedgeyoke.drill.DemoRun;
+import sedgeyoke.model.InvariantChecker;
 
-/** {@code demo}: the whole thing on loopback. */
+/** {@code demo}: runs a whole site on loopback. */
 @Command(
         name = "demo",
         mixinStandardHelpOptions = true,
         description = {
-            "Plays discovery, order nodes, three balancers and their clients on loopback.",
+            "Runs discovery, order nodes, three balancers and their clients on loopback.",
             "Ends with 0, or with 1 and the rule that broke."
         })
 final class DemoCommand implements Callable<Integer> {
+    private static final int MIN_SECONDS = 3;
+    private static final int MAX_SECONDS = 3_600;
+
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
@@ -30,15 +34,12 @@
 
     @Override
     public Integer call() throws Exception {
-        if (seconds < 3 || seconds > 3_600) {
+        if (seconds < MIN_SECONDS || seconds > MAX_SECONDS) {
             throw new CommandLine.ParameterException(spec.commandLine(), "--seconds must lie from 3 to 3600");
         }
-        boolean live = System.console() != null;
-        return new DemoRun(seconds, seed, live, spec.commandLine().getOut())
-                                .run()
-                                .ruleViolations()
-                        == 0
-                ? 0
-                : 1;
+        boolean redraw = System.console() != null;
+        InvariantChecker.Summary summary =
+                new DemoRun(seconds, seed, redraw, spec.commandLine().getOut()).run();
+        return summary.ruleViolations() == 0 ? CommandLine.ExitCode.OK : CommandLine.ExitCode.SOFTWARE;
     }
 }
--- a/src/main/java/sedgeyoke/cli/DrillCommand.java
+++ b/src/main/java/sedgeyoke/cli/DrillCommand.java
@@ -10,11 +10,11 @@
 import sedgeyoke.drill.PlannersDrill;
 import sedgeyoke.drill.ProgramProcess;
 
-/** {@code drill NAME}: measures what the product promises, against stand-ins. */
+/** {@code drill NAME}: injects faults into real processes on loopback and measures what the product promises. */
 @Command(
         name = "drill",
         mixinStandardHelpOptions = true,
-        description = "Plays faults against real processes on loopback; the last line is one JSON object.")
+        description = "Injects faults into real processes on loopback; the last line is one JSON object.")
 final class DrillCommand implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -25,17 +25,18 @@
     }
 
     @Command(
-            name = "agree",
+            name = "consensus",
             mixinStandardHelpOptions = true,
             description = {
-                "Keepers and balancers as processes, a proxy on every way between two of them, writers and traffic:"
-                        + " keepers are killed, stopped, cut off and have bits of their folders flipped, a minority"
-                        + " of them at once.",
-                "Ends with 0 if no committed version was lost, answers came in order, no rule broke, and no request"
-                        + " reached a node that was out for longer than is stated."
+                "Runs config servers and balancers as processes with a fault proxy on every connection between two of"
+                        + " them, under writes and traffic. A minority of the config servers at a time is killed,"
+                        + " stopped, partitioned or has bits of its stored files flipped.",
+                "Ends with 0 if no committed version was lost, answers were linearizable, no rule broke, and no request"
+                        + " reached a node that was out for longer than the stated bound."
             })
-    int agree(
-            @Option(names = "--keepers", defaultValue = "5", description = "default: ${DEFAULT-VALUE}") int keepers,
+    int consensus(
+            @Option(names = "--config-servers", defaultValue = "5", description = "default: ${DEFAULT-VALUE}")
+                    int configServers,
             @Option(names = "--balancers", defaultValue = "24", description = "default: ${DEFAULT-VALUE}")
                     int balancers,
             @Option(names = "--seconds", defaultValue = "120", description = "default: ${DEFAULT-VALUE}") int seconds,
@@ -43,66 +44,61 @@
             @Option(
                             names = "--mode",
                             defaultValue = "faults",
-                            description = "faults, quiet (the same without them) or"
-                                    + " without (nothing is agreed, each balancer is told by itself)")
+                            description =
+                                    "faults, quiet (no faults) or without (faults, but balancers do not follow the"
+                                            + " config servers: each is changed through its own admin endpoint)")
                     ConsensusDrill.Mode mode,
             @Option(names = "--json", description = "nothing but the last line") boolean json)
             throws Exception {
-        if (keepers < 1 || keepers > 7 || balancers < 3 || balancers > 60 || seconds < 12 || seconds > 3_600) {
-            throw new CommandLine.ParameterException(
-                    spec.commandLine(), "--keepers 1 to 7, --balancers 3 to 60, --seconds 12 to 3600");
+        if (configServers < 1
+                || configServers > 7
+                || balancers < 3
+                || balancers > 60
+                || seconds < 12
+                || seconds > 3_600) {
+            throw usageError("--config-servers 1 to 7, --balancers 3 to 60, --seconds 12 to 3600");
         }
-        PrintWriter out = spec.commandLine().getOut();
-        return conclude(
-                out,
-                new ConsensusDrill(
-                                keepers,
-                                balancers,
-                                seconds,
-                                seed,
-                                mode,
-                                ProgramProcess.program(),
-                                json ? new PrintWriter(System.err, true) : out)
-                        .run());
+        PrintWriter progress =
+                json ? new PrintWriter(System.err, true) : spec.commandLine().getOut();
+        ConsensusDrill.Options options =
+                new ConsensusDrill.Options(configServers, balancers, seconds, seed, mode, ProgramProcess.program());
+        return printMetrics(new ConsensusDrill(options, progress).run());
     }
 
     @Command(
             name = "planners",
             mixinStandardHelpOptions = true,
             description = {
-                "Three planners, six forwarders, twelve nodes: planners are killed, stalled and cut off.",
-                "Ends with 0 if service stays within 2% of a run in which nothing failed and no rule broke."
+                "Runs three planners, six forwarders and twelve nodes; planners are killed, stalled and partitioned.",
+                "Ends with 0 if service stays within 2% of a run without faults and no rule broke."
             })
     int planners(
             @Option(names = "--seconds", defaultValue = "60", description = "default: ${DEFAULT-VALUE}") int seconds,
             @Option(names = "--seed", defaultValue = "1", description = "default: ${DEFAULT-VALUE}") long seed,
             @Option(
                             names = "--load",
-                            defaultValue = PlannersDrill.USUAL_LOAD,
-                            description = "share of the nodes' capacity that is asked for; default: ${DEFAULT-VALUE}")
+                            defaultValue = PlannersDrill.DEFAULT_LOAD,
+                            description = "offered load as a share of the nodes' capacity; default: ${DEFAULT-VALUE}")
                     double load,
             @Option(names = "--json", description = "nothing but the last line; broken rules go to standard error")
                     boolean json)
             throws Exception {
         if (seconds < 10 || seconds > 3_600) {
-            throw new CommandLine.ParameterException(spec.commandLine(), "--seconds must lie from 10 to 3600");
+            throw usageError("--seconds must lie from 10 to 3600");
         }
         if (!(load > 0 && load <= 4)) {
-            throw new CommandLine.ParameterException(spec.commandLine(), "--load must lie above 0 and up to 4");
+            throw usageError("--load must lie above 0 and up to 4");
         }
-        PrintWriter out = spec.commandLine().getOut();
-        return conclude(
-                out,
-                new PlannersDrill(seconds, seed, load, json ? new PrintWriter(PrintWriter.nullWriter()) : out).run());
+        return printMetrics(new PlannersDrill(seconds, seed, load, progress(json)).run());
     }
 
     @Command(
             name = "bodies",
             mixinStandardHelpOptions = true,
             description = {
-                "Long bodies both ways through one balancer: half of the pairs have a client that trickles, half a"
-                        + " node.",
-                "Ends with 0 if every pair is whole at both ends and memory stays flat under its ceiling."
+                "Sends long bodies both ways through one balancer: half of the transfers have a slow client, half a"
+                        + " slow node.",
+                "Ends with 0 if every transfer is complete at both ends and memory stays flat under its ceiling."
             })
     int bodies(
             @Option(names = "--pairs", defaultValue = "1000", description = "default: ${DEFAULT-VALUE}") int pairs,
@@ -112,19 +108,25 @@
             @Option(names = "--json", description = "nothing but the last line") boolean json)
             throws Exception {
         if (seconds < 5 || seconds > 3_600 || pairs < 1 || pairs > 1_200) {
-            throw new CommandLine.ParameterException(
-                    spec.commandLine(), "--seconds must lie from 5 to 3600, --pairs from 1 to 1200");
+            throw usageError("--seconds must lie from 5 to 3600, --pairs from 1 to 1200");
         }
-        PrintWriter out = spec.commandLine().getOut();
-        return conclude(
-                out,
-                new BodiesDrill(pairs, seconds, seed, !off, json ? new PrintWriter(PrintWriter.nullWriter()) : out)
-                        .run());
+        return printMetrics(new BodiesDrill(pairs, seconds, seed, !off, progress(json)).run());
+    }
+
+    private CommandLine.ParameterException usageError(String message) {
+        return new CommandLine.ParameterException(spec.commandLine(), message);
+    }
+
+    private PrintWriter progress(boolean json) {
+        return json
+                ? new PrintWriter(PrintWriter.nullWriter())
+                : spec.commandLine().getOut();
     }
 
-    private static int conclude(PrintWriter out, ObjectNode figures) {
-        out.println(figures);
+    private int printMetrics(ObjectNode metrics) {
+        PrintWriter out = spec.commandLine().getOut();
+        out.println(metrics);
         out.flush();
-        return figures.path("ok").asBoolean() ? 0 : 1;
+        return metrics.path("ok").asBoolean() ? CommandLine.ExitCode.OK : CommandLine.ExitCode.SOFTWARE;
     }
 }
--- a/src/main/java/sedgeyoke/cli/Sedgeyoke.java
+++ b/src/main/java/sedgeyoke/cli/Sedgeyoke.java
@@ -1,11 +1,12 @@
 package sedgeyoke.cli;
 
+import java.io.PrintWriter;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
 
-/** The command {@code sedgeyoke}; without a command of its own it says which there are. */
+/** The command {@code sedgeyoke}; without a subcommand it prints its usage. */
 @Command(
         name = "sedgeyoke",
         mixinStandardHelpOptions = true,
@@ -28,15 +29,18 @@
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
-    /** Runs a command and ends with its exit code. */
+    /** Runs a command and ends the process with its exit code. */
     public static void main(String[] args) {
-        System.exit(run(args));
+        System.exit(run(new PrintWriter(System.out, true), new PrintWriter(System.err, true), args));
     }
 
-    static int run(String... args) {
+    /** Runs a command, by its present or a deprecated name, and returns its exit code. */
+    static int run(PrintWriter out, PrintWriter err, String... args) {
         return new CommandLine(new Sedgeyoke())
                 .setCaseInsensitiveEnumValuesAllowed(true)
-                .execute(args);
+                .setOut(out)
+                .setErr(err)
+                .execute(DeprecatedNames.replace(args, err));
     }
 
     @Override
--- a/src/main/java/sedgeyoke/cli/ServeCommand.java
+++ b/src/main/java/sedgeyoke/cli/ServeCommand.java
@@ -6,13 +6,16 @@
 import picocli.CommandLine.Option;
 import sedgeyoke.serve.BalancerMain;
 
-/** {@code serve}: one balancer. {@code bin/sedgeyoke} starts it without this class, which has its help. */
+/**
+ * {@code serve}: runs one balancer. {@code bin/sedgeyoke serve} starts the balancer without this class, which serves
+ * for the help and for starts from a class path.
+ */
 @Command(
         name = "serve",
         mixinStandardHelpOptions = true,
         description = {
             "Runs one balancer until SIGTERM, as 'run' in deploy/balancer.toml does.",
-            "The platform's configuration is taken from the file that BALANCER_CONFIG names."
+            "The platform's configuration is read from the file that BALANCER_CONFIG names."
         })
 final class ServeCommand implements Callable<Integer> {
     @Option(names = "--config", paramLabel = "FILE", description = "operator's file; default: SEDGEYOKE_OPERATOR")
--- a/src/main/java/sedgeyoke/cli/SettingsCommand.java
+++ b/src/main/java/sedgeyoke/cli/SettingsCommand.java
@@ -5,8 +5,7 @@
 import java.io.PrintWriter;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
+import java.util.Optional;
 import java.util.UUID;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -20,13 +19,14 @@
 import sedgeyoke.consensus.ConfigVersion;
 import sedgeyoke.consensus.RequestResult;
 import sedgeyoke.consensus.server.ConfigClient;
+import sedgeyoke.settings.ClientSettings;
 
-/** {@code settings}: what the tier has agreed on. */
+/** {@code settings}: reads and changes the config that the config servers of a tier replicate. */
 @Command(
         name = "settings",
         mixinStandardHelpOptions = true,
         footer = {"", ConfigClientOptions.EXIT_CODES},
-        description = "Reads and sets what the balancers of a tier agree on, by way of the keepers.")
+        description = "Reads and sets the config that all balancers of a tier follow.")
 final class SettingsCommand implements Runnable {
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -38,39 +38,49 @@
         throw new CommandLine.ParameterException(spec.commandLine(), "get, set, history, rollback or fields?");
     }
 
-    @Command(name = "fields", description = "Lists all keys: unit, bounds, how versions meet, what holds alone.")
+    @Command(
+            name = "fields",
+            description = "Lists all keys: unit, bounds, how two versions are merged, what holds without a lease.")
     int fields() {
-        for (ConfigField f : ConfigSchema.FIELDS) {
-            spec.commandLine()
-                    .getOut()
-                    .println(f.name() + " | " + f.unit() + " | " + f.least() + " to " + f.most() + " | meet: "
-                            + f.meet() + " | alone: " + f.alone() + " | " + f.says());
+        PrintWriter out = spec.commandLine().getOut();
+        for (ConfigField field : ConfigSchema.FIELDS) {
+            out.println(field.name() + " | " + field.unit() + " | " + field.least() + " to " + field.most()
+                    + " | meet: " + field.meet() + " | alone: " + field.alone() + " | " + field.says());
         }
-        return 0;
+        return CommandLine.ExitCode.OK;
     }
 
     @Command(
             name = "get",
             mixinStandardHelpOptions = true,
             description = "Prints the newest version, and whether it is in force everywhere.")
-    int get(@Mixin ConfigClientOptions common) throws InterruptedException {
-        return common.run(spec, (client, settings) -> {
-            ConfigClient.Answer answer = client.ask(new ClientRequest.Read(), common.withinMs());
-            return show(answer, common.json);
+    int get(@Mixin ConfigClientOptions options) throws InterruptedException {
+        return options.run(spec, (client, settings) -> {
+            ConfigClient.Answer answer = client.ask(new ClientRequest.Read(), options.timeoutMs());
+            if (answer.outcome().kind() != RequestResult.Kind.DONE) {
+                return printResult(answer.outcome(), null, options.json());
+            }
+            if (options.json()) {
+                spec.commandLine().getOut().println(toJson(answer));
+            } else {
+                printVersion(answer);
+            }
+            return CommandLine.ExitCode.OK;
         });
     }
 
-    @Command(name = "history", mixinStandardHelpOptions = true, description = "Lists the versions before, newest last.")
-    int history(@Mixin ConfigClientOptions common) throws InterruptedException {
-        return common.run(spec, (client, settings) -> {
-            ConfigClient.Answer answer = client.history(common.withinMs());
+    @Command(name = "history", mixinStandardHelpOptions = true, description = "Lists earlier versions, newest last.")
+    int history(@Mixin ConfigClientOptions options) throws InterruptedException {
+        return options.run(spec, (client, settings) -> {
+            ConfigClient.Answer answer = client.history(options.timeoutMs());
             if (answer == null) {
-                spec.commandLine().getErr().println("no keeper has answered");
-                return ConfigClientOptions.NO_QUORUM;
+                spec.commandLine().getErr().println("no config server has answered");
+                return ConfigClientOptions.EXIT_NO_QUORUM;
             }
-            answer.history().forEach(v -> spec.commandLine().getOut().println(line(v)));
-            spec.commandLine().getOut().println(line(answer.active()));
-            return 0;
+            PrintWriter out = spec.commandLine().getOut();
+            answer.history().forEach(version -> out.println(title(version)));
+            out.println(title(answer.active()));
+            return CommandLine.ExitCode.OK;
         });
     }
 
@@ -82,41 +92,28 @@
                 "KEY=NUMBER, KEY+=NAME, KEY-=NAME, KEY.NAME=NUMBER, KEY= (unset)."
             })
     int set(
-            @Mixin ConfigClientOptions common,
+            @Mixin ConfigClientOptions options,
             @Parameters(arity = "1..*", paramLabel = "CHANGE", description = "such as upstreams_out+=n3 retries=0.2")
                     List<String> changes,
             @Option(names = "--reason", defaultValue = "", description = "why, for the history") String reason,
-            @Option(names = "--request", description = "the number of an earlier try whose outcome is not known")
-                    String request,
-            @Option(names = "--parent", description = "the version that it has to be made from; default: the newest")
+            @Option(names = "--request", description = "the id of an earlier attempt whose outcome is unknown")
+                    String requestId,
+            @Option(names = "--parent", description = "the version that it must be made from; default: the newest")
                     Long parent)
             throws InterruptedException {
-        return common.run(spec, (client, settings) -> {
-            ConfigClient.Answer now = client.ask(new ClientRequest.Read(), common.withinMs());
-            if (now.outcome().kind() != RequestResult.Kind.DONE) {
-                return tell(now.outcome(), null, common.json);
+        return options.run(spec, (client, settings) -> {
+            ConfigClient.Answer current = client.ask(new ClientRequest.Read(), options.timeoutMs());
+            if (current.outcome().kind() != RequestResult.Kind.DONE) {
+                return printResult(current.outcome(), null, options.json());
             }
-            if (parent != null && parent != now.newest().number()) {
-                return tell(
-                        new RequestResult(
-                                RequestResult.Kind.CONFLICT,
-                                now.newest().number(),
-                                "the newest version is " + now.newest().number()),
-                        null,
-                        common.json);
+            long newest = current.newest().number();
+            if (parent != null && parent != newest) {
+                RequestResult conflict =
+                        new RequestResult(RequestResult.Kind.CONFLICT, newest, "the newest version is " + newest);
+                return printResult(conflict, null, options.json());
             }
-            String number = request != null ? request : UUID.randomUUID().toString();
-            return tell(
-                    client.set(
-                                    number,
-                                    now.newest(),
-                                    settings.name(),
-                                    reason,
-                                    changed(now.newest().content(), changes),
-                                    common.withinMs())
-                            .outcome(),
-                    number,
-                    common.json);
+            ConfigDocument content = changed(current.newest().content(), changes);
+            return write(client, settings, options, requestId, current.newest(), reason, content);
         });
     }
 
@@ -124,139 +121,109 @@
             name = "rollback",
             mixinStandardHelpOptions = true,
             description = "Makes a new version with the content of an earlier one.")
-    int rollback(@Mixin ConfigClientOptions common, @Parameters(paramLabel = "VERSION") long version)
+    int rollback(@Mixin ConfigClientOptions options, @Parameters(paramLabel = "VERSION") long number)
             throws InterruptedException {
-        return common.run(spec, (client, settings) -> {
-            ConfigClient.Answer now = client.ask(new ClientRequest.Read(), common.withinMs());
-            ConfigClient.Answer before = client.history(common.withinMs());
-            ConfigVersion old = before == null
-                    ? null
-                    : before.history().stream()
-                            .filter(v -> v.number() == version)
-                            .findFirst()
-                            .orElse(null);
-            if (now.outcome().kind() != RequestResult.Kind.DONE || old == null) {
-                return tell(
-                        old == null
-                                ? new RequestResult(
-                                        RequestResult.Kind.REFUSED, 0, "version " + version + " is not remembered")
-                                : now.outcome(),
-                        null,
-                        common.json);
+        return options.run(spec, (client, settings) -> {
+            ConfigClient.Answer current = client.ask(new ClientRequest.Read(), options.timeoutMs());
+            Optional<ConfigVersion> earlier = find(client.history(options.timeoutMs()), number);
+            if (earlier.isEmpty()) {
+                RequestResult rejected =
+                        new RequestResult(RequestResult.Kind.REFUSED, 0, "version " + number + " is not remembered");
+                return printResult(rejected, null, options.json());
             }
-            String number = UUID.randomUUID().toString();
-            return tell(
-                    client.set(
-                                    number,
-                                    now.newest(),
-                                    settings.name(),
-                                    "back to version " + version,
-                                    old.content(),
-                                    common.withinMs())
-                            .outcome(),
-                    number,
-                    common.json);
+            if (current.outcome().kind() != RequestResult.Kind.DONE) {
+                return printResult(current.outcome(), null, options.json());
+            }
+            String reason = "back to version " + number;
+            ConfigDocument content = earlier.get().content();
+            return write(client, settings, options, null, current.newest(), reason, content);
         });
     }
 
-    private ConfigDocument changed(ConfigDocument from, List<String> changes) {
-        Map<String, Double> numbers = new TreeMap<>(from.numbers());
-        Map<String, Map<String, Double>> tables = new TreeMap<>(from.tables());
-        Map<String, Map<String, String>> names = new TreeMap<>(from.names());
-        for (String change : changes) {
-            int at = change.indexOf('=');
-            if (at < 1) {
-                throw new CommandLine.ParameterException(spec.commandLine(), "no change: " + change);
-            }
-            char sign = change.charAt(at - 1);
-            String key = change.substring(0, sign == '+' || sign == '-' ? at - 1 : at);
-            String value = change.substring(at + 1);
-            if (sign == '+' || sign == '-') {
-                Map<String, String> set = new TreeMap<>(names.getOrDefault(key, Map.of()));
-                if (sign == '+') {
-                    set.put(value, "");
-                } else {
-                    set.remove(value);
-                }
-                names.put(key, set);
-            } else if (value.isEmpty()) {
-                numbers.remove(key);
-                tables.remove(key);
-                names.remove(key);
-            } else if (key.contains(".")) {
-                String[] parts = key.split("\\.", 2);
-                tables.computeIfAbsent(parts[0], k -> new TreeMap<>());
-                Map<String, Double> table = new TreeMap<>(tables.get(parts[0]));
-                table.put(parts[1], number(change, value));
-                tables.put(parts[0], table);
-            } else {
-                numbers.put(key, number(change, value));
-            }
+    private static Optional<ConfigVersion> find(ConfigClient.Answer answer, long number) {
+        if (answer == null) {
+            return Optional.empty();
         }
-        return new ConfigDocument(numbers, tables, names);
+        return answer.history().stream()
+                .filter(version -> version.number() == number)
+                .findFirst();
     }
 
-    private double number(String change, String value) {
+    /** Writes a new version; {@code requestId} null draws a new id. */
+    private int write(
+            ConfigClient client,
+            ClientSettings settings,
+            ConfigClientOptions options,
+            String requestId,
+            ConfigVersion parent,
+            String reason,
+            ConfigDocument content)
+            throws InterruptedException {
+        String id = requestId != null ? requestId : UUID.randomUUID().toString();
+        RequestResult result = client.set(id, parent, settings.name(), reason, content, options.timeoutMs())
+                .outcome();
+        return printResult(result, id, options.json());
+    }
+
+    private ConfigDocument changed(ConfigDocument document, List<String> changes) {
         try {
-            return Double.parseDouble(value);
-        } catch (NumberFormatException e) {
-            throw new CommandLine.ParameterException(spec.commandLine(), change + ": no number");
+            return ConfigChanges.apply(document, changes);
+        } catch (ConfigChanges.InvalidChangeException e) {
+            throw new CommandLine.ParameterException(spec.commandLine(), e.getMessage());
         }
     }
 
-    private int tell(RequestResult outcome, String request, boolean json) {
+    private int printResult(RequestResult result, String requestId, boolean json) {
         PrintWriter out = spec.commandLine().getOut();
         if (json) {
             out.println(JSON.createObjectNode()
-                    .put("outcome", outcome.kind().name().toLowerCase())
-                    .put("version", outcome.version())
-                    .put("text", outcome.text())
-                    .put("request", request));
+                    .put("outcome", ConfigClientOptions.kindName(result))
+                    .put("version", result.version())
+                    .put("text", result.text())
+                    .put("request", requestId));
         } else {
-            out.println(outcome.kind().name().toLowerCase() + ", version " + outcome.version()
-                    + (outcome.text().isEmpty() ? "" : ": " + outcome.text())
-                    + (outcome.kind() == RequestResult.Kind.UNKNOWN ? "; ask again with --request " + request : ""));
+            String text = result.text().isEmpty() ? "" : ": " + result.text();
+            String advice = result.kind() == RequestResult.Kind.UNKNOWN ? "; retry with --request " + requestId : "";
+            out.println(ConfigClientOptions.kindName(result) + ", version " + result.version() + text + advice);
         }
-        return ConfigClientOptions.code(outcome);
+        return ConfigClientOptions.exitCode(result);
     }
 
-    private int show(ConfigClient.Answer answer, boolean json) {
-        if (answer.outcome().kind() != RequestResult.Kind.DONE) {
-            return tell(answer.outcome(), null, json);
-        }
+    private static ObjectNode toJson(ConfigClient.Answer answer) {
+        ConfigVersion version = answer.newest();
+        ObjectNode json = JSON.createObjectNode()
+                .put("version", version.number())
+                .put("in_force", answer.active().number())
+                .put("author", version.author())
+                .put("reason", version.reason())
+                .put("at_ms", version.atMs());
+        json.set("numbers", JSON.valueToTree(version.content().numbers()));
+        json.set("tables", JSON.valueToTree(version.content().tables()));
+        json.set("names", JSON.valueToTree(version.content().names()));
+        return json;
+    }
+
+    private void printVersion(ConfigClient.Answer answer) {
         PrintWriter out = spec.commandLine().getOut();
-        ConfigVersion v = answer.newest();
-        if (json) {
-            ObjectNode node = JSON.createObjectNode()
-                    .put("version", v.number())
-                    .put("in_force", answer.active().number())
-                    .put("author", v.author())
-                    .put("reason", v.reason())
-                    .put("at_ms", v.atMs());
-            node.set("numbers", JSON.valueToTree(v.content().numbers()));
-            node.set("tables", JSON.valueToTree(v.content().tables()));
-            node.set("names", JSON.valueToTree(v.content().names()));
-            out.println(node);
-            return 0;
-        }
-        out.println(line(v)
-                + (answer.pending() == null
-                        ? ""
-                        : "; takes effect, in force is " + answer.active().number()));
-        rows(v.content()).forEach(row -> out.println("  " + row));
-        return 0;
+        String pending = answer.pending() == null
+                ? ""
+                : "; takes effect, in force is " + answer.active().number();
+        out.println(title(answer.newest()) + pending);
+        rows(answer.newest().content()).forEach(row -> out.println("  " + row));
     }
 
-    private static String line(ConfigVersion v) {
-        return "version " + v.number() + (v.author().isEmpty() ? "" : " by " + v.author())
-                + (v.reason().isEmpty() ? "" : " (" + v.reason() + ")");
+    private static String title(ConfigVersion version) {
+        return "version " + version.number()
+                + (version.author().isEmpty() ? "" : " by " + version.author())
+                + (version.reason().isEmpty() ? "" : " (" + version.reason() + ")");
     }
 
-    private static List<String> rows(ConfigDocument d) {
+    private static List<String> rows(ConfigDocument document) {
         List<String> rows = new ArrayList<>();
-        d.numbers().forEach((k, v) -> rows.add(k + " = " + v));
-        d.tables().forEach((k, t) -> t.forEach((n, v) -> rows.add(k + "." + n + " = " + v)));
-        d.names().forEach((k, t) -> rows.add(k + ": " + String.join(" ", t.keySet())));
+        document.numbers().forEach((key, value) -> rows.add(key + " = " + value));
+        document.tables()
+                .forEach((key, table) -> table.forEach((name, value) -> rows.add(key + "." + name + " = " + value)));
+        document.names().forEach((key, names) -> rows.add(key + ": " + String.join(" ", names.keySet())));
         return rows;
     }
 }
--- a/src/main/java/sedgeyoke/cli/WorstCaseSearchCommand.java
+++ b/src/main/java/sedgeyoke/cli/WorstCaseSearchCommand.java
@@ -6,19 +6,19 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import sedgeyoke.experiment.ExperimentFile;
 import sedgeyoke.experiment.InvalidExperimentException;
 import sedgeyoke.experiment.WorstCaseSearch;
 
-/** {@code hunt FILE}: the scenario, of those that a file allows, in which a variant does worst. */
+/** {@code search FILE}: finds the scenario, among those that a file allows, in which a variant does worst. */
 @Command(
-        name = "hunt",
+        name = "search",
         mixinStandardHelpOptions = true,
         description = {
-            "Looks through the scenarios that [hunt] of an experiment's file allows for the worst one, and makes it"
-                    + " small.",
+            "Searches the scenarios that [hunt] of an experiment's file allows for the worst one, and minimises it.",
             "Ends with 1 if a rule was broken; the last line is one JSON object."
         })
 final class WorstCaseSearchCommand implements Callable<Integer> {
@@ -28,24 +28,18 @@
     @Parameters(paramLabel = "FILE", description = "such as experiments/hunt.toml")
     private Path file;
 
-    @Option(names = "--seed", defaultValue = "1", description = "of what is drawn; default: ${DEFAULT-VALUE}")
+    @Option(names = "--seed", defaultValue = "1", description = "of the random scenarios; default: ${DEFAULT-VALUE}")
     private long seed;
 
-    @Option(names = "--jobs", description = "runs side by side; default: one for each processor")
-    private Integer jobs;
-
     @Option(names = "--out", paramLabel = "DIR", defaultValue = ".", description = "for the file that is found")
     private Path out;
 
-    @Option(names = "--json", description = "nothing but the last line")
-    private boolean json;
+    @Mixin
+    private ParallelRunOptions runs;
 
     @Override
     public Integer call() throws Exception {
-        if (jobs != null && (jobs < 1 || jobs > 256)) {
-            throw new CommandLine.ParameterException(spec.commandLine(), "--jobs must lie from 1 to 256");
-        }
-        PrintWriter printer = spec.commandLine().getOut();
+        int jobs = runs.jobs(spec);
         ExperimentFile experiment;
         try {
             experiment = ExperimentFile.load(file);
@@ -57,15 +51,10 @@
             spec.commandLine().getErr().println(file + ": hunt: is needed, with what may vary");
             return CommandLine.ExitCode.USAGE;
         }
-        ObjectNode figures = new WorstCaseSearch(
-                        experiment,
-                        seed,
-                        jobs == null ? Runtime.getRuntime().availableProcessors() : jobs,
-                        out,
-                        json ? new PrintWriter(PrintWriter.nullWriter()) : printer)
-                .run();
-        printer.println(figures);
+        ObjectNode metrics = new WorstCaseSearch(experiment, seed, jobs, out, runs.progress(spec)).run();
+        PrintWriter printer = spec.commandLine().getOut();
+        printer.println(metrics);
         printer.flush();
-        return figures.path("rule_broken").asBoolean() ? CommandLine.ExitCode.SOFTWARE : CommandLine.ExitCode.OK;
+        return metrics.path("rule_broken").asBoolean() ? CommandLine.ExitCode.SOFTWARE : CommandLine.ExitCode.OK;
     }
 }
--- a/src/main/java/sedgeyoke/cli/package-info.java
+++ b/src/main/java/sedgeyoke/cli/package-info.java
@@ -1,2 +1,2 @@
-/** The command line, on picocli: one class for each command. Nothing here is loaded by {@code run}. */
+/** The command line, on picocli: one class for each command. The balancer's own start does not load this package. */
 package sedgeyoke.cli;
--- a/src/main/java/sedgeyoke/drill/BodiesDrill.java
+++ b/src/main/java/sedgeyoke/drill/BodiesDrill.java
@@ -3,300 +3,214 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
-import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import sedgeyoke.model.RequestClassModel;
-import sedgeyoke.model.SiteModel;
-import sedgeyoke.standin.BulkClient;
+import java.util.stream.Stream;
 import sedgeyoke.standin.BulkPair;
 import sedgeyoke.standin.BulkPair.End;
-import sedgeyoke.standin.BulkPair.Pace;
 import sedgeyoke.standin.BulkSite;
 import sedgeyoke.standin.Configurations;
 
 /**
- * Long bodies in both directions at once, through one balancer under {@code run}'s own line: half of the pairs have a
- * client that trickles and a fast node, half the reverse. Every byte is digested at both ends, and the resident
- * memory of
- * the balancer is read from the system. Short requests go on beside them.
+ * Sends long bodies in both directions at once through one balancer: half of the exchanges have a slow client and a
+ * fast node, half the reverse. Every byte is digested at both ends, and the resident memory of the balancer is read
+ * from the system. Short requests go on beside them.
  */
 public final class BodiesDrill {
+    private static final String BALANCER = "b0";
     private static final int NODES = 12;
     private static final int SOCKETS = 4_096;
-    private static final long SHORTEST = 1 << 10;
-    private static final long LONGEST = 64 << 20;
     private static final int CEILING_KIB = 32;
-    private static final int SOCKET_BUFFER = 64 << 10;
-    /** Parts of the time in which pairs begin, and in which each of their two ways goes. */
-    private static final double RAMP = 0.06;
+    private static final int LOOPS = 4;
+    private static final int START_MS = 1_000;
+    private static final int TICK_MS = 2;
+    private static final long SAMPLE_INTERVAL_MS = 250;
+    private static final int SAMPLES_PER_PROGRESS_LINE = 20;
+    /** The balancer logs this at its end, as the largest buffer of any request and its ceiling. */
+    private static final Pattern BUFFER_LINE = Pattern.compile("bodies: at most ([0-9]+) of ([0-9]+) bytes");
 
-    private static final double WAY = 0.42;
-    private static final int MOST_RETRIES = 5;
-    private static final long RETRY_MS = 500;
-    private static final int SHORT_PER_SECOND = 40;
-    private static final int SHORT_BYTES = 200;
-    private static final long SHORT_BUDGET_MS = 2_000;
-    private static final long LOOK_MS = 250;
-    private static final int QUARTERS = 4;
-    private static final Pattern LAST_WORD = Pattern.compile("bodies: at most ([0-9]+) of ([0-9]+) bytes");
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final int pairs;
     private final int seconds;
     private final long seed;
-    private final boolean on;
+    private final boolean streaming;
     private final PrintWriter out;
-    private final Map<String, BulkPair> known = new ConcurrentHashMap<>();
-    private final AtomicInteger refused = new AtomicInteger();
-    private final List<double[]> resident = new ArrayList<>();
+    private final MemorySamples memory = new MemorySamples();
 
-    /** {@code on} false leaves {@code [bodies]} off, to show what the drill shows then. */
-    public BodiesDrill(int pairs, int seconds, long seed, boolean on, PrintWriter out) {
+    /** {@code streaming} false leaves {@code [bodies]} off, to compare. */
+    public BodiesDrill(int pairs, int seconds, long seed, boolean streaming, PrintWriter out) {
         this.pairs = pairs;
         this.seconds = seconds;
         this.seed = seed;
-        this.on = on;
+        this.streaming = streaming;
         this.out = out;
     }
 
-    /** Plays it and returns the figures; {@code ok} is false if one is short of what is promised. */
+    /** What was measured of the balancer's process. */
+    private record ProcessMetrics(double startMb, double cpuSeconds, BufferMetrics buffers) {}
+
+    /** The largest buffer of any request and its ceiling, in bytes; both -1 if the balancer logged none. */
+    private record BufferMetrics(long largest, long ceiling) {
+        static BufferMetrics parse(String log) {
+            Matcher line = BUFFER_LINE.matcher(log);
+            return line.find()
+                    ? new BufferMetrics(Long.parseLong(line.group(1)), Long.parseLong(line.group(2)))
+                    : new BufferMetrics(-1, -1);
+        }
+
+        boolean withinCeiling() {
+            return ceiling >= 0 && largest <= ceiling;
+        }
+    }
+
+    /** Runs the drill and returns its metrics; {@code ok} is false if one misses what the product promises. */
     public ObjectNode run() throws IOException, InterruptedException {
-        Path folder = Files.createTempDirectory("drill-bodies");
-        EventLoopGroup loops = new MultiThreadIoEventLoopGroup(4, NioIoHandler.newFactory());
-        try (BulkSite site = new BulkSite(Sites.orders(NODES), loops, known, SOCKET_BUFFER)) {
-            ProgramProcess balancer = balancer(folder, site);
-            balancer.start();
-            try {
-                InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), balancer.port());
-                Thread.sleep(1_000); // the first list, and the heap of the start
-                double start = balancer.residentMb();
-                List<BulkPair> longOnes = new CopyOnWriteArrayList<>();
-                List<BulkPair> shortOnes = new ArrayList<>();
-                play(site.spec(), loops, address, balancer, longOnes, shortOnes);
-                double cpu = balancer.cpuSeconds();
+        EventLoopGroup loops = new MultiThreadIoEventLoopGroup(LOOPS, NioIoHandler.newFactory());
+        Map<String, BulkPair> pairsById = new ConcurrentHashMap<>();
+        try (DrillFolder folder = new DrillFolder("bodies");
+                BulkSite site = new BulkSite(Sites.orders(NODES), loops, pairsById, BulkLoad.SOCKET_BUFFER_BYTES)) {
+            Path log = folder.path().resolve(BALANCER + ".log");
+            try (ProgramProcess balancer = balancer(folder.path(), log, site)) {
+                balancer.start();
+                BulkLoad load = new BulkLoad(
+                        pairs, seconds, seed, site.spec(), loops, Loopback.address(balancer.port()), pairsById);
+                Thread.sleep(START_MS); // until the first endpoint list has come and the heap has settled
+                double startMb = balancer.residentMb();
+                play(load, balancer);
+                double cpuSeconds = balancer.cpuSeconds();
                 balancer.terminate();
-                return figures(start, cpu, longOnes, shortOnes, Files.readString(folder.resolve("b0.log")));
-            } finally {
-                balancer.close();
+                BufferMetrics buffers = BufferMetrics.parse(Files.readString(log));
+                return metrics(load, new ProcessMetrics(startMb, cpuSeconds, buffers));
             }
         } finally {
             loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-            PlannersDrill.deleteUnlessAsked(folder);
         }
     }
 
-    private ProgramProcess balancer(Path folder, BulkSite site) throws IOException {
+    private ProgramProcess balancer(Path folder, Path log, BulkSite site) throws IOException {
         ObjectNode configuration = (ObjectNode)
-                JSON.readTree(Configurations.of(site.spec(), "b0", "127.0.0.1:0", site.discovery(), 0, 0, 1, seed));
+                JSON.readTree(Configurations.of(site.spec(), BALANCER, "127.0.0.1:0", site.discovery(), 0, 0, 1, seed));
         configuration.withObject("/limits").put("sockets", SOCKETS);
-        Path json = Files.writeString(folder.resolve("b0.json"), configuration.toString());
-        Path toml = Files.writeString(
-                folder.resolve("b0.toml"),
-                "[bodies]\nenabled = " + on + "\nceiling_kib = "
-                        + CEILING_KIB + "\ntotal_mib = " + (pairs * CEILING_KIB / 1_024 + 8) + "\nleast_rate = 0\n"
-                        + "longest_upload_s = " + 4 * seconds + "\nlongest_still_ms = " + 1_000 * seconds
-                        + "\nsocket_buffer_kib = " + (SOCKET_BUFFER >> 10) + "\n");
-        return new ProgramProcess(
-                folder.resolve("b0.log"),
-                Map.of("BALANCER_CONFIG", json.toString()),
-                "serve",
-                "--config",
-                toml.toString());
+        Path json = Files.writeString(folder.resolve(BALANCER + ".json"), configuration.toString());
+        Path toml = Files.writeString(folder.resolve(BALANCER + ".toml"), operatorSettings());
+        List<String> command = Stream.concat(
+                        ProgramProcess.program().stream(), Stream.of("serve", "--config", toml.toString()))
+                .toList();
+        return new ProgramProcess(log, Map.of("BALANCER_CONFIG", json.toString()), command);
     }
 
-    private void play(
-            SiteModel spec,
-            EventLoopGroup loops,
-            InetSocketAddress address,
-            ProgramProcess balancer,
-            List<BulkPair> longOnes,
-            List<BulkPair> shortOnes)
-            throws InterruptedException {
-        SplittableRandom random = new SplittableRandom(seed);
-        long total = seconds * 1_000_000_000L;
-        List<CompletableFuture<BulkPair>> open = new ArrayList<>();
-        for (int i = 0; i < pairs; i++) {
-            BulkPair pair = BulkPair.draw(
-                    String.format("%08x%08x", seed, i),
-                    drawClass(spec, random),
-                    i % 2 == 0 ? Pace.SLOW_CLIENT : Pace.SLOW_NODE,
-                    SHORTEST,
-                    LONGEST,
-                    (long) (WAY * seconds * 1e3),
-                    random);
-            known.put(pair.id(), pair);
-            longOnes.add(pair);
-        }
-        long startedAt = System.nanoTime();
-        long nextLook = 0;
-        int begun = 0;
-        for (long t = 0; t < total; t = System.nanoTime() - startedAt) {
-            for (; begun < pairs && begun < pairs * t / (RAMP * total); begun++) {
-                open.add(ask(loops.next(), address, begun, longOnes, 0));
-            }
-            while (shortOnes.size() < SHORT_PER_SECOND * t / 1e9) {
-                BulkPair pair = BulkPair.draw(
-                        String.format("s%07x%08x", seed, shortOnes.size()),
-                        drawClass(spec, random),
-                        Pace.NONE,
-                        SHORT_BYTES,
-                        SHORT_BYTES,
-                        0,
-                        random);
-                known.put(pair.id(), pair);
-                shortOnes.add(pair);
-                open.add(BulkClient.ask(loops.next(), address, pair, SHORT_BUDGET_MS, SOCKET_BUFFER));
-            }
-            if (t >= nextLook) {
-                nextLook += LOOK_MS * 1_000_000;
-                resident.add(new double[] {t / (double) total, balancer.residentMb()});
-                say(t, longOnes);
+    /** Time limits are so long that they end no exchange of the drill. */
+    private String operatorSettings() {
+        return "[bodies]\nenabled = " + streaming + "\n"
+                + "ceiling_kib = " + CEILING_KIB + "\n"
+                + "total_mib = " + (pairs * CEILING_KIB / 1_024 + 8) + "\n"
+                + "least_rate = 0\n"
+                + "longest_upload_s = " + 4 * seconds + "\n"
+                + "longest_still_ms = " + 1_000 * seconds + "\n"
+                + "socket_buffer_kib = " + (BulkLoad.SOCKET_BUFFER_BYTES >> 10) + "\n";
+    }
+
+    private void play(BulkLoad load, ProgramProcess balancer) throws InterruptedException {
+        long totalNanos = TimeUnit.SECONDS.toNanos(seconds);
+        long startNanos = System.nanoTime();
+        long nextSampleNanos = 0;
+        for (long elapsed = 0; elapsed < totalNanos; elapsed = System.nanoTime() - startNanos) {
+            load.startDue(elapsed);
+            if (elapsed >= nextSampleNanos) {
+                nextSampleNanos += TimeUnit.MILLISECONDS.toNanos(SAMPLE_INTERVAL_MS);
+                memory.add(elapsed / (double) totalNanos, balancer.residentMb());
+                printProgress(elapsed, load.longPairs());
             }
-            Thread.sleep(2);
+            Thread.sleep(TICK_MS);
         }
-        try { // what a full machine has delayed may still come to its end
-            CompletableFuture.allOf(open.toArray(new CompletableFuture<?>[0])).get(seconds, TimeUnit.SECONDS);
+        try {
+            load.awaitEnd();
         } catch (TimeoutException | ExecutionException e) {
             out.println("not all have ended: " + e);
         }
     }
 
-    /** A refusal is harmless to try again, so a client does, a few times and with a pause. */
-    private CompletableFuture<BulkPair> ask(
-            EventLoop loop, InetSocketAddress address, int index, List<BulkPair> all, int retries) {
-        BulkPair pair = all.get(index);
-        return BulkClient.ask(loop, address, pair, 2_000L * seconds, SOCKET_BUFFER)
-                .thenCompose(ended -> {
-                    if (ended.end() != End.REFUSED || retries == MOST_RETRIES) {
-                        return CompletableFuture.completedFuture(ended);
-                    }
-                    refused.incrementAndGet();
-                    CompletableFuture<BulkPair> later = new CompletableFuture<>();
-                    loop.schedule(
-                            () -> {
-                                BulkPair next = pair.again(pair.id().substring(0, 16) + "-" + retries);
-                                known.put(next.id(), next);
-                                all.set(index, next);
-                                ask(loop, address, index, all, retries + 1).thenAccept(later::complete);
-                            },
-                            RETRY_MS,
-                            TimeUnit.MILLISECONDS);
-                    return later;
-                });
-    }
-
-    private static RequestClassModel drawClass(SiteModel spec, SplittableRandom random) {
-        return spec.classes().get(random.nextInt(spec.classes().size()));
-    }
-
-    private void say(long t, List<BulkPair> longOnes) {
-        if (resident.size() % 20 == 1) {
-            Map<End, Integer> ends = new EnumMap<>(End.class);
-            longOnes.forEach(p -> ends.merge(p.end(), 1, Integer::sum));
-            out.printf("%3d s  %s  resident %.1f MB%n", t / 1_000_000_000, ends, resident.get(resident.size() - 1)[1]);
+    private void printProgress(long elapsedNanos, List<BulkPair> longPairs) {
+        if (memory.count() % SAMPLES_PER_PROGRESS_LINE == 1) {
+            Map<End, Integer> counts = new EnumMap<>(End.class);
+            longPairs.forEach(pair -> counts.merge(pair.end(), 1, Integer::sum));
+            out.printf(
+                    "%3d s  %s  resident %.1f MB%n",
+                    TimeUnit.NANOSECONDS.toSeconds(elapsedNanos), counts, memory.latestMb());
             out.flush();
         }
     }
 
-    private ObjectNode figures(
-            double start, double cpu, List<BulkPair> longOnes, List<BulkPair> shortOnes, String log) {
-        long complete = count(longOnes, End.COMPLETE);
-        long mismatches = longOnes.stream()
-                .filter(p -> p.end() == End.COMPLETE && !p.digestsMatch())
+    private ObjectNode metrics(BulkLoad load, ProcessMetrics process) {
+        List<BulkPair> longPairs = load.longPairs();
+        List<BulkPair> shortPairs = load.shortPairs();
+        List<BulkPair> complete = completed(longPairs);
+        long mismatches = complete.stream().filter(pair -> !pair.digestsMatch()).count();
+        long cut = count(longPairs, End.CUT) + count(longPairs, End.OPEN);
+        long ranTwice = Stream.concat(longPairs.stream(), shortPairs.stream())
+                .filter(BulkPair::ranTwice)
                 .count();
-        long cut = count(longOnes, End.CUT) + count(longOnes, End.OPEN);
-        long twice = longOnes.stream().filter(p -> p.ranTwice()).count()
-                + shortOnes.stream().filter(p -> p.ranTwice()).count();
-        double peak = resident.stream().mapToDouble(r -> r[1]).max().orElse(0);
-        ObjectNode figures = JSON.createObjectNode()
+        long completeBytes = complete.stream().mapToLong(BulkPair::bytes).sum();
+        ObjectNode metrics = JSON.createObjectNode()
                 .put("drill", "bodies")
                 .put("seed", seed)
                 .put("seconds", seconds)
-                .put("bodies_on", on)
+                .put("bodies_on", streaming)
                 .put("pairs", pairs)
-                .put("completed", complete)
-                .put("refused_and_retried", refused.get())
-                .put("refused", count(longOnes, End.REFUSED))
-                .put("failed", count(longOnes, End.FAILED))
+                .put("completed", complete.size())
+                .put("refused_and_retried", load.rejectedAndRetried())
+                .put("refused", count(longPairs, End.REJECTED))
+                .put("failed", count(longPairs, End.FAILED))
                 .put("digest_mismatches", mismatches)
                 .put("cut_short", cut)
-                .put("ran_twice", twice)
-                .put(
-                        "mib",
-                        longOnes.stream()
-                                        .filter(p -> p.end() == End.COMPLETE)
-                                        .mapToLong(BulkPair::bytes)
-                                        .sum()
-                                >> 20)
-                .put("cpu_s", round(cpu))
-                .put("rss_mb_start", round(start))
-                .put("rss_mb_peak", round(peak));
-        ArrayNode quarters = figures.putArray("rss_mb_quarters");
-        double[] means = residentByQuarter();
-        for (double mean : means) {
+                .put("ran_twice", ranTwice)
+                .put("mib", completeBytes >> 20)
+                .put("cpu_s", round(process.cpuSeconds()))
+                .put("rss_mb_start", round(process.startMb()))
+                .put("rss_mb_peak", round(memory.peakMb()));
+        ArrayNode quarters = metrics.putArray("rss_mb_quarters");
+        for (double mean : memory.meansByQuarter()) {
             quarters.add(round(mean));
         }
-        Matcher said = LAST_WORD.matcher(log);
-        boolean heard = said.find();
-        long largest = heard ? Long.parseLong(said.group(1)) : -1;
-        long ceiling = heard ? Long.parseLong(said.group(2)) : -1;
-        long shortServed = count(shortOnes, End.COMPLETE);
-        double[] took = shortOnes.stream()
-                .filter(p -> p.end() == End.COMPLETE)
-                .mapToDouble(BulkPair::tookMs)
-                .sorted()
-                .toArray();
-        figures.put("ceiling_bytes_per_request", ceiling)
-                .put("largest_buffered_bytes", largest)
-                .put("short_asked", shortOnes.size())
-                .put("short_served", shortServed)
-                .put("short_p99_ms", took.length == 0 ? -1 : round(took[(int) (0.99 * (took.length - 1))]));
-        boolean flat = Math.abs(means[QUARTERS - 1] - means[1]) <= 0.05 * means[1];
-        return figures.put(
-                "ok",
-                complete == pairs && mismatches == 0 && cut == 0 && twice == 0 && flat && heard && largest <= ceiling);
+        metrics.put("ceiling_bytes_per_request", process.buffers().ceiling())
+                .put("largest_buffered_bytes", process.buffers().largest())
+                .put("short_asked", shortPairs.size())
+                .put("short_served", count(shortPairs, End.COMPLETE))
+                .put("short_p99_ms", p99Ms(completed(shortPairs)));
+        boolean intact = complete.size() == pairs && mismatches == 0 && cut == 0 && ranTwice == 0;
+        return metrics.put("ok", intact && memory.flat() && process.buffers().withinCeiling());
     }
 
-    private double[] residentByQuarter() {
-        double[] means = new double[QUARTERS];
-        for (int q = 0; q < QUARTERS; q++) {
-            int quarter = q;
-            means[q] = resident.stream()
-                    .filter(r -> (int) (r[0] * QUARTERS) == quarter)
-                    .mapToDouble(r -> r[1])
-                    .average()
-                    .orElse(0);
-        }
-        return means;
+    /** The 99th percentile of the time that exchanges took; -1 if there are none. */
+    private static double p99Ms(List<BulkPair> ended) {
+        double[] sorted = ended.stream().mapToDouble(BulkPair::tookMs).sorted().toArray();
+        return sorted.length == 0 ? -1 : round(sorted[(int) (0.99 * (sorted.length - 1))]);
+    }
+
+    private static List<BulkPair> completed(List<BulkPair> among) {
+        return among.stream().filter(pair -> pair.end() == End.COMPLETE).toList();
     }
 
     private static long count(List<BulkPair> among, End end) {
-        return among.stream().filter(p -> p.end() == end).count();
+        return among.stream().filter(pair -> pair.end() == end).count();
     }
 
-    private static double round(double figure) {
-        return Math.round(figure * 100) / 100.0;
+    private static double round(double value) {
+        return Math.round(value * 100) / 100.0;
     }
 }
--- /dev/null
+++ b/src/main/java/sedgeyoke/drill/ConfigWriter.java
@@ -0,0 +1,143 @@
+package sedgeyoke.drill;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import sedgeyoke.consensus.ClientRequest;
+import sedgeyoke.consensus.ConfigDocument;
+import sedgeyoke.consensus.ConfigSchema;
+import sedgeyoke.consensus.RequestResult;
+import sedgeyoke.consensus.server.ConfigClient;
+import sedgeyoke.settings.TlsFiles;
+import sedgeyoke.standin.FaultProxy;
+import sedgeyoke.standin.Site;
+
+/**
+ * Writes new config versions in a loop: each is made from the newest one, takes a random node out and puts the previous
+ * one back. Everything that it reads and writes goes into the history.
+ */
+final class ConfigWriter implements Runnable {
+    private static final long REQUEST_TIMEOUT_MS = 8_000;
+    private static final int MIN_PAUSE_MS = 3_000;
+    private static final int PAUSE_SPREAD_MS = 4_000;
+
+    private final int index;
+    private final int nodes;
+    private final Site site;
+    private final ConsensusTier tier;
+    private final TlsFiles files;
+    private final ConsensusHistory history;
+    private final AdminBroadcast broadcast;
+    private final SplittableRandom random;
+    private final BooleanSupplier stopped;
+
+    /** {@code broadcast} is null where balancers follow the config servers. */
+    ConfigWriter(
+            int index,
+            int nodes,
+            Site site,
+            ConsensusTier tier,
+            TlsFiles files,
+            ConsensusHistory history,
+            AdminBroadcast broadcast,
+            long seed,
+            BooleanSupplier stopped) {
+        this.index = index;
+        this.nodes = nodes;
+        this.site = site;
+        this.tier = tier;
+        this.files = files;
+        this.history = history;
+        this.broadcast = broadcast;
+        this.random = new SplittableRandom(seed);
+        this.stopped = stopped;
+    }
+
+    @Override
+    public void run() {
+        try (ConfigClient client = new ConfigClient(tier.configServerAddresses(), ConsensusDrill.OPERATOR, files)) {
+            for (int i = 0; !stopped.getAsBoolean(); i++) {
+                long startMicros = site.now();
+                ConfigClient.Answer current = client.ask(new ClientRequest.Read(), REQUEST_TIMEOUT_MS);
+                if (current.outcome().kind() == RequestResult.Kind.DONE) {
+                    history.recordRead(
+                            startMicros, site.now(), current.outcome().version());
+                    write(client, current, name() + "-" + i);
+                    Thread.sleep(MIN_PAUSE_MS + random.nextInt(PAUSE_SPREAD_MS));
+                }
+            }
+        } catch (IOException | InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void write(ConfigClient client, ConfigClient.Answer current, String requestId) throws InterruptedException {
+        ConfigDocument previous = current.newest().content();
+        String node = "n" + (1 + random.nextInt(nodes));
+        ConfigDocument content = previous.with(ConfigSchema.UPSTREAMS_OUT, Map.of(node, "drill"));
+        long startMicros = site.now();
+        RequestResult result = client.set(requestId, current.newest(), name(), "drill", content, REQUEST_TIMEOUT_MS)
+                .outcome();
+        if (broadcast != null && result.kind() == RequestResult.Kind.DONE) {
+            broadcast.send(previous, content);
+        }
+        history.recordWrite(startMicros, site.now(), result, content);
+    }
+
+    private String name() {
+        return "w" + index;
+    }
+
+    /**
+     * Changes every balancer through its admin endpoint, one after the other, as a script with a list of balancers
+     * would. A balancer that does not answer is left out.
+     */
+    static final class AdminBroadcast {
+        private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+        private final ConsensusTier tier;
+        private final FaultCounts counts;
+        private final HttpClient http = HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .connectTimeout(TIMEOUT)
+                .build();
+
+        AdminBroadcast(ConsensusTier tier, FaultCounts counts) {
+            this.tier = tier;
+            this.counts = counts;
+        }
+
+        /** Cordons the nodes that the next document takes out, and uncordons those that only the previous one does. */
+        synchronized void send(ConfigDocument previous, ConfigDocument next) throws InterruptedException {
+            Map<String, String> commandByNode = new LinkedHashMap<>();
+            next.names(ConfigSchema.UPSTREAMS_OUT).keySet().forEach(node -> commandByNode.put(node, "cordon"));
+            previous.names(ConfigSchema.UPSTREAMS_OUT)
+                    .keySet()
+                    .forEach(node -> commandByNode.putIfAbsent(node, "uncordon"));
+            for (FaultProxy balancer : tier.adminProxies()) {
+                for (Map.Entry<String, String> command : commandByNode.entrySet()) {
+                    post(balancer.address().getPort(), command.getValue(), command.getKey());
+                }
+            }
+        }
+
+        private void post(int port, String command, String node) throws InterruptedException {
+            HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/admin/" + command))
+                    .timeout(TIMEOUT)
+                    .POST(HttpRequest.BodyPublishers.ofString(node))
+                    .build();
+            try {
+                http.send(request, HttpResponse.BodyHandlers.discarding());
+            } catch (IOException e) {
+                counts.increment("not_told");
+            }
+        }
+    }
+}
--- a/src/main/java/sedgeyoke/drill/DemoRun.java
+++ b/src/main/java/sedgeyoke/drill/DemoRun.java
@@ -63,10 +63,10 @@
 
     private void script(Site site, int second) {
         if (second == Math.max(2, seconds / 3)) {
-            site.strike(DRAINS, Site.Fault.DRAIN);
+            site.injectFault(DRAINS, Site.Fault.DRAIN);
             event = DRAINS + " drains";
         } else if (second == Math.max(3, seconds / 2)) {
-            site.strike(RESTARTS, Site.Fault.RESTART);
+            site.injectFault(RESTARTS, Site.Fault.RESTART);
             event = RESTARTS + " restarts cold";
         }
     }
@@ -130,7 +130,7 @@
         if (summary.ruleViolations() == 0) {
             out.println("all four rules kept");
         } else {
-            site.ledger().violations().forEach(out::println);
+            site.checker().violations().forEach(out::println);
             out.println("RULES BROKEN: " + summary.violations());
         }
         out.flush();
--- a/src/main/java/sedgeyoke/drill/ProgramProcess.java
+++ b/src/main/java/sedgeyoke/drill/ProgramProcess.java
@@ -16,17 +16,18 @@
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
-/** A process of the real program, started through {@code bin/sedgeyoke}; what it logs goes to a file. */
+/** A process of the real program, with its output in a log file; it can be stopped, killed and started again. */
 public final class ProgramProcess implements AutoCloseable {
     private static final Pattern LISTENS = Pattern.compile("listens on /?([0-9.]+):([0-9]+)");
-    private static final long PATIENCE_MS = 60_000;
-    private static final long LOOK_MS = 20;
+    private static final long TIMEOUT_MS = 60_000;
+    private static final long POLL_INTERVAL_MS = 20;
     private static final int FIRST_PORT = 12_000;
     private static final int PORTS = 16_000;
+    private static final int KIBIBYTE = 1_024;
     private static final AtomicInteger NEXT_PORT =
             new AtomicInteger((int) (ProcessHandle.current().pid() * 37 % PORTS));
 
-    /** All that run: a drill that is ended from outside must not leave them behind. */
+    /** All running processes: they must not outlive a drill that is ended from outside. */
     private static final Set<Process> RUNNING = ConcurrentHashMap.newKeySet();
 
     static {
@@ -38,36 +39,30 @@
     private final Map<String, String> environment;
     private Process process;
 
-    /** {@code arguments} follow the program's name; {@code log} is appended to. */
-    public ProgramProcess(Path log, Map<String, String> environment, String... arguments) {
-        this(
-                log,
-                environment,
-                Stream.concat(program().stream(), Stream.of(arguments)).toList());
-    }
-
-    private ProgramProcess(Path log, Map<String, String> environment, List<String> command) {
+    /**
+     * A process that is not started yet.
+     *
+     * @param log gets the output of all its starts
+     * @param environment is added to that of this process
+     * @param command must print where it listens as the program does
+     */
+    public ProgramProcess(Path log, Map<String, String> environment, List<String> command) {
         this.log = log;
-        this.environment = environment;
+        this.environment = Map.copyOf(environment);
         this.command = List.copyOf(command);
     }
 
-    /** Any other command that says where it listens as the program does. */
-    static ProgramProcess of(Path log, Map<String, String> environment, List<String> command) {
-        return new ProgramProcess(log, environment, command);
-    }
-
-    /** How the program is started from where it was built. */
+    /** The command that starts the program from where it was built. */
     public static List<String> program() {
         return List.of(home().resolve("bin/sedgeyoke").toString());
     }
 
-    /** Where the program was built. */
+    /** The folder that the program was built in. */
     static Path home() {
         return Path.of(System.getProperty("sedgeyoke.home", ".")).toAbsolutePath();
     }
 
-    /** Starts it, or starts it again. */
+    /** Starts the process, or starts it again. */
     public void start() throws IOException {
         ProcessBuilder builder = new ProcessBuilder(command)
                 .redirectErrorStream(true)
@@ -78,30 +73,34 @@
         process.onExit().thenAccept(RUNNING::remove);
     }
 
-    /** Waits until it says where it listens, and returns the port. */
+    /** Waits until the log says where the process listens, and returns the port. */
     public int port() throws IOException, InterruptedException {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MS);
-        while (System.nanoTime() < end) {
-            Matcher m = LISTENS.matcher(Files.exists(log) ? Files.readString(log) : "");
-            if (m.find()) {
-                return Integer.parseInt(m.group(2));
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
+        while (System.nanoTime() < deadline) {
+            Matcher listens = LISTENS.matcher(readLog());
+            if (listens.find()) {
+                return Integer.parseInt(listens.group(2));
             }
             if (!process.isAlive()) {
                 break;
             }
-            Thread.sleep(LOOK_MS);
+            Thread.sleep(POLL_INTERVAL_MS);
         }
-        throw new IOException(command + " does not listen:\n" + (Files.exists(log) ? Files.readString(log) : ""));
+        throw new IOException(command + " does not listen:\n" + readLog());
+    }
+
+    private String readLog() throws IOException {
+        return Files.exists(log) ? Files.readString(log) : "";
     }
 
-    /** SIGSTOP, or SIGCONT. */
-    public void pause(boolean on) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", on ? "-STOP" : "-CONT", Long.toString(process.pid()))
+    /** Sends SIGSTOP, or SIGCONT. */
+    public void pause(boolean paused) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", paused ? "-STOP" : "-CONT", Long.toString(process.pid()))
                 .start()
                 .waitFor();
     }
 
-    /** SIGKILL. */
+    /** Sends SIGKILL. */
     public void kill() {
         kill(process);
     }
@@ -111,32 +110,35 @@
         process.destroyForcibly();
     }
 
-    /** SIGTERM, and waits for the end; SIGKILL if that takes too long. */
+    /** Sends SIGTERM and waits for the end; sends SIGKILL after a timeout. */
     public void terminate() throws InterruptedException {
         process.destroy();
-        if (!process.waitFor(PATIENCE_MS, TimeUnit.MILLISECONDS)) {
+        if (!process.waitFor(TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
             kill();
         }
     }
 
-    /** Resident memory as the system counts it, in MB of 10^6 bytes. */
+    /** Resident memory in megabytes of 10^6 bytes; NaN if the system does not say. */
     public double residentMb() {
         try (Stream<String> status = Files.lines(Path.of("/proc/" + process.pid() + "/status"))) {
-            return status.filter(l -> l.startsWith("VmRSS:"))
-                    .mapToDouble(l -> Long.parseLong(l.replaceAll("[^0-9]", "")) * 1_024 / 1e6)
+            return status.filter(line -> line.startsWith("VmRSS:"))
+                    .mapToDouble(line -> Long.parseLong(line.replaceAll("[^0-9]", "")) * KIBIBYTE / 1e6)
                     .findFirst()
                     .orElse(Double.NaN);
         } catch (IOException e) {
-            return Double.NaN; // no such system, or it has ended
+            return Double.NaN; // the process has ended, or the system has no /proc
         }
     }
 
-    /** Processor time that it has used so far. */
+    /** Processor time used so far; NaN if the system does not say. */
     public double cpuSeconds() {
-        return process.info().totalCpuDuration().map(d -> d.toNanos() / 1e9).orElse(Double.NaN);
+        return process.info()
+                .totalCpuDuration()
+                .map(duration -> duration.toNanos() / 1e9)
+                .orElse(Double.NaN);
     }
 
-    /** Whether it runs. */
+    /** Whether the process runs. */
     public boolean alive() {
         return process != null && process.isAlive();
     }
@@ -149,16 +151,16 @@
     }
 
     /**
-     * A port of loopback that is free and stays so over restarts: it lies below those that the system gives to outgoing
-     * connections, and is given out once.
+     * A free port of loopback that stays free over restarts: it lies below the range that the system takes ports of
+     * outgoing connections from, and is given out once.
      */
     public static int freePort() throws IOException {
-        for (int tries = 0; tries < PORTS; tries++) {
+        for (int attempt = 0; attempt < PORTS; attempt++) {
             int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
                 return socket.getLocalPort();
-            } catch (BindException taken) {
-                continue; // by somebody else
+            } catch (BindException inUse) {
+                continue;
             }
         }
         throw new IOException("no free port from " + FIRST_PORT);
--- a/src/main/java/sedgeyoke/drill/TierProcesses.java
+++ b/src/main/java/sedgeyoke/drill/TierProcesses.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
@@ -12,113 +13,147 @@
 import sedgeyoke.standin.Configurations;
 import sedgeyoke.standin.Site;
 
-/** Planners and forwarders as processes of the program, with all their files in one folder. */
+/**
+ * Creates the processes of a tier (planners, config servers and balancers) with their settings and certificates, all in
+ * one folder. No process is started here.
+ */
 public final class TierProcesses {
+    private static final String FOLLOWS_NOBODY = "";
+
     private final Path folder;
     private final Certificates certificates;
     private final List<String> program;
 
-    /** Files go to the folder, those of a certificate authority too. */
+    /** Creates a certificate authority in the folder. */
     public TierProcesses(Path folder) throws IOException {
         this(folder, ProgramProcess.program());
     }
 
-    /** The same with another way to start the program. */
+    /** The same with another command that starts the program. */
     public TierProcesses(Path folder, List<String> program) throws IOException {
         this.folder = folder;
         this.certificates = new Certificates(folder);
         this.program = List.copyOf(program);
     }
 
-    private ProgramProcess process(String name, Map<String, String> environment, String... arguments) {
-        return ProgramProcess.of(
-                folder.resolve(name + ".log"),
-                environment,
-                Stream.concat(program.stream(), Stream.of(arguments)).toList());
-    }
-
-    /** What an operator's commands need to be believed. */
-    public TlsFiles operator(String name) throws IOException {
+    /** Issues a certificate for an operator's commands. */
+    public TlsFiles issueOperator(String name) throws IOException {
         certificates.issue(name, "operator");
         return new TlsFiles(folder.resolve(name + ".pem"), folder.resolve(name + ".key"), folder.resolve("ca.pem"));
     }
 
-    /** Where a keeper keeps what it must not lose. */
-    public Path keepersFolder(String name) {
-        return folder.resolve("kept-" + name);
+    /** Where a config server stores its replica. */
+    public Path configServerFolder(String name) {
+        return folder.resolve(dataFolderName(name));
     }
 
-    /** A keeper that will listen on a port, founder of a tier; {@code others}: where it finds each keeper. */
-    public ProgramProcess keeper(String name, int port, Map<String, Integer> others, long leaseMs) throws IOException {
-        String keepers = others.entrySet().stream()
-                .map(o -> "\"" + o.getKey() + "=127.0.0.1:" + o.getValue() + "\"")
+    private static String dataFolderName(String configServer) {
+        return "data-" + configServer;
+    }
+
+    /** A config server that bootstraps its tier; {@code peerPorts}: where it reaches each server, itself among them. */
+    public ProgramProcess configServer(String name, int port, Map<String, Integer> peerPorts, long leaseMs)
+            throws IOException {
+        String peers = peerPorts.entrySet().stream()
+                .map(peer -> quoted(peer.getKey() + "=127.0.0.1:" + peer.getValue()))
                 .collect(Collectors.joining(", "));
-        Path file = Files.writeString(
-                folder.resolve(name + ".toml"),
-                "[keeper]\nenabled = true\ntier = \"drill\"\n"
-                        + "name = \"" + name + "\"\nlisten = \"127.0.0.1:" + port + "\"\nfolder = \"kept-" + name
-                        + "\"\nkeepers = [" + keepers + "]\nlease_ms = " + leaseMs + "\n"
-                        + certificates.issue(name, "keeper"));
-        return process(name, Map.of(), "keep", "--found", "--config", file.toString());
+        String settings = "[keeper]\nenabled = true\ntier = \"drill\"\n"
+                + "name = " + quoted(name) + "\n"
+                + "listen = " + quoted("127.0.0.1:" + port) + "\n"
+                + "folder = " + quoted(dataFolderName(name)) + "\n"
+                + "keepers = [" + peers + "]\n"
+                + "lease_ms = " + leaseMs + "\n"
+                + certificates.issue(name, "keeper");
+        return process(
+                name,
+                Map.of(),
+                "config-server",
+                "--bootstrap",
+                "--config",
+                writeSettings(name, settings).toString());
+    }
+
+    /** A planner that will listen on a port. */
+    public ProgramProcess planner(String name, int port) throws IOException {
+        String settings = "[planner]\nenabled = true\n"
+                + "name = " + quoted(name) + "\n"
+                + "listen = " + quoted("127.0.0.1:" + port) + "\n"
+                + certificates.issue(name, "planner");
+        return process(
+                name,
+                Map.of(),
+                "plan",
+                "--config",
+                writeSettings(name, settings).toString());
+    }
+
+    /** A balancer with the platform's configuration that follows the planners at these ports, if any. */
+    public ProgramProcess forwarder(String name, String configuration, List<Integer> plannerPorts) throws IOException {
+        String settings = plannerPorts.isEmpty()
+                ? FOLLOWS_NOBODY
+                : "[plans]\nenabled = true\n"
+                        + "planners = " + addresses(plannerPorts) + "\n"
+                        + certificates.issue(name, "forwarder");
+        return balancer(name, configuration, settings, Map.of());
     }
 
     /**
-     * A balancer with the platform's configuration that acts on what keepers at these ports agree, if any, with a door
-     * for operators; not started.
+     * A balancer with the platform's configuration that follows the config servers at these ports, if any, and has an
+     * admin endpoint.
      */
-    public ProgramProcess agreeing(String name, String configuration, List<Integer> keeperPorts, long leaseMs, int door)
+    public ProgramProcess configFollower(
+            String name, String configuration, List<Integer> configServerPorts, long leaseMs, int adminPort)
+            throws IOException {
+        String settings = configServerPorts.isEmpty()
+                ? FOLLOWS_NOBODY
+                : "[agreed]\nenabled = true\n"
+                        + "keepers = " + addresses(configServerPorts) + "\n"
+                        + "lease_ms = " + leaseMs + "\n"
+                        + certificates.issue(name, "forwarder");
+        Path temporaryFiles = Files.createDirectories(folder.resolve("tmp-" + name));
+        return balancer(
+                name,
+                configuration,
+                settings,
+                Map.of("BALANCER_OPS", "127.0.0.1:" + adminPort, "TMPDIR", temporaryFiles.toString()));
+    }
+
+    private ProgramProcess balancer(
+            String name, String configuration, String settings, Map<String, String> moreEnvironment)
             throws IOException {
         Path json = Files.writeString(folder.resolve(name + ".json"), configuration);
-        String addresses =
-                keeperPorts.stream().map(p -> "\"127.0.0.1:" + p + "\"").collect(Collectors.joining(", "));
-        Path own = Files.createDirectories(folder.resolve("tmp-" + name));
-        Path toml = Files.writeString(
-                folder.resolve(name + ".toml"),
-                keeperPorts.isEmpty()
-                        ? ""
-                        : "[agreed]\nenabled = true\nkeepers = [" + addresses + "]\nlease_ms = " + leaseMs + "\n"
-                                + certificates.issue(name, "forwarder"));
+        Map<String, String> environment = new HashMap<>(moreEnvironment);
+        environment.put("BALANCER_CONFIG", json.toString());
         return process(
                 name,
-                Map.of(
-                        "BALANCER_CONFIG",
-                        json.toString(),
-                        "BALANCER_OPS",
-                        "127.0.0.1:" + door,
-                        "TMPDIR",
-                        own.toString()),
+                environment,
                 "serve",
                 "--config",
-                toml.toString());
+                writeSettings(name, settings).toString());
     }
 
-    /** A planner that will listen on a port; not started. */
-    public ProgramProcess planner(String name, int port) throws IOException {
-        Path file = Files.writeString(
-                folder.resolve(name + ".toml"),
-                "[planner]\nenabled = true\nname = \"" + name + "\"\nlisten = \"127.0.0.1:" + port + "\"\n"
-                        + certificates.issue(name, "planner"));
-        return process(name, Map.of(), "plan", "--config", file.toString());
+    private ProgramProcess process(String name, Map<String, String> environment, String... arguments) {
+        List<String> command =
+                Stream.concat(program.stream(), Stream.of(arguments)).toList();
+        return new ProgramProcess(folder.resolve(name + ".log"), environment, command);
     }
 
-    /** A forwarder with the platform's configuration, that follows planners at these ports, if any; not started. */
-    public ProgramProcess forwarder(String name, String configuration, List<Integer> plannerPorts) throws IOException {
-        Path json = Files.writeString(folder.resolve(name + ".json"), configuration);
-        String addresses =
-                plannerPorts.stream().map(p -> "\"127.0.0.1:" + p + "\"").collect(Collectors.joining(", "));
-        Path toml = Files.writeString(
-                folder.resolve(name + ".toml"),
-                plannerPorts.isEmpty()
-                        ? ""
-                        : "[plans]\nenabled = true\nplanners = [" + addresses + "]\n"
-                                + certificates.issue(name, "forwarder"));
-        return process(name, Map.of("BALANCER_CONFIG", json.toString()), "serve", "--config", toml.toString());
+    private Path writeSettings(String name, String settings) throws IOException {
+        return Files.writeString(folder.resolve(name + ".toml"), settings);
+    }
+
+    private static String addresses(List<Integer> ports) {
+        return ports.stream().map(port -> quoted("127.0.0.1:" + port)).collect(Collectors.joining(", ", "[", "]"));
+    }
+
+    private static String quoted(String text) {
+        return '"' + text + '"';
     }
 
-    /** The platform's configuration of a forwarder of a site, which discovery tells of changes so much later. */
+    /** The platform's configuration of a balancer of a site, whose discovery agent learns of changes with a delay. */
     public static String configuration(
-            Site site, String name, int zone, int position, int group, long delayMs, long seed) {
-        return Configurations.of(
-                site.spec(), name, "127.0.0.1:0", site.discoveryFor(name, delayMs), zone, position, group, seed);
+            Site site, String name, int zone, int position, int groupSize, long discoveryDelayMs, long seed) {
+        String discovery = site.discoveryFor(name, discoveryDelayMs);
+        return Configurations.of(site.spec(), name, "127.0.0.1:0", discovery, zone, position, groupSize, seed);
     }
 }
--- a/src/main/java/sedgeyoke/model/InvariantChecker.java
+++ b/src/main/java/sedgeyoke/model/InvariantChecker.java
@@ -31,7 +31,7 @@
     private final Map<String, Map<String, Long>> closedAt = new HashMap<>();
     private final Map<String, Long> byBalancer = new HashMap<>();
     private final Set<String> dead = new HashSet<>();
-    private Arrivals arrivals = (balancer, node, now) -> {};
+    private ArrivalListener arrivalListener = (balancer, node, now) -> {};
     /** Effects by idempotency key: all tries of one want are to have one. */
     private final Map<String, Integer> effectsByKey = new HashMap<>();
 
@@ -54,14 +54,14 @@
     private long stalled;
 
     /** Hears of each attempt that reaches a node. */
-    public interface Arrivals {
+    public interface ArrivalListener {
         /** {@code now}: microseconds of the site's clock. */
         void arrived(String balancer, String node, long now);
     }
 
     /** From now on somebody hears of each attempt that reaches a node. */
-    public void listen(Arrivals listener) {
-        arrivals = listener;
+    public void onArrival(ArrivalListener listener) {
+        arrivalListener = listener;
     }
 
     /** How a client saw its request end. */
@@ -266,7 +266,7 @@
         if (e.answer != null && e.answer != Answer.NONE && now > e.deadline + ANSWER_SLACK + stalledSince(e.at)) {
             violation(1, id + " sent to " + node + " long after its answer");
         }
-        arrivals.arrived(e.balancer, node, now);
+        arrivalListener.arrived(e.balancer, node, now);
         Long closed = closedAt.getOrDefault(e.balancer, Map.of()).get(node);
         long grace = site.rules().drainGraceMs() * 1_000 + SOCKET_SLACK;
         if (closed != null && now - closed > grace + stalledSince(closed)) {
--- a/src/main/java/sedgeyoke/standin/BulkClient.java
+++ b/src/main/java/sedgeyoke/standin/BulkClient.java
@@ -37,7 +37,7 @@
     }
 
     /** Asks a balancer; done when it has ended in whatever way. */
-    public static CompletableFuture<BulkPair> ask(
+    public static CompletableFuture<BulkPair> send(
             EventLoop loop, InetSocketAddress balancer, BulkPair pair, long budgetMs, int buffer) {
         BulkClient client = new BulkClient(pair, budgetMs);
         pair.startedNanos = System.nanoTime();
@@ -102,7 +102,7 @@
         if (message instanceof HttpResponse head) {
             int status = head.status().code();
             if (status != 200) {
-                end(status == 503 || status == 429 ? BulkPair.End.REFUSED : BulkPair.End.FAILED);
+                end(status == 503 || status == 429 ? BulkPair.End.REJECTED : BulkPair.End.FAILED);
                 ctx.close();
                 return;
             }
--- a/src/main/java/sedgeyoke/standin/BulkPair.java
+++ b/src/main/java/sedgeyoke/standin/BulkPair.java
@@ -27,7 +27,7 @@
         /** Answered with 200, and whole. */
         COMPLETE,
         /** 429 or 503. */
-        REFUSED,
+        REJECTED,
         /** Any other answer. */
         FAILED,
         /** The connection ended before the answer did. */
@@ -84,7 +84,7 @@
     }
 
     /** The same exchange under another id, as a client asks again for what was refused. */
-    public BulkPair again(String anotherId) {
+    public BulkPair withId(String anotherId) {
         return new BulkPair(anotherId, this);
     }
 
--- a/src/main/java/sedgeyoke/standin/Site.java
+++ b/src/main/java/sedgeyoke/standin/Site.java
@@ -124,7 +124,7 @@
     }
 
     /** What happened. */
-    public InvariantChecker ledger() {
+    public InvariantChecker checker() {
         return ledger;
     }
 
@@ -136,7 +136,7 @@
     }
 
     /** Has it happen. */
-    public void strike(String id, Fault fault) {
+    public void injectFault(String id, Fault fault) {
         OrderNode node = nodes.get(id);
         run(() -> {
             switch (fault) {
--- a/src/test/java/sedgeyoke/cli/CommandLineTest.java
+++ b/src/test/java/sedgeyoke/cli/CommandLineTest.java
@@ -11,7 +11,6 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import picocli.CommandLine;
 
 /** The command line: usage, exit codes, and what goes where. */
 class CommandLineTest {
@@ -23,10 +22,7 @@
     private static Ran run(String... args) {
         StringWriter out = new StringWriter();
         StringWriter err = new StringWriter();
-        int code = new CommandLine(new Sedgeyoke())
-                .setOut(new PrintWriter(out))
-                .setErr(new PrintWriter(err))
-                .execute(args);
+        int code = Sedgeyoke.run(new PrintWriter(out), new PrintWriter(err), args);
         return new Ran(code, out.toString(), err.toString());
     }
 
--- a/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
+++ b/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
@@ -56,10 +56,10 @@
                 addresses.add(new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.get(name)));
             }
             for (String name : ports.keySet()) {
-                processes.put(name, tier.keeper(name, ports.get(name), ports, 2_000));
+                processes.put(name, tier.configServer(name, ports.get(name), ports, 2_000));
                 processes.get(name).start();
             }
-            client = new ConfigClient(addresses, "op", tier.operator("op"));
+            client = new ConfigClient(addresses, "op", tier.issueOperator("op"));
             read();
         }
 
@@ -162,7 +162,7 @@
             long old = k.status("k2").folder();
             k.processes.get("k2").kill();
             await("its end", () -> !k.processes.get("k2").alive());
-            empty(k.tier.keepersFolder("k2"));
+            empty(k.tier.configServerFolder("k2"));
             k.processes.get("k2").start();
             await("it is there", () -> k.status("k2") != null);
             long folderNow = k.status("k2").folder();
@@ -204,7 +204,7 @@
             long version = k.read().number();
             k.processes.get("k1").kill();
             await("its end", () -> !k.processes.get("k1").alive());
-            Path segment = k.tier.keepersFolder("k1").resolve("log-0000000000000001");
+            Path segment = k.tier.configServerFolder("k1").resolve("log-0000000000000001");
             byte[] bytes = Files.readAllBytes(segment);
             bytes[60] ^= 1; // in the first record
             Files.write(segment, bytes);
@@ -221,8 +221,8 @@
     void twoKeepersCannotHaveOneFolder(@TempDir Path folder) throws Exception {
         try (Keepers k = new Keepers(folder)) {
             List<String> command = new ArrayList<>(PROGRAM);
-            command.addAll(
-                    List.of("keep", "--config", k.folder.resolve("k0.toml").toString()));
+            command.addAll(List.of(
+                    "config-server", "--config", k.folder.resolve("k0.toml").toString()));
             Process second =
                     new ProcessBuilder(command).redirectErrorStream(true).start();
             String said = new String(second.getInputStream().readAllBytes());
@@ -234,9 +234,8 @@
     /** The drill in small: three keepers and three balancers, with faults on every way between them. */
     @Test
     void theDrillHoldsInSmall() throws Exception {
-        ObjectNode figures = new ConsensusDrill(
-                        3, 3, 16, 3, ConsensusDrill.Mode.FAULTS, PROGRAM, new PrintWriter(System.out, true))
-                .run();
+        ConsensusDrill.Options options = new ConsensusDrill.Options(3, 3, 16, 3, ConsensusDrill.Mode.FAULTS, PROGRAM);
+        ObjectNode figures = new ConsensusDrill(options, new PrintWriter(System.out, true)).run();
         System.out.println(figures);
         assertEquals(0, figures.path("lost_commits").asInt(), figures.toString());
         assertTrue(figures.path("linearizable").asBoolean(), figures.toString());
