--- a/src/main/java/sedgeyoke/cli/ConfigClientOptions.java
+++ b/src/main/java/sedgeyoke/cli/ConfigClientOptions.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import picocli.CommandLine;
 import picocli.CommandLine.Mixin;
@@ -73,12 +72,19 @@
             case DONE -> CommandLine.ExitCode.OK;
             case CONFLICT, REFUSED -> EXIT_REJECTED;
             case UNKNOWN -> EXIT_UNKNOWN;
-            default -> EXIT_NO_QUORUM;
+            case BUSY, NO_LEADER -> EXIT_NO_QUORUM;
         };
     }
 
-    /** The result's kind as it is printed. */
+    /** The result's kind as it is printed: scripts read these words. */
     static String kindName(RequestResult result) {
-        return result.kind().name().toLowerCase(Locale.ROOT);
+        return switch (result.kind()) {
+            case DONE -> "done";
+            case CONFLICT -> "conflict";
+            case REFUSED -> "refused";
+            case BUSY -> "busy";
+            case UNKNOWN -> "unknown";
+            case NO_LEADER -> "no_leader";
+        };
     }
 }
--- a/src/main/java/sedgeyoke/cli/ConfigServerStatusFormat.java
+++ b/src/main/java/sedgeyoke/cli/ConfigServerStatusFormat.java
@@ -68,7 +68,7 @@
     private static ObjectNode json(Member member) {
         return JSON.createObjectNode()
                 .put("name", member.name())
-                .put("folder", member.folder())
+                .put("folder", member.storageId())
                 .put("address", member.address());
     }
 }
--- a/src/main/java/sedgeyoke/cli/ConfigServersCommand.java
+++ b/src/main/java/sedgeyoke/cli/ConfigServersCommand.java
@@ -16,6 +16,7 @@
 import sedgeyoke.consensus.RequestResult;
 import sedgeyoke.consensus.server.ConfigClient;
 import sedgeyoke.consensus.storage.ReplicaStorage;
+import sedgeyoke.consensus.storage.UnusableStorageException;
 import sedgeyoke.settings.ClientSettings;
 import sedgeyoke.store.DiskException;
 import sedgeyoke.store.FileDisk;
@@ -87,19 +88,19 @@
             throw new CommandLine.ParameterException(spec.commandLine(), "NAME=ADDRESS, not " + server);
         }
         Member member = new Member(parts[0], Long.parseUnsignedLong(folder, HEX), parts[1]);
-        return changeMembership(options, new ClientRequest.Add(member));
+        return changeMembership(options, new ClientRequest.AddMember(member));
     }
 
     @Command(name = "remove", mixinStandardHelpOptions = true, description = "Removes a server.")
     int remove(@Mixin ConfigClientOptions options, @Parameters(paramLabel = "NAME") String name)
             throws InterruptedException {
-        return changeMembership(options, new ClientRequest.Remove(name, 0));
+        return changeMembership(options, new ClientRequest.RemoveMember(name, 0));
     }
 
     private int changeMembership(ConfigClientOptions options, ClientRequest request) throws InterruptedException {
         return options.run(spec, (client, settings) -> {
             RequestResult result = client.ask(request, options.timeoutMs()).outcome();
-            String text = result.text().isEmpty() ? "" : ": " + result.text();
+            String text = result.detail().isEmpty() ? "" : ": " + result.detail();
             spec.commandLine().getOut().println(ConfigClientOptions.kindName(result) + text);
             return ConfigClientOptions.exitCode(result);
         });
@@ -115,9 +116,9 @@
             err.println(folder + ": no such folder");
             return CommandLine.ExitCode.USAGE;
         }
-        try (FileDisk disk = FileDisk.take(folder)) {
-            return printReport(ReplicaStorage.check(disk));
-        } catch (DiskException | ReplicaStorage.Unusable e) {
+        try (FileDisk disk = FileDisk.open(folder)) {
+            return printReport(ReplicaStorage.inspect(disk));
+        } catch (DiskException | UnusableStorageException e) {
             err.println(folder + ": " + e.getMessage());
             return ConfigClientOptions.EXIT_REJECTED;
         }
@@ -125,10 +126,11 @@
 
     private int printReport(ReplicaStorage.Report report) {
         PrintWriter out = spec.commandLine().getOut();
-        out.println("config server " + report.keeper() + " of tier " + report.tier() + ", folder "
-                + Long.toHexString(report.folder()) + ", term " + report.term() + ", entries up to " + report.last()
-                + (report.covered() == 0 ? "" : ", snapshot up to " + report.covered()));
-        report.damage().forEach(corruption -> out.println("  lost: " + corruption));
-        return report.damage().isEmpty() ? CommandLine.ExitCode.OK : ConfigClientOptions.EXIT_REJECTED;
+        out.println("config server " + report.server() + " of tier " + report.tier() + ", folder "
+                + Long.toHexString(report.storageId()) + ", term " + report.term() + ", entries up to "
+                + report.lastIndex()
+                + (report.snapshotIndex() == 0 ? "" : ", snapshot up to " + report.snapshotIndex()));
+        report.corruptions().forEach(corruption -> out.println("  lost: " + corruption));
+        return report.corruptions().isEmpty() ? CommandLine.ExitCode.OK : ConfigClientOptions.EXIT_REJECTED;
     }
 }
--- a/src/main/java/sedgeyoke/cli/SettingsCommand.java
+++ b/src/main/java/sedgeyoke/cli/SettingsCommand.java
@@ -44,8 +44,8 @@
     int fields() {
         PrintWriter out = spec.commandLine().getOut();
         for (ConfigField field : ConfigSchema.FIELDS) {
-            out.println(field.name() + " | " + field.unit() + " | " + field.least() + " to " + field.most()
-                    + " | meet: " + field.meet() + " | alone: " + field.alone() + " | " + field.says());
+            out.println(field.name() + " | " + field.unit() + " | " + field.min() + " to " + field.max() + " | meet: "
+                    + field.mergeRule() + " | alone: " + field.withoutLease() + " | " + field.description());
         }
         return CommandLine.ExitCode.OK;
     }
@@ -179,10 +179,10 @@
             out.println(JSON.createObjectNode()
                     .put("outcome", ConfigClientOptions.kindName(result))
                     .put("version", result.version())
-                    .put("text", result.text())
+                    .put("text", result.detail())
                     .put("request", requestId));
         } else {
-            String text = result.text().isEmpty() ? "" : ": " + result.text();
+            String text = result.detail().isEmpty() ? "" : ": " + result.detail();
             String advice = result.kind() == RequestResult.Kind.UNKNOWN ? "; retry with --request " + requestId : "";
             out.println(ConfigClientOptions.kindName(result) + ", version " + result.version() + text + advice);
         }
@@ -196,7 +196,7 @@
                 .put("in_force", answer.active().number())
                 .put("author", version.author())
                 .put("reason", version.reason())
-                .put("at_ms", version.atMs());
+                .put("at_ms", version.createdAtMillis());
         json.set("numbers", JSON.valueToTree(version.content().numbers()));
         json.set("tables", JSON.valueToTree(version.content().tables()));
         json.set("names", JSON.valueToTree(version.content().names()));
