--- a/src/main/java/sedgeyoke/proxy/RequestParser.java
+++ b/src/main/java/sedgeyoke/proxy/RequestParser.java
@@ -70,7 +70,7 @@
         require(budgetMillis > 0 && budgetMillis <= MAX_BUDGET_MILLIS, "X-Budget-Ms");
         Effect effect = config.facts().settings().classes().get(classIndex).effect();
         // Without a key upstreams cannot drop duplicates, and a retry of the policy would run twice.
-        require(effect != Effect.KEYED || headers.contains("Idempotency-Key"), "Idempotency-Key");
+        require(effect != Effect.IDEMPOTENT_WITH_KEY || headers.contains("Idempotency-Key"), "Idempotency-Key");
         int tenant = config.facts().tenantNames().isEmpty()
                 ? 0
                 : config.facts().tenantNames().indexOf(headers.get("X-Caller"));
--- a/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
@@ -30,6 +30,7 @@
 import sedgeyoke.consensus.SafetyRules;
 import sedgeyoke.consensus.codec.ConsensusCodec;
 import sedgeyoke.consensus.storage.ReplicaStorage;
+import sedgeyoke.consensus.storage.UnusableStorageException;
 import sedgeyoke.lease.ClockDrift;
 import sedgeyoke.simulation.SeededNetwork;
 import sedgeyoke.store.DiskException;
@@ -136,7 +137,7 @@
         if (breach == null) {
             calm();
             calmed = true;
-            keepers.forEach(k -> k.disk.mend());
+            keepers.forEach(k -> k.disk.clearFaults());
             playUntil(END);
         }
         if (breach == null) {
@@ -210,25 +211,25 @@
         diskFaults++;
         tell(k.name + " fault of disk " + kind);
         switch (kind) {
-            case 0 -> k.spoil(() -> k.disk.rot());
+            case 0 -> k.spoil(() -> k.disk.flipRandomBit());
             case 1 -> {
-                k.disk.misdirect = true;
+                k.disk.misdirectNextWrite = true;
                 k.latent = true;
             }
             case 2 -> {
-                k.disk.loseWrite = true;
+                k.disk.loseNextWrite = true;
                 k.latent = true;
             }
-            case 3 -> k.spoil(() -> k.disk.staleReads =
-                    k.disk.names().get(random.nextInt(k.disk.names().size())));
+            case 3 -> k.spoil(() -> k.disk.staleReadFile =
+                    k.disk.fileNames().get(random.nextInt(k.disk.fileNames().size())));
             case 4 -> {
-                k.disk.refuses = random.nextBoolean() ? DiskException.Kind.FULL : DiskException.Kind.FAILED;
-                k.disk.refusesForceOnly = random.nextBoolean();
+                k.disk.failure = random.nextBoolean() ? DiskException.Kind.FULL : DiskException.Kind.IO_ERROR;
+                k.disk.failOnlyFsync = random.nextBoolean();
             }
-            case 5 -> k.spoil(() -> k.disk.loseFile());
+            case 5 -> k.spoil(() -> k.disk.deleteRandomFile());
             case 6 -> k.restore();
             case 7 -> k.spoil(() -> k.disk.wipe());
-            default -> k.disk.forceLies = true; // until the power goes
+            default -> k.disk.ignoreFsync = true; // until the power goes
         }
     }
 
@@ -278,8 +279,8 @@
 
         private void make(Membership members) {
             try {
-                ReplicaStorage.make(disk, owner(), folders++, members);
-            } catch (DiskException | ReplicaStorage.Unusable e) {
+                ReplicaStorage.create(disk, owner(), folders++, members);
+            } catch (DiskException | UnusableStorageException e) {
                 throw new IllegalStateException(e);
             }
         }
@@ -292,28 +293,28 @@
             return !dead
                     && !latent
                     && keeper != null
-                    && keeper.sound()
-                    && disk.refuses == null
-                    && !disk.forceLies
-                    && disk.staleReads == null
-                    && !disk.misdirect
-                    && !disk.loseWrite
-                    && keeper.members().voters().containsKey(name);
+                    && keeper.isRecovered()
+                    && disk.failure == null
+                    && !disk.ignoreFsync
+                    && disk.staleReadFile == null
+                    && !disk.misdirectNextWrite
+                    && !disk.loseNextWrite
+                    && keeper.membership().voters().containsKey(name);
         }
 
         @Override
         public void crash(long until) {
             boolean power = random.nextInt(3) == 0 && (!liars || mayBeBad(this));
             if (!dead && !queue.isEmpty() && folder != null) { // in the middle of it
-                disk.cutAfter = random.nextInt(6);
+                disk.crashAfterOperations = random.nextInt(6);
                 try {
                     while (!queue.isEmpty()) {
-                        folder.carryOut(queue.poll());
+                        folder.persist(queue.poll());
                     }
-                } catch (SimDisk.Cut | DiskException | IllegalStateException e) {
+                } catch (SimDisk.ProcessCrash | DiskException | IllegalStateException e) {
                     queue.clear();
                 }
-                disk.cutAfter = -1;
+                disk.crashAfterOperations = -1;
             }
             if (power) {
                 disk.powerCut();
@@ -342,7 +343,7 @@
             }
             crash(now + random.nextLong(1_500_000));
             disk = backup.copy(random.nextLong());
-            disk.mend();
+            disk.clearFaults();
             backup = null;
         }
 
@@ -351,39 +352,39 @@
             looked = 0;
             try {
                 if (ReplicaStorage.isEmpty(disk)) {
-                    disk.mend();
+                    disk.clearFaults();
                     make(new Membership(Map.of(), null));
                 }
                 folder = ReplicaStorage.open(disk, owner(), SEGMENT);
-            } catch (ReplicaStorage.Unusable e) { // the operator replaces it
+            } catch (UnusableStorageException e) { // the operator replaces it
                 disk.wipe();
-                disk.mend();
+                disk.clearFaults();
                 begin();
                 return;
             } catch (DiskException e) {
-                disk.mend();
+                disk.clearFaults();
                 crash(now + 500_000);
                 return;
             }
-            disk.staleReads = null;
-            latent = disk.misdirect || disk.loseWrite; // then it is still to come
-            RaftNode.Recovered found = folder.recovered();
+            disk.staleReadFile = null;
+            latent = disk.misdirectNextWrite || disk.loseNextWrite; // then it is still to come
+            RaftNode.StoredState found = folder.recovered();
             if (faults.trustsDamage) {
-                found = new RaftNode.Recovered(found.slot(), found.snapshot(), found.entries(), null, false);
-            } else if (faults.trustsReboots && !found.lost()) {
-                found = new RaftNode.Recovered(found.slot(), found.snapshot(), found.entries(), null, false);
+                found = new RaftNode.StoredState(found.hardState(), found.snapshot(), found.entries(), null, false);
+            } else if (faults.trustsReboots && !found.dataLost()) {
+                found = new RaftNode.StoredState(found.hardState(), found.snapshot(), found.entries(), null, false);
             }
-            tell(name + " begins: term " + found.slot().term() + " last "
+            tell(name + " begins: term " + found.hardState().term() + " last "
                     + (found.entries().isEmpty()
                             ? "-"
                             : found.entries().get(found.entries().size() - 1).index())
                     + " covered "
-                    + (found.snapshot() == null ? 0 : found.snapshot().covered()) + " doubt "
-                    + found.doubt());
-            doubts += found.doubt() != null ? 1 : 0;
+                    + (found.snapshot() == null ? 0 : found.snapshot().lastIncludedIndex()) + " doubt "
+                    + found.suspectedLoss());
+            doubts += found.suspectedLoss() != null ? 1 : 0;
             joined = joined || folder.founders().voters().isEmpty();
             keeper = new RaftNode(
-                    new RaftNode.Self(name, folder.folder(), runs++),
+                    new RaftNode.Identity(name, folder.storageId(), runs++),
                     rules,
                     found,
                     folder.founders(),
@@ -404,10 +405,10 @@
                 asked.put(++tokens, a.from());
                 long theirs = a.token();
                 answers.put(tokens, theirs);
-                on(new Event.Asked(tokens, a.request()));
+                on(new Event.RequestReceived(tokens, a.request()));
             } else if (body instanceof Lease l) {
                 askedLease.put(l.ask().balancer(), l.from());
-                on(new Event.LeasesAsked(List.of(l.ask())));
+                on(new Event.LeasesRequested(List.of(l.ask())));
             }
         }
 
@@ -419,7 +420,7 @@
             }
             List<Action> actions;
             try {
-                actions = keeper.on(event, clock());
+                actions = keeper.handle(event, clock());
             } catch (IllegalStateException e) {
                 fail("%s: %s", name, e.getMessage());
                 return;
@@ -427,27 +428,27 @@
             for (Action a : actions) {
                 if (a instanceof Action.Send s) {
                     ConsensusSimulation.this.send(
-                            number, keeper(s.to()).number, new Wire(name, folder.folder(), s.message()));
-                } else if (a instanceof Action.Say say) {
+                            number, keeper(s.to()).number, new Wire(name, folder.storageId(), s.message()));
+                } else if (a instanceof Action.Log say) {
                     tell(name + " says " + say.line());
                 } else if (a instanceof Action.Persist p) {
                     queue.add(p);
-                } else if (a instanceof Action.Answer w) {
+                } else if (a instanceof Action.Respond w) {
                     Integer to = asked.remove(w.token());
                     Long theirs = answers.remove(w.token());
                     if (to != null) {
-                        ConsensusSimulation.this.send(number, to, new Answer(theirs, w.outcome()));
+                        ConsensusSimulation.this.send(number, to, new Answer(theirs, w.result()));
                     }
-                } else if (a instanceof Action.Grant g) {
-                    Integer to = askedLease.get(g.grant().balancer());
+                } else if (a instanceof Action.SendLease g) {
+                    Integer to = askedLease.get(g.response().balancer());
                     if (to != null) {
                         ConsensusSimulation.this.send(
                                 number,
                                 to,
                                 new Granted(
-                                        g.grant(),
-                                        version(g.grant().active()),
-                                        version(g.grant().pending())));
+                                        g.response(),
+                                        version(g.response().activeVersion()),
+                                        version(g.response().pendingVersion())));
                     }
                 }
             }
@@ -470,11 +471,11 @@
             if (now >= diskFreeAt && now >= stalledUntil && !queue.isEmpty()) {
                 Action.Persist p = queue.poll();
                 try {
-                    folder.carryOut(p);
+                    folder.persist(p);
                 } catch (DiskException | IllegalStateException e) { // it stops; somebody mends the disk
                     queue.clear();
                     crash(now + 300_000 + random.nextLong(2_000_000));
-                    disk.mend();
+                    disk.clearFaults();
                     return;
                 }
                 diskFreeAt = now + random.nextLong(30_000);
@@ -494,7 +495,7 @@
                     fail("%s and %s lead in term %d", name, other, keeper.term());
                 }
             }
-            for (long i = Math.max(looked, keeper.base()) + 1; i <= keeper.commit(); i++) {
+            for (long i = Math.max(looked, keeper.baseIndex()) + 1; i <= keeper.commitIndex(); i++) {
                 LogEntry e = keeper.entry(i);
                 LogEntry before = committed.putIfAbsent(i, e);
                 if (before == null) {
@@ -503,7 +504,7 @@
                     fail("%s: entry %d was %s, is %s", name, i, before, e);
                 }
             }
-            looked = keeper.commit();
+            looked = keeper.commitIndex();
         }
     }
 
@@ -533,7 +534,7 @@
             Granted g = (Granted) body;
             heardAt = clock();
             long before = adherent.active().number();
-            if (adherent.heard(clock(), g.grant(), g.active(), g.pending())) {
+            if (adherent.handle(clock(), g.grant(), g.active(), g.pending())) {
                 nextAsk = clock();
             }
             if (adherent.active().number() < before) {
@@ -551,12 +552,12 @@
                 if (clock() - heardAt > 700_000) {
                     to = random.nextInt(keepers.size());
                 }
-                send(number, keepers.get(to).number, new Lease(number, adherent.ask(clock())));
+                send(number, keepers.get(to).number, new Lease(number, adherent.leaseRequest(clock())));
             }
         }
 
-        ConfigSubscriber.Acting acting() {
-            return adherent.acting(clock());
+        ConfigSubscriber.EffectiveConfig acting() {
+            return adherent.effectiveConfig(clock());
         }
     }
 
@@ -621,10 +622,10 @@
                     continue;
                 }
                 Member member = anyMember(k.name);
-                if (member != null && member.folder() != 0 && member.folder() != k.folder.folder()) {
-                    return new ClientRequest.Remove(k.name, member.folder());
+                if (member != null && member.storageId() != 0 && member.storageId() != k.folder.storageId()) {
+                    return new ClientRequest.RemoveMember(k.name, member.storageId());
                 } else if (member == null) {
-                    return new ClientRequest.Add(new Member(k.name, k.folder.folder(), k.name));
+                    return new ClientRequest.AddMember(new Member(k.name, k.folder.storageId(), k.name));
                 }
             }
             Map<String, String> out = new TreeMap<>();
@@ -644,16 +645,16 @@
         private Member anyMember(String name) {
             for (KeeperBox k : keepers) {
                 if (k.keeper != null && k.keeper.role() == RaftNode.Role.LEADER) {
-                    Member m = k.keeper.members().voters().get(name);
+                    Member m = k.keeper.membership().voters().get(name);
                     return m != null
                             ? m
-                            : k.keeper.members().learner() != null
+                            : k.keeper.membership().learner() != null
                                             && k.keeper
-                                                    .members()
+                                                    .membership()
                                                     .learner()
                                                     .name()
                                                     .equals(name)
-                                    ? k.keeper.members().learner()
+                                    ? k.keeper.membership().learner()
                                     : null;
                 }
             }
@@ -671,11 +672,11 @@
             if (b.dead) {
                 continue;
             }
-            ConfigSubscriber.Acting a = b.acting();
+            ConfigSubscriber.EffectiveConfig a = b.acting();
             if (a.mode() == ConfigSubscriber.Mode.LEASED) {
                 leasedSteps++;
-                newestAlone = Math.max(newestAlone, a.version());
-                oldestTold = Math.min(oldestTold, Math.max(a.version(), a.pending()));
+                newestAlone = Math.max(newestAlone, a.activeVersion());
+                oldestTold = Math.min(oldestTold, Math.max(a.activeVersion(), a.pendingVersion()));
             } else {
                 checkAlone(b.name, a.document());
             }
@@ -730,8 +731,8 @@
             return;
         }
         for (KeeperBox k : keepers) {
-            if (leader.keeper.members().voters().containsKey(k.name) && !k.keeper.sound()) {
-                fail("%s is still in doubt: %s; %s", k.name, k.keeper.doubt(), states());
+            if (leader.keeper.membership().voters().containsKey(k.name) && !k.keeper.isRecovered()) {
+                fail("%s is still in doubt: %s; %s", k.name, k.keeper.suspectedLoss(), states());
             }
         }
         if (history.stream()
@@ -754,11 +755,12 @@
                         k.keeper == null
                                 ? " down"
                                 : " " + k.keeper.role() + " term "
-                                        + k.keeper.term() + " commit " + k.keeper.commit() + " last " + k.keeper.last()
+                                        + k.keeper.term() + " commit " + k.keeper.commitIndex() + " last "
+                                        + k.keeper.lastIndex()
                                         + " sound "
-                                        + k.keeper.sound() + " doubt " + k.keeper.doubt() + " leader "
+                                        + k.keeper.isRecovered() + " doubt " + k.keeper.suspectedLoss() + " leader "
                                         + k.keeper.leader() + " members "
-                                        + k.keeper.members() + " folder " + k.folder.folder())
+                                        + k.keeper.membership() + " folder " + k.folder.storageId())
                 .append("; "));
         return text.toString();
     }
@@ -777,14 +779,14 @@
                 new ArrayList<>(history.stream().filter(o -> o.outcome != null).toList());
         for (Op o : ended) {
             if (o.request instanceof ClientRequest.Set s && o.outcome.kind() == RequestResult.Kind.DONE) {
-                RequestResult real = results.get(s.write().request());
+                RequestResult real = results.get(s.write().requestId());
                 if (real == null || real.kind() != RequestResult.Kind.DONE || real.version() != o.outcome.version()) {
-                    fail("%s was answered %s, is %s", s.write().request(), o.outcome, real);
+                    fail("%s was answered %s, is %s", s.write().requestId(), o.outcome, real);
                 }
             } else if (o.request instanceof ClientRequest.Set s) {
-                RequestResult real = results.get(s.write().request());
+                RequestResult real = results.get(s.write().requestId());
                 if (real != null && real.kind() == RequestResult.Kind.DONE) {
-                    fail("%s was answered %s and is done: %s", s.write().request(), o.outcome, real);
+                    fail("%s was answered %s and is done: %s", s.write().requestId(), o.outcome, real);
                 }
             }
         }
@@ -815,10 +817,10 @@
                 if (e.command() instanceof Command.Activate a && pending && a.version() == active + 1) {
                     active++;
                     pending = false;
-                } else if (e.command() instanceof Command.Write w && !results.containsKey(w.request())) {
-                    boolean ok = !pending && w.parent() == active;
+                } else if (e.command() instanceof Command.Write w && !results.containsKey(w.requestId())) {
+                    boolean ok = !pending && w.parentVersion() == active;
                     results.put(
-                            w.request(),
+                            w.requestId(),
                             new RequestResult(
                                     ok ? RequestResult.Kind.DONE : RequestResult.Kind.CONFLICT,
                                     ok ? active + 1 : active,
