--- a/src/test/java/sedgeyoke/plan/PlanSafetyTest.java
+++ b/src/test/java/sedgeyoke/plan/PlanSafetyTest.java
@@ -29,20 +29,23 @@
         Integer single = Integer.getInteger("sedgeyoke.seed");
         int first = single == null ? 1 : single;
         int last = single == null ? SEEDS : single;
-        List<PlanSimulation> played = IntStream.rangeClosed(first, last)
+        List<PlanSimulation> simulations = IntStream.rangeClosed(first, last)
                 .parallel()
                 .mapToObj(seed -> {
                     PlanSimulation simulation = new PlanSimulation(seed, new PlanSimulation.Faults());
-                    assertNull(simulation.play(SECONDS), "seed " + seed + " (alone: -Dsedgeyoke.seed=" + seed + ")");
+                    assertNull(
+                            simulation.run(SECONDS),
+                            "seed " + seed + " (run it alone with -Dsedgeyoke.seed=" + seed + ")");
                     return simulation;
                 })
                 .toList();
         double granted =
-                played.stream().mapToDouble(s -> s.mostGranted).average().orElse(0);
-        double worst = played.stream().mapToDouble(s -> s.worstWindow).max().orElse(0);
-        System.out.println("plan safety: " + played.size() + " seeds, "
-                + played.stream().mapToInt(s -> s.restarts).sum() + " crashes, most granted at once " + granted
-                + " of all rights on average, worst window " + worst + " of the budget");
+                simulations.stream().mapToDouble(s -> s.mostGranted).average().orElse(0);
+        double worst =
+                simulations.stream().mapToDouble(s -> s.worstWindow).max().orElse(0);
+        System.out.println("plan safety: " + simulations.size() + " seeds, "
+                + simulations.stream().mapToInt(s -> s.restarts).sum() + " crashes, most granted at once " + granted
+                + " of all quota on average, worst window " + worst + " of the budget");
         assertTrue(single != null || granted > 0.4, "the simulation must move quota: " + granted);
         assertTrue(single != null || worst > 0.6, "forwarders must use what they may: " + worst);
     }
@@ -151,7 +154,8 @@
                             }
                         }));
         faultyVariants.put(
-                "buckets accumulate tokens for longer than a window", with(f -> f.saveFor = 3 * PlanSimulation.FALL));
+                "buckets accumulate tokens for longer than a window",
+                with(f -> f.bucketMicros = 3 * PlanSimulation.WINDOW_MICROS));
     }
 
     /** The simulation must detect each of them, or its passing would show nothing. */
@@ -161,7 +165,7 @@
         assertTrue(
                 IntStream.rangeClosed(1, 400)
                         .parallel()
-                        .anyMatch(seed -> new PlanSimulation(seed, faults).play(SECONDS) != null),
+                        .anyMatch(seed -> new PlanSimulation(seed, faults).run(SECONDS) != null),
                 name);
     }
 
@@ -169,8 +173,8 @@
     void theSameSeedReproducesTheSameRun() {
         PlanSimulation first = new PlanSimulation(7, new PlanSimulation.Faults());
         PlanSimulation second = new PlanSimulation(7, new PlanSimulation.Faults());
-        first.play(SECONDS);
-        second.play(SECONDS);
+        first.run(SECONDS);
+        second.run(SECONDS);
         assertEquals(first.worstWindow, second.worstWindow);
         assertEquals(first.mostGranted, second.mostGranted);
     }
--- a/src/test/java/sedgeyoke/plan/PlanSimulation.java
+++ b/src/test/java/sedgeyoke/plan/PlanSimulation.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiFunction;
+import java.util.function.Function;
 import java.util.function.LongFunction;
 import sedgeyoke.lease.LeaseClock;
 import sedgeyoke.policy.LoadBalancingPolicy;
@@ -15,40 +16,56 @@
 import sedgeyoke.simulation.SeededNetwork;
 
 /**
- * Planners and forwarders on one thread, with a network, clocks and processes that fail by seed. At every step it
- * checks that nobody together holds more rights on a cold node than there are, and that no window brings it more than
- * its budget. Forwarders are greedy: they spend whatever their buckets hold, at once or saved up.
+ * Simulates planners and forwarders over a network, clocks and processes that fail by seed. After each step it checks
+ * that all forwarders together may not use more slow-start quota of a cold upstream than there is, and that no window
+ * brings it more requests than its budget. Forwarders are greedy: they spend all their tokens, at once or saved up.
  */
 final class PlanSimulation extends SeededNetwork {
-    static final long LEASE = 1_500_000;
-    static final long FALL = 1_500_000;
-    static final long COLD = 9_000_000;
+    static final long LEASE_MICROS = 1_500_000;
+    static final long WINDOW_MICROS = 1_500_000;
     static final int DRIFT_PPM = 2_000;
-    private static final long REPORT_EVERY = 200_000;
+    private static final long SLOW_START_MICROS = 9_000_000;
+    private static final long REPORT_INTERVAL_MICROS = 200_000;
+    private static final long MAX_DISCOVERY_DELAY_MICROS = 2_000_000;
+    private static final long FADE_TIME_MICROS = 4_000_000;
     private static final int PLANNERS = 3;
     private static final int FORWARDERS = 6;
-    private static final int NODES = 2;
-    private static final double BASE = 10;
+    private static final int UPSTREAMS = 2;
+    /** Each forwarder's own quota on each cold upstream, in requests a second. */
+    private static final double OWN_QUOTA = 10;
 
-    /** What may be wrong on purpose. */
+    private static final double TOTAL_QUOTA = FORWARDERS * OWN_QUOTA;
+
+    /** The parts that a test may replace by faulty variants. */
     static final class Faults {
         LongFunction<LeaseClock> leaseClock = LeaseClock::new;
-        java.util.function.Function<LeaseClock, SlowStartQuotaPool> quotaPool = SlowStartQuotaPool::new;
+        Function<LeaseClock, SlowStartQuotaPool> quotaPool = SlowStartQuotaPool::new;
         BiFunction<Follower.Identity, Long, Follower> follower =
                 (self, now) -> new Follower(self, new LeaseClock(DRIFT_PPM), now);
         BiFunction<Planner.Settings, LeaseClock, Planner> planner;
-        long saveFor = FALL;
+        /** For how long the buckets of unused tokens accumulate. */
+        long bucketMicros = WINDOW_MICROS;
+    }
+
+    /** Discovery's message that an upstream was restarted, which a forwarder receives at {@code dueMicros}. */
+    private record RestartEvent(long dueMicros, int upstream, long launchedAt) {}
+
+    /** Tokens that a forwarder spent on an upstream at one time. */
+    private record Spending(long atMicros, double tokens) {}
+
+    /** Requests a second that a forwarder may send to an upstream, of its own quota and of grants. */
+    private record UsableQuota(double own, double granted) {
+        static final UsableQuota NONE = new UsableQuota(0, 0);
     }
 
     private final Faults faults;
-    private final List<PlannerBox> planners = new ArrayList<>();
-    private final List<ForwarderBox> forwarders = new ArrayList<>();
-    private final long[] launchedAt = new long[NODES];
-    private final List<Deque<double[]>> spent = new ArrayList<>();
-    private final double leastGrant;
+    private final List<PlannerProcess> planners = new ArrayList<>();
+    private final List<ForwarderProcess> forwarders = new ArrayList<>();
+    private final List<Deque<Spending>> spendings = new ArrayList<>();
+    private final double minGrantRate;
     private long incarnations = 1;
-    private long savingUntil;
-    /** How much of all rights was in grants at most: a simulation in which nothing moves shows nothing. */
+    private long savingUntilMicros;
+    /** The largest share of all quota that was in grants at one time: a simulation that moves no quota shows nothing. */
     double mostGranted;
 
     double worstWindow;
@@ -57,49 +74,47 @@
     PlanSimulation(long seed, Faults faults) {
         super(seed);
         this.faults = faults;
-        this.leastGrant = random.nextDouble() * 15;
+        this.minGrantRate = random.nextDouble() * 15;
         for (int i = 0; i < PLANNERS; i++) {
-            planners.add(new PlannerBox());
+            planners.add(new PlannerProcess());
         }
         for (int i = 0; i < FORWARDERS; i++) {
-            forwarders.add(new ForwarderBox());
+            forwarders.add(new ForwarderProcess());
         }
-        for (int i = 0; i < NODES; i++) {
-            spent.add(new ArrayDeque<>());
-            launchedAt[i] = -COLD;
+        for (int i = 0; i < UPSTREAMS; i++) {
+            spendings.add(new ArrayDeque<>());
         }
     }
 
-    /** Plays so many seconds; returns what was broken, or null. */
-    String play(int seconds) {
+    /** Runs for so many seconds; returns a description of the invariant that was violated, or null. */
+    String run(int seconds) {
         return playUntil(seconds * 1_000_000L);
     }
 
-    private Process box(int number) {
+    private Process process(int number) {
         return number < PLANNERS ? planners.get(number) : forwarders.get(number - PLANNERS);
     }
 
     @Override
     protected void misfortune() {
-        if (now > savingUntil + 2 * FALL && chance(1)) {
-            savingUntil = now + random.nextLong(3 * FALL); // then all of them spend at once, and go on
+        if (now > savingUntilMicros + 2 * WINDOW_MICROS && chance(1)) {
+            savingUntilMicros = now + random.nextLong(3 * WINDOW_MICROS); // then all of them spend at once
         }
-        for (int n = 0; n < NODES; n++) {
+        for (int upstream = 0; upstream < UPSTREAMS; upstream++) {
             if (chance(0.12)) {
-                launchedAt[n] = now;
-                long news = launchedAt[n];
-                for (ForwarderBox f : forwarders) {
-                    f.news.add(new long[] {now + random.nextLong(2_000_000), n, news});
+                for (ForwarderProcess forwarder : forwarders) {
+                    long dueMicros = now + random.nextLong(MAX_DISCOVERY_DELAY_MICROS);
+                    forwarder.restartEvents.add(new RestartEvent(dueMicros, upstream, now));
                 }
             }
         }
-        for (int i = 0; i < PLANNERS + FORWARDERS; i++) {
-            Process b = box(i);
+        for (int number = 0; number < PLANNERS + FORWARDERS; number++) {
+            Process process = process(number);
             if (chance(severity * 0.12)) {
-                b.crash(now + random.nextLong(random.nextBoolean() ? 100_000 : 2_000_000));
+                process.crash(now + random.nextLong(random.nextBoolean() ? 100_000 : 2_000_000));
                 restarts++;
             } else if (chance(severity * 0.06)) {
-                b.pausedUntil = now + (random.nextInt(4) == 0 ? 6_000_000 : random.nextLong(1_500_000));
+                process.pausedUntil = now + (random.nextInt(4) == 0 ? 6_000_000 : random.nextLong(1_500_000));
             }
         }
         if (chance(severity * 0.8)) {
@@ -110,23 +125,23 @@
         }
     }
 
-    private final class PlannerBox extends Process {
+    private final class PlannerProcess extends Process {
         private Planner planner;
-        private long nextPlan;
+        private long nextPlanMicros;
 
-        PlannerBox() {
+        PlannerProcess() {
             super(DRIFT_PPM);
             begin();
         }
 
         @Override
         protected void begin() {
-            LeaseClock terms = faults.leaseClock.apply(DRIFT_PPM);
+            LeaseClock leaseClock = faults.leaseClock.apply(DRIFT_PPM);
             Planner.Settings self = new Planner.Settings("p" + number, incarnations++, 100, 100);
             planner = faults.planner == null
-                    ? new Planner(self, terms, faults.quotaPool.apply(terms))
-                    : faults.planner.apply(self, terms);
-            nextPlan = clock();
+                    ? new Planner(self, leaseClock, faults.quotaPool.apply(leaseClock))
+                    : faults.planner.apply(self, leaseClock);
+            nextPlanMicros = clock();
         }
 
         @Override
@@ -136,25 +151,27 @@
 
         @Override
         protected void step() {
-            if (clock() >= nextPlan) {
-                nextPlan = clock() + REPORT_EVERY;
-                for (Planner.AddressedPlan out : planner.createPlans(clock())) {
-                    PlanSimulation.this.send(
-                            number, Integer.parseInt(out.forwarder().substring(1)), out.message());
+            if (clock() >= nextPlanMicros) {
+                nextPlanMicros = clock() + REPORT_INTERVAL_MICROS;
+                for (Planner.AddressedPlan plan : planner.createPlans(clock())) {
+                    int recipient = Integer.parseInt(plan.forwarder().substring(1));
+                    PlanSimulation.this.send(number, recipient, plan.message());
                 }
             }
         }
     }
 
-    private final class ForwarderBox extends Process {
-        private final List<long[]> news = new ArrayList<>();
-        private final long[] believes = new long[NODES];
+    private final class ForwarderProcess extends Process {
+        private final List<RestartEvent> restartEvents = new ArrayList<>();
+        /** When each upstream was started, as far as this forwarder knows; 0 for long ago. */
+        private final long[] launchedAt = new long[UPSTREAMS];
+
         private SlowStartBucket[] buckets;
         private Follower follower;
         private LoadBalancingPolicy.Plan plan;
-        private long nextReport;
+        private long nextReportMicros;
 
-        ForwarderBox() {
+        ForwarderProcess() {
             super(DRIFT_PPM);
             begin();
         }
@@ -162,143 +179,168 @@
         @Override
         protected void begin() {
             follower = faults.follower.apply(
-                    new Follower.Identity("f" + number, incarnations++, 0, LEASE, 4_000_000, leastGrant), clock());
-            buckets = new SlowStartBucket[NODES];
-            for (int n = 0; n < NODES; n++) {
-                buckets[n] = new SlowStartBucket(0, clock());
+                    new Follower.Identity(
+                            "f" + number, incarnations++, 0, LEASE_MICROS, FADE_TIME_MICROS, minGrantRate),
+                    clock());
+            buckets = new SlowStartBucket[UPSTREAMS];
+            for (int upstream = 0; upstream < UPSTREAMS; upstream++) {
+                buckets[upstream] = new SlowStartBucket(0, clock());
             }
             plan = follower.currentPlan(clock());
-            nextReport = clock() + random.nextLong(REPORT_EVERY);
+            nextReportMicros = clock() + random.nextLong(REPORT_INTERVAL_MICROS);
         }
 
         @Override
         protected void handle(Object body) {
             follower.handlePlan(clock(), (PlanMessage) body);
-            install();
-        }
-
-        private boolean cold(int n) {
-            return believes[n] > 0 && now - believes[n] < COLD;
+            installPlan();
         }
 
-        private SlowStartQuota right(int n) {
-            return plan.slowStartQuota("n" + n, believes[n]);
+        private boolean isCold(int upstream) {
+            return launchedAt[upstream] > 0 && now - launchedAt[upstream] < SLOW_START_MICROS;
         }
 
-        private void refill(int n) {
-            buckets[n].refill(clock(), BASE / 1e6, right(n), plan.ownQuotaBlockedUntil(), faults.saveFor, 0);
+        private SlowStartQuota quota(int upstream) {
+            return plan.slowStartQuota("n" + upstream, launchedAt[upstream]);
         }
 
-        private void install() {
-            settle();
+        /** Refills the buckets by the old plan and from then on by the new one. */
+        private void installPlan() {
+            refillBuckets();
             plan = follower.currentPlan(clock());
-            settle();
+            refillBuckets();
         }
 
-        private void settle() {
-            for (int n = 0; n < NODES; n++) {
-                if (cold(n)) {
-                    refill(n);
+        private void refillBuckets() {
+            for (int upstream = 0; upstream < UPSTREAMS; upstream++) {
+                if (isCold(upstream)) {
+                    refillBucket(upstream);
                 }
             }
         }
 
+        private void refillBucket(int upstream) {
+            buckets[upstream].refill(
+                    clock(), OWN_QUOTA / 1e6, quota(upstream), plan.ownQuotaBlockedUntil(), faults.bucketMicros, 0);
+        }
+
         @Override
         protected void step() {
-            news.removeIf(x -> {
-                boolean due = x[0] <= now;
-                if (due && x[2] > believes[(int) x[1]]) {
-                    believes[(int) x[1]] = x[2];
-                    buckets[(int) x[1]] = new SlowStartBucket(0, clock());
-                }
-                return due;
-            });
-            if (clock() >= nextReport) {
-                nextReport = clock() + REPORT_EVERY;
+            restartEvents.removeIf(this::handleIfDue);
+            if (clock() >= nextReportMicros) {
+                nextReportMicros = clock() + REPORT_INTERVAL_MICROS;
                 report();
             }
-            for (int n = 0; n < NODES; n++) {
-                if (cold(n)) {
-                    refill(n);
-                    if (now > savingUntil && buckets[n].tokens() > 0) {
-                        spent.get(n).add(new double[] {now, buckets[n].tokens()});
-                        buckets[n].spend(buckets[n].tokens());
-                    }
+            for (int upstream = 0; upstream < UPSTREAMS; upstream++) {
+                if (isCold(upstream)) {
+                    refillBucket(upstream);
+                    spend(upstream);
                 }
             }
         }
 
+        private boolean handleIfDue(RestartEvent restart) {
+            boolean due = restart.dueMicros() <= now;
+            if (due && restart.launchedAt() > launchedAt[restart.upstream()]) {
+                launchedAt[restart.upstream()] = restart.launchedAt();
+                buckets[restart.upstream()] = new SlowStartBucket(0, clock());
+            }
+            return due;
+        }
+
+        private void spend(int upstream) {
+            double tokens = buckets[upstream].tokens();
+            if (now > savingUntilMicros && tokens > 0) {
+                spendings.get(upstream).add(new Spending(now, tokens));
+                buckets[upstream].spend(tokens);
+            }
+        }
+
         private void report() {
-            List<LoadBalancingPolicy.UpstreamStatus> standings = new ArrayList<>();
-            for (int n = 0; n < NODES; n++) {
-                standings.add(new LoadBalancingPolicy.UpstreamStatus(
-                        "n" + n,
-                        0,
-                        LoadBalancingPolicy.State.READY,
-                        believes[n],
-                        1,
-                        now / 10_000,
-                        1,
-                        3,
-                        0.5,
-                        0,
-                        clock(),
-                        false,
-                        cold(n) ? BASE : 0));
+            List<LoadBalancingPolicy.UpstreamStatus> upstreams = new ArrayList<>();
+            for (int upstream = 0; upstream < UPSTREAMS; upstream++) {
+                upstreams.add(status(upstream));
             }
             LoadBalancingPolicy.Summary summary =
-                    new LoadBalancingPolicy.Summary(List.of(10.0 + random.nextInt(30)), standings, 0);
+                    new LoadBalancingPolicy.Summary(List.of(10.0 + random.nextInt(30)), upstreams, 0);
             Map<Integer, ForwarderReport> reports = new HashMap<>();
-            for (PlannerBox p : planners) {
-                reports.put(p.number, follower.createReport(clock(), "p" + p.number, summary));
+            for (PlannerProcess planner : planners) {
+                reports.put(planner.number, follower.createReport(clock(), "p" + planner.number, summary));
             }
-            install(); // before anyone can hear of what is lent
+            installPlan(); // before a planner can grant what the reports delegate
             reports.forEach((to, report) -> PlanSimulation.this.send(number, to, report));
         }
 
-        /** What it could spend on a node at this moment, by its own clock. */
-        double[] rights(int n) {
-            if (dead || !cold(n)) {
-                return new double[2];
+        private LoadBalancingPolicy.UpstreamStatus status(int upstream) {
+            return new LoadBalancingPolicy.UpstreamStatus(
+                    "n" + upstream,
+                    0,
+                    LoadBalancingPolicy.State.READY,
+                    launchedAt[upstream],
+                    1,
+                    now / 10_000,
+                    1,
+                    3,
+                    0.5,
+                    0,
+                    clock(),
+                    false,
+                    isCold(upstream) ? OWN_QUOTA : 0);
+        }
+
+        /** What it may use of an upstream's quota at this moment, by its own clock. */
+        UsableQuota usableQuota(int upstream) {
+            if (dead || !isCold(upstream)) {
+                return UsableQuota.NONE;
             }
-            SlowStartQuota right = right(n);
+            SlowStartQuota quota = quota(upstream);
             long at = clock();
-            boolean own = at >= plan.ownQuotaBlockedUntil() && (right == null || at >= right.delegatedUntil());
-            double granted = right == null
+            boolean ownUsable = at >= plan.ownQuotaBlockedUntil() && (quota == null || at >= quota.delegatedUntil());
+            double granted = quota == null
                     ? 0
-                    : right.grants().stream()
-                            .filter(g -> at < g.expiresAt())
+                    : quota.grants().stream()
+                            .filter(grant -> at < grant.expiresAt())
                             .mapToDouble(LoadBalancingPolicy.SlowStartGrant::rate)
                             .sum();
-            return new double[] {own ? BASE : 0, granted};
+            return new UsableQuota(ownUsable ? OWN_QUOTA : 0, granted);
         }
     }
 
     @Override
     protected void check() {
-        double all = FORWARDERS * BASE;
-        for (int n = 0; n < NODES; n++) {
-            double own = 0;
-            double granted = 0;
-            for (ForwarderBox f : forwarders) {
-                own += f.rights(n)[0];
-                granted += f.rights(n)[1];
-            }
-            mostGranted = Math.max(mostGranted, granted / all);
-            if (own + granted > all * (1 + 1e-9)) {
-                breach = String.format(
-                        "at %.2f s node %d: own %.1f + granted %.1f of %.1f", now / 1e6, n, own, granted, all);
-            }
-            Deque<double[]> window = spent.get(n);
-            while (!window.isEmpty() && window.peek()[0] <= now - FALL) {
-                window.poll();
-            }
-            double sum = window.stream().mapToDouble(s -> s[1]).sum();
-            double budget = 2 * all * FALL / 1e6 * (1 + 3 * DRIFT_PPM / 1e6) + all * STEP / 1e6;
-            worstWindow = Math.max(worstWindow, sum / budget);
-            if (sum > budget) {
-                breach = String.format("at %.2f s node %d: spent %.1f of %.1f in a window", now / 1e6, n, sum, budget);
-            }
+        for (int upstream = 0; upstream < UPSTREAMS; upstream++) {
+            checkQuota(upstream);
+            checkWindow(upstream);
+        }
+    }
+
+    private void checkQuota(int upstream) {
+        double own = 0;
+        double granted = 0;
+        for (ForwarderProcess forwarder : forwarders) {
+            UsableQuota usable = forwarder.usableQuota(upstream);
+            own += usable.own();
+            granted += usable.granted();
+        }
+        mostGranted = Math.max(mostGranted, granted / TOTAL_QUOTA);
+        if (own + granted > TOTAL_QUOTA * (1 + 1e-9)) {
+            breach = String.format(
+                    "at %.2f s upstream %d: own %.1f + granted %.1f of %.1f",
+                    now / 1e6, upstream, own, granted, TOTAL_QUOTA);
+        }
+    }
+
+    private void checkWindow(int upstream) {
+        Deque<Spending> window = spendings.get(upstream);
+        while (!window.isEmpty() && window.peek().atMicros() <= now - WINDOW_MICROS) {
+            window.poll();
+        }
+        double spent = window.stream().mapToDouble(Spending::tokens).sum();
+        double budget = 2 * TOTAL_QUOTA * WINDOW_MICROS / 1e6 * (1 + 3 * DRIFT_PPM / 1e6) + TOTAL_QUOTA * STEP / 1e6;
+        worstWindow = Math.max(worstWindow, spent / budget);
+        if (spent > budget) {
+            breach = String.format(
+                    "at %.2f s upstream %d: spent %.1f of %.1f in a window", now / 1e6, upstream, spent, budget);
         }
     }
 }
--- a/src/test/java/sedgeyoke/plan/PlannerTest.java
+++ b/src/test/java/sedgeyoke/plan/PlannerTest.java
@@ -14,7 +14,7 @@
 import sedgeyoke.lease.LeaseClock;
 import sedgeyoke.policy.LoadBalancingPolicy;
 
-/** What a planner makes of reports, and what a forwarder makes of plans. */
+/** Tests what a planner computes from reports, and what a forwarder makes of plans. */
 class PlannerTest {
     private static final long SECOND = 1_000_000;
     private static final long LEASE = 1_500_000;
@@ -36,16 +36,16 @@
                 from, 1, ++sequence, 5 * SECOND, echo, zone, LEASE, 1, List.of(demand), loads, deposits);
     }
 
-    private static PlanMessage to(String forwarder, List<Planner.AddressedPlan> out) {
-        return out.stream()
-                .filter(o -> o.forwarder().equals(forwarder))
+    private static PlanMessage planFor(String forwarder, List<Planner.AddressedPlan> plans) {
+        return plans.stream()
+                .filter(plan -> plan.forwarder().equals(forwarder))
                 .findFirst()
                 .orElseThrow()
                 .message();
     }
 
     @Test
-    void limitsOfAllForwardersAreAddedUp() {
+    void limitsOfAllForwardersAreSummed() {
         planner.handleReport(
                 SECOND,
                 report("a", 0, 10, ForwarderReport.Stamp.NONE, List.of(load("u", 0, 2, 0.9, 400_000)), List.of()));
@@ -53,36 +53,36 @@
                 SECOND,
                 report("b", 0, 10, ForwarderReport.Stamp.NONE, List.of(load("u", 0, 3, 0.4, 100_000)), List.of()));
         PlanMessage.View view =
-                to("a", planner.createPlans(SECOND + 50_000)).views().get(0);
+                planFor("a", planner.createPlans(SECOND + 50_000)).views().get(0);
         assertEquals(5, view.totalLimit());
     }
 
     @Test
-    void whoFallsSilentTakesItsPartWithIt() {
+    void aSilentForwarderNoLongerCounts() {
         planner.handleReport(
                 SECOND, report("a", 0, 10, ForwarderReport.Stamp.NONE, List.of(load("u", 0, 2, 0.9, 0)), List.of()));
         planner.handleReport(
                 4 * SECOND,
                 report("b", 0, 30, ForwarderReport.Stamp.NONE, List.of(load("u", 0, 3, 0.4, 0)), List.of()));
-        PlanMessage message = to("b", planner.createPlans(4 * SECOND));
+        PlanMessage message = planFor("b", planner.createPlans(4 * SECOND));
         assertEquals(1, message.coverage());
         assertEquals(3, message.views().get(0).totalLimit());
         assertEquals(List.of(1.0), message.limitShares());
     }
 
     @Test
-    void limitsAreSplitByDemand() {
+    void limitSharesAreProportionalToDemand() {
         planner.handleReport(
                 SECOND, report("a", 0, 10, ForwarderReport.Stamp.NONE, List.of(load("u", 0, 2, 0.9, 0)), List.of()));
         planner.handleReport(
                 SECOND, report("b", 0, 30, ForwarderReport.Stamp.NONE, List.of(load("u", 0, 2, 0.4, 0)), List.of()));
-        List<Planner.AddressedPlan> out = planner.createPlans(SECOND);
-        assertEquals(0.25, to("a", out).limitShares().get(0), 1e-9);
-        assertEquals(0.75, to("b", out).limitShares().get(0), 1e-9);
+        List<Planner.AddressedPlan> plans = planner.createPlans(SECOND);
+        assertEquals(0.25, planFor("a", plans).limitShares().get(0), 1e-9);
+        assertEquals(0.75, planFor("b", plans).limitShares().get(0), 1e-9);
     }
 
     @Test
-    void oldAndRepeatedReportsAndTooManyForwardersAreNotHeard() {
+    void staleReportsAndExcessForwardersAreIgnored() {
         ForwarderReport first = report("a", 0, 10, ForwarderReport.Stamp.NONE, List.of(), List.of());
         ForwarderReport second = report("a", 0, 20, ForwarderReport.Stamp.NONE, List.of(), List.of());
         assertTrue(planner.handleReport(SECOND, second));
@@ -94,27 +94,28 @@
     }
 
     @Test
-    void furtherUpstreamsThanItHoldsAreLeftOut() {
+    void upstreamsBeyondTheMaximumAreIgnored() {
         List<ForwarderReport.Load> many = new ArrayList<>();
         for (int i = 0; i < 100; i++) {
             many.add(load("u" + i, 0, 1, 0.5, 0));
         }
         planner.handleReport(SECOND, report("a", 0, 1, ForwarderReport.Stamp.NONE, many, List.of()));
-        assertEquals(4, to("a", planner.createPlans(SECOND)).views().size());
+        assertEquals(4, planFor("a", planner.createPlans(SECOND)).views().size());
     }
 
     @Test
-    void aDrainThatOneWasToldOfIsPassedOnUntilTheNodeStartsAnew() {
-        ForwarderReport.Load drains = new ForwarderReport.Load("u", 0, true, 50, 1, 0, 1, 0.5, 0, 0, false);
-        ForwarderReport.Load knowsNothing = new ForwarderReport.Load("u", 0, false, 50, 1, 0, 1, 0.5, 0, 0, false);
-        ForwarderReport.Load anew = new ForwarderReport.Load("u", 0, false, 60, 1, 0, 1, 0.5, 0, 0, false);
-        planner.handleReport(SECOND, report("a", 0, 1, ForwarderReport.Stamp.NONE, List.of(drains), List.of()));
-        planner.handleReport(SECOND, report("b", 0, 1, ForwarderReport.Stamp.NONE, List.of(knowsNothing), List.of()));
-        assertTrue(to("b", planner.createPlans(SECOND)).views().get(0).draining());
+    void aDrainThatAnyForwarderReportsLastsUntilTheUpstreamRestarts() {
+        ForwarderReport.Load draining = new ForwarderReport.Load("u", 0, true, 50, 1, 0, 1, 0.5, 0, 0, false);
+        ForwarderReport.Load notDraining = new ForwarderReport.Load("u", 0, false, 50, 1, 0, 1, 0.5, 0, 0, false);
+        ForwarderReport.Load restarted = new ForwarderReport.Load("u", 0, false, 60, 1, 0, 1, 0.5, 0, 0, false);
+        planner.handleReport(SECOND, report("a", 0, 1, ForwarderReport.Stamp.NONE, List.of(draining), List.of()));
+        planner.handleReport(SECOND, report("b", 0, 1, ForwarderReport.Stamp.NONE, List.of(notDraining), List.of()));
+        assertTrue(planFor("b", planner.createPlans(SECOND)).views().get(0).draining());
         assertEquals(List.of(), planner.createPlans(SECOND), "every report is answered once");
         planner.handleReport(SECOND, report("a", 0, 1, ForwarderReport.Stamp.NONE, List.of(), List.of()));
-        planner.handleReport(SECOND, report("b", 0, 1, ForwarderReport.Stamp.NONE, List.of(anew), List.of()));
-        PlanMessage.View view = to("a", planner.createPlans(SECOND)).views().get(0);
+        planner.handleReport(SECOND, report("b", 0, 1, ForwarderReport.Stamp.NONE, List.of(restarted), List.of()));
+        PlanMessage.View view =
+                planFor("a", planner.createPlans(SECOND)).views().get(0);
         assertFalse(view.draining());
         assertEquals(60, view.launchedAt());
     }
@@ -128,19 +129,20 @@
         "10, 10, 0, 0, 1, 0",
         "0, 0, 100, 100, 1, 0"
     })
-    void aZoneKeepsWhatItsOwnCarryAndSpillsTheRest(
-            double here, double there, double canHere, double canThere, double stays, double goes) {
-        ZoneSpillover spillover = ZoneSpillover.of(new double[] {here, there}, new double[] {canHere, canThere});
+    void aZoneSpillsOverWhatItsOwnUpstreamsCannotServe(
+            double demand, double otherDemand, double capacity, double otherCapacity, double stays, double spills) {
+        ZoneSpillover spillover =
+                ZoneSpillover.of(new double[] {demand, otherDemand}, new double[] {capacity, otherCapacity});
         assertEquals(stays, spillover.sharesFrom(0).get(0), 0.001);
-        assertEquals(goes, spillover.sharesFrom(0).get(1), 0.001);
+        assertEquals(spills, spillover.sharesFrom(0).get(1), 0.001);
     }
 
     @Test
-    void grantsAreMadeOfDepositsAndNothingElse() {
+    void grantsAreCoveredByDeposits() {
         List<ForwarderReport.Deposit> rights = List.of(new ForwarderReport.Deposit("u", 50, 2));
         ForwarderReport.Load cold = new ForwarderReport.Load("u", 0, false, 50, 0, 0, 1, 0.1, 0, 0, false);
         planner.handleReport(SECOND, report("a", 0, 10, new ForwarderReport.Stamp(6, SECOND), List.of(cold), rights));
-        assertTrue(to("a", planner.createPlans(SECOND)).grants().isEmpty(), "lent to a process before this one");
+        assertTrue(planFor("a", planner.createPlans(SECOND)).grants().isEmpty(), "delegated to an earlier incarnation");
         for (String from : List.of("a", "b", "c")) {
             planner.handleReport(
                     SECOND,
@@ -152,20 +154,20 @@
                             List.of(cold),
                             rights));
         }
-        List<Planner.AddressedPlan> out = planner.createPlans(SECOND);
-        double sum = out.stream()
+        List<Planner.AddressedPlan> plans = planner.createPlans(SECOND);
+        double sum = plans.stream()
                 .flatMap(o -> o.message().grants().stream())
                 .mapToDouble(PlanMessage.Grant::rate)
                 .sum();
         assertTrue(sum > 4 && sum <= 6, "granted " + sum);
-        assertTrue(to("c", out).grants().get(0).rate() > 3, "to the busiest first");
+        assertTrue(planFor("c", plans).grants().get(0).rate() > 3, "to the busiest first");
         assertTrue(
-                out.stream().flatMap(o -> o.message().grants().stream()).allMatch(g -> g.rate() >= 1.5),
+                plans.stream().flatMap(o -> o.message().grants().stream()).allMatch(g -> g.rate() >= 1.5),
                 "and none too small to be used");
         assertTrue(
                 planner.createPlans(SECOND + LEASE).stream()
                         .allMatch(o -> o.message().grants().isEmpty()),
-                "the deposits have run out");
+                "the deposits have expired");
     }
 
     // ---- The forwarder's side ------------------------------------------------------------------------
@@ -195,12 +197,12 @@
     }
 
     @Test
-    void olderMessagesAndAnswersToOtherProcessesAreLeft() {
+    void stalePlansAndAnswersToOtherIncarnationsAreIgnored() {
         long now = 10 * SECOND;
         assertTrue(follower.handlePlan(now, message("p", 1, 5, now, 3, List.of())));
         assertFalse(follower.handlePlan(now, message("p", 1, 5, now, 3, List.of())));
         assertFalse(follower.handlePlan(now, message("p", 1, 4, now, 3, List.of())));
-        assertTrue(follower.handlePlan(now, message("p", 2, 1, now, 3, List.of())), "another process of it");
+        assertTrue(follower.handlePlan(now, message("p", 2, 1, now, 3, List.of())), "another incarnation");
         assertFalse(follower.handlePlan(now, message("p", 2, 9, now + 1, 3, List.of())), "from the future");
         assertFalse(follower.handlePlan(
                 now,
@@ -219,7 +221,7 @@
     }
 
     @Test
-    void thePlannerThatCoversMostIsFollowedAndNotLeftWithoutNeed() {
+    void thePlannerOfLargestCoverageIsFollowedWithHysteresis() {
         long now = 10 * SECOND;
         assertNull(follower.followedPlanner(now));
         follower.handlePlan(now, message("p1", 1, 1, now, 10, List.of()));
@@ -230,7 +232,7 @@
         assertEquals("p3", follower.followedPlanner(now));
         long later = now + PlannerSelection.PLANNER_TIMEOUT_MICROS + 1;
         assertNull(follower.followedPlanner(later));
-        assertEquals(now, follower.currentPlan(later).lastPlannerContact(), "so it fades from then");
+        assertEquals(now, follower.currentPlan(later).lastPlannerContact(), "plans fade from the last contact on");
     }
 
     private static LoadBalancingPolicy.Summary coldSummary() {
@@ -242,7 +244,7 @@
     }
 
     @Test
-    void rightsAreLentToThePlannerThatIsFollowedAndStayLent() {
+    void quotaIsDelegatedToTheFollowedPlannerForTheWholeLease() {
         long now = 10 * SECOND;
         assertEquals(List.of(), follower.createReport(now, "p1", coldSummary()).deposits());
         follower.handlePlan(now, message("p1", 1, 1, now, 10, List.of()));
@@ -262,7 +264,7 @@
     }
 
     @Test
-    void grantsOfSeveralPlannersAddUpAndEndEachInItsTime() {
+    void grantsOfSeveralPlannersAddUpAndExpireSeparately() {
         long now = 10 * SECOND;
         PlanMessage.Grant grant = new PlanMessage.Grant("u", 50, 2);
         follower.handlePlan(now, message("p1", 1, 1, now - 300_000, 10, List.of(grant)));
@@ -280,7 +282,7 @@
     }
 
     @Test
-    void aReportHasABoundedSizeAndTakesAllUpstreamsInTurn() {
+    void reportsOfBoundedSizeCoverAllUpstreamsInRotation() {
         List<LoadBalancingPolicy.UpstreamStatus> many = new ArrayList<>();
         for (int i = 0; i < 300; i++) {
             many.add(new LoadBalancingPolicy.UpstreamStatus(
