--- a/src/main/java/sedgeyoke/standin/BulkNode.java
+++ b/src/main/java/sedgeyoke/standin/BulkNode.java
@@ -90,7 +90,7 @@
         private void answer(ChannelHandlerContext ctx) {
             BulkPair done = pair;
             done.upArrived = receiver.digest();
-            done.ran++;
+            done.executions.incrementAndGet();
             receiver = null;
             HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
             if (done.chunkedDown) {
--- a/src/main/java/sedgeyoke/standin/BulkPair.java
+++ b/src/main/java/sedgeyoke/standin/BulkPair.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 import sedgeyoke.model.RequestClassModel;
 
 /**
@@ -52,7 +53,7 @@
     volatile byte[] upArrived;
     volatile byte[] downSent;
     volatile byte[] downArrived;
-    volatile int ran;
+    final AtomicInteger executions = new AtomicInteger();
     volatile End end = End.OPEN;
     volatile long startedNanos;
     volatile long endedNanos;
@@ -127,7 +128,7 @@
 
     /** Whether it had an effect twice: repeats of a keyed request are dropped by nodes, and count for none. */
     public boolean ranTwice() {
-        return ran > 1 && !cls.keyed();
+        return executions.get() > 1 && !cls.keyed();
     }
 
     /** Bytes of both bodies. */
--- a/src/main/java/sedgeyoke/standin/Clients.java
+++ b/src/main/java/sedgeyoke/standin/Clients.java
@@ -263,7 +263,7 @@
             channel.writeAndFlush(http);
             loop.schedule(
                     () -> {
-                        if (current == request) {
+                        if (request.equals(current)) {
                             channel.close(); // its loss is noted in channelInactive
                         }
                     },
--- a/src/test/java/sedgeyoke/policy/ModuleSizeTest.java
+++ b/src/test/java/sedgeyoke/policy/ModuleSizeTest.java
@@ -33,7 +33,7 @@
                 Pattern.compile("(?m)^policy = \\[(.*)]").matcher(Files.readString(Path.of("deploy/balancer.toml")));
         assertTrue(policy.find());
         List<String> lines = new ArrayList<>();
-        for (String file : policy.group(1).replaceAll("[\" ]", "").split(",")) {
+        for (String file : policy.group(1).replaceAll("[\" ]", "").split(",", -1)) {
             lines.addAll(Files.readAllLines(Path.of(file)));
         }
         assertTrue(lines.size() > 800, "the module itself");
--- a/src/test/java/sedgeyoke/proxy/Peer.java
+++ b/src/test/java/sedgeyoke/proxy/Peer.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -41,7 +42,7 @@
         }
 
         int status() {
-            return Integer.parseInt(line.split(" ")[1]);
+            return Integer.parseInt(line.split(" ", 3)[1]);
         }
     }
 
@@ -117,7 +118,7 @@
         Map<String, String> headers = new TreeMap<>();
         for (String h = line(in); h != null && !h.isEmpty(); h = line(in)) {
             headers.put(
-                    h.substring(0, h.indexOf(':')).toLowerCase(),
+                    h.substring(0, h.indexOf(':')).toLowerCase(Locale.ROOT),
                     h.substring(h.indexOf(':') + 1).trim());
         }
         byte[] body;
@@ -128,7 +129,7 @@
                 line(in);
             }
             for (String trailer = line(in); trailer != null && !trailer.isEmpty(); trailer = line(in)) {
-                headers.put("trailer-" + trailer.split(":")[0].toLowerCase(), trailer);
+                headers.put("trailer-" + trailer.split(":", 2)[0].toLowerCase(Locale.ROOT), trailer);
             }
             body = all.toByteArray();
         } else {
--- a/src/test/java/sedgeyoke/serve/ReloadSignalTest.java
+++ b/src/test/java/sedgeyoke/serve/ReloadSignalTest.java
@@ -5,7 +5,7 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 
@@ -49,7 +49,7 @@
     @Test
     void thatItIsIgnoredIsSaid() throws IOException, InterruptedException {
         Process process = start("trap '' HUP;");
-        try (BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream()))) {
+        try (BufferedReader out = process.inputReader(StandardCharsets.UTF_8)) {
             assertTrue(out.readLine().startsWith("SIGHUP is ignored"));
             assertEquals("ready", out.readLine());
             hangUp(process);
@@ -64,7 +64,7 @@
     @Test
     void elseItIsHandledAndNothingIsSaid() throws IOException, InterruptedException {
         Process process = start("");
-        try (BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream()))) {
+        try (BufferedReader out = process.inputReader(StandardCharsets.UTF_8)) {
             assertEquals("ready", out.readLine());
             hangUp(process);
             assertEquals("came", out.readLine());
--- a/src/test/java/sedgeyoke/simulation/SharedCoresTest.java
+++ b/src/test/java/sedgeyoke/simulation/SharedCoresTest.java
@@ -54,7 +54,7 @@
         time.after(150 * MS, () -> ask(node, 2)); // the first two have 25 ms of work left each by then
         time.runUntil(SimulationContext.START + 1_000 * MS);
         assertEquals(List.of(225L, 225L, 300L), doneAt);
-        assertEquals(300 * MS, node.worked(), MS);
+        assertEquals(300.0 * MS, (double) node.worked(), (double) MS);
         assertEquals(0, node.unaccounted(), 1e-9);
     }
 
