--- a/src/test/java/sedgeyoke/plan/PlanSimulation.java
+++ b/src/test/java/sedgeyoke/plan/PlanSimulation.java
@@ -10,7 +10,7 @@
 import java.util.function.LongFunction;
 import sedgeyoke.lease.LeaseClock;
 import sedgeyoke.policy.LoadBalancingPolicy;
-import sedgeyoke.policy.LoadBalancingPolicy.ColdRight;
+import sedgeyoke.policy.LoadBalancingPolicy.SlowStartQuota;
 import sedgeyoke.policy.SlowStartBucket;
 import sedgeyoke.simulation.SeededNetwork;
 
@@ -32,8 +32,8 @@
 
     /** What may be wrong on purpose. */
     static final class Faults {
-        LongFunction<LeaseClock> terms = LeaseClock::new;
-        java.util.function.Function<LeaseClock, SlowStartQuotaPool> pool = SlowStartQuotaPool::new;
+        LongFunction<LeaseClock> leaseClock = LeaseClock::new;
+        java.util.function.Function<LeaseClock, SlowStartQuotaPool> quotaPool = SlowStartQuotaPool::new;
         BiFunction<Follower.Identity, Long, Follower> follower =
                 (self, now) -> new Follower(self, new LeaseClock(DRIFT_PPM), now);
         BiFunction<Planner.Settings, LeaseClock, Planner> planner;
@@ -121,24 +121,24 @@
 
         @Override
         protected void begin() {
-            LeaseClock terms = faults.terms.apply(DRIFT_PPM);
+            LeaseClock terms = faults.leaseClock.apply(DRIFT_PPM);
             Planner.Settings self = new Planner.Settings("p" + number, incarnations++, 100, 100);
             planner = faults.planner == null
-                    ? new Planner(self, terms, faults.pool.apply(terms))
+                    ? new Planner(self, terms, faults.quotaPool.apply(terms))
                     : faults.planner.apply(self, terms);
             nextPlan = clock();
         }
 
         @Override
         protected void handle(Object body) {
-            planner.report(clock(), (ForwarderReport) body);
+            planner.handleReport(clock(), (ForwarderReport) body);
         }
 
         @Override
         protected void step() {
             if (clock() >= nextPlan) {
                 nextPlan = clock() + REPORT_EVERY;
-                for (Planner.Out out : planner.plan(clock())) {
+                for (Planner.AddressedPlan out : planner.createPlans(clock())) {
                     PlanSimulation.this.send(
                             number, Integer.parseInt(out.forwarder().substring(1)), out.message());
                 }
@@ -167,13 +167,13 @@
             for (int n = 0; n < NODES; n++) {
                 buckets[n] = new SlowStartBucket(0, clock());
             }
-            plan = follower.plan(clock());
+            plan = follower.currentPlan(clock());
             nextReport = clock() + random.nextLong(REPORT_EVERY);
         }
 
         @Override
         protected void handle(Object body) {
-            follower.heard(clock(), (PlanMessage) body);
+            follower.handlePlan(clock(), (PlanMessage) body);
             install();
         }
 
@@ -181,17 +181,17 @@
             return believes[n] > 0 && now - believes[n] < COLD;
         }
 
-        private ColdRight right(int n) {
-            return plan.right("n" + n, believes[n]);
+        private SlowStartQuota right(int n) {
+            return plan.slowStartQuota("n" + n, believes[n]);
         }
 
         private void refill(int n) {
-            buckets[n].refill(clock(), BASE / 1e6, right(n), plan.quietUntil(), faults.saveFor, 0);
+            buckets[n].refill(clock(), BASE / 1e6, right(n), plan.ownQuotaBlockedUntil(), faults.saveFor, 0);
         }
 
         private void install() {
             settle();
-            plan = follower.plan(clock());
+            plan = follower.currentPlan(clock());
             settle();
         }
 
@@ -229,9 +229,9 @@
         }
 
         private void report() {
-            List<LoadBalancingPolicy.Standing> standings = new ArrayList<>();
+            List<LoadBalancingPolicy.UpstreamStatus> standings = new ArrayList<>();
             for (int n = 0; n < NODES; n++) {
-                standings.add(new LoadBalancingPolicy.Standing(
+                standings.add(new LoadBalancingPolicy.UpstreamStatus(
                         "n" + n,
                         0,
                         LoadBalancingPolicy.State.READY,
@@ -250,7 +250,7 @@
                     new LoadBalancingPolicy.Summary(List.of(10.0 + random.nextInt(30)), standings, 0);
             Map<Integer, ForwarderReport> reports = new HashMap<>();
             for (PlannerBox p : planners) {
-                reports.put(p.number, follower.report(clock(), "p" + p.number, summary));
+                reports.put(p.number, follower.createReport(clock(), "p" + p.number, summary));
             }
             install(); // before anyone can hear of what is lent
             reports.forEach((to, report) -> PlanSimulation.this.send(number, to, report));
@@ -261,14 +261,14 @@
             if (dead || !cold(n)) {
                 return new double[2];
             }
-            ColdRight right = right(n);
+            SlowStartQuota right = right(n);
             long at = clock();
-            boolean own = at >= plan.quietUntil() && (right == null || at >= right.lentUntil());
+            boolean own = at >= plan.ownQuotaBlockedUntil() && (right == null || at >= right.delegatedUntil());
             double granted = right == null
                     ? 0
                     : right.grants().stream()
-                            .filter(g -> at < g.until())
-                            .mapToDouble(LoadBalancingPolicy.ColdGrant::rate)
+                            .filter(g -> at < g.expiresAt())
+                            .mapToDouble(LoadBalancingPolicy.SlowStartGrant::rate)
                             .sum();
             return new double[] {own ? BASE : 0, granted};
         }
