--- a/bench/src/PlannerScale.java
+++ b/bench/src/PlannerScale.java
@@ -54,16 +54,16 @@
             }
             long began = System.nanoTime();
             for (int f = 0; f < forwarders; f++) {
-                planner.report(
+                planner.handleReport(
                         now,
                         PlannerCodec.report(
                                 "f" + f, Frame.parseFrom(messages.get(f)).getReport()));
             }
             long reported = System.nanoTime();
-            List<Planner.Out> planned = planner.plan(now);
+            List<Planner.AddressedPlan> planned = planner.createPlans(now);
             ByteString board = PlannerCodec.board(planned.get(0).message().views());
             long bytes = 0;
-            for (Planner.Out o : planned) {
+            for (Planner.AddressedPlan o : planned) {
                 bytes += Frame.newBuilder()
                         .setPlan(PlannerCodec.of(o, board))
                         .build()
@@ -72,7 +72,7 @@
             }
             long done = System.nanoTime();
             PlanMessage first = planned.get(0).message();
-            stamp = first.sentAt();
+            stamp = first.sentAtMicros();
             if (round >= WARM_UP) {
                 plans[round - WARM_UP] = done - reported;
                 reports += reported - began;
@@ -107,7 +107,7 @@
     private static ForwarderReport report(
             int f, int round, long stamp, int upstreams, int cold, SplittableRandom random) {
         List<ForwarderReport.Load> loads = new ArrayList<>();
-        int n = Math.min(upstreams, ForwarderReport.MOST_LOADS);
+        int n = Math.min(upstreams, ForwarderReport.MAX_LOADS);
         for (int i = 0; i < n; i++) {
             int u = (round * n + f + i) % upstreams;
             loads.add(new ForwarderReport.Load(
@@ -124,7 +124,7 @@
                     false));
         }
         List<ForwarderReport.Deposit> deposits = new ArrayList<>();
-        for (int u = 0; u < Math.min(cold, ForwarderReport.MOST_DEPOSITS); u++) {
+        for (int u = 0; u < Math.min(cold, ForwarderReport.MAX_DEPOSITS); u++) {
             deposits.add(
                     new ForwarderReport.Deposit(String.format("s-%08x", u * 0x9E3779B9), 1_764_580_000_000_000L, 0.05));
         }
