--- a/src/main/java/sedgeyoke/policy/LoadBalancingPolicy.java
+++ b/src/main/java/sedgeyoke/policy/LoadBalancingPolicy.java
@@ -4,98 +4,98 @@
 import java.util.Map;
 
 /**
- * The whole interface of the decision module: events come in as method calls, decisions go out through
+ * The interface of a load-balancing policy: events come in as method calls, decisions go out through
  * {@link Actions}. {@link UtilizationWeightedPolicy} is the implementation.
  *
- * <p>All times are microseconds of one clock that only advances; {@code now} is passed in with each event and
- * durations are microseconds too. An instance is not safe for use by several threads at once: call it from
- * one thread, or guard it by one lock. It never blocks, and it calls {@link Actions} only from within an event.
+ * <p>All times and durations here are microseconds; {@code now} comes with each event and never goes back. An
+ * instance is not thread-safe: call it from one thread or under one lock. It does not block, and it calls
+ * {@link Actions} only from within an event.
  */
 public interface LoadBalancingPolicy {
 
-    /** Brings up the instance: sets its first timer. Call it once, before any other event. */
+    /** Sets the first timer. Call it once, before any other event. */
     void start(long now);
 
-    /** The list of upstreams, or changes of it, as discovery told it. */
+    /** Discovery delivered the endpoint list or changes of it, or failed to. */
     void endpointsUpdated(long now, ListKind kind, List<Upstream> entries);
 
-    /** A client's request has arrived; one final answer is owed from here on. */
+    /** A request of a client arrived; it is owed one final response. */
     void requestArrived(long now, Request request);
 
-    /** The end of one attempt. */
+    /** An attempt ended. */
     void attemptEnded(long now, AttemptEnd end);
 
-    /** A streamed answer has begun; the attempt belongs to the client from now on. */
+    /** A streamed response started: the attempt can no longer be retried or cancelled. */
     void responseStarted(long now, String request, int attempt);
 
     /**
-     * From now on an attempt is a transfer, at the pace of whoever is slower: its body goes out in parts, or its answer
-     * has begun and is not whole yet. It takes a connection of the upstream, and none of its work that we could count:
-     * what a kernel still holds of a body hides when the upstream has it all.
+     * An attempt is a transfer from now on, at the pace of the slower side: its body is sent in parts, or its
+     * response is being received. It occupies a connection but no measurable work of the upstream, as buffers hide
+     * when the upstream has received all of a body.
      */
     void transferStarted(long now, String request, int attempt);
 
-    /** The client has left; nothing is owed for this request any more. */
+    /** The client disconnected; no response is owed any more. */
     void clientDisconnected(long now, String request);
 
-    /** The result of a probe; {@code load} is null if none came along. */
+    /** A health check ended; {@code load} is null if it brought no report. */
     void healthCheckCompleted(long now, String upstream, Outcome outcome, LoadReport load);
 
-    /** A timer that was set through {@link Actions#setTimer} is due. */
+    /** A timer set through {@link Actions#setTimer} is due. */
     void timerFired(long now, String token);
 
-    /** A message from another balancer of the tier. */
+    /** A message from another balancer of the tier arrived. */
     void peerMessageReceived(long now, int from, byte[] body);
 
-    /** What planners say, as a whole: it replaces what they said before. A balancer without planners never hears it. */
+    /** The plan changed; this one replaces the former one. Never called without planners. */
     void planUpdated(long now, Plan plan);
 
     /**
-     * The upstreams that operators have taken out of service by hand, and since when; it replaces what was said before.
-     * They are sent nothing, whatever the list says. Ids that the list does not have count too: they may come back.
+     * The cordons of operators changed: upstream ids and since when they are cordoned; they replace the former
+     * ones. A cordoned upstream gets no attempts, whatever the endpoint list says. Ids may be unknown to the list.
      */
-    void cordonsUpdated(long now, Map<String, Long> out);
+    void cordonsUpdated(long now, Map<String, Long> cordons);
 
-    /** What planners are told of this balancer. It asks only, and changes nothing. */
+    /** The load report of this balancer to planners. It changes no state. */
     Summary summary(long now);
 
-    /** Where the decisions go. Every call takes effect at the time of the event being handled. */
+    /** The decisions. Each call takes effect at the time of the event that is being handled. */
     interface Actions {
-        /** Starts an attempt; {@code timeout} 0 lets it run until the client gives up. */
+        /** Sends an attempt; {@code timeout} 0 sets no time limit. */
         void send(String request, String upstream, long timeout);
 
-        /** Final answer: refused, a further try is harmless. {@code retryAfter} 0 gives no advice. */
+        /** Final response: rejected, so a retry is harmless. {@code retryAfter} 0 sends no Retry-After. */
         void reject(String request, long retryAfter);
 
-        /** Final answer: failed, nothing promised. */
+        /** Final response: failed; the request may have run. */
         void fail(String request);
 
-        /** Stops waiting for an attempt. */
+        /** Cancels an attempt. */
         void cancel(String request, int attempt);
 
-        /** Asks for a call of {@link LoadBalancingPolicy#timerFired} after {@code delay}. */
+        /** Requests a call of {@link LoadBalancingPolicy#timerFired} after {@code delay}. */
         void setTimer(String token, long delay);
 
-        /** Asks an upstream for its load. */
+        /** Starts a health check of an upstream, which asks for its load report. */
         void healthCheck(String upstream);
 
         /** Closes idle connections to an upstream. */
         void closeIdle(String upstream);
 
-        /** Subscribes to changes of the list, or ends that. */
+        /** Subscribes to the endpoint list, or ends the subscription. */
         void watchEndpoints(boolean on);
 
-        /** Asks for the complete list once. */
+        /** Polls the complete endpoint list once. */
         void fetchEndpoints();
 
         /** Sends a message to one peer, or to all if {@code peer} is negative. */
         void sendToPeer(int peer, byte[] body);
 
-        /** A line for the operators. */
+        /** Logs a line. */
         void log(String text);
     }
 
-    /** What a list of upstreams is: changes, the whole, the whole as held before a restart, or a failed call. */
+    /** What an update of the endpoint list is: changes, all of it, a stored copy of it, or a failed call. */
     enum ListKind {
         CHANGES,
         COMPLETE,
@@ -103,7 +103,7 @@
         UNAVAILABLE
     }
 
-    /** State of an upstream in the list. */
+    /** State of an upstream in the endpoint list. */
     enum State {
         READY,
         DRAINING,
@@ -112,21 +112,21 @@
 
     /** How an attempt ended. */
     enum Outcome {
-        /** Served. */
+        /** Success. */
         OK(false),
-        /** An error; it may have run. */
+        /** An error response; the attempt may have run. */
         ERROR(false),
-        /** Rejected unseen. */
+        /** Rejected by the upstream before it ran. */
         REJECTED(true),
-        /** No answer in time; it may have run or still run. */
+        /** No response in time; the attempt may have run or still run. */
         TIMEOUT(false),
-        /** No connection could be had. */
+        /** No connection could be opened. */
         CONNECT_FAILED(true),
-        /** Broken while outstanding; it may have run. */
+        /** The connection broke; the attempt may have run. */
         RESET(false),
-        /** Called off; it may have run. */
+        /** Cancelled; the attempt may have run. */
         CANCELLED(false),
-        /** Never sent. */
+        /** Ended before it was sent. */
         NOT_SENT(true);
 
         /** Whether this outcome proves that the attempt never ran. */
@@ -137,28 +137,31 @@
         }
     }
 
-    /** Whether a request may run more than once. */
+    /**
+     * Whether a request may run more than once: safe or idempotent, idempotent with an idempotency key, or
+     * neither.
+     */
     enum Effect {
         SAFE,
         IDEMPOTENT_WITH_KEY,
         UNSAFE
     }
 
-    /** Which upstreams discard the repeat of a keyed request: all, those of one zone, or those of one cell. */
+    /** Which upstreams share idempotency keys: all, those of one zone, or those of one cell. */
     enum Scope {
         ALL,
         ZONE,
         CELL
     }
 
-    /** How load reports come: within answers, by probes alone, or not at all. */
+    /** How load reports arrive: in responses, by health checks alone, or not at all. */
     enum Reports {
         IN_RESPONSES,
         BY_HEALTH_CHECK,
         NONE
     }
 
-    /** What an upstream's rating means. */
+    /** What the rating of an upstream means: nothing, or a more or less exact capacity. */
     enum Ratings {
         NONE,
         NOMINAL,
@@ -166,12 +169,13 @@
         LIVE
     }
 
-    /** One upstream as the list names it; {@code launchedAt} 0 means long ago. */
+    /** An entry of the endpoint list; {@code launchedAt} 0 means long ago. */
     record Upstream(String id, int zone, int kind, int cell, State state, double rating, long launchedAt) {}
 
     /**
-     * A request; {@code expectedWork} is 0 without a hint, {@code affinityKey} null without a key. {@code bodyPending} says that its
-     * body is still on the way: an upstream begins its work when the client is done, whenever that is.
+     * A request. {@code expectedWork} is 0 without a hint, {@code affinityKey} null without a key.
+     * {@code bodyPending} says that its body is still being received, so that the upstream starts its work at a time
+     * that depends on the client.
      */
     record Request(
             String id,
@@ -183,7 +187,7 @@
             boolean write,
             boolean retry,
             boolean bodyPending) {
-        /** A request that is whole. */
+        /** A request whose body is complete. */
         public Request(
                 String id,
                 int classIndex,
@@ -197,7 +201,7 @@
         }
     }
 
-    /** The end of an attempt; {@code concluded} says that the request needs no further answer. */
+    /** The end of an attempt; {@code concluded} says that the request needs no other response. */
     record AttemptEnd(
             String request,
             int attempt,
@@ -207,7 +211,7 @@
             boolean concluded,
             LoadReport load) {}
 
-    /** A load report; a value that the upstream does not report is NaN. Times are microseconds. */
+    /** A load report; a value that the upstream does not report is NaN. */
     record LoadReport(
             double utilisation,
             double active,
@@ -216,7 +220,11 @@
             double servedPerSecond,
             double errorsPerSecond) {}
 
-    /** A class of requests. {@code objectiveStretch} lengthens the latency objective by that multiple of the request's own work. */
+    /**
+     * A class of requests. The latency objective is lengthened by {@code objectiveStretch} times the expected work.
+     * A response in time counts {@code priorityWeight}, a late one {@code latePriorityWeight}. Upstreams remember
+     * idempotency keys for {@code deduplicationWindow}.
+     */
     record RequestClass(
             long latencyObjective,
             double objectiveStretch,
@@ -228,7 +236,7 @@
             long deduplicationWindow,
             boolean stream) {}
 
-    /** A tenant: its allowance in requests a second across all balancers, 0 for none stated. */
+    /** A tenant; its allowance is in requests a second over all balancers, 0 for none. */
     record Tenant(double allowance, double share) {}
 
     /** What the balancer may do. */
@@ -245,7 +253,11 @@
             long idleTimeout,
             int streamsPerConnection) {}
 
-    /** The figures of the rules. */
+    /**
+     * The platform's rules. The endpoint list is polled at least each {@code endpointPollLimit}. A launched upstream
+     * has {@code initialCapacity} of its capacity, and all of it after {@code slowStartTime}; before, it fails if it
+     * gets more than {@code overloadMultiple} times its capacity within {@code overloadWindow}.
+     */
     record PlatformRules(
             long responseSlack,
             long endpointPollLimit,
@@ -255,10 +267,14 @@
             double overloadMultiple,
             long overloadWindow) {}
 
-    /** Prices in points of the result, for each unit of what they are charged on. */
+    /** What the platform charges, in points for each unit. */
     record Prices(double crossZone, double wastedWork, double healthCheck, double lateFailure, double handshake) {}
 
-    /** All that an instance is told at its start. */
+    /**
+     * The settings of an instance. {@code position} is its number among the {@code groupSize} balancers, which
+     * decides the order in which it samples upstreams. {@code priorityWeightByWork} says that priority weights
+     * count for each unit of work instead of each request.
+     */
     record Settings(
             int zone,
             int zones,
@@ -267,7 +283,7 @@
             List<RequestClass> classes,
             List<Tenant> tenants,
             double overQuotaPriority,
-            boolean priorityPerRequest,
+            boolean priorityWeightByWork,
             Limits limits,
             PlatformRules rules,
             Prices prices,
@@ -278,28 +294,28 @@
             long clockTick) {}
 
     /**
-     * What planners say of one upstream. Its reports are no part of it: with the same ones at the same moment, all
-     * balancers move their weights as one, and a large tier serves less than if each went by its own answers.
+     * What planners know of an upstream. Its load reports are not part of it: balancers with the same reports at the
+     * same time would change their weights in step, which serves less than weights from their own responses.
      *
-     * @param limit in flight from this balancer; NaN for no word on it
-     * @param launchedAt its latest start that anyone was told of; 0 for none
-     * @param draining whether anyone was told that it drains: nothing new is sent there, whatever our own list says
+     * @param limit planned in-flight limit of this balancer; NaN for none
+     * @param launchedAt its latest launch that any balancer knows of; 0 for none
+     * @param draining whether any balancer knows that it drains: it gets no attempts, whatever our list says
      */
     record UpstreamView(String id, double limit, long launchedAt, boolean draining) {}
 
-    /** A right to send so many mean requests a second to a cold upstream, until then. */
+    /** A granted rate, in mean requests a second, to a slow-starting upstream. */
     record SlowStartGrant(double rate, long expiresAt) {}
 
     /**
-     * Rights on an upstream that is cold since {@code launchedAt}: our own is lent until some time, and others'
-     * are granted to us.
+     * The quota of an upstream that starts slowly since {@code launchedAt}: our own one is delegated for some time,
+     * and others grant parts of theirs to us.
      */
     record SlowStartQuota(long launchedAt, long delegatedUntil, List<SlowStartGrant> grants) {}
 
     /**
-     * A plan. {@code lastPlannerContact} is when a planner was last heard, 0 for never; {@code fadeOutTime} how long it then takes
-     * to fade out; {@code zoneSpillover} the share of our zone's requests that is to go to each zone, or empty;
-     * {@code ownQuotaBlockedUntil} until when our own rights on cold upstreams must not be used.
+     * A plan. {@code lastPlannerContact} is 0 without a contact; a plan fades out over {@code fadeOutTime} after it.
+     * {@code zoneSpillover} has the share of our zone's requests for each zone, or is empty. Our own slow-start quotas
+     * must not be used before {@code ownQuotaBlockedUntil}.
      */
     record Plan(
             long lastPlannerContact,
@@ -310,21 +326,21 @@
             Map<String, SlowStartQuota> slowStartQuotas) {
 
         /**
-         * What was agreed on for an upstream that is cold since {@code launchedAt}; null if nothing. A right that
-         * is lent is lent whichever process runs there; a grant is for one process only.
+         * The quota of an upstream launched at {@code launchedAt}; null if none was agreed. A delegation holds for
+         * every process of the upstream, a grant for one only.
          */
         public SlowStartQuota slowStartQuota(String upstream, long launchedAt) {
-            SlowStartQuota right = slowStartQuotas.get(upstream);
-            return right == null || right.launchedAt() == launchedAt
-                    ? right
-                    : new SlowStartQuota(launchedAt, right.delegatedUntil(), List.of());
+            SlowStartQuota quota = slowStartQuotas.get(upstream);
+            return quota == null || quota.launchedAt() == launchedAt
+                    ? quota
+                    : new SlowStartQuota(launchedAt, quota.delegatedUntil(), List.of());
         }
     }
 
     /**
-     * How this balancer stands with one upstream. {@code sent} counts attempts since it is known; {@code reportedAt}
-     * 0 means that it has no report; {@code ejected} that it is avoided, by our own choice or by hand;
-     * {@code slowStartQuota} is our own right while it is cold, in mean requests a second.
+     * The state of an upstream at this balancer. {@code sent} counts its attempts; {@code reportedAt} is 0 without a
+     * load report; {@code ejected} is set for cordoned upstreams too; {@code slowStartQuota} is our own one, in mean
+     * requests a second.
      */
     record UpstreamStatus(
             String id,
@@ -341,6 +357,6 @@
             boolean ejected,
             double slowStartQuota) {}
 
-    /** What a balancer tells of itself: requests a second by class, upstreams, and how many requests it holds. */
+    /** What a balancer reports to planners: requests a second by class, upstreams, and queued requests. */
     record Summary(List<Double> demand, List<UpstreamStatus> upstreams, int queued) {}
 }
--- a/src/main/java/sedgeyoke/policy/SerializedEvents.java
+++ b/src/main/java/sedgeyoke/policy/SerializedEvents.java
@@ -4,14 +4,15 @@
 import java.util.Queue;
 
 /**
- * Hands a module its events one after another: what comes while one is being handled, from within the module's own
- * actions too, waits for its turn. For whoever hosts a {@link LoadBalancingPolicy}, on one thread.
+ * Runs events one after another on one thread: an event that arrives while another one runs, even from within
+ * that one's actions, is queued. Each host of a {@link LoadBalancingPolicy} needs this, as policies are not
+ * re-entrant.
  */
 public final class SerializedEvents {
     private final Queue<Runnable> events = new ArrayDeque<>();
     private boolean handling;
 
-    /** Handles an event now, or after those before it. */
+    /** Runs an event now, or after those queued before it. */
     public void handle(Runnable event) {
         events.add(event);
         if (handling) {
@@ -23,7 +24,7 @@
                 next.run();
             }
         } finally {
-            handling = false; // after an error too, or no event would ever be handled again
+            handling = false; // after an exception too, or no later event would run
         }
     }
 }
--- a/src/main/java/sedgeyoke/policy/SettingsValidator.java
+++ b/src/main/java/sedgeyoke/policy/SettingsValidator.java
@@ -4,49 +4,55 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Settings;
 import sedgeyoke.policy.LoadBalancingPolicy.Tenant;
 
-/** Checks settings before a module is built on them; it decides nothing. */
+/** Validates settings before a policy is created from them; it decides nothing. */
 final class SettingsValidator {
     private SettingsValidator() {}
 
-    /** Refuses bad settings with the name of the field. */
-    static void check(Settings s) {
-        require(!s.classes().isEmpty(), "classes");
-        require(s.zones() >= 1, "zones");
-        require(s.zone() >= 0 && s.zone() < s.zones(), "zone");
-        require(s.groupSize() >= 1, "groupSize");
-        require(s.position() >= 0, "position");
-        require(s.overQuotaPriority() >= 0, "overShareWorth");
-        require(s.clockTick() >= 0, "tick");
-        for (RequestClass c : s.classes()) {
-            require(c.latencyObjective() > 0, "classes.aim");
-            require(c.clientTimeout() > 0, "classes.giveUp");
-            require(c.priorityWeight() >= 0, "classes.worth");
-            require(c.latePriorityWeight() >= 0, "classes.lateWorth");
-            require(c.deduplicationWindow() >= 0, "classes.memorySpan");
-            require(c.objectiveStretch() >= 0, "classes.aimStretch");
+    /**
+     * Throws for the first invalid field, with its path in the terms of the platform's JSON.
+     *
+     * @throws IllegalArgumentException if a field is invalid
+     */
+    static void check(Settings settings) {
+        require(!settings.classes().isEmpty(), "classes");
+        require(settings.zones() >= 1, "zones");
+        require(settings.zone() >= 0 && settings.zone() < settings.zones(), "zone");
+        require(settings.groupSize() >= 1, "groupSize");
+        require(settings.position() >= 0, "position");
+        require(settings.overQuotaPriority() >= 0, "overShareWorth");
+        require(settings.clockTick() >= 0, "tick");
+        for (RequestClass requestClass : settings.classes()) {
+            require(requestClass.latencyObjective() > 0, "classes.aim");
+            require(requestClass.clientTimeout() > 0, "classes.giveUp");
+            require(requestClass.priorityWeight() >= 0, "classes.worth");
+            require(requestClass.latePriorityWeight() >= 0, "classes.lateWorth");
+            require(requestClass.deduplicationWindow() >= 0, "classes.memorySpan");
+            require(requestClass.objectiveStretch() >= 0, "classes.aimStretch");
         }
-        for (Tenant t : s.tenants()) {
-            require(t.allowance() >= 0, "tenants.allowance");
-            require(t.share() >= 0, "tenants.share");
+        for (Tenant tenant : settings.tenants()) {
+            require(tenant.allowance() >= 0, "tenants.allowance");
+            require(tenant.share() >= 0, "tenants.share");
         }
-        require(s.limits().maxAttempts() >= 1, "limits.maxAttempts");
-        require(s.limits().maxConcurrentRequests() >= 0, "limits.maxOpen");
-        require(s.rules().initialCapacity() >= 0 && s.rules().initialCapacity() <= 1, "rules.startCapacity");
-        require(s.rules().slowStartTime() >= 0, "rules.coldTime");
-        require(s.rules().drainGrace() >= 0, "rules.drainGrace");
-        require(s.rules().overloadMultiple() >= 0, "rules.fallMultiple");
-        require(s.rules().overloadWindow() >= 0, "rules.fallTime");
-        require(s.prices().healthCheck() >= 0, "prices.probe");
-        require(s.prices().crossZone() >= 0, "prices.crossZone");
-        require(s.prices().wastedWork() >= 0, "prices.waste");
-        require(s.prices().lateFailure() >= 0, "prices.lateFail");
-        require(s.prices().handshake() >= 0, "prices.handshake");
-        require(s.limits().maxRetryAfter() >= 0, "limits.maxRetryAfter");
-        require(s.limits().connectTimeout() >= 0, "limits.connectTimeout");
-        require(s.limits().idleTimeout() >= 0, "limits.connectIdle");
-        require(s.limits().streamsPerConnection() >= 0, "limits.streamsPerConnection");
-        require(s.rules().responseSlack() >= 0, "rules.answerSlack");
-        require(s.rules().endpointPollLimit() >= 0, "rules.askWithin");
+        require(settings.limits().maxAttempts() >= 1, "limits.maxAttempts");
+        require(settings.limits().maxConcurrentRequests() >= 0, "limits.maxOpen");
+        require(
+                settings.rules().initialCapacity() >= 0 && settings.rules().initialCapacity() <= 1,
+                "rules.startCapacity");
+        require(settings.rules().slowStartTime() >= 0, "rules.coldTime");
+        require(settings.rules().drainGrace() >= 0, "rules.drainGrace");
+        require(settings.rules().overloadMultiple() >= 0, "rules.fallMultiple");
+        require(settings.rules().overloadWindow() >= 0, "rules.fallTime");
+        require(settings.prices().healthCheck() >= 0, "prices.probe");
+        require(settings.prices().crossZone() >= 0, "prices.crossZone");
+        require(settings.prices().wastedWork() >= 0, "prices.waste");
+        require(settings.prices().lateFailure() >= 0, "prices.lateFail");
+        require(settings.prices().handshake() >= 0, "prices.handshake");
+        require(settings.limits().maxRetryAfter() >= 0, "limits.maxRetryAfter");
+        require(settings.limits().connectTimeout() >= 0, "limits.connectTimeout");
+        require(settings.limits().idleTimeout() >= 0, "limits.connectIdle");
+        require(settings.limits().streamsPerConnection() >= 0, "limits.streamsPerConnection");
+        require(settings.rules().responseSlack() >= 0, "rules.answerSlack");
+        require(settings.rules().endpointPollLimit() >= 0, "rules.askWithin");
     }
 
     private static void require(boolean good, String field) {
--- a/src/main/java/sedgeyoke/policy/UtilizationWeightedPolicy.java
+++ b/src/main/java/sedgeyoke/policy/UtilizationWeightedPolicy.java
@@ -614,7 +614,7 @@
         request.objectiveAt -= arrived.retry() ? (long) rejectionDelays[arrived.classIndex()] : 0;
         request.cost = arrived.expectedWork() > 0 ? arrived.expectedWork() : classCost(arrived.classIndex());
         request.priority = request.requestClass.priorityWeight()
-                / (settings.priorityPerRequest() ? 1 : request.cost)
+                / (settings.priorityWeightByWork() ? 1 : request.cost)
                 * (withinTenantQuota(arrived.tenant(), now) ? 1 : settings.overQuotaPriority());
         boolean hinted = arrived.expectedWork() > 0;
         meanRequestCost = hinted ? MovingAverage.next(meanRequestCost, request.cost, 0.01) : meanClassCost();
