The upstream connection pool is split by concern and has the terms of the field

Need: one file of 788 lines held the pool, one connection's life and how an attempt ended; its names were the house's own. Change: UpstreamConnectionPool keeps finding and limiting connections; UpstreamEndpoint has one upstream's idle connections, UpstreamConnection one connection and its attempt, ResponseReceiver the response on it, RequestUpload and UpstreamRequests what is written, AttemptOutcomes the classification, AttemptListener the events, UpstreamContext what all connections share. Attempt and Exchange say the unit of their times. Behaviour is unchanged.

--- a/src/main/java/sedgeyoke/proxy/Attempt.java
+++ b/src/main/java/sedgeyoke/proxy/Attempt.java
@@ -2,42 +2,56 @@
 
 import io.netty.util.concurrent.Future;
 
-/** One attempt of a call at an upstream. It ends once, whatever happens first; see {@link ProxyCore#ended}. */
+/**
+ * One attempt of an exchange at an upstream. It ends once, whatever happens first; see {@link AttemptListener#ended}.
+ * Times are microseconds of the policy's clock.
+ */
 final class Attempt {
-    final Exchange call;
+    final Exchange exchange;
+    /** Its index among the attempts of the exchange. */
     final int number;
+
     final String upstream;
-    final long startedAt;
-    /** When we stop waiting, on the module's clock. */
-    final long until;
-    /** From then on upstreams may have forgotten an earlier attempt that may have run: nothing may go out. */
-    final long repeatUntil;
-    /** Set while the request is on a connection. */
-    UpstreamConnectionPool.Connection connection;
-    /** Whether the last byte was handed to the kernel: from then on the request may have run. */
+    final long startTimeMicros;
+    /** When we stop waiting for it. */
+    final long deadlineMicros;
+    /**
+     * From then on it must not be written: upstreams may have forgotten the idempotency key of an earlier attempt that
+     * may have been executed.
+     */
+    final long resendDeadlineMicros;
+    /** The connection that its request was written to; null before. */
+    UpstreamConnection connection;
+    /** Whether the kernel has the last byte of the request: from then on it may be executed. */
     boolean written;
 
     boolean ended;
-    /** Whether it was put off until a loop that was late has read what had come. */
-    boolean readFirst;
-    /** Since when the upstream has had the whole request: its start, or the last byte of a long body. */
-    long askedAt;
-    /** When the first part of a long or slow answer was here; 0 for none. */
-    long answeringSince;
-    /** Whether its answer is being passed on. */
-    boolean begun;
-    /** Until the end proves the opposite. */
+    /** Whether it was already put off once because the event loop was late. */
+    boolean deferredUntilRead;
+    /** Since when the upstream can have the complete request: the start, or the last byte of a streamed body. */
+    long requestCompleteTimeMicros;
+    /** When the first part of a streamed or slow response arrived; 0 for none. */
+    long responseStartTimeMicros;
+    /** Whether its response is being streamed to the client. */
+    boolean responseStreaming;
+    /** Whether the upstream may have executed it: true until its outcome proves the opposite. */
     boolean mayHaveRun = true;
-    /** Ends the attempt at a time-out of its own; null if it may wait as long as the call. */
-    Future<?> timeout;
+    /** Ends the attempt at a timeout of its own; null if it may wait as long as the exchange. */
+    Future<?> timeoutTimer;
 
-    Attempt(Exchange call, int number, String upstream, long startedAt, long until, long repeatUntil) {
-        this.call = call;
+    Attempt(
+            Exchange exchange,
+            int number,
+            String upstream,
+            long startTimeMicros,
+            long deadlineMicros,
+            long resendDeadlineMicros) {
+        this.exchange = exchange;
         this.number = number;
         this.upstream = upstream;
-        this.startedAt = startedAt;
-        this.askedAt = startedAt;
-        this.until = until;
-        this.repeatUntil = repeatUntil;
+        this.startTimeMicros = startTimeMicros;
+        this.requestCompleteTimeMicros = startTimeMicros;
+        this.deadlineMicros = deadlineMicros;
+        this.resendDeadlineMicros = resendDeadlineMicros;
     }
 }
--- a/src/main/java/sedgeyoke/proxy/Exchange.java
+++ b/src/main/java/sedgeyoke/proxy/Exchange.java
@@ -7,39 +7,41 @@
 import java.util.List;
 import sedgeyoke.policy.LoadBalancingPolicy.Request;
 
-/** One client's request, from its arrival to its final answer and the end of its last attempt. */
+/** One client's request, from its arrival to its response and the end of its last attempt. Event loop only. */
 final class Exchange {
     final Request request;
     final HttpMethod method;
     final String uri;
-    /** The headers that go on to upstreams, the budget apart. */
+    /** The headers that are forwarded to upstreams, without the budget. */
     final HttpHeaders headers;
 
     final RequestBody body;
-    /** Bytes of the body as its head said; negative where only its end tells. */
-    final long length;
+    /** Bytes of the body as its head said; negative if it did not. */
+    final long contentLength;
 
     final Reply reply;
     final List<Attempt> attempts = new ArrayList<>(1);
-    long deadline;
-    /** The attempt whose answer is being passed on, or that the body goes to in parts; it is the call's last one. */
-    Attempt bound;
-
-    Future<?> backstop;
+    /** When the client stops waiting, in microseconds of the policy's clock. */
+    long deadlineMicros;
+    /** The attempt whose response or request body is being streamed: there can be no other one. Null for none. */
+    Attempt streamingAttempt;
+    /** Answers the exchange shortly before its deadline; null before the first one is set. */
+    Future<?> deadlineTimer;
+    /** Whether the response was handed over, or the client has disconnected. */
     boolean answered;
 
-    /** Where the final answer goes; used once. */
+    /** Where the response goes; one of these is called once. */
     interface Reply {
         /** Answers with the body of an upstream. */
         void served(String contentType, byte[] body);
 
-        /** Begins an answer of an upstream that is passed on as it comes. */
+        /** Begins a response of an upstream that is streamed. */
         ResponseStream.Sink begin(ResponseStream.Head head, ResponseStream.Source source);
 
-        /** Answers that trying again is harmless; {@code retryAfter} in microseconds, 0 for no advice. */
+        /** Answers that the request was not executed; {@code retryAfter} in microseconds, 0 for no Retry-After. */
         void refused(long retryAfter);
 
-        /** Answers that it failed, and promises nothing. */
+        /** Answers that it failed: it may have been executed or not. */
         void failed();
     }
 
@@ -49,18 +51,23 @@
             String uri,
             HttpHeaders headers,
             RequestBody body,
-            long length,
+            long contentLength,
             Reply reply) {
         this.request = request;
         this.method = method;
         this.uri = uri;
         this.headers = headers;
         this.body = body;
-        this.length = length;
+        this.contentLength = contentLength;
         this.reply = reply;
     }
 
-    boolean attemptsEnded() {
-        return attempts.stream().allMatch(a -> a.ended);
+    boolean allAttemptsEnded() {
+        return attempts.stream().allMatch(attempt -> attempt.ended);
+    }
+
+    /** Whether an upstream may have executed the request. */
+    boolean mayHaveRun() {
+        return attempts.stream().anyMatch(attempt -> attempt.mayHaveRun);
     }
 }
--- a/src/main/java/sedgeyoke/proxy/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/ProxyCore.java
@@ -21,7 +21,7 @@
  * Carries out what the module decides. It owns the clock and the table of open calls, hands the module its
  * events one after another, and sees to it that each call gets one answer even where the module fails to.
  */
-final class ProxyCore implements LoadBalancingPolicy.Actions, ModulePort, UpstreamConnectionPool.Listener {
+final class ProxyCore implements LoadBalancingPolicy.Actions, ModulePort, AttemptListener {
     /** How soon what one process of a balancer was told by hand reaches the other one. */
     private static final long LOOK_AT_CORDONS_MS = 100;
     /** The last moment for an answer, before the client's time is over: the way back takes time too. */
@@ -87,15 +87,9 @@
         this.settings = config.facts().settings();
         this.log = new RateLimitedLog(transport.log(), this::now);
         this.pool = new UpstreamConnectionPool(
-                loop,
+                new UpstreamContext(loop, this::now, settings, config.facts().reportNames(), bodies, budget, this, log),
                 transport,
-                this::now,
-                config.facts(),
-                (int) (UPSTREAM_SHARE * config.sockets()),
-                bodies,
-                budget,
-                this,
-                log);
+                (int) (UPSTREAM_SHARE * config.sockets()));
         this.discovery = new DiscoveryClient(loop, config, transport, this::listed, log);
         this.module = module.apply(this);
         this.figures = new RequestMetrics(config.facts().classNames());
@@ -155,7 +149,7 @@
         Map<String, Long> out = new TreeMap<>(cordons.out());
         agreedOut.forEach(out::putIfAbsent);
         log.line("cordons: " + (out.isEmpty() ? "none" : String.join(" ", out.keySet())));
-        pool.cordons(out.keySet());
+        pool.updateCordons(out.keySet());
         deliver(null, () -> module.cordons(now(), out));
     }
 
@@ -317,10 +311,10 @@
         String id = call.request.id();
         // The budget counts from the last byte; until that has come, the limits on uploads hold.
         long upload = call.body.ended() ? 0 : bodies.longestUpload();
-        long left = Math.min(call.request.timeLeft() + upload - WAY_IN - late(), lastMoment - now());
-        call.deadline = now() + left;
+        long left = Math.min(call.request.timeLeft() + upload - WAY_IN - loopDelayMicros(), lastMoment - now());
+        call.deadlineMicros = now() + left;
         calls.put(id, call);
-        call.backstop = loop.schedule(() -> expire(call), left - BACKSTOP, TimeUnit.MICROSECONDS);
+        call.deadlineTimer = loop.schedule(() -> expire(call), left - BACKSTOP, TimeUnit.MICROSECONDS);
         LoadBalancingPolicy.Request r = call.request;
         deliver(
                 call,
@@ -332,7 +326,7 @@
                                 r.tenant(),
                                 r.key(),
                                 r.expectedWork(),
-                                call.deadline - now(),
+                                call.deadlineMicros - now(),
                                 r.write(),
                                 r.retry(),
                                 call.body.streams())));
@@ -340,7 +334,7 @@
 
     /** If a timer is overdue or just was, the loop is late, and what it reads may have waited as long to be read. */
     @Override
-    public long late() {
+    public long loopDelayMicros() {
         return Math.max(lateness, now() - timerDue);
     }
 
@@ -361,7 +355,7 @@
     }
 
     private void timeOut(Attempt a) {
-        if (!a.ended && !a.begun) { // an answer that has begun has limits of its own
+        if (!a.ended && !a.responseStreaming) { // an answer that has begun has limits of its own
             pool.stop(a, a.written ? LoadBalancingPolicy.Outcome.TIMEOUT : LoadBalancingPolicy.Outcome.CONNECT_FAILED);
         }
     }
@@ -400,58 +394,59 @@
     }
 
     @Override
-    public ResponseStream.Sink begun(Attempt a, ResponseStream.Head head, ResponseStream.Source source) {
-        Exchange call = a.call;
+    public ResponseStream.Sink responseStreaming(Attempt a, ResponseStream.Head head, ResponseStream.Source source) {
+        Exchange call = a.exchange;
         if (call.answered || a.ended) {
             return null;
         }
         call.answered = true;
-        a.begun = true;
+        a.responseStreaming = true;
         bind(a);
-        answering(a);
+        responseStarted(a);
         return call.reply.begin(head, source);
     }
 
     @Override
-    public void taken(Attempt a) {
+    public void requestStreaming(Attempt a) {
         bind(a);
         transfers(a);
     }
 
     /** From here on the attempt is the call's last one, and neither its time-out nor the deadline ends it. */
     private void bind(Attempt a) {
-        if (a.call.bound == null) {
-            a.call.bound = a;
-            deliver(a.call, () -> module.opened(now(), a.call.request.id(), a.number));
+        if (a.exchange.streamingAttempt == null) {
+            a.exchange.streamingAttempt = a;
+            deliver(a.exchange, () -> module.opened(now(), a.exchange.request.id(), a.number));
         }
     }
 
     @Override
-    public void answering(Attempt a) {
-        if (a.answeringSince == 0) {
-            a.answeringSince = now();
+    public void responseStarted(Attempt a) {
+        if (a.responseStartTimeMicros == 0) {
+            a.responseStartTimeMicros = now();
             transfers(a);
         }
     }
 
     private void transfers(Attempt a) {
-        deliver(a.call, () -> module.transfers(now(), a.call.request.id(), a.number));
+        deliver(a.exchange, () -> module.transfers(now(), a.exchange.request.id(), a.number));
     }
 
     @Override
-    public void written(Attempt a) {
+    public void requestWritten(Attempt a) {
         a.written = true;
-        figures.attempted(a.call.request.classIndex());
+        figures.attempted(a.exchange.request.classIndex());
     }
 
     @Override
-    public void asked(Attempt a) {
-        Exchange call = a.call;
-        a.askedAt = now();
-        if (!call.answered && call.backstop != null) {
-            call.backstop.cancel(false);
-            call.deadline = now() + Math.min(call.request.timeLeft() - WAY_IN, lastMoment - now());
-            call.backstop = loop.schedule(() -> expire(call), call.deadline - now() - BACKSTOP, TimeUnit.MICROSECONDS);
+    public void requestBodyComplete(Attempt a) {
+        Exchange call = a.exchange;
+        a.requestCompleteTimeMicros = now();
+        if (!call.answered && call.deadlineTimer != null) {
+            call.deadlineTimer.cancel(false);
+            call.deadlineMicros = now() + Math.min(call.request.timeLeft() - WAY_IN, lastMoment - now());
+            call.deadlineTimer =
+                    loop.schedule(() -> expire(call), call.deadlineMicros - now() - BACKSTOP, TimeUnit.MICROSECONDS);
         }
     }
 
@@ -463,13 +458,13 @@
         }
         a.ended = true;
         a.mayHaveRun = !outcome.neverRan;
-        if (a.timeout != null) {
-            a.timeout.cancel(false);
+        if (a.timeoutTimer != null) {
+            a.timeoutTimer.cancel(false);
         }
-        Exchange call = a.call;
+        Exchange call = a.exchange;
         if (outcome == LoadBalancingPolicy.Outcome.OK && answer != null) {
             answer(call, RequestMetrics.End.SERVED, () -> call.reply.served(answer.contentType(), answer.body()));
-        } else if (a.begun) {
+        } else if (a.responseStreaming) {
             figures.ended(
                     call.request.classIndex(),
                     outcome == LoadBalancingPolicy.Outcome.OK ? RequestMetrics.End.SERVED : RequestMetrics.End.FAILED);
@@ -484,8 +479,8 @@
             fail(call);
         }
         // Our own lateness is none of the upstream's: the module would take it for a crowd there and send less.
-        long until = a.answeringSince > 0 ? a.answeringSince : now();
-        long took = Math.max(0, until - a.askedAt - late());
+        long until = a.responseStartTimeMicros > 0 ? a.responseStartTimeMicros : now();
+        long took = Math.max(0, until - a.requestCompleteTimeMicros - loopDelayMicros());
         LoadBalancingPolicy.AttemptEnd end = new LoadBalancingPolicy.AttemptEnd(
                 call.request.id(),
                 a.number,
@@ -515,9 +510,9 @@
     }
 
     private void forgetIfDone(Exchange call) {
-        if (call.answered && call.attemptsEnded()) {
-            if (call.backstop != null) {
-                call.backstop.cancel(false);
+        if (call.answered && call.allAttemptsEnded()) {
+            if (call.deadlineTimer != null) {
+                call.deadlineTimer.cancel(false);
             }
             calls.remove(call.request.id(), call);
             call.body.abort(); // what it still holds is for nobody
@@ -537,15 +532,15 @@
     public void send(String request, String upstream, long timeout) {
         with(request, call -> {
             long now = now();
-            long until = timeout > 0 ? Math.min(now + timeout, call.deadline) : call.deadline;
+            long until = timeout > 0 ? Math.min(now + timeout, call.deadlineMicros) : call.deadlineMicros;
             Attempt a = new Attempt(call, call.attempts.size(), upstream, now, until, repeatUntil(call));
             call.attempts.add(a);
             if (call.answered || a.number >= settings.limits().maxAttempts() || until <= now) {
                 ended(a, LoadBalancingPolicy.Outcome.MOOT, null);
                 return;
             }
-            if (until < call.deadline) {
-                a.timeout = loop.schedule(() -> timeOut(a), until - now, TimeUnit.MICROSECONDS);
+            if (until < call.deadlineMicros) {
+                a.timeoutTimer = loop.schedule(() -> timeOut(a), until - now, TimeUnit.MICROSECONDS);
             }
             pool.start(a);
         });
@@ -561,7 +556,7 @@
                 ? Long.MAX_VALUE
                 : call.attempts.stream()
                         .filter(a -> a.mayHaveRun)
-                        .mapToLong(a -> a.startedAt + cls.memorySpan())
+                        .mapToLong(a -> a.startTimeMicros + cls.memorySpan())
                         .min()
                         .orElse(Long.MAX_VALUE);
     }
--- /dev/null
+++ b/src/main/java/sedgeyoke/proxy/RequestUpload.java
@@ -0,0 +1,63 @@
+package sedgeyoke.proxy;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
+
+/** Writes a request body to an upstream part by part, as the client sends it. Event loop only. */
+final class RequestUpload implements RequestBody.Sink {
+    private final UpstreamConnection connection;
+    private final Channel channel;
+    private final UpstreamContext context;
+    private final Attempt attempt;
+
+    RequestUpload(UpstreamConnection connection, Channel channel, UpstreamContext context, Attempt attempt) {
+        this.connection = connection;
+        this.channel = channel;
+        this.context = context;
+        this.attempt = attempt;
+    }
+
+    /** The connection takes more again after a pause. */
+    void resume() {
+        attempt.exchange.body.demand();
+    }
+
+    /** The attempt is over: what the client still sends is discarded. */
+    void detach() {
+        attempt.exchange.body.detach(this);
+    }
+
+    @Override
+    public boolean part(ByteBuf data) {
+        channel.writeAndFlush(new DefaultHttpContent(data)).addListener(this::partWritten);
+        context.budget().holds(Transport.pending(channel) + attempt.exchange.body.held());
+        return channel.isWritable();
+    }
+
+    @Override
+    public void end() {
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(written -> {
+            if (written.isSuccess() && connection.carries(attempt)) {
+                context.listener().requestWritten(attempt);
+                context.listener().requestBodyComplete(attempt);
+            } else {
+                partWritten(written);
+            }
+        });
+    }
+
+    @Override
+    public void abort() {
+        channel.close();
+    }
+
+    private void partWritten(Future<? super Void> written) {
+        if (!written.isSuccess() && connection.carries(attempt)) {
+            channel.close();
+            connection.fail(AttemptOutcomes.afterConnectionLoss(attempt));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sedgeyoke/proxy/UpstreamContext.java
@@ -0,0 +1,52 @@
+package sedgeyoke.proxy;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.function.LongSupplier;
+import sedgeyoke.body.BodyBudget;
+import sedgeyoke.body.BodyLimits;
+import sedgeyoke.policy.LoadBalancingPolicy.Settings;
+
+/**
+ * What all connections to upstreams have in common.
+ *
+ * @param loop the one thread that runs everything
+ * @param clockMicros the policy's clock
+ * @param settings the platform's settings
+ * @param loadReportNames the figures that a load report holds
+ * @param bodies limits on bodies
+ * @param budget what bodies that are being streamed may hold in total
+ * @param listener receives the progress of attempts
+ * @param log where misbehaving upstreams are reported
+ */
+record UpstreamContext(
+        EventLoop loop,
+        LongSupplier clockMicros,
+        Settings settings,
+        List<String> loadReportNames,
+        BodyLimits bodies,
+        BodyBudget budget,
+        AttemptListener listener,
+        RateLimitedLog log) {
+    /** How long a response may pause where bodies are not streamed. */
+    static final long MAX_RESPONSE_STALL_MICROS = 100_000;
+
+    long now() {
+        return clockMicros.getAsLong();
+    }
+
+    /** A longer response is an error. */
+    long maxResponseBytes() {
+        return bodies.streaming() ? bodies.longestBody() : UpstreamConnectionPool.MAX_RESPONSE_BYTES;
+    }
+
+    /** A longer response is streamed to the client where that is allowed, and an error elsewhere. */
+    int maxBufferedBytes() {
+        return bodies.streaming() ? bodies.gathered() : UpstreamConnectionPool.MAX_RESPONSE_BYTES;
+    }
+
+    /** A response that has begun and brings nothing for longer is an error. */
+    long maxResponseStallMicros() {
+        return bodies.streaming() ? bodies.longestStill() : MAX_RESPONSE_STALL_MICROS;
+    }
+}
--- /dev/null
+++ b/src/main/java/sedgeyoke/proxy/UpstreamEndpoint.java
@@ -0,0 +1,106 @@
+package sedgeyoke.proxy;
+
+import java.net.SocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+
+/** One upstream of the endpoint list with its idle connections, the one used last in front. */
+final class UpstreamEndpoint {
+    private static final long NEVER = Long.MAX_VALUE;
+
+    private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
+    private SocketAddress address;
+    private long launchTimeMicros;
+    private boolean listedReady;
+    private long notReadySinceMicros = NEVER;
+
+    /** Takes over an entry of the endpoint list; {@link #updateReadiness} has to follow. */
+    void update(SocketAddress newAddress, long newLaunchTimeMicros, boolean ready) {
+        if (!newAddress.equals(address) || newLaunchTimeMicros != launchTimeMicros) {
+            // Connections to the process before, or to where it was: the next request on one would be reset.
+            closeIdle();
+        }
+        address = newAddress;
+        launchTimeMicros = newLaunchTimeMicros;
+        listedReady = ready;
+    }
+
+    /** Makes the upstream usable again if it is listed as ready and not cordoned, and retires it if not. */
+    void updateReadiness(boolean cordoned, long now) {
+        if (listedReady && !cordoned) {
+            notReadySinceMicros = NEVER;
+        } else {
+            retire(now);
+        }
+    }
+
+    /** Closes its idle connections and keeps none from now on; the time of the first call counts. */
+    void retire(long now) {
+        notReadySinceMicros = Math.min(notReadySinceMicros, now);
+        closeIdle();
+    }
+
+    SocketAddress address() {
+        return address;
+    }
+
+    boolean isReady() {
+        return notReadySinceMicros == NEVER;
+    }
+
+    /** Whether it has been draining, cordoned or removed for more than so many microseconds. */
+    boolean notReadyForLongerThan(long micros, long now) {
+        return notReadySinceMicros != NEVER && now - notReadySinceMicros > micros;
+    }
+
+    // ---- Idle connections ----------------------------------------------------------------------------
+
+    void addIdle(UpstreamConnection connection) {
+        idle.push(connection);
+    }
+
+    void removeIdle(UpstreamConnection connection) {
+        idle.remove(connection);
+    }
+
+    boolean hasIdle() {
+        return !idle.isEmpty();
+    }
+
+    /** Since when the connection that has been idle for longest is idle; there must be one. */
+    long oldestIdleSinceMicros() {
+        return idle.peekLast().idleSinceMicros();
+    }
+
+    void closeOldestIdle() {
+        idle.pollLast().close();
+    }
+
+    void closeIdle() {
+        while (!idle.isEmpty()) {
+            idle.poll().close();
+        }
+    }
+
+    void closeIdleLongerThan(long micros, long now) {
+        while (!idle.isEmpty() && now - oldestIdleSinceMicros() > micros) {
+            closeOldestIdle();
+        }
+    }
+
+    /** Removes and returns the connection used last that has been idle for at least so long; null if there is none. */
+    UpstreamConnection takeIdle(long leastIdleMicros, long now) {
+        for (Iterator<UpstreamConnection> connections = idle.iterator(); connections.hasNext(); ) {
+            UpstreamConnection connection = connections.next();
+            if (now - connection.idleSinceMicros() >= leastIdleMicros) {
+                connections.remove();
+                if (connection.isReusable()) {
+                    return connection;
+                }
+                connection.close();
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/sedgeyoke/proxy/UpstreamRequests.java
@@ -0,0 +1,42 @@
+package sedgeyoke.proxy;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+
+/** Builds the HTTP requests that go to upstreams. */
+final class UpstreamRequests {
+    private static final String BUDGET_HEADER = "X-Budget-Ms";
+
+    private UpstreamRequests() {}
+
+    /** A request with its complete body. */
+    static FullHttpRequest complete(Exchange exchange, long budgetMillis) {
+        byte[] body = exchange.body.bytes();
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, exchange.method, exchange.uri, Unpooled.wrappedBuffer(body));
+        request.headers().set(exchange.headers).set(BUDGET_HEADER, budgetMillis);
+        if (body.length > 0 || exchange.method.equals(HttpMethod.POST)) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        }
+        return request;
+    }
+
+    /** The head of a request whose body follows in parts; it says how long the body is if the client did. */
+    static HttpRequest streamingHead(Exchange exchange) {
+        HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, exchange.method, exchange.uri);
+        head.headers().set(exchange.headers).set(BUDGET_HEADER, exchange.request.timeLeft() / 1_000);
+        if (exchange.contentLength >= 0) {
+            head.headers().set(HttpHeaderNames.CONTENT_LENGTH, exchange.contentLength);
+        } else {
+            head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
+        return head;
+    }
+}
--- a/src/main/java/sedgeyoke/proxy/UpstreamResponse.java
+++ b/src/main/java/sedgeyoke/proxy/UpstreamResponse.java
@@ -17,21 +17,12 @@
 
     static UpstreamResponse of(HttpResponse response, byte[] body, List<String> reportNames, RateLimitedLog log) {
         return new UpstreamResponse(
-                outcome(response),
+                AttemptOutcomes.ofResponse(response),
                 loadReport(response.headers().getAll("X-Load-Report"), reportNames, log),
                 response.headers().get(HttpHeaderNames.CONTENT_TYPE),
                 body);
     }
 
-    static Outcome outcome(HttpResponse response) {
-        int status = response.status().code();
-        if (status == 200) {
-            return Outcome.OK;
-        }
-        boolean rejected = "1".equals(response.headers().get("X-Rejected"));
-        return rejected && (status == 503 || status == 504) ? Outcome.FULL : Outcome.ERROR;
-    }
-
     /** A report counts as a whole or not at all: one figure that cannot be, and the others are not believed either. */
     private static LoadReport loadReport(List<String> headers, List<String> names, RateLimitedLog log) {
         if (headers.isEmpty()) {
--- a/src/test/java/sedgeyoke/proxy/ServingTest.java
+++ b/src/test/java/sedgeyoke/proxy/ServingTest.java
@@ -142,7 +142,7 @@
 
     @Test
     void anOverlongAnswerFailsAndItsConnectionIsDropped() throws Exception {
-        try (Peer up = Peer.serving("x".repeat(UpstreamConnectionPool.MAX_ANSWER + 1));
+        try (Peer up = Peer.serving("x".repeat(UpstreamConnectionPool.MAX_RESPONSE_BYTES + 1));
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             assertEquals(502, lb.ask("id-1", "order", 2000).status());
             Loopback.await("connection closed", () -> up.left.get() == 1);
