--- a/src/main/java/sedgeyoke/cli/CheckCommand.java
+++ b/src/main/java/sedgeyoke/cli/CheckCommand.java
@@ -39,9 +39,9 @@
         try {
             OperatorFile read = OperatorFile.load(file);
             out.println(file + ": in order; plans " + (read.plans().enabled() ? "on" : "off") + ", bodies "
-                    + (read.bodies().streaming() ? "on" : "off") + ", agreed "
-                    + (read.agreed().enabled() ? "on" : "off") + ", keeper "
-                    + (read.keeper().enabled() ? "on" : "off") + ", planner "
+                    + (read.bodies().streaming() ? "on" : "off") + ", config "
+                    + (read.config().enabled() ? "on" : "off") + ", config server "
+                    + (read.configServer().enabled() ? "on" : "off") + ", planner "
                     + (read.planner().enabled() ? "on" : "off"));
             return 0;
         } catch (InvalidOperatorFileException e) {
--- a/src/main/java/sedgeyoke/cli/ConfigClientOptions.java
+++ b/src/main/java/sedgeyoke/cli/ConfigClientOptions.java
@@ -49,7 +49,7 @@
         }
         try {
             ClientSettings settings = OperatorFile.load(config).operator();
-            try (ConfigClient client = new ConfigClient(settings.keepers(), settings.name(), settings.tls())) {
+            try (ConfigClient client = new ConfigClient(settings.servers(), settings.name(), settings.tls())) {
                 return work.with(client, settings);
             }
         } catch (InvalidOperatorFileException | IOException e) {
--- a/src/main/java/sedgeyoke/cli/ConfigServerCommand.java
+++ b/src/main/java/sedgeyoke/cli/ConfigServerCommand.java
@@ -11,7 +11,7 @@
         name = "keep",
         mixinStandardHelpOptions = true,
         description = {
-            "Runs one keeper until SIGTERM, as [keeper] in the operator's file sets it.",
+            "Runs one keeper until SIGTERM, as [config_server] in the operator's file sets it.",
             "Ends with 2 if it cannot start, and with 3 if its disk has failed."
         })
 final class ConfigServerCommand implements Callable<Integer> {
--- a/src/main/java/sedgeyoke/cli/ConfigServersCommand.java
+++ b/src/main/java/sedgeyoke/cli/ConfigServersCommand.java
@@ -42,8 +42,8 @@
             PrintWriter out = spec.commandLine().getOut();
             ArrayNode all = JSON.createArrayNode();
             int sound = 0;
-            int voters = settings.keepers().size();
-            for (InetSocketAddress at : settings.keepers()) {
+            int voters = settings.servers().size();
+            for (InetSocketAddress at : settings.servers()) {
                 ConfigClient.Status s = client.status(at);
                 if (s == null) {
                     out.print(common.json ? "" : at + "  does not answer\n");
--- a/src/main/java/sedgeyoke/consensus/server/ConfigServer.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigServer.java
@@ -119,7 +119,7 @@
                 new ConsensusCodec(),
                 random.split(),
                 clock.getAsLong());
-        settings.keepers().forEach((name, address) -> {
+        settings.servers().forEach((name, address) -> {
             if (!name.equals(settings.name())) {
                 others.put(name, new Other(name, address));
             }
@@ -140,7 +140,7 @@
     }
 
     private void accept(Channel ch) {
-        if (incoming.size() >= settings.mostFollowers() + settings.keepers().size() + SPARE) {
+        if (incoming.size() >= settings.maxSubscribers() + settings.servers().size() + SPARE) {
             ch.close();
             return;
         }
--- a/src/main/java/sedgeyoke/consensus/server/ConfigServerMain.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigServerMain.java
@@ -53,12 +53,12 @@
             if (operator == null) {
                 return fail("no operator's file: --config or SEDGEYOKE_OPERATOR must name one");
             }
-            settings = OperatorFile.load(operator).keeper();
+            settings = OperatorFile.load(operator).configServer();
         } catch (InvalidOperatorFileException e) {
             return fail(e.getMessage());
         }
         if (!settings.enabled()) {
-            return fail(operator + ": keeper.enabled is not true");
+            return fail(operator + ": config_server.enabled is not true");
         }
         FileDisk files;
         ReplicaStorage folder;
@@ -82,11 +82,11 @@
     private static ReplicaStorage open(Disk disk, ConfigServerSettings settings, boolean found)
             throws DiskException, ReplicaStorage.Unusable {
         ReplicaStorage.Owner owner =
-                new ReplicaStorage.Owner(settings.tier(), settings.name(), boot(), settings.forcesMayLie());
+                new ReplicaStorage.Owner(settings.tier(), settings.name(), boot(), settings.fsyncMayBeLost());
         if (ReplicaStorage.isEmpty(disk)) {
             List<Member> founders = new ArrayList<>();
             if (found) {
-                settings.keepers()
+                settings.servers()
                         .forEach((name, at) -> founders.add(
                                 new Member(name, 0, at.getAddress().getHostAddress() + ":" + at.getPort())));
             }
--- a/src/main/java/sedgeyoke/consensus/server/ConfigSubscription.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigSubscription.java
@@ -77,7 +77,7 @@
         this.adherent = new ConfigSubscriber(name, run, new SafetyRules(timing), ConfigVersion.NONE);
         this.random = new SplittableRandom(run);
         this.askEvery = timing.leaseMicros() / ASKS_IN_A_LEASE;
-        this.at = random.nextInt(settings.keepers().size());
+        this.at = random.nextInt(settings.servers().size());
     }
 
     /** Begins, on the loop. */
@@ -129,10 +129,10 @@
             connection = null;
         }
         unanswered = 0;
-        at = (at + 1) % settings.keepers().size();
+        at = (at + 1) % settings.servers().size();
         connecting = true;
         Connection next = new Connection();
-        next.dial(loop, tls, settings.keepers().get(at), connected -> {
+        next.dial(loop, tls, settings.servers().get(at), connected -> {
             connecting = false;
             connection = connected ? next : connection;
         });
--- a/src/main/java/sedgeyoke/drill/InProcessBalancer.java
+++ b/src/main/java/sedgeyoke/drill/InProcessBalancer.java
@@ -11,6 +11,7 @@
 import sedgeyoke.policy.LoadBalancingPolicy;
 import sedgeyoke.proxy.BalancerConfig;
 import sedgeyoke.proxy.BalancerServer;
+import sedgeyoke.proxy.InvalidConfigException;
 import sedgeyoke.proxy.ModulePort;
 import sedgeyoke.standin.Site;
 
@@ -25,7 +26,7 @@
         String text = TierProcesses.configuration(site, name, zone, position, group, position * 100L, seed);
         try {
             server = BalancerServer.onSockets(loop, BalancerConfig.parse(text.getBytes(StandardCharsets.UTF_8)));
-        } catch (BalancerConfig.Bad e) {
+        } catch (InvalidConfigException e) {
             throw new IllegalStateException(e);
         }
         address = server.listen();
--- a/src/main/java/sedgeyoke/drill/TierProcesses.java
+++ b/src/main/java/sedgeyoke/drill/TierProcesses.java
@@ -55,9 +55,9 @@
                 .collect(Collectors.joining(", "));
         Path file = Files.writeString(
                 folder.resolve(name + ".toml"),
-                "[keeper]\nenabled = true\ntier = \"drill\"\n"
+                "[config_server]\nenabled = true\ntier = \"drill\"\n"
                         + "name = \"" + name + "\"\nlisten = \"127.0.0.1:" + port + "\"\nfolder = \"kept-" + name
-                        + "\"\nkeepers = [" + keepers + "]\nlease_ms = " + leaseMs + "\n"
+                        + "\"\nservers = [" + keepers + "]\nlease_ms = " + leaseMs + "\n"
                         + certificates.issue(name, "keeper"));
         return process(name, Map.of(), "keep", "--found", "--config", file.toString());
     }
@@ -76,7 +76,7 @@
                 folder.resolve(name + ".toml"),
                 keeperPorts.isEmpty()
                         ? ""
-                        : "[agreed]\nenabled = true\nkeepers = [" + addresses + "]\nlease_ms = " + leaseMs + "\n"
+                        : "[config]\nenabled = true\nservers = [" + addresses + "]\nlease_ms = " + leaseMs + "\n"
                                 + certificates.issue(name, "forwarder"));
         return process(
                 name,
--- a/src/main/java/sedgeyoke/proxy/BalancerConfig.java
+++ b/src/main/java/sedgeyoke/proxy/BalancerConfig.java
@@ -21,9 +21,17 @@
 import sedgeyoke.simulator.SettingsReader;
 
 /**
- * The configuration of one start; anything missing or malformed is refused with the name of the field. {@code ops} is
- * where operators knock (DAYS, "In operation"), null where the platform has no such door; {@code folder} is what the
- * processes of one balancer share during an upgrade, null for none.
+ * The platform's configuration of one balancer, validated when it is read.
+ *
+ * @param name the balancer's name
+ * @param listen where clients connect
+ * @param discovery where endpoint lists are fetched
+ * @param ops the address of the admin endpoint, null where the platform has none (DAYS, "In operation")
+ * @param folder a folder that the processes of one balancer share during an upgrade, null for none
+ * @param seed seeds all random choices
+ * @param sockets how many sockets the process may open
+ * @param facts the settings, with the names that their indices stand for
+ * @param known the endpoint list to start with
  */
 public record BalancerConfig(
         String name,
@@ -37,49 +45,48 @@
         EndpointList known) {
 
     static final JsonMapper JSON = new JsonMapper();
-    private static final int FEWEST_SOCKETS = 128;
+    private static final int MIN_SOCKETS = 128;
 
-    /** A configuration that the program cannot run with; the message is for the operator. */
-    public static final class Bad extends Exception {
-        private static final long serialVersionUID = 1L;
-
-        Bad(String message) {
-            super(message);
-        }
-    }
-
-    /** Reads the file that the platform names. */
-    public static BalancerConfig load(String path) throws Bad {
+    /** Reads the file that the platform names, and what it sets in the environment. */
+    public static BalancerConfig load(String path) throws InvalidConfigException {
         if (path == null || path.isEmpty()) {
-            throw new Bad("BALANCER_CONFIG is not set");
+            throw new InvalidConfigException("BALANCER_CONFIG is not set");
         }
         try {
             return parse(Files.readAllBytes(Path.of(path)))
                     .with(System.getenv("BALANCER_OPS"), System.getenv("TMPDIR"));
         } catch (JsonProcessingException e) {
-            throw new Bad(path + " is not JSON: "
+            throw new InvalidConfigException(path + " is not JSON: "
                     + e.getOriginalMessage().lines().findFirst().orElse(""));
         } catch (IOException e) {
-            throw new Bad("cannot read " + path + ": " + e.getMessage());
+            throw new InvalidConfigException("cannot read " + path + ": " + e.getMessage());
         }
     }
 
-    /** The file's word on the door counts; the environment's where it has none. */
-    BalancerConfig with(String address, String shared) throws Bad {
-        InetSocketAddress door = ops != null || address == null || address.isEmpty() ? ops : IpAddress.parse(address);
-        if (door == null && ops == null && address != null && !address.isEmpty()) {
-            throw new Bad("BALANCER_OPS is malformed: " + address);
+    /**
+     * Adds what the environment sets.
+     *
+     * @param address of the admin endpoint; counts only where the file has none; null or empty for none
+     * @param shared the folder that the processes of one balancer share; null or empty for none
+     */
+    BalancerConfig with(String address, String shared) throws InvalidConfigException {
+        InetSocketAddress adminAddress = ops;
+        if (ops == null && address != null && !address.isEmpty()) {
+            adminAddress = IpAddress.parse(address);
+            if (adminAddress == null) {
+                throw new InvalidConfigException("BALANCER_OPS", "BALANCER_OPS is malformed: " + address);
+            }
         }
-        Path of = shared == null || shared.isEmpty() ? null : Path.of(shared);
-        return new BalancerConfig(name, listen, discovery, door, of, seed, sockets, facts, known);
+        Path sharedFolder = shared == null || shared.isEmpty() ? null : Path.of(shared);
+        return new BalancerConfig(name, listen, discovery, adminAddress, sharedFolder, seed, sockets, facts, known);
     }
 
-    /** Bodies are long where operators have their door: one deployment brings both (DAYS, "Size"). */
+    /** Limits on bodies. Long ones are streamed where there is an admin endpoint: one deployment brings both. */
     public BodyLimits bodies() {
         return ops == null ? BodyLimits.PLATFORM : BodyLimits.OPERATED;
     }
 
-    /** The fields in which the other one differs and that are read at the start only; its seed and list always are. */
+    /** The fields that differ in {@code other} and need a restart; the seed and the list always differ and are ignored. */
     List<String> needRestart(BalancerConfig other) {
         List<String> fields = new ArrayList<>();
         Map<String, Function<BalancerConfig, Object>> fixed = new TreeMap<>(Map.of(
@@ -101,20 +108,20 @@
         return fields;
     }
 
-    /** Reads a configuration; throws with the name of the field that is no good. */
-    public static BalancerConfig parse(byte[] json) throws Bad, IOException {
+    /** Reads a configuration; throws with the name of the first field that is invalid. */
+    public static BalancerConfig parse(byte[] json) throws InvalidConfigException, IOException {
         JsonNode root = JSON.readTree(json);
         SettingsReader.Found facts = facts(root.path("settings"));
         int sockets = root.path("limits").path("sockets").asInt(0);
-        require(sockets >= FEWEST_SOCKETS, "limits.sockets (at least " + FEWEST_SOCKETS + ")");
+        require(sockets >= MIN_SOCKETS, "limits.sockets (at least " + MIN_SOCKETS + ")");
         require(root.path("name").isTextual(), "name");
         EndpointList known;
         try {
             known = root.path("known").isMissingNode()
                     ? EndpointList.EMPTY
                     : EndpointList.read(root.path("known"), facts);
-        } catch (EndpointList.Malformed e) {
-            throw new Bad("configuration: known: " + e.getMessage());
+        } catch (InvalidEndpointListException e) {
+            throw new InvalidConfigException("known", "configuration: known: " + e.getMessage());
         }
         return new BalancerConfig(
                 root.path("name").asText(),
@@ -128,50 +135,52 @@
                 known);
     }
 
-    private static SettingsReader.Found facts(JsonNode node) throws Bad, IOException {
+    private static SettingsReader.Found facts(JsonNode node) throws InvalidConfigException, IOException {
         require(node.isObject(), "settings");
         SettingsReader.Found facts;
         try (JsonParser json = node.traverse()) {
             json.nextToken();
             facts = SettingsReader.read(json);
         } catch (InvalidInputException e) {
-            throw new Bad("configuration: " + e.getMessage());
+            throw new InvalidConfigException("configuration: " + e.getMessage());
         }
-        Settings s = facts.settings();
-        require(s.limits().connectTimeout() > 0, "settings.ceilings.connect-timeout-s");
-        require(s.limits().connectIdle() > 0, "settings.ceilings.conn-idle-s");
+        Settings settings = facts.settings();
+        require(settings.limits().connectTimeout() > 0, "settings.ceilings.connect-timeout-s");
+        require(settings.limits().connectIdle() > 0, "settings.ceilings.conn-idle-s");
         require(!facts.classNames().contains(""), "settings.classes[].name");
-        unsupported(s.limits().probes(), "ceilings.probes");
-        unsupported(s.reports() == Reports.BY_PROBE, "report.via");
-        unsupported(s.limits().peers(), "ceilings.peers");
-        unsupported(s.classes().stream().anyMatch(RequestClass::stream), "classes[].stream");
+        unsupported(settings.limits().probes(), "ceilings.probes");
+        unsupported(settings.reports() == Reports.BY_PROBE, "report.via");
+        unsupported(settings.limits().peers(), "ceilings.peers");
+        unsupported(settings.classes().stream().anyMatch(RequestClass::stream), "classes[].stream");
         return facts;
     }
 
-    /** Guards against running half-blind: probes, peer datagrams and streams are not built in. */
-    private static void unsupported(boolean wanted, String setting) throws Bad {
+    /** Rejects settings that need health checks, gossip or streams, which this balancer does not have. */
+    private static void unsupported(boolean wanted, String setting) throws InvalidConfigException {
         if (wanted) {
-            throw new Bad("configuration: settings." + setting + " asks for what this balancer does not have");
+            throw new InvalidConfigException(
+                    "settings." + setting,
+                    "configuration: settings." + setting + " asks for what this balancer does not have");
         }
     }
 
-    private static long seed(JsonNode root) throws Bad {
+    private static long seed(JsonNode root) throws InvalidConfigException {
         try {
             return Long.parseUnsignedLong(root.path("seed").asText(), 16);
         } catch (NumberFormatException e) {
-            throw new Bad("configuration: seed is missing or not a hexadecimal number");
+            throw new InvalidConfigException("seed", "configuration: seed is missing or not a hexadecimal number");
         }
     }
 
-    private static InetSocketAddress address(JsonNode root, String field) throws Bad {
+    private static InetSocketAddress address(JsonNode root, String field) throws InvalidConfigException {
         InetSocketAddress address = IpAddress.parse(root.path(field).asText());
         require(address != null, field);
         return address;
     }
 
-    private static void require(boolean ok, String field) throws Bad {
-        if (!ok) {
-            throw new Bad("configuration: " + field + " is missing or malformed");
+    private static void require(boolean valid, String field) throws InvalidConfigException {
+        if (!valid) {
+            throw new InvalidConfigException(field, "configuration: " + field + " is missing or malformed");
         }
     }
 }
--- a/src/main/java/sedgeyoke/proxy/BalancerServer.java
+++ b/src/main/java/sedgeyoke/proxy/BalancerServer.java
@@ -5,48 +5,44 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import sedgeyoke.body.BodyLimits;
 
-/** One balancer: its module, its sockets and its end, all on one event loop. */
+/** One balancer: its policy, its sockets and its graceful shutdown, all on one event loop. */
 public final class BalancerServer {
-    /** How often we look, once told to end, what is to be done by now. */
-    private static final long LOOK_EVERY_MS = 5;
-
     private final EventLoop loop;
     private final BalancerConfig config;
-    private final ProxyCore node;
-    private final AdminServer door;
+    private final ProxyCore core;
+    private final AdminServer adminServer;
     private final HttpFrontend frontend;
-    private final CountDownLatch done = new CountDownLatch(1);
+    private final CountDownLatch shutDown = new CountDownLatch(1);
 
-    BalancerServer(EventLoop loop, BalancerConfig config, ProxyCore node, Transport transport, BodyLimits bodies) {
-        this(loop, config, node, transport, bodies, null);
+    BalancerServer(EventLoop loop, BalancerConfig config, ProxyCore core, Transport transport, BodyLimits bodies) {
+        this(loop, config, core, transport, bodies, null);
     }
 
     BalancerServer(
             EventLoop loop,
             BalancerConfig config,
-            ProxyCore node,
+            ProxyCore core,
             Transport transport,
             BodyLimits bodies,
             ServerSocketChannel inherited) {
         this.loop = loop;
         this.config = config;
-        this.node = node;
-        this.frontend = new HttpFrontend(loop, config, node, transport, bodies, inherited);
-        this.door = new AdminServer(loop, transport, new Operations());
+        this.core = core;
+        this.frontend = new HttpFrontend(loop, config, core, transport, bodies, inherited);
+        this.adminServer = new AdminServer(loop, transport, new Operations());
     }
 
-    /** A balancer on TCP; throws {@link IllegalArgumentException} with the name of a setting that is no good. */
+    /** A balancer on TCP; throws {@link IllegalArgumentException} with the name of a setting that is invalid. */
     public static BalancerServer onSockets(EventLoop loop, BalancerConfig config) {
         return onSockets(loop, config, config.bodies(), null);
     }
 
     /**
-     * The same with limits on bodies of its own.
+     * The same with other limits on bodies.
      *
-     * @param inherited a listener that the platform holds and that other processes may share, or null
+     * @param inherited a listener that the platform opened and that other processes may share, or null
      */
     public static BalancerServer onSockets(
             EventLoop loop, BalancerConfig config, BodyLimits bodies, ServerSocketChannel inherited) {
@@ -59,21 +55,21 @@
                 inherited);
     }
 
-    /** Listens, and starts the module once that has worked. */
+    /** Binds the clients' listener, and starts the policy once that has succeeded. Any thread. */
     public ChannelFuture bind() {
         return frontend.bind().addListener(bound -> {
             if (bound.isSuccess()) {
-                node.start();
+                core.start();
             }
         });
     }
 
-    /** Opens the door for operators, if the configuration has one; null if not. */
-    public ChannelFuture openDoor() {
-        return config.ops() == null ? null : door.bind(config.ops());
+    /** Binds the admin endpoint; null if the configuration has none. Any thread. */
+    public ChannelFuture bindAdminEndpoint() {
+        return config.ops() == null ? null : adminServer.bind(config.ops());
     }
 
-    /** What the door asks for; on the loop. */
+    /** What the admin endpoint serves; on the event loop. */
     private final class Operations implements AdminServer.Operations {
         @Override
         public boolean healthy() {
@@ -82,93 +78,59 @@
 
         @Override
         public String figures() {
-            return node.figures(frontend.inFlight());
+            return core.metrics(frontend.inFlight());
         }
 
         @Override
         public boolean cordon(String id, boolean out) {
-            return node.cordon(id, out);
+            return core.cordon(id, out);
         }
     }
 
-    /** Listens; returns the address, or throws with the reason. */
+    /** Binds the clients' listener and waits for it; returns the address, or throws with the reason. */
     public InetSocketAddress listen() {
         return (InetSocketAddress) bind().syncUninterruptibly().channel().localAddress();
     }
 
-    /** The way to the decision module for other features; use it on the loop only. */
+    /** The way to the policy for other features; to be used on the event loop only. */
     public ModulePort port() {
-        return node;
+        return core;
     }
 
-    /** Takes over what may change while we run; may be called on any thread. */
+    /** Takes over what may change without a restart. Any thread. */
     public void reload(BalancerConfig changed) {
-        loop.execute(() -> node.reload(changed));
+        loop.execute(() -> core.reload(changed));
     }
 
-    /** Writes a line to the log, at its bounded rate; may be called on any thread. */
+    /** Writes a line to the log, at its limited rate. Any thread. */
     public void log(String line) {
-        loop.execute(() -> node.log().line(line));
+        loop.execute(() -> core.log(line));
     }
 
-    /** For tests: what long bodies are counted with; asked on the loop. */
+    /** For tests: the bytes reserved for bodies that are being streamed. Not on the event loop. */
     long reservedForBodies() {
         return loop.submit(frontend::reserved).syncUninterruptibly().getNow();
     }
 
-    /** For tests: the open connections of clients; asked on the loop. */
+    /** For tests: the number of open client connections. Not on the event loop. */
     int clients() {
         return loop.submit(frontend::clients).syncUninterruptibly().getNow();
     }
 
-    /** The same where nothing can have held up the signal. */
-    public void end() {
-        end(0);
+    /** Shuts down where nothing can have delayed the signal; see {@link #shutDown(long)}. */
+    public void shutDown() {
+        shutDown(0);
     }
 
     /**
-     * Runs in the shutdown hook, which the JVM waits for. Clients go on using the connections that they have, and
-     * another balancer may be away at the same time, so we serve on these for as long as an answer is sure to be
-     * out before SIGKILL; then they are closed, and what is held is finished.
+     * Shuts down gracefully and returns once that is complete. Called by the shutdown hook, which the JVM waits for.
      *
-     * @param late for how long, in microseconds, the signal may have been under way to us
+     * @param signalDelayMicros for how long SIGTERM may have been on its way to this process
      */
-    public void end(long late) {
-        GracefulShutdown ending = new GracefulShutdown(node.now() - late, node.longestDeadline());
-        loop.execute(() -> {
-            frontend.drain();
-            if (frontend.shared()) {
-                frontend.handOver(); // its connections that wait are the other process's
-            }
-            look(ending);
-        });
-        try {
-            done.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    /** Looks again and again what the time is, rather than once at each moment: how late we are counts, too. */
-    private void look(GracefulShutdown ending) {
-        long now = node.now();
-        boolean late = ending.looked(now) > LOOK_EVERY_MS * 1_000;
-        node.answerUntil(ending.lastAnswer(), ending.lastRequest());
-        // A loop that is late may have more to accept than one pass takes: closed unserved, these would be lost.
-        if (now >= ending.listenUntil() && !frontend.shared() && frontend.backlogEmpty() && !late) {
-            frontend.stopListening();
-        }
-        if (now >= ending.lastRequest()) {
-            frontend.close(now >= ending.lastAnswer());
-        }
-        if (now >= ending.lastAnswer()) {
-            node.endAll();
-        }
-        if (now >= ending.listenUntil() && node.idle() && frontend.clients() == 0 && done.getCount() > 0) {
-            node.reportBodies();
-            done.countDown();
-        }
-        ending.due(node.now() + LOOK_EVERY_MS * 1_000);
-        loop.schedule(() -> look(ending), LOOK_EVERY_MS, TimeUnit.MILLISECONDS);
+    public void shutDown(long signalDelayMicros) {
+        ShutdownDeadlines deadlines = new ShutdownDeadlines(core.now() - signalDelayMicros, core.longestDeadline());
+        GracefulShutdown shutdown = new GracefulShutdown(loop, core, frontend, deadlines, shutDown);
+        loop.execute(shutdown::start);
+        shutdown.awaitCompletion();
     }
 }
--- a/src/main/java/sedgeyoke/proxy/ClassArchiveTraining.java
+++ b/src/main/java/sedgeyoke/proxy/ClassArchiveTraining.java
@@ -38,8 +38,8 @@
                 expect("200", ask(at, i % 3 == 0 ? "read" : i % 3 == 1 ? "update" : "order", i));
             }
             expect("400", ask(at, "nonesuch", REQUESTS));
-            server.end();
-        } catch (BalancerConfig.Bad | IOException | InterruptedException e) {
+            server.shutDown();
+        } catch (InvalidConfigException | IOException | InterruptedException e) {
             System.err.println("training cut short: " + e);
         }
         System.exit(0);
--- a/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
+++ b/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
@@ -28,39 +28,39 @@
 import java.util.function.Consumer;
 
 /**
- * Asks discovery for the whole list once and then watches it, one call after the other without a pause. A call
- * that fails changes nothing: the list as last heard stays in force. Where discovery is one service for all balancers,
- * the list of the configuration is the one to go on from: each line that is asked for is work there, and a dozen
- * balancers that start at once and ask for all of it keep each other from getting any.
+ * Fetches the complete endpoint list from discovery and then watches it, with one call after the other. A call that fails
+ * changes nothing: the last list stays in force. Where discovery is one service for all balancers, the first watch
+ * continues from the list of the configuration, as complete lists are expensive there and would delay each other when many
+ * balancers start at once. Event loop only.
  */
 final class DiscoveryClient {
-    /** How long a watch waits for news; short, so that one that has fallen silent is noticed. */
-    private static final int HOLD_MS = 2_000;
-    /** A watch that ends sooner than that without news is not renewed at once: it would go on without a rest. */
-    private static final long SHORTEST_WATCH_NS = 50_000_000;
+    /** How long a watch waits for changes; short, so that one that has fallen silent is noticed. */
+    private static final int WATCH_WAIT_MILLIS = 2_000;
+    /** A watch that ends sooner than that without changes is renewed only after a pause, or calls would never rest. */
+    private static final long MIN_WATCH_NANOS = 50_000_000;
     /**
-     * How long a call for the whole list may take. Giving up sooner helps nobody where discovery works through calls
-     * in turn: what it was about to answer is thrown away, and the next call stands at the end of the queue.
+     * How long a call for the complete list may take. A shorter timeout helps nobody where discovery works through calls
+     * in turn: the response that it is about to give is lost, and the next call starts at the end of the queue.
      */
-    private static final int PATIENCE_MS = 5_000;
-    /** How much longer than it holds a watch may take: changes that it does not bring reach nobody meanwhile. */
-    private static final int WATCH_PATIENCE_MS = 2_500;
+    private static final int CALL_TIMEOUT_MILLIS = 5_000;
+    /** How much longer than it waits a watch may take; changes that it misses are unknown for as long. */
+    private static final int WATCH_TIMEOUT_MARGIN_MILLIS = 2_500;
     /**
-     * How long the first byte of an answer may take where lists are pushed: the agent stands on this machine and
-     * answers at once, or is silent. What a silent watch misses counts as told 6 s after it fell silent, and what the
-     * agent gets at the end of an outage at once (STANDING), so that two silent calls in a row must cost less than the
-     * one, and a call that is silent during an outage less than the time that drains leave.
+     * How long the first byte of a response may take where lists are pushed: the agent runs on this machine and responds
+     * at once, or is silent. What a silent watch misses counts as known 6 s after it fell silent, and what the agent gets
+     * at the end of an outage at once, so that two silent calls in a row must take less than the one, and a call that is
+     * silent during an outage less than the time that draining upstreams leave.
      */
-    private static final int LONGEST_SILENCE_MS = 500;
-    /** A loop on a part of a core is late itself by some such time. */
-    private static final int LEAST_SILENCE_MS = 100;
+    private static final int MAX_SILENCE_MILLIS = 500;
+    /** An event loop on a part of a core is late itself by about as much. */
+    private static final int MIN_SILENCE_MILLIS = 100;
 
-    private static final int CONNECT_TIMEOUT_MS = 1_000;
-    /** The longest list: far more than any fleet's, and little enough to hold at once. */
-    private static final int LONGEST_LIST = 1 << 20;
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    /** The longest list: far more than any fleet's, and little enough to buffer. */
+    private static final int MAX_LIST_BYTES = 1 << 20;
 
-    private static final int LEAST_PAUSE_MS = 20;
-    private static final int MORE_PAUSE_MS = 80;
+    private static final int MIN_PAUSE_MILLIS = 20;
+    private static final int PAUSE_JITTER_MILLIS = 80;
 
     private final EventLoop loop;
     private final BalancerConfig config;
@@ -69,28 +69,31 @@
     private final RateLimitedLog log;
     private final Random random;
     private final Bootstrap bootstrap;
-    private boolean watching;
-    private boolean calling;
-    private boolean whole;
-    private boolean listed;
-    /** Whether the listener knows of a failed call and of none since that went well. */
-    private boolean failing;
+    /** Whether an agent on this machine pushes lists; else the policy decides when to poll a shared service. */
+    private final boolean pushed;
+    /** How long nothing at all may arrive where lists are pushed; draining upstreams leave at least twice that. */
+    private final int maxSilenceMillis;
 
-    private long revision;
     private InetSocketAddress address;
+    /** The connection in use; null if there is none. */
     private Channel channel;
-    private Future<?> patience;
-    private long askedAt;
-    /** Whether something has come of the answer that is waited for. */
-    private boolean begun;
 
-    private final boolean pushed;
-    /** How long nothing at all may come where lists are pushed; drains leave at least twice that. */
-    private final int silence;
-    /** A call to an agent failed: the next asks what there is and does not wait for news, which silence looks like. */
-    private boolean doubting;
+    private boolean watching;
+    private boolean callInProgress;
+    private Future<?> timeoutTimer;
+    private long callStartedNanos;
+    /** Whether the response to the current call has responseStarted to arrive. */
+    private boolean responseStarted;
 
-    /** The listener gets each list, and null for a failed call where lists are asked for. */
+    private boolean completeListNeeded;
+    private boolean listed;
+    private long revision;
+    /** Whether the listener was notified of a failed call and of no successful one since. */
+    private boolean failureReported;
+    /** After a failure of the agent: the next call returns at once, as waiting could not be told from silence. */
+    private boolean withoutWait;
+
+    /** The listener gets each list, and null for a failed call where lists are polled. */
     DiscoveryClient(
             EventLoop loop,
             BalancerConfig config,
@@ -105,89 +108,89 @@
         this.random = new Random(config.seed());
         this.address = config.discovery();
         this.pushed = !config.facts().settings().askForList();
-        long grace = config.facts().settings().rules().drainGrace() / 1_000;
-        this.silence = (int) Math.max(LEAST_SILENCE_MS, Math.min(LONGEST_SILENCE_MS, grace / 2));
-        this.whole = !config.facts().settings().askForList()
+        long drainGraceMillis = config.facts().settings().rules().drainGrace() / 1_000;
+        this.maxSilenceMillis = (int) Math.max(MIN_SILENCE_MILLIS, Math.min(MAX_SILENCE_MILLIS, drainGraceMillis / 2));
+        this.completeListNeeded = !config.facts().settings().askForList()
                 || config.known().members().isEmpty();
-        this.listed = !whole; // a watch is answered only when there is news: clients must not wait for that
+        this.listed = !completeListNeeded; // a watch ends only with changes, and clients must not wait for these
         this.revision = config.known().revision();
         this.bootstrap = transport
                 .client(loop)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, pushed ? silence : CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, pushed ? maxSilenceMillis : CONNECT_TIMEOUT_MILLIS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
                         ch.pipeline()
                                 .addLast(
-                                        new FirstBytes(),
+                                        new ResponseStartHandler(),
                                         new HttpClientCodec(),
-                                        new HttpObjectAggregator(LONGEST_LIST),
-                                        new Answers());
+                                        new HttpObjectAggregator(MAX_LIST_BYTES),
+                                        new ResponseHandler());
                     }
                 });
     }
 
-    /** Whether discovery has answered since the start, or need not have: a watch goes on from the known list. */
+    /** Whether a list is known: discovery has sent one, or a watch continues from the one of the configuration. */
     boolean listed() {
         return listed;
     }
 
-    /** Keeps watching, or stops after the call that is out. */
-    void watch(boolean on) {
-        watching = on;
-        if (on && !calling) {
+    /** Starts watching, or stops after the current call. */
+    void watch(boolean enabled) {
+        watching = enabled;
+        if (enabled && !callInProgress) {
             call();
         }
     }
 
-    /** Asks for the whole list at once; a watch that waits is broken off for it. */
+    /** Fetches the complete list now; a watch in progress is aborted. */
     void fetch() {
-        whole = true;
-        if (calling && channel != null) {
+        completeListNeeded = true;
+        if (callInProgress && channel != null) {
             channel.close();
-        } else if (!calling) {
+        } else if (!callInProgress) {
             call();
         }
     }
 
     /**
-     * Goes on at another address, where revisions may be others: the whole list is asked for there. The list as
-     * last heard stays in force until then, and what the old address still says is not listened to.
+     * Continues at another address. Revisions may differ there, so the complete list is fetched; the last one stays in
+     * force until then, and responses from the old address are ignored.
      */
-    void moveTo(InetSocketAddress to) {
-        if (to.equals(address)) {
+    void moveTo(InetSocketAddress newAddress) {
+        if (newAddress.equals(address)) {
             return;
         }
-        address = to;
-        whole = true;
-        Channel old = channel;
+        address = newAddress;
+        completeListNeeded = true;
+        Channel previous = channel;
         channel = null;
-        if (old != null) {
-            old.close();
+        if (previous != null) {
+            previous.close();
         }
-        if (patience != null) {
-            patience.cancel(false);
+        if (timeoutTimer != null) {
+            timeoutTimer.cancel(false);
         }
-        if (calling) {
+        if (callInProgress) {
             call();
         }
     }
 
     private void call() {
-        calling = true;
+        callInProgress = true;
         if (channel != null && channel.isActive()) {
             write();
             return;
         }
         ChannelFuture connecting = bootstrap.connect(transport.at(address));
         channel = connecting.channel();
-        // Where no socket can be had, the listener would run on a thread of Netty's and not on the loop.
+        // If the process has no file descriptor left, Netty calls the listener on another thread.
         connecting.addListener(done -> loop.execute(() -> connected(connecting)));
     }
 
     private void connected(ChannelFuture connecting) {
         if (connecting.channel() != channel) {
-            connecting.channel().close(); // the address has changed while it came up
+            connecting.channel().close(); // the address has changed meanwhile
         } else if (connecting.isSuccess()) {
             write();
         } else {
@@ -196,41 +199,47 @@
     }
 
     private void write() {
-        int hold = whole || doubting ? 0 : HOLD_MS;
-        String uri = "/catalog/members" + (whole ? "" : "?from=" + revision + "&hold_ms=" + hold);
+        int waitMillis = completeListNeeded || withoutWait ? 0 : WATCH_WAIT_MILLIS;
+        String uri = "/catalog/members" + (completeListNeeded ? "" : "?from=" + revision + "&hold_ms=" + waitMillis);
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
         request.headers().set(HttpHeaderNames.HOST, address.getAddress().getHostAddress());
-        askedAt = System.nanoTime();
-        begun = false;
-        patience(pushed ? hold + silence : whole ? PATIENCE_MS : HOLD_MS + WATCH_PATIENCE_MS);
+        callStartedNanos = System.nanoTime();
+        responseStarted = false;
+        startTimeout(timeoutMillis(waitMillis));
         channel.writeAndFlush(request);
     }
 
-    private void patience(int ms) {
-        Channel asked = channel;
-        patience = loop.schedule(() -> asked.close(), ms, TimeUnit.MILLISECONDS);
+    private int timeoutMillis(int waitMillis) {
+        if (pushed) {
+            return waitMillis + maxSilenceMillis;
+        }
+        return completeListNeeded ? CALL_TIMEOUT_MILLIS : WATCH_WAIT_MILLIS + WATCH_TIMEOUT_MARGIN_MILLIS;
+    }
+
+    private void startTimeout(int millis) {
+        Channel calledOn = channel;
+        timeoutTimer = loop.schedule(() -> calledOn.close(), millis, TimeUnit.MILLISECONDS);
     }
 
-    private void failed(String why) {
-        calling = false;
-        doubting = pushed;
-        log.line("discovery: " + why);
+    private void failed(String reason) {
+        callInProgress = false;
+        withoutWait = pushed;
+        log.line("discovery: " + reason);
         if (channel != null) {
-            Channel old = channel;
+            Channel previous = channel;
             channel = null;
-            old.close(); // an answer that was not understood may have left anything behind on it
+            previous.close(); // an invalid response may have left anything behind on it
         }
-        if (config.facts().settings().askForList()) {
-            // There the module decides when to ask again.
+        if (!pushed) { // the policy decides when to poll again
             watching = false;
-            failing = true;
+            failureReported = true;
             listener.accept(null);
         } else {
-            again();
+            continueAfterPause();
         }
     }
 
-    private void answered(FullHttpResponse response) {
+    private void responded(FullHttpResponse response) {
         EndpointList list;
         try {
             if (response.status().code() != 200 || response.decoderResult().isFailure()) {
@@ -239,75 +248,80 @@
             }
             list = EndpointList.read(
                     BalancerConfig.JSON.readTree(ByteBufUtil.getBytes(response.content())), config.facts());
-        } catch (EndpointList.Malformed | JsonProcessingException e) {
+        } catch (InvalidEndpointListException | JsonProcessingException e) {
             failed("malformed list: " + e.getMessage().lines().findFirst().orElse(""));
             return;
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
         if (!list.complete() && list.revision() < revision) {
-            whole = true; // another discovery, or one that lost its memory: what it counts from is not what we have
+            completeListNeeded = true; // another discovery, or one that lost its state: revisions start anew
             failed("revision " + list.revision() + " after " + revision);
             return;
         }
-        boolean news = whole || doubting || list.revision() != revision;
-        doubting = false;
-        whole = false;
-        calling = false;
+        boolean changed = completeListNeeded || withoutWait || list.revision() != revision;
+        withoutWait = false;
+        completeListNeeded = false;
+        callInProgress = false;
         listed = true;
         revision = list.revision();
-        if (!news && System.nanoTime() - askedAt < SHORTEST_WATCH_NS) {
-            again();
+        if (!changed && System.nanoTime() - callStartedNanos < MIN_WATCH_NANOS) {
+            continueAfterPause();
         } else if (watching) {
-            call(); // before the list is handed on, as the watch counts as broken off if the next call is late
+            call(); // before the list is passed on, as the watch counts as interrupted if the next call is late
         }
-        if (list.complete() || !list.members().isEmpty() || failing) {
-            failing = false;
+        if (list.complete() || !list.members().isEmpty() || failureReported) {
+            failureReported = false;
             listener.accept(list);
         }
     }
 
-    /** Goes on watching after a short pause, in which the watch does not yet count as broken off. */
-    private void again() {
-        loop.schedule(() -> watch(watching), LEAST_PAUSE_MS + random.nextInt(MORE_PAUSE_MS), TimeUnit.MILLISECONDS);
+    /** Continues watching after a pause that is too short for the watch to count as interrupted. */
+    private void continueAfterPause() {
+        loop.schedule(
+                () -> watch(watching), MIN_PAUSE_MILLIS + random.nextInt(PAUSE_JITTER_MILLIS), TimeUnit.MILLISECONDS);
     }
 
-    /** Whoever has begun to answer is not silent: a long list may take its time from then on. */
-    private final class FirstBytes extends ChannelInboundHandlerAdapter {
+    /** Extends the timeout once a response begins: the agent is not silent then, and a long list may take its time. */
+    private final class ResponseStartHandler extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object bytes) {
-            if (ctx.channel() == channel && calling && pushed && !begun && patience.cancel(false)) {
-                begun = true;
-                patience(PATIENCE_MS);
+            if (ctx.channel() == channel
+                    && callInProgress
+                    && pushed
+                    && !responseStarted
+                    && timeoutTimer.cancel(false)) {
+                responseStarted = true;
+                startTimeout(CALL_TIMEOUT_MILLIS);
             }
             ctx.fireChannelRead(bytes);
         }
     }
 
-    /** The answers on one connection. */
-    private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+    /** Handles the responses on one connection. */
+    private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (ctx.channel() != channel || !calling) {
-                ctx.close(); // from an address that is no longer ours, or more than was asked for
+            if (ctx.channel() != channel || !callInProgress) {
+                ctx.close(); // from a previous address, or a response that no call asked for
                 return;
             }
-            patience.cancel(false);
+            timeoutTimer.cancel(false);
             if (!HttpUtil.isKeepAlive(response)) {
                 channel = null;
                 ctx.close();
             }
-            answered(response);
+            responded(response);
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             if (ctx.channel() == channel) {
-                if (patience != null) {
-                    patience.cancel(false);
+                if (timeoutTimer != null) {
+                    timeoutTimer.cancel(false);
                 }
                 channel = null;
-                if (calling) {
+                if (callInProgress) {
                     failed("call broken off");
                 }
             }
--- a/src/main/java/sedgeyoke/proxy/EndpointList.java
+++ b/src/main/java/sedgeyoke/proxy/EndpointList.java
@@ -9,56 +9,53 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Upstream;
 import sedgeyoke.simulator.SettingsReader;
 
-/** A list of upstreams in discovery's form, whole or changes of it, read before any of it is believed. */
+/**
+ * An endpoint list in discovery's form, validated completely before any of it is used.
+ *
+ * @param revision the revision that a watch continues from; -1 for none
+ * @param complete whether it names all upstreams, or only those that changed
+ * @param members its entries
+ */
 public record EndpointList(long revision, boolean complete, List<Member> members) {
     static final EndpointList EMPTY = new EndpointList(-1, true, List.of());
-    private static final Map<String, State> PHASES =
+    private static final Map<String, State> STATES_BY_PHASE =
             Map.of("up", State.READY, "draining", State.DRAINING, "removed", State.GONE);
 
-    /** One entry: what the module is told, and where to connect to. */
+    /** One entry: what the policy gets, and the address to connect to (null for a removed upstream without one). */
     public record Member(Upstream upstream, InetSocketAddress address) {}
 
-    /** A reply that is not a list of upstreams. */
-    public static final class Malformed extends Exception {
-        private static final long serialVersionUID = 1L;
-
-        Malformed(String message) {
-            super(message);
-        }
-    }
-
-    /** Localities and kinds become the indices of the settings; one that is not in them becomes -1. */
-    public static EndpointList read(JsonNode root, SettingsReader.Found facts) throws Malformed {
+    /** Reads a list. Localities and kinds become indices into the settings; an unknown one becomes -1. */
+    public static EndpointList read(JsonNode root, SettingsReader.Found facts) throws InvalidEndpointListException {
         if (!root.path("revision").canConvertToLong()
                 || !root.path("complete").isBoolean()
                 || !root.path("members").isArray()) {
-            throw new Malformed("no revision, complete or members");
+            throw new InvalidEndpointListException("no revision, complete or members");
         }
         List<Member> members = new ArrayList<>();
-        for (JsonNode m : root.path("members")) {
-            String id = m.path("id").asText("");
-            State state = PHASES.get(m.path("phase").asText(""));
-            InetSocketAddress address = IpAddress.parse(m.path("host_port").asText(""));
+        for (JsonNode member : root.path("members")) {
+            String id = member.path("id").asText("");
+            State state = STATES_BY_PHASE.get(member.path("phase").asText(""));
+            InetSocketAddress address = IpAddress.parse(member.path("host_port").asText(""));
             if (id.isEmpty() || state == null || address == null && state != State.GONE) {
-                throw new Malformed("an entry without id, phase or host_port");
+                throw new InvalidEndpointListException("an entry without id, phase or host_port");
             }
-            // The module's clock is the wall clock as it stood at the start, so times of start map as they are.
+            // The policy's clock starts as the wall clock, so launch times need no conversion.
             members.add(new Member(
                     new Upstream(
                             id,
-                            facts.localities().indexOf(m.path("locality").asText("")),
-                            facts.kinds().indexOf(m.path("flavor").asText("")),
-                            m.path("cell").asInt(),
+                            facts.localities().indexOf(member.path("locality").asText("")),
+                            facts.kinds().indexOf(member.path("flavor").asText("")),
+                            member.path("cell").asInt(),
                             state,
-                            m.path("size").asDouble(1),
-                            m.path("up_since_ms").asLong() * 1_000),
+                            member.path("size").asDouble(1),
+                            member.path("up_since_ms").asLong() * 1_000),
                     address));
         }
         return new EndpointList(
                 root.path("revision").asLong(), root.path("complete").asBoolean(), members);
     }
 
-    /** The entries as the module is told them. */
+    /** The entries as the policy gets them. */
     public List<Upstream> upstreams() {
         return members.stream().map(Member::upstream).toList();
     }
--- a/src/main/java/sedgeyoke/proxy/GracefulShutdown.java
+++ b/src/main/java/sedgeyoke/proxy/GracefulShutdown.java
@@ -1,59 +1,74 @@
 package sedgeyoke.proxy;
 
+import io.netty.channel.EventLoop;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
 /**
- * The moments of an end on SIGTERM, in microseconds of the module's clock. SIGKILL comes a known time after SIGTERM,
- * but we know of SIGTERM only once a thread of the JVM has had the time to tell us: 60 to 200 ms later where a new
- * configuration was just being read on half a core (roll+mass). All of what is left is therefore counted from the
- * earliest moment at which the signal may have come, and the more time before the kill is kept free the later we were
- * seen to be since.
+ * Runs a graceful shutdown. Clients go on using their connections, and another balancer may be down at the same time, so
+ * requests are served for as long as a response is sure to be out before SIGKILL; then connections are closed, and what
+ * is in flight is finished. Event loop only, but for {@link #awaitCompletion}.
  */
 final class GracefulShutdown {
-    /** New connections go on coming for up to 0.4 s after SIGTERM; only then is the listener closed. */
-    private static final long LISTEN_ON = 550_000;
-    /** SIGKILL comes so long after SIGTERM, and the longest deadline more (PROTOCOL, "Figures"). */
-    private static final long KILLED_AFTER = 700_000;
-    /** Answers are out so long before it at the least: what a signal may take to reach us on a part of a core. */
-    private static final long LEAST_SPARE = 250_000;
-    /** How much time a last request gets. */
-    private static final long LAST_BUDGET = 120_000;
-    /** What has been late once may be late again while the last answers go out. */
-    private static final int AGAIN = 2;
-
-    private final long told;
-    private final long killed;
-    private long due;
-    private long worst;
+    private static final long CHECK_INTERVAL_MILLIS = 5;
 
-    /** {@code told}: when the signal may have come at the earliest; {@code longestDeadline}: that of any request. */
-    GracefulShutdown(long told, long longestDeadline) {
-        this.told = told;
-        this.killed = told + longestDeadline + KILLED_AFTER;
-        this.due = told;
-    }
-
-    /** The next look is due then. */
-    void due(long at) {
-        due = at;
-    }
+    private final EventLoop loop;
+    private final ProxyCore core;
+    private final HttpFrontend frontend;
+    private final ShutdownDeadlines deadlines;
+    private final CountDownLatch completed;
 
-    /** A look; one that comes late leaves less time to the kill. How late it is. */
-    long looked(long now) {
-        worst = Math.max(worst, now - due);
-        return now - due;
+    /** Several shutdowns of one balancer share {@code completed}, so that the second one ends with the first. */
+    GracefulShutdown(
+            EventLoop loop,
+            ProxyCore core,
+            HttpFrontend frontend,
+            ShutdownDeadlines deadlines,
+            CountDownLatch completed) {
+        this.loop = loop;
+        this.core = core;
+        this.frontend = frontend;
+        this.deadlines = deadlines;
+        this.completed = completed;
     }
 
-    /** Until then new connections may come. */
-    long listenUntil() {
-        return told + LISTEN_ON;
+    void start() {
+        frontend.drain();
+        if (frontend.shared()) {
+            frontend.handOver(); // connections in the backlog are accepted by the other process
+        }
+        check();
     }
 
-    /** From then on no request is taken. */
-    long lastRequest() {
-        return Math.max(listenUntil(), lastAnswer() - LAST_BUDGET);
+    /** Checks the time at short intervals rather than with a timer for each deadline, as the deadlines may move. */
+    private void check() {
+        long now = core.now();
+        boolean late = deadlines.checked(now) > TimeUnit.MILLISECONDS.toMicros(CHECK_INTERVAL_MILLIS);
+        core.limitTimes(deadlines.lastResponse(), deadlines.lastRequest());
+        // If the loop is late there may be more to accept than one pass takes, and closing would reset that.
+        if (now >= deadlines.listenUntil() && !frontend.shared() && frontend.backlogEmpty() && !late) {
+            frontend.stopListening();
+        }
+        if (now >= deadlines.lastRequest()) {
+            frontend.close(now >= deadlines.lastResponse());
+        }
+        if (now >= deadlines.lastResponse()) {
+            core.endAll();
+        }
+        if (now >= deadlines.listenUntil() && core.idle() && frontend.clients() == 0 && completed.getCount() > 0) {
+            core.reportBodies();
+            completed.countDown();
+        }
+        deadlines.scheduleCheck(core.now() + TimeUnit.MILLISECONDS.toMicros(CHECK_INTERVAL_MILLIS));
+        loop.schedule(this::check, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    /** By then every answer is out. */
-    long lastAnswer() {
-        return killed - Math.max(LEAST_SPARE, AGAIN * worst);
+    /** Waits until every response is out and all clients are disconnected; not to be called on the event loop. */
+    void awaitCompletion() {
+        try {
+            completed.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
--- /dev/null
+++ b/src/main/java/sedgeyoke/proxy/InvalidEndpointListException.java
@@ -0,0 +1,10 @@
+package sedgeyoke.proxy;
+
+/** A document that is not an endpoint list in discovery's form. */
+public final class InvalidEndpointListException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    InvalidEndpointListException(String message) {
+        super(message);
+    }
+}
--- a/src/main/java/sedgeyoke/proxy/ModulePort.java
+++ b/src/main/java/sedgeyoke/proxy/ModulePort.java
@@ -3,26 +3,23 @@
 import java.util.Set;
 import sedgeyoke.policy.LoadBalancingPolicy;
 
-/**
- * The way to the decision module for features that stand beside the balancer. All calls are made on the balancer's
- * event loop.
- */
+/** Access to the policy for features other than the balancer itself. All methods are called on the event loop. */
 public interface ModulePort {
-    /** The module's clock: microseconds, the wall clock of the start carried on by the monotonic one. */
+    /** The policy's clock, in microseconds: the wall clock at the start, advanced by the monotonic clock. */
     long now();
 
     /**
-     * Hands the module an event in its turn: at once, or after the event that is being handled. It must not be called
-     * from within the module's own actions in any other way.
+     * Runs an event of the policy: at once, or after the one that is being handled. Nothing may call the policy from
+     * within its own actions in another way.
      */
     void deliver(Runnable event);
 
-    /** The module; to be called from within {@link #deliver} only. */
+    /** The policy; to be called within {@link #deliver} only. */
     LoadBalancingPolicy module();
 
-    /** What the tier has agreed is out by hand, beside what this balancer has been told: nobody sends to either. */
-    void agreedOut(Set<String> upstreams);
+    /** Takes over which upstreams are cordoned for the whole fleet; this balancer's own cordons stay in force, too. */
+    void setFleetCordons(Set<String> upstreams);
 
-    /** Writes a line to the log, at its bounded rate. */
+    /** Writes a line to the log, at its limited rate. */
     void log(String line);
 }
--- a/src/main/java/sedgeyoke/proxy/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/ProxyCore.java
@@ -1,68 +1,41 @@
 package sedgeyoke.proxy;
 
 import io.netty.channel.EventLoop;
-import java.io.IOException;
-import java.util.HashMap;
+import java.nio.file.Path;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import sedgeyoke.body.BodyBudget;
 import sedgeyoke.body.BodyLimits;
-import sedgeyoke.body.PartialRequestPolicy;
 import sedgeyoke.policy.LoadBalancingPolicy;
-import sedgeyoke.policy.SerializedEvents;
+import sedgeyoke.policy.LoadBalancingPolicy.ListKind;
 import sedgeyoke.policy.UtilizationWeightedPolicy;
 
 /**
- * Carries out what the module decides. It owns the clock and the table of open calls, hands the module its
- * events one after another, and sees to it that each call gets one answer even where the module fails to.
+ * Connects the policy with the exchanges, the connection pool and discovery of one balancer, and is what the frontend and
+ * other features call. Event loop only.
  */
-final class ProxyCore implements LoadBalancingPolicy.Actions, ModulePort, AttemptListener {
-    /** How soon what one process of a balancer was told by hand reaches the other one. */
-    private static final long LOOK_AT_CORDONS_MS = 100;
-    /** The last moment for an answer, before the client's time is over: the way back takes time too. */
-    private static final long BACKSTOP = 6_000;
-    /** What a request took to get here: its budget counts from the client's sending. */
-    private static final long WAY_IN = 2_000;
-    /** How long the first list is waited for before clients are let in with the one from the configuration. */
-    private static final long WAIT_FOR_LIST = 1_500_000;
-    /** SIGKILL waits for no longer deadline than that (PROTOCOL, "Figures"). */
-    private static final long LONGEST_DEADLINE = 3_000_000;
-    /** What a refusal advises where advice is allowed and the module has none. */
-    private static final long RETRY_AFTER = 1_000_000;
+final class ProxyCore implements ModulePort {
+    /** How long clients are kept out for the first endpoint list before the configured one has to do. */
+    private static final long MAX_WAIT_FOR_LIST_MICROS = 1_500_000;
+    /** SIGKILL does not wait for longer deadlines (PROTOCOL, "Figures"). */
+    private static final long MAX_DEADLINE_MICROS = 3_000_000;
     /** Share of the sockets for connections to upstreams; clients have one each, too. */
-    private static final double UPSTREAM_SHARE = 0.35;
+    private static final double UPSTREAM_SOCKET_SHARE = 0.35;
 
-    private final BodyLimits bodies;
-    private final BodyBudget budget;
     private final EventLoop loop;
     private final BalancerConfig config;
     private final LoadBalancingPolicy.Settings settings;
+    private final BodyLimits bodies;
+    private final BodyBudget budget;
+    private final PolicyClock clock = new PolicyClock();
     private final RateLimitedLog log;
+    private final RequestMetrics metrics;
+    private final PolicyEvents events;
+    private final ExchangeTable exchanges;
     private final UpstreamConnectionPool pool;
     private final DiscoveryClient discovery;
-    private final LoadBalancingPolicy module;
-    private final Map<String, Exchange> calls = new HashMap<>();
-    private final SerializedEvents events = new SerializedEvents();
-    private final RequestMetrics figures;
-    private final CordonStore cordons;
-    /** What the tier has agreed is out, and since when we know. */
-    private Map<String, Long> agreedOut = Map.of();
-
-    private final long startedAt = System.currentTimeMillis() * 1_000;
-    private final long startedNanos = System.nanoTime();
-    /** When the timer that the module set last is due; it always has one. */
-    private long timerDue = Long.MAX_VALUE;
-    /** How late the last timer was. */
-    private long lateness;
-    /** When the last answer must be out, once the end is near. */
-    private long lastMoment = Long.MAX_VALUE;
-    /** From then on requests are refused at once: there is no time left to try them. */
-    private long lastRequest = Long.MAX_VALUE;
+    private final Cordons cordons;
 
     ProxyCore(EventLoop loop, BalancerConfig config, Transport transport, BodyLimits bodies) {
         this(
@@ -73,129 +46,66 @@
                 actions -> new UtilizationWeightedPolicy(config.facts().settings(), config.seed(), actions));
     }
 
-    /** For tests, which bring a module of their own. */
+    /** For tests, which bring a policy of their own. */
     ProxyCore(
             EventLoop loop,
             BalancerConfig config,
             Transport transport,
             BodyLimits bodies,
-            Function<LoadBalancingPolicy.Actions, LoadBalancingPolicy> module) {
-        this.bodies = bodies;
-        this.budget = new BodyBudget(bodies);
+            Function<LoadBalancingPolicy.Actions, LoadBalancingPolicy> policy) {
         this.loop = loop;
         this.config = config;
         this.settings = config.facts().settings();
-        this.log = new RateLimitedLog(transport.log(), this::now);
-        this.pool = new UpstreamConnectionPool(
-                new UpstreamContext(loop, this::now, settings, config.facts().reportNames(), bodies, budget, this, log),
-                transport,
-                (int) (UPSTREAM_SHARE * config.sockets()));
-        this.discovery = new DiscoveryClient(loop, config, transport, this::listed, log);
-        this.module = module.apply(this);
-        this.figures = new RequestMetrics(config.facts().classNames());
-        this.cordons = new CordonStore(
-                config.ops() == null || config.folder() == null
-                        ? null
-                        : config.folder()
-                                .resolve("sedgeyoke-cordons-" + config.name().replaceAll("[^A-Za-z0-9_-]", "_")));
-    }
-
-    /** The module's clock: the wall clock of the start, carried on by the monotonic one. */
-    @Override
-    public long now() {
-        return startedAt + (System.nanoTime() - startedNanos) / 1_000;
-    }
-
-    RateLimitedLog log() {
-        return log;
-    }
-
-    /** What long bodies hold. */
-    BodyBudget budget() {
-        return budget;
+        this.bodies = bodies;
+        this.budget = new BodyBudget(bodies);
+        this.log = new RateLimitedLog(transport.log(), clock::now);
+        this.metrics = new RequestMetrics(config.facts().classNames());
+        this.events = new PolicyEvents(log);
+        this.exchanges = new ExchangeTable(loop, clock, settings, bodies, events, metrics, log);
+        UpstreamContext context = new UpstreamContext(
+                loop, clock::now, settings, config.facts().reportNames(), bodies, budget, exchanges, log);
+        int maxUpstreamConnections = (int) (UPSTREAM_SOCKET_SHARE * config.sockets());
+        this.pool = new UpstreamConnectionPool(context, transport, maxUpstreamConnections);
+        this.discovery = new DiscoveryClient(loop, config, transport, this::endpointsListed, log);
+        this.cordons = new Cordons(clock, events, pool, new CordonStore(cordonFile(config)), log);
+        PolicyActions actions = new PolicyActions(loop, clock, settings, events, exchanges, pool, discovery, log);
+        events.connect(policy.apply(actions), exchanges::endUnanswered);
+    }
+
+    /** The file that the processes of one balancer share during an upgrade; null where there is no admin endpoint. */
+    private static Path cordonFile(BalancerConfig config) {
+        if (config.ops() == null || config.folder() == null) {
+            return null;
+        }
+        return config.folder().resolve("sedgeyoke-cordons-" + config.name().replaceAll("[^A-Za-z0-9_-]", "_"));
     }
 
-    /** Starts with the list as last known, until discovery answers. */
+    /** Starts with the endpoint list of the configuration, until discovery answers. */
     void start() {
-        deliver(null, () -> module.start(now()));
-        pool.update(config.known());
-        deliver(
-                null,
-                () -> module.upstreams(
-                        now(),
-                        LoadBalancingPolicy.ListKind.RESTORED,
-                        config.known().upstreams()));
+        events.deliver(() -> events.policy().start(now()));
+        EndpointList known = config.known();
+        pool.update(known);
+        events.deliver(() -> events.policy().upstreams(now(), ListKind.RESTORED, known.upstreams()));
         if (!settings.askForList()) {
             discovery.watch(true);
         }
         if (config.ops() != null) {
-            lookAtCordons(); // before the first client
-            loop.scheduleWithFixedDelay(
-                    this::lookAtCordons, LOOK_AT_CORDONS_MS, LOOK_AT_CORDONS_MS, TimeUnit.MILLISECONDS);
-        }
-    }
-
-    private void lookAtCordons() {
-        try {
-            if (cordons.refresh()) {
-                cordoned();
-            }
-        } catch (IOException e) {
-            log.line("cordons: what was known stays in force: " + e.getMessage());
+            cordons.start(loop);
         }
     }
 
-    private void cordoned() {
-        Map<String, Long> out = new TreeMap<>(cordons.out());
-        agreedOut.forEach(out::putIfAbsent);
-        log.line("cordons: " + (out.isEmpty() ? "none" : String.join(" ", out.keySet())));
-        pool.updateCordons(out.keySet());
-        deliver(null, () -> module.cordons(now(), out));
-    }
-
-    @Override
-    public void agreedOut(Set<String> upstreams) {
-        Map<String, Long> next = new TreeMap<>();
-        upstreams.forEach(id -> next.put(id, agreedOut.getOrDefault(id, now())));
-        if (!next.equals(agreedOut)) {
-            agreedOut = next;
-            cordoned();
-        }
-    }
-
-    /** Takes an upstream out of service by hand or gives it back; false for an id that nobody has. */
-    boolean cordon(String id, boolean out) {
-        if (!pool.knows(id) && !cordons.out().containsKey(id)) {
-            return false;
-        }
-        Map<String, Long> before = cordons.out();
-        try {
-            boolean done = cordons.set(id, out, now());
-            if (!before.equals(cordons.out())) {
-                cordoned();
-            }
-            return done;
-        } catch (IOException e) { // a yes that an upgrade forgets would be none
-            log.line("cordons: " + e);
-            return false;
+    /** Takes over an endpoint list; null stands for a poll that failed. */
+    private void endpointsListed(EndpointList list) {
+        if (list == null) {
+            events.deliver(() -> events.policy().upstreams(now(), ListKind.UNAVAILABLE, List.of()));
+            return;
         }
+        pool.update(list);
+        ListKind kind = list.complete() ? ListKind.COMPLETE : ListKind.CHANGES;
+        events.deliver(() -> events.policy().upstreams(now(), kind, list.upstreams()));
     }
 
-    /** Figures for operators; {@code inFlight} requests are taken and not yet ended. */
-    String figures(int inFlight) {
-        List<LoadBalancingPolicy.Standing> standings = module.summary(now()).upstreams();
-        int excluded = (int) standings.stream()
-                .filter(s -> s.ejected() || s.state() != LoadBalancingPolicy.State.READY)
-                .count();
-        return figures.text(inFlight, standings.size(), excluded);
-    }
-
-    /** Counts a request that was refused without a call of its own. */
-    void refusedUnheard(int classIndex) {
-        figures.ended(classIndex, RequestMetrics.End.REFUSED);
-    }
-
-    /** Takes over what may change while we run, from a configuration that was read anew. */
+    /** Takes over what may change without a restart, from a configuration that was read again. */
     void reload(BalancerConfig changed) {
         List<String> fixed = config.needRestart(changed);
         if (!fixed.isEmpty()) {
@@ -205,439 +115,131 @@
         discovery.moveTo(changed.discovery());
     }
 
-    /** Whether discovery has answered; if it stays silent, what was known before the start has to do. */
+    /** Whether clients may be taken: discovery has answered, or the configured list has to do. */
     boolean ready() {
-        return discovery.listed() || !config.known().members().isEmpty() && now() - startedAt > WAIT_FOR_LIST;
+        return discovery.listed()
+                || !config.known().members().isEmpty() && clock.sinceStartMicros() > MAX_WAIT_FOR_LIST_MICROS;
     }
 
-    /** The last word on long bodies, where they are on. */
-    void reportBodies() {
-        if (bodies.streaming()) {
-            log.line("bodies: at most " + budget.largest() + " of " + bodies.ceiling()
-                    + " bytes held for one in a direction, " + budget.refused() + " refused for want of room");
-        }
-    }
+    // ---- For the frontend ----------------------------------------------------------------------------
 
-    /** The longest that clients wait for an answer, in microseconds, as far as the platform counts it. */
-    long longestDeadline() {
-        return Math.min(
-                LONGEST_DEADLINE,
-                settings.classes().stream()
-                        .mapToLong(LoadBalancingPolicy.RequestClass::giveUp)
-                        .max()
-                        .orElse(0));
-    }
-
-    /** No answer is out later than that, whatever its client would grant, and no request is tried from then on. */
-    void answerUntil(long last, long request) {
-        lastMoment = last;
-        lastRequest = request;
-    }
-
-    /**
-     * Ends what is still open, transfers above all, just before we are killed: cut in order, an upload whose last byte
-     * never went out is refused, and an answer that is not whole can be told from one that is.
-     */
-    void endAll() {
-        List.copyOf(calls.values()).forEach(call -> {
-            List.copyOf(call.attempts).forEach(a -> {
-                if (!a.ended) {
-                    pool.stop(
-                            a,
-                            a.written
-                                    ? LoadBalancingPolicy.Outcome.CANCELLED
-                                    : LoadBalancingPolicy.Outcome.CONNECT_FAILED);
-                }
-            });
-            giveUp(call);
-        });
-    }
-
-    boolean idle() {
-        return calls.isEmpty();
-    }
-
-    // ---- Events for the module -----------------------------------------------------------------------
-
-    /**
-     * Hands over an event once the module is done with the one before: it must not be called from within its
-     * own actions. If it throws while it handles a call, that call is answered here, as nobody else will.
-     */
-    private void deliver(Exchange call, Runnable event) {
-        events.handle(() -> {
-            try {
-                event.run();
-            } catch (RuntimeException e) {
-                log.line("the decision module failed: " + e + " at " + e.getStackTrace()[0]);
-                if (call != null) {
-                    giveUp(call);
-                }
-            }
-        });
-    }
-
-    @Override
-    public void deliver(Runnable event) {
-        deliver(null, event);
-    }
-
-    @Override
-    public LoadBalancingPolicy module() {
-        return module;
+    RateLimitedLog log() {
+        return log;
     }
 
-    private void listed(EndpointList list) {
-        if (list == null) {
-            deliver(null, () -> module.upstreams(now(), LoadBalancingPolicy.ListKind.UNAVAILABLE, List.of()));
-            return;
-        }
-        pool.update(list);
-        LoadBalancingPolicy.ListKind kind =
-                list.complete() ? LoadBalancingPolicy.ListKind.COMPLETE : LoadBalancingPolicy.ListKind.CHANGES;
-        deliver(null, () -> module.upstreams(now(), kind, list.upstreams()));
+    /** What bodies that are being streamed hold in total. */
+    BodyBudget budget() {
+        return budget;
     }
 
-    /** Whether a request with this id is open: ids are new with every request. */
+    /** Whether a request with this id is open; each request has an id of its own. */
     boolean knows(String id) {
-        return calls.containsKey(id);
+        return exchanges.get(id) != null;
     }
 
-    /** A client's request; from here on it is owed one answer. */
-    void accept(Exchange call) {
-        if (calls.size() >= settings.limits().maxOpen() || now() >= lastRequest) {
-            refuse(call, 0);
-            return;
-        }
-        String id = call.request.id();
-        // The budget counts from the last byte; until that has come, the limits on uploads hold.
-        long upload = call.body.ended() ? 0 : bodies.longestUpload();
-        long left = Math.min(call.request.timeLeft() + upload - WAY_IN - loopDelayMicros(), lastMoment - now());
-        call.deadlineMicros = now() + left;
-        calls.put(id, call);
-        call.deadlineTimer = loop.schedule(() -> expire(call), left - BACKSTOP, TimeUnit.MICROSECONDS);
-        LoadBalancingPolicy.Request r = call.request;
-        deliver(
-                call,
-                () -> module.request(
-                        now(),
-                        new LoadBalancingPolicy.Request(
-                                id,
-                                r.classIndex(),
-                                r.tenant(),
-                                r.key(),
-                                r.expectedWork(),
-                                call.deadlineMicros - now(),
-                                r.write(),
-                                r.retry(),
-                                call.body.streams())));
-    }
-
-    /** If a timer is overdue or just was, the loop is late, and what it reads may have waited as long to be read. */
-    @Override
-    public long loopDelayMicros() {
-        return Math.max(lateness, now() - timerDue);
-    }
-
-    /** The client has closed its connection before its answer. */
-    void clientGone(Exchange call) {
-        if (!call.answered) {
-            call.answered = true;
-            deliver(call, () -> module.clientGone(now(), call.request.id()));
-            forgetIfDone(call);
-        }
-    }
-
-    /** The call's time is over: its attempts time out, and it is answered here if the module does not. */
-    private void expire(Exchange call) {
-        List.copyOf(call.attempts).forEach(this::timeOut);
-        giveUp(call);
-        List.copyOf(call.attempts).forEach(this::timeOut); // what was sent in reply to that would be out for ever
-    }
-
-    private void timeOut(Attempt a) {
-        if (!a.ended && !a.responseStreaming) { // an answer that has begun has limits of its own
-            pool.stop(a, a.written ? LoadBalancingPolicy.Outcome.TIMEOUT : LoadBalancingPolicy.Outcome.CONNECT_FAILED);
-        }
-    }
-
-    /**
-     * Guards against a call that the module, or a fault of ours, leaves without an answer: it is refused only if
-     * it never ran.
-     */
-    void giveUp(Exchange call) {
-        if (call.answered) {
-            return;
-        }
-        log.line("answered without the module: " + call.request.id());
-        if (call.attempts.stream().anyMatch(a -> a.mayHaveRun)) {
-            fail(call);
-        } else {
-            refuse(call, 0);
-        }
-        deliver(null, () -> module.clientGone(now(), call.request.id()));
-        forgetIfDone(call);
-    }
-
-    /** The client will send no more of a body of which a part has gone on: it can never have run. */
-    void cutShort(Exchange call) {
-        if (!call.answered) {
-            call.answered = true;
-            figures.ended(call.request.classIndex(), RequestMetrics.End.FAILED);
-            List.copyOf(call.attempts).forEach(a -> {
-                if (!a.ended) {
-                    pool.stop(a, a.written ? LoadBalancingPolicy.Outcome.CANCELLED : LoadBalancingPolicy.Outcome.MOOT);
-                }
-            });
-            deliver(call, () -> module.clientGone(now(), call.request.id()));
-            forgetIfDone(call);
-        }
+    /** Takes a client's request; it is owed one response from here on. */
+    void accept(Exchange exchange) {
+        exchanges.accept(exchange);
     }
 
-    @Override
-    public ResponseStream.Sink responseStreaming(Attempt a, ResponseStream.Head head, ResponseStream.Source source) {
-        Exchange call = a.exchange;
-        if (call.answered || a.ended) {
-            return null;
-        }
-        call.answered = true;
-        a.responseStreaming = true;
-        bind(a);
-        responseStarted(a);
-        return call.reply.begin(head, source);
+    /** The client has closed its connection before its response. */
+    void clientGone(Exchange exchange) {
+        exchanges.clientDisconnected(exchange);
     }
 
-    @Override
-    public void requestStreaming(Attempt a) {
-        bind(a);
-        transfers(a);
+    /** The client will send no more of a body of which a part was forwarded. */
+    void cutShort(Exchange exchange) {
+        exchanges.requestBodyAborted(exchange);
     }
 
-    /** From here on the attempt is the call's last one, and neither its time-out nor the deadline ends it. */
-    private void bind(Attempt a) {
-        if (a.exchange.streamingAttempt == null) {
-            a.exchange.streamingAttempt = a;
-            deliver(a.exchange, () -> module.opened(now(), a.exchange.request.id(), a.number));
-        }
+    /** Answers an exchange that a fault of ours leaves open. */
+    void giveUp(Exchange exchange) {
+        exchanges.endUnanswered(exchange);
     }
 
-    @Override
-    public void responseStarted(Attempt a) {
-        if (a.responseStartTimeMicros == 0) {
-            a.responseStartTimeMicros = now();
-            transfers(a);
-        }
-    }
-
-    private void transfers(Attempt a) {
-        deliver(a.exchange, () -> module.transfers(now(), a.exchange.request.id(), a.number));
+    /** Counts a request that was rejected without an exchange of its own. */
+    void refusedUnheard(int classIndex) {
+        metrics.ended(classIndex, RequestMetrics.End.REFUSED);
     }
 
-    @Override
-    public void requestWritten(Attempt a) {
-        a.written = true;
-        figures.attempted(a.exchange.request.classIndex());
+    /** The Retry-After of a rejection, in microseconds; 0 where none is allowed. */
+    long advice(long advisedMicros) {
+        return exchanges.retryAfter(advisedMicros);
     }
 
-    @Override
-    public void requestBodyComplete(Attempt a) {
-        Exchange call = a.exchange;
-        a.requestCompleteTimeMicros = now();
-        if (!call.answered && call.deadlineTimer != null) {
-            call.deadlineTimer.cancel(false);
-            call.deadlineMicros = now() + Math.min(call.request.timeLeft() - WAY_IN, lastMoment - now());
-            call.deadlineTimer =
-                    loop.schedule(() -> expire(call), call.deadlineMicros - now() - BACKSTOP, TimeUnit.MICROSECONDS);
-        }
-    }
+    // ---- Graceful shutdown ---------------------------------------------------------------------------
 
-    /** The end of an attempt, once for each; the first answer that is a success goes on to the client. */
-    @Override
-    public void ended(Attempt a, LoadBalancingPolicy.Outcome outcome, UpstreamResponse answer) {
-        if (a.ended) {
-            return;
-        }
-        a.ended = true;
-        a.mayHaveRun = !outcome.neverRan;
-        if (a.timeoutTimer != null) {
-            a.timeoutTimer.cancel(false);
-        }
-        Exchange call = a.exchange;
-        if (outcome == LoadBalancingPolicy.Outcome.OK && answer != null) {
-            answer(call, RequestMetrics.End.SERVED, () -> call.reply.served(answer.contentType(), answer.body()));
-        } else if (a.responseStreaming) {
-            figures.ended(
-                    call.request.classIndex(),
-                    outcome == LoadBalancingPolicy.Outcome.OK ? RequestMetrics.End.SERVED : RequestMetrics.End.FAILED);
-        }
-        LoadBalancingPolicy.RequestClass cls = settings.classes().get(call.request.classIndex());
-        PartialRequestPolicy.Next next =
-                PartialRequestPolicy.after(cls.effect(), cls.scope(), call.body.state(a.written), outcome);
-        if (next == PartialRequestPolicy.Next.REFUSE) {
-            a.mayHaveRun = false;
-            refuse(call, 0);
-        } else if (next == PartialRequestPolicy.Next.FAIL) {
-            fail(call);
-        }
-        // Our own lateness is none of the upstream's: the module would take it for a crowd there and send less.
-        long until = a.responseStartTimeMicros > 0 ? a.responseStartTimeMicros : now();
-        long took = Math.max(0, until - a.requestCompleteTimeMicros - loopDelayMicros());
-        LoadBalancingPolicy.AttemptEnd end = new LoadBalancingPolicy.AttemptEnd(
-                call.request.id(),
-                a.number,
-                a.upstream,
-                outcome,
-                took,
-                call.answered,
-                answer == null ? null : answer.load());
-        deliver(call, () -> module.outcome(now(), end));
-        forgetIfDone(call);
-    }
-
-    private void answer(Exchange call, RequestMetrics.End end, Runnable how) {
-        if (!call.answered) {
-            call.answered = true;
-            figures.ended(call.request.classIndex(), end);
-            how.run();
-        }
+    /** The longest that clients wait for a response, in microseconds, as far as the platform waits for it. */
+    long longestDeadline() {
+        long longest = settings.classes().stream()
+                .mapToLong(LoadBalancingPolicy.RequestClass::giveUp)
+                .max()
+                .orElse(0);
+        return Math.min(MAX_DEADLINE_MICROS, longest);
     }
 
-    private void refuse(Exchange call, long retryAfter) {
-        answer(call, RequestMetrics.End.REFUSED, () -> call.reply.refused(advice(retryAfter)));
+    /** No response is out later than {@code lastResponse}, and requests are rejected from {@code lastRequest} on. */
+    void limitTimes(long lastResponse, long lastRequest) {
+        exchanges.limitTimes(lastResponse, lastRequest);
     }
 
-    private void fail(Exchange call) {
-        answer(call, RequestMetrics.End.FAILED, call.reply::failed);
+    /** Ends what is still open, just before the process is killed. */
+    void endAll() {
+        exchanges.endAll();
     }
 
-    private void forgetIfDone(Exchange call) {
-        if (call.answered && call.allAttemptsEnded()) {
-            if (call.deadlineTimer != null) {
-                call.deadlineTimer.cancel(false);
-            }
-            calls.remove(call.request.id(), call);
-            call.body.abort(); // what it still holds is for nobody
-        }
+    /** Whether no exchange is open. */
+    boolean idle() {
+        return exchanges.isEmpty();
     }
 
-    // ---- Actions of the module -----------------------------------------------------------------------
-
-    private void with(String request, Consumer<Exchange> action) {
-        Exchange call = calls.get(request);
-        if (call != null) {
-            action.accept(call);
+    /** Logs how much memory streamed bodies have used, where they are on. */
+    void reportBodies() {
+        if (bodies.streaming()) {
+            log.line("bodies: at most " + budget.largest() + " of " + bodies.ceiling()
+                    + " bytes held for one in a direction, " + budget.refused() + " refused for want of room");
         }
     }
 
-    @Override
-    public void send(String request, String upstream, long timeout) {
-        with(request, call -> {
-            long now = now();
-            long until = timeout > 0 ? Math.min(now + timeout, call.deadlineMicros) : call.deadlineMicros;
-            Attempt a = new Attempt(call, call.attempts.size(), upstream, now, until, repeatUntil(call));
-            call.attempts.add(a);
-            if (call.answered || a.number >= settings.limits().maxAttempts() || until <= now) {
-                ended(a, LoadBalancingPolicy.Outcome.MOOT, null);
-                return;
-            }
-            if (until < call.deadlineMicros) {
-                a.timeoutTimer = loop.schedule(() -> timeOut(a), until - now, TimeUnit.MICROSECONDS);
-            }
-            pool.start(a);
-        });
-    }
+    // ---- For operators and other features ------------------------------------------------------------
 
-    /**
-     * Until when a further attempt may go out: upstreams drop a repeat of a keyed request only as long as they remember
-     * the first one that may have run. The module looks at that when it chooses, but a connection may take its time.
-     */
-    private long repeatUntil(Exchange call) {
-        LoadBalancingPolicy.RequestClass cls = settings.classes().get(call.request.classIndex());
-        return cls.effect() != LoadBalancingPolicy.Effect.KEYED
-                ? Long.MAX_VALUE
-                : call.attempts.stream()
-                        .filter(a -> a.mayHaveRun)
-                        .mapToLong(a -> a.startTimeMicros + cls.memorySpan())
-                        .min()
-                        .orElse(Long.MAX_VALUE);
+    /** Cordons an upstream or ends that; false for an id that nobody has. */
+    boolean cordon(String id, boolean cordoned) {
+        return cordons.set(id, cordoned);
     }
 
-    @Override
-    public void refuse(String request, long retryAfter) {
-        with(request, call -> {
-            refuse(call, retryAfter);
-            forgetIfDone(call);
-        });
-    }
-
-    /** What a refusal tells the client about when to come back, in microseconds; 0 where that is not allowed. */
-    long advice(long retryAfter) {
-        return settings.limits().retryAfter()
-                ? Math.min(
-                        retryAfter > 0 ? retryAfter : RETRY_AFTER,
-                        settings.limits().maxRetryAfter())
-                : 0;
-    }
-
-    @Override
-    public void fail(String request) {
-        with(request, call -> {
-            fail(call);
-            forgetIfDone(call);
-        });
-    }
-
-    @Override
-    public void cancel(String request, int attempt) {
-        with(request, call -> {
-            Attempt a = call.attempts.get(attempt);
-            if (!a.ended) {
-                pool.stop(a, LoadBalancingPolicy.Outcome.CANCELLED);
-            }
-        });
+    /** Metrics as text; {@code inFlight} is the number of requests that are taken and not yet answered. */
+    String metrics(int inFlight) {
+        List<LoadBalancingPolicy.Standing> upstreams =
+                events.policy().summary(now()).upstreams();
+        int excluded = (int) upstreams.stream()
+                .filter(upstream -> upstream.ejected() || upstream.state() != LoadBalancingPolicy.State.READY)
+                .count();
+        return metrics.text(inFlight, upstreams.size(), excluded);
     }
 
     @Override
-    public void timer(String token, long delay) {
-        long due = now() + delay;
-        timerDue = due;
-        loop.schedule(
-                () -> {
-                    lateness = Math.max(0, now() - due);
-                    deliver(null, () -> module.timer(now(), token));
-                },
-                delay,
-                TimeUnit.MICROSECONDS);
+    public long now() {
+        return clock.now();
     }
 
     @Override
-    public void closeIdle(String upstream) {
-        pool.closeIdle(upstream);
+    public void deliver(Runnable event) {
+        events.deliver(event);
     }
 
     @Override
-    public void watch(boolean on) {
-        if (settings.askForList()) {
-            discovery.watch(on);
-        }
+    public LoadBalancingPolicy module() {
+        return events.policy();
     }
 
     @Override
-    public void fetch() {
-        discovery.fetch();
+    public void setFleetCordons(Set<String> upstreams) {
+        cordons.setFleetWide(upstreams);
     }
 
     @Override
     public void log(String text) {
         log.line(text);
     }
-
-    @Override
-    public void probe(String upstream) {
-        throw new UnsupportedOperationException("probes: the configuration is refused where they are allowed");
-    }
-
-    @Override
-    public void tell(int peer, byte[] body) {
-        throw new UnsupportedOperationException("peers: the configuration is refused where they are allowed");
-    }
 }
--- /dev/null
+++ b/src/main/java/sedgeyoke/proxy/ShutdownDeadlines.java
@@ -0,0 +1,64 @@
+package sedgeyoke.proxy;
+
+/**
+ * Computes the deadlines of a graceful shutdown, in microseconds of the policy's clock. SIGKILL comes a known time after
+ * SIGTERM, but the process notices SIGTERM only once a thread of the JVM gets to run: 60 to 200 ms later where a new
+ * configuration was just being read on half a core. All deadlines are therefore counted from the earliest time at which
+ * the signal may have been sent, and the later the process was seen to run since, the more time before the kill is kept
+ * in reserve.
+ */
+final class ShutdownDeadlines {
+    /** New connections may arrive for up to 0.4 s after SIGTERM; only then is the listener closed. */
+    private static final long LISTEN_MICROS = 550_000;
+    /** SIGKILL follows SIGTERM after this and the longest deadline (PROTOCOL, "Figures"). */
+    private static final long KILL_MICROS = 700_000;
+    /** Responses are out at least so long before it: what a signal may take to arrive on a part of a core. */
+    private static final long MIN_RESERVE_MICROS = 250_000;
+    /** How much time a last request gets. */
+    private static final long LAST_REQUEST_BUDGET_MICROS = 120_000;
+    /** A process that ran late once may do so again while the last responses go out. */
+    private static final int DELAY_RESERVE_FACTOR = 2;
+
+    private final long signalTimeMicros;
+    private final long killTimeMicros;
+    private long nextCheckMicros;
+    private long worstDelayMicros;
+
+    /**
+     * Starts a shutdown.
+     *
+     * @param signalTimeMicros the earliest time at which SIGTERM may have been sent
+     * @param longestDeadlineMicros the longest that a client waits for a response
+     */
+    ShutdownDeadlines(long signalTimeMicros, long longestDeadlineMicros) {
+        this.signalTimeMicros = signalTimeMicros;
+        this.killTimeMicros = signalTimeMicros + longestDeadlineMicros + KILL_MICROS;
+        this.nextCheckMicros = signalTimeMicros;
+    }
+
+    /** Says when {@link #checked} is due next. */
+    void scheduleCheck(long timeMicros) {
+        nextCheckMicros = timeMicros;
+    }
+
+    /** Records that a check runs at {@code now}; returns how late it is. The worst delay enlarges the reserve. */
+    long checked(long now) {
+        worstDelayMicros = Math.max(worstDelayMicros, now - nextCheckMicros);
+        return now - nextCheckMicros;
+    }
+
+    /** Until then new connections may arrive. */
+    long listenUntil() {
+        return signalTimeMicros + LISTEN_MICROS;
+    }
+
+    /** From then on no request is accepted. */
+    long lastRequest() {
+        return Math.max(listenUntil(), lastResponse() - LAST_REQUEST_BUDGET_MICROS);
+    }
+
+    /** By then every response is out. */
+    long lastResponse() {
+        return killTimeMicros - Math.max(MIN_RESERVE_MICROS, DELAY_RESERVE_FACTOR * worstDelayMicros);
+    }
+}
--- a/src/main/java/sedgeyoke/proxy/UpstreamConnectionPool.java
+++ b/src/main/java/sedgeyoke/proxy/UpstreamConnectionPool.java
@@ -228,16 +228,6 @@
         connection.send(attempt, leftMillis);
     }
 
-    /** Ends an attempt that has not ended; its connection is closed if its request was written to one. */
-    void stop(Attempt attempt, Outcome outcome) {
-        UpstreamConnection connection = attempt.connection;
-        if (connection != null && connection.carries(attempt)) {
-            connection.stop(outcome);
-        } else {
-            end(attempt, outcome);
-        }
-    }
-
     private void end(Attempt attempt, Outcome outcome) {
         context.listener().ended(attempt, outcome, null);
     }
--- a/src/main/java/sedgeyoke/proxy/UpstreamResponse.java
+++ b/src/main/java/sedgeyoke/proxy/UpstreamResponse.java
@@ -10,11 +10,19 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 import sedgeyoke.simulator.SettingsReader;
 
-/** What an upstream answered, whole and in order. */
+/**
+ * A complete and valid response of an upstream.
+ *
+ * @param outcome what its status stands for
+ * @param load its load report; null if it has none that is valid
+ * @param contentType null if it has none
+ * @param body the complete body
+ */
 record UpstreamResponse(Outcome outcome, LoadReport load, String contentType, byte[] body) {
-    /** No figure of a load report is as large as that: times are in milliseconds, the others are counts or shares. */
-    private static final double LARGEST = 1e7;
+    /** Larger values are invalid: times are in milliseconds, the others are counts or shares. */
+    private static final double MAX_REPORT_VALUE = 1e7;
 
+    /** Builds it from a head and a body; a load report that is invalid is logged and ignored. */
     static UpstreamResponse of(HttpResponse response, byte[] body, List<String> reportNames, RateLimitedLog log) {
         return new UpstreamResponse(
                 AttemptOutcomes.ofResponse(response),
@@ -23,7 +31,7 @@
                 body);
     }
 
-    /** A report counts as a whole or not at all: one figure that cannot be, and the others are not believed either. */
+    /** One invalid value makes the whole report invalid. */
     private static LoadReport loadReport(List<String> headers, List<String> names, RateLimitedLog log) {
         if (headers.isEmpty()) {
             return null;
@@ -34,7 +42,7 @@
         } catch (JsonProcessingException e) {
             values = null;
         }
-        if (values == null || !values.isObject() || !names.stream().allMatch(sane(values))) {
+        if (values == null || !values.isObject() || !names.stream().allMatch(isValidIn(values))) {
             log.line("a load report that cannot be read");
             return null;
         }
@@ -43,10 +51,10 @@
                 name -> names.contains(name) ? report.path(name).asDouble(Double.NaN) : Double.NaN);
     }
 
-    private static Predicate<String> sane(JsonNode values) {
+    private static Predicate<String> isValidIn(JsonNode values) {
         return name -> values.path(name).isMissingNode()
                 || values.path(name).isNumber()
                         && values.path(name).asDouble() >= 0
-                        && values.path(name).asDouble() <= LARGEST;
+                        && values.path(name).asDouble() <= MAX_REPORT_VALUE;
     }
 }
--- a/src/main/java/sedgeyoke/proxy/UpstreamResponseDecoder.java
+++ b/src/main/java/sedgeyoke/proxy/UpstreamResponseDecoder.java
@@ -19,26 +19,31 @@
 import java.util.List;
 
 /**
- * Reads answers of upstreams and throws at the first sign that one is spoilt, as soon as its head tells. An answer must
- * say how long it is, or that its connection ends with it (RFC 9112, section 6.3): it is whole then if that ends in
- * order, and broken if it is reset.
+ * Decodes responses of upstreams and throws as soon as one is invalid. A response must say how long it is, or that its
+ * connection ends with it (RFC 9112, section 6.3): then it is complete if the connection is closed in order, and broken
+ * if it is reset.
  */
 final class UpstreamResponseDecoder extends HttpResponseDecoder {
-    private static final int MOST_INFORMATIONAL = 20;
+    private static final int MAX_INFORMATIONAL = 20;
 
-    private final long mostBytes;
-    private int informational;
-    private boolean within;
+    private final long maxBytes;
+    private int informationalCount;
+    private boolean insideResponse;
 
-    /** {@code mostBytes}: an answer that says it is longer is not read; {@code part}: given out at once. */
-    UpstreamResponseDecoder(long mostBytes, int part) {
-        super(new HttpDecoderConfig().setMaxChunkSize(part));
-        this.mostBytes = mostBytes;
+    /**
+     * Creates a decoder for one connection.
+     *
+     * @param maxBytes a response that announces more is invalid
+     * @param maxPartBytes the longest part of a body that is passed on at once
+     */
+    UpstreamResponseDecoder(long maxBytes, int maxPartBytes) {
+        super(new HttpDecoderConfig().setMaxChunkSize(maxPartBytes));
+        this.maxBytes = maxBytes;
     }
 
-    /** Whether more has come than the answers read so far: nothing on this connection can be trusted then. */
+    /** Whether there is input behind the responses decoded so far: the connection must not be used again then. */
     boolean hasMore() {
-        return within || actualReadableBytes() > 0;
+        return insideResponse || actualReadableBytes() > 0;
     }
 
     @Override
@@ -46,19 +51,19 @@
         int before = out.size();
         int start = in.readerIndex();
         super.decode(ctx, in, out);
-        within = out.size() > before
+        insideResponse = out.size() > before
                 ? !(out.get(out.size() - 1) instanceof LastHttpContent)
-                : within || in.readerIndex() > start;
+                : insideResponse || in.readerIndex() > start;
         if (out.size() > before && out.get(before) instanceof HttpResponse head) {
-            String fault = fault(head);
-            if (fault != null) {
+            String problem = problemOf(head);
+            if (problem != null) {
                 out.remove(before);
-                throw new CorruptedFrameException(fault);
+                throw new CorruptedFrameException(problem);
             }
         }
     }
 
-    /** Guards against lines that are no header: before the colon, Netty takes blanks and all behind them. */
+    /** Rejects lines that are no header: Netty accepts blanks before the colon and all behind them. */
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
         if (start + length >= line.length || line[start + length] != ':') {
@@ -67,14 +72,14 @@
         return super.splitHeaderName(line, start, length);
     }
 
-    /** Guards against an answer that reads differently by its length and by its chunks. */
+    /** Rejects a response that has both a length and chunks, as it could be read in two ways. */
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new CorruptedFrameException("both a length and chunks");
     }
 
-    /** What is wrong with the head of an answer; null if it is in order. */
-    private String fault(HttpResponse head) {
+    /** What is invalid in the head of a response; null if nothing is. */
+    private String problemOf(HttpResponse head) {
         HttpVersion version = head.protocolVersion();
         if (head.decoderResult().isFailure()) {
             return "a head that cannot be read";
@@ -83,21 +88,23 @@
             return "the version " + version;
         }
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            return ++informational > MOST_INFORMATIONAL || head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)
+            return ++informationalCount > MAX_INFORMATIONAL
+                            || head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)
                     ? "the status " + head.status().code()
                     : null;
         }
-        informational = 0;
+        informationalCount = 0;
         if (head.status().codeClass() == HttpStatusClass.UNKNOWN) {
             return "the status " + head.status().code();
         }
-        HttpHeaders h = head.headers();
-        List<String> codings = h.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        HttpHeaders headers = head.headers();
+        List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
         if (codings.isEmpty()) {
             long length = HttpUtil.getContentLength(head, -1L);
-            boolean ends = length < 0 && !h.contains(HttpHeaderNames.CONTENT_LENGTH) && !HttpUtil.isKeepAlive(head);
-            return length < 0 && !ends || length > mostBytes
-                    ? "the length " + h.get(HttpHeaderNames.CONTENT_LENGTH)
+            boolean endsWithConnection =
+                    length < 0 && !headers.contains(HttpHeaderNames.CONTENT_LENGTH) && !HttpUtil.isKeepAlive(head);
+            return length < 0 && !endsWithConnection || length > maxBytes
+                    ? "the length " + headers.get(HttpHeaderNames.CONTENT_LENGTH)
                     : null;
         }
         return codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0))
--- a/src/main/java/sedgeyoke/serve/BalancerMain.java
+++ b/src/main/java/sedgeyoke/serve/BalancerMain.java
@@ -8,29 +8,30 @@
 import java.nio.channels.ServerSocketChannel;
 import sedgeyoke.proxy.BalancerConfig;
 import sedgeyoke.proxy.BalancerServer;
+import sedgeyoke.proxy.InvalidConfigException;
 import sedgeyoke.proxy.JitWarmUp;
 
 /**
- * Starts one balancer from its environment and ends it in order on SIGTERM. What the operator's file turns on is in
- * {@link OptionalFeatures}, which is loaded only where such a file is named.
+ * Starts one balancer from its environment and shuts it down gracefully on SIGTERM. What the operator's file turns on is in
+ * {@link OptionalFeatures}, which is loaded only if such a file is named.
  */
 public final class BalancerMain {
     private static final String USAGE = "usage: serve [--config FILE]";
-    /** No reading of files holds up a signal for longer, in microseconds; else a broken disk would end us too early. */
-    private static final long LONGEST_HELD_UP = 500_000;
+    /** A reload is taken to delay a signal no longer than this, or a broken disk would make the shutdown too short. */
+    private static final long MAX_SIGNAL_DELAY_MICROS = 500_000;
 
-    /** Who takes a SIGHUP; null until there is anyone. */
+    /** The balancer that handles SIGHUP; null until it can. */
     private static BalancerMain running;
-    /** Whether one came before: what was read then may be older than what it speaks of. */
-    private static boolean hungUp;
+    /** Whether a SIGHUP arrived before that: the files that were read may be older than the change. */
+    private static boolean reloadPending;
 
     private final String configPath;
     private final BalancerServer server;
     private final OptionalFeatures features;
-    /** When the last reading of files began and ended, by the monotonic clock; 0 for not yet. */
-    private volatile long reloadBegan;
+    /** When the last reload began and ended, in nanoseconds of the monotonic clock; 0 for none. */
+    private volatile long reloadBeganNanos;
 
-    private volatile long reloadEnded;
+    private volatile long reloadEndedNanos;
 
     private BalancerMain(String configPath, BalancerServer server, OptionalFeatures features) {
         this.configPath = configPath;
@@ -38,7 +39,7 @@
         this.features = features;
     }
 
-    /** Runs until SIGTERM; ends with 2 if a configuration or the address to listen on is no good. */
+    /** Runs until SIGTERM; exits with 2 if a configuration or the address to listen on is invalid. */
     public static void main(String[] args) throws InterruptedException {
         String operator = System.getenv("SEDGEYOKE_OPERATOR");
         if (args.length == 2 && args[0].equals("--config")) {
@@ -46,14 +47,14 @@
         } else if (args.length > 0) {
             fail(USAGE);
         }
-        ReloadSignal.run(BalancerMain::hangup); // first: without it SIGHUP is our end
+        ReloadSignal.run(BalancerMain::onReloadSignal); // first: without it SIGHUP ends the JVM
         String path = System.getenv("BALANCER_CONFIG");
         BalancerConfig config = null;
         OptionalFeatures features = null;
         try {
             config = BalancerConfig.load(path);
             features = operator == null || operator.isEmpty() ? null : OptionalFeatures.load(operator);
-        } catch (BalancerConfig.Bad | OptionalFeatures.Bad e) {
+        } catch (InvalidConfigException | InvalidFeatureException e) {
             fail(e.getMessage());
         } catch (NoClassDefFoundError e) { // 'run' has no library of a feature
             fail(operator + " needs target/lib/features/* on the class path: start with 'bin/sedgeyoke serve'");
@@ -67,98 +68,100 @@
             fail("settings: " + e.getMessage());
         }
         BalancerMain main = new BalancerMain(path, server, features);
-        start(main);
+        handleReloadSignals(main);
         JitWarmUp.run(config, JitWarmUp.requests(config), JitWarmUp.LONGEST_S);
-        // Before the first client may come: a signal that found no hook would end us with what is taken unanswered.
-        Runtime.getRuntime().addShutdownHook(new Thread(main::end));
+        // Before the first client can connect: without a hook, SIGTERM would leave accepted requests unanswered.
+        Runtime.getRuntime().addShutdownHook(new Thread(main::shutDown));
         ChannelFuture bound = server.bind().await();
         if (!bound.isSuccess()) {
             fail("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
         }
-        ChannelFuture door = server.openDoor();
-        if (door != null && !door.await().isSuccess()) {
+        ChannelFuture adminEndpoint = server.bindAdminEndpoint();
+        if (adminEndpoint != null && !adminEndpoint.await().isSuccess()) {
             fail("cannot listen for operators on " + config.ops() + ": "
-                    + door.cause().getMessage());
+                    + adminEndpoint.cause().getMessage());
         }
         try {
             if (features != null) {
                 features.start(loop, server, config);
             }
-        } catch (OptionalFeatures.Bad e) {
+        } catch (InvalidFeatureException e) {
             fail(e.getMessage());
         }
         System.err.println(config.name() + " listens on " + bound.channel().localAddress());
     }
 
-    private static void start(BalancerMain main) {
-        boolean again;
+    private static void handleReloadSignals(BalancerMain main) {
+        boolean reload;
         synchronized (BalancerMain.class) {
             running = main;
-            again = hungUp;
+            reload = reloadPending;
         }
-        if (again) {
+        if (reload) {
             main.reload();
         }
     }
 
-    private static void hangup() {
+    private static void onReloadSignal() {
         BalancerMain main;
         synchronized (BalancerMain.class) {
             main = running;
-            hungUp |= main == null;
+            reloadPending |= main == null;
         }
         if (main != null) {
             main.reload();
         }
     }
 
-    /** The clients' listener where the platform holds it, as descriptor 0; null where we are to bind our own. */
+    /** The clients' listener if the platform opened it, as file descriptor 0; null if we bind our own. */
     private static ServerSocketChannel inherited() {
-        String named = System.getenv("BALANCER_ACCEPT_FD");
-        if (named == null || named.isEmpty()) {
+        String descriptor = System.getenv("BALANCER_ACCEPT_FD");
+        if (descriptor == null || descriptor.isEmpty()) {
             return null;
         }
         try {
-            if (named.equals("0") && System.inheritedChannel() instanceof ServerSocketChannel listener) {
+            if (descriptor.equals("0") && System.inheritedChannel() instanceof ServerSocketChannel listener) {
                 return listener;
             }
-            fail("BALANCER_ACCEPT_FD=" + named + ": no listening socket is there; descriptor 0 is taken");
+            fail("BALANCER_ACCEPT_FD=" + descriptor + ": no listening socket is there; descriptor 0 is taken");
         } catch (IOException e) {
-            fail("BALANCER_ACCEPT_FD=" + named + ": " + e.getMessage());
+            fail("BALANCER_ACCEPT_FD=" + descriptor + ": " + e.getMessage());
         }
         return null;
     }
 
-    private static void fail(String why) {
-        System.err.println("cannot start: " + why);
+    private static void fail(String reason) {
+        System.err.println("cannot start: " + reason);
         System.exit(2);
     }
 
     /**
-     * A signal that came while files were being read waits for the processor as they do, and for what they left to be
-     * done: as long again.
+     * Shuts down. A reload delays the signal, as both wait for the processor, and the work that it leaves behind delays it
+     * for about as long again; the shutdown takes that into account.
      */
-    private void end() {
-        long now = System.nanoTime();
-        long began = reloadBegan;
-        boolean heldUp = began != 0 && (reloadEnded - began < 0 || now - reloadEnded <= 2 * (reloadEnded - began));
-        server.end(heldUp ? Math.min(LONGEST_HELD_UP, (now - began) / 1_000) : 0);
+    private void shutDown() {
+        long nowNanos = System.nanoTime();
+        long beganNanos = reloadBeganNanos;
+        boolean delayedByReload = beganNanos != 0
+                && (reloadEndedNanos - beganNanos < 0
+                        || nowNanos - reloadEndedNanos <= 2 * (reloadEndedNanos - beganNanos));
+        server.shutDown(delayedByReload ? Math.min(MAX_SIGNAL_DELAY_MICROS, (nowNanos - beganNanos) / 1_000) : 0);
     }
 
     /**
-     * Reads the files again, on the thread of the signal; the loop only takes over the result. Several signals are
-     * handled in turn, so that what was read last is in force last. A bad file changes nothing.
+     * Reads the files again, on the signal's thread; the event loop only takes over the result. Signals are handled one
+     * after the other, so that the last one determines the configuration. An invalid file changes nothing.
      */
     private synchronized void reload() {
-        reloadBegan = System.nanoTime();
+        reloadBeganNanos = System.nanoTime();
         try {
             server.reload(BalancerConfig.load(configPath));
-        } catch (BalancerConfig.Bad e) {
+        } catch (InvalidConfigException e) {
             server.log("reload: the old configuration stays in force: " + e.getMessage());
         }
         if (features != null) {
             features.reload(server::log);
         }
-        reloadEnded = System.nanoTime();
+        reloadEndedNanos = System.nanoTime();
     }
 }
--- a/src/main/java/sedgeyoke/serve/OptionalFeatures.java
+++ b/src/main/java/sedgeyoke/serve/OptionalFeatures.java
@@ -20,10 +20,10 @@
 import sedgeyoke.settings.OperatorFile;
 import sedgeyoke.settings.PlannerClientSettings;
 
-/** What the operator's file turns on beside the balancer, and what becomes of it on SIGHUP. */
+/** The features that the operator's file turns on beside the balancer, and their reload on SIGHUP. */
 final class OptionalFeatures {
-    /** A grant must let through this many mean requests in the time in which a cold upstream falls over. */
-    private static final double LEAST_GRANT_REQUESTS = 1.2;
+    /** The smallest slow-start quota, in mean requests during the time within which a cold upstream would overload. */
+    private static final double MIN_GRANT_REQUESTS = 1.2;
 
     private final Path path;
     private final OperatorFile file;
@@ -35,89 +35,88 @@
         this.file = file;
     }
 
-    /** An operator's file that the balancer does not start with. */
-    static final class Bad extends Exception {
-        private static final long serialVersionUID = 1L;
-
-        Bad(String message) {
-            super(message);
-        }
-    }
-
-    static OptionalFeatures load(String operator) throws Bad {
+    /** Reads the operator's file at this path; throws if it is invalid or another process's. */
+    static OptionalFeatures load(String operator) throws InvalidFeatureException {
         Path path = Path.of(operator);
+        OperatorFile file;
         try {
-            OperatorFile file = OperatorFile.load(path);
-            if (file.keeper().enabled()) {
-                throw new Bad(operator + ": keeper.enabled: this file is a keeper's; start it with 'keep'");
-            }
-            if (file.planner().enabled()) {
-                throw new Bad(operator + ": planner.enabled: this file is a planner's; start it with 'plan'");
-            }
-            return new OptionalFeatures(path, file);
+            file = OperatorFile.load(path);
         } catch (InvalidOperatorFileException e) {
-            throw new Bad(e.getMessage());
+            throw new InvalidFeatureException(path, e.getMessage(), e);
+        }
+        if (file.configServer().enabled()) {
+            throw invalid(path, "config_server.enabled", "this file is a config server's; start it with 'keep'", null);
+        }
+        if (file.planner().enabled()) {
+            throw invalid(path, "planner.enabled", "this file is a planner's; start it with 'plan'", null);
         }
+        return new OptionalFeatures(path, file);
+    }
+
+    private static InvalidFeatureException invalid(Path path, String key, String message, IOException cause) {
+        return new InvalidFeatureException(path, path + ": " + key + ": " + message, cause);
     }
 
-    /** Limits on bodies, which the sockets are made with. */
+    /** Limits on bodies; sockets are configured with them. */
     BodyLimits bodies() {
         return file.bodies();
     }
 
-    /** Starts what is on, once the balancer listens; throws if it cannot be. */
-    synchronized void start(EventLoop on, BalancerServer server, BalancerConfig config) throws Bad {
-        loop = on;
-        startAgreed(server, config);
+    /** Starts the features that are on, once the balancer listens; throws if their files cannot be used. */
+    synchronized void start(EventLoop eventLoop, BalancerServer server, BalancerConfig config)
+            throws InvalidFeatureException {
+        loop = eventLoop;
+        startConfigSubscription(server, config);
         PlannerClientSettings plans = file.plans();
         if (!plans.enabled()) {
             return;
         }
         LoadBalancingPolicy.Settings settings = config.facts().settings();
-        double leastGrant =
-                LEAST_GRANT_REQUESTS * 1e6 / Math.max(1, settings.rules().fallTime());
+        double minGrant =
+                MIN_GRANT_REQUESTS * 1e6 / Math.max(1, settings.rules().fallTime());
         Follower.Identity self = new Follower.Identity(
                 config.name(),
                 new SecureRandom().nextLong() | 1,
                 settings.zone(),
                 plans.leaseMs() * 1_000,
                 plans.fadeMs() * 1_000,
-                leastGrant);
+                minGrant);
         try {
             planners = new PlannerClient(loop, server.port(), self, plans);
         } catch (IOException e) {
-            throw new Bad(path + ": [plans]: " + e.getMessage());
+            throw invalid(path, "[plans]", e.getMessage(), e);
         }
         loop.execute(planners::start);
     }
 
-    /** What the keepers agree is out is out here, too; the module hears of it as it does of what is out by hand. */
-    private void startAgreed(BalancerServer server, BalancerConfig config) throws Bad {
-        ConfigSubscriptionSettings agreed = file.agreed();
-        if (!agreed.enabled()) {
+    /** Upstreams that are cordoned in the config servers are cordoned here, too. */
+    private void startConfigSubscription(BalancerServer server, BalancerConfig config)
+            throws InvalidFeatureException {
+        ConfigSubscriptionSettings subscription = file.config();
+        if (!subscription.enabled()) {
             return;
         }
         ModulePort port = server.port();
         try {
-            ConfigSubscription link = new ConfigSubscription(
+            ConfigSubscription subscriber = new ConfigSubscription(
                     loop,
-                    agreed,
+                    subscription,
                     config.name(),
                     new SecureRandom().nextLong() | 1,
                     port::now,
                     port::log,
-                    acting -> port.agreedOut(
+                    acting -> port.setFleetCordons(
                             acting.document().names(ConfigSchema.UPSTREAMS_OUT).keySet()));
-            loop.execute(link::start);
+            loop.execute(subscriber::start);
         } catch (IOException e) {
-            throw new Bad(path + ": [agreed]: " + e.getMessage());
+            throw invalid(path, "[config]", e.getMessage(), e);
         }
     }
 
-    /** Reads the file again. What allows it is taken over; one line names what waits for a restart. */
+    /** Reads the file again. Keys that can be reloaded take effect; one line names those that need a restart. */
     synchronized void reload(Consumer<String> log) {
         try {
-            OperatorFile changed = OperatorFile.load(path);
+            OperatorFile changed = OperatorFile.load(path, log);
             List<String> fixed = file.needRestart(changed);
             if (!fixed.isEmpty()) {
                 log.accept("reload: " + String.join(", ", fixed) + " stay as they are until a restart");
--- a/src/main/java/sedgeyoke/settings/Addresses.java
+++ b/src/main/java/sedgeyoke/settings/Addresses.java
@@ -6,16 +6,18 @@
 import java.util.Map;
 import sedgeyoke.proxy.IpAddress;
 
-/** What is wrong with addresses in an operator's file. */
+/** Parses and checks the addresses in an operator's file. */
 final class Addresses {
     private static final String WANTED = "must be an address as ip:port, such as 127.0.0.1:7500";
 
     private Addresses() {}
 
+    /** What is invalid in an address; null if nothing is. */
     static String fault(String text) {
         return IpAddress.parse(text) == null ? WANTED + ", not '" + text + "'" : null;
     }
 
+    /** What is invalid in a list of at most {@code most} addresses; null if nothing is. */
     static String fault(Object list, int most) {
         List<?> texts = (List<?>) list;
         if (texts.size() > most) {
@@ -31,7 +33,7 @@
                 .orElse(null);
     }
 
-    /** Addresses by name, of a list of {@code name=address} that is in order. */
+    /** Addresses by name, of a valid list of {@code name=address}. */
     static Map<String, InetSocketAddress> named(List<?> list) {
         Map<String, InetSocketAddress> found = new LinkedHashMap<>();
         list.forEach(item -> {
@@ -41,6 +43,7 @@
         return found;
     }
 
+    /** What is invalid in a list of at most {@code most} items {@code name=address}; null if nothing is. */
     static String namedFault(Object list, int most) {
         List<?> texts = (List<?>) list;
         for (Object item : texts) {
--- a/src/main/java/sedgeyoke/settings/ClientSettings.java
+++ b/src/main/java/sedgeyoke/settings/ClientSettings.java
@@ -4,10 +4,10 @@
 import java.util.List;
 
 /**
- * Section {@code [operator]}: how an operator's commands reach the keepers.
+ * Section {@code [operator]}: how an operator's commands reach the config servers.
  *
  * @param name as in the operator's certificate
- * @param keepers where they listen; at most 7
- * @param tls its files
+ * @param servers where they listen; at most 7
+ * @param tls its certificate, key and trusted issuers
  */
-public record ClientSettings(String name, List<InetSocketAddress> keepers, TlsFiles tls) {}
+public record ClientSettings(String name, List<InetSocketAddress> servers, TlsFiles tls) {}
--- a/src/main/java/sedgeyoke/settings/ConfigProblem.java
+++ b/src/main/java/sedgeyoke/settings/ConfigProblem.java
@@ -1,11 +1,11 @@
 package sedgeyoke.settings;
 
 /**
- * One thing that is wrong with an operator's file.
+ * One problem of an operator's file.
  *
  * @param file the path as it was given
  * @param line the line in it, counted from 1; 0 where the file as a whole is meant
- * @param key the key in dotted form, or an empty text
+ * @param key the key in dotted form, or empty if no key is meant
  * @param message what is wrong and what would be right
  */
 public record ConfigProblem(String file, int line, String key, String message) {
--- a/src/main/java/sedgeyoke/settings/ConfigServerSettings.java
+++ b/src/main/java/sedgeyoke/settings/ConfigServerSettings.java
@@ -5,19 +5,19 @@
 import java.util.Map;
 
 /**
- * Section {@code [keeper]}: a keeper, started with {@code sedgeyoke keep}.
+ * Section {@code [config_server]}: a config server, started with {@code sedgeyoke keep}.
  *
- * @param enabled whether this file is a keeper's
- * @param tier the name of the tier; keepers of another one are not listened to
+ * @param enabled whether this file is a config server's
+ * @param tier the name of the tier; messages of other tiers are ignored
  * @param name its name, as in its certificate
- * @param listen where keepers, balancers and operators connect
- * @param folder what it keeps; held by one process at a time
- * @param keepers where the keepers listen, by name, itself among them
- * @param leaseMs how long a balancer acts on a version without a new word, in milliseconds; the same in the whole tier
+ * @param listen where config servers, balancers and operators connect
+ * @param folder where it stores its data; locked by one process at a time
+ * @param servers where the config servers listen, by name, itself included
+ * @param leaseMs how long a balancer acts on a config version without a renewal, in milliseconds; the same in the whole tier
  * @param driftPpm how far a clock may run fast or slow, in parts per million
- * @param forcesMayLie whether what was forced may be gone once the machine has started anew
- * @param mostFollowers further connections of balancers are turned away
- * @param tls its files
+ * @param fsyncMayBeLost whether data may be lost with a restart of the machine although fsync succeeded
+ * @param maxSubscribers further connections of balancers are rejected
+ * @param tls its certificate, key and trusted issuers
  */
 public record ConfigServerSettings(
         boolean enabled,
@@ -25,9 +25,9 @@
         String name,
         InetSocketAddress listen,
         Path folder,
-        Map<String, InetSocketAddress> keepers,
+        Map<String, InetSocketAddress> servers,
         long leaseMs,
         long driftPpm,
-        boolean forcesMayLie,
-        int mostFollowers,
+        boolean fsyncMayBeLost,
+        int maxSubscribers,
         TlsFiles tls) {}
--- a/src/main/java/sedgeyoke/settings/Key.java
+++ b/src/main/java/sedgeyoke/settings/Key.java
@@ -5,11 +5,11 @@
 /**
  * One key that an operator's file may hold.
  *
- * @param path its place, as {@code section.key}
+ * @param path its path, as {@code section.key}
  * @param type what its value is in TOML's terms
  * @param fallback the value where the file has none
- * @param reloads whether a changed value is taken over on SIGHUP; else it waits for a restart
- * @param fault what is wrong with a value of the right type, as what would be right; null if nothing is
+ * @param reloads whether a changed value takes effect on SIGHUP; others need a restart
+ * @param fault says what is invalid in a value of the right type and what would be valid; null if nothing is
  */
 record Key(String path, Type type, Object fallback, boolean reloads, Function<Object, String> fault) {
 
--- a/src/main/java/sedgeyoke/settings/PlannerSettings.java
+++ b/src/main/java/sedgeyoke/settings/PlannerSettings.java
@@ -11,9 +11,9 @@
  * @param planEveryMs how often it plans, in milliseconds
  * @param leaseMs as {@link PlannerClientSettings#leaseMs}
  * @param driftPpm as {@link PlannerClientSettings#driftPpm}
- * @param mostForwarders further ones are turned away
- * @param mostUpstreams what is reported of further ones is left out
- * @param tls its files
+ * @param mostForwarders further ones are rejected
+ * @param mostUpstreams reports of further ones are ignored
+ * @param tls its certificate, key and trusted issuers
  */
 public record PlannerSettings(
         boolean enabled,
--- a/src/main/java/sedgeyoke/settings/TlsFiles.java
+++ b/src/main/java/sedgeyoke/settings/TlsFiles.java
@@ -3,10 +3,10 @@
 import java.nio.file.Path;
 
 /**
- * Where one side of a mutual TLS link has its files, all PEM. They are read again when they change.
+ * The files of one side of a mutual TLS connection, all PEM. They are read again when they change.
  *
- * @param certificate its own certificate, with what its issuer wants in between
+ * @param certificate its own certificate, followed by intermediate ones
  * @param key its private key (PKCS #8)
- * @param trust the certificates of those who may have issued the peer's
+ * @param trust the certificates of the issuers that peers may have
  */
 public record TlsFiles(Path certificate, Path key, Path trust) {}
--- a/src/test/java/sedgeyoke/plan/remote/PlannerLinkTest.java
+++ b/src/test/java/sedgeyoke/plan/remote/PlannerLinkTest.java
@@ -374,7 +374,7 @@
     /** A module that has one cold upstream, and notes what it is told. */
     private final class Port implements ModulePort {
         @Override
-        public void agreedOut(java.util.Set<String> upstreams) {
+        public void setFleetCordons(java.util.Set<String> upstreams) {
             throw new AssertionError("planners put nothing out by hand");
         }
 
--- a/src/test/java/sedgeyoke/proxy/AdminServerTest.java
+++ b/src/test/java/sedgeyoke/proxy/AdminServerTest.java
@@ -198,7 +198,7 @@
         try (Peer up = good();
                 Loopback lb = start(up)) {
             Loopback.await("ready", () -> lb.health() == 200);
-            Thread end = new Thread(lb.server::end);
+            Thread end = new Thread(lb.server::shutDown);
             end.start();
             Loopback.await("no", () -> {
                 try {
--- a/src/test/java/sedgeyoke/proxy/BalancerProcessTest.java
+++ b/src/test/java/sedgeyoke/proxy/BalancerProcessTest.java
@@ -48,7 +48,7 @@
             Socket kept = lb.connect();
             Loopback.await("ready", () -> lb.health() == 200);
             Loopback.await("sent", () -> up.requests.size() == 1);
-            Thread end = new Thread(lb.server::end);
+            Thread end = new Thread(lb.server::shutDown);
             end.start();
             Loopback.await("draining", () -> lb.health() == 503);
             assertEquals(200, lb.ask("late", "order", 60_000).status(), "a new connection");
@@ -88,8 +88,8 @@
         "'\"repeat\":\"free\"', '\"repeat\":\"maybe\"', repeat"
     })
     void settingsThatCannotBeServedAreRefusedByName(String from, String to, String named) {
-        BalancerConfig.Bad bad = assertThrows(
-                BalancerConfig.Bad.class,
+        InvalidConfigException bad = assertThrows(
+                InvalidConfigException.class,
                 () -> Loopback.config(
                         Loopback.SETTINGS.replace(from, to), "127.0.0.1:1", 1024, Loopback.list(1, true)));
         assertTrue(bad.getMessage().contains(named), bad.getMessage());
--- a/src/test/java/sedgeyoke/proxy/CrossingsTest.java
+++ b/src/test/java/sedgeyoke/proxy/CrossingsTest.java
@@ -168,7 +168,7 @@
 
     /** Ends it on a thread of its own; the time of the signal. */
     private static long end(Loopback lb) {
-        new Thread(lb.server::end).start();
+        new Thread(lb.server::shutDown).start();
         return System.nanoTime();
     }
 
--- a/src/test/java/sedgeyoke/proxy/GracefulShutdownTest.java
+++ b/src/test/java/sedgeyoke/proxy/GracefulShutdownTest.java
@@ -27,7 +27,7 @@
 
         /** The signal reaches us {@code signalLate} after it was sent; the loop stands for 100 ms from then on. */
         HeldUpLoop(long signalLate, long knownLate, long heldAt) {
-            GracefulShutdown ending = new GracefulShutdown(signalLate - knownLate, DEADLINE);
+            ShutdownDeadlines deadlines = new ShutdownDeadlines(signalLate - knownLate, DEADLINE);
             List<Long> open = new ArrayList<>();
             long unread = signalLate;
             long due = signalLate;
@@ -37,17 +37,17 @@
                     continue;
                 }
                 for (; unread <= now && !closed; unread += 5 * MS) { // what has come is read before timers run
-                    if (now < ending.lastRequest()) {
+                    if (now < deadlines.lastRequest()) {
                         open.add(unread); // else it is refused at once
                     }
                 }
-                ending.looked(now);
-                closed |= now >= ending.lastRequest();
-                if (now >= ending.lastAnswer()) {
+                deadlines.checked(now);
+                closed |= now >= deadlines.lastRequest();
+                if (now >= deadlines.lastResponse()) {
                     open.clear();
                 }
                 due = now + 5 * MS;
-                ending.due(due);
+                deadlines.scheduleCheck(due);
             }
             lostAt.addAll(open);
             for (; unread < KILLED && !closed; unread += 5 * MS) {
@@ -74,12 +74,12 @@
 
     @Test
     void whoWasLateKeepsMoreTimeFree() {
-        GracefulShutdown ending = new GracefulShutdown(0, DEADLINE);
-        long before = ending.lastAnswer();
-        ending.due(10 * MS);
-        ending.looked(210 * MS);
-        assertTrue(ending.lastAnswer() < before);
-        assertTrue(ending.lastRequest() >= ending.listenUntil(), "connections that may come are served");
+        ShutdownDeadlines deadlines = new ShutdownDeadlines(0, DEADLINE);
+        long before = deadlines.lastResponse();
+        deadlines.scheduleCheck(10 * MS);
+        deadlines.checked(210 * MS);
+        assertTrue(deadlines.lastResponse() < before);
+        assertTrue(deadlines.lastRequest() >= deadlines.listenUntil(), "connections that may come are served");
     }
 
     /** The same on sockets: a loop that stands still for 100 ms at each 20 ms of the last half second. */
@@ -140,7 +140,7 @@
             }
             Loopback.await("all are known", () -> lb.server.clients() >= clients);
             long[] told = new long[1];
-            Thread end = new Thread(lb.server::end);
+            Thread end = new Thread(lb.server::shutDown);
             lb.loop
                     .submit(() -> {
                         told[0] = System.nanoTime();
--- a/src/test/java/sedgeyoke/proxy/HandOverTest.java
+++ b/src/test/java/sedgeyoke/proxy/HandOverTest.java
@@ -54,7 +54,7 @@
             Loopback.await("accepted", () -> old.server.clients() >= 2);
             try (Loopback next = start(listener, up, discovery(up))) {
                 Loopback.await("the new one takes clients", () -> healthy(next));
-                Thread end = new Thread(old.server::end);
+                Thread end = new Thread(old.server::shutDown);
                 end.start();
                 Loopback.await("the old one does not", () -> !healthy(old));
                 for (int i = 0; i < 50; i++) {
--- a/src/test/java/sedgeyoke/proxy/Loopback.java
+++ b/src/test/java/sedgeyoke/proxy/Loopback.java
@@ -161,7 +161,7 @@
         server = new BalancerServer(loop, config, node, Transport.SOCKETS, setup.bodies, setup.inherited);
         ChannelFuture bound = server.bind().sync();
         address = (InetSocketAddress) bound.channel().localAddress();
-        ChannelFuture opened = server.openDoor();
+        ChannelFuture opened = server.bindAdminEndpoint();
         door = opened == null
                 ? null
                 : (InetSocketAddress) opened.sync().channel().localAddress();
--- a/src/test/java/sedgeyoke/proxy/ShutdownWithBodiesTest.java
+++ b/src/test/java/sedgeyoke/proxy/ShutdownWithBodiesTest.java
@@ -40,7 +40,7 @@
     }
 
     private static Thread end(Loopback lb) throws InterruptedException {
-        Thread end = new Thread(lb.server::end);
+        Thread end = new Thread(lb.server::shutDown);
         end.start();
         Loopback.await("draining", () -> lb.health() == 503);
         return end;
--- a/src/test/java/sedgeyoke/settings/OperatorFileTest.java
+++ b/src/test/java/sedgeyoke/settings/OperatorFileTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -72,6 +73,11 @@
                 "[plans];enabled = true                         | 2 | plans.planners      | is needed",
                 "[planner];enabled = true                       | 2 | planner.listen      | is needed",
                 "[planner];name = ' '                           | 2 | planner.name        | not be empty",
+                "[keeper];lease_ms = 1                          | 2 | keeper.lease_ms     | from 1000 to 60000",
+                "[config_server];lease_ms = 1                   | 2 | config_server.lease_ms | from 1000 to 60000",
+                "[agreed];nonesuch = 1                          | 2 | agreed.nonesuch     | keys of [config] are enabled",
+                "[agreed];enabled = true                        | 2 | config.servers      | is needed",
+                "[keeper];enabled = true                        | 2 | config_server.tier  | is needed",
                 "[plans;                                        | 1 | ''                  | ''"
             })
     void whatIsWrongIsNamedWithItsLineAndWhatWouldBeRight(String text, int line, String key, String says) {
@@ -85,6 +91,77 @@
         assertTrue(problem.toString().startsWith(folder.resolve("operator.toml") + ":" + line + ": "));
     }
 
+    private static String configServer(String section, String servers, String fsync, String subscribers) {
+        return "[" + section + "]\nenabled = true\ntier = \"t\"\nname = \"k1\"\nlisten = \"127.0.0.1:7600\"\n"
+                + "folder = \"d\"\n" + servers + " = [\"k1=127.0.0.1:7600\"]\n" + fsync + " = true\n" + subscribers
+                + " = 7\nlease_ms = 5000\ncertificate = \"a.pem\"\nkey = \"a.key\"\ntrust = \"ca.pem\"\n";
+    }
+
+    private static String subscription(String section, String servers) {
+        return "[" + section + "]\nenabled = true\n" + servers + " = [\"127.0.0.1:7600\"]\ndrift_ppm = 9\n"
+                + "certificate = \"a.pem\"\nkey = \"a.key\"\ntrust = \"ca.pem\"\n";
+    }
+
+    private OperatorFile read(String text, List<String> warnings) throws InvalidOperatorFileException, IOException {
+        return OperatorFile.load(Files.writeString(folder.resolve("operator.toml"), text), warnings::add);
+    }
+
+    @Test
+    void oldNamesOfTheConfigServersKeysMeanTheSameAndWarnInOneLine() throws Exception {
+        List<String> warnings = new ArrayList<>();
+        OperatorFile current =
+                read(configServer("config_server", "servers", "fsync_may_be_lost", "max_subscribers"), warnings);
+        assertEquals(List.of(), warnings);
+        OperatorFile old = read(configServer("keeper", "keepers", "forces_may_lie", "most_followers"), warnings);
+        assertEquals(current.configServer(), old.configServer());
+        assertTrue(old.configServer().enabled());
+        assertTrue(old.configServer().fsyncMayBeLost());
+        assertEquals(7, old.configServer().maxSubscribers());
+        assertEquals(5_000, old.configServer().leaseMs());
+        assertEquals(List.of("k1"), List.copyOf(old.configServer().servers().keySet()));
+        assertEquals(1, warnings.size());
+        assertTrue(warnings.get(0).startsWith(folder.resolve("operator.toml") + ": "), warnings.get(0));
+        assertTrue(warnings.get(0).contains("[keeper] is now [config_server]"), warnings.get(0));
+        assertTrue(warnings.get(0).contains("forces_may_lie is now fsync_may_be_lost"), warnings.get(0));
+        assertTrue(warnings.get(0).contains("most_followers is now max_subscribers"), warnings.get(0));
+        assertTrue(warnings.get(0).contains("keepers is now servers"), warnings.get(0));
+    }
+
+    @Test
+    void oldNamesOfTheSubscriptionsKeysMeanTheSameAndWarnInOneLine() throws Exception {
+        List<String> warnings = new ArrayList<>();
+        OperatorFile current = read(subscription("config", "servers"), warnings);
+        assertEquals(List.of(), warnings);
+        OperatorFile old = read(subscription("agreed", "keepers"), warnings);
+        assertEquals(current.config(), old.config());
+        assertTrue(old.config().enabled());
+        assertEquals(9, old.config().driftPpm());
+        assertEquals(List.of(), current.needRestart(old));
+        assertEquals(1, warnings.size());
+        assertTrue(warnings.get(0).contains("[agreed] is now [config], keepers is now servers"), warnings.get(0));
+    }
+
+    @Test
+    void oldAndNewNamesMixInOneFile() throws Exception {
+        List<String> warnings = new ArrayList<>();
+        assertTrue(read(subscription("config", "keepers"), warnings).config().enabled());
+        assertTrue(read(subscription("agreed", "servers"), warnings).config().enabled());
+        assertEquals(2, warnings.size());
+        OperatorFile client = read(
+                "[operator]\nname = \"op\"\nkeepers = [\"127.0.0.1:7600\"]\n"
+                        + "certificate = \"a\"\nkey = \"b\"\ntrust = \"c\"\n",
+                warnings);
+        assertEquals(7600, client.operator().servers().get(0).getPort());
+        assertEquals(3, warnings.size());
+    }
+
+    @Test
+    void aKeyUnderBothItsNamesIsAProblem() {
+        List<ConfigProblem> found = problems("[keeper]\ntier = \"a\"\n[config_server]\ntier = \"b\"\n");
+        assertEquals(1, found.size());
+        assertTrue(found.get(0).message().contains("second time"), found.toString());
+    }
+
     @Test
     void featuresThatExcludeEachOtherAreNamedTogether() {
         List<ConfigProblem> found = problems(FORWARDER + "[planner]\nenabled = true\nname = \"p\"\n"
