--- a/src/main/java/sedgeyoke/proxy/AttemptOutcomes.java
+++ b/src/main/java/sedgeyoke/proxy/AttemptOutcomes.java
@@ -18,7 +18,7 @@
             return Outcome.OK;
         }
         boolean rejected = "1".equals(head.headers().get("X-Rejected"));
-        return rejected && (status == 503 || status == 504) ? Outcome.FULL : Outcome.ERROR;
+        return rejected && (status == 503 || status == 504) ? Outcome.REJECTED : Outcome.ERROR;
     }
 
     /** The connection broke or was closed before a complete response. */
@@ -38,6 +38,6 @@
 
     /** The client stopped in the middle of its request body. */
     static Outcome afterClientAbort(Attempt attempt) {
-        return attempt.written ? Outcome.CANCELLED : Outcome.MOOT;
+        return attempt.written ? Outcome.CANCELLED : Outcome.NOT_SENT;
     }
 }
--- a/src/main/java/sedgeyoke/proxy/BalancerConfig.java
+++ b/src/main/java/sedgeyoke/proxy/BalancerConfig.java
@@ -146,10 +146,10 @@
         }
         Settings settings = facts.settings();
         require(settings.limits().connectTimeout() > 0, "settings.ceilings.connect-timeout-s");
-        require(settings.limits().connectIdle() > 0, "settings.ceilings.conn-idle-s");
+        require(settings.limits().idleTimeout() > 0, "settings.ceilings.conn-idle-s");
         require(!facts.classNames().contains(""), "settings.classes[].name");
-        unsupported(settings.limits().probes(), "ceilings.probes");
-        unsupported(settings.reports() == Reports.BY_PROBE, "report.via");
+        unsupported(settings.limits().healthChecks(), "ceilings.probes");
+        unsupported(settings.reports() == Reports.BY_HEALTH_CHECK, "report.via");
         unsupported(settings.limits().peers(), "ceilings.peers");
         unsupported(settings.classes().stream().anyMatch(RequestClass::stream), "classes[].stream");
         return facts;
--- a/src/main/java/sedgeyoke/proxy/Cordons.java
+++ b/src/main/java/sedgeyoke/proxy/Cordons.java
@@ -86,6 +86,6 @@
         fleetWide.forEach(all::putIfAbsent);
         log.line("cordons: " + (all.isEmpty() ? "none" : String.join(" ", all.keySet())));
         pool.updateCordons(all.keySet());
-        events.deliver(() -> events.policy().cordons(clock.now(), all));
+        events.deliver(() -> events.policy().cordonsUpdated(clock.now(), all));
     }
 }
--- a/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
+++ b/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
@@ -107,10 +107,10 @@
         this.transport = transport;
         this.random = new Random(config.seed());
         this.address = config.discovery();
-        this.pushed = !config.facts().settings().askForList();
+        this.pushed = !config.facts().settings().subscribesToEndpoints();
         long drainGraceMillis = config.facts().settings().rules().drainGrace() / 1_000;
         this.maxSilenceMillis = (int) Math.max(MIN_SILENCE_MILLIS, Math.min(MAX_SILENCE_MILLIS, drainGraceMillis / 2));
-        this.completeListNeeded = !config.facts().settings().askForList()
+        this.completeListNeeded = !config.facts().settings().subscribesToEndpoints()
                 || config.known().members().isEmpty();
         this.listed = !completeListNeeded; // a watch ends only with changes, and clients must not wait for these
         this.revision = config.known().revision();
--- a/src/main/java/sedgeyoke/proxy/EndpointList.java
+++ b/src/main/java/sedgeyoke/proxy/EndpointList.java
@@ -19,7 +19,7 @@
 public record EndpointList(long revision, boolean complete, List<Member> members) {
     static final EndpointList EMPTY = new EndpointList(-1, true, List.of());
     private static final Map<String, State> STATES_BY_PHASE =
-            Map.of("up", State.READY, "draining", State.DRAINING, "removed", State.GONE);
+            Map.of("up", State.READY, "draining", State.DRAINING, "removed", State.REMOVED);
 
     /** One entry: what the policy gets, and the address to connect to (null for a removed upstream without one). */
     public record Member(Upstream upstream, InetSocketAddress address) {}
@@ -36,7 +36,7 @@
             String id = member.path("id").asText("");
             State state = STATES_BY_PHASE.get(member.path("phase").asText(""));
             InetSocketAddress address = IpAddress.parse(member.path("host_port").asText(""));
-            if (id.isEmpty() || state == null || address == null && state != State.GONE) {
+            if (id.isEmpty() || state == null || address == null && state != State.REMOVED) {
                 throw new InvalidEndpointListException("an entry without id, phase or host_port");
             }
             // The policy's clock starts as the wall clock, so launch times need no conversion.
--- a/src/main/java/sedgeyoke/proxy/ExchangeTable.java
+++ b/src/main/java/sedgeyoke/proxy/ExchangeTable.java
@@ -67,7 +67,7 @@
 
     /** Takes a client's request; it is owed one response from here on. */
     void accept(Exchange exchange) {
-        if (exchanges.size() >= settings.limits().maxOpen() || clock.now() >= lastRequestMicros) {
+        if (exchanges.size() >= settings.limits().maxConcurrentRequests() || clock.now() >= lastRequestMicros) {
             reject(exchange, 0);
             return;
         }
@@ -87,13 +87,13 @@
         LoadBalancingPolicy.Request request = exchange.request;
         long now = clock.now();
         events.policy()
-                .request(
+                .requestArrived(
                         now,
                         new LoadBalancingPolicy.Request(
                                 request.id(),
                                 request.classIndex(),
                                 request.tenant(),
-                                request.key(),
+                                request.affinityKey(),
                                 request.expectedWork(),
                                 exchange.deadlineMicros - clock.now(),
                                 request.write(),
@@ -125,13 +125,13 @@
     void clientDisconnected(Exchange exchange) {
         if (!exchange.answered) {
             exchange.answered = true;
-            notifyClientGone(exchange);
+            notifyClientDisconnected(exchange);
             removeIfDone(exchange);
         }
     }
 
-    private void notifyClientGone(Exchange exchange) {
-        events.deliver(exchange, () -> events.policy().clientGone(clock.now(), exchange.request.id()));
+    private void notifyClientDisconnected(Exchange exchange) {
+        events.deliver(exchange, () -> events.policy().clientDisconnected(clock.now(), exchange.request.id()));
     }
 
     /** The client will send no more of a body of which a part was forwarded: the request can never be executed. */
@@ -144,7 +144,7 @@
                     stop(attempt, AttemptOutcomes.afterClientAbort(attempt));
                 }
             }
-            notifyClientGone(exchange);
+            notifyClientDisconnected(exchange);
             removeIfDone(exchange);
         }
     }
@@ -160,7 +160,7 @@
         } else {
             reject(exchange, 0);
         }
-        events.deliver(() -> events.policy().clientGone(clock.now(), exchange.request.id()));
+        events.deliver(() -> events.policy().clientDisconnected(clock.now(), exchange.request.id()));
         removeIfDone(exchange);
     }
 
@@ -224,7 +224,8 @@
         Exchange exchange = attempt.exchange;
         if (exchange.streamingAttempt == null) {
             exchange.streamingAttempt = attempt;
-            events.deliver(exchange, () -> events.policy().opened(clock.now(), exchange.request.id(), attempt.number));
+            events.deliver(exchange, () -> events.policy()
+                    .responseStarted(clock.now(), exchange.request.id(), attempt.number));
         }
     }
 
@@ -238,7 +239,8 @@
 
     private void notifyTransfer(Attempt attempt) {
         Exchange exchange = attempt.exchange;
-        events.deliver(exchange, () -> events.policy().transfers(clock.now(), exchange.request.id(), attempt.number));
+        events.deliver(
+                exchange, () -> events.policy().transferStarted(clock.now(), exchange.request.id(), attempt.number));
     }
 
     @Override
@@ -316,7 +318,7 @@
                 latencyMicros,
                 exchange.answered,
                 response == null ? null : response.load());
-        events.deliver(exchange, () -> events.policy().outcome(clock.now(), end));
+        events.deliver(exchange, () -> events.policy().attemptEnded(clock.now(), end));
     }
 
     /**
@@ -326,12 +328,12 @@
      */
     long resendDeadlineMicros(Exchange exchange) {
         LoadBalancingPolicy.RequestClass requestClass = classOf(exchange);
-        if (requestClass.effect() != LoadBalancingPolicy.Effect.KEYED) {
+        if (requestClass.effect() != LoadBalancingPolicy.Effect.IDEMPOTENT_WITH_KEY) {
             return Long.MAX_VALUE;
         }
         return exchange.attempts.stream()
                 .filter(attempt -> attempt.mayHaveRun)
-                .mapToLong(attempt -> attempt.startTimeMicros + requestClass.memorySpan())
+                .mapToLong(attempt -> attempt.startTimeMicros + requestClass.deduplicationWindow())
                 .min()
                 .orElse(Long.MAX_VALUE);
     }
--- a/src/main/java/sedgeyoke/proxy/PolicyActions.java
+++ b/src/main/java/sedgeyoke/proxy/PolicyActions.java
@@ -49,7 +49,7 @@
                 new Attempt(exchange, number, upstream, now, deadline, exchanges.resendDeadlineMicros(exchange));
         exchange.attempts.add(attempt);
         if (exchange.answered || number >= settings.limits().maxAttempts() || deadline <= now) {
-            exchanges.ended(attempt, Outcome.MOOT, null);
+            exchanges.ended(attempt, Outcome.NOT_SENT, null);
             return;
         }
         if (deadline < exchange.deadlineMicros) {
@@ -60,7 +60,7 @@
     }
 
     @Override
-    public void refuse(String request, long retryAfter) {
+    public void reject(String request, long retryAfter) {
         Exchange exchange = exchanges.get(request);
         if (exchange != null) {
             exchanges.reject(exchange, retryAfter);
@@ -89,13 +89,13 @@
     }
 
     @Override
-    public void timer(String token, long delay) {
+    public void setTimer(String token, long delay) {
         long due = clock.now() + delay;
         clock.timerSet(due);
         loop.schedule(
                 () -> {
                     clock.timerFired(due);
-                    events.deliver(() -> events.policy().timer(clock.now(), token));
+                    events.deliver(() -> events.policy().timerFired(clock.now(), token));
                 },
                 delay,
                 TimeUnit.MICROSECONDS);
@@ -107,14 +107,14 @@
     }
 
     @Override
-    public void watch(boolean on) {
-        if (settings.askForList()) {
-            discovery.watch(on);
+    public void watchEndpoints(boolean enabled) {
+        if (settings.subscribesToEndpoints()) {
+            discovery.watch(enabled);
         }
     }
 
     @Override
-    public void fetch() {
+    public void fetchEndpoints() {
         discovery.fetch();
     }
 
@@ -124,12 +124,12 @@
     }
 
     @Override
-    public void probe(String upstream) {
+    public void healthCheck(String upstream) {
         throw new UnsupportedOperationException("health checks: BalancerConfig rejects settings that allow them");
     }
 
     @Override
-    public void tell(int peer, byte[] body) {
+    public void sendToPeer(int peer, byte[] body) {
         throw new UnsupportedOperationException("gossip: BalancerConfig rejects settings that allow it");
     }
 }
--- a/src/main/java/sedgeyoke/proxy/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/ProxyCore.java
@@ -85,8 +85,8 @@
         events.deliver(() -> events.policy().start(now()));
         EndpointList known = config.known();
         pool.update(known);
-        events.deliver(() -> events.policy().upstreams(now(), ListKind.RESTORED, known.upstreams()));
-        if (!settings.askForList()) {
+        events.deliver(() -> events.policy().endpointsUpdated(now(), ListKind.RESTORED, known.upstreams()));
+        if (!settings.subscribesToEndpoints()) {
             discovery.watch(true);
         }
         if (config.ops() != null) {
@@ -97,12 +97,12 @@
     /** Takes over an endpoint list; null stands for a poll that failed. */
     private void endpointsListed(EndpointList list) {
         if (list == null) {
-            events.deliver(() -> events.policy().upstreams(now(), ListKind.UNAVAILABLE, List.of()));
+            events.deliver(() -> events.policy().endpointsUpdated(now(), ListKind.UNAVAILABLE, List.of()));
             return;
         }
         pool.update(list);
         ListKind kind = list.complete() ? ListKind.COMPLETE : ListKind.CHANGES;
-        events.deliver(() -> events.policy().upstreams(now(), kind, list.upstreams()));
+        events.deliver(() -> events.policy().endpointsUpdated(now(), kind, list.upstreams()));
     }
 
     /** Takes over what may change without a restart, from a configuration that was read again. */
@@ -172,7 +172,7 @@
     /** The longest that clients wait for a response, in microseconds, as far as the platform waits for it. */
     long longestDeadline() {
         long longest = settings.classes().stream()
-                .mapToLong(LoadBalancingPolicy.RequestClass::giveUp)
+                .mapToLong(LoadBalancingPolicy.RequestClass::clientTimeout)
                 .max()
                 .orElse(0);
         return Math.min(MAX_DEADLINE_MICROS, longest);
@@ -210,7 +210,7 @@
 
     /** Metrics as text; {@code inFlight} is the number of requests that are taken and not yet answered. */
     String metrics(int inFlight) {
-        List<LoadBalancingPolicy.Standing> upstreams =
+        List<LoadBalancingPolicy.UpstreamStatus> upstreams =
                 events.policy().summary(now()).upstreams();
         int excluded = (int) upstreams.stream()
                 .filter(upstream -> upstream.ejected() || upstream.state() != LoadBalancingPolicy.State.READY)
--- a/src/main/java/sedgeyoke/proxy/UpstreamConnectionPool.java
+++ b/src/main/java/sedgeyoke/proxy/UpstreamConnectionPool.java
@@ -49,7 +49,7 @@
         this.transport = transport;
         this.maxConnections = maxConnections;
         this.maxIdleMicros =
-                (long) (IDLE_TIME_SHARE * context.settings().limits().connectIdle());
+                (long) (IDLE_TIME_SHARE * context.settings().limits().idleTimeout());
         this.drainGraceMicros = context.settings().rules().drainGrace();
         long connectTimeoutMillis = context.settings().limits().connectTimeout() / 1_000;
         this.bootstrap = transport.client(context.loop()).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
@@ -72,7 +72,7 @@
         }
         for (EndpointList.Member member : list.members()) {
             String id = member.upstream().id();
-            if (member.upstream().state() == State.GONE) {
+            if (member.upstream().state() == State.REMOVED) {
                 remove(id);
                 continue;
             }
@@ -132,7 +132,7 @@
     void start(Attempt attempt) {
         UpstreamEndpoint endpoint = endpoints.get(attempt.upstream);
         if (endpoint == null || attempt.exchange.answered) {
-            end(attempt, Outcome.MOOT);
+            end(attempt, Outcome.NOT_SENT);
             return;
         }
         long now = context.now();
@@ -148,7 +148,7 @@
     private void connect(UpstreamEndpoint endpoint, Attempt attempt) {
         if (connections >= maxConnections && !closeOldestIdle()) {
             // All sockets are busy: the upstream gets nothing of the request, as if it had rejected it.
-            end(attempt, Outcome.FULL);
+            end(attempt, Outcome.REJECTED);
             return;
         }
         connections++;
@@ -222,7 +222,7 @@
                 || leftMillis <= 0
                 || now >= attempt.resendDeadlineMicros) {
             connection.release();
-            end(attempt, Outcome.MOOT);
+            end(attempt, Outcome.NOT_SENT);
             return;
         }
         connection.send(attempt, leftMillis);
--- a/src/main/java/sedgeyoke/serve/OptionalFeatures.java
+++ b/src/main/java/sedgeyoke/serve/OptionalFeatures.java
@@ -45,7 +45,11 @@
             throw new InvalidFeatureException(path, e.getMessage(), e);
         }
         if (file.configServer().enabled()) {
-            throw invalid(path, "config_server.enabled", "this file is a config server's; start it with 'keep'", null);
+            throw invalid(
+                    path,
+                    "config_server.enabled",
+                    "this file is a config server's; start it with 'config-server'",
+                    null);
         }
         if (file.planner().enabled()) {
             throw invalid(path, "planner.enabled", "this file is a planner's; start it with 'plan'", null);
@@ -73,7 +77,7 @@
         }
         LoadBalancingPolicy.Settings settings = config.facts().settings();
         double minGrant =
-                MIN_GRANT_REQUESTS * 1e6 / Math.max(1, settings.rules().fallTime());
+                MIN_GRANT_REQUESTS * 1e6 / Math.max(1, settings.rules().overloadWindow());
         Follower.Identity self = new Follower.Identity(
                 config.name(),
                 new SecureRandom().nextLong() | 1,
@@ -90,8 +94,7 @@
     }
 
     /** Upstreams that are cordoned in the config servers are cordoned here, too. */
-    private void startConfigSubscription(BalancerServer server, BalancerConfig config)
-            throws InvalidFeatureException {
+    private void startConfigSubscription(BalancerServer server, BalancerConfig config) throws InvalidFeatureException {
         ConfigSubscriptionSettings subscription = file.config();
         if (!subscription.enabled()) {
             return;
