--- a/src/main/java/sedgeyoke/experiment/Report.java
+++ b/src/main/java/sedgeyoke/experiment/Report.java
@@ -80,7 +80,9 @@
                     .put("at", f.startSeconds())
                     .put("what", Table.name(f.kind()))
                     .put("count", f.count())
-                    .put("until", f.startSeconds() + f.intervalSeconds() * Math.max(0, f.count() - 1) + f.durationSeconds());
+                    .put(
+                            "until",
+                            f.startSeconds() + f.intervalSeconds() * Math.max(0, f.count() - 1) + f.durationSeconds());
         }
         put(v, "service_by_second", mean(runs, Run::serviceBySecond));
         put(v, "mean_ms_by_second", mean(runs, Run::meanMsBySecond));
--- a/src/main/java/sedgeyoke/simulation/SimulatedForwarder.java
+++ b/src/main/java/sedgeyoke/simulation/SimulatedForwarder.java
@@ -8,7 +8,6 @@
 import sedgeyoke.policy.LoadBalancingPolicy;
 import sedgeyoke.policy.LoadBalancingPolicy.AttemptEnd;
 import sedgeyoke.policy.LoadBalancingPolicy.ListKind;
-import sedgeyoke.policy.LoadBalancingPolicy.LoadReport;
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 import sedgeyoke.policy.LoadBalancingPolicy.Request;
 import sedgeyoke.policy.SerializedEvents;
@@ -16,7 +15,7 @@
 /**
  * One forwarder: the policy under test in a simulated process, with what the real program does around it. It delivers
  * events to the policy in order, performs the policy's actions, answers each exchange once, and ends exchanges whose
- * deadline has come. {@link AttemptTransport} has the connections, {@link SimulatedPlannerClient} the planners.
+ * deadline has come. {@link UpstreamTransport} has the connections, {@link SimulatedPlannerClient} the planners.
  */
 final class SimulatedForwarder implements LoadBalancingPolicy.Actions {
     /** As the program has it: what the request's way to the forwarder takes of its deadline. */
@@ -41,15 +40,14 @@
     private final long clockSkewMicros;
     private final double clockDrift;
     private final SimulatedProcess process;
-    private final AttemptTransport transport;
+    private final UpstreamTransport transport;
     private final SimulatedPlannerClient plannerClient;
     private final Map<String, SimulatedExchange> exchanges = new HashMap<>();
     private final Map<String, SimulatedDiscovery.Endpoint> endpoints = new HashMap<>();
     private SerializedEvents policyEvents = new SerializedEvents();
     private LoadBalancingPolicy policy;
     private boolean shuttingDown;
-    private int acceptedRequests;
-    private long busyUntilMicros;
+    private ColdStartDelay coldStart;
 
     /**
      * A forwarder's identity.
@@ -80,7 +78,7 @@
         this.discovery = discovery.subscribe(this);
         this.process = new SimulatedProcess(context.events);
         this.transport =
-                new AttemptTransport(context, upstreams, process, spec.zone(), settings.limits(), this::attemptEnded);
+                new UpstreamTransport(context, upstreams, process, spec.zone(), settings.limits(), this::attemptEnded);
         this.plannerClient = new SimulatedPlannerClient(context, this, process, planners);
     }
 
@@ -92,7 +90,7 @@
         return spec.zone();
     }
 
-    AttemptTransport transport() {
+    UpstreamTransport transport() {
         return transport;
     }
 
@@ -127,8 +125,7 @@
     void start() {
         process.start();
         shuttingDown = false;
-        acceptedRequests = 0;
-        busyUntilMicros = 0;
+        coldStart = new ColdStartDelay(context.events, context.scenario.network());
         policy = policyFactory.create(settings, spec.seed() + SEED_STEP * process.incarnation(), this, upstreams);
         deliver(() -> policy.start(localTime()));
         discovery.deliverAll();
@@ -219,25 +216,15 @@
         }
     }
 
-    /** A request has reached the running process; the first ones of an incarnation wait for cold code. */
+    /** A request has reached the running process; the first ones of an incarnation are delayed. */
     void requestReceived(SimulatedExchange exchange) {
         int incarnation = process.incarnation();
-        long costMicros = coldStartCost(acceptedRequests++);
-        if (costMicros == 0) {
+        long delayMicros = coldStart.nextRequest();
+        if (delayMicros == 0) {
             accept(incarnation, exchange, 0);
-            return;
+        } else {
+            context.events.schedule(delayMicros, () -> accept(incarnation, exchange, delayMicros));
         }
-        long receivedAtMicros = context.events.now();
-        busyUntilMicros = Math.max(receivedAtMicros, busyUntilMicros) + costMicros;
-        context.events.schedule(
-                busyUntilMicros - receivedAtMicros,
-                () -> accept(incarnation, exchange, context.events.now() - receivedAtMicros));
-    }
-
-    /** What a request costs extra after so many others, as little of the code is compiled at first. */
-    private long coldStartCost(int requestsBefore) {
-        int remaining = Math.max(0, Scenario.Network.COLD_START_REQUESTS - requestsBefore);
-        return context.scenario.network().coldStartUs() * remaining / Scenario.Network.COLD_START_REQUESTS;
     }
 
     private void accept(int incarnation, SimulatedExchange exchange, long waitedMicros) {
@@ -312,16 +299,11 @@
                 outcome,
                 context.events.now() - attempt.startedAtMicros(),
                 exchange.answered(),
-                answer == null ? null : loadReport(answer));
+                answer == null ? null : LoadReports.of(answer));
         deliver(() -> policy.attemptEnded(localTime(), end));
         removeIfComplete(exchange);
     }
 
-    private static LoadReport loadReport(UpstreamModel.Answer answer) {
-        return new LoadReport(
-                answer.utilisation(), Double.NaN, answer.waiting(), answer.serviceMs() * 1_000, Double.NaN, Double.NaN);
-    }
-
     // ---- Actions of the policy -----------------------------------------------------------------------
 
     @Override
@@ -387,29 +369,11 @@
         process.schedule(delay, () -> deliver(() -> policy.timerFired(localTime(), token)));
     }
 
-    /** The answer to a health check has nothing but the load report; it bypasses the upstream's queue. */
     @Override
-    public void healthCheck(String upstreamId) {
-        SimulatedDiscovery.Endpoint target = endpoints.get(upstreamId);
-        SimulatedUpstream upstream = target == null ? null : upstreams.at(target.address());
-        int incarnation = process.incarnation();
-        int targetZone = target == null ? spec.zone() : target.upstream().zone();
-        long delayMicros = context.drawDelay(spec.zone(), targetZone);
-        context.events.schedule(delayMicros, () -> {
-            boolean answers = upstream != null && !upstream.model().silent();
-            LoadReport load = answers ? healthCheckReport(upstream.model()) : null;
-            Outcome outcome = answers ? Outcome.OK : Outcome.TIMEOUT;
-            context.events.schedule(
-                    delayMicros,
-                    () -> process.execute(
-                            incarnation,
-                            () -> deliver(() -> policy.healthCheckCompleted(localTime(), upstreamId, outcome, load))));
-        });
-    }
-
-    private static LoadReport healthCheckReport(UpstreamModel model) {
-        return new LoadReport(
-                model.utilisation(), model.inFlight(), Double.NaN, model.serviceMs() * 1_000, Double.NaN, Double.NaN);
+    public void healthCheck(String upstream) {
+        transport.checkHealth(
+                endpoints.get(upstream),
+                (outcome, load) -> deliver(() -> policy.healthCheckCompleted(localTime(), upstream, outcome, load)));
     }
 
     @Override
--- a/src/main/java/sedgeyoke/simulation/AttemptTransport.java
+++ b/src/main/java/sedgeyoke/simulation/UpstreamTransport.java
@@ -2,16 +2,26 @@
 
 import sedgeyoke.model.UpstreamModel;
 import sedgeyoke.policy.LoadBalancingPolicy.Limits;
+import sedgeyoke.policy.LoadBalancingPolicy.LoadReport;
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 
-/** Carries a forwarder's attempts to upstreams and their results back: connections, handshakes, delays and losses. */
-final class AttemptTransport implements SimulatedAttempt.BreakListener {
+/**
+ * Carries a forwarder's attempts and health checks to upstreams, and their results back: connections, handshakes, delays
+ * and losses.
+ */
+final class UpstreamTransport implements SimulatedAttempt.BreakListener {
     /** Handles the result of an attempt once it has reached the forwarder. */
     interface ResultHandler {
         /** {@code answer} is null unless the upstream has answered. */
         void attemptEnded(SimulatedAttempt attempt, Outcome outcome, UpstreamModel.Answer answer);
     }
 
+    /** Handles the result of a health check once it has reached the forwarder. */
+    interface HealthCheckHandler {
+        /** {@code load} is null unless the upstream has answered. */
+        void completed(Outcome outcome, LoadReport load);
+    }
+
     private final SimulationContext context;
     private final SimulatedUpstreams upstreams;
     private final SimulatedProcess forwarder;
@@ -23,7 +33,7 @@
     private long handshakes;
     private long crossZoneAttempts;
 
-    AttemptTransport(
+    UpstreamTransport(
             SimulationContext context,
             SimulatedUpstreams upstreams,
             SimulatedProcess forwarder,
@@ -170,4 +180,19 @@
             attempt.closeConnection();
         }
     }
+
+    /** Sends a health check, which bypasses the upstream's queue; without a target it is not answered. */
+    void checkHealth(SimulatedDiscovery.Endpoint target, HealthCheckHandler handler) {
+        int incarnation = forwarder.incarnation();
+        SimulatedUpstream upstream = target == null ? null : upstreams.at(target.address());
+        int targetZone = target == null ? zone : target.upstream().zone();
+        long delayMicros = context.drawDelay(zone, targetZone);
+        context.events.schedule(delayMicros, () -> {
+            boolean answers = upstream != null && !upstream.model().silent();
+            Outcome outcome = answers ? Outcome.OK : Outcome.TIMEOUT;
+            LoadReport load = answers ? LoadReports.ofHealthCheck(upstream.model()) : null;
+            context.events.schedule(
+                    delayMicros, () -> forwarder.execute(incarnation, () -> handler.completed(outcome, load)));
+        });
+    }
 }
