--- a/src/main/java/sedgeyoke/proxy/ClientConnection.java
+++ b/src/main/java/sedgeyoke/proxy/ClientConnection.java
@@ -401,8 +401,8 @@
     /** Rejects a request that the policy is not asked about. */
     private void rejectForLackOfRoom(Request request) {
         keepAlive = false;
-        core.refusedUnheard(request.classIndex());
-        refused(core.advice(0));
+        core.countRejected(request.classIndex());
+        refused(core.retryAfter(0));
     }
 
     /** Rejects a request whose rest cannot or must not be read. If a part was forwarded, its end never will be. */
@@ -425,7 +425,7 @@
 
     private void abortStreamedRequest(Exchange aborted, RequestBody body) {
         if (aborted != null) {
-            core.cutShort(aborted);
+            core.requestBodyAborted(aborted);
         }
         body.abort();
     }
@@ -498,7 +498,7 @@
                 stateSinceMicros = core.now(); // the client reads
             }
         });
-        budget.holds(Transport.pending(channel));
+        budget.holds(Transport.pendingBytes(channel));
         return channel.isWritable();
     }
 
@@ -588,7 +588,7 @@
         if (incomplete != null) {
             abortStreamedRequest(incomplete.streams() ? abandoned : null, incomplete);
         } else if (abandoned != null) {
-            core.clientGone(abandoned);
+            core.clientDisconnected(abandoned);
         }
         if (responseSource != null) {
             ResponseStream.Source source = responseSource;
@@ -619,7 +619,7 @@
         core.log().line("request not handled: " + cause);
         keepAlive = false;
         if (exchange != null) {
-            core.giveUp(exchange);
+            core.endUnanswered(exchange);
         } else if (responseDue) {
             respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, null, NO_BODY, 0);
         } else {
--- a/src/main/java/sedgeyoke/proxy/HttpFrontend.java
+++ b/src/main/java/sedgeyoke/proxy/HttpFrontend.java
@@ -96,7 +96,7 @@
                                     .respectMaybeMoreData(false)
                                     .maxMessagesPerRead(MAX_READS_PER_PASS));
             if (limits.streaming()) {
-                Transport.limit(channel, limits);
+                Transport.limitBuffers(channel, limits);
             }
             ClientConnection connection =
                     new ClientConnection(channel, HttpFrontend.this, connections, core, parser, limits, timeouts);
--- a/src/main/java/sedgeyoke/proxy/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/ProxyCore.java
@@ -143,27 +143,27 @@
     }
 
     /** The client has closed its connection before its response. */
-    void clientGone(Exchange exchange) {
+    void clientDisconnected(Exchange exchange) {
         exchanges.clientDisconnected(exchange);
     }
 
     /** The client will send no more of a body of which a part was forwarded. */
-    void cutShort(Exchange exchange) {
+    void requestBodyAborted(Exchange exchange) {
         exchanges.requestBodyAborted(exchange);
     }
 
     /** Answers an exchange that a fault of ours leaves open. */
-    void giveUp(Exchange exchange) {
+    void endUnanswered(Exchange exchange) {
         exchanges.endUnanswered(exchange);
     }
 
     /** Counts a request that was rejected without an exchange of its own. */
-    void refusedUnheard(int classIndex) {
+    void countRejected(int classIndex) {
         metrics.ended(classIndex, RequestMetrics.End.REFUSED);
     }
 
     /** The Retry-After of a rejection, in microseconds; 0 where none is allowed. */
-    long advice(long advisedMicros) {
+    long retryAfter(long advisedMicros) {
         return exchanges.retryAfter(advisedMicros);
     }
 
--- a/src/main/java/sedgeyoke/proxy/RequestUpload.java
+++ b/src/main/java/sedgeyoke/proxy/RequestUpload.java
@@ -33,7 +33,7 @@
     @Override
     public boolean part(ByteBuf data) {
         channel.writeAndFlush(new DefaultHttpContent(data)).addListener(this::partWritten);
-        context.budget().holds(Transport.pending(channel) + attempt.exchange.body.held());
+        context.budget().holds(Transport.pendingBytes(channel) + attempt.exchange.body.held());
         return channel.isWritable();
     }
 
--- a/src/main/java/sedgeyoke/proxy/Transport.java
+++ b/src/main/java/sedgeyoke/proxy/Transport.java
@@ -20,7 +20,7 @@
 import java.nio.charset.StandardCharsets;
 import sedgeyoke.body.BodyLimits;
 
-/** What connections are made of: TCP, or queues inside the process, on which {@link JitWarmUp} runs the same code. */
+/** The transport of connections: TCP, or queues inside the process on which {@link JitWarmUp} runs the same code. */
 enum Transport {
     /** TCP. */
     SOCKETS {
@@ -48,7 +48,7 @@
             return System.err;
         }
     },
-    /** No sockets at all. */
+    /** Netty's local transport, without sockets. */
     INSIDE {
         @Override
         Bootstrap client(EventLoop loop) {
@@ -62,7 +62,7 @@
 
         @Override
         SocketAddress at(InetSocketAddress address) {
-            // Not toString: it has the host's name too, where that is known, and there is one place for both.
+            // Not toString, which has the host's name too where that is known: both must give the same address.
             return new LocalAddress(address.getAddress().getHostAddress() + ":" + address.getPort());
         }
 
@@ -74,7 +74,7 @@
 
     private static final int BACKLOG = 1024;
 
-    /** A listener that the platform holds, and that other processes may accept from, too. */
+    /** A server on a listener that the platform opened, and that other processes may accept from, too. */
     ServerBootstrap server(EventLoop loop, ServerSocketChannel inherited) {
         return new ServerBootstrap()
                 .group(loop)
@@ -84,10 +84,10 @@
     }
 
     /**
-     * Bounds what is held for a long body on its way out: in this process by water marks, in the kernel by its
-     * buffers.
+     * Limits what is buffered for a streamed body on its way out: in this process by water marks, in the kernel by the
+     * sizes of its buffers.
      */
-    static void limit(Channel channel, BodyLimits limits) {
+    static void limitBuffers(Channel channel, BodyLimits limits) {
         channel.config().setWriteBufferWaterMark(new WriteBufferWaterMark(limits.ceiling() / 8, limits.ceiling() / 4));
         if (limits.socketBuffer() > 0) {
             channel.config().setOption(ChannelOption.SO_SNDBUF, limits.socketBuffer());
@@ -96,17 +96,20 @@
     }
 
     /** Bytes that wait in this process to be written; 0 once the channel is closed. */
-    static long pending(Channel channel) {
-        ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
-        return out == null ? 0 : out.totalPendingWriteBytes();
+    static long pendingBytes(Channel channel) {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
     }
 
+    /** A bootstrap for connections to upstreams and discovery. */
     abstract Bootstrap client(EventLoop loop);
 
+    /** A bootstrap for a listener of our own. */
     abstract ServerBootstrap server(EventLoop loop);
 
+    /** The address in this transport that stands for an IP address. */
     abstract SocketAddress at(InetSocketAddress address);
 
-    /** Where what happens on these connections is written down. */
+    /** Where events on these connections are logged. */
     abstract PrintStream log();
 }
--- a/src/main/java/sedgeyoke/proxy/UpstreamConnection.java
+++ b/src/main/java/sedgeyoke/proxy/UpstreamConnection.java
@@ -52,7 +52,7 @@
             created.config()
                     .setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator(
                             MIN_READ_BYTES, INITIAL_READ_BYTES, context.bodies().read()));
-            Transport.limit(created, context.bodies());
+            Transport.limitBuffers(created, context.bodies());
         }
     }
 
--- a/src/main/java/sedgeyoke/proxy/package-info.java
+++ b/src/main/java/sedgeyoke/proxy/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The balancer on real sockets. Everything here runs on one event loop thread, the decision module too, so
- * nothing is locked; what to do with a request is the module's to say.
+ * The balancer on real sockets. Everything runs on one event loop thread, the policy included, so that nothing needs a
+ * lock. What happens to a request is decided by {@link sedgeyoke.policy.LoadBalancingPolicy} alone.
  */
 package sedgeyoke.proxy;
--- a/src/main/java/sedgeyoke/serve/package-info.java
+++ b/src/main/java/sedgeyoke/serve/package-info.java
@@ -1,2 +1,2 @@
-/** One process that serves: the balancer put together with the features that the operator's file turns on. */
+/** One balancer process: the balancer together with the features that the operator's file turns on. */
 package sedgeyoke.serve;
--- a/src/test/java/sedgeyoke/proxy/BalancerProcessTest.java
+++ b/src/test/java/sedgeyoke/proxy/BalancerProcessTest.java
@@ -1,7 +1,6 @@
 package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
@@ -18,20 +17,17 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
 
-/** The start, with good and bad configurations, and the end on SIGTERM. */
+/** The balancer as a process: graceful shutdown on SIGTERM and reload on SIGHUP, also during the start. */
 class BalancerProcessTest {
     @TempDir
     private Path folder;
 
-    /** Clients go on for a while after SIGTERM: they are served, told to go, and lose nothing that was taken. */
+    /** Clients continue for a while after SIGTERM: they are served until their connections are closed, and lose nothing. */
     @Test
-    void anOrderlyEndServesWhatComesAndFinishesWhatIsHeld() throws Exception {
+    void aGracefulShutdownServesNewRequestsAndFinishesThoseInFlight() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
         try (Peer up = new Peer((request, socket) -> {
                     if (request.headers().get("x-call-id").equals("slow")) {
@@ -43,27 +39,27 @@
                         .upstream("u", up.address())
                         .setting("\"give-up-s\":2", "\"give-up-s\":4")
                         .start()) {
-            Socket held = lb.connect();
-            Peer.write(held, Loopback.request("slow", "order", 60_000));
-            Socket kept = lb.connect();
+            Socket inFlight = lb.connect();
+            Peer.write(inFlight, Loopback.request("slow", "order", 60_000));
+            Socket open = lb.connect();
             Loopback.await("ready", () -> lb.health() == 200);
             Loopback.await("sent", () -> up.requests.size() == 1);
-            Thread end = new Thread(lb.server::shutDown);
-            end.start();
+            Thread shutdown = new Thread(lb.server::shutDown);
+            shutdown.start();
             Loopback.await("draining", () -> lb.health() == 503);
             assertEquals(200, lb.ask("late", "order", 60_000).status(), "a new connection");
             Loopback.await("listener closed", () -> refusesConnections(lb));
             assertEquals(
                     200,
-                    Loopback.ask(kept, Loopback.request("kept", "order", 60_000))
+                    Loopback.ask(open, Loopback.request("open", "order", 60_000))
                             .status(),
                     "an open connection is served on");
-            assertEquals(-1, kept.getInputStream().read(), "until it is closed for the end");
-            assertTrue(end.isAlive(), "one request is still held");
+            assertEquals(-1, open.getInputStream().read(), "until it is closed for the end");
+            assertTrue(shutdown.isAlive(), "one request is still in flight");
             release.countDown();
-            assertEquals(200, Loopback.answer(held).status());
-            end.join(10_000);
-            assertTrue(!end.isAlive(), "the end waits for nothing more");
+            assertEquals(200, Loopback.answer(inFlight).status());
+            shutdown.join(10_000);
+            assertTrue(!shutdown.isAlive(), "the shutdown waits for nothing more");
         }
     }
 
@@ -78,45 +74,9 @@
         }
     }
 
-    @ParameterizedTest
-    @CsvSource({
-        "'\"probes\":false', '\"probes\":true', ceilings.probes",
-        "'\"peers\":false', '\"peers\":true', ceilings.peers",
-        "piggyback, pull, report.via",
-        "'\"repeat\":\"free\"', '\"repeat\":\"free\",\"stream\":true', stream",
-        "'\"conn-idle-s\":1.0,', '', conn-idle-s",
-        "'\"repeat\":\"free\"', '\"repeat\":\"maybe\"', repeat"
-    })
-    void settingsThatCannotBeServedAreRefusedByName(String from, String to, String named) {
-        InvalidConfigException bad = assertThrows(
-                InvalidConfigException.class,
-                () -> Loopback.config(
-                        Loopback.SETTINGS.replace(from, to), "127.0.0.1:1", 1024, Loopback.list(1, true)));
-        assertTrue(bad.getMessage().contains(named), bad.getMessage());
-    }
-
-    @ParameterizedTest
-    @CsvSource({
-        "{}, settings",
-        "{, JSON",
-        "'', settings",
-        "'{\"settings\":[]}', settings",
-        "'{\"settings\":{}}', connect-timeout-s"
-    })
-    void aBadConfigurationEndsTheStartWithOneLine(String json, String named) throws Exception {
-        Path file = folder.resolve("config.json");
-        Files.writeString(file, json);
-        assertFailedStart(file.toString(), named);
-    }
-
-    @Test
-    void aMissingConfigurationEndsTheStartWithOneLine() throws Exception {
-        assertFailedStart(folder.resolve("nonesuch").toString(), "nonesuch");
-    }
-
     /** The whole program: SIGTERM reaches it, and what it holds is answered before it ends. */
     @Test
-    void theProgramEndsOnSigtermWithNothingLost() throws Exception {
+    void onSigtermTheProgramEndsWithNothingLost() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
         try (Peer up = new Peer((request, socket) -> {
             release.await();
@@ -131,8 +91,8 @@
                             1024,
                             Loopback.list(1, true, Loopback.member("u", up.address(), "up"))));
             Process process = start(file.toString());
-            try (BufferedReader said = process.inputReader()) {
-                String line = awaitLine(said, "listens on");
+            try (BufferedReader output = process.inputReader()) {
+                String line = awaitLine(output, "listens on");
                 try (Socket client = new Socket("127.0.0.1", Integer.parseInt(line.replaceAll(".*:", "")))) {
                     Peer.write(client, Loopback.request("id-1", "order", 60_000));
                     Loopback.await("sent", () -> up.requests.size() == 1);
@@ -152,23 +112,23 @@
      * nothing, and SIGTERM still ends it.
      */
     @Test
-    void onSighupTheProgramGoesToTheDiscoveryThatTheFileNames() throws Exception {
+    void onSighupTheProgramMovesToTheDiscoveryThatTheFileNames() throws Exception {
         Path file = folder.resolve("config.json");
         try (Peer first = discovery("first");
                 Peer second = discovery("second");
                 Peer third = discovery("third")) {
             Files.write(file, configAt(first));
             Process process = start(file.toString());
-            try (BufferedReader said = process.inputReader()) {
-                Loopback.await("the first list is asked for", () -> first.requests.size() == 2);
-                hangUp(process, file, configAt(second));
+            try (BufferedReader output = process.inputReader()) {
+                Loopback.await("the first list is fetched", () -> first.requests.size() == 2);
+                replaceAndReload(process, file, configAt(second));
                 Loopback.await("the second is watched", () -> second.requests.size() == 2);
                 assertEquals(
                         "GET /catalog/members HTTP/1.1", second.requests.get(0).line(), "the whole list");
                 Loopback.await("the first is left", () -> first.left.get() == 1);
-                hangUp(process, file, "{\"name\":".getBytes(StandardCharsets.UTF_8));
-                awaitLine(said, "the old configuration stays in force");
-                hangUp(process, file, configAt(third));
+                replaceAndReload(process, file, "{\"name\":".getBytes(StandardCharsets.UTF_8));
+                awaitLine(output, "the old configuration stays in force");
+                replaceAndReload(process, file, configAt(third));
                 Loopback.await("the third is watched", () -> third.requests.size() == 2);
                 assertTrue(process.isAlive());
                 process.destroy();
@@ -180,19 +140,19 @@
     }
 
     /**
-     * SIGHUP comes while the configuration is being read for the first time: it is no end, and since what was read may
-     * be older than what the signal speaks of, the file is read again. The file is a pipe: the test holds the read.
+     * SIGHUP comes while the configuration is being read for the first time: it does not end the program, and since what was read
+     * may be older than the change, the file is read again. The file is a pipe, so that the test can delay the read.
      */
     @Test
-    void aSighupInTheFirstMomentsIsMadeGood() throws Exception {
+    void aSighupDuringTheStartReloadsAfterIt() throws Exception {
         Path file = pipe("config.json");
         try (Peer first = discovery("first");
                 Peer second = discovery("second")) {
             Process process = start(file.toString());
             try {
-                try (OutputStream held = Files.newOutputStream(file)) { // once the program has begun to read
-                    hangUp(process, file, configAt(second));
-                    held.write(configAt(first));
+                try (OutputStream configWrite = Files.newOutputStream(file)) { // once the program has begun to read
+                    replaceAndReload(process, file, configAt(second));
+                    configWrite.write(configAt(first));
                 }
                 Loopback.await("the second is watched", () -> second.requests.size() == 2);
                 assertTrue(process.isAlive());
@@ -203,8 +163,8 @@
     }
 
     /**
-     * SIGTERM comes when clients are let in and the rest of the start is not done: what was taken is answered. A file
-     * that the rest of the start reads is a pipe, so that the test holds it there.
+     * SIGTERM arrives when clients can connect and the rest of the start is not done: what was accepted is answered. A
+     * file that the rest of the start reads is a pipe, so that the test can delay it there.
      */
     @Test
     void aSigtermJustAfterTheFirstClientLosesNothing() throws Exception {
@@ -235,7 +195,7 @@
                 Peer.write(client, Loopback.request("id-1", "order", 60_000));
                 Loopback.await("sent", () -> up.requests.size() == 1);
                 process.destroy();
-                Loopback.await("told", () -> !process.isAlive() || refused(port));
+                Loopback.await("the signal is noticed", () -> !process.isAlive() || refused(port));
                 release.countDown();
                 assertEquals("x", Loopback.answer(client).body());
                 assertTrue(process.waitFor(10, TimeUnit.SECONDS));
@@ -257,7 +217,7 @@
         }
     }
 
-    /** The connection of the first client that is let in. */
+    /** The connection of the first client that can connect. */
     private static Socket connect(int port) throws Exception {
         AtomicReference<Socket> connected = new AtomicReference<>();
         Loopback.await("listens", () -> {
@@ -280,57 +240,11 @@
         }
     }
 
-    /** What the build runs for the archive of classes: were it cut short, starts would be slow and nobody know why. */
-    @Test
-    void theTrainingGoesThroughToItsEnd() throws Exception {
-        Process training = new ProcessBuilder(
-                        System.getProperty("java.home") + "/bin/java",
-                        "-cp",
-                        System.getProperty("java.class.path"),
-                        "sedgeyoke.proxy.ClassArchiveTraining")
-                .redirectErrorStream(true)
-                .start();
-        String said = new String(training.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        assertEquals(0, training.waitFor());
-        assertTrue(!said.contains("cut short"), said);
-    }
-
-    /** Upstreams were bound under a name and asked for by number: each request was refused, and no answer was warm. */
-    @Test
-    void theWarmUpAnswersAllItsRequestsAndServesMost() throws Exception {
-        BalancerConfig config = Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, Loopback.list(1, true));
-        JitWarmUp.Result result = JitWarmUp.run(config, JitWarmUp.MOST_REQUESTS, 60);
-        assertEquals(JitWarmUp.MOST_REQUESTS, result.answered(), "answers");
-        assertTrue(result.served() > 0.9 * JitWarmUp.MOST_REQUESTS, "served: " + result.served());
-    }
-
-    /** Where each balancer of many has little to do, a dozen that start at once must not compile first. */
-    @Test
-    void theWarmUpIsShortWhereTrafficIsThin() throws Exception {
-        String members = Loopback.list(
-                1,
-                true,
-                IntStream.range(0, 60)
-                        .mapToObj(i -> Loopback.member("u" + i, "127.0.0.1:1", "up"))
-                        .toArray(String[]::new));
-        String many = Loopback.SETTINGS.replace("\"group-size\":1,", "\"group-size\":14,");
-        assertEquals(
-                JitWarmUp.FEWEST_REQUESTS, JitWarmUp.requests(Loopback.config(many, "127.0.0.1:1", 1024, members)));
-        assertEquals(
-                JitWarmUp.MOST_REQUESTS,
-                JitWarmUp.requests(Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, members)),
-                "one for all");
-        assertEquals(
-                JitWarmUp.MOST_REQUESTS,
-                JitWarmUp.requests(Loopback.config(many, "127.0.0.1:1", 1024, Loopback.list(1, true))),
-                "nothing known");
-    }
-
     private static byte[] configAt(Peer discovery) {
         return Loopback.configText(Loopback.SETTINGS, discovery.address(), 1024, Loopback.list(1, true));
     }
 
-    /** Discovery that names one upstream and then has no news; revisions are the same everywhere. */
+    /** Discovery that lists one upstream and then no changes; revisions are the same everywhere. */
     private static Peer discovery(String id) throws IOException {
         return new Peer((request, socket) -> {
             if (!request.line().contains("from=")) {
@@ -339,8 +253,8 @@
         });
     }
 
-    /** Replaces the file as a whole, as deployments do, and sends SIGHUP. */
-    static void hangUp(Process process, Path file, byte[] text) throws Exception {
+    /** Replaces the file atomically, as deployments do, and sends SIGHUP. */
+    static void replaceAndReload(Process process, Path file, byte[] text) throws Exception {
         Path next = Files.write(file.resolveSibling("next"), text);
         Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         assertEquals(
@@ -350,16 +264,16 @@
                         .waitFor());
     }
 
-    static String awaitLine(BufferedReader said, String wanted) throws IOException {
-        String line = said.readLine();
+    static String awaitLine(BufferedReader output, String wanted) throws IOException {
+        String line = output.readLine();
         while (line != null && !line.contains(wanted)) {
-            line = said.readLine();
+            line = output.readLine();
         }
-        assertTrue(line != null, "the program ended without saying: " + wanted);
+        assertTrue(line != null, "the program ended without the line: " + wanted);
         return line;
     }
 
-    private static Process start(String config, String... arguments) throws IOException {
+    static Process start(String config, String... arguments) throws IOException {
         ProcessBuilder start = new ProcessBuilder(
                         System.getProperty("java.home") + "/bin/java",
                         "-cp",
@@ -370,12 +284,4 @@
         start.environment().put("BALANCER_CONFIG", config);
         return start.start();
     }
-
-    private static void assertFailedStart(String config, String named) throws Exception {
-        Process process = start(config);
-        String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        assertTrue(process.waitFor() != 0);
-        assertEquals(1, said.lines().count(), said);
-        assertTrue(said.contains(named), said);
-    }
 }
--- a/src/test/java/sedgeyoke/proxy/DiscoveryTest.java
+++ b/src/test/java/sedgeyoke/proxy/DiscoveryTest.java
@@ -9,7 +9,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
-/** Lists as discovery gives them, and what is kept when it fails. */
+/** Endpoint lists from discovery, and what stays in force when it fails. */
 class DiscoveryTest {
     private final BlockingQueue<String> replies = new LinkedBlockingQueue<>();
     private ScriptedModule module;
@@ -19,7 +19,7 @@
         return start(false, members);
     }
 
-    /** The same; {@code asked} where discovery is one service for all balancers. */
+    /** The same; {@code asked}: lists are polled from one service for all balancers. */
     private Loopback start(boolean asked, String... members) throws Exception {
         Peer discovery = new Peer((request, socket) -> {
             String reply = replies.take();
@@ -51,7 +51,7 @@
     }
 
     @Test
-    void theKnownListThenTheWholeThenChanges() throws Exception {
+    void theConfiguredListIsFollowedByACompleteOneAndChanges() throws Exception {
         String known = Loopback.member("old", "127.0.0.1:1", "up");
         String up = Loopback.member("u", "127.0.0.1:1", "up");
         replies.add(Loopback.list(41, true, up));
@@ -71,7 +71,7 @@
     }
 
     @Test
-    void failuresChangeNothingAndAreTriedAgain() throws Exception {
+    void failedCallsChangeNothingAndAreRetried() throws Exception {
         String up = Loopback.member("u", "127.0.0.1:1", "up");
         replies.add("503");
         replies.add("");
@@ -85,9 +85,9 @@
         }
     }
 
-    /** A dozen balancers that start together and ask for all lines keep each other from getting any. */
+    /** A dozen balancers that start together and fetch complete lists would delay each other too much. */
     @Test
-    void whereDiscoveryIsAskedTheListGoesOnFromTheKnownOne() throws Exception {
+    void whereListsArePolledTheFirstWatchContinuesFromTheConfiguredList() throws Exception {
         String up = Loopback.member("u", "127.0.0.1:1", "up");
         replies.add(Loopback.list(2, false, up.replace("\"up\"", "\"draining\"")));
         try (Loopback lb = start(true, up)) {
@@ -106,9 +106,9 @@
         }
     }
 
-    /** Changes that count from an older list than ours would leave ours wrong for good. */
+    /** Changes relative to an older list would leave ours wrong for good. */
     @Test
-    void aRevisionThatGoesBackIsNoNewsAndTheWholeListIsAskedFor() throws Exception {
+    void aRevisionThatGoesBackCausesTheCompleteListToBeFetched() throws Exception {
         String up = Loopback.member("u", "127.0.0.1:1", "up");
         replies.add(Loopback.list(0, false, up.replace("\"up\"", "\"draining\"")));
         replies.add(Loopback.list(0, true, up));
@@ -123,9 +123,9 @@
         }
     }
 
-    /** The module backs off as long as calls fail, so it has to hear of one that went well without any news. */
+    /** The policy backs off while calls fail, so it is notified of one that succeeds without changes. */
     @Test
-    void aCallThatWentWellAfterAFailureIsTold() throws Exception {
+    void thePolicyIsNotifiedOfACallThatSucceedsAfterAFailure() throws Exception {
         String up = Loopback.member("u", "127.0.0.1:1", "up");
         replies.add("503");
         replies.add(Loopback.list(1, false));
@@ -139,9 +139,9 @@
         }
     }
 
-    /** What a watch that has fallen silent does not bring reaches nobody until the next call. */
+    /** Changes that a silent watch misses are unknown until the next call. */
     @Test
-    void aWatchThatFallsSilentIsGivenUpSoonAfterItsTime() throws Exception {
+    void aSilentWatchTimesOut() throws Exception {
         String up = Loopback.member("u", "127.0.0.1:1", "up");
         replies.add(Loopback.list(1, true, up)); // and then nothing more
         try (Loopback lb = start()) {
@@ -151,7 +151,7 @@
         }
     }
 
-    /** An agent that answers at once, with nothing new: the watch goes on, but not as fast as it can. */
+    /** An agent that responds at once without changes: the watch continues with pauses. */
     @Test
     void aWatchThatEndsAtOnceDoesNotSpin() throws Exception {
         String up = Loopback.member("u", "127.0.0.1:1", "up");
@@ -171,7 +171,7 @@
 
     /** A large fleet's list is longer than the bodies of requests and answers. */
     @Test
-    void aListOfAThousandUpstreamsIsTakenWhole() throws Exception {
+    void aListOfAThousandUpstreamsIsAccepted() throws Exception {
         String[] many = IntStream.range(0, 1000)
                 .mapToObj(i -> Loopback.member("u" + i, "127.0.0.1:1", "up"))
                 .toArray(String[]::new);
@@ -184,9 +184,9 @@
         }
     }
 
-    /** After a move nothing of the old address counts, and a revision heard there is not built upon. */
+    /** After a move, responses from the old address are ignored, and its revisions are not used. */
     @Test
-    void anotherDiscoveryIsAskedForTheWholeListAndTheOldOneNoLongerHeard() throws Exception {
+    void afterAMoveTheCompleteListIsFetchedAndTheOldAddressIgnored() throws Exception {
         String up = Loopback.member("u", "127.0.0.1:1", "up");
         replies.add(Loopback.list(41, true, up));
         try (Loopback lb = start();
@@ -209,7 +209,7 @@
     }
 
     @Test
-    void whatAReloadCannotChangeIsNamed() throws Exception {
+    void aReloadNamesFieldsThatNeedARestart() throws Exception {
         BalancerConfig now = Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, Loopback.list(1, true));
         BalancerConfig then = Loopback.config(
                 Loopback.SETTINGS.replace("\"az\":0", "\"az\":1"),
@@ -220,7 +220,7 @@
         assertEquals(List.of(), now.needRestart(now));
     }
 
-    /** A connection to where an upstream was must not carry what is meant for where it is now. */
+    /** Connections to the previous address must not be used any more. */
     @Test
     void anUpstreamThatMovesIsReachedAtItsNewAddress() throws Exception {
         try (Peer a = Peer.serving("old");
@@ -234,9 +234,9 @@
         }
     }
 
-    /** The module sends to a drained upstream only by mistake; past half the grace nothing goes out any more. */
+    /** The policy sends to a draining upstream only by mistake; after half the grace period nothing goes out. */
     @Test
-    void nothingGoesToAnUpstreamDrainedLongAgo() throws Exception {
+    void nothingIsSentToAnUpstreamThatHasBeenDrainingForLong() throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = start(Loopback.member("u", up.address(), "draining"))) {
             module.onEnd = (m, end) -> m.actions.reject(end.request(), 0);
--- a/src/test/java/sedgeyoke/proxy/GracefulShutdownTest.java
+++ b/src/test/java/sedgeyoke/proxy/GracefulShutdownTest.java
@@ -21,19 +21,19 @@
     private static final long DEADLINE = 300 * MS;
     private static final long KILLED = DEADLINE + 700 * MS;
 
-    /** A loop in virtual time that is held up once; requests that nothing answers come all the time. */
-    private static final class HeldUpLoop {
-        final List<Long> lostAt = new ArrayList<>();
+    /** A loop in virtual time that stalls once, while requests arrive that no upstream answers. */
+    private static final class StalledLoop {
+        final List<Long> lostRequests = new ArrayList<>();
 
-        /** The signal reaches us {@code signalLate} after it was sent; the loop stands for 100 ms from then on. */
-        HeldUpLoop(long signalLate, long knownLate, long heldAt) {
+        /** The signal reaches us {@code signalLate} after it was sent; the loop stalls for 100 ms at {@code stalledAt}. */
+        StalledLoop(long signalLate, long knownLate, long stalledAt) {
             ShutdownDeadlines deadlines = new ShutdownDeadlines(signalLate - knownLate, DEADLINE);
             List<Long> open = new ArrayList<>();
             long unread = signalLate;
             long due = signalLate;
             boolean closed = false;
             for (long now = signalLate; now < KILLED; now += MS) {
-                if (now >= heldAt && now < heldAt + 100 * MS || now < due) {
+                if (now >= stalledAt && now < stalledAt + 100 * MS || now < due) {
                     continue;
                 }
                 for (; unread <= now && !closed; unread += 5 * MS) { // what has come is read before timers run
@@ -49,31 +49,31 @@
                 due = now + 5 * MS;
                 deadlines.scheduleCheck(due);
             }
-            lostAt.addAll(open);
+            lostRequests.addAll(open);
             for (; unread < KILLED && !closed; unread += 5 * MS) {
-                lostAt.add(unread);
+                lostRequests.add(unread);
             }
         }
     }
 
     @Test
-    void whereverTheLoopIsHeldUpNothingIsLost() {
-        for (long held = KILLED - 500 * MS; held < KILLED; held += 5 * MS) {
-            assertEquals(List.of(), new HeldUpLoop(0, 0, held).lostAt, "held up at " + held);
+    void nothingIsLostWhereverTheLoopStalls() {
+        for (long stall = KILLED - 500 * MS; stall < KILLED; stall += 5 * MS) {
+            assertEquals(List.of(), new StalledLoop(0, 0, stall).lostRequests, "stalled at " + stall);
         }
     }
 
     /** A signal that took 200 ms, as seen where a configuration was being read, and a loop that is held up after it. */
     @Test
-    void aSignalThatComesLateCosts() {
-        assertEquals(List.of(), new HeldUpLoop(200 * MS, 0, KILLED).lostAt, "nobody knows that it was late");
-        for (long held = KILLED - 500 * MS; held < KILLED; held += 5 * MS) {
-            assertEquals(List.of(), new HeldUpLoop(200 * MS, 200 * MS, held).lostAt, "held up at " + held);
+    void theDelayOfTheSignalIsTakenIntoAccount() {
+        assertEquals(List.of(), new StalledLoop(200 * MS, 0, KILLED).lostRequests, "the delay is not known");
+        for (long stall = KILLED - 500 * MS; stall < KILLED; stall += 5 * MS) {
+            assertEquals(List.of(), new StalledLoop(200 * MS, 200 * MS, stall).lostRequests, "stalled at " + stall);
         }
     }
 
     @Test
-    void whoWasLateKeepsMoreTimeFree() {
+    void aLateLoopEnlargesTheReserve() {
         ShutdownDeadlines deadlines = new ShutdownDeadlines(0, DEADLINE);
         long before = deadlines.lastResponse();
         deadlines.scheduleCheck(10 * MS);
@@ -84,7 +84,7 @@
 
     /** The same on sockets: a loop that stands still for 100 ms at each 20 ms of the last half second. */
     @Test
-    void onSocketsWhatIsTakenIsAnsweredBeforeTheKill() throws Exception {
+    void onSocketsAcceptedRequestsAreAnsweredBeforeTheKill() throws Exception {
         List<String> faults = java.util.Collections.synchronizedList(new ArrayList<>());
         for (int first = 500; first > 0; first -= 100) {
             List<Thread> plays = new ArrayList<>();
--- a/src/test/java/sedgeyoke/proxy/HandOverTest.java
+++ b/src/test/java/sedgeyoke/proxy/HandOverTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** An upgrade: two processes of one balancer with one listener, which the platform holds. */
+/** An upgrade: two processes of one balancer share a listener that the platform opened. */
 class HandOverTest {
     @TempDir
     private Path folder;
@@ -40,7 +40,7 @@
     }
 
     @Test
-    void theOldOneFinishesWhatItHasAndTheNewOneTakesAllThatComes() throws Exception {
+    void theOldProcessFinishesItsRequestsAndTheNewOneAcceptsAllOthers() throws Exception {
         try (ServerSocketChannel listener = listener();
                 Peer up = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
                 Loopback old = start(listener, up, discovery(up))) {
@@ -85,9 +85,9 @@
         }
     }
 
-    /** Until a process knows whom to send requests to, the other one, which does, takes them all. */
+    /** Until a process has an endpoint list, the other one accepts all connections. */
     @Test
-    void aProcessThatIsNotReadyTakesNobody() throws Exception {
+    void aProcessThatIsNotReadyAcceptsNoConnection() throws Exception {
         try (ServerSocketChannel listener = listener();
                 Peer up = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
                 Peer silent = new Peer((request, socket) -> Thread.sleep(10_000));
@@ -108,7 +108,7 @@
     }
 
     @Test
-    void aDescriptorThatIsNoListenerEndsTheStartByName() throws Exception {
+    void aDescriptorThatIsNotAListenerEndsTheStart() throws Exception {
         Path config = Files.write(
                 folder.resolve("config.json"),
                 Loopback.configText(Loopback.SETTINGS, "127.0.0.1:1", 1024, Loopback.list(1, true)));
--- /dev/null
+++ b/src/test/java/sedgeyoke/proxy/JitWarmUpTest.java
@@ -0,0 +1,57 @@
+package sedgeyoke.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** The warm-up before the first client, and the training run of the class archive. */
+class JitWarmUpTest {
+    /** What the build runs for the archive of classes: were it cut short, starts would be slow and nobody know why. */
+    @Test
+    void theTrainingGoesThroughToItsEnd() throws Exception {
+        Process training = new ProcessBuilder(
+                        System.getProperty("java.home") + "/bin/java",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "sedgeyoke.proxy.ClassArchiveTraining")
+                .redirectErrorStream(true)
+                .start();
+        String output = new String(training.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(0, training.waitFor());
+        assertTrue(!output.contains("cut short"), output);
+    }
+
+    /** Upstreams were bound under a name and asked for by number: each request was refused, and no answer was warm. */
+    @Test
+    void theWarmUpAnswersAllItsRequestsAndServesMost() throws Exception {
+        BalancerConfig config = Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, Loopback.list(1, true));
+        JitWarmUp.Result result = JitWarmUp.run(config, JitWarmUp.MOST_REQUESTS, 60);
+        assertEquals(JitWarmUp.MOST_REQUESTS, result.answered(), "answers");
+        assertTrue(result.served() > 0.9 * JitWarmUp.MOST_REQUESTS, "served: " + result.served());
+    }
+
+    /** Where each balancer of many has little to do, a dozen that start at once must not compile first. */
+    @Test
+    void theWarmUpIsShortWhereTrafficIsThin() throws Exception {
+        String members = Loopback.list(
+                1,
+                true,
+                IntStream.range(0, 60)
+                        .mapToObj(i -> Loopback.member("u" + i, "127.0.0.1:1", "up"))
+                        .toArray(String[]::new));
+        String many = Loopback.SETTINGS.replace("\"group-size\":1,", "\"group-size\":14,");
+        assertEquals(
+                JitWarmUp.FEWEST_REQUESTS, JitWarmUp.requests(Loopback.config(many, "127.0.0.1:1", 1024, members)));
+        assertEquals(
+                JitWarmUp.MOST_REQUESTS,
+                JitWarmUp.requests(Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, members)),
+                "one for all");
+        assertEquals(
+                JitWarmUp.MOST_REQUESTS,
+                JitWarmUp.requests(Loopback.config(many, "127.0.0.1:1", 1024, Loopback.list(1, true))),
+                "nothing known");
+    }
+}
--- a/src/test/java/sedgeyoke/proxy/OperatorTest.java
+++ b/src/test/java/sedgeyoke/proxy/OperatorTest.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** The whole program with an operator's file: its start, and SIGHUP. */
+/** The balancer as a process with an operator's file: its start, and reload on SIGHUP. */
 class OperatorTest {
     @TempDir
     private Path folder;
@@ -35,20 +35,21 @@
         return start.start();
     }
 
-    private void hangUp(Process process, String operator) throws Exception {
-        BalancerProcessTest.hangUp(process, folder.resolve("operator.toml"), operator.getBytes(StandardCharsets.UTF_8));
+    private void reload(Process process, String operator) throws Exception {
+        BalancerProcessTest.replaceAndReload(
+                process, folder.resolve("operator.toml"), operator.getBytes(StandardCharsets.UTF_8));
     }
 
     @Test
-    void onSighupWhatNeedsARestartIsNamedAndABadFileChangesNothing() throws Exception {
+    void aReloadNamesKeysThatNeedARestartAndIgnoresAnInvalidFile() throws Exception {
         Process process = start("[bodies]\nenabled = true\n");
-        try (BufferedReader said = process.inputReader()) {
-            BalancerProcessTest.awaitLine(said, "listens on");
-            hangUp(process, "[bodies]\nenabled = true\nceiling_kib = 128\n[plans]\nfade_ms = 5000\n");
-            String line = BalancerProcessTest.awaitLine(said, "until a restart");
+        try (BufferedReader output = process.inputReader()) {
+            BalancerProcessTest.awaitLine(output, "listens on");
+            reload(process, "[bodies]\nenabled = true\nceiling_kib = 128\n[plans]\nfade_ms = 5000\n");
+            String line = BalancerProcessTest.awaitLine(output, "until a restart");
             assertTrue(line.contains("bodies.ceiling_kib") && !line.contains("fade_ms"), line);
-            hangUp(process, "[bodies]\nenabled = 3\n");
-            line = BalancerProcessTest.awaitLine(said, "stays in force");
+            reload(process, "[bodies]\nenabled = 3\n");
+            line = BalancerProcessTest.awaitLine(output, "stays in force");
             assertTrue(line.contains("operator.toml:2: bodies.enabled"), line);
             assertTrue(process.isAlive());
         } finally {
@@ -63,13 +64,17 @@
                 "[bodies];ceiling_kib = 7 | operator.toml:2: bodies.ceiling_kib",
                 "[planner];enabled = true;name = 'p';listen = '127.0.0.1:0';certificate = 'c';key = 'k';trust = 'c'"
                         + " |planner's",
+                "[config_server];enabled = true;tier = 't';name = 'k';listen = '127.0.0.1:0';folder = 'd'"
+                        + ";servers = ['k=127.0.0.1:1'];certificate = 'c';key = 'k';trust = 'c' | config server's",
+                "[keeper];enabled = true;tier = 't';name = 'k';listen = '127.0.0.1:0';folder = 'd'"
+                        + ";keepers = ['k=127.0.0.1:1'];certificate = 'c';key = 'k';trust = 'c' | config server's",
                 "[plans];enabled = true;planners = ['127.0.0.1:1'];certificate = 'c';key = 'k';trust = 't'"
                         + " | TLS files"
             })
-    void aFileThatIsNoGoodEndsTheStart(String operator, String named) throws Exception {
+    void anInvalidFileEndsTheStart(String operator, String named) throws Exception {
         Process process = start(operator.replace(';', '\n').replace('\'', '"'));
-        String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        assertEquals(2, process.waitFor(), said);
-        assertTrue(said.contains("cannot start") && said.contains(named), said);
+        String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(2, process.waitFor(), output);
+        assertTrue(output.contains("cannot start") && output.contains(named), output);
     }
 }
--- a/src/test/java/sedgeyoke/proxy/ProxyCoreTest.java
+++ b/src/test/java/sedgeyoke/proxy/ProxyCoreTest.java
@@ -16,7 +16,7 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 import sedgeyoke.policy.LoadBalancingPolicy.Request;
 
-/** What the node does with the decisions of a module, above all with those that are no good. */
+/** How decisions of the policy are carried out, in particular invalid ones. */
 class ProxyCoreTest {
     private ScriptedModule module;
 
@@ -33,7 +33,7 @@
     }
 
     @Test
-    void aModuleThatThrowsOnARequestLeavesItRefused() throws Exception {
+    void aRequestIsRejectedIfThePolicyThrowsOnItsArrival() throws Exception {
         try (Loopback lb = scripted((m, r) -> {
                     throw new IllegalStateException("on purpose");
                 })
@@ -44,7 +44,7 @@
     }
 
     @Test
-    void aModuleThatThrowsAfterItHasSentLeavesTheRequestFailed() throws Exception {
+    void aRequestFailsIfThePolicyThrowsAfterSendingIt() throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = scripted((m, r) -> {
                             m.actions.send(r.id(), "u", 0);
@@ -57,7 +57,7 @@
     }
 
     @Test
-    void aModuleThatForgetsARequestDoesNotLoseIt() throws Exception {
+    void aRequestThatThePolicyForgetsIsAnswered() throws Exception {
         try (Peer up = new Peer((request, socket) -> {});
                 Loopback lb = scripted((m, r) -> {
                             if (r.classIndex() == 2) {
@@ -76,9 +76,9 @@
         }
     }
 
-    /** A budget counts from the client's sending: time that the request lay unread is taken off. */
+    /** A budget counts from the client's sending, so the time in which the request was not read is deducted. */
     @Test
-    void whatALateLoopTookIsTakenOffTheBudget() throws Exception {
+    void theDelayOfTheLoopIsDeductedFromTheBudget() throws Exception {
         AtomicLong left = new AtomicLong();
         try (Loopback lb = scripted((m, r) -> {
                     left.set(r.timeLeft());
@@ -105,9 +105,9 @@
         }
     }
 
-    /** Else the module would lower its limits of an upstream that is well, because we are slow. */
+    /** Otherwise the policy would lower the concurrency limit of a healthy upstream because this process is slow. */
     @Test
-    void whatALateLoopTookIsNotBlamedOnTheUpstream() throws Exception {
+    void theDelayOfTheLoopIsNotCountedAsLatencyOfTheUpstream() throws Exception {
         CountDownLatch blocked = new CountDownLatch(1);
         CountDownLatch release = new CountDownLatch(1);
         try (Peer up = new Peer((request, socket) -> {
@@ -135,7 +135,7 @@
     }
 
     @Test
-    void onlyTheFirstAnswerCounts() throws Exception {
+    void onlyTheFirstResponseIsForwarded() throws Exception {
         try (Loopback lb = scripted((m, r) -> {
                     m.actions.reject(r.id(), 0);
                     m.actions.fail(r.id());
@@ -155,7 +155,7 @@
     }
 
     @Test
-    void sendsThatAreTooManyOrTooLateAreNeverSent() throws Exception {
+    void attemptsThatAreTooManyOrTooLateAreNotSent() throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = scripted((m, r) -> {
                             for (int i = 0; i < 5; i++) {
@@ -178,9 +178,9 @@
         }
     }
 
-    /** The connection is still coming up when the attempt is called off: it must not carry the request. */
+    /** The connection is not established yet when the attempt is cancelled: the request must not be written to it. */
     @Test
-    void whatIsCancelledWhileConnectingIsNotSent() throws Exception {
+    void anAttemptCancelledWhileConnectingIsNotSent() throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = scripted((m, r) -> {
                             m.actions.send(r.id(), "u", 0);
@@ -198,9 +198,9 @@
         }
     }
 
-    /** After the final answer nothing more is sent, also by a module that may not or does not cancel. */
+    /** After the response nothing more is sent, even if the policy does not cancel its attempts. */
     @Test
-    void whatIsAnsweredWhileConnectingIsNotSent() throws Exception {
+    void anAttemptOfARequestAnsweredWhileConnectingIsNotSent() throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = scripted((m, r) -> {
                             m.actions.send(r.id(), "u", 0);
@@ -218,7 +218,7 @@
     }
 
     @Test
-    void anAttemptsOwnTimeOutEndsItAlone() throws Exception {
+    void theTimeoutOfAnAttemptEndsOnlyThatAttempt() throws Exception {
         try (Peer silent = new Peer((request, socket) -> {});
                 Peer up = Peer.serving("x");
                 Loopback lb = scripted((m, r) -> m.actions.send(r.id(), "a", 50_000))
@@ -236,9 +236,9 @@
         }
     }
 
-    /** Nothing listens to the request any more: a full queue of connections holds it back past its time. */
+    /** The accept queue of the upstream is full, so that the connection is not established in time. */
     @Test
-    void whatNeverGotAConnectionIsKnownNotToHaveRun() throws Exception {
+    void anAttemptWithoutAConnectionIsKnownNotToHaveRun() throws Exception {
         try (ServerSocket dead = new ServerSocket(0, 1, java.net.InetAddress.getByName("127.0.0.1"));
                 Socket first = new Socket(dead.getInetAddress(), dead.getLocalPort());
                 Socket second = new Socket(dead.getInetAddress(), dead.getLocalPort());
@@ -253,7 +253,7 @@
     }
 
     @Test
-    void theSecondCopyOfARequestEndsQuietly() throws Exception {
+    void theSlowerHedgedRequestEndsWithoutASecondResponse() throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = scripted((m, r) -> {
                             m.actions.send(r.id(), "u", 0);
@@ -274,7 +274,7 @@
     }
 
     @Test
-    void moreOpenRequestsThanAllowedAreRefusedUnseen() throws Exception {
+    void requestsBeyondTheLimitAreRejectedWithoutThePolicy() throws Exception {
         try (Loopback lb = scripted((m, r) -> {})
                 .setting("\"max-open\":1000", "\"max-open\":1")
                 .start()) {
@@ -285,7 +285,7 @@
     }
 
     @Test
-    void anIdThatIsOpenIsNotTakenTwice() throws Exception {
+    void aRequestWithAnOpenIdIsRejected() throws Exception {
         try (Loopback lb = scripted((m, r) -> {}).start()) {
             Peer.write(lb.connect(), Loopback.request("id-1", "order", 60_000));
             Loopback.await("held", () -> !lb.node.idle());
--- a/src/test/java/sedgeyoke/proxy/ScriptedModule.java
+++ b/src/test/java/sedgeyoke/proxy/ScriptedModule.java
@@ -6,7 +6,7 @@
 import java.util.function.BiConsumer;
 import sedgeyoke.policy.LoadBalancingPolicy;
 
-/** A module that does what a test says, and keeps what it was told. */
+/** A policy that runs the script of a test and records its events. */
 final class ScriptedModule implements LoadBalancingPolicy {
     final Actions actions;
     final List<AttemptEnd> ends = new CopyOnWriteArrayList<>();
@@ -15,7 +15,7 @@
     final List<String> cordons = new CopyOnWriteArrayList<>();
     BiConsumer<ScriptedModule, Request> onRequest = (m, r) -> {};
     BiConsumer<ScriptedModule, AttemptEnd> onEnd = (m, e) -> {};
-    /** Whether the test has bodies that go on as they come. */
+    /** Whether the test streams bodies. */
     boolean streams;
 
     private boolean busy;
@@ -81,7 +81,7 @@
 
     @Override
     public void healthCheckCompleted(long now, String upstream, Outcome outcome, LoadReport load) {
-        throw new AssertionError("there are no probes");
+        throw new AssertionError("there are no health checks");
     }
 
     @Override
--- a/src/test/java/sedgeyoke/proxy/ShutdownWithBodiesTest.java
+++ b/src/test/java/sedgeyoke/proxy/ShutdownWithBodiesTest.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.Test;
 import sedgeyoke.body.BodyLimits;
 
-/** SIGTERM while long bodies are on their way: what may finish finishes, the rest ends in order. */
+/** Graceful shutdown while bodies are being streamed: those that can are finished, the rest is aborted cleanly. */
 class ShutdownWithBodiesTest {
     private static final BodyLimits LIMITS =
             new BodyLimits(true, 64 * 1024, 8L << 20, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40, 0);
@@ -47,7 +47,7 @@
     }
 
     @Test
-    void whatIsOnItsWayIsFinished() throws Exception {
+    void bodiesInFlightAreFinished() throws Exception {
         CountDownLatch second = new CountDownLatch(1);
         try (Peer up = node(second);
                 Loopback lb = Loopback.setup()
@@ -77,9 +77,9 @@
         }
     }
 
-    /** Neither could ever finish; each gets one final word before the process is killed, and the end waits no more. */
+    /** Neither can finish: each gets one response before the process is killed, and the shutdown completes. */
     @Test
-    void whatCannotFinishEndsInOrder() throws Exception {
+    void bodiesThatCannotBeFinishedAreAborted() throws Exception {
         CountDownLatch never = new CountDownLatch(1);
         try (Peer up = node(never);
                 Loopback lb = Loopback.setup()
--- a/src/test/java/sedgeyoke/proxy/UpstreamResponsesTest.java
+++ b/src/test/java/sedgeyoke/proxy/UpstreamResponsesTest.java
@@ -13,13 +13,13 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 import sedgeyoke.policy.LoadBalancingPolicy.Request;
 
-/** Answers that are spoilt, and good ones that bring more than belongs to them. */
+/** Invalid responses of upstreams, and valid ones with stray bytes behind them. */
 class UpstreamResponsesTest {
     private static final int LONG_MS = 60_000;
 
     private ScriptedModule module;
 
-    /** A module that has one request out at a time and sends the next as soon as it hears of an end. */
+    /** A policy that has one request in flight at a time and sends the next as soon as one ends. */
     private Loopback oneAfterTheOther(Peer up) throws Exception {
         Queue<Request> waiting = new ArrayDeque<>();
         return Loopback.setup()
@@ -46,10 +46,10 @@
                 .start();
     }
 
-    /** What lies behind an answer must not become the answer to the request that is sent next. */
+    /** Stray bytes behind a response must not be taken for the response to the next request. */
     @ParameterizedTest
     @ValueSource(strings = {"", "noise", "noise\r\n\r\n", "HTTP/1.1 200 OK\r\n"})
-    void whatComesBehindAnAnswerIsNobodysAnswer(String noise) throws Exception {
+    void strayBytesBehindAResponseAreDiscarded(String noise) throws Exception {
         try (Peer up = new Peer((request, socket) -> {
                     Thread.sleep(20); // so that the next request waits for the end of this one
                     String id = request.headers().get("x-call-id");
@@ -69,7 +69,7 @@
     }
 
     @Test
-    void whatComesOnAnIdleConnectionClosesIt() throws Exception {
+    void strayBytesOnAnIdleConnectionCloseIt() throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = oneAfterTheOther(up)) {
             assertEquals(200, lb.ask("id-1", "order", LONG_MS).status());
@@ -79,7 +79,7 @@
         }
     }
 
-    /** The connection stays open, so that only what was read can tell. */
+    /** The connection stays open, so that the response must be recognised as invalid by its bytes. */
     @ParameterizedTest
     @ValueSource(
             strings = {
@@ -102,7 +102,7 @@
                 "HTTP/1.1 200 OK\r\nX-Endless: ",
                 "noise"
             })
-    void aSpoiltAnswerIsAFailedAttemptAtOnce(String answer) throws Exception {
+    void anInvalidResponseFailsTheAttemptAtOnce(String answer) throws Exception {
         try (Peer up = new Peer((request, socket) -> Peer.write(socket, answer));
                 Loopback lb = oneAfterTheOther(up)) {
             assertEquals(502, lb.ask("id-1", "order", LONG_MS).status());
@@ -112,7 +112,7 @@
     }
 
     @Test
-    void informationalAnswersAheadAreSkipped() throws Exception {
+    void informationalResponsesAreSkipped() throws Exception {
         try (Peer up = new Peer((request, socket) -> Peer.write(
                         socket,
                         "HTTP/1.1 100 Continue\r\n\r\n"
@@ -141,7 +141,7 @@
                 "noise",
                 "{\"cpu\":0.5}\r\nX-Load-Report: {\"cpu\":0.1}"
             })
-    void aLoadReportThatCannotBeReadCostsNoAnswer(String report) throws Exception {
+    void anInvalidLoadReportIsIgnored(String report) throws Exception {
         try (Peer up = Peer.serving("x", "X-Load-Report: " + report);
                 Loopback lb = oneAfterTheOther(up)) {
             assertEquals("x", lb.ask("id-1", "order", LONG_MS).body());
@@ -151,7 +151,7 @@
     }
 
     @Test
-    void aLoadReportInOrderIsHandedOn() throws Exception {
+    void aValidLoadReportReachesThePolicy() throws Exception {
         try (Peer up = Peer.serving("x", "X-Load-Report: {\"cpu\":0.5,\"more\":[1]}");
                 Loopback lb = oneAfterTheOther(up)) {
             assertEquals("x", lb.ask("id-1", "order", LONG_MS).body());
--- a/src/test/java/sedgeyoke/serve/ReloadSignalTest.java
+++ b/src/test/java/sedgeyoke/serve/ReloadSignalTest.java
@@ -9,7 +9,7 @@
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 
-/** SIGHUP in a process of its own, with and without someone who had it ignored before. */
+/** SIGHUP in a process of its own, with the signal ignored at its start and not. */
 class ReloadSignalTest {
     /** Says when SIGHUP is handled, and when it has come; ends with its standard input. */
     static final class Program {
@@ -37,7 +37,7 @@
                 .start();
     }
 
-    private static void hangUp(Process process) throws IOException, InterruptedException {
+    private static void sendReloadSignal(Process process) throws IOException, InterruptedException {
         assertEquals(
                 0,
                 new ProcessBuilder("kill", "-HUP", Long.toString(process.pid()))
@@ -47,12 +47,12 @@
 
     /** Plays of the standing test under nohup broke the rule on drains: no balancer took up a new configuration. */
     @Test
-    void thatItIsIgnoredIsSaid() throws IOException, InterruptedException {
+    void anIgnoredSignalIsLogged() throws IOException, InterruptedException {
         Process process = start("trap '' HUP;");
         try (BufferedReader out = process.inputReader(StandardCharsets.UTF_8)) {
             assertTrue(out.readLine().startsWith("SIGHUP is ignored"));
             assertEquals("ready", out.readLine());
-            hangUp(process);
+            sendReloadSignal(process);
             process.getOutputStream().close();
             assertEquals(null, out.readLine());
             assertEquals(0, process.waitFor());
@@ -62,11 +62,11 @@
     }
 
     @Test
-    void elseItIsHandledAndNothingIsSaid() throws IOException, InterruptedException {
+    void otherwiseTheSignalIsHandledWithoutALogLine() throws IOException, InterruptedException {
         Process process = start("");
         try (BufferedReader out = process.inputReader(StandardCharsets.UTF_8)) {
             assertEquals("ready", out.readLine());
-            hangUp(process);
+            sendReloadSignal(process);
             assertEquals("came", out.readLine());
             process.getOutputStream().close();
             assertEquals(0, process.waitFor());
