--- a/src/test/java/sedgeyoke/simulation/EventQueueTest.java
+++ b/src/test/java/sedgeyoke/simulation/EventQueueTest.java
@@ -8,44 +8,44 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
-/** Virtual time goes forward only, and of the same moment, what was asked for first comes first. */
+/** Tests the order of events on the virtual clock. */
 class EventQueueTest {
     private record Event(long at, int number) {}
 
     @Test
-    void eventsComeInOrderOfTimeAndThenOfAsking() {
+    void eventsRunInOrderOfTimeAndThenOfScheduling() {
         SplittableRandom random = new SplittableRandom(1);
-        EventQueue time = new EventQueue(100);
-        List<Event> asked = new ArrayList<>();
-        List<Event> seen = new ArrayList<>();
+        EventQueue queue = new EventQueue(100);
+        List<Event> scheduled = new ArrayList<>();
+        List<Event> run = new ArrayList<>();
         for (int i = 0; i < 20_000; i++) {
-            Event e = new Event(100 + random.nextInt(500), i);
-            asked.add(e);
-            time.schedule(e.at() - 100, () -> {
-                assertEquals(e.at(), time.now());
-                seen.add(e);
+            Event event = new Event(100 + random.nextInt(500), i);
+            scheduled.add(event);
+            queue.schedule(event.at() - 100, () -> {
+                assertEquals(event.at(), queue.now());
+                run.add(event);
             });
         }
-        time.runUntil(300);
-        assertEquals(300, time.now());
-        assertEquals(asked.stream().filter(e -> e.at() <= 300).count(), seen.size());
-        time.runUntil(10_000);
-        asked.sort(Comparator.comparingLong(Event::at).thenComparingInt(Event::number));
-        assertEquals(asked, seen);
-        assertEquals(20_000, time.processed());
+        queue.runUntil(300);
+        assertEquals(300, queue.now());
+        assertEquals(scheduled.stream().filter(event -> event.at() <= 300).count(), run.size());
+        queue.runUntil(10_000);
+        scheduled.sort(Comparator.comparingLong(Event::at).thenComparingInt(Event::number));
+        assertEquals(scheduled, run);
+        assertEquals(20_000, queue.processed());
     }
 
     @Test
-    void whatIsAskedForFromWithinAnEventComesInItsTurn() {
-        EventQueue time = new EventQueue(0);
-        List<String> seen = new ArrayList<>();
-        time.schedule(5, () -> {
-            seen.add("a");
-            time.schedule(0, () -> seen.add("c"));
-            time.schedule(-7, () -> seen.add("d"));
+    void eventsScheduledByAnEventRunInOrder() {
+        EventQueue queue = new EventQueue(0);
+        List<String> run = new ArrayList<>();
+        queue.schedule(5, () -> {
+            run.add("a");
+            queue.schedule(0, () -> run.add("c"));
+            queue.schedule(-7, () -> run.add("d"));
         });
-        time.schedule(5, () -> seen.add("b"));
-        time.runUntil(5);
-        assertEquals(List.of("a", "b", "c", "d"), seen);
+        queue.schedule(5, () -> run.add("b"));
+        queue.runUntil(5);
+        assertEquals(List.of("a", "b", "c", "d"), run);
     }
 }
--- a/src/test/java/sedgeyoke/simulation/SimulationTest.java
+++ b/src/test/java/sedgeyoke/simulation/SimulationTest.java
@@ -17,7 +17,7 @@
 import sedgeyoke.simulation.Scenario.PlannerSpec;
 
 /**
- * Whether the emulator can be believed: theory, conservation at each step, the same seed, and the rules under faults.
+ * Validates the simulation: queueing theory, conservation of requests and work, reproducibility, and the rules under faults.
  */
 class SimulationTest {
     private static Scenario small(double load) {
@@ -28,7 +28,7 @@
         return new Fault(at, kind, -1, count, every, lasts, value);
     }
 
-    private static Scenario troubled() {
+    private static Scenario faulty() {
         List<Fault> faults = new ArrayList<>();
         faults.add(fault(1, Kind.RESTART_NODE, 2, 3, 0, 0));
         faults.add(fault(2, Kind.REPLACE_NODE, 2, 2.5, 0, 0));
@@ -57,17 +57,17 @@
         assertTrue(check.relativeError() <= 0.03, check + " is off by " + check.relativeError());
     }
 
-    /** The check itself: a queue with a tenth more work is told apart. */
+    /** Validates the check itself: it detects a queue with a tenth more work. */
     @Test
-    void theoryWouldFindATenthMoreWork() {
+    void theCheckDetectsATenthMoreWork() {
         assertTrue(new QueueingTheory.Check("", 0.01, 0.011).relativeError() > 0.03);
     }
 
     @Test
-    void theSameSeedGivesTheSameRunToTheLastEvent() {
-        Outcome a = new Simulation(troubled(), 5).run();
-        Outcome b = new Simulation(troubled(), 5).run();
-        Outcome c = new Simulation(troubled(), 6).run();
+    void theSameSeedReproducesTheSameRun() {
+        Outcome a = new Simulation(faulty(), 5).run();
+        Outcome b = new Simulation(faulty(), 5).run();
+        Outcome c = new Simulation(faulty(), 6).run();
         assertEquals(text(a), text(b));
         assertNotEquals(text(a), text(c));
     }
@@ -77,9 +77,9 @@
                 + o.upstreamUtilisation() + o.latency().getMean() + o.warmUps() + o.coldPeak() + o.violations();
     }
 
-    /** The same wants reach every policy: only then are differences the policy's. */
+    /** All policies get the same operations, so that differences are due to the policies. */
     @Test
-    void whatClientsWantDoesNotDependOnWhoDecides() {
+    void arrivalsDoNotDependOnThePolicy() {
         List<Long> first = null;
         for (String policy : BaselinePolicies.names()) {
             Outcome o = new Simulation(small(0.5).withPolicy(policy), 3).run();
@@ -91,24 +91,26 @@
     }
 
     @Test
-    void eachRequestEndsOnceAndNoWorkGetsLost() {
-        Simulation e = new Simulation(troubled(), 9);
-        e.start();
+    void eachRequestEndsOnceAndNoWorkIsLost() {
+        Simulation simulation = new Simulation(faulty(), 9);
+        simulation.start();
         for (int step = 0; step < 1_200; step++) {
-            e.advance(10_000);
-            assertTrue(e.openAtClients() >= e.openAtForwarders(), "a balancer owes what nobody waits for");
-            assertTrue(e.unaccountedWork() < 1e-6, "work is lost in the books: " + e.unaccountedWork());
+            simulation.advance(10_000);
+            assertTrue(
+                    simulation.openAtClients() >= simulation.openAtForwarders(),
+                    "a forwarder has an open exchange without a client");
+            assertTrue(simulation.unaccountedWork() < 1e-6, "unaccounted work: " + simulation.unaccountedWork());
         }
-        e.stopClients();
-        e.advance(5_000_000);
-        assertEquals(0, e.openAtClients());
-        assertEquals(0, e.openAtForwarders());
+        simulation.stopClients();
+        simulation.advance(5_000_000);
+        assertEquals(0, simulation.openAtClients());
+        assertEquals(0, simulation.openAtForwarders());
     }
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6})
     void theRulesHoldUnderFaults(long seed) {
-        for (Scenario s : List.of(troubled(), troubled().withPlanners(PlannerSpec.defaults(0)))) {
+        for (Scenario s : List.of(faulty(), faulty().withPlanners(PlannerSpec.defaults(0)))) {
             Outcome o = new Simulation(s, seed).run();
             assertEquals(Map.of(), o.violations(), o.violationMessages().toString());
             assertTrue(o.coldPeak() <= 1);
@@ -116,7 +118,7 @@
         }
     }
 
-    /** Faults must do something, or the tests above show nothing. */
+    /** Each kind of fault has an effect; without one, the tests above would show nothing. */
     @ParameterizedTest
     @EnumSource(
             value = Kind.class,
@@ -136,26 +138,26 @@
                 "LOSE_ZONE",
                 "CUT_ZONE"
             })
-    void eachFaultChangesARun(Kind kind) {
-        Scenario calm = small(0.6);
-        Scenario struck = calm.withFaults(List.of(fault(4, kind, 3, 1, 2, 3)));
-        assertNotEquals(text(new Simulation(calm, 2).run()), text(new Simulation(struck, 2).run()));
+    void eachKindOfFaultChangesARun(Kind kind) {
+        Scenario withoutFault = small(0.6);
+        Scenario withFault = withoutFault.withFaults(List.of(fault(4, kind, 3, 1, 2, 3)));
+        assertNotEquals(text(new Simulation(withoutFault, 2).run()), text(new Simulation(withFault, 2).run()));
     }
 
     @ParameterizedTest
     @EnumSource(
             value = Kind.class,
             names = {"LOSE_ANSWERS", "RESET_CONNECTIONS"})
-    void faultsOnTheWayBackChangeARun(Kind kind) {
-        Scenario calm = small(0.6);
-        Scenario struck = calm.withFaults(List.of(fault(4, kind, 1, 0, 3, 0.05)));
-        assertNotEquals(text(new Simulation(calm, 2).run()), text(new Simulation(struck, 2).run()));
+    void lossesOfAnswersChangeARun(Kind kind) {
+        Scenario withoutFault = small(0.6);
+        Scenario withFault = withoutFault.withFaults(List.of(fault(4, kind, 1, 0, 3, 0.05)));
+        assertNotEquals(text(new Simulation(withoutFault, 2).run()), text(new Simulation(withFault, 2).run()));
     }
 
-    /** What the fleet's days bring: nodes hold few connections, processes are young, a zone goes, one is cut. */
+    /** Few connections an upstream, cold forwarders, a zone that fails and one that is partitioned. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
-    void theRulesHoldWhereConnectionsAreScarceAndBalancersRestart(long seed) {
+    void theRulesHoldWithFewConnectionsAndRestartsOfForwarders(long seed) {
         Scenario s = Scenarios.orders(12, 6, 0.5, 14, 2.6, 16);
         Scenario.Network n = s.network();
         Scenario.Network scarce = new Scenario.Network(
@@ -192,8 +194,8 @@
         Outcome o = run.run();
         assertEquals(Map.of(), o.violations(), o.violationMessages().toString());
         assertEquals(0, run.openAtClients());
-        assertTrue(run.minConnections() >= 0, "a connection was closed twice");
-        assertTrue(run.maxConnections() <= 10, "a node held " + run.maxConnections());
+        assertTrue(run.minConnections() >= 0, "closed a connection twice");
+        assertTrue(run.maxConnections() <= 10, "connections of one upstream: " + run.maxConnections());
         assertTrue(o.handshakesPerRequest() > 0 && o.crossingsPerRequest() > 0);
     }
 
@@ -202,17 +204,17 @@
             value = Kind.class,
             names = {"KILL_PLANNER", "PAUSE_PLANNER", "CUT_PLANNER_OUT", "CUT_PLANNER_IN"})
     void eachFaultOfAPlannerChangesARun(Kind kind) {
-        Scenario calm = small(0.6).withPlanners(PlannerSpec.defaults(1));
-        Scenario struck = calm.withFaults(List.of(fault(4, kind, 1, 0, 3, 0)));
-        assertNotEquals(text(new Simulation(calm, 2).run()), text(new Simulation(struck, 2).run()));
+        Scenario withoutFault = small(0.6).withPlanners(PlannerSpec.defaults(1));
+        Scenario withFault = withoutFault.withFaults(List.of(fault(4, kind, 1, 0, 3, 0)));
+        assertNotEquals(text(new Simulation(withoutFault, 2).run()), text(new Simulation(withFault, 2).run()));
     }
 
     /**
-     * Many forwarders that all see the same crowds at once, as planners showed them, all go where there was none:
-     * service fell from 0.94 to 0.24. Each is to go by what it has seen of crowds itself.
+     * Regression: when planners sent upstreams' load to all forwarders at once, these all chose the same idle upstreams,
+     * and service fell from 0.94 to 0.24. Forwarders go by the load reports that they receive themselves.
      */
     @Test
-    void forwardersThatFollowPlannersAreNoHerd() {
+    void forwardersThatFollowPlannersDoNotHerd() {
         Scenario without = Scenarios.orders(24, 60, 0.8, 14);
         double none = new Simulation(without, 1).run().service();
         double with = new Simulation(without.withPlanners(PlannerSpec.defaults(3)), 1)
@@ -222,7 +224,7 @@
     }
 
     @Test
-    void anOracleBeatsChance() {
+    void theOraclePolicyOutperformsRandomChoice() {
         double random =
                 new Simulation(small(0.75).withPolicy("random"), 4).run().service();
         double oracle =
