--- a/src/main/java/sedgeyoke/store/DualCopyFile.java
+++ b/src/main/java/sedgeyoke/store/DualCopyFile.java
@@ -40,7 +40,7 @@
         for (int i = 0; i < COPIES; i++) {
             Copy copy = file.read(i);
             sequences[i] = copy.sequence();
-            file.anyCopyInvalid |= copy == Copy.INVALID;
+            file.anyCopyInvalid |= copy.equals(Copy.INVALID);
             if (copy.sequence() > file.sequence) {
                 file.sequence = copy.sequence();
                 file.content = copy.content();
