--- a/src/main/java/sedgeyoke/cli/CheckCommand.java
+++ b/src/main/java/sedgeyoke/cli/CheckCommand.java
@@ -51,8 +51,8 @@
     private static String features(OperatorFile operatorFile) {
         return "plans " + onOrOff(operatorFile.plans().enabled())
                 + ", bodies " + onOrOff(operatorFile.bodies().streaming())
-                + ", agreed " + onOrOff(operatorFile.agreed().enabled())
-                + ", keeper " + onOrOff(operatorFile.keeper().enabled())
+                + ", config " + onOrOff(operatorFile.config().enabled())
+                + ", config server " + onOrOff(operatorFile.configServer().enabled())
                 + ", planner " + onOrOff(operatorFile.planner().enabled());
     }
 
