--- a/src/main/java/sedgeyoke/cli/DemoCommand.java
+++ b/src/main/java/sedgeyoke/cli/DemoCommand.java
@@ -33,6 +33,7 @@
     private long seed;
 
     @Override
+    @SuppressWarnings("SystemConsoleNull") // null without a terminal up to JDK 21; the program runs on JDK 17
     public Integer call() throws Exception {
         if (seconds < MIN_SECONDS || seconds > MAX_SECONDS) {
             throw new CommandLine.ParameterException(spec.commandLine(), "--seconds must lie from 3 to 3600");
--- a/src/main/java/sedgeyoke/cli/DrillCommand.java
+++ b/src/main/java/sedgeyoke/cli/DrillCommand.java
@@ -59,7 +59,7 @@
             throw usageError("--config-servers 1 to 7, --balancers 3 to 60, --seconds 12 to 3600");
         }
         PrintWriter progress =
-                json ? new PrintWriter(System.err, true) : spec.commandLine().getOut();
+                json ? Sedgeyoke.writer(System.err) : spec.commandLine().getOut();
         ConsensusDrill.Options options =
                 new ConsensusDrill.Options(configServers, balancers, seconds, seed, mode, ProgramProcess.program());
         return printMetrics(new ConsensusDrill(options, progress).run());
--- a/src/main/java/sedgeyoke/cli/Sedgeyoke.java
+++ b/src/main/java/sedgeyoke/cli/Sedgeyoke.java
@@ -1,6 +1,8 @@
 package sedgeyoke.cli;
 
+import java.io.PrintStream;
 import java.io.PrintWriter;
+import java.nio.charset.Charset;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -31,7 +33,12 @@
 
     /** Runs a command and ends the process with its exit code. */
     public static void main(String[] args) {
-        System.exit(run(new PrintWriter(System.out, true), new PrintWriter(System.err, true), args));
+        System.exit(run(writer(System.out), writer(System.err), args));
+    }
+
+    /** Uses the charset of the terminal, as the streams themselves do. */
+    static PrintWriter writer(PrintStream stream) {
+        return new PrintWriter(stream, true, Charset.defaultCharset());
     }
 
     /** Runs a command, by its present or a deprecated name, and returns its exit code. */
--- a/src/main/java/sedgeyoke/model/InvariantChecker.java
+++ b/src/main/java/sedgeyoke/model/InvariantChecker.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -194,7 +195,7 @@
             return;
         }
         e.answer = answer;
-        answers.merge(answer.name().toLowerCase(), 1, Integer::sum);
+        answers.merge(answer.name().toLowerCase(Locale.ROOT), 1, Integer::sum);
         if (now > e.deadline + ANSWER_SLACK + stalledSince(e.at)) {
             violation(1, id + " answered " + (now - e.deadline) / 1_000 + " ms too late by " + e.balancer);
         }
--- a/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
+++ b/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
@@ -9,6 +9,7 @@
 import java.io.PrintWriter;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -225,7 +226,7 @@
                     "config-server", "--config", k.folder.resolve("k0.toml").toString()));
             Process second =
                     new ProcessBuilder(command).redirectErrorStream(true).start();
-            String said = new String(second.getInputStream().readAllBytes());
+            String said = new String(second.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             assertEquals(2, second.waitFor(), said);
             assertTrue(said.contains("is held by another process"), said);
         }
@@ -235,7 +236,8 @@
     @Test
     void theDrillHoldsInSmall() throws Exception {
         ConsensusDrill.Options options = new ConsensusDrill.Options(3, 3, 16, 3, ConsensusDrill.Mode.FAULTS, PROGRAM);
-        ObjectNode figures = new ConsensusDrill(options, new PrintWriter(System.out, true)).run();
+        ObjectNode figures =
+                new ConsensusDrill(options, new PrintWriter(System.out, true, StandardCharsets.UTF_8)).run();
         System.out.println(figures);
         assertEquals(0, figures.path("lost_commits").asInt(), figures.toString());
         assertTrue(figures.path("linearizable").asBoolean(), figures.toString());
--- a/src/test/java/sedgeyoke/store/SimDisk.java
+++ b/src/test/java/sedgeyoke/store/SimDisk.java
@@ -17,7 +17,7 @@
     private long filesCreated;
 
     /** A file: its content as the process reads it, and the part that survives a power cut. */
-    private final class Content {
+    private static final class Content {
         byte[] current = new byte[0];
         byte[] durable = new byte[0];
         /** Sectors written since the last effective fsync. */
--- a/src/test/java/sedgeyoke/store/StoreTest.java
+++ b/src/test/java/sedgeyoke/store/StoreTest.java
@@ -1,5 +1,6 @@
 package sedgeyoke.store;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -29,7 +30,7 @@
     }
 
     private static LogRecord record(long index, String text) {
-        return new LogRecord(index, text.getBytes());
+        return new LogRecord(index, text.getBytes(UTF_8));
     }
 
     /** Appends and syncs six records; returns the index of the last one. */
@@ -45,7 +46,7 @@
 
     private static List<String> texts(SegmentLog log) {
         return log.records().stream()
-                .map(found -> found.index() + " " + new String(found.payload()))
+                .map(found -> found.index() + " " + new String(found.payload(), UTF_8))
                 .toList();
     }
 
@@ -192,19 +193,19 @@
         for (int cut = 0; cut < 12; cut++) {
             for (int seed = 0; seed < 20; seed++) {
                 SimDisk disk = new SimDisk(seed);
-                DualCopyFile.open(disk, "slot").save("old".getBytes());
+                DualCopyFile.open(disk, "slot").save("old".getBytes(UTF_8));
                 DualCopyFile file = DualCopyFile.open(disk, "slot");
                 disk.crashAfterOperations = cut;
                 boolean saved = false;
                 try {
-                    file.save("new".getBytes());
+                    file.save("new".getBytes(UTF_8));
                     saved = true;
                 } catch (SimDisk.ProcessCrash e) {
                     assertNotNull(e);
                 }
                 disk.powerCut();
                 DualCopyFile again = DualCopyFile.open(disk, "slot");
-                String found = new String(again.content().orElseThrow());
+                String found = new String(again.content().orElseThrow(), UTF_8);
                 assertTrue(found.equals("new") || !saved && found.equals("old"), found + " cut " + cut);
             }
         }
@@ -213,12 +214,12 @@
     @Test
     void oneInvalidCopyIsReplacedAndTwoAreReported() throws Exception {
         SimDisk disk = new SimDisk(1);
-        DualCopyFile.open(disk, "slot").save("kept".getBytes());
+        DualCopyFile.open(disk, "slot").save("kept".getBytes(UTF_8));
         for (String copy : List.of("slot-a", "slot-b")) {
             for (int bit = 0; bit < 8 * disk.bytes(copy).length; bit++) {
                 disk.flipBit(copy, bit / 8, bit % 8);
                 assertArrayEquals(
-                        "kept".getBytes(),
+                        "kept".getBytes(UTF_8),
                         DualCopyFile.open(disk, "slot").content().orElseThrow());
             }
         }
@@ -230,14 +231,14 @@
     @Test
     void anInterruptedSaveOfASnapshotLeavesTheOlderOne() throws Exception {
         SimDisk disk = new SimDisk(1);
-        new SnapshotStore(disk, DIRECTORY_IDENTITY).save(new SnapshotStore.StoredSnapshot(5, "five".getBytes()));
+        new SnapshotStore(disk, DIRECTORY_IDENTITY).save(new SnapshotStore.StoredSnapshot(5, "five".getBytes(UTF_8)));
         for (int cut = 0; cut < 8; cut++) {
             SimDisk copy = disk.copy(cut);
             copy.crashAfterOperations = cut;
             boolean saved = false;
             try {
                 new SnapshotStore(copy, DIRECTORY_IDENTITY)
-                        .save(new SnapshotStore.StoredSnapshot(9, "nine".getBytes()));
+                        .save(new SnapshotStore.StoredSnapshot(9, "nine".getBytes(UTF_8)));
                 saved = true;
             } catch (SimDisk.ProcessCrash e) {
                 assertNotNull(e);
