Two races of tests closed; a rejection is called so in the exchange's reply

Change: the stream is taken once; the outcomes are awaited before they are compared, by the same list. Exchange.Reply.refused is rejected.

--- a/src/main/java/sedgeyoke/proxy/ClientConnection.java
+++ b/src/main/java/sedgeyoke/proxy/ClientConnection.java
@@ -402,7 +402,7 @@
     private void rejectForLackOfRoom(Request request) {
         keepAlive = false;
         core.countRejected(request.classIndex());
-        refused(core.retryAfter(0));
+        rejected(core.retryAfter(0));
     }
 
     /** Rejects a request whose rest cannot or must not be read. If a part was forwarded, its end never will be. */
@@ -443,7 +443,7 @@
     }
 
     @Override
-    public void refused(long retryAfter) {
+    public void rejected(long retryAfter) {
         respond(HttpResponseStatus.SERVICE_UNAVAILABLE, null, NO_BODY, retryAfter);
     }
 
--- a/src/main/java/sedgeyoke/proxy/Cordons.java
+++ b/src/main/java/sedgeyoke/proxy/Cordons.java
@@ -12,7 +12,7 @@
  * config servers. Event loop only.
  */
 final class Cordons {
-    /** How soon what one process of a balancer was told reaches the other one during an upgrade. */
+    /** How soon a cordon set in one process of a balancer reaches the other one during an upgrade. */
     private static final long REFRESH_INTERVAL_MILLIS = 100;
 
     private final PolicyClock clock;
--- a/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
+++ b/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
@@ -90,7 +90,7 @@
     private long revision;
     /** Whether the listener was notified of a failed call and of no successful one since. */
     private boolean failureReported;
-    /** After a failure of the agent: the next call returns at once, as waiting could not be told from silence. */
+    /** After a failure of the agent: the next call returns at once, as waiting cannot be distinguished from silence. */
     private boolean withoutWait;
 
     /** The listener gets each list, and null for a failed call where lists are polled. */
--- a/src/main/java/sedgeyoke/proxy/Exchange.java
+++ b/src/main/java/sedgeyoke/proxy/Exchange.java
@@ -39,7 +39,7 @@
         ResponseStream.Sink begin(ResponseStream.Head head, ResponseStream.Source source);
 
         /** Answers that the request was not executed; {@code retryAfter} in microseconds, 0 for no Retry-After. */
-        void refused(long retryAfter);
+        void rejected(long retryAfter);
 
         /** Answers that it failed: it may have been executed or not. */
         void failed();
--- a/src/main/java/sedgeyoke/proxy/ExchangeTable.java
+++ b/src/main/java/sedgeyoke/proxy/ExchangeTable.java
@@ -363,7 +363,7 @@
     /** Answers that the request was not executed; {@code retryAfterMicros} as the policy advises, 0 for no advice. */
     void reject(Exchange exchange, long retryAfterMicros) {
         if (markAnswered(exchange, RequestMetrics.End.REFUSED)) {
-            exchange.reply.refused(retryAfter(retryAfterMicros));
+            exchange.reply.rejected(retryAfter(retryAfterMicros));
         }
     }
 
--- a/src/main/java/sedgeyoke/proxy/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/ProxyCore.java
@@ -16,7 +16,7 @@
  * other features call. Event loop only.
  */
 final class ProxyCore implements ModulePort {
-    /** How long clients are kept out for the first endpoint list before the configured one has to do. */
+    /** How long the first endpoint list is awaited before clients are accepted with the configured one. */
     private static final long MAX_WAIT_FOR_LIST_MICROS = 1_500_000;
     /** SIGKILL does not wait for longer deadlines (PROTOCOL, "Figures"). */
     private static final long MAX_DEADLINE_MICROS = 3_000_000;
--- a/src/test/java/sedgeyoke/proxy/CrossingsTest.java
+++ b/src/test/java/sedgeyoke/proxy/CrossingsTest.java
@@ -104,6 +104,8 @@
             assertEquals(502, lb.ask("id-1", "update", 5_000).status());
             assertEquals(200, lb.ask("id-2", "update", 5_000).status());
             assertEquals(1, up.requests.size(), "only the second one");
+            // The client may have its response before the policy is notified of the outcome.
+            Loopback.await("all attempts ended", () -> module.ends.size() >= 3);
             assertEquals(
                     List.of(Outcome.RESET, Outcome.NOT_SENT, Outcome.OK),
                     module.ends.stream().map(e -> e.outcome()).toList());
--- a/src/test/java/sedgeyoke/proxy/Peer.java
+++ b/src/test/java/sedgeyoke/proxy/Peer.java
@@ -4,6 +4,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -105,8 +106,9 @@
     }
 
     static void write(Socket socket, String text) throws IOException {
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-        socket.getOutputStream().flush();
+        OutputStream out = socket.getOutputStream(); // once: the other side may close the socket after the write
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
     }
 
     /** Reads one message; null at the end of the stream, or when it breaks. */
