--- a/src/test/java/sedgeyoke/policy/AdmissionTest.java
+++ b/src/test/java/sedgeyoke/policy/AdmissionTest.java
@@ -18,90 +18,92 @@
 
     @Test
     void slowResponsesLowerTheLimitAndRequestsAreQueued() {
-        PolicyHarness h = PolicyHarness.of(config).list(2);
+        PolicyHarness host = PolicyHarness.of(config).list(2);
         for (int i = 0; i < 60; i++) {
-            String id = h.request(0, 2 * SECOND);
-            if (h.lastUpstream(id) != null) {
-                h.advance(i < 10 ? 20 * MILLI : 900 * MILLI);
-                h.end(id, Outcome.OK, i < 10 ? 20 * MILLI : 900 * MILLI, null);
+            String id = host.request(0, 2 * SECOND);
+            if (host.lastUpstream(id) != null) {
+                host.advance(i < 10 ? 20 * MILLI : 900 * MILLI);
+                host.end(id, Outcome.OK, i < 10 ? 20 * MILLI : 900 * MILLI, null);
             }
         }
-        h.perUpstream.clear();
+        host.perUpstream.clear();
         for (int i = 0; i < 20; i++) {
-            h.request(0, 2 * SECOND);
+            host.request(0, 2 * SECOND);
         }
-        int sent = h.perUpstream.values().stream().mapToInt(Integer::intValue).sum();
+        int sent =
+                host.perUpstream.values().stream().mapToInt(Integer::intValue).sum();
         assertTrue(sent <= 2, "sent " + sent);
     }
 
-    /** In a large fleet our own answers are few: long work at idle upstreams closed them to thin traffic. */
+    /** In a large fleet few responses are our own: long work lowered the limits of idle upstreams. */
     @Test
     void longResponsesLowerTheLimitOnlyOfBusyUpstreams() {
         for (double utilisation : new double[] {0.4, 0.95}) {
-            PolicyHarness h = PolicyHarness.of(config).list(2);
+            PolicyHarness host = PolicyHarness.of(config).list(2);
             for (int i = 0; i < 60; i++) {
-                h.serve(0, i < 10 ? 20 * MILLI : 300 * MILLI, u -> utilisation);
+                host.serve(0, i < 10 ? 20 * MILLI : 300 * MILLI, u -> utilisation);
             }
-            h.perUpstream.clear();
+            host.perUpstream.clear();
             for (int i = 0; i < 20; i++) {
-                h.request(0, 2 * SECOND);
+                host.request(0, 2 * SECOND);
             }
-            int sent =
-                    h.perUpstream.values().stream().mapToInt(Integer::intValue).sum();
+            int sent = host.perUpstream.values().stream()
+                    .mapToInt(Integer::intValue)
+                    .sum();
             assertEquals(utilisation > 0.9, sent <= 2, sent + " sent at " + utilisation);
         }
     }
 
-    /** Its last report says nothing about the work that it has not answered since. */
+    /** Its last report does not cover the work that it has not finished since. */
     @Test
     void aTimeoutLowersTheLimitWhateverWasReported() {
-        PolicyHarness h = PolicyHarness.of(config).list(2);
+        PolicyHarness host = PolicyHarness.of(config).list(2);
         for (int i = 0; i < 10; i++) {
-            h.serve(0, 20 * MILLI, u -> 0.4);
+            host.serve(0, 20 * MILLI, u -> 0.4);
         }
-        List<String> silent = List.of(h.request(2, 2 * SECOND), h.request(2, 2 * SECOND));
-        h.advance(300 * MILLI);
-        silent.forEach(id -> h.end(id, Outcome.TIMEOUT, 300 * MILLI, null));
-        h.perUpstream.clear();
+        List<String> silent = List.of(host.request(2, 2 * SECOND), host.request(2, 2 * SECOND));
+        host.advance(300 * MILLI);
+        silent.forEach(id -> host.end(id, Outcome.TIMEOUT, 300 * MILLI, null));
+        host.perUpstream.clear();
         for (int i = 0; i < 20; i++) {
-            h.request(0, 2 * SECOND);
+            host.request(0, 2 * SECOND);
         }
-        assertEquals(Map.of("u0", 1, "u1", 1), h.perUpstream);
+        assertEquals(Map.of("u0", 1, "u1", 1), host.perUpstream);
     }
 
     @Test
     void withCapacityNothingIsQueued() {
-        PolicyHarness h = PolicyHarness.of(config).list(4);
-        String id = h.request(0, 2 * SECOND);
-        assertNotEquals(null, h.lastUpstream(id));
+        PolicyHarness host = PolicyHarness.of(config).list(4);
+        String id = host.request(0, 2 * SECOND);
+        assertNotEquals(null, host.lastUpstream(id));
     }
 
     @Test
     void queuedRequestsAreSentByPriority() {
-        PolicyHarness h = PolicyHarness.of(config);
-        String cheap = h.request(0, 2 * SECOND);
-        String dear = h.request(2, 2 * SECOND);
-        assertNull(h.lastUpstream(cheap));
-        h.list(1);
-        int sentDear = h.done.indexOf(h.now + " send " + dear + " u0");
-        int sentCheap = h.done.indexOf(h.now + " send " + cheap + " u0");
-        assertTrue(sentDear >= 0 && sentDear < sentCheap, h.done.toString());
+        PolicyHarness host = PolicyHarness.of(config);
+        String cheap = host.request(0, 2 * SECOND);
+        String dear = host.request(2, 2 * SECOND);
+        assertNull(host.lastUpstream(cheap));
+        host.list(1);
+        int sentDear = host.actions.indexOf(host.now + " send " + dear + " u0");
+        int sentCheap = host.actions.indexOf(host.now + " send " + cheap + " u0");
+        assertTrue(sentDear >= 0 && sentDear < sentCheap, host.actions.toString());
     }
 
     @Test
     void aMarkedRetryIsShedSoonerOnceRejectionsAreUsual() {
         for (boolean retry : new boolean[] {true, false}) {
             config.lateWorth = 0;
-            PolicyHarness h = PolicyHarness.of(config);
+            PolicyHarness host = PolicyHarness.of(config);
             for (int i = 0; i < 100; i++) {
-                h.request(0, 2 * SECOND);
-                h.advance(510 * MILLI);
+                host.request(0, 2 * SECOND);
+                host.advance(510 * MILLI);
             }
-            h.refused.clear();
-            h.balancer.requestArrived(
-                    h.now, new LoadBalancingPolicy.Request("again", 0, 0, null, 0, 2 * SECOND, false, retry));
-            h.advance(100 * MILLI);
-            assertEquals(retry, h.refused.contains("again"));
+            host.rejected.clear();
+            host.balancer.requestArrived(
+                    host.now, new LoadBalancingPolicy.Request("again", 0, 0, null, 0, 2 * SECOND, false, retry));
+            host.advance(100 * MILLI);
+            assertEquals(retry, host.rejected.contains("again"));
         }
     }
 
@@ -109,13 +111,13 @@
     void requestsBeyondATenantsAllowanceLosePriority() {
         for (double allowance : new double[] {0, 1}) {
             config.tenants = List.of(new LoadBalancingPolicy.Tenant(allowance, 1));
-            PolicyHarness h = PolicyHarness.of(config);
-            String first = h.request(0, 2 * SECOND);
-            String second = h.request(0, 2 * SECOND);
-            h.list(1);
-            int sentFirst = h.done.indexOf(h.now + " send " + first + " u0");
-            int sentSecond = h.done.indexOf(h.now + " send " + second + " u0");
-            assertEquals(allowance > 0, sentFirst < sentSecond, h.done.toString());
+            PolicyHarness host = PolicyHarness.of(config);
+            String first = host.request(0, 2 * SECOND);
+            String second = host.request(0, 2 * SECOND);
+            host.list(1);
+            int sentFirst = host.actions.indexOf(host.now + " send " + first + " u0");
+            int sentSecond = host.actions.indexOf(host.now + " send " + second + " u0");
+            assertEquals(allowance > 0, sentFirst < sentSecond, host.actions.toString());
         }
     }
 
@@ -123,12 +125,12 @@
     void queuedRequestsPastTheirObjectiveAreRejectedWithoutLateWeight() {
         for (double late : new double[] {0, 0.5}) {
             config.lateWorth = late;
-            PolicyHarness h = PolicyHarness.of(config);
-            h.request(0, 2 * SECOND);
-            h.advance(600 * MILLI);
-            assertEquals(late == 0 ? 1 : 0, h.refused.size());
-            h.advance(1_500 * MILLI);
-            assertEquals(1, h.refused.size());
+            PolicyHarness host = PolicyHarness.of(config);
+            host.request(0, 2 * SECOND);
+            host.advance(600 * MILLI);
+            assertEquals(late == 0 ? 1 : 0, host.rejected.size());
+            host.advance(1_500 * MILLI);
+            assertEquals(1, host.rejected.size());
         }
     }
 }
--- a/src/test/java/sedgeyoke/policy/AffinityTest.java
+++ b/src/test/java/sedgeyoke/policy/AffinityTest.java
@@ -22,45 +22,45 @@
     @Test
     void aKeyHasOneAffinityUpstream() {
         for (boolean warm : new boolean[] {false, true}) {
-            config.warmKeys = warm;
-            PolicyHarness h = PolicyHarness.of(config).list(6);
+            config.keyAffinity = warm;
+            PolicyHarness host = PolicyHarness.of(config).list(6);
             for (int i = 0; i < 200; i++) {
-                String id = h.request(0, 2 * SECOND, "key", 20 * MILLI);
-                h.advance(20 * MILLI);
-                h.end(id, Outcome.OK, 20 * MILLI, null);
+                String id = host.request(0, 2 * SECOND, "key", 20 * MILLI);
+                host.advance(20 * MILLI);
+                host.end(id, Outcome.OK, 20 * MILLI, null);
             }
-            int most = h.perUpstream.values().stream().max(Integer::compare).orElse(0);
-            assertEquals(warm, most > 150, h.perUpstream.toString());
+            int most = host.perUpstream.values().stream().max(Integer::compare).orElse(0);
+            assertEquals(warm, most > 150, host.perUpstream.toString());
         }
     }
 
     @Test
     void queuedKeysGoToTheirAffinityUpstreamFirst() {
-        config.warmKeys = true;
-        PolicyHarness h = PolicyHarness.of(config).list(4);
+        config.keyAffinity = true;
+        PolicyHarness host = PolicyHarness.of(config).list(4);
         Map<String, String> homes = new HashMap<>();
         for (int i = 0; i < 40; i++) {
-            String id = h.request(0, 2 * SECOND, "key" + i, 20 * MILLI);
-            homes.put("key" + i, h.lastUpstream(id));
-            h.advance(20 * MILLI);
-            h.end(id, Outcome.OK, 20 * MILLI, null);
+            String id = host.request(0, 2 * SECOND, "key" + i, 20 * MILLI);
+            homes.put("key" + i, host.lastUpstream(id));
+            host.advance(20 * MILLI);
+            host.end(id, Outcome.OK, 20 * MILLI, null);
         }
-        h.advance(SECOND);
+        host.advance(SECOND);
         List<String> out = new ArrayList<>();
         Map<String, String> waiting = new LinkedHashMap<>();
         for (int i = 0; i < 120; i++) {
-            String id = h.request(0, 2 * SECOND, "key" + i % 40, 20 * MILLI);
-            if (h.lastUpstream(id) == null) {
+            String id = host.request(0, 2 * SECOND, "key" + i % 40, 20 * MILLI);
+            if (host.lastUpstream(id) == null) {
                 waiting.put(id, homes.get("key" + i % 40));
             } else {
                 out.add(id);
             }
         }
-        h.advance(20 * MILLI);
-        out.forEach(id -> h.end(id, Outcome.OK, 20 * MILLI, null));
-        waiting.keySet().removeIf(id -> h.lastUpstream(id) == null);
+        host.advance(20 * MILLI);
+        out.forEach(id -> host.end(id, Outcome.OK, 20 * MILLI, null));
+        waiting.keySet().removeIf(id -> host.lastUpstream(id) == null);
         long home = waiting.entrySet().stream()
-                .filter(w -> w.getValue().equals(h.lastUpstream(w.getKey())))
+                .filter(w -> w.getValue().equals(host.lastUpstream(w.getKey())))
                 .count();
         assertTrue(waiting.size() > 8, "sent " + waiting.size());
         assertTrue(home > 0.75 * waiting.size(), home + " of " + waiting.size());
@@ -72,29 +72,29 @@
      */
     @Test
     void aLongQueueDoesNotSlowDownFurtherRequests() {
-        config.warmKeys = true;
-        PolicyHarness h = PolicyHarness.of(config).list(10);
+        config.keyAffinity = true;
+        PolicyHarness host = PolicyHarness.of(config).list(10);
         assertTimeoutPreemptively(Duration.ofSeconds(20), () -> {
             for (int i = 0; i < 30_000; i++) {
-                h.request(0, 2 * SECOND, "key" + i, 20 * MILLI);
+                host.request(0, 2 * SECOND, "key" + i, 20 * MILLI);
             }
         });
-        assertTrue(h.sends.size() < 100, "the rest is held: " + h.sends.size());
+        assertTrue(host.sends.size() < 100, "the rest is queued: " + host.sends.size());
     }
 
     @Test
     void affinityPrefersTheOwnZoneWhereCrossingHasAPrice() {
         int[] own = new int[2];
-        config.warmKeys = true;
+        config.keyAffinity = true;
         for (int priced = 0; priced < 2; priced++) {
             config.crossZone = priced * 0.0001;
-            PolicyHarness h = PolicyHarness.of(config).list(6);
+            PolicyHarness host = PolicyHarness.of(config).list(6);
             for (int i = 0; i < 300; i++) {
-                String id = h.request(0, 2 * SECOND, "key" + i, 20 * MILLI);
-                h.advance(20 * MILLI);
-                h.end(id, Outcome.OK, 20 * MILLI, null);
+                String id = host.request(0, 2 * SECOND, "key" + i, 20 * MILLI);
+                host.advance(20 * MILLI);
+                host.end(id, Outcome.OK, 20 * MILLI, null);
             }
-            own[priced] = h.attemptsAt("u0") + h.attemptsAt("u3");
+            own[priced] = host.attemptsAt("u0") + host.attemptsAt("u3");
         }
         assertTrue(own[1] > own[0] + 50, own[0] + " " + own[1]);
     }
--- a/src/test/java/sedgeyoke/policy/CordonTest.java
+++ b/src/test/java/sedgeyoke/policy/CordonTest.java
@@ -11,7 +11,7 @@
 import sedgeyoke.policy.LoadBalancingPolicy.State;
 import sedgeyoke.policy.LoadBalancingPolicy.UpstreamStatus;
 
-/** Upstreams that operators take out of service by hand, and what they are when they come back. */
+/** Cordons: upstreams that operators take out of service, and their slow start afterwards. */
 class CordonTest {
     private static final int REQUESTS = 300;
     private final PolicyHarness host =
@@ -25,7 +25,7 @@
         return host.perUpstream.getOrDefault(upstream, 0) - before;
     }
 
-    private UpstreamStatus standing(String upstream) {
+    private UpstreamStatus status(String upstream) {
         return host.balancer.summary(host.now).upstreams().stream()
                 .filter(s -> s.id().equals(upstream))
                 .findFirst()
@@ -33,65 +33,65 @@
     }
 
     @Test
-    void whatIsOutGetsNothingUntilItIsGivenBackWhateverTheListSays() {
+    void aCordonedUpstreamGetsNothingWhateverTheListSays() {
         assertTrue(sentTo("u1") > 0);
         host.balancer.cordonsUpdated(host.now, Map.of("u1", host.now));
         assertEquals(0, sentTo("u1"));
-        assertTrue(standing("u1").ejected(), "operators are told that it is avoided");
-        host.change(PolicyHarness.up(1, State.READY, 0));
+        assertTrue(status("u1").ejected(), "the summary shows it as ejected");
+        host.change(PolicyHarness.upstream(1, State.READY, 0));
         host.list(3);
-        host.change(PolicyHarness.up(1, State.READY, host.now)); // it has restarted
+        host.change(PolicyHarness.upstream(1, State.READY, host.now)); // it has restarted
         assertEquals(0, sentTo("u1"));
-        host.change(PolicyHarness.up(1, State.REMOVED, 0));
-        host.change(PolicyHarness.up(1, State.READY, host.now));
-        assertEquals(0, sentTo("u1"), "also when it was gone from the list between");
+        host.change(PolicyHarness.upstream(1, State.REMOVED, 0));
+        host.change(PolicyHarness.upstream(1, State.READY, host.now));
+        assertEquals(0, sentTo("u1"), "also after it was removed from the list");
         host.balancer.cordonsUpdated(host.now, Map.of());
-        assertFalse(standing("u1").ejected());
+        assertFalse(status("u1").ejected());
         host.advance(host.settings().rules().slowStartTime());
         assertTrue(sentTo("u1") > 0);
     }
 
     @Test
-    void itComesBackColdEvenIfTheListHasYetToTellOfItsRestart() {
+    void aReleasedUpstreamStartsSlowlyBeforeTheListHasItsRestart() {
         assertTrue(sentTo("u1") > 0);
         host.balancer.cordonsUpdated(host.now, Map.of("u1", host.now));
         host.advance(5 * PolicyHarness.SECOND);
         host.balancer.cordonsUpdated(host.now, Map.of());
-        assertEquals(host.now, standing("u1").launchedAt());
-        assertTrue(standing("u1").slowStartQuota() > 0, "a cold one has a right of so much");
-        long told = host.now - 2 * PolicyHarness.SECOND;
-        host.change(PolicyHarness.up(1, State.READY, told));
-        assertEquals(told, standing("u1").launchedAt(), "what the list tells later is its true start");
+        assertEquals(host.now, status("u1").launchedAt());
+        assertTrue(status("u1").slowStartQuota() > 0, "it starts slowly");
+        long launchedAt = host.now - 2 * PolicyHarness.SECOND;
+        host.change(PolicyHarness.upstream(1, State.READY, launchedAt));
+        assertEquals(launchedAt, status("u1").launchedAt(), "a later entry of the list has the true launch");
     }
 
     @Test
-    void aRestartThatTheListHasToldOfIsItsStart() {
+    void aRestartInTheListIsItsLaunch() {
         host.balancer.cordonsUpdated(host.now, Map.of("u1", host.now));
         host.advance(PolicyHarness.SECOND);
-        long told = host.now;
-        host.change(PolicyHarness.up(1, State.READY, told));
+        long launchedAt = host.now;
+        host.change(PolicyHarness.upstream(1, State.READY, launchedAt));
         host.advance(5 * PolicyHarness.SECOND);
         host.balancer.cordonsUpdated(host.now, Map.of());
-        assertEquals(told, standing("u1").launchedAt());
+        assertEquals(launchedAt, status("u1").launchedAt());
     }
 
     @Test
-    void anotherOneIsNotDisturbed() {
+    void otherUpstreamsKeepTheirState() {
         host.balancer.cordonsUpdated(host.now, Map.of("u1", host.now));
-        UpstreamStatus before = standing("u2");
+        UpstreamStatus before = status("u2");
         host.balancer.cordonsUpdated(host.now, Map.of("u1", host.now, "nonesuch", host.now));
         host.balancer.cordonsUpdated(host.now, Map.of());
-        assertEquals(before, standing("u2"));
-        assertEquals(0, standing("u2").launchedAt());
+        assertEquals(before, status("u2"));
+        assertEquals(0, status("u2").launchedAt());
     }
 
-    /** With all out there is nobody to ask: requests wait, and are refused in time. */
+    /** Without upstreams requests are queued, and rejected in time. */
     @Test
-    void withAllOutRequestsWaitAndTheNextOneGivenBackServesThem() {
+    void requestsAreQueuedWhileAllUpstreamsAreCordoned() {
         host.balancer.cordonsUpdated(host.now, Map.of("u0", host.now, "u1", host.now, "u2", host.now));
         host.advance(PolicyHarness.SECOND);
-        host.change(PolicyHarness.up(2, State.READY, host.now));
-        host.advance(host.settings().rules().slowStartTime()); // what it was taken out for is long over
+        host.change(PolicyHarness.upstream(2, State.READY, host.now));
+        host.advance(host.settings().rules().slowStartTime()); // its slow start is over
         String waiting = host.request(0, 2 * PolicyHarness.SECOND);
         assertNull(host.lastUpstream(waiting));
         host.balancer.cordonsUpdated(host.now, Map.of("u0", host.now, "u1", host.now));
@@ -101,6 +101,6 @@
         String late = host.request(0, PolicyHarness.SECOND);
         host.advance(3 * PolicyHarness.SECOND);
         assertNull(host.lastUpstream(late));
-        assertEquals(List.of(late), host.refused);
+        assertEquals(List.of(late), host.rejected);
     }
 }
--- a/src/test/java/sedgeyoke/policy/EndpointsTest.java
+++ b/src/test/java/sedgeyoke/policy/EndpointsTest.java
@@ -24,95 +24,96 @@
     private final PolicyHarness.Config config = new PolicyHarness.Config();
 
     /** Ids of all upstreams that the policy has a state for. */
-    private static Set<String> knownUpstreams(PolicyHarness h) {
-        return h.balancer.summary(h.now).upstreams().stream()
+    private static Set<String> knownUpstreams(PolicyHarness host) {
+        return host.balancer.summary(host.now).upstreams().stream()
                 .map(UpstreamStatus::id)
                 .collect(Collectors.toSet());
     }
 
-    /** Machines are replaced all day by new ones under new ids; those that are gone must leave nothing behind. */
+    /** Upstreams are replaced all day under new ids; the state of removed ones would pile up. */
     @Test
     void removedUpstreamsAreForgotten() {
-        PolicyHarness h = PolicyHarness.of(config).list(3);
+        PolicyHarness host = PolicyHarness.of(config).list(3);
         for (int i = 0; i < 100; i++) {
-            h.balancer.endpointsUpdated(
-                    h.now,
+            host.balancer.endpointsUpdated(
+                    host.now,
                     ListKind.CHANGES,
                     List.of(
                             new Upstream("n" + i, 0, 0, 0, State.READY, 1, 0),
                             new Upstream("n" + (i - 2), 0, 0, 0, State.REMOVED, 1, 0)));
         }
-        assertEquals(Set.of("u0", "u1", "u2", "n98", "n99"), knownUpstreams(h));
-        h.balancer.endpointsUpdated(h.now, ListKind.COMPLETE, List.of(new Upstream("n99", 0, 0, 0, State.READY, 1, 0)));
-        assertEquals(Set.of("n99"), knownUpstreams(h));
-        h.serve(0, 20 * MILLI, u -> 0.5);
-        assertEquals(Map.of("n99", 1), h.perUpstream);
+        assertEquals(Set.of("u0", "u1", "u2", "n98", "n99"), knownUpstreams(host));
+        host.balancer.endpointsUpdated(
+                host.now, ListKind.COMPLETE, List.of(new Upstream("n99", 0, 0, 0, State.READY, 1, 0)));
+        assertEquals(Set.of("n99"), knownUpstreams(host));
+        host.serve(0, 20 * MILLI, u -> 0.5);
+        assertEquals(Map.of("n99", 1), host.perUpstream);
     }
 
     @Test
     void lossOfHalfTheFleetUnknownToTheListCostsLittle() {
-        PolicyHarness h = PolicyHarness.of(config).list(6);
+        PolicyHarness host = PolicyHarness.of(config).list(6);
         int failedConnects = 0;
         int served = 0;
         for (int i = 0; i < 400; i++) {
-            String id = h.request(i % 3, 2 * SECOND);
-            for (int tries = 0; tries < 4 && h.lastUpstream(id) != null; tries++) {
-                h.advance(5 * MILLI);
-                if (h.lastUpstream(id).compareTo("u3") >= 0) {
-                    h.end(id, Outcome.OK, 5 * MILLI, PolicyHarness.report(0.5));
+            String id = host.request(i % 3, 2 * SECOND);
+            for (int tries = 0; tries < 4 && host.lastUpstream(id) != null; tries++) {
+                host.advance(5 * MILLI);
+                if (host.lastUpstream(id).compareTo("u3") >= 0) {
+                    host.end(id, Outcome.OK, 5 * MILLI, PolicyHarness.report(0.5));
                     served++;
                     break;
                 }
                 failedConnects++;
-                h.end(id, Outcome.CONNECT_FAILED, 5 * MILLI, null);
+                host.end(id, Outcome.CONNECT_FAILED, 5 * MILLI, null);
             }
         }
         assertTrue(served >= 395, "served " + served);
         assertTrue(failedConnects > 2 && failedConnects < 40, "failed connects " + failedConnects);
         for (int i = 3; i < 6; i++) {
-            assertTrue(h.attemptsAt("u" + i) > 80, h.perUpstream.toString());
+            assertTrue(host.attemptsAt("u" + i) > 80, host.perUpstream.toString());
         }
     }
 
     @Test
     void itSubscribesOnlyWhereSettingsAskForIt() {
-        config.ask = true;
-        PolicyHarness h = PolicyHarness.of(config);
-        assertTrue(h.done.contains(h.now + " watch true"));
-        h.balancer.endpointsUpdated(h.now, ListKind.UNAVAILABLE, List.of());
-        h.advance(5 * SECOND);
-        assertTrue(h.done.stream().filter(d -> d.endsWith("watch true")).count() >= 2);
-        config.ask = false;
-        assertTrue(PolicyHarness.of(config).done.isEmpty());
+        config.subscribesToEndpoints = true;
+        PolicyHarness host = PolicyHarness.of(config);
+        assertTrue(host.actions.contains(host.now + " watch true"));
+        host.balancer.endpointsUpdated(host.now, ListKind.UNAVAILABLE, List.of());
+        host.advance(5 * SECOND);
+        assertTrue(host.actions.stream().filter(d -> d.endsWith("watch true")).count() >= 2);
+        config.subscribesToEndpoints = false;
+        assertTrue(PolicyHarness.of(config).actions.isEmpty());
     }
 
     /** What fails for one balancer fails for all: asking on at one pace keeps an overbooked discovery overbooked. */
     @Test
     void failedSubscriptionsBackOffWithinThePollLimit() {
-        config.ask = true;
-        PolicyHarness h = PolicyHarness.of(config);
-        long before = h.now;
+        config.subscribesToEndpoints = true;
+        PolicyHarness host = PolicyHarness.of(config);
+        long before = host.now;
         int asked = 1;
         List<Long> pauses = new ArrayList<>();
         for (int i = 0; i < 8; i++) {
-            h.balancer.endpointsUpdated(h.now, ListKind.UNAVAILABLE, List.of());
-            before = h.now;
-            for (; subscriptions(h) == asked; h.advance(10 * MILLI)) {
-                assertTrue(h.now - before < 10 * SECOND, "never asked again");
+            host.balancer.endpointsUpdated(host.now, ListKind.UNAVAILABLE, List.of());
+            before = host.now;
+            for (; subscriptions(host) == asked; host.advance(10 * MILLI)) {
+                assertTrue(host.now - before < 10 * SECOND, "never asked again");
             }
             asked++;
-            pauses.add(h.now - before);
+            pauses.add(host.now - before);
         }
         assertTrue(pauses.get(0) < SECOND, "soon at first: " + pauses);
         pauses.subList(3, 8).forEach(p -> assertTrue(p > SECOND && p < 5 * SECOND, "seldom later on: " + pauses));
-        h.balancer.endpointsUpdated(h.now, ListKind.CHANGES, List.of());
-        h.balancer.endpointsUpdated(h.now, ListKind.UNAVAILABLE, List.of());
-        h.advance(SECOND);
-        assertEquals(asked + 1, subscriptions(h), "soon again after one that went well");
+        host.balancer.endpointsUpdated(host.now, ListKind.CHANGES, List.of());
+        host.balancer.endpointsUpdated(host.now, ListKind.UNAVAILABLE, List.of());
+        host.advance(SECOND);
+        assertEquals(asked + 1, subscriptions(host), "soon again after one that went well");
     }
 
-    private static int subscriptions(PolicyHarness h) {
-        return (int) h.done.stream().filter(d -> d.endsWith("watch true")).count();
+    private static int subscriptions(PolicyHarness host) {
+        return (int) host.actions.stream().filter(d -> d.endsWith("watch true")).count();
     }
 
     @Test
@@ -129,17 +130,17 @@
 
     @Test
     void lateAndUnknownEventsAreIgnored() {
-        PolicyHarness h = PolicyHarness.of(config).list(1);
-        h.balancer.clientDisconnected(h.now, "never");
-        h.balancer.healthCheckCompleted(h.now, "never", Outcome.OK, null);
-        h.balancer.healthCheckCompleted(h.now, "u0", Outcome.TIMEOUT, null);
-        h.balancer.timerFired(h.now, "never");
-        h.balancer.peerMessageReceived(h.now, 1, new byte[0]);
-        h.balancer.attemptEnded(
-                h.now,
+        PolicyHarness host = PolicyHarness.of(config).list(1);
+        host.balancer.clientDisconnected(host.now, "never");
+        host.balancer.healthCheckCompleted(host.now, "never", Outcome.OK, null);
+        host.balancer.healthCheckCompleted(host.now, "u0", Outcome.TIMEOUT, null);
+        host.balancer.timerFired(host.now, "never");
+        host.balancer.peerMessageReceived(host.now, 1, new byte[0]);
+        host.balancer.attemptEnded(
+                host.now,
                 new LoadBalancingPolicy.AttemptEnd(
                         "never", 0, "u0", Outcome.OK, 1, true, new LoadReport(1, 1, 1, 1, 1, 1)));
-        assertTrue(h.done.isEmpty(), h.done.toString());
+        assertTrue(host.actions.isEmpty(), host.actions.toString());
     }
 
     @Test
--- a/src/test/java/sedgeyoke/policy/InvariantRecorder.java
+++ b/src/test/java/sedgeyoke/policy/InvariantRecorder.java
@@ -16,98 +16,98 @@
 import sedgeyoke.policy.LoadBalancingPolicy.State;
 import sedgeyoke.policy.LoadBalancingPolicy.Upstream;
 
-/** The four rules, judged from outside on what was told and what was done; it shares no code with the module. */
+/** Checks the four rules on events and actions from outside; it shares no code with the policy. */
 final class InvariantRecorder {
-    final List<String> breaches = new ArrayList<>();
+    final List<String> violations = new ArrayList<>();
     private final Settings settings;
-    private final double warmWorkPerMicro;
-    private final Map<String, Upstream> listed = new HashMap<>();
-    private final Map<String, Long> closedAt = new HashMap<>();
-    private final Map<String, Case> cases = new HashMap<>();
-    private final Map<String, Deque<long[]>> coldSends = new HashMap<>();
+    private final double fullCapacityPerMicro;
+    private final Map<String, Upstream> endpoints = new HashMap<>();
+    private final Map<String, Long> unavailableSince = new HashMap<>();
+    private final Map<String, RequestRecord> requests = new HashMap<>();
+    private final Map<String, Deque<long[]>> slowStartSends = new HashMap<>();
 
-    private record Sent(long at, Upstream upstream) {}
+    private record SentAttempt(long at, Upstream upstream) {}
 
-    private static final class Case {
+    private static final class RequestRecord {
         Request request;
-        RequestClass cls;
+        RequestClass requestClass;
         long deadline;
-        boolean over;
-        final List<Sent> sent = new ArrayList<>();
-        final List<Boolean> out = new ArrayList<>();
-        final List<Boolean> ran = new ArrayList<>();
+        boolean ended;
+        final List<SentAttempt> attempts = new ArrayList<>();
+        final List<Boolean> outstanding = new ArrayList<>();
+        final List<Boolean> mayHaveRun = new ArrayList<>();
     }
 
-    /** {@code warmWorkPerMicro}: the most that a warm upstream does in this test. */
+    /** {@code warmWorkPerMicro}: the most work that an upstream does in this test. */
     InvariantRecorder(Settings settings, double warmWorkPerMicro) {
         this.settings = settings;
-        this.warmWorkPerMicro = warmWorkPerMicro;
+        this.fullCapacityPerMicro = warmWorkPerMicro;
     }
 
-    void told(long now, ListKind kind, List<Upstream> entries) {
+    void endpointsUpdated(long now, ListKind kind, List<Upstream> entries) {
         if (kind == ListKind.COMPLETE || kind == ListKind.RESTORED) {
-            for (String id : listed.keySet()) {
-                if (entries.stream().noneMatch(e -> e.id().equals(id))) {
-                    closedAt.putIfAbsent(id, now);
+            for (String id : endpoints.keySet()) {
+                if (entries.stream().noneMatch(entry -> entry.id().equals(id))) {
+                    unavailableSince.putIfAbsent(id, now);
                 }
             }
         }
-        for (Upstream e : entries) {
-            listed.put(e.id(), e);
-            if (e.state() == State.READY) {
-                closedAt.remove(e.id());
+        for (Upstream entry : entries) {
+            endpoints.put(entry.id(), entry);
+            if (entry.state() == State.READY) {
+                unavailableSince.remove(entry.id());
             } else {
-                closedAt.putIfAbsent(e.id(), now);
+                unavailableSince.putIfAbsent(entry.id(), now);
             }
         }
     }
 
-    void arrived(long now, Request r) {
-        Case c = new Case();
-        c.request = r;
-        c.cls = settings.classes().get(r.classIndex());
-        c.deadline = now + r.timeLeft();
-        cases.put(r.id(), c);
+    void requestArrived(long now, Request request) {
+        RequestRecord recorded = new RequestRecord();
+        recorded.request = request;
+        recorded.requestClass = settings.classes().get(request.classIndex());
+        recorded.deadline = now + request.timeLeft();
+        requests.put(request.id(), recorded);
     }
 
-    void sent(long now, String id, String upstream) {
-        Case c = cases.get(id);
-        Upstream u = listed.get(upstream);
-        if (c.over) {
-            breaches.add("1: sent after the end " + id);
+    void sent(long now, String id, String upstreamId) {
+        RequestRecord recorded = requests.get(id);
+        Upstream upstream = endpoints.get(upstreamId);
+        if (recorded.ended) {
+            violations.add("1: sent after the end " + id);
         }
-        if (!settings.limits().hedging() && c.out.contains(true)) {
-            breaches.add("2: two attempts at once " + id);
+        if (!settings.limits().hedging() && recorded.outstanding.contains(true)) {
+            violations.add("2: two attempts at once " + id);
         }
-        int first = c.ran.indexOf(true);
-        if (first >= 0 && c.cls.effect() == Effect.UNSAFE) {
-            breaches.add("2: unsafe request sent again " + id);
+        int first = recorded.mayHaveRun.indexOf(true);
+        if (first >= 0 && recorded.requestClass.effect() == Effect.UNSAFE) {
+            violations.add("2: unsafe request retried " + id);
         }
-        if (first >= 0 && c.cls.effect() == Effect.IDEMPOTENT_WITH_KEY) {
-            Sent s = c.sent.get(first);
-            boolean near = c.cls.scope() == Scope.ALL
-                    || c.cls.scope() == Scope.ZONE && s.upstream.zone() == u.zone()
-                    || c.cls.scope() == Scope.CELL && s.upstream.cell() == u.cell();
-            if (!near || now - s.at > c.cls.deduplicationWindow()) {
-                breaches.add("2: keyed request sent outside its group or time " + id);
+        if (first >= 0 && recorded.requestClass.effect() == Effect.IDEMPOTENT_WITH_KEY) {
+            SentAttempt s = recorded.attempts.get(first);
+            boolean near = recorded.requestClass.scope() == Scope.ALL
+                    || recorded.requestClass.scope() == Scope.ZONE && s.upstream.zone() == upstream.zone()
+                    || recorded.requestClass.scope() == Scope.CELL && s.upstream.cell() == upstream.cell();
+            if (!near || now - s.at > recorded.requestClass.deduplicationWindow()) {
+                violations.add("2: idempotency key used outside its scope or window " + id);
             }
         }
-        Long closed = closedAt.get(upstream);
+        Long closed = unavailableSince.get(upstreamId);
         if (closed != null && now - closed > settings.rules().drainGrace()) {
-            breaches.add("3: sent to a drained upstream " + upstream);
+            violations.add("3: sent to a drained upstream " + upstreamId);
         }
-        cold(now, u, c.request.expectedWork());
-        c.sent.add(new Sent(now, u));
-        c.out.add(true);
-        c.ran.add(true);
+        checkSlowStart(now, upstream, recorded.request.expectedWork());
+        recorded.attempts.add(new SentAttempt(now, upstream));
+        recorded.outstanding.add(true);
+        recorded.mayHaveRun.add(true);
     }
 
-    private void cold(long now, Upstream u, long work) {
-        long age = now - u.launchedAt();
-        if (u.launchedAt() <= 0 || age >= settings.rules().slowStartTime()) {
+    private void checkSlowStart(long now, Upstream upstream, long work) {
+        long age = now - upstream.launchedAt();
+        if (upstream.launchedAt() <= 0 || age >= settings.rules().slowStartTime()) {
             return;
         }
-        Deque<long[]> window = coldSends.computeIfAbsent(u.id(), k -> new ArrayDeque<>());
+        Deque<long[]> window = slowStartSends.computeIfAbsent(upstream.id(), k -> new ArrayDeque<>());
         window.add(new long[] {now, work});
         while (window.peek()[0] < now - settings.rules().overloadWindow()) {
             window.poll();
@@ -116,61 +116,62 @@
         double share = start + (1 - start) * age / settings.rules().slowStartTime();
         double budget = settings.rules().overloadMultiple()
                 * share
-                * warmWorkPerMicro
+                * fullCapacityPerMicro
                 * settings.rules().overloadWindow();
         if (window.stream().mapToLong(w -> w[1]).sum() > budget) {
-            breaches.add("4: cold upstream pushed over " + u.id());
+            violations.add("4: slow-starting upstream overloaded " + upstream.id());
         }
     }
 
-    void ended(AttemptEnd end) {
-        Case c = cases.get(end.request());
-        c.out.set(end.attempt(), false);
-        c.ran.set(end.attempt(), !end.outcome().neverRan);
+    void attemptEnded(AttemptEnd end) {
+        RequestRecord recorded = requests.get(end.request());
+        recorded.outstanding.set(end.attempt(), false);
+        recorded.mayHaveRun.set(end.attempt(), !end.outcome().neverRan);
         if (end.concluded()) {
-            c.over = true;
+            recorded.ended = true;
         }
     }
 
-    void refused(long now, String id) {
-        Case c = cases.get(id);
-        boolean mayHaveRun = c.ran.contains(true);
+    void rejected(long now, String id) {
+        RequestRecord recorded = requests.get(id);
+        boolean mayHaveRun = recorded.mayHaveRun.contains(true);
         if (mayHaveRun
-                && (c.cls.effect() == Effect.UNSAFE
-                        || c.cls.effect() == Effect.IDEMPOTENT_WITH_KEY && c.cls.scope() != Scope.ALL)) {
-            breaches.add("2: refused though it may have run " + id);
+                && (recorded.requestClass.effect() == Effect.UNSAFE
+                        || recorded.requestClass.effect() == Effect.IDEMPOTENT_WITH_KEY
+                                && recorded.requestClass.scope() != Scope.ALL)) {
+            violations.add("2: rejected though it may have run " + id);
         }
-        answered(now, id);
+        responded(now, id);
     }
 
     void failed(long now, String id) {
-        answered(now, id);
+        responded(now, id);
     }
 
-    private void answered(long now, String id) {
-        Case c = cases.get(id);
-        if (c.over) {
-            breaches.add("1: answered twice " + id);
+    private void responded(long now, String id) {
+        RequestRecord recorded = requests.get(id);
+        if (recorded.ended) {
+            violations.add("1: two responses " + id);
         }
-        c.over = true;
-        late(now, id, c);
+        recorded.ended = true;
+        checkDeadline(now, id, recorded);
     }
 
-    void left(String id) {
-        cases.get(id).over = true;
+    void clientDisconnected(String id) {
+        requests.get(id).ended = true;
     }
 
     void finish(long now) {
-        cases.forEach((id, c) -> {
-            if (!c.over) {
-                late(now, id, c);
+        requests.forEach((id, recorded) -> {
+            if (!recorded.ended) {
+                checkDeadline(now, id, recorded);
             }
         });
     }
 
-    private void late(long now, String id, Case c) {
-        if (now > c.deadline + settings.rules().responseSlack()) {
-            breaches.add("1: no answer in time " + id);
+    private void checkDeadline(long now, String id, RequestRecord recorded) {
+        if (now > recorded.deadline + settings.rules().responseSlack()) {
+            violations.add("1: no response in time " + id);
         }
     }
 }
--- a/src/test/java/sedgeyoke/policy/OutlierDetectionTest.java
+++ b/src/test/java/sedgeyoke/policy/OutlierDetectionTest.java
@@ -17,89 +17,89 @@
 
     @Test
     void rareErrorsAndSlowResponsesEjectNoUpstream() {
-        PolicyHarness h = PolicyHarness.of(config).list(3);
+        PolicyHarness host = PolicyHarness.of(config).list(3);
         for (int i = 0; i < 300; i++) {
-            String id = h.request(0, 2 * SECOND);
-            boolean slow = h.lastUpstream(id).equals("u0");
-            h.advance(slow ? 60 * MILLI : 20 * MILLI);
+            String id = host.request(0, 2 * SECOND);
+            boolean slow = host.lastUpstream(id).equals("u0");
+            host.advance(slow ? 60 * MILLI : 20 * MILLI);
             if (slow && i % 20 == 0) {
-                h.end(id, Outcome.ERROR, 60 * MILLI, PolicyHarness.report(0.5));
+                host.end(id, Outcome.ERROR, 60 * MILLI, PolicyHarness.report(0.5));
             }
-            h.end(id, Outcome.OK, 20 * MILLI, PolicyHarness.report(0.5));
+            host.end(id, Outcome.OK, 20 * MILLI, PolicyHarness.report(0.5));
         }
-        assertTrue(h.attemptsAt("u0") > 40, h.perUpstream.toString());
-        assertEquals(List.of(), h.cancelled);
+        assertTrue(host.attemptsAt("u0") > 40, host.perUpstream.toString());
+        assertEquals(List.of(), host.cancelled);
     }
 
     @Test
     void fastErrorsEjectAnUpstreamThatLooksIdle() {
-        PolicyHarness h = PolicyHarness.of(config).list(4);
+        PolicyHarness host = PolicyHarness.of(config).list(4);
         for (int i = 0; i < 300; i++) {
-            String id = h.request(0, 2 * SECOND);
-            h.advance(5 * MILLI);
-            while (h.lastUpstream(id).equals("u0") && h.sends.get(id).size() < 4) {
-                h.end(id, Outcome.ERROR, 5 * MILLI, PolicyHarness.report(0.01));
+            String id = host.request(0, 2 * SECOND);
+            host.advance(5 * MILLI);
+            while (host.lastUpstream(id).equals("u0") && host.sends.get(id).size() < 4) {
+                host.end(id, Outcome.ERROR, 5 * MILLI, PolicyHarness.report(0.01));
             }
-            if (!h.lastUpstream(id).equals("u0")) {
-                h.end(id, Outcome.OK, 5 * MILLI, PolicyHarness.report(0.5));
+            if (!host.lastUpstream(id).equals("u0")) {
+                host.end(id, Outcome.OK, 5 * MILLI, PolicyHarness.report(0.5));
             }
         }
-        assertTrue(h.attemptsAt("u0") < 40, h.perUpstream.toString());
+        assertTrue(host.attemptsAt("u0") < 40, host.perUpstream.toString());
     }
 
     @Test
     void aHangingUpstreamIsEjected() {
-        PolicyHarness h = PolicyHarness.of(config).list(4);
+        PolicyHarness host = PolicyHarness.of(config).list(4);
         for (int i = 0; i < 200; i++) {
-            String id = h.request(0, 2 * SECOND);
-            h.advance(20 * MILLI);
-            if (!h.lastUpstream(id).equals("u0")) {
-                h.end(id, Outcome.OK, 20 * MILLI, PolicyHarness.report(0.5));
+            String id = host.request(0, 2 * SECOND);
+            host.advance(20 * MILLI);
+            if (!host.lastUpstream(id).equals("u0")) {
+                host.end(id, Outcome.OK, 20 * MILLI, PolicyHarness.report(0.5));
             }
         }
-        assertTrue(h.attemptsAt("u0") > 0 && h.attemptsAt("u0") < 12, h.perUpstream.toString());
+        assertTrue(host.attemptsAt("u0") > 0 && host.attemptsAt("u0") < 12, host.perUpstream.toString());
     }
 
     @Test
     void panicThresholdIgnoresEjectionsWhenNearlyAllAreEjected() {
-        PolicyHarness h = PolicyHarness.of(config).list(3);
+        PolicyHarness host = PolicyHarness.of(config).list(3);
         for (int i = 0; i < 60; i++) {
-            String id = h.request(0, 2 * SECOND);
-            h.advance(5 * MILLI);
+            String id = host.request(0, 2 * SECOND);
+            host.advance(5 * MILLI);
             for (int k = 0;
-                    k < 4 && h.lastUpstream(id) != null && h.sends.get(id).size() > k;
+                    k < 4 && host.lastUpstream(id) != null && host.sends.get(id).size() > k;
                     k++) {
-                h.end(id, Outcome.CONNECT_FAILED, 5 * MILLI, null);
+                host.end(id, Outcome.CONNECT_FAILED, 5 * MILLI, null);
             }
         }
-        h.advance(100 * MILLI);
-        h.perUpstream.clear();
-        h.request(2, 2 * SECOND);
-        h.advance(500 * MILLI);
-        assertFalse(h.perUpstream.isEmpty());
+        host.advance(100 * MILLI);
+        host.perUpstream.clear();
+        host.request(2, 2 * SECOND);
+        host.advance(500 * MILLI);
+        assertFalse(host.perUpstream.isEmpty());
     }
 
     @Test
     void failedConnectionsEjectOnlyAnUpstreamThatNoLongerResponds() {
         for (boolean dead : new boolean[] {true, false}) {
-            PolicyHarness h = PolicyHarness.of(config).list(1);
-            String first = h.request(0, 2 * SECOND);
-            String second = h.request(2, 2 * SECOND);
-            h.advance(5 * MILLI);
+            PolicyHarness host = PolicyHarness.of(config).list(1);
+            String first = host.request(0, 2 * SECOND);
+            String second = host.request(2, 2 * SECOND);
+            host.advance(5 * MILLI);
             if (!dead) {
-                h.end(first, Outcome.OK, 5 * MILLI, null);
+                host.end(first, Outcome.OK, 5 * MILLI, null);
             }
-            h.end(second, Outcome.CONNECT_FAILED, 5 * MILLI, null);
+            host.end(second, Outcome.CONNECT_FAILED, 5 * MILLI, null);
             if (!dead) {
-                h.end(second, Outcome.OK, 5 * MILLI, null);
+                host.end(second, Outcome.OK, 5 * MILLI, null);
             }
-            h.change(PolicyHarness.up(1, State.READY, 0));
-            h.advance(100 * MILLI);
-            h.perUpstream.clear();
+            host.change(PolicyHarness.upstream(1, State.READY, 0));
+            host.advance(100 * MILLI);
+            host.perUpstream.clear();
             for (int i = 0; i < 40; i++) {
-                h.serve(0, 5 * MILLI, u -> 0.5);
+                host.serve(0, 5 * MILLI, u -> 0.5);
             }
-            assertEquals(dead, h.attemptsAt("u0") == 0, dead + h.perUpstream.toString());
+            assertEquals(dead, host.attemptsAt("u0") == 0, dead + host.perUpstream.toString());
         }
     }
 }
--- a/src/test/java/sedgeyoke/policy/PlanTest.java
+++ b/src/test/java/sedgeyoke/policy/PlanTest.java
@@ -20,11 +20,11 @@
 import sedgeyoke.policy.LoadBalancingPolicy.State;
 import sedgeyoke.policy.LoadBalancingPolicy.UpstreamView;
 
-/** What plans change in the module, and that they change nothing where there are none. */
+/** What plans change in decisions, and that nothing changes without planners. */
 class PlanTest {
     private static final long SECOND = PolicyHarness.SECOND;
     private static final long FADE = 4 * SECOND;
-    private static final int COLD_AT = 600;
+    private static final int LAUNCHED_AT_STEP = 600;
 
     private static Plan plan(
             long heardAt, List<UpstreamView> views, List<Double> spill, Map<String, SlowStartQuota> cold) {
@@ -37,11 +37,11 @@
 
     private record Out(String id, int attempt, String upstream, long endsAt) {}
 
-    /** Some seconds of seeded events with a cold start at step 600; {@code plans} is asked before each step. */
+    /** Some seconds of seeded events with a launch at step 600; {@code plans} is called before each step. */
     private static PolicyHarness play(long seed, BiConsumer<PolicyHarness, Integer> plans) {
         SplittableRandom random = new SplittableRandom(seed);
         PolicyHarness.Config config = new PolicyHarness.Config();
-        config.warmKeys = true;
+        config.keyAffinity = true;
         config.crossZone = 0.005;
         PolicyHarness host = PolicyHarness.of(config).list(6);
         List<Out> out = new ArrayList<>();
@@ -49,12 +49,12 @@
         for (int step = 0; step < 1_500; step++) {
             plans.accept(host, step);
             host.advance(5_000);
-            if (step == COLD_AT) {
-                host.change(PolicyHarness.up(2, State.READY, host.now));
+            if (step == LAUNCHED_AT_STEP) {
+                host.change(PolicyHarness.upstream(2, State.READY, host.now));
             }
             host.request(random.nextInt(3), 2 * SECOND, "k" + random.nextInt(30), 0);
-            for (; seen < host.done.size(); seen++) {
-                String[] done = host.done.get(seen).split(" ");
+            for (; seen < host.actions.size(); seen++) {
+                String[] done = host.actions.get(seen).split(" ");
                 if (done[1].equals("send")) {
                     out.add(new Out(
                             done[2],
@@ -83,7 +83,7 @@
     }
 
     private static List<String> sendsTo(PolicyHarness host, String upstream) {
-        return host.done.stream()
+        return host.actions.stream()
                 .filter(d -> d.contains(" send ") && d.endsWith(" " + upstream))
                 .toList();
     }
@@ -91,18 +91,18 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void withoutPlannersAllIsDecidedAsWithoutTheFeature(long seed) {
-        List<String> without = play(seed, (host, step) -> {}).done;
+        List<String> without = play(seed, (host, step) -> {}).actions;
         List<String> quiet = play(seed, (host, step) -> {
                     if (step % 40 == 0) {
                         host.balancer.planUpdated(host.now, plan(0, List.of(), List.of(), Map.of()));
                     }
                 })
-                .done;
+                .actions;
         assertTrue(without.size() >= 1_500, "only " + without.size());
         assertEquals(without, quiet);
     }
 
-    /** One plan, heard before there was any traffic and long faded when it comes. */
+    /** One plan from before any traffic, long faded out when traffic arrives. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void onceAPlanHasRunOutAllIsDecidedAsWithoutIt(long seed) {
@@ -111,7 +111,7 @@
                         host.advance(10 * SECOND);
                     }
                 })
-                .done;
+                .actions;
         List<String> runOut = play(seed, (host, step) -> {
                     if (step == 0) {
                         host.balancer.planUpdated(
@@ -124,68 +124,70 @@
                         host.advance(10 * SECOND);
                     }
                 })
-                .done;
+                .actions;
         assertEquals(without, runOut);
     }
 
     @Test
     void whileItCountsItChangesDecisions() {
-        List<String> without = play(1, (host, step) -> {}).done;
+        List<String> without = play(1, (host, step) -> {}).actions;
         List<String> planned = play(
                         1,
                         (host, step) -> host.balancer.planUpdated(
                                 host.now,
                                 plan(host.now, List.of(view("u1", 1, false)), List.of(0.5, 0.5, 0.0), Map.of())))
-                .done;
+                .actions;
         assertNotEquals(without, planned);
     }
 
     @Test
-    void aPlannersWordOfADrainStopsSendsButNeverStartsAny() {
+    void drainingKnownToPlannersStopsAttemptsAndNeverStartsAny() {
         PolicyHarness host = play(
                 1,
-                (h, step) -> h.balancer.planUpdated(
-                        h.now,
+                (played, step) -> played.balancer.planUpdated(
+                        played.now,
                         plan(
-                                h.now,
-                                List.of(view("u1", Double.NaN, step > 400), view("stranger", 9, false)),
+                                played.now,
+                                List.of(view("u1", Double.NaN, step > 400), view("unknown", 9, false)),
                                 List.of(),
                                 Map.of())));
         List<String> sent = sendsTo(host, "u1");
         long last = Long.parseLong(sent.get(sent.size() - 1).split(" ")[0]);
         assertTrue(sent.size() > 10 && last <= 100 * SECOND + 401 * 5_000, "last of " + sent.size() + " at " + last);
-        assertEquals(List.of(), sendsTo(host, "stranger"));
+        assertEquals(List.of(), sendsTo(host, "unknown"));
     }
 
     @Test
-    void aPlannerThatHoldsNearlyAllForDrainingIsNotBelieved() {
+    void aPlanThatDrainsNearlyAllUpstreamsIsIgnored() {
         List<UpstreamView> all = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             all.add(view("u" + i, Double.NaN, true));
         }
-        PolicyHarness host = play(1, (h, step) -> h.balancer.planUpdated(h.now, plan(h.now, all, List.of(), Map.of())));
-        assertEquals(play(1, (h, step) -> {}).done, host.done);
+        PolicyHarness host = play(
+                1,
+                (played, step) -> played.balancer.planUpdated(played.now, plan(played.now, all, List.of(), Map.of())));
+        assertEquals(play(1, (unplanned, step) -> {}).actions, host.actions);
     }
 
-    /** A right that is lent accrues nothing and forfeits what was saved; a granted one is used. */
+    /** A delegated quota accrues no tokens and forfeits saved ones; a grant is used. */
     @Test
-    void aLentRightSendsNothingAndAGrantSends() {
-        assertEquals(0, sendsToCold(List.of()));
-        int granted = sendsToCold(List.of(new SlowStartGrant(40, Long.MAX_VALUE)));
+    void aDelegatedQuotaSendsNothingAndAGrantSends() {
+        assertEquals(0, attemptsInSlowStart(List.of()));
+        int granted = attemptsInSlowStart(List.of(new SlowStartGrant(40, Long.MAX_VALUE)));
         assertTrue(granted > 10, "only " + granted);
     }
 
-    private static int sendsToCold(List<SlowStartGrant> grants) {
+    private static int attemptsInSlowStart(List<SlowStartGrant> grants) {
         long[] launched = new long[1];
-        PolicyHarness host = play(3, (h, step) -> {
-            if (step == COLD_AT + 1) {
-                launched[0] = h.now; // the change came after the last step
+        PolicyHarness host = play(3, (played, step) -> {
+            if (step == LAUNCHED_AT_STEP + 1) {
+                launched[0] = played.now; // the change came after the last step
             }
-            if (step > COLD_AT) {
-                h.balancer.planUpdated(
-                        h.now,
+            if (step > LAUNCHED_AT_STEP) {
+                played.balancer.planUpdated(
+                        played.now,
                         plan(
-                                h.now,
+                                played.now,
                                 List.of(),
                                 List.of(),
                                 Map.of("u2", new SlowStartQuota(launched[0], Long.MAX_VALUE, grants))));
@@ -197,7 +199,7 @@
     }
 
     @Test
-    void aStartThatOnlyPlannersToldOfIsTakenForCold() {
+    void aLaunchThatOnlyPlannersKnowStartsSlowly() {
         PolicyHarness host = PolicyHarness.of(new PolicyHarness.Config()).list(1);
         assertEquals(0, host.balancer.summary(host.now).upstreams().get(0).slowStartQuota());
         host.request(0, 2 * SECOND);
--- a/src/test/java/sedgeyoke/policy/PolicyHarness.java
+++ b/src/test/java/sedgeyoke/policy/PolicyHarness.java
@@ -23,30 +23,30 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Tenant;
 import sedgeyoke.policy.LoadBalancingPolicy.Upstream;
 
-/** A host for one module in tests: keeps its clock and timers, and all that it did. */
+/** Runs one policy in tests: has its clock and timers, and records its actions. */
 class PolicyHarness implements LoadBalancingPolicy.Actions {
     static final long SECOND = 1_000_000;
     static final long MILLI = 1_000;
 
     long now = 100 * SECOND;
-    final List<String> done = new ArrayList<>();
+    final List<String> actions = new ArrayList<>();
     final Map<String, List<String>> sends = new HashMap<>();
     final Map<String, Integer> perUpstream = new HashMap<>();
-    final List<String> refused = new ArrayList<>();
+    final List<String> rejected = new ArrayList<>();
     final List<String> failed = new ArrayList<>();
     final List<String> cancelled = new ArrayList<>();
-    final List<String> probes = new ArrayList<>();
+    final List<String> healthChecks = new ArrayList<>();
     private final PriorityQueue<Timer> timers =
-            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.n, b.n));
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
     private long timerCount;
     private int requestCount;
     private Settings settings;
     LoadBalancingPolicy balancer;
     InvariantRecorder checker;
-    /** Whether requests come from clients that try again, and say so. */
-    boolean again;
+    /** Whether requests are marked as retries of clients. */
+    boolean clientsRetry;
 
-    private record Timer(long at, long n, String token) {}
+    private record Timer(long at, long number, String token) {}
 
     /** What a test may vary of the settings. */
     static final class Config {
@@ -54,14 +54,14 @@
         int position;
         int zones = 3;
         long tick = 5 * MILLI;
-        boolean secondCopies;
+        boolean hedging;
         boolean cancel = true;
-        boolean probes = true;
+        boolean healthChecks = true;
         Reports reports = Reports.IN_RESPONSES;
         Ratings ratings = Ratings.NONE;
         double crossZone;
-        boolean ask;
-        boolean warmKeys;
+        boolean subscribesToEndpoints;
+        boolean keyAffinity;
         boolean stream;
         double lateWorth = 0.5;
         List<Tenant> tenants = List.of();
@@ -69,9 +69,9 @@
 
         Settings settings() {
             List<RequestClass> classes = new ArrayList<>();
-            for (Effect e : Effect.values()) {
+            for (Effect effect : Effect.values()) {
                 classes.add(new RequestClass(
-                        SECOND / 2, 0, 2 * SECOND, 1 + e.ordinal(), lateWorth, e, scope, SECOND, stream));
+                        SECOND / 2, 0, 2 * SECOND, 1 + effect.ordinal(), lateWorth, effect, scope, SECOND, stream));
             }
             return new Settings(
                     0,
@@ -82,13 +82,13 @@
                     tenants,
                     0.2,
                     true,
-                    new Limits(4, secondCopies, probes, cancel, false, 20_000, false, 0, SECOND / 4, 10 * SECOND, 1),
+                    new Limits(4, hedging, healthChecks, cancel, false, 20_000, false, 0, SECOND / 4, 10 * SECOND, 1),
                     new PlatformRules(20 * MILLI, 10 * SECOND, 0.2, 20 * SECOND, SECOND, 3, 2 * SECOND),
                     new Prices(crossZone, 0.1, 0.01, 0.05, 0),
                     reports,
                     ratings,
-                    ask,
-                    warmKeys,
+                    subscribesToEndpoints,
+                    keyAffinity,
                     tick);
         }
     }
@@ -101,7 +101,7 @@
         return host;
     }
 
-    static Upstream up(int i, State state, long launchedAt) {
+    static Upstream upstream(int i, State state, long launchedAt) {
         return new Upstream("u" + i, i % 3, 0, i % 2, state, 1, launchedAt);
     }
 
@@ -112,28 +112,28 @@
     PolicyHarness list(int n) {
         List<Upstream> all = new ArrayList<>();
         for (int i = 0; i < n; i++) {
-            all.add(up(i, State.READY, 0));
+            all.add(upstream(i, State.READY, 0));
         }
         balancer.endpointsUpdated(now, ListKind.RESTORED, all);
         return this;
     }
 
-    void change(Upstream u) {
-        balancer.endpointsUpdated(now, ListKind.CHANGES, List.of(u));
+    void change(Upstream upstream) {
+        balancer.endpointsUpdated(now, ListKind.CHANGES, List.of(upstream));
     }
 
-    /** Class 0 is safe, 1 keyed, 2 unsafe. */
-    String request(int cls, long timeLeft) {
-        return request(cls, timeLeft, null, 20 * MILLI);
+    /** Class 0 is safe, 1 idempotent with a key, 2 unsafe. */
+    String request(int classIndex, long timeLeft) {
+        return request(classIndex, timeLeft, null, 20 * MILLI);
     }
 
-    String request(int cls, long timeLeft, String key, long work) {
+    String request(int classIndex, long timeLeft, String key, long work) {
         String id = "r" + requestCount++;
-        Request r = new Request(id, cls, 0, key, work, timeLeft, false, again);
+        Request request = new Request(id, classIndex, 0, key, work, timeLeft, false, clientsRetry);
         if (checker != null) {
-            checker.arrived(now, r);
+            checker.requestArrived(now, request);
         }
-        balancer.requestArrived(now, r);
+        balancer.requestArrived(now, request);
         return id;
     }
 
@@ -154,8 +154,8 @@
     }
 
     /** Sends a request, lets it be served after {@code took} with the upstream's utilisation; its upstream. */
-    String serve(int cls, long took, java.util.function.ToDoubleFunction<String> utilisation) {
-        String id = request(cls, 2 * SECOND);
+    String serve(int classIndex, long took, java.util.function.ToDoubleFunction<String> utilisation) {
+        String id = request(classIndex, 2 * SECOND);
         String at = lastUpstream(id);
         if (at == null) {
             return null;
@@ -172,16 +172,16 @@
     void advance(long by) {
         long until = now + by;
         while (!timers.isEmpty() && timers.peek().at <= until) {
-            Timer t = timers.poll();
-            now = Math.max(now, t.at);
-            balancer.timerFired(now, t.token);
+            Timer timer = timers.poll();
+            now = Math.max(now, timer.at);
+            balancer.timerFired(now, timer.token);
         }
         now = until;
     }
 
     @Override
     public void send(String request, String upstream, long timeout) {
-        done.add(now + " send " + request + " " + upstream);
+        actions.add(now + " send " + request + " " + upstream);
         sends.computeIfAbsent(request, k -> new ArrayList<>()).add(upstream);
         perUpstream.merge(upstream, 1, Integer::sum);
         if (checker != null) {
@@ -191,16 +191,16 @@
 
     @Override
     public void reject(String request, long retryAfter) {
-        done.add(now + " refuse " + request);
-        refused.add(request);
+        actions.add(now + " refuse " + request);
+        rejected.add(request);
         if (checker != null) {
-            checker.refused(now, request);
+            checker.rejected(now, request);
         }
     }
 
     @Override
     public void fail(String request) {
-        done.add(now + " fail " + request);
+        actions.add(now + " fail " + request);
         failed.add(request);
         if (checker != null) {
             checker.failed(now, request);
@@ -209,7 +209,7 @@
 
     @Override
     public void cancel(String request, int attempt) {
-        done.add(now + " cancel " + request + " " + attempt);
+        actions.add(now + " cancel " + request + " " + attempt);
         cancelled.add(request + "/" + attempt);
     }
 
@@ -220,32 +220,32 @@
 
     @Override
     public void healthCheck(String upstream) {
-        done.add(now + " probe " + upstream);
-        probes.add(upstream);
+        actions.add(now + " probe " + upstream);
+        healthChecks.add(upstream);
     }
 
     @Override
     public void closeIdle(String upstream) {
-        done.add(now + " close " + upstream);
+        actions.add(now + " close " + upstream);
     }
 
     @Override
     public void watchEndpoints(boolean on) {
-        done.add(now + " watch " + on);
+        actions.add(now + " watch " + on);
     }
 
     @Override
     public void fetchEndpoints() {
-        done.add(now + " fetch");
+        actions.add(now + " fetch");
     }
 
     @Override
     public void sendToPeer(int peer, byte[] body) {
-        done.add(now + " tell " + peer);
+        actions.add(now + " tell " + peer);
     }
 
     @Override
     public void log(String text) {
-        done.add(now + " log " + text);
+        actions.add(now + " log " + text);
     }
 }
--- a/src/test/java/sedgeyoke/policy/PolicyReplayTest.java
+++ b/src/test/java/sedgeyoke/policy/PolicyReplayTest.java
@@ -59,28 +59,28 @@
     /** What enters the digest, events first; its code is the ordinal. */
     private enum Kind {
         START,
-        LIST,
+        ENDPOINTS,
         REQUEST,
         OUTCOME,
-        OPENED,
-        TRANSFERS,
-        CLIENT_GONE,
-        PROBED,
+        RESPONSE_STARTED,
+        TRANSFER_STARTED,
+        CLIENT_DISCONNECTED,
+        HEALTH_CHECK_COMPLETED,
         TIMER_DUE,
         PEER,
         PLAN,
         CORDONS,
         SUMMARY,
         SEND,
-        REFUSE,
+        REJECT,
         FAIL,
         CANCEL,
         TIMER,
-        PROBE,
+        HEALTH_CHECK,
         WATCH,
         CLOSE_IDLE,
         FETCH,
-        TELL,
+        SEND_TO_PEER,
         LOG
     }
 
@@ -98,7 +98,7 @@
         List<String> found = groups.stream().map(Journal::hex).toList();
         found.forEach(total::put);
         assertCovered(counts);
-        assertEquals(EXPECTED, total.hex(), () -> difference(found));
+        assertEquals(EXPECTED, total.hex(), () -> describeDifference(found));
     }
 
     private static void assertCovered(int[] counts) {
@@ -106,8 +106,8 @@
             int least =
                     switch (kind) {
                         case START -> SEEDS;
-                        case CLOSE_IDLE, FETCH, TELL, LOG -> 0; // the module has no use for them
-                        case PROBE, WATCH, CORDONS -> 150;
+                        case CLOSE_IDLE, FETCH, SEND_TO_PEER, LOG -> 0; // the module has no use for them
+                        case HEALTH_CHECK, WATCH, CORDONS -> 150;
                         case SEND, REQUEST, OUTCOME, TIMER_DUE, TIMER -> 20_000;
                         default -> 500;
                     };
@@ -116,7 +116,7 @@
         }
     }
 
-    private static String difference(List<String> found) {
+    private static String describeDifference(List<String> found) {
         StringBuilder text = new StringBuilder("decisions differ; digests by group of settings:\n");
         for (int group = 0; group < found.size(); group++) {
             boolean same = found.get(group).equals(EXPECTED_GROUPS.get(group));
@@ -199,13 +199,13 @@
     }
 
     /** What the harness plays of one upstream: how it fares, and how long it takes. */
-    private static final class Played {
+    private static final class SimulatedUpstream {
         long launchedAt;
-        int mood;
-        int busy;
+        int fault;
+        int inFlight;
         final double slowness;
 
-        Played(double slowness) {
+        SimulatedUpstream(double slowness) {
             this.slowness = slowness;
         }
     }
@@ -228,12 +228,12 @@
         private final Journal journal;
         private final Settings settings;
         private final LoadBalancingPolicy balancer;
-        private final PriorityQueue<Due> due = new PriorityQueue<>(
+        private final PriorityQueue<Due> tasks = new PriorityQueue<>(
                 (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
         private final Map<String, List<Attempt>> attempts = new HashMap<>();
-        private final List<Attempt> live = new ArrayList<>();
+        private final List<Attempt> outstanding = new ArrayList<>();
         private final List<String> tokens = new ArrayList<>();
-        private final List<Played> played = new ArrayList<>();
+        private final List<SimulatedUpstream> simulated = new ArrayList<>();
         private final TreeMap<String, Long> cordoned = new TreeMap<>();
         private final int upstreams;
         private final boolean planners;
@@ -241,7 +241,7 @@
         private final long pace;
         private final long work;
         private long now = 100 * SECOND;
-        private long dues;
+        private long taskCount;
         private int requests;
 
         Replay(int seed, Journal journal) {
@@ -250,12 +250,12 @@
             this.upstreams = 2 + random.nextInt(12);
             this.planners = random.nextInt(3) > 0;
             this.calm = random.nextInt(3) > 0 ? 0.6 : 0;
-            this.pace = one(2, 8, 50, THIN_PACE) * MILLI;
-            this.work = one(5, 30, 120) * MILLI;
+            this.pace = oneOf(2, 8, 50, THIN_PACE) * MILLI;
+            this.work = oneOf(5, 30, 120) * MILLI;
             for (int i = 0; i < UNIVERSE; i++) {
-                played.add(new Played(0.5 + (chance(0.25) ? 6 : 1) * random.nextDouble()));
+                simulated.add(new SimulatedUpstream(0.5 + (chance(0.25) ? 6 : 1) * random.nextDouble()));
             }
-            played.get(0).mood = chance(0.5) ? DEAD : 0; // for good, so that it is ejected again and again
+            simulated.get(0).fault = chance(0.5) ? DEAD : 0; // for good, so that it is ejected again and again
             this.settings = settings(seed);
             this.balancer = new UtilizationWeightedPolicy(settings, seed, this);
         }
@@ -272,14 +272,14 @@
             List<RequestClass> classes = new ArrayList<>();
             for (int i = 0; i < 5; i++) {
                 classes.add(new RequestClass(
-                        one(50, 200, 600) * MILLI,
+                        oneOf(50, 200, 600) * MILLI,
                         random.nextInt(2),
-                        one(1, 2, 3) * SECOND,
+                        oneOf(1, 2, 3) * SECOND,
                         1 + random.nextInt(4),
                         random.nextInt(2) * 0.5,
                         Effect.values()[i % 3],
                         Scope.values()[random.nextInt(3)],
-                        one(100, 1_000, 5_000) * MILLI,
+                        oneOf(100, 1_000, 5_000) * MILLI,
                         chance(0.3)));
             }
             List<Tenant> tenants = new ArrayList<>();
@@ -302,12 +302,12 @@
                     1);
             PlatformRules rules = new PlatformRules(
                     20 * MILLI,
-                    one(1, 4, 10) * SECOND,
+                    oneOf(1, 4, 10) * SECOND,
                     0.1 + 0.4 * random.nextDouble(),
-                    one(0, 3, 20) * SECOND,
+                    oneOf(0, 3, 20) * SECOND,
                     SECOND,
                     1 + random.nextInt(4),
-                    one(1, 2, 4) * SECOND);
+                    oneOf(1, 2, 4) * SECOND);
             Prices prices = new Prices(random.nextInt(2) * 0.02, 0.1, random.nextInt(2) * 0.001, 0.05, 0);
             return new Settings(
                     random.nextInt(zones),
@@ -331,7 +331,7 @@
         void run() {
             journal.note(Kind.START, now);
             balancer.start(now);
-            list(ListKind.RESTORED, upstreams);
+            updateEndpoints(ListKind.RESTORED, upstreams);
             int steps = pace == THIN_PACE * MILLI ? STEPS / 3 : STEPS;
             for (int step = 0; step < steps; step++) {
                 advance(chance(0.01) ? random.nextLong(SECOND) : random.nextLong(2 * pace));
@@ -343,8 +343,8 @@
 
         private void advance(long by) {
             long until = now + by;
-            while (!due.isEmpty() && due.peek().at <= until) {
-                Due next = due.poll();
+            while (!tasks.isEmpty() && tasks.peek().at <= until) {
+                Due next = tasks.poll();
                 now = Math.max(now, next.at);
                 next.task.run();
             }
@@ -352,7 +352,7 @@
         }
 
         private void later(long delay, Runnable task) {
-            due.add(new Due(now + Math.max(1, delay), dues++, task));
+            tasks.add(new Due(now + Math.max(1, delay), taskCount++, task));
         }
 
         private void step() {
@@ -368,7 +368,7 @@
             } else if (dice < 92) {
                 plan();
             } else if (dice < 94) {
-                played.get(1 + random.nextInt(UNIVERSE - 1)).mood = chance(0.75) ? 0 : random.nextInt(6);
+                simulated.get(1 + random.nextInt(UNIVERSE - 1)).fault = chance(0.75) ? 0 : random.nextInt(6);
             } else if (!chance(calm)) {
                 disturb();
             } else {
@@ -379,11 +379,11 @@
         private void disturb() {
             int dice = random.nextInt(10);
             if (dice < 5) {
-                list(ListKind.CHANGES, 1 + random.nextInt(3));
+                updateEndpoints(ListKind.CHANGES, 1 + random.nextInt(3));
             } else if (dice < 6) {
-                list(chance(0.5) ? ListKind.COMPLETE : ListKind.RESTORED, upstreams + random.nextInt(3));
+                updateEndpoints(chance(0.5) ? ListKind.COMPLETE : ListKind.RESTORED, upstreams + random.nextInt(3));
             } else if (dice < 8) {
-                list(ListKind.UNAVAILABLE, 0);
+                updateEndpoints(ListKind.UNAVAILABLE, 0);
             } else {
                 cordons();
             }
@@ -394,7 +394,7 @@
         private void request() {
             String id = "r" + requests++;
             long expected = chance(0.5) ? 0 : 1 + random.nextLong(3 * work);
-            Request r = new Request(
+            Request request = new Request(
                     id,
                     random.nextInt(settings.classes().size()),
                     random.nextInt(5) - 1,
@@ -408,35 +408,35 @@
                     Kind.REQUEST,
                     now,
                     id,
-                    r.classIndex(),
-                    r.tenant(),
-                    r.affinityKey(),
-                    r.expectedWork(),
-                    r.timeLeft(),
-                    r.write(),
-                    r.retry(),
-                    r.bodyPending());
-            balancer.requestArrived(now, r);
+                    request.classIndex(),
+                    request.tenant(),
+                    request.affinityKey(),
+                    request.expectedWork(),
+                    request.timeLeft(),
+                    request.write(),
+                    request.retry(),
+                    request.bodyPending());
+            balancer.requestArrived(now, request);
         }
 
         private void touchAttempt(int what) {
-            if (live.isEmpty() || chance(0.03)) {
+            if (outstanding.isEmpty() || chance(0.03)) {
                 touch(what, "r" + random.nextInt(requests + 1), random.nextInt(6) - 1);
             } else {
-                Attempt a = live.get(random.nextInt(live.size()));
-                touch(what, a.request, a.number);
+                Attempt attempt = outstanding.get(random.nextInt(outstanding.size()));
+                touch(what, attempt.request, attempt.number);
             }
         }
 
         private void touch(int what, String request, int attempt) {
             if (what == 0) {
-                journal.note(Kind.CLIENT_GONE, now, request);
+                journal.note(Kind.CLIENT_DISCONNECTED, now, request);
                 balancer.clientDisconnected(now, request);
             } else if (what == 1) {
-                journal.note(Kind.OPENED, now, request, attempt);
+                journal.note(Kind.RESPONSE_STARTED, now, request, attempt);
                 balancer.responseStarted(now, request, attempt);
             } else if (what < 4) {
-                journal.note(Kind.TRANSFERS, now, request, attempt);
+                journal.note(Kind.TRANSFER_STARTED, now, request, attempt);
                 balancer.transferStarted(now, request, attempt);
             } else if (what == 4) {
                 journal.note(Kind.PEER, now, attempt);
@@ -456,12 +456,12 @@
         }
 
         private LoadReport load(String upstream) {
-            Played p = played.get(Integer.parseInt(upstream.substring(1)));
+            SimulatedUpstream upstreamModel = simulated.get(Integer.parseInt(upstream.substring(1)));
             double[] v = {
-                Math.min(1, p.busy / 5.0 * p.slowness + 0.2 * random.nextDouble()),
-                p.busy + random.nextInt(3),
+                Math.min(1, upstreamModel.inFlight / 5.0 * upstreamModel.slowness + 0.2 * random.nextDouble()),
+                upstreamModel.inFlight + random.nextInt(3),
                 random.nextInt(3),
-                work * p.slowness * (0.7 + 0.6 * random.nextDouble()),
+                work * upstreamModel.slowness * (0.7 + 0.6 * random.nextDouble()),
                 random.nextInt(50),
                 random.nextInt(3)
             };
@@ -484,34 +484,34 @@
         private void probed(String upstream) {
             Outcome outcome = chance(0.8) ? Outcome.OK : Outcome.values()[random.nextInt(Outcome.values().length)];
             LoadReport load = chance(0.9) ? load(upstream) : null;
-            journal.note(Kind.PROBED, now, upstream, outcome);
+            journal.note(Kind.HEALTH_CHECK_COMPLETED, now, upstream, outcome);
             noteLoad(load);
             balancer.healthCheckCompleted(now, upstream, outcome, load);
         }
 
-        private void list(ListKind kind, int size) {
+        private void updateEndpoints(ListKind kind, int size) {
             List<Upstream> entries = new ArrayList<>();
             int first = kind == ListKind.CHANGES ? random.nextInt(upstreams + 2) : 0;
-            journal.note(Kind.LIST, now, kind);
+            journal.note(Kind.ENDPOINTS, now, kind);
             for (int i = first; i < Math.min(UNIVERSE, first + size); i++) {
-                Played p = played.get(i);
-                p.launchedAt = chance(0.4) ? now - random.nextLong(4 * SECOND) : p.launchedAt;
+                SimulatedUpstream upstreamModel = simulated.get(i);
+                upstreamModel.launchedAt = chance(0.4) ? now - random.nextLong(4 * SECOND) : upstreamModel.launchedAt;
                 State state =
                         kind == ListKind.CHANGES && chance(0.3) ? State.values()[1 + random.nextInt(2)] : State.READY;
                 double rating = chance(0.1) ? NONSENSE[random.nextInt(4)] : 0.5 + random.nextDouble();
-                Upstream e = new Upstream(
+                Upstream entry = new Upstream(
                         "u" + i,
                         i % settings.zones(),
                         i % 4 / 2,
                         i % 3,
                         state,
                         rating > 100 ? 100 : rating,
-                        p.launchedAt);
-                entries.add(e);
-                journal.put(e.id());
+                        upstreamModel.launchedAt);
+                entries.add(entry);
+                journal.put(entry.id());
                 journal.put(state);
-                journal.put(e.rating());
-                journal.put(e.launchedAt());
+                journal.put(entry.rating());
+                journal.put(entry.launchedAt());
             }
             balancer.endpointsUpdated(now, kind, entries);
         }
@@ -552,7 +552,7 @@
             }
             long heardAt = chance(0.05) ? 0 : now - random.nextLong(chance(0.1) ? 3 * SECOND : SECOND / 2);
             long quietUntil = chance(0.2) ? now + random.nextLong(SECOND) : 0;
-            long fadeTime = one(1, 2, 4) * SECOND;
+            long fadeTime = oneOf(1, 2, 4) * SECOND;
             journal.note(Kind.PLAN, now, heardAt, fadeTime, quietUntil, views.size(), cold.size(), spill.size());
             spill.forEach(journal::put);
             balancer.planUpdated(now, new Plan(heardAt, fadeTime, views, spill, quietUntil, cold));
@@ -560,7 +560,7 @@
 
         private UpstreamView view(int i) {
             double limit = chance(0.2) ? Double.NaN : 10 * Math.max(0.01, random.nextDouble() - 0.05);
-            long launchedAt = chance(0.03) ? now + random.nextLong(2 * SECOND) - SECOND : played.get(i).launchedAt;
+            long launchedAt = chance(0.03) ? now + random.nextLong(2 * SECOND) - SECOND : simulated.get(i).launchedAt;
             boolean draining = chance(0.1);
             journal.put(limit);
             journal.put(launchedAt);
@@ -569,7 +569,7 @@
         }
 
         private SlowStartQuota right(int i) {
-            long launchedAt = chance(0.8) ? played.get(i).launchedAt : now;
+            long launchedAt = chance(0.8) ? simulated.get(i).launchedAt : now;
             long lentUntil = chance(0.5) ? 0 : now + random.nextLong(2 * SECOND);
             List<SlowStartGrant> grants = new ArrayList<>();
             for (int n = random.nextInt(3); n > 0; n--) {
@@ -582,34 +582,34 @@
         }
 
         private void summary() {
-            Summary s = balancer.summary(now);
-            journal.note(Kind.SUMMARY, now, s.queued());
-            s.demand().forEach(journal::put);
-            for (UpstreamStatus u : s.upstreams()) {
+            Summary summary = balancer.summary(now);
+            journal.note(Kind.SUMMARY, now, summary.queued());
+            summary.demand().forEach(journal::put);
+            for (UpstreamStatus status : summary.upstreams()) {
                 List<Object> values = List.of(
-                        u.id(),
-                        u.zone(),
-                        u.state(),
-                        u.launchedAt(),
-                        u.inFlight(),
-                        u.sent(),
-                        u.weight(),
-                        u.limit(),
-                        u.utilisation(),
-                        u.waiting(),
-                        u.reportedAt(),
-                        u.ejected(),
-                        u.slowStartQuota());
+                        status.id(),
+                        status.zone(),
+                        status.state(),
+                        status.launchedAt(),
+                        status.inFlight(),
+                        status.sent(),
+                        status.weight(),
+                        status.limit(),
+                        status.utilisation(),
+                        status.waiting(),
+                        status.reportedAt(),
+                        status.ejected(),
+                        status.slowStartQuota());
                 values.forEach(journal::put);
             }
         }
 
-        private void end(Attempt a, Outcome outcome) {
-            if (!a.ended) {
-                a.ended = true;
-                live.remove(a);
-                played.get(Integer.parseInt(a.upstream.substring(1))).busy--;
-                outcome(a.request, a.number, a.upstream, outcome, now - a.sentAt);
+        private void end(Attempt attempt, Outcome outcome) {
+            if (!attempt.ended) {
+                attempt.ended = true;
+                outstanding.remove(attempt);
+                simulated.get(Integer.parseInt(attempt.upstream.substring(1))).inFlight--;
+                outcome(attempt.request, attempt.number, attempt.upstream, outcome, now - attempt.sentAt);
             }
         }
 
@@ -619,27 +619,31 @@
         public void send(String request, String upstream, long timeout) {
             journal.note(Kind.SEND, now, request, upstream, timeout);
             List<Attempt> all = attempts.computeIfAbsent(request, id -> new ArrayList<>());
-            Attempt a = new Attempt(request, all.size(), upstream, now);
-            all.add(a);
-            live.add(a);
-            Played p = played.get(Integer.parseInt(upstream.substring(1)));
-            p.busy++;
-            long took = (long) (work * p.slowness * (0.3 + 1.4 * random.nextDouble()) * (1 + p.busy / 4.0));
-            int mood = p.mood != DEAD && chance(0.05) ? random.nextInt(6) : p.mood;
+            Attempt attempt = new Attempt(request, all.size(), upstream, now);
+            all.add(attempt);
+            outstanding.add(attempt);
+            SimulatedUpstream upstreamModel = simulated.get(Integer.parseInt(upstream.substring(1)));
+            upstreamModel.inFlight++;
+            long took = (long) (work
+                    * upstreamModel.slowness
+                    * (0.3 + 1.4 * random.nextDouble())
+                    * (1 + upstreamModel.inFlight / 4.0));
+            int mood = upstreamModel.fault != DEAD && chance(0.05) ? random.nextInt(6) : upstreamModel.fault;
             switch (mood) {
-                case 1 -> later(took, () -> end(a, Outcome.values()[random.nextInt(8)]));
-                case 2 -> later(SECOND + 20 * took, () -> end(a, chance(0.5) ? Outcome.TIMEOUT : Outcome.OK));
-                case DEAD -> later(MILLI, () -> end(a, Outcome.CONNECT_FAILED));
-                case 4 -> later(MILLI, () -> end(a, Outcome.REJECTED));
+                case 1 -> later(took, () -> end(attempt, Outcome.values()[random.nextInt(8)]));
+                case 2 -> later(SECOND + 20 * took, () -> end(attempt, chance(0.5) ? Outcome.TIMEOUT : Outcome.OK));
+                case DEAD -> later(MILLI, () -> end(attempt, Outcome.CONNECT_FAILED));
+                case 4 -> later(MILLI, () -> end(attempt, Outcome.REJECTED));
                 case 5 -> later(
-                        took / 2, () -> end(a, chance(0.2) ? Outcome.OK : chance(0.5) ? Outcome.ERROR : Outcome.RESET));
-                default -> later(took, () -> end(a, Outcome.OK));
+                        took / 2,
+                        () -> end(attempt, chance(0.2) ? Outcome.OK : chance(0.5) ? Outcome.ERROR : Outcome.RESET));
+                default -> later(took, () -> end(attempt, Outcome.OK));
             }
         }
 
         @Override
         public void reject(String request, long retryAfter) {
-            journal.note(Kind.REFUSE, now, request, retryAfter);
+            journal.note(Kind.REJECT, now, request, retryAfter);
         }
 
         @Override
@@ -648,10 +652,10 @@
         }
 
         @Override
-        public void cancel(String request, int attempt) {
-            journal.note(Kind.CANCEL, now, request, attempt);
-            Attempt a = attempts.get(request).get(attempt);
-            later(random.nextLong(5 * MILLI), () -> end(a, Outcome.CANCELLED));
+        public void cancel(String request, int number) {
+            journal.note(Kind.CANCEL, now, request, number);
+            Attempt attempt = attempts.get(request).get(number);
+            later(random.nextLong(5 * MILLI), () -> end(attempt, Outcome.CANCELLED));
         }
 
         @Override
@@ -669,7 +673,7 @@
 
         @Override
         public void healthCheck(String upstream) {
-            journal.note(Kind.PROBE, now, upstream);
+            journal.note(Kind.HEALTH_CHECK, now, upstream);
             later(random.nextLong(20 * MILLI), () -> probed(upstream));
         }
 
@@ -690,7 +694,7 @@
 
         @Override
         public void sendToPeer(int peer, byte[] body) {
-            journal.note(Kind.TELL, now, peer, new String(body, StandardCharsets.ISO_8859_1));
+            journal.note(Kind.SEND_TO_PEER, now, peer, new String(body, StandardCharsets.ISO_8859_1));
         }
 
         @Override
@@ -702,7 +706,7 @@
             return random.nextDouble() < share;
         }
 
-        private long one(long... values) {
+        private long oneOf(long... values) {
             return values[random.nextInt(values.length)];
         }
     }
--- a/src/test/java/sedgeyoke/policy/RetryTest.java
+++ b/src/test/java/sedgeyoke/policy/RetryTest.java
@@ -17,10 +17,10 @@
 
     @Test
     void aResponseIsGivenBeforeTheDeadlineWithoutUpstreams() {
-        PolicyHarness h = PolicyHarness.of(config);
-        h.request(2, 300 * MILLI);
-        h.advance(299 * MILLI);
-        assertEquals(1, h.refused.size());
+        PolicyHarness host = PolicyHarness.of(config);
+        host.request(2, 300 * MILLI);
+        host.advance(299 * MILLI);
+        assertEquals(1, host.rejected.size());
     }
 
     /** Deadlines were looked at on a beat of 10 ms, which is coarser than what a short tick leaves. */
@@ -28,78 +28,78 @@
     void aResponseIsInTimeWhereverTheDeadlineFallsBetweenSweeps() {
         config.tick = MILLI;
         for (int offset = 0; offset < 12; offset++) {
-            PolicyHarness h = PolicyHarness.of(config);
-            h.advance(offset * MILLI);
-            h.request(2, 300 * MILLI);
-            h.advance(300 * MILLI);
-            assertEquals(1, h.refused.size(), "offset " + offset);
+            PolicyHarness host = PolicyHarness.of(config);
+            host.advance(offset * MILLI);
+            host.request(2, 300 * MILLI);
+            host.advance(300 * MILLI);
+            assertEquals(1, host.rejected.size(), "offset " + offset);
         }
     }
 
     @Test
     void aRequestWithHardlyAnyTimeLeftIsAnsweredAtOnce() {
-        PolicyHarness h = PolicyHarness.of(config);
-        h.request(2, 4 * MILLI);
-        assertEquals(1, h.refused.size());
+        PolicyHarness host = PolicyHarness.of(config);
+        host.request(2, 4 * MILLI);
+        assertEquals(1, host.rejected.size());
     }
 
     @Test
     void anUnsafeRequestThatMayHaveRunFailsWithoutARetry() {
-        PolicyHarness h = PolicyHarness.of(config).list(3);
-        String id = h.request(2, 2 * SECOND);
-        h.end(id, Outcome.RESET, MILLI, null);
-        assertEquals(1, h.sends.get(id).size());
-        assertEquals(List.of(id), h.failed);
+        PolicyHarness host = PolicyHarness.of(config).list(3);
+        String id = host.request(2, 2 * SECOND);
+        host.end(id, Outcome.RESET, MILLI, null);
+        assertEquals(1, host.sends.get(id).size());
+        assertEquals(List.of(id), host.failed);
     }
 
     @Test
     void anUnsafeRequestThatNeverRanIsRetried() {
-        PolicyHarness h = PolicyHarness.of(config).list(3);
-        String id = h.request(2, 2 * SECOND);
-        h.end(id, Outcome.REJECTED, MILLI, null);
-        h.advance(100 * MILLI);
-        assertEquals(2, h.sends.get(id).size());
+        PolicyHarness host = PolicyHarness.of(config).list(3);
+        String id = host.request(2, 2 * SECOND);
+        host.end(id, Outcome.REJECTED, MILLI, null);
+        host.advance(100 * MILLI);
+        assertEquals(2, host.sends.get(id).size());
     }
 
     @Test
     void anIdempotencyKeyAllowsRetriesOnlyInItsZoneAndWindow() {
-        PolicyHarness h = PolicyHarness.of(config).list(9);
-        String id = h.request(1, 2 * SECOND);
-        h.end(id, Outcome.RESET, MILLI, null);
-        assertEquals(2, h.sends.get(id).size());
-        List<Integer> zones = h.sends.get(id).stream()
+        PolicyHarness host = PolicyHarness.of(config).list(9);
+        String id = host.request(1, 2 * SECOND);
+        host.end(id, Outcome.RESET, MILLI, null);
+        assertEquals(2, host.sends.get(id).size());
+        List<Integer> zones = host.sends.get(id).stream()
                 .map(u -> Integer.parseInt(u.substring(1)) % 3)
                 .toList();
         assertEquals(zones.get(0), zones.get(1));
-        h.advance(1_100 * MILLI);
-        h.end(id, Outcome.RESET, 1_100 * MILLI, null);
-        assertEquals(2, h.sends.get(id).size());
-        assertEquals(List.of(id), h.failed);
+        host.advance(1_100 * MILLI);
+        host.end(id, Outcome.RESET, 1_100 * MILLI, null);
+        assertEquals(2, host.sends.get(id).size());
+        assertEquals(List.of(id), host.failed);
     }
 
     @Test
     void nothingIsSentToADrainingUpstream() {
-        PolicyHarness h = PolicyHarness.of(config).list(2);
-        h.change(PolicyHarness.up(0, State.DRAINING, 0));
+        PolicyHarness host = PolicyHarness.of(config).list(2);
+        host.change(PolicyHarness.upstream(0, State.DRAINING, 0));
         for (int i = 0; i < 50; i++) {
-            h.serve(0, 5 * MILLI, u -> 0.5);
+            host.serve(0, 5 * MILLI, u -> 0.5);
         }
-        assertEquals(0, h.attemptsAt("u0"));
-        h.balancer.endpointsUpdated(h.now, ListKind.COMPLETE, List.of(PolicyHarness.up(2, State.READY, 0)));
-        h.perUpstream.clear();
-        h.serve(0, 5 * MILLI, u -> 0.5);
-        assertEquals(Set.of("u2"), h.perUpstream.keySet());
+        assertEquals(0, host.attemptsAt("u0"));
+        host.balancer.endpointsUpdated(host.now, ListKind.COMPLETE, List.of(PolicyHarness.upstream(2, State.READY, 0)));
+        host.perUpstream.clear();
+        host.serve(0, 5 * MILLI, u -> 0.5);
+        assertEquals(Set.of("u2"), host.perUpstream.keySet());
     }
 
     @Test
     void aStartedStreamIsNeitherRetriedNorCancelled() {
         config.stream = true;
-        PolicyHarness h = PolicyHarness.of(config).list(1);
-        String id = h.request(0, 500 * MILLI);
-        h.balancer.responseStarted(h.now, id, 0);
-        h.advance(5 * SECOND);
-        assertEquals(List.of(), h.failed);
-        assertEquals(List.of(), h.refused);
-        assertEquals(List.of(), h.cancelled);
+        PolicyHarness host = PolicyHarness.of(config).list(1);
+        String id = host.request(0, 500 * MILLI);
+        host.balancer.responseStarted(host.now, id, 0);
+        host.advance(5 * SECOND);
+        assertEquals(List.of(), host.failed);
+        assertEquals(List.of(), host.rejected);
+        assertEquals(List.of(), host.cancelled);
     }
 }
--- a/src/test/java/sedgeyoke/policy/SlowStartTest.java
+++ b/src/test/java/sedgeyoke/policy/SlowStartTest.java
@@ -21,16 +21,16 @@
 
     @Test
     void aSlowStartingUpstreamGetsALittleTraffic() {
-        PolicyHarness h = PolicyHarness.of(config).list(3);
+        PolicyHarness host = PolicyHarness.of(config).list(3);
         for (int i = 0; i < 500; i++) {
-            h.serve(0, 10 * MILLI, u -> 0.6);
+            host.serve(0, 10 * MILLI, u -> 0.6);
         }
-        h.change(PolicyHarness.up(0, State.READY, h.now - MILLI));
-        h.perUpstream.clear();
+        host.change(PolicyHarness.upstream(0, State.READY, host.now - MILLI));
+        host.perUpstream.clear();
         for (int i = 0; i < 500; i++) {
-            h.serve(0, 10 * MILLI, u -> 0.6);
+            host.serve(0, 10 * MILLI, u -> 0.6);
         }
-        assertTrue(h.attemptsAt("u0") > 0 && h.attemptsAt("u0") < 60, h.perUpstream.toString());
+        assertTrue(host.attemptsAt("u0") > 0 && host.attemptsAt("u0") < 60, host.perUpstream.toString());
     }
 
     /**
@@ -42,14 +42,14 @@
         assertTrue(slowStartShare(i -> null, false) > 0.05);
     }
 
-    /** Then keys went home to warm ones that were full, while what the cold ones were due ran over and was lost. */
+    /** Keys went to full affinity upstreams while the tokens of slow-starting ones went unused. */
     @Test
     void itGetsItsPartAlsoWhereKeysHaveOtherAffinityUpstreams() {
         double share = slowStartShare(i -> "key" + i % 7, false);
         assertTrue(share > 0.09, "share " + share);
     }
 
-    /** While seven in ten balancers were down, clients came again and again, and cold ones got twice their part. */
+    /** With seven in ten balancers down, retries of clients doubled the traffic of slow-starting upstreams. */
     @Test
     void retriesOfClientsDoNotRaiseTheSlowStartRate() {
         double first = slowStartShare(i -> "key" + i % 7, false);
@@ -57,59 +57,61 @@
         assertTrue(again < 0.7 * first, again + " and " + first);
     }
 
-    /** What the cold half of the upstreams gets of requests with such keys, three in four perhaps tried again. */
+    /** Share of requests with such keys at the slow-starting half; {@code again}: three in four are retries. */
     private double slowStartShare(IntFunction<String> key, boolean again) {
         config.group = 300;
-        config.warmKeys = true;
+        config.keyAffinity = true;
         int cold = 0;
         int all = 0;
         for (int seed = 0; seed < 60; seed++) {
-            PolicyHarness h = PolicyHarness.of(config);
-            h.balancer = new UtilizationWeightedPolicy(h.settings(), seed, h);
-            h.balancer.start(h.now);
-            h.list(10);
+            PolicyHarness host = PolicyHarness.of(config);
+            host.balancer = new UtilizationWeightedPolicy(host.settings(), seed, host);
+            host.balancer.start(host.now);
+            host.list(10);
             for (int i = 0; i < 60; i++) {
                 if (i == 20) {
                     for (int u = 5; u < 10; u++) {
-                        h.change(PolicyHarness.up(u, State.READY, h.now));
+                        host.change(PolicyHarness.upstream(u, State.READY, host.now));
                     }
-                    h.perUpstream.clear();
+                    host.perUpstream.clear();
                 }
-                h.again = again && i % 4 > 0;
-                String id = h.request(i % 2, 2 * SECOND, key.apply(i), 0);
-                h.advance(50 * MILLI);
-                h.end(id, Outcome.OK, (i % 2 + 1) * 50 * MILLI, PolicyHarness.report(0.5));
+                host.clientsRetry = again && i % 4 > 0;
+                String id = host.request(i % 2, 2 * SECOND, key.apply(i), 0);
+                host.advance(50 * MILLI);
+                host.end(id, Outcome.OK, (i % 2 + 1) * 50 * MILLI, PolicyHarness.report(0.5));
             }
-            cold += h.perUpstream.entrySet().stream()
+            cold += host.perUpstream.entrySet().stream()
                     .filter(e -> e.getKey().charAt(1) >= '5')
                     .mapToInt(Map.Entry::getValue)
                     .sum();
-            all += h.perUpstream.values().stream().mapToInt(Integer::intValue).sum();
+            all += host.perUpstream.values().stream()
+                    .mapToInt(Integer::intValue)
+                    .sum();
         }
         assertTrue(cold < all / 3, cold + " of " + all);
         return cold / (double) all;
     }
 
-    /** Incident i618e92: small hints passed the bucket one by one, and their true work pushed the server over. */
+    /** Incident i618e92: small hints passed the bucket one by one, and their true work overloaded the upstream. */
     @Test
     void aSmallHintCostsAMeanRequest() {
         int[] sent = new int[2];
         for (int small = 0; small < 2; small++) {
-            PolicyHarness h = PolicyHarness.of(config).list(3);
+            PolicyHarness host = PolicyHarness.of(config).list(3);
             for (int i = 0; i < 500; i++) {
-                h.serve(0, 10 * MILLI, u -> 0.6);
+                host.serve(0, 10 * MILLI, u -> 0.6);
             }
-            h.change(PolicyHarness.up(0, State.READY, h.now - MILLI));
-            h.change(PolicyHarness.up(1, State.REMOVED, 0));
-            h.change(PolicyHarness.up(2, State.REMOVED, 0));
-            h.sends.clear();
+            host.change(PolicyHarness.upstream(0, State.READY, host.now - MILLI));
+            host.change(PolicyHarness.upstream(1, State.REMOVED, 0));
+            host.change(PolicyHarness.upstream(2, State.REMOVED, 0));
+            host.sends.clear();
             Set<String> ended = new HashSet<>();
             for (int i = 0; i < 60; i++) {
-                h.request(0, 2 * SECOND, null, small == 0 ? 20 * MILLI : 2 * MILLI);
-                h.advance(20 * MILLI);
-                for (String id : List.copyOf(h.sends.keySet())) {
-                    if (h.lastUpstream(id).equals("u0") && ended.add(id)) {
-                        h.end(id, Outcome.OK, 10 * MILLI, PolicyHarness.report(0.6));
+                host.request(0, 2 * SECOND, null, small == 0 ? 20 * MILLI : 2 * MILLI);
+                host.advance(20 * MILLI);
+                for (String id : List.copyOf(host.sends.keySet())) {
+                    if (host.lastUpstream(id).equals("u0") && ended.add(id)) {
+                        host.end(id, Outcome.OK, 10 * MILLI, PolicyHarness.report(0.6));
                     }
                 }
             }
@@ -120,14 +122,15 @@
 
     @Test
     void requestsAreAnsweredInTimeWhenAllUpstreamsStartSlowly() {
-        PolicyHarness h = PolicyHarness.of(config);
-        h.balancer.endpointsUpdated(h.now, ListKind.RESTORED, List.of(PolicyHarness.up(0, State.READY, h.now - MILLI)));
+        PolicyHarness host = PolicyHarness.of(config);
+        host.balancer.endpointsUpdated(
+                host.now, ListKind.RESTORED, List.of(PolicyHarness.upstream(0, State.READY, host.now - MILLI)));
         for (int i = 0; i < 20; i++) {
-            h.request(0, SECOND);
+            host.request(0, SECOND);
         }
-        h.advance(2 * SECOND);
-        int sent = h.sends.size();
+        host.advance(2 * SECOND);
+        int sent = host.sends.size();
         assertTrue(sent < 20);
-        assertEquals(20, h.refused.size(), "all answered: none was served by this test's upstream");
+        assertEquals(20, host.rejected.size(), "all answered: none was served by this test's upstream");
     }
 }
--- a/src/test/java/sedgeyoke/policy/SparseTrafficTest.java
+++ b/src/test/java/sedgeyoke/policy/SparseTrafficTest.java
@@ -27,35 +27,35 @@
     private static final long MILLI = PolicyHarness.MILLI;
     private final PolicyHarness.Config config = new PolicyHarness.Config();
 
-    /** Incident i255b3e: limits far below one in flight refused nearly all while upstreams idled. */
+    /** Incident i255b3e: limits far below one rejected nearly all requests while upstreams idled. */
     @Test
     void noRequestIsRejectedForTheOwnLimit() {
         config.group = 300;
-        PolicyHarness h = PolicyHarness.of(config).list(40);
+        PolicyHarness host = PolicyHarness.of(config).list(40);
         for (int i = 0; i < 100; i++) {
-            h.serve(i % 3, 200 * MILLI, u -> 0.6);
+            host.serve(i % 3, 200 * MILLI, u -> 0.6);
         }
-        assertEquals(List.of(), h.refused);
-        assertEquals(100, h.sends.size());
+        assertEquals(List.of(), host.rejected);
+        assertEquals(100, host.sends.size());
     }
 
-    /** With the rating to the fourth power, the large machines of a mixed fleet got nearly all. */
+    /** With the rating to the fourth power, the large upstreams of a mixed fleet got nearly all requests. */
     @Test
     void selectionIsInProportionToTheRating() {
         config.group = 300;
         config.ratings = Ratings.NOMINAL;
-        PolicyHarness h = PolicyHarness.of(config);
-        h.balancer.endpointsUpdated(
-                h.now,
+        PolicyHarness host = PolicyHarness.of(config);
+        host.balancer.endpointsUpdated(
+                host.now,
                 ListKind.RESTORED,
                 List.of(
                         new Upstream("u0", 0, 0, 0, State.READY, 3, 0),
                         new Upstream("u1", 0, 0, 0, State.READY, 1, 0)));
-        h.advance(SECOND);
+        host.advance(SECOND);
         for (int i = 0; i < 400; i++) {
-            h.serve(0, 20 * MILLI, u -> 0.5);
+            host.serve(0, 20 * MILLI, u -> 0.5);
         }
-        assertEquals(300, h.attemptsAt("u0"), 40, h.perUpstream.toString());
+        assertEquals(300, host.attemptsAt("u0"), 40, host.perUpstream.toString());
     }
 
     @Test
@@ -64,65 +64,65 @@
         Set<String> all = new HashSet<>();
         for (int position = 0; position < 8; position++) {
             config.position = position;
-            PolicyHarness h = PolicyHarness.of(config).list(40);
-            h.advance(3 * SECOND);
-            h.perUpstream.clear();
+            PolicyHarness host = PolicyHarness.of(config).list(40);
+            host.advance(3 * SECOND);
+            host.perUpstream.clear();
             for (int i = 0; i < 60; i++) {
-                h.serve(0, 300 * MILLI, u -> 0.5);
+                host.serve(0, 300 * MILLI, u -> 0.5);
             }
-            assertTrue(h.perUpstream.size() <= 16, h.perUpstream.toString());
-            all.addAll(h.perUpstream.keySet());
+            assertTrue(host.perUpstream.size() <= 16, host.perUpstream.toString());
+            all.addAll(host.perUpstream.keySet());
         }
         assertEquals(40, all.size());
     }
 
-    /** A hundred balancers that each spread a key over a sample of their own serve it cold nearly everywhere. */
+    /** If each of many balancers had its own affinity upstream for a key, caches would be cold for it. */
     @Test
     void allBalancersShareAffinityUpstreamsUnlessTheseAreOverloaded() {
         config.group = 300;
-        config.warmKeys = true;
+        config.keyAffinity = true;
         String home = null;
         for (boolean crowded : new boolean[] {false, true}) {
             Map<String, Integer> everywhere = new HashMap<>();
             for (int position = 0; position < 16; position++) {
                 config.position = position;
-                PolicyHarness h = PolicyHarness.of(config).list(40);
-                h.advance(3 * SECOND);
+                PolicyHarness host = PolicyHarness.of(config).list(40);
+                host.advance(3 * SECOND);
                 for (int i = 0; i < 20; i++) {
-                    String id = h.request(0, 2 * SECOND, "key", 20 * MILLI);
-                    h.advance(100 * MILLI);
-                    double waiting = crowded && h.lastUpstream(id).equals(home) ? 30 : 0.5;
-                    h.end(id, Outcome.OK, 100 * MILLI, new LoadReport(0.5, Double.NaN, waiting, 20, 1, 0));
+                    String id = host.request(0, 2 * SECOND, "key", 20 * MILLI);
+                    host.advance(100 * MILLI);
+                    double waiting = crowded && host.lastUpstream(id).equals(home) ? 30 : 0.5;
+                    host.end(id, Outcome.OK, 100 * MILLI, new LoadReport(0.5, Double.NaN, waiting, 20, 1, 0));
                 }
-                h.perUpstream.forEach((u, n) -> everywhere.merge(u, n, Integer::sum));
+                host.perUpstream.forEach((u, n) -> everywhere.merge(u, n, Integer::sum));
             }
             home = crowded ? home : Collections.max(everywhere.keySet(), Comparator.comparing(everywhere::get));
             assertEquals(!crowded, everywhere.get(home) > 240, everywhere.toString());
         }
     }
 
-    /** Requests at work share the cores there, so that nothing waits and a crowd shows in the service time alone. */
+    /** Running requests share the cores, so that overload shows in the service time alone. */
     @Test
     void upstreamsWithLongServiceTimesGetLess() {
         config.group = 300;
-        PolicyHarness h = PolicyHarness.of(config).list(4);
-        h.advance(2 * SECOND);
+        PolicyHarness host = PolicyHarness.of(config).list(4);
+        host.advance(2 * SECOND);
         for (int i = 0; i < 400; i++) {
-            String id = h.request(0, 2 * SECOND);
-            double service = h.lastUpstream(id).equals("u0") ? 800 * MILLI : 100 * MILLI;
-            h.advance(20 * MILLI);
-            h.end(id, Outcome.OK, 20 * MILLI, new LoadReport(0.5, Double.NaN, 0, service, 1, 0));
+            String id = host.request(0, 2 * SECOND);
+            double service = host.lastUpstream(id).equals("u0") ? 800 * MILLI : 100 * MILLI;
+            host.advance(20 * MILLI);
+            host.end(id, Outcome.OK, 20 * MILLI, new LoadReport(0.5, Double.NaN, 0, service, 1, 0));
         }
-        assertTrue(h.attemptsAt("u0") > 2 && h.attemptsAt("u0") < 50, h.perUpstream.toString());
+        assertTrue(host.attemptsAt("u0") > 2 && host.attemptsAt("u0") < 50, host.perUpstream.toString());
     }
 
-    /** Half the homes at slow machines crowded these while the fast ones had room. */
+    /** Half of the affinity upstreams were slow and overloaded, while fast upstreams had capacity. */
     @Test
     void affinityAndSelectionFollowTheSpeedOfKinds() {
         assertEquals(200, requestsAtSlowUpstreams(1, i -> new Upstream("u" + i, 0, i % 2, 0, State.READY, 1, 0)), 60);
     }
 
-    /** Zones are not equally large: homes in the own one, dealt out by kind alone, jammed the small ones. */
+    /** Zones differ in size: affinity by kind alone overloaded the small ones. */
     @Test
     void affinityAvoidsAZoneWithLongServiceTimes() {
         config.crossZone = 0.06;
@@ -133,96 +133,100 @@
     /** Of 800 keyed requests, after 400 others, those at every second upstream, three times as slow as the rest. */
     private int requestsAtSlowUpstreams(int parity, IntFunction<Upstream> upstream) {
         config.group = 300;
-        config.warmKeys = true;
-        PolicyHarness h = PolicyHarness.of(config);
-        h.balancer.endpointsUpdated(
-                h.now,
+        config.keyAffinity = true;
+        PolicyHarness host = PolicyHarness.of(config);
+        host.balancer.endpointsUpdated(
+                host.now,
                 ListKind.RESTORED,
                 IntStream.range(0, 40).mapToObj(upstream).toList());
-        h.advance(2 * SECOND);
+        host.advance(2 * SECOND);
         int requestsAtSlowUpstreams = 0;
         for (int i = 0; i < 1200; i++) {
-            String id = h.request(0, 2 * SECOND, "key" + i, 20 * MILLI);
-            boolean slow = Integer.parseInt(h.lastUpstream(id).substring(1)) % 2 == parity;
+            String id = host.request(0, 2 * SECOND, "key" + i, 20 * MILLI);
+            boolean slow = Integer.parseInt(host.lastUpstream(id).substring(1)) % 2 == parity;
             requestsAtSlowUpstreams += i >= 400 && slow ? 1 : 0;
-            h.advance(20 * MILLI);
-            h.end(id, Outcome.OK, 20 * MILLI, new LoadReport(0.5, Double.NaN, 0, slow ? 90 * MILLI : 30 * MILLI, 1, 0));
+            host.advance(20 * MILLI);
+            host.end(
+                    id,
+                    Outcome.OK,
+                    20 * MILLI,
+                    new LoadReport(0.5, Double.NaN, 0, slow ? 90 * MILLI : 30 * MILLI, 1, 0));
         }
         return requestsAtSlowUpstreams;
     }
 
-    /** Each of a hundred balancers went back to a jam as soon as its short ejection had ended, and kept it alive. */
+    /** After a short ejection each of many balancers returned to an overloaded upstream and prolonged it. */
     @Test
     void aTimeoutSuspendsAffinityForAWhile() {
         config.group = 300;
-        config.warmKeys = true;
-        PolicyHarness h = PolicyHarness.of(config).list(12);
-        h.advance(2 * SECOND);
+        config.keyAffinity = true;
+        PolicyHarness host = PolicyHarness.of(config).list(12);
+        host.advance(2 * SECOND);
         String home = null;
         for (int i = 0; i < 60; i++) {
-            String id = h.request(0, 2 * SECOND, "key", 0);
-            home = h.lastUpstream(id);
-            h.advance(300 * MILLI);
-            h.end(id, Outcome.OK, 300 * MILLI, new LoadReport(0.5, Double.NaN, 0, 300 * MILLI, 1, 0));
+            String id = host.request(0, 2 * SECOND, "key", 0);
+            home = host.lastUpstream(id);
+            host.advance(300 * MILLI);
+            host.end(id, Outcome.OK, 300 * MILLI, new LoadReport(0.5, Double.NaN, 0, 300 * MILLI, 1, 0));
         }
-        String silent = h.request(0, 2 * SECOND, "key", 0);
-        assertEquals(home, h.lastUpstream(silent));
-        h.advance(1_950 * MILLI);
-        h.end(silent, Outcome.CANCELLED, 1_950 * MILLI, null);
-        h.advance(1_500 * MILLI); // its ejection has ended by now
-        String later = h.request(0, 2 * SECOND, "key", 0);
-        assertNotEquals(home, h.lastUpstream(later));
-        h.end(later, Outcome.OK, 300 * MILLI, new LoadReport(0.5, Double.NaN, 0, 300 * MILLI, 1, 0));
-        h.advance(8 * SECOND);
-        assertEquals(home, h.lastUpstream(h.request(0, 2 * SECOND, "key", 0)));
+        String silent = host.request(0, 2 * SECOND, "key", 0);
+        assertEquals(home, host.lastUpstream(silent));
+        host.advance(1_950 * MILLI);
+        host.end(silent, Outcome.CANCELLED, 1_950 * MILLI, null);
+        host.advance(1_500 * MILLI); // its ejection has ended by now
+        String later = host.request(0, 2 * SECOND, "key", 0);
+        assertNotEquals(home, host.lastUpstream(later));
+        host.end(later, Outcome.OK, 300 * MILLI, new LoadReport(0.5, Double.NaN, 0, 300 * MILLI, 1, 0));
+        host.advance(8 * SECOND);
+        assertEquals(home, host.lastUpstream(host.request(0, 2 * SECOND, "key", 0)));
     }
 
     @Test
     void manyReportedRequestsKeepOthersAwayUntilTheReportFades() {
         config.group = 300;
-        PolicyHarness h = PolicyHarness.of(config).list(4);
-        h.advance(2 * SECOND);
+        PolicyHarness host = PolicyHarness.of(config).list(4);
+        host.advance(2 * SECOND);
         for (int i = 0; i < 200; i++) {
-            String id = h.request(0, 2 * SECOND);
-            String at = h.lastUpstream(id);
-            h.advance(20 * MILLI);
-            h.end(id, Outcome.OK, 20 * MILLI, new LoadReport(0.5, at.equals("u0") ? 9 : 1, 0, 20, 1, 0));
+            String id = host.request(0, 2 * SECOND);
+            String at = host.lastUpstream(id);
+            host.advance(20 * MILLI);
+            host.end(id, Outcome.OK, 20 * MILLI, new LoadReport(0.5, at.equals("u0") ? 9 : 1, 0, 20, 1, 0));
         }
-        assertTrue(h.attemptsAt("u0") > 2 && h.attemptsAt("u0") < 25, h.perUpstream.toString());
+        assertTrue(host.attemptsAt("u0") > 2 && host.attemptsAt("u0") < 25, host.perUpstream.toString());
     }
 
-    /** Incidents id2fe46 and i1f431d: a jammed fleet served everything, and all of it late. */
+    /** Incidents id2fe46 and i1f431d: an overloaded fleet served everything, and all of it late. */
     @Test
     void admissionFallsWhileResponsesTakeTheirObjectiveAndRecovers() {
         config.group = 300;
-        PolicyHarness h = PolicyHarness.of(config).list(4);
+        PolicyHarness host = PolicyHarness.of(config).list(4);
         for (int i = 0; i < 60; i++) {
-            h.serve(0, 900 * MILLI, u -> 1);
+            host.serve(0, 900 * MILLI, u -> 1);
         }
-        int refused = h.refused.size();
-        assertTrue(refused > 20, "refused " + refused);
+        int rejected = host.rejected.size();
+        assertTrue(rejected > 20, "rejected " + rejected);
         for (int i = 0; i < 400; i++) {
-            h.serve(0, 20 * MILLI, u -> 0.5);
+            host.serve(0, 20 * MILLI, u -> 0.5);
         }
-        h.refused.clear();
+        host.rejected.clear();
         for (int i = 0; i < 50; i++) {
-            h.serve(0, 20 * MILLI, u -> 0.5);
+            host.serve(0, 20 * MILLI, u -> 0.5);
         }
-        assertEquals(List.of(), h.refused);
+        assertEquals(List.of(), host.rejected);
     }
 
     @Test
     void rejectionsEverywhereAreNotRetriedAgainAndAgain() {
         config.group = 300;
-        PolicyHarness h = PolicyHarness.of(config).list(20);
+        PolicyHarness host = PolicyHarness.of(config).list(20);
         for (int i = 0; i < 50; i++) {
-            String id = h.request(0, 2 * SECOND);
-            while (h.lastUpstream(id) != null && !h.refused.contains(id)) {
-                h.end(id, Outcome.REJECTED, MILLI, null);
-                h.advance(20 * MILLI);
+            String id = host.request(0, 2 * SECOND);
+            while (host.lastUpstream(id) != null && !host.rejected.contains(id)) {
+                host.end(id, Outcome.REJECTED, MILLI, null);
+                host.advance(20 * MILLI);
             }
         }
-        int sends = h.sends.values().stream().mapToInt(List::size).sum();
+        int sends = host.sends.values().stream().mapToInt(List::size).sum();
         assertTrue(sends <= 50 * 1.2 + 3, "sends " + sends);
     }
 
@@ -230,22 +234,22 @@
     @Test
     void oneErrorSuspendsAffinityForSomeSeconds() {
         config.group = 300;
-        config.warmKeys = true;
-        PolicyHarness h = PolicyHarness.of(config).list(12);
-        h.advance(2 * SECOND);
-        String failed = h.request(0, 2 * SECOND, "key", 0);
-        String home = h.lastUpstream(failed);
-        h.advance(10 * MILLI);
-        h.end(failed, Outcome.ERROR, 10 * MILLI, null);
+        config.keyAffinity = true;
+        PolicyHarness host = PolicyHarness.of(config).list(12);
+        host.advance(2 * SECOND);
+        String failed = host.request(0, 2 * SECOND, "key", 0);
+        String home = host.lastUpstream(failed);
+        host.advance(10 * MILLI);
+        host.end(failed, Outcome.ERROR, 10 * MILLI, null);
         int elsewhere = 0;
         for (int i = 0; i < 10; i++) {
-            String id = h.request(0, 2 * SECOND, "key", 0);
-            elsewhere += h.lastUpstream(id).equals(home) ? 0 : 1;
-            h.advance(10 * MILLI);
-            h.end(id, Outcome.OK, 10 * MILLI, PolicyHarness.report(0.5));
+            String id = host.request(0, 2 * SECOND, "key", 0);
+            elsewhere += host.lastUpstream(id).equals(home) ? 0 : 1;
+            host.advance(10 * MILLI);
+            host.end(id, Outcome.OK, 10 * MILLI, PolicyHarness.report(0.5));
         }
         assertTrue(elsewhere >= 9, elsewhere + " of 10");
-        h.advance(10 * SECOND);
-        assertEquals(home, h.lastUpstream(h.request(0, 2 * SECOND, "key", 0)));
+        host.advance(10 * SECOND);
+        assertEquals(home, host.lastUpstream(host.request(0, 2 * SECOND, "key", 0)));
     }
 }
--- a/src/test/java/sedgeyoke/policy/TransfersTest.java
+++ b/src/test/java/sedgeyoke/policy/TransfersTest.java
@@ -25,60 +25,60 @@
 
     private static PolicyHarness host(int upstreams) {
         PolicyHarness.Config config = new PolicyHarness.Config();
-        config.probes = false;
+        config.healthChecks = false;
         return PolicyHarness.of(config).list(upstreams);
     }
 
-    private static String coming(PolicyHarness h, String id) {
-        h.balancer.requestArrived(h.now, new Request(id, 2, 0, null, 0, 100 * SECOND, true, false, true));
+    private static String coming(PolicyHarness host, String id) {
+        host.balancer.requestArrived(host.now, new Request(id, 2, 0, null, 0, 100 * SECOND, true, false, true));
         return id;
     }
 
-    private static void begin(PolicyHarness h, String id) {
-        h.balancer.responseStarted(h.now, id, 0);
-        h.balancer.transferStarted(h.now, id, 0);
+    private static void begin(PolicyHarness host, String id) {
+        host.balancer.responseStarted(host.now, id, 0);
+        host.balancer.transferStarted(host.now, id, 0);
     }
 
-    private static int inFlight(PolicyHarness h) {
-        return h.balancer.summary(h.now).upstreams().stream()
+    private static int inFlight(PolicyHarness host) {
+        return host.balancer.summary(host.now).upstreams().stream()
                 .mapToInt(UpstreamStatus::inFlight)
                 .sum();
     }
 
     @Test
     void fiftyTransfersLeaveRoomForWorkOnOneUpstream() {
-        PolicyHarness h = host(1);
+        PolicyHarness host = host(1);
         for (int i = 0; i < 50; i++) {
-            String id = coming(h, "t" + i);
-            assertNotNull(h.lastUpstream(id), "transfer " + i + " has to wait");
-            begin(h, id);
+            String id = coming(host, "t" + i);
+            assertNotNull(host.lastUpstream(id), "transfer " + i + " has to wait");
+            begin(host, id);
         }
-        assertEquals(0, inFlight(h));
-        assertNotNull(h.lastUpstream(h.request(0, SECOND)));
+        assertEquals(0, inFlight(host));
+        assertNotNull(host.lastUpstream(host.request(0, SECOND)));
     }
 
     /** The same without a word on their pace: the first limit lets three in, as it does for work. */
     @Test
     void withoutTheirPaceTheyCountAsWork() {
-        PolicyHarness h = host(1);
+        PolicyHarness host = host(1);
         int sent = 0;
         for (int i = 0; i < 50; i++) {
-            sent += h.lastUpstream(coming(h, "t" + i)) != null ? 1 : 0;
+            sent += host.lastUpstream(coming(host, "t" + i)) != null ? 1 : 0;
         }
         assertEquals(3, sent);
     }
 
     @Test
     void anAnswerThatHasBegunMakesRoom() {
-        PolicyHarness h = host(1);
+        PolicyHarness host = host(1);
         for (int i = 0; i < 3; i++) {
-            h.request(0, SECOND);
+            host.request(0, SECOND);
         }
-        assertEquals(3, inFlight(h));
-        String waits = h.request(0, SECOND);
-        assertNull(h.lastUpstream(waits));
-        h.balancer.transferStarted(h.now, "r0", 0);
-        assertNotNull(h.lastUpstream(waits));
+        assertEquals(3, inFlight(host));
+        String waits = host.request(0, SECOND);
+        assertNull(host.lastUpstream(waits));
+        host.balancer.transferStarted(host.now, "r0", 0);
+        assertNotNull(host.lastUpstream(waits));
     }
 
     /** After its last byte too: how long that took says more of buffers on the way than of the upstream. */
@@ -86,9 +86,9 @@
     void transfersTeachNothingAboutTheTimeOfWork() {
         PolicyHarness slow = host(1);
         PolicyHarness none = host(1);
-        for (PolicyHarness h : List.of(slow, none)) {
+        for (PolicyHarness host : List.of(slow, none)) {
             for (int i = 0; i < 200; i++) {
-                h.serve(0, 5_000, u -> 0.5);
+                host.serve(0, 5_000, u -> 0.5);
             }
         }
         for (int i = 0; i < 20; i++) {
@@ -107,30 +107,30 @@
 
     @Test
     void anUpstreamThatHoldsATransferDoesNotHang() {
-        PolicyHarness h = host(2);
-        begin(h, coming(h, "t"));
-        h.advance(60 * SECOND);
-        assertTrue(h.balancer.summary(h.now).upstreams().stream().noneMatch(UpstreamStatus::ejected));
+        PolicyHarness host = host(2);
+        begin(host, coming(host, "t"));
+        host.advance(60 * SECOND);
+        assertTrue(host.balancer.summary(host.now).upstreams().stream().noneMatch(UpstreamStatus::ejected));
     }
 
     /** Its work would arrive whenever its client is done, and many at once at worst: no budget covers that. */
     @Test
     void aBodyThatIsStillComingDoesNotGoToAColdUpstream() {
-        PolicyHarness h = host(2);
+        PolicyHarness host = host(2);
         for (int i = 0; i < 400; i++) {
-            h.serve(0, 5_000, u -> 0.5);
+            host.serve(0, 5_000, u -> 0.5);
         }
-        h.change(PolicyHarness.up(1, State.READY, h.now));
-        h.advance(2 * SECOND);
+        host.change(PolicyHarness.upstream(1, State.READY, host.now));
+        host.advance(2 * SECOND);
         for (int i = 0; i < 30; i++) {
-            begin(h, coming(h, "t" + i));
-            assertEquals("u0", h.lastUpstream("t" + i));
+            begin(host, coming(host, "t" + i));
+            assertEquals("u0", host.lastUpstream("t" + i));
         }
-        h.advance(20 * SECOND);
+        host.advance(20 * SECOND);
         for (int i = 30; i < 90; i++) {
-            begin(h, coming(h, "t" + i));
+            begin(host, coming(host, "t" + i));
         }
-        assertTrue(h.perUpstream.get("u1") > 10, "warm again: " + h.perUpstream);
+        assertTrue(host.perUpstream.get("u1") > 10, "warm again: " + host.perUpstream);
     }
 
     /** Every way in which an attempt can change its pace and end, against a count of our own. */
@@ -138,47 +138,47 @@
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void nothingIsLeftBehind(long seed) {
         SplittableRandom random = new SplittableRandom(seed);
-        PolicyHarness h = host(4);
+        PolicyHarness host = host(4);
         Map<String, Boolean> atWork = new HashMap<>();
         List<String> ids = new ArrayList<>();
         for (int step = 0; step < 3_000; step++) {
-            h.advance(random.nextInt(3_000));
+            host.advance(random.nextInt(3_000));
             String id = ids.isEmpty() ? null : ids.get(random.nextInt(ids.size()));
             switch (random.nextInt(6)) {
                 case 0 -> {
-                    String fresh = coming(h, "t" + step);
-                    if (h.lastUpstream(fresh) != null) {
+                    String fresh = coming(host, "t" + step);
+                    if (host.lastUpstream(fresh) != null) {
                         atWork.put(fresh, true);
                         ids.add(fresh);
                     }
                 }
-                case 1, 2 -> transfer(h, id, atWork);
+                case 1, 2 -> transfer(host, id, atWork);
                 case 3 -> {
                     if (id != null) {
-                        h.balancer.responseStarted(h.now, id, 0);
+                        host.balancer.responseStarted(host.now, id, 0);
                     }
                 }
                 case 4 -> {
                     if (id != null && random.nextBoolean()) {
-                        h.balancer.clientDisconnected(h.now, id);
+                        host.balancer.clientDisconnected(host.now, id);
                     }
                 }
-                default -> end(h, id, random.nextBoolean() ? Outcome.OK : Outcome.RESET, atWork, ids);
+                default -> end(host, id, random.nextBoolean() ? Outcome.OK : Outcome.RESET, atWork, ids);
             }
-            found(h, atWork, ids);
-            assertEquals(atWork.values().stream().filter(w -> w != null && w).count(), inFlight(h), "step " + step);
+            found(host, atWork, ids);
+            assertEquals(atWork.values().stream().filter(w -> w != null && w).count(), inFlight(host), "step " + step);
         }
         while (!ids.isEmpty()) {
-            end(h, ids.get(0), Outcome.OK, atWork, ids);
-            found(h, atWork, ids);
+            end(host, ids.get(0), Outcome.OK, atWork, ids);
+            found(host, atWork, ids);
         }
-        h.advance(200 * SECOND);
-        assertEquals(0, inFlight(h));
+        host.advance(200 * SECOND);
+        assertEquals(0, inFlight(host));
     }
 
     /** What was held may have found its place. */
-    private static void found(PolicyHarness h, Map<String, Boolean> atWork, List<String> ids) {
-        h.sends.keySet().forEach(request -> {
+    private static void found(PolicyHarness host, Map<String, Boolean> atWork, List<String> ids) {
+        host.sends.keySet().forEach(request -> {
             if (!atWork.containsKey(request)) {
                 atWork.put(request, true);
                 ids.add(request);
@@ -186,18 +186,19 @@
         });
     }
 
-    private static void transfer(PolicyHarness h, String id, Map<String, Boolean> atWork) {
+    private static void transfer(PolicyHarness host, String id, Map<String, Boolean> atWork) {
         if (id != null) {
-            h.balancer.transferStarted(h.now, id, 0);
+            host.balancer.transferStarted(host.now, id, 0);
             atWork.put(id, false);
         }
     }
 
     private static void end(
-            PolicyHarness h, String id, Outcome outcome, Map<String, Boolean> atWork, List<String> ids) {
+            PolicyHarness host, String id, Outcome outcome, Map<String, Boolean> atWork, List<String> ids) {
         if (id != null) {
-            h.balancer.attemptEnded(h.now, new AttemptEnd(id, 0, h.sends.get(id).get(0), outcome, 10_000, true, null));
-            h.balancer.transferStarted(h.now, id, 0); // late, and of no effect
+            host.balancer.attemptEnded(
+                    host.now, new AttemptEnd(id, 0, host.sends.get(id).get(0), outcome, 10_000, true, null));
+            host.balancer.transferStarted(host.now, id, 0); // late, and of no effect
             atWork.put(id, null);
             ids.remove(id);
         }
