Checks of capacity and affinity skip what sparse traffic does not need

hasCapacity and isHealthy had come to compute the limit and the slowness (a power) also where the result was not used, once for each upstream and queued request: they return early again.

--- a/src/main/java/sedgeyoke/policy/RetryPolicy.java
+++ b/src/main/java/sedgeyoke/policy/RetryPolicy.java
@@ -23,6 +23,7 @@
         budget = Math.max(0, Math.min(MAX_BUDGET, budget + BUDGET_SHARE));
     }
 
+    /** Charges one retry to the budget; false if none was left. */
     boolean chargeRetry() {
         return budget-- >= 1;
     }
--- a/src/main/java/sedgeyoke/policy/UtilizationWeightedPolicy.java
+++ b/src/main/java/sedgeyoke/policy/UtilizationWeightedPolicy.java
@@ -94,7 +94,7 @@
     private long resubscribeAt = Long.MAX_VALUE;
     private long resubscribeBackoff;
 
-    /** Creates an instance; bad settings are refused with the field's name. */
+    /** Creates an instance; throws IllegalArgumentException for invalid settings. */
     public UtilizationWeightedPolicy(Settings settings, long seed, Actions actions) {
         SettingsValidator.check(settings);
         this.settings = settings;
@@ -262,7 +262,7 @@
         double active = report.active() >= 0 ? report.active() : report.waiting();
         upstream.reportedActive = active >= 0 ? Math.min(active, MAX_REPORTED_ACTIVE) : 0;
         meanReportedActive += SMOOTHING * (upstream.reportedActive - meanReportedActive);
-        if (plausibleServiceTime(report)) {
+        if (report.serviceTime() > 0 && report.serviceTime() <= longestTimeout) { // else it is invalid
             upstream.serviceTime = report.serviceTime();
             upstream.serviceTimeAt = now;
             meanServiceTime = MovingAverage.next(meanServiceTime, upstream.serviceTime, FLEET_SMOOTHING);
@@ -399,11 +399,6 @@
         return Math.pow(ratio, confidence(upstream.serviceTimeAt, now));
     }
 
-    /** A time longer than any client waits is invalid. */
-    private boolean plausibleServiceTime(LoadReport report) {
-        return report.serviceTime() > 0 && report.serviceTime() <= longestTimeout;
-    }
-
     /** How much an observation of that time still counts, from 1 to 0. */
     private double confidence(long seenAt, long now) {
         return Math.max(0, 1 - (now - seenAt) / Math.max(1, REPORT_MEMORY * meanResponseTime));
@@ -419,10 +414,13 @@
         return (upstream.inFlight + units) / 2 + TRANSFER_LOAD * upstream.transfers;
     }
 
+    /** Whether its in-flight limit allows another attempt; with sparse traffic, whether it is not paused. */
     private boolean hasCapacity(UpstreamState upstream, long now) {
+        if (now < upstream.backOffUntil || sparseTraffic()) {
+            return now >= upstream.backOffUntil;
+        }
         double limit = upstream.limit * upstream.limitFactor * warmUpFactor(upstream, now);
-        boolean belowLimit = upstream.inFlight + 1 <= Math.max(1, limit);
-        return now >= upstream.backOffUntil && (sparseTraffic() || belowLimit);
+        return upstream.inFlight + 1 <= Math.max(1, limit);
     }
 
     /** With more balancers than upstreams, the load that our requests meet is mostly that of others. */
@@ -458,10 +456,10 @@
         return highestScore(request.request.affinityKey(), healthy);
     }
 
-    /** Whether it may be an affinity upstream now. */
     private boolean isHealthy(UpstreamState upstream, long now) {
-        boolean served = upstream.errorRate < 0.5 && slowness(upstream, now) < OVERLOADED_SLOWNESS;
-        return !OutlierDetection.isEjected(upstream, now) && (!sparseTraffic() || served);
+        boolean failing = sparseTraffic() && !(upstream.errorRate < 0.5);
+        boolean fast = !sparseTraffic() || slowness(upstream, now) < OVERLOADED_SLOWNESS;
+        return !failing && fast && !OutlierDetection.isEjected(upstream, now);
     }
 
     /** The same upstream at every balancer, by rendezvous hashing (Thaler and Ravishankar, 1998). */
--- a/src/test/java/sedgeyoke/policy/AffinityTest.java
+++ b/src/test/java/sedgeyoke/policy/AffinityTest.java
@@ -38,10 +38,10 @@
     void queuedKeysGoToTheirAffinityUpstreamFirst() {
         config.keyAffinity = true;
         PolicyHarness host = PolicyHarness.of(config).list(4);
-        Map<String, String> homes = new HashMap<>();
+        Map<String, String> affinityUpstreams = new HashMap<>();
         for (int i = 0; i < 40; i++) {
             String id = host.request(0, 2 * SECOND, "key" + i, 20 * MILLI);
-            homes.put("key" + i, host.lastUpstream(id));
+            affinityUpstreams.put("key" + i, host.lastUpstream(id));
             host.advance(20 * MILLI);
             host.end(id, Outcome.OK, 20 * MILLI, null);
         }
@@ -51,7 +51,7 @@
         for (int i = 0; i < 120; i++) {
             String id = host.request(0, 2 * SECOND, "key" + i % 40, 20 * MILLI);
             if (host.lastUpstream(id) == null) {
-                waiting.put(id, homes.get("key" + i % 40));
+                waiting.put(id, affinityUpstreams.get("key" + i % 40));
             } else {
                 out.add(id);
             }
@@ -59,16 +59,16 @@
         host.advance(20 * MILLI);
         out.forEach(id -> host.end(id, Outcome.OK, 20 * MILLI, null));
         waiting.keySet().removeIf(id -> host.lastUpstream(id) == null);
-        long home = waiting.entrySet().stream()
+        long atAffinityUpstream = waiting.entrySet().stream()
                 .filter(w -> w.getValue().equals(host.lastUpstream(w.getKey())))
                 .count();
         assertTrue(waiting.size() > 8, "sent " + waiting.size());
-        assertTrue(home > 0.75 * waiting.size(), home + " of " + waiting.size());
+        assertTrue(atAffinityUpstream > 0.75 * waiting.size(), atAffinityUpstream + " of " + waiting.size());
     }
 
     /**
-     * Nobody answers and thousands are held: a further one must not cost more for it. Took minutes when each event
-     * looked for the home of all that was held; now some hundred milliseconds.
+     * Without responses thousands are queued: a further one must not cost more for it. Took minutes when each event
+     * computed the affinity upstreams of the whole queue; now some hundred milliseconds.
      */
     @Test
     void aLongQueueDoesNotSlowDownFurtherRequests() {
--- a/src/test/java/sedgeyoke/policy/EndpointsTest.java
+++ b/src/test/java/sedgeyoke/policy/EndpointsTest.java
@@ -57,7 +57,7 @@
         int served = 0;
         for (int i = 0; i < 400; i++) {
             String id = host.request(i % 3, 2 * SECOND);
-            for (int tries = 0; tries < 4 && host.lastUpstream(id) != null; tries++) {
+            for (int attempts = 0; attempts < 4 && host.lastUpstream(id) != null; attempts++) {
                 host.advance(5 * MILLI);
                 if (host.lastUpstream(id).compareTo("u3") >= 0) {
                     host.end(id, Outcome.OK, 5 * MILLI, PolicyHarness.report(0.5));
@@ -93,15 +93,15 @@
         config.subscribesToEndpoints = true;
         PolicyHarness host = PolicyHarness.of(config);
         long before = host.now;
-        int asked = 1;
+        int subscribed = 1;
         List<Long> pauses = new ArrayList<>();
         for (int i = 0; i < 8; i++) {
             host.balancer.endpointsUpdated(host.now, ListKind.UNAVAILABLE, List.of());
             before = host.now;
-            for (; subscriptions(host) == asked; host.advance(10 * MILLI)) {
-                assertTrue(host.now - before < 10 * SECOND, "never asked again");
+            for (; subscriptions(host) == subscribed; host.advance(10 * MILLI)) {
+                assertTrue(host.now - before < 10 * SECOND, "never subscribed again");
             }
-            asked++;
+            subscribed++;
             pauses.add(host.now - before);
         }
         assertTrue(pauses.get(0) < SECOND, "soon at first: " + pauses);
@@ -109,7 +109,7 @@
         host.balancer.endpointsUpdated(host.now, ListKind.CHANGES, List.of());
         host.balancer.endpointsUpdated(host.now, ListKind.UNAVAILABLE, List.of());
         host.advance(SECOND);
-        assertEquals(asked + 1, subscriptions(host), "soon again after one that went well");
+        assertEquals(subscribed + 1, subscriptions(host), "soon again after a success");
     }
 
     private static int subscriptions(PolicyHarness host) {
--- a/src/test/java/sedgeyoke/policy/PlanTest.java
+++ b/src/test/java/sedgeyoke/policy/PlanTest.java
@@ -27,8 +27,11 @@
     private static final int LAUNCHED_AT_STEP = 600;
 
     private static Plan plan(
-            long heardAt, List<UpstreamView> views, List<Double> spill, Map<String, SlowStartQuota> cold) {
-        return new Plan(heardAt, FADE, views, spill, 0, cold);
+            long lastPlannerContact,
+            List<UpstreamView> views,
+            List<Double> zoneSpillover,
+            Map<String, SlowStartQuota> quotas) {
+        return new Plan(lastPlannerContact, FADE, views, zoneSpillover, 0, quotas);
     }
 
     private static UpstreamView view(String id, double limit, boolean draining) {
--- a/src/test/java/sedgeyoke/policy/PolicyReplayTest.java
+++ b/src/test/java/sedgeyoke/policy/PolicyReplayTest.java
@@ -42,7 +42,7 @@
 
 /**
  * Freezes what {@link UtilizationWeightedPolicy} decides: random events of all kinds, under random settings, are
- * replayed, and a digest of all events and all decisions is held against a constant. A refactoring must leave it as it
+ * replayed, and a digest of all events and all decisions is compared with a constant. A refactoring must leave it as it
  * is; a commit that means to change decisions replaces the constants by those that the failure prints. Names of types
  * and constants never enter the digest.
  */
@@ -537,25 +537,34 @@
                 return;
             }
             List<UpstreamView> views = new ArrayList<>();
-            Map<String, SlowStartQuota> cold = new TreeMap<>();
+            Map<String, SlowStartQuota> quotas = new TreeMap<>();
             for (int i = 0; i < UNIVERSE; i++) {
                 if (chance(0.7)) {
                     views.add(view(i));
                 }
                 if (chance(0.3)) {
-                    cold.put("u" + i, right(i));
+                    quotas.put("u" + i, quota(i));
                 }
             }
-            List<Double> spill = new ArrayList<>();
+            List<Double> zoneSpillover = new ArrayList<>();
             for (int zone = chance(0.3) ? 3 : 0; zone < settings.zones(); zone++) {
-                spill.add(chance(0.2) ? 0 : random.nextDouble());
+                zoneSpillover.add(chance(0.2) ? 0 : random.nextDouble());
             }
-            long heardAt = chance(0.05) ? 0 : now - random.nextLong(chance(0.1) ? 3 * SECOND : SECOND / 2);
-            long quietUntil = chance(0.2) ? now + random.nextLong(SECOND) : 0;
-            long fadeTime = oneOf(1, 2, 4) * SECOND;
-            journal.note(Kind.PLAN, now, heardAt, fadeTime, quietUntil, views.size(), cold.size(), spill.size());
-            spill.forEach(journal::put);
-            balancer.planUpdated(now, new Plan(heardAt, fadeTime, views, spill, quietUntil, cold));
+            long lastPlannerContact = chance(0.05) ? 0 : now - random.nextLong(chance(0.1) ? 3 * SECOND : SECOND / 2);
+            long ownQuotaBlockedUntil = chance(0.2) ? now + random.nextLong(SECOND) : 0;
+            long fadeOutTime = oneOf(1, 2, 4) * SECOND;
+            journal.note(
+                    Kind.PLAN,
+                    now,
+                    lastPlannerContact,
+                    fadeOutTime,
+                    ownQuotaBlockedUntil,
+                    views.size(),
+                    quotas.size(),
+                    zoneSpillover.size());
+            zoneSpillover.forEach(journal::put);
+            balancer.planUpdated(
+                    now, new Plan(lastPlannerContact, fadeOutTime, views, zoneSpillover, ownQuotaBlockedUntil, quotas));
         }
 
         private UpstreamView view(int i) {
@@ -568,17 +577,17 @@
             return new UpstreamView("u" + i, limit, launchedAt, draining);
         }
 
-        private SlowStartQuota right(int i) {
+        private SlowStartQuota quota(int i) {
             long launchedAt = chance(0.8) ? simulated.get(i).launchedAt : now;
-            long lentUntil = chance(0.5) ? 0 : now + random.nextLong(2 * SECOND);
+            long delegatedUntil = chance(0.5) ? 0 : now + random.nextLong(2 * SECOND);
             List<SlowStartGrant> grants = new ArrayList<>();
             for (int n = random.nextInt(3); n > 0; n--) {
                 grants.add(new SlowStartGrant(random.nextInt(20), now + random.nextLong(2 * SECOND)));
             }
             journal.put(launchedAt);
-            journal.put(lentUntil);
+            journal.put(delegatedUntil);
             grants.forEach(grant -> journal.put(grant.rate()));
-            return new SlowStartQuota(launchedAt, lentUntil, grants);
+            return new SlowStartQuota(launchedAt, delegatedUntil, grants);
         }
 
         private void summary() {
--- a/src/test/java/sedgeyoke/policy/SlowStartTest.java
+++ b/src/test/java/sedgeyoke/policy/SlowStartTest.java
@@ -34,8 +34,8 @@
     }
 
     /**
-     * Six in ten replaced: the new ones got nothing until they were warm. What a mean request costs lagged behind
-     * what each costs, so that nearly all were dearer than a bucket may hold, and buckets began in debt.
+     * Six in ten were replaced and the new ones got nothing during slow start. The mean cost of a request lagged behind
+     * the costs, so that nearly all requests cost more than a bucket holds, and buckets began in debt.
      */
     @Test
     void itGetsItsPartOfSparseTrafficFromTheStart() {
@@ -61,7 +61,7 @@
     private double slowStartShare(IntFunction<String> key, boolean again) {
         config.group = 300;
         config.keyAffinity = true;
-        int cold = 0;
+        int slowStarting = 0;
         int all = 0;
         for (int seed = 0; seed < 60; seed++) {
             PolicyHarness host = PolicyHarness.of(config);
@@ -80,7 +80,7 @@
                 host.advance(50 * MILLI);
                 host.end(id, Outcome.OK, (i % 2 + 1) * 50 * MILLI, PolicyHarness.report(0.5));
             }
-            cold += host.perUpstream.entrySet().stream()
+            slowStarting += host.perUpstream.entrySet().stream()
                     .filter(e -> e.getKey().charAt(1) >= '5')
                     .mapToInt(Map.Entry::getValue)
                     .sum();
@@ -88,8 +88,8 @@
                     .mapToInt(Integer::intValue)
                     .sum();
         }
-        assertTrue(cold < all / 3, cold + " of " + all);
-        return cold / (double) all;
+        assertTrue(slowStarting < all / 3, slowStarting + " of " + all);
+        return slowStarting / (double) all;
     }
 
     /** Incident i618e92: small hints passed the bucket one by one, and their true work overloaded the upstream. */
--- a/src/test/java/sedgeyoke/policy/SparseTrafficTest.java
+++ b/src/test/java/sedgeyoke/policy/SparseTrafficTest.java
@@ -81,8 +81,8 @@
     void allBalancersShareAffinityUpstreamsUnlessTheseAreOverloaded() {
         config.group = 300;
         config.keyAffinity = true;
-        String home = null;
-        for (boolean crowded : new boolean[] {false, true}) {
+        String affinityUpstream = null;
+        for (boolean overloaded : new boolean[] {false, true}) {
             Map<String, Integer> everywhere = new HashMap<>();
             for (int position = 0; position < 16; position++) {
                 config.position = position;
@@ -91,13 +91,15 @@
                 for (int i = 0; i < 20; i++) {
                     String id = host.request(0, 2 * SECOND, "key", 20 * MILLI);
                     host.advance(100 * MILLI);
-                    double waiting = crowded && host.lastUpstream(id).equals(home) ? 30 : 0.5;
+                    double waiting = overloaded && host.lastUpstream(id).equals(affinityUpstream) ? 30 : 0.5;
                     host.end(id, Outcome.OK, 100 * MILLI, new LoadReport(0.5, Double.NaN, waiting, 20, 1, 0));
                 }
                 host.perUpstream.forEach((u, n) -> everywhere.merge(u, n, Integer::sum));
             }
-            home = crowded ? home : Collections.max(everywhere.keySet(), Comparator.comparing(everywhere::get));
-            assertEquals(!crowded, everywhere.get(home) > 240, everywhere.toString());
+            affinityUpstream = overloaded
+                    ? affinityUpstream
+                    : Collections.max(everywhere.keySet(), Comparator.comparing(everywhere::get));
+            assertEquals(!overloaded, everywhere.get(affinityUpstream) > 240, everywhere.toString());
         }
     }
 
@@ -162,23 +164,23 @@
         config.keyAffinity = true;
         PolicyHarness host = PolicyHarness.of(config).list(12);
         host.advance(2 * SECOND);
-        String home = null;
+        String affinityUpstream = null;
         for (int i = 0; i < 60; i++) {
             String id = host.request(0, 2 * SECOND, "key", 0);
-            home = host.lastUpstream(id);
+            affinityUpstream = host.lastUpstream(id);
             host.advance(300 * MILLI);
             host.end(id, Outcome.OK, 300 * MILLI, new LoadReport(0.5, Double.NaN, 0, 300 * MILLI, 1, 0));
         }
         String silent = host.request(0, 2 * SECOND, "key", 0);
-        assertEquals(home, host.lastUpstream(silent));
+        assertEquals(affinityUpstream, host.lastUpstream(silent));
         host.advance(1_950 * MILLI);
         host.end(silent, Outcome.CANCELLED, 1_950 * MILLI, null);
         host.advance(1_500 * MILLI); // its ejection has ended by now
         String later = host.request(0, 2 * SECOND, "key", 0);
-        assertNotEquals(home, host.lastUpstream(later));
+        assertNotEquals(affinityUpstream, host.lastUpstream(later));
         host.end(later, Outcome.OK, 300 * MILLI, new LoadReport(0.5, Double.NaN, 0, 300 * MILLI, 1, 0));
         host.advance(8 * SECOND);
-        assertEquals(home, host.lastUpstream(host.request(0, 2 * SECOND, "key", 0)));
+        assertEquals(affinityUpstream, host.lastUpstream(host.request(0, 2 * SECOND, "key", 0)));
     }
 
     @Test
@@ -238,18 +240,18 @@
         PolicyHarness host = PolicyHarness.of(config).list(12);
         host.advance(2 * SECOND);
         String failed = host.request(0, 2 * SECOND, "key", 0);
-        String home = host.lastUpstream(failed);
+        String affinityUpstream = host.lastUpstream(failed);
         host.advance(10 * MILLI);
         host.end(failed, Outcome.ERROR, 10 * MILLI, null);
         int elsewhere = 0;
         for (int i = 0; i < 10; i++) {
             String id = host.request(0, 2 * SECOND, "key", 0);
-            elsewhere += host.lastUpstream(id).equals(home) ? 0 : 1;
+            elsewhere += host.lastUpstream(id).equals(affinityUpstream) ? 0 : 1;
             host.advance(10 * MILLI);
             host.end(id, Outcome.OK, 10 * MILLI, PolicyHarness.report(0.5));
         }
         assertTrue(elsewhere >= 9, elsewhere + " of 10");
         host.advance(10 * SECOND);
-        assertEquals(home, host.lastUpstream(host.request(0, 2 * SECOND, "key", 0)));
+        assertEquals(affinityUpstream, host.lastUpstream(host.request(0, 2 * SECOND, "key", 0)));
     }
 }
--- a/src/test/java/sedgeyoke/policy/TransfersTest.java
+++ b/src/test/java/sedgeyoke/policy/TransfersTest.java
@@ -19,7 +19,7 @@
 import sedgeyoke.policy.LoadBalancingPolicy.State;
 import sedgeyoke.policy.LoadBalancingPolicy.UpstreamStatus;
 
-/** Attempts at their client's pace: they take a connection of an upstream, and none of its work. */
+/** Transfers at the pace of their client: they take a connection of an upstream and no capacity. */
 class TransfersTest {
     private static final long SECOND = PolicyHarness.SECOND;
 
@@ -29,12 +29,12 @@
         return PolicyHarness.of(config).list(upstreams);
     }
 
-    private static String coming(PolicyHarness host, String id) {
+    private static String requestWithPendingBody(PolicyHarness host, String id) {
         host.balancer.requestArrived(host.now, new Request(id, 2, 0, null, 0, 100 * SECOND, true, false, true));
         return id;
     }
 
-    private static void begin(PolicyHarness host, String id) {
+    private static void startTransfer(PolicyHarness host, String id) {
         host.balancer.responseStarted(host.now, id, 0);
         host.balancer.transferStarted(host.now, id, 0);
     }
@@ -46,30 +46,30 @@
     }
 
     @Test
-    void fiftyTransfersLeaveRoomForWorkOnOneUpstream() {
+    void fiftyTransfersLeaveCapacityForWork() {
         PolicyHarness host = host(1);
         for (int i = 0; i < 50; i++) {
-            String id = coming(host, "t" + i);
+            String id = requestWithPendingBody(host, "t" + i);
             assertNotNull(host.lastUpstream(id), "transfer " + i + " has to wait");
-            begin(host, id);
+            startTransfer(host, id);
         }
         assertEquals(0, inFlight(host));
         assertNotNull(host.lastUpstream(host.request(0, SECOND)));
     }
 
-    /** The same without a word on their pace: the first limit lets three in, as it does for work. */
+    /** Without the transfer event they count as work: the initial limit admits three. */
     @Test
-    void withoutTheirPaceTheyCountAsWork() {
+    void withoutTheEventTransfersCountAsWork() {
         PolicyHarness host = host(1);
         int sent = 0;
         for (int i = 0; i < 50; i++) {
-            sent += host.lastUpstream(coming(host, "t" + i)) != null ? 1 : 0;
+            sent += host.lastUpstream(requestWithPendingBody(host, "t" + i)) != null ? 1 : 0;
         }
         assertEquals(3, sent);
     }
 
     @Test
-    void anAnswerThatHasBegunMakesRoom() {
+    void aStartedResponseFreesCapacity() {
         PolicyHarness host = host(1);
         for (int i = 0; i < 3; i++) {
             host.request(0, SECOND);
@@ -81,9 +81,9 @@
         assertNotNull(host.lastUpstream(waits));
     }
 
-    /** After its last byte too: how long that took says more of buffers on the way than of the upstream. */
+    /** Also after the last byte: its duration depends on buffers more than on the upstream. */
     @Test
-    void transfersTeachNothingAboutTheTimeOfWork() {
+    void transfersDoNotChangeServiceTimes() {
         PolicyHarness slow = host(1);
         PolicyHarness none = host(1);
         for (PolicyHarness host : List.of(slow, none)) {
@@ -92,7 +92,7 @@
             }
         }
         for (int i = 0; i < 20; i++) {
-            begin(slow, coming(slow, "t" + i));
+            startTransfer(slow, requestWithPendingBody(slow, "t" + i));
             slow.advance(30_000_000);
             none.advance(30_000_000);
             slow.balancer.attemptEnded(
@@ -108,7 +108,7 @@
     @Test
     void anUpstreamThatHoldsATransferDoesNotHang() {
         PolicyHarness host = host(2);
-        begin(host, coming(host, "t"));
+        startTransfer(host, requestWithPendingBody(host, "t"));
         host.advance(60 * SECOND);
         assertTrue(host.balancer.summary(host.now).upstreams().stream().noneMatch(UpstreamStatus::ejected));
     }
@@ -123,12 +123,12 @@
         host.change(PolicyHarness.upstream(1, State.READY, host.now));
         host.advance(2 * SECOND);
         for (int i = 0; i < 30; i++) {
-            begin(host, coming(host, "t" + i));
+            startTransfer(host, requestWithPendingBody(host, "t" + i));
             assertEquals("u0", host.lastUpstream("t" + i));
         }
         host.advance(20 * SECOND);
         for (int i = 30; i < 90; i++) {
-            begin(host, coming(host, "t" + i));
+            startTransfer(host, requestWithPendingBody(host, "t" + i));
         }
         assertTrue(host.perUpstream.get("u1") > 10, "warm again: " + host.perUpstream);
     }
@@ -146,7 +146,7 @@
             String id = ids.isEmpty() ? null : ids.get(random.nextInt(ids.size()));
             switch (random.nextInt(6)) {
                 case 0 -> {
-                    String fresh = coming(host, "t" + step);
+                    String fresh = requestWithPendingBody(host, "t" + step);
                     if (host.lastUpstream(fresh) != null) {
                         atWork.put(fresh, true);
                         ids.add(fresh);
@@ -176,7 +176,7 @@
         assertEquals(0, inFlight(host));
     }
 
-    /** What was held may have found its place. */
+    /** Queued requests may have been sent. */
     private static void found(PolicyHarness host, Map<String, Boolean> atWork, List<String> ids) {
         host.sends.keySet().forEach(request -> {
             if (!atWork.containsKey(request)) {
