experiment: parsing, runs, figures and the worst-case search in classes of their own

ExperimentFile, Experiment and WorstCaseSearch each did several things; a loss above 1000 stood for broken rules, empty texts and null for what a file does not have, double[] for ranges; InvalidExperimentException had a text only.

InvalidExperimentException has its problems with file, line and key as accessors. Keys of files and of figures are unchanged.

--- a/src/main/java/sedgeyoke/cli/ExperimentCommand.java
+++ b/src/main/java/sedgeyoke/cli/ExperimentCommand.java
@@ -51,9 +51,9 @@
         if (resume && out == null) {
             throw new CommandLine.ParameterException(spec.commandLine(), "--resume needs --out");
         }
-        Experiment.Plan plan = new Experiment.Plan(seed, seeds, runs.jobs(spec), out, resume);
+        Experiment.Options options = new Experiment.Options(seed, seeds, runs.jobs(spec), out, resume);
         try {
-            ObjectNode metrics = new Experiment(ExperimentFile.load(file), plan, runs.progress(spec)).run();
+            ObjectNode metrics = new Experiment(ExperimentFile.load(file), options, runs.progress(spec)).run();
             PrintWriter printer = spec.commandLine().getOut();
             printer.println(metrics);
             printer.flush();
--- a/src/main/java/sedgeyoke/cli/WorstCaseSearchCommand.java
+++ b/src/main/java/sedgeyoke/cli/WorstCaseSearchCommand.java
@@ -47,7 +47,7 @@
             spec.commandLine().getErr().println(e.getMessage());
             return CommandLine.ExitCode.USAGE;
         }
-        if (experiment.hunt() == null) {
+        if (experiment.searchSpace().isEmpty()) {
             spec.commandLine().getErr().println(file + ": hunt: is needed, with what may vary");
             return CommandLine.ExitCode.USAGE;
         }
--- a/src/main/java/sedgeyoke/experiment/InvalidExperimentException.java
+++ b/src/main/java/sedgeyoke/experiment/InvalidExperimentException.java
@@ -3,14 +3,22 @@
 import java.util.List;
 import sedgeyoke.settings.ConfigProblem;
 
-/** An experiment's file that cannot be played; the message has all that is wrong with it, a line each. */
+/** An experiment file, or a file of its runs, that cannot be used; it carries all problems with their file and line. */
 public final class InvalidExperimentException extends Exception {
     private static final long serialVersionUID = 1L;
-    private static final int MOST_LINES = 20;
+    private static final int MAX_LINES = 20;
+
+    private final transient List<ConfigProblem> problems;
 
     InvalidExperimentException(List<ConfigProblem> problems) {
         super(String.join(
                 "\n",
-                problems.stream().limit(MOST_LINES).map(ConfigProblem::toString).toList()));
+                problems.stream().limit(MAX_LINES).map(ConfigProblem::toString).toList()));
+        this.problems = List.copyOf(problems);
+    }
+
+    /** All problems, in the order in which they were found. */
+    public List<ConfigProblem> problems() {
+        return problems;
     }
 }
--- a/src/main/java/sedgeyoke/experiment/PairedBootstrap.java
+++ b/src/main/java/sedgeyoke/experiment/PairedBootstrap.java
@@ -6,40 +6,46 @@
 import org.apache.commons.math3.stat.descriptive.rank.Percentile;
 
 /**
- * What one variant has over another, seed by seed, with a 95% interval of the mean by bootstrap: both met the same
- * wants
- * and faults, so what is common to a seed falls out.
+ * The difference between two variants, paired by seed, with a 95% percentile bootstrap interval of its mean (B. Efron and
+ * R. Tibshirani, "An Introduction to the Bootstrap", 1993, chapter 13). As both variants get the same operations and
+ * faults, what is common to a seed cancels.
  *
  * @param mean of the differences
- * @param low of the interval
- * @param high of the interval
- * @param wins seeds in which it was better
- * @param losses seeds in which it was worse
+ * @param low lower end of the interval
+ * @param high upper end of the interval
+ * @param wins seeds with a positive difference
+ * @param losses seeds with a negative difference
  */
 public record PairedBootstrap(double mean, double low, double high, int wins, int losses) {
-    private static final int DRAWS = 10_000;
-    private static final double LOW = 2.5;
-    private static final double HIGH = 97.5;
-    private static final long SEED = 20_261_201;
+    private static final int RESAMPLES = 10_000;
+    private static final double LOW_PERCENTILE = 2.5;
+    private static final double HIGH_PERCENTILE = 97.5;
+    /** Fixed, so that the same values give the same interval. */
+    private static final long RANDOM_SEED = 20_261_201;
 
-    /** Compares figures of the same seeds; the interval is a point where there is one seed alone. */
-    public static PairedBootstrap of(double[] figures, double[] base) {
-        double[] differences = new double[figures.length];
-        Arrays.setAll(differences, i -> figures[i] - base[i]);
-        Well19937c random = new Well19937c(SEED);
-        double[] means = new double[DRAWS];
-        for (int d = 0; d < DRAWS; d++) {
+    /** Compares values of the same seeds; with a single seed the interval is a point. */
+    public static PairedBootstrap of(double[] values, double[] baseline) {
+        double[] differences = new double[values.length];
+        Arrays.setAll(differences, i -> values[i] - baseline[i]);
+        double[] means = resampledMeans(differences);
+        return new PairedBootstrap(
+                StatUtils.mean(differences),
+                new Percentile(LOW_PERCENTILE).evaluate(means),
+                new Percentile(HIGH_PERCENTILE).evaluate(means),
+                (int) Arrays.stream(differences).filter(d -> d > 0).count(),
+                (int) Arrays.stream(differences).filter(d -> d < 0).count());
+    }
+
+    private static double[] resampledMeans(double[] differences) {
+        Well19937c random = new Well19937c(RANDOM_SEED);
+        double[] means = new double[RESAMPLES];
+        for (int resample = 0; resample < RESAMPLES; resample++) {
             double sum = 0;
             for (int i = 0; i < differences.length; i++) {
                 sum += differences[random.nextInt(differences.length)];
             }
-            means[d] = sum / differences.length;
+            means[resample] = sum / differences.length;
         }
-        return new PairedBootstrap(
-                StatUtils.mean(differences),
-                new Percentile(LOW).evaluate(means),
-                new Percentile(HIGH).evaluate(means),
-                (int) Arrays.stream(differences).filter(d -> d > 0).count(),
-                (int) Arrays.stream(differences).filter(d -> d < 0).count());
+        return means;
     }
 }
--- a/src/main/java/sedgeyoke/experiment/Report.java
+++ b/src/main/java/sedgeyoke/experiment/Report.java
@@ -9,27 +9,26 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Function;
 import sedgeyoke.simulation.Scenario;
 
 /**
- * An experiment as one page that needs no network: the plotting library and the data stand in it. What is drawn is
- * computed here; the page only draws.
+ * Writes an experiment's report as a single page that needs no network: it has the plotting library and the data in it.
+ * All values are computed here; the page only draws them.
  */
 final class Report {
-    private static final String PAGE = "/sedgeyoke/experiment/report.html";
-    private static final String PLOTS = "/META-INF/resources/webjars/echarts/5.3.1/dist/echarts.min.js";
+    private static final String PAGE_RESOURCE = "/sedgeyoke/experiment/report.html";
+    private static final String PLOT_LIBRARY_RESOURCE = "/META-INF/resources/webjars/echarts/5.3.1/dist/echarts.min.js";
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private Report() {}
 
-    /** The page. */
+    /** Returns the page. */
     static String of(ExperimentFile file, List<Run> runs, ObjectNode figures) throws IOException {
-        // Whatever stands in a title or an id must not end the script that it stands in.
+        // escaped, so that no title or id can end the script that has the data
         String data = JSON.writeValueAsString(data(file, runs, figures)).replace("<", "\\u003c");
-        return text(PAGE)
-                .replace("/*PLOTS*/", text(PLOTS).replace("</script", "<\\/script"))
+        return text(PAGE_RESOURCE)
+                .replace("/*PLOTS*/", text(PLOT_LIBRARY_RESOURCE).replace("</script", "<\\/script"))
                 .replace("/*DATA*/", data);
     }
 
@@ -42,12 +41,12 @@
         }
     }
 
-    /** What the page draws. */
+    /** Returns what the page draws. */
     static ObjectNode data(ExperimentFile file, List<Run> runs, ObjectNode figures) {
         ObjectNode data = JSON.createObjectNode()
                 .put("title", file.title())
                 .put("name", file.name())
-                .put("base", file.base())
+                .put("base", file.comparison().base())
                 .put("first_seed", figures.path("first_seed").asLong())
                 .put("seeds", figures.path("seeds").asInt());
         data.set("figures", figures);
@@ -55,65 +54,68 @@
         Run.PERCENTILES.forEach(percentiles::add);
         ArrayNode points = data.putArray("points");
         for (ExperimentFile.Point point : file.points()) {
-            ObjectNode p = points.addObject().put("label", point.label());
-            ArrayNode variants = p.putArray("variants");
-            point.variants()
-                    .forEach((name, scenario) -> variants.add(variant(
-                            name,
-                            scenario,
-                            runs.stream()
-                                    .filter(r -> r.point().equals(point.label())
-                                            && r.variant().equals(name))
-                                    .toList())));
+            addPoint(points.addObject(), point, runs);
         }
         return data;
     }
 
-    private static ObjectNode variant(String name, Scenario scenario, List<Run> runs) {
-        ObjectNode v = JSON.createObjectNode()
-                .put("name", name)
+    private static void addPoint(ObjectNode node, ExperimentFile.Point point, List<Run> runs) {
+        node.put("label", point.label());
+        ArrayNode variants = node.putArray("variants");
+        point.variants().forEach((name, scenario) -> {
+            List<Run> own = runs.stream()
+                    .filter(run ->
+                            run.point().equals(point.label()) && run.variant().equals(name))
+                    .toList();
+            addVariant(variants.addObject(), name, scenario, own);
+        });
+    }
+
+    private static void addVariant(ObjectNode variant, String name, Scenario scenario, List<Run> runs) {
+        variant.put("name", name)
                 .put("policy", scenario.policy())
                 .put("planners", scenario.planners().count());
-        ArrayNode faults = v.putArray("faults");
-        for (Scenario.Fault f : scenario.faults()) {
-            faults.addObject()
-                    .put("at", f.startSeconds())
-                    .put("what", Table.name(f.kind()))
-                    .put("count", f.count())
-                    .put(
-                            "until",
-                            f.startSeconds() + f.intervalSeconds() * Math.max(0, f.count() - 1) + f.durationSeconds());
+        ArrayNode faults = variant.putArray("faults");
+        for (Scenario.Fault fault : scenario.faults()) {
+            addFault(faults.addObject(), fault);
         }
-        put(v, "service_by_second", mean(runs, Run::serviceBySecond));
-        put(v, "mean_ms_by_second", mean(runs, Run::meanMsBySecond));
-        put(v, "latency_ms", mean(runs, Run::latencyMs));
-        put(v, "service", runs.stream().map(Run::service).toList());
-        put(v, "cold_peak", runs.stream().map(Run::coldPeak).toList());
-        put(v, "attempts", runs.stream().map(Run::attemptsPerRequest).toList());
-        ObjectNode nodes = v.putObject("nodes");
-        for (Run r : runs) {
-            for (Map.Entry<String, List<Double>> row : r.nodes().entrySet()) {
-                put(nodes, row.getKey(), row.getValue());
-            }
+        addNumbers(variant, "service_by_second", elementwiseMean(runs, Run::serviceBySecond));
+        addNumbers(variant, "mean_ms_by_second", elementwiseMean(runs, Run::meanMsBySecond));
+        addNumbers(variant, "latency_ms", elementwiseMean(runs, Run::latencyMs));
+        addNumbers(variant, "service", runs.stream().map(Run::service).toList());
+        addNumbers(variant, "cold_peak", runs.stream().map(Run::coldPeak).toList());
+        addNumbers(
+                variant, "attempts", runs.stream().map(Run::attemptsPerRequest).toList());
+        ObjectNode nodes = variant.putObject("nodes");
+        for (Run run : runs) {
+            run.nodes().forEach((id, utilisation) -> addNumbers(nodes, id, utilisation));
         }
-        return v;
     }
 
-    private static void put(ObjectNode to, String name, List<Double> figures) {
-        ArrayNode array = to.putArray(name);
-        figures.forEach(f -> array.add(Run.round(f)));
+    private static void addFault(ObjectNode node, Scenario.Fault fault) {
+        double lastStart = fault.startSeconds() + fault.intervalSeconds() * Math.max(0, fault.count() - 1);
+        node.put("at", fault.startSeconds())
+                .put("what", CheckedTable.nameOf(fault.kind()))
+                .put("count", fault.count())
+                .put("until", lastStart + fault.durationSeconds());
+    }
+
+    private static void addNumbers(ObjectNode node, String name, List<Double> numbers) {
+        ArrayNode array = node.putArray(name);
+        numbers.forEach(number -> array.add(Run.round(number)));
     }
 
-    /** Place by place over the runs that have one there. */
-    static List<Double> mean(List<Run> runs, Function<Run, List<Double>> of) {
-        int most = runs.stream().mapToInt(r -> of.apply(r).size()).max().orElse(0);
+    /** The mean of each element over the runs whose series have it. */
+    private static List<Double> elementwiseMean(List<Run> runs, Function<Run, List<Double>> series) {
+        int length =
+                runs.stream().mapToInt(run -> series.apply(run).size()).max().orElse(0);
         List<Double> means = new ArrayList<>();
-        for (int i = 0; i < most; i++) {
-            int place = i;
+        for (int i = 0; i < length; i++) {
+            int index = i;
             means.add(runs.stream()
-                    .map(of)
-                    .filter(l -> l.size() > place)
-                    .mapToDouble(l -> l.get(place))
+                    .map(series)
+                    .filter(values -> values.size() > index)
+                    .mapToDouble(values -> values.get(index))
                     .average()
                     .orElse(0));
         }
--- a/src/main/java/sedgeyoke/experiment/Run.java
+++ b/src/main/java/sedgeyoke/experiment/Run.java
@@ -8,19 +8,20 @@
 import sedgeyoke.simulation.Outcome;
 
 /**
- * One finished run, as a line of {@code runs.jsonl} keeps it; all figures and the report come from these alone, so that
- * an experiment that was broken off goes on from them.
+ * One finished run, as a line of {@code runs.jsonl} has it; component names are that file's keys. All figures and the
+ * report are computed from these lines alone, so that an interrupted experiment can be resumed.
  *
- * @param schema of this line
- * @param experiment name of the file
- * @param fileSha256 digest of the file's text
- * @param point what was swept, such as {@code forwarders=30}; empty for nothing
- * @param latencyMs times of served answers at {@link #PERCENTILES}
- * @param meanMsBySecond mean time of served answers, by when the request was first wanted
- * @param nodes true utilisation of each node by second, -1 while it was not there; for the first seed alone
- * @param handshakesPerRequest connections opened to nodes
- * @param crossingsPerRequest attempts to nodes of another zone
- * @param violations the first broken rules, in words
+ * @param schema version of the line's format
+ * @param experiment name of the experiment file
+ * @param fileSha256 digest of the experiment file's text
+ * @param point label of the day and the point of the sweep; empty for neither
+ * @param warmUpS mean seconds from a cold start to the upstream's share of the traffic
+ * @param latencyMs latency of served operations at {@link #PERCENTILES}
+ * @param meanMsBySecond mean latency of served operations, by when the operation started
+ * @param nodes true utilisation of each upstream by second, -1 while it was not there; for the first seed alone
+ * @param handshakesPerRequest connections opened to upstreams
+ * @param crossingsPerRequest attempts sent to another zone
+ * @param violations descriptions of the first violations
  */
 @JsonNaming(SnakeCaseStrategy.class)
 record Run(
@@ -49,45 +50,57 @@
         List<String> violations) {
     static final int SCHEMA = 3;
     static final List<Double> PERCENTILES = List.of(1.0, 5.0, 10.0, 25.0, 50.0, 75.0, 90.0, 95.0, 99.0, 99.9, 100.0);
-    private static final double DIGITS = 1e5;
+    private static final double ROUNDING = 1e5;
+    private static final double UTILISATION_ROUNDING = 100;
 
-    /** What a run showed; {@code whole} keeps the nodes, too. */
-    static Run of(ExperimentFile file, ExperimentFile.Point point, String variant, Outcome o, boolean whole) {
-        Map<String, List<Double>> nodes = new LinkedHashMap<>();
-        if (whole) {
-            o.upstreamUtilisation()
-                    .forEach((id, row) -> nodes.put(
-                            id,
-                            row.stream().map(u -> Math.round(u * 100) / 100.0).toList()));
-        }
+    /** Identifies a run within its experiment. */
+    record Key(String point, String variant, long seed) {}
+
+    /** Creates the line of a run that has ended; the utilisation of each upstream is large, and optional. */
+    static Run of(
+            ExperimentFile file, ExperimentFile.Point point, String variant, Outcome outcome, boolean withUpstreams) {
         return new Run(
                 SCHEMA,
                 file.name(),
                 file.digest(),
                 point.label(),
                 variant,
-                o.seed(),
-                o.service(),
-                o.requests(),
-                o.attempts(),
-                o.percentileMs(50),
-                o.percentileMs(99),
-                o.meanWarmUpSeconds(),
-                o.coldPeak(),
-                o.utilisation(),
-                o.handshakesPerRequest(),
-                o.crossingsPerRequest(),
-                o.totalViolations(),
-                o.events(),
-                PERCENTILES.stream().map(o::percentileMs).toList(),
-                o.seconds().stream().map(s -> round(s.service())).toList(),
-                o.seconds().stream().map(s -> round(s.meanMs())).toList(),
-                nodes,
-                o.violationMessages());
+                outcome.seed(),
+                outcome.service(),
+                outcome.requests(),
+                outcome.attempts(),
+                outcome.percentileMs(50),
+                outcome.percentileMs(99),
+                outcome.meanWarmUpSeconds(),
+                outcome.coldPeak(),
+                outcome.utilisation(),
+                outcome.handshakesPerRequest(),
+                outcome.crossingsPerRequest(),
+                outcome.totalViolations(),
+                outcome.events(),
+                PERCENTILES.stream().map(outcome::percentileMs).toList(),
+                outcome.seconds().stream()
+                        .map(second -> round(second.service()))
+                        .toList(),
+                outcome.seconds().stream().map(second -> round(second.meanMs())).toList(),
+                withUpstreams ? roundedUtilisation(outcome) : Map.of(),
+                outcome.violationMessages());
+    }
+
+    private static Map<String, List<Double>> roundedUtilisation(Outcome outcome) {
+        Map<String, List<Double>> rounded = new LinkedHashMap<>();
+        outcome.upstreamUtilisation()
+                .forEach((id, row) -> rounded.put(
+                        id,
+                        row.stream()
+                                .map(value -> Math.round(value * UTILISATION_ROUNDING) / UTILISATION_ROUNDING)
+                                .toList()));
+        return rounded;
     }
 
-    static double round(double figure) {
-        return Math.round(figure * DIGITS) / DIGITS;
+    /** Rounds to the five decimals that figures have. */
+    static double round(double value) {
+        return Math.round(value * ROUNDING) / ROUNDING;
     }
 
     double attemptsPerRequest() {
@@ -97,7 +110,4 @@
     Key key() {
         return new Key(point, variant, seed);
     }
-
-    /** What tells runs of one experiment apart. */
-    record Key(String point, String variant, long seed) {}
 }
--- a/src/main/java/sedgeyoke/experiment/RunLog.java
+++ b/src/main/java/sedgeyoke/experiment/RunLog.java
@@ -17,113 +17,118 @@
 import sedgeyoke.settings.ConfigProblem;
 
 /**
- * The runs of an experiment in its folder. Each is added as it ends, so that whatever ends the program leaves what was
- * finished; a last line that is not whole is what was being written then, and is played again.
+ * The runs of an experiment in its folder: {@code runs.jsonl}, to which each run is appended as it ends, and a table of
+ * the figures. If the program is interrupted, an incomplete last line is ignored, and its run is repeated.
  */
 final class RunLog {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String CSV_HEADER = "point,variant,seed,service,requests,attempts,p50_ms,p99_ms,"
+            + "warm_up_s,cold_peak,utilisation,handshakes_per_request,crossings_per_request,rule_violations";
 
-    private final Path lines;
-    private final Path table;
+    private final Path runsFile;
+    private final Path tableFile;
 
+    /** Opens the log in a folder, which is created if need be. */
     RunLog(Path folder) throws IOException {
         Files.createDirectories(folder);
-        this.lines = folder.resolve("runs.jsonl");
-        this.table = folder.resolve("runs.csv");
+        this.runsFile = folder.resolve("runs.jsonl");
+        this.tableFile = folder.resolve("runs.csv");
     }
 
-    /** The runs that are there; throws where they are of another experiment, or no runs at all. */
-    Map<Run.Key, Run> read(ExperimentFile of) throws IOException, InvalidExperimentException {
+    /** Reads the runs that are there; throws if they are of another experiment, or no runs at all. */
+    Map<Run.Key, Run> read(ExperimentFile experiment) throws IOException, InvalidExperimentException {
         Map<Run.Key, Run> runs = new LinkedHashMap<>();
         String text;
         try {
-            text = Files.readString(lines);
+            text = Files.readString(runsFile);
         } catch (NoSuchFileException e) {
             return runs;
         }
-        List<String> all = text.lines().toList();
-        int whole = text.isEmpty() || text.endsWith("\n") ? all.size() : all.size() - 1;
-        for (int i = 0; i < whole; i++) {
-            Run run = parse(all.get(i), i + 1);
-            if (!run.fileSha256().equals(of.digest())) {
-                throw bad(i + 1, "file_sha256", "is of another file or another state of it; choose another --out");
+        List<String> lines = text.lines().toList();
+        boolean lastIsComplete = text.isEmpty() || text.endsWith("\n");
+        int completeLines = lastIsComplete ? lines.size() : lines.size() - 1;
+        for (int i = 0; i < completeLines; i++) {
+            Run run = parse(lines.get(i), i + 1);
+            if (!run.fileSha256().equals(experiment.digest())) {
+                throw invalid(i + 1, "file_sha256", "is of another file or another state of it; choose another --out");
             }
             runs.put(run.key(), run);
         }
-        if (whole < all.size()) {
+        if (!lastIsComplete) {
             write(List.copyOf(runs.values()));
         }
         return runs;
     }
 
-    private Run parse(String line, int number) throws InvalidExperimentException {
+    private Run parse(String text, int line) throws InvalidExperimentException {
         try {
-            int schema = JSON.readTree(line).path("schema").asInt();
+            int schema = JSON.readTree(text).path("schema").asInt();
             if (schema != Run.SCHEMA) {
-                throw bad(number, "schema", "is " + schema + "; this program goes on with " + Run.SCHEMA);
+                throw invalid(line, "schema", "is " + schema + "; this program goes on with " + Run.SCHEMA);
             }
-            return JSON.readValue(line, Run.class);
+            return JSON.readValue(text, Run.class);
         } catch (JsonProcessingException e) {
-            throw bad(
-                    number,
-                    "",
-                    "is no run: " + e.getOriginalMessage().lines().findFirst().orElse(""));
+            String reason = e.getOriginalMessage().lines().findFirst().orElse("");
+            throw invalid(line, "", "is no run: " + reason);
         }
     }
 
-    private InvalidExperimentException bad(int line, String key, String message) {
-        return new InvalidExperimentException(List.of(new ConfigProblem(lines.toString(), line, key, message)));
+    private InvalidExperimentException invalid(int line, String key, String message) {
+        return new InvalidExperimentException(List.of(new ConfigProblem(runsFile.toString(), line, key, message)));
     }
 
-    /** Begins anew. */
+    /** Deletes the runs that are there. */
     void clear() throws IOException {
-        Files.deleteIfExists(lines);
+        Files.deleteIfExists(runsFile);
     }
 
-    /** Adds one; runs end on several threads. */
-    synchronized void add(Run run) throws IOException {
+    /** Appends a run; may be called by several threads. */
+    synchronized void append(Run run) throws IOException {
         Files.writeString(
-                lines,
+                runsFile,
                 JSON.writeValueAsString(run) + "\n",
                 StandardCharsets.UTF_8,
                 StandardOpenOption.CREATE,
                 StandardOpenOption.APPEND);
     }
 
-    /** All of them in order, whatever order they ended in, and the table of their figures. */
+    /** Replaces the log by all runs in the given order, and writes the table of their figures. */
     void finish(List<Run> runs) throws IOException {
         write(runs);
-        List<String> csv = new ArrayList<>(List.of("point,variant,seed,service,requests,attempts,p50_ms,p99_ms,"
-                + "warm_up_s,cold_peak,utilisation,handshakes_per_request,crossings_per_request,rule_violations"));
-        for (Run r : runs) {
-            csv.add(String.format(
-                    Locale.ROOT,
-                    "%s,%s,%d,%.5f,%d,%d,%.2f,%.2f,%.2f,%.4f,%.4f,%.4f,%.4f,%d",
-                    r.point(),
-                    r.variant(),
-                    r.seed(),
-                    r.service(),
-                    r.requests(),
-                    r.attempts(),
-                    r.p50Ms(),
-                    r.p99Ms(),
-                    r.warmUpS(),
-                    r.coldPeak(),
-                    r.utilisation(),
-                    r.handshakesPerRequest(),
-                    r.crossingsPerRequest(),
-                    r.ruleViolations()));
+        List<String> csv = new ArrayList<>(List.of(CSV_HEADER));
+        for (Run run : runs) {
+            csv.add(csvLine(run));
         }
-        Files.write(table, csv);
+        Files.write(tableFile, csv);
+    }
+
+    private static String csvLine(Run run) {
+        return String.format(
+                Locale.ROOT,
+                "%s,%s,%d,%.5f,%d,%d,%.2f,%.2f,%.2f,%.4f,%.4f,%.4f,%.4f,%d",
+                run.point(),
+                run.variant(),
+                run.seed(),
+                run.service(),
+                run.requests(),
+                run.attempts(),
+                run.p50Ms(),
+                run.p99Ms(),
+                run.warmUpS(),
+                run.coldPeak(),
+                run.utilisation(),
+                run.handshakesPerRequest(),
+                run.crossingsPerRequest(),
+                run.ruleViolations());
     }
 
     private void write(List<Run> runs) throws IOException {
         StringBuilder text = new StringBuilder();
-        for (Run r : runs) {
-            text.append(JSON.writeValueAsString(r)).append('\n');
+        for (Run run : runs) {
+            text.append(JSON.writeValueAsString(run)).append('\n');
         }
-        Path next = lines.resolveSibling("runs.next");
+        Path next = runsFile.resolveSibling("runs.next");
         Files.writeString(next, text);
-        Files.move(next, lines, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        Files.move(next, runsFile, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
     }
 }
--- a/src/main/java/sedgeyoke/experiment/ScenarioDraft.java
+++ b/src/main/java/sedgeyoke/experiment/ScenarioDraft.java
@@ -8,13 +8,13 @@
 import sedgeyoke.simulation.Scenario.Fault;
 
 /**
- * An experiment that is being made up, and its text: what is played is read back from that text, so that a file that
- * was found shows what it was found for.
+ * An experiment that a worst-case search makes up, as the content of a file. It is always run from its text, so that the
+ * file that is written reproduces what was found.
  *
  * @param title in a line
  * @param scenario keys of {@code [scenario]}
  * @param faults of all variants
- * @param variants tables of the variants, as a file has them
+ * @param variants tables of the variants
  * @param compare keys of {@code [compare]}
  */
 record ScenarioDraft(
@@ -23,74 +23,85 @@
         List<Fault> faults,
         List<Map<String, Object>> variants,
         Map<String, Object> compare) {
+    private static final double DEFAULT_SECONDS = 30;
+    private static final String FAULTS = "faults";
 
-    /** The same with another value of a key of the scenario. */
+    /** The duration of a scenario's run. */
+    static double secondsOf(Map<String, Object> scenario) {
+        return scenario.get("seconds") instanceof Number seconds ? seconds.doubleValue() : DEFAULT_SECONDS;
+    }
+
+    /** The same draft with another value of a key of the scenario. */
     ScenarioDraft with(String key, Object value) {
-        Map<String, Object> other = new LinkedHashMap<>(scenario);
-        other.put(key, value);
-        return new ScenarioDraft(title, other, faults, variants, compare);
+        Map<String, Object> changed = new LinkedHashMap<>(scenario);
+        changed.put(key, value);
+        return new ScenarioDraft(title, changed, faults, variants, compare);
     }
 
-    /** The same without one of its faults. */
-    ScenarioDraft without(int fault) {
-        List<Fault> fewer = new ArrayList<>(faults);
-        fewer.remove(fault);
-        return new ScenarioDraft(title, scenario, fewer, variants, compare);
+    /** The same draft without one of its faults. */
+    ScenarioDraft withoutFault(int index) {
+        List<Fault> remaining = new ArrayList<>(faults);
+        remaining.remove(index);
+        return new ScenarioDraft(title, scenario, remaining, variants, compare);
     }
 
-    /** As a file. */
-    String text() {
-        StringBuilder text = new StringBuilder("title = ").append(value(title)).append("\n\n[scenario]\n");
-        keys(text, scenario);
-        for (Fault f : faults) {
-            text.append("\n[[faults]]\n");
-            keys(text, table(f));
+    /** The text of an experiment file. */
+    String toToml() {
+        StringBuilder toml = new StringBuilder();
+        appendKey(toml, "title", title);
+        appendTable(toml, "[scenario]", scenario);
+        for (Fault fault : faults) {
+            appendTable(toml, "[[faults]]", table(fault));
         }
-        for (Map<String, Object> v : variants) {
-            text.append("\n[[variants]]\n");
-            keys(text, v);
-            if (v.get("faults") instanceof List<?> own) {
-                for (Object f : own) {
-                    text.append("\n[[variants.faults]]\n");
-                    ((Map<?, ?>) f).forEach((key, value) -> line(text, key.toString(), value));
+        for (Map<String, Object> variant : variants) {
+            appendTable(toml, "[[variants]]", variant);
+            if (variant.get(FAULTS) instanceof List<?> ownFaults) {
+                for (Object fault : ownFaults) {
+                    appendTable(toml, "[[variants.faults]]", (Map<?, ?>) fault);
                 }
             }
         }
-        text.append("\n[compare]\n");
-        keys(text, compare);
-        return text.toString();
+        appendTable(toml, "[compare]", compare);
+        return toml.toString();
     }
 
-    private static Map<String, Object> table(Fault f) {
-        Map<String, Object> t = new LinkedHashMap<>();
-        t.put("at", f.startSeconds());
-        t.put("do", Table.name(f.kind()));
-        if (f.target() >= 0) {
-            t.put("who", (long) f.target());
+    private static Map<String, Object> table(Fault fault) {
+        Map<String, Object> table = new LinkedHashMap<>();
+        table.put("at", fault.startSeconds());
+        table.put("do", CheckedTable.nameOf(fault.kind()));
+        if (fault.target() >= 0) {
+            table.put("who", (long) fault.target());
         }
-        t.put("lasts", f.durationSeconds());
-        t.put("value", f.value());
-        return t;
+        table.put("lasts", fault.durationSeconds());
+        table.put("value", fault.value());
+        return table;
     }
 
-    private static void keys(StringBuilder text, Map<String, Object> keys) {
-        keys.forEach((key, value) -> line(text, key, value));
+    private static void appendTable(StringBuilder toml, String header, Map<?, ?> keys) {
+        toml.append('\n').append(header).append('\n');
+        keys.forEach((key, value) -> {
+            if (!key.equals(FAULTS)) { // these are tables of their own
+                appendKey(toml, key.toString(), value);
+            }
+        });
     }
 
-    private static void line(StringBuilder text, String key, Object value) {
-        if (!key.equals("faults")) {
-            text.append(key).append(" = ").append(value(value)).append('\n');
-        }
+    private static void appendKey(StringBuilder toml, String key, Object value) {
+        toml.append(key).append(" = ").append(tomlValue(value)).append('\n');
     }
 
-    private static String value(Object value) {
-        if (value instanceof String s) {
-            return '"' + s.replace("\\", "\\\\").replace("\"", "\\\"") + '"';
-        } else if (value instanceof List<?> list) {
+    private static String tomlValue(Object value) {
+        if (value instanceof String text) {
+            return '"' + text.replace("\\", "\\\\").replace("\"", "\\\"") + '"';
+        }
+        if (value instanceof List<?> list) {
             return "["
-                    + String.join(", ", list.stream().map(ScenarioDraft::value).toList()) + "]";
-        } else if (value instanceof Double d) {
-            return String.format(Locale.ROOT, "%.4f", d).replaceAll("(\\.\\d+?)0+$", "$1");
+                    + String.join(
+                            ", ", list.stream().map(ScenarioDraft::tomlValue).toList())
+                    + "]";
+        }
+        if (value instanceof Double number) {
+            return String.format(Locale.ROOT, "%.4f", number).replaceAll("(\\.\\d+?)0+$", "$1");
         }
         return String.valueOf(value);
     }
--- a/src/main/java/sedgeyoke/experiment/WorkerThreads.java
+++ b/src/main/java/sedgeyoke/experiment/WorkerThreads.java
@@ -3,12 +3,12 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
-/** Threads that play runs side by side; none of them keeps the program from ending. */
+/** Creates thread pools for runs in parallel; their threads are daemons, so that they do not keep the JVM alive. */
 final class WorkerThreads {
     private WorkerThreads() {}
 
-    static ExecutorService pool(int jobs) {
-        return Executors.newFixedThreadPool(jobs, task -> {
+    static ExecutorService newPool(int threads) {
+        return Executors.newFixedThreadPool(threads, task -> {
             Thread thread = new Thread(task, "run");
             thread.setDaemon(true);
             return thread;
--- a/src/test/java/sedgeyoke/experiment/ExperimentTest.java
+++ b/src/test/java/sedgeyoke/experiment/ExperimentTest.java
@@ -37,7 +37,7 @@
     private ObjectNode play(String text, int jobs, Path out, boolean resume, StringWriter said) throws Exception {
         return new Experiment(
                         ExperimentFile.load(file(text)),
-                        new Experiment.Plan(3, 3, jobs, out, resume),
+                        new Experiment.Options(3, 3, jobs, out, resume),
                         new PrintWriter(said))
                 .run();
     }
--- a/src/test/java/sedgeyoke/experiment/StoredRunsTest.java
+++ b/src/test/java/sedgeyoke/experiment/StoredRunsTest.java
@@ -63,7 +63,7 @@
     @Test
     void anExperimentThatGoesOnWritesTheSameBytes() throws Exception {
         StringWriter said = new StringWriter();
-        new Experiment(experiment, new Experiment.Plan(1, 2, 1, folder, true), new PrintWriter(said)).run();
+        new Experiment(experiment, new Experiment.Options(1, 2, 1, folder, true), new PrintWriter(said)).run();
         assertArrayEquals(Files.readAllBytes(stored), Files.readAllBytes(folder.resolve(RUNS)));
     }
 }
--- a/src/test/java/sedgeyoke/experiment/WorstCaseSearchTest.java
+++ b/src/test/java/sedgeyoke/experiment/WorstCaseSearchTest.java
@@ -43,7 +43,7 @@
         assertTrue(found.path("rule_broken").asBoolean(), found.toString());
         assertEquals(1, found.path("faults").asInt(), "one restart is enough: " + found);
         ExperimentFile again = ExperimentFile.load(Path.of(found.path("file").asText()));
-        assertEquals("blind", again.base());
+        assertEquals("blind", again.comparison().base());
         Outcome played = new Simulation(again.points().get(0).variants().get("blind"), 5).run();
         assertTrue(played.totalViolations() > 0, "what was written shows it");
     }
@@ -54,8 +54,8 @@
         assertTrue(found.path("found").asBoolean() && !found.path("rule_broken").asBoolean(), found.toString());
         assertTrue(found.path("loss").asDouble() > 0.002, found.toString());
         ExperimentFile again = ExperimentFile.load(Path.of(found.path("file").asText()));
-        assertEquals("ours", again.base());
-        assertEquals("blind", again.with());
+        assertEquals("ours", again.comparison().base());
+        assertEquals("blind", again.comparison().with());
     }
 
     @Test
