--- a/src/test/java/sedgeyoke/proxy/GracefulShutdownTest.java
+++ b/src/test/java/sedgeyoke/proxy/GracefulShutdownTest.java
@@ -21,70 +21,70 @@
     private static final long DEADLINE = 300 * MS;
     private static final long KILLED = DEADLINE + 700 * MS;
 
-    /** A loop in virtual time that is held up once; requests that nothing answers come all the time. */
-    private static final class HeldUpLoop {
-        final List<Long> lostAt = new ArrayList<>();
+    /** A loop in virtual time that stalls once, while requests arrive that no upstream answers. */
+    private static final class StalledLoop {
+        final List<Long> lostRequests = new ArrayList<>();
 
-        /** The signal reaches us {@code signalLate} after it was sent; the loop stands for 100 ms from then on. */
-        HeldUpLoop(long signalLate, long knownLate, long heldAt) {
-            GracefulShutdown ending = new GracefulShutdown(signalLate - knownLate, DEADLINE);
+        /** The signal reaches us {@code signalLate} after it was sent; the loop stalls for 100 ms at {@code stalledAt}. */
+        StalledLoop(long signalLate, long knownLate, long stalledAt) {
+            ShutdownDeadlines deadlines = new ShutdownDeadlines(signalLate - knownLate, DEADLINE);
             List<Long> open = new ArrayList<>();
             long unread = signalLate;
             long due = signalLate;
             boolean closed = false;
             for (long now = signalLate; now < KILLED; now += MS) {
-                if (now >= heldAt && now < heldAt + 100 * MS || now < due) {
+                if (now >= stalledAt && now < stalledAt + 100 * MS || now < due) {
                     continue;
                 }
                 for (; unread <= now && !closed; unread += 5 * MS) { // what has come is read before timers run
-                    if (now < ending.lastRequest()) {
+                    if (now < deadlines.lastRequest()) {
                         open.add(unread); // else it is refused at once
                     }
                 }
-                ending.looked(now);
-                closed |= now >= ending.lastRequest();
-                if (now >= ending.lastAnswer()) {
+                deadlines.checked(now);
+                closed |= now >= deadlines.lastRequest();
+                if (now >= deadlines.lastResponse()) {
                     open.clear();
                 }
                 due = now + 5 * MS;
-                ending.due(due);
+                deadlines.scheduleCheck(due);
             }
-            lostAt.addAll(open);
+            lostRequests.addAll(open);
             for (; unread < KILLED && !closed; unread += 5 * MS) {
-                lostAt.add(unread);
+                lostRequests.add(unread);
             }
         }
     }
 
     @Test
-    void whereverTheLoopIsHeldUpNothingIsLost() {
-        for (long held = KILLED - 500 * MS; held < KILLED; held += 5 * MS) {
-            assertEquals(List.of(), new HeldUpLoop(0, 0, held).lostAt, "held up at " + held);
+    void nothingIsLostWhereverTheLoopStalls() {
+        for (long stall = KILLED - 500 * MS; stall < KILLED; stall += 5 * MS) {
+            assertEquals(List.of(), new StalledLoop(0, 0, stall).lostRequests, "stalled at " + stall);
         }
     }
 
     /** A signal that took 200 ms, as seen where a configuration was being read, and a loop that is held up after it. */
     @Test
-    void aSignalThatComesLateCosts() {
-        assertEquals(List.of(), new HeldUpLoop(200 * MS, 0, KILLED).lostAt, "nobody knows that it was late");
-        for (long held = KILLED - 500 * MS; held < KILLED; held += 5 * MS) {
-            assertEquals(List.of(), new HeldUpLoop(200 * MS, 200 * MS, held).lostAt, "held up at " + held);
+    void theDelayOfTheSignalIsTakenIntoAccount() {
+        assertEquals(List.of(), new StalledLoop(200 * MS, 0, KILLED).lostRequests, "the delay is not known");
+        for (long stall = KILLED - 500 * MS; stall < KILLED; stall += 5 * MS) {
+            assertEquals(List.of(), new StalledLoop(200 * MS, 200 * MS, stall).lostRequests, "stalled at " + stall);
         }
     }
 
     @Test
-    void whoWasLateKeepsMoreTimeFree() {
-        GracefulShutdown ending = new GracefulShutdown(0, DEADLINE);
-        long before = ending.lastAnswer();
-        ending.due(10 * MS);
-        ending.looked(210 * MS);
-        assertTrue(ending.lastAnswer() < before);
-        assertTrue(ending.lastRequest() >= ending.listenUntil(), "connections that may come are served");
+    void aLateLoopEnlargesTheReserve() {
+        ShutdownDeadlines deadlines = new ShutdownDeadlines(0, DEADLINE);
+        long before = deadlines.lastResponse();
+        deadlines.scheduleCheck(10 * MS);
+        deadlines.checked(210 * MS);
+        assertTrue(deadlines.lastResponse() < before);
+        assertTrue(deadlines.lastRequest() >= deadlines.listenUntil(), "connections that may come are served");
     }
 
     /** The same on sockets: a loop that stands still for 100 ms at each 20 ms of the last half second. */
     @Test
-    void onSocketsWhatIsTakenIsAnsweredBeforeTheKill() throws Exception {
+    void onSocketsAcceptedRequestsAreAnsweredBeforeTheKill() throws Exception {
         List<String> faults = java.util.Collections.synchronizedList(new ArrayList<>());
         for (int first = 500; first > 0; first -= 100) {
             List<Thread> plays = new ArrayList<>();
@@ -140,7 +140,7 @@
             }
             Loopback.await("all are known", () -> lb.server.clients() >= clients);
             long[] told = new long[1];
-            Thread end = new Thread(lb.server::end);
+            Thread end = new Thread(lb.server::shutDown);
             lb.loop
                     .submit(() -> {
                         told[0] = System.nanoTime();
