--- a/src/main/java/sedgeyoke/consensus/ClientRequest.java
+++ b/src/main/java/sedgeyoke/consensus/ClientRequest.java
@@ -1,16 +1,20 @@
 package sedgeyoke.consensus;
 
-/** What may be asked of the keepers, by way of any of them. */
+/** A request of a client; any replica takes it and forwards it to the leader. */
 public sealed interface ClientRequest {
-    /** A new version; see {@link Command.Write}. */
+    /** Creates a new config version; see {@link Command.Write}. */
     record Set(Command.Write write) implements ClientRequest {}
 
-    /** Whatever was committed before this was asked is applied at whoever answers: a read that is never stale. */
+    /** A linearizable read: its result states a version at least as new as any committed before the request. */
     record Read() implements ClientRequest {}
 
-    /** A keeper joins; it is a voter once it has caught up. */
+    /** Adds a member, as a learner at first; it becomes a voter once its log has caught up. */
     record AddMember(Member member) implements ClientRequest {}
 
-    /** A keeper goes, the one with this folder: a copy that comes late must not take its successor. 0 for any. */
+    /**
+     * Removes a member.
+     *
+     * @param storageId of the member, so that a delayed duplicate does not remove its successor; 0 for any
+     */
     record RemoveMember(String name, long storageId) implements ClientRequest {}
 }
--- a/src/main/java/sedgeyoke/consensus/ClientRequests.java
+++ b/src/main/java/sedgeyoke/consensus/ClientRequests.java
@@ -169,7 +169,7 @@
             return rejection;
         }
         ConfigVersion active = state.stateMachine.active();
-        List<String> violations = ConfigSchema.violations(active.content(), write.content());
+        List<String> violations = ConfigValidator.violations(active.content(), write.content());
         if (!violations.isEmpty()) {
             return new RequestResult(RequestResult.Kind.REFUSED, active.number(), String.join("; ", violations));
         }
--- a/src/main/java/sedgeyoke/consensus/Command.java
+++ b/src/main/java/sedgeyoke/consensus/Command.java
@@ -1,17 +1,18 @@
 package sedgeyoke.consensus;
 
-/** What an entry of the log does once it is committed. */
+/** What a log entry does when it is applied. */
 public sealed interface Command {
-    /** Nothing: by it a new leader commits what it found. */
+    /** Does nothing. A new leader appends it to commit the entries of earlier terms (Raft thesis, section 3.6.2). */
     record NoOp() implements Command {}
 
-    /** The keepers are these, from the moment that the entry is in a log. */
+    /** Changes the membership; it takes effect as soon as the entry is in a replica's log (section 4.1). */
     record ChangeMembership(Membership membership) implements Command {}
 
     /**
-     * A new version, if the newest one is still the one it was made from.
+     * Creates a new config version if the newest one is still {@code parentVersion}.
      *
-     * @param requestId the writer's own number for it: however often it comes, it is done once
+     * @param requestId chosen by the client; repeated requests with the same id are applied once
+     * @param createdAtMillis wall-clock time, for people only
      */
     record Write(
             String requestId,
@@ -22,6 +23,6 @@
             ConfigDocument content)
             implements Command {}
 
-    /** A pending version takes effect: nobody acts on the one before any more but together with it. */
+    /** Makes the pending version the active one: by now no balancer acts on the former one alone. */
     record Activate(long version) implements Command {}
 }
--- a/src/main/java/sedgeyoke/consensus/ConfigDocument.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigDocument.java
@@ -1,78 +1,77 @@
 package sedgeyoke.consensus;
 
+import java.util.Collections;
 import java.util.Map;
 import java.util.TreeMap;
 
 /**
- * What the tier agrees on, as the schema words it. Only fields that are set are held; sorted, so that equal documents
- * are written alike everywhere.
+ * The content of a config version. It has only the fields that are set, sorted by name, so that equal documents are
+ * encoded alike everywhere. {@link ConfigSchema} defines the fields.
  *
- * @param numbers by field
- * @param tables by field, then by name
- * @param names by field, then by name, with a note each
+ * @param numbers numbers by field
+ * @param tables numbers by field and row
+ * @param names notes by field and name
  */
 public record ConfigDocument(
         Map<String, Double> numbers, Map<String, Map<String, Double>> tables, Map<String, Map<String, String>> names) {
-    /** Nothing is set. */
+    /** A document in which no field is set. */
     public static final ConfigDocument EMPTY = new ConfigDocument(Map.of(), Map.of(), Map.of());
 
-    /** Copies what it is given, without empty tables and sets: they say no more than absent ones. */
+    /** Copies the maps. Empty tables and sets are left out, as they mean the same as absent ones. */
     public ConfigDocument {
-        numbers = java.util.Collections.unmodifiableMap(new TreeMap<>(numbers));
+        numbers = Collections.unmodifiableMap(new TreeMap<>(numbers));
         tables = copy(tables);
         names = copy(names);
     }
 
-    private static <V> Map<String, Map<String, V>> copy(Map<String, Map<String, V>> from) {
-        Map<String, Map<String, V>> to = new TreeMap<>();
-        from.forEach((field, values) -> {
+    private static <V> Map<String, Map<String, V>> copy(Map<String, Map<String, V>> original) {
+        Map<String, Map<String, V>> copy = new TreeMap<>();
+        original.forEach((field, values) -> {
             if (!values.isEmpty()) {
-                to.put(field, java.util.Collections.unmodifiableMap(new TreeMap<>(values)));
+                copy.put(field, Collections.unmodifiableMap(new TreeMap<>(values)));
             }
         });
-        return java.util.Collections.unmodifiableMap(to);
+        return Collections.unmodifiableMap(copy);
     }
 
-    /** A number, or what is usual. */
+    /** The number of a field, or its default value. */
     public double number(ConfigField field) {
         return numbers.getOrDefault(field.name(), field.defaultValue());
     }
 
-    /** A table; empty if not set. */
+    /** The table of a field; empty if it is not set. */
     public Map<String, Double> table(ConfigField field) {
         return tables.getOrDefault(field.name(), Map.of());
     }
 
-    /** A set of names with their notes; empty if not set. */
+    /** The names of a field with their notes; empty if it is not set. */
     public Map<String, String> names(ConfigField field) {
         return names.getOrDefault(field.name(), Map.of());
     }
 
-    /** The same with one number. */
+    /** A copy with another number in one field. */
     public ConfigDocument with(ConfigField field, double number) {
         Map<String, Double> changed = new TreeMap<>(numbers);
         changed.put(field.name(), number);
         return new ConfigDocument(changed, tables, names);
     }
 
-    /** The same with one set. */
+    /** A copy with another set of names in one field. */
     public ConfigDocument with(ConfigField field, Map<String, String> set) {
         Map<String, Map<String, String>> changed = new TreeMap<>(names);
         changed.put(field.name(), set);
         return new ConfigDocument(numbers, tables, changed);
     }
 
-    /** The same with one table. */
+    /** A copy with another table in one field. */
     public ConfigDocument withTable(ConfigField field, Map<String, Double> table) {
         Map<String, Map<String, Double>> changed = new TreeMap<>(tables);
         changed.put(field.name(), table);
         return new ConfigDocument(numbers, changed, names);
     }
 
-    /** How many fields, names and rows it holds: what its size is bounded by. */
-    int entries() {
-        return numbers.size()
-                + tables.values().stream().mapToInt(Map::size).sum()
-                + names.values().stream().mapToInt(Map::size).sum();
+    /** Whether a field is set. */
+    boolean has(ConfigField field) {
+        return numbers.containsKey(field.name()) || tables.containsKey(field.name()) || names.containsKey(field.name());
     }
 }
--- a/src/main/java/sedgeyoke/consensus/ConfigField.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigField.java
@@ -4,18 +4,17 @@
 import java.util.TreeMap;
 
 /**
- * One field of a document: a number, a table of numbers by name, or a set of names each with a note. An absent number
- * stands for its default, an absent name of a table for the default too.
+ * A field of a config document: a number, a table of numbers by name, or a set of names with a note each. An absent
+ * number, or an absent name of a table, stands for the default value.
  *
- * @param name its key
- * @param kind what it holds
- * @param unit of its numbers, or what its names are
- * @param min smallest number
- * @param max largest number, or how many names there may be
- * @param defaultValue what holds where nothing is set
- * @param mergeRule how two versions of it meet
- * @param withoutLease what holds of it without a lease
- * @param sinceVersion the first version of the schema that has it
+ * @param name the key in documents
+ * @param unit of its numbers, or what its names denote
+ * @param min the smallest number
+ * @param max the largest number, or the largest number of names
+ * @param defaultValue the number that an absent one stands for
+ * @param mergeRule how the values of two versions are merged
+ * @param withoutLease what holds without a lease
+ * @param sinceVersion the first version of the schema that has this field
  * @param description one sentence for people
  */
 public record ConfigField(
@@ -29,56 +28,56 @@
         WithoutLease withoutLease,
         int sinceVersion,
         String description) {
-    /** What a field holds. */
+    private static final String FLOOR_SUFFIX = "_alone";
+
+    /** The type of a field's value. */
     public enum Kind {
         /** One number. */
         NUMBER,
         /** Numbers by name. */
         TABLE,
-        /** Names, each with a note. */
+        /** Names with a note each. */
         NAMES
     }
 
-    /** How two versions meet: what contradicts neither. */
+    /** How the values of two versions are merged into one that contradicts neither. */
     public enum MergeRule {
-        /** What either has: what is out in one of them is out. */
+        /** The names of either: what is disabled in one of them is disabled. */
         UNION,
-        /** What both have. */
+        /** The names of both. */
         INTERSECTION,
         /** The smaller number. */
         MINIMUM,
         /** The larger number. */
         MAXIMUM,
-        /** None is stricter: the older holds until the newer is in force; they may overlap. */
+        /** Neither is stricter: the older value holds until the newer version is active, and the two may overlap. */
         OLDER
     }
 
-    /** What holds without a lease, when later versions may be in force that nobody has told of. */
+    /** What holds for a balancer without a lease, when later versions that it does not know may be active. */
     public enum WithoutLease {
-        /** As last known. */
+        /** The last known value. */
         LAST_KNOWN,
         /**
-         * The meet of what was last known with the floor, a field of its own that later versions may only loosen: so
-         * that an old floor is never looser than the one that later versions count with.
+         * The last known value, merged with the field's floor. The floor is a field of its own that later versions may
+         * only loosen, so that an old floor is never looser than a later one.
          */
         FLOOR,
-        /** This is such a floor: as last known, and only ever loosened. */
+        /** This field is a floor: the last known value, which later versions may only loosen. */
         IS_FLOOR
     }
 
-    private static final String FLOOR_SUFFIX = "_alone";
-
-    /** The name of the field that holds this one's floor. */
+    /** The name of the field that holds this field's floor. */
     String floorName() {
         return name + FLOOR_SUFFIX;
     }
 
-    /** Whether {@code next} is at least as loose as {@code now}, by the way in which this field gets stricter. */
-    boolean loosens(double now, double next) {
-        return mergeRule == MergeRule.MAXIMUM ? next <= now : next >= now;
+    /** Whether {@code newer} is at least as loose as {@code older}. */
+    boolean isLoosening(double older, double newer) {
+        return mergeRule == MergeRule.MAXIMUM ? newer <= older : newer >= older;
     }
 
-    /** The meet of two numbers, the older first. */
+    /** Merges two numbers. */
     double merge(double older, double newer) {
         return switch (mergeRule) {
             case MINIMUM -> Math.min(older, newer);
@@ -87,22 +86,22 @@
         };
     }
 
-    /** The meet of two tables of numbers, the older first. */
+    /** Merges two tables of numbers. */
     Map<String, Double> mergeTables(Map<String, Double> older, Map<String, Double> newer) {
-        Map<String, Double> met = new TreeMap<>(older);
-        older.keySet().forEach(n -> met.put(n, merge(older.get(n), newer.getOrDefault(n, defaultValue))));
-        newer.forEach((n, v) -> met.computeIfAbsent(n, absent -> merge(defaultValue, v)));
-        return met;
+        Map<String, Double> merged = new TreeMap<>(older);
+        older.keySet().forEach(row -> merged.put(row, merge(older.get(row), newer.getOrDefault(row, defaultValue))));
+        newer.forEach((row, value) -> merged.computeIfAbsent(row, absent -> merge(defaultValue, value)));
+        return merged;
     }
 
-    /** The meet of two sets, the older first; where both have a name, the newer note. */
+    /** Merges two sets of names; of a name in both, the newer note is taken. */
     Map<String, String> mergeNames(Map<String, String> older, Map<String, String> newer) {
-        Map<String, String> met = new TreeMap<>(older);
+        Map<String, String> merged = new TreeMap<>(older);
         if (mergeRule == MergeRule.UNION) {
-            met.putAll(newer);
+            merged.putAll(newer);
         } else if (mergeRule == MergeRule.INTERSECTION) {
-            met.keySet().retainAll(newer.keySet());
+            merged.keySet().retainAll(newer.keySet());
         }
-        return met;
+        return merged;
     }
 }
--- a/src/main/java/sedgeyoke/consensus/ConfigSchema.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigSchema.java
@@ -9,116 +9,89 @@
 import sedgeyoke.consensus.ConfigField.WithoutLease;
 
 /**
- * The fields of a document, and what is said of a whole one. A document can stop sends and cut budgets; none of its
- * fields can start a send that a balancer's own list forbids, since none of them adds to that list.
+ * The fields of a config document, and how whole documents are merged and compared; {@link ConfigValidator} checks them.
+ * A document can disable upstreams and reduce budgets. No field can make a balancer send to an upstream that its own
+ * endpoint list does not have.
  */
 public final class ConfigSchema {
-    /** The version of this schema; balancers and keepers say which one they know. */
+    /** The version of this schema; balancers and replicas state which one they support. */
     public static final int VERSION = 1;
-    /** Names in one set: as many as an operator's door takes by hand. */
-    private static final int MAX_NAMES = 1_000;
+    /** The most names in one set; the admin endpoint has the same bound. */
+    static final int MAX_NAMES = 1_000;
 
-    private static final int MAX_NAME_LENGTH = 128;
-    private static final int MAX_NOTE_LENGTH = 256;
+    private static final int MAX_BALANCERS = 100_000;
+    private static final int MAX_PLANNERS = 16;
+    private static final String SAME_WITHOUT_CONTACT = "the same, for a balancer that hears no keeper";
 
-    /** Upstreams that nobody sends to. */
-    public static final ConfigField UPSTREAMS_OUT = new ConfigField(
-            "upstreams_out",
-            Kind.NAMES,
-            "upstream ids",
-            0,
-            MAX_NAMES,
-            0,
-            MergeRule.UNION,
-            WithoutLease.LAST_KNOWN,
-            1,
-            "upstreams out by hand: nobody sends to them");
-    /** Zones that nobody sends to. */
-    public static final ConfigField ZONES_OUT = new ConfigField(
-            "zones_out",
-            Kind.NAMES,
-            "zones",
-            0,
-            MAX_NAMES,
-            0,
-            MergeRule.UNION,
-            WithoutLease.LAST_KNOWN,
-            1,
-            "zones out by hand: nobody sends to their upstreams");
-    /** How many balancers parts of budgets are cut for. */
-    public static final ConfigField BALANCERS = new ConfigField(
+    /** Upstreams that are disabled: no balancer sends to them. */
+    public static final ConfigField DISABLED_UPSTREAMS = names(
+            "upstreams_out", "upstream ids", MAX_NAMES, MergeRule.UNION, "upstreams out by hand: nobody sends to them");
+
+    /** Zones that are disabled: no balancer sends to their upstreams. */
+    public static final ConfigField DISABLED_ZONES = names(
+            "zones_out", "zones", MAX_NAMES, MergeRule.UNION, "zones out by hand: nobody sends to their upstreams");
+
+    /** The number of balancers among which budgets are divided. */
+    public static final ConfigField BALANCERS = number(
             "balancers",
-            Kind.NUMBER,
             "balancers",
             1,
-            100_000,
+            MAX_BALANCERS,
             1,
             MergeRule.MAXIMUM,
             WithoutLease.FLOOR,
-            1,
             "number of balancers that budgets are cut for");
-    /** Its floor. */
-    public static final ConfigField BALANCERS_ALONE = new ConfigField(
+
+    /** The floor of {@link #BALANCERS}. */
+    public static final ConfigField BALANCERS_FLOOR = number(
             "balancers_alone",
-            Kind.NUMBER,
             "balancers",
             1,
-            100_000,
-            100_000,
+            MAX_BALANCERS,
+            MAX_BALANCERS,
             MergeRule.MAXIMUM,
             WithoutLease.IS_FLOOR,
-            1,
-            "the same, for a balancer that hears no keeper");
-    /** Second tries for each first try. */
-    public static final ConfigField RETRIES = new ConfigField(
+            SAME_WITHOUT_CONTACT);
+
+    /** The ratio of retries to first attempts, over all balancers. */
+    public static final ConfigField RETRY_RATIO = number(
             "retries",
-            Kind.NUMBER,
             "share of first tries",
             0,
             1,
             1,
             MergeRule.MINIMUM,
             WithoutLease.FLOOR,
-            1,
             "second tries for each first try, over the tier");
-    /** Its floor. */
-    public static final ConfigField RETRIES_ALONE = new ConfigField(
+
+    /** The floor of {@link #RETRY_RATIO}. */
+    public static final ConfigField RETRY_RATIO_FLOOR = number(
             "retries_alone",
-            Kind.NUMBER,
             "share of first tries",
             0,
             1,
             0,
             MergeRule.MINIMUM,
             WithoutLease.IS_FLOOR,
-            1,
-            "the same, for a balancer that hears no keeper");
-    /** Part of what settings allow a cold upstream. */
-    public static final ConfigField COLD_SHARE = new ConfigField(
+            SAME_WITHOUT_CONTACT);
+
+    /** The share of the slow-start quota, as the settings have it, that an upstream gets. */
+    public static final ConfigField SLOW_START_SHARE = number(
             "cold_share",
-            Kind.NUMBER,
             "share",
             0,
             1,
             1,
             MergeRule.MINIMUM,
             WithoutLease.FLOOR,
-            1,
             "part of what the settings allow a cold upstream");
-    /** Its floor. */
-    public static final ConfigField COLD_SHARE_ALONE = new ConfigField(
-            "cold_share_alone",
-            Kind.NUMBER,
-            "share",
-            0,
-            1,
-            0,
-            MergeRule.MINIMUM,
-            WithoutLease.IS_FLOOR,
-            1,
-            "the same, for a balancer that hears no keeper");
-    /** Tenants' shares. */
-    public static final ConfigField TENANT_SHARES = new ConfigField(
+
+    /** The floor of {@link #SLOW_START_SHARE}. */
+    public static final ConfigField SLOW_START_SHARE_FLOOR = number(
+            "cold_share_alone", "share", 0, 1, 0, MergeRule.MINIMUM, WithoutLease.IS_FLOOR, SAME_WITHOUT_CONTACT);
+
+    /** The largest share of the capacity for each tenant. */
+    public static final ConfigField TENANT_QUOTAS = new ConfigField(
             "tenant_shares",
             Kind.TABLE,
             "share of capacity",
@@ -129,184 +102,116 @@
             WithoutLease.LAST_KNOWN,
             1,
             "most of the capacity that a tenant may use");
-    /** Where a keyed repeat is dropped. */
-    public static final ConfigField REPEAT_GROUPS = new ConfigField(
-            "repeat_groups",
-            Kind.NAMES,
-            "groups",
-            0,
-            MAX_NAMES,
-            0,
-            MergeRule.INTERSECTION,
-            WithoutLease.LAST_KNOWN,
-            1,
-            "groups whose upstreams drop a keyed repeat");
-    /** Where planners listen. */
-    public static final ConfigField PLANNERS = new ConfigField(
-            "planners",
-            Kind.NAMES,
-            "addresses",
-            0,
-            16,
-            0,
-            MergeRule.OLDER,
-            WithoutLease.LAST_KNOWN,
-            1,
-            "where planners listen");
 
-    /** All of them. */
+    /** Groups whose upstreams drop a repeated request with the same idempotency key. */
+    public static final ConfigField DEDUPLICATING_GROUPS = names(
+            "repeat_groups", "groups", MAX_NAMES, MergeRule.INTERSECTION, "groups whose upstreams drop a keyed repeat");
+
+    /** The addresses on which planners listen. */
+    public static final ConfigField PLANNERS =
+            names("planners", "addresses", MAX_PLANNERS, MergeRule.OLDER, "where planners listen");
+
+    /** All fields. */
     public static final List<ConfigField> FIELDS = List.of(
-            UPSTREAMS_OUT,
-            ZONES_OUT,
+            DISABLED_UPSTREAMS,
+            DISABLED_ZONES,
             BALANCERS,
-            BALANCERS_ALONE,
-            RETRIES,
-            RETRIES_ALONE,
-            COLD_SHARE,
-            COLD_SHARE_ALONE,
-            TENANT_SHARES,
-            REPEAT_GROUPS,
+            BALANCERS_FLOOR,
+            RETRY_RATIO,
+            RETRY_RATIO_FLOOR,
+            SLOW_START_SHARE,
+            SLOW_START_SHARE_FLOOR,
+            TENANT_QUOTAS,
+            DEDUPLICATING_GROUPS,
             PLANNERS);
 
     private ConfigSchema() {}
 
-    private static ConfigField field(String name) {
-        return FIELDS.stream().filter(f -> f.name().equals(name)).findFirst().orElse(null);
+    private static ConfigField number(
+            String name,
+            String unit,
+            double min,
+            double max,
+            double defaultValue,
+            MergeRule mergeRule,
+            WithoutLease withoutLease,
+            String description) {
+        return new ConfigField(
+                name, Kind.NUMBER, unit, min, max, defaultValue, mergeRule, withoutLease, 1, description);
     }
 
-    /** The newest version of the schema that a document needs. */
+    private static ConfigField names(String name, String unit, int maxNames, MergeRule mergeRule, String description) {
+        return new ConfigField(
+                name, Kind.NAMES, unit, 0, maxNames, 0, mergeRule, WithoutLease.LAST_KNOWN, 1, description);
+    }
+
+    /** The field with this name; null if there is none. */
+    static ConfigField field(String name) {
+        return FIELDS.stream()
+                .filter(field -> field.name().equals(name))
+                .findFirst()
+                .orElse(null);
+    }
+
+    /** The lowest version of the schema that has all fields of a document. */
     public static int requiredVersion(ConfigDocument document) {
         return FIELDS.stream()
-                .filter(f -> document.numbers().containsKey(f.name())
-                        || document.tables().containsKey(f.name())
-                        || document.names().containsKey(f.name()))
+                .filter(document::has)
                 .mapToInt(ConfigField::sinceVersion)
                 .max()
                 .orElse(1);
     }
 
-    /** All that is wrong with a document that is to follow another one; each with its key. */
-    public static List<String> violations(ConfigDocument before, ConfigDocument next) {
-        List<String> faults = new ArrayList<>();
-        next.numbers().forEach((name, value) -> {
-            ConfigField f = expect(name, Kind.NUMBER, faults);
-            if (f != null) {
-                number(name, f, value, faults);
-            }
-        });
-        next.tables().forEach((name, rows) -> {
-            ConfigField f = expect(name, Kind.TABLE, faults);
-            if (f != null) {
-                size(name, rows.size(), MAX_NAMES, faults);
-                rows.forEach((row, value) -> {
-                    name(name, row, faults);
-                    number(name + "." + printable(row), f, value, faults);
-                });
-            }
-        });
-        next.names().forEach((name, rows) -> {
-            ConfigField f = expect(name, Kind.NAMES, faults);
-            if (f != null) {
-                size(name, rows.size(), (int) f.max(), faults);
-                rows.forEach((row, note) -> {
-                    name(name, row, faults);
-                    if (note.length() > MAX_NOTE_LENGTH) {
-                        faults.add(name + "." + printable(row) + ": a note of over " + MAX_NOTE_LENGTH + " characters");
-                    }
-                });
-            }
-        });
-        for (ConfigField f : FIELDS) {
-            if (f.withoutLease() == WithoutLease.IS_FLOOR && !f.loosens(before.number(f), next.number(f))) {
-                faults.add(f.name() + ": " + before.number(f) + " may only be loosened, not made " + next.number(f)
-                        + ": a balancer that is alone goes by the old one");
+    /** Merges two versions into a document that contradicts neither, but for fields that have no stricter value. */
+    public static ConfigDocument merge(ConfigDocument older, ConfigDocument newer) {
+        Map<String, Double> numbers = new TreeMap<>();
+        Map<String, Map<String, Double>> tables = new TreeMap<>();
+        Map<String, Map<String, String>> names = new TreeMap<>();
+        for (ConfigField field : FIELDS) {
+            switch (field.kind()) {
+                case NUMBER -> numbers.put(field.name(), field.merge(older.number(field), newer.number(field)));
+                case TABLE -> tables.put(field.name(), field.mergeTables(older.table(field), newer.table(field)));
+                case NAMES -> names.put(field.name(), field.mergeNames(older.names(field), newer.names(field)));
             }
         }
-        return faults;
-    }
-
-    private static ConfigField expect(String name, Kind kind, List<String> faults) {
-        ConfigField f = field(name);
-        if (f == null) {
-            faults.add(printable(name) + ": no such key");
-        } else if (f.kind() != kind) {
-            faults.add(name + ": holds " + f.unit() + ", not this");
-            return null;
-        }
-        return f;
-    }
-
-    private static void number(String key, ConfigField f, double value, List<String> faults) {
-        if (!(value >= f.min() && value <= f.max())) { // and no NaN
-            faults.add(key + ": " + value + " is not " + f.min() + " to " + f.max() + " (" + f.unit() + ")");
-        }
-    }
-
-    private static void size(String key, int size, int most, List<String> faults) {
-        if (size > most) {
-            faults.add(key + ": " + size + " entries, " + most + " at most");
-        }
-    }
-
-    private static void name(String key, String row, List<String> faults) {
-        if (row.isBlank() || row.length() > MAX_NAME_LENGTH) {
-            faults.add(key + "." + printable(row) + ": a name has 1 to " + MAX_NAME_LENGTH + " characters");
-        }
-    }
-
-    private static String printable(String text) {
-        return text.substring(0, Math.min(64, text.length())).replaceAll("[^ -~]", "?");
-    }
-
-    /** What contradicts neither of two versions: the stricter of each field; of what has no stricter, the older. */
-    public static ConfigDocument merge(ConfigDocument older, ConfigDocument newer) {
-        return combine(older, newer, false);
+        return new ConfigDocument(numbers, tables, names);
     }
 
-    /** What may be done without a lease by one that knows this document last. */
+    /** The document that a balancer acts on without a lease, given the last one that it knew. */
     public static ConfigDocument withoutLease(ConfigDocument last) {
-        return combine(last, last, true);
+        ConfigDocument document = merge(last, last);
+        for (ConfigField field : FIELDS) {
+            if (field.withoutLease() == WithoutLease.FLOOR) {
+                double floor = last.number(field(field.floorName()));
+                document = document.with(field, field.merge(document.number(field), floor));
+            }
+        }
+        return document;
     }
 
-    private static ConfigDocument combine(ConfigDocument older, ConfigDocument newer, boolean alone) {
-        Map<String, Double> numbers = new TreeMap<>();
-        Map<String, Map<String, Double>> tables = new TreeMap<>();
-        Map<String, Map<String, String>> names = new TreeMap<>();
-        for (ConfigField f : FIELDS) {
-            if (f.kind() == Kind.NUMBER) {
-                double met = f.merge(older.number(f), newer.number(f));
-                numbers.put(
-                        f.name(),
-                        alone && f.withoutLease() == WithoutLease.FLOOR
-                                ? f.merge(met, older.number(field(f.floorName())))
-                                : met);
-            } else if (f.kind() == Kind.TABLE) {
-                tables.put(f.name(), f.mergeTables(older.table(f), newer.table(f)));
-            } else {
-                names.put(f.name(), f.mergeNames(older.names(f), newer.names(f)));
+    /** The names of the fields in which {@code acting} permits what {@code active} forbids. */
+    public static List<String> contradictions(ConfigDocument acting, ConfigDocument active) {
+        List<String> contradictions = new ArrayList<>();
+        for (ConfigField field : FIELDS) {
+            if (!isAsStrict(field, acting, active)) {
+                contradictions.add(field.name());
             }
         }
-        return new ConfigDocument(numbers, tables, names);
+        return contradictions;
     }
 
-    /** The fields in which whoever acts by one document may do what another one forbids. */
-    public static List<String> contradictions(ConfigDocument acting, ConfigDocument inForce) {
-        List<String> found = new ArrayList<>();
-        for (ConfigField f : FIELDS) {
-            boolean fits =
-                    switch (f.kind()) {
-                        case NUMBER -> f.merge(acting.number(f), inForce.number(f)) == acting.number(f);
-                        case TABLE -> f.mergeTables(acting.table(f), inForce.table(f)).entrySet().stream()
-                                .allMatch(e -> e.getValue()
-                                        .equals(acting.table(f).getOrDefault(e.getKey(), f.defaultValue())));
-                        case NAMES -> f.mergeNames(acting.names(f), inForce.names(f))
-                                .keySet()
-                                .equals(acting.names(f).keySet());
-                    };
-            if (!fits) {
-                found.add(f.name());
+    private static boolean isAsStrict(ConfigField field, ConfigDocument acting, ConfigDocument active) {
+        return switch (field.kind()) {
+            case NUMBER -> field.merge(acting.number(field), active.number(field)) == acting.number(field);
+            case TABLE -> {
+                Map<String, Double> table = acting.table(field);
+                yield field.mergeTables(table, active.table(field)).entrySet().stream()
+                        .allMatch(row -> row.getValue().equals(table.getOrDefault(row.getKey(), field.defaultValue())));
             }
-        }
-        return found;
+            case NAMES -> {
+                Map<String, String> names = acting.names(field);
+                yield field.mergeNames(names, active.names(field)).keySet().equals(names.keySet());
+            }
+        };
     }
 }
--- a/src/main/java/sedgeyoke/consensus/ConfigStateMachine.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigStateMachine.java
@@ -8,13 +8,13 @@
 import java.util.Map;
 
 /**
- * What the committed log says: versions and what became of requests. It is the same on every keeper that has applied
- * as much, and is bounded however long the log was.
+ * The replicated state machine: config versions, results of requests, and the committed membership. Replicas that have
+ * applied the same entries have the same state. Its size is bounded.
  */
 public final class ConfigStateMachine {
-    /** Versions and requests that are remembered. A request is sure to be known again for so many later ones. */
+    /** How many former versions are kept. */
     static final int MAX_VERSIONS = 200;
-
+    /** How many results are kept. A repeated request is recognized for as many later requests. */
     static final int MAX_REQUESTS = 2_000;
 
     private final SafetyRules rules;
@@ -22,40 +22,42 @@
     private final Map<String, RequestResult> requests = new LinkedHashMap<>();
     private ConfigVersion active = ConfigVersion.NONE;
     private ConfigVersion pending;
-    private Membership members;
+    private Membership membership;
 
     /**
-     * All of it, for a snapshot.
+     * The complete state, for snapshots.
      *
-     * @param history versions before the active one, oldest first
-     * @param requests what became of requests, oldest first
+     * @param active the active version
+     * @param pending the version that is to be activated; null if there is none
+     * @param history the versions that were active before, oldest first
+     * @param requests the results of requests by request id, oldest first
      */
     public record State(
-            Membership members,
+            Membership membership,
             ConfigVersion active,
             ConfigVersion pending,
             List<ConfigVersion> history,
             Map<String, RequestResult> requests) {}
 
-    /** Before anything; {@code members} as the tier was founded with, or none for one that is to join. */
-    ConfigStateMachine(Membership members, SafetyRules rules) {
+    /** The state before the first entry; {@code initialMembership} has no voters for a replica that is to join. */
+    ConfigStateMachine(Membership initialMembership, SafetyRules rules) {
         this.rules = rules;
-        this.members = members;
+        this.membership = initialMembership;
     }
 
-    /** As a snapshot has it. */
+    /** The state of a snapshot. */
     ConfigStateMachine(State state, SafetyRules rules) {
         this.rules = rules;
         restore(state);
     }
 
     State snapshotState() {
-        return new State(members, active, pending, List.copyOf(history), new LinkedHashMap<>(requests));
+        return new State(membership, active, pending, List.copyOf(history), new LinkedHashMap<>(requests));
     }
 
-    /** As a snapshot that came from elsewhere has it. */
+    /** Replaces the state by that of a snapshot. */
     void restore(State state) {
-        members = state.members();
+        membership = state.membership();
         active = state.active();
         pending = state.pending();
         history.clear();
@@ -68,79 +70,96 @@
         return active;
     }
 
-    /** The version that is to take effect, or null. */
+    /** The version that is to be activated; null if there is none. */
     ConfigVersion pending() {
         return pending;
     }
 
+    /** The pending version, or else the active one. */
     ConfigVersion newest() {
         return pending == null ? active : pending;
     }
 
-    Membership members() {
-        return members;
+    /** The committed membership. */
+    Membership membership() {
+        return membership;
     }
 
-    /** Versions that were in force before, oldest first. */
+    /** The versions that were active before, oldest first. */
     List<ConfigVersion> history() {
         return new ArrayList<>(history);
     }
 
-    /** What became of a request; null if nobody remembers. */
-    RequestResult resultOf(String request) {
-        return requests.get(request);
+    /** The result of a request; null if it is not known. */
+    RequestResult resultOf(String requestId) {
+        return requests.get(requestId);
     }
 
-    /** Applies a committed command; what became of it, for one that somebody waits for. */
+    /** Applies a committed command; returns the result for the client that waits for it, if there is one. */
     RequestResult apply(Command command) {
+        if (command instanceof Command.Write write) {
+            return apply(write);
+        }
         if (command instanceof Command.ChangeMembership change) {
-            members = change.membership();
+            membership = change.membership();
         } else if (command instanceof Command.Activate activate) {
-            if (pending != null && pending.number() == activate.version()) {
-                history.add(active);
-                if (history.size() > MAX_VERSIONS) {
-                    history.poll();
-                }
-                active = pending;
-                pending = null;
-            }
-        } else if (command instanceof Command.Write write) {
-            return write(write);
+            apply(activate);
         }
         return new RequestResult(RequestResult.Kind.DONE, newest().number(), "");
     }
 
-    private RequestResult write(Command.Write w) {
-        RequestResult before = requests.get(w.requestId());
-        if (!rules.appliesRequest(before)) {
-            return before;
+    private void apply(Command.Activate activate) {
+        if (pending == null || pending.number() != activate.version()) {
+            return; // it was activated before: a new leader may repeat the command
+        }
+        history.add(active);
+        if (history.size() > MAX_VERSIONS) {
+            history.poll();
+        }
+        active = pending;
+        pending = null;
+    }
+
+    private RequestResult apply(Command.Write write) {
+        RequestResult earlier = requests.get(write.requestId());
+        if (!rules.appliesRequest(earlier)) {
+            return earlier;
         }
-        RequestResult outcome = rejection(w.parentVersion());
-        if (outcome != null && outcome.kind() == RequestResult.Kind.BUSY) {
-            return outcome; // not remembered: it may come again
+        RequestResult result = rejection(write.parentVersion());
+        if (result != null && result.kind() == RequestResult.Kind.BUSY) {
+            return result; // not recorded, so that the client may retry with the same id
         }
-        if (outcome == null) {
+        if (result == null) {
             pending = new ConfigVersion(
-                    active.number() + 1, active.number(), w.author(), w.reason(), w.createdAtMillis(), w.content());
-            outcome = new RequestResult(RequestResult.Kind.DONE, pending.number(), "");
+                    active.number() + 1,
+                    active.number(),
+                    write.author(),
+                    write.reason(),
+                    write.createdAtMillis(),
+                    write.content());
+            result = new RequestResult(RequestResult.Kind.DONE, pending.number(), "");
         }
+        record(write.requestId(), result);
+        return result;
+    }
+
+    private void record(String requestId, RequestResult result) {
         if (requests.size() >= MAX_REQUESTS) {
             requests.remove(requests.keySet().iterator().next());
         }
-        requests.put(w.requestId(), outcome);
-        return outcome;
+        requests.put(requestId, result);
     }
 
     /**
-     * Why a version cannot be made now from that parent; null if it can. What a document may hold is not looked at here
-     * but before it is put into the log: keepers of two programs must apply an entry alike.
+     * Why no version with that parent can be created now; null if one can. The content of a version is checked before
+     * its entry is appended rather than here: replicas of different releases must apply an entry alike.
      */
-    RequestResult rejection(long parent) {
-        if (!rules.mayFollow(parent, newest().number())) {
+    RequestResult rejection(long parentVersion) {
+        if (!rules.mayFollow(parentVersion, newest().number())) {
             return new RequestResult(
                     RequestResult.Kind.CONFLICT,
                     newest().number(),
-                    "made from version " + parent + ", the newest is " + newest().number());
+                    "made from version " + parentVersion + ", the newest is " + newest().number());
         }
         return pending == null
                 ? null
--- a/src/main/java/sedgeyoke/consensus/ConfigSubscriber.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigSubscriber.java
@@ -1,107 +1,124 @@
 package sedgeyoke.consensus;
 
 /**
- * The side of a balancer that acts on documents. It acts on a version under a lease alone; while another version is to
- * take effect, on the meet of both; without a lease, on what contradicts no version that could be in force, as the
- * schema says. A keeper's word that is older than one it has acted on changes nothing.
+ * The balancer's side: decides which config a balancer acts on. Under a lease it acts on the active version, merged with
+ * the pending one if there is any. Without a lease it acts on what contradicts no version that may be active by then, as
+ * the schema says. Responses that are older than what it has acted on are ignored.
  */
 public final class ConfigSubscriber {
     private final String name;
-    private final long run;
+    private final long incarnation;
     private final SafetyRules rules;
     private ConfigVersion active;
     private ConfigVersion pending;
-    private long leaseUntil = Long.MIN_VALUE;
+    private long leaseUntilMicros = Long.MIN_VALUE;
 
-    /** By what it acts. */
+    /** What entitles the balancer to act. */
     public enum Mode {
-        /** Under a lease. */
+        /** A lease. */
         LEASED,
-        /** Without a keeper's word. */
+        /** Nothing but what it knew last. */
         WITHOUT_LEASE
     }
 
     /**
-     * What it acts on.
+     * The config that the balancer acts on.
      *
-     * @param activeVersion the newest version in force that it knows
-     * @param pendingVersion the version that is to take effect, 0 if none is known
-     * @param leaseUntilMicros when the lease runs out
+     * @param activeVersion the newest version that it knows to be active
+     * @param pendingVersion the version that is to be activated; 0 if it knows none
+     * @param leaseUntilMicros when the lease expires, by the balancer's monotonic clock
+     * @param document the merged document
      */
     public record EffectiveConfig(
             Mode mode, long activeVersion, long pendingVersion, long leaseUntilMicros, ConfigDocument document) {}
 
-    /** {@code last}: what an earlier process of this balancer acted on last, or {@link ConfigVersion#NONE}. */
-    public ConfigSubscriber(String name, long run, SafetyRules rules, ConfigVersion last) {
+    /**
+     * A balancer without a lease.
+     *
+     * @param incarnation drawn when its process started
+     * @param last the version that its former process acted on last, or {@link ConfigVersion#NONE}
+     */
+    public ConfigSubscriber(String name, long incarnation, SafetyRules rules, ConfigVersion last) {
         this.name = name;
-        this.run = run;
+        this.incarnation = incarnation;
         this.rules = rules;
         this.active = last;
     }
 
-    /** What to ask a keeper now. */
+    /** The lease request to send at {@code now} microseconds. */
     public LeaseRequest leaseRequest(long now) {
-        return new LeaseRequest(name, run, now, newestVersion(), ConfigSchema.VERSION);
+        return new LeaseRequest(name, incarnation, now, newestVersion(), ConfigSchema.VERSION);
     }
 
-    /** The newest version that it holds. */
+    /** The newest version that the balancer has. */
     public long newestVersion() {
         return pending == null ? active.number() : pending.number();
     }
 
     /**
-     * A keeper's answer, with the versions that it names as far as they were not held; null where they were. True if it
-     * wants to ask again at once: it holds something newer than what it had asked with.
+     * Handles a lease response.
+     *
+     * @param now in microseconds
+     * @param receivedActive the active version that came with the response; null if the balancer had it
+     * @param receivedPending the pending version that came with the response; null if the balancer had it
+     * @return whether to request again at once, since the balancer has a newer version than it had requested with
      */
-    public boolean handle(long now, LeaseResponse grant, ConfigVersion itsActive, ConfigVersion itsPending) {
-        if (!grant.balancer().equals(name)
-                || grant.incarnation() != run
-                || rules.isStale(grant.activeVersion(), active.number())) {
-            return false; // another's, or a word of the past
+    public boolean handle(
+            long now, LeaseResponse response, ConfigVersion receivedActive, ConfigVersion receivedPending) {
+        if (!isForThisProcess(response) || rules.isStale(response.activeVersion(), active.number())) {
+            return false;
         }
-        long before = newestVersion();
-        ConfigVersion inForce = held(grant.activeVersion(), itsActive);
-        ConfigVersion next = grant.pendingVersion() == 0 ? null : held(grant.pendingVersion(), itsPending);
-        if (inForce == null || grant.pendingVersion() != 0 && next == null) {
-            return false; // not whole
+        long newestBefore = newestVersion();
+        ConfigVersion nextActive = versionOf(response.activeVersion(), receivedActive);
+        ConfigVersion nextPending =
+                response.pendingVersion() == 0 ? null : versionOf(response.pendingVersion(), receivedPending);
+        if (nextActive == null || response.pendingVersion() != 0 && nextPending == null) {
+            return false; // a version is missing
         }
-        active = inForce;
-        if (next != null) {
-            pending = next;
+        active = nextActive;
+        if (nextPending != null) {
+            pending = nextPending;
         } else if (pending != null && pending.number() <= active.number()) {
-            pending = null; // else a word from before it was told of: the stricter one stays
+            pending = null; // a newer pending version stays: the response may have been sent before it was created
         }
-        if (grant.granted()) {
-            leaseUntil = Math.max(leaseUntil, rules.leaseUsableUntil(grant.sentAtMicros(), now));
+        if (response.granted()) {
+            leaseUntilMicros = Math.max(leaseUntilMicros, rules.leaseUsableUntil(response.sentAtMicros(), now));
         }
-        return newestVersion() > before;
+        return newestVersion() > newestBefore;
+    }
+
+    private boolean isForThisProcess(LeaseResponse response) {
+        return response.balancer().equals(name) && response.incarnation() == incarnation;
     }
 
-    private ConfigVersion held(long number, ConfigVersion told) {
+    private ConfigVersion versionOf(long number, ConfigVersion received) {
         if (active.number() == number) {
             return active;
         } else if (pending != null && pending.number() == number) {
             return pending;
         }
-        return told != null && told.number() == number ? told : null;
+        return received != null && received.number() == number ? received : null;
     }
 
-    /** What it acts on at this moment. */
+    /** The config to act on at {@code now} microseconds. */
     public EffectiveConfig effectiveConfig(long now) {
-        ConfigDocument both =
+        ConfigDocument merged =
                 pending == null ? active.content() : rules.duringActivation(active.content(), pending.content());
-        long next = pending == null ? 0 : pending.number();
-        return now < leaseUntil
-                ? new EffectiveConfig(Mode.LEASED, active.number(), next, leaseUntil, both)
-                : new EffectiveConfig(Mode.WITHOUT_LEASE, active.number(), next, leaseUntil, rules.withoutLease(both));
+        boolean leased = now < leaseUntilMicros;
+        return new EffectiveConfig(
+                leased ? Mode.LEASED : Mode.WITHOUT_LEASE,
+                active.number(),
+                pending == null ? 0 : pending.number(),
+                leaseUntilMicros,
+                leased ? merged : rules.withoutLease(merged));
     }
 
-    /** The version in force that it acts on, to be kept for its next process. */
+    /** The active version, to be stored for the balancer's next process. */
     public ConfigVersion active() {
         return active;
     }
 
-    /** The version that is to take effect, or null. */
+    /** The version that is to be activated; null if there is none. */
     public ConfigVersion pending() {
         return pending;
     }
--- a/src/main/java/sedgeyoke/consensus/ConfigVersion.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigVersion.java
@@ -1,17 +1,17 @@
 package sedgeyoke.consensus;
 
 /**
- * A document with its place in the history of the tier.
+ * A version of the config.
  *
- * @param number only grows; 0 is what holds before anybody has set anything
- * @param parent the version it was made from
- * @param author who set it
- * @param reason why
- * @param createdAtMillis when, by the wall clock of the keeper that took it; for people, nothing is decided by it
- * @param content what it says
+ * @param number increases by one with each version; 0 before the first write
+ * @param parent the version that it replaces
+ * @param author who wrote it
+ * @param reason why it was written
+ * @param createdAtMillis wall-clock time at the writer; for people only, nothing depends on it
+ * @param content its document
  */
 public record ConfigVersion(
         long number, long parent, String author, String reason, long createdAtMillis, ConfigDocument content) {
-    /** What holds before anybody has set anything. */
+    /** The version before the first write. */
     public static final ConfigVersion NONE = new ConfigVersion(0, 0, "", "", 0, ConfigDocument.EMPTY);
 }
--- a/src/main/java/sedgeyoke/consensus/HardState.java
+++ b/src/main/java/sedgeyoke/consensus/HardState.java
@@ -4,21 +4,21 @@
 import java.util.Map;
 
 /**
- * What a keeper must never lose beside its log.
+ * What a replica has to keep on disk beside its log (Raft thesis, section 3.8).
  *
- * @param term the newest that it knows
- * @param votedFor whom it has voted for in that term; empty if nobody, {@link #UNKNOWN_VOTE} if it cannot know
- * @param incarnations its own runs, newest first
- * @param knownPeers others as it has heard from them: with which folder, and which run
- * @param intact whether it had no doubt that it had lost nothing when this was written
+ * @param term the newest term that it knows
+ * @param votedFor the candidate that it voted for in that term; empty if none, {@link #UNKNOWN_VOTE} if it cannot know
+ * @param incarnations its own incarnations, newest first
+ * @param knownPeers what it knows of the identity of the other replicas, by name
+ * @param intact whether, when this was written, it had no reason to think that it had lost something
  */
 public record HardState(
         long term, String votedFor, List<Long> incarnations, Map<String, KnownPeer> knownPeers, boolean intact) {
-    /** A vote that may have been given to anyone. */
+    /** A vote that may have been granted to anyone. */
     public static final String UNKNOWN_VOTE = "?";
-    /** Runs that are remembered; a peer that was away for longer takes the keeper for one of the past. */
+    /** How many incarnations are kept. A peer that was away for more of them takes the replica for an old copy. */
     static final int MAX_INCARNATIONS = 32;
 
-    /** Another keeper: its folder, and the run that was heard of last; 0 if none was. */
+    /** The storage id of another replica, and its latest known incarnation; 0 if none is known. */
     public record KnownPeer(long storageId, long incarnation) {}
 }
--- a/src/main/java/sedgeyoke/consensus/LeaseResponse.java
+++ b/src/main/java/sedgeyoke/consensus/LeaseResponse.java
@@ -1,14 +1,14 @@
 package sedgeyoke.consensus;
 
 /**
- * The answer to an ask.
+ * The response to a {@link LeaseRequest}.
  *
- * @param balancer whose
- * @param incarnation of the ask
- * @param sentAtMicros of the ask
- * @param activeVersion the version in force
- * @param pendingVersion the version that is to take effect; 0 if there is none
- * @param granted false if it holds too old a version: it is to take the news and ask again
+ * @param balancer as in the request
+ * @param incarnation as in the request
+ * @param sentAtMicros as in the request
+ * @param activeVersion the active version
+ * @param pendingVersion the version that is to be activated; 0 if there is none
+ * @param granted false if the balancer lacks the newest version: it has to take that and request again
  */
 public record LeaseResponse(
         String balancer,
--- a/src/main/java/sedgeyoke/consensus/LeaseTable.java
+++ b/src/main/java/sedgeyoke/consensus/LeaseTable.java
@@ -4,11 +4,11 @@
 import java.util.Map;
 
 /**
- * What a leader knows of the leases that it has granted. It is not replicated: a new leader takes it that every
- * balancer holds one until those of its predecessors have run out.
+ * The leases that a leader has granted. The table is not replicated: until the leases of earlier leaders have expired, a
+ * new leader assumes that any balancer may hold one.
  */
 final class LeaseTable {
-    /** More holders are told of news and granted nothing. */
+    /** Balancers beyond this number receive the config but no lease. */
     static final int MAX_HOLDERS = 4_096;
 
     private final SafetyRules rules;
@@ -16,63 +16,77 @@
     private final long earlierLeasesEndAt;
 
     /** One process of a balancer. */
-    private record Holder(String balancer, long run) {}
+    private record Holder(String balancer, long incarnation) {}
 
-    private record Lease(long heldVersion, long untilMicros, int schemaVersion) {}
+    private record Lease(long heldVersion, long untilMicros, int schemaVersion) {
+        boolean isExpired(long now) {
+            return untilMicros <= now;
+        }
+
+        /** This lease, or the earlier one of the same holder where that covers more: requests may be reordered. */
+        Lease extending(Lease earlier) {
+            return new Lease(
+                    Math.max(heldVersion, earlier.heldVersion),
+                    Math.max(untilMicros, earlier.untilMicros),
+                    schemaVersion);
+        }
+    }
 
-    /** A leader begins. */
+    /** The table of a leader that was elected at {@code now} microseconds. */
     LeaseTable(SafetyRules rules, long now) {
         this.rules = rules;
         this.earlierLeasesEndAt = rules.earlierLeasesEnd(now);
     }
 
     /**
-     * The answer to an ask that came at {@code requestedAt}, given that this keeper still led after that. The lease counts
-     * at the balancer from when it sent the ask, which is earlier.
+     * Grants a lease if the request permits it. This replica must have been confirmed as the leader after
+     * {@code requestedAt}, the time in microseconds at which the request arrived. At the balancer the lease counts from
+     * when the request was sent, which is earlier.
      */
     LeaseResponse grant(LeaseRequest request, long requestedAt, ConfigVersion active, ConfigVersion pending) {
-        long next = pending == null ? 0 : pending.number();
+        long pendingVersion = pending == null ? 0 : pending.number();
         Holder holder = new Holder(request.balancer(), request.incarnation());
-        if (leases.size() >= MAX_HOLDERS) { // processes that are over are no reason to refuse others
-            leases.values().removeIf(h -> h.untilMicros() <= requestedAt);
+        if (leases.size() >= MAX_HOLDERS) {
+            removeExpired(requestedAt);
         }
-        boolean leased = rules.coversVersion(request.heldVersion(), Math.max(next, active.number()))
+        boolean granted = rules.coversVersion(request.heldVersion(), Math.max(pendingVersion, active.number()))
                 && (leases.size() < MAX_HOLDERS || leases.containsKey(holder));
-        if (leased) {
-            Lease before = leases.get(holder);
-            long until = rules.leaseHeldUntil(requestedAt);
-            // an ask that comes late must not shorten what a later one was granted
-            leases.put(
-                    holder,
-                    new Lease(
-                            before == null
-                                    ? request.heldVersion()
-                                    : Math.max(before.heldVersion(), request.heldVersion()),
-                            before == null ? until : Math.max(until, before.untilMicros()),
-                            request.schemaVersion()));
+        if (granted) {
+            Lease lease = new Lease(request.heldVersion(), rules.leaseHeldUntil(requestedAt), request.schemaVersion());
+            leases.merge(holder, lease, (earlier, later) -> later.extending(earlier));
         }
         return new LeaseResponse(
-                request.balancer(), request.incarnation(), request.sentAtMicros(), active.number(), next, leased);
+                request.balancer(),
+                request.incarnation(),
+                request.sentAtMicros(),
+                active.number(),
+                pendingVersion,
+                granted);
+    }
+
+    private void removeExpired(long now) {
+        leases.values().removeIf(lease -> lease.isExpired(now));
     }
 
-    /** Whether nobody acts on a version before this one without knowing it. */
+    /** Whether no balancer acts on an earlier version without knowing this one. */
     boolean allHoldersCover(long version, long now) {
-        leases.values().removeIf(h -> h.untilMicros() <= now);
+        removeExpired(now);
         return now >= earlierLeasesEndAt
-                && leases.values().stream().allMatch(h -> rules.coversVersion(h.heldVersion(), version));
+                && leases.values().stream().allMatch(lease -> rules.coversVersion(lease.heldVersion(), version));
     }
 
-    /** The oldest schema that a holder knows. */
+    /** The oldest schema version that a holder supports. */
     int oldestSchemaVersion(long now) {
         return leases.values().stream()
-                .filter(h -> h.untilMicros() > now)
+                .filter(lease -> !lease.isExpired(now))
                 .mapToInt(Lease::schemaVersion)
                 .min()
                 .orElse(ConfigSchema.VERSION);
     }
 
-    /** How many hold a lease. */
+    /** How many balancers hold a lease. */
     int holderCount(long now) {
-        return (int) leases.values().stream().filter(h -> h.untilMicros() > now).count();
+        return (int)
+                leases.values().stream().filter(lease -> !lease.isExpired(now)).count();
     }
 }
--- a/src/main/java/sedgeyoke/consensus/LogEntry.java
+++ b/src/main/java/sedgeyoke/consensus/LogEntry.java
@@ -1,4 +1,9 @@
 package sedgeyoke.consensus;
 
-/** An entry of the log: where it stands, and in which term a leader put it there. */
+/**
+ * An entry of the replicated log.
+ *
+ * @param index its position; the first entry has index 1
+ * @param term the term of the leader that appended it
+ */
 public record LogEntry(long index, long term, Command command) {}
--- a/src/main/java/sedgeyoke/consensus/Member.java
+++ b/src/main/java/sedgeyoke/consensus/Member.java
@@ -1,11 +1,11 @@
 package sedgeyoke.consensus;
 
 /**
- * A keeper of the tier: a name and the folder that it keeps. One that comes back under its name with another folder is
- * another keeper, which knows nothing of what the first has promised.
+ * A member of the Raft cluster. A replica that returns under the same name with another storage id is another replica:
+ * it does not know what the former one has acknowledged.
  *
- * @param name its name, as in its certificate
- * @param storageId the number of its folder, drawn when that was made; 0 while it is not known
- * @param address where it listens, host and port
+ * @param name as in its certificate
+ * @param storageId drawn when its storage was created; 0 while it is not known
+ * @param address host and port on which it listens
  */
 public record Member(String name, long storageId, String address) {}
--- a/src/main/java/sedgeyoke/consensus/Membership.java
+++ b/src/main/java/sedgeyoke/consensus/Membership.java
@@ -1,39 +1,45 @@
 package sedgeyoke.consensus;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
 /**
- * The keepers of the tier. Voters decide; a learner is sent everything and counts for nothing, until it has caught up.
- * One keeper changes at a time, so that any two majorities of neighbouring sets have one keeper in common.
+ * The members of the Raft cluster. Voters make quorums; a learner receives the log and counts for nothing until it has
+ * caught up. One member changes at a time, so that any majorities of consecutive memberships overlap (Raft thesis,
+ * section 4.1).
  *
  * @param voters by name
- * @param learner the one that is being added, or null
+ * @param learner the member that is being added; null if there is none
  */
 public record Membership(Map<String, Member> voters, Member learner) {
-    /** More would only make each decision slower. */
+    /** More voters would only make each decision slower. */
     public static final int MAX_VOTERS = 7;
 
-    /** Copies what it is given. */
+    /** Copies the voters. */
     public Membership {
-        voters = java.util.Collections.unmodifiableMap(new TreeMap<>(voters));
+        voters = Collections.unmodifiableMap(new TreeMap<>(voters));
     }
 
-    /** The first set of a tier. */
-    public static Membership of(List<Member> founders) {
+    /** The membership that a cluster is bootstrapped with. */
+    public static Membership of(List<Member> initialMembers) {
         Map<String, Member> voters = new TreeMap<>();
-        founders.forEach(m -> voters.put(m.name(), m));
+        initialMembers.forEach(member -> voters.put(member.name(), member));
         return new Membership(voters, null);
     }
 
-    /** A member of that name, the learner included; null if there is none. */
+    /** The member with this name, voter or learner; null if there is none. */
     Member member(String name) {
-        return learner != null && learner.name().equals(name) ? learner : voters.get(name);
+        return isLearner(name) ? learner : voters.get(name);
     }
 
-    /** All but one. */
+    private boolean isLearner(String name) {
+        return learner != null && learner.name().equals(name);
+    }
+
+    /** The names of all members but one. */
     List<String> others(String self) {
         List<String> names = new ArrayList<>(voters.keySet());
         if (learner != null && !voters.containsKey(learner.name())) {
@@ -47,24 +53,25 @@
         return new Membership(voters, added);
     }
 
-    /** The learner is a voter from now on. */
+    /** The membership with the learner as a voter. */
     Membership promoted() {
-        Map<String, Member> more = new TreeMap<>(voters);
-        more.put(learner.name(), learner);
-        return new Membership(more, null);
+        Map<String, Member> extended = new TreeMap<>(voters);
+        extended.put(learner.name(), learner);
+        return new Membership(extended, null);
     }
 
     Membership withoutMember(String name) {
-        Map<String, Member> fewer = new TreeMap<>(voters);
-        fewer.remove(name);
-        return new Membership(fewer, learner != null && learner.name().equals(name) ? null : learner);
+        Map<String, Member> remaining = new TreeMap<>(voters);
+        remaining.remove(name);
+        return new Membership(remaining, isLearner(name) ? null : learner);
     }
 
-    /** With what is known now of folders that were not known when the tier was founded. */
-    Membership withStorageIds(Map<String, Long> folders) {
-        Map<String, Member> known = new TreeMap<>(voters);
-        known.replaceAll(
-                (name, m) -> m.storageId() != 0 ? m : new Member(name, folders.getOrDefault(name, 0L), m.address()));
-        return new Membership(known, learner);
+    /** The membership with storage ids, by name, for voters whose id was not known when the cluster was bootstrapped. */
+    Membership withStorageIds(Map<String, Long> storageIds) {
+        Map<String, Member> completed = new TreeMap<>(voters);
+        completed.replaceAll((name, member) -> member.storageId() != 0
+                ? member
+                : new Member(name, storageIds.getOrDefault(name, 0L), member.address()));
+        return new Membership(completed, learner);
     }
 }
--- a/src/main/java/sedgeyoke/consensus/MembershipChange.java
+++ b/src/main/java/sedgeyoke/consensus/MembershipChange.java
@@ -51,7 +51,7 @@
     }
 
     private boolean isChangePending() {
-        return !state.rules.mayChangeMembership(state.membership, state.stateMachine.members());
+        return !state.rules.mayChangeMembership(state.membership, state.stateMachine.membership());
     }
 
     /** Appends the addition of a learner; returns the index of the entry. */
--- a/src/main/java/sedgeyoke/consensus/RaftLog.java
+++ b/src/main/java/sedgeyoke/consensus/RaftLog.java
@@ -3,19 +3,23 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** The log in memory, behind an entry that a snapshot or nothing stands for. */
+/** The log in memory. Entries up to its base index are compacted: a snapshot stands for them. */
 final class RaftLog {
+    /** The term of an entry that the log does not have. */
+    static final long UNKNOWN_TERM = -1;
+
     private final List<LogEntry> entries;
     private long baseIndex;
     private long baseTerm;
 
-    RaftLog(long base, long baseTerm, List<LogEntry> entries) {
-        this.baseIndex = base;
+    /** A log of entries that follow the entry {@code baseIndex}. */
+    RaftLog(long baseIndex, long baseTerm, List<LogEntry> entries) {
+        this.baseIndex = baseIndex;
         this.baseTerm = baseTerm;
         this.entries = new ArrayList<>(entries);
     }
 
-    /** The entry before the first. */
+    /** The index of the entry before the first one of this log. */
     long baseIndex() {
         return baseIndex;
     }
@@ -28,26 +32,38 @@
         return term(lastIndex());
     }
 
-    /** The term of an entry; -1 where it is not known. */
+    /** The term of an entry, or {@link #UNKNOWN_TERM}. */
     long term(long index) {
         if (index == baseIndex) {
             return baseTerm;
         }
-        return index < baseIndex || index > lastIndex() ? -1 : get(index).term();
+        return index < baseIndex || index > lastIndex()
+                ? UNKNOWN_TERM
+                : get(index).term();
     }
 
+    /** An entry, which has to be in this log. */
     LogEntry get(long index) {
-        return entries.get((int) (index - baseIndex - 1));
+        return entries.get(position(index));
+    }
+
+    private int position(long index) {
+        return (int) (index - baseIndex - 1);
     }
 
-    /** Entries from one on, so many at most. */
+    /** At most {@code maxEntries} entries, from {@code index} on. */
     List<LogEntry> entriesFrom(long index, int maxEntries) {
-        int at = (int) (index - baseIndex - 1);
-        return at >= entries.size()
+        int from = position(index);
+        return from >= entries.size()
                 ? List.of()
-                : List.copyOf(entries.subList(at, Math.min(entries.size(), at + maxEntries)));
+                : List.copyOf(entries.subList(from, Math.min(entries.size(), from + maxEntries)));
     }
 
+    /**
+     * Appends an entry.
+     *
+     * @throws IllegalStateException if it does not follow the last one
+     */
     void append(LogEntry entry) {
         if (entry.index() != lastIndex() + 1) {
             throw new IllegalStateException("entry " + entry.index() + " after " + lastIndex());
@@ -55,28 +71,29 @@
         entries.add(entry);
     }
 
+    /** Removes all entries after {@code index}. */
     void truncateAfter(long index) {
-        entries.subList((int) (index - baseIndex), entries.size()).clear();
+        entries.subList(position(index) + 1, entries.size()).clear();
     }
 
-    /** Forgets entries up to one that is covered. */
-    void compactThrough(long through) {
-        if (through > baseIndex) {
-            long term = term(through);
-            entries.subList(0, (int) (through - baseIndex)).clear();
-            baseIndex = through;
+    /** Removes all entries up to {@code index}, which a snapshot has to cover. */
+    void compactThrough(long index) {
+        if (index > baseIndex) {
+            long term = term(index);
+            entries.subList(0, position(index) + 1).clear();
+            baseIndex = index;
             baseTerm = term;
         }
     }
 
-    /** Begins anew behind a snapshot. */
+    /** Removes all entries; the log continues a snapshot that ends with this index and term. */
     void resetTo(long index, long term) {
         entries.clear();
         baseIndex = index;
         baseTerm = term;
     }
 
-    /** The last set of keepers in the log, or null if no entry has one. */
+    /** The latest membership in the log; null if no entry has one. */
     Membership lastMembership() {
         for (int i = entries.size() - 1; i >= 0; i--) {
             if (entries.get(i).command() instanceof Command.ChangeMembership change) {
@@ -86,10 +103,10 @@
         return null;
     }
 
-    /** Whether the log has an activation of a version. */
+    /** Whether the log has an activation of {@code version} after the entry {@code afterIndex}. */
     boolean containsActivation(long version, long afterIndex) {
-        for (long i = Math.max(afterIndex, baseIndex) + 1; i <= lastIndex(); i++) {
-            if (get(i).command() instanceof Command.Activate a && a.version() == version) {
+        for (long index = Math.max(afterIndex, baseIndex) + 1; index <= lastIndex(); index++) {
+            if (get(index).command() instanceof Command.Activate activate && activate.version() == version) {
                 return true;
             }
         }
--- a/src/main/java/sedgeyoke/consensus/ReplicaState.java
+++ b/src/main/java/sedgeyoke/consensus/ReplicaState.java
@@ -141,7 +141,7 @@
         if (inLog != null) {
             membership = inLog;
         } else {
-            membership = snapshot != null ? snapshot.state().members() : stateMachine.members();
+            membership = snapshot != null ? snapshot.state().membership() : stateMachine.membership();
         }
     }
 
--- a/src/main/java/sedgeyoke/consensus/RequestResult.java
+++ b/src/main/java/sedgeyoke/consensus/RequestResult.java
@@ -1,26 +1,26 @@
 package sedgeyoke.consensus;
 
 /**
- * What became of a request to the keepers.
+ * The result of a {@link ClientRequest}.
  *
- * @param kind what of it is sure
- * @param version the version that it made, or the newest one
- * @param detail for people: why not, or by when it holds
+ * @param kind what is certain about it
+ * @param version the version that it created, or else the newest one
+ * @param detail an explanation for people
  */
 public record RequestResult(Kind kind, long version, String detail) {
-    /** What is sure. */
+    /** What is certain about a request. The command line prints these names, and the wire format has their order. */
     public enum Kind {
-        /** It is done and stays done. */
+        /** It was carried out. */
         DONE,
-        /** It is not done and will not be: somebody else was first. */
+        /** It was not carried out and will not be: another version was created first. */
         CONFLICT,
-        /** It is not done and will not be: it is not in order, or the time is not right. */
+        /** It was not carried out and will not be: it is invalid, or not possible in the present state. */
         REFUSED,
-        /** It is not done now; an earlier copy that is still on its way may be, so ask again with the same number. */
+        /** It was not carried out; an earlier copy in flight may be, so retry with the same request id. */
         BUSY,
-        /** It may be done, now or later: ask again with the same number. */
+        /** It may be carried out, now or later: retry with the same request id. */
         UNKNOWN,
-        /** It is not done: no leader was there to take it. */
+        /** It was not carried out: no leader took it. */
         NO_LEADER
     }
 }
--- a/src/main/java/sedgeyoke/consensus/SafetyRules.java
+++ b/src/main/java/sedgeyoke/consensus/SafetyRules.java
@@ -1,138 +1,148 @@
 package sedgeyoke.consensus;
 
+import java.util.List;
+
 /**
- * The rules that safety hangs on, each in one place: docs/design/agreement.md argues with them, and tests put a wrong
- * one in the place of each to see that it is found. Times are microseconds of the clock of the side that asks.
+ * The rules that safety depends on, each in one method. docs/design/agreement.md bases its argument on them, and tests
+ * replace each by a faulty one to show that the fault is detected. Times are microseconds of the clock of the caller.
  */
 public class SafetyRules {
     private final RaftTiming timing;
 
-    /** Rules that go by such times. */
+    /** The rules for these times. */
     public SafetyRules(RaftTiming timing) {
         this.timing = timing;
     }
 
-    /** The times that they go by. */
+    /** The times of these rules. */
     public final RaftTiming timing() {
         return timing;
     }
 
-    /** So many of a set of voters that any two such parts have one in common. */
+    /** The size of the smallest quorum: any two sets of that many voters overlap. */
     int majority(int voters) {
         return voters / 2 + 1;
     }
 
-    /** Whether a log may lead ours: whoever has ours and a majority's has all that is committed. */
+    /**
+     * Whether a log is at least as up to date as the own one, so that its replica may lead (Raft thesis, section
+     * 3.6.1).
+     */
     boolean isLogUpToDate(long lastIndex, long lastTerm, long ownIndex, long ownTerm) {
         return lastTerm > ownTerm || lastTerm == ownTerm && lastIndex >= ownIndex;
     }
 
-    /** One vote a term. */
+    /**
+     * Whether a vote may be granted: at most one in each term (section 3.4). {@code votedFor} is empty if there is
+     * none.
+     */
     boolean mayVoteFor(String candidate, String votedFor) {
         return votedFor.isEmpty() || votedFor.equals(candidate);
     }
 
-    /** What is said to be on disk is: others build on it. */
+    /** Whether responses wait until what they acknowledge is on disk (section 3.8). */
     boolean responsesWaitForPersistence() {
         return true;
     }
 
-    /** Entries of earlier terms are committed by one of this term alone (Raft dissertation, section 3.6.2). */
+    /** Whether an entry may be committed by counting replicas: only one of the current term (section 3.6.2). */
     boolean mayCommitEntry(long entryTerm, long term) {
         return entryTerm == term;
     }
 
-    /** A keeper that may have lost what it promised proves nothing by what it says now. */
+    /** Whether a replica counts towards a quorum: not while it may have lost what it acknowledged. */
     boolean countsTowardsQuorum(boolean recovered) {
         return recovered;
     }
 
-    /** What an earlier run of a keeper has said may be gone with it. */
+    /** Whether an acknowledgement still holds: what an earlier incarnation acknowledged may be lost. */
     boolean isSameIncarnation(long knownIncarnation, long claimedIncarnation) {
         return knownIncarnation == claimedIncarnation;
     }
 
-    /** A candidate counts votes for so long only: whoever forgets a vote waits until none is counted any more. */
+    /** Whether a candidate may still count votes. The bound lets a replica that may have lost a vote wait that long. */
     boolean votesAreValid(long now, long electionStartedAt) {
         return now <= electionStartedAt + timing.candidacyMicros();
     }
 
-    /** How long a keeper in doubt waits before it asks the others for their terms. */
+    /** How long a replica that may have lost a vote waits before it queries the others for their terms. */
     long recoveryWaitMicros() {
         return timing.drift().upperBound(timing.drift().upperBound(2 * timing.candidacyMicros()));
     }
 
-    /** The vote of a keeper that cannot know whom it has voted for in a term. */
+    /** The vote of a replica that cannot know whom it voted for in its term. */
     String voteAfterRecovery() {
         return HardState.UNKNOWN_VOTE;
     }
 
-    /** Up to where a keeper in doubt has to match the leader's log, given how long that was when it was asked. */
+    /** Up to where a recovering replica has to match the leader's log, given how long that was when it was queried. */
     long recoveryTarget(long leaderLastIndex) {
         return leaderLastIndex;
     }
 
-    /** Whether a keeper comes with a folder that does not remember a run of its, or a term that it has spoken in. */
-    boolean isOutdatedReplica(long knownIncarnation, java.util.List<Long> incarnations, long lastSeenTerm, long term) {
+    /** Whether a replica has an old copy of its disk: without an incarnation, or a term, that others know of. */
+    boolean isOutdatedReplica(long knownIncarnation, List<Long> incarnations, long lastSeenTerm, long term) {
         return knownIncarnation != 0 && !incarnations.contains(knownIncarnation) || term < lastSeenTerm;
     }
 
-    /** Whether a keeper is the one that was known, or another one with its name. */
+    /** Whether a replica is the known one, and not another one with its name. */
     boolean isSameStorage(long knownStorageId, long claimedStorageId) {
         return knownStorageId == claimedStorageId;
     }
 
-    /** Neighbouring sets of keepers have a majority in common only if one changes at a time. */
+    /** Whether the membership may change: only once the last change is committed (section 4.1). */
     boolean mayChangeMembership(Membership inLog, Membership committed) {
         return inLog.equals(committed);
     }
 
-    /** Whether this keeper still led after something had been asked: shown by a round that began later. */
+    /**
+     * Whether this replica was still leader after a request arrived: a later heartbeat round shows it (section 6.4).
+     */
     boolean isLeadershipConfirmed(long requiredRound, long confirmedRound) {
         return requiredRound <= confirmedRound;
     }
 
-    /** A leader takes a lease for held until then; the ask was sent before it came. */
+    /** Until when the leader assumes that a lease is held, given when the request arrived. */
     long leaseHeldUntil(long requestedAt) {
         return requestedAt + timing.drift().upperBound(timing.leaseMicros());
     }
 
-    /** A new leader takes it until then that balancers hold leases of its predecessors. */
+    /** Until when a new leader assumes that leases of earlier leaders are held. */
     long earlierLeasesEnd(long leaderSince) {
         return leaderSince + timing.drift().upperBound(timing.leaseMicros());
     }
 
-    /** Whether a holder may go on while a version is to take effect, or is in force. */
+    /** Whether a balancer may hold a lease, given the newest version that it has and the newest that there is. */
     boolean coversVersion(long heldVersion, long version) {
         return heldVersion >= version;
     }
 
-    /** A balancer acts under a lease until then: it counts from when it asked, not from when the answer came. */
+    /** Until when a balancer uses a lease: counted from when it sent the request, not from the response. */
     long leaseUsableUntil(long sentAt, long receivedAt) {
         return sentAt + timing.drift().lowerBound(timing.leaseMicros());
     }
 
-    /** Whether a word is older than one that was acted on: from a keeper of the past. */
+    /** Whether a response is older than one that the balancer has acted on. */
     boolean isStale(long receivedVersion, long knownVersion) {
         return receivedVersion < knownVersion;
     }
 
-    /** By what a balancer acts while a version is to take effect. */
+    /** The config that a balancer acts on while a version is pending. */
     ConfigDocument duringActivation(ConfigDocument active, ConfigDocument pending) {
         return ConfigSchema.merge(active, pending);
     }
 
-    /** By what a balancer acts without a lease. */
+    /** The config that a balancer acts on without a lease. */
     ConfigDocument withoutLease(ConfigDocument last) {
         return ConfigSchema.withoutLease(last);
     }
 
-    /** Whether a write that was made from a version may follow the newest. */
+    /** Whether a version may be created from {@code parentVersion}. */
     boolean mayFollow(long parentVersion, long newestVersion) {
         return parentVersion == newestVersion;
     }
 
-    /** Whether a request that is known already is done again. */
+    /** Whether a request is applied, given its earlier result; null if there is none. */
     boolean appliesRequest(RequestResult previousResult) {
         return previousResult == null;
     }
--- a/src/main/java/sedgeyoke/consensus/Snapshot.java
+++ b/src/main/java/sedgeyoke/consensus/Snapshot.java
@@ -1,10 +1,9 @@
 package sedgeyoke.consensus;
 
 /**
- * A state and the entry up to which it is one.
+ * The state of the state machine after a prefix of the log.
  *
- * @param lastIncludedIndex the index of that entry
- * @param lastIncludedTerm its term
- * @param state what the log up to there says
+ * @param lastIncludedIndex the last entry of that prefix
+ * @param lastIncludedTerm the term of that entry
  */
 public record Snapshot(long lastIncludedIndex, long lastIncludedTerm, ConfigStateMachine.State state) {}
--- a/src/main/java/sedgeyoke/consensus/SnapshotCodec.java
+++ b/src/main/java/sedgeyoke/consensus/SnapshotCodec.java
@@ -1,10 +1,10 @@
 package sedgeyoke.consensus;
 
-/** Between a state and the bytes in which it goes to another keeper. */
+/** Converts snapshots to the bytes in which they are transferred to another replica, and back. */
 public interface SnapshotCodec {
-    /** The bytes of a state; the same for equal ones. */
-    byte[] encode(Snapshot state);
+    /** Encodes a snapshot; equal snapshots give equal bytes. */
+    byte[] encode(Snapshot snapshot);
 
-    /** The state of such bytes; null if they are none. */
+    /** Decodes a snapshot; returns null if the bytes are not valid. */
     Snapshot decode(byte[] bytes);
 }
--- a/src/main/java/sedgeyoke/consensus/codec/ConsensusCodec.java
+++ b/src/main/java/sedgeyoke/consensus/codec/ConsensusCodec.java
@@ -227,7 +227,7 @@
         SnapshotMessage.Builder m = SnapshotMessage.newBuilder()
                 .setCovered(s.lastIncludedIndex())
                 .setTerm(s.lastIncludedTerm())
-                .setMembers(of(s.state().members()))
+                .setMembers(of(s.state().membership()))
                 .setActive(of(s.state().active()));
         if (s.state().pending() != null) {
             m.setPending(of(s.state().pending()));
--- a/src/main/java/sedgeyoke/consensus/package-info.java
+++ b/src/main/java/sedgeyoke/consensus/package-info.java
@@ -1,8 +1,10 @@
 /**
- * One word for the tier, free of input, output, clocks and threads: the same events give the same actions.
- * {@link sedgeyoke.consensus.RaftNode} is one of the few processes that hold the replicated log of documents;
- * {@link sedgeyoke.consensus.ConfigSubscriber} is the side of a balancer that acts on them under a lease;
- * {@link sedgeyoke.consensus.ConfigSchema} says what a document may hold, how two versions meet, and what may be done
- * alone. The argument stands in docs/design/agreement.md.
+ * The replicated configuration of the cluster, free of I/O, clocks and threads: equal events give equal actions.
+ *
+ * <p>{@link sedgeyoke.consensus.RaftNode} is one replica of the Raft cluster that holds the config.
+ * {@link sedgeyoke.consensus.ConfigSubscriber} is the balancer's side, which acts on the config under a lease.
+ * {@link sedgeyoke.consensus.ConfigSchema} defines the fields of a config, how two versions merge, and what holds without
+ * a lease. {@link sedgeyoke.consensus.SafetyRules} has the rules that safety depends on, each in one method. The safety
+ * argument is in docs/design/agreement.md.
  */
 package sedgeyoke.consensus;
--- a/src/main/java/sedgeyoke/drill/ConsensusDrill.java
+++ b/src/main/java/sedgeyoke/drill/ConsensusDrill.java
@@ -245,7 +245,7 @@
                 reads.add(new long[] {readFrom, site.now(), now.outcome().version()});
                 Map<String, String> nodes = new TreeMap<>();
                 nodes.put("n" + (1 + random.nextInt(NODES)), "drill");
-                ConfigDocument content = now.newest().content().with(ConfigSchema.UPSTREAMS_OUT, nodes);
+                ConfigDocument content = now.newest().content().with(ConfigSchema.DISABLED_UPSTREAMS, nodes);
                 long from = site.now();
                 String request = "w" + number + "-" + i;
                 ConfigClient.Answer done = client.set(request, now.newest(), "w" + number, "drill", content, WRITE_MS);
@@ -264,8 +264,8 @@
     private synchronized void tellEach(Tier tier, ConfigDocument before, ConfigDocument next)
             throws InterruptedException {
         Map<String, String> calls = new LinkedHashMap<>();
-        next.names(ConfigSchema.UPSTREAMS_OUT).keySet().forEach(id -> calls.put(id, "cordon"));
-        before.names(ConfigSchema.UPSTREAMS_OUT).keySet().forEach(id -> calls.putIfAbsent(id, "uncordon"));
+        next.names(ConfigSchema.DISABLED_UPSTREAMS).keySet().forEach(id -> calls.put(id, "cordon"));
+        before.names(ConfigSchema.DISABLED_UPSTREAMS).keySet().forEach(id -> calls.putIfAbsent(id, "uncordon"));
         for (FaultProxy door : tier.doors) {
             for (Map.Entry<String, String> call : calls.entrySet()) {
                 try {
@@ -460,7 +460,11 @@
     }
 
     private static String node(Write w) {
-        return w.content().names(ConfigSchema.UPSTREAMS_OUT).keySet().iterator().next();
+        return w.content()
+                .names(ConfigSchema.DISABLED_UPSTREAMS)
+                .keySet()
+                .iterator()
+                .next();
     }
 
     private boolean inOrder() {
--- a/src/main/java/sedgeyoke/lease/ClockDrift.java
+++ b/src/main/java/sedgeyoke/lease/ClockDrift.java
@@ -1,29 +1,36 @@
 package sedgeyoke.lease;
 
 /**
- * How far clocks may drift, and what that makes of a time that two of them measure. Whoever counts on what another one
- * holds takes it for longer; whoever uses what was lent takes it for shorter. Times are microseconds of the clock of
- * the side that asks; clocks are monotonic and may start anywhere.
+ * The bound on how far clocks drift, and what follows from it for a duration that two clocks measure. A process that
+ * waits for something on another clock to expire waits for the upper bound; a process that uses a lease uses it for the
+ * lower bound only. Clocks are monotonic and may start at any value.
+ *
+ * @param ppm how many parts per million any clock may run fast or slow
  */
 public record ClockDrift(long ppm) {
-    private static final double PARTS_PER_MILLION = 1e6;
-    /** More than any clock that is worth the name; a larger figure is a slip of whoever set it. */
+    /** The largest drift that is accepted; no real clock comes near it, so that a larger value is a mistake. */
     public static final long MAX_PPM = 100_000;
 
-    /** {@code ppm}: parts per million that any clock may run fast or slow. */
+    private static final double PARTS_PER_MILLION = 1e6;
+
+    /**
+     * Checks the bound.
+     *
+     * @throws IllegalArgumentException if it is negative or larger than {@link #MAX_PPM}
+     */
     public ClockDrift {
         if (ppm < 0 || ppm > MAX_PPM) {
             throw new IllegalArgumentException("drift of " + ppm + " ppm: 0 to " + MAX_PPM);
         }
     }
 
-    /** So much time on any clock is over, whoever measured it, once this much is over here. */
-    public long upperBound(long time) {
-        return (long) Math.ceil(time * (1 + ppm / PARTS_PER_MILLION));
+    /** The duration after which {@code duration} has passed on every clock, in the same unit. */
+    public long upperBound(long duration) {
+        return (long) Math.ceil(duration * (1 + ppm / PARTS_PER_MILLION));
     }
 
-    /** While no more than this is over here, so much time is over on no clock. */
-    public long lowerBound(long time) {
-        return (long) Math.floor(time * (1 - ppm / PARTS_PER_MILLION));
+    /** The duration within which {@code duration} has passed on no clock, in the same unit. */
+    public long lowerBound(long duration) {
+        return (long) Math.floor(duration * (1 - ppm / PARTS_PER_MILLION));
     }
 }
--- a/src/main/java/sedgeyoke/lease/LeaseClock.java
+++ b/src/main/java/sedgeyoke/lease/LeaseClock.java
@@ -1,49 +1,52 @@
 package sedgeyoke.lease;
 
 /**
- * The arithmetic of leases on clocks that agree on nothing but, within a bound, on how fast time passes. Each side
- * counts from the moment that is safe for the others: who lends or counts what others hold, long; who uses what was
- * lent, short. Every time is one of the clock of the side that asks.
+ * The arithmetic of leases between processes whose clocks share nothing but a bound on their drift. Each side counts from
+ * the moment that is safe for the others: whoever waits for a lease to expire counts from a late moment and takes it for
+ * longer, whoever uses a lease counts from an early moment and takes it for shorter. Times and durations are in one unit;
+ * times are by the clock of the process that asks.
  */
 public class LeaseClock {
+    /** A grant is shorter than the lease behind it, so that it ends before the lease is taken back. */
     private static final double GRANT_FRACTION = 0.4;
+
     private final ClockDrift drift;
 
-    /** {@code driftPpm}: how far any clock may run fast or slow, in parts per million. */
+    /** {@code driftPpm}: how many parts per million any clock may run fast or slow. */
     public LeaseClock(long driftPpm) {
         this.drift = new ClockDrift(driftPpm);
     }
 
-    /** A lender keeps off until then what it deposited at {@code sentAt}. */
+    /** Until when a lender does not use itself what it deposited with a message sent at {@code sentAt}. */
     public long reservedUntil(long sentAt, long lease) {
         return sentAt + drift.upperBound(lease);
     }
 
-    /** A process that has just started keeps off all its rights until then: one before it may have lent them. */
+    /** Until when a process that has just started uses none of its quota: its predecessor may have lent it. */
     public long startupQuietUntil(long startedAt, long lease) {
         return startedAt + drift.upperBound(lease);
     }
 
     /**
-     * A planner counts on a deposit until then. It was made after the message that it echoes was sent, however long
-     * it took to come.
+     * Until when a planner counts on a deposit. The deposit was made after the message that it echoes was sent, however
+     * late it was received.
      */
     public long depositCountsUntil(long echoedAt, long receivedAt, long lease) {
         return echoedAt + drift.lowerBound(lease);
     }
 
-    /** How long a grant holds, given the lease behind it. */
+    /** The duration of a grant, given the lease behind it. */
     public long grantDuration(long lease) {
         return (long) (lease * GRANT_FRACTION);
     }
 
-    /** A forwarder uses a grant until then: it counts from when it sent the report that the grant answers. */
-    public long grantUsableUntil(long echoedAt, long receivedAt, long grantFor) {
-        return echoedAt + drift.lowerBound(grantFor);
+    /** Until when a forwarder uses a grant: counted from when it sent the report that the grant responds to. */
+    public long grantUsableUntil(long echoedAt, long receivedAt, long grantDuration) {
+        return echoedAt + drift.lowerBound(grantDuration);
     }
 
-    /** A planner takes a grant for used until then: it counts from when the report that it answers had come. */
-    public long grantOutstandingUntil(long reportedAt, long grantFor) {
-        return reportedAt + drift.upperBound(grantFor);
+    /** Until when a planner assumes that a grant is in use: counted from when the report for it was received. */
+    public long grantOutstandingUntil(long reportedAt, long grantDuration) {
+        return reportedAt + drift.upperBound(grantDuration);
     }
 }
--- a/src/main/java/sedgeyoke/lease/package-info.java
+++ b/src/main/java/sedgeyoke/lease/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Who may act until when, on clocks that agree on nothing but, within a bound, on how fast time passes. Planners'
- * rights and the keepers' versions stand on the same arithmetic.
+ * Arithmetic of leases between processes whose clocks share nothing but a bound on their drift. The slow-start quota of
+ * planners and the config leases of the replicas both use it.
  */
 package sedgeyoke.lease;
--- a/src/main/java/sedgeyoke/serve/OptionalFeatures.java
+++ b/src/main/java/sedgeyoke/serve/OptionalFeatures.java
@@ -106,8 +106,9 @@
                     new SecureRandom().nextLong() | 1,
                     port::now,
                     port::log,
-                    acting -> port.agreedOut(
-                            acting.document().names(ConfigSchema.UPSTREAMS_OUT).keySet()));
+                    acting -> port.agreedOut(acting.document()
+                            .names(ConfigSchema.DISABLED_UPSTREAMS)
+                            .keySet()));
             loop.execute(link::start);
         } catch (IOException e) {
             throw new Bad(path + ": [agreed]: " + e.getMessage());
--- a/src/test/java/sedgeyoke/consensus/ExplicitStatesTest.java
+++ b/src/test/java/sedgeyoke/consensus/ExplicitStatesTest.java
@@ -25,23 +25,23 @@
  */
 class ExplicitStatesTest {
     private static final RaftTiming TIMING = new RaftTiming(600_000, 100_000, 1_500_000, new ClockDrift(0), 1_000);
-    private static final int MOST_STATES = Integer.getInteger("sedgeyoke.consensus.states", 150_000);
-    private static final long TERMS = 2;
-    private static final int WRITES = 2;
-    private static final int CRASHES = 1;
-    private static final int STANDS = 3;
-    private static final int ROUNDS = 2;
-    private static final int DOUBLES = 1;
+    private static final int MAX_STATES = Integer.getInteger("sedgeyoke.consensus.states", 150_000);
+    private static final long MAX_TERMS = 2;
+    private static final int MAX_WRITES = 2;
+    private static final int MAX_CRASHES = 1;
+    private static final int MAX_ELECTIONS = 3;
+    private static final int MAX_ROUNDS = 2;
+    private static final int MAX_DUPLICATES = 1;
     private static final String[] NAMES = {"a", "b", "c"};
 
     /** A message under way, and how often it may still come. */
-    private static final class Flying {
+    private static final class InFlightMessage {
         final int from;
         final int to;
         final RaftMessage message;
-        boolean came;
+        boolean delivered;
 
-        Flying(int from, int to, RaftMessage message) {
+        InFlightMessage(int from, int to, RaftMessage message) {
             this.from = from;
             this.to = to;
             this.message = message;
@@ -49,153 +49,154 @@
 
         @Override
         public String toString() {
-            return from + ">" + to + message + (came ? " again" : "");
+            return from + ">" + to + message + (delivered ? " again" : "");
         }
     }
 
     /** Three keepers, what is on their disks and what is under way. */
-    private static final class World {
+    private static final class ClusterState {
         final Function<RaftTiming, SafetyRules> rules;
-        final RaftNode[] keepers = new RaftNode[NAMES.length];
-        final HardState[] slots = new HardState[NAMES.length];
-        final List<List<LogEntry>> disks = new ArrayList<>();
+        final RaftNode[] nodes = new RaftNode[NAMES.length];
+        final HardState[] hardStates = new HardState[NAMES.length];
+        final List<List<LogEntry>> logs = new ArrayList<>();
         final long[] clocks = new long[NAMES.length];
-        final long[] runs = {1, 2, 3};
-        final List<Flying> net = new ArrayList<>();
+        final long[] incarnations = {1, 2, 3};
+        final List<InFlightMessage> messages = new ArrayList<>();
         final Map<Long, String> leaders = new TreeMap<>();
         final Map<Long, LogEntry> committed = new TreeMap<>();
-        final int[] left = {STANDS, WRITES, CRASHES, ROUNDS, DOUBLES};
-        String breach;
+        final int[] left = {MAX_ELECTIONS, MAX_WRITES, MAX_CRASHES, MAX_ROUNDS, MAX_DUPLICATES};
+        String violation;
 
-        World(Function<RaftTiming, SafetyRules> rules) {
+        ClusterState(Function<RaftTiming, SafetyRules> rules) {
             this.rules = rules;
-            for (int k = 0; k < NAMES.length; k++) {
-                Map<String, HardState.KnownPeer> known = new HashMap<>();
-                for (int o = 0; o < NAMES.length; o++) {
-                    known.put(NAMES[o], new HardState.KnownPeer(1, o == k ? 0 : o + 1L));
+            for (int node = 0; node < NAMES.length; node++) {
+                Map<String, HardState.KnownPeer> knownPeers = new HashMap<>();
+                for (int other = 0; other < NAMES.length; other++) {
+                    knownPeers.put(NAMES[other], new HardState.KnownPeer(1, other == node ? 0 : other + 1L));
                 }
-                slots[k] = new HardState(0, "", List.of(), known, true);
-                disks.add(new ArrayList<>());
-                clocks[k] = 10_000_000;
-                start(k, runs[k]);
+                hardStates[node] = new HardState(0, "", List.of(), knownPeers, true);
+                logs.add(new ArrayList<>());
+                clocks[node] = 10_000_000;
+                start(node, incarnations[node]);
             }
-            net.clear(); // they know each other
+            messages.clear(); // they know each other
         }
 
-        void start(int k, long run) {
+        void start(int node, long incarnation) {
             List<Member> members =
                     Arrays.stream(NAMES).map(n -> new Member(n, 1, n)).toList();
-            keepers[k] = new RaftNode(
-                    new RaftNode.Identity(NAMES[k], 1, run),
+            nodes[node] = new RaftNode(
+                    new RaftNode.Identity(NAMES[node], 1, incarnation),
                     rules.apply(TIMING),
-                    new RaftNode.StoredState(slots[k], null, List.copyOf(disks.get(k)), null, false),
+                    new RaftNode.StoredState(hardStates[node], null, List.copyOf(logs.get(node)), null, false),
                     Membership.of(members),
-                    NoSnapshots.CODEC,
+                    NoSnapshotCodec.CODEC,
                     new SplittableRandom(1),
-                    clocks[k]);
-            int before = net.size();
-            on(k, new Event.Tick(), true);
-            RaftMessage.RecoveryQuery asked = (RaftMessage.RecoveryQuery) net.get(before).message;
-            String other = NAMES[(k + 1) % NAMES.length];
-            on(
-                    k,
+                    clocks[node]);
+            int sentBefore = messages.size();
+            handle(node, new Event.Tick(), true);
+            RaftMessage.RecoveryQuery query = (RaftMessage.RecoveryQuery) messages.get(sentBefore).message;
+            String other = NAMES[(node + 1) % NAMES.length];
+            handle(
+                    node,
                     new Event.Received(
                             other,
                             1,
-                            new RaftMessage.RecoveryReply(0, asked.queryId(), false, true, false, false, 0, 0)),
+                            new RaftMessage.RecoveryReply(0, query.queryId(), false, true, false, false, 0, 0)),
                     true);
         }
 
-        /** {@code lasts} false: the process ends before what it wants to last is on disk. */
-        void on(int k, Event event, boolean lasts) {
+        /** {@code persisted} false: the process ends before what it wants to last is on disk. */
+        void handle(int node, Event event, boolean persisted) {
             try {
-                List<Action> actions = keepers[k].handle(event, clocks[k]);
-                for (Action a : actions) {
-                    if (a instanceof Action.Send s) {
-                        net.add(new Flying(k, Arrays.asList(NAMES).indexOf(s.to()), s.message()));
-                    } else if (a instanceof Action.Persist p && lasts) {
-                        keep(k, p);
-                        on(k, new Event.Persisted(p.token()), true);
+                List<Action> actions = nodes[node].handle(event, clocks[node]);
+                for (Action action : actions) {
+                    if (action instanceof Action.Send send) {
+                        messages.add(
+                                new InFlightMessage(node, Arrays.asList(NAMES).indexOf(send.to()), send.message()));
+                    } else if (action instanceof Action.Persist persist && persisted) {
+                        persist(node, persist);
+                        handle(node, new Event.Persisted(persist.token()), true);
                     }
                 }
-            } catch (IllegalStateException e) {
-                breach = NAMES[k] + ": " + e.getMessage();
+            } catch (IllegalStateException exception) {
+                violation = NAMES[node] + ": " + exception.getMessage();
             }
         }
 
-        private void keep(int k, Action.Persist p) {
-            if (p.hardState() != null) {
-                slots[k] = p.hardState();
+        private void persist(int node, Action.Persist persist) {
+            if (persist.hardState() != null) {
+                hardStates[node] = persist.hardState();
             }
-            List<LogEntry> disk = disks.get(k);
-            if (p.restartLogAfter() >= 0) {
-                disk.clear();
-            } else if (p.truncateAfter() >= 0) {
-                disk.removeIf(e -> e.index() > p.truncateAfter());
+            List<LogEntry> log = logs.get(node);
+            if (persist.restartLogAfter() >= 0) {
+                log.clear();
+            } else if (persist.truncateAfter() >= 0) {
+                log.removeIf(e -> e.index() > persist.truncateAfter());
             }
-            disk.addAll(p.entries());
+            log.addAll(persist.entries());
         }
 
         /** What may happen next: the kind and whom or what it happens to. */
-        List<int[]> steps() {
+        List<int[]> enabledSteps() {
             List<int[]> steps = new ArrayList<>();
-            for (int i = 0; i < net.size(); i++) {
-                if (!net.get(i).came || left[4] > 0) {
+            for (int i = 0; i < messages.size(); i++) {
+                if (!messages.get(i).delivered || left[4] > 0) {
                     steps.add(new int[] {0, i});
                     if (left[2] > 0) {
                         steps.add(new int[] {1, i});
                     }
                 }
             }
-            for (int k = 0; k < NAMES.length; k++) {
-                if (left[0] > 0 && keepers[k].term() < TERMS && keepers[k].role() != RaftNode.Role.LEADER) {
-                    steps.add(new int[] {2, k});
+            for (int node = 0; node < NAMES.length; node++) {
+                if (left[0] > 0 && nodes[node].term() < MAX_TERMS && nodes[node].role() != RaftNode.Role.LEADER) {
+                    steps.add(new int[] {2, node});
                 }
                 if (left[2] > 0) {
-                    steps.add(new int[] {3, k});
+                    steps.add(new int[] {3, node});
                 }
-                if (keepers[k].role() == RaftNode.Role.LEADER) {
+                if (nodes[node].role() == RaftNode.Role.LEADER) {
                     if (left[1] > 0) {
-                        steps.add(new int[] {4, k});
+                        steps.add(new int[] {4, node});
                     }
                     if (left[3] > 0) {
-                        steps.add(new int[] {5, k});
+                        steps.add(new int[] {5, node});
                     }
                 }
             }
             return steps;
         }
 
-        void step(int[] step) {
+        void apply(int[] step) {
             int what = step[1];
             switch (step[0]) {
                 case 0, 1 -> {
-                    Flying f = net.get(what);
-                    left[4] -= f.came ? 1 : 0;
-                    f.came = true;
-                    on(f.to, new Event.Received(NAMES[f.from], 1, f.message), step[0] == 0);
+                    InFlightMessage message = messages.get(what);
+                    left[4] -= message.delivered ? 1 : 0;
+                    message.delivered = true;
+                    handle(message.to, new Event.Received(NAMES[message.from], 1, message.message), step[0] == 0);
                     if (step[0] == 1) {
-                        crash(f.to);
+                        crash(message.to);
                     }
                 }
                 case 2 -> {
                     left[0]--;
                     clocks[what] += 2 * TIMING.electionTimeoutMicros() + 1;
-                    on(what, new Event.Tick(), true);
-                    net.removeIf(f ->
-                            f.message instanceof RaftMessage.RequestPreVote); // it changes nothing at whoever is asked
-                    on(
+                    handle(what, new Event.Tick(), true);
+                    messages.removeIf(message -> message.message
+                            instanceof RaftMessage.RequestPreVote); // it changes nothing at whoever is asked
+                    handle(
                             what,
                             new Event.Received(
                                     NAMES[(what + 1) % NAMES.length],
                                     1,
-                                    new RaftMessage.PreVoteResponse(keepers[what].term(), true, true)),
+                                    new RaftMessage.PreVoteResponse(nodes[what].term(), true, true)),
                             true);
                 }
                 case 3 -> crash(what);
                 case 4 -> {
                     int write = left[1]--;
-                    on(
+                    handle(
                             what,
                             new Event.RequestReceived(
                                     write,
@@ -206,31 +207,31 @@
                 default -> {
                     left[3]--;
                     clocks[what] += TIMING.heartbeatMicros();
-                    on(what, new Event.Tick(), true);
+                    handle(what, new Event.Tick(), true);
                 }
             }
-            net.sort((x, y) -> x.toString().compareTo(y.toString()));
+            messages.sort((x, y) -> x.toString().compareTo(y.toString()));
             check();
         }
 
-        private void crash(int k) {
+        private void crash(int node) {
             left[2]--;
-            clocks[k] += 1_000;
-            start(k, runs[k] += 10);
+            clocks[node] += 1_000;
+            start(node, incarnations[node] += 10);
         }
 
         private void check() {
-            for (int k = 0; k < NAMES.length && breach == null; k++) {
-                if (keepers[k].role() == RaftNode.Role.LEADER) {
-                    String other = leaders.putIfAbsent(keepers[k].term(), NAMES[k]);
-                    if (other != null && !other.equals(NAMES[k])) {
-                        breach = other + " and " + NAMES[k] + " lead in term " + keepers[k].term();
+            for (int node = 0; node < NAMES.length && violation == null; node++) {
+                if (nodes[node].role() == RaftNode.Role.LEADER) {
+                    String other = leaders.putIfAbsent(nodes[node].term(), NAMES[node]);
+                    if (other != null && !other.equals(NAMES[node])) {
+                        violation = other + " and " + NAMES[node] + " lead in term " + nodes[node].term();
                     }
                 }
-                for (long i = 1; i <= keepers[k].commitIndex(); i++) {
-                    LogEntry before = committed.putIfAbsent(i, keepers[k].entry(i));
-                    if (before != null && !before.equals(keepers[k].entry(i))) {
-                        breach = "entry " + i + " was " + before + ", is " + keepers[k].entry(i);
+                for (long index = 1; index <= nodes[node].commitIndex(); index++) {
+                    LogEntry before = committed.putIfAbsent(index, nodes[node].entry(index));
+                    if (before != null && !before.equals(nodes[node].entry(index))) {
+                        violation = "entry " + index + " was " + before + ", is " + nodes[node].entry(index);
                     }
                 }
             }
@@ -238,14 +239,14 @@
 
         long fingerprint() {
             StringBuilder text = new StringBuilder(1_024);
-            for (int k = 0; k < NAMES.length; k++) {
-                text.append(keepers[k].describe())
-                        .append(slots[k].term())
-                        .append(slots[k].votedFor())
-                        .append(disks.get(k).size())
+            for (int node = 0; node < NAMES.length; node++) {
+                text.append(nodes[node].describe())
+                        .append(hardStates[node].term())
+                        .append(hardStates[node].votedFor())
+                        .append(logs.get(node).size())
                         .append('|');
             }
-            net.stream().filter(f -> !f.came || left[4] > 0).forEach(text::append);
+            messages.stream().filter(f -> !f.delivered || left[4] > 0).forEach(text::append);
             text.append(leaders).append(committed).append(Arrays.toString(left));
             long hash = 0xcbf29ce484222325L; // FNV-1a, 64 bits
             for (int i = 0; i < text.length(); i++) {
@@ -255,8 +256,8 @@
         }
     }
 
-    private static final class NoSnapshots implements SnapshotCodec {
-        static final NoSnapshots CODEC = new NoSnapshots();
+    private static final class NoSnapshotCodec implements SnapshotCodec {
+        static final NoSnapshotCodec CODEC = new NoSnapshotCodec();
 
         @Override
         public byte[] encode(Snapshot state) {
@@ -269,34 +270,34 @@
         }
     }
 
-    private static World replay(Function<RaftTiming, SafetyRules> rules, List<int[]> path) {
-        World w = new World(rules);
-        path.forEach(w::step);
-        return w;
+    private static ClusterState replay(Function<RaftTiming, SafetyRules> rules, List<int[]> path) {
+        ClusterState state = new ClusterState(rules);
+        path.forEach(state::apply);
+        return state;
     }
 
-    private record Found(long states, int depth, String breach) {}
+    private record SearchResult(long states, int depth, String violation) {}
 
-    private static Found explore(Function<RaftTiming, SafetyRules> rules, int most) {
+    private static SearchResult explore(Function<RaftTiming, SafetyRules> rules, int maxStates) {
         Set<Long> seen = ConcurrentHashMap.newKeySet();
-        Map<String, List<int[]>> breaches = new ConcurrentHashMap<>();
+        Map<String, List<int[]>> violations = new ConcurrentHashMap<>();
         List<List<int[]>> level = List.of(List.of());
         int depth = 0;
-        for (; !level.isEmpty() && seen.size() < most && breaches.isEmpty(); depth++) {
+        for (; !level.isEmpty() && seen.size() < maxStates && violations.isEmpty(); depth++) {
             level = level.parallelStream()
                     .flatMap(path -> {
                         List<List<int[]>> next = new ArrayList<>();
-                        for (int[] step : replay(rules, path).steps()) {
-                            if (seen.size() >= most) {
+                        for (int[] step : replay(rules, path).enabledSteps()) {
+                            if (seen.size() >= maxStates) {
                                 break;
                             }
-                            World w = replay(rules, path);
-                            w.step(step);
+                            ClusterState state = replay(rules, path);
+                            state.apply(step);
                             List<int[]> longer = new ArrayList<>(path);
                             longer.add(step);
-                            if (w.breach != null) {
-                                breaches.put(w.breach, longer);
-                            } else if (seen.add(w.fingerprint())) {
+                            if (state.violation != null) {
+                                violations.put(state.violation, longer);
+                            } else if (seen.add(state.fingerprint())) {
                                 next.add(longer);
                             }
                         }
@@ -304,33 +305,33 @@
                     })
                     .toList();
         }
-        return new Found(
+        return new SearchResult(
                 seen.size(),
                 depth,
-                breaches.isEmpty() ? null : breaches.keySet().iterator().next());
+                violations.isEmpty() ? null : violations.keySet().iterator().next());
     }
 
     @Test
-    void noStateBreaksAnything() {
-        long began = System.nanoTime();
-        Found found = explore(SafetyRules::new, MOST_STATES);
-        System.out.println("explicit: " + found.states() + " states, depth " + found.depth() + ", "
-                + (System.nanoTime() - began) / 1_000_000 + " ms");
-        assertNull(found.breach());
-        assertTrue(found.states() >= Math.min(MOST_STATES, 10_000), "too few to show anything: " + found.states());
+    void everyReachableStateIsSafe() {
+        long startedAt = System.nanoTime();
+        SearchResult result = explore(SafetyRules::new, MAX_STATES);
+        System.out.println("explicit: " + result.states() + " states, depth " + result.depth() + ", "
+                + (System.nanoTime() - startedAt) / 1_000_000 + " ms");
+        assertNull(result.violation());
+        assertTrue(result.states() >= Math.min(MAX_STATES, 10_000), "too few to show anything: " + result.states());
     }
 
     @Test
-    void aPlantedMistakeIsFound() {
-        Found found = explore(
+    void faultyRuleIsDetected() {
+        SearchResult result = explore(
                 t -> new SafetyRules(t) {
                     @Override
                     boolean mayVoteFor(String candidate, String votedFor) {
                         return true;
                     }
                 },
-                MOST_STATES);
-        System.out.println("explicit, two votes in a term: " + found);
-        assertNotNull(found.breach());
+                MAX_STATES);
+        System.out.println("explicit, two votes in a term: " + result);
+        assertNotNull(result.violation());
     }
 }
--- a/src/test/java/sedgeyoke/consensus/FaultySafetyRules.java
+++ b/src/test/java/sedgeyoke/consensus/FaultySafetyRules.java
@@ -10,28 +10,28 @@
 
     /** By what is wrong. */
     public static Map<String, Function<RaftTiming, SafetyRules>> all() {
-        Map<String, Function<RaftTiming, SafetyRules>> planted = new LinkedHashMap<>();
-        elections(planted);
-        storage(planted);
-        leases(planted);
-        documents(planted);
-        return planted;
+        Map<String, Function<RaftTiming, SafetyRules>> faulty = new LinkedHashMap<>();
+        electionFaults(faulty);
+        persistenceFaults(faulty);
+        leaseFaults(faulty);
+        configFaults(faulty);
+        return faulty;
     }
 
-    private static void elections(Map<String, Function<RaftTiming, SafetyRules>> planted) {
-        planted.put("half is a majority", t -> new SafetyRules(t) {
+    private static void electionFaults(Map<String, Function<RaftTiming, SafetyRules>> faulty) {
+        faulty.put("half is a majority", t -> new SafetyRules(t) {
             @Override
             int majority(int voters) {
                 return voters / 2;
             }
         });
-        planted.put("a shorter log may lead", t -> new SafetyRules(t) {
+        faulty.put("a shorter log may lead", t -> new SafetyRules(t) {
             @Override
             boolean isLogUpToDate(long lastIndex, long lastTerm, long ownIndex, long ownTerm) {
                 return true;
             }
         });
-        planted.put("two votes in a term", t -> new SafetyRules(t) {
+        faulty.put("two votes in a term", t -> new SafetyRules(t) {
             @Override
             boolean mayVoteFor(String candidate, String votedFor) {
                 return true;
@@ -39,8 +39,8 @@
         });
     }
 
-    private static void storage(Map<String, Function<RaftTiming, SafetyRules>> planted) {
-        planted.put("promises do not wait for the disk", t -> new SafetyRules(t) {
+    private static void persistenceFaults(Map<String, Function<RaftTiming, SafetyRules>> faulty) {
+        faulty.put("promises do not wait for the disk", t -> new SafetyRules(t) {
             @Override
             boolean responsesWaitForPersistence() {
                 return false;
@@ -48,38 +48,38 @@
         });
     }
 
-    private static void leases(Map<String, Function<RaftTiming, SafetyRules>> planted) {
-        planted.put("a lease counts from when the answer came", t -> new SafetyRules(t) {
+    private static void leaseFaults(Map<String, Function<RaftTiming, SafetyRules>> faulty) {
+        faulty.put("a lease counts from when the answer came", t -> new SafetyRules(t) {
             @Override
             long leaseUsableUntil(long stamp, long heardAt) {
                 return heardAt + t.leaseMicros();
             }
         });
-        planted.put("a lease never ends", t -> new SafetyRules(t) {
+        faulty.put("a lease never ends", t -> new SafetyRules(t) {
             @Override
             long leaseUsableUntil(long stamp, long heardAt) {
                 return Long.MAX_VALUE;
             }
         });
-        planted.put("a lease is longer for its holder than for the leader", t -> new SafetyRules(t) {
+        faulty.put("a lease is longer for its holder than for the leader", t -> new SafetyRules(t) {
             @Override
             long leaseHeldUntil(long askedAt) {
                 return askedAt + t.leaseMicros() / 2;
             }
         });
-        planted.put("leases of leaders before are forgotten", t -> new SafetyRules(t) {
+        faulty.put("leases of leaders before are forgotten", t -> new SafetyRules(t) {
             @Override
             long earlierLeasesEnd(long leadsSince) {
                 return leadsSince;
             }
         });
-        planted.put("a version takes effect at once", t -> new SafetyRules(t) {
+        faulty.put("a version takes effect at once", t -> new SafetyRules(t) {
             @Override
             boolean coversVersion(long holds, long version) {
                 return true;
             }
         });
-        planted.put("a leader takes itself for one without asking", t -> new SafetyRules(t) {
+        faulty.put("a leader takes itself for one without asking", t -> new SafetyRules(t) {
             @Override
             boolean isLeadershipConfirmed(long roundNeeded, long roundShown) {
                 return true;
@@ -87,32 +87,32 @@
         });
     }
 
-    private static void documents(Map<String, Function<RaftTiming, SafetyRules>> planted) {
-        planted.put("an older word is believed", t -> new SafetyRules(t) {
+    private static void configFaults(Map<String, Function<RaftTiming, SafetyRules>> faulty) {
+        faulty.put("an older word is believed", t -> new SafetyRules(t) {
             @Override
             boolean isStale(long active, long known) {
                 return false;
             }
         });
-        planted.put("the newer version holds before it is in force", t -> new SafetyRules(t) {
+        faulty.put("the newer version holds before it is in force", t -> new SafetyRules(t) {
             @Override
             ConfigDocument duringActivation(ConfigDocument active, ConfigDocument pending) {
                 return pending;
             }
         });
-        planted.put("alone, the last version goes on", t -> new SafetyRules(t) {
+        faulty.put("alone, the last version goes on", t -> new SafetyRules(t) {
             @Override
             ConfigDocument withoutLease(ConfigDocument last) {
                 return last;
             }
         });
-        planted.put("a write may follow any version", t -> new SafetyRules(t) {
+        faulty.put("a write may follow any version", t -> new SafetyRules(t) {
             @Override
             boolean mayFollow(long parent, long newest) {
                 return true;
             }
         });
-        planted.put("a request that comes again is done again", t -> new SafetyRules(t) {
+        faulty.put("a request that comes again is done again", t -> new SafetyRules(t) {
             @Override
             boolean appliesRequest(RequestResult before) {
                 return true;
--- a/src/test/java/sedgeyoke/consensus/RaftNodeRulesTest.java
+++ b/src/test/java/sedgeyoke/consensus/RaftNodeRulesTest.java
@@ -25,103 +25,109 @@
  */
 class RaftNodeRulesTest {
     private static final RaftTiming TIMING = new RaftTiming(600_000, 100_000, 1_500_000, new ClockDrift(1_000), 1_000);
-    private static final long FOLDER = 7;
+    private static final long STORAGE_ID = 7;
 
     /** One keeper of three, whose messages go nowhere and whose disk is quick. */
-    private static final class Alone {
-        final RaftNode keeper;
-        final List<Action> out = new ArrayList<>();
+    private static final class SingleReplica {
+        final RaftNode node;
+        final List<Action> actions = new ArrayList<>();
         long now = 10_000_000;
 
-        Alone(Function<RaftTiming, SafetyRules> rules, String doubt, long term, long... terms) {
+        SingleReplica(Function<RaftTiming, SafetyRules> rules, String suspectedLoss, long term, long... entryTerms) {
             List<LogEntry> entries = new ArrayList<>();
-            for (int i = 0; i < terms.length; i++) {
-                entries.add(new LogEntry(i + 1, terms[i], new Command.NoOp()));
+            for (int i = 0; i < entryTerms.length; i++) {
+                entries.add(new LogEntry(i + 1, entryTerms[i], new Command.NoOp()));
             }
-            HardState slot = new HardState(
+            HardState hardState = new HardState(
                     term,
                     "",
                     List.of(4L),
-                    new HashMap<>(
-                            Map.of("b", new HardState.KnownPeer(FOLDER, 5L), "c", new HardState.KnownPeer(FOLDER, 6L))),
-                    doubt == null);
-            keeper = new RaftNode(
-                    new RaftNode.Identity("a", FOLDER, 9),
+                    new HashMap<>(Map.of(
+                            "b",
+                            new HardState.KnownPeer(STORAGE_ID, 5L),
+                            "c",
+                            new HardState.KnownPeer(STORAGE_ID, 6L))),
+                    suspectedLoss == null);
+            node = new RaftNode(
+                    new RaftNode.Identity("a", STORAGE_ID, 9),
                     rules.apply(TIMING),
-                    new RaftNode.StoredState(slot, null, entries, doubt, doubt != null),
+                    new RaftNode.StoredState(hardState, null, entries, suspectedLoss, suspectedLoss != null),
                     Membership.of(List.of(
-                            new Member("a", FOLDER, "a"), new Member("b", FOLDER, "b"), new Member("c", FOLDER, "c"))),
-                    new NoCodec(),
+                            new Member("a", STORAGE_ID, "a"),
+                            new Member("b", STORAGE_ID, "b"),
+                            new Member("c", STORAGE_ID, "c"))),
+                    new NoSnapshotCodec(),
                     new SplittableRandom(1),
                     now);
         }
 
-        void on(Event event) {
-            List<Action> actions = keeper.handle(event, now);
-            out.addAll(actions);
-            for (Action a : actions) {
-                if (a instanceof Action.Persist p) {
-                    on(new Event.Persisted(p.token()));
+        void handle(Event event) {
+            List<Action> produced = node.handle(event, now);
+            actions.addAll(produced);
+            for (Action action : produced) {
+                if (action instanceof Action.Persist persist) {
+                    handle(new Event.Persisted(persist.token()));
                 }
             }
         }
 
-        void hears(String from, RaftMessage message) {
-            on(new Event.Received(from, FOLDER, message));
+        void receive(String from, RaftMessage message) {
+            handle(new Event.Received(from, STORAGE_ID, message));
         }
 
-        void passes(long time) {
-            now += time;
-            on(new Event.Tick());
+        void advanceTime(long micros) {
+            now += micros;
+            handle(new Event.Tick());
         }
 
         /** The number under which it asked what others know. */
-        long asked() {
-            on(new Event.Tick());
-            return said(RaftMessage.RecoveryQuery.class).stream()
+        long latestQueryId() {
+            handle(new Event.Tick());
+            return sent(RaftMessage.RecoveryQuery.class).stream()
                     .mapToLong(RaftMessage.RecoveryQuery::queryId)
                     .reduce((x, y) -> y)
                     .orElseThrow();
         }
 
-        void becomesSound() {
-            hears("b", new RaftMessage.RecoveryReply(keeper.term(), asked(), false, true, false, false, 0, 0));
-            assertTrue(keeper.isRecovered());
+        void completeRecovery() {
+            receive("b", new RaftMessage.RecoveryReply(node.term(), latestQueryId(), false, true, false, false, 0, 0));
+            assertTrue(node.isRecovered());
         }
 
-        void leads() {
-            becomesSound();
-            passes(2 * TIMING.electionTimeoutMicros());
-            hears("b", new RaftMessage.PreVoteResponse(keeper.term(), true, true));
-            hears("b", new RaftMessage.VoteResponse(keeper.term(), true, true));
-            assertEquals(RaftNode.Role.LEADER, keeper.role());
+        void becomeLeader() {
+            completeRecovery();
+            advanceTime(2 * TIMING.electionTimeoutMicros());
+            receive("b", new RaftMessage.PreVoteResponse(node.term(), true, true));
+            receive("b", new RaftMessage.VoteResponse(node.term(), true, true));
+            assertEquals(RaftNode.Role.LEADER, node.role());
         }
 
-        void acknowledges(String from, boolean sound) {
-            long run = from.equals("b") ? 5 : 6;
-            hears(
+        void receiveAcknowledgement(String from, boolean recovered) {
+            long incarnation = from.equals("b") ? 5 : 6;
+            receive(
                     from,
-                    new RaftMessage.AppendEntriesResponse(keeper.term(), true, keeper.lastIndex(), 100, run, sound));
+                    new RaftMessage.AppendEntriesResponse(
+                            node.term(), true, node.lastIndex(), 100, incarnation, recovered));
         }
 
-        <T extends RaftMessage> List<T> said(Class<T> kind) {
-            return out.stream()
+        <T extends RaftMessage> List<T> sent(Class<T> type) {
+            return actions.stream()
                     .filter(Action.Send.class::isInstance)
                     .map(a -> ((Action.Send) a).message())
-                    .filter(kind::isInstance)
-                    .map(kind::cast)
+                    .filter(type::isInstance)
+                    .map(type::cast)
                     .toList();
         }
 
-        List<RequestResult> answers() {
-            return out.stream()
+        List<RequestResult> results() {
+            return actions.stream()
                     .filter(Action.Respond.class::isInstance)
                     .map(a -> ((Action.Respond) a).result())
                     .toList();
         }
     }
 
-    private static final class NoCodec implements SnapshotCodec {
+    private static final class NoSnapshotCodec implements SnapshotCodec {
         @Override
         public byte[] encode(Snapshot state) {
             throw new AssertionError("no snapshot is sent");
@@ -134,183 +140,187 @@
     }
 
     /** A history and whether the rule is kept in it. */
-    private record History(
-            Predicate<Function<RaftTiming, SafetyRules>> kept, Function<RaftTiming, SafetyRules> planted) {}
-
-    private static boolean refusesAnOlderLongerLog(Function<RaftTiming, SafetyRules> rules) {
-        Alone a = new Alone(rules, null, 2, 1, 2);
-        a.becomesSound();
-        a.hears("c", new RaftMessage.RequestVote(3, 5, 1, false));
-        return !a.said(RaftMessage.VoteResponse.class).get(0).granted();
+    private record Scenario(
+            Predicate<Function<RaftTiming, SafetyRules>> holdsWith, Function<RaftTiming, SafetyRules> faultyRules) {}
+
+    private static boolean rejectsLongerLogOfOlderTerm(Function<RaftTiming, SafetyRules> rules) {
+        SingleReplica replica = new SingleReplica(rules, null, 2, 1, 2);
+        replica.completeRecovery();
+        replica.receive("c", new RaftMessage.RequestVote(3, 5, 1, false));
+        return !replica.sent(RaftMessage.VoteResponse.class).get(0).granted();
     }
 
-    private static boolean changesOneAtATime(Function<RaftTiming, SafetyRules> rules) {
-        Alone a = new Alone(rules, null, 1, 1);
-        a.leads();
-        a.acknowledges("b", true);
-        a.on(new Event.RequestReceived(1, new ClientRequest.AddMember(new Member("d", 8, "d"))));
-        a.on(new Event.RequestReceived(2, new ClientRequest.RemoveMember("c", 0)));
-        return a.answers().stream().anyMatch(o -> o.kind() == RequestResult.Kind.REFUSED);
+    private static boolean changesOneMemberAtATime(Function<RaftTiming, SafetyRules> rules) {
+        SingleReplica replica = new SingleReplica(rules, null, 1, 1);
+        replica.becomeLeader();
+        replica.receiveAcknowledgement("b", true);
+        replica.handle(new Event.RequestReceived(1, new ClientRequest.AddMember(new Member("d", 8, "d"))));
+        replica.handle(new Event.RequestReceived(2, new ClientRequest.RemoveMember("c", 0)));
+        return replica.results().stream().anyMatch(o -> o.kind() == RequestResult.Kind.REFUSED);
     }
 
-    private static boolean countsOnlySoundOnes(Function<RaftTiming, SafetyRules> rules) {
-        Alone a = new Alone(rules, null, 1, 1);
-        a.leads();
-        a.acknowledges("b", false);
-        return a.keeper.commitIndex() == 0;
+    private static boolean countsOnlyRecoveredReplicas(Function<RaftTiming, SafetyRules> rules) {
+        SingleReplica replica = new SingleReplica(rules, null, 1, 1);
+        replica.becomeLeader();
+        replica.receiveAcknowledgement("b", false);
+        return replica.node.commitIndex() == 0;
     }
 
-    private static boolean waitsForTheLeadersLog(Function<RaftTiming, SafetyRules> rules) {
-        Alone a = new Alone(rules, "a part is gone", 1, 1);
-        a.passes(4 * TIMING.electionTimeoutMicros());
-        a.hears("b", new RaftMessage.AppendEntries(2, 1, 1, List.of(), 0, 1));
+    private static boolean recoveryWaitsForLeaderLog(Function<RaftTiming, SafetyRules> rules) {
+        SingleReplica replica = new SingleReplica(rules, "a part is gone", 1, 1);
+        replica.advanceTime(4 * TIMING.electionTimeoutMicros());
+        replica.receive("b", new RaftMessage.AppendEntries(2, 1, 1, List.of(), 0, 1));
         for (int i = 0; i < 2; i++) { // the second answer is to what was asked after the leader was known
-            long asked = a.asked();
-            a.hears("b", new RaftMessage.RecoveryReply(2, asked, false, true, false, true, 9, 0));
-            a.hears("c", new RaftMessage.RecoveryReply(2, asked, false, true, false, false, 9, 0));
-            a.hears("b", new RaftMessage.AppendEntries(2, 1, 1, List.of(), 0, 2));
+            long queryId = replica.latestQueryId();
+            replica.receive("b", new RaftMessage.RecoveryReply(2, queryId, false, true, false, true, 9, 0));
+            replica.receive("c", new RaftMessage.RecoveryReply(2, queryId, false, true, false, false, 9, 0));
+            replica.receive("b", new RaftMessage.AppendEntries(2, 1, 1, List.of(), 0, 2));
         }
-        return !a.keeper.isRecovered();
+        return !replica.node.isRecovered();
     }
 
-    private static boolean remembersRuns(Function<RaftTiming, SafetyRules> rules) {
-        Alone a = new Alone(rules, null, 1, 1);
-        a.becomesSound();
-        a.hears("c", new RaftMessage.RecoveryQuery(1, List.of(99L, 3L), 1));
-        return a.said(RaftMessage.RecoveryReply.class).get(0).outdated();
+    private static boolean remembersIncarnations(Function<RaftTiming, SafetyRules> rules) {
+        SingleReplica replica = new SingleReplica(rules, null, 1, 1);
+        replica.completeRecovery();
+        replica.receive("c", new RaftMessage.RecoveryQuery(1, List.of(99L, 3L), 1));
+        return replica.sent(RaftMessage.RecoveryReply.class).get(0).outdated();
     }
 
-    private static boolean knowsFolders(Function<RaftTiming, SafetyRules> rules) {
-        Alone a = new Alone(rules, null, 1, 1);
-        a.becomesSound();
-        a.on(new Event.Received("c", FOLDER + 1, new RaftMessage.RequestVote(2, 5, 1, false)));
-        return a.said(RaftMessage.VoteResponse.class).isEmpty();
+    private static boolean checksStorageIds(Function<RaftTiming, SafetyRules> rules) {
+        SingleReplica replica = new SingleReplica(rules, null, 1, 1);
+        replica.completeRecovery();
+        replica.handle(new Event.Received("c", STORAGE_ID + 1, new RaftMessage.RequestVote(2, 5, 1, false)));
+        return replica.sent(RaftMessage.VoteResponse.class).isEmpty();
     }
 
-    private static boolean commitsOnlyItsOwnTerm(Function<RaftTiming, SafetyRules> rules) {
-        Alone a = new Alone(rules, null, 3, 1, 2);
-        a.leads();
-        long run = 5;
-        a.hears(
+    private static boolean commitsOnlyOwnTermByCounting(Function<RaftTiming, SafetyRules> rules) {
+        SingleReplica replica = new SingleReplica(rules, null, 3, 1, 2);
+        replica.becomeLeader();
+        long incarnation = 5;
+        replica.receive(
                 "b",
-                new RaftMessage.AppendEntriesResponse(a.keeper.term(), true, 2, 1, run, true)); // not yet its own entry
-        return a.keeper.commitIndex() == 0;
+                new RaftMessage.AppendEntriesResponse(
+                        replica.node.term(), true, 2, 1, incarnation, true)); // not yet its own entry
+        return replica.node.commitIndex() == 0;
     }
 
-    private static boolean countsNoOldRun(Function<RaftTiming, SafetyRules> rules) {
-        Alone a = new Alone(rules, null, 1, 1);
-        a.leads();
-        a.hears("b", new RaftMessage.RecoveryQuery(a.keeper.term(), List.of(50L, 5L), 1));
-        a.acknowledges("b", true); // from the run before
-        return a.keeper.commitIndex() == 0;
+    private static boolean ignoresEarlierIncarnation(Function<RaftTiming, SafetyRules> rules) {
+        SingleReplica replica = new SingleReplica(rules, null, 1, 1);
+        replica.becomeLeader();
+        replica.receive("b", new RaftMessage.RecoveryQuery(replica.node.term(), List.of(50L, 5L), 1));
+        replica.receiveAcknowledgement("b", true); // from the run before
+        return replica.node.commitIndex() == 0;
     }
 
-    private static boolean countsNoLateVote(Function<RaftTiming, SafetyRules> rules) {
-        Alone a = new Alone(rules, null, 1, 1);
-        a.becomesSound();
-        a.passes(2 * TIMING.electionTimeoutMicros());
-        a.hears("b", new RaftMessage.PreVoteResponse(a.keeper.term(), true, true));
-        a.now += TIMING.electionTimeoutMicros() + 1;
-        a.hears("b", new RaftMessage.VoteResponse(a.keeper.term(), true, true));
-        return a.keeper.role() != RaftNode.Role.LEADER;
+    private static boolean ignoresLateVotes(Function<RaftTiming, SafetyRules> rules) {
+        SingleReplica replica = new SingleReplica(rules, null, 1, 1);
+        replica.completeRecovery();
+        replica.advanceTime(2 * TIMING.electionTimeoutMicros());
+        replica.receive("b", new RaftMessage.PreVoteResponse(replica.node.term(), true, true));
+        replica.now += TIMING.electionTimeoutMicros() + 1;
+        replica.receive("b", new RaftMessage.VoteResponse(replica.node.term(), true, true));
+        return replica.node.role() != RaftNode.Role.LEADER;
     }
 
-    private static boolean forgetsNoVote(Function<RaftTiming, SafetyRules> rules) {
-        Alone a = new Alone(rules, "a part is gone", 1, 1);
-        a.passes(4 * TIMING.electionTimeoutMicros());
-        long asked = a.asked();
-        a.hears("b", new RaftMessage.RecoveryReply(2, asked, false, true, false, true, 1, 0));
-        a.hears("c", new RaftMessage.RecoveryReply(2, asked, false, true, false, false, 1, 0));
-        a.hears("b", new RaftMessage.AppendEntries(2, 1, 1, List.of(), 0, 1));
-        a.hears("b", new RaftMessage.RecoveryReply(2, a.asked(), false, true, false, true, 1, 0));
-        assertTrue(a.keeper.isRecovered(), "it has all");
-        a.passes(2 * TIMING.electionTimeoutMicros());
-        a.hears("c", new RaftMessage.RequestVote(2, 9, 9, false));
-        return a.said(RaftMessage.VoteResponse.class).stream().noneMatch(RaftMessage.VoteResponse::granted);
+    private static boolean grantsNoSecondVoteAfterRecovery(Function<RaftTiming, SafetyRules> rules) {
+        SingleReplica replica = new SingleReplica(rules, "a part is gone", 1, 1);
+        replica.advanceTime(4 * TIMING.electionTimeoutMicros());
+        long queryId = replica.latestQueryId();
+        replica.receive("b", new RaftMessage.RecoveryReply(2, queryId, false, true, false, true, 1, 0));
+        replica.receive("c", new RaftMessage.RecoveryReply(2, queryId, false, true, false, false, 1, 0));
+        replica.receive("b", new RaftMessage.AppendEntries(2, 1, 1, List.of(), 0, 1));
+        replica.receive("b", new RaftMessage.RecoveryReply(2, replica.latestQueryId(), false, true, false, true, 1, 0));
+        assertTrue(replica.node.isRecovered(), "it has all");
+        replica.advanceTime(2 * TIMING.electionTimeoutMicros());
+        replica.receive("c", new RaftMessage.RequestVote(2, 9, 9, false));
+        return replica.sent(RaftMessage.VoteResponse.class).stream().noneMatch(RaftMessage.VoteResponse::granted);
     }
 
-    static Stream<Arguments> histories() {
-        Map<String, History> all = new LinkedHashMap<>();
-        all.put(
+    static Stream<Arguments> scenarios() {
+        Map<String, Scenario> scenarios = new LinkedHashMap<>();
+        scenarios.put(
                 "logs are compared by length alone",
-                new History(RaftNodeRulesTest::refusesAnOlderLongerLog, t -> new SafetyRules(t) {
+                new Scenario(RaftNodeRulesTest::rejectsLongerLogOfOlderTerm, t -> new SafetyRules(t) {
                     @Override
                     boolean isLogUpToDate(long lastIndex, long lastTerm, long ownIndex, long ownTerm) {
                         return lastIndex >= ownIndex;
                     }
                 }));
-        all.put(
+        scenarios.put(
                 "two keepers change at a time",
-                new History(RaftNodeRulesTest::changesOneAtATime, t -> new SafetyRules(t) {
+                new Scenario(RaftNodeRulesTest::changesOneMemberAtATime, t -> new SafetyRules(t) {
                     @Override
                     boolean mayChangeMembership(Membership inLog, Membership committed) {
                         return true;
                     }
                 }));
-        all.put(
+        scenarios.put(
                 "whoever may have lost something counts",
-                new History(RaftNodeRulesTest::countsOnlySoundOnes, t -> new SafetyRules(t) {
+                new Scenario(RaftNodeRulesTest::countsOnlyRecoveredReplicas, t -> new SafetyRules(t) {
                     @Override
                     boolean countsTowardsQuorum(boolean sound) {
                         return true;
                     }
                 }));
-        all.put(
+        scenarios.put(
                 "in doubt, any log will do",
-                new History(RaftNodeRulesTest::waitsForTheLeadersLog, t -> new SafetyRules(t) {
+                new Scenario(RaftNodeRulesTest::recoveryWaitsForLeaderLog, t -> new SafetyRules(t) {
                     @Override
                     long recoveryTarget(long leadersLast) {
                         return 0;
                     }
                 }));
-        all.put(
+        scenarios.put(
                 "nobody remembers what a keeper has said",
-                new History(RaftNodeRulesTest::remembersRuns, t -> new SafetyRules(t) {
+                new Scenario(RaftNodeRulesTest::remembersIncarnations, t -> new SafetyRules(t) {
                     @Override
                     boolean isOutdatedReplica(long knownRun, List<Long> runs, long heardTerm, long term) {
                         return false;
                     }
                 }));
-        all.put(
+        scenarios.put(
                 "another folder is taken for the one before",
-                new History(RaftNodeRulesTest::knowsFolders, t -> new SafetyRules(t) {
+                new Scenario(RaftNodeRulesTest::checksStorageIds, t -> new SafetyRules(t) {
                     @Override
                     boolean isSameStorage(long known, long said) {
                         return true;
                     }
                 }));
-        more(all);
-        return all.entrySet().stream()
-                .map(e -> Arguments.of(
-                        e.getKey(), e.getValue().kept(), e.getValue().planted()));
+        addMoreScenarios(scenarios);
+        return scenarios.entrySet().stream()
+                .map(scenario -> Arguments.of(
+                        scenario.getKey(),
+                        scenario.getValue().holdsWith(),
+                        scenario.getValue().faultyRules()));
     }
 
-    private static void more(Map<String, History> all) {
-        all.put(
+    private static void addMoreScenarios(Map<String, Scenario> scenarios) {
+        scenarios.put(
                 "entries of earlier terms are committed by counting",
-                new History(RaftNodeRulesTest::commitsOnlyItsOwnTerm, t -> new SafetyRules(t) {
+                new Scenario(RaftNodeRulesTest::commitsOnlyOwnTermByCounting, t -> new SafetyRules(t) {
                     @Override
                     boolean mayCommitEntry(long entryTerm, long term) {
                         return true;
                     }
                 }));
-        all.put(
+        scenarios.put(
                 "what a run before has acknowledged counts",
-                new History(RaftNodeRulesTest::countsNoOldRun, t -> new SafetyRules(t) {
+                new Scenario(RaftNodeRulesTest::ignoresEarlierIncarnation, t -> new SafetyRules(t) {
                     @Override
                     boolean isSameIncarnation(long known, long said) {
                         return true;
                     }
                 }));
-        all.put("votes count for ever", new History(RaftNodeRulesTest::countsNoLateVote, t -> new SafetyRules(t) {
-            @Override
-            boolean votesAreValid(long now, long stoodAt) {
-                return true;
-            }
-        }));
-        all.put(
+        scenarios.put(
+                "votes count for ever", new Scenario(RaftNodeRulesTest::ignoresLateVotes, t -> new SafetyRules(t) {
+                    @Override
+                    boolean votesAreValid(long now, long stoodAt) {
+                        return true;
+                    }
+                }));
+        scenarios.put(
                 "a vote that may be lost was none",
-                new History(RaftNodeRulesTest::forgetsNoVote, t -> new SafetyRules(t) {
+                new Scenario(RaftNodeRulesTest::grantsNoSecondVoteAfterRecovery, t -> new SafetyRules(t) {
                     @Override
                     String voteAfterRecovery() {
                         return "";
@@ -319,42 +329,44 @@
     }
 
     @ParameterizedTest(name = "{0}")
-    @MethodSource("histories")
-    void theRuleHoldsAndThePlantedMistakeIsFound(
-            String what, Predicate<Function<RaftTiming, SafetyRules>> kept, Function<RaftTiming, SafetyRules> planted) {
-        assertTrue(kept.test(SafetyRules::new), "kept");
-        assertFalse(kept.test(planted), "found");
+    @MethodSource("scenarios")
+    void ruleHoldsAndFaultyRuleIsDetected(
+            String rule,
+            Predicate<Function<RaftTiming, SafetyRules>> holdsWith,
+            Function<RaftTiming, SafetyRules> faultyRules) {
+        assertTrue(holdsWith.test(SafetyRules::new), "kept");
+        assertFalse(holdsWith.test(faultyRules), "found");
     }
 
     /** Also where its own term is the highest of all: what it did in that term may be what was lost. */
     @Test
-    void aVoteInItsOwnHighestTermIsNotKnownEither() {
-        Alone a = new Alone(SafetyRules::new, "a part is gone", 5, 1);
-        a.passes(4 * TIMING.electionTimeoutMicros());
-        long asked = a.asked();
-        a.hears("b", new RaftMessage.RecoveryReply(2, asked, false, true, false, false, 1, 0));
-        a.hears("c", new RaftMessage.RecoveryReply(2, asked, false, true, false, false, 1, 0));
-        a.hears("b", new RaftMessage.AppendEntries(5, 1, 1, List.of(), 0, 1));
-        a.hears("b", new RaftMessage.RecoveryReply(5, a.asked(), false, true, false, true, 1, 0));
-        assertTrue(a.keeper.isRecovered(), "it has all");
-        a.passes(2 * TIMING.electionTimeoutMicros());
-        a.hears("c", new RaftMessage.RequestVote(5, 9, 9, false));
-        assertTrue(a.said(RaftMessage.VoteResponse.class).stream().noneMatch(RaftMessage.VoteResponse::granted));
+    void voteInOwnHighestTermIsUnknownAfterRecovery() {
+        SingleReplica replica = new SingleReplica(SafetyRules::new, "a part is gone", 5, 1);
+        replica.advanceTime(4 * TIMING.electionTimeoutMicros());
+        long queryId = replica.latestQueryId();
+        replica.receive("b", new RaftMessage.RecoveryReply(2, queryId, false, true, false, false, 1, 0));
+        replica.receive("c", new RaftMessage.RecoveryReply(2, queryId, false, true, false, false, 1, 0));
+        replica.receive("b", new RaftMessage.AppendEntries(5, 1, 1, List.of(), 0, 1));
+        replica.receive("b", new RaftMessage.RecoveryReply(5, replica.latestQueryId(), false, true, false, true, 1, 0));
+        assertTrue(replica.node.isRecovered(), "it has all");
+        replica.advanceTime(2 * TIMING.electionTimeoutMicros());
+        replica.receive("c", new RaftMessage.RequestVote(5, 9, 9, false));
+        assertTrue(replica.sent(RaftMessage.VoteResponse.class).stream().noneMatch(RaftMessage.VoteResponse::granted));
     }
 
     /** A balancer that is started again and again leaves nothing behind that others would be refused for. */
     @Test
-    void processesThatAreOverMakeRoomForOthers() {
+    void expiredLeasesMakeRoomForNewHolders() {
         LeaseTable leases = new LeaseTable(new SafetyRules(TIMING), 0);
         long now = 0;
-        for (long run = 0; run < 3 * LeaseTable.MAX_HOLDERS; run++) {
+        for (long incarnation = 0; incarnation < 3 * LeaseTable.MAX_HOLDERS; incarnation++) {
             now += TIMING.leaseMicros() / 100;
-            assertTrue(leases.grant(new LeaseRequest("b", run, 0, 0, 1), now, ConfigVersion.NONE, null)
+            assertTrue(leases.grant(new LeaseRequest("b", incarnation, 0, 0, 1), now, ConfigVersion.NONE, null)
                     .granted());
         }
         assertTrue(leases.holderCount(now) <= 102, "hold one: " + leases.holderCount(now));
-        for (long run = 0; run < LeaseTable.MAX_HOLDERS; run++) {
-            leases.grant(new LeaseRequest("c", run, 0, 0, 1), now, ConfigVersion.NONE, null);
+        for (long incarnation = 0; incarnation < LeaseTable.MAX_HOLDERS; incarnation++) {
+            leases.grant(new LeaseRequest("c", incarnation, 0, 0, 1), now, ConfigVersion.NONE, null);
         }
         assertFalse(
                 leases.grant(new LeaseRequest("d", 1, 0, 0, 1), now, ConfigVersion.NONE, null)
@@ -366,28 +378,29 @@
     @Test
     void floorsMayOnlyBeLoosened() {
         ConfigDocument before =
-                ConfigDocument.EMPTY.with(ConfigSchema.RETRIES_ALONE, 0.1).with(ConfigSchema.BALANCERS_ALONE, 50);
+                ConfigDocument.EMPTY.with(ConfigSchema.RETRY_RATIO_FLOOR, 0.1).with(ConfigSchema.BALANCERS_FLOOR, 50);
         assertEquals(
                 List.of(),
-                ConfigSchema.violations(
-                        before, before.with(ConfigSchema.RETRIES_ALONE, 0.2).with(ConfigSchema.BALANCERS_ALONE, 40)));
+                ConfigValidator.violations(
+                        before,
+                        before.with(ConfigSchema.RETRY_RATIO_FLOOR, 0.2).with(ConfigSchema.BALANCERS_FLOOR, 40)));
         assertEquals(
                 1,
-                ConfigSchema.violations(before, before.with(ConfigSchema.RETRIES_ALONE, 0.05))
+                ConfigValidator.violations(before, before.with(ConfigSchema.RETRY_RATIO_FLOOR, 0.05))
                         .size());
         assertEquals(
                 1,
-                ConfigSchema.violations(before, before.with(ConfigSchema.BALANCERS_ALONE, 60))
+                ConfigValidator.violations(before, before.with(ConfigSchema.BALANCERS_FLOOR, 60))
                         .size());
     }
 
     @Test
-    void whatIsWrongWithADocumentIsToldByKey() {
+    void violationsNameTheirKey() {
         ConfigDocument bad = new ConfigDocument(
                 Map.of("retries", 2.0, "nonesuch", 1.0),
                 Map.of("upstreams_out", Map.of("x", 1.0)),
                 Map.of("zones_out", Map.of("", "note")));
-        List<String> faults = ConfigSchema.violations(ConfigDocument.EMPTY, bad);
+        List<String> faults = ConfigValidator.violations(ConfigDocument.EMPTY, bad);
         assertTrue(faults.stream().anyMatch(f -> f.startsWith("retries: 2.0")), faults.toString());
         assertTrue(faults.stream().anyMatch(f -> f.startsWith("nonesuch: no such key")), faults.toString());
         assertTrue(faults.stream().anyMatch(f -> f.startsWith("upstreams_out: ")), faults.toString());
@@ -396,36 +409,38 @@
 
     /** The meet breaks neither version, whichever fields they have. */
     @Test
-    void theMeetContradictsNeither() {
+    void mergedDocumentContradictsNeitherVersion() {
         SplittableRandom random = new SplittableRandom(1);
         for (int i = 0; i < 2_000; i++) {
-            ConfigDocument a = draw(random);
-            ConfigDocument b = draw(random);
-            assertEquals(List.of(), ConfigSchema.contradictions(ConfigSchema.merge(a, b), a));
+            ConfigDocument first = randomDocument(random);
+            ConfigDocument second = randomDocument(random);
+            assertEquals(List.of(), ConfigSchema.contradictions(ConfigSchema.merge(first, second), first));
             assertEquals(
                     List.of(),
-                    ConfigSchema.contradictions(ConfigSchema.merge(a, b), b).stream()
+                    ConfigSchema.contradictions(ConfigSchema.merge(first, second), second).stream()
                             .filter(f -> !f.equals("planners"))
                             .toList());
             assertEquals(
-                    ConfigSchema.merge(a, b).numbers(), ConfigSchema.merge(b, a).numbers());
-            assertEquals(List.of(), ConfigSchema.contradictions(ConfigSchema.withoutLease(a), a));
+                    ConfigSchema.merge(first, second).numbers(),
+                    ConfigSchema.merge(second, first).numbers());
+            assertEquals(List.of(), ConfigSchema.contradictions(ConfigSchema.withoutLease(first), first));
         }
     }
 
-    private static ConfigDocument draw(SplittableRandom random) {
-        ConfigDocument d = ConfigDocument.EMPTY;
-        for (ConfigField f : ConfigSchema.FIELDS) {
+    private static ConfigDocument randomDocument(SplittableRandom random) {
+        ConfigDocument document = ConfigDocument.EMPTY;
+        for (ConfigField field : ConfigSchema.FIELDS) {
             if (random.nextBoolean()) {
                 continue;
-            } else if (f.kind() == ConfigField.Kind.NUMBER) {
-                d = d.with(f, f.min() + random.nextDouble() * (f.max() - f.min()));
-            } else if (f.kind() == ConfigField.Kind.NAMES) {
-                d = d.with(f, random.nextBoolean() ? Map.of("x", "1") : Map.of("x", "2", "y", ""));
+            } else if (field.kind() == ConfigField.Kind.NUMBER) {
+                document = document.with(field, field.min() + random.nextDouble() * (field.max() - field.min()));
+            } else if (field.kind() == ConfigField.Kind.NAMES) {
+                document = document.with(field, random.nextBoolean() ? Map.of("x", "1") : Map.of("x", "2", "y", ""));
             } else {
-                d = d.withTable(f, random.nextBoolean() ? Map.of("t", random.nextDouble()) : Map.of("u", 0.5));
+                document = document.withTable(
+                        field, random.nextBoolean() ? Map.of("t", random.nextDouble()) : Map.of("u", 0.5));
             }
         }
-        return d;
+        return document;
     }
 }
--- a/src/test/java/sedgeyoke/consensus/codec/ConsensusCodecTest.java
+++ b/src/test/java/sedgeyoke/consensus/codec/ConsensusCodecTest.java
@@ -31,9 +31,9 @@
 /** What keepers say comes back as it was said; what is no message of theirs is told and harms nothing. */
 class ConsensusCodecTest {
     private static final ConfigDocument CONTENT = ConfigDocument.EMPTY
-            .with(ConfigSchema.UPSTREAMS_OUT, Map.of("n1", "why", "n2", ""))
-            .with(ConfigSchema.RETRIES, 0.25)
-            .withTable(ConfigSchema.TENANT_SHARES, Map.of("acme", 0.5));
+            .with(ConfigSchema.DISABLED_UPSTREAMS, Map.of("n1", "why", "n2", ""))
+            .with(ConfigSchema.RETRY_RATIO, 0.25)
+            .withTable(ConfigSchema.TENANT_QUOTAS, Map.of("acme", 0.5));
     private static final Command.Write WRITE = new Command.Write("r1", 4, "op", "why", 77, CONTENT);
     private static final Membership MEMBERS =
             Membership.of(List.of(new Member("a", 1, "x:1"), new Member("b", 2, "x:2")));
--- a/src/test/java/sedgeyoke/consensus/server/ConsensusSafetyTest.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSafetyTest.java
@@ -22,47 +22,47 @@
  */
 class ConsensusSafetyTest {
     private static final long SEEDS = Long.getLong("sedgeyoke.consensus.seeds", 300);
-    private static final long FROM = Long.getLong("sedgeyoke.consensus.from", 1);
+    private static final long FIRST_SEED = Long.getLong("sedgeyoke.consensus.from", 1);
     /** Seeds that a mistake is given to be found in. */
-    private static final long TRIES = 200;
+    private static final long SEEDS_PER_FAULT = 200;
 
     @Test
-    void theyHoldOverSeeds() {
+    void invariantsHoldOverSeeds() {
         AtomicLong commits = new AtomicLong();
         AtomicInteger crashes = new AtomicInteger();
         AtomicInteger diskFaults = new AtomicInteger();
-        AtomicInteger doubts = new AtomicInteger();
-        AtomicLong leased = new AtomicLong();
-        String first = LongStream.range(FROM, FROM + SEEDS)
+        AtomicInteger recoveries = new AtomicInteger();
+        AtomicLong leasedSteps = new AtomicLong();
+        String violation = LongStream.range(FIRST_SEED, FIRST_SEED + SEEDS)
                 .parallel()
                 .mapToObj(seed -> {
-                    ConsensusSimulation s = new ConsensusSimulation(seed, new ConsensusSimulation.Faults());
-                    s.trace = SEEDS == 1;
-                    String breach = s.play();
-                    commits.addAndGet(s.commits);
-                    crashes.addAndGet(s.crashes);
-                    diskFaults.addAndGet(s.diskFaults);
-                    doubts.addAndGet(s.doubts);
-                    leased.addAndGet(s.leasedSteps);
-                    return breach == null ? null : "seed " + seed + " " + breach;
+                    ConsensusSimulation simulation = new ConsensusSimulation(seed, new ConsensusSimulation.Faults());
+                    simulation.trace = SEEDS == 1;
+                    String violated = simulation.run();
+                    commits.addAndGet(simulation.commits);
+                    crashes.addAndGet(simulation.crashes);
+                    diskFaults.addAndGet(simulation.diskFaults);
+                    recoveries.addAndGet(simulation.recoveries);
+                    leasedSteps.addAndGet(simulation.leasedSteps);
+                    return violated == null ? null : "seed " + seed + " " + violated;
                 })
                 .filter(b -> b != null)
                 .findFirst()
                 .orElse(null);
         System.out.println(SEEDS + " seeds: " + commits + " commits, " + crashes + " crashes, " + diskFaults
-                + " faults of disks, " + doubts + " starts in doubt, " + leased + " steps under lease");
-        assertNull(first);
+                + " faults of disks, " + recoveries + " starts in doubt, " + leasedSteps + " steps under lease");
+        assertNull(violation);
         assertTrue(
                 SEEDS < 100
                         || commits.get() > 20 * SEEDS
                                 && crashes.get() > SEEDS
                                 && diskFaults.get() > SEEDS / 2
-                                && doubts.get() > SEEDS / 4,
+                                && recoveries.get() > SEEDS / 4,
                 "a simulation in which nothing happens shows nothing");
     }
 
     /** A seed that has found each; if what is drawn changes, the seeds from 1 on are tried. */
-    private static final Map<String, Long> FOUND_BY = Map.ofEntries(
+    private static final Map<String, Long> DETECTING_SEEDS = Map.ofEntries(
             Map.entry("half is a majority", 313L),
             Map.entry("a shorter log may lead", 877L),
             Map.entry("two votes in a term", 318L),
@@ -71,33 +71,33 @@
             Map.entry("leases of leaders before are forgotten", 313L),
             Map.entry("a leader takes itself for one without asking", 1_162L));
 
-    static Stream<Arguments> planted() {
-        Map<String, ConsensusSimulation.Faults> all = new LinkedHashMap<>();
+    static Stream<Arguments> faults() {
+        Map<String, ConsensusSimulation.Faults> faults = new LinkedHashMap<>();
         FaultySafetyRules.all().forEach((what, rules) -> {
-            ConsensusSimulation.Faults f = new ConsensusSimulation.Faults();
-            f.rules = rules;
-            all.put(what, f);
+            ConsensusSimulation.Faults faulty = new ConsensusSimulation.Faults();
+            faulty.rules = rules;
+            faults.put(what, faulty);
         });
-        ConsensusSimulation.Faults damage = new ConsensusSimulation.Faults();
-        damage.trustsDamage = true;
-        all.put("what is damaged is taken for absent", damage);
-        return all.entrySet().stream().map(e -> Arguments.of(e.getKey(), e.getValue()));
+        ConsensusSimulation.Faults ignoresCorruption = new ConsensusSimulation.Faults();
+        ignoresCorruption.ignoresCorruption = true;
+        faults.put("what is damaged is taken for absent", ignoresCorruption);
+        return faults.entrySet().stream().map(fault -> Arguments.of(fault.getKey(), fault.getValue()));
     }
 
     @ParameterizedTest(name = "{0}")
-    @MethodSource("planted")
-    void aPlantedMistakeIsFound(String what, ConsensusSimulation.Faults faults) {
-        LongStream seeds =
-                LongStream.concat(LongStream.of(FOUND_BY.getOrDefault(what, 1L)), LongStream.rangeClosed(1, TRIES));
-        String found = seeds.mapToObj(seed -> {
-                    String breach = new ConsensusSimulation(seed, faults).play();
-                    return breach == null ? null : "seed " + seed + " " + breach;
+    @MethodSource("faults")
+    void faultIsDetected(String fault, ConsensusSimulation.Faults faults) {
+        LongStream seeds = LongStream.concat(
+                LongStream.of(DETECTING_SEEDS.getOrDefault(fault, 1L)), LongStream.rangeClosed(1, SEEDS_PER_FAULT));
+        String violation = seeds.mapToObj(seed -> {
+                    String violated = new ConsensusSimulation(seed, faults).run();
+                    return violated == null ? null : "seed " + seed + " " + violated;
                 })
                 .filter(b -> b != null)
                 .findFirst()
                 .orElse(null);
-        System.out.println(
-                what + ": " + (found == null ? "NOT FOUND" : found.substring(0, Math.min(160, found.length()))));
-        assertNotNull(found, what);
+        System.out.println(fault + ": "
+                + (violation == null ? "NOT FOUND" : violation.substring(0, Math.min(160, violation.length()))));
+        assertNotNull(violation, fault);
     }
 }
