--- a/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
@@ -43,9 +43,9 @@
  */
 final class ConsensusSimulation extends SeededNetwork {
     static final int DRIFT_PPM = 2_000;
-    private static final int SEGMENT = 2_048;
-    private static final long FAULTS_END = 25_000_000;
-    private static final long END = 50_000_000;
+    private static final int SEGMENT_BYTES = 2_048;
+    private static final long FAULTS_END_MICROS = 25_000_000;
+    private static final long END_MICROS = 50_000_000;
     private static final int BALANCERS = 4;
     private static final int WRITERS = 2;
     private static final RaftTiming TIMING = new RaftTiming(600_000, 100_000, 1_500_000, new ClockDrift(DRIFT_PPM), 24);
@@ -54,288 +54,289 @@
     static class Faults {
         Function<RaftTiming, SafetyRules> rules = SafetyRules::new;
         /** Whether what a folder has lost is taken for absent. */
-        boolean trustsDamage;
+        boolean ignoresCorruption;
         /** Whether a folder that was copied, or that outlived its machine's end, is believed. */
-        boolean trustsReboots;
+        boolean ignoresCrashes;
     }
 
     private final Faults faults;
     private final SafetyRules rules;
-    private final List<KeeperBox> keepers = new ArrayList<>();
-    private final List<BalancerBox> balancers = new ArrayList<>();
-    private final List<Writer> writers = new ArrayList<>();
-    private final Membership founders;
-    private final boolean liars;
+    private final List<SimulatedReplica> replicas = new ArrayList<>();
+    private final List<SimulatedBalancer> balancers = new ArrayList<>();
+    private final List<SimulatedClient> clients = new ArrayList<>();
+    private final Membership initialMembership;
+    private final boolean diskLosesWrites;
     private final Map<Long, String> leaders = new HashMap<>();
     /** What was ever seen as committed. */
     final TreeMap<Long, LogEntry> committed = new TreeMap<>();
 
-    private final Set<String> bad = new HashSet<>();
-    private long boots = 1;
-    private long folders = 100;
-    private long runs = 1;
-    private boolean calmed;
-    final List<Op> history = new ArrayList<>();
+    private final Set<String> faultyReplicas = new HashSet<>();
+    private long nextBoot = 1;
+    private long nextStorageId = 100;
+    private long nextIncarnation = 1;
+    private boolean faultsStopped;
+    final List<Operation> history = new ArrayList<>();
     /** Prints what keepers say, for whoever replays a seed. */
     boolean trace;
 
     int commits;
     int crashes;
     int diskFaults;
-    int doubts;
+    int recoveries;
     long leasedSteps;
 
     /** One request as whoever asked saw it. */
-    static final class Op {
+    static final class Operation {
         final ClientRequest request;
-        final long from;
-        long until = Long.MAX_VALUE;
-        RequestResult outcome;
+        final long startedAt;
+        long endedAt = Long.MAX_VALUE;
+        RequestResult result;
 
-        Op(ClientRequest request, long from) {
+        Operation(ClientRequest request, long startedAt) {
             this.request = request;
-            this.from = from;
+            this.startedAt = startedAt;
         }
     }
 
-    private record Wire(String from, long folder, RaftMessage message) {}
+    private record ReplicaMessage(String from, long storageId, RaftMessage message) {}
 
-    private record Ask(int from, long token, ClientRequest request) {}
+    private record RequestMessage(int from, long token, ClientRequest request) {}
 
-    private record Answer(long token, RequestResult outcome) {}
+    private record ResultMessage(long token, RequestResult result) {}
 
-    private record Lease(int from, LeaseRequest ask) {}
+    private record LeaseRequestMessage(int from, LeaseRequest request) {}
 
-    private record Granted(LeaseResponse grant, ConfigVersion active, ConfigVersion pending) {}
+    private record LeaseResponseMessage(LeaseResponse response, ConfigVersion active, ConfigVersion pending) {}
 
     ConsensusSimulation(long seed, Faults faults) {
         super(seed);
         this.faults = faults;
         this.rules = faults.rules.apply(TIMING);
-        this.liars = seed % 2 == 0;
+        this.diskLosesWrites = seed % 2 == 0;
         int size = random.nextInt(3) == 0 ? 5 : 3;
         List<Member> first = new ArrayList<>();
         for (int i = 0; i < size; i++) {
             first.add(new Member("k" + i, 0, "k" + i));
         }
-        founders = Membership.of(first);
+        initialMembership = Membership.of(first);
         for (int i = 0; i < size; i++) {
-            keepers.add(new KeeperBox("k" + i, seed));
+            replicas.add(new SimulatedReplica("k" + i, seed));
         }
         for (int i = 0; i < BALANCERS; i++) {
-            balancers.add(new BalancerBox("b" + i));
+            balancers.add(new SimulatedBalancer("b" + i));
         }
         for (int i = 0; i < WRITERS; i++) {
-            writers.add(new Writer());
+            clients.add(new SimulatedClient());
         }
     }
 
     /** Plays it; what was broken, or null. */
-    String play() {
-        playUntil(FAULTS_END);
-        if (breach == null) {
-            calm();
-            calmed = true;
-            keepers.forEach(k -> k.disk.mend());
-            playUntil(END);
-        }
-        if (breach == null) {
+    String run() {
+        runUntil(FAULTS_END_MICROS);
+        if (violation == null) {
+            stopFaults();
+            faultsStopped = true;
+            replicas.forEach(replica -> replica.disk.mend());
+            runUntil(END_MICROS);
+        }
+        if (violation == null) {
             checkLiveness();
         }
-        if (breach == null) {
+        if (violation == null) {
             checkHistory();
         }
-        return breach;
+        return violation;
     }
 
-    private void tell(String line) {
+    private void log(String line) {
         if (trace) {
             System.out.printf("%7.2f s %s%n", now / 1e6, line);
         }
     }
 
     private void fail(String format, Object... what) {
-        if (breach == null) {
-            breach = String.format("at %.2f s: ", now / 1e6) + String.format(format, what);
+        if (violation == null) {
+            violation = String.format("at %.2f s: ", now / 1e6) + String.format(format, what);
         }
     }
 
     // ---- Misfortune ----------------------------------------------------------------------------------
 
     @Override
-    protected void misfortune() {
-        for (KeeperBox k : keepers) {
-            if (chance(severity * 0.15)) {
-                k.crash(now + random.nextLong(random.nextBoolean() ? 200_000 : 3_000_000));
+    protected void injectFaults() {
+        for (SimulatedReplica replica : replicas) {
+            if (happens(severity * 0.15)) {
+                replica.crash(now + random.nextLong(random.nextBoolean() ? 200_000 : 3_000_000));
                 crashes++;
-            } else if (chance(severity * 0.05)) {
-                k.pausedUntil = now + (random.nextInt(4) == 0 ? 6_000_000 : random.nextLong(1_500_000));
-            } else if (chance(severity * 0.08)) {
-                k.stalledUntil = now + random.nextLong(3_000_000);
-            } else if (chance(severity * 0.12)) {
-                diskFault(k);
+            } else if (happens(severity * 0.05)) {
+                replica.pausedUntil = now + (random.nextInt(4) == 0 ? 6_000_000 : random.nextLong(1_500_000));
+            } else if (happens(severity * 0.08)) {
+                replica.stalledUntil = now + random.nextLong(3_000_000);
+            } else if (happens(severity * 0.12)) {
+                injectDiskFault(replica);
             }
         }
-        for (BalancerBox b : balancers) {
-            if (chance(severity * 0.08)) {
-                b.crash(now + random.nextLong(1_000_000));
-            } else if (chance(severity * 0.08)) {
-                b.pausedUntil = now + random.nextLong(4_000_000);
+        for (SimulatedBalancer balancer : balancers) {
+            if (happens(severity * 0.08)) {
+                balancer.crash(now + random.nextLong(1_000_000));
+            } else if (happens(severity * 0.08)) {
+                balancer.pausedUntil = now + random.nextLong(4_000_000);
             }
         }
-        if (chance(severity * 0.8)) {
-            flip(random.nextInt(processes()), random.nextInt(processes()));
+        if (happens(severity * 0.8)) {
+            toggleLink(random.nextInt(processes()), random.nextInt(processes()));
         }
-        if (chance(severity * 0.15)) {
+        if (happens(severity * 0.15)) {
             boolean[] side = new boolean[processes()];
             for (int i = 0; i < side.length; i++) {
                 side[i] = random.nextBoolean();
             }
-            split(side);
+            partition(side);
         }
-        if (chance(0.4)) {
+        if (happens(0.4)) {
             heal();
         }
     }
 
     /** At most a minority of keepers has a disk that is not what it should be, until they have made up for it. */
-    private void diskFault(KeeperBox k) {
-        if (!mayBeBad(k)) {
+    private void injectDiskFault(SimulatedReplica replica) {
+        if (!mayFault(replica)) {
             return;
         }
-        int kind = random.nextInt(liars ? 9 : 8);
-        if (kind == 7 && !k.joined) {
+        int kind = random.nextInt(diskLosesWrites ? 9 : 8);
+        if (kind == 7 && !replica.mayJoin) {
             kind = 6;
         }
         diskFaults++;
-        tell(k.name + " fault of disk " + kind);
+        log(replica.name + " fault of disk " + kind);
         switch (kind) {
-            case 0 -> k.spoil(() -> k.disk.rot());
+            case 0 -> replica.faultWhileDown(() -> replica.disk.rot());
             case 1 -> {
-                k.disk.misdirect = true;
-                k.latent = true;
+                replica.disk.misdirect = true;
+                replica.hasLatentFault = true;
             }
             case 2 -> {
-                k.disk.loseWrite = true;
-                k.latent = true;
+                replica.disk.loseWrite = true;
+                replica.hasLatentFault = true;
             }
-            case 3 -> k.spoil(() -> k.disk.staleReads =
-                    k.disk.names().get(random.nextInt(k.disk.names().size())));
+            case 3 -> replica.faultWhileDown(() -> replica.disk.staleReads =
+                    replica.disk.names().get(random.nextInt(replica.disk.names().size())));
             case 4 -> {
-                k.disk.refuses = random.nextBoolean() ? DiskException.Kind.FULL : DiskException.Kind.FAILED;
-                k.disk.refusesForceOnly = random.nextBoolean();
+                replica.disk.refuses = random.nextBoolean() ? DiskException.Kind.FULL : DiskException.Kind.FAILED;
+                replica.disk.refusesForceOnly = random.nextBoolean();
             }
-            case 5 -> k.spoil(() -> k.disk.loseFile());
-            case 6 -> k.restore();
-            case 7 -> k.spoil(() -> k.disk.wipe());
-            default -> k.disk.forceLies = true; // until the power goes
+            case 5 -> replica.faultWhileDown(() -> replica.disk.loseFile());
+            case 6 -> replica.restoreBackup();
+            case 7 -> replica.faultWhileDown(() -> replica.disk.wipe());
+            default -> replica.disk.forceLies = true; // until the power goes
         }
     }
 
     /** Counts one more with those that may have lost something, if there is room for it. */
-    private boolean mayBeBad(KeeperBox k) {
-        bad.removeIf(name -> keeper(name).isWell());
-        boolean may = bad.contains(k.name) || bad.size() < (founders.voters().size() - 1) / 2;
-        if (may) {
-            bad.add(k.name);
-        }
-        return may;
+    private boolean mayFault(SimulatedReplica replica) {
+        faultyReplicas.removeIf(name -> replica(name).isHealthy());
+        boolean allowed = faultyReplicas.contains(replica.name)
+                || faultyReplicas.size() < (initialMembership.voters().size() - 1) / 2;
+        if (allowed) {
+            faultyReplicas.add(replica.name);
+        }
+        return allowed;
     }
 
-    private KeeperBox keeper(String name) {
-        return keepers.get(Integer.parseInt(name.substring(1)));
+    private SimulatedReplica replica(String name) {
+        return replicas.get(Integer.parseInt(name.substring(1)));
     }
 
     // ---- Processes -----------------------------------------------------------------------------------
 
     /** A keeper with its disk. */
-    private final class KeeperBox extends Process {
+    private final class SimulatedReplica extends Process {
         private final String name;
         SimDisk disk;
         private SimDisk backup;
-        private ReplicaStorage folder;
-        private RaftNode keeper;
-        private final Deque<Action.Persist> queue = new ArrayDeque<>();
+        private ReplicaStorage storage;
+        private RaftNode node;
+        private final Deque<Action.Persist> pendingWrites = new ArrayDeque<>();
         private long diskFreeAt;
         private long stalledUntil;
-        private String boot;
-        private final Map<String, Integer> askedLease = new HashMap<>();
-        private final Map<Long, Integer> asked = new HashMap<>();
-        private long tokens;
-        private long looked;
-        private boolean joined;
+        private String bootId;
+        private final Map<String, Integer> leaseOrigins = new HashMap<>();
+        private final Map<Long, Integer> requestOrigins = new HashMap<>();
+        private long lastToken;
+        private long checkedIndex;
+        private boolean mayJoin;
         /** Something on its disk is wrong that it will find only when it reads it. */
-        private boolean latent;
+        private boolean hasLatentFault;
 
-        KeeperBox(String name, long seed) {
+        SimulatedReplica(String name, long seed) {
             super(DRIFT_PPM);
             this.name = name;
             this.disk = new SimDisk(seed * 31 + number);
-            this.boot = "boot" + boots++;
-            make(founders);
-            begin();
+            this.bootId = "boot" + nextBoot++;
+            createStorage(initialMembership);
+            start();
         }
 
-        private void make(Membership members) {
+        private void createStorage(Membership members) {
             try {
-                ReplicaStorage.make(disk, owner(), folders++, members);
+                ReplicaStorage.make(disk, owner(), nextStorageId++, members);
             } catch (DiskException | ReplicaStorage.Unusable e) {
                 throw new IllegalStateException(e);
             }
         }
 
         private ReplicaStorage.Owner owner() {
-            return new ReplicaStorage.Owner("t", name, boot, liars);
+            return new ReplicaStorage.Owner("t", name, bootId, diskLosesWrites);
         }
 
-        boolean isWell() {
-            return !dead
-                    && !latent
-                    && keeper != null
-                    && keeper.isRecovered()
+        boolean isHealthy() {
+            return !crashed
+                    && !hasLatentFault
+                    && node != null
+                    && node.isRecovered()
                     && disk.refuses == null
                     && !disk.forceLies
                     && disk.staleReads == null
                     && !disk.misdirect
                     && !disk.loseWrite
-                    && keeper.membership().voters().containsKey(name);
+                    && node.membership().voters().containsKey(name);
         }
 
         @Override
         public void crash(long until) {
-            boolean power = random.nextInt(3) == 0 && (!liars || mayBeBad(this));
-            if (!dead && !queue.isEmpty() && folder != null) { // in the middle of it
+            boolean powerLoss = random.nextInt(3) == 0 && (!diskLosesWrites || mayFault(this));
+            if (!crashed && !pendingWrites.isEmpty() && storage != null) { // in the middle of it
                 disk.cutAfter = random.nextInt(6);
                 try {
-                    while (!queue.isEmpty()) {
-                        folder.carryOut(queue.poll());
+                    while (!pendingWrites.isEmpty()) {
+                        storage.carryOut(pendingWrites.poll());
                     }
                 } catch (SimDisk.Cut | DiskException | IllegalStateException e) {
-                    queue.clear();
+                    pendingWrites.clear();
                 }
                 disk.cutAfter = -1;
             }
-            if (power) {
+            if (powerLoss) {
                 disk.powerCut();
-                boot = "boot" + boots++;
-            }
-            queue.clear();
-            asked.clear();
-            askedLease.clear();
-            tell(name + (power ? " loses power" : " is killed"));
-            keeper = null;
-            folder = null;
+                bootId = "boot" + nextBoot++;
+            }
+            pendingWrites.clear();
+            requestOrigins.clear();
+            leaseOrigins.clear();
+            log(name + (powerLoss ? " loses power" : " is killed"));
+            node = null;
+            storage = null;
             super.crash(until);
         }
 
         /** Something happens to its disk while it is down. */
-        void spoil(Runnable what) {
+        void faultWhileDown(Runnable fault) {
             crash(now + random.nextLong(1_500_000));
-            what.run();
+            fault.run();
         }
 
         /** It comes back with a disk of some time ago. */
-        void restore() {
+        void restoreBackup() {
             if (backup == null) {
                 backup = disk.copy(random.nextLong());
                 return;
@@ -347,18 +348,18 @@
         }
 
         @Override
-        protected void begin() {
-            looked = 0;
+        protected void start() {
+            checkedIndex = 0;
             try {
                 if (ReplicaStorage.isEmpty(disk)) {
                     disk.mend();
-                    make(new Membership(Map.of(), null));
+                    createStorage(new Membership(Map.of(), null));
                 }
-                folder = ReplicaStorage.open(disk, owner(), SEGMENT);
+                storage = ReplicaStorage.open(disk, owner(), SEGMENT_BYTES);
             } catch (ReplicaStorage.Unusable e) { // the operator replaces it
                 disk.wipe();
                 disk.mend();
-                begin();
+                start();
                 return;
             } catch (DiskException e) {
                 disk.mend();
@@ -366,27 +367,27 @@
                 return;
             }
             disk.staleReads = null;
-            latent = disk.misdirect || disk.loseWrite; // then it is still to come
-            RaftNode.StoredState found = folder.recovered();
-            if (faults.trustsDamage) {
-                found = new RaftNode.StoredState(found.hardState(), found.snapshot(), found.entries(), null, false);
-            } else if (faults.trustsReboots && !found.dataLost()) {
-                found = new RaftNode.StoredState(found.hardState(), found.snapshot(), found.entries(), null, false);
-            }
-            tell(name + " begins: term " + found.hardState().term() + " last "
-                    + (found.entries().isEmpty()
+            hasLatentFault = disk.misdirect || disk.loseWrite; // then it is still to come
+            RaftNode.StoredState stored = storage.recovered();
+            if (faults.ignoresCorruption) {
+                stored = new RaftNode.StoredState(stored.hardState(), stored.snapshot(), stored.entries(), null, false);
+            } else if (faults.ignoresCrashes && !stored.dataLost()) {
+                stored = new RaftNode.StoredState(stored.hardState(), stored.snapshot(), stored.entries(), null, false);
+            }
+            log(name + " begins: term " + stored.hardState().term() + " last "
+                    + (stored.entries().isEmpty()
                             ? "-"
-                            : found.entries().get(found.entries().size() - 1).index())
+                            : stored.entries().get(stored.entries().size() - 1).index())
                     + " covered "
-                    + (found.snapshot() == null ? 0 : found.snapshot().lastIncludedIndex()) + " doubt "
-                    + found.suspectedLoss());
-            doubts += found.suspectedLoss() != null ? 1 : 0;
-            joined = joined || folder.founders().voters().isEmpty();
-            keeper = new RaftNode(
-                    new RaftNode.Identity(name, folder.folder(), runs++),
+                    + (stored.snapshot() == null ? 0 : stored.snapshot().lastIncludedIndex()) + " doubt "
+                    + stored.suspectedLoss());
+            recoveries += stored.suspectedLoss() != null ? 1 : 0;
+            mayJoin = mayJoin || storage.founders().voters().isEmpty();
+            node = new RaftNode(
+                    new RaftNode.Identity(name, storage.folder(), nextIncarnation++),
                     rules,
-                    found,
-                    folder.founders(),
+                    stored,
+                    storage.founders(),
                     new ConsensusCodec(),
                     random.split(),
                     clock());
@@ -395,265 +396,275 @@
 
         @Override
         protected void handle(Object body) {
-            if (keeper == null) {
+            if (node == null) {
                 return;
             }
-            if (body instanceof Wire w) {
-                on(new Event.Received(w.from(), w.folder(), w.message()));
-            } else if (body instanceof Ask a) {
-                asked.put(++tokens, a.from());
-                long theirs = a.token();
-                answers.put(tokens, theirs);
-                on(new Event.RequestReceived(tokens, a.request()));
-            } else if (body instanceof Lease l) {
-                askedLease.put(l.ask().balancer(), l.from());
-                on(new Event.LeasesRequested(List.of(l.ask())));
+            if (body instanceof ReplicaMessage message) {
+                handleEvent(new Event.Received(message.from(), message.storageId(), message.message()));
+            } else if (body instanceof RequestMessage request) {
+                requestOrigins.put(++lastToken, request.from());
+                long clientToken = request.token();
+                clientTokens.put(lastToken, clientToken);
+                handleEvent(new Event.RequestReceived(lastToken, request.request()));
+            } else if (body instanceof LeaseRequestMessage lease) {
+                leaseOrigins.put(lease.request().balancer(), lease.from());
+                handleEvent(new Event.LeasesRequested(List.of(lease.request())));
             }
         }
 
-        private final Map<Long, Long> answers = new HashMap<>();
+        private final Map<Long, Long> clientTokens = new HashMap<>();
 
-        private void on(Event event) {
-            if (keeper == null) {
+        private void handleEvent(Event event) {
+            if (node == null) {
                 return;
             }
             List<Action> actions;
             try {
-                actions = keeper.handle(event, clock());
+                actions = node.handle(event, clock());
             } catch (IllegalStateException e) {
                 fail("%s: %s", name, e.getMessage());
                 return;
             }
-            for (Action a : actions) {
-                if (a instanceof Action.Send s) {
+            for (Action action : actions) {
+                if (action instanceof Action.Send send) {
                     ConsensusSimulation.this.send(
-                            number, keeper(s.to()).number, new Wire(name, folder.folder(), s.message()));
-                } else if (a instanceof Action.Log say) {
-                    tell(name + " says " + say.line());
-                } else if (a instanceof Action.Persist p) {
-                    queue.add(p);
-                } else if (a instanceof Action.Respond w) {
-                    Integer to = asked.remove(w.token());
-                    Long theirs = answers.remove(w.token());
-                    if (to != null) {
-                        ConsensusSimulation.this.send(number, to, new Answer(theirs, w.result()));
+                            number,
+                            replica(send.to()).number,
+                            new ReplicaMessage(name, storage.folder(), send.message()));
+                } else if (action instanceof Action.Log line) {
+                    log(name + " says " + line.line());
+                } else if (action instanceof Action.Persist persist) {
+                    pendingWrites.add(persist);
+                } else if (action instanceof Action.Respond respond) {
+                    Integer receiver = requestOrigins.remove(respond.token());
+                    Long clientToken = clientTokens.remove(respond.token());
+                    if (receiver != null) {
+                        ConsensusSimulation.this.send(
+                                number, receiver, new ResultMessage(clientToken, respond.result()));
                     }
-                } else if (a instanceof Action.SendLease g) {
-                    Integer to = askedLease.get(g.response().balancer());
-                    if (to != null) {
+                } else if (action instanceof Action.SendLease lease) {
+                    Integer receiver = leaseOrigins.get(lease.response().balancer());
+                    if (receiver != null) {
                         ConsensusSimulation.this.send(
                                 number,
-                                to,
-                                new Granted(
-                                        g.response(),
-                                        version(g.response().activeVersion()),
-                                        version(g.response().pendingVersion())));
+                                receiver,
+                                new LeaseResponseMessage(
+                                        lease.response(),
+                                        version(lease.response().activeVersion()),
+                                        version(lease.response().pendingVersion())));
                     }
                 }
             }
         }
 
-        private ConfigVersion version(long numberOf) {
-            if (keeper.active().number() == numberOf) {
-                return keeper.active();
+        private ConfigVersion version(long wanted) {
+            if (node.active().number() == wanted) {
+                return node.active();
             }
-            return keeper.pending() != null && keeper.pending().number() == numberOf
-                    ? keeper.pending()
-                    : keeper.history().stream()
-                            .filter(v -> v.number() == numberOf)
+            return node.pending() != null && node.pending().number() == wanted
+                    ? node.pending()
+                    : node.history().stream()
+                            .filter(v -> v.number() == wanted)
                             .findFirst()
                             .orElse(null);
         }
 
         @Override
         protected void step() {
-            if (now >= diskFreeAt && now >= stalledUntil && !queue.isEmpty()) {
-                Action.Persist p = queue.poll();
+            if (now >= diskFreeAt && now >= stalledUntil && !pendingWrites.isEmpty()) {
+                Action.Persist persist = pendingWrites.poll();
                 try {
-                    folder.carryOut(p);
+                    storage.carryOut(persist);
                 } catch (DiskException | IllegalStateException e) { // it stops; somebody mends the disk
-                    queue.clear();
+                    pendingWrites.clear();
                     crash(now + 300_000 + random.nextLong(2_000_000));
                     disk.mend();
                     return;
                 }
                 diskFreeAt = now + random.nextLong(30_000);
-                on(new Event.Persisted(p.token()));
+                handleEvent(new Event.Persisted(persist.token()));
             }
-            on(new Event.Tick());
-            look();
+            handleEvent(new Event.Tick());
+            checkNode();
         }
 
-        private void look() {
-            if (keeper == null) {
+        private void checkNode() {
+            if (node == null) {
                 return;
             }
-            if (keeper.role() == RaftNode.Role.LEADER) {
-                String other = leaders.putIfAbsent(keeper.term(), name);
+            if (node.role() == RaftNode.Role.LEADER) {
+                String other = leaders.putIfAbsent(node.term(), name);
                 if (other != null && !other.equals(name)) {
-                    fail("%s and %s lead in term %d", name, other, keeper.term());
+                    fail("%s and %s lead in term %d", name, other, node.term());
                 }
             }
-            for (long i = Math.max(looked, keeper.baseIndex()) + 1; i <= keeper.commitIndex(); i++) {
-                LogEntry e = keeper.entry(i);
-                LogEntry before = committed.putIfAbsent(i, e);
+            for (long index = Math.max(checkedIndex, node.baseIndex()) + 1; index <= node.commitIndex(); index++) {
+                LogEntry entry = node.entry(index);
+                LogEntry before = committed.putIfAbsent(index, entry);
                 if (before == null) {
                     commits++;
-                } else if (!before.equals(e)) {
-                    fail("%s: entry %d was %s, is %s", name, i, before, e);
+                } else if (!before.equals(entry)) {
+                    fail("%s: entry %d was %s, is %s", name, index, before, entry);
                 }
             }
-            looked = keeper.commitIndex();
+            checkedIndex = node.commitIndex();
         }
     }
 
     /** A balancer. */
-    private final class BalancerBox extends Process {
+    private final class SimulatedBalancer extends Process {
         private final String name;
-        private ConfigSubscriber adherent;
-        private int to;
-        private long nextAsk;
-        private long heardAt;
-        private ConfigVersion last = ConfigVersion.NONE;
+        private ConfigSubscriber subscriber;
+        private int connectedTo;
+        private long nextRequestAt;
+        private long lastResponseAt;
+        private ConfigVersion lastActive = ConfigVersion.NONE;
 
-        BalancerBox(String name) {
+        SimulatedBalancer(String name) {
             super(DRIFT_PPM);
             this.name = name;
-            begin();
+            start();
         }
 
         @Override
-        protected void begin() {
-            adherent = new ConfigSubscriber(name, runs++, rules, last);
-            nextAsk = clock();
+        protected void start() {
+            subscriber = new ConfigSubscriber(name, nextIncarnation++, rules, lastActive);
+            nextRequestAt = clock();
         }
 
         @Override
         protected void handle(Object body) {
-            Granted g = (Granted) body;
-            heardAt = clock();
-            long before = adherent.active().number();
-            if (adherent.handle(clock(), g.grant(), g.active(), g.pending())) {
-                nextAsk = clock();
+            LeaseResponseMessage message = (LeaseResponseMessage) body;
+            lastResponseAt = clock();
+            long before = subscriber.active().number();
+            if (subscriber.handle(clock(), message.response(), message.active(), message.pending())) {
+                nextRequestAt = clock();
             }
-            if (adherent.active().number() < before) {
+            if (subscriber.active().number() < before) {
                 fail(
                         "%s went back from version %d to %d",
-                        name, before, adherent.active().number());
+                        name, before, subscriber.active().number());
             }
-            last = adherent.active();
+            lastActive = subscriber.active();
         }
 
         @Override
         protected void step() {
-            if (clock() >= nextAsk) {
-                nextAsk = clock() + 300_000;
-                if (clock() - heardAt > 700_000) {
-                    to = random.nextInt(keepers.size());
+            if (clock() >= nextRequestAt) {
+                nextRequestAt = clock() + 300_000;
+                if (clock() - lastResponseAt > 700_000) {
+                    connectedTo = random.nextInt(replicas.size());
                 }
-                send(number, keepers.get(to).number, new Lease(number, adherent.leaseRequest(clock())));
+                send(
+                        number,
+                        replicas.get(connectedTo).number,
+                        new LeaseRequestMessage(number, subscriber.leaseRequest(clock())));
             }
         }
 
-        ConfigSubscriber.EffectiveConfig acting() {
-            return adherent.effectiveConfig(clock());
+        ConfigSubscriber.EffectiveConfig effectiveConfig() {
+            return subscriber.effectiveConfig(clock());
         }
     }
 
     /** An operator, and whoever replaces keepers. */
-    private final class Writer extends Process {
-        private long next;
+    private final class SimulatedClient extends Process {
+        private long nextStartAt;
         private long token;
-        private long known;
-        private Op op;
-        private long askedAt;
-        private int done;
+        private long knownVersion;
+        private Operation operation;
+        private long sentAt;
+        private int operationCount;
 
-        Writer() {
+        SimulatedClient() {
             super(DRIFT_PPM);
         }
 
         @Override
-        protected void begin() {
-            op = null;
+        protected void start() {
+            operation = null;
         }
 
         @Override
         protected void handle(Object body) {
-            Answer a = (Answer) body;
-            if (op == null || a.token() != token) {
+            ResultMessage message = (ResultMessage) body;
+            if (operation == null || message.token() != token) {
                 return;
             }
-            known = Math.max(known, a.outcome().version());
-            RequestResult.Kind kind = a.outcome().kind();
+            knownVersion = Math.max(knownVersion, message.result().version());
+            RequestResult.Kind kind = message.result().kind();
             if (kind == RequestResult.Kind.UNKNOWN
                     || kind == RequestResult.Kind.NO_LEADER
                     || kind == RequestResult.Kind.BUSY) {
-                askedAt = 0; // again, with the same number
+                sentAt = 0; // again, with the same number
                 return;
             }
-            op.until = now;
-            op.outcome = a.outcome();
-            op = null;
-            next = now + random.nextLong(500_000);
+            operation.endedAt = now;
+            operation.result = message.result();
+            operation = null;
+            nextStartAt = now + random.nextLong(500_000);
         }
 
         @Override
         protected void step() {
-            if (op == null && now >= next) {
-                op = new Op(draw(), now);
-                history.add(op);
-                token = number * 1_000_000L + ++done;
-                askedAt = 0;
+            if (operation == null && now >= nextStartAt) {
+                operation = new Operation(randomRequest(), now);
+                history.add(operation);
+                token = number * 1_000_000L + ++operationCount;
+                sentAt = 0;
             }
-            if (op != null && now - askedAt > 900_000) {
-                askedAt = now;
-                send(number, keepers.get(random.nextInt(keepers.size())).number, new Ask(number, token, op.request));
+            if (operation != null && now - sentAt > 900_000) {
+                sentAt = now;
+                send(
+                        number,
+                        replicas.get(random.nextInt(replicas.size())).number,
+                        new RequestMessage(number, token, operation.request));
             }
         }
 
-        private ClientRequest draw() {
+        private ClientRequest randomRequest() {
             if (random.nextInt(3) == 0) {
                 return new ClientRequest.Read();
             }
-            for (KeeperBox k : keepers) {
-                if (k.keeper == null || !k.joined) {
+            for (SimulatedReplica replica : replicas) {
+                if (replica.node == null || !replica.mayJoin) {
                     continue;
                 }
-                Member member = anyMember(k.name);
-                if (member != null && member.storageId() != 0 && member.storageId() != k.folder.folder()) {
-                    return new ClientRequest.RemoveMember(k.name, member.storageId());
+                Member member = memberAtLeader(replica.name);
+                if (member != null && member.storageId() != 0 && member.storageId() != replica.storage.folder()) {
+                    return new ClientRequest.RemoveMember(replica.name, member.storageId());
                 } else if (member == null) {
-                    return new ClientRequest.AddMember(new Member(k.name, k.folder.folder(), k.name));
+                    return new ClientRequest.AddMember(
+                            new Member(replica.name, replica.storage.folder(), replica.name));
                 }
             }
-            Map<String, String> out = new TreeMap<>();
+            Map<String, String> disabled = new TreeMap<>();
             for (int i = 0; i < 3; i++) {
                 if (random.nextBoolean()) {
-                    out.put("n" + i, "");
+                    disabled.put("n" + i, "");
                 }
             }
             ConfigDocument content = ConfigDocument.EMPTY
-                    .with(ConfigSchema.UPSTREAMS_OUT, out)
+                    .with(ConfigSchema.DISABLED_UPSTREAMS, disabled)
                     .with(ConfigSchema.BALANCERS, 1 + random.nextInt(50))
-                    .with(ConfigSchema.RETRIES, random.nextDouble());
-            return new ClientRequest.Set(
-                    new Command.Write("r" + number + "-" + done, known, "w" + number, "", now / 1_000, content));
-        }
-
-        private Member anyMember(String name) {
-            for (KeeperBox k : keepers) {
-                if (k.keeper != null && k.keeper.role() == RaftNode.Role.LEADER) {
-                    Member m = k.keeper.membership().voters().get(name);
-                    return m != null
-                            ? m
-                            : k.keeper.membership().learner() != null
-                                            && k.keeper
+                    .with(ConfigSchema.RETRY_RATIO, random.nextDouble());
+            return new ClientRequest.Set(new Command.Write(
+                    "r" + number + "-" + operationCount, knownVersion, "w" + number, "", now / 1_000, content));
+        }
+
+        private Member memberAtLeader(String name) {
+            for (SimulatedReplica replica : replicas) {
+                if (replica.node != null && replica.node.role() == RaftNode.Role.LEADER) {
+                    Member member = replica.node.membership().voters().get(name);
+                    return member != null
+                            ? member
+                            : replica.node.membership().learner() != null
+                                            && replica.node
                                                     .membership()
                                                     .learner()
                                                     .name()
                                                     .equals(name)
-                                    ? k.keeper.membership().learner()
+                                    ? replica.node.membership().learner()
                                     : null;
                 }
             }
@@ -665,101 +676,106 @@
 
     @Override
     protected void check() {
-        long newestAlone = Long.MIN_VALUE;
-        long oldestTold = Long.MAX_VALUE;
-        for (BalancerBox b : balancers) {
-            if (b.dead) {
+        long newestActive = Long.MIN_VALUE;
+        long oldestKnown = Long.MAX_VALUE;
+        for (SimulatedBalancer balancer : balancers) {
+            if (balancer.crashed) {
                 continue;
             }
-            ConfigSubscriber.EffectiveConfig a = b.acting();
-            if (a.mode() == ConfigSubscriber.Mode.LEASED) {
+            ConfigSubscriber.EffectiveConfig config = balancer.effectiveConfig();
+            if (config.mode() == ConfigSubscriber.Mode.LEASED) {
                 leasedSteps++;
-                newestAlone = Math.max(newestAlone, a.activeVersion());
-                oldestTold = Math.min(oldestTold, Math.max(a.activeVersion(), a.pendingVersion()));
+                newestActive = Math.max(newestActive, config.activeVersion());
+                oldestKnown = Math.min(oldestKnown, Math.max(config.activeVersion(), config.pendingVersion()));
             } else {
-                checkAlone(b.name, a.document());
+                checkWithoutLease(balancer.name, config.document());
             }
         }
-        if (newestAlone > oldestTold) {
-            fail("one acts on version %d, another knows nothing beyond %d", newestAlone, oldestTold);
+        if (newestActive > oldestKnown) {
+            fail("one acts on version %d, another knows nothing beyond %d", newestActive, oldestKnown);
         }
-        for (BalancerBox b : balancers) {
-            if (!b.dead && b.acting().mode() == ConfigSubscriber.Mode.LEASED) {
-                checkBetween(b);
+        for (SimulatedBalancer balancer : balancers) {
+            if (!balancer.crashed && balancer.effectiveConfig().mode() == ConfigSubscriber.Mode.LEASED) {
+                checkDuringActivation(balancer);
             }
         }
     }
 
     /** While a version is to take effect, whoever knows it breaks neither it nor the one before. */
-    private void checkBetween(BalancerBox b) {
-        ConfigVersion next = b.adherent.pending();
+    private void checkDuringActivation(SimulatedBalancer balancer) {
+        ConfigVersion next = balancer.subscriber.pending();
         if (next != null) {
-            List<String> broken =
-                    new ArrayList<>(ConfigSchema.contradictions(b.acting().document(), next.content()));
-            broken.addAll(ConfigSchema.contradictions(
-                    b.acting().document(), b.adherent.active().content()));
-            if (!broken.isEmpty()) {
+            List<String> contradicted = new ArrayList<>(
+                    ConfigSchema.contradictions(balancer.effectiveConfig().document(), next.content()));
+            contradicted.addAll(ConfigSchema.contradictions(
+                    balancer.effectiveConfig().document(),
+                    balancer.subscriber.active().content()));
+            if (!contradicted.isEmpty()) {
                 fail(
                         "%s breaks %s between versions %d and %d",
-                        b.name, broken, b.adherent.active().number(), next.number());
+                        balancer.name,
+                        contradicted,
+                        balancer.subscriber.active().number(),
+                        next.number());
             }
         }
     }
 
-    private void checkAlone(String name, ConfigDocument acting) {
-        for (KeeperBox k : keepers) {
-            if (k.keeper != null) {
-                ConfigDocument inForce = k.keeper.active().content();
-                if (acting.number(ConfigSchema.RETRIES) > inForce.number(ConfigSchema.RETRIES)
-                        || acting.number(ConfigSchema.BALANCERS) < inForce.number(ConfigSchema.BALANCERS)) {
+    private void checkWithoutLease(String name, ConfigDocument effective) {
+        for (SimulatedReplica replica : replicas) {
+            if (replica.node != null) {
+                ConfigDocument inForce = replica.node.active().content();
+                if (effective.number(ConfigSchema.RETRY_RATIO) > inForce.number(ConfigSchema.RETRY_RATIO)
+                        || effective.number(ConfigSchema.BALANCERS) < inForce.number(ConfigSchema.BALANCERS)) {
                     fail(
                             "%s is alone and looser than version %d",
-                            name, k.keeper.active().number());
+                            name, replica.node.active().number());
                 }
             }
         }
     }
 
     private void checkLiveness() {
-        KeeperBox leader = keepers.stream()
-                .filter(k -> k.keeper != null && k.keeper.role() == RaftNode.Role.LEADER)
-                .reduce((a, b) -> a.keeper.term() > b.keeper.term() ? a : b)
+        SimulatedReplica leader = replicas.stream()
+                .filter(replica -> replica.node != null && replica.node.role() == RaftNode.Role.LEADER)
+                .reduce((a, balancer) -> a.node.term() > balancer.node.term() ? a : balancer)
                 .orElse(null);
         if (leader == null) {
-            fail("nobody leads %d s after the last fault: %s", (END - FAULTS_END) / 1_000_000, states());
+            fail("nobody leads %d s after the last fault: %s", (END_MICROS - FAULTS_END_MICROS) / 1_000_000, states());
             return;
         }
-        for (KeeperBox k : keepers) {
-            if (leader.keeper.membership().voters().containsKey(k.name) && !k.keeper.isRecovered()) {
-                fail("%s is still in doubt: %s; %s", k.name, k.keeper.suspectedLoss(), states());
+        for (SimulatedReplica replica : replicas) {
+            if (leader.node.membership().voters().containsKey(replica.name) && !replica.node.isRecovered()) {
+                fail("%s is still in doubt: %s; %s", replica.name, replica.node.suspectedLoss(), states());
             }
         }
         if (history.stream()
-                .noneMatch(o -> o.from > FAULTS_END + 8_000_000
-                        && o.outcome != null
-                        && o.request instanceof ClientRequest.Set)) {
+                .noneMatch(operation -> operation.startedAt > FAULTS_END_MICROS + 8_000_000
+                        && operation.result != null
+                        && operation.request instanceof ClientRequest.Set)) {
             fail("nothing was decided after the last fault: %s", states());
         }
-        for (BalancerBox b : balancers) {
-            if (b.acting().mode() != ConfigSubscriber.Mode.LEASED) {
-                fail("%s has no lease long after the last fault: %s", b.name, states());
+        for (SimulatedBalancer balancer : balancers) {
+            if (balancer.effectiveConfig().mode() != ConfigSubscriber.Mode.LEASED) {
+                fail("%s has no lease long after the last fault: %s", balancer.name, states());
             }
         }
     }
 
     private String states() {
         StringBuilder text = new StringBuilder();
-        keepers.forEach(k -> text.append(k.name)
+        replicas.forEach(replica -> text.append(replica.name)
                 .append(
-                        k.keeper == null
+                        replica.node == null
                                 ? " down"
-                                : " " + k.keeper.role() + " term "
-                                        + k.keeper.term() + " commit " + k.keeper.commitIndex() + " last "
-                                        + k.keeper.lastIndex()
+                                : " " + replica.node.role() + " term "
+                                        + replica.node.term() + " commit " + replica.node.commitIndex() + " last "
+                                        + replica.node.lastIndex()
                                         + " sound "
-                                        + k.keeper.isRecovered() + " doubt " + k.keeper.suspectedLoss() + " leader "
-                                        + k.keeper.leader() + " members "
-                                        + k.keeper.membership() + " folder " + k.folder.folder())
+                                        + replica.node.isRecovered() + " doubt " + replica.node.suspectedLoss()
+                                        + " leader "
+                                        + replica.node.leader() + " members "
+                                        + replica.node.membership() + " folder " + replica.storage.folder())
                 .append("; "));
         return text.toString();
     }
@@ -773,58 +789,71 @@
                 return;
             }
         }
-        Map<String, RequestResult> results = new LogPlayer().play(committed.values());
-        List<Op> ended =
-                new ArrayList<>(history.stream().filter(o -> o.outcome != null).toList());
-        for (Op o : ended) {
-            if (o.request instanceof ClientRequest.Set s && o.outcome.kind() == RequestResult.Kind.DONE) {
-                RequestResult real = results.get(s.write().requestId());
-                if (real == null || real.kind() != RequestResult.Kind.DONE || real.version() != o.outcome.version()) {
-                    fail("%s was answered %s, is %s", s.write().requestId(), o.outcome, real);
+        Map<String, RequestResult> results = new ReferenceModel().apply(committed.values());
+        List<Operation> completed = new ArrayList<>(
+                history.stream().filter(operation -> operation.result != null).toList());
+        for (Operation operation : completed) {
+            if (operation.request instanceof ClientRequest.Set set
+                    && operation.result.kind() == RequestResult.Kind.DONE) {
+                RequestResult actual = results.get(set.write().requestId());
+                if (actual == null
+                        || actual.kind() != RequestResult.Kind.DONE
+                        || actual.version() != operation.result.version()) {
+                    fail("%s was answered %s, is %s", set.write().requestId(), operation.result, actual);
                 }
-            } else if (o.request instanceof ClientRequest.Set s) {
-                RequestResult real = results.get(s.write().requestId());
-                if (real != null && real.kind() == RequestResult.Kind.DONE) {
-                    fail("%s was answered %s and is done: %s", s.write().requestId(), o.outcome, real);
+            } else if (operation.request instanceof ClientRequest.Set set) {
+                RequestResult actual = results.get(set.write().requestId());
+                if (actual != null && actual.kind() == RequestResult.Kind.DONE) {
+                    fail("%s was answered %s and is done: %s", set.write().requestId(), operation.result, actual);
                 }
             }
         }
-        for (Op a : ended) {
-            for (Op b : ended) {
-                if (a.until < b.from && isRead(a) && isRead(b) && b.outcome.version() < a.outcome.version()) {
+        for (Operation earlier : completed) {
+            for (Operation later : completed) {
+                if (earlier.endedAt < later.startedAt
+                        && observesVersion(earlier)
+                        && observesVersion(later)
+                        && later.result.version() < earlier.result.version()) {
                     fail(
                             "version %d was answered at %d and %d to %s, which was asked after that at %d",
-                            a.outcome.version(), a.until, b.outcome.version(), b.request, b.from);
+                            earlier.result.version(),
+                            earlier.endedAt,
+                            later.result.version(),
+                            later.request,
+                            later.startedAt);
                 }
             }
         }
     }
 
-    private static boolean isRead(Op o) {
-        return o.outcome.version() > 0
-                && (o.request instanceof ClientRequest.Read
-                        || o.request instanceof ClientRequest.Set && o.outcome.kind() == RequestResult.Kind.DONE);
+    private static boolean observesVersion(Operation operation) {
+        return operation.result.version() > 0
+                && (operation.request instanceof ClientRequest.Read
+                        || operation.request instanceof ClientRequest.Set
+                                && operation.result.kind() == RequestResult.Kind.DONE);
     }
 
     /** What a log makes of its writes, by a model of its own. */
-    private static final class LogPlayer {
-        Map<String, RequestResult> play(Iterable<LogEntry> log) {
+    private static final class ReferenceModel {
+        Map<String, RequestResult> apply(Iterable<LogEntry> log) {
             Map<String, RequestResult> results = new HashMap<>();
             long active = 0;
             boolean pending = false;
-            for (LogEntry e : log) {
-                if (e.command() instanceof Command.Activate a && pending && a.version() == active + 1) {
+            for (LogEntry entry : log) {
+                if (entry.command() instanceof Command.Activate activate
+                        && pending
+                        && activate.version() == active + 1) {
                     active++;
                     pending = false;
-                } else if (e.command() instanceof Command.Write w && !results.containsKey(w.requestId())) {
-                    boolean ok = !pending && w.parentVersion() == active;
+                } else if (entry.command() instanceof Command.Write write && !results.containsKey(write.requestId())) {
+                    boolean accepted = !pending && write.parentVersion() == active;
                     results.put(
-                            w.requestId(),
+                            write.requestId(),
                             new RequestResult(
-                                    ok ? RequestResult.Kind.DONE : RequestResult.Kind.CONFLICT,
-                                    ok ? active + 1 : active,
+                                    accepted ? RequestResult.Kind.DONE : RequestResult.Kind.CONFLICT,
+                                    accepted ? active + 1 : active,
                                     ""));
-                    pending |= ok;
+                    pending |= accepted;
                 }
             }
             return results;
--- a/src/test/java/sedgeyoke/consensus/storage/StoredFolderScript.java
+++ b/src/test/java/sedgeyoke/consensus/storage/StoredFolderScript.java
@@ -197,16 +197,16 @@
     private static ConfigDocument content(int number) {
         return switch (number) {
             case 0 -> ConfigDocument.EMPTY;
-            case 1 -> content(0).with(ConfigSchema.RETRIES, 0.25).with(ConfigSchema.BALANCERS, 12);
-            case 2 -> content(1).with(ConfigSchema.UPSTREAMS_OUT, Map.of("n-17", "disk", "n-4", "Übergang 4→5"));
-            case 3 -> content(2).withTable(ConfigSchema.TENANT_SHARES, Map.of("shop", 0.5, "reports", 0.125));
-            case 4 -> content(3).with(ConfigSchema.ZONES_OUT, Map.of("z-b", ""));
-            case 5 -> content(4).with(ConfigSchema.REPEAT_GROUPS, Map.of("carts", "keyed"));
-            case 6 -> content(5).with(ConfigSchema.COLD_SHARE, 0.5);
+            case 1 -> content(0).with(ConfigSchema.RETRY_RATIO, 0.25).with(ConfigSchema.BALANCERS, 12);
+            case 2 -> content(1).with(ConfigSchema.DISABLED_UPSTREAMS, Map.of("n-17", "disk", "n-4", "Übergang 4→5"));
+            case 3 -> content(2).withTable(ConfigSchema.TENANT_QUOTAS, Map.of("shop", 0.5, "reports", 0.125));
+            case 4 -> content(3).with(ConfigSchema.DISABLED_ZONES, Map.of("z-b", ""));
+            case 5 -> content(4).with(ConfigSchema.DEDUPLICATING_GROUPS, Map.of("carts", "keyed"));
+            case 6 -> content(5).with(ConfigSchema.SLOW_START_SHARE, 0.5);
             case 7 -> content(6)
-                    .with(ConfigSchema.COLD_SHARE, 0.75)
-                    .with(ConfigSchema.UPSTREAMS_OUT, Map.of("n-4", "Übergang 4→5"));
-            default -> content(7).with(ConfigSchema.ZONES_OUT, Map.of());
+                    .with(ConfigSchema.SLOW_START_SHARE, 0.75)
+                    .with(ConfigSchema.DISABLED_UPSTREAMS, Map.of("n-4", "Übergang 4→5"));
+            default -> content(7).with(ConfigSchema.DISABLED_ZONES, Map.of());
         };
     }
 
--- a/src/test/java/sedgeyoke/consensus/storage/StoredFolderTest.java
+++ b/src/test/java/sedgeyoke/consensus/storage/StoredFolderTest.java
@@ -139,7 +139,7 @@
             Snapshot snapshot = openScripted(disk).recovered().snapshot();
             assertEquals(14, snapshot.lastIncludedIndex());
             assertEquals(1, snapshot.lastIncludedTerm());
-            assertEquals(StoredFolderScript.THREE, snapshot.state().members());
+            assertEquals(StoredFolderScript.THREE, snapshot.state().membership());
             assertEquals(6, snapshot.state().active().number());
             assertNull(snapshot.state().pending());
             assertEquals(
@@ -198,8 +198,8 @@
             Command.Write write = (Command.Write) entries.get(3).command();
             assertEquals("request-7", write.requestId());
             assertEquals(6, write.parentVersion());
-            assertEquals(0.75, write.content().number(ConfigSchema.COLD_SHARE));
-            assertEquals(Map.of("n-4", "Übergang 4→5"), write.content().names(ConfigSchema.UPSTREAMS_OUT));
+            assertEquals(0.75, write.content().number(ConfigSchema.SLOW_START_SHARE));
+            assertEquals(Map.of("n-4", "Übergang 4→5"), write.content().names(ConfigSchema.DISABLED_UPSTREAMS));
             assertEquals(new Command.Activate(7), entries.get(4).command());
             assertEquals("request-8", ((Command.Write) entries.get(5).command()).requestId());
         }
--- a/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
+++ b/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
@@ -72,7 +72,7 @@
         /** Sets it, however often the version before is still taking effect; the version that it made. */
         long set(String request, double retries) throws InterruptedException {
             ConfigVersion from = read();
-            ConfigDocument next = from.content().with(ConfigSchema.RETRIES, retries);
+            ConfigDocument next = from.content().with(ConfigSchema.RETRY_RATIO, retries);
             RequestResult outcome =
                     client.set(request, from, "op", "", next, PATIENCE_MS).outcome();
             assertEquals(RequestResult.Kind.DONE, outcome.kind(), outcome.detail());
@@ -127,7 +127,7 @@
                 await("its end", () -> !p.alive());
                 p.start();
             }
-            assertEquals(0.25, k.read().content().number(ConfigSchema.RETRIES));
+            assertEquals(0.25, k.read().content().number(ConfigSchema.RETRY_RATIO));
             assertEquals(version, k.set("one", 0.25), "the same request, the same version");
             assertNotEquals(version, k.set("two", 0.5));
         }
@@ -147,7 +147,7 @@
                 return s != null && s.role().equals("follower") && s.active() + s.pending() >= version;
             });
             assertNotEquals(before, k.leader());
-            assertEquals(0.5, k.read().content().number(ConfigSchema.RETRIES));
+            assertEquals(0.5, k.read().content().number(ConfigSchema.RETRY_RATIO));
         }
     }
 
--- a/src/test/java/sedgeyoke/plan/PlanSimulation.java
+++ b/src/test/java/sedgeyoke/plan/PlanSimulation.java
@@ -72,7 +72,7 @@
 
     /** Plays so many seconds; returns what was broken, or null. */
     String play(int seconds) {
-        return playUntil(seconds * 1_000_000L);
+        return runUntil(seconds * 1_000_000L);
     }
 
     private Process box(int number) {
@@ -80,12 +80,12 @@
     }
 
     @Override
-    protected void misfortune() {
-        if (now > savingUntil + 2 * FALL && chance(1)) {
+    protected void injectFaults() {
+        if (now > savingUntil + 2 * FALL && happens(1)) {
             savingUntil = now + random.nextLong(3 * FALL); // then all of them spend at once, and go on
         }
         for (int n = 0; n < NODES; n++) {
-            if (chance(0.12)) {
+            if (happens(0.12)) {
                 launchedAt[n] = now;
                 long news = launchedAt[n];
                 for (ForwarderBox f : forwarders) {
@@ -95,17 +95,17 @@
         }
         for (int i = 0; i < PLANNERS + FORWARDERS; i++) {
             Process b = box(i);
-            if (chance(severity * 0.12)) {
+            if (happens(severity * 0.12)) {
                 b.crash(now + random.nextLong(random.nextBoolean() ? 100_000 : 2_000_000));
                 restarts++;
-            } else if (chance(severity * 0.06)) {
+            } else if (happens(severity * 0.06)) {
                 b.pausedUntil = now + (random.nextInt(4) == 0 ? 6_000_000 : random.nextLong(1_500_000));
             }
         }
-        if (chance(severity * 0.8)) {
-            flip(random.nextInt(PLANNERS + FORWARDERS), random.nextInt(PLANNERS + FORWARDERS));
+        if (happens(severity * 0.8)) {
+            toggleLink(random.nextInt(PLANNERS + FORWARDERS), random.nextInt(PLANNERS + FORWARDERS));
         }
-        if (chance(0.5)) {
+        if (happens(0.5)) {
             heal();
         }
     }
@@ -116,11 +116,11 @@
 
         PlannerBox() {
             super(DRIFT_PPM);
-            begin();
+            start();
         }
 
         @Override
-        protected void begin() {
+        protected void start() {
             LeaseClock terms = faults.terms.apply(DRIFT_PPM);
             Planner.Settings self = new Planner.Settings("p" + number, incarnations++, 100, 100);
             planner = faults.planner == null
@@ -156,11 +156,11 @@
 
         ForwarderBox() {
             super(DRIFT_PPM);
-            begin();
+            start();
         }
 
         @Override
-        protected void begin() {
+        protected void start() {
             follower = faults.follower.apply(
                     new Follower.Identity("f" + number, incarnations++, 0, LEASE, 4_000_000, leastGrant), clock());
             buckets = new SlowStartBucket[NODES];
@@ -258,7 +258,7 @@
 
         /** What it could spend on a node at this moment, by its own clock. */
         double[] rights(int n) {
-            if (dead || !cold(n)) {
+            if (crashed || !cold(n)) {
                 return new double[2];
             }
             ColdRight right = right(n);
@@ -286,7 +286,7 @@
             }
             mostGranted = Math.max(mostGranted, granted / all);
             if (own + granted > all * (1 + 1e-9)) {
-                breach = String.format(
+                violation = String.format(
                         "at %.2f s node %d: own %.1f + granted %.1f of %.1f", now / 1e6, n, own, granted, all);
             }
             Deque<double[]> window = spent.get(n);
@@ -294,10 +294,11 @@
                 window.poll();
             }
             double sum = window.stream().mapToDouble(s -> s[1]).sum();
-            double budget = 2 * all * FALL / 1e6 * (1 + 3 * DRIFT_PPM / 1e6) + all * STEP / 1e6;
+            double budget = 2 * all * FALL / 1e6 * (1 + 3 * DRIFT_PPM / 1e6) + all * STEP_MICROS / 1e6;
             worstWindow = Math.max(worstWindow, sum / budget);
             if (sum > budget) {
-                breach = String.format("at %.2f s node %d: spent %.1f of %.1f in a window", now / 1e6, n, sum, budget);
+                violation =
+                        String.format("at %.2f s node %d: spent %.1f of %.1f in a window", now / 1e6, n, sum, budget);
             }
         }
     }
--- a/src/test/java/sedgeyoke/simulation/SeededNetwork.java
+++ b/src/test/java/sedgeyoke/simulation/SeededNetwork.java
@@ -12,27 +12,27 @@
  */
 public abstract class SeededNetwork {
     /** How far time goes in one step, in microseconds. */
-    public static final long STEP = 10_000;
+    public static final long STEP_MICROS = 10_000;
 
     /** By the seed; whoever needs chance takes it from here. */
     protected final SplittableRandom random;
     /** How bad things get, 0 to 1. */
     protected final double severity;
 
-    private final PriorityQueue<Message> network =
-            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
+    private final PriorityQueue<Message> inFlight = new PriorityQueue<>((a, b) ->
+            a.deliverAt != b.deliverAt ? Long.compare(a.deliverAt, b.deliverAt) : Long.compare(a.number, b.number));
     private final List<Process> processes = new ArrayList<>();
     private final double lossRate;
     private final double longDelayRate;
-    private boolean[][] cut = new boolean[0][0];
-    private long messages;
-    private boolean calm;
+    private boolean[][] linkDown = new boolean[0][0];
+    private long nextMessageNumber;
+    private boolean stopFaults;
     /** True time, in microseconds. */
     protected long now;
     /** What was broken, or null. */
-    protected String breach;
+    protected String violation;
 
-    private record Message(long at, long number, int to, Object body) {}
+    private record Message(long deliverAt, long number, int receiver, Object body) {}
 
     /** A world of a seed. */
     protected SeededNetwork(long seed) {
@@ -43,78 +43,79 @@
     }
 
     /** Plays until then; what was broken, or null. */
-    protected final String playUntil(long end) {
-        while (now < end && breach == null) {
-            now += STEP;
-            if (!calm) {
-                misfortune();
+    protected final String runUntil(long end) {
+        while (now < end && violation == null) {
+            now += STEP_MICROS;
+            if (!stopFaults) {
+                injectFaults();
             }
-            while (!network.isEmpty() && network.peek().at <= now) {
-                Message m = network.poll();
-                processes.get(m.to).take(m.body);
+            while (!inFlight.isEmpty() && inFlight.peek().deliverAt <= now) {
+                Message message = inFlight.poll();
+                processes.get(message.receiver).deliver(message.body);
             }
-            for (Process p : processes) {
-                if (p.runs()) {
-                    p.step();
+            for (Process process : processes) {
+                if (process.resumeIfDue()) {
+                    process.step();
                 }
             }
             check();
         }
-        return breach;
+        return violation;
     }
 
     /** From now on nothing fails any more; what is down comes back. */
-    protected final void calm() {
-        calm = true;
+    protected final void stopFaults() {
+        stopFaults = true;
         heal();
-        processes.forEach(p -> {
-            p.pausedUntil = Math.min(p.pausedUntil, now);
-            p.deadUntil = Math.min(p.deadUntil, now);
+        processes.forEach(process -> {
+            process.pausedUntil = Math.min(process.pausedUntil, now);
+            process.crashedUntil = Math.min(process.crashedUntil, now);
         });
     }
 
     /** True with so many chances a second. */
-    protected final boolean chance(double perSecond) {
-        return random.nextDouble() < perSecond * STEP / 1e6;
+    protected final boolean happens(double ratePerSecond) {
+        return random.nextDouble() < ratePerSecond * STEP_MICROS / 1e6;
     }
 
     /** What goes wrong in this step. */
-    protected abstract void misfortune();
+    protected abstract void injectFaults();
 
     /** Looks at everything after each step; sets {@link #breach}. */
     protected abstract void check();
 
     /** Cuts or opens the way from one process to another, and not the way back. */
-    protected final void flip(int from, int to) {
-        cut[from][to] = !cut[from][to];
+    protected final void toggleLink(int from, int to) {
+        linkDown[from][to] = !linkDown[from][to];
     }
 
     /** Parts the processes in two, or one from all others. */
-    protected final void split(boolean[] side) {
+    protected final void partition(boolean[] side) {
         for (int a = 0; a < side.length; a++) {
             for (int b = 0; b < side.length; b++) {
-                cut[a][b] |= side[a] != side[b];
+                linkDown[a][b] |= side[a] != side[b];
             }
         }
     }
 
     /** All ways are open. */
     protected final void heal() {
-        for (boolean[] row : cut) {
+        for (boolean[] row : linkDown) {
             Arrays.fill(row, false);
         }
     }
 
     /** Sends a message, which may come late, twice or never. */
     protected final void send(int from, int to, Object body) {
-        if (cut[from][to] || !calm && random.nextDouble() < lossRate) {
+        if (linkDown[from][to] || !stopFaults && random.nextDouble() < lossRate) {
             return;
         }
-        int copies = !calm && random.nextInt(10) == 0 ? 2 : 1;
+        int copies = !stopFaults && random.nextInt(10) == 0 ? 2 : 1;
         for (int i = 0; i < copies; i++) {
-            long delay =
-                    !calm && random.nextDouble() < longDelayRate ? random.nextLong(2_500_000) : random.nextLong(60_000);
-            network.add(new Message(now + delay, messages++, to, body));
+            long delay = !stopFaults && random.nextDouble() < longDelayRate
+                    ? random.nextLong(2_500_000)
+                    : random.nextLong(60_000);
+            inFlight.add(new Message(now + delay, nextMessageNumber++, to, body));
         }
     }
 
@@ -128,70 +129,70 @@
         /** Its number. */
         public final int number;
 
-        private final double rate;
-        private long offset;
-        private final List<Object> waiting = new ArrayList<>();
+        private final double clockRate;
+        private long clockOffset;
+        private final List<Object> undelivered = new ArrayList<>();
         /** Until when it stands still. */
         public long pausedUntil;
         /** Until when it is down. */
-        public long deadUntil = -1;
+        public long crashedUntil = -1;
         /** Whether it is down. */
-        public boolean dead;
+        public boolean crashed;
 
         /** Another process of this world, whose clock may run so many millionths fast or slow. */
         protected Process(int driftPpm) {
             number = processes.size();
             processes.add(this);
-            rate = 1 + (random.nextDouble() * 2 - 1) * driftPpm / 1e6 * 0.99;
-            offset = 1_000_000_000L + random.nextLong(1_000_000_000L);
+            clockRate = 1 + (random.nextDouble() * 2 - 1) * driftPpm / 1e6 * 0.99;
+            clockOffset = 1_000_000_000L + random.nextLong(1_000_000_000L);
             boolean[][] wider = new boolean[number + 1][number + 1];
             for (int i = 0; i < number; i++) {
-                System.arraycopy(cut[i], 0, wider[i], 0, number);
+                System.arraycopy(linkDown[i], 0, wider[i], 0, number);
             }
-            cut = wider;
+            linkDown = wider;
         }
 
         /** Its monotonic clock, in microseconds. */
         public final long clock() {
-            return offset + (long) (now * rate);
+            return clockOffset + (long) (now * clockRate);
         }
 
         /** Ends it; it begins anew then. */
         public void crash(long until) {
-            dead = true;
-            deadUntil = until;
-            waiting.clear();
+            crashed = true;
+            crashedUntil = until;
+            undelivered.clear();
         }
 
-        private void take(Object body) {
-            if (dead) {
+        private void deliver(Object body) {
+            if (crashed) {
                 return;
             }
             if (now < pausedUntil) {
-                waiting.add(body);
+                undelivered.add(body);
             } else {
                 handle(body);
             }
         }
 
-        private boolean runs() {
-            if (dead && now >= deadUntil) {
-                dead = false;
+        private boolean resumeIfDue() {
+            if (crashed && now >= crashedUntil) {
+                crashed = false;
                 pausedUntil = 0;
-                offset += random.nextLong(800_000) - 700_000; // another process, another clock
-                begin();
+                clockOffset += random.nextLong(800_000) - 700_000; // another process, another clock
+                start();
             }
-            if (dead || now < pausedUntil) {
+            if (crashed || now < pausedUntil) {
                 return false;
             }
-            List<Object> late = List.copyOf(waiting);
-            waiting.clear();
-            late.forEach(this::take);
-            return !dead;
+            List<Object> delayed = List.copyOf(undelivered);
+            undelivered.clear();
+            delayed.forEach(this::deliver);
+            return !crashed;
         }
 
         /** Starts with nothing but what lasts. */
-        protected abstract void begin();
+        protected abstract void start();
 
         /** A message has come. */
         protected abstract void handle(Object body);
