--- a/src/test/java/sedgeyoke/consensus/server/ConsensusSafetyTest.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSafetyTest.java
@@ -17,13 +17,13 @@
 import sedgeyoke.consensus.FaultySafetyRules;
 
 /**
- * The invariants of agreement over many seeds, and mistakes that each have to be found. A failing seed is played again
- * by {@code -Dsedgeyoke.consensus.from=SEED -Dsedgeyoke.consensus.seeds=1}, which prints what keepers said.
+ * Checks the safety invariants of the consensus over many seeds, and that a fault in any rule is detected. A failing
+ * seed is replayed with {@code -Dsedgeyoke.consensus.from=SEED -Dsedgeyoke.consensus.seeds=1}, which prints a trace.
  */
 class ConsensusSafetyTest {
     private static final long SEEDS = Long.getLong("sedgeyoke.consensus.seeds", 300);
     private static final long FIRST_SEED = Long.getLong("sedgeyoke.consensus.from", 1);
-    /** Seeds that a mistake is given to be found in. */
+    /** How many seeds a fault has to be detected within. */
     private static final long SEEDS_PER_FAULT = 200;
 
     @Test
@@ -50,7 +50,7 @@
                 .findFirst()
                 .orElse(null);
         System.out.println(SEEDS + " seeds: " + commits + " commits, " + crashes + " crashes, " + diskFaults
-                + " faults of disks, " + recoveries + " starts in doubt, " + leasedSteps + " steps under lease");
+                + " disk faults, " + recoveries + " recoveries, " + leasedSteps + " steps with a lease");
         assertNull(violation);
         assertTrue(
                 SEEDS < 100
@@ -58,18 +58,18 @@
                                 && crashes.get() > SEEDS
                                 && diskFaults.get() > SEEDS / 2
                                 && recoveries.get() > SEEDS / 4,
-                "a simulation in which nothing happens shows nothing");
+                "too little happened for the simulation to show anything");
     }
 
-    /** A seed that has found each; if what is drawn changes, the seeds from 1 on are tried. */
+    /** A seed that has detected each fault; if the random draws change, the seeds from 1 on are tried. */
     private static final Map<String, Long> DETECTING_SEEDS = Map.ofEntries(
-            Map.entry("half is a majority", 313L),
-            Map.entry("a shorter log may lead", 877L),
-            Map.entry("two votes in a term", 318L),
-            Map.entry("promises do not wait for the disk", 1_731L),
-            Map.entry("a lease counts from when the answer came", 501L),
-            Map.entry("leases of leaders before are forgotten", 313L),
-            Map.entry("a leader takes itself for one without asking", 1_162L));
+            Map.entry("half of the voters is a majority", 313L),
+            Map.entry("an outdated log may lead", 877L),
+            Map.entry("two votes in one term", 318L),
+            Map.entry("responses do not wait for persistence", 1_731L),
+            Map.entry("a lease counts from when the response arrived", 501L),
+            Map.entry("leases of earlier leaders are forgotten", 313L),
+            Map.entry("leadership is not confirmed", 1_162L));
 
     static Stream<Arguments> faults() {
         Map<String, ConsensusSimulation.Faults> faults = new LinkedHashMap<>();
@@ -80,7 +80,7 @@
         });
         ConsensusSimulation.Faults ignoresCorruption = new ConsensusSimulation.Faults();
         ignoresCorruption.ignoresCorruption = true;
-        faults.put("what is damaged is taken for absent", ignoresCorruption);
+        faults.put("corrupt data is taken for absent", ignoresCorruption);
         return faults.entrySet().stream().map(fault -> Arguments.of(fault.getKey(), fault.getValue()));
     }
 
--- a/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
@@ -30,16 +30,17 @@
 import sedgeyoke.consensus.SafetyRules;
 import sedgeyoke.consensus.codec.ConsensusCodec;
 import sedgeyoke.consensus.storage.ReplicaStorage;
+import sedgeyoke.consensus.storage.UnusableStorageException;
 import sedgeyoke.lease.ClockDrift;
 import sedgeyoke.simulation.SeededNetwork;
 import sedgeyoke.store.DiskException;
 import sedgeyoke.store.SimDisk;
 
 /**
- * Keepers on disks that lie, balancers that act on what they agree, operators that write, on one thread and by seed.
- * Checked at every step: one leader a term; what is committed never changes; no two balancers act on versions of which
- * neither knows the other's; versions only grow; alone nobody is looser than any version ever in force. Checked of the
- * history: whatever was answered is so, and in the order in which it was answered.
+ * Simulates replicas with faulty disks, balancers that act on the config, and clients that write, on one thread and by
+ * seed. Checks after every step that there is one leader for each term, that committed entries never change, that no two
+ * balancers act on versions that exclude each other, that versions only grow, and that no balancer without a lease is
+ * looser than any active version. Checks of the history that all results are true and that it is linearizable.
  */
 final class ConsensusSimulation extends SeededNetwork {
     static final int DRIFT_PPM = 2_000;
@@ -50,12 +51,12 @@
     private static final int WRITERS = 2;
     private static final RaftTiming TIMING = new RaftTiming(600_000, 100_000, 1_500_000, new ClockDrift(DRIFT_PPM), 24);
 
-    /** What may be wrong on purpose. */
+    /** The faults of the implementation that a run simulates. */
     static class Faults {
         Function<RaftTiming, SafetyRules> rules = SafetyRules::new;
-        /** Whether what a folder has lost is taken for absent. */
+        /** Whether a replica does not notice that its disk has lost data. */
         boolean ignoresCorruption;
-        /** Whether a folder that was copied, or that outlived its machine's end, is believed. */
+        /** Whether a replica trusts its disk after a crash of the machine. */
         boolean ignoresCrashes;
     }
 
@@ -67,7 +68,7 @@
     private final Membership initialMembership;
     private final boolean diskLosesWrites;
     private final Map<Long, String> leaders = new HashMap<>();
-    /** What was ever seen as committed. */
+    /** All entries that any replica has ever had as committed. */
     final TreeMap<Long, LogEntry> committed = new TreeMap<>();
 
     private final Set<String> faultyReplicas = new HashSet<>();
@@ -76,7 +77,7 @@
     private long nextIncarnation = 1;
     private boolean faultsStopped;
     final List<Operation> history = new ArrayList<>();
-    /** Prints what keepers say, for whoever replays a seed. */
+    /** Whether to print a trace. */
     boolean trace;
 
     int commits;
@@ -85,7 +86,7 @@
     int recoveries;
     long leasedSteps;
 
-    /** One request as whoever asked saw it. */
+    /** A request as its client sees it. */
     static final class Operation {
         final ClientRequest request;
         final long startedAt;
@@ -130,13 +131,13 @@
         }
     }
 
-    /** Plays it; what was broken, or null. */
+    /** Runs the simulation; returns the first violation, or null. */
     String run() {
         runUntil(FAULTS_END_MICROS);
         if (violation == null) {
             stopFaults();
             faultsStopped = true;
-            replicas.forEach(replica -> replica.disk.mend());
+            replicas.forEach(replica -> replica.disk.clearFaults());
             runUntil(END_MICROS);
         }
         if (violation == null) {
@@ -160,7 +161,7 @@
         }
     }
 
-    // ---- Misfortune ----------------------------------------------------------------------------------
+    // ---- Faults ----------------------------------------------------------------------------------
 
     @Override
     protected void injectFaults() {
@@ -198,7 +199,7 @@
         }
     }
 
-    /** At most a minority of keepers has a disk that is not what it should be, until they have made up for it. */
+    /** Injects a disk fault, unless a minority of the replicas has one that it has not recovered from. */
     private void injectDiskFault(SimulatedReplica replica) {
         if (!mayFault(replica)) {
             return;
@@ -208,31 +209,32 @@
             kind = 6;
         }
         diskFaults++;
-        log(replica.name + " fault of disk " + kind);
+        log(replica.name + " disk fault " + kind);
         switch (kind) {
-            case 0 -> replica.faultWhileDown(() -> replica.disk.rot());
+            case 0 -> replica.faultWhileDown(() -> replica.disk.flipRandomBit());
             case 1 -> {
-                replica.disk.misdirect = true;
+                replica.disk.misdirectNextWrite = true;
                 replica.hasLatentFault = true;
             }
             case 2 -> {
-                replica.disk.loseWrite = true;
+                replica.disk.loseNextWrite = true;
                 replica.hasLatentFault = true;
             }
-            case 3 -> replica.faultWhileDown(() -> replica.disk.staleReads =
-                    replica.disk.names().get(random.nextInt(replica.disk.names().size())));
+            case 3 -> replica.faultWhileDown(() -> replica.disk.staleReadFile = replica.disk
+                    .fileNames()
+                    .get(random.nextInt(replica.disk.fileNames().size())));
             case 4 -> {
-                replica.disk.refuses = random.nextBoolean() ? DiskException.Kind.FULL : DiskException.Kind.FAILED;
-                replica.disk.refusesForceOnly = random.nextBoolean();
+                replica.disk.failure = random.nextBoolean() ? DiskException.Kind.FULL : DiskException.Kind.IO_ERROR;
+                replica.disk.failOnlyFsync = random.nextBoolean();
             }
-            case 5 -> replica.faultWhileDown(() -> replica.disk.loseFile());
+            case 5 -> replica.faultWhileDown(() -> replica.disk.deleteRandomFile());
             case 6 -> replica.restoreBackup();
             case 7 -> replica.faultWhileDown(() -> replica.disk.wipe());
-            default -> replica.disk.forceLies = true; // until the power goes
+            default -> replica.disk.ignoreFsync = true; // until a power loss
         }
     }
 
-    /** Counts one more with those that may have lost something, if there is room for it. */
+    /** Whether one more replica may lose data; then it is counted with those that may have. */
     private boolean mayFault(SimulatedReplica replica) {
         faultyReplicas.removeIf(name -> replica(name).isHealthy());
         boolean allowed = faultyReplicas.contains(replica.name)
@@ -249,7 +251,7 @@
 
     // ---- Processes -----------------------------------------------------------------------------------
 
-    /** A keeper with its disk. */
+    /** A replica with its disk. */
     private final class SimulatedReplica extends Process {
         private final String name;
         SimDisk disk;
@@ -265,7 +267,7 @@
         private long lastToken;
         private long checkedIndex;
         private boolean mayJoin;
-        /** Something on its disk is wrong that it will find only when it reads it. */
+        /** Whether its disk has a fault that shows only on a later read. */
         private boolean hasLatentFault;
 
         SimulatedReplica(String name, long seed) {
@@ -279,8 +281,8 @@
 
         private void createStorage(Membership members) {
             try {
-                ReplicaStorage.make(disk, owner(), nextStorageId++, members);
-            } catch (DiskException | ReplicaStorage.Unusable e) {
+                ReplicaStorage.create(disk, owner(), nextStorageId++, members);
+            } catch (DiskException | UnusableStorageException e) {
                 throw new IllegalStateException(e);
             }
         }
@@ -294,27 +296,27 @@
                     && !hasLatentFault
                     && node != null
                     && node.isRecovered()
-                    && disk.refuses == null
-                    && !disk.forceLies
-                    && disk.staleReads == null
-                    && !disk.misdirect
-                    && !disk.loseWrite
+                    && disk.failure == null
+                    && !disk.ignoreFsync
+                    && disk.staleReadFile == null
+                    && !disk.misdirectNextWrite
+                    && !disk.loseNextWrite
                     && node.membership().voters().containsKey(name);
         }
 
         @Override
         public void crash(long until) {
             boolean powerLoss = random.nextInt(3) == 0 && (!diskLosesWrites || mayFault(this));
-            if (!crashed && !pendingWrites.isEmpty() && storage != null) { // in the middle of it
-                disk.cutAfter = random.nextInt(6);
+            if (!crashed && !pendingWrites.isEmpty() && storage != null) { // the crash interrupts the writes
+                disk.crashAfterOperations = random.nextInt(6);
                 try {
                     while (!pendingWrites.isEmpty()) {
-                        storage.carryOut(pendingWrites.poll());
+                        storage.persist(pendingWrites.poll());
                     }
-                } catch (SimDisk.Cut | DiskException | IllegalStateException e) {
+                } catch (SimDisk.ProcessCrash | DiskException | IllegalStateException e) {
                     pendingWrites.clear();
                 }
-                disk.cutAfter = -1;
+                disk.crashAfterOperations = -1;
             }
             if (powerLoss) {
                 disk.powerCut();
@@ -329,13 +331,13 @@
             super.crash(until);
         }
 
-        /** Something happens to its disk while it is down. */
+        /** Crashes and has its disk changed while it is down. */
         void faultWhileDown(Runnable fault) {
             crash(now + random.nextLong(1_500_000));
             fault.run();
         }
 
-        /** It comes back with a disk of some time ago. */
+        /** Crashes and restarts from an earlier copy of its disk; the first call makes the copy. */
         void restoreBackup() {
             if (backup == null) {
                 backup = disk.copy(random.nextLong());
@@ -343,7 +345,7 @@
             }
             crash(now + random.nextLong(1_500_000));
             disk = backup.copy(random.nextLong());
-            disk.mend();
+            disk.clearFaults();
             backup = null;
         }
 
@@ -352,39 +354,39 @@
             checkedIndex = 0;
             try {
                 if (ReplicaStorage.isEmpty(disk)) {
-                    disk.mend();
+                    disk.clearFaults();
                     createStorage(new Membership(Map.of(), null));
                 }
                 storage = ReplicaStorage.open(disk, owner(), SEGMENT_BYTES);
-            } catch (ReplicaStorage.Unusable e) { // the operator replaces it
+            } catch (UnusableStorageException e) { // the operator replaces the disk
                 disk.wipe();
-                disk.mend();
+                disk.clearFaults();
                 start();
                 return;
             } catch (DiskException e) {
-                disk.mend();
+                disk.clearFaults();
                 crash(now + 500_000);
                 return;
             }
-            disk.staleReads = null;
-            hasLatentFault = disk.misdirect || disk.loseWrite; // then it is still to come
+            disk.staleReadFile = null;
+            hasLatentFault = disk.misdirectNextWrite || disk.loseNextWrite; // then the fault is still to come
             RaftNode.StoredState stored = storage.recovered();
             if (faults.ignoresCorruption) {
                 stored = new RaftNode.StoredState(stored.hardState(), stored.snapshot(), stored.entries(), null, false);
             } else if (faults.ignoresCrashes && !stored.dataLost()) {
                 stored = new RaftNode.StoredState(stored.hardState(), stored.snapshot(), stored.entries(), null, false);
             }
-            log(name + " begins: term " + stored.hardState().term() + " last "
+            log(name + " starts: term " + stored.hardState().term() + " last "
                     + (stored.entries().isEmpty()
                             ? "-"
                             : stored.entries().get(stored.entries().size() - 1).index())
-                    + " covered "
-                    + (stored.snapshot() == null ? 0 : stored.snapshot().lastIncludedIndex()) + " doubt "
+                    + " snapshot "
+                    + (stored.snapshot() == null ? 0 : stored.snapshot().lastIncludedIndex()) + " suspected loss "
                     + stored.suspectedLoss());
             recoveries += stored.suspectedLoss() != null ? 1 : 0;
             mayJoin = mayJoin || storage.founders().voters().isEmpty();
             node = new RaftNode(
-                    new RaftNode.Identity(name, storage.folder(), nextIncarnation++),
+                    new RaftNode.Identity(name, storage.storageId(), nextIncarnation++),
                     rules,
                     stored,
                     storage.founders(),
@@ -430,9 +432,9 @@
                     ConsensusSimulation.this.send(
                             number,
                             replica(send.to()).number,
-                            new ReplicaMessage(name, storage.folder(), send.message()));
+                            new ReplicaMessage(name, storage.storageId(), send.message()));
                 } else if (action instanceof Action.Log line) {
-                    log(name + " says " + line.line());
+                    log(name + " logs: " + line.line());
                 } else if (action instanceof Action.Persist persist) {
                     pendingWrites.add(persist);
                 } else if (action instanceof Action.Respond respond) {
@@ -474,11 +476,11 @@
             if (now >= diskFreeAt && now >= stalledUntil && !pendingWrites.isEmpty()) {
                 Action.Persist persist = pendingWrites.poll();
                 try {
-                    storage.carryOut(persist);
-                } catch (DiskException | IllegalStateException e) { // it stops; somebody mends the disk
+                    storage.persist(persist);
+                } catch (DiskException | IllegalStateException e) { // the process ends; the operator repairs the disk
                     pendingWrites.clear();
                     crash(now + 300_000 + random.nextLong(2_000_000));
-                    disk.mend();
+                    disk.clearFaults();
                     return;
                 }
                 diskFreeAt = now + random.nextLong(30_000);
@@ -511,7 +513,7 @@
         }
     }
 
-    /** A balancer. */
+    /** A balancer that subscribes to the config. */
     private final class SimulatedBalancer extends Process {
         private final String name;
         private ConfigSubscriber subscriber;
@@ -567,7 +569,7 @@
         }
     }
 
-    /** An operator, and whoever replaces keepers. */
+    /** A client that reads and writes the config, and replaces members that have lost their storage. */
     private final class SimulatedClient extends Process {
         private long nextStartAt;
         private long token;
@@ -596,7 +598,7 @@
             if (kind == RequestResult.Kind.UNKNOWN
                     || kind == RequestResult.Kind.NO_LEADER
                     || kind == RequestResult.Kind.BUSY) {
-                sentAt = 0; // again, with the same number
+                sentAt = 0; // retries with the same request id
                 return;
             }
             operation.endedAt = now;
@@ -631,11 +633,11 @@
                     continue;
                 }
                 Member member = memberAtLeader(replica.name);
-                if (member != null && member.storageId() != 0 && member.storageId() != replica.storage.folder()) {
+                if (member != null && member.storageId() != 0 && member.storageId() != replica.storage.storageId()) {
                     return new ClientRequest.RemoveMember(replica.name, member.storageId());
                 } else if (member == null) {
                     return new ClientRequest.AddMember(
-                            new Member(replica.name, replica.storage.folder(), replica.name));
+                            new Member(replica.name, replica.storage.storageId(), replica.name));
                 }
             }
             Map<String, String> disabled = new TreeMap<>();
@@ -668,11 +670,11 @@
                                     : null;
                 }
             }
-            return new Member(name, 0, name); // nobody to ask
+            return new Member(name, 0, name); // no leader to consult
         }
     }
 
-    // ---- Judgement -----------------------------------------------------------------------------------
+    // ---- Invariants -----------------------------------------------------------------------------------
 
     @Override
     protected void check() {
@@ -692,7 +694,7 @@
             }
         }
         if (newestActive > oldestKnown) {
-            fail("one acts on version %d, another knows nothing beyond %d", newestActive, oldestKnown);
+            fail("one balancer acts on version %d, another knows none after %d", newestActive, oldestKnown);
         }
         for (SimulatedBalancer balancer : balancers) {
             if (!balancer.crashed && balancer.effectiveConfig().mode() == ConfigSubscriber.Mode.LEASED) {
@@ -701,7 +703,7 @@
         }
     }
 
-    /** While a version is to take effect, whoever knows it breaks neither it nor the one before. */
+    /** While a version is pending, a balancer that knows it contradicts neither that nor the active one. */
     private void checkDuringActivation(SimulatedBalancer balancer) {
         ConfigVersion next = balancer.subscriber.pending();
         if (next != null) {
@@ -712,7 +714,7 @@
                     balancer.subscriber.active().content()));
             if (!contradicted.isEmpty()) {
                 fail(
-                        "%s breaks %s between versions %d and %d",
+                        "%s contradicts %s between versions %d and %d",
                         balancer.name,
                         contradicted,
                         balancer.subscriber.active().number(),
@@ -728,7 +730,7 @@
                 if (effective.number(ConfigSchema.RETRY_RATIO) > inForce.number(ConfigSchema.RETRY_RATIO)
                         || effective.number(ConfigSchema.BALANCERS) < inForce.number(ConfigSchema.BALANCERS)) {
                     fail(
-                            "%s is alone and looser than version %d",
+                            "%s has no lease and is looser than version %d",
                             name, replica.node.active().number());
                 }
             }
@@ -741,19 +743,19 @@
                 .reduce((a, balancer) -> a.node.term() > balancer.node.term() ? a : balancer)
                 .orElse(null);
         if (leader == null) {
-            fail("nobody leads %d s after the last fault: %s", (END_MICROS - FAULTS_END_MICROS) / 1_000_000, states());
+            fail("no leader %d s after the last fault: %s", (END_MICROS - FAULTS_END_MICROS) / 1_000_000, states());
             return;
         }
         for (SimulatedReplica replica : replicas) {
             if (leader.node.membership().voters().containsKey(replica.name) && !replica.node.isRecovered()) {
-                fail("%s is still in doubt: %s; %s", replica.name, replica.node.suspectedLoss(), states());
+                fail("%s has not recovered: %s; %s", replica.name, replica.node.suspectedLoss(), states());
             }
         }
         if (history.stream()
                 .noneMatch(operation -> operation.startedAt > FAULTS_END_MICROS + 8_000_000
                         && operation.result != null
                         && operation.request instanceof ClientRequest.Set)) {
-            fail("nothing was decided after the last fault: %s", states());
+            fail("nothing was committed after the last fault: %s", states());
         }
         for (SimulatedBalancer balancer : balancers) {
             if (balancer.effectiveConfig().mode() != ConfigSubscriber.Mode.LEASED) {
@@ -771,16 +773,16 @@
                                 : " " + replica.node.role() + " term "
                                         + replica.node.term() + " commit " + replica.node.commitIndex() + " last "
                                         + replica.node.lastIndex()
-                                        + " sound "
-                                        + replica.node.isRecovered() + " doubt " + replica.node.suspectedLoss()
+                                        + " recovered "
+                                        + replica.node.isRecovered() + " suspected loss " + replica.node.suspectedLoss()
                                         + " leader "
                                         + replica.node.leader() + " members "
-                                        + replica.node.membership() + " folder " + replica.storage.folder())
+                                        + replica.node.membership() + " storage " + replica.storage.storageId())
                 .append("; "));
         return text.toString();
     }
 
-    /** Whatever was answered is in the log of all, and answers come in the order in which they were given. */
+    /** All results agree with the committed log, and no read returns an older version than an earlier result did. */
     private void checkHistory() {
         long last = committed.isEmpty() ? 0 : committed.lastKey();
         for (long i = 1; i <= last; i++) {
@@ -799,12 +801,12 @@
                 if (actual == null
                         || actual.kind() != RequestResult.Kind.DONE
                         || actual.version() != operation.result.version()) {
-                    fail("%s was answered %s, is %s", set.write().requestId(), operation.result, actual);
+                    fail("%s had result %s, is %s", set.write().requestId(), operation.result, actual);
                 }
             } else if (operation.request instanceof ClientRequest.Set set) {
                 RequestResult actual = results.get(set.write().requestId());
                 if (actual != null && actual.kind() == RequestResult.Kind.DONE) {
-                    fail("%s was answered %s and is done: %s", set.write().requestId(), operation.result, actual);
+                    fail("%s had result %s and was applied: %s", set.write().requestId(), operation.result, actual);
                 }
             }
         }
@@ -815,7 +817,7 @@
                         && observesVersion(later)
                         && later.result.version() < earlier.result.version()) {
                     fail(
-                            "version %d was answered at %d and %d to %s, which was asked after that at %d",
+                            "version %d was returned at %d, and %d to %s, which started after that at %d",
                             earlier.result.version(),
                             earlier.endedAt,
                             later.result.version(),
@@ -833,7 +835,7 @@
                                 && operation.result.kind() == RequestResult.Kind.DONE);
     }
 
-    /** What a log makes of its writes, by a model of its own. */
+    /** Computes the results of the writes in a log, independently of the state machine. */
     private static final class ReferenceModel {
         Map<String, RequestResult> apply(Iterable<LogEntry> log) {
             Map<String, RequestResult> results = new HashMap<>();
--- a/src/test/java/sedgeyoke/simulation/SeededNetwork.java
+++ b/src/test/java/sedgeyoke/simulation/SeededNetwork.java
@@ -7,16 +7,16 @@
 import java.util.SplittableRandom;
 
 /**
- * Processes on one thread, with clocks that drift, a network that loses, doubles, delays and cuts one way, crashes and
- * pauses, all by seed. What a process decides is its own class's; this one only lets things happen to it.
+ * Simulates processes on one thread: clocks that drift, a network that loses, duplicates and delays messages and fails in
+ * one direction, crashes and pauses, all determined by a seed. Subclasses implement the processes.
  */
 public abstract class SeededNetwork {
-    /** How far time goes in one step, in microseconds. */
+    /** The duration of one step, in microseconds. */
     public static final long STEP_MICROS = 10_000;
 
-    /** By the seed; whoever needs chance takes it from here. */
+    /** The source of all random draws, seeded with the seed of the run. */
     protected final SplittableRandom random;
-    /** How bad things get, 0 to 1. */
+    /** How frequent faults are, 0 to 1. */
     protected final double severity;
 
     private final PriorityQueue<Message> inFlight = new PriorityQueue<>((a, b) ->
@@ -26,15 +26,15 @@
     private final double longDelayRate;
     private boolean[][] linkDown = new boolean[0][0];
     private long nextMessageNumber;
-    private boolean stopFaults;
+    private boolean faultsStopped;
     /** True time, in microseconds. */
     protected long now;
-    /** What was broken, or null. */
+    /** The first violated invariant; null while all hold. */
     protected String violation;
 
     private record Message(long deliverAt, long number, int receiver, Object body) {}
 
-    /** A world of a seed. */
+    /** A network with the faults of a seed. */
     protected SeededNetwork(long seed) {
         random = new SplittableRandom(seed);
         severity = random.nextDouble();
@@ -42,11 +42,11 @@
         longDelayRate = severity * random.nextDouble() * 0.4;
     }
 
-    /** Plays until then; what was broken, or null. */
+    /** Runs until a time in microseconds; returns the first violation, or null. */
     protected final String runUntil(long end) {
         while (now < end && violation == null) {
             now += STEP_MICROS;
-            if (!stopFaults) {
+            if (!faultsStopped) {
                 injectFaults();
             }
             while (!inFlight.isEmpty() && inFlight.peek().deliverAt <= now) {
@@ -63,9 +63,9 @@
         return violation;
     }
 
-    /** From now on nothing fails any more; what is down comes back. */
+    /** Ends all faults: links are up, and processes that are down or paused resume. */
     protected final void stopFaults() {
-        stopFaults = true;
+        faultsStopped = true;
         heal();
         processes.forEach(process -> {
             process.pausedUntil = Math.min(process.pausedUntil, now);
@@ -73,23 +73,23 @@
         });
     }
 
-    /** True with so many chances a second. */
+    /** Draws whether an event of this rate happens in the present step. */
     protected final boolean happens(double ratePerSecond) {
         return random.nextDouble() < ratePerSecond * STEP_MICROS / 1e6;
     }
 
-    /** What goes wrong in this step. */
+    /** Draws and injects the faults of one step. */
     protected abstract void injectFaults();
 
-    /** Looks at everything after each step; sets {@link #breach}. */
+    /** Checks the invariants after each step; sets {@link #violation}. */
     protected abstract void check();
 
-    /** Cuts or opens the way from one process to another, and not the way back. */
+    /** Takes a link down or up, in one direction. */
     protected final void toggleLink(int from, int to) {
         linkDown[from][to] = !linkDown[from][to];
     }
 
-    /** Parts the processes in two, or one from all others. */
+    /** Partitions the processes by side. */
     protected final void partition(boolean[] side) {
         for (int a = 0; a < side.length; a++) {
             for (int b = 0; b < side.length; b++) {
@@ -98,43 +98,43 @@
         }
     }
 
-    /** All ways are open. */
+    /** Takes all links up. */
     protected final void heal() {
         for (boolean[] row : linkDown) {
             Arrays.fill(row, false);
         }
     }
 
-    /** Sends a message, which may come late, twice or never. */
+    /** Sends a message, which may be delayed, duplicated or lost. */
     protected final void send(int from, int to, Object body) {
-        if (linkDown[from][to] || !stopFaults && random.nextDouble() < lossRate) {
+        if (linkDown[from][to] || !faultsStopped && random.nextDouble() < lossRate) {
             return;
         }
-        int copies = !stopFaults && random.nextInt(10) == 0 ? 2 : 1;
+        int copies = !faultsStopped && random.nextInt(10) == 0 ? 2 : 1;
         for (int i = 0; i < copies; i++) {
-            long delay = !stopFaults && random.nextDouble() < longDelayRate
+            long delay = !faultsStopped && random.nextDouble() < longDelayRate
                     ? random.nextLong(2_500_000)
                     : random.nextLong(60_000);
             inFlight.add(new Message(now + delay, nextMessageNumber++, to, body));
         }
     }
 
-    /** The processes there are. */
+    /** The number of processes. */
     protected final int processes() {
         return processes.size();
     }
 
     /** A process with a clock of its own. */
     public abstract class Process {
-        /** Its number. */
+        /** Its index. */
         public final int number;
 
         private final double clockRate;
         private long clockOffset;
         private final List<Object> undelivered = new ArrayList<>();
-        /** Until when it stands still. */
+        /** Until when it is paused. */
         public long pausedUntil;
-        /** Until when it is down. */
+        /** Until when it is down after a crash. */
         public long crashedUntil = -1;
         /** Whether it is down. */
         public boolean crashed;
