--- a/src/main/java/sedgeyoke/consensus/RaftNode.java
+++ b/src/main/java/sedgeyoke/consensus/RaftNode.java
@@ -20,7 +20,6 @@
     private final PersistenceQueue persistence;
     private final Election election;
     private final LogReplication replication;
-    private final AppendEntriesHandler appendEntriesHandler;
     private final SnapshotTransfer snapshots;
     private final LeadershipConfirmation confirmation;
     private final MembershipChange membershipChange;
@@ -29,6 +28,7 @@
     private final EntryApplier applier;
     private final PeerIdentities identities;
     private final RecoveryQueries recoveryQueries;
+    private final MessageDispatch messageDispatch;
 
     /** The role of a replica in its term (Raft thesis, section 3.3). */
     public enum Role {
@@ -83,7 +83,6 @@
         election = new Election(state, persistence, roles, random);
         snapshots = new SnapshotTransfer(state, outbox, persistence, roles, codec);
         replication = new LogReplication(state, outbox, persistence, roles, snapshots);
-        appendEntriesHandler = new AppendEntriesHandler(state, persistence, roles);
         confirmation = new LeadershipConfirmation(state, replication);
         membershipChange = new MembershipChange(state, outbox, replication, roles);
         leases = new ConfigLeases(state, outbox, replication, confirmation);
@@ -91,6 +90,15 @@
         applier = new EntryApplier(state, outbox, requests, membershipChange);
         identities = new PeerIdentities(state, outbox, persistence, replication);
         recoveryQueries = new RecoveryQueries(state, outbox, persistence, roles);
+        messageDispatch = new MessageDispatch(
+                election,
+                replication,
+                new AppendEntriesHandler(state, persistence, roles),
+                snapshots,
+                identities,
+                recoveryQueries,
+                requests,
+                leases);
         persistence.hardStateChanged(); // others must not learn of the new incarnation before it is on disk
         election.restartTimeout();
     }
@@ -251,7 +259,7 @@
         if (message.term() > state.term && !(message instanceof RaftMessage.RequestVote)) {
             becomeFollower(message.term(), null);
         }
-        message.deliver(from, new MessageDispatch(storageId));
+        messageDispatch.dispatch(from, storageId, message);
     }
 
     /** Does what the event has made possible, in the order in which one step enables the next. */
@@ -324,93 +332,4 @@
             election.restartTimeout();
         }
     }
-
-    /** Hands each message to the part that handles it. */
-    private final class MessageDispatch implements RaftMessageHandler {
-        private final long storageId;
-
-        MessageDispatch(long storageId) {
-            this.storageId = storageId;
-        }
-
-        @Override
-        public void handle(String from, RaftMessage.RequestPreVote request) {
-            election.handle(from, request);
-        }
-
-        @Override
-        public void handle(String from, RaftMessage.PreVoteResponse response) {
-            election.handle(from, response);
-        }
-
-        @Override
-        public void handle(String from, RaftMessage.RequestVote request) {
-            election.handle(from, request);
-        }
-
-        @Override
-        public void handle(String from, RaftMessage.VoteResponse response) {
-            election.handle(from, response);
-        }
-
-        @Override
-        public void handle(String from, RaftMessage.AppendEntries request) {
-            appendEntriesHandler.handle(from, request);
-        }
-
-        @Override
-        public void handle(String from, RaftMessage.AppendEntriesResponse response) {
-            replication.handle(from, response);
-        }
-
-        @Override
-        public void handle(String from, RaftMessage.InstallSnapshotChunk chunk) {
-            snapshots.handle(from, chunk);
-        }
-
-        @Override
-        public void handle(String from, RaftMessage.SnapshotChunkAck ack) {
-            replication.handle(from, ack);
-        }
-
-        @Override
-        public void handle(String from, RaftMessage.TimeoutNow message) {
-            election.handle(from, message);
-        }
-
-        @Override
-        public void handle(String from, RaftMessage.RecoveryQuery query) {
-            identities.handle(from, storageId, query);
-        }
-
-        @Override
-        public void handle(String from, RaftMessage.RecoveryReply reply) {
-            recoveryQueries.handle(from, reply);
-        }
-
-        @Override
-        public void handle(String from, RaftMessage.NotAMember notice) {
-            recoveryQueries.handle(from, notice);
-        }
-
-        @Override
-        public void handle(String from, RaftMessage.ForwardedRequest request) {
-            requests.handle(from, request);
-        }
-
-        @Override
-        public void handle(String from, RaftMessage.ForwardedResponse response) {
-            requests.handle(response);
-        }
-
-        @Override
-        public void handle(String from, RaftMessage.LeaseRequests message) {
-            leases.handle(from, message);
-        }
-
-        @Override
-        public void handle(String from, RaftMessage.LeaseResponses message) {
-            leases.handle(message);
-        }
-    }
 }
--- a/src/test/java/sedgeyoke/consensus/ExplicitStatesTest.java
+++ b/src/test/java/sedgeyoke/consensus/ExplicitStatesTest.java
@@ -18,10 +18,10 @@
 import sedgeyoke.lease.ClockDrift;
 
 /**
- * Every state that three keepers can come to, breadth first, up to a number of them: any message delivered, one of them
- * twice, or never, any keeper standing for election, writes, rounds, a crash with and without the last force. It is
- * the keeper itself that runs; a state is reached again by its steps. Times are left out, so that states that differ in
- * them alone count once.
+ * Explores all states that three replicas can reach, breadth first, up to a number of states. In each state any message
+ * may be delivered (one of them twice) or never, any replica may start an election, write, send a heartbeat round, or
+ * crash with or without its last write to disk. The real {@link RaftNode} runs; a state is reached again by replaying its
+ * steps. Times are not part of a state, so that states that differ in times alone count once.
  */
 class ExplicitStatesTest {
     private static final RaftTiming TIMING = new RaftTiming(600_000, 100_000, 1_500_000, new ClockDrift(0), 1_000);
@@ -34,7 +34,40 @@
     private static final int MAX_DUPLICATES = 1;
     private static final String[] NAMES = {"a", "b", "c"};
 
-    /** A message under way, and how often it may still come. */
+    /** What may happen next. */
+    private enum StepKind {
+        /** A message is delivered. */
+        DELIVER,
+        /** A message is delivered, and its receiver crashes before its write to disk. */
+        DELIVER_AND_CRASH,
+        /** A replica starts an election. */
+        START_ELECTION,
+        /** A replica crashes and restarts. */
+        CRASH,
+        /** The leader takes a write. */
+        WRITE,
+        /** The leader starts a heartbeat round. */
+        START_ROUND
+    }
+
+    /** A step and the index of the message, or of the replica, that it concerns. */
+    private record Step(StepKind kind, int target) {}
+
+    /** How often steps of each kind may still happen. */
+    private static final class Budget {
+        int elections = MAX_ELECTIONS;
+        int writes = MAX_WRITES;
+        int crashes = MAX_CRASHES;
+        int rounds = MAX_ROUNDS;
+        int duplicates = MAX_DUPLICATES;
+
+        @Override
+        public String toString() {
+            return List.of(elections, writes, crashes, rounds, duplicates).toString();
+        }
+    }
+
+    /** A message in flight, and whether it was delivered before. */
     private static final class InFlightMessage {
         final int from;
         final int to;
@@ -53,7 +86,7 @@
         }
     }
 
-    /** Three keepers, what is on their disks and what is under way. */
+    /** The state of three replicas, their disks and the messages in flight. */
     private static final class ClusterState {
         final Function<RaftTiming, SafetyRules> rules;
         final RaftNode[] nodes = new RaftNode[NAMES.length];
@@ -64,7 +97,7 @@
         final List<InFlightMessage> messages = new ArrayList<>();
         final Map<Long, String> leaders = new TreeMap<>();
         final Map<Long, LogEntry> committed = new TreeMap<>();
-        final int[] left = {MAX_ELECTIONS, MAX_WRITES, MAX_CRASHES, MAX_ROUNDS, MAX_DUPLICATES};
+        final Budget budget = new Budget();
         String violation;
 
         ClusterState(Function<RaftTiming, SafetyRules> rules) {
@@ -79,7 +112,7 @@
                 clocks[node] = 10_000_000;
                 start(node, incarnations[node]);
             }
-            messages.clear(); // they know each other
+            messages.clear(); // the replicas know each other's incarnations
         }
 
         void start(int node, long incarnation) {
@@ -106,7 +139,7 @@
                     true);
         }
 
-        /** {@code persisted} false: the process ends before what it wants to last is on disk. */
+        /** Handles an event; if not {@code persisted}, the process ends before its write to disk. */
         void handle(int node, Event event, boolean persisted) {
             try {
                 List<Action> actions = nodes[node].handle(event, clocks[node]);
@@ -137,87 +170,94 @@
             log.addAll(persist.entries());
         }
 
-        /** What may happen next: the kind and whom or what it happens to. */
-        List<int[]> enabledSteps() {
-            List<int[]> steps = new ArrayList<>();
+        /** The steps that are possible in this state. */
+        List<Step> enabledSteps() {
+            List<Step> steps = new ArrayList<>();
             for (int i = 0; i < messages.size(); i++) {
-                if (!messages.get(i).delivered || left[4] > 0) {
-                    steps.add(new int[] {0, i});
-                    if (left[2] > 0) {
-                        steps.add(new int[] {1, i});
+                if (isDeliverable(messages.get(i))) {
+                    steps.add(new Step(StepKind.DELIVER, i));
+                    if (budget.crashes > 0) {
+                        steps.add(new Step(StepKind.DELIVER_AND_CRASH, i));
                     }
                 }
             }
             for (int node = 0; node < NAMES.length; node++) {
-                if (left[0] > 0 && nodes[node].term() < MAX_TERMS && nodes[node].role() != RaftNode.Role.LEADER) {
-                    steps.add(new int[] {2, node});
-                }
-                if (left[2] > 0) {
-                    steps.add(new int[] {3, node});
-                }
-                if (nodes[node].role() == RaftNode.Role.LEADER) {
-                    if (left[1] > 0) {
-                        steps.add(new int[] {4, node});
-                    }
-                    if (left[3] > 0) {
-                        steps.add(new int[] {5, node});
-                    }
-                }
+                addStepsOf(node, steps);
             }
             return steps;
         }
 
-        void apply(int[] step) {
-            int what = step[1];
-            switch (step[0]) {
-                case 0, 1 -> {
-                    InFlightMessage message = messages.get(what);
-                    left[4] -= message.delivered ? 1 : 0;
-                    message.delivered = true;
-                    handle(message.to, new Event.Received(NAMES[message.from], 1, message.message), step[0] == 0);
-                    if (step[0] == 1) {
-                        crash(message.to);
-                    }
-                }
-                case 2 -> {
-                    left[0]--;
-                    clocks[what] += 2 * TIMING.electionTimeoutMicros() + 1;
-                    handle(what, new Event.Tick(), true);
-                    messages.removeIf(message -> message.message
-                            instanceof RaftMessage.RequestPreVote); // it changes nothing at whoever is asked
-                    handle(
-                            what,
-                            new Event.Received(
-                                    NAMES[(what + 1) % NAMES.length],
-                                    1,
-                                    new RaftMessage.PreVoteResponse(nodes[what].term(), true, true)),
-                            true);
-                }
-                case 3 -> crash(what);
-                case 4 -> {
-                    int write = left[1]--;
-                    handle(
-                            what,
-                            new Event.RequestReceived(
-                                    write,
-                                    new ClientRequest.Set(
-                                            new Command.Write("w" + write, 0, "", "", 0, ConfigDocument.EMPTY))),
-                            true);
-                }
-                default -> {
-                    left[3]--;
-                    clocks[what] += TIMING.heartbeatMicros();
-                    handle(what, new Event.Tick(), true);
+        private boolean isDeliverable(InFlightMessage message) {
+            return !message.delivered || budget.duplicates > 0;
+        }
+
+        private void addStepsOf(int node, List<Step> steps) {
+            boolean leader = nodes[node].role() == RaftNode.Role.LEADER;
+            if (!leader && budget.elections > 0 && nodes[node].term() < MAX_TERMS) {
+                steps.add(new Step(StepKind.START_ELECTION, node));
+            }
+            if (budget.crashes > 0) {
+                steps.add(new Step(StepKind.CRASH, node));
+            }
+            if (leader && budget.writes > 0) {
+                steps.add(new Step(StepKind.WRITE, node));
+            }
+            if (leader && budget.rounds > 0) {
+                steps.add(new Step(StepKind.START_ROUND, node));
+            }
+        }
+
+        void apply(Step step) {
+            switch (step.kind()) {
+                case DELIVER -> deliver(messages.get(step.target()), true);
+                case DELIVER_AND_CRASH -> {
+                    InFlightMessage message = messages.get(step.target());
+                    deliver(message, false);
+                    crash(message.to);
                 }
+                case START_ELECTION -> startElection(step.target());
+                case CRASH -> crash(step.target());
+                case WRITE -> write(step.target());
+                case START_ROUND -> startRound(step.target());
             }
             messages.sort((x, y) -> x.toString().compareTo(y.toString()));
             check();
         }
 
+        private void deliver(InFlightMessage message, boolean persisted) {
+            budget.duplicates -= message.delivered ? 1 : 0;
+            message.delivered = true;
+            handle(message.to, new Event.Received(NAMES[message.from], 1, message.message), persisted);
+        }
+
+        private void startElection(int node) {
+            budget.elections--;
+            clocks[node] += 2 * TIMING.electionTimeoutMicros() + 1;
+            handle(node, new Event.Tick(), true);
+            // a pre-vote request changes nothing at its receiver
+            messages.removeIf(message -> message.message instanceof RaftMessage.RequestPreVote);
+            RaftMessage response = new RaftMessage.PreVoteResponse(nodes[node].term(), true, true);
+            handle(node, new Event.Received(NAMES[(node + 1) % NAMES.length], 1, response), true);
+        }
+
+        private void write(int node) {
+            int token = budget.writes;
+            budget.writes--;
+            Command.Write write = new Command.Write("w" + token, 0, "", "", 0, ConfigDocument.EMPTY);
+            handle(node, new Event.RequestReceived(token, new ClientRequest.Set(write)), true);
+        }
+
+        private void startRound(int node) {
+            budget.rounds--;
+            clocks[node] += TIMING.heartbeatMicros();
+            handle(node, new Event.Tick(), true);
+        }
+
         private void crash(int node) {
-            left[2]--;
+            budget.crashes--;
             clocks[node] += 1_000;
-            start(node, incarnations[node] += 10);
+            incarnations[node] += 10;
+            start(node, incarnations[node]);
         }
 
         private void check() {
@@ -246,8 +286,8 @@
                         .append(logs.get(node).size())
                         .append('|');
             }
-            messages.stream().filter(f -> !f.delivered || left[4] > 0).forEach(text::append);
-            text.append(leaders).append(committed).append(Arrays.toString(left));
+            messages.stream().filter(this::isDeliverable).forEach(text::append);
+            text.append(leaders).append(committed).append(budget);
             long hash = 0xcbf29ce484222325L; // FNV-1a, 64 bits
             for (int i = 0; i < text.length(); i++) {
                 hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
@@ -261,16 +301,16 @@
 
         @Override
         public byte[] encode(Snapshot state) {
-            throw new AssertionError("too few entries for one");
+            throw new AssertionError("there are too few entries for a snapshot");
         }
 
         @Override
         public Snapshot decode(byte[] bytes) {
-            throw new AssertionError("nobody sends one");
+            throw new AssertionError("no snapshot is sent");
         }
     }
 
-    private static ClusterState replay(Function<RaftTiming, SafetyRules> rules, List<int[]> path) {
+    private static ClusterState replay(Function<RaftTiming, SafetyRules> rules, List<Step> path) {
         ClusterState state = new ClusterState(rules);
         path.forEach(state::apply);
         return state;
@@ -280,20 +320,20 @@
 
     private static SearchResult explore(Function<RaftTiming, SafetyRules> rules, int maxStates) {
         Set<Long> seen = ConcurrentHashMap.newKeySet();
-        Map<String, List<int[]>> violations = new ConcurrentHashMap<>();
-        List<List<int[]>> level = List.of(List.of());
+        Map<String, List<Step>> violations = new ConcurrentHashMap<>();
+        List<List<Step>> level = List.of(List.of());
         int depth = 0;
         for (; !level.isEmpty() && seen.size() < maxStates && violations.isEmpty(); depth++) {
             level = level.parallelStream()
                     .flatMap(path -> {
-                        List<List<int[]>> next = new ArrayList<>();
-                        for (int[] step : replay(rules, path).enabledSteps()) {
+                        List<List<Step>> next = new ArrayList<>();
+                        for (Step step : replay(rules, path).enabledSteps()) {
                             if (seen.size() >= maxStates) {
                                 break;
                             }
                             ClusterState state = replay(rules, path);
                             state.apply(step);
-                            List<int[]> longer = new ArrayList<>(path);
+                            List<Step> longer = new ArrayList<>(path);
                             longer.add(step);
                             if (state.violation != null) {
                                 violations.put(state.violation, longer);
@@ -318,7 +358,7 @@
         System.out.println("explicit: " + result.states() + " states, depth " + result.depth() + ", "
                 + (System.nanoTime() - startedAt) / 1_000_000 + " ms");
         assertNull(result.violation());
-        assertTrue(result.states() >= Math.min(MAX_STATES, 10_000), "too few to show anything: " + result.states());
+        assertTrue(result.states() >= Math.min(MAX_STATES, 10_000), "too few states: " + result.states());
     }
 
     @Test
@@ -331,7 +371,7 @@
                     }
                 },
                 MAX_STATES);
-        System.out.println("explicit, two votes in a term: " + result);
+        System.out.println("explicit, two votes in one term: " + result);
         assertNotNull(result.violation());
     }
 }
--- a/src/test/java/sedgeyoke/consensus/RaftNodeRulesTest.java
+++ b/src/test/java/sedgeyoke/consensus/RaftNodeRulesTest.java
@@ -20,14 +20,14 @@
 import sedgeyoke.lease.ClockDrift;
 
 /**
- * Histories written for rules whose breach is too rare for seeds: each holds with the rule as it is, and fails with a
- * mistake in its place.
+ * Scenarios for rules whose faults are too rare to be detected by seeds: each holds with the rule as it is, and fails with
+ * a faulty rule in its place.
  */
 class RaftNodeRulesTest {
     private static final RaftTiming TIMING = new RaftTiming(600_000, 100_000, 1_500_000, new ClockDrift(1_000), 1_000);
     private static final long STORAGE_ID = 7;
 
-    /** One keeper of three, whose messages go nowhere and whose disk is quick. */
+    /** One replica of three; its messages are recorded, and its writes to disk are done at once. */
     private static final class SingleReplica {
         final RaftNode node;
         final List<Action> actions = new ArrayList<>();
@@ -80,7 +80,7 @@
             handle(new Event.Tick());
         }
 
-        /** The number under which it asked what others know. */
+        /** The id of the latest recovery query that was sent. */
         long latestQueryId() {
             handle(new Event.Tick());
             return sent(RaftMessage.RecoveryQuery.class).stream()
@@ -135,11 +135,11 @@
 
         @Override
         public Snapshot decode(byte[] bytes) {
-            throw new AssertionError("no snapshot comes");
+            throw new AssertionError("no snapshot is received");
         }
     }
 
-    /** A history and whether the rule is kept in it. */
+    /** Whether a scenario holds with given rules, and rules with which it must not. */
     private record Scenario(
             Predicate<Function<RaftTiming, SafetyRules>> holdsWith, Function<RaftTiming, SafetyRules> faultyRules) {}
 
@@ -167,10 +167,10 @@
     }
 
     private static boolean recoveryWaitsForLeaderLog(Function<RaftTiming, SafetyRules> rules) {
-        SingleReplica replica = new SingleReplica(rules, "a part is gone", 1, 1);
+        SingleReplica replica = new SingleReplica(rules, "a segment is missing", 1, 1);
         replica.advanceTime(4 * TIMING.electionTimeoutMicros());
         replica.receive("b", new RaftMessage.AppendEntries(2, 1, 1, List.of(), 0, 1));
-        for (int i = 0; i < 2; i++) { // the second answer is to what was asked after the leader was known
+        for (int i = 0; i < 2; i++) { // the second reply is to a query that was sent after the leader was known
             long queryId = replica.latestQueryId();
             replica.receive("b", new RaftMessage.RecoveryReply(2, queryId, false, true, false, true, 9, 0));
             replica.receive("c", new RaftMessage.RecoveryReply(2, queryId, false, true, false, false, 9, 0));
@@ -200,7 +200,7 @@
         replica.receive(
                 "b",
                 new RaftMessage.AppendEntriesResponse(
-                        replica.node.term(), true, 2, 1, incarnation, true)); // not yet its own entry
+                        replica.node.term(), true, 2, 1, incarnation, true)); // not yet an entry of its own term
         return replica.node.commitIndex() == 0;
     }
 
@@ -208,7 +208,7 @@
         SingleReplica replica = new SingleReplica(rules, null, 1, 1);
         replica.becomeLeader();
         replica.receive("b", new RaftMessage.RecoveryQuery(replica.node.term(), List.of(50L, 5L), 1));
-        replica.receiveAcknowledgement("b", true); // from the run before
+        replica.receiveAcknowledgement("b", true); // from the earlier incarnation
         return replica.node.commitIndex() == 0;
     }
 
@@ -223,14 +223,14 @@
     }
 
     private static boolean grantsNoSecondVoteAfterRecovery(Function<RaftTiming, SafetyRules> rules) {
-        SingleReplica replica = new SingleReplica(rules, "a part is gone", 1, 1);
+        SingleReplica replica = new SingleReplica(rules, "a segment is missing", 1, 1);
         replica.advanceTime(4 * TIMING.electionTimeoutMicros());
         long queryId = replica.latestQueryId();
         replica.receive("b", new RaftMessage.RecoveryReply(2, queryId, false, true, false, true, 1, 0));
         replica.receive("c", new RaftMessage.RecoveryReply(2, queryId, false, true, false, false, 1, 0));
         replica.receive("b", new RaftMessage.AppendEntries(2, 1, 1, List.of(), 0, 1));
         replica.receive("b", new RaftMessage.RecoveryReply(2, replica.latestQueryId(), false, true, false, true, 1, 0));
-        assertTrue(replica.node.isRecovered(), "it has all");
+        assertTrue(replica.node.isRecovered(), "its log matches the leader's");
         replica.advanceTime(2 * TIMING.electionTimeoutMicros());
         replica.receive("c", new RaftMessage.RequestVote(2, 9, 9, false));
         return replica.sent(RaftMessage.VoteResponse.class).stream().noneMatch(RaftMessage.VoteResponse::granted);
@@ -247,7 +247,7 @@
                     }
                 }));
         scenarios.put(
-                "two keepers change at a time",
+                "two members change at a time",
                 new Scenario(RaftNodeRulesTest::changesOneMemberAtATime, t -> new SafetyRules(t) {
                     @Override
                     boolean mayChangeMembership(Membership inLog, Membership committed) {
@@ -255,34 +255,35 @@
                     }
                 }));
         scenarios.put(
-                "whoever may have lost something counts",
+                "a replica that may have lost data counts towards a quorum",
                 new Scenario(RaftNodeRulesTest::countsOnlyRecoveredReplicas, t -> new SafetyRules(t) {
                     @Override
-                    boolean countsTowardsQuorum(boolean sound) {
+                    boolean countsTowardsQuorum(boolean recovered) {
                         return true;
                     }
                 }));
         scenarios.put(
-                "in doubt, any log will do",
+                "recovery does not wait for the leader's log",
                 new Scenario(RaftNodeRulesTest::recoveryWaitsForLeaderLog, t -> new SafetyRules(t) {
                     @Override
-                    long recoveryTarget(long leadersLast) {
+                    long recoveryTarget(long leaderLastIndex) {
                         return 0;
                     }
                 }));
         scenarios.put(
-                "nobody remembers what a keeper has said",
+                "an old copy of a disk is not recognized",
                 new Scenario(RaftNodeRulesTest::remembersIncarnations, t -> new SafetyRules(t) {
                     @Override
-                    boolean isOutdatedReplica(long knownRun, List<Long> runs, long heardTerm, long term) {
+                    boolean isOutdatedReplica(
+                            long knownIncarnation, List<Long> incarnations, long lastSeenTerm, long term) {
                         return false;
                     }
                 }));
         scenarios.put(
-                "another folder is taken for the one before",
+                "a replaced disk is taken for the former one",
                 new Scenario(RaftNodeRulesTest::checksStorageIds, t -> new SafetyRules(t) {
                     @Override
-                    boolean isSameStorage(long known, long said) {
+                    boolean isSameStorage(long knownStorageId, long claimedStorageId) {
                         return true;
                     }
                 }));
@@ -304,22 +305,21 @@
                     }
                 }));
         scenarios.put(
-                "what a run before has acknowledged counts",
+                "acknowledgements of an earlier incarnation count",
                 new Scenario(RaftNodeRulesTest::ignoresEarlierIncarnation, t -> new SafetyRules(t) {
                     @Override
-                    boolean isSameIncarnation(long known, long said) {
-                        return true;
-                    }
-                }));
-        scenarios.put(
-                "votes count for ever", new Scenario(RaftNodeRulesTest::ignoresLateVotes, t -> new SafetyRules(t) {
-                    @Override
-                    boolean votesAreValid(long now, long stoodAt) {
+                    boolean isSameIncarnation(long knownIncarnation, long claimedIncarnation) {
                         return true;
                     }
                 }));
+        scenarios.put("votes never expire", new Scenario(RaftNodeRulesTest::ignoresLateVotes, t -> new SafetyRules(t) {
+            @Override
+            boolean votesAreValid(long now, long electionStartedAt) {
+                return true;
+            }
+        }));
         scenarios.put(
-                "a vote that may be lost was none",
+                "a vote that may be lost is taken for none",
                 new Scenario(RaftNodeRulesTest::grantsNoSecondVoteAfterRecovery, t -> new SafetyRules(t) {
                     @Override
                     String voteAfterRecovery() {
@@ -334,113 +334,23 @@
             String rule,
             Predicate<Function<RaftTiming, SafetyRules>> holdsWith,
             Function<RaftTiming, SafetyRules> faultyRules) {
-        assertTrue(holdsWith.test(SafetyRules::new), "kept");
-        assertFalse(holdsWith.test(faultyRules), "found");
+        assertTrue(holdsWith.test(SafetyRules::new), "holds with the rules as they are");
+        assertFalse(holdsWith.test(faultyRules), "fails with the faulty rule");
     }
 
-    /** Also where its own term is the highest of all: what it did in that term may be what was lost. */
+    /** Also if no replica knows a higher term: the lost data may be the vote in that term. */
     @Test
     void voteInOwnHighestTermIsUnknownAfterRecovery() {
-        SingleReplica replica = new SingleReplica(SafetyRules::new, "a part is gone", 5, 1);
+        SingleReplica replica = new SingleReplica(SafetyRules::new, "a segment is missing", 5, 1);
         replica.advanceTime(4 * TIMING.electionTimeoutMicros());
         long queryId = replica.latestQueryId();
         replica.receive("b", new RaftMessage.RecoveryReply(2, queryId, false, true, false, false, 1, 0));
         replica.receive("c", new RaftMessage.RecoveryReply(2, queryId, false, true, false, false, 1, 0));
         replica.receive("b", new RaftMessage.AppendEntries(5, 1, 1, List.of(), 0, 1));
         replica.receive("b", new RaftMessage.RecoveryReply(5, replica.latestQueryId(), false, true, false, true, 1, 0));
-        assertTrue(replica.node.isRecovered(), "it has all");
+        assertTrue(replica.node.isRecovered(), "its log matches the leader's");
         replica.advanceTime(2 * TIMING.electionTimeoutMicros());
         replica.receive("c", new RaftMessage.RequestVote(5, 9, 9, false));
         assertTrue(replica.sent(RaftMessage.VoteResponse.class).stream().noneMatch(RaftMessage.VoteResponse::granted));
     }
-
-    /** A balancer that is started again and again leaves nothing behind that others would be refused for. */
-    @Test
-    void expiredLeasesMakeRoomForNewHolders() {
-        LeaseTable leases = new LeaseTable(new SafetyRules(TIMING), 0);
-        long now = 0;
-        for (long incarnation = 0; incarnation < 3 * LeaseTable.MAX_HOLDERS; incarnation++) {
-            now += TIMING.leaseMicros() / 100;
-            assertTrue(leases.grant(new LeaseRequest("b", incarnation, 0, 0, 1), now, ConfigVersion.NONE, null)
-                    .granted());
-        }
-        assertTrue(leases.holderCount(now) <= 102, "hold one: " + leases.holderCount(now));
-        for (long incarnation = 0; incarnation < LeaseTable.MAX_HOLDERS; incarnation++) {
-            leases.grant(new LeaseRequest("c", incarnation, 0, 0, 1), now, ConfigVersion.NONE, null);
-        }
-        assertFalse(
-                leases.grant(new LeaseRequest("d", 1, 0, 0, 1), now, ConfigVersion.NONE, null)
-                        .granted(),
-                "there is a bound");
-    }
-
-    /** A floor that was agreed once may only get looser: a balancer that is alone goes by the old one. */
-    @Test
-    void floorsMayOnlyBeLoosened() {
-        ConfigDocument before =
-                ConfigDocument.EMPTY.with(ConfigSchema.RETRY_RATIO_FLOOR, 0.1).with(ConfigSchema.BALANCERS_FLOOR, 50);
-        assertEquals(
-                List.of(),
-                ConfigValidator.violations(
-                        before,
-                        before.with(ConfigSchema.RETRY_RATIO_FLOOR, 0.2).with(ConfigSchema.BALANCERS_FLOOR, 40)));
-        assertEquals(
-                1,
-                ConfigValidator.violations(before, before.with(ConfigSchema.RETRY_RATIO_FLOOR, 0.05))
-                        .size());
-        assertEquals(
-                1,
-                ConfigValidator.violations(before, before.with(ConfigSchema.BALANCERS_FLOOR, 60))
-                        .size());
-    }
-
-    @Test
-    void violationsNameTheirKey() {
-        ConfigDocument bad = new ConfigDocument(
-                Map.of("retries", 2.0, "nonesuch", 1.0),
-                Map.of("upstreams_out", Map.of("x", 1.0)),
-                Map.of("zones_out", Map.of("", "note")));
-        List<String> faults = ConfigValidator.violations(ConfigDocument.EMPTY, bad);
-        assertTrue(faults.stream().anyMatch(f -> f.startsWith("retries: 2.0")), faults.toString());
-        assertTrue(faults.stream().anyMatch(f -> f.startsWith("nonesuch: no such key")), faults.toString());
-        assertTrue(faults.stream().anyMatch(f -> f.startsWith("upstreams_out: ")), faults.toString());
-        assertTrue(faults.stream().anyMatch(f -> f.startsWith("zones_out.")), faults.toString());
-    }
-
-    /** The meet breaks neither version, whichever fields they have. */
-    @Test
-    void mergedDocumentContradictsNeitherVersion() {
-        SplittableRandom random = new SplittableRandom(1);
-        for (int i = 0; i < 2_000; i++) {
-            ConfigDocument first = randomDocument(random);
-            ConfigDocument second = randomDocument(random);
-            assertEquals(List.of(), ConfigSchema.contradictions(ConfigSchema.merge(first, second), first));
-            assertEquals(
-                    List.of(),
-                    ConfigSchema.contradictions(ConfigSchema.merge(first, second), second).stream()
-                            .filter(f -> !f.equals("planners"))
-                            .toList());
-            assertEquals(
-                    ConfigSchema.merge(first, second).numbers(),
-                    ConfigSchema.merge(second, first).numbers());
-            assertEquals(List.of(), ConfigSchema.contradictions(ConfigSchema.withoutLease(first), first));
-        }
-    }
-
-    private static ConfigDocument randomDocument(SplittableRandom random) {
-        ConfigDocument document = ConfigDocument.EMPTY;
-        for (ConfigField field : ConfigSchema.FIELDS) {
-            if (random.nextBoolean()) {
-                continue;
-            } else if (field.kind() == ConfigField.Kind.NUMBER) {
-                document = document.with(field, field.min() + random.nextDouble() * (field.max() - field.min()));
-            } else if (field.kind() == ConfigField.Kind.NAMES) {
-                document = document.with(field, random.nextBoolean() ? Map.of("x", "1") : Map.of("x", "2", "y", ""));
-            } else {
-                document = document.withTable(
-                        field, random.nextBoolean() ? Map.of("t", random.nextDouble()) : Map.of("u", 0.5));
-            }
-        }
-        return document;
-    }
 }
