--- a/src/main/java/sedgeyoke/consensus/ConfigSchema.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigSchema.java
@@ -21,15 +21,19 @@
 
     private static final int MAX_BALANCERS = 100_000;
     private static final int MAX_PLANNERS = 16;
-    private static final String SAME_WITHOUT_CONTACT = "the same, for a balancer that hears no keeper";
+    private static final String SAME_WITHOUT_CONTACT = "the same, for a balancer without a lease";
 
     /** Upstreams that are disabled: no balancer sends to them. */
     public static final ConfigField DISABLED_UPSTREAMS = names(
-            "upstreams_out", "upstream ids", MAX_NAMES, MergeRule.UNION, "upstreams out by hand: nobody sends to them");
+            "upstreams_out",
+            "upstream ids",
+            MAX_NAMES,
+            MergeRule.UNION,
+            "disabled upstreams: no balancer sends to them");
 
     /** Zones that are disabled: no balancer sends to their upstreams. */
     public static final ConfigField DISABLED_ZONES = names(
-            "zones_out", "zones", MAX_NAMES, MergeRule.UNION, "zones out by hand: nobody sends to their upstreams");
+            "zones_out", "zones", MAX_NAMES, MergeRule.UNION, "disabled zones: no balancer sends to their upstreams");
 
     /** The number of balancers among which budgets are divided. */
     public static final ConfigField BALANCERS = number(
@@ -40,7 +44,7 @@
             1,
             MergeRule.MAXIMUM,
             WithoutLease.FLOOR,
-            "number of balancers that budgets are cut for");
+            "number of balancers that budgets are divided among");
 
     /** The floor of {@link #BALANCERS}. */
     public static final ConfigField BALANCERS_FLOOR = number(
@@ -56,18 +60,18 @@
     /** The ratio of retries to first attempts, over all balancers. */
     public static final ConfigField RETRY_RATIO = number(
             "retries",
-            "share of first tries",
+            "retries per first attempt",
             0,
             1,
             1,
             MergeRule.MINIMUM,
             WithoutLease.FLOOR,
-            "second tries for each first try, over the tier");
+            "ratio of retries to first attempts, over all balancers");
 
     /** The floor of {@link #RETRY_RATIO}. */
     public static final ConfigField RETRY_RATIO_FLOOR = number(
             "retries_alone",
-            "share of first tries",
+            "retries per first attempt",
             0,
             1,
             0,
@@ -84,7 +88,7 @@
             1,
             MergeRule.MINIMUM,
             WithoutLease.FLOOR,
-            "part of what the settings allow a cold upstream");
+            "share of the slow-start quota that the settings allow");
 
     /** The floor of {@link #SLOW_START_SHARE}. */
     public static final ConfigField SLOW_START_SHARE_FLOOR = number(
@@ -101,15 +105,19 @@
             MergeRule.MINIMUM,
             WithoutLease.LAST_KNOWN,
             1,
-            "most of the capacity that a tenant may use");
+            "largest share of the capacity for each tenant");
 
     /** Groups whose upstreams drop a repeated request with the same idempotency key. */
     public static final ConfigField DEDUPLICATING_GROUPS = names(
-            "repeat_groups", "groups", MAX_NAMES, MergeRule.INTERSECTION, "groups whose upstreams drop a keyed repeat");
+            "repeat_groups",
+            "groups",
+            MAX_NAMES,
+            MergeRule.INTERSECTION,
+            "groups whose upstreams drop a repeated idempotency key");
 
     /** The addresses on which planners listen. */
     public static final ConfigField PLANNERS =
-            names("planners", "addresses", MAX_PLANNERS, MergeRule.OLDER, "where planners listen");
+            names("planners", "addresses", MAX_PLANNERS, MergeRule.OLDER, "addresses on which planners listen");
 
     /** All fields. */
     public static final List<ConfigField> FIELDS = List.of(
--- a/src/main/java/sedgeyoke/consensus/RaftNode.java
+++ b/src/main/java/sedgeyoke/consensus/RaftNode.java
@@ -29,6 +29,7 @@
     private final PeerIdentities identities;
     private final RecoveryQueries recoveryQueries;
     private final MessageDispatch messageDispatch;
+    private final EventHandler eventDispatch = new EventDispatch();
 
     /** The role of a replica in its term (Raft thesis, section 3.3). */
     public enum Role {
@@ -213,19 +214,7 @@
      */
     public List<Action> handle(Event event, long nowMicros) {
         state.now = Math.max(state.now, nowMicros);
-        if (event instanceof Event.Tick) {
-            tick();
-        } else if (event instanceof Event.Received received) {
-            receive(received.from(), received.storageId(), received.message());
-        } else if (event instanceof Event.Persisted persisted) {
-            persistence.persisted(persisted.token());
-        } else if (event instanceof Event.RequestReceived request) {
-            requests.receive(request.token(), request.request());
-        } else if (event instanceof Event.LeasesRequested requested) {
-            leases.request(requested.requests());
-        } else if (event instanceof Event.TransferLeadership && state.isLeader()) {
-            replication.transferLeadership();
-        }
+        event.deliver(eventDispatch);
         advance();
         return outbox.take();
     }
@@ -317,6 +306,40 @@
         }
     }
 
+    private final class EventDispatch implements EventHandler {
+        @Override
+        public void handle(Event.Tick tick) {
+            RaftNode.this.tick();
+        }
+
+        @Override
+        public void handle(Event.Received received) {
+            receive(received.from(), received.storageId(), received.message());
+        }
+
+        @Override
+        public void handle(Event.Persisted persisted) {
+            persistence.persisted(persisted.token());
+        }
+
+        @Override
+        public void handle(Event.RequestReceived received) {
+            requests.receive(received.token(), received.request());
+        }
+
+        @Override
+        public void handle(Event.LeasesRequested requested) {
+            leases.request(requested.requests());
+        }
+
+        @Override
+        public void handle(Event.TransferLeadership transfer) {
+            if (state.isLeader()) {
+                replication.transferLeadership();
+            }
+        }
+    }
+
     private final class Transitions implements RoleTransitions {
         @Override
         public void becomeFollower(long term, String leader) {
