--- a/bench/src/PlanCost.java
+++ b/bench/src/PlanCost.java
@@ -69,14 +69,14 @@
                     forwarders.get(0).cpuSeconds(), forwarders.get(1).cpuSeconds()
                 };
                 long[] asked = {
-                    site.ask(() -> site.checker().askedOf("off")),
-                    site.ask(() -> site.checker().askedOf("on"))
+                    site.ask(() -> site.checker().requestsSentTo("off")),
+                    site.ask(() -> site.checker().requestsSentTo("on"))
                 };
                 Thread.sleep(seconds * 1_000L / 3);
                 for (int f = 0; f < 2; f++) {
                     String name = NAMES.get(f);
                     double used = forwarders.get(f).cpuSeconds() - cpu[f];
-                    long served = site.ask(() -> site.checker().askedOf(name)) - asked[f];
+                    long served = site.ask(() -> site.checker().requestsSentTo(name)) - asked[f];
                     total[f] += used / served / 3;
                     System.out.printf(
                             Locale.ROOT,
--- a/src/main/java/sedgeyoke/drill/DemoRun.java
+++ b/src/main/java/sedgeyoke/drill/DemoRun.java
@@ -125,8 +125,8 @@
                 summary.p50Ms(),
                 summary.p99Ms(),
                 summary.answers()));
-        out.println(
-                String.format(Locale.ROOT, "coldest moment: %.2f of what makes a node fall over", summary.coldPeak()));
+        out.println(String.format(
+                Locale.ROOT, "coldest moment: %.2f of what makes a node fall over", summary.warmUpPeak()));
         if (summary.ruleViolations() == 0) {
             out.println("all four rules kept");
         } else {
--- a/src/main/java/sedgeyoke/drill/PlannersDrill.java
+++ b/src/main/java/sedgeyoke/drill/PlannersDrill.java
@@ -89,7 +89,7 @@
         int violations =
                 all.stream().mapToInt(InvariantChecker.Summary::ruleViolations).sum();
         double coldPeak = all.stream()
-                .mapToDouble(InvariantChecker.Summary::coldPeak)
+                .mapToDouble(InvariantChecker.Summary::warmUpPeak)
                 .max()
                 .orElse(0);
         double maxStalledMs = results.values().stream()
--- a/src/main/java/sedgeyoke/drill/PlannersRun.java
+++ b/src/main/java/sedgeyoke/drill/PlannersRun.java
@@ -145,7 +145,7 @@
 
     private static String describe(InvariantChecker.Summary summary, double utilisation) {
         return "service " + round(summary.service()) + ", answers " + summary.answers() + ", p99 "
-                + round(summary.p99Ms()) + " ms, cold peak " + round(summary.coldPeak()) + ", rules "
+                + round(summary.p99Ms()) + " ms, cold peak " + round(summary.warmUpPeak()) + ", rules "
                 + summary.violations() + ", utilisation " + round(utilisation);
     }
 
--- a/src/main/java/sedgeyoke/drill/Sites.java
+++ b/src/main/java/sedgeyoke/drill/Sites.java
@@ -21,6 +21,6 @@
             specs.add(new SiteModel.NodeSpec("n" + (i + 1), zone, CORES, i % 3 == 2 ? SLOW : FAST, QUEUE));
         }
         return new SiteModel(
-                List.of("kagoshima", "miyazaki", "oita"), SiteModel.orders(), specs, SiteModel.RuleSpec.USUAL, false);
+                List.of("kagoshima", "miyazaki", "oita"), SiteModel.orders(), specs, SiteModel.RuleSpec.DEFAULT, false);
     }
 }
--- a/src/main/java/sedgeyoke/model/IdempotencyKeyCache.java
+++ b/src/main/java/sedgeyoke/model/IdempotencyKeyCache.java
@@ -4,20 +4,19 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/**
- * The keys of requests that the nodes of one zone have run lately, and whose repeats they drop. Times: microseconds.
- */
+/** The idempotency keys that the nodes of one zone have executed lately; they drop a repeat of one. */
 public final class IdempotencyKeyCache {
-    private static final long KNOWN_FOR = 2_500_000;
+    private static final long TTL_MICROS = 2_500_000;
 
-    private final Map<String, Long> effects = new LinkedHashMap<>();
+    /** When each key was added, oldest first. */
+    private final Map<String, Long> addedMicros = new LinkedHashMap<>();
 
-    /** Whether a key is known; if not, it is from now on. */
-    boolean known(String key, long now) {
-        Iterator<Long> oldest = effects.values().iterator();
-        while (oldest.hasNext() && now - oldest.next() >= KNOWN_FOR) {
-            oldest.remove();
+    /** Adds a key unless it is cached; returns whether it was added. */
+    boolean add(String key, long nowMicros) {
+        Iterator<Long> oldestFirst = addedMicros.values().iterator();
+        while (oldestFirst.hasNext() && nowMicros - oldestFirst.next() >= TTL_MICROS) {
+            oldestFirst.remove();
         }
-        return effects.putIfAbsent(key, now) != null;
+        return addedMicros.putIfAbsent(key, nowMicros) == null;
     }
 }
--- a/src/main/java/sedgeyoke/model/InvariantChecker.java
+++ b/src/main/java/sedgeyoke/model/InvariantChecker.java
@@ -1,9 +1,7 @@
 package sedgeyoke.model;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -12,97 +10,123 @@
 import java.util.TreeMap;
 
 /**
- * What truly happened, as clients, order nodes and discovery saw it, and whether it kept the four rules. All times are
- * microseconds of one clock. Confined to one thread; {@link #summary} may be asked for at its end.
+ * Records what clients, order nodes and discovery observe, and checks the platform's four rules on it. All times are
+ * microseconds of one clock. Confined to one thread.
  */
 public final class InvariantChecker {
-    /** The rules on sockets allow so much more for each time limit. */
-    private static final long SOCKET_SLACK = 50_000;
+    /** {@link #checkForStall} is to be called at this interval. */
+    public static final long STALL_CHECK_INTERVAL_MICROS = 10_000;
 
-    private static final long ANSWER_SLACK = 20_000 + SOCKET_SLACK;
-    private static final int MOST_TEXTS = 20;
-    /** How often the judge looks whether it is late itself. */
-    public static final long BEAT = 10_000;
+    /** Tolerance for sockets and scheduling, added to each time limit of the rules. */
+    private static final long SOCKET_SLACK_MICROS = 50_000;
 
-    private static final long STALLS_KNOWN_FOR = 30_000_000;
+    private static final long ANSWER_SLACK_MICROS = 20_000 + SOCKET_SLACK_MICROS;
+    private static final int MAX_DESCRIPTIONS = 20;
+    private static final int INITIAL_LATENCIES = 1_024;
 
     private final SiteModel site;
-    private final Map<String, Entry> entries = new HashMap<>();
-    private final Map<String, Map<String, Long>> closedAt = new HashMap<>();
-    private final Map<String, Long> byBalancer = new HashMap<>();
-    private final Set<String> dead = new HashSet<>();
-    private ArrivalListener arrivalListener = (balancer, node, now) -> {};
-    /** Effects by idempotency key: all tries of one want are to have one. */
+    private final Map<String, ClientRequest> requestsById = new HashMap<>();
+    /** By balancer and node: since when the balancer has known that it must not send new requests to the node. */
+    private final Map<String, Map<String, Long>> closedSince = new HashMap<>();
+
+    private final Map<String, Long> requestsByBalancer = new HashMap<>();
+    private final Set<String> killedBalancers = new HashSet<>();
+    /** How often each idempotency key took effect: all attempts and retries of a request are to have one effect. */
     private final Map<String, Integer> effectsByKey = new HashMap<>();
 
-    private final List<String> violations = new ArrayList<>();
-    private final Map<Integer, Integer> byRule = new TreeMap<>();
-    private final Map<String, Integer> answers = new TreeMap<>();
-    private long[] latencies = new long[1024];
+    private final StallDetector stalls = new StallDetector(STALL_CHECK_INTERVAL_MICROS);
+    private final List<String> descriptions = new ArrayList<>();
+    private final Map<Integer, Integer> violationsByRule = new TreeMap<>();
+    private final Map<String, Integer> answersByKind = new TreeMap<>();
+    private ArrivalListener arrivalListener = (balancer, node, nowMicros) -> {};
+    private long[] latenciesMicros = new long[INITIAL_LATENCIES];
     private int latencyCount;
-    private double asked;
-    private double served;
-    private long requests;
+    private double offeredWeight;
+    private double servedWeight;
+    private long offeredRequests;
     private long attempts;
-    private double coldPeak;
-    /**
-     * Times in which the judge itself stood still: from, for how long. What it notes right after is older than that.
-     */
-    private final Deque<long[]> stalls = new ArrayDeque<>();
+    private double warmUpPeak;
+
+    /** The platform's rules, by their numbers. */
+    private enum Rule {
+        /** Each request gets one answer, in time and from the node that served it. */
+        ANSWERS(1),
+        /** Only what clients sent is executed, and no more often than its class allows. */
+        EXECUTION(2),
+        /** A draining node gets no new requests after a grace period. */
+        DRAINING(3),
+        /** A node that warms up is not overloaded. */
+        WARM_UP(4);
+
+        private final int number;
+
+        Rule(int number) {
+            this.number = number;
+        }
+    }
 
-    private long lastBeat = Long.MIN_VALUE;
-    private long stalled;
+    /** How a client saw its request end. */
+    public enum Answer {
+        SERVED("served"),
+        REJECTED("refused"),
+        FAILED("failed"),
+        NONE("none");
 
-    /** Hears of each attempt that reaches a node. */
-    public interface ArrivalListener {
-        /** {@code now}: microseconds of the site's clock. */
-        void arrived(String balancer, String node, long now);
-    }
+        /** As metrics name it: scripts read these. */
+        private final String metric;
 
-    /** From now on somebody hears of each attempt that reaches a node. */
-    public void onArrival(ArrivalListener listener) {
-        arrivalListener = listener;
+        Answer(String metric) {
+            this.metric = metric;
+        }
     }
 
-    /** How a client saw its request end. */
-    public enum Answer {
-        SERVED,
-        REFUSED,
-        FAILED,
-        NONE
+    /** Is notified of each attempt that reaches a node. */
+    public interface ArrivalListener {
+        /** An attempt of a balancer has reached a node. */
+        void arrived(String balancer, String node, long nowMicros);
     }
 
-    /** One request of a client; a retry is another one. */
-    private static final class Entry {
-        final RequestClassModel cls;
-        final String key;
-        final String balancer;
-        final long at;
-        final long deadline;
-        int effects;
-        boolean flagged;
-        Answer answer;
-
-        Entry(RequestClassModel cls, String key, String balancer, long at, long deadline) {
-            this.cls = cls;
-            this.key = key;
+    /** One request of a client, with its own id; a client's retry is another one. */
+    private static final class ClientRequest {
+        private final RequestClassModel requestClass;
+        private final String idempotencyKey;
+        private final String balancer;
+        private final long sentMicros;
+        private final long deadlineMicros;
+        private int effects;
+        private boolean reportedAsExecuted;
+        private Answer answer;
+
+        ClientRequest(
+                RequestClassModel requestClass,
+                String idempotencyKey,
+                String balancer,
+                long sentMicros,
+                long deadlineMicros) {
+            this.requestClass = requestClass;
+            this.idempotencyKey = idempotencyKey;
             this.balancer = balancer;
-            this.at = at;
-            this.deadline = deadline;
+            this.sentMicros = sentMicros;
+            this.deadlineMicros = deadlineMicros;
+        }
+
+        /** Whether the client was told that nothing was executed although something with an effect was. */
+        boolean executedThoughRejected() {
+            return answer == Answer.REJECTED && effects > 0 && !requestClass.safe();
         }
     }
 
     /**
-     * Figures of a run.
+     * Metrics of a run.
      *
      * @param requests what clients asked for, without their retries
-     * @param service worth answered within its aim over worth asked for
-     * @param p50Ms median time of served answers
+     * @param service weight of the requests served within their latency objective over the weight of all requests
+     * @param p50Ms median latency of served requests
      * @param p99Ms 99th percentile of it
      * @param attempts requests that reached order nodes
      * @param answers final answers by kind
-     * @param violations how often each rule was broken
-     * @param coldPeak the most that a cold node was sent, as a share of what makes it fall over
+     * @param violations how often each rule was broken, by its number
+     * @param warmUpPeak the highest load on a node that warms up, as a share of what overloads it
      */
     public record Summary(
             long requests,
@@ -112,235 +136,247 @@
             long attempts,
             Map<String, Integer> answers,
             Map<Integer, Integer> violations,
-            double coldPeak) {
-        /** Rules broken, of all kinds. */
+            double warmUpPeak) {
+        /** Violations of all rules. */
         public int ruleViolations() {
             return violations.values().stream().mapToInt(Integer::intValue).sum();
         }
     }
 
-    /** Nothing has happened yet. */
+    /** A checker that has recorded nothing yet. */
     public InvariantChecker(SiteModel site) {
         this.site = site;
     }
 
-    private void violation(int rule, String text) {
-        byRule.merge(rule, 1, Integer::sum);
-        if (violations.size() < MOST_TEXTS) {
-            violations.add("rule " + rule + ": " + text);
+    /** Sets the listener for arrivals at nodes. */
+    public void onArrival(ArrivalListener listener) {
+        arrivalListener = listener;
+    }
+
+    private void violation(Rule rule, String description) {
+        violationsByRule.merge(rule.number, 1, Integer::sum);
+        if (descriptions.size() < MAX_DESCRIPTIONS) {
+            descriptions.add("rule " + rule.number + ": " + description);
         }
     }
 
-    /** What was broken, in words; the first twenty. */
+    /** Descriptions of the first violations. */
     public List<String> violations() {
-        return List.copyOf(violations);
+        return List.copyOf(descriptions);
     }
 
     /**
-     * The judge's own pulse, due every {@link #BEAT}. Clients, nodes and discovery live on one loop; while that does
-     * not
-     * get to run, nothing that reaches them is noted, and no balancer must be blamed for it.
+     * Is to be called at {@link #STALL_CHECK_INTERVAL_MICROS} by the loop that clients, nodes and discovery share. While
+     * that loop does not run, nothing that reaches them is recorded, so that time limits are extended by its stalls.
      */
-    public void beat(long now) {
-        long late = lastBeat == Long.MIN_VALUE ? 0 : now - lastBeat - BEAT;
-        lastBeat = now;
-        if (late > BEAT) {
-            stalls.add(new long[] {now - late, late});
-            stalled += late;
-        }
-        while (!stalls.isEmpty() && stalls.peek()[0] < now - STALLS_KNOWN_FOR) {
-            stalls.poll();
-        }
+    public void checkForStall(long nowMicros) {
+        stalls.check(nowMicros);
     }
 
-    /** How long the judge stood still between a time and now. */
-    private long stalledSince(long from) {
-        long sum = 0;
-        for (long[] stall : stalls) {
-            sum += stall[0] + stall[1] > from ? stall[1] : 0;
-        }
-        return sum;
+    /** The total of all stalls; the metrics of a run with long stalls say little. */
+    public double stalledMs() {
+        return stalls.totalMicros() / 1e3;
     }
 
-    /** How long the judge stood still in all, in milliseconds: figures of a run with much of that say little. */
-    public double stalledMs() {
-        return stalled / 1e3;
+    private boolean tooLate(ClientRequest request, long nowMicros) {
+        return nowMicros > request.deadlineMicros + ANSWER_SLACK_MICROS + stalls.stalledSince(request.sentMicros);
     }
 
     // ---- Clients -------------------------------------------------------------------------------------
 
-    /** Something is wanted; its retries count as part of it. */
-    public void wanted(RequestClassModel cls) {
-        requests++;
-        asked += cls.worth();
+    /** A client has a new request; its retries count as part of it. */
+    public void requestOffered(RequestClassModel requestClass) {
+        offeredRequests++;
+        offeredWeight += requestClass.priorityWeight();
     }
 
-    /** A request goes to a balancer; {@code key} is its idempotency key, or null. */
-    public void asked(String id, RequestClassModel cls, String key, String balancer, long now, long deadline) {
-        entries.put(id, new Entry(cls, key, balancer, now, deadline));
-        byBalancer.merge(balancer, 1L, Long::sum);
+    /** A client sends a request to a balancer; {@code idempotencyKey} may be null. */
+    public void requestSent(
+            String id,
+            RequestClassModel requestClass,
+            String idempotencyKey,
+            String balancer,
+            long nowMicros,
+            long deadlineMicros) {
+        requestsById.put(id, new ClientRequest(requestClass, idempotencyKey, balancer, nowMicros, deadlineMicros));
+        requestsByBalancer.merge(balancer, 1L, Long::sum);
     }
 
-    /** No connection came up for it: nobody was asked. */
-    public void unreached(String id) {
-        byBalancer.merge(entries.remove(id).balancer, -1L, Long::sum);
+    /** No connection could be opened for a request, so that it was not sent after all. */
+    public void connectFailed(String id) {
+        requestsByBalancer.merge(requestsById.remove(id).balancer, -1L, Long::sum);
     }
 
-    /** Its answer is whole; {@code firstAsked} is when the client first wanted it. */
-    public void answered(String id, Answer answer, boolean bodyFits, long firstAsked, long now) {
-        Entry e = entries.get(id);
-        if (e.answer != null) {
-            violation(1, id + " answered twice");
+    /** A client has a complete answer; {@code firstSentMicros} is when it sent the first of its retries. */
+    public void requestAnswered(String id, Answer answer, boolean bodyMatches, long firstSentMicros, long nowMicros) {
+        ClientRequest request = requestsById.get(id);
+        if (request.answer != null) {
+            violation(Rule.ANSWERS, id + " answered twice");
             return;
         }
-        e.answer = answer;
-        answers.merge(answer.name().toLowerCase(), 1, Integer::sum);
-        if (now > e.deadline + ANSWER_SLACK + stalledSince(e.at)) {
-            violation(1, id + " answered " + (now - e.deadline) / 1_000 + " ms too late by " + e.balancer);
+        request.answer = answer;
+        answersByKind.merge(answer.metric, 1, Integer::sum);
+        if (tooLate(request, nowMicros)) {
+            long lateMs = (nowMicros - request.deadlineMicros) / 1_000;
+            violation(Rule.ANSWERS, id + " answered " + lateMs + " ms too late by " + request.balancer);
         }
-        if (answer != Answer.SERVED) {
-            return;
+        if (answer == Answer.SERVED) {
+            served(id, request, bodyMatches, nowMicros - firstSentMicros);
         }
-        if (!bodyFits) {
-            violation(1, id + " served with what no order node made for it");
+    }
+
+    private void served(String id, ClientRequest request, boolean bodyMatches, long latencyMicros) {
+        if (!bodyMatches) {
+            violation(Rule.ANSWERS, id + " served with a body that no order node made for it");
         }
-        long took = now - firstAsked;
-        if (took <= e.cls.aimMs() * 1_000L) {
-            served += e.cls.worth();
+        if (latencyMicros <= request.requestClass.latencyObjectiveMs() * 1_000L) {
+            servedWeight += request.requestClass.priorityWeight();
         }
-        if (latencyCount == latencies.length) {
-            latencies = Arrays.copyOf(latencies, 2 * latencyCount);
+        if (latencyCount == latenciesMicros.length) {
+            latenciesMicros = Arrays.copyOf(latenciesMicros, 2 * latencyCount);
         }
-        latencies[latencyCount++] = took;
+        latenciesMicros[latencyCount++] = latencyMicros;
     }
 
-    /** The connection ended without an answer. */
-    public void unanswered(String id, long now) {
-        Entry e = entries.get(id);
-        if (e.answer == null) {
-            e.answer = Answer.NONE;
-            answers.merge("none", 1, Integer::sum);
-            if (!dead.contains(e.balancer)) {
-                violation(1, id + " lost by " + e.balancer + " after " + (now - e.at) / 1_000 + " ms");
-            }
+    /** The connection was closed without an answer. */
+    public void connectionLost(String id, long nowMicros) {
+        ClientRequest request = requestsById.get(id);
+        if (request.answer != null) {
+            return;
+        }
+        request.answer = Answer.NONE;
+        answersByKind.merge(Answer.NONE.metric, 1, Integer::sum);
+        if (!isBalancerDown(request.balancer)) {
+            long afterMs = (nowMicros - request.sentMicros) / 1_000;
+            violation(Rule.ANSWERS, id + " lost by " + request.balancer + " after " + afterMs + " ms");
         }
     }
 
-    /** A balancer was killed: what it held is its clients' to retry. */
-    public void died(String balancer) {
-        dead.add(balancer);
+    /** A balancer was killed on purpose: requests that it loses break no rule. */
+    public void balancerKilled(String balancer) {
+        killedBalancers.add(balancer);
     }
 
-    /** Whether it was killed and is not back. */
-    public boolean isDead(String balancer) {
-        return dead.contains(balancer);
+    /** Whether a balancer was killed and not restarted. */
+    public boolean isBalancerDown(String balancer) {
+        return killedBalancers.contains(balancer);
     }
 
-    /** It is back. */
-    public void back(String balancer) {
-        dead.remove(balancer);
+    /** A balancer that was killed runs again. */
+    public void balancerRestarted(String balancer) {
+        killedBalancers.remove(balancer);
     }
 
     // ---- Discovery -----------------------------------------------------------------------------------
 
-    /** Discovery has written to a balancer what a node's state is. */
-    public void told(String balancer, String node, boolean ready, long now) {
-        Map<String, Long> closed = closedAt.computeIfAbsent(balancer, b -> new HashMap<>());
+    /** Discovery has sent a node's state to a balancer. Of several states that are not ready the first counts. */
+    public void balancerNotified(String balancer, String node, boolean ready, long nowMicros) {
+        Map<String, Long> closedNodes = closedSince.computeIfAbsent(balancer, name -> new HashMap<>());
         if (ready) {
-            closed.remove(node);
+            closedNodes.remove(node);
         } else {
-            closed.putIfAbsent(node, now);
+            closedNodes.putIfAbsent(node, nowMicros);
         }
     }
 
     // ---- Order nodes ---------------------------------------------------------------------------------
 
-    /** The last byte of an attempt has reached a node; null if no client sent such a request. */
-    public RequestClassModel arrived(String id, String node, long now) {
-        Entry e = entries.get(id);
+    /** A complete attempt has reached a node; returns its class, or null if no client sent such a request. */
+    public RequestClassModel attemptArrived(String id, String node, long nowMicros) {
+        ClientRequest request = requestsById.get(id);
         attempts++;
-        if (e == null) {
-            violation(2, "an unknown request at " + node + ": " + id);
+        if (request == null) {
+            violation(Rule.EXECUTION, "an unknown request at " + node + ": " + id);
             return null;
         }
-        if (e.answer != null && e.answer != Answer.NONE && now > e.deadline + ANSWER_SLACK + stalledSince(e.at)) {
-            violation(1, id + " sent to " + node + " long after its answer");
+        boolean answered = request.answer != null && request.answer != Answer.NONE;
+        if (answered && tooLate(request, nowMicros)) {
+            violation(Rule.ANSWERS, id + " sent to " + node + " long after its answer");
         }
-        arrivalListener.arrived(e.balancer, node, now);
-        Long closed = closedAt.getOrDefault(e.balancer, Map.of()).get(node);
-        long grace = site.rules().drainGraceMs() * 1_000 + SOCKET_SLACK;
-        if (closed != null && now - closed > grace + stalledSince(closed)) {
+        arrivalListener.arrived(request.balancer, node, nowMicros);
+        checkDraining(id, request.balancer, node, nowMicros);
+        return request.requestClass;
+    }
+
+    private void checkDraining(String id, String balancer, String node, long nowMicros) {
+        Long closedMicros = closedSince.getOrDefault(balancer, Map.of()).get(node);
+        if (closedMicros == null) {
+            return;
+        }
+        long graceMicros = site.rules().drainGraceMs() * 1_000 + SOCKET_SLACK_MICROS;
+        if (nowMicros - closedMicros > graceMicros + stalls.stalledSince(closedMicros)) {
+            long afterMs = (nowMicros - closedMicros) / 1_000;
             violation(
-                    3,
-                    id + " sent to " + node + " " + (now - closed) / 1_000 + " ms after " + e.balancer + " was told");
+                    Rule.DRAINING, id + " sent to " + node + " " + afterMs + " ms after " + balancer + " was notified");
         }
-        return e.cls;
     }
 
-    /** It has run with an effect. */
-    public void ran(String id, String node) {
-        Entry e = entries.get(id);
-        e.effects++;
-        int ofKey = e.key == null ? 0 : effectsByKey.merge(e.key, 1, Integer::sum);
-        if (e.effects > 1 && !e.cls.repeat().equals("free")) {
-            violation(2, id + " took effect again at " + node);
-        } else if (ofKey > 1) {
-            violation(2, id + " took effect at " + node + " after another try of " + e.key + " had");
+    /** An attempt was executed with an effect. */
+    public void attemptExecuted(String id, String node) {
+        ClientRequest request = requestsById.get(id);
+        request.effects++;
+        int effectsOfKey =
+                request.idempotencyKey == null ? 0 : effectsByKey.merge(request.idempotencyKey, 1, Integer::sum);
+        if (request.effects > 1 && !request.requestClass.safe()) {
+            violation(Rule.EXECUTION, id + " took effect again at " + node);
+        } else if (effectsOfKey > 1) {
+            violation(
+                    Rule.EXECUTION,
+                    id + " took effect at " + node + " after another request with key " + request.idempotencyKey);
         }
-        if (e.answer == Answer.REFUSED && !e.cls.repeat().equals("free")) {
-            e.flagged = true;
-            violation(2, id + " refused, and ran at " + node);
+        if (request.executedThoughRejected()) {
+            request.reportedAsExecuted = true;
+            violation(Rule.EXECUTION, id + " rejected, and executed at " + node);
         }
     }
 
-    /** How much a cold node was sent in the last window, as a share of what makes it fall over. */
-    public void coldLoad(double share) {
-        coldPeak = Math.max(coldPeak, share);
+    /** The recent load on a node that warms up, as a share of what overloads it. */
+    public void warmUpLoad(double shareOfBudget) {
+        warmUpPeak = Math.max(warmUpPeak, shareOfBudget);
     }
 
-    /** A cold node has fallen over. */
-    public void fell(String node) {
-        violation(4, node + " was pushed over");
+    /** A node was overloaded while it warmed up, and has failed. */
+    public void nodeOverloaded(String node) {
+        violation(Rule.WARM_UP, node + " was overloaded while it warmed up");
     }
 
-    // ---- Figures -------------------------------------------------------------------------------------
+    // ---- Metrics -------------------------------------------------------------------------------------
 
-    /** What was refused must not have run; checked at the end too, as an answer may overtake its own run. */
+    /** The metrics so far. Requests that were executed before they were rejected are found here. */
     public Summary summary() {
-        Map<Integer, Integer> rules = new TreeMap<>(byRule);
-        long refusedAfterRun = entries.values().stream()
-                .filter(e -> e.answer == Answer.REFUSED
-                        && e.effects > 0
-                        && !e.flagged
-                        && !e.cls.repeat().equals("free"))
+        Map<Integer, Integer> violations = new TreeMap<>(violationsByRule);
+        int executedThenRejected = (int) requestsById.values().stream()
+                .filter(request -> request.executedThoughRejected() && !request.reportedAsExecuted)
                 .count();
-        if (refusedAfterRun > 0) {
-            rules.merge(2, (int) refusedAfterRun, Integer::sum);
+        if (executedThenRejected > 0) {
+            violations.merge(Rule.EXECUTION.number, executedThenRejected, Integer::sum);
         }
-        long[] sorted = Arrays.copyOf(latencies, latencyCount);
+        long[] sorted = Arrays.copyOf(latenciesMicros, latencyCount);
         Arrays.sort(sorted);
         return new Summary(
-                requests,
-                asked == 0 ? 1 : served / asked,
-                percentile(sorted, 0.5),
-                percentile(sorted, 0.99),
+                offeredRequests,
+                offeredWeight == 0 ? 1 : servedWeight / offeredWeight,
+                percentileMs(sorted, 0.5),
+                percentileMs(sorted, 0.99),
                 attempts,
-                new TreeMap<>(answers),
-                rules,
-                coldPeak);
+                new TreeMap<>(answersByKind),
+                violations,
+                warmUpPeak);
     }
 
-    private static double percentile(long[] sorted, double share) {
-        return sorted.length == 0 ? 0 : sorted[(int) (share * (sorted.length - 1))] / 1e3;
+    private static double percentileMs(long[] sortedMicros, double share) {
+        return sortedMicros.length == 0 ? 0 : sortedMicros[(int) (share * (sortedMicros.length - 1))] / 1e3;
     }
 
-    /** Requests that a balancer was asked so far; on the loop. */
-    public long askedOf(String balancer) {
-        return byBalancer.getOrDefault(balancer, 0L);
+    /** How many requests a balancer was sent so far. */
+    public long requestsSentTo(String balancer) {
+        return requestsByBalancer.getOrDefault(balancer, 0L);
     }
 
-    /** Requests that a client still waits for. */
-    public long open() {
-        return entries.values().stream().filter(e -> e.answer == null).count();
+    /** How many requests have neither an answer nor lost their connection. */
+    public long pendingRequests() {
+        return requestsById.values().stream()
+                .filter(request -> request.answer == null)
+                .count();
     }
 }
--- a/src/main/java/sedgeyoke/model/RequestClassModel.java
+++ b/src/main/java/sedgeyoke/model/RequestClassModel.java
@@ -3,53 +3,97 @@
 import java.util.SplittableRandom;
 
 /**
- * One class of requests.
+ * A class of requests.
  *
  * @param name as in {@code X-Call-Class}
- * @param repeat whether it may run again, in the settings' words: {@code free}, {@code guarded} or {@code single_shot}
+ * @param idempotency whether a request may be executed more than once
  * @param share its part of all requests
- * @param aimMs an answer within that time is worth something
- * @param giveUpMs a client waits that long in all
- * @param worth what one is worth
- * @param workMs mean work on a core of speed 1
- * @param spread how work differs from one request to the next
+ * @param latencyObjectiveMs an answer within this time counts as good service
+ * @param clientTimeoutMs how long a client waits in all, its retries included
+ * @param priorityWeight the weight of one request in the metrics of service
+ * @param meanWorkMs mean work on a core of speed 1
+ * @param spread the distribution of work about its mean
  */
 public record RequestClassModel(
-        String name, String repeat, double share, int aimMs, int giveUpMs, double worth, double workMs, Spread spread) {
-    private static final double LEAST = 0.4;
-    private static final double MOST = 4;
+        String name,
+        Idempotency idempotency,
+        double share,
+        int latencyObjectiveMs,
+        int clientTimeoutMs,
+        double priorityWeight,
+        double meanWorkMs,
+        Spread spread) {
+    private static final double MIN_SHARE_OF_MEAN = 0.4;
+    private static final double MAX_MULTIPLE_OF_MEAN = 4;
+    private static final int LONG_ONE_IN = 10;
+    private static final double LONG_MULTIPLE = 5.5;
+    private static final double SHORT_MULTIPLE = 0.5;
 
-    /** A class whose work is like the platform's. */
+    /** A class whose work is distributed as the platform's. */
     public RequestClassModel(
-            String name, String repeat, double share, int aimMs, int giveUpMs, double worth, double workMs) {
-        this(name, repeat, share, aimMs, giveUpMs, worth, workMs, Spread.USUAL);
+            String name,
+            Idempotency idempotency,
+            double share,
+            int latencyObjectiveMs,
+            int clientTimeoutMs,
+            double priorityWeight,
+            double meanWorkMs) {
+        this(name, idempotency, share, latencyObjectiveMs, clientTimeoutMs, priorityWeight, meanWorkMs, Spread.DEFAULT);
+    }
+
+    /** Whether a request may be executed more than once. */
+    public enum Idempotency {
+        /** It may: it has no effect. */
+        SAFE("free"),
+        /** Nodes drop repeats by their idempotency key. */
+        KEYED("guarded"),
+        /** It may not. */
+        UNSAFE("single_shot");
+
+        private final String settingsName;
+
+        Idempotency(String settingsName) {
+            this.settingsName = settingsName;
+        }
+
+        /** The name in the platform's settings. */
+        public String settingsName() {
+            return settingsName;
+        }
     }
 
     /** Distributions of work about its mean. */
     public enum Spread {
         /** 0.4 of the mean at least, the rest exponential, cut at four times the mean. */
-        USUAL,
-        /** Exponential, as queueing theory likes it. */
+        DEFAULT,
+        /** Exponential, as in M/M/c queues. */
         EXPONENTIAL,
         /** Always the mean. */
         CONSTANT,
         /** One in ten takes five and a half times the mean, the others half of it. */
-        TWO_KINDS
+        BIMODAL
     }
 
-    /** The work of one request, in seconds. */
+    /** Draws the work of one request, in seconds. */
     double draw(SplittableRandom random) {
-        double mean = workMs / 1e3;
+        double mean = meanWorkMs / 1e3;
         return switch (spread) {
-            case USUAL -> Math.min(MOST * mean, LEAST * mean - (1 - LEAST) * mean * Math.log(1 - random.nextDouble()));
+            case DEFAULT -> Math.min(
+                    MAX_MULTIPLE_OF_MEAN * mean,
+                    MIN_SHARE_OF_MEAN * mean - (1 - MIN_SHARE_OF_MEAN) * mean * Math.log(1 - random.nextDouble()));
             case EXPONENTIAL -> -mean * Math.log(1 - random.nextDouble());
             case CONSTANT -> mean;
-            case TWO_KINDS -> mean * (random.nextInt(10) == 0 ? 5.5 : 0.5);
+            case BIMODAL -> mean * (random.nextInt(LONG_ONE_IN) == 0 ? LONG_MULTIPLE : SHORT_MULTIPLE);
         };
     }
 
-    /** Whether order nodes drop repeats by their key. */
+    /** Whether a request may be executed any number of times. */
+    public boolean safe() {
+        return idempotency == Idempotency.SAFE;
+    }
+
+    /** Whether nodes drop repeats by their idempotency key. */
     public boolean keyed() {
-        return repeat.equals("guarded");
+        return idempotency == Idempotency.KEYED;
     }
 }
--- a/src/main/java/sedgeyoke/model/UpstreamModel.java
+++ b/src/main/java/sedgeyoke/model/UpstreamModel.java
@@ -1,412 +1,383 @@
 package sedgeyoke.model;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.PriorityQueue;
+import java.util.Locale;
 import java.util.SplittableRandom;
 
 /**
- * An order node: so many cores of some speed, shared by what is at work, a queue, a memory for keys, load reports, and
- * a cold start after which it can be pushed over. Work takes time but no processor. What it does is written into the
- * {@link InvariantChecker}. It knows neither sockets nor threads: the host gives it a clock, timers and the way back,
- * so the same node serves stand-ins on real sockets and the emulator in virtual time. Times are microseconds.
+ * An order node: cores that requests share, a queue, a cache of keys, load reports, and a slow start during which too
+ * much load makes it fail. Work takes time but no processor. Arrivals and executions go to an {@link InvariantChecker}.
+ * A {@link Host} provides the clock and timers, so that the same node serves the stand-ins on sockets and the
+ * simulation in virtual time. Times are microseconds.
  */
 public final class UpstreamModel {
-    private static final long REPORT_EVERY = 500_000;
-    /** What is measured shows in answers so much later. */
-    private static final long REPORT_DELAY = 250_000;
+    private static final long REPORT_INTERVAL_MICROS = 500_000;
+    /** A measurement shows in answers after this delay. */
+    private static final long REPORT_DELAY_MICROS = 250_000;
 
-    private static final long KEY_WARM_FOR = 8_000_000;
+    /** The share of its work that a request with a warm key needs. */
     private static final double WARM_KEY_WORK = 0.6;
-    private static final int MOST_KEYS = 200;
-    /** A little slack for chance, as the platform's rule has. */
-    private static final double SLACK_REQUESTS = 2;
 
-    private static final double SMOOTH = 0.1;
-    /** Beyond so many requests at work for each core it gets less done, down to the least at twice as many. */
-    private static final double CROWDED_FROM = 6;
-
-    private static final double CROWDED_LOSS = 0.4;
-    /** While it warms up, its speed is looked at so often. */
-    private static final long WARMING_LOOK = 50_000;
-
-    private static final double FIRST_SERVICE_MS = 30;
+    private static final double SERVICE_TIME_SMOOTHING = 0.1;
+    private static final double INITIAL_SERVICE_MS = 30;
+    /** While a node warms up, its speed is updated this often. */
+    private static final long WARM_UP_STEP_MICROS = 50_000;
 
     private final SiteModel.NodeSpec spec;
     private final SiteModel site;
     private final Host host;
-    private final InvariantChecker ledger;
+    private final InvariantChecker checker;
     private final SplittableRandom random;
-    /** Keys whose repeats the nodes of one zone drop: shared among them. */
-    private final IdempotencyKeyCache effects;
+    /** Shared by the nodes of one zone. */
+    private final IdempotencyKeyCache executedKeys;
 
     private final Deque<Job> queue = new ArrayDeque<>();
-    private final Deque<double[]> coldArrivals = new ArrayDeque<>();
-    private double coldSum;
-    private final Map<String, Long> warmKeys = new LinkedHashMap<>(16, 0.75f, true);
-    private long launchedAt;
-    private boolean silent;
+    private final SharedCores<Job> cores;
+    private final WarmUpGuard warmUpGuard;
+    private final WarmKeyCache warmKeys = new WarmKeyCache();
+    private long launchedMicros;
+    private boolean unresponsive;
     private boolean draining;
-    private boolean fallen;
-    private Failing failing = Failing.NOT;
+    private boolean overloaded;
+    private FailureMode failureMode = FailureMode.NONE;
     private double slowdown = 1;
-    /** Those at work, by the progress at which each is done: all of them progress alike. */
-    private final PriorityQueue<Active> working = new PriorityQueue<>();
-    /** Seconds of work done for each request that was at work all the time, and when that was last brought up. */
-    private double progress;
-
-    private long progressAt;
-    private long looks;
-    private long started;
-    private double busyTime;
-    private double busyTotal;
-    private long measuredAt;
-    private double serviceMs = FIRST_SERVICE_MS;
-    private Measured reported = new Measured(0, 0, FIRST_SERVICE_MS);
-    private double workIn;
-    private double workDone;
-    private double workLost;
+    /** Counts completion timers; only the latest one is valid. */
+    private long completionTimers;
+
+    private double busyMicrosAtReport;
+    private long reportedMicros;
+    private double serviceMs = INITIAL_SERVICE_MS;
+    private Measurement visibleReport = new Measurement(0, 0, INITIAL_SERVICE_MS);
+    private double acceptedWork;
+    private double doneWork;
+    private double lostWork;
     private double workAtCores;
 
-    /** Where it runs. */
+    /** The clock and timers of whatever a node runs in. */
     public interface Host {
-        /** Microseconds of a clock that only advances. */
+        /** Microseconds of a monotonic clock. */
         long now();
 
-        /** Does something later. */
-        void after(long delay, Runnable what);
+        /** Runs a task after a delay. */
+        void schedule(long delayMicros, Runnable task);
     }
 
-    /** The way back to whoever sent a request. */
+    /** The way back to the sender of a request. */
     public interface Reply {
-        /** The one answer; never called for what is lost with a process. */
+        /** Sends the one answer; never called for a request that is lost. */
         void answer(Answer answer);
     }
 
-    /** What an answer is. */
-    public enum Kind {
-        /** Run. */
+    /** What became of a request. */
+    public enum AnswerKind {
+        /** Executed. */
         DONE,
-        /** Rejected unseen, as the queue is full or the node drains. */
-        FULL,
-        /** Failed; it may have run. */
+        /** Rejected without execution, as the queue is full or the node drains. */
+        REJECTED,
+        /** Failed; it may have been executed. */
         ERROR
     }
 
-    /** How a node may fail without going down. */
-    public enum Failing {
+    /** How a node fails while it keeps answering. */
+    public enum FailureMode {
         /** It does not. */
-        NOT,
-        /** Errors at once, without any work. */
+        NONE,
+        /** With errors at once, without any work. */
         FAST,
-        /** Errors after all the work, whose effect stands. */
+        /** With errors after all the work, whose effect stands. */
         SLOW
     }
 
-    /** An answer with the node's load report: cores in use, 0 to 1, requests waiting, mean service time. */
-    public record Answer(Kind kind, double utilisation, int waiting, int active, double serviceMs) {}
-
-    /** A request in its queue or at work; {@code work} as if its key were cold. */
-    private record Job(String id, String key, double work, boolean effect, boolean fails, Reply reply) {}
-
-    /** What a load report tells. */
-    private record Measured(double utilisation, int waiting, double serviceMs) {}
+    /** The state of a node, for people. */
+    public enum State {
+        UP,
+        WARMING_UP,
+        DRAINING,
+        UNRESPONSIVE,
+        /** It failed because it was overloaded while it warmed up. */
+        OVERLOADED;
 
-    /** One at work. */
-    private record Active(Job job, double doneAt, long since, long number) implements Comparable<Active> {
         @Override
-        public int compareTo(Active other) {
-            int first = Double.compare(doneAt, other.doneAt);
-            return first != 0 ? first : Long.compare(number, other.number);
+        public String toString() {
+            return name().toLowerCase(Locale.ROOT).replace('_', ' ');
         }
     }
 
-    /** A node that is warm and idle. {@code zoneEffects} is shared by the nodes of its zone. */
+    /** An answer with the node's load report: cores in use, 0 to 1, requests waiting, mean service time. */
+    public record Answer(AnswerKind kind, double utilisation, int waiting, int active, double serviceMs) {}
+
+    /** A request in the queue or at the cores; {@code work} is without the benefit of a warm key. */
+    private record Job(String id, String key, double work, boolean hasEffect, boolean fails, Reply reply) {}
+
+    /** The content of a load report. */
+    private record Measurement(double utilisation, int waiting, double serviceMs) {}
+
+    /** A node that is warm and idle; {@code executedKeys} is shared by the nodes of its zone. */
     public UpstreamModel(
             SiteModel.NodeSpec spec,
             SiteModel site,
             Host host,
-            InvariantChecker ledger,
-            IdempotencyKeyCache zoneEffects,
+            InvariantChecker checker,
+            IdempotencyKeyCache executedKeys,
             long seed) {
         this.spec = spec;
         this.site = site;
         this.host = host;
-        this.ledger = ledger;
-        this.effects = zoneEffects;
+        this.checker = checker;
+        this.executedKeys = executedKeys;
         this.random = new SplittableRandom(seed ^ spec.id().hashCode());
+        this.cores = new SharedCores<>(spec.cores());
+        this.warmUpGuard = new WarmUpGuard(site);
     }
 
-    /** Begins to measure itself, with a phase of its own. */
+    /** Starts the load reports, at a random phase. */
     public void start() {
-        measuredAt = host.now();
-        progressAt = measuredAt;
-        host.after(1 + random.nextLong(REPORT_EVERY), this::measure);
+        reportedMicros = host.now();
+        cores.startAt(reportedMicros);
+        host.schedule(1 + random.nextLong(REPORT_INTERVAL_MICROS), this::measure);
     }
 
-    // ---- What it is ----------------------------------------------------------------------------------
+    // ---- State ---------------------------------------------------------------------------------------
 
-    /** In a word, for a table. */
-    public String state() {
-        return fallen ? "fallen" : silent ? "silent" : draining ? "draining" : warmth() < 1 ? "cold" : "up";
+    /** The state, for people. */
+    public State state() {
+        if (overloaded) {
+            return State.OVERLOADED;
+        }
+        if (unresponsive) {
+            return State.UNRESPONSIVE;
+        }
+        if (draining) {
+            return State.DRAINING;
+        }
+        return warmth() < 1 ? State.WARMING_UP : State.UP;
     }
 
-    /** What it is made of. */
+    /** What the node is made of. */
     public SiteModel.NodeSpec spec() {
         return spec;
     }
 
-    /** Requests waiting and at work. */
+    /** Requests in the queue and at the cores. */
     public int inFlight() {
-        return queue.size() + working.size();
+        return queue.size() + cores.size();
     }
 
-    /** How busy its cores were lately, 0 to 1. */
+    /** The utilisation of the cores in the latest visible load report, 0 to 1. */
     public double utilisation() {
-        return reported.utilisation();
+        return visibleReport.utilisation();
     }
 
-    /** Mean time of a request at work lately, in milliseconds. */
+    /** Moving average of the time of requests at the cores. */
     public double serviceMs() {
         return serviceMs;
     }
 
-    /** Core time worked since the start; a share of the time of all its cores is its true utilisation. */
-    public long worked() {
-        progress();
-        return Math.round(busyTotal);
+    /** Core time used since the start; its share of the time of all cores is the true utilisation. */
+    public long busyCoreMicros() {
+        advance();
+        return Math.round(cores.busyMicros());
     }
 
-    /** Its latest start; 0 for long ago. */
+    /** When the node was last started; 0 for long ago. */
     public long launchedAt() {
-        return launchedAt;
+        return launchedMicros;
     }
 
-    /** Whether it was told to drain. */
+    /** Whether the node drains. */
     public boolean draining() {
         return draining;
     }
 
-    /** Whether it answers nothing. */
-    public boolean silent() {
-        return silent;
+    /** Whether the node answers nothing. */
+    public boolean unresponsive() {
+        return unresponsive;
     }
 
-    /** Whether it serves and can be sent to: neither silent, fallen nor draining. */
-    public boolean serves() {
-        return !silent && !draining;
+    /** Whether the node answers and does not drain. */
+    public boolean acceptsRequests() {
+        return !unresponsive && !draining;
     }
 
-    /** What it could do now with all its cores, in seconds of work a second. */
-    public double speedNow() {
+    /** What all cores could do now, in seconds of work a second. */
+    public double currentCapacity() {
         return spec.capacity() * warmth() / slowdown;
     }
 
-    /** Work in, less work done, lost and still held: nothing but rounding, or the books are wrong. */
-    public double unaccounted() {
-        double held = queue.stream().mapToDouble(Job::work).sum() + workAtCores;
-        return workIn - workDone - workLost - held;
+    /** Accepted work that is neither done, lost nor in flight: only rounding, or the model is wrong. */
+    public double unaccountedWork() {
+        double inFlightWork = queue.stream().mapToDouble(Job::work).sum() + workAtCores;
+        return acceptedWork - doneWork - lostWork - inFlightWork;
+    }
+
+    /** The share of its capacity that the node has now. */
+    private double warmth() {
+        if (launchedMicros == 0) {
+            return 1;
+        }
+        double warmUpShare = (host.now() - launchedMicros) / 1e3 / site.rules().warmUpMs();
+        double startCapacity = site.rules().startCapacity();
+        return Math.min(1, startCapacity + (1 - startCapacity) * Math.max(0, warmUpShare));
     }
 
-    // ---- What may happen to it -----------------------------------------------------------------------
+    // ---- Faults --------------------------------------------------------------------------------------
 
-    /** The machine says nothing any more: requests are neither run nor answered. */
-    public void vanish() {
-        silent = true;
-        lose();
+    /** From now on requests are neither executed nor answered; those in flight are lost. */
+    public void stopResponding() {
+        unresponsive = true;
+        loseInFlight();
     }
 
-    /** The process starts anew, cold, at its address; what it held is lost. */
+    /** Restarts the process, with an empty cache, at its address; requests in flight are lost. */
     public void restart() {
-        lose();
+        loseInFlight();
         warmKeys.clear();
-        coldArrivals.clear();
-        coldSum = 0;
-        silent = false;
+        warmUpGuard.clear();
+        unresponsive = false;
         draining = false;
-        fallen = false;
-        failing = Failing.NOT;
-        launchedAt = host.now();
+        overloaded = false;
+        failureMode = FailureMode.NONE;
+        launchedMicros = host.now();
     }
 
-    private void lose() {
-        progress();
-        looks++;
-        workLost += queue.stream().mapToDouble(Job::work).sum() + workAtCores;
+    private void loseInFlight() {
+        advance();
+        completionTimers++;
+        lostWork += queue.stream().mapToDouble(Job::work).sum() + workAtCores;
         workAtCores = 0;
         queue.clear();
-        working.clear();
+        cores.clear();
     }
 
-    /** It finishes what it has and wants nothing new. */
+    /** From now on new requests are rejected; those in flight are finished. */
     public void drain() {
         draining = true;
     }
 
-    /** How it fails from now on. */
-    public void fail(Failing how) {
-        failing = how;
+    /** Sets how the node fails from now on. */
+    public void setFailureMode(FailureMode mode) {
+        failureMode = mode;
     }
 
-    /** Work takes that many times as long from now on. */
-    public void slow(double factor) {
-        progress();
+    /** From now on work takes a multiple of its time. */
+    public void slowDown(double factor) {
+        advance();
         slowdown = factor;
-        look();
-    }
-
-    /** Share of its capacity that it has now. */
-    private double warmth() {
-        if (launchedAt == 0) {
-            return 1;
-        }
-        double age = (host.now() - launchedAt) / 1e3 / site.rules().coldMs();
-        return Math.min(1, site.rules().startCapacity() + (1 - site.rules().startCapacity()) * Math.max(0, age));
+        scheduleCompletion();
     }
 
-    // ---- Requests ------------------------------------------------------------------------------------
+    // ---- Load reports --------------------------------------------------------------------------------
 
     private void measure() {
         long now = host.now();
-        progress();
-        double utilisation = Math.min(1, busyTime / Math.max(1, (now - measuredAt) * spec.cores()));
-        Measured seen = new Measured(utilisation, queue.size(), serviceMs);
-        busyTime = 0;
-        measuredAt = now;
-        host.after(REPORT_DELAY, () -> reported = seen);
-        host.after(REPORT_EVERY, this::measure);
+        advance();
+        double busyMicros = cores.busyMicros() - busyMicrosAtReport;
+        double availableMicros = Math.max(1, (now - reportedMicros) * spec.cores());
+        Measurement measured = new Measurement(Math.min(1, busyMicros / availableMicros), queue.size(), serviceMs);
+        busyMicrosAtReport = cores.busyMicros();
+        reportedMicros = now;
+        host.schedule(REPORT_DELAY_MICROS, () -> visibleReport = measured);
+        host.schedule(REPORT_INTERVAL_MICROS, this::measure);
     }
 
-    /** Guards the rule on cold nodes: every bit of work that arrives adds pressure, rejected work too. */
-    private void press(double work, long now) {
-        double warmth = warmth();
-        if (launchedAt == 0 || warmth >= 1) {
-            return;
-        }
-        coldArrivals.add(new double[] {now, work});
-        coldSum += work;
-        long window = site.rules().fallMs() * 1_000;
-        while (coldArrivals.peek()[0] <= now - window) {
-            coldSum -= coldArrivals.poll()[1];
-        }
-        double budget = site.rules().fallMultiple() * warmth * spec.capacity() * window / 1e6
-                + SLACK_REQUESTS * site.meanWork();
-        ledger.coldLoad(coldSum / budget);
-        if (coldSum > budget && !fallen) {
-            fallen = true;
-            ledger.fell(spec.id());
-            vanish();
-        }
+    private Answer answer(AnswerKind kind) {
+        return new Answer(
+                kind, visibleReport.utilisation(), visibleReport.waiting(), inFlight(), visibleReport.serviceMs());
     }
 
-    /** The last byte of a request has come. {@code idempotencyKey} is null where it has none. */
-    public void take(String id, String key, String idempotencyKey, Reply reply) {
+    // ---- Requests ------------------------------------------------------------------------------------
+
+    /** A complete request has arrived; {@code idempotencyKey} is null where it has none. */
+    public void receive(String id, String key, String idempotencyKey, Reply reply) {
         long now = host.now();
-        RequestClassModel cls = ledger.arrived(id, spec.id(), now);
-        if (cls == null) {
-            reply.answer(report(Kind.ERROR));
+        RequestClassModel requestClass = checker.attemptArrived(id, spec.id(), now);
+        if (requestClass == null) {
+            reply.answer(answer(AnswerKind.ERROR));
             return;
         }
-        double work = cls.draw(random);
-        press(work, now);
-        if (silent) {
+        double work = requestClass.draw(random);
+        checkWarmUpLoad(work, now);
+        if (unresponsive) {
             return;
         }
-        if (draining || working.size() >= spec.slots() && queue.size() >= spec.queue()) {
-            reply.answer(report(Kind.FULL));
+        boolean full = cores.size() >= spec.slots() && queue.size() >= spec.queue();
+        if (draining || full) {
+            reply.answer(answer(AnswerKind.REJECTED));
             return;
         }
-        if (failing == Failing.FAST) {
-            reply.answer(report(Kind.ERROR));
+        if (failureMode == FailureMode.FAST) {
+            reply.answer(answer(AnswerKind.ERROR));
+            return;
+        }
+        boolean hasEffect = idempotencyKey == null || executedKeys.add(idempotencyKey, now);
+        acceptedWork += work;
+        queue.add(new Job(id, key, work, hasEffect, failureMode == FailureMode.SLOW, reply));
+        startQueued();
+    }
+
+    private void checkWarmUpLoad(double work, long nowMicros) {
+        double warmth = warmth();
+        if (launchedMicros == 0 || warmth >= 1) {
             return;
         }
-        boolean effect = idempotencyKey == null || !effects.known(idempotencyKey, now);
-        workIn += work;
-        queue.add(new Job(id, key, work, effect, failing == Failing.SLOW, reply));
-        next();
+        double load = warmUpGuard.add(work, nowMicros, warmth, spec.capacity());
+        checker.warmUpLoad(load);
+        if (load > 1 && !overloaded) {
+            overloaded = true;
+            checker.nodeOverloaded(spec.id());
+            stopResponding();
+        }
     }
 
-    private void next() {
-        progress();
-        while (working.size() < spec.slots() && !queue.isEmpty()) {
+    private void startQueued() {
+        advance();
+        while (cores.size() < spec.slots() && !queue.isEmpty()) {
             Job job = queue.poll();
             workAtCores += job.work();
-            if (job.effect()) {
-                ledger.ran(job.id(), spec.id());
+            if (job.hasEffect()) {
+                checker.attemptExecuted(job.id(), spec.id());
             }
             long now = host.now();
-            double work = warm(job.key(), now) ? job.work() * WARM_KEY_WORK : job.work();
-            working.add(new Active(job, progress + work, now, started++));
+            double work = warmKeys.touch(job.key(), now) ? job.work() * WARM_KEY_WORK : job.work();
+            cores.start(job, work, now);
         }
-        look();
+        scheduleCompletion();
     }
 
-    /** Seconds of work that each request at work gets done in a microsecond. */
-    private double pace() {
-        double perCore = working.size() / (double) spec.cores();
-        double crowded = Math.min(1, Math.max(0, perCore / CROWDED_FROM - 1));
-        return spec.speed() * warmth() / slowdown / Math.max(1, perCore) * (1 - CROWDED_LOSS * crowded) / 1e6;
+    private double coreSpeed() {
+        return spec.speed() * warmth() / slowdown;
     }
 
-    /** Brings up what was done since the last look; to be called before anything changes the pace. */
-    private void progress() {
-        long now = host.now();
-        double busy = (now - progressAt) * (double) Math.min(working.size(), spec.cores());
-        busyTime += busy;
-        busyTotal += busy;
-        progress += (now - progressAt) * pace();
-        progressAt = now;
+    private void advance() {
+        cores.advance(host.now(), coreSpeed());
     }
 
-    /** Looks again when the next one is done; earlier looks that are still to come count for nothing. */
-    private void look() {
-        long mine = ++looks;
-        if (working.isEmpty()) {
+    /** Sets a timer for the next request that will be done; earlier timers become invalid. */
+    private void scheduleCompletion() {
+        long timer = ++completionTimers;
+        if (cores.size() == 0) {
             return;
         }
-        double left = Math.max(0, working.peek().doneAt() - progress) / pace();
-        long wait = Math.max(1, Math.round(left));
-        host.after(warmth() < 1 ? Math.min(wait, WARMING_LOOK) : wait, () -> {
-            if (mine == looks) {
-                finish();
+        long delay = cores.microsUntilNextDone(coreSpeed());
+        host.schedule(warmth() < 1 ? Math.min(delay, WARM_UP_STEP_MICROS) : delay, () -> {
+            if (timer == completionTimers) {
+                finishDone();
             }
         });
     }
 
-    private void finish() {
-        progress();
-        List<Active> done = new ArrayList<>();
-        // Half a microsecond of work counts as done: the clock has no smaller step.
-        while (!working.isEmpty() && working.peek().doneAt() <= progress + pace() / 2) {
-            done.add(working.poll());
-        }
-        done.forEach(this::done);
-        next();
-    }
-
-    private boolean warm(String key, long now) {
-        if (key == null || key.isEmpty()) {
-            return false;
-        }
-        Long met = warmKeys.put(key, now);
-        if (warmKeys.size() > MOST_KEYS) {
-            warmKeys.remove(warmKeys.keySet().iterator().next());
-        }
-        return met != null && now - met < KEY_WARM_FOR;
-    }
-
-    private void done(Active it) {
-        workAtCores -= it.job().work();
-        workDone += it.job().work();
-        serviceMs += SMOOTH * ((host.now() - it.since()) / 1e3 - serviceMs);
-        it.job().reply().answer(report(it.job().fails() ? Kind.ERROR : Kind.DONE));
+    private void finishDone() {
+        advance();
+        cores.removeDone(coreSpeed()).forEach(this::finish);
+        startQueued();
     }
 
-    private Answer report(Kind kind) {
-        return new Answer(kind, reported.utilisation(), reported.waiting(), inFlight(), reported.serviceMs());
+    private void finish(SharedCores.Task<Job> task) {
+        Job job = task.identity();
+        workAtCores -= job.work();
+        doneWork += job.work();
+        serviceMs += SERVICE_TIME_SMOOTHING * ((host.now() - task.startMicros()) / 1e3 - serviceMs);
+        job.reply().answer(answer(job.fails() ? AnswerKind.ERROR : AnswerKind.DONE));
     }
 }
--- a/src/main/java/sedgeyoke/model/package-info.java
+++ b/src/main/java/sedgeyoke/model/package-info.java
@@ -1,7 +1,6 @@
 /**
- * A site as it truly is, free of input, output, clocks and threads: what it is made of ({@link
- * sedgeyoke.model.SiteModel}),
- * how an order node behaves ({@link sedgeyoke.model.UpstreamModel}) and whether the four rules were kept
- * ({@link sedgeyoke.model.InvariantChecker}). Stand-ins on sockets and the emulator in virtual time share it.
+ * Models of a site, free of input, output, clocks and threads: its parts ({@link sedgeyoke.model.SiteModel}), the
+ * behaviour of an order node ({@link sedgeyoke.model.UpstreamModel}) and a checker of the four rules
+ * ({@link sedgeyoke.model.InvariantChecker}). Stand-ins on sockets and the simulation in virtual time share them.
  */
 package sedgeyoke.model;
--- a/src/main/java/sedgeyoke/simulation/BaselinePolicies.java
+++ b/src/main/java/sedgeyoke/simulation/BaselinePolicies.java
@@ -268,14 +268,15 @@
             order.clear();
             for (Up up : from) {
                 SimulatedUpstream m = fleet.byId(up.id);
-                boolean serves = m != null && !m.gone && m.model.serves();
+                boolean serves = m != null && !m.gone && m.model.acceptsRequests();
                 double waits = serves
                         ? Math.max(0, m.model.inFlight() + 1 - m.model.spec().cores())
                         : 0;
                 order.put(
                         up.id,
                         serves
-                                ? (waits + m.model.spec().cores()) / m.model.speedNow() + 1e-9 * random.nextDouble()
+                                ? (waits + m.model.spec().cores()) / m.model.currentCapacity()
+                                        + 1e-9 * random.nextDouble()
                                 : Double.MAX_VALUE);
             }
             return from.stream()
--- a/src/main/java/sedgeyoke/simulation/QueueingTheory.java
+++ b/src/main/java/sedgeyoke/simulation/QueueingTheory.java
@@ -39,7 +39,7 @@
                         o.meanUs() / 1e6));
             }
         }
-        for (Spread spread : List.of(Spread.CONSTANT, Spread.TWO_KINDS)) {
+        for (Spread spread : List.of(Spread.CONSTANT, Spread.BIMODAL)) {
             double load = 0.7;
             Outcome o = new Simulation(Scenarios.queue(1, 1, load, spread, "random", 30_000 * scale), seed).run();
             double second = spread == Spread.CONSTANT ? 1 : 0.1 * 5.5 * 5.5 + 0.9 * 0.25; // of work over its mean
--- a/src/main/java/sedgeyoke/simulation/Scenarios.java
+++ b/src/main/java/sedgeyoke/simulation/Scenarios.java
@@ -33,7 +33,7 @@
                 List.of("kagoshima", "miyazaki", "oita"),
                 SiteModel.orders(workScale),
                 specs,
-                SiteModel.RuleSpec.USUAL,
+                SiteModel.RuleSpec.DEFAULT,
                 false);
         int third = forwarders / 3;
         return new Scenario(
@@ -57,12 +57,13 @@
      */
     public static Scenario queue(
             int nodes, int cores, double load, RequestClassModel.Spread spread, String policy, double seconds) {
-        RequestClassModel work = new RequestClassModel("work", "single_shot", 1, 3_000_000, 3_000_000, 1, 10, spread);
+        RequestClassModel work = new RequestClassModel(
+                "work", RequestClassModel.Idempotency.UNSAFE, 1, 3_000_000, 3_000_000, 1, 10, spread);
         List<SiteModel.NodeSpec> specs = new ArrayList<>();
         for (int i = 0; i < nodes; i++) {
             specs.add(new SiteModel.NodeSpec("n" + i, 0, cores, 1, ENDLESS));
         }
-        SiteModel site = new SiteModel(List.of("one"), List.of(work), specs, SiteModel.RuleSpec.USUAL, false);
+        SiteModel site = new SiteModel(List.of("one"), List.of(work), specs, SiteModel.RuleSpec.DEFAULT, false);
         return new Scenario(
                 site,
                 seconds,
--- a/src/main/java/sedgeyoke/simulation/SimulatedClients.java
+++ b/src/main/java/sedgeyoke/simulation/SimulatedClients.java
@@ -99,10 +99,10 @@
             InvariantChecker.Answer how =
                     switch (answer) {
                         case SERVED -> InvariantChecker.Answer.SERVED;
-                        case REFUSED -> InvariantChecker.Answer.REFUSED;
+                        case REFUSED -> InvariantChecker.Answer.REJECTED;
                         default -> InvariantChecker.Answer.FAILED;
                     };
-            world.ledger.answered(id, how, true, want.since, now);
+            world.checker.requestAnswered(id, how, true, want.since, now);
             tally.answered(want.cls, how, now - want.since, want.since);
             if (answer == Answer.REFUSED) {
                 again(want, pause(retryAfter));
@@ -113,7 +113,7 @@
             if (!ended) {
                 ended = true;
                 open--;
-                world.ledger.unanswered(id, world.time.now());
+                world.checker.connectionLost(id, world.time.now());
             }
         }
 
@@ -212,7 +212,7 @@
         }
         String key = keyOf[0] <= 0 ? null : "o" + (int) (keyOf[0] * Math.pow(arrivals.nextDouble(), keyOf[1]));
         RequestClassModel cls = classes.get(c);
-        world.ledger.wanted(cls);
+        world.checker.requestOffered(cls);
         tally.wanted(cls, world.time.now());
         ask(new Want(cls, c, zone, world.time.now(), key, cls.keyed() ? "k" + wants++ : null));
     }
@@ -230,13 +230,12 @@
             return;
         }
         String id = Long.toString(number++, 36);
-        long left = Math.max(LEAST_LEFT, want.cls.giveUpMs() * 1_000L - (now - want.since));
+        long left = Math.max(LEAST_LEFT, want.cls.clientTimeoutMs() * 1_000L - (now - want.since));
         left = left / 1_000 * 1_000; // the header has whole milliseconds
-        world.ledger.asked(id, want.cls, want.idempotencyKey, front.forwarder.name(), now, now + left);
+        world.checker.requestSent(id, want.cls, want.idempotencyKey, front.forwarder.name(), now, now + left);
         open++;
         Try mine = new Try(want, id);
-        Request request = new Request(
-                id, want.classIndex, 0, want.key, 0, left, !want.cls.repeat().equals("free"), want.tries > 1);
+        Request request = new Request(id, want.classIndex, 0, want.key, 0, left, !want.cls.safe(), want.tries > 1);
         SimulatedForwarder to = front.forwarder;
         world.time.after(world.delay(want.zone, to.zone()), () -> {
             if (to.alive()) {
@@ -274,7 +273,7 @@
     }
 
     private void again(Want want, long delay) {
-        long left = want.cls.giveUpMs() * 1_000L - (world.time.now() - want.since) - delay;
+        long left = want.cls.clientTimeoutMs() * 1_000L - (world.time.now() - want.since) - delay;
         if (delay >= 0 && want.tries <= MOST_RETRIES && left > LEAST_LEFT) {
             world.time.after(delay, () -> ask(want));
         }
--- a/src/main/java/sedgeyoke/simulation/SimulatedForwarder.java
+++ b/src/main/java/sedgeyoke/simulation/SimulatedForwarder.java
@@ -203,7 +203,7 @@
         idle.keySet().forEach(this::closeIdle);
         alive = false;
         process++;
-        world.ledger.died(name());
+        world.checker.balancerKilled(name());
         calls.values().forEach(c -> {
             c.attempts.forEach(a -> {
                 drop(a);
@@ -248,7 +248,7 @@
     }
 
     void revive() {
-        world.ledger.back(name());
+        world.checker.balancerRestarted(name());
         start();
     }
 
@@ -471,7 +471,7 @@
         int most = world.scenario.network().connections();
         if (m == null || most > 0 && m.connections >= most) {
             world.time.after(2 * world.delay(spec.zone, zone), () -> end(a, Outcome.CONNECT_FAILED, null));
-        } else if (m.model.silent() || world.severed(spec.zone, zone)) {
+        } else if (m.model.unresponsive() || world.severed(spec.zone, zone)) {
             world.time.after(settings.limits().connectTimeout(), () -> end(a, Outcome.CONNECT_FAILED, null));
         } else {
             world.time.after(
@@ -512,7 +512,7 @@
         }
         Request r = a.call.request;
         m.arrived++;
-        m.model.take(r.id(), r.affinityKey(), a.call.idempotencyKey, answer -> {
+        m.model.receive(r.id(), r.affinityKey(), a.call.idempotencyKey, answer -> {
             if (world.severed(m.zone, spec.zone)
                     || world.lostAnswers > 0 && world.random.nextDouble() < world.lostAnswers) {
                 return;
@@ -525,7 +525,7 @@
             Outcome outcome =
                     switch (answer.kind()) {
                         case DONE -> Outcome.OK;
-                        case FULL -> Outcome.REJECTED;
+                        case REJECTED -> Outcome.REJECTED;
                         default -> Outcome.ERROR;
                     };
             world.time.after(world.delay(m.zone, spec.zone), () -> end(a, outcome, answer));
@@ -582,7 +582,7 @@
         long there = world.delay(
                 spec.zone, target == null ? spec.zone : target.upstream().zone());
         world.time.after(there, () -> {
-            boolean answers = m != null && !m.model.silent();
+            boolean answers = m != null && !m.model.unresponsive();
             LoadReport load = !answers
                     ? null
                     : new LoadReport(
--- a/src/main/java/sedgeyoke/simulation/SimulatedUpstreams.java
+++ b/src/main/java/sedgeyoke/simulation/SimulatedUpstreams.java
@@ -45,7 +45,7 @@
                 missed.put(entry.upstream().id(), entry);
                 return;
             }
-            world.ledger.told(
+            world.checker.balancerNotified(
                     forwarder.name(), entry.upstream().id(), entry.upstream().state() == State.READY, world.time.now());
             forwarder.listed(ListKind.CHANGES, List.of(entry));
         }
@@ -60,7 +60,7 @@
         void whole() {
             missed.clear();
             list.values()
-                    .forEach(e -> world.ledger.told(
+                    .forEach(e -> world.checker.balancerNotified(
                             forwarder.name(),
                             e.upstream().id(),
                             e.upstream().state() == State.READY,
@@ -81,7 +81,7 @@
 
     private SimulatedUpstream add(SiteModel.NodeSpec spec, int address) {
         UpstreamModel model = new UpstreamModel(
-                spec, world.scenario.site(), world.host(), world.ledger, memories.get(spec.zone()), seed);
+                spec, world.scenario.site(), world.host(), world.checker, memories.get(spec.zone()), seed);
         model.start();
         SimulatedUpstream m = new SimulatedUpstream(model, address);
         byId.put(spec.id(), m);
@@ -114,7 +114,7 @@
 
     /** Those that stand in the list and run. */
     List<SimulatedUpstream> running() {
-        return inOrder.stream().filter(m -> !m.gone && !m.model.silent()).toList();
+        return inOrder.stream().filter(m -> !m.gone && !m.model.unresponsive()).toList();
     }
 
     /** Those of a zone that run. */
@@ -171,14 +171,14 @@
     /** The process ends, and the machine refuses connections. */
     private void go(SimulatedUpstream m) {
         m.breakConnections();
-        m.model.vanish();
+        m.model.stopResponding();
         m.gone = true;
         tell(m, State.REMOVED);
     }
 
     /** Nothing answers any more, and nothing says so. */
     void vanish(SimulatedUpstream m) {
-        m.model.vanish();
+        m.model.stopResponding();
     }
 
     /** The node goes and another one, as large, starts cold elsewhere or at its address. */
--- a/src/main/java/sedgeyoke/simulation/Simulation.java
+++ b/src/main/java/sedgeyoke/simulation/Simulation.java
@@ -77,13 +77,12 @@
         SiteModel site = scenario.site();
         List<RequestClass> classes = new ArrayList<>();
         for (RequestClassModel c : site.classes()) {
-            Effect effect =
-                    c.repeat().equals("free") ? Effect.SAFE : c.keyed() ? Effect.IDEMPOTENT_WITH_KEY : Effect.UNSAFE;
+            Effect effect = c.safe() ? Effect.SAFE : c.keyed() ? Effect.IDEMPOTENT_WITH_KEY : Effect.UNSAFE;
             classes.add(new RequestClass(
-                    c.aimMs() * 1_000L,
+                    c.latencyObjectiveMs() * 1_000L,
                     0,
-                    c.giveUpMs() * 1_000L,
-                    c.worth(),
+                    c.clientTimeoutMs() * 1_000L,
+                    c.priorityWeight(),
                     0,
                     effect,
                     c.keyed() ? Scope.ZONE : Scope.ALL,
@@ -116,10 +115,10 @@
                         20_000,
                         10 * SECOND,
                         r.startCapacity(),
-                        r.coldMs() * 1_000,
+                        r.warmUpMs() * 1_000,
                         r.drainGraceMs() * 1_000,
-                        r.fallMultiple(),
-                        r.fallMs() * 1_000),
+                        r.overloadMultiple(),
+                        r.overloadWindowMs() * 1_000),
                 new LoadBalancingPolicy.Prices(0.06, 0.02, 0, 0.05, 0),
                 LoadBalancingPolicy.Reports.IN_RESPONSES,
                 LoadBalancingPolicy.Ratings.NONE,
@@ -178,7 +177,7 @@
 
     double unaccountedWork() {
         return fleet.all().stream()
-                .mapToDouble(m -> Math.abs(m.model.unaccounted()))
+                .mapToDouble(m -> Math.abs(m.model.unaccountedWork()))
                 .max()
                 .orElse(0);
     }
@@ -204,14 +203,14 @@
         double sum = 0;
         double cores = 0;
         for (SimulatedUpstream m : fleet.all()) {
-            long now = m.model.worked();
+            long now = m.model.busyCoreMicros();
             long before = worked.getOrDefault(m.id(), 0L);
             worked.put(m.id(), now);
             List<Double> row = utilisation.computeIfAbsent(m.id(), id -> new ArrayList<>());
             while (row.size() < lookedAt) {
                 row.add(-1.0);
             }
-            boolean there = !m.gone && !m.model.silent();
+            boolean there = !m.gone && !m.model.unresponsive();
             row.add(there ? (now - before) / (double) (SECOND * m.model.spec().cores()) : -1);
             sum += now - before;
             cores += there ? m.model.spec().cores() : 0;
@@ -221,7 +220,7 @@
     }
 
     private Outcome outcome() {
-        var summary = world.ledger.summary();
+        var summary = world.checker.summary();
         List<Outcome.Second> seconds = tally.seconds().stream()
                 .map(s -> new Outcome.Second(
                         s.asked == 0 ? 1 : s.served / s.asked,
@@ -242,8 +241,8 @@
                 tally.latency(),
                 summary.answers(),
                 summary.violations(),
-                world.ledger.violations(),
-                summary.coldPeak(),
+                world.checker.violations(),
+                summary.warmUpPeak(),
                 warming.seconds(),
                 workedShare / counted,
                 seconds,
@@ -274,15 +273,15 @@
             case REPLACE_NODE -> node(who, m -> fleet.replace(m, false));
             case REPLACE_NODE_IN_PLACE -> node(who, m -> fleet.replace(m, true));
             case SLOW_NODE -> node(who, m -> {
-                m.model.slow(f.value());
-                later(lasts, () -> m.model.slow(1));
+                m.model.slowDown(f.value());
+                later(lasts, () -> m.model.slowDown(1));
             });
             case ERRORS_FAST, ERRORS_SLOW -> node(who, m -> {
-                m.model.fail(
+                m.model.setFailureMode(
                         f.kind() == Scenario.Kind.ERRORS_FAST
-                                ? UpstreamModel.Failing.FAST
-                                : UpstreamModel.Failing.SLOW);
-                later(lasts, () -> m.model.fail(UpstreamModel.Failing.NOT));
+                                ? UpstreamModel.FailureMode.FAST
+                                : UpstreamModel.FailureMode.SLOW);
+                later(lasts, () -> m.model.setFailureMode(UpstreamModel.FailureMode.NONE));
             });
             case ZONE_LOAD -> {
                 int zone = pick(who, zones());
--- a/src/main/java/sedgeyoke/simulation/SimulationContext.java
+++ b/src/main/java/sedgeyoke/simulation/SimulationContext.java
@@ -11,7 +11,7 @@
 
     final Scenario scenario;
     final EventQueue time = new EventQueue(START);
-    final InvariantChecker ledger;
+    final InvariantChecker checker;
     final SplittableRandom random;
     /** Whom faults strike: the same for the same seed, whatever policies and planners do. */
     final SplittableRandom faults;
@@ -29,7 +29,7 @@
         this.random = root.split();
         this.delays = root.split();
         this.faults = root.split();
-        this.ledger = new InvariantChecker(scenario.site());
+        this.checker = new InvariantChecker(scenario.site());
         this.cuts = new int[scenario.site().zones().size()];
     }
 
@@ -61,7 +61,7 @@
             }
 
             @Override
-            public void after(long delay, Runnable what) {
+            public void schedule(long delay, Runnable what) {
                 time.after(delay, what);
             }
         };
--- a/src/main/java/sedgeyoke/simulation/TimeSeries.java
+++ b/src/main/java/sedgeyoke/simulation/TimeSeries.java
@@ -43,15 +43,15 @@
 
     void wanted(RequestClassModel cls, long now) {
         Second s = at(now);
-        s.asked += cls.worth();
+        s.asked += cls.priorityWeight();
         s.wanted++;
-        asked += now >= countsFrom ? cls.worth() : 0;
+        asked += now >= countsFrom ? cls.priorityWeight() : 0;
     }
 
     void answered(RequestClassModel cls, InvariantChecker.Answer how, long took, long since) {
         Second s = at(since);
         if (how == InvariantChecker.Answer.SERVED) {
-            double worth = took <= cls.aimMs() * 1_000L ? cls.worth() : 0;
+            double worth = took <= cls.latencyObjectiveMs() * 1_000L ? cls.priorityWeight() : 0;
             s.served += worth;
             s.answered++;
             s.tookSum += took;
@@ -60,7 +60,7 @@
                 served += worth;
                 latency.recordValue(Math.min(took, LONGEST_US));
             }
-        } else if (how == InvariantChecker.Answer.REFUSED) {
+        } else if (how == InvariantChecker.Answer.REJECTED) {
             s.refused++;
         } else {
             s.failed++;
--- a/src/main/java/sedgeyoke/standin/Clients.java
+++ b/src/main/java/sedgeyoke/standin/Clients.java
@@ -44,7 +44,7 @@
     private final SiteModel site;
     private final EventLoop loop;
     private final LongSupplier clock;
-    private final InvariantChecker ledger;
+    private final InvariantChecker checker;
     private final SplittableRandom random;
     private final List<List<Front>> zones = new ArrayList<>();
     private final double[] zoneShare;
@@ -92,13 +92,13 @@
             SiteModel site,
             EventLoop loop,
             LongSupplier clock,
-            InvariantChecker ledger,
+            InvariantChecker checker,
             double[] zoneShare,
             long seed) {
         this.site = site;
         this.loop = loop;
         this.clock = clock;
-        this.ledger = ledger;
+        this.checker = checker;
         this.random = new SplittableRandom(seed);
         this.zoneShare = zoneShare.clone();
         site.zones().forEach(z -> zones.add(new ArrayList<>()));
@@ -156,7 +156,7 @@
         }
         double popular = random.nextDouble();
         String key = "o" + (int) (KEYS * popular * popular);
-        ledger.wanted(cls);
+        checker.requestOffered(cls);
         ask(new Want(cls, zone, clock.getAsLong(), key, cls.keyed() ? "k-" + newId() : null));
     }
 
@@ -168,8 +168,8 @@
         Front front = among.get(random.nextInt(among.size()));
         want.tries++;
         Request request =
-                new Request(want, newId(), now, Math.max(10, want.cls.giveUpMs() - (now - want.since) / 1_000));
-        ledger.asked(request.id(), want.cls, want.idempotencyKey, front.name, now, request.deadline());
+                new Request(want, newId(), now, Math.max(10, want.cls.clientTimeoutMs() - (now - want.since) / 1_000));
+        checker.requestSent(request.id(), want.cls, want.idempotencyKey, front.name, now, request.deadline());
         Connection connection = front.idle.poll();
         while (connection != null && !connection.channel.isActive()) {
             connection = front.idle.poll();
@@ -190,9 +190,9 @@
             }
             front.downUntil = clock.getAsLong() + DOWN_FOR;
             if (resent) {
-                ledger.unanswered(request.id(), clock.getAsLong());
+                checker.connectionLost(request.id(), clock.getAsLong());
             } else {
-                ledger.unreached(request.id());
+                checker.connectFailed(request.id());
                 again(request.want(), 20);
             }
         });
@@ -203,7 +203,7 @@
     }
 
     private void again(Want want, long delayMs) {
-        long left = want.cls.giveUpMs() - (clock.getAsLong() - want.since) / 1_000 - delayMs;
+        long left = want.cls.clientTimeoutMs() - (clock.getAsLong() - want.since) / 1_000 - delayMs;
         if (want.tries <= MOST_RETRIES && left > 10) {
             loop.schedule(() -> ask(want), delayMs, TimeUnit.MILLISECONDS);
         }
@@ -240,7 +240,7 @@
             current = request;
             resent = again;
             long budgetMs = Math.max(1, (request.deadline() - clock.getAsLong()) / 1_000);
-            boolean free = want.cls.repeat().equals("free");
+            boolean free = want.cls.safe();
             FullHttpRequest http = new DefaultFullHttpRequest(
                     HttpVersion.HTTP_1_1,
                     free ? HttpMethod.GET : HttpMethod.POST,
@@ -288,14 +288,16 @@
                                     .equals("done " + done.id());
             InvariantChecker.Answer answer = status == 200
                     ? InvariantChecker.Answer.SERVED
-                    : status == 429 || status == 503 ? InvariantChecker.Answer.REFUSED : InvariantChecker.Answer.FAILED;
-            ledger.answered(done.id(), answer, fits, done.want().since, clock.getAsLong());
+                    : status == 429 || status == 503
+                            ? InvariantChecker.Answer.REJECTED
+                            : InvariantChecker.Answer.FAILED;
+            checker.requestAnswered(done.id(), answer, fits, done.want().since, clock.getAsLong());
             if (HttpUtil.isKeepAlive(response)) {
                 front.idle.push(this);
             } else {
                 ctx.close();
             }
-            if (answer == InvariantChecker.Answer.REFUSED) {
+            if (answer == InvariantChecker.Answer.REJECTED) {
                 again(done.want(), 30L << done.want().tries);
             }
         }
@@ -311,7 +313,7 @@
             if (crossedItsEnd(open)) {
                 connect(front, open, true);
             } else {
-                ledger.unanswered(open.id(), clock.getAsLong());
+                checker.connectionLost(open.id(), clock.getAsLong());
             }
         }
 
@@ -321,7 +323,10 @@
          * run shows all the same: by a second effect under one id.
          */
         private boolean crossedItsEnd(Request open) {
-            return answered > 0 && !resent && !ledger.isDead(front.name) && clock.getAsLong() < open.deadline();
+            return answered > 0
+                    && !resent
+                    && !checker.isBalancerDown(front.name)
+                    && clock.getAsLong() < open.deadline();
         }
 
         @Override
--- a/src/main/java/sedgeyoke/standin/Configurations.java
+++ b/src/main/java/sedgeyoke/standin/Configurations.java
@@ -58,17 +58,17 @@
                 .put("ask-within-s", 10.0)
                 .put("drain-grace-s", site.rules().drainGraceMs() / 1e3)
                 .put("start-capacity", site.rules().startCapacity())
-                .put("cold-s", site.rules().coldMs() / 1e3)
-                .put("fall-multiple", site.rules().fallMultiple())
-                .put("fall-s", site.rules().fallMs() / 1e3);
+                .put("cold-s", site.rules().warmUpMs() / 1e3)
+                .put("fall-multiple", site.rules().overloadMultiple())
+                .put("fall-s", site.rules().overloadWindowMs() / 1e3);
         ArrayNode list = s.putArray("classes");
         for (RequestClassModel c : site.classes()) {
             list.addObject()
                     .put("name", c.name())
-                    .put("repeat", c.repeat())
-                    .put("aim-s", c.aimMs() / 1e3)
-                    .put("give-up-s", c.giveUpMs() / 1e3)
-                    .put("worth", c.worth())
+                    .put("repeat", c.idempotency().settingsName())
+                    .put("aim-s", c.latencyObjectiveMs() / 1e3)
+                    .put("give-up-s", c.clientTimeoutMs() / 1e3)
+                    .put("worth", c.priorityWeight())
                     .put("late-worth", 0.0)
                     .put("dedup-scope", c.keyed() ? "zone" : "all")
                     .put("memory-span-s", 2.5);
--- a/src/main/java/sedgeyoke/standin/DiscoveryStandin.java
+++ b/src/main/java/sedgeyoke/standin/DiscoveryStandin.java
@@ -32,7 +32,7 @@
 
     private final EventLoop loop;
     private final LongSupplier clock;
-    private final InvariantChecker ledger;
+    private final InvariantChecker checker;
     private final SiteModel site;
     private final Map<String, Member> members = new HashMap<>();
     private final Map<String, Agent> agents = new HashMap<>();
@@ -43,10 +43,10 @@
     private record Member(
             String id, String address, int zone, int kind, String phase, long launchedAt, long revision) {}
 
-    DiscoveryStandin(EventLoop loop, LongSupplier clock, InvariantChecker ledger, SiteModel site) {
+    DiscoveryStandin(EventLoop loop, LongSupplier clock, InvariantChecker checker, SiteModel site) {
         this.loop = loop;
         this.clock = clock;
-        this.ledger = ledger;
+        this.checker = checker;
         this.site = site;
     }
 
@@ -128,7 +128,8 @@
             }
             members.values().stream()
                     .filter(m -> m.revision() > from && m.revision() <= known)
-                    .forEach(m -> ledger.told(balancer, m.id(), m.phase().equals("up"), clock.getAsLong()));
+                    .forEach(m ->
+                            checker.balancerNotified(balancer, m.id(), m.phase().equals("up"), clock.getAsLong()));
             ctx.writeAndFlush(Http.answer(200, list(from, known)));
         }
     }
--- a/src/main/java/sedgeyoke/standin/OrderNode.java
+++ b/src/main/java/sedgeyoke/standin/OrderNode.java
@@ -31,7 +31,7 @@
             SiteModel site,
             EventLoop loop,
             LongSupplier clock,
-            InvariantChecker ledger,
+            InvariantChecker checker,
             IdempotencyKeyCache memory,
             long seed) {
         this.loop = loop;
@@ -45,11 +45,11 @@
                     }
 
                     @Override
-                    public void after(long delay, Runnable what) {
+                    public void schedule(long delay, Runnable what) {
                         loop.schedule(what, delay, TimeUnit.MICROSECONDS);
                     }
                 },
-                ledger,
+                checker,
                 memory,
                 seed);
     }
@@ -76,7 +76,7 @@
 
     /** The machine says nothing any more. */
     public void vanish() {
-        model.vanish();
+        model.stopResponding();
     }
 
     /** The process starts anew, cold, at its address; what it held is lost. */
@@ -100,17 +100,17 @@
                 .parameters()
                 .getOrDefault("obj", List.of(""))
                 .get(0);
-        model.take(id, key, request.headers().get("Idempotency-Key"), answer -> ctx.writeAndFlush(http(id, answer)));
+        model.receive(id, key, request.headers().get("Idempotency-Key"), answer -> ctx.writeAndFlush(http(id, answer)));
     }
 
     private static FullHttpResponse http(String id, UpstreamModel.Answer answer) {
         FullHttpResponse http =
                 switch (answer.kind()) {
                     case DONE -> Http.answer(200, "done " + id);
-                    case FULL -> Http.answer(503, "");
+                    case REJECTED -> Http.answer(503, "");
                     default -> Http.answer(500, "");
                 };
-        if (answer.kind() == UpstreamModel.Kind.FULL) {
+        if (answer.kind() == UpstreamModel.AnswerKind.REJECTED) {
             http.headers().set("X-Rejected", "1");
         }
         http.headers()
--- a/src/main/java/sedgeyoke/standin/Site.java
+++ b/src/main/java/sedgeyoke/standin/Site.java
@@ -19,7 +19,7 @@
 public final class Site implements AutoCloseable {
     private final SiteModel spec;
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-    private final InvariantChecker ledger;
+    private final InvariantChecker checker;
     private final DiscoveryStandin discovery;
     private final Clients clients;
     private final Map<String, OrderNode> nodes = new HashMap<>();
@@ -30,19 +30,22 @@
     /** Starts the nodes; {@code zoneShare} is each zone's part of the traffic. */
     public Site(SiteModel spec, double[] zoneShare, long seed) {
         this.spec = spec;
-        this.ledger = new InvariantChecker(spec);
-        this.discovery = new DiscoveryStandin(loop, this::now, ledger, spec);
-        this.clients = new Clients(spec, loop, this::now, ledger, zoneShare, seed);
+        this.checker = new InvariantChecker(spec);
+        this.discovery = new DiscoveryStandin(loop, this::now, checker, spec);
+        this.clients = new Clients(spec, loop, this::now, checker, zoneShare, seed);
         List<IdempotencyKeyCache> memories =
                 spec.zones().stream().map(z -> new IdempotencyKeyCache()).toList();
         for (SiteModel.NodeSpec n : spec.nodes()) {
-            OrderNode node = new OrderNode(n, spec, loop, this::now, ledger, memories.get(n.zone()), seed);
+            OrderNode node = new OrderNode(n, spec, loop, this::now, checker, memories.get(n.zone()), seed);
             node.start();
             nodes.put(n.id(), node);
             inOrder.add(node);
         }
         loop.scheduleAtFixedRate(
-                () -> ledger.beat(now()), InvariantChecker.BEAT, InvariantChecker.BEAT, TimeUnit.MICROSECONDS);
+                () -> checker.checkForStall(now()),
+                InvariantChecker.STALL_CHECK_INTERVAL_MICROS,
+                InvariantChecker.STALL_CHECK_INTERVAL_MICROS,
+                TimeUnit.MICROSECONDS);
         inOrder.forEach(n -> run(() -> discovery.set(n, "up")));
     }
 
@@ -85,11 +88,11 @@
     public void stopClients() throws InterruptedException {
         run(clients::stop);
         long longest = spec.classes().stream()
-                .mapToLong(RequestClassModel::giveUpMs)
+                .mapToLong(RequestClassModel::clientTimeoutMs)
                 .max()
                 .orElse(0);
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(longest + 2_000);
-        while (System.nanoTime() < end && ask(ledger::open) > 0) {
+        while (System.nanoTime() < end && ask(checker::pendingRequests) > 0) {
             Thread.sleep(20);
         }
     }
@@ -104,7 +107,8 @@
      * own time, is the true utilisation: warm keys and cold nodes make it unlike the load that was asked for.
      */
     public long worked() {
-        return ask(() -> inOrder.stream().mapToLong(n -> n.model().worked()).sum());
+        return ask(() ->
+                inOrder.stream().mapToLong(n -> n.model().busyCoreMicros()).sum());
     }
 
     /** The share of all core time that was worked since {@code worked} and {@code at} were read. */
@@ -125,7 +129,7 @@
 
     /** What happened. */
     public InvariantChecker checker() {
-        return ledger;
+        return checker;
     }
 
     /** What is to happen to a node, told to discovery as discovery would notice it. */
@@ -161,7 +165,7 @@
 
     /** The figures so far. */
     public InvariantChecker.Summary summary() {
-        return ask(ledger::summary);
+        return ask(checker::summary);
     }
 
     @Override
--- a/src/test/java/sedgeyoke/simulation/SharedCoresTest.java
+++ b/src/test/java/sedgeyoke/simulation/SharedCoresTest.java
@@ -20,27 +20,35 @@
     private final List<UpstreamModel.Answer> answers = new ArrayList<>();
 
     private UpstreamModel node(int cores, int slots, int queue) {
-        RequestClassModel work =
-                new RequestClassModel("work", "free", 1, 10_000, 10_000, 1, 100, RequestClassModel.Spread.CONSTANT);
-        SiteModel site = new SiteModel(List.of("a"), List.of(work), List.of(), SiteModel.RuleSpec.USUAL, false);
-        InvariantChecker ledger = new InvariantChecker(site);
+        RequestClassModel work = new RequestClassModel(
+                "work",
+                RequestClassModel.Idempotency.SAFE,
+                1,
+                10_000,
+                10_000,
+                1,
+                100,
+                RequestClassModel.Spread.CONSTANT);
+        SiteModel site = new SiteModel(List.of("a"), List.of(work), List.of(), SiteModel.RuleSpec.DEFAULT, false);
+        InvariantChecker checker = new InvariantChecker(site);
         UpstreamModel node = new UpstreamModel(
                 new SiteModel.NodeSpec("n", 0, cores, 1, slots, queue),
                 site,
                 world.host(),
-                ledger,
+                checker,
                 new IdempotencyKeyCache(),
                 1);
         node.start();
         for (int i = 0; i < 20; i++) {
-            ledger.wanted(work);
-            ledger.asked("r" + i, work, null, "b", SimulationContext.START, SimulationContext.START + 10_000 * MS);
+            checker.requestOffered(work);
+            checker.requestSent(
+                    "r" + i, work, null, "b", SimulationContext.START, SimulationContext.START + 10_000 * MS);
         }
         return node;
     }
 
     private void ask(UpstreamModel node, int number) {
-        node.take("r" + number, null, null, answer -> {
+        node.receive("r" + number, null, null, answer -> {
             answers.add(answer);
             doneAt.add(Math.round((time.now() - SimulationContext.START) / 1e3));
         });
@@ -54,8 +62,8 @@
         time.after(150 * MS, () -> ask(node, 2)); // the first two have 25 ms of work left each by then
         time.runUntil(SimulationContext.START + 1_000 * MS);
         assertEquals(List.of(225L, 225L, 300L), doneAt);
-        assertEquals(300 * MS, node.worked(), MS);
-        assertEquals(0, node.unaccounted(), 1e-9);
+        assertEquals(300 * MS, node.busyCoreMicros(), MS);
+        assertEquals(0, node.unaccountedWork(), 1e-9);
     }
 
     @Test
@@ -66,7 +74,7 @@
         }
         time.runUntil(SimulationContext.START + 1_000 * MS);
         assertEquals(List.of(0L, 100L, 100L, 200L), doneAt);
-        assertEquals(UpstreamModel.Kind.FULL, answers.get(0).kind());
+        assertEquals(UpstreamModel.AnswerKind.REJECTED, answers.get(0).kind());
     }
 
     @Test
@@ -84,7 +92,7 @@
     void aNodeThatSlowsDownHalfWayTakesLongerForTheRest() {
         UpstreamModel node = node(1, 1, 0);
         ask(node, 0);
-        time.after(50 * MS, () -> node.slow(3));
+        time.after(50 * MS, () -> node.slowDown(3));
         time.runUntil(SimulationContext.START + 1_000 * MS);
         assertEquals(List.of(200L), doneAt);
     }
--- a/src/test/java/sedgeyoke/standin/ClientsTest.java
+++ b/src/test/java/sedgeyoke/standin/ClientsTest.java
@@ -27,8 +27,8 @@
     private static final int WANTED = 40;
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final SiteModel site =
-            new SiteModel(List.of("a"), SiteModel.orders(), List.of(), SiteModel.RuleSpec.USUAL, false);
-    private final InvariantChecker ledger = new InvariantChecker(site);
+            new SiteModel(List.of("a"), SiteModel.orders(), List.of(), SiteModel.RuleSpec.DEFAULT, false);
+    private final InvariantChecker checker = new InvariantChecker(site);
     private final Map<String, Integer> seen = new HashMap<>();
     private final Map<String, Set<String>> idsByKey = new HashMap<>();
 
@@ -85,16 +85,16 @@
     private InvariantChecker.Summary play(Script script, int tries) throws InterruptedException {
         InetSocketAddress address = (InetSocketAddress)
                 Http.listen(loop, 0, () -> new Scripted(script)).localAddress();
-        Clients clients = new Clients(site, loop, () -> System.nanoTime() / 1_000, ledger, new double[] {1}, 7);
+        Clients clients = new Clients(site, loop, () -> System.nanoTime() / 1_000, checker, new double[] {1}, 7);
         loop.submit(() -> {
                     clients.balancer("b", 0, address);
                     clients.start(300);
                 })
                 .sync();
-        await(() -> ledger.summary().requests() >= WANTED && mostTries() >= tries);
+        await(() -> checker.summary().requests() >= WANTED && mostTries() >= tries);
         loop.submit(clients::stop).sync();
-        await(() -> ledger.open() == 0);
-        return loop.submit(ledger::summary).syncUninterruptibly().getNow();
+        await(() -> checker.pendingRequests() == 0);
+        return loop.submit(checker::summary).syncUninterruptibly().getNow();
     }
 
     private void await(BooleanSupplier done) throws InterruptedException {
