The simulator's adapter is split into batch, event and dispatch, with the policy's names

BatchReader reads batches now, Event one event with accessors that name a missing field, UpstreamListReader the endpoint list, EventDispatcher calls the policy, EventKind replaces a set of strings. LineReader leaves SimulatorMain. SettingsReader.Found is InstanceSettings; it no longer loads BatchReader when a balancer starts. The wire is unchanged.

--- a/src/main/java/sedgeyoke/proxy/BalancerConfig.java
+++ b/src/main/java/sedgeyoke/proxy/BalancerConfig.java
@@ -33,7 +33,7 @@
         Path folder,
         long seed,
         int sockets,
-        SettingsReader.Found facts,
+        SettingsReader.InstanceSettings facts,
         EndpointList known) {
 
     static final JsonMapper JSON = new JsonMapper();
@@ -104,7 +104,7 @@
     /** Reads a configuration; throws with the name of the field that is no good. */
     public static BalancerConfig parse(byte[] json) throws Bad, IOException {
         JsonNode root = JSON.readTree(json);
-        SettingsReader.Found facts = facts(root.path("settings"));
+        SettingsReader.InstanceSettings facts = facts(root.path("settings"));
         int sockets = root.path("limits").path("sockets").asInt(0);
         require(sockets >= FEWEST_SOCKETS, "limits.sockets (at least " + FEWEST_SOCKETS + ")");
         require(root.path("name").isTextual(), "name");
@@ -128,9 +128,9 @@
                 known);
     }
 
-    private static SettingsReader.Found facts(JsonNode node) throws Bad, IOException {
+    private static SettingsReader.InstanceSettings facts(JsonNode node) throws Bad, IOException {
         require(node.isObject(), "settings");
-        SettingsReader.Found facts;
+        SettingsReader.InstanceSettings facts;
         try (JsonParser json = node.traverse()) {
             json.nextToken();
             facts = SettingsReader.read(json);
--- a/src/main/java/sedgeyoke/proxy/EndpointList.java
+++ b/src/main/java/sedgeyoke/proxy/EndpointList.java
@@ -28,7 +28,7 @@
     }
 
     /** Localities and kinds become the indices of the settings; one that is not in them becomes -1. */
-    public static EndpointList read(JsonNode root, SettingsReader.Found facts) throws Malformed {
+    public static EndpointList read(JsonNode root, SettingsReader.InstanceSettings facts) throws Malformed {
         if (!root.path("revision").canConvertToLong()
                 || !root.path("complete").isBoolean()
                 || !root.path("members").isArray()) {
--- a/src/main/java/sedgeyoke/proxy/UpstreamConnectionPool.java
+++ b/src/main/java/sedgeyoke/proxy/UpstreamConnectionPool.java
@@ -130,7 +130,7 @@
             EventLoop loop,
             Transport transport,
             LongSupplier clock,
-            SettingsReader.Found facts,
+            SettingsReader.InstanceSettings facts,
             int mostConnections,
             BodyLimits bodies,
             BodyBudget budget,
--- a/src/main/java/sedgeyoke/simulator/InvalidInputException.java
+++ b/src/main/java/sedgeyoke/simulator/InvalidInputException.java
@@ -1,6 +1,6 @@
 package sedgeyoke.simulator;
 
-/** A line of input that is not what the wire prescribes; the message says what is wrong with it. */
+/** Input that does not follow the wire format or the platform's settings; the message names the field. */
 public final class InvalidInputException extends Exception {
     private static final long serialVersionUID = 1L;
 
--- a/src/main/java/sedgeyoke/simulator/PolicyInstances.java
+++ b/src/main/java/sedgeyoke/simulator/PolicyInstances.java
@@ -1,46 +1,61 @@
 package sedgeyoke.simulator;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import sedgeyoke.policy.LoadBalancingPolicy;
 import sedgeyoke.policy.UtilizationWeightedPolicy;
 
-/** Keeps one module for each instance and hands it its events; they share nothing. */
+/**
+ * The instances of the policy, by their numbers; they share nothing. An exception of one goes into the reply as a bug of
+ * that instance, and the others go on.
+ */
 final class PolicyInstances {
-    private final Map<Integer, LoadBalancingPolicy> instances = new HashMap<>();
+    private final Map<Integer, Instance> instances = new HashMap<>();
     private final ReplyWriter replies;
 
     PolicyInstances(ReplyWriter replies) {
         this.replies = replies;
     }
 
-    void create(int who, long now, long seed, LoadBalancingPolicy.Settings settings) {
-        guarded(who, () -> {
-            LoadBalancingPolicy balancer = new UtilizationWeightedPolicy(settings, seed, replies.forInstance(who));
-            instances.put(who, balancer);
-            balancer.start(now);
+    /** A policy and the names of the values in its load reports. */
+    private record Instance(LoadBalancingPolicy policy, List<String> reportNames) {}
+
+    void create(int number, long now, SettingsReader.InstanceSettings settings, long seed) {
+        reportingBugs(number, () -> {
+            LoadBalancingPolicy policy =
+                    new UtilizationWeightedPolicy(settings.settings(), seed, replies.forInstance(number));
+            instances.put(number, new Instance(policy, settings.reportNames()));
+            policy.start(now);
         });
     }
 
-    void destroy(int who) {
-        instances.remove(who);
+    void destroy(int number) {
+        instances.remove(number);
     }
 
-    void tell(int who, Consumer<LoadBalancingPolicy> event) throws InvalidInputException {
-        LoadBalancingPolicy balancer = instances.get(who);
-        if (balancer == null) {
-            throw new InvalidInputException("an event for instance " + who + ", which does not exist");
+    /** Hands an event to an instance; throws if there is no such instance. */
+    void notify(int number, Consumer<LoadBalancingPolicy> event) throws InvalidInputException {
+        Instance instance = instances.get(number);
+        if (instance == null) {
+            throw new InvalidInputException("an event for instance " + number + ", which does not exist");
         }
-        guarded(who, () -> event.accept(balancer));
+        reportingBugs(number, () -> event.accept(instance.policy()));
+    }
+
+    /** The names of the values in the load reports of an instance; none if there is no such instance. */
+    List<String> reportNames(int number) {
+        Instance instance = instances.get(number);
+        return instance == null ? List.of() : instance.reportNames();
     }
 
-    private void guarded(int who, Runnable event) {
+    private void reportingBugs(int number, Runnable event) {
         try {
             event.run();
         } catch (RuntimeException e) {
-            StackTraceElement[] where = e.getStackTrace();
-            replies.bug(who, e + (where.length > 0 ? " at " + where[0] : ""));
+            StackTraceElement[] trace = e.getStackTrace();
+            replies.bug(number, e + (trace.length > 0 ? " at " + trace[0] : ""));
         }
     }
 }
--- a/src/main/java/sedgeyoke/simulator/ReplyWriter.java
+++ b/src/main/java/sedgeyoke/simulator/ReplyWriter.java
@@ -9,12 +9,18 @@
 import java.util.HexFormat;
 import sedgeyoke.policy.LoadBalancingPolicy;
 
-/** Writes the actions of all instances into one reply. */
+/** Writes the actions of all instances into one reply, as the wire names them. */
 final class ReplyWriter {
     private static final JsonFactory JSON = new JsonFactory();
-    private final ByteArrayOutputStream bytes = new ByteArrayOutputStream(1 << 14);
+    /** Decimal places of a time in seconds. */
+    private static final int MICROS_SCALE = 6;
+
+    private static final int INITIAL_BYTES = 1 << 14;
+
+    private final ByteArrayOutputStream bytes = new ByteArrayOutputStream(INITIAL_BYTES);
     private JsonGenerator json;
 
+    /** Starts the reply of a batch. */
     void begin() throws IOException {
         bytes.reset();
         json = JSON.createGenerator(bytes);
@@ -22,6 +28,7 @@
         json.writeArrayFieldStart("decisions");
     }
 
+    /** Ends the reply and returns it; the stream is reused for the next one. */
     ByteArrayOutputStream end() throws IOException {
         json.writeEndArray();
         json.writeEndObject();
@@ -30,32 +37,34 @@
         return bytes;
     }
 
-    LoadBalancingPolicy.Actions forInstance(int who) {
-        return new Writer(who);
+    /** The actions of one instance. */
+    LoadBalancingPolicy.Actions forInstance(int number) {
+        return new InstanceActions(number);
     }
 
-    void bug(int who, String text) {
-        new Writer(who).action("bug", () -> json.writeStringField("msg", text));
+    /** Reports an exception of an instance. */
+    void bug(int number, String text) {
+        new InstanceActions(number).action("bug", () -> json.writeStringField("msg", text));
     }
 
-    /** Writes one field or more of an action. */
+    /** Writes the fields of an action. */
     private interface Fields {
         void write() throws IOException;
     }
 
-    /** The sink of one instance. */
-    private final class Writer implements LoadBalancingPolicy.Actions {
-        private final int who;
+    /** Writes the actions of one instance. */
+    private final class InstanceActions implements LoadBalancingPolicy.Actions {
+        private final int number;
 
-        Writer(int who) {
-            this.who = who;
+        InstanceActions(int number) {
+            this.number = number;
         }
 
         private void action(String kind, Fields fields) {
             try {
                 json.writeStartObject();
                 json.writeStringField("kind", kind);
-                json.writeNumberField("who", who);
+                json.writeNumberField("who", number);
                 fields.write();
                 json.writeEndObject();
             } catch (IOException e) {
@@ -65,7 +74,7 @@
 
         private void seconds(String field, long micros) throws IOException {
             json.writeFieldName(field);
-            json.writeNumber(BigDecimal.valueOf(micros, 6).toPlainString());
+            json.writeNumber(BigDecimal.valueOf(micros, MICROS_SCALE).toPlainString());
         }
 
         @Override
@@ -121,8 +130,8 @@
         }
 
         @Override
-        public void watchEndpoints(boolean on) {
-            action("tail", () -> json.writeBooleanField("want", on));
+        public void watchEndpoints(boolean enabled) {
+            action("tail", () -> json.writeBooleanField("want", enabled));
         }
 
         @Override
--- a/src/main/java/sedgeyoke/simulator/SettingsReader.java
+++ b/src/main/java/sedgeyoke/simulator/SettingsReader.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import sedgeyoke.policy.LoadBalancingPolicy.Effect;
 import sedgeyoke.policy.LoadBalancingPolicy.Limits;
@@ -21,32 +20,20 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Settings;
 import sedgeyoke.policy.LoadBalancingPolicy.Tenant;
 
-/** Reads the settings that an instance is created with. Keys it does not know are skipped. */
+/** Reads the platform's settings of an instance of the policy. Unknown keys are skipped. */
 public final class SettingsReader {
-    static final Set<String> EVENTS = Set.of(
-            "create",
-            "destroy",
-            "sync",
-            "work-item",
-            "answer",
-            "ping-result",
-            "client-gone",
-            "opened",
-            "reminder",
-            "whisper");
-
     private static final Map<String, Effect> EFFECTS =
             Map.of("free", Effect.SAFE, "guarded", Effect.IDEMPOTENT_WITH_KEY, "single_shot", Effect.UNSAFE);
     private static final Map<String, Scope> SCOPES = Map.of("all", Scope.ALL, "zone", Scope.ZONE, "cell", Scope.CELL);
-    private static final Map<String, Reports> VIA =
+    private static final Map<String, Reports> REPORTS =
             Map.of("piggyback", Reports.IN_RESPONSES, "pull", Reports.BY_HEALTH_CHECK, "silent", Reports.NONE);
-    private static final Map<String, Ratings> WEIGHTS =
+    private static final Map<String, Ratings> RATINGS =
             Map.of("silent", Ratings.NONE, "nominal", Ratings.NOMINAL, "rough", Ratings.ROUGH, "live", Ratings.LIVE);
 
     private SettingsReader() {}
 
-    /** What was found: the settings for the module, and the names that stand for its indices elsewhere. */
-    public record Found(
+    /** The settings of an instance, and the names that its indices stand for outside of the policy. */
+    public record InstanceSettings(
             Settings settings,
             List<String> reportNames,
             List<String> classNames,
@@ -54,19 +41,19 @@
             List<String> localities,
             List<String> kinds) {}
 
-    /** One object of the settings, flat: numbers and bools as numbers, texts, and lists of objects. */
+    /** One object of the settings. Booleans are the numbers 0 and 1; a scalar in a list is an object with the key "". */
     private static final class Node {
         final Map<String, Double> numbers = new HashMap<>();
         final Map<String, String> texts = new HashMap<>();
         final Map<String, Node> objects = new HashMap<>();
         final Map<String, List<Node>> lists = new HashMap<>();
 
-        double number(String name, double otherwise) {
-            return numbers.getOrDefault(name, otherwise);
+        double number(String name, double defaultValue) {
+            return numbers.getOrDefault(name, defaultValue);
         }
 
         long time(String name) {
-            return BatchReader.micros(number(name, 0));
+            return WireTime.micros(number(name, 0));
         }
 
         boolean flag(String name) {
@@ -81,10 +68,10 @@
             return lists.getOrDefault(name, List.of());
         }
 
-        <T> T choice(String name, Map<String, T> values, T otherwise) throws InvalidInputException {
+        <T> T choice(String name, Map<String, T> values, T defaultValue) throws InvalidInputException {
             String text = texts.get(name);
             if (text == null) {
-                return otherwise;
+                return defaultValue;
             }
             if (!values.containsKey(text)) {
                 throw new InvalidInputException("setting " + name + " has the unknown value " + text);
@@ -105,126 +92,128 @@
     }
 
     /** Reads the object that the parser has just entered. */
-    public static Found read(JsonParser json) throws InvalidInputException, IOException {
-        Node facts = node(json);
+    public static InstanceSettings read(JsonParser json) throws InvalidInputException, IOException {
+        Node root = readNode(json);
         List<RequestClass> classes = new ArrayList<>();
-        for (Node c : facts.list("classes")) {
+        for (Node requestClass : root.list("classes")) {
             classes.add(new RequestClass(
-                    c.time("aim-s"),
-                    c.number("aim-stretch", 0),
-                    c.time("give-up-s"),
-                    c.number("worth", 1),
-                    c.number("late-worth", 0),
-                    c.choice("repeat", EFFECTS, Effect.UNSAFE),
-                    c.choice("dedup-scope", SCOPES, Scope.CELL),
-                    c.time("memory-span-s"),
-                    c.flag("stream")));
+                    requestClass.time("aim-s"),
+                    requestClass.number("aim-stretch", 0),
+                    requestClass.time("give-up-s"),
+                    requestClass.number("worth", 1),
+                    requestClass.number("late-worth", 0),
+                    requestClass.choice("repeat", EFFECTS, Effect.UNSAFE),
+                    requestClass.choice("dedup-scope", SCOPES, Scope.CELL),
+                    requestClass.time("memory-span-s"),
+                    requestClass.flag("stream")));
         }
         List<Tenant> tenants = new ArrayList<>();
-        for (Node t : facts.list("parties")) {
-            tenants.add(new Tenant(t.number("allowance-per-s", 0), t.number("share", 0)));
+        for (Node tenant : root.list("parties")) {
+            tenants.add(new Tenant(tenant.number("allowance-per-s", 0), tenant.number("share", 0)));
         }
-        Node report = facts.object("report");
+        Node report = root.object("report");
         Settings settings = new Settings(
-                (int) facts.number("az", 0),
-                Math.max(1, facts.list("localities").size()),
-                (int) facts.number("position", 0),
-                (int) facts.number("group-size", 1),
+                (int) root.number("az", 0),
+                Math.max(1, root.list("localities").size()),
+                (int) root.number("position", 0),
+                (int) root.number("group-size", 1),
                 classes,
                 tenants,
-                facts.number("over-share-worth", 1),
-                "work".equals(facts.texts.get("counted-by")),
-                limits(facts.object("ceilings")),
-                rules(facts.object("rules")),
-                prices(facts.object("prices")),
-                report.choice("via", VIA, Reports.NONE),
-                facts.choice("weights", WEIGHTS, Ratings.NONE),
-                "on_request".equals(facts.texts.get("discovery")),
-                facts.object("extra").flag("warm-keys"),
-                facts.time("tick-s"));
-        return new Found(
+                root.number("over-share-worth", 1),
+                "work".equals(root.texts.get("counted-by")),
+                limits(root.object("ceilings")),
+                rules(root.object("rules")),
+                prices(root.object("prices")),
+                report.choice("via", REPORTS, Reports.NONE),
+                root.choice("weights", RATINGS, Ratings.NONE),
+                "on_request".equals(root.texts.get("discovery")),
+                root.object("extra").flag("warm-keys"),
+                root.time("tick-s"));
+        return new InstanceSettings(
                 settings,
                 texts(report, "names", ""),
-                texts(facts, "classes", "name"),
-                texts(facts, "parties", "name"),
-                texts(facts, "localities", ""),
-                texts(facts, "kinds", ""));
+                texts(root, "classes", "name"),
+                texts(root, "parties", "name"),
+                texts(root, "localities", ""),
+                texts(root, "kinds", ""));
     }
 
     private static List<String> texts(Node node, String list, String field) {
         return node.list(list).stream()
-                .map(n -> n.texts.getOrDefault(field, ""))
+                .map(element -> element.texts.getOrDefault(field, ""))
                 .toList();
     }
 
-    private static Limits limits(Node n) {
+    private static Limits limits(Node node) {
         return new Limits(
-                (int) n.number("try-limit", 1),
-                n.flag("may-duplicate"),
-                n.flag("probes"),
-                n.flag("cancel"),
-                n.flag("peers"),
-                (int) n.number("max-open", 0),
-                n.flag("retry-after"),
-                n.time("max-retry-after-s"),
-                n.time("connect-timeout-s"),
-                n.time("conn-idle-s"),
-                (int) n.number("multiplex", 1));
+                (int) node.number("try-limit", 1),
+                node.flag("may-duplicate"),
+                node.flag("probes"),
+                node.flag("cancel"),
+                node.flag("peers"),
+                (int) node.number("max-open", 0),
+                node.flag("retry-after"),
+                node.time("max-retry-after-s"),
+                node.time("connect-timeout-s"),
+                node.time("conn-idle-s"),
+                (int) node.number("multiplex", 1));
     }
 
-    private static PlatformRules rules(Node n) {
+    private static PlatformRules rules(Node node) {
         return new PlatformRules(
-                n.time("answer-slack-s"),
-                n.time("ask-within-s"),
-                n.number("start-capacity", 1),
-                n.time("cold-s"),
-                n.time("drain-grace-s"),
-                n.number("fall-multiple", 1),
-                n.time("fall-s"));
+                node.time("answer-slack-s"),
+                node.time("ask-within-s"),
+                node.number("start-capacity", 1),
+                node.time("cold-s"),
+                node.time("drain-grace-s"),
+                node.number("fall-multiple", 1),
+                node.time("fall-s"));
     }
 
-    private static Prices prices(Node n) {
+    private static Prices prices(Node node) {
         return new Prices(
-                n.number("cross-zone", 0),
-                n.number("waste", 0),
-                n.number("probe", 0),
-                n.number("late-fail", 0),
-                n.number("handshake", 0));
+                node.number("cross-zone", 0),
+                node.number("waste", 0),
+                node.number("probe", 0),
+                node.number("late-fail", 0),
+                node.number("handshake", 0));
     }
 
-    private static Node node(JsonParser json) throws IOException {
+    private static Node readNode(JsonParser json) throws IOException {
         Node node = new Node();
         while (json.nextToken() == JsonToken.FIELD_NAME) {
             String name = json.currentName();
             JsonToken value = json.nextToken();
             if (value == JsonToken.START_ARRAY) {
-                node.lists.put(name, nodes(json));
+                node.lists.put(name, readNodes(json));
             } else {
-                value(node, name, json, value);
+                readValue(node, name, json, value);
             }
         }
         return node;
     }
 
-    private static List<Node> nodes(JsonParser json) throws IOException {
+    private static List<Node> readNodes(JsonParser json) throws IOException {
         List<Node> list = new ArrayList<>();
-        for (JsonToken t = json.nextToken(); t != null && t != JsonToken.END_ARRAY; t = json.nextToken()) {
-            if (t == JsonToken.START_OBJECT) {
-                list.add(node(json));
-            } else if (t == JsonToken.START_ARRAY) {
+        for (JsonToken token = json.nextToken();
+                token != null && token != JsonToken.END_ARRAY;
+                token = json.nextToken()) {
+            if (token == JsonToken.START_OBJECT) {
+                list.add(readNode(json));
+            } else if (token == JsonToken.START_ARRAY) {
                 json.skipChildren();
             } else {
                 Node scalar = new Node();
-                value(scalar, "", json, t);
+                readValue(scalar, "", json, token);
                 list.add(scalar);
             }
         }
         return list;
     }
 
-    private static void value(Node node, String name, JsonParser json, JsonToken value) throws IOException {
+    private static void readValue(Node node, String name, JsonParser json, JsonToken value) throws IOException {
         switch (value) {
-            case START_OBJECT -> node.objects.put(name, node(json));
+            case START_OBJECT -> node.objects.put(name, readNode(json));
             case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> node.numbers.put(name, json.getDoubleValue());
             case VALUE_TRUE -> node.numbers.put(name, 1.0);
             case VALUE_FALSE -> node.numbers.put(name, 0.0);
--- a/src/main/java/sedgeyoke/simulator/SimulatorMain.java
+++ b/src/main/java/sedgeyoke/simulator/SimulatorMain.java
@@ -7,8 +7,13 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 
-/** Command line: {@code wirehost} reads batches on standard input and writes a reply for each. */
+/** The command {@code wirehost}: reads batches of events on standard input and writes a reply for each. */
 public final class SimulatorMain {
+    private static final int EXIT_OK = 0;
+    private static final int EXIT_INVALID_INPUT = 1;
+    private static final int EXIT_USAGE = 2;
+    private static final int BUFFER_BYTES = 1 << 16;
+
     private SimulatorMain() {}
 
     /** Runs the adapter; see {@link #run}. */
@@ -16,82 +21,28 @@
         System.exit(run(args, System.in, System.out, System.err));
     }
 
-    /** Runs until the end of input; returns 0, 1 after bad input, 2 after a wrong command line. */
+    /** Runs until the end of input; returns 0, 1 after invalid input, 2 after a wrong command line. */
     public static int run(String[] args, InputStream in, OutputStream stdout, PrintStream err) {
         if (args.length != 1 || !args[0].equals("wirehost")) {
             err.println("usage: java -jar sedgeyoke.jar wirehost");
-            return 2;
+            return EXIT_USAGE;
         }
         ReplyWriter replies = new ReplyWriter();
-        BatchReader batches = new BatchReader(new PolicyInstances(replies), replies, err);
-        long line = 0;
-        try (OutputStream out = new BufferedOutputStream(stdout, 1 << 16)) {
-            Lines lines = new Lines(in);
+        EventDispatcher events = new EventDispatcher(new PolicyInstances(replies), err);
+        BatchReader batches = new BatchReader(events, replies);
+        long lineNumber = 0;
+        try (OutputStream out = new BufferedOutputStream(stdout, BUFFER_BYTES)) {
+            LineReader lines = new LineReader(in);
             while (lines.next()) {
-                line++;
-                ByteArrayOutputStream reply = batches.answer(lines.bytes(), lines.length());
+                lineNumber++;
+                ByteArrayOutputStream reply = batches.reply(lines.bytes(), lines.length());
                 reply.writeTo(out);
                 out.flush();
             }
-            return 0;
+            return EXIT_OK;
         } catch (InvalidInputException | IOException e) {
-            err.println("line " + Math.max(line, 1) + ": " + e.getMessage());
-            return 1;
-        }
-    }
-
-    /** Splits a stream into lines without copying each into a string. */
-    private static final class Lines {
-        private final InputStream in;
-        private byte[] buffer = new byte[1 << 16];
-        private int from;
-        private int to;
-        private int filled;
-        private boolean ended;
-
-        Lines(InputStream in) {
-            this.in = in;
-        }
-
-        boolean next() throws IOException {
-            from = to == 0 ? 0 : Math.min(to + 1, filled);
-            int scan = from;
-            while (true) {
-                for (; scan < filled; scan++) {
-                    if (buffer[scan] == '\n') {
-                        to = scan;
-                        return true;
-                    }
-                }
-                if (ended) {
-                    to = filled;
-                    return filled > from;
-                }
-                scan -= compact();
-                int n = in.read(buffer, filled, buffer.length - filled);
-                ended = n < 0;
-                filled += Math.max(n, 0);
-            }
-        }
-
-        private int compact() {
-            int moved = from;
-            System.arraycopy(buffer, from, buffer, 0, filled - from);
-            filled -= from;
-            from = 0;
-            to = 0;
-            if (filled == buffer.length) {
-                buffer = java.util.Arrays.copyOf(buffer, 2 * buffer.length);
-            }
-            return moved;
-        }
-
-        byte[] bytes() {
-            return from == 0 ? buffer : java.util.Arrays.copyOfRange(buffer, from, to);
-        }
-
-        int length() {
-            return to - from;
+            err.println("line " + Math.max(lineNumber, 1) + ": " + e.getMessage());
+            return EXIT_INVALID_INPUT;
         }
     }
 }
--- a/src/test/java/sedgeyoke/simulator/SimulatorMainTest.java
+++ b/src/test/java/sedgeyoke/simulator/SimulatorMainTest.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import sedgeyoke.policy.LoadBalancingPolicy;
 
-/** The wire: every event and action, and every kind of bad line. */
+/** The wire format: every event and action, and every kind of invalid line. */
 class SimulatorMainTest {
     private static final String FACTS = "{\"az\":0,\"later\":{\"x\":[1,{}]},\"classes\":[{\"aim-s\":0.5,"
             + "\"give-up-s\":2,\"repeat\":\"free\",\"worth\":1,\"late-worth\":0,\"name\":\"a\"}],"
@@ -48,22 +48,23 @@
 
     @Test
     void emptyBatchGetsAnEmptyReply() {
-        Result r = run(batch("8.41225"));
-        assertEquals("{\"decisions\":[]}\n", r.out);
-        assertEquals(0, r.exit);
+        Result result = run(batch("8.41225"));
+        assertEquals("{\"decisions\":[]}\n", result.out);
+        assertEquals(0, result.exit);
     }
 
     @Test
     void aRequestIsRelayedAndServed() {
-        Result r = run(batch("10", CREATE)
+        Result result = run(batch("10", CREATE)
                 + batch("10.000001", ITEM)
                 + batch(
                         "10.1",
                         "{\"kind\":\"answer\",\"who\":1,\"corr\":\"é-1\",\"attempt\":0,\"upstream\":\"h:1\","
                                 + "\"ending\":0,\"took-s\":0.1,\"last\":true,\"feedback\":null}"));
-        String[] lines = r.out.split("\n");
+        String[] lines = result.out.split("\n");
         assertTrue(
-                lines[0].contains("{\"kind\":\"remind\",\"who\":1,\"ctx\":\"sweep\",\"sleep-for-s\":0.010000}"), r.out);
+                lines[0].contains("{\"kind\":\"remind\",\"who\":1,\"ctx\":\"sweep\",\"sleep-for-s\":0.010000}"),
+                result.out);
         assertEquals(
                 "{\"decisions\":[{\"kind\":\"relay\",\"who\":1,\"corr\":\"é-1\",\"upstream\":\"h:1\"}]}", lines[1]);
         assertEquals("{\"decisions\":[]}", lines[2]);
@@ -71,13 +72,13 @@
 
     @Test
     void theClockMayComeAfterTheEvents() {
-        Result r = run("{\"input\":[" + CREATE + "],\"moment-s\":10}\n" + batch("10", ITEM));
-        assertTrue(r.out.contains("relay"), r.out + r.err);
+        Result result = run("{\"input\":[" + CREATE + "],\"moment-s\":10}\n" + batch("10", ITEM));
+        assertTrue(result.out.contains("relay"), result.out + result.err);
     }
 
     @Test
     void everyEventKindIsRead() {
-        Result r = run(batch(
+        Result result = run(batch(
                 "10",
                 CREATE,
                 ITEM,
@@ -91,28 +92,28 @@
                 "{\"kind\":\"destroy\",\"who\":1}",
                 CREATE,
                 "{\"kind\":\"of-the-future\",\"who\":1}"));
-        assertEquals(0, r.exit, r.err);
-        assertEquals(1, r.err.lines().count());
-        assertTrue(r.err.contains("of-the-future"));
+        assertEquals(0, result.exit, result.err);
+        assertEquals(1, result.err.lines().count());
+        assertTrue(result.err.contains("of-the-future"));
     }
 
     @Test
     void everyActionIsWritten() throws Exception {
         ReplyWriter replies = new ReplyWriter();
         replies.begin();
-        LoadBalancingPolicy.Actions a = replies.forInstance(4);
-        a.send("r", "u", 80_000);
-        a.reject("r", 1_500_000);
-        a.fail("r");
-        a.cancel("r", 2);
-        a.setTimer("t", 1);
-        a.healthCheck("u");
-        a.closeIdle("u");
-        a.watchEndpoints(false);
-        a.fetchEndpoints();
-        a.sendToPeer(-1, new byte[] {0x0f});
-        a.sendToPeer(3, new byte[] {(byte) 0xa0});
-        a.log("two \"words\"");
+        LoadBalancingPolicy.Actions actions = replies.forInstance(4);
+        actions.send("r", "u", 80_000);
+        actions.reject("r", 1_500_000);
+        actions.fail("r");
+        actions.cancel("r", 2);
+        actions.setTimer("t", 1);
+        actions.healthCheck("u");
+        actions.closeIdle("u");
+        actions.watchEndpoints(false);
+        actions.fetchEndpoints();
+        actions.sendToPeer(-1, new byte[] {0x0f});
+        actions.sendToPeer(3, new byte[] {(byte) 0xa0});
+        actions.log("two \"words\"");
         replies.bug(4, "broken");
         String who = ",\"who\":4";
         assertEquals(
@@ -135,10 +136,10 @@
     }
 
     @Test
-    void aRefusedSettingIsABugOfThatInstance() {
-        Result r = run(
+    void aRejectedSettingIsABugOfThatInstance() {
+        Result result = run(
                 batch("10", CREATE.replace("\"aim-s\":0.5", "\"aim-s\":-1").replaceAll(",\\{\"kind\":\"sync\".*", "")));
-        assertTrue(r.out.contains("\"bug\"") && r.out.contains("aim"), r.out + r.err);
+        assertTrue(result.out.contains("\"bug\"") && result.out.contains("aim"), result.out + result.err);
     }
 
     @ParameterizedTest
@@ -158,28 +159,28 @@
                 "{\"moment-s\":1,\"input\":[]} {}|text after the end",
                 "{\"moment-s\":1,\"input\":[|not JSON"
             })
-    void badLinesEndWithOnePlainMessage(String line, String message) {
-        Result r = run(batch("0.5") + line + "\n");
-        assertEquals(1, r.exit);
-        assertEquals("{\"decisions\":[]}\n", r.out);
-        assertEquals(1, r.err.lines().count(), r.err);
-        assertTrue(r.err.startsWith("line 2: ") && r.err.contains(message), r.err);
+    void anInvalidLineEndsTheRunWithOneMessage(String line, String message) {
+        Result result = run(batch("0.5") + line + "\n");
+        assertEquals(1, result.exit);
+        assertEquals("{\"decisions\":[]}\n", result.out);
+        assertEquals(1, result.err.lines().count(), result.err);
+        assertTrue(result.err.startsWith("line 2: ") && result.err.contains(message), result.err);
     }
 
     @ParameterizedTest
     @ValueSource(strings = {"corr", "time-budget-s", "lane"})
     void aRequiredFieldThatIsMissingIsNamed(String field) {
-        Result r = run(batch("10", CREATE, ITEM.replace("\"" + field + "\"", "\"other\"")));
-        assertEquals(1, r.exit);
-        assertTrue(r.err.contains(field), r.err);
+        Result result = run(batch("10", CREATE, ITEM.replace("\"" + field + "\"", "\"other\"")));
+        assertEquals(1, result.exit);
+        assertTrue(result.err.contains(field), result.err);
     }
 
     @ParameterizedTest
     @ValueSource(strings = {"", "wirehost more", "help"})
     void aWrongCommandLinePrintsUsage(String args) {
-        Result r = run("", args.split(" "));
-        assertEquals(2, r.exit);
-        assertTrue(r.err.startsWith("usage:"));
-        assertEquals("", r.out);
+        Result result = run("", args.split(" "));
+        assertEquals(2, result.exit);
+        assertTrue(result.err.startsWith("usage:"));
+        assertEquals("", result.out);
     }
 }
