--- a/src/main/java/sedgeyoke/proxy/EndpointList.java
+++ b/src/main/java/sedgeyoke/proxy/EndpointList.java
@@ -25,7 +25,8 @@
     public record Member(Upstream upstream, InetSocketAddress address) {}
 
     /** Reads a list. Localities and kinds become indices into the settings; an unknown one becomes -1. */
-    public static EndpointList read(JsonNode root, SettingsReader.Found facts) throws InvalidEndpointListException {
+    public static EndpointList read(JsonNode root, SettingsReader.InstanceSettings facts)
+            throws InvalidEndpointListException {
         if (!root.path("revision").canConvertToLong()
                 || !root.path("complete").isBoolean()
                 || !root.path("members").isArray()) {
--- a/src/main/java/sedgeyoke/simulation/QueueingTheory.java
+++ b/src/main/java/sedgeyoke/simulation/QueueingTheory.java
@@ -45,7 +45,7 @@
             }
         }
         checks.add(checkMg1(Spread.CONSTANT, 1, scale, seed));
-        checks.add(checkMg1(Spread.TWO_KINDS, 0.1 * 5.5 * 5.5 + 0.9 * 0.25, scale, seed));
+        checks.add(checkMg1(Spread.BIMODAL, 0.1 * 5.5 * 5.5 + 0.9 * 0.25, scale, seed));
         checks.addAll(checkTwoChoices(scale, seed));
         return checks;
     }
--- a/src/test/java/sedgeyoke/simulation/SharedCoresTest.java
+++ b/src/test/java/sedgeyoke/simulation/SharedCoresTest.java
@@ -20,27 +20,35 @@
     private final List<UpstreamModel.Answer> answers = new ArrayList<>();
 
     private UpstreamModel upstream(int cores, int slots, int queue) {
-        RequestClassModel work =
-                new RequestClassModel("work", "free", 1, 10_000, 10_000, 1, 100, RequestClassModel.Spread.CONSTANT);
-        SiteModel site = new SiteModel(List.of("a"), List.of(work), List.of(), SiteModel.RuleSpec.USUAL, false);
-        InvariantChecker ledger = new InvariantChecker(site);
+        RequestClassModel work = new RequestClassModel(
+                "work",
+                RequestClassModel.Idempotency.SAFE,
+                1,
+                10_000,
+                10_000,
+                1,
+                100,
+                RequestClassModel.Spread.CONSTANT);
+        SiteModel site = new SiteModel(List.of("a"), List.of(work), List.of(), SiteModel.RuleSpec.DEFAULT, false);
+        InvariantChecker checker = new InvariantChecker(site);
         UpstreamModel upstream = new UpstreamModel(
                 new SiteModel.NodeSpec("n", 0, cores, 1, slots, queue),
                 site,
                 context.upstreamHost(),
-                ledger,
+                checker,
                 new IdempotencyKeyCache(),
                 1);
         upstream.start();
         for (int i = 0; i < 20; i++) {
-            ledger.wanted(work);
-            ledger.asked("r" + i, work, null, "b", SimulationContext.START, SimulationContext.START + 10_000 * MS);
+            checker.requestOffered(work);
+            checker.requestSent(
+                    "r" + i, work, null, "b", SimulationContext.START, SimulationContext.START + 10_000 * MS);
         }
         return upstream;
     }
 
     private void send(UpstreamModel upstream, int number) {
-        upstream.take("r" + number, null, null, answer -> {
+        upstream.receive("r" + number, null, null, answer -> {
             answers.add(answer);
             completedAtMs.add(Math.round((events.now() - SimulationContext.START) / 1e3));
         });
@@ -54,8 +62,8 @@
         events.schedule(150 * MS, () -> send(upstream, 2)); // the first two have 25 ms of work left each by then
         events.runUntil(SimulationContext.START + 1_000 * MS);
         assertEquals(List.of(225L, 225L, 300L), completedAtMs);
-        assertEquals(300.0 * MS, (double) upstream.worked(), (double) MS);
-        assertEquals(0, upstream.unaccounted(), 1e-9);
+        assertEquals(300.0 * MS, (double) upstream.busyCoreMicros(), (double) MS);
+        assertEquals(0, upstream.unaccountedWork(), 1e-9);
     }
 
     @Test
@@ -66,7 +74,7 @@
         }
         events.runUntil(SimulationContext.START + 1_000 * MS);
         assertEquals(List.of(0L, 100L, 100L, 200L), completedAtMs);
-        assertEquals(UpstreamModel.Kind.FULL, answers.get(0).kind());
+        assertEquals(UpstreamModel.AnswerKind.REJECTED, answers.get(0).kind());
     }
 
     @Test
@@ -84,7 +92,7 @@
     void aSlowdownAppliesToTheRemainingWork() {
         UpstreamModel upstream = upstream(1, 1, 0);
         send(upstream, 0);
-        events.schedule(50 * MS, () -> upstream.slow(3));
+        events.schedule(50 * MS, () -> upstream.slowDown(3));
         events.runUntil(SimulationContext.START + 1_000 * MS);
         assertEquals(List.of(200L), completedAtMs);
     }
