--- a/src/main/java/sedgeyoke/simulation/SimulatedForwarder.java
+++ b/src/main/java/sedgeyoke/simulation/SimulatedForwarder.java
@@ -137,7 +137,7 @@
     void kill() {
         transport.closeAllIdle();
         process.kill();
-        context.checker.died(name());
+        context.checker.balancerKilled(name());
         for (SimulatedExchange exchange : exchanges.values()) {
             for (SimulatedAttempt attempt : exchange.attempts()) {
                 attempt.abandon();
@@ -176,7 +176,7 @@
     }
 
     void restart() {
-        context.checker.back(name());
+        context.checker.balancerRestarted(name());
         start();
     }
 
--- a/src/main/java/sedgeyoke/simulation/TimeSeries.java
+++ b/src/main/java/sedgeyoke/simulation/TimeSeries.java
@@ -57,9 +57,9 @@
     /** A client has started an operation. */
     void started(RequestClassModel requestClass, long nowMicros) {
         Second second = secondOf(nowMicros);
-        second.offeredWeight += requestClass.worth();
+        second.offeredWeight += requestClass.priorityWeight();
         second.operations++;
-        offeredWeight += nowMicros >= countedFromMicros ? requestClass.worth() : 0;
+        offeredWeight += nowMicros >= countedFromMicros ? requestClass.priorityWeight() : 0;
     }
 
     /** A request was answered; its operation's weight counts as served if the latency objective was met. */
@@ -71,10 +71,10 @@
         Second second = secondOf(operationStartMicros);
         switch (answer) {
             case SERVED -> {
-                boolean inTime = latencyMicros <= requestClass.aimMs() * 1_000L;
-                served(second, inTime ? requestClass.worth() : 0, latencyMicros, operationStartMicros);
+                boolean inTime = latencyMicros <= requestClass.latencyObjectiveMs() * 1_000L;
+                served(second, inTime ? requestClass.priorityWeight() : 0, latencyMicros, operationStartMicros);
             }
-            case REFUSED -> second.rejected++;
+            case REJECTED -> second.rejected++;
             default -> second.failed++;
         }
     }
--- a/src/test/java/sedgeyoke/consensus/server/ConsensusSafetyTest.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSafetyTest.java
@@ -17,87 +17,87 @@
 import sedgeyoke.consensus.FaultySafetyRules;
 
 /**
- * The invariants of agreement over many seeds, and mistakes that each have to be found. A failing seed is played again
- * by {@code -Dsedgeyoke.consensus.from=SEED -Dsedgeyoke.consensus.seeds=1}, which prints what keepers said.
+ * Checks the safety invariants of the consensus over many seeds, and that a fault in any rule is detected. A failing
+ * seed is replayed with {@code -Dsedgeyoke.consensus.from=SEED -Dsedgeyoke.consensus.seeds=1}, which prints a trace.
  */
 class ConsensusSafetyTest {
     private static final long SEEDS = Long.getLong("sedgeyoke.consensus.seeds", 300);
-    private static final long FROM = Long.getLong("sedgeyoke.consensus.from", 1);
-    /** Seeds that a mistake is given to be found in. */
-    private static final long TRIES = 200;
+    private static final long FIRST_SEED = Long.getLong("sedgeyoke.consensus.from", 1);
+    /** How many seeds a fault has to be detected within. */
+    private static final long SEEDS_PER_FAULT = 200;
 
     @Test
-    void theyHoldOverSeeds() {
+    void invariantsHoldOverSeeds() {
         AtomicLong commits = new AtomicLong();
         AtomicInteger crashes = new AtomicInteger();
         AtomicInteger diskFaults = new AtomicInteger();
-        AtomicInteger doubts = new AtomicInteger();
-        AtomicLong leased = new AtomicLong();
-        String first = LongStream.range(FROM, FROM + SEEDS)
+        AtomicInteger recoveries = new AtomicInteger();
+        AtomicLong leasedSteps = new AtomicLong();
+        String violation = LongStream.range(FIRST_SEED, FIRST_SEED + SEEDS)
                 .parallel()
                 .mapToObj(seed -> {
-                    ConsensusSimulation s = new ConsensusSimulation(seed, new ConsensusSimulation.Faults());
-                    s.trace = SEEDS == 1;
-                    String breach = s.play();
-                    commits.addAndGet(s.commits);
-                    crashes.addAndGet(s.crashes);
-                    diskFaults.addAndGet(s.diskFaults);
-                    doubts.addAndGet(s.doubts);
-                    leased.addAndGet(s.leasedSteps);
-                    return breach == null ? null : "seed " + seed + " " + breach;
+                    ConsensusSimulation simulation = new ConsensusSimulation(seed, new ConsensusSimulation.Faults());
+                    simulation.trace = SEEDS == 1;
+                    String violated = simulation.run();
+                    commits.addAndGet(simulation.commits);
+                    crashes.addAndGet(simulation.crashes);
+                    diskFaults.addAndGet(simulation.diskFaults);
+                    recoveries.addAndGet(simulation.recoveries);
+                    leasedSteps.addAndGet(simulation.leasedSteps);
+                    return violated == null ? null : "seed " + seed + " " + violated;
                 })
                 .filter(b -> b != null)
                 .findFirst()
                 .orElse(null);
         System.out.println(SEEDS + " seeds: " + commits + " commits, " + crashes + " crashes, " + diskFaults
-                + " faults of disks, " + doubts + " starts in doubt, " + leased + " steps under lease");
-        assertNull(first);
+                + " disk faults, " + recoveries + " recoveries, " + leasedSteps + " steps with a lease");
+        assertNull(violation);
         assertTrue(
                 SEEDS < 100
                         || commits.get() > 20 * SEEDS
                                 && crashes.get() > SEEDS
                                 && diskFaults.get() > SEEDS / 2
-                                && doubts.get() > SEEDS / 4,
-                "a simulation in which nothing happens shows nothing");
+                                && recoveries.get() > SEEDS / 4,
+                "too little happened for the simulation to show anything");
     }
 
-    /** A seed that has found each; if what is drawn changes, the seeds from 1 on are tried. */
-    private static final Map<String, Long> FOUND_BY = Map.ofEntries(
-            Map.entry("half is a majority", 313L),
-            Map.entry("a shorter log may lead", 877L),
-            Map.entry("two votes in a term", 318L),
-            Map.entry("promises do not wait for the disk", 1_731L),
-            Map.entry("a lease counts from when the answer came", 501L),
-            Map.entry("leases of leaders before are forgotten", 313L),
-            Map.entry("a leader takes itself for one without asking", 1_162L));
+    /** A seed that has detected each fault; if the random draws change, the seeds from 1 on are tried. */
+    private static final Map<String, Long> DETECTING_SEEDS = Map.ofEntries(
+            Map.entry("half of the voters is a majority", 313L),
+            Map.entry("an outdated log may lead", 877L),
+            Map.entry("two votes in one term", 318L),
+            Map.entry("responses do not wait for persistence", 1_731L),
+            Map.entry("a lease counts from when the response arrived", 501L),
+            Map.entry("leases of earlier leaders are forgotten", 313L),
+            Map.entry("leadership is not confirmed", 1_162L));
 
-    static Stream<Arguments> planted() {
-        Map<String, ConsensusSimulation.Faults> all = new LinkedHashMap<>();
+    static Stream<Arguments> faults() {
+        Map<String, ConsensusSimulation.Faults> faults = new LinkedHashMap<>();
         FaultySafetyRules.all().forEach((what, rules) -> {
-            ConsensusSimulation.Faults f = new ConsensusSimulation.Faults();
-            f.rules = rules;
-            all.put(what, f);
+            ConsensusSimulation.Faults faulty = new ConsensusSimulation.Faults();
+            faulty.rules = rules;
+            faults.put(what, faulty);
         });
-        ConsensusSimulation.Faults damage = new ConsensusSimulation.Faults();
-        damage.trustsDamage = true;
-        all.put("what is damaged is taken for absent", damage);
-        return all.entrySet().stream().map(e -> Arguments.of(e.getKey(), e.getValue()));
+        ConsensusSimulation.Faults ignoresCorruption = new ConsensusSimulation.Faults();
+        ignoresCorruption.ignoresCorruption = true;
+        faults.put("corrupt data is taken for absent", ignoresCorruption);
+        return faults.entrySet().stream().map(fault -> Arguments.of(fault.getKey(), fault.getValue()));
     }
 
     @ParameterizedTest(name = "{0}")
-    @MethodSource("planted")
-    void aPlantedMistakeIsFound(String what, ConsensusSimulation.Faults faults) {
-        LongStream seeds =
-                LongStream.concat(LongStream.of(FOUND_BY.getOrDefault(what, 1L)), LongStream.rangeClosed(1, TRIES));
-        String found = seeds.mapToObj(seed -> {
-                    String breach = new ConsensusSimulation(seed, faults).play();
-                    return breach == null ? null : "seed " + seed + " " + breach;
+    @MethodSource("faults")
+    void faultIsDetected(String fault, ConsensusSimulation.Faults faults) {
+        LongStream seeds = LongStream.concat(
+                LongStream.of(DETECTING_SEEDS.getOrDefault(fault, 1L)), LongStream.rangeClosed(1, SEEDS_PER_FAULT));
+        String violation = seeds.mapToObj(seed -> {
+                    String violated = new ConsensusSimulation(seed, faults).run();
+                    return violated == null ? null : "seed " + seed + " " + violated;
                 })
                 .filter(b -> b != null)
                 .findFirst()
                 .orElse(null);
-        System.out.println(
-                what + ": " + (found == null ? "NOT FOUND" : found.substring(0, Math.min(160, found.length()))));
-        assertNotNull(found, what);
+        System.out.println(fault + ": "
+                + (violation == null ? "NOT FOUND" : violation.substring(0, Math.min(160, violation.length()))));
+        assertNotNull(violation, fault);
     }
 }
--- a/src/test/java/sedgeyoke/drill/ConsensusHistoryTest.java
+++ b/src/test/java/sedgeyoke/drill/ConsensusHistoryTest.java
@@ -18,7 +18,7 @@
     private final ConsensusHistory history = new ConsensusHistory(LEASE_MS);
 
     private void commit(long startMicros, long version, String nodeOut) {
-        ConfigDocument content = ConfigDocument.EMPTY.with(ConfigSchema.UPSTREAMS_OUT, Map.of(nodeOut, ""));
+        ConfigDocument content = ConfigDocument.EMPTY.with(ConfigSchema.DISABLED_UPSTREAMS, Map.of(nodeOut, ""));
         RequestResult result = new RequestResult(RequestResult.Kind.DONE, version, "");
         history.recordWrite(startMicros, startMicros + 1, result, content);
     }
