--- a/src/main/java/sedgeyoke/body/BodyBudget.java
+++ b/src/main/java/sedgeyoke/body/BodyBudget.java
@@ -1,13 +1,13 @@
 package sedgeyoke.body;
 
 /**
- * What all long bodies together may hold, and what one ever held. A long body is counted with its ceiling, in the
- * direction in which it goes, from its start to its end.
+ * Limits the memory of all streamed bodies together, and records the most that one has used. A streamed body counts as
+ * its ceiling, in the direction in which it is sent, from its start to its end. To be used on the event loop.
  */
 public final class BodyBudget {
     private final BodyLimits limits;
     private long reserved;
-    private long refused;
+    private long rejected;
     private long largest;
 
     /** A budget of {@link BodyLimits#total}. */
@@ -15,10 +15,10 @@
         this.limits = limits;
     }
 
-    /** Whether one more long request may begin; it must be given back with {@link #release}. */
+    /** Reserves room for one more streamed request; false if there is none. To be given back with {@link #release}. */
     public boolean reserve() {
         if (reserved + limits.ceiling() > limits.total()) {
-            refused++;
+            rejected++;
             return false;
         }
         begun();
@@ -26,35 +26,35 @@
     }
 
     /**
-     * An answer has turned out to be long. Its request may have run and is not to be refused any more, so it counts
-     * even where the total is full: then it is further requests that wait. Clients' connections bound how many.
+     * Reserves room for a streamed response, even beyond the total: its request may have run and must not be rejected any
+     * more. Further requests are rejected then; the limit on client connections bounds how many responses there are.
      */
     public void begun() {
         reserved += limits.ceiling();
     }
 
-    /** So many have ended. */
+    /** Gives back the room of so many bodies. */
     public void release(int bodies) {
         reserved -= (long) bodies * limits.ceiling();
     }
 
-    /** So many bytes of one body are held in this process now. */
+    /** Records that so many bytes of one body are buffered in this process. */
     public void holds(long bytes) {
         largest = Math.max(largest, bytes);
     }
 
-    /** The most that one body ever held here, in bytes. */
+    /** The most bytes that were ever buffered of one body. */
     public long largest() {
         return largest;
     }
 
-    /** Bytes that are reserved now. */
+    /** Bytes that are reserved. */
     public long reserved() {
         return reserved;
     }
 
-    /** Requests that found no room. */
+    /** Requests that were rejected for lack of room. */
     public long refused() {
-        return refused;
+        return rejected;
     }
 }
--- a/src/main/java/sedgeyoke/body/PartialRequestPolicy.java
+++ b/src/main/java/sedgeyoke/body/PartialRequestPolicy.java
@@ -5,39 +5,39 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Scope;
 
 /**
- * What becomes of a request when an attempt of it ends, by how far its body got. While the body is whole here, or
- * nothing of it has gone, the decision module says what comes next. Once a part has gone on and is dropped here, no
- * further attempt can be made by anyone, and only the rules on refusals are left: PROTOCOL says when "trying again is
- * harmless".
+ * Decides how a request continues when an attempt ends, by how much of its body was forwarded. While the body is
+ * buffered completely, or nothing was forwarded, the load balancing policy decides. Once a part was forwarded and dropped
+ * here, no further attempt is possible, and only the response remains: a rejection says that a retry by the client is
+ * harmless, a failure does not.
  */
 public final class PartialRequestPolicy {
     private PartialRequestPolicy() {}
 
-    /** How far the body of a request got. */
+    /** How much of the body of a request was forwarded. */
     public enum Body {
-        /** All of it is here. */
+        /** Nothing is lost: all of it is buffered. */
         WHOLE,
-        /** The client is still sending, and nothing has gone on. */
+        /** The client is still sending, and nothing was forwarded. */
         HELD,
-        /** A part has gone on and is here no more; the last byte was not written. */
+        /** A part was forwarded and is not buffered any more; the last byte was not written. */
         PART_GONE,
-        /** All of it has gone on; it is here no more. */
+        /** All of it was forwarded, and it is not buffered any more. */
         ALL_GONE
     }
 
-    /** What comes next. */
+    /** How the request continues. */
     public enum Next {
-        /** The module decides: another attempt, or the final answer. */
+        /** The policy decides: another attempt, or the response. */
         MODULE,
-        /** Final: refused, trying again is harmless. */
+        /** It is rejected: a retry is harmless. */
         REFUSE,
-        /** Final: failed, nothing promised. */
+        /** It fails: a retry may run it twice. */
         FAIL,
         /** It is served. */
         SERVED
     }
 
-    /** What comes next after the end of an attempt. */
+    /** How the request continues after the end of an attempt. */
     public static Next after(Effect effect, Scope scope, Body body, Outcome outcome) {
         if (outcome == Outcome.OK) {
             return Next.SERVED;
@@ -45,7 +45,7 @@
         if (body == Body.WHOLE || body == Body.HELD) {
             return Next.MODULE;
         }
-        // An upstream begins a request when its last byte has come: what lacks it never ran, however the attempt ended.
+        // An upstream runs a request only once it has its last byte, however the attempt ended.
         boolean neverRan = outcome.neverRan || body == Body.PART_GONE;
         boolean harmless = effect == Effect.SAFE || effect == Effect.IDEMPOTENT_WITH_KEY && scope == Scope.ALL;
         return neverRan || harmless ? Next.REFUSE : Next.FAIL;
--- a/src/main/java/sedgeyoke/proxy/AdminServer.java
+++ b/src/main/java/sedgeyoke/proxy/AdminServer.java
@@ -26,31 +26,31 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The door for operators (DAYS, "A door for operators"): HTTP/1.1, one call a connection, a 2xx for yes. It runs on the
- * balancer's loop, so that each answer is of one moment. Callers that never finish their call take a place each, of a
- * few, and the oldest of them makes way.
+ * The admin endpoint for operators: HTTP/1.1, one call on each connection, a status of 2xx for success. It runs on the
+ * event loop of the balancer, so each response shows a consistent state. Callers that do not finish their call use up a
+ * small number of connections, of which the oldest is closed for a new one.
  */
 final class AdminServer {
-    private static final int MOST_CALLERS = 32;
-    private static final int LONGEST_CALL = 4_096;
-    private static final int LONGEST_ID = 256;
-    private static final long CALL_WITHIN_MS = 3_000;
+    private static final int MAX_CALLERS = 32;
+    private static final int MAX_CALL_BYTES = 4_096;
+    private static final int MAX_ID_LENGTH = 256;
+    private static final long CALL_TIMEOUT_MILLIS = 3_000;
 
     private final EventLoop loop;
     private final Transport transport;
     private final Operations operations;
     private final Set<Channel> callers = new LinkedHashSet<>();
 
-    /** What operators may ask for. */
+    /** What operators may call; on the event loop. */
     interface Operations {
-        /** Whether clients are taken. */
+        /** Whether clients are served. */
         boolean healthy();
 
-        /** The figures as text. */
+        /** The metrics as text. */
         String figures();
 
-        /** Takes an upstream out of service or gives it back; false for an id that nobody has. */
-        boolean cordon(String id, boolean out);
+        /** Cordons or uncordons an upstream; false for an unknown id, or if there are too many cordons. */
+        boolean cordon(String id, boolean cordoned);
     }
 
     AdminServer(EventLoop loop, Transport transport, Operations operations) {
@@ -59,30 +59,31 @@
         this.operations = operations;
     }
 
-    ChannelFuture bind(InetSocketAddress at) {
+    /** Starts listening; the future completes when that has worked or failed. */
+    ChannelFuture bind(InetSocketAddress address) {
         return transport
                 .server(loop)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(Channel ch) {
-                        ch.pipeline()
-                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(LONGEST_CALL), new Caller());
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_CALL_BYTES), new Caller());
                     }
                 })
-                .bind(transport.at(at));
+                .bind(transport.at(address));
     }
 
-    private FullHttpResponse answer(FullHttpRequest call) {
+    private FullHttpResponse respond(FullHttpRequest call) {
         String path = new QueryStringDecoder(call.uri()).rawPath();
-        boolean set = path.equals("/admin/cordon") || path.equals("/admin/uncordon");
-        boolean get = path.equals("/admin/health") || path.equals("/admin/stats");
+        boolean changes = path.equals("/admin/cordon") || path.equals("/admin/uncordon");
+        boolean reads = path.equals("/admin/health") || path.equals("/admin/stats");
         if (call.decoderResult().isFailure()) {
             return response(HttpResponseStatus.BAD_REQUEST, "malformed call\n");
-        } else if (!set && !get) {
+        } else if (!changes && !reads) {
             return response(HttpResponseStatus.NOT_FOUND, "no such call\n");
-        } else if (!call.method().equals(set ? HttpMethod.POST : HttpMethod.GET)) {
-            return response(HttpResponseStatus.METHOD_NOT_ALLOWED, (set ? "POST" : "GET") + " it\n");
-        } else if (set) {
+        } else if (!call.method().equals(changes ? HttpMethod.POST : HttpMethod.GET)) {
+            return response(HttpResponseStatus.METHOD_NOT_ALLOWED, (changes ? "POST" : "GET") + " it\n");
+        } else if (changes) {
             return cordon(call.content().toString(StandardCharsets.UTF_8).strip(), path.equals("/admin/cordon"));
         } else if (path.equals("/admin/stats")) {
             return response(HttpResponseStatus.OK, operations.figures());
@@ -92,11 +93,11 @@
                 : response(HttpResponseStatus.SERVICE_UNAVAILABLE, "takes no clients\n");
     }
 
-    private FullHttpResponse cordon(String id, boolean out) {
-        if (id.isEmpty() || id.length() > LONGEST_ID || id.chars().anyMatch(c -> c <= ' ')) {
+    private FullHttpResponse cordon(String id, boolean cordoned) {
+        if (id.isEmpty() || id.length() > MAX_ID_LENGTH || id.chars().anyMatch(character -> character <= ' ')) {
             return response(HttpResponseStatus.BAD_REQUEST, "the body is the id of an upstream\n");
         }
-        return operations.cordon(id, out)
+        return operations.cordon(id, cordoned)
                 ? response(HttpResponseStatus.OK, "ok\n")
                 : response(HttpResponseStatus.NOT_FOUND, "no such upstream, or no room for more\n");
     }
@@ -112,32 +113,32 @@
         return response;
     }
 
-    /** One connection. */
+    /** One connection of a caller. */
     private final class Caller extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private boolean answered;
+        private boolean responded;
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             Channel caller = ctx.channel();
             callers.add(caller);
             caller.closeFuture().addListener(closed -> callers.remove(caller));
-            if (callers.size() > MOST_CALLERS) {
+            if (callers.size() > MAX_CALLERS) {
                 callers.iterator().next().close();
             }
-            loop.schedule(() -> caller.close(), CALL_WITHIN_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> caller.close(), CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest call) {
-            if (!answered) { // one call a connection; what comes behind it is not read
-                answered = true;
-                ctx.writeAndFlush(answer(call)).addListener(ChannelFutureListener.CLOSE);
+            if (!responded) { // one call on each connection; what follows is ignored
+                responded = true;
+                ctx.writeAndFlush(respond(call)).addListener(ChannelFutureListener.CLOSE);
             }
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close(); // the caller has gone, or sends what cannot be read
+            ctx.close(); // the caller has left, or sends something malformed
         }
     }
 }
--- a/src/main/java/sedgeyoke/proxy/BodyAccumulator.java
+++ b/src/main/java/sedgeyoke/proxy/BodyAccumulator.java
@@ -4,38 +4,39 @@
 import io.netty.buffer.ByteBufUtil;
 import java.util.Arrays;
 
-/** Bytes of a body that are put together here. Most bodies come in one part, which is copied once. */
+/** Collects the bytes of a body. Most bodies come in one part, which is copied once. Not thread-safe. */
 final class BodyAccumulator {
-    private static final byte[] NONE = {};
+    private static final byte[] EMPTY = {};
 
-    private final int most;
-    private byte[] bytes = NONE;
+    private final int maxBytes;
+    private byte[] bytes = EMPTY;
     private int size;
 
-    /** No more than {@code most} bytes are ever added, and no more are ever held. */
-    BodyAccumulator(int most) {
-        this.most = most;
+    /** Callers must not add more than {@code maxBytes} bytes, and no more memory is used. */
+    BodyAccumulator(int maxBytes) {
+        this.maxBytes = maxBytes;
     }
 
-    /** Copies a part; its reader index and count stay as they are. */
+    /** Copies a part; its reader index and reference count do not change. */
     void add(ByteBuf part) {
         int length = part.readableBytes();
         if (size == 0) {
             bytes = ByteBufUtil.getBytes(part);
         } else if (length > 0) {
             if (size + length > bytes.length) {
-                bytes = Arrays.copyOf(bytes, Math.min(most, Math.max(size + length, 2 * bytes.length)));
+                bytes = Arrays.copyOf(bytes, Math.min(maxBytes, Math.max(size + length, 2 * bytes.length)));
             }
             part.getBytes(part.readerIndex(), bytes, size, length);
         }
         size += length;
     }
 
+    /** The number of bytes that were added. */
     int size() {
         return size;
     }
 
-    /** All of it, and nothing but it. */
+    /** All bytes that were added; callers must not change the array. */
     byte[] bytes() {
         if (bytes.length != size) {
             bytes = Arrays.copyOf(bytes, size);
@@ -43,15 +44,16 @@
         return bytes;
     }
 
-    /** All of it; it is kept here no longer. */
+    /** All bytes that were added; afterwards this is empty. */
     byte[] take() {
         byte[] all = bytes();
         clear();
         return all;
     }
 
+    /** Drops all bytes. */
     void clear() {
-        bytes = NONE;
+        bytes = EMPTY;
         size = 0;
     }
 }
--- a/src/main/java/sedgeyoke/proxy/ClassArchiveTraining.java
+++ b/src/main/java/sedgeyoke/proxy/ClassArchiveTraining.java
@@ -14,30 +14,30 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Runs at the build only: serves itself some requests on loopback and ends, so that the JVM can write down which
- * classes a start needs, ready for use. Loading them one by one is most of the processor time of a start, and a
- * balancer that is restarted has part of a core for it while clients wait.
+ * Runs at the build only: serves some requests on loopback and exits, so that the JVM can archive the classes that a
+ * start needs (class data sharing). Loading them one by one takes most of the processor time of a start, and a balancer
+ * that is restarted has a part of a core for it while clients wait.
  */
 public final class ClassArchiveTraining {
     private static final int REQUESTS = 200;
-    private static final int PATIENCE_MS = 2_000;
+    private static final int TIMEOUT_MILLIS = 2_000;
     private static final String REPORT = "X-Load-Report: {\"queue\":0,\"waiting\":0,\"cpu\":0.5,\"avg_ms\":9}\r\n";
 
     private ClassArchiveTraining() {}
 
-    /** Ends with 0 whatever happens: without a complete archive a start is slower, and no more than that. */
+    /** Exits with 0 whatever happens: without a complete archive a start is slower, but works. */
     public static void main(String[] args) {
-        try (ServerSocket peers = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
-            thread(() -> accept(peers));
+        try (ServerSocket upstreams = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
+            thread(() -> accept(upstreams));
             EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-            BalancerConfig config = BalancerConfig.parse(config("127.0.0.1:" + peers.getLocalPort()));
-            JitWarmUp.run(config, JitWarmUp.MOST_REQUESTS, JitWarmUp.LONGEST_S);
+            BalancerConfig config = BalancerConfig.parse(config("127.0.0.1:" + upstreams.getLocalPort()));
+            JitWarmUp.run(config, JitWarmUp.MAX_REQUESTS, JitWarmUp.TIMEOUT_SECONDS);
             BalancerServer server = BalancerServer.onSockets(loop, config);
-            InetSocketAddress at = server.listen();
+            InetSocketAddress address = server.listen();
             for (int i = 0; i < REQUESTS; i++) {
-                expect("200", ask(at, i % 3 == 0 ? "read" : i % 3 == 1 ? "update" : "order", i));
+                expect("200", send(address, i % 3 == 0 ? "read" : i % 3 == 1 ? "update" : "order", i));
             }
-            expect("400", ask(at, "nonesuch", REQUESTS));
+            expect("400", send(address, "nonesuch", REQUESTS));
             server.end();
         } catch (BalancerConfig.Bad | IOException | InterruptedException e) {
             System.err.println("training cut short: " + e);
@@ -57,12 +57,13 @@
         }
     }
 
-    private static String ask(InetSocketAddress at, String cls, int number) throws IOException {
-        try (Socket client = new Socket(at.getAddress(), at.getPort())) {
-            client.setSoTimeout(PATIENCE_MS);
+    private static String send(InetSocketAddress address, String requestClass, int number) throws IOException {
+        try (Socket client = new Socket(address.getAddress(), address.getPort())) {
+            client.setSoTimeout(TIMEOUT_MILLIS);
             write(
                     client,
-                    "POST /api?obj=k HTTP/1.1\r\nHost: x\r\nX-Call-Id: t-" + number + "\r\nX-Call-Class: " + cls
+                    "POST /api?obj=k HTTP/1.1\r\nHost: x\r\nX-Call-Id: t-" + number + "\r\nX-Call-Class: "
+                            + requestClass
                             + "\r\nX-Budget-Ms: 900\r\nIdempotency-Key: k-" + number + "\r\nConnection: close\r\n"
                             + "Content-Length: 4\r\n\r\nwork");
             return new String(client.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
@@ -73,25 +74,25 @@
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
-    private static void accept(ServerSocket peers) {
+    private static void accept(ServerSocket upstreams) {
         try {
             while (true) {
-                Socket socket = peers.accept();
-                thread(() -> serve(socket, "127.0.0.1:" + peers.getLocalPort()));
+                Socket socket = upstreams.accept();
+                thread(() -> serve(socket, "127.0.0.1:" + upstreams.getLocalPort()));
             }
         } catch (IOException closed) {
-            return; // the training is over
+            return; // the training has ended
         }
     }
 
-    /** Discovery and an upstream in one; it answers a request once its head has come. */
+    /** Discovery and an upstream in one; it responds once the head of a request was received. */
     private static void serve(Socket socket, String address) {
         try (socket;
                 InputStream in = socket.getInputStream()) {
             BufferedReader lines = new BufferedReader(new InputStreamReader(in, StandardCharsets.ISO_8859_1));
             for (String line = lines.readLine(); line != null; line = lines.readLine()) {
                 if (line.contains("from=")) {
-                    Thread.sleep(PATIENCE_MS);
+                    Thread.sleep(TIMEOUT_MILLIS);
                 }
                 if (line.contains("/catalog") || line.contains("/api")) {
                     String body = line.contains("/api") ? "done" : list(address);
@@ -111,13 +112,16 @@
                 + "\"up_since_ms\":0}]}";
     }
 
-    private static byte[] config(String peers) {
-        String cls = "\",\"aim-s\":0.5,\"give-up-s\":2,\"memory-span-s\":2,\"dedup-scope\":\"zone\",\"repeat\":\"";
-        return ("{\"name\":\"training\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + peers + "\",\"seed\":\"1\","
-                        + "\"limits\":{\"sockets\":1024},\"known\":" + list(peers)
+    private static byte[] config(String upstreams) {
+        String classFields =
+                "\",\"aim-s\":0.5,\"give-up-s\":2,\"memory-span-s\":2,\"dedup-scope\":\"zone\",\"repeat\":\"";
+        return ("{\"name\":\"training\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + upstreams + "\",\"seed\":\"1\","
+                        + "\"limits\":{\"sockets\":1024},\"known\":" + list(upstreams)
                         + ",\"settings\":{\"az\":0,\"group-size\":1,"
-                        + "\"localities\":[\"a\"],\"kinds\":[\"k\"],\"classes\":[{\"name\":\"read" + cls + "free\"},"
-                        + "{\"name\":\"update" + cls + "guarded\"},{\"name\":\"order" + cls + "single_shot\"}],"
+                        + "\"localities\":[\"a\"],\"kinds\":[\"k\"],\"classes\":[{\"name\":\"read" + classFields
+                        + "free\"},"
+                        + "{\"name\":\"update" + classFields + "guarded\"},{\"name\":\"order" + classFields
+                        + "single_shot\"}],"
                         + "\"ceilings\":{\"cancel\":true,\"may-duplicate\":true,\"try-limit\":4,\"max-open\":1000,"
                         + "\"conn-idle-s\":1,\"connect-timeout-s\":0.5},\"discovery\":\"pushed\",\"tick-s\":0.005,"
                         + "\"report\":{\"names\":[\"waiting\",\"cpu\",\"avg_ms\"],\"via\":\"piggyback\"}}}")
--- a/src/main/java/sedgeyoke/proxy/ClientConnection.java
+++ b/src/main/java/sedgeyoke/proxy/ClientConnection.java
@@ -6,16 +6,13 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import sedgeyoke.body.BodyBudget;
@@ -24,14 +21,12 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Request;
 
 /**
- * One connection of a client: reads one request after the other, hands each to {@link ProxyCore} and writes its
- * response. Requests that the client pipelines wait until the response before them is written. All methods run on the
- * event loop.
+ * One connection of a client: its state, and the requests that are read from it one after the other and handed to
+ * {@link ProxyCore}. Requests that the client pipelines wait until the response before them is written; responses are
+ * up to {@link ResponseWriter}. Reading and the state stay in one class, as each step of reading is a transition. All
+ * methods run on the event loop.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter
-        implements Exchange.Reply, RequestBody.Source, ResponseStream.Sink {
-    private static final byte[] NO_BODY = {};
-
+final class ClientConnection extends ChannelInboundHandlerAdapter implements RequestBody.Source {
     private final Channel channel;
     private final HttpFrontend frontend;
     private final ClientConnections connections;
@@ -40,6 +35,7 @@
     private final BodyLimits limits;
     private final BodyBudget budget;
     private final ClientTimeouts timeouts;
+    private final ResponseWriter responses;
 
     private ClientConnectionState state = ClientConnectionState.NEW;
     /** When the state was entered, on the clock of the policy. */
@@ -64,16 +60,6 @@
     /** Whether that read has brought the end of a request, or its rejection. */
     private boolean requestCompletedInRead;
 
-    private Exchange exchange;
-    /** From the moment a request is complete or rejected until its response; guards against a second one. */
-    private boolean responseDue;
-    /** Whether the client allows another request after the response; see {@link #mayKeepAlive}. */
-    private boolean keepAlive;
-    /** Where a streamed response comes from; null once it has ended. */
-    private ResponseStream.Source responseSource;
-    /** Streamed bodies of this connection that are counted in the budget. */
-    private int reservedBodies;
-
     ClientConnection(
             Channel channel,
             HttpFrontend frontend,
@@ -91,6 +77,7 @@
         this.budget = core.budget();
         this.timeouts = timeouts;
         this.pipelined = new PipelinedRequests(connections);
+        this.responses = new ResponseWriter(channel, this, frontend, core);
     }
 
     // ---- State ---------------------------------------------------------------------------------------
@@ -103,14 +90,15 @@
             connections.count(state, -1);
             closed = true;
             pipelined.resetCount();
-            releaseBudget();
+            responses.releaseBodies();
             connections.remove(this);
             frontend.updateAccepting();
         });
         frontend.connectionAccepted();
     }
 
-    private void enter(ClientConnectionState next) {
+    /** Makes a transition of the state; see {@link ClientConnectionState#mayBecome}. */
+    void enter(ClientConnectionState next) {
         assert state.mayBecome(next) : state + " to " + next;
         if (!closed) {
             connections.count(state, -1);
@@ -120,6 +108,11 @@
         stateSinceMicros = core.now();
     }
 
+    /** The client has made progress: the timeout of the state begins anew. */
+    void restartTimeout() {
+        stateSinceMicros = core.now();
+    }
+
     /** When the connection entered its state, on the clock of the policy. */
     long stateSinceMicros() {
         return stateSinceMicros;
@@ -331,8 +324,7 @@
         if (streaming) {
             read(true);
         } else {
-            responseDue = true;
-            enter(ClientConnectionState.OPEN);
+            responses.expectResponse();
             answeringOnFailure(() -> forward(requestHead, complete));
         }
     }
@@ -342,48 +334,42 @@
      * False if nothing more of the body is to be read.
      */
     private boolean beginStreaming() {
-        if (!budget.reserve()) {
+        if (!responses.reserveBody()) {
             requestBody.abort();
             requestBody = null;
             uploadRate = null;
             Request rejected = validatedRequests.remove();
-            responseDue = true;
-            enter(ClientConnectionState.OPEN);
-            rejectForLackOfRoom(rejected);
+            responses.expectResponse();
+            responses.rejectedForLackOfRoom(rejected.classIndex());
             return false;
         }
-        reservedBodies++;
         RequestBody streamed = requestBody;
-        responseDue = true;
-        enter(ClientConnectionState.OPEN);
+        responses.expectResponse();
         requestCompletedInRead = readInProgress;
         answeringOnFailure(() -> forward(requestHead, streamed));
         return requestBody != null;
     }
 
     private void forward(HttpRequest head, RequestBody body) {
-        keepAlive = HttpUtil.isKeepAlive(head);
+        responses.clientKeepsAlive(HttpUtil.isKeepAlive(head));
         if (RequestParser.isHealthCheck(head)) {
-            HttpResponseStatus status =
-                    frontend.takesClients() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
-            respond(status, "text/plain", NO_BODY, 0);
+            responses.health(frontend.takesClients());
             return;
         }
         Request request = validatedRequests.remove();
         if (connections.mustReject()) {
-            rejectForLackOfRoom(request);
+            responses.rejectedForLackOfRoom(request.classIndex());
         } else if (core.knows(request.id())) { // another connection has sent this id since the head was validated
-            respondAndClose(HttpResponseStatus.BAD_REQUEST, RequestParser.DUPLICATE_ID);
+            responses.rejected(HttpResponseStatus.BAD_REQUEST, RequestParser.DUPLICATE_ID);
         } else {
-            exchange = new Exchange(
+            responses.submit(new Exchange(
                     request,
                     head.method(),
                     head.uri(),
                     RequestParser.forwardedHeaders(head.headers()),
                     body,
                     HttpUtil.getContentLength(head, -1L),
-                    this);
-            core.accept(exchange);
+                    responses));
         }
     }
 
@@ -396,15 +382,6 @@
         channel.config().setAutoRead(on || requestBody == null);
     }
 
-    // ---- Rejecting requests --------------------------------------------------------------------------
-
-    /** Rejects a request that the policy is not asked about. */
-    private void rejectForLackOfRoom(Request request) {
-        keepAlive = false;
-        core.refusedUnheard(request.classIndex());
-        refused(core.advice(0));
-    }
-
     /** Rejects a request whose rest cannot or must not be read. If a part was forwarded, its end never will be. */
     private void rejectRequest(RequestValidator.Rejection rejection) {
         RequestBody rejected = requestBody;
@@ -412,13 +389,12 @@
         uploadRate = null;
         discardLastContent();
         if (rejected == null || !rejected.streams()) {
-            responseDue = true;
-            enter(ClientConnectionState.OPEN);
+            responses.expectResponse();
             requestCompletedInRead = readInProgress;
-            respondAndClose(rejection.status(), rejection.reason());
+            responses.rejected(rejection.status(), rejection.reason());
         } else {
-            Exchange aborted = exchange;
-            respondAndClose(rejection.status(), rejection.reason());
+            Exchange aborted = responses.exchange();
+            responses.rejected(rejection.status(), rejection.reason());
             abortStreamedRequest(aborted, rejected);
         }
     }
@@ -430,102 +406,19 @@
         body.abort();
     }
 
-    private void respondAndClose(HttpResponseStatus status, String reason) {
-        keepAlive = false;
-        respond(status, "text/plain", reason.getBytes(StandardCharsets.UTF_8), 0);
+    /** Whether the client may send another request: not if a part of this one, or of the next, is left unread. */
+    boolean mayReadAnotherRequest() {
+        return requestBody == null && pipelined.mayContinue();
     }
 
-    // ---- Writing responses ---------------------------------------------------------------------------
-
-    @Override
-    public void served(String contentType, byte[] body) {
-        respond(HttpResponseStatus.OK, contentType, body, 0);
-    }
-
-    @Override
-    public void refused(long retryAfter) {
-        respond(HttpResponseStatus.SERVICE_UNAVAILABLE, null, NO_BODY, retryAfter);
-    }
-
-    @Override
-    public void failed() {
-        respond(HttpResponseStatus.BAD_GATEWAY, null, NO_BODY, 0);
-    }
+    // ---- End of a request and of the connection ------------------------------------------------------
 
-    private void respond(HttpResponseStatus status, String contentType, byte[] body, long retryAfterMicros) {
-        if (!responseDue) {
-            return;
-        }
-        responseDue = false;
-        boolean keep = mayKeepAlive();
-        exchange = null;
-        enter(ClientConnectionState.WRITING);
-        writeLast(ClientResponses.complete(status, contentType, body, retryAfterMicros, keep), keep);
-    }
-
-    /** Whether the connection stays open after the response. Not if a rest of the request's body is left unread. */
-    private boolean mayKeepAlive() {
-        return keepAlive && frontend.allowsKeepAlive() && requestBody == null && pipelined.mayContinue();
-    }
-
-    private void writeLast(Object message, boolean keep) {
-        channel.writeAndFlush(message).addListener(written -> {
-            if (written.isSuccess()) {
-                responseWritten(keep);
-            }
-        });
-    }
-
-    @Override
-    public ResponseStream.Sink begin(ResponseStream.Head head, ResponseStream.Source source) {
-        responseDue = false;
-        if (reservedBodies == 0 || !exchange.body.finished()) { // else the request's reservation serves for both
-            budget.begun();
-            reservedBodies++;
-        }
-        exchange = null;
-        responseSource = source;
-        keepAlive = mayKeepAlive();
-        enter(ClientConnectionState.WRITING);
-        channel.write(ClientResponses.streamed(head, keepAlive));
-        return this;
-    }
-
-    @Override
-    public boolean part(ByteBuf data) {
-        channel.writeAndFlush(new DefaultHttpContent(data)).addListener(written -> {
-            if (written.isSuccess() && responseSource != null) {
-                stateSinceMicros = core.now(); // the client reads
-            }
-        });
-        budget.holds(Transport.pending(channel));
-        return channel.isWritable();
-    }
-
-    @Override
-    public void end(HttpHeaders trailers) {
-        responseSource = null;
-        writeLast(ClientResponses.lastContent(trailers), keepAlive);
-    }
-
-    /** Closes the connection: without the announced length or the last chunk the client sees that a part is missing. */
-    @Override
-    public void cut() {
-        responseSource = null;
-        channel.close();
-    }
-
-    @Override
-    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        if (responseSource != null && channel.isWritable()) {
-            responseSource.demand();
-        }
-        ctx.fireChannelWritabilityChanged();
-    }
-
-    /** Only now the next request may begin: responses to a client that does not read must not accumulate. */
-    private void responseWritten(boolean keep) {
-        releaseBudget();
+    /**
+     * Begins the next request, or ends the connection. Only now, because responses to a client that does not read must
+     * not accumulate.
+     */
+    void responseWritten(boolean keep) {
+        responses.releaseBodies();
         if (!keep || requestBody != null) {
             closeOutput();
             return;
@@ -539,8 +432,6 @@
         }
     }
 
-    // ---- End -----------------------------------------------------------------------------------------
-
     /**
      * Ends our side only. Closing the channel while more is received would reset the connection, and the client might
      * not get to read its response.
@@ -561,6 +452,12 @@
         }
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        responses.writabilityChanged();
+        ctx.fireChannelWritabilityChanged();
+    }
+
     private void discardLastContent() {
         ReferenceCountUtil.release(lastContent);
         lastContent = null;
@@ -572,29 +469,19 @@
         pipelined.discard();
     }
 
-    private void releaseBudget() {
-        budget.release(reservedBodies);
-        reservedBodies = 0;
-    }
-
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         discardPipelined();
         RequestBody incomplete = requestBody;
         requestBody = null;
         uploadRate = null;
-        Exchange abandoned = exchange;
-        exchange = null;
+        Exchange abandoned = responses.abandonExchange();
         if (incomplete != null) {
             abortStreamedRequest(incomplete.streams() ? abandoned : null, incomplete);
         } else if (abandoned != null) {
             core.clientGone(abandoned);
         }
-        if (responseSource != null) {
-            ResponseStream.Source source = responseSource;
-            responseSource = null;
-            source.cancel();
-        }
+        responses.cancelStream();
     }
 
     @Override
@@ -603,27 +490,14 @@
             ctx.close(); // the client has closed the connection; channelInactive ends its request
             return;
         }
-        answerFailure(cause);
+        responses.failedInternally(cause);
     }
 
     private void answeringOnFailure(Runnable handling) {
         try {
             handling.run();
         } catch (RuntimeException e) {
-            answerFailure(e);
-        }
-    }
-
-    /** Responds to a request that would otherwise get no response, because handling it threw. */
-    private void answerFailure(Throwable cause) {
-        core.log().line("request not handled: " + cause);
-        keepAlive = false;
-        if (exchange != null) {
-            core.giveUp(exchange);
-        } else if (responseDue) {
-            respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, null, NO_BODY, 0);
-        } else {
-            channel.close();
+            responses.failedInternally(e);
         }
     }
 }
--- a/src/main/java/sedgeyoke/proxy/CordonStore.java
+++ b/src/main/java/sedgeyoke/proxy/CordonStore.java
@@ -15,78 +15,90 @@
 import java.util.TreeMap;
 
 /**
- * The upstreams that operators have taken out of service by hand. The set outlives an upgrade: two processes of one
- * balancer share it in a file of their folder, and each takes over what the other has written. The folder counts as
- * memory (DEPLOY, "deploy/balancer.toml"), so reading and writing it is quick. The file is replaced as a whole, and
- * what cannot be read changes nothing. To be used on one thread.
+ * The upstreams that operators have cordoned, that is taken out of service by hand. The set survives an upgrade: the
+ * two processes of one balancer share it in a file, and each reads what the other has written. The file is in a folder
+ * in memory, so reading and writing it does not block the loop. It is replaced as a whole, and a file that cannot be
+ * read changes nothing. To be used on one thread.
  */
 final class CordonStore {
-    /** Far more than anyone takes out by hand; a bound on what is kept of ids that may never come back. */
-    static final int MOST = 1_000;
+    /** Limits what is stored of ids that may never come back; operators cordon far fewer. */
+    static final int MAX_CORDONS = 1_000;
 
     private static final String FIRST_LINE = "sedgeyoke cordons 1";
     private static final String LAST_LINE = "end";
 
     private final Path file;
-    private Map<String, Long> out = Map.of();
-    private String read = "";
+    private Map<String, Long> cordons = Map.of();
+    /** The content of the file when it was read or written last. */
+    private String lastContent = "";
 
-    /** {@code file} may be null: then the set ends with the process. */
+    /** {@code file} may be null: then the set is lost with the process. */
     CordonStore(Path file) {
         this.file = file;
     }
 
-    /** Ids and since when each is out, on the module's clock, which is the wall clock of the start. */
+    /** Ids of upstreams and since when each is cordoned, in microseconds on the clock of the policy. */
     Map<String, Long> out() {
-        return out;
+        return cordons;
     }
 
-    /** Takes an upstream out or gives it back; a second time changes nothing. False where there is no room for more. */
-    boolean set(String id, boolean cordoned, long now) throws IOException {
+    /**
+     * Cordons or uncordons an upstream and writes the file; a second time changes nothing.
+     *
+     * @return false if there are too many cordons
+     * @throws IOException if the file cannot be read or written; the set may then be that of the file
+     */
+    boolean set(String id, boolean cordoned, long nowMicros) throws IOException {
         if (file == null) {
-            return apply(id, cordoned, now);
+            return apply(id, cordoned, nowMicros);
         }
         Path lock = file.resolveSibling(file.getFileName() + ".lock");
         try (FileChannel channel = FileChannel.open(lock, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-                FileLock held = channel.lock()) { // two processes may be told at once; each holds it for a moment
+                FileLock fileLock = channel.lock()) { // against the other process, which holds it for a moment only
             refresh();
-            boolean room = held.isValid() && apply(id, cordoned, now);
-            if (room) {
+            boolean applied = fileLock.isValid() && apply(id, cordoned, nowMicros);
+            if (applied) {
                 write();
             }
-            return room;
+            return applied;
         }
     }
 
-    private boolean apply(String id, boolean cordoned, long now) {
-        if (cordoned == out.containsKey(id)) {
+    private boolean apply(String id, boolean cordoned, long nowMicros) {
+        if (cordoned == cordons.containsKey(id)) {
             return true;
-        } else if (cordoned && out.size() >= MOST) {
+        } else if (cordoned && cordons.size() >= MAX_CORDONS) {
             return false;
         }
-        Map<String, Long> changed = new TreeMap<>(out);
+        Map<String, Long> changed = new TreeMap<>(cordons);
         if (cordoned) {
-            changed.put(id, now);
+            changed.put(id, nowMicros);
         } else {
             changed.remove(id);
         }
-        out = Map.copyOf(changed);
+        cordons = Map.copyOf(changed);
         return true;
     }
 
     private void write() throws IOException {
         StringBuilder text = new StringBuilder(FIRST_LINE).append('\n');
-        new TreeMap<>(out)
+        new TreeMap<>(cordons)
                 .forEach(
                         (id, since) -> text.append(since).append(' ').append(id).append('\n'));
         text.append(LAST_LINE).append('\n');
         Path next = file.resolveSibling(file.getFileName() + ".next");
         Files.writeString(next, text);
         Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-        read = text.toString();
+        lastContent = text.toString();
     }
 
-    /** Takes over what the other process has written; true if that changes the set. */
+    /**
+     * Reads what the other process has written.
+     *
+     * @return whether that changes the set
+     * @throws InvalidCordonFileException if the file has not the expected form; the set stays as it is
+     * @throws IOException if it cannot be read; the set stays as it is
+     */
     boolean refresh() throws IOException {
         if (file == null) {
             return false;
@@ -97,23 +109,23 @@
         } catch (NoSuchFileException e) {
             return false;
         }
-        if (text.equals(read)) {
+        if (text.equals(lastContent)) {
             return false;
         }
-        read = text; // also where it is no good: one complaint for each content
+        lastContent = text; // even if it is invalid, so that each content is reported once
         Map<String, Long> found = parse(text);
-        boolean changed = !found.equals(out);
-        out = found;
+        boolean changed = !found.equals(cordons);
+        cordons = found;
         return changed;
     }
 
     private Map<String, Long> parse(String text) throws IOException {
         List<String> lines = text.lines().toList();
         if (lines.size() < 2
-                || lines.size() > MOST + 2
+                || lines.size() > MAX_CORDONS + 2
                 || !lines.get(0).equals(FIRST_LINE)
                 || !lines.get(lines.size() - 1).equals(LAST_LINE)) {
-            throw new IOException(file + ": not whole, or of another version");
+            throw new InvalidCordonFileException(file, "not whole, or of another version");
         }
         Map<String, Long> found = new LinkedHashMap<>();
         for (int i = 1; i < lines.size() - 1; i++) {
@@ -121,7 +133,7 @@
             try {
                 found.put(parts[1], Long.parseLong(parts[0]));
             } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
-                throw new IOException(file + ":" + (i + 1) + ": not a time and an id", e);
+                throw new InvalidCordonFileException(file, i + 1, "not a time and an id", e);
             }
         }
         return Map.copyOf(found);
--- a/src/main/java/sedgeyoke/proxy/IpAddress.java
+++ b/src/main/java/sedgeyoke/proxy/IpAddress.java
@@ -5,11 +5,11 @@
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 
-/** Addresses as {@code ip:port}. Names are none: the platform has no DNS, and a look-up would block. */
+/** Parses {@code ip:port}. Host names are not accepted: the platform has no DNS, and a look-up would block. */
 public final class IpAddress {
     private IpAddress() {}
 
-    /** The address; null if the text is none. */
+    /** The address; null if the text is not of that form. */
     public static InetSocketAddress parse(String text) {
         int colon = text.lastIndexOf(':');
         try {
--- a/src/main/java/sedgeyoke/proxy/JitWarmUp.java
+++ b/src/main/java/sedgeyoke/proxy/JitWarmUp.java
@@ -24,36 +24,36 @@
 import sedgeyoke.policy.LoadBalancingPolicy;
 
 /**
- * Guards against meeting the first clients with code that is not yet compiled: it costs several times the processor
- * time then, and at the full rate of requests a part of a core is far behind for seconds. Before the balancer
- * listens, another one like it serves some requests inside the process, without a socket, and is dropped. Its peers
- * send and take bare bytes: code that serves no client is not worth a start's processor time.
+ * Serves some requests inside the process before the balancer listens, so that the code is compiled when the first
+ * clients come: interpreted code takes several times the processor time, and at the full rate of requests a process with
+ * a part of a core would be overloaded for seconds. The requests go through a second balancer without sockets, which is
+ * dropped afterwards. Its clients and upstreams exchange bare bytes, because code that serves no client need not be
+ * compiled.
  */
 public final class JitWarmUp {
-    /** More than the calls after which the JVM compiles a method, on each of the paths. */
-    static final int MOST_REQUESTS = 700;
-    /** Enough for each path to have been walked: its classes are loaded, and its calls linked. */
-    static final int FEWEST_REQUESTS = 30;
+    /** More than the calls after which the JVM compiles a method, on each code path. */
+    static final int MAX_REQUESTS = 700;
+    /** Enough to load and link the classes of each code path. */
+    static final int MIN_REQUESTS = 30;
     /**
-     * Upstreams for each balancer, over the shortest aim in seconds, from which compiled code is waited for. Both grow
-     * with the requests a second that a balancer is there for. Below that, code that is interpreted keeps up while
-     * the JVM compiles it beside the traffic, and a start in half the time is worth more: where most of a large
-     * fleet starts at once, clients have nowhere else to go.
+     * Upstreams for each balancer, divided by the shortest latency objective in seconds, from which the start waits for
+     * compiled code. Both grow with the rate of requests. Below that, interpreted code keeps up while the JVM compiles it,
+     * and a start in half the time is better where most of a large fleet starts at once.
      */
-    private static final double BUSY = 12;
+    private static final double HIGH_LOAD = 12;
 
     private static final int CLIENTS = 12;
     private static final int UPSTREAMS = 6;
     private static final int FIRST_PORT = 1_000;
     private static final String STATUS_LINE = "HTTP/1.1 200";
-    private static final int BODY = 1_000;
-    private static final int WORK = 200;
-    /** One upstream's answers in so many are one refusal, one failure, and else good. */
-    private static final int KINDS = 20;
+    private static final int RESPONSE_BODY_BYTES = 1_000;
+    private static final int REQUEST_BODY_BYTES = 200;
+    /** Of so many responses of the upstreams one is a rejection, one a failure, and the others succeed. */
+    private static final int RESPONSES_IN_CYCLE = 20;
 
-    private static final int BUDGET_MS = 2_000;
-    /** How long it may take, in seconds. */
-    public static final long LONGEST_S = 4;
+    private static final int BUDGET_MILLIS = 2_000;
+    /** The longest time for the warm-up. */
+    public static final long TIMEOUT_SECONDS = 4;
 
     private final BalancerConfig config;
     private final EventLoop loop;
@@ -63,10 +63,10 @@
     private final List<String> classes;
     private final String report;
     private int served;
-    private int asked;
-    private int handled;
+    private int sent;
+    private int handledByUpstreams;
 
-    /** What became of a warm-up's requests: answered in time, however, and of these served. */
+    /** Requests that were answered in time, and how many of these succeeded. */
     public record Result(long answered, int served) {}
 
     private JitWarmUp(BalancerConfig config, EventLoop loop, BodyLimits bodies, int requests) {
@@ -84,19 +84,19 @@
                                 .toList()) + "}";
     }
 
-    /** How many requests a balancer with that configuration is to have served before it listens. */
+    /** The number of requests to serve before a balancer with that configuration listens. */
     public static int requests(BalancerConfig config) {
         LoadBalancingPolicy.Settings settings = config.facts().settings();
         long aim = settings.classes().stream()
                 .mapToLong(LoadBalancingPolicy.RequestClass::latencyObjective)
                 .min()
                 .orElse(0);
-        double busy = config.known().members().size() * 1e6 / (Math.max(1, aim) * (double) settings.groupSize());
-        return config.known().members().isEmpty() || busy >= BUSY ? MOST_REQUESTS : FEWEST_REQUESTS;
+        double load = config.known().members().size() * 1e6 / (Math.max(1, aim) * (double) settings.groupSize());
+        return config.known().members().isEmpty() || load >= HIGH_LOAD ? MAX_REQUESTS : MIN_REQUESTS;
     }
 
-    /** Returns when all requests are answered, or when it has taken too long. */
-    public static Result run(BalancerConfig like, int requests, long longestS) throws InterruptedException {
+    /** Runs the warm-up; returns when all requests are answered, or after the timeout. */
+    public static Result run(BalancerConfig template, int requests, long timeoutSeconds) throws InterruptedException {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
         List<EndpointList.Member> members = new ArrayList<>();
         for (int i = 0; i < UPSTREAMS; i++) {
@@ -106,28 +106,28 @@
         }
         JitWarmUp run = new JitWarmUp(
                 new BalancerConfig(
-                        like.name(),
-                        like.listen(),
-                        like.discovery(),
+                        template.name(),
+                        template.listen(),
+                        template.discovery(),
                         null,
                         null,
-                        like.seed(),
-                        like.sockets(),
-                        like.facts(),
+                        template.seed(),
+                        template.sockets(),
+                        template.facts(),
                         new EndpointList(1, true, members)),
                 group.next(),
-                like.bodies(),
+                template.bodies(),
                 requests);
         group.execute(run::start);
-        run.answers.await(longestS, TimeUnit.SECONDS);
-        long left = run.answers.getCount();
-        group.shutdownGracefully(0, longestS, TimeUnit.SECONDS).await();
-        return new Result(requests - left, run.served);
+        run.answers.await(timeoutSeconds, TimeUnit.SECONDS);
+        long unanswered = run.answers.getCount();
+        group.shutdownGracefully(0, timeoutSeconds, TimeUnit.SECONDS).await();
+        return new Result(requests - unanswered, run.served);
     }
 
     private void start() {
         config.known().members().forEach(m -> serve(m.address(), Upstream::new));
-        serve(config.discovery(), Lists::new);
+        serve(config.discovery(), Discovery::new);
         ProxyCore node = new ProxyCore(loop, config, Transport.INSIDE, bodies);
         new BalancerServer(loop, config, node, Transport.INSIDE, bodies).bind();
         Bootstrap client = Transport.INSIDE.client(loop).handler(pipeline(Client::new));
@@ -161,69 +161,70 @@
         return "{\"revision\":1,\"complete\":true,\"members\":[" + String.join(",", members) + "]}";
     }
 
-    /** Gives its list once, and has no news after that. */
-    private final class Lists extends SimpleChannelInboundHandler<ByteBuf> {
-        private boolean told;
+    /** Sends the endpoint list once, and no watch events after that. */
+    private final class Discovery extends SimpleChannelInboundHandler<ByteBuf> {
+        private boolean listSent;
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf request) {
-            if (!told) {
-                told = true;
+            if (!listSent) {
+                listSent = true;
                 String list = list(config.known().members());
                 ctx.writeAndFlush(bytes("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list, 0));
             }
         }
     }
 
-    /** Serves most requests, and turns some away or fails them. */
+    /** Serves most requests, and rejects or fails the others. */
     private final class Upstream extends SimpleChannelInboundHandler<ByteBuf> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf request) {
             if (request.getByte(request.writerIndex() - 1) != 0) {
-                return; // a head: the zeros of the body are still to come
+                return; // only a head: the zeros of the body follow
             }
-            int kind = handled++ % KINDS;
+            int position = handledByUpstreams++ % RESPONSES_IN_CYCLE;
             ctx.writeAndFlush(bytes(
-                    (kind == 0
+                    (position == 0
                                     ? "HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1"
-                                    : kind == 1 ? "HTTP/1.1 500 Internal Server Error" : "HTTP/1.1 200 OK")
+                                    : position == 1 ? "HTTP/1.1 500 Internal Server Error" : "HTTP/1.1 200 OK")
                             + "\r\nX-Load-Report: "
-                            + report + "\r\nContent-Length: " + BODY + "\r\n\r\n",
-                    BODY));
+                            + report + "\r\nContent-Length: " + RESPONSE_BODY_BYTES + "\r\n\r\n",
+                    RESPONSE_BODY_BYTES));
         }
     }
 
-    /** Asks again a moment after the head of its answer; all of an answer this short comes with it. */
+    /** Sends the next request shortly after the head of a response, with which all of so short a response comes. */
     private final class Client extends SimpleChannelInboundHandler<ByteBuf> {
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            ask(ctx);
+            send(ctx);
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf answer) {
             if (answer.getByte(answer.readerIndex()) != 'H') {
-                return; // the rest of one
+                return; // the rest of a response
             }
             answers.countDown();
             served += answer.toString(answer.readerIndex(), STATUS_LINE.length(), StandardCharsets.US_ASCII)
                             .equals(STATUS_LINE)
                     ? 1
                     : 0;
-            if (asked < requests) {
-                // Not at once: a connection to an upstream rests for a moment before it is used again.
-                loop.schedule(() -> ask(ctx), 3, TimeUnit.MILLISECONDS);
+            if (sent < requests) {
+                // Not at once: a connection to an upstream is not used again immediately.
+                loop.schedule(() -> send(ctx), 3, TimeUnit.MILLISECONDS);
             }
         }
 
-        private void ask(ChannelHandlerContext ctx) {
-            int number = asked++;
+        private void send(ChannelHandlerContext ctx) {
+            int number = sent++;
             ctx.writeAndFlush(bytes(
                     "POST /api?obj=k" + number % 100 + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: warm-"
                             + number + "\r\nX-Call-Class: " + classes.get(number % classes.size())
-                            + "\r\nX-Budget-Ms: " + BUDGET_MS
-                            + "\r\nIdempotency-Key: k" + number + "\r\nContent-Length: " + WORK + "\r\n\r\n",
-                    WORK));
+                            + "\r\nX-Budget-Ms: " + BUDGET_MILLIS
+                            + "\r\nIdempotency-Key: k" + number + "\r\nContent-Length: " + REQUEST_BODY_BYTES
+                            + "\r\n\r\n",
+                    REQUEST_BODY_BYTES));
         }
     }
 }
--- a/src/main/java/sedgeyoke/proxy/ReadOverflowBuffer.java
+++ b/src/main/java/sedgeyoke/proxy/ReadOverflowBuffer.java
@@ -4,44 +4,48 @@
 import io.netty.buffer.Unpooled;
 
 /**
- * What still comes of one read after the other side has asked for a pause. It is put together in one buffer: passed on
- * piece by piece, tiny chunks would each take some hundred bytes in a queue, and a read of some kilobytes holds
- * hundreds.
+ * Collects what is still received of one read after the receiver has asked for a pause. All of it goes into one buffer,
+ * because a read of some kilobytes may bring hundreds of tiny chunks, and each would take some hundred bytes in a
+ * queue. Not thread-safe.
  */
 final class ReadOverflowBuffer {
-    private ByteBuf held = Unpooled.EMPTY_BUFFER;
+    private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
 
-    /** Takes over a part. */
+    /** Adds a part and takes over its reference. */
     void add(ByteBuf part) {
-        if (!held.isReadable()) {
-            held = part;
+        if (!buffered.isReadable()) {
+            buffered = part;
             return;
         }
-        if (held.refCnt() > 1 || held.writableBytes() < part.readableBytes()) { // it may be a view of what was read
-            ByteBuf larger = Unpooled.buffer(2 * (held.readableBytes() + part.readableBytes()));
-            larger.writeBytes(held);
-            held.release();
-            held = larger;
+        if (buffered.refCnt() > 1
+                || buffered.writableBytes() < part.readableBytes()) { // shared, or a slice of what was read
+            ByteBuf larger = Unpooled.buffer(2 * (buffered.readableBytes() + part.readableBytes()));
+            larger.writeBytes(buffered);
+            buffered.release();
+            buffered = larger;
         }
-        held.writeBytes(part);
+        buffered.writeBytes(part);
         part.release();
     }
 
+    /** Whether nothing is buffered. */
     boolean isEmpty() {
-        return !held.isReadable();
+        return !buffered.isReadable();
     }
 
+    /** The number of bytes that are buffered. */
     int size() {
-        return held.readableBytes();
+        return buffered.readableBytes();
     }
 
-    /** All of it; nothing is held any more. */
+    /** All that was added, with its reference; afterwards this is empty. */
     ByteBuf take() {
-        ByteBuf all = held;
-        held = Unpooled.EMPTY_BUFFER;
+        ByteBuf all = buffered;
+        buffered = Unpooled.EMPTY_BUFFER;
         return all;
     }
 
+    /** Drops all that is buffered. */
     void release() {
         take().release();
     }
--- a/src/main/java/sedgeyoke/proxy/RequestBody.java
+++ b/src/main/java/sedgeyoke/proxy/RequestBody.java
@@ -5,76 +5,78 @@
 import sedgeyoke.body.PartialRequestPolicy;
 
 /**
- * The body of a request between its client and an attempt, of whatever protocol. A short one is gathered whole and can
- * be sent again. Of a long one so much is gathered as may be held; the rest is left with the client until an attempt
- * takes it, and what the attempt has taken is kept no longer.
+ * The body of a request on its way from a client to an upstream, independent of the protocol. A short body is buffered
+ * completely and can be sent by several attempts. Of a long one only so much is buffered as the limit allows; the rest
+ * is not read from the client until an attempt takes it, and what an attempt has taken is dropped here. To be used on
+ * the event loop.
  */
 final class RequestBody {
     private final Source source;
-    private final int most;
-    private final BodyAccumulator kept;
-    private final ReadOverflowBuffer rest = new ReadOverflowBuffer();
+    private final int maxBuffered;
+    private final BodyAccumulator buffered;
+    private final ReadOverflowBuffer overflow = new ReadOverflowBuffer();
     private boolean ended;
     private boolean streams;
-    private boolean gone;
+    private boolean forwarding;
     private boolean aborted;
     private boolean finished;
-    /** The sink has asked for a pause. */
+    /** Whether the sink has asked for a pause. */
     private boolean paused;
 
     private Sink sink;
 
-    /** The client's side: whether to read on. */
+    /** The client's side. */
     interface Source {
+        /** Whether to read more of the body. */
         void read(boolean on);
     }
 
     /** The upstream's side. */
     interface Sink {
-        /** Takes over a part; false asks for a pause until {@link RequestBody#demand}. */
+        /** Writes a part and takes over its reference; false asks for a pause until {@link RequestBody#demand}. */
         boolean part(ByteBuf data);
 
-        /** The last byte was passed on. */
+        /** The body is complete. */
         void end();
 
-        /** There will be no more of it: the last byte must never go out. */
+        /** The body ends early: its last byte must never be sent. */
         void abort();
     }
 
-    /** {@code most} is gathered before it has to go on in parts. */
-    RequestBody(Source source, int most) {
+    /** {@code maxBuffered} bytes are buffered before the body must be streamed. */
+    RequestBody(Source source, int maxBuffered) {
         this.source = source;
-        this.most = most;
-        this.kept = new BodyAccumulator(most);
+        this.maxBuffered = maxBuffered;
+        this.buffered = new BodyAccumulator(maxBuffered);
     }
 
-    // ---- From the client -----------------------------------------------------------------------------
+    // ---- Received from the client --------------------------------------------------------------------
 
-    /** A part has come; it is taken over. True if from now on the body goes on in parts. */
+    /** Adds a part and takes over its reference. True if from now on the body must be streamed. */
     boolean add(ByteBuf part) {
         if (!part.isReadable()) {
             part.release();
             return false;
         }
-        if (!streams && kept.size() + part.readableBytes() <= most) {
-            kept.add(part);
+        if (!streams && buffered.size() + part.readableBytes() <= maxBuffered) {
+            buffered.add(part);
             part.release();
             return false;
         }
         boolean begins = !streams;
         streams = true;
-        if (sink == null || paused || !rest.isEmpty()) {
-            hold(part);
+        if (sink == null || paused || !overflow.isEmpty()) {
+            bufferOverflow(part);
             source.read(false);
         } else {
-            pass(part);
+            write(part);
         }
         return begins;
     }
 
-    /** True if the sink wants more. */
-    private boolean pass(ByteBuf part) {
-        paused = true; // until it says otherwise: from within, it may do so before it returns
+    /** Writes a part to the sink; true if the sink wants more. */
+    private boolean write(ByteBuf part) {
+        paused = true; // until the sink asks for more, which it may do before it returns
         if (sink.part(part)) {
             paused = false;
         } else if (paused) {
@@ -83,24 +85,24 @@
         return !paused;
     }
 
-    /** One read's worth that came before the pause took hold. */
-    private void hold(ByteBuf part) {
-        if (aborted || gone && sink == null) {
-            part.release(); // nobody will ever take it
+    /** Buffers what was already read when reading was paused. */
+    private void bufferOverflow(ByteBuf part) {
+        if (aborted || forwarding && sink == null) {
+            part.release(); // no attempt will take it
         } else {
-            rest.add(part);
+            overflow.add(part);
         }
     }
 
-    /** The last byte has come. */
+    /** The last byte was received. */
     void end() {
         ended = true;
-        if (streams && sink != null && rest.isEmpty()) {
+        if (streams && sink != null && overflow.isEmpty()) {
             finish();
         }
     }
 
-    /** Guards against a second end: the sink may ask for more while its last byte is on its way. */
+    /** Ends the sink, once: it may ask for more while its last byte is being written. */
     private void finish() {
         if (!finished) {
             finished = true;
@@ -108,10 +110,10 @@
         }
     }
 
-    /** The client is gone or sends nonsense: what has begun must never get its last byte. */
+    /** The client has left or was rejected: a request that has begun must never get its last byte. */
     void abort() {
         aborted = true;
-        rest.release();
+        overflow.release();
         if (sink != null && !ended) {
             Sink to = sink;
             sink = null;
@@ -119,55 +121,57 @@
         }
     }
 
-    // ---- To an attempt -------------------------------------------------------------------------------
+    // ---- Sent by an attempt --------------------------------------------------------------------------
 
+    /** Whether the body is too long to be buffered and is streamed. */
     boolean streams() {
         return streams;
     }
 
+    /** Whether the last byte was received. */
     boolean ended() {
         return ended;
     }
 
-    /** Whether all of it has gone on to an attempt. */
+    /** Whether the sink has got all of a streamed body. */
     boolean finished() {
         return finished;
     }
 
-    /** Bytes of it that are held here. */
+    /** Bytes that are buffered here. */
     int held() {
-        return kept.size() + rest.size();
+        return buffered.size() + overflow.size();
     }
 
-    /** The whole body, where it is whole. */
+    /** A body that is buffered completely; callers must not change the array. */
     byte[] bytes() {
-        return kept.bytes();
+        return buffered.bytes();
     }
 
-    /** How far it got; {@code written} says whether an attempt has had its last byte. */
+    /** How much was forwarded; {@code written} says whether an attempt has written the last byte. */
     PartialRequestPolicy.Body state(boolean written) {
-        if (gone) {
+        if (forwarding) {
             return written ? PartialRequestPolicy.Body.ALL_GONE : PartialRequestPolicy.Body.PART_GONE;
         }
         return ended && !streams ? PartialRequestPolicy.Body.WHOLE : PartialRequestPolicy.Body.HELD;
     }
 
-    /** Passes on what is held and then whatever comes; what was passed on is not kept. Once only. */
+    /** Streams the body to an attempt: what is buffered, then what is received. To be called once. */
     void streamTo(Sink to) {
-        gone = true;
+        forwarding = true;
         sink = to;
-        if (pass(Unpooled.wrappedBuffer(kept.take()))) {
+        if (write(Unpooled.wrappedBuffer(buffered.take()))) {
             demand();
         }
     }
 
-    /** The sink has room again. */
+    /** The sink can take more. */
     void demand() {
         if (sink == null) {
             return;
         }
         paused = false;
-        if (!rest.isEmpty() && !pass(rest.take())) {
+        if (!overflow.isEmpty() && !write(overflow.take())) {
             return;
         }
         if (ended) {
@@ -177,11 +181,11 @@
         }
     }
 
-    /** The attempt is over: what still comes is for nobody. */
+    /** The attempt has ended: what is still received is discarded. */
     void detach(Sink from) {
         if (sink == from) {
             sink = null;
-            rest.release();
+            overflow.release();
             source.read(true);
         }
     }
--- a/src/main/java/sedgeyoke/proxy/RequestMetrics.java
+++ b/src/main/java/sedgeyoke/proxy/RequestMetrics.java
@@ -2,24 +2,30 @@
 
 import java.util.List;
 
-/** Counts of one process for operators, by class of request. All begin at 0 with it. To be used on one thread. */
+/** Counters of this process by request class; all begin at 0. To be used on the event loop. */
 final class RequestMetrics {
     private static final String PREFIX = "edge_balancer.";
 
     private final List<String> classes;
+    /** By {@link End}, then by class. */
     private final long[][] ends;
+
     private final long[] attempts;
 
-    /** How a request ended, as its client saw it. */
+    /** How a request ended, as its client sees it; the labels are metric names that operators read. */
     enum End {
-        /** Answered with what an upstream made. */
-        SERVED,
-        /** Told that trying again is harmless. */
-        REFUSED,
-        /** Any other answer, or one that was cut. */
-        FAILED;
+        /** With the response of an upstream. */
+        SERVED("served"),
+        /** With a response that says that a retry is harmless. */
+        REFUSED("refused"),
+        /** With any other response, or one that was cut off. */
+        FAILED("failed");
+
+        private final String label;
 
-        private final String label = name().toLowerCase(java.util.Locale.ROOT);
+        End(String label) {
+            this.label = label;
+        }
     }
 
     RequestMetrics(List<String> classes) {
@@ -28,27 +34,28 @@
         this.attempts = new long[classes.size()];
     }
 
-    void ended(int classIndex, End how) {
-        ends[how.ordinal()][classIndex]++;
+    /** Counts the end of a request. */
+    void ended(int classIndex, End end) {
+        ends[end.ordinal()][classIndex]++;
     }
 
-    /** An attempt is written whole. */
+    /** Counts an attempt that was written completely. */
     void attempted(int classIndex) {
         attempts[classIndex]++;
     }
 
-    /** All figures, one a line, in the form of statsd (DAYS, "Numbers"): a count is {@code c}, a gauge {@code g}. */
-    String text(int inFlight, int known, int excluded) {
+    /** All metrics, one a line, in the format of statsd: counters of type {@code c}, gauges of type {@code g}. */
+    String text(int inFlight, int upstreamsKnown, int upstreamsExcluded) {
         StringBuilder text = new StringBuilder();
-        for (int c = 0; c < classes.size(); c++) {
-            for (End how : End.values()) {
-                line(text, how.label + '.' + classes.get(c), ends[how.ordinal()][c], 'c');
+        for (int classIndex = 0; classIndex < classes.size(); classIndex++) {
+            for (End end : End.values()) {
+                line(text, end.label + '.' + classes.get(classIndex), ends[end.ordinal()][classIndex], 'c');
             }
-            line(text, "attempts." + classes.get(c), attempts[c], 'c');
+            line(text, "attempts." + classes.get(classIndex), attempts[classIndex], 'c');
         }
         line(text, "in_flight", inFlight, 'g');
-        line(text, "upstreams_known", known, 'g');
-        line(text, "upstreams_excluded", excluded, 'g');
+        line(text, "upstreams_known", upstreamsKnown, 'g');
+        line(text, "upstreams_excluded", upstreamsExcluded, 'g');
         return text.toString();
     }
 
--- a/src/main/java/sedgeyoke/proxy/RequestValidator.java
+++ b/src/main/java/sedgeyoke/proxy/RequestValidator.java
@@ -21,25 +21,25 @@
 import java.util.function.Function;
 
 /**
- * Stops a request that cannot be served before any of its body is kept. What follows on that connection is thrown
- * away unread: where such a request ends is anybody's guess.
+ * Rejects a request that cannot be served before any of its body is buffered. What follows on that connection is
+ * discarded, because where such a request ends is not known.
  */
 final class RequestValidator extends ChannelInboundHandlerAdapter {
-    /** Further checks of a head that can be read; null if it is in order. */
-    private final Function<HttpRequest, Rejection> further;
+    /** Checks a well-formed head; null for a valid request. */
+    private final Function<HttpRequest, Rejection> headCheck;
 
-    private final long mostBytes;
+    private final long maxBodyBytes;
     private boolean rejected;
-    private long body;
+    private long bodyBytes;
 
-    /** Goes up the pipeline in place of the request. */
+    /** Goes up the pipeline in place of the request; {@code reason} is the text of the response. */
     record Rejection(HttpResponseStatus status, String reason) {}
 
-    /** Guards against a request that hides another one in its body: by its length it ends elsewhere than by chunks. */
+    /** Rejects requests with two lengths, which may hide another request in their body (request smuggling). */
     static final class Decoder extends HttpRequestDecoder {
-        /** {@code part} is the most that it gives out of a body at once. */
-        Decoder(int part) {
-            super(new HttpDecoderConfig().setMaxChunkSize(part));
+        /** {@code maxPartBytes} is the largest part of a body that is passed on at once. */
+        Decoder(int maxPartBytes) {
+            super(new HttpDecoderConfig().setMaxChunkSize(maxPartBytes));
         }
 
         @Override
@@ -48,22 +48,28 @@
         }
     }
 
-    RequestValidator(Function<HttpRequest, Rejection> further, long mostBytes) {
-        this.further = further;
-        this.mostBytes = mostBytes;
+    /**
+     * A validator for one connection.
+     *
+     * @param headCheck returns the rejection of a well-formed head, or null
+     * @param maxBodyBytes larger bodies are rejected
+     */
+    RequestValidator(Function<HttpRequest, Rejection> headCheck, long maxBodyBytes) {
+        this.headCheck = headCheck;
+        this.maxBodyBytes = maxBodyBytes;
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        Rejection verdict = rejected || !(message instanceof HttpObject part) ? null : check(part);
-        if (rejected || verdict != null) {
+        Rejection rejection = rejected || !(message instanceof HttpObject part) ? null : check(part);
+        if (rejected || rejection != null) {
             ReferenceCountUtil.release(message);
         } else {
             ctx.fireChannelRead(message);
         }
-        if (verdict != null) {
+        if (rejection != null) {
             rejected = true;
-            ctx.fireChannelRead(verdict);
+            ctx.fireChannelRead(rejection);
         }
     }
 
@@ -79,12 +85,12 @@
                     "malformed request");
         }
         if (part instanceof HttpRequest head) {
-            body = 0;
-            Rejection verdict = framing(head);
-            return verdict != null ? verdict : further.apply(head);
+            bodyBytes = 0;
+            Rejection rejection = framing(head);
+            return rejection != null ? rejection : headCheck.apply(head);
         }
-        body += part instanceof HttpContent content ? content.content().readableBytes() : 0;
-        return body > mostBytes ? tooLarge() : null;
+        bodyBytes += part instanceof HttpContent content ? content.content().readableBytes() : 0;
+        return bodyBytes > maxBodyBytes ? tooLarge() : null;
     }
 
     private Rejection framing(HttpRequest head) {
@@ -101,11 +107,11 @@
         if (expected != null && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)) {
             return new Rejection(HttpResponseStatus.EXPECTATION_FAILED, "malformed: Expect");
         }
-        return HttpUtil.getContentLength(head, 0L) > mostBytes ? tooLarge() : null;
+        return HttpUtil.getContentLength(head, 0L) > maxBodyBytes ? tooLarge() : null;
     }
 
     private Rejection tooLarge() {
         return new Rejection(
-                HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "a body of more than " + mostBytes + " bytes");
+                HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "a body of more than " + maxBodyBytes + " bytes");
     }
 }
--- a/src/main/java/sedgeyoke/proxy/ResponseStream.java
+++ b/src/main/java/sedgeyoke/proxy/ResponseStream.java
@@ -3,36 +3,36 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 
-/** An answer that is passed on as it comes, of whatever protocol. */
+/** A response that is forwarded while it is received, independent of the protocol. */
 final class ResponseStream {
     private ResponseStream() {}
 
     /**
-     * What is known of it when it begins.
+     * What is known of the response when it begins.
      *
-     * @param contentType as the upstream says, or null
-     * @param length in bytes; negative where only its end will tell
+     * @param contentType as the upstream sends it, or null
+     * @param length of the body in bytes; negative if not known
      */
     record Head(String contentType, long length) {}
 
     /** The upstream's side. */
     interface Source {
-        /** The client's side has room again. */
+        /** The client's side can take more. */
         void demand();
 
-        /** The client is gone, or reads too slowly: there is no use for the rest. */
+        /** The client has left, or reads too slowly: the rest is of no use. */
         void cancel();
     }
 
     /** The client's side. */
     interface Sink {
-        /** Takes over a part; false asks for a pause until {@link Source#demand}. */
+        /** Forwards a part and takes over its reference; false asks for a pause until {@link Source#demand}. */
         boolean part(ByteBuf data);
 
-        /** All of it was passed on; {@code trailers} may be empty. */
+        /** The body is complete; {@code trailers} may be empty. */
         void end(HttpHeaders trailers);
 
-        /** There will be no more of it: the client must be able to tell that it is not whole. */
+        /** The response ends early, and the client must be able to notice that a part is missing. */
         void cut();
     }
 }
--- /dev/null
+++ b/src/main/java/sedgeyoke/proxy/ResponseWriter.java
@@ -0,0 +1,220 @@
+package sedgeyoke.proxy;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
+import sedgeyoke.body.BodyBudget;
+
+/**
+ * Writes the responses on one {@link ClientConnection}: exactly one for each request, in whatever way it ends. All
+ * methods run on the event loop.
+ */
+final class ResponseWriter implements Exchange.Reply, ResponseStream.Sink {
+    private static final byte[] NO_BODY = {};
+
+    private final Channel channel;
+    private final ClientConnection connection;
+    private final HttpFrontend frontend;
+    private final ProxyCore core;
+    private final BodyBudget budget;
+
+    /** The request in flight, once it was submitted and until its response begins. */
+    private Exchange exchange;
+    /** From the moment a request is complete or rejected until its response; guards against a second one. */
+    private boolean responseDue;
+    /** Whether the client allows another request after the response; see {@link #mayKeepAlive}. */
+    private boolean keepAlive;
+    /** Where a streamed response comes from; null once it has ended. */
+    private ResponseStream.Source source;
+    /** Streamed bodies of this connection, in either direction, that are counted in the budget. */
+    private int reservedBodies;
+
+    ResponseWriter(Channel channel, ClientConnection connection, HttpFrontend frontend, ProxyCore core) {
+        this.channel = channel;
+        this.connection = connection;
+        this.frontend = frontend;
+        this.core = core;
+        this.budget = core.budget();
+    }
+
+    // ---- The request ---------------------------------------------------------------------------------
+
+    /** From now on a request is to be responded to. */
+    void expectResponse() {
+        responseDue = true;
+        connection.enter(ClientConnectionState.OPEN);
+    }
+
+    /** Says whether the client allows another request after the response. */
+    void clientKeepsAlive(boolean allowed) {
+        keepAlive = allowed;
+    }
+
+    /** Submits a request to the core; its response comes through this object. */
+    void submit(Exchange next) {
+        exchange = next;
+        core.accept(next);
+    }
+
+    /** The request in flight, or null if there is none or its response has begun. */
+    Exchange exchange() {
+        return exchange;
+    }
+
+    /** Reserves room for a streamed body until the response is written; false where there is none. */
+    boolean reserveBody() {
+        if (!budget.reserve()) {
+            return false;
+        }
+        reservedBodies++;
+        return true;
+    }
+
+    /** Gives back the room of streamed bodies. */
+    void releaseBodies() {
+        budget.release(reservedBodies);
+        reservedBodies = 0;
+    }
+
+    // ---- Complete responses --------------------------------------------------------------------------
+
+    @Override
+    public void served(String contentType, byte[] body) {
+        respond(HttpResponseStatus.OK, contentType, body, 0);
+    }
+
+    @Override
+    public void refused(long retryAfter) {
+        respond(HttpResponseStatus.SERVICE_UNAVAILABLE, null, NO_BODY, retryAfter);
+    }
+
+    @Override
+    public void failed() {
+        respond(HttpResponseStatus.BAD_GATEWAY, null, NO_BODY, 0);
+    }
+
+    /** Responds to a health check. */
+    void health(boolean healthy) {
+        HttpResponseStatus status = healthy ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+        respond(status, "text/plain", NO_BODY, 0);
+    }
+
+    /** Responds with a reason as text; the connection ends with it. */
+    void rejected(HttpResponseStatus status, String reason) {
+        keepAlive = false;
+        respond(status, "text/plain", reason.getBytes(StandardCharsets.UTF_8), 0);
+    }
+
+    /** Rejects a request for lack of room, which the policy is not asked about; the connection ends with it. */
+    void rejectedForLackOfRoom(int classIndex) {
+        keepAlive = false;
+        core.refusedUnheard(classIndex);
+        refused(core.advice(0));
+    }
+
+    /** Responds to a request that would otherwise get no response, because handling it threw. */
+    void failedInternally(Throwable cause) {
+        core.log().line("request not handled: " + cause);
+        keepAlive = false;
+        if (exchange != null) {
+            core.giveUp(exchange);
+        } else if (responseDue) {
+            respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, null, NO_BODY, 0);
+        } else {
+            channel.close();
+        }
+    }
+
+    private void respond(HttpResponseStatus status, String contentType, byte[] body, long retryAfterMicros) {
+        if (!responseDue) {
+            return;
+        }
+        responseDue = false;
+        boolean keep = mayKeepAlive();
+        exchange = null;
+        connection.enter(ClientConnectionState.WRITING);
+        writeLast(ClientResponses.complete(status, contentType, body, retryAfterMicros, keep), keep);
+    }
+
+    /** Whether the connection stays open after the response. */
+    private boolean mayKeepAlive() {
+        return keepAlive && frontend.allowsKeepAlive() && connection.mayReadAnotherRequest();
+    }
+
+    private void writeLast(Object message, boolean keep) {
+        channel.writeAndFlush(message).addListener(written -> {
+            if (written.isSuccess()) {
+                connection.responseWritten(keep);
+            }
+        });
+    }
+
+    // ---- Streamed responses --------------------------------------------------------------------------
+
+    @Override
+    public ResponseStream.Sink begin(ResponseStream.Head head, ResponseStream.Source from) {
+        responseDue = false;
+        if (reservedBodies == 0 || !exchange.body.finished()) { // else the request's reservation serves for both
+            budget.begun();
+            reservedBodies++;
+        }
+        exchange = null;
+        source = from;
+        keepAlive = mayKeepAlive();
+        connection.enter(ClientConnectionState.WRITING);
+        channel.write(ClientResponses.streamed(head, keepAlive));
+        return this;
+    }
+
+    @Override
+    public boolean part(ByteBuf data) {
+        channel.writeAndFlush(new DefaultHttpContent(data)).addListener(written -> {
+            if (written.isSuccess() && source != null) {
+                connection.restartTimeout(); // the client reads
+            }
+        });
+        budget.holds(Transport.pending(channel));
+        return channel.isWritable();
+    }
+
+    @Override
+    public void end(HttpHeaders trailers) {
+        source = null;
+        writeLast(ClientResponses.lastContent(trailers), keepAlive);
+    }
+
+    /** Closes the connection: without the announced length or the last chunk the client sees that a part is missing. */
+    @Override
+    public void cut() {
+        source = null;
+        channel.close();
+    }
+
+    /** The channel has become writable, or ceased to be so. */
+    void writabilityChanged() {
+        if (source != null && channel.isWritable()) {
+            source.demand();
+        }
+    }
+
+    // ---- End -----------------------------------------------------------------------------------------
+
+    /** The channel is closed: returns the request that was in flight, or null. */
+    Exchange abandonExchange() {
+        Exchange abandoned = exchange;
+        exchange = null;
+        return abandoned;
+    }
+
+    /** The channel is closed: the rest of a streamed response is of no use. */
+    void cancelStream() {
+        if (source != null) {
+            ResponseStream.Source from = source;
+            source = null;
+            from.cancel();
+        }
+    }
+}
--- a/src/main/java/sedgeyoke/serve/BalancerMain.java
+++ b/src/main/java/sedgeyoke/serve/BalancerMain.java
@@ -68,7 +68,7 @@
         }
         BalancerMain main = new BalancerMain(path, server, features);
         start(main);
-        JitWarmUp.run(config, JitWarmUp.requests(config), JitWarmUp.LONGEST_S);
+        JitWarmUp.run(config, JitWarmUp.requests(config), JitWarmUp.TIMEOUT_SECONDS);
         // Before the first client may come: a signal that found no hook would end us with what is taken unanswered.
         Runtime.getRuntime().addShutdownHook(new Thread(main::end));
         ChannelFuture bound = server.bind().await();
--- a/src/test/java/sedgeyoke/proxy/BalancerProcessTest.java
+++ b/src/test/java/sedgeyoke/proxy/BalancerProcessTest.java
@@ -299,9 +299,9 @@
     @Test
     void theWarmUpAnswersAllItsRequestsAndServesMost() throws Exception {
         BalancerConfig config = Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, Loopback.list(1, true));
-        JitWarmUp.Result result = JitWarmUp.run(config, JitWarmUp.MOST_REQUESTS, 60);
-        assertEquals(JitWarmUp.MOST_REQUESTS, result.answered(), "answers");
-        assertTrue(result.served() > 0.9 * JitWarmUp.MOST_REQUESTS, "served: " + result.served());
+        JitWarmUp.Result result = JitWarmUp.run(config, JitWarmUp.MAX_REQUESTS, 60);
+        assertEquals(JitWarmUp.MAX_REQUESTS, result.answered(), "answers");
+        assertTrue(result.served() > 0.9 * JitWarmUp.MAX_REQUESTS, "served: " + result.served());
     }
 
     /** Where each balancer of many has little to do, a dozen that start at once must not compile first. */
@@ -314,14 +314,13 @@
                         .mapToObj(i -> Loopback.member("u" + i, "127.0.0.1:1", "up"))
                         .toArray(String[]::new));
         String many = Loopback.SETTINGS.replace("\"group-size\":1,", "\"group-size\":14,");
+        assertEquals(JitWarmUp.MIN_REQUESTS, JitWarmUp.requests(Loopback.config(many, "127.0.0.1:1", 1024, members)));
         assertEquals(
-                JitWarmUp.FEWEST_REQUESTS, JitWarmUp.requests(Loopback.config(many, "127.0.0.1:1", 1024, members)));
-        assertEquals(
-                JitWarmUp.MOST_REQUESTS,
+                JitWarmUp.MAX_REQUESTS,
                 JitWarmUp.requests(Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, members)),
                 "one for all");
         assertEquals(
-                JitWarmUp.MOST_REQUESTS,
+                JitWarmUp.MAX_REQUESTS,
                 JitWarmUp.requests(Loopback.config(many, "127.0.0.1:1", 1024, Loopback.list(1, true))),
                 "nothing known");
     }
--- a/src/test/java/sedgeyoke/proxy/CordonStoreTest.java
+++ b/src/test/java/sedgeyoke/proxy/CordonStoreTest.java
@@ -58,7 +58,7 @@
     @Test
     void whatIsKeptIsBounded() throws Exception {
         CordonStore cordons = new CordonStore(null);
-        for (int i = 0; i < CordonStore.MOST; i++) {
+        for (int i = 0; i < CordonStore.MAX_CORDONS; i++) {
             assertTrue(cordons.set("s-" + i, true, i));
         }
         assertFalse(cordons.set("one-more", true, 0));
