--- a/src/main/java/sedgeyoke/cli/ConfigServersCommand.java
+++ b/src/main/java/sedgeyoke/cli/ConfigServersCommand.java
@@ -48,8 +48,8 @@
         PrintWriter out = spec.commandLine().getOut();
         ArrayNode all = JSON.createArrayNode();
         int recovered = 0;
-        int voters = settings.keepers().size();
-        for (InetSocketAddress address : settings.keepers()) {
+        int voters = settings.servers().size();
+        for (InetSocketAddress address : settings.servers()) {
             ConfigClient.Status status = client.status(address);
             if (status == null) {
                 out.print(json ? "" : address + "  does not answer\n");
--- a/src/main/java/sedgeyoke/drill/TierProcesses.java
+++ b/src/main/java/sedgeyoke/drill/TierProcesses.java
@@ -57,11 +57,11 @@
         String peers = peerPorts.entrySet().stream()
                 .map(peer -> quoted(peer.getKey() + "=127.0.0.1:" + peer.getValue()))
                 .collect(Collectors.joining(", "));
-        String settings = "[keeper]\nenabled = true\ntier = \"drill\"\n"
+        String settings = "[config_server]\nenabled = true\ntier = \"drill\"\n"
                 + "name = " + quoted(name) + "\n"
                 + "listen = " + quoted("127.0.0.1:" + port) + "\n"
                 + "folder = " + quoted(dataFolderName(name)) + "\n"
-                + "keepers = [" + peers + "]\n"
+                + "servers = [" + peers + "]\n"
                 + "lease_ms = " + leaseMs + "\n"
                 + certificates.issue(name, "keeper");
         return process(
@@ -106,8 +106,8 @@
             throws IOException {
         String settings = configServerPorts.isEmpty()
                 ? FOLLOWS_NOBODY
-                : "[agreed]\nenabled = true\n"
-                        + "keepers = " + addresses(configServerPorts) + "\n"
+                : "[config]\nenabled = true\n"
+                        + "servers = " + addresses(configServerPorts) + "\n"
                         + "lease_ms = " + leaseMs + "\n"
                         + certificates.issue(name, "forwarder");
         Path temporaryFiles = Files.createDirectories(folder.resolve("tmp-" + name));
