--- a/src/main/java/sedgeyoke/body/BodyBudget.java
+++ b/src/main/java/sedgeyoke/body/BodyBudget.java
@@ -21,7 +21,7 @@
             rejected++;
             return false;
         }
-        begun();
+        reserveUnconditionally();
         return true;
     }
 
@@ -29,7 +29,7 @@
      * Reserves room for a streamed response, even beyond the total: its request may have run and must not be rejected any
      * more. Further requests are rejected then; the limit on client connections bounds how many responses there are.
      */
-    public void begun() {
+    public void reserveUnconditionally() {
         reserved += limits.ceiling();
     }
 
@@ -39,7 +39,7 @@
     }
 
     /** Records that so many bytes of one body are buffered in this process. */
-    public void holds(long bytes) {
+    public void recordBuffered(long bytes) {
         largest = Math.max(largest, bytes);
     }
 
@@ -54,7 +54,7 @@
     }
 
     /** Requests that were rejected for lack of room. */
-    public long refused() {
+    public long rejected() {
         return rejected;
     }
 }
--- a/src/main/java/sedgeyoke/body/PartialRequestPolicy.java
+++ b/src/main/java/sedgeyoke/body/PartialRequestPolicy.java
@@ -16,21 +16,21 @@
     /** How much of the body of a request was forwarded. */
     public enum Body {
         /** Nothing is lost: all of it is buffered. */
-        WHOLE,
+        COMPLETE,
         /** The client is still sending, and nothing was forwarded. */
-        HELD,
+        BUFFERING,
         /** A part was forwarded and is not buffered any more; the last byte was not written. */
-        PART_GONE,
+        PARTLY_FORWARDED,
         /** All of it was forwarded, and it is not buffered any more. */
-        ALL_GONE
+        FULLY_FORWARDED
     }
 
     /** How the request continues. */
     public enum Next {
         /** The policy decides: another attempt, or the response. */
-        MODULE,
+        POLICY,
         /** It is rejected: a retry is harmless. */
-        REFUSE,
+        REJECT,
         /** It fails: a retry may run it twice. */
         FAIL,
         /** It is served. */
@@ -42,12 +42,12 @@
         if (outcome == Outcome.OK) {
             return Next.SERVED;
         }
-        if (body == Body.WHOLE || body == Body.HELD) {
-            return Next.MODULE;
+        if (body == Body.COMPLETE || body == Body.BUFFERING) {
+            return Next.POLICY;
         }
         // An upstream runs a request only once it has its last byte, however the attempt ended.
-        boolean neverRan = outcome.neverRan || body == Body.PART_GONE;
+        boolean neverRan = outcome.neverRan || body == Body.PARTLY_FORWARDED;
         boolean harmless = effect == Effect.SAFE || effect == Effect.IDEMPOTENT_WITH_KEY && scope == Scope.ALL;
-        return neverRan || harmless ? Next.REFUSE : Next.FAIL;
+        return neverRan || harmless ? Next.REJECT : Next.FAIL;
     }
 }
--- a/src/main/java/sedgeyoke/proxy/ClientConnection.java
+++ b/src/main/java/sedgeyoke/proxy/ClientConnection.java
@@ -306,7 +306,7 @@
         }
         boolean last = content instanceof LastHttpContent;
         boolean mustStream = requestBody.add(content.content());
-        budget.holds(requestBody.held());
+        budget.recordBuffered(requestBody.bufferedBytes());
         if (mustStream && !beginStreaming()) {
             return;
         }
--- a/src/main/java/sedgeyoke/proxy/ExchangeTable.java
+++ b/src/main/java/sedgeyoke/proxy/ExchangeTable.java
@@ -297,7 +297,7 @@
         LoadBalancingPolicy.RequestClass requestClass = classOf(exchange);
         PartialRequestPolicy.Next next = PartialRequestPolicy.after(
                 requestClass.effect(), requestClass.scope(), exchange.body.state(attempt.written), outcome);
-        if (next == PartialRequestPolicy.Next.REFUSE) {
+        if (next == PartialRequestPolicy.Next.REJECT) {
             attempt.mayHaveRun = false;
             reject(exchange, 0);
         } else if (next == PartialRequestPolicy.Next.FAIL) {
@@ -362,7 +362,7 @@
 
     /** Answers that the request was not executed; {@code retryAfterMicros} as the policy advises, 0 for no advice. */
     void reject(Exchange exchange, long retryAfterMicros) {
-        if (markAnswered(exchange, RequestMetrics.End.REFUSED)) {
+        if (markAnswered(exchange, RequestMetrics.End.REJECTED)) {
             exchange.reply.refused(retryAfter(retryAfterMicros));
         }
     }
--- a/src/main/java/sedgeyoke/proxy/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/ProxyCore.java
@@ -158,8 +158,8 @@
     }
 
     /** Counts a request that was rejected without an exchange of its own. */
-    void refusedUnheard(int classIndex) {
-        metrics.ended(classIndex, RequestMetrics.End.REFUSED);
+    void rejectedWithoutExchange(int classIndex) {
+        metrics.ended(classIndex, RequestMetrics.End.REJECTED);
     }
 
     /** The Retry-After of a rejection, in microseconds; 0 where none is allowed. */
@@ -197,7 +197,7 @@
     void reportBodies() {
         if (bodies.streaming()) {
             log.line("bodies: at most " + budget.largest() + " of " + bodies.ceiling()
-                    + " bytes held for one in a direction, " + budget.refused() + " refused for want of room");
+                    + " bytes held for one in a direction, " + budget.rejected() + " refused for want of room");
         }
     }
 
--- a/src/main/java/sedgeyoke/proxy/RequestBody.java
+++ b/src/main/java/sedgeyoke/proxy/RequestBody.java
@@ -139,7 +139,7 @@
     }
 
     /** Bytes that are buffered here. */
-    int held() {
+    int bufferedBytes() {
         return buffered.size() + overflow.size();
     }
 
@@ -151,9 +151,9 @@
     /** How much was forwarded; {@code written} says whether an attempt has written the last byte. */
     PartialRequestPolicy.Body state(boolean written) {
         if (forwarding) {
-            return written ? PartialRequestPolicy.Body.ALL_GONE : PartialRequestPolicy.Body.PART_GONE;
+            return written ? PartialRequestPolicy.Body.FULLY_FORWARDED : PartialRequestPolicy.Body.PARTLY_FORWARDED;
         }
-        return ended && !streams ? PartialRequestPolicy.Body.WHOLE : PartialRequestPolicy.Body.HELD;
+        return ended && !streams ? PartialRequestPolicy.Body.COMPLETE : PartialRequestPolicy.Body.BUFFERING;
     }
 
     /** Streams the body to an attempt: what is buffered, then what is received. To be called once. */
--- a/src/main/java/sedgeyoke/proxy/RequestMetrics.java
+++ b/src/main/java/sedgeyoke/proxy/RequestMetrics.java
@@ -17,7 +17,7 @@
         /** With the response of an upstream. */
         SERVED("served"),
         /** With a response that says that a retry is harmless. */
-        REFUSED("refused"),
+        REJECTED("refused"),
         /** With any other response, or one that was cut off. */
         FAILED("failed");
 
--- a/src/main/java/sedgeyoke/proxy/RequestUpload.java
+++ b/src/main/java/sedgeyoke/proxy/RequestUpload.java
@@ -33,7 +33,7 @@
     @Override
     public boolean part(ByteBuf data) {
         channel.writeAndFlush(new DefaultHttpContent(data)).addListener(this::partWritten);
-        context.budget().holds(Transport.pending(channel) + attempt.exchange.body.held());
+        context.budget().recordBuffered(Transport.pending(channel) + attempt.exchange.body.bufferedBytes());
         return channel.isWritable();
     }
 
--- a/src/main/java/sedgeyoke/proxy/ResponseWriter.java
+++ b/src/main/java/sedgeyoke/proxy/ResponseWriter.java
@@ -111,7 +111,7 @@
     /** Rejects a request for lack of room, which the policy is not asked about; the connection ends with it. */
     void rejectedForLackOfRoom(int classIndex) {
         keepAlive = false;
-        core.refusedUnheard(classIndex);
+        core.rejectedWithoutExchange(classIndex);
         refused(core.advice(0));
     }
 
@@ -158,7 +158,7 @@
     public ResponseStream.Sink begin(ResponseStream.Head head, ResponseStream.Source from) {
         responseDue = false;
         if (reservedBodies == 0 || !exchange.body.finished()) { // else the request's reservation serves for both
-            budget.begun();
+            budget.reserveUnconditionally();
             reservedBodies++;
         }
         exchange = null;
@@ -176,7 +176,7 @@
                 connection.restartTimeout(); // the client reads
             }
         });
-        budget.holds(Transport.pending(channel));
+        budget.recordBuffered(Transport.pending(channel));
         return channel.isWritable();
     }
 
--- a/src/test/java/sedgeyoke/body/BodyRulesTest.java
+++ b/src/test/java/sedgeyoke/body/BodyRulesTest.java
@@ -22,7 +22,7 @@
             Set.of(Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT);
 
     @Test
-    void everyCellOfTheTable() {
+    void everyCombinationOfBodyAndOutcome() {
         List<String> cells = new ArrayList<>();
         for (Effect effect : Effect.values()) {
             for (Scope scope : Scope.values()) {
@@ -44,48 +44,49 @@
 
     private static PartialRequestPolicy.Next expected(
             Effect effect, Scope scope, PartialRequestPolicy.Body body, Outcome outcome) {
-        boolean gone = body == PartialRequestPolicy.Body.PART_GONE || body == PartialRequestPolicy.Body.ALL_GONE;
+        boolean gone =
+                body == PartialRequestPolicy.Body.PARTLY_FORWARDED || body == PartialRequestPolicy.Body.FULLY_FORWARDED;
         if (outcome == Outcome.OK) {
             return PartialRequestPolicy.Next.SERVED;
         } else if (!gone) {
-            return PartialRequestPolicy.Next.MODULE;
-        } else if (body == PartialRequestPolicy.Body.PART_GONE || PROVES_IT_NEVER_RAN.contains(outcome)) {
-            return PartialRequestPolicy.Next.REFUSE;
+            return PartialRequestPolicy.Next.POLICY;
+        } else if (body == PartialRequestPolicy.Body.PARTLY_FORWARDED || PROVES_IT_NEVER_RAN.contains(outcome)) {
+            return PartialRequestPolicy.Next.REJECT;
         }
         return effect == Effect.SAFE || effect == Effect.IDEMPOTENT_WITH_KEY && scope == Scope.ALL
-                ? PartialRequestPolicy.Next.REFUSE
+                ? PartialRequestPolicy.Next.REJECT
                 : PartialRequestPolicy.Next.FAIL;
     }
 
     @Test
-    void theBudgetHoldsWhatItSaysAndGetsItBack() {
+    void theBudgetReservesAndReleases() {
         BodyBudget budget = new BodyBudget(LIMITS);
         for (int i = 0; i < 4; i++) {
             assertTrue(budget.reserve());
         }
         assertFalse(budget.reserve());
-        assertEquals(1, budget.refused());
+        assertEquals(1, budget.rejected());
         assertEquals(262_144, budget.reserved());
-        budget.begun(); // an answer that turned out to be long counts, room or not
+        budget.reserveUnconditionally(); // an answer that turned out to be long counts, room or not
         budget.release(1);
         assertFalse(budget.reserve());
         budget.release(1);
         assertTrue(budget.reserve());
-        budget.holds(7);
-        budget.holds(3);
+        budget.recordBuffered(7);
+        budget.recordBuffered(3);
         assertEquals(7, budget.largest());
     }
 
     @ParameterizedTest
     @CsvSource({"1000, 1000000, false", "999, 1000000, true", "0, 999999, false", "0, 1000000, true"})
-    void anUploadMustBringItsRateOverEachWindow(long bytes, long after, boolean slow) {
+    void anUploadMustReachItsRateInEachWindow(long bytes, long after, boolean slow) {
         MinimumTransferRate pace = new MinimumTransferRate(LIMITS, 5_000_000);
         pace.came(bytes);
         assertEquals(slow, pace.tooSlow(5_000_000 + after));
     }
 
     @Test
-    void timeInWhichNothingIsReadIsNotHeldAgainstIt() {
+    void pausedTimeDoesNotCount() {
         MinimumTransferRate pace = new MinimumTransferRate(LIMITS, 0);
         pace.came(500);
         pace.reading(false, 500_000);
@@ -96,7 +97,7 @@
     }
 
     @Test
-    void noUploadTakesForEver() {
+    void uploadsHaveATimeLimit() {
         MinimumTransferRate pace = new MinimumTransferRate(LIMITS, 0);
         for (long now = 0; now <= 60_000_000; now += 1_000_000) {
             assertFalse(pace.tooSlow(now), "at " + now);
@@ -106,7 +107,7 @@
     }
 
     @Test
-    void oneMoreReadFitsUnderTheCeiling() {
+    void oneMoreReadFitsBelowTheCeiling() {
         assertEquals(LIMITS.ceiling(), LIMITS.gathered() + LIMITS.read());
         assertEquals(32_768, LIMITS.gathered());
         assertEquals(65_536, BodyLimits.PLATFORM.gathered());
--- a/src/test/java/sedgeyoke/proxy/AdminServerTest.java
+++ b/src/test/java/sedgeyoke/proxy/AdminServerTest.java
@@ -13,13 +13,13 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** The operators' door on sockets: calls, figures against what peers saw, and upstreams taken out by hand. */
+/** The admin endpoint on sockets: calls, metrics compared with what peers observed, and cordons. */
 class AdminServerTest {
     @TempDir
     private Path folder;
 
     private Loopback start(Peer... upstreams) throws Exception {
-        Loopback.Setup setup = Loopback.setup().door(folder);
+        Loopback.Setup setup = Loopback.setup().adminEndpoint(folder);
         for (int i = 0; i < upstreams.length; i++) {
             setup.upstream("u" + i, upstreams[i].address());
         }
@@ -45,7 +45,7 @@
         "POST, /admin/cordon, u0 u1, 400",
         "GET, /nonesuch, '', 404"
     })
-    void callsAndTheirAnswers(String method, String path, String body, int status) throws Exception {
+    void callsAndTheirResponses(String method, String path, String body, int status) throws Exception {
         try (Peer up = good();
                 Loopback lb = start(up)) {
             Loopback.await("ready", () -> lb.health() == 200);
@@ -54,7 +54,7 @@
     }
 
     @Test
-    void figuresAreWhatPeersSaw() throws Exception {
+    void metricsMatchWhatPeersObserved() throws Exception {
         AtomicInteger seen = new AtomicInteger();
         try (Peer up = new Peer((request, socket) -> {
                     seen.incrementAndGet();
@@ -69,40 +69,40 @@
                 assertEquals(502, lb.ask("bad-" + i, "order", 2_000).status());
             }
             assertEquals(200, lb.ask("read", "read", 2_000).status());
-            assertEquals(5, lb.figure("served.order"));
-            assertEquals(3, lb.figure("failed.order"));
-            assertEquals(0, lb.figure("refused.order"));
-            assertEquals(1, lb.figure("served.read"));
-            assertEquals(seen.get(), lb.figure("attempts.order") + lb.figure("attempts.read"));
-            assertEquals(0, lb.figure("in_flight"));
-            assertEquals(1, lb.figure("upstreams_known"));
-            assertEquals(0, lb.figure("upstreams_excluded"));
+            assertEquals(5, lb.metric("served.order"));
+            assertEquals(3, lb.metric("failed.order"));
+            assertEquals(0, lb.metric("refused.order"));
+            assertEquals(1, lb.metric("served.read"));
+            assertEquals(seen.get(), lb.metric("attempts.order") + lb.metric("attempts.read"));
+            assertEquals(0, lb.metric("in_flight"));
+            assertEquals(1, lb.metric("upstreams_known"));
+            assertEquals(0, lb.metric("upstreams_excluded"));
         }
     }
 
     @Test
-    void aRefusalAndARequestInFlightAreCounted() throws Exception {
+    void rejectionsAndRequestsInFlightAreCounted() throws Exception {
         java.util.concurrent.CountDownLatch release = new java.util.concurrent.CountDownLatch(1);
         try (Peer up = new Peer((request, socket) -> {
                     release.await();
                     Peer.reply(socket, 200, "x");
                 });
                 Loopback lb = start(up)) {
-            Socket held = lb.connect();
-            Peer.write(held, Loopback.request("held", "order", 60_000));
-            Loopback.await("in flight", () -> lb.figure("in_flight") == 1 && lb.figure("attempts.order") == 1);
+            Socket inFlight = lb.connect();
+            Peer.write(inFlight, Loopback.request("in-flight", "order", 60_000));
+            Loopback.await("in flight", () -> lb.metric("in_flight") == 1 && lb.metric("attempts.order") == 1);
             assertEquals(200, lb.call("POST", "/admin/cordon", "u0").status());
-            assertEquals(1, lb.figure("upstreams_excluded"));
+            assertEquals(1, lb.metric("upstreams_excluded"));
             assertEquals(503, lb.ask("refused", "order", 300).status());
-            assertEquals(1, lb.figure("refused.order"));
+            assertEquals(1, lb.metric("refused.order"));
             release.countDown();
-            assertEquals(200, Loopback.answer(held).status(), "what was out is finished");
-            assertEquals(1, lb.figure("served.order"));
+            assertEquals(200, Loopback.answer(inFlight).status(), "the request in flight is completed");
+            assertEquals(1, lb.metric("served.order"));
         }
     }
 
     @Test
-    void whatIsTakenOutGetsNothingUntilItIsGivenBack() throws Exception {
+    void aCordonedUpstreamGetsNoRequestsUntilItIsUncordoned() throws Exception {
         try (Peer a = good();
                 Peer b = good();
                 Loopback lb = start(a, b)) {
@@ -136,36 +136,36 @@
         }
     }
 
-    /** Two processes of one balancer: what one is told binds the other, and the next. */
+    /** Two processes of one balancer: a cordon set at one applies to the other, and to the next process. */
     @Test
-    void aWordSaidToOneProcessBindsTheOthers() throws Exception {
+    void aCordonAppliesToTheOtherProcessesToo() throws Exception {
         try (Peer a = good();
                 Peer b = good();
                 Loopback old = start(a, b)) {
             assertEquals(200, old.call("POST", "/admin/cordon", "u0").status());
             try (Loopback next = start(a, b)) {
-                assertEquals(1, next.figure("upstreams_excluded"));
+                assertEquals(1, next.metric("upstreams_excluded"));
                 int before = a.requests.size();
                 for (int i = 0; i < 30; i++) {
                     askOnce(next);
                 }
                 assertEquals(before, a.requests.size());
                 assertEquals(200, next.call("POST", "/admin/uncordon", "u0").status());
-                Loopback.await("the old one hears", () -> old.figure("upstreams_excluded") == 0);
+                Loopback.await("the old process applies it", () -> old.metric("upstreams_excluded") == 0);
                 assertEquals(200, old.call("POST", "/admin/cordon", "u1").status());
-                Loopback.await("the new one hears", () -> next.figure("upstreams_excluded") == 1);
+                Loopback.await("the new process applies it", () -> next.metric("upstreams_excluded") == 1);
             }
         }
     }
 
     @Test
-    void callersThatNeverFinishKeepNobodyOut() throws Exception {
+    void callersThatNeverFinishDoNotBlockOthers() throws Exception {
         try (Peer up = good();
                 Loopback lb = start(up)) {
             Loopback.await("ready", () -> lb.health() == 200);
             List<Socket> stuck = new ArrayList<>();
             for (int i = 0; i < 200; i++) {
-                Socket socket = new Socket(lb.door.getAddress(), lb.door.getPort());
+                Socket socket = new Socket(lb.adminAddress.getAddress(), lb.adminAddress.getPort());
                 Peer.write(
                         socket,
                         i % 2 == 0 ? "GET /admin/st" : "POST /admin/cordon HTTP/1.1\r\nContent-Length: 9\r\n\r\n");
@@ -194,7 +194,7 @@
     }
 
     @Test
-    void healthIsNoOnceClientsAreNoLongerTaken() throws Exception {
+    void healthFailsOnceClientsAreNotServedAnyMore() throws Exception {
         try (Peer up = good();
                 Loopback lb = start(up)) {
             Loopback.await("ready", () -> lb.health() == 200);
--- a/src/test/java/sedgeyoke/proxy/BodiesTest.java
+++ b/src/test/java/sedgeyoke/proxy/BodiesTest.java
@@ -49,7 +49,7 @@
 
     @ParameterizedTest
     @CsvSource({"1000, true", "48000, true", "49153, true", "65537, false", "3000000, true", "3000000, false"})
-    void whatGoesInComesOutInBothDirections(int length, boolean declared) throws Exception {
+    void bodiesAreForwardedUnchangedInBothDirections(int length, boolean declared) throws Exception {
         byte[] sent = bytes(length);
         AtomicReference<byte[]> arrived = new AtomicReference<>();
         byte[] answer = bytes(length + 7);
@@ -87,7 +87,7 @@
     }
 
     @Test
-    void aNodeFasterThanItsClientIsHeldBack() throws Exception {
+    void anUpstreamFasterThanItsClientIsPaused() throws Exception {
         AtomicLong written = new AtomicLong();
         try (Peer up = new Peer((request, socket) -> {
                     Peer.write(socket, "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n");
@@ -185,7 +185,7 @@
     }
 
     @Test
-    void anAnswerThatBreaksOffIsVisiblyNotWhole() throws Exception {
+    void aTruncatedResponseIsVisiblyIncomplete() throws Exception {
         try (Peer up = new Peer((request, socket) -> {
                     Peer.write(socket, "HTTP/1.1 200 x\r\nContent-Length: 1000000\r\n\r\n");
                     socket.getOutputStream().write(new byte[400_000]);
@@ -202,7 +202,7 @@
     }
 
     @Test
-    void aClientThatLeavesWhileSendingLeavesNothingThatRan() throws Exception {
+    void anUploadThatIsAbortedIsNeverComplete() throws Exception {
         AtomicInteger begun = new AtomicInteger();
         try (Peer up = new Peer((request, socket) -> begun.incrementAndGet());
                 Loopback lb = serving(up)) {
@@ -219,7 +219,7 @@
 
     /** The last byte was never written: whatever the class, trying again is harmless. */
     @Test
-    void aNodeThatGoesInTheMiddleOfAnUploadGivesARefusal() throws Exception {
+    void anUpstreamThatClosesDuringAnUploadCausesARejection() throws Exception {
         try (Peer up = new Peer((request, socket) -> {});
                 Loopback lb = serving(up)) {
             Socket client = lb.connect();
@@ -232,7 +232,7 @@
     }
 
     @Test
-    void aNodeThatGoesAfterTheLastByteGivesAFailure() throws Exception {
+    void anUpstreamThatClosesAfterTheLastByteCausesAFailure() throws Exception {
         try (Peer up = new Peer((request, socket) -> socket.close());
                 Loopback lb = serving(up)) {
             Socket client = lb.connect();
@@ -244,7 +244,7 @@
     }
 
     @Test
-    void whenThereIsNoRoomFurtherLongRequestsAreRefusedAndShortOnesServed() throws Exception {
+    void withoutRoomLongRequestsAreRejectedAndShortOnesServed() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         BodyLimits two =
                 new BodyLimits(true, 64 * 1024, 2 * 64 * 1024, 0, 1_000_000, 30_000_000, 5_000_000, 1L << 40, 0);
@@ -275,7 +275,7 @@
     }
 
     @Test
-    void aTrickleIsToldThatItIsTooSlow() throws Exception {
+    void aSlowUploadTimesOut() throws Exception {
         BodyLimits strict = new BodyLimits(true, 64 * 1024, MB, 1_000, 300_000, 30_000_000, 5_000_000, 1L << 40, 0);
         try (Peer up = Peer.serving("x");
                 Loopback lb = Loopback.setup()
@@ -291,7 +291,7 @@
     }
 
     @Test
-    void oneThatWaitsForAWordIsToldToGoOn() throws Exception {
+    void expectContinueIsAnswered() throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = serving(up)) {
             Socket client = lb.connect();
@@ -304,7 +304,7 @@
     }
 
     @Test
-    void nonsenseInTheMiddleOfALongBodyNeverGetsItsLastByte() throws Exception {
+    void aMalformedLongBodyIsNeverForwardedCompletely() throws Exception {
         AtomicInteger begun = new AtomicInteger();
         try (Peer up = new Peer((request, socket) -> begun.incrementAndGet());
                 Loopback lb = serving(up)) {
@@ -323,7 +323,7 @@
 
     /** Its end came in the same read as the part that is too much; the connection once stayed deaf after that. */
     @Test
-    void aLongRequestThatNoNodeTookLeavesItsConnectionUsable() throws Exception {
+    void aLongRequestWithoutAnAttemptLeavesItsConnectionUsable() throws Exception {
         try (Loopback lb = Loopback.setup().bodies(LIMITS).start()) {
             Socket client = lb.connect();
             Peer.write(client, upload("a", "order", "Content-Length: 49160"));
@@ -340,7 +340,7 @@
     }
 
     @Test
-    void whatIsOffStaysAsThePlatformHasIt() throws Exception {
+    void withoutStreamingTheDefaultLimitsApply() throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             Socket client = lb.connect();
@@ -354,7 +354,7 @@
 
     @ParameterizedTest
     @CsvSource({"0", "300", "49153", "3000000"})
-    void anAnswerMayGoOnUntilItsConnectionEnds(int length) throws Exception {
+    void aResponseMayEndWithItsConnection(int length) throws Exception {
         byte[] answer = bytes(length);
         try (Peer up = new Peer((request, socket) -> {
                     Peer.write(socket, UNTIL_THE_END);
@@ -373,7 +373,7 @@
     /** A reset is no end: what came before it is half of an answer at best. */
     @ParameterizedTest
     @CsvSource({"300", "49153", "3000000"})
-    void oneThatIsResetIsNotServed(int length) throws Exception {
+    void aResponseThatIsResetIsNotServed(int length) throws Exception {
         CountDownLatch read = new CountDownLatch(1);
         byte[] answer = bytes(length);
         try (Peer up = new Peer((request, socket) -> {
@@ -395,7 +395,7 @@
     }
 
     @Test
-    void oneThatSaysNothingOfItsEndIsSpoilt() throws Exception {
+    void aResponseWithoutAnEndIsInvalid() throws Exception {
         try (Peer up = new Peer((request, socket) -> {
                     Peer.write(socket, "HTTP/1.1 200 x\r\n\r\nhalf");
                     socket.close();
@@ -407,7 +407,7 @@
 
     /** An answer that says that its connection ends with it: the next request must not meet that end. */
     @Test
-    void aLongAnswerWithConnectionCloseIsTheLastOnItsConnection() throws Exception {
+    void aLongResponseWithConnectionCloseIsTheLastOnItsConnection() throws Exception {
         byte[] answer = bytes(3_000_000);
         AtomicInteger connections = new AtomicInteger();
         try (Peer up = new Peer((request, socket) -> {
@@ -429,7 +429,7 @@
     }
 
     @Test
-    void oneThatNeverEndsIsCutAtTheLongestBody() throws Exception {
+    void anEndlessResponseIsTruncatedAtTheLargestBody() throws Exception {
         BodyLimits small = new BodyLimits(true, 64 * 1024, 8L * MB, 1_000, 1_000_000, 30_000_000, 5_000_000, MB, 0);
         try (Peer up = new Peer((request, socket) -> {
                     Peer.write(socket, UNTIL_THE_END);
--- a/src/test/java/sedgeyoke/proxy/BodyPropertiesTest.java
+++ b/src/test/java/sedgeyoke/proxy/BodyPropertiesTest.java
@@ -64,14 +64,14 @@
 
     /** A client that obeys, as far as one read goes, and an attempt that pauses, asks, or goes away, by a script. */
     @Property(seed = "20261201", tries = 2_000)
-    void aBodyGoesThroughWholeOrNeverEnds(
+    void aBodyIsForwardedCompletelyOrNeverEnds(
             @ForAll @Size(min = 1, max = 60) List<@IntRange(min = 1, max = 12_000) Integer> parts, @ForAll long seed) {
         Exchange exchange = new Exchange(parts, new Random(seed));
         for (int step = 0; step < 4_000 && !exchange.over && !exchange.sink.ended; step++) {
             exchange.step();
-            assertTrue(exchange.body.held() <= CEILING, "held " + exchange.body.held());
+            assertTrue(exchange.body.bufferedBytes() <= CEILING, "held " + exchange.body.bufferedBytes());
         }
-        exchange.assertWholeOrCut();
+        exchange.assertCompleteOrAborted();
     }
 
     /** One body on its way, and what its two sides do to it. */
@@ -139,7 +139,7 @@
             }
         }
 
-        void assertWholeOrCut() {
+        void assertCompleteOrAborted() {
             byte[] got = sink.got.toByteArray();
             if (!body.streams() && body.ended()) {
                 assertArrayEquals(all, body.bytes());
@@ -212,7 +212,7 @@
 
     /** A client that goes in the middle: the node never has the last byte, and so never answers. */
     @Property(seed = "20261201", tries = 60, shrinking = ShrinkingMode.OFF)
-    void anUploadThatEndsEarlyNeverArrives(
+    void anIncompleteUploadNeverArrives(
             @ForAll @IntRange(min = 2, max = LONGEST) int up,
             @ForAll boolean chunked,
             @ForAll @IntRange(min = 1, max = 99) int percent,
@@ -229,7 +229,7 @@
 
     /** A node that goes in the middle: the client gets a final answer, or can see that what it has is not whole. */
     @Property(seed = "20261201", tries = 60, shrinking = ShrinkingMode.OFF)
-    void anAnswerThatEndsEarlyIsNeverTakenForWhole(
+    void anIncompleteResponseIsNeverTakenForComplete(
             @ForAll @IntRange(min = 2, max = LONGEST) int down,
             @ForAll boolean chunked,
             @ForAll @IntRange(min = 1, max = 99) int percent,
--- a/src/test/java/sedgeyoke/proxy/CordonStoreTest.java
+++ b/src/test/java/sedgeyoke/proxy/CordonStoreTest.java
@@ -30,7 +30,7 @@
     }
 
     @Test
-    void theNextProcessKnowsWhatTheOneBeforeWasTold() throws Exception {
+    void theNextProcessReadsTheCordonsOfTheOneBefore() throws Exception {
         CordonStore before = new CordonStore(file);
         assertFalse(before.refresh());
         assertTrue(before.set("s-1", true, 7));
@@ -46,7 +46,7 @@
     }
 
     @Test
-    void oneCallBackIsEnoughAndOneTooManyDoesNoHarm() throws Exception {
+    void cordoningAndUncordoningAreIdempotent() throws Exception {
         CordonStore cordons = new CordonStore(file);
         cordons.set("s", true, 1);
         cordons.set("s", true, 2);
@@ -56,7 +56,7 @@
     }
 
     @Test
-    void whatIsKeptIsBounded() throws Exception {
+    void theNumberOfCordonsIsBounded() throws Exception {
         CordonStore cordons = new CordonStore(null);
         for (int i = 0; i < CordonStore.MAX_CORDONS; i++) {
             assertTrue(cordons.set("s-" + i, true, i));
@@ -78,7 +78,7 @@
                 "sedgeyoke cordons 1\n5\nend\n",
                 "sedgeyoke cordons 1\nend\n5 s"
             })
-    void aFileThatIsNoGoodChangesNothingAndIsToldOfOnce(String content) throws Exception {
+    void anInvalidFileChangesNothingAndIsReportedOnce(String content) throws Exception {
         CordonStore cordons = new CordonStore(file);
         cordons.set("s", true, 1);
         Files.writeString(file, content);
@@ -89,14 +89,14 @@
     }
 
     @Test
-    void aFolderThatIsGoneIsAnErrorAndNoYes() {
+    void aMissingFolderIsAnError() {
         CordonStore cordons = new CordonStore(folder.resolve("nonesuch").resolve("cordons"));
         assertThrows(IOException.class, () -> cordons.set("s", true, 1));
     }
 
-    /** Nothing is lost where both are told at the same time. Two JVMs: within one, its locks on a file are one. */
+    /** Nothing is lost if both write at the same time. Two JVMs, because file locks are held by the whole JVM. */
     @Test
-    void twoWritersAtOnceKeepEachOthersWord() throws Exception {
+    void concurrentWritersKeepEachOthersCordons() throws Exception {
         Process[] writers = new Process[2];
         for (int w = 0; w < writers.length; w++) {
             writers[w] = new ProcessBuilder(
--- a/src/test/java/sedgeyoke/proxy/CrossingsTest.java
+++ b/src/test/java/sedgeyoke/proxy/CrossingsTest.java
@@ -19,7 +19,7 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 
 /**
- * What happens where two things meet in the same milliseconds (docs/design/crossings.md). Each meeting is held by the
+ * What happens where two things meet in the same milliseconds (docs/design/crossings.md). Each meeting is set by the
  * test: a peer that waits for a word, or a loop that stands still until the other side has done its part.
  */
 class CrossingsTest {
@@ -113,7 +113,7 @@
     /** A second answer to the first request comes while the next one would be on that connection, were it used. */
     @Test
     void aSecondAnswerSomeMillisecondsLateMeetsNoRequest() throws Exception {
-        for (int tries = 0; tries < 20 && !secondAnswer(); tries++) {
+        for (int attempts = 0; attempts < 20 && !secondAnswer(); attempts++) {
             continue; // the next request went out later than some milliseconds
         }
     }
@@ -132,13 +132,13 @@
                     }
                 });
                 Loopback lb = start(Loopback.setup().upstream("u", up.address()))) {
-            AtomicInteger held = new AtomicInteger();
-            module.onRequest = (m, r) -> held.incrementAndGet();
+            AtomicInteger queued = new AtomicInteger();
+            module.onRequest = (m, r) -> queued.incrementAndGet();
             Socket next = lb.connect();
             Peer.write(next, Loopback.request("id-2", "order", 5_000));
             Socket first = lb.connect();
             Peer.write(first, Loopback.request("id-1", "order", 5_000));
-            Loopback.await("both are held", () -> held.get() == 2);
+            Loopback.await("both are queued", () -> queued.get() == 2);
             long[] took = new long[1];
             module.onEnd = (m, end) -> {
                 if (end.request().equals("id-1")) {
@@ -174,7 +174,7 @@
 
     /** The last byte of a request that has begun to come may be on its way: its connection is ended by an answer. */
     @Test
-    void aRequestThatIsHalfHereAtTheEndIsAnswered() throws Exception {
+    void aRequestThatIsIncompleteAtShutdownIsAnswered() throws Exception {
         try (Loopback lb = start(ending())) {
             List<Socket> sockets = new ArrayList<>();
             for (int i = 0; i < 20; i++) {
@@ -191,9 +191,9 @@
         }
     }
 
-    /** The loop stands still over the last moment for requests; they come meanwhile on connections that are kept. */
+    /** The loop stands still over the last moment for requests; they come meanwhile on idle connections. */
     @Test
-    void requestsThatComeJustAsConnectionsAreClosedAreAnswered() throws Exception {
+    void requestsThatArriveAsIdleConnectionsAreClosedAreAnswered() throws Exception {
         try (Loopback lb = start(ending())) {
             module.onRequest = (m, r) -> m.actions.reject(r.id(), 0);
             List<Socket> sockets = new ArrayList<>();
@@ -201,18 +201,18 @@
                 Socket socket = lb.connect();
                 assertEquals(
                         503,
-                        Loopback.ask(socket, Loopback.request("kept-" + i, "order", 5_000))
+                        Loopback.ask(socket, Loopback.request("idle-" + i, "order", 5_000))
                                 .status());
                 sockets.add(socket);
             }
             CountDownLatch stands = new CountDownLatch(1);
             CountDownLatch go = new CountDownLatch(1);
-            long told = end(lb);
+            long shutdownStartedAt = end(lb);
             lb.loop.schedule(
                     () -> {
                         stands.countDown();
                         go.await();
-                        standUntil(told + 700 * MS);
+                        standUntil(shutdownStartedAt + 700 * MS);
                         return null;
                     },
                     590,
@@ -230,18 +230,18 @@
 
     /** More new connections than one pass accepts, in the moment in which the listener is to be closed. */
     @Test
-    void connectionsThatTheKernelHoldsWhenListeningEndsAreServed() throws Exception {
+    void connectionsInTheBacklogAreServedBeforeTheListenerCloses() throws Exception {
         try (Loopback lb = start(ending())) {
             module.onRequest = (m, r) -> m.actions.reject(r.id(), 0);
             Loopback.await("ready", () -> lb.health() == 200);
             CountDownLatch stands = new CountDownLatch(1);
             CountDownLatch go = new CountDownLatch(1);
-            long told = end(lb);
+            long shutdownStartedAt = end(lb);
             lb.loop.schedule(
                     () -> {
                         stands.countDown();
                         go.await();
-                        standUntil(told + 580 * MS);
+                        standUntil(shutdownStartedAt + 580 * MS);
                         return null;
                     },
                     500,
@@ -263,12 +263,12 @@
     }
 
     /**
-     * A client that was told of the end sends on, in the moment in which its connection is closed for good: closed over
-     * bytes that nobody has read it is reset, and what the system still holds of its answer is thrown away.
+     * A client sends more in the moment in which its connection is closed after its last response: with unread bytes the
+     * connection is reset, and what the system still buffers of the response is lost.
      */
     @Test
-    void anAnswerOnItsWayIsWholeThoughItsClientSendsOn() throws Exception {
-        for (int tries = 0; tries < 20 && !sendsOn(); tries++) {
+    void aResponseBeingWrittenIsCompleteThoughItsClientSendsMore() throws Exception {
+        for (int attempts = 0; attempts < 20 && !sendsOn(); attempts++) {
             continue; // the machine let more time pass than the connection is left alone for
         }
     }
@@ -279,7 +279,7 @@
         try (Peer up = Peer.serving(large);
                 Loopback lb = start(ending().upstream("u", up.address()))) {
             Socket client = new Socket();
-            client.setReceiveBufferSize(4_096); // so that most of the answer is held back by the system
+            client.setReceiveBufferSize(4_096); // so that most of the answer is buffered by the system
             client.connect(lb.address);
             client.setSoTimeout(10_000);
             Peer.write(client, Loopback.request("id-1", "order", 5_000));
@@ -289,7 +289,7 @@
             long[] answered = new long[1];
             long[] closing = new long[1];
             module.onEnd = (m, end) -> answered[0] = System.nanoTime();
-            long told = end(lb);
+            long shutdownStartedAt = end(lb);
             // Before the last moment for answers, at 0.75 s, it is answered; just behind that, the loop stands for as
             // long as the next look takes to be due, and what is due behind it has come before the look.
             lb.loop.schedule(() -> module.actions.send("id-1", "u", 0), 700, TimeUnit.MILLISECONDS);
@@ -311,7 +311,7 @@
             stands.await();
             Peer.write(client, Loopback.request("id-2", "order", 5_000));
             sent.countDown();
-            if (answered[0] == 0 || closing[0] - answered[0] > 80 * MS || closing[0] - told > 800 * MS) {
+            if (answered[0] == 0 || closing[0] - answered[0] > 80 * MS || closing[0] - shutdownStartedAt > 800 * MS) {
                 return false;
             }
             assertEquals(large, Loopback.answer(client).body());
@@ -319,15 +319,15 @@
         }
     }
 
-    /** What a client sent ahead is next in turn: its connection does not rest, however late the loop comes to it. */
+    /** A connection with a pipelined request is not idle, however late the loop processes it. */
     @Test
-    void aRequestThatIsNextInTurnIsNotEndedAsIdle() throws Exception {
+    void aConnectionWithAPipelinedRequestIsNotClosedAsIdle() throws Exception {
         try (Loopback lb = start(Loopback.setup())) {
-            Set<String> held = ConcurrentHashMap.newKeySet();
-            module.onRequest = (m, r) -> held.add(r.id());
+            Set<String> queued = ConcurrentHashMap.newKeySet();
+            module.onRequest = (m, r) -> queued.add(r.id());
             Socket client = lb.connect();
             Peer.write(client, Loopback.request("id-1", "order", 20_000) + Loopback.request("id-2", "order", 20_000));
-            Loopback.await("held", () -> held.contains("id-1"));
+            Loopback.await("queued", () -> queued.contains("id-1"));
             module.onRequest = (m, r) -> m.actions.reject(r.id(), 0);
             lb.loop
                     .submit(() -> {
@@ -373,7 +373,7 @@
             Loopback.await("the watch", () -> lb.discovery.requests.size() == 2);
             long silentSince = System.nanoTime();
             Loopback.await("the drain", () -> module.lists.stream().anyMatch(l -> l.contains("DRAINING")));
-            assertTrue(System.nanoTime() - silentSince < 6_000 * MS, "what it misses counts as told after 6 s");
+            assertTrue(System.nanoTime() - silentSince < 6_000 * MS, "what it misses counts as announced after 6 s");
             assertTrue(lb.discovery.requests.get(1).line().contains("hold_ms=2000"));
             assertTrue(lb.discovery.requests.get(2).line().contains("hold_ms=0"), "does it answer at all?");
             assertTrue(lb.discovery.requests.get(3).line().contains("hold_ms=0"));
--- a/src/test/java/sedgeyoke/proxy/HandOverTest.java
+++ b/src/test/java/sedgeyoke/proxy/HandOverTest.java
@@ -23,7 +23,7 @@
 
     private Loopback start(ServerSocketChannel listener, Peer up, Peer discovery) throws Exception {
         return Loopback.setup()
-                .door(folder)
+                .adminEndpoint(folder)
                 .inherited(listener)
                 .discovery(discovery)
                 .upstream("u", up.address())
@@ -60,7 +60,7 @@
                 for (int i = 0; i < 50; i++) {
                     assertEquals(200, next.ask("new-" + i, "order", 5_000).status());
                 }
-                assertEquals(50, next.figure("served.order"), "each of them went to the new one");
+                assertEquals(50, next.metric("served.order"), "each of them went to the new one");
                 Peer.Message last = Loopback.ask(kept, Loopback.request("second", "order", 5_000));
                 assertEquals(200, last.status());
                 assertEquals("close", last.headers().get("connection"), "it is told to go where the new one is");
@@ -94,7 +94,7 @@
                 Loopback old = start(listener, up, discovery(up))) {
             Loopback.await("ready", () -> old.health() == 200);
             try (Loopback next = Loopback.setup()
-                    .door(folder)
+                    .adminEndpoint(folder)
                     .inherited(listener)
                     .discovery(silent)
                     .start()) {
@@ -102,7 +102,7 @@
                     assertEquals(200, old.ask("n-" + i, "order", 5_000).status());
                 }
                 assertEquals(503, next.call("GET", "/admin/health", "").status());
-                assertEquals(30, old.figure("served.order"));
+                assertEquals(30, old.metric("served.order"));
             }
         }
     }
--- a/src/test/java/sedgeyoke/proxy/LeavingClientsTest.java
+++ b/src/test/java/sedgeyoke/proxy/LeavingClientsTest.java
@@ -22,8 +22,8 @@
 
 /**
  * Clients that leave while their requests wait, in each place where one may wait: whatever the module decides after
- * that, nothing of it reaches an upstream. Where the crossing lies is held by the test: the module sends only once it
- * knows that the clients have gone, or the loop stands still while they go.
+ * that, nothing of it reaches an upstream. Where the crossing lies is set by the test: the module sends only once it
+ * knows that the clients have left, or the loop is blocked while they leave.
  */
 class LeavingClientsTest {
     private static final int CLIENTS = 210;
@@ -109,31 +109,31 @@
 
     @ParameterizedTest
     @EnumSource(Leaving.class)
-    void whileTheModuleHoldsTheirs(Leaving how) throws Exception {
+    void whileTheRequestIsQueued(Leaving how) throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = start(up)) {
-            Set<String> held = java.util.concurrent.ConcurrentHashMap.newKeySet();
-            module.onRequest = (m, r) -> held.add(r.id());
+            Set<String> queued = java.util.concurrent.ConcurrentHashMap.newKeySet();
+            module.onRequest = (m, r) -> queued.add(r.id());
             List<Socket> sockets = clients(lb, how);
-            Loopback.await("all are held", () -> held.equals(ids(how)));
+            Loopback.await("all are queued", () -> queued.equals(ids(how)));
             leave(sockets, how);
             Loopback.await("all have gone", () -> new HashSet<>(module.gone).equals(ids(how)));
             lb.loop
-                    .submit(() -> held.forEach(id -> module.actions.send(id, "u", 0)))
+                    .submit(() -> queued.forEach(id -> module.actions.send(id, "u", 0)))
                     .sync();
             assertOnlyTheLastIsSent(lb, up);
             if (how == Leaving.HALF) {
-                assertNull(Loopback.answer(sockets.get(0)), "it is told that nothing comes");
+                assertNull(Loopback.answer(sockets.get(0)), "the connection ends without a response");
             }
         }
     }
 
-    /** The first attempt of each is turned away unseen, and the module waits before it tries again. */
+    /** The first attempt of each is rejected, and the policy waits before it retries. */
     @ParameterizedTest
     @EnumSource(
             value = Leaving.class,
             names = {"FIN", "RST", "FIN_BEHIND_ANOTHER"})
-    void whileARepeatWaits(Leaving how) throws Exception {
+    void whileARetryWaits(Leaving how) throws Exception {
         try (Peer full = new Peer((request, socket) -> Peer.reply(socket, 503, "", "X-Rejected: 1"));
                 Peer up = Peer.serving("x");
                 Loopback lb =
@@ -155,16 +155,16 @@
     @EnumSource(
             value = Leaving.class,
             names = {"FIN", "RST", "FIN_BEHIND_ANOTHER"})
-    void whileTheirConnectionsComeUp(Leaving how) throws Exception {
+    void whileTheUpstreamConnectionIsEstablished(Leaving how) throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = start(up)) {
-            Set<String> held = java.util.concurrent.ConcurrentHashMap.newKeySet();
-            module.onRequest = (m, r) -> held.add(r.id());
+            Set<String> queued = java.util.concurrent.ConcurrentHashMap.newKeySet();
+            module.onRequest = (m, r) -> queued.add(r.id());
             List<Socket> sockets = clients(lb, how);
-            Loopback.await("all are held", () -> held.equals(ids(how)));
+            Loopback.await("all are queued", () -> queued.equals(ids(how)));
             standStill(
                     lb,
-                    () -> held.forEach(id -> module.actions.send(id, "u", 0)),
+                    () -> queued.forEach(id -> module.actions.send(id, "u", 0)),
                     () -> leave(sockets, how),
                     LeavingClientsTest::late);
             Loopback.await("all have gone", () -> new HashSet<>(module.gone).equals(ids(how)));
@@ -177,7 +177,7 @@
     @EnumSource(
             value = Leaving.class,
             names = {"FIN", "RST", "FIN_BEHIND_ANOTHER", "FIN_BEHIND_A_PART"})
-    void inTheSameReadAsTheirRequest(Leaving how) throws Exception {
+    void inTheSameReadAsTheRequest(Leaving how) throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = start(up)) {
             module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
@@ -192,16 +192,16 @@
     @EnumSource(
             value = Leaving.class,
             names = {"FIN", "RST", "FIN_BEHIND_ANOTHER"})
-    void whileTheLoopIsHeldUp(Leaving how) throws Exception {
+    void whileTheLoopIsBlocked(Leaving how) throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = start(up)) {
-            Set<String> held = java.util.concurrent.ConcurrentHashMap.newKeySet();
-            module.onRequest = (m, r) -> held.add(r.id());
+            Set<String> queued = java.util.concurrent.ConcurrentHashMap.newKeySet();
+            module.onRequest = (m, r) -> queued.add(r.id());
             List<Socket> sockets = clients(lb, how);
-            Loopback.await("all are held", () -> held.equals(ids(how)));
+            Loopback.await("all are queued", () -> queued.equals(ids(how)));
             standStill(lb, () -> {}, () -> leave(sockets, how), () -> {
                 late();
-                held.forEach(id -> module.actions.send(id, "u", 0));
+                queued.forEach(id -> module.actions.send(id, "u", 0));
             });
             Loopback.await("all have gone", () -> new HashSet<>(module.gone).equals(ids(how)));
             assertOnlyTheLastIsSent(lb, up);
@@ -216,15 +216,15 @@
     @EnumSource(
             value = Leaving.class,
             names = {"FIN", "RST"})
-    void whileALongBodyWaits(Leaving how) throws Exception {
+    void whileALongBodyIsBuffered(Leaving how) throws Exception {
         BodyLimits limits =
                 new BodyLimits(true, 64 * 1024, 64L << 20, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40, 0);
         String body = "w".repeat(100_000);
         try (Peer up = Peer.serving("x");
                 Loopback lb = start(Loopback.setup().upstream("u", up.address()).bodies(limits))) {
             module.streams = true;
-            Set<String> held = java.util.concurrent.ConcurrentHashMap.newKeySet();
-            module.onRequest = (m, r) -> held.add(r.id());
+            Set<String> queued = java.util.concurrent.ConcurrentHashMap.newKeySet();
+            module.onRequest = (m, r) -> queued.add(r.id());
             List<Socket> sockets = new ArrayList<>();
             for (int i = 0; i < CLIENTS; i++) {
                 Socket socket = lb.connect();
@@ -234,10 +234,10 @@
                                 .replace("Content-Length: 4\r\n\r\nwork", "Content-Length: 100000\r\n\r\n" + body));
                 sockets.add(socket);
             }
-            Loopback.await("all are held", () -> held.equals(ids(how)));
+            Loopback.await("all are queued", () -> queued.equals(ids(how)));
             leave(sockets, how);
             int sent = 0;
-            for (String id : held) { // one by one: a burst of new connections is not what this is about
+            for (String id : queued) { // one by one: a burst of new connections is not what this is about
                 int gone = ++sent;
                 lb.loop.submit(() -> module.actions.send(id, "u", 0)).sync();
                 Loopback.await("it has gone", () -> module.gone.size() >= gone);
@@ -250,15 +250,15 @@
 
     /** Behind too much, what came whole before it is answered, and then the connection ends in order. */
     @Test
-    void whoStaysAndSendsFarTooMuchIsAnsweredAndEnded() throws Exception {
+    void aClientThatPipelinesTooMuchIsAnsweredAndItsConnectionEnds() throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = start(up)) {
-            Set<String> held = java.util.concurrent.ConcurrentHashMap.newKeySet();
-            module.onRequest = (m, r) -> held.add(r.id());
+            Set<String> queued = java.util.concurrent.ConcurrentHashMap.newKeySet();
+            module.onRequest = (m, r) -> queued.add(r.id());
             Socket socket = lb.connect();
             Peer.write(socket, Loopback.request("first", "order", 20_000));
             Peer.write(socket, Loopback.request("second", "order", 20_000));
-            Loopback.await("held", () -> held.contains("first"));
+            Loopback.await("queued", () -> queued.contains("first"));
             byte[] noise = new byte[FAR_TOO_MUCH];
             Peer.write(
                     socket,
--- a/src/test/java/sedgeyoke/proxy/Loopback.java
+++ b/src/test/java/sedgeyoke/proxy/Loopback.java
@@ -47,12 +47,12 @@
     final ProxyCore node;
     final EventLoop loop;
     final InetSocketAddress address;
-    /** Where operators knock; null without such a door. */
-    final InetSocketAddress door;
+    /** The address of the admin endpoint; null without one. */
+    final InetSocketAddress adminAddress;
 
     private final List<Socket> clients = new ArrayList<>();
 
-    /** What a test may vary. */
+    /** What a test may configure. */
     static final class Setup {
         String settings = SETTINGS;
         int sockets = 1024;
@@ -83,8 +83,8 @@
             return this;
         }
 
-        /** Operators have a door; what is out by hand is kept in that folder. */
-        Setup door(Path shared) {
+        /** With an admin endpoint, and cordons stored in that folder. */
+        Setup adminEndpoint(Path shared) {
             folder = shared;
             return this;
         }
@@ -162,7 +162,7 @@
         ChannelFuture bound = server.bind().sync();
         address = (InetSocketAddress) bound.channel().localAddress();
         ChannelFuture opened = server.bindAdminEndpoint();
-        door = opened == null
+        adminAddress = opened == null
                 ? null
                 : (InetSocketAddress) opened.sync().channel().localAddress();
     }
@@ -198,9 +198,9 @@
         return Peer.read(in);
     }
 
-    /** A call of an operator's, on a connection of its own. */
+    /** Calls the admin endpoint on a new connection. */
     Peer.Message call(String method, String path, String body) throws IOException {
-        try (Socket socket = new Socket(door.getAddress(), door.getPort())) {
+        try (Socket socket = new Socket(adminAddress.getAddress(), adminAddress.getPort())) {
             socket.setSoTimeout((int) PATIENCE_MS);
             return ask(
                     socket,
@@ -209,8 +209,8 @@
         }
     }
 
-    /** A figure that operators are told; -1 if there is none of that name. */
-    long figure(String name) {
+    /** A metric of the admin endpoint; -1 if there is none of that name. */
+    long metric(String name) {
         try {
             return call("GET", "/admin/stats", "")
                     .body()
@@ -234,7 +234,7 @@
         }
     }
 
-    /** What long bodies hold; asked on the loop. */
+    /** A value of the body budget, read on the event loop. */
     long budget(ToLongFunction<BodyBudget> question) {
         return loop.submit(() -> question.applyAsLong(node.budget()))
                 .syncUninterruptibly()
@@ -242,10 +242,10 @@
     }
 
     /** Waits until something that only grows has come beyond {@code least} and has stood still for a while. */
-    static void awaitStill(long least, LongSupplier figure) throws InterruptedException {
+    static void awaitStill(long least, LongSupplier value) throws InterruptedException {
         long[] last = {0, System.nanoTime()};
         await("it stands still", () -> {
-            long now = figure.getAsLong();
+            long now = value.getAsLong();
             if (now != last[0]) {
                 last[0] = now;
                 last[1] = System.nanoTime();
--- a/src/test/java/sedgeyoke/proxy/OtherClientsTest.java
+++ b/src/test/java/sedgeyoke/proxy/OtherClientsTest.java
@@ -58,7 +58,7 @@
         "HTTP_1_1, 3000000, true, true",
         "HTTP_1_1, 3000000, false, true"
     })
-    void whatItSendsAndReadsIsWhole(HttpClient.Version version, int length, boolean declared, boolean expects)
+    void requestAndResponseAreComplete(HttpClient.Version version, int length, boolean declared, boolean expects)
             throws Exception {
         byte[] sent = bytes(length);
         byte[] wanted = new byte[2 * length];
@@ -88,7 +88,7 @@
     }
 
     @Test
-    void manyAtOnceGetEachItsOwn() throws Exception {
+    void concurrentClientsGetTheirOwnResponses() throws Exception {
         try (Peer up = echo();
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
--- a/src/test/java/sedgeyoke/proxy/RudeClientsTest.java
+++ b/src/test/java/sedgeyoke/proxy/RudeClientsTest.java
@@ -45,7 +45,7 @@
         "Content-Length: 4, 'Content-Length: 4\r\nExpect: 200-ok', 417",
         "POST /api, POST /else, 404"
     })
-    void whatCannotBeServedIsTurnedDownAndItsConnectionEnded(String from, String to, int status) throws Exception {
+    void anInvalidRequestIsRejectedAndItsConnectionEnds(String from, String to, int status) throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = serving(up)) {
             Socket client = lb.connect();
@@ -62,7 +62,7 @@
     }
 
     @Test
-    void aHeadWithoutEndIsTurnedDown() throws Exception {
+    void anEndlessHeadIsRejected() throws Exception {
         try (Loopback lb = Loopback.setup().start()) {
             Socket client = lb.connect();
             Peer.write(client, "GET /api HTTP/1.1\r\nX-Long: " + "x".repeat(100_000));
@@ -72,7 +72,7 @@
 
     /** Closing over what has not been read would reset the connection, and the answer be lost with it. */
     @Test
-    void whoSendsFarTooMuchStillReadsTheAnswer() throws Exception {
+    void aClientThatSendsTooMuchCanReadTheResponse() throws Exception {
         try (Loopback lb = Loopback.setup().start()) {
             Socket client = lb.connect();
             Peer.write(
@@ -90,7 +90,7 @@
 
     @ParameterizedTest
     @ValueSource(strings = {"", "GET /api HTTP/1.1\r\nHo", "POST /_health HTTP/1.1\r\nContent-Length: 100\r\n\r\nhalf"})
-    void whoSaysNothingOrHalfOfSomethingIsLetGo(String half) throws Exception {
+    void silentClientsAndIncompleteRequestsTimeOut(String half) throws Exception {
         try (Loopback lb = Loopback.setup().start()) {
             Socket client = lb.connect();
             Peer.write(client, half);
@@ -102,7 +102,7 @@
 
     /** Nothing is taken on behalf of a client that does not read what it has asked for; and it does not stay. */
     @Test
-    void answersDoNotPileUpForWhoDoesNotRead() throws Exception {
+    void responsesDoNotAccumulateForClientsThatDoNotRead() throws Exception {
         String body = "x".repeat(64 * 1024);
         try (Peer up = Peer.serving(body);
                 Loopback lb = serving(up)) {
@@ -127,7 +127,7 @@
     }
 
     @Test
-    void hundredsOfSilentClientsDoNotKeepOutTheOthers() throws Exception {
+    void hundredsOfSilentClientsDoNotBlockOthers() throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
@@ -148,7 +148,7 @@
 
     /** Clients may hold a third of the sockets: what idles there takes the place of their next requests. */
     @Test
-    void connectionsThatAreKeptForNothingMakeWayForRequests() throws Exception {
+    void idleConnectionsAreClosedSoonerWhereSocketsAreScarce() throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
@@ -164,15 +164,15 @@
                 assertEquals(200, lb.ask("id-" + i, "order", 60_000).status());
             }
             assertEquals(-1, first.getInputStream().read());
-            long kept = (System.nanoTime() - answered) / 1_000_000;
-            assertTrue(kept < 1_900, "sooner than where there is room: " + kept + " ms");
+            long idleMillis = (System.nanoTime() - answered) / 1_000_000;
+            assertTrue(idleMillis < 1_900, "sooner than where there is room: " + idleMillis + " ms");
         }
     }
 
     /** Half a head is refused when its client goes; each of them once counted as a request that is never answered. */
-    /** Desks that ask once and keep their connection: told with the answer that it ends, they cannot take all. */
+    /** Clients that send one request and keep the connection cannot use up all: their responses end the connections. */
     @Test
-    void whereHalfOfTheClientsSocketsAreTakenEachAnswerEndsItsConnection() throws Exception {
+    void withHalfOfTheClientSocketsInUseEachResponseEndsItsConnection() throws Exception {
         int sockets = 200;
         int usual = 30; // below 0.17 of these
         try (Peer up = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
@@ -180,22 +180,24 @@
                         .upstream("u", up.address())
                         .sockets(sockets)
                         .start()) {
-            int kept = 0;
+            int keptAlive = 0;
             long start = System.nanoTime();
             for (int i = 0; i < 2 * sockets; i++) { // far more than clients may hold at once
                 Peer.Message answer = lb.ask("id-" + i, "order", 5_000);
                 assertEquals(200, answer.status());
                 boolean keeps = !"close".equals(answer.headers().get("connection"));
-                assertTrue(keeps || i >= usual, "the first ones are kept: " + i);
-                kept += keeps ? 1 : 0;
+                assertTrue(keeps || i >= usual, "the first ones are kept alive: " + i);
+                keptAlive += keeps ? 1 : 0;
             }
             long rounds = 1 + (System.nanoTime() - start) / 500_000_000L; // idle ones make way for as many after 0.5 s
-            assertTrue(kept >= usual && kept < rounds * sockets / 4, "kept: " + kept + " in " + rounds + " rounds");
+            assertTrue(
+                    keptAlive >= usual && keptAlive < rounds * sockets / 4,
+                    "kept alive: " + keptAlive + " in " + rounds + " rounds");
         }
     }
 
     @Test
-    void clientsThatLeaveInTheMiddleOfAHeadAreNotCountedForEver() throws Exception {
+    void clientsThatDisconnectWithinAHeadAreNotCountedAnyMore() throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
@@ -217,7 +219,7 @@
      * counted off already. Each of them once counted as busy for ever, until all requests were refused.
      */
     @Test
-    void answersThatCrossTheEndOfTheirClientAreNotCountedForEver() throws Exception {
+    void clientsThatDisconnectDuringTheirResponseAreNotCountedAnyMore() throws Exception {
         Semaphore answer = new Semaphore(0);
         AtomicInteger answered = new AtomicInteger();
         try (Peer up = new Peer((request, socket) -> {
--- a/src/test/java/sedgeyoke/proxy/ServingTest.java
+++ b/src/test/java/sedgeyoke/proxy/ServingTest.java
@@ -16,7 +16,7 @@
 /** From client to upstream and back, and each way in which that goes wrong. */
 class ServingTest {
     @Test
-    void aRequestGoesOnUnchangedAndItsAnswerComesBack() throws Exception {
+    void aRequestIsForwardedUnchangedAndItsResponseReturned() throws Exception {
         try (Peer up = Peer.serving("the answer", "X-Load-Report: {\"waiting\":2,\"cpu\":0.6,\"avg_ms\":9}");
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             Peer.Message answer = lb.ask("id-1", "update", 900);
@@ -33,7 +33,7 @@
     }
 
     @Test
-    void connectionsOnBothSidesAreUsedAgain() throws Exception {
+    void connectionsOnBothSidesAreReused() throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             Socket client = lb.connect();
@@ -49,7 +49,7 @@
     }
 
     @Test
-    void pipelinedRequestsAreAnsweredInTheirOrder() throws Exception {
+    void pipelinedRequestsAreAnsweredInOrder() throws Exception {
         try (Peer up = new Peer((request, socket) ->
                         Peer.reply(socket, 200, request.headers().get("x-call-id")));
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
@@ -74,7 +74,7 @@
         "POST /api, DELETE /api",
         "HTTP/1.1, HTTQ/9"
     })
-    void aMalformedRequestIsTurnedDownHere(String from, String to) throws Exception {
+    void aMalformedRequestIsRejectedWithoutAnAttempt(String from, String to) throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             Peer.Message answer = Loopback.ask(
@@ -96,7 +96,7 @@
     }
 
     @Test
-    void healthTellsWhenDiscoveryHasAnswered() throws Exception {
+    void healthSucceedsOnceDiscoveryHasAnswered() throws Exception {
         try (Loopback lb = Loopback.setup().start()) {
             Loopback.await("ready", () -> lb.health() == 200);
         }
@@ -114,7 +114,7 @@
                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhalf",
                 "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n"
             })
-    void anUnsafeRequestThatMayHaveRunFailsAndIsNotRepeated(String answer) throws Exception {
+    void aNonIdempotentRequestThatMayHaveRunFailsAndIsNotRetried(String answer) throws Exception {
         Peer.Script script = (request, socket) -> {
             Peer.write(socket, answer);
             socket.close();
@@ -132,7 +132,7 @@
 
     /** More than bodies may have by the protocol: still the answer to this request, and in order. */
     @Test
-    void aLongAnswerComesBackWhole() throws Exception {
+    void aLongResponseIsReturnedCompletely() throws Exception {
         String body = "0123456789".repeat(40_000);
         try (Peer up = Peer.serving(body);
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
@@ -141,7 +141,7 @@
     }
 
     @Test
-    void anOverlongAnswerFailsAndItsConnectionIsDropped() throws Exception {
+    void anOversizedResponseFailsAndItsConnectionIsClosed() throws Exception {
         try (Peer up = Peer.serving("x".repeat(UpstreamConnectionPool.MAX_RESPONSE_BYTES + 1));
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             assertEquals(502, lb.ask("id-1", "order", 2000).status());
@@ -150,7 +150,7 @@
     }
 
     @Test
-    void whatWasRejectedUnseenGoesElsewhere() throws Exception {
+    void aRejectedAttemptIsRetriedAtAnotherUpstream() throws Exception {
         try (Peer full = new Peer((request, socket) -> Peer.reply(socket, 503, "", "X-Rejected: 1"));
                 Peer up = Peer.serving("x");
                 Loopback lb = Loopback.setup()
@@ -165,7 +165,7 @@
     }
 
     @Test
-    void whatIsRefusedAConnectionGoesElsewhere() throws Exception {
+    void aRefusedConnectionIsRetriedAtAnotherUpstream() throws Exception {
         String dead;
         try (Peer gone = Peer.serving("x")) {
             dead = gone.address();
@@ -175,7 +175,7 @@
 
     /** An upstream that never answers a SYN, as its queue of connections is full. */
     @Test
-    void whatGetsNoConnectionInTimeGoesElsewhere() throws Exception {
+    void aConnectTimeoutIsRetriedAtAnotherUpstream() throws Exception {
         try (ServerSocket silent = new ServerSocket(0, 1, java.net.InetAddress.getByName("127.0.0.1"));
                 Socket first = new Socket(silent.getInetAddress(), silent.getLocalPort());
                 Socket second = new Socket(silent.getInetAddress(), silent.getLocalPort())) {
@@ -210,7 +210,7 @@
     }
 
     @Test
-    void withNoUpstreamTheRequestIsRefusedAndToldWhenToComeBack() throws Exception {
+    void withoutUpstreamsRequestsAreRejectedWithRetryAfter() throws Exception {
         try (Loopback lb = Loopback.setup()
                 .setting("\"retry-after\":false", "\"retry-after\":true")
                 .start()) {
@@ -224,7 +224,7 @@
     }
 
     @Test
-    void aClientThatLeavesEndsItsAttempt() throws Exception {
+    void aClientThatDisconnectsCancelsItsAttempt() throws Exception {
         try (Peer up = new Peer((request, socket) -> {});
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             Socket client = lb.connect();
@@ -236,7 +236,7 @@
     }
 
     @Test
-    void idleConnectionsAreClosedBeforeTheUpstreamDoesIt() throws Exception {
+    void idleUpstreamConnectionsAreClosedBeforeTheUpstreamDoes() throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             assertEquals(200, lb.ask("id-1", "order", 2000).status());
@@ -245,7 +245,7 @@
     }
 
     @Test
-    void moreClientsThanSocketsAreRefusedAndNobodyDies() throws Exception {
+    void moreClientsThanSocketsAreRejectedWithoutAFailure() throws Exception {
         try (Peer up = new Peer((request, socket) -> {});
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
@@ -271,7 +271,7 @@
     }
 
     @Test
-    void idleClientsMakeRoomForNewOnes() throws Exception {
+    void idleClientConnectionsAreClosedForNewOnes() throws Exception {
         try (Peer up = Peer.serving("x");
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
--- a/src/test/java/sedgeyoke/proxy/StoredCordonsTest.java
+++ b/src/test/java/sedgeyoke/proxy/StoredCordonsTest.java
@@ -54,12 +54,12 @@
                 Peer second = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
                 Peer third = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
                 Loopback balancer = Loopback.setup()
-                        .door(folder)
+                        .adminEndpoint(folder)
                         .upstream("u0", first.address())
                         .upstream("u1", second.address())
                         .upstream("u2", third.address())
                         .start()) {
-            assertEquals(2, balancer.figure("upstreams_excluded"));
+            assertEquals(2, balancer.metric("upstreams_excluded"));
         }
     }
 }
