--- a/src/main/java/sedgeyoke/proxy/ClientConnection.java
+++ b/src/main/java/sedgeyoke/proxy/ClientConnection.java
@@ -401,7 +401,7 @@
 
     private void abortStreamedRequest(Exchange aborted, RequestBody body) {
         if (aborted != null) {
-            core.cutShort(aborted);
+            core.requestBodyAborted(aborted);
         }
         body.abort();
     }
@@ -479,7 +479,7 @@
         if (incomplete != null) {
             abortStreamedRequest(incomplete.streams() ? abandoned : null, incomplete);
         } else if (abandoned != null) {
-            core.clientGone(abandoned);
+            core.clientDisconnected(abandoned);
         }
         responses.cancelStream();
     }
--- a/src/main/java/sedgeyoke/proxy/ResponseWriter.java
+++ b/src/main/java/sedgeyoke/proxy/ResponseWriter.java
@@ -111,8 +111,8 @@
     /** Rejects a request for lack of room, which the policy is not asked about; the connection ends with it. */
     void rejectedForLackOfRoom(int classIndex) {
         keepAlive = false;
-        core.rejectedWithoutExchange(classIndex);
-        refused(core.advice(0));
+        core.countRejected(classIndex);
+        refused(core.retryAfter(0));
     }
 
     /** Responds to a request that would otherwise get no response, because handling it threw. */
@@ -120,7 +120,7 @@
         core.log().line("request not handled: " + cause);
         keepAlive = false;
         if (exchange != null) {
-            core.giveUp(exchange);
+            core.endUnanswered(exchange);
         } else if (responseDue) {
             respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, null, NO_BODY, 0);
         } else {
@@ -176,7 +176,7 @@
                 connection.restartTimeout(); // the client reads
             }
         });
-        budget.recordBuffered(Transport.pending(channel));
+        budget.recordBuffered(Transport.pendingBytes(channel));
         return channel.isWritable();
     }
 
--- a/src/main/java/sedgeyoke/simulation/FaultInjector.java
+++ b/src/main/java/sedgeyoke/simulation/FaultInjector.java
@@ -144,16 +144,16 @@
         UpstreamModel model = upstream.model();
         switch (injection.fault.kind()) {
             case SLOW_NODE -> {
-                model.slow(injection.value());
-                injection.atEnd(() -> model.slow(1));
+                model.slowDown(injection.value());
+                injection.atEnd(() -> model.slowDown(1));
             }
             case ERRORS_FAST -> {
-                model.fail(UpstreamModel.Failing.FAST);
-                injection.atEnd(() -> model.fail(UpstreamModel.Failing.NOT));
+                model.setFailureMode(UpstreamModel.FailureMode.FAST);
+                injection.atEnd(() -> model.setFailureMode(UpstreamModel.FailureMode.NONE));
             }
             case ERRORS_SLOW -> {
-                model.fail(UpstreamModel.Failing.SLOW);
-                injection.atEnd(() -> model.fail(UpstreamModel.Failing.NOT));
+                model.setFailureMode(UpstreamModel.FailureMode.SLOW);
+                injection.atEnd(() -> model.setFailureMode(UpstreamModel.FailureMode.NONE));
             }
             default -> throw unexpectedKind(injection);
         }
--- a/src/main/java/sedgeyoke/simulation/PolicySettings.java
+++ b/src/main/java/sedgeyoke/simulation/PolicySettings.java
@@ -51,10 +51,10 @@
         List<RequestClass> classes = new ArrayList<>();
         for (RequestClassModel model : site.classes()) {
             classes.add(new RequestClass(
-                    model.aimMs() * 1_000L,
+                    model.latencyObjectiveMs() * 1_000L,
                     0,
-                    model.giveUpMs() * 1_000L,
-                    model.worth(),
+                    model.clientTimeoutMs() * 1_000L,
+                    model.priorityWeight(),
                     0,
                     effect(model),
                     model.keyed() ? Scope.ZONE : Scope.ALL,
@@ -65,7 +65,7 @@
     }
 
     private static Effect effect(RequestClassModel model) {
-        if (model.repeat().equals("free")) {
+        if (model.safe()) {
             return Effect.SAFE;
         }
         return model.keyed() ? Effect.IDEMPOTENT_WITH_KEY : Effect.UNSAFE;
@@ -91,9 +91,9 @@
                 RESPONSE_SLACK_MICROS,
                 ENDPOINT_POLL_LIMIT_MICROS,
                 rules.startCapacity(),
-                rules.coldMs() * 1_000,
+                rules.warmUpMs() * 1_000,
                 rules.drainGraceMs() * 1_000,
-                rules.fallMultiple(),
-                rules.fallMs() * 1_000);
+                rules.overloadMultiple(),
+                rules.overloadWindowMs() * 1_000);
     }
 }
--- a/src/main/java/sedgeyoke/simulation/SimulatedDiscovery.java
+++ b/src/main/java/sedgeyoke/simulation/SimulatedDiscovery.java
@@ -119,7 +119,7 @@
 
         private void recordNotification(Endpoint endpoint) {
             boolean ready = endpoint.upstream().state() == State.READY;
-            context.checker.told(forwarder.name(), endpoint.id(), ready, context.events.now());
+            context.checker.balancerNotified(forwarder.name(), endpoint.id(), ready, context.events.now());
         }
     }
 }
--- a/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
+++ b/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
@@ -9,6 +9,7 @@
 import java.io.PrintWriter;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -72,7 +73,7 @@
         /** Sets it, however often the version before is still taking effect; the version that it made. */
         long set(String request, double retries) throws InterruptedException {
             ConfigVersion from = read();
-            ConfigDocument next = from.content().with(ConfigSchema.RETRIES, retries);
+            ConfigDocument next = from.content().with(ConfigSchema.RETRY_RATIO, retries);
             RequestResult outcome =
                     client.set(request, from, "op", "", next, PATIENCE_MS).outcome();
             assertEquals(RequestResult.Kind.DONE, outcome.kind(), outcome.detail());
@@ -127,7 +128,7 @@
                 await("its end", () -> !p.alive());
                 p.start();
             }
-            assertEquals(0.25, k.read().content().number(ConfigSchema.RETRIES));
+            assertEquals(0.25, k.read().content().number(ConfigSchema.RETRY_RATIO));
             assertEquals(version, k.set("one", 0.25), "the same request, the same version");
             assertNotEquals(version, k.set("two", 0.5));
         }
@@ -147,7 +148,7 @@
                 return s != null && s.role().equals("follower") && s.active() + s.pending() >= version;
             });
             assertNotEquals(before, k.leader());
-            assertEquals(0.5, k.read().content().number(ConfigSchema.RETRIES));
+            assertEquals(0.5, k.read().content().number(ConfigSchema.RETRY_RATIO));
         }
     }
 
@@ -225,7 +226,7 @@
                     "config-server", "--config", k.folder.resolve("k0.toml").toString()));
             Process second =
                     new ProcessBuilder(command).redirectErrorStream(true).start();
-            String said = new String(second.getInputStream().readAllBytes());
+            String said = new String(second.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             assertEquals(2, second.waitFor(), said);
             assertTrue(said.contains("is held by another process"), said);
         }
@@ -235,7 +236,8 @@
     @Test
     void theDrillHoldsInSmall() throws Exception {
         ConsensusDrill.Options options = new ConsensusDrill.Options(3, 3, 16, 3, ConsensusDrill.Mode.FAULTS, PROGRAM);
-        ObjectNode figures = new ConsensusDrill(options, new PrintWriter(System.out, true)).run();
+        ObjectNode figures =
+                new ConsensusDrill(options, new PrintWriter(System.out, true, StandardCharsets.UTF_8)).run();
         System.out.println(figures);
         assertEquals(0, figures.path("lost_commits").asInt(), figures.toString());
         assertTrue(figures.path("linearizable").asBoolean(), figures.toString());
--- a/src/test/java/sedgeyoke/plan/PlanSimulation.java
+++ b/src/test/java/sedgeyoke/plan/PlanSimulation.java
@@ -88,7 +88,7 @@
 
     /** Runs for so many seconds; returns a description of the invariant that was violated, or null. */
     String run(int seconds) {
-        return playUntil(seconds * 1_000_000L);
+        return runUntil(seconds * 1_000_000L);
     }
 
     private Process process(int number) {
@@ -96,12 +96,12 @@
     }
 
     @Override
-    protected void misfortune() {
-        if (now > savingUntilMicros + 2 * WINDOW_MICROS && chance(1)) {
+    protected void injectFaults() {
+        if (now > savingUntilMicros + 2 * WINDOW_MICROS && happens(1)) {
             savingUntilMicros = now + random.nextLong(3 * WINDOW_MICROS); // then all of them spend at once
         }
         for (int upstream = 0; upstream < UPSTREAMS; upstream++) {
-            if (chance(0.12)) {
+            if (happens(0.12)) {
                 for (ForwarderProcess forwarder : forwarders) {
                     long dueMicros = now + random.nextLong(MAX_DISCOVERY_DELAY_MICROS);
                     forwarder.restartEvents.add(new RestartEvent(dueMicros, upstream, now));
@@ -110,17 +110,17 @@
         }
         for (int number = 0; number < PLANNERS + FORWARDERS; number++) {
             Process process = process(number);
-            if (chance(severity * 0.12)) {
+            if (happens(severity * 0.12)) {
                 process.crash(now + random.nextLong(random.nextBoolean() ? 100_000 : 2_000_000));
                 restarts++;
-            } else if (chance(severity * 0.06)) {
+            } else if (happens(severity * 0.06)) {
                 process.pausedUntil = now + (random.nextInt(4) == 0 ? 6_000_000 : random.nextLong(1_500_000));
             }
         }
-        if (chance(severity * 0.8)) {
-            flip(random.nextInt(PLANNERS + FORWARDERS), random.nextInt(PLANNERS + FORWARDERS));
+        if (happens(severity * 0.8)) {
+            toggleLink(random.nextInt(PLANNERS + FORWARDERS), random.nextInt(PLANNERS + FORWARDERS));
         }
-        if (chance(0.5)) {
+        if (happens(0.5)) {
             heal();
         }
     }
@@ -131,11 +131,11 @@
 
         PlannerProcess() {
             super(DRIFT_PPM);
-            begin();
+            start();
         }
 
         @Override
-        protected void begin() {
+        protected void start() {
             LeaseClock leaseClock = faults.leaseClock.apply(DRIFT_PPM);
             Planner.Settings self = new Planner.Settings("p" + number, incarnations++, 100, 100);
             planner = faults.planner == null
@@ -173,11 +173,11 @@
 
         ForwarderProcess() {
             super(DRIFT_PPM);
-            begin();
+            start();
         }
 
         @Override
-        protected void begin() {
+        protected void start() {
             follower = faults.follower.apply(
                     new Follower.Identity(
                             "f" + number, incarnations++, 0, LEASE_MICROS, FADE_TIME_MICROS, minGrantRate),
@@ -290,7 +290,7 @@
 
         /** What it may use of an upstream's quota at this moment, by its own clock. */
         UsableQuota usableQuota(int upstream) {
-            if (dead || !isCold(upstream)) {
+            if (crashed || !isCold(upstream)) {
                 return UsableQuota.NONE;
             }
             SlowStartQuota quota = quota(upstream);
@@ -324,7 +324,7 @@
         }
         mostGranted = Math.max(mostGranted, granted / TOTAL_QUOTA);
         if (own + granted > TOTAL_QUOTA * (1 + 1e-9)) {
-            breach = String.format(
+            violation = String.format(
                     "at %.2f s upstream %d: own %.1f + granted %.1f of %.1f",
                     now / 1e6, upstream, own, granted, TOTAL_QUOTA);
         }
@@ -336,10 +336,11 @@
             window.poll();
         }
         double spent = window.stream().mapToDouble(Spending::tokens).sum();
-        double budget = 2 * TOTAL_QUOTA * WINDOW_MICROS / 1e6 * (1 + 3 * DRIFT_PPM / 1e6) + TOTAL_QUOTA * STEP / 1e6;
+        double budget =
+                2 * TOTAL_QUOTA * WINDOW_MICROS / 1e6 * (1 + 3 * DRIFT_PPM / 1e6) + TOTAL_QUOTA * STEP_MICROS / 1e6;
         worstWindow = Math.max(worstWindow, spent / budget);
         if (spent > budget) {
-            breach = String.format(
+            violation = String.format(
                     "at %.2f s upstream %d: spent %.1f of %.1f in a window", now / 1e6, upstream, spent, budget);
         }
     }
