--- a/src/test/java/sedgeyoke/experiment/StoredRunsTest.java
+++ b/src/test/java/sedgeyoke/experiment/StoredRunsTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** The runs of an experiment that an earlier program played: they are read, and written alike. */
+/** Tests that runs stored by an earlier version are read, and written without a change. */
 class StoredRunsTest {
     private static final String RUNS = "runs.jsonl";
     private static final String DIGEST = "697f0c4ad4c778b0ff7550547a6c28fe89553d0d827fe424856b149b8843a1c0";
@@ -59,11 +59,11 @@
         assertEquals(List.of(), run.violations());
     }
 
-    /** All runs are there, so that none is played; they are written again as they were. */
+    /** All runs are finished, so that none is executed; they are written as they were. */
     @Test
-    void anExperimentThatGoesOnWritesTheSameBytes() throws Exception {
-        StringWriter said = new StringWriter();
-        new Experiment(experiment, new Experiment.Options(1, 2, 1, folder, true), new PrintWriter(said)).run();
+    void aResumedExperimentWritesTheSameBytes() throws Exception {
+        StringWriter output = new StringWriter();
+        new Experiment(experiment, new Experiment.Options(1, 2, 1, folder, true), new PrintWriter(output)).run();
         assertArrayEquals(Files.readAllBytes(stored), Files.readAllBytes(folder.resolve(RUNS)));
     }
 }
--- a/src/test/java/sedgeyoke/experiment/WorstCaseSearchTest.java
+++ b/src/test/java/sedgeyoke/experiment/WorstCaseSearchTest.java
@@ -15,9 +15,9 @@
 import sedgeyoke.simulation.Outcome;
 import sedgeyoke.simulation.Simulation;
 
-/** A hunt must find what is there to be found, make it small, and write down what shows it again. */
+/** Tests that a search finds the worst case, reduces it, and writes a file that reproduces it. */
 class WorstCaseSearchTest {
-    /** Random choice knows no cold nodes: any restart under load breaks rule 4. */
+    /** The random policy has no slow start: any restart under load breaks rule 4. */
     private static final String COLD = "[scenario]\nnodes = 6\nforwarders = 6\nseconds = 8\nload = 0.7\nwarm_up = 1\n"
             + "[[variants]]\nname = \"blind\"\npolicy = \"random\"\n[hunt]\nvariant = \"blind\"\ntries = 6\n"
             + "most_faults = 5\nkinds = [\"restart_node\", \"pause_forwarder\", \"discovery_down\"]\n"
@@ -31,64 +31,66 @@
     @TempDir
     private Path folder;
 
-    private ObjectNode hunt(String text, int jobs) throws Exception {
+    private ObjectNode search(String text, int jobs) throws Exception {
         Path file = Files.writeString(folder.resolve("h.toml"), text);
         return new WorstCaseSearch(ExperimentFile.load(file), 5, jobs, folder, new PrintWriter(new StringWriter()))
                 .run();
     }
 
     @Test
-    void aBrokenRuleIsFoundMadeSmallAndShownAgain() throws Exception {
-        ObjectNode found = hunt(COLD, 4);
+    void aBrokenRuleIsFoundReducedAndReproduced() throws Exception {
+        ObjectNode found = search(COLD, 4);
         assertTrue(found.path("rule_broken").asBoolean(), found.toString());
-        assertEquals(1, found.path("faults").asInt(), "one restart is enough: " + found);
-        ExperimentFile again = ExperimentFile.load(Path.of(found.path("file").asText()));
-        assertEquals("blind", again.comparison().base());
-        Outcome played = new Simulation(again.points().get(0).variants().get("blind"), 5).run();
-        assertTrue(played.totalViolations() > 0, "what was written shows it");
+        assertEquals(1, found.path("faults").asInt(), "reduced to one restart: " + found);
+        ExperimentFile reproduced =
+                ExperimentFile.load(Path.of(found.path("file").asText()));
+        assertEquals("blind", reproduced.comparison().base());
+        Outcome outcome = new Simulation(reproduced.points().get(0).variants().get("blind"), 5).run();
+        assertTrue(outcome.totalViolations() > 0, "the written file reproduces it");
     }
 
     @Test
-    void whatAVariantLosesAgainstAnotherIsFound() throws Exception {
-        ObjectNode found = hunt(LOSS, 4);
+    void aLossAgainstAnotherVariantIsFound() throws Exception {
+        ObjectNode found = search(LOSS, 4);
         assertTrue(found.path("found").asBoolean() && !found.path("rule_broken").asBoolean(), found.toString());
         assertTrue(found.path("loss").asDouble() > 0.002, found.toString());
-        ExperimentFile again = ExperimentFile.load(Path.of(found.path("file").asText()));
-        assertEquals("ours", again.comparison().base());
-        assertEquals("blind", again.comparison().with());
+        ExperimentFile reproduced =
+                ExperimentFile.load(Path.of(found.path("file").asText()));
+        assertEquals("ours", reproduced.comparison().base());
+        assertEquals("blind", reproduced.comparison().with());
     }
 
     @Test
-    void theSameHoweverManyRunsGoSideBySide() throws Exception {
-        ObjectNode alone = hunt(LOSS, 1);
+    void findingsDoNotDependOnParallelism() throws Exception {
+        ObjectNode alone = search(LOSS, 1);
         String written = Files.readString(Path.of(alone.path("file").asText()));
-        assertEquals(alone, hunt(LOSS, 3));
+        assertEquals(alone, search(LOSS, 3));
         assertEquals(written, Files.readString(Path.of(alone.path("file").asText())));
     }
 
     @Test
-    void nothingIsFoundWhereNothingIs() throws Exception {
-        ObjectNode none = hunt(
+    void noFindingWhereTheVariantIsBetter() throws Exception {
+        ObjectNode none = search(
                 LOSS.replace("variant = \"blind\"\nagainst = \"ours\"", "variant = \"ours\"\nagainst = \"blind\""), 4);
         assertFalse(none.path("found").asBoolean(), none.toString());
         assertFalse(none.has("file"));
     }
 
     @Test
-    void aFileThatIsWrongSaysWhere() throws Exception {
+    void problemsOfASearchSpaceAreReportedWithTheirLines() throws Exception {
         Path file = Files.writeString(
                 folder.resolve("w.toml"),
                 COLD.replace("[4, 8]", "[8, 4]")
                         .replace("\"restart_node\"", "\"explode\"")
                         .replace("variant = \"blind\"", "variant = \"none\""));
-        String said = assertThrows(InvalidExperimentException.class, () -> ExperimentFile.load(file))
+        String message = assertThrows(InvalidExperimentException.class, () -> ExperimentFile.load(file))
                 .getMessage();
         for (String wrong : new String[] {
             "w.toml:16: hunt.ranges.nodes: must be [least, most]",
             "w.toml:14: hunt.kinds: must be a list of some of restart_node",
             "w.toml:11: hunt.variant: is no variant"
         }) {
-            assertTrue(said.contains(wrong), wrong + " is not in:\n" + said);
+            assertTrue(message.contains(wrong), wrong + " is not in:\n" + message);
         }
     }
 }
