--- a/src/main/java/sedgeyoke/experiment/PairedBootstrap.java
+++ b/src/main/java/sedgeyoke/experiment/PairedBootstrap.java
@@ -6,9 +6,9 @@
 import org.apache.commons.math3.stat.descriptive.rank.Percentile;
 
 /**
- * The difference between two variants, paired by seed, with a 95% percentile bootstrap interval of its mean (B. Efron and
- * R. Tibshirani, "An Introduction to the Bootstrap", 1993, chapter 13). As both variants get the same operations and
- * faults, what is common to a seed cancels.
+ * The difference between two variants, paired by seed, with a 95% percentile bootstrap interval of its mean (B. Efron
+ * and R. Tibshirani, "An Introduction to the Bootstrap", 1993, chapter 13). As both variants get the same operations
+ * and faults, what is common to a seed cancels.
  *
  * @param mean of the differences
  * @param low lower end of the interval
--- a/src/main/java/sedgeyoke/experiment/ScenarioDraft.java
+++ b/src/main/java/sedgeyoke/experiment/ScenarioDraft.java
@@ -8,8 +8,8 @@
 import sedgeyoke.simulation.Scenario.Fault;
 
 /**
- * An experiment that a worst-case search makes up, as the content of a file. It is always run from its text, so that the
- * file that is written reproduces what was found.
+ * An experiment that a worst-case search makes up, as the content of a file. It is always run from its text, so that
+ * the file that is written reproduces what was found.
  *
  * @param title in a line
  * @param scenario keys of {@code [scenario]}
--- a/src/main/java/sedgeyoke/experiment/WorstCaseSearch.java
+++ b/src/main/java/sedgeyoke/experiment/WorstCaseSearch.java
@@ -12,9 +12,9 @@
 import java.util.SplittableRandom;
 
 /**
- * Searches the scenarios that a file allows for the one in which a variant does worst, by broken rules or by its loss of
- * service against another variant, and reduces it: to the fewest faults, forwarders, upstreams and seconds that still
- * show it. The same seed finds the same scenario, whatever the number of runs in parallel.
+ * Searches the scenarios that a file allows for the one in which a variant does worst, by broken rules or by its loss
+ * of service against another variant, and reduces it: to the fewest faults, forwarders, upstreams and seconds that
+ * still show it. The same seed finds the same scenario, whatever the number of runs in parallel.
  */
 public final class WorstCaseSearch {
     private static final int MAX_REDUCTION_STEPS = 80;
--- a/src/main/java/sedgeyoke/plan/Follower.java
+++ b/src/main/java/sedgeyoke/plan/Follower.java
@@ -39,7 +39,7 @@
      * @param incarnation identifies this process; no other process has the same
      * @param zone its zone
      * @param leaseMicros for how long it delegates quota
-     * @param fadeTimeMicros how long a plan takes to lose its effect once no planner is heard
+     * @param fadeTimeMicros how long a plan takes to lose its effect after the last contact with a planner
      * @param minGrantRate the smallest grant that it can use, in mean requests a second
      */
     public record Identity(
@@ -76,8 +76,8 @@
     }
 
     /**
-     * Creates the report for one planner. The report to the followed planner delegates slow-start quota: the caller must
-     * hand {@link #currentPlan} to the policy before it sends the report.
+     * Creates the report for one planner. The report to the followed planner delegates slow-start quota: the caller
+     * must hand {@link #currentPlan} to the policy before it sends the report.
      */
     public ForwarderReport createReport(long nowMicros, String planner, LoadBalancingPolicy.Summary summary) {
         PlannerSelection.ReceivedPlan lastPlan = planners.lastPlanOf(planner);
--- a/src/main/java/sedgeyoke/plan/GrantAllocator.java
+++ b/src/main/java/sedgeyoke/plan/GrantAllocator.java
@@ -5,8 +5,8 @@
 import java.util.List;
 
 /**
- * Divides the deposits on one upstream among forwarders. Few forwarders get large grants rather than many small ones, as
- * a grant below a minimum rate is of no use.
+ * Divides the deposits on one upstream among forwarders. Few forwarders get large grants rather than many small ones,
+ * as a grant below a minimum rate is of no use.
  */
 final class GrantAllocator {
     /** Share of the deposits that is granted; the rest covers the changes of deposits from report to report. */
--- a/src/main/java/sedgeyoke/plan/ViewCache.java
+++ b/src/main/java/sedgeyoke/plan/ViewCache.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import sedgeyoke.policy.LoadBalancingPolicy.UpstreamView;
 
-/** The latest view of each upstream: a plan carries some views only, so those of earlier plans stay valid for a while. */
+/**
+ * The latest view of each upstream: a plan carries some views only, so those of earlier plans stay valid for a while.
+ */
 final class ViewCache {
     private static final long VIEW_TIMEOUT_MICROS = 5_000_000;
     private static final int MAX_VIEWS = 20_000;
--- a/src/main/java/sedgeyoke/simulation/ArrivalProcess.java
+++ b/src/main/java/sedgeyoke/simulation/ArrivalProcess.java
@@ -6,8 +6,8 @@
 import sedgeyoke.model.RequestClassModel;
 
 /**
- * When clients start operations, and which: a Poisson process of bursts whose rate follows the scenario's load curve. It
- * has random numbers of its own, so the same seed gives the same arrivals whatever becomes of them.
+ * When clients start operations, and which: a Poisson process of bursts whose rate follows the scenario's load curve.
+ * It has random numbers of its own, so the same seed gives the same arrivals whatever becomes of them.
  */
 final class ArrivalProcess {
     private static final double MIN_RATE = 1e-6;
--- a/src/main/java/sedgeyoke/simulation/EventQueue.java
+++ b/src/main/java/sedgeyoke/simulation/EventQueue.java
@@ -4,8 +4,8 @@
 
 /**
  * The virtual clock and the events scheduled on it. Events run in the order of their time, and those of the same
- * microsecond in the order in which they were scheduled. A binary heap in parallel arrays, as a run has tens of millions
- * of events and an object for each would be garbage.
+ * microsecond in the order in which they were scheduled. A binary heap in parallel arrays, as a run has tens of
+ * millions of events and an object for each would be garbage.
  */
 final class EventQueue {
     private static final int INITIAL_CAPACITY = 1 << 12;
--- a/src/main/java/sedgeyoke/simulation/QueueingTheory.java
+++ b/src/main/java/sedgeyoke/simulation/QueueingTheory.java
@@ -5,9 +5,9 @@
 import sedgeyoke.model.RequestClassModel.Spread;
 
 /**
- * Validates the simulation against results of queueing theory: the mean time in the system of M/M/c (Erlang's C formula)
- * and of M/G/1 (the formula of Pollaczek and Khinchine), and the distribution of queue lengths under two choices
- * (Mitzenmacher 2001).
+ * Validates the simulation against results of queueing theory: the mean time in the system of M/M/c (Erlang's C
+ * formula) and of M/G/1 (the formula of Pollaczek and Khinchine), and the distribution of queue lengths under two
+ * choices (Mitzenmacher 2001).
  */
 public final class QueueingTheory {
     private static final double MEAN_WORK_SECONDS = 0.01;
--- a/src/main/java/sedgeyoke/simulation/Scenario.java
+++ b/src/main/java/sedgeyoke/simulation/Scenario.java
@@ -39,7 +39,7 @@
      * @param reportMs interval of a forwarder's reports
      * @param planMs interval of a planner's plans
      * @param leaseMs for how long slow-start quota is delegated
-     * @param fadeMs how long a plan takes to lose its effect once no planner is heard
+     * @param fadeMs how long a plan takes to lose its effect after the last contact with a planner
      * @param driftPpm the clock drift that the lease rules allow for
      */
     public record PlannerSpec(int count, long reportMs, long planMs, long leaseMs, long fadeMs, long driftPpm) {
@@ -71,8 +71,8 @@
      * @param keys number of affinity keys; 0 for requests without keys
      * @param keySkew exponent of the keys' popularity; 1 is uniform
      * @param retries what clients do with rejected requests
-     * @param forwarderImbalance how much larger the first forwarder's share of a zone is than the last one's; 0 is even,
-     *     1 is twice as large
+     * @param forwarderImbalance how much larger the first forwarder's share of a zone is than the last one's: 0 is
+     *     even, 1 is twice as large
      */
     public record Traffic(
             double load,
@@ -171,8 +171,8 @@
      *
      * @param startSeconds when it is injected, after the start of the run
      * @param kind what happens
-     * @param target the number of the first upstream, zone, forwarder or planner concerned, the next repetition concerns
-     *     the next one; -1 draws each from the seed
+     * @param target number of the upstream, zone, forwarder or planner concerned; repetitions concern the following
+     *     ones; -1 draws each from the seed
      * @param count how often it is injected
      * @param intervalSeconds between two repetitions; 0 injects all at once
      * @param durationSeconds until each ends; 0 for never
--- a/src/main/java/sedgeyoke/simulation/Scenarios.java
+++ b/src/main/java/sedgeyoke/simulation/Scenarios.java
@@ -20,8 +20,8 @@
     private Scenarios() {}
 
     /**
-     * Three zones like the platform's, half of the upstreams in the first one, every third upstream slow; steady traffic,
-     * no faults.
+     * Three zones like the platform's, half of the upstreams in the first one, every third upstream slow; steady
+     * traffic, no faults.
      */
     public static Scenario orders(int nodes, int forwarders, double load, double seconds) {
         return orders(nodes, forwarders, load, seconds, 1, 1);
--- a/src/main/java/sedgeyoke/simulation/SimulationContext.java
+++ b/src/main/java/sedgeyoke/simulation/SimulationContext.java
@@ -4,7 +4,9 @@
 import sedgeyoke.model.InvariantChecker;
 import sedgeyoke.model.UpstreamModel;
 
-/** What all parts of one run share: virtual time, random numbers, the network between zones and the invariant checker. */
+/**
+ * What all parts of one run share: virtual time, random numbers, the network between zones and the invariant checker.
+ */
 final class SimulationContext {
     /** Virtual time at the start of a run; far from 0, as a launch time of 0 means long ago. */
     static final long START = 1_000_000_000L;
--- a/src/main/java/sedgeyoke/simulation/UpstreamTransport.java
+++ b/src/main/java/sedgeyoke/simulation/UpstreamTransport.java
@@ -6,8 +6,8 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 
 /**
- * Carries a forwarder's attempts and health checks to upstreams, and their results back: connections, handshakes, delays
- * and losses.
+ * Carries a forwarder's attempts and health checks to upstreams, and their results back: connections, handshakes,
+ * delays and losses.
  */
 final class UpstreamTransport implements SimulatedAttempt.BreakListener {
     /** Handles the result of an attempt once it has reached the forwarder. */
--- a/src/test/java/sedgeyoke/plan/PlanSimulation.java
+++ b/src/test/java/sedgeyoke/plan/PlanSimulation.java
@@ -65,7 +65,9 @@
     private final double minGrantRate;
     private long incarnations = 1;
     private long savingUntilMicros;
-    /** The largest share of all quota that was in grants at one time: a simulation that moves no quota shows nothing. */
+    /**
+     * The largest share of all quota that was in grants at one time: a simulation that moves no quota shows nothing.
+     */
     double mostGranted;
 
     double worstWindow;
--- a/src/test/java/sedgeyoke/simulation/SimulationTest.java
+++ b/src/test/java/sedgeyoke/simulation/SimulationTest.java
@@ -17,7 +17,8 @@
 import sedgeyoke.simulation.Scenario.PlannerSpec;
 
 /**
- * Validates the simulation: queueing theory, conservation of requests and work, reproducibility, and the rules under faults.
+ * Validates the simulation: queueing theory, conservation of requests and work, reproducibility, and the rules under
+ * faults.
  */
 class SimulationTest {
     private static Scenario small(double load) {
@@ -210,8 +211,8 @@
     }
 
     /**
-     * Regression: when planners sent upstreams' load to all forwarders at once, these all chose the same idle upstreams,
-     * and service fell from 0.94 to 0.24. Forwarders go by the load reports that they receive themselves.
+     * Regression: when planners sent upstreams' load to all forwarders at once, these all chose the same idle
+     * upstreams, and service fell from 0.94 to 0.24. Forwarders go by the load reports that they receive themselves.
      */
     @Test
     void forwardersThatFollowPlannersDoNotHerd() {
