--- a/src/main/java/sedgeyoke/drill/ConfigWriter.java
+++ b/src/main/java/sedgeyoke/drill/ConfigWriter.java
@@ -81,7 +81,7 @@
     private void write(ConfigClient client, ConfigClient.Answer current, String requestId) throws InterruptedException {
         ConfigDocument previous = current.newest().content();
         String node = "n" + (1 + random.nextInt(nodes));
-        ConfigDocument content = previous.with(ConfigSchema.UPSTREAMS_OUT, Map.of(node, "drill"));
+        ConfigDocument content = previous.with(ConfigSchema.DISABLED_UPSTREAMS, Map.of(node, "drill"));
         long startMicros = site.now();
         RequestResult result = client.set(requestId, current.newest(), name(), "drill", content, REQUEST_TIMEOUT_MS)
                 .outcome();
@@ -117,8 +117,8 @@
         /** Cordons the nodes that the next document takes out, and uncordons those that only the previous one does. */
         synchronized void send(ConfigDocument previous, ConfigDocument next) throws InterruptedException {
             Map<String, String> commandByNode = new LinkedHashMap<>();
-            next.names(ConfigSchema.UPSTREAMS_OUT).keySet().forEach(node -> commandByNode.put(node, "cordon"));
-            previous.names(ConfigSchema.UPSTREAMS_OUT)
+            next.names(ConfigSchema.DISABLED_UPSTREAMS).keySet().forEach(node -> commandByNode.put(node, "cordon"));
+            previous.names(ConfigSchema.DISABLED_UPSTREAMS)
                     .keySet()
                     .forEach(node -> commandByNode.putIfAbsent(node, "uncordon"));
             for (FaultProxy balancer : tier.adminProxies()) {
--- a/src/main/java/sedgeyoke/simulation/OraclePolicy.java
+++ b/src/main/java/sedgeyoke/simulation/OraclePolicy.java
@@ -36,12 +36,12 @@
 
     /** Time to completion as a multiple of the mean work. */
     private double relativeCompletionTime(SimulatedUpstream upstream) {
-        if (upstream == null || upstream.removed() || !upstream.model().serves()) {
+        if (upstream == null || upstream.removed() || !upstream.model().acceptsRequests()) {
             return Double.MAX_VALUE;
         }
         UpstreamModel model = upstream.model();
         int cores = model.spec().cores();
         double ahead = Math.max(0, model.inFlight() + 1 - cores);
-        return (ahead + cores) / model.speedNow() + TIE_BREAK * random.nextDouble();
+        return (ahead + cores) / model.currentCapacity() + TIE_BREAK * random.nextDouble();
     }
 }
--- a/src/main/java/sedgeyoke/simulation/SimulatedUpstreams.java
+++ b/src/main/java/sedgeyoke/simulation/SimulatedUpstreams.java
@@ -94,14 +94,14 @@
 
     private void remove(SimulatedUpstream upstream) {
         upstream.breakConnections();
-        upstream.model().vanish();
+        upstream.model().stopResponding();
         upstream.markRemoved();
         discovery.publish(upstream, State.REMOVED);
     }
 
     /** An upstream no longer answers, without its connections being reset. */
     void stopResponding(SimulatedUpstream upstream) {
-        upstream.model().vanish();
+        upstream.model().stopResponding();
     }
 
     /** Removes an upstream and starts an equal one, cold, under a new id, at the same address or a new one. */
--- a/src/test/java/sedgeyoke/consensus/ExplicitStatesTest.java
+++ b/src/test/java/sedgeyoke/consensus/ExplicitStatesTest.java
@@ -18,30 +18,63 @@
 import sedgeyoke.lease.ClockDrift;
 
 /**
- * Every state that three keepers can come to, breadth first, up to a number of them: any message delivered, one of them
- * twice, or never, any keeper standing for election, writes, rounds, a crash with and without the last force. It is
- * the keeper itself that runs; a state is reached again by its steps. Times are left out, so that states that differ in
- * them alone count once.
+ * Explores all states that three replicas can reach, breadth first, up to a number of states. In each state any message
+ * may be delivered (one of them twice) or never, any replica may start an election, write, send a heartbeat round, or
+ * crash with or without its last write to disk. The real {@link RaftNode} runs; a state is reached again by replaying its
+ * steps. Times are not part of a state, so that states that differ in times alone count once.
  */
 class ExplicitStatesTest {
     private static final RaftTiming TIMING = new RaftTiming(600_000, 100_000, 1_500_000, new ClockDrift(0), 1_000);
-    private static final int MOST_STATES = Integer.getInteger("sedgeyoke.consensus.states", 150_000);
-    private static final long TERMS = 2;
-    private static final int WRITES = 2;
-    private static final int CRASHES = 1;
-    private static final int STANDS = 3;
-    private static final int ROUNDS = 2;
-    private static final int DOUBLES = 1;
+    private static final int MAX_STATES = Integer.getInteger("sedgeyoke.consensus.states", 150_000);
+    private static final long MAX_TERMS = 2;
+    private static final int MAX_WRITES = 2;
+    private static final int MAX_CRASHES = 1;
+    private static final int MAX_ELECTIONS = 3;
+    private static final int MAX_ROUNDS = 2;
+    private static final int MAX_DUPLICATES = 1;
     private static final String[] NAMES = {"a", "b", "c"};
 
-    /** A message under way, and how often it may still come. */
-    private static final class Flying {
+    /** What may happen next. */
+    private enum StepKind {
+        /** A message is delivered. */
+        DELIVER,
+        /** A message is delivered, and its receiver crashes before its write to disk. */
+        DELIVER_AND_CRASH,
+        /** A replica starts an election. */
+        START_ELECTION,
+        /** A replica crashes and restarts. */
+        CRASH,
+        /** The leader takes a write. */
+        WRITE,
+        /** The leader starts a heartbeat round. */
+        START_ROUND
+    }
+
+    /** A step and the index of the message, or of the replica, that it concerns. */
+    private record Step(StepKind kind, int target) {}
+
+    /** How often steps of each kind may still happen. */
+    private static final class Budget {
+        int elections = MAX_ELECTIONS;
+        int writes = MAX_WRITES;
+        int crashes = MAX_CRASHES;
+        int rounds = MAX_ROUNDS;
+        int duplicates = MAX_DUPLICATES;
+
+        @Override
+        public String toString() {
+            return List.of(elections, writes, crashes, rounds, duplicates).toString();
+        }
+    }
+
+    /** A message in flight, and whether it was delivered before. */
+    private static final class InFlightMessage {
         final int from;
         final int to;
         final RaftMessage message;
-        boolean came;
+        boolean delivered;
 
-        Flying(int from, int to, RaftMessage message) {
+        InFlightMessage(int from, int to, RaftMessage message) {
             this.from = from;
             this.to = to;
             this.message = message;
@@ -49,188 +82,196 @@
 
         @Override
         public String toString() {
-            return from + ">" + to + message + (came ? " again" : "");
+            return from + ">" + to + message + (delivered ? " again" : "");
         }
     }
 
-    /** Three keepers, what is on their disks and what is under way. */
-    private static final class World {
+    /** The state of three replicas, their disks and the messages in flight. */
+    private static final class ClusterState {
         final Function<RaftTiming, SafetyRules> rules;
-        final RaftNode[] keepers = new RaftNode[NAMES.length];
-        final HardState[] slots = new HardState[NAMES.length];
-        final List<List<LogEntry>> disks = new ArrayList<>();
+        final RaftNode[] nodes = new RaftNode[NAMES.length];
+        final HardState[] hardStates = new HardState[NAMES.length];
+        final List<List<LogEntry>> logs = new ArrayList<>();
         final long[] clocks = new long[NAMES.length];
-        final long[] runs = {1, 2, 3};
-        final List<Flying> net = new ArrayList<>();
+        final long[] incarnations = {1, 2, 3};
+        final List<InFlightMessage> messages = new ArrayList<>();
         final Map<Long, String> leaders = new TreeMap<>();
         final Map<Long, LogEntry> committed = new TreeMap<>();
-        final int[] left = {STANDS, WRITES, CRASHES, ROUNDS, DOUBLES};
-        String breach;
+        final Budget budget = new Budget();
+        String violation;
 
-        World(Function<RaftTiming, SafetyRules> rules) {
+        ClusterState(Function<RaftTiming, SafetyRules> rules) {
             this.rules = rules;
-            for (int k = 0; k < NAMES.length; k++) {
-                Map<String, HardState.KnownPeer> known = new HashMap<>();
-                for (int o = 0; o < NAMES.length; o++) {
-                    known.put(NAMES[o], new HardState.KnownPeer(1, o == k ? 0 : o + 1L));
+            for (int node = 0; node < NAMES.length; node++) {
+                Map<String, HardState.KnownPeer> knownPeers = new HashMap<>();
+                for (int other = 0; other < NAMES.length; other++) {
+                    knownPeers.put(NAMES[other], new HardState.KnownPeer(1, other == node ? 0 : other + 1L));
                 }
-                slots[k] = new HardState(0, "", List.of(), known, true);
-                disks.add(new ArrayList<>());
-                clocks[k] = 10_000_000;
-                start(k, runs[k]);
+                hardStates[node] = new HardState(0, "", List.of(), knownPeers, true);
+                logs.add(new ArrayList<>());
+                clocks[node] = 10_000_000;
+                start(node, incarnations[node]);
             }
-            net.clear(); // they know each other
+            messages.clear(); // the replicas know each other's incarnations
         }
 
-        void start(int k, long run) {
+        void start(int node, long incarnation) {
             List<Member> members =
                     Arrays.stream(NAMES).map(n -> new Member(n, 1, n)).toList();
-            keepers[k] = new RaftNode(
-                    new RaftNode.Identity(NAMES[k], 1, run),
+            nodes[node] = new RaftNode(
+                    new RaftNode.Identity(NAMES[node], 1, incarnation),
                     rules.apply(TIMING),
-                    new RaftNode.StoredState(slots[k], null, List.copyOf(disks.get(k)), null, false),
+                    new RaftNode.StoredState(hardStates[node], null, List.copyOf(logs.get(node)), null, false),
                     Membership.of(members),
-                    NoSnapshots.CODEC,
+                    NoSnapshotCodec.CODEC,
                     new SplittableRandom(1),
-                    clocks[k]);
-            int before = net.size();
-            on(k, new Event.Tick(), true);
-            RaftMessage.RecoveryQuery asked = (RaftMessage.RecoveryQuery) net.get(before).message;
-            String other = NAMES[(k + 1) % NAMES.length];
-            on(
-                    k,
+                    clocks[node]);
+            int sentBefore = messages.size();
+            handle(node, new Event.Tick(), true);
+            RaftMessage.RecoveryQuery query = (RaftMessage.RecoveryQuery) messages.get(sentBefore).message;
+            String other = NAMES[(node + 1) % NAMES.length];
+            handle(
+                    node,
                     new Event.Received(
                             other,
                             1,
-                            new RaftMessage.RecoveryReply(0, asked.queryId(), false, true, false, false, 0, 0)),
+                            new RaftMessage.RecoveryReply(0, query.queryId(), false, true, false, false, 0, 0)),
                     true);
         }
 
-        /** {@code lasts} false: the process ends before what it wants to last is on disk. */
-        void on(int k, Event event, boolean lasts) {
+        /** Handles an event; if not {@code persisted}, the process ends before its write to disk. */
+        void handle(int node, Event event, boolean persisted) {
             try {
-                List<Action> actions = keepers[k].handle(event, clocks[k]);
-                for (Action a : actions) {
-                    if (a instanceof Action.Send s) {
-                        net.add(new Flying(k, Arrays.asList(NAMES).indexOf(s.to()), s.message()));
-                    } else if (a instanceof Action.Persist p && lasts) {
-                        keep(k, p);
-                        on(k, new Event.Persisted(p.token()), true);
+                List<Action> actions = nodes[node].handle(event, clocks[node]);
+                for (Action action : actions) {
+                    if (action instanceof Action.Send send) {
+                        messages.add(
+                                new InFlightMessage(node, Arrays.asList(NAMES).indexOf(send.to()), send.message()));
+                    } else if (action instanceof Action.Persist persist && persisted) {
+                        persist(node, persist);
+                        handle(node, new Event.Persisted(persist.token()), true);
                     }
                 }
-            } catch (IllegalStateException e) {
-                breach = NAMES[k] + ": " + e.getMessage();
+            } catch (IllegalStateException exception) {
+                violation = NAMES[node] + ": " + exception.getMessage();
             }
         }
 
-        private void keep(int k, Action.Persist p) {
-            if (p.hardState() != null) {
-                slots[k] = p.hardState();
+        private void persist(int node, Action.Persist persist) {
+            if (persist.hardState() != null) {
+                hardStates[node] = persist.hardState();
             }
-            List<LogEntry> disk = disks.get(k);
-            if (p.restartLogAfter() >= 0) {
-                disk.clear();
-            } else if (p.truncateAfter() >= 0) {
-                disk.removeIf(e -> e.index() > p.truncateAfter());
+            List<LogEntry> log = logs.get(node);
+            if (persist.restartLogAfter() >= 0) {
+                log.clear();
+            } else if (persist.truncateAfter() >= 0) {
+                log.removeIf(e -> e.index() > persist.truncateAfter());
             }
-            disk.addAll(p.entries());
+            log.addAll(persist.entries());
         }
 
-        /** What may happen next: the kind and whom or what it happens to. */
-        List<int[]> steps() {
-            List<int[]> steps = new ArrayList<>();
-            for (int i = 0; i < net.size(); i++) {
-                if (!net.get(i).came || left[4] > 0) {
-                    steps.add(new int[] {0, i});
-                    if (left[2] > 0) {
-                        steps.add(new int[] {1, i});
+        /** The steps that are possible in this state. */
+        List<Step> enabledSteps() {
+            List<Step> steps = new ArrayList<>();
+            for (int i = 0; i < messages.size(); i++) {
+                if (isDeliverable(messages.get(i))) {
+                    steps.add(new Step(StepKind.DELIVER, i));
+                    if (budget.crashes > 0) {
+                        steps.add(new Step(StepKind.DELIVER_AND_CRASH, i));
                     }
                 }
             }
-            for (int k = 0; k < NAMES.length; k++) {
-                if (left[0] > 0 && keepers[k].term() < TERMS && keepers[k].role() != RaftNode.Role.LEADER) {
-                    steps.add(new int[] {2, k});
-                }
-                if (left[2] > 0) {
-                    steps.add(new int[] {3, k});
-                }
-                if (keepers[k].role() == RaftNode.Role.LEADER) {
-                    if (left[1] > 0) {
-                        steps.add(new int[] {4, k});
-                    }
-                    if (left[3] > 0) {
-                        steps.add(new int[] {5, k});
-                    }
-                }
+            for (int node = 0; node < NAMES.length; node++) {
+                addStepsOf(node, steps);
             }
             return steps;
         }
 
-        void step(int[] step) {
-            int what = step[1];
-            switch (step[0]) {
-                case 0, 1 -> {
-                    Flying f = net.get(what);
-                    left[4] -= f.came ? 1 : 0;
-                    f.came = true;
-                    on(f.to, new Event.Received(NAMES[f.from], 1, f.message), step[0] == 0);
-                    if (step[0] == 1) {
-                        crash(f.to);
-                    }
-                }
-                case 2 -> {
-                    left[0]--;
-                    clocks[what] += 2 * TIMING.electionTimeoutMicros() + 1;
-                    on(what, new Event.Tick(), true);
-                    net.removeIf(f ->
-                            f.message instanceof RaftMessage.RequestPreVote); // it changes nothing at whoever is asked
-                    on(
-                            what,
-                            new Event.Received(
-                                    NAMES[(what + 1) % NAMES.length],
-                                    1,
-                                    new RaftMessage.PreVoteResponse(keepers[what].term(), true, true)),
-                            true);
-                }
-                case 3 -> crash(what);
-                case 4 -> {
-                    int write = left[1]--;
-                    on(
-                            what,
-                            new Event.RequestReceived(
-                                    write,
-                                    new ClientRequest.Set(
-                                            new Command.Write("w" + write, 0, "", "", 0, ConfigDocument.EMPTY))),
-                            true);
-                }
-                default -> {
-                    left[3]--;
-                    clocks[what] += TIMING.heartbeatMicros();
-                    on(what, new Event.Tick(), true);
+        private boolean isDeliverable(InFlightMessage message) {
+            return !message.delivered || budget.duplicates > 0;
+        }
+
+        private void addStepsOf(int node, List<Step> steps) {
+            boolean leader = nodes[node].role() == RaftNode.Role.LEADER;
+            if (!leader && budget.elections > 0 && nodes[node].term() < MAX_TERMS) {
+                steps.add(new Step(StepKind.START_ELECTION, node));
+            }
+            if (budget.crashes > 0) {
+                steps.add(new Step(StepKind.CRASH, node));
+            }
+            if (leader && budget.writes > 0) {
+                steps.add(new Step(StepKind.WRITE, node));
+            }
+            if (leader && budget.rounds > 0) {
+                steps.add(new Step(StepKind.START_ROUND, node));
+            }
+        }
+
+        void apply(Step step) {
+            switch (step.kind()) {
+                case DELIVER -> deliver(messages.get(step.target()), true);
+                case DELIVER_AND_CRASH -> {
+                    InFlightMessage message = messages.get(step.target());
+                    deliver(message, false);
+                    crash(message.to);
                 }
+                case START_ELECTION -> startElection(step.target());
+                case CRASH -> crash(step.target());
+                case WRITE -> write(step.target());
+                case START_ROUND -> startRound(step.target());
             }
-            net.sort((x, y) -> x.toString().compareTo(y.toString()));
+            messages.sort((x, y) -> x.toString().compareTo(y.toString()));
             check();
         }
 
-        private void crash(int k) {
-            left[2]--;
-            clocks[k] += 1_000;
-            start(k, runs[k] += 10);
+        private void deliver(InFlightMessage message, boolean persisted) {
+            budget.duplicates -= message.delivered ? 1 : 0;
+            message.delivered = true;
+            handle(message.to, new Event.Received(NAMES[message.from], 1, message.message), persisted);
+        }
+
+        private void startElection(int node) {
+            budget.elections--;
+            clocks[node] += 2 * TIMING.electionTimeoutMicros() + 1;
+            handle(node, new Event.Tick(), true);
+            // a pre-vote request changes nothing at its receiver
+            messages.removeIf(message -> message.message instanceof RaftMessage.RequestPreVote);
+            RaftMessage response = new RaftMessage.PreVoteResponse(nodes[node].term(), true, true);
+            handle(node, new Event.Received(NAMES[(node + 1) % NAMES.length], 1, response), true);
+        }
+
+        private void write(int node) {
+            int token = budget.writes;
+            budget.writes--;
+            Command.Write write = new Command.Write("w" + token, 0, "", "", 0, ConfigDocument.EMPTY);
+            handle(node, new Event.RequestReceived(token, new ClientRequest.Set(write)), true);
+        }
+
+        private void startRound(int node) {
+            budget.rounds--;
+            clocks[node] += TIMING.heartbeatMicros();
+            handle(node, new Event.Tick(), true);
+        }
+
+        private void crash(int node) {
+            budget.crashes--;
+            clocks[node] += 1_000;
+            incarnations[node] += 10;
+            start(node, incarnations[node]);
         }
 
         private void check() {
-            for (int k = 0; k < NAMES.length && breach == null; k++) {
-                if (keepers[k].role() == RaftNode.Role.LEADER) {
-                    String other = leaders.putIfAbsent(keepers[k].term(), NAMES[k]);
-                    if (other != null && !other.equals(NAMES[k])) {
-                        breach = other + " and " + NAMES[k] + " lead in term " + keepers[k].term();
+            for (int node = 0; node < NAMES.length && violation == null; node++) {
+                if (nodes[node].role() == RaftNode.Role.LEADER) {
+                    String other = leaders.putIfAbsent(nodes[node].term(), NAMES[node]);
+                    if (other != null && !other.equals(NAMES[node])) {
+                        violation = other + " and " + NAMES[node] + " lead in term " + nodes[node].term();
                     }
                 }
-                for (long i = 1; i <= keepers[k].commitIndex(); i++) {
-                    LogEntry before = committed.putIfAbsent(i, keepers[k].entry(i));
-                    if (before != null && !before.equals(keepers[k].entry(i))) {
-                        breach = "entry " + i + " was " + before + ", is " + keepers[k].entry(i);
+                for (long index = 1; index <= nodes[node].commitIndex(); index++) {
+                    LogEntry before = committed.putIfAbsent(index, nodes[node].entry(index));
+                    if (before != null && !before.equals(nodes[node].entry(index))) {
+                        violation = "entry " + index + " was " + before + ", is " + nodes[node].entry(index);
                     }
                 }
             }
@@ -238,15 +279,15 @@
 
         long fingerprint() {
             StringBuilder text = new StringBuilder(1_024);
-            for (int k = 0; k < NAMES.length; k++) {
-                text.append(keepers[k].describe())
-                        .append(slots[k].term())
-                        .append(slots[k].votedFor())
-                        .append(disks.get(k).size())
+            for (int node = 0; node < NAMES.length; node++) {
+                text.append(nodes[node].describe())
+                        .append(hardStates[node].term())
+                        .append(hardStates[node].votedFor())
+                        .append(logs.get(node).size())
                         .append('|');
             }
-            net.stream().filter(f -> !f.came || left[4] > 0).forEach(text::append);
-            text.append(leaders).append(committed).append(Arrays.toString(left));
+            messages.stream().filter(this::isDeliverable).forEach(text::append);
+            text.append(leaders).append(committed).append(budget);
             long hash = 0xcbf29ce484222325L; // FNV-1a, 64 bits
             for (int i = 0; i < text.length(); i++) {
                 hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
@@ -255,48 +296,48 @@
         }
     }
 
-    private static final class NoSnapshots implements SnapshotCodec {
-        static final NoSnapshots CODEC = new NoSnapshots();
+    private static final class NoSnapshotCodec implements SnapshotCodec {
+        static final NoSnapshotCodec CODEC = new NoSnapshotCodec();
 
         @Override
         public byte[] encode(Snapshot state) {
-            throw new AssertionError("too few entries for one");
+            throw new AssertionError("there are too few entries for a snapshot");
         }
 
         @Override
         public Snapshot decode(byte[] bytes) {
-            throw new AssertionError("nobody sends one");
+            throw new AssertionError("no snapshot is sent");
         }
     }
 
-    private static World replay(Function<RaftTiming, SafetyRules> rules, List<int[]> path) {
-        World w = new World(rules);
-        path.forEach(w::step);
-        return w;
+    private static ClusterState replay(Function<RaftTiming, SafetyRules> rules, List<Step> path) {
+        ClusterState state = new ClusterState(rules);
+        path.forEach(state::apply);
+        return state;
     }
 
-    private record Found(long states, int depth, String breach) {}
+    private record SearchResult(long states, int depth, String violation) {}
 
-    private static Found explore(Function<RaftTiming, SafetyRules> rules, int most) {
+    private static SearchResult explore(Function<RaftTiming, SafetyRules> rules, int maxStates) {
         Set<Long> seen = ConcurrentHashMap.newKeySet();
-        Map<String, List<int[]>> breaches = new ConcurrentHashMap<>();
-        List<List<int[]>> level = List.of(List.of());
+        Map<String, List<Step>> violations = new ConcurrentHashMap<>();
+        List<List<Step>> level = List.of(List.of());
         int depth = 0;
-        for (; !level.isEmpty() && seen.size() < most && breaches.isEmpty(); depth++) {
+        for (; !level.isEmpty() && seen.size() < maxStates && violations.isEmpty(); depth++) {
             level = level.parallelStream()
                     .flatMap(path -> {
-                        List<List<int[]>> next = new ArrayList<>();
-                        for (int[] step : replay(rules, path).steps()) {
-                            if (seen.size() >= most) {
+                        List<List<Step>> next = new ArrayList<>();
+                        for (Step step : replay(rules, path).enabledSteps()) {
+                            if (seen.size() >= maxStates) {
                                 break;
                             }
-                            World w = replay(rules, path);
-                            w.step(step);
-                            List<int[]> longer = new ArrayList<>(path);
+                            ClusterState state = replay(rules, path);
+                            state.apply(step);
+                            List<Step> longer = new ArrayList<>(path);
                             longer.add(step);
-                            if (w.breach != null) {
-                                breaches.put(w.breach, longer);
-                            } else if (seen.add(w.fingerprint())) {
+                            if (state.violation != null) {
+                                violations.put(state.violation, longer);
+                            } else if (seen.add(state.fingerprint())) {
                                 next.add(longer);
                             }
                         }
@@ -304,33 +345,33 @@
                     })
                     .toList();
         }
-        return new Found(
+        return new SearchResult(
                 seen.size(),
                 depth,
-                breaches.isEmpty() ? null : breaches.keySet().iterator().next());
+                violations.isEmpty() ? null : violations.keySet().iterator().next());
     }
 
     @Test
-    void noStateBreaksAnything() {
-        long began = System.nanoTime();
-        Found found = explore(SafetyRules::new, MOST_STATES);
-        System.out.println("explicit: " + found.states() + " states, depth " + found.depth() + ", "
-                + (System.nanoTime() - began) / 1_000_000 + " ms");
-        assertNull(found.breach());
-        assertTrue(found.states() >= Math.min(MOST_STATES, 10_000), "too few to show anything: " + found.states());
+    void everyReachableStateIsSafe() {
+        long startedAt = System.nanoTime();
+        SearchResult result = explore(SafetyRules::new, MAX_STATES);
+        System.out.println("explicit: " + result.states() + " states, depth " + result.depth() + ", "
+                + (System.nanoTime() - startedAt) / 1_000_000 + " ms");
+        assertNull(result.violation());
+        assertTrue(result.states() >= Math.min(MAX_STATES, 10_000), "too few states: " + result.states());
     }
 
     @Test
-    void aPlantedMistakeIsFound() {
-        Found found = explore(
+    void faultyRuleIsDetected() {
+        SearchResult result = explore(
                 t -> new SafetyRules(t) {
                     @Override
                     boolean mayVoteFor(String candidate, String votedFor) {
                         return true;
                     }
                 },
-                MOST_STATES);
-        System.out.println("explicit, two votes in a term: " + found);
-        assertNotNull(found.breach());
+                MAX_STATES);
+        System.out.println("explicit, two votes in one term: " + result);
+        assertNotNull(result.violation());
     }
 }
