--- a/src/main/java/sedgeyoke/consensus/ConfigSchema.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigSchema.java
@@ -9,9 +9,9 @@
 import sedgeyoke.consensus.ConfigField.WithoutLease;
 
 /**
- * The fields of a config document, and how whole documents are merged and compared; {@link ConfigValidator} checks them.
- * A document can disable upstreams and reduce budgets. No field can make a balancer send to an upstream that its own
- * endpoint list does not have.
+ * The fields of a config document, and how whole documents are merged and compared; {@link ConfigValidator} checks
+ * them. A document can disable upstreams and reduce budgets. No field can make a balancer send to an upstream that
+ * its own endpoint list does not have.
  */
 public final class ConfigSchema {
     /** The version of this schema; balancers and replicas state which one they support. */
@@ -180,6 +180,7 @@
                 case NUMBER -> numbers.put(field.name(), field.merge(older.number(field), newer.number(field)));
                 case TABLE -> tables.put(field.name(), field.mergeTables(older.table(field), newer.table(field)));
                 case NAMES -> names.put(field.name(), field.mergeNames(older.names(field), newer.names(field)));
+                default -> throw new IllegalStateException("field of kind " + field.kind());
             }
         }
         return new ConfigDocument(numbers, tables, names);
--- a/src/main/java/sedgeyoke/consensus/ConfigSubscriber.java
+++ b/src/main/java/sedgeyoke/consensus/ConfigSubscriber.java
@@ -1,9 +1,9 @@
 package sedgeyoke.consensus;
 
 /**
- * The balancer's side: decides which config a balancer acts on. Under a lease it acts on the active version, merged with
- * the pending one if there is any. Without a lease it acts on what contradicts no version that may be active by then, as
- * the schema says. Responses that are older than what it has acted on are ignored.
+ * The balancer's side: decides which config a balancer acts on. Under a lease it acts on the active version, merged
+ * with the pending one if there is any. Without a lease it acts on what contradicts no version that may be active by
+ * then, as the schema says. Responses that are older than what it has acted on are ignored.
  */
 public final class ConfigSubscriber {
     private final String name;
--- a/src/main/java/sedgeyoke/consensus/LeadershipConfirmation.java
+++ b/src/main/java/sedgeyoke/consensus/LeadershipConfirmation.java
@@ -26,7 +26,9 @@
         confirmedRound = 0;
     }
 
-    /** Runs {@code onConfirmed} once a later round shows that this replica leads, or {@code onLost} if it steps down. */
+    /**
+     * Runs {@code onConfirmed} once a later round shows that this replica leads, or {@code onLost} if it steps down.
+     */
     void whenConfirmed(Runnable onConfirmed, Runnable onLost) {
         pending.add(new Pending(replication.round() + 1, onConfirmed, onLost));
     }
--- a/src/main/java/sedgeyoke/consensus/LeaseTable.java
+++ b/src/main/java/sedgeyoke/consensus/LeaseTable.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 
 /**
- * The leases that a leader has granted. The table is not replicated: until the leases of earlier leaders have expired, a
- * new leader assumes that any balancer may hold one.
+ * The leases that a leader has granted. The table is not replicated: until the leases of earlier leaders have
+ * expired, a new leader assumes that any balancer may hold one.
  */
 final class LeaseTable {
     /** Balancers beyond this number receive the config but no lease. */
--- a/src/main/java/sedgeyoke/consensus/Membership.java
+++ b/src/main/java/sedgeyoke/consensus/Membership.java
@@ -66,7 +66,9 @@
         return new Membership(remaining, isLearner(name) ? null : learner);
     }
 
-    /** The membership with storage ids, by name, for voters whose id was not known when the cluster was bootstrapped. */
+    /**
+     * The membership with storage ids, by name, for voters whose id was not known when the cluster was bootstrapped.
+     */
     Membership withStorageIds(Map<String, Long> storageIds) {
         Map<String, Member> completed = new TreeMap<>(voters);
         completed.replaceAll((name, member) -> member.storageId() != 0
--- a/src/main/java/sedgeyoke/consensus/PeerIdentities.java
+++ b/src/main/java/sedgeyoke/consensus/PeerIdentities.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 
 /**
- * Checks that a message comes from the replica that is known under the sender's name. This guards against a replica that
- * has returned with an empty disk, and against a removed one that does not know that it was removed.
+ * Checks that a message comes from the replica that is known under the sender's name. This guards against a replica
+ * that has returned with an empty disk, and against a removed one that does not know that it was removed.
  */
 final class PeerIdentities {
     private final ReplicaState state;
--- a/src/main/java/sedgeyoke/consensus/RaftMessage.java
+++ b/src/main/java/sedgeyoke/consensus/RaftMessage.java
@@ -54,7 +54,8 @@
     }
 
     /**
-     * Log entries that follow the entry {@code prevIndex}; without entries it is a heartbeat (Raft thesis, section 3.5).
+     * Log entries that follow the entry {@code prevIndex}; without entries it is a heartbeat (Raft thesis, section
+     * 3.5).
      *
      * @param round the leader's heartbeat round; its echo shows that the sender was still leader when the round began
      */
@@ -187,7 +188,9 @@
         }
     }
 
-    /** The responses to {@link LeaseRequests}; valid once the receiver has applied the log up to {@code commitIndex}. */
+    /**
+     * The responses to {@link LeaseRequests}; valid once the receiver has applied the log up to {@code commitIndex}.
+     */
     record LeaseResponses(long term, long number, long commitIndex, List<LeaseResponse> responses)
             implements RaftMessage {
         @Override
--- a/src/main/java/sedgeyoke/consensus/RaftNode.java
+++ b/src/main/java/sedgeyoke/consensus/RaftNode.java
@@ -5,11 +5,9 @@
 import java.util.TreeMap;
 
 /**
- * One replica of the Raft cluster that holds the configuration, after Ongaro, "Consensus: Bridging Theory and Practice".
- * It holds the replica's parts together: it hands each event to the part that handles it, and lets the parts act on what
- * follows from it. {@link Election}, {@link LogReplication}, {@link AppendEntriesHandler}, {@link SnapshotTransfer},
- * {@link MembershipChange}, {@link LeadershipConfirmation}, {@link ConfigLeases}, {@link ClientRequests} and
- * {@link RecoveryQueries} have one job each and share {@link ReplicaState}.
+ * One replica of the Raft cluster that holds the configuration, after Ongaro, "Consensus: Bridging Theory and
+ * Practice". It holds the replica's parts together: it hands each event to the part that handles it, and lets the
+ * parts act on what follows from it. The parts have one job each and share {@link ReplicaState}.
  *
  * <p>Free of I/O, clocks and threads: events go in one after the other with the time of a monotonic clock, and the
  * actions that come out are to be carried out in order. All methods have to be called by one thread.
--- a/src/main/java/sedgeyoke/consensus/RaftTiming.java
+++ b/src/main/java/sedgeyoke/consensus/RaftTiming.java
@@ -3,11 +3,11 @@
 import sedgeyoke.lease.ClockDrift;
 
 /**
- * The time constants of the replicas and of the balancers that act on their config. All processes of a cluster must have
- * the same lease and drift.
+ * The time constants of the replicas and of the balancers that act on their config. All processes of a cluster must
+ * have the same lease and drift.
  *
- * @param electionTimeoutMicros the least time without contact to a leader after which a replica starts an election; each
- *     replica draws its own between this and twice this
+ * @param electionTimeoutMicros the least time without contact to a leader after which a replica starts an election;
+ *     each replica draws its own between this and twice this
  * @param heartbeatMicros the interval between a leader's heartbeats
  * @param leaseMicros how long a balancer may act on a version without a new lease
  * @param drift how far clocks may run fast or slow
@@ -54,14 +54,17 @@
     }
 
     /**
-     * How long two balancers may at most act on versions of which one contradicts the other: the lease of a balancer that
-     * has the older version and has lost contact. Only fields without a stricter value can contradict each other so.
+     * How long two balancers may at most act on versions of which one contradicts the other: the lease of a balancer
+     * that has the older version and has lost contact. Only fields without a stricter value can contradict each other
+     * so.
      */
     public long contradictionBoundMicros() {
         return drift.upperBound(leaseMicros);
     }
 
-    /** How long it takes at most until a committed version is active at all balancers, if the leader does not change. */
+    /**
+     * How long it takes at most until a committed version is active at all balancers, if the leader does not change.
+     */
     public long activationBoundMicros() {
         return 2 * drift.upperBound(leaseMicros) + 4 * heartbeatMicros;
     }
--- a/src/main/java/sedgeyoke/consensus/ReplicaRecovery.java
+++ b/src/main/java/sedgeyoke/consensus/ReplicaRecovery.java
@@ -9,9 +9,9 @@
 /**
  * Decides when a replica that has started may vote and count towards a quorum. If its disk is intact, it may once a
  * majority has not contradicted what the disk says. If the disk may have lost something that the replica acknowledged
- * (part of it is corrupt, the machine has crashed and writes may have been lost, or others remember an incarnation that
- * the disk does not), it first has to learn from the others whatever it may have acknowledged. This follows the recovery
- * protocol of Viewstamped Replication Revisited; docs/design/agreement.md has the argument.
+ * (part of it is corrupt, the machine has crashed and writes may have been lost, or others remember an incarnation
+ * that the disk does not), it first has to learn from the others whatever it may have acknowledged. This follows the
+ * recovery protocol of Viewstamped Replication Revisited; docs/design/agreement.md has the argument.
  */
 final class ReplicaRecovery {
     /** Query ids of one incarnation differ in these low bits, those of different incarnations in the others. */
--- a/src/main/java/sedgeyoke/lease/LeaseClock.java
+++ b/src/main/java/sedgeyoke/lease/LeaseClock.java
@@ -1,10 +1,10 @@
 package sedgeyoke.lease;
 
 /**
- * The arithmetic of leases between processes whose clocks share nothing but a bound on their drift. Each side counts from
- * the moment that is safe for the others: whoever waits for a lease to expire counts from a late moment and takes it for
- * longer, whoever uses a lease counts from an early moment and takes it for shorter. Times and durations are in one unit;
- * times are by the clock of the process that asks.
+ * The arithmetic of leases between processes whose clocks share nothing but a bound on their drift. Each side counts
+ * from the moment that is safe for the others: whoever waits for a lease to expire counts from a late moment and
+ * takes it for longer, whoever uses a lease counts from an early moment and takes it for shorter. Times and durations
+ * are in one unit; times are by the clock of the process that asks.
  */
 public class LeaseClock {
     /** A grant is shorter than the lease behind it, so that it ends before the lease is taken back. */
--- a/src/test/java/sedgeyoke/consensus/ExplicitStatesTest.java
+++ b/src/test/java/sedgeyoke/consensus/ExplicitStatesTest.java
@@ -18,10 +18,10 @@
 import sedgeyoke.lease.ClockDrift;
 
 /**
- * Explores all states that three replicas can reach, breadth first, up to a number of states. In each state any message
- * may be delivered (one of them twice) or never, any replica may start an election, write, send a heartbeat round, or
- * crash with or without its last write to disk. The real {@link RaftNode} runs; a state is reached again by replaying its
- * steps. Times are not part of a state, so that states that differ in times alone count once.
+ * Explores all states that three replicas can reach, breadth first, up to a number of states. In each state any
+ * message may be delivered (one of them twice) or never, any replica may start an election, write, send a heartbeat
+ * round, or crash with or without its last write to disk. The real {@link RaftNode} runs; a state is reached again by
+ * replaying its steps. Times are not part of a state, so that states that differ in times alone count once.
  */
 class ExplicitStatesTest {
     private static final RaftTiming TIMING = new RaftTiming(600_000, 100_000, 1_500_000, new ClockDrift(0), 1_000);
@@ -219,6 +219,7 @@
                 case CRASH -> crash(step.target());
                 case WRITE -> write(step.target());
                 case START_ROUND -> startRound(step.target());
+                default -> throw new AssertionError(step.kind());
             }
             messages.sort((x, y) -> x.toString().compareTo(y.toString()));
             check();
--- a/src/test/java/sedgeyoke/consensus/RaftNodeRulesTest.java
+++ b/src/test/java/sedgeyoke/consensus/RaftNodeRulesTest.java
@@ -20,8 +20,8 @@
 import sedgeyoke.lease.ClockDrift;
 
 /**
- * Scenarios for rules whose faults are too rare to be detected by seeds: each holds with the rule as it is, and fails with
- * a faulty rule in its place.
+ * Scenarios for rules whose faults are too rare to be detected by seeds: each holds with the rule as it is, and fails
+ * with a faulty rule in its place.
  */
 class RaftNodeRulesTest {
     private static final RaftTiming TIMING = new RaftTiming(600_000, 100_000, 1_500_000, new ClockDrift(1_000), 1_000);
--- a/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
@@ -37,10 +37,11 @@
 import sedgeyoke.store.SimDisk;
 
 /**
- * Simulates replicas with faulty disks, balancers that act on the config, and clients that write, on one thread and by
- * seed. Checks after every step that there is one leader for each term, that committed entries never change, that no two
- * balancers act on versions that exclude each other, that versions only grow, and that no balancer without a lease is
- * looser than any active version. Checks of the history that all results are true and that it is linearizable.
+ * Simulates replicas with faulty disks, balancers that act on the config, and clients that write, on one thread and
+ * by seed. Checks after every step that there is one leader for each term, that committed entries never change, that
+ * no two balancers act on versions that exclude each other, that versions only grow, and that no balancer without a
+ * lease is looser than any active version. Checks of the history that all results are true and that it is
+ * linearizable.
  */
 final class ConsensusSimulation extends SeededNetwork {
     static final int DRIFT_PPM = 2_000;
--- a/src/test/java/sedgeyoke/simulation/SeededNetwork.java
+++ b/src/test/java/sedgeyoke/simulation/SeededNetwork.java
@@ -7,8 +7,8 @@
 import java.util.SplittableRandom;
 
 /**
- * Simulates processes on one thread: clocks that drift, a network that loses, duplicates and delays messages and fails in
- * one direction, crashes and pauses, all determined by a seed. Subclasses implement the processes.
+ * Simulates processes on one thread: clocks that drift, a network that loses, duplicates and delays messages and
+ * fails in one direction, crashes and pauses, all determined by a seed. Subclasses implement the processes.
  */
 public abstract class SeededNetwork {
     /** The duration of one step, in microseconds. */
