--- a/src/main/java/sedgeyoke/drill/ConsensusHistory.java
+++ b/src/main/java/sedgeyoke/drill/ConsensusHistory.java
@@ -44,7 +44,10 @@
         }
 
         String nodeOut() {
-            return content.names(ConfigSchema.UPSTREAMS_OUT).keySet().iterator().next();
+            return content.names(ConfigSchema.DISABLED_UPSTREAMS)
+                    .keySet()
+                    .iterator()
+                    .next();
         }
     }
 
--- a/src/main/java/sedgeyoke/proxy/package-info.java
+++ b/src/main/java/sedgeyoke/proxy/package-info.java
@@ -1,5 +1,7 @@
 /**
- * The balancer on real sockets. Everything runs on one event loop thread, the policy included, so that nothing needs a
- * lock. What happens to a request is decided by {@link sedgeyoke.policy.LoadBalancingPolicy} alone.
+ * The balancer on sockets. Clients are on one side ({@link sedgeyoke.proxy.HttpFrontend} and
+ * {@link sedgeyoke.proxy.ClientConnection}), upstreams on the other
+ * ({@link sedgeyoke.proxy.UpstreamConnectionPool}), and {@link sedgeyoke.proxy.ProxyCore} between them asks the load
+ * balancing policy what to do with each request. All of it runs on one event loop, so nothing is locked.
  */
 package sedgeyoke.proxy;
--- a/src/main/java/sedgeyoke/simulation/SimulatedClients.java
+++ b/src/main/java/sedgeyoke/simulation/SimulatedClients.java
@@ -56,7 +56,7 @@
         }
 
         long timeLeftMicros(long nowMicros) {
-            return requestClass.giveUpMs() * 1_000L - (nowMicros - startedAtMicros);
+            return requestClass.clientTimeoutMs() * 1_000L - (nowMicros - startedAtMicros);
         }
     }
 
@@ -86,10 +86,10 @@
             InvariantChecker.Answer outcome =
                     switch (answer) {
                         case SERVED -> InvariantChecker.Answer.SERVED;
-                        case REJECTED -> InvariantChecker.Answer.REFUSED;
+                        case REJECTED -> InvariantChecker.Answer.REJECTED;
                         default -> InvariantChecker.Answer.FAILED;
                     };
-            context.checker.answered(id, outcome, true, operation.startedAtMicros, now);
+            context.checker.requestAnswered(id, outcome, true, operation.startedAtMicros, now);
             timeSeries.answered(
                     operation.requestClass, outcome, now - operation.startedAtMicros, operation.startedAtMicros);
             if (answer == Answer.REJECTED) {
@@ -101,7 +101,7 @@
             if (!ended) {
                 ended = true;
                 openRequests--;
-                context.checker.unanswered(id, context.events.now());
+                context.checker.connectionLost(id, context.events.now());
             }
         }
 
@@ -164,7 +164,7 @@
     private void startOperation(ArrivalProcess.Arrival arrival) {
         long now = context.events.now();
         RequestClassModel requestClass = context.scenario.site().classes().get(arrival.classIndex());
-        context.checker.wanted(requestClass);
+        context.checker.requestOffered(requestClass);
         timeSeries.started(requestClass, now);
         String idempotencyKey = requestClass.keyed() ? "k" + nextKeyNumber++ : null;
         send(new Operation(requestClass, arrival, now, idempotencyKey));
@@ -189,7 +189,7 @@
         String id = Long.toString(nextRequestNumber++, 36);
         long timeLeftMicros = Math.max(MIN_TIME_LEFT_MICROS, operation.timeLeftMicros(now));
         timeLeftMicros = timeLeftMicros / 1_000 * 1_000; // the header has whole milliseconds
-        context.checker.asked(
+        context.checker.requestSent(
                 id, operation.requestClass, operation.idempotencyKey, forwarder.name(), now, now + timeLeftMicros);
         openRequests++;
         ClientRequest clientRequest = new ClientRequest(operation, id);
@@ -201,7 +201,7 @@
                         operation.arrival.key(),
                         0,
                         timeLeftMicros,
-                        !operation.requestClass.repeat().equals("free"),
+                        !operation.requestClass.safe(),
                         operation.attempts > 1),
                 operation.idempotencyKey,
                 clientRequest);
--- a/src/main/java/sedgeyoke/simulation/SimulationContext.java
+++ b/src/main/java/sedgeyoke/simulation/SimulationContext.java
@@ -4,7 +4,9 @@
 import sedgeyoke.model.InvariantChecker;
 import sedgeyoke.model.UpstreamModel;
 
-/** What all parts of one run share: virtual time, random numbers, the network between zones and the invariant checker. */
+/**
+ * What all parts of one run share: virtual time, random numbers, the network between zones and the invariant checker.
+ */
 final class SimulationContext {
     /** Virtual time at the start of a run; far from 0, as a launch time of 0 means long ago. */
     static final long START = 1_000_000_000L;
@@ -79,7 +81,7 @@
             }
 
             @Override
-            public void after(long delay, Runnable action) {
+            public void schedule(long delay, Runnable action) {
                 events.schedule(delay, action);
             }
         };
--- a/src/main/java/sedgeyoke/simulation/UpstreamTransport.java
+++ b/src/main/java/sedgeyoke/simulation/UpstreamTransport.java
@@ -6,8 +6,8 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 
 /**
- * Carries a forwarder's attempts and health checks to upstreams, and their results back: connections, handshakes, delays
- * and losses.
+ * Carries a forwarder's attempts and health checks to upstreams, and their results back: connections, handshakes,
+ * delays and losses.
  */
 final class UpstreamTransport implements SimulatedAttempt.BreakListener {
     /** Handles the result of an attempt once it has reached the forwarder. */
@@ -93,7 +93,7 @@
         int maxConnections = context.scenario.network().maxConnections();
         if (upstream == null || maxConnections > 0 && upstream.connections() >= maxConnections) {
             scheduleEnd(attempt, 2 * context.drawDelay(zone, targetZone), Outcome.CONNECT_FAILED, null);
-        } else if (upstream.model().silent() || context.isPartitioned(zone, targetZone)) {
+        } else if (upstream.model().unresponsive() || context.isPartitioned(zone, targetZone)) {
             scheduleEnd(attempt, connectTimeoutMicros, Outcome.CONNECT_FAILED, null);
         } else {
             context.events.schedule(
@@ -132,7 +132,7 @@
         SimulatedUpstream upstream = connection.upstream();
         upstream.requestReceived();
         upstream.model()
-                .take(
+                .receive(
                         exchange.id(),
                         exchange.request().affinityKey(),
                         exchange.idempotencyKey(),
@@ -154,7 +154,7 @@
     private static Outcome outcome(UpstreamModel.Answer answer) {
         return switch (answer.kind()) {
             case DONE -> Outcome.OK;
-            case FULL -> Outcome.REJECTED;
+            case REJECTED -> Outcome.REJECTED;
             default -> Outcome.ERROR;
         };
     }
@@ -188,7 +188,7 @@
         int targetZone = target == null ? zone : target.upstream().zone();
         long delayMicros = context.drawDelay(zone, targetZone);
         context.events.schedule(delayMicros, () -> {
-            boolean answers = upstream != null && !upstream.model().silent();
+            boolean answers = upstream != null && !upstream.model().unresponsive();
             Outcome outcome = answers ? Outcome.OK : Outcome.TIMEOUT;
             LoadReport load = answers ? LoadReports.ofHealthCheck(upstream.model()) : null;
             context.events.schedule(
