--- a/src/main/java/sedgeyoke/body/BodyBudget.java
+++ b/src/main/java/sedgeyoke/body/BodyBudget.java
@@ -26,8 +26,9 @@
     }
 
     /**
-     * Reserves room for a streamed response, even beyond the total: its request may have run and must not be rejected any
-     * more. Further requests are rejected then; the limit on client connections bounds how many responses there are.
+     * Reserves room for a streamed response, even beyond the total: its request may have run and must not be rejected
+     * any more. Further requests are rejected then; the limit on client connections bounds how many responses there
+     * are.
      */
     public void reserveUnconditionally() {
         reserved += limits.ceiling();
--- a/src/main/java/sedgeyoke/body/BodyLimits.java
+++ b/src/main/java/sedgeyoke/body/BodyLimits.java
@@ -34,8 +34,8 @@
             new BodyLimits(false, PLATFORM_REQUEST, 0, 0, 2_000_000, 2_000_000, 2_000_000, PLATFORM_REQUEST, 0);
 
     /**
-     * The default where an admin endpoint is configured: bodies of 32 MB in either direction, streamed; up to 64 KiB are
-     * buffered, so that they can be sent again.
+     * The default where an admin endpoint is configured: bodies of 32 MB in either direction, streamed; up to 64 KiB
+     * are buffered, so that they can be sent again.
      */
     public static final BodyLimits OPERATED =
             new BodyLimits(true, 2 * PLATFORM_REQUEST, 32 << 20, 4_000, 2_500_000, 600_000_000, 3_000_000, 34 << 20, 0);
--- a/src/main/java/sedgeyoke/body/MinimumTransferRate.java
+++ b/src/main/java/sedgeyoke/body/MinimumTransferRate.java
@@ -1,8 +1,8 @@
 package sedgeyoke.body;
 
 /**
- * Decides whether an upload is too slow: in each window it must reach the lowest rate, and in all it must not exceed its
- * time. Time in which nothing is read from the client does not count. Times are microseconds.
+ * Decides whether an upload is too slow: in each window it must reach the lowest rate, and in all it must not exceed
+ * its time. Time in which nothing is read from the client does not count. Times are microseconds.
  */
 public final class MinimumTransferRate {
     private final BodyLimits limits;
--- a/src/main/java/sedgeyoke/body/PartialRequestPolicy.java
+++ b/src/main/java/sedgeyoke/body/PartialRequestPolicy.java
@@ -6,9 +6,9 @@
 
 /**
  * Decides how a request continues when an attempt ends, by how much of its body was forwarded. While the body is
- * buffered completely, or nothing was forwarded, the load balancing policy decides. Once a part was forwarded and dropped
- * here, no further attempt is possible, and only the response remains: a rejection says that a retry by the client is
- * harmless, a failure does not.
+ * buffered completely, or nothing was forwarded, the load balancing policy decides. Once a part was forwarded and
+ * dropped here, no further attempt is possible, and only the response remains: a rejection says that a retry by the
+ * client is harmless, a failure does not.
  */
 public final class PartialRequestPolicy {
     private PartialRequestPolicy() {}
--- a/src/main/java/sedgeyoke/proxy/JitWarmUp.java
+++ b/src/main/java/sedgeyoke/proxy/JitWarmUp.java
@@ -25,10 +25,10 @@
 
 /**
  * Serves some requests inside the process before the balancer listens, so that the code is compiled when the first
- * clients come: interpreted code takes several times the processor time, and at the full rate of requests a process with
- * a part of a core would be overloaded for seconds. The requests go through a second balancer without sockets, which is
- * dropped afterwards. Its clients and upstreams exchange bare bytes, because code that serves no client need not be
- * compiled.
+ * clients come: interpreted code takes several times the processor time, and at the full rate of requests a process
+ * with a part of a core would be overloaded for seconds. The requests go through a second balancer without sockets,
+ * which is dropped afterwards. Its clients and upstreams exchange bare bytes, because code that serves no client need
+ * not be compiled.
  */
 public final class JitWarmUp {
     /** More than the calls after which the JVM compiles a method, on each code path. */
@@ -36,9 +36,9 @@
     /** Enough to load and link the classes of each code path. */
     static final int MIN_REQUESTS = 30;
     /**
-     * Upstreams for each balancer, divided by the shortest latency objective in seconds, from which the start waits for
-     * compiled code. Both grow with the rate of requests. Below that, interpreted code keeps up while the JVM compiles it,
-     * and a start in half the time is better where most of a large fleet starts at once.
+     * Upstreams for each balancer, divided by the shortest latency objective in seconds, from which the start waits
+     * for compiled code. Both grow with the rate of requests. Below that, interpreted code keeps up while the JVM
+     * compiles it, and a start in half the time is better where most of a large fleet starts at once.
      */
     private static final double HIGH_LOAD = 12;
 
--- a/src/test/java/sedgeyoke/proxy/CrossingsTest.java
+++ b/src/test/java/sedgeyoke/proxy/CrossingsTest.java
@@ -263,8 +263,8 @@
     }
 
     /**
-     * A client sends more in the moment in which its connection is closed after its last response: with unread bytes the
-     * connection is reset, and what the system still buffers of the response is lost.
+     * A client sends more in the moment in which its connection is closed after its last response: with unread bytes
+     * the connection is reset, and what the system still buffers of the response is lost.
      */
     @Test
     void aResponseBeingWrittenIsCompleteThoughItsClientSendsMore() throws Exception {
