--- a/src/main/java/sedgeyoke/simulation/UtilisationSampler.java
+++ b/src/main/java/sedgeyoke/simulation/UtilisationSampler.java
@@ -14,7 +14,7 @@
 
     private final SimulatedUpstreams upstreams;
     private final Map<String, List<Double>> byUpstream = new LinkedHashMap<>();
-    private final Map<String, Long> workedBefore = new LinkedHashMap<>();
+    private final Map<String, Long> busyBefore = new LinkedHashMap<>();
     private double countedUtilisation;
     private int samples;
 
@@ -24,20 +24,20 @@
 
     /** Takes the sample of the last second, which counts for the mean unless it was in the warm-up. */
     void sample(boolean counts) {
-        double worked = 0;
+        double busyMicros = 0;
         double runningCores = 0;
         for (SimulatedUpstream upstream : upstreams.all()) {
             int cores = upstream.model().spec().cores();
             long total = upstream.model().busyCoreMicros();
-            long difference = total - workedBefore.getOrDefault(upstream.id(), 0L);
-            workedBefore.put(upstream.id(), total);
+            long difference = total - busyBefore.getOrDefault(upstream.id(), 0L);
+            busyBefore.put(upstream.id(), total);
             boolean running = upstream.isRunning();
             rowOf(upstream).add(running ? difference / (double) (SECOND * cores) : ABSENT);
-            worked += difference;
+            busyMicros += difference;
             runningCores += running ? cores : 0;
         }
         samples++;
-        countedUtilisation += counts && runningCores > 0 ? worked / SECOND / runningCores : 0;
+        countedUtilisation += counts && runningCores > 0 ? busyMicros / SECOND / runningCores : 0;
     }
 
     /** The upstream's row, filled up to this sample. */
--- /dev/null
+++ b/src/test/java/sedgeyoke/experiment/SeverityTest.java
@@ -0,0 +1,36 @@
+package sedgeyoke.experiment;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** Tests which results a worst-case search reports, and which reductions it accepts. */
+class SeverityTest {
+    @Test
+    void brokenRulesAreWorseThanAnyLoss() {
+        assertTrue(Severity.ofViolations(1).compareTo(Severity.ofLoss(1)) > 0);
+        assertTrue(Severity.ofViolations(2).compareTo(Severity.ofViolations(1)) > 0);
+        assertTrue(Severity.ofLoss(0.2).compareTo(Severity.ofLoss(0.1)) > 0);
+    }
+
+    @Test
+    void aSmallLossIsNoFinding() {
+        assertFalse(Severity.ofLoss(0.0019).isFinding());
+        assertTrue(Severity.ofLoss(0.0021).isFinding());
+        assertTrue(Severity.ofViolations(1).isFinding());
+    }
+
+    @Test
+    void aReductionMustKeepMostOfTheLoss() {
+        assertTrue(Severity.ofLoss(0.1).isStillShownBy(Severity.ofLoss(0.071)));
+        assertFalse(Severity.ofLoss(0.1).isStillShownBy(Severity.ofLoss(0.069)));
+        assertTrue(Severity.ofLoss(0.1).isStillShownBy(Severity.ofViolations(1)));
+    }
+
+    @Test
+    void aReductionOfBrokenRulesMustBreakRules() {
+        assertTrue(Severity.ofViolations(9).isStillShownBy(Severity.ofViolations(1)));
+        assertFalse(Severity.ofViolations(9).isStillShownBy(Severity.ofLoss(0.9)));
+    }
+}
