--- a/src/main/java/sedgeyoke/consensus/Membership.java
+++ b/src/main/java/sedgeyoke/consensus/Membership.java
@@ -31,7 +31,7 @@
     }
 
     /** The member with this name, voter or learner; null if there is none. */
-    Member member(String name) {
+    public Member member(String name) {
         return isLearner(name) ? learner : voters.get(name);
     }
 
--- a/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
@@ -77,7 +77,7 @@
     private long nextStorageId = 100;
     private long nextIncarnation = 1;
     private boolean faultsStopped;
-    final List<Operation> history = new ArrayList<>();
+    final List<ClientOperation> history = new ArrayList<>();
     /** Whether to print a trace. */
     boolean trace;
 
@@ -87,19 +87,6 @@
     int recoveries;
     long leasedSteps;
 
-    /** A request as its client sees it. */
-    static final class Operation {
-        final ClientRequest request;
-        final long startedAt;
-        long endedAt = Long.MAX_VALUE;
-        RequestResult result;
-
-        Operation(ClientRequest request, long startedAt) {
-            this.request = request;
-            this.startedAt = startedAt;
-        }
-    }
-
     private record ReplicaMessage(String from, long storageId, RaftMessage message) {}
 
     private record RequestMessage(int from, long token, ClientRequest request) {}
@@ -575,7 +562,7 @@
         private long nextStartAt;
         private long token;
         private long knownVersion;
-        private Operation operation;
+        private ClientOperation operation;
         private long sentAt;
         private int operationCount;
 
@@ -611,7 +598,7 @@
         @Override
         protected void step() {
             if (operation == null && now >= nextStartAt) {
-                operation = new Operation(randomRequest(), now);
+                operation = new ClientOperation(randomRequest(), now);
                 history.add(operation);
                 token = number * 1_000_000L + ++operationCount;
                 sentAt = 0;
@@ -658,17 +645,7 @@
         private Member memberAtLeader(String name) {
             for (SimulatedReplica replica : replicas) {
                 if (replica.node != null && replica.node.role() == RaftNode.Role.LEADER) {
-                    Member member = replica.node.membership().voters().get(name);
-                    return member != null
-                            ? member
-                            : replica.node.membership().learner() != null
-                                            && replica.node
-                                                    .membership()
-                                                    .learner()
-                                                    .name()
-                                                    .equals(name)
-                                    ? replica.node.membership().learner()
-                                    : null;
+                    return replica.node.membership().member(name);
                 }
             }
             return new Member(name, 0, name); // no leader to consult
@@ -783,83 +760,10 @@
         return text.toString();
     }
 
-    /** All results agree with the committed log, and no read returns an older version than an earlier result did. */
     private void checkHistory() {
-        long last = committed.isEmpty() ? 0 : committed.lastKey();
-        for (long i = 1; i <= last; i++) {
-            if (!committed.containsKey(i)) {
-                fail("entry %d was never seen", i);
-                return;
-            }
-        }
-        Map<String, RequestResult> results = new ReferenceModel().apply(committed.values());
-        List<Operation> completed = new ArrayList<>(
-                history.stream().filter(operation -> operation.result != null).toList());
-        for (Operation operation : completed) {
-            if (operation.request instanceof ClientRequest.Set set
-                    && operation.result.kind() == RequestResult.Kind.DONE) {
-                RequestResult actual = results.get(set.write().requestId());
-                if (actual == null
-                        || actual.kind() != RequestResult.Kind.DONE
-                        || actual.version() != operation.result.version()) {
-                    fail("%s had result %s, is %s", set.write().requestId(), operation.result, actual);
-                }
-            } else if (operation.request instanceof ClientRequest.Set set) {
-                RequestResult actual = results.get(set.write().requestId());
-                if (actual != null && actual.kind() == RequestResult.Kind.DONE) {
-                    fail("%s had result %s and was applied: %s", set.write().requestId(), operation.result, actual);
-                }
-            }
-        }
-        for (Operation earlier : completed) {
-            for (Operation later : completed) {
-                if (earlier.endedAt < later.startedAt
-                        && observesVersion(earlier)
-                        && observesVersion(later)
-                        && later.result.version() < earlier.result.version()) {
-                    fail(
-                            "version %d was returned at %d, and %d to %s, which started after that at %d",
-                            earlier.result.version(),
-                            earlier.endedAt,
-                            later.result.version(),
-                            later.request,
-                            later.startedAt);
-                }
-            }
-        }
-    }
-
-    private static boolean observesVersion(Operation operation) {
-        return operation.result.version() > 0
-                && (operation.request instanceof ClientRequest.Read
-                        || operation.request instanceof ClientRequest.Set
-                                && operation.result.kind() == RequestResult.Kind.DONE);
-    }
-
-    /** Computes the results of the writes in a log, independently of the state machine. */
-    private static final class ReferenceModel {
-        Map<String, RequestResult> apply(Iterable<LogEntry> log) {
-            Map<String, RequestResult> results = new HashMap<>();
-            long active = 0;
-            boolean pending = false;
-            for (LogEntry entry : log) {
-                if (entry.command() instanceof Command.Activate activate
-                        && pending
-                        && activate.version() == active + 1) {
-                    active++;
-                    pending = false;
-                } else if (entry.command() instanceof Command.Write write && !results.containsKey(write.requestId())) {
-                    boolean accepted = !pending && write.parentVersion() == active;
-                    results.put(
-                            write.requestId(),
-                            new RequestResult(
-                                    accepted ? RequestResult.Kind.DONE : RequestResult.Kind.CONFLICT,
-                                    accepted ? active + 1 : active,
-                                    ""));
-                    pending |= accepted;
-                }
-            }
-            return results;
+        String found = new ClientHistoryChecker(committed).check(history);
+        if (found != null) {
+            fail("%s", found);
         }
     }
 }
