--- a/src/test/java/sedgeyoke/consensus/ExplicitStatesTest.java
+++ b/src/test/java/sedgeyoke/consensus/ExplicitStatesTest.java
@@ -365,7 +365,7 @@
     @Test
     void faultyRuleIsDetected() {
         SearchResult result = explore(
-                t -> new SafetyRules(t) {
+                timing -> new SafetyRules(timing) {
                     @Override
                     boolean mayVoteFor(String candidate, String votedFor) {
                         return true;
--- a/src/test/java/sedgeyoke/consensus/FaultySafetyRules.java
+++ b/src/test/java/sedgeyoke/consensus/FaultySafetyRules.java
@@ -19,19 +19,19 @@
     }
 
     private static void electionFaults(Map<String, Function<RaftTiming, SafetyRules>> faulty) {
-        faulty.put("half of the voters is a majority", t -> new SafetyRules(t) {
+        faulty.put("half of the voters is a majority", timing -> new SafetyRules(timing) {
             @Override
             int majority(int voters) {
                 return voters / 2;
             }
         });
-        faulty.put("an outdated log may lead", t -> new SafetyRules(t) {
+        faulty.put("an outdated log may lead", timing -> new SafetyRules(timing) {
             @Override
             boolean isLogUpToDate(long lastIndex, long lastTerm, long ownIndex, long ownTerm) {
                 return true;
             }
         });
-        faulty.put("two votes in one term", t -> new SafetyRules(t) {
+        faulty.put("two votes in one term", timing -> new SafetyRules(timing) {
             @Override
             boolean mayVoteFor(String candidate, String votedFor) {
                 return true;
@@ -40,7 +40,7 @@
     }
 
     private static void persistenceFaults(Map<String, Function<RaftTiming, SafetyRules>> faulty) {
-        faulty.put("responses do not wait for persistence", t -> new SafetyRules(t) {
+        faulty.put("responses do not wait for persistence", timing -> new SafetyRules(timing) {
             @Override
             boolean responsesWaitForPersistence() {
                 return false;
@@ -49,37 +49,37 @@
     }
 
     private static void leaseFaults(Map<String, Function<RaftTiming, SafetyRules>> faulty) {
-        faulty.put("a lease counts from when the response arrived", t -> new SafetyRules(t) {
+        faulty.put("a lease counts from when the response arrived", timing -> new SafetyRules(timing) {
             @Override
             long leaseUsableUntil(long sentAt, long receivedAt) {
-                return receivedAt + t.leaseMicros();
+                return receivedAt + timing.leaseMicros();
             }
         });
-        faulty.put("a lease never expires", t -> new SafetyRules(t) {
+        faulty.put("a lease never expires", timing -> new SafetyRules(timing) {
             @Override
             long leaseUsableUntil(long sentAt, long receivedAt) {
                 return Long.MAX_VALUE;
             }
         });
-        faulty.put("a lease is longer for its holder than for the leader", t -> new SafetyRules(t) {
+        faulty.put("a lease is longer for its holder than for the leader", timing -> new SafetyRules(timing) {
             @Override
             long leaseHeldUntil(long requestedAt) {
-                return requestedAt + t.leaseMicros() / 2;
+                return requestedAt + timing.leaseMicros() / 2;
             }
         });
-        faulty.put("leases of earlier leaders are forgotten", t -> new SafetyRules(t) {
+        faulty.put("leases of earlier leaders are forgotten", timing -> new SafetyRules(timing) {
             @Override
             long earlierLeasesEnd(long leaderSince) {
                 return leaderSince;
             }
         });
-        faulty.put("a version is activated at once", t -> new SafetyRules(t) {
+        faulty.put("a version is activated at once", timing -> new SafetyRules(timing) {
             @Override
             boolean coversVersion(long heldVersion, long version) {
                 return true;
             }
         });
-        faulty.put("leadership is not confirmed", t -> new SafetyRules(t) {
+        faulty.put("leadership is not confirmed", timing -> new SafetyRules(timing) {
             @Override
             boolean isLeadershipConfirmed(long requiredRound, long confirmedRound) {
                 return true;
@@ -88,31 +88,31 @@
     }
 
     private static void configFaults(Map<String, Function<RaftTiming, SafetyRules>> faulty) {
-        faulty.put("a stale response is accepted", t -> new SafetyRules(t) {
+        faulty.put("a stale response is accepted", timing -> new SafetyRules(timing) {
             @Override
             boolean isStale(long receivedVersion, long knownVersion) {
                 return false;
             }
         });
-        faulty.put("the pending version is acted on before its activation", t -> new SafetyRules(t) {
+        faulty.put("the pending version is acted on before its activation", timing -> new SafetyRules(timing) {
             @Override
             ConfigDocument duringActivation(ConfigDocument active, ConfigDocument pending) {
                 return pending;
             }
         });
-        faulty.put("without a lease the last version is acted on", t -> new SafetyRules(t) {
+        faulty.put("without a lease the last version is acted on", timing -> new SafetyRules(timing) {
             @Override
             ConfigDocument withoutLease(ConfigDocument last) {
                 return last;
             }
         });
-        faulty.put("a write may follow any version", t -> new SafetyRules(t) {
+        faulty.put("a write may follow any version", timing -> new SafetyRules(timing) {
             @Override
             boolean mayFollow(long parentVersion, long newestVersion) {
                 return true;
             }
         });
-        faulty.put("a repeated request is applied again", t -> new SafetyRules(t) {
+        faulty.put("a repeated request is applied again", timing -> new SafetyRules(timing) {
             @Override
             boolean appliesRequest(RequestResult previousResult) {
                 return true;
--- a/src/test/java/sedgeyoke/consensus/RaftNodeRulesTest.java
+++ b/src/test/java/sedgeyoke/consensus/RaftNodeRulesTest.java
@@ -89,8 +89,22 @@
                     .orElseThrow();
         }
 
+        /** Receives a reply to the query {@code queryId} from a recovered replica that does not contradict this one. */
+        void receiveReply(String from, long term, long queryId, boolean isLeader, long lastIndex) {
+            receive(from, new RaftMessage.RecoveryReply(term, queryId, false, true, false, isLeader, lastIndex, 0));
+        }
+
+        /** Receives a heartbeat of term {@code term} that follows entry 1 of term 1. */
+        void receiveHeartbeat(String from, long term, long round) {
+            receive(from, new RaftMessage.AppendEntries(term, 1, 1, List.of(), 0, round));
+        }
+
+        boolean hasGrantedVote() {
+            return sent(RaftMessage.VoteResponse.class).stream().anyMatch(RaftMessage.VoteResponse::granted);
+        }
+
         void completeRecovery() {
-            receive("b", new RaftMessage.RecoveryReply(node.term(), latestQueryId(), false, true, false, false, 0, 0));
+            receiveReply("b", node.term(), latestQueryId(), false, 0);
             assertTrue(node.isRecovered());
         }
 
@@ -156,7 +170,7 @@
         replica.receiveAcknowledgement("b", true);
         replica.handle(new Event.RequestReceived(1, new ClientRequest.AddMember(new Member("d", 8, "d"))));
         replica.handle(new Event.RequestReceived(2, new ClientRequest.RemoveMember("c", 0)));
-        return replica.results().stream().anyMatch(o -> o.kind() == RequestResult.Kind.REFUSED);
+        return replica.results().stream().anyMatch(result -> result.kind() == RequestResult.Kind.REFUSED);
     }
 
     private static boolean countsOnlyRecoveredReplicas(Function<RaftTiming, SafetyRules> rules) {
@@ -169,12 +183,12 @@
     private static boolean recoveryWaitsForLeaderLog(Function<RaftTiming, SafetyRules> rules) {
         SingleReplica replica = new SingleReplica(rules, "a segment is missing", 1, 1);
         replica.advanceTime(4 * TIMING.electionTimeoutMicros());
-        replica.receive("b", new RaftMessage.AppendEntries(2, 1, 1, List.of(), 0, 1));
+        replica.receiveHeartbeat("b", 2, 1);
         for (int i = 0; i < 2; i++) { // the second reply is to a query that was sent after the leader was known
             long queryId = replica.latestQueryId();
-            replica.receive("b", new RaftMessage.RecoveryReply(2, queryId, false, true, false, true, 9, 0));
-            replica.receive("c", new RaftMessage.RecoveryReply(2, queryId, false, true, false, false, 9, 0));
-            replica.receive("b", new RaftMessage.AppendEntries(2, 1, 1, List.of(), 0, 2));
+            replica.receiveReply("b", 2, queryId, true, 9);
+            replica.receiveReply("c", 2, queryId, false, 9);
+            replica.receiveHeartbeat("b", 2, 2);
         }
         return !replica.node.isRecovered();
     }
@@ -226,21 +240,21 @@
         SingleReplica replica = new SingleReplica(rules, "a segment is missing", 1, 1);
         replica.advanceTime(4 * TIMING.electionTimeoutMicros());
         long queryId = replica.latestQueryId();
-        replica.receive("b", new RaftMessage.RecoveryReply(2, queryId, false, true, false, true, 1, 0));
-        replica.receive("c", new RaftMessage.RecoveryReply(2, queryId, false, true, false, false, 1, 0));
-        replica.receive("b", new RaftMessage.AppendEntries(2, 1, 1, List.of(), 0, 1));
-        replica.receive("b", new RaftMessage.RecoveryReply(2, replica.latestQueryId(), false, true, false, true, 1, 0));
+        replica.receiveReply("b", 2, queryId, true, 1);
+        replica.receiveReply("c", 2, queryId, false, 1);
+        replica.receiveHeartbeat("b", 2, 1);
+        replica.receiveReply("b", 2, replica.latestQueryId(), true, 1);
         assertTrue(replica.node.isRecovered(), "its log matches the leader's");
         replica.advanceTime(2 * TIMING.electionTimeoutMicros());
         replica.receive("c", new RaftMessage.RequestVote(2, 9, 9, false));
-        return replica.sent(RaftMessage.VoteResponse.class).stream().noneMatch(RaftMessage.VoteResponse::granted);
+        return !replica.hasGrantedVote();
     }
 
     static Stream<Arguments> scenarios() {
         Map<String, Scenario> scenarios = new LinkedHashMap<>();
         scenarios.put(
                 "logs are compared by length alone",
-                new Scenario(RaftNodeRulesTest::rejectsLongerLogOfOlderTerm, t -> new SafetyRules(t) {
+                new Scenario(RaftNodeRulesTest::rejectsLongerLogOfOlderTerm, timing -> new SafetyRules(timing) {
                     @Override
                     boolean isLogUpToDate(long lastIndex, long lastTerm, long ownIndex, long ownTerm) {
                         return lastIndex >= ownIndex;
@@ -248,7 +262,7 @@
                 }));
         scenarios.put(
                 "two members change at a time",
-                new Scenario(RaftNodeRulesTest::changesOneMemberAtATime, t -> new SafetyRules(t) {
+                new Scenario(RaftNodeRulesTest::changesOneMemberAtATime, timing -> new SafetyRules(timing) {
                     @Override
                     boolean mayChangeMembership(Membership inLog, Membership committed) {
                         return true;
@@ -256,7 +270,7 @@
                 }));
         scenarios.put(
                 "a replica that may have lost data counts towards a quorum",
-                new Scenario(RaftNodeRulesTest::countsOnlyRecoveredReplicas, t -> new SafetyRules(t) {
+                new Scenario(RaftNodeRulesTest::countsOnlyRecoveredReplicas, timing -> new SafetyRules(timing) {
                     @Override
                     boolean countsTowardsQuorum(boolean recovered) {
                         return true;
@@ -264,7 +278,7 @@
                 }));
         scenarios.put(
                 "recovery does not wait for the leader's log",
-                new Scenario(RaftNodeRulesTest::recoveryWaitsForLeaderLog, t -> new SafetyRules(t) {
+                new Scenario(RaftNodeRulesTest::recoveryWaitsForLeaderLog, timing -> new SafetyRules(timing) {
                     @Override
                     long recoveryTarget(long leaderLastIndex) {
                         return 0;
@@ -272,7 +286,7 @@
                 }));
         scenarios.put(
                 "an old copy of a disk is not recognized",
-                new Scenario(RaftNodeRulesTest::remembersIncarnations, t -> new SafetyRules(t) {
+                new Scenario(RaftNodeRulesTest::remembersIncarnations, timing -> new SafetyRules(timing) {
                     @Override
                     boolean isOutdatedReplica(
                             long knownIncarnation, List<Long> incarnations, long lastSeenTerm, long term) {
@@ -281,7 +295,7 @@
                 }));
         scenarios.put(
                 "a replaced disk is taken for the former one",
-                new Scenario(RaftNodeRulesTest::checksStorageIds, t -> new SafetyRules(t) {
+                new Scenario(RaftNodeRulesTest::checksStorageIds, timing -> new SafetyRules(timing) {
                     @Override
                     boolean isSameStorage(long knownStorageId, long claimedStorageId) {
                         return true;
@@ -298,7 +312,7 @@
     private static void addMoreScenarios(Map<String, Scenario> scenarios) {
         scenarios.put(
                 "entries of earlier terms are committed by counting",
-                new Scenario(RaftNodeRulesTest::commitsOnlyOwnTermByCounting, t -> new SafetyRules(t) {
+                new Scenario(RaftNodeRulesTest::commitsOnlyOwnTermByCounting, timing -> new SafetyRules(timing) {
                     @Override
                     boolean mayCommitEntry(long entryTerm, long term) {
                         return true;
@@ -306,21 +320,23 @@
                 }));
         scenarios.put(
                 "acknowledgements of an earlier incarnation count",
-                new Scenario(RaftNodeRulesTest::ignoresEarlierIncarnation, t -> new SafetyRules(t) {
+                new Scenario(RaftNodeRulesTest::ignoresEarlierIncarnation, timing -> new SafetyRules(timing) {
                     @Override
                     boolean isSameIncarnation(long knownIncarnation, long claimedIncarnation) {
                         return true;
                     }
                 }));
-        scenarios.put("votes never expire", new Scenario(RaftNodeRulesTest::ignoresLateVotes, t -> new SafetyRules(t) {
-            @Override
-            boolean votesAreValid(long now, long electionStartedAt) {
-                return true;
-            }
-        }));
+        scenarios.put(
+                "votes never expire",
+                new Scenario(RaftNodeRulesTest::ignoresLateVotes, timing -> new SafetyRules(timing) {
+                    @Override
+                    boolean votesAreValid(long now, long electionStartedAt) {
+                        return true;
+                    }
+                }));
         scenarios.put(
                 "a vote that may be lost is taken for none",
-                new Scenario(RaftNodeRulesTest::grantsNoSecondVoteAfterRecovery, t -> new SafetyRules(t) {
+                new Scenario(RaftNodeRulesTest::grantsNoSecondVoteAfterRecovery, timing -> new SafetyRules(timing) {
                     @Override
                     String voteAfterRecovery() {
                         return "";
@@ -344,13 +360,13 @@
         SingleReplica replica = new SingleReplica(SafetyRules::new, "a segment is missing", 5, 1);
         replica.advanceTime(4 * TIMING.electionTimeoutMicros());
         long queryId = replica.latestQueryId();
-        replica.receive("b", new RaftMessage.RecoveryReply(2, queryId, false, true, false, false, 1, 0));
-        replica.receive("c", new RaftMessage.RecoveryReply(2, queryId, false, true, false, false, 1, 0));
-        replica.receive("b", new RaftMessage.AppendEntries(5, 1, 1, List.of(), 0, 1));
-        replica.receive("b", new RaftMessage.RecoveryReply(5, replica.latestQueryId(), false, true, false, true, 1, 0));
+        replica.receiveReply("b", 2, queryId, false, 1);
+        replica.receiveReply("c", 2, queryId, false, 1);
+        replica.receiveHeartbeat("b", 5, 1);
+        replica.receiveReply("b", 5, replica.latestQueryId(), true, 1);
         assertTrue(replica.node.isRecovered(), "its log matches the leader's");
         replica.advanceTime(2 * TIMING.electionTimeoutMicros());
         replica.receive("c", new RaftMessage.RequestVote(5, 9, 9, false));
-        assertTrue(replica.sent(RaftMessage.VoteResponse.class).stream().noneMatch(RaftMessage.VoteResponse::granted));
+        assertFalse(replica.hasGrantedVote());
     }
 }
--- a/src/test/java/sedgeyoke/consensus/server/ClientHistoryChecker.java
+++ b/src/test/java/sedgeyoke/consensus/server/ClientHistoryChecker.java
@@ -10,8 +10,8 @@
 import sedgeyoke.consensus.RequestResult;
 
 /**
- * Checks the results that clients got against the committed log: all results are true, and no operation returns an older
- * version than one that had ended before it started.
+ * Checks the results that clients got against the committed log: all results are true, and no operation returns an
+ * older version than one that had ended before it started.
  */
 final class ClientHistoryChecker {
     private final SortedMap<Long, LogEntry> committed;
--- a/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
@@ -187,41 +187,62 @@
         }
     }
 
+    /** The faults of a disk, in the order of their random draw. */
+    private enum DiskFault {
+        FLIP_BIT,
+        MISDIRECT_WRITE,
+        LOSE_WRITE,
+        STALE_READ,
+        FAIL_WRITES,
+        DELETE_FILE,
+        RESTORE_BACKUP,
+        WIPE,
+        /** Writes that were reported as synced are lost with the next power loss. */
+        IGNORE_FSYNC
+    }
+
+    private DiskFault randomDiskFault(SimulatedReplica replica) {
+        int kinds = DiskFault.values().length;
+        DiskFault fault = DiskFault.values()[random.nextInt(diskLosesWrites ? kinds : kinds - 1)];
+        return fault == DiskFault.WIPE && !replica.mayJoin ? DiskFault.RESTORE_BACKUP : fault;
+    }
+
     /** Injects a disk fault, unless a minority of the replicas has one that it has not recovered from. */
     private void injectDiskFault(SimulatedReplica replica) {
         if (!mayFault(replica)) {
             return;
         }
-        int kind = random.nextInt(diskLosesWrites ? 9 : 8);
-        if (kind == 7 && !replica.mayJoin) {
-            kind = 6;
-        }
+        DiskFault fault = randomDiskFault(replica);
         diskFaults++;
-        log(replica.name + " disk fault " + kind);
-        switch (kind) {
-            case 0 -> replica.faultWhileDown(() -> replica.disk.flipRandomBit());
-            case 1 -> {
-                replica.disk.misdirectNextWrite = true;
+        log(replica.name + " disk fault " + fault);
+        SimDisk disk = replica.disk;
+        switch (fault) {
+            case FLIP_BIT -> replica.faultWhileDown(() -> replica.disk.flipRandomBit());
+            case MISDIRECT_WRITE -> {
+                disk.misdirectNextWrite = true;
                 replica.hasLatentFault = true;
             }
-            case 2 -> {
-                replica.disk.loseNextWrite = true;
+            case LOSE_WRITE -> {
+                disk.loseNextWrite = true;
                 replica.hasLatentFault = true;
             }
-            case 3 -> replica.faultWhileDown(() -> replica.disk.staleReadFile = replica.disk
-                    .fileNames()
-                    .get(random.nextInt(replica.disk.fileNames().size())));
-            case 4 -> {
-                replica.disk.failure = random.nextBoolean() ? DiskException.Kind.FULL : DiskException.Kind.IO_ERROR;
-                replica.disk.failOnlyFsync = random.nextBoolean();
+            case STALE_READ -> replica.faultWhileDown(() -> replica.disk.staleReadFile = randomFile(replica.disk));
+            case FAIL_WRITES -> {
+                disk.failure = random.nextBoolean() ? DiskException.Kind.FULL : DiskException.Kind.IO_ERROR;
+                disk.failOnlyFsync = random.nextBoolean();
             }
-            case 5 -> replica.faultWhileDown(() -> replica.disk.deleteRandomFile());
-            case 6 -> replica.restoreBackup();
-            case 7 -> replica.faultWhileDown(() -> replica.disk.wipe());
-            default -> replica.disk.ignoreFsync = true; // until a power loss
+            case DELETE_FILE -> replica.faultWhileDown(() -> replica.disk.deleteRandomFile());
+            case RESTORE_BACKUP -> replica.restoreBackup();
+            case WIPE -> replica.faultWhileDown(() -> replica.disk.wipe());
+            case IGNORE_FSYNC -> disk.ignoreFsync = true;
+            default -> throw new AssertionError(fault);
         }
     }
 
+    private String randomFile(SimDisk disk) {
+        return disk.fileNames().get(random.nextInt(disk.fileNames().size()));
+    }
+
     /** Whether one more replica may lose data; then it is counted with those that may have. */
     private boolean mayFault(SimulatedReplica replica) {
         faultyReplicas.removeIf(name -> replica(name).isHealthy());
