--- a/bench/src/PlannerScale.java
+++ b/bench/src/PlannerScale.java
@@ -48,7 +48,7 @@
             List<byte[]> messages = new ArrayList<>();
             for (int f = 0; f < forwarders; f++) {
                 messages.add(Frame.newBuilder()
-                        .setReport(PlannerCodec.of(report(f, round, stamp, upstreams, cold, random)))
+                        .setReport(PlannerCodec.encodeReport(report(f, round, stamp, upstreams, cold, random)))
                         .build()
                         .toByteArray());
             }
@@ -56,16 +56,16 @@
             for (int f = 0; f < forwarders; f++) {
                 planner.report(
                         now,
-                        PlannerCodec.report(
+                        PlannerCodec.decodeReport(
                                 "f" + f, Frame.parseFrom(messages.get(f)).getReport()));
             }
             long reported = System.nanoTime();
             List<Planner.Out> planned = planner.plan(now);
-            ByteString board = PlannerCodec.board(planned.get(0).message().views());
+            ByteString board = PlannerCodec.encodeViews(planned.get(0).message().views());
             long bytes = 0;
             for (Planner.Out o : planned) {
                 bytes += Frame.newBuilder()
-                        .setPlan(PlannerCodec.of(o, board))
+                        .setPlan(PlannerCodec.encodePlan(o, board))
                         .build()
                         .toByteArray()
                         .length;
--- a/src/main/java/sedgeyoke/consensus/server/ConfigClient.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigClient.java
@@ -1,17 +1,13 @@
 package sedgeyoke.consensus.server;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -28,35 +24,64 @@
 import sedgeyoke.settings.TlsFiles;
 import sedgeyoke.transport.FramedConnection;
 import sedgeyoke.transport.MutualTls;
+import sedgeyoke.transport.PeerRole;
 import sedgeyoke.transport.proto.Frame;
 import sedgeyoke.transport.proto.OperatorAsk;
 import sedgeyoke.transport.proto.OperatorReply;
 import sedgeyoke.transport.proto.StatusMessage;
 
 /**
- * Operators' way to the keepers. It asks one after the other until one knows, and says so where nobody does: what was
- * written and not answered may be done, and is asked for again under the same number.
+ * Sends requests of operators to the config servers. It tries one server after the other until one has a definite
+ * result. Writes that got no response may have been committed; they are repeated with the same request id, which makes
+ * them idempotent. Methods block; to be used on one thread, which is not an event loop.
  */
 public final class ConfigClient implements AutoCloseable {
-    private static final long ONE_MS = 1_500;
-    private static final long PAUSE_MS = 100;
+    private static final long ATTEMPT_TIMEOUT_MILLIS = 1_500;
+    private static final long RETRY_DELAY_MILLIS = 100;
+    /** There is only one request on a connection, so its token is constant. */
+    private static final int TOKEN = 1;
 
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-    private final List<InetSocketAddress> keepers;
+    private final List<InetSocketAddress> servers;
     private final String name;
     private final MutualTls tls;
-    private int next;
+    private int nextServer;
 
-    /** What became of a request, with the versions that the keeper who answered knew. */
+    /**
+     * The response to a request.
+     *
+     * @param outcome result of the request; null in the response to {@link #history}
+     * @param active version in force, as the responding server knows it
+     * @param pending version that is to take effect, or null
+     * @param history earlier versions, only in the response to {@link #history}
+     */
     public record Answer(
             RequestResult outcome, ConfigVersion active, ConfigVersion pending, List<ConfigVersion> history) {
-        /** The newest of them. */
+        /** Returns the newest version. */
         public ConfigVersion newest() {
             return pending == null ? active : pending;
         }
     }
 
-    /** What a keeper says of itself. */
+    /**
+     * Status of one config server.
+     *
+     * @param name its name
+     * @param role its Raft role in lower case
+     * @param leader name of the leader it knows; empty if none
+     * @param commit its commit index
+     * @param last index of its last log entry
+     * @param sound whether it has recovered and counts towards quorums
+     * @param doubt why it may have lost data; empty if it has not
+     * @param learner member that is about to become a voter, or null
+     * @param active number of the version in force
+     * @param pending number of the version that is to take effect; 0 if none
+     * @param holders number of balancers with a lease
+     * @param followers number of balancers connected to it
+     * @param contradictionBoundMs longest time in milliseconds in which balancers may act on contradicting versions
+     * @param holdsWithinMs longest time in milliseconds until a committed version is in force everywhere
+     * @param folder number of its storage directory
+     */
     public record Status(
             String name,
             String role,
@@ -76,176 +101,187 @@
             long holdsWithinMs,
             long folder) {}
 
-    /** Throws if the TLS files are no good. {@code name}: as in the operator's certificate. */
-    public ConfigClient(List<InetSocketAddress> keepers, String name, TlsFiles files) throws IOException {
-        this.keepers = List.copyOf(keepers);
+    /** Creates a client; throws if the TLS files cannot be loaded. {@code name}: as in the operator's certificate. */
+    public ConfigClient(List<InetSocketAddress> servers, String name, TlsFiles files) throws IOException {
+        this.servers = List.copyOf(servers);
         this.name = name;
-        this.tls = new MutualTls(files, false, line -> {});
+        this.tls = MutualTls.forClient(files, line -> {});
     }
 
-    /** Asks until somebody knows, for so long at the most. */
-    public Answer ask(ClientRequest request, long withinMs) throws InterruptedException {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(withinMs);
-        boolean mayBeDone = false;
+    // ---- Requests ------------------------------------------------------------------------------------
+
+    /**
+     * Sends a request until a server has a definite result.
+     *
+     * @param timeoutMillis after which the result is UNKNOWN if the request may have been committed, else NO_LEADER
+     */
+    public Answer ask(ClientRequest request, long timeoutMillis) throws InterruptedException {
+        OperatorAsk message = OperatorAsk.newBuilder()
+                .setToken(TOKEN)
+                .setRequest(ConsensusCodec.of(request))
+                .build();
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+        boolean mayBeCommitted = false;
         Answer last = null;
-        while (System.nanoTime() < end) {
-            OperatorReply reply = once(
-                    keepers.get(next),
-                    OperatorAsk.newBuilder()
-                            .setToken(1)
-                            .setRequest(ConsensusCodec.of(request))
-                            .build(),
-                    left(end));
-            if (reply != null && reply.hasOutcome()) {
-                last = answer(reply);
-                RequestResult.Kind kind = last.outcome().kind();
-                mayBeDone |= kind == RequestResult.Kind.UNKNOWN;
-                if (kind == RequestResult.Kind.DONE
-                        || kind == RequestResult.Kind.CONFLICT
-                        || kind == RequestResult.Kind.REFUSED) {
+        while (System.nanoTime() < deadline) {
+            Optional<OperatorReply> reply = exchange(servers.get(nextServer), message, attemptTimeoutMillis(deadline))
+                    .filter(OperatorReply::hasOutcome);
+            if (reply.isPresent()) {
+                last = decode(reply.get());
+                if (isDefinite(last.outcome().kind())) {
                     return last;
                 }
+                mayBeCommitted |= last.outcome().kind() == RequestResult.Kind.UNKNOWN;
             } else {
-                mayBeDone |= !(request instanceof ClientRequest.Read);
+                mayBeCommitted |= !(request instanceof ClientRequest.Read);
             }
-            next = (next + 1) % keepers.size();
-            TimeUnit.MILLISECONDS.sleep(PAUSE_MS);
+            nextServer = (nextServer + 1) % servers.size();
+            TimeUnit.MILLISECONDS.sleep(RETRY_DELAY_MILLIS);
         }
-        RequestResult none = new RequestResult(
-                mayBeDone ? RequestResult.Kind.UNKNOWN : RequestResult.Kind.NO_LEADER,
-                0,
-                last == null ? "no keeper has answered" : last.outcome().detail());
-        return new Answer(
-                none,
-                last == null ? ConfigVersion.NONE : last.active(),
-                last == null ? null : last.pending(),
-                List.of());
+        return timedOut(mayBeCommitted, last);
+    }
+
+    private static boolean isDefinite(RequestResult.Kind kind) {
+        return kind == RequestResult.Kind.DONE
+                || kind == RequestResult.Kind.CONFLICT
+                || kind == RequestResult.Kind.REFUSED;
+    }
+
+    private static Answer timedOut(boolean mayBeCommitted, Answer last) {
+        RequestResult.Kind kind = mayBeCommitted ? RequestResult.Kind.UNKNOWN : RequestResult.Kind.NO_LEADER;
+        if (last == null) {
+            RequestResult result = new RequestResult(kind, 0, "no config server has responded");
+            return new Answer(result, ConfigVersion.NONE, null, List.of());
+        }
+        RequestResult result = new RequestResult(kind, 0, last.outcome().detail());
+        return new Answer(result, last.active(), last.pending(), List.of());
     }
 
-    /** Sets a new version made from one that was read. */
+    private static long attemptTimeoutMillis(long deadlineNanos) {
+        long remainingMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+        return Math.max(1, Math.min(ATTEMPT_TIMEOUT_MILLIS, remainingMillis));
+    }
+
+    /** Writes a new version that replaces {@code parent}; see {@link #ask} for the timeout. */
     public Answer set(
-            String request, ConfigVersion from, String author, String reason, ConfigDocument content, long withinMs)
+            String requestId,
+            ConfigVersion parent,
+            String author,
+            String reason,
+            ConfigDocument content,
+            long timeoutMillis)
             throws InterruptedException {
-        return ask(
-                new ClientRequest.Set(
-                        new Command.Write(request, from.number(), author, reason, System.currentTimeMillis(), content)),
-                withinMs);
+        long now = System.currentTimeMillis();
+        Command.Write write = new Command.Write(requestId, parent.number(), author, reason, now, content);
+        return ask(new ClientRequest.Set(write), timeoutMillis);
     }
 
-    /** The versions before the present one, by any keeper that answers; null if none does. */
-    public Answer history(long withinMs) throws InterruptedException {
-        for (InetSocketAddress keeper : keepers) {
-            OperatorReply reply = once(
-                    keeper,
-                    OperatorAsk.newBuilder().setToken(1).setHistory(true).build(),
-                    Math.min(ONE_MS, withinMs));
-            if (reply != null) {
-                return answer(reply);
+    /** Returns the earlier versions from the first server that responds; null if none does. */
+    public Answer history(long timeoutMillis) throws InterruptedException {
+        OperatorAsk message =
+                OperatorAsk.newBuilder().setToken(TOKEN).setHistory(true).build();
+        for (InetSocketAddress server : servers) {
+            Optional<OperatorReply> reply = exchange(server, message, Math.min(ATTEMPT_TIMEOUT_MILLIS, timeoutMillis));
+            if (reply.isPresent()) {
+                return decode(reply.get());
             }
         }
         return null;
     }
 
-    /** What one keeper says of itself; null if it says nothing. */
-    public Status status(InetSocketAddress keeper) throws InterruptedException {
-        OperatorReply reply = once(
-                keeper, OperatorAsk.newBuilder().setToken(1).setStatus(true).build(), ONE_MS);
-        if (reply == null || !reply.hasStatus()) {
-            return null;
-        }
-        StatusMessage s = reply.getStatus();
-        Membership members = ConsensusCodec.members(s.getMembers());
-        return new Status(
-                s.getName(),
-                s.getRole(),
-                s.getTerm(),
-                s.getLeader(),
-                s.getCommit(),
-                s.getLast(),
-                s.getSound(),
-                s.getDoubt(),
-                List.copyOf(members.voters().values()),
-                members.learner(),
-                s.getActive(),
-                s.getPending(),
-                s.getHolders(),
-                s.getFollowers(),
-                s.getContradictionBoundMs(),
-                s.getHoldsWithinMs(),
-                s.getFolder());
+    /** Returns the status of one server; null if it does not respond. */
+    public Status status(InetSocketAddress server) throws InterruptedException {
+        OperatorAsk message =
+                OperatorAsk.newBuilder().setToken(TOKEN).setStatus(true).build();
+        return exchange(server, message, ATTEMPT_TIMEOUT_MILLIS)
+                .filter(OperatorReply::hasStatus)
+                .map(reply -> decode(reply.getStatus()))
+                .orElse(null);
     }
 
-    private static long left(long end) {
-        return Math.max(1, Math.min(ONE_MS, TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime())));
+    // ---- Messages ------------------------------------------------------------------------------------
+
+    private static Status decode(StatusMessage status) {
+        Membership membership = ConsensusCodec.members(status.getMembers());
+        return new Status(
+                status.getName(),
+                status.getRole(),
+                status.getTerm(),
+                status.getLeader(),
+                status.getCommit(),
+                status.getLast(),
+                status.getSound(),
+                status.getDoubt(),
+                List.copyOf(membership.voters().values()),
+                membership.learner(),
+                status.getActive(),
+                status.getPending(),
+                status.getHolders(),
+                status.getFollowers(),
+                status.getContradictionBoundMs(),
+                status.getHoldsWithinMs(),
+                status.getFolder());
     }
 
-    private static Answer answer(OperatorReply r) {
+    private static Answer decode(OperatorReply reply) {
         return new Answer(
-                r.hasOutcome() ? ConsensusCodec.outcome(r.getOutcome()) : null,
-                ConsensusCodec.version(r.getActive()),
-                r.hasPending() ? ConsensusCodec.version(r.getPending()) : null,
-                r.getHistoryList().stream().map(ConsensusCodec::version).toList());
+                reply.hasOutcome() ? ConsensusCodec.outcome(reply.getOutcome()) : null,
+                ConsensusCodec.version(reply.getActive()),
+                reply.hasPending() ? ConsensusCodec.version(reply.getPending()) : null,
+                reply.getHistoryList().stream().map(ConsensusCodec::version).toList());
     }
 
-    private OperatorReply once(InetSocketAddress keeper, OperatorAsk ask, long withinMs) throws InterruptedException {
-        CompletableFuture<OperatorReply> reply = new CompletableFuture<>();
-        Connection connection = new Connection(ask, reply);
-        ChannelFuture connecting = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) withinMs)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel ch) {
-                        connection.install(ch, tls.handler(ch));
-                    }
-                })
-                .connect(keeper);
-        connecting.addListener(done -> {
-            if (!done.isSuccess()) {
-                reply.complete(null);
+    /** Sends a message on a connection of its own; empty if no reply arrives in time. */
+    private Optional<OperatorReply> exchange(InetSocketAddress server, OperatorAsk message, long timeoutMillis)
+            throws InterruptedException {
+        CompletableFuture<Optional<OperatorReply>> reply = new CompletableFuture<>();
+        ChannelFuture attempt = new Exchange(message, reply).dial(loop, tls, server, (int) timeoutMillis);
+        attempt.addListener(connected -> {
+            if (!connected.isSuccess()) {
+                reply.complete(Optional.empty());
             }
         });
         try {
-            return reply.get(withinMs, TimeUnit.MILLISECONDS);
+            return reply.get(timeoutMillis, TimeUnit.MILLISECONDS);
         } catch (TimeoutException | ExecutionException e) {
-            return null;
+            return Optional.empty();
         } finally {
-            connecting.channel().close();
+            attempt.channel().close();
         }
     }
 
+    /** Stops the event loop; pending connections are closed. */
     @Override
     public void close() {
         loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
-    /** One question. */
-    private final class Connection extends FramedConnection {
-        private final OperatorAsk ask;
-        private final CompletableFuture<OperatorReply> reply;
+    /** A connection for one request and its reply. */
+    private final class Exchange extends FramedConnection {
+        private final OperatorAsk message;
+        private final CompletableFuture<Optional<OperatorReply>> reply;
 
-        Connection(OperatorAsk ask, CompletableFuture<OperatorReply> reply) {
-            super(Set.of(MutualTls.Role.KEEPER), name, line -> {});
-            this.ask = ask;
+        Exchange(OperatorAsk message, CompletableFuture<Optional<OperatorReply>> reply) {
+            super(Set.of(PeerRole.CONFIG_SERVER), name, line -> {});
+            this.message = message;
             this.reply = reply;
         }
 
         @Override
-        protected void ready() {
-            send(Frame.newBuilder().setOperatorAsk(ask).build());
+        protected void onReady() {
+            send(Frame.newBuilder().setOperatorAsk(message).build());
         }
 
         @Override
-        protected void message(Frame frame) {
+        protected void onMessage(Frame frame) {
             if (frame.hasOperatorReply()) {
-                reply.complete(frame.getOperatorReply());
+                reply.complete(Optional.of(frame.getOperatorReply()));
             }
         }
 
         @Override
-        protected void gone() {
-            reply.complete(null);
+        protected void onClosed() {
+            reply.complete(Optional.empty());
         }
     }
 }
--- a/src/main/java/sedgeyoke/consensus/server/ConfigServerMain.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigServerMain.java
@@ -1,12 +1,10 @@
 package sedgeyoke.consensus.server;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -24,135 +22,154 @@
 import sedgeyoke.lease.ClockDrift;
 import sedgeyoke.proxy.RateLimitedLog;
 import sedgeyoke.settings.ConfigServerSettings;
-import sedgeyoke.settings.InvalidOperatorFileException;
 import sedgeyoke.settings.OperatorFile;
+import sedgeyoke.startup.ServerStartup;
+import sedgeyoke.startup.StartupException;
+import sedgeyoke.store.Corruption;
 import sedgeyoke.store.Disk;
 import sedgeyoke.store.DiskException;
 import sedgeyoke.store.FileDisk;
 
-/** One keeper as a process. */
+/** Runs one config server as a process. */
 public final class ConfigServerMain {
-    private static final Path BOOT = Path.of("/proc/sys/kernel/random/boot_id");
-    private static final long HAND_OVER_MS = 300;
-    private static final int DISK_FAILED = 3;
+    private static final Path BOOT_ID = Path.of("/proc/sys/kernel/random/boot_id");
+    /** Time for another server to win an election before this process ends. */
+    private static final long LEADERSHIP_TRANSFER_MILLIS = 300;
+
+    private static final int EXIT_SERVER_FAILED = 3;
+    private static final long MICROS_PER_MILLI = 1_000;
 
     private ConfigServerMain() {}
 
     /**
-     * Runs until SIGTERM, or until its disk fails (3); returns 2 if the file, the folder or the address is no good.
+     * Runs until SIGTERM or a failure of the disk.
      *
-     * @param found whether this keeper is one of those that found a new tier, in a folder that is empty
+     * @param operatorFile path of the operator's file, null if none was named
+     * @param bootstrap whether an empty directory becomes that of a founding member of a new tier
+     * @return {@link StartupException#EXIT_CODE} if the server cannot start, 3 if it has failed
      */
-    public static int run(Path operator, boolean found) throws InterruptedException {
-        return run(operator, found, UnaryOperator.identity());
+    public static int run(Path operatorFile, boolean bootstrap) throws InterruptedException {
+        return run(operatorFile, bootstrap, UnaryOperator.identity());
     }
 
-    /** The same on a disk that {@code wrapped} makes of the real one. */
-    static int run(Path operator, boolean found, UnaryOperator<Disk> wrapped) throws InterruptedException {
-        ConfigServerSettings settings;
+    /** Runs on a disk that {@code wrapper} makes from the real one, for tests that inject faults. */
+    static int run(Path operatorFile, boolean bootstrap, UnaryOperator<Disk> wrapper) throws InterruptedException {
+        CountDownLatch failed = new CountDownLatch(1);
         try {
-            if (operator == null) {
-                return fail("no operator's file: --config or SEDGEYOKE_OPERATOR must name one");
-            }
-            settings = OperatorFile.load(operator).keeper();
-        } catch (InvalidOperatorFileException e) {
-            return fail(e.getMessage());
-        }
-        if (!settings.enabled()) {
-            return fail(operator + ": keeper.enabled is not true");
+            ConfigServerSettings settings = ServerStartup.load(operatorFile, OperatorFile::keeper);
+            ServerStartup.requireEnabled(settings.enabled(), operatorFile, "keeper.enabled");
+            start(settings, openStorage(settings, bootstrap, wrapper), failed);
+        } catch (StartupException e) {
+            return e.report();
         }
+        failed.await();
+        return EXIT_SERVER_FAILED;
+    }
+
+    // ---- Storage -------------------------------------------------------------------------------------
+
+    private static ReplicaStorage openStorage(
+            ConfigServerSettings settings, boolean bootstrap, UnaryOperator<Disk> wrapper) throws StartupException {
         FileDisk files;
-        ReplicaStorage folder;
         try {
             files = FileDisk.open(settings.folder());
         } catch (DiskException e) {
-            return fail(settings.folder() + ": " + e.getMessage());
+            throw new StartupException(settings.folder() + ": " + e.getMessage());
         }
-        Disk disk = wrapped.apply(files);
         try {
-            folder = open(disk, settings, found);
+            ReplicaStorage storage = openStorage(wrapper.apply(files), settings, bootstrap);
+            for (Corruption corruption : storage.corruptions()) {
+                System.err.println(logName(settings) + ": " + settings.folder() + "/" + corruption);
+            }
+            return storage;
         } catch (DiskException | UnusableStorageException e) {
             files.close();
-            return fail(settings.folder() + ": " + e.getMessage());
+            throw new StartupException(settings.folder() + ": " + e.getMessage());
         }
-        folder.corruptions()
-                .forEach(d -> System.err.println("keeper " + settings.name() + ": " + settings.folder() + "/" + d));
-        return serve(settings, folder);
     }
 
-    private static ReplicaStorage open(Disk disk, ConfigServerSettings settings, boolean found)
+    private static ReplicaStorage openStorage(Disk disk, ConfigServerSettings settings, boolean bootstrap)
             throws DiskException, UnusableStorageException {
         ReplicaStorage.Owner owner =
-                new ReplicaStorage.Owner(settings.tier(), settings.name(), boot(), settings.forcesMayLie());
+                new ReplicaStorage.Owner(settings.tier(), settings.name(), bootId(), settings.forcesMayLie());
         if (ReplicaStorage.isEmpty(disk)) {
-            List<Member> founders = new ArrayList<>();
-            if (found) {
-                settings.keepers()
-                        .forEach((name, at) -> founders.add(
-                                new Member(name, 0, at.getAddress().getHostAddress() + ":" + at.getPort())));
-            }
-            ReplicaStorage.create(disk, owner, new SecureRandom().nextLong() | 1, Membership.of(founders));
+            Membership founders = Membership.of(bootstrap ? configuredMembers(settings) : List.of());
+            ReplicaStorage.create(disk, owner, ServerStartup.newIncarnation(), founders);
         }
         return ReplicaStorage.open(disk, owner);
     }
 
-    /** The system's number of its present start; an empty one where it has none, which is never the same as before. */
-    private static String boot() {
+    private static List<Member> configuredMembers(ConfigServerSettings settings) {
+        List<Member> members = new ArrayList<>();
+        settings.keepers().forEach((name, address) -> members.add(new Member(name, 0, hostAndPort(address))));
+        return members;
+    }
+
+    private static String hostAndPort(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    /** Returns the operating system's identity of its present boot; empty if it has none. */
+    private static String bootId() {
         try {
-            return Files.readString(BOOT).strip();
+            return Files.readString(BOOT_ID).strip();
         } catch (IOException e) {
             return "";
         }
     }
 
-    private static int serve(ConfigServerSettings settings, ReplicaStorage folder) throws InterruptedException {
-        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        ExecutorService disk = Executors.newSingleThreadExecutor(work -> {
-            Thread thread = new Thread(work, "disk");
-            thread.setDaemon(true);
-            return thread;
-        });
-        long startedNanos = System.nanoTime();
-        LongSupplier clock = () -> (System.nanoTime() - startedNanos) / 1_000;
-        CountDownLatch ended = new CountDownLatch(1);
+    // ---- Server --------------------------------------------------------------------------------------
+
+    private static void start(ConfigServerSettings settings, ReplicaStorage storage, CountDownLatch failed)
+            throws StartupException {
+        EventLoop loop = ServerStartup.newEventLoop();
+        LongSupplier clock = ServerStartup.clockSinceStart();
         RateLimitedLog log = new RateLimitedLog(System.err, clock);
-        try {
+        SafetyRules rules = new SafetyRules(
+                RaftTiming.defaults(settings.leaseMs() * MICROS_PER_MILLI, new ClockDrift(settings.driftPpm())));
+        ServerStartup.listen(logName(settings), settings.listen(), () -> {
             ConfigServer server = new ConfigServer(
                     loop,
-                    disk,
+                    newDiskThread(),
                     settings,
-                    new SafetyRules(
-                            RaftTiming.defaults(settings.leaseMs() * 1_000, new ClockDrift(settings.driftPpm()))),
-                    folder,
-                    new SecureRandom().nextLong() | 1,
+                    rules,
+                    storage,
+                    ServerStartup.newIncarnation(),
                     clock,
                     log::line,
-                    why -> {
-                        System.err.println("keeper " + settings.name() + ": " + why);
-                        ended.countDown();
+                    reason -> {
+                        System.err.println(logName(settings) + ": " + reason);
+                        failed.countDown();
                     });
-            System.err.println("keeper " + settings.name() + " listens on " + server.start());
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                if (ended.getCount() > 0) {
-                    server.leave();
-                    try {
-                        TimeUnit.MILLISECONDS.sleep(HAND_OVER_MS); // its successor stands in that time
-                    } catch (InterruptedException e) {
-                        Thread.currentThread().interrupt();
-                    }
-                }
-            }));
-        } catch (IOException e) {
-            return fail(e.getMessage());
-        } catch (RuntimeException e) { // Netty throws what the bind failed with, without declaring it
-            return fail("cannot listen on " + settings.listen() + ": " + e.getMessage());
-        }
-        ended.await();
-        return DISK_FAILED;
+            InetSocketAddress address = server.start();
+            transferLeadershipOnShutdown(server, failed);
+            return address;
+        });
+    }
+
+    private static ExecutorService newDiskThread() {
+        return Executors.newSingleThreadExecutor(task -> {
+            Thread thread = new Thread(task, "disk");
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+
+    private static void transferLeadershipOnShutdown(ConfigServer server, CountDownLatch failed) {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            if (failed.getCount() == 0) {
+                return;
+            }
+            server.transferLeadership();
+            try {
+                TimeUnit.MILLISECONDS.sleep(LEADERSHIP_TRANSFER_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }));
     }
 
-    private static int fail(String why) {
-        System.err.println("cannot start: " + why);
-        return 2;
+    private static String logName(ConfigServerSettings settings) {
+        return "config server " + settings.name();
     }
 }
--- a/src/main/java/sedgeyoke/consensus/server/ConfigSubscription.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigSubscription.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -15,167 +16,160 @@
 import sedgeyoke.consensus.codec.ConsensusCodec;
 import sedgeyoke.lease.ClockDrift;
 import sedgeyoke.settings.ConfigSubscriptionSettings;
+import sedgeyoke.transport.Dialer;
 import sedgeyoke.transport.FramedConnection;
-import sedgeyoke.transport.InvalidMessageException;
 import sedgeyoke.transport.MutualTls;
+import sedgeyoke.transport.PeerRole;
 import sedgeyoke.transport.proto.Frame;
 import sedgeyoke.transport.proto.LeaseReply;
 
 /**
- * The side of a balancer that acts on what the keepers agree: a connection to one of them, asks at a steady rate, and
- * what the balancer acts on whenever that changes. A keeper that does not answer is left for another one. It runs on
- * the balancer's loop and waits for nothing.
+ * Runs a {@link ConfigSubscriber} in a balancer: it renews the lease at a steady rate with one of the config servers,
+ * changes to the next server when one does not respond, and reports each change of the effective config. All of it runs
+ * on the balancer's event loop and never blocks.
  */
 public final class ConfigSubscription {
-    private static final long LOOK_EVERY_MS = 20;
-    /** So often a lease is asked for anew within its time. */
-    private static final int ASKS_IN_A_LEASE = 6;
-    /** So many asks without an answer, and another keeper is asked. */
-    private static final int PATIENCE = 2;
+    private static final long CHECK_MILLIS = 20;
+    private static final long MICROS_PER_MILLI = 1_000;
+    private static final int REQUESTS_PER_LEASE = 6;
+    /** After so many requests without a response the next server is tried. */
+    private static final int MAX_UNANSWERED_REQUESTS = 2;
 
     private final EventLoop loop;
     private final ConfigSubscriptionSettings settings;
     private final LongSupplier clock;
     private final Consumer<String> log;
-    private final Consumer<ConfigSubscriber.EffectiveConfig> acting;
+    private final Consumer<ConfigSubscriber.EffectiveConfig> onChange;
     private final String name;
-    private final MutualTls tls;
-    private final ConfigSubscriber adherent;
+    private final ConfigSubscriber subscriber;
+    private final Dialer<ServerConnection> dialer;
     private final SplittableRandom random;
-    private final long askEvery;
-    private ConfigSubscriber.EffectiveConfig told;
-    private int at;
-    private Connection connection;
-    private boolean connecting;
-    private long nextAsk;
-    private int unanswered;
+    private final long requestIntervalMicros;
+    private ConfigSubscriber.EffectiveConfig reported;
+    private int serverIndex;
+    private long nextRequestMicros;
+    private int unansweredRequests;
 
     /**
-     * Throws if the TLS files are no good.
+     * Creates the subscription; throws if the TLS files cannot be loaded.
      *
-     * @param run drawn at this start
-     * @param clock microseconds, only growing
-     * @param acting is told on the loop whenever what the balancer acts on changes
+     * @param name the balancer's name, as in its certificate
+     * @param incarnation number of this process, drawn at its start
+     * @param clock monotonic, in microseconds
+     * @param onChange called on the loop with each change of the effective config
      */
     public ConfigSubscription(
             EventLoop loop,
             ConfigSubscriptionSettings settings,
             String name,
-            long run,
+            long incarnation,
             LongSupplier clock,
             Consumer<String> log,
-            Consumer<ConfigSubscriber.EffectiveConfig> acting)
+            Consumer<ConfigSubscriber.EffectiveConfig> onChange)
             throws IOException {
         this.loop = loop;
         this.settings = settings;
         this.clock = clock;
         this.log = log;
-        this.acting = acting;
+        this.onChange = onChange;
         this.name = name;
-        this.tls = new MutualTls(settings.tls(), false, log);
-        RaftTiming timing = RaftTiming.defaults(settings.leaseMs() * 1_000, new ClockDrift(settings.driftPpm()));
-        this.adherent = new ConfigSubscriber(name, run, new SafetyRules(timing), ConfigVersion.NONE);
-        this.random = new SplittableRandom(run);
-        this.askEvery = timing.leaseMicros() / ASKS_IN_A_LEASE;
-        this.at = random.nextInt(settings.keepers().size());
+        this.dialer = new Dialer<>(loop, MutualTls.forClient(settings.tls(), log), ServerConnection::new);
+        RaftTiming timing =
+                RaftTiming.defaults(settings.leaseMs() * MICROS_PER_MILLI, new ClockDrift(settings.driftPpm()));
+        this.subscriber = new ConfigSubscriber(name, incarnation, new SafetyRules(timing), ConfigVersion.NONE);
+        this.random = new SplittableRandom(incarnation);
+        this.requestIntervalMicros = timing.leaseMicros() / REQUESTS_PER_LEASE;
+        this.serverIndex = random.nextInt(settings.keepers().size());
     }
 
-    /** Begins, on the loop. */
+    /** Starts to request leases; on the loop. The first delay is random, so that balancers do not act at once. */
     public void start() {
-        nextAsk = clock.getAsLong() + random.nextLong(askEvery); // not all in one moment
-        loop.scheduleWithFixedDelay(this::look, 0, LOOK_EVERY_MS, TimeUnit.MILLISECONDS);
+        nextRequestMicros = clock.getAsLong() + random.nextLong(requestIntervalMicros);
+        loop.scheduleWithFixedDelay(this::check, 0, CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void look() {
+    private void check() {
         long now = clock.getAsLong();
-        if (now >= nextAsk) {
-            nextAsk = now + askEvery - askEvery / 8 + random.nextLong(Math.max(1, askEvery / 4));
-            ask();
+        if (now >= nextRequestMicros) {
+            long jitterMicros = random.nextLong(Math.max(1, requestIntervalMicros / 4));
+            nextRequestMicros = now + requestIntervalMicros - requestIntervalMicros / 8 + jitterMicros;
+            requestLease();
         }
-        tell(now);
+        reportChange(now);
     }
 
-    private void ask() {
-        if (unanswered >= PATIENCE || connection == null && !connecting) {
-            next();
+    private void requestLease() {
+        if (unansweredRequests >= MAX_UNANSWERED_REQUESTS || dialer.isIdle()) {
+            connectToNextServer();
         }
-        unanswered++;
-        if (connection != null && connection.peer() != null) {
-            connection.send(Frame.newBuilder()
-                    .setLeaseAsk(ConsensusCodec.of(adherent.leaseRequest(clock.getAsLong())))
-                    .build());
+        unansweredRequests++;
+        Optional<ServerConnection> connection = dialer.readyConnection();
+        if (connection.isPresent()) {
+            connection
+                    .get()
+                    .send(Frame.newBuilder()
+                            .setLeaseAsk(ConsensusCodec.of(subscriber.leaseRequest(clock.getAsLong())))
+                            .build());
         }
     }
 
-    private void tell(long now) {
-        ConfigSubscriber.EffectiveConfig next = adherent.effectiveConfig(now);
-        if (told == null
-                || next.mode() != told.mode()
-                || next.activeVersion() != told.activeVersion()
-                || next.pendingVersion() != told.pendingVersion()) {
-            told = next;
-            log.accept("agreed: acts " + (next.mode() == ConfigSubscriber.Mode.LEASED ? "under a lease" : "alone")
-                    + " on version " + next.activeVersion()
-                    + (next.pendingVersion() == 0
-                            ? ""
-                            : " and " + next.pendingVersion() + ", which is to take effect"));
-            acting.accept(next);
-        }
+    private void connectToNextServer() {
+        dialer.close("does not respond");
+        unansweredRequests = 0;
+        serverIndex = (serverIndex + 1) % settings.keepers().size();
+        dialer.dial(settings.keepers().get(serverIndex));
     }
 
-    private void next() {
-        if (connection != null) {
-            connection.close("does not answer");
-            connection = null;
+    private void reportChange(long now) {
+        ConfigSubscriber.EffectiveConfig current = subscriber.effectiveConfig(now);
+        boolean unchanged = reported != null
+                && current.mode() == reported.mode()
+                && current.activeVersion() == reported.activeVersion()
+                && current.pendingVersion() == reported.pendingVersion();
+        if (unchanged) {
+            return;
         }
-        unanswered = 0;
-        at = (at + 1) % settings.keepers().size();
-        connecting = true;
-        Connection next = new Connection();
-        next.dial(loop, tls, settings.keepers().get(at), connected -> {
-            connecting = false;
-            connection = connected ? next : connection;
-        });
+        reported = current;
+        boolean leased = current.mode() == ConfigSubscriber.Mode.LEASED;
+        String pending = current.pendingVersion() == 0 ? "" : " and " + current.pendingVersion() + ", which is pending";
+        log.accept("agreed: acts " + (leased ? "under a lease" : "without a lease") + " on version "
+                + current.activeVersion() + pending);
+        onChange.accept(current);
     }
 
-    /** A connection to a keeper. */
-    private final class Connection extends FramedConnection {
-        Connection() {
-            super(Set.of(MutualTls.Role.KEEPER), name, log);
+    private void handle(LeaseReply reply) {
+        unansweredRequests = 0;
+        long now = clock.getAsLong();
+        boolean requestAgain = subscriber.handle(
+                now,
+                ConsensusCodec.grant(reply.getGrant()),
+                reply.hasActive() ? ConsensusCodec.version(reply.getActive()) : null,
+                reply.hasPending() ? ConsensusCodec.version(reply.getPending()) : null);
+        if (requestAgain) {
+            nextRequestMicros = now;
         }
+        reportChange(now);
+    }
 
-        @Override
-        protected void ready() {
-            nextAsk = clock.getAsLong();
+    /** A connection to a config server. */
+    private final class ServerConnection extends FramedConnection {
+        ServerConnection() {
+            super(Set.of(PeerRole.CONFIG_SERVER), name, log);
         }
 
         @Override
-        protected void message(Frame frame) throws InvalidMessageException, InvalidProtocolBufferException {
-            if (frame.hasNews()) {
-                if (frame.getNews().getNewest() > adherent.newestVersion()) {
-                    nextAsk = clock.getAsLong();
-                }
-            } else if (frame.hasLeaseReply()) {
-                LeaseReply reply = frame.getLeaseReply();
-                unanswered = 0;
-                long now = clock.getAsLong();
-                if (adherent.handle(
-                        now,
-                        ConsensusCodec.grant(reply.getGrant()),
-                        reply.hasActive() ? ConsensusCodec.version(reply.getActive()) : null,
-                        reply.hasPending() ? ConsensusCodec.version(reply.getPending()) : null)) {
-                    nextAsk = now;
-                }
-                tell(now);
-            } else {
-                close("sends what is no answer of a keeper");
-            }
+        protected void onReady() {
+            nextRequestMicros = clock.getAsLong();
         }
 
         @Override
-        protected void gone() {
-            if (connection == this) {
-                connection = null;
+        protected void onMessage(Frame frame) throws InvalidProtocolBufferException {
+            if (frame.hasLeaseReply()) {
+                handle(frame.getLeaseReply());
+            } else if (!frame.hasNews()) {
+                close("unexpected message of a config server");
+            } else if (frame.getNews().getNewest() > subscriber.newestVersion()) {
+                nextRequestMicros = clock.getAsLong();
             }
         }
     }
--- /dev/null
+++ b/src/main/java/sedgeyoke/consensus/server/OperatorRequests.java
@@ -0,0 +1,148 @@
+package sedgeyoke.consensus.server;
+
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import sedgeyoke.consensus.ClientRequest;
+import sedgeyoke.consensus.ConfigVersion;
+import sedgeyoke.consensus.Event;
+import sedgeyoke.consensus.RaftNode;
+import sedgeyoke.consensus.RaftTiming;
+import sedgeyoke.consensus.RequestResult;
+import sedgeyoke.consensus.codec.ConsensusCodec;
+import sedgeyoke.transport.FramedConnection;
+import sedgeyoke.transport.InvalidMessageException;
+import sedgeyoke.transport.proto.Frame;
+import sedgeyoke.transport.proto.OperatorAsk;
+import sedgeyoke.transport.proto.OperatorReply;
+import sedgeyoke.transport.proto.StatusMessage;
+
+/**
+ * Answers operators: requests for status and history at once, all others with the result of the Raft node. To be used on
+ * the event loop.
+ */
+final class OperatorRequests {
+    private static final int MAX_PENDING = 1_000;
+    /** How long a reply waits until this server knows the version that it names. */
+    private static final long MAX_REPLY_DELAY_MICROS = 3_000_000;
+
+    private static final long REPLY_RETRY_MILLIS = 20;
+    private static final long MICROS_PER_MILLI = 1_000;
+
+    private final ServerContext context;
+    private final RaftNode node;
+    private final RaftTiming timing;
+    private final BalancerSubscriptions subscriptions;
+    private final Map<Long, PendingRequest> pending = new HashMap<>();
+    private long lastToken;
+
+    /**
+     * A request that the Raft node is working on.
+     *
+     * @param token the operator's number for it
+     * @param replyByMicros until when the reply may wait for the version that it names
+     */
+    private record PendingRequest(FramedConnection connection, long token, long replyByMicros) {}
+
+    OperatorRequests(ServerContext context, RaftNode node, RaftTiming timing, BalancerSubscriptions subscriptions) {
+        this.context = context;
+        this.node = node;
+        this.timing = timing;
+        this.subscriptions = subscriptions;
+    }
+
+    /** Handles a request of an operator. */
+    void handle(FramedConnection connection, OperatorAsk message) throws InvalidMessageException {
+        long token = message.getToken();
+        if (message.getBodyCase() == OperatorAsk.BodyCase.STATUS) {
+            send(connection, newReply(token).setStatus(status()));
+        } else if (message.getBodyCase() == OperatorAsk.BodyCase.HISTORY) {
+            OperatorReply.Builder reply = newReply(token);
+            node.history().forEach(version -> reply.addHistory(ConsensusCodec.of(version)));
+            send(connection, reply);
+        } else if (pending.size() >= MAX_PENDING) {
+            RequestResult busy = new RequestResult(RequestResult.Kind.BUSY, 0, "too many pending requests");
+            send(connection, newReply(token).setOutcome(ConsensusCodec.of(busy)));
+        } else {
+            submit(connection, message);
+        }
+    }
+
+    private void submit(FramedConnection connection, OperatorAsk message) throws InvalidMessageException {
+        ClientRequest request = ConsensusCodec.request(message.getRequest());
+        lastToken++;
+        long replyBy = context.clock().getAsLong() + MAX_REPLY_DELAY_MICROS;
+        pending.put(lastToken, new PendingRequest(connection, message.getToken(), replyBy));
+        context.events().accept(new Event.RequestReceived(lastToken, request));
+    }
+
+    /** Replies to the request that was submitted to the Raft node under a token. */
+    void complete(long token, RequestResult result) {
+        PendingRequest request = pending.remove(token);
+        if (request != null) {
+            reply(request, result);
+        }
+    }
+
+    /** Replies as soon as this server knows the resulting version, which the leader may know earlier. */
+    private void reply(PendingRequest request, RequestResult result) {
+        long newestVersion = newestVersion();
+        boolean versionUnknown = result.kind() == RequestResult.Kind.DONE && newestVersion < result.version();
+        if (versionUnknown && context.clock().getAsLong() < request.replyByMicros()) {
+            context.loop().schedule(() -> reply(request, result), REPLY_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        RequestResult known = versionUnknown
+                ? new RequestResult(
+                        RequestResult.Kind.UNKNOWN,
+                        newestVersion,
+                        "this config server has not received the committed version")
+                : result;
+        send(request.connection(), newReply(request.token()).setOutcome(ConsensusCodec.of(known)));
+    }
+
+    private long newestVersion() {
+        ConfigVersion newest = node.pending() == null ? node.active() : node.pending();
+        return newest.number();
+    }
+
+    private OperatorReply.Builder newReply(long token) {
+        OperatorReply.Builder reply =
+                OperatorReply.newBuilder().setToken(token).setActive(ConsensusCodec.of(node.active()));
+        if (node.pending() != null) {
+            reply.setPending(ConsensusCodec.of(node.pending()));
+        }
+        return reply;
+    }
+
+    private static void send(FramedConnection connection, OperatorReply.Builder reply) {
+        connection.send(Frame.newBuilder().setOperatorReply(reply).build());
+    }
+
+    private StatusMessage status() {
+        return StatusMessage.newBuilder()
+                .setName(context.settings().name())
+                .setRole(node.role().name().toLowerCase(Locale.ROOT))
+                .setTerm(node.term())
+                .setLeader(node.leader() == null ? "" : node.leader())
+                .setCommit(node.commitIndex())
+                .setLast(node.lastIndex())
+                .setSound(node.isRecovered())
+                .setDoubt(node.suspectedLoss() == null ? "" : node.suspectedLoss())
+                .setMembers(ConsensusCodec.of(node.membership()))
+                .setActive(node.active().number())
+                .setPending(node.pending() == null ? 0 : node.pending().number())
+                .setHolders(node.leaseHolders())
+                .setLeaseMs(context.settings().leaseMs())
+                .setFolder(context.storageId())
+                .setFollowers(subscriptions.count())
+                .setContradictionBoundMs(roundUpToMillis(timing.contradictionBoundMicros()))
+                .setHoldsWithinMs(roundUpToMillis(timing.activationBoundMicros()))
+                .build();
+    }
+
+    private static long roundUpToMillis(long micros) {
+        return (micros + MICROS_PER_MILLI - 1) / MICROS_PER_MILLI;
+    }
+}
--- /dev/null
+++ b/src/main/java/sedgeyoke/consensus/server/PersistenceExecutor.java
@@ -0,0 +1,58 @@
+package sedgeyoke.consensus.server;
+
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import sedgeyoke.consensus.Action;
+import sedgeyoke.consensus.Event;
+import sedgeyoke.consensus.storage.ReplicaStorage;
+import sedgeyoke.store.DiskException;
+
+/**
+ * Writes to the storage on a thread of its own, because a disk may stall while the event loop has to go on. Writes keep
+ * their order; after a failed one no other is attempted.
+ */
+final class PersistenceExecutor {
+    private final Executor diskThread;
+    private final ReplicaStorage storage;
+    private final ServerContext context;
+    private final Consumer<String> onFailure;
+    private volatile boolean stopped;
+
+    /**
+     * Creates the executor.
+     *
+     * @param diskThread runs one task after the other
+     * @param onFailure called on the event loop with the reason
+     */
+    PersistenceExecutor(
+            Executor diskThread, ReplicaStorage storage, ServerContext context, Consumer<String> onFailure) {
+        this.diskThread = diskThread;
+        this.storage = storage;
+        this.context = context;
+        this.onFailure = onFailure;
+    }
+
+    /** Queues a write; the event loop handles {@link Event.Persisted} once it is durable. */
+    void submit(Action.Persist action) {
+        diskThread.execute(() -> persist(action));
+    }
+
+    /** Skips all writes that have not begun. May be called on any thread. */
+    void stop() {
+        stopped = true;
+    }
+
+    private void persist(Action.Persist action) {
+        if (stopped) {
+            return;
+        }
+        try {
+            storage.persist(action);
+            context.loop().execute(() -> context.events().accept(new Event.Persisted(action.token())));
+        } catch (DiskException | RuntimeException e) {
+            String reason = "the disk has failed (" + e.getMessage()
+                    + "): the state of its files is unknown; repair it and restart this config server";
+            context.loop().execute(() -> onFailure.accept(reason));
+        }
+    }
+}
--- a/src/main/java/sedgeyoke/plan/remote/PlannerClient.java
+++ b/src/main/java/sedgeyoke/plan/remote/PlannerClient.java
@@ -3,11 +3,11 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -18,149 +18,117 @@
 import sedgeyoke.policy.LoadBalancingPolicy;
 import sedgeyoke.proxy.ModulePort;
 import sedgeyoke.settings.PlannerClientSettings;
+import sedgeyoke.transport.Backoff;
 import sedgeyoke.transport.FramedConnection;
 import sedgeyoke.transport.InvalidMessageException;
 import sedgeyoke.transport.MutualTls;
+import sedgeyoke.transport.PeerRole;
+import sedgeyoke.transport.ReconnectingDialer;
 import sedgeyoke.transport.proto.Frame;
 
 /**
- * The forwarder's side: a connection to each planner, reports at a steady rate, and plans for the module. It runs on
- * the balancer's loop and never waits for anything: a planner that is away is tried again after a random pause.
+ * Connects a forwarder to all planners: it sends load reports at a steady rate and gives the received plans to the
+ * policy. All of it runs on the balancer's event loop and never blocks.
  */
 public final class PlannerClient {
-    private static final long LEAST_PAUSE_MS = 200;
-    private static final long LONGEST_PAUSE_MS = 3_000;
+    private static final long MIN_RECONNECT_MILLIS = 200;
+    private static final long MAX_RECONNECT_MILLIS = 3_000;
+    private static final long MICROS_PER_MILLI = 1_000;
 
     private final EventLoop loop;
     private final ModulePort port;
     private final String name;
-    private final MutualTls tls;
     private final Follower follower;
     private final SplittableRandom random;
-    private final List<Target> targets = new ArrayList<>();
-    private long reportEveryMs;
+    private final List<ReconnectingDialer<PlannerConnection>> planners = new ArrayList<>();
+    private long reportEveryMillis;
 
-    /** Throws if the TLS files are no good. */
+    /** Creates the client; throws if the TLS files cannot be loaded. */
     public PlannerClient(EventLoop loop, ModulePort port, Follower.Identity self, PlannerClientSettings settings)
             throws IOException {
         this.loop = loop;
         this.port = port;
         this.name = self.name();
-        this.tls = new MutualTls(settings.tls(), false, port::log);
         this.follower = new Follower(self, new LeaseClock(settings.driftPpm()), port.now());
         this.random = new SplittableRandom(self.incarnation());
-        this.reportEveryMs = settings.reportEveryMs();
-        settings.planners().forEach(address -> targets.add(new Target(address)));
+        this.reportEveryMillis = settings.reportEveryMs();
+        MutualTls tls = MutualTls.forClient(settings.tls(), port::log);
+        settings.planners().forEach(address -> {
+            Backoff backoff = new Backoff(MIN_RECONNECT_MILLIS, MAX_RECONNECT_MILLIS, random);
+            planners.add(new ReconnectingDialer<>(loop, tls, address, backoff, PlannerConnection::new));
+        });
     }
 
-    /** Begins, on the loop. The module is told at once what of its rights must not be used yet. */
+    /** Connects and starts to report; on the loop. The policy gets a first plan, which restricts slow-start quota. */
     public void start() {
-        port.deliver(() -> port.module().plan(port.now(), follower.plan(port.now())));
-        targets.forEach(Target::connect);
+        port.deliver(this::updatePolicy);
+        planners.forEach(ReconnectingDialer::start);
         scheduleReport();
     }
 
-    /** Takes over what may change while we run; on the loop. */
-    public void reloaded(PlannerClientSettings changed) {
-        reportEveryMs = changed.reportEveryMs();
-        follower.fadeTime(changed.fadeMs() * 1_000);
+    /** Applies those settings that may change without a restart; on the loop. */
+    public void reload(PlannerClientSettings changed) {
+        reportEveryMillis = changed.reportEveryMs();
+        follower.fadeTime(changed.fadeMs() * MICROS_PER_MILLI);
     }
 
-    /** Planners that were heard lately; on the loop. */
-    public int heard() {
+    /** Returns the number of planners whose plans have arrived lately; on the loop. */
+    public int activePlanners() {
         return follower.heardPlanners(port.now());
     }
 
-    /** Forwarders must not all report in the same moment. */
+    private void updatePolicy() {
+        port.module().plan(port.now(), follower.plan(port.now()));
+    }
+
+    /** The delay varies by an eighth to both sides, so that forwarders do not report at the same moment. */
     private void scheduleReport() {
-        long jitter = random.nextLong(Math.max(1, reportEveryMs / 4));
-        loop.schedule(this::report, reportEveryMs - reportEveryMs / 8 + jitter, TimeUnit.MILLISECONDS);
+        long jitterMillis = random.nextLong(Math.max(1, reportEveryMillis / 4));
+        long delayMillis = reportEveryMillis - reportEveryMillis / 8 + jitterMillis;
+        loop.schedule(this::report, delayMillis, TimeUnit.MILLISECONDS);
     }
 
     private void report() {
         try {
-            port.deliver(this::reportNow);
+            port.deliver(this::sendReports);
         } finally {
             scheduleReport();
         }
     }
 
-    /** What is lent with a report must be known to the module before the report can reach anyone. */
-    private void reportNow() {
+    /** Reports are sent after the policy knows the quota that they delegate, so that it is never used twice. */
+    private void sendReports() {
         long now = port.now();
         LoadBalancingPolicy.Summary summary = port.module().summary(now);
-        Map<Connection, ForwarderReport> reports = new LinkedHashMap<>();
-        for (Target t : targets) {
-            if (t.connection != null && t.connection.peer() != null && follower.due(now, t.connection.peer())) {
-                reports.put(t.connection, follower.report(now, t.connection.peer(), summary));
+        Map<PlannerConnection, ForwarderReport> reports = new LinkedHashMap<>();
+        for (ReconnectingDialer<PlannerConnection> planner : planners) {
+            Optional<PlannerConnection> connection = planner.readyConnection();
+            if (connection.isPresent() && follower.due(now, connection.get().peerName())) {
+                reports.put(
+                        connection.get(), follower.report(now, connection.get().peerName(), summary));
             }
         }
         port.module().plan(now, follower.plan(now));
         reports.forEach((connection, report) -> connection.send(
-                Frame.newBuilder().setReport(PlannerCodec.of(report)).build()));
-    }
-
-    /** One planner's address. */
-    private final class Target {
-        private final InetSocketAddress address;
-        private Connection connection;
-        private long pauseMs = LEAST_PAUSE_MS;
-
-        Target(InetSocketAddress address) {
-            this.address = address;
-        }
-
-        void connect() {
-            Connection next = new Connection(this);
-            next.dial(loop, tls, address, connected -> {
-                if (connected) {
-                    connection = next;
-                } else {
-                    again();
-                }
-            });
-        }
-
-        /** Guards against a herd: when a planner is back, forwarders come one by one. */
-        void again() {
-            connection = null;
-            long pause = pauseMs / 2 + random.nextLong(pauseMs);
-            pauseMs = Math.min(LONGEST_PAUSE_MS, 2 * pauseMs);
-            loop.schedule(this::connect, pause, TimeUnit.MILLISECONDS);
-        }
+                Frame.newBuilder().setReport(PlannerCodec.encodeReport(report)).build()));
     }
 
     /** A connection to a planner. */
-    private final class Connection extends FramedConnection {
-        private final Target target;
-
-        Connection(Target target) {
-            super(Set.of(MutualTls.Role.PLANNER), name, port::log);
-            this.target = target;
-        }
-
-        @Override
-        protected void ready() {
-            target.pauseMs = LEAST_PAUSE_MS;
+    private final class PlannerConnection extends FramedConnection {
+        PlannerConnection() {
+            super(Set.of(PeerRole.PLANNER), name, port::log);
         }
 
         @Override
-        protected void message(Frame frame) throws InvalidMessageException, InvalidProtocolBufferException {
+        protected void onMessage(Frame frame) throws InvalidMessageException, InvalidProtocolBufferException {
             if (!frame.hasPlan()) {
-                close("sends what is no plan");
+                close("unexpected message, not a plan");
                 return;
             }
-            PlanMessage plan = PlannerCodec.plan(peer(), frame.getPlan());
+            PlanMessage plan = PlannerCodec.decodePlan(peerName(), frame.getPlan());
             long now = port.now();
             if (follower.heard(now, plan) && follower.matters(now, plan)) {
-                port.deliver(() -> port.module().plan(port.now(), follower.plan(port.now())));
-            }
-        }
-
-        @Override
-        protected void gone() {
-            if (target.connection == this) {
-                target.again();
+                port.deliver(PlannerClient.this::updatePolicy);
             }
         }
     }
--- a/src/main/java/sedgeyoke/plan/remote/PlannerCodec.java
+++ b/src/main/java/sedgeyoke/plan/remote/PlannerCodec.java
@@ -1,5 +1,7 @@
 package sedgeyoke.plan.remote;
 
+import static sedgeyoke.transport.InvalidMessageException.require;
+
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
@@ -16,198 +18,221 @@
 import sedgeyoke.transport.proto.Stamp;
 import sedgeyoke.transport.proto.ViewMessage;
 
-/** Between the records of {@link sedgeyoke.plan} and the messages of the schema, with a bound on all that is read. */
+/** Converts load reports and plans to and from their protobuf messages, and checks the bounds of all that it reads. */
 final class PlannerCodec {
-    /** Further entries than any sender of ours makes are a fault of the sender. */
-    private static final int MOST_ENTRIES = 4 * ForwarderReport.MOST_LOADS;
+    /** Four times what a sender of this program includes. */
+    private static final int MAX_ENTRIES = 4 * ForwarderReport.MOST_LOADS;
 
-    private static final int MOST_ZONES = 1_000;
-    private static final int LONGEST_ID = 256;
-    private static final long LONGEST_LEASE = 60_000_000;
-    private static final double LARGEST = 1e9;
+    private static final int MAX_ZONES = 1_000;
+    private static final int MAX_ID_LENGTH = 256;
+    private static final long MAX_LEASE_MICROS = 60_000_000;
+    private static final double MAX_NUMBER = 1e9;
+    /** Stands for a share that the planner does not know. */
+    private static final double UNKNOWN_SHARE = -1;
 
     private PlannerCodec() {}
 
-    private static void require(boolean plausible, String what) throws InvalidMessageException {
-        if (!plausible) {
-            throw new InvalidMessageException(what);
-        }
+    private static boolean isNumber(double value) {
+        return value >= 0 && value <= MAX_NUMBER; // false for NaN
+    }
+
+    private static boolean isId(String id) {
+        return !id.isEmpty() && id.length() <= MAX_ID_LENGTH;
+    }
+
+    // ---- Load reports --------------------------------------------------------------------------------
+
+    static ReportMessage encodeReport(ForwarderReport report) {
+        ReportMessage.Builder message = ReportMessage.newBuilder()
+                .setIncarnation(report.incarnation())
+                .setSequence(report.sequence())
+                .setSentAt(report.sentAt())
+                .setEcho(encode(report.echo()))
+                .setZone(report.zone())
+                .setLeaseUs(report.lease())
+                .setLeastGrant(report.leastGrant())
+                .addAllDemand(report.demand());
+        report.loads().forEach(load -> message.addLoads(encode(load)));
+        report.deposits()
+                .forEach(deposit ->
+                        message.addDeposits(encodeQuota(deposit.upstream(), deposit.launchedAt(), deposit.rate())));
+        return message.build();
     }
 
-    private static boolean number(double value) {
-        return value >= 0 && value <= LARGEST; // and no NaN
-    }
-
-    private static boolean id(String id) {
-        return !id.isEmpty() && id.length() <= LONGEST_ID;
-    }
-
-    // ---- Reports -------------------------------------------------------------------------------------
-
-    static ReportMessage of(ForwarderReport r) {
-        ReportMessage.Builder m = ReportMessage.newBuilder()
-                .setIncarnation(r.incarnation())
-                .setSequence(r.sequence())
-                .setSentAt(r.sentAt())
-                .setEcho(stamp(r.echo()))
-                .setZone(r.zone())
-                .setLeaseUs(r.lease())
-                .setLeastGrant(r.leastGrant())
-                .addAllDemand(r.demand());
-        for (ForwarderReport.Load l : r.loads()) {
-            LoadMessage.Builder load = LoadMessage.newBuilder()
-                    .setUpstream(l.upstream())
-                    .setZone(l.zone())
-                    .setDraining(l.draining())
-                    .setLaunchedAt(l.launchedAt())
-                    .setInFlight(l.inFlight())
-                    .setSent(l.sent())
-                    .setLimit((float) l.limit())
-                    .setAgeUs(l.age())
-                    .setEjected(l.ejected());
-            if (l.utilisation() >= 0) {
-                load.setUtilisation((float) l.utilisation());
-            }
-            if (l.waiting() >= 0) {
-                load.setWaiting((float) l.waiting());
-            }
-            m.addLoads(load);
+    private static LoadMessage encode(ForwarderReport.Load load) {
+        LoadMessage.Builder message = LoadMessage.newBuilder()
+                .setUpstream(load.upstream())
+                .setZone(load.zone())
+                .setDraining(load.draining())
+                .setLaunchedAt(load.launchedAt())
+                .setInFlight(load.inFlight())
+                .setSent(load.sent())
+                .setLimit((float) load.limit())
+                .setAgeUs(load.age())
+                .setEjected(load.ejected());
+        if (load.utilisation() >= 0) {
+            message.setUtilisation((float) load.utilisation());
+        }
+        if (load.waiting() >= 0) {
+            message.setWaiting((float) load.waiting());
         }
-        r.deposits().forEach(d -> m.addDeposits(right(d.upstream(), d.launchedAt(), d.rate())));
-        return m.build();
-    }
-
-    /** Reads a report of a forwarder whose name the certificate gave. */
-    static ForwarderReport report(String forwarder, ReportMessage m) throws InvalidMessageException {
-        require(m.getLoadsCount() <= MOST_ENTRIES && m.getDepositsCount() <= MOST_ENTRIES, "number of entries");
-        require(m.getZone() >= 0 && m.getZone() < MOST_ZONES, "zone");
-        require(m.getLeaseUs() >= 0 && m.getLeaseUs() <= LONGEST_LEASE, "lease");
-        require(number(m.getLeastGrant()) && m.getDemandCount() <= MOST_ZONES, "demand");
-        for (double demand : m.getDemandList()) {
-            require(number(demand), "demand");
+        return message.build();
+    }
+
+    /** Decodes a report; {@code forwarder} is the name in the sender's certificate. */
+    static ForwarderReport decodeReport(String forwarder, ReportMessage message) throws InvalidMessageException {
+        require(
+                message.getLoadsCount() <= MAX_ENTRIES && message.getDepositsCount() <= MAX_ENTRIES,
+                "number of entries");
+        require(message.getZone() >= 0 && message.getZone() < MAX_ZONES, "zone");
+        require(message.getLeaseUs() >= 0 && message.getLeaseUs() <= MAX_LEASE_MICROS, "lease");
+        require(isNumber(message.getLeastGrant()), "smallest grant");
+        require(message.getDemandCount() <= MAX_ZONES, "number of demands");
+        for (double demand : message.getDemandList()) {
+            require(isNumber(demand), "demand");
         }
-        List<ForwarderReport.Load> loads = new ArrayList<>(m.getLoadsCount());
-        for (LoadMessage l : m.getLoadsList()) {
-            require(
-                    id(l.getUpstream())
-                            && l.getZone() < MOST_ZONES
-                            && number(l.getLimit())
-                            && l.getSent() >= 0
-                            && l.getInFlight() >= 0
-                            && (!l.hasUtilisation() || number(l.getUtilisation()))
-                            && (!l.hasWaiting() || number(l.getWaiting())),
-                    "load");
-            loads.add(new ForwarderReport.Load(
-                    l.getUpstream(),
-                    Math.max(-1, l.getZone()),
-                    l.getDraining(),
-                    l.getLaunchedAt(),
-                    l.getInFlight(),
-                    l.getSent(),
-                    l.getLimit(),
-                    l.hasUtilisation() ? l.getUtilisation() : Double.NaN,
-                    l.hasWaiting() ? l.getWaiting() : Double.NaN,
-                    l.hasUtilisation() ? l.getAgeUs() : -1,
-                    l.getEjected()));
+        List<ForwarderReport.Load> loads = new ArrayList<>(message.getLoadsCount());
+        for (LoadMessage load : message.getLoadsList()) {
+            loads.add(decode(load));
         }
-        List<ForwarderReport.Deposit> deposits = new ArrayList<>(m.getDepositsCount());
-        for (RightMessage d : m.getDepositsList()) {
-            require(id(d.getUpstream()) && number(d.getRate()), "deposit");
-            deposits.add(new ForwarderReport.Deposit(d.getUpstream(), d.getLaunchedAt(), d.getRate()));
+        List<ForwarderReport.Deposit> deposits = new ArrayList<>(message.getDepositsCount());
+        for (RightMessage deposit : message.getDepositsList()) {
+            checkQuota(deposit, "deposit");
+            deposits.add(
+                    new ForwarderReport.Deposit(deposit.getUpstream(), deposit.getLaunchedAt(), deposit.getRate()));
         }
         return new ForwarderReport(
                 forwarder,
-                m.getIncarnation(),
-                m.getSequence(),
-                m.getSentAt(),
-                stamp(m.getEcho()),
-                m.getZone(),
-                m.getLeaseUs(),
-                m.getLeastGrant(),
-                List.copyOf(m.getDemandList()),
+                message.getIncarnation(),
+                message.getSequence(),
+                message.getSentAt(),
+                decode(message.getEcho()),
+                message.getZone(),
+                message.getLeaseUs(),
+                message.getLeastGrant(),
+                List.copyOf(message.getDemandList()),
                 loads,
                 deposits);
     }
 
+    private static ForwarderReport.Load decode(LoadMessage load) throws InvalidMessageException {
+        require(isId(load.getUpstream()), "upstream of load");
+        require(load.getZone() < MAX_ZONES, "zone of load");
+        require(isNumber(load.getLimit()), "limit");
+        require(load.getSent() >= 0 && load.getInFlight() >= 0, "attempts");
+        require(!load.hasUtilisation() || isNumber(load.getUtilisation()), "utilisation");
+        require(!load.hasWaiting() || isNumber(load.getWaiting()), "queued requests");
+        return new ForwarderReport.Load(
+                load.getUpstream(),
+                Math.max(-1, load.getZone()),
+                load.getDraining(),
+                load.getLaunchedAt(),
+                load.getInFlight(),
+                load.getSent(),
+                load.getLimit(),
+                load.hasUtilisation() ? load.getUtilisation() : Double.NaN,
+                load.hasWaiting() ? load.getWaiting() : Double.NaN,
+                load.hasUtilisation() ? load.getAgeUs() : -1,
+                load.getEjected());
+    }
+
     // ---- Plans ---------------------------------------------------------------------------------------
 
-    /** All messages of one plan share their views; they are encoded once. */
-    static ByteString board(List<PlanMessage.View> views) {
-        Board.Builder board = Board.newBuilder();
-        for (PlanMessage.View v : views) {
-            board.addViews(ViewMessage.newBuilder()
-                    .setUpstream(v.upstream())
-                    .setZone(v.zone())
-                    .setTotalLimit((float) Math.max(0, v.totalLimit()))
-                    .setLaunchedAt(v.launchedAt())
-                    .setDraining(v.draining()));
+    /** Encodes the views, which all plans of one interval share, so that it is done once. */
+    static ByteString encodeViews(List<PlanMessage.View> views) {
+        Board.Builder message = Board.newBuilder();
+        for (PlanMessage.View view : views) {
+            message.addViews(ViewMessage.newBuilder()
+                    .setUpstream(view.upstream())
+                    .setZone(view.zone())
+                    .setTotalLimit((float) Math.max(0, view.totalLimit()))
+                    .setLaunchedAt(view.launchedAt())
+                    .setDraining(view.draining()));
         }
-        return board.build().toByteString();
-    }
-
-    static PlanFrame of(Planner.Out out, ByteString board) {
-        PlanMessage p = out.message();
-        PlanFrame.Builder m = PlanFrame.newBuilder()
-                .setIncarnation(p.incarnation())
-                .setSequence(p.sequence())
-                .setSentAt(p.sentAt())
-                .setEcho(stamp(p.echo()))
-                .setCoverage(p.coverage())
-                .setBoard(board)
-                .setGrantForUs(p.grantFor());
-        p.spill().forEach(s -> m.addSpill(s.floatValue()));
-        p.limitShares().forEach(s -> m.addLimitShares(Double.isNaN(s) ? -1 : s));
-        p.grants().forEach(g -> m.addGrants(right(g.upstream(), g.launchedAt(), g.rate())));
-        return m.build();
-    }
-
-    /** Reads a plan of a planner whose name the certificate gave. */
-    static PlanMessage plan(String planner, PlanFrame m)
+        return message.build().toByteString();
+    }
+
+    /** Encodes a plan with views from {@link #encodeViews}. */
+    static PlanFrame encodePlan(Planner.Out out, ByteString views) {
+        PlanMessage plan = out.message();
+        PlanFrame.Builder message = PlanFrame.newBuilder()
+                .setIncarnation(plan.incarnation())
+                .setSequence(plan.sequence())
+                .setSentAt(plan.sentAt())
+                .setEcho(encode(plan.echo()))
+                .setCoverage(plan.coverage())
+                .setBoard(views)
+                .setGrantForUs(plan.grantFor());
+        plan.spill().forEach(share -> message.addSpill(share.floatValue()));
+        plan.limitShares().forEach(share -> message.addLimitShares(Double.isNaN(share) ? UNKNOWN_SHARE : share));
+        plan.grants()
+                .forEach(grant -> message.addGrants(encodeQuota(grant.upstream(), grant.launchedAt(), grant.rate())));
+        return message.build();
+    }
+
+    /** Decodes a plan; {@code planner} is the name in the sender's certificate. */
+    static PlanMessage decodePlan(String planner, PlanFrame message)
             throws InvalidMessageException, InvalidProtocolBufferException {
-        Board board = Board.parseFrom(m.getBoard());
-        require(
-                board.getViewsCount() <= MOST_ENTRIES
-                        && m.getGrantsCount() <= MOST_ENTRIES
-                        && m.getSpillCount() <= MOST_ZONES
-                        && m.getLimitSharesCount() <= MOST_ZONES,
-                "number of entries");
-        require(m.getGrantForUs() >= 0 && m.getGrantForUs() <= LONGEST_LEASE, "time of grants");
-        List<PlanMessage.View> views = new ArrayList<>(board.getViewsCount());
-        for (ViewMessage v : board.getViewsList()) {
-            require(id(v.getUpstream()) && number(v.getTotalLimit()), "view");
-            views.add(new PlanMessage.View(
-                    v.getUpstream(), v.getZone(), v.getTotalLimit(), v.getLaunchedAt(), v.getDraining()));
-        }
-        List<Double> spill = new ArrayList<>(m.getSpillCount());
-        for (float s : m.getSpillList()) {
-            require(number(s), "share");
-            spill.add((double) s);
-        }
-        List<Double> shares = new ArrayList<>(m.getLimitSharesCount());
-        for (double s : m.getLimitSharesList()) {
-            require(s == -1 || number(s), "share");
-            shares.add(s < 0 ? Double.NaN : s);
-        }
-        List<PlanMessage.Grant> grants = new ArrayList<>(m.getGrantsCount());
-        for (RightMessage g : m.getGrantsList()) {
-            require(id(g.getUpstream()) && number(g.getRate()), "grant");
-            grants.add(new PlanMessage.Grant(g.getUpstream(), g.getLaunchedAt(), g.getRate()));
+        require(message.getGrantsCount() <= MAX_ENTRIES, "number of grants");
+        require(message.getSpillCount() <= MAX_ZONES && message.getLimitSharesCount() <= MAX_ZONES, "number of shares");
+        require(message.getGrantForUs() >= 0 && message.getGrantForUs() <= MAX_LEASE_MICROS, "duration of grants");
+        List<PlanMessage.Grant> grants = new ArrayList<>(message.getGrantsCount());
+        for (RightMessage grant : message.getGrantsList()) {
+            checkQuota(grant, "grant");
+            grants.add(new PlanMessage.Grant(grant.getUpstream(), grant.getLaunchedAt(), grant.getRate()));
         }
         return new PlanMessage(
                 planner,
-                m.getIncarnation(),
-                m.getSequence(),
-                m.getSentAt(),
-                stamp(m.getEcho()),
-                m.getCoverage(),
-                views,
-                spill,
-                shares,
-                m.getGrantForUs(),
+                message.getIncarnation(),
+                message.getSequence(),
+                message.getSentAt(),
+                decode(message.getEcho()),
+                message.getCoverage(),
+                decodeViews(message.getBoard()),
+                decodeSpillover(message.getSpillList()),
+                decodeLimitShares(message.getLimitSharesList()),
+                message.getGrantForUs(),
                 grants);
     }
 
-    private static RightMessage right(String upstream, long launchedAt, double rate) {
+    private static List<PlanMessage.View> decodeViews(ByteString bytes)
+            throws InvalidMessageException, InvalidProtocolBufferException {
+        Board message = Board.parseFrom(bytes);
+        require(message.getViewsCount() <= MAX_ENTRIES, "number of views");
+        List<PlanMessage.View> views = new ArrayList<>(message.getViewsCount());
+        for (ViewMessage view : message.getViewsList()) {
+            require(isId(view.getUpstream()) && isNumber(view.getTotalLimit()), "view");
+            views.add(new PlanMessage.View(
+                    view.getUpstream(),
+                    view.getZone(),
+                    view.getTotalLimit(),
+                    view.getLaunchedAt(),
+                    view.getDraining()));
+        }
+        return views;
+    }
+
+    private static List<Double> decodeSpillover(List<Float> message) throws InvalidMessageException {
+        List<Double> shares = new ArrayList<>(message.size());
+        for (float share : message) {
+            require(isNumber(share), "spillover share");
+            shares.add((double) share);
+        }
+        return shares;
+    }
+
+    private static List<Double> decodeLimitShares(List<Double> message) throws InvalidMessageException {
+        List<Double> shares = new ArrayList<>(message.size());
+        for (double share : message) {
+            require(share == UNKNOWN_SHARE || isNumber(share), "limit share");
+            shares.add(share == UNKNOWN_SHARE ? Double.NaN : share);
+        }
+        return shares;
+    }
+
+    // ---- Parts of both -------------------------------------------------------------------------------
+
+    private static RightMessage encodeQuota(String upstream, long launchedAt, double rate) {
         return RightMessage.newBuilder()
                 .setUpstream(upstream)
                 .setLaunchedAt(launchedAt)
@@ -215,11 +240,18 @@
                 .build();
     }
 
-    private static Stamp stamp(ForwarderReport.Stamp s) {
-        return Stamp.newBuilder().setIncarnation(s.incarnation()).setAt(s.at()).build();
+    private static void checkQuota(RightMessage quota, String field) throws InvalidMessageException {
+        require(isId(quota.getUpstream()) && isNumber(quota.getRate()), field);
+    }
+
+    private static Stamp encode(ForwarderReport.Stamp stamp) {
+        return Stamp.newBuilder()
+                .setIncarnation(stamp.incarnation())
+                .setAt(stamp.at())
+                .build();
     }
 
-    private static ForwarderReport.Stamp stamp(Stamp s) {
-        return new ForwarderReport.Stamp(s.getIncarnation(), s.getAt());
+    private static ForwarderReport.Stamp decode(Stamp stamp) {
+        return new ForwarderReport.Stamp(stamp.getIncarnation(), stamp.getAt());
     }
 }
--- a/src/main/java/sedgeyoke/plan/remote/PlannerServer.java
+++ b/src/main/java/sedgeyoke/plan/remote/PlannerServer.java
@@ -17,14 +17,19 @@
 import sedgeyoke.plan.Planner;
 import sedgeyoke.settings.PlannerSettings;
 import sedgeyoke.transport.FramedConnection;
+import sedgeyoke.transport.FramedListener;
 import sedgeyoke.transport.InvalidMessageException;
 import sedgeyoke.transport.MutualTls;
+import sedgeyoke.transport.PeerRole;
 import sedgeyoke.transport.proto.Frame;
 
-/** A planner on sockets. All of it runs on one event loop. */
+/**
+ * Runs a {@link Planner} on sockets: it receives the load reports of forwarders and sends them plans at a fixed
+ * interval. All of it runs on one event loop.
+ */
 public final class PlannerServer {
-    /** Connections beyond the forwarders that there may be: for those that are just coming back. */
-    private static final int SPARE = 64;
+    /** Connections beyond the number of forwarders, for those that reconnect while the old connection still exists. */
+    private static final int SPARE_CONNECTIONS = 64;
 
     private final EventLoop loop;
     private final PlannerSettings settings;
@@ -32,10 +37,15 @@
     private final Consumer<String> log;
     private final MutualTls tls;
     private final Planner planner;
-    private final Map<String, Forwarder> forwarders = new HashMap<>();
+    private final Map<String, ForwarderConnection> forwarders = new HashMap<>();
     private int connections;
 
-    /** Throws if the TLS files are no good. */
+    /**
+     * Creates the server; throws if the TLS files cannot be loaded.
+     *
+     * @param incarnation number of this process, drawn at its start
+     * @param clock monotonic, in microseconds
+     */
     public PlannerServer(
             EventLoop loop, PlannerSettings settings, long incarnation, LongSupplier clock, Consumer<String> log)
             throws IOException {
@@ -43,75 +53,76 @@
         this.settings = settings;
         this.clock = clock;
         this.log = log;
-        this.tls = new MutualTls(settings.tls(), true, log);
+        this.tls = MutualTls.forServer(settings.tls(), log);
         this.planner = new Planner(
                 new Planner.Settings(settings.name(), incarnation, settings.mostForwarders(), settings.mostUpstreams()),
                 new LeaseClock(settings.driftPpm()));
     }
 
-    /** Listens and begins to plan; returns the address. Not to be called on the loop. */
+    /** Listens, starts to plan, and returns the bound address. Must not be called on the loop. */
     public InetSocketAddress start() {
-        InetSocketAddress address = FramedConnection.listen(loop, settings.listen(), this::accept);
-        loop.scheduleAtFixedRate(this::plan, settings.planEveryMs(), settings.planEveryMs(), TimeUnit.MILLISECONDS);
+        InetSocketAddress address = FramedListener.listen(loop, settings.listen(), this::accept);
+        loop.scheduleAtFixedRate(
+                this::sendPlans, settings.planEveryMs(), settings.planEveryMs(), TimeUnit.MILLISECONDS);
         return address;
     }
 
-    private void accept(Channel ch) {
-        if (connections >= settings.mostForwarders() + SPARE) {
-            ch.close();
+    private void accept(Channel channel) {
+        if (connections >= settings.mostForwarders() + SPARE_CONNECTIONS) {
+            channel.close();
             return;
         }
         connections++;
-        ch.closeFuture().addListener(closed -> connections--);
-        new Forwarder().install(ch, tls.handler(ch));
+        channel.closeFuture().addListener(closed -> connections--);
+        new ForwarderConnection().attach(channel, tls.newHandler(channel));
     }
 
-    private void plan() {
-        long now = clock.getAsLong();
-        List<Planner.Out> plans = planner.plan(now);
-        ByteString board = plans.isEmpty()
+    private void sendPlans() {
+        List<Planner.Out> plans = planner.plan(clock.getAsLong());
+        ByteString views = plans.isEmpty()
                 ? ByteString.EMPTY
-                : PlannerCodec.board(plans.get(0).message().views());
-        for (Planner.Out out : plans) {
-            Forwarder forwarder = forwarders.get(out.forwarder());
+                : PlannerCodec.encodeViews(plans.get(0).message().views());
+        for (Planner.Out plan : plans) {
+            ForwarderConnection forwarder = forwarders.get(plan.forwarder());
             if (forwarder != null) {
-                forwarder.send(
-                        Frame.newBuilder().setPlan(PlannerCodec.of(out, board)).build());
+                forwarder.send(Frame.newBuilder()
+                        .setPlan(PlannerCodec.encodePlan(plan, views))
+                        .build());
             }
         }
     }
 
-    /** How many forwarders are connected and have greeted; asked on the loop. */
-    public int connected() {
+    /** Returns the number of connected forwarders; to be called on the loop. */
+    public int connectedForwarders() {
         return forwarders.size();
     }
 
-    /** One forwarder's connection. */
-    private final class Forwarder extends FramedConnection {
-        Forwarder() {
-            super(Set.of(MutualTls.Role.FORWARDER), settings.name(), log);
+    /** The connection of one forwarder. */
+    private final class ForwarderConnection extends FramedConnection {
+        ForwarderConnection() {
+            super(Set.of(PeerRole.FORWARDER), settings.name(), log);
         }
 
         @Override
-        protected void ready() {
-            Forwarder before = forwarders.put(peer(), this);
-            if (before != null) {
-                before.close("it has connected anew");
+        protected void onReady() {
+            ForwarderConnection previous = forwarders.put(peerName(), this);
+            if (previous != null) {
+                previous.close("replaced by a newer connection");
             }
         }
 
         @Override
-        protected void message(Frame frame) throws InvalidMessageException, InvalidProtocolBufferException {
+        protected void onMessage(Frame frame) throws InvalidMessageException, InvalidProtocolBufferException {
             if (!frame.hasReport()) {
-                close("sends what is no report");
+                close("unexpected message, not a load report");
                 return;
             }
-            planner.report(clock.getAsLong(), PlannerCodec.report(peer(), frame.getReport()));
+            planner.report(clock.getAsLong(), PlannerCodec.decodeReport(peerName(), frame.getReport()));
         }
 
         @Override
-        protected void gone() {
-            forwarders.remove(peer(), this);
+        protected void onClosed() {
+            forwarders.remove(peerName(), this);
         }
     }
 }
--- a/src/main/java/sedgeyoke/plan/remote/package-info.java
+++ b/src/main/java/sedgeyoke/plan/remote/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Planners and their followers on sockets. What is decided here is only whom to believe: {@link sedgeyoke.plan} decides
- * all else, and {@link sedgeyoke.transport} carries the messages.
+ * Carries load reports and plans between forwarders and planners. The decisions belong to {@link sedgeyoke.plan}, the
+ * connections to {@link sedgeyoke.transport}.
  */
 package sedgeyoke.plan.remote;
--- a/src/main/java/sedgeyoke/serve/OptionalFeatures.java
+++ b/src/main/java/sedgeyoke/serve/OptionalFeatures.java
@@ -123,7 +123,7 @@
                 log.accept("reload: " + String.join(", ", fixed) + " stay as they are until a restart");
             }
             if (planners != null) {
-                loop.execute(() -> planners.reloaded(changed.plans()));
+                loop.execute(() -> planners.reload(changed.plans()));
             }
         } catch (InvalidOperatorFileException e) {
             log.accept("reload: the old operator's file stays in force: " + e.getMessage());
--- /dev/null
+++ b/src/main/java/sedgeyoke/startup/package-info.java
@@ -0,0 +1,2 @@
+/** Start of the server processes: settings, clock, event loop, and the report of a start that fails. */
+package sedgeyoke.startup;
--- a/src/main/java/sedgeyoke/transport/FramedConnection.java
+++ b/src/main/java/sedgeyoke/transport/FramedConnection.java
@@ -2,19 +2,17 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
@@ -23,171 +21,205 @@
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import sedgeyoke.transport.proto.Frame;
 import sedgeyoke.transport.proto.Hello;
 
 /**
- * One connection between a forwarder and a planner, the same on both sides: TLS, frames, a greeting that fits the
- * certificate, then messages. Whatever is wrong closes it with one line and disturbs nothing else. Messages are
- * states, not steps: while the peer reads too slowly, newer ones replace older ones instead of queuing behind them.
+ * A connection that exchanges length-prefixed protobuf frames over mutual TLS, on either side. Each side first sends a
+ * {@link Hello} with its name, which must equal the name in its certificate, and its protocol versions. Any error closes
+ * the connection with one log line. Messages carry full state, so those that would queue behind a slow reader are
+ * dropped. All methods and callbacks run on the connection's event loop, unless they say otherwise.
  */
 public abstract class FramedConnection extends SimpleChannelInboundHandler<ByteBuf> {
-    /** Versions of the messages that this program speaks. */
-    public static final int LOWEST_VERSION = 1;
-
-    public static final int HIGHEST_VERSION = 1;
-    /** The largest frame: several times the largest that a sender of ours makes. */
-    public static final int LARGEST_FRAME = 256 * 1024;
-    /** Connected, yet silent for so long: closed. */
-    private static final int SILENT_S = 5;
-
-    private static final int HANDSHAKE_MS = 3_000;
-    private static final int CONNECT_TIMEOUT_MS = 500;
-    private static final int BACKLOG = 256;
-    /** What may wait to be written; beyond it messages are left out. */
-    private static final WriteBufferWaterMark WAITING = new WriteBufferWaterMark(32 * 1024, 128 * 1024);
-    /** Who reads nothing for so many messages is let go. */
-    private static final int MOST_LEFT_OUT = 50;
-
-    private final Set<MutualTls.Role> peerRoles;
+    /** Lowest protocol version that this program supports. */
+    public static final int MIN_PROTOCOL_VERSION = 1;
+    /** Highest protocol version that this program supports. */
+    public static final int MAX_PROTOCOL_VERSION = 1;
+    /** Largest accepted frame in bytes; several times the largest that this program sends. */
+    public static final int MAX_FRAME_BYTES = 256 * 1024;
+    /** Default for {@link #dial}. */
+    public static final int CONNECT_TIMEOUT_MILLIS = 500;
+
+    private static final int READ_TIMEOUT_SECONDS = 5;
+    private static final int HANDSHAKE_TIMEOUT_MILLIS = 3_000;
+    private static final int LENGTH_FIELD_BYTES = 4;
+    /** Above the high mark messages are dropped until the low one is reached. */
+    private static final WriteBufferWaterMark WRITE_BUFFER = new WriteBufferWaterMark(32 * 1024, 128 * 1024);
+    /** After so many dropped messages in a row the connection is closed. */
+    private static final int MAX_DROPPED_MESSAGES = 50;
+
+    private static final int MAX_LOGGED_NAME_LENGTH = 64;
+
+    private final Set<PeerRole> allowedRoles;
     private final String ownName;
     private final Consumer<String> log;
+    private LifecycleListener lifecycleListener = LifecycleListener.NONE;
     private SslHandler tls;
     private Channel channel;
-    private String peer;
-    private MutualTls.Role role;
-    private boolean greeted;
-    private boolean ended;
-    private int leftOut;
-
-    protected FramedConnection(Set<MutualTls.Role> peerRoles, String ownName, Consumer<String> log) {
-        this.peerRoles = peerRoles;
+    private PeerIdentity peer;
+    private boolean ready;
+    private boolean closed;
+    private int droppedMessages;
+
+    /** Observes a connection in addition to its subclass. */
+    interface LifecycleListener {
+        LifecycleListener NONE = new LifecycleListener() {
+            @Override
+            public void connectionReady() {}
+
+            @Override
+            public void connectionClosed() {}
+        };
+
+        /** Both sides have exchanged their greetings, and {@link #onReady} has accepted the peer. */
+        void connectionReady();
+
+        /** An established connection has ended. */
+        void connectionClosed();
+    }
+
+    /**
+     * Creates a connection that has no channel yet.
+     *
+     * @param allowedRoles roles that the peer's certificate may have
+     * @param ownName name in the own certificate
+     */
+    protected FramedConnection(Set<PeerRole> allowedRoles, String ownName, Consumer<String> log) {
+        this.allowedRoles = allowedRoles;
         this.ownName = ownName;
         this.log = log;
     }
 
-    /** Sets up a new channel for this connection. */
-    public final void install(Channel ch, SslHandler handler) {
-        channel = ch;
-        tls = handler;
-        tls.setHandshakeTimeoutMillis(HANDSHAKE_MS);
-        ch.config().setWriteBufferWaterMark(WAITING);
-        ChannelPipeline p = ch.pipeline();
-        p.addLast(
-                tls,
-                new ReadTimeoutHandler(SILENT_S, TimeUnit.SECONDS),
-                new LengthFieldBasedFrameDecoder(LARGEST_FRAME, 0, 4, 0, 4),
-                new LengthFieldPrepender(4),
-                this);
-    }
-
-    /** Connects to an address, with this connection on it; the listener hears on the loop what became of that. */
-    public final void dial(EventLoop loop, MutualTls files, InetSocketAddress to, Consumer<Boolean> done) {
-        new Bootstrap()
+    // ---- Setup ---------------------------------------------------------------------------------------
+
+    /** Installs the handlers on a new channel. */
+    public final void attach(Channel newChannel, SslHandler tlsHandler) {
+        channel = newChannel;
+        tls = tlsHandler;
+        tls.setHandshakeTimeoutMillis(HANDSHAKE_TIMEOUT_MILLIS);
+        channel.config().setWriteBufferWaterMark(WRITE_BUFFER);
+        channel.pipeline()
+                .addLast(
+                        tls,
+                        new ReadTimeoutHandler(READ_TIMEOUT_SECONDS, TimeUnit.SECONDS),
+                        new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES),
+                        new LengthFieldPrepender(LENGTH_FIELD_BYTES),
+                        this);
+    }
+
+    /**
+     * Connects to an address. May be called on any thread.
+     *
+     * @return completes with the TCP connection, before the TLS handshake
+     */
+    public final ChannelFuture dial(
+            EventLoop loop, MutualTls mutualTls, InetSocketAddress address, int connectTimeoutMillis) {
+        return new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(Channel ch) {
-                        install(ch, files.handler(ch));
+                    protected void initChannel(Channel newChannel) {
+                        attach(newChannel, mutualTls.newHandler(newChannel));
                     }
                 })
-                .connect(to)
-                .addListener(connected -> loop.execute(() -> done.accept(connected.isSuccess())));
+                .connect(address);
     }
 
-    /** Listens, with a connection of its own for whoever comes; returns the address. Not to be called on the loop. */
-    public static InetSocketAddress listen(EventLoop loop, InetSocketAddress at, Consumer<Channel> accept) {
-        return (InetSocketAddress) new ServerBootstrap()
-                .group(loop)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel ch) {
-                        accept.accept(ch);
-                    }
-                })
-                .bind(at)
-                .syncUninterruptibly()
-                .channel()
-                .localAddress();
+    /** Sets the observer, before the connection has a channel. */
+    final void lifecycleListener(LifecycleListener listener) {
+        lifecycleListener = listener;
+    }
+
+    // ---- State ---------------------------------------------------------------------------------------
+
+    /** Whether the peer has greeted, so that messages may be sent. */
+    public final boolean isReady() {
+        return ready;
     }
 
-    /** The peer's name, once it has greeted; null before. */
-    public final String peer() {
-        return greeted ? peer : null;
+    /** Returns the peer's name, or null while it has not greeted. */
+    public final String peerName() {
+        return ready ? peer.name() : null;
     }
 
-    /** What the peer is, as its certificate says; null before that was seen. */
-    public final MutualTls.Role role() {
-        return role;
+    /** Returns the role in the peer's certificate, or null before the TLS handshake. */
+    public final PeerRole peerRole() {
+        return peer == null ? null : peer.role();
     }
 
-    /** The greeting is over. */
-    protected abstract void ready();
+    // ---- Callbacks -----------------------------------------------------------------------------------
 
-    /** A message from a peer that has greeted. */
-    protected abstract void message(Frame frame) throws InvalidMessageException, InvalidProtocolBufferException;
+    /** Called once both sides have greeted. */
+    protected void onReady() {}
 
-    /** The connection is over, whether or not it ever was ready. */
-    protected abstract void gone();
+    /** Called for each message after the greeting. An exception closes the connection. */
+    protected abstract void onMessage(Frame frame) throws InvalidMessageException, InvalidProtocolBufferException;
 
-    /** Sends a message unless the peer reads too slowly; who reads nothing at all is let go. */
+    /** Called when an established TCP connection has ended, whether or not it ever was ready. */
+    protected void onClosed() {}
+
+    // ---- Sending and closing -------------------------------------------------------------------------
+
+    /** Sends a message, or drops it if the peer reads too slowly. Closes the connection after many drops in a row. */
     public final void send(Frame frame) {
         if (channel.isWritable()) {
-            leftOut = 0;
+            droppedMessages = 0;
             channel.writeAndFlush(Unpooled.wrappedBuffer(frame.toByteArray()));
-        } else if (++leftOut > MOST_LEFT_OUT) {
-            close("reads nothing");
+            return;
+        }
+        droppedMessages++;
+        if (droppedMessages > MAX_DROPPED_MESSAGES) {
+            close("reads too slowly");
         }
     }
 
-    /** Closes the connection and logs why, once. */
-    public final void close(String why) {
-        if (!ended) {
-            ended = true;
-            log.accept(
-                    "link with " + (peer == null ? String.valueOf(channel.remoteAddress()) : peer) + " closed: " + why);
+    /** Closes the connection and logs the reason of the first call. */
+    public final void close(String reason) {
+        if (!closed) {
+            closed = true;
+            String remote = peer == null ? String.valueOf(channel.remoteAddress()) : peer.name();
+            log.accept("connection with " + remote + " closed: " + reason);
         }
         channel.close();
     }
 
+    // ---- Events of the channel -----------------------------------------------------------------------
+
     @Override
-    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event instanceof SslHandshakeCompletionEvent done) {
-            if (!done.isSuccess()) {
-                close("no TLS: " + reason(done.cause()));
-                return;
+    public final void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof SslHandshakeCompletionEvent completion) {
+            if (completion.isSuccess()) {
+                handshakeCompleted();
+            } else {
+                close("TLS handshake failed: " + rootMessage(completion.cause()));
             }
-            MutualTls.Peer known = MutualTls.peer(tls, peerRoles);
-            if (known == null) {
-                close("its certificate is no "
-                        + peerRoles.stream().map(MutualTls.Role::unit).sorted().collect(Collectors.joining(" or "))
-                        + "'s");
-                return;
-            }
-            peer = known.name();
-            role = known.role();
-            send(Frame.newBuilder()
-                    .setHello(Hello.newBuilder()
-                            .setLowestVersion(LOWEST_VERSION)
-                            .setHighestVersion(HIGHEST_VERSION)
-                            .setName(ownName))
-                    .build());
         }
     }
 
-    private static String reason(Throwable cause) {
-        Throwable root = cause;
+    private void handshakeCompleted() {
+        Optional<PeerIdentity> identity = PeerIdentity.of(tls.engine().getSession(), allowedRoles);
+        if (identity.isEmpty()) {
+            close("the role in its certificate is not " + PeerRole.list(allowedRoles));
+            return;
+        }
+        peer = identity.get();
+        send(Frame.newBuilder()
+                .setHello(Hello.newBuilder()
+                        .setLowestVersion(MIN_PROTOCOL_VERSION)
+                        .setHighestVersion(MAX_PROTOCOL_VERSION)
+                        .setName(ownName))
+                .build());
+    }
+
+    private static String rootMessage(Throwable exception) {
+        Throwable root = exception;
         while (root.getCause() != null) {
             root = root.getCause();
         }
@@ -195,46 +227,54 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) throws IOException, InvalidMessageException {
-        if (peer == null || ended) {
-            return; // nothing is believed before TLS has said who it is
+    protected final void channelRead0(ChannelHandlerContext context, ByteBuf bytes)
+            throws IOException, InvalidMessageException {
+        if (peer == null || closed) {
+            return; // frames of an unidentified peer are ignored
         }
         Frame frame = Frame.parseFrom(ByteBufUtil.getBytes(bytes));
-        if (greeted) {
-            message(frame);
+        if (ready) {
+            onMessage(frame);
         } else if (frame.hasHello()) {
-            greet(frame.getHello());
+            handleHello(frame.getHello());
         } else {
-            close("no greeting");
+            close("its first message is no greeting");
         }
     }
 
-    private void greet(Hello hello) {
-        if (!hello.getName().equals(peer)) {
-            close("says that it is " + printable(hello.getName()));
-        } else if (hello.getLowestVersion() > HIGHEST_VERSION || hello.getHighestVersion() < LOWEST_VERSION) {
-            close("speaks versions " + hello.getLowestVersion() + " to " + hello.getHighestVersion() + ", we "
-                    + LOWEST_VERSION + " to " + HIGHEST_VERSION);
-        } else {
-            greeted = true;
-            ready();
+    private void handleHello(Hello hello) {
+        if (!hello.getName().equals(peer.name())) {
+            close("greets as " + printable(hello.getName()) + ", which is not the name in its certificate");
+            return;
+        }
+        if (hello.getLowestVersion() > MAX_PROTOCOL_VERSION || hello.getHighestVersion() < MIN_PROTOCOL_VERSION) {
+            close("supports protocol versions " + hello.getLowestVersion() + " to " + hello.getHighestVersion()
+                    + ", this program " + MIN_PROTOCOL_VERSION + " to " + MAX_PROTOCOL_VERSION);
+            return;
+        }
+        ready = true;
+        onReady();
+        if (!closed) {
+            lifecycleListener.connectionReady();
         }
     }
 
     private static String printable(String text) {
-        return text.substring(0, Math.min(64, text.length())).replaceAll("[^ -~]", "?");
+        return text.substring(0, Math.min(MAX_LOGGED_NAME_LENGTH, text.length()))
+                .replaceAll("[^ -~]", "?");
     }
 
     @Override
-    public void channelInactive(ChannelHandlerContext ctx) {
-        if (!ended && greeted) {
-            close("ended by the other side");
+    public final void channelInactive(ChannelHandlerContext context) {
+        if (!closed && ready) {
+            close("closed by the peer");
         }
-        gone();
+        onClosed();
+        lifecycleListener.connectionClosed();
     }
 
     @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        close(reason(cause));
+    public final void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        close(rootMessage(cause));
     }
 }
--- a/src/main/java/sedgeyoke/transport/InvalidMessageException.java
+++ b/src/main/java/sedgeyoke/transport/InvalidMessageException.java
@@ -1,11 +1,26 @@
 package sedgeyoke.transport;
 
-/** A message that parses and whose content is out of bounds or makes no sense; its sender cannot be believed. */
+/** A message that can be parsed but has a field that is out of bounds or contradicts others. */
 public final class InvalidMessageException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    /** Names what is wrong with the message. */
-    public InvalidMessageException(String what) {
-        super("implausible " + what);
+    private final String field;
+
+    /** Creates the exception; {@code field} names the invalid field. */
+    public InvalidMessageException(String field) {
+        super("invalid " + field);
+        this.field = field;
+    }
+
+    /** Throws unless a field of a message is valid. */
+    public static void require(boolean valid, String field) throws InvalidMessageException {
+        if (!valid) {
+            throw new InvalidMessageException(field);
+        }
+    }
+
+    /** Returns the name of the invalid field. */
+    public String field() {
+        return field;
     }
 }
--- a/src/main/java/sedgeyoke/transport/MutualTls.java
+++ b/src/main/java/sedgeyoke/transport/MutualTls.java
@@ -10,72 +10,61 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.security.cert.Certificate;
-import java.security.cert.X509Certificate;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Set;
+import java.nio.file.attribute.FileTime;
 import java.util.function.Consumer;
-import javax.naming.InvalidNameException;
-import javax.naming.ldap.LdapName;
-import javax.naming.ldap.Rdn;
 import javax.net.ssl.SSLEngine;
 import javax.net.ssl.SSLParameters;
-import javax.net.ssl.SSLPeerUnverifiedException;
 import sedgeyoke.settings.TlsFiles;
 
 /**
- * Mutual TLS 1.3 from files, taken up anew when they change. Who a peer is stands in its certificate's subject: the
- * common name is its name, the organisational unit its role. Addresses are no part of it: there is no DNS.
+ * Creates TLS handlers from certificate files: TLS 1.3 with certificates on both sides, without host name verification.
+ * Files that have changed are reloaded before the next connection. To be used on one thread.
  */
 public final class MutualTls {
-    /** The parts a peer can have. */
-    public enum Role {
-        FORWARDER("forwarder"),
-        PLANNER("planner"),
-        KEEPER("keeper"),
-        OPERATOR("operator");
+    private static final String PROTOCOL = "TLSv1.3";
 
-        private final String unit;
+    private final TlsFiles files;
+    private final boolean server;
+    private final Consumer<String> log;
+    private FileVersions loadedVersions;
+    private SslContext context;
 
-        Role(String unit) {
-            this.unit = unit;
+    /** What tells a file from an earlier version of it. */
+    private record FileVersion(FileTime lastModified, long bytes) {
+        static FileVersion of(Path path) throws IOException {
+            if (!Files.isReadable(path)) {
+                throw new IOException("TLS files: " + path + " cannot be read");
+            }
+            return new FileVersion(Files.getLastModifiedTime(path), Files.size(path));
         }
+    }
 
-        /** The organisational unit that a certificate of this role has. */
-        public String unit() {
-            return unit;
+    private record FileVersions(FileVersion certificate, FileVersion key, FileVersion trust) {
+        static FileVersions of(TlsFiles files) throws IOException {
+            return new FileVersions(
+                    FileVersion.of(files.certificate()), FileVersion.of(files.key()), FileVersion.of(files.trust()));
         }
     }
 
-    private final TlsFiles files;
-    private final boolean server;
-    private final Consumer<String> log;
-    private List<Object> state = List.of();
-    private SslContext context;
-
-    /** Reads the files; throws if they are no good. */
-    public MutualTls(TlsFiles files, boolean server, Consumer<String> log) throws IOException {
+    private MutualTls(TlsFiles files, boolean server, Consumer<String> log) throws IOException {
         this.files = files;
         this.server = server;
         this.log = log;
-        this.state = stateOfFiles();
-        this.context = read();
+        this.loadedVersions = FileVersions.of(files);
+        this.context = loadContext();
     }
 
-    private List<Object> stateOfFiles() throws IOException {
-        List<Object> seen = new ArrayList<>();
-        for (Path p : List.of(files.certificate(), files.key(), files.trust())) {
-            if (!Files.isReadable(p)) {
-                throw new IOException("TLS files: " + p + " cannot be read");
-            }
-            seen.add(Files.getLastModifiedTime(p));
-            seen.add(Files.size(p));
-        }
-        return seen;
+    /** Loads the files for accepting connections; throws with their names if that fails. */
+    public static MutualTls forServer(TlsFiles files, Consumer<String> log) throws IOException {
+        return new MutualTls(files, true, log);
     }
 
-    private SslContext read() throws IOException {
+    /** Loads the files for making connections; throws with their names if that fails. */
+    public static MutualTls forClient(TlsFiles files, Consumer<String> log) throws IOException {
+        return new MutualTls(files, false, log);
+    }
+
+    private SslContext loadContext() throws IOException {
         File certificate = files.certificate().toFile();
         File key = files.key().toFile();
         try {
@@ -85,7 +74,7 @@
             return builder.trustManager(files.trust().toFile())
                     .clientAuth(ClientAuth.REQUIRE)
                     .sslProvider(SslProvider.JDK)
-                    .protocols("TLSv1.3")
+                    .protocols(PROTOCOL)
                     .endpointIdentificationAlgorithm(null)
                     .build();
         } catch (IllegalArgumentException | IOException e) {
@@ -96,18 +85,9 @@
         }
     }
 
-    /** For a new connection; files that changed are read first, and what cannot be read changes nothing. */
-    public SslHandler handler(Channel channel) {
-        try {
-            List<Object> now = stateOfFiles();
-            if (!now.equals(state)) {
-                state = now;
-                context = read();
-                log.accept("TLS files taken up anew");
-            }
-        } catch (IOException e) {
-            log.accept("the TLS files in use stay in force: " + e.getMessage());
-        }
+    /** Returns a handler for a new connection. Files that changed are reloaded first; invalid ones are logged. */
+    public SslHandler newHandler(Channel channel) {
+        reloadIfChanged();
         SslHandler handler = context.newHandler(channel.alloc());
         SSLEngine engine = handler.engine();
         SSLParameters parameters = engine.getSSLParameters();
@@ -116,26 +96,16 @@
         return handler;
     }
 
-    /** Who a peer is. */
-    record Peer(String name, Role role) {}
-
-    /** The peer, if its certificate gives it one of these roles; else null. */
-    static Peer peer(SslHandler handler, Set<Role> roles) {
+    private void reloadIfChanged() {
         try {
-            Certificate[] chain = handler.engine().getSession().getPeerCertificates();
-            LdapName subject = new LdapName(
-                    ((X509Certificate) chain[0]).getSubjectX500Principal().getName());
-            String name = null;
-            Role role = null;
-            for (Rdn rdn : subject.getRdns()) {
-                name = rdn.getType().equalsIgnoreCase("CN") ? String.valueOf(rdn.getValue()) : name;
-                for (Role r : roles) {
-                    role = rdn.getType().equalsIgnoreCase("OU") && r.unit.equals(rdn.getValue()) ? r : role;
-                }
+            FileVersions present = FileVersions.of(files);
+            if (!present.equals(loadedVersions)) {
+                loadedVersions = present;
+                context = loadContext();
+                log.accept("TLS files reloaded");
             }
-            return role == null || name == null ? null : new Peer(name, role);
-        } catch (SSLPeerUnverifiedException | InvalidNameException e) {
-            return null;
+        } catch (IOException e) {
+            log.accept("TLS files not reloaded, the previous ones stay in use: " + e.getMessage());
         }
     }
 }
--- /dev/null
+++ b/src/main/java/sedgeyoke/transport/PeerRole.java
@@ -0,0 +1,31 @@
+package sedgeyoke.transport;
+
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * Role of a process, as its certificate states it. This is the only place that knows the organisational units of the
+ * certificates; they keep the names that were issued to operators.
+ */
+public enum PeerRole {
+    FORWARDER("forwarder"),
+    PLANNER("planner"),
+    CONFIG_SERVER("keeper"),
+    OPERATOR("operator");
+
+    private final String organizationalUnit;
+
+    PeerRole(String organizationalUnit) {
+        this.organizationalUnit = organizationalUnit;
+    }
+
+    /** Returns the organisational unit in the subject of certificates with this role. */
+    public String organizationalUnit() {
+        return organizationalUnit;
+    }
+
+    /** Lists the organisational units of some roles, for log lines. */
+    static String list(Set<PeerRole> roles) {
+        return roles.stream().map(PeerRole::organizationalUnit).sorted().collect(Collectors.joining(" or "));
+    }
+}
--- a/src/main/java/sedgeyoke/transport/package-info.java
+++ b/src/main/java/sedgeyoke/transport/package-info.java
@@ -1,6 +1,6 @@
 /**
- * The link between forwarders and planners: length-framed protobuf messages over mutual TLS, on Netty as everything
- * else here. It carries what {@link sedgeyoke.plan} decides and decides nothing itself but whom to believe: a peer is
- * who its certificate says, and what it sends has bounds in size, number and rate.
+ * Connections between the processes of a site: length-prefixed protobuf frames over mutual TLS, on Netty. A peer's
+ * identity comes from its certificate alone, and the size and rate of what it sends are bounded. The meaning of the
+ * messages belongs to {@link sedgeyoke.plan} and {@link sedgeyoke.consensus}.
  */
 package sedgeyoke.transport;
--- a/src/test/java/sedgeyoke/plan/remote/PlannerLinkTest.java
+++ b/src/test/java/sedgeyoke/plan/remote/PlannerLinkTest.java
@@ -38,6 +38,7 @@
 import sedgeyoke.proxy.ModulePort;
 import sedgeyoke.settings.OperatorFile;
 import sedgeyoke.settings.PlannerSettings;
+import sedgeyoke.settings.TlsFiles;
 import sedgeyoke.standin.Certificates;
 import sedgeyoke.transport.FramedConnection;
 import sedgeyoke.transport.MutualTls;
@@ -96,7 +97,7 @@
     }
 
     private int connected() {
-        return loop.submit(planner::connected).syncUninterruptibly().getNow();
+        return loop.submit(planner::connectedForwarders).syncUninterruptibly().getNow();
     }
 
     // ---- A peer written by hand ----------------------------------------------------------------------
@@ -216,17 +217,17 @@
             }
         }
         await("two lines", () -> log.size() == 2);
-        assertTrue(log.stream().allMatch(l -> l.contains("no TLS")), log.toString());
+        assertTrue(log.stream().allMatch(l -> l.contains("TLS handshake failed")), log.toString());
         assertStillServes();
     }
 
     @Test
     void whoSaysThatItIsAnotherOrHasAnotherRoleIsLetGo() throws Exception {
         forwarder("f1").send(hello("f2", 1, 1)).send(report(1)).assertGetsNothing();
-        await("a line", () -> log.stream().anyMatch(l -> l.contains("says that it is f2")));
+        await("a line", () -> log.stream().anyMatch(l -> l.contains("greets as f2")));
         certificates.issue("p9", "planner");
         new Raw(folder, "p9").send(hello("p9", 1, 1)).send(report(1)).assertGetsNothing();
-        await("a line", () -> log.stream().anyMatch(l -> l.contains("no forwarder's")));
+        await("a line", () -> log.stream().anyMatch(l -> l.contains("is not forwarder")));
         assertEquals(2, log.size(), log.toString());
         assertStillServes();
     }
@@ -234,7 +235,8 @@
     @Test
     void versionsThatDoNotMeetEndTheLinkAndThoseThatDoUseTheHighestOfBoth() throws Exception {
         forwarder("f1").send(hello("f1", 7, 9)).send(report(1)).assertGetsNothing();
-        await("a line", () -> log.stream().anyMatch(l -> l.contains("speaks versions 7 to 9, we 1 to 1")));
+        await("a line", () -> log.stream()
+                .anyMatch(l -> l.contains("supports protocol versions 7 to 9, this program 1 to 1")));
         Raw newer = forwarder("f2").send(hello("f2", 1, 9));
         byte[] known = report(1).toByteArray();
         byte[] withMore = java.util.Arrays.copyOf(known, known.length + 3);
@@ -264,7 +266,7 @@
         }
         ReportMessage.Builder report = report(1).getReport().toBuilder();
         switch (fault) {
-            case "too long" -> bad.out.writeInt(FramedConnection.LARGEST_FRAME + 1);
+            case "too long" -> bad.out.writeInt(FramedConnection.MAX_FRAME_BYTES + 1);
             case "no message" -> bad.send(new byte[] {(byte) 0xff, 1, 2, 3});
             case "twice a greeting" -> bad.send(hello("bad", 1, 1));
             case "a bad id" -> report.setLoads(0, report.getLoads(0).toBuilder().setUpstream("x".repeat(300)));
@@ -311,7 +313,7 @@
         } catch (IOException closed) {
             assertNotNull(closed);
         }
-        assertTrue(log.stream().anyMatch(l -> l.contains("reads nothing")), log.toString());
+        assertTrue(log.stream().anyMatch(l -> l.contains("reads too slowly")), log.toString());
         assertStillServes();
     }
 
@@ -354,7 +356,7 @@
         }
         Raw withNew = new Raw(elsewhere, "f1").send(hello("f1", 1, 1)).send(report(1));
         assertTrue(withNew.read().hasHello());
-        assertTrue(log.contains("TLS files taken up anew"), log.toString());
+        assertTrue(log.contains("TLS files reloaded"), log.toString());
         Files.writeString(folder.resolve("p1.key"), "nonsense");
         Raw again = new Raw(elsewhere, "f1").send(hello("f1", 1, 1)).send(report(2));
         assertTrue(again.read().hasHello(), "what cannot be read changes nothing");
@@ -363,9 +365,8 @@
     @Test
     void badFilesEndTheStartWithTheirNames() {
         Path none = folder.resolve("none.pem");
-        IOException bad = assertThrows(
-                IOException.class,
-                () -> new MutualTls(new sedgeyoke.settings.TlsFiles(none, none, none), true, log::add));
+        IOException bad =
+                assertThrows(IOException.class, () -> MutualTls.forServer(new TlsFiles(none, none, none), log::add));
         assertTrue(bad.toString().contains("none.pem"), bad.toString());
     }
 
@@ -448,6 +449,6 @@
                         && !port.plan.get().cold().get("u").grants().isEmpty());
         assertEquals(4.8, port.plan.get().cold().get("u").grants().get(0).rate(), 0.01);
         assertEquals("u", port.plan.get().upstreams().get(0).id());
-        assertEquals(1, loop.submit(link::heard).syncUninterruptibly().getNow());
+        assertEquals(1, loop.submit(link::activePlanners).syncUninterruptibly().getNow());
     }
 }
