--- a/src/main/java/sedgeyoke/plan/remote/PlannerClient.java
+++ b/src/main/java/sedgeyoke/plan/remote/PlannerClient.java
@@ -69,16 +69,16 @@
     /** Applies those settings that may change without a restart; on the loop. */
     public void reload(PlannerClientSettings changed) {
         reportEveryMillis = changed.reportEveryMs();
-        follower.fadeTime(changed.fadeMs() * MICROS_PER_MILLI);
+        follower.setFadeTimeMicros(changed.fadeMs() * MICROS_PER_MILLI);
     }
 
     /** Returns the number of planners whose plans have arrived lately; on the loop. */
     public int activePlanners() {
-        return follower.heardPlanners(port.now());
+        return follower.activePlanners(port.now());
     }
 
     private void updatePolicy() {
-        port.module().plan(port.now(), follower.plan(port.now()));
+        port.module().planUpdated(port.now(), follower.currentPlan(port.now()));
     }
 
     /** The delay varies by an eighth to both sides, so that forwarders do not report at the same moment. */
@@ -103,12 +103,14 @@
         Map<PlannerConnection, ForwarderReport> reports = new LinkedHashMap<>();
         for (ReconnectingDialer<PlannerConnection> planner : planners) {
             Optional<PlannerConnection> connection = planner.readyConnection();
-            if (connection.isPresent() && follower.due(now, connection.get().peerName())) {
+            if (connection.isPresent()
+                    && follower.isReportDue(now, connection.get().peerName())) {
                 reports.put(
-                        connection.get(), follower.report(now, connection.get().peerName(), summary));
+                        connection.get(),
+                        follower.createReport(now, connection.get().peerName(), summary));
             }
         }
-        port.module().plan(now, follower.plan(now));
+        port.module().planUpdated(now, follower.currentPlan(now));
         reports.forEach((connection, report) -> connection.send(
                 Frame.newBuilder().setReport(PlannerCodec.encodeReport(report)).build()));
     }
@@ -127,7 +129,7 @@
             }
             PlanMessage plan = PlannerCodec.decodePlan(peerName(), frame.getPlan());
             long now = port.now();
-            if (follower.heard(now, plan) && follower.matters(now, plan)) {
+            if (follower.handlePlan(now, plan) && follower.affectsCurrentPlan(now, plan)) {
                 port.deliver(PlannerClient.this::updatePolicy);
             }
         }
--- a/src/main/java/sedgeyoke/plan/remote/PlannerCodec.java
+++ b/src/main/java/sedgeyoke/plan/remote/PlannerCodec.java
@@ -21,7 +21,7 @@
 /** Converts load reports and plans to and from their protobuf messages, and checks the bounds of all that it reads. */
 final class PlannerCodec {
     /** Four times what a sender of this program includes. */
-    private static final int MAX_ENTRIES = 4 * ForwarderReport.MOST_LOADS;
+    private static final int MAX_ENTRIES = 4 * ForwarderReport.MAX_LOADS;
 
     private static final int MAX_ZONES = 1_000;
     private static final int MAX_ID_LENGTH = 256;
@@ -46,11 +46,11 @@
         ReportMessage.Builder message = ReportMessage.newBuilder()
                 .setIncarnation(report.incarnation())
                 .setSequence(report.sequence())
-                .setSentAt(report.sentAt())
+                .setSentAt(report.sentAtMicros())
                 .setEcho(encode(report.echo()))
                 .setZone(report.zone())
-                .setLeaseUs(report.lease())
-                .setLeastGrant(report.leastGrant())
+                .setLeaseUs(report.leaseMicros())
+                .setLeastGrant(report.minGrantRate())
                 .addAllDemand(report.demand());
         report.loads().forEach(load -> message.addLoads(encode(load)));
         report.deposits()
@@ -68,7 +68,7 @@
                 .setInFlight(load.inFlight())
                 .setSent(load.sent())
                 .setLimit((float) load.limit())
-                .setAgeUs(load.age())
+                .setAgeUs(load.reportAgeMicros())
                 .setEjected(load.ejected());
         if (load.utilisation() >= 0) {
             message.setUtilisation((float) load.utilisation());
@@ -153,17 +153,17 @@
     }
 
     /** Encodes a plan with views from {@link #encodeViews}. */
-    static PlanFrame encodePlan(Planner.Out out, ByteString views) {
-        PlanMessage plan = out.message();
+    static PlanFrame encodePlan(Planner.AddressedPlan addressed, ByteString views) {
+        PlanMessage plan = addressed.message();
         PlanFrame.Builder message = PlanFrame.newBuilder()
                 .setIncarnation(plan.incarnation())
                 .setSequence(plan.sequence())
-                .setSentAt(plan.sentAt())
+                .setSentAt(plan.sentAtMicros())
                 .setEcho(encode(plan.echo()))
                 .setCoverage(plan.coverage())
                 .setBoard(views)
-                .setGrantForUs(plan.grantFor());
-        plan.spill().forEach(share -> message.addSpill(share.floatValue()));
+                .setGrantForUs(plan.grantDurationMicros());
+        plan.spillover().forEach(share -> message.addSpill(share.floatValue()));
         plan.limitShares().forEach(share -> message.addLimitShares(Double.isNaN(share) ? UNKNOWN_SHARE : share));
         plan.grants()
                 .forEach(grant -> message.addGrants(encodeQuota(grant.upstream(), grant.launchedAt(), grant.rate())));
@@ -247,7 +247,7 @@
     private static Stamp encode(ForwarderReport.Stamp stamp) {
         return Stamp.newBuilder()
                 .setIncarnation(stamp.incarnation())
-                .setAt(stamp.at())
+                .setAt(stamp.atMicros())
                 .build();
     }
 
--- a/src/main/java/sedgeyoke/plan/remote/PlannerServer.java
+++ b/src/main/java/sedgeyoke/plan/remote/PlannerServer.java
@@ -78,11 +78,11 @@
     }
 
     private void sendPlans() {
-        List<Planner.Out> plans = planner.plan(clock.getAsLong());
+        List<Planner.AddressedPlan> plans = planner.createPlans(clock.getAsLong());
         ByteString views = plans.isEmpty()
                 ? ByteString.EMPTY
                 : PlannerCodec.encodeViews(plans.get(0).message().views());
-        for (Planner.Out plan : plans) {
+        for (Planner.AddressedPlan plan : plans) {
             ForwarderConnection forwarder = forwarders.get(plan.forwarder());
             if (forwarder != null) {
                 forwarder.send(Frame.newBuilder()
@@ -117,7 +117,7 @@
                 close("unexpected message, not a load report");
                 return;
             }
-            planner.report(clock.getAsLong(), PlannerCodec.decodeReport(peerName(), frame.getReport()));
+            planner.handleReport(clock.getAsLong(), PlannerCodec.decodeReport(peerName(), frame.getReport()));
         }
 
         @Override
