--- a/src/main/java/sedgeyoke/consensus/server/ConfigServerMain.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigServerMain.java
@@ -56,8 +56,8 @@
     static int run(Path operatorFile, boolean bootstrap, UnaryOperator<Disk> wrapper) throws InterruptedException {
         CountDownLatch failed = new CountDownLatch(1);
         try {
-            ConfigServerSettings settings = ServerStartup.load(operatorFile, OperatorFile::keeper);
-            ServerStartup.requireEnabled(settings.enabled(), operatorFile, "keeper.enabled");
+            ConfigServerSettings settings = ServerStartup.load(operatorFile, OperatorFile::configServer);
+            ServerStartup.requireEnabled(settings.enabled(), operatorFile, "config_server.enabled");
             start(settings, openStorage(settings, bootstrap, wrapper), failed);
         } catch (StartupException e) {
             return e.report();
@@ -91,7 +91,7 @@
     private static ReplicaStorage openStorage(Disk disk, ConfigServerSettings settings, boolean bootstrap)
             throws DiskException, UnusableStorageException {
         ReplicaStorage.Owner owner =
-                new ReplicaStorage.Owner(settings.tier(), settings.name(), bootId(), settings.forcesMayLie());
+                new ReplicaStorage.Owner(settings.tier(), settings.name(), bootId(), settings.fsyncMayBeLost());
         if (ReplicaStorage.isEmpty(disk)) {
             Membership founders = Membership.of(bootstrap ? configuredMembers(settings) : List.of());
             ReplicaStorage.create(disk, owner, ServerStartup.newIncarnation(), founders);
@@ -101,7 +101,7 @@
 
     private static List<Member> configuredMembers(ConfigServerSettings settings) {
         List<Member> members = new ArrayList<>();
-        settings.keepers().forEach((name, address) -> members.add(new Member(name, 0, hostAndPort(address))));
+        settings.servers().forEach((name, address) -> members.add(new Member(name, 0, hostAndPort(address))));
         return members;
     }
 
--- a/src/main/java/sedgeyoke/consensus/server/ConfigSubscription.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigSubscription.java
@@ -80,7 +80,7 @@
         this.subscriber = new ConfigSubscriber(name, incarnation, new SafetyRules(timing), ConfigVersion.NONE);
         this.random = new SplittableRandom(incarnation);
         this.requestIntervalMicros = timing.leaseMicros() / REQUESTS_PER_LEASE;
-        this.serverIndex = random.nextInt(settings.keepers().size());
+        this.serverIndex = random.nextInt(settings.servers().size());
     }
 
     /** Starts to request leases; on the loop. The first delay is random, so that balancers do not act at once. */
@@ -117,8 +117,8 @@
     private void connectToNextServer() {
         dialer.close("does not respond");
         unansweredRequests = 0;
-        serverIndex = (serverIndex + 1) % settings.keepers().size();
-        dialer.dial(settings.keepers().get(serverIndex));
+        serverIndex = (serverIndex + 1) % settings.servers().size();
+        dialer.dial(settings.servers().get(serverIndex));
     }
 
     private void reportChange(long now) {
--- a/src/main/java/sedgeyoke/consensus/server/IncomingConnections.java
+++ b/src/main/java/sedgeyoke/consensus/server/IncomingConnections.java
@@ -36,8 +36,8 @@
 
     /** Attaches a connection to a new channel, or closes it if there are too many. */
     void accept(Channel channel) {
-        int limit = context.settings().mostFollowers()
-                + context.settings().keepers().size()
+        int limit = context.settings().maxSubscribers()
+                + context.settings().servers().size()
                 + SPARE_CONNECTIONS;
         if (connections.size() >= limit) {
             channel.close();
--- a/src/main/java/sedgeyoke/consensus/server/PeerConnections.java
+++ b/src/main/java/sedgeyoke/consensus/server/PeerConnections.java
@@ -30,7 +30,7 @@
         this.context = context;
         String ownName = context.settings().name();
         for (Map.Entry<String, InetSocketAddress> server :
-                context.settings().keepers().entrySet()) {
+                context.settings().servers().entrySet()) {
             String name = server.getKey();
             if (!name.equals(ownName)) {
                 Backoff backoff = new Backoff(MIN_RECONNECT_MILLIS, MAX_RECONNECT_MILLIS, random);
--- a/src/test/java/sedgeyoke/consensus/codec/RaftMessageCodecTest.java
+++ b/src/test/java/sedgeyoke/consensus/codec/RaftMessageCodecTest.java
@@ -5,7 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.security.MessageDigest;
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -41,6 +43,9 @@
             new LogEntry(
                     11, 3, new Command.ChangeMembership(new Membership(MEMBERS.voters(), new Member("c", 3, "x:3")))));
 
+    private static final RaftMessage.InstallSnapshotChunk CHUNK =
+            new RaftMessage.InstallSnapshotChunk(3, 6, 2, 512, 2_000, new byte[] {1, 2}, 12);
+
     private static List<RaftMessage> messages() {
         RequestResult result = new RequestResult(RequestResult.Kind.BUSY, 5, "later");
         return List.of(
@@ -74,17 +79,28 @@
         }
     }
 
+    /** Replicas of different releases exchange these messages, so their bytes must never change. */
+    @Test
+    void theBytesOfTheMessagesAreThoseOfTheFirstRelease() throws Exception {
+        MessageDigest digest = MessageDigest.getInstance("SHA-256");
+        for (RaftMessage message : messages()) {
+            digest.update(RaftMessageCodec.encode(STORAGE_ID, message).toByteArray());
+        }
+        digest.update(RaftMessageCodec.encode(STORAGE_ID, CHUNK).toByteArray());
+        assertEquals(
+                "b3032b04d26d5b6a8c3849f81f0ccf0bc486d073aec847576b36bdcc2177cd2f",
+                HexFormat.of().formatHex(digest.digest()));
+    }
+
     /** The array of a chunk has no equality of content, unlike the components of other messages. */
     @Test
     void aSnapshotChunkIsDecodedAsItWasEncoded() throws Exception {
-        RaftMessage.InstallSnapshotChunk chunk =
-                new RaftMessage.InstallSnapshotChunk(3, 6, 2, 512, 2_000, new byte[] {1, 2}, 12);
         RaftMessage.InstallSnapshotChunk decoded =
-                (RaftMessage.InstallSnapshotChunk) RaftMessageCodec.decode(RaftMessageCodec.encode(STORAGE_ID, chunk));
-        assertArrayEquals(chunk.data(), decoded.data());
-        assertEquals(chunk.lastIncludedIndex(), decoded.lastIncludedIndex());
-        assertEquals(chunk.offset(), decoded.offset());
-        assertEquals(chunk.totalSize(), decoded.totalSize());
+                (RaftMessage.InstallSnapshotChunk) RaftMessageCodec.decode(RaftMessageCodec.encode(STORAGE_ID, CHUNK));
+        assertArrayEquals(CHUNK.data(), decoded.data());
+        assertEquals(CHUNK.lastIncludedIndex(), decoded.lastIncludedIndex());
+        assertEquals(CHUNK.offset(), decoded.offset());
+        assertEquals(CHUNK.totalSize(), decoded.totalSize());
     }
 
     @Test
