Config client: status and response are records of their own, with the Raft terms

Need: ConfigClient.Status and Answer carried house words (sound, doubt, holders, folder), and ConsensusProcessesTest spoke of keepers. Change: ServerStatus and ConfigResponse; submit and write in place of ask and set; the commands and drills follow, the keys of their JSON stay. ConsensusProcessesTest has names for behaviour; its assertions are the same.

--- a/src/main/java/sedgeyoke/cli/ConfigServerStatusFormat.java
+++ b/src/main/java/sedgeyoke/cli/ConfigServerStatusFormat.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import sedgeyoke.consensus.Member;
-import sedgeyoke.consensus.server.ConfigClient;
+import sedgeyoke.consensus.server.ServerStatus;
 
 /** Formats the status of a config server as text or JSON. The JSON keys are an interface: scripts read them. */
 final class ConfigServerStatusFormat {
@@ -16,7 +16,7 @@
     private ConfigServerStatusFormat() {}
 
     /** The lines of the text form: one for every server, a second one for the leader. */
-    static List<String> text(ConfigClient.Status status) {
+    static List<String> text(ServerStatus status) {
         List<String> lines = new ArrayList<>();
         lines.add(String.format(
                 Locale.ROOT,
@@ -24,45 +24,45 @@
                 status.name(),
                 status.role(),
                 status.term(),
-                status.commit(),
-                status.last(),
-                status.active(),
-                status.pending() == 0 ? "" : " (" + status.pending() + " takes effect)",
-                status.followers(),
-                status.sound() ? "sound" : "in doubt: " + status.doubt()));
+                status.commitIndex(),
+                status.lastIndex(),
+                status.activeVersion(),
+                status.pendingVersion() == 0 ? "" : " (" + status.pendingVersion() + " takes effect)",
+                status.subscribers(),
+                status.recovered() ? "sound" : "in doubt: " + status.suspectedLoss()));
         if (status.role().equals("leader")) {
             lines.add(String.format(
                     Locale.ROOT,
                     "  a version holds everywhere within %d ms; rules contradict for %d ms at most;"
                             + " %d balancers hold a lease",
-                    status.holdsWithinMs(),
-                    status.contradictionBoundMs(),
-                    status.holders()));
+                    status.activationBoundMillis(),
+                    status.contradictionBoundMillis(),
+                    status.leaseHolders()));
         }
         return lines;
     }
 
     /** The status as one JSON object. */
-    static ObjectNode json(ConfigClient.Status status) {
+    static ObjectNode json(ServerStatus status) {
         ObjectNode json = JSON.createObjectNode()
                 .put("name", status.name())
                 .put("role", status.role())
                 .put("term", status.term())
                 .put("leader", status.leader())
-                .put("commit", status.commit())
-                .put("last", status.last())
-                .put("sound", status.sound())
-                .put("doubt", status.doubt());
+                .put("commit", status.commitIndex())
+                .put("last", status.lastIndex())
+                .put("sound", status.recovered())
+                .put("doubt", status.suspectedLoss());
         ArrayNode voters = json.putArray("voters");
         status.voters().forEach(voter -> voters.add(json(voter)));
         json.set("learner", status.learner() == null ? JSON.nullNode() : json(status.learner()));
-        return json.put("active", status.active())
-                .put("pending", status.pending())
-                .put("holders", status.holders())
-                .put("followers", status.followers())
-                .put("contradictionBoundMs", status.contradictionBoundMs())
-                .put("holdsWithinMs", status.holdsWithinMs())
-                .put("folder", status.folder());
+        return json.put("active", status.activeVersion())
+                .put("pending", status.pendingVersion())
+                .put("holders", status.leaseHolders())
+                .put("followers", status.subscribers())
+                .put("contradictionBoundMs", status.contradictionBoundMillis())
+                .put("holdsWithinMs", status.activationBoundMillis())
+                .put("folder", status.storageId());
     }
 
     private static ObjectNode json(Member member) {
--- a/src/main/java/sedgeyoke/cli/ConfigServersCommand.java
+++ b/src/main/java/sedgeyoke/cli/ConfigServersCommand.java
@@ -15,6 +15,7 @@
 import sedgeyoke.consensus.Member;
 import sedgeyoke.consensus.RequestResult;
 import sedgeyoke.consensus.server.ConfigClient;
+import sedgeyoke.consensus.server.ServerStatus;
 import sedgeyoke.consensus.storage.ReplicaStorage;
 import sedgeyoke.consensus.storage.UnusableStorageException;
 import sedgeyoke.settings.ClientSettings;
@@ -50,12 +51,12 @@
         int recovered = 0;
         int voters = settings.servers().size();
         for (InetSocketAddress address : settings.servers()) {
-            ConfigClient.Status status = client.status(address);
+            ServerStatus status = client.status(address);
             if (status == null) {
                 out.print(json ? "" : address + "  does not answer\n");
                 continue;
             }
-            recovered += status.sound() ? 1 : 0;
+            recovered += status.recovered() ? 1 : 0;
             voters = status.voters().size();
             if (json) {
                 all.add(ConfigServerStatusFormat.json(status));
@@ -99,7 +100,7 @@
 
     private int changeMembership(ConfigClientOptions options, ClientRequest request) throws InterruptedException {
         return options.run(spec, (client, settings) -> {
-            RequestResult result = client.ask(request, options.timeoutMs()).outcome();
+            RequestResult result = client.submit(request, options.timeoutMs()).result();
             String text = result.detail().isEmpty() ? "" : ": " + result.detail();
             spec.commandLine().getOut().println(ConfigClientOptions.kindName(result) + text);
             return ConfigClientOptions.exitCode(result);
--- a/src/main/java/sedgeyoke/cli/SettingsCommand.java
+++ b/src/main/java/sedgeyoke/cli/SettingsCommand.java
@@ -19,6 +19,7 @@
 import sedgeyoke.consensus.ConfigVersion;
 import sedgeyoke.consensus.RequestResult;
 import sedgeyoke.consensus.server.ConfigClient;
+import sedgeyoke.consensus.server.ConfigResponse;
 import sedgeyoke.settings.ClientSettings;
 
 /** {@code settings}: reads and changes the config that the config servers of a tier replicate. */
@@ -56,9 +57,9 @@
             description = "Prints the newest version, and whether it is in force everywhere.")
     int get(@Mixin ConfigClientOptions options) throws InterruptedException {
         return options.run(spec, (client, settings) -> {
-            ConfigClient.Answer answer = client.ask(new ClientRequest.Read(), options.timeoutMs());
-            if (answer.outcome().kind() != RequestResult.Kind.DONE) {
-                return printResult(answer.outcome(), null, options.json());
+            ConfigResponse answer = client.submit(new ClientRequest.Read(), options.timeoutMs());
+            if (answer.result().kind() != RequestResult.Kind.DONE) {
+                return printResult(answer.result(), null, options.json());
             }
             if (options.json()) {
                 spec.commandLine().getOut().println(toJson(answer));
@@ -72,7 +73,7 @@
     @Command(name = "history", mixinStandardHelpOptions = true, description = "Lists earlier versions, newest last.")
     int history(@Mixin ConfigClientOptions options) throws InterruptedException {
         return options.run(spec, (client, settings) -> {
-            ConfigClient.Answer answer = client.history(options.timeoutMs());
+            ConfigResponse answer = client.history(options.timeoutMs());
             if (answer == null) {
                 spec.commandLine().getErr().println("no config server has answered");
                 return ConfigClientOptions.EXIT_NO_QUORUM;
@@ -102,9 +103,9 @@
                     Long parent)
             throws InterruptedException {
         return options.run(spec, (client, settings) -> {
-            ConfigClient.Answer current = client.ask(new ClientRequest.Read(), options.timeoutMs());
-            if (current.outcome().kind() != RequestResult.Kind.DONE) {
-                return printResult(current.outcome(), null, options.json());
+            ConfigResponse current = client.submit(new ClientRequest.Read(), options.timeoutMs());
+            if (current.result().kind() != RequestResult.Kind.DONE) {
+                return printResult(current.result(), null, options.json());
             }
             long newest = current.newest().number();
             if (parent != null && parent != newest) {
@@ -124,15 +125,15 @@
     int rollback(@Mixin ConfigClientOptions options, @Parameters(paramLabel = "VERSION") long number)
             throws InterruptedException {
         return options.run(spec, (client, settings) -> {
-            ConfigClient.Answer current = client.ask(new ClientRequest.Read(), options.timeoutMs());
+            ConfigResponse current = client.submit(new ClientRequest.Read(), options.timeoutMs());
             Optional<ConfigVersion> earlier = find(client.history(options.timeoutMs()), number);
             if (earlier.isEmpty()) {
                 RequestResult rejected =
                         new RequestResult(RequestResult.Kind.REFUSED, 0, "version " + number + " is not remembered");
                 return printResult(rejected, null, options.json());
             }
-            if (current.outcome().kind() != RequestResult.Kind.DONE) {
-                return printResult(current.outcome(), null, options.json());
+            if (current.result().kind() != RequestResult.Kind.DONE) {
+                return printResult(current.result(), null, options.json());
             }
             String reason = "back to version " + number;
             ConfigDocument content = earlier.get().content();
@@ -140,7 +141,7 @@
         });
     }
 
-    private static Optional<ConfigVersion> find(ConfigClient.Answer answer, long number) {
+    private static Optional<ConfigVersion> find(ConfigResponse answer, long number) {
         if (answer == null) {
             return Optional.empty();
         }
@@ -160,8 +161,8 @@
             ConfigDocument content)
             throws InterruptedException {
         String id = requestId != null ? requestId : UUID.randomUUID().toString();
-        RequestResult result = client.set(id, parent, settings.name(), reason, content, options.timeoutMs())
-                .outcome();
+        RequestResult result = client.write(id, parent, settings.name(), reason, content, options.timeoutMs())
+                .result();
         return printResult(result, id, options.json());
     }
 
@@ -189,7 +190,7 @@
         return ConfigClientOptions.exitCode(result);
     }
 
-    private static ObjectNode toJson(ConfigClient.Answer answer) {
+    private static ObjectNode toJson(ConfigResponse answer) {
         ConfigVersion version = answer.newest();
         ObjectNode json = JSON.createObjectNode()
                 .put("version", version.number())
@@ -203,7 +204,7 @@
         return json;
     }
 
-    private void printVersion(ConfigClient.Answer answer) {
+    private void printVersion(ConfigResponse answer) {
         PrintWriter out = spec.commandLine().getOut();
         String pending = answer.pending() == null
                 ? ""
--- a/src/main/java/sedgeyoke/consensus/server/ConfigClient.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigClient.java
@@ -17,7 +17,6 @@
 import sedgeyoke.consensus.Command;
 import sedgeyoke.consensus.ConfigDocument;
 import sedgeyoke.consensus.ConfigVersion;
-import sedgeyoke.consensus.Member;
 import sedgeyoke.consensus.Membership;
 import sedgeyoke.consensus.RequestResult;
 import sedgeyoke.consensus.codec.ClientCodec;
@@ -49,60 +48,6 @@
     private final MutualTls tls;
     private int nextServer;
 
-    /**
-     * The response to a request.
-     *
-     * @param outcome result of the request; null in the response to {@link #history}
-     * @param active version in force, as the responding server knows it
-     * @param pending version that is to take effect, or null
-     * @param history earlier versions, only in the response to {@link #history}
-     */
-    public record Answer(
-            RequestResult outcome, ConfigVersion active, ConfigVersion pending, List<ConfigVersion> history) {
-        /** Returns the newest version. */
-        public ConfigVersion newest() {
-            return pending == null ? active : pending;
-        }
-    }
-
-    /**
-     * Status of one config server.
-     *
-     * @param name its name
-     * @param role its Raft role in lower case
-     * @param leader name of the leader it knows; empty if none
-     * @param commit its commit index
-     * @param last index of its last log entry
-     * @param sound whether it has recovered and counts towards quorums
-     * @param doubt why it may have lost data; empty if it has not
-     * @param learner member that is about to become a voter, or null
-     * @param active number of the version in force
-     * @param pending number of the version that is to take effect; 0 if none
-     * @param holders number of balancers with a lease
-     * @param followers number of balancers connected to it
-     * @param contradictionBoundMs longest time in milliseconds in which balancers may act on contradicting versions
-     * @param holdsWithinMs longest time in milliseconds until a committed version is in force everywhere
-     * @param folder number of its storage directory
-     */
-    public record Status(
-            String name,
-            String role,
-            long term,
-            String leader,
-            long commit,
-            long last,
-            boolean sound,
-            String doubt,
-            List<Member> voters,
-            Member learner,
-            long active,
-            long pending,
-            int holders,
-            int followers,
-            long contradictionBoundMs,
-            long holdsWithinMs,
-            long folder) {}
-
     /** Creates a client; throws if the TLS files cannot be loaded. {@code name}: as in the operator's certificate. */
     public ConfigClient(List<InetSocketAddress> servers, String name, TlsFiles files) throws IOException {
         this.servers = List.copyOf(servers);
@@ -117,24 +62,24 @@
      *
      * @param timeoutMillis after which the result is UNKNOWN if the request may have been committed, else NO_LEADER
      */
-    public Answer ask(ClientRequest request, long timeoutMillis) throws InterruptedException {
+    public ConfigResponse submit(ClientRequest request, long timeoutMillis) throws InterruptedException {
         OperatorRequestMessage message = OperatorRequestMessage.newBuilder()
                 .setToken(TOKEN)
                 .setRequest(ClientCodec.encode(request))
                 .build();
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
         boolean mayBeCommitted = false;
-        Answer last = null;
+        ConfigResponse last = null;
         while (System.nanoTime() < deadline) {
             Optional<OperatorReplyMessage> reply = exchange(
                             servers.get(nextServer), message, attemptTimeoutMillis(deadline))
                     .filter(OperatorReplyMessage::hasResult);
             if (reply.isPresent()) {
                 last = decode(reply.get());
-                if (isDefinite(last.outcome().kind())) {
+                if (isDefinite(last.result().kind())) {
                     return last;
                 }
-                mayBeCommitted |= last.outcome().kind() == RequestResult.Kind.UNKNOWN;
+                mayBeCommitted |= last.result().kind() == RequestResult.Kind.UNKNOWN;
             } else {
                 mayBeCommitted |= !(request instanceof ClientRequest.Read);
             }
@@ -150,14 +95,14 @@
                 || kind == RequestResult.Kind.REFUSED;
     }
 
-    private static Answer timedOut(boolean mayBeCommitted, Answer last) {
+    private static ConfigResponse timedOut(boolean mayBeCommitted, ConfigResponse last) {
         RequestResult.Kind kind = mayBeCommitted ? RequestResult.Kind.UNKNOWN : RequestResult.Kind.NO_LEADER;
         if (last == null) {
             RequestResult result = new RequestResult(kind, 0, "no config server has responded");
-            return new Answer(result, ConfigVersion.NONE, null, List.of());
+            return new ConfigResponse(result, ConfigVersion.NONE, null, List.of());
         }
-        RequestResult result = new RequestResult(kind, 0, last.outcome().detail());
-        return new Answer(result, last.active(), last.pending(), List.of());
+        RequestResult result = new RequestResult(kind, 0, last.result().detail());
+        return new ConfigResponse(result, last.active(), last.pending(), List.of());
     }
 
     private static long attemptTimeoutMillis(long deadlineNanos) {
@@ -165,8 +110,8 @@
         return Math.max(1, Math.min(ATTEMPT_TIMEOUT_MILLIS, remainingMillis));
     }
 
-    /** Writes a new version that replaces {@code parent}; see {@link #ask} for the timeout. */
-    public Answer set(
+    /** Writes a new version that replaces {@code parent}; see {@link #submit} for the timeout. */
+    public ConfigResponse write(
             String requestId,
             ConfigVersion parent,
             String author,
@@ -176,11 +121,11 @@
             throws InterruptedException {
         long now = System.currentTimeMillis();
         Command.Write write = new Command.Write(requestId, parent.number(), author, reason, now, content);
-        return ask(new ClientRequest.Set(write), timeoutMillis);
+        return submit(new ClientRequest.Set(write), timeoutMillis);
     }
 
     /** Returns the earlier versions from the first server that responds; null if none does. */
-    public Answer history(long timeoutMillis) throws InterruptedException {
+    public ConfigResponse history(long timeoutMillis) throws InterruptedException {
         OperatorRequestMessage message = OperatorRequestMessage.newBuilder()
                 .setToken(TOKEN)
                 .setHistory(true)
@@ -196,7 +141,7 @@
     }
 
     /** Returns the status of one server; null if it does not respond. */
-    public Status status(InetSocketAddress server) throws InterruptedException {
+    public ServerStatus status(InetSocketAddress server) throws InterruptedException {
         OperatorRequestMessage message = OperatorRequestMessage.newBuilder()
                 .setToken(TOKEN)
                 .setStatus(true)
@@ -209,9 +154,9 @@
 
     // ---- Messages ------------------------------------------------------------------------------------
 
-    private static Status decode(ServerStatusMessage status) {
+    private static ServerStatus decode(ServerStatusMessage status) {
         Membership membership = LogCodec.decode(status.getMembership());
-        return new Status(
+        return new ServerStatus(
                 status.getName(),
                 status.getRole(),
                 status.getTerm(),
@@ -231,8 +176,8 @@
                 status.getStorageId());
     }
 
-    private static Answer decode(OperatorReplyMessage reply) {
-        return new Answer(
+    private static ConfigResponse decode(OperatorReplyMessage reply) {
+        return new ConfigResponse(
                 reply.hasResult() ? ClientCodec.decode(reply.getResult()) : null,
                 ConfigCodec.decode(reply.getActive()),
                 reply.hasPending() ? ConfigCodec.decode(reply.getPending()) : null,
--- a/src/main/java/sedgeyoke/consensus/storage/HardStateFile.java
+++ b/src/main/java/sedgeyoke/consensus/storage/HardStateFile.java
@@ -51,8 +51,8 @@
         Optional<Corruption> corruption = file.corruption();
         if (corruption.isPresent()) {
             throw new UnusableStorageException(
-                    corruption.get() + ": this config server has to be replaced: empty the folder, then 'keepers"
-                            + " remove " + owner.server() + "' and 'keepers add' it");
+                    corruption.get() + ": this config server has to be replaced: empty the folder, then 'config-servers"
+                            + " remove " + owner.server() + "' and 'config-servers add' it");
         }
         byte[] content = file.content()
                 .orElseThrow(() -> new UnusableStorageException(
--- a/src/main/java/sedgeyoke/drill/ConfigWriter.java
+++ b/src/main/java/sedgeyoke/drill/ConfigWriter.java
@@ -15,6 +15,7 @@
 import sedgeyoke.consensus.ConfigSchema;
 import sedgeyoke.consensus.RequestResult;
 import sedgeyoke.consensus.server.ConfigClient;
+import sedgeyoke.consensus.server.ConfigResponse;
 import sedgeyoke.settings.TlsFiles;
 import sedgeyoke.standin.FaultProxy;
 import sedgeyoke.standin.Site;
@@ -65,10 +66,9 @@
         try (ConfigClient client = new ConfigClient(tier.configServerAddresses(), ConsensusDrill.OPERATOR, files)) {
             for (int i = 0; !stopped.getAsBoolean(); i++) {
                 long startMicros = site.now();
-                ConfigClient.Answer current = client.ask(new ClientRequest.Read(), REQUEST_TIMEOUT_MS);
-                if (current.outcome().kind() == RequestResult.Kind.DONE) {
-                    history.recordRead(
-                            startMicros, site.now(), current.outcome().version());
+                ConfigResponse current = client.submit(new ClientRequest.Read(), REQUEST_TIMEOUT_MS);
+                if (current.result().kind() == RequestResult.Kind.DONE) {
+                    history.recordRead(startMicros, site.now(), current.result().version());
                     write(client, current, name() + "-" + i);
                     Thread.sleep(MIN_PAUSE_MS + random.nextInt(PAUSE_SPREAD_MS));
                 }
@@ -78,13 +78,13 @@
         }
     }
 
-    private void write(ConfigClient client, ConfigClient.Answer current, String requestId) throws InterruptedException {
+    private void write(ConfigClient client, ConfigResponse current, String requestId) throws InterruptedException {
         ConfigDocument previous = current.newest().content();
         String node = "n" + (1 + random.nextInt(nodes));
         ConfigDocument content = previous.with(ConfigSchema.UPSTREAMS_OUT, Map.of(node, "drill"));
         long startMicros = site.now();
-        RequestResult result = client.set(requestId, current.newest(), name(), "drill", content, REQUEST_TIMEOUT_MS)
-                .outcome();
+        RequestResult result = client.write(requestId, current.newest(), name(), "drill", content, REQUEST_TIMEOUT_MS)
+                .result();
         if (broadcast != null && result.kind() == RequestResult.Kind.DONE) {
             broadcast.send(previous, content);
         }
--- a/src/main/java/sedgeyoke/drill/ConsensusDrill.java
+++ b/src/main/java/sedgeyoke/drill/ConsensusDrill.java
@@ -12,6 +12,8 @@
 import sedgeyoke.consensus.ConfigVersion;
 import sedgeyoke.consensus.RequestResult;
 import sedgeyoke.consensus.server.ConfigClient;
+import sedgeyoke.consensus.server.ConfigResponse;
+import sedgeyoke.consensus.server.ServerStatus;
 import sedgeyoke.model.InvariantChecker;
 import sedgeyoke.settings.TlsFiles;
 import sedgeyoke.standin.Site;
@@ -102,8 +104,8 @@
 
     private static void awaitLeader(ConsensusTier tier, TlsFiles files) throws IOException, InterruptedException {
         try (ConfigClient client = new ConfigClient(tier.configServerAddresses(), OPERATOR, files)) {
-            ConfigClient.Answer answer = client.ask(new ClientRequest.Read(), LEADER_TIMEOUT_MS);
-            if (answer.outcome().kind() != RequestResult.Kind.DONE) {
+            ConfigResponse answer = client.submit(new ClientRequest.Read(), LEADER_TIMEOUT_MS);
+            if (answer.result().kind() != RequestResult.Kind.DONE) {
                 throw new IOException("no leader after a minute");
             }
         }
@@ -113,8 +115,8 @@
     private static ConfigVersion readFinalVersion(ConsensusTier tier, TlsFiles files)
             throws IOException, InterruptedException {
         try (ConfigClient client = new ConfigClient(tier.configServerAddresses(), OPERATOR, files)) {
-            ConfigClient.Answer answer = client.ask(new ClientRequest.Read(), FINAL_READ_TIMEOUT_MS);
-            return answer.outcome().kind() == RequestResult.Kind.DONE ? answer.newest() : null;
+            ConfigResponse answer = client.submit(new ClientRequest.Read(), FINAL_READ_TIMEOUT_MS);
+            return answer.result().kind() == RequestResult.Kind.DONE ? answer.newest() : null;
         }
     }
 
@@ -127,10 +129,10 @@
         long holdsWithinMs = 0;
         try (ConfigClient client = new ConfigClient(tier.configServerAddresses(), OPERATOR, files)) {
             for (InetSocketAddress address : tier.configServerAddresses()) {
-                ConfigClient.Status status = client.status(address);
+                ServerStatus status = client.status(address);
                 if (status != null) {
-                    holdsWithinMs = status.holdsWithinMs();
-                    recovered += status.sound() ? 1 : 0;
+                    holdsWithinMs = status.activationBoundMillis();
+                    recovered += status.recovered() ? 1 : 0;
                 }
             }
         }
--- a/src/test/java/sedgeyoke/cli/ConfigServerStatusFormatTest.java
+++ b/src/test/java/sedgeyoke/cli/ConfigServerStatusFormatTest.java
@@ -5,11 +5,11 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import sedgeyoke.consensus.Member;
-import sedgeyoke.consensus.server.ConfigClient;
+import sedgeyoke.consensus.server.ServerStatus;
 
 class ConfigServerStatusFormatTest {
-    private static ConfigClient.Status status(String role, Member learner) {
-        return new ConfigClient.Status(
+    private static ServerStatus status(String role, Member learner) {
+        return new ServerStatus(
                 "k1",
                 role,
                 3,
--- a/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
+++ b/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
@@ -28,10 +28,12 @@
 import sedgeyoke.consensus.Member;
 import sedgeyoke.consensus.RequestResult;
 import sedgeyoke.consensus.server.ConfigClient;
+import sedgeyoke.consensus.server.ConfigResponse;
+import sedgeyoke.consensus.server.ServerStatus;
 
-/** Keepers and balancers as processes of the program, and what happens when some of them fail. */
+/** Config servers and balancers as processes, and the failure of some of them. */
 class ConsensusProcessesTest {
-    private static final long PATIENCE_MS = 60_000;
+    private static final long TIMEOUT_MILLIS = 60_000;
     private static final List<String> PROGRAM = List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-XX:TieredStopAtLevel=1",
@@ -40,8 +42,8 @@
             System.getProperty("java.class.path"),
             "sedgeyoke.cli.Sedgeyoke");
 
-    /** Three keepers and a way to ask them. */
-    private static final class Keepers implements AutoCloseable {
+    /** Three config servers and a client of theirs. */
+    private static final class ConfigServers implements AutoCloseable {
         final Path folder;
         final TierProcesses tier;
         final Map<String, Integer> ports = new LinkedHashMap<>();
@@ -49,7 +51,7 @@
         final List<InetSocketAddress> addresses = new ArrayList<>();
         final ConfigClient client;
 
-        Keepers(Path folder) throws Exception {
+        ConfigServers(Path folder) throws Exception {
             this.folder = folder;
             tier = new TierProcesses(folder, PROGRAM);
             for (String name : List.of("k0", "k1", "k2")) {
@@ -65,22 +67,22 @@
         }
 
         ConfigVersion read() throws InterruptedException {
-            ConfigClient.Answer answer = client.ask(new ClientRequest.Read(), PATIENCE_MS);
-            assertEquals(RequestResult.Kind.DONE, answer.outcome().kind());
-            return answer.newest();
+            ConfigResponse response = client.submit(new ClientRequest.Read(), TIMEOUT_MILLIS);
+            assertEquals(RequestResult.Kind.DONE, response.result().kind());
+            return response.newest();
         }
 
-        /** Sets it, however often the version before is still taking effect; the version that it made. */
-        long set(String request, double retries) throws InterruptedException {
-            ConfigVersion from = read();
-            ConfigDocument next = from.content().with(ConfigSchema.RETRIES, retries);
-            RequestResult outcome =
-                    client.set(request, from, "op", "", next, PATIENCE_MS).outcome();
-            assertEquals(RequestResult.Kind.DONE, outcome.kind(), outcome.detail());
-            return outcome.version();
+        /** Writes a version and returns its number. */
+        long set(String requestId, double retries) throws InterruptedException {
+            ConfigVersion parent = read();
+            ConfigDocument content = parent.content().with(ConfigSchema.RETRIES, retries);
+            RequestResult result = client.write(requestId, parent, "op", "", content, TIMEOUT_MILLIS)
+                    .result();
+            assertEquals(RequestResult.Kind.DONE, result.kind(), result.detail());
+            return result.version();
         }
 
-        ConfigClient.Status status(String name) {
+        ServerStatus status(String name) {
             try {
                 return client.status(addresses.get(List.copyOf(ports.keySet()).indexOf(name)));
             } catch (InterruptedException e) {
@@ -90,8 +92,8 @@
 
         String leader() throws InterruptedException {
             String[] found = new String[1];
-            await("a leader", () -> ports.keySet().stream().map(this::status).anyMatch(s -> {
-                found[0] = s != null && s.role().equals("leader") ? s.name() : null;
+            await("a leader", () -> ports.keySet().stream().map(this::status).anyMatch(status -> {
+                found[0] = status != null && status.role().equals("leader") ? status.name() : null;
                 return found[0] != null;
             }));
             return found[0];
@@ -105,136 +107,148 @@
     }
 
     private static void await(String what, BooleanSupplier condition) throws InterruptedException {
-        long end = System.nanoTime() + PATIENCE_MS * 1_000_000;
+        long deadline = System.nanoTime() + TIMEOUT_MILLIS * 1_000_000;
         while (!condition.getAsBoolean()) {
-            assertTrue(System.nanoTime() < end, "not in time: " + what);
+            assertTrue(System.nanoTime() < deadline, "not in time: " + what);
             Thread.sleep(20);
         }
     }
 
-    private static void empty(Path folder) throws IOException {
+    private static void deleteAll(Path folder) throws IOException {
         try (Stream<Path> files = Files.walk(folder)) {
-            files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+            files.sorted(Comparator.reverseOrder())
+                    .forEach(file -> file.toFile().delete());
         }
     }
 
-    /** Whatever was answered is there after every process was killed at once, and a request that comes again is one. */
+    /** Committed versions survive a kill of all processes at once, and a repeated request is executed once. */
     @Test
-    void whatWasAnsweredOutlivesTheEndOfAll(@TempDir Path folder) throws Exception {
-        try (Keepers k = new Keepers(folder)) {
-            long version = k.set("one", 0.25);
-            k.processes.values().forEach(ProgramProcess::kill);
-            for (ProgramProcess p : k.processes.values()) {
-                await("its end", () -> !p.alive());
-                p.start();
+    void committedVersionsSurviveAKillOfAllServers(@TempDir Path folder) throws Exception {
+        try (ConfigServers servers = new ConfigServers(folder)) {
+            long version = servers.set("one", 0.25);
+            servers.processes.values().forEach(ProgramProcess::kill);
+            for (ProgramProcess process : servers.processes.values()) {
+                await("the end of the process", () -> !process.alive());
+                process.start();
             }
-            assertEquals(0.25, k.read().content().number(ConfigSchema.RETRIES));
-            assertEquals(version, k.set("one", 0.25), "the same request, the same version");
-            assertNotEquals(version, k.set("two", 0.5));
+            assertEquals(0.25, servers.read().content().number(ConfigSchema.RETRIES));
+            assertEquals(version, servers.set("one", 0.25), "the same request, the same version");
+            assertNotEquals(version, servers.set("two", 0.5));
         }
     }
 
-    /** A leader that stands still is followed by another one, and what it believes when it goes on does no harm. */
+    /** A suspended leader is replaced, and becomes a follower when it continues. */
     @Test
-    void aLeaderThatStandsStillIsReplaced(@TempDir Path folder) throws Exception {
-        try (Keepers k = new Keepers(folder)) {
-            k.set("one", 0.25);
-            String before = k.leader();
-            k.processes.get(before).pause(true);
-            long version = k.set("two", 0.5);
-            k.processes.get(before).pause(false);
+    void aSuspendedLeaderIsReplaced(@TempDir Path folder) throws Exception {
+        try (ConfigServers servers = new ConfigServers(folder)) {
+            servers.set("one", 0.25);
+            String oldLeader = servers.leader();
+            servers.processes.get(oldLeader).pause(true);
+            long version = servers.set("two", 0.5);
+            servers.processes.get(oldLeader).pause(false);
             await("it follows", () -> {
-                ConfigClient.Status s = k.status(before);
-                return s != null && s.role().equals("follower") && s.active() + s.pending() >= version;
+                ServerStatus status = servers.status(oldLeader);
+                return status != null
+                        && status.role().equals("follower")
+                        && status.activeVersion() + status.pendingVersion() >= version;
             });
-            assertNotEquals(before, k.leader());
-            assertEquals(0.5, k.read().content().number(ConfigSchema.RETRIES));
+            assertNotEquals(oldLeader, servers.leader());
+            assertEquals(0.5, servers.read().content().number(ConfigSchema.RETRIES));
         }
     }
 
-    /** A keeper with an empty disk is another one: it decides nothing under its old name, and joins as a new one. */
+    /** A server with an empty disk is another member: it decides nothing under its old name, and is added anew. */
     @Test
-    void anEmptyDiskUnderAnOldNameIsANewKeeper(@TempDir Path folder) throws Exception {
-        try (Keepers k = new Keepers(folder)) {
-            k.set("one", 0.25);
-            await("its folder is known to all", () -> k.ports.keySet().stream()
-                    .map(k::status)
-                    .allMatch(s -> s != null && s.voters().stream().allMatch(m -> m.storageId() != 0)));
-            long old = k.status("k2").folder();
-            k.processes.get("k2").kill();
-            await("its end", () -> !k.processes.get("k2").alive());
-            empty(k.tier.configServerFolder("k2"));
-            k.processes.get("k2").start();
-            await("it is there", () -> k.status("k2") != null);
-            long folderNow = k.status("k2").folder();
-            assertNotEquals(old, folderNow);
-            k.set("two", 0.5);
-            assertEquals(0, k.status("k2").active(), "nobody tells it anything");
+    void aServerWithAnEmptyDiskMustBeAddedAnew(@TempDir Path folder) throws Exception {
+        try (ConfigServers servers = new ConfigServers(folder)) {
+            servers.set("one", 0.25);
+            await("its storage id is known to all", () -> servers.ports.keySet().stream()
+                    .map(servers::status)
+                    .allMatch(status ->
+                            status != null && status.voters().stream().allMatch(member -> member.storageId() != 0)));
+            long oldStorageId = servers.status("k2").storageId();
+            servers.processes.get("k2").kill();
+            await("the end of the process", () -> !servers.processes.get("k2").alive());
+            deleteAll(servers.tier.configServerFolder("k2"));
+            servers.processes.get("k2").start();
+            await("it listens", () -> servers.status("k2") != null);
+            long newStorageId = servers.status("k2").storageId();
+            assertNotEquals(oldStorageId, newStorageId);
+            servers.set("two", 0.5);
+            assertEquals(0, servers.status("k2").activeVersion(), "it receives no versions");
             assertEquals(
                     RequestResult.Kind.DONE,
-                    k.client
-                            .ask(new ClientRequest.RemoveMember("k2", old), PATIENCE_MS)
-                            .outcome()
+                    servers.client
+                            .submit(new ClientRequest.RemoveMember("k2", oldStorageId), TIMEOUT_MILLIS)
+                            .result()
                             .kind());
-            ConfigClient.Answer[] added = new ConfigClient.Answer[1];
+            ConfigResponse[] added = new ConfigResponse[1];
             await("it is added", () -> {
                 try {
-                    added[0] = k.client.ask(
-                            new ClientRequest.AddMember(new Member("k2", folderNow, "127.0.0.1:" + k.ports.get("k2"))),
-                            PATIENCE_MS);
-                    return added[0].outcome().kind() == RequestResult.Kind.DONE;
+                    added[0] = servers.client.submit(
+                            new ClientRequest.AddMember(
+                                    new Member("k2", newStorageId, "127.0.0.1:" + servers.ports.get("k2"))),
+                            TIMEOUT_MILLIS);
+                    return added[0].result().kind() == RequestResult.Kind.DONE;
                 } catch (InterruptedException e) {
                     throw new IllegalStateException(e);
                 }
             });
             await(
                     "it has caught up and votes",
-                    () -> k.status("k0").voters().stream()
-                                    .anyMatch(m -> m.name().equals("k2") && m.storageId() == folderNow)
-                            && k.status("k2").active() >= 2);
+                    () -> servers.status("k0").voters().stream()
+                                    .anyMatch(
+                                            member -> member.name().equals("k2") && member.storageId() == newStorageId)
+                            && servers.status("k2").activeVersion() >= 2);
         }
     }
 
-    /** Bits that have rotted while a keeper was down are found, and what was there comes back from the others. */
+    /** A bit that flips while a server is down is detected, and the record is replicated again. */
     @Test
-    void whatHasRottedComesBackFromTheOthers(@TempDir Path folder) throws Exception {
-        try (Keepers k = new Keepers(folder)) {
+    void aCorruptRecordIsReplicatedAgain(@TempDir Path folder) throws Exception {
+        try (ConfigServers servers = new ConfigServers(folder)) {
             for (int i = 0; i < 3; i++) {
-                k.set("r" + i, 0.1 * (1 + i));
+                servers.set("r" + i, 0.1 * (1 + i));
             }
-            long version = k.read().number();
-            k.processes.get("k1").kill();
-            await("its end", () -> !k.processes.get("k1").alive());
-            Path segment = k.tier.configServerFolder("k1").resolve("log-0000000000000001");
+            long version = servers.read().number();
+            servers.processes.get("k1").kill();
+            await("the end of the process", () -> !servers.processes.get("k1").alive());
+            Path segment = servers.tier.configServerFolder("k1").resolve("log-0000000000000001");
             byte[] bytes = Files.readAllBytes(segment);
             bytes[60] ^= 1; // in the first record
             Files.write(segment, bytes);
-            k.processes.get("k1").start();
-            await("it is sound and has all", () -> {
-                ConfigClient.Status s = k.status("k1");
-                return s != null && s.sound() && s.active() + s.pending() >= version;
+            servers.processes.get("k1").start();
+            await("it has recovered and has all versions", () -> {
+                ServerStatus status = servers.status("k1");
+                return status != null
+                        && status.recovered()
+                        && status.activeVersion() + status.pendingVersion() >= version;
             });
-            assertTrue(Files.readString(folder.resolve("k1.log")).contains("log-0000000000000001"), "it is said");
+            assertTrue(
+                    Files.readString(folder.resolve("k1.log")).contains("log-0000000000000001"),
+                    "the corruption is logged");
         }
     }
 
     @Test
-    void twoKeepersCannotHaveOneFolder(@TempDir Path folder) throws Exception {
-        try (Keepers k = new Keepers(folder)) {
+    void twoServersCannotUseOneFolder(@TempDir Path folder) throws Exception {
+        try (ConfigServers servers = new ConfigServers(folder)) {
             List<String> command = new ArrayList<>(PROGRAM);
             command.addAll(List.of(
-                    "config-server", "--config", k.folder.resolve("k0.toml").toString()));
+                    "config-server",
+                    "--config",
+                    servers.folder.resolve("k0.toml").toString()));
             Process second =
                     new ProcessBuilder(command).redirectErrorStream(true).start();
-            String said = new String(second.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-            assertEquals(2, second.waitFor(), said);
-            assertTrue(said.contains("is held by another process"), said);
+            String output = new String(second.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertEquals(2, second.waitFor(), output);
+            assertTrue(output.contains("is held by another process"), output);
         }
     }
 
-    /** The drill in small: three keepers and three balancers, with faults on every way between them. */
+    /** A short drill: three config servers and three balancers, with faults on all connections. */
     @Test
-    void theDrillHoldsInSmall() throws Exception {
+    void aShortDrillFindsNoViolation() throws Exception {
         ConsensusDrill.Options options = new ConsensusDrill.Options(3, 3, 16, 3, ConsensusDrill.Mode.FAULTS, PROGRAM);
         ObjectNode figures =
                 new ConsensusDrill(options, new PrintWriter(System.out, true, StandardCharsets.UTF_8)).run();
--- a/src/test/java/sedgeyoke/store/StoreTest.java
+++ b/src/test/java/sedgeyoke/store/StoreTest.java
@@ -252,12 +252,12 @@
 
     /** The file system; names that could lead out of the directory are rejected. */
     @Test
-    void aDirectoryIsLockedByOneProcessAndCanBeReopened(@TempDir Path folder) throws Exception {
+    void aDirectoryIsLockedByOneProcessAndCanBeReopened(@TempDir Path directory) throws Exception {
         List<String> found = new ArrayList<>();
-        try (FileDisk disk = FileDisk.open(folder)) {
+        try (FileDisk disk = FileDisk.open(directory)) {
             assertEquals(
                     DiskException.Kind.IN_USE,
-                    assertThrows(DiskException.class, () -> FileDisk.open(folder))
+                    assertThrows(DiskException.class, () -> FileDisk.open(directory))
                             .kind());
             assertThrows(IllegalArgumentException.class, () -> disk.length("../x"));
             appendSixRecords(open(disk));
@@ -269,7 +269,7 @@
                     assertThrows(DiskException.class, () -> disk.read("no", 0, 1))
                             .kind());
         }
-        try (FileDisk disk = FileDisk.open(folder)) {
+        try (FileDisk disk = FileDisk.open(directory)) {
             found.addAll(texts(open(disk)));
         }
         assertEquals(6, found.size());
