--- a/src/main/java/sedgeyoke/consensus/codec/ProtobufSnapshotCodec.java
+++ b/src/main/java/sedgeyoke/consensus/codec/ProtobufSnapshotCodec.java
@@ -20,7 +20,7 @@
         SnapshotMessage.Builder message = SnapshotMessage.newBuilder()
                 .setLastIncludedIndex(snapshot.lastIncludedIndex())
                 .setLastIncludedTerm(snapshot.lastIncludedTerm())
-                .setMembership(LogCodec.encode(state.members()))
+                .setMembership(LogCodec.encode(state.membership()))
                 .setActive(ConfigCodec.encode(state.active()));
         if (state.pending() != null) {
             message.setPending(ConfigCodec.encode(state.pending()));
--- a/src/main/java/sedgeyoke/proxy/BalancerConfig.java
+++ b/src/main/java/sedgeyoke/proxy/BalancerConfig.java
@@ -41,7 +41,7 @@
         Path folder,
         long seed,
         int sockets,
-        SettingsReader.Found facts,
+        SettingsReader.InstanceSettings facts,
         EndpointList known) {
 
     static final JsonMapper JSON = new JsonMapper();
@@ -111,7 +111,7 @@
     /** Reads a configuration; throws with the name of the first field that is invalid. */
     public static BalancerConfig parse(byte[] json) throws InvalidConfigException, IOException {
         JsonNode root = JSON.readTree(json);
-        SettingsReader.Found facts = facts(root.path("settings"));
+        SettingsReader.InstanceSettings facts = facts(root.path("settings"));
         int sockets = root.path("limits").path("sockets").asInt(0);
         require(sockets >= MIN_SOCKETS, "limits.sockets (at least " + MIN_SOCKETS + ")");
         require(root.path("name").isTextual(), "name");
@@ -135,9 +135,9 @@
                 known);
     }
 
-    private static SettingsReader.Found facts(JsonNode node) throws InvalidConfigException, IOException {
+    private static SettingsReader.InstanceSettings facts(JsonNode node) throws InvalidConfigException, IOException {
         require(node.isObject(), "settings");
-        SettingsReader.Found facts;
+        SettingsReader.InstanceSettings facts;
         try (JsonParser json = node.traverse()) {
             json.nextToken();
             facts = SettingsReader.read(json);
--- a/src/main/java/sedgeyoke/serve/OptionalFeatures.java
+++ b/src/main/java/sedgeyoke/serve/OptionalFeatures.java
@@ -108,8 +108,9 @@
                     new SecureRandom().nextLong() | 1,
                     port::now,
                     port::log,
-                    acting -> port.setFleetCordons(
-                            acting.document().names(ConfigSchema.UPSTREAMS_OUT).keySet()));
+                    acting -> port.setFleetCordons(acting.document()
+                            .names(ConfigSchema.DISABLED_UPSTREAMS)
+                            .keySet()));
             loop.execute(subscriber::start);
         } catch (IOException e) {
             throw invalid(path, "[config]", e.getMessage(), e);
--- a/src/main/java/sedgeyoke/simulation/SimulatedUpstream.java
+++ b/src/main/java/sedgeyoke/simulation/SimulatedUpstream.java
@@ -52,7 +52,7 @@
 
     /** Whether it is in service and answers. */
     boolean isRunning() {
-        return !removed && !model.silent();
+        return !removed && !model.unresponsive();
     }
 
     /** Connections that forwarders hold to its process. */
--- a/src/main/java/sedgeyoke/simulation/Simulation.java
+++ b/src/main/java/sedgeyoke/simulation/Simulation.java
@@ -121,7 +121,7 @@
                 summary.answers(),
                 summary.violations(),
                 context.checker.violations(),
-                summary.coldPeak(),
+                summary.warmUpPeak(),
                 slowStart.durationsSeconds(),
                 utilisation.mean(context.scenario.warmUpSeconds()),
                 timeSeries.seconds(),
@@ -146,7 +146,7 @@
     /** The largest difference between work received and work done or dropped, of any upstream. */
     double unaccountedWork() {
         return upstreams.all().stream()
-                .mapToDouble(upstream -> Math.abs(upstream.model().unaccounted()))
+                .mapToDouble(upstream -> Math.abs(upstream.model().unaccountedWork()))
                 .max()
                 .orElse(0);
     }
--- a/src/main/java/sedgeyoke/simulation/SimulationContext.java
+++ b/src/main/java/sedgeyoke/simulation/SimulationContext.java
@@ -79,7 +79,7 @@
             }
 
             @Override
-            public void after(long delay, Runnable action) {
+            public void schedule(long delay, Runnable action) {
                 events.schedule(delay, action);
             }
         };
--- a/src/main/java/sedgeyoke/simulation/UtilisationSampler.java
+++ b/src/main/java/sedgeyoke/simulation/UtilisationSampler.java
@@ -28,7 +28,7 @@
         double runningCores = 0;
         for (SimulatedUpstream upstream : upstreams.all()) {
             int cores = upstream.model().spec().cores();
-            long total = upstream.model().worked();
+            long total = upstream.model().busyCoreMicros();
             long difference = total - workedBefore.getOrDefault(upstream.id(), 0L);
             workedBefore.put(upstream.id(), total);
             boolean running = upstream.isRunning();
--- a/src/test/java/sedgeyoke/consensus/codec/ProtobufSnapshotCodecTest.java
+++ b/src/test/java/sedgeyoke/consensus/codec/ProtobufSnapshotCodecTest.java
@@ -20,9 +20,9 @@
 /** Snapshots survive encoding and decoding. */
 class ProtobufSnapshotCodecTest {
     private static final ConfigDocument CONTENT = ConfigDocument.EMPTY
-            .with(ConfigSchema.UPSTREAMS_OUT, Map.of("n1", "why", "n2", ""))
-            .with(ConfigSchema.RETRIES, 0.25)
-            .withTable(ConfigSchema.TENANT_SHARES, Map.of("acme", 0.5));
+            .with(ConfigSchema.DISABLED_UPSTREAMS, Map.of("n1", "why", "n2", ""))
+            .with(ConfigSchema.RETRY_RATIO, 0.25)
+            .withTable(ConfigSchema.TENANT_QUOTAS, Map.of("acme", 0.5));
 
     private final ProtobufSnapshotCodec codec = new ProtobufSnapshotCodec();
 
--- a/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
+++ b/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
@@ -75,7 +75,7 @@
         /** Writes a version and returns its number. */
         long set(String requestId, double retries) throws InterruptedException {
             ConfigVersion parent = read();
-            ConfigDocument content = parent.content().with(ConfigSchema.RETRIES, retries);
+            ConfigDocument content = parent.content().with(ConfigSchema.RETRY_RATIO, retries);
             RequestResult result = client.write(requestId, parent, "op", "", content, TIMEOUT_MILLIS)
                     .result();
             assertEquals(RequestResult.Kind.DONE, result.kind(), result.detail());
@@ -131,7 +131,7 @@
                 await("the end of the process", () -> !process.alive());
                 process.start();
             }
-            assertEquals(0.25, servers.read().content().number(ConfigSchema.RETRIES));
+            assertEquals(0.25, servers.read().content().number(ConfigSchema.RETRY_RATIO));
             assertEquals(version, servers.set("one", 0.25), "the same request, the same version");
             assertNotEquals(version, servers.set("two", 0.5));
         }
@@ -153,7 +153,7 @@
                         && status.activeVersion() + status.pendingVersion() >= version;
             });
             assertNotEquals(oldLeader, servers.leader());
-            assertEquals(0.5, servers.read().content().number(ConfigSchema.RETRIES));
+            assertEquals(0.5, servers.read().content().number(ConfigSchema.RETRY_RATIO));
         }
     }
 
