Tests of planner connections and stored directories have names for behaviour

Need: PlannerLinkTest and StoredFolderTest used house words for peers, faults and directories. Change: PlannerLinkTest is PlannerConnectionTest; methods, locals and cases are renamed, assertions are the same. Result: PlannerConnectionTest (17) and StoredFolderTest (11) pass.

--- a/src/main/java/sedgeyoke/consensus/codec/package-info.java
+++ b/src/main/java/sedgeyoke/consensus/codec/package-info.java
@@ -1,2 +1,2 @@
-/** Converts the types of {@link sedgeyoke.consensus} to and from protobuf messages, for connections and for the disk. */
+/** Converts the types of {@link sedgeyoke.consensus} to and from protobuf messages, for the wire and the disk. */
 package sedgeyoke.consensus.codec;
--- a/src/main/java/sedgeyoke/consensus/server/OperatorRequests.java
+++ b/src/main/java/sedgeyoke/consensus/server/OperatorRequests.java
@@ -21,8 +21,8 @@
 import sedgeyoke.transport.proto.ServerStatusMessage;
 
 /**
- * Answers operators: requests for status and history at once, all others with the result of the Raft node. To be used on
- * the event loop.
+ * Answers operators: requests for status and history at once, all others with the result of the Raft node. To be used
+ * on the event loop.
  */
 final class OperatorRequests {
     private static final int MAX_PENDING = 1_000;
--- a/src/test/java/sedgeyoke/consensus/storage/StoredFolderTest.java
+++ b/src/test/java/sedgeyoke/consensus/storage/StoredFolderTest.java
@@ -38,7 +38,7 @@
 import sedgeyoke.store.FileDisk;
 
 /**
- * Folders that an earlier program wrote: {@code keeper}, made by the calls of {@link StoredFolderScript}, and
+ * Directories that an earlier release wrote: {@code keeper}, made by the calls of {@link StoredFolderScript}, and
  * {@code process-k0.zip}, of one of three processes. They stay readable, and what is written now has the same bytes.
  */
 class StoredFolderTest {
@@ -46,7 +46,7 @@
     private static final long PROCESS_STORAGE_ID = -845_745_965_871_894_833L;
 
     @TempDir
-    private Path folder;
+    private Path directory;
 
     private static Path stored(String name) throws URISyntaxException {
         return Path.of(StoredFolderTest.class.getResource("/stored/" + name).toURI());
@@ -63,14 +63,14 @@
     }
 
     private Path copy(String name) throws IOException, URISyntaxException {
-        Path copy = Files.createDirectories(folder.resolve(name));
+        Path copy = Files.createDirectories(directory.resolve(name));
         for (Map.Entry<String, byte[]> file : files(stored(name)).entrySet()) {
             Files.write(copy.resolve(file.getKey()), file.getValue());
         }
         return copy;
     }
 
-    // ---- The folder of the script --------------------------------------------------------------------
+    // ---- The directory of the script --------------------------------------------------------------------
 
     private ReplicaStorage openScriptedStorage(FileDisk disk) throws Exception {
         return ReplicaStorage.open(
@@ -78,7 +78,7 @@
     }
 
     @Test
-    void theStoredFolderHasAFileOfEachKindAndMoreThanOneSegment() throws Exception {
+    void theStoredDirectoryHasAFileOfEachKindAndSeveralSegments() throws Exception {
         assertEquals(
                 List.of(
                         "log-0000000000000001",
@@ -241,7 +241,7 @@
 
     @Test
     void theSameCallsWriteTheSameBytes() throws Exception {
-        Path written = folder.resolve("written");
+        Path written = directory.resolve("written");
         StoredFolderScript.write(written);
         Map<String, byte[]> expected = files(stored("keeper"));
         Map<String, byte[]> found = files(written);
@@ -249,10 +249,10 @@
         expected.forEach((name, bytes) -> assertArrayEquals(bytes, found.get(name), name));
     }
 
-    // ---- The folder of a process ---------------------------------------------------------------------
+    // ---- The directory of a process ---------------------------------------------------------------------
 
     private Path unzip() throws IOException, URISyntaxException {
-        Path to = Files.createDirectories(folder.resolve("process"));
+        Path to = Files.createDirectories(directory.resolve("process"));
         try (ZipInputStream zip = new ZipInputStream(Files.newInputStream(stored("process-k0.zip")))) {
             for (ZipEntry entry = zip.getNextEntry(); entry != null; entry = zip.getNextEntry()) {
                 Files.write(to.resolve(entry.getName()), zip.readAllBytes());
@@ -262,7 +262,7 @@
     }
 
     @Test
-    void theFolderOfAProcessIsRead() throws Exception {
+    void theDirectoryOfAProcessIsRead() throws Exception {
         try (FileDisk disk = FileDisk.open(unzip())) {
             assertEquals(
                     new ReplicaStorage.Report("drill", "k0", PROCESS_STORAGE_ID, 2, 11, 0, List.of()),
--- a/src/test/java/sedgeyoke/plan/remote/PlannerLinkTest.java
+++ b/src/test/java/sedgeyoke/plan/remote/PlannerConnectionTest.java
@@ -47,9 +47,9 @@
 import sedgeyoke.transport.proto.LoadReportMessage;
 import sedgeyoke.transport.proto.UpstreamLoadMessage;
 
-/** The link with peers that are in order and with peers that are not; the planner must outlive them all. */
-class PlannerLinkTest {
-    private static final long PATIENCE_MS = 10_000;
+/** Connections between forwarders and a planner, with valid and with faulty peers. */
+class PlannerConnectionTest {
+    private static final long TIMEOUT_MILLIS = 10_000;
 
     @TempDir
     private Path folder;
@@ -80,17 +80,17 @@
 
     @AfterEach
     void stop() throws Exception {
-        for (AutoCloseable c : open) {
-            c.close();
+        for (AutoCloseable resource : open) {
+            resource.close();
         }
         loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
     private static void await(String what, BooleanSupplier condition) throws InterruptedException {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MS);
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
         while (!condition.getAsBoolean()) {
-            if (System.nanoTime() > end) {
-                fail("not within " + PATIENCE_MS + " ms: " + what);
+            if (System.nanoTime() > deadline) {
+                fail("not within " + TIMEOUT_MILLIS + " ms: " + what);
             }
             Thread.sleep(2);
         }
@@ -100,15 +100,15 @@
         return loop.submit(planner::connectedForwarders).syncUninterruptibly().getNow();
     }
 
-    // ---- A peer written by hand ----------------------------------------------------------------------
+    // ---- A peer with blocking sockets ----------------------------------------------------------------------
 
-    /** A client with blocking sockets, in a name and role of its own. */
-    private final class Raw implements AutoCloseable {
+    /** A client with the certificate of any name and role, which can send invalid frames. */
+    private final class RawPeer implements AutoCloseable {
         final SSLSocket socket;
         final DataOutputStream out;
         final DataInputStream in;
 
-        Raw(Path with, String name) throws Exception {
+        RawPeer(Path with, String name) throws Exception {
             SslContextBuilder builder = SslContextBuilder.forClient()
                     .trustManager(folder.resolve("ca.pem").toFile());
             if (name != null) {
@@ -121,17 +121,17 @@
                                     .build())
                     .context();
             socket = (SSLSocket) context.getSocketFactory().createSocket(address.getAddress(), address.getPort());
-            socket.setSoTimeout((int) PATIENCE_MS);
+            socket.setSoTimeout((int) TIMEOUT_MILLIS);
             open.add(this);
             out = new DataOutputStream(socket.getOutputStream());
             in = new DataInputStream(socket.getInputStream());
         }
 
-        Raw send(Frame frame) throws IOException {
+        RawPeer send(Frame frame) throws IOException {
             return send(frame.toByteArray());
         }
 
-        Raw send(byte[] frame) throws IOException {
+        RawPeer send(byte[] frame) throws IOException {
             out.writeInt(frame.length);
             out.write(frame);
             out.flush();
@@ -147,7 +147,7 @@
             }
         }
 
-        void assertGetsNothing() {
+        void assertReceivesNoPlan() {
             Frame first = read();
             assertTrue(first == null || first.hasHello() && read() == null, "no plan");
         }
@@ -182,62 +182,65 @@
                 .build();
     }
 
-    private Raw forwarder(String name) throws Exception {
+    private RawPeer forwarder(String name) throws Exception {
         certificates.issue(name, "forwarder");
-        return new Raw(folder, name);
+        return new RawPeer(folder, name);
     }
 
-    private void assertStillServes() throws Exception {
-        Raw good = forwarder("still").send(hello("still", 1, 1)).send(report(1));
+    private void assertPlannerServes() throws Exception {
+        RawPeer good = forwarder("healthy").send(hello("healthy", 1, 1)).send(report(1));
         assertTrue(good.read().hasHello());
         assertTrue(good.read().hasPlan());
     }
 
     @Test
-    void whoReportsGetsPlans() throws Exception {
-        Raw good = forwarder("f1").send(hello("f1", 1, 9)).send(report(1));
+    void aForwarderThatReportsReceivesPlans() throws Exception {
+        RawPeer good = forwarder("f1").send(hello("f1", 1, 9)).send(report(1));
         assertEquals("p1", good.read().getHello().getName());
         Frame plan = good.read();
         assertEquals(9, plan.getPlan().getEcho().getIncarnation());
         assertEquals(5, plan.getPlan().getEcho().getAtUs());
         assertEquals(1, connected());
         good.close();
-        await("forgotten", () -> connected() == 0);
+        await("disconnected", () -> connected() == 0);
     }
 
     @Test
-    void withoutACertificateOrWithAStrangersNothingIsSaid() throws Exception {
+    void aMissingOrUntrustedCertificateIsRejected() throws Exception {
         Path elsewhere = Files.createDirectory(folder.resolve("elsewhere"));
         new Certificates(elsewhere).issue("f1", "forwarder");
         for (String name : new String[] {null, "f1"}) {
             try {
-                new Raw(elsewhere, name).send(hello("f1", 1, 1)).send(report(1)).assertGetsNothing();
-            } catch (IOException refused) {
-                continue; // the handshake said so at once
+                new RawPeer(elsewhere, name)
+                        .send(hello("f1", 1, 1))
+                        .send(report(1))
+                        .assertReceivesNoPlan();
+            } catch (IOException rejected) {
+                continue; // the handshake has failed at once
             }
         }
-        await("two lines", () -> log.size() == 2);
-        assertTrue(log.stream().allMatch(l -> l.contains("TLS handshake failed")), log.toString());
-        assertStillServes();
+        await("two log lines", () -> log.size() == 2);
+        assertTrue(log.stream().allMatch(line -> line.contains("TLS handshake failed")), log.toString());
+        assertPlannerServes();
     }
 
     @Test
-    void whoSaysThatItIsAnotherOrHasAnotherRoleIsLetGo() throws Exception {
-        forwarder("f1").send(hello("f2", 1, 1)).send(report(1)).assertGetsNothing();
-        await("a line", () -> log.stream().anyMatch(l -> l.contains("greets as f2")));
+    void aWrongNameOrRoleClosesTheConnection() throws Exception {
+        forwarder("f1").send(hello("f2", 1, 1)).send(report(1)).assertReceivesNoPlan();
+        await("a log line", () -> log.stream().anyMatch(line -> line.contains("greets as f2")));
         certificates.issue("p9", "planner");
-        new Raw(folder, "p9").send(hello("p9", 1, 1)).send(report(1)).assertGetsNothing();
-        await("a line", () -> log.stream().anyMatch(l -> l.contains("is not forwarder")));
+        new RawPeer(folder, "p9").send(hello("p9", 1, 1)).send(report(1)).assertReceivesNoPlan();
+        await("a log line", () -> log.stream().anyMatch(line -> line.contains("is not forwarder")));
         assertEquals(2, log.size(), log.toString());
-        assertStillServes();
+        assertPlannerServes();
     }
 
     @Test
-    void versionsThatDoNotMeetEndTheLinkAndThoseThatDoUseTheHighestOfBoth() throws Exception {
-        forwarder("f1").send(hello("f1", 7, 9)).send(report(1)).assertGetsNothing();
-        await("a line", () -> log.stream()
-                .anyMatch(l -> l.contains("supports protocol versions 7 to 9, this program 1 to 1")));
-        Raw newer = forwarder("f2").send(hello("f2", 1, 9));
+    void incompatibleProtocolVersionsCloseTheConnectionAndNewerOnesAreAccepted() throws Exception {
+        forwarder("f1").send(hello("f1", 7, 9)).send(report(1)).assertReceivesNoPlan();
+        await("a log line", () -> log.stream()
+                .anyMatch(line -> line.contains("supports protocol versions 7 to 9, this program 1 to 1")));
+        RawPeer newer = forwarder("f2").send(hello("f2", 1, 9));
         byte[] known = report(1).toByteArray();
         byte[] withMore = java.util.Arrays.copyOf(known, known.length + 3);
         withMore[known.length] = (byte) 0xf8; // field 31 as a number, which version 1 has not
@@ -251,28 +254,29 @@
     @ParameterizedTest
     @ValueSource(
             strings = {
-                "too long",
-                "no message",
-                "no greeting",
-                "twice a greeting",
-                "a bad id",
-                "a bad number",
-                "too many"
+                "oversized frame",
+                "not protobuf",
+                "no hello",
+                "two hellos",
+                "invalid id",
+                "invalid number",
+                "too many loads"
             })
-    void whatIsNotInOrderEndsThatLinkAlone(String fault) throws Exception {
-        Raw bad = forwarder("bad");
-        if (!fault.equals("no greeting")) {
-            bad.send(hello("bad", 1, 1));
+    void anInvalidMessageClosesOnlyItsConnection(String fault) throws Exception {
+        RawPeer faulty = forwarder("faulty");
+        if (!fault.equals("no hello")) {
+            faulty.send(hello("faulty", 1, 1));
         }
         LoadReportMessage.Builder report = report(1).getReport().toBuilder();
         switch (fault) {
-            case "too long" -> bad.out.writeInt(FramedConnection.MAX_FRAME_BYTES + 1);
-            case "no message" -> bad.send(new byte[] {(byte) 0xff, 1, 2, 3});
-            case "twice a greeting" -> bad.send(hello("bad", 1, 1));
-            case "a bad id" -> report.setLoads(0, report.getLoads(0).toBuilder().setUpstream("x".repeat(300)));
-            case "a bad number" -> report.setLoads(
+            case "oversized frame" -> faulty.out.writeInt(FramedConnection.MAX_FRAME_BYTES + 1);
+            case "not protobuf" -> faulty.send(new byte[] {(byte) 0xff, 1, 2, 3});
+            case "two hellos" -> faulty.send(hello("faulty", 1, 1));
+            case "invalid id" -> report.setLoads(
+                    0, report.getLoads(0).toBuilder().setUpstream("x".repeat(300)));
+            case "invalid number" -> report.setLoads(
                     0, report.getLoads(0).toBuilder().setLimit(Float.NaN));
-            case "too many" -> {
+            case "too many loads" -> {
                 for (int i = 0; i < 1_000; i++) {
                     report.addLoads(report.getLoads(0));
                 }
@@ -280,53 +284,53 @@
             default -> {}
         }
         try {
-            bad.send(Frame.newBuilder().setReport(report).build());
-            bad.assertGetsNothing();
+            faulty.send(Frame.newBuilder().setReport(report).build());
+            faulty.assertReceivesNoPlan();
         } catch (IOException closed) {
-            assertNotNull(closed); // it may be gone before all is written
+            assertNotNull(closed); // the connection may close before all is written
         }
-        await("one line", () -> log.size() == 1);
-        assertStillServes();
+        await("one log line", () -> log.size() == 1);
+        assertPlannerServes();
         assertEquals(1, log.size(), log.toString());
     }
 
     @Test
-    void whoReadsNothingIsLetGoAndCostsLittleMemory() throws Exception {
-        certificates.issue("deaf", "forwarder");
-        Raw deaf = new Raw(folder, "deaf").send(hello("deaf", 1, 1));
+    void aPeerThatDoesNotReadIsDisconnected() throws Exception {
+        certificates.issue("slowReader", "forwarder");
+        RawPeer slowReader = new RawPeer(folder, "slowReader").send(hello("slowReader", 1, 1));
         long sequence = 0;
         for (int i = 0; i < 40; i++) { // views enough to make plans long
-            LoadReportMessage.Builder r =
+            LoadReportMessage.Builder report =
                     report(++sequence).getReport().toBuilder().clearLoads();
-            for (int u = 0; u < 120; u++) {
-                r.addLoads(UpstreamLoadMessage.newBuilder()
-                        .setUpstream("u" + i + "-" + u + "x".repeat(200))
+            for (int upstream = 0; upstream < 120; upstream++) {
+                report.addLoads(UpstreamLoadMessage.newBuilder()
+                        .setUpstream("u" + i + "-" + upstream + "x".repeat(200))
                         .setLimit(1));
             }
-            deaf.send(Frame.newBuilder().setReport(r).build());
+            slowReader.send(Frame.newBuilder().setReport(report).build());
         }
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
         try {
             while (log.isEmpty() && System.nanoTime() < end) {
-                deaf.send(report(++sequence));
-                Thread.sleep(20); // it goes on reporting: nobody may hold it for silent
+                slowReader.send(report(++sequence));
+                Thread.sleep(20); // reports keep the connection from its read timeout
             }
         } catch (IOException closed) {
             assertNotNull(closed);
         }
-        assertTrue(log.stream().anyMatch(l -> l.contains("reads too slowly")), log.toString());
-        assertStillServes();
+        assertTrue(log.stream().anyMatch(line -> line.contains("reads too slowly")), log.toString());
+        assertPlannerServes();
     }
 
     @Test
-    void furtherForwardersThanItHoldsGetNothing() throws Exception {
-        List<Raw> all = new ArrayList<>();
+    void forwardersBeyondTheLimitReceiveNoPlans() throws Exception {
+        List<RawPeer> all = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
             all.add(forwarder("f" + i).send(hello("f" + i, 1, 1)).send(report(1)));
             assertTrue(all.get(i).read().hasHello());
             assertTrue(all.get(i).read().hasPlan());
         }
-        Raw fifth = forwarder("f9").send(hello("f9", 1, 1)).send(report(1));
+        RawPeer fifth = forwarder("f9").send(hello("f9", 1, 1)).send(report(1));
         assertTrue(fifth.read().hasHello());
         fifth.socket.setSoTimeout(300);
         assertNull(fifth.read(), "silence");
@@ -334,19 +338,19 @@
     }
 
     @Test
-    void whoConnectsAnewTakesThePlaceOfItsOldLink() throws Exception {
-        Raw first = forwarder("f1").send(hello("f1", 1, 1)).send(report(1));
+    void aNewConnectionReplacesTheOldOne() throws Exception {
+        RawPeer first = forwarder("f1").send(hello("f1", 1, 1)).send(report(1));
         assertTrue(first.read().hasHello());
-        Raw second = new Raw(folder, "f1").send(hello("f1", 1, 1)).send(report(2));
+        RawPeer second = new RawPeer(folder, "f1").send(hello("f1", 1, 1)).send(report(2));
         assertTrue(second.read().hasHello());
-        await("the old one is gone", () -> first.read() == null);
+        await("the old connection is closed", () -> first.read() == null);
         assertTrue(second.read().hasPlan());
         assertEquals(1, connected());
     }
 
     @Test
-    void certificatesThatChangeAreTakenUpAnew() throws Exception {
-        assertStillServes();
+    void changedCertificatesAreReloaded() throws Exception {
+        assertPlannerServes();
         Path elsewhere = Files.createDirectory(folder.resolve("renewed"));
         Certificates renewed = new Certificates(elsewhere);
         renewed.issue("p1", "planner");
@@ -355,29 +359,29 @@
             Files.move(elsewhere.resolve(file), folder.resolve(file), StandardCopyOption.REPLACE_EXISTING);
             Files.setLastModifiedTime(folder.resolve(file), FileTime.fromMillis(System.currentTimeMillis() + 5_000));
         }
-        Raw withNew = new Raw(elsewhere, "f1").send(hello("f1", 1, 1)).send(report(1));
+        RawPeer withNew = new RawPeer(elsewhere, "f1").send(hello("f1", 1, 1)).send(report(1));
         assertTrue(withNew.read().hasHello());
         assertTrue(log.contains("TLS files reloaded"), log.toString());
         Files.writeString(folder.resolve("p1.key"), "nonsense");
-        Raw again = new Raw(elsewhere, "f1").send(hello("f1", 1, 1)).send(report(2));
-        assertTrue(again.read().hasHello(), "what cannot be read changes nothing");
+        RawPeer again = new RawPeer(elsewhere, "f1").send(hello("f1", 1, 1)).send(report(2));
+        assertTrue(again.read().hasHello(), "unreadable files change nothing");
     }
 
     @Test
-    void badFilesEndTheStartWithTheirNames() {
+    void unreadableTlsFilesAreNamed() {
         Path none = folder.resolve("none.pem");
-        IOException bad =
+        IOException failure =
                 assertThrows(IOException.class, () -> MutualTls.forServer(new TlsFiles(none, none, none), log::add));
-        assertTrue(bad.toString().contains("none.pem"), bad.toString());
+        assertTrue(failure.toString().contains("none.pem"), failure.toString());
     }
 
     // ---- The forwarder's side ------------------------------------------------------------------------
 
-    /** A module that has one cold upstream, and notes what it is told. */
+    /** A policy with one upstream in slow start, which records the plans it receives. */
     private final class Port implements ModulePort {
         @Override
         public void setFleetCordons(java.util.Set<String> upstreams) {
-            throw new AssertionError("planners put nothing out by hand");
+            throw new AssertionError("planners disable no upstream");
         }
 
         final AtomicReference<LoadBalancingPolicy.Plan> plan = new AtomicReference<>();
@@ -408,7 +412,7 @@
 
         @Override
         public long now() {
-            return PlannerLinkTest.this.now();
+            return PlannerConnectionTest.this.now();
         }
 
         @Override
@@ -428,29 +432,30 @@
     }
 
     @Test
-    void aForwarderLendsGetsGrantsAndOutlivesItsPlanner() throws Exception {
+    void aForwarderDelegatesQuotaAndReceivesGrants() throws Exception {
         Path file = Files.writeString(
                 folder.resolve("f.toml"),
                 "[plans]\nenabled = true\nreport_every_ms = 50\n"
                         + "planners = [\"127.0.0.1:" + address.getPort() + "\", \"127.0.0.1:1\"]\n"
                         + certificates.issue("f1", "forwarder"));
         Port port = new Port();
-        PlannerClient link = new PlannerClient(
+        PlannerClient client = new PlannerClient(
                 loop,
                 port,
                 new Follower.Identity("f1", 3, 0, 1_500_000, 4_000_000, 1),
                 OperatorFile.load(file).plans());
-        loop.execute(link::start);
+        loop.execute(client::start);
         await(
                 "quiet from the start",
                 () -> port.plan.get() != null && port.plan.get().ownQuotaBlockedUntil() > now());
         await(
-                "lent and granted",
+                "delegated and granted",
                 () -> port.plan.get().slowStartQuotas().containsKey("u")
                         && !port.plan.get().slowStartQuotas().get("u").grants().isEmpty());
         assertEquals(
                 4.8, port.plan.get().slowStartQuotas().get("u").grants().get(0).rate(), 0.01);
         assertEquals("u", port.plan.get().upstreams().get(0).id());
-        assertEquals(1, loop.submit(link::activePlanners).syncUninterruptibly().getNow());
+        assertEquals(
+                1, loop.submit(client::activePlanners).syncUninterruptibly().getNow());
     }
 }
