--- a/src/main/java/sedgeyoke/drill/PlannersRun.java
+++ b/src/main/java/sedgeyoke/drill/PlannersRun.java
@@ -78,11 +78,11 @@
     }
 
     private Result measure(Site site) throws IOException, InterruptedException {
-        long workedBefore = site.worked();
+        long busyMicrosBefore = site.busyCoreMicros();
         long startMicros = site.now();
         PlannerFaults faults = new PlannerFaults(planners, proxies, options);
         playScript(site, faults);
-        double utilisation = site.utilisationSince(workedBefore, startMicros);
+        double utilisation = site.utilisationSince(busyMicrosBefore, startMicros);
         site.stopClients();
         InvariantChecker.Summary summary = site.summary();
         progress.accept(mode, describe(summary, utilisation));
--- a/src/main/java/sedgeyoke/standin/BulkClient.java
+++ b/src/main/java/sedgeyoke/standin/BulkClient.java
@@ -23,11 +23,11 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 
-/** The client's end of a {@link BulkPair}: one connection, one request, no retries. */
+/** The client of a {@link BulkPair}: one connection, one request, no retries. */
 public final class BulkClient extends SimpleChannelInboundHandler<HttpObject> {
     private final BulkPair pair;
     private final long budgetMs;
-    private final CompletableFuture<BulkPair> done = new CompletableFuture<>();
+    private final CompletableFuture<BulkPair> ended = new CompletableFuture<>();
     private BulkSender sender;
     private BulkReceiver receiver;
 
@@ -36,11 +36,11 @@
         this.budgetMs = budgetMs;
     }
 
-    /** Asks a balancer; done when it has ended in whatever way. */
+    /** Sends the request to a balancer; the future completes when the exchange has ended in any way. */
     public static CompletableFuture<BulkPair> send(
-            EventLoop loop, InetSocketAddress balancer, BulkPair pair, long budgetMs, int buffer) {
+            EventLoop loop, InetSocketAddress balancer, BulkPair pair, long budgetMs, int bufferBytes) {
         BulkClient client = new BulkClient(pair, budgetMs);
-        pair.startedNanos = System.nanoTime();
+        pair.startNanos = System.nanoTime();
         new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -48,9 +48,9 @@
                 .option(ChannelOption.AUTO_READ, false)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(Channel ch) {
-                        BulkReceiver.prepare(ch, buffer);
-                        ch.pipeline().addLast(new HttpClientCodec(), client);
+                    protected void initChannel(Channel channel) {
+                        BulkReceiver.prepare(channel, bufferBytes);
+                        channel.pipeline().addLast(new HttpClientCodec(), client);
                     }
                 })
                 .connect(balancer)
@@ -59,14 +59,14 @@
                         client.end(BulkPair.End.CUT);
                     }
                 });
-        return client.done;
+        return client.ended;
     }
 
-    private void end(BulkPair.End how) {
+    private void end(BulkPair.End end) {
         if (pair.end == BulkPair.End.OPEN) {
-            pair.endedNanos = System.nanoTime();
-            pair.end = how;
-            done.complete(pair);
+            pair.endNanos = System.nanoTime();
+            pair.end = end;
+            ended.complete(pair);
         }
     }
 
@@ -76,9 +76,9 @@
         head.headers()
                 .set(HttpHeaderNames.HOST, "origin.svc")
                 .set("X-Call-Id", pair.id)
-                .set("X-Call-Class", pair.cls.name())
+                .set("X-Call-Class", pair.requestClass.name())
                 .set("X-Budget-Ms", budgetMs);
-        if (pair.cls.keyed()) {
+        if (pair.requestClass.keyed()) {
             head.headers().set("Idempotency-Key", "k-" + pair.id);
         }
         if (pair.chunkedUp) {
@@ -93,7 +93,7 @@
                 pair.upLength,
                 pair.rate(pair.upLength, true, true),
                 digest -> pair.upSent = digest);
-        sender.go();
+        sender.send();
         ctx.read();
     }
 
@@ -113,7 +113,7 @@
                 ctx.close();
                 return;
             }
-            receiver.part(content.content());
+            receiver.receive(content.content());
             if (message instanceof LastHttpContent) {
                 pair.downArrived = receiver.digest();
                 end(BulkPair.End.COMPLETE);
@@ -125,7 +125,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (receiver != null) {
-            receiver.more();
+            receiver.requestRead();
         } else {
             ctx.read();
         }
@@ -134,7 +134,7 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (sender != null) {
-            sender.go();
+            sender.send();
         }
     }
 
--- a/src/main/java/sedgeyoke/standin/BulkContent.java
+++ b/src/main/java/sedgeyoke/standin/BulkContent.java
@@ -7,33 +7,33 @@
 import java.util.SplittableRandom;
 
 /**
- * Long bodies that need no memory: each is a stretch of one random block, repeated, that begins at an offset of its
- * own.
- * A byte that is lost, doubled or swapped changes the digest.
+ * Content of long bodies without memory for each: a body is the repetition of one random block from an offset on. A byte
+ * that is lost, repeated or swapped changes the digest.
  */
 final class BulkContent {
-    /** No power of two, so that no buffer size divides it. */
+    /** Not a power of two, so that no buffer size divides it. */
     private static final int SIZE = 1_000_003;
 
+    private static final long SEED = 20_261_201;
     private static final byte[] BLOCK = new byte[SIZE];
 
     static {
-        new SplittableRandom(20_261_201).nextBytes(BLOCK);
+        new SplittableRandom(SEED).nextBytes(BLOCK);
     }
 
     private BulkContent() {}
 
-    /** At most {@code most} bytes of the body with this offset, from {@code at} on; one byte at least. */
-    static ByteBuf part(int offset, long at, int most) {
-        int from = (int) ((offset + at) % SIZE);
-        return Unpooled.wrappedBuffer(BLOCK, from, Math.min(most, SIZE - from));
+    /** From 1 to {@code maxBytes} bytes at a position of the body that begins at an offset of the block. */
+    static ByteBuf part(int offset, long position, int maxBytes) {
+        int start = (int) ((offset + position) % SIZE);
+        return Unpooled.wrappedBuffer(BLOCK, start, Math.min(maxBytes, SIZE - start));
     }
 
     static MessageDigest digest() {
         try {
             return MessageDigest.getInstance("SHA-256");
         } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException(e); // every Java has it
+            throw new IllegalStateException(e); // every Java platform has SHA-256
         }
     }
 }
--- a/src/main/java/sedgeyoke/standin/BulkNode.java
+++ b/src/main/java/sedgeyoke/standin/BulkNode.java
@@ -22,19 +22,19 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 
-/** An order node for long bodies: it reads a request at its pair's pace, and answers when the last byte is there. */
+/** An order node for long bodies: it reads a request at the rate of its pair and answers after the last byte. */
 public final class BulkNode {
-    private static final int LINE = 4_096;
-    private static final int HEADERS = 8_192;
-    private static final int CHUNK = 65_536;
+    private static final int MAX_LINE_BYTES = 4_096;
+    private static final int MAX_HEADER_BYTES = 8_192;
+    private static final int MAX_CHUNK_BYTES = 65_536;
     private static final int BACKLOG = 1_024;
 
-    private final Map<String, BulkPair> pairs;
+    private final Map<String, BulkPair> pairsById;
     private final int port;
 
-    /** Listens; {@code pairs} are found by {@code X-Call-Id}, {@code buffer} is for each socket. Not on the loop. */
-    public BulkNode(EventLoop loop, Map<String, BulkPair> pairs, int buffer) {
-        this.pairs = pairs;
+    /** Starts to listen; must not be called on the loop. Keys of {@code pairsById} are values of {@code X-Call-Id}. */
+    public BulkNode(EventLoop loop, Map<String, BulkPair> pairsById, int bufferBytes) {
+        this.pairsById = pairsById;
         Channel listener = new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
@@ -43,9 +43,12 @@
                 .childOption(ChannelOption.AUTO_READ, false)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(Channel ch) {
-                        BulkReceiver.prepare(ch, buffer);
-                        ch.pipeline().addLast(new HttpServerCodec(LINE, HEADERS, CHUNK), new Connection());
+                    protected void initChannel(Channel channel) {
+                        BulkReceiver.prepare(channel, bufferBytes);
+                        channel.pipeline()
+                                .addLast(
+                                        new HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
+                                        new Connection());
                     }
                 })
                 .bind(Http.loopback(0))
@@ -72,15 +75,15 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
             if (message instanceof HttpRequest head) {
-                pair = pairs.get(head.headers().get("X-Call-Id"));
+                pair = pairsById.get(head.headers().get("X-Call-Id"));
                 if (pair == null) {
-                    ctx.close(); // nobody asked for this
+                    ctx.close(); // no client sent this
                     return;
                 }
                 receiver = new BulkReceiver(ctx.channel(), pair.upLength, pair.rate(pair.upLength, false, false));
             }
             if (message instanceof HttpContent content && receiver != null) {
-                receiver.part(content.content());
+                receiver.receive(content.content());
                 if (message instanceof LastHttpContent) {
                     answer(ctx);
                 }
@@ -88,47 +91,47 @@
         }
 
         private void answer(ChannelHandlerContext ctx) {
-            BulkPair done = pair;
-            done.upArrived = receiver.digest();
-            done.executions.incrementAndGet();
+            BulkPair received = pair;
+            received.upArrived = receiver.digest();
+            received.executions.incrementAndGet();
             receiver = null;
             HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-            if (done.chunkedDown) {
+            if (received.chunkedDown) {
                 head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             } else {
-                head.headers().set(HttpHeaderNames.CONTENT_LENGTH, done.downLength);
+                head.headers().set(HttpHeaderNames.CONTENT_LENGTH, received.downLength);
             }
             ctx.write(head);
             sender = new BulkSender(
                     ctx.channel(),
-                    done.downOffset,
-                    done.downLength,
-                    done.rate(done.downLength, false, true),
+                    received.downOffset,
+                    received.downLength,
+                    received.rate(received.downLength, false, true),
                     digest -> {
-                        done.downSent = digest;
+                        received.downSent = digest;
                         sender = null;
-                        ctx.channel().eventLoop().execute(ctx::read); // the next request
+                        ctx.channel().eventLoop().execute(ctx::read); // reads the next request
                     });
-            sender.go();
+            sender.send();
         }
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
             if (receiver != null) {
-                receiver.more();
+                receiver.requestRead();
             }
         }
 
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
             if (sender != null) {
-                sender.go();
+                sender.send();
             }
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close(); // its client sees that its answer is not whole
+            ctx.close(); // the client sees that the response is incomplete
         }
     }
 }
--- a/src/main/java/sedgeyoke/standin/BulkPair.java
+++ b/src/main/java/sedgeyoke/standin/BulkPair.java
@@ -6,39 +6,42 @@
 import sedgeyoke.model.RequestClassModel;
 
 /**
- * A client and a node that exchange a long request and a long answer, and what became of these. One side sets the pace:
- * it sends and reads evenly over a time, while the other is as fast as it can. Fields of the outcome are written by the
- * loops of both sides and read when all is over.
+ * An exchange of a long request and a long response between a client and a node, with its outcome. One side is slow: it
+ * sends and reads at an even rate, while the other is as fast as possible. The fields of the outcome are written by the
+ * loops of both sides and read after the end.
  */
 public final class BulkPair {
-    /** Shape of an exchange. */
+    /** Which side is slow. */
     public enum Pace {
-        /** The client trickles; the node is fast. */
+        /** The client sends and reads slowly. */
         SLOW_CLIENT,
-        /** The node trickles; the client is fast. */
+        /** The node reads and sends slowly. */
         SLOW_NODE,
-        /** Nobody waits for anybody. */
+        /** Neither. */
         NONE
     }
 
-    /** How it ended, as the client saw it. */
+    /** The end of the exchange, as the client saw it. */
     public enum End {
-        /** Still on its way. */
+        /** It has not ended. */
         OPEN,
-        /** Answered with 200, and whole. */
+        /** A complete response with status 200. */
         COMPLETE,
-        /** 429 or 503. */
+        /** Status 429 or 503. */
         REJECTED,
-        /** Any other answer. */
+        /** Any other status. */
         FAILED,
-        /** The connection ended before the answer did. */
+        /** The connection was closed before the end of the response. */
         CUT
     }
 
-    private static final long BUFFERED = 256 << 10;
+    /** What kernel buffers may hold of a request that a slow node does not read. */
+    private static final long KERNEL_BUFFER_BYTES = 256 << 10;
+
+    private static final int MAX_OFFSET = 1 << 20;
 
     final String id;
-    final RequestClassModel cls;
+    final RequestClassModel requestClass;
     final Pace pace;
     final long upLength;
     final long downLength;
@@ -46,8 +49,8 @@
     final int downOffset;
     final boolean chunkedUp;
     final boolean chunkedDown;
-    /** How long each direction takes at its pace, in milliseconds. */
-    final long wayMs;
+    /** How long each direction takes at the slow side's rate. */
+    final long directionMs;
 
     volatile byte[] upSent;
     volatile byte[] upArrived;
@@ -55,8 +58,8 @@
     volatile byte[] downArrived;
     final AtomicInteger executions = new AtomicInteger();
     volatile End end = End.OPEN;
-    volatile long startedNanos;
-    volatile long endedNanos;
+    volatile long startNanos;
+    volatile long endNanos;
 
     private BulkPair(
             String id,
@@ -64,84 +67,97 @@
             Pace pace,
             long upLength,
             long downLength,
-            long wayMs,
+            long directionMs,
             SplittableRandom random) {
         this.id = id;
-        this.cls = cls;
+        this.requestClass = cls;
         this.pace = pace;
         this.upLength = upLength;
         this.downLength = downLength;
-        this.wayMs = wayMs;
-        this.upOffset = random.nextInt(1 << 20);
-        this.downOffset = random.nextInt(1 << 20);
+        this.directionMs = directionMs;
+        this.upOffset = random.nextInt(MAX_OFFSET);
+        this.downOffset = random.nextInt(MAX_OFFSET);
         this.chunkedUp = random.nextBoolean();
         this.chunkedDown = random.nextBoolean();
     }
 
-    /** A pair with lengths from {@code least} to {@code most} bytes, evenly in their logarithms. */
+    /** Draws an exchange with log-uniform lengths of both bodies. */
     public static BulkPair draw(
-            String id, RequestClassModel cls, Pace pace, long least, long most, long wayMs, SplittableRandom random) {
-        return new BulkPair(id, cls, pace, length(least, most, random), length(least, most, random), wayMs, random);
+            String id,
+            RequestClassModel cls,
+            Pace pace,
+            long minBytes,
+            long maxBytes,
+            long directionMs,
+            SplittableRandom random) {
+        return new BulkPair(
+                id,
+                cls,
+                pace,
+                length(minBytes, maxBytes, random),
+                length(minBytes, maxBytes, random),
+                directionMs,
+                random);
     }
 
-    /** The same exchange under another id, as a client asks again for what was refused. */
-    public BulkPair withId(String anotherId) {
-        return new BulkPair(anotherId, this);
+    /** The same exchange under another id, for a retry. */
+    public BulkPair withId(String newId) {
+        return new BulkPair(newId, this);
     }
 
-    private BulkPair(String id, BulkPair of) {
+    private BulkPair(String id, BulkPair original) {
         this.id = id;
-        this.cls = of.cls;
-        this.pace = of.pace;
-        this.upLength = of.upLength;
-        this.downLength = of.downLength;
-        this.wayMs = of.wayMs;
-        this.upOffset = of.upOffset;
-        this.downOffset = of.downOffset;
-        this.chunkedUp = of.chunkedUp;
-        this.chunkedDown = of.chunkedDown;
+        this.requestClass = original.requestClass;
+        this.pace = original.pace;
+        this.upLength = original.upLength;
+        this.downLength = original.downLength;
+        this.directionMs = original.directionMs;
+        this.upOffset = original.upOffset;
+        this.downOffset = original.downOffset;
+        this.chunkedUp = original.chunkedUp;
+        this.chunkedDown = original.chunkedDown;
     }
 
-    private static long length(long least, long most, SplittableRandom random) {
-        return Math.round(least * Math.exp(random.nextDouble() * Math.log(most / (double) least)));
+    private static long length(long minBytes, long maxBytes, SplittableRandom random) {
+        return Math.round(minBytes * Math.exp(random.nextDouble() * Math.log(maxBytes / (double) minBytes)));
     }
 
     /**
-     * Bytes a second at which a side sends or reads that many; 0 for as fast as it can. What fits into the kernel's
-     * buffers has reached a node before it could be slow in reading; one that takes its time from there on is slow in
-     * its work, and no transfer.
+     * Bytes a second at which a side sends or reads a body; 0 for as fast as possible. A node does not read a body
+     * slowly that fits into kernel buffers: the balancer would have transferred all of it before.
      */
     double rate(long length, boolean client, boolean sends) {
-        boolean slow = pace == (client ? Pace.SLOW_CLIENT : Pace.SLOW_NODE) && (client || sends || length > BUFFERED);
-        return slow ? length * 1e3 / wayMs : 0;
+        boolean slow = pace == (client ? Pace.SLOW_CLIENT : Pace.SLOW_NODE)
+                && (client || sends || length > KERNEL_BUFFER_BYTES);
+        return slow ? length * 1e3 / directionMs : 0;
     }
 
-    /** As in {@code X-Call-Id}. */
+    /** The value of {@code X-Call-Id}. */
     public String id() {
         return id;
     }
 
-    /** How it ended. */
+    /** The end of the exchange. */
     public End end() {
         return end;
     }
 
-    /** Whether it had an effect twice: repeats of a keyed request are dropped by nodes, and count for none. */
+    /** Whether it had an effect twice; nodes drop repeats of a request with an idempotency key. */
     public boolean ranTwice() {
-        return executions.get() > 1 && !cls.keyed();
+        return executions.get() > 1 && !requestClass.keyed();
     }
 
-    /** Bytes of both bodies. */
+    /** The length of both bodies. */
     public long bytes() {
         return upLength + downLength;
     }
 
-    /** From its start until its end, in milliseconds. */
+    /** The time from its start to its end. */
     public double tookMs() {
-        return (endedNanos - startedNanos) / 1e6;
+        return (endNanos - startNanos) / 1e6;
     }
 
-    /** Whether both bodies arrived as they were sent; asked of complete ones. */
+    /** Whether both bodies of a complete exchange arrived as they were sent. */
     public boolean digestsMatch() {
         return Arrays.equals(upSent, upArrived)
                 && Arrays.equals(downSent, downArrived)
--- a/src/main/java/sedgeyoke/standin/BulkReceiver.java
+++ b/src/main/java/sedgeyoke/standin/BulkReceiver.java
@@ -7,49 +7,54 @@
 import java.security.MessageDigest;
 import java.util.concurrent.TimeUnit;
 
-/** Reads one long body at a pace or as fast as it comes, and digests it. The channel must not read by itself. */
+/** Reads one long body at a rate, or as fast as it comes, and digests it. The channel must not be in auto-read mode. */
 final class BulkReceiver {
-    private static final int MOST_READ = 65_536;
+    private static final int MAX_READ_BYTES = 65_536;
+    /** A slow reader takes what has come at this interval, not byte by byte. */
     private static final long TICK_MS = 100;
 
     private final Channel channel;
     private final long length;
-    private final double perSecond;
+    /** 0 for as fast as possible. */
+    private final double bytesPerSecond;
+
     private final MessageDigest digest = BulkContent.digest();
-    private final long startedAt = System.nanoTime();
+    private final long startNanos = System.nanoTime();
     private long received;
 
-    BulkReceiver(Channel channel, long length, double perSecond) {
+    BulkReceiver(Channel channel, long length, double bytesPerSecond) {
         this.channel = channel;
         this.length = length;
-        this.perSecond = perSecond;
+        this.bytesPerSecond = bytesPerSecond;
     }
 
-    /** For both ends of such exchanges: small kernel buffers, so that flow control is felt early. */
-    static void prepare(Channel channel, int buffer) {
+    /** Prepares a channel of either end: small kernel buffers make flow control take effect early. */
+    static void prepare(Channel channel, int bufferBytes) {
         channel.config().setAutoRead(false);
-        channel.config().setRecvByteBufAllocator(new FixedRecvByteBufAllocator(MOST_READ).maxMessagesPerRead(1));
-        channel.config().setOption(ChannelOption.SO_RCVBUF, buffer);
-        channel.config().setOption(ChannelOption.SO_SNDBUF, buffer);
+        channel.config().setRecvByteBufAllocator(new FixedRecvByteBufAllocator(MAX_READ_BYTES).maxMessagesPerRead(1));
+        channel.config().setOption(ChannelOption.SO_RCVBUF, bufferBytes);
+        channel.config().setOption(ChannelOption.SO_SNDBUF, bufferBytes);
     }
 
-    void part(ByteBuf data) {
+    /** Adds received content. */
+    void receive(ByteBuf data) {
         digest.update(data.nioBuffer());
         received += data.readableBytes();
     }
 
-    /** Reads on, now or when it is time; to be called after each read. */
-    void more() {
-        double dueMs = perSecond == 0 || received >= length
+    /** Requests the next read, now or when it is due; to be called after each read. */
+    void requestRead() {
+        double dueMs = bytesPerSecond == 0 || received >= length
                 ? 0
-                : received / perSecond * 1e3 - (System.nanoTime() - startedAt) / 1e6;
+                : received / bytesPerSecond * 1e3 - (System.nanoTime() - startNanos) / 1e6;
         if (dueMs <= 0) {
             channel.read();
-        } else { // some at once now and then, as a slow reader's process would, not byte by byte
+        } else {
             channel.eventLoop().schedule(channel::read, (long) Math.max(dueMs, TICK_MS), TimeUnit.MILLISECONDS);
         }
     }
 
+    /** The digest of the body; to be called once, at its end. */
     byte[] digest() {
         return digest.digest();
     }
--- a/src/main/java/sedgeyoke/standin/BulkSender.java
+++ b/src/main/java/sedgeyoke/standin/BulkSender.java
@@ -8,72 +8,76 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-/** Sends one long body, at a pace or as fast as the other side takes it, and digests what it sends. On the loop. */
+/** Sends one long body at a rate, or as fast as the other side takes it, and digests it. Confined to the loop. */
 final class BulkSender {
-    private static final int PART = 16_384;
+    private static final int MAX_PART_BYTES = 16_384;
     private static final long TICK_MS = 100;
 
     private final Channel channel;
     private final int offset;
     private final long length;
-    private final double perSecond;
-    private final Consumer<byte[]> done;
+    /** 0 for as fast as possible. */
+    private final double bytesPerSecond;
+
+    private final Consumer<byte[]> onSent;
     private final MessageDigest digest = BulkContent.digest();
-    private final long startedAt = System.nanoTime();
+    private final long startNanos = System.nanoTime();
     private long sent;
+    /** How many bytes may be sent by now. */
     private long due;
-    private boolean waiting;
+
+    private boolean waitingForTick;
     private boolean ended;
-    private boolean going;
+    private boolean sending;
 
-    BulkSender(Channel channel, int offset, long length, double perSecond, Consumer<byte[]> done) {
+    BulkSender(Channel channel, int offset, long length, double bytesPerSecond, Consumer<byte[]> onSent) {
         this.channel = channel;
         this.offset = offset;
         this.length = length;
-        this.perSecond = perSecond;
-        this.done = done;
-        this.due = perSecond == 0 ? length : Math.min(length, 1);
+        this.bytesPerSecond = bytesPerSecond;
+        this.onSent = onSent;
+        this.due = bytesPerSecond == 0 ? length : Math.min(length, 1);
     }
 
-    /** Goes on as far as pace and flow control allow; to be called whenever the channel is writable again. */
-    void go() {
-        if (!going) { // a write may make the channel writable again, which asks for more from within
-            going = true;
+    /** Sends as much as rate and flow control allow; to be called whenever the channel becomes writable. */
+    void send() {
+        if (!sending) { // a flush may make the channel writable, which calls this method again
+            sending = true;
             do {
-                steps();
-                channel.flush(); // which may have made it writable again
-            } while (!ended && !waiting && channel.isActive() && channel.isWritable());
-            going = false;
+                writeParts();
+                channel.flush();
+            } while (!ended && !waitingForTick && channel.isActive() && channel.isWritable());
+            sending = false;
         }
     }
 
-    /** At a pace, what is due since the last tick goes out at once, and then nothing until the next. */
-    private void steps() {
-        while (!ended && !waiting && channel.isActive() && channel.isWritable()) {
+    /** At a rate, whatever became due with the latest tick is sent at once, and then nothing until the next one. */
+    private void writeParts() {
+        while (!ended && !waitingForTick && channel.isActive() && channel.isWritable()) {
             if (sent < length && due <= sent) {
-                waiting = true;
+                waitingForTick = true;
                 channel.eventLoop().schedule(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
             } else {
-                step((int) Math.min(PART, due - sent));
+                writePart((int) Math.min(MAX_PART_BYTES, due - sent));
             }
         }
     }
 
     private void tick() {
-        waiting = false;
-        due = Math.min(length, (long) (perSecond * (System.nanoTime() - startedAt) / 1e9) + 1);
-        go();
+        waitingForTick = false;
+        due = Math.min(length, (long) (bytesPerSecond * (System.nanoTime() - startNanos) / 1e9) + 1);
+        send();
     }
 
-    private void step(int most) {
+    private void writePart(int maxBytes) {
         if (sent < length) {
-            ByteBuf part = BulkContent.part(offset, sent, most);
+            ByteBuf part = BulkContent.part(offset, sent, maxBytes);
             digest.update(part.nioBuffer());
             sent += part.readableBytes();
             channel.write(new DefaultHttpContent(part));
         } else {
             ended = true;
-            done.accept(digest.digest());
+            onSent.accept(digest.digest());
             channel.write(LastHttpContent.EMPTY_LAST_CONTENT);
         }
     }
--- a/src/main/java/sedgeyoke/standin/Certificates.java
+++ b/src/main/java/sedgeyoke/standin/Certificates.java
@@ -8,14 +8,14 @@
 import java.time.Duration;
 import java.time.Instant;
 
-/** A certificate authority for demos, drills and tests: it issues to anyone, and nobody else trusts it. */
+/** A certificate authority for demos, drills and tests. */
 public final class Certificates {
-    private static final Duration VALID = Duration.ofDays(2);
+    private static final Duration VALIDITY = Duration.ofDays(2);
 
     private final Path folder;
     private final X509Bundle authority;
 
-    /** Files go to a folder, that of the authority too. */
+    /** Creates an authority; all files go to the folder. */
     public Certificates(Path folder) throws IOException {
         this.folder = folder;
         try {
@@ -32,8 +32,8 @@
         Instant now = Instant.now();
         return new CertificateBuilder()
                 .subject(subject)
-                .notBefore(now.minus(VALID))
-                .notAfter(now.plus(VALID))
+                .notBefore(now.minus(VALIDITY))
+                .notAfter(now.plus(VALIDITY))
                 .algorithm(CertificateBuilder.Algorithm.ecp256);
     }
 
--- a/src/main/java/sedgeyoke/standin/Clients.java
+++ b/src/main/java/sedgeyoke/standin/Clients.java
@@ -1,7 +1,6 @@
 package sedgeyoke.standin;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -21,70 +20,62 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import sedgeyoke.model.InvariantChecker;
-import sedgeyoke.model.RequestClassModel;
 import sedgeyoke.model.SiteModel;
+import sedgeyoke.standin.ClientRequest.Attempt;
 
 /**
- * The desks: requests at a steady mean rate that wait for no answer, dealt out among the balancers of each zone, one at
- * a time on a connection. A refused request is tried again up to twice, as the platform's clients do, and so is one
- * whose balancer could not be reached.
+ * Clients that send requests at a mean rate, whether or not earlier ones are answered, to the balancers of each zone,
+ * one at a time on a connection. As the platform's clients do, they retry up to twice what was rejected or could not be
+ * sent.
  */
 public final class Clients {
-    private static final int MOST_RETRIES = 2;
-    private static final int KEYS = 500;
-    private static final int BODY = 200;
-    private static final long DOWN_FOR = 1_000_000;
-    /** How long beyond its time a client still looks for its answer, to tell a late one from a lost one. */
-    private static final long PATIENCE_MS = 700;
+    private static final int MAX_RETRIES = 2;
+    private static final long MIN_BUDGET_MS = 10;
+    private static final int BODY_BYTES = 200;
+    private static final int OK = 200;
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int SERVICE_UNAVAILABLE = 503;
+    /** A balancer that does not accept connections is avoided for this time. */
+    private static final long AVOIDED_MICROS = 1_000_000;
+
+    private static final long CONNECT_RETRY_DELAY_MS = 20;
+    private static final long REJECTED_RETRY_DELAY_MS = 30;
+    /** How long a client waits beyond its deadline, to tell a late answer from a lost one. */
+    private static final long LATE_ANSWER_MS = 700;
 
-    private final SiteModel site;
     private final EventLoop loop;
     private final LongSupplier clock;
     private final InvariantChecker checker;
-    private final SplittableRandom random;
-    private final List<List<Front>> zones = new ArrayList<>();
-    private final double[] zoneShare;
-    private double perSecond;
-    private boolean asking;
-    private long number;
-    private long nextAt;
+    private final RequestGenerator generator;
+    private final List<List<Balancer>> balancersByZone = new ArrayList<>();
+    private double requestsPerSecond;
+    private boolean running;
+    private long nextRequestMicros;
 
-    /** A balancer as the front layer of its zone sees it. */
-    private final class Front {
-        final String name;
-        final Bootstrap bootstrap;
-        final InetSocketAddress address;
-        final Deque<Connection> idle = new ArrayDeque<>();
-        long downUntil;
+    /** A balancer, and the idle connections to it. */
+    private final class Balancer {
+        private final String name;
+        private final Bootstrap bootstrap;
+        private final InetSocketAddress address;
+        private final Deque<Connection> idle = new ArrayDeque<>();
+        private long avoidedUntilMicros;
 
-        Front(String name, InetSocketAddress address) {
+        Balancer(String name, InetSocketAddress address) {
             this.name = name;
             this.address = address;
             this.bootstrap = Http.client(loop, () -> new Connection(this));
         }
-    }
-
-    /** Something that a desk wants, with all its tries. */
-    private static final class Want {
-        final RequestClassModel cls;
-        final int zone;
-        final long since;
-        final String key;
-        /** The same for all its tries: they are to have one effect together. */
-        final String idempotencyKey;
 
-        int tries;
-
-        Want(RequestClassModel cls, int zone, long since, String key, String idempotencyKey) {
-            this.cls = cls;
-            this.zone = zone;
-            this.since = since;
-            this.key = key;
-            this.idempotencyKey = idempotencyKey;
+        /** Takes an idle connection that is still open; null if there is none. */
+        Connection pollIdle() {
+            Connection connection = idle.poll();
+            while (connection != null && !connection.channel.isActive()) {
+                connection = idle.poll();
+            }
+            return connection;
         }
     }
 
@@ -93,141 +84,122 @@
             EventLoop loop,
             LongSupplier clock,
             InvariantChecker checker,
-            double[] zoneShare,
+            double[] zoneShares,
             long seed) {
-        this.site = site;
         this.loop = loop;
         this.clock = clock;
         this.checker = checker;
-        this.random = new SplittableRandom(seed);
-        this.zoneShare = zoneShare.clone();
-        site.zones().forEach(z -> zones.add(new ArrayList<>()));
+        this.generator = new RequestGenerator(site, zoneShares, seed);
+        site.zones().forEach(zone -> balancersByZone.add(new ArrayList<>()));
     }
 
-    void balancer(String name, int zone, InetSocketAddress address) {
-        zones.get(zone).add(new Front(name, address));
+    /** From now on clients of a zone use this balancer too. */
+    void addBalancer(String name, int zone, InetSocketAddress address) {
+        balancersByZone.get(zone).add(new Balancer(name, address));
     }
 
-    /** Begins to ask, on the loop. */
+    /** Starts the traffic; on the loop. */
     void start(double rate) {
-        perSecond = rate;
-        asking = true;
-        nextAt = clock.getAsLong();
-        next();
+        requestsPerSecond = rate;
+        running = true;
+        nextRequestMicros = clock.getAsLong();
+        sendDue();
     }
 
-    /** How a zone's part of all traffic changes. */
-    public void zoneShare(int zone, double share) {
-        zoneShare[zone] = share;
+    /** Sets a zone's share of the traffic. */
+    void setZoneShare(int zone, double share) {
+        generator.setZoneShare(zone, share);
     }
 
+    /** Ends the traffic; requests in flight go on. */
     void stop() {
-        asking = false;
-    }
-
-    private void next() {
-        while (asking && nextAt <= clock.getAsLong()) {
-            arrive();
-            nextAt += (long) (-Math.log(1 - random.nextDouble()) * 1e6 / perSecond);
-        }
-        if (asking) {
-            loop.schedule(this::next, Math.max(1, nextAt - clock.getAsLong()), TimeUnit.MICROSECONDS);
-        }
+        running = false;
     }
 
-    private void arrive() {
-        double x = random.nextDouble();
-        RequestClassModel cls = site.classes().get(site.classes().size() - 1);
-        for (RequestClassModel c : site.classes()) {
-            x -= c.share();
-            if (x < 0) {
-                cls = c;
-                break;
-            }
-        }
-        double sum = 0;
-        for (double share : zoneShare) {
-            sum += share;
+    private void sendDue() {
+        while (running && nextRequestMicros <= clock.getAsLong()) {
+            ClientRequest request = generator.draw(clock.getAsLong());
+            checker.requestOffered(request.requestClass());
+            startAttempt(request);
+            nextRequestMicros += generator.drawIntervalMicros(requestsPerSecond);
         }
-        double z = random.nextDouble() * sum;
-        int zone = 0;
-        while (zone < zoneShare.length - 1 && z >= zoneShare[zone]) {
-            z -= zoneShare[zone++];
+        if (running) {
+            loop.schedule(this::sendDue, Math.max(1, nextRequestMicros - clock.getAsLong()), TimeUnit.MICROSECONDS);
         }
-        double popular = random.nextDouble();
-        String key = "o" + (int) (KEYS * popular * popular);
-        checker.requestOffered(cls);
-        ask(new Want(cls, zone, clock.getAsLong(), key, cls.keyed() ? "k-" + newId() : null));
     }
 
-    private void ask(Want want) {
-        List<Front> fronts = zones.get(want.zone);
+    private void startAttempt(ClientRequest request) {
         long now = clock.getAsLong();
-        List<Front> up = fronts.stream().filter(f -> f.downUntil <= now).toList();
-        List<Front> among = up.isEmpty() ? fronts : up;
-        Front front = among.get(random.nextInt(among.size()));
-        want.tries++;
-        Request request =
-                new Request(want, newId(), now, Math.max(10, want.cls.clientTimeoutMs() - (now - want.since) / 1_000));
-        checker.requestSent(request.id(), want.cls, want.idempotencyKey, front.name, now, request.deadline());
-        Connection connection = front.idle.poll();
-        while (connection != null && !connection.channel.isActive()) {
-            connection = front.idle.poll();
-        }
+        Balancer balancer = chooseBalancer(request.zone(), now);
+        Attempt attempt = request.startAttempt(generator.drawId(), now, MIN_BUDGET_MS);
+        checker.requestSent(
+                attempt.id(),
+                request.requestClass(),
+                request.idempotencyKey(),
+                balancer.name,
+                now,
+                attempt.deadlineMicros());
+        Connection connection = balancer.pollIdle();
         if (connection != null) {
-            connection.send(request, false);
-            return;
+            connection.send(attempt, false);
+        } else {
+            connect(balancer, attempt, false);
         }
-        connect(front, request, false);
     }
 
-    /** {@code resent}: it was sent before, on a connection that its balancer closed meanwhile. */
-    private void connect(Front front, Request request, boolean resent) {
-        front.bootstrap.connect(front.address).addListener((ChannelFuture connected) -> {
+    private Balancer chooseBalancer(int zone, long nowMicros) {
+        List<Balancer> all = balancersByZone.get(zone);
+        List<Balancer> available = all.stream()
+                .filter(balancer -> balancer.avoidedUntilMicros <= nowMicros)
+                .toList();
+        List<Balancer> candidates = available.isEmpty() ? all : available;
+        return candidates.get(generator.drawIndex(candidates.size()));
+    }
+
+    /** {@code resent}: the attempt was sent before, on a connection that the balancer was closing. */
+    private void connect(Balancer balancer, Attempt attempt, boolean resent) {
+        balancer.bootstrap.connect(balancer.address).addListener((ChannelFuture connected) -> {
             if (connected.isSuccess()) {
-                connected.channel().pipeline().get(Connection.class).send(request, resent);
+                connected.channel().pipeline().get(Connection.class).send(attempt, resent);
                 return;
             }
-            front.downUntil = clock.getAsLong() + DOWN_FOR;
+            balancer.avoidedUntilMicros = clock.getAsLong() + AVOIDED_MICROS;
             if (resent) {
-                checker.connectionLost(request.id(), clock.getAsLong());
+                checker.connectionLost(attempt.id(), clock.getAsLong());
             } else {
-                checker.connectFailed(request.id());
-                again(request.want(), 20);
+                checker.connectFailed(attempt.id());
+                retryLater(attempt.request(), CONNECT_RETRY_DELAY_MS);
             }
         });
     }
 
-    private String newId() {
-        return String.format("%016x", random.nextLong() & ~0xffffffL | number++ & 0xffffffL);
-    }
-
-    private void again(Want want, long delayMs) {
-        long left = want.cls.clientTimeoutMs() - (clock.getAsLong() - want.since) / 1_000 - delayMs;
-        if (want.tries <= MOST_RETRIES && left > 10) {
-            loop.schedule(() -> ask(want), delayMs, TimeUnit.MILLISECONDS);
+    private void retryLater(ClientRequest request, long delayMs) {
+        long remainingMs = request.remainingMs(clock.getAsLong()) - delayMs;
+        if (request.attempts() <= MAX_RETRIES && remainingMs > MIN_BUDGET_MS) {
+            loop.schedule(() -> startAttempt(request), delayMs, TimeUnit.MILLISECONDS);
         }
     }
 
-    /** One try of a want, begun at a time of the clock. */
-    private record Request(Want want, String id, long at, long budgetMs) {
-        long deadline() {
-            return at + budgetMs * 1_000;
-        }
+    private static InvariantChecker.Answer answer(int status) {
+        return switch (status) {
+            case OK -> InvariantChecker.Answer.SERVED;
+            case TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE -> InvariantChecker.Answer.REJECTED;
+            default -> InvariantChecker.Answer.FAILED;
+        };
     }
 
-    /** A connection to a balancer, and the request on it. */
+    /** A connection to a balancer and the attempt on it. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
-        private final Front front;
+        private final Balancer balancer;
         private Channel channel;
-        private Request current;
-        /** What is on it now was first sent on another one. */
+        private Attempt current;
+        /** The present attempt was first sent on another connection. */
         private boolean resent;
 
-        private int answered;
+        private int answers;
 
-        Connection(Front front) {
-            this.front = front;
+        Connection(Balancer balancer) {
+            this.balancer = balancer;
         }
 
         @Override
@@ -235,40 +207,43 @@
             channel = ctx.channel();
         }
 
-        void send(Request request, boolean again) {
-            Want want = request.want();
-            current = request;
-            resent = again;
-            long budgetMs = Math.max(1, (request.deadline() - clock.getAsLong()) / 1_000);
-            boolean free = want.cls.safe();
+        void send(Attempt attempt, boolean sentBefore) {
+            current = attempt;
+            resent = sentBefore;
+            long budgetMs = Math.max(1, (attempt.deadlineMicros() - clock.getAsLong()) / 1_000);
+            channel.writeAndFlush(httpRequest(attempt, budgetMs));
+            loop.schedule(() -> closeIfCurrent(attempt), budgetMs + LATE_ANSWER_MS, TimeUnit.MILLISECONDS);
+        }
+
+        private FullHttpRequest httpRequest(Attempt attempt, long budgetMs) {
+            ClientRequest request = attempt.request();
+            boolean safe = request.requestClass().safe();
             FullHttpRequest http = new DefaultFullHttpRequest(
                     HttpVersion.HTTP_1_1,
-                    free ? HttpMethod.GET : HttpMethod.POST,
-                    "/api?obj=" + want.key,
-                    free ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(new byte[BODY]));
+                    safe ? HttpMethod.GET : HttpMethod.POST,
+                    "/api?obj=" + request.affinityKey(),
+                    safe ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(new byte[BODY_BYTES]));
             http.headers()
                     .set(HttpHeaderNames.HOST, "origin.svc")
-                    .set("X-Call-Id", request.id())
-                    .set("X-Call-Class", want.cls.name())
+                    .set("X-Call-Id", attempt.id())
+                    .set("X-Call-Class", request.requestClass().name())
                     .set("X-Budget-Ms", budgetMs);
-            if (want.idempotencyKey != null) {
-                http.headers().set("Idempotency-Key", want.idempotencyKey);
+            if (request.idempotencyKey() != null) {
+                http.headers().set("Idempotency-Key", request.idempotencyKey());
             }
-            if (want.tries > 1) {
+            if (request.attempts() > 1) {
                 http.headers().set("X-Again", "1");
             }
-            if (!free) {
-                http.headers().set(HttpHeaderNames.CONTENT_LENGTH, BODY);
+            if (!safe) {
+                http.headers().set(HttpHeaderNames.CONTENT_LENGTH, BODY_BYTES);
+            }
+            return http;
+        }
+
+        private void closeIfCurrent(Attempt attempt) {
+            if (attempt.equals(current)) {
+                channel.close(); // channelInactive reports the loss
             }
-            channel.writeAndFlush(http);
-            loop.schedule(
-                    () -> {
-                        if (request.equals(current)) {
-                            channel.close(); // its loss is noted in channelInactive
-                        }
-                    },
-                    budgetMs + PATIENCE_MS,
-                    TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -277,56 +252,59 @@
                 ctx.close();
                 return;
             }
-            Request done = current;
+            Attempt answered = current;
             current = null;
-            answered++;
-            int status = response.status().code();
-            boolean fits = status != 200
-                    || ByteBufUtil.getBytes(response.content()).length > 0
-                            && response.content()
-                                    .toString(StandardCharsets.UTF_8)
-                                    .equals("done " + done.id());
-            InvariantChecker.Answer answer = status == 200
-                    ? InvariantChecker.Answer.SERVED
-                    : status == 429 || status == 503
-                            ? InvariantChecker.Answer.REJECTED
-                            : InvariantChecker.Answer.FAILED;
-            checker.requestAnswered(done.id(), answer, fits, done.want().since, clock.getAsLong());
+            answers++;
+            InvariantChecker.Answer answer = answer(response.status().code());
+            checker.requestAnswered(
+                    answered.id(),
+                    answer,
+                    bodyMatches(answered, answer, response),
+                    answered.request().createdMicros(),
+                    clock.getAsLong());
             if (HttpUtil.isKeepAlive(response)) {
-                front.idle.push(this);
+                balancer.idle.push(this);
             } else {
                 ctx.close();
             }
             if (answer == InvariantChecker.Answer.REJECTED) {
-                again(done.want(), 30L << done.want().tries);
+                retryLater(
+                        answered.request(),
+                        REJECTED_RETRY_DELAY_MS << answered.request().attempts());
             }
         }
 
+        /** Whether the body is the one that an order node makes for this attempt. */
+        private boolean bodyMatches(Attempt attempt, InvariantChecker.Answer answer, FullHttpResponse response) {
+            return answer != InvariantChecker.Answer.SERVED
+                    || response.content().toString(StandardCharsets.UTF_8).equals("done " + attempt.id());
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            front.idle.remove(this);
-            Request open = current;
+            balancer.idle.remove(this);
+            Attempt interrupted = current;
             current = null;
-            if (open == null) {
+            if (interrupted == null) {
                 return;
             }
-            if (crossedItsEnd(open)) {
-                connect(front, open, true);
+            if (mayResend(interrupted)) {
+                connect(balancer, interrupted, true);
             } else {
-                checker.connectionLost(open.id(), clock.getAsLong());
+                checker.connectionLost(interrupted.id(), clock.getAsLong());
             }
         }
 
         /**
-         * PROTOCOL, "Clients to balancers": a balancer may close a connection between requests; a request that crosses
-         * this is sent once more, with its id, and only a second end counts. A balancer that read the first and had it
-         * run shows all the same: by a second effect under one id.
+         * Whether the balancer may have closed an idle connection while the attempt was on its way. PROTOCOL ("Clients
+         * to balancers") lets a client send it once more, with the same id. If the balancer did forward the first one,
+         * the checker sees a second effect under that id.
          */
-        private boolean crossedItsEnd(Request open) {
-            return answered > 0
+        private boolean mayResend(Attempt attempt) {
+            return answers > 0
                     && !resent
-                    && !checker.isBalancerDown(front.name)
-                    && clock.getAsLong() < open.deadline();
+                    && !checker.isBalancerDown(balancer.name)
+                    && clock.getAsLong() < attempt.deadlineMicros();
         }
 
         @Override
--- a/src/main/java/sedgeyoke/standin/Configurations.java
+++ b/src/main/java/sedgeyoke/standin/Configurations.java
@@ -6,7 +6,7 @@
 import sedgeyoke.model.RequestClassModel;
 import sedgeyoke.model.SiteModel;
 
-/** What balancers are told at their start, as the platform's file has it (DEPLOY, PROTOCOL). */
+/** The platform's configuration files for balancers (DEPLOY, PROTOCOL). */
 public final class Configurations {
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -29,7 +29,7 @@
                 .put("seed", Long.toHexString(seed));
         root.putObject("limits").put("cores", 1.0).put("memory_mb", 192).put("sockets", 1_024);
         root.putObject("known").put("revision", 0).put("complete", true).putArray("members");
-        ObjectNode s = root.putObject("settings")
+        ObjectNode settings = root.putObject("settings")
                 .put("az", zone)
                 .put("group-size", group)
                 .put("position", position)
@@ -37,13 +37,16 @@
                 .put("tick-s", 0.005)
                 .put("weights", "silent")
                 .put("counted-by", "request");
-        site.zones().forEach(s.putArray("localities")::add);
-        SiteModel.KINDS.forEach(s.putArray("kinds")::add);
-        s.putObject("extra").put("warm-keys", true);
-        s.putObject("prices").put("cross-zone", 0.06).put("late-fail", 0.05).put("waste", 0.02);
-        ObjectNode report = s.putObject("report").put("via", "piggyback");
+        site.zones().forEach(settings.putArray("localities")::add);
+        SiteModel.KINDS.forEach(settings.putArray("kinds")::add);
+        settings.putObject("extra").put("warm-keys", true);
+        settings.putObject("prices")
+                .put("cross-zone", 0.06)
+                .put("late-fail", 0.05)
+                .put("waste", 0.02);
+        ObjectNode report = settings.putObject("report").put("via", "piggyback");
         report.putArray("names").add("waiting").add("cpu").add("avg_ms");
-        s.putObject("ceilings")
+        settings.putObject("ceilings")
                 .put("cancel", true)
                 .put("may-duplicate", true)
                 .put("try-limit", 4)
@@ -53,7 +56,7 @@
                 .put("multiplex", 1)
                 .put("retry-after", site.retryAfter())
                 .put("max-retry-after-s", 1.2);
-        s.putObject("rules")
+        settings.putObject("rules")
                 .put("answer-slack-s", 0.02)
                 .put("ask-within-s", 10.0)
                 .put("drain-grace-s", site.rules().drainGraceMs() / 1e3)
@@ -61,16 +64,16 @@
                 .put("cold-s", site.rules().warmUpMs() / 1e3)
                 .put("fall-multiple", site.rules().overloadMultiple())
                 .put("fall-s", site.rules().overloadWindowMs() / 1e3);
-        ArrayNode list = s.putArray("classes");
-        for (RequestClassModel c : site.classes()) {
-            list.addObject()
-                    .put("name", c.name())
-                    .put("repeat", c.idempotency().settingsName())
-                    .put("aim-s", c.latencyObjectiveMs() / 1e3)
-                    .put("give-up-s", c.clientTimeoutMs() / 1e3)
-                    .put("worth", c.priorityWeight())
+        ArrayNode classes = settings.putArray("classes");
+        for (RequestClassModel requestClass : site.classes()) {
+            classes.addObject()
+                    .put("name", requestClass.name())
+                    .put("repeat", requestClass.idempotency().settingsName())
+                    .put("aim-s", requestClass.latencyObjectiveMs() / 1e3)
+                    .put("give-up-s", requestClass.clientTimeoutMs() / 1e3)
+                    .put("worth", requestClass.priorityWeight())
                     .put("late-worth", 0.0)
-                    .put("dedup-scope", c.keyed() ? "zone" : "all")
+                    .put("dedup-scope", requestClass.keyed() ? "zone" : "all")
                     .put("memory-span-s", 2.5);
         }
         return root.toString();
--- a/src/main/java/sedgeyoke/standin/DiscoveryStandin.java
+++ b/src/main/java/sedgeyoke/standin/DiscoveryStandin.java
@@ -23,12 +23,17 @@
 import sedgeyoke.model.SiteModel;
 
 /**
- * Discovery, with an agent of its own for each balancer: so it knows when it has told whom, which the rule on drains is
- * judged by. A watch waits for news; an agent can be slower than the others, and all can be down.
+ * The discovery service, with an agent for each balancer, so that the {@link InvariantChecker} learns when which balancer
+ * was notified of what. An agent can be slower than others, and all of them can be down.
  */
 public final class DiscoveryStandin {
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final int LONGEST_HOLD_MS = 60_000;
+    private static final int MAX_HOLD_MS = 60_000;
+    /** Phases of a node, as the platform names them. */
+    static final String UP = "up";
+
+    static final String DRAINING = "draining";
+    private static final String REMOVED = "removed";
 
     private final EventLoop loop;
     private final LongSupplier clock;
@@ -39,7 +44,7 @@
     private long revision;
     private boolean down;
 
-    /** One node as the list has it. */
+    /** A node in the endpoint list, with the revision of its latest change. */
     private record Member(
             String id, String address, int zone, int kind, String phase, long launchedAt, long revision) {}
 
@@ -53,73 +58,76 @@
     /** Adds the agent of a balancer; returns its address. Not to be called on the loop. */
     String agent(String balancer, long delayMs) {
         Agent agent = new Agent(balancer, delayMs);
-        loop.submit(() -> agent.known = revision).syncUninterruptibly();
-        Channel listener = Http.listen(loop, 0, () -> new Calls(agent));
+        loop.submit(() -> agent.knownRevision = revision).syncUninterruptibly();
+        Channel listener = Http.listen(loop, 0, () -> new Connection(agent));
         agents.put(balancer, agent);
         return "127.0.0.1:" + ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
-    /** What is true of a node from now on; {@code up}, {@code draining} or {@code removed}. */
+    /** Sets the phase of a node, which agents learn after their delay. */
     void set(OrderNode node, String phase) {
         set(node.spec(), node.address(), node.model().launchedAt(), phase);
     }
 
-    /** The same for a node of any make. */
+    /** The same for a node that is not an {@link OrderNode}. */
     void set(SiteModel.NodeSpec spec, String address, long launchedAt, String phase) {
         revision++;
-        Member m = new Member(spec.id(), address, spec.zone(), spec.kind(), phase, launchedAt, revision);
-        members.put(m.id(), m);
-        long at = revision;
-        agents.values().forEach(a -> loop.schedule(() -> a.learn(at), a.delayMs, TimeUnit.MILLISECONDS));
+        Member member = new Member(spec.id(), address, spec.zone(), spec.kind(), phase, launchedAt, revision);
+        members.put(member.id(), member);
+        long newRevision = revision;
+        agents.values()
+                .forEach(agent ->
+                        loop.schedule(() -> agent.advanceTo(newRevision), agent.delayMs, TimeUnit.MILLISECONDS));
     }
 
-    /** Whether calls fail. What is open ends. */
-    public void down(boolean on) {
-        down = on;
-        if (on) {
-            agents.values().forEach(a -> List.copyOf(a.connections).forEach(Channel::close));
+    /** Makes calls fail, with all open connections, or ends that. */
+    void setDown(boolean nowDown) {
+        down = nowDown;
+        if (nowDown) {
+            agents.values().forEach(agent -> List.copyOf(agent.connections).forEach(Channel::close));
         }
     }
 
+    /** The changes after one revision up to another, or the complete list if {@code from} is negative. */
     private String list(long from, long upTo) {
         ObjectNode root = JSON.createObjectNode().put("revision", upTo).put("complete", from < 0);
         ArrayNode list = root.putArray("members");
-        for (Member m : members.values()) {
-            if (m.revision() > from
-                    && m.revision() <= upTo
-                    && !(from < 0 && m.phase().equals("removed"))) {
+        for (Member member : members.values()) {
+            if (member.revision() > from
+                    && member.revision() <= upTo
+                    && !(from < 0 && member.phase().equals(REMOVED))) {
                 list.addObject()
-                        .put("id", m.id())
-                        .put("host_port", m.address())
-                        .put("locality", site.zones().get(m.zone()))
-                        .put("flavor", SiteModel.KINDS.get(m.kind()))
-                        .put("cell", m.zone())
-                        .put("phase", m.phase())
+                        .put("id", member.id())
+                        .put("host_port", member.address())
+                        .put("locality", site.zones().get(member.zone()))
+                        .put("flavor", SiteModel.KINDS.get(member.kind()))
+                        .put("cell", member.zone())
+                        .put("phase", member.phase())
                         .put("size", 1.0)
-                        .put("up_since_ms", m.launchedAt() / 1_000);
+                        .put("up_since_ms", member.launchedAt() / 1_000);
             }
         }
         return root.toString();
     }
 
-    /** What one balancer's agent knows, and the watches on it. */
+    /** The agent of one balancer: the revision that it knows, and the watches that wait for a later one. */
     private final class Agent {
         private final String balancer;
         private final long delayMs;
         private final Set<Channel> connections = new HashSet<>();
         private final List<Watch> watches = new ArrayList<>();
-        private long known;
+        private long knownRevision;
 
         Agent(String balancer, long delayMs) {
             this.balancer = balancer;
             this.delayMs = delayMs;
         }
 
-        void learn(long upTo) {
-            known = Math.max(known, upTo);
+        void advanceTo(long newRevision) {
+            knownRevision = Math.max(knownRevision, newRevision);
             List<Watch> waiting = List.copyOf(watches);
             watches.clear();
-            waiting.forEach(w -> answer(w.ctx(), w.from(), w.timeout()));
+            waiting.forEach(watch -> answer(watch.ctx(), watch.from(), watch.timeout()));
         }
 
         void answer(ChannelHandlerContext ctx, long from, ScheduledFuture<?> timeout) {
@@ -127,20 +135,21 @@
                 timeout.cancel(false);
             }
             members.values().stream()
-                    .filter(m -> m.revision() > from && m.revision() <= known)
-                    .forEach(m ->
-                            checker.balancerNotified(balancer, m.id(), m.phase().equals("up"), clock.getAsLong()));
-            ctx.writeAndFlush(Http.answer(200, list(from, known)));
+                    .filter(member -> member.revision() > from && member.revision() <= knownRevision)
+                    .forEach(member -> checker.balancerNotified(
+                            balancer, member.id(), member.phase().equals(UP), clock.getAsLong()));
+            ctx.writeAndFlush(Http.response(200, list(from, knownRevision)));
         }
     }
 
+    /** A call that is answered when there is something after {@code from}, or at its timeout. */
     private record Watch(ChannelHandlerContext ctx, long from, ScheduledFuture<?> timeout) {}
 
-    /** The calls on one connection. */
-    private final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
+    /** A connection of a balancer to its agent. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final Agent agent;
 
-        Calls(Agent agent) {
+        Connection(Agent agent) {
             this.agent = agent;
         }
 
@@ -155,7 +164,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             agent.connections.remove(ctx.channel());
-            agent.watches.removeIf(w -> w.ctx() == ctx);
+            agent.watches.removeIf(watch -> watch.ctx() == ctx);
         }
 
         @Override
@@ -164,16 +173,16 @@
             long from = Long.parseLong(query.getOrDefault("from", List.of("-1")).get(0));
             long hold =
                     Long.parseLong(query.getOrDefault("hold_ms", List.of("0")).get(0));
-            if (from < 0 || from < agent.known) {
+            if (from < 0 || from < agent.knownRevision) {
                 agent.answer(ctx, from, null);
                 return;
             }
             ScheduledFuture<?> timeout = loop.schedule(
                     () -> {
-                        agent.watches.removeIf(w -> w.ctx() == ctx);
+                        agent.watches.removeIf(watch -> watch.ctx() == ctx);
                         agent.answer(ctx, from, null);
                     },
-                    Math.min(hold, LONGEST_HOLD_MS),
+                    Math.min(hold, MAX_HOLD_MS),
                     TimeUnit.MILLISECONDS);
             agent.watches.add(new Watch(ctx, from, timeout));
         }
--- a/src/main/java/sedgeyoke/standin/FaultProxy.java
+++ b/src/main/java/sedgeyoke/standin/FaultProxy.java
@@ -23,23 +23,23 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A TCP proxy on loopback that can delay what passes, hold it back (stall), let it pass one way only, cut all
- * connections, and refuse new ones. Bytes keep their order and none are invented: it is a network, not an enemy. All
- * methods may be called on any thread and take effect on the loop.
+ * A TCP proxy on loopback that injects network faults: it can delay data, stall one or both directions, close all
+ * connections and reject new ones. It never changes or reorders bytes. All methods may be called on any thread and take
+ * effect on the loop.
  */
 public final class FaultProxy implements AutoCloseable {
-    private static final int MOST_HELD = 1 << 20;
+    private static final int MAX_STALLED_BYTES = 1 << 20;
 
     private final EventLoop loop;
     private final InetSocketAddress target;
     private final Channel listener;
-    private final Set<Side> sides = ConcurrentHashMap.newKeySet();
+    private final Set<Direction> directions = ConcurrentHashMap.newKeySet();
     private volatile long delayMs;
-    private volatile boolean stalledUp;
-    private volatile boolean stalledDown;
-    private volatile boolean refusing;
+    private volatile boolean toTargetStalled;
+    private volatile boolean fromTargetStalled;
+    private volatile boolean rejecting;
 
-    /** Listens on {@code port} of loopback (0 for any) and passes on to a target. Not to be called on the loop. */
+    /** Listens on a port of loopback, 0 for any, and forwards to a target. Must not be called on the loop. */
     public FaultProxy(EventLoop loop, int port, InetSocketAddress target) {
         this.loop = loop;
         this.target = target;
@@ -59,47 +59,47 @@
                 .channel();
     }
 
-    /** Where clients of the target connect instead. */
+    /** The address that clients of the target connect to instead. */
     public InetSocketAddress address() {
         return (InetSocketAddress) listener.localAddress();
     }
 
-    /** What passes from now on is late by so much. */
-    public void delay(long ms) {
-        delayMs = ms;
+    /** Delays data from now on. */
+    public void setDelayMs(long millis) {
+        delayMs = millis;
     }
 
-    /** Holds back what goes to the target, what comes from it, or both; letting go passes on all that was held. */
-    public void stall(boolean towardsTarget, boolean fromTarget) {
-        stalledUp = towardsTarget;
-        stalledDown = fromTarget;
-        loop.execute(() -> sides.forEach(Side::flush));
+    /** Sets which directions are stalled; data of a stalled direction is forwarded when the stall ends. */
+    public void stall(boolean toTarget, boolean fromTarget) {
+        toTargetStalled = toTarget;
+        fromTargetStalled = fromTarget;
+        loop.execute(() -> directions.forEach(Direction::flush));
     }
 
-    /** Ends all connections, and refuses new ones until told otherwise. */
-    public void cut(boolean on) {
-        refusing = on;
-        if (on) {
-            loop.execute(() -> sides.forEach(s -> s.channel.close()));
+    /** Closes all connections and rejects new ones, or ends that. */
+    public void cut(boolean enabled) {
+        rejecting = enabled;
+        if (enabled) {
+            loop.execute(() -> directions.forEach(direction -> direction.channel.close()));
         }
     }
 
     private void accept(Channel client) {
-        if (refusing) {
+        if (rejecting) {
             client.close();
             return;
         }
-        Side towards = new Side(true);
-        Side back = new Side(false);
-        client.pipeline().addLast(towards);
+        Direction toTarget = new Direction(true);
+        Direction fromTarget = new Direction(false);
+        client.pipeline().addLast(toTarget);
         ChannelFuture connecting = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.AUTO_READ, false)
-                .handler(back)
+                .handler(fromTarget)
                 .connect(target);
-        towards.to = connecting.channel();
-        back.to = client;
+        toTarget.destination = connecting.channel();
+        fromTarget.destination = client;
         connecting.addListener(connected -> {
             if (connected.isSuccess()) {
                 client.config().setAutoRead(true);
@@ -116,29 +116,29 @@
         cut(true);
     }
 
-    /** One direction of one connection: what is read here goes out on {@code to}. */
-    private final class Side extends ChannelInboundHandlerAdapter {
-        private final boolean up;
-        private final Deque<Object> held = new ArrayDeque<>();
+    /** One direction of a connection: data that is read here is written to {@code destination}. */
+    private final class Direction extends ChannelInboundHandlerAdapter {
+        private final boolean towardsTarget;
+        private final Deque<Object> stalledData = new ArrayDeque<>();
         private Channel channel;
-        private Channel to;
-        private int heldBytes;
+        private Channel destination;
+        private int stalledBytes;
 
-        Side(boolean up) {
-            this.up = up;
+        Direction(boolean towardsTarget) {
+            this.towardsTarget = towardsTarget;
         }
 
         @Override
         public void handlerAdded(ChannelHandlerContext ctx) {
             channel = ctx.channel();
-            sides.add(this);
+            directions.add(this);
         }
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
-            held.add(message);
-            heldBytes += ((ByteBuf) message).readableBytes();
-            if (heldBytes > MOST_HELD) {
+            stalledData.add(message);
+            stalledBytes += ((ByteBuf) message).readableBytes();
+            if (stalledBytes > MAX_STALLED_BYTES) {
                 channel.config().setAutoRead(false);
             }
             if (delayMs > 0) {
@@ -149,30 +149,30 @@
         }
 
         private boolean stalled() {
-            return up ? stalledUp : stalledDown;
+            return towardsTarget ? toTargetStalled : fromTargetStalled;
         }
 
         private void flush() {
             if (stalled()) {
                 return;
             }
-            List<Object> out = new ArrayList<>(held);
-            held.clear();
-            heldBytes = 0;
-            out.forEach(m -> to.write(m));
-            to.flush();
+            List<Object> out = new ArrayList<>(stalledData);
+            stalledData.clear();
+            stalledBytes = 0;
+            out.forEach(data -> destination.write(data));
+            destination.flush();
             channel.config().setAutoRead(true);
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            sides.remove(this);
+            directions.remove(this);
             if (!stalled()) {
                 flush();
-                to.close();
+                destination.close();
             }
-            held.forEach(ReferenceCountUtil::release);
-            held.clear();
+            stalledData.forEach(ReferenceCountUtil::release);
+            stalledData.clear();
         }
 
         @Override
--- a/src/main/java/sedgeyoke/standin/Http.java
+++ b/src/main/java/sedgeyoke/standin/Http.java
@@ -23,10 +23,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.function.Supplier;
 
-/** What all stand-ins need of HTTP/1.1 on loopback. */
+/** HTTP/1.1 servers and clients on loopback, for the stand-ins. */
 final class Http {
-    private static final int LONGEST = 1 << 20;
+    private static final int MAX_CONTENT_BYTES = 1 << 20;
     private static final int BACKLOG = 512;
+    private static final int CONNECT_TIMEOUT_MS = 1_000;
 
     private Http() {}
 
@@ -34,7 +35,7 @@
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
     }
 
-    /** Listens on a port of loopback, 0 for any; returns once that works. Not to be called on the loop. */
+    /** Listens on a port of loopback, 0 for any, and returns once it does. Must not be called on the loop. */
     static Channel listen(EventLoop loop, int port, Supplier<ChannelHandler> handler) {
         return bootstrap(loop, handler)
                 .bind(loopback(port))
@@ -51,8 +52,12 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(LONGEST), handler.get());
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(
+                                        new HttpServerCodec(),
+                                        new HttpObjectAggregator(MAX_CONTENT_BYTES),
+                                        handler.get());
                     }
                 });
     }
@@ -62,20 +67,24 @@
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_000)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LONGEST), handler.get());
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(
+                                        new HttpClientCodec(),
+                                        new HttpObjectAggregator(MAX_CONTENT_BYTES),
+                                        handler.get());
                     }
                 });
     }
 
-    static FullHttpResponse answer(int status, String body) {
+    static FullHttpResponse response(int status, String body) {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        FullHttpResponse answer = new DefaultFullHttpResponse(
+        FullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes));
-        answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
-        return answer;
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+        return response;
     }
 }
--- a/src/main/java/sedgeyoke/standin/OrderNode.java
+++ b/src/main/java/sedgeyoke/standin/OrderNode.java
@@ -19,7 +19,7 @@
 import sedgeyoke.model.SiteModel;
 import sedgeyoke.model.UpstreamModel;
 
-/** An order node on a real socket: the {@link UpstreamModel}, reached as PROTOCOL, "Balancers to order nodes", has it. */
+/** An order node on a socket: an {@link UpstreamModel} behind the protocol between balancers and order nodes. */
 public final class OrderNode {
     private final EventLoop loop;
     private final UpstreamModel model;
@@ -32,7 +32,7 @@
             EventLoop loop,
             LongSupplier clock,
             InvariantChecker checker,
-            IdempotencyKeyCache memory,
+            IdempotencyKeyCache executedKeys,
             long seed) {
         this.loop = loop;
         this.model = new UpstreamModel(
@@ -45,12 +45,12 @@
                     }
 
                     @Override
-                    public void schedule(long delay, Runnable what) {
-                        loop.schedule(what, delay, TimeUnit.MICROSECONDS);
+                    public void schedule(long delayMicros, Runnable task) {
+                        loop.schedule(task, delayMicros, TimeUnit.MICROSECONDS);
                     }
                 },
                 checker,
-                memory,
+                executedKeys,
                 seed);
     }
 
@@ -60,12 +60,12 @@
         loop.submit(model::start).syncUninterruptibly();
     }
 
-    /** What it does; to be asked on the loop. */
+    /** Its behaviour; to be queried on the loop. */
     public UpstreamModel model() {
         return model;
     }
 
-    /** What it is made of. */
+    /** Its parameters. */
     public SiteModel.NodeSpec spec() {
         return model.spec();
     }
@@ -74,52 +74,56 @@
         return "127.0.0.1:" + port;
     }
 
-    /** The machine says nothing any more. */
-    public void vanish() {
+    /** From now on it answers nothing. */
+    void stopResponding() {
         model.stopResponding();
     }
 
-    /** The process starts anew, cold, at its address; what it held is lost. */
-    public void restart() {
+    /** Restarts it cold at the same address; requests in flight are lost. */
+    void restart() {
         List.copyOf(connections).forEach(Channel::close);
         model.restart();
     }
 
-    /** It finishes what it has and wants nothing new. */
-    public void drain() {
+    /** From now on it rejects new requests and finishes those in flight. */
+    void drain() {
         model.drain();
     }
 
-    private void take(ChannelHandlerContext ctx, FullHttpRequest request) {
+    private void handle(ChannelHandlerContext ctx, FullHttpRequest request) {
         String id = request.headers().get("X-Call-Id");
         if (id == null) {
-            ctx.writeAndFlush(Http.answer(404, ""));
+            ctx.writeAndFlush(Http.response(404, ""));
             return;
         }
-        String key = new QueryStringDecoder(request.uri())
+        String affinityKey = new QueryStringDecoder(request.uri())
                 .parameters()
                 .getOrDefault("obj", List.of(""))
                 .get(0);
-        model.receive(id, key, request.headers().get("Idempotency-Key"), answer -> ctx.writeAndFlush(http(id, answer)));
+        model.receive(
+                id,
+                affinityKey,
+                request.headers().get("Idempotency-Key"),
+                answer -> ctx.writeAndFlush(response(id, answer)));
     }
 
-    private static FullHttpResponse http(String id, UpstreamModel.Answer answer) {
-        FullHttpResponse http =
+    private static FullHttpResponse response(String id, UpstreamModel.Answer answer) {
+        FullHttpResponse response =
                 switch (answer.kind()) {
-                    case DONE -> Http.answer(200, "done " + id);
-                    case REJECTED -> Http.answer(503, "");
-                    default -> Http.answer(500, "");
+                    case DONE -> Http.response(200, "done " + id);
+                    case REJECTED -> Http.response(503, "");
+                    default -> Http.response(500, "");
                 };
         if (answer.kind() == UpstreamModel.AnswerKind.REJECTED) {
-            http.headers().set("X-Rejected", "1");
+            response.headers().set("X-Rejected", "1");
         }
-        http.headers()
+        response.headers()
                 .set(
                         "X-Load-Report",
                         "{\"waiting\":" + answer.waiting() + ",\"cpu\":"
                                 + Math.round(answer.utilisation() * 1_000) / 1e3 + ",\"avg_ms\":"
                                 + Math.round(answer.serviceMs() * 10) / 10.0 + "}");
-        return http;
+        return response;
     }
 
     /** One connection of a balancer. */
@@ -136,7 +140,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            take(ctx, request);
+            handle(ctx, request);
         }
 
         @Override
--- a/src/main/java/sedgeyoke/standin/Site.java
+++ b/src/main/java/sedgeyoke/standin/Site.java
@@ -15,76 +15,77 @@
 import sedgeyoke.model.RequestClassModel;
 import sedgeyoke.model.SiteModel;
 
-/** A whole site on loopback, balancers apart: discovery, order nodes and clients on one event loop. */
+/** A site on loopback without its balancers: discovery, order nodes and clients on one event loop. */
 public final class Site implements AutoCloseable {
     private final SiteModel spec;
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final InvariantChecker checker;
     private final DiscoveryStandin discovery;
     private final Clients clients;
-    private final Map<String, OrderNode> nodes = new HashMap<>();
-    private final List<OrderNode> inOrder = new ArrayList<>();
-    private final long startedAt = System.currentTimeMillis() * 1_000;
-    private final long startedNanos = System.nanoTime();
+    private final Map<String, OrderNode> nodesById = new HashMap<>();
+    private final List<OrderNode> nodes = new ArrayList<>();
+    private final long startMicros = System.currentTimeMillis() * 1_000;
+    private final long startNanos = System.nanoTime();
 
-    /** Starts the nodes; {@code zoneShare} is each zone's part of the traffic. */
-    public Site(SiteModel spec, double[] zoneShare, long seed) {
+    /** Starts the nodes; {@code zoneShares} are the zones' shares of the traffic. */
+    public Site(SiteModel spec, double[] zoneShares, long seed) {
         this.spec = spec;
         this.checker = new InvariantChecker(spec);
         this.discovery = new DiscoveryStandin(loop, this::now, checker, spec);
-        this.clients = new Clients(spec, loop, this::now, checker, zoneShare, seed);
-        List<IdempotencyKeyCache> memories =
-                spec.zones().stream().map(z -> new IdempotencyKeyCache()).toList();
-        for (SiteModel.NodeSpec n : spec.nodes()) {
-            OrderNode node = new OrderNode(n, spec, loop, this::now, checker, memories.get(n.zone()), seed);
+        this.clients = new Clients(spec, loop, this::now, checker, zoneShares, seed);
+        List<IdempotencyKeyCache> executedKeys =
+                spec.zones().stream().map(zone -> new IdempotencyKeyCache()).toList();
+        for (SiteModel.NodeSpec nodeSpec : spec.nodes()) {
+            OrderNode node =
+                    new OrderNode(nodeSpec, spec, loop, this::now, checker, executedKeys.get(nodeSpec.zone()), seed);
             node.start();
-            nodes.put(n.id(), node);
-            inOrder.add(node);
+            nodesById.put(nodeSpec.id(), node);
+            nodes.add(node);
         }
         loop.scheduleAtFixedRate(
                 () -> checker.checkForStall(now()),
                 InvariantChecker.STALL_CHECK_INTERVAL_MICROS,
                 InvariantChecker.STALL_CHECK_INTERVAL_MICROS,
                 TimeUnit.MICROSECONDS);
-        inOrder.forEach(n -> run(() -> discovery.set(n, "up")));
+        nodes.forEach(node -> run(() -> discovery.set(node, DiscoveryStandin.UP)));
     }
 
-    /** The wall clock of the start, carried on by the monotonic one; microseconds. */
+    /** Microseconds since the epoch: the wall clock at the start, advanced by the monotonic clock. */
     public long now() {
-        return startedAt + (System.nanoTime() - startedNanos) / 1_000;
+        return startMicros + (System.nanoTime() - startNanos) / 1_000;
     }
 
-    /** The loop that all stand-ins run on. */
+    /** The event loop of all stand-ins. */
     public EventLoop loop() {
         return loop;
     }
 
-    /** Does something on the stand-ins' loop and waits for it. */
+    /** Runs an action on the loop and waits for it. */
     public void run(Runnable action) {
         loop.submit(action).syncUninterruptibly();
     }
 
-    /** Asks something on the stand-ins' loop. */
-    public <T> T ask(Callable<T> question) {
-        return loop.submit(question).syncUninterruptibly().getNow();
+    /** Computes a value on the loop. */
+    public <T> T ask(Callable<T> query) {
+        return loop.submit(query).syncUninterruptibly().getNow();
     }
 
-    /** Adds discovery's agent for a balancer, which learns of changes so much later; returns its address. */
+    /** Adds a discovery agent for a balancer, which learns of changes with a delay; returns its address. */
     public String discoveryFor(String balancer, long delayMs) {
         return discovery.agent(balancer, delayMs);
     }
 
     /** From now on clients of a zone use this balancer too. */
     public void balancer(String name, int zone, InetSocketAddress address) {
-        run(() -> clients.balancer(name, zone, address));
+        run(() -> clients.addBalancer(name, zone, address));
     }
 
-    /** Begins the traffic, in requests a second. */
-    public void startClients(double perSecond) {
-        run(() -> clients.start(perSecond));
+    /** Starts the traffic. */
+    public void startClients(double requestsPerSecond) {
+        run(() -> clients.start(requestsPerSecond));
     }
 
-    /** Ends the traffic, and waits until all that is asked is answered or given up. */
+    /** Ends the traffic and waits until every request is answered or timed out. */
     public void stopClients() throws InterruptedException {
         run(clients::stop);
         long longest = spec.classes().stream()
@@ -97,73 +98,76 @@
         }
     }
 
-    /** Changes a zone's part of the traffic. */
+    /** Sets a zone's share of the traffic. */
     public void zoneShare(int zone, double share) {
-        run(() -> clients.zoneShare(zone, share));
+        run(() -> clients.setZoneShare(zone, share));
     }
 
     /**
-     * Core time that all nodes have worked since their start, in microseconds. Its growth over a time, over the cores'
-     * own time, is the true utilisation: warm keys and cold nodes make it unlike the load that was asked for.
+     * Core time used by all nodes since their start, in microseconds. Its growth as a share of the time of all cores is
+     * the true utilisation, which differs from the offered load by warm keys and slow starts.
      */
-    public long worked() {
+    public long busyCoreMicros() {
         return ask(() ->
-                inOrder.stream().mapToLong(n -> n.model().busyCoreMicros()).sum());
+                nodes.stream().mapToLong(node -> node.model().busyCoreMicros()).sum());
     }
 
-    /** The share of all core time that was worked since {@code worked} and {@code at} were read. */
-    public double utilisationSince(long worked, long at) {
+    /** True utilisation since {@link #busyCoreMicros} and {@link #now} returned these values. */
+    public double utilisationSince(long earlierBusyMicros, long earlierMicros) {
         int cores = spec.nodes().stream().mapToInt(SiteModel.NodeSpec::cores).sum();
-        return (worked() - worked) / (double) Math.max(1, (now() - at) * cores);
+        return (busyCoreMicros() - earlierBusyMicros) / (double) Math.max(1, (now() - earlierMicros) * cores);
     }
 
-    /** What the site is made of. */
+    /** The parts of the site. */
     public SiteModel spec() {
         return spec;
     }
 
-    /** Its order nodes; ask them through {@link #ask}. */
+    /** The order nodes; query them through {@link #ask}. */
     public List<OrderNode> nodes() {
-        return inOrder;
+        return nodes;
     }
 
-    /** What happened. */
+    /** What clients, nodes and discovery observed; query it through {@link #ask}. */
     public InvariantChecker checker() {
         return checker;
     }
 
-    /** What is to happen to a node, told to discovery as discovery would notice it. */
+    /** Faults of a node. */
     public enum Fault {
-        VANISH,
+        /** It stops responding, and discovery does not know. */
+        UNRESPONSIVE,
+        /** It restarts cold. */
         RESTART,
+        /** It drains, and discovery lists it as draining. */
         DRAIN
     }
 
-    /** Has it happen. */
+    /** Makes a node fail, and updates discovery as the platform would. */
     public void injectFault(String id, Fault fault) {
-        OrderNode node = nodes.get(id);
+        OrderNode node = nodesById.get(id);
         run(() -> {
             switch (fault) {
-                case VANISH -> node.vanish();
+                case UNRESPONSIVE -> node.stopResponding();
                 case RESTART -> {
                     node.restart();
-                    discovery.set(node, "up");
+                    discovery.set(node, DiscoveryStandin.UP);
                 }
                 case DRAIN -> {
                     node.drain();
-                    discovery.set(node, "draining");
+                    discovery.set(node, DiscoveryStandin.DRAINING);
                 }
                 default -> throw new IllegalArgumentException(fault.toString());
             }
         });
     }
 
-    /** Whether discovery fails its calls. */
-    public void discoveryDown(boolean on) {
-        run(() -> discovery.down(on));
+    /** Makes discovery fail its calls, or ends that. */
+    public void setDiscoveryDown(boolean down) {
+        run(() -> discovery.setDown(down));
     }
 
-    /** The figures so far. */
+    /** The metrics so far. */
     public InvariantChecker.Summary summary() {
         return ask(checker::summary);
     }
--- a/src/main/java/sedgeyoke/standin/package-info.java
+++ b/src/main/java/sedgeyoke/standin/package-info.java
@@ -1,7 +1,6 @@
 /**
- * Stand-ins for everything a balancer talks to: discovery, order nodes, clients, and a network that misbehaves. Tests,
- * {@code demo} and {@code drill} use the same ones. They run on one event loop and write what truly happened into one
- * {@link sedgeyoke.model.InvariantChecker}, so that the four rules are judged from outside the program. They share no
- * code with it: what they know of the protocol, they know from PROTOCOL.
+ * Stand-ins for everything that a balancer talks to: discovery, order nodes, clients, and a network with faults. Tests,
+ * {@code demo} and {@code drill} share them. What they observe goes into a {@link sedgeyoke.model.InvariantChecker}. They
+ * implement the protocol on their own, without code of the balancer, so that a mistake there is not repeated here.
  */
 package sedgeyoke.standin;
--- a/src/test/java/sedgeyoke/standin/ClientsTest.java
+++ b/src/test/java/sedgeyoke/standin/ClientsTest.java
@@ -61,8 +61,8 @@
             }
             switch (script.next(before, seen.merge(id, 1, Integer::sum))) {
                 case CLOSE -> ctx.close();
-                case REFUSE -> ctx.writeAndFlush(Http.answer(503, ""));
-                default -> ctx.writeAndFlush(Http.answer(200, "done " + id));
+                case REFUSE -> ctx.writeAndFlush(Http.response(503, ""));
+                default -> ctx.writeAndFlush(Http.response(200, "done " + id));
             }
             before++;
         }
@@ -87,7 +87,7 @@
                 Http.listen(loop, 0, () -> new Scripted(script)).localAddress();
         Clients clients = new Clients(site, loop, () -> System.nanoTime() / 1_000, checker, new double[] {1}, 7);
         loop.submit(() -> {
-                    clients.balancer("b", 0, address);
+                    clients.addBalancer("b", 0, address);
                     clients.start(300);
                 })
                 .sync();
--- a/src/test/java/sedgeyoke/standin/FaultProxyTest.java
+++ b/src/test/java/sedgeyoke/standin/FaultProxyTest.java
@@ -46,7 +46,7 @@
                 Socket server = target.accept()) {
             byte[] sent = new byte[300_000];
             new java.util.Random(1).nextBytes(sent);
-            proxy.delay(3);
+            proxy.setDelayMs(3);
             Thread writer = new Thread(() -> {
                 try {
                     client.getOutputStream().write(sent);
