--- a/src/main/java/sedgeyoke/proxy/AttemptListener.java
+++ b/src/main/java/sedgeyoke/proxy/AttemptListener.java
@@ -12,7 +12,9 @@
      */
     ResponseStream.Sink responseStreaming(Attempt attempt, ResponseStream.Head head, ResponseStream.Source source);
 
-    /** The first part of a successful response has arrived, but not all of it: the attempt is a transfer from now on. */
+    /**
+     * The first part of a successful response has arrived, but not all of it: the attempt is a transfer from now on.
+     */
     void responseStarted(Attempt attempt);
 
     /** A long request body begins to go out on this attempt; it cannot be sent on any other. */
--- a/src/main/java/sedgeyoke/proxy/AttemptOutcomes.java
+++ b/src/main/java/sedgeyoke/proxy/AttemptOutcomes.java
@@ -5,8 +5,8 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 
 /**
- * Classifies how an attempt ended. The distinction that matters is whether the request can have been executed: it cannot
- * as long as its last byte was not handed to the kernel.
+ * Classifies how an attempt ended. The distinction that matters is whether the request can have been executed: it
+ * cannot as long as its last byte was not handed to the kernel.
  */
 final class AttemptOutcomes {
     private AttemptOutcomes() {}
--- a/src/main/java/sedgeyoke/proxy/BalancerConfig.java
+++ b/src/main/java/sedgeyoke/proxy/BalancerConfig.java
@@ -86,7 +86,9 @@
         return ops == null ? BodyLimits.PLATFORM : BodyLimits.OPERATED;
     }
 
-    /** The fields that differ in {@code other} and need a restart; the seed and the list always differ and are ignored. */
+    /**
+     * The fields that differ in {@code other} and need a restart; the seed and the list always differ and are ignored.
+     */
     List<String> needRestart(BalancerConfig other) {
         List<String> fields = new ArrayList<>();
         Map<String, Function<BalancerConfig, Object>> fixed = new TreeMap<>(Map.of(
--- a/src/main/java/sedgeyoke/proxy/Cordons.java
+++ b/src/main/java/sedgeyoke/proxy/Cordons.java
@@ -8,8 +8,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The upstreams that operators have taken out of service: at this balancer's admin endpoint, or for the whole fleet in the
- * config servers. Event loop only.
+ * The upstreams that operators have taken out of service: at this balancer's admin endpoint, or for the whole fleet in
+ * the config servers. Event loop only.
  */
 final class Cordons {
     /** How soon a cordon set in one process of a balancer reaches the other one during an upgrade. */
--- a/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
+++ b/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
@@ -28,10 +28,10 @@
 import java.util.function.Consumer;
 
 /**
- * Fetches the complete endpoint list from discovery and then watches it, with one call after the other. A call that fails
- * changes nothing: the last list stays in force. Where discovery is one service for all balancers, the first watch
- * continues from the list of the configuration, as complete lists are expensive there and would delay each other when many
- * balancers start at once. Event loop only.
+ * Fetches the complete endpoint list from discovery and then watches it, with one call after the other. A call that
+ * fails changes nothing: the last list stays in force. Where discovery is one service for all balancers, the first
+ * watch continues from the list of the configuration, as complete lists are expensive there and would delay each other
+ * when many balancers start at once. Event loop only.
  */
 final class DiscoveryClient {
     /** How long a watch waits for changes; short, so that one that has fallen silent is noticed. */
@@ -39,17 +39,17 @@
     /** A watch that ends sooner than that without changes is renewed only after a pause, or calls would never rest. */
     private static final long MIN_WATCH_NANOS = 50_000_000;
     /**
-     * How long a call for the complete list may take. A shorter timeout helps nobody where discovery works through calls
-     * in turn: the response that it is about to give is lost, and the next call starts at the end of the queue.
+     * How long a call for the complete list may take. A shorter timeout helps nobody where discovery works through
+     * calls in turn: the response that it is about to give is lost, and the next call starts at the end of the queue.
      */
     private static final int CALL_TIMEOUT_MILLIS = 5_000;
     /** How much longer than it waits a watch may take; changes that it misses are unknown for as long. */
     private static final int WATCH_TIMEOUT_MARGIN_MILLIS = 2_500;
     /**
-     * How long the first byte of a response may take where lists are pushed: the agent runs on this machine and responds
-     * at once, or is silent. What a silent watch misses counts as known 6 s after it fell silent, and what the agent gets
-     * at the end of an outage at once, so that two silent calls in a row must take less than the one, and a call that is
-     * silent during an outage less than the time that draining upstreams leave.
+     * How long the first byte of a response may take where lists are pushed: the agent runs on this machine and
+     * responds at once, or is silent. What a silent watch misses counts as known 6 s after it fell silent, and what the
+     * agent gets at the end of an outage at once, so that two silent calls in a row must take less than the one, and a
+     * call that is silent during an outage less than the time that draining upstreams leave.
      */
     private static final int MAX_SILENCE_MILLIS = 500;
     /** An event loop on a part of a core is late itself by about as much. */
--- a/src/main/java/sedgeyoke/proxy/ExchangeTable.java
+++ b/src/main/java/sedgeyoke/proxy/ExchangeTable.java
@@ -13,8 +13,8 @@
 
 /**
  * The open exchanges. It follows each from its request to its response and the end of its last attempt, notifies the
- * policy, and sees to it that each gets one response even where the policy fails to give one. Event loop only; times are
- * microseconds of the policy's clock.
+ * policy, and sees to it that each gets one response even where the policy fails to give one. Event loop only; times
+ * are microseconds of the policy's clock.
  */
 final class ExchangeTable implements AttemptListener {
     /** The response must be out so long before the client's deadline: the way back takes time, too. */
@@ -322,9 +322,9 @@
     }
 
     /**
-     * Until when a further attempt may go out: upstreams recognise the repeat of an idempotency key only as long as they
-     * remember the first attempt that may have run. The policy checks that when it chooses, but a connection may take
-     * its time to come up. {@link Long#MAX_VALUE} without a key.
+     * Until when a further attempt may go out: upstreams recognise the repeat of an idempotency key only as long as
+     * they remember the first attempt that may have run. The policy checks that when it chooses, but a connection may
+     * take its time to come up. {@link Long#MAX_VALUE} without a key.
      */
     long resendDeadlineMicros(Exchange exchange) {
         LoadBalancingPolicy.RequestClass requestClass = classOf(exchange);
--- a/src/main/java/sedgeyoke/proxy/GracefulShutdown.java
+++ b/src/main/java/sedgeyoke/proxy/GracefulShutdown.java
@@ -5,9 +5,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Runs a graceful shutdown. Clients go on using their connections, and another balancer may be down at the same time, so
- * requests are served for as long as a response is sure to be out before SIGKILL; then connections are closed, and what
- * is in flight is finished. Event loop only, but for {@link #awaitCompletion}.
+ * Runs a graceful shutdown. Clients go on using their connections, and another balancer may be down at the same time,
+ * so requests are served for as long as a response is sure to be out before SIGKILL; then connections are closed, and
+ * what is in flight is finished. Event loop only, but for {@link #awaitCompletion}.
  */
 final class GracefulShutdown {
     private static final long CHECK_INTERVAL_MILLIS = 5;
--- a/src/main/java/sedgeyoke/proxy/PolicyClock.java
+++ b/src/main/java/sedgeyoke/proxy/PolicyClock.java
@@ -1,8 +1,8 @@
 package sedgeyoke.proxy;
 
 /**
- * The policy's clock, and how late the event loop runs its timers. Times are microseconds; the clock is the wall clock at
- * the start, advanced by the monotonic clock. Event loop only, but for {@link #now}.
+ * The policy's clock, and how late the event loop runs its timers. Times are microseconds; the clock is the wall clock
+ * at the start, advanced by the monotonic clock. Event loop only, but for {@link #now}.
  */
 final class PolicyClock {
     private final long startMicros = System.currentTimeMillis() * 1_000;
--- a/src/main/java/sedgeyoke/proxy/PolicyEvents.java
+++ b/src/main/java/sedgeyoke/proxy/PolicyEvents.java
@@ -4,8 +4,8 @@
 import sedgeyoke.policy.SerializedEvents;
 
 /**
- * Hands the policy its events one after another, and contains its failures: if it throws while it handles an event of an
- * exchange, that exchange is ended here, as nothing else will. Event loop only.
+ * Hands the policy its events one after another, and contains its failures: if it throws while it handles an event of
+ * an exchange, that exchange is ended here, as nothing else will. Event loop only.
  */
 final class PolicyEvents {
     private final SerializedEvents events = new SerializedEvents();
--- a/src/main/java/sedgeyoke/proxy/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/ProxyCore.java
@@ -12,8 +12,8 @@
 import sedgeyoke.policy.UtilizationWeightedPolicy;
 
 /**
- * Connects the policy with the exchanges, the connection pool and discovery of one balancer, and is what the frontend and
- * other features call. Event loop only.
+ * Connects the policy with the exchanges, the connection pool and discovery of one balancer, and is what the frontend
+ * and other features call. Event loop only.
  */
 final class ProxyCore implements ModulePort {
     /** How long the first endpoint list is awaited before clients are accepted with the configured one. */
--- a/src/main/java/sedgeyoke/proxy/RateLimitedLog.java
+++ b/src/main/java/sedgeyoke/proxy/RateLimitedLog.java
@@ -3,7 +3,9 @@
 import java.io.PrintStream;
 import java.util.function.LongSupplier;
 
-/** A log of at most 20 lines a second, so that misbehaving peers cannot cost the time to write about them. One thread. */
+/**
+ * A log of at most 20 lines a second, so that misbehaving peers cannot cost the time to write about them. One thread.
+ */
 public final class RateLimitedLog {
     private static final int MAX_LINES_PER_SECOND = 20;
     private static final long MICROS_PER_SECOND = 1_000_000;
--- a/src/main/java/sedgeyoke/proxy/ResponseReceiver.java
+++ b/src/main/java/sedgeyoke/proxy/ResponseReceiver.java
@@ -13,8 +13,8 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 
 /**
- * Receives the responses on one connection, one after the other. A response is buffered up to a limit; one that is longer
- * or slow is streamed to the client where bodies may be streamed. Event loop only.
+ * Receives the responses on one connection, one after the other. A response is buffered up to a limit; one that is
+ * longer or slow is streamed to the client where bodies may be streamed. Event loop only.
  */
 final class ResponseReceiver implements ResponseStream.Source {
     private final UpstreamConnection connection;
@@ -191,7 +191,9 @@
                         TimeUnit.MICROSECONDS);
     }
 
-    /** Ends the attempt if a part of its response has arrived and the rest does not, on a connection that stays open. */
+    /**
+     * Ends the attempt if a part of its response has arrived and the rest does not, on a connection that stays open.
+     */
     private void guardAgainstStall(Attempt attempt, long delayMicros) {
         context.loop().schedule(() -> checkForStall(attempt), delayMicros, TimeUnit.MICROSECONDS);
     }
--- a/src/main/java/sedgeyoke/proxy/ShutdownDeadlines.java
+++ b/src/main/java/sedgeyoke/proxy/ShutdownDeadlines.java
@@ -1,11 +1,11 @@
 package sedgeyoke.proxy;
 
 /**
- * Computes the deadlines of a graceful shutdown, in microseconds of the policy's clock. SIGKILL comes a known time after
- * SIGTERM, but the process notices SIGTERM only once a thread of the JVM gets to run: 60 to 200 ms later where a new
- * configuration was just being read on half a core. All deadlines are therefore counted from the earliest time at which
- * the signal may have been sent, and the later the process was seen to run since, the more time before the kill is
- * reserved.
+ * Computes the deadlines of a graceful shutdown, in microseconds of the policy's clock. SIGKILL comes a known time
+ * after SIGTERM, but the process notices SIGTERM only once a thread of the JVM gets to run: 60 to 200 ms later where a
+ * new configuration was just being read on half a core. All deadlines are therefore counted from the earliest time at
+ * which the signal may have been sent, and the later the process was seen to run since, the more time before the kill
+ * is reserved.
  */
 final class ShutdownDeadlines {
     /** New connections may arrive for up to 0.4 s after SIGTERM; only then is the listener closed. */
--- a/src/main/java/sedgeyoke/proxy/UpstreamConnection.java
+++ b/src/main/java/sedgeyoke/proxy/UpstreamConnection.java
@@ -14,9 +14,9 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 
 /**
- * One connection to an upstream and the attempt that it carries, if any. A response is handed over only once all is read
- * that arrived with it: the policy may send the next request at once, which must not be given a stray response that lies
- * behind. Event loop only.
+ * One connection to an upstream and the attempt that it carries, if any. A response is handed over only once all is
+ * read that arrived with it: the policy may send the next request at once, which must not be given a stray response
+ * that lies behind. Event loop only.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final int MIN_READ_BYTES = 512;
@@ -225,7 +225,9 @@
         fail(outcomeOfConnectionLoss());
     }
 
-    /** The write may have succeeded although its listener runs only after the connection broke: so it is checked first. */
+    /**
+     * The write may have succeeded although its listener runs only after the connection broke: so it is checked first.
+     */
     private Outcome outcomeOfConnectionLoss() {
         if (current == null) {
             return Outcome.RESET;
--- a/src/main/java/sedgeyoke/proxy/UpstreamConnectionPool.java
+++ b/src/main/java/sedgeyoke/proxy/UpstreamConnectionPool.java
@@ -15,9 +15,9 @@
 import sedgeyoke.policy.LoadBalancingPolicy.State;
 
 /**
- * The connections to upstreams: finds or opens one for each attempt, and limits their number and how long they are idle.
- * It never resends: each attempt is written once at most, and its outcome says whether it can have been executed. Event
- * loop only; times are microseconds of the policy's clock.
+ * The connections to upstreams: finds or opens one for each attempt, and limits their number and how long they are
+ * idle. It never resends: each attempt is written once at most, and its outcome says whether it can have been executed.
+ * Event loop only; times are microseconds of the policy's clock.
  */
 final class UpstreamConnectionPool {
     /** Longest response where bodies are not streamed: on some days regular ones have a sixth of it. */
--- a/src/main/java/sedgeyoke/serve/BalancerMain.java
+++ b/src/main/java/sedgeyoke/serve/BalancerMain.java
@@ -12,8 +12,8 @@
 import sedgeyoke.proxy.JitWarmUp;
 
 /**
- * Starts one balancer from its environment and shuts it down gracefully on SIGTERM. What the operator's file turns on is in
- * {@link OptionalFeatures}, which is loaded only if such a file is named.
+ * Starts one balancer from its environment and shuts it down gracefully on SIGTERM. What the operator's file turns on
+ * is in {@link OptionalFeatures}, which is loaded only if such a file is named.
  */
 public final class BalancerMain {
     private static final String USAGE = "usage: serve [--config FILE]";
@@ -136,8 +136,8 @@
     }
 
     /**
-     * Shuts down. A reload delays the signal, as both wait for the processor, and the work that it leaves behind delays it
-     * for about as long again; the shutdown takes that into account.
+     * Shuts down. A reload delays the signal, as both wait for the processor, and the work that it leaves behind delays
+     * it for about as long again; the shutdown takes that into account.
      */
     private void shutDown() {
         long nowNanos = System.nanoTime();
--- a/src/main/java/sedgeyoke/serve/ReloadSignal.java
+++ b/src/main/java/sedgeyoke/serve/ReloadSignal.java
@@ -7,9 +7,9 @@
     private ReloadSignal() {}
 
     /**
-     * Runs an action on each SIGHUP, on a thread of the JVM. The class for that is in every JDK but not in the standard,
-     * so that compilers warn of its name; it is looked up by reflection instead. The JVM cannot handle a signal that was
-     * ignored when it started, as under nohup: that is logged, as a reload would fail without a trace.
+     * Runs an action on each SIGHUP, on a thread of the JVM. The class for that is in every JDK but not in the
+     * standard, so that compilers warn of its name; it is looked up by reflection instead. The JVM cannot handle a
+     * signal that was ignored when it started, as under nohup: that is logged, as a reload would fail without a trace.
      */
     public static void run(Runnable action) {
         try {
--- a/src/test/java/sedgeyoke/proxy/BalancerProcessTest.java
+++ b/src/test/java/sedgeyoke/proxy/BalancerProcessTest.java
@@ -25,7 +25,9 @@
     @TempDir
     private Path folder;
 
-    /** Clients continue for a while after SIGTERM: they are served until their connections are closed, and lose nothing. */
+    /**
+     * Clients continue for a while after SIGTERM: they are served until their connections are closed, and lose nothing.
+     */
     @Test
     void aGracefulShutdownServesNewRequestsAndFinishesThoseInFlight() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
@@ -140,8 +142,9 @@
     }
 
     /**
-     * SIGHUP comes while the configuration is being read for the first time: it does not end the program, and since what was read
-     * may be older than the change, the file is read again. The file is a pipe, so that the test can delay the read.
+     * SIGHUP comes while the configuration is being read for the first time: it does not end the program, and since
+     * what was read may be older than the change, the file is read again. The file is a pipe, so that the test can
+     * delay the read.
      */
     @Test
     void aSighupDuringTheStartReloadsAfterIt() throws Exception {
--- a/src/test/java/sedgeyoke/proxy/GracefulShutdownTest.java
+++ b/src/test/java/sedgeyoke/proxy/GracefulShutdownTest.java
@@ -25,7 +25,9 @@
     private static final class StalledLoop {
         final List<Long> lostRequests = new ArrayList<>();
 
-        /** The signal reaches us {@code signalLate} after it was sent; the loop stalls for 100 ms at {@code stalledAt}. */
+        /**
+         * The signal reaches us {@code signalLate} after it was sent; the loop stalls for 100 ms at {@code stalledAt}.
+         */
         StalledLoop(long signalLate, long knownLate, long stalledAt) {
             ShutdownDeadlines deadlines = new ShutdownDeadlines(signalLate - knownLate, DEADLINE);
             List<Long> open = new ArrayList<>();
