--- a/src/main/java/sedgeyoke/settings/ConfigServerSettings.java
+++ b/src/main/java/sedgeyoke/settings/ConfigServerSettings.java
@@ -13,7 +13,8 @@
  * @param listen where config servers, balancers and operators connect
  * @param folder where it stores its data; locked by one process at a time
  * @param servers where the config servers listen, by name, itself included
- * @param leaseMs how long a balancer acts on a config version without a renewal, in milliseconds; the same in the whole tier
+ * @param leaseMs how long a balancer acts on a config version without a renewal, in milliseconds; the same in the
+ *     whole tier
  * @param driftPpm how far a clock may run fast or slow, in parts per million
  * @param fsyncMayBeLost whether data may be lost with a restart of the machine although fsync succeeded
  * @param maxSubscribers further connections of balancers are rejected
--- a/src/test/java/sedgeyoke/settings/OperatorFileTest.java
+++ b/src/test/java/sedgeyoke/settings/OperatorFileTest.java
@@ -75,7 +75,7 @@
                 "[planner];name = ' '                           | 2 | planner.name        | not be empty",
                 "[keeper];lease_ms = 1                          | 2 | keeper.lease_ms     | from 1000 to 60000",
                 "[config_server];lease_ms = 1                   | 2 | config_server.lease_ms | from 1000 to 60000",
-                "[agreed];nonesuch = 1                          | 2 | agreed.nonesuch     | keys of [config] are enabled",
+                "[agreed];nonesuch = 1                        | 2 | agreed.nonesuch     | keys of [config] are enabled",
                 "[agreed];enabled = true                        | 2 | config.servers      | is needed",
                 "[keeper];enabled = true                        | 2 | config_server.tier  | is needed",
                 "[plans;                                        | 1 | ''                  | ''"
