ClientConnection stops reading a body in one place

The body that is being read and its minimum transfer rate were cleared together at five places, by hand. stopReadingBody() does so now, and returns the body.

--- a/src/main/java/sedgeyoke/proxy/ClientConnection.java
+++ b/src/main/java/sedgeyoke/proxy/ClientConnection.java
@@ -315,10 +315,16 @@
         }
     }
 
-    private void endRequest() {
-        uploadRate = null;
-        RequestBody complete = requestBody;
+    /** Takes the body that is being read, which nothing is added to from now on; null if there is none. */
+    private RequestBody stopReadingBody() {
+        RequestBody body = requestBody;
         requestBody = null;
+        uploadRate = null;
+        return body;
+    }
+
+    private void endRequest() {
+        RequestBody complete = stopReadingBody();
         boolean streaming = complete.streams();
         complete.end();
         if (streaming) {
@@ -335,9 +341,7 @@
      */
     private boolean beginStreaming() {
         if (!responses.reserveBody()) {
-            requestBody.abort();
-            requestBody = null;
-            uploadRate = null;
+            stopReadingBody().abort();
             Request rejected = validatedRequests.remove();
             responses.expectResponse();
             responses.rejectedForLackOfRoom(rejected.classIndex());
@@ -384,9 +388,7 @@
 
     /** Rejects a request whose rest cannot or must not be read. If a part was forwarded, its end never will be. */
     private void rejectRequest(RequestValidator.Rejection rejection) {
-        RequestBody rejected = requestBody;
-        requestBody = null;
-        uploadRate = null;
+        RequestBody rejected = stopReadingBody();
         discardLastContent();
         if (rejected == null || !rejected.streams()) {
             responses.expectResponse();
@@ -439,10 +441,9 @@
     private void closeOutput() {
         enter(ClientConnectionState.CLOSING);
         discardPipelined();
-        uploadRate = null;
-        if (requestBody != null) {
-            requestBody.abort();
-            requestBody = null;
+        RequestBody incomplete = stopReadingBody();
+        if (incomplete != null) {
+            incomplete.abort();
         }
         channel.config().setAutoRead(true);
         if (channel instanceof DuplexChannel duplex) {
@@ -472,9 +473,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         discardPipelined();
-        RequestBody incomplete = requestBody;
-        requestBody = null;
-        uploadRate = null;
+        RequestBody incomplete = stopReadingBody();
         Exchange abandoned = responses.abandonExchange();
         if (incomplete != null) {
             abortStreamedRequest(incomplete.streams() ? abandoned : null, incomplete);
