--- a/src/main/java/sedgeyoke/drill/InProcessBalancer.java
+++ b/src/main/java/sedgeyoke/drill/InProcessBalancer.java
@@ -12,7 +12,7 @@
 import sedgeyoke.proxy.BalancerConfig;
 import sedgeyoke.proxy.BalancerServer;
 import sedgeyoke.proxy.InvalidConfigException;
-import sedgeyoke.proxy.ModulePort;
+import sedgeyoke.proxy.PolicyPort;
 import sedgeyoke.standin.Site;
 
 /** A balancer inside this process, on a loop of its own; it shares nothing with others but the network. */
@@ -36,8 +36,8 @@
     /** What its module knows. */
     public LoadBalancingPolicy.Summary summary() {
         CompletableFuture<LoadBalancingPolicy.Summary> summary = new CompletableFuture<>();
-        ModulePort port = server.port();
-        loop.execute(() -> port.deliver(() -> summary.complete(port.module().summary(port.now()))));
+        PolicyPort port = server.port();
+        loop.execute(() -> port.deliver(() -> summary.complete(port.policy().summary(port.now()))));
         return summary.join();
     }
 
--- a/src/main/java/sedgeyoke/plan/remote/PlannerClient.java
+++ b/src/main/java/sedgeyoke/plan/remote/PlannerClient.java
@@ -16,7 +16,7 @@
 import sedgeyoke.plan.ForwarderReport;
 import sedgeyoke.plan.PlanMessage;
 import sedgeyoke.policy.LoadBalancingPolicy;
-import sedgeyoke.proxy.ModulePort;
+import sedgeyoke.proxy.PolicyPort;
 import sedgeyoke.settings.PlannerClientSettings;
 import sedgeyoke.transport.Backoff;
 import sedgeyoke.transport.FramedConnection;
@@ -36,7 +36,7 @@
     private static final long MICROS_PER_MILLI = 1_000;
 
     private final EventLoop loop;
-    private final ModulePort port;
+    private final PolicyPort port;
     private final String name;
     private final Follower follower;
     private final SplittableRandom random;
@@ -44,7 +44,7 @@
     private long reportEveryMillis;
 
     /** Creates the client; throws if the TLS files cannot be loaded. */
-    public PlannerClient(EventLoop loop, ModulePort port, Follower.Identity self, PlannerClientSettings settings)
+    public PlannerClient(EventLoop loop, PolicyPort port, Follower.Identity self, PlannerClientSettings settings)
             throws IOException {
         this.loop = loop;
         this.port = port;
@@ -78,7 +78,7 @@
     }
 
     private void updatePolicy() {
-        port.module().planUpdated(port.now(), follower.currentPlan(port.now()));
+        port.policy().planUpdated(port.now(), follower.currentPlan(port.now()));
     }
 
     /** The delay varies by an eighth to both sides, so that forwarders do not report at the same moment. */
@@ -99,7 +99,7 @@
     /** Reports are sent after the policy knows the quota that they delegate, so that it is never used twice. */
     private void sendReports() {
         long now = port.now();
-        LoadBalancingPolicy.Summary summary = port.module().summary(now);
+        LoadBalancingPolicy.Summary summary = port.policy().summary(now);
         Map<PlannerConnection, ForwarderReport> reports = new LinkedHashMap<>();
         for (ReconnectingDialer<PlannerConnection> planner : planners) {
             Optional<PlannerConnection> connection = planner.readyConnection();
@@ -110,7 +110,7 @@
                         follower.createReport(now, connection.get().peerName(), summary));
             }
         }
-        port.module().planUpdated(now, follower.currentPlan(now));
+        port.policy().planUpdated(now, follower.currentPlan(now));
         reports.forEach((connection, report) -> connection.send(
                 Frame.newBuilder().setReport(PlannerCodec.encodeReport(report)).build()));
     }
--- a/src/main/java/sedgeyoke/proxy/BalancerConfig.java
+++ b/src/main/java/sedgeyoke/proxy/BalancerConfig.java
@@ -30,7 +30,7 @@
  * @param folder a folder that the processes of one balancer share during an upgrade, null for none
  * @param seed seeds all random choices
  * @param sockets how many sockets the process may open
- * @param facts the settings, with the names that their indices stand for
+ * @param instanceSettings the settings, with the names that their indices stand for
  * @param known the endpoint list to start with
  */
 public record BalancerConfig(
@@ -41,7 +41,7 @@
         Path folder,
         long seed,
         int sockets,
-        SettingsReader.InstanceSettings facts,
+        SettingsReader.InstanceSettings instanceSettings,
         EndpointList known) {
 
     static final JsonMapper JSON = new JsonMapper();
@@ -78,7 +78,8 @@
             }
         }
         Path sharedFolder = shared == null || shared.isEmpty() ? null : Path.of(shared);
-        return new BalancerConfig(name, listen, discovery, adminAddress, sharedFolder, seed, sockets, facts, known);
+        return new BalancerConfig(
+                name, listen, discovery, adminAddress, sharedFolder, seed, sockets, instanceSettings, known);
     }
 
     /** Limits on bodies. Long ones are streamed where there is an admin endpoint: one deployment brings both. */
@@ -101,7 +102,7 @@
                 "limits.sockets",
                 BalancerConfig::sockets,
                 "settings",
-                BalancerConfig::facts));
+                BalancerConfig::instanceSettings));
         fixed.forEach((field, value) -> {
             if (!value.apply(this).equals(value.apply(other))) {
                 fields.add(field);
@@ -113,7 +114,7 @@
     /** Reads a configuration; throws with the name of the first field that is invalid. */
     public static BalancerConfig parse(byte[] json) throws InvalidConfigException, IOException {
         JsonNode root = JSON.readTree(json);
-        SettingsReader.InstanceSettings facts = facts(root.path("settings"));
+        SettingsReader.InstanceSettings instanceSettings = readSettings(root.path("settings"));
         int sockets = root.path("limits").path("sockets").asInt(0);
         require(sockets >= MIN_SOCKETS, "limits.sockets (at least " + MIN_SOCKETS + ")");
         require(root.path("name").isTextual(), "name");
@@ -121,7 +122,7 @@
         try {
             known = root.path("known").isMissingNode()
                     ? EndpointList.EMPTY
-                    : EndpointList.read(root.path("known"), facts);
+                    : EndpointList.read(root.path("known"), instanceSettings);
         } catch (InvalidEndpointListException e) {
             throw new InvalidConfigException("known", "configuration: known: " + e.getMessage());
         }
@@ -133,28 +134,29 @@
                 null,
                 seed(root),
                 sockets,
-                facts,
+                instanceSettings,
                 known);
     }
 
-    private static SettingsReader.InstanceSettings facts(JsonNode node) throws InvalidConfigException, IOException {
+    private static SettingsReader.InstanceSettings readSettings(JsonNode node)
+            throws InvalidConfigException, IOException {
         require(node.isObject(), "settings");
-        SettingsReader.InstanceSettings facts;
+        SettingsReader.InstanceSettings instanceSettings;
         try (JsonParser json = node.traverse()) {
             json.nextToken();
-            facts = SettingsReader.read(json);
+            instanceSettings = SettingsReader.read(json);
         } catch (InvalidInputException e) {
             throw new InvalidConfigException("configuration: " + e.getMessage());
         }
-        Settings settings = facts.settings();
+        Settings settings = instanceSettings.settings();
         require(settings.limits().connectTimeout() > 0, "settings.ceilings.connect-timeout-s");
         require(settings.limits().idleTimeout() > 0, "settings.ceilings.conn-idle-s");
-        require(!facts.classNames().contains(""), "settings.classes[].name");
+        require(!instanceSettings.classNames().contains(""), "settings.classes[].name");
         unsupported(settings.limits().healthChecks(), "ceilings.probes");
         unsupported(settings.reports() == Reports.BY_HEALTH_CHECK, "report.via");
         unsupported(settings.limits().peers(), "ceilings.peers");
         unsupported(settings.classes().stream().anyMatch(RequestClass::stream), "classes[].stream");
-        return facts;
+        return instanceSettings;
     }
 
     /** Rejects settings that need health checks, gossip or streams, which this balancer does not have. */
--- a/src/main/java/sedgeyoke/proxy/BalancerServer.java
+++ b/src/main/java/sedgeyoke/proxy/BalancerServer.java
@@ -93,7 +93,7 @@
     }
 
     /** The way to the policy for other features; to be used on the event loop only. */
-    public ModulePort port() {
+    public PolicyPort port() {
         return core;
     }
 
--- a/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
+++ b/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
@@ -107,10 +107,10 @@
         this.transport = transport;
         this.random = new Random(config.seed());
         this.address = config.discovery();
-        this.pushed = !config.facts().settings().subscribesToEndpoints();
-        long drainGraceMillis = config.facts().settings().rules().drainGrace() / 1_000;
+        this.pushed = !config.instanceSettings().settings().subscribesToEndpoints();
+        long drainGraceMillis = config.instanceSettings().settings().rules().drainGrace() / 1_000;
         this.maxSilenceMillis = (int) Math.max(MIN_SILENCE_MILLIS, Math.min(MAX_SILENCE_MILLIS, drainGraceMillis / 2));
-        this.completeListNeeded = !config.facts().settings().subscribesToEndpoints()
+        this.completeListNeeded = !config.instanceSettings().settings().subscribesToEndpoints()
                 || config.known().members().isEmpty();
         this.listed = !completeListNeeded; // a watch ends only with changes, and clients must not wait for these
         this.revision = config.known().revision();
@@ -247,7 +247,7 @@
                 return;
             }
             list = EndpointList.read(
-                    BalancerConfig.JSON.readTree(ByteBufUtil.getBytes(response.content())), config.facts());
+                    BalancerConfig.JSON.readTree(ByteBufUtil.getBytes(response.content())), config.instanceSettings());
         } catch (InvalidEndpointListException | JsonProcessingException e) {
             failed("malformed list: " + e.getMessage().lines().findFirst().orElse(""));
             return;
--- a/src/main/java/sedgeyoke/proxy/EndpointList.java
+++ b/src/main/java/sedgeyoke/proxy/EndpointList.java
@@ -25,7 +25,7 @@
     public record Member(Upstream upstream, InetSocketAddress address) {}
 
     /** Reads a list. Localities and kinds become indices into the settings; an unknown one becomes -1. */
-    public static EndpointList read(JsonNode root, SettingsReader.InstanceSettings facts)
+    public static EndpointList read(JsonNode root, SettingsReader.InstanceSettings instanceSettings)
             throws InvalidEndpointListException {
         if (!root.path("revision").canConvertToLong()
                 || !root.path("complete").isBoolean()
@@ -44,8 +44,12 @@
             members.add(new Member(
                     new Upstream(
                             id,
-                            facts.localities().indexOf(member.path("locality").asText("")),
-                            facts.kinds().indexOf(member.path("flavor").asText("")),
+                            instanceSettings
+                                    .localities()
+                                    .indexOf(member.path("locality").asText("")),
+                            instanceSettings
+                                    .kinds()
+                                    .indexOf(member.path("flavor").asText("")),
                             member.path("cell").asInt(),
                             state,
                             member.path("size").asDouble(1),
--- a/src/main/java/sedgeyoke/proxy/JitWarmUp.java
+++ b/src/main/java/sedgeyoke/proxy/JitWarmUp.java
@@ -75,18 +75,19 @@
         this.loop = loop;
         this.requests = requests;
         this.answers = new CountDownLatch(requests);
-        this.classes = config.facts().classNames();
+        this.classes = config.instanceSettings().classNames();
         this.report = "{"
                 + String.join(
                         ",",
-                        config.facts().reportNames().stream()
+                        config.instanceSettings().reportNames().stream()
                                 .map(n -> "\"" + n + "\":0.5")
-                                .toList()) + "}";
+                                .toList())
+                + "}";
     }
 
     /** The number of requests to serve before a balancer with that configuration listens. */
     public static int requests(BalancerConfig config) {
-        LoadBalancingPolicy.Settings settings = config.facts().settings();
+        LoadBalancingPolicy.Settings settings = config.instanceSettings().settings();
         long aim = settings.classes().stream()
                 .mapToLong(LoadBalancingPolicy.RequestClass::latencyObjective)
                 .min()
@@ -113,7 +114,7 @@
                         null,
                         template.seed(),
                         template.sockets(),
-                        template.facts(),
+                        template.instanceSettings(),
                         new EndpointList(1, true, members)),
                 group.next(),
                 template.bodies(),
--- a/src/main/java/sedgeyoke/proxy/ModulePort.java
+++ b/src/main/java/sedgeyoke/proxy/PolicyPort.java
@@ -4,7 +4,7 @@
 import sedgeyoke.policy.LoadBalancingPolicy;
 
 /** Access to the policy for features other than the balancer itself. All methods are called on the event loop. */
-public interface ModulePort {
+public interface PolicyPort {
     /** The policy's clock, in microseconds: the wall clock at the start, advanced by the monotonic clock. */
     long now();
 
@@ -15,7 +15,7 @@
     void deliver(Runnable event);
 
     /** The policy; to be called within {@link #deliver} only. */
-    LoadBalancingPolicy module();
+    LoadBalancingPolicy policy();
 
     /** Takes over which upstreams are cordoned for the whole fleet; this balancer's own cordons stay in force, too. */
     void setFleetCordons(Set<String> upstreams);
--- a/src/main/java/sedgeyoke/proxy/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/ProxyCore.java
@@ -15,7 +15,7 @@
  * Connects the policy with the exchanges, the connection pool and discovery of one balancer, and is what the frontend
  * and other features call. Event loop only.
  */
-final class ProxyCore implements ModulePort {
+final class ProxyCore implements PolicyPort {
     /** How long the first endpoint list is awaited before clients are accepted with the configured one. */
     private static final long MAX_WAIT_FOR_LIST_MICROS = 1_500_000;
     /** SIGKILL does not wait for longer deadlines (PROTOCOL, "Figures"). */
@@ -43,7 +43,8 @@
                 config,
                 transport,
                 bodies,
-                actions -> new UtilizationWeightedPolicy(config.facts().settings(), config.seed(), actions));
+                actions ->
+                        new UtilizationWeightedPolicy(config.instanceSettings().settings(), config.seed(), actions));
     }
 
     /** For tests, which bring a policy of their own. */
@@ -55,15 +56,15 @@
             Function<LoadBalancingPolicy.Actions, LoadBalancingPolicy> policy) {
         this.loop = loop;
         this.config = config;
-        this.settings = config.facts().settings();
+        this.settings = config.instanceSettings().settings();
         this.bodies = bodies;
         this.budget = new BodyBudget(bodies);
         this.log = new RateLimitedLog(transport.log(), clock::now);
-        this.metrics = new RequestMetrics(config.facts().classNames());
+        this.metrics = new RequestMetrics(config.instanceSettings().classNames());
         this.events = new PolicyEvents(log);
         this.exchanges = new ExchangeTable(loop, clock, settings, bodies, events, metrics, log);
         UpstreamContext context = new UpstreamContext(
-                loop, clock::now, settings, config.facts().reportNames(), bodies, budget, exchanges, log);
+                loop, clock::now, settings, config.instanceSettings().reportNames(), bodies, budget, exchanges, log);
         int maxUpstreamConnections = (int) (UPSTREAM_SOCKET_SHARE * config.sockets());
         this.pool = new UpstreamConnectionPool(context, transport, maxUpstreamConnections);
         this.discovery = new DiscoveryClient(loop, config, transport, this::endpointsListed, log);
@@ -229,7 +230,7 @@
     }
 
     @Override
-    public LoadBalancingPolicy module() {
+    public LoadBalancingPolicy policy() {
         return events.policy();
     }
 
--- a/src/main/java/sedgeyoke/proxy/RequestBody.java
+++ b/src/main/java/sedgeyoke/proxy/RequestBody.java
@@ -34,7 +34,7 @@
     /** The upstream's side. */
     interface Sink {
         /** Writes a part and takes over its reference; false asks for a pause until {@link RequestBody#demand}. */
-        boolean part(ByteBuf data);
+        boolean forward(ByteBuf data);
 
         /** The body is complete. */
         void end();
@@ -77,7 +77,7 @@
     /** Writes a part to the sink; true if the sink wants more. */
     private boolean write(ByteBuf part) {
         paused = true; // until the sink asks for more, which it may do before it returns
-        if (sink.part(part)) {
+        if (sink.forward(part)) {
             paused = false;
         } else if (paused) {
             source.read(false);
--- a/src/main/java/sedgeyoke/proxy/RequestParser.java
+++ b/src/main/java/sedgeyoke/proxy/RequestParser.java
@@ -64,16 +64,17 @@
         String id = headers.get("X-Call-Id");
         require(id != null && !id.isBlank() && headers.getAll("X-Call-Id").size() == 1, "X-Call-Id");
         require(!core.knows(id), DUPLICATE_ID);
-        int classIndex = config.facts().classNames().indexOf(headers.get("X-Call-Class"));
+        int classIndex = config.instanceSettings().classNames().indexOf(headers.get("X-Call-Class"));
         require(classIndex >= 0, "X-Call-Class");
         long budgetMillis = number(headers.get("X-Budget-Ms"));
         require(budgetMillis > 0 && budgetMillis <= MAX_BUDGET_MILLIS, "X-Budget-Ms");
-        Effect effect = config.facts().settings().classes().get(classIndex).effect();
+        Effect effect =
+                config.instanceSettings().settings().classes().get(classIndex).effect();
         // Without a key upstreams cannot drop duplicates, and a retry of the policy would run twice.
         require(effect != Effect.IDEMPOTENT_WITH_KEY || headers.contains("Idempotency-Key"), "Idempotency-Key");
-        int tenant = config.facts().tenantNames().isEmpty()
+        int tenant = config.instanceSettings().tenantNames().isEmpty()
                 ? 0
-                : config.facts().tenantNames().indexOf(headers.get("X-Caller"));
+                : config.instanceSettings().tenantNames().indexOf(headers.get("X-Caller"));
         List<String> keys = uri.parameters().getOrDefault("obj", List.of());
         return new Request(
                 id,
--- a/src/main/java/sedgeyoke/proxy/RequestUpload.java
+++ b/src/main/java/sedgeyoke/proxy/RequestUpload.java
@@ -31,7 +31,7 @@
     }
 
     @Override
-    public boolean part(ByteBuf data) {
+    public boolean forward(ByteBuf data) {
         channel.writeAndFlush(new DefaultHttpContent(data)).addListener(this::partWritten);
         context.budget().recordBuffered(Transport.pendingBytes(channel) + attempt.exchange.body.bufferedBytes());
         return channel.isWritable();
--- a/src/main/java/sedgeyoke/proxy/ResponseReceiver.java
+++ b/src/main/java/sedgeyoke/proxy/ResponseReceiver.java
@@ -105,7 +105,7 @@
         if (sink != null) {
             streamComplete = true;
             if (!overflow.isEmpty()) {
-                sink.part(overflow.take());
+                sink.forward(overflow.take());
             }
             sink.end(last.trailingHeaders());
         } else {
@@ -138,7 +138,7 @@
         if (paused) {
             overflow.add(part);
         } else {
-            paused = !sink.part(part);
+            paused = !sink.forward(part);
         }
         if (paused) {
             channel.config().setAutoRead(false);
--- a/src/main/java/sedgeyoke/proxy/ResponseStream.java
+++ b/src/main/java/sedgeyoke/proxy/ResponseStream.java
@@ -27,12 +27,12 @@
     /** The client's side. */
     interface Sink {
         /** Forwards a part and takes over its reference; false asks for a pause until {@link Source#demand}. */
-        boolean part(ByteBuf data);
+        boolean forward(ByteBuf data);
 
         /** The body is complete; {@code trailers} may be empty. */
         void end(HttpHeaders trailers);
 
         /** The response ends early, and the client must be able to notice that a part is missing. */
-        void cut();
+        void abort();
     }
 }
--- a/src/main/java/sedgeyoke/proxy/ResponseWriter.java
+++ b/src/main/java/sedgeyoke/proxy/ResponseWriter.java
@@ -170,7 +170,7 @@
     }
 
     @Override
-    public boolean part(ByteBuf data) {
+    public boolean forward(ByteBuf data) {
         channel.writeAndFlush(new DefaultHttpContent(data)).addListener(written -> {
             if (written.isSuccess() && source != null) {
                 connection.restartTimeout(); // the client reads
@@ -188,7 +188,7 @@
 
     /** Closes the connection: without the announced length or the last chunk the client sees that a part is missing. */
     @Override
-    public void cut() {
+    public void abort() {
         source = null;
         channel.close();
     }
--- a/src/main/java/sedgeyoke/proxy/UpstreamConnection.java
+++ b/src/main/java/sedgeyoke/proxy/UpstreamConnection.java
@@ -273,7 +273,7 @@
         ResponseStream.Sink incomplete = receiver.incompleteStream();
         clearExchange();
         if (incomplete != null) {
-            incomplete.cut();
+            incomplete.abort();
         }
     }
 }
--- a/src/main/java/sedgeyoke/serve/OptionalFeatures.java
+++ b/src/main/java/sedgeyoke/serve/OptionalFeatures.java
@@ -14,7 +14,7 @@
 import sedgeyoke.policy.LoadBalancingPolicy;
 import sedgeyoke.proxy.BalancerConfig;
 import sedgeyoke.proxy.BalancerServer;
-import sedgeyoke.proxy.ModulePort;
+import sedgeyoke.proxy.PolicyPort;
 import sedgeyoke.settings.ConfigSubscriptionSettings;
 import sedgeyoke.settings.InvalidOperatorFileException;
 import sedgeyoke.settings.OperatorFile;
@@ -75,7 +75,7 @@
         if (!plans.enabled()) {
             return;
         }
-        LoadBalancingPolicy.Settings settings = config.facts().settings();
+        LoadBalancingPolicy.Settings settings = config.instanceSettings().settings();
         double minGrant =
                 MIN_GRANT_REQUESTS * 1e6 / Math.max(1, settings.rules().overloadWindow());
         Follower.Identity self = new Follower.Identity(
@@ -99,7 +99,7 @@
         if (!subscription.enabled()) {
             return;
         }
-        ModulePort port = server.port();
+        PolicyPort port = server.port();
         try {
             ConfigSubscription subscriber = new ConfigSubscription(
                     loop,
--- a/src/test/java/sedgeyoke/plan/remote/PlannerConnectionTest.java
+++ b/src/test/java/sedgeyoke/plan/remote/PlannerConnectionTest.java
@@ -35,7 +35,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import sedgeyoke.plan.Follower;
 import sedgeyoke.policy.LoadBalancingPolicy;
-import sedgeyoke.proxy.ModulePort;
+import sedgeyoke.proxy.PolicyPort;
 import sedgeyoke.settings.OperatorFile;
 import sedgeyoke.settings.PlannerSettings;
 import sedgeyoke.settings.TlsFiles;
@@ -378,7 +378,7 @@
     // ---- The forwarder's side ------------------------------------------------------------------------
 
     /** A policy with one upstream in slow start, which records the plans it receives. */
-    private final class Port implements ModulePort {
+    private final class Port implements PolicyPort {
         @Override
         public void setFleetCordons(java.util.Set<String> upstreams) {
             throw new AssertionError("planners disable no upstream");
@@ -421,7 +421,7 @@
         }
 
         @Override
-        public LoadBalancingPolicy module() {
+        public LoadBalancingPolicy policy() {
             return module;
         }
 
--- a/src/test/java/sedgeyoke/proxy/AdminServerTest.java
+++ b/src/test/java/sedgeyoke/proxy/AdminServerTest.java
@@ -18,7 +18,7 @@
     @TempDir
     private Path folder;
 
-    private Loopback start(Peer... upstreams) throws Exception {
+    private Loopback start(ScriptedServer... upstreams) throws Exception {
         Loopback.Setup setup = Loopback.setup().adminEndpoint(folder);
         for (int i = 0; i < upstreams.length; i++) {
             setup.upstream("u" + i, upstreams[i].address());
@@ -26,8 +26,8 @@
         return setup.start();
     }
 
-    private static Peer good() throws Exception {
-        return new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
+    private static ScriptedServer good() throws Exception {
+        return new ScriptedServer((request, socket) -> ScriptedServer.reply(socket, 200, "x"));
     }
 
     @ParameterizedTest
@@ -46,7 +46,7 @@
         "GET, /nonesuch, '', 404"
     })
     void callsAndTheirResponses(String method, String path, String body, int status) throws Exception {
-        try (Peer up = good();
+        try (ScriptedServer up = good();
                 Loopback lb = start(up)) {
             Loopback.await("ready", () -> lb.health() == 200);
             assertEquals(status, lb.call(method, path, body).status());
@@ -56,10 +56,10 @@
     @Test
     void metricsMatchWhatPeersObserved() throws Exception {
         AtomicInteger seen = new AtomicInteger();
-        try (Peer up = new Peer((request, socket) -> {
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
                     seen.incrementAndGet();
                     boolean fails = request.headers().get("x-call-id").startsWith("bad");
-                    Peer.reply(socket, fails ? 500 : 200, "x");
+                    ScriptedServer.reply(socket, fails ? 500 : 200, "x");
                 });
                 Loopback lb = start(up)) {
             for (int i = 0; i < 5; i++) {
@@ -83,13 +83,13 @@
     @Test
     void rejectionsAndRequestsInFlightAreCounted() throws Exception {
         java.util.concurrent.CountDownLatch release = new java.util.concurrent.CountDownLatch(1);
-        try (Peer up = new Peer((request, socket) -> {
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
                     release.await();
-                    Peer.reply(socket, 200, "x");
+                    ScriptedServer.reply(socket, 200, "x");
                 });
                 Loopback lb = start(up)) {
             Socket inFlight = lb.connect();
-            Peer.write(inFlight, Loopback.request("in-flight", "order", 60_000));
+            ScriptedServer.write(inFlight, Loopback.request("in-flight", "order", 60_000));
             Loopback.await("in flight", () -> lb.metric("in_flight") == 1 && lb.metric("attempts.order") == 1);
             assertEquals(200, lb.call("POST", "/admin/cordon", "u0").status());
             assertEquals(1, lb.metric("upstreams_excluded"));
@@ -103,8 +103,8 @@
 
     @Test
     void aCordonedUpstreamGetsNoRequestsUntilItIsUncordoned() throws Exception {
-        try (Peer a = good();
-                Peer b = good();
+        try (ScriptedServer a = good();
+                ScriptedServer b = good();
                 Loopback lb = start(a, b)) {
             Loopback.await("both in use", () -> {
                 askOnce(lb);
@@ -139,8 +139,8 @@
     /** Two processes of one balancer: a cordon set at one applies to the other, and to the next process. */
     @Test
     void aCordonAppliesToTheOtherProcessesToo() throws Exception {
-        try (Peer a = good();
-                Peer b = good();
+        try (ScriptedServer a = good();
+                ScriptedServer b = good();
                 Loopback old = start(a, b)) {
             assertEquals(200, old.call("POST", "/admin/cordon", "u0").status());
             try (Loopback next = start(a, b)) {
@@ -160,13 +160,13 @@
 
     @Test
     void callersThatNeverFinishDoNotBlockOthers() throws Exception {
-        try (Peer up = good();
+        try (ScriptedServer up = good();
                 Loopback lb = start(up)) {
             Loopback.await("ready", () -> lb.health() == 200);
             List<Socket> stuck = new ArrayList<>();
             for (int i = 0; i < 200; i++) {
                 Socket socket = new Socket(lb.adminAddress.getAddress(), lb.adminAddress.getPort());
-                Peer.write(
+                ScriptedServer.write(
                         socket,
                         i % 2 == 0 ? "GET /admin/st" : "POST /admin/cordon HTTP/1.1\r\nContent-Length: 9\r\n\r\n");
                 stuck.add(socket);
@@ -195,7 +195,7 @@
 
     @Test
     void healthFailsOnceClientsAreNotServedAnyMore() throws Exception {
-        try (Peer up = good();
+        try (ScriptedServer up = good();
                 Loopback lb = start(up)) {
             Loopback.await("ready", () -> lb.health() == 200);
             Thread end = new Thread(lb.server::shutDown);
--- a/src/test/java/sedgeyoke/proxy/BalancerProcessTest.java
+++ b/src/test/java/sedgeyoke/proxy/BalancerProcessTest.java
@@ -31,18 +31,18 @@
     @Test
     void aGracefulShutdownServesNewRequestsAndFinishesThoseInFlight() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
-        try (Peer up = new Peer((request, socket) -> {
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
                     if (request.headers().get("x-call-id").equals("slow")) {
                         release.await();
                     }
-                    Peer.reply(socket, 200, "x");
+                    ScriptedServer.reply(socket, 200, "x");
                 });
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
                         .setting("\"give-up-s\":2", "\"give-up-s\":4")
                         .start()) {
             Socket inFlight = lb.connect();
-            Peer.write(inFlight, Loopback.request("slow", "order", 60_000));
+            ScriptedServer.write(inFlight, Loopback.request("slow", "order", 60_000));
             Socket open = lb.connect();
             Loopback.await("ready", () -> lb.health() == 200);
             Loopback.await("sent", () -> up.requests.size() == 1);
@@ -80,9 +80,9 @@
     @Test
     void onSigtermTheProgramEndsWithNothingLost() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
-        try (Peer up = new Peer((request, socket) -> {
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
             release.await();
-            Peer.reply(socket, 200, "x");
+            ScriptedServer.reply(socket, 200, "x");
         })) {
             Path file = folder.resolve("config.json");
             Files.write(
@@ -96,7 +96,7 @@
             try (BufferedReader output = process.inputReader()) {
                 String line = awaitLine(output, "listens on");
                 try (Socket client = new Socket("127.0.0.1", Integer.parseInt(line.replaceAll(".*:", "")))) {
-                    Peer.write(client, Loopback.request("id-1", "order", 60_000));
+                    ScriptedServer.write(client, Loopback.request("id-1", "order", 60_000));
                     Loopback.await("sent", () -> up.requests.size() == 1);
                     process.destroy();
                     release.countDown();
@@ -116,9 +116,9 @@
     @Test
     void onSighupTheProgramMovesToTheDiscoveryThatTheFileNames() throws Exception {
         Path file = folder.resolve("config.json");
-        try (Peer first = discovery("first");
-                Peer second = discovery("second");
-                Peer third = discovery("third")) {
+        try (ScriptedServer first = discovery("first");
+                ScriptedServer second = discovery("second");
+                ScriptedServer third = discovery("third")) {
             Files.write(file, configAt(first));
             Process process = start(file.toString());
             try (BufferedReader output = process.inputReader()) {
@@ -149,8 +149,8 @@
     @Test
     void aSighupDuringTheStartReloadsAfterIt() throws Exception {
         Path file = pipe("config.json");
-        try (Peer first = discovery("first");
-                Peer second = discovery("second")) {
+        try (ScriptedServer first = discovery("first");
+                ScriptedServer second = discovery("second")) {
             Process process = start(file.toString());
             try {
                 try (OutputStream configWrite = Files.newOutputStream(file)) { // once the program has begun to read
@@ -172,9 +172,9 @@
     @Test
     void aSigtermJustAfterTheFirstClientLosesNothing() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
-        try (Peer up = new Peer((request, socket) -> {
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
             release.await();
-            Peer.reply(socket, 200, "x");
+            ScriptedServer.reply(socket, 200, "x");
         })) {
             int port = freePort();
             Path file = Files.writeString(
@@ -195,7 +195,7 @@
                             + "trust = \"held.pem\"\n");
             Process process = start(file.toString(), "--config", operator.toString());
             try (Socket client = connect(port)) {
-                Peer.write(client, Loopback.request("id-1", "order", 60_000));
+                ScriptedServer.write(client, Loopback.request("id-1", "order", 60_000));
                 Loopback.await("sent", () -> up.requests.size() == 1);
                 process.destroy();
                 Loopback.await("the signal is noticed", () -> !process.isAlive() || refused(port));
@@ -243,15 +243,15 @@
         }
     }
 
-    private static byte[] configAt(Peer discovery) {
+    private static byte[] configAt(ScriptedServer discovery) {
         return Loopback.configText(Loopback.SETTINGS, discovery.address(), 1024, Loopback.list(1, true));
     }
 
     /** Discovery that lists one upstream and then no changes; revisions are the same everywhere. */
-    private static Peer discovery(String id) throws IOException {
-        return new Peer((request, socket) -> {
+    private static ScriptedServer discovery(String id) throws IOException {
+        return new ScriptedServer((request, socket) -> {
             if (!request.line().contains("from=")) {
-                Peer.reply(socket, 200, Loopback.list(7, true, Loopback.member(id, "127.0.0.1:1", "up")));
+                ScriptedServer.reply(socket, 200, Loopback.list(7, true, Loopback.member(id, "127.0.0.1:1", "up")));
             }
         });
     }
--- a/src/test/java/sedgeyoke/proxy/BodiesTest.java
+++ b/src/test/java/sedgeyoke/proxy/BodiesTest.java
@@ -39,7 +39,7 @@
                 + "\r\n\r\n";
     }
 
-    private static Loopback serving(Peer up) throws Exception {
+    private static Loopback serving(ScriptedServer up) throws Exception {
         return Loopback.setup().upstream("u", up.address()).bodies(LIMITS).start();
     }
 
@@ -53,28 +53,28 @@
         byte[] sent = bytes(length);
         AtomicReference<byte[]> arrived = new AtomicReference<>();
         byte[] answer = bytes(length + 7);
-        try (Peer up = new Peer((request, socket) -> {
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
                     arrived.set(request.raw());
-                    Peer.write(socket, "HTTP/1.1 200 x\r\nContent-Length: " + answer.length + "\r\n\r\n");
+                    ScriptedServer.write(socket, "HTTP/1.1 200 x\r\nContent-Length: " + answer.length + "\r\n\r\n");
                     socket.getOutputStream().write(answer);
                 });
                 Loopback lb = serving(up)) {
             Socket client = lb.connect();
             OutputStream out = client.getOutputStream();
             if (declared) {
-                Peer.write(client, upload("a", "order", "Content-Length: " + length));
+                ScriptedServer.write(client, upload("a", "order", "Content-Length: " + length));
                 out.write(sent);
             } else {
-                Peer.write(client, upload("a", "order", "Transfer-Encoding: chunked"));
+                ScriptedServer.write(client, upload("a", "order", "Transfer-Encoding: chunked"));
                 for (int at = 0; at < length; at += 5_000) {
                     int n = Math.min(5_000, length - at);
-                    Peer.write(client, Integer.toHexString(n) + "\r\n");
+                    ScriptedServer.write(client, Integer.toHexString(n) + "\r\n");
                     out.write(sent, at, n);
-                    Peer.write(client, "\r\n");
+                    ScriptedServer.write(client, "\r\n");
                 }
-                Peer.write(client, "0\r\n\r\n");
+                ScriptedServer.write(client, "0\r\n\r\n");
             }
-            Peer.Message got = Loopback.answer(client);
+            ScriptedServer.Message got = Loopback.answer(client);
             assertEquals(200, got.status());
             assertEquals(digest(answer), digest(got.raw()));
             assertEquals(digest(sent), digest(arrived.get()));
@@ -89,23 +89,23 @@
     @Test
     void anUpstreamFasterThanItsClientIsPaused() throws Exception {
         AtomicLong written = new AtomicLong();
-        try (Peer up = new Peer((request, socket) -> {
-                    Peer.write(socket, "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n");
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+                    ScriptedServer.write(socket, "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n");
                     byte[] chunk = new byte[10_000];
                     for (int i = 0; i < 5_000; i++) {
-                        Peer.write(socket, "2710\r\n");
+                        ScriptedServer.write(socket, "2710\r\n");
                         socket.getOutputStream().write(chunk);
-                        Peer.write(socket, "\r\n");
+                        ScriptedServer.write(socket, "\r\n");
                         written.addAndGet(chunk.length);
                     }
-                    Peer.write(socket, "0\r\nX-Sum: 7\r\nContent-Length: 3\r\n\r\n");
+                    ScriptedServer.write(socket, "0\r\nX-Sum: 7\r\nContent-Length: 3\r\n\r\n");
                 });
                 Loopback lb = serving(up)) {
             Socket client = new Socket();
             client.setReceiveBufferSize(16_384);
             client.connect(lb.address);
             client.setSoTimeout(20_000);
-            Peer.write(client, Loopback.request("a", "order", 5_000));
+            ScriptedServer.write(client, Loopback.request("a", "order", 5_000));
             InputStream in = new BufferedInputStream(client.getInputStream());
             assertTrue(in.read() == 'H');
             long before = -1;
@@ -141,14 +141,14 @@
         byte[] framed = ("1\r\nx\r\n".repeat(chunks) + "0\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
         BodyLimits limits =
                 new BodyLimits(true, 32 * 1024, 8L * MB, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40, 16 * 1024);
-        try (Peer node = new Peer(
+        try (ScriptedServer node = new ScriptedServer(
                         (request, socket) -> {
                             arrived.set(request.raw());
                             if (!up) {
-                                Peer.write(socket, "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n");
+                                ScriptedServer.write(socket, "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n");
                                 socket.getOutputStream().write(framed);
                             } else {
-                                Peer.reply(socket, 200, "done");
+                                ScriptedServer.reply(socket, 200, "done");
                             }
                         },
                         go);
@@ -159,7 +159,7 @@
             Socket client = lb.connect();
             Thread writer = new Thread(() -> {
                 try {
-                    Peer.write(
+                    ScriptedServer.write(
                             client,
                             up
                                     ? upload("a", "order", "Transfer-Encoding: chunked")
@@ -175,7 +175,7 @@
             }
             Loopback.awaitStill(4 * 1024, () -> lb.budget(b -> b.largest())); // nobody reads: all waits on the way
             go.countDown();
-            Peer.Message got = Loopback.answer(client);
+            ScriptedServer.Message got = Loopback.answer(client);
             writer.join();
             assertEquals(200, got.status());
             assertArrayEquals(body, up ? arrived.get() : got.raw());
@@ -186,14 +186,14 @@
 
     @Test
     void aTruncatedResponseIsVisiblyIncomplete() throws Exception {
-        try (Peer up = new Peer((request, socket) -> {
-                    Peer.write(socket, "HTTP/1.1 200 x\r\nContent-Length: 1000000\r\n\r\n");
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+                    ScriptedServer.write(socket, "HTTP/1.1 200 x\r\nContent-Length: 1000000\r\n\r\n");
                     socket.getOutputStream().write(new byte[400_000]);
                     socket.close();
                 });
                 Loopback lb = serving(up)) {
             Socket client = lb.connect();
-            Peer.write(client, Loopback.request("a", "read", 5_000));
+            ScriptedServer.write(client, Loopback.request("a", "read", 5_000));
             byte[] all = client.getInputStream().readAllBytes();
             assertTrue(all.length < 500_000, "cut at " + all.length);
             assertTrue(new String(all, 0, 200, StandardCharsets.ISO_8859_1).contains("1000000"));
@@ -204,10 +204,10 @@
     @Test
     void anUploadThatIsAbortedIsNeverComplete() throws Exception {
         AtomicInteger begun = new AtomicInteger();
-        try (Peer up = new Peer((request, socket) -> begun.incrementAndGet());
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> begun.incrementAndGet());
                 Loopback lb = serving(up)) {
             Socket client = lb.connect();
-            Peer.write(client, upload("a", "order", "Content-Length: 2000000"));
+            ScriptedServer.write(client, upload("a", "order", "Content-Length: 2000000"));
             client.getOutputStream().write(new byte[500_000]);
             Loopback.await("it goes on", () -> up.sockets.size() == 1);
             client.close();
@@ -220,10 +220,10 @@
     /** The last byte was never written: whatever the class, trying again is harmless. */
     @Test
     void anUpstreamThatClosesDuringAnUploadCausesARejection() throws Exception {
-        try (Peer up = new Peer((request, socket) -> {});
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {});
                 Loopback lb = serving(up)) {
             Socket client = lb.connect();
-            Peer.write(client, upload("a", "order", "Content-Length: 2000000"));
+            ScriptedServer.write(client, upload("a", "order", "Content-Length: 2000000"));
             client.getOutputStream().write(new byte[500_000]);
             Loopback.await("it goes on", () -> up.sockets.size() == 1);
             up.sockets.get(0).close();
@@ -233,10 +233,10 @@
 
     @Test
     void anUpstreamThatClosesAfterTheLastByteCausesAFailure() throws Exception {
-        try (Peer up = new Peer((request, socket) -> socket.close());
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> socket.close());
                 Loopback lb = serving(up)) {
             Socket client = lb.connect();
-            Peer.write(client, upload("a", "order", "Content-Length: 200000"));
+            ScriptedServer.write(client, upload("a", "order", "Content-Length: 200000"));
             client.getOutputStream().write(new byte[200_000]);
             assertEquals(502, Loopback.answer(client).status());
             assertEquals(1, up.requests.size());
@@ -248,18 +248,18 @@
         CountDownLatch go = new CountDownLatch(1);
         BodyLimits two =
                 new BodyLimits(true, 64 * 1024, 2 * 64 * 1024, 0, 1_000_000, 30_000_000, 5_000_000, 1L << 40, 0);
-        try (Peer up = new Peer((request, socket) -> {
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
                     if (request.raw().length > 10_000) {
                         go.await();
                     }
-                    Peer.reply(socket, 200, "x");
+                    ScriptedServer.reply(socket, 200, "x");
                 });
                 Loopback lb =
                         Loopback.setup().upstream("u", up.address()).bodies(two).start()) {
             Socket[] clients = new Socket[3];
             for (int i = 0; i < 3; i++) {
                 clients[i] = lb.connect();
-                Peer.write(clients[i], upload("a" + i, "order", "Content-Length: 100000"));
+                ScriptedServer.write(clients[i], upload("a" + i, "order", "Content-Length: 100000"));
                 clients[i].getOutputStream().write(new byte[100_000]);
                 int sent = i + 1;
                 if (i < 2) {
@@ -277,13 +277,13 @@
     @Test
     void aSlowUploadTimesOut() throws Exception {
         BodyLimits strict = new BodyLimits(true, 64 * 1024, MB, 1_000, 300_000, 30_000_000, 5_000_000, 1L << 40, 0);
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
                         .bodies(strict)
                         .start()) {
             Socket client = lb.connect();
-            Peer.write(client, upload("a", "order", "Content-Length: 100000"));
+            ScriptedServer.write(client, upload("a", "order", "Content-Length: 100000"));
             client.getOutputStream().write(new byte[60]);
             assertEquals(408, Loopback.answer(client).status());
             assertEquals(0, up.requests.size());
@@ -292,29 +292,29 @@
 
     @Test
     void expectContinueIsAnswered() throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = serving(up)) {
             Socket client = lb.connect();
-            Peer.write(client, upload("a", "order", "Content-Length: 4\r\nExpect: 100-continue"));
+            ScriptedServer.write(client, upload("a", "order", "Content-Length: 4\r\nExpect: 100-continue"));
             InputStream in = new BufferedInputStream(client.getInputStream());
-            assertEquals(100, Peer.read(in).status());
-            Peer.write(client, "work");
-            assertEquals(200, Peer.read(in).status());
+            assertEquals(100, ScriptedServer.read(in).status());
+            ScriptedServer.write(client, "work");
+            assertEquals(200, ScriptedServer.read(in).status());
         }
     }
 
     @Test
     void aMalformedLongBodyIsNeverForwardedCompletely() throws Exception {
         AtomicInteger begun = new AtomicInteger();
-        try (Peer up = new Peer((request, socket) -> begun.incrementAndGet());
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> begun.incrementAndGet());
                 Loopback lb = serving(up)) {
             Socket client = lb.connect();
-            Peer.write(client, upload("a", "order", "Transfer-Encoding: chunked"));
+            ScriptedServer.write(client, upload("a", "order", "Transfer-Encoding: chunked"));
             byte[] chunk = bytes(100_000);
-            Peer.write(client, Integer.toHexString(chunk.length) + "\r\n");
+            ScriptedServer.write(client, Integer.toHexString(chunk.length) + "\r\n");
             client.getOutputStream().write(chunk);
             Loopback.await("it goes on", () -> up.sockets.size() == 1);
-            Peer.write(client, "\r\nffffffffffffffffffff\r\n");
+            ScriptedServer.write(client, "\r\nffffffffffffffffffff\r\n");
             assertEquals(400, Loopback.answer(client).status());
             Loopback.await("closed", () -> up.left.get() == 1);
             assertEquals(0, begun.get());
@@ -326,9 +326,9 @@
     void aLongRequestWithoutAnAttemptLeavesItsConnectionUsable() throws Exception {
         try (Loopback lb = Loopback.setup().bodies(LIMITS).start()) {
             Socket client = lb.connect();
-            Peer.write(client, upload("a", "order", "Content-Length: 49160"));
+            ScriptedServer.write(client, upload("a", "order", "Content-Length: 49160"));
             client.getOutputStream().write(new byte[49_160]);
-            Peer.Message refused = Loopback.answer(client);
+            ScriptedServer.Message refused = Loopback.answer(client);
             assertEquals(503, refused.status());
             if (!"close".equals(refused.headers().get("connection"))) {
                 assertEquals(
@@ -341,10 +341,10 @@
 
     @Test
     void withoutStreamingTheDefaultLimitsApply() throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             Socket client = lb.connect();
-            Peer.write(client, upload("a", "order", "Content-Length: 65537"));
+            ScriptedServer.write(client, upload("a", "order", "Content-Length: 65537"));
             assertEquals(413, Loopback.answer(client).status());
             assertArrayEquals(new int[] {0}, new int[] {up.requests.size()});
         }
@@ -356,14 +356,14 @@
     @CsvSource({"0", "300", "49153", "3000000"})
     void aResponseMayEndWithItsConnection(int length) throws Exception {
         byte[] answer = bytes(length);
-        try (Peer up = new Peer((request, socket) -> {
-                    Peer.write(socket, UNTIL_THE_END);
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+                    ScriptedServer.write(socket, UNTIL_THE_END);
                     socket.getOutputStream().write(answer);
                     socket.close();
                 });
                 Loopback lb = serving(up)) {
             for (int i = 0; i < 3; i++) { // no connection that has ended so is used again
-                Peer.Message got = lb.ask("id-" + i, "order", 5_000);
+                ScriptedServer.Message got = lb.ask("id-" + i, "order", 5_000);
                 assertEquals(200, got.status());
                 assertEquals(digest(answer), digest(got.raw()));
             }
@@ -376,8 +376,8 @@
     void aResponseThatIsResetIsNotServed(int length) throws Exception {
         CountDownLatch read = new CountDownLatch(1);
         byte[] answer = bytes(length);
-        try (Peer up = new Peer((request, socket) -> {
-                    Peer.write(socket, UNTIL_THE_END);
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+                    ScriptedServer.write(socket, UNTIL_THE_END);
                     socket.getOutputStream().write(answer);
                     read.await();
                     socket.setSoLinger(true, 0);
@@ -385,7 +385,7 @@
                 });
                 Loopback lb = serving(up)) {
             Socket client = lb.connect();
-            Peer.write(client, Loopback.request("a", "order", 5_000));
+            ScriptedServer.write(client, Loopback.request("a", "order", 5_000));
             InputStream in = new BufferedInputStream(client.getInputStream());
             assertEquals('H', in.read(), "it is being passed on, a short one as it is slow");
             read.countDown();
@@ -396,8 +396,8 @@
 
     @Test
     void aResponseWithoutAnEndIsInvalid() throws Exception {
-        try (Peer up = new Peer((request, socket) -> {
-                    Peer.write(socket, "HTTP/1.1 200 x\r\n\r\nhalf");
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+                    ScriptedServer.write(socket, "HTTP/1.1 200 x\r\n\r\nhalf");
                     socket.close();
                 });
                 Loopback lb = serving(up)) {
@@ -410,9 +410,9 @@
     void aLongResponseWithConnectionCloseIsTheLastOnItsConnection() throws Exception {
         byte[] answer = bytes(3_000_000);
         AtomicInteger connections = new AtomicInteger();
-        try (Peer up = new Peer((request, socket) -> {
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
                     connections.incrementAndGet();
-                    Peer.write(
+                    ScriptedServer.write(
                             socket,
                             "HTTP/1.1 200 x\r\nConnection: close\r\nContent-Length: " + answer.length + "\r\n\r\n");
                     socket.getOutputStream().write(answer);
@@ -431,8 +431,8 @@
     @Test
     void anEndlessResponseIsTruncatedAtTheLargestBody() throws Exception {
         BodyLimits small = new BodyLimits(true, 64 * 1024, 8L * MB, 1_000, 1_000_000, 30_000_000, 5_000_000, MB, 0);
-        try (Peer up = new Peer((request, socket) -> {
-                    Peer.write(socket, UNTIL_THE_END);
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+                    ScriptedServer.write(socket, UNTIL_THE_END);
                     while (true) {
                         socket.getOutputStream().write(bytes(100_000));
                     }
@@ -442,7 +442,7 @@
                         .bodies(small)
                         .start()) {
             Socket client = lb.connect();
-            Peer.write(client, Loopback.request("a", "order", 5_000));
+            ScriptedServer.write(client, Loopback.request("a", "order", 5_000));
             byte[] got = client.getInputStream().readAllBytes();
             assertTrue(got.length < 2 * MB, "it ends");
             assertTrue(!new String(got, StandardCharsets.ISO_8859_1).endsWith("0\r\n\r\n"), "and the client can tell");
--- a/src/test/java/sedgeyoke/proxy/BodyPropertiesTest.java
+++ b/src/test/java/sedgeyoke/proxy/BodyPropertiesTest.java
@@ -34,7 +34,7 @@
     private static final int LONGEST = 400_000;
     private static final Map<String, byte[]> ARRIVED = new ConcurrentHashMap<>();
     private static final Map<String, Answering> ANSWERS = new ConcurrentHashMap<>();
-    private static Peer node;
+    private static ScriptedServer node;
     private static Loopback lb;
     private static int number;
 
@@ -43,7 +43,7 @@
 
     @BeforeContainer
     static void start() throws Exception {
-        node = new Peer((request, socket) -> {
+        node = new ScriptedServer((request, socket) -> {
             String id = request.headers().get("x-call-id");
             ARRIVED.put(id, request.raw());
             write(socket, ANSWERS.get(id));
@@ -166,7 +166,7 @@
         }
 
         @Override
-        public boolean part(ByteBuf data) {
+        public boolean forward(ByteBuf data) {
             assertFalse(ended || aborted || full && data.readableBytes() > CEILING);
             mine.add(data);
             got.writeBytes(io.netty.buffer.ByteBufUtil.getBytes(data));
@@ -203,7 +203,7 @@
         ANSWERS.put(id, new Answering(answer, chunkedDown, splits, Integer.MAX_VALUE));
         try (Socket client = lb.connect()) {
             ask(client, id, sent, chunkedUp, splits, Integer.MAX_VALUE);
-            Peer.Message got = Loopback.answer(client);
+            ScriptedServer.Message got = Loopback.answer(client);
             assertEquals(200, got.status());
             assertArrayEquals(answer, got.raw());
             assertArrayEquals(sent, ARRIVED.remove(id));
@@ -240,14 +240,14 @@
         ANSWERS.put(id, new Answering(answer, chunked, splits, Math.max(1, (int) ((long) down * percent / 100))));
         try (Socket client = lb.connect()) {
             ask(client, id, bytes(100, number), false, splits, Integer.MAX_VALUE);
-            Peer.Message got = visible(client);
+            ScriptedServer.Message got = visible(client);
             assertTrue(got == null || got.status() == 502, "taken for whole: " + got);
         }
         Loopback.await("nothing is left", () -> lb.server.reservedForBodies() == 0 && idle());
         ARRIVED.remove(id);
     }
 
-    private static Peer.Message visible(Socket client) {
+    private static ScriptedServer.Message visible(Socket client) {
         try {
             return Loopback.answer(client);
         } catch (IOException | NumberFormatException cut) {
@@ -267,7 +267,7 @@
 
     private static void ask(Socket client, String id, byte[] body, boolean chunked, int[] splits, int cutAt)
             throws IOException {
-        Peer.write(
+        ScriptedServer.write(
                 client,
                 "POST /api?obj=o HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id
                         + "\r\nX-Call-Class: order\r\nX-Budget-Ms: 9000\r\n" + framing(body, chunked));
@@ -275,7 +275,7 @@
     }
 
     private static void write(Socket socket, Answering answer) throws IOException {
-        Peer.write(socket, "HTTP/1.1 200 x\r\n" + framing(answer.body(), answer.chunked()));
+        ScriptedServer.write(socket, "HTTP/1.1 200 x\r\n" + framing(answer.body(), answer.chunked()));
         body(socket, answer.body(), answer.chunked(), answer.splits(), answer.cutAt());
         if (answer.cutAt() < Integer.MAX_VALUE) {
             socket.close();
@@ -291,16 +291,16 @@
         for (int at = 0, i = 0; at < until; i++) {
             int n = Math.min(until - at, 1 + Math.floorMod(splits[i % splits.length], 50_000));
             if (chunked) {
-                Peer.write(socket, Integer.toHexString(n) + "\r\n");
+                ScriptedServer.write(socket, Integer.toHexString(n) + "\r\n");
             }
             socket.getOutputStream().write(body, at, n);
             if (chunked) {
-                Peer.write(socket, "\r\n");
+                ScriptedServer.write(socket, "\r\n");
             }
             at += n;
         }
         if (chunked && cutAt == Integer.MAX_VALUE) {
-            Peer.write(socket, "0\r\n\r\n");
+            ScriptedServer.write(socket, "0\r\n\r\n");
         }
     }
 }
--- a/src/test/java/sedgeyoke/proxy/CrossingsTest.java
+++ b/src/test/java/sedgeyoke/proxy/CrossingsTest.java
@@ -20,15 +20,15 @@
 
 /**
  * What happens where two things meet in the same milliseconds (docs/design/crossings.md). Each meeting is set by the
- * test: a peer that waits for a word, or a loop that stands still until the other side has done its part.
+ * test: a server that waits for a word, or a loop that stands still until the other side has done its part.
  */
 class CrossingsTest {
     private static final long MS = 1_000_000;
-    private ScriptedModule module;
+    private ScriptedPolicy module;
 
     private Loopback start(Loopback.Setup setup) throws Exception {
         return setup.module(actions -> {
-                    module = new ScriptedModule(actions);
+                    module = new ScriptedPolicy(actions);
                     return module;
                 })
                 .start();
@@ -46,12 +46,12 @@
     @Test
     void anAttemptThatIsStoppedIsOffTheWireBeforeTheNextOneGoesOut() throws Exception {
         CompletableFuture<Boolean> firstClosed = new CompletableFuture<>();
-        try (Peer silent = new Peer((request, socket) -> {});
-                Peer second = new Peer((request, socket) -> {
+        try (ScriptedServer silent = new ScriptedServer((request, socket) -> {});
+                ScriptedServer second = new ScriptedServer((request, socket) -> {
                     if (request.headers().get("x-call-id").equals("id-1")) {
                         firstClosed.complete(Boolean.TRUE);
                     }
-                    Peer.reply(socket, 200, "x");
+                    ScriptedServer.reply(socket, 200, "x");
                 });
                 Loopback lb = start(Loopback.setup()
                         .setting("\"may-duplicate\":true", "\"may-duplicate\":false")
@@ -75,7 +75,7 @@
         }
     }
 
-    private static boolean closesWhileTheLoopStands(Peer peer) {
+    private static boolean closesWhileTheLoopStands(ScriptedServer peer) {
         long until = System.nanoTime() + 500 * MS;
         while (peer.left.get() == 0 && System.nanoTime() < until) {
             LockSupport.parkNanos(MS);
@@ -86,8 +86,8 @@
     /** The module chose while upstreams still remembered the first one; the connection came up when they did not. */
     @Test
     void aRepeatWhoseTimeHasRunOutWhileItConnectedIsNotSent() throws Exception {
-        try (Peer resets = new Peer((request, socket) -> socket.close());
-                Peer up = Peer.serving("x");
+        try (ScriptedServer resets = new ScriptedServer((request, socket) -> socket.close());
+                ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = start(Loopback.setup()
                         .setting("\"memory-span-s\":2", "\"memory-span-s\":0.25")
                         .upstream("a", resets.address())
@@ -123,23 +123,23 @@
     /** False if the machine let more time pass than a second answer may be late. */
     private boolean secondAnswer() throws Exception {
         CountDownLatch nextSent = new CountDownLatch(1);
-        try (Peer up = new Peer((request, socket) -> {
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
                     if (request.headers().get("x-call-id").equals("id-1")) {
-                        Peer.reply(socket, 200, "first");
+                        ScriptedServer.reply(socket, 200, "first");
                         nextSent.await();
-                        Peer.reply(socket, 200, "first");
+                        ScriptedServer.reply(socket, 200, "first");
                     } else {
                         nextSent.countDown();
-                        Peer.reply(socket, 200, "second");
+                        ScriptedServer.reply(socket, 200, "second");
                     }
                 });
                 Loopback lb = start(Loopback.setup().upstream("u", up.address()))) {
             AtomicInteger queued = new AtomicInteger();
             module.onRequest = (m, r) -> queued.incrementAndGet();
             Socket next = lb.connect();
-            Peer.write(next, Loopback.request("id-2", "order", 5_000));
+            ScriptedServer.write(next, Loopback.request("id-2", "order", 5_000));
             Socket first = lb.connect();
-            Peer.write(first, Loopback.request("id-1", "order", 5_000));
+            ScriptedServer.write(first, Loopback.request("id-1", "order", 5_000));
             Loopback.await("both are queued", () -> queued.get() == 2);
             long[] took = new long[1];
             module.onEnd = (m, end) -> {
@@ -182,7 +182,7 @@
             for (int i = 0; i < 20; i++) {
                 Socket socket = lb.connect();
                 String request = Loopback.request("id-" + i, "order", 5_000);
-                Peer.write(socket, request.substring(0, request.length() - 2));
+                ScriptedServer.write(socket, request.substring(0, request.length() - 2));
                 sockets.add(socket);
             }
             Loopback.await("all are known", () -> lb.server.clients() == 20);
@@ -221,7 +221,7 @@
                     TimeUnit.MILLISECONDS);
             stands.await();
             for (int i = 0; i < 20; i++) {
-                Peer.write(sockets.get(i), Loopback.request("id-" + i, "order", 5_000));
+                ScriptedServer.write(sockets.get(i), Loopback.request("id-" + i, "order", 5_000));
             }
             go.countDown();
             for (Socket socket : sockets) {
@@ -252,7 +252,7 @@
             List<Socket> sockets = new ArrayList<>();
             for (int i = 0; i < 60; i++) {
                 Socket socket = lb.connect();
-                Peer.write(socket, Loopback.request("id-" + i, "order", 5_000));
+                ScriptedServer.write(socket, Loopback.request("id-" + i, "order", 5_000));
                 sockets.add(socket);
             }
             go.countDown();
@@ -278,13 +278,13 @@
     /** False if that was so: the connection had been closed in order before, or its answer came too late. */
     private boolean sendsOn() throws Exception {
         String large = "x".repeat(400_000);
-        try (Peer up = Peer.serving(large);
+        try (ScriptedServer up = ScriptedServer.serving(large);
                 Loopback lb = start(ending().upstream("u", up.address()))) {
             Socket client = new Socket();
             client.setReceiveBufferSize(4_096); // so that most of the answer is buffered by the system
             client.connect(lb.address);
             client.setSoTimeout(10_000);
-            Peer.write(client, Loopback.request("id-1", "order", 5_000));
+            ScriptedServer.write(client, Loopback.request("id-1", "order", 5_000));
             Loopback.await("known", () -> lb.server.clients() == 1);
             CountDownLatch stands = new CountDownLatch(1);
             CountDownLatch sent = new CountDownLatch(1);
@@ -311,7 +311,7 @@
                     755,
                     TimeUnit.MILLISECONDS);
             stands.await();
-            Peer.write(client, Loopback.request("id-2", "order", 5_000));
+            ScriptedServer.write(client, Loopback.request("id-2", "order", 5_000));
             sent.countDown();
             if (answered[0] == 0 || closing[0] - answered[0] > 80 * MS || closing[0] - shutdownStartedAt > 800 * MS) {
                 return false;
@@ -328,7 +328,8 @@
             Set<String> queued = ConcurrentHashMap.newKeySet();
             module.onRequest = (m, r) -> queued.add(r.id());
             Socket client = lb.connect();
-            Peer.write(client, Loopback.request("id-1", "order", 20_000) + Loopback.request("id-2", "order", 20_000));
+            ScriptedServer.write(
+                    client, Loopback.request("id-1", "order", 20_000) + Loopback.request("id-2", "order", 20_000));
             Loopback.await("queued", () -> queued.contains("id-1"));
             module.onRequest = (m, r) -> m.actions.reject(r.id(), 0);
             lb.loop
@@ -339,15 +340,15 @@
                     })
                     .sync();
             java.io.InputStream in = new java.io.BufferedInputStream(client.getInputStream());
-            assertEquals(503, Peer.read(in).status());
-            Peer.Message second = Peer.read(in);
+            assertEquals(503, ScriptedServer.read(in).status());
+            ScriptedServer.Message second = ScriptedServer.read(in);
             assertEquals(503, second == null ? 0 : second.status());
         }
     }
 
     private static int status(Socket socket) {
         try {
-            Peer.Message answer = Loopback.answer(socket);
+            ScriptedServer.Message answer = Loopback.answer(socket);
             return answer == null ? 0 : answer.status();
         } catch (SocketTimeoutException e) {
             throw new AssertionError(e);
@@ -363,12 +364,12 @@
     void twoSilentCallsInARowStillBringADrainInTime() throws Exception {
         String up = Loopback.member("u", "127.0.0.1:1", "up");
         AtomicInteger calls = new AtomicInteger();
-        Peer discovery = new Peer((request, socket) -> {
+        ScriptedServer discovery = new ScriptedServer((request, socket) -> {
             int call = calls.incrementAndGet();
             if (call == 1) {
-                Peer.reply(socket, 200, Loopback.list(1, true, up));
+                ScriptedServer.reply(socket, 200, Loopback.list(1, true, up));
             } else if (call > 3) {
-                Peer.reply(socket, 200, Loopback.list(2, false, up.replace("\"up\"", "\"draining\"")));
+                ScriptedServer.reply(socket, 200, Loopback.list(2, false, up.replace("\"up\"", "\"draining\"")));
             } // else silence, and the connection stays open
         });
         try (Loopback lb = start(Loopback.setup().discovery(discovery))) {
@@ -387,10 +388,10 @@
     void aSilentAgentIsAskedWithinTheTimeThatDrainsLeave() throws Exception {
         String up = Loopback.member("u", "127.0.0.1:1", "up");
         List<Long> asked = new java.util.concurrent.CopyOnWriteArrayList<>();
-        Peer discovery = new Peer((request, socket) -> {
+        ScriptedServer discovery = new ScriptedServer((request, socket) -> {
             asked.add(System.nanoTime());
             if (asked.size() == 1) {
-                Peer.reply(socket, 200, Loopback.list(1, true, up));
+                ScriptedServer.reply(socket, 200, Loopback.list(1, true, up));
             }
         });
         try (Loopback lb = start(Loopback.setup().discovery(discovery))) {
@@ -405,14 +406,14 @@
     void aListThatHasBegunToComeIsWaitedFor() throws Exception {
         String up = Loopback.member("u", "127.0.0.1:1", "up");
         String list = Loopback.list(1, true, up);
-        Peer discovery = new Peer((request, socket) -> {
+        ScriptedServer discovery = new ScriptedServer((request, socket) -> {
             if (request.line().contains("from=")) {
                 return; // nothing new, and no word of it
             }
-            Peer.write(
+            ScriptedServer.write(
                     socket, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list.substring(0, 9));
             standUntil(System.nanoTime() + 900 * MS);
-            Peer.write(socket, list.substring(9));
+            ScriptedServer.write(socket, list.substring(9));
         });
         try (Loopback lb = start(Loopback.setup().discovery(discovery))) {
             Loopback.await("whole", () -> module.lists.contains("COMPLETE u:READY"));
--- a/src/test/java/sedgeyoke/proxy/DiscoveryTest.java
+++ b/src/test/java/sedgeyoke/proxy/DiscoveryTest.java
@@ -12,7 +12,7 @@
 /** Endpoint lists from discovery, and what stays in force when it fails. */
 class DiscoveryTest {
     private final BlockingQueue<String> replies = new LinkedBlockingQueue<>();
-    private ScriptedModule module;
+    private ScriptedPolicy module;
 
     /** Discovery that answers each call with the next reply; an empty one breaks the connection. */
     private Loopback start(String... members) throws Exception {
@@ -21,16 +21,16 @@
 
     /** The same; {@code asked}: lists are polled from one service for all balancers. */
     private Loopback start(boolean asked, String... members) throws Exception {
-        Peer discovery = new Peer((request, socket) -> {
+        ScriptedServer discovery = new ScriptedServer((request, socket) -> {
             String reply = replies.take();
             if (reply.isEmpty()) {
                 socket.close();
             } else {
-                Peer.reply(socket, reply.equals("503") ? 503 : 200, reply);
+                ScriptedServer.reply(socket, reply.equals("503") ? 503 : 200, reply);
             }
         });
         Loopback.Setup setup = Loopback.setup().discovery(discovery).module(actions -> {
-            module = new ScriptedModule(actions);
+            module = new ScriptedPolicy(actions);
             module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
             return module;
         });
@@ -43,7 +43,8 @@
 
     private static String calls(Loopback lb) {
         return String.join(
-                "\n", lb.discovery.requests.stream().map(Peer.Message::line).toList());
+                "\n",
+                lb.discovery.requests.stream().map(ScriptedServer.Message::line).toList());
     }
 
     private void awaitLists(String... wanted) throws InterruptedException {
@@ -190,9 +191,9 @@
         String up = Loopback.member("u", "127.0.0.1:1", "up");
         replies.add(Loopback.list(41, true, up));
         try (Loopback lb = start();
-                Peer next = new Peer((request, socket) -> {
+                ScriptedServer next = new ScriptedServer((request, socket) -> {
                     if (!request.line().contains("from=")) {
-                        Peer.reply(socket, 200, Loopback.list(3, true, up.replace("\"u\"", "\"v\"")));
+                        ScriptedServer.reply(socket, 200, Loopback.list(3, true, up.replace("\"u\"", "\"v\"")));
                     }
                 })) {
             awaitLists("RESTORED", "COMPLETE u:READY");
@@ -223,8 +224,8 @@
     /** Connections to the previous address must not be used any more. */
     @Test
     void anUpstreamThatMovesIsReachedAtItsNewAddress() throws Exception {
-        try (Peer a = Peer.serving("old");
-                Peer b = Peer.serving("new");
+        try (ScriptedServer a = ScriptedServer.serving("old");
+                ScriptedServer b = ScriptedServer.serving("new");
                 Loopback lb = start(Loopback.member("u", a.address(), "up"))) {
             assertEquals("old", lb.ask("id-1", "order", 2000).body());
             replies.add(Loopback.list(2, true, Loopback.member("u", b.address(), "up")));
@@ -237,7 +238,7 @@
     /** The policy sends to a draining upstream only by mistake; after half the grace period nothing goes out. */
     @Test
     void nothingIsSentToAnUpstreamThatHasBeenDrainingForLong() throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = start(Loopback.member("u", up.address(), "draining"))) {
             module.onEnd = (m, end) -> m.actions.reject(end.request(), 0);
             int served = 0;
--- a/src/test/java/sedgeyoke/proxy/FuzzTest.java
+++ b/src/test/java/sedgeyoke/proxy/FuzzTest.java
@@ -91,7 +91,7 @@
     private static volatile byte[] answer =
             "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok".getBytes(StandardCharsets.ISO_8859_1);
     private static volatile boolean closes;
-    private static Peer node;
+    private static ScriptedServer node;
     private static Loopback lb;
     private static int number;
 
@@ -99,7 +99,7 @@
     static void start() throws Exception {
         usual = System.err;
         System.setErr(new PrintStream(LOGGED, true, StandardCharsets.UTF_8));
-        node = new Peer((request, socket) -> {
+        node = new ScriptedServer((request, socket) -> {
             socket.getOutputStream().write(answer);
             if (closes) {
                 socket.close();
@@ -183,7 +183,7 @@
                 answer = changed(ANSWERS.get(random.nextInt(ANSWERS.size())), random);
                 closes = random.nextInt(4) > 0;
                 try (Socket client = lb.connect()) {
-                    Peer.write(client, Loopback.request("g" + number++, "order", 60));
+                    ScriptedServer.write(client, Loopback.request("g" + number++, "order", 60));
                     String head = new String(client.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1);
                     assertTrue(
                             List.of("HTTP/1.1 200", "HTTP/1.1 502", "HTTP/1.1 503")
--- a/src/test/java/sedgeyoke/proxy/GracefulShutdownTest.java
+++ b/src/test/java/sedgeyoke/proxy/GracefulShutdownTest.java
@@ -129,7 +129,7 @@
         try (Loopback lb = Loopback.setup()
                 .setting("\"give-up-s\":2", "\"give-up-s\":0.3")
                 .module(actions -> {
-                    ScriptedModule module = new ScriptedModule(actions);
+                    ScriptedPolicy module = new ScriptedPolicy(actions);
                     module.onRequest = (m, r) -> taken.incrementAndGet(); // and no answer
                     return module;
                 })
@@ -158,7 +158,7 @@
                         java.util.concurrent.locks.LockSupport.parkNanos(
                                 told[0] + (500 + i * 25) * 1_000_000L - System.nanoTime());
                         try {
-                            Peer.write(sockets.get(i), Loopback.request("id-" + i, "order", 3_000));
+                            ScriptedServer.write(sockets.get(i), Loopback.request("id-" + i, "order", 3_000));
                             if (Loopback.answer(sockets.get(i)) != null) {
                                 answered.incrementAndGet();
                             }
--- a/src/test/java/sedgeyoke/proxy/HandOverTest.java
+++ b/src/test/java/sedgeyoke/proxy/HandOverTest.java
@@ -21,7 +21,7 @@
         return ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
     }
 
-    private Loopback start(ServerSocketChannel listener, Peer up, Peer discovery) throws Exception {
+    private Loopback start(ServerSocketChannel listener, ScriptedServer up, ScriptedServer discovery) throws Exception {
         return Loopback.setup()
                 .adminEndpoint(folder)
                 .inherited(listener)
@@ -30,19 +30,19 @@
                 .start();
     }
 
-    private static Peer discovery(Peer up) throws Exception {
-        return new Peer((request, socket) -> {
+    private static ScriptedServer discovery(ScriptedServer up) throws Exception {
+        return new ScriptedServer((request, socket) -> {
             if (request.line().contains("from=")) {
                 Thread.sleep(10_000);
             }
-            Peer.reply(socket, 200, Loopback.list(1, true, Loopback.member("u", up.address(), "up")));
+            ScriptedServer.reply(socket, 200, Loopback.list(1, true, Loopback.member("u", up.address(), "up")));
         });
     }
 
     @Test
     void theOldProcessFinishesItsRequestsAndTheNewOneAcceptsAllOthers() throws Exception {
         try (ServerSocketChannel listener = listener();
-                Peer up = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
+                ScriptedServer up = new ScriptedServer((request, socket) -> ScriptedServer.reply(socket, 200, "x"));
                 Loopback old = start(listener, up, discovery(up))) {
             Loopback.await("ready", () -> old.health() == 200);
             Socket kept = old.connect();
@@ -61,7 +61,7 @@
                     assertEquals(200, next.ask("new-" + i, "order", 5_000).status());
                 }
                 assertEquals(50, next.metric("served.order"), "each of them went to the new one");
-                Peer.Message last = Loopback.ask(kept, Loopback.request("second", "order", 5_000));
+                ScriptedServer.Message last = Loopback.ask(kept, Loopback.request("second", "order", 5_000));
                 assertEquals(200, last.status());
                 assertEquals("close", last.headers().get("connection"), "it is told to go where the new one is");
                 assertEquals(
@@ -89,8 +89,8 @@
     @Test
     void aProcessThatIsNotReadyAcceptsNoConnection() throws Exception {
         try (ServerSocketChannel listener = listener();
-                Peer up = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
-                Peer silent = new Peer((request, socket) -> Thread.sleep(10_000));
+                ScriptedServer up = new ScriptedServer((request, socket) -> ScriptedServer.reply(socket, 200, "x"));
+                ScriptedServer silent = new ScriptedServer((request, socket) -> Thread.sleep(10_000));
                 Loopback old = start(listener, up, discovery(up))) {
             Loopback.await("ready", () -> old.health() == 200);
             try (Loopback next = Loopback.setup()
--- a/src/test/java/sedgeyoke/proxy/LeavingClientsTest.java
+++ b/src/test/java/sedgeyoke/proxy/LeavingClientsTest.java
@@ -28,7 +28,7 @@
 class LeavingClientsTest {
     private static final int CLIENTS = 210;
     private static final int FAR_TOO_MUCH = 300_000;
-    private ScriptedModule module;
+    private ScriptedPolicy module;
 
     /** How a client leaves. */
     private enum Leaving {
@@ -46,11 +46,11 @@
         private void leave(Socket socket, String id) throws IOException {
             String next = Loopback.request(id + "-next", "order", 20_000);
             if (name().endsWith("ANOTHER")) {
-                Peer.write(socket, next);
+                ScriptedServer.write(socket, next);
             } else if (name().endsWith("PART")) {
-                Peer.write(socket, next.substring(0, next.length() - 1));
+                ScriptedServer.write(socket, next.substring(0, next.length() - 1));
             } else if (name().endsWith("MUCH")) {
-                Peer.write(socket, next.repeat(FAR_TOO_MUCH / next.length()));
+                ScriptedServer.write(socket, next.repeat(FAR_TOO_MUCH / next.length()));
             }
             if (name().startsWith("RST")) {
                 socket.setSoLinger(true, 0);
@@ -63,13 +63,13 @@
         }
     }
 
-    private Loopback start(Peer up) throws Exception {
+    private Loopback start(ScriptedServer up) throws Exception {
         return start(Loopback.setup().upstream("u", up.address()));
     }
 
     private Loopback start(Loopback.Setup setup) throws Exception {
         return setup.module(actions -> {
-                    module = new ScriptedModule(actions);
+                    module = new ScriptedPolicy(actions);
                     return module;
                 })
                 .start();
@@ -79,7 +79,7 @@
         List<Socket> sockets = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
             Socket socket = lb.connect();
-            Peer.write(socket, Loopback.request(how + "-" + i, "order", 20_000));
+            ScriptedServer.write(socket, Loopback.request(how + "-" + i, "order", 20_000));
             sockets.add(socket);
         }
         return sockets;
@@ -96,7 +96,7 @@
     }
 
     /** A request that is served comes to the upstream behind all that was to come to it before. */
-    private void assertOnlyTheLastIsSent(Loopback lb, Peer up) throws Exception {
+    private void assertOnlyTheLastIsSent(Loopback lb, ScriptedServer up) throws Exception {
         module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
         assertEquals(200, lb.ask("last", "order", 20_000).status());
         assertEquals(1, up.requests.size(), "what came to the upstream, the last one among it");
@@ -110,7 +110,7 @@
     @ParameterizedTest
     @EnumSource(Leaving.class)
     void whileTheRequestIsQueued(Leaving how) throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = start(up)) {
             Set<String> queued = java.util.concurrent.ConcurrentHashMap.newKeySet();
             module.onRequest = (m, r) -> queued.add(r.id());
@@ -134,8 +134,9 @@
             value = Leaving.class,
             names = {"FIN", "RST", "FIN_BEHIND_ANOTHER"})
     void whileARetryWaits(Leaving how) throws Exception {
-        try (Peer full = new Peer((request, socket) -> Peer.reply(socket, 503, "", "X-Rejected: 1"));
-                Peer up = Peer.serving("x");
+        try (ScriptedServer full = new ScriptedServer(
+                        (request, socket) -> ScriptedServer.reply(socket, 503, "", "X-Rejected: 1"));
+                ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb =
                         start(Loopback.setup().upstream("full", full.address()).upstream("u", up.address()))) {
             module.onRequest = (m, r) -> m.actions.send(r.id(), "full", 0);
@@ -156,7 +157,7 @@
             value = Leaving.class,
             names = {"FIN", "RST", "FIN_BEHIND_ANOTHER"})
     void whileTheUpstreamConnectionIsEstablished(Leaving how) throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = start(up)) {
             Set<String> queued = java.util.concurrent.ConcurrentHashMap.newKeySet();
             module.onRequest = (m, r) -> queued.add(r.id());
@@ -178,7 +179,7 @@
             value = Leaving.class,
             names = {"FIN", "RST", "FIN_BEHIND_ANOTHER", "FIN_BEHIND_A_PART"})
     void inTheSameReadAsTheRequest(Leaving how) throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = start(up)) {
             module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
             standStill(lb, () -> {}, () -> leave(clients(lb, how), how), () -> {});
@@ -193,7 +194,7 @@
             value = Leaving.class,
             names = {"FIN", "RST", "FIN_BEHIND_ANOTHER"})
     void whileTheLoopIsBlocked(Leaving how) throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = start(up)) {
             Set<String> queued = java.util.concurrent.ConcurrentHashMap.newKeySet();
             module.onRequest = (m, r) -> queued.add(r.id());
@@ -220,7 +221,7 @@
         BodyLimits limits =
                 new BodyLimits(true, 64 * 1024, 64L << 20, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40, 0);
         String body = "w".repeat(100_000);
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = start(Loopback.setup().upstream("u", up.address()).bodies(limits))) {
             module.streams = true;
             Set<String> queued = java.util.concurrent.ConcurrentHashMap.newKeySet();
@@ -228,7 +229,7 @@
             List<Socket> sockets = new ArrayList<>();
             for (int i = 0; i < CLIENTS; i++) {
                 Socket socket = lb.connect();
-                Peer.write(
+                ScriptedServer.write(
                         socket,
                         Loopback.request(how + "-" + i, "order", 20_000)
                                 .replace("Content-Length: 4\r\n\r\nwork", "Content-Length: 100000\r\n\r\n" + body));
@@ -251,26 +252,26 @@
     /** Behind too much, what came whole before it is answered, and then the connection ends in order. */
     @Test
     void aClientThatPipelinesTooMuchIsAnsweredAndItsConnectionEnds() throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = start(up)) {
             Set<String> queued = java.util.concurrent.ConcurrentHashMap.newKeySet();
             module.onRequest = (m, r) -> queued.add(r.id());
             Socket socket = lb.connect();
-            Peer.write(socket, Loopback.request("first", "order", 20_000));
-            Peer.write(socket, Loopback.request("second", "order", 20_000));
+            ScriptedServer.write(socket, Loopback.request("first", "order", 20_000));
+            ScriptedServer.write(socket, Loopback.request("second", "order", 20_000));
             Loopback.await("queued", () -> queued.contains("first"));
             byte[] noise = new byte[FAR_TOO_MUCH];
-            Peer.write(
+            ScriptedServer.write(
                     socket,
                     Loopback.request("third", "order", 20_000).replace("Content-Length: 4", "Content-Length: 65536"));
             socket.getOutputStream().write(noise);
             module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
             lb.loop.submit(() -> module.actions.send("first", "u", 0)).sync();
             java.io.InputStream in = new java.io.BufferedInputStream(socket.getInputStream());
-            assertEquals(200, Peer.read(in).status());
-            assertEquals(200, Peer.read(in).status());
-            Peer.Message last = null;
-            for (Peer.Message m = Peer.read(in); m != null; m = Peer.read(in)) {
+            assertEquals(200, ScriptedServer.read(in).status());
+            assertEquals(200, ScriptedServer.read(in).status());
+            ScriptedServer.Message last = null;
+            for (ScriptedServer.Message m = ScriptedServer.read(in); m != null; m = ScriptedServer.read(in)) {
                 last = m; // the third, if it came whole before it was too much
             }
             assertTrue(last == null || "close".equals(last.headers().get("connection")));
--- a/src/test/java/sedgeyoke/proxy/Loopback.java
+++ b/src/test/java/sedgeyoke/proxy/Loopback.java
@@ -42,7 +42,7 @@
             + "\"discovery\":\"pushed\",\"tick-s\":0.005}";
     private static final long PATIENCE_MS = 10_000;
 
-    final Peer discovery;
+    final ScriptedServer discovery;
     final BalancerServer server;
     final ProxyCore node;
     final EventLoop loop;
@@ -56,7 +56,7 @@
     static final class Setup {
         String settings = SETTINGS;
         int sockets = 1024;
-        Peer discovery;
+        ScriptedServer discovery;
         Function<LoadBalancingPolicy.Actions, LoadBalancingPolicy> module;
         BodyLimits bodies = BodyLimits.PLATFORM;
         Path folder;
@@ -94,7 +94,7 @@
             return this;
         }
 
-        Setup discovery(Peer wanted) {
+        Setup discovery(ScriptedServer wanted) {
             discovery = wanted;
             return this;
         }
@@ -138,11 +138,11 @@
         String known = list(1, true, setup.members.toArray(new String[0]));
         discovery = setup.discovery != null
                 ? setup.discovery
-                : new Peer((request, socket) -> {
+                : new ScriptedServer((request, socket) -> {
                     if (request.line().contains("from=")) {
                         Thread.sleep(PATIENCE_MS); // nothing new; the end of the test ends the watch
                     }
-                    Peer.reply(socket, 200, known);
+                    ScriptedServer.reply(socket, 200, known);
                 });
         BalancerConfig config = config(setup.settings, discovery.address(), setup.sockets, known)
                 .with(
@@ -156,8 +156,8 @@
                 setup.bodies,
                 setup.module != null
                         ? setup.module
-                        : actions ->
-                                new UtilizationWeightedPolicy(config.facts().settings(), config.seed(), actions));
+                        : actions -> new UtilizationWeightedPolicy(
+                                config.instanceSettings().settings(), config.seed(), actions));
         server = new BalancerServer(loop, config, node, Transport.SOCKETS, setup.bodies, setup.inherited);
         ChannelFuture bound = server.bind().sync();
         address = (InetSocketAddress) bound.channel().localAddress();
@@ -184,22 +184,22 @@
     }
 
     /** Sends a request on a new connection and waits for its answer; null if there is none. */
-    Peer.Message ask(String id, String cls, int budgetMs) throws IOException {
+    ScriptedServer.Message ask(String id, String cls, int budgetMs) throws IOException {
         return ask(connect(), request(id, cls, budgetMs));
     }
 
-    static Peer.Message ask(Socket socket, String text) throws IOException {
-        Peer.write(socket, text);
+    static ScriptedServer.Message ask(Socket socket, String text) throws IOException {
+        ScriptedServer.write(socket, text);
         return answer(socket);
     }
 
-    static Peer.Message answer(Socket socket) throws IOException {
+    static ScriptedServer.Message answer(Socket socket) throws IOException {
         InputStream in = new BufferedInputStream(socket.getInputStream());
-        return Peer.read(in);
+        return ScriptedServer.read(in);
     }
 
     /** Calls the admin endpoint on a new connection. */
-    Peer.Message call(String method, String path, String body) throws IOException {
+    ScriptedServer.Message call(String method, String path, String body) throws IOException {
         try (Socket socket = new Socket(adminAddress.getAddress(), adminAddress.getPort())) {
             socket.setSoTimeout((int) PATIENCE_MS);
             return ask(
--- a/src/test/java/sedgeyoke/proxy/OtherClientsTest.java
+++ b/src/test/java/sedgeyoke/proxy/OtherClientsTest.java
@@ -40,10 +40,10 @@
     }
 
     /** Answers with what it was sent, twice. */
-    private static Peer echo() throws Exception {
-        return new Peer((request, socket) -> {
+    private static ScriptedServer echo() throws Exception {
+        return new ScriptedServer((request, socket) -> {
             byte[] body = request.raw();
-            Peer.write(socket, "HTTP/1.1 200 x\r\nContent-Length: " + 2 * body.length + "\r\n\r\n");
+            ScriptedServer.write(socket, "HTTP/1.1 200 x\r\nContent-Length: " + 2 * body.length + "\r\n\r\n");
             socket.getOutputStream().write(body);
             socket.getOutputStream().write(body);
         });
@@ -64,7 +64,7 @@
         byte[] wanted = new byte[2 * length];
         System.arraycopy(sent, 0, wanted, 0, length);
         System.arraycopy(sent, 0, wanted, length, length);
-        try (Peer up = echo();
+        try (ScriptedServer up = echo();
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
                         .bodies(LIMITS)
@@ -89,7 +89,7 @@
 
     @Test
     void concurrentClientsGetTheirOwnResponses() throws Exception {
-        try (Peer up = echo();
+        try (ScriptedServer up = echo();
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
                         .bodies(LIMITS)
--- a/src/test/java/sedgeyoke/proxy/ProxyCoreTest.java
+++ b/src/test/java/sedgeyoke/proxy/ProxyCoreTest.java
@@ -18,11 +18,11 @@
 
 /** How decisions of the policy are carried out, in particular invalid ones. */
 class ProxyCoreTest {
-    private ScriptedModule module;
+    private ScriptedPolicy module;
 
-    private Loopback.Setup scripted(BiConsumer<ScriptedModule, Request> onRequest) {
+    private Loopback.Setup scripted(BiConsumer<ScriptedPolicy, Request> onRequest) {
         return Loopback.setup().module(actions -> {
-            module = new ScriptedModule(actions);
+            module = new ScriptedPolicy(actions);
             module.onRequest = onRequest;
             return module;
         });
@@ -45,7 +45,7 @@
 
     @Test
     void aRequestFailsIfThePolicyThrowsAfterSendingIt() throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = scripted((m, r) -> {
                             m.actions.send(r.id(), "u", 0);
                             throw new IllegalStateException("on purpose");
@@ -58,7 +58,7 @@
 
     @Test
     void aRequestThatThePolicyForgetsIsAnswered() throws Exception {
-        try (Peer up = new Peer((request, socket) -> {});
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {});
                 Loopback lb = scripted((m, r) -> {
                             if (r.classIndex() == 2) {
                                 m.actions.send(r.id(), "u", 0);
@@ -97,7 +97,7 @@
                 assertDoesNotThrow(() -> release.await());
             });
             blocked.await();
-            Peer.write(client, Loopback.request("id-2", "order", 60_000));
+            ScriptedServer.write(client, Loopback.request("id-2", "order", 60_000));
             Thread.sleep(200); // the lateness itself
             release.countDown();
             assertEquals(503, Loopback.answer(client).status());
@@ -110,9 +110,9 @@
     void theDelayOfTheLoopIsNotCountedAsLatencyOfTheUpstream() throws Exception {
         CountDownLatch blocked = new CountDownLatch(1);
         CountDownLatch release = new CountDownLatch(1);
-        try (Peer up = new Peer((request, socket) -> {
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
                     blocked.await();
-                    Peer.reply(socket, 200, "x");
+                    ScriptedServer.reply(socket, 200, "x");
                     Thread.sleep(1_500); // the lateness itself
                     release.countDown();
                 });
@@ -120,7 +120,7 @@
                         .upstream("u", up.address())
                         .start()) {
             Socket client = lb.connect();
-            Peer.write(client, Loopback.request("id-1", "order", 60_000));
+            ScriptedServer.write(client, Loopback.request("id-1", "order", 60_000));
             Loopback.await("sent", () -> up.requests.size() == 1);
             lb.loop.execute(() -> {
                 blocked.countDown();
@@ -156,7 +156,7 @@
 
     @Test
     void attemptsThatAreTooManyOrTooLateAreNotSent() throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = scripted((m, r) -> {
                             for (int i = 0; i < 5; i++) {
                                 m.actions.send(r.id(), i == 0 ? "unheard-of" : "u", 0);
@@ -181,7 +181,7 @@
     /** The connection is not established yet when the attempt is cancelled: the request must not be written to it. */
     @Test
     void anAttemptCancelledWhileConnectingIsNotSent() throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = scripted((m, r) -> {
                             m.actions.send(r.id(), "u", 0);
                             if (r.id().equals("id-1")) {
@@ -201,7 +201,7 @@
     /** After the response nothing more is sent, even if the policy does not cancel its attempts. */
     @Test
     void anAttemptOfARequestAnsweredWhileConnectingIsNotSent() throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = scripted((m, r) -> {
                             m.actions.send(r.id(), "u", 0);
                             if (r.id().equals("id-1")) {
@@ -219,8 +219,8 @@
 
     @Test
     void theTimeoutOfAnAttemptEndsOnlyThatAttempt() throws Exception {
-        try (Peer silent = new Peer((request, socket) -> {});
-                Peer up = Peer.serving("x");
+        try (ScriptedServer silent = new ScriptedServer((request, socket) -> {});
+                ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = scripted((m, r) -> m.actions.send(r.id(), "a", 50_000))
                         .upstream("a", silent.address())
                         .upstream("b", up.address())
@@ -254,7 +254,7 @@
 
     @Test
     void theSlowerHedgedRequestEndsWithoutASecondResponse() throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = scripted((m, r) -> {
                             m.actions.send(r.id(), "u", 0);
                             m.actions.send(r.id(), "u", 0);
@@ -278,7 +278,7 @@
         try (Loopback lb = scripted((m, r) -> {})
                 .setting("\"max-open\":1000", "\"max-open\":1")
                 .start()) {
-            Peer.write(lb.connect(), Loopback.request("id-1", "order", 60_000));
+            ScriptedServer.write(lb.connect(), Loopback.request("id-1", "order", 60_000));
             Loopback.await("held", () -> !lb.node.idle());
             assertEquals(503, lb.ask("id-2", "order", 60_000).status());
         }
@@ -287,7 +287,7 @@
     @Test
     void aRequestWithAnOpenIdIsRejected() throws Exception {
         try (Loopback lb = scripted((m, r) -> {}).start()) {
-            Peer.write(lb.connect(), Loopback.request("id-1", "order", 60_000));
+            ScriptedServer.write(lb.connect(), Loopback.request("id-1", "order", 60_000));
             Loopback.await("held", () -> !lb.node.idle());
             assertEquals(400, lb.ask("id-1", "order", 60_000).status());
         }
--- a/src/test/java/sedgeyoke/proxy/RudeClientsTest.java
+++ b/src/test/java/sedgeyoke/proxy/RudeClientsTest.java
@@ -22,7 +22,7 @@
 class RudeClientsTest {
     private static final int CROSSED = 30;
 
-    private static Loopback serving(Peer up) throws Exception {
+    private static Loopback serving(ScriptedServer up) throws Exception {
         return Loopback.setup().upstream("u", up.address()).start();
     }
 
@@ -46,17 +46,17 @@
         "POST /api, POST /else, 404"
     })
     void anInvalidRequestIsRejectedAndItsConnectionEnds(String from, String to, int status) throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = serving(up)) {
             Socket client = lb.connect();
-            Peer.write(
+            ScriptedServer.write(
                     client,
                     Loopback.request("id-1", "order", 900).replace(from, to) + Loopback.request("id-3", "order", 900));
             InputStream in = new BufferedInputStream(client.getInputStream());
-            Peer.Message answer = Peer.read(in);
+            ScriptedServer.Message answer = ScriptedServer.read(in);
             assertEquals(status, answer.status(), answer.line());
             assertEquals("close", answer.headers().get("connection"));
-            assertNull(Peer.read(in), "nothing more");
+            assertNull(ScriptedServer.read(in), "nothing more");
             assertEquals(0, up.requests.size());
         }
     }
@@ -65,7 +65,7 @@
     void anEndlessHeadIsRejected() throws Exception {
         try (Loopback lb = Loopback.setup().start()) {
             Socket client = lb.connect();
-            Peer.write(client, "GET /api HTTP/1.1\r\nX-Long: " + "x".repeat(100_000));
+            ScriptedServer.write(client, "GET /api HTTP/1.1\r\nX-Long: " + "x".repeat(100_000));
             assertEquals(431, Loopback.answer(client).status());
         }
     }
@@ -75,7 +75,7 @@
     void aClientThatSendsTooMuchCanReadTheResponse() throws Exception {
         try (Loopback lb = Loopback.setup().start()) {
             Socket client = lb.connect();
-            Peer.write(
+            ScriptedServer.write(
                     client,
                     Loopback.request("id-1", "order", 900).replace("Content-Length: 4", "Content-Length: 60000000"));
             OutputStream out = client.getOutputStream();
@@ -83,8 +83,8 @@
                 out.write(new byte[100_000]);
             }
             InputStream in = new BufferedInputStream(client.getInputStream());
-            assertEquals(413, Peer.read(in).status());
-            assertNull(Peer.read(in));
+            assertEquals(413, ScriptedServer.read(in).status());
+            assertNull(ScriptedServer.read(in));
         }
     }
 
@@ -93,8 +93,8 @@
     void silentClientsAndIncompleteRequestsTimeOut(String half) throws Exception {
         try (Loopback lb = Loopback.setup().start()) {
             Socket client = lb.connect();
-            Peer.write(client, half);
-            Peer.Message answer = Loopback.answer(client);
+            ScriptedServer.write(client, half);
+            ScriptedServer.Message answer = Loopback.answer(client);
             assertEquals(half.isEmpty(), answer == null, "an error for half a request, a close for nothing");
             assertTrue(answer == null || answer.status() == 408);
         }
@@ -104,7 +104,7 @@
     @Test
     void responsesDoNotAccumulateForClientsThatDoNotRead() throws Exception {
         String body = "x".repeat(64 * 1024);
-        try (Peer up = Peer.serving(body);
+        try (ScriptedServer up = ScriptedServer.serving(body);
                 Loopback lb = serving(up)) {
             Socket client = lb.connect();
             StringBuilder many = new StringBuilder();
@@ -113,7 +113,7 @@
             }
             Thread writer = new Thread(() -> {
                 try {
-                    Peer.write(client, many.toString());
+                    ScriptedServer.write(client, many.toString());
                 } catch (java.io.IOException closed) {
                     return; // as it should be
                 }
@@ -128,7 +128,7 @@
 
     @Test
     void hundredsOfSilentClientsDoNotBlockOthers() throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
                         .sockets(128)
@@ -149,7 +149,7 @@
     /** Clients may hold a third of the sockets: what idles there takes the place of their next requests. */
     @Test
     void idleConnectionsAreClosedSoonerWhereSocketsAreScarce() throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
                         .sockets(200)
@@ -175,7 +175,7 @@
     void withHalfOfTheClientSocketsInUseEachResponseEndsItsConnection() throws Exception {
         int sockets = 200;
         int usual = 30; // below 0.17 of these
-        try (Peer up = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> ScriptedServer.reply(socket, 200, "x"));
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
                         .sockets(sockets)
@@ -183,7 +183,7 @@
             int keptAlive = 0;
             long start = System.nanoTime();
             for (int i = 0; i < 2 * sockets; i++) { // far more than clients may hold at once
-                Peer.Message answer = lb.ask("id-" + i, "order", 5_000);
+                ScriptedServer.Message answer = lb.ask("id-" + i, "order", 5_000);
                 assertEquals(200, answer.status());
                 boolean keeps = !"close".equals(answer.headers().get("connection"));
                 assertTrue(keeps || i >= usual, "the first ones are kept alive: " + i);
@@ -198,14 +198,14 @@
 
     @Test
     void clientsThatDisconnectWithinAHeadAreNotCountedAnyMore() throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
                         .sockets(128)
                         .start()) {
             for (int i = 0; i < 100; i++) {
                 try (Socket client = lb.connect()) {
-                    Peer.write(client, "POST /api?obj=o HTTP/1.1\r\nX-Call-Id: ");
+                    ScriptedServer.write(client, "POST /api?obj=o HTTP/1.1\r\nX-Call-Id: ");
                 }
             }
             Loopback.await("all taken", () -> lb.health() == 200);
@@ -222,16 +222,16 @@
     void clientsThatDisconnectDuringTheirResponseAreNotCountedAnyMore() throws Exception {
         Semaphore answer = new Semaphore(0);
         AtomicInteger answered = new AtomicInteger();
-        try (Peer up = new Peer((request, socket) -> {
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
                     answer.acquire();
-                    Peer.reply(socket, 200, "x");
+                    ScriptedServer.reply(socket, 200, "x");
                     answered.incrementAndGet();
                 });
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
                         .sockets(128)
                         .module(actions -> {
-                            ScriptedModule module = new ScriptedModule(actions);
+                            ScriptedPolicy module = new ScriptedPolicy(actions);
                             module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
                             return module;
                         })
@@ -245,12 +245,13 @@
     }
 
     /** Has clients close and their answers come while the loop stands still: it then meets both at once. */
-    private static void crossAnswers(Loopback lb, Peer up, Semaphore answer, AtomicInteger answered) throws Exception {
+    private static void crossAnswers(Loopback lb, ScriptedServer up, Semaphore answer, AtomicInteger answered)
+            throws Exception {
         int before = answered.get();
         List<Socket> clients = new ArrayList<>();
         for (int i = 0; i < CROSSED; i++) {
             Socket client = lb.connect();
-            Peer.write(client, Loopback.request("id-" + before + "-" + i, "order", 60_000));
+            ScriptedServer.write(client, Loopback.request("id-" + before + "-" + i, "order", 60_000));
             clients.add(client);
             int sent = before + i + 1;
             Loopback.await("sent", () -> up.requests.size() == sent);
--- a/src/test/java/sedgeyoke/proxy/ScriptedModule.java
+++ b/src/test/java/sedgeyoke/proxy/ScriptedPolicy.java
@@ -7,21 +7,21 @@
 import sedgeyoke.policy.LoadBalancingPolicy;
 
 /** A policy that runs the script of a test and records its events. */
-final class ScriptedModule implements LoadBalancingPolicy {
+final class ScriptedPolicy implements LoadBalancingPolicy {
     final Actions actions;
     final List<AttemptEnd> ends = new CopyOnWriteArrayList<>();
     final List<String> gone = new CopyOnWriteArrayList<>();
     final List<String> lists = new CopyOnWriteArrayList<>();
     final List<String> cordons = new CopyOnWriteArrayList<>();
-    BiConsumer<ScriptedModule, Request> onRequest = (m, r) -> {};
-    BiConsumer<ScriptedModule, AttemptEnd> onEnd = (m, e) -> {};
+    BiConsumer<ScriptedPolicy, Request> onRequest = (m, r) -> {};
+    BiConsumer<ScriptedPolicy, AttemptEnd> onEnd = (m, e) -> {};
     /** Whether the test streams bodies. */
     boolean streams;
 
     private boolean busy;
     volatile boolean calledFromWithin;
 
-    ScriptedModule(Actions actions) {
+    ScriptedPolicy(Actions actions) {
         this.actions = actions;
     }
 
--- a/src/test/java/sedgeyoke/proxy/Peer.java
+++ b/src/test/java/sedgeyoke/proxy/ScriptedServer.java
@@ -19,7 +19,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A server on loopback that does to each request what a test says: an upstream, or discovery. */
-final class Peer implements AutoCloseable {
+final class ScriptedServer implements AutoCloseable {
     /** More connections than any test opens at once: none is to be turned away as nobody has had the time. */
     private static final int BACKLOG = 1024;
 
@@ -47,21 +47,21 @@
         }
     }
 
-    Peer(Script script) throws IOException {
+    ScriptedServer(Script script) throws IOException {
         this(script, new CountDownLatch(0));
     }
 
-    /** A peer that reads nothing before {@code go}, with a small buffer in the kernel. */
-    Peer(Script script, CountDownLatch go) throws IOException {
+    /** A server that reads nothing before {@code go}, with a small buffer in the kernel. */
+    ScriptedServer(Script script, CountDownLatch go) throws IOException {
         this.go = go;
         this.listener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
         this.script = script;
         thread(this::accept);
     }
 
-    /** A peer that answers every request with 200, this body and such further headers. */
-    static Peer serving(String body, String... headers) throws IOException {
-        return new Peer((request, socket) -> reply(socket, 200, body, headers));
+    /** A server that answers every request with 200, this body and such further headers. */
+    static ScriptedServer serving(String body, String... headers) throws IOException {
+        return new ScriptedServer((request, socket) -> reply(socket, 200, body, headers));
     }
 
     String address() {
@@ -90,9 +90,9 @@
         try (socket) {
             go.await();
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            for (Message m = read(in); m != null; m = read(in)) {
-                requests.add(m);
-                script.run(m, socket);
+            for (Message request = read(in); request != null; request = read(in)) {
+                requests.add(request);
+                script.run(request, socket);
             }
         } catch (IOException | InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -167,8 +167,8 @@
     public void close() {
         try {
             listener.close();
-            for (Socket s : sockets) {
-                s.close();
+            for (Socket socket : sockets) {
+                socket.close();
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
--- a/src/test/java/sedgeyoke/proxy/ServingTest.java
+++ b/src/test/java/sedgeyoke/proxy/ServingTest.java
@@ -17,12 +17,13 @@
 class ServingTest {
     @Test
     void aRequestIsForwardedUnchangedAndItsResponseReturned() throws Exception {
-        try (Peer up = Peer.serving("the answer", "X-Load-Report: {\"waiting\":2,\"cpu\":0.6,\"avg_ms\":9}");
+        try (ScriptedServer up = ScriptedServer.serving(
+                        "the answer", "X-Load-Report: {\"waiting\":2,\"cpu\":0.6,\"avg_ms\":9}");
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
-            Peer.Message answer = lb.ask("id-1", "update", 900);
+            ScriptedServer.Message answer = lb.ask("id-1", "update", 900);
             assertEquals(200, answer.status());
             assertEquals("the answer", answer.body());
-            Peer.Message seen = up.requests.get(0);
+            ScriptedServer.Message seen = up.requests.get(0);
             assertEquals("POST /api?obj=o1&x=%20y HTTP/1.1", seen.line());
             assertEquals("work", seen.body());
             assertEquals("id-1", seen.headers().get("x-call-id"));
@@ -34,7 +35,7 @@
 
     @Test
     void connectionsOnBothSidesAreReused() throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             Socket client = lb.connect();
             for (int i = 0; i < 5; i++) {
@@ -50,14 +51,14 @@
 
     @Test
     void pipelinedRequestsAreAnsweredInOrder() throws Exception {
-        try (Peer up = new Peer((request, socket) ->
-                        Peer.reply(socket, 200, request.headers().get("x-call-id")));
+        try (ScriptedServer up = new ScriptedServer((request, socket) ->
+                        ScriptedServer.reply(socket, 200, request.headers().get("x-call-id")));
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             Socket client = lb.connect();
-            Peer.write(client, Loopback.request("a", "read", 2000) + Loopback.request("b", "read", 2000));
+            ScriptedServer.write(client, Loopback.request("a", "read", 2000) + Loopback.request("b", "read", 2000));
             java.io.InputStream in = new java.io.BufferedInputStream(client.getInputStream());
-            assertEquals("a", Peer.read(in).body());
-            assertEquals("b", Peer.read(in).body());
+            assertEquals("a", ScriptedServer.read(in).body());
+            assertEquals("b", ScriptedServer.read(in).body());
         }
     }
 
@@ -75,9 +76,9 @@
         "HTTP/1.1, HTTQ/9"
     })
     void aMalformedRequestIsRejectedWithoutAnAttempt(String from, String to) throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
-            Peer.Message answer = Loopback.ask(
+            ScriptedServer.Message answer = Loopback.ask(
                     lb.connect(), Loopback.request("id-1", "order", 900).replace(from, to));
             assertEquals(4, answer.status() / 100, answer.line());
             assertEquals(200, lb.ask("id-2", "order", 900).status());
@@ -115,12 +116,12 @@
                 "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n"
             })
     void aNonIdempotentRequestThatMayHaveRunFailsAndIsNotRetried(String answer) throws Exception {
-        Peer.Script script = (request, socket) -> {
-            Peer.write(socket, answer);
+        ScriptedServer.Script script = (request, socket) -> {
+            ScriptedServer.write(socket, answer);
             socket.close();
         };
-        try (Peer a = new Peer(script);
-                Peer b = new Peer(script);
+        try (ScriptedServer a = new ScriptedServer(script);
+                ScriptedServer b = new ScriptedServer(script);
                 Loopback lb = Loopback.setup()
                         .upstream("a", a.address())
                         .upstream("b", b.address())
@@ -134,7 +135,7 @@
     @Test
     void aLongResponseIsReturnedCompletely() throws Exception {
         String body = "0123456789".repeat(40_000);
-        try (Peer up = Peer.serving(body);
+        try (ScriptedServer up = ScriptedServer.serving(body);
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             assertEquals(body, lb.ask("id-1", "order", 10_000).body());
         }
@@ -142,7 +143,7 @@
 
     @Test
     void anOversizedResponseFailsAndItsConnectionIsClosed() throws Exception {
-        try (Peer up = Peer.serving("x".repeat(UpstreamConnectionPool.MAX_RESPONSE_BYTES + 1));
+        try (ScriptedServer up = ScriptedServer.serving("x".repeat(UpstreamConnectionPool.MAX_RESPONSE_BYTES + 1));
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             assertEquals(502, lb.ask("id-1", "order", 2000).status());
             Loopback.await("connection closed", () -> up.left.get() == 1);
@@ -151,8 +152,9 @@
 
     @Test
     void aRejectedAttemptIsRetriedAtAnotherUpstream() throws Exception {
-        try (Peer full = new Peer((request, socket) -> Peer.reply(socket, 503, "", "X-Rejected: 1"));
-                Peer up = Peer.serving("x");
+        try (ScriptedServer full = new ScriptedServer(
+                        (request, socket) -> ScriptedServer.reply(socket, 503, "", "X-Rejected: 1"));
+                ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup()
                         .upstream("a", full.address())
                         .upstream("b", up.address())
@@ -167,7 +169,7 @@
     @Test
     void aRefusedConnectionIsRetriedAtAnotherUpstream() throws Exception {
         String dead;
-        try (Peer gone = Peer.serving("x")) {
+        try (ScriptedServer gone = ScriptedServer.serving("x")) {
             dead = gone.address();
         }
         assertServedDespite(dead);
@@ -185,7 +187,7 @@
     }
 
     private static void assertServedDespite(String bad) throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup()
                         .upstream("a", bad)
                         .upstream("b", up.address())
@@ -199,7 +201,7 @@
 
     @Test
     void aSilentUpstreamCostsTheClientNoMoreThanItsBudget() throws Exception {
-        try (Peer up = new Peer((request, socket) -> {});
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {});
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             long start = System.nanoTime();
             assertEquals(502, lb.ask("id-1", "order", 400).status());
@@ -214,7 +216,7 @@
         try (Loopback lb = Loopback.setup()
                 .setting("\"retry-after\":false", "\"retry-after\":true")
                 .start()) {
-            Peer.Message answer = lb.ask("id-1", "order", 300);
+            ScriptedServer.Message answer = lb.ask("id-1", "order", 300);
             assertEquals(503, answer.status());
             assertEquals(1.0, Double.parseDouble(answer.headers().get("retry-after")));
         }
@@ -225,10 +227,10 @@
 
     @Test
     void aClientThatDisconnectsCancelsItsAttempt() throws Exception {
-        try (Peer up = new Peer((request, socket) -> {});
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {});
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             Socket client = lb.connect();
-            Peer.write(client, Loopback.request("id-1", "order", 60_000));
+            ScriptedServer.write(client, Loopback.request("id-1", "order", 60_000));
             Loopback.await("sent", () -> up.requests.size() == 1);
             client.close();
             Loopback.await("attempt given up", () -> up.left.get() == 1);
@@ -237,7 +239,7 @@
 
     @Test
     void idleUpstreamConnectionsAreClosedBeforeTheUpstreamDoes() throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
             assertEquals(200, lb.ask("id-1", "order", 2000).status());
             Loopback.await("closed as idle", () -> up.left.get() == 1);
@@ -246,7 +248,7 @@
 
     @Test
     void moreClientsThanSocketsAreRejectedWithoutAFailure() throws Exception {
-        try (Peer up = new Peer((request, socket) -> {});
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {});
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
                         .sockets(128)
@@ -255,7 +257,7 @@
             for (int i = 0; i < 64; i++) {
                 Socket client = lb.connect();
                 clients.add(client);
-                Peer.write(client, Loopback.request("id-" + i, "order", 1500));
+                ScriptedServer.write(client, Loopback.request("id-" + i, "order", 1500));
             }
             for (Socket client : clients) {
                 int status = Loopback.answer(client).status();
@@ -272,7 +274,7 @@
 
     @Test
     void idleClientConnectionsAreClosedForNewOnes() throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
                         .sockets(128)
@@ -281,7 +283,7 @@
                 lb.connect();
             }
             Loopback.await("served again", () -> lb.health() == 200);
-            Peer.Message answer = lb.ask("id-1", "order", 2000);
+            ScriptedServer.Message answer = lb.ask("id-1", "order", 2000);
             for (int i = 2; answer.status() == 503; i++) {
                 assertTrue(i < 1000, "refused for ever");
                 answer = lb.ask("id-" + i, "order", 2000);
--- a/src/test/java/sedgeyoke/proxy/ShutdownWithBodiesTest.java
+++ b/src/test/java/sedgeyoke/proxy/ShutdownWithBodiesTest.java
@@ -26,13 +26,13 @@
     }
 
     /** A node that answers a request for the long answer in two halves, the second when it is let. */
-    private static Peer node(CountDownLatch second) throws Exception {
-        return new Peer((request, socket) -> {
+    private static ScriptedServer node(CountDownLatch second) throws Exception {
+        return new ScriptedServer((request, socket) -> {
             if (request.raw().length > 10) {
-                Peer.reply(socket, 200, "" + request.raw().length);
+                ScriptedServer.reply(socket, 200, "" + request.raw().length);
                 return;
             }
-            Peer.write(socket, "HTTP/1.1 200 x\r\nContent-Length: " + LENGTH + "\r\n\r\n");
+            ScriptedServer.write(socket, "HTTP/1.1 200 x\r\nContent-Length: " + LENGTH + "\r\n\r\n");
             socket.getOutputStream().write(new byte[HALF]);
             second.await();
             socket.getOutputStream().write(new byte[HALF]);
@@ -49,27 +49,27 @@
     @Test
     void bodiesInFlightAreFinished() throws Exception {
         CountDownLatch second = new CountDownLatch(1);
-        try (Peer up = node(second);
+        try (ScriptedServer up = node(second);
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
                         .bodies(LIMITS)
                         .start()) {
             Loopback.await("ready", () -> lb.health() == 200);
             Socket down = lb.connect();
-            Peer.write(down, Loopback.request("down", "order", 60_000));
+            ScriptedServer.write(down, Loopback.request("down", "order", 60_000));
             InputStream answer = new BufferedInputStream(down.getInputStream());
             answer.mark(1);
             assertEquals('H', answer.read(), "it is on its way");
             answer.reset();
             Socket sending = lb.connect();
-            Peer.write(sending, upload("up"));
+            ScriptedServer.write(sending, upload("up"));
             sending.getOutputStream().write(new byte[HALF]);
             Loopback.await("it goes on", () -> up.sockets.size() == 2);
             Thread end = end(lb);
             second.countDown();
             sending.getOutputStream().write(new byte[HALF]);
             assertEquals("" + LENGTH, Loopback.answer(sending).body());
-            assertArrayEquals(new byte[LENGTH], Peer.read(answer).raw());
+            assertArrayEquals(new byte[LENGTH], ScriptedServer.read(answer).raw());
             down.close();
             sending.close();
             end.join(10_000);
@@ -81,7 +81,7 @@
     @Test
     void bodiesThatCannotBeFinishedAreAborted() throws Exception {
         CountDownLatch never = new CountDownLatch(1);
-        try (Peer up = node(never);
+        try (ScriptedServer up = node(never);
                 Loopback lb = Loopback.setup()
                         .upstream("u", up.address())
                         .bodies(LIMITS)
@@ -89,11 +89,11 @@
                         .start()) {
             Loopback.await("ready", () -> lb.health() == 200);
             Socket down = lb.connect();
-            Peer.write(down, Loopback.request("down", "order", 60_000));
+            ScriptedServer.write(down, Loopback.request("down", "order", 60_000));
             InputStream answer = new BufferedInputStream(down.getInputStream());
             assertEquals('H', answer.read());
             Socket sending = lb.connect();
-            Peer.write(sending, upload("up"));
+            ScriptedServer.write(sending, upload("up"));
             sending.getOutputStream().write(new byte[HALF]);
             Loopback.await("it goes on", () -> up.sockets.size() == 2);
             Thread end = end(lb);
--- a/src/test/java/sedgeyoke/proxy/StoredCordonsTest.java
+++ b/src/test/java/sedgeyoke/proxy/StoredCordonsTest.java
@@ -50,9 +50,10 @@
     /** The name of the file is stored, too: a balancer that looks for another one sends to what is out. */
     @Test
     void aBalancerFindsTheFileInItsFolder() throws Exception {
-        try (Peer first = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
-                Peer second = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
-                Peer third = new Peer((request, socket) -> Peer.reply(socket, 200, "x"));
+        try (ScriptedServer first = new ScriptedServer((request, socket) -> ScriptedServer.reply(socket, 200, "x"));
+                ScriptedServer second =
+                        new ScriptedServer((request, socket) -> ScriptedServer.reply(socket, 200, "x"));
+                ScriptedServer third = new ScriptedServer((request, socket) -> ScriptedServer.reply(socket, 200, "x"));
                 Loopback balancer = Loopback.setup()
                         .adminEndpoint(folder)
                         .upstream("u0", first.address())
--- a/src/test/java/sedgeyoke/proxy/UpstreamResponsesTest.java
+++ b/src/test/java/sedgeyoke/proxy/UpstreamResponsesTest.java
@@ -17,15 +17,15 @@
 class UpstreamResponsesTest {
     private static final int LONG_MS = 60_000;
 
-    private ScriptedModule module;
+    private ScriptedPolicy module;
 
     /** A policy that has one request in flight at a time and sends the next as soon as one ends. */
-    private Loopback oneAfterTheOther(Peer up) throws Exception {
+    private Loopback oneAfterTheOther(ScriptedServer up) throws Exception {
         Queue<Request> waiting = new ArrayDeque<>();
         return Loopback.setup()
                 .upstream("u", up.address())
                 .module(actions -> {
-                    module = new ScriptedModule(actions);
+                    module = new ScriptedPolicy(actions);
                     module.onRequest = (m, r) -> {
                         waiting.add(r);
                         if (waiting.size() == 1) {
@@ -50,17 +50,17 @@
     @ParameterizedTest
     @ValueSource(strings = {"", "noise", "noise\r\n\r\n", "HTTP/1.1 200 OK\r\n"})
     void strayBytesBehindAResponseAreDiscarded(String noise) throws Exception {
-        try (Peer up = new Peer((request, socket) -> {
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
                     Thread.sleep(20); // so that the next request waits for the end of this one
                     String id = request.headers().get("x-call-id");
                     String answer = "HTTP/1.1 200 OK\r\nContent-Length: " + id.length() + "\r\n\r\n" + id;
-                    Peer.write(socket, answer + (noise.isEmpty() ? answer : noise));
+                    ScriptedServer.write(socket, answer + (noise.isEmpty() ? answer : noise));
                 });
                 Loopback lb = oneAfterTheOther(up)) {
             Socket[] clients = new Socket[6];
             for (int i = 0; i < clients.length; i++) {
                 clients[i] = lb.connect();
-                Peer.write(clients[i], Loopback.request("id-" + i, "order", LONG_MS));
+                ScriptedServer.write(clients[i], Loopback.request("id-" + i, "order", LONG_MS));
             }
             for (int i = 0; i < clients.length; i++) {
                 assertEquals("id-" + i, Loopback.answer(clients[i]).body());
@@ -70,10 +70,10 @@
 
     @Test
     void strayBytesOnAnIdleConnectionCloseIt() throws Exception {
-        try (Peer up = Peer.serving("x");
+        try (ScriptedServer up = ScriptedServer.serving("x");
                 Loopback lb = oneAfterTheOther(up)) {
             assertEquals(200, lb.ask("id-1", "order", LONG_MS).status());
-            Peer.write(up.sockets.get(0), "n");
+            ScriptedServer.write(up.sockets.get(0), "n");
             Loopback.await("closed", () -> up.left.get() == 1);
             assertEquals(200, lb.ask("id-2", "order", LONG_MS).status());
         }
@@ -103,7 +103,7 @@
                 "noise"
             })
     void anInvalidResponseFailsTheAttemptAtOnce(String answer) throws Exception {
-        try (Peer up = new Peer((request, socket) -> Peer.write(socket, answer));
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> ScriptedServer.write(socket, answer));
                 Loopback lb = oneAfterTheOther(up)) {
             assertEquals(502, lb.ask("id-1", "order", LONG_MS).status());
             assertEquals(Outcome.ERROR, module.ends.get(0).outcome());
@@ -113,7 +113,7 @@
 
     @Test
     void informationalResponsesAreSkipped() throws Exception {
-        try (Peer up = new Peer((request, socket) -> Peer.write(
+        try (ScriptedServer up = new ScriptedServer((request, socket) -> ScriptedServer.write(
                         socket,
                         "HTTP/1.1 100 Continue\r\n\r\n"
                                 + "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
@@ -142,7 +142,7 @@
                 "{\"cpu\":0.5}\r\nX-Load-Report: {\"cpu\":0.1}"
             })
     void anInvalidLoadReportIsIgnored(String report) throws Exception {
-        try (Peer up = Peer.serving("x", "X-Load-Report: " + report);
+        try (ScriptedServer up = ScriptedServer.serving("x", "X-Load-Report: " + report);
                 Loopback lb = oneAfterTheOther(up)) {
             assertEquals("x", lb.ask("id-1", "order", LONG_MS).body());
             Loopback.await("told", () -> !module.ends.isEmpty());
@@ -152,7 +152,7 @@
 
     @Test
     void aValidLoadReportReachesThePolicy() throws Exception {
-        try (Peer up = Peer.serving("x", "X-Load-Report: {\"cpu\":0.5,\"more\":[1]}");
+        try (ScriptedServer up = ScriptedServer.serving("x", "X-Load-Report: {\"cpu\":0.5,\"more\":[1]}");
                 Loopback lb = oneAfterTheOther(up)) {
             assertEquals("x", lb.ask("id-1", "order", LONG_MS).body());
             Loopback.await("told", () -> !module.ends.isEmpty());
