--- a/src/main/java/sedgeyoke/simulation/FaultInjector.java
+++ b/src/main/java/sedgeyoke/simulation/FaultInjector.java
@@ -103,126 +103,109 @@
                 action.accept(upstream);
             }
         }
-    }
 
-    private void inject(Injection injection) {
-        switch (injection.fault.kind()) {
-            case RESTART_NODE, DRAIN_NODE, VANISH_NODE, REPLACE_NODE, REPLACE_NODE_IN_PLACE -> injection.onUpstream(
-                    upstream -> changeUpstream(injection, upstream));
-            case SLOW_NODE, ERRORS_FAST, ERRORS_SLOW -> injection.onUpstream(
-                    upstream -> degradeUpstream(injection, upstream));
-            case LOSE_ZONE, CUT_ZONE, ZONE_LOAD -> injectZoneFault(injection, injection.chooseZone());
-            case LOSE_ANSWERS, RESET_CONNECTIONS, DISCOVERY_DOWN -> injectGlobalFault(injection);
-            case KILL_FORWARDER, RESTART_FORWARDER, PAUSE_FORWARDER -> injectForwarderFault(
-                    injection, injection.choose(forwarders));
-            case KILL_PLANNER, PAUSE_PLANNER, CUT_PLANNER_OUT, CUT_PLANNER_IN -> {
-                if (!planners.isEmpty()) { // variants without planners run the same faults
-                    injectPlannerFault(injection, injection.choose(planners));
-                }
+        /** Chooses a planner; variants without planners have the same faults. */
+        void onPlanner(Consumer<SimulatedPlanner> action) {
+            if (!planners.isEmpty()) {
+                action.accept(choose(planners));
             }
-            default -> throw unexpectedKind(injection);
         }
     }
 
-    private void changeUpstream(Injection injection, SimulatedUpstream upstream) {
+    private void inject(Injection injection) {
         switch (injection.fault.kind()) {
-            case RESTART_NODE -> upstreams.restart(upstream);
-            case DRAIN_NODE -> upstreams.drain(upstream, (long) (injection.value() * SECOND));
-            case VANISH_NODE -> stopUpstream(injection, upstream);
-            case REPLACE_NODE -> upstreams.replace(upstream, false);
-            case REPLACE_NODE_IN_PLACE -> upstreams.replace(upstream, true);
-            default -> throw unexpectedKind(injection);
+            case RESTART_NODE -> injection.onUpstream(upstreams::restart);
+            case DRAIN_NODE -> injection.onUpstream(
+                    upstream -> upstreams.drain(upstream, (long) (injection.value() * SECOND)));
+            case VANISH_NODE -> injection.onUpstream(upstream -> stopResponding(injection, upstream));
+            case REPLACE_NODE -> injection.onUpstream(upstream -> upstreams.replace(upstream, false));
+            case REPLACE_NODE_IN_PLACE -> injection.onUpstream(upstream -> upstreams.replace(upstream, true));
+            case SLOW_NODE -> injection.onUpstream(upstream -> slowDown(injection, upstream));
+            case ERRORS_FAST -> injection.onUpstream(
+                    upstream -> failRequests(injection, upstream, UpstreamModel.FailureMode.FAST));
+            case ERRORS_SLOW -> injection.onUpstream(
+                    upstream -> failRequests(injection, upstream, UpstreamModel.FailureMode.SLOW));
+            case LOSE_ZONE -> upstreams
+                    .runningInZone(injection.chooseZone())
+                    .forEach(upstream -> stopResponding(injection, upstream));
+            case CUT_ZONE -> partitionZone(injection, injection.chooseZone());
+            case ZONE_LOAD -> multiplyZoneLoad(injection, injection.chooseZone());
+            case LOSE_ANSWERS -> loseAnswers(injection);
+            case RESET_CONNECTIONS -> resetConnections(injection);
+            case DISCOVERY_DOWN -> stopDiscovery(injection);
+            case KILL_FORWARDER -> killForwarder(injection, injection.choose(forwarders));
+            case RESTART_FORWARDER -> restartForwarder(injection.choose(forwarders));
+            case PAUSE_FORWARDER -> injection.choose(forwarders).pauseUntil(injection.endMicros());
+            case KILL_PLANNER -> injection.onPlanner(planner -> killPlanner(injection, planner));
+            case PAUSE_PLANNER -> injection.onPlanner(planner -> planner.pauseUntil(injection.endMicros()));
+            case CUT_PLANNER_OUT -> injection.onPlanner(planner -> planner.loseOutboundUntil(injection.endMicros()));
+            case CUT_PLANNER_IN -> injection.onPlanner(planner -> planner.loseInboundUntil(injection.endMicros()));
+            default -> throw new IllegalStateException("unknown kind of fault " + injection.fault.kind());
         }
     }
 
-    private void stopUpstream(Injection injection, SimulatedUpstream upstream) {
+    // ---- Upstreams -----------------------------------------------------------------------------------
+
+    private void stopResponding(Injection injection, SimulatedUpstream upstream) {
         upstreams.stopResponding(upstream);
         injection.atEnd(() -> upstreams.restart(upstream));
     }
 
-    private void degradeUpstream(Injection injection, SimulatedUpstream upstream) {
-        UpstreamModel model = upstream.model();
-        switch (injection.fault.kind()) {
-            case SLOW_NODE -> {
-                model.slowDown(injection.value());
-                injection.atEnd(() -> model.slowDown(1));
-            }
-            case ERRORS_FAST -> {
-                model.setFailureMode(UpstreamModel.FailureMode.FAST);
-                injection.atEnd(() -> model.setFailureMode(UpstreamModel.FailureMode.NONE));
-            }
-            case ERRORS_SLOW -> {
-                model.setFailureMode(UpstreamModel.FailureMode.SLOW);
-                injection.atEnd(() -> model.setFailureMode(UpstreamModel.FailureMode.NONE));
-            }
-            default -> throw unexpectedKind(injection);
-        }
+    private static void slowDown(Injection injection, SimulatedUpstream upstream) {
+        upstream.model().slowDown(injection.value());
+        injection.atEnd(() -> upstream.model().slowDown(1));
     }
 
-    private void injectZoneFault(Injection injection, int zone) {
-        switch (injection.fault.kind()) {
-            case LOSE_ZONE -> upstreams.runningInZone(zone).forEach(upstream -> stopUpstream(injection, upstream));
-            case CUT_ZONE -> {
-                context.setPartitioned(zone, true);
-                injection.atEnd(() -> context.setPartitioned(zone, false));
-            }
-            case ZONE_LOAD -> {
-                clients.multiplyZoneLoad(zone, injection.value());
-                injection.atEnd(() -> clients.multiplyZoneLoad(zone, 1 / injection.value()));
-            }
-            default -> throw unexpectedKind(injection);
-        }
+    private static void failRequests(Injection injection, SimulatedUpstream upstream, UpstreamModel.FailureMode mode) {
+        upstream.model().setFailureMode(mode);
+        injection.atEnd(() -> upstream.model().setFailureMode(UpstreamModel.FailureMode.NONE));
     }
 
-    private void injectGlobalFault(Injection injection) {
-        switch (injection.fault.kind()) {
-            case LOSE_ANSWERS -> {
-                context.setAnswerLossRate(injection.value());
-                injection.atEnd(() -> context.setAnswerLossRate(0));
-            }
-            case RESET_CONNECTIONS -> {
-                context.setConnectionResetRate(injection.value());
-                injection.atEnd(() -> context.setConnectionResetRate(0));
-            }
-            case DISCOVERY_DOWN -> {
-                discovery.setDown(true);
-                injection.atEnd(() -> discovery.setDown(false));
-            }
-            default -> throw unexpectedKind(injection);
-        }
+    // ---- Zones, network, discovery -------------------------------------------------------------------
+
+    private void partitionZone(Injection injection, int zone) {
+        context.setPartitioned(zone, true);
+        injection.atEnd(() -> context.setPartitioned(zone, false));
     }
 
-    private void injectForwarderFault(Injection injection, SimulatedForwarder forwarder) {
-        switch (injection.fault.kind()) {
-            case KILL_FORWARDER -> {
-                if (forwarder.isRunning()) {
-                    forwarder.kill();
-                    injection.atEnd(FORWARDER_START_MICROS, forwarder::restart);
-                }
-            }
-            case RESTART_FORWARDER -> forwarder.shutDown(
-                    SHUTDOWN_TIMEOUT_MICROS, () -> context.events.schedule(FORWARDER_START_MICROS, forwarder::restart));
-            case PAUSE_FORWARDER -> forwarder.pauseUntil(injection.endMicros());
-            default -> throw unexpectedKind(injection);
-        }
+    private void multiplyZoneLoad(Injection injection, int zone) {
+        clients.multiplyZoneLoad(zone, injection.value());
+        injection.atEnd(() -> clients.multiplyZoneLoad(zone, 1 / injection.value()));
     }
 
-    private void injectPlannerFault(Injection injection, SimulatedPlanner planner) {
-        switch (injection.fault.kind()) {
-            case KILL_PLANNER -> {
-                if (planner.isRunning()) {
-                    planner.kill();
-                    injection.atEnd(planner::start);
-                }
-            }
-            case PAUSE_PLANNER -> planner.pauseUntil(injection.endMicros());
-            case CUT_PLANNER_OUT -> planner.loseOutboundUntil(injection.endMicros());
-            case CUT_PLANNER_IN -> planner.loseInboundUntil(injection.endMicros());
-            default -> throw unexpectedKind(injection);
+    private void loseAnswers(Injection injection) {
+        context.setAnswerLossRate(injection.value());
+        injection.atEnd(() -> context.setAnswerLossRate(0));
+    }
+
+    private void resetConnections(Injection injection) {
+        context.setConnectionResetRate(injection.value());
+        injection.atEnd(() -> context.setConnectionResetRate(0));
+    }
+
+    private void stopDiscovery(Injection injection) {
+        discovery.setDown(true);
+        injection.atEnd(() -> discovery.setDown(false));
+    }
+
+    // ---- Forwarders and planners ---------------------------------------------------------------------
+
+    private static void killForwarder(Injection injection, SimulatedForwarder forwarder) {
+        if (forwarder.isRunning()) {
+            forwarder.kill();
+            injection.atEnd(FORWARDER_START_MICROS, forwarder::restart);
         }
     }
 
-    private static IllegalStateException unexpectedKind(Injection injection) {
-        return new IllegalStateException(injection.fault.kind().toString());
+    private void restartForwarder(SimulatedForwarder forwarder) {
+        forwarder.shutDown(
+                SHUTDOWN_TIMEOUT_MICROS, () -> context.events.schedule(FORWARDER_START_MICROS, forwarder::restart));
+    }
+
+    private static void killPlanner(Injection injection, SimulatedPlanner planner) {
+        if (planner.isRunning()) {
+            planner.kill();
+            injection.atEnd(planner::start);
+        }
     }
 }
