--- a/src/main/java/sedgeyoke/consensus/codec/package-info.java
+++ b/src/main/java/sedgeyoke/consensus/codec/package-info.java
@@ -1,2 +1,2 @@
-/** The form that the records of {@link sedgeyoke.consensus} have in messages and on disk. */
+/** Converts the types of {@link sedgeyoke.consensus} to and from protobuf messages, for the wire and the disk. */
 package sedgeyoke.consensus.codec;
