--- a/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
@@ -42,6 +42,8 @@
  * no two balancers act on versions that exclude each other, that versions only grow, and that no balancer without a
  * lease is looser than any active version. Checks of the history that all results are true and that it is
  * linearizable.
+ *
+ * <p>The processes are inner classes of the simulated network, so that this file is longer than others.
  */
 final class ConsensusSimulation extends SeededNetwork {
     static final int DRIFT_PPM = 2_000;
