--- a/src/test/java/sedgeyoke/LayoutTest.java
+++ b/src/test/java/sedgeyoke/LayoutTest.java
@@ -96,6 +96,7 @@
                         "sedgeyoke.simulator..",
                         "sedgeyoke.plan..",
                         "sedgeyoke.transport..",
+                        "sedgeyoke.startup..",
                         "sedgeyoke.settings..",
                         "sedgeyoke.cli..",
                         "sedgeyoke.standin..")
@@ -115,6 +116,7 @@
                         "sedgeyoke.simulator..",
                         "sedgeyoke.policy..",
                         "sedgeyoke.plan..",
+                        "sedgeyoke.startup..",
                         "sedgeyoke.transport..")
                 .check(PROGRAM);
     }
@@ -132,6 +134,7 @@
                         "org.tomlj..",
                         "com.google.protobuf..",
                         "sedgeyoke.settings..",
+                        "sedgeyoke.startup..",
                         "sedgeyoke.transport..",
                         "sedgeyoke.plan..",
                         "sedgeyoke.consensus..",
@@ -146,6 +149,7 @@
                 .dependOnClassesThat()
                 .resideInAnyPackage(
                         "sedgeyoke.settings..",
+                        "sedgeyoke.startup..",
                         "sedgeyoke.transport..",
                         "sedgeyoke.plan..",
                         "sedgeyoke.consensus..",
