Demo split from its table; tests of drills and stand-ins named for behaviour

ConsensusProcessesTest, ClientsTest and FaultProxyTest have names for what they prove; their assertions are unchanged.

--- a/src/main/java/sedgeyoke/drill/DemoRun.java
+++ b/src/main/java/sedgeyoke/drill/DemoRun.java
@@ -3,119 +3,91 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import sedgeyoke.model.InvariantChecker;
-import sedgeyoke.policy.LoadBalancingPolicy;
-import sedgeyoke.standin.OrderNode;
 import sedgeyoke.standin.Site;
 
 /**
- * The whole thing on loopback: discovery, order nodes of unlike speed, three balancers and their clients. On the way
- * one node drains and another restarts cold.
+ * Runs a site on loopback: discovery, order nodes of different speed, three balancers and their clients. On the way one
+ * node drains and another restarts cold.
  */
 public final class DemoRun {
     private static final int NODES = 9;
     private static final int BALANCERS = 3;
     private static final double LOAD = 0.6;
-    private static final double[] ZONE_SHARE = {0.45, 0.25, 0.3};
-    private static final String DRAINS = "n2";
-    private static final String RESTARTS = "n4";
-    private static final String CLEAR = "\033[H\033[2J";
+    private static final double[] ZONE_SHARES = {0.45, 0.25, 0.3};
+    private static final String DRAINED_NODE = "n2";
+    private static final String RESTARTED_NODE = "n4";
+    private static final int DISCOVERY_MS = 500;
 
     private final int seconds;
     private final long seed;
-    private final boolean live;
+    private final boolean redraw;
     private final PrintWriter out;
     private String event = "";
 
-    /** {@code live} redraws a table in place; else each second gives a line. */
-    public DemoRun(int seconds, long seed, boolean live, PrintWriter out) {
+    /** {@code redraw} shows a table in place; otherwise each second prints a line. */
+    public DemoRun(int seconds, long seed, boolean redraw, PrintWriter out) {
         this.seconds = seconds;
         this.seed = seed;
-        this.live = live;
+        this.redraw = redraw;
         this.out = out;
     }
 
-    /** Plays it and prints the summary; returns what clients and nodes saw. */
+    /** Runs the demo and prints a summary; returns what clients and nodes observed. */
     public InvariantChecker.Summary run() throws IOException, InterruptedException {
-        try (Site site = new Site(Sites.orders(NODES), ZONE_SHARE, seed)) {
+        try (Site site = new Site(Sites.orders(NODES), ZONE_SHARES, seed)) {
             List<InProcessBalancer> balancers = new ArrayList<>();
             for (int i = 0; i < BALANCERS; i++) {
                 balancers.add(new InProcessBalancer(site, "b" + (i + 1), i, i, BALANCERS, seed + i));
             }
-            Thread.sleep(500); // discovery's first lists
+            DemoTable table = new DemoTable(site, balancers, out);
+            Thread.sleep(DISCOVERY_MS); // until the first endpoint lists have come
             site.startClients(LOAD * site.spec().capacity());
             for (int second = 1; second <= seconds; second++) {
-                script(site, second);
+                injectFaults(site, second);
                 Thread.sleep(1_000);
-                show(site, balancers, second);
+                printProgress(site, table, second);
             }
             site.stopClients();
             InvariantChecker.Summary summary = site.summary();
             balancers.forEach(InProcessBalancer::close);
-            conclude(site, summary);
+            printSummary(site, summary);
             return summary;
         }
     }
 
-    private void script(Site site, int second) {
+    private void injectFaults(Site site, int second) {
         if (second == Math.max(2, seconds / 3)) {
-            site.injectFault(DRAINS, Site.Fault.DRAIN);
-            event = DRAINS + " drains";
+            site.injectFault(DRAINED_NODE, Site.Fault.DRAIN);
+            event = DRAINED_NODE + " drains";
         } else if (second == Math.max(3, seconds / 2)) {
-            site.injectFault(RESTARTS, Site.Fault.RESTART);
-            event = RESTARTS + " restarts cold";
+            site.injectFault(RESTARTED_NODE, Site.Fault.RESTART);
+            event = RESTARTED_NODE + " restarts cold";
         }
     }
 
-    private void show(Site site, List<InProcessBalancer> balancers, int second) {
-        InvariantChecker.Summary now = site.summary();
-        String head = String.format(
+    private void printProgress(Site site, DemoTable table, int second) {
+        InvariantChecker.Summary summary = site.summary();
+        String line = String.format(
                 Locale.ROOT,
                 "%3d s  service %.3f  p50 %.0f ms  p99 %.0f ms  answers %s%s",
                 second,
-                now.service(),
-                now.p50Ms(),
-                now.p99Ms(),
-                now.answers(),
+                summary.service(),
+                summary.p50Ms(),
+                summary.p99Ms(),
+                summary.answers(),
                 event.isEmpty() ? "" : "  (" + event + ")");
-        if (!live) {
-            out.println(head);
+        if (redraw) {
+            table.redraw(line);
+        } else {
+            out.println(line);
             out.flush();
-            return;
         }
-        Map<String, double[]> weights = new HashMap<>();
-        for (InProcessBalancer b : balancers) {
-            for (LoadBalancingPolicy.UpstreamStatus s : b.summary().upstreams()) {
-                double[] sum = weights.computeIfAbsent(s.id(), id -> new double[2]);
-                sum[0] += s.weight() / balancers.size();
-                sum[1] += s.inFlight();
-            }
-        }
-        out.print(CLEAR);
-        out.println(head);
-        out.println();
-        out.println("node   zone       speed  weight  in flight  utilisation  state");
-        for (OrderNode n : site.nodes()) {
-            double[] seen = weights.getOrDefault(n.spec().id(), new double[2]);
-            out.println(String.format(
-                    Locale.ROOT,
-                    "%-6s %-10s %5.1f  %6.2f  %9.0f  %11.2f  %s",
-                    n.spec().id(),
-                    site.spec().zones().get(n.spec().zone()),
-                    n.spec().capacity(),
-                    seen[0],
-                    seen[1],
-                    site.ask(n.model()::utilisation),
-                    site.ask(n.model()::state)));
-        }
-        out.flush();
     }
 
-    private void conclude(Site site, InvariantChecker.Summary summary) {
+    private void printSummary(Site site, InvariantChecker.Summary summary) {
         out.println();
         out.println(String.format(
                 Locale.ROOT,
@@ -126,7 +98,7 @@
                 summary.p99Ms(),
                 summary.answers()));
         out.println(String.format(
-                Locale.ROOT, "coldest moment: %.2f of what makes a node fall over", summary.warmUpPeak()));
+                Locale.ROOT, "highest load on a node that warms up: %.2f of what overloads it", summary.warmUpPeak()));
         if (summary.ruleViolations() == 0) {
             out.println("all four rules kept");
         } else {
--- a/src/main/java/sedgeyoke/drill/InProcessBalancer.java
+++ b/src/main/java/sedgeyoke/drill/InProcessBalancer.java
@@ -15,17 +15,22 @@
 import sedgeyoke.proxy.ModulePort;
 import sedgeyoke.standin.Site;
 
-/** A balancer inside this process, on a loop of its own; it shares nothing with others but the network. */
+/** A balancer in this process, on an event loop of its own; it shares only the network with others. */
 public final class InProcessBalancer implements AutoCloseable {
+    private static final long DISCOVERY_DELAY_STEP_MS = 100;
+
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final BalancerServer server;
     private final InetSocketAddress address;
 
-    /** Starts it, and tells the site's clients of it. */
-    public InProcessBalancer(Site site, String name, int zone, int position, int group, long seed) throws IOException {
-        String text = TierProcesses.configuration(site, name, zone, position, group, position * 100L, seed);
+    /** Starts a balancer and adds it to those that the site's clients use. */
+    public InProcessBalancer(Site site, String name, int zone, int position, int groupSize, long seed)
+            throws IOException {
+        String configuration = TierProcesses.configuration(
+                site, name, zone, position, groupSize, position * DISCOVERY_DELAY_STEP_MS, seed);
         try {
-            server = BalancerServer.onSockets(loop, BalancerConfig.parse(text.getBytes(StandardCharsets.UTF_8)));
+            server = BalancerServer.onSockets(
+                    loop, BalancerConfig.parse(configuration.getBytes(StandardCharsets.UTF_8)));
         } catch (InvalidConfigException e) {
             throw new IllegalStateException(e);
         }
@@ -33,7 +38,7 @@
         site.balancer(name, zone, address);
     }
 
-    /** What its module knows. */
+    /** The state of its policy. */
     public LoadBalancingPolicy.Summary summary() {
         CompletableFuture<LoadBalancingPolicy.Summary> summary = new CompletableFuture<>();
         ModulePort port = server.port();
--- a/src/main/java/sedgeyoke/drill/Sites.java
+++ b/src/main/java/sedgeyoke/drill/Sites.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import sedgeyoke.model.SiteModel;
 
-/** The sites that demo and drills play on. */
+/** The sites that demo and drills run on. */
 public final class Sites {
     private static final double FAST = 1.8;
     private static final double SLOW = 0.9;
@@ -13,7 +13,7 @@
 
     private Sites() {}
 
-    /** Three zones like the platform's, with so many nodes dealt out unevenly; every third is slow. */
+    /** The platform's three zones with nodes spread unevenly over them; every third node is slow. */
     public static SiteModel orders(int nodes) {
         List<SiteModel.NodeSpec> specs = new ArrayList<>();
         for (int i = 0; i < nodes; i++) {
--- a/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
+++ b/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
@@ -29,9 +29,9 @@
 import sedgeyoke.consensus.RequestResult;
 import sedgeyoke.consensus.server.ConfigClient;
 
-/** Keepers and balancers as processes of the program, and what happens when some of them fail. */
+/** Config servers and balancers as processes, when some of them fail. */
 class ConsensusProcessesTest {
-    private static final long PATIENCE_MS = 60_000;
+    private static final long TIMEOUT_MS = 60_000;
     private static final List<String> PROGRAM = List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-XX:TieredStopAtLevel=1",
@@ -40,8 +40,8 @@
             System.getProperty("java.class.path"),
             "sedgeyoke.cli.Sedgeyoke");
 
-    /** Three keepers and a way to ask them. */
-    private static final class Keepers implements AutoCloseable {
+    /** Three config servers and a client of them. */
+    private static final class ConfigServers implements AutoCloseable {
         final Path folder;
         final TierProcesses tier;
         final Map<String, Integer> ports = new LinkedHashMap<>();
@@ -49,7 +49,7 @@
         final List<InetSocketAddress> addresses = new ArrayList<>();
         final ConfigClient client;
 
-        Keepers(Path folder) throws Exception {
+        ConfigServers(Path folder) throws Exception {
             this.folder = folder;
             tier = new TierProcesses(folder, PROGRAM);
             for (String name : List.of("k0", "k1", "k2")) {
@@ -65,17 +65,17 @@
         }
 
         ConfigVersion read() throws InterruptedException {
-            ConfigClient.Answer answer = client.ask(new ClientRequest.Read(), PATIENCE_MS);
+            ConfigClient.Answer answer = client.ask(new ClientRequest.Read(), TIMEOUT_MS);
             assertEquals(RequestResult.Kind.DONE, answer.outcome().kind());
             return answer.newest();
         }
 
-        /** Sets it, however often the version before is still taking effect; the version that it made. */
-        long set(String request, double retries) throws InterruptedException {
+        /** Writes a version, even if the previous one is not in force yet, and returns its number. */
+        long set(String requestId, double retryRatio) throws InterruptedException {
             ConfigVersion from = read();
-            ConfigDocument next = from.content().with(ConfigSchema.RETRY_RATIO, retries);
+            ConfigDocument next = from.content().with(ConfigSchema.RETRY_RATIO, retryRatio);
             RequestResult outcome =
-                    client.set(request, from, "op", "", next, PATIENCE_MS).outcome();
+                    client.set(requestId, from, "op", "", next, TIMEOUT_MS).outcome();
             assertEquals(RequestResult.Kind.DONE, outcome.kind(), outcome.detail());
             return outcome.version();
         }
@@ -105,148 +105,153 @@
     }
 
     private static void await(String what, BooleanSupplier condition) throws InterruptedException {
-        long end = System.nanoTime() + PATIENCE_MS * 1_000_000;
+        long end = System.nanoTime() + TIMEOUT_MS * 1_000_000;
         while (!condition.getAsBoolean()) {
             assertTrue(System.nanoTime() < end, "not in time: " + what);
             Thread.sleep(20);
         }
     }
 
-    private static void empty(Path folder) throws IOException {
+    private static void deleteAll(Path folder) throws IOException {
         try (Stream<Path> files = Files.walk(folder)) {
             files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
         }
     }
 
-    /** Whatever was answered is there after every process was killed at once, and a request that comes again is one. */
+    /** A repeat of a request that was answered before returns the version that it made then. */
     @Test
-    void whatWasAnsweredOutlivesTheEndOfAll(@TempDir Path folder) throws Exception {
-        try (Keepers k = new Keepers(folder)) {
-            long version = k.set("one", 0.25);
-            k.processes.values().forEach(ProgramProcess::kill);
-            for (ProgramProcess p : k.processes.values()) {
-                await("its end", () -> !p.alive());
-                p.start();
+    void acknowledgedWritesSurviveAKillOfAllServers(@TempDir Path folder) throws Exception {
+        try (ConfigServers servers = new ConfigServers(folder)) {
+            long version = servers.set("one", 0.25);
+            servers.processes.values().forEach(ProgramProcess::kill);
+            for (ProgramProcess process : servers.processes.values()) {
+                await("the process ends", () -> !process.alive());
+                process.start();
             }
-            assertEquals(0.25, k.read().content().number(ConfigSchema.RETRY_RATIO));
-            assertEquals(version, k.set("one", 0.25), "the same request, the same version");
-            assertNotEquals(version, k.set("two", 0.5));
+            assertEquals(0.25, servers.read().content().number(ConfigSchema.RETRY_RATIO));
+            assertEquals(version, servers.set("one", 0.25), "the same request, the same version");
+            assertNotEquals(version, servers.set("two", 0.5));
         }
     }
 
-    /** A leader that stands still is followed by another one, and what it believes when it goes on does no harm. */
+    /** When the stopped leader continues, it follows the new one. */
     @Test
-    void aLeaderThatStandsStillIsReplaced(@TempDir Path folder) throws Exception {
-        try (Keepers k = new Keepers(folder)) {
-            k.set("one", 0.25);
-            String before = k.leader();
-            k.processes.get(before).pause(true);
-            long version = k.set("two", 0.5);
-            k.processes.get(before).pause(false);
-            await("it follows", () -> {
-                ConfigClient.Status s = k.status(before);
+    void aStoppedLeaderIsReplaced(@TempDir Path folder) throws Exception {
+        try (ConfigServers servers = new ConfigServers(folder)) {
+            servers.set("one", 0.25);
+            String before = servers.leader();
+            servers.processes.get(before).pause(true);
+            long version = servers.set("two", 0.5);
+            servers.processes.get(before).pause(false);
+            await("the old leader follows", () -> {
+                ConfigClient.Status s = servers.status(before);
                 return s != null && s.role().equals("follower") && s.active() + s.pending() >= version;
             });
-            assertNotEquals(before, k.leader());
-            assertEquals(0.5, k.read().content().number(ConfigSchema.RETRY_RATIO));
+            assertNotEquals(before, servers.leader());
+            assertEquals(0.5, servers.read().content().number(ConfigSchema.RETRY_RATIO));
         }
     }
 
-    /** A keeper with an empty disk is another one: it decides nothing under its old name, and joins as a new one. */
+    /** It may not vote under its old name: it does not know what it promised. It has to be added again. */
     @Test
-    void anEmptyDiskUnderAnOldNameIsANewKeeper(@TempDir Path folder) throws Exception {
-        try (Keepers k = new Keepers(folder)) {
-            k.set("one", 0.25);
-            await("its folder is known to all", () -> k.ports.keySet().stream()
-                    .map(k::status)
+    void aServerWithAnEmptyDiskIsANewMember(@TempDir Path folder) throws Exception {
+        try (ConfigServers servers = new ConfigServers(folder)) {
+            servers.set("one", 0.25);
+            await("all servers know all storage ids", () -> servers.ports.keySet().stream()
+                    .map(servers::status)
                     .allMatch(s -> s != null && s.voters().stream().allMatch(m -> m.storageId() != 0)));
-            long old = k.status("k2").folder();
-            k.processes.get("k2").kill();
-            await("its end", () -> !k.processes.get("k2").alive());
-            empty(k.tier.configServerFolder("k2"));
-            k.processes.get("k2").start();
-            await("it is there", () -> k.status("k2") != null);
-            long folderNow = k.status("k2").folder();
-            assertNotEquals(old, folderNow);
-            k.set("two", 0.5);
-            assertEquals(0, k.status("k2").active(), "nobody tells it anything");
+            long oldStorageId = servers.status("k2").folder();
+            servers.processes.get("k2").kill();
+            await("the process ends", () -> !servers.processes.get("k2").alive());
+            deleteAll(servers.tier.configServerFolder("k2"));
+            servers.processes.get("k2").start();
+            await("the server answers", () -> servers.status("k2") != null);
+            long newStorageId = servers.status("k2").folder();
+            assertNotEquals(oldStorageId, newStorageId);
+            servers.set("two", 0.5);
+            assertEquals(0, servers.status("k2").active(), "it gets no entries");
             assertEquals(
                     RequestResult.Kind.DONE,
-                    k.client
-                            .ask(new ClientRequest.RemoveMember("k2", old), PATIENCE_MS)
+                    servers.client
+                            .ask(new ClientRequest.RemoveMember("k2", oldStorageId), TIMEOUT_MS)
                             .outcome()
                             .kind());
             ConfigClient.Answer[] added = new ConfigClient.Answer[1];
-            await("it is added", () -> {
+            await("the server is added", () -> {
                 try {
-                    added[0] = k.client.ask(
-                            new ClientRequest.AddMember(new Member("k2", folderNow, "127.0.0.1:" + k.ports.get("k2"))),
-                            PATIENCE_MS);
+                    added[0] = servers.client.ask(
+                            new ClientRequest.AddMember(
+                                    new Member("k2", newStorageId, "127.0.0.1:" + servers.ports.get("k2"))),
+                            TIMEOUT_MS);
                     return added[0].outcome().kind() == RequestResult.Kind.DONE;
                 } catch (InterruptedException e) {
                     throw new IllegalStateException(e);
                 }
             });
             await(
-                    "it has caught up and votes",
-                    () -> k.status("k0").voters().stream()
-                                    .anyMatch(m -> m.name().equals("k2") && m.storageId() == folderNow)
-                            && k.status("k2").active() >= 2);
+                    "the server has caught up and votes",
+                    () -> servers.status("k0").voters().stream()
+                                    .anyMatch(m -> m.name().equals("k2") && m.storageId() == newStorageId)
+                            && servers.status("k2").active() >= 2);
         }
     }
 
-    /** Bits that have rotted while a keeper was down are found, and what was there comes back from the others. */
+    /** The corruption is logged, and the server recovers the lost entries from the others. */
     @Test
-    void whatHasRottedComesBackFromTheOthers(@TempDir Path folder) throws Exception {
-        try (Keepers k = new Keepers(folder)) {
+    void corruptEntriesAreRecoveredFromTheOthers(@TempDir Path folder) throws Exception {
+        try (ConfigServers servers = new ConfigServers(folder)) {
             for (int i = 0; i < 3; i++) {
-                k.set("r" + i, 0.1 * (1 + i));
+                servers.set("r" + i, 0.1 * (1 + i));
             }
-            long version = k.read().number();
-            k.processes.get("k1").kill();
-            await("its end", () -> !k.processes.get("k1").alive());
-            Path segment = k.tier.configServerFolder("k1").resolve("log-0000000000000001");
+            long version = servers.read().number();
+            servers.processes.get("k1").kill();
+            await("the process ends", () -> !servers.processes.get("k1").alive());
+            Path segment = servers.tier.configServerFolder("k1").resolve("log-0000000000000001");
             byte[] bytes = Files.readAllBytes(segment);
             bytes[60] ^= 1; // in the first record
             Files.write(segment, bytes);
-            k.processes.get("k1").start();
-            await("it is sound and has all", () -> {
-                ConfigClient.Status s = k.status("k1");
+            servers.processes.get("k1").start();
+            await("the server has recovered all entries", () -> {
+                ConfigClient.Status s = servers.status("k1");
                 return s != null && s.sound() && s.active() + s.pending() >= version;
             });
-            assertTrue(Files.readString(folder.resolve("k1.log")).contains("log-0000000000000001"), "it is said");
+            assertTrue(
+                    Files.readString(folder.resolve("k1.log")).contains("log-0000000000000001"),
+                    "the corruption is logged");
         }
     }
 
     @Test
-    void twoKeepersCannotHaveOneFolder(@TempDir Path folder) throws Exception {
-        try (Keepers k = new Keepers(folder)) {
+    void twoServersCannotShareAFolder(@TempDir Path folder) throws Exception {
+        try (ConfigServers servers = new ConfigServers(folder)) {
             List<String> command = new ArrayList<>(PROGRAM);
             command.addAll(List.of(
-                    "config-server", "--config", k.folder.resolve("k0.toml").toString()));
+                    "config-server",
+                    "--config",
+                    servers.folder.resolve("k0.toml").toString()));
             Process second =
                     new ProcessBuilder(command).redirectErrorStream(true).start();
-            String said = new String(second.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-            assertEquals(2, second.waitFor(), said);
-            assertTrue(said.contains("is held by another process"), said);
+            String output = new String(second.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertEquals(2, second.waitFor(), output);
+            assertTrue(output.contains("is held by another process"), output);
         }
     }
 
-    /** The drill in small: three keepers and three balancers, with faults on every way between them. */
+    /** Three config servers and three balancers, with faults. */
     @Test
-    void theDrillHoldsInSmall() throws Exception {
+    void aSmallDrillFindsNoFault() throws Exception {
         ConsensusDrill.Options options = new ConsensusDrill.Options(3, 3, 16, 3, ConsensusDrill.Mode.FAULTS, PROGRAM);
-        ObjectNode figures =
+        ObjectNode metrics =
                 new ConsensusDrill(options, new PrintWriter(System.out, true, StandardCharsets.UTF_8)).run();
-        System.out.println(figures);
-        assertEquals(0, figures.path("lost_commits").asInt(), figures.toString());
-        assertTrue(figures.path("linearizable").asBoolean(), figures.toString());
-        assertTrue(figures.path("writes").asInt() > 0, figures.toString());
-        assertEquals(0, figures.path("strict_contradictions").asInt(), figures.toString());
-        assertEquals(3, figures.path("keepers_sound_at_end").asInt(), figures.toString());
+        System.out.println(metrics);
+        assertEquals(0, metrics.path("lost_commits").asInt(), metrics.toString());
+        assertTrue(metrics.path("linearizable").asBoolean(), metrics.toString());
+        assertTrue(metrics.path("writes").asInt() > 0, metrics.toString());
+        assertEquals(0, metrics.path("strict_contradictions").asInt(), metrics.toString());
+        assertEquals(3, metrics.path("keepers_sound_at_end").asInt(), metrics.toString());
         assertTrue(
-                figures.path("contradiction_max_ms").asLong()
-                        <= figures.path("holds_within_ms").asLong() + 100,
-                figures.toString());
+                metrics.path("contradiction_max_ms").asLong()
+                        <= metrics.path("holds_within_ms").asLong() + 100,
+                metrics.toString());
     }
 }
--- a/src/test/java/sedgeyoke/standin/ClientsTest.java
+++ b/src/test/java/sedgeyoke/standin/ClientsTest.java
@@ -22,33 +22,33 @@
 import sedgeyoke.model.InvariantChecker;
 import sedgeyoke.model.SiteModel;
 
-/** Clients against a scripted balancer: what crosses the end of an idle connection is no loss, all else is. */
+/** Clients against a scripted balancer. */
 class ClientsTest {
-    private static final int WANTED = 40;
+    private static final int MIN_REQUESTS = 40;
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final SiteModel site =
             new SiteModel(List.of("a"), SiteModel.orders(), List.of(), SiteModel.RuleSpec.DEFAULT, false);
     private final InvariantChecker checker = new InvariantChecker(site);
-    private final Map<String, Integer> seen = new HashMap<>();
+    private final Map<String, Integer> timesSeenById = new HashMap<>();
     private final Map<String, Set<String>> idsByKey = new HashMap<>();
 
     /** What a scripted balancer does with a request. */
-    private enum Does {
-        ANSWER,
-        REFUSE,
+    private enum Action {
+        SERVE,
+        REJECT,
         CLOSE
     }
 
-    /** {@code before}: requests answered on this connection; {@code times}: how often this id has come so far. */
+    /** {@code answered}: earlier requests on this connection; {@code timesSeen}: how often this id has come so far. */
     private interface Script {
-        Does next(int before, int times);
+        Action next(int answered, int timesSeen);
     }
 
-    private final class Scripted extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final class ScriptedBalancer extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final Script script;
-        private int before;
+        private int answered;
 
-        Scripted(Script script) {
+        ScriptedBalancer(Script script) {
             this.script = script;
         }
 
@@ -59,12 +59,12 @@
             if (key != null) {
                 idsByKey.computeIfAbsent(key, k -> new HashSet<>()).add(id);
             }
-            switch (script.next(before, seen.merge(id, 1, Integer::sum))) {
+            switch (script.next(answered, timesSeenById.merge(id, 1, Integer::sum))) {
                 case CLOSE -> ctx.close();
-                case REFUSE -> ctx.writeAndFlush(Http.response(503, ""));
+                case REJECT -> ctx.writeAndFlush(Http.response(503, ""));
                 default -> ctx.writeAndFlush(Http.response(200, "done " + id));
             }
-            before++;
+            answered++;
         }
     }
 
@@ -73,25 +73,25 @@
         loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
-    private InvariantChecker.Summary play(Script script) throws InterruptedException {
-        return play(script, 0);
+    private InvariantChecker.Summary run(Script script) throws InterruptedException {
+        return run(script, 0);
     }
 
-    private int mostTries() {
+    private int maxAttempts() {
         return idsByKey.values().stream().mapToInt(Set::size).max().orElse(0);
     }
 
-    /** Until enough is wanted, and one want has been tried so often. */
-    private InvariantChecker.Summary play(Script script, int tries) throws InterruptedException {
+    /** Runs until there were enough requests, and one of them had this many attempts. */
+    private InvariantChecker.Summary run(Script script, int attempts) throws InterruptedException {
         InetSocketAddress address = (InetSocketAddress)
-                Http.listen(loop, 0, () -> new Scripted(script)).localAddress();
+                Http.listen(loop, 0, () -> new ScriptedBalancer(script)).localAddress();
         Clients clients = new Clients(site, loop, () -> System.nanoTime() / 1_000, checker, new double[] {1}, 7);
         loop.submit(() -> {
                     clients.addBalancer("b", 0, address);
                     clients.start(300);
                 })
                 .sync();
-        await(() -> checker.summary().requests() >= WANTED && mostTries() >= tries);
+        await(() -> checker.summary().requests() >= MIN_REQUESTS && maxAttempts() >= attempts);
         loop.submit(clients::stop).sync();
         await(() -> checker.pendingRequests() == 0);
         return loop.submit(checker::summary).syncUninterruptibly().getNow();
@@ -104,32 +104,33 @@
     }
 
     @Test
-    void whatCrossesTheEndOfAnIdleConnectionIsSentOnceMore() throws InterruptedException {
-        InvariantChecker.Summary summary = play((before, times) -> before > 0 ? Does.CLOSE : Does.ANSWER);
+    void aRequestOnAnIdleConnectionThatIsClosedIsSentOnceMore() throws InterruptedException {
+        InvariantChecker.Summary summary = run((answered, timesSeen) -> answered > 0 ? Action.CLOSE : Action.SERVE);
         assertEquals(Map.of(), summary.violations());
-        assertTrue(seen.values().stream().anyMatch(n -> n == 2));
-        assertTrue(seen.values().stream().allMatch(n -> n <= 2));
+        assertTrue(timesSeenById.values().stream().anyMatch(n -> n == 2));
+        assertTrue(timesSeenById.values().stream().allMatch(n -> n <= 2));
     }
 
     @Test
-    void aSecondEndIsALoss() throws InterruptedException {
-        InvariantChecker.Summary summary = play((before, times) -> before > 0 || times > 1 ? Does.CLOSE : Does.ANSWER);
-        long twice = seen.values().stream().filter(n -> n == 2).count();
+    void aSecondCloseIsALoss() throws InterruptedException {
+        InvariantChecker.Summary summary =
+                run((answered, timesSeen) -> answered > 0 || timesSeen > 1 ? Action.CLOSE : Action.SERVE);
+        long twice = timesSeenById.values().stream().filter(n -> n == 2).count();
         assertTrue(twice > 0);
         assertEquals(Map.of(1, (int) twice), summary.violations());
     }
 
     @Test
-    void anEndBeforeAnyAnswerIsALossAtOnce() throws InterruptedException {
-        InvariantChecker.Summary summary = play((before, times) -> Does.CLOSE);
-        assertEquals(Map.of(1, seen.size()), summary.violations());
-        assertTrue(seen.values().stream().allMatch(n -> n == 1));
+    void aCloseBeforeAnyAnswerIsALoss() throws InterruptedException {
+        InvariantChecker.Summary summary = run((answered, timesSeen) -> Action.CLOSE);
+        assertEquals(Map.of(1, timesSeenById.size()), summary.violations());
+        assertTrue(timesSeenById.values().stream().allMatch(n -> n == 1));
     }
 
     @Test
-    void retriesOfOneWantShareItsKeyAndNothingElse() throws InterruptedException {
-        play((before, times) -> Does.REFUSE, 3);
-        assertTrue(seen.values().stream().allMatch(n -> n == 1)); // each try has an id of its own
-        assertEquals(3, mostTries()); // the want and both of its retries
+    void retriesShareTheIdempotencyKeyAndNothingElse() throws InterruptedException {
+        run((answered, timesSeen) -> Action.REJECT, 3);
+        assertTrue(timesSeenById.values().stream().allMatch(n -> n == 1)); // each attempt has an id of its own
+        assertEquals(3, maxAttempts()); // the first attempt and both retries
     }
 }
--- a/src/test/java/sedgeyoke/standin/FaultProxyTest.java
+++ b/src/test/java/sedgeyoke/standin/FaultProxyTest.java
@@ -8,15 +8,18 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-/** The proxy passes on what it is given, in order, and only misbehaves as told. */
+/** The proxy forwards bytes in order, and injects only the faults that are set. */
 class FaultProxyTest {
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final ServerSocket target;
@@ -31,7 +34,7 @@
     void close() throws IOException {
         proxy.close();
         target.close();
-        loop.parent().shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
+        loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
     private Socket connect() throws IOException {
@@ -45,13 +48,13 @@
         try (Socket client = connect();
                 Socket server = target.accept()) {
             byte[] sent = new byte[300_000];
-            new java.util.Random(1).nextBytes(sent);
+            new Random(1).nextBytes(sent);
             proxy.setDelayMs(3);
             Thread writer = new Thread(() -> {
                 try {
                     client.getOutputStream().write(sent);
                 } catch (IOException e) {
-                    throw new java.io.UncheckedIOException(e);
+                    throw new UncheckedIOException(e);
                 }
             });
             writer.start();
@@ -60,13 +63,13 @@
     }
 
     @Test
-    void whatIsStalledComesOnceItIsLetGo() throws IOException {
+    void stalledDataIsForwardedAfterTheStall() throws IOException {
         try (Socket client = connect();
                 Socket server = target.accept()) {
             proxy.stall(true, false);
             client.getOutputStream().write(7);
             server.getOutputStream().write(8);
-            assertEquals(8, client.getInputStream().read(), "the other way is open");
+            assertEquals(8, client.getInputStream().read(), "the other direction is not stalled");
             server.setSoTimeout(50);
             assertThrows(
                     SocketTimeoutException.class, () -> server.getInputStream().read());
@@ -77,17 +80,17 @@
     }
 
     @Test
-    void aCutEndsWhatIsOpenAndRefusesTheRest() throws IOException {
+    void aCutClosesOpenConnectionsAndRejectsNewOnes() throws IOException {
         try (Socket client = connect();
                 Socket server = target.accept()) {
             client.getOutputStream().write(1);
             assertEquals(1, server.getInputStream().read());
             proxy.cut(true);
             assertEquals(-1, client.getInputStream().read());
-            try (Socket refused = connect()) {
-                assertEquals(-1, refused.getInputStream().read());
+            try (Socket rejected = connect()) {
+                assertEquals(-1, rejected.getInputStream().read());
             } catch (IOException reset) {
-                return; // a reset says the same
+                return; // a reset is a rejection too
             }
         }
     }
