--- a/src/main/java/sedgeyoke/consensus/server/ConfigClient.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigClient.java
@@ -1,17 +1,13 @@
 package sedgeyoke.consensus.server;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -21,231 +17,224 @@
 import sedgeyoke.consensus.Command;
 import sedgeyoke.consensus.ConfigDocument;
 import sedgeyoke.consensus.ConfigVersion;
-import sedgeyoke.consensus.Member;
 import sedgeyoke.consensus.Membership;
 import sedgeyoke.consensus.RequestResult;
-import sedgeyoke.consensus.codec.ConsensusCodec;
+import sedgeyoke.consensus.codec.ClientCodec;
+import sedgeyoke.consensus.codec.ConfigCodec;
+import sedgeyoke.consensus.codec.LogCodec;
 import sedgeyoke.settings.TlsFiles;
 import sedgeyoke.transport.FramedConnection;
 import sedgeyoke.transport.MutualTls;
+import sedgeyoke.transport.PeerRole;
 import sedgeyoke.transport.proto.Frame;
-import sedgeyoke.transport.proto.OperatorAsk;
-import sedgeyoke.transport.proto.OperatorReply;
-import sedgeyoke.transport.proto.StatusMessage;
+import sedgeyoke.transport.proto.OperatorReplyMessage;
+import sedgeyoke.transport.proto.OperatorRequestMessage;
+import sedgeyoke.transport.proto.ServerStatusMessage;
 
 /**
- * Operators' way to the keepers. It asks one after the other until one knows, and says so where nobody does: what was
- * written and not answered may be done, and is asked for again under the same number.
+ * Sends requests of operators to the config servers. It tries one server after the other until one has a definite
+ * result. Writes that got no response may have been committed; they are repeated with the same request id, which makes
+ * them idempotent. Methods block; to be used on one thread, which is not an event loop.
  */
 public final class ConfigClient implements AutoCloseable {
-    private static final long ONE_MS = 1_500;
-    private static final long PAUSE_MS = 100;
+    private static final long ATTEMPT_TIMEOUT_MILLIS = 1_500;
+    private static final long RETRY_DELAY_MILLIS = 100;
+    /** There is only one request on a connection, so its token is constant. */
+    private static final int TOKEN = 1;
 
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-    private final List<InetSocketAddress> keepers;
+    private final List<InetSocketAddress> servers;
     private final String name;
     private final MutualTls tls;
-    private int next;
-
-    /** What became of a request, with the versions that the keeper who answered knew. */
-    public record Answer(
-            RequestResult outcome, ConfigVersion active, ConfigVersion pending, List<ConfigVersion> history) {
-        /** The newest of them. */
-        public ConfigVersion newest() {
-            return pending == null ? active : pending;
-        }
-    }
+    private int nextServer;
 
-    /** What a keeper says of itself. */
-    public record Status(
-            String name,
-            String role,
-            long term,
-            String leader,
-            long commit,
-            long last,
-            boolean sound,
-            String doubt,
-            List<Member> voters,
-            Member learner,
-            long active,
-            long pending,
-            int holders,
-            int followers,
-            long contradictionBoundMs,
-            long holdsWithinMs,
-            long folder) {}
-
-    /** Throws if the TLS files are no good. {@code name}: as in the operator's certificate. */
-    public ConfigClient(List<InetSocketAddress> keepers, String name, TlsFiles files) throws IOException {
-        this.keepers = List.copyOf(keepers);
+    /** Creates a client; throws if the TLS files cannot be loaded. {@code name}: as in the operator's certificate. */
+    public ConfigClient(List<InetSocketAddress> servers, String name, TlsFiles files) throws IOException {
+        this.servers = List.copyOf(servers);
         this.name = name;
-        this.tls = new MutualTls(files, false, line -> {});
+        this.tls = MutualTls.forClient(files, line -> {});
     }
 
-    /** Asks until somebody knows, for so long at the most. */
-    public Answer ask(ClientRequest request, long withinMs) throws InterruptedException {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(withinMs);
-        boolean mayBeDone = false;
-        Answer last = null;
-        while (System.nanoTime() < end) {
-            OperatorReply reply = once(
-                    keepers.get(next),
-                    OperatorAsk.newBuilder()
-                            .setToken(1)
-                            .setRequest(ConsensusCodec.of(request))
-                            .build(),
-                    left(end));
-            if (reply != null && reply.hasOutcome()) {
-                last = answer(reply);
-                RequestResult.Kind kind = last.outcome().kind();
-                mayBeDone |= kind == RequestResult.Kind.UNKNOWN;
-                if (kind == RequestResult.Kind.DONE
-                        || kind == RequestResult.Kind.CONFLICT
-                        || kind == RequestResult.Kind.REFUSED) {
+    // ---- Requests ------------------------------------------------------------------------------------
+
+    /**
+     * Sends a request until a server has a definite result.
+     *
+     * @param timeoutMillis after which the result is UNKNOWN if the request may have been committed, else NO_LEADER
+     */
+    public ConfigResponse submit(ClientRequest request, long timeoutMillis) throws InterruptedException {
+        OperatorRequestMessage message = OperatorRequestMessage.newBuilder()
+                .setToken(TOKEN)
+                .setRequest(ClientCodec.encode(request))
+                .build();
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+        boolean mayBeCommitted = false;
+        ConfigResponse last = null;
+        while (System.nanoTime() < deadline) {
+            Optional<OperatorReplyMessage> reply = exchange(
+                            servers.get(nextServer), message, attemptTimeoutMillis(deadline))
+                    .filter(OperatorReplyMessage::hasResult);
+            if (reply.isPresent()) {
+                last = decode(reply.get());
+                if (isDefinite(last.result().kind())) {
                     return last;
                 }
+                mayBeCommitted |= last.result().kind() == RequestResult.Kind.UNKNOWN;
             } else {
-                mayBeDone |= !(request instanceof ClientRequest.Read);
+                mayBeCommitted |= !(request instanceof ClientRequest.Read);
             }
-            next = (next + 1) % keepers.size();
-            TimeUnit.MILLISECONDS.sleep(PAUSE_MS);
+            nextServer = (nextServer + 1) % servers.size();
+            TimeUnit.MILLISECONDS.sleep(RETRY_DELAY_MILLIS);
+        }
+        return timedOut(mayBeCommitted, last);
+    }
+
+    private static boolean isDefinite(RequestResult.Kind kind) {
+        return kind == RequestResult.Kind.DONE
+                || kind == RequestResult.Kind.CONFLICT
+                || kind == RequestResult.Kind.REFUSED;
+    }
+
+    private static ConfigResponse timedOut(boolean mayBeCommitted, ConfigResponse last) {
+        RequestResult.Kind kind = mayBeCommitted ? RequestResult.Kind.UNKNOWN : RequestResult.Kind.NO_LEADER;
+        if (last == null) {
+            RequestResult result = new RequestResult(kind, 0, "no config server has responded");
+            return new ConfigResponse(result, ConfigVersion.NONE, null, List.of());
         }
-        RequestResult none = new RequestResult(
-                mayBeDone ? RequestResult.Kind.UNKNOWN : RequestResult.Kind.NO_LEADER,
-                0,
-                last == null ? "no keeper has answered" : last.outcome().detail());
-        return new Answer(
-                none,
-                last == null ? ConfigVersion.NONE : last.active(),
-                last == null ? null : last.pending(),
-                List.of());
+        RequestResult result = new RequestResult(kind, 0, last.result().detail());
+        return new ConfigResponse(result, last.active(), last.pending(), List.of());
     }
 
-    /** Sets a new version made from one that was read. */
-    public Answer set(
-            String request, ConfigVersion from, String author, String reason, ConfigDocument content, long withinMs)
+    private static long attemptTimeoutMillis(long deadlineNanos) {
+        long remainingMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+        return Math.max(1, Math.min(ATTEMPT_TIMEOUT_MILLIS, remainingMillis));
+    }
+
+    /** Writes a new version that replaces {@code parent}; see {@link #submit} for the timeout. */
+    public ConfigResponse write(
+            String requestId,
+            ConfigVersion parent,
+            String author,
+            String reason,
+            ConfigDocument content,
+            long timeoutMillis)
             throws InterruptedException {
-        return ask(
-                new ClientRequest.Set(
-                        new Command.Write(request, from.number(), author, reason, System.currentTimeMillis(), content)),
-                withinMs);
+        long now = System.currentTimeMillis();
+        Command.Write write = new Command.Write(requestId, parent.number(), author, reason, now, content);
+        return submit(new ClientRequest.Set(write), timeoutMillis);
     }
 
-    /** The versions before the present one, by any keeper that answers; null if none does. */
-    public Answer history(long withinMs) throws InterruptedException {
-        for (InetSocketAddress keeper : keepers) {
-            OperatorReply reply = once(
-                    keeper,
-                    OperatorAsk.newBuilder().setToken(1).setHistory(true).build(),
-                    Math.min(ONE_MS, withinMs));
-            if (reply != null) {
-                return answer(reply);
+    /** Returns the earlier versions from the first server that responds; null if none does. */
+    public ConfigResponse history(long timeoutMillis) throws InterruptedException {
+        OperatorRequestMessage message = OperatorRequestMessage.newBuilder()
+                .setToken(TOKEN)
+                .setHistory(true)
+                .build();
+        for (InetSocketAddress server : servers) {
+            Optional<OperatorReplyMessage> reply =
+                    exchange(server, message, Math.min(ATTEMPT_TIMEOUT_MILLIS, timeoutMillis));
+            if (reply.isPresent()) {
+                return decode(reply.get());
             }
         }
         return null;
     }
 
-    /** What one keeper says of itself; null if it says nothing. */
-    public Status status(InetSocketAddress keeper) throws InterruptedException {
-        OperatorReply reply = once(
-                keeper, OperatorAsk.newBuilder().setToken(1).setStatus(true).build(), ONE_MS);
-        if (reply == null || !reply.hasStatus()) {
-            return null;
-        }
-        StatusMessage s = reply.getStatus();
-        Membership members = ConsensusCodec.members(s.getMembers());
-        return new Status(
-                s.getName(),
-                s.getRole(),
-                s.getTerm(),
-                s.getLeader(),
-                s.getCommit(),
-                s.getLast(),
-                s.getSound(),
-                s.getDoubt(),
-                List.copyOf(members.voters().values()),
-                members.learner(),
-                s.getActive(),
-                s.getPending(),
-                s.getHolders(),
-                s.getFollowers(),
-                s.getContradictionBoundMs(),
-                s.getHoldsWithinMs(),
-                s.getFolder());
+    /** Returns the status of one server; null if it does not respond. */
+    public ServerStatus status(InetSocketAddress server) throws InterruptedException {
+        OperatorRequestMessage message = OperatorRequestMessage.newBuilder()
+                .setToken(TOKEN)
+                .setStatus(true)
+                .build();
+        return exchange(server, message, ATTEMPT_TIMEOUT_MILLIS)
+                .filter(OperatorReplyMessage::hasStatus)
+                .map(reply -> decode(reply.getStatus()))
+                .orElse(null);
     }
 
-    private static long left(long end) {
-        return Math.max(1, Math.min(ONE_MS, TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime())));
+    // ---- Messages ------------------------------------------------------------------------------------
+
+    private static ServerStatus decode(ServerStatusMessage status) {
+        Membership membership = LogCodec.decode(status.getMembership());
+        return new ServerStatus(
+                status.getName(),
+                status.getRole(),
+                status.getTerm(),
+                status.getLeader(),
+                status.getCommitIndex(),
+                status.getLastIndex(),
+                status.getRecovered(),
+                status.getSuspectedLoss(),
+                List.copyOf(membership.voters().values()),
+                membership.learner(),
+                status.getActiveVersion(),
+                status.getPendingVersion(),
+                status.getLeaseHolders(),
+                status.getSubscribers(),
+                status.getContradictionBoundMs(),
+                status.getActivationBoundMs(),
+                status.getStorageId());
     }
 
-    private static Answer answer(OperatorReply r) {
-        return new Answer(
-                r.hasOutcome() ? ConsensusCodec.outcome(r.getOutcome()) : null,
-                ConsensusCodec.version(r.getActive()),
-                r.hasPending() ? ConsensusCodec.version(r.getPending()) : null,
-                r.getHistoryList().stream().map(ConsensusCodec::version).toList());
+    private static ConfigResponse decode(OperatorReplyMessage reply) {
+        return new ConfigResponse(
+                reply.hasResult() ? ClientCodec.decode(reply.getResult()) : null,
+                ConfigCodec.decode(reply.getActive()),
+                reply.hasPending() ? ConfigCodec.decode(reply.getPending()) : null,
+                reply.getHistoryList().stream().map(ConfigCodec::decode).toList());
     }
 
-    private OperatorReply once(InetSocketAddress keeper, OperatorAsk ask, long withinMs) throws InterruptedException {
-        CompletableFuture<OperatorReply> reply = new CompletableFuture<>();
-        Connection connection = new Connection(ask, reply);
-        ChannelFuture connecting = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) withinMs)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel ch) {
-                        connection.install(ch, tls.handler(ch));
-                    }
-                })
-                .connect(keeper);
-        connecting.addListener(done -> {
-            if (!done.isSuccess()) {
-                reply.complete(null);
+    /** Sends a message on a connection of its own; empty if no reply arrives in time. */
+    private Optional<OperatorReplyMessage> exchange(
+            InetSocketAddress server, OperatorRequestMessage message, long timeoutMillis) throws InterruptedException {
+        CompletableFuture<Optional<OperatorReplyMessage>> reply = new CompletableFuture<>();
+        ChannelFuture attempt = new Exchange(message, reply).dial(loop, tls, server, (int) timeoutMillis);
+        attempt.addListener(connected -> {
+            if (!connected.isSuccess()) {
+                reply.complete(Optional.empty());
             }
         });
         try {
-            return reply.get(withinMs, TimeUnit.MILLISECONDS);
+            return reply.get(timeoutMillis, TimeUnit.MILLISECONDS);
         } catch (TimeoutException | ExecutionException e) {
-            return null;
+            return Optional.empty();
         } finally {
-            connecting.channel().close();
+            attempt.channel().close();
         }
     }
 
+    /** Stops the event loop; pending connections are closed. */
     @Override
     public void close() {
         loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
-    /** One question. */
-    private final class Connection extends FramedConnection {
-        private final OperatorAsk ask;
-        private final CompletableFuture<OperatorReply> reply;
+    /** A connection for one request and its reply. */
+    private final class Exchange extends FramedConnection {
+        private final OperatorRequestMessage message;
+        private final CompletableFuture<Optional<OperatorReplyMessage>> reply;
 
-        Connection(OperatorAsk ask, CompletableFuture<OperatorReply> reply) {
-            super(Set.of(MutualTls.Role.KEEPER), name, line -> {});
-            this.ask = ask;
+        Exchange(OperatorRequestMessage message, CompletableFuture<Optional<OperatorReplyMessage>> reply) {
+            super(Set.of(PeerRole.CONFIG_SERVER), name, line -> {});
+            this.message = message;
             this.reply = reply;
         }
 
         @Override
-        protected void ready() {
-            send(Frame.newBuilder().setOperatorAsk(ask).build());
+        protected void onReady() {
+            send(Frame.newBuilder().setOperatorRequest(message).build());
         }
 
         @Override
-        protected void message(Frame frame) {
+        protected void onMessage(Frame frame) {
             if (frame.hasOperatorReply()) {
-                reply.complete(frame.getOperatorReply());
+                reply.complete(Optional.of(frame.getOperatorReply()));
             }
         }
 
         @Override
-        protected void gone() {
-            reply.complete(null);
+        protected void onClosed() {
+            reply.complete(Optional.empty());
         }
     }
 }
--- a/src/main/java/sedgeyoke/store/DualCopyFile.java
+++ b/src/main/java/sedgeyoke/store/DualCopyFile.java
@@ -26,6 +26,10 @@
     private record Copy(long sequence, byte[] content) {
         static final Copy MISSING = new Copy(0, null);
         static final Copy INVALID = new Copy(-1, null);
+
+        boolean isInvalid() {
+            return sequence < 0;
+        }
     }
 
     private DualCopyFile(Disk disk, String name) {
@@ -40,7 +44,7 @@
         for (int i = 0; i < COPIES; i++) {
             Copy copy = file.read(i);
             sequences[i] = copy.sequence();
-            file.anyCopyInvalid |= copy.equals(Copy.INVALID);
+            file.anyCopyInvalid |= copy.isInvalid();
             if (copy.sequence() > file.sequence) {
                 file.sequence = copy.sequence();
                 file.content = copy.content();
--- a/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
+++ b/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
@@ -28,10 +28,12 @@
 import sedgeyoke.consensus.Member;
 import sedgeyoke.consensus.RequestResult;
 import sedgeyoke.consensus.server.ConfigClient;
+import sedgeyoke.consensus.server.ConfigResponse;
+import sedgeyoke.consensus.server.ServerStatus;
 
-/** Config servers and balancers as processes, when some of them fail. */
+/** Config servers and balancers as processes, and the failure of some of them. */
 class ConsensusProcessesTest {
-    private static final long TIMEOUT_MS = 60_000;
+    private static final long TIMEOUT_MILLIS = 60_000;
     private static final List<String> PROGRAM = List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-XX:TieredStopAtLevel=1",
@@ -40,7 +42,7 @@
             System.getProperty("java.class.path"),
             "sedgeyoke.cli.Sedgeyoke");
 
-    /** Three config servers and a client of them. */
+    /** Three config servers and a client of theirs. */
     private static final class ConfigServers implements AutoCloseable {
         final Path folder;
         final TierProcesses tier;
@@ -65,22 +67,22 @@
         }
 
         ConfigVersion read() throws InterruptedException {
-            ConfigClient.Answer answer = client.ask(new ClientRequest.Read(), TIMEOUT_MS);
-            assertEquals(RequestResult.Kind.DONE, answer.outcome().kind());
-            return answer.newest();
+            ConfigResponse response = client.submit(new ClientRequest.Read(), TIMEOUT_MILLIS);
+            assertEquals(RequestResult.Kind.DONE, response.result().kind());
+            return response.newest();
         }
 
-        /** Writes a version, even if the previous one is not in force yet, and returns its number. */
-        long set(String requestId, double retryRatio) throws InterruptedException {
-            ConfigVersion from = read();
-            ConfigDocument next = from.content().with(ConfigSchema.RETRY_RATIO, retryRatio);
-            RequestResult outcome =
-                    client.set(requestId, from, "op", "", next, TIMEOUT_MS).outcome();
-            assertEquals(RequestResult.Kind.DONE, outcome.kind(), outcome.detail());
-            return outcome.version();
+        /** Writes a version and returns its number. */
+        long set(String requestId, double retries) throws InterruptedException {
+            ConfigVersion parent = read();
+            ConfigDocument content = parent.content().with(ConfigSchema.RETRY_RATIO, retries);
+            RequestResult result = client.write(requestId, parent, "op", "", content, TIMEOUT_MILLIS)
+                    .result();
+            assertEquals(RequestResult.Kind.DONE, result.kind(), result.detail());
+            return result.version();
         }
 
-        ConfigClient.Status status(String name) {
+        ServerStatus status(String name) {
             try {
                 return client.status(addresses.get(List.copyOf(ports.keySet()).indexOf(name)));
             } catch (InterruptedException e) {
@@ -90,8 +92,8 @@
 
         String leader() throws InterruptedException {
             String[] found = new String[1];
-            await("a leader", () -> ports.keySet().stream().map(this::status).anyMatch(s -> {
-                found[0] = s != null && s.role().equals("leader") ? s.name() : null;
+            await("a leader", () -> ports.keySet().stream().map(this::status).anyMatch(status -> {
+                found[0] = status != null && status.role().equals("leader") ? status.name() : null;
                 return found[0] != null;
             }));
             return found[0];
@@ -105,27 +107,28 @@
     }
 
     private static void await(String what, BooleanSupplier condition) throws InterruptedException {
-        long end = System.nanoTime() + TIMEOUT_MS * 1_000_000;
+        long deadline = System.nanoTime() + TIMEOUT_MILLIS * 1_000_000;
         while (!condition.getAsBoolean()) {
-            assertTrue(System.nanoTime() < end, "not in time: " + what);
+            assertTrue(System.nanoTime() < deadline, "not in time: " + what);
             Thread.sleep(20);
         }
     }
 
     private static void deleteAll(Path folder) throws IOException {
         try (Stream<Path> files = Files.walk(folder)) {
-            files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+            files.sorted(Comparator.reverseOrder())
+                    .forEach(file -> file.toFile().delete());
         }
     }
 
-    /** A repeat of a request that was answered before returns the version that it made then. */
+    /** Committed versions survive a kill of all processes at once, and a repeated request is executed once. */
     @Test
-    void acknowledgedWritesSurviveAKillOfAllServers(@TempDir Path folder) throws Exception {
+    void committedVersionsSurviveAKillOfAllServers(@TempDir Path folder) throws Exception {
         try (ConfigServers servers = new ConfigServers(folder)) {
             long version = servers.set("one", 0.25);
             servers.processes.values().forEach(ProgramProcess::kill);
             for (ProgramProcess process : servers.processes.values()) {
-                await("the process ends", () -> !process.alive());
+                await("the end of the process", () -> !process.alive());
                 process.start();
             }
             assertEquals(0.25, servers.read().content().number(ConfigSchema.RETRY_RATIO));
@@ -134,86 +137,92 @@
         }
     }
 
-    /** When the stopped leader continues, it follows the new one. */
+    /** A suspended leader is replaced, and becomes a follower when it continues. */
     @Test
-    void aStoppedLeaderIsReplaced(@TempDir Path folder) throws Exception {
+    void aSuspendedLeaderIsReplaced(@TempDir Path folder) throws Exception {
         try (ConfigServers servers = new ConfigServers(folder)) {
             servers.set("one", 0.25);
-            String before = servers.leader();
-            servers.processes.get(before).pause(true);
+            String oldLeader = servers.leader();
+            servers.processes.get(oldLeader).pause(true);
             long version = servers.set("two", 0.5);
-            servers.processes.get(before).pause(false);
-            await("the old leader follows", () -> {
-                ConfigClient.Status s = servers.status(before);
-                return s != null && s.role().equals("follower") && s.active() + s.pending() >= version;
+            servers.processes.get(oldLeader).pause(false);
+            await("it follows", () -> {
+                ServerStatus status = servers.status(oldLeader);
+                return status != null
+                        && status.role().equals("follower")
+                        && status.activeVersion() + status.pendingVersion() >= version;
             });
-            assertNotEquals(before, servers.leader());
+            assertNotEquals(oldLeader, servers.leader());
             assertEquals(0.5, servers.read().content().number(ConfigSchema.RETRY_RATIO));
         }
     }
 
-    /** It may not vote under its old name: it does not know what it promised. It has to be added again. */
+    /** A server with an empty disk is another member: it decides nothing under its old name, and is added anew. */
     @Test
-    void aServerWithAnEmptyDiskIsANewMember(@TempDir Path folder) throws Exception {
+    void aServerWithAnEmptyDiskMustBeAddedAnew(@TempDir Path folder) throws Exception {
         try (ConfigServers servers = new ConfigServers(folder)) {
             servers.set("one", 0.25);
-            await("all servers know all storage ids", () -> servers.ports.keySet().stream()
+            await("its storage id is known to all", () -> servers.ports.keySet().stream()
                     .map(servers::status)
-                    .allMatch(s -> s != null && s.voters().stream().allMatch(m -> m.storageId() != 0)));
-            long oldStorageId = servers.status("k2").folder();
+                    .allMatch(status ->
+                            status != null && status.voters().stream().allMatch(member -> member.storageId() != 0)));
+            long oldStorageId = servers.status("k2").storageId();
             servers.processes.get("k2").kill();
-            await("the process ends", () -> !servers.processes.get("k2").alive());
+            await("the end of the process", () -> !servers.processes.get("k2").alive());
             deleteAll(servers.tier.configServerFolder("k2"));
             servers.processes.get("k2").start();
-            await("the server answers", () -> servers.status("k2") != null);
-            long newStorageId = servers.status("k2").folder();
+            await("it listens", () -> servers.status("k2") != null);
+            long newStorageId = servers.status("k2").storageId();
             assertNotEquals(oldStorageId, newStorageId);
             servers.set("two", 0.5);
-            assertEquals(0, servers.status("k2").active(), "it gets no entries");
+            assertEquals(0, servers.status("k2").activeVersion(), "it receives no versions");
             assertEquals(
                     RequestResult.Kind.DONE,
                     servers.client
-                            .ask(new ClientRequest.RemoveMember("k2", oldStorageId), TIMEOUT_MS)
-                            .outcome()
+                            .submit(new ClientRequest.RemoveMember("k2", oldStorageId), TIMEOUT_MILLIS)
+                            .result()
                             .kind());
-            ConfigClient.Answer[] added = new ConfigClient.Answer[1];
-            await("the server is added", () -> {
+            ConfigResponse[] added = new ConfigResponse[1];
+            await("it is added", () -> {
                 try {
-                    added[0] = servers.client.ask(
+                    added[0] = servers.client.submit(
                             new ClientRequest.AddMember(
                                     new Member("k2", newStorageId, "127.0.0.1:" + servers.ports.get("k2"))),
-                            TIMEOUT_MS);
-                    return added[0].outcome().kind() == RequestResult.Kind.DONE;
+                            TIMEOUT_MILLIS);
+                    return added[0].result().kind() == RequestResult.Kind.DONE;
                 } catch (InterruptedException e) {
                     throw new IllegalStateException(e);
                 }
             });
             await(
-                    "the server has caught up and votes",
+                    "it has caught up and votes",
                     () -> servers.status("k0").voters().stream()
-                                    .anyMatch(m -> m.name().equals("k2") && m.storageId() == newStorageId)
-                            && servers.status("k2").active() >= 2);
+                                    .anyMatch(
+                                            member -> member.name().equals("k2") && member.storageId() == newStorageId)
+                            && servers.status("k2").activeVersion() >= 2);
         }
     }
 
-    /** The corruption is logged, and the server recovers the lost entries from the others. */
+    /** A bit that flips while a server is down is detected, and the record is replicated again. */
     @Test
-    void corruptEntriesAreRecoveredFromTheOthers(@TempDir Path folder) throws Exception {
+    void aCorruptRecordIsReplicatedAgain(@TempDir Path folder) throws Exception {
         try (ConfigServers servers = new ConfigServers(folder)) {
             for (int i = 0; i < 3; i++) {
                 servers.set("r" + i, 0.1 * (1 + i));
             }
             long version = servers.read().number();
             servers.processes.get("k1").kill();
-            await("the process ends", () -> !servers.processes.get("k1").alive());
+            await("the end of the process", () -> !servers.processes.get("k1").alive());
             Path segment = servers.tier.configServerFolder("k1").resolve("log-0000000000000001");
             byte[] bytes = Files.readAllBytes(segment);
             bytes[60] ^= 1; // in the first record
             Files.write(segment, bytes);
             servers.processes.get("k1").start();
-            await("the server has recovered all entries", () -> {
-                ConfigClient.Status s = servers.status("k1");
-                return s != null && s.sound() && s.active() + s.pending() >= version;
+            await("it has recovered and has all versions", () -> {
+                ServerStatus status = servers.status("k1");
+                return status != null
+                        && status.recovered()
+                        && status.activeVersion() + status.pendingVersion() >= version;
             });
             assertTrue(
                     Files.readString(folder.resolve("k1.log")).contains("log-0000000000000001"),
@@ -222,7 +231,7 @@
     }
 
     @Test
-    void twoServersCannotShareAFolder(@TempDir Path folder) throws Exception {
+    void twoServersCannotUseOneFolder(@TempDir Path folder) throws Exception {
         try (ConfigServers servers = new ConfigServers(folder)) {
             List<String> command = new ArrayList<>(PROGRAM);
             command.addAll(List.of(
@@ -237,21 +246,21 @@
         }
     }
 
-    /** Three config servers and three balancers, with faults. */
+    /** A short drill: three config servers and three balancers, with faults on all connections. */
     @Test
-    void aSmallDrillFindsNoFault() throws Exception {
+    void aShortDrillFindsNoViolation() throws Exception {
         ConsensusDrill.Options options = new ConsensusDrill.Options(3, 3, 16, 3, ConsensusDrill.Mode.FAULTS, PROGRAM);
-        ObjectNode metrics =
+        ObjectNode figures =
                 new ConsensusDrill(options, new PrintWriter(System.out, true, StandardCharsets.UTF_8)).run();
-        System.out.println(metrics);
-        assertEquals(0, metrics.path("lost_commits").asInt(), metrics.toString());
-        assertTrue(metrics.path("linearizable").asBoolean(), metrics.toString());
-        assertTrue(metrics.path("writes").asInt() > 0, metrics.toString());
-        assertEquals(0, metrics.path("strict_contradictions").asInt(), metrics.toString());
-        assertEquals(3, metrics.path("keepers_sound_at_end").asInt(), metrics.toString());
+        System.out.println(figures);
+        assertEquals(0, figures.path("lost_commits").asInt(), figures.toString());
+        assertTrue(figures.path("linearizable").asBoolean(), figures.toString());
+        assertTrue(figures.path("writes").asInt() > 0, figures.toString());
+        assertEquals(0, figures.path("strict_contradictions").asInt(), figures.toString());
+        assertEquals(3, figures.path("keepers_sound_at_end").asInt(), figures.toString());
         assertTrue(
-                metrics.path("contradiction_max_ms").asLong()
-                        <= metrics.path("holds_within_ms").asLong() + 100,
-                metrics.toString());
+                figures.path("contradiction_max_ms").asLong()
+                        <= figures.path("holds_within_ms").asLong() + 100,
+                figures.toString());
     }
 }
