--- a/src/main/java/sedgeyoke/policy/ConcurrencyLimits.java
+++ b/src/main/java/sedgeyoke/policy/ConcurrencyLimits.java
@@ -42,7 +42,7 @@
     }
 
     /** All beyond the least service time seen; the reported one rises with concurrency. */
-    static double waitingTime(UpstreamState upstream, RequestState request, long duration, long now) {
+    static double waitingTime(UpstreamState upstream, RequestState request, double duration, long now) {
         boolean hinted = request.request.expectedWork() > 0;
         double reported = upstream.report == null ? Double.NaN : upstream.report.serviceTime();
         double unhinted = reported > 0 ? reported : upstream.meanResponseTime;
--- a/src/main/java/sedgeyoke/policy/OutlierDetection.java
+++ b/src/main/java/sedgeyoke/policy/OutlierDetection.java
@@ -14,7 +14,7 @@
     static void ejectHanging(List<UpstreamState> upstreams, double typicalTime, long leastTime, long now) {
         for (UpstreamState upstream : upstreams) {
             long quiet = now - upstream.lastProgressAt;
-            double typical = Math.max(Math.max(upstream.meanResponseTime, typicalTime), leastTime);
+            double typical = Math.max(Math.max(upstream.meanResponseTime, typicalTime), (double) leastTime);
             double work = upstream.workInFlight * Math.max(1, upstream.leastServiceTime);
             boolean expectsProgress = !upstream.hanging && upstream.inFlight > upstream.openStreams;
             if (expectsProgress && quiet > HANG_FACTOR * typical + work) {
--- a/src/main/java/sedgeyoke/policy/UtilizationWeightedPolicy.java
+++ b/src/main/java/sedgeyoke/policy/UtilizationWeightedPolicy.java
@@ -275,7 +275,7 @@
     private void recordOutcome(RequestState request, Attempt attempt, AttemptEnd end, long now) {
         UpstreamState upstream = attempt.upstream;
         switch (end.outcome()) {
-            case OK -> recordSuccess(request, attempt, end.duration(), now);
+            case OK -> recordSuccess(request, attempt, (double) end.duration(), now);
             case TIMEOUT, CANCELLED -> recordNoResponse(request, attempt, end.duration(), now);
             case CONNECT_FAILED -> {
                 // Without a response since the attempt was sent it is down; else it is out of connections.
@@ -307,7 +307,7 @@
         }
     }
 
-    private void recordSuccess(RequestState request, Attempt attempt, long duration, long now) {
+    private void recordSuccess(RequestState request, Attempt attempt, double duration, long now) {
         UpstreamState upstream = attempt.upstream;
         upstream.lastProgressAt = now;
         upstream.lastResponseAt = now;
@@ -334,7 +334,7 @@
         UpstreamState upstream = attempt.upstream;
         double wait = duration - ConcurrencyLimits.hintedTime(request, upstream.leastServiceTime);
         ConcurrencyLimits.adjust(attempt, wait, request.requestClass.latencyObjective(), now);
-        backOff(upstream, duration, now);
+        backOff(upstream, (double) duration, now);
         if (duration > meanServiceTime * slowness(upstream, now)) {
             upstream.serviceTime = duration; // overloaded upstreams send no reports
             upstream.serviceTimeAt = now;
@@ -566,10 +566,10 @@
         } else {
             actions.fail(request.request.id());
         }
-        conclude(request, now);
+        conclude(request);
     }
 
-    private void conclude(RequestState request, long now) {
+    private void conclude(RequestState request) {
         queue.remove(request);
         request.ended = true;
         boolean cancels = settings.limits().cancel() && !request.streaming;
@@ -602,7 +602,7 @@
     public void clientDisconnected(long now, String requestId) {
         RequestState request = requests.get(requestId);
         if (request != null && !request.ended) {
-            conclude(request, now);
+            conclude(request);
         }
     }
 
--- a/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
@@ -75,7 +75,6 @@
     private long nextBoot = 1;
     private long nextStorageId = 100;
     private long nextIncarnation = 1;
-    private boolean faultsStopped;
     final List<Operation> history = new ArrayList<>();
     /** Whether to print a trace. */
     boolean trace;
@@ -136,7 +135,6 @@
         runUntil(FAULTS_END_MICROS);
         if (violation == null) {
             stopFaults();
-            faultsStopped = true;
             replicas.forEach(replica -> replica.disk.clearFaults());
             runUntil(END_MICROS);
         }
@@ -252,7 +250,7 @@
     // ---- Processes -----------------------------------------------------------------------------------
 
     /** A replica with its disk. */
-    private final class SimulatedReplica extends Process {
+    private final class SimulatedReplica extends NetworkProcess {
         private final String name;
         SimDisk disk;
         private SimDisk backup;
@@ -514,7 +512,7 @@
     }
 
     /** A balancer that subscribes to the config. */
-    private final class SimulatedBalancer extends Process {
+    private final class SimulatedBalancer extends NetworkProcess {
         private final String name;
         private ConfigSubscriber subscriber;
         private int connectedTo;
@@ -570,7 +568,7 @@
     }
 
     /** A client that reads and writes the config, and replaces members that have lost their storage. */
-    private final class SimulatedClient extends Process {
+    private final class SimulatedClient extends NetworkProcess {
         private long nextStartAt;
         private long token;
         private long knownVersion;
--- a/src/test/java/sedgeyoke/plan/PlanSimulation.java
+++ b/src/test/java/sedgeyoke/plan/PlanSimulation.java
@@ -91,7 +91,7 @@
         return runUntil(seconds * 1_000_000L);
     }
 
-    private Process process(int number) {
+    private NetworkProcess process(int number) {
         return number < PLANNERS ? planners.get(number) : forwarders.get(number - PLANNERS);
     }
 
@@ -109,7 +109,7 @@
             }
         }
         for (int number = 0; number < PLANNERS + FORWARDERS; number++) {
-            Process process = process(number);
+            NetworkProcess process = process(number);
             if (happens(severity * 0.12)) {
                 process.crash(now + random.nextLong(random.nextBoolean() ? 100_000 : 2_000_000));
                 restarts++;
@@ -125,7 +125,7 @@
         }
     }
 
-    private final class PlannerProcess extends Process {
+    private final class PlannerProcess extends NetworkProcess {
         private Planner planner;
         private long nextPlanMicros;
 
@@ -161,7 +161,7 @@
         }
     }
 
-    private final class ForwarderProcess extends Process {
+    private final class ForwarderProcess extends NetworkProcess {
         private final List<RestartEvent> restartEvents = new ArrayList<>();
         /** When each upstream was started, as far as this forwarder knows; 0 for long ago. */
         private final long[] launchedAt = new long[UPSTREAMS];
--- a/src/test/java/sedgeyoke/policy/CordonTest.java
+++ b/src/test/java/sedgeyoke/policy/CordonTest.java
@@ -17,7 +17,7 @@
     private final PolicyHarness host =
             PolicyHarness.of(new PolicyHarness.Config()).list(3);
 
-    private long sentTo(String upstream) {
+    private int sentTo(String upstream) {
         int before = host.perUpstream.getOrDefault(upstream, 0);
         for (int i = 0; i < REQUESTS; i++) {
             host.serve(0, 5 * PolicyHarness.MILLI, id -> 0.4);
--- a/src/test/java/sedgeyoke/policy/InvariantsTest.java
+++ b/src/test/java/sedgeyoke/policy/InvariantsTest.java
@@ -73,7 +73,7 @@
 
     private static void collectAttempts(PolicyHarness host, SplittableRandom random, List<PendingAttempt> pending) {
         for (String line : host.actions) {
-            String[] words = line.split(" ");
+            String[] words = line.split(" ", -1);
             if (words[1].equals("send")) {
                 int attempt = (int) host.sends.get(words[2]).stream().count() - 1;
                 Outcome[] all = Outcome.values();
--- a/src/test/java/sedgeyoke/policy/PlanTest.java
+++ b/src/test/java/sedgeyoke/policy/PlanTest.java
@@ -54,7 +54,7 @@
             }
             host.request(random.nextInt(3), 2 * SECOND, "k" + random.nextInt(30), 0);
             for (; seen < host.actions.size(); seen++) {
-                String[] done = host.actions.get(seen).split(" ");
+                String[] done = host.actions.get(seen).split(" ", -1);
                 if (done[1].equals("send")) {
                     out.add(new Out(
                             done[2],
@@ -152,7 +152,7 @@
                                 List.of(),
                                 Map.of())));
         List<String> sent = sendsTo(host, "u1");
-        long last = Long.parseLong(sent.get(sent.size() - 1).split(" ")[0]);
+        long last = Long.parseLong(sent.get(sent.size() - 1).split(" ", -1)[0]);
         assertTrue(sent.size() > 10 && last <= 100 * SECOND + 401 * 5_000, "last of " + sent.size() + " at " + last);
         assertEquals(List.of(), sendsTo(host, "unknown"));
     }
@@ -194,7 +194,7 @@
             }
         });
         return (int) sendsTo(host, "u2").stream()
-                .filter(d -> Long.parseLong(d.split(" ")[0]) > launched[0])
+                .filter(d -> Long.parseLong(d.split(" ", -1)[0]) > launched[0])
                 .count();
     }
 
--- a/src/test/java/sedgeyoke/policy/SlowStartTest.java
+++ b/src/test/java/sedgeyoke/policy/SlowStartTest.java
@@ -78,7 +78,7 @@
                 host.clientsRetry = again && i % 4 > 0;
                 String id = host.request(i % 2, 2 * SECOND, key.apply(i), 0);
                 host.advance(50 * MILLI);
-                host.end(id, Outcome.OK, (i % 2 + 1) * 50 * MILLI, PolicyHarness.report(0.5));
+                host.end(id, Outcome.OK, (i % 2 + 1) * (50 * MILLI), PolicyHarness.report(0.5));
             }
             cold += host.perUpstream.entrySet().stream()
                     .filter(e -> e.getKey().charAt(1) >= '5')
--- a/src/test/java/sedgeyoke/simulation/SeededNetwork.java
+++ b/src/test/java/sedgeyoke/simulation/SeededNetwork.java
@@ -21,7 +21,7 @@
 
     private final PriorityQueue<Message> inFlight = new PriorityQueue<>((a, b) ->
             a.deliverAt != b.deliverAt ? Long.compare(a.deliverAt, b.deliverAt) : Long.compare(a.number, b.number));
-    private final List<Process> processes = new ArrayList<>();
+    private final List<NetworkProcess> processes = new ArrayList<>();
     private final double lossRate;
     private final double longDelayRate;
     private boolean[][] linkDown = new boolean[0][0];
@@ -53,7 +53,7 @@
                 Message message = inFlight.poll();
                 processes.get(message.receiver).deliver(message.body);
             }
-            for (Process process : processes) {
+            for (NetworkProcess process : processes) {
                 if (process.resumeIfDue()) {
                     process.step();
                 }
@@ -125,7 +125,7 @@
     }
 
     /** A process with a clock of its own. */
-    public abstract class Process {
+    public abstract class NetworkProcess {
         /** Its index. */
         public final int number;
 
@@ -140,7 +140,7 @@
         public boolean crashed;
 
         /** Another process of this world, whose clock may run so many millionths fast or slow. */
-        protected Process(int driftPpm) {
+        protected NetworkProcess(int driftPpm) {
             number = processes.size();
             processes.add(this);
             clockRate = 1 + (random.nextDouble() * 2 - 1) * driftPpm / 1e6 * 0.99;
--- a/src/test/java/sedgeyoke/simulator/SimulatorMainTest.java
+++ b/src/test/java/sedgeyoke/simulator/SimulatorMainTest.java
@@ -61,7 +61,7 @@
                         "10.1",
                         "{\"kind\":\"answer\",\"who\":1,\"corr\":\"é-1\",\"attempt\":0,\"upstream\":\"h:1\","
                                 + "\"ending\":0,\"took-s\":0.1,\"last\":true,\"feedback\":null}"));
-        String[] lines = result.out.split("\n");
+        String[] lines = result.out.split("\n", -1);
         assertTrue(
                 lines[0].contains("{\"kind\":\"remind\",\"who\":1,\"ctx\":\"sweep\",\"sleep-for-s\":0.010000}"),
                 result.out);
