--- a/src/main/java/sedgeyoke/consensus/Membership.java
+++ b/src/main/java/sedgeyoke/consensus/Membership.java
@@ -31,7 +31,7 @@
     }
 
     /** The member with this name, voter or learner; null if there is none. */
-    Member member(String name) {
+    public Member member(String name) {
         return isLearner(name) ? learner : voters.get(name);
     }
 
@@ -66,7 +66,9 @@
         return new Membership(remaining, isLearner(name) ? null : learner);
     }
 
-    /** The membership with storage ids, by name, for voters whose id was not known when the cluster was bootstrapped. */
+    /**
+     * The membership with storage ids, by name, for voters whose id was not known when the cluster was bootstrapped.
+     */
     Membership withStorageIds(Map<String, Long> storageIds) {
         Map<String, Member> completed = new TreeMap<>(voters);
         completed.replaceAll((name, member) -> member.storageId() != 0
--- a/src/main/java/sedgeyoke/proxy/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/ProxyCore.java
@@ -16,7 +16,7 @@
  * other features call. Event loop only.
  */
 final class ProxyCore implements ModulePort {
-    /** How long clients are kept out for the first endpoint list before the configured one has to do. */
+    /** How long the first endpoint list is awaited before clients are accepted with the configured one. */
     private static final long MAX_WAIT_FOR_LIST_MICROS = 1_500_000;
     /** SIGKILL does not wait for longer deadlines (PROTOCOL, "Figures"). */
     private static final long MAX_DEADLINE_MICROS = 3_000_000;
@@ -159,7 +159,7 @@
 
     /** Counts a request that was rejected without an exchange of its own. */
     void countRejected(int classIndex) {
-        metrics.ended(classIndex, RequestMetrics.End.REFUSED);
+        metrics.ended(classIndex, RequestMetrics.End.REJECTED);
     }
 
     /** The Retry-After of a rejection, in microseconds; 0 where none is allowed. */
@@ -197,7 +197,7 @@
     void reportBodies() {
         if (bodies.streaming()) {
             log.line("bodies: at most " + budget.largest() + " of " + bodies.ceiling()
-                    + " bytes held for one in a direction, " + budget.refused() + " refused for want of room");
+                    + " bytes held for one in a direction, " + budget.rejected() + " refused for want of room");
         }
     }
 
--- a/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
@@ -28,7 +28,7 @@
 import sedgeyoke.consensus.RaftTiming;
 import sedgeyoke.consensus.RequestResult;
 import sedgeyoke.consensus.SafetyRules;
-import sedgeyoke.consensus.codec.ConsensusCodec;
+import sedgeyoke.consensus.codec.ProtobufSnapshotCodec;
 import sedgeyoke.consensus.storage.ReplicaStorage;
 import sedgeyoke.consensus.storage.UnusableStorageException;
 import sedgeyoke.lease.ClockDrift;
@@ -37,10 +37,11 @@
 import sedgeyoke.store.SimDisk;
 
 /**
- * Simulates replicas with faulty disks, balancers that act on the config, and clients that write, on one thread and by
- * seed. Checks after every step that there is one leader for each term, that committed entries never change, that no two
- * balancers act on versions that exclude each other, that versions only grow, and that no balancer without a lease is
- * looser than any active version. Checks of the history that all results are true and that it is linearizable.
+ * Simulates replicas with faulty disks, balancers that act on the config, and clients that write, on one thread and
+ * by seed. Checks after every step that there is one leader for each term, that committed entries never change, that
+ * no two balancers act on versions that exclude each other, that versions only grow, and that no balancer without a
+ * lease is looser than any active version. Checks of the history that all results are true and that it is
+ * linearizable.
  */
 final class ConsensusSimulation extends SeededNetwork {
     static final int DRIFT_PPM = 2_000;
@@ -75,7 +76,7 @@
     private long nextBoot = 1;
     private long nextStorageId = 100;
     private long nextIncarnation = 1;
-    final List<Operation> history = new ArrayList<>();
+    final List<ClientOperation> history = new ArrayList<>();
     /** Whether to print a trace. */
     boolean trace;
 
@@ -85,19 +86,6 @@
     int recoveries;
     long leasedSteps;
 
-    /** A request as its client sees it. */
-    static final class Operation {
-        final ClientRequest request;
-        final long startedAt;
-        long endedAt = Long.MAX_VALUE;
-        RequestResult result;
-
-        Operation(ClientRequest request, long startedAt) {
-            this.request = request;
-            this.startedAt = startedAt;
-        }
-    }
-
     private record ReplicaMessage(String from, long storageId, RaftMessage message) {}
 
     private record RequestMessage(int from, long token, ClientRequest request) {}
@@ -197,41 +185,62 @@
         }
     }
 
+    /** The faults of a disk, in the order of their random draw. */
+    private enum DiskFault {
+        FLIP_BIT,
+        MISDIRECT_WRITE,
+        LOSE_WRITE,
+        STALE_READ,
+        FAIL_WRITES,
+        DELETE_FILE,
+        RESTORE_BACKUP,
+        WIPE,
+        /** Writes that were reported as synced are lost with the next power loss. */
+        IGNORE_FSYNC
+    }
+
+    private DiskFault randomDiskFault(SimulatedReplica replica) {
+        int kinds = DiskFault.values().length;
+        DiskFault fault = DiskFault.values()[random.nextInt(diskLosesWrites ? kinds : kinds - 1)];
+        return fault == DiskFault.WIPE && !replica.mayJoin ? DiskFault.RESTORE_BACKUP : fault;
+    }
+
     /** Injects a disk fault, unless a minority of the replicas has one that it has not recovered from. */
     private void injectDiskFault(SimulatedReplica replica) {
         if (!mayFault(replica)) {
             return;
         }
-        int kind = random.nextInt(diskLosesWrites ? 9 : 8);
-        if (kind == 7 && !replica.mayJoin) {
-            kind = 6;
-        }
+        DiskFault fault = randomDiskFault(replica);
         diskFaults++;
-        log(replica.name + " disk fault " + kind);
-        switch (kind) {
-            case 0 -> replica.faultWhileDown(() -> replica.disk.flipRandomBit());
-            case 1 -> {
-                replica.disk.misdirectNextWrite = true;
+        log(replica.name + " disk fault " + fault);
+        SimDisk disk = replica.disk;
+        switch (fault) {
+            case FLIP_BIT -> replica.faultWhileDown(() -> replica.disk.flipRandomBit());
+            case MISDIRECT_WRITE -> {
+                disk.misdirectNextWrite = true;
                 replica.hasLatentFault = true;
             }
-            case 2 -> {
-                replica.disk.loseNextWrite = true;
+            case LOSE_WRITE -> {
+                disk.loseNextWrite = true;
                 replica.hasLatentFault = true;
             }
-            case 3 -> replica.faultWhileDown(() -> replica.disk.staleReadFile = replica.disk
-                    .fileNames()
-                    .get(random.nextInt(replica.disk.fileNames().size())));
-            case 4 -> {
-                replica.disk.failure = random.nextBoolean() ? DiskException.Kind.FULL : DiskException.Kind.IO_ERROR;
-                replica.disk.failOnlyFsync = random.nextBoolean();
+            case STALE_READ -> replica.faultWhileDown(() -> replica.disk.staleReadFile = randomFile(replica.disk));
+            case FAIL_WRITES -> {
+                disk.failure = random.nextBoolean() ? DiskException.Kind.FULL : DiskException.Kind.IO_ERROR;
+                disk.failOnlyFsync = random.nextBoolean();
             }
-            case 5 -> replica.faultWhileDown(() -> replica.disk.deleteRandomFile());
-            case 6 -> replica.restoreBackup();
-            case 7 -> replica.faultWhileDown(() -> replica.disk.wipe());
-            default -> replica.disk.ignoreFsync = true; // until a power loss
+            case DELETE_FILE -> replica.faultWhileDown(() -> replica.disk.deleteRandomFile());
+            case RESTORE_BACKUP -> replica.restoreBackup();
+            case WIPE -> replica.faultWhileDown(() -> replica.disk.wipe());
+            case IGNORE_FSYNC -> disk.ignoreFsync = true;
+            default -> throw new AssertionError(fault);
         }
     }
 
+    private String randomFile(SimDisk disk) {
+        return disk.fileNames().get(random.nextInt(disk.fileNames().size()));
+    }
+
     /** Whether one more replica may lose data; then it is counted with those that may have. */
     private boolean mayFault(SimulatedReplica replica) {
         faultyReplicas.removeIf(name -> replica(name).isHealthy());
@@ -388,7 +397,7 @@
                     rules,
                     stored,
                     storage.founders(),
-                    new ConsensusCodec(),
+                    new ProtobufSnapshotCodec(),
                     random.split(),
                     clock());
             diskFreeAt = now;
@@ -572,7 +581,7 @@
         private long nextStartAt;
         private long token;
         private long knownVersion;
-        private Operation operation;
+        private ClientOperation operation;
         private long sentAt;
         private int operationCount;
 
@@ -608,7 +617,7 @@
         @Override
         protected void step() {
             if (operation == null && now >= nextStartAt) {
-                operation = new Operation(randomRequest(), now);
+                operation = new ClientOperation(randomRequest(), now);
                 history.add(operation);
                 token = number * 1_000_000L + ++operationCount;
                 sentAt = 0;
@@ -655,17 +664,7 @@
         private Member memberAtLeader(String name) {
             for (SimulatedReplica replica : replicas) {
                 if (replica.node != null && replica.node.role() == RaftNode.Role.LEADER) {
-                    Member member = replica.node.membership().voters().get(name);
-                    return member != null
-                            ? member
-                            : replica.node.membership().learner() != null
-                                            && replica.node
-                                                    .membership()
-                                                    .learner()
-                                                    .name()
-                                                    .equals(name)
-                                    ? replica.node.membership().learner()
-                                    : null;
+                    return replica.node.membership().member(name);
                 }
             }
             return new Member(name, 0, name); // no leader to consult
@@ -780,83 +779,10 @@
         return text.toString();
     }
 
-    /** All results agree with the committed log, and no read returns an older version than an earlier result did. */
     private void checkHistory() {
-        long last = committed.isEmpty() ? 0 : committed.lastKey();
-        for (long i = 1; i <= last; i++) {
-            if (!committed.containsKey(i)) {
-                fail("entry %d was never seen", i);
-                return;
-            }
-        }
-        Map<String, RequestResult> results = new ReferenceModel().apply(committed.values());
-        List<Operation> completed = new ArrayList<>(
-                history.stream().filter(operation -> operation.result != null).toList());
-        for (Operation operation : completed) {
-            if (operation.request instanceof ClientRequest.Set set
-                    && operation.result.kind() == RequestResult.Kind.DONE) {
-                RequestResult actual = results.get(set.write().requestId());
-                if (actual == null
-                        || actual.kind() != RequestResult.Kind.DONE
-                        || actual.version() != operation.result.version()) {
-                    fail("%s had result %s, is %s", set.write().requestId(), operation.result, actual);
-                }
-            } else if (operation.request instanceof ClientRequest.Set set) {
-                RequestResult actual = results.get(set.write().requestId());
-                if (actual != null && actual.kind() == RequestResult.Kind.DONE) {
-                    fail("%s had result %s and was applied: %s", set.write().requestId(), operation.result, actual);
-                }
-            }
-        }
-        for (Operation earlier : completed) {
-            for (Operation later : completed) {
-                if (earlier.endedAt < later.startedAt
-                        && observesVersion(earlier)
-                        && observesVersion(later)
-                        && later.result.version() < earlier.result.version()) {
-                    fail(
-                            "version %d was returned at %d, and %d to %s, which started after that at %d",
-                            earlier.result.version(),
-                            earlier.endedAt,
-                            later.result.version(),
-                            later.request,
-                            later.startedAt);
-                }
-            }
-        }
-    }
-
-    private static boolean observesVersion(Operation operation) {
-        return operation.result.version() > 0
-                && (operation.request instanceof ClientRequest.Read
-                        || operation.request instanceof ClientRequest.Set
-                                && operation.result.kind() == RequestResult.Kind.DONE);
-    }
-
-    /** Computes the results of the writes in a log, independently of the state machine. */
-    private static final class ReferenceModel {
-        Map<String, RequestResult> apply(Iterable<LogEntry> log) {
-            Map<String, RequestResult> results = new HashMap<>();
-            long active = 0;
-            boolean pending = false;
-            for (LogEntry entry : log) {
-                if (entry.command() instanceof Command.Activate activate
-                        && pending
-                        && activate.version() == active + 1) {
-                    active++;
-                    pending = false;
-                } else if (entry.command() instanceof Command.Write write && !results.containsKey(write.requestId())) {
-                    boolean accepted = !pending && write.parentVersion() == active;
-                    results.put(
-                            write.requestId(),
-                            new RequestResult(
-                                    accepted ? RequestResult.Kind.DONE : RequestResult.Kind.CONFLICT,
-                                    accepted ? active + 1 : active,
-                                    ""));
-                    pending |= accepted;
-                }
-            }
-            return results;
+        String found = new ClientHistoryChecker(committed).check(history);
+        if (found != null) {
+            fail("%s", found);
         }
     }
 }
