--- a/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
@@ -78,7 +78,6 @@
     private long nextBoot = 1;
     private long nextStorageId = 100;
     private long nextIncarnation = 1;
-    private boolean faultsStopped;
     final List<ClientOperation> history = new ArrayList<>();
     /** Whether to print a trace. */
     boolean trace;
@@ -126,7 +125,6 @@
         runUntil(FAULTS_END_MICROS);
         if (violation == null) {
             stopFaults();
-            faultsStopped = true;
             replicas.forEach(replica -> replica.disk.clearFaults());
             runUntil(END_MICROS);
         }
@@ -263,7 +261,7 @@
     // ---- Processes -----------------------------------------------------------------------------------
 
     /** A replica with its disk. */
-    private final class SimulatedReplica extends Process {
+    private final class SimulatedReplica extends NetworkProcess {
         private final String name;
         SimDisk disk;
         private SimDisk backup;
@@ -525,7 +523,7 @@
     }
 
     /** A balancer that subscribes to the config. */
-    private final class SimulatedBalancer extends Process {
+    private final class SimulatedBalancer extends NetworkProcess {
         private final String name;
         private ConfigSubscriber subscriber;
         private int connectedTo;
@@ -581,7 +579,7 @@
     }
 
     /** A client that reads and writes the config, and replaces members that have lost their storage. */
-    private final class SimulatedClient extends Process {
+    private final class SimulatedClient extends NetworkProcess {
         private long nextStartAt;
         private long token;
         private long knownVersion;
