--- a/src/test/java/sedgeyoke/proxy/AdminServerTest.java
+++ b/src/test/java/sedgeyoke/proxy/AdminServerTest.java
@@ -46,8 +46,8 @@
         "GET, /nonesuch, '', 404"
     })
     void callsAndTheirResponses(String method, String path, String body, int status) throws Exception {
-        try (ScriptedServer up = good();
-                Loopback lb = start(up)) {
+        try (ScriptedServer upstream = good();
+                Loopback lb = start(upstream)) {
             Loopback.await("ready", () -> lb.health() == 200);
             assertEquals(status, lb.call(method, path, body).status());
         }
@@ -56,12 +56,12 @@
     @Test
     void metricsMatchWhatPeersObserved() throws Exception {
         AtomicInteger seen = new AtomicInteger();
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     seen.incrementAndGet();
                     boolean fails = request.headers().get("x-call-id").startsWith("bad");
                     ScriptedServer.reply(socket, fails ? 500 : 200, "x");
                 });
-                Loopback lb = start(up)) {
+                Loopback lb = start(upstream)) {
             for (int i = 0; i < 5; i++) {
                 assertEquals(200, lb.ask("good-" + i, "order", 2_000).status());
             }
@@ -83,11 +83,11 @@
     @Test
     void rejectionsAndRequestsInFlightAreCounted() throws Exception {
         java.util.concurrent.CountDownLatch release = new java.util.concurrent.CountDownLatch(1);
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     release.await();
                     ScriptedServer.reply(socket, 200, "x");
                 });
-                Loopback lb = start(up)) {
+                Loopback lb = start(upstream)) {
             Socket inFlight = lb.connect();
             ScriptedServer.write(inFlight, Loopback.request("in-flight", "order", 60_000));
             Loopback.await("in flight", () -> lb.metric("in_flight") == 1 && lb.metric("attempts.order") == 1);
@@ -160,8 +160,8 @@
 
     @Test
     void callersThatNeverFinishDoNotBlockOthers() throws Exception {
-        try (ScriptedServer up = good();
-                Loopback lb = start(up)) {
+        try (ScriptedServer upstream = good();
+                Loopback lb = start(upstream)) {
             Loopback.await("ready", () -> lb.health() == 200);
             List<Socket> stuck = new ArrayList<>();
             for (int i = 0; i < 200; i++) {
@@ -195,8 +195,8 @@
 
     @Test
     void healthFailsOnceClientsAreNotServedAnyMore() throws Exception {
-        try (ScriptedServer up = good();
-                Loopback lb = start(up)) {
+        try (ScriptedServer upstream = good();
+                Loopback lb = start(upstream)) {
             Loopback.await("ready", () -> lb.health() == 200);
             Thread end = new Thread(lb.server::shutDown);
             end.start();
--- a/src/test/java/sedgeyoke/proxy/BalancerProcessTest.java
+++ b/src/test/java/sedgeyoke/proxy/BalancerProcessTest.java
@@ -31,21 +31,21 @@
     @Test
     void aGracefulShutdownServesNewRequestsAndFinishesThoseInFlight() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     if (request.headers().get("x-call-id").equals("slow")) {
                         release.await();
                     }
                     ScriptedServer.reply(socket, 200, "x");
                 });
                 Loopback lb = Loopback.setup()
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .setting("\"give-up-s\":2", "\"give-up-s\":4")
                         .start()) {
             Socket inFlight = lb.connect();
             ScriptedServer.write(inFlight, Loopback.request("slow", "order", 60_000));
             Socket open = lb.connect();
             Loopback.await("ready", () -> lb.health() == 200);
-            Loopback.await("sent", () -> up.requests.size() == 1);
+            Loopback.await("sent", () -> upstream.requests.size() == 1);
             Thread shutdown = new Thread(lb.server::shutDown);
             shutdown.start();
             Loopback.await("draining", () -> lb.health() == 503);
@@ -80,7 +80,7 @@
     @Test
     void onSigtermTheProgramEndsWithNothingLost() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
             release.await();
             ScriptedServer.reply(socket, 200, "x");
         })) {
@@ -91,13 +91,13 @@
                             Loopback.SETTINGS,
                             "127.0.0.1:1",
                             1024,
-                            Loopback.list(1, true, Loopback.member("u", up.address(), "up"))));
+                            Loopback.list(1, true, Loopback.member("u", upstream.address(), "up"))));
             Process process = start(file.toString());
             try (BufferedReader output = process.inputReader()) {
                 String line = awaitLine(output, "listens on");
                 try (Socket client = new Socket("127.0.0.1", Integer.parseInt(line.replaceAll(".*:", "")))) {
                     ScriptedServer.write(client, Loopback.request("id-1", "order", 60_000));
-                    Loopback.await("sent", () -> up.requests.size() == 1);
+                    Loopback.await("sent", () -> upstream.requests.size() == 1);
                     process.destroy();
                     release.countDown();
                     assertEquals("x", Loopback.answer(client).body());
@@ -172,7 +172,7 @@
     @Test
     void aSigtermJustAfterTheFirstClientLosesNothing() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
             release.await();
             ScriptedServer.reply(socket, 200, "x");
         })) {
@@ -184,7 +184,7 @@
                                             Loopback.SETTINGS,
                                             "127.0.0.1:1",
                                             1024,
-                                            Loopback.list(1, true, Loopback.member("u", up.address(), "up"))),
+                                            Loopback.list(1, true, Loopback.member("u", upstream.address(), "up"))),
                                     StandardCharsets.UTF_8)
                             .replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + port + "\""));
             pipe("held.pem");
@@ -196,7 +196,7 @@
             Process process = start(file.toString(), "--config", operator.toString());
             try (Socket client = connect(port)) {
                 ScriptedServer.write(client, Loopback.request("id-1", "order", 60_000));
-                Loopback.await("sent", () -> up.requests.size() == 1);
+                Loopback.await("sent", () -> upstream.requests.size() == 1);
                 process.destroy();
                 Loopback.await("the signal is noticed", () -> !process.isAlive() || refused(port));
                 release.countDown();
--- a/src/test/java/sedgeyoke/proxy/BodiesTest.java
+++ b/src/test/java/sedgeyoke/proxy/BodiesTest.java
@@ -39,8 +39,8 @@
                 + "\r\n\r\n";
     }
 
-    private static Loopback serving(ScriptedServer up) throws Exception {
-        return Loopback.setup().upstream("u", up.address()).bodies(LIMITS).start();
+    private static Loopback serving(ScriptedServer upstream) throws Exception {
+        return Loopback.setup().upstream("u", upstream.address()).bodies(LIMITS).start();
     }
 
     private static String digest(byte[] bytes) throws Exception {
@@ -53,12 +53,12 @@
         byte[] sent = bytes(length);
         AtomicReference<byte[]> arrived = new AtomicReference<>();
         byte[] answer = bytes(length + 7);
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     arrived.set(request.raw());
                     ScriptedServer.write(socket, "HTTP/1.1 200 x\r\nContent-Length: " + answer.length + "\r\n\r\n");
                     socket.getOutputStream().write(answer);
                 });
-                Loopback lb = serving(up)) {
+                Loopback lb = serving(upstream)) {
             Socket client = lb.connect();
             OutputStream out = client.getOutputStream();
             if (declared) {
@@ -67,9 +67,9 @@
             } else {
                 ScriptedServer.write(client, upload("a", "order", "Transfer-Encoding: chunked"));
                 for (int at = 0; at < length; at += 5_000) {
-                    int n = Math.min(5_000, length - at);
-                    ScriptedServer.write(client, Integer.toHexString(n) + "\r\n");
-                    out.write(sent, at, n);
+                    int count = Math.min(5_000, length - at);
+                    ScriptedServer.write(client, Integer.toHexString(count) + "\r\n");
+                    out.write(sent, at, count);
                     ScriptedServer.write(client, "\r\n");
                 }
                 ScriptedServer.write(client, "0\r\n\r\n");
@@ -89,7 +89,7 @@
     @Test
     void anUpstreamFasterThanItsClientIsPaused() throws Exception {
         AtomicLong written = new AtomicLong();
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     ScriptedServer.write(socket, "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n");
                     byte[] chunk = new byte[10_000];
                     for (int i = 0; i < 5_000; i++) {
@@ -100,7 +100,7 @@
                     }
                     ScriptedServer.write(socket, "0\r\nX-Sum: 7\r\nContent-Length: 3\r\n\r\n");
                 });
-                Loopback lb = serving(up)) {
+                Loopback lb = serving(upstream)) {
             Socket client = new Socket();
             client.setReceiveBufferSize(16_384);
             client.connect(lb.address);
@@ -109,7 +109,7 @@
             InputStream in = new BufferedInputStream(client.getInputStream());
             assertTrue(in.read() == 'H');
             long before = -1;
-            while (written.get() != before) { // until it stands still
+            while (written.get() != before) { // until it stops growing
                 before = written.get();
                 Thread.sleep(100);
             }
@@ -119,9 +119,9 @@
             String tail = "";
             byte[] buffer = new byte[1 << 16];
             while (!tail.endsWith("0\r\nx-sum: 7\r\n\r\n") && !tail.endsWith("0\r\nX-Sum: 7\r\n\r\n")) {
-                int n = in.read(buffer);
-                assertTrue(n > 0, "ended early: " + tail);
-                tail = (tail + new String(buffer, 0, n, StandardCharsets.ISO_8859_1));
+                int count = in.read(buffer);
+                assertTrue(count > 0, "ended early: " + tail);
+                tail = (tail + new String(buffer, 0, count, StandardCharsets.ISO_8859_1));
                 tail = tail.substring(Math.max(0, tail.length() - 40));
             }
             assertEquals(50_000_000, written.get());
@@ -129,10 +129,10 @@
         }
     }
 
-    /** Each takes some hundred bytes of a queue; a client or a node could have had us hold ten times the ceiling. */
+    /** Each takes some hundred bytes of a queue: without a limit a peer could exceed the budget ten times over. */
     @ParameterizedTest
     @CsvSource({"true", "false"})
-    void tinyChunksStayUnderTheCeiling(boolean up) throws Exception {
+    void tinyChunksStayUnderTheCeiling(boolean uploading) throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         AtomicReference<byte[]> arrived = new AtomicReference<>();
         int chunks = 60_000;
@@ -144,7 +144,7 @@
         try (ScriptedServer node = new ScriptedServer(
                         (request, socket) -> {
                             arrived.set(request.raw());
-                            if (!up) {
+                            if (!uploading) {
                                 ScriptedServer.write(socket, "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n");
                                 socket.getOutputStream().write(framed);
                             } else {
@@ -161,16 +161,16 @@
                 try {
                     ScriptedServer.write(
                             client,
-                            up
+                            uploading
                                     ? upload("a", "order", "Transfer-Encoding: chunked")
                                     : Loopback.request("a", "order", 5_000));
-                    client.getOutputStream().write(up ? framed : new byte[0]);
-                } catch (java.io.IOException e) {
-                    throw new java.io.UncheckedIOException(e);
+                    client.getOutputStream().write(uploading ? framed : new byte[0]);
+                } catch (java.io.IOException failure) {
+                    throw new java.io.UncheckedIOException(failure);
                 }
             });
             writer.start();
-            if (!up) {
+            if (!uploading) {
                 go.countDown();
             }
             Loopback.awaitStill(4 * 1024, () -> lb.budget(b -> b.largest())); // nobody reads: all waits on the way
@@ -178,40 +178,40 @@
             ScriptedServer.Message got = Loopback.answer(client);
             writer.join();
             assertEquals(200, got.status());
-            assertArrayEquals(body, up ? arrived.get() : got.raw());
+            assertArrayEquals(body, uploading ? arrived.get() : got.raw());
             long largest = lb.budget(b -> b.largest());
-            assertTrue(largest > 4 * 1024 && largest <= 32 * 1024, "held " + largest);
+            assertTrue(largest > 4 * 1024 && largest <= 32 * 1024, "buffered " + largest);
         }
     }
 
     @Test
     void aTruncatedResponseIsVisiblyIncomplete() throws Exception {
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     ScriptedServer.write(socket, "HTTP/1.1 200 x\r\nContent-Length: 1000000\r\n\r\n");
                     socket.getOutputStream().write(new byte[400_000]);
                     socket.close();
                 });
-                Loopback lb = serving(up)) {
+                Loopback lb = serving(upstream)) {
             Socket client = lb.connect();
             ScriptedServer.write(client, Loopback.request("a", "read", 5_000));
             byte[] all = client.getInputStream().readAllBytes();
             assertTrue(all.length < 500_000, "cut at " + all.length);
             assertTrue(new String(all, 0, 200, StandardCharsets.ISO_8859_1).contains("1000000"));
-            assertEquals(1, up.requests.size(), "and not asked again");
+            assertEquals(1, upstream.requests.size(), "and not asked again");
         }
     }
 
     @Test
     void anUploadThatIsAbortedIsNeverComplete() throws Exception {
         AtomicInteger begun = new AtomicInteger();
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> begun.incrementAndGet());
-                Loopback lb = serving(up)) {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> begun.incrementAndGet());
+                Loopback lb = serving(upstream)) {
             Socket client = lb.connect();
             ScriptedServer.write(client, upload("a", "order", "Content-Length: 2000000"));
             client.getOutputStream().write(new byte[500_000]);
-            Loopback.await("it goes on", () -> up.sockets.size() == 1);
+            Loopback.await("it goes on", () -> upstream.sockets.size() == 1);
             client.close();
-            Loopback.await("the node's connection is closed before the last byte", () -> up.left.get() == 1);
+            Loopback.await("the node's connection is closed before the last byte", () -> upstream.left.get() == 1);
             assertEquals(0, begun.get());
             Loopback.await("nothing is left", () -> lb.server.reservedForBodies() == 0);
         }
@@ -220,26 +220,26 @@
     /** The last byte was never written: whatever the class, trying again is harmless. */
     @Test
     void anUpstreamThatClosesDuringAnUploadCausesARejection() throws Exception {
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {});
-                Loopback lb = serving(up)) {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {});
+                Loopback lb = serving(upstream)) {
             Socket client = lb.connect();
             ScriptedServer.write(client, upload("a", "order", "Content-Length: 2000000"));
             client.getOutputStream().write(new byte[500_000]);
-            Loopback.await("it goes on", () -> up.sockets.size() == 1);
-            up.sockets.get(0).close();
+            Loopback.await("it goes on", () -> upstream.sockets.size() == 1);
+            upstream.sockets.get(0).close();
             assertEquals(503, Loopback.answer(client).status());
         }
     }
 
     @Test
     void anUpstreamThatClosesAfterTheLastByteCausesAFailure() throws Exception {
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> socket.close());
-                Loopback lb = serving(up)) {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> socket.close());
+                Loopback lb = serving(upstream)) {
             Socket client = lb.connect();
             ScriptedServer.write(client, upload("a", "order", "Content-Length: 200000"));
             client.getOutputStream().write(new byte[200_000]);
             assertEquals(502, Loopback.answer(client).status());
-            assertEquals(1, up.requests.size());
+            assertEquals(1, upstream.requests.size());
         }
     }
 
@@ -248,14 +248,16 @@
         CountDownLatch go = new CountDownLatch(1);
         BodyLimits two =
                 new BodyLimits(true, 64 * 1024, 2 * 64 * 1024, 0, 1_000_000, 30_000_000, 5_000_000, 1L << 40, 0);
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     if (request.raw().length > 10_000) {
                         go.await();
                     }
                     ScriptedServer.reply(socket, 200, "x");
                 });
-                Loopback lb =
-                        Loopback.setup().upstream("u", up.address()).bodies(two).start()) {
+                Loopback lb = Loopback.setup()
+                        .upstream("u", upstream.address())
+                        .bodies(two)
+                        .start()) {
             Socket[] clients = new Socket[3];
             for (int i = 0; i < 3; i++) {
                 clients[i] = lb.connect();
@@ -263,7 +265,7 @@
                 clients[i].getOutputStream().write(new byte[100_000]);
                 int sent = i + 1;
                 if (i < 2) {
-                    Loopback.await("taken", () -> up.requests.size() == sent);
+                    Loopback.await("taken", () -> upstream.requests.size() == sent);
                 }
             }
             assertEquals(503, Loopback.answer(clients[2]).status());
@@ -277,23 +279,23 @@
     @Test
     void aSlowUploadTimesOut() throws Exception {
         BodyLimits strict = new BodyLimits(true, 64 * 1024, MB, 1_000, 300_000, 30_000_000, 5_000_000, 1L << 40, 0);
-        try (ScriptedServer up = ScriptedServer.serving("x");
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup()
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .bodies(strict)
                         .start()) {
             Socket client = lb.connect();
             ScriptedServer.write(client, upload("a", "order", "Content-Length: 100000"));
             client.getOutputStream().write(new byte[60]);
             assertEquals(408, Loopback.answer(client).status());
-            assertEquals(0, up.requests.size());
+            assertEquals(0, upstream.requests.size());
         }
     }
 
     @Test
     void expectContinueIsAnswered() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
-                Loopback lb = serving(up)) {
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
+                Loopback lb = serving(upstream)) {
             Socket client = lb.connect();
             ScriptedServer.write(client, upload("a", "order", "Content-Length: 4\r\nExpect: 100-continue"));
             InputStream in = new BufferedInputStream(client.getInputStream());
@@ -306,17 +308,17 @@
     @Test
     void aMalformedLongBodyIsNeverForwardedCompletely() throws Exception {
         AtomicInteger begun = new AtomicInteger();
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> begun.incrementAndGet());
-                Loopback lb = serving(up)) {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> begun.incrementAndGet());
+                Loopback lb = serving(upstream)) {
             Socket client = lb.connect();
             ScriptedServer.write(client, upload("a", "order", "Transfer-Encoding: chunked"));
             byte[] chunk = bytes(100_000);
             ScriptedServer.write(client, Integer.toHexString(chunk.length) + "\r\n");
             client.getOutputStream().write(chunk);
-            Loopback.await("it goes on", () -> up.sockets.size() == 1);
+            Loopback.await("it goes on", () -> upstream.sockets.size() == 1);
             ScriptedServer.write(client, "\r\nffffffffffffffffffff\r\n");
             assertEquals(400, Loopback.answer(client).status());
-            Loopback.await("closed", () -> up.left.get() == 1);
+            Loopback.await("closed", () -> upstream.left.get() == 1);
             assertEquals(0, begun.get());
         }
     }
@@ -341,12 +343,12 @@
 
     @Test
     void withoutStreamingTheDefaultLimitsApply() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
-                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
+                Loopback lb = Loopback.setup().upstream("u", upstream.address()).start()) {
             Socket client = lb.connect();
             ScriptedServer.write(client, upload("a", "order", "Content-Length: 65537"));
             assertEquals(413, Loopback.answer(client).status());
-            assertArrayEquals(new int[] {0}, new int[] {up.requests.size()});
+            assertArrayEquals(new int[] {0}, new int[] {upstream.requests.size()});
         }
     }
 
@@ -356,12 +358,12 @@
     @CsvSource({"0", "300", "49153", "3000000"})
     void aResponseMayEndWithItsConnection(int length) throws Exception {
         byte[] answer = bytes(length);
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     ScriptedServer.write(socket, UNTIL_THE_END);
                     socket.getOutputStream().write(answer);
                     socket.close();
                 });
-                Loopback lb = serving(up)) {
+                Loopback lb = serving(upstream)) {
             for (int i = 0; i < 3; i++) { // no connection that has ended so is used again
                 ScriptedServer.Message got = lb.ask("id-" + i, "order", 5_000);
                 assertEquals(200, got.status());
@@ -376,14 +378,14 @@
     void aResponseThatIsResetIsNotServed(int length) throws Exception {
         CountDownLatch read = new CountDownLatch(1);
         byte[] answer = bytes(length);
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     ScriptedServer.write(socket, UNTIL_THE_END);
                     socket.getOutputStream().write(answer);
                     read.await();
                     socket.setSoLinger(true, 0);
                     socket.close();
                 });
-                Loopback lb = serving(up)) {
+                Loopback lb = serving(upstream)) {
             Socket client = lb.connect();
             ScriptedServer.write(client, Loopback.request("a", "order", 5_000));
             InputStream in = new BufferedInputStream(client.getInputStream());
@@ -396,11 +398,11 @@
 
     @Test
     void aResponseWithoutAnEndIsInvalid() throws Exception {
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     ScriptedServer.write(socket, "HTTP/1.1 200 x\r\n\r\nhalf");
                     socket.close();
                 });
-                Loopback lb = serving(up)) {
+                Loopback lb = serving(upstream)) {
             assertEquals(502, lb.ask("a", "order", 5_000).status());
         }
     }
@@ -410,7 +412,7 @@
     void aLongResponseWithConnectionCloseIsTheLastOnItsConnection() throws Exception {
         byte[] answer = bytes(3_000_000);
         AtomicInteger connections = new AtomicInteger();
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     connections.incrementAndGet();
                     ScriptedServer.write(
                             socket,
@@ -419,7 +421,7 @@
                     Thread.sleep(200); // it closes when it likes
                     socket.close();
                 });
-                Loopback lb = serving(up)) {
+                Loopback lb = serving(upstream)) {
             for (int i = 0; i < 3; i++) {
                 assertEquals(
                         digest(answer), digest(lb.ask("id-" + i, "order", 5_000).raw()));
@@ -431,14 +433,14 @@
     @Test
     void anEndlessResponseIsTruncatedAtTheLargestBody() throws Exception {
         BodyLimits small = new BodyLimits(true, 64 * 1024, 8L * MB, 1_000, 1_000_000, 30_000_000, 5_000_000, MB, 0);
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     ScriptedServer.write(socket, UNTIL_THE_END);
                     while (true) {
                         socket.getOutputStream().write(bytes(100_000));
                     }
                 });
                 Loopback lb = Loopback.setup()
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .bodies(small)
                         .start()) {
             Socket client = lb.connect();
--- a/src/test/java/sedgeyoke/proxy/BodyPropertiesTest.java
+++ b/src/test/java/sedgeyoke/proxy/BodyPropertiesTest.java
@@ -191,15 +191,15 @@
 
     @Property(seed = "20261201", tries = 120, shrinking = ShrinkingMode.OFF)
     void bothDirectionsThroughTheBalancer(
-            @ForAll @IntRange(max = LONGEST) int up,
-            @ForAll @IntRange(max = LONGEST) int down,
+            @ForAll @IntRange(max = LONGEST) int uploadBytes,
+            @ForAll @IntRange(max = LONGEST) int downloadBytes,
             @ForAll boolean chunkedUp,
             @ForAll boolean chunkedDown,
             @ForAll @Size(min = 1, max = 8) int[] splits)
             throws Exception {
         String id = "p" + number++;
-        byte[] sent = bytes(up, number);
-        byte[] answer = bytes(down, -number);
+        byte[] sent = bytes(uploadBytes, number);
+        byte[] answer = bytes(downloadBytes, -number);
         ANSWERS.put(id, new Answering(answer, chunkedDown, splits, Integer.MAX_VALUE));
         try (Socket client = lb.connect()) {
             ask(client, id, sent, chunkedUp, splits, Integer.MAX_VALUE);
@@ -213,7 +213,7 @@
     /** A client that goes in the middle: the node never has the last byte, and so never answers. */
     @Property(seed = "20261201", tries = 60, shrinking = ShrinkingMode.OFF)
     void anIncompleteUploadNeverArrives(
-            @ForAll @IntRange(min = 2, max = LONGEST) int up,
+            @ForAll @IntRange(min = 2, max = LONGEST) int uploadBytes,
             @ForAll boolean chunked,
             @ForAll @IntRange(min = 1, max = 99) int percent,
             @ForAll @Size(min = 1, max = 8) int[] splits)
@@ -221,7 +221,8 @@
         String id = "q" + number++;
         ANSWERS.put(id, new Answering(new byte[0], false, splits, Integer.MAX_VALUE));
         try (Socket client = lb.connect()) {
-            ask(client, id, bytes(up, number), chunked, splits, Math.max(1, (int) ((long) up * percent / 100)));
+            ask(client, id, bytes(uploadBytes, number), chunked, splits, Math.max(1, (int)
+                    ((long) uploadBytes * percent / 100)));
         }
         Loopback.await("nothing is left", () -> lb.server.reservedForBodies() == 0 && idle());
         assertFalse(ARRIVED.containsKey(id));
@@ -230,14 +231,15 @@
     /** A node that goes in the middle: the client gets a final answer, or can see that what it has is not whole. */
     @Property(seed = "20261201", tries = 60, shrinking = ShrinkingMode.OFF)
     void anIncompleteResponseIsNeverTakenForComplete(
-            @ForAll @IntRange(min = 2, max = LONGEST) int down,
+            @ForAll @IntRange(min = 2, max = LONGEST) int downloadBytes,
             @ForAll boolean chunked,
             @ForAll @IntRange(min = 1, max = 99) int percent,
             @ForAll @Size(min = 1, max = 8) int[] splits)
             throws Exception {
         String id = "s" + number++;
-        byte[] answer = bytes(down, number);
-        ANSWERS.put(id, new Answering(answer, chunked, splits, Math.max(1, (int) ((long) down * percent / 100))));
+        byte[] answer = bytes(downloadBytes, number);
+        ANSWERS.put(
+                id, new Answering(answer, chunked, splits, Math.max(1, (int) ((long) downloadBytes * percent / 100))));
         try (Socket client = lb.connect()) {
             ask(client, id, bytes(100, number), false, splits, Integer.MAX_VALUE);
             ScriptedServer.Message got = visible(client);
--- a/src/test/java/sedgeyoke/proxy/DiscoveryTest.java
+++ b/src/test/java/sedgeyoke/proxy/DiscoveryTest.java
@@ -12,7 +12,7 @@
 /** Endpoint lists from discovery, and what stays in force when it fails. */
 class DiscoveryTest {
     private final BlockingQueue<String> replies = new LinkedBlockingQueue<>();
-    private ScriptedPolicy module;
+    private ScriptedPolicy policy;
 
     /** Discovery that answers each call with the next reply; an empty one breaks the connection. */
     private Loopback start(String... members) throws Exception {
@@ -29,10 +29,10 @@
                 ScriptedServer.reply(socket, reply.equals("503") ? 503 : 200, reply);
             }
         });
-        Loopback.Setup setup = Loopback.setup().discovery(discovery).module(actions -> {
-            module = new ScriptedPolicy(actions);
-            module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
-            return module;
+        Loopback.Setup setup = Loopback.setup().discovery(discovery).policy(actions -> {
+            policy = new ScriptedPolicy(actions);
+            policy.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
+            return policy;
         });
         setup.members.addAll(List.of(members));
         if (asked) {
@@ -48,16 +48,16 @@
     }
 
     private void awaitLists(String... wanted) throws InterruptedException {
-        Loopback.await(String.join(", ", wanted), () -> module.lists.equals(List.of(wanted)));
+        Loopback.await(String.join(", ", wanted), () -> policy.lists.equals(List.of(wanted)));
     }
 
     @Test
     void theConfiguredListIsFollowedByACompleteOneAndChanges() throws Exception {
         String known = Loopback.member("old", "127.0.0.1:1", "up");
-        String up = Loopback.member("u", "127.0.0.1:1", "up");
-        replies.add(Loopback.list(41, true, up));
+        String readyMember = Loopback.member("u", "127.0.0.1:1", "up");
+        replies.add(Loopback.list(41, true, readyMember));
         replies.add(Loopback.list(41, false));
-        replies.add(Loopback.list(43, false, up.replace("\"up\"", "\"draining\"")));
+        replies.add(Loopback.list(43, false, readyMember.replace("\"up\"", "\"draining\"")));
         replies.add(Loopback.list(44, false, "{\"id\":\"u\",\"phase\":\"removed\"}"));
         try (Loopback lb = start(known)) {
             awaitLists("RESTORED old:READY", "COMPLETE u:READY", "CHANGES u:DRAINING", "CHANGES u:REMOVED");
@@ -73,14 +73,14 @@
 
     @Test
     void failedCallsChangeNothingAndAreRetried() throws Exception {
-        String up = Loopback.member("u", "127.0.0.1:1", "up");
+        String readyMember = Loopback.member("u", "127.0.0.1:1", "up");
         replies.add("503");
         replies.add("");
         replies.add("{\"revision\":7,\"complete\":true,\"members\":[{\"id\":\"u\",\"phase\":\"up\"}]}");
         replies.add("no JSON");
         replies.add("[1,2]");
-        replies.add(Loopback.list(8, true, up));
-        try (Loopback lb = start(up)) {
+        replies.add(Loopback.list(8, true, readyMember));
+        try (Loopback lb = start(readyMember)) {
             awaitLists("RESTORED u:READY", "COMPLETE u:READY");
             assertTrue(lb.discovery.requests.size() >= 6);
         }
@@ -89,16 +89,16 @@
     /** A dozen balancers that start together and fetch complete lists would delay each other too much. */
     @Test
     void whereListsArePolledTheFirstWatchContinuesFromTheConfiguredList() throws Exception {
-        String up = Loopback.member("u", "127.0.0.1:1", "up");
-        replies.add(Loopback.list(2, false, up.replace("\"up\"", "\"draining\"")));
-        try (Loopback lb = start(true, up)) {
+        String readyMember = Loopback.member("u", "127.0.0.1:1", "up");
+        replies.add(Loopback.list(2, false, readyMember.replace("\"up\"", "\"draining\"")));
+        try (Loopback lb = start(true, readyMember)) {
             assertEquals(200, lb.health(), "no news is no reason to keep clients waiting");
-            lb.loop.execute(() -> module.actions.watchEndpoints(true));
+            lb.loop.execute(() -> policy.actions.watchEndpoints(true));
             awaitLists("RESTORED u:READY", "CHANGES u:DRAINING");
             assertTrue(lb.discovery.requests.get(0).line().contains("from=1&hold_ms="));
         }
         try (Loopback lb = start(true)) {
-            lb.loop.execute(() -> module.actions.watchEndpoints(true));
+            lb.loop.execute(() -> policy.actions.watchEndpoints(true));
             Loopback.await("a call", () -> !lb.discovery.requests.isEmpty());
             assertEquals(
                     "GET /catalog/members HTTP/1.1",
@@ -110,13 +110,13 @@
     /** Changes relative to an older list would leave ours wrong for good. */
     @Test
     void aRevisionThatGoesBackCausesTheCompleteListToBeFetched() throws Exception {
-        String up = Loopback.member("u", "127.0.0.1:1", "up");
-        replies.add(Loopback.list(0, false, up.replace("\"up\"", "\"draining\"")));
-        replies.add(Loopback.list(0, true, up));
-        try (Loopback lb = start(true, up)) {
-            lb.loop.execute(() -> module.actions.watchEndpoints(true));
+        String readyMember = Loopback.member("u", "127.0.0.1:1", "up");
+        replies.add(Loopback.list(0, false, readyMember.replace("\"up\"", "\"draining\"")));
+        replies.add(Loopback.list(0, true, readyMember));
+        try (Loopback lb = start(true, readyMember)) {
+            lb.loop.execute(() -> policy.actions.watchEndpoints(true));
             awaitLists("RESTORED u:READY", "UNAVAILABLE");
-            lb.loop.execute(() -> module.actions.watchEndpoints(true));
+            lb.loop.execute(() -> policy.actions.watchEndpoints(true));
             awaitLists("RESTORED u:READY", "UNAVAILABLE", "COMPLETE u:READY");
             assertEquals(
                     "GET /catalog/members HTTP/1.1",
@@ -127,14 +127,14 @@
     /** The policy backs off while calls fail, so it is notified of one that succeeds without changes. */
     @Test
     void thePolicyIsNotifiedOfACallThatSucceedsAfterAFailure() throws Exception {
-        String up = Loopback.member("u", "127.0.0.1:1", "up");
+        String readyMember = Loopback.member("u", "127.0.0.1:1", "up");
         replies.add("503");
         replies.add(Loopback.list(1, false));
         replies.add(Loopback.list(1, false));
-        try (Loopback lb = start(true, up)) {
-            lb.loop.execute(() -> module.actions.watchEndpoints(true));
+        try (Loopback lb = start(true, readyMember)) {
+            lb.loop.execute(() -> policy.actions.watchEndpoints(true));
             awaitLists("RESTORED u:READY", "UNAVAILABLE");
-            lb.loop.execute(() -> module.actions.watchEndpoints(true));
+            lb.loop.execute(() -> policy.actions.watchEndpoints(true));
             Loopback.await("the watch after two answers", () -> lb.discovery.requests.size() == 4);
             awaitLists("RESTORED u:READY", "UNAVAILABLE", "CHANGES");
         }
@@ -143,8 +143,8 @@
     /** Changes that a silent watch misses are unknown until the next call. */
     @Test
     void aSilentWatchTimesOut() throws Exception {
-        String up = Loopback.member("u", "127.0.0.1:1", "up");
-        replies.add(Loopback.list(1, true, up)); // and then nothing more
+        String readyMember = Loopback.member("u", "127.0.0.1:1", "up");
+        replies.add(Loopback.list(1, true, readyMember)); // and then nothing more
         try (Loopback lb = start()) {
             Loopback.await("a second watch", () -> lb.discovery.requests.size() == 3);
             assertTrue(lb.discovery.requests.get(1).line().contains("from=1&hold_ms="));
@@ -155,8 +155,8 @@
     /** An agent that responds at once without changes: the watch continues with pauses. */
     @Test
     void aWatchThatEndsAtOnceDoesNotSpin() throws Exception {
-        String up = Loopback.member("u", "127.0.0.1:1", "up");
-        replies.add(Loopback.list(1, true, up));
+        String readyMember = Loopback.member("u", "127.0.0.1:1", "up");
+        replies.add(Loopback.list(1, true, readyMember));
         try (Loopback lb = start()) {
             awaitLists("RESTORED", "COMPLETE u:READY");
             long start = System.nanoTime();
@@ -165,7 +165,7 @@
             }
             Loopback.await("ten more calls", () -> lb.discovery.requests.size() == 12);
             assertTrue(System.nanoTime() - start >= 9 * 20_000_000L, "without a rest");
-            replies.add(Loopback.list(2, false, up.replace("\"up\"", "\"draining\"")));
+            replies.add(Loopback.list(2, false, readyMember.replace("\"up\"", "\"draining\"")));
             awaitLists("RESTORED", "COMPLETE u:READY", "CHANGES u:DRAINING");
         }
     }
@@ -180,7 +180,7 @@
         try (Loopback lb = start()) {
             Loopback.await(
                     "the list",
-                    () -> module.lists.size() == 2 && module.lists.get(1).contains("u999:READY"));
+                    () -> policy.lists.size() == 2 && policy.lists.get(1).contains("u999:READY"));
             Loopback.await("a watch from there on", () -> calls(lb).contains("from=1&"));
         }
     }
@@ -188,12 +188,13 @@
     /** After a move, responses from the old address are ignored, and its revisions are not used. */
     @Test
     void afterAMoveTheCompleteListIsFetchedAndTheOldAddressIgnored() throws Exception {
-        String up = Loopback.member("u", "127.0.0.1:1", "up");
-        replies.add(Loopback.list(41, true, up));
+        String readyMember = Loopback.member("u", "127.0.0.1:1", "up");
+        replies.add(Loopback.list(41, true, readyMember));
         try (Loopback lb = start();
                 ScriptedServer next = new ScriptedServer((request, socket) -> {
                     if (!request.line().contains("from=")) {
-                        ScriptedServer.reply(socket, 200, Loopback.list(3, true, up.replace("\"u\"", "\"v\"")));
+                        ScriptedServer.reply(
+                                socket, 200, Loopback.list(3, true, readyMember.replace("\"u\"", "\"v\"")));
                     }
                 })) {
             awaitLists("RESTORED", "COMPLETE u:READY");
@@ -224,30 +225,30 @@
     /** Connections to the previous address must not be used any more. */
     @Test
     void anUpstreamThatMovesIsReachedAtItsNewAddress() throws Exception {
-        try (ScriptedServer a = ScriptedServer.serving("old");
-                ScriptedServer b = ScriptedServer.serving("new");
-                Loopback lb = start(Loopback.member("u", a.address(), "up"))) {
+        try (ScriptedServer oldUpstream = ScriptedServer.serving("old");
+                ScriptedServer newUpstream = ScriptedServer.serving("new");
+                Loopback lb = start(Loopback.member("u", oldUpstream.address(), "up"))) {
             assertEquals("old", lb.ask("id-1", "order", 2000).body());
-            replies.add(Loopback.list(2, true, Loopback.member("u", b.address(), "up")));
+            replies.add(Loopback.list(2, true, Loopback.member("u", newUpstream.address(), "up")));
             awaitLists("RESTORED u:READY", "COMPLETE u:READY");
             assertEquals("new", lb.ask("id-2", "order", 2000).body());
-            Loopback.await("old connection closed", () -> a.left.get() == 1);
+            Loopback.await("old connection closed", () -> oldUpstream.left.get() == 1);
         }
     }
 
     /** The policy sends to a draining upstream only by mistake; after half the grace period nothing goes out. */
     @Test
     void nothingIsSentToAnUpstreamThatHasBeenDrainingForLong() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
-                Loopback lb = start(Loopback.member("u", up.address(), "draining"))) {
-            module.onEnd = (m, end) -> m.actions.reject(end.request(), 0);
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
+                Loopback lb = start(Loopback.member("u", upstream.address(), "draining"))) {
+            policy.onEnd = (m, end) -> m.actions.reject(end.request(), 0);
             int served = 0;
             long end = System.nanoTime() + 10_000_000_000L;
             for (int i = 0; lb.ask("id-" + i, "order", 2000).status() == 200; i++) {
                 assertTrue(System.nanoTime() < end, "still sending");
                 served++;
             }
-            assertEquals(served, up.requests.size());
+            assertEquals(served, upstream.requests.size());
         }
     }
 }
--- a/src/test/java/sedgeyoke/proxy/GracefulShutdownTest.java
+++ b/src/test/java/sedgeyoke/proxy/GracefulShutdownTest.java
@@ -65,7 +65,7 @@
         }
     }
 
-    /** A signal that took 200 ms, as seen where a configuration was being read, and a loop that is held up after it. */
+    /** A signal that took 200 ms, as seen where a configuration was being read, and a loop that is delayed after it. */
     @Test
     void theDelayOfTheSignalIsTakenIntoAccount() {
         assertEquals(List.of(), new StalledLoop(200 * MS, 0, KILLED).lostRequests, "the delay is not known");
@@ -84,54 +84,54 @@
         assertTrue(deadlines.lastRequest() >= deadlines.listenUntil(), "connections that may come are served");
     }
 
-    /** The same on sockets: a loop that stands still for 100 ms at each 20 ms of the last half second. */
+    /** The same on sockets: a loop that is paused for 100 ms at each 20 ms of the last half second. */
     @Test
     void onSocketsAcceptedRequestsAreAnsweredBeforeTheKill() throws Exception {
         List<String> faults = java.util.Collections.synchronizedList(new ArrayList<>());
         for (int first = 500; first > 0; first -= 100) {
-            List<Thread> plays = new ArrayList<>();
-            for (int held = first; held > first - 100; held -= 20) {
-                int before = held;
-                plays.add(new Thread(() -> {
+            List<Thread> trials = new ArrayList<>();
+            for (int pause = first; pause > first - 100; pause -= 20) {
+                int pausedBeforeKill = pause;
+                trials.add(new Thread(() -> {
                     try {
-                        for (int tries = 0; tries < 10 && !play(before, faults); tries++) {
+                        for (int attempts = 0; attempts < 10 && !runTrial(pausedBeforeKill, faults); attempts++) {
                             continue;
                         }
-                    } catch (Exception e) {
-                        faults.add(before + ": " + e);
+                    } catch (Exception failure) {
+                        faults.add(pausedBeforeKill + ": " + failure);
                     }
                 }));
             }
-            plays.forEach(Thread::start);
-            for (Thread play : plays) {
-                play.join();
+            trials.forEach(Thread::start);
+            for (Thread trial : trials) {
+                trial.join();
             }
         }
         assertEquals(List.of(), faults);
     }
 
-    /** Waits until then, and tells for how long at most this thread did not run. */
+    /** Waits until then; returns the longest time for which this thread did not run. */
     private static long longestStall(long untilNanos) {
-        long still = 0;
-        for (long t = System.nanoTime(); t < untilNanos; ) {
+        long longestStallNanos = 0;
+        for (long previous = System.nanoTime(); previous < untilNanos; ) {
             java.util.concurrent.locks.LockSupport.parkNanos(2_000_000);
             long now = System.nanoTime();
-            still = Math.max(still, now - t);
-            t = now;
+            longestStallNanos = Math.max(longestStallNanos, now - previous);
+            previous = now;
         }
-        return still;
+        return longestStallNanos;
     }
 
-    /** False if the judge stood still itself: then it cannot tell what was answered in time, and plays again. */
-    private static boolean play(int heldBeforeKill, List<String> faults) throws Exception {
-        AtomicInteger taken = new AtomicInteger();
+    /** False if the test itself was delayed: then it cannot know what was answered in time, and must be repeated. */
+    private static boolean runTrial(int pausedBeforeKill, List<String> faults) throws Exception {
+        AtomicInteger received = new AtomicInteger();
         AtomicInteger answered = new AtomicInteger();
         try (Loopback lb = Loopback.setup()
                 .setting("\"give-up-s\":2", "\"give-up-s\":0.3")
-                .module(actions -> {
-                    ScriptedPolicy module = new ScriptedPolicy(actions);
-                    module.onRequest = (m, r) -> taken.incrementAndGet(); // and no answer
-                    return module;
+                .policy(actions -> {
+                    ScriptedPolicy policy = new ScriptedPolicy(actions);
+                    policy.onRequest = (m, r) -> received.incrementAndGet(); // and does not answer
+                    return policy;
                 })
                 .start()) {
             Loopback.await("ready", () -> lb.health() == 200);
@@ -141,22 +141,22 @@
                 sockets.add(lb.connect());
             }
             Loopback.await("all are known", () -> lb.server.clients() >= clients);
-            long[] told = new long[1];
+            long[] shutDownNanos = new long[1];
             Thread end = new Thread(lb.server::shutDown);
             lb.loop
                     .submit(() -> {
-                        told[0] = System.nanoTime();
+                        shutDownNanos[0] = System.nanoTime();
                         lb.loop.schedule(
                                 () -> java.util.concurrent.locks.LockSupport.parkNanos(100_000_000),
-                                1_000 - heldBeforeKill,
+                                1_000 - pausedBeforeKill,
                                 TimeUnit.MILLISECONDS);
                         end.start();
                     })
                     .sync();
-            List<Thread> asking = IntStream.range(0, clients)
+            List<Thread> clientThreads = IntStream.range(0, clients)
                     .mapToObj(i -> new Thread(() -> {
                         java.util.concurrent.locks.LockSupport.parkNanos(
-                                told[0] + (500 + i * 25) * 1_000_000L - System.nanoTime());
+                                shutDownNanos[0] + (500 + i * 25) * 1_000_000L - System.nanoTime());
                         try {
                             ScriptedServer.write(sockets.get(i), Loopback.request("id-" + i, "order", 3_000));
                             if (Loopback.answer(sockets.get(i)) != null) {
@@ -167,17 +167,17 @@
                         }
                     }))
                     .toList();
-            asking.forEach(Thread::start);
-            long still = longestStall(told[0] + KILLED * 1_000);
+            clientThreads.forEach(Thread::start);
+            long longestStallNanos = longestStall(shutDownNanos[0] + KILLED * 1_000);
             int inTime = answered.get();
-            int known = taken.get();
-            for (Thread a : asking) {
-                a.join();
+            int known = received.get();
+            for (Thread clientThread : clientThreads) {
+                clientThread.join();
             }
-            if (inTime < known && still < 20_000_000) {
-                faults.add(heldBeforeKill + " ms before the kill: " + known + " taken, " + inTime + " answered");
+            if (inTime < known && longestStallNanos < 20_000_000) {
+                faults.add(pausedBeforeKill + " ms before the kill: " + known + " taken, " + inTime + " answered");
             }
-            return still < 20_000_000;
+            return longestStallNanos < 20_000_000;
         }
     }
 }
--- a/src/test/java/sedgeyoke/proxy/HandOverTest.java
+++ b/src/test/java/sedgeyoke/proxy/HandOverTest.java
@@ -21,29 +21,31 @@
         return ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
     }
 
-    private Loopback start(ServerSocketChannel listener, ScriptedServer up, ScriptedServer discovery) throws Exception {
+    private Loopback start(ServerSocketChannel listener, ScriptedServer upstream, ScriptedServer discovery)
+            throws Exception {
         return Loopback.setup()
                 .adminEndpoint(folder)
                 .inherited(listener)
                 .discovery(discovery)
-                .upstream("u", up.address())
+                .upstream("u", upstream.address())
                 .start();
     }
 
-    private static ScriptedServer discovery(ScriptedServer up) throws Exception {
+    private static ScriptedServer discovery(ScriptedServer upstream) throws Exception {
         return new ScriptedServer((request, socket) -> {
             if (request.line().contains("from=")) {
                 Thread.sleep(10_000);
             }
-            ScriptedServer.reply(socket, 200, Loopback.list(1, true, Loopback.member("u", up.address(), "up")));
+            ScriptedServer.reply(socket, 200, Loopback.list(1, true, Loopback.member("u", upstream.address(), "up")));
         });
     }
 
     @Test
     void theOldProcessFinishesItsRequestsAndTheNewOneAcceptsAllOthers() throws Exception {
         try (ServerSocketChannel listener = listener();
-                ScriptedServer up = new ScriptedServer((request, socket) -> ScriptedServer.reply(socket, 200, "x"));
-                Loopback old = start(listener, up, discovery(up))) {
+                ScriptedServer upstream =
+                        new ScriptedServer((request, socket) -> ScriptedServer.reply(socket, 200, "x"));
+                Loopback old = start(listener, upstream, discovery(upstream))) {
             Loopback.await("ready", () -> old.health() == 200);
             Socket kept = old.connect();
             assertEquals(
@@ -52,7 +54,7 @@
                             .status());
             Socket silent = old.connect(); // accepted, and asks only later
             Loopback.await("accepted", () -> old.server.clients() >= 2);
-            try (Loopback next = start(listener, up, discovery(up))) {
+            try (Loopback next = start(listener, upstream, discovery(upstream))) {
                 Loopback.await("the new one takes clients", () -> healthy(next));
                 Thread end = new Thread(old.server::shutDown);
                 end.start();
@@ -89,9 +91,10 @@
     @Test
     void aProcessThatIsNotReadyAcceptsNoConnection() throws Exception {
         try (ServerSocketChannel listener = listener();
-                ScriptedServer up = new ScriptedServer((request, socket) -> ScriptedServer.reply(socket, 200, "x"));
+                ScriptedServer upstream =
+                        new ScriptedServer((request, socket) -> ScriptedServer.reply(socket, 200, "x"));
                 ScriptedServer silent = new ScriptedServer((request, socket) -> Thread.sleep(10_000));
-                Loopback old = start(listener, up, discovery(up))) {
+                Loopback old = start(listener, upstream, discovery(upstream))) {
             Loopback.await("ready", () -> old.health() == 200);
             try (Loopback next = Loopback.setup()
                     .adminEndpoint(folder)
--- a/src/test/java/sedgeyoke/proxy/LeavingClientsTest.java
+++ b/src/test/java/sedgeyoke/proxy/LeavingClientsTest.java
@@ -21,14 +21,14 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 
 /**
- * Clients that leave while their requests wait, in each place where one may wait: whatever the module decides after
- * that, nothing of it reaches an upstream. Where the crossing lies is set by the test: the module sends only once it
+ * Clients that leave while their requests wait, in each place where one may wait: whatever the policy decides after
+ * that, nothing of it reaches an upstream. Where the crossing lies is set by the test: the policy sends only once it
  * knows that the clients have left, or the loop is blocked while they leave.
  */
 class LeavingClientsTest {
     private static final int CLIENTS = 210;
     private static final int FAR_TOO_MUCH = 300_000;
-    private ScriptedPolicy module;
+    private ScriptedPolicy policy;
 
     /** How a client leaves. */
     private enum Leaving {
@@ -36,7 +36,7 @@
         RST,
         /** It ends its sending side only: the end of one that has gone looks the same, and is taken for it. */
         HALF,
-        /** Behind its request it has sent another one, a part of one, and more than anybody keeps. */
+        /** Behind its request it has sent another one, a part of one, and more than is buffered. */
         FIN_BEHIND_ANOTHER,
         RST_BEHIND_ANOTHER,
         FIN_BEHIND_A_PART,
@@ -63,14 +63,14 @@
         }
     }
 
-    private Loopback start(ScriptedServer up) throws Exception {
-        return start(Loopback.setup().upstream("u", up.address()));
+    private Loopback start(ScriptedServer upstream) throws Exception {
+        return start(Loopback.setup().upstream("u", upstream.address()));
     }
 
     private Loopback start(Loopback.Setup setup) throws Exception {
-        return setup.module(actions -> {
-                    module = new ScriptedPolicy(actions);
-                    return module;
+        return setup.policy(actions -> {
+                    policy = new ScriptedPolicy(actions);
+                    return policy;
                 })
                 .start();
     }
@@ -96,32 +96,32 @@
     }
 
     /** A request that is served comes to the upstream behind all that was to come to it before. */
-    private void assertOnlyTheLastIsSent(Loopback lb, ScriptedServer up) throws Exception {
-        module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
+    private void assertOnlyTheLastIsSent(Loopback lb, ScriptedServer upstream) throws Exception {
+        policy.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
         assertEquals(200, lb.ask("last", "order", 20_000).status());
-        assertEquals(1, up.requests.size(), "what came to the upstream, the last one among it");
+        assertEquals(1, upstream.requests.size(), "what came to the upstream, the last one among it");
         Loopback.await(
                 "nothing is left of them",
                 () -> lb.loop.submit(() -> lb.node.idle()).syncUninterruptibly().getNow());
-        assertTrue(module.ends.stream()
+        assertTrue(policy.ends.stream()
                 .allMatch(e -> e.outcome().neverRan || e.request().equals("last")));
     }
 
     @ParameterizedTest
     @EnumSource(Leaving.class)
     void whileTheRequestIsQueued(Leaving how) throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
-                Loopback lb = start(up)) {
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
+                Loopback lb = start(upstream)) {
             Set<String> queued = java.util.concurrent.ConcurrentHashMap.newKeySet();
-            module.onRequest = (m, r) -> queued.add(r.id());
+            policy.onRequest = (m, r) -> queued.add(r.id());
             List<Socket> sockets = clients(lb, how);
             Loopback.await("all are queued", () -> queued.equals(ids(how)));
             leave(sockets, how);
-            Loopback.await("all have gone", () -> new HashSet<>(module.gone).equals(ids(how)));
+            Loopback.await("all have gone", () -> new HashSet<>(policy.gone).equals(ids(how)));
             lb.loop
-                    .submit(() -> queued.forEach(id -> module.actions.send(id, "u", 0)))
+                    .submit(() -> queued.forEach(id -> policy.actions.send(id, "u", 0)))
                     .sync();
-            assertOnlyTheLastIsSent(lb, up);
+            assertOnlyTheLastIsSent(lb, upstream);
             if (how == Leaving.HALF) {
                 assertNull(Loopback.answer(sockets.get(0)), "the connection ends without a response");
             }
@@ -136,40 +136,40 @@
     void whileARetryWaits(Leaving how) throws Exception {
         try (ScriptedServer full = new ScriptedServer(
                         (request, socket) -> ScriptedServer.reply(socket, 503, "", "X-Rejected: 1"));
-                ScriptedServer up = ScriptedServer.serving("x");
+                ScriptedServer upstream = ScriptedServer.serving("x");
                 Loopback lb =
-                        start(Loopback.setup().upstream("full", full.address()).upstream("u", up.address()))) {
-            module.onRequest = (m, r) -> m.actions.send(r.id(), "full", 0);
+                        start(Loopback.setup().upstream("full", full.address()).upstream("u", upstream.address()))) {
+            policy.onRequest = (m, r) -> m.actions.send(r.id(), "full", 0);
             List<Socket> sockets = clients(lb, how);
-            Loopback.await("all were turned away", () -> module.ends.size() == CLIENTS);
+            Loopback.await("all were turned away", () -> policy.ends.size() == CLIENTS);
             leave(sockets, how);
-            Loopback.await("all have gone", () -> new HashSet<>(module.gone).equals(ids(how)));
+            Loopback.await("all have gone", () -> new HashSet<>(policy.gone).equals(ids(how)));
             lb.loop
-                    .submit(() -> ids(how).forEach(id -> module.actions.send(id, "u", 0)))
+                    .submit(() -> ids(how).forEach(id -> policy.actions.send(id, "u", 0)))
                     .sync();
-            assertOnlyTheLastIsSent(lb, up);
+            assertOnlyTheLastIsSent(lb, upstream);
         }
     }
 
-    /** The loop has begun to connect and stands still until the clients have gone and the connections are up. */
+    /** The loop has begun to connect and is paused until the clients have gone and the connections are up. */
     @ParameterizedTest
     @EnumSource(
             value = Leaving.class,
             names = {"FIN", "RST", "FIN_BEHIND_ANOTHER"})
     void whileTheUpstreamConnectionIsEstablished(Leaving how) throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
-                Loopback lb = start(up)) {
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
+                Loopback lb = start(upstream)) {
             Set<String> queued = java.util.concurrent.ConcurrentHashMap.newKeySet();
-            module.onRequest = (m, r) -> queued.add(r.id());
+            policy.onRequest = (m, r) -> queued.add(r.id());
             List<Socket> sockets = clients(lb, how);
             Loopback.await("all are queued", () -> queued.equals(ids(how)));
-            standStill(
+            whileLoopIsPaused(
                     lb,
-                    () -> queued.forEach(id -> module.actions.send(id, "u", 0)),
+                    () -> queued.forEach(id -> policy.actions.send(id, "u", 0)),
                     () -> leave(sockets, how),
                     LeavingClientsTest::late);
-            Loopback.await("all have gone", () -> new HashSet<>(module.gone).equals(ids(how)));
-            assertOnlyTheLastIsSent(lb, up);
+            Loopback.await("all have gone", () -> new HashSet<>(policy.gone).equals(ids(how)));
+            assertOnlyTheLastIsSent(lb, upstream);
         }
     }
 
@@ -179,33 +179,33 @@
             value = Leaving.class,
             names = {"FIN", "RST", "FIN_BEHIND_ANOTHER", "FIN_BEHIND_A_PART"})
     void inTheSameReadAsTheRequest(Leaving how) throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
-                Loopback lb = start(up)) {
-            module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
-            standStill(lb, () -> {}, () -> leave(clients(lb, how), how), () -> {});
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
+                Loopback lb = start(upstream)) {
+            policy.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
+            whileLoopIsPaused(lb, () -> {}, () -> leave(clients(lb, how), how), () -> {});
             Loopback.await("none is left", () -> lb.server.clients() == 0);
-            assertOnlyTheLastIsSent(lb, up);
+            assertOnlyTheLastIsSent(lb, upstream);
         }
     }
 
-    /** A timer is due when the loop goes on, and the module sends before anything that came meanwhile is read. */
+    /** A timer is due when the loop goes on, and the policy sends before anything that came meanwhile is read. */
     @ParameterizedTest
     @EnumSource(
             value = Leaving.class,
             names = {"FIN", "RST", "FIN_BEHIND_ANOTHER"})
     void whileTheLoopIsBlocked(Leaving how) throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
-                Loopback lb = start(up)) {
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
+                Loopback lb = start(upstream)) {
             Set<String> queued = java.util.concurrent.ConcurrentHashMap.newKeySet();
-            module.onRequest = (m, r) -> queued.add(r.id());
+            policy.onRequest = (m, r) -> queued.add(r.id());
             List<Socket> sockets = clients(lb, how);
             Loopback.await("all are queued", () -> queued.equals(ids(how)));
-            standStill(lb, () -> {}, () -> leave(sockets, how), () -> {
+            whileLoopIsPaused(lb, () -> {}, () -> leave(sockets, how), () -> {
                 late();
-                queued.forEach(id -> module.actions.send(id, "u", 0));
+                queued.forEach(id -> policy.actions.send(id, "u", 0));
             });
-            Loopback.await("all have gone", () -> new HashSet<>(module.gone).equals(ids(how)));
-            assertOnlyTheLastIsSent(lb, up);
+            Loopback.await("all have gone", () -> new HashSet<>(policy.gone).equals(ids(how)));
+            assertOnlyTheLastIsSent(lb, upstream);
         }
     }
 
@@ -221,11 +221,12 @@
         BodyLimits limits =
                 new BodyLimits(true, 64 * 1024, 64L << 20, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40, 0);
         String body = "w".repeat(100_000);
-        try (ScriptedServer up = ScriptedServer.serving("x");
-                Loopback lb = start(Loopback.setup().upstream("u", up.address()).bodies(limits))) {
-            module.streams = true;
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
+                Loopback lb =
+                        start(Loopback.setup().upstream("u", upstream.address()).bodies(limits))) {
+            policy.streams = true;
             Set<String> queued = java.util.concurrent.ConcurrentHashMap.newKeySet();
-            module.onRequest = (m, r) -> queued.add(r.id());
+            policy.onRequest = (m, r) -> queued.add(r.id());
             List<Socket> sockets = new ArrayList<>();
             for (int i = 0; i < CLIENTS; i++) {
                 Socket socket = lb.connect();
@@ -240,11 +241,11 @@
             int sent = 0;
             for (String id : queued) { // one by one: a burst of new connections is not what this is about
                 int gone = ++sent;
-                lb.loop.submit(() -> module.actions.send(id, "u", 0)).sync();
-                Loopback.await("it has gone", () -> module.gone.size() >= gone);
+                lb.loop.submit(() -> policy.actions.send(id, "u", 0)).sync();
+                Loopback.await("it has gone", () -> policy.gone.size() >= gone);
             }
-            assertEquals(ids(how), new HashSet<>(module.gone));
-            assertOnlyTheLastIsSent(lb, up);
+            assertEquals(ids(how), new HashSet<>(policy.gone));
+            assertOnlyTheLastIsSent(lb, upstream);
             Loopback.await("nothing is counted", () -> lb.server.reservedForBodies() == 0);
         }
     }
@@ -252,10 +253,10 @@
     /** Behind too much, what came whole before it is answered, and then the connection ends in order. */
     @Test
     void aClientThatPipelinesTooMuchIsAnsweredAndItsConnectionEnds() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
-                Loopback lb = start(up)) {
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
+                Loopback lb = start(upstream)) {
             Set<String> queued = java.util.concurrent.ConcurrentHashMap.newKeySet();
-            module.onRequest = (m, r) -> queued.add(r.id());
+            policy.onRequest = (m, r) -> queued.add(r.id());
             Socket socket = lb.connect();
             ScriptedServer.write(socket, Loopback.request("first", "order", 20_000));
             ScriptedServer.write(socket, Loopback.request("second", "order", 20_000));
@@ -265,21 +266,23 @@
                     socket,
                     Loopback.request("third", "order", 20_000).replace("Content-Length: 4", "Content-Length: 65536"));
             socket.getOutputStream().write(noise);
-            module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
-            lb.loop.submit(() -> module.actions.send("first", "u", 0)).sync();
+            policy.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
+            lb.loop.submit(() -> policy.actions.send("first", "u", 0)).sync();
             java.io.InputStream in = new java.io.BufferedInputStream(socket.getInputStream());
             assertEquals(200, ScriptedServer.read(in).status());
             assertEquals(200, ScriptedServer.read(in).status());
             ScriptedServer.Message last = null;
-            for (ScriptedServer.Message m = ScriptedServer.read(in); m != null; m = ScriptedServer.read(in)) {
-                last = m; // the third, if it came whole before it was too much
+            for (ScriptedServer.Message message = ScriptedServer.read(in);
+                    message != null;
+                    message = ScriptedServer.read(in)) {
+                last = message; // the third, if it came whole before it was too much
             }
             assertTrue(last == null || "close".equals(last.headers().get("connection")));
-            assertTrue(module.ends.stream().allMatch(e -> e.outcome() == Outcome.OK));
+            assertTrue(policy.ends.stream().allMatch(e -> e.outcome() == Outcome.OK));
         }
     }
 
-    /** The loop stands for as long as a request may go on waiting once its client has left. */
+    /** The loop is paused for as long as a request may go on waiting once its client has left. */
     private static void late() {
         for (long began = System.nanoTime(); System.nanoTime() - began < 300_000_000; ) {
             LockSupport.parkNanos(1_000_000);
@@ -291,17 +294,18 @@
     }
 
     /** On the loop: {@code before}, then nothing until {@code meanwhile} is done elsewhere, then {@code after}. */
-    private static void standStill(Loopback lb, Runnable before, Step meanwhile, Runnable after) throws Exception {
-        CountDownLatch stands = new CountDownLatch(1);
+    private static void whileLoopIsPaused(Loopback lb, Runnable before, Step meanwhile, Runnable after)
+            throws Exception {
+        CountDownLatch loopPaused = new CountDownLatch(1);
         CountDownLatch go = new CountDownLatch(1);
         io.netty.util.concurrent.Future<?> task = lb.loop.submit(() -> {
             before.run();
-            stands.countDown();
+            loopPaused.countDown();
             go.await();
             after.run();
             return null;
         });
-        stands.await();
+        loopPaused.await();
         try {
             meanwhile.run();
         } finally {
--- a/src/test/java/sedgeyoke/proxy/Loopback.java
+++ b/src/test/java/sedgeyoke/proxy/Loopback.java
@@ -57,7 +57,7 @@
         String settings = SETTINGS;
         int sockets = 1024;
         ScriptedServer discovery;
-        Function<LoadBalancingPolicy.Actions, LoadBalancingPolicy> module;
+        Function<LoadBalancingPolicy.Actions, LoadBalancingPolicy> policy;
         BodyLimits bodies = BodyLimits.PLATFORM;
         Path folder;
         ServerSocketChannel inherited;
@@ -99,8 +99,8 @@
             return this;
         }
 
-        Setup module(Function<LoadBalancingPolicy.Actions, LoadBalancingPolicy> wanted) {
-            module = wanted;
+        Setup policy(Function<LoadBalancingPolicy.Actions, LoadBalancingPolicy> wanted) {
+            policy = wanted;
             return this;
         }
 
@@ -154,8 +154,8 @@
                 config,
                 Transport.SOCKETS,
                 setup.bodies,
-                setup.module != null
-                        ? setup.module
+                setup.policy != null
+                        ? setup.policy
                         : actions -> new UtilizationWeightedPolicy(
                                 config.instanceSettings().settings(), config.seed(), actions));
         server = new BalancerServer(loop, config, node, Transport.SOCKETS, setup.bodies, setup.inherited);
--- a/src/test/java/sedgeyoke/proxy/OtherClientsTest.java
+++ b/src/test/java/sedgeyoke/proxy/OtherClientsTest.java
@@ -64,9 +64,9 @@
         byte[] wanted = new byte[2 * length];
         System.arraycopy(sent, 0, wanted, 0, length);
         System.arraycopy(sent, 0, wanted, length, length);
-        try (ScriptedServer up = echo();
+        try (ScriptedServer upstream = echo();
                 Loopback lb = Loopback.setup()
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .bodies(LIMITS)
                         .start()) {
             HttpClient client = HttpClient.newBuilder().version(version).build();
@@ -83,15 +83,15 @@
                 assertEquals(200, got.statusCode());
                 assertArrayEquals(wanted, got.body());
             }
-            assertEquals(3, up.requests.size(), "each ran once");
+            assertEquals(3, upstream.requests.size(), "each ran once");
         }
     }
 
     @Test
     void concurrentClientsGetTheirOwnResponses() throws Exception {
-        try (ScriptedServer up = echo();
+        try (ScriptedServer upstream = echo();
                 Loopback lb = Loopback.setup()
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .bodies(LIMITS)
                         .start()) {
             HttpClient client =
--- a/src/test/java/sedgeyoke/proxy/ProxyCoreTest.java
+++ b/src/test/java/sedgeyoke/proxy/ProxyCoreTest.java
@@ -18,18 +18,18 @@
 
 /** How decisions of the policy are carried out, in particular invalid ones. */
 class ProxyCoreTest {
-    private ScriptedPolicy module;
+    private ScriptedPolicy policy;
 
     private Loopback.Setup scripted(BiConsumer<ScriptedPolicy, Request> onRequest) {
-        return Loopback.setup().module(actions -> {
-            module = new ScriptedPolicy(actions);
-            module.onRequest = onRequest;
-            return module;
+        return Loopback.setup().policy(actions -> {
+            policy = new ScriptedPolicy(actions);
+            policy.onRequest = onRequest;
+            return policy;
         });
     }
 
     private List<Outcome> outcomes() {
-        return module.ends.stream().map(AttemptEnd::outcome).toList();
+        return policy.ends.stream().map(AttemptEnd::outcome).toList();
     }
 
     @Test
@@ -45,12 +45,12 @@
 
     @Test
     void aRequestFailsIfThePolicyThrowsAfterSendingIt() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
                 Loopback lb = scripted((m, r) -> {
                             m.actions.send(r.id(), "u", 0);
                             throw new IllegalStateException("on purpose");
                         })
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .start()) {
             assertEquals(502, lb.ask("id-1", "order", 2000).status());
         }
@@ -58,21 +58,21 @@
 
     @Test
     void aRequestThatThePolicyForgetsIsAnswered() throws Exception {
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {});
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {});
                 Loopback lb = scripted((m, r) -> {
                             if (r.classIndex() == 2) {
                                 m.actions.send(r.id(), "u", 0);
                             }
                         })
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .start()) {
             long start = System.nanoTime();
             assertEquals(503, lb.ask("id-1", "read", 1_000).status(), "never sent");
             assertEquals(502, lb.ask("id-2", "order", 1_000).status(), "may have run");
             assertTrue(System.nanoTime() - start < 5_000_000_000L, "not much later than their budgets");
-            Loopback.await("told", () -> module.gone.size() == 2);
+            Loopback.await("reported", () -> policy.gone.size() == 2);
             assertEquals(List.of(Outcome.TIMEOUT), outcomes());
-            Loopback.await("forgotten", lb.node::idle); // it is told within, and forgotten right after
+            Loopback.await("removed", lb.node::idle); // it is reported within, and removed right after
         }
     }
 
@@ -110,27 +110,27 @@
     void theDelayOfTheLoopIsNotCountedAsLatencyOfTheUpstream() throws Exception {
         CountDownLatch blocked = new CountDownLatch(1);
         CountDownLatch release = new CountDownLatch(1);
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     blocked.await();
                     ScriptedServer.reply(socket, 200, "x");
                     Thread.sleep(1_500); // the lateness itself
                     release.countDown();
                 });
                 Loopback lb = scripted((m, r) -> m.actions.send(r.id(), "u", 0))
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .start()) {
             Socket client = lb.connect();
             ScriptedServer.write(client, Loopback.request("id-1", "order", 60_000));
-            Loopback.await("sent", () -> up.requests.size() == 1);
+            Loopback.await("sent", () -> upstream.requests.size() == 1);
             lb.loop.execute(() -> {
                 blocked.countDown();
                 assertDoesNotThrow(() -> release.await());
             });
             assertEquals(200, Loopback.answer(client).status());
-            Loopback.await("told", () -> module.ends.size() == 1);
+            Loopback.await("reported", () -> policy.ends.size() == 1);
             assertTrue(
-                    module.ends.get(0).duration() < 1_000_000,
-                    "took " + module.ends.get(0).duration());
+                    policy.ends.get(0).duration() < 1_000_000,
+                    "took " + policy.ends.get(0).duration());
         }
     }
 
@@ -156,7 +156,7 @@
 
     @Test
     void attemptsThatAreTooManyOrTooLateAreNotSent() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
                 Loopback lb = scripted((m, r) -> {
                             for (int i = 0; i < 5; i++) {
                                 m.actions.send(r.id(), i == 0 ? "unheard-of" : "u", 0);
@@ -164,24 +164,24 @@
                             m.actions.reject(r.id(), 0);
                             m.actions.cancel(r.id(), 1);
                         })
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .start()) {
             assertEquals(503, lb.ask("id-1", "read", 2000).status());
-            Loopback.await("ends", () -> module.ends.size() == 5);
+            Loopback.await("ends", () -> policy.ends.size() == 5);
             assertEquals(
                     4, outcomes().stream().filter(o -> o == Outcome.NOT_SENT).count());
             assertEquals(
                     1, outcomes().stream().filter(o -> o == Outcome.CANCELLED).count());
-            assertTrue(up.requests.isEmpty());
-            assertFalse(module.calledFromWithin, "no event within an action");
-            Loopback.await("forgotten", lb.node::idle);
+            assertTrue(upstream.requests.isEmpty());
+            assertFalse(policy.calledFromWithin, "no event within an action");
+            Loopback.await("removed", lb.node::idle);
         }
     }
 
     /** The connection is not established yet when the attempt is cancelled: the request must not be written to it. */
     @Test
     void anAttemptCancelledWhileConnectingIsNotSent() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
                 Loopback lb = scripted((m, r) -> {
                             m.actions.send(r.id(), "u", 0);
                             if (r.id().equals("id-1")) {
@@ -189,49 +189,49 @@
                                 m.actions.reject(r.id(), 0);
                             }
                         })
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .start()) {
             assertEquals(503, lb.ask("id-1", "order", 2000).status());
             assertEquals(200, lb.ask("id-2", "order", 2000).status());
-            assertEquals(1, up.requests.size());
-            assertEquals("id-2", up.requests.get(0).headers().get("x-call-id"));
+            assertEquals(1, upstream.requests.size());
+            assertEquals("id-2", upstream.requests.get(0).headers().get("x-call-id"));
         }
     }
 
     /** After the response nothing more is sent, even if the policy does not cancel its attempts. */
     @Test
     void anAttemptOfARequestAnsweredWhileConnectingIsNotSent() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
                 Loopback lb = scripted((m, r) -> {
                             m.actions.send(r.id(), "u", 0);
                             if (r.id().equals("id-1")) {
                                 m.actions.reject(r.id(), 0);
                             }
                         })
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .start()) {
             assertEquals(503, lb.ask("id-1", "order", 2000).status());
             Loopback.await("ended", () -> outcomes().equals(List.of(Outcome.NOT_SENT)));
             assertEquals(200, lb.ask("id-2", "order", 2000).status());
-            assertEquals(1, up.requests.size());
+            assertEquals(1, upstream.requests.size());
         }
     }
 
     @Test
     void theTimeoutOfAnAttemptEndsOnlyThatAttempt() throws Exception {
         try (ScriptedServer silent = new ScriptedServer((request, socket) -> {});
-                ScriptedServer up = ScriptedServer.serving("x");
+                ScriptedServer upstream = ScriptedServer.serving("x");
                 Loopback lb = scripted((m, r) -> m.actions.send(r.id(), "a", 50_000))
                         .upstream("a", silent.address())
-                        .upstream("b", up.address())
+                        .upstream("b", upstream.address())
                         .start()) {
-            module.onEnd = (m, end) -> {
+            policy.onEnd = (m, end) -> {
                 if (end.outcome() == Outcome.TIMEOUT) {
                     m.actions.send(end.request(), "b", 0);
                 }
             };
             assertEquals(200, lb.ask("id-1", "read", 2000).status());
-            Loopback.await("told", () -> outcomes().equals(List.of(Outcome.TIMEOUT, Outcome.OK)));
+            Loopback.await("reported", () -> outcomes().equals(List.of(Outcome.TIMEOUT, Outcome.OK)));
             Loopback.await("connection closed", () -> silent.left.get() == 1);
         }
     }
@@ -245,7 +245,7 @@
                 Loopback lb = scripted((m, r) -> m.actions.send(r.id(), "a", 30_000))
                         .upstream("a", "127.0.0.1:" + dead.getLocalPort())
                         .start()) {
-            module.onEnd = (m, end) -> m.actions.reject(end.request(), 0);
+            policy.onEnd = (m, end) -> m.actions.reject(end.request(), 0);
             assertTrue(first.isConnected() && second.isConnected());
             assertEquals(503, lb.ask("id-1", "order", 2000).status());
             assertEquals(List.of(Outcome.CONNECT_FAILED), outcomes());
@@ -254,19 +254,19 @@
 
     @Test
     void theSlowerHedgedRequestEndsWithoutASecondResponse() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
                 Loopback lb = scripted((m, r) -> {
                             m.actions.send(r.id(), "u", 0);
                             m.actions.send(r.id(), "u", 0);
                         })
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .start()) {
             Socket client = lb.connect();
             assertEquals(
                     200,
                     Loopback.ask(client, Loopback.request("id-1", "read", 2000)).status());
-            Loopback.await("both ended", () -> module.ends.size() == 2);
-            assertTrue(module.ends.stream().allMatch(AttemptEnd::concluded));
+            Loopback.await("both ended", () -> policy.ends.size() == 2);
+            assertTrue(policy.ends.stream().allMatch(AttemptEnd::concluded));
             assertEquals(
                     200,
                     Loopback.ask(client, Loopback.request("id-2", "read", 2000)).status());
@@ -279,7 +279,7 @@
                 .setting("\"max-open\":1000", "\"max-open\":1")
                 .start()) {
             ScriptedServer.write(lb.connect(), Loopback.request("id-1", "order", 60_000));
-            Loopback.await("held", () -> !lb.node.idle());
+            Loopback.await("in flight", () -> !lb.node.idle());
             assertEquals(503, lb.ask("id-2", "order", 60_000).status());
         }
     }
@@ -288,7 +288,7 @@
     void aRequestWithAnOpenIdIsRejected() throws Exception {
         try (Loopback lb = scripted((m, r) -> {}).start()) {
             ScriptedServer.write(lb.connect(), Loopback.request("id-1", "order", 60_000));
-            Loopback.await("held", () -> !lb.node.idle());
+            Loopback.await("in flight", () -> !lb.node.idle());
             assertEquals(400, lb.ask("id-1", "order", 60_000).status());
         }
     }
--- a/src/test/java/sedgeyoke/proxy/RudeClientsTest.java
+++ b/src/test/java/sedgeyoke/proxy/RudeClientsTest.java
@@ -22,8 +22,8 @@
 class RudeClientsTest {
     private static final int CROSSED = 30;
 
-    private static Loopback serving(ScriptedServer up) throws Exception {
-        return Loopback.setup().upstream("u", up.address()).start();
+    private static Loopback serving(ScriptedServer upstream) throws Exception {
+        return Loopback.setup().upstream("u", upstream.address()).start();
     }
 
     /** The error comes at once and whole, then the end; nothing reaches an upstream, also not what lies behind. */
@@ -46,8 +46,8 @@
         "POST /api, POST /else, 404"
     })
     void anInvalidRequestIsRejectedAndItsConnectionEnds(String from, String to, int status) throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
-                Loopback lb = serving(up)) {
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
+                Loopback lb = serving(upstream)) {
             Socket client = lb.connect();
             ScriptedServer.write(
                     client,
@@ -57,7 +57,7 @@
             assertEquals(status, answer.status(), answer.line());
             assertEquals("close", answer.headers().get("connection"));
             assertNull(ScriptedServer.read(in), "nothing more");
-            assertEquals(0, up.requests.size());
+            assertEquals(0, upstream.requests.size());
         }
     }
 
@@ -104,8 +104,8 @@
     @Test
     void responsesDoNotAccumulateForClientsThatDoNotRead() throws Exception {
         String body = "x".repeat(64 * 1024);
-        try (ScriptedServer up = ScriptedServer.serving(body);
-                Loopback lb = serving(up)) {
+        try (ScriptedServer upstream = ScriptedServer.serving(body);
+                Loopback lb = serving(upstream)) {
             Socket client = lb.connect();
             StringBuilder many = new StringBuilder();
             for (int i = 0; i < 1_000; i++) {
@@ -119,18 +119,18 @@
                 }
             });
             writer.start();
-            Loopback.await("served", () -> up.requests.size() > 0);
+            Loopback.await("served", () -> upstream.requests.size() > 0);
             Loopback.await("let go", () -> lb.server.clients() == 0);
-            assertTrue(up.requests.size() < 500, "asked for " + up.requests.size());
+            assertTrue(upstream.requests.size() < 500, "asked for " + upstream.requests.size());
             writer.join();
         }
     }
 
     @Test
     void hundredsOfSilentClientsDoNotBlockOthers() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup()
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .sockets(128)
                         .start()) {
             List<Socket> silent = new ArrayList<>();
@@ -149,9 +149,9 @@
     /** Clients may hold a third of the sockets: what idles there takes the place of their next requests. */
     @Test
     void idleConnectionsAreClosedSoonerWhereSocketsAreScarce() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup()
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .sockets(200)
                         .start()) {
             Socket first = lb.connect();
@@ -175,9 +175,9 @@
     void withHalfOfTheClientSocketsInUseEachResponseEndsItsConnection() throws Exception {
         int sockets = 200;
         int usual = 30; // below 0.17 of these
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> ScriptedServer.reply(socket, 200, "x"));
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> ScriptedServer.reply(socket, 200, "x"));
                 Loopback lb = Loopback.setup()
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .sockets(sockets)
                         .start()) {
             int keptAlive = 0;
@@ -198,9 +198,9 @@
 
     @Test
     void clientsThatDisconnectWithinAHeadAreNotCountedAnyMore() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup()
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .sockets(128)
                         .start()) {
             for (int i = 0; i < 100; i++) {
@@ -222,30 +222,30 @@
     void clientsThatDisconnectDuringTheirResponseAreNotCountedAnyMore() throws Exception {
         Semaphore answer = new Semaphore(0);
         AtomicInteger answered = new AtomicInteger();
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     answer.acquire();
                     ScriptedServer.reply(socket, 200, "x");
                     answered.incrementAndGet();
                 });
                 Loopback lb = Loopback.setup()
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .sockets(128)
-                        .module(actions -> {
-                            ScriptedPolicy module = new ScriptedPolicy(actions);
-                            module.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
-                            return module;
+                        .policy(actions -> {
+                            ScriptedPolicy policy = new ScriptedPolicy(actions);
+                            policy.onRequest = (m, r) -> m.actions.send(r.id(), "u", 0);
+                            return policy;
                         })
                         .start()) {
             for (int round = 0; round < 2; round++) { // 32 may be busy with so few sockets
-                crossAnswers(lb, up, answer, answered);
+                crossAnswers(lb, upstream, answer, answered);
             }
             answer.release();
             assertEquals(200, lb.ask("last", "order", 60_000).status());
         }
     }
 
-    /** Has clients close and their answers come while the loop stands still: it then meets both at once. */
-    private static void crossAnswers(Loopback lb, ScriptedServer up, Semaphore answer, AtomicInteger answered)
+    /** Has clients close and their answers come while the loop is paused: it then meets both at once. */
+    private static void crossAnswers(Loopback lb, ScriptedServer upstream, Semaphore answer, AtomicInteger answered)
             throws Exception {
         int before = answered.get();
         List<Socket> clients = new ArrayList<>();
@@ -254,7 +254,7 @@
             ScriptedServer.write(client, Loopback.request("id-" + before + "-" + i, "order", 60_000));
             clients.add(client);
             int sent = before + i + 1;
-            Loopback.await("sent", () -> up.requests.size() == sent);
+            Loopback.await("sent", () -> upstream.requests.size() == sent);
         }
         CountDownLatch stalled = new CountDownLatch(1);
         CountDownLatch goOn = new CountDownLatch(1);
--- a/src/test/java/sedgeyoke/proxy/ServingTest.java
+++ b/src/test/java/sedgeyoke/proxy/ServingTest.java
@@ -17,13 +17,13 @@
 class ServingTest {
     @Test
     void aRequestIsForwardedUnchangedAndItsResponseReturned() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving(
+        try (ScriptedServer upstream = ScriptedServer.serving(
                         "the answer", "X-Load-Report: {\"waiting\":2,\"cpu\":0.6,\"avg_ms\":9}");
-                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+                Loopback lb = Loopback.setup().upstream("u", upstream.address()).start()) {
             ScriptedServer.Message answer = lb.ask("id-1", "update", 900);
             assertEquals(200, answer.status());
             assertEquals("the answer", answer.body());
-            ScriptedServer.Message seen = up.requests.get(0);
+            ScriptedServer.Message seen = upstream.requests.get(0);
             assertEquals("POST /api?obj=o1&x=%20y HTTP/1.1", seen.line());
             assertEquals("work", seen.body());
             assertEquals("id-1", seen.headers().get("x-call-id"));
@@ -35,8 +35,8 @@
 
     @Test
     void connectionsOnBothSidesAreReused() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
-                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
+                Loopback lb = Loopback.setup().upstream("u", upstream.address()).start()) {
             Socket client = lb.connect();
             for (int i = 0; i < 5; i++) {
                 assertEquals(
@@ -45,15 +45,15 @@
                                 .status());
                 Thread.sleep(20); // a connection stands still for a moment before it is used again
             }
-            assertEquals(1, up.sockets.size());
+            assertEquals(1, upstream.sockets.size());
         }
     }
 
     @Test
     void pipelinedRequestsAreAnsweredInOrder() throws Exception {
-        try (ScriptedServer up = new ScriptedServer((request, socket) ->
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) ->
                         ScriptedServer.reply(socket, 200, request.headers().get("x-call-id")));
-                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+                Loopback lb = Loopback.setup().upstream("u", upstream.address()).start()) {
             Socket client = lb.connect();
             ScriptedServer.write(client, Loopback.request("a", "read", 2000) + Loopback.request("b", "read", 2000));
             java.io.InputStream in = new java.io.BufferedInputStream(client.getInputStream());
@@ -76,13 +76,13 @@
         "HTTP/1.1, HTTQ/9"
     })
     void aMalformedRequestIsRejectedWithoutAnAttempt(String from, String to) throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
-                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
+                Loopback lb = Loopback.setup().upstream("u", upstream.address()).start()) {
             ScriptedServer.Message answer = Loopback.ask(
                     lb.connect(), Loopback.request("id-1", "order", 900).replace(from, to));
             assertEquals(4, answer.status() / 100, answer.line());
             assertEquals(200, lb.ask("id-2", "order", 900).status());
-            assertEquals(1, up.requests.size(), "only the good one reaches an upstream");
+            assertEquals(1, upstream.requests.size(), "only the good one reaches an upstream");
         }
     }
 
@@ -135,18 +135,19 @@
     @Test
     void aLongResponseIsReturnedCompletely() throws Exception {
         String body = "0123456789".repeat(40_000);
-        try (ScriptedServer up = ScriptedServer.serving(body);
-                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+        try (ScriptedServer upstream = ScriptedServer.serving(body);
+                Loopback lb = Loopback.setup().upstream("u", upstream.address()).start()) {
             assertEquals(body, lb.ask("id-1", "order", 10_000).body());
         }
     }
 
     @Test
     void anOversizedResponseFailsAndItsConnectionIsClosed() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x".repeat(UpstreamConnectionPool.MAX_RESPONSE_BYTES + 1));
-                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+        try (ScriptedServer upstream =
+                        ScriptedServer.serving("x".repeat(UpstreamConnectionPool.MAX_RESPONSE_BYTES + 1));
+                Loopback lb = Loopback.setup().upstream("u", upstream.address()).start()) {
             assertEquals(502, lb.ask("id-1", "order", 2000).status());
-            Loopback.await("connection closed", () -> up.left.get() == 1);
+            Loopback.await("connection closed", () -> upstream.left.get() == 1);
         }
     }
 
@@ -154,10 +155,10 @@
     void aRejectedAttemptIsRetriedAtAnotherUpstream() throws Exception {
         try (ScriptedServer full = new ScriptedServer(
                         (request, socket) -> ScriptedServer.reply(socket, 503, "", "X-Rejected: 1"));
-                ScriptedServer up = ScriptedServer.serving("x");
+                ScriptedServer upstream = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup()
                         .upstream("a", full.address())
-                        .upstream("b", up.address())
+                        .upstream("b", upstream.address())
                         .start()) {
             for (int i = 0; i < 8; i++) {
                 assertEquals(200, lb.ask("id-" + i, "order", 2000).status());
@@ -187,27 +188,27 @@
     }
 
     private static void assertServedDespite(String bad) throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup()
                         .upstream("a", bad)
-                        .upstream("b", up.address())
+                        .upstream("b", upstream.address())
                         .start()) {
             for (int i = 0; i < 8; i++) {
                 assertEquals(200, lb.ask("id-" + i, "order", 2000).status());
             }
-            assertEquals(8, up.requests.size());
+            assertEquals(8, upstream.requests.size());
         }
     }
 
     @Test
     void aSilentUpstreamCostsTheClientNoMoreThanItsBudget() throws Exception {
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {});
-                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {});
+                Loopback lb = Loopback.setup().upstream("u", upstream.address()).start()) {
             long start = System.nanoTime();
             assertEquals(502, lb.ask("id-1", "order", 400).status());
             long took = (System.nanoTime() - start) / 1_000_000;
             assertTrue(took >= 300 && took < 5_000, "took " + took + " ms"); // a slow machine is late
-            Loopback.await("attempt given up", () -> up.left.get() == 1);
+            Loopback.await("attempt given up", () -> upstream.left.get() == 1);
         }
     }
 
@@ -227,30 +228,30 @@
 
     @Test
     void aClientThatDisconnectsCancelsItsAttempt() throws Exception {
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {});
-                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {});
+                Loopback lb = Loopback.setup().upstream("u", upstream.address()).start()) {
             Socket client = lb.connect();
             ScriptedServer.write(client, Loopback.request("id-1", "order", 60_000));
-            Loopback.await("sent", () -> up.requests.size() == 1);
+            Loopback.await("sent", () -> upstream.requests.size() == 1);
             client.close();
-            Loopback.await("attempt given up", () -> up.left.get() == 1);
+            Loopback.await("attempt given up", () -> upstream.left.get() == 1);
         }
     }
 
     @Test
     void idleUpstreamConnectionsAreClosedBeforeTheUpstreamDoes() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
-                Loopback lb = Loopback.setup().upstream("u", up.address()).start()) {
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
+                Loopback lb = Loopback.setup().upstream("u", upstream.address()).start()) {
             assertEquals(200, lb.ask("id-1", "order", 2000).status());
-            Loopback.await("closed as idle", () -> up.left.get() == 1);
+            Loopback.await("closed as idle", () -> upstream.left.get() == 1);
         }
     }
 
     @Test
     void moreClientsThanSocketsAreRejectedWithoutAFailure() throws Exception {
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {});
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {});
                 Loopback lb = Loopback.setup()
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .sockets(128)
                         .start()) {
             List<Socket> clients = new ArrayList<>();
@@ -274,9 +275,9 @@
 
     @Test
     void idleClientConnectionsAreClosedForNewOnes() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup()
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .sockets(128)
                         .start()) {
             for (int i = 0; i < 100; i++) {
--- a/src/test/java/sedgeyoke/proxy/ShutdownWithBodiesTest.java
+++ b/src/test/java/sedgeyoke/proxy/ShutdownWithBodiesTest.java
@@ -49,9 +49,9 @@
     @Test
     void bodiesInFlightAreFinished() throws Exception {
         CountDownLatch second = new CountDownLatch(1);
-        try (ScriptedServer up = node(second);
+        try (ScriptedServer upstream = node(second);
                 Loopback lb = Loopback.setup()
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .bodies(LIMITS)
                         .start()) {
             Loopback.await("ready", () -> lb.health() == 200);
@@ -64,7 +64,7 @@
             Socket sending = lb.connect();
             ScriptedServer.write(sending, upload("up"));
             sending.getOutputStream().write(new byte[HALF]);
-            Loopback.await("it goes on", () -> up.sockets.size() == 2);
+            Loopback.await("it goes on", () -> upstream.sockets.size() == 2);
             Thread end = end(lb);
             second.countDown();
             sending.getOutputStream().write(new byte[HALF]);
@@ -81,9 +81,9 @@
     @Test
     void bodiesThatCannotBeFinishedAreAborted() throws Exception {
         CountDownLatch never = new CountDownLatch(1);
-        try (ScriptedServer up = node(never);
+        try (ScriptedServer upstream = node(never);
                 Loopback lb = Loopback.setup()
-                        .upstream("u", up.address())
+                        .upstream("u", upstream.address())
                         .bodies(LIMITS)
                         .setting("\"give-up-s\":2", "\"give-up-s\":0.3")
                         .start()) {
@@ -95,7 +95,7 @@
             Socket sending = lb.connect();
             ScriptedServer.write(sending, upload("up"));
             sending.getOutputStream().write(new byte[HALF]);
-            Loopback.await("it goes on", () -> up.sockets.size() == 2);
+            Loopback.await("it goes on", () -> upstream.sockets.size() == 2);
             Thread end = end(lb);
             assertEquals(503, Loopback.answer(sending).status(), "its last byte never went out: it never ran");
             byte[] got = answer.readAllBytes();
@@ -105,7 +105,7 @@
             sending.close();
             end.join(10_000);
             assertFalse(end.isAlive());
-            assertEquals(1, up.requests.size(), "the upload never ran");
+            assertEquals(1, upstream.requests.size(), "the upload never ran");
         }
     }
 }
--- a/src/test/java/sedgeyoke/proxy/UpstreamResponsesTest.java
+++ b/src/test/java/sedgeyoke/proxy/UpstreamResponsesTest.java
@@ -17,22 +17,22 @@
 class UpstreamResponsesTest {
     private static final int LONG_MS = 60_000;
 
-    private ScriptedPolicy module;
+    private ScriptedPolicy policy;
 
     /** A policy that has one request in flight at a time and sends the next as soon as one ends. */
-    private Loopback oneAfterTheOther(ScriptedServer up) throws Exception {
+    private Loopback oneAfterTheOther(ScriptedServer upstream) throws Exception {
         Queue<Request> waiting = new ArrayDeque<>();
         return Loopback.setup()
-                .upstream("u", up.address())
-                .module(actions -> {
-                    module = new ScriptedPolicy(actions);
-                    module.onRequest = (m, r) -> {
+                .upstream("u", upstream.address())
+                .policy(actions -> {
+                    policy = new ScriptedPolicy(actions);
+                    policy.onRequest = (m, r) -> {
                         waiting.add(r);
                         if (waiting.size() == 1) {
                             m.actions.send(r.id(), "u", 0);
                         }
                     };
-                    module.onEnd = (m, end) -> {
+                    policy.onEnd = (m, end) -> {
                         waiting.poll();
                         if (end.outcome() != Outcome.OK) {
                             m.actions.fail(end.request());
@@ -41,7 +41,7 @@
                             m.actions.send(waiting.peek().id(), "u", 0);
                         }
                     };
-                    return module;
+                    return policy;
                 })
                 .start();
     }
@@ -50,13 +50,13 @@
     @ParameterizedTest
     @ValueSource(strings = {"", "noise", "noise\r\n\r\n", "HTTP/1.1 200 OK\r\n"})
     void strayBytesBehindAResponseAreDiscarded(String noise) throws Exception {
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     Thread.sleep(20); // so that the next request waits for the end of this one
                     String id = request.headers().get("x-call-id");
                     String answer = "HTTP/1.1 200 OK\r\nContent-Length: " + id.length() + "\r\n\r\n" + id;
                     ScriptedServer.write(socket, answer + (noise.isEmpty() ? answer : noise));
                 });
-                Loopback lb = oneAfterTheOther(up)) {
+                Loopback lb = oneAfterTheOther(upstream)) {
             Socket[] clients = new Socket[6];
             for (int i = 0; i < clients.length; i++) {
                 clients[i] = lb.connect();
@@ -70,11 +70,11 @@
 
     @Test
     void strayBytesOnAnIdleConnectionCloseIt() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x");
-                Loopback lb = oneAfterTheOther(up)) {
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
+                Loopback lb = oneAfterTheOther(upstream)) {
             assertEquals(200, lb.ask("id-1", "order", LONG_MS).status());
-            ScriptedServer.write(up.sockets.get(0), "n");
-            Loopback.await("closed", () -> up.left.get() == 1);
+            ScriptedServer.write(upstream.sockets.get(0), "n");
+            Loopback.await("closed", () -> upstream.left.get() == 1);
             assertEquals(200, lb.ask("id-2", "order", LONG_MS).status());
         }
     }
@@ -103,22 +103,22 @@
                 "noise"
             })
     void anInvalidResponseFailsTheAttemptAtOnce(String answer) throws Exception {
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> ScriptedServer.write(socket, answer));
-                Loopback lb = oneAfterTheOther(up)) {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> ScriptedServer.write(socket, answer));
+                Loopback lb = oneAfterTheOther(upstream)) {
             assertEquals(502, lb.ask("id-1", "order", LONG_MS).status());
-            assertEquals(Outcome.ERROR, module.ends.get(0).outcome());
-            Loopback.await("connection closed", () -> up.left.get() == 1);
+            assertEquals(Outcome.ERROR, policy.ends.get(0).outcome());
+            Loopback.await("connection closed", () -> upstream.left.get() == 1);
         }
     }
 
     @Test
     void informationalResponsesAreSkipped() throws Exception {
-        try (ScriptedServer up = new ScriptedServer((request, socket) -> ScriptedServer.write(
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> ScriptedServer.write(
                         socket,
                         "HTTP/1.1 100 Continue\r\n\r\n"
                                 + "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
                                 + "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"));
-                Loopback lb = oneAfterTheOther(up)) {
+                Loopback lb = oneAfterTheOther(upstream)) {
             assertEquals("x", lb.ask("id-1", "order", LONG_MS).body());
             assertEquals("x", lb.ask("id-2", "order", LONG_MS).body());
         }
@@ -142,22 +142,22 @@
                 "{\"cpu\":0.5}\r\nX-Load-Report: {\"cpu\":0.1}"
             })
     void anInvalidLoadReportIsIgnored(String report) throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x", "X-Load-Report: " + report);
-                Loopback lb = oneAfterTheOther(up)) {
+        try (ScriptedServer upstream = ScriptedServer.serving("x", "X-Load-Report: " + report);
+                Loopback lb = oneAfterTheOther(upstream)) {
             assertEquals("x", lb.ask("id-1", "order", LONG_MS).body());
-            Loopback.await("told", () -> !module.ends.isEmpty());
-            assertNull(module.ends.get(0).load());
+            Loopback.await("reported", () -> !policy.ends.isEmpty());
+            assertNull(policy.ends.get(0).load());
         }
     }
 
     @Test
     void aValidLoadReportReachesThePolicy() throws Exception {
-        try (ScriptedServer up = ScriptedServer.serving("x", "X-Load-Report: {\"cpu\":0.5,\"more\":[1]}");
-                Loopback lb = oneAfterTheOther(up)) {
+        try (ScriptedServer upstream = ScriptedServer.serving("x", "X-Load-Report: {\"cpu\":0.5,\"more\":[1]}");
+                Loopback lb = oneAfterTheOther(upstream)) {
             assertEquals("x", lb.ask("id-1", "order", LONG_MS).body());
-            Loopback.await("told", () -> !module.ends.isEmpty());
-            assertNotNull(module.ends.get(0).load());
-            assertEquals(0.5, module.ends.get(0).load().utilisation());
+            Loopback.await("reported", () -> !policy.ends.isEmpty());
+            assertNotNull(policy.ends.get(0).load());
+            assertEquals(0.5, policy.ends.get(0).load().utilisation());
         }
     }
 }
