--- a/src/test/java/sedgeyoke/proxy/BodiesTest.java
+++ b/src/test/java/sedgeyoke/proxy/BodiesTest.java
@@ -197,7 +197,7 @@
             byte[] all = client.getInputStream().readAllBytes();
             assertTrue(all.length < 500_000, "cut at " + all.length);
             assertTrue(new String(all, 0, 200, StandardCharsets.ISO_8859_1).contains("1000000"));
-            assertEquals(1, upstream.requests.size(), "and not asked again");
+            assertEquals(1, upstream.requests.size(), "and not requested again");
         }
     }
 
@@ -330,9 +330,9 @@
             Socket client = lb.connect();
             ScriptedServer.write(client, upload("a", "order", "Content-Length: 49160"));
             client.getOutputStream().write(new byte[49_160]);
-            ScriptedServer.Message refused = Loopback.answer(client);
-            assertEquals(503, refused.status());
-            if (!"close".equals(refused.headers().get("connection"))) {
+            ScriptedServer.Message rejected = Loopback.answer(client);
+            assertEquals(503, rejected.status());
+            if (!"close".equals(rejected.headers().get("connection"))) {
                 assertEquals(
                         503,
                         Loopback.ask(client, Loopback.request("b", "order", 300))
--- a/src/test/java/sedgeyoke/proxy/CrossingsTest.java
+++ b/src/test/java/sedgeyoke/proxy/CrossingsTest.java
@@ -385,20 +385,20 @@
         }
     }
 
-    /** The agent has been silent for a while; what it has at its return counts at once, so it is asked often. */
+    /** The agent has been silent for a while; what it has at its return counts at once, so it is polled often. */
     @Test
     void aSilentAgentIsAskedWithinTheTimeThatDrainsLeave() throws Exception {
         String readyMember = Loopback.member("u", "127.0.0.1:1", "up");
-        List<Long> asked = new java.util.concurrent.CopyOnWriteArrayList<>();
+        List<Long> callTimes = new java.util.concurrent.CopyOnWriteArrayList<>();
         ScriptedServer discovery = new ScriptedServer((request, socket) -> {
-            asked.add(System.nanoTime());
-            if (asked.size() == 1) {
+            callTimes.add(System.nanoTime());
+            if (callTimes.size() == 1) {
                 ScriptedServer.reply(socket, 200, Loopback.list(1, true, readyMember));
             }
         });
         try (Loopback lb = start(Loopback.setup().discovery(discovery))) {
-            Loopback.await("asked often", () -> lb.discovery.requests.size() >= 12 && asked.size() >= 12);
-            long sum = asked.get(11) - asked.get(2);
+            Loopback.await("polled often", () -> lb.discovery.requests.size() >= 12 && callTimes.size() >= 12);
+            long sum = callTimes.get(11) - callTimes.get(2);
             assertTrue(sum / 9 < 400 * MS, "drain-grace-s of these settings, on the mean of nine: " + sum / 9 / MS);
         }
     }
@@ -410,7 +410,7 @@
         String list = Loopback.list(1, true, readyMember);
         ScriptedServer discovery = new ScriptedServer((request, socket) -> {
             if (request.line().contains("from=")) {
-                return; // nothing new, and no word of it
+                return; // no change, and no response
             }
             ScriptedServer.write(
                     socket, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list.substring(0, 9));
--- a/src/test/java/sedgeyoke/proxy/DiscoveryTest.java
+++ b/src/test/java/sedgeyoke/proxy/DiscoveryTest.java
@@ -19,8 +19,8 @@
         return start(false, members);
     }
 
-    /** The same; {@code asked}: lists are polled from one service for all balancers. */
-    private Loopback start(boolean asked, String... members) throws Exception {
+    /** The same; {@code polled}: lists are polled from one service for all balancers. */
+    private Loopback start(boolean polled, String... members) throws Exception {
         ScriptedServer discovery = new ScriptedServer((request, socket) -> {
             String reply = replies.take();
             if (reply.isEmpty()) {
@@ -35,7 +35,7 @@
             return policy;
         });
         setup.members.addAll(List.of(members));
-        if (asked) {
+        if (polled) {
             setup.setting("\"discovery\":\"pushed\"", "\"discovery\":\"on_request\"");
         }
         return setup.start();
--- a/src/test/java/sedgeyoke/proxy/HandOverTest.java
+++ b/src/test/java/sedgeyoke/proxy/HandOverTest.java
@@ -47,10 +47,10 @@
                         new ScriptedServer((request, socket) -> ScriptedServer.reply(socket, 200, "x"));
                 Loopback old = start(listener, upstream, discovery(upstream))) {
             Loopback.await("ready", () -> old.health() == 200);
-            Socket kept = old.connect();
+            Socket persistent = old.connect();
             assertEquals(
                     200,
-                    Loopback.ask(kept, Loopback.request("first", "order", 5_000))
+                    Loopback.ask(persistent, Loopback.request("first", "order", 5_000))
                             .status());
             Socket silent = old.connect(); // accepted, and asks only later
             Loopback.await("accepted", () -> old.server.clients() >= 2);
@@ -63,14 +63,14 @@
                     assertEquals(200, next.ask("new-" + i, "order", 5_000).status());
                 }
                 assertEquals(50, next.metric("served.order"), "each of them went to the new one");
-                ScriptedServer.Message last = Loopback.ask(kept, Loopback.request("second", "order", 5_000));
+                ScriptedServer.Message last = Loopback.ask(persistent, Loopback.request("second", "order", 5_000));
                 assertEquals(200, last.status());
-                assertEquals("close", last.headers().get("connection"), "it is told to go where the new one is");
+                assertEquals("close", last.headers().get("connection"), "the client must connect to the new one");
                 assertEquals(
                         200,
                         Loopback.ask(silent, Loopback.request("third", "order", 5_000))
                                 .status());
-                kept.close();
+                persistent.close();
                 silent.close();
                 end.join(10_000);
                 assertTrue(!end.isAlive());
--- a/src/test/java/sedgeyoke/proxy/LeavingClientsTest.java
+++ b/src/test/java/sedgeyoke/proxy/LeavingClientsTest.java
@@ -141,7 +141,7 @@
                         start(Loopback.setup().upstream("full", full.address()).upstream("u", upstream.address()))) {
             policy.onRequest = (m, r) -> m.actions.send(r.id(), "full", 0);
             List<Socket> sockets = clients(lb, how);
-            Loopback.await("all were turned away", () -> policy.ends.size() == CLIENTS);
+            Loopback.await("all were rejected", () -> policy.ends.size() == CLIENTS);
             leave(sockets, how);
             Loopback.await("all have gone", () -> new HashSet<>(policy.gone).equals(ids(how)));
             lb.loop
@@ -210,7 +210,7 @@
     }
 
     /**
-     * Bodies longer than is gathered, which no attempt has taken: the rest of each and its client's end lie in the
+     * Bodies longer than may be buffered, which no attempt has taken: the rest of each and its client's end lie in the
      * kernel, where they are met only once an attempt takes the body. It never gets the last part, so it never begins.
      */
     @ParameterizedTest
