Admission control is a class of its own

UtilizationWeightedPolicy held the admitted share, the tenants' quotas and the delays of rejected requests beside the selection of upstreams. AdmissionControl now keeps that state; its constants have names.

--- a/src/main/java/sedgeyoke/policy/PlanBlend.java
+++ b/src/main/java/sedgeyoke/policy/PlanBlend.java
@@ -4,10 +4,7 @@
 import sedgeyoke.policy.LoadBalancingPolicy.Plan;
 import sedgeyoke.policy.LoadBalancingPolicy.SlowStartQuota;
 
-/**
- * The latest plan and its strength, which fades out when planners fall silent and rises again when they are
- * back, so that neither their end nor their return is a step in traffic.
- */
+/** The latest plan and its strength, which fades in and out so that no planner's return or end is a step. */
 final class PlanBlend {
     private static final long FRESH_TIME = 1_000_000; // since the last contact, at full strength
     private static final long RISE_TIME = 2_000_000; // from no strength to full strength
--- a/src/main/java/sedgeyoke/policy/RetryPolicy.java
+++ b/src/main/java/sedgeyoke/policy/RetryPolicy.java
@@ -33,10 +33,8 @@
         boolean pending = !request.ended && !request.streaming && now < request.deadline;
         boolean attemptsLeft = request.attempts.size() < settings.limits().maxAttempts();
         boolean ready = upstream.entry.state() == State.READY && !upstream.plannedDraining;
-        if (!pending || !attemptsLeft || !ready) {
-            return false;
-        }
-        if (request.outstanding > 0 && !settings.limits().hedging()) {
+        boolean blocked = request.outstanding > 0 && !settings.limits().hedging();
+        if (!pending || !attemptsLeft || !ready || blocked) {
             return false;
         }
         Attempt earlier = request.firstThatMayHaveRun();
--- a/src/main/java/sedgeyoke/policy/SlowStartBucket.java
+++ b/src/main/java/sedgeyoke/policy/SlowStartBucket.java
@@ -3,10 +3,7 @@
 import sedgeyoke.policy.LoadBalancingPolicy.SlowStartGrant;
 import sedgeyoke.policy.LoadBalancingPolicy.SlowStartQuota;
 
-/**
- * The token bucket of a slow-starting upstream. It holds what the quotas give in one overload window, so that
- * all balancers together send at most twice that in any window; tokens of a delegated quota are forfeited.
- */
+/** The tokens of a slow-starting upstream for one overload window: all balancers send at most twice that. */
 public final class SlowStartBucket {
     private static final double SECONDS_PER_MICRO = 1e-6;
 
--- a/src/main/java/sedgeyoke/policy/UtilizationWeightedPolicy.java
+++ b/src/main/java/sedgeyoke/policy/UtilizationWeightedPolicy.java
@@ -1,7 +1,5 @@
 package sedgeyoke.policy;
 
-import static java.util.Comparator.comparingLong;
-
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -13,12 +11,10 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
-import java.util.stream.LongStream;
 
 /**
- * Takes in the events and selects upstreams. Each period reweights every upstream by its reported
- * utilisation against the mean; a request goes to one in proportion to (weight / (in flight + 1))^4, as in
- * Envoy's weighted least request with an active request bias. Other rules are factors on that or filters.
+ * Takes in the events and selects upstreams in proportion to (weight / (in flight + 1))^4, as in Envoy's
+ * weighted least request. Each period reweights them by their reported utilisation against the mean.
  */
 public final class UtilizationWeightedPolicy implements LoadBalancingPolicy {
 
@@ -33,9 +29,6 @@
     private static final double MAX_REPORTED_ACTIVE = 1e3;
     private static final double OVERLOADED_SLOWNESS = 3; // slowness that ends affinity, with sparse traffic
     private static final int RING_SHARERS = 8; // balancers that share one ring of upstreams
-    private static final double ADMISSION_TARGET = 0.7; // mean response time / objective
-    private static final double ADMISSION_GAIN = 0.2;
-    private static final double MIN_ADMITTED = 0.1;
     private static final double SPARSE_ERROR_WEIGHT = 0.8; // with sparse traffic few errors come by chance
     private static final double SPARSE_ERROR_DECAY = 0.95; // of the error rate, for each period
     private static final double CROSS_ZONE_WEIGHT = 80; // added to the own zone's weight, times its price
@@ -68,20 +61,18 @@
     private Map<String, Long> cordoned = Map.of();
     private final Map<String, RequestState> requests = new HashMap<>();
     private final PriorityQueue<RequestState> byDeadline = new PriorityQueue<>(
-            comparingLong((RequestState each) -> each.deadline).thenComparingLong(each -> each.number));
+            Comparator.<RequestState>comparingLong(r -> r.deadline).thenComparingLong(r -> r.number));
     private final TreeSet<RequestState> queue = new TreeSet<>(
             Comparator.<RequestState>comparingDouble(r -> -r.priority).thenComparingLong(r -> -r.number));
     private final double[] classResponseTimes;
-    private final double[] rejectionDelays;
-    private final List<TokenBucket> tenantTokens;
     private long requestNumber;
     private long nextReweight;
     private long nextHealthCheck;
-    private double meanReportedActive;
+    private double meanActive; // requests in flight, as reported by all upstreams
     private double meanServiceTime; // as reported by all upstreams
 
     private final Map<Integer, Double> serviceTimeByKind = new HashMap<>(); // by zone and kind
-    private double admittedShare = 1;
+    private final AdmissionControl admission;
     private final RetryPolicy retryPolicy;
     private long listGeneration;
     private double meanResponseTime;
@@ -103,14 +94,12 @@
         this.deadlineMargin = SWEEP_PERIOD + MARGIN_TICKS * Math.max(settings.clockTick(), 1_000);
         this.retryPolicy = new RetryPolicy(settings, deadlineMargin);
         List<RequestClass> classes = settings.classes();
-        LongStream objectives = classes.stream().mapToLong(RequestClass::latencyObjective);
-        this.waitTarget =
-                (long) (ConcurrencyLimits.WAIT_TARGET_SHARE * objectives.min().orElse(Long.MAX_VALUE));
+        long objective =
+                classes.stream().mapToLong(RequestClass::latencyObjective).min().orElse(Long.MAX_VALUE);
+        this.waitTarget = (long) (ConcurrencyLimits.WAIT_TARGET_SHARE * objective);
         this.longestTimeout =
                 classes.stream().mapToLong(RequestClass::clientTimeout).max().orElse(0);
-        this.tenantTokens =
-                settings.tenants().stream().map(tenant -> new TokenBucket()).toList();
-        this.rejectionDelays = new double[classes.size()];
+        this.admission = new AdmissionControl(settings);
         this.classResponseTimes = new double[classes.size()];
         this.classRates = classes.stream().map(each -> new RateEstimator()).toList();
     }
@@ -155,14 +144,13 @@
         upstreamsById.values().stream()
                 .filter(each -> each.entry.state() == State.READY && !cordoned.containsKey(each.id))
                 .forEach(ready::add);
-        ready.sort(Comparator.<UpstreamState>comparingDouble(upstream -> upstream.ringPosition)
-                .thenComparing(upstream -> upstream.id));
+        ready.sort(
+                Comparator.<UpstreamState>comparingDouble(u -> u.ringPosition).thenComparing(u -> u.id));
         Collections.rotate(ready, settings.position() % RING_SHARERS * ready.size() / RING_SHARERS);
         int[] seen = new int[2];
         Map<UpstreamState, Double> turn = new HashMap<>();
         for (UpstreamState upstream : ready) {
-            double factor = zoneWeight(upstream);
-            turn.put(upstream, ++seen[factor > 1 ? 1 : 0] / factor);
+            turn.put(upstream, ++seen[zoneWeight(upstream) > 1 ? 1 : 0] / zoneWeight(upstream));
         }
         ready.sort(Comparator.comparingDouble(turn::get));
     }
@@ -186,9 +174,8 @@
     }
 
     /**
-     * An upstream whose cordon ends starts slowly from now, as operators restart what they cordon, unless the
-     * list has a later launch. The order of several released at once is that of Map.copyOf, which differs
-     * between JVMs: so do the random draws for their buckets. Known, and left as it is.
+     * An upstream whose cordon ends starts slowly from now, unless the list has a later launch: operators
+     * restart what they cordon. Map.copyOf orders several at once, and their random draws, by JVM: known.
      */
     @Override
     public void cordonsUpdated(long now, Map<String, Long> cordons) {
@@ -253,15 +240,16 @@
         return upstream.entry.kind() * settings.zones() + upstream.entry.zone();
     }
 
-    private void recordReport(UpstreamState upstream, LoadReport report, long now) {
-        if (report == null || !(report.utilisation() >= -0.5 && report.utilisation() <= 2)) {
+    private void recordReport(String id, LoadReport report, long now) {
+        UpstreamState upstream = report == null ? null : upstreamsById.get(id);
+        if (upstream == null || !(report.utilisation() >= -0.5 && report.utilisation() <= 2)) {
             return;
         }
         upstream.report = report;
         upstream.reportedAt = now;
         double active = report.active() >= 0 ? report.active() : report.waiting();
         upstream.reportedActive = active >= 0 ? Math.min(active, MAX_REPORTED_ACTIVE) : 0;
-        meanReportedActive += SMOOTHING * (upstream.reportedActive - meanReportedActive);
+        meanActive += SMOOTHING * (upstream.reportedActive - meanActive);
         if (report.serviceTime() > 0 && report.serviceTime() <= longestTimeout) { // else it is invalid
             upstream.serviceTime = report.serviceTime();
             upstream.serviceTimeAt = now;
@@ -286,8 +274,8 @@
                 }
             }
             case REJECTED -> {
-                double most = Math.min(upstream.limit, upstream.inFlight + 1);
-                double cut = most * ConcurrencyLimits.MAX_LIMIT_FACTOR;
+                double used = Math.min(upstream.limit, upstream.inFlight + 1);
+                double cut = used * ConcurrencyLimits.MAX_LIMIT_FACTOR;
                 upstream.limit = Math.max(ConcurrencyLimits.MIN_LIMIT, cut);
                 if (sparseTraffic()) {
                     upstream.backOffUntil = now + (long) meanResponseTime;
@@ -388,8 +376,7 @@
 
     /** What other balancers have in flight there: as last reported, fading to the mean. */
     private double othersInFlight(UpstreamState upstream, long now) {
-        return meanReportedActive
-                + confidence(upstream.reportedAt, now) * (upstream.reportedActive - meanReportedActive);
+        return meanActive + confidence(upstream.reportedAt, now) * (upstream.reportedActive - meanActive);
     }
 
     /** How much longer its service takes than the mean; concurrent requests share cores and show in it. */
@@ -507,10 +494,7 @@
 
     @Override
     public void attemptEnded(long now, AttemptEnd end) {
-        UpstreamState upstream = upstreamsById.get(end.upstream());
-        if (upstream != null) {
-            recordReport(upstream, end.load(), now);
-        }
+        recordReport(end.upstream(), end.load(), now);
         RequestState request = requests.get(end.request());
         Attempt attempt = request == null ? null : request.attempt(end.attempt());
         if (attempt == null) {
@@ -523,9 +507,9 @@
             attempt.countInFlight(request.cost, -1);
             recordOutcome(request, attempt, end, now);
             if (end.outcome() == Outcome.REJECTED) {
-                adjustAdmission(1.5);
+                admission.adjust(AdmissionControl.REJECTED_OBJECTIVE_SHARE);
             } else if (!end.outcome().neverRan && !request.request.bodyPending()) {
-                adjustAdmission((double) end.duration() / request.requestClass.latencyObjective());
+                admission.adjust((double) end.duration() / request.requestClass.latencyObjective());
             }
         }
         request.ended |= end.concluded();
@@ -555,12 +539,9 @@
 
     /** The final response to a request that was not served: a rejection where allowed, else a failure. */
     private void finish(RequestState request, long now) {
-        queue.remove(request);
         if (RetryPolicy.mayReject(request)) {
             actions.reject(request.request.id(), 0);
-            int classIndex = request.request.classIndex();
-            double change = now - request.arrivedAt - rejectionDelays[classIndex];
-            rejectionDelays[classIndex] += request.request.retry() ? 0 : 0.05 * change;
+            admission.recordRejection(request, now);
         } else {
             actions.fail(request.request.id());
         }
@@ -608,12 +589,8 @@
     public void requestArrived(long now, Request arrived) {
         RequestState request =
                 new RequestState(arrived, settings.classes().get(arrived.classIndex()), requestNumber++, now);
-        // The objective of a client's retry runs from its first request, which was mostly rejected.
-        request.objectiveAt -= arrived.retry() ? (long) rejectionDelays[arrived.classIndex()] : 0;
         request.cost = arrived.expectedWork() > 0 ? arrived.expectedWork() : classCost(arrived.classIndex());
-        request.priority = request.requestClass.priorityWeight()
-                / (settings.priorityWeightByWork() ? 1 : request.cost)
-                * (withinTenantQuota(arrived.tenant(), now) ? 1 : settings.overQuotaPriority());
+        admission.prioritise(request, now);
         boolean hinted = arrived.expectedWork() > 0;
         meanRequestCost = hinted ? MovingAverage.next(meanRequestCost, request.cost, 0.01) : meanClassCost();
         if (!arrived.retry()) {
@@ -623,7 +600,7 @@
         requests.put(arrived.id(), request);
         byDeadline.add(request);
         boolean late = now >= request.deadline - deadlineMargin;
-        if (late || sparseTraffic() && random.nextDouble() >= admittedShare) {
+        if (late || sparseTraffic() && random.nextDouble() >= admission.admittedShare()) {
             finish(request, now);
             return;
         }
@@ -632,19 +609,6 @@
         dispatchQueued(now);
     }
 
-    /** The admitted share follows how much of their objectives responses take: all late helps no client. */
-    private void adjustAdmission(double objectiveShare) {
-        double moved = admittedShare + ADMISSION_GAIN * (ADMISSION_TARGET - Math.min(2, objectiveShare));
-        admittedShare = Math.max(MIN_ADMITTED, Math.min(1, moved));
-    }
-
-    /** Whether a request is within our share of its tenant's allowance; beyond it, it loses priority. */
-    private boolean withinTenantQuota(int tenant, long now) {
-        boolean known = tenant >= 0 && tenant < tenantTokens.size();
-        double allowance = known ? settings.tenants().get(tenant).allowance() : 0;
-        return allowance <= 0 || tenantTokens.get(tenant).tryTake(allowance / settings.groupSize(), now);
-    }
-
     /** Sends queued requests, by priority, as long as upstreams have capacity. */
     private void dispatchQueued(long now) {
         if (queue.isEmpty() || ready.stream().noneMatch(upstream -> hasCapacity(upstream, now))) {
@@ -653,28 +617,26 @@
         dispatchByAffinity(now);
         int misses = 0;
         for (RequestState request = queue.isEmpty() ? null : queue.first(); request != null && misses < 3; ) {
-            RequestState following = queue.higher(request);
             UpstreamState upstream = selectUpstream(request, now, false);
             if (upstream != null) {
                 send(request, upstream, now);
             } else {
                 misses++;
             }
-            request = following;
+            request = queue.higher(request);
         }
     }
 
     /** Affinity goes before priority: under overload, requests on cold caches would prolong the overload. */
     private void dispatchByAffinity(long now) {
-        boolean panic = OutlierDetection.isPanic(ready, now);
         if (queue.size() < 2 || !settings.keyAffinity()) {
             return;
         }
+        boolean panic = OutlierDetection.isPanic(ready, now);
         for (RequestState request : new ArrayList<>(queue)) {
-            UpstreamState preferred = affinityUpstream(request, now);
-            boolean capacity = preferred != null && hasCapacity(preferred, now);
-            if (capacity && isEligible(preferred, request, now, panic)) {
-                send(request, preferred, now);
+            UpstreamState upstream = affinityUpstream(request, now);
+            if (upstream != null && hasCapacity(upstream, now) && isEligible(upstream, request, now, panic)) {
+                send(request, upstream, now);
             }
         }
     }
@@ -700,9 +662,8 @@
     }
 
     /**
-     * A slow-starting upstream takes overloadMultiple times its capacity at most. Each balancer may send a
-     * share of that multiple of its even part of its own traffic: over all balancers, that sums to capacity.
-     * Planners only delegate quotas. Pending bodies could end all at once, so such requests go elsewhere.
+     * A slow-starting upstream takes overloadMultiple times its capacity. Each balancer may send its share
+     * of that, by its own traffic, unless planners delegate quotas. Pending bodies could end all at once.
      */
     private boolean quotaAllows(UpstreamState upstream, RequestState request, long now) {
         if (warmUpFactor(upstream, now) >= 1) {
@@ -714,12 +675,15 @@
 
     private double slowStartRate(UpstreamState upstream, long now) {
         double rating = rating(upstream);
-        double rate = Math.sqrt(admittedShare) * requestRate.perSecond() / 1e6;
+        double rate = Math.sqrt(admission.admittedShare()) * requestRate.perSecond() / 1e6;
         double even = rate * rating / Math.max(ratingSum, rating);
         return SLOW_START_USE * settings.rules().overloadMultiple() * warmUpFactor(upstream, now) * even;
     }
 
     private void refillSlowStart(UpstreamState upstream, long now) {
+        if (warmUpFactor(upstream, now) >= 1) {
+            return;
+        }
         SlowStartQuota quota = plans.slowStartQuota(upstream.id, upstream.launchedAt());
         long window = settings.rules().overloadWindow();
         double own = slowStartRate(upstream, now);
@@ -751,20 +715,14 @@
 
     @Override
     public void planUpdated(long now, Plan plan) {
-        ready.forEach(upstream -> settleSlowStart(upstream, now));
+        ready.forEach(upstream -> refillSlowStart(upstream, now));
         plans.update(now, plan);
         plan.upstreams().forEach(view -> apply(now, view));
-        ready.forEach(upstream -> settleSlowStart(upstream, now)); // tokens of delegated quotas are forfeited
+        ready.forEach(upstream -> refillSlowStart(upstream, now)); // tokens of delegated quotas are forfeited
         applyPlan(now);
         dispatchQueued(now);
     }
 
-    private void settleSlowStart(UpstreamState upstream, long now) {
-        if (warmUpFactor(upstream, now) < 1) {
-            refillSlowStart(upstream, now);
-        }
-    }
-
     /** A planner can lower what we send, or raise it by grants; it adds no upstream. */
     private void apply(long now, UpstreamView view) {
         UpstreamState upstream = upstreamsById.get(view.id());
@@ -801,14 +759,10 @@
 
     @Override
     public Summary summary(long now) {
-        List<Double> demand = classRates.stream().map(RateEstimator::perSecond).toList();
         List<UpstreamStatus> statuses = new ArrayList<>(upstreamsById.size());
         for (UpstreamState upstream : upstreamsById.values()) {
             boolean reported = upstream.report != null;
             boolean slowStart = warmUpFactor(upstream, now) < 1 && meanRequestCost > 0;
-            double used = reported ? upstream.report.utilisation() : Double.NaN;
-            double waiting = reported ? upstream.report.waiting() : Double.NaN;
-            double quota = slowStart ? slowStartRate(upstream, now) * 1e6 : 0;
             statuses.add(new UpstreamStatus(
                     upstream.id,
                     upstream.entry.zone(),
@@ -818,12 +772,13 @@
                     upstream.attemptsSent,
                     upstream.weight,
                     upstream.limit,
-                    used,
-                    waiting,
+                    reported ? upstream.report.utilisation() : Double.NaN,
+                    reported ? upstream.report.waiting() : Double.NaN,
                     reported ? upstream.reportedAt : 0,
                     OutlierDetection.isEjected(upstream, now) || cordoned.containsKey(upstream.id),
-                    quota));
+                    slowStart ? slowStartRate(upstream, now) * 1e6 : 0));
         }
+        List<Double> demand = classRates.stream().map(RateEstimator::perSecond).toList();
         return new Summary(demand, statuses, queue.size());
     }
 
@@ -881,16 +836,15 @@
         double requests = Math.max(requestRate.perSecond(), 1);
         double perSecond = Math.min(share * requests, ready.size() * 1e6 / HEALTH_CHECK_INTERVAL);
         nextHealthCheck = now + jitter((long) (1e6 / perSecond));
-        UpstreamState oldest = Collections.min(ready, comparingLong(each -> each.healthCheckedAt));
+        UpstreamState oldest = Collections.min(ready, Comparator.comparingLong(each -> each.healthCheckedAt));
         oldest.healthCheckedAt = now;
         actions.healthCheck(oldest.id);
     }
 
     @Override
     public void healthCheckCompleted(long now, String upstreamId, Outcome outcome, LoadReport load) {
-        UpstreamState upstream = upstreamsById.get(upstreamId);
-        if (upstream != null && outcome == Outcome.OK) {
-            recordReport(upstream, load, now);
+        if (outcome == Outcome.OK) {
+            recordReport(upstreamId, load, now);
         }
     }
 
