--- /dev/null
+++ b/src/test/java/sedgeyoke/policy/RandomSettings.java
@@ -0,0 +1,100 @@
+package sedgeyoke.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import sedgeyoke.policy.LoadBalancingPolicy.Effect;
+import sedgeyoke.policy.LoadBalancingPolicy.Limits;
+import sedgeyoke.policy.LoadBalancingPolicy.PlatformRules;
+import sedgeyoke.policy.LoadBalancingPolicy.Prices;
+import sedgeyoke.policy.LoadBalancingPolicy.Ratings;
+import sedgeyoke.policy.LoadBalancingPolicy.Reports;
+import sedgeyoke.policy.LoadBalancingPolicy.RequestClass;
+import sedgeyoke.policy.LoadBalancingPolicy.Scope;
+import sedgeyoke.policy.LoadBalancingPolicy.Settings;
+import sedgeyoke.policy.LoadBalancingPolicy.Tenant;
+
+/** Draws the settings of one run, in groups by the number of balancers and by the way of load reports. */
+final class RandomSettings {
+    private static final long MILLI = 1_000;
+    private static final long SECOND = 1_000_000;
+
+    private RandomSettings() {}
+
+    static boolean manyBalancers(int seed) {
+        return seed / 3 % 2 == 1;
+    }
+
+    static int reports(int seed) {
+        return seed % 3;
+    }
+
+    /** The settings of one run; which group they belong to follows from the seed. */
+    static Settings draw(SplittableRandom random, int seed, int upstreams) {
+        List<RequestClass> classes = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            classes.add(new RequestClass(
+                    oneOf(random, 50, 200, 600) * MILLI,
+                    random.nextInt(2),
+                    oneOf(random, 1, 2, 3) * SECOND,
+                    1 + random.nextInt(4),
+                    random.nextInt(2) * 0.5,
+                    Effect.values()[i % 3],
+                    Scope.values()[random.nextInt(3)],
+                    oneOf(random, 100, 1_000, 5_000) * MILLI,
+                    chance(random, 0.3)));
+        }
+        List<Tenant> tenants = new ArrayList<>();
+        for (int i = random.nextInt(4); i > 0; i--) {
+            tenants.add(new Tenant(chance(random, 0.3) ? 0 : 5 + random.nextInt(100), random.nextDouble()));
+        }
+        int zones = 1 + random.nextInt(3);
+        int group = manyBalancers(seed) ? upstreams + random.nextInt(12) : 1 + random.nextInt(3);
+        Limits limits = new Limits(
+                1 + random.nextInt(4),
+                chance(random, 0.5),
+                chance(random, 0.8),
+                chance(random, 0.7),
+                chance(random, 0.5),
+                20_000,
+                chance(random, 0.5),
+                SECOND,
+                SECOND / 4,
+                10 * SECOND,
+                1);
+        PlatformRules rules = new PlatformRules(
+                20 * MILLI,
+                oneOf(random, 1, 4, 10) * SECOND,
+                0.1 + 0.4 * random.nextDouble(),
+                oneOf(random, 0, 3, 20) * SECOND,
+                SECOND,
+                1 + random.nextInt(4),
+                oneOf(random, 1, 2, 4) * SECOND);
+        Prices prices = new Prices(random.nextInt(2) * 0.02, 0.1, random.nextInt(2) * 0.001, 0.05, 0);
+        return new Settings(
+                random.nextInt(zones),
+                zones,
+                random.nextInt(20),
+                group,
+                classes,
+                tenants,
+                0.2,
+                chance(random, 0.5),
+                limits,
+                rules,
+                prices,
+                Reports.values()[reports(seed)],
+                Ratings.values()[random.nextInt(Ratings.values().length)],
+                chance(random, 0.6),
+                chance(random, 0.6),
+                random.nextInt(6) * MILLI);
+    }
+
+    static boolean chance(SplittableRandom random, double share) {
+        return random.nextDouble() < share;
+    }
+
+    static long oneOf(SplittableRandom random, long... values) {
+        return values[random.nextInt(values.length)];
+    }
+}
--- /dev/null
+++ b/src/test/java/sedgeyoke/policy/ReplayJournal.java
@@ -0,0 +1,87 @@
+package sedgeyoke.policy;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** A digest of all that is put in, and a count of each kind. */
+final class ReplayJournal {
+    /** What enters the digest, events first; its code is the ordinal. */
+    enum Kind {
+        START,
+        ENDPOINTS,
+        REQUEST,
+        OUTCOME,
+        RESPONSE_STARTED,
+        TRANSFER_STARTED,
+        CLIENT_DISCONNECTED,
+        HEALTH_CHECK_COMPLETED,
+        TIMER_DUE,
+        PEER,
+        PLAN,
+        CORDONS,
+        SUMMARY,
+        SEND,
+        REJECT,
+        FAIL,
+        CANCEL,
+        TIMER,
+        HEALTH_CHECK,
+        WATCH,
+        CLOSE_IDLE,
+        FETCH,
+        SEND_TO_PEER,
+        LOG
+    }
+
+    private final MessageDigest digest;
+    private final int[] counts;
+
+    ReplayJournal(int[] counts) {
+        this.counts = counts;
+        try {
+            digest = MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    /** Puts in one event or action with its arguments: numbers, truth values, strings, enum constants, null. */
+    void note(Kind kind, long now, Object... arguments) {
+        counts[kind.ordinal()]++;
+        put(kind.ordinal());
+        put(now);
+        for (Object argument : arguments) {
+            put(argument);
+        }
+    }
+
+    void put(Object value) {
+        if (value instanceof Double number) {
+            put(Double.doubleToLongBits(number));
+        } else if (value instanceof Number number) {
+            put(number.longValue());
+        } else if (value instanceof Boolean truth) {
+            put(truth ? 1 : 0);
+        } else if (value instanceof Enum<?> constant) {
+            put(constant.ordinal());
+        } else if (value instanceof String text) {
+            put(text.length());
+            digest.update(text.getBytes(StandardCharsets.UTF_8));
+        } else if (value == null) {
+            put(-1);
+        } else {
+            throw new IllegalArgumentException("no code for " + value);
+        }
+    }
+
+    private void put(long value) {
+        digest.update(ByteBuffer.allocate(Long.BYTES).putLong(value).array());
+    }
+
+    String hex() {
+        return HexFormat.of().formatHex(digest.digest()).substring(0, 32);
+    }
+}
