--- a/src/main/java/sedgeyoke/policy/PlanBlend.java
+++ b/src/main/java/sedgeyoke/policy/PlanBlend.java
@@ -6,8 +6,8 @@
 
 /** The latest plan and its strength, which fades in and out so that no planner's return or end is a step. */
 final class PlanBlend {
-    private static final long FRESH_TIME = 1_000_000; // since the last contact, at full strength
-    private static final long RISE_TIME = 2_000_000; // from no strength to full strength
+    private static final long FRESH_TIME_MICROS = 1_000_000; // since the last contact, at full strength
+    private static final long RISE_TIME_MICROS = 2_000_000; // from no strength to full strength
 
     private Plan plan;
     private double strength;
@@ -23,8 +23,8 @@
         if (plan == null) {
             return 0;
         }
-        boolean fresh = plan.lastPlannerContact() > 0 && now - plan.lastPlannerContact() <= FRESH_TIME;
-        double step = (now - strengthAt) / (double) (fresh ? RISE_TIME : -plan.fadeOutTime());
+        boolean fresh = plan.lastPlannerContact() > 0 && now - plan.lastPlannerContact() <= FRESH_TIME_MICROS;
+        double step = (now - strengthAt) / (double) (fresh ? RISE_TIME_MICROS : -plan.fadeOutTime());
         strength = strengthAt == 0 ? 0 : Math.max(0, Math.min(1, strength + step));
         strengthAt = now;
         return strength;
--- a/src/main/java/sedgeyoke/policy/UpstreamState.java
+++ b/src/main/java/sedgeyoke/policy/UpstreamState.java
@@ -5,7 +5,7 @@
 
 /** What this balancer knows of one process of one upstream. A restarted upstream gets a new state. */
 final class UpstreamState {
-    private static final long REPORT_LIFETIME = 3_000_000; // older load reports are ignored
+    private static final long REPORT_LIFETIME_MICROS = 3_000_000; // older load reports are ignored
     private static final double BUSY_UTILISATION = 0.8; // below it, requests do not wait for a core
 
     final String id;
@@ -30,7 +30,7 @@
     long lastResponseAt = Long.MIN_VALUE / 2;
     boolean hanging;
     long ejectedUntil;
-    long ejectionTime = OutlierDetection.FIRST_EJECTION;
+    long ejectionTime = OutlierDetection.BASE_EJECTION_MICROS;
     SlowStartBucket slowStart;
     long attemptsSent;
     double limitFactor = 1;
@@ -54,7 +54,7 @@
     }
 
     boolean hasFreshReport(long now) {
-        return report != null && now - reportedAt <= REPORT_LIFETIME;
+        return report != null && now - reportedAt <= REPORT_LIFETIME_MICROS;
     }
 
     /** Whether the latest report, which covers the requests of all balancers, shows idle cores. */
--- a/src/main/java/sedgeyoke/policy/UtilizationWeightedPolicy.java
+++ b/src/main/java/sedgeyoke/policy/UtilizationWeightedPolicy.java
@@ -18,12 +18,13 @@
  */
 public final class UtilizationWeightedPolicy implements LoadBalancingPolicy {
 
-    private static final long SWEEP_PERIOD = 10_000; // between checks of deadlines and of the queue
-    private static final long REWEIGHT_PERIOD = 250_000; // mean; jitter keeps balancers out of step
+    private static final double MICROS_PER_SECOND = 1e6;
+    private static final long SWEEP_PERIOD_MICROS = 10_000; // between checks of deadlines and of the queue
+    private static final long REWEIGHT_PERIOD_MICROS = 250_000; // mean; jitter keeps balancers out of step
     private static final double GAIN = 0.25; // change of the log weight for a utilisation 1.0 off the mean
     private static final double LEAK = 0.02; // share of the learnt log weight that a period forgets
     private static final double MAX_LOG_WEIGHT = 1.5; // a factor of about 4.5 either way
-    private static final long APERTURE_TIME = 3_000_000; // its requests are the aperture size
+    private static final long APERTURE_MICROS = 3_000_000; // its requests are the aperture size
     private static final int MIN_APERTURE = 6;
     private static final double REPORT_MEMORY = 20; // mean response times until a report counts nothing
     private static final double MAX_REPORTED_ACTIVE = 1e3;
@@ -38,8 +39,8 @@
     private static final double SMOOTHING = 0.15; // for averages of one upstream
     private static final double FLEET_SMOOTHING = 0.02; // for averages over all upstreams
     private static final double HEALTH_CHECK_POINTS = 0.003; // points that health checks may cost per request
-    private static final long HEALTH_CHECK_INTERVAL = 300_000; // least time between two of one upstream
-    private static final long RESUBSCRIBE_BACKOFF = 500_000; // first mean backoff; doubles with each failure
+    private static final long CHECK_INTERVAL_MICROS = 300_000; // least, between two of one upstream
+    private static final long FIRST_BACKOFF_MICROS = 500_000; // mean; doubles with each failure
     private static final double MAX_BACKOFF_SHARE = 0.25; // longest backoff, as a share of the poll limit
     private static final double SLOW_START_USE = 0.5; // share of our slow-start quota that we use
     private static final double MAX_KIND_SPEED = 5; // bounds the factor, as reports may be wrong
@@ -91,7 +92,7 @@
         this.settings = settings;
         this.actions = actions;
         this.random = new SplittableRandom(seed);
-        this.deadlineMargin = SWEEP_PERIOD + MARGIN_TICKS * Math.max(settings.clockTick(), 1_000);
+        this.deadlineMargin = SWEEP_PERIOD_MICROS + MARGIN_TICKS * Math.max(settings.clockTick(), 1_000);
         this.retryPolicy = new RetryPolicy(settings, deadlineMargin);
         List<RequestClass> classes = settings.classes();
         long objective =
@@ -106,9 +107,9 @@
 
     @Override
     public void start(long now) {
-        nextReweight = now + jitter(REWEIGHT_PERIOD);
-        nextHealthCheck = now + jitter(HEALTH_CHECK_INTERVAL);
-        actions.setTimer("sweep", SWEEP_PERIOD);
+        nextReweight = now + jitter(REWEIGHT_PERIOD_MICROS);
+        nextHealthCheck = now + jitter(CHECK_INTERVAL_MICROS);
+        actions.setTimer("sweep", SWEEP_PERIOD_MICROS);
         if (settings.subscribesToEndpoints()) {
             actions.watchEndpoints(true);
         }
@@ -122,8 +123,8 @@
     public void endpointsUpdated(long now, ListKind kind, List<Upstream> entries) {
         if (kind == ListKind.UNAVAILABLE) {
             long longest = (long) Math.max(
-                    RESUBSCRIBE_BACKOFF, MAX_BACKOFF_SHARE * settings.rules().endpointPollLimit());
-            resubscribeBackoff = Math.min(longest, Math.max(RESUBSCRIBE_BACKOFF, 2 * resubscribeBackoff));
+                    FIRST_BACKOFF_MICROS, MAX_BACKOFF_SHARE * settings.rules().endpointPollLimit());
+            resubscribeBackoff = Math.min(longest, Math.max(FIRST_BACKOFF_MICROS, 2 * resubscribeBackoff));
             resubscribeAt = now + jitter(resubscribeBackoff);
             return;
         }
@@ -255,8 +256,8 @@
             upstream.serviceTimeAt = now;
             meanServiceTime = MovingAverage.next(meanServiceTime, upstream.serviceTime, FLEET_SMOOTHING);
             double seen = upstream.serviceTime;
-            int group = zoneAndKind(upstream);
-            serviceTimeByKind.merge(group, seen, (a, b) -> MovingAverage.next(a, b, FLEET_SMOOTHING));
+            int kind = zoneAndKind(upstream);
+            serviceTimeByKind.merge(kind, seen, (a, b) -> MovingAverage.next(a, b, FLEET_SMOOTHING));
         }
     }
 
@@ -353,7 +354,7 @@
             double served = Math.pow(1 - upstream.errorRate, 2);
             double weight = upstream.weight * warmUpFactor(upstream, now) * served;
             weight *= zoneWeight(upstream) + upstream.zoneSpillover;
-            if (upstream.ejectionTime > OutlierDetection.FIRST_EJECTION) {
+            if (upstream.ejectionTime > OutlierDetection.BASE_EJECTION_MICROS) {
                 weight *= request.requestClass.effect() == Effect.UNSAFE ? 0.02 : 0.3;
             }
             double others = sparseTraffic() ? othersInFlight(upstream, now) : 0;
@@ -391,8 +392,8 @@
         return Math.max(0, 1 - (now - seenAt) / Math.max(1, REPORT_MEMORY * meanResponseTime));
     }
 
-    private static double fourthPower(double x) {
-        return x * x * x * x;
+    private static double fourthPower(double value) {
+        return value * value * value * value;
     }
 
     /** In flight, half by count and half by hinted work in mean requests: one heavy request holds up many. */
@@ -417,7 +418,7 @@
 
     /** The first upstreams in our order that our traffic suffices to keep fresh reports of. */
     private int apertureSize() {
-        double size = Math.max(MIN_APERTURE, requestRate.perSecond() * APERTURE_TIME / 1e6);
+        double size = Math.max(MIN_APERTURE, requestRate.perSecond() * APERTURE_MICROS / MICROS_PER_SECOND);
         return requestRate.periods() >= 4 ? (int) size : ready.size();
     }
 
@@ -675,7 +676,7 @@
 
     private double slowStartRate(UpstreamState upstream, long now) {
         double rating = rating(upstream);
-        double rate = Math.sqrt(admission.admittedShare()) * requestRate.perSecond() / 1e6;
+        double rate = Math.sqrt(admission.admittedShare()) * requestRate.perSecond() / MICROS_PER_SECOND;
         double even = rate * rating / Math.max(ratingSum, rating);
         return SLOW_START_USE * settings.rules().overloadMultiple() * warmUpFactor(upstream, now) * even;
     }
@@ -776,7 +777,7 @@
                     reported ? upstream.report.waiting() : Double.NaN,
                     reported ? upstream.reportedAt : 0,
                     OutlierDetection.isEjected(upstream, now) || cordoned.containsKey(upstream.id),
-                    slowStart ? slowStartRate(upstream, now) * 1e6 : 0));
+                    slowStart ? slowStartRate(upstream, now) * MICROS_PER_SECOND : 0));
         }
         List<Double> demand = classRates.stream().map(RateEstimator::perSecond).toList();
         return new Summary(demand, statuses, queue.size());
@@ -787,7 +788,7 @@
         if (!token.equals("sweep")) {
             return;
         }
-        actions.setTimer("sweep", SWEEP_PERIOD);
+        actions.setTimer("sweep", SWEEP_PERIOD_MICROS);
         expireDeadlines(now);
         OutlierDetection.ejectHanging(ready, meanResponseTime, waitTarget, now);
         double strength = plans.strength(now);
@@ -797,7 +798,7 @@
         planCounted = strength > 0;
         shedLate(now);
         if (now >= nextReweight) {
-            long period = jitter(REWEIGHT_PERIOD);
+            long period = jitter(REWEIGHT_PERIOD_MICROS);
             requestRate.endPeriod(period);
             classRates.forEach(rate -> rate.endPeriod(period));
             reweight(now);
@@ -834,8 +835,8 @@
         double price = settings.prices().healthCheck();
         double share = price > 0 ? HEALTH_CHECK_POINTS / price : 1;
         double requests = Math.max(requestRate.perSecond(), 1);
-        double perSecond = Math.min(share * requests, ready.size() * 1e6 / HEALTH_CHECK_INTERVAL);
-        nextHealthCheck = now + jitter((long) (1e6 / perSecond));
+        double rate = Math.min(share * requests, ready.size() * MICROS_PER_SECOND / CHECK_INTERVAL_MICROS);
+        nextHealthCheck = now + jitter((long) (MICROS_PER_SECOND / rate));
         UpstreamState oldest = Collections.min(ready, Comparator.comparingLong(each -> each.healthCheckedAt));
         oldest.healthCheckedAt = now;
         actions.healthCheck(oldest.id);
--- a/src/test/java/sedgeyoke/policy/RandomReplay.java
+++ b/src/test/java/sedgeyoke/policy/RandomReplay.java
@@ -25,7 +25,10 @@
 import sedgeyoke.policy.LoadBalancingPolicy.UpstreamView;
 import sedgeyoke.policy.ReplayJournal.Kind;
 
-/** One run: a host that plays clients, upstreams, discovery, planners and operators at random. */
+/**
+ * One run: a host that simulates clients, upstreams, discovery, planners and operators at random. It is one file, as all
+ * events and answers draw from one sequence of random numbers.
+ */
 final class RandomReplay implements LoadBalancingPolicy.Actions {
     /** One attempt that the module sent, as the harness answers it. */
     private static final class Attempt {
@@ -55,18 +58,20 @@
         }
     }
 
-    /** A thing to do later. */
+    /** A task that is due at a time; tasks of one time run in the order of their numbers. */
     private record Due(long at, long number, Runnable task) {}
 
     private static final int STEPS = 1_000;
     private static final long MILLI = 1_000;
     private static final long SECOND = 1_000_000;
-    private static final int UNIVERSE = 20;
-    private static final int DEAD = 3;
+    private static final int KNOWN_UPSTREAMS = 20;
+    private static final int REFUSES_CONNECTIONS = 3;
     /** Traffic so thin that the sample of upstreams is the least one; it plays fewer steps, as each is long. */
-    private static final long THIN_PACE = 400;
+    private static final long SPARSE_PACE = 400;
 
-    private static final double[] NONSENSE = {Double.NaN, -1, 1e300, 0, Double.POSITIVE_INFINITY, -0.3, 1.5, 3};
+    private static final double[] IMPLAUSIBLE_NUMBERS = {
+        Double.NaN, -1, 1e300, 0, Double.POSITIVE_INFINITY, -0.3, 1.5, 3
+    };
 
     private final SplittableRandom random;
     private final ReplayJournal journal;
@@ -81,7 +86,7 @@
     private final TreeMap<String, Long> cordoned = new TreeMap<>();
     private final int upstreams;
     private final boolean planners;
-    private final double calm;
+    private final double undisturbedShare;
     private final long pace;
     private final long work;
     private long now = 100 * SECOND;
@@ -93,13 +98,14 @@
         this.journal = journal;
         this.upstreams = 2 + random.nextInt(12);
         this.planners = random.nextInt(3) > 0;
-        this.calm = random.nextInt(3) > 0 ? 0.6 : 0;
-        this.pace = oneOf(2, 8, 50, THIN_PACE) * MILLI;
+        this.undisturbedShare = random.nextInt(3) > 0 ? 0.6 : 0;
+        this.pace = oneOf(2, 8, 50, SPARSE_PACE) * MILLI;
         this.work = oneOf(5, 30, 120) * MILLI;
-        for (int i = 0; i < UNIVERSE; i++) {
+        for (int i = 0; i < KNOWN_UPSTREAMS; i++) {
             simulated.add(new SimulatedUpstream(0.5 + (chance(0.25) ? 6 : 1) * random.nextDouble()));
         }
-        simulated.get(0).fault = chance(0.5) ? DEAD : 0; // for good, so that it is ejected again and again
+        simulated.get(0).fault =
+                chance(0.5) ? REFUSES_CONNECTIONS : 0; // for good, so that it is ejected again and again
         this.settings = RandomSettings.draw(random, seed, upstreams);
         this.balancer = new UtilizationWeightedPolicy(settings, seed, this);
     }
@@ -108,7 +114,7 @@
         journal.note(Kind.START, now);
         balancer.start(now);
         updateEndpoints(ListKind.RESTORED, upstreams);
-        int steps = pace == THIN_PACE * MILLI ? STEPS / 3 : STEPS;
+        int steps = pace == SPARSE_PACE * MILLI ? STEPS / 3 : STEPS;
         for (int step = 0; step < steps; step++) {
             advance(chance(0.01) ? random.nextLong(SECOND) : random.nextLong(2 * pace));
             step();
@@ -132,20 +138,20 @@
     }
 
     private void step() {
-        int dice = random.nextInt(100);
-        if (dice < 60) {
+        int choice = random.nextInt(100);
+        if (choice < 60) {
             request();
-        } else if (dice < 78) {
-            touchAttempt(dice % 6);
-        } else if (dice < 82) {
-            probed("u" + random.nextInt(UNIVERSE));
-        } else if (dice < 86) {
+        } else if (choice < 78) {
+            touchAttempt(choice % 6);
+        } else if (choice < 82) {
+            completeHealthCheck("u" + random.nextInt(KNOWN_UPSTREAMS));
+        } else if (choice < 86) {
             summary();
-        } else if (dice < 92) {
+        } else if (choice < 92) {
             plan();
-        } else if (dice < 94) {
-            simulated.get(1 + random.nextInt(UNIVERSE - 1)).fault = chance(0.75) ? 0 : random.nextInt(6);
-        } else if (!chance(calm)) {
+        } else if (choice < 94) {
+            simulated.get(1 + random.nextInt(KNOWN_UPSTREAMS - 1)).fault = chance(0.75) ? 0 : random.nextInt(6);
+        } else if (!chance(undisturbedShare)) {
             disturb();
         } else {
             request();
@@ -153,12 +159,12 @@
     }
 
     private void disturb() {
-        int dice = random.nextInt(10);
-        if (dice < 5) {
+        int choice = random.nextInt(10);
+        if (choice < 5) {
             updateEndpoints(ListKind.CHANGES, 1 + random.nextInt(3));
-        } else if (dice < 6) {
+        } else if (choice < 6) {
             updateEndpoints(chance(0.5) ? ListKind.COMPLETE : ListKind.RESTORED, upstreams + random.nextInt(3));
-        } else if (dice < 8) {
+        } else if (choice < 8) {
             updateEndpoints(ListKind.UNAVAILABLE, 0);
         } else {
             cordons();
@@ -219,32 +225,32 @@
             balancer.peerMessageReceived(now, attempt, new byte[0]);
         } else {
             Outcome outcome = Outcome.values()[random.nextInt(Outcome.values().length)];
-            outcome(request, attempt, "u" + random.nextInt(UNIVERSE), outcome, random.nextLong(SECOND));
+            outcome(request, attempt, "u" + random.nextInt(KNOWN_UPSTREAMS), outcome, random.nextLong(SECOND));
         }
     }
 
-    private void outcome(String request, int attempt, String upstream, Outcome outcome, long took) {
+    private void outcome(String request, int attempt, String upstream, Outcome outcome, long duration) {
         boolean concluded = outcome == Outcome.OK || outcome == Outcome.ERROR && chance(0.2);
         LoadReport load = chance(settings.reports() == Reports.IN_RESPONSES ? 0.8 : 0.05) ? load(upstream) : null;
-        journal.note(Kind.OUTCOME, now, request, attempt, upstream, outcome, took, concluded);
+        journal.note(Kind.OUTCOME, now, request, attempt, upstream, outcome, duration, concluded);
         noteLoad(load);
-        balancer.attemptEnded(now, new AttemptEnd(request, attempt, upstream, outcome, took, concluded, load));
+        balancer.attemptEnded(now, new AttemptEnd(request, attempt, upstream, outcome, duration, concluded, load));
     }
 
     private LoadReport load(String upstream) {
-        SimulatedUpstream upstreamModel = simulated.get(Integer.parseInt(upstream.substring(1)));
-        double[] v = {
-            Math.min(1, upstreamModel.inFlight / 5.0 * upstreamModel.slowness + 0.2 * random.nextDouble()),
-            upstreamModel.inFlight + random.nextInt(3),
+        SimulatedUpstream simulatedUpstream = simulated.get(Integer.parseInt(upstream.substring(1)));
+        double[] values = {
+            Math.min(1, simulatedUpstream.inFlight / 5.0 * simulatedUpstream.slowness + 0.2 * random.nextDouble()),
+            simulatedUpstream.inFlight + random.nextInt(3),
             random.nextInt(3),
-            work * upstreamModel.slowness * (0.7 + 0.6 * random.nextDouble()),
+            work * simulatedUpstream.slowness * (0.7 + 0.6 * random.nextDouble()),
             random.nextInt(50),
             random.nextInt(3)
         };
-        for (int i = 0; i < v.length; i++) {
-            v[i] = chance(0.05) ? NONSENSE[random.nextInt(NONSENSE.length)] : v[i];
+        for (int i = 0; i < values.length; i++) {
+            values[i] = chance(0.05) ? IMPLAUSIBLE_NUMBERS[random.nextInt(IMPLAUSIBLE_NUMBERS.length)] : values[i];
         }
-        return new LoadReport(v[0], v[1], v[2], v[3], v[4], v[5]);
+        return new LoadReport(values[0], values[1], values[2], values[3], values[4], values[5]);
     }
 
     private void noteLoad(LoadReport load) {
@@ -257,7 +263,7 @@
         }
     }
 
-    private void probed(String upstream) {
+    private void completeHealthCheck(String upstream) {
         Outcome outcome = chance(0.8) ? Outcome.OK : Outcome.values()[random.nextInt(Outcome.values().length)];
         LoadReport load = chance(0.9) ? load(upstream) : null;
         journal.note(Kind.HEALTH_CHECK_COMPLETED, now, upstream, outcome);
@@ -269,11 +275,12 @@
         List<Upstream> entries = new ArrayList<>();
         int first = kind == ListKind.CHANGES ? random.nextInt(upstreams + 2) : 0;
         journal.note(Kind.ENDPOINTS, now, kind);
-        for (int i = first; i < Math.min(UNIVERSE, first + size); i++) {
-            SimulatedUpstream upstreamModel = simulated.get(i);
-            upstreamModel.launchedAt = chance(0.4) ? now - random.nextLong(4 * SECOND) : upstreamModel.launchedAt;
+        for (int i = first; i < Math.min(KNOWN_UPSTREAMS, first + size); i++) {
+            SimulatedUpstream simulatedUpstream = simulated.get(i);
+            simulatedUpstream.launchedAt =
+                    chance(0.4) ? now - random.nextLong(4 * SECOND) : simulatedUpstream.launchedAt;
             State state = kind == ListKind.CHANGES && chance(0.3) ? State.values()[1 + random.nextInt(2)] : State.READY;
-            double rating = chance(0.1) ? NONSENSE[random.nextInt(4)] : 0.5 + random.nextDouble();
+            double rating = chance(0.1) ? IMPLAUSIBLE_NUMBERS[random.nextInt(4)] : 0.5 + random.nextDouble();
             Upstream entry = new Upstream(
                     "u" + i,
                     i % settings.zones(),
@@ -281,7 +288,7 @@
                     i % 3,
                     state,
                     rating > 100 ? 100 : rating,
-                    upstreamModel.launchedAt);
+                    simulatedUpstream.launchedAt);
             entries.add(entry);
             journal.put(entry.id());
             journal.put(state);
@@ -313,7 +320,7 @@
         }
         List<UpstreamView> views = new ArrayList<>();
         Map<String, SlowStartQuota> quotas = new TreeMap<>();
-        for (int i = 0; i < UNIVERSE; i++) {
+        for (int i = 0; i < KNOWN_UPSTREAMS; i++) {
             if (chance(0.7)) {
                 views.add(view(i));
             }
@@ -406,22 +413,24 @@
         Attempt attempt = new Attempt(request, all.size(), upstream, now);
         all.add(attempt);
         outstanding.add(attempt);
-        SimulatedUpstream upstreamModel = simulated.get(Integer.parseInt(upstream.substring(1)));
-        upstreamModel.inFlight++;
-        long took = (long) (work
-                * upstreamModel.slowness
+        SimulatedUpstream simulatedUpstream = simulated.get(Integer.parseInt(upstream.substring(1)));
+        simulatedUpstream.inFlight++;
+        long duration = (long) (work
+                * simulatedUpstream.slowness
                 * (0.3 + 1.4 * random.nextDouble())
-                * (1 + upstreamModel.inFlight / 4.0));
-        int mood = upstreamModel.fault != DEAD && chance(0.05) ? random.nextInt(6) : upstreamModel.fault;
-        switch (mood) {
-            case 1 -> later(took, () -> end(attempt, Outcome.values()[random.nextInt(8)]));
-            case 2 -> later(SECOND + 20 * took, () -> end(attempt, chance(0.5) ? Outcome.TIMEOUT : Outcome.OK));
-            case DEAD -> later(MILLI, () -> end(attempt, Outcome.CONNECT_FAILED));
+                * (1 + simulatedUpstream.inFlight / 4.0));
+        int fault = simulatedUpstream.fault != REFUSES_CONNECTIONS && chance(0.05)
+                ? random.nextInt(6)
+                : simulatedUpstream.fault;
+        switch (fault) {
+            case 1 -> later(duration, () -> end(attempt, Outcome.values()[random.nextInt(8)]));
+            case 2 -> later(SECOND + 20 * duration, () -> end(attempt, chance(0.5) ? Outcome.TIMEOUT : Outcome.OK));
+            case REFUSES_CONNECTIONS -> later(MILLI, () -> end(attempt, Outcome.CONNECT_FAILED));
             case 4 -> later(MILLI, () -> end(attempt, Outcome.REJECTED));
             case 5 -> later(
-                    took / 2,
+                    duration / 2,
                     () -> end(attempt, chance(0.2) ? Outcome.OK : chance(0.5) ? Outcome.ERROR : Outcome.RESET));
-            default -> later(took, () -> end(attempt, Outcome.OK));
+            default -> later(duration, () -> end(attempt, Outcome.OK));
         }
     }
 
@@ -458,7 +467,7 @@
     @Override
     public void healthCheck(String upstream) {
         journal.note(Kind.HEALTH_CHECK, now, upstream);
-        later(random.nextLong(20 * MILLI), () -> probed(upstream));
+        later(random.nextLong(20 * MILLI), () -> completeHealthCheck(upstream));
     }
 
     @Override
