--- a/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
@@ -293,8 +293,8 @@
         private void createStorage(Membership members) {
             try {
                 ReplicaStorage.create(disk, owner(), nextStorageId++, members);
-            } catch (DiskException | UnusableStorageException e) {
-                throw new IllegalStateException(e);
+            } catch (DiskException | UnusableStorageException exception) {
+                throw new IllegalStateException(exception);
             }
         }
 
@@ -324,7 +324,7 @@
                     while (!pendingWrites.isEmpty()) {
                         storage.persist(pendingWrites.poll());
                     }
-                } catch (SimDisk.ProcessCrash | DiskException | IllegalStateException e) {
+                } catch (SimDisk.ProcessCrash | DiskException | IllegalStateException exception) {
                     pendingWrites.clear();
                 }
                 disk.crashAfterOperations = -1;
@@ -369,12 +369,12 @@
                     createStorage(new Membership(Map.of(), null));
                 }
                 storage = ReplicaStorage.open(disk, owner(), SEGMENT_BYTES);
-            } catch (UnusableStorageException e) { // the operator replaces the disk
+            } catch (UnusableStorageException exception) { // the operator replaces the disk
                 disk.wipe();
                 disk.clearFaults();
                 start();
                 return;
-            } catch (DiskException e) {
+            } catch (DiskException exception) {
                 disk.clearFaults();
                 crash(now + 500_000);
                 return;
@@ -434,8 +434,8 @@
             List<Action> actions;
             try {
                 actions = node.handle(event, clock());
-            } catch (IllegalStateException e) {
-                fail("%s: %s", name, e.getMessage());
+            } catch (IllegalStateException exception) {
+                fail("%s: %s", name, exception.getMessage());
                 return;
             }
             for (Action action : actions) {
@@ -488,7 +488,8 @@
                 Action.Persist persist = pendingWrites.poll();
                 try {
                     storage.persist(persist);
-                } catch (DiskException | IllegalStateException e) { // the process ends; the operator repairs the disk
+                } catch (DiskException
+                        | IllegalStateException exception) { // the process ends; the operator repairs the disk
                     pendingWrites.clear();
                     crash(now + 300_000 + random.nextLong(2_000_000));
                     disk.clearFaults();
