Config client: a server that does not respond gives an empty Optional

Need: history and status returned null for a server that does not respond. Change: both return an Optional; commands, drill and ConsensusProcessesTest follow.

--- a/src/main/java/sedgeyoke/cli/ConfigServersCommand.java
+++ b/src/main/java/sedgeyoke/cli/ConfigServersCommand.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Optional;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
@@ -51,11 +52,12 @@
         int recovered = 0;
         int voters = settings.servers().size();
         for (InetSocketAddress address : settings.servers()) {
-            ServerStatus status = client.status(address);
-            if (status == null) {
+            Optional<ServerStatus> response = client.status(address);
+            if (response.isEmpty()) {
                 out.print(json ? "" : address + "  does not answer\n");
                 continue;
             }
+            ServerStatus status = response.get();
             recovered += status.recovered() ? 1 : 0;
             voters = status.voters().size();
             if (json) {
--- a/src/main/java/sedgeyoke/cli/SettingsCommand.java
+++ b/src/main/java/sedgeyoke/cli/SettingsCommand.java
@@ -73,12 +73,13 @@
     @Command(name = "history", mixinStandardHelpOptions = true, description = "Lists earlier versions, newest last.")
     int history(@Mixin ConfigClientOptions options) throws InterruptedException {
         return options.run(spec, (client, settings) -> {
-            ConfigResponse answer = client.history(options.timeoutMs());
-            if (answer == null) {
+            Optional<ConfigResponse> response = client.history(options.timeoutMs());
+            if (response.isEmpty()) {
                 spec.commandLine().getErr().println("no config server has answered");
                 return ConfigClientOptions.EXIT_NO_QUORUM;
             }
             PrintWriter out = spec.commandLine().getOut();
+            ConfigResponse answer = response.get();
             answer.history().forEach(version -> out.println(title(version)));
             out.println(title(answer.active()));
             return CommandLine.ExitCode.OK;
@@ -141,11 +142,9 @@
         });
     }
 
-    private static Optional<ConfigVersion> find(ConfigResponse answer, long number) {
-        if (answer == null) {
-            return Optional.empty();
-        }
-        return answer.history().stream()
+    private static Optional<ConfigVersion> find(Optional<ConfigResponse> response, long number) {
+        return response.stream()
+                .flatMap(found -> found.history().stream())
                 .filter(version -> version.number() == number)
                 .findFirst();
     }
--- a/src/main/java/sedgeyoke/consensus/server/ConfigClient.java
+++ b/src/main/java/sedgeyoke/consensus/server/ConfigClient.java
@@ -124,8 +124,8 @@
         return submit(new ClientRequest.Set(write), timeoutMillis);
     }
 
-    /** Returns the earlier versions from the first server that responds; null if none does. */
-    public ConfigResponse history(long timeoutMillis) throws InterruptedException {
+    /** Returns the earlier versions from the first server that responds; empty if none does. */
+    public Optional<ConfigResponse> history(long timeoutMillis) throws InterruptedException {
         OperatorRequestMessage message = OperatorRequestMessage.newBuilder()
                 .setToken(TOKEN)
                 .setHistory(true)
@@ -134,22 +134,21 @@
             Optional<OperatorReplyMessage> reply =
                     exchange(server, message, Math.min(ATTEMPT_TIMEOUT_MILLIS, timeoutMillis));
             if (reply.isPresent()) {
-                return decode(reply.get());
+                return Optional.of(decode(reply.get()));
             }
         }
-        return null;
+        return Optional.empty();
     }
 
-    /** Returns the status of one server; null if it does not respond. */
-    public ServerStatus status(InetSocketAddress server) throws InterruptedException {
+    /** Returns the status of one server; empty if it does not respond. */
+    public Optional<ServerStatus> status(InetSocketAddress server) throws InterruptedException {
         OperatorRequestMessage message = OperatorRequestMessage.newBuilder()
                 .setToken(TOKEN)
                 .setStatus(true)
                 .build();
         return exchange(server, message, ATTEMPT_TIMEOUT_MILLIS)
                 .filter(OperatorReplyMessage::hasStatus)
-                .map(reply -> decode(reply.getStatus()))
-                .orElse(null);
+                .map(reply -> decode(reply.getStatus()));
     }
 
     // ---- Messages ------------------------------------------------------------------------------------
--- a/src/main/java/sedgeyoke/drill/ConsensusDrill.java
+++ b/src/main/java/sedgeyoke/drill/ConsensusDrill.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import sedgeyoke.consensus.ClientRequest;
 import sedgeyoke.consensus.ConfigVersion;
 import sedgeyoke.consensus.RequestResult;
@@ -129,10 +130,10 @@
         long holdsWithinMs = 0;
         try (ConfigClient client = new ConfigClient(tier.configServerAddresses(), OPERATOR, files)) {
             for (InetSocketAddress address : tier.configServerAddresses()) {
-                ServerStatus status = client.status(address);
-                if (status != null) {
-                    holdsWithinMs = status.activationBoundMillis();
-                    recovered += status.recovered() ? 1 : 0;
+                Optional<ServerStatus> status = client.status(address);
+                if (status.isPresent()) {
+                    holdsWithinMs = status.get().activationBoundMillis();
+                    recovered += status.get().recovered() ? 1 : 0;
                 }
             }
         }
--- a/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
+++ b/src/test/java/sedgeyoke/drill/ConsensusProcessesTest.java
@@ -17,6 +17,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -83,6 +84,10 @@
         }
 
         ServerStatus status(String name) {
+            return findStatus(name).orElseThrow();
+        }
+
+        Optional<ServerStatus> findStatus(String name) {
             try {
                 return client.status(addresses.get(List.copyOf(ports.keySet()).indexOf(name)));
             } catch (InterruptedException e) {
@@ -92,10 +97,12 @@
 
         String leader() throws InterruptedException {
             String[] found = new String[1];
-            await("a leader", () -> ports.keySet().stream().map(this::status).anyMatch(status -> {
-                found[0] = status != null && status.role().equals("leader") ? status.name() : null;
-                return found[0] != null;
-            }));
+            await("a leader", () -> ports.keySet().stream()
+                    .flatMap(name -> findStatus(name).stream())
+                    .anyMatch(status -> {
+                        found[0] = status.role().equals("leader") ? status.name() : null;
+                        return found[0] != null;
+                    }));
             return found[0];
         }
 
@@ -146,12 +153,10 @@
             servers.processes.get(oldLeader).pause(true);
             long version = servers.set("two", 0.5);
             servers.processes.get(oldLeader).pause(false);
-            await("it follows", () -> {
-                ServerStatus status = servers.status(oldLeader);
-                return status != null
-                        && status.role().equals("follower")
-                        && status.activeVersion() + status.pendingVersion() >= version;
-            });
+            await("it follows", () -> servers.findStatus(oldLeader)
+                    .filter(status -> status.role().equals("follower"))
+                    .filter(status -> status.activeVersion() + status.pendingVersion() >= version)
+                    .isPresent());
             assertNotEquals(oldLeader, servers.leader());
             assertEquals(0.5, servers.read().content().number(ConfigSchema.RETRY_RATIO));
         }
@@ -163,15 +168,15 @@
         try (ConfigServers servers = new ConfigServers(folder)) {
             servers.set("one", 0.25);
             await("its storage id is known to all", () -> servers.ports.keySet().stream()
-                    .map(servers::status)
-                    .allMatch(status ->
-                            status != null && status.voters().stream().allMatch(member -> member.storageId() != 0)));
+                    .map(servers::findStatus)
+                    .allMatch(status -> status.isPresent()
+                            && status.get().voters().stream().allMatch(member -> member.storageId() != 0)));
             long oldStorageId = servers.status("k2").storageId();
             servers.processes.get("k2").kill();
             await("the end of the process", () -> !servers.processes.get("k2").alive());
             deleteAll(servers.tier.configServerFolder("k2"));
             servers.processes.get("k2").start();
-            await("it listens", () -> servers.status("k2") != null);
+            await("it listens", () -> servers.findStatus("k2").isPresent());
             long newStorageId = servers.status("k2").storageId();
             assertNotEquals(oldStorageId, newStorageId);
             servers.set("two", 0.5);
@@ -218,12 +223,10 @@
             bytes[60] ^= 1; // in the first record
             Files.write(segment, bytes);
             servers.processes.get("k1").start();
-            await("it has recovered and has all versions", () -> {
-                ServerStatus status = servers.status("k1");
-                return status != null
-                        && status.recovered()
-                        && status.activeVersion() + status.pendingVersion() >= version;
-            });
+            await("it has recovered and has all versions", () -> servers.findStatus("k1")
+                    .filter(ServerStatus::recovered)
+                    .filter(status -> status.activeVersion() + status.pendingVersion() >= version)
+                    .isPresent());
             assertTrue(
                     Files.readString(folder.resolve("k1.log")).contains("log-0000000000000001"),
                     "the corruption is logged");
