--- a/src/test/java/sedgeyoke/plan/PlanSimulation.java
+++ b/src/test/java/sedgeyoke/plan/PlanSimulation.java
@@ -93,7 +93,7 @@
         return runUntil(seconds * 1_000_000L);
     }
 
-    private Process process(int number) {
+    private NetworkProcess process(int number) {
         return number < PLANNERS ? planners.get(number) : forwarders.get(number - PLANNERS);
     }
 
@@ -111,7 +111,7 @@
             }
         }
         for (int number = 0; number < PLANNERS + FORWARDERS; number++) {
-            Process process = process(number);
+            NetworkProcess process = process(number);
             if (happens(severity * 0.12)) {
                 process.crash(now + random.nextLong(random.nextBoolean() ? 100_000 : 2_000_000));
                 restarts++;
@@ -127,7 +127,7 @@
         }
     }
 
-    private final class PlannerProcess extends Process {
+    private final class PlannerProcess extends NetworkProcess {
         private Planner planner;
         private long nextPlanMicros;
 
@@ -163,7 +163,7 @@
         }
     }
 
-    private final class ForwarderProcess extends Process {
+    private final class ForwarderProcess extends NetworkProcess {
         private final List<RestartEvent> restartEvents = new ArrayList<>();
         /** When each upstream was started, as far as this forwarder knows; 0 for long ago. */
         private final long[] launchedAt = new long[UPSTREAMS];
