Benchmarks: records for measurements, whole names, units in names

BodiesCost measured into pairs of doubles and named its parts Through and Node0; PlannerScale and PlanCost had one-letter names. Behaviour is unchanged.

--- a/bench/src/BodiesCost.java
+++ b/bench/src/BodiesCost.java
@@ -44,15 +44,18 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongConsumer;
+import java.util.function.ToDoubleFunction;
 
 /**
- * Short requests and 64 MB bodies through one core, in turn: the balancer with and without [bodies], the program of
- * another
- * checkout (BodiesCost SECONDS ROUNDS [CHECKOUT]), and a Netty relay that parses nothing, as the limit.
+ * BodiesCost: processor time and rate of short requests and 64 MB bodies through one core, compared in one run.
+ *
+ * <p>Compares the balancer with and without [bodies], the program of another checkout (BodiesCost SECONDS ROUNDS
+ * [CHECKOUT]), and a Netty relay that parses nothing, as the limit.
  */
 public final class BodiesCost {
-    private static final int LONG = 64 << 20;
-    private static final int SHORT = 200;
+    private static final int LONG_BYTES = 64 << 20;
+    private static final int SHORT_BYTES = 200;
     private static final int CONNECTIONS = 32;
     private static final int LONG_CONNECTIONS = 4;
     private static final int NODES = 12;
@@ -62,12 +65,22 @@
 
     private BodiesCost() {}
 
-    /** Something that passes requests on. */
-    private record Through(String name, ProgramProcess process, InetSocketAddress address) {}
+    /** A process that forwards requests. */
+    private record Target(String name, ProgramProcess process, InetSocketAddress address) {
+        boolean takes(Load load) {
+            return load == Load.SHORT || name.equals("relay") || name.equals("on");
+        }
+    }
+
+    /** Requests or bytes a second, and processor time for each of them. */
+    private record Measurement(double rate, double cpuSeconds) {}
 
     private enum Load {
+        /** Short requests and responses. */
         SHORT,
+        /** Long requests. */
         UP,
+        /** Long responses. */
         DOWN
     }
 
@@ -77,9 +90,9 @@
         Path folder = Files.createTempDirectory("bodies-cost");
         List<Channel> nodes = new ArrayList<>();
         for (int i = 0; i < NODES; i++) {
-            nodes.add(server());
+            nodes.add(orderNode());
         }
-        List<Through> all = new ArrayList<>();
+        List<Target> all = new ArrayList<>();
         try {
             all.add(relay(folder, port(nodes.get(0))));
             all.add(balancer(folder, "off", ProgramProcess.home(), nodes, ""));
@@ -92,64 +105,84 @@
             if (args.length > 2 && !args[2].equals("-")) {
                 all.add(balancer(folder, "before", Path.of(args[2]), nodes, ""));
             }
-            Map<String, List<double[]>> figures = new LinkedHashMap<>();
-            for (int round = -1; round < rounds; round++) { // the first is for warming up
-                for (Through t : all) {
+            Map<String, List<Measurement>> measurements = new LinkedHashMap<>();
+            for (int round = -1; round < rounds; round++) { // the first one is for warming up
+                for (Target target : all) {
                     for (Load load : Load.values()) {
-                        boolean passes = load == Load.SHORT || t.name.equals("relay") || t.name.equals("on");
-                        if (!passes) {
+                        if (!target.takes(load)) {
                             continue;
                         }
-                        double[] figure = measure(t, load, seconds);
+                        Measurement measurement = measure(target, load, seconds);
                         if (round >= 0) {
-                            figures.computeIfAbsent(t.name + " " + load, k -> new ArrayList<>())
-                                    .add(figure);
+                            measurements
+                                    .computeIfAbsent(target.name + " " + load, name -> new ArrayList<>())
+                                    .add(measurement);
                         }
                     }
                 }
             }
-            figures.forEach((name, f) -> {
-                double rate = median(f, 0);
-                double cpu = median(f, 1);
-                String unit = name.endsWith("SHORT")
-                        ? "%.0f requests/s, %.1f us of processor time each"
-                        : "%.0f MB/s, %.2f s of processor time a GB";
-                System.out.printf(
-                        Locale.ROOT,
-                        "%-14s " + unit + "%n",
-                        name,
-                        name.endsWith("SHORT") ? rate : rate / 1e6,
-                        name.endsWith("SHORT") ? cpu * 1e6 : cpu * 1e9);
-            });
-            ObjectNode json = JSON.createObjectNode();
-            ratio(json, figures, "short_cpu_on_to_relay", "on SHORT", "relay SHORT", 1);
-            ratio(json, figures, "short_cpu_off_to_before", "off SHORT", "before SHORT", 1);
-            ratio(json, figures, "short_cpu_on_to_before", "on SHORT", "before SHORT", 1);
-            ratio(json, figures, "up_rate_to_relay", "on UP", "relay UP", 0);
-            ratio(json, figures, "down_rate_to_relay", "on DOWN", "relay DOWN", 0);
-            System.out.println(json);
+            measurements.forEach(BodiesCost::print);
+            System.out.println(ratios(measurements));
         } finally {
-            all.forEach(t -> t.process.close());
+            all.forEach(target -> target.process.close());
             LOOPS.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         }
     }
 
-    private static double median(List<double[]> figures, int index) {
-        double[] sorted = figures.stream().mapToDouble(f -> f[index]).sorted().toArray();
-        return sorted[sorted.length / 2];
+    private static void print(String name, List<Measurement> measurements) {
+        double rate = median(measurements, Measurement::rate);
+        double cpuSeconds = median(measurements, Measurement::cpuSeconds);
+        if (name.endsWith(Load.SHORT.name())) {
+            System.out.printf(
+                    Locale.ROOT,
+                    "%-14s %.0f requests/s, %.1f us of processor time each%n",
+                    name,
+                    rate,
+                    cpuSeconds * 1e6);
+        } else {
+            System.out.printf(
+                    Locale.ROOT,
+                    "%-14s %.0f MB/s, %.2f s of processor time a GB%n",
+                    name,
+                    rate / 1e6,
+                    cpuSeconds * 1e9);
+        }
     }
 
-    private static void ratio(
-            ObjectNode json, Map<String, List<double[]>> figures, String name, String a, String b, int index) {
-        if (figures.containsKey(a) && figures.containsKey(b)) {
-            json.put(name, Math.round(1e3 * median(figures.get(a), index) / median(figures.get(b), index)) / 1e3);
+    private static ObjectNode ratios(Map<String, List<Measurement>> all) {
+        ObjectNode json = JSON.createObjectNode();
+        putRatio(json, "short_cpu_on_to_relay", all.get("on SHORT"), all.get("relay SHORT"), Measurement::cpuSeconds);
+        putRatio(
+                json,
+                "short_cpu_off_to_before",
+                all.get("off SHORT"),
+                all.get("before SHORT"),
+                Measurement::cpuSeconds);
+        putRatio(json, "short_cpu_on_to_before", all.get("on SHORT"), all.get("before SHORT"), Measurement::cpuSeconds);
+        putRatio(json, "up_rate_to_relay", all.get("on UP"), all.get("relay UP"), Measurement::rate);
+        putRatio(json, "down_rate_to_relay", all.get("on DOWN"), all.get("relay DOWN"), Measurement::rate);
+        return json;
+    }
+
+    private static void putRatio(
+            ObjectNode json,
+            String name,
+            List<Measurement> numerator,
+            List<Measurement> denominator,
+            ToDoubleFunction<Measurement> value) {
+        if (numerator != null && denominator != null) {
+            json.put(name, Math.round(1e3 * median(numerator, value) / median(denominator, value)) / 1e3);
         }
     }
 
+    private static double median(List<Measurement> measurements, ToDoubleFunction<Measurement> value) {
+        double[] sorted = measurements.stream().mapToDouble(value).sorted().toArray();
+        return sorted[sorted.length / 2];
+    }
+
     // ---- What is measured ----------------------------------------------------------------------------
 
-    /** Rate (requests or bytes a second) and processor seconds for each request or byte. */
-    private static double[] measure(Through t, Load load, int seconds) throws Exception {
+    private static Measurement measure(Target target, Load load, int seconds) throws Exception {
         AtomicLong done = new AtomicLong();
         List<Channel> clients = new ArrayList<>();
         for (int i = 0; i < (load == Load.SHORT ? CONNECTIONS : LONG_CONNECTIONS); i++) {
@@ -164,56 +197,58 @@
                             ch.pipeline().addLast(new HttpClientCodec(), client);
                         }
                     })
-                    .connect(t.address)
+                    .connect(target.address)
                     .sync()
                     .channel());
         }
         Thread.sleep(500);
         long before = done.get();
-        double cpu = t.process.cpuSeconds();
-        long at = System.nanoTime();
+        double cpuBefore = target.process.cpuSeconds();
+        long startNanos = System.nanoTime();
         Thread.sleep(seconds * 1_000L);
         long count = done.get() - before;
-        double took = (System.nanoTime() - at) / 1e9;
-        double used = t.process.cpuSeconds() - cpu;
+        double elapsedSeconds = (System.nanoTime() - startNanos) / 1e9;
+        double usedSeconds = target.process.cpuSeconds() - cpuBefore;
         for (Channel c : clients) {
             c.close().sync();
         }
         Thread.sleep(200);
-        return new double[] {count / took, used / Math.max(1, count)};
+        return new Measurement(count / elapsedSeconds, usedSeconds / Math.max(1, count));
     }
 
-    /** The rest of a body on its way out; a write may make the channel writable again, which asks from within. */
+    /** The unsent rest of a body. A flush may make the channel writable, which calls {@link #send} again. */
     private static final class Body {
-        long left;
-        private boolean going;
+        private long remaining;
+        private boolean sending;
 
-        void go(ChannelHandlerContext ctx, java.util.function.LongConsumer written) {
-            if (going) {
+        void send(ChannelHandlerContext ctx, LongConsumer written) {
+            if (sending) {
                 return;
             }
-            going = true;
+            sending = true;
             do {
-                while (left > 0 && ctx.channel().isWritable()) {
-                    int n = (int) Math.min(left, BLOCK.length);
-                    left -= n;
+                while (remaining > 0 && ctx.channel().isWritable()) {
+                    int n = (int) Math.min(remaining, BLOCK.length);
+                    remaining -= n;
                     ctx.write(new DefaultHttpContent(Unpooled.wrappedBuffer(BLOCK, 0, n)))
                             .addListener(f -> {
                                 if (f.isSuccess()) {
                                     written.accept(n);
                                 }
                             });
-                    if (left == 0) {
+                    if (remaining == 0) {
                         ctx.write(LastHttpContent.EMPTY_LAST_CONTENT);
                     }
                 }
                 ctx.flush();
-            } while (left > 0 && ctx.channel().isWritable() && ctx.channel().isActive());
-            going = false;
+            } while (remaining > 0
+                    && ctx.channel().isWritable()
+                    && ctx.channel().isActive());
+            sending = false;
         }
     }
 
-    /** Asks again as soon as it is answered; counts requests, or bytes of bodies. */
+    /** Sends the next request as soon as one is answered; counts requests, or bytes of bodies. */
     private static final class Client extends SimpleChannelInboundHandler<HttpObject> {
         private static final AtomicLong IDS = new AtomicLong();
         private final Load load;
@@ -227,24 +262,24 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            ask(ctx);
+            sendRequest(ctx);
         }
 
-        private void ask(ChannelHandlerContext ctx) {
-            body.left = load == Load.UP ? LONG : SHORT;
+        private void sendRequest(ChannelHandlerContext ctx) {
+            body.remaining = load == Load.UP ? LONG_BYTES : SHORT_BYTES;
             HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/api?obj=" + load);
             head.headers()
                     .set("Host", "x")
                     .set("X-Call-Id", "b" + IDS.incrementAndGet())
                     .set("X-Call-Class", "trade-confirm")
                     .set("X-Budget-Ms", 60_000)
-                    .set("Content-Length", body.left);
+                    .set("Content-Length", body.remaining);
             ctx.write(head);
-            go(ctx);
+            sendBody(ctx);
         }
 
-        private void go(ChannelHandlerContext ctx) {
-            body.go(ctx, n -> {
+        private void sendBody(ChannelHandlerContext ctx) {
+            body.send(ctx, n -> {
                 if (load == Load.UP) {
                     done.addAndGet(n);
                 }
@@ -253,7 +288,7 @@
 
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            go(ctx);
+            sendBody(ctx);
         }
 
         @Override
@@ -269,34 +304,34 @@
                     if (load == Load.SHORT) {
                         done.incrementAndGet();
                     }
-                    ask(ctx);
+                    sendRequest(ctx);
                 }
             }
         }
     }
 
-    /** Answers at once; DOWN with a long body. */
-    private static final class Node0 extends SimpleChannelInboundHandler<HttpObject> {
+    /** Responds at the end of each request, to DOWN with a long body. */
+    private static final class OrderNodeHandler extends SimpleChannelInboundHandler<HttpObject> {
         private final Body body = new Body();
         private long length;
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
             if (message instanceof HttpRequest r) {
-                length = r.uri().endsWith("DOWN") ? LONG : 2;
+                length = r.uri().endsWith("DOWN") ? LONG_BYTES : 2;
             }
             if (message instanceof LastHttpContent) {
                 HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
                 head.headers().set("Content-Length", length);
                 ctx.write(head);
-                body.left = length;
-                body.go(ctx, n -> {});
+                body.remaining = length;
+                body.send(ctx, n -> {});
             }
         }
 
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            body.go(ctx, n -> {});
+            body.send(ctx, n -> {});
         }
 
         @Override
@@ -305,7 +340,7 @@
         }
     }
 
-    private static Channel server() {
+    private static Channel orderNode() {
         return new ServerBootstrap()
                 .group(LOOPS)
                 .channel(NioServerSocketChannel.class)
@@ -313,7 +348,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpServerCodec(), new Node0());
+                        ch.pipeline().addLast(new HttpServerCodec(), new OrderNodeHandler());
                     }
                 })
                 .bind(InetAddress.getLoopbackAddress(), 0)
@@ -325,9 +360,9 @@
         return ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
-    // ---- What it goes through ------------------------------------------------------------------------
+    // ---- Targets ------------------------------------------------------------------------
 
-    private static Through balancer(Path folder, String name, Path home, List<Channel> nodes, String operator)
+    private static Target balancer(Path folder, String name, Path home, List<Channel> nodes, String operator)
             throws IOException, InterruptedException {
         StringBuilder members = new StringBuilder();
         for (int i = 0; i < NODES; i++) {
@@ -357,8 +392,8 @@
         return start(folder, name, Map.of("BALANCER_CONFIG", json.toString()), command);
     }
 
-    /** The relay under the options of 'run', so that the machine below is the same. */
-    private static Through relay(Path folder, int port) throws IOException, InterruptedException {
+    /** The relay with the JVM options of 'run', so that both run on the same kind of JVM. */
+    private static Target relay(Path folder, int port) throws IOException, InterruptedException {
         String run = Files.readAllLines(ProgramProcess.home().resolve("deploy/balancer.toml")).stream()
                 .filter(l -> l.startsWith("run = "))
                 .findFirst()
@@ -371,21 +406,21 @@
         return start(folder, "relay", Map.of(), command);
     }
 
-    private static Through start(Path folder, String name, Map<String, String> environment, List<String> command)
+    private static Target start(Path folder, String name, Map<String, String> environment, List<String> command)
             throws IOException, InterruptedException {
         List<String> pinned = new ArrayList<>(List.of("taskset", "-c", "7"));
         pinned.addAll(command);
         ProgramProcess process = new ProgramProcess(folder.resolve(name + ".log"), environment, pinned);
         process.start();
-        return new Through(name, process, new InetSocketAddress(InetAddress.getLoopbackAddress(), process.port()));
+        return new Target(name, process, new InetSocketAddress(InetAddress.getLoopbackAddress(), process.port()));
     }
 
-    /** Bytes from one socket to another, with back pressure, on one loop. */
+    /** Forwards bytes from one socket to another, with backpressure, on one loop. */
     public static final class Relay extends ChannelInboundHandlerAdapter {
-        private final Channel to;
+        private final Channel destination;
 
-        private Relay(Channel to) {
-            this.to = to;
+        private Relay(Channel destination) {
+            this.destination = destination;
         }
 
         public static void main(String[] args) {
@@ -420,25 +455,25 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
-            to.write(message);
-            if (!to.isWritable()) {
+            destination.write(message);
+            if (!destination.isWritable()) {
                 ctx.channel().config().setAutoRead(false);
             }
         }
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
-            to.flush();
+            destination.flush();
         }
 
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            to.config().setAutoRead(ctx.channel().isWritable());
+            destination.config().setAutoRead(ctx.channel().isWritable());
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            to.close();
+            destination.close();
         }
 
         @Override
--- a/bench/src/PlanCost.java
+++ b/bench/src/PlanCost.java
@@ -15,20 +15,22 @@
 /**
  * PlanCost: processor time of a forwarder for each request with plans on against off, side by side in one run.
  *
- * <p>Two forwarders of one zone get the same traffic; one of them follows three planners.
+ * <p>Two forwarders of one zone get the same traffic; one of them follows the planners.
  */
 public final class PlanCost {
     private static final int PLANNERS = 3;
     private static final List<String> NAMES = List.of("off", "on");
-    private static final int WARM_UP_S = 12;
+    private static final int WARM_UP_SECONDS = 12;
+
+    private static final int PARTS = 3;
 
     private PlanCost() {}
 
-    /** Arguments: requests a second (600), seconds (30). */
+    /** Arguments: requests a second (600), seconds (30), seconds of warm-up (12). */
     public static void main(String[] args) throws Exception {
         double rate = args.length > 0 ? Double.parseDouble(args[0]) : 600;
         int seconds = args.length > 1 ? Integer.parseInt(args[1]) : 30;
-        int warmUp = args.length > 2 ? Integer.parseInt(args[2]) : WARM_UP_S;
+        int warmUpSeconds = args.length > 2 ? Integer.parseInt(args[2]) : WARM_UP_SECONDS;
         Path folder = Files.createTempDirectory("plan-cost");
         TierProcesses tier = new TierProcesses(folder);
         List<ProgramProcess> all = new ArrayList<>();
@@ -47,11 +49,11 @@
                         name.equals("off") ? List.of() : ports));
             }
             all.addAll(forwarders);
-            for (ProgramProcess p : all) {
-                p.start();
+            for (ProgramProcess process : all) {
+                process.start();
             }
-            for (ProgramProcess p : all) {
-                p.port();
+            for (ProgramProcess process : all) {
+                process.port(); // waits until it listens
             }
             for (int f = 0; f < 2; f++) {
                 site.balancer(
@@ -62,36 +64,36 @@
                                 forwarders.get(f).port()));
             }
             site.startClients(rate);
-            Thread.sleep(warmUp * 1_000L);
-            double[] total = new double[2];
-            for (int part = 0; part < 3; part++) {
-                double[] cpu = {
+            Thread.sleep(warmUpSeconds * 1_000L);
+            double[] meanCpuSeconds = new double[2];
+            for (int part = 0; part < PARTS; part++) {
+                double[] cpuBefore = {
                     forwarders.get(0).cpuSeconds(), forwarders.get(1).cpuSeconds()
                 };
-                long[] asked = {
+                long[] sentBefore = {
                     site.ask(() -> site.checker().requestsSentTo("off")),
                     site.ask(() -> site.checker().requestsSentTo("on"))
                 };
-                Thread.sleep(seconds * 1_000L / 3);
+                Thread.sleep(seconds * 1_000L / PARTS);
                 for (int f = 0; f < 2; f++) {
                     String name = NAMES.get(f);
-                    double used = forwarders.get(f).cpuSeconds() - cpu[f];
-                    long served = site.ask(() -> site.checker().requestsSentTo(name)) - asked[f];
-                    total[f] += used / served / 3;
+                    double usedSeconds = forwarders.get(f).cpuSeconds() - cpuBefore[f];
+                    long served = site.ask(() -> site.checker().requestsSentTo(name)) - sentBefore[f];
+                    meanCpuSeconds[f] += usedSeconds / served / PARTS;
                     System.out.printf(
                             Locale.ROOT,
                             "part %d plans %-3s  %6d requests  %.1f us of processor time each%n",
                             part + 1,
                             name,
                             served,
-                            used / served * 1e6);
+                            usedSeconds / served * 1e6);
                 }
             }
             site.stopClients();
             System.out.printf(
                     Locale.ROOT,
                     "on / off: %.3f   (service %.4f, rules broken %d)%n",
-                    total[1] / total[0],
+                    meanCpuSeconds[1] / meanCpuSeconds[0],
                     site.summary().service(),
                     site.summary().ruleViolations());
         } finally {
--- a/bench/src/PlannerScale.java
+++ b/bench/src/PlannerScale.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import java.lang.ref.Reference;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
@@ -19,8 +20,12 @@
  */
 public final class PlannerScale {
     private static final int ROUNDS = 70;
-    private static final int WARM_UP = 40;
-    private static final int PER_SECOND = 5;
+    private static final int WARM_UP_ROUNDS = 40;
+    private static final int ROUNDS_PER_SECOND = 5;
+
+    private static final long LAUNCHED_MICROS = 1_764_580_000_000_000L;
+    /** Spreads the ids, so that they do not share a prefix. */
+    private static final int ID_FACTOR = 0x9E3779B9;
 
     private PlannerScale() {}
 
@@ -28,65 +33,69 @@
     public static void main(String[] args) throws Exception {
         System.out.println("forwarders upstreams cold   plan ms (p50  p95)   report us   KB/s to each   KB/s from each"
                 + "   heap MB   share of a core");
-        for (int n : new int[] {10, 100, 1_000}) {
-            for (int cold : new int[] {0, Math.max(1, n / 10)}) {
-                play(n, n, cold);
+        for (int size : new int[] {10, 100, 1_000}) {
+            for (int cold : new int[] {0, Math.max(1, size / 10)}) {
+                measure(size, size, cold);
             }
         }
     }
 
-    private static void play(int forwarders, int upstreams, int cold) throws Exception {
+    private static void measure(int forwarders, int upstreams, int cold) throws Exception {
         Planner planner = new Planner(new Planner.Settings("p", 7, forwarders, upstreams), new LeaseClock(1_000));
         SplittableRandom random = new SplittableRandom(1);
-        long[] plans = new long[ROUNDS - WARM_UP];
-        long reports = 0;
-        long out = 0;
-        long in = 0;
-        long stamp = 0;
+        long[] planNanos = new long[ROUNDS - WARM_UP_ROUNDS];
+        long reportNanos = 0;
+        long sentBytes = 0;
+        long receivedBytes = 0;
+        long echoMicros = 0;
         for (int round = 0; round < ROUNDS; round++) {
-            long now = 1_000_000_000L + round * (1_000_000L / PER_SECOND);
+            long now = 1_000_000_000L + round * (1_000_000L / ROUNDS_PER_SECOND);
             List<byte[]> messages = new ArrayList<>();
-            for (int f = 0; f < forwarders; f++) {
+            for (int forwarder = 0; forwarder < forwarders; forwarder++) {
                 messages.add(Frame.newBuilder()
-                        .setReport(PlannerCodec.encodeReport(report(f, round, stamp, upstreams, cold, random)))
+                        .setReport(PlannerCodec.encodeReport(
+                                report(forwarder, round, echoMicros, upstreams, cold, random)))
                         .build()
                         .toByteArray());
             }
-            long began = System.nanoTime();
-            for (int f = 0; f < forwarders; f++) {
+            long startNanos = System.nanoTime();
+            for (int forwarder = 0; forwarder < forwarders; forwarder++) {
                 planner.handleReport(
                         now,
                         PlannerCodec.decodeReport(
-                                "f" + f, Frame.parseFrom(messages.get(f)).getReport()));
+                                "f" + forwarder,
+                                Frame.parseFrom(messages.get(forwarder)).getReport()));
             }
-            long reported = System.nanoTime();
+            long reportedNanos = System.nanoTime();
             List<Planner.AddressedPlan> planned = planner.createPlans(now);
-            ByteString board = PlannerCodec.encodeViews(planned.get(0).message().views());
+            ByteString views = PlannerCodec.encodeViews(planned.get(0).message().views());
             long bytes = 0;
-            for (Planner.AddressedPlan o : planned) {
+            for (Planner.AddressedPlan plan : planned) {
                 bytes += Frame.newBuilder()
-                        .setPlan(PlannerCodec.encodePlan(o, board))
+                        .setPlan(PlannerCodec.encodePlan(plan, views))
                         .build()
                         .toByteArray()
                         .length;
             }
-            long done = System.nanoTime();
+            long plannedNanos = System.nanoTime();
             PlanMessage first = planned.get(0).message();
-            stamp = first.sentAtMicros();
-            if (round >= WARM_UP) {
-                plans[round - WARM_UP] = done - reported;
-                reports += reported - began;
-                out += bytes;
-                in += messages.stream().mapToLong(m -> m.length).sum();
+            echoMicros = first.sentAtMicros();
+            if (round >= WARM_UP_ROUNDS) {
+                planNanos[round - WARM_UP_ROUNDS] = plannedNanos - reportedNanos;
+                reportNanos += reportedNanos - startNanos;
+                sentBytes += bytes;
+                receivedBytes +=
+                        messages.stream().mapToLong(message -> message.length).sum();
             }
         }
-        java.util.Arrays.sort(plans);
+        Arrays.sort(planNanos);
         System.gc();
-        long heap = Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
-        double rounds = plans.length;
-        double all = 0;
-        for (long p : plans) {
-            all += p;
+        long heapBytes =
+                Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+        double rounds = planNanos.length;
+        double totalPlanNanos = 0;
+        for (long nanos : planNanos) {
+            totalPlanNanos += nanos;
         }
         System.out.printf(
                 Locale.ROOT,
@@ -94,27 +103,27 @@
                 forwarders,
                 upstreams,
                 cold,
-                plans[plans.length / 2] / 1e6,
-                plans[(int) (plans.length * 0.95)] / 1e6,
-                reports / rounds / forwarders / 1e3,
-                out / rounds / forwarders * PER_SECOND / 1e3,
-                in / rounds / forwarders * PER_SECOND / 1e3,
-                heap / 1e6,
-                (all + reports) / rounds * PER_SECOND / 1e9);
-        Reference.reachabilityFence(planner); // the heap was to be measured with it
+                planNanos[planNanos.length / 2] / 1e6,
+                planNanos[(int) (planNanos.length * 0.95)] / 1e6,
+                reportNanos / rounds / forwarders / 1e3,
+                sentBytes / rounds / forwarders * ROUNDS_PER_SECOND / 1e3,
+                receivedBytes / rounds / forwarders * ROUNDS_PER_SECOND / 1e3,
+                heapBytes / 1e6,
+                (totalPlanNanos + reportNanos) / rounds * ROUNDS_PER_SECOND / 1e9);
+        Reference.reachabilityFence(planner); // so that the measured heap includes it
     }
 
     private static ForwarderReport report(
-            int f, int round, long stamp, int upstreams, int cold, SplittableRandom random) {
+            int forwarder, int round, long echoMicros, int upstreams, int cold, SplittableRandom random) {
         List<ForwarderReport.Load> loads = new ArrayList<>();
-        int n = Math.min(upstreams, ForwarderReport.MAX_LOADS);
-        for (int i = 0; i < n; i++) {
-            int u = (round * n + f + i) % upstreams;
+        int loadCount = Math.min(upstreams, ForwarderReport.MAX_LOADS);
+        for (int i = 0; i < loadCount; i++) {
+            int upstream = (round * loadCount + forwarder + i) % upstreams;
             loads.add(new ForwarderReport.Load(
-                    String.format("s-%08x", u * 0x9E3779B9),
-                    u % 3,
+                    upstreamId(upstream),
+                    upstream % 3,
                     false,
-                    u < cold ? 1_764_580_000_000_000L : 0,
+                    upstream < cold ? LAUNCHED_MICROS : 0,
                     random.nextInt(4),
                     round * 20L,
                     1 + random.nextDouble(),
@@ -124,21 +133,24 @@
                     false));
         }
         List<ForwarderReport.Deposit> deposits = new ArrayList<>();
-        for (int u = 0; u < Math.min(cold, ForwarderReport.MAX_DEPOSITS); u++) {
-            deposits.add(
-                    new ForwarderReport.Deposit(String.format("s-%08x", u * 0x9E3779B9), 1_764_580_000_000_000L, 0.05));
+        for (int upstream = 0; upstream < Math.min(cold, ForwarderReport.MAX_DEPOSITS); upstream++) {
+            deposits.add(new ForwarderReport.Deposit(upstreamId(upstream), LAUNCHED_MICROS, 0.05));
         }
         return new ForwarderReport(
-                "f" + f,
+                "f" + forwarder,
                 3,
                 round + 1,
                 77,
-                new ForwarderReport.Stamp(7, stamp),
-                f % 3,
+                new ForwarderReport.Stamp(7, echoMicros),
+                forwarder % 3,
                 1_500_000,
                 0.8,
                 List.of(10.0, 8.0),
                 loads,
                 deposits);
     }
+
+    private static String upstreamId(int upstream) {
+        return String.format("s-%08x", upstream * ID_FACTOR);
+    }
 }
