--- a/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
+++ b/src/test/java/sedgeyoke/consensus/server/ConsensusSimulation.java
@@ -42,6 +42,8 @@
  * no two balancers act on versions that exclude each other, that versions only grow, and that no balancer without a
  * lease is looser than any active version. Checks of the history that all results are true and that it is
  * linearizable.
+ *
+ * <p>The processes are inner classes of the simulated network, so that this file is longer than others.
  */
 final class ConsensusSimulation extends SeededNetwork {
     static final int DRIFT_PPM = 2_000;
@@ -76,7 +78,6 @@
     private long nextBoot = 1;
     private long nextStorageId = 100;
     private long nextIncarnation = 1;
-    private boolean faultsStopped;
     final List<ClientOperation> history = new ArrayList<>();
     /** Whether to print a trace. */
     boolean trace;
@@ -124,7 +125,6 @@
         runUntil(FAULTS_END_MICROS);
         if (violation == null) {
             stopFaults();
-            faultsStopped = true;
             replicas.forEach(replica -> replica.disk.clearFaults());
             runUntil(END_MICROS);
         }
@@ -261,7 +261,7 @@
     // ---- Processes -----------------------------------------------------------------------------------
 
     /** A replica with its disk. */
-    private final class SimulatedReplica extends Process {
+    private final class SimulatedReplica extends NetworkProcess {
         private final String name;
         SimDisk disk;
         private SimDisk backup;
@@ -523,7 +523,7 @@
     }
 
     /** A balancer that subscribes to the config. */
-    private final class SimulatedBalancer extends Process {
+    private final class SimulatedBalancer extends NetworkProcess {
         private final String name;
         private ConfigSubscriber subscriber;
         private int connectedTo;
@@ -579,7 +579,7 @@
     }
 
     /** A client that reads and writes the config, and replaces members that have lost their storage. */
-    private final class SimulatedClient extends Process {
+    private final class SimulatedClient extends NetworkProcess {
         private long nextStartAt;
         private long token;
         private long knownVersion;
