--- a/src/test/java/sedgeyoke/policy/ModuleSizeTest.java
+++ b/src/test/java/sedgeyoke/policy/ModuleSizeTest.java
@@ -13,17 +13,17 @@
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 
-/** The users' limits on the module: 1,200 lines that are not blank in all its files, 110 columns. */
+/** The limits on the policy's files: 1,200 lines that are not blank in all its files, 110 columns. */
 class ModuleSizeTest {
     static String fault(List<String> lines) {
-        long filled = lines.stream().filter(l -> !l.isBlank()).count();
+        long filled = lines.stream().filter(line -> !line.isBlank()).count();
         if (filled > 1_200) {
             return "too long: " + filled;
         }
         return lines.stream()
-                .filter(l -> l.length() > 110)
+                .filter(line -> line.length() > 110)
                 .findFirst()
-                .map(l -> "too wide: " + l)
+                .map(line -> "too wide: " + line)
                 .orElse("");
     }
 
@@ -36,7 +36,7 @@
         for (String file : policy.group(1).replaceAll("[\" ]", "").split(",", -1)) {
             lines.addAll(Files.readAllLines(Path.of(file)));
         }
-        assertTrue(lines.size() > 800, "the module itself");
+        assertTrue(lines.size() > 800, "the policy itself");
         assertEquals("", fault(lines));
     }
 
--- a/src/test/java/sedgeyoke/policy/PolicyReplayTest.java
+++ b/src/test/java/sedgeyoke/policy/PolicyReplayTest.java
@@ -45,7 +45,7 @@
             int least =
                     switch (kind) {
                         case START -> SEEDS;
-                        case CLOSE_IDLE, FETCH, SEND_TO_PEER, LOG -> 0; // the module has no use for them
+                        case CLOSE_IDLE, FETCH, SEND_TO_PEER, LOG -> 0; // the policy has no use for them
                         case HEALTH_CHECK, WATCH, CORDONS -> 150;
                         case SEND, REQUEST, OUTCOME, TIMER_DUE, TIMER -> 20_000;
                         default -> 500;
--- a/src/test/java/sedgeyoke/policy/RandomReplay.java
+++ b/src/test/java/sedgeyoke/policy/RandomReplay.java
@@ -26,11 +26,11 @@
 import sedgeyoke.policy.ReplayJournal.Kind;
 
 /**
- * One run: a host that simulates clients, upstreams, discovery, planners and operators at random. It is one file, as all
- * events and answers draw from one sequence of random numbers.
+ * One run: a host that simulates clients, upstreams, discovery, planners and operators at random. It is one
+ * file, as all events and answers draw from one sequence of random numbers.
  */
 final class RandomReplay implements LoadBalancingPolicy.Actions {
-    /** One attempt that the module sent, as the harness answers it. */
+    /** One attempt that the policy sent, as the host answers it. */
     private static final class Attempt {
         final String request;
         final int number;
@@ -46,7 +46,7 @@
         }
     }
 
-    /** What the harness plays of one upstream: how it fares, and how long it takes. */
+    /** One upstream as the host simulates it: its fault and its slowness. */
     private static final class SimulatedUpstream {
         long launchedAt;
         int fault;
@@ -104,8 +104,8 @@
         for (int i = 0; i < KNOWN_UPSTREAMS; i++) {
             simulated.add(new SimulatedUpstream(0.5 + (chance(0.25) ? 6 : 1) * random.nextDouble()));
         }
-        simulated.get(0).fault =
-                chance(0.5) ? REFUSES_CONNECTIONS : 0; // for good, so that it is ejected again and again
+        // For good, so that it is ejected again and again.
+        simulated.get(0).fault = chance(0.5) ? REFUSES_CONNECTIONS : 0;
         this.settings = RandomSettings.draw(random, seed, upstreams);
         this.balancer = new UtilizationWeightedPolicy(settings, seed, this);
     }
@@ -298,7 +298,7 @@
         balancer.endpointsUpdated(now, kind, entries);
     }
 
-    /** Takes one back at most: the module renews those taken back in an order that it doesn't state. */
+    /** Ends one cordon at most: the policy renews the upstreams of ended cordons in an unspecified order. */
     private void cordons() {
         if (!cordoned.isEmpty() && chance(0.6)) {
             cordoned.remove(chance(0.5) ? cordoned.firstKey() : cordoned.lastKey());
