--- a/src/main/java/sedgeyoke/transport/FramedConnection.java
+++ b/src/main/java/sedgeyoke/transport/FramedConnection.java
@@ -31,8 +31,8 @@
 /**
  * A connection that exchanges length-prefixed protobuf frames over mutual TLS, on either side. Each side first sends a
  * {@link Hello} with its name, which must equal the name in its certificate, and its protocol versions. Any error
- * closes the connection with one log line. Messages carry full state, so those that would queue behind a slow reader are
- * dropped. All methods and callbacks run on the connection's event loop, unless they say otherwise.
+ * closes the connection with one log line. Messages carry full state, so those that would queue behind a slow reader
+ * are dropped. All methods and callbacks run on the connection's event loop, unless they say otherwise.
  */
 public abstract class FramedConnection extends SimpleChannelInboundHandler<ByteBuf> {
     /** Lowest protocol version that this program supports. */
