--- a/src/main/java/sedgeyoke/cli/DrillCommand.java
+++ b/src/main/java/sedgeyoke/cli/DrillCommand.java
@@ -35,14 +35,29 @@
                         + " reached a node that was out for longer than the stated bound."
             })
     int consensus(
-            @Option(names = "--config-servers", defaultValue = "5", description = "default: ${DEFAULT-VALUE}")
+            @Option(
+                            names = "--config-servers",
+                            paramLabel = "N",
+                            defaultValue = "5",
+                            description = "default: ${DEFAULT-VALUE}")
                     int configServers,
-            @Option(names = "--balancers", defaultValue = "24", description = "default: ${DEFAULT-VALUE}")
+            @Option(
+                            names = "--balancers",
+                            paramLabel = "N",
+                            defaultValue = "24",
+                            description = "default: ${DEFAULT-VALUE}")
                     int balancers,
-            @Option(names = "--seconds", defaultValue = "120", description = "default: ${DEFAULT-VALUE}") int seconds,
-            @Option(names = "--seed", defaultValue = "1", description = "default: ${DEFAULT-VALUE}") long seed,
+            @Option(
+                            names = "--seconds",
+                            paramLabel = "N",
+                            defaultValue = "120",
+                            description = "default: ${DEFAULT-VALUE}")
+                    int seconds,
+            @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "default: ${DEFAULT-VALUE}")
+                    long seed,
             @Option(
                             names = "--mode",
+                            paramLabel = "MODE",
                             defaultValue = "faults",
                             description =
                                     "faults, quiet (no faults) or without (faults, but balancers do not follow the"
@@ -73,10 +88,17 @@
                 "Ends with 0 if service stays within 2% of a run without faults and no rule broke."
             })
     int planners(
-            @Option(names = "--seconds", defaultValue = "60", description = "default: ${DEFAULT-VALUE}") int seconds,
-            @Option(names = "--seed", defaultValue = "1", description = "default: ${DEFAULT-VALUE}") long seed,
+            @Option(
+                            names = "--seconds",
+                            paramLabel = "N",
+                            defaultValue = "60",
+                            description = "default: ${DEFAULT-VALUE}")
+                    int seconds,
+            @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "default: ${DEFAULT-VALUE}")
+                    long seed,
             @Option(
                             names = "--load",
+                            paramLabel = "SHARE",
                             defaultValue = PlannersDrill.DEFAULT_LOAD,
                             description = "offered load as a share of the nodes' capacity; default: ${DEFAULT-VALUE}")
                     double load,
@@ -101,9 +123,20 @@
                 "Ends with 0 if every transfer is complete at both ends and memory stays flat under its ceiling."
             })
     int bodies(
-            @Option(names = "--pairs", defaultValue = "1000", description = "default: ${DEFAULT-VALUE}") int pairs,
-            @Option(names = "--seconds", defaultValue = "60", description = "default: ${DEFAULT-VALUE}") int seconds,
-            @Option(names = "--seed", defaultValue = "1", description = "default: ${DEFAULT-VALUE}") long seed,
+            @Option(
+                            names = "--pairs",
+                            paramLabel = "N",
+                            defaultValue = "1000",
+                            description = "default: ${DEFAULT-VALUE}")
+                    int pairs,
+            @Option(
+                            names = "--seconds",
+                            paramLabel = "N",
+                            defaultValue = "60",
+                            description = "default: ${DEFAULT-VALUE}")
+                    int seconds,
+            @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "default: ${DEFAULT-VALUE}")
+                    long seed,
             @Option(names = "--off", description = "leaves [bodies] off, to compare") boolean off,
             @Option(names = "--json", description = "nothing but the last line") boolean json)
             throws Exception {
--- a/src/main/java/sedgeyoke/drill/BulkLoad.java
+++ b/src/main/java/sedgeyoke/drill/BulkLoad.java
@@ -20,7 +20,7 @@
 import sedgeyoke.standin.BulkPair.End;
 import sedgeyoke.standin.BulkPair.Pace;
 
-/** The clients of a bodies drill: long exchanges that start over a ramp, and short ones at a steady rate beside them. */
+/** The clients of a bodies drill: long exchanges that start over a ramp, and short ones at a steady rate. */
 final class BulkLoad {
     /** Kernel buffer of each socket. */
     static final int SOCKET_BUFFER_BYTES = 64 << 10;
--- a/src/main/java/sedgeyoke/drill/ConsensusTier.java
+++ b/src/main/java/sedgeyoke/drill/ConsensusTier.java
@@ -13,7 +13,7 @@
 import sedgeyoke.standin.FaultProxy;
 import sedgeyoke.standin.Site;
 
-/** The config servers and balancers of a consensus drill, with a fault proxy on every connection between two of them. */
+/** The config servers and balancers of a consensus drill, with a fault proxy on each connection between them. */
 final class ConsensusTier implements AutoCloseable {
     /** Each zone's share of the traffic. */
     static final double[] ZONE_SHARES = {0.34, 0.33, 0.33};
--- a/src/main/java/sedgeyoke/model/InvariantChecker.java
+++ b/src/main/java/sedgeyoke/model/InvariantChecker.java
@@ -166,8 +166,9 @@
     }
 
     /**
-     * Is to be called at {@link #STALL_CHECK_INTERVAL_MICROS} by the loop that clients, nodes and discovery share. While
-     * that loop does not run, nothing that reaches them is recorded, so that time limits are extended by its stalls.
+     * Is to be called at {@link #STALL_CHECK_INTERVAL_MICROS} by the loop that clients, nodes and discovery share.
+     * While that loop does not run, nothing that reaches them is recorded, so that time limits are extended by its
+     * stalls.
      */
     public void checkForStall(long nowMicros) {
         stalls.check(nowMicros);
--- a/src/main/java/sedgeyoke/model/WarmUpGuard.java
+++ b/src/main/java/sedgeyoke/model/WarmUpGuard.java
@@ -4,8 +4,8 @@
 import java.util.Deque;
 
 /**
- * The rule on nodes that warm up: one that is sent more than a multiple of its present capacity over a window fails. All
- * work that arrives counts, rejected work too.
+ * The rule on nodes that warm up: one that is sent more than a multiple of its present capacity over a window fails.
+ * All work that arrives counts, rejected work too.
  */
 final class WarmUpGuard {
     /** Tolerance for chance, in requests of mean work. */
--- a/src/main/java/sedgeyoke/simulator/PolicyInstances.java
+++ b/src/main/java/sedgeyoke/simulator/PolicyInstances.java
@@ -8,8 +8,8 @@
 import sedgeyoke.policy.UtilizationWeightedPolicy;
 
 /**
- * The instances of the policy, by their numbers; they share nothing. An exception of one goes into the reply as a bug of
- * that instance, and the others go on.
+ * The instances of the policy, by their numbers; they share nothing. An exception of one goes into the reply as a bug
+ * of that instance, and the others go on.
  */
 final class PolicyInstances {
     private final Map<Integer, Instance> instances = new HashMap<>();
--- a/src/main/java/sedgeyoke/simulator/SettingsReader.java
+++ b/src/main/java/sedgeyoke/simulator/SettingsReader.java
@@ -41,7 +41,7 @@
             List<String> localities,
             List<String> kinds) {}
 
-    /** One object of the settings. Booleans are the numbers 0 and 1; a scalar in a list is an object with the key "". */
+    /** One object of the settings. Booleans are 0 and 1; a scalar in a list is an object with the key "". */
     private static final class Node {
         final Map<String, Double> numbers = new HashMap<>();
         final Map<String, String> texts = new HashMap<>();
--- a/src/main/java/sedgeyoke/standin/BulkContent.java
+++ b/src/main/java/sedgeyoke/standin/BulkContent.java
@@ -7,8 +7,8 @@
 import java.util.SplittableRandom;
 
 /**
- * Content of long bodies without memory for each: a body is the repetition of one random block from an offset on. A byte
- * that is lost, repeated or swapped changes the digest.
+ * Content of long bodies without memory for each: a body is the repetition of one random block from an offset on. A
+ * byte that is lost, repeated or swapped changes the digest.
  */
 final class BulkContent {
     /** Not a power of two, so that no buffer size divides it. */
--- a/src/main/java/sedgeyoke/standin/DiscoveryStandin.java
+++ b/src/main/java/sedgeyoke/standin/DiscoveryStandin.java
@@ -23,8 +23,8 @@
 import sedgeyoke.model.SiteModel;
 
 /**
- * The discovery service, with an agent for each balancer, so that the {@link InvariantChecker} learns when which balancer
- * was notified of what. An agent can be slower than others, and all of them can be down.
+ * The discovery service, with an agent for each balancer, so that the {@link InvariantChecker} learns when which
+ * balancer was notified of what. An agent can be slower than others, and all of them can be down.
  */
 public final class DiscoveryStandin {
     private static final ObjectMapper JSON = new ObjectMapper();
--- a/src/test/java/sedgeyoke/cli/ConfigServerStatusFormatTest.java
+++ b/src/test/java/sedgeyoke/cli/ConfigServerStatusFormatTest.java
@@ -34,7 +34,8 @@
     void jsonKeysAreFixed() {
         assertEquals(
                 "{\"name\":\"k1\",\"role\":\"leader\",\"term\":3,\"leader\":\"k1\",\"commit\":10,\"last\":11,"
-                        + "\"sound\":true,\"doubt\":\"\",\"voters\":[{\"name\":\"k1\",\"folder\":5,\"address\":\"a:1\"}],"
+                        + "\"sound\":true,\"doubt\":\"\","
+                        + "\"voters\":[{\"name\":\"k1\",\"folder\":5,\"address\":\"a:1\"}],"
                         + "\"learner\":{\"name\":\"k2\",\"folder\":6,\"address\":\"a:2\"},\"active\":7,\"pending\":8,"
                         + "\"holders\":24,\"followers\":2,\"contradictionBoundMs\":4000,\"holdsWithinMs\":4400,"
                         + "\"folder\":5}",
@@ -55,8 +56,8 @@
     void onlyTheLeaderHasASecondLine() {
         assertEquals(2, ConfigServerStatusFormat.text(status("leader", null)).size());
         assertEquals(
-                List.of(
-                        "k1           follower  term 3, commit 10 of 11, version 7 (8 takes effect), 2 followers, sound"),
+                List.of("k1           follower  term 3, commit 10 of 11,"
+                        + " version 7 (8 takes effect), 2 followers, sound"),
                 ConfigServerStatusFormat.text(status("follower", null)));
     }
 }
