--- a/src/main/java/sedgeyoke/drill/InProcessBalancer.java
+++ b/src/main/java/sedgeyoke/drill/InProcessBalancer.java
@@ -12,7 +12,7 @@
 import sedgeyoke.proxy.BalancerConfig;
 import sedgeyoke.proxy.BalancerServer;
 import sedgeyoke.proxy.InvalidConfigException;
-import sedgeyoke.proxy.ModulePort;
+import sedgeyoke.proxy.PolicyPort;
 import sedgeyoke.standin.Site;
 
 /** A balancer in this process, on an event loop of its own; it shares only the network with others. */
@@ -41,8 +41,8 @@
     /** The state of its policy. */
     public LoadBalancingPolicy.Summary summary() {
         CompletableFuture<LoadBalancingPolicy.Summary> summary = new CompletableFuture<>();
-        ModulePort port = server.port();
-        loop.execute(() -> port.deliver(() -> summary.complete(port.module().summary(port.now()))));
+        PolicyPort port = server.port();
+        loop.execute(() -> port.deliver(() -> summary.complete(port.policy().summary(port.now()))));
         return summary.join();
     }
 
