--- /dev/null
+++ b/src/test/java/sedgeyoke/proxy/BalancerProcess.java
@@ -0,0 +1,94 @@
+package sedgeyoke.proxy;
+
+import static org.junit.jupiter.api.Assertions.fail;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+/** The balancer as a process of its own, started as the platform starts it, with its output in a file. */
+final class BalancerProcess implements AutoCloseable {
+    private static final int READ_TIMEOUT_MILLIS = 10_000;
+
+    private final Process process;
+    private final Path output;
+    private final int port;
+
+    private BalancerProcess(Process process, Path output, int port) {
+        this.process = process;
+        this.output = output;
+        this.port = port;
+    }
+
+    /** Starts a balancer that listens on {@code port}; it is not awaited. */
+    static BalancerProcess start(Path folder, int port, byte[] config) throws IOException {
+        return start(folder, port, config, Map.of());
+    }
+
+    /** The same with more in its environment. */
+    static BalancerProcess start(Path folder, int port, byte[] config, Map<String, String> environment)
+            throws IOException {
+        String text = new String(config, java.nio.charset.StandardCharsets.UTF_8)
+                .replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + port + "\"");
+        Path file = Files.writeString(folder.resolve("config-" + port + ".json"), text);
+        Path output = folder.resolve("output-" + port + ".log");
+        ProcessBuilder builder = new ProcessBuilder(
+                        System.getProperty("java.home") + "/bin/java",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "sedgeyoke.serve.BalancerMain")
+                .redirectErrorStream(true)
+                .redirectOutput(output.toFile());
+        builder.environment().putAll(environment);
+        builder.environment().put("BALANCER_CONFIG", file.toString());
+        return new BalancerProcess(builder.start(), output, port);
+    }
+
+    int port() {
+        return port;
+    }
+
+    Process process() {
+        return process;
+    }
+
+    String output() throws IOException {
+        return Files.readString(output);
+    }
+
+    /** A connection, as soon as the balancer accepts one. */
+    Socket connectWhenListening() throws InterruptedException, IOException {
+        for (long end = System.nanoTime() + READ_TIMEOUT_MILLIS * 1_000_000L; System.nanoTime() < end; ) {
+            try {
+                Socket socket = new Socket("127.0.0.1", port);
+                socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+                return socket;
+            } catch (IOException notYet) {
+                Thread.sleep(1);
+            }
+        }
+        return fail("does not listen: " + output());
+    }
+
+    void awaitHealthy() throws InterruptedException {
+        Loopback.await("healthy", this::healthy);
+    }
+
+    private boolean healthy() {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+            return Loopback.ask(socket, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+                            .status()
+                    == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+}
