Drains are known within their grace, whatever becomes of the agent's answers

Cause: the grace of a drain counts from when the agent has it, but each step until we knew had a limit of its own (start 1.5 s by the configured list, wait of the watch 2 s, silence 0.5 s, the rest of an answer 5 s, half a grace more after the list); the sum passed it. Change: the limits are derived from the grace together (DiscoveryTimings); an answer that is overdue no longer keeps us from asking on a second connection; nothing is written to an upstream that is known not to be ready; a new process asks before it listens and holds requests until discovery has confirmed its list, for 1 s at most; an older complete list needs a second answer to be believed. Log lines have time and name, list changes and silences are logged, and counters tell why attempts were not written.

--- a/src/main/java/sedgeyoke/proxy/BalancerServer.java
+++ b/src/main/java/sedgeyoke/proxy/BalancerServer.java
@@ -55,6 +55,14 @@
                 inherited);
     }
 
+    /**
+     * Starts the policy and the calls to discovery, so that the endpoint list is there when clients come. Any thread;
+     * {@link #bind} does it otherwise.
+     */
+    public void start() {
+        loop.execute(core::start);
+    }
+
     /** Binds the clients' listener, and starts the policy once that has succeeded. Any thread. */
     public ChannelFuture bind() {
         return frontend.bind().addListener(bound -> {
--- a/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
+++ b/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
@@ -3,131 +3,116 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 /**
  * Fetches the complete endpoint list from discovery and then watches it, with one call after the other. A call that
- * fails changes nothing: the last list stays in force. Where discovery is one service for all balancers, the first
- * watch continues from the list of the configuration, as complete lists are expensive there and would delay each other
- * when many balancers start at once. Event loop only.
+ * fails changes nothing: the last list stays in force.
+ *
+ * <p>What an answer brings may be lost without a sign: an agent can be silent, or begin an answer and not end it. So no
+ * answer is awaited alone for longer than {@link DiscoveryTimings} say: from then on discovery is called on a second
+ * connection, while an answer that is only slow may still come on the first.
+ *
+ * <p>Where discovery is one service for all balancers, the first call continues from the list of the configuration, as
+ * complete lists are expensive there and would delay each other when many balancers start at once. Event loop only.
  */
-final class DiscoveryClient {
-    /** How long a watch waits for changes; short, so that one that has fallen silent is noticed. */
-    private static final int WATCH_WAIT_MILLIS = 2_000;
+final class DiscoveryClient implements DiscoveryConnection.Listener {
     /** A watch that ends sooner than that without changes is renewed only after a pause, or calls would never rest. */
     private static final long MIN_WATCH_NANOS = 50_000_000;
-    /**
-     * How long a call for the complete list may take. A shorter timeout helps nobody where discovery works through
-     * calls in turn: the response that it is about to give is lost, and the next call starts at the end of the queue.
-     */
-    private static final int CALL_TIMEOUT_MILLIS = 5_000;
-    /** How much longer than it waits a watch may take; changes that it misses are unknown for as long. */
-    private static final int WATCH_TIMEOUT_MARGIN_MILLIS = 2_500;
-    /**
-     * How long the first byte of a response may take where lists are pushed: the agent runs on this machine and
-     * responds at once, or is silent. What a silent watch misses counts as known 6 s after it fell silent, and what the
-     * agent gets at the end of an outage at once, so that two silent calls in a row must take less than the one, and a
-     * call that is silent during an outage less than the time that draining upstreams leave.
-     */
-    private static final int MAX_SILENCE_MILLIS = 500;
-    /** An event loop on a part of a core is late itself by about as much. */
-    private static final int MIN_SILENCE_MILLIS = 100;
 
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
-    /** The longest list: far more than any fleet's, and little enough to buffer. */
-    private static final int MAX_LIST_BYTES = 1 << 20;
-
     private static final int MIN_PAUSE_MILLIS = 20;
     private static final int PAUSE_JITTER_MILLIS = 80;
+    /** So many answers in a row have to have an older revision before it is believed that discovery lost its state. */
+    private static final int ANSWERS_THAT_CONFIRM_OLDER_REVISION = 2;
+
+    private static final long NO_REVISION = Long.MIN_VALUE;
 
     private final EventLoop loop;
     private final BalancerConfig config;
     private final Transport transport;
-    private final Consumer<EndpointList> listener;
+    private final Listener listener;
     private final RateLimitedLog log;
+    private final DiscoveryMetrics metrics;
     private final Random random;
     private final Bootstrap bootstrap;
-    /** Whether an agent on this machine pushes lists; else the policy decides when to poll a shared service. */
+    /** Whether an agent on this machine pushes lists; else the policy decides when to poll a shared service again. */
     private final boolean pushed;
-    /** How long nothing at all may arrive where lists are pushed; draining upstreams leave at least twice that. */
-    private final int maxSilenceMillis;
+
+    private final DiscoveryTimings timings;
 
     private InetSocketAddress address;
-    /** The connection in use; null if there is none. */
-    private Channel channel;
+    /** The connection of the latest call; null if there is none. */
+    private DiscoveryConnection current;
+    /** A connection whose answer is overdue and may still come; null if there is none. */
+    private DiscoveryConnection overdue;
 
     private boolean watching;
     private boolean callInProgress;
-    private Future<?> timeoutTimer;
+    private Future<?> silenceTimer;
+    private Future<?> overdueTimer;
     private long callStartedNanos;
-    /** Whether the response to the current call has responseStarted to arrive. */
-    private boolean responseStarted;
+    private int silenceMillis;
 
     private boolean completeListNeeded;
     private boolean listed;
     private long revision;
+    /** Answers in a row that had an older revision than the list in force. */
+    private int olderRevisions;
     /** Whether the listener was notified of a failed call and of no successful one since. */
     private boolean failureReported;
-    /** After a failure of the agent: the next call returns at once, as waiting cannot be distinguished from silence. */
+    /** The next call returns at once, as waiting cannot be distinguished from silence. */
     private boolean withoutWait;
+    /** When the first of the calls that have failed in a row began; 0 if the last one succeeded. */
+    private long failingSinceNanos;
+
+    /** Receives what discovery answers. */
+    interface Listener {
+        /** A list has come, complete or with changes, perhaps none. */
+        void listed(EndpointList list);
+
+        /** Discovery has answered, and what it had to tell has been handed over. */
+        void confirmed();
+
+        /** A poll of the shared service has failed; it is not repeated before {@link #watch} is called again. */
+        void unavailable();
+    }
 
-    /** The listener gets each list, and null for a failed call where lists are polled. */
     DiscoveryClient(
             EventLoop loop,
             BalancerConfig config,
             Transport transport,
-            Consumer<EndpointList> listener,
-            RateLimitedLog log) {
+            Listener listener,
+            RateLimitedLog log,
+            DiscoveryMetrics metrics) {
         this.loop = loop;
         this.config = config;
         this.listener = listener;
         this.log = log;
+        this.metrics = metrics;
         this.transport = transport;
         this.random = new Random(config.seed());
         this.address = config.discovery();
         this.pushed = !config.instanceSettings().settings().subscribesToEndpoints();
-        long drainGraceMillis = config.instanceSettings().settings().rules().drainGrace() / 1_000;
-        this.maxSilenceMillis = (int) Math.max(MIN_SILENCE_MILLIS, Math.min(MAX_SILENCE_MILLIS, drainGraceMillis / 2));
-        this.completeListNeeded = !config.instanceSettings().settings().subscribesToEndpoints()
-                || config.known().members().isEmpty();
-        this.listed = !completeListNeeded; // a watch ends only with changes, and clients must not wait for these
+        this.timings = DiscoveryTimings.of(config.instanceSettings().settings(), pushed);
+        this.silenceMillis = timings.silence();
+        this.completeListNeeded = pushed || config.known().members().isEmpty();
+        this.withoutWait = true; // the configured list may be old: what has changed since must not wait
+        this.listed = !completeListNeeded; // clients need not wait for an answer without changes
         this.revision = config.known().revision();
         this.bootstrap = transport
                 .client(loop)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, pushed ? maxSilenceMillis : CONNECT_TIMEOUT_MILLIS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel ch) {
-                        ch.pipeline()
-                                .addLast(
-                                        new ResponseStartHandler(),
-                                        new HttpClientCodec(),
-                                        new HttpObjectAggregator(MAX_LIST_BYTES),
-                                        new ResponseHandler());
-                    }
-                });
+                .option(
+                        ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                        Math.min(CONNECT_TIMEOUT_MILLIS, timings.completeListSilence()));
     }
 
     /** Whether a list is known: discovery has sent one, or a watch continues from the one of the configuration. */
@@ -146,11 +131,8 @@
     /** Fetches the complete list now; a watch in progress is aborted. */
     void fetch() {
         completeListNeeded = true;
-        if (callInProgress && channel != null) {
-            channel.close();
-        } else if (!callInProgress) {
-            call();
-        }
+        endCalls();
+        call();
     }
 
     /**
@@ -161,176 +143,219 @@
         if (newAddress.equals(address)) {
             return;
         }
+        log.state("discovery: moves from " + address + " to " + newAddress);
         address = newAddress;
         completeListNeeded = true;
-        Channel previous = channel;
-        channel = null;
-        if (previous != null) {
-            previous.close();
-        }
-        if (timeoutTimer != null) {
-            timeoutTimer.cancel(false);
-        }
-        if (callInProgress) {
+        revision = NO_REVISION;
+        boolean interrupted = callInProgress;
+        endCalls();
+        if (interrupted) {
             call();
         }
     }
 
+    // ---- Calls ---------------------------------------------------------------------------------------
+
     private void call() {
         callInProgress = true;
-        if (channel != null && channel.isActive()) {
-            write();
-            return;
+        int waitMillis = completeListNeeded || withoutWait ? 0 : timings.watchWait();
+        String uri = "/catalog/members" + (completeListNeeded ? "" : "?from=" + revision + "&hold_ms=" + waitMillis);
+        if (current == null || !current.isReusable()) {
+            current = new DiscoveryConnection(loop, bootstrap, transport.at(address), address, this, log);
         }
-        ChannelFuture connecting = bootstrap.connect(transport.at(address));
-        channel = connecting.channel();
-        // If the process has no file descriptor left, Netty calls the listener on another thread.
-        connecting.addListener(done -> loop.execute(() -> connected(connecting)));
+        callStartedNanos = System.nanoTime();
+        int silence = completeListNeeded ? Math.max(silenceMillis, timings.completeListSilence()) : silenceMillis;
+        silenceTimer = loop.schedule(this::noAnswerInTime, waitMillis + silence, TimeUnit.MILLISECONDS);
+        current.call(uri);
     }
 
-    private void connected(ChannelFuture connecting) {
-        if (connecting.channel() != channel) {
-            connecting.channel().close(); // the address has changed meanwhile
-        } else if (connecting.isSuccess()) {
-            write();
+    /** Calls again on another connection; the answer that is overdue may still come, if none else is awaited. */
+    private void noAnswerInTime() {
+        metrics.count(DiscoveryMetrics.Event.ANSWER_OVERDUE);
+        log.state("discovery: no complete answer after " + sinceMillis(callStartedNanos) + " ms, asks again");
+        noteFailing();
+        if (overdue == null) {
+            overdue = current;
+            overdueTimer = loop.schedule(this::dropOverdue, timings.overdue(), TimeUnit.MILLISECONDS);
         } else {
-            failed("no connection");
+            current.close();
         }
+        current = null;
+        withoutWait = true;
+        silenceMillis = timings.nextSilence(silenceMillis);
+        call();
     }
 
-    private void write() {
-        int waitMillis = completeListNeeded || withoutWait ? 0 : WATCH_WAIT_MILLIS;
-        String uri = "/catalog/members" + (completeListNeeded ? "" : "?from=" + revision + "&hold_ms=" + waitMillis);
-        DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
-        request.headers().set(HttpHeaderNames.HOST, address.getAddress().getHostAddress());
-        callStartedNanos = System.nanoTime();
-        responseStarted = false;
-        startTimeout(timeoutMillis(waitMillis));
-        channel.writeAndFlush(request);
+    private void dropOverdue() {
+        if (overdue != null) {
+            overdueTimer.cancel(false);
+            overdue.close();
+            overdue = null;
+        }
     }
 
-    private int timeoutMillis(int waitMillis) {
-        if (pushed) {
-            return waitMillis + maxSilenceMillis;
+    private void endCalls() {
+        callInProgress = false;
+        dropOverdue();
+        if (silenceTimer != null) {
+            silenceTimer.cancel(false);
+        }
+        if (current != null) {
+            current.close();
+            current = null;
         }
-        return completeListNeeded ? CALL_TIMEOUT_MILLIS : WATCH_WAIT_MILLIS + WATCH_TIMEOUT_MARGIN_MILLIS;
     }
 
-    private void startTimeout(int millis) {
-        Channel calledOn = channel;
-        timeoutTimer = loop.schedule(() -> calledOn.close(), millis, TimeUnit.MILLISECONDS);
+    @Override
+    public void broken(DiscoveryConnection connection, String reason) {
+        if (connection == overdue) {
+            dropOverdue();
+        } else if (connection == current) {
+            failed(reason);
+        }
     }
 
     private void failed(String reason) {
         callInProgress = false;
-        withoutWait = pushed;
-        log.line("discovery: " + reason);
-        if (channel != null) {
-            Channel previous = channel;
-            channel = null;
-            previous.close(); // an invalid response may have left anything behind on it
+        withoutWait = true;
+        silenceTimer.cancel(false);
+        if (current != null) {
+            current.close(); // an invalid response may have left anything behind on it
+            current = null;
         }
-        if (!pushed) { // the policy decides when to poll again
+        metrics.count(DiscoveryMetrics.Event.CALL_FAILED);
+        if (failingSinceNanos == 0) {
+            log.state("discovery: " + reason);
+        } else {
+            log.line("discovery: " + reason);
+        }
+        noteFailing();
+        if (pushed) {
+            continueAfterPause();
+        } else { // the policy decides when to poll again
             watching = false;
             failureReported = true;
-            listener.accept(null);
+            listener.unavailable();
+        }
+    }
+
+    private void noteFailing() {
+        if (failingSinceNanos == 0) {
+            failingSinceNanos = callStartedNanos;
+        }
+    }
+
+    /** Continues watching after a pause that is too short for the watch to count as interrupted. */
+    private void continueAfterPause() {
+        loop.schedule(
+                () -> watch(watching), MIN_PAUSE_MILLIS + random.nextInt(PAUSE_JITTER_MILLIS), TimeUnit.MILLISECONDS);
+    }
+
+    private static long sinceMillis(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
+    }
+
+    // ---- Answers -------------------------------------------------------------------------------------
+
+    @Override
+    public void responded(DiscoveryConnection connection, FullHttpResponse response) {
+        if (connection == overdue) {
+            respondedLate(response);
+        } else if (connection == current) {
+            silenceTimer.cancel(false);
+            dropOverdue(); // what it brings was put together before this answer
+            respondedInTime(response);
         } else {
-            continueAfterPause();
+            connection.close();
         }
     }
 
-    private void responded(FullHttpResponse response) {
+    /** Takes over a list that comes although discovery was called again meanwhile; that call goes on. */
+    private void respondedLate(FullHttpResponse response) {
         EndpointList list;
         try {
-            if (response.status().code() != 200 || response.decoderResult().isFailure()) {
-                failed("answered " + response.status());
-                return;
-            }
-            list = EndpointList.read(
-                    BalancerConfig.JSON.readTree(ByteBufUtil.getBytes(response.content())), config.instanceSettings());
-        } catch (InvalidEndpointListException | JsonProcessingException e) {
-            failed("malformed list: " + e.getMessage().lines().findFirst().orElse(""));
+            list = read(response);
+        } catch (InvalidEndpointListException e) {
+            dropOverdue();
             return;
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
         }
-        if (!list.complete() && list.revision() < revision) {
-            completeListNeeded = true; // another discovery, or one that lost its state: revisions start anew
-            failed("revision " + list.revision() + " after " + revision);
+        dropOverdue();
+        if (list.revision() >= revision && (list.complete() || !completeListNeeded)) {
+            completeListNeeded = false;
+            accepted(list);
+        }
+    }
+
+    private void respondedInTime(FullHttpResponse response) {
+        EndpointList list;
+        try {
+            list = read(response);
+        } catch (InvalidEndpointListException e) {
+            failed(e.getMessage());
+            return;
+        }
+        if (list.revision() < revision && !confirmsOlderRevision(list)) {
             return;
         }
         boolean changed = completeListNeeded || withoutWait || list.revision() != revision;
         withoutWait = false;
-        completeListNeeded = false;
         callInProgress = false;
-        listed = true;
+        silenceMillis = timings.silence();
+        // The next call goes out before the list is passed on, as the watch counts as interrupted if that is late.
         revision = list.revision();
+        completeListNeeded = false;
         if (!changed && System.nanoTime() - callStartedNanos < MIN_WATCH_NANOS) {
             continueAfterPause();
         } else if (watching) {
-            call(); // before the list is passed on, as the watch counts as interrupted if the next call is late
-        }
-        if (list.complete() || !list.members().isEmpty() || failureReported) {
-            failureReported = false;
-            listener.accept(list);
+            call();
         }
+        accepted(list);
     }
 
-    /** Continues watching after a pause that is too short for the watch to count as interrupted. */
-    private void continueAfterPause() {
-        loop.schedule(
-                () -> watch(watching), MIN_PAUSE_MILLIS + random.nextInt(PAUSE_JITTER_MILLIS), TimeUnit.MILLISECONDS);
-    }
-
-    /** Extends the timeout once a response begins: the agent is not silent then, and a long list may take its time. */
-    private final class ResponseStartHandler extends ChannelInboundHandlerAdapter {
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
-            if (ctx.channel() == channel
-                    && callInProgress
-                    && pushed
-                    && !responseStarted
-                    && timeoutTimer.cancel(false)) {
-                responseStarted = true;
-                startTimeout(CALL_TIMEOUT_MILLIS);
-            }
-            ctx.fireChannelRead(bytes);
+    private EndpointList read(FullHttpResponse response) throws InvalidEndpointListException {
+        if (response.status().code() != 200 || response.decoderResult().isFailure()) {
+            throw new InvalidEndpointListException("answered " + response.status());
+        }
+        try {
+            return EndpointList.read(
+                    BalancerConfig.JSON.readTree(ByteBufUtil.getBytes(response.content())), config.instanceSettings());
+        } catch (InvalidEndpointListException e) {
+            throw new InvalidEndpointListException("malformed list: " + e.getMessage());
+        } catch (JsonProcessingException e) {
+            throw new InvalidEndpointListException(
+                    "malformed list: " + e.getMessage().lines().findFirst().orElse(""));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
         }
     }
 
-    /** Handles the responses on one connection. */
-    private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (ctx.channel() != channel || !callInProgress) {
-                ctx.close(); // from a previous address, or a response that no call asked for
-                return;
-            }
-            timeoutTimer.cancel(false);
-            if (!HttpUtil.isKeepAlive(response)) {
-                channel = null;
-                ctx.close();
-            }
-            responded(response);
+    /**
+     * An older revision comes from a replica of discovery that is late, or from a discovery that has lost its state.
+     * The first would make ready what drains, so it is believed only if another answer says the same, and only as a
+     * complete list: changes relative to an older list would leave ours wrong for good.
+     */
+    private boolean confirmsOlderRevision(EndpointList list) {
+        olderRevisions++;
+        if (list.complete() && olderRevisions >= ANSWERS_THAT_CONFIRM_OLDER_REVISION) {
+            return true;
         }
+        completeListNeeded = true;
+        failed("revision " + list.revision() + " after " + revision);
+        return false;
+    }
 
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            if (ctx.channel() == channel) {
-                if (timeoutTimer != null) {
-                    timeoutTimer.cancel(false);
-                }
-                channel = null;
-                if (callInProgress) {
-                    failed("call broken off");
-                }
-            }
+    private void accepted(EndpointList list) {
+        olderRevisions = 0;
+        listed = true;
+        revision = list.revision();
+        if (failingSinceNanos != 0) {
+            log.state("discovery: answers again after " + sinceMillis(failingSinceNanos) + " ms");
+            failingSinceNanos = 0;
         }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            log.line("discovery: " + cause);
-            ctx.close();
+        if (list.complete() || !list.members().isEmpty() || failureReported) {
+            failureReported = false;
+            listener.listed(list);
         }
+        listener.confirmed();
     }
 }
--- a/src/main/java/sedgeyoke/proxy/ExchangeTable.java
+++ b/src/main/java/sedgeyoke/proxy/ExchangeTable.java
@@ -31,6 +31,7 @@
     private final PolicyEvents events;
     private final RequestMetrics metrics;
     private final RateLimitedLog log;
+    private final ConfirmedList confirmedList;
     private final Map<String, Exchange> exchanges = new HashMap<>();
     /** When the last response must be out; limits all deadlines during a graceful shutdown. */
     private long lastResponseMicros = Long.MAX_VALUE;
@@ -44,6 +45,7 @@
             BodyLimits bodies,
             PolicyEvents events,
             RequestMetrics metrics,
+            ConfirmedList confirmedList,
             RateLimitedLog log) {
         this.loop = loop;
         this.clock = clock;
@@ -51,6 +53,7 @@
         this.bodies = bodies;
         this.events = events;
         this.metrics = metrics;
+        this.confirmedList = confirmedList;
         this.log = log;
     }
 
@@ -80,7 +83,13 @@
         exchange.deadlineMicros = clock.now() + leftMicros;
         exchanges.put(request.id(), exchange);
         startDeadlineTimer(exchange, leftMicros);
-        events.deliver(exchange, () -> notifyRequest(exchange));
+        confirmedList.whenConfirmed(() -> notifyUnlessAnswered(exchange));
+    }
+
+    private void notifyUnlessAnswered(Exchange exchange) {
+        if (!exchange.answered) {
+            events.deliver(exchange, () -> notifyRequest(exchange));
+        }
     }
 
     private void notifyRequest(Exchange exchange) {
@@ -274,6 +283,7 @@
             return;
         }
         attempt.ended = true;
+        metrics.attemptEnded(outcome);
         attempt.mayHaveRun = !outcome.neverRan;
         if (attempt.timeoutTimer != null) {
             attempt.timeoutTimer.cancel(false);
--- a/src/main/java/sedgeyoke/proxy/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/ProxyCore.java
@@ -16,8 +16,6 @@
  * and other features call. Event loop only.
  */
 final class ProxyCore implements PolicyPort {
-    /** How long the first endpoint list is awaited before clients are accepted with the configured one. */
-    private static final long MAX_WAIT_FOR_LIST_MICROS = 1_500_000;
     /** SIGKILL does not wait for longer deadlines (PROTOCOL, "Figures"). */
     private static final long MAX_DEADLINE_MICROS = 3_000_000;
     /** Share of the sockets for connections to upstreams; clients have one each, too. */
@@ -35,7 +33,10 @@
     private final ExchangeTable exchanges;
     private final UpstreamConnectionPool pool;
     private final DiscoveryClient discovery;
+    private final DiscoveryMetrics discoveryMetrics = new DiscoveryMetrics();
+    private final ConfirmedList confirmedList;
     private final Cordons cordons;
+    private boolean started;
 
     ProxyCore(EventLoop loop, BalancerConfig config, Transport transport, BodyLimits bodies) {
         this(
@@ -59,15 +60,16 @@
         this.settings = config.instanceSettings().settings();
         this.bodies = bodies;
         this.budget = new BodyBudget(bodies);
-        this.log = new RateLimitedLog(transport.log(), clock::now);
+        this.log = new RateLimitedLog(transport.log(), config.name(), clock::now);
         this.metrics = new RequestMetrics(config.instanceSettings().classNames());
         this.events = new PolicyEvents(log);
-        this.exchanges = new ExchangeTable(loop, clock, settings, bodies, events, metrics, log);
+        this.confirmedList = new ConfirmedList(loop, log);
+        this.exchanges = new ExchangeTable(loop, clock, settings, bodies, events, metrics, confirmedList, log);
         UpstreamContext context = new UpstreamContext(
                 loop, clock::now, settings, config.instanceSettings().reportNames(), bodies, budget, exchanges, log);
         int maxUpstreamConnections = (int) (UPSTREAM_SOCKET_SHARE * config.sockets());
-        this.pool = new UpstreamConnectionPool(context, transport, maxUpstreamConnections);
-        this.discovery = new DiscoveryClient(loop, config, transport, this::endpointsListed, log);
+        this.pool = new UpstreamConnectionPool(context, transport, maxUpstreamConnections, metrics);
+        this.discovery = new DiscoveryClient(loop, config, transport, new ListReceiver(), log, discoveryMetrics);
         this.cordons = new Cordons(clock, events, pool, new CordonStore(cordonFile(config)), log);
         PolicyActions actions = new PolicyActions(loop, clock, settings, events, exchanges, pool, discovery, log);
         events.connect(policy.apply(actions), exchanges::endUnanswered);
@@ -81,8 +83,16 @@
         return config.folder().resolve("sedgeyoke-cordons-" + config.name().replaceAll("[^A-Za-z0-9_-]", "_"));
     }
 
-    /** Starts with the endpoint list of the configuration, until discovery answers. */
+    /**
+     * Starts with the endpoint list of the configuration, which discovery has to confirm before requests are forwarded
+     * by it. Does nothing if it was called before.
+     */
     void start() {
+        if (started) {
+            return;
+        }
+        started = true;
+        confirmedList.start();
         events.deliver(() -> events.policy().start(now()));
         EndpointList known = config.known();
         pool.update(known);
@@ -95,15 +105,26 @@
         }
     }
 
-    /** Takes over an endpoint list; null stands for a poll that failed. */
-    private void endpointsListed(EndpointList list) {
-        if (list == null) {
+    /** Takes over what discovery answers. */
+    private final class ListReceiver implements DiscoveryClient.Listener {
+        @Override
+        public void listed(EndpointList list) {
+            discoveryMetrics.count(DiscoveryMetrics.Event.LIST_ACCEPTED);
+            EndpointChanges changes = pool.update(list);
+            log.state("endpoints: revision " + list.revision() + (list.complete() ? " complete: " : ": ") + changes);
+            ListKind kind = list.complete() ? ListKind.COMPLETE : ListKind.CHANGES;
+            events.deliver(() -> events.policy().endpointsUpdated(now(), kind, list.upstreams()));
+        }
+
+        @Override
+        public void confirmed() {
+            confirmedList.confirmed();
+        }
+
+        @Override
+        public void unavailable() {
             events.deliver(() -> events.policy().endpointsUpdated(now(), ListKind.UNAVAILABLE, List.of()));
-            return;
         }
-        pool.update(list);
-        ListKind kind = list.complete() ? ListKind.COMPLETE : ListKind.CHANGES;
-        events.deliver(() -> events.policy().endpointsUpdated(now(), kind, list.upstreams()));
     }
 
     /** Takes over what may change without a restart, from a configuration that was read again. */
@@ -118,8 +139,7 @@
 
     /** Whether clients may be taken: discovery has answered, or the configured list has to do. */
     boolean ready() {
-        return discovery.listed()
-                || !config.known().members().isEmpty() && clock.sinceStartMicros() > MAX_WAIT_FOR_LIST_MICROS;
+        return discovery.listed() || !config.known().members().isEmpty() && confirmedList.released();
     }
 
     // ---- For the frontend ----------------------------------------------------------------------------
@@ -216,7 +236,7 @@
         int excluded = (int) upstreams.stream()
                 .filter(upstream -> upstream.ejected() || upstream.state() != LoadBalancingPolicy.State.READY)
                 .count();
-        return metrics.text(inFlight, upstreams.size(), excluded);
+        return metrics.text(inFlight, upstreams.size(), excluded, discoveryMetrics);
     }
 
     @Override
--- a/src/main/java/sedgeyoke/proxy/RateLimitedLog.java
+++ b/src/main/java/sedgeyoke/proxy/RateLimitedLog.java
@@ -4,43 +4,75 @@
 import java.util.function.LongSupplier;
 
 /**
- * A log of at most 20 lines a second, so that misbehaving peers cannot cost the time to write about them. One thread.
+ * A log whose lines say when and who: seconds of a clock that never steps, and the name of the process. Lines that
+ * peers can cause and lines on our own state each have a budget of 20 a second, so that misbehaving peers can neither
+ * cost the time to write about them nor hide a change of state. One thread.
  */
 public final class RateLimitedLog {
     private static final int MAX_LINES_PER_SECOND = 20;
     private static final long MICROS_PER_SECOND = 1_000_000;
+    private static final long MICROS_PER_MILLI = 1_000;
 
     private final PrintStream out;
+    private final String name;
     private final LongSupplier clockMicros;
-    private long currentSecond;
-    private int linesThisSecond;
-    private long droppedLines;
+    private final Budget peerLines = new Budget();
+    private final Budget stateLines = new Budget();
 
     /** Writes to {@code out}; the clock gives microseconds. */
     public RateLimitedLog(PrintStream out, LongSupplier clockMicros) {
+        this(out, "", clockMicros);
+    }
+
+    /** Writes to {@code out} with a name in each line; the clock gives microseconds. */
+    public RateLimitedLog(PrintStream out, String name, LongSupplier clockMicros) {
         this.out = out;
+        this.name = name.isEmpty() ? "" : name + ' ';
         this.clockMicros = clockMicros;
     }
 
-    /** Writes a line, or drops and counts it if there were too many in this second. */
+    /** Writes a line that a peer can cause, or drops and counts it if there were too many in this second. */
     public void line(String text) {
-        long second = clockMicros.getAsLong() / MICROS_PER_SECOND;
-        if (second != currentSecond) {
-            startSecond(second);
+        write(peerLines, text);
+    }
+
+    /** Writes a line on a change of our own state; these are counted apart. */
+    public void state(String text) {
+        write(stateLines, text);
+    }
+
+    private void write(Budget budget, String text) {
+        long now = clockMicros.getAsLong();
+        long second = now / MICROS_PER_SECOND;
+        if (second != budget.second) {
+            if (budget.dropped > 0) {
+                print(now, "(" + budget.dropped + " lines left out)");
+            }
+            budget.startSecond(second);
         }
-        if (linesThisSecond++ < MAX_LINES_PER_SECOND) {
-            out.println(text);
+        if (budget.lines++ < MAX_LINES_PER_SECOND) {
+            print(now, text);
         } else {
-            droppedLines++;
+            budget.dropped++;
         }
     }
 
-    private void startSecond(long second) {
-        if (droppedLines > 0) {
-            out.println("(" + droppedLines + " lines left out)");
+    private void print(long now, String text) {
+        long millis = now / MICROS_PER_MILLI;
+        String fraction = Long.toString(1_000 + millis % 1_000).substring(1);
+        out.println(millis / 1_000 + "." + fraction + ' ' + name + text);
+    }
+
+    /** The lines of one kind in the current second. */
+    private static final class Budget {
+        private long second;
+        private int lines;
+        private long dropped;
+
+        void startSecond(long now) {
+            second = now;
+            lines = 0;
+            dropped = 0;
         }
-        currentSecond = second;
-        linesThisSecond = 0;
-        droppedLines = 0;
     }
 }
--- a/src/main/java/sedgeyoke/proxy/RequestMetrics.java
+++ b/src/main/java/sedgeyoke/proxy/RequestMetrics.java
@@ -1,6 +1,8 @@
 package sedgeyoke.proxy;
 
 import java.util.List;
+import java.util.Locale;
+import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 
 /** Counters of this process by request class; all begin at 0. To be used on the event loop. */
 final class RequestMetrics {
@@ -11,6 +13,8 @@
     private final long[][] ends;
 
     private final long[] attempts;
+    private final long[] outcomes = new long[Outcome.values().length];
+    private final long[] withheld = new long[WithheldReason.values().length];
 
     /** How a request ended, as its client sees it; the labels are metric names that operators read. */
     enum End {
@@ -44,8 +48,18 @@
         attempts[classIndex]++;
     }
 
+    /** Counts the end of an attempt, written or not. */
+    void attemptEnded(Outcome outcome) {
+        outcomes[outcome.ordinal()]++;
+    }
+
+    /** Counts an attempt that was not written. */
+    void withheld(WithheldReason reason) {
+        withheld[reason.ordinal()]++;
+    }
+
     /** All metrics, one a line, in the format of statsd: counters of type {@code c}, gauges of type {@code g}. */
-    String text(int inFlight, int upstreamsKnown, int upstreamsExcluded) {
+    String text(int inFlight, int upstreamsKnown, int upstreamsExcluded, DiscoveryMetrics discovery) {
         StringBuilder text = new StringBuilder();
         for (int classIndex = 0; classIndex < classes.size(); classIndex++) {
             for (End end : End.values()) {
@@ -53,6 +67,15 @@
             }
             line(text, "attempts." + classes.get(classIndex), attempts[classIndex], 'c');
         }
+        for (Outcome outcome : Outcome.values()) {
+            line(text, "attempt_ends." + outcome.name().toLowerCase(Locale.ROOT), outcomes[outcome.ordinal()], 'c');
+        }
+        for (WithheldReason reason : WithheldReason.values()) {
+            line(text, "withheld." + reason.label(), withheld[reason.ordinal()], 'c');
+        }
+        for (DiscoveryMetrics.Event event : DiscoveryMetrics.Event.values()) {
+            line(text, event.label(), discovery.value(event), 'c');
+        }
         line(text, "in_flight", inFlight, 'g');
         line(text, "upstreams_known", upstreamsKnown, 'g');
         line(text, "upstreams_excluded", upstreamsExcluded, 'g');
--- a/src/main/java/sedgeyoke/proxy/UpstreamConnectionPool.java
+++ b/src/main/java/sedgeyoke/proxy/UpstreamConnectionPool.java
@@ -36,21 +36,21 @@
 
     private final UpstreamContext context;
     private final Transport transport;
+    private final RequestMetrics metrics;
     private final int maxConnections;
     private final long maxIdleMicros;
-    private final long drainGraceMicros;
     private final Bootstrap bootstrap;
     private final Map<String, UpstreamEndpoint> endpoints = new HashMap<>();
     private Set<String> cordoned = Set.of();
     private int connections;
 
-    UpstreamConnectionPool(UpstreamContext context, Transport transport, int maxConnections) {
+    UpstreamConnectionPool(UpstreamContext context, Transport transport, int maxConnections, RequestMetrics metrics) {
         this.context = context;
         this.transport = transport;
+        this.metrics = metrics;
         this.maxConnections = maxConnections;
         this.maxIdleMicros =
                 (long) (IDLE_TIME_SHARE * context.settings().limits().idleTimeout());
-        this.drainGraceMicros = context.settings().rules().drainGrace();
         long connectTimeoutMillis = context.settings().limits().connectTimeout() / 1_000;
         this.bootstrap = transport.client(context.loop()).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
                 Math.max(1, connectTimeoutMillis));
@@ -64,48 +64,67 @@
 
     // ---- Upstreams -----------------------------------------------------------------------------------
 
-    /** Takes over an endpoint list, before the policy is notified of it. */
-    void update(EndpointList list) {
-        long now = context.now();
+    /** Takes over an endpoint list, before the policy is notified of it; returns what has changed. */
+    EndpointChanges update(EndpointList list) {
+        EndpointChanges changes = new EndpointChanges();
         if (list.complete()) {
-            removeUnlisted(list);
+            removeUnlisted(list, changes);
         }
         for (EndpointList.Member member : list.members()) {
-            String id = member.upstream().id();
             if (member.upstream().state() == State.REMOVED) {
-                remove(id);
-                continue;
+                remove(member.upstream().id(), changes);
+            } else {
+                update(member, changes);
             }
-            UpstreamEndpoint endpoint = endpoints.computeIfAbsent(id, unknown -> new UpstreamEndpoint());
-            endpoint.update(
-                    transport.at(member.address()),
-                    member.upstream().launchedAt(),
-                    member.upstream().state() == State.READY);
-            endpoint.updateReadiness(cordoned.contains(id), now);
         }
+        return changes;
     }
 
-    private void removeUnlisted(EndpointList list) {
+    private void update(EndpointList.Member member, EndpointChanges changes) {
+        String id = member.upstream().id();
+        UpstreamEndpoint endpoint = endpoints.get(id);
+        boolean known = endpoint != null;
+        if (!known) {
+            endpoint = new UpstreamEndpoint();
+            endpoints.put(id, endpoint);
+        }
+        boolean wasReady = endpoint.isReady();
+        if (known && endpoint.launchTimeMicros() != member.upstream().launchedAt()) {
+            changes.restarted(id);
+        }
+        endpoint.update(
+                transport.at(member.address()),
+                member.upstream().launchedAt(),
+                member.upstream().state() == State.READY);
+        endpoint.updateReadiness(cordoned.contains(id));
+        if (endpoint.isReady() && !wasReady) {
+            changes.ready(id);
+        } else if (!endpoint.isReady() && (wasReady || !known)) {
+            changes.notReady(id);
+        }
+    }
+
+    private void removeUnlisted(EndpointList list, EndpointChanges changes) {
         Set<String> listed = new HashSet<>();
         list.members().forEach(member -> listed.add(member.upstream().id()));
         List.copyOf(endpoints.keySet()).stream()
                 .filter(id -> !listed.contains(id))
-                .forEach(this::remove);
+                .forEach(id -> remove(id, changes));
     }
 
     /** Ids of upstreams are never used again, so that the table would grow without limit if they stayed in it. */
-    private void remove(String upstream) {
+    private void remove(String upstream, EndpointChanges changes) {
         UpstreamEndpoint endpoint = endpoints.remove(upstream);
         if (endpoint != null) {
-            endpoint.retire(context.now());
+            endpoint.retire();
+            changes.removed(upstream);
         }
     }
 
     /** Takes over the ids of the upstreams that operators have cordoned, before the policy is notified of it. */
     void updateCordons(Set<String> upstreams) {
         cordoned = upstreams;
-        long now = context.now();
-        endpoints.forEach((id, endpoint) -> endpoint.updateReadiness(cordoned.contains(id), now));
+        endpoints.forEach((id, endpoint) -> endpoint.updateReadiness(cordoned.contains(id)));
     }
 
     /** Whether the endpoint list has such an upstream. */
@@ -131,8 +150,9 @@
     /** Starts an attempt on the connection used last, or on a new one. Its end may be reported before this returns. */
     void start(Attempt attempt) {
         UpstreamEndpoint endpoint = endpoints.get(attempt.upstream);
-        if (endpoint == null || attempt.exchange.answered) {
-            end(attempt, Outcome.NOT_SENT);
+        WithheldReason reason = endpoint == null ? WithheldReason.NOT_LISTED : withheldReason(endpoint, attempt);
+        if (reason != null) {
+            withhold(attempt, reason);
             return;
         }
         long now = context.now();
@@ -213,19 +233,42 @@
             context.loop().schedule(() -> send(connection, attempt), 0, TimeUnit.MICROSECONDS);
             return;
         }
-        long now = context.now();
-        long leftMillis = (attempt.deadlineMicros - now) / 1_000;
-        boolean draining = connection.endpoint().notReadyForLongerThan(drainGraceMicros / 2, now);
-        if (attempt.ended
-                || attempt.exchange.answered
-                || draining
-                || leftMillis <= 0
-                || now >= attempt.resendDeadlineMicros) {
+        WithheldReason reason = withheldReason(connection.endpoint(), attempt);
+        if (reason != null) {
             connection.release();
-            end(attempt, Outcome.NOT_SENT);
+            withhold(attempt, reason);
             return;
         }
-        connection.send(attempt, leftMillis);
+        connection.send(attempt, leftMillis(attempt));
+    }
+
+    /**
+     * Why an attempt must not be written now; null if it may be. Nothing is written to an upstream that is known not to
+     * be ready: the grace period of a drain counts from when discovery has it, and is for the time in which we do not.
+     */
+    private WithheldReason withheldReason(UpstreamEndpoint endpoint, Attempt attempt) {
+        if (attempt.ended || attempt.exchange.answered) {
+            return WithheldReason.EXCHANGE_OVER;
+        } else if (!endpoint.isReady()) {
+            return WithheldReason.UPSTREAM_NOT_READY;
+        } else if (leftMillis(attempt) <= 0) {
+            return WithheldReason.NO_TIME_LEFT;
+        }
+        return context.now() >= attempt.resendDeadlineMicros ? WithheldReason.KEY_MAY_BE_FORGOTTEN : null;
+    }
+
+    private long leftMillis(Attempt attempt) {
+        return (attempt.deadlineMicros - context.now()) / 1_000;
+    }
+
+    private void withhold(Attempt attempt, WithheldReason reason) {
+        metrics.withheld(reason);
+        if (!attempt.exchange.answered) {
+            context.log()
+                    .line("not sent: request " + attempt.exchange.request.id() + " attempt " + attempt.number + " to "
+                            + attempt.upstream + ": " + reason.label());
+        }
+        end(attempt, Outcome.NOT_SENT);
     }
 
     private void end(Attempt attempt, Outcome outcome) {
--- a/src/main/java/sedgeyoke/proxy/UpstreamEndpoint.java
+++ b/src/main/java/sedgeyoke/proxy/UpstreamEndpoint.java
@@ -7,37 +7,39 @@
 
 /** One upstream of the endpoint list with its idle connections, the one used last in front. */
 final class UpstreamEndpoint {
-    private static final long NEVER = Long.MAX_VALUE;
-
     private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
     private SocketAddress address;
     private long launchTimeMicros;
     private boolean listedReady;
-    private long notReadySinceMicros = NEVER;
+    private boolean ready;
 
     /** Takes over an entry of the endpoint list; {@link #updateReadiness} has to follow. */
-    void update(SocketAddress newAddress, long newLaunchTimeMicros, boolean ready) {
+    void update(SocketAddress newAddress, long newLaunchTimeMicros, boolean newListedReady) {
         if (!newAddress.equals(address) || newLaunchTimeMicros != launchTimeMicros) {
             // Connections to the process before, or to where it was: the next request on one would be reset.
             closeIdle();
         }
         address = newAddress;
         launchTimeMicros = newLaunchTimeMicros;
-        listedReady = ready;
+        listedReady = newListedReady;
+    }
+
+    /** When its process started, as discovery says. */
+    long launchTimeMicros() {
+        return launchTimeMicros;
     }
 
     /** Makes the upstream usable again if it is listed as ready and not cordoned, and retires it if not. */
-    void updateReadiness(boolean cordoned, long now) {
-        if (listedReady && !cordoned) {
-            notReadySinceMicros = NEVER;
-        } else {
-            retire(now);
+    void updateReadiness(boolean cordoned) {
+        ready = listedReady && !cordoned;
+        if (!ready) {
+            closeIdle();
         }
     }
 
-    /** Closes its idle connections and keeps none from now on; the time of the first call counts. */
-    void retire(long now) {
-        notReadySinceMicros = Math.min(notReadySinceMicros, now);
+    /** Closes its idle connections and keeps none from now on: it has been removed from the list. */
+    void retire() {
+        ready = false;
         closeIdle();
     }
 
@@ -46,12 +48,7 @@
     }
 
     boolean isReady() {
-        return notReadySinceMicros == NEVER;
-    }
-
-    /** Whether it has been draining, cordoned or removed for more than so many microseconds. */
-    boolean notReadyForLongerThan(long micros, long now) {
-        return notReadySinceMicros != NEVER && now - notReadySinceMicros > micros;
+        return ready;
     }
 
     // ---- Idle connections ----------------------------------------------------------------------------
--- /dev/null
+++ b/src/main/java/sedgeyoke/proxy/WithheldReason.java
@@ -0,0 +1,26 @@
+package sedgeyoke.proxy;
+
+/** Why an attempt that the policy chose was not written to its upstream. */
+enum WithheldReason {
+    /** The client has its response, or has left, or the attempt was cancelled. */
+    EXCHANGE_OVER("exchange_over"),
+    /** The endpoint list no longer has the upstream. */
+    NOT_LISTED("not_listed"),
+    /** The upstream is draining, removed or cordoned. */
+    UPSTREAM_NOT_READY("upstream_not_ready"),
+    /** The client's deadline is too close. */
+    NO_TIME_LEFT("no_time_left"),
+    /** Upstreams may have forgotten the idempotency key of an earlier attempt. */
+    KEY_MAY_BE_FORGOTTEN("key_may_be_forgotten");
+
+    private final String label;
+
+    WithheldReason(String label) {
+        this.label = label;
+    }
+
+    /** Its name in logs and metrics. */
+    String label() {
+        return label;
+    }
+}
--- a/src/main/java/sedgeyoke/serve/BalancerMain.java
+++ b/src/main/java/sedgeyoke/serve/BalancerMain.java
@@ -69,6 +69,7 @@
         }
         BalancerMain main = new BalancerMain(path, server, features);
         handleReloadSignals(main);
+        server.start();
         JitWarmUp.run(config, JitWarmUp.requests(config), JitWarmUp.TIMEOUT_SECONDS);
         // Before the first client can connect: without a hook, SIGTERM would leave accepted requests unanswered.
         Runtime.getRuntime().addShutdownHook(new Thread(main::shutDown));
