Slow start counts by our own clock; a connect that fails on this machine ejects nobody

Cause: a launch stamp, which comes from another machine's wall clock, was taken for a time of ours: with a clock stepped before our start, new upstreams had no slow start (stamps an hour behind) or were starved for an hour (ahead); a restart with a smaller stamp was not seen. Every failed connect counted as the upstream's fault, also without a port or descriptor on this machine. Change: LaunchTimes says when a slow start began; stamps only tell processes apart. Connects that fail locally end as never sent, after 50 ms.

--- a/src/main/java/sedgeyoke/policy/UpstreamState.java
+++ b/src/main/java/sedgeyoke/policy/UpstreamState.java
@@ -38,6 +38,7 @@
     double zoneSpillover;
     boolean plannedDraining;
     long notifiedLaunchAt;
+    long slowStartBeganAt; // by our own clock, 0 for long ago; launchedAt() only tells processes apart
     long healthCheckedAt = Long.MIN_VALUE / 2;
     double ringPosition;
     double reportedActive;
--- a/src/main/java/sedgeyoke/policy/UtilizationWeightedPolicy.java
+++ b/src/main/java/sedgeyoke/policy/UtilizationWeightedPolicy.java
@@ -80,6 +80,7 @@
     private double meanRequestCost;
     private double ratingSum;
     private final PlanBlend plans = new PlanBlend();
+    private final LaunchTimes launchTimes = new LaunchTimes();
     private boolean planCounted;
     private final RateEstimator requestRate = new RateEstimator();
     private final List<RateEstimator> classRates;
@@ -132,7 +133,11 @@
         if (kind != ListKind.CHANGES) {
             upstreamsById.keySet().retainAll(entries.stream().map(Upstream::id).collect(Collectors.toSet()));
         }
+        launchTimes.observe(entries, now);
         entries.forEach(entry -> apply(now, entry));
+        if (kind != ListKind.RESTORED) {
+            launchTimes.watched();
+        }
         upstreamsById.values().removeIf(each -> each.entry.state() == State.REMOVED); // or ids would pile up
         sortUpstreams();
         dispatchQueued(now);
@@ -158,12 +163,18 @@
 
     private void apply(long now, Upstream entry) {
         UpstreamState upstream = upstreamsById.get(entry.id());
-        if (upstream == null || entry.launchedAt() > upstream.entry.launchedAt()) {
+        if (upstream == null || isOtherProcess(entry, upstream.entry)) {
             upstream = addUpstream(entry.id(), now);
+            upstream.slowStartBeganAt = launchTimes.slowStartBegan(entry.id(), entry.launchedAt(), now);
         }
         upstream.entry = entry;
     }
 
+    /** Stamps tell processes apart; a restart after a step of that clock may have the smaller one. */
+    private static boolean isOtherProcess(Upstream entry, Upstream before) {
+        return entry.launchedAt() > 0 && entry.launchedAt() != before.launchedAt();
+    }
+
     /** A new process has a new state: nothing known of the old one holds for it. */
     private UpstreamState addUpstream(String id, long now) {
         UpstreamState upstream = new UpstreamState(id);
@@ -188,6 +199,7 @@
                 UpstreamState upstream = addUpstream(id, now);
                 upstream.entry = old.entry;
                 upstream.notifiedLaunchAt = now;
+                upstream.slowStartBeganAt = now;
             }
         });
         sortUpstreams();
@@ -653,9 +665,9 @@
     }
 
     private double warmUpFactor(UpstreamState upstream, long now) {
-        long age = now - upstream.launchedAt();
+        long age = now - upstream.slowStartBeganAt;
         PlatformRules rules = settings.rules();
-        if (upstream.launchedAt() <= 0 || age >= rules.slowStartTime() || rules.slowStartTime() <= 0) {
+        if (upstream.slowStartBeganAt <= 0 || age >= rules.slowStartTime() || rules.slowStartTime() <= 0) {
             return 1;
         }
         double initial = rules.initialCapacity();
@@ -733,6 +745,7 @@
         if (view.launchedAt() > upstream.launchedAt()
                 && view.launchedAt() <= now + settings.rules().slowStartTime()) {
             upstream.notifiedLaunchAt = view.launchedAt(); // the endpoint list will follow
+            upstream.slowStartBeganAt = launchTimes.slowStartBegan(view.id(), view.launchedAt(), now);
             upstream.slowStart = new SlowStartBucket(0, now);
         }
         upstream.plannedDraining = view.draining();
--- /dev/null
+++ b/src/main/java/sedgeyoke/proxy/ConnectFailures.java
@@ -0,0 +1,24 @@
+package sedgeyoke.proxy;
+
+import io.netty.channel.ChannelException;
+import java.net.BindException;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.net.SocketException;
+
+/**
+ * Tells whether a connect failed because of this machine: no free port (EADDRNOTAVAIL), descriptor (ENFILE, EMFILE) or
+ * buffer (ENOBUFS), or no network (ENETUNREACH). That says nothing of the upstream; taken for its fault, it would eject
+ * the whole fleet, one upstream after the other.
+ */
+final class ConnectFailures {
+    private ConnectFailures() {}
+
+    static boolean isLocal(Throwable cause) {
+        if (cause instanceof BindException || cause instanceof ChannelException) {
+            return true;
+        }
+        boolean ofUpstream = cause instanceof ConnectException || cause instanceof NoRouteToHostException;
+        return cause instanceof SocketException && !ofUpstream;
+    }
+}
--- a/src/main/java/sedgeyoke/proxy/UpstreamConnectionPool.java
+++ b/src/main/java/sedgeyoke/proxy/UpstreamConnectionPool.java
@@ -31,6 +31,8 @@
      * after the first, and would be taken for the response to the next request.
      */
     private static final long MIN_IDLE_MICROS = 10_000;
+    /** Between a connect that failed by a fault of this machine and the next attempt. */
+    private static final long LOCAL_FAULT_PAUSE_MILLIS = 50;
     /** If the event loop is later than that, what has arrived meanwhile is read before a request is written. */
     private static final long MAX_LOOP_DELAY_MICROS = 100_000;
 
@@ -198,7 +200,7 @@
             connections--; // there will be no close that would decrement it
         }
         if (!connected.isSuccess()) {
-            end(attempt, Outcome.CONNECT_FAILED);
+            connectFailed(attempt, connected.cause());
         } else if (attempt.ended) {
             connection.release(); // nothing was sent, so the connection is as good as new
         } else if (!connection.isAtCurrentAddress()) {
@@ -210,6 +212,20 @@
         }
     }
 
+    /** A fault of this machine says nothing of the upstream; it may be over in a moment, so the attempt ends later. */
+    private void connectFailed(Attempt attempt, Throwable cause) {
+        if (!ConnectFailures.isLocal(cause)) {
+            end(attempt, Outcome.CONNECT_FAILED);
+        } else if (!attempt.ended) {
+            context.log().line("no connection could be opened on this machine: " + cause);
+            context.loop()
+                    .schedule(
+                            () -> withhold(attempt, WithheldReason.NO_LOCAL_SOCKET),
+                            LOCAL_FAULT_PAUSE_MILLIS,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
     private boolean closeOldestIdle() {
         UpstreamEndpoint oldest = null;
         for (UpstreamEndpoint endpoint : endpoints.values()) {
--- a/src/main/java/sedgeyoke/proxy/WithheldReason.java
+++ b/src/main/java/sedgeyoke/proxy/WithheldReason.java
@@ -8,6 +8,8 @@
     NOT_LISTED("not_listed"),
     /** The upstream is draining, removed or cordoned. */
     UPSTREAM_NOT_READY("upstream_not_ready"),
+    /** This machine had no port, descriptor or buffer for a connection. */
+    NO_LOCAL_SOCKET("no_local_socket"),
     /** The client's deadline is too close. */
     NO_TIME_LEFT("no_time_left"),
     /** Upstreams may have forgotten the idempotency key of an earlier attempt. */
--- /dev/null
+++ b/src/test/java/sedgeyoke/proxy/ConnectFailuresTest.java
@@ -0,0 +1,32 @@
+package sedgeyoke.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.ChannelException;
+import io.netty.channel.ConnectTimeoutException;
+import java.net.BindException;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.net.SocketException;
+import java.nio.channels.ClosedChannelException;
+import org.junit.jupiter.api.Test;
+
+/** Whose fault a failed connect is, by what the JDK makes of the system's error numbers. */
+class ConnectFailuresTest {
+    @Test
+    void portsDescriptorsBuffersAndNetworkAreOurs() {
+        assertTrue(ConnectFailures.isLocal(new BindException("Cannot assign requested address"))); // EADDRNOTAVAIL
+        assertTrue(ConnectFailures.isLocal(new SocketException("No buffer space available"))); // ENOBUFS
+        assertTrue(ConnectFailures.isLocal(new SocketException("Network is unreachable"))); // ENETUNREACH
+        assertTrue(ConnectFailures.isLocal(new ChannelException(new SocketException("Too many open files")))); // ENFILE
+    }
+
+    @Test
+    void refusalsAndSilenceAreTheUpstreams() {
+        assertFalse(ConnectFailures.isLocal(new ConnectException("Connection refused")));
+        assertFalse(ConnectFailures.isLocal(new ConnectTimeoutException("timed out")));
+        assertFalse(ConnectFailures.isLocal(new NoRouteToHostException("No route to host"))); // EHOSTUNREACH
+        assertFalse(ConnectFailures.isLocal(new ClosedChannelException()));
+    }
+}
