--- a/src/main/java/sedgeyoke/cli/DrillCommand.java
+++ b/src/main/java/sedgeyoke/cli/DrillCommand.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -9,6 +11,8 @@
 import sedgeyoke.drill.ConsensusDrill;
 import sedgeyoke.drill.PlannersDrill;
 import sedgeyoke.drill.ProgramProcess;
+import sedgeyoke.drill.soak.SoakDrill;
+import sedgeyoke.drill.soak.SoakOptions;
 
 /** {@code drill NAME}: injects faults into real processes on loopback and measures what the product promises. */
 @Command(
@@ -146,6 +150,58 @@
         return printMetrics(new BodiesDrill(pairs, seconds, seed, !off, progress(json)).run());
     }
 
+    @Command(
+            name = "soak",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Runs balancers as processes under faults of discovery, nodes, clients, signals and, with --shim, of the"
+                        + " system; each seed draws size and faults.",
+                "Ends with 0 if no rule broke and each process started and ended in time."
+            })
+    int soak(
+            @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "default: ${DEFAULT-VALUE}")
+                    long seed,
+            @Option(
+                            names = "--seeds",
+                            paramLabel = "N",
+                            defaultValue = "1",
+                            description = "this seed and so many after it; default: ${DEFAULT-VALUE}")
+                    int seeds,
+            @Option(
+                            names = "--seconds",
+                            paramLabel = "N",
+                            defaultValue = "30",
+                            description = "for each seed; default: ${DEFAULT-VALUE}")
+                    int seconds,
+            @Option(
+                            names = "--balancers",
+                            paramLabel = "N",
+                            defaultValue = "8",
+                            description = "the most that a seed draws; default: ${DEFAULT-VALUE}")
+                    int balancers,
+            @Option(
+                            names = "--parallel",
+                            paramLabel = "N",
+                            defaultValue = "1",
+                            description = "seeds at the same time; default: ${DEFAULT-VALUE}")
+                    int parallel,
+            @Option(
+                            names = "--shim",
+                            paramLabel = "FILE",
+                            description = "the library built from src/test/native/fault_shim.c")
+                    Path shim,
+            @Option(names = "--json", description = "nothing but the last line") boolean json)
+            throws Exception {
+        if (seeds < 1 || seconds < 3 || seconds > 3_600 || balancers < 2 || balancers > 24 || parallel < 1) {
+            throw usageError("--seeds from 1, --seconds 3 to 3600, --balancers 2 to 24, --parallel from 1");
+        }
+        if (shim != null && !Files.isRegularFile(shim)) {
+            throw usageError("--shim: no file " + shim);
+        }
+        SoakOptions options = new SoakOptions(seed, seeds, seconds, balancers, parallel, shim);
+        return printMetrics(new SoakDrill(options, progress(json)).run());
+    }
+
     private CommandLine.ParameterException usageError(String message) {
         return new CommandLine.ParameterException(spec.commandLine(), message);
     }
--- a/src/main/java/sedgeyoke/drill/ProgramProcess.java
+++ b/src/main/java/sedgeyoke/drill/ProgramProcess.java
@@ -34,6 +34,20 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> RUNNING.forEach(ProgramProcess::kill)));
     }
 
+    /** Signals, by their numbers on Linux. */
+    public enum Signal {
+        RELOAD(1),
+        TERMINATE(15),
+        CONTINUE(18),
+        STOP(19);
+
+        private final int number;
+
+        Signal(int number) {
+            this.number = number;
+        }
+    }
+
     private final Path log;
     private final List<String> command;
     private final Map<String, String> environment;
@@ -95,11 +109,21 @@
 
     /** Sends SIGSTOP, or SIGCONT. */
     public void pause(boolean paused) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", paused ? "-STOP" : "-CONT", Long.toString(process.pid()))
+        signal(paused ? Signal.STOP : Signal.CONTINUE);
+    }
+
+    /** Sends a signal and returns; what it does is not awaited. */
+    public void signal(Signal signal) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + signal.number, Long.toString(process.pid()))
                 .start()
                 .waitFor();
     }
 
+    /** Whether the process ends within this time. */
+    public boolean awaitEnd(long millis) throws InterruptedException {
+        return process.waitFor(millis, TimeUnit.MILLISECONDS);
+    }
+
     /** Sends SIGKILL. */
     public void kill() {
         kill(process);
--- /dev/null
+++ b/src/main/java/sedgeyoke/drill/soak/SoakBalancer.java
@@ -0,0 +1,192 @@
+package sedgeyoke.drill.soak;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import sedgeyoke.drill.ProgramProcess;
+import sedgeyoke.drill.ProgramProcess.Signal;
+import sedgeyoke.model.RequestClassModel;
+import sedgeyoke.standin.AnswerFault;
+import sedgeyoke.standin.Site;
+
+/** One balancer of a run: its process, its two discovery agents and its configuration file. */
+final class SoakBalancer implements AutoCloseable {
+    private static final int AGENTS = 2;
+    /** SIGKILL comes no sooner than the longest deadline (so much at most) and a little more after SIGTERM. */
+    private static final long MAX_DEADLINE_MS = 3_000;
+
+    private static final long KILL_MARGIN_MS = 700;
+    /** New connections go on coming for so long after SIGTERM. */
+    private static final long NEW_CONNECTIONS_MS = 300;
+
+    private static final long CLOSES_SEEN_MS = 150;
+
+    private final Site site;
+    private final String name;
+    private final int zone;
+    private final int position;
+    private final int port;
+    private final String[] discovery = new String[AGENTS];
+    private final SoakConfigurations configurations;
+    private final Path file;
+    private final ProgramProcess process;
+    private final SystemFaults systemFaults;
+    private int agent;
+
+    /** The configuration lists the endpoints as they are now. */
+    SoakBalancer(
+            Site site,
+            SoakConfigurations configurations,
+            SoakOptions options,
+            Path folder,
+            int zone,
+            int position,
+            long discoveryDelayMs)
+            throws IOException {
+        this.site = site;
+        this.name = "b" + position;
+        this.zone = zone;
+        this.position = position;
+        this.port = ProgramProcess.freePort();
+        this.configurations = configurations;
+        this.file = folder.resolve(name + ".json");
+        for (int i = 0; i < AGENTS; i++) {
+            discovery[i] = site.furtherDiscoveryFor(agentName(i), name, discoveryDelayMs);
+        }
+        this.systemFaults =
+                options.shim() == null ? null : new SystemFaults(options.shim(), folder.resolve(name + ".faults"));
+        Map<String, String> environment = new HashMap<>(systemFaults == null ? Map.of() : systemFaults.environment());
+        environment.put("BALANCER_CONFIG", file.toString());
+        List<String> command = new ArrayList<>(options.program());
+        command.add("serve");
+        this.process = new ProgramProcess(folder.resolve(name + ".log"), environment, command);
+        configure();
+    }
+
+    private String agentName(int number) {
+        return name + "/" + number;
+    }
+
+    String name() {
+        return name;
+    }
+
+    int zone() {
+        return zone;
+    }
+
+    int port() {
+        return port;
+    }
+
+    boolean alive() {
+        return process.alive();
+    }
+
+    /** Faults of the system under the process; null where they are left out. */
+    SystemFaults systemFaults() {
+        return systemFaults;
+    }
+
+    /** Writes the configuration anew, with the present agent and the present endpoints. */
+    void configure() throws IOException {
+        Path next = file.resolveSibling(name + ".next");
+        Files.writeString(next, configurations.of(name, port, discovery[agent], zone, position, site.endpointList()));
+        Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    /** Starts the process by the configuration as it was last written; it is not awaited. */
+    void start() throws IOException {
+        process.start();
+    }
+
+    /** Waits until it listens, and lets clients connect. */
+    void awaitListening(long millis) throws IOException, InterruptedException {
+        long end = System.nanoTime() + millis * 1_000_000;
+        while (!listens()) {
+            if (System.nanoTime() > end || !process.alive()) {
+                throw new IOException(name + " does not listen");
+            }
+            Thread.sleep(5);
+        }
+        site.setTakesConnections(name, true);
+    }
+
+    private boolean listens() {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            return socket.isConnected();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Spoils the next answers of the present agent. */
+    void spoilAnswers(List<AnswerFault> faults) {
+        site.spoilAnswers(agentName(agent), faults);
+    }
+
+    /** Moves to the other agent with SIGHUP. */
+    void moveDiscovery() throws IOException, InterruptedException {
+        agent = (agent + 1) % AGENTS;
+        configure();
+        site.run(() -> site.checker().discoveryMoved(name, site.now()));
+        process.signal(Signal.RELOAD);
+    }
+
+    /** Holds the process up for a moment. */
+    void stall(long millis) throws IOException, InterruptedException {
+        process.signal(Signal.STOP);
+        try {
+            Thread.sleep(millis);
+        } finally {
+            process.signal(Signal.CONTINUE);
+        }
+    }
+
+    /**
+     * Shuts down gracefully: SIGTERM, and SIGKILL as early as it may come. What is lost on the way is the balancer's
+     * fault. Returns whether it ended by itself.
+     */
+    boolean terminate(int signals) throws IOException, InterruptedException {
+        long deadlineMs = site.spec().classes().stream()
+                .mapToLong(RequestClassModel::clientTimeoutMs)
+                .max()
+                .orElse(0);
+        long killAt = System.nanoTime() + (Math.min(MAX_DEADLINE_MS, deadlineMs) + KILL_MARGIN_MS) * 1_000_000;
+        for (int i = 0; i < signals && process.alive(); i++) {
+            process.signal(Signal.TERMINATE);
+        }
+        boolean ended = process.awaitEnd(NEW_CONNECTIONS_MS);
+        site.setTakesConnections(name, false);
+        ended |= process.awaitEnd(Math.max(1, (killAt - System.nanoTime()) / 1_000_000));
+        if (!ended) {
+            process.kill();
+            process.awaitEnd(MAX_DEADLINE_MS);
+        }
+        Thread.sleep(CLOSES_SEEN_MS);
+        return ended;
+    }
+
+    /** Kills the process; {@code planned}: what it holds may be lost. */
+    void kill(boolean planned) throws InterruptedException {
+        if (planned) {
+            site.run(() -> site.checker().balancerKilled(name));
+        }
+        process.kill();
+        process.awaitEnd(MAX_DEADLINE_MS);
+        site.setTakesConnections(name, false);
+        Thread.sleep(CLOSES_SEEN_MS);
+        site.run(() -> site.checker().balancerRestarted(name));
+    }
+
+    @Override
+    public void close() {
+        process.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/sedgeyoke/drill/soak/SystemFaults.java
@@ -0,0 +1,80 @@
+package sedgeyoke.drill.soak;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Map;
+
+/**
+ * Faults of the system under one process: stepped wall clocks and failing calls. A small library that is preloaded into
+ * the process ({@code src/test/native/fault_shim.c}) reads them from a file, which is changed here while it runs.
+ */
+public final class SystemFaults {
+    private static final int FIELD_BYTES = 4;
+
+    private final Path library;
+    private final Path control;
+
+    /** What can be set, in the order of the control file. */
+    public enum Field {
+        /** Seconds that are added to the wall clock. */
+        WALL_SECONDS,
+        /** The error number of {@code connect}. */
+        CONNECT_ERROR,
+        /** The error number of {@code socket}. */
+        SOCKET_ERROR,
+        /** The error number of {@code accept}. */
+        ACCEPT_ERROR,
+        /** Every so-manieth wait is interrupted. */
+        INTERRUPT_EVERY,
+        /** Most bytes of one read or write on a socket. */
+        MOST_BYTES,
+        /** The error number of writes and syncs on regular files. */
+        FILE_ERROR
+    }
+
+    /** Error numbers of Linux. */
+    public enum Errno {
+        EIO(5),
+        ENFILE(23),
+        ENOSPC(28),
+        EADDRNOTAVAIL(99),
+        ENETUNREACH(101),
+        ECONNABORTED(103),
+        ENOBUFS(105);
+
+        private final int number;
+
+        Errno(int number) {
+            this.number = number;
+        }
+    }
+
+    /** Faults that {@code library} reads from {@code control}, which is created without any. */
+    public SystemFaults(Path library, Path control) throws IOException {
+        this.library = library.toAbsolutePath();
+        this.control = Files.write(control, new byte[FIELD_BYTES * Field.values().length]);
+    }
+
+    /** What the environment of the process has to have. */
+    public Map<String, String> environment() {
+        return Map.of("LD_PRELOAD", library.toString(), "FAULT_SHIM", control.toString());
+    }
+
+    /** Sets a fault, also while the process runs; 0 ends it. */
+    public void set(Field field, int value) throws IOException {
+        ByteBuffer bytes = ByteBuffer.allocate(FIELD_BYTES).order(ByteOrder.nativeOrder());
+        try (FileChannel channel = FileChannel.open(control, StandardOpenOption.WRITE)) {
+            channel.write(bytes.putInt(value).flip(), (long) FIELD_BYTES * field.ordinal());
+        }
+    }
+
+    /** Makes a call fail. */
+    public void set(Field field, Errno error) throws IOException {
+        set(field, error.number);
+    }
+}
--- a/src/main/java/sedgeyoke/model/InvariantChecker.java
+++ b/src/main/java/sedgeyoke/model/InvariantChecker.java
@@ -21,6 +21,13 @@
     private static final long SOCKET_SLACK_MICROS = 50_000;
 
     private static final long ANSWER_SLACK_MICROS = 20_000 + SOCKET_SLACK_MICROS;
+    /** An attempt that begins later than that after its client has left is one too many. */
+    private static final long DEPARTURE_MICROS = 100_000;
+    /** What an attempt tells its node may exceed what is left to the client by so much. */
+    private static final long BUDGET_SLACK_MICROS = 150_000;
+    /** After a balancer was told to use another discovery, what that has counts so much later. */
+    private static final long DISCOVERY_MOVE_MICROS = 4_000_000;
+
     private static final int MAX_DESCRIPTIONS = 20;
     private static final int INITIAL_LATENCIES = 1_024;
 
@@ -34,6 +41,10 @@
     /** How often each idempotency key took effect: all attempts and retries of a request are to have one effect. */
     private final Map<String, Integer> effectsByKey = new HashMap<>();
 
+    /** When each balancer was last told to use another discovery. */
+    private final Map<String, Long> discoveryMovedMicros = new HashMap<>();
+
+    private final Margins margins = new Margins();
     private final StallDetector stalls = new StallDetector(STALL_CHECK_INTERVAL_MICROS);
     private final List<String> descriptions = new ArrayList<>();
     private final Map<Integer, Integer> violationsByRule = new TreeMap<>();
@@ -65,6 +76,26 @@
         }
     }
 
+    /** How much of each limit was used. */
+    public static final class Margins {
+        private final MarginHistogram drains = new MarginHistogram();
+        private final MarginHistogram slowStarts = new MarginHistogram();
+        private final MarginHistogram departures = new MarginHistogram();
+        private final MarginHistogram budgets = new MarginHistogram();
+        private final MarginHistogram answers = new MarginHistogram();
+
+        /** By name: attempts after a drain, load in slow start, attempts after a client left, budgets, answers. */
+        public Map<String, MarginHistogram> byName() {
+            Map<String, MarginHistogram> all = new TreeMap<>();
+            all.put("drain", drains);
+            all.put("slow_start", slowStarts);
+            all.put("client_left", departures);
+            all.put("told_budget", budgets);
+            all.put("answer", answers);
+            return all;
+        }
+    }
+
     /** How a client saw its request end. */
     public enum Answer {
         SERVED("served"),
@@ -90,12 +121,14 @@
     private static final class ClientRequest {
         private final RequestClassModel requestClass;
         private final String idempotencyKey;
-        private final String balancer;
+        private String balancer;
         private final long sentMicros;
         private final long deadlineMicros;
         private int effects;
         private boolean reportedAsExecuted;
         private Answer answer;
+        /** When the client closed its connection before an answer; 0 if it did not. */
+        private long leftMicros;
 
         ClientRequest(
                 RequestClassModel requestClass,
@@ -160,6 +193,11 @@
         }
     }
 
+    /** How much of each limit was used; no copy. */
+    public Margins margins() {
+        return margins;
+    }
+
     /** Descriptions of the first violations. */
     public List<String> violations() {
         return List.copyOf(descriptions);
@@ -217,6 +255,8 @@
         }
         request.answer = answer;
         answersByKind.merge(answer.metric, 1, Integer::sum);
+        long allowedMicros = request.deadlineMicros + ANSWER_SLACK_MICROS - request.sentMicros;
+        margins.answers.add((nowMicros - request.sentMicros) / (double) Math.max(1, allowedMicros));
         if (tooLate(request, nowMicros)) {
             long lateMs = (nowMicros - request.deadlineMicros) / 1_000;
             violation(Rule.ANSWERS, id + " answered " + lateMs + " ms too late by " + request.balancer);
@@ -239,10 +279,20 @@
         latenciesMicros[latencyCount++] = latencyMicros;
     }
 
+    /** A client sends a request once more, to another balancer, as the first one closed its connection unread. */
+    public void requestMoved(String id, String balancer) {
+        requestsById.get(id).balancer = balancer;
+    }
+
+    /** A client closes its connection before it has an answer. */
+    public void clientLeft(String id, long nowMicros) {
+        requestsById.get(id).leftMicros = nowMicros;
+    }
+
     /** The connection was closed without an answer. */
     public void connectionLost(String id, long nowMicros) {
         ClientRequest request = requestsById.get(id);
-        if (request.answer != null) {
+        if (request.answer != null || request.leftMicros != 0) {
             return;
         }
         request.answer = Answer.NONE;
@@ -270,14 +320,24 @@
 
     // ---- Discovery -----------------------------------------------------------------------------------
 
-    /** Discovery has sent a node's state to a balancer. Of several states that are not ready the first counts. */
+    /**
+     * A node's state counts as known to a balancer: its agent has it, or the time that a poll may take is over. Of
+     * several states that are not ready the first counts.
+     */
     public void balancerNotified(String balancer, String node, boolean ready, long nowMicros) {
         Map<String, Long> closedNodes = closedSince.computeIfAbsent(balancer, name -> new HashMap<>());
         if (ready) {
             closedNodes.remove(node);
-        } else {
-            closedNodes.putIfAbsent(node, nowMicros);
+            return;
         }
+        Long movedMicros = discoveryMovedMicros.get(balancer);
+        boolean moving = movedMicros != null && nowMicros - movedMicros < DISCOVERY_MOVE_MICROS;
+        closedNodes.putIfAbsent(node, moving ? movedMicros + DISCOVERY_MOVE_MICROS : nowMicros);
+    }
+
+    /** A balancer was told to use another discovery. */
+    public void discoveryMoved(String balancer, long nowMicros) {
+        discoveryMovedMicros.put(balancer, nowMicros);
     }
 
     // ---- Order nodes ---------------------------------------------------------------------------------
@@ -295,6 +355,7 @@
             violation(Rule.ANSWERS, id + " sent to " + node + " long after its answer");
         }
         arrivalListener.arrived(request.balancer, node, nowMicros);
+        checkDeparture(id, request, node, nowMicros);
         checkDraining(id, request.balancer, node, nowMicros);
         return request.requestClass;
     }
@@ -305,6 +366,7 @@
             return;
         }
         long graceMicros = site.rules().drainGraceMs() * 1_000 + SOCKET_SLACK_MICROS;
+        margins.drains.add((nowMicros - closedMicros) / (double) graceMicros);
         if (nowMicros - closedMicros > graceMicros + stalls.stalledSince(closedMicros)) {
             long afterMs = (nowMicros - closedMicros) / 1_000;
             violation(
@@ -312,6 +374,36 @@
         }
     }
 
+    private void checkDeparture(String id, ClientRequest request, String node, long nowMicros) {
+        if (request.leftMicros == 0) {
+            return;
+        }
+        long afterMicros = nowMicros - request.leftMicros;
+        margins.departures.add(afterMicros / (double) DEPARTURE_MICROS);
+        if (afterMicros > DEPARTURE_MICROS + stalls.stalledSince(request.leftMicros)) {
+            violation(
+                    Rule.ANSWERS,
+                    id + " sent to " + node + " by " + request.balancer + " " + afterMicros / 1_000
+                            + " ms after its client had left");
+        }
+    }
+
+    /** An attempt tells its node how long the balancer will wait. */
+    public void attemptBudget(String id, String node, long budgetMs, long nowMicros) {
+        ClientRequest request = requestsById.get(id);
+        if (request == null) {
+            return;
+        }
+        long excessMicros = nowMicros + budgetMs * 1_000 - request.deadlineMicros;
+        margins.budgets.add(excessMicros / (double) BUDGET_SLACK_MICROS);
+        if (excessMicros > BUDGET_SLACK_MICROS + stalls.stalledSince(request.sentMicros)) {
+            violation(
+                    Rule.ANSWERS,
+                    id + " by " + request.balancer + " told " + node + " " + excessMicros / 1_000
+                            + " ms more than is left to its client");
+        }
+    }
+
     /** An attempt was executed with an effect. */
     public void attemptExecuted(String id, String node) {
         ClientRequest request = requestsById.get(id);
@@ -334,6 +426,7 @@
     /** The recent load on a node that warms up, as a share of what overloads it. */
     public void warmUpLoad(double shareOfBudget) {
         warmUpPeak = Math.max(warmUpPeak, shareOfBudget);
+        margins.slowStarts.add(shareOfBudget);
     }
 
     /** A node was overloaded while it warmed up, and has failed. */
@@ -377,7 +470,7 @@
     /** How many requests have neither an answer nor lost their connection. */
     public long pendingRequests() {
         return requestsById.values().stream()
-                .filter(request -> request.answer == null)
+                .filter(request -> request.answer == null && request.leftMicros == 0)
                 .count();
     }
 }
--- a/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
+++ b/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
@@ -103,7 +103,7 @@
         this.address = config.discovery();
         this.pushed = !config.instanceSettings().settings().subscribesToEndpoints();
         this.timings = DiscoveryTimings.of(config.instanceSettings().settings(), pushed);
-        this.silenceMillis = timings.silence();
+        this.silenceMillis = timings.firstSilence();
         this.completeListNeeded = pushed || config.known().members().isEmpty();
         this.withoutWait = true; // the configured list may be old: what has changed since must not wait
         this.listed = !completeListNeeded; // clients need not wait for an answer without changes
--- a/src/main/java/sedgeyoke/proxy/DiscoveryTimings.java
+++ b/src/main/java/sedgeyoke/proxy/DiscoveryTimings.java
@@ -12,12 +12,16 @@
  * polled, changes may be unknown for 6 s: {@code 2000 + 1000 + 1500 = 4500} ms with two lost answers.
  *
  * @param watchWait how long a watch waits for changes
- * @param silence how long an answer may take beyond that before discovery is called on another connection as well
+ * @param firstSilence how long the first answer of all may take before discovery is called on another connection as
+ *     well: requests wait for it
+ * @param silence how long a later answer may take beyond {@code watchWait} before that
  * @param maxSilence the longest that {@code silence} grows to while answers stay out
  * @param completeListSilence the same for a complete list, which is expensive where discovery is a shared service
  * @param overdue how long an answer is still awaited from then on
  */
-record DiscoveryTimings(int watchWait, int silence, int maxSilence, int completeListSilence, int overdue) {
+record DiscoveryTimings(
+        int watchWait, int firstSilence, int silence, int maxSilence, int completeListSilence, int overdue) {
+    private static final int POLLED_FIRST_SILENCE = 400;
     private static final int POLLED_WATCH_WAIT = 2_000;
     private static final int POLLED_SILENCE = 1_000;
     private static final int POLLED_MAX_SILENCE = 2_500;
@@ -41,12 +45,17 @@
     static DiscoveryTimings of(Settings settings, boolean pushed) {
         if (!pushed) {
             return new DiscoveryTimings(
-                    POLLED_WATCH_WAIT, POLLED_SILENCE, POLLED_MAX_SILENCE, POLLED_COMPLETE_LIST_SILENCE, OVERDUE);
+                    POLLED_WATCH_WAIT,
+                    POLLED_FIRST_SILENCE,
+                    POLLED_SILENCE,
+                    POLLED_MAX_SILENCE,
+                    POLLED_COMPLETE_LIST_SILENCE,
+                    OVERDUE);
         }
         int share = (int) Math.min(MAX_PUSHED, settings.rules().drainGrace() / 1_000 / SHARE_OF_GRACE);
         int silence = Math.max(MIN_SILENCE, share);
         return new DiscoveryTimings(
-                Math.max(MIN_WATCH_WAIT, share), silence, silence, COMPLETE_LIST_FACTOR * silence, OVERDUE);
+                Math.max(MIN_WATCH_WAIT, share), silence, silence, silence, COMPLETE_LIST_FACTOR * silence, OVERDUE);
     }
 
     /** The silence that is allowed after another answer that stayed out. */
--- a/src/main/java/sedgeyoke/standin/Clients.java
+++ b/src/main/java/sedgeyoke/standin/Clients.java
@@ -20,6 +20,8 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import sedgeyoke.model.InvariantChecker;
@@ -43,6 +45,8 @@
 
     private static final long CONNECT_RETRY_DELAY_MS = 20;
     private static final long REJECTED_RETRY_DELAY_MS = 30;
+    /** The longest that a client stays which leaves before its answer. */
+    private static final long MAX_STAY_MS = 300;
     /** How long a client waits beyond its deadline, to tell a late answer from a lost one. */
     private static final long LATE_ANSWER_MS = 700;
 
@@ -51,6 +55,15 @@
     private final InvariantChecker checker;
     private final RequestGenerator generator;
     private final List<List<Balancer>> balancersByZone = new ArrayList<>();
+    private final SplittableRandom departures;
+    /** Share of the requests whose client leaves before an answer. */
+    private double departureShare;
+
+    /** Whether clients that leave keep their connections open. */
+    private boolean leavesSilently;
+    /** What clients tell balancers beyond the time that they have. */
+    private long furtherBudgetMs;
+
     private double requestsPerSecond;
     private boolean running;
     private long nextRequestMicros;
@@ -62,6 +75,8 @@
         private final InetSocketAddress address;
         private final Deque<Connection> idle = new ArrayDeque<>();
         private long avoidedUntilMicros;
+        /** Whether new connections go there; open ones are used in any case. */
+        private boolean takesConnections = true;
 
         Balancer(String name, InetSocketAddress address) {
             this.name = name;
@@ -69,6 +84,10 @@
             this.bootstrap = Http.client(loop, () -> new Connection(this));
         }
 
+        boolean usable(long nowMicros) {
+            return avoidedUntilMicros <= nowMicros && (takesConnections || !idle.isEmpty());
+        }
+
         /** Takes an idle connection that is still open; null if there is none. */
         Connection pollIdle() {
             Connection connection = idle.poll();
@@ -90,6 +109,7 @@
         this.clock = clock;
         this.checker = checker;
         this.generator = new RequestGenerator(site, zoneShares, seed);
+        this.departures = new SplittableRandom(seed);
         site.zones().forEach(zone -> balancersByZone.add(new ArrayList<>()));
     }
 
@@ -98,6 +118,31 @@
         balancersByZone.get(zone).add(new Balancer(name, address));
     }
 
+    /** Opens new connections to a balancer or not; on the loop. Those that are open are used in any case. */
+    void setTakesConnections(String name, boolean takes) {
+        for (List<Balancer> zone : balancersByZone) {
+            zone.stream().filter(balancer -> balancer.name.equals(name)).forEach(balancer -> {
+                balancer.takesConnections = takes;
+                balancer.avoidedUntilMicros = takes ? 0 : balancer.avoidedUntilMicros;
+            });
+        }
+    }
+
+    /** Sets the share of the requests whose client leaves before an answer. */
+    void setDepartureShare(double share) {
+        departureShare = share;
+    }
+
+    /** Clients that leave keep their connections open from now on, which no client does. */
+    void setLeavesSilently(boolean silently) {
+        leavesSilently = silently;
+    }
+
+    /** Clients tell balancers so much more time than they have, which no client does. */
+    void setFurtherBudgetMs(long millis) {
+        furtherBudgetMs = millis;
+    }
+
     /** Starts the traffic; on the loop. */
     void start(double rate) {
         requestsPerSecond = rate;
@@ -142,16 +187,18 @@
         Connection connection = balancer.pollIdle();
         if (connection != null) {
             connection.send(attempt, false);
-        } else {
+        } else if (balancer.takesConnections) {
             connect(balancer, attempt, false);
+        } else {
+            checker.connectFailed(attempt.id());
+            retryLater(request, CONNECT_RETRY_DELAY_MS);
         }
     }
 
     private Balancer chooseBalancer(int zone, long nowMicros) {
         List<Balancer> all = balancersByZone.get(zone);
-        List<Balancer> available = all.stream()
-                .filter(balancer -> balancer.avoidedUntilMicros <= nowMicros)
-                .toList();
+        List<Balancer> available =
+                all.stream().filter(balancer -> balancer.usable(nowMicros)).toList();
         List<Balancer> candidates = available.isEmpty() ? all : available;
         return candidates.get(generator.drawIndex(candidates.size()));
     }
@@ -211,7 +258,11 @@
             current = attempt;
             resent = sentBefore;
             long budgetMs = Math.max(1, (attempt.deadlineMicros() - clock.getAsLong()) / 1_000);
-            channel.writeAndFlush(httpRequest(attempt, budgetMs));
+            channel.writeAndFlush(httpRequest(attempt, budgetMs + furtherBudgetMs));
+            if (departures.nextDouble() < departureShare) {
+                long afterMs = 1 + departures.nextLong(MAX_STAY_MS);
+                loop.schedule(() -> leaveIfCurrent(attempt), afterMs, TimeUnit.MILLISECONDS);
+            }
             loop.schedule(() -> closeIfCurrent(attempt), budgetMs + LATE_ANSWER_MS, TimeUnit.MILLISECONDS);
         }
 
@@ -240,6 +291,16 @@
             return http;
         }
 
+        private void leaveIfCurrent(Attempt attempt) {
+            if (attempt.equals(current)) {
+                current = null;
+                checker.clientLeft(attempt.id(), clock.getAsLong());
+                if (!leavesSilently) {
+                    channel.close();
+                }
+            }
+        }
+
         private void closeIfCurrent(Attempt attempt) {
             if (attempt.equals(current)) {
                 channel.close(); // channelInactive reports the loss
@@ -289,7 +350,7 @@
                 return;
             }
             if (mayResend(interrupted)) {
-                connect(balancer, interrupted, true);
+                resend(interrupted);
             } else {
                 checker.connectionLost(interrupted.id(), clock.getAsLong());
             }
@@ -307,6 +368,23 @@
                     && clock.getAsLong() < attempt.deadlineMicros();
         }
 
+        /** The front deals the new connection to a balancer that takes some. */
+        private void resend(Attempt attempt) {
+            if (balancer.takesConnections) {
+                connect(balancer, attempt, true);
+                return;
+            }
+            Optional<Balancer> other = balancersByZone.get(attempt.request().zone()).stream()
+                    .filter(candidate -> candidate.takesConnections)
+                    .findFirst();
+            if (other.isPresent()) {
+                checker.requestMoved(attempt.id(), other.get().name);
+                connect(other.get(), attempt, true);
+            } else {
+                checker.connectFailed(attempt.id()); // the front has nobody to deal it to
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             ctx.close();
--- a/src/main/java/sedgeyoke/standin/DiscoveryStandin.java
+++ b/src/main/java/sedgeyoke/standin/DiscoveryStandin.java
@@ -3,20 +3,25 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import sedgeyoke.model.InvariantChecker;
@@ -24,7 +29,8 @@
 
 /**
  * The discovery service, with an agent for each balancer, so that the {@link InvariantChecker} learns when which
- * balancer was notified of what. An agent can be slower than others, and all of them can be down.
+ * balancer was notified of what: what an agent has counts as known to its balancer. An agent can be slower than others,
+ * its answers can be spoilt, and all of them can be down.
  */
 public final class DiscoveryStandin {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -33,7 +39,14 @@
     static final String UP = "up";
 
     static final String DRAINING = "draining";
-    private static final String REMOVED = "removed";
+    static final String REMOVED = "removed";
+
+    private static final int FIRST_BYTES = 20;
+    private static final int PIECES = 4;
+    private static final long LATE_MS = 150;
+    private static final long PIECE_INTERVAL_MS = 20;
+    private static final int OLDER_REVISIONS = 2;
+    private static final int REMEMBERED_LISTS = 8;
 
     private final EventLoop loop;
     private final LongSupplier clock;
@@ -41,8 +54,14 @@
     private final SiteModel site;
     private final Map<String, Member> members = new HashMap<>();
     private final Map<String, Agent> agents = new HashMap<>();
+    /** The complete list by revision, for the latest ones. */
+    private final TreeMap<Long, String> completeLists = new TreeMap<>();
+
     private long revision;
     private boolean down;
+    private boolean silent;
+    /** How long a change may stay unknown to balancers that poll; 0 where agents push. */
+    private long pollTermMs;
 
     /** A node in the endpoint list, with the revision of its latest change. */
     private record Member(
@@ -57,10 +76,18 @@
 
     /** Adds the agent of a balancer; returns its address. Not to be called on the loop. */
     String agent(String balancer, long delayMs) {
+        return agent(balancer, balancer, delayMs);
+    }
+
+    /** Adds one more agent of a balancer, under a name of its own. */
+    String agent(String name, String balancer, long delayMs) {
         Agent agent = new Agent(balancer, delayMs);
-        loop.submit(() -> agent.knownRevision = revision).syncUninterruptibly();
         Channel listener = Http.listen(loop, 0, () -> new Connection(agent));
-        agents.put(balancer, agent);
+        loop.submit(() -> {
+                    agent.knownRevision = revision;
+                    agents.put(name, agent);
+                })
+                .syncUninterruptibly();
         return "127.0.0.1:" + ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
@@ -74,6 +101,10 @@
         revision++;
         Member member = new Member(spec.id(), address, spec.zone(), spec.kind(), phase, launchedAt, revision);
         members.put(member.id(), member);
+        completeLists.put(revision, list(-1, revision));
+        if (completeLists.size() > REMEMBERED_LISTS) {
+            completeLists.pollFirstEntry();
+        }
         long newRevision = revision;
         agents.values()
                 .forEach(agent ->
@@ -88,6 +119,29 @@
         }
     }
 
+    /** Makes all agents silent, so that they learn nothing either, or ends that: what they missed counts at once. */
+    void setSilent(boolean nowSilent) {
+        silent = nowSilent;
+        if (!nowSilent) {
+            agents.values().forEach(agent -> agent.advanceTo(revision));
+        }
+    }
+
+    /** Balancers poll from now on, and a change counts as known to them after this time at the latest. */
+    void setPollTerm(long millis) {
+        pollTermMs = millis;
+    }
+
+    /** The next answers of an agent are spoilt like this, one after the other. */
+    void spoilAnswers(String agent, List<AnswerFault> faults) {
+        agents.get(agent).faults.addAll(faults);
+    }
+
+    /** The complete list as discovery has it. */
+    String completeList() {
+        return list(-1, revision);
+    }
+
     /** The changes after one revision up to another, or the complete list if {@code from} is negative. */
     private String list(long from, long upTo) {
         ObjectNode root = JSON.createObjectNode().put("revision", upTo).put("complete", from < 0);
@@ -116,6 +170,7 @@
         private final long delayMs;
         private final Set<Channel> connections = new HashSet<>();
         private final List<Watch> watches = new ArrayList<>();
+        private final ArrayDeque<AnswerFault> faults = new ArrayDeque<>();
         private long knownRevision;
 
         Agent(String balancer, long delayMs) {
@@ -124,7 +179,16 @@
         }
 
         void advanceTo(long newRevision) {
-            knownRevision = Math.max(knownRevision, newRevision);
+            if (silent || newRevision <= knownRevision) {
+                return;
+            }
+            long before = knownRevision;
+            knownRevision = newRevision;
+            if (pollTermMs == 0) {
+                notifyChecker(before, newRevision);
+            } else {
+                loop.schedule(() -> notifyChecker(before, newRevision), pollTermMs, TimeUnit.MILLISECONDS);
+            }
             List<Watch> waiting = List.copyOf(watches);
             watches.clear();
             waiting.forEach(watch -> answer(watch.ctx(), watch.from(), watch.timeout()));
@@ -134,11 +198,65 @@
             if (timeout != null) {
                 timeout.cancel(false);
             }
+            if (silent) {
+                return;
+            }
+            AnswerFault fault = faults.poll();
+            if (fault == null) {
+                ctx.writeAndFlush(Http.response(200, list(from, knownRevision)));
+            } else {
+                spoil(ctx, list(from, knownRevision), fault);
+            }
+        }
+
+        /** These changes are known to the balancer from now on. */
+        private void notifyChecker(long after, long upTo) {
             members.values().stream()
-                    .filter(member -> member.revision() > from && member.revision() <= knownRevision)
+                    .filter(member -> member.revision() > after && member.revision() <= upTo)
                     .forEach(member -> checker.balancerNotified(
                             balancer, member.id(), member.phase().equals(UP), clock.getAsLong()));
-            ctx.writeAndFlush(Http.response(200, list(from, knownRevision)));
+        }
+
+        private void spoil(ChannelHandlerContext ctx, String body, AnswerFault fault) {
+            byte[] whole = ("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                    .getBytes(StandardCharsets.UTF_8);
+            switch (fault) {
+                case SILENT -> {}
+                case FIRST_BYTES -> writeRaw(ctx, whole, 0, FIRST_BYTES);
+                case HALF -> writeRaw(ctx, whole, 0, whole.length / 2);
+                case HALF_AND_CLOSE -> {
+                    writeRaw(ctx, whole, 0, whole.length / 2);
+                    ctx.close();
+                }
+                case CLOSE -> ctx.close();
+                case UNAVAILABLE -> ctx.writeAndFlush(Http.response(503, ""));
+                case LATE -> loop.schedule(() -> writeRaw(ctx, whole, 0, whole.length), LATE_MS, TimeUnit.MILLISECONDS);
+                case PIECES -> writePieces(ctx, whole);
+                case COMPLETE_LIST -> ctx.writeAndFlush(Http.response(200, list(-1, knownRevision)));
+                case OLDER_LIST -> ctx.writeAndFlush(Http.response(200, olderList()));
+                default -> throw new IllegalArgumentException(fault.toString());
+            }
+        }
+
+        private String olderList() {
+            Map.Entry<Long, String> older = completeLists.floorEntry(knownRevision - OLDER_REVISIONS);
+            return older == null ? list(-1, knownRevision) : older.getValue();
+        }
+
+        private void writePieces(ChannelHandlerContext ctx, byte[] whole) {
+            for (int piece = 0; piece < PIECES; piece++) {
+                int from = whole.length * piece / PIECES;
+                int to = whole.length * (piece + 1) / PIECES;
+                loop.schedule(
+                        () -> writeRaw(ctx, whole, from, to - from), piece * PIECE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        /** Writes bytes past the encoder, which only knows whole messages. */
+        private static void writeRaw(ChannelHandlerContext ctx, byte[] bytes, int from, int length) {
+            if (ctx.channel().isActive()) {
+                ctx.pipeline().context(HttpServerCodec.class).writeAndFlush(Unpooled.copiedBuffer(bytes, from, length));
+            }
         }
     }
 
@@ -170,6 +288,9 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             Map<String, List<String>> query = new QueryStringDecoder(request.uri()).parameters();
+            if (silent) {
+                return;
+            }
             long from = Long.parseLong(query.getOrDefault("from", List.of("-1")).get(0));
             long hold =
                     Long.parseLong(query.getOrDefault("hold_ms", List.of("0")).get(0));
--- a/src/main/java/sedgeyoke/standin/OrderNode.java
+++ b/src/main/java/sedgeyoke/standin/OrderNode.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -22,6 +23,8 @@
 /** An order node on a socket: an {@link UpstreamModel} behind the protocol between balancers and order nodes. */
 public final class OrderNode {
     private final EventLoop loop;
+    private final LongSupplier clock;
+    private final InvariantChecker checker;
     private final UpstreamModel model;
     private final Set<Channel> connections = new HashSet<>();
     private int port;
@@ -35,6 +38,8 @@
             IdempotencyKeyCache executedKeys,
             long seed) {
         this.loop = loop;
+        this.clock = clock;
+        this.checker = checker;
         this.model = new UpstreamModel(
                 spec,
                 site,
@@ -85,6 +90,14 @@
         model.restart();
     }
 
+    /** Resets all of its connections, whatever they carry. */
+    void resetConnections() {
+        for (Channel connection : List.copyOf(connections)) {
+            connection.config().setOption(ChannelOption.SO_LINGER, 0);
+            connection.close();
+        }
+    }
+
     /** From now on it rejects new requests and finishes those in flight. */
     void drain() {
         model.drain();
@@ -96,6 +109,10 @@
             ctx.writeAndFlush(Http.response(404, ""));
             return;
         }
+        String budgetMs = request.headers().get("X-Budget-Ms");
+        if (budgetMs != null) {
+            checker.attemptBudget(id, spec().id(), Long.parseLong(budgetMs), clock.getAsLong());
+        }
         String affinityKey = new QueryStringDecoder(request.uri())
                 .parameters()
                 .getOrDefault("obj", List.of(""))
--- a/src/main/java/sedgeyoke/standin/Site.java
+++ b/src/main/java/sedgeyoke/standin/Site.java
@@ -17,6 +17,8 @@
 
 /** A site on loopback without its balancers: discovery, order nodes and clients on one event loop. */
 public final class Site implements AutoCloseable {
+    private static final long EXCESSIVE_BUDGET_MS = 1_000;
+
     private final SiteModel spec;
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final InvariantChecker checker;
@@ -75,6 +77,51 @@
         return discovery.agent(balancer, delayMs);
     }
 
+    /** Adds one more agent of a balancer, under a name of its own; returns its address. */
+    public String furtherDiscoveryFor(String name, String balancer, long delayMs) {
+        return discovery.agent(name, balancer, delayMs);
+    }
+
+    /** Balancers poll a shared service, and a change counts as known to them after this time at the latest. */
+    public void setPollTerm(long millis) {
+        run(() -> discovery.setPollTerm(millis));
+    }
+
+    /** The next answers of an agent are spoilt like this, one after the other. */
+    public void spoilAnswers(String agent, List<AnswerFault> faults) {
+        run(() -> discovery.spoilAnswers(agent, faults));
+    }
+
+    /** Makes all agents silent, so that they learn nothing either, or ends that. */
+    public void setDiscoverySilent(boolean silent) {
+        run(() -> discovery.setSilent(silent));
+    }
+
+    /** The complete endpoint list as discovery has it. */
+    public String endpointList() {
+        return ask(discovery::completeList);
+    }
+
+    /** Opens new connections of clients to a balancer or not; those that are open are used in any case. */
+    public void setTakesConnections(String balancer, boolean takes) {
+        run(() -> clients.setTakesConnections(balancer, takes));
+    }
+
+    /** Sets the share of the requests whose client leaves before an answer. */
+    public void setDepartureShare(double share) {
+        run(() -> clients.setDepartureShare(share));
+    }
+
+    /** Clients that leave keep their connections open: a mistake that the checker has to find. */
+    public void setDepartureMistake() {
+        run(() -> clients.setLeavesSilently(true));
+    }
+
+    /** Clients tell balancers more time than they have: a mistake that the checker has to find. */
+    public void setBudgetMistake() {
+        run(() -> clients.setFurtherBudgetMs(EXCESSIVE_BUDGET_MS));
+    }
+
     /** From now on clients of a zone use this balancer too. */
     public void balancer(String name, int zone, InetSocketAddress address) {
         run(() -> clients.addBalancer(name, zone, address));
@@ -140,7 +187,11 @@
         /** It restarts cold. */
         RESTART,
         /** It drains, and discovery lists it as draining. */
-        DRAIN
+        DRAIN,
+        /** It vanishes, and discovery lists it as removed. */
+        REMOVE,
+        /** It resets all of its connections and goes on. */
+        RESET_CONNECTIONS
     }
 
     /** Makes a node fail, and updates discovery as the platform would. */
@@ -157,6 +208,11 @@
                     node.drain();
                     discovery.set(node, DiscoveryStandin.DRAINING);
                 }
+                case REMOVE -> {
+                    node.stopResponding();
+                    discovery.set(node, DiscoveryStandin.REMOVED);
+                }
+                case RESET_CONNECTIONS -> node.resetConnections();
                 default -> throw new IllegalArgumentException(fault.toString());
             }
         });
--- a/src/test/java/sedgeyoke/proxy/BalancerProcess.java
+++ b/src/test/java/sedgeyoke/proxy/BalancerProcess.java
@@ -58,6 +58,15 @@
         return Files.readString(output);
     }
 
+    /** Whether its output has such a text. */
+    boolean hasLogged(String text) {
+        try {
+            return output().contains(text);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** A connection, as soon as the balancer accepts one. */
     Socket connectWhenListening() throws InterruptedException, IOException {
         for (long end = System.nanoTime() + READ_TIMEOUT_MILLIS * 1_000_000L; System.nanoTime() < end; ) {
--- a/src/test/java/sedgeyoke/proxy/CrossingsTest.java
+++ b/src/test/java/sedgeyoke/proxy/CrossingsTest.java
@@ -358,6 +358,29 @@
         }
     }
 
+    /** A pipelined request waits for the response before it; its upstream is told what is left after that. */
+    @Test
+    void aPipelinedRequestHasLessTimeLeft() throws Exception {
+        AtomicInteger toldMillis = new AtomicInteger();
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
+                    if (request.headers().get("x-call-id").equals("first")) {
+                        pauseUntil(System.nanoTime() + 600 * MS);
+                    } else {
+                        toldMillis.set(Integer.parseInt(request.headers().get("x-budget-ms")));
+                    }
+                    ScriptedServer.reply(socket, 200, "x");
+                });
+                Loopback lb = Loopback.setup().upstream("u", upstream.address()).start()) {
+            Socket client = lb.connect();
+            ScriptedServer.write(
+                    client, Loopback.request("first", "order", 1_500) + Loopback.request("second", "order", 1_500));
+            java.io.InputStream in = new java.io.BufferedInputStream(client.getInputStream());
+            assertEquals(200, ScriptedServer.read(in).status());
+            assertEquals(200, ScriptedServer.read(in).status());
+            assertTrue(toldMillis.get() <= 1_500 - 600 + 150, "told " + toldMillis.get() + " ms, 900 were left");
+        }
+    }
+
     // ---- Lists ---------------------------------------------------------------------------------------
 
     /** The watch falls silent, and so does the call after it: the drain of that time is known within its grace. */
--- a/src/test/java/sedgeyoke/proxy/SystemFaultsTest.java
+++ b/src/test/java/sedgeyoke/proxy/SystemFaultsTest.java
@@ -15,11 +15,15 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Assumptions;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import sedgeyoke.proxy.FaultShim.Errno;
-import sedgeyoke.proxy.FaultShim.Field;
+import sedgeyoke.drill.soak.FaultLibrary;
+import sedgeyoke.drill.soak.SystemFaults;
+import sedgeyoke.drill.soak.SystemFaults.Errno;
+import sedgeyoke.drill.soak.SystemFaults.Field;
 
 /** The balancer as a process whose system calls fail and whose wall clock is stepped; judged by its clients. */
 class SystemFaultsTest {
@@ -31,13 +35,16 @@
     private Path folder;
 
     private int groupSize = 1;
-    private FaultShim shim;
+    private SystemFaults shim;
+    private ScriptedAgent agent;
     private final List<ScriptedServer> upstreams = new ArrayList<>();
     private final List<String> members = new ArrayList<>();
 
     @BeforeEach
     void compile() throws Exception {
-        shim = new FaultShim(folder);
+        Path library = FaultLibrary.build(folder);
+        Assumptions.assumeTrue(library != null, "no C compiler for the faults of the system");
+        shim = new SystemFaults(library, folder.resolve("faults"));
     }
 
     private BalancerProcess start(ScriptedServer.Script upstream) throws Exception {
@@ -45,7 +52,7 @@
             upstreams.add(new ScriptedServer(upstream));
             members.add(Loopback.member("u" + i, upstreams.get(i).address(), "up"));
         }
-        ScriptedAgent agent = new ScriptedAgent(1, members.toArray(new String[0]));
+        agent = new ScriptedAgent(1, members.toArray(new String[0]));
         int port;
         try (ServerSocket probe = new ServerSocket(0)) {
             port = probe.getLocalPort();
@@ -155,6 +162,56 @@
         }
     }
 
+    /**
+     * A soak found that discovery was never called again once a call had found no descriptor for its connection: closing
+     * a channel that was never registered throws, and the failure was not handled any further.
+     */
+    @Test
+    void discoveryIsCalledAgainAfterNoSocketCouldBeCreated() throws Exception {
+        try (BalancerProcess balancer = start(echo())) {
+            balancer.awaitHealthy();
+            for (Errno error : List.of(Errno.ENFILE, Errno.ENOBUFS)) {
+                shim.set(Field.SOCKET_ERROR, error);
+                agent.spoil(List.of(ScriptedAgent.Fault.CLOSE));
+                Loopback.await("a call finds no socket", () -> balancer.hasLogged("Unable to create Channel"));
+                shim.set(Field.SOCKET_ERROR, 0);
+                int before = agent.server.requests.size();
+                Loopback.await("discovery is called again", () -> agent.server.requests.size() > before + 3);
+            }
+        }
+    }
+
+    /**
+     * A request that waited in the backlog has less time left than it says; upstreams were told all of it. Accepting
+     * failed here, but a loop that is late in its first moments does the same.
+     */
+    @Test
+    void upstreamsAreToldNoMoreThanIsLeftAfterTheBacklog() throws Exception {
+        AtomicLong sentNanos = new AtomicLong();
+        AtomicLong excessMillis = new AtomicLong(Long.MIN_VALUE);
+        try (BalancerProcess balancer = start((request, socket) -> {
+            long told = Long.parseLong(request.headers().get("x-budget-ms"));
+            excessMillis.set((System.nanoTime() - sentNanos.get()) / MILLI + told - 1_000);
+            ScriptedServer.reply(socket, 200, request.headers().get("x-call-id"));
+        })) {
+            balancer.awaitHealthy();
+            shim.set(Field.ACCEPT_ERROR, Errno.ENFILE);
+            sentNanos.set(System.nanoTime());
+            Thread end = new Thread(() -> {
+                try {
+                    Thread.sleep(500); // the length of the fault
+                    shim.set(Field.ACCEPT_ERROR, 0);
+                } catch (IOException | InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            end.start();
+            assertEquals(200, ask(balancer, "waited", "order"));
+            end.join();
+            assertTrue(excessMillis.get() <= 150, "told " + excessMillis.get() + " ms more than was left");
+        }
+    }
+
     /** Accepting fails for a while: connections in the backlog are served once it works again. */
     @Test
     void connectionsAreAcceptedOnceAcceptWorksAgain() throws Exception {
