Discovery survives failing sockets; time in backlogs and pipelines counts for deadlines

Cause: closing a channel that could not be created throws, which ended all calls to discovery for good; found by the soak. A request's time counted from when we read it, not from when it lay in the backlog of a listener that could not accept, behind another request on its connection, or behind two slow passes of the loop, so that nodes were told up to 545 ms more than was left. Change: only registered channels are closed; AcceptDelay, the time of pipelined parts and the delays of the passes that a request may have waited for are deducted.

--- a/src/main/java/sedgeyoke/drill/soak/SoakFaults.java
+++ b/src/main/java/sedgeyoke/drill/soak/SoakFaults.java
@@ -26,6 +26,9 @@
     /** Agents fall silent only once every balancer can have what they had before; nothing could tell it later. */
     private static final long SETTLED_NANOS = 1_500_000_000;
 
+    /** In that time the answers that were to be spoilt are, so that no more than two in a row are. */
+    private static final long SPOILT_NANOS = 1_200_000_000;
+
     private static final int UNDOING_THREADS = 12;
     private static final long RESTART_TIMEOUT_MS = 30_000;
     private static final int[] CLOCK_STEPS = {-3_600, -5, 5, 3_600, 0};
@@ -45,6 +48,7 @@
     private final List<String> failures = new ArrayList<>();
     private boolean discoverySilent;
     private long lastChangeNanos;
+    private long lastSpoiltNanos;
 
     /** A fault that may fail to be injected. */
     private interface Action {
@@ -166,6 +170,12 @@
 
     /** Up to two answers in a row, at one balancer or at all of them; often a drain follows at once. */
     private void spoilAnswers() {
+        synchronized (this) {
+            if (System.nanoTime() - lastSpoiltNanos < SPOILT_NANOS) {
+                return;
+            }
+            lastSpoiltNanos = System.nanoTime();
+        }
         AnswerFault[] all = AnswerFault.values();
         List<AnswerFault> faults = new ArrayList<>();
         for (int i = random.nextInt(2); i >= 0; i--) {
--- /dev/null
+++ b/src/main/java/sedgeyoke/proxy/AcceptDelay.java
@@ -0,0 +1,28 @@
+package sedgeyoke.proxy;
+
+/**
+ * How long connections may have waited in the listener's backlog because none were accepted: accepting was paused for
+ * want of sockets, or the call failed. Clients count that time. Event loop only.
+ */
+final class AcceptDelay {
+    private static final long NOT_BLOCKED = Long.MIN_VALUE;
+
+    private long blockedSinceMicros = NOT_BLOCKED;
+
+    /** No connection is accepted at this time. */
+    void blocked(long now) {
+        if (blockedSinceMicros == NOT_BLOCKED) {
+            blockedSinceMicros = now;
+        }
+    }
+
+    /** Connections have been accepted without a failure for long enough that none is left from before. */
+    void backlogEmptied() {
+        blockedSinceMicros = NOT_BLOCKED;
+    }
+
+    /** The longest that a connection which is accepted now can have waited. */
+    long micros(long now) {
+        return blockedSinceMicros == NOT_BLOCKED ? 0 : now - blockedSinceMicros;
+    }
+}
--- a/src/main/java/sedgeyoke/proxy/ClientConnection.java
+++ b/src/main/java/sedgeyoke/proxy/ClientConnection.java
@@ -57,6 +57,12 @@
     private LastHttpContent lastContent;
     /** Whether the channel is in the middle of a read. */
     private boolean readInProgress;
+    /** When the last part of a request that was processed had been received. */
+    private long receivedMicros;
+    /** How long the connection may have waited to be accepted; counts for its first request. */
+    private long acceptDelayMicros;
+    /** Whether no request has been forwarded yet. */
+    private boolean firstRequest = true;
     /** Whether that read has brought the end of a request, or its rejection. */
     private boolean requestCompletedInRead;
 
@@ -94,7 +100,7 @@
             connections.remove(this);
             frontend.updateAccepting();
         });
-        frontend.connectionAccepted();
+        acceptDelayMicros = frontend.connectionAccepted();
     }
 
     /** Makes a transition of the state; see {@link ClientConnectionState#mayBecome}. */
@@ -219,8 +225,10 @@
         if (state == ClientConnectionState.CLOSING || closed) {
             ReferenceCountUtil.release(message);
         } else if (isPipelined()) {
-            pipelined.add(message); // and reading goes on: otherwise the end of the connection would not be seen
+            pipelined.add(
+                    message, core.now()); // and reading goes on: otherwise the end of the connection would not be seen
         } else {
+            receivedMicros = core.now();
             process(message);
         }
     }
@@ -260,7 +268,9 @@
                 && channel.isActive()
                 && (state == ClientConnectionState.IDLE
                         || state == ClientConnectionState.READING && requestBody != null)) {
-            process(pipelined.poll());
+            PipelinedRequests.Part part = pipelined.poll();
+            receivedMicros = part.receivedMicros();
+            process(part.message());
         }
         if (pipelined.isEmpty()) {
             pipelined.resetCount();
@@ -373,7 +383,10 @@
                     RequestParser.forwardedHeaders(head.headers()),
                     body,
                     HttpUtil.getContentLength(head, -1L),
+                    core.now() - receivedMicros + (firstRequest ? acceptDelayMicros : 0),
+                    firstRequest,
                     responses));
+            firstRequest = false;
         }
     }
 
--- a/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
+++ b/src/main/java/sedgeyoke/proxy/DiscoveryClient.java
@@ -102,7 +102,10 @@
         this.random = new Random(config.seed());
         this.address = config.discovery();
         this.pushed = !config.instanceSettings().settings().subscribesToEndpoints();
-        this.timings = DiscoveryTimings.of(config.instanceSettings().settings(), pushed);
+        this.timings = DiscoveryTimings.of(
+                config.instanceSettings().settings(),
+                pushed,
+                config.known().members().size());
         this.silenceMillis = timings.firstSilence();
         this.completeListNeeded = pushed || config.known().members().isEmpty();
         this.withoutWait = true; // the configured list may be old: what has changed since must not wait
--- a/src/main/java/sedgeyoke/proxy/DiscoveryConnection.java
+++ b/src/main/java/sedgeyoke/proxy/DiscoveryConnection.java
@@ -93,7 +93,7 @@
             return; // it was closed meanwhile
         }
         if (!connecting.isSuccess()) {
-            end("no connection: " + connecting.cause());
+            end("no connection: " + connecting.cause().getMessage());
             return;
         }
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
@@ -105,7 +105,9 @@
     void close() {
         callInProgress = false;
         closedByUs = true;
-        channel.close();
+        if (channel.isRegistered()) { // a channel that could not be created is not, and its close would throw
+            channel.close();
+        }
     }
 
     private void end(String reason) {
--- a/src/main/java/sedgeyoke/proxy/DiscoveryTimings.java
+++ b/src/main/java/sedgeyoke/proxy/DiscoveryTimings.java
@@ -36,13 +36,18 @@
     /** An event loop on a part of a core is late itself by about as much. */
     private static final int MIN_SILENCE = 100;
 
-    /** A complete list of some thousand upstreams takes longer to read than changes. */
-    private static final int COMPLETE_LIST_FACTOR = 2;
+    /** A complete list of some thousand upstreams takes longer to read than changes: 0.1 ms for each, at a start. */
+    private static final int UPSTREAMS_PER_MILLI = 10;
 
     private static final int OVERDUE = 5_000;
 
-    /** The timings for these settings; {@code pushed} where an agent on this machine has the lists. */
-    static DiscoveryTimings of(Settings settings, boolean pushed) {
+    /**
+     * The timings for these settings.
+     *
+     * @param pushed whether an agent on this machine has the lists
+     * @param upstreams how many upstreams the configuration knows
+     */
+    static DiscoveryTimings of(Settings settings, boolean pushed, int upstreams) {
         if (!pushed) {
             return new DiscoveryTimings(
                     POLLED_WATCH_WAIT,
@@ -55,7 +60,12 @@
         int share = (int) Math.min(MAX_PUSHED, settings.rules().drainGrace() / 1_000 / SHARE_OF_GRACE);
         int silence = Math.max(MIN_SILENCE, share);
         return new DiscoveryTimings(
-                Math.max(MIN_WATCH_WAIT, share), silence, silence, silence, COMPLETE_LIST_FACTOR * silence, OVERDUE);
+                Math.max(MIN_WATCH_WAIT, share),
+                silence,
+                silence,
+                silence,
+                silence + upstreams / UPSTREAMS_PER_MILLI,
+                OVERDUE);
     }
 
     /** The silence that is allowed after another answer that stayed out. */
--- a/src/main/java/sedgeyoke/proxy/Exchange.java
+++ b/src/main/java/sedgeyoke/proxy/Exchange.java
@@ -20,6 +20,11 @@
     final long contentLength;
 
     final Reply reply;
+    /** How long the request has waited since its client sent it, as far as its connection knows. */
+    final long waitedMicros;
+    /** Whether it is the first request on its connection. */
+    final boolean onNewConnection;
+
     final List<Attempt> attempts = new ArrayList<>(1);
     /** When the client stops waiting, in microseconds of the policy's clock. */
     long deadlineMicros;
@@ -52,6 +57,8 @@
             HttpHeaders headers,
             RequestBody body,
             long contentLength,
+            long waitedMicros,
+            boolean onNewConnection,
             Reply reply) {
         this.request = request;
         this.method = method;
@@ -59,6 +66,8 @@
         this.headers = headers;
         this.body = body;
         this.contentLength = contentLength;
+        this.waitedMicros = waitedMicros;
+        this.onNewConnection = onNewConnection;
         this.reply = reply;
     }
 
--- a/src/main/java/sedgeyoke/proxy/ExchangeTable.java
+++ b/src/main/java/sedgeyoke/proxy/ExchangeTable.java
@@ -78,7 +78,11 @@
         // The budget counts from the last byte; until that has arrived, the limits on uploads hold.
         long uploadMicros = exchange.body.ended() ? 0 : bodies.longestUpload();
         long leftMicros = Math.min(
-                request.timeLeft() + uploadMicros - REQUEST_TRANSIT_MICROS - loopDelayMicros(),
+                request.timeLeft()
+                        + uploadMicros
+                        - REQUEST_TRANSIT_MICROS
+                        - exchange.waitedMicros
+                        - clock.readDelayMicros(exchange.onNewConnection),
                 lastResponseMicros - clock.now());
         exchange.deadlineMicros = clock.now() + leftMicros;
         exchanges.put(request.id(), exchange);
--- a/src/main/java/sedgeyoke/proxy/HttpFrontend.java
+++ b/src/main/java/sedgeyoke/proxy/HttpFrontend.java
@@ -4,6 +4,8 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.ServerChannel;
@@ -38,6 +40,10 @@
     private final ServerSocketChannel inherited;
 
     private Channel listener;
+    private final AcceptDelay acceptDelay = new AcceptDelay();
+    /** Whether accepting has failed, or was paused, since connections were last checked. */
+    private boolean acceptBlocked;
+
     private long accepted;
     /** At the last {@link #backlogEmpty}; the first one must answer false. */
     private long acceptedBefore = -MAX_ACCEPTED_PER_PASS;
@@ -82,9 +88,25 @@
         @Override
         protected void initChannel(ServerChannel channel) {
             listener = channel;
+            channel.pipeline().addLast(new AcceptFailureHandler());
+        }
+    }
+
+    /** Notes that accepting fails; Netty pauses it then until {@link #updateAccepting}. */
+    private final class AcceptFailureHandler extends ChannelInboundHandlerAdapter {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            core.log().line("accepting connections fails: " + cause.getMessage());
+            noteAcceptBlocked();
+            ctx.fireExceptionCaught(cause);
         }
     }
 
+    private void noteAcceptBlocked() {
+        acceptBlocked = true;
+        acceptDelay.blocked(core.now());
+    }
+
     /** Builds the pipeline of a connection. */
     private final class ConnectionInitializer extends ChannelInitializer<Channel> {
         @Override
@@ -110,10 +132,11 @@
         }
     }
 
-    /** A connection was accepted; called by itself. */
-    void connectionAccepted() {
+    /** A connection was accepted; called by itself. Returns how long it may have waited for that. */
+    long connectionAccepted() {
         accepted++;
         updateAccepting();
+        return acceptDelay.micros(core.now());
     }
 
     /** Makes room for new connections if need be, and accepts more only where there is room. */
@@ -121,7 +144,11 @@
         if (connections.isNearlyFull()) {
             connections.makeRoom(core.now());
         }
-        listener.config().setAutoRead(isAccepting() && connections.mayAccept());
+        boolean hasRoom = connections.mayAccept();
+        if (!hasRoom) {
+            noteAcceptBlocked(); // unlike a listener that another process accepts from
+        }
+        listener.config().setAutoRead(isAccepting() && hasRoom);
     }
 
     /**
@@ -136,6 +163,10 @@
         long now = core.now();
         connections.checkTimeouts(now);
         connections.closeExcessIdle(now);
+        if (!acceptBlocked) {
+            acceptDelay.backlogEmptied();
+        }
+        acceptBlocked = false;
         updateAccepting();
     }
 
--- a/src/main/java/sedgeyoke/proxy/PipelinedRequests.java
+++ b/src/main/java/sedgeyoke/proxy/PipelinedRequests.java
@@ -18,11 +18,14 @@
 
     private final ClientConnections connections;
     /** Parts of requests, and at most one {@link RequestValidator.Rejection} at the end. */
-    private final Queue<Object> messages = new ArrayDeque<>();
+    private final Queue<Part> parts = new ArrayDeque<>();
 
     private int bytes;
     private boolean overflowed;
 
+    /** A decoded part of a request, and when it was received. */
+    record Part(Object message, long receivedMicros) {}
+
     PipelinedRequests(ClientConnections connections) {
         this.connections = connections;
     }
@@ -40,17 +43,17 @@
     }
 
     /** Queues a decoded part of a request; takes over its reference. */
-    void add(Object message) {
-        messages.add(message);
+    void add(Object message, long receivedMicros) {
+        parts.add(new Part(message, receivedMicros));
     }
 
     /** The next part, or null; the caller takes over its reference. */
-    Object poll() {
-        return messages.poll();
+    Part poll() {
+        return parts.poll();
     }
 
     boolean isEmpty() {
-        return messages.isEmpty();
+        return parts.isEmpty();
     }
 
     /** Whether another request can be completed: not if the rest of it was discarded. */
@@ -59,8 +62,8 @@
     }
 
     private boolean containsCompleteRequest() {
-        for (Object message : messages) {
-            if (message instanceof LastHttpContent || message instanceof RequestValidator.Rejection) {
+        for (Part part : parts) {
+            if (part.message() instanceof LastHttpContent || part.message() instanceof RequestValidator.Rejection) {
                 return true;
             }
         }
@@ -75,10 +78,10 @@
 
     /** Releases all that waits. */
     void discard() {
-        for (Object message : messages) {
-            ReferenceCountUtil.release(message);
+        for (Part part : parts) {
+            ReferenceCountUtil.release(part.message());
         }
-        messages.clear();
+        parts.clear();
         resetCount();
     }
 }
--- a/src/main/java/sedgeyoke/proxy/PolicyClock.java
+++ b/src/main/java/sedgeyoke/proxy/PolicyClock.java
@@ -11,6 +11,8 @@
     private long timerDueMicros = Long.MAX_VALUE;
     /** How late the last timer ran. */
     private long lastTimerDelayMicros;
+    /** How late the one before it ran. */
+    private long earlierTimerDelayMicros;
 
     long now() {
         return startMicros + (System.nanoTime() - startNanos) / 1_000;
@@ -25,6 +27,7 @@
     }
 
     void timerFired(long dueMicros) {
+        earlierTimerDelayMicros = lastTimerDelayMicros;
         lastTimerDelayMicros = Math.max(0, now() - dueMicros);
     }
 
@@ -32,4 +35,14 @@
     long loopDelayMicros() {
         return Math.max(lastTimerDelayMicros, now() - timerDueMicros);
     }
+
+    /**
+     * How long a request that is read now may have waited for that. It came after the loop last looked for what can be
+     * read, so that the delays of the present pass and of the one before add up; what a new connection brings may have
+     * waited one pass longer, until the connection was accepted.
+     */
+    long readDelayMicros(boolean newConnection) {
+        long presentDelayMicros = Math.max(0, now() - timerDueMicros);
+        return presentDelayMicros + lastTimerDelayMicros + (newConnection ? earlierTimerDelayMicros : 0);
+    }
 }
--- a/src/main/java/sedgeyoke/standin/DiscoveryStandin.java
+++ b/src/main/java/sedgeyoke/standin/DiscoveryStandin.java
@@ -132,8 +132,9 @@
         pollTermMs = millis;
     }
 
-    /** The next answers of an agent are spoilt like this, one after the other. */
+    /** The next answers of an agent are spoilt like this, one after the other, and no others. */
     void spoilAnswers(String agent, List<AnswerFault> faults) {
+        agents.get(agent).faults.clear();
         agents.get(agent).faults.addAll(faults);
     }
 
