--- a/src/main/java/sedgeyoke/drill/soak/Mistake.java
+++ b/src/main/java/sedgeyoke/drill/soak/Mistake.java
@@ -11,12 +11,12 @@
     DRAINS_NOT_TOLD,
     /** Balancers take upstreams that start for warm ones. */
     NO_SLOW_START,
-    /** A balancer is killed, and what it held counts as lost. */
+    /** Balancers end at SIGTERM without answering what they hold. */
     REQUESTS_LOST,
     /** Balancers take requests with an effect for harmless ones, and send them again. */
     EFFECTS_REPEATED,
-    /** Clients leave, and their balancers do not learn it. */
-    DEPARTURES_NOT_SEEN,
+    /** Clients leave, and their requests go out after that. */
+    SENT_AFTER_DEPARTURE,
     /** Balancers take clients to have a second more than they have. */
     DEADLINES_TOO_LONG
 }
--- a/src/main/java/sedgeyoke/drill/soak/SoakFaults.java
+++ b/src/main/java/sedgeyoke/drill/soak/SoakFaults.java
@@ -246,7 +246,9 @@
             if (reloadFirst) {
                 balancer.moveDiscovery();
             }
-            if (!balancer.terminate(signals)) {
+            if (mistake == Mistake.REQUESTS_LOST) {
+                balancer.kill(false);
+            } else if (!balancer.terminate(signals)) {
                 fail(balancer.name() + " had not ended by itself when SIGKILL came");
             }
             restart(balancer, downMillis);
@@ -261,7 +263,7 @@
         long downMillis = random.nextLong(1_000);
         events.add("KILL", balancer.name() + ", down for " + downMillis + " ms");
         later(0, () -> {
-            balancer.kill(mistake != Mistake.REQUESTS_LOST);
+            balancer.kill(true);
             restart(balancer, downMillis);
         });
     }
--- a/src/main/java/sedgeyoke/drill/soak/SoakRun.java
+++ b/src/main/java/sedgeyoke/drill/soak/SoakRun.java
@@ -112,7 +112,7 @@
         switch (options.mistake()) {
             case DRAINS_NOT_TOLD -> balancers.forEach(
                     balancer -> balancer.spoilAnswers(Collections.nCopies(MANY, AnswerFault.SILENT)));
-            case DEPARTURES_NOT_SEEN -> site.setDepartureMistake();
+            case SENT_AFTER_DEPARTURE -> site.setDepartureMistake();
             case DEADLINES_TOO_LONG -> site.setBudgetMistake();
             default -> {}
         }
--- a/src/main/java/sedgeyoke/model/InvariantChecker.java
+++ b/src/main/java/sedgeyoke/model/InvariantChecker.java
@@ -127,6 +127,7 @@
         private int effects;
         private boolean reportedAsExecuted;
         private Answer answer;
+        private boolean reachedNode;
         /** When the client closed its connection before an answer; 0 if it did not. */
         private long leftMicros;
 
@@ -284,6 +285,11 @@
         requestsById.get(id).balancer = balancer;
     }
 
+    /** Whether an attempt of the request has reached a node, so that its balancer has read it. */
+    public boolean hasReachedNode(String id) {
+        return requestsById.get(id).reachedNode;
+    }
+
     /** A client closes its connection before it has an answer. */
     public void clientLeft(String id, long nowMicros) {
         requestsById.get(id).leftMicros = nowMicros;
@@ -354,6 +360,7 @@
         if (answered && tooLate(request, nowMicros)) {
             violation(Rule.ANSWERS, id + " sent to " + node + " long after its answer");
         }
+        request.reachedNode = true;
         arrivalListener.arrived(request.balancer, node, nowMicros);
         checkDeparture(id, request, node, nowMicros);
         checkDraining(id, request.balancer, node, nowMicros);
--- a/src/main/java/sedgeyoke/proxy/AcceptDelay.java
+++ b/src/main/java/sedgeyoke/proxy/AcceptDelay.java
@@ -16,7 +16,7 @@
         }
     }
 
-    /** Connections have been accepted without a failure for long enough that none is left from before. */
+    /** A pass that accepts connections has found no more. */
     void backlogEmptied() {
         blockedSinceMicros = NOT_BLOCKED;
     }
--- a/src/main/java/sedgeyoke/proxy/HttpFrontend.java
+++ b/src/main/java/sedgeyoke/proxy/HttpFrontend.java
@@ -41,9 +41,6 @@
 
     private Channel listener;
     private final AcceptDelay acceptDelay = new AcceptDelay();
-    /** Whether accepting has failed, or was paused, since connections were last checked. */
-    private boolean acceptBlocked;
-
     private long accepted;
     /** At the last {@link #backlogEmpty}; the first one must answer false. */
     private long acceptedBefore = -MAX_ACCEPTED_PER_PASS;
@@ -88,25 +85,48 @@
         @Override
         protected void initChannel(ServerChannel channel) {
             listener = channel;
-            channel.pipeline().addLast(new AcceptFailureHandler());
+            channel.pipeline().addLast(new AcceptObserver());
         }
     }
 
-    /** Notes that accepting fails; Netty pauses it then until {@link #updateAccepting}. */
-    private final class AcceptFailureHandler extends ChannelInboundHandlerAdapter {
+    /** Notes when accepting fails, which Netty pauses then until {@link #updateAccepting}, and what empties the backlog. */
+    private final class AcceptObserver extends ChannelInboundHandlerAdapter {
+        private int acceptedInPass;
+        private boolean failed;
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object connection) {
+            acceptedInPass++;
+            ctx.fireChannelRead(connection);
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            boolean foundNoMore = acceptedInPass < MAX_ACCEPTED_PER_PASS
+                    && ctx.channel().config().isAutoRead();
+            if (acceptedInPass > 0 && foundNoMore) {
+                failed = false;
+                loop.execute(this::emptiedUnlessFailed); // a failure of this pass is reported after this
+            }
+            acceptedInPass = 0;
+            ctx.fireChannelReadComplete();
+        }
+
+        private void emptiedUnlessFailed() {
+            if (!failed) {
+                acceptDelay.backlogEmptied();
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            failed = true;
             core.log().line("accepting connections fails: " + cause.getMessage());
-            noteAcceptBlocked();
+            acceptDelay.blocked(core.now());
             ctx.fireExceptionCaught(cause);
         }
     }
 
-    private void noteAcceptBlocked() {
-        acceptBlocked = true;
-        acceptDelay.blocked(core.now());
-    }
-
     /** Builds the pipeline of a connection. */
     private final class ConnectionInitializer extends ChannelInitializer<Channel> {
         @Override
@@ -146,7 +166,7 @@
         }
         boolean hasRoom = connections.mayAccept();
         if (!hasRoom) {
-            noteAcceptBlocked(); // unlike a listener that another process accepts from
+            acceptDelay.blocked(core.now()); // unlike a listener that another process accepts from
         }
         listener.config().setAutoRead(isAccepting() && hasRoom);
     }
@@ -163,10 +183,6 @@
         long now = core.now();
         connections.checkTimeouts(now);
         connections.closeExcessIdle(now);
-        if (!acceptBlocked) {
-            acceptDelay.backlogEmptied();
-        }
-        acceptBlocked = false;
         updateAccepting();
     }
 
--- a/src/main/java/sedgeyoke/standin/Clients.java
+++ b/src/main/java/sedgeyoke/standin/Clients.java
@@ -45,6 +45,8 @@
 
     private static final long CONNECT_RETRY_DELAY_MS = 20;
     private static final long REJECTED_RETRY_DELAY_MS = 30;
+    /** How much later than it has left a client sends its request where that mistake is planted. */
+    private static final long SENT_AFTER_LEAVING_MS = 150;
     /** The longest that a client stays which leaves before its answer. */
     private static final long MAX_STAY_MS = 300;
     /** How long a client waits beyond its deadline, to tell a late answer from a lost one. */
@@ -59,7 +61,7 @@
     /** Share of the requests whose client leaves before an answer. */
     private double departureShare;
 
-    /** Whether clients that leave keep their connections open. */
+    /** Whether clients that leave send their request after that. */
     private boolean leavesSilently;
     /** What clients tell balancers beyond the time that they have. */
     private long furtherBudgetMs;
@@ -133,7 +135,7 @@
         departureShare = share;
     }
 
-    /** Clients that leave keep their connections open from now on, which no client does. */
+    /** Clients that leave send their request only after that from now on, which no client does. */
     void setLeavesSilently(boolean silently) {
         leavesSilently = silently;
     }
@@ -258,14 +260,24 @@
             current = attempt;
             resent = sentBefore;
             long budgetMs = Math.max(1, (attempt.deadlineMicros() - clock.getAsLong()) / 1_000);
-            channel.writeAndFlush(httpRequest(attempt, budgetMs + furtherBudgetMs));
-            if (departures.nextDouble() < departureShare) {
+            boolean departs = departures.nextDouble() < departureShare;
+            if (departs && leavesSilently) {
+                checker.clientLeft(attempt.id(), clock.getAsLong());
+                loop.schedule(() -> write(attempt, budgetMs), SENT_AFTER_LEAVING_MS, TimeUnit.MILLISECONDS);
+                return;
+            }
+            write(attempt, budgetMs);
+            if (departs) {
                 long afterMs = 1 + departures.nextLong(MAX_STAY_MS);
                 loop.schedule(() -> leaveIfCurrent(attempt), afterMs, TimeUnit.MILLISECONDS);
             }
             loop.schedule(() -> closeIfCurrent(attempt), budgetMs + LATE_ANSWER_MS, TimeUnit.MILLISECONDS);
         }
 
+        private void write(Attempt attempt, long budgetMs) {
+            channel.writeAndFlush(httpRequest(attempt, budgetMs + furtherBudgetMs));
+        }
+
         private FullHttpRequest httpRequest(Attempt attempt, long budgetMs) {
             ClientRequest request = attempt.request();
             boolean safe = request.requestClass().safe();
@@ -295,9 +307,7 @@
             if (attempt.equals(current)) {
                 current = null;
                 checker.clientLeft(attempt.id(), clock.getAsLong());
-                if (!leavesSilently) {
-                    channel.close();
-                }
+                channel.close();
             }
         }
 
@@ -364,6 +374,7 @@
         private boolean mayResend(Attempt attempt) {
             return answers > 0
                     && !resent
+                    && !checker.hasReachedNode(attempt.id())
                     && !checker.isBalancerDown(balancer.name)
                     && clock.getAsLong() < attempt.deadlineMicros();
         }
--- a/src/main/java/sedgeyoke/standin/Site.java
+++ b/src/main/java/sedgeyoke/standin/Site.java
@@ -112,7 +112,7 @@
         run(() -> clients.setDepartureShare(share));
     }
 
-    /** Clients that leave keep their connections open: a mistake that the checker has to find. */
+    /** Clients that leave send their request after that: a mistake that the checker has to find. */
     public void setDepartureMistake() {
         run(() -> clients.setLeavesSilently(true));
     }
--- a/src/test/java/sedgeyoke/proxy/BalancerProcess.java
+++ b/src/test/java/sedgeyoke/proxy/BalancerProcess.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
@@ -30,7 +31,7 @@
     /** The same with more in its environment. */
     static BalancerProcess start(Path folder, int port, byte[] config, Map<String, String> environment)
             throws IOException {
-        String text = new String(config, java.nio.charset.StandardCharsets.UTF_8)
+        String text = new String(config, StandardCharsets.UTF_8)
                 .replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + port + "\"");
         Path file = Files.writeString(folder.resolve("config-" + port + ".json"), text);
         Path output = folder.resolve("output-" + port + ".log");
