--- a/src/main/java/sedgeyoke/drill/soak/SoakPlan.java
+++ b/src/main/java/sedgeyoke/drill/soak/SoakPlan.java
@@ -22,7 +22,7 @@
     private static final double FURTHER_LOAD = 0.35;
     private static final double MAX_DEPARTURES = 0.08;
     /** Nodes that take less at their start than their even share of the load. */
-    private static final SiteModel.RuleSpec COLD_START = new SiteModel.RuleSpec(1_000, 0.05, 9_000, 0.8, 1_500);
+    private static final SiteModel.RuleSpec COLD_START = new SiteModel.RuleSpec(1_000, 0.02, 9_000, 0.1, 1_500);
 
     /** Half of the seeds have agents, half poll; every fourth has a crowd of clients that leave. */
     static SoakPlan of(long seed, int maxBalancers, Mistake mistake) {
