--- a/src/main/java/sedgeyoke/cli/DrillCommand.java
+++ b/src/main/java/sedgeyoke/cli/DrillCommand.java
@@ -154,7 +154,7 @@
             name = "soak",
             mixinStandardHelpOptions = true,
             description = {
-                "Runs balancers as processes under faults of discovery, nodes, clients, signals and, with --shim, of the"
+                "Runs balancers as processes under faults of discovery, nodes, clients, signals and, with --shim, the"
                         + " system; each seed draws size and faults.",
                 "Ends with 0 if no rule broke and each process started and ended in time."
             })
--- a/src/main/java/sedgeyoke/proxy/DiscoveryTimings.java
+++ b/src/main/java/sedgeyoke/proxy/DiscoveryTimings.java
@@ -5,11 +5,11 @@
 /**
  * How long calls to discovery wait, in milliseconds.
  *
- * <p>A drain is announced when discovery has it, not when we have the list, so what counts is the sum: the rest of a
- * watch in whose answer the change is lost, and one silence for each answer that is lost. Where lists are pushed the sum
- * stays below the grace period of drains for three lost answers in a row:
- * {@code watchWait + 3 * silence <= 4/5 grace}. The remaining fifth is for an event loop that runs late. Where lists are
- * polled, changes may be unknown for 6 s: {@code 2000 + 1000 + 1500 = 4500} ms with two lost answers.
+ * <p>A drain is announced when discovery has it, not when we have the list, so what counts is the sum: the rest of
+ * a watch in whose answer the change is lost, and one silence for each answer that is lost. Where lists are pushed the
+ * sum stays below the grace period of drains for three lost answers in a row:
+ * {@code watchWait + 3 * silence <= 4/5 grace}. The remaining fifth is for an event loop that runs late. Where lists
+ * are polled, changes may be unknown for 6 s: {@code 2000 + 1000 + 1500 = 4500} ms with two lost answers.
  *
  * @param watchWait how long a watch waits for changes
  * @param firstSilence how long the first answer of all may take before discovery is called on another connection as
--- a/src/main/java/sedgeyoke/proxy/HttpFrontend.java
+++ b/src/main/java/sedgeyoke/proxy/HttpFrontend.java
@@ -89,7 +89,7 @@
         }
     }
 
-    /** Notes when accepting fails, which Netty pauses then until {@link #updateAccepting}, and what empties the backlog. */
+    /** Notes when accepting fails, which Netty pauses until {@link #updateAccepting}, and what empties the backlog. */
     private final class AcceptObserver extends ChannelInboundHandlerAdapter {
         private int acceptedInPass;
         private boolean failed;
--- a/src/test/java/sedgeyoke/drill/soak/SoakTest.java
+++ b/src/test/java/sedgeyoke/drill/soak/SoakTest.java
@@ -17,7 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** A short soak with fixed seeds, and mistakes that it has to find. The long one is {@code bin/sedgeyoke drill soak}. */
+/** A short soak with fixed seeds, and mistakes that it must find. The long one is {@code bin/sedgeyoke drill soak}. */
 class SoakTest {
     private static final int SECONDS = 10;
     private static final int BALANCERS = 4;
--- a/src/test/java/sedgeyoke/policy/ModuleSizeTest.java
+++ b/src/test/java/sedgeyoke/policy/ModuleSizeTest.java
@@ -15,7 +15,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * The policy's files: each has one concern and stays small enough for that, none is wider than 110 columns, and all that
+ * The policy's files: each has one concern and stays small enough for that, none is wider than 110 columns, and all
+ * that
  * decide are named in the deploy file. There is no limit on all of them together.
  */
 class ModuleSizeTest {
--- a/src/test/java/sedgeyoke/policy/SlowStartTest.java
+++ b/src/test/java/sedgeyoke/policy/SlowStartTest.java
@@ -57,8 +57,8 @@
     }
 
     /**
-     * The clock of our machine was stepped before our start, so that launches lie an hour off: behind, a new upstream had
-     * no slow start at all; ahead, it got next to nothing for an hour. A launch that we saw happen is a span of our own.
+     * The clock of our machine was stepped before our start, so that launches lie an hour off: behind, an upstream had
+     * no slow start at all; ahead, it got next to nothing for an hour. A launch that we saw is a span of our own.
      */
     @Test
     void launchStampsOfAnotherClockNeitherSkipSlowStartNorProlongIt() {
--- a/src/test/java/sedgeyoke/proxy/DiscoveryTest.java
+++ b/src/test/java/sedgeyoke/proxy/DiscoveryTest.java
@@ -237,7 +237,7 @@
         }
     }
 
-    /** The policy sends to a draining upstream only by mistake; nothing of it goes out, not even in the grace period. */
+    /** The policy sends to a draining upstream only by mistake; nothing goes out, not even in the grace period. */
     @Test
     void nothingIsSentToAnUpstreamThatIsKnownToDrain() throws Exception {
         try (ScriptedServer upstream = ScriptedServer.serving("x");
--- a/src/test/java/sedgeyoke/proxy/ScriptedAgent.java
+++ b/src/test/java/sedgeyoke/proxy/ScriptedAgent.java
@@ -91,6 +91,7 @@
             }
             case CLOSE -> socket.close();
             case UNAVAILABLE -> ScriptedServer.reply(socket, 503, "");
+            default -> throw new IllegalArgumentException(fault.toString());
         }
     }
 
--- a/src/test/java/sedgeyoke/proxy/SystemFaultsTest.java
+++ b/src/test/java/sedgeyoke/proxy/SystemFaultsTest.java
@@ -110,7 +110,8 @@
     }
 
     /**
-     * No port, descriptor, buffer or network for a connection is a fault of this machine: all upstreams were ejected for
+     * No port, descriptor, buffer or network for a connection is a fault of this machine: all upstreams were ejected
+     * for
      * it, and requests were rejected for 0.6 to 0.8 s after it had passed.
      */
     @Test
@@ -163,7 +164,8 @@
     }
 
     /**
-     * A soak found that discovery was never called again once a call had found no descriptor for its connection: closing
+     * A soak found that discovery was never called again once a call had found no descriptor for its connection:
+     * closing
      * a channel that was never registered throws, and the failure was not handled any further.
      */
     @Test
