Connections are closed as silent only after their sockets were read

Callers saw: where descriptors are scarce (128), a process held up for 0.15 s while 64 clients connect and send closed up to 16 of them without a byte.

Cause: makeRoom runs as a connection is accepted and judges by the time since the accept. After a stop the accept events of a pass come before its reads, so connections accepted before the stop are 0.15 s old and their requests lie unread in the sockets. The same rule ended idle and new connections at a shutdown.

Change: ReadBarrier runs a check in a later pass of the loop and hands it the time until which everything has been read; all checks of ClientConnectionCloser judge by that time. The silence allowed is the same as before. A check that is requested several times runs once, which also ends the recursion of closes that each asked for room again.

--- a/src/main/java/sedgeyoke/proxy/client/ClientConnectionCloser.java
+++ b/src/main/java/sedgeyoke/proxy/client/ClientConnectionCloser.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.List;
+import sedgeyoke.proxy.common.RateLimitedLog;
 import sedgeyoke.proxy.exchange.RejectionReason;
 
 /**
@@ -17,45 +18,51 @@
  *
  * <p>The same methods end connections whose client sends nothing, sends its request too slowly, does not read its
  * response, or does not leave after the last one. Whether a response ends its connection is up to
- * {@link HttpFrontend#allowsKeepAlive}. Event loop only; times are microseconds of the policy's clock.
+ * {@link HttpFrontend#allowsKeepAlive}.
+ *
+ * <p>All methods judge what clients have sent up to {@code readUntilMicros}: everything that arrived before has been
+ * read ({@link sedgeyoke.proxy.common.ReadBarrier}), while a request that came since may still lie in its socket. Event
+ * loop only; times are microseconds of the policy's clock.
  */
 final class ClientConnectionCloser {
     private final ClientConnections connections;
     private final ClientTimeouts timeouts;
+    private final RateLimitedLog log;
 
-    ClientConnectionCloser(ClientConnections connections, ClientTimeouts timeouts) {
+    ClientConnectionCloser(ClientConnections connections, ClientTimeouts timeouts, RateLimitedLog log) {
         this.connections = connections;
         this.timeouts = timeouts;
+        this.log = log;
     }
 
     // ---- Timeouts ------------------------------------------------------------------------------------
 
     /** Rejects requests that come too slowly, and closes connections whose state has timed out. */
-    void closeTimedOut(long nowMicros) {
-        connections.copy().forEach(connection -> closeIfTimedOut(connection, nowMicros));
+    void closeTimedOut(long readUntilMicros) {
+        connections.copy().forEach(connection -> closeIfTimedOut(connection, readUntilMicros));
     }
 
-    private void closeIfTimedOut(ClientConnection connection, long nowMicros) {
-        if (isRequestTooSlow(connection, nowMicros)) {
+    private void closeIfTimedOut(ClientConnection connection, long readUntilMicros) {
+        if (isRequestTooSlow(connection, readUntilMicros)) {
             connection
                     .reader()
                     .reject(new RequestValidator.Rejection(
                             RejectionReason.REQUEST_TOO_SLOW, "the request is not whole"));
-        } else if (timeouts.mustClose(connection.state(), connection.isIdle(), elapsed(connection, nowMicros))) {
+        } else if (timeouts.mustClose(connection.state(), connection.isIdle(), elapsed(connection, readUntilMicros))) {
             connection.close();
         }
     }
 
-    private boolean isRequestTooSlow(ClientConnection connection, long nowMicros) {
+    private boolean isRequestTooSlow(ClientConnection connection, long readUntilMicros) {
         RequestReader reader = connection.reader();
         if (reader.hasMinimumRate()) {
-            return reader.isBelowMinimumRate(nowMicros);
+            return reader.isBelowMinimumRate(readUntilMicros);
         }
-        return reader.isRequestIncomplete() && timeouts.requestExpired(elapsed(connection, nowMicros));
+        return reader.isRequestIncomplete() && timeouts.requestExpired(elapsed(connection, readUntilMicros));
     }
 
-    private static long elapsed(ClientConnection connection, long nowMicros) {
-        return nowMicros - connection.stateSinceMicros();
+    private static long elapsed(ClientConnection connection, long readUntilMicros) {
+        return readUntilMicros - connection.stateSinceMicros();
     }
 
     // ---- Scarce sockets ------------------------------------------------------------------------------
@@ -64,26 +71,37 @@
      * Closes the longest idle connections where many are open. Clients that send one request and keep the connection
      * would otherwise reach their own limit, and their further requests would never be received.
      */
-    void closeExcessIdle(long nowMicros) {
+    void closeExcessIdle(long readUntilMicros) {
         List<ClientConnection> idle = connections.copy().stream()
                 .filter(ClientConnection::isIdle)
                 .sorted(Comparator.comparingLong(ClientConnection::stateSinceMicros))
                 .toList();
         idle.stream()
                 .limit(connections.excess(idle.size()))
-                .filter(connection -> timeouts.exceedsShortIdle(elapsed(connection, nowMicros)))
+                .filter(connection -> timeouts.exceedsShortIdle(elapsed(connection, readUntilMicros)))
                 .forEach(ClientConnection::close);
     }
 
     /** Closes those connections without a request that have been so for longest, until new ones can be accepted. */
-    void makeRoom(long nowMicros) {
-        connections.copy().stream()
-                .filter(connection ->
-                        timeouts.mayMakeRoom(connection.state(), connection.isIdle(), elapsed(connection, nowMicros)))
+    void makeRoom(long readUntilMicros) {
+        List<ClientConnection> longestUnused = connections.copy().stream()
+                .filter(connection -> timeouts.mayMakeRoom(
+                        connection.state(), connection.isIdle(), elapsed(connection, readUntilMicros)))
                 .sorted(Comparator.comparingLong(ClientConnection::stateSinceMicros))
                 .limit(connections.missingReserve())
-                .toList()
-                .forEach(ClientConnection::close);
+                .toList();
+        if (!longestUnused.isEmpty()) {
+            logClosed(longestUnused, readUntilMicros);
+            longestUnused.forEach(ClientConnection::close);
+        }
+    }
+
+    private void logClosed(List<ClientConnection> closed, long readUntilMicros) {
+        long silent = closed.stream()
+                .filter(connection -> connection.state() == ClientConnectionState.NEW)
+                .count();
+        log.line("sockets are scarce: closing " + closed.size() + " client connections without a request, " + silent
+                + " of which have sent nothing, for up to " + elapsed(closed.get(0), readUntilMicros) + " us");
     }
 
     // ---- Graceful shutdown ---------------------------------------------------------------------------
@@ -92,21 +110,21 @@
      * Ends the connections on which no request has begun. The end of one that has begun may have been received by the
      * system, and only its response may end the connection.
      */
-    void closeIdleForShutdown(long nowMicros) {
+    void closeIdleForShutdown(long readUntilMicros) {
         for (ClientConnection connection : connections.copy()) {
-            if (isUnused(connection, nowMicros)) {
+            if (isUnused(connection, readUntilMicros)) {
                 connection.closeOutput();
             }
         }
     }
 
     /** As {@link #closeIdleForShutdown}; also rejects incomplete requests and closes for clients that do not leave. */
-    void closeAllForShutdown(long nowMicros) {
+    void closeAllForShutdown(long readUntilMicros) {
         for (ClientConnection connection : connections.copy()) {
             RequestReader reader = connection.reader();
-            if (isUnused(connection, nowMicros)) {
+            if (isUnused(connection, readUntilMicros)) {
                 connection.closeOutput();
-            } else if (timeouts.isLingering(connection.state(), elapsed(connection, nowMicros))) {
+            } else if (timeouts.isLingering(connection.state(), elapsed(connection, readUntilMicros))) {
                 connection.close();
             } else if (reader.isRequestIncomplete() && !reader.isStreaming()) {
                 reader.reject(new RequestValidator.Rejection(RejectionReason.SHUTDOWN_BEFORE_COMPLETE, "it ends"));
@@ -114,7 +132,9 @@
         }
     }
 
-    private boolean isUnused(ClientConnection connection, long nowMicros) {
-        return connection.isIdle() || timeouts.isSilent(connection.state(), elapsed(connection, nowMicros));
+    /** Whether no request had come on it by then; one that became idle since may have the next one unread. */
+    private boolean isUnused(ClientConnection connection, long readUntilMicros) {
+        long elapsedMicros = elapsed(connection, readUntilMicros);
+        return (connection.isIdle() && elapsedMicros >= 0) || timeouts.isSilent(connection.state(), elapsedMicros);
     }
 }
--- a/src/main/java/sedgeyoke/proxy/client/HttpFrontend.java
+++ b/src/main/java/sedgeyoke/proxy/client/HttpFrontend.java
@@ -12,6 +12,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.concurrent.TimeUnit;
 import sedgeyoke.body.BodyLimits;
+import sedgeyoke.proxy.common.ReadBarrier;
 import sedgeyoke.proxy.common.Transport;
 import sedgeyoke.proxy.config.BalancerConfig;
 import sedgeyoke.proxy.core.ProxyCore;
@@ -38,6 +39,12 @@
     private final RequestParser parser;
     private final ClientConnections connections;
     private final ClientConnectionCloser closer;
+    /** These close connections whose clients are silent, which must not be decided by unread connections. */
+    private final ReadBarrier.Check timeoutCheck;
+
+    private final ReadBarrier.Check scarcityCheck;
+    private final ReadBarrier.Check idleShutdownCheck;
+    private final ReadBarrier.Check finalShutdownCheck;
     /** A listener that the platform holds and other processes may share; null if this process binds its own. */
     private final ServerSocketChannel inherited;
 
@@ -71,7 +78,11 @@
         this.inherited = inherited;
         this.parser = new RequestParser(config, core);
         this.connections = new ClientConnections(config.sockets());
-        this.closer = new ClientConnectionCloser(connections, new ClientTimeouts(limits));
+        this.closer = new ClientConnectionCloser(connections, new ClientTimeouts(limits), core.log());
+        this.timeoutCheck = core.reads().check(this::closeTimedOut);
+        this.scarcityCheck = core.reads().check(this::makeRoom);
+        this.idleShutdownCheck = core.reads().check(closer::closeIdleForShutdown);
+        this.finalShutdownCheck = core.reads().check(closer::closeAllForShutdown);
     }
 
     // ---- Listener ------------------------------------------------------------------------------------
@@ -157,10 +168,10 @@
         return acceptDelay.maxDelayMicros(core.now());
     }
 
-    /** Makes room for new connections if need be, and accepts more only where there is room. */
+    /** Has room made for new connections if need be, and accepts more only where there is room. */
     void updateAccepting() {
         if (connections.isNearlyFull()) {
-            closer.makeRoom(core.now());
+            scarcityCheck.request();
         }
         boolean hasRoom = connections.mayAccept();
         if (!hasRoom) {
@@ -178,12 +189,21 @@
     }
 
     private void checkConnections() {
-        long nowMicros = core.now();
-        closer.closeTimedOut(nowMicros);
-        closer.closeExcessIdle(nowMicros);
+        timeoutCheck.request();
         updateAccepting();
     }
 
+    private void closeTimedOut(long readUntilMicros) {
+        closer.closeTimedOut(readUntilMicros);
+        closer.closeExcessIdle(readUntilMicros);
+    }
+
+    private void makeRoom(long readUntilMicros) {
+        if (connections.isNearlyFull()) {
+            closer.makeRoom(readUntilMicros);
+        }
+    }
+
     // ---- Graceful shutdown ---------------------------------------------------------------------------
 
     /** Lets health checks fail from now on, so that clients are sent elsewhere. */
@@ -231,7 +251,7 @@
      */
     public void closeIdleConnections() {
         if (closing) {
-            closer.closeIdleForShutdown(core.now());
+            idleShutdownCheck.request();
         }
         closing = true;
     }
@@ -242,7 +262,7 @@
      */
     public void closeAllConnections() {
         if (closing) {
-            closer.closeAllForShutdown(core.now());
+            finalShutdownCheck.request();
         }
         closing = true;
     }
--- a/src/main/java/sedgeyoke/proxy/core/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/core/ProxyCore.java
@@ -10,6 +10,7 @@
 import sedgeyoke.policy.LoadBalancingPolicy.ListKind;
 import sedgeyoke.policy.UtilizationWeightedPolicy;
 import sedgeyoke.proxy.common.RateLimitedLog;
+import sedgeyoke.proxy.common.ReadBarrier;
 import sedgeyoke.proxy.common.Transport;
 import sedgeyoke.proxy.config.BalancerConfig;
 import sedgeyoke.proxy.config.EndpointList;
@@ -67,6 +68,7 @@
     private final BodyLimits bodies;
     private final BodyBudget budget;
     private final PolicyClock clock = new PolicyClock();
+    private final ReadBarrier reads;
     private final RateLimitedLog log;
     private final RequestMetrics metrics;
     private final PolicyEvents events;
@@ -104,6 +106,7 @@
         this.settings = config.instanceSettings().settings();
         this.bodies = bodies;
         this.budget = new BodyBudget(bodies);
+        this.reads = new ReadBarrier(loop, clock::now);
         this.log = new RateLimitedLog(transport.log(), config.name(), clock::now);
         this.metrics = new RequestMetrics(config.instanceSettings().classNames());
         this.events = new PolicyEvents(log);
@@ -187,6 +190,11 @@
         return log;
     }
 
+    /** Lets checks for silent peers wait until what they have sent is read. */
+    public ReadBarrier reads() {
+        return reads;
+    }
+
     /** What bodies that are being streamed hold in total. */
     public BodyBudget budget() {
         return budget;
--- /dev/null
+++ b/src/test/java/sedgeyoke/proxy/StoppedProcessTest.java
@@ -0,0 +1,91 @@
+package sedgeyoke.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import sedgeyoke.drill.ProgramProcess;
+
+/** The balancer as a process that is held up by SIGSTOP for as long as the platform allows, 0.15 s. */
+class StoppedProcessTest {
+    private static final int SOCKETS = 128;
+    private static final int CLIENTS = 64;
+    private static final int ROUNDS = 12;
+    private static final long STOPPED_MILLIS = 150;
+
+    @TempDir
+    private Path folder;
+
+    /** Connections that were accepted and not read before the process was stopped must not be closed as silent. */
+    @Test
+    void requestsOnNewConnectionsAreAnsweredWhereverTheProcessIsStopped() throws Exception {
+        try (ScriptedServer upstream = ScriptedServer.serving("x");
+                BalancerProcess balancer = start(upstream)) {
+            balancer.awaitHealthy();
+            List<Integer> unanswered = new ArrayList<>();
+            for (int round = 0; round < ROUNDS; round++) {
+                unanswered.add(unansweredInRound(balancer, round));
+            }
+            assertEquals(
+                    List.of(), unanswered.stream().filter(count -> count > 0).toList());
+        }
+    }
+
+    private BalancerProcess start(ScriptedServer upstream) throws IOException {
+        String known = Loopback.list(1, true, Loopback.member("u", upstream.address(), "up"));
+        return BalancerProcess.start(
+                folder,
+                ProgramProcess.freePort(),
+                Loopback.configText(Loopback.SETTINGS, "127.0.0.1:1", SOCKETS, known));
+    }
+
+    /** Stops the process after as many connects as the round's number says; returns how many requests got nothing. */
+    private static int unansweredInRound(BalancerProcess balancer, int round) throws Exception {
+        List<Socket> clients = new ArrayList<>();
+        int connectsBeforeStop = round * CLIENTS / ROUNDS;
+        for (int client = 0; client < CLIENTS; client++) {
+            if (client == connectsBeforeStop) {
+                signal(balancer, "STOP");
+            }
+            clients.add(sendOnNewConnection(balancer, "id-" + round + "-" + client));
+        }
+        LockSupport.parkNanos(
+                TimeUnit.MILLISECONDS.toNanos(STOPPED_MILLIS)); // the fault itself, not a wait for an event
+        signal(balancer, "CONT");
+        int unanswered = 0;
+        for (Socket client : clients) {
+            unanswered += isAnswered(client) ? 0 : 1;
+        }
+        return unanswered;
+    }
+
+    private static Socket sendOnNewConnection(BalancerProcess balancer, String id) throws IOException {
+        Socket client = new Socket(InetAddress.getLoopbackAddress(), balancer.port());
+        client.setSoTimeout(10_000);
+        client.setTcpNoDelay(true);
+        ScriptedServer.write(client, Loopback.request(id, "order", 1_500));
+        return client;
+    }
+
+    private static boolean isAnswered(Socket client) {
+        try (client) {
+            return Loopback.answer(client) != null;
+        } catch (IOException reset) {
+            return false;
+        }
+    }
+
+    private static void signal(BalancerProcess balancer, String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(balancer.process().pid()))
+                .start()
+                .waitFor();
+    }
+}
