--- a/src/test/java/sedgeyoke/proxy/ShutdownRacesTest.java
+++ b/src/test/java/sedgeyoke/proxy/ShutdownRacesTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
@@ -11,6 +12,10 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import sedgeyoke.body.BodyLimits;
+import sedgeyoke.proxy.client.HttpFrontend;
+import sedgeyoke.proxy.common.Transport;
+import sedgeyoke.proxy.config.BalancerConfig;
 
 /** What clients send in the very moment in which a balancer that shuts down stops to listen, read or write. */
 class ShutdownRacesTest extends RaceConditionsTestBase {
@@ -80,6 +85,42 @@
         }
     }
 
+    /** The requests come in the pass of the loop in which their connections are to be closed as idle. */
+    @Test
+    void requestsThatAreUnreadAsIdleConnectionsAreClosedAreAnswered() throws Exception {
+        try (Loopback lb = start(ending())) {
+            policy.onRequest = (m, r) -> m.actions.reject(r.id(), 0);
+            BalancerConfig config = Loopback.config(Loopback.SETTINGS, "127.0.0.1:1", 1024, Loopback.list(1, true));
+            HttpFrontend frontend =
+                    new HttpFrontend(lb.loop, config, lb.node, Transport.SOCKETS, BodyLimits.PLATFORM, null);
+            InetSocketAddress address =
+                    (InetSocketAddress) frontend.bind().sync().channel().localAddress();
+            List<Socket> sockets = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                Socket socket = new Socket(address.getAddress(), address.getPort());
+                socket.setSoTimeout(10_000);
+                ScriptedServer.Message first = Loopback.ask(socket, Loopback.request("idle-" + i, "order", 5_000));
+                assertEquals(503, first.status());
+                sockets.add(socket);
+            }
+            lb.loop.submit(frontend::closeIdleConnections).sync();
+            lb.loop
+                    .submit(() -> {
+                        for (int i = 0; i < 20; i++) {
+                            ScriptedServer.write(sockets.get(i), Loopback.request("id-" + i, "order", 5_000));
+                        }
+                        frontend.closeIdleConnections();
+                        return null;
+                    })
+                    .sync();
+            for (Socket socket : sockets) {
+                try (socket) {
+                    assertEquals(503, status(socket));
+                }
+            }
+        }
+    }
+
     /** More new connections than one pass accepts, in the moment in which the listener is to be closed. */
     @Test
     void connectionsInTheBacklogAreServedBeforeTheListenerCloses() throws Exception {
