A response has stalled only if its rest is not in the socket

Callers saw: 502 for an order that had run. An upstream sends half of a response and, while the process is held up for 0.15 s, the rest: 12 of 12 requests failed.

Cause: an interrupted epoll_wait whose time is over returns no event without looking again, so that after SIGCONT the first pass of the loop runs its timers and reads nothing. ResponseStallGuard sees 0.1 s without a read and takes the response for broken.

Change: ReadBarrier.schedule runs a check once its time is over and a later pass has read what arrived until then; ResponseStallGuard uses it.

Test: StoppedProcessTest.aResponseWhoseRestArrivesWhileTheProcessIsStopped..., 12 times 502 before, 12 times 200 after.

--- a/src/main/java/sedgeyoke/proxy/common/ReadBarrier.java
+++ b/src/main/java/sedgeyoke/proxy/common/ReadBarrier.java
@@ -1,6 +1,7 @@
 package sedgeyoke.proxy.common;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
@@ -36,6 +37,40 @@
         });
     }
 
+    /** Runs a check once a time is over and all has been read that arrived until then. Event loop only. */
+    public Timer schedule(Runnable check, long delayMicros) {
+        Timer timer = new Timer(check);
+        timer.start(delayMicros);
+        return timer;
+    }
+
+    /** A check that waits for its time, or for what is still to be read. Event loop only. */
+    public final class Timer {
+        private final Runnable check;
+        private Future<?> due;
+        private boolean cancelled;
+
+        private Timer(Runnable check) {
+            this.check = check;
+        }
+
+        private void start(long delayMicros) {
+            due = loop.schedule(() -> afterPendingReads(readUntilMicros -> run()), delayMicros, TimeUnit.MICROSECONDS);
+        }
+
+        private void run() {
+            if (!cancelled) {
+                check.run();
+            }
+        }
+
+        /** The check will not run. */
+        public void cancel() {
+            cancelled = true;
+            due.cancel(false);
+        }
+    }
+
     /** A check that runs once after its {@link Check#request}, however often it is requested until then. */
     public Check check(LongConsumer action) {
         return new Check(action);
--- a/src/main/java/sedgeyoke/proxy/core/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/core/ProxyCore.java
@@ -131,7 +131,15 @@
 
     private UpstreamConnectionPool createPool(Transport transport, AttemptProgress attempts) {
         UpstreamContext context = new UpstreamContext(
-                loop, clock::now, settings, config.instanceSettings().reportNames(), bodies, budget, attempts, log);
+                loop,
+                reads,
+                clock::now,
+                settings,
+                config.instanceSettings().reportNames(),
+                bodies,
+                budget,
+                attempts,
+                log);
         int maxConnections = (int) (UPSTREAM_SOCKET_SHARE * config.sockets());
         return new UpstreamConnectionPool(context, transport, endpoints, maxConnections, metrics);
     }
--- a/src/main/java/sedgeyoke/proxy/upstream/ResponseStallGuard.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/ResponseStallGuard.java
@@ -1,7 +1,6 @@
 package sedgeyoke.proxy.upstream;
 
 import io.netty.channel.Channel;
-import java.util.concurrent.TimeUnit;
 import sedgeyoke.proxy.exchange.Attempt;
 
 /**
@@ -36,7 +35,7 @@
     }
 
     private void scheduleCheck(Attempt attempt, Channel channel, long delayMicros) {
-        context.loop().schedule(() -> check(attempt, channel), delayMicros, TimeUnit.MICROSECONDS);
+        context.reads().schedule(() -> check(attempt, channel), delayMicros);
     }
 
     private void check(Attempt attempt, Channel channel) {
--- a/src/main/java/sedgeyoke/proxy/upstream/UpstreamContext.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/UpstreamContext.java
@@ -7,12 +7,14 @@
 import sedgeyoke.body.BodyLimits;
 import sedgeyoke.policy.LoadBalancingPolicy.Settings;
 import sedgeyoke.proxy.common.RateLimitedLog;
+import sedgeyoke.proxy.common.ReadBarrier;
 import sedgeyoke.proxy.exchange.AttemptListener;
 
 /**
  * The dependencies and limits that all connections to upstreams share.
  *
  * @param loop the one thread that runs everything
+ * @param reads lets checks for silent upstreams wait until what they have sent is read
  * @param clockMicros the policy's clock
  * @param settings the platform's settings
  * @param loadReportNames the figures that a load report holds
@@ -23,6 +25,7 @@
  */
 public record UpstreamContext(
         EventLoop loop,
+        ReadBarrier reads,
         LongSupplier clockMicros,
         Settings settings,
         List<String> loadReportNames,
--- a/src/test/java/sedgeyoke/proxy/StoppedProcessTest.java
+++ b/src/test/java/sedgeyoke/proxy/StoppedProcessTest.java
@@ -7,8 +7,10 @@
 import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -20,6 +22,8 @@
     private static final int CLIENTS = 64;
     private static final int ROUNDS = 12;
     private static final long STOPPED_MILLIS = 150;
+    /** Long enough for half a response to be read, and less than the longest pause within a response. */
+    private static final long HALF_IS_READ_MILLIS = 20;
 
     @TempDir
     private Path folder;
@@ -39,6 +43,43 @@
         }
     }
 
+    /** The rest of a response arrives while the process is stopped: it has not stalled. */
+    @Test
+    void aResponseWhoseRestArrivesWhileTheProcessIsStoppedIsForwarded() throws Exception {
+        AtomicReference<BalancerProcess> started = new AtomicReference<>();
+        String response = ScriptedServer.response(200, "complete");
+        int half = response.length() - "plete".length();
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
+                    ScriptedServer.write(socket, response.substring(0, half));
+                    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(HALF_IS_READ_MILLIS));
+                    stopWhile(started.get(), () -> ScriptedServer.write(socket, response.substring(half)));
+                });
+                BalancerProcess balancer = start(upstream)) {
+            started.set(balancer);
+            balancer.awaitHealthy();
+            List<Integer> statuses = new ArrayList<>();
+            for (int round = 0; round < ROUNDS; round++) {
+                try (Socket client = sendOnNewConnection(balancer, "id-" + round)) {
+                    statuses.add(Loopback.answer(client).status());
+                }
+            }
+            assertEquals(Collections.nCopies(ROUNDS, 200), statuses);
+        }
+    }
+
+    /** What happens while the process is stopped. */
+    private interface Event {
+        void run() throws IOException;
+    }
+
+    private static void stopWhile(BalancerProcess balancer, Event event) throws IOException, InterruptedException {
+        signal(balancer, "STOP");
+        event.run();
+        LockSupport.parkNanos(
+                TimeUnit.MILLISECONDS.toNanos(STOPPED_MILLIS)); // the fault itself, not a wait for an event
+        signal(balancer, "CONT");
+    }
+
     private BalancerProcess start(ScriptedServer upstream) throws IOException {
         String known = Loopback.list(1, true, Loopback.member("u", upstream.address(), "up"));
         return BalancerProcess.start(
@@ -83,7 +124,7 @@
         }
     }
 
-    private static void signal(BalancerProcess balancer, String name) throws Exception {
+    private static void signal(BalancerProcess balancer, String name) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + name, Long.toString(balancer.process().pid()))
                 .start()
                 .waitFor();
--- a/src/test/java/sedgeyoke/proxy/common/ReadBarrierTest.java
+++ b/src/test/java/sedgeyoke/proxy/common/ReadBarrierTest.java
@@ -149,4 +149,43 @@
         loop.submit(check::request).sync();
         Await.until("it runs again", PATIENCE_MILLIS, () -> runs.get() == 2);
     }
+
+    /** A timer becomes due while the loop reads something else, and so before it can read what was sent. */
+    @Test
+    void aTimerOfALateLoopRunsAfterWhatArrivedMeanwhile() throws Exception {
+        try (Socket first = connect();
+                Socket second = connect()) {
+            send(second);
+            awaitReceived(1);
+            CompletableFuture<Integer> seen = new CompletableFuture<>();
+            onRead = () -> {
+                onRead = () -> {};
+                reads.schedule(() -> seen.complete(received), 1);
+                try {
+                    send(second);
+                } catch (Exception e) {
+                    seen.completeExceptionally(e);
+                }
+            };
+            send(first);
+            assertEquals(3, seen.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+        }
+    }
+
+    @Test
+    void aCancelledTimerDoesNotRunEvenIfItWasDue() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        CompletableFuture<Integer> after = new CompletableFuture<>();
+        loop.execute(() -> {
+            ReadBarrier.Timer timer = reads.schedule(runs::incrementAndGet, 0);
+            loop.schedule(
+                    () -> {
+                        timer.cancel(); // it waits for the reads of the next pass
+                        reads.schedule(() -> after.complete(runs.get()), 0);
+                    },
+                    0,
+                    TimeUnit.MICROSECONDS);
+        });
+        assertEquals(0, after.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+    }
 }
