Timeouts of requests and attempts end nothing whose response is in the socket

Callers saw: 502 for an order that had run and was answered in time. The response arrives while the process is held up for 0.15 s, the time of the request is over when it goes on: 12 of 12 requests failed.

Cause: as for stalled responses: after the stop the first pass of the loop runs its timers and reads nothing. Three of them end the request: the deadline of the exchange, the timeout of the attempt, and the policy's own check of deadlines.

Change: ExchangeDeadlines and ExchangeActions use ReadBarrier.schedule, and a timer of the policy that is over 10 ms late fires after a further read. With them go the policy's hang detection, whose ejections read the same silence.

Between rounds it waits: a request that is read just after a stop counts as one that has waited through it, as meant.

--- a/src/main/java/sedgeyoke/proxy/core/PolicyTimers.java
+++ b/src/main/java/sedgeyoke/proxy/core/PolicyTimers.java
@@ -3,17 +3,27 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
 import sedgeyoke.policy.LoadBalancingPolicy.Timer;
+import sedgeyoke.proxy.common.ReadBarrier;
 import sedgeyoke.proxy.exchange.PolicyClock;
 import sedgeyoke.proxy.exchange.PolicyEvents;
 
-/** The policy's timers, which are events of the policy when they fire. Event loop only. */
+/**
+ * The policy's timers, which are events of the policy when they fire. With them the policy ends requests whose time is
+ * over and ejects upstreams that hang, so a timer that is late fires only after what has arrived is read. Event loop
+ * only.
+ */
 final class PolicyTimers {
+    /** The policy's timers are frequent: one that is no later than this fires without waiting for a further read. */
+    private static final long MAX_DELAY_MICROS = 10_000;
+
     private final EventLoop loop;
+    private final ReadBarrier reads;
     private final PolicyClock clock;
     private final PolicyEvents events;
 
-    PolicyTimers(EventLoop loop, PolicyClock clock, PolicyEvents events) {
+    PolicyTimers(EventLoop loop, ReadBarrier reads, PolicyClock clock, PolicyEvents events) {
         this.loop = loop;
+        this.reads = reads;
         this.clock = clock;
         this.events = events;
     }
@@ -22,7 +32,15 @@
     void set(Timer timer, long delayMicros) {
         long dueMicros = clock.now() + delayMicros;
         clock.timerSet(dueMicros);
-        loop.schedule(() -> fire(timer, dueMicros), delayMicros, TimeUnit.MICROSECONDS);
+        loop.schedule(() -> due(timer, dueMicros), delayMicros, TimeUnit.MICROSECONDS);
+    }
+
+    private void due(Timer timer, long dueMicros) {
+        if (clock.now() - dueMicros > MAX_DELAY_MICROS) {
+            reads.afterPendingReads(readUntilMicros -> fire(timer, dueMicros));
+        } else {
+            fire(timer, dueMicros);
+        }
     }
 
     private void fire(Timer timer, long dueMicros) {
--- a/src/main/java/sedgeyoke/proxy/core/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/core/ProxyCore.java
@@ -112,7 +112,7 @@
         this.events = new PolicyEvents(log);
         this.initialListBarrier = new InitialListBarrier(loop, log);
         this.table = new ExchangeTable(settings.limits().maxConcurrentRequests());
-        this.deadlines = new ExchangeDeadlines(loop, clock, bodies);
+        this.deadlines = new ExchangeDeadlines(reads, clock, bodies);
         this.completion = new ExchangeCompletion(clock, settings, events, metrics, table, log);
         AttemptProgress attempts = new AttemptProgress(clock, settings, events, metrics, table, deadlines, completion);
         this.exchanges =
@@ -122,8 +122,9 @@
         UpstreamConnectionPool pool = createPool(transport, attempts);
         this.discovery = createDiscoveryClient(transport);
         this.cordons = new CordonRegistry(clock, events, endpoints, CordonRegistry.storeOf(config), log);
-        ExchangeActions exchangeActions = new ExchangeActions(loop, clock, settings, table, attempts, completion, pool);
-        PolicyTimers timers = new PolicyTimers(loop, clock, events);
+        ExchangeActions exchangeActions =
+                new ExchangeActions(reads, clock, settings, table, attempts, completion, pool);
+        PolicyTimers timers = new PolicyTimers(loop, reads, clock, events);
         PolicyActions actions = new PolicyActions(settings, exchangeActions, pool, discovery, timers, log);
         events.connect(
                 policy.apply(actions), exchange -> completion.endUnanswered(exchange, RejectionReason.POLICY_FAULT));
--- a/src/main/java/sedgeyoke/proxy/exchange/Attempt.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/Attempt.java
@@ -1,7 +1,7 @@
 package sedgeyoke.proxy.exchange;
 
-import io.netty.util.concurrent.Future;
 import sedgeyoke.body.PartialRequestPolicy.BodyProgress;
+import sedgeyoke.proxy.common.ReadBarrier;
 
 /**
  * Holds the state of one attempt of an exchange at an upstream. It ends once, whatever happens first; see
@@ -39,7 +39,7 @@
     /** Whether the upstream may have executed it: true until its outcome proves the opposite. */
     boolean mayHaveRun = true;
     /** Ends the attempt at a timeout of its own; null if it may wait as long as the exchange. */
-    Future<?> timeoutTimer;
+    ReadBarrier.Timer timeoutTimer;
 
     Attempt(
             Exchange exchange,
--- a/src/main/java/sedgeyoke/proxy/exchange/AttemptProgress.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/AttemptProgress.java
@@ -142,7 +142,7 @@
         metrics.attemptEnded(outcome);
         attempt.mayHaveRun = !outcome.neverRan;
         if (attempt.timeoutTimer != null) {
-            attempt.timeoutTimer.cancel(false);
+            attempt.timeoutTimer.cancel();
         }
         Exchange exchange = attempt.exchange;
         if (outcome == Outcome.OK && response != null) {
--- a/src/main/java/sedgeyoke/proxy/exchange/Exchange.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/Exchange.java
@@ -2,10 +2,10 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.List;
 import sedgeyoke.policy.LoadBalancingPolicy.Request;
+import sedgeyoke.proxy.common.ReadBarrier;
 
 /**
  * Holds the state of one client's request, from its arrival to its response and the end of its last attempt. Event loop
@@ -37,7 +37,7 @@
     /** The attempt whose response or request body is being streamed: there can be no other one. Null for none. */
     Attempt streamingAttempt;
     /** Answers the exchange shortly before its deadline; null before the first one is set. */
-    Future<?> deadlineTimer;
+    ReadBarrier.Timer deadlineTimer;
     /** Whether no response is owed any more: one has been handed over or has begun, or the client has disconnected. */
     boolean answered;
 
--- a/src/main/java/sedgeyoke/proxy/exchange/ExchangeActions.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ExchangeActions.java
@@ -1,16 +1,15 @@
 package sedgeyoke.proxy.exchange;
 
-import io.netty.channel.EventLoop;
-import java.util.concurrent.TimeUnit;
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 import sedgeyoke.policy.LoadBalancingPolicy.Settings;
+import sedgeyoke.proxy.common.ReadBarrier;
 
 /**
  * Carries out what the policy decides for one exchange. What it decides for an exchange that is no longer open is
  * ignored. Event loop only; times are microseconds of the policy's clock.
  */
 public final class ExchangeActions {
-    private final EventLoop loop;
+    private final ReadBarrier reads;
     private final PolicyClock clock;
     private final Settings settings;
     private final ExchangeTable table;
@@ -18,16 +17,16 @@
     private final ExchangeCompletion completion;
     private final AttemptStarter starter;
 
-    /** Attempts are handed to {@code starter}. */
+    /** Attempts are handed to {@code starter}, and time out once what {@code reads} waits for is read. */
     public ExchangeActions(
-            EventLoop loop,
+            ReadBarrier reads,
             PolicyClock clock,
             Settings settings,
             ExchangeTable table,
             AttemptProgress attempts,
             ExchangeCompletion completion,
             AttemptStarter starter) {
-        this.loop = loop;
+        this.reads = reads;
         this.clock = clock;
         this.settings = settings;
         this.table = table;
@@ -55,8 +54,7 @@
             return;
         }
         if (deadlineMicros < exchange.deadlineMicros) {
-            attempt.timeoutTimer =
-                    loop.schedule(() -> attempts.timeOut(attempt), deadlineMicros - nowMicros, TimeUnit.MICROSECONDS);
+            attempt.timeoutTimer = reads.schedule(() -> attempts.timeOut(attempt), deadlineMicros - nowMicros);
         }
         starter.start(attempt);
     }
--- a/src/main/java/sedgeyoke/proxy/exchange/ExchangeDeadlines.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ExchangeDeadlines.java
@@ -1,9 +1,8 @@
 package sedgeyoke.proxy.exchange;
 
-import io.netty.channel.EventLoop;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import sedgeyoke.body.BodyLimits;
+import sedgeyoke.proxy.common.ReadBarrier;
 
 /**
  * Computes until when the response of each exchange must be out, and runs a timer shortly before that. Event loop only;
@@ -15,7 +14,7 @@
     /** What a request took to arrive: its budget counts from the client's sending. */
     private static final long REQUEST_TRANSIT_MICROS = 2_000;
 
-    private final EventLoop loop;
+    private final ReadBarrier reads;
     private final PolicyClock clock;
     private final BodyLimits bodyLimits;
     private Consumer<Exchange> expiryHandler;
@@ -24,9 +23,9 @@
     /** From then on requests are rejected at once, as there is no time left to forward them. */
     private long lastRequestMicros = Long.MAX_VALUE;
 
-    /** Deadlines run on the timers of this event loop. */
-    public ExchangeDeadlines(EventLoop loop, PolicyClock clock, BodyLimits bodyLimits) {
-        this.loop = loop;
+    /** A deadline ends an exchange once what {@code reads} waits for is read: that may be its response. */
+    public ExchangeDeadlines(ReadBarrier reads, PolicyClock clock, BodyLimits bodyLimits) {
+        this.reads = reads;
         this.clock = clock;
         this.bodyLimits = bodyLimits;
     }
@@ -64,7 +63,7 @@
 
     /** Sets the deadline anew, as the last byte of a streamed body has gone out only now. */
     void restartAfterUpload(Exchange exchange) {
-        exchange.deadlineTimer.cancel(false);
+        exchange.deadlineTimer.cancel();
         long leftMicros =
                 Math.min(exchange.request.timeLeftMicros() - REQUEST_TRANSIT_MICROS, lastResponseMicros - clock.now());
         exchange.deadlineMicros = clock.now() + leftMicros;
@@ -72,7 +71,7 @@
     }
 
     private void startTimer(Exchange exchange, long leftMicros) {
-        exchange.deadlineTimer = loop.schedule(
-                () -> expiryHandler.accept(exchange), leftMicros - RESPONSE_TRANSIT_MICROS, TimeUnit.MICROSECONDS);
+        exchange.deadlineTimer =
+                reads.schedule(() -> expiryHandler.accept(exchange), leftMicros - RESPONSE_TRANSIT_MICROS);
     }
 }
--- a/src/main/java/sedgeyoke/proxy/exchange/ExchangeTable.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ExchangeTable.java
@@ -41,7 +41,7 @@
     public void removeIfDone(Exchange exchange) {
         if (exchange.answered && exchange.allAttemptsEnded()) {
             if (exchange.deadlineTimer != null) {
-                exchange.deadlineTimer.cancel(false);
+                exchange.deadlineTimer.cancel();
             }
             exchanges.remove(exchange.request.id(), exchange);
             exchange.body.abort(); // nothing takes the rest of it any more
--- a/src/test/java/sedgeyoke/proxy/StoppedProcessTest.java
+++ b/src/test/java/sedgeyoke/proxy/StoppedProcessTest.java
@@ -22,6 +22,9 @@
     private static final int CLIENTS = 64;
     private static final int ROUNDS = 12;
     private static final long STOPPED_MILLIS = 150;
+    private static final int LONG_BUDGET_MILLIS = 1_500;
+    /** Over while the process is stopped, if it is stopped at half of it. */
+    private static final int SHORT_BUDGET_MILLIS = 200;
     /** Long enough for half a response to be read, and less than the longest pause within a response. */
     private static final long HALF_IS_READ_MILLIS = 20;
 
@@ -67,6 +70,29 @@
         }
     }
 
+    /** A response arrives while the process is stopped, and the time of its request is over when it goes on. */
+    @Test
+    void aResponseThatArrivesInTimeWhileTheProcessIsStoppedIsForwarded() throws Exception {
+        AtomicReference<BalancerProcess> started = new AtomicReference<>();
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
+                    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(SHORT_BUDGET_MILLIS / 2));
+                    stopWhile(started.get(), () -> ScriptedServer.reply(socket, 200, "complete"));
+                });
+                BalancerProcess balancer = start(upstream)) {
+            started.set(balancer);
+            balancer.awaitHealthy();
+            List<Integer> statuses = new ArrayList<>();
+            for (int round = 0; round < ROUNDS; round++) {
+                try (Socket client = sendOnNewConnection(balancer, "id-" + round, SHORT_BUDGET_MILLIS)) {
+                    statuses.add(Loopback.answer(client).status());
+                }
+                // A request that is read just after a stop counts as one that has waited through it.
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(STOPPED_MILLIS));
+            }
+            assertEquals(Collections.nCopies(ROUNDS, 200), statuses);
+        }
+    }
+
     /** What happens while the process is stopped. */
     private interface Event {
         void run() throws IOException;
@@ -109,10 +135,15 @@
     }
 
     private static Socket sendOnNewConnection(BalancerProcess balancer, String id) throws IOException {
+        return sendOnNewConnection(balancer, id, LONG_BUDGET_MILLIS);
+    }
+
+    private static Socket sendOnNewConnection(BalancerProcess balancer, String id, int budgetMillis)
+            throws IOException {
         Socket client = new Socket(InetAddress.getLoopbackAddress(), balancer.port());
         client.setSoTimeout(10_000);
         client.setTcpNoDelay(true);
-        ScriptedServer.write(client, Loopback.request(id, "order", 1_500));
+        ScriptedServer.write(client, Loopback.request(id, "order", budgetMillis));
         return client;
     }
 
