A connect times out only if its connection is not up

Callers saw (by the test): 502 for a request whose connection to its upstream was up in time; with it the policy ejects that upstream for a second or more.

Cause: Netty's timer of a connect runs among the tasks of a pass. If the loop is held up while it reads, the timer is due at the end of that pass, and the event that the connection is up waits for the next one.

Change: Netty's timer is off; the pool's own runs through ReadBarrier. The pool's one place that read first before (deferIfLoopIsLate) uses the barrier, too.

Test: ConnectTimeoutTest; a connection that comes up 0.1 s before the timeout while the loop is held up: 502 before, 200 after. A connect that takes too long ends as before (there was no test).

--- a/src/main/java/sedgeyoke/proxy/upstream/UpstreamConnectionPool.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/UpstreamConnectionPool.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelOption;
 import java.util.concurrent.TimeUnit;
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
+import sedgeyoke.proxy.common.ReadBarrier;
 import sedgeyoke.proxy.common.TimeUnits;
 import sedgeyoke.proxy.common.Transport;
 import sedgeyoke.proxy.exchange.Attempt;
@@ -25,6 +26,9 @@
     /** Share of the settings' idle time after which we close: upstreams may close sooner than they announce. */
     private static final double IDLE_TIME_SHARE = 0.6;
 
+    /** Netty's own timer could end a connect that has succeeded, and whose event a late loop has not yet handled. */
+    private static final int NO_TIMEOUT = 0;
+
     private static final long CLOSE_IDLE_INTERVAL_MICROS = 500_000;
     /**
      * A connection is used again only after this time: a second response to one request may follow some milliseconds
@@ -40,6 +44,7 @@
     private final RequestMetrics metrics;
     private final int maxConnections;
     private final long maxIdleMicros;
+    private final long connectTimeoutMicros;
     private final Bootstrap bootstrap;
     private final EndpointTable endpoints;
     /** Connections that exist or are being opened. */
@@ -58,9 +63,9 @@
         this.maxConnections = maxConnections;
         this.maxIdleMicros =
                 (long) (IDLE_TIME_SHARE * context.settings().limits().idleTimeoutMicros());
-        long connectTimeoutMillis = context.settings().limits().connectTimeoutMicros() / TimeUnits.MICROS_PER_MILLI;
-        this.bootstrap = transport.client(context.loop()).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
-                Math.max(1, connectTimeoutMillis));
+        this.connectTimeoutMicros =
+                Math.max(TimeUnits.MICROS_PER_MILLI, context.settings().limits().connectTimeoutMicros());
+        this.bootstrap = transport.client(context.loop()).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, NO_TIMEOUT);
         context.loop()
                 .scheduleWithFixedDelay(
                         this::closeIdleTooLong,
@@ -108,7 +113,7 @@
         }
         connectionCount++;
         UpstreamConnection connection = new UpstreamConnection(context, endpoint);
-        bootstrap
+        ChannelFuture connecting = bootstrap
                 .clone()
                 .handler(initializer(connection))
                 .connect(endpoint.address())
@@ -120,6 +125,16 @@
                         context.loop().execute(() -> connected(connection, attempt, connected));
                     }
                 });
+        limitTime(connecting);
+    }
+
+    private void limitTime(ChannelFuture connecting) {
+        if (connecting.isDone()) {
+            return;
+        }
+        ReadBarrier.Timer timeout =
+                context.reads().schedule(() -> connecting.channel().close(), connectTimeoutMicros);
+        connecting.addListener(done -> timeout.cancel());
     }
 
     private ChannelInitializer<Channel> initializer(UpstreamConnection connection) {
@@ -186,7 +201,7 @@
             return false;
         }
         attempt.deferUntilRead();
-        context.loop().schedule(() -> send(connection, attempt), 0, TimeUnit.MICROSECONDS);
+        context.reads().afterPendingReads(readUntilMicros -> send(connection, attempt));
         return true;
     }
 
