An upload that ends while a part of it is handled is rejected in order

Callers saw: a 503 under which the connection was closed at once, so that a client that still sends may lose it to a reset; "request not handled: NullPointerException" was logged once, untraced.

Cause: forwarding a part to an upstream that has just reset its connection fails within RequestBody.add, which answers the client and drops the body; IncomingRequest.addBodyPart goes on with the field, now null. The exception closes the channel of the client over unread bytes.

Change: it works on the body that it began with, and stops if that is no longer the one being read.

Test: IncompleteUploadsTest.anUploadThatEndsWhileAPart...: on the code before, the NullPointerException is logged and the client's connection closed, each time; after, it is half closed. ResponseReceiver.receiveContent reads its head after a call in the same way; no call was found that ends it there at once, and no test shows it: open.

--- a/src/main/java/sedgeyoke/proxy/client/IncomingRequest.java
+++ b/src/main/java/sedgeyoke/proxy/client/IncomingRequest.java
@@ -87,7 +87,7 @@
      * Adds a part of the body, received at {@code receivedMicros}, and takes over its reference.
      *
      * @return true if thereby the body has become too long to be buffered, so that the request was handed over before
-     *     its end: it is being forwarded, or was rejected
+     *     its end: it is being forwarded, or has ended
      */
     boolean addBodyPart(HttpContent content, long receivedMicros) {
         if (body == null) {
@@ -98,8 +98,12 @@
             uploadRate.recordReceived(content.content().readableBytes());
         }
         boolean last = content instanceof LastHttpContent;
-        boolean mustStream = body.add(content.content());
-        budget.recordBuffered(body.bufferedBytes());
+        RequestBody extended = body;
+        boolean mustStream = extended.add(content.content());
+        budget.recordBuffered(extended.bufferedBytes());
+        if (body != extended) {
+            return true; // the part could not be forwarded, which has ended the request
+        }
         if (mustStream && !beginStreaming(receivedMicros)) {
             return true;
         }
--- a/src/test/java/sedgeyoke/proxy/IncompleteUploadsTest.java
+++ b/src/test/java/sedgeyoke/proxy/IncompleteUploadsTest.java
@@ -6,8 +6,13 @@
 import static sedgeyoke.proxy.LongBodies.serving;
 import static sedgeyoke.proxy.LongBodies.upload;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 
 /** All the ways in which a long request ends before its response. */
@@ -42,6 +47,46 @@
         }
     }
 
+    /** The write of a part fails and ends the request while that part is being handled: its client can read why. */
+    @Test
+    void anUploadThatEndsWhileAPartOfItIsHandledIsRejectedInOrder() throws Exception {
+        CountDownLatch begun = new CountDownLatch(1);
+        try (ServerSocket upstream = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                Loopback lb = Loopback.setup()
+                        .upstream("u", "127.0.0.1:" + upstream.getLocalPort())
+                        .bodies(LIMITS)
+                        .start()) {
+            AtomicReference<Socket> accepted = new AtomicReference<>();
+            new Thread(() -> acceptAndRead(upstream, 100_000, accepted, begun)).start();
+            Socket client = lb.connect();
+            ScriptedServer.write(client, upload("a", "order", "Content-Length: 2000000"));
+            client.getOutputStream().write(new byte[100_000]);
+            begun.await();
+            lb.loop
+                    .submit(
+                            () -> { // so that the next pass reads the client's part first, and then the reset
+                                client.getOutputStream().write(new byte[10_000]);
+                                accepted.get().setSoLinger(true, 0);
+                                accepted.get().close();
+                                return null;
+                            })
+                    .sync();
+            assertEquals(503, Loopback.answer(client).status());
+            assertEquals(1, lb.server.clients(), "our side of the connection is closed, and the client's is not");
+        }
+    }
+
+    private static void acceptAndRead(
+            ServerSocket upstream, int bytes, AtomicReference<Socket> accepted, CountDownLatch done) {
+        try {
+            accepted.set(upstream.accept());
+            accepted.get().getInputStream().readNBytes(bytes);
+            done.countDown();
+        } catch (IOException e) {
+            return; // the test waits until its time is over
+        }
+    }
+
     @Test
     void anUpstreamThatClosesAfterTheLastByteCausesAFailure() throws Exception {
         try (ScriptedServer upstream = new ScriptedServer((request, socket) -> socket.close());
