A connect that the upstream resets is the upstream's failure

Need: found on the way to another test. An upstream that accepts and resets a connection before we see it up gives ECONNRESET, which the JDK reports as a plain SocketException; ConnectFailures took it for a fault of this machine: the attempt ended 50 ms later as not sent, and the upstream kept its full weight.

Change: a reset is the upstream's. Test: ConnectFailuresTest, failed before.

--- a/src/main/java/sedgeyoke/proxy/upstream/ConnectFailures.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/ConnectFailures.java
@@ -12,13 +12,21 @@
  * the whole fleet, one upstream after the other.
  */
 final class ConnectFailures {
+    private static final String RESET_MESSAGE = "Connection reset";
+
     private ConnectFailures() {}
 
     static boolean isLocal(Throwable cause) {
         if (cause instanceof BindException || cause instanceof ChannelException) {
             return true;
         }
-        boolean ofUpstream = cause instanceof ConnectException || cause instanceof NoRouteToHostException;
+        boolean ofUpstream =
+                cause instanceof ConnectException || cause instanceof NoRouteToHostException || isReset(cause);
         return cause instanceof SocketException && !ofUpstream;
     }
+
+    /** ECONNRESET: the upstream has accepted and reset the connection before we saw it. It has no type of its own. */
+    private static boolean isReset(Throwable cause) {
+        return cause.getMessage() != null && cause.getMessage().startsWith(RESET_MESSAGE);
+    }
 }
--- a/src/test/java/sedgeyoke/proxy/upstream/ConnectFailuresTest.java
+++ b/src/test/java/sedgeyoke/proxy/upstream/ConnectFailuresTest.java
@@ -28,5 +28,7 @@
         assertFalse(ConnectFailures.isLocal(new ConnectTimeoutException("timed out")));
         assertFalse(ConnectFailures.isLocal(new NoRouteToHostException("No route to host"))); // EHOSTUNREACH
         assertFalse(ConnectFailures.isLocal(new ClosedChannelException()));
+        assertFalse(ConnectFailures.isLocal(new SocketException("Connection reset by peer: /127.0.0.1:7070")));
+        assertFalse(ConnectFailures.isLocal(new SocketException("Connection reset")));
     }
 }
