An upstream with a streamed response can count as hanging again

Callers see (by reading and by the test; bodies are streamed only where an operator's file turns them on): an upstream that once streamed a response whose attempt was a transfer already never counts as hanging again, so that requests wait at it until their time is over.

Cause: InFlightLoad.beginStream adds to openStreams also for a transfer and for an attempt that has ended; neither is ever taken off, and awaitsResponse stays false until the process ends.

Change: a stream is counted once, and only where its end takes it off.

Test: InFlightLoadTest.inAnyOrderOfEventsNothingStaysCounted, 256 sequences; fails before at TRANSFER, STREAM, END.

--- a/src/main/java/sedgeyoke/policy/InFlightLoad.java
+++ b/src/main/java/sedgeyoke/policy/InFlightLoad.java
@@ -29,10 +29,13 @@
         count(attempt, cost, 1);
     }
 
-    /** Counts a response that is being streamed. */
+    /** Counts a response that is being streamed, once. A transfer and an ended attempt owe none, and are left out. */
     void beginStream(AttemptState attempt) {
+        if (attempt.streaming) {
+            return;
+        }
         attempt.streaming = true;
-        openStreams++;
+        openStreams += attempt.transfer || !attempt.outstanding ? 0 : 1;
     }
 
     private void count(AttemptState attempt, double cost, int sign) {
--- a/src/test/java/sedgeyoke/policy/InFlightLoadTest.java
+++ b/src/test/java/sedgeyoke/policy/InFlightLoadTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static sedgeyoke.policy.PolicyFixtures.NOW;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** What counts as the load of an upstream. */
@@ -52,6 +54,52 @@
         assertTrue(load.awaitsResponse());
     }
 
+    /** What can happen to an attempt, in any order; what ends it also ends its being outstanding, as in the policy. */
+    private enum Event {
+        TRANSFER,
+        STREAM,
+        END
+    }
+
+    private void happens(Event event, AttemptState attempt) {
+        switch (event) {
+            case TRANSFER -> {
+                if (attempt.outstanding) {
+                    load.becomeTransfer(attempt, 1);
+                }
+            }
+            case STREAM -> load.beginStream(attempt);
+            default -> {
+                if (attempt.outstanding) {
+                    attempt.outstanding = false;
+                    load.end(attempt, 1);
+                }
+            }
+        }
+    }
+
+    /** An upstream whose streams are counted for ever would never count as hanging again. */
+    @Test
+    void inAnyOrderOfEventsNothingStaysCounted() {
+        int orders = 256;
+        for (int order = 0; order < orders; order++) {
+            AttemptState attempt = begin(1);
+            List<Event> events = new ArrayList<>();
+            for (int digits = order; digits > 0; digits /= 4) {
+                if (digits % 4 > 0) {
+                    events.add(Event.values()[digits % 4 - 1]);
+                }
+            }
+            events.add(Event.END);
+            events.forEach(event -> happens(event, attempt));
+            AttemptState next = begin(1);
+            assertTrue(load.awaitsResponse(), events + ": the next attempt awaits a response");
+            load.end(next, 1);
+            assertEquals(0, load.attempts(), events.toString());
+            assertEquals(0, load.inMeanRequests(1), EXACT, events.toString());
+        }
+    }
+
     private AttemptState begin(double cost) {
         AttemptState attempt = new AttemptState(upstream, NOW);
         load.begin(attempt, cost);
