--- a/src/test/java/sedgeyoke/proxy/ConnectTimeoutTest.java
+++ b/src/test/java/sedgeyoke/proxy/ConnectTimeoutTest.java
@@ -72,10 +72,10 @@
             long begunNanos = System.nanoTime();
             Socket client = lb.connect();
             ScriptedServer.write(client, Loopback.request("id-1", "order", 1_900));
-            Thread serving = new Thread(() -> serve(upstream));
+            Loopback.await("the connect has found no room", () -> passed(begunNanos, CONNECT_REPEATED_MILLIS / 2));
+            new Thread(() -> serve(upstream)).start();
             Loopback.await(
                     "the connect is about to be repeated", () -> passed(begunNanos, CONNECT_REPEATED_MILLIS - 100));
-            serving.start();
             ScriptedServer.write(pausing, "x");
             assertEquals(200, Loopback.answer(client).status());
             pausing.close();
@@ -88,7 +88,7 @@
         return System.nanoTime() - sinceNanos > millis * NANOS_PER_MILLI;
     }
 
-    /** A connection to a server on the event loop, which at the first byte reads nothing else until that time is over. */
+    /** A connection to a server on the event loop, which reads nothing else from the first byte until that time. */
     private static Socket connectToHandlerOnLoop(Loopback lb, long untilMillis) throws Exception {
         long endNanos = System.nanoTime() + untilMillis * NANOS_PER_MILLI;
         InetSocketAddress address = (InetSocketAddress) new ServerBootstrap()
