--- a/review/case.sh
+++ b/review/case.sh
@@ -9,6 +9,7 @@
 fi
 temp=$(mktemp -d) || exit 2
 trap 'rm -rf "$temp"' EXIT
+trap 'exit 2' INT TERM
 timeout -k 3 115 java -XX:TieredStopAtLevel=1 -Xmx512m -cp "$review/target/classes" "$2" "$root" "$here/record.txt" "$temp"
 status=$?
 case $status in
--- a/review/standins/Upstream.java
+++ b/review/standins/Upstream.java
@@ -55,7 +55,12 @@
                 }
                 say("run " + call);
                 Thread.sleep(workMs);
-                answer(socket.getOutputStream(), id, call, head.contains("obj=short") ? SHORT_BYTES : answerBytes);
+                try {
+                    answer(socket.getOutputStream(), id, call, head.contains("obj=short") ? SHORT_BYTES : answerBytes);
+                } catch (IOException e) {
+                    say("could not give all to " + call);
+                    return;
+                }
                 say("answered " + call);
             }
         } catch (IOException e) {
