An upload's time runs from the arrival of its last byte

Cause: the deadline of a streamed request was restarted only when its last byte had been written to the upstream; until then the limit on slow uploads applied. While the upstream takes no more, reading from the client is paused, so the end of the request lies unread in the socket, or read and unwritten in the process.

Evidence: ss, once a second during the case: full send queues to the node that hung (3.9 MB), and 0.2 to 1.6 MB unread from its clients, unchanged for 19 s. Uploads that had gone to the upstream's connection completely got their 502 after 2.5 s, so the deadline itself works; each had begun at a node, so it was not the policy's queue.

Change: UploadArrival tells since when an upload may have arrived, from what was read and what waits in the socket, looked at every 50 ms; the deadline runs from then on, whoever keeps the request waiting. The write of the last byte no longer prolongs it.

--- a/src/main/java/sedgeyoke/proxy/client/ClientConnectionCloser.java
+++ b/src/main/java/sedgeyoke/proxy/client/ClientConnectionCloser.java
@@ -43,6 +43,7 @@
     }
 
     private void closeIfTimedOut(ClientConnection connection, long readUntilMicros) {
+        connection.reader().checkArrival();
         if (isRequestTooSlow(connection, readUntilMicros)) {
             connection
                     .reader()
--- a/src/main/java/sedgeyoke/proxy/client/IncomingRequest.java
+++ b/src/main/java/sedgeyoke/proxy/client/IncomingRequest.java
@@ -8,6 +8,8 @@
 import sedgeyoke.body.BodyBudget;
 import sedgeyoke.body.BodyLimits;
 import sedgeyoke.body.MinimumTransferRate;
+import sedgeyoke.body.UploadArrival;
+import sedgeyoke.proxy.common.Transport;
 import sedgeyoke.proxy.core.ProxyCore;
 import sedgeyoke.proxy.exchange.Exchange;
 import sedgeyoke.proxy.exchange.RequestBody;
@@ -31,6 +33,10 @@
     private RequestBody body;
     /** The minimum rate of the body; null unless a body is being read and long bodies are streamed. */
     private MinimumTransferRate uploadRate;
+    /** Since when all of the body may have arrived; null unless {@link #uploadRate} is set. */
+    private UploadArrival arrival;
+    /** The time of arrival that the deadline of the request accounts for. */
+    private long arrivedMicros;
 
     IncomingRequest(
             Channel channel,
@@ -77,7 +83,11 @@
         }
         head = validatedHead;
         body = new RequestBody(this, limits.maxUnstreamedBytes());
-        uploadRate = limits.streaming() ? new MinimumTransferRate(limits, core.now()) : null;
+        if (limits.streaming()) {
+            uploadRate = new MinimumTransferRate(limits, core.now());
+            arrival = new UploadArrival(HttpUtil.getContentLength(validatedHead, Exchange.UNKNOWN_LENGTH), core.now());
+            arrivedMicros = UploadArrival.NOT_ARRIVED;
+        }
         if (HttpUtil.is100ContinueExpected(validatedHead)) {
             channel.writeAndFlush(ClientResponses.proceed());
         }
@@ -86,16 +96,18 @@
     /**
      * Adds a part of the body, received at {@code receivedMicros}, and takes over its reference.
      *
+     * @param readBytes the bytes that were read on the connection so far
      * @return true if the body has thereby become too long to be buffered, so that the request was handed over before
      *     its end: it is being forwarded, or has ended
      */
-    boolean addBodyPart(HttpContent content, long receivedMicros) {
+    boolean addBodyPart(HttpContent content, long receivedMicros, long readBytes) {
         if (body == null) {
             content.release();
             return false;
         }
         if (uploadRate != null) {
             uploadRate.recordReceived(content.content().readableBytes());
+            arrival.recordRead(content.content().readableBytes());
         }
         boolean last = content instanceof LastHttpContent;
         RequestBody extended = body;
@@ -108,14 +120,14 @@
             return true;
         }
         if (last) {
-            end(receivedMicros);
+            end(receivedMicros, readBytes);
         }
         return mustStream;
     }
 
     /** Like {@link #addBodyPart}, but if that throws, the client still gets a response. */
-    void addBodyPartAnsweringOnFailure(HttpContent content, long receivedMicros) {
-        answeringOnFailure(() -> addBodyPart(content, receivedMicros));
+    void addBodyPartAnsweringOnFailure(HttpContent content, long receivedMicros, long readBytes) {
+        answeringOnFailure(() -> addBodyPart(content, receivedMicros, readBytes));
     }
 
     /**
@@ -134,7 +146,30 @@
         return body != null;
     }
 
-    private void end(long receivedMicros) {
+    /**
+     * Restarts the deadline of a streamed request once all of it may have arrived, although part of it is unread.
+     *
+     * @param readBytes the bytes that were read on the connection so far
+     */
+    void checkArrival(long readBytes) {
+        if (arrival == null) {
+            return;
+        }
+        long unreadBytes = channel.config().isAutoRead() ? 0 : Transport.unreadBytes(channel);
+        setArrived(arrival.check(readBytes, unreadBytes, core.now()));
+    }
+
+    private void setArrived(long micros) {
+        if (micros != arrivedMicros && responses.exchange() != null) {
+            arrivedMicros = micros;
+            core.requestArrived(responses.exchange(), micros);
+        }
+    }
+
+    private void end(long receivedMicros, long readBytes) {
+        if (isStreaming()) {
+            setArrived(arrival.endRead(readBytes, receivedMicros));
+        }
         RequestBody complete = stopReadingBody();
         boolean streaming = complete.streams();
         complete.end();
@@ -223,6 +258,7 @@
         RequestBody stopped = body;
         body = null;
         uploadRate = null;
+        arrival = null;
         return stopped;
     }
 }
--- a/src/main/java/sedgeyoke/proxy/client/RequestReader.java
+++ b/src/main/java/sedgeyoke/proxy/client/RequestReader.java
@@ -24,6 +24,8 @@
 
     /** The end of the request being read, held back until the channel has no more to read for now; null otherwise. */
     private LastHttpContent lastContent;
+    /** Bytes that were read on this connection. */
+    private long readBytes;
     /** When the last processed part of a request was received. */
     private long receivedMicros;
     /** Whether the channel is being read: from a read until its reads are complete. */
@@ -75,6 +77,13 @@
         return incoming.isBelowMinimumRate(nowMicros);
     }
 
+    /** Checks whether all of the body being read has arrived, although reading is paused; call it regularly. */
+    void checkArrival() {
+        if (incoming.isReadingBody()) {
+            incoming.checkArrival(readBytes);
+        }
+    }
+
     /** Whether input belongs to a pipelined request, behind the one that is being read or in flight. */
     private boolean isPipelined() {
         return lastContent != null || (!incoming.isReadingBody() && (connection.isBusy() || !pipelined.isEmpty()));
@@ -96,8 +105,10 @@
     final class PipelineLimiter extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            int length = ((ByteBuf) bytes).readableBytes();
+            readBytes += length;
             if (isPipelined()) {
-                pipelined.countReceived(((ByteBuf) bytes).readableBytes());
+                pipelined.countReceived(length);
             }
             if (pipelined.overflowed()) {
                 ReferenceCountUtil.release(bytes);
@@ -140,7 +151,7 @@
         LastHttpContent last = lastContent;
         lastContent = null;
         if (last != null && channel.isActive()) {
-            incoming.addBodyPartAnsweringOnFailure(last, receivedMicros);
+            incoming.addBodyPartAnsweringOnFailure(last, receivedMicros, readBytes);
         } else {
             ReferenceCountUtil.release(last);
         }
@@ -183,7 +194,7 @@
         if (readInProgress && incoming.isReadingBody() && message instanceof LastHttpContent last) {
             requestHandedOverInRead = true;
             lastContent = last;
-        } else if (message instanceof HttpContent content && incoming.addBodyPart(content, receivedMicros)) {
+        } else if (message instanceof HttpContent content && incoming.addBodyPart(content, receivedMicros, readBytes)) {
             requestHandedOverInRead = readInProgress;
         }
     }
--- a/src/main/java/sedgeyoke/proxy/common/Transport.java
+++ b/src/main/java/sedgeyoke/proxy/common/Transport.java
@@ -10,13 +10,16 @@
 import io.netty.channel.local.LocalAddress;
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.local.LocalServerChannel;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import sedgeyoke.body.BodyLimits;
 
@@ -103,6 +106,19 @@
         return buffer == null ? 0 : buffer.totalPendingWriteBytes();
     }
 
+    /** Bytes that have arrived at a socket and are not read yet; 0 once it is closed, and without a socket. */
+    public static long unreadBytes(Channel channel) {
+        if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe
+                && unsafe.ch() instanceof SocketChannel socket) {
+            try {
+                return socket.socket().getInputStream().available();
+            } catch (IOException closed) {
+                return 0;
+            }
+        }
+        return 0;
+    }
+
     /** A bootstrap for connections to upstreams and discovery. */
     public abstract Bootstrap client(EventLoop loop);
 
--- a/src/main/java/sedgeyoke/proxy/core/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/core/ProxyCore.java
@@ -115,7 +115,7 @@
         this.table = new ExchangeTable(settings.limits().maxConcurrentRequests());
         this.deadlines = new ExchangeDeadlines(reads, clock, bodies);
         this.completion = new ExchangeCompletion(clock, settings, events, metrics, table, log);
-        AttemptProgress attempts = new AttemptProgress(clock, settings, events, metrics, table, deadlines, completion);
+        AttemptProgress attempts = new AttemptProgress(clock, settings, events, metrics, table, completion);
         this.exchanges =
                 new ExchangeLifecycle(clock, events, initialListBarrier, table, deadlines, attempts, completion);
         deadlines.setExpiryHandler(exchanges::expire);
@@ -231,6 +231,11 @@
         exchanges.requestBodyAborted(exchange);
     }
 
+    /** Restarts the deadline of a streamed request; see {@link ExchangeDeadlines#requestArrived}. */
+    public void requestArrived(Exchange exchange, long arrivedMicros) {
+        deadlines.requestArrived(exchange, arrivedMicros);
+    }
+
     /** Ends an exchange that is still open because handling it threw an exception. */
     public void handlingFailed(Exchange exchange) {
         completion.endUnanswered(exchange, RejectionReason.INTERNAL_FAULT);
--- a/src/main/java/sedgeyoke/proxy/exchange/AttemptProgress.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/AttemptProgress.java
@@ -16,7 +16,6 @@
     private final PolicyEvents events;
     private final RequestMetrics metrics;
     private final ExchangeTable table;
-    private final ExchangeDeadlines deadlines;
     private final ExchangeCompletion completion;
 
     /** Creates the listener for all attempts of one balancer. */
@@ -26,14 +25,12 @@
             PolicyEvents events,
             RequestMetrics metrics,
             ExchangeTable table,
-            ExchangeDeadlines deadlines,
             ExchangeCompletion completion) {
         this.clock = clock;
         this.settings = settings;
         this.events = events;
         this.metrics = metrics;
         this.table = table;
-        this.deadlines = deadlines;
         this.completion = completion;
     }
 
@@ -118,11 +115,7 @@
 
     @Override
     public void requestBodyComplete(Attempt attempt) {
-        Exchange exchange = attempt.exchange;
         attempt.requestCompleteTimeMicros = clock.now();
-        if (!exchange.answered && exchange.deadlineTimer != null) {
-            deadlines.restartAfterUpload(exchange);
-        }
     }
 
     @Override
--- a/src/main/java/sedgeyoke/proxy/exchange/Exchange.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/Exchange.java
@@ -34,6 +34,8 @@
     final List<Attempt> attempts = new ArrayList<>(1);
     /** When the client stops waiting, in microseconds of the policy's clock. */
     long deadlineMicros;
+    /** The deadline as long as part of the request has not arrived. */
+    long uploadDeadlineMicros;
     /** The attempt whose request or response body is streamed; no other attempt may follow. Null if there is none. */
     Attempt streamingAttempt;
     /** Ends the exchange shortly before its deadline; null until a deadline is set. */
--- a/src/main/java/sedgeyoke/proxy/exchange/ExchangeDeadlines.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ExchangeDeadlines.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 import sedgeyoke.body.BodyLimits;
+import sedgeyoke.body.UploadArrival;
 import sedgeyoke.proxy.common.ReadBarrier;
 
 /**
@@ -63,15 +64,24 @@
                         - clock.readDelayMicros(exchange.onNewConnection),
                 lastResponseMicros - clock.now());
         exchange.deadlineMicros = clock.now() + leftMicros;
+        exchange.uploadDeadlineMicros = exchange.deadlineMicros;
         startTimer(exchange, leftMicros);
     }
 
-    /** Restarts the deadline when the last byte of a streamed body has been written. */
-    void restartAfterUpload(Exchange exchange) {
+    /**
+     * Restarts the deadline of a streamed request whose last byte arrived at {@code arrivedMicros}, whether or not it
+     * was read and forwarded: the client's time runs out although an upstream or the policy keeps the request waiting.
+     * With {@link UploadArrival#NOT_ARRIVED} the limits on uploads apply again.
+     */
+    public void requestArrived(Exchange exchange, long arrivedMicros) {
+        if (exchange.answered || exchange.deadlineTimer == null) {
+            return;
+        }
         exchange.deadlineTimer.cancel();
-        long leftMicros =
-                Math.min(exchange.request.timeLeftMicros() - REQUEST_TRANSIT_MICROS, lastResponseMicros - clock.now());
-        exchange.deadlineMicros = clock.now() + leftMicros;
+        long budgetEndMicros = arrivedMicros == UploadArrival.NOT_ARRIVED
+                ? exchange.uploadDeadlineMicros
+                : arrivedMicros + exchange.request.timeLeftMicros() - REQUEST_TRANSIT_MICROS;
+        exchange.deadlineMicros = Math.min(budgetEndMicros, lastResponseMicros);
         startTimer(exchange, exchange.deadlineMicros - clock.now());
     }
 
