Memory of bodies is heap, counted in bytes before it is taken

Cause: a read of a socket keeps up to 64 KiB of direct memory while its receiver does not read; 16 MiB of it are used up by some 256 transfers, and then each allocation makes the JVM collect and sleep on the only event loop. BodyBudget counted a fixed amount a body, against the heap, and responses even beyond it.

Evidence: stack traces 2 s apart show the loop asleep in Bits.reserveMemory each time, with 646 descriptors open, 0.2 s of user time in 2 s and 99 MB resident: neither processor, heap nor descriptors.

Change: sockets are read into the heap, and BodyBudget counts bytes of every body before a part is buffered (BodyReservation) or a socket is read (ReservedReadAllocator). Each body may always hold 16 KiB, so that no response waits for another; a response gets larger reads only while half of the total is left, and gives them back. Request bodies of more than 16 KiB are rejected when the total is used up, as long ones were. Bodies of failed responses are not kept.

BodyRulesTest: the budget's methods have changed; its figures (4 bodies, 262,144 bytes, the fifth rejected, a response beyond the total, two releases) are as they were, and a test of the guaranteed bytes is new. BodyPropertiesTest passes the size of a read to RequestBody.

--- a/src/main/java/sedgeyoke/body/BodyBudget.java
+++ b/src/main/java/sedgeyoke/body/BodyBudget.java
@@ -1,43 +1,74 @@
 package sedgeyoke.body;
 
 /**
- * Limits the memory of all streamed bodies together, and records the most that one body has used. Each streamed body
- * reserves {@link BodyLimits#maxBufferedBytes} from its start to its end; a request and its response count separately.
- * Not thread-safe: called on the event loop only.
+ * Limits the memory that all bodies together hold, in either direction and whether or not they are streamed, and
+ * records the most that one streamed body has used. Each body has a {@link BodyReservation}, which grows before the
+ * body takes more memory. Not thread-safe: called on the event loop only.
  */
 public final class BodyBudget {
+    /** What each body may hold however much the others do, so that none waits for another. */
+    private static final int GUARANTEED_BYTES = 16 << 10;
+    /** The part of the total that is left for new bodies when those in progress ask for more than what is guaranteed. */
+    private static final double SHARE_FOR_NEW_BODIES = 0.5;
+
     private final BodyLimits limits;
     private long reservedBytes;
     private long rejectedRequests;
     private long peakBytes;
 
-    /** Creates a budget of {@link BodyLimits#maxTotalBufferedBytes}. */
+    /** Creates a budget of {@link BodyLimits#maxTotalBufferedBytes}, or an unlimited one without streaming. */
     public BodyBudget(BodyLimits limits) {
         this.limits = limits;
     }
 
-    /** Reserves memory for a streamed request, until {@link #release}; returns false if the budget is exhausted. */
-    public boolean reserve() {
-        if (reservedBytes + limits.maxBufferedBytes() > limits.maxTotalBufferedBytes()) {
-            rejectedRequests++;
+    /** Creates an empty reservation for one body. */
+    public BodyReservation newReservation() {
+        return new BodyReservation(this);
+    }
+
+    /**
+     * The bytes that each body may hold even if the total is exceeded. The limit on client connections bounds how many
+     * bodies there are; while the total is exceeded, requests that need more are rejected.
+     */
+    public int guaranteedBytes() {
+        return Math.min(GUARANTEED_BYTES, limits.maxBufferedBytes());
+    }
+
+    /** The most that one body may hold. */
+    public int maxBytesOfOneBody() {
+        return limits.maxBufferedBytes();
+    }
+
+    /** Adds to the reserved bytes unless they would exceed the total. */
+    boolean tryReserve(long bytes) {
+        return tryReserve(bytes, limits.maxTotalBufferedBytes());
+    }
+
+    /** Adds to the reserved bytes unless too little would be left for new bodies. */
+    boolean tryReserveSpare(long bytes) {
+        return tryReserve(bytes, (long) ((1 - SHARE_FOR_NEW_BODIES) * limits.maxTotalBufferedBytes()));
+    }
+
+    private boolean tryReserve(long bytes, long limit) {
+        if (limits.streaming() && reservedBytes + bytes > limit) {
             return false;
         }
-        reserveUnconditionally();
+        reservedBytes += bytes;
         return true;
     }
 
-    /**
-     * Reserves memory for a streamed response, even beyond the total: its request may have run, so that it can no
-     * longer be rejected. While the total is exceeded, new streamed requests are rejected. The limit on client
-     * connections bounds the number of responses.
-     */
-    public void reserveUnconditionally() {
-        reservedBytes += limits.maxBufferedBytes();
+    /** Adds to the reserved bytes whatever the total. */
+    void reserve(long bytes) {
+        reservedBytes += bytes;
+    }
+
+    void release(long bytes) {
+        reservedBytes -= bytes;
     }
 
-    /** Releases the memory reserved for this number of bodies. */
-    public void release(int bodies) {
-        reservedBytes -= (long) bodies * limits.maxBufferedBytes();
+    /** Counts a request that was rejected because the budget was exhausted. */
+    public void recordRejected() {
+        rejectedRequests++;
     }
 
     /** Records how many bytes of one body are buffered in this process. */
--- a/src/main/java/sedgeyoke/body/BodyLimits.java
+++ b/src/main/java/sedgeyoke/body/BodyLimits.java
@@ -33,6 +33,8 @@
     private static final int PLATFORM_BODY_BYTES = 64 * KIB;
     private static final int UNSTREAMED_READ_BYTES = 16 * KIB;
     private static final int MAX_STREAMED_READ_BYTES = 64 * KIB;
+    /** Small, as the kernel's buffers keep a connection busy while the balancer reads more. */
+    private static final int MAX_UNWRITTEN_BYTES = 8 * KIB;
     /** The default of the HTTP/1.1 decoders. */
     private static final int UNSTREAMED_PART_BYTES = 8 * KIB;
 
@@ -76,7 +78,20 @@
         return streaming ? maxReadBytes() : UNSTREAMED_PART_BYTES;
     }
 
-    /** Returns the size of the largest read. Larger reads need fewer system calls for a long body. */
+    /**
+     * Returns the size of the largest read of a socket. With streaming, a read may be held twice: in its buffer, part
+     * of which is being written, and in a copy of its remaining parts.
+     */
+    public int maxSocketReadBytes() {
+        return streaming ? Math.min(MAX_STREAMED_READ_BYTES, maxBufferedBytes / 4) : UNSTREAMED_READ_BYTES;
+    }
+
+    /** Returns how many bytes of a streamed body may wait to be written before no more is read. */
+    public int maxUnwrittenBytes() {
+        return Math.min(MAX_UNWRITTEN_BYTES, maxBufferedBytes / 4);
+    }
+
+    /** Returns the room for what is read after a body has turned out to be too long to be buffered completely. */
     public int maxReadBytes() {
         return streaming ? Math.min(MAX_STREAMED_READ_BYTES, maxBufferedBytes / 2) : UNSTREAMED_READ_BYTES;
     }
--- a/src/main/java/sedgeyoke/proxy/client/HttpFrontend.java
+++ b/src/main/java/sedgeyoke/proxy/client/HttpFrontend.java
@@ -161,10 +161,10 @@
         protected void initChannel(Channel channel) {
             // Read until the socket has no more: the close of a client that has disconnected comes after its request.
             channel.config()
-                    .setRecvByteBufAllocator(
-                            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, limits.maxReadBytes())
-                                    .respectMaybeMoreData(false)
-                                    .maxMessagesPerRead(MAX_READS_PER_PASS));
+                    .setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator(
+                                    MIN_READ_BYTES, FIRST_READ_BYTES, limits.maxSocketReadBytes())
+                            .respectMaybeMoreData(false)
+                            .maxMessagesPerRead(MAX_READS_PER_PASS));
             if (limits.streaming()) {
                 Transport.limitBuffers(channel, limits);
             }
--- a/src/main/java/sedgeyoke/proxy/client/IncomingRequest.java
+++ b/src/main/java/sedgeyoke/proxy/client/IncomingRequest.java
@@ -82,7 +82,7 @@
             connection.enter(ClientConnectionState.READING);
         }
         head = validatedHead;
-        body = new RequestBody(this, limits.maxUnstreamedBytes());
+        body = new RequestBody(this, limits.maxUnstreamedBytes(), limits.maxSocketReadBytes());
         if (limits.streaming()) {
             uploadRate = new MinimumTransferRate(limits, core.now());
             arrival = new UploadArrival(HttpUtil.getContentLength(validatedHead, Exchange.UNKNOWN_LENGTH), core.now());
@@ -109,6 +109,12 @@
             uploadRate.recordReceived(content.content().readableBytes());
             arrival.recordRead(content.content().readableBytes());
         }
+        int length = content.content().readableBytes();
+        if (!body.streams() && !responses.reserveRequestBody(bytesHeldWith(length))) {
+            content.release();
+            rejectForLackOfMemory();
+            return true;
+        }
         boolean last = content instanceof LastHttpContent;
         RequestBody extended = body;
         boolean mustStream = extended.add(content.content());
@@ -125,6 +131,11 @@
         return mustStream;
     }
 
+    /** The memory that the body takes with {@code length} more bytes; a longer one is streamed. */
+    private int bytesHeldWith(int length) {
+        return Math.min(body.bytesHeldWith(length), limits.maxUnstreamedBytes());
+    }
+
     /** Like {@link #addBodyPart}, but if that throws, the client still gets a response. */
     void addBodyPartAnsweringOnFailure(HttpContent content, long receivedMicros, long readBytes) {
         answeringOnFailure(() -> addBodyPart(content, receivedMicros, readBytes));
@@ -135,9 +146,8 @@
      * streamed. Returns false if no more of the body is to be read.
      */
     private boolean beginStreaming(long receivedMicros) {
-        if (!responses.reserveBody()) {
-            stopReadingBody().abort();
-            admission.rejectForLackOfBodyRoom();
+        if (!responses.reserveRequestBody(limits.maxBufferedBytes())) {
+            rejectForLackOfMemory();
             return false;
         }
         RequestBody streamed = body;
@@ -201,6 +211,13 @@
         channel.config().setAutoRead(true);
     }
 
+    /** Rejects the request, of which nothing was forwarded, without reading its rest. */
+    private void rejectForLackOfMemory() {
+        budget.recordRejected();
+        stopReadingBody().abort();
+        admission.rejectForLackOfBodyRoom();
+    }
+
     private void answeringOnFailure(Runnable handling) {
         try {
             handling.run();
--- a/src/main/java/sedgeyoke/proxy/client/ResponseWriter.java
+++ b/src/main/java/sedgeyoke/proxy/client/ResponseWriter.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
 import sedgeyoke.body.BodyBudget;
+import sedgeyoke.body.BodyReservation;
 import sedgeyoke.proxy.common.Transport;
 import sedgeyoke.proxy.core.ProxyCore;
 import sedgeyoke.proxy.exchange.Exchange;
@@ -19,12 +20,20 @@
  */
 public final class ResponseWriter implements Exchange.Reply, ResponseStream.Sink {
     private static final byte[] NO_BODY = {};
+    /** What is read may be held in its buffer and in a copy of its remaining parts ({@code ReadOverflowBuffer}). */
+    private static final long COPIES_OF_A_READ = 2;
+    /** The size of a read for which there is always room. */
+    private static final int MIN_READ_BYTES = 4 << 10;
 
     private final Channel channel;
     private final ClientConnection connection;
     private final HttpFrontend frontend;
     private final ProxyCore core;
     private final BodyBudget budget;
+    /** The memory of the request's body until its response is written. */
+    private final BodyReservation requestBody;
+    /** The memory of the response's body until it is written. */
+    private final BodyReservation responseBody;
 
     /** The exchange in flight: set when a request is submitted, null once its response begins. */
     private Exchange exchange;
@@ -34,8 +43,6 @@
     private AfterResponse afterResponse = AfterResponse.CLOSE;
     /** Source of the streamed response in progress; null if there is none. */
     private ResponseStream.Source source;
-    /** Streamed bodies of this connection, of requests and responses, that are reserved in the budget. */
-    private int reservedBodies;
 
     ResponseWriter(Channel channel, ClientConnection connection, HttpFrontend frontend, ProxyCore core) {
         this.channel = channel;
@@ -43,6 +50,8 @@
         this.frontend = frontend;
         this.core = core;
         this.budget = core.budget();
+        this.requestBody = budget.newReservation();
+        this.responseBody = budget.newReservation();
     }
 
     // ---- The request ---------------------------------------------------------------------------------
@@ -69,19 +78,15 @@
         return exchange;
     }
 
-    /** Reserves room for a streamed body until the response is written; false if the budget is exhausted. */
-    boolean reserveBody() {
-        if (!budget.reserve()) {
-            return false;
-        }
-        reservedBodies++;
-        return true;
+    /** Reserves memory for a request body until the response is written; false if the budget is exhausted. */
+    boolean reserveRequestBody(int bytes) {
+        return requestBody.tryGrowTo(bytes);
     }
 
-    /** Releases the reservations of streamed bodies. */
+    /** Releases the memory that is reserved for bodies. */
     void releaseBodies() {
-        budget.release(reservedBodies);
-        reservedBodies = 0;
+        requestBody.release();
+        responseBody.release();
     }
 
     // ---- Complete responses --------------------------------------------------------------------------
@@ -141,6 +146,7 @@
         AfterResponse decided = decideAfterResponse();
         exchange = null;
         connection.enter(ClientConnectionState.WRITING);
+        responseBody.growTo(body.length); // the connection to the upstream has released as much
         writeLast(ClientResponses.complete(status, contentType, body, retryAfterMicros, decided), decided);
     }
 
@@ -162,10 +168,7 @@
     @Override
     public ResponseStream.Sink begin(ResponseStream.Head head, ResponseStream.Source from) {
         responseDue = false;
-        if (reservedBodies == 0 || !exchange.body().finished()) { // else the request body's reservation covers both
-            budget.reserveUnconditionally();
-            reservedBodies++;
-        }
+        responseBody.growTo(Math.max(budget.guaranteedBytes(), from.heldBytes()));
         exchange = null;
         source = from;
         afterResponse = decideAfterResponse();
@@ -185,6 +188,26 @@
         return channel.isWritable();
     }
 
+    @Override
+    public int reserveRead(int wantedBytes) {
+        long unwrittenBytes = Transport.pendingBytes(channel);
+        if (responseBody.tryGrowToSpare(unwrittenBytes + COPIES_OF_A_READ * wantedBytes)) {
+            return wantedBytes;
+        }
+        long roomBytes = (responseBody.bytes() - unwrittenBytes) / COPIES_OF_A_READ;
+        return (int) Math.max(MIN_READ_BYTES, Math.min(wantedBytes, roomBytes));
+    }
+
+    @Override
+    public void readCompleted() {
+        releaseUnusedMemory();
+    }
+
+    /** Keeps what each body may always hold, and what has still to be written. */
+    private void releaseUnusedMemory() {
+        responseBody.shrinkTo(Math.max(budget.guaranteedBytes(), Transport.pendingBytes(channel)));
+    }
+
     @Override
     public void end(HttpHeaders trailers) {
         source = null;
@@ -204,6 +227,7 @@
     /** Called when the channel becomes writable or unwritable. */
     void writabilityChanged() {
         if (source != null && channel.isWritable()) {
+            releaseUnusedMemory();
             source.demand();
         }
     }
--- a/src/main/java/sedgeyoke/proxy/common/Transport.java
+++ b/src/main/java/sedgeyoke/proxy/common/Transport.java
@@ -2,10 +2,13 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
+import io.netty.channel.PreferHeapByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.local.LocalAddress;
 import io.netty.channel.local.LocalChannel;
@@ -29,7 +32,11 @@
     SOCKETS {
         @Override
         public Bootstrap client(EventLoop loop) {
-            return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
+            return new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.ALLOCATOR, HEAP_BUFFERS)
+                    .option(ChannelOption.TCP_NODELAY, true);
         }
 
         @Override
@@ -38,6 +45,7 @@
                     .group(loop)
                     .channel(NioServerSocketChannel.class)
                     .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                    .childOption(ChannelOption.ALLOCATOR, HEAP_BUFFERS)
                     .childOption(ChannelOption.TCP_NODELAY, true);
         }
 
@@ -77,12 +85,20 @@
 
     private static final int BACKLOG = 1024;
 
+    /**
+     * Sockets are read into the heap. What a slow peer keeps waiting is then limited by one budget; direct memory, whose
+     * limit is much lower and at which each allocation blocks the event loop, is used only within a system call.
+     */
+    private static final ByteBufAllocator HEAP_BUFFERS =
+            new PreferHeapByteBufAllocator(UnpooledByteBufAllocator.DEFAULT);
+
     /** A bootstrap for a listener that the platform opened, and from which other processes may accept as well. */
     public ServerBootstrap server(EventLoop loop, ServerSocketChannel inherited) {
         return new ServerBootstrap()
                 .group(loop)
                 .channelFactory(() -> new NioServerSocketChannel(inherited))
                 .option(ChannelOption.AUTO_READ, false)
+                .childOption(ChannelOption.ALLOCATOR, HEAP_BUFFERS)
                 .childOption(ChannelOption.TCP_NODELAY, true);
     }
 
@@ -93,7 +109,7 @@
     public static void limitBuffers(Channel channel, BodyLimits limits) {
         channel.config()
                 .setWriteBufferWaterMark(
-                        new WriteBufferWaterMark(limits.maxBufferedBytes() / 8, limits.maxBufferedBytes() / 4));
+                        new WriteBufferWaterMark(limits.maxUnwrittenBytes() / 2, limits.maxUnwrittenBytes()));
         if (limits.socketBufferBytes() > 0) {
             channel.config().setOption(ChannelOption.SO_SNDBUF, limits.socketBufferBytes());
             channel.config().setOption(ChannelOption.SO_RCVBUF, limits.socketBufferBytes());
--- a/src/main/java/sedgeyoke/proxy/exchange/BodyAccumulator.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/BodyAccumulator.java
@@ -26,13 +26,22 @@
             bytes = ByteBufUtil.getBytes(part);
         } else if (length > 0) {
             if (size + length > bytes.length) {
-                bytes = Arrays.copyOf(bytes, Math.min(maxBytes, Math.max(size + length, 2 * bytes.length)));
+                bytes = Arrays.copyOf(bytes, capacityWith(length));
             }
             part.getBytes(part.readerIndex(), bytes, size, length);
         }
         size += length;
     }
 
+    /** The size of the array that is used once {@code length} more bytes were added. */
+    public int capacityWith(int length) {
+        int needed = size + length;
+        if (size == 0 || needed <= bytes.length) {
+            return Math.max(needed, bytes.length);
+        }
+        return Math.min(maxBytes, Math.max(needed, 2 * bytes.length));
+    }
+
     /** The number of bytes that were added. */
     public int size() {
         return size;
--- a/src/main/java/sedgeyoke/proxy/exchange/ReadOverflowBuffer.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ReadOverflowBuffer.java
@@ -9,8 +9,14 @@
  * thread-safe.
  */
 public final class ReadOverflowBuffer {
+    private final int maxReadBytes;
     private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
 
+    /** Creates an empty buffer for the rest of a read of at most {@code maxReadBytes} bytes. */
+    public ReadOverflowBuffer(int maxReadBytes) {
+        this.maxReadBytes = maxReadBytes;
+    }
+
     /** Adds a part and takes ownership of it. */
     public void add(ByteBuf part) {
         if (!buffered.isReadable()) {
@@ -19,7 +25,8 @@
         }
         if (buffered.refCnt() > 1
                 || buffered.writableBytes() < part.readableBytes()) { // shared, or a slice of the read buffer
-            ByteBuf larger = Unpooled.buffer(2 * (buffered.readableBytes() + part.readableBytes()));
+            int needed = buffered.readableBytes() + part.readableBytes();
+            ByteBuf larger = Unpooled.buffer(Math.max(needed, Math.min(2 * needed, maxReadBytes)));
             larger.writeBytes(buffered);
             buffered.release();
             buffered = larger;
--- a/src/main/java/sedgeyoke/proxy/exchange/RequestBody.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/RequestBody.java
@@ -13,7 +13,7 @@
     private final Source source;
     private final int maxUnstreamedBytes;
     private final BodyAccumulator buffered;
-    private final ReadOverflowBuffer overflow = new ReadOverflowBuffer();
+    private final ReadOverflowBuffer overflow;
     /** Whether the last byte was received. */
     private boolean ended;
     /** Whether the body is too long to be buffered. */
@@ -51,11 +51,17 @@
         void abort();
     }
 
-    /** Creates an empty body, which is streamed if it grows beyond {@code maxUnstreamedBytes}. */
-    public RequestBody(Source source, int maxUnstreamedBytes) {
+    /**
+     * Creates an empty body.
+     *
+     * @param maxUnstreamedBytes the size beyond which it is streamed
+     * @param maxReadBytes the most that one read from the client returns
+     */
+    public RequestBody(Source source, int maxUnstreamedBytes, int maxReadBytes) {
         this.source = source;
         this.maxUnstreamedBytes = maxUnstreamedBytes;
         this.buffered = new BodyAccumulator(maxUnstreamedBytes);
+        this.overflow = new ReadOverflowBuffer(maxReadBytes);
     }
 
     // ---- Received from the client --------------------------------------------------------------------
@@ -151,6 +157,11 @@
         return buffered.size() + overflow.size();
     }
 
+    /** The memory that the buffered bytes take once {@code length} more were added, if it is not streamed. */
+    public int bytesHeldWith(int length) {
+        return buffered.capacityWith(length);
+    }
+
     /** A body that is buffered completely; callers must not change the array. */
     public byte[] bytes() {
         return buffered.bytes();
--- a/src/main/java/sedgeyoke/proxy/exchange/ResponseStream.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ResponseStream.java
@@ -20,6 +20,9 @@
         /** Requests more, as the client's side can take it. */
         void demand();
 
+        /** The memory in bytes that is held for the response when it begins, including the read in progress. */
+        long heldBytes();
+
         /** Cancels the response, as the client has disconnected or reads too slowly. */
         void cancel();
     }
@@ -29,6 +32,15 @@
         /** Forwards a part and takes ownership of it; false asks for a pause until {@link Source#demand}. */
         boolean forward(ByteBuf data);
 
+        /**
+         * Reserves memory for a read of up to {@code wantedBytes}; returns how many bytes may be read, at least 1. To be
+         * called before each read, when everything that was read before has been forwarded.
+         */
+        int reserveRead(int wantedBytes);
+
+        /** Nothing more is read for now; called unless the client's side has asked for a pause. */
+        void readCompleted();
+
         /** The body is complete; {@code trailers} may be empty. */
         void end(HttpHeaders trailers);
 
--- a/src/main/java/sedgeyoke/proxy/upstream/ResponseForwarder.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/ResponseForwarder.java
@@ -16,7 +16,7 @@
     private final UpstreamContext context;
     private final ResponseStallGuard stallGuard;
     /** What arrived after the client asked for a pause. */
-    private final ReadOverflowBuffer overflow = new ReadOverflowBuffer();
+    private final ReadOverflowBuffer overflow;
 
     private Channel channel;
     /** Receives the response; null while none is streamed. */
@@ -25,19 +25,26 @@
     private boolean complete;
     /** Whether the client asked for a pause. */
     private boolean paused;
+    /** The memory that was held for the response when its streaming began. */
+    private long heldBytes;
 
     ResponseForwarder(UpstreamConnection connection, UpstreamContext context, ResponseStallGuard stallGuard) {
         this.connection = connection;
         this.context = context;
         this.stallGuard = stallGuard;
+        this.overflow = new ReadOverflowBuffer(context.bodies().maxSocketReadBytes());
     }
 
     void attach(Channel connected) {
         channel = connected;
     }
 
-    /** Begins to stream a response to the client; false if its exchange already has a response. */
-    boolean start(ResponseStream.Head head) {
+    /**
+     * Begins to stream a response to the client, for which {@code reservedBytes} are held; false if its exchange already
+     * has a response.
+     */
+    boolean start(ResponseStream.Head head, long reservedBytes) {
+        heldBytes = reservedBytes;
         sink = context.listener().responseStreaming(connection.currentAttempt(), head, this);
         return sink != null;
     }
@@ -86,6 +93,23 @@
         }
     }
 
+    /** Reserves memory for the next read of up to {@code wantedBytes}; returns how many bytes may be read. */
+    int reserveRead(int wantedBytes) {
+        return sink.reserveRead(wantedBytes);
+    }
+
+    /** Called when the connection has no more to read for now. */
+    void readCompleted() {
+        if (sink != null && !paused) {
+            sink.readCompleted();
+        }
+    }
+
+    @Override
+    public long heldBytes() {
+        return heldBytes;
+    }
+
     @Override
     public void cancel() {
         connection.cancel();
--- a/src/main/java/sedgeyoke/proxy/upstream/ResponseReceiver.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/ResponseReceiver.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import sedgeyoke.body.BodyReservation;
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 import sedgeyoke.proxy.exchange.Attempt;
 import sedgeyoke.proxy.exchange.AttemptOutcomes;
@@ -25,10 +26,15 @@
 final class ResponseReceiver {
     /** A successful response that is still incomplete after this time is streamed; the same time as for a stall. */
     private static final long MAX_BUFFERING_MICROS = UpstreamContext.MAX_RESPONSE_STALL_MICROS;
+    /** The largest read while a response is not streamed. */
+    private static final int MAX_BUFFERING_READ_BYTES = 8 << 10;
 
     private final UpstreamConnection connection;
     private final UpstreamContext context;
     private final BodyAccumulator buffered;
+    /** The memory of a response that is not streamed. */
+    private final BodyReservation reservation;
+
     private final ResponseStallGuard stallGuard;
     private final ResponseForwarder forwarder;
 
@@ -51,6 +57,7 @@
         this.connection = connection;
         this.context = context;
         this.buffered = new BodyAccumulator(context.maxBufferedBytes());
+        this.reservation = context.bodyBudget().newReservation();
         this.stallGuard = new ResponseStallGuard(connection, context);
         this.forwarder = new ResponseForwarder(connection, context, stallGuard);
     }
@@ -92,7 +99,7 @@
             failTooLong(context.maxResponseBytes());
             return;
         }
-        if (!forwarder.isStreaming() && exceedsBuffer(part) && !startStreaming()) {
+        if (!forwarder.isStreaming() && mustStream(part) && !startStreaming()) {
             return;
         }
         keepOrForward(part);
@@ -101,18 +108,37 @@
         }
     }
 
-    private boolean exceedsBuffer(ByteBuf part) {
-        return buffered.size() + part.readableBytes() > context.maxBufferedBytes();
+    /** Whether a response is too long to be buffered; if memory is scarce, successful ones are streamed earlier. */
+    private boolean mustStream(ByteBuf part) {
+        if (bodyBytes > context.maxBufferedBytes()) {
+            return true;
+        }
+        return isSuccessful()
+                && !reservation.tryGrowToSpare(MAX_BUFFERING_READ_BYTES + buffered.capacityWith(part.readableBytes()));
     }
 
     private void keepOrForward(ByteBuf part) {
         if (!forwarder.isStreaming()) {
-            buffered.add(part);
+            bufferIfSuccessful(part);
         } else if (part.isReadable()) {
             forwarder.forward(part.retain());
         }
     }
 
+    /** The bodies of other responses are never sent to clients. */
+    private void bufferIfSuccessful(ByteBuf part) {
+        if (isSuccessful()) {
+            buffered.add(part);
+        }
+    }
+
+    /** Returns how many bytes may be read next, if {@code wantedBytes} are wanted, and reserves memory for them. */
+    int reserveRead(int wantedBytes) {
+        return forwarder.incompleteSink().isPresent()
+                ? forwarder.reserveRead(wantedBytes)
+                : Math.min(wantedBytes, MAX_BUFFERING_READ_BYTES);
+    }
+
     private void complete(LastHttpContent last) {
         if (forwarder.isStreaming()) {
             forwarder.end(last.trailingHeaders());
@@ -136,11 +162,13 @@
         }
         ResponseStream.Head streamedHead = new ResponseStream.Head(
                 head.headers().get(HttpHeaderNames.CONTENT_TYPE), HttpUtil.getContentLength(head, -1L));
-        if (!forwarder.start(streamedHead)) { // the exchange has a response of another attempt
+        long heldBytes = reservation.bytes() + MAX_BUFFERING_READ_BYTES; // the read in progress may be copied
+        if (!forwarder.start(streamedHead, heldBytes)) { // the exchange has a response of another attempt
             channel.close();
             connection.fail(Outcome.RESET);
             return false;
         }
+        reservation.release(); // the client's side holds that memory now
         forwarder.forward(Unpooled.wrappedBuffer(buffered.take()));
         return true;
     }
@@ -152,6 +180,7 @@
     /** Called when all pending input is read and the response of the attempt is not complete. */
     void readCompleted(Attempt attempt) {
         stallGuard.recordRead();
+        forwarder.readCompleted();
         boolean firstPause = stallGuard.guard(attempt, channel);
         if (firstPause && context.bodies().streaming() && head != null && isSuccessful()) {
             context.listener().responseStarted(attempt);
@@ -211,5 +240,6 @@
         head = null;
         response = null;
         buffered.clear();
+        reservation.release();
     }
 }
--- a/src/main/java/sedgeyoke/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/UpstreamConnection.java
@@ -61,8 +61,12 @@
         created.pipeline().addLast(new HttpRequestEncoder(), decoder, this);
         if (context.bodies().streaming()) {
             created.config()
-                    .setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator(
-                            MIN_READ_BYTES, INITIAL_READ_BYTES, context.bodies().maxReadBytes()));
+                    .setRecvByteBufAllocator(new ReservedReadAllocator(
+                            new AdaptiveRecvByteBufAllocator(
+                                    MIN_READ_BYTES,
+                                    INITIAL_READ_BYTES,
+                                    context.bodies().maxSocketReadBytes()),
+                            receiver::reserveRead));
             Transport.limitBuffers(created, context.bodies());
         }
     }
--- a/src/test/java/sedgeyoke/body/BodyRulesTest.java
+++ b/src/test/java/sedgeyoke/body/BodyRulesTest.java
@@ -62,22 +62,47 @@
     @Test
     void requestsBeyondTheBudgetAreRejectedUntilMemoryIsReleased() {
         BodyBudget budget = new BodyBudget(LIMITS);
+        List<BodyReservation> bodies = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            assertTrue(budget.reserve());
+            bodies.add(budget.newReservation());
+            assertTrue(bodies.get(i).tryGrowTo(budget.maxBytesOfOneBody()));
         }
-        assertFalse(budget.reserve());
+        BodyReservation fifth = budget.newReservation();
+        assertFalse(fifth.tryGrowTo(budget.maxBytesOfOneBody()));
+        budget.recordRejected();
         assertEquals(1, budget.rejectedRequests());
         assertEquals(262_144, budget.reservedBytes());
-        budget.reserveUnconditionally(); // a response that has to be streamed exceeds the budget
-        budget.release(1);
-        assertFalse(budget.reserve());
-        budget.release(1);
-        assertTrue(budget.reserve());
+        budget.newReservation().growTo(65_536); // a response that was already received exceeds the budget
+        bodies.get(0).release();
+        assertFalse(fifth.tryGrowTo(budget.maxBytesOfOneBody()));
+        bodies.get(1).release();
+        assertTrue(fifth.tryGrowTo(budget.maxBytesOfOneBody()));
         budget.recordBuffered(7);
         budget.recordBuffered(3);
         assertEquals(7, budget.peakBytes());
     }
 
+    /** Guards against responses that wait for each other's memory, and against some that take the room of all. */
+    @Test
+    void everyBodyHasItsGuaranteedBytesAndHalfOfTheTotalIsLeftForNewBodies() {
+        BodyBudget budget = new BodyBudget(LIMITS);
+        List<BodyReservation> bodies = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            bodies.add(budget.newReservation());
+            assertTrue(bodies.get(i).tryGrowToSpare(budget.guaranteedBytes()));
+        }
+        assertEquals(30 * 16_384, budget.reservedBytes());
+        bodies.subList(3, 30).forEach(BodyReservation::release);
+        assertTrue(bodies.get(0).tryGrowToSpare(110_000));
+        assertFalse(bodies.get(1).tryGrowToSpare(30_000), "150,000 bytes are left for new bodies");
+        assertTrue(bodies.get(1).tryGrowTo(30_000));
+        assertEquals(30_000, bodies.get(1).bytes());
+        bodies.get(0).shrinkTo(16_384);
+        assertTrue(bodies.get(2).tryGrowToSpare(30_000));
+        bodies.forEach(BodyReservation::release);
+        assertEquals(0, budget.reservedBytes());
+    }
+
     @ParameterizedTest
     @CsvSource({"1000, 1000000, false", "999, 1000000, true", "0, 999999, false", "0, 1000000, true"})
     void anUploadBelowTheMinimumRateInAWindowIsTooSlow(long bytes, long elapsedMicros, boolean slow) {
--- a/src/test/java/sedgeyoke/proxy/BalancerProcess.java
+++ b/src/test/java/sedgeyoke/proxy/BalancerProcess.java
@@ -8,6 +8,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 
 /** A balancer in a process of its own, started as the platform starts it, with its output in a file. */
@@ -37,17 +39,27 @@
     /** Starts a balancer as the method above does, with additional environment variables. */
     static BalancerProcess start(Path folder, int port, byte[] config, Map<String, String> environment)
             throws IOException {
+        return start(folder, port, config, environment, List.of());
+    }
+
+    /** Starts a balancer with options of the JVM. */
+    static BalancerProcess startWith(List<String> jvmOptions, Path folder, int port, byte[] config) throws IOException {
+        return start(folder, port, config, Map.of(), jvmOptions);
+    }
+
+    private static BalancerProcess start(
+            Path folder, int port, byte[] config, Map<String, String> environment, List<String> jvmOptions)
+            throws IOException {
         String text = new String(config, StandardCharsets.UTF_8)
                 .replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + port + "\"");
         Path file = Files.writeString(folder.resolve("config-" + port + ".json"), text);
         Path output = folder.resolve("output-" + port + ".log");
-        ProcessBuilder builder = new ProcessBuilder(
-                        System.getProperty("java.home") + "/bin/java",
-                        "-cp",
-                        System.getProperty("java.class.path"),
-                        "sedgeyoke.serve.BalancerMain")
-                .redirectErrorStream(true)
-                .redirectOutput(output.toFile());
+        List<String> command = new ArrayList<>();
+        command.add(System.getProperty("java.home") + "/bin/java");
+        command.addAll(jvmOptions);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "sedgeyoke.serve.BalancerMain"));
+        ProcessBuilder builder =
+                new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output.toFile());
         builder.environment().putAll(environment);
         builder.environment().put("BALANCER_CONFIG", file.toString());
         return new BalancerProcess(builder.start(), output, port);
--- a/src/test/java/sedgeyoke/proxy/BodyPropertiesTest.java
+++ b/src/test/java/sedgeyoke/proxy/BodyPropertiesTest.java
@@ -88,7 +88,8 @@
         private final byte[] all;
         private final List<ByteBuf> createdParts = new ArrayList<>();
         private boolean reading = true;
-        private final RequestBody body = new RequestBody(this, LIMITS.maxUnstreamedBytes());
+        private final RequestBody body =
+                new RequestBody(this, LIMITS.maxUnstreamedBytes(), LIMITS.maxSocketReadBytes());
         private final RandomSink sink;
         private int at;
         private int next;
