What waits for a slow peer keeps only its own bytes, and is given back

A response that begins between the close of a client's connection and its event was never given back.

Change: a part that has to wait behind others is copied out of its read buffer; a reservation shrinks once everything is written; closing gives it back again.

The response after a close has no test: no order was found that brings it about at will.

--- a/src/main/java/sedgeyoke/proxy/client/ClientConnection.java
+++ b/src/main/java/sedgeyoke/proxy/client/ClientConnection.java
@@ -159,6 +159,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         reader.clientDisconnected();
         responses.cancelStream();
+        responses.releaseBodies(); // a response may have begun between the close and this event
     }
 
     @Override
--- a/src/main/java/sedgeyoke/proxy/client/ResponseWriter.java
+++ b/src/main/java/sedgeyoke/proxy/client/ResponseWriter.java
@@ -23,7 +23,7 @@
     /** What is read may be held in its buffer and in a copy of its remaining parts ({@code ReadOverflowBuffer}). */
     private static final long COPIES_OF_A_READ = 2;
     /** The size of a read for which there is always room. */
-    private static final int MIN_READ_BYTES = 4 << 10;
+    private static final int MIN_READ_BYTES = 2 << 10;
 
     private final Channel channel;
     private final ClientConnection connection;
@@ -43,6 +43,10 @@
     private AfterResponse afterResponse = AfterResponse.CLOSE;
     /** Source of the streamed response in progress; null if there is none. */
     private ResponseStream.Source source;
+    /** Whether a part of the response is being read from the upstream. */
+    private boolean readInProgress;
+    /** The size of the largest read of which a part may wait to be written. */
+    private int waitingReadBytes;
 
     ResponseWriter(Channel channel, ClientConnection connection, HttpFrontend frontend, ProxyCore core) {
         this.channel = channel;
@@ -171,6 +175,7 @@
         responseBody.growTo(Math.max(budget.guaranteedBytes(), from.heldBytes()));
         exchange = null;
         source = from;
+        readInProgress = false;
         afterResponse = decideAfterResponse();
         connection.enter(ClientConnectionState.WRITING);
         channel.write(ClientResponses.streamed(head, afterResponse));
@@ -179,9 +184,11 @@
 
     @Override
     public boolean forward(ByteBuf data) {
-        channel.writeAndFlush(new DefaultHttpContent(data)).addListener(written -> {
+        ByteBuf part = Transport.compactIfWaiting(channel, data);
+        channel.writeAndFlush(new DefaultHttpContent(part)).addListener(written -> {
             if (written.isSuccess() && source != null) {
                 connection.restartTimeout(); // the client is reading
+                releaseUnusedMemory();
             }
         });
         budget.recordBuffered(Transport.pendingBytes(channel));
@@ -190,22 +197,31 @@
 
     @Override
     public int reserveRead(int wantedBytes) {
-        long unwrittenBytes = Transport.pendingBytes(channel);
-        if (responseBody.tryGrowToSpare(unwrittenBytes + COPIES_OF_A_READ * wantedBytes)) {
-            return wantedBytes;
+        readInProgress = true;
+        if (Transport.isDrained(channel)) {
+            waitingReadBytes = 0;
         }
-        long roomBytes = (responseBody.bytes() - unwrittenBytes) / COPIES_OF_A_READ;
-        return (int) Math.max(MIN_READ_BYTES, Math.min(wantedBytes, roomBytes));
+        long heldBytes = waitingReadBytes + Transport.pendingBytes(channel);
+        int readBytes = wantedBytes;
+        if (!responseBody.tryGrowToSpare(heldBytes + COPIES_OF_A_READ * wantedBytes)) {
+            long roomBytes = (responseBody.bytes() - heldBytes) / COPIES_OF_A_READ;
+            readBytes = (int) Math.min(wantedBytes, Math.max(MIN_READ_BYTES, roomBytes));
+        }
+        waitingReadBytes = Math.max(waitingReadBytes, readBytes);
+        return readBytes;
     }
 
     @Override
     public void readCompleted() {
+        readInProgress = false;
         releaseUnusedMemory();
     }
 
-    /** Keeps what each body may always hold, and what has still to be written. */
+    /** Once everything is written, keeps only what each body may always hold. */
     private void releaseUnusedMemory() {
-        responseBody.shrinkTo(Math.max(budget.guaranteedBytes(), Transport.pendingBytes(channel)));
+        if (!readInProgress && Transport.isDrained(channel)) {
+            responseBody.shrinkTo(budget.guaranteedBytes());
+        }
     }
 
     @Override
@@ -227,7 +243,6 @@
     /** Called when the channel becomes writable or unwritable. */
     void writabilityChanged() {
         if (source != null && channel.isWritable()) {
-            releaseUnusedMemory();
             source.demand();
         }
     }
--- a/src/main/java/sedgeyoke/proxy/common/Transport.java
+++ b/src/main/java/sedgeyoke/proxy/common/Transport.java
@@ -2,7 +2,9 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
@@ -122,6 +124,25 @@
         return buffer == null ? 0 : buffer.totalPendingWriteBytes();
     }
 
+    /** Whether everything that was written and flushed is in the kernel. */
+    public static boolean isDrained(Channel channel) {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        return buffer == null || buffer.isEmpty();
+    }
+
+    /**
+     * Returns a part of a body that may be written: a copy if it has to wait, as it would keep all of its read buffer,
+     * which may be many times as large. Takes ownership of the part.
+     */
+    public static ByteBuf compactIfWaiting(Channel channel, ByteBuf part) {
+        if (isDrained(channel)) {
+            return part;
+        }
+        ByteBuf copy = Unpooled.copiedBuffer(part);
+        part.release();
+        return copy;
+    }
+
     /** Bytes that have arrived at a socket and are not read yet; 0 once it is closed, and without a socket. */
     public static long unreadBytes(Channel channel) {
         if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe
--- a/src/main/java/sedgeyoke/proxy/exchange/ResponseStream.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ResponseStream.java
@@ -33,12 +33,12 @@
         boolean forward(ByteBuf data);
 
         /**
-         * Reserves memory for a read of up to {@code wantedBytes}; returns how many bytes may be read, at least 1. To be
-         * called before each read, when everything that was read before has been forwarded.
+         * Reserves memory for a read of up to {@code wantedBytes}; returns how many bytes may be read. To be called
+         * before each read, when everything that was read before has been forwarded.
          */
         int reserveRead(int wantedBytes);
 
-        /** Nothing more is read for now; called unless the client's side has asked for a pause. */
+        /** Nothing more is read for now: all that was read was forwarded, or waits until a pause is over. */
         void readCompleted();
 
         /** The body is complete; {@code trailers} may be empty. */
--- a/src/main/java/sedgeyoke/proxy/upstream/RequestUpload.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/RequestUpload.java
@@ -39,7 +39,8 @@
 
     @Override
     public boolean forward(ByteBuf data) {
-        channel.writeAndFlush(new DefaultHttpContent(data)).addListener(this::failIfUnwritten);
+        ByteBuf part = Transport.compactIfWaiting(channel, data);
+        channel.writeAndFlush(new DefaultHttpContent(part)).addListener(this::failIfUnwritten);
         context.bodyBudget()
                 .recordBuffered(Transport.pendingBytes(channel)
                         + attempt.exchange().body().bufferedBytes());
--- a/src/main/java/sedgeyoke/proxy/upstream/ResponseForwarder.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/ResponseForwarder.java
@@ -100,7 +100,7 @@
 
     /** Called when the connection has no more to read for now. */
     void readCompleted() {
-        if (sink != null && !paused) {
+        if (sink != null) {
             sink.readCompleted();
         }
     }
