--- a/src/main/java/sedgeyoke/body/BodyBudget.java
+++ b/src/main/java/sedgeyoke/body/BodyBudget.java
@@ -8,7 +8,7 @@
 public final class BodyBudget {
     /** What each body may hold however much the others do, so that none waits for another. */
     private static final int GUARANTEED_BYTES = 16 << 10;
-    /** The part of the total that is left for new bodies when those in progress ask for more than what is guaranteed. */
+    /** The part of the total that is left for new bodies when others ask for more than what is guaranteed. */
     private static final double SHARE_FOR_NEW_BODIES = 0.5;
 
     private final BodyLimits limits;
--- a/src/main/java/sedgeyoke/proxy/common/Transport.java
+++ b/src/main/java/sedgeyoke/proxy/common/Transport.java
@@ -88,8 +88,8 @@
     private static final int BACKLOG = 1024;
 
     /**
-     * Sockets are read into the heap. What a slow peer keeps waiting is then limited by one budget; direct memory, whose
-     * limit is much lower and at which each allocation blocks the event loop, is used only within a system call.
+     * Sockets are read into the heap. What a slow peer keeps waiting is then limited by one budget. Direct memory has a
+     * much lower limit, at which each allocation blocks the event loop; it is used only within a system call.
      */
     private static final ByteBufAllocator HEAP_BUFFERS =
             new PreferHeapByteBufAllocator(UnpooledByteBufAllocator.DEFAULT);
--- a/src/main/java/sedgeyoke/proxy/upstream/ResponseForwarder.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/ResponseForwarder.java
@@ -40,8 +40,8 @@
     }
 
     /**
-     * Begins to stream a response to the client, for which {@code reservedBytes} are held; false if its exchange already
-     * has a response.
+     * Begins to stream a response to the client, for which {@code reservedBytes} are held; false if its exchange
+     * already has a response.
      */
     boolean start(ResponseStream.Head head, long reservedBytes) {
         heldBytes = reservedBytes;
--- a/src/test/java/sedgeyoke/proxy/SlowPeersTest.java
+++ b/src/test/java/sedgeyoke/proxy/SlowPeersTest.java
@@ -51,7 +51,7 @@
     private final List<Socket> clients = new ArrayList<>();
 
     /**
-     * Guards against transfers that keep direct memory while their receiver does not read: once all of it is taken, each
+     * Guards against transfers that keep direct memory while their receiver does not read: once it is all taken, each
      * read blocks the event loop for half a second, and requests of other clients get no answer.
      */
     @ParameterizedTest
