--- a/review/7/ManyCommands.java
+++ b/review/6/ManyCommands.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Case 7: beside the usual clients there are bad ones that send hundreds of requests at once, one time each. The
+ * Case 6: beside the usual clients there are bad ones that send hundreds of requests at once, one time each. The
  * balancer must not crash, and each usual request must get its answer, at most half a second after its time.
  */
 public final class ManyCommands {
--- a/review/8/SlowPieces.java
+++ b/review/7/SlowPieces.java
@@ -9,7 +9,7 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Case 8: an upstream writes a short answer in small pieces, more slowly than the client's time allows. At most half a
+ * Case 7: an upstream writes a short answer in small pieces, more slowly than the client's time allows. At most half a
  * second after its time each request must have its final answer, or the client must be able to tell that the answer
  * is not whole.
  */
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,8 +4,8 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 classes=$root/review/parts-2/target
-if [ ! -f "$root/target/sedgeyoke.jar" ] || [ ! -f "$classes/review2/ManyCommands.class" ]; then
+if [ ! -f "$root/target/sedgeyoke.jar" ] || [ ! -f "$classes/review2/SlowPieces.class" ]; then
     echo "build the project and run review/build-2.sh first" >&2
     exit 2
 fi
-exec java -Xmx512m -cp "$classes" review2.ManyCommands "$root" "$here"
+exec java -Xmx512m -cp "$classes" review2.SlowPieces "$root" "$here"
--- a/review/9/SlowReader.java
+++ b/review/8/SlowReader.java
@@ -7,7 +7,7 @@
 import java.net.Socket;
 
 /**
- * Case 9: an upstream sends a long answer faster than the client reads it. The client reads at a steady rate; nothing
+ * Case 8: an upstream sends a long answer faster than the client reads it. The client reads at a steady rate; nothing
  * of the answer may be cut off.
  */
 public final class SlowReader {
--- a/review/10/LeavingClients.java
+++ b/review/9/LeavingClients.java
@@ -14,7 +14,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Case 10: clients send requests with long bodies and leave while the requests wait for a busy upstream. No attempt may
+ * Case 9: clients send requests with long bodies and leave while the requests wait for a busy upstream. No attempt may
  * begin more than 0.1 s after its client has closed the connection.
  */
 public final class LeavingClients {
