Begin to check client connections once there is a listener, so that the checks never die

Cause: the periodic check of all client connections was scheduled before the listener was created. If that takes more than 50 ms, as the first start in a process does here, the first check ends with a NullPointerException (seen in a trace of the check: "this.listener" is null), and a periodic task that throws never runs again, without a word: no client connection of that process has a timeout.

Change: the check is scheduled by the initializer of the listener, which sets it.

The test is unchanged and is the regression test; it needs a start that is slower than 50 ms, so it fails before only where it runs first in its process.

--- a/src/main/java/sedgeyoke/proxy/client/HttpFrontend.java
+++ b/src/main/java/sedgeyoke/proxy/client/HttpFrontend.java
@@ -98,8 +98,6 @@
 
     /** Starts listening. The future completes once binding has succeeded or failed. May be called on any thread. */
     public ChannelFuture bind() {
-        loop.scheduleWithFixedDelay(
-                this::checkConnections, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         ServerBootstrap server = inherited == null ? transport.server(loop) : transport.server(loop, inherited);
         server.handler(new ListenerInitializer()).childHandler(new ConnectionInitializer());
         return inherited == null ? server.bind(transport.at(config.listen())) : server.register();
@@ -111,6 +109,12 @@
         protected void initChannel(ServerChannel channel) {
             listener = channel;
             channel.pipeline().addLast(new AcceptObserver());
+            // Not before there is a listener: a periodic task that throws never runs again.
+            loop.scheduleWithFixedDelay(
+                    HttpFrontend.this::checkConnections,
+                    CHECK_INTERVAL_MILLIS,
+                    CHECK_INTERVAL_MILLIS,
+                    TimeUnit.MILLISECONDS);
         }
     }
 
