A client that reads its response slowly but steadily is not cut off

Cause: progress was the completion of a write, and a selector reports room only once a third of the send buffer is free: 1.3 MB, which takes such a client 5 s, longer than the limit of 3 s. `ss` shows the send queue shrink by 95,232 bytes every 0.37 s while nothing is added.

Change: a response without progress for 0.25 s is looked at: what waits is written without waiting for the selector. While its buffer is full, the kernel takes what the peer has acknowledged. No limit has changed. A client that is cut off is logged with how long nothing moved.

--- a/src/main/java/sedgeyoke/proxy/client/ClientConnection.java
+++ b/src/main/java/sedgeyoke/proxy/client/ClientConnection.java
@@ -32,6 +32,8 @@
     private ClientConnectionState state = ClientConnectionState.NEW;
     /** When the state was entered or its timeout restarted, on the policy's clock. */
     private long stateSinceMicros;
+
+    private long progressCheckMicros;
     /** Set once the channel is closed; later state changes are no longer counted in {@link ClientConnections}. */
     private boolean closed;
 
@@ -91,6 +93,22 @@
         stateSinceMicros = core.now();
     }
 
+    /** Looks for progress of the response that is being written. */
+    void checkResponseProgress(long nowMicros) {
+        progressCheckMicros = nowMicros;
+        responses.checkProgress();
+    }
+
+    /** When {@link #checkResponseProgress} was called last. */
+    long progressCheckMicros() {
+        return progressCheckMicros;
+    }
+
+    /** How much of the response waits to be written, in bytes. */
+    long unwrittenBytes() {
+        return responses.unwrittenBytes();
+    }
+
     ClientConnectionState state() {
         return state;
     }
--- a/src/main/java/sedgeyoke/proxy/client/ClientConnectionCloser.java
+++ b/src/main/java/sedgeyoke/proxy/client/ClientConnectionCloser.java
@@ -49,11 +49,26 @@
                     .reader()
                     .reject(new RequestValidator.Rejection(
                             RejectionReason.REQUEST_TOO_SLOW, "the request is not whole"));
-        } else if (timeouts.mustClose(connection.state(), connection.isIdle(), elapsed(connection, readUntilMicros))) {
+            return;
+        }
+        checkProgress(connection, readUntilMicros);
+        long elapsedMicros = elapsed(connection, readUntilMicros);
+        if (timeouts.mustClose(connection.state(), connection.isIdle(), elapsedMicros)) {
+            if (connection.state() == ClientConnectionState.WRITING) {
+                log.line("a client does not read its response: closing its connection after " + elapsedMicros
+                        + " us without progress, " + connection.unwrittenBytes() + " bytes unwritten");
+            }
             connection.close();
         }
     }
 
+    private void checkProgress(ClientConnection connection, long nowMicros) {
+        long sinceLastCheckMicros = nowMicros - connection.progressCheckMicros();
+        if (timeouts.mustCheckProgress(connection.state(), elapsed(connection, nowMicros), sinceLastCheckMicros)) {
+            connection.checkResponseProgress(nowMicros);
+        }
+    }
+
     private boolean isRequestTooSlow(ClientConnection connection, long readUntilMicros) {
         RequestReader reader = connection.reader();
         if (reader.hasMinimumRate()) {
--- a/src/main/java/sedgeyoke/proxy/client/ClientTimeouts.java
+++ b/src/main/java/sedgeyoke/proxy/client/ClientTimeouts.java
@@ -18,6 +18,9 @@
     /** A client that connects for a request sends it at once; a connection that is silent for longer may be closed. */
     private static final long SILENT_MICROS = 100_000;
 
+    /** The interval of looking for progress of a response that the client reads slowly. */
+    private static final long PROGRESS_CHECK_MICROS = 250_000;
+
     private final long responseMicros;
 
     ClientTimeouts(BodyLimits limits) {
@@ -37,6 +40,13 @@
                 || (state == ClientConnectionState.CLOSING && elapsedMicros > CLOSING_MICROS);
     }
 
+    /** Whether to look if the client still reads its response. */
+    boolean mustCheckProgress(ClientConnectionState state, long elapsedMicros, long sinceLastCheckMicros) {
+        return state == ClientConnectionState.WRITING
+                && (elapsedMicros > responseMicros
+                        || Math.min(elapsedMicros, sinceLastCheckMicros) > PROGRESS_CHECK_MICROS);
+    }
+
     /** Whether a client connected some time ago and has sent nothing. */
     boolean isSilent(ClientConnectionState state, long elapsedMicros) {
         return state == ClientConnectionState.NEW && elapsedMicros > SILENT_MICROS;
--- a/src/main/java/sedgeyoke/proxy/client/ResponseWriter.java
+++ b/src/main/java/sedgeyoke/proxy/client/ResponseWriter.java
@@ -47,6 +47,8 @@
     private boolean readInProgress;
     /** The size of the largest read of which a part may wait to be written. */
     private int waitingReadBytes;
+    /** What {@link Transport#flushedBytes} was at the last check. */
+    private long lastFlushedBytes;
 
     ResponseWriter(Channel channel, ClientConnection connection, HttpFrontend frontend, ProxyCore core) {
         this.channel = channel;
@@ -247,6 +249,26 @@
         }
     }
 
+    // ---- Progress ------------------------------------------------------------------------------------
+
+    /**
+     * Restarts the timeout of the connection if the client has made room for more of the response since the last call.
+     * While the socket's buffer is full, it takes only as much as the client's side has acknowledged.
+     */
+    void checkProgress() {
+        Transport.tryFlush(channel);
+        long flushedBytes = Transport.flushedBytes(channel);
+        if (flushedBytes != lastFlushedBytes) {
+            lastFlushedBytes = flushedBytes;
+            connection.restartTimeout();
+        }
+    }
+
+    /** For the log: how much of the response waits to be written. */
+    long unwrittenBytes() {
+        return Transport.pendingBytes(channel) - Transport.flushedBytes(channel);
+    }
+
     // ---- End -----------------------------------------------------------------------------------------
 
     /** Called when the channel is closed: returns the exchange that was in flight, or null. */
--- a/src/main/java/sedgeyoke/proxy/common/Transport.java
+++ b/src/main/java/sedgeyoke/proxy/common/Transport.java
@@ -130,6 +130,22 @@
         return buffer == null || buffer.isEmpty();
     }
 
+    /**
+     * Writes what waits, without waiting until the system reports room. It does so only once a third of a socket's buffer
+     * is free, while it takes more as soon as the peer has acknowledged anything.
+     */
+    public static void tryFlush(Channel channel) {
+        if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe && !isDrained(channel)) {
+            unsafe.forceFlush();
+        }
+    }
+
+    /** Bytes of the message that is being written which are in the kernel; 0 if none is being written. */
+    public static long flushedBytes(Channel channel) {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.currentProgress();
+    }
+
     /**
      * Returns a part of a body that may be written: a copy if it has to wait, as it would keep all of its read buffer,
      * which may be many times as large. Takes ownership of the part.
--- a/src/test/java/sedgeyoke/proxy/SlowPeersTest.java
+++ b/src/test/java/sedgeyoke/proxy/SlowPeersTest.java
@@ -40,6 +40,12 @@
     private static final List<String> LOW_MEMORY = List.of(
             "-XX:MaxDirectMemorySize=768k", "-Dio.netty.allocator.type=unpooled", "-Dio.netty.noPreferDirect=true");
 
+    private static final long SHORT_STALL_MICROS = 1_000_000;
+    /** 256,000 bytes a second: a third of the largest send buffer takes longer than {@link #SHORT_STALL_MICROS}. */
+    private static final int SLOW_READ_BYTES = 5_120;
+
+    private static final int SLOW_READ_MILLIS = 20;
+
     private static final int CEILING_BYTES = 64 * 1024;
     private static final int TOTAL_BYTES = MB;
     private static final BodyLimits SMALL_TOTAL =
@@ -116,6 +122,64 @@
         }
     }
 
+    /**
+     * Guards against cutting off a client that reads all the time: the kernel reports room for more only once a third of
+     * its buffer is free, which takes such a client longer than a stall may last.
+     */
+    @Test
+    void aResponseToAClientThatReadsSlowlyIsNotCutOff() throws Exception {
+        BodyLimits shortStall =
+                new BodyLimits(true, CEILING_BYTES, 8L * MB, 0, 1_000_000, 30_000_000, SHORT_STALL_MICROS, 1L << 30, 0);
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
+                    ScriptedServer.write(
+                            socket, "HTTP/1.1 200 x\r\nContent-Length: " + STALLED_BODY.length + "\r\n\r\n");
+                    socket.getOutputStream().write(STALLED_BODY);
+                });
+                Loopback lb = Loopback.setup()
+                        .upstream("u", upstream.address())
+                        .bodies(shortStall)
+                        .start();
+                Socket client = lb.connect()) {
+            ScriptedServer.write(client, Loopback.request("slow", "read", LONG_BUDGET_MILLIS));
+            InputStream in = client.getInputStream();
+            long slowUntil = System.nanoTime() + 5 * SHORT_STALL_MICROS * 1_000;
+            long got = 0;
+            while (System.nanoTime() < slowUntil) {
+                got += Math.max(0, in.read(new byte[SLOW_READ_BYTES]));
+                Thread.sleep(SLOW_READ_MILLIS);
+            }
+            while (got < STALLED_BODY.length) {
+                int length = in.read(new byte[CEILING_BYTES]);
+                if (length < 0) {
+                    break;
+                }
+                got += length;
+            }
+            assertTrue(got >= STALLED_BODY.length, "cut off after " + got + " bytes");
+        }
+    }
+
+    /** Guards against clients that keep a response for as long as they like. */
+    @Test
+    void aClientThatStopsReadingIsStillDisconnected() throws Exception {
+        BodyLimits shortStall =
+                new BodyLimits(true, CEILING_BYTES, 8L * MB, 0, 1_000_000, 30_000_000, SHORT_STALL_MICROS, 1L << 30, 0);
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
+                    ScriptedServer.write(
+                            socket, "HTTP/1.1 200 x\r\nContent-Length: " + STALLED_BODY.length + "\r\n\r\n");
+                    socket.getOutputStream().write(STALLED_BODY);
+                });
+                Loopback lb = Loopback.setup()
+                        .upstream("u", upstream.address())
+                        .bodies(shortStall)
+                        .start();
+                Socket client = connect(lb.address.getPort())) {
+            ScriptedServer.write(client, Loopback.request("silent", "read", LONG_BUDGET_MILLIS));
+            Loopback.await("the response has begun", () -> upstream.requests.size() == 1);
+            Loopback.await("the connection is closed", () -> lb.server.clients() == 0);
+        }
+    }
+
     private static ScriptedServer discovery(String upstream) throws IOException {
         String members = Loopback.list(1, true, Loopback.member("u", upstream, "up"));
         return new ScriptedServer((request, socket) -> {
