Look for a client's close behind the end of its request until a read has found nothing

Cause: the end of a request is held back so that a close right behind it is seen, but the end of the reads of a pass was taken for the end of the input. A pass also ends after 16 reads, or when reading is paused: of seven lengths the one that the 16th read completes ran.

Change: the end is handed over once a read has found nothing more, or a whole pass of the event loop had nothing for the channel; until then reading goes on.

ClientDisconnectsTest. aLongRequestDoesNotRunIfItsClientLeftBeforeTheAttempt fails before ("requests that ran ==> expected: <0> but was: <1>") and passes; aPausedRequestDoesNotRunIfItsClientLeftBeforeTheAttempt passes before and after. ClientDisconnectsTest and StalledUploadsTest pass.

--- a/src/main/java/sedgeyoke/proxy/client/IncomingRequest.java
+++ b/src/main/java/sedgeyoke/proxy/client/IncomingRequest.java
@@ -31,6 +31,8 @@
     private HttpRequest head;
     /** The body being read; null once its end has been received, or when no more of it is to be read. */
     private RequestBody body;
+    /** Whether the end of the body was received, although it may not be added yet. */
+    private boolean endReceived;
     /** The minimum rate of the body; null unless a body is being read and long bodies are streamed. */
     private MinimumTransferRate uploadRate;
     /** Since when all of the body may have arrived; null unless {@link #uploadRate} is set. */
@@ -82,6 +84,7 @@
             connection.enter(ClientConnectionState.READING);
         }
         head = validatedHead;
+        endReceived = false;
         body = new RequestBody(this, limits.maxUnstreamedBytes(), limits.maxSocketReadBytes());
         if (limits.streaming()) {
             uploadRate = new MinimumTransferRate(limits, core.now());
@@ -201,15 +204,20 @@
     }
 
     /**
-     * Pauses reading, because the upstream accepts no more for now. After the end of the body reading continues, to
-     * notice a close by the client.
+     * Pauses reading, because the upstream accepts no more for now. Once the end of the body was received, even if it is
+     * still held back, reading continues, to notice a close by the client.
      */
     @Override
     public void pauseReading() {
         if (uploadRate != null) {
             uploadRate.pauseReading(core.now());
         }
-        channel.config().setAutoRead(body == null);
+        channel.config().setAutoRead(body == null || endReceived);
+    }
+
+    /** Records that the end of the body was received, which {@link RequestReader} holds back for now. */
+    void endReceived() {
+        endReceived = true;
     }
 
     @Override
--- a/src/main/java/sedgeyoke/proxy/client/RequestReader.java
+++ b/src/main/java/sedgeyoke/proxy/client/RequestReader.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.concurrent.TimeUnit;
+import sedgeyoke.proxy.common.Transport;
 import sedgeyoke.proxy.core.ProxyCore;
 
 /**
@@ -17,6 +18,8 @@
  * request in flight is held undecoded until the response is written. Event loop only.
  */
 final class RequestReader implements RequestValidator.DecodingGate {
+    /** So long a close is looked for behind a request whose client goes on sending. */
+    private static final int MAX_PASSES_BEHIND_REQUEST = 16;
     /** A read buffer is replaced by a smaller copy if more than this of it is unused. */
     private static final int MAX_UNUSED_READ_BYTES = 4 * 1024;
 
@@ -28,7 +31,7 @@
     private final RequestAdmission admission;
     private final InputHandler input = new InputHandler();
 
-    /** The end of the request being read, held back until the channel has no more to read for now; null otherwise. */
+    /** The end of the request being read, held back until no close by the client was found behind it; null otherwise. */
     private LastHttpContent lastContent;
     /** Bytes that were read on this connection. */
     private long readBytes;
@@ -36,6 +39,10 @@
     private long receivedMicros;
     /** Whether the channel is being read: from a read until its reads are complete. */
     private boolean readInProgress;
+    /** Number of passes of the event loop in which the channel was read. */
+    private long passes;
+    /** What {@link #passes} was when {@link #lastContent} was received. */
+    private long passesAtRequestEnd;
     /** Whether input is being decoded that was held before. */
     private boolean decodingHeld;
     /** Whether a request has ended in the input that was held. */
@@ -199,22 +206,37 @@
         return message instanceof LastHttpContent || message instanceof RequestValidator.Rejection;
     }
 
-    /** Called when the channel has no more to read for now. */
+    /** Called at the end of the reads of one pass. */
     void readCompleted() {
+        passes++;
         if (!requestHandedOverInRead && pipelined.isEmpty()) {
             connection.requestIncomplete();
         }
         requestHandedOverInRead = false;
         readInProgress = false;
         if (lastContent != null) {
-            channel.eventLoop().execute(this::processLastContent); // after a close received with it
+            lookForClose();
         }
     }
 
     /**
-     * Completes a request once the channel has no more to read for now. The close of a client that has disconnected
-     * arrives with the last bytes of its request, and such a request must not be forwarded.
+     * Completes the request unless the client has closed the connection. The close may have arrived behind the last bytes
+     * of the request, and such a request must not be forwarded.
      */
+    private void lookForClose() {
+        channel.config().setAutoRead(true);
+        if (Transport.isReadToEnd(channel) || passes - passesAtRequestEnd > MAX_PASSES_BEHIND_REQUEST) {
+            channel.eventLoop().execute(this::processLastContent); // after a close that was read just now
+            return;
+        }
+        long passesBefore = passes;
+        core.reads().afterPendingReads(readUntilMicros -> {
+            if (passes == passesBefore) { // nothing was there to be read
+                processLastContent();
+            }
+        });
+    }
+
     private void processLastContent() {
         LastHttpContent last = lastContent;
         lastContent = null;
@@ -268,6 +290,8 @@
         if (readInProgress && incoming.isReadingBody() && message instanceof LastHttpContent last) {
             requestHandedOverInRead = true;
             lastContent = last;
+            passesAtRequestEnd = passes;
+            incoming.endReceived();
         } else if (message instanceof HttpContent content && incoming.addBodyPart(content, receivedMicros, readBytes)) {
             requestHandedOverInRead = readInProgress;
         }
--- a/src/main/java/sedgeyoke/proxy/common/Transport.java
+++ b/src/main/java/sedgeyoke/proxy/common/Transport.java
@@ -159,6 +159,14 @@
         return copy;
     }
 
+    /**
+     * Whether the last read of a channel found nothing more. Otherwise the reads of this pass have ended early, and more
+     * may wait, for example the end of the peer's side.
+     */
+    public static boolean isReadToEnd(Channel channel) {
+        return channel.unsafe().recvBufAllocHandle().lastBytesRead() <= 0;
+    }
+
     /** Bytes that have arrived at a socket and are not read yet; 0 once it is closed, and without a socket. */
     public static long unreadBytes(Channel channel) {
         if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe
--- a/src/test/java/sedgeyoke/proxy/ClientDisconnectsTest.java
+++ b/src/test/java/sedgeyoke/proxy/ClientDisconnectsTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -17,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import sedgeyoke.body.BodyLimits;
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 
@@ -30,6 +32,9 @@
     private static final int EXCESSIVE_BYTES = 300_000;
     private static final int SHORT_REQUESTS = 20;
     private static final int LONG_BODY = 30_000;
+    private static final int SOCKET_BUFFER_BYTES = 32 * 1024;
+    private static final int STALL_MILLIS = 300;
+    private static final int CHUNK_BYTES = 1_000;
     private ScriptedPolicy policy;
 
     /** How a client disconnects. */
@@ -268,6 +273,55 @@
         }
     }
 
+    /**
+     * Guards against long requests that run after their clients have left, because the close waits in the socket behind
+     * the last part: a pass of the event loop ends after 16 reads, which the lengths reach with the last part.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {540_000, 560_000, 580_000, 600_000, 620_000, 640_000, 660_000})
+    void aLongRequestDoesNotRunIfItsClientLeftBeforeTheAttempt(int length) throws Exception {
+        assertDoesNotRun("Content-Length: " + length, new byte[length], 0, new CountDownLatch(0));
+    }
+
+    /** The same, where the upstream takes no more just when the last part is received. */
+    @ParameterizedTest
+    @ValueSource(ints = {200, 300, 400, 500, 600, 700})
+    void aPausedRequestDoesNotRunIfItsClientLeftBeforeTheAttempt(int chunks) throws Exception {
+        String chunk = Integer.toHexString(CHUNK_BYTES) + "\r\n" + "w".repeat(CHUNK_BYTES) + "\r\n";
+        byte[] body = (chunk.repeat(chunks) + "0\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
+        assertDoesNotRun("Transfer-Encoding: chunked", body, SOCKET_BUFFER_BYTES, new CountDownLatch(1));
+    }
+
+    private void assertDoesNotRun(String framing, byte[] body, int socketBufferBytes, CountDownLatch go)
+            throws Exception {
+        BodyLimits limits = new BodyLimits(
+                true, 128 * 1024, 64L << 20, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40, socketBufferBytes);
+        try (ScriptedServer upstream =
+                        new ScriptedServer((request, socket) -> ScriptedServer.reply(socket, 200, "x"), go);
+                Loopback lb =
+                        start(Loopback.setup().upstream("u", upstream.address()).bodies(limits))) {
+            policy.streams = true;
+            Set<String> queued = java.util.concurrent.ConcurrentHashMap.newKeySet();
+            policy.onRequest = (m, r) -> queued.add(r.id());
+            Socket client = lb.connect();
+            ScriptedServer.write(client, LongBodies.upload("left", "order", framing));
+            client.getOutputStream().write(body);
+            Loopback.await("it is queued", () -> queued.contains("left"));
+            client.close();
+            lb.loop.submit(() -> policy.actions.send("left", "u", 0)).sync();
+            if (go.getCount() > 0) {
+                Thread.sleep(STALL_MILLIS); // the upstream reads nothing yet, so that the upload is paused
+                go.countDown();
+            }
+            Loopback.await("the client has left", () -> lb.server.clients() == 0);
+            Loopback.await("no exchange is left", () -> lb.loop
+                    .submit(() -> lb.core.idle())
+                    .syncUninterruptibly()
+                    .getNow());
+            assertEquals(0, upstream.requests.size(), "requests that ran");
+        }
+    }
+
     /**
      * If a client pipelines too much, the requests received completely before that are answered, and then the
      * connection is closed in order.
