The deadline of a request ends a short response that is streamed; every response has an end

Cause: a response that is incomplete after 0.1 s is streamed, and the deadline passed over each attempt whose response was streamed. Only the guard against stalls was left, which each piece restarts.

Change: the deadline ends a streamed response unless more than 64 KiB of it are declared or have arrived: only the first bytes of a longer one are timed. Its client may take an hour to receive it, whatever its progress. The arrival of an upload restarts its deadline even if its response has begun.

--- a/src/main/java/sedgeyoke/proxy/client/ClientConnection.java
+++ b/src/main/java/sedgeyoke/proxy/client/ClientConnection.java
@@ -33,6 +33,9 @@
     /** When the state was entered or its timeout restarted, on the policy's clock. */
     private long stateSinceMicros;
 
+    /** When the state was entered, whatever has restarted its timeout. */
+    private long stateEnteredMicros;
+
     private long progressCheckMicros;
     /** Set once the channel is closed; later state changes are no longer counted in {@link ClientConnections}. */
     private boolean closed;
@@ -77,6 +80,7 @@
         }
         state = next;
         stateSinceMicros = core.now();
+        stateEnteredMicros = stateSinceMicros;
     }
 
     /** Records that a request has been received in part. */
@@ -118,6 +122,11 @@
         return stateSinceMicros;
     }
 
+    /** When the state was entered, on the policy's clock. */
+    long stateEnteredMicros() {
+        return stateEnteredMicros;
+    }
+
     /** Whether a request is in flight or its response is being written, on a channel that is still open. */
     boolean isBusy() {
         return !closed && state.isBusy();
--- a/src/main/java/sedgeyoke/proxy/client/ClientConnectionCloser.java
+++ b/src/main/java/sedgeyoke/proxy/client/ClientConnectionCloser.java
@@ -59,6 +59,8 @@
                         + " us without progress, " + connection.unwrittenBytes() + " bytes unwritten");
             }
             connection.close();
+        } else if (timeouts.responseExpired(connection.state(), readUntilMicros - connection.stateEnteredMicros())) {
+            connection.close();
         }
     }
 
--- a/src/main/java/sedgeyoke/proxy/client/ClientTimeouts.java
+++ b/src/main/java/sedgeyoke/proxy/client/ClientTimeouts.java
@@ -22,9 +22,11 @@
     private static final long PROGRESS_CHECK_MICROS = 250_000;
 
     private final long responseMicros;
+    private final long maxResponseMicros;
 
     ClientTimeouts(BodyLimits limits) {
         this.responseMicros = limits.maxStallMicros();
+        this.maxResponseMicros = limits.maxResponseMicros();
     }
 
     /** Whether a partly received request must be rejected. */
@@ -40,6 +42,11 @@
                 || (state == ClientConnectionState.CLOSING && elapsedMicros > CLOSING_MICROS);
     }
 
+    /** Whether a client takes too long to receive a response, although it makes progress. */
+    boolean responseExpired(ClientConnectionState state, long writingMicros) {
+        return state == ClientConnectionState.WRITING && writingMicros > maxResponseMicros;
+    }
+
     /** Whether to look if the client still reads its response. */
     boolean mustCheckProgress(ClientConnectionState state, long elapsedMicros, long sinceLastCheckMicros) {
         return state == ClientConnectionState.WRITING
--- a/src/main/java/sedgeyoke/proxy/exchange/Attempt.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/Attempt.java
@@ -1,5 +1,6 @@
 package sedgeyoke.proxy.exchange;
 
+import sedgeyoke.body.BodyLimits;
 import sedgeyoke.body.PartialRequestPolicy.BodyProgress;
 import sedgeyoke.proxy.common.ReadBarrier;
 
@@ -37,8 +38,8 @@
     long requestCompleteTimeMicros;
     /** When the first part of a streamed or slow response arrived; see {@link #hasResponseStarted}. */
     long responseStartTimeMicros = NOT_STARTED;
-    /** Whether the attempt's response is being streamed to the client. */
-    boolean responseStreaming;
+    /** The response that is being streamed to the client, or was; null if none was. */
+    ResponseStream.Source streamedResponse;
     /** Whether the upstream may have executed the attempt: true until the outcome proves that it has not. */
     boolean mayHaveRun = true;
     /** Runs at the attempt's own timeout; null if only the deadline of the exchange applies. */
@@ -103,6 +104,16 @@
         return exchange.body.isFullyBuffered() ? BodyProgress.FULLY_BUFFERED : BodyProgress.BUFFERING;
     }
 
+    /** Whether the response is being streamed to the client, or was. */
+    boolean isResponseStreaming() {
+        return streamedResponse != null;
+    }
+
+    /** Whether the deadline of the exchange does not end the attempt: a long response has begun. */
+    boolean outlastsDeadline() {
+        return isResponseStreaming() && BodyLimits.exceedsTimedLength(streamedResponse.knownBytes());
+    }
+
     /** Whether the first part of a streamed or slow response has arrived. */
     boolean hasResponseStarted() {
         return responseStartTimeMicros != NOT_STARTED;
--- a/src/main/java/sedgeyoke/proxy/exchange/AttemptProgress.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/AttemptProgress.java
@@ -36,14 +36,21 @@
 
     // ---- Ending attempts early -----------------------------------------------------------------------
 
-    /** Times out all attempts of an exchange; see {@link #timeOut}. */
+    /**
+     * Times out all attempts of an exchange whose deadline is near. A streamed response ends, too, so that its client can
+     * tell that it is incomplete, unless it is so long that only its first bytes are timed.
+     */
     void timeOutAll(Exchange exchange) {
-        List.copyOf(exchange.attempts).forEach(this::timeOut);
+        for (Attempt attempt : List.copyOf(exchange.attempts)) {
+            if (!attempt.ended && !attempt.outlastsDeadline()) {
+                stop(attempt, AttemptOutcomes.afterTimeout(attempt));
+            }
+        }
     }
 
-    /** Times out an attempt, unless its response is being streamed: streamed responses have their own time limits. */
+    /** Handles the timeout of a single attempt, which ends unless its response is being streamed. */
     void timeOut(Attempt attempt) {
-        if (!attempt.ended && !attempt.responseStreaming) {
+        if (!attempt.ended && !attempt.isResponseStreaming()) {
             stop(attempt, AttemptOutcomes.afterTimeout(attempt));
         }
     }
@@ -68,7 +75,7 @@
             return null;
         }
         completion.markStreaming(exchange);
-        attempt.responseStreaming = true;
+        attempt.streamedResponse = source;
         markAsLastAttempt(attempt);
         responseStarted(attempt);
         return exchange.reply.begin(head, source);
@@ -140,7 +147,7 @@
         Exchange exchange = attempt.exchange;
         if (outcome == Outcome.OK && response != null) {
             completion.serve(exchange, response);
-        } else if (attempt.responseStreaming) {
+        } else if (attempt.isResponseStreaming()) {
             completion.streamEnded(
                     exchange, outcome == Outcome.OK ? RequestMetrics.End.SERVED : RequestMetrics.End.FAILED);
         }
--- a/src/main/java/sedgeyoke/proxy/exchange/ExchangeDeadlines.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ExchangeDeadlines.java
@@ -74,8 +74,9 @@
      * With {@link UploadArrival#NOT_ARRIVED} the limits on uploads apply again.
      */
     public void requestArrived(Exchange exchange, long arrivedMicros) {
-        if (exchange.answered || exchange.deadlineTimer == null) {
-            return;
+        boolean done = exchange.answered && exchange.allAttemptsEnded();
+        if (done || exchange.deadlineTimer == null) {
+            return; // a response that began before the end of the upload still has a deadline
         }
         exchange.deadlineTimer.cancel();
         long budgetEndMicros = arrivedMicros == UploadArrival.NOT_ARRIVED
--- a/src/main/java/sedgeyoke/proxy/exchange/ResponseStream.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ResponseStream.java
@@ -23,6 +23,9 @@
         /** The memory in bytes that is held for the response when it begins, including the read in progress. */
         long heldBytes();
 
+        /** The declared length of the response in bytes; without one, how much of it has arrived. */
+        long knownBytes();
+
         /** Cancels the response, as the client has disconnected or reads too slowly. */
         void cancel();
     }
--- a/src/main/java/sedgeyoke/proxy/upstream/ResponseForwarder.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/ResponseForwarder.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import sedgeyoke.proxy.exchange.ReadOverflowBuffer;
 import sedgeyoke.proxy.exchange.ResponseStream;
 
@@ -15,6 +16,7 @@
     private final UpstreamConnection connection;
     private final UpstreamContext context;
     private final ResponseStallGuard stallGuard;
+    private final LongSupplier knownBytes;
     /** What arrived after the client asked for a pause. */
     private final ReadOverflowBuffer overflow;
 
@@ -28,10 +30,16 @@
     /** The memory that was held for the response when its streaming began. */
     private long heldBytes;
 
-    ResponseForwarder(UpstreamConnection connection, UpstreamContext context, ResponseStallGuard stallGuard) {
+    /** {@code knownBytes} returns the length of the response as far as it is known. */
+    ResponseForwarder(
+            UpstreamConnection connection,
+            UpstreamContext context,
+            ResponseStallGuard stallGuard,
+            LongSupplier knownBytes) {
         this.connection = connection;
         this.context = context;
         this.stallGuard = stallGuard;
+        this.knownBytes = knownBytes;
         this.overflow = new ReadOverflowBuffer(context.bodies().maxSocketReadBytes());
     }
 
@@ -110,6 +118,11 @@
         return heldBytes;
     }
 
+    @Override
+    public long knownBytes() {
+        return knownBytes.getAsLong();
+    }
+
     @Override
     public void cancel() {
         connection.cancel();
--- a/src/main/java/sedgeyoke/proxy/upstream/ResponseReceiver.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/ResponseReceiver.java
@@ -59,7 +59,7 @@
         this.buffered = new BodyAccumulator(context.maxBufferedBytes());
         this.reservation = context.bodyBudget().newReservation();
         this.stallGuard = new ResponseStallGuard(connection, context);
-        this.forwarder = new ResponseForwarder(connection, context, stallGuard);
+        this.forwarder = new ResponseForwarder(connection, context, stallGuard, this::knownBytes);
     }
 
     void attach(Channel connected) {
@@ -178,6 +178,10 @@
         return true;
     }
 
+    private long knownBytes() {
+        return head == null ? bodyBytes : HttpUtil.getContentLength(head, bodyBytes);
+    }
+
     private boolean isSuccessful() {
         return AttemptOutcomes.ofResponse(head) == Outcome.OK;
     }
--- a/src/test/java/sedgeyoke/proxy/ResponseEndsTest.java
+++ b/src/test/java/sedgeyoke/proxy/ResponseEndsTest.java
@@ -24,6 +24,11 @@
      */
     private static final long CLOSE_DELAY_MILLIS = 200;
 
+    private static final int PIECE_MILLIS = 300;
+    private static final int BUDGET_MILLIS = 800;
+    /** The platform counts a request as lost if its answer comes later than this after its time. */
+    private static final int MAX_LATENESS_MILLIS = 500;
+
     @Test
     void aTruncatedResponseIsVisiblyIncomplete() throws Exception {
         try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
@@ -59,6 +64,54 @@
         }
     }
 
+    /**
+     * Guards against short responses without an end: an upstream writes one in pieces, more slowly than the time of the
+     * request allows. The client must be able to tell by then that it is incomplete.
+     */
+    @ParameterizedTest
+    @CsvSource({"Content-Length: 300", "Transfer-Encoding: chunked", "Connection: close"})
+    void aShortResponseInSlowPiecesEndsWithTheTimeOfItsRequest(String framing) throws Exception {
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
+                    ScriptedServer.write(socket, "HTTP/1.1 200 x\r\n" + framing + "\r\n\r\n");
+                    for (int i = 0; i < 10; i++) {
+                        ScriptedServer.write(socket, (framing.startsWith("T") ? "1e\r\n" : "") + "x".repeat(30));
+                        ScriptedServer.write(socket, framing.startsWith("T") ? "\r\n" : "");
+                        Thread.sleep(PIECE_MILLIS);
+                    }
+                });
+                Loopback lb = serving(upstream)) {
+            Socket client = lb.connect();
+            client.setSoTimeout(BUDGET_MILLIS + MAX_LATENESS_MILLIS);
+            long start = System.nanoTime();
+            ScriptedServer.write(client, Loopback.request("a", "read", BUDGET_MILLIS));
+            String got = new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            long millis = (System.nanoTime() - start) / 1_000_000;
+            assertTrue(millis <= BUDGET_MILLIS + MAX_LATENESS_MILLIS, "ended after " + millis + " ms");
+            assertTrue(got.startsWith("HTTP/1.1 200"), got);
+            assertTrue(!got.endsWith("0\r\n\r\n") && !got.contains("x".repeat(300)), got);
+        }
+    }
+
+    /** Guards against cutting off a long response, of which only the first bytes are timed. */
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void aLongResponseInSlowPiecesIsForwardedAfterTheTimeOfItsRequest(boolean lengthDeclared) throws Exception {
+        byte[] piece = bytes(70_000);
+        String framing = lengthDeclared ? "Content-Length: " + 4 * piece.length : "Connection: close";
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
+                    ScriptedServer.write(socket, "HTTP/1.1 200 x\r\n" + framing + "\r\n\r\n");
+                    for (int i = 0; i < 4; i++) {
+                        socket.getOutputStream().write(piece);
+                        Thread.sleep(PIECE_MILLIS);
+                    }
+                    socket.close();
+                });
+                Loopback lb = serving(upstream)) {
+            ScriptedServer.Message got = lb.ask("a", "read", BUDGET_MILLIS);
+            assertEquals(4 * piece.length, got.raw().length);
+        }
+    }
+
     /** A reset does not end a response: what arrived before it may be incomplete. */
     @ParameterizedTest
     @CsvSource({"300", "49153", "3000000"})
