--- a/src/main/java/sedgeyoke/body/BodyBudget.java
+++ b/src/main/java/sedgeyoke/body/BodyBudget.java
@@ -3,7 +3,8 @@
 /**
  * Limits the memory that peers can make this process hold: all bodies together, in either direction and whether or not
  * they are streamed, header fields, and what clients have sent behind a request in flight. Records the most that one
- * streamed body has used. Each holder has a {@link BodyReservation}, which grows before it takes more memory. Not thread-safe: called on the event loop only.
+ * streamed body has used. Each holder has a {@link BodyReservation}, which grows before it takes more memory. Not
+ * thread-safe: called on the event loop only.
  */
 public final class BodyBudget {
     /** What each body may hold however much the others do, so that none waits for another. */
@@ -27,8 +28,8 @@
     }
 
     /**
-     * The bytes that each holder may hold even if the total is exceeded. The limit on client connections bounds how many
-     * there are; while the total is exceeded, requests that need more are rejected.
+     * The bytes that each holder may hold even if the total is exceeded. The limit on client connections bounds how
+     * many there are; while the total is exceeded, requests that need more are rejected.
      */
     public int guaranteedBytes() {
         return Math.min(GUARANTEED_BYTES, limits.maxBufferedBytes());
--- a/src/main/java/sedgeyoke/proxy/client/IncomingRequest.java
+++ b/src/main/java/sedgeyoke/proxy/client/IncomingRequest.java
@@ -204,8 +204,8 @@
     }
 
     /**
-     * Pauses reading, because the upstream accepts no more for now. Once the end of the body was received, even if it is
-     * still held back, reading continues, to notice a close by the client.
+     * Pauses reading, because the upstream accepts no more for now. Once the end of the body was received, even if it
+     * is still held back, reading continues, to notice a close by the client.
      */
     @Override
     public void pauseReading() {
--- a/src/main/java/sedgeyoke/proxy/client/RequestAdmission.java
+++ b/src/main/java/sedgeyoke/proxy/client/RequestAdmission.java
@@ -89,7 +89,11 @@
     void rejectForLackOfBodyRoom() {
         Request rejected = takeValidated();
         responses.expectResponse();
-        responses.rejectUnsubmitted(RejectionReason.BODY_BUDGET_EXHAUSTED, rejected.classIndex());
+        if (rejected == null) { // a health check
+            responses.rejectWithText(RejectionReason.BODY_BUDGET_EXHAUSTED, "no memory for the body");
+        } else {
+            responses.rejectUnsubmitted(RejectionReason.BODY_BUDGET_EXHAUSTED, rejected.classIndex());
+        }
     }
 
     private Request takeValidated() {
--- a/src/main/java/sedgeyoke/proxy/client/RequestReader.java
+++ b/src/main/java/sedgeyoke/proxy/client/RequestReader.java
@@ -31,7 +31,7 @@
     private final RequestAdmission admission;
     private final InputHandler input = new InputHandler();
 
-    /** The end of the request being read, held back until no close by the client was found behind it; null otherwise. */
+    /** The end of the request being read, held back until no close was found behind it; null otherwise. */
     private LastHttpContent lastContent;
     /** Bytes that were read on this connection. */
     private long readBytes;
@@ -220,8 +220,8 @@
     }
 
     /**
-     * Completes the request unless the client has closed the connection. The close may have arrived behind the last bytes
-     * of the request, and such a request must not be forwarded.
+     * Completes the request unless the client has closed the connection. The close may have arrived behind the last
+     * bytes of the request, and such a request must not be forwarded.
      */
     private void lookForClose() {
         channel.config().setAutoRead(true);
--- a/src/main/java/sedgeyoke/proxy/common/Transport.java
+++ b/src/main/java/sedgeyoke/proxy/common/Transport.java
@@ -131,8 +131,8 @@
     }
 
     /**
-     * Writes what waits, without waiting until the system reports room. It does so only once a third of a socket's buffer
-     * is free, while it takes more as soon as the peer has acknowledged anything.
+     * Writes what waits, without waiting until the system reports room. It does so only once a third of a socket's
+     * buffer is free, while it takes more as soon as the peer has acknowledged anything.
      */
     public static void tryFlush(Channel channel) {
         if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe && !isDrained(channel)) {
@@ -160,8 +160,8 @@
     }
 
     /**
-     * Whether the last read of a channel found nothing more. Otherwise the reads of this pass have ended early, and more
-     * may wait, for example the end of the peer's side.
+     * Whether the last read of a channel found nothing more. Otherwise the reads of this pass have ended early, and
+     * more may wait, for example the end of the peer's side.
      */
     public static boolean isReadToEnd(Channel channel) {
         return channel.unsafe().recvBufAllocHandle().lastBytesRead() <= 0;
--- a/src/main/java/sedgeyoke/proxy/exchange/AttemptProgress.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/AttemptProgress.java
@@ -37,8 +37,8 @@
     // ---- Ending attempts early -----------------------------------------------------------------------
 
     /**
-     * Times out all attempts of an exchange whose deadline is near. A streamed response ends, too, so that its client can
-     * tell that it is incomplete, unless it is so long that only its first bytes are timed.
+     * Times out all attempts of an exchange whose deadline is near. A streamed response ends, too, so that its client
+     * can tell that it is incomplete, unless it is so long that only its first bytes are timed.
      */
     void timeOutAll(Exchange exchange) {
         for (Attempt attempt : List.copyOf(exchange.attempts)) {
--- a/src/test/java/sedgeyoke/proxy/SlowPeersTest.java
+++ b/src/test/java/sedgeyoke/proxy/SlowPeersTest.java
@@ -123,8 +123,8 @@
     }
 
     /**
-     * Guards against cutting off a client that reads all the time: the kernel reports room for more only once a third of
-     * its buffer is free, which takes such a client longer than a stall may last.
+     * Guards against cutting off a client that reads all the time: the kernel reports room for more only once a third
+     * of its buffer is free, which takes such a client longer than a stall may last.
      */
     @Test
     void aResponseToAClientThatReadsSlowlyIsNotCutOff() throws Exception {
