--- a/src/main/java/sedgeyoke/proxy/client/IncomingRequest.java
+++ b/src/main/java/sedgeyoke/proxy/client/IncomingRequest.java
@@ -181,9 +181,10 @@
     }
 
     private void setArrived(long micros) {
-        if (micros != arrivedMicros && responses.exchange() != null) {
+        Exchange open = responses.openExchange();
+        if (micros != arrivedMicros && open != null) {
             arrivedMicros = micros;
-            core.requestArrived(responses.exchange(), micros);
+            core.requestArrived(open, micros);
         }
     }
 
--- a/src/main/java/sedgeyoke/proxy/client/ResponseWriter.java
+++ b/src/main/java/sedgeyoke/proxy/client/ResponseWriter.java
@@ -37,6 +37,8 @@
 
     /** The exchange in flight: set when a request is submitted, null once its response begins. */
     private Exchange exchange;
+    /** The exchange whose response is being streamed; null if there is none. */
+    private Exchange streamed;
     /** True from when a request is complete or rejected until its response begins; prevents a second response. */
     private boolean responseDue;
     /** What the client allows after the response; once a streamed response has begun, what was decided. */
@@ -84,6 +86,11 @@
         return exchange;
     }
 
+    /** The exchange whose response is not complete, even if it has begun; null if there is none. */
+    Exchange openExchange() {
+        return exchange != null ? exchange : streamed;
+    }
+
     /** Reserves memory for a request body until the response is written; false if the budget is exhausted. */
     boolean reserveRequestBody(int bytes) {
         return requestBody.tryGrowTo(bytes);
@@ -175,6 +182,7 @@
     public ResponseStream.Sink begin(ResponseStream.Head head, ResponseStream.Source from) {
         responseDue = false;
         responseBody.growTo(Math.max(budget.guaranteedBytes(), from.heldBytes()));
+        streamed = exchange;
         exchange = null;
         source = from;
         readInProgress = false;
@@ -229,6 +237,7 @@
     @Override
     public void end(HttpHeaders trailers) {
         source = null;
+        streamed = null;
         writeLast(ClientResponses.lastContent(trailers), afterResponse);
     }
 
@@ -239,6 +248,7 @@
     @Override
     public void abort() {
         source = null;
+        streamed = null;
         channel.close();
     }
 
@@ -283,6 +293,7 @@
         if (source != null) {
             ResponseStream.Source from = source;
             source = null;
+            streamed = null;
             from.cancel();
         }
     }
--- a/src/test/java/sedgeyoke/proxy/ResponseEndsTest.java
+++ b/src/test/java/sedgeyoke/proxy/ResponseEndsTest.java
@@ -92,6 +92,58 @@
         }
     }
 
+    /** Guards against the same where the response begins before the end of the upload, whose limit is much longer. */
+    @Test
+    void aShortResponseThatBeginsDuringTheUploadEndsWithTheTimeOfItsRequest() throws Exception {
+        int length = 200_000;
+        int rest = 50_000;
+        try (LoopbackServer upstream = new EarlyResponder(length);
+                Loopback lb = Loopback.setup()
+                        .upstream("u", upstream.address())
+                        .bodies(LongBodies.LIMITS)
+                        .start()) {
+            upstream.start();
+            Socket client = lb.connect();
+            String head = LongBodies.upload("a", "order", "Content-Length: " + length);
+            ScriptedServer.write(client, head.replace("X-Budget-Ms: 5000", "X-Budget-Ms: " + BUDGET_MILLIS));
+            client.getOutputStream().write(new byte[length - rest]);
+            InputStream in = client.getInputStream();
+            assertEquals('H', in.read(), "the response has begun");
+            client.getOutputStream().write(new byte[rest]);
+            long start = System.nanoTime();
+            client.setSoTimeout(BUDGET_MILLIS + MAX_LATENESS_MILLIS);
+            String got = new String(in.readAllBytes(), StandardCharsets.US_ASCII);
+            long millis = (System.nanoTime() - start) / 1_000_000;
+            assertTrue(millis <= BUDGET_MILLIS + MAX_LATENESS_MILLIS, "ended after " + millis + " ms");
+            assertTrue(got.startsWith("TTP/1.1 200") && !got.contains("x".repeat(300)), got);
+        }
+    }
+
+    /** Begins its response after the first bytes of a request, and goes on with it in slow pieces. */
+    private static final class EarlyResponder extends LoopbackServer {
+        private final int length;
+
+        EarlyResponder(int length) throws java.io.IOException {
+            this.length = length;
+        }
+
+        @Override
+        void serve(Socket socket) {
+            try (socket) {
+                socket.getInputStream().readNBytes(1_000);
+                ScriptedServer.write(socket, "HTTP/1.1 200 x\r\nContent-Length: 300\r\n\r\n");
+                ScriptedServer.write(socket, "x".repeat(30));
+                socket.getInputStream().readNBytes(length - 1_000);
+                for (int i = 1; i < 10; i++) {
+                    Thread.sleep(PIECE_MILLIS);
+                    ScriptedServer.write(socket, "x".repeat(30));
+                }
+            } catch (java.io.IOException | InterruptedException e) {
+                return; // closed by the balancer, or by the end of the test
+            }
+        }
+    }
+
     /** Guards against cutting off a long response, of which only the first bytes are timed. */
     @ParameterizedTest
     @CsvSource({"true", "false"})
