Release the memory of header fields that belong to no request when the upstream's connection ends

A stray response on an idle connection was counted and never released, so that over time the budget would have been used up.

Change: the end of the connection releases what its decoder has counted.

--- a/src/main/java/sedgeyoke/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/UpstreamConnection.java
@@ -255,6 +255,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         endpoint.removeIdle(this);
         fail(outcomeOfConnectionLoss());
+        headerMemory.release(); // of a response that belongs to no request
     }
 
     /** Checks the write first: it may have succeeded although its listener has not run before the connection broke. */
--- a/src/test/java/sedgeyoke/proxy/UpstreamResponsesTest.java
+++ b/src/test/java/sedgeyoke/proxy/UpstreamResponsesTest.java
@@ -165,4 +165,22 @@
             assertEquals(0.5, policy.ends.get(0).load().utilisation());
         }
     }
+
+    /** Guards against memory that stays reserved for the head of a response that no request asked for. */
+    @Test
+    void aStrayResponseLeavesNoMemoryReserved() throws Exception {
+        java.util.concurrent.CountDownLatch strayed = new java.util.concurrent.CountDownLatch(1);
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
+                    ScriptedServer.reply(socket, 200, "x");
+                    Thread.sleep(50);
+                    ScriptedServer.reply(socket, 200, "stray");
+                    socket.getInputStream().read(); // until the balancer closes the connection
+                    strayed.countDown();
+                });
+                Loopback lb = Loopback.setup().upstream("u", upstream.address()).start()) {
+            assertEquals(200, lb.ask("a", "order", 1_000).status());
+            strayed.await();
+            Loopback.await("all memory is released", () -> lb.budget(b -> b.reservedBytes()) == 0);
+        }
+    }
 }
