The test of a stray response waits with a limit, also if the connection is reset

Need: the test waited without a limit for the upstream to see the end of the connection, which a reset would have skipped; one run of it on the program before was ended by hand after a minute without a result.

What it checks is the same.

--- a/src/test/java/sedgeyoke/proxy/UpstreamResponsesTest.java
+++ b/src/test/java/sedgeyoke/proxy/UpstreamResponsesTest.java
@@ -174,12 +174,15 @@
                     ScriptedServer.reply(socket, 200, "x");
                     Thread.sleep(50);
                     ScriptedServer.reply(socket, 200, "stray");
-                    socket.getInputStream().read(); // until the balancer closes the connection
-                    strayed.countDown();
+                    try {
+                        socket.getInputStream().read(); // until the balancer closes the connection
+                    } finally {
+                        strayed.countDown();
+                    }
                 });
                 Loopback lb = Loopback.setup().upstream("u", upstream.address()).start()) {
             assertEquals(200, lb.ask("a", "order", 1_000).status());
-            strayed.await();
+            Loopback.await("the connection is closed", () -> strayed.getCount() == 0);
             Loopback.await("all memory is released", () -> lb.budget(b -> b.reservedBytes()) == 0);
         }
     }
