Log why each request, attempt and client connection ends, with request id and limit

Change: ExchangeLog writes a line for each attempt that the balancer stops (deadline, cancelled by the policy, abort by the client, end of the process) or that ends without a usable response, for each retry, rejection and failure, with the reason, the request's id and the limit. The policy's reason for not serving a request is logged, too (Actions.unserved; no decision changes). Invalid responses and stalls name request, attempt and upstream; closes of client connections name their limit. Lines about requests have a budget of 20 a second of their own.

--- a/src/main/java/sedgeyoke/policy/LoadBalancingPolicy.java
+++ b/src/main/java/sedgeyoke/policy/LoadBalancingPolicy.java
@@ -82,6 +82,9 @@
         /** Sends a failure as the final response; the request may have run. */
         void fail(String request);
 
+        /** Says, for the log, why the policy sends the rejection or failure that follows. */
+        default void unserved(String request, String reason) {}
+
         /** Cancels an attempt. */
         void cancel(String request, int attempt);
 
--- a/src/main/java/sedgeyoke/policy/RequestCompletion.java
+++ b/src/main/java/sedgeyoke/policy/RequestCompletion.java
@@ -23,6 +23,7 @@
     /** Ends a request that was not served with a rejection if a retry is harmless, else with a failure. */
     void finishUnserved(RequestState request, UnservedReason reason, long nowMicros) {
         request.unservedReason = reason;
+        actions.unserved(request.request.id(), reason.label());
         if (RetryPolicy.mayReject(request)) {
             actions.reject(request.request.id(), 0);
             admission.recordRejection(request, nowMicros);
--- a/src/main/java/sedgeyoke/policy/RequestState.java
+++ b/src/main/java/sedgeyoke/policy/RequestState.java
@@ -29,7 +29,7 @@
     /** Whether a response has started, after which there can be no other attempt. */
     boolean streaming;
 
-    /** Why the request ended without an upstream's response, or null. The reason is neither logged nor in a metric. */
+    /** Why the request ended without an upstream's response, or null. */
     UnservedReason unservedReason;
 
     private int outstanding;
--- a/src/main/java/sedgeyoke/proxy/client/ClientConnection.java
+++ b/src/main/java/sedgeyoke/proxy/client/ClientConnection.java
@@ -11,6 +11,7 @@
 import sedgeyoke.body.BodyLimits;
 import sedgeyoke.proxy.common.HeaderMemory;
 import sedgeyoke.proxy.core.ProxyCore;
+import sedgeyoke.proxy.exchange.Exchange;
 
 /**
  * One client connection: owns its state and passes the events of its channel on. {@link RequestReader} reads the
@@ -113,6 +114,12 @@
         return responses.unwrittenBytes();
     }
 
+    /** For the log: the id of the request that is being received or answered. */
+    String requestId() {
+        Exchange open = responses.openExchange();
+        return open == null ? admission.validatedId() : open.request().id();
+    }
+
     ClientConnectionState state() {
         return state;
     }
--- a/src/main/java/sedgeyoke/proxy/client/ClientConnectionCloser.java
+++ b/src/main/java/sedgeyoke/proxy/client/ClientConnectionCloser.java
@@ -28,6 +28,8 @@
     private final ClientConnections connections;
     private final ClientTimeouts timeouts;
     private final RateLimitedLog log;
+    /** For the log: the connections that the current check has closed because they were idle. */
+    private int idleClosed;
 
     ClientConnectionCloser(ClientConnections connections, ClientTimeouts timeouts, RateLimitedLog log) {
         this.connections = connections;
@@ -39,7 +41,12 @@
 
     /** Rejects requests that arrive too slowly, and closes connections whose state has timed out. */
     void closeTimedOut(long readUntilMicros) {
+        idleClosed = 0;
         connections.copy().forEach(connection -> closeIfTimedOut(connection, readUntilMicros));
+        if (idleClosed > 0) {
+            log.line("closing " + idleClosed + " client connections that were idle for more than "
+                    + timeouts.idleMillis() + " ms");
+        }
     }
 
     private void closeIfTimedOut(ClientConnection connection, long readUntilMicros) {
@@ -54,16 +61,27 @@
         checkProgress(connection, readUntilMicros);
         long elapsedMicros = elapsed(connection, readUntilMicros);
         if (timeouts.mustClose(connection.state(), connection.isIdle(), elapsedMicros)) {
-            if (connection.state() == ClientConnectionState.WRITING) {
-                log.line("a client does not read its response: closing its connection after " + elapsedMicros
-                        + " us without progress, " + connection.unwrittenBytes() + " bytes unwritten");
-            }
+            logTimedOut(connection, elapsedMicros);
             connection.close();
         } else if (timeouts.responseExpired(connection.state(), readUntilMicros - connection.stateEnteredMicros())) {
+            log.line("closing the connection of request " + connection.requestId() + ": its response takes longer than "
+                    + timeouts.maxResponseSeconds() + " s");
             connection.close();
         }
     }
 
+    private void logTimedOut(ClientConnection connection, long elapsedMicros) {
+        if (connection.isIdle()) {
+            idleClosed++;
+        } else if (connection.state() == ClientConnectionState.WRITING) {
+            log.line("a client does not read its response: closing its connection after " + elapsedMicros
+                    + " us without progress, " + connection.unwrittenBytes() + " bytes unwritten, request "
+                    + connection.requestId());
+        } else {
+            log.line("closing a client connection after " + elapsedMicros + " us in state " + connection.state());
+        }
+    }
+
     private void checkProgress(ClientConnection connection, long nowMicros) {
         long sinceLastCheckMicros = nowMicros - connection.progressCheckMicros();
         if (timeouts.mustCheckProgress(connection.state(), elapsed(connection, nowMicros), sinceLastCheckMicros)) {
--- a/src/main/java/sedgeyoke/proxy/client/ClientTimeouts.java
+++ b/src/main/java/sedgeyoke/proxy/client/ClientTimeouts.java
@@ -1,6 +1,7 @@
 package sedgeyoke.proxy.client;
 
 import sedgeyoke.body.BodyLimits;
+import sedgeyoke.proxy.common.TimeUnits;
 
 /**
  * Decides how long a client connection may stay in each state. {@code elapsedMicros} is the time since it entered the
@@ -29,6 +30,16 @@
         this.maxResponseMicros = limits.maxResponseMicros();
     }
 
+    /** For the log: the keep-alive timeout in milliseconds. */
+    long idleMillis() {
+        return IDLE_MICROS / TimeUnits.MICROS_PER_MILLI;
+    }
+
+    /** For the log: the longest time that a client may take to receive a response, in seconds. */
+    long maxResponseSeconds() {
+        return maxResponseMicros / TimeUnits.MICROS_PER_SECOND;
+    }
+
     /** Whether a partly received request must be rejected. */
     boolean requestExpired(long elapsedMicros) {
         return elapsedMicros > REQUEST_MICROS;
--- a/src/main/java/sedgeyoke/proxy/client/IncomingRequest.java
+++ b/src/main/java/sedgeyoke/proxy/client/IncomingRequest.java
@@ -251,10 +251,13 @@
         RequestBody rejected = stopReadingBody();
         if (rejected == null || !rejected.streams()) {
             responses.expectResponse();
-            responses.rejectWithText(rejection.reason(), rejection.text());
+            responses.rejectWithText(rejection.reason(), rejection.text(), admission.validatedId());
         } else {
             Exchange aborted = responses.exchange();
-            responses.rejectWithText(rejection.reason(), rejection.text());
+            String id = aborted == null
+                    ? admission.validatedId()
+                    : aborted.request().id();
+            responses.rejectWithText(rejection.reason(), rejection.text(), id);
             abortStreamedBody(aborted, rejected);
         }
     }
--- a/src/main/java/sedgeyoke/proxy/client/RequestAdmission.java
+++ b/src/main/java/sedgeyoke/proxy/client/RequestAdmission.java
@@ -13,6 +13,9 @@
  * is buffered, and again when its turn has come. Event loop only.
  */
 final class RequestAdmission {
+    /** For the log: a request whose id is not known, such as a health check. */
+    private static final String NO_ID = "without an id";
+
     private final HttpFrontend frontend;
     private final ClientConnections connections;
     private final ProxyCore core;
@@ -63,9 +66,9 @@
         }
         Request request = takeValidated();
         if (connections.mustReject()) {
-            responses.rejectUnsubmitted(RejectionReason.SOCKETS_SCARCE, request.classIndex());
+            responses.rejectUnsubmitted(RejectionReason.SOCKETS_SCARCE, request);
         } else if (core.knows(request.id())) { // another connection has sent this id since the head was validated
-            responses.rejectWithText(RejectionReason.DUPLICATE_ID, RequestParser.DUPLICATE_ID);
+            responses.rejectWithText(RejectionReason.DUPLICATE_ID, RequestParser.DUPLICATE_ID, request.id());
         } else {
             submit(request, head, body, receivedMicros);
         }
@@ -90,12 +93,17 @@
         Request rejected = takeValidated();
         responses.expectResponse();
         if (rejected == null) { // a health check
-            responses.rejectWithText(RejectionReason.BODY_BUDGET_EXHAUSTED, "no memory for the body");
+            responses.rejectWithText(RejectionReason.BODY_BUDGET_EXHAUSTED, "no memory for the body", NO_ID);
         } else {
-            responses.rejectUnsubmitted(RejectionReason.BODY_BUDGET_EXHAUSTED, rejected.classIndex());
+            responses.rejectUnsubmitted(RejectionReason.BODY_BUDGET_EXHAUSTED, rejected);
         }
     }
 
+    /** For the log: the id of the request whose rest is still being received. */
+    String validatedId() {
+        return validated == null ? NO_ID : validated.id();
+    }
+
     private Request takeValidated() {
         Request request = validated;
         validated = null;
--- a/src/main/java/sedgeyoke/proxy/client/ResponseWriter.java
+++ b/src/main/java/sedgeyoke/proxy/client/ResponseWriter.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import sedgeyoke.body.BodyBudget;
 import sedgeyoke.body.BodyReservation;
+import sedgeyoke.policy.LoadBalancingPolicy.Request;
 import sedgeyoke.proxy.common.Transport;
 import sedgeyoke.proxy.core.ProxyCore;
 import sedgeyoke.proxy.exchange.Exchange;
@@ -126,15 +127,21 @@
     }
 
     /** Rejects an invalid or incomplete request with a text for the client, then closes the connection. */
-    void rejectWithText(RejectionReason reason, String text) {
+    void rejectWithText(RejectionReason reason, String text, String id) {
+        core.log()
+                .request(() ->
+                        "request " + id + " rejected with " + reason.status().code() + ": " + text);
         afterResponse = AfterResponse.CLOSE;
         respond(reason.status(), "text/plain", text.getBytes(StandardCharsets.UTF_8), ClientResponses.NO_RETRY_AFTER);
     }
 
     /** Rejects a valid request that is not submitted to the core, then closes the connection. */
-    void rejectUnsubmitted(RejectionReason reason, int classIndex) {
+    void rejectUnsubmitted(RejectionReason reason, Request request) {
+        core.log()
+                .request(() -> "request " + request.id() + " rejected with "
+                        + reason.status().code() + " before it was submitted: " + reason);
         afterResponse = AfterResponse.CLOSE;
-        core.countRejected(classIndex);
+        core.countRejected(request.classIndex());
         rejected(reason, core.defaultRetryAfterMicros());
     }
 
--- a/src/main/java/sedgeyoke/proxy/common/RateLimitedLog.java
+++ b/src/main/java/sedgeyoke/proxy/common/RateLimitedLog.java
@@ -2,11 +2,12 @@
 
 import java.io.PrintStream;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * A log with a limited rate. Each line has a time, in seconds of a monotonic clock, and the name of the process. Lines
- * that peers can cause and lines about our own state have separate budgets of 20 lines per second, so that misbehaving
- * peers can neither cost the time to log them nor hide a change of state. Not thread-safe.
+ * that peers can cause, lines about single requests and lines about our own state have separate budgets of 20 lines per
+ * second, so that misbehaving peers can neither cost the time to log them nor hide a change of state. Not thread-safe.
  */
 public final class RateLimitedLog {
     private static final int MAX_LINES_PER_SECOND = 20;
@@ -15,6 +16,7 @@
     private final String name;
     private final LongSupplier clockMicros;
     private final Budget peerLines = new Budget();
+    private final Budget requestLines = new Budget();
     private final Budget stateLines = new Budget();
 
     /** Writes to {@code out}; the clock returns microseconds. */
@@ -31,15 +33,20 @@
 
     /** Writes a line that a peer can cause, or drops and counts it if there were too many in this second. */
     public void line(String text) {
-        write(peerLines, text);
+        write(peerLines, () -> text);
+    }
+
+    /** Writes a line about the end of one request or attempt; the text is only built if the line is written. */
+    public void request(Supplier<String> text) {
+        write(requestLines, text);
     }
 
     /** Writes a line about a change of our own state; these lines have a separate budget. */
     public void state(String text) {
-        write(stateLines, text);
+        write(stateLines, () -> text);
     }
 
-    private void write(Budget budget, String text) {
+    private void write(Budget budget, Supplier<String> text) {
         long now = clockMicros.getAsLong();
         long second = now / TimeUnits.MICROS_PER_SECOND;
         if (second != budget.second) {
@@ -49,7 +56,7 @@
             budget.startSecond(second);
         }
         if (budget.lines++ < MAX_LINES_PER_SECOND) {
-            print(now, text);
+            print(now, text.get());
         } else {
             budget.dropped++;
         }
--- a/src/main/java/sedgeyoke/proxy/core/PolicyActions.java
+++ b/src/main/java/sedgeyoke/proxy/core/PolicyActions.java
@@ -5,6 +5,7 @@
 import sedgeyoke.proxy.common.RateLimitedLog;
 import sedgeyoke.proxy.discovery.DiscoveryClient;
 import sedgeyoke.proxy.exchange.ExchangeActions;
+import sedgeyoke.proxy.exchange.ExchangeLog;
 import sedgeyoke.proxy.upstream.UpstreamConnectionPool;
 
 /**
@@ -18,6 +19,7 @@
     private final DiscoveryClient discovery;
     private final PolicyTimers timers;
     private final RateLimitedLog log;
+    private final ExchangeLog exchangeLog;
 
     PolicyActions(
             Settings settings,
@@ -25,13 +27,15 @@
             UpstreamConnectionPool pool,
             DiscoveryClient discovery,
             PolicyTimers timers,
-            RateLimitedLog log) {
+            RateLimitedLog log,
+            ExchangeLog exchangeLog) {
         this.settings = settings;
         this.exchanges = exchanges;
         this.pool = pool;
         this.discovery = discovery;
         this.timers = timers;
         this.log = log;
+        this.exchangeLog = exchangeLog;
     }
 
     @Override
@@ -49,6 +53,11 @@
         exchanges.fail(request);
     }
 
+    @Override
+    public void unserved(String request, String reason) {
+        exchangeLog.unserved(request, reason);
+    }
+
     @Override
     public void cancel(String request, int number) {
         exchanges.cancel(request, number);
--- a/src/main/java/sedgeyoke/proxy/core/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/core/ProxyCore.java
@@ -23,6 +23,7 @@
 import sedgeyoke.proxy.exchange.ExchangeCompletion;
 import sedgeyoke.proxy.exchange.ExchangeDeadlines;
 import sedgeyoke.proxy.exchange.ExchangeLifecycle;
+import sedgeyoke.proxy.exchange.ExchangeLog;
 import sedgeyoke.proxy.exchange.ExchangeTable;
 import sedgeyoke.proxy.exchange.PolicyClock;
 import sedgeyoke.proxy.exchange.PolicyEvents;
@@ -114,8 +115,10 @@
         this.initialListBarrier = new InitialListBarrier(loop, log);
         this.table = new ExchangeTable(settings.limits().maxConcurrentRequests());
         this.deadlines = new ExchangeDeadlines(reads, clock, bodies);
-        this.completion = new ExchangeCompletion(clock, settings, events, metrics, table, log);
-        AttemptProgress attempts = new AttemptProgress(clock, settings, events, metrics, table, completion);
+        ExchangeLog exchangeLog = new ExchangeLog(log, clock);
+        this.completion = new ExchangeCompletion(clock, settings, events, metrics, table, exchangeLog);
+        AttemptProgress attempts =
+                new AttemptProgress(clock, settings, events, metrics, table, completion, exchangeLog);
         this.exchanges =
                 new ExchangeLifecycle(clock, events, initialListBarrier, table, deadlines, attempts, completion);
         deadlines.setExpiryHandler(exchanges::expire);
@@ -124,9 +127,9 @@
         this.discovery = createDiscoveryClient(transport);
         this.cordons = new CordonRegistry(clock, events, endpoints, CordonRegistry.createStore(config), log);
         ExchangeActions exchangeActions =
-                new ExchangeActions(reads, clock, settings, table, attempts, completion, pool);
+                new ExchangeActions(reads, clock, settings, table, attempts, completion, pool, exchangeLog);
         PolicyTimers timers = new PolicyTimers(loop, reads, clock, events);
-        PolicyActions actions = new PolicyActions(settings, exchangeActions, pool, discovery, timers, log);
+        PolicyActions actions = new PolicyActions(settings, exchangeActions, pool, discovery, timers, log, exchangeLog);
         events.connect(
                 policy.apply(actions), exchange -> completion.endUnanswered(exchange, RejectionReason.POLICY_FAULT));
     }
--- a/src/main/java/sedgeyoke/proxy/exchange/Attempt.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/Attempt.java
@@ -30,6 +30,9 @@
     boolean written;
 
     boolean ended;
+    /** Whether the balancer has stopped the attempt. */
+    boolean stopped;
+
     private boolean deferredUntilRead;
     /**
      * Earliest time at which the upstream can have the complete request: the start of the attempt, or the write of the
--- a/src/main/java/sedgeyoke/proxy/exchange/AttemptProgress.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/AttemptProgress.java
@@ -17,6 +17,7 @@
     private final RequestMetrics metrics;
     private final ExchangeTable table;
     private final ExchangeCompletion completion;
+    private final ExchangeLog log;
 
     /** Creates the listener for all attempts of one balancer. */
     public AttemptProgress(
@@ -25,13 +26,15 @@
             PolicyEvents events,
             RequestMetrics metrics,
             ExchangeTable table,
-            ExchangeCompletion completion) {
+            ExchangeCompletion completion,
+            ExchangeLog log) {
         this.clock = clock;
         this.settings = settings;
         this.events = events;
         this.metrics = metrics;
         this.table = table;
         this.completion = completion;
+        this.log = log;
     }
 
     // ---- Ending attempts early -----------------------------------------------------------------------
@@ -43,7 +46,7 @@
     void timeOutAll(Exchange exchange) {
         for (Attempt attempt : List.copyOf(exchange.attempts)) {
             if (!attempt.ended && !attempt.outlastsDeadline()) {
-                stop(attempt, AttemptOutcomes.afterTimeout(attempt));
+                stop(attempt, AttemptOutcomes.afterTimeout(attempt), StopReason.DEADLINE);
             }
         }
     }
@@ -51,12 +54,14 @@
     /** Handles the timeout of a single attempt, which ends unless its response is being streamed. */
     void timeOut(Attempt attempt) {
         if (!attempt.ended && !attempt.isResponseStreaming()) {
-            stop(attempt, AttemptOutcomes.afterTimeout(attempt));
+            stop(attempt, AttemptOutcomes.afterTimeout(attempt), StopReason.ATTEMPT_TIMEOUT);
         }
     }
 
     /** Ends an attempt that has not ended; its connection is closed if its request was written to one. */
-    public void stop(Attempt attempt, Outcome outcome) {
+    void stop(Attempt attempt, Outcome outcome, StopReason reason) {
+        log.stopped(attempt, outcome, reason);
+        attempt.stopped = true;
         AttemptConnection connection = attempt.connection;
         if (connection != null && connection.carries(attempt)) {
             connection.stop(outcome);
@@ -141,6 +146,9 @@
         attempt.ended = true;
         metrics.attemptEnded(outcome);
         attempt.mayHaveRun = !outcome.neverRan;
+        if (outcome != Outcome.OK && outcome != Outcome.NOT_SENT && !attempt.stopped) {
+            log.ended(attempt, outcome);
+        }
         if (attempt.timeoutTimer != null) {
             attempt.timeoutTimer.cancel();
         }
--- a/src/main/java/sedgeyoke/proxy/exchange/ExchangeActions.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ExchangeActions.java
@@ -16,6 +16,7 @@
     private final AttemptProgress attempts;
     private final ExchangeCompletion completion;
     private final AttemptStarter starter;
+    private final ExchangeLog log;
 
     /**
      * Creates the actions; {@code starter} sends attempts, and {@code reads} delays their timeouts until pending input
@@ -28,7 +29,8 @@
             ExchangeTable table,
             AttemptProgress attempts,
             ExchangeCompletion completion,
-            AttemptStarter starter) {
+            AttemptStarter starter,
+            ExchangeLog log) {
         this.reads = reads;
         this.clock = clock;
         this.settings = settings;
@@ -36,6 +38,7 @@
         this.attempts = attempts;
         this.completion = completion;
         this.starter = starter;
+        this.log = log;
     }
 
     /** Starts an attempt at an upstream; {@code timeoutMicros} is 0 if it may wait as long as the exchange. */
@@ -59,6 +62,9 @@
         if (deadlineMicros < exchange.deadlineMicros) {
             attempt.timeoutTimer = reads.schedule(() -> attempts.timeOut(attempt), deadlineMicros - nowMicros);
         }
+        if (number > 0) {
+            log.retried(attempt);
+        }
         starter.start(attempt);
     }
 
@@ -86,7 +92,7 @@
         if (exchange != null) {
             Attempt attempt = exchange.attempts.get(number);
             if (!attempt.ended) {
-                attempts.stop(attempt, Outcome.CANCELLED);
+                attempts.stop(attempt, Outcome.CANCELLED, StopReason.POLICY_CANCELLED);
             }
         }
     }
--- a/src/main/java/sedgeyoke/proxy/exchange/ExchangeCompletion.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ExchangeCompletion.java
@@ -1,7 +1,6 @@
 package sedgeyoke.proxy.exchange;
 
 import sedgeyoke.policy.LoadBalancingPolicy.Settings;
-import sedgeyoke.proxy.common.RateLimitedLog;
 
 /**
  * Gives each exchange its one response, or none if the client has disconnected. Only this class marks an exchange as
@@ -27,7 +26,7 @@
     private final PolicyEvents events;
     private final RequestMetrics metrics;
     private final ExchangeTable table;
-    private final RateLimitedLog log;
+    private final ExchangeLog log;
 
     /** Creates the completion for all exchanges of one balancer. */
     public ExchangeCompletion(
@@ -36,7 +35,7 @@
             PolicyEvents events,
             RequestMetrics metrics,
             ExchangeTable table,
-            RateLimitedLog log) {
+            ExchangeLog log) {
         this.clock = clock;
         this.settings = settings;
         this.events = events;
@@ -72,6 +71,7 @@
     /** Responds that the request was not executed; {@code retryAfterMicros} as the policy advises, 0 for no advice. */
     void reject(Exchange exchange, RejectionReason reason, long retryAfterMicros) {
         if (markAnswered(exchange, RequestMetrics.End.REJECTED)) {
+            log.rejected(exchange, reason);
             exchange.reply.rejected(reason, retryAfterMicros(retryAfterMicros));
         }
     }
@@ -79,6 +79,7 @@
     /** Responds that the request failed; it may have been executed or not. */
     public void fail(Exchange exchange) {
         if (markAnswered(exchange, RequestMetrics.End.FAILED)) {
+            log.failed(exchange);
             exchange.reply.failed();
         }
     }
@@ -91,7 +92,7 @@
         if (exchange.answered) {
             return;
         }
-        log.line("request answered without a decision of the policy: " + exchange.request.id());
+        log.answeredWithoutPolicy(exchange, reason);
         if (exchange.mayHaveRun()) {
             fail(exchange);
         } else {
--- a/src/main/java/sedgeyoke/proxy/exchange/ExchangeLifecycle.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ExchangeLifecycle.java
@@ -89,7 +89,7 @@
         if (completion.failWithoutResponse(exchange)) {
             for (Attempt attempt : List.copyOf(exchange.attempts)) {
                 if (!attempt.ended) {
-                    attempts.stop(attempt, AttemptOutcomes.afterClientAbort(attempt));
+                    attempts.stop(attempt, AttemptOutcomes.afterClientAbort(attempt), StopReason.CLIENT_ABORT);
                 }
             }
             completion.notifyClientDisconnected(exchange);
@@ -105,7 +105,7 @@
         for (Exchange exchange : table.copy()) {
             for (Attempt attempt : List.copyOf(exchange.attempts)) {
                 if (!attempt.ended) {
-                    attempts.stop(attempt, AttemptOutcomes.afterShutdown(attempt));
+                    attempts.stop(attempt, AttemptOutcomes.afterShutdown(attempt), StopReason.SHUTDOWN);
                 }
             }
             completion.endUnanswered(exchange, RejectionReason.SHUTDOWN_BEFORE_RESPONSE);
--- a/src/main/java/sedgeyoke/proxy/upstream/ResponseReceiver.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/ResponseReceiver.java
@@ -74,7 +74,7 @@
             return;
         }
         if (!connection.hasAttempt() || hasResponse() || isStreamComplete()) {
-            channel.close(); // a second response to one request
+            connection.closeForStrayInput("a second response to one request, or one to none");
             return;
         }
         head = received;
@@ -89,7 +89,7 @@
             return;
         }
         if (!connection.hasAttempt()) {
-            channel.close();
+            connection.closeForStrayInput("a part of a response whose request has ended");
             return;
         }
         ByteBuf part = content.content();
--- a/src/main/java/sedgeyoke/proxy/upstream/ResponseStallGuard.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/ResponseStallGuard.java
@@ -1,6 +1,7 @@
 package sedgeyoke.proxy.upstream;
 
 import io.netty.channel.Channel;
+import sedgeyoke.proxy.common.TimeUnits;
 import sedgeyoke.proxy.exchange.Attempt;
 
 /**
@@ -48,7 +49,8 @@
         if (leftMicros > 0) {
             scheduleCheck(attempt, channel, leftMicros);
         } else {
-            connection.failInvalidResponse("the response stalled");
+            connection.failInvalidResponse(
+                    "the response stalled, limit " + maxStallMicros / TimeUnits.MICROS_PER_MILLI + " ms");
         }
     }
 }
--- a/src/main/java/sedgeyoke/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/UpstreamConnection.java
@@ -189,7 +189,7 @@
         } else if (receiver.hasResponse()) {
             deliverResponse();
         } else if (!hasAttempt()) {
-            ctx.close(); // input that belongs to no request
+            closeForStrayInput("input that belongs to no request");
         } else {
             receiver.readCompleted(currentAttempt);
         }
@@ -285,11 +285,25 @@
      * must not be read as the next response.
      */
     void failInvalidResponse(Object reason) {
-        context.log().line("invalid response from an upstream: " + reason);
+        context.log().line("invalid response from an upstream: " + reason + describeAttempt());
         channel.close();
         fail(Outcome.ERROR);
     }
 
+    /** For the log: the attempt that the connection carries, if any. */
+    private String describeAttempt() {
+        return hasAttempt()
+                ? ", request " + currentAttempt.exchange().request().id() + " attempt " + currentAttempt.number()
+                        + " at " + currentAttempt.upstream()
+                : ", " + channel.remoteAddress() + " carries no request";
+    }
+
+    /** Closes the connection because of input that belongs to no request. */
+    void closeForStrayInput(String input) {
+        context.log().line("closing the connection to an upstream: " + input + describeAttempt());
+        channel.close();
+    }
+
     /** Ends the current attempt, if any. A complete response that was read before stays valid and is delivered. */
     void fail(Outcome outcome) {
         if (receiver.hasResponse()) {
--- a/src/test/java/sedgeyoke/proxy/SlowLongResponsesTest.java
+++ b/src/test/java/sedgeyoke/proxy/SlowLongResponsesTest.java
@@ -1,6 +1,7 @@
 package sedgeyoke.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -105,6 +106,23 @@
         assertAllComplete(plans, SHORT_BUDGET_MILLIS);
     }
 
+    /** Guards against responses that are cut off without a line that says which limit did it. */
+    @Test
+    void theLogNamesTheRequestAndTheLimitThatEndedItsResponse() throws Exception {
+        Plan trickle = new Plan(Framing.CHUNKED, SERVICE_MILLIS, 600, 30, 30, 100);
+        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> trickle.write(socket));
+                ScriptedServer discovery = discovery(upstream);
+                BalancerProcess balancer = start(upstream, discovery)) {
+            balancer.awaitHealthy();
+            String end = fetch(balancer.port(), "trickle", trickle, BUDGET_MILLIS);
+            assertTrue(!end.equals("complete"), end);
+            Loopback.await(
+                    "the limit is logged",
+                    () -> balancer.hasLogged(
+                            "request trickle attempt 0 at u stopped as TIMEOUT: deadline of the request, limit"));
+        }
+    }
+
     private void assertAllComplete(Map<String, Plan> plans, int budgetMillis) throws Exception {
         ExecutorService clients = Executors.newCachedThreadPool();
         try (ScriptedServer upstream = new ScriptedServer((request, socket) ->
