Decide on a response of unknown length as late as a short one allows, by how it has arrived

Callers saw: responses of more than 100 kB, chunked or until the connection's close, cut off at the time of their request while their upstream was still writing.

Cause: the deadline of the request ended each streamed response of which at most 64 KiB were known. Without a declared length that is what has arrived, so a response was taken for a short one because it was slow.

Change: ResponseDeadline decides. A response that declares at most 64 KiB ends with the time of its request, as before, and one of more than 64 KiB goes on.

--- a/src/main/java/sedgeyoke/body/BodyLimits.java
+++ b/src/main/java/sedgeyoke/body/BodyLimits.java
@@ -35,8 +35,6 @@
     private static final int MAX_STREAMED_READ_BYTES = 64 * KIB;
     /** Small, as the kernel's buffers keep a connection busy while the balancer reads more. */
     private static final int MAX_UNWRITTEN_BYTES = 8 * KIB;
-    /** The longest response whose last byte must arrive within the time of its request (DAYS, "Size"). */
-    private static final int MAX_TIMED_RESPONSE_BYTES = 64 * KIB;
 
     private static final long MAX_RESPONSE_MICROS = 3_600 * MICROS_PER_SECOND;
     /** The default of the HTTP/1.1 decoders. */
@@ -72,15 +70,6 @@
             34 * MIB,
             0);
 
-    /**
-     * Whether only the first bytes of a response are timed by the deadline of its request, because it is long.
-     *
-     * @param knownBytes the declared length; without one, the bytes that have arrived
-     */
-    public static boolean exceedsTimedLength(long knownBytes) {
-        return knownBytes > MAX_TIMED_RESPONSE_BYTES;
-    }
-
     /** Returns the longest time in microseconds that a client may take to receive a response, whatever its progress. */
     public long maxResponseMicros() {
         return Math.max(MAX_RESPONSE_MICROS, maxUploadMicros);
--- a/src/main/java/sedgeyoke/proxy/exchange/Attempt.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/Attempt.java
@@ -1,7 +1,7 @@
 package sedgeyoke.proxy.exchange;
 
-import sedgeyoke.body.BodyLimits;
 import sedgeyoke.body.PartialRequestPolicy.BodyProgress;
+import sedgeyoke.body.ResponseDeadline;
 import sedgeyoke.proxy.common.ReadBarrier;
 
 /**
@@ -112,9 +112,11 @@
         return streamedResponse != null;
     }
 
-    /** Whether the deadline of the exchange does not end the attempt: a long response has begun. */
-    boolean outlastsDeadline() {
-        return isResponseStreaming() && BodyLimits.exceedsTimedLength(streamedResponse.knownBytes());
+    /** What the deadline of the exchange does to the attempt. */
+    ResponseDeadline.Decision atDeadline() {
+        return isResponseStreaming()
+                ? ResponseDeadline.atDeadline(streamedResponse.progress())
+                : ResponseDeadline.Decision.END;
     }
 
     /** Whether the first part of a streamed or slow response has arrived. */
--- a/src/main/java/sedgeyoke/proxy/exchange/AttemptProgress.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/AttemptProgress.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import sedgeyoke.body.PartialRequestPolicy;
+import sedgeyoke.body.ResponseDeadline;
 import sedgeyoke.policy.LoadBalancingPolicy;
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 import sedgeyoke.policy.LoadBalancingPolicy.Settings;
@@ -41,16 +42,33 @@
 
     /**
      * Times out all attempts of an exchange whose deadline is near. A streamed response ends, too, so that its client
-     * can tell that it is incomplete, unless it is so long that only its first bytes are timed.
+     * can tell that it is incomplete, unless it is or may be so long that only its first bytes are timed.
      */
     void timeOutAll(Exchange exchange) {
         for (Attempt attempt : List.copyOf(exchange.attempts)) {
-            if (!attempt.ended && !attempt.outlastsDeadline()) {
+            if (!attempt.ended && attempt.atDeadline() == ResponseDeadline.Decision.END) {
                 stop(attempt, AttemptOutcomes.afterTimeout(attempt), StopReason.DEADLINE);
             }
         }
     }
 
+    /** Whether an attempt of the exchange has a response on which the deadline of the exchange has not decided. */
+    static boolean mustDecideLater(Exchange exchange) {
+        return exchange.attempts.stream()
+                .anyMatch(attempt -> !attempt.ended && attempt.atDeadline() == ResponseDeadline.Decision.DECIDE_LATER);
+    }
+
+    /** Decides on the responses that {@link #timeOutAll} has left open: ends those that are not known to be long. */
+    void timeOutUndecided(Exchange exchange) {
+        for (Attempt attempt : List.copyOf(exchange.attempts)) {
+            if (!attempt.ended
+                    && attempt.isResponseStreaming()
+                    && ResponseDeadline.endsAfterGrace(attempt.streamedResponse.progress())) {
+                stop(attempt, AttemptOutcomes.afterTimeout(attempt), StopReason.GRACE_PERIOD);
+            }
+        }
+    }
+
     /** Handles the timeout of a single attempt, which ends unless its response is being streamed. */
     void timeOut(Attempt attempt) {
         if (!attempt.ended && !attempt.isResponseStreaming()) {
--- a/src/main/java/sedgeyoke/proxy/exchange/ExchangeDeadlines.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ExchangeDeadlines.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 import sedgeyoke.body.BodyLimits;
+import sedgeyoke.body.ResponseDeadline;
 import sedgeyoke.body.UploadArrival;
 import sedgeyoke.proxy.common.ReadBarrier;
 
@@ -86,6 +87,12 @@
         startTimer(exchange, exchange.deadlineMicros - clock.now());
     }
 
+    /** Runs {@code handler} at the end of the time that a response of unknown length has after the deadline. */
+    void startGracePeriod(Exchange exchange, Runnable handler) {
+        long leftMicros = exchange.deadlineMicros + ResponseDeadline.GRACE_MICROS - clock.now();
+        exchange.deadlineTimer = reads.schedule(handler, leftMicros);
+    }
+
     private void startTimer(Exchange exchange, long leftMicros) {
         exchange.deadlineTimer =
                 reads.schedule(() -> expiryHandler.accept(exchange), leftMicros - RESPONSE_TRANSIT_MICROS);
--- a/src/main/java/sedgeyoke/proxy/exchange/ExchangeLifecycle.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ExchangeLifecycle.java
@@ -80,6 +80,9 @@
         completion.endUnanswered(exchange, RejectionReason.DEADLINE_NEAR);
         // The policy may have reacted with a new attempt, which nothing else would end.
         attempts.timeOutAll(exchange);
+        if (AttemptProgress.mustDecideLater(exchange)) {
+            deadlines.startGracePeriod(exchange, () -> attempts.timeOutUndecided(exchange));
+        }
     }
 
     /**
--- a/src/main/java/sedgeyoke/proxy/exchange/ExchangeLog.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ExchangeLog.java
@@ -84,7 +84,7 @@
 
     private static String response(Attempt attempt) {
         return attempt.isResponseStreaming()
-                ? ", " + attempt.streamedResponse.knownBytes() + " bytes of its response known"
+                ? ", " + attempt.streamedResponse.progress().knownBytes() + " bytes of its response known"
                 : "";
     }
 
--- a/src/main/java/sedgeyoke/proxy/exchange/ResponseStream.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ResponseStream.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
+import sedgeyoke.body.ResponseProgress;
 
 /** The interfaces of a response that is forwarded while it is received, independent of the protocol. */
 public final class ResponseStream {
@@ -23,8 +24,8 @@
         /** The memory in bytes that is held for the response when it begins, including the read in progress. */
         long heldBytes();
 
-        /** The declared length of the response in bytes; without one, how much of it has arrived. */
-        long knownBytes();
+        /** How much of the response is known. */
+        ResponseProgress progress();
 
         /** Cancels the response, as the client has disconnected or reads too slowly. */
         void cancel();
--- a/src/main/java/sedgeyoke/proxy/exchange/StopReason.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/StopReason.java
@@ -4,6 +4,8 @@
 enum StopReason {
     /** The time of the request is over. */
     DEADLINE("deadline of the request"),
+    /** The time of the request and half a second more are over, and its response of unknown length seems short. */
+    GRACE_PERIOD("deadline of the request and grace period of a response of unknown length"),
     /** The timeout that the policy has set for this attempt is over. */
     ATTEMPT_TIMEOUT("timeout of the attempt"),
     /** The policy needs the attempt no longer. */
--- a/src/main/java/sedgeyoke/proxy/upstream/ResponseForwarder.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/ResponseForwarder.java
@@ -4,7 +4,8 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import sedgeyoke.body.ResponseProgress;
 import sedgeyoke.proxy.exchange.ReadOverflowBuffer;
 import sedgeyoke.proxy.exchange.ResponseStream;
 
@@ -16,7 +17,7 @@
     private final UpstreamConnection connection;
     private final UpstreamContext context;
     private final ResponseStallGuard stallGuard;
-    private final LongSupplier knownBytes;
+    private final Supplier<ResponseProgress> progress;
     /** What arrived after the client asked for a pause. */
     private final ReadOverflowBuffer overflow;
 
@@ -30,16 +31,16 @@
     /** The memory that was held for the response when its streaming began. */
     private long heldBytes;
 
-    /** {@code knownBytes} returns the length of the response as far as it is known. */
+    /** {@code progress} returns how much of the response is known. */
     ResponseForwarder(
             UpstreamConnection connection,
             UpstreamContext context,
             ResponseStallGuard stallGuard,
-            LongSupplier knownBytes) {
+            Supplier<ResponseProgress> progress) {
         this.connection = connection;
         this.context = context;
         this.stallGuard = stallGuard;
-        this.knownBytes = knownBytes;
+        this.progress = progress;
         this.overflow = new ReadOverflowBuffer(context.bodies().maxSocketReadBytes());
     }
 
@@ -119,8 +120,8 @@
     }
 
     @Override
-    public long knownBytes() {
-        return knownBytes.getAsLong();
+    public ResponseProgress progress() {
+        return progress.get();
     }
 
     @Override
--- a/src/main/java/sedgeyoke/proxy/upstream/ResponseReceiver.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/ResponseReceiver.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import sedgeyoke.body.BodyReservation;
+import sedgeyoke.body.ResponseProgress;
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 import sedgeyoke.proxy.exchange.Attempt;
 import sedgeyoke.proxy.exchange.AttemptOutcomes;
@@ -29,6 +30,8 @@
     /** The largest read while a response is not streamed. */
     private static final int MAX_BUFFERING_READ_BYTES = 8 << 10;
 
+    private static final long UNKNOWN_LENGTH = -1;
+
     private final UpstreamConnection connection;
     private final UpstreamContext context;
     private final BodyAccumulator buffered;
@@ -49,6 +52,9 @@
     /** Whether the upstream closes the connection after the response read last. */
     private boolean closesConnection;
 
+    /** When the head of the response was read. */
+    private long headMicros;
+
     private long bodyBytes;
     /** A response that was buffered completely and not yet handed over; null if there is none. */
     private UpstreamResponse response;
@@ -59,7 +65,7 @@
         this.buffered = new BodyAccumulator(context.maxBufferedBytes());
         this.reservation = context.bodyBudget().newReservation();
         this.stallGuard = new ResponseStallGuard(connection, context);
-        this.forwarder = new ResponseForwarder(connection, context, stallGuard, this::knownBytes);
+        this.forwarder = new ResponseForwarder(connection, context, stallGuard, this::progress);
     }
 
     void attach(Channel connected) {
@@ -79,6 +85,7 @@
         }
         head = received;
         closesConnection = !HttpUtil.isKeepAlive(received);
+        headMicros = context.nowMicros();
         bodyBytes = 0;
         buffered.clear();
     }
@@ -166,7 +173,7 @@
             return false;
         }
         ResponseStream.Head streamedHead = new ResponseStream.Head(
-                head.headers().get(HttpHeaderNames.CONTENT_TYPE), HttpUtil.getContentLength(head, -1L));
+                head.headers().get(HttpHeaderNames.CONTENT_TYPE), HttpUtil.getContentLength(head, UNKNOWN_LENGTH));
         long heldBytes = reservation.bytes() + MAX_BUFFERING_READ_BYTES; // the read in progress may be copied
         if (!forwarder.start(streamedHead, heldBytes)) { // the exchange has a response of another attempt
             channel.close();
@@ -178,8 +185,11 @@
         return true;
     }
 
-    private long knownBytes() {
-        return head == null ? bodyBytes : HttpUtil.getContentLength(head, bodyBytes);
+    private ResponseProgress progress() {
+        long declaredBytes = head == null ? bodyBytes : HttpUtil.getContentLength(head, UNKNOWN_LENGTH);
+        long elapsedMicros = context.nowMicros() - headMicros;
+        return new ResponseProgress(
+                declaredBytes, bodyBytes, elapsedMicros, !channel.config().isAutoRead());
     }
 
     private boolean isSuccessful() {
--- a/src/test/java/sedgeyoke/proxy/SlowLongResponsesTest.java
+++ b/src/test/java/sedgeyoke/proxy/SlowLongResponsesTest.java
@@ -119,7 +119,7 @@
             Loopback.await(
                     "the limit is logged",
                     () -> balancer.hasLogged(
-                            "request trickle attempt 0 at u stopped as TIMEOUT: deadline of the request, limit"));
+                            "request trickle attempt 0 at u stopped as TIMEOUT: deadline of the request"));
         }
     }
 
