Stream a response that may be long at once if the time of its request is nearly over

Callers saw: 502 in place of a response of 150 kB whose first bytes came 0.1 s before the time of the request and which paused then, also with a declared length.

Cause: a response is buffered for 0.1 s after its first pause, so that its request can be sent again if it breaks. So a long response that had begun within the last 0.1 s was thrown away.

Change: a response that is long or declares no length is streamed at its first pause if less than 0.2 s are left. One that is known to be short is buffered as before.

--- a/src/main/java/sedgeyoke/proxy/upstream/ResponseReceiver.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/ResponseReceiver.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import sedgeyoke.body.BodyReservation;
+import sedgeyoke.body.ResponseDeadline;
 import sedgeyoke.body.ResponseProgress;
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 import sedgeyoke.proxy.exchange.Attempt;
@@ -218,10 +219,20 @@
                                 startStreaming();
                             }
                         },
-                        MAX_BUFFERING_MICROS,
+                        bufferingMicros(attempt),
                         TimeUnit.MICROSECONDS);
     }
 
+    /**
+     * How long the response is buffered. One that may be long is streamed at once if its request has little time left:
+     * once that is over, a response that is not being streamed is replaced by a failure.
+     */
+    private long bufferingMicros(Attempt attempt) {
+        long leftMicros = attempt.deadlineMicros() - context.nowMicros();
+        boolean endsSoon = leftMicros < 2 * MAX_BUFFERING_MICROS;
+        return endsSoon && ResponseDeadline.mayBeLong(progress()) ? 0 : MAX_BUFFERING_MICROS;
+    }
+
     private boolean isBuffering() {
         return head != null && !forwarder.isStreaming() && !hasResponse();
     }
