Stream a slow response whose head has come in two parts, too

Callers saw: 502 or 503 at the time of their request in place of a long response, whatever its framing, if its head reached the balancer in more than one read.

Cause: the timer that streams a slow response was set at the first pause of the attempt's input. If that pause fell into the head, there was no response yet to be streamed and the timer was never set again: the response was buffered until its time was over.

Change: the timer is set at the first pause after the head. The guard against stalls still counts from the first byte.

The tests use an upstream for each request, as a queued request has less time left.

--- a/src/main/java/sedgeyoke/proxy/upstream/ResponseReceiver.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/ResponseReceiver.java
@@ -56,6 +56,9 @@
     /** When the head of the response was read. */
     private long headMicros;
 
+    /** Whether the response has paused since its head was complete. */
+    private boolean paused;
+
     private long bodyBytes;
     /** A response that was buffered completely and not yet handed over; null if there is none. */
     private UpstreamResponse response;
@@ -87,6 +90,7 @@
         head = received;
         closesConnection = !HttpUtil.isKeepAlive(received);
         headMicros = context.nowMicros();
+        paused = false;
         bodyBytes = 0;
         buffered.clear();
     }
@@ -201,8 +205,9 @@
     void readCompleted(Attempt attempt) {
         stallGuard.recordRead();
         forwarder.readCompleted();
-        boolean firstPause = stallGuard.guard(attempt, channel);
-        if (firstPause && context.bodies().streaming() && head != null && isSuccessful()) {
+        stallGuard.guard(attempt, channel);
+        if (!paused && context.bodies().streaming() && head != null && isSuccessful()) {
+            paused = true;
             context.listener().responseStarted(attempt);
             streamIfSlow(attempt);
         }
--- a/src/main/java/sedgeyoke/proxy/upstream/ResponseStallGuard.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/ResponseStallGuard.java
@@ -25,14 +25,12 @@
         lastReadMicros = context.nowMicros();
     }
 
-    /** Begins to guard the response of an attempt; false if it is already guarded. */
-    boolean guard(Attempt attempt, Channel channel) {
-        if (guarded == attempt) {
-            return false;
+    /** Begins to guard the response of an attempt; no effect if it is already guarded. */
+    void guard(Attempt attempt, Channel channel) {
+        if (guarded != attempt) {
+            guarded = attempt;
+            scheduleCheck(attempt, channel, context.maxResponseStallMicros());
         }
-        guarded = attempt;
-        scheduleCheck(attempt, channel, context.maxResponseStallMicros());
-        return true;
     }
 
     private void scheduleCheck(Attempt attempt, Channel channel, long delayMicros) {
--- a/src/test/java/sedgeyoke/proxy/SlowLongResponsesTest.java
+++ b/src/test/java/sedgeyoke/proxy/SlowLongResponsesTest.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,7 +25,9 @@
 class SlowLongResponsesTest {
     private static final int BUDGET_MILLIS = 500;
     private static final int SHORT_BUDGET_MILLIS = 300;
+    private static final String STATUS_LINE = "HTTP/1.1 200 x\r\n";
     private static final int SERVICE_MILLIS = 100;
+    private static final int HEAD_PAUSE_MILLIS = 50;
     /** With {@link #SHORT_BUDGET_MILLIS}, less time is left than a response may be buffered for. */
     private static final int LATE_SERVICE_MILLIS = 200;
 
@@ -46,22 +49,43 @@
         }
     }
 
-    /** A response of {@code bytes} in pieces, the first one of {@code firstBytes}, with a pause after each. */
+    /**
+     * A response in pieces.
+     *
+     * @param serviceMillis the time until its first byte
+     * @param headPauseMillis the pause within its head
+     * @param bytes the length of its body
+     * @param firstBytes the length of the first piece of the body
+     * @param pieceBytes the length of the others
+     * @param pauseMillis the pause after each piece
+     */
     private record Plan(
-            Framing framing, int serviceMillis, int bytes, int firstBytes, int pieceBytes, int pauseMillis) {
+            Framing framing,
+            int serviceMillis,
+            int headPauseMillis,
+            int bytes,
+            int firstBytes,
+            int pieceBytes,
+            int pauseMillis) {
+        Plan(Framing framing, int serviceMillis, int bytes, int firstBytes, int pieceBytes, int pauseMillis) {
+            this(framing, serviceMillis, 0, bytes, firstBytes, pieceBytes, pauseMillis);
+        }
+
         byte[] content() {
             return LongBodies.bytes(bytes);
         }
 
-        String head() {
-            return "HTTP/1.1 200 x\r\n" + framing.field + (framing == Framing.DECLARED ? bytes : "") + "\r\n\r\n";
+        String headFields() {
+            return framing.field + (framing == Framing.DECLARED ? bytes : "") + "\r\n\r\n";
         }
 
         void write(Socket socket) throws IOException, InterruptedException {
             Thread.sleep(serviceMillis);
             byte[] content = content();
             OutputStream out = socket.getOutputStream();
-            out.write(head().getBytes(StandardCharsets.ISO_8859_1));
+            out.write(STATUS_LINE.getBytes(StandardCharsets.ISO_8859_1));
+            Thread.sleep(headPauseMillis);
+            out.write(headFields().getBytes(StandardCharsets.ISO_8859_1));
             for (int at = 0, length = firstBytes; at < bytes; at += length, length = pieceBytes) {
                 if (at > 0) {
                     Thread.sleep(pauseMillis);
@@ -106,29 +130,39 @@
         assertAllComplete(plans, SHORT_BUDGET_MILLIS);
     }
 
+    /** Guards against buffering a response until its time is over because its head has come in two parts. */
+    @Test
+    void longResponsesWhoseHeadComesInPiecesAreForwarded() throws Exception {
+        Map<String, Plan> plans = new LinkedHashMap<>();
+        for (Framing framing : Framing.values()) {
+            plans.put(
+                    framing + "-head", new Plan(framing, SERVICE_MILLIS, HEAD_PAUSE_MILLIS, 120_000, 2_000, 2_000, 50));
+        }
+        assertAllComplete(plans, BUDGET_MILLIS);
+    }
+
     /** Guards against responses that are cut off without a line that says which limit did it. */
     @Test
     void theLogNamesTheRequestAndTheLimitThatEndedItsResponse() throws Exception {
         Plan trickle = new Plan(Framing.CHUNKED, SERVICE_MILLIS, 600, 30, 30, 100);
-        try (ScriptedServer upstream = new ScriptedServer((request, socket) -> trickle.write(socket));
-                ScriptedServer discovery = discovery(upstream);
-                BalancerProcess balancer = start(upstream, discovery)) {
+        try (Upstreams upstreams = new Upstreams(1, (request, socket) -> trickle.write(socket));
+                BalancerProcess balancer = start(upstreams)) {
             balancer.awaitHealthy();
             String end = fetch(balancer.port(), "trickle", trickle, BUDGET_MILLIS);
             assertTrue(!end.equals("complete"), end);
             Loopback.await(
                     "the limit is logged",
                     () -> balancer.hasLogged(
-                            "request trickle attempt 0 at u stopped as TIMEOUT: deadline of the request"));
+                            "request trickle attempt 0 at u0 stopped as TIMEOUT: deadline of the request"));
         }
     }
 
     private void assertAllComplete(Map<String, Plan> plans, int budgetMillis) throws Exception {
         ExecutorService clients = Executors.newCachedThreadPool();
-        try (ScriptedServer upstream = new ScriptedServer((request, socket) ->
-                        plans.get(request.headers().get("x-call-id")).write(socket));
-                ScriptedServer discovery = discovery(upstream);
-                BalancerProcess balancer = start(upstream, discovery)) {
+        try (Upstreams upstreams = new Upstreams(plans.size(), (request, socket) -> plans.get(
+                                request.headers().get("x-call-id"))
+                        .write(socket));
+                BalancerProcess balancer = start(upstreams)) {
             balancer.awaitHealthy();
             Map<String, CompletableFuture<String>> results = new TreeMap<>();
             plans.forEach((id, plan) -> results.put(
@@ -157,19 +191,37 @@
         }
     }
 
-    private static ScriptedServer discovery(ScriptedServer upstream) throws IOException {
-        String list = Loopback.list(1, true, Loopback.member("u", upstream.address(), "up"));
-        return new ScriptedServer((request, socket) -> {
-            if (!request.line().contains("from=")) { // otherwise no changes: the watch waits until it is closed
-                ScriptedServer.reply(socket, 200, list);
-            }
-        });
+    private BalancerProcess start(Upstreams upstreams) throws IOException {
+        String discovery = upstreams.discovery.address() + "\",\"ops\":\"127.0.0.1:0";
+        byte[] config = Loopback.configText(Loopback.SETTINGS, discovery, 1_024, upstreams.list);
+        return BalancerProcess.start(folder, ProgramProcess.freePort(), config);
     }
 
-    private BalancerProcess start(ScriptedServer upstream, ScriptedServer discovery) throws IOException {
-        String known = Loopback.list(1, true, Loopback.member("u", upstream.address(), "up"));
-        byte[] config =
-                Loopback.configText(Loopback.SETTINGS, discovery.address() + "\",\"ops\":\"127.0.0.1:0", 1_024, known);
-        return BalancerProcess.start(folder, ProgramProcess.freePort(), config);
+    /** So many upstreams that no request is queued, and the discovery that lists them. */
+    private static final class Upstreams implements AutoCloseable {
+        private final List<ScriptedServer> servers = new ArrayList<>();
+        private final String list;
+        private final ScriptedServer discovery;
+
+        Upstreams(int count, ScriptedServer.Script script) throws IOException {
+            List<String> members = new ArrayList<>();
+            for (int number = 0; number < count; number++) {
+                ScriptedServer server = new ScriptedServer(script);
+                servers.add(server);
+                members.add(Loopback.member("u" + number, server.address(), "up"));
+            }
+            list = Loopback.list(1, true, members.toArray(new String[0]));
+            discovery = new ScriptedServer((request, socket) -> {
+                if (!request.line().contains("from=")) { // otherwise no changes: the watch waits until it is closed
+                    ScriptedServer.reply(socket, 200, list);
+                }
+            });
+        }
+
+        @Override
+        public void close() {
+            servers.forEach(ScriptedServer::close);
+            discovery.close();
+        }
     }
 }
