Read the rest of an upload ahead, so that the time of its request is known

Cause: reading from the client is paused while the upstream takes no more. The request's time runs from the last byte that the client has written, but as much of that as its kernel's send buffer has room for (4 MB on Linux) is seen by the balancer only once it reads on.

Change: if at most 4 MiB of an upload with a declared length have not arrived, the client may have written all of it (UploadReadAhead). Its rest is then read, up to 12 MiB and as far as half of the budget for all bodies allows, and its time counts from its arrival. What is held beyond a read is kept in blocks (ReadOverflowBuffer) and forwarded in a loop in place of a recursion. Only the limits of ops read ahead; a ceiling set in [bodies] holds as before. A client with a small send buffer whose upstream reads more slowly than the rest needs gets 503 earlier; it costs less than an answer that comes too late for all others.

--- a/src/main/java/sedgeyoke/body/BodyLimits.java
+++ b/src/main/java/sedgeyoke/body/BodyLimits.java
@@ -15,6 +15,8 @@
  *     nothing or the client reads nothing
  * @param maxBodyBytes the largest body in either direction
  * @param socketBufferBytes the kernel buffer of a socket in each direction; 0 for the system's default
+ * @param maxReadAheadBytes the most of an upload that is read although its upstream takes no more, beyond
+ *     {@link #maxBufferedBytes} and as far as the total allows; see {@link UploadReadAhead}
  */
 public record BodyLimits(
         boolean streaming,
@@ -25,7 +27,8 @@
         long maxUploadMicros,
         long maxStallMicros,
         long maxBodyBytes,
-        int socketBufferBytes) {
+        int socketBufferBytes,
+        int maxReadAheadBytes) {
     private static final int KIB = 1 << 10;
     private static final int MIB = 1 << 20;
     private static final long MICROS_PER_SECOND = 1_000_000;
@@ -53,6 +56,7 @@
             2 * MICROS_PER_SECOND,
             2 * MICROS_PER_SECOND,
             PLATFORM_BODY_BYTES,
+            0,
             0);
 
     /**
@@ -68,7 +72,32 @@
             600 * MICROS_PER_SECOND,
             3 * MICROS_PER_SECOND,
             34 * MIB,
-            0);
+            0,
+            12 * MIB);
+
+    /** Creates limits under which nothing is read ahead. */
+    public BodyLimits(
+            boolean streaming,
+            int maxBufferedBytes,
+            long maxTotalBufferedBytes,
+            long minUploadBytesPerSecond,
+            long uploadRateWindowMicros,
+            long maxUploadMicros,
+            long maxStallMicros,
+            long maxBodyBytes,
+            int socketBufferBytes) {
+        this(
+                streaming,
+                maxBufferedBytes,
+                maxTotalBufferedBytes,
+                minUploadBytesPerSecond,
+                uploadRateWindowMicros,
+                maxUploadMicros,
+                maxStallMicros,
+                maxBodyBytes,
+                socketBufferBytes,
+                0);
+    }
 
     /** Returns the longest time in microseconds that a client may take to receive a response, whatever its progress. */
     public long maxResponseMicros() {
--- a/src/main/java/sedgeyoke/body/UploadArrival.java
+++ b/src/main/java/sedgeyoke/body/UploadArrival.java
@@ -30,6 +30,11 @@
         bodyBytes += bytes;
     }
 
+    /** The bytes of the body that were read. */
+    public long bodyBytes() {
+        return bodyBytes;
+    }
+
     /**
      * Returns since when the upload may have arrived, or {@link #NOT_ARRIVED}. Call it at regular intervals: what has
      * arrived since the last call counts as having arrived directly after that call.
--- a/src/main/java/sedgeyoke/proxy/client/IncomingRequest.java
+++ b/src/main/java/sedgeyoke/proxy/client/IncomingRequest.java
@@ -9,6 +9,7 @@
 import sedgeyoke.body.BodyLimits;
 import sedgeyoke.body.MinimumTransferRate;
 import sedgeyoke.body.UploadArrival;
+import sedgeyoke.body.UploadReadAhead;
 import sedgeyoke.proxy.common.Transport;
 import sedgeyoke.proxy.core.ProxyCore;
 import sedgeyoke.proxy.exchange.Exchange;
@@ -37,6 +38,8 @@
     private MinimumTransferRate uploadRate;
     /** Since when all of the body may have arrived; null unless {@link #uploadRate} is set. */
     private UploadArrival arrival;
+    /** Decides whether the rest of the body is read ahead; null unless {@link #uploadRate} is set. */
+    private UploadReadAhead readAhead;
     /** The time of arrival that the deadline of the request accounts for. */
     private long arrivedMicros;
 
@@ -88,7 +91,9 @@
         body = new RequestBody(this, limits.maxUnstreamedBytes(), limits.maxSocketReadBytes());
         if (limits.streaming()) {
             uploadRate = new MinimumTransferRate(limits, core.now());
-            arrival = new UploadArrival(HttpUtil.getContentLength(validatedHead, Exchange.UNKNOWN_LENGTH), core.now());
+            long declaredBytes = HttpUtil.getContentLength(validatedHead, Exchange.UNKNOWN_LENGTH);
+            arrival = new UploadArrival(declaredBytes, core.now());
+            readAhead = new UploadReadAhead(limits, declaredBytes);
             arrivedMicros = UploadArrival.NOT_ARRIVED;
         }
         if (HttpUtil.is100ContinueExpected(validatedHead)) {
@@ -178,6 +183,9 @@
         }
         long unreadBytes = channel.config().isAutoRead() ? 0 : Transport.unreadBytes(channel);
         setArrived(arrival.check(readBytes, unreadBytes, core.now()));
+        if (!channel.config().isAutoRead() && readsRest()) {
+            resumeReading();
+        }
     }
 
     private void setArrived(long micros) {
@@ -210,12 +218,25 @@
      */
     @Override
     public void pauseReading() {
+        if (readsRest()) {
+            return;
+        }
         if (uploadRate != null) {
             uploadRate.pauseReading(core.now());
         }
         channel.config().setAutoRead(body == null || endReceived);
     }
 
+    /** Whether the rest of the body is read ahead, as its client may have written all of it. */
+    private boolean readsRest() {
+        return readAhead != null
+                && body != null
+                && body.streams()
+                && readAhead.mayReadRest(arrival.bodyBytes(), Transport.unreadBytes(channel))
+                && responses.reserveReadAhead(
+                        limits.maxBufferedBytes() + body.bufferedBytes() + readAhead.restBytes(arrival.bodyBytes()));
+    }
+
     /** Records that the end of the body was received, which {@link RequestReader} holds back for now. */
     void endReceived() {
         endReceived = true;
@@ -297,6 +318,7 @@
         body = null;
         uploadRate = null;
         arrival = null;
+        readAhead = null;
         return stopped;
     }
 }
--- a/src/main/java/sedgeyoke/proxy/client/ResponseWriter.java
+++ b/src/main/java/sedgeyoke/proxy/client/ResponseWriter.java
@@ -97,6 +97,11 @@
         return requestBody.tryGrowTo(bytes);
     }
 
+    /** Reserves memory to read an upload ahead; false if that would leave too little for other bodies. */
+    boolean reserveReadAhead(long bytes) {
+        return requestBody.tryGrowToSpare(bytes);
+    }
+
     /** Releases the memory that is reserved for bodies. */
     void releaseBodies() {
         requestBody.release();
--- a/src/main/java/sedgeyoke/proxy/core/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/core/ProxyCore.java
@@ -283,7 +283,8 @@
     /** Logs how much memory streamed bodies have used, if streaming is enabled. */
     public void reportBodies() {
         if (bodies.streaming()) {
-            log.line("bodies: peak of " + budget.peakBytes() + " of " + bodies.maxBufferedBytes()
+            log.line("bodies: peak of " + budget.peakBytes() + " of "
+                    + (bodies.maxBufferedBytes() + bodies.maxReadAheadBytes())
                     + " bytes buffered for one direction of a transfer; " + budget.rejectedRequests()
                     + " rejected because the buffer budget was used up");
         }
--- a/src/main/java/sedgeyoke/proxy/exchange/RequestBody.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/RequestBody.java
@@ -26,6 +26,8 @@
     private boolean finished;
     /** Whether the sink has asked for a pause. */
     private boolean paused;
+    /** Whether {@link #forwardOverflow} is being executed. */
+    private boolean forwardingOverflow;
 
     /** The attempt that the body is streamed to; null before, and after the body or the attempt has ended early. */
     private Sink sink;
@@ -188,11 +190,12 @@
 
     /** Forwards more, as the sink can take it. */
     public void demand() {
-        if (sink == null) {
-            return;
-        }
         paused = false;
-        if (!overflow.isEmpty() && !write(overflow.take())) {
+        if (sink == null || forwardingOverflow) {
+            return; // the call that is forwarding goes on
+        }
+        forwardOverflow();
+        if (sink == null || paused || !overflow.isEmpty()) {
             return;
         }
         if (ended) {
@@ -202,6 +205,14 @@
         }
     }
 
+    private void forwardOverflow() {
+        forwardingOverflow = true;
+        while (sink != null && !paused && !overflow.isEmpty()) {
+            write(overflow.take());
+        }
+        forwardingOverflow = false;
+    }
+
     /** Detaches the sink of an attempt that has ended; the rest of the body is discarded. */
     public void detach(Sink from) {
         if (sink == from) {
--- a/src/main/java/sedgeyoke/proxy/upstream/ResponseForwarder.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/ResponseForwarder.java
@@ -84,7 +84,7 @@
      */
     void end(HttpHeaders trailers) {
         complete = true;
-        if (!overflow.isEmpty()) {
+        while (!overflow.isEmpty()) {
             sink.forward(overflow.take());
         }
         sink.end(trailers);
@@ -94,7 +94,7 @@
     public void demand() {
         stallGuard.recordRead();
         paused = false;
-        if (sink != null && !overflow.isEmpty()) {
+        while (sink != null && !paused && !overflow.isEmpty()) {
             forward(overflow.take());
         }
         if (!paused) {
