--- a/src/test/java/sedgeyoke/proxy/SlowLongResponsesTest.java
+++ b/src/test/java/sedgeyoke/proxy/SlowLongResponsesTest.java
@@ -19,7 +19,6 @@
 import java.util.concurrent.Executors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import sedgeyoke.drill.ProgramProcess;
 
 /** Long responses that an upstream writes slowly, through a balancer in a process of its own. */
 class SlowLongResponsesTest {
@@ -146,7 +145,7 @@
     void theLogNamesTheRequestAndTheLimitThatEndedItsResponse() throws Exception {
         Plan trickle = new Plan(Framing.CHUNKED, SERVICE_MILLIS, 600, 30, 30, 100);
         try (Upstreams upstreams = new Upstreams(1, (request, socket) -> trickle.write(socket));
-                BalancerProcess balancer = start(upstreams)) {
+                BalancerProcess balancer = upstreams.listed.start(folder)) {
             balancer.awaitHealthy();
             String end = fetch(balancer.port(), "trickle", trickle, BUDGET_MILLIS);
             assertTrue(!end.equals("complete"), end);
@@ -162,7 +161,7 @@
         try (Upstreams upstreams = new Upstreams(plans.size(), (request, socket) -> plans.get(
                                 request.headers().get("x-call-id"))
                         .write(socket));
-                BalancerProcess balancer = start(upstreams)) {
+                BalancerProcess balancer = upstreams.listed.start(folder)) {
             balancer.awaitHealthy();
             Map<String, CompletableFuture<String>> results = new TreeMap<>();
             plans.forEach((id, plan) -> results.put(
@@ -191,17 +190,10 @@
         }
     }
 
-    private BalancerProcess start(Upstreams upstreams) throws IOException {
-        String discovery = upstreams.discovery.address() + "\",\"ops\":\"127.0.0.1:0";
-        byte[] config = Loopback.configText(Loopback.SETTINGS, discovery, 1_024, upstreams.list);
-        return BalancerProcess.start(folder, ProgramProcess.freePort(), config);
-    }
-
-    /** So many upstreams that no request is queued, and the discovery that lists them. */
+    /** So many upstreams that no request is queued, and their list. */
     private static final class Upstreams implements AutoCloseable {
         private final List<ScriptedServer> servers = new ArrayList<>();
-        private final String list;
-        private final ScriptedServer discovery;
+        private final ListedUpstreams listed;
 
         Upstreams(int count, ScriptedServer.Script script) throws IOException {
             List<String> members = new ArrayList<>();
@@ -210,18 +202,13 @@
                 servers.add(server);
                 members.add(Loopback.member("u" + number, server.address(), "up"));
             }
-            list = Loopback.list(1, true, members.toArray(new String[0]));
-            discovery = new ScriptedServer((request, socket) -> {
-                if (!request.line().contains("from=")) { // otherwise no changes: the watch waits until it is closed
-                    ScriptedServer.reply(socket, 200, list);
-                }
-            });
+            listed = new ListedUpstreams(members.toArray(new String[0]));
         }
 
         @Override
         public void close() {
             servers.forEach(ScriptedServer::close);
-            discovery.close();
+            listed.close();
         }
     }
 }
--- a/src/test/java/sedgeyoke/proxy/SlowUploadReadersTest.java
+++ b/src/test/java/sedgeyoke/proxy/SlowUploadReadersTest.java
@@ -19,7 +19,6 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import sedgeyoke.drill.ProgramProcess;
 
 /** Uploads to an upstream that reads them slowly, through a balancer in a process of its own. */
 class SlowUploadReadersTest {
@@ -61,8 +60,8 @@
 
     private Result send(int readMillis, int length, boolean lengthDeclared) throws Exception {
         try (SlowReader upstream = new SlowReader(readMillis);
-                ScriptedServer discovery = discovery(upstream.address());
-                BalancerProcess balancer = start(upstream, discovery)) {
+                ListedUpstreams listed = new ListedUpstreams(Loopback.member("u", upstream.address(), "up"));
+                BalancerProcess balancer = listed.start(folder)) {
             balancer.awaitHealthy();
             try (Socket client = new Socket(InetAddress.getLoopbackAddress(), balancer.port())) {
                 client.setSoTimeout(CLIENT_TIMEOUT_MILLIS);
@@ -98,22 +97,6 @@
         }
     }
 
-    private BalancerProcess start(SlowReader upstream, ScriptedServer discovery) throws IOException {
-        String known = Loopback.list(1, true, Loopback.member("u", upstream.address(), "up"));
-        byte[] config =
-                Loopback.configText(Loopback.SETTINGS, discovery.address() + "\",\"ops\":\"127.0.0.1:0", 1_024, known);
-        return BalancerProcess.start(folder, ProgramProcess.freePort(), config);
-    }
-
-    private static ScriptedServer discovery(String upstream) throws IOException {
-        String list = Loopback.list(1, true, Loopback.member("u", upstream, "up"));
-        return new ScriptedServer((request, socket) -> {
-            if (!request.line().contains("from=")) { // otherwise no changes: the watch waits until it is closed
-                ScriptedServer.reply(socket, 200, list);
-            }
-        });
-    }
-
     /** Reads a request with a pause after each read, and answers it. */
     private static final class SlowReader extends LoopbackServer {
         private final int readMillis;
