Never forward an id again that may have had an effect

Cause: an id was known only while its exchange was open. It ends when the client leaves, although an upstream may execute it.

Ids of which no attempt can have run, and safe ones, are forwarded again.

Tests: UpstreamWireBytesTest and ClientWireBytesTest sent one unsafe id several times to one balancer, which is what may not run twice now. Each of these requests has a balancer of its own; the recordings are unchanged.

--- a/src/main/java/sedgeyoke/proxy/client/RequestAdmission.java
+++ b/src/main/java/sedgeyoke/proxy/client/RequestAdmission.java
@@ -67,10 +67,13 @@
         Request request = takeValidated();
         if (connections.mustReject()) {
             responses.rejectUnsubmitted(RejectionReason.SOCKETS_SCARCE, request);
-        } else if (core.knows(request.id())) { // another connection has sent this id since the head was validated
-            responses.rejectWithText(RejectionReason.DUPLICATE_ID, RequestParser.DUPLICATE_ID, request.id());
-        } else {
+            return;
+        }
+        try {
+            parser.requireNew(request.id()); // another connection may have sent this id since the head was validated
             submit(request, head, body, receivedMicros);
+        } catch (InvalidRequestException e) {
+            responses.rejectWithText(e.reason(), e.getMessage(), request.id());
         }
     }
 
--- a/src/main/java/sedgeyoke/proxy/client/RequestParser.java
+++ b/src/main/java/sedgeyoke/proxy/client/RequestParser.java
@@ -17,8 +17,8 @@
 
 /** Converts the head of an HTTP request into a request of the policy. Event loop only. */
 final class RequestParser {
-    /** Response text for a request whose id is already in use. */
-    static final String DUPLICATE_ID = "X-Call-Id (a request with it is open)";
+    private static final String OPEN_ID = "X-Call-Id (a request with it is open)";
+    private static final String REPEATED_ID = "X-Call-Id (a request with it may have run)";
 
     private static final String API_PATH = "/api";
     private static final String HEALTH_PATH = "/_health";
@@ -66,9 +66,7 @@
         HttpHeaders headers = head.headers();
         String id = headers.get("X-Call-Id");
         require(id != null && !id.isBlank() && headers.getAll("X-Call-Id").size() == 1, "X-Call-Id");
-        if (core.knows(id)) {
-            throw invalidField(RejectionReason.DUPLICATE_ID, DUPLICATE_ID);
-        }
+        requireNew(id);
         int classIndex = config.instanceSettings().classNames().indexOf(headers.get("X-Call-Class"));
         require(classIndex >= 0, "X-Call-Class");
         long budgetMillis = number(headers.get("X-Budget-Ms"));
@@ -92,6 +90,19 @@
                 "1".equals(headers.get("X-Again")));
     }
 
+    /**
+     * Checks that no request with this id is open or may have run.
+     *
+     * @throws InvalidRequestException if there is one, with the text of the response
+     */
+    void requireNew(String id) throws InvalidRequestException {
+        if (core.knows(id)) {
+            throw invalidField(RejectionReason.DUPLICATE_ID, OPEN_ID);
+        } else if (core.mayHaveRun(id)) {
+            throw invalidField(RejectionReason.DUPLICATE_ID, REPEATED_ID);
+        }
+    }
+
     /** Whether a head is a health check; call only with heads that {@link #parse} has accepted. */
     static boolean isHealthCheck(HttpRequest head) {
         return !head.uri().startsWith(API_PATH);
--- a/src/main/java/sedgeyoke/proxy/core/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/core/ProxyCore.java
@@ -113,7 +113,7 @@
         this.metrics = new RequestMetrics(config.instanceSettings().classNames());
         this.events = new PolicyEvents(log);
         this.initialListBarrier = new InitialListBarrier(loop, log);
-        this.table = new ExchangeTable(settings.limits().maxConcurrentRequests());
+        this.table = new ExchangeTable(settings, clock);
         this.deadlines = new ExchangeDeadlines(reads, clock, bodies);
         ExchangeLog exchangeLog = new ExchangeLog(log, clock);
         this.completion = new ExchangeCompletion(clock, settings, events, metrics, table, exchangeLog);
@@ -219,6 +219,11 @@
         return table.get(id) != null;
     }
 
+    /** Whether a request with this id has ended and may have had an effect that a repetition would double. */
+    public boolean mayHaveRun(String id) {
+        return table.mayHaveRun(id);
+    }
+
     /** Accepts a client's request, which must get one response from now on. */
     public void accept(Exchange exchange) {
         exchanges.accept(exchange);
--- a/src/main/java/sedgeyoke/proxy/exchange/ExchangeTable.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ExchangeTable.java
@@ -3,20 +3,33 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import sedgeyoke.policy.LoadBalancingPolicy.RequestClass;
+import sedgeyoke.policy.LoadBalancingPolicy.Settings;
 
-/** Holds the open exchanges by id: each until it is answered and its last attempt has ended. Event loop only. */
+/**
+ * Holds the open exchanges by id: each until it is answered and its last attempt has ended. Afterwards it remembers the
+ * ids of those that must not be executed again. Event loop only.
+ */
 public final class ExchangeTable {
-    private final int maxExchanges;
+    private final Settings settings;
+    private final PolicyClock clock;
     private final Map<String, Exchange> exchanges = new HashMap<>();
+    private final ForwardedIds forwardedIds = new ForwardedIds();
 
-    /** Creates an empty table that holds at most {@code maxExchanges} open exchanges. */
-    public ExchangeTable(int maxExchanges) {
-        this.maxExchanges = maxExchanges;
+    /** Creates an empty table that holds as many open exchanges as the settings allow. */
+    public ExchangeTable(Settings settings, PolicyClock clock) {
+        this.settings = settings;
+        this.clock = clock;
     }
 
     /** Whether there is no room for another exchange. */
     boolean isFull() {
-        return exchanges.size() >= maxExchanges;
+        return exchanges.size() >= settings.limits().maxConcurrentRequests();
+    }
+
+    /** Whether a request with this id has ended and may have had an effect that a repetition would double. */
+    public boolean mayHaveRun(String id) {
+        return forwardedIds.contains(id, clock.now());
     }
 
     /** The open exchange with this id, or null. */
@@ -43,8 +56,15 @@
             if (exchange.deadlineTimer != null) {
                 exchange.deadlineTimer.cancel();
             }
-            exchanges.remove(exchange.request.id(), exchange);
+            if (exchanges.remove(exchange.request.id(), exchange) && mustNotRunAgain(exchange)) {
+                forwardedIds.add(exchange.request.id(), clock.now());
+            }
             exchange.body.abort(); // no attempt will send the rest of it
         }
     }
+
+    private boolean mustNotRunAgain(Exchange exchange) {
+        RequestClass requestClass = settings.classes().get(exchange.request.classIndex());
+        return exchange.mayHaveRun() && !requestClass.effect().isRetryHarmless(requestClass.scope());
+    }
 }
--- a/src/main/java/sedgeyoke/proxy/exchange/RejectionReason.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/RejectionReason.java
@@ -61,7 +61,7 @@
     INVALID_QUERY(HttpResponseStatus.BAD_REQUEST),
     /** A required header field is missing or has an invalid value. */
     INVALID_HEADER(HttpResponseStatus.BAD_REQUEST),
-    /** A request with the same id is open. */
+    /** A request with the same id is open, or may have been executed. */
     DUPLICATE_ID(HttpResponseStatus.BAD_REQUEST);
 
     private final int statusCode;
--- a/src/test/java/sedgeyoke/proxy/ClientWireBytesTest.java
+++ b/src/test/java/sedgeyoke/proxy/ClientWireBytesTest.java
@@ -18,19 +18,22 @@
     @Test
     void responsesToClientsMatchTheRecording() throws Exception {
         try (RawServer upstream = RawServer.answering(
-                        OK, RawServer.response(200, ""), RawServer.response(200, "plain", "X-Load-Report: {}"), OK);
-                Loopback balancer = before(upstream).start()) {
-            exchange(balancer, "with a content type", post(HEAD + BUDGET, "work"));
-            exchange(balancer, "without a body", post(HEAD + BUDGET, "work"));
-            exchange(balancer, "without a content type", post(HEAD + BUDGET, "work"));
-            exchange(balancer, "to a client that closes", post(HEAD + BUDGET + "Connection: close\r\n", "work"));
-            exchange(balancer, "to HTTP/1.0", post(HEAD + BUDGET, "work").replace("HTTP/1.1", "HTTP/1.0"));
-            exchange(
-                    balancer,
+                OK, RawServer.response(200, ""), RawServer.response(200, "plain", "X-Load-Report: {}"), OK)) {
+            exchangeAlone(before(upstream), "with a content type", post(HEAD + BUDGET, "work"));
+            exchangeAlone(before(upstream), "without a body", post(HEAD + BUDGET, "work"));
+            exchangeAlone(before(upstream), "without a content type", post(HEAD + BUDGET, "work"));
+            exchangeAlone(
+                    before(upstream), "to a client that closes", post(HEAD + BUDGET + "Connection: close\r\n", "work"));
+            exchangeAlone(
+                    before(upstream), "to HTTP/1.0", post(HEAD + BUDGET, "work").replace("HTTP/1.1", "HTTP/1.0"));
+            exchangeAlone(
+                    before(upstream),
                     "to HTTP/1.0 that stays",
                     post(HEAD + BUDGET + "Connection: keep-alive\r\n", "work").replace("HTTP/1.1", "HTTP/1.0"));
-            exchange(balancer, "to a health check", "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
-            try (Socket client = balancer.connect()) {
+            try (Loopback balancer = before(upstream).start();
+                    Socket client = balancer.connect()) {
+                Loopback.await("ready", () -> balancer.health() == 200);
+                exchange(balancer, "to a health check", "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
                 ScriptedServer.write(client, post(HEAD + BUDGET + "Expect: 100-continue\r\n", "work"));
                 InputStream in = new BufferedInputStream(client.getInputStream());
                 transcript.add("to one that waits before it sends a body", RawMessages.read(in));
--- a/src/test/java/sedgeyoke/proxy/UpstreamWireBytesTest.java
+++ b/src/test/java/sedgeyoke/proxy/UpstreamWireBytesTest.java
@@ -11,8 +11,7 @@
 class UpstreamWireBytesTest extends WireBytesTestBase {
     @Test
     void requestsToAnUpstream() throws Exception {
-        try (RawServer upstream = RawServer.answering(OK);
-                Loopback balancer = before(upstream).start()) {
+        try (RawServer upstream = RawServer.answering(OK)) {
             String get = "GET /api?obj=o1&x=%20y HTTP/1.1\r\n" + HEAD + BUDGET;
             List<String> names = List.of(
                     "read",
@@ -38,7 +37,9 @@
                     post(HEAD + BUDGET, "work").replace("HTTP/1.1", "HTTP/1.0"),
                     post(HEAD + BUDGET + "X-Again: 1\r\n", "work"));
             for (int index = 0; index < names.size(); index++) {
-                assertServed(balancer, sent.get(index));
+                try (Loopback balancer = before(upstream).start()) { // the id is the same in all
+                    assertServed(balancer, sent.get(index));
+                }
                 transcript.add(names.get(index), upstream.requests.get(index));
             }
         }
@@ -69,20 +70,24 @@
                 + Integer.toHexString(LONG_BODY.length()) + "\r\n" + LONG_BODY + "\r\n0\r\n"
                 + "X-Checksum: 7\r\nContent-Length: 9\r\n\r\n";
         try (RawServer upstream = RawServer.answering(
-                        OK, OK, RawServer.response(200, LONG_BODY, "Content-Type: text/x-result"), chunked);
-                Loopback balancer = before(upstream).bodies(STREAMING).start()) {
-            exchange(balancer, "response to a long request", post(HEAD + BUDGET, LONG_BODY));
+                OK, OK, RawServer.response(200, LONG_BODY, "Content-Type: text/x-result"), chunked)) {
+            exchangeAlone(
+                    before(upstream).bodies(STREAMING), "response to a long request", post(HEAD + BUDGET, LONG_BODY));
             transcript.add("long request with a length", upstream.requests.get(0));
-            exchange(
-                    balancer,
+            exchangeAlone(
+                    before(upstream).bodies(STREAMING),
                     "response to a long chunked request",
                     post(HEAD + BUDGET, "").replace("Content-Length: 0", "Transfer-Encoding: chunked")
                             + Integer.toHexString(LONG_BODY.length()) + "\r\n" + LONG_BODY + "\r\n0\r\n\r\n");
             transcript.add("long chunked request", upstream.requests.get(1));
-            exchange(balancer, "long response with a length", post(HEAD + BUDGET, "work"));
-            exchange(balancer, "long chunked response with trailers", post(HEAD + BUDGET, "work"));
-            exchange(
-                    balancer,
+            exchangeAlone(
+                    before(upstream).bodies(STREAMING), "long response with a length", post(HEAD + BUDGET, "work"));
+            exchangeAlone(
+                    before(upstream).bodies(STREAMING),
+                    "long chunked response with trailers",
+                    post(HEAD + BUDGET, "work"));
+            exchangeAlone(
+                    before(upstream).bodies(STREAMING),
                     "larger than any body may be",
                     post(HEAD + BUDGET, "").replace("Content-Length: 0", "Content-Length: " + (2 << 20)));
         }
--- a/src/test/java/sedgeyoke/proxy/WireBytesTestBase.java
+++ b/src/test/java/sedgeyoke/proxy/WireBytesTestBase.java
@@ -60,6 +60,13 @@
         }
     }
 
+    /** Like {@link #exchange}, with a balancer of its own: one that has forwarded an id does not forward it again. */
+    void exchangeAlone(Loopback.Setup setup, String name, String request) throws Exception {
+        try (Loopback balancer = setup.start()) {
+            exchange(balancer, name, request);
+        }
+    }
+
     /** Reads a response, and the end of the connection if the response announces that. */
     static String readResponse(Socket client) throws IOException {
         InputStream in = new BufferedInputStream(client.getInputStream());
