Repeat no keyed request at an address whose connections have just broken

Cause: an upstream of the list was taken for a process. When its connections break, another process may answer at its address before discovery tells, and a repetition that is harmless within the listed zone reached it over a new connection.

Change: once a connection has broken under a request, or was refused, the process at the address is not known for 6 s, by when discovery has told of a change, or until the entry of the list changes. A request whose key is known in one zone or cell only is not repeated there, and not repeated elsewhere if an earlier attempt used a connection made in that time. Requests are still sent there first, and safe ones and those whose key is known everywhere are repeated as before.

Cost: where no other upstream of the zone can take it, a keyed request whose connection breaks gets 502.

--- a/src/main/java/sedgeyoke/policy/LoadBalancingPolicy.java
+++ b/src/main/java/sedgeyoke/policy/LoadBalancingPolicy.java
@@ -85,6 +85,14 @@
         /** Says, for the log, why the policy sends the rejection or failure that follows. */
         default void unserved(String request, String reason) {}
 
+        /**
+         * Whether a repetition of the request at this upstream would reach the process that the endpoint list means, and
+         * those of its attempts that may have run did. Otherwise the zone and the cell of the process are not known.
+         */
+        default boolean reachesListedProcess(String request, String upstream) {
+            return true;
+        }
+
         /** Cancels an attempt. */
         void cancel(String request, int attempt);
 
--- a/src/main/java/sedgeyoke/policy/PolicyModules.java
+++ b/src/main/java/sedgeyoke/policy/PolicyModules.java
@@ -48,7 +48,7 @@
         deadlines = new Deadlines(settings);
         requests = new RequestTable(deadlines);
         admission = new AdmissionControl(settings, random, regimes, responseTimes);
-        retryPolicy = new RetryPolicy(settings, deadlines, regimes);
+        retryPolicy = new RetryPolicy(settings, deadlines, regimes, actions);
         completion = new RequestCompletion(settings, actions, admission, queue, requests);
 
         plans = new PlanBlend(settings, zones);
--- a/src/main/java/sedgeyoke/policy/RetryPolicy.java
+++ b/src/main/java/sedgeyoke/policy/RetryPolicy.java
@@ -1,5 +1,6 @@
 package sedgeyoke.policy;
 
+import sedgeyoke.policy.LoadBalancingPolicy.Actions;
 import sedgeyoke.policy.LoadBalancingPolicy.Effect;
 import sedgeyoke.policy.LoadBalancingPolicy.Limits;
 import sedgeyoke.policy.LoadBalancingPolicy.RequestClass;
@@ -26,12 +27,14 @@
     private final Limits limits;
     private final Deadlines deadlines;
     private final TrafficRegimeSelector regimes;
+    private final Actions actions;
     private double budget = MAX_BUDGET;
 
-    RetryPolicy(Settings settings, Deadlines deadlines, TrafficRegimeSelector regimes) {
+    RetryPolicy(Settings settings, Deadlines deadlines, TrafficRegimeSelector regimes, Actions actions) {
         this.limits = settings.limits();
         this.deadlines = deadlines;
         this.regimes = regimes;
+        this.actions = actions;
     }
 
     /** What follows when the last outstanding attempt of a request has failed. */
@@ -103,7 +106,9 @@
         long windowMicros = requestClass.deduplicationWindowMicros() - deadlines.marginMicros();
         return requestClass.effect() == Effect.IDEMPOTENT_WITH_KEY
                 && sharesKeys(requestClass.scope(), earlier.upstream, upstream)
-                && nowMicros - earlier.sentAtMicros < windowMicros;
+                && nowMicros - earlier.sentAtMicros < windowMicros
+                && (requestClass.scope() == Scope.ALL
+                        || actions.reachesListedProcess(request.request.id(), upstream.id));
     }
 
     private static boolean sharesKeys(Scope scope, UpstreamState earlier, UpstreamState next) {
--- a/src/main/java/sedgeyoke/proxy/core/PolicyActions.java
+++ b/src/main/java/sedgeyoke/proxy/core/PolicyActions.java
@@ -58,6 +58,11 @@
         exchangeLog.unserved(request, reason);
     }
 
+    @Override
+    public boolean reachesListedProcess(String request, String upstream) {
+        return exchanges.reachesListedProcess(request, upstream);
+    }
+
     @Override
     public void cancel(String request, int number) {
         exchanges.cancel(request, number);
--- a/src/main/java/sedgeyoke/proxy/exchange/Attempt.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/Attempt.java
@@ -119,6 +119,11 @@
                 : ResponseDeadline.Decision.END;
     }
 
+    /** Whether the attempt may have run at a process of which the zone and the cell are not known. */
+    boolean mayHaveRunAtUnknownProcess() {
+        return mayHaveRun && connection != null && !connection.reachesListedProcess();
+    }
+
     /** Whether the first part of a streamed or slow response has arrived. */
     boolean hasResponseStarted() {
         return responseStartTimeMicros != NOT_STARTED;
--- a/src/main/java/sedgeyoke/proxy/exchange/AttemptStarter.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/AttemptStarter.java
@@ -7,4 +7,7 @@
      * AttemptListener#ended}, possibly before this method returns.
      */
     void start(Attempt attempt);
+
+    /** Whether a new connection to this upstream reaches the process that the endpoint list means. */
+    boolean knowsProcess(String upstream);
 }
--- a/src/main/java/sedgeyoke/proxy/exchange/ExchangeActions.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ExchangeActions.java
@@ -86,6 +86,14 @@
         }
     }
 
+    /** Whether a repetition at this upstream, and the earlier attempts, reach the processes that are listed. */
+    public boolean reachesListedProcess(String id, String upstream) {
+        Exchange exchange = table.get(id);
+        return exchange != null
+                && starter.knowsProcess(upstream)
+                && exchange.attempts.stream().noneMatch(Attempt::mayHaveRunAtUnknownProcess);
+    }
+
     /** Stops an attempt unless it has ended. */
     public void cancel(String id, int number) {
         Exchange exchange = table.get(id);
--- a/src/main/java/sedgeyoke/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/UpstreamConnection.java
@@ -48,6 +48,9 @@
     /** The request body that is being streamed; null between attempts and for a request with a buffered body. */
     private RequestUpload upload;
 
+    /** Whether the connection was made to the process that the endpoint list means. */
+    private boolean processKnown;
+
     private long idleSinceMicros;
 
     UpstreamConnection(UpstreamContext context, UpstreamEndpoint endpoint) {
@@ -76,6 +79,16 @@
         }
     }
 
+    /** Called once the connection is established. */
+    void established() {
+        processKnown = endpoint.isProcessKnown(context.nowMicros());
+    }
+
+    @Override
+    public boolean reachesListedProcess() {
+        return processKnown;
+    }
+
     /** Whether a channel was created; it is not if the process has no file descriptor left. */
     boolean hasChannel() {
         return channel != null;
@@ -145,6 +158,7 @@
     /** Success means that the kernel has the whole request; a failure proves that its last byte was never sent. */
     private void requestWritten(Attempt attempt, Future<? super Void> written) {
         if (!written.isSuccess()) {
+            recordBreak();
             channel.close();
             fail(Outcome.CONNECT_FAILED);
         } else if (!attempt.written()) {
@@ -254,10 +268,22 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         endpoint.removeIdle(this);
+        if (awaitsResponse()) {
+            recordBreak();
+        }
         fail(outcomeOfConnectionLoss());
         headerMemory.release(); // of a response that belongs to no request
     }
 
+    /** Whether an attempt is in flight whose response is not complete. */
+    private boolean awaitsResponse() {
+        return hasAttempt() && !receiver.hasResponse() && !receiver.isStreamComplete();
+    }
+
+    private void recordBreak() {
+        endpoint.recordBreak(context.nowMicros());
+    }
+
     /** Checks the write first: it may have succeeded although its listener has not run before the connection broke. */
     private Outcome outcomeOfConnectionLoss() {
         if (!hasAttempt()) {
@@ -272,6 +298,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof IOException) {
+            recordBreak();
             // Before the close: a response that ends with its connection would be taken for complete.
             fail(outcomeOfConnectionLoss());
             ctx.close();
--- a/src/main/java/sedgeyoke/proxy/upstream/UpstreamConnectionPool.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/UpstreamConnectionPool.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import java.net.ConnectException;
 import java.util.concurrent.TimeUnit;
 import sedgeyoke.policy.LoadBalancingPolicy.Outcome;
 import sedgeyoke.proxy.common.ReadBarrier;
@@ -162,7 +163,10 @@
         }
         if (!connected.isSuccess()) {
             connectFailed(attempt, connected.cause());
-        } else if (attempt.ended()) {
+            return;
+        }
+        connection.established();
+        if (attempt.ended()) {
             connection.release(); // nothing was sent, so another attempt can use it
         } else if (!connection.isAtCurrentAddress()) {
             // The upstream's address has changed since the connect began; the old one may be another upstream's by now.
@@ -178,6 +182,7 @@
      */
     private void connectFailed(Attempt attempt, Throwable cause) {
         if (!ConnectFailures.isLocal(cause)) {
+            recordRefusal(attempt.upstream(), cause);
             end(attempt, Outcome.CONNECT_FAILED);
         } else if (!attempt.ended()) {
             context.log().line("connect failed because of a fault of this machine: " + cause);
@@ -189,6 +194,20 @@
         }
     }
 
+    /** Nobody listens at the address: the process has ended. */
+    private void recordRefusal(String upstream, Throwable cause) {
+        UpstreamEndpoint endpoint = endpoints.get(upstream);
+        if (endpoint != null && cause instanceof ConnectException) {
+            endpoint.recordBreak(context.nowMicros());
+        }
+    }
+
+    @Override
+    public boolean knowsProcess(String upstream) {
+        UpstreamEndpoint endpoint = endpoints.get(upstream);
+        return endpoint != null && endpoint.isProcessKnown(context.nowMicros());
+    }
+
     /** Writes the attempt if it still may be sent: connecting may have taken a while. */
     private void send(UpstreamConnection connection, Attempt attempt) {
         if (deferIfLoopIsLate(connection, attempt)) {
--- a/src/main/java/sedgeyoke/proxy/upstream/UpstreamEndpoint.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/UpstreamEndpoint.java
@@ -7,17 +7,25 @@
 
 /** One upstream of the endpoint list with its idle connections, the most recently used one first. */
 final class UpstreamEndpoint {
+    /** By then discovery has told that another process has the address (STANDING, "The whole fleet"). */
+    private static final long MAX_NOTIFICATION_MICROS = 6_000_000;
+
+    private static final long NEVER = -MAX_NOTIFICATION_MICROS;
+
     private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
     private SocketAddress address;
     private long launchTimeMicros;
     private boolean listedReady;
     private boolean ready;
+    /** When a connection broke last, or was refused, since the entry of the endpoint list has changed. */
+    private long brokenMicros = NEVER;
 
     /** Applies an entry of the endpoint list; {@link #updateReadiness} must be called after it. */
     void update(SocketAddress newAddress, long newLaunchTimeMicros, boolean newListedReady) {
         if (!newAddress.equals(address) || newLaunchTimeMicros != launchTimeMicros) {
             // They lead to the previous process or address: the next request on one would be reset.
             closeIdle();
+            brokenMicros = NEVER;
         }
         address = newAddress;
         launchTimeMicros = newLaunchTimeMicros;
@@ -43,6 +51,16 @@
         closeIdle();
     }
 
+    /** Records that a connection broke or was refused: the process may have ended, and another one may take its address. */
+    void recordBreak(long nowMicros) {
+        brokenMicros = nowMicros;
+    }
+
+    /** Whether a connection that is made now reaches the process that the endpoint list means. */
+    boolean isProcessKnown(long nowMicros) {
+        return nowMicros - brokenMicros >= MAX_NOTIFICATION_MICROS;
+    }
+
     SocketAddress address() {
         return address;
     }
--- a/src/test/java/sedgeyoke/policy/PolicyFixtures.java
+++ b/src/test/java/sedgeyoke/policy/PolicyFixtures.java
@@ -67,7 +67,8 @@
         upstreams = new UpstreamTable(settings, slowStart, limits, zones, regimes);
         reweighting = new UtilizationReweighting(reports, ratings, jitter);
         affinity = new KeyAffinity(settings, upstreams, ratings, zones, reports, regimes);
-        eligibility = new UpstreamEligibility(new RetryPolicy(settings, deadlines, regimes), limits, slowStart);
+        eligibility =
+                new UpstreamEligibility(new RetryPolicy(settings, deadlines, regimes, actions), limits, slowStart);
         score = new UpstreamScore(regimes, reweighting, slowStart, zones, reports, costs);
         selector = new UpstreamSelector(
                 upstreams, new Aperture(rates), eligibility, score, affinity, regimes, new SplittableRandom(3));
--- a/src/test/java/sedgeyoke/policy/RetryPolicyTest.java
+++ b/src/test/java/sedgeyoke/policy/RetryPolicyTest.java
@@ -211,7 +211,7 @@
     }
 
     private static RetryPolicy retries(PolicyFixtures policy) {
-        return new RetryPolicy(policy.settings, policy.deadlines, policy.regimes);
+        return new RetryPolicy(policy.settings, policy.deadlines, policy.regimes, policy.actions);
     }
 
     private static RequestState failed(PolicyFixtures policy, Outcome outcome) {
