An upstream that pauses for some seconds in a long response is not one that hangs

Callers saw: long responses cut off after 3 s in which their upstream wrote nothing, although it went on later.

Cause: with ops, an upstream that had sent nothing for 3 s counted as hanging.

Change: with ops, an upstream may be silent for 10 s in a response that has begun; a short one still ends with the time of its request. The limits of [bodies], and those without ops, are as before.

Cost: a long response of an upstream that does hang keeps its client, two connections and 16 KiB for 10 s in place of 3 s.

--- a/src/main/java/sedgeyoke/body/BodyLimits.java
+++ b/src/main/java/sedgeyoke/body/BodyLimits.java
@@ -11,12 +11,12 @@
  * @param minUploadBytesPerSecond the lowest rate that an upload may have
  * @param uploadRateWindowMicros the window over which that rate is measured
  * @param maxUploadMicros the longest time that an upload may take, whatever its rate
- * @param maxStallMicros the longest time without progress of a response that has begun: either the upstream sends
- *     nothing or the client reads nothing
+ * @param maxStallMicros the longest time in which a client reads nothing of a response
  * @param maxBodyBytes the largest body in either direction
  * @param socketBufferBytes the kernel buffer of a socket in each direction; 0 for the system's default
  * @param maxReadAheadBytes the most of an upload that is read although its upstream takes no more, beyond
  *     {@link #maxBufferedBytes} and as far as the total allows; see {@link UploadReadAhead}
+ * @param maxUpstreamStallMicros the longest time in which an upstream sends nothing of a response that has begun
  */
 public record BodyLimits(
         boolean streaming,
@@ -28,7 +28,8 @@
         long maxStallMicros,
         long maxBodyBytes,
         int socketBufferBytes,
-        int maxReadAheadBytes) {
+        int maxReadAheadBytes,
+        long maxUpstreamStallMicros) {
     private static final int KIB = 1 << 10;
     private static final int MIB = 1 << 20;
     private static final long MICROS_PER_SECOND = 1_000_000;
@@ -39,6 +40,9 @@
     /** Small, as the kernel's buffers keep a connection busy while the balancer reads more. */
     private static final int MAX_UNWRITTEN_BYTES = 8 * KIB;
 
+    /** Longer than any partition of the network that the platform describes (STANDING: 6 s). */
+    private static final long MAX_SILENCE_MICROS = 10 * MICROS_PER_SECOND;
+
     private static final long MAX_RESPONSE_MICROS = 3_600 * MICROS_PER_SECOND;
     /** The default of the HTTP/1.1 decoders. */
     private static final int UNSTREAMED_PART_BYTES = 8 * KIB;
@@ -57,7 +61,8 @@
             2 * MICROS_PER_SECOND,
             PLATFORM_BODY_BYTES,
             0,
-            0);
+            0,
+            2 * MICROS_PER_SECOND);
 
     /**
      * The default if an admin endpoint is configured: bodies of at most 34 MiB in either direction are streamed; those
@@ -73,9 +78,10 @@
             3 * MICROS_PER_SECOND,
             34 * MIB,
             0,
-            12 * MIB);
+            12 * MIB,
+            MAX_SILENCE_MICROS);
 
-    /** Creates limits under which nothing is read ahead. */
+    /** Creates limits under which nothing is read ahead, and upstreams may stall for as long as clients. */
     public BodyLimits(
             boolean streaming,
             int maxBufferedBytes,
@@ -96,7 +102,8 @@
                 maxStallMicros,
                 maxBodyBytes,
                 socketBufferBytes,
-                0);
+                0,
+                maxStallMicros);
     }
 
     /** Returns the longest time in microseconds that a client may take to receive a response, whatever its progress. */
--- a/src/main/java/sedgeyoke/proxy/upstream/UpstreamContext.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/UpstreamContext.java
@@ -53,6 +53,6 @@
 
     /** How long a response that has begun may pause; a longer pause is an error. */
     long maxResponseStallMicros() {
-        return bodies.streaming() ? bodies.maxStallMicros() : MAX_RESPONSE_STALL_MICROS;
+        return bodies.streaming() ? bodies.maxUpstreamStallMicros() : MAX_RESPONSE_STALL_MICROS;
     }
 }
--- a/src/test/java/sedgeyoke/proxy/SlowLongResponsesTest.java
+++ b/src/test/java/sedgeyoke/proxy/SlowLongResponsesTest.java
@@ -140,6 +140,16 @@
         assertAllComplete(plans, BUDGET_MILLIS);
     }
 
+    /** Guards against taking an upstream that pauses for one that hangs, and its client for one that does not read. */
+    @Test
+    void longResponsesThatPauseForSecondsAreForwarded() throws Exception {
+        Map<String, Plan> plans = new LinkedHashMap<>();
+        for (Framing framing : Framing.values()) {
+            plans.put(framing + "-long-pause", new Plan(framing, SERVICE_MILLIS, 150_000, 80_000, 70_000, 6_000));
+        }
+        assertAllComplete(plans, BUDGET_MILLIS);
+    }
+
     /** Guards against responses that are cut off without a line that says which limit did it. */
     @Test
     void theLogNamesTheRequestAndTheLimitThatEndedItsResponse() throws Exception {
