An upload whose rest cannot be read for lack of memory has a deadline, too

Callers saw: with 60 uploads of 8 MB at once to upstreams that read 1 MB/s, 56 of 60 final answers up to 4.9 s after the client's last byte: half of the body budget is too little to read all of them ahead.

Cause: an upload that may not be read ahead counted as one that its client is still writing.

Change: if its client may have written all of it and there is no memory to find out, the time of the request runs from that moment. What the client has then still to write, if it has a small send buffer, is rejected with 503: it has not run.

SlowUploadReadersTest, StalledUploadsTest, UploadReadAheadTest and IncompleteUploadsTest pass.

SlowUploadReadersTest.aLargeRequestIsAnsweredInTimeIfThereIsNoMemoryToReadItsRest fails on the program before ("answered 3537 ms after its last byte").

--- a/src/main/java/sedgeyoke/body/UploadReadAhead.java
+++ b/src/main/java/sedgeyoke/body/UploadReadAhead.java
@@ -19,17 +19,22 @@
     }
 
     /**
-     * Whether the client may have written all of the upload, and its rest is short enough to be read.
+     * Whether the client may have written all of the upload; false if uploads are not read ahead.
      *
      * @param readBytes the bytes of the body that were read
      * @param unreadBytes the bytes that wait in the socket's buffer
      */
-    public boolean mayReadRest(long readBytes, long unreadBytes) {
+    public boolean mayBeWritten(long readBytes, long unreadBytes) {
         return declaredBytes >= 0
-                && restBytes(readBytes) <= limits.maxReadAheadBytes()
+                && limits.maxReadAheadBytes() > 0
                 && restBytes(readBytes) - unreadBytes <= MAX_CLIENT_BUFFER_BYTES;
     }
 
+    /** Whether the client may have written all of the upload, and its rest is short enough to be read. */
+    public boolean mayReadRest(long readBytes, long unreadBytes) {
+        return mayBeWritten(readBytes, unreadBytes) && restBytes(readBytes) <= limits.maxReadAheadBytes();
+    }
+
     /** How many bytes of an upload with a declared length were not read yet. */
     public long restBytes(long readBytes) {
         return declaredBytes - readBytes;
--- a/src/main/java/sedgeyoke/proxy/client/IncomingRequest.java
+++ b/src/main/java/sedgeyoke/proxy/client/IncomingRequest.java
@@ -40,6 +40,8 @@
     private UploadArrival arrival;
     /** Decides whether the rest of the body is read ahead; null unless {@link #uploadRate} is set. */
     private UploadReadAhead readAhead;
+    /** Since when the client may have written all of the body, whose rest cannot be read for lack of memory. */
+    private long assumedArrivalMicros;
     /** The time of arrival that the deadline of the request accounts for. */
     private long arrivedMicros;
 
@@ -94,6 +96,7 @@
             long declaredBytes = HttpUtil.getContentLength(validatedHead, Exchange.UNKNOWN_LENGTH);
             arrival = new UploadArrival(declaredBytes, core.now());
             readAhead = new UploadReadAhead(limits, declaredBytes);
+            assumedArrivalMicros = UploadArrival.NOT_ARRIVED;
             arrivedMicros = UploadArrival.NOT_ARRIVED;
         }
         if (HttpUtil.is100ContinueExpected(validatedHead)) {
@@ -181,11 +184,15 @@
         if (arrival == null) {
             return;
         }
-        long unreadBytes = channel.config().isAutoRead() ? 0 : Transport.unreadBytes(channel);
-        setArrived(arrival.check(readBytes, unreadBytes, core.now()));
-        if (!channel.config().isAutoRead() && readsRest()) {
+        boolean paused = !channel.config().isAutoRead();
+        long unreadBytes = paused ? Transport.unreadBytes(channel) : 0;
+        long provenMicros = arrival.check(readBytes, unreadBytes, core.now());
+        if (paused && readsRest()) {
             resumeReading();
+        } else if (paused && body.streams() && readAhead.mayBeWritten(arrival.bodyBytes(), unreadBytes)) {
+            assumedArrivalMicros = Math.min(assumedArrivalMicros, core.now());
         }
+        setArrived(Math.min(provenMicros, assumedArrivalMicros));
     }
 
     private void setArrived(long micros) {
@@ -198,7 +205,7 @@
 
     private void end(long receivedMicros, long readBytes) {
         if (isStreaming()) {
-            setArrived(arrival.endRead(readBytes, receivedMicros));
+            setArrived(Math.min(arrival.endRead(readBytes, receivedMicros), assumedArrivalMicros));
         }
         RequestBody complete = stopReadingBody();
         boolean streaming = complete.streams();
--- a/src/test/java/sedgeyoke/proxy/SlowUploadReadersTest.java
+++ b/src/test/java/sedgeyoke/proxy/SlowUploadReadersTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import sedgeyoke.body.BodyLimits;
 
 /** Uploads to an upstream that reads them slowly, through a balancer in a process of its own. */
 class SlowUploadReadersTest {
@@ -30,6 +31,10 @@
     private static final int SLOW_READ_MILLIS = 20; // 1 MB/s
     private static final int FAST_READ_MILLIS = 0;
     private static final int CLIENT_TIMEOUT_MILLIS = 60_000;
+    /** Half of the total, which read-ahead may take, is less than the rest of the request. */
+    private static final BodyLimits SCARCE_MEMORY =
+            new BodyLimits(true, 128 * 1024, MB, 0, 1_000_000, 600_000_000, 5_000_000, 1L << 30, 0, 12 * MB, 5_000_000);
+
     private static final Pattern CONTENT_LENGTH = Pattern.compile("(?i)content-length: (\\d+)");
     /** A rejection, or a failure if the whole request was handed to the kernel. */
     private static final Set<Integer> FINAL_STATUSES = Set.of(503, 502);
@@ -44,35 +49,55 @@
     @ParameterizedTest
     @CsvSource({"1, true", "4, true", "8, true", "20, true", "8, false"})
     void aLargeRequestIsAnsweredInTimeIfItsUpstreamReadsSlowly(int megabytes, boolean lengthDeclared) throws Exception {
-        Result result = send(SLOW_READ_MILLIS, megabytes * MB, lengthDeclared);
+        Result result = sendThroughProcess(SLOW_READ_MILLIS, megabytes * MB, lengthDeclared);
         assertTrue(FINAL_STATUSES.contains(result.status), "status " + result.status);
         assertTrue(
                 result.millisAfterLastByte <= BUDGET_MILLIS + MAX_LATENESS_MILLIS,
                 "answered " + result.millisAfterLastByte + " ms after its last byte");
     }
 
+    /** Guards against the same where there is no memory to read the rest of the request. */
+    @Test
+    void aLargeRequestIsAnsweredInTimeIfThereIsNoMemoryToReadItsRest() throws Exception {
+        try (SlowReader upstream = new SlowReader(SLOW_READ_MILLIS);
+                Loopback balancer = Loopback.setup()
+                        .upstream("u", upstream.address())
+                        .bodies(SCARCE_MEMORY)
+                        .start()) {
+            Result result = send(balancer.address.getPort(), 8 * MB, true);
+            assertEquals(503, result.status);
+            assertTrue(
+                    result.millisAfterLastByte <= BUDGET_MILLIS + MAX_LATENESS_MILLIS,
+                    "answered " + result.millisAfterLastByte + " ms after its last byte");
+        }
+    }
+
     @Test
     void aLargeRequestIsServedIfItsUpstreamReadsFast() throws Exception {
-        assertEquals(200, send(FAST_READ_MILLIS, 20 * MB, true).status);
+        assertEquals(200, sendThroughProcess(FAST_READ_MILLIS, 20 * MB, true).status);
     }
 
     private record Result(int status, long millisAfterLastByte) {}
 
-    private Result send(int readMillis, int length, boolean lengthDeclared) throws Exception {
+    private Result sendThroughProcess(int readMillis, int length, boolean lengthDeclared) throws Exception {
         try (SlowReader upstream = new SlowReader(readMillis);
                 ListedUpstreams listed = new ListedUpstreams(Loopback.member("u", upstream.address(), "up"));
                 BalancerProcess balancer = listed.start(folder)) {
             balancer.awaitHealthy();
-            try (Socket client = new Socket(InetAddress.getLoopbackAddress(), balancer.port())) {
-                client.setSoTimeout(CLIENT_TIMEOUT_MILLIS);
-                AtomicLong written = new AtomicLong();
-                Thread writer = new Thread(() -> write(client, length, lengthDeclared, written));
-                writer.start();
-                int status = Loopback.answer(client).status();
-                long answered = System.nanoTime();
-                writer.join();
-                return new Result(status, TimeUnit.NANOSECONDS.toMillis(answered - written.get()));
-            }
+            return send(balancer.port(), length, lengthDeclared);
+        }
+    }
+
+    private static Result send(int port, int length, boolean lengthDeclared) throws Exception {
+        try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            client.setSoTimeout(CLIENT_TIMEOUT_MILLIS);
+            AtomicLong written = new AtomicLong();
+            Thread writer = new Thread(() -> write(client, length, lengthDeclared, written));
+            writer.start();
+            int status = Loopback.answer(client).status();
+            long answered = System.nanoTime();
+            writer.join();
+            return new Result(status, TimeUnit.NANOSECONDS.toMillis(answered - written.get()));
         }
     }
 
