Tests with processes of their own share one discovery

Need: SlowPeersTest had the discovery and the start of its balancer a second time.

Change: it uses ListedUpstreams, which takes options of the JVM. What it checks is the same.

Measured: SlowPeersTest and ReplacedProcessTest pass.

--- a/src/test/java/sedgeyoke/proxy/ListedUpstreams.java
+++ b/src/test/java/sedgeyoke/proxy/ListedUpstreams.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import sedgeyoke.drill.ProgramProcess;
 
 /** A discovery that lists some upstreams and never changes, for balancers in processes of their own. */
@@ -23,9 +24,14 @@
 
     /** Starts a balancer with an admin endpoint; does not wait until it listens. */
     BalancerProcess start(Path folder) throws IOException {
+        return startWith(List.of(), folder);
+    }
+
+    /** Starts a balancer as the method above does, with options of the JVM. */
+    BalancerProcess startWith(List<String> jvmOptions, Path folder) throws IOException {
         String addresses = discovery.address() + "\",\"ops\":\"127.0.0.1:0";
         byte[] config = Loopback.configText(Loopback.SETTINGS, addresses, SOCKETS, list);
-        return BalancerProcess.start(folder, ProgramProcess.freePort(), config);
+        return BalancerProcess.startWith(jvmOptions, folder, ProgramProcess.freePort(), config);
     }
 
     @Override
--- a/src/test/java/sedgeyoke/proxy/SlowPeersTest.java
+++ b/src/test/java/sedgeyoke/proxy/SlowPeersTest.java
@@ -22,7 +22,6 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import sedgeyoke.body.BodyLimits;
-import sedgeyoke.drill.ProgramProcess;
 
 /** Many long bodies at once whose receivers read nothing for a while. */
 class SlowPeersTest {
@@ -65,8 +64,8 @@
     void shortRequestsAreAnsweredWhileManyLongBodiesWaitForTheirReceivers(boolean uploading) throws Exception {
         CountDownLatch end = new CountDownLatch(1);
         try (StallingUpstream upstream = new StallingUpstream(end);
-                ScriptedServer discovery = discovery(upstream.address());
-                BalancerProcess balancer = start(upstream, discovery)) {
+                ListedUpstreams listed = new ListedUpstreams(Loopback.member("u", upstream.address(), "up"));
+                BalancerProcess balancer = listed.startWith(LOW_MEMORY, folder)) {
             balancer.awaitHealthy();
             for (int i = 0; i < TRANSFERS; i++) {
                 int wanted = i + 1;
@@ -180,22 +179,6 @@
         }
     }
 
-    private static ScriptedServer discovery(String upstream) throws IOException {
-        String members = Loopback.list(1, true, Loopback.member("u", upstream, "up"));
-        return new ScriptedServer((request, socket) -> {
-            if (!request.line().contains("from=")) { // otherwise no changes: the watch waits until it is closed
-                ScriptedServer.reply(socket, 200, members);
-            }
-        });
-    }
-
-    private BalancerProcess start(LoopbackServer upstream, ScriptedServer discovery) throws IOException {
-        String known = Loopback.list(1, true, Loopback.member("u", upstream.address(), "up"));
-        byte[] config =
-                Loopback.configText(Loopback.SETTINGS, discovery.address() + "\",\"ops\":\"127.0.0.1:0", 1_024, known);
-        return BalancerProcess.startWith(LOW_MEMORY, folder, ProgramProcess.freePort(), config);
-    }
-
     private Socket connect(int port) throws IOException {
         Socket client = new Socket();
         client.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
