--- a/src/main/java/sedgeyoke/body/BodyLimits.java
+++ b/src/main/java/sedgeyoke/body/BodyLimits.java
@@ -81,31 +81,6 @@
             12 * MIB,
             MAX_SILENCE_MICROS);
 
-    /** Creates limits under which nothing is read ahead, and upstreams may stall for as long as clients. */
-    public BodyLimits(
-            boolean streaming,
-            int maxBufferedBytes,
-            long maxTotalBufferedBytes,
-            long minUploadBytesPerSecond,
-            long uploadRateWindowMicros,
-            long maxUploadMicros,
-            long maxStallMicros,
-            long maxBodyBytes,
-            int socketBufferBytes) {
-        this(
-                streaming,
-                maxBufferedBytes,
-                maxTotalBufferedBytes,
-                minUploadBytesPerSecond,
-                uploadRateWindowMicros,
-                maxUploadMicros,
-                maxStallMicros,
-                maxBodyBytes,
-                socketBufferBytes,
-                0,
-                maxStallMicros);
-    }
-
     /** Returns the longest time in microseconds that a client may take to receive a response, whatever its progress. */
     public long maxResponseMicros() {
         return Math.max(MAX_RESPONSE_MICROS, maxUploadMicros);
--- a/src/main/java/sedgeyoke/policy/LoadBalancingPolicy.java
+++ b/src/main/java/sedgeyoke/policy/LoadBalancingPolicy.java
@@ -86,8 +86,8 @@
         default void unserved(String request, String reason) {}
 
         /**
-         * Whether a repetition of the request at this upstream would reach the process that the endpoint list means, and
-         * those of its attempts that may have run did. Otherwise the zone and the cell of the process are not known.
+         * Whether a repetition of the request at this upstream would reach the process that the endpoint list means,
+         * and those of its attempts that may have run did. Otherwise the zone and the cell of the process are unknown.
          */
         default boolean reachesListedProcess(String request, String upstream) {
             return true;
--- a/src/main/java/sedgeyoke/proxy/client/ResponseWriter.java
+++ b/src/main/java/sedgeyoke/proxy/client/ResponseWriter.java
@@ -274,8 +274,9 @@
     // ---- Progress ------------------------------------------------------------------------------------
 
     /**
-     * Restarts the timeout of the connection if the client has made room for more of the response since the last call, or
-     * if nothing waits to be written: then the rest has not come from the upstream, and the client waits, too. While the socket's buffer is full, it takes only as much as the client's side has acknowledged.
+     * Restarts the timeout of the connection if the client has made room for more of the response since the last call,
+     * or if nothing waits to be written: then the rest has not come from the upstream, and the client waits, too.
+     * While the socket's buffer is full, it takes only as much as the client's side has acknowledged.
      */
     void checkProgress() {
         Transport.tryFlush(channel);
--- a/src/main/java/sedgeyoke/proxy/core/ProxyCore.java
+++ b/src/main/java/sedgeyoke/proxy/core/ProxyCore.java
@@ -127,7 +127,7 @@
         this.discovery = createDiscoveryClient(transport);
         this.cordons = new CordonRegistry(clock, events, endpoints, CordonRegistry.createStore(config), log);
         ExchangeActions exchangeActions =
-                new ExchangeActions(reads, clock, settings, table, attempts, completion, pool, exchangeLog);
+                new ExchangeActions(reads, clock, settings, table, attempts, completion, pool);
         PolicyTimers timers = new PolicyTimers(loop, reads, clock, events);
         PolicyActions actions = new PolicyActions(settings, exchangeActions, pool, discovery, timers, log, exchangeLog);
         events.connect(
--- a/src/main/java/sedgeyoke/proxy/exchange/AttemptProgress.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/AttemptProgress.java
@@ -88,6 +88,13 @@
         }
     }
 
+    /** Logs an attempt that starts now, if it follows others. */
+    void starting(Attempt attempt) {
+        if (attempt.number > 0) {
+            log.retried(attempt);
+        }
+    }
+
     // ---- Progress ------------------------------------------------------------------------------------
 
     @Override
--- a/src/main/java/sedgeyoke/proxy/exchange/ExchangeActions.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ExchangeActions.java
@@ -16,7 +16,6 @@
     private final AttemptProgress attempts;
     private final ExchangeCompletion completion;
     private final AttemptStarter starter;
-    private final ExchangeLog log;
 
     /**
      * Creates the actions; {@code starter} sends attempts, and {@code reads} delays their timeouts until pending input
@@ -29,8 +28,7 @@
             ExchangeTable table,
             AttemptProgress attempts,
             ExchangeCompletion completion,
-            AttemptStarter starter,
-            ExchangeLog log) {
+            AttemptStarter starter) {
         this.reads = reads;
         this.clock = clock;
         this.settings = settings;
@@ -38,7 +36,6 @@
         this.attempts = attempts;
         this.completion = completion;
         this.starter = starter;
-        this.log = log;
     }
 
     /** Starts an attempt at an upstream; {@code timeoutMicros} is 0 if it may wait as long as the exchange. */
@@ -62,9 +59,7 @@
         if (deadlineMicros < exchange.deadlineMicros) {
             attempt.timeoutTimer = reads.schedule(() -> attempts.timeOut(attempt), deadlineMicros - nowMicros);
         }
-        if (number > 0) {
-            log.retried(attempt);
-        }
+        attempts.starting(attempt);
         starter.start(attempt);
     }
 
--- a/src/main/java/sedgeyoke/proxy/exchange/ForwardedIds.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ForwardedIds.java
@@ -8,8 +8,9 @@
 
 /**
  * Remembers the ids of requests that an upstream may have executed, for a time after their exchange has ended. Ids are
- * unique, but a client that has lost its connection may send the same request again, which would be executed twice. The
- * number of ids is limited; the oldest are dropped first. Event loop only; times are microseconds of the policy's clock.
+ * unique, but a client that has lost its connection may send the same request again, which would be executed twice.
+ * The number of ids is limited; the oldest are dropped first. Event loop only; times are microseconds of the policy's
+ * clock.
  */
 final class ForwardedIds {
     private static final long RETENTION_MICROS = 60_000_000;
--- a/src/main/java/sedgeyoke/proxy/exchange/ReadOverflowBuffer.java
+++ b/src/main/java/sedgeyoke/proxy/exchange/ReadOverflowBuffer.java
@@ -6,8 +6,9 @@
 import java.util.Deque;
 
 /**
- * Holds, in order, what was read of a body after its receiver asked for a pause: the rest of a read and, with read-ahead,
- * what follows it. Small parts are copied into blocks, because each of them would keep the buffer of its read alive.
+ * Holds, in order, what was read of a body after its receiver asked for a pause: the rest of a read and, with
+ * read-ahead, what follows it. Small parts are copied into blocks, because each of them would keep the buffer of its
+ * read alive.
  */
 public final class ReadOverflowBuffer {
     private final int blockBytes;
--- a/src/main/java/sedgeyoke/proxy/upstream/UpstreamEndpoint.java
+++ b/src/main/java/sedgeyoke/proxy/upstream/UpstreamEndpoint.java
@@ -51,7 +51,7 @@
         closeIdle();
     }
 
-    /** Records that a connection broke or was refused: the process may have ended, and another one may take its address. */
+    /** Records that a connection broke or was refused: the process may have ended, and another one have its address. */
     void recordBreak(long nowMicros) {
         brokenMicros = nowMicros;
     }
--- a/src/main/java/sedgeyoke/settings/OperatorFile.java
+++ b/src/main/java/sedgeyoke/settings/OperatorFile.java
@@ -93,7 +93,9 @@
                 number("bodies.longest_upload_s") * 1_000_000,
                 number("bodies.longest_still_ms") * 1_000,
                 number("bodies.longest_body_mib") << 20,
-                (int) number("bodies.socket_buffer_kib") << 10);
+                (int) number("bodies.socket_buffer_kib") << 10,
+                0,
+                number("bodies.longest_still_ms") * 1_000);
     }
 
     /** Section {@code [planner]}. */
--- a/src/test/java/sedgeyoke/body/BodyRulesTest.java
+++ b/src/test/java/sedgeyoke/body/BodyRulesTest.java
@@ -17,7 +17,7 @@
 /** Checks every cell of the table in docs/design/bodies.md, the memory budget and the limits on uploads. */
 class BodyRulesTest {
     private static final BodyLimits LIMITS =
-            new BodyLimits(true, 65_536, 300_000, 1_000, 1_000_000, 60_000_000, 2_000_000, 1 << 30, 0);
+            new BodyLimits(true, 65_536, 300_000, 1_000, 1_000_000, 60_000_000, 2_000_000, 1 << 30, 0, 0, 2_000_000);
     private static final Set<Outcome> NEVER_RAN_OUTCOMES =
             Set.of(Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT);
 
--- a/src/test/java/sedgeyoke/proxy/BodyPropertiesTest.java
+++ b/src/test/java/sedgeyoke/proxy/BodyPropertiesTest.java
@@ -29,8 +29,8 @@
 /** For any splits, pauses and resets, a body is received unchanged or is visibly truncated, and no memory is leaked. */
 class BodyPropertiesTest {
     private static final int MAX_BUFFERED_BYTES = 64 * 1024;
-    private static final BodyLimits LIMITS =
-            new BodyLimits(true, MAX_BUFFERED_BYTES, 64L << 20, 0, 1_000_000, 30_000_000, 5_000_000, 1L << 40, 0);
+    private static final BodyLimits LIMITS = new BodyLimits(
+            true, MAX_BUFFERED_BYTES, 64L << 20, 0, 1_000_000, 30_000_000, 5_000_000, 1L << 40, 0, 0, 5_000_000);
     private static final int MAX_BYTES_PER_READ = LIMITS.maxReadBytes();
     private static final int MAX_BODY_BYTES = 400_000;
     private static final Map<String, byte[]> RECEIVED = new ConcurrentHashMap<>();
--- a/src/test/java/sedgeyoke/proxy/ClientDisconnectsTest.java
+++ b/src/test/java/sedgeyoke/proxy/ClientDisconnectsTest.java
@@ -241,8 +241,8 @@
             value = Disconnect.class,
             names = {"FIN", "RST"})
     void nothingIsSentAfterADisconnectWhileALongBodyIsBuffered(Disconnect how) throws Exception {
-        BodyLimits limits =
-                new BodyLimits(true, 64 * 1024, 64L << 20, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40, 0);
+        BodyLimits limits = new BodyLimits(
+                true, 64 * 1024, 64L << 20, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40, 0, 0, 30_000_000);
         String body = "w".repeat(100_000);
         try (ScriptedServer upstream = ScriptedServer.serving("x");
                 Loopback lb =
@@ -295,7 +295,17 @@
     private void assertDoesNotRun(String framing, byte[] body, int socketBufferBytes, CountDownLatch go)
             throws Exception {
         BodyLimits limits = new BodyLimits(
-                true, 128 * 1024, 64L << 20, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40, socketBufferBytes);
+                true,
+                128 * 1024,
+                64L << 20,
+                0,
+                1_000_000,
+                30_000_000,
+                30_000_000,
+                1L << 40,
+                socketBufferBytes,
+                0,
+                30_000_000);
         try (ScriptedServer upstream =
                         new ScriptedServer((request, socket) -> ScriptedServer.reply(socket, 200, "x"), go);
                 Loopback lb =
--- a/src/test/java/sedgeyoke/proxy/ClientWireBytesTest.java
+++ b/src/test/java/sedgeyoke/proxy/ClientWireBytesTest.java
@@ -115,7 +115,8 @@
 
     @Test
     void aBodyBeyondTheBudgetIsRejectedAsRecorded() throws Exception {
-        BodyLimits small = new BodyLimits(true, 64 * 1024, 0, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 20, 0);
+        BodyLimits small =
+                new BodyLimits(true, 64 * 1024, 0, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 20, 0, 0, 30_000_000);
         try (RawServer upstream = RawServer.answering(OK);
                 Loopback balancer = before(upstream)
                         .bodies(small)
--- a/src/test/java/sedgeyoke/proxy/FuzzTest.java
+++ b/src/test/java/sedgeyoke/proxy/FuzzTest.java
@@ -75,7 +75,7 @@
         "Connection: close\r\n"
     };
     private static final BodyLimits LIMITS =
-            new BodyLimits(true, 32 * 1024, 4L << 20, 0, 1_000_000, 2_000_000, 300_000, 1L << 30, 0);
+            new BodyLimits(true, 32 * 1024, 4L << 20, 0, 1_000_000, 2_000_000, 300_000, 1L << 30, 0, 0, 300_000);
     private static final List<String> FAULT_TEXTS = List.of(
             "request not handled",
             "the policy threw an exception",
--- a/src/test/java/sedgeyoke/proxy/JdkHttpClientTest.java
+++ b/src/test/java/sedgeyoke/proxy/JdkHttpClientTest.java
@@ -25,8 +25,8 @@
  * Continue.
  */
 class JdkHttpClientTest {
-    private static final BodyLimits LIMITS =
-            new BodyLimits(true, 64 * 1024, 8L << 20, 1_000, 1_000_000, 30_000_000, 5_000_000, 1L << 40, 0);
+    private static final BodyLimits LIMITS = new BodyLimits(
+            true, 64 * 1024, 8L << 20, 1_000, 1_000_000, 30_000_000, 5_000_000, 1L << 40, 0, 0, 5_000_000);
 
     private static byte[] bytes(int length) {
         byte[] bytes = new byte[length];
--- a/src/test/java/sedgeyoke/proxy/LongBodies.java
+++ b/src/test/java/sedgeyoke/proxy/LongBodies.java
@@ -8,8 +8,8 @@
 /** Helpers for tests of long bodies on sockets. */
 final class LongBodies {
     static final int MB = 1 << 20;
-    static final BodyLimits LIMITS =
-            new BodyLimits(true, 64 * 1024, 8L * MB, 1_000, 1_000_000, 30_000_000, 5_000_000, 1L << 40, 0);
+    static final BodyLimits LIMITS = new BodyLimits(
+            true, 64 * 1024, 8L * MB, 1_000, 1_000_000, 30_000_000, 5_000_000, 1L << 40, 0, 0, 5_000_000);
 
     static final String HEAD_OF_BODY_UNTIL_CLOSE = "HTTP/1.1 200 x\r\nConnection: close\r\n\r\n";
 
--- a/src/test/java/sedgeyoke/proxy/LongBodyLimitsTest.java
+++ b/src/test/java/sedgeyoke/proxy/LongBodyLimitsTest.java
@@ -26,8 +26,21 @@
     /** The memory of a few heads, less than that of a body. */
     private static final int HEADS_BYTES = 8 * 1024;
 
-    private static final BodyLimits TINY_CHUNK_LIMITS =
-            new BodyLimits(true, 32 * 1024, 8L * MB, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40, 16 * 1024);
+    private static final BodyLimits ROOM_FOR_TWO_BODIES = new BodyLimits(
+            true,
+            64 * 1024,
+            2 * 64 * 1024 + HEADS_BYTES,
+            0,
+            1_000_000,
+            30_000_000,
+            5_000_000,
+            1L << 40,
+            0,
+            0,
+            5_000_000);
+
+    private static final BodyLimits TINY_CHUNK_LIMITS = new BodyLimits(
+            true, 32 * 1024, 8L * MB, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40, 16 * 1024, 0, 30_000_000);
 
     /**
      * Each chunk takes some hundred bytes in a queue: queued one by one, they could exceed the memory budget tenfold.
@@ -91,8 +104,6 @@
     @Test
     void withoutBodyMemoryLongRequestsAreRejectedAndShortOnesServed() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        BodyLimits roomForTwoBodies = new BodyLimits(
-                true, 64 * 1024, 2 * 64 * 1024 + HEADS_BYTES, 0, 1_000_000, 30_000_000, 5_000_000, 1L << 40, 0);
         try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     if (request.raw().length > 10_000) {
                         go.await();
@@ -101,7 +112,7 @@
                 });
                 Loopback lb = Loopback.setup()
                         .upstream("u", upstream.address())
-                        .bodies(roomForTwoBodies)
+                        .bodies(ROOM_FOR_TWO_BODIES)
                         .start()) {
             Socket[] clients = new Socket[3];
             for (int i = 0; i < 3; i++) {
@@ -123,7 +134,8 @@
 
     @Test
     void aSlowUploadTimesOut() throws Exception {
-        BodyLimits strict = new BodyLimits(true, 64 * 1024, MB, 1_000, 300_000, 30_000_000, 5_000_000, 1L << 40, 0);
+        BodyLimits strict =
+                new BodyLimits(true, 64 * 1024, MB, 1_000, 300_000, 30_000_000, 5_000_000, 1L << 40, 0, 0, 5_000_000);
         try (ScriptedServer upstream = ScriptedServer.serving("x");
                 Loopback lb = Loopback.setup()
                         .upstream("u", upstream.address())
@@ -150,7 +162,8 @@
 
     @Test
     void anEndlessResponseIsTruncatedAtTheMaximumBodySize() throws Exception {
-        BodyLimits small = new BodyLimits(true, 64 * 1024, 8L * MB, 1_000, 1_000_000, 30_000_000, 5_000_000, MB, 0);
+        BodyLimits small =
+                new BodyLimits(true, 64 * 1024, 8L * MB, 1_000, 1_000_000, 30_000_000, 5_000_000, MB, 0, 0, 5_000_000);
         try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     ScriptedServer.write(socket, HEAD_OF_BODY_UNTIL_CLOSE);
                     while (true) {
--- a/src/test/java/sedgeyoke/proxy/PipelinedRequestsTest.java
+++ b/src/test/java/sedgeyoke/proxy/PipelinedRequestsTest.java
@@ -32,8 +32,8 @@
 
     private static final int CLIENTS_WITH_LONG_HEADS = 8;
     private static final long SMALL_BUDGET_BYTES = 1L << 20;
-    private static final BodyLimits SMALL_BUDGET =
-            new BodyLimits(true, 64 * 1024, SMALL_BUDGET_BYTES, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 30, 0);
+    private static final BodyLimits SMALL_BUDGET = new BodyLimits(
+            true, 64 * 1024, SMALL_BUDGET_BYTES, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 30, 0, 0, 30_000_000);
 
     @TempDir
     private Path folder;
--- a/src/test/java/sedgeyoke/proxy/ShutdownWithBodiesTest.java
+++ b/src/test/java/sedgeyoke/proxy/ShutdownWithBodiesTest.java
@@ -16,7 +16,7 @@
 /** Graceful shutdown while bodies are being streamed: they are completed if possible, and otherwise aborted cleanly. */
 class ShutdownWithBodiesTest {
     private static final BodyLimits LIMITS =
-            new BodyLimits(true, 64 * 1024, 8L << 20, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40, 0);
+            new BodyLimits(true, 64 * 1024, 8L << 20, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 40, 0, 0, 30_000_000);
     private static final int LENGTH = 400_000;
     private static final int HALF = LENGTH / 2;
 
--- a/src/test/java/sedgeyoke/proxy/SlowLongResponsesTest.java
+++ b/src/test/java/sedgeyoke/proxy/SlowLongResponsesTest.java
@@ -106,7 +106,7 @@
         }
     }
 
-    /** Guards against taking a response whose length is not known for a short one when the time of its request is over. */
+    /** Guards against taking a response of unknown length for a short one when the time of its request is over. */
     @Test
     void longResponsesOfUnknownLengthAreNotCutOffAtTheTimeOfTheirRequest() throws Exception {
         Map<String, Plan> plans = new LinkedHashMap<>();
--- a/src/test/java/sedgeyoke/proxy/SlowPeersTest.java
+++ b/src/test/java/sedgeyoke/proxy/SlowPeersTest.java
@@ -47,8 +47,21 @@
 
     private static final int CEILING_BYTES = 64 * 1024;
     private static final int TOTAL_BYTES = MB;
-    private static final BodyLimits SMALL_TOTAL =
-            new BodyLimits(true, CEILING_BYTES, TOTAL_BYTES, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 30, 64 * 1024);
+    private static final BodyLimits SMALL_TOTAL = new BodyLimits(
+            true, CEILING_BYTES, TOTAL_BYTES, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 30, 64 * 1024, 0, 30_000_000);
+
+    private static final BodyLimits SHORT_STALL = new BodyLimits(
+            true,
+            CEILING_BYTES,
+            8L * MB,
+            0,
+            1_000_000,
+            30_000_000,
+            SHORT_STALL_MICROS,
+            1L << 30,
+            0,
+            0,
+            SHORT_STALL_MICROS);
 
     @TempDir
     private Path folder;
@@ -127,8 +140,6 @@
      */
     @Test
     void aResponseToAClientThatReadsSlowlyIsNotCutOff() throws Exception {
-        BodyLimits shortStall =
-                new BodyLimits(true, CEILING_BYTES, 8L * MB, 0, 1_000_000, 30_000_000, SHORT_STALL_MICROS, 1L << 30, 0);
         try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     ScriptedServer.write(
                             socket, "HTTP/1.1 200 x\r\nContent-Length: " + STALLED_BODY.length + "\r\n\r\n");
@@ -136,7 +147,7 @@
                 });
                 Loopback lb = Loopback.setup()
                         .upstream("u", upstream.address())
-                        .bodies(shortStall)
+                        .bodies(SHORT_STALL)
                         .start();
                 Socket client = lb.connect()) {
             ScriptedServer.write(client, Loopback.request("slow", "read", LONG_BUDGET_MILLIS));
@@ -161,8 +172,6 @@
     /** Guards against clients that keep a response for as long as they like. */
     @Test
     void aClientThatStopsReadingIsStillDisconnected() throws Exception {
-        BodyLimits shortStall =
-                new BodyLimits(true, CEILING_BYTES, 8L * MB, 0, 1_000_000, 30_000_000, SHORT_STALL_MICROS, 1L << 30, 0);
         try (ScriptedServer upstream = new ScriptedServer((request, socket) -> {
                     ScriptedServer.write(
                             socket, "HTTP/1.1 200 x\r\nContent-Length: " + STALLED_BODY.length + "\r\n\r\n");
@@ -170,7 +179,7 @@
                 });
                 Loopback lb = Loopback.setup()
                         .upstream("u", upstream.address())
-                        .bodies(shortStall)
+                        .bodies(SHORT_STALL)
                         .start();
                 Socket client = connect(lb.address.getPort())) {
             ScriptedServer.write(client, Loopback.request("silent", "read", LONG_BUDGET_MILLIS));
--- a/src/test/java/sedgeyoke/proxy/StalledUploadsTest.java
+++ b/src/test/java/sedgeyoke/proxy/StalledUploadsTest.java
@@ -23,7 +23,17 @@
 class StalledUploadsTest {
     private static final int SOCKET_BUFFER_BYTES = 64 * 1024;
     private static final BodyLimits LIMITS = new BodyLimits(
-            true, 128 * 1024, 8L * MB, 1_000, 1_000_000, 600_000_000, 5_000_000, 1L << 30, SOCKET_BUFFER_BYTES);
+            true,
+            128 * 1024,
+            8L * MB,
+            1_000,
+            1_000_000,
+            600_000_000,
+            5_000_000,
+            1L << 30,
+            SOCKET_BUFFER_BYTES,
+            0,
+            5_000_000);
 
     private static final int BUDGET_MILLIS = 1_000;
     /** The platform counts a request as lost if its answer comes later than this after its time. */
--- a/src/test/java/sedgeyoke/proxy/WireBytesTestBase.java
+++ b/src/test/java/sedgeyoke/proxy/WireBytesTestBase.java
@@ -18,7 +18,7 @@
  */
 abstract class WireBytesTestBase {
     static final BodyLimits STREAMING =
-            new BodyLimits(true, 64 * 1024, 8L << 20, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 20, 0);
+            new BodyLimits(true, 64 * 1024, 8L << 20, 0, 1_000_000, 30_000_000, 30_000_000, 1L << 20, 0, 0, 30_000_000);
     /** Longer than the part of a body that is buffered. */
     static final String LONG_BODY = "b".repeat(100_000);
 
